--- /dev/null
+++ b/api/generate.go
@@ -0,0 +1,9 @@
+// Package api holds the schemas of calls, settings and messages between nodes.
+// The Go types come from them: run `go generate ./api` after a change.
+package api
+
+//go:generate go tool oapi-codegen -config calls.gen.yaml calls.yaml
+//go:generate go tool oapi-codegen -config config.gen.yaml config.yaml
+//go:generate go tool oapi-codegen -config wire.gen.yaml wire.yaml
+//go:generate sed -i -E "s/json:\"([a-z])[^\"]*\"/msg:\"\\1\"/" ../internal/wire/types.gen.go
+//go:generate go tool msgp -file ../internal/wire/types.gen.go -o ../internal/wire/msgp.gen.go -tests=false -io=false
--- /dev/null
+++ b/cmd/beechtide/main.go
@@ -0,0 +1,143 @@
+// Beechtide is a router fleet for language-model runners with an index of kept
+// prompts. One program; the role is a subcommand.
+package main
+
+import (
+	"context"
+	"flag"
+	"fmt"
+	"os"
+	"os/signal"
+	"runtime/debug"
+	"syscall"
+	"time"
+
+	"github.com/cloudwego/hertz/pkg/common/hlog"
+	"github.com/go-logr/logr"
+	"github.com/panjf2000/ants/v2"
+
+	"beechtide.org/beechtide/internal/config"
+	"beechtide.org/beechtide/internal/counter"
+	"beechtide.org/beechtide/internal/dispatch"
+	"beechtide.org/beechtide/internal/logbook"
+	"beechtide.org/beechtide/internal/menu"
+)
+
+const usage = `usage: beechtide ROLE|COMMAND [flags]
+
+roles
+  counter    take clients' requests and send them to runners
+  dispatch   keep configuration, registrations and duties
+
+commands
+  check FILE  check a configuration before it is sent
+
+Run beechtide COMMAND -h for its flags.
+`
+
+func main() { os.Exit(run(os.Args[1:])) }
+
+func run(args []string) int {
+	if len(args) == 0 {
+		fmt.Fprint(os.Stderr, usage)
+		return 2
+	}
+	switch args[0] {
+	case "counter", "dispatch":
+		return serve(args[0], args[1:])
+	case "check":
+		return check(args[1:])
+	case "-h", "-help", "--help", "help":
+		fmt.Print(usage)
+		return 0
+	}
+	fmt.Fprintf(os.Stderr, "beechtide: unknown role or command %q; run beechtide -h\n", args[0])
+	return 2
+}
+
+type role interface {
+	Run(ctx context.Context) error
+}
+
+func serve(name string, args []string) int {
+	fs := flag.NewFlagSet("beechtide "+name, flag.ContinueOnError)
+	path := fs.String("config", config.Path(), "path of the settings file")
+	if err := fs.Parse(args); err != nil {
+		if err == flag.ErrHelp {
+			return 0
+		}
+		return 2
+	}
+	set, err := config.Load(*path)
+	if err != nil {
+		fmt.Fprintf(os.Stderr, "beechtide %s: %v\n", name, err)
+		return 1
+	}
+	debug.SetGCPercent(50)
+	hlog.SetLevel(hlog.LevelFatal)
+	ring := logbook.New(512, os.Stderr)
+	log := logr.New(ring).WithName(name)
+	pool, err := ants.NewPool(512, ants.WithNonblocking(true))
+	if err != nil {
+		fmt.Fprintf(os.Stderr, "beechtide %s: %v\n", name, err)
+		return 1
+	}
+	defer pool.Release()
+	start := time.Now()
+	clock := func() int64 { return time.Since(start).Microseconds() + 1 }
+	var r role
+	if name == "counter" {
+		r, err = counter.New(set, pool, clock, log)
+	} else {
+		r, err = dispatch.New(set, pool, clock, log)
+	}
+	if err != nil {
+		fmt.Fprintf(os.Stderr, "beechtide %s: %v\n", name, err)
+		return 1
+	}
+	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
+	defer stop()
+	quit := make(chan os.Signal, 4)
+	signal.Notify(quit, syscall.SIGQUIT, syscall.SIGHUP)
+	go func() {
+		for s := range quit {
+			if s == syscall.SIGQUIT {
+				ring.Dump(os.Stderr)
+				continue
+			}
+			if _, err := config.Load(*path); err != nil {
+				log.Error(err, "changed settings do not check; the old ones stay")
+			}
+		}
+	}()
+	if err := r.Run(ctx); err != nil {
+		log.Error(err, "ended")
+		fmt.Fprintf(os.Stderr, "beechtide %s: %v\n", name, err)
+		return 1
+	}
+	return 0
+}
+
+func check(args []string) int {
+	fs := flag.NewFlagSet("beechtide check", flag.ContinueOnError)
+	fs.Usage = func() { fmt.Fprintln(fs.Output(), "usage: beechtide check FILE") }
+	if err := fs.Parse(args); err != nil {
+		if err == flag.ErrHelp {
+			return 0
+		}
+		return 2
+	}
+	if fs.NArg() != 1 {
+		fmt.Fprintln(os.Stderr, "beechtide check: name one configuration file")
+		return 2
+	}
+	raw, err := os.ReadFile(fs.Arg(0))
+	if err == nil {
+		_, err = menu.Parse(raw)
+	}
+	if err != nil {
+		fmt.Fprintf(os.Stderr, "beechtide check: %v\n", err)
+		return 1
+	}
+	return 0
+}
--- /dev/null
+++ b/internal/cab/events.go
@@ -0,0 +1,49 @@
+// Events cuts a stream into whole events and remembers the id of the last one
+// passed on. What is not yet whole stays back, so that a broken stream never
+// leaves half an event with the client.
+package cab
+
+import "bytes"
+
+// Events is the state of one stream.
+type Events struct {
+	rest   []byte
+	LastID string
+	Count  int
+}
+
+// Add takes bytes and returns those that make whole events, in order. The
+// result is valid until the next call.
+func (e *Events) Add(b []byte) []byte {
+	e.rest = append(e.rest, b...)
+	end := bytes.LastIndex(e.rest, []byte("\n\n"))
+	if end < 0 {
+		return nil
+	}
+	whole := e.rest[:end+2]
+	out := append([]byte{}, whole...)
+	e.note(whole)
+	e.rest = append(e.rest[:0], e.rest[end+2:]...)
+	return out
+}
+
+// Rest is what has come of an event that is not whole.
+func (e *Events) Rest() []byte { return e.rest }
+
+// Cut drops the rest, before a stream is taken up elsewhere.
+func (e *Events) Cut() { e.rest = e.rest[:0] }
+
+func (e *Events) note(whole []byte) {
+	e.Count += bytes.Count(whole, []byte("\n\n"))
+	for len(whole) > 0 {
+		line := whole
+		if i := bytes.IndexByte(whole, '\n'); i >= 0 {
+			line, whole = whole[:i], whole[i+1:]
+		} else {
+			whole = nil
+		}
+		if rest, ok := bytes.CutPrefix(line, []byte("id:")); ok {
+			e.LastID = string(bytes.TrimSpace(rest))
+		}
+	}
+}
--- /dev/null
+++ b/internal/cab/link.go
@@ -0,0 +1,153 @@
+// Package cab carries shots to runners. This file is the Link: one connection
+// to a runner, read through a small buffer with hertz's HTTP/1 reader, never
+// retried by itself, and looked at before it is used again, so that a link the
+// runner has closed or sent surplus bytes on is not taken for a good one.
+package cab
+
+import (
+	"bufio"
+	"context"
+	"io"
+	"net"
+	"strconv"
+	"strings"
+	"syscall"
+	"time"
+
+	"github.com/cloudwego/hertz/pkg/protocol"
+	"github.com/cloudwego/hertz/pkg/protocol/http1/resp"
+	"github.com/pkg/errors"
+)
+
+// Errors of a link.
+var (
+	ErrConnect = errors.New("cab: no link to the runner")
+	ErrBroken  = errors.New("cab: link broken")
+	ErrForeign = errors.New("cab: the answer belongs to another request")
+	ErrLate    = errors.New("cab: no answer in time")
+)
+
+const tcpUserTimeout = 18
+
+// Timeouts of links, in milliseconds: how long bytes may stay unacknowledged,
+// and how quickly a silent peer is probed.
+const (
+	userTimeoutMs = 1500
+	keepIdleS     = 1
+	keepEveryS    = 1
+	keepCount     = 2
+	connectMs     = 700
+)
+
+type reader struct{ *bufio.Reader }
+
+func (r reader) Skip(n int) error {
+	_, err := r.Discard(n)
+	return err
+}
+func (r reader) Release() error { return nil }
+func (r reader) Len() int       { return r.Buffered() }
+func (r reader) ReadBinary(n int) ([]byte, error) {
+	b := make([]byte, n)
+	_, err := io.ReadFull(r.Reader, b)
+	return b, err
+}
+
+// Link is one connection to a runner. It serves one request at a time.
+type Link struct {
+	conn    net.Conn
+	in      reader
+	idleUs  int64 // since when it is idle
+	keepUs  int64 // for how long the runner keeps it idle; 0: unknown
+	used    bool
+	Answers int
+}
+
+// Connect opens a link.
+func Connect(ctx context.Context, addr string) (*Link, error) {
+	d := net.Dialer{Timeout: connectMs * time.Millisecond, KeepAlive: -1, Control: func(_, _ string, c syscall.RawConn) error {
+		return c.Control(func(fd uintptr) {
+			s := int(fd)
+			_ = syscall.SetsockoptInt(s, syscall.IPPROTO_TCP, tcpUserTimeout, userTimeoutMs)
+			_ = syscall.SetsockoptInt(s, syscall.SOL_SOCKET, syscall.SO_KEEPALIVE, 1)
+			_ = syscall.SetsockoptInt(s, syscall.IPPROTO_TCP, syscall.TCP_KEEPIDLE, keepIdleS)
+			_ = syscall.SetsockoptInt(s, syscall.IPPROTO_TCP, syscall.TCP_KEEPINTVL, keepEveryS)
+			_ = syscall.SetsockoptInt(s, syscall.IPPROTO_TCP, syscall.TCP_KEEPCNT, keepCount)
+		})
+	}}
+	c, err := d.DialContext(ctx, "tcp4", addr)
+	if err != nil {
+		return nil, errors.Wrap(ErrConnect, err.Error())
+	}
+	return &Link{conn: c, in: reader{bufio.NewReaderSize(c, 4096)}}, nil
+}
+
+// Close ends the link.
+func (l *Link) Close() { l.conn.Close() }
+
+// clean tells whether an idle link may carry another request: still open, and
+// nothing has come that nobody asked for.
+func (l *Link) clean() bool {
+	if l.in.Buffered() > 0 {
+		return false
+	}
+	sc, ok := l.conn.(syscall.Conn)
+	if !ok {
+		return true
+	}
+	raw, err := sc.SyscallConn()
+	if err != nil {
+		return false
+	}
+	good := false
+	err = raw.Read(func(fd uintptr) bool {
+		var b [1]byte
+		_, _, rerr := syscall.Recvfrom(int(fd), b[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
+		good = rerr == syscall.EAGAIN || rerr == syscall.EWOULDBLOCK
+		return true
+	})
+	return err == nil && good
+}
+
+// Send writes a whole request.
+func (l *Link) Send(head *protocol.RequestHeader, body []byte, deadline time.Time) error {
+	l.used = true
+	_ = l.conn.SetDeadline(deadline)
+	raw := head.AppendBytes(make([]byte, 0, 1024+len(body)))
+	if _, err := l.conn.Write(append(raw, body...)); err != nil {
+		return errors.Wrap(ErrBroken, err.Error())
+	}
+	return nil
+}
+
+// Head reads the head of the next answer. Its body is then read from the
+// stream of out until the end, which comes as io.EOF only if it is whole.
+func (l *Link) Head(out *protocol.Response, deadline time.Time) error {
+	_ = l.conn.SetReadDeadline(deadline)
+	if err := resp.ReadHeaderBodyStream(out, l.in, 0, func(bool) error { return nil }); err != nil {
+		var ne net.Error
+		if errors.As(err, &ne) && ne.Timeout() {
+			return errors.Wrap(ErrLate, err.Error())
+		}
+		return errors.Wrap(ErrBroken, err.Error())
+	}
+	l.Answers++
+	return nil
+}
+
+// keepAlive notes what the answer says of the link, and whether it can be kept.
+func (l *Link) keepAlive(h *protocol.ResponseHeader) bool {
+	if h.ConnectionClose() || !h.IsHTTP11() {
+		return false
+	}
+	if v := h.Get("Keep-Alive"); v != "" {
+		for item := range strings.SplitSeq(v, ",") {
+			if k, n, ok := strings.Cut(strings.TrimSpace(item), "="); ok && strings.EqualFold(k, "timeout") {
+				if s, err := strconv.Atoi(n); err == nil {
+					l.keepUs = int64(s) * 1_000_000
+				}
+			}
+		}
+	}
+	return true
+}
--- /dev/null
+++ b/internal/counter/counter.go
@@ -0,0 +1,341 @@
+// Package counter is the role that carries the traffic: it takes the clients'
+// requests, asks the doorman, sends shots to runners and streams what comes
+// back. It keeps nothing on disk; configuration and runners reach it as news.
+package counter
+
+import (
+	"context"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/cloudwego/hertz/pkg/app/server"
+	"github.com/go-logr/logr"
+	"github.com/panjf2000/ants/v2"
+
+	"beechtide.org/beechtide/internal/cab"
+	"beechtide.org/beechtide/internal/config"
+	"beechtide.org/beechtide/internal/doorman"
+	"beechtide.org/beechtide/internal/menu"
+	"beechtide.org/beechtide/internal/radio"
+	"beechtide.org/beechtide/internal/roster"
+	"beechtide.org/beechtide/internal/ticket"
+	"beechtide.org/beechtide/internal/wire"
+)
+
+// Counter is the running role.
+type Counter struct {
+	set    config.Settings
+	log    logr.Logger
+	clock  func() int64
+	radio  *radio.Radio
+	watch  *radio.Watch
+	relay  *radio.Relay
+	roster *roster.Roster
+	garage *cab.Garage
+	table  atomic.Pointer[menu.Table]
+
+	nmu   sync.Mutex
+	parts map[int]wire.PartNote
+
+	dmu     sync.Mutex
+	door    *doorman.Doorman
+	budgets map[string]*cab.Budget
+	slab    ticket.Slab[doorman.Ruling]
+	kick    chan struct{}
+
+	nodes    atomic.Int64
+	informed atomic.Bool
+	leaving  atomic.Bool
+	inFlight atomic.Int64
+	front    *server.Hertz
+}
+
+// New builds the role.
+func New(set config.Settings, pool *ants.Pool, clock func() int64, log logr.Logger) (*Counter, error) {
+	rad, err := radio.New(set.CounterAddr(), pool, log)
+	if err != nil {
+		return nil, err
+	}
+	c := &Counter{set: set, log: log, clock: clock, radio: rad, roster: roster.New(), garage: cab.NewGarage(clock), parts: map[int]wire.PartNote{}, door: doorman.New(doorman.Defaults, set.Site), budgets: map[string]*cab.Budget{}, kick: make(chan struct{}, 1)}
+	c.door.MarkUs = int64(set.Bounds.MarkMs) * 1000 * 3 / 4
+	c.nodes.Store(1)
+	c.relay = radio.NewRelay(rad, c.snapshot)
+	c.watch = radio.NewWatch(rad, wire.Peer{Addr: set.CounterAddr(), Role: wire.Counter, Site: set.Site, Node: set.Node}, clock, set.SeedAddrs)
+	rad.OnCast(radio.KindTally, func(_ string, body []byte) {
+		var t wire.Tally
+		if _, err := t.UnmarshalMsg(body); err == nil {
+			c.dmu.Lock()
+			c.door.Tally(t, c.clock())
+			c.dmu.Unlock()
+		}
+	})
+	return c, nil
+}
+
+// Run serves until ctx ends; it then leaves in order.
+func (c *Counter) Run(ctx context.Context) error {
+	live, stop := context.WithCancel(context.Background())
+	defer stop()
+	c.radio.Run(live)
+	go c.watch.Run(live)
+	go radio.Listen(live, c.radio, false, c.parents, c.takeNews)
+	go every(live, 250*time.Millisecond, c.compareMarks(live))
+	go every(live, 250*time.Millisecond, c.tellTally)
+	go every(live, time.Second, func() { c.garage.Sweep(func(string) bool { return true }) })
+	go c.pump(live)
+	failed := make(chan error, 2)
+	go func() { failed <- c.serveReady() }()
+	for c.table.Load() == nil {
+		select {
+		case <-time.After(20 * time.Millisecond):
+		case err := <-failed:
+			return err
+		case <-ctx.Done():
+			return nil
+		}
+	}
+	go func() { failed <- c.serveFront() }()
+	select {
+	case err := <-failed:
+		return err
+	case <-ctx.Done():
+	}
+	c.leave()
+	return nil
+}
+
+func every(ctx context.Context, period time.Duration, f func()) {
+	t := time.NewTicker(period)
+	defer t.Stop()
+	for {
+		f()
+		select {
+		case <-t.C:
+		case <-ctx.Done():
+			return
+		}
+	}
+}
+
+func (c *Counter) parents() []string {
+	list := radio.Parents(c.radio.Addr(), c.set.Site, c.watch.Alive(wire.Dispatch), c.watch.Alive(wire.Counter))
+	if len(list) == 0 {
+		return c.set.SeedAddrs()
+	}
+	return list
+}
+
+func (c *Counter) snapshot() wire.News {
+	var n wire.News
+	c.nmu.Lock()
+	for _, p := range c.parts {
+		n.Parts = append(n.Parts, p)
+	}
+	c.nmu.Unlock()
+	n.Runners = c.roster.All()
+	byRunner := map[string][]wire.KeptPart{}
+	c.dmu.Lock()
+	c.door.Index.Each(func(r string, k uint64, t int32) { byRunner[r] = append(byRunner[r], wire.KeptPart{Key: k, Tokens: t}) })
+	c.dmu.Unlock()
+	for r, parts := range byRunner {
+		n.Kept = append(n.Kept, wire.KeptNote{ID: r, Reset: true, Parts: parts})
+	}
+	return n
+}
+
+// takeNews applies what a relay or a pull brought: versions in rising order
+// only, never back.
+func (c *Counter) takeNews(n wire.News) {
+	now := c.clock()
+	c.relay.Publish(n)
+	changed := false
+	for _, p := range n.Parts {
+		changed = c.takePart(p, now) || changed
+	}
+	for _, r := range n.Runners {
+		changed = c.roster.Merge(r, now) || changed
+	}
+	if len(n.Runners) > 0 {
+		c.informed.Store(true)
+	}
+	if changed {
+		c.syncDoor()
+	}
+	if len(n.Kept)+len(n.Reports) > 0 {
+		c.dmu.Lock()
+		for _, k := range n.Kept {
+			if k.Reset {
+				c.door.Index.Reset(k.ID)
+			}
+			for _, p := range k.Parts {
+				c.door.Index.Put(k.ID, p.Key, p.Tokens)
+			}
+		}
+		for _, r := range n.Reports {
+			c.door.Report(r, now)
+		}
+		c.dmu.Unlock()
+	}
+	c.wake()
+}
+
+func (c *Counter) takePart(p wire.PartNote, nowUs int64) bool {
+	c.nmu.Lock()
+	defer c.nmu.Unlock()
+	if old, ok := c.parts[p.Part]; ok && old.Mark >= p.Mark {
+		return false
+	}
+	if p.Part == 0 {
+		var body wire.MenuBody
+		if _, err := body.UnmarshalMsg(p.Body); err != nil {
+			return false
+		}
+		m, err := menu.Parse(body.Raw)
+		if err != nil {
+			c.log.Error(err, "a committed configuration does not check")
+			return false
+		}
+		c.table.Store(menu.Compile(m))
+	} else {
+		var body wire.DutyBody
+		if _, err := body.UnmarshalMsg(p.Body); err != nil {
+			return false
+		}
+		c.dmu.Lock()
+		for _, t := range body.Targets {
+			c.door.SetNewest(t.Model, t.Mark, nowUs)
+		}
+		c.dmu.Unlock()
+	}
+	c.parts[p.Part] = p
+	return true
+}
+
+// syncDoor brings the doorman to the runners and services that are known.
+func (c *Counter) syncDoor() {
+	t := c.table.Load()
+	snap := c.roster.Snapshot()
+	c.dmu.Lock()
+	defer c.dmu.Unlock()
+	for service, notes := range snap.ByService {
+		tokens := 0
+		if t != nil {
+			if s := t.Service(service); s != nil {
+				tokens = s.Engine.CacheTokens
+			}
+		}
+		c.door.SetService(service, notes, tokens)
+	}
+	for _, name := range c.door.Services() {
+		if _, ok := snap.ByService[name]; !ok {
+			c.door.SetService(name, nil, 0)
+		}
+	}
+}
+
+// compareMarks asks the dispatches in turn what they hold, and pulls where
+// something newer is there: a gap in the news is noticed this way.
+func (c *Counter) compareMarks(ctx context.Context) func() {
+	turn, differs := 0, 0
+	return func() {
+		var list []wire.Peer
+		for _, p := range c.watch.Alive(wire.Dispatch) {
+			if p.Standing == wire.Alive {
+				list = append(list, p)
+			}
+		}
+		if len(list) == 0 {
+			return
+		}
+		turn++
+		addr := list[turn%len(list)].Addr
+		cctx, cancel := context.WithTimeout(ctx, 400*time.Millisecond)
+		defer cancel()
+		b, err := c.radio.Call(cctx, addr, radio.KindMarks, &wire.Marks{Parts: []int64{}})
+		if err != nil {
+			return
+		}
+		var m wire.Marks
+		if _, err := m.UnmarshalMsg(b); err != nil {
+			return
+		}
+		behind := false
+		c.nmu.Lock()
+		for part, mark := range m.Parts {
+			if mark > 0 && c.parts[part].Mark < mark {
+				behind = true
+			}
+		}
+		c.nmu.Unlock()
+		if m.RosterSum != c.roster.Snapshot().Sum {
+			differs++
+		} else {
+			differs = 0
+		}
+		if !behind && differs%4 != 2 {
+			return
+		}
+		b, err = c.radio.Call(cctx, addr, radio.KindSnapshot, &wire.Marks{Parts: []int64{}})
+		if err != nil {
+			return
+		}
+		var n wire.News
+		if _, err := n.UnmarshalMsg(b); err == nil {
+			n.Kept = nil
+			c.takeNews(n)
+		}
+	}
+}
+
+// tellTally tells the other counters what this one has where.
+func (c *Counter) tellTally() {
+	peers := c.watch.Alive(wire.Counter)
+	c.nodes.Store(int64(max(len(peers), 1)))
+	c.dmu.Lock()
+	c.door.SetNodes(len(peers))
+	t := c.door.Own(c.radio.Addr())
+	c.dmu.Unlock()
+	if len(t.Weights) == 0 {
+		return
+	}
+	for _, p := range peers {
+		if p.Addr != c.radio.Addr() {
+			c.radio.Cast(p.Addr, radio.KindTally, &t)
+		}
+	}
+}
+
+func (c *Counter) wake() {
+	select {
+	case c.kick <- struct{}{}:
+	default:
+	}
+}
+
+// pump lets the doorman's time pass while requests wait.
+func (c *Counter) pump(ctx context.Context) {
+	for {
+		select {
+		case <-c.kick:
+		case <-ctx.Done():
+			return
+		}
+		for {
+			c.dmu.Lock()
+			out := c.door.Tick(c.clock())
+			c.dmu.Unlock()
+			for _, r := range out {
+				if !c.slab.Resume(r.Ref, r) && r.Admit != nil {
+					c.dmu.Lock()
+					c.door.Done(r.Admit, true, c.clock())
+					c.dmu.Unlock()
+				}
+			}
+			if c.slab.Len() == 0 {
+				break
+			}
+			time.Sleep(8 * time.Millisecond)
+		}
+	}
+}
--- /dev/null
+++ b/internal/counter/front.go
@@ -0,0 +1,183 @@
+// The front: hertz takes the clients' requests, this file checks them, cheapest
+// check first, and hands the proper ones to the shots.
+package counter
+
+import (
+	"bytes"
+	"context"
+	"math/rand/v2"
+	"net"
+	"strconv"
+	"strings"
+	"syscall"
+	"time"
+
+	"github.com/cloudwego/hertz/pkg/app"
+	"github.com/cloudwego/hertz/pkg/app/server"
+
+	"beechtide.org/beechtide/internal/calls"
+	"beechtide.org/beechtide/internal/dispatch"
+	"beechtide.org/beechtide/internal/doorman"
+	"beechtide.org/beechtide/internal/menu"
+	"beechtide.org/beechtide/internal/pantry"
+)
+
+func (c *Counter) serveReady() error {
+	h := dispatch.Server(c.set.Listen.Ready)
+	h.GET("/api/ready", func(_ context.Context, rc *app.RequestContext) {
+		if c.ready() {
+			rc.SetStatusCode(200)
+		} else {
+			rc.SetStatusCode(503)
+		}
+	})
+	return h.Run()
+}
+
+func (c *Counter) ready() bool {
+	return c.table.Load() != nil && c.informed.Load() && !c.leaving.Load()
+}
+
+const tcpUserTimeout = 18
+
+// orMs gives a limit in milliseconds, or the fallback where there is none.
+func orMs(ms, fallback int) time.Duration {
+	if ms <= 0 {
+		ms = fallback
+	}
+	return time.Duration(ms) * time.Millisecond
+}
+
+// The limits on connections are those of the configuration that is in force
+// when the front opens.
+func (c *Counter) serveFront() error {
+	lim := c.table.Load().Limits
+	body := lim.BodyBytes
+	if body <= 0 {
+		body = 4 << 20
+	}
+	head := lim.HeaderBytes
+	if head <= 0 {
+		head = 64 << 10
+	}
+	lc := &net.ListenConfig{Control: func(_, _ string, rc syscall.RawConn) error {
+		return rc.Control(func(fd uintptr) {
+			_ = syscall.SetsockoptInt(int(fd), syscall.SOL_SOCKET, syscall.SO_REUSEADDR, 1)
+			_ = syscall.SetsockoptInt(int(fd), syscall.IPPROTO_TCP, tcpUserTimeout, 4000)
+		})
+	}}
+	h := dispatch.Server(c.set.Listen.Front,
+		server.WithListenConfig(lc), server.WithMaxRequestBodySize(body), server.WithMaxHeaderBytes(head),
+		server.WithIdleTimeout(orMs(lim.IdleMs, 15000)), server.WithReadTimeout(orMs(lim.HeaderMs, 10000)),
+		server.WithWriteTimeout(10*time.Second), server.WithDisableHeaderNamesNormalizing(true), server.WithUseRawPath(true),
+		server.WithMaxKeepBodySize(64<<10), server.WithReadBufferSize(4096))
+	h.NoRoute(c.serve)
+	c.front = h
+	return h.Run()
+}
+
+// visit is one request on its way through the counter.
+type visit struct {
+	c        *Counter
+	rc       *app.RequestContext
+	route    *menu.Route
+	tenant   *calls.Tenant
+	service  string
+	id       string
+	startUs  int64
+	endUs    int64 // the client's deadline or the route's cutoff
+	ask      doorman.Ask
+	shots    int
+	lastSent string
+}
+
+func (c *Counter) serve(_ context.Context, rc *app.RequestContext) {
+	c.inFlight.Add(1)
+	defer c.inFlight.Add(-1)
+	defer func() {
+		if c.leaving.Load() {
+			rc.Response.Header.SetConnectionClose(true)
+		}
+	}()
+	v := &visit{c: c, rc: rc, startUs: c.clock(), id: get(rc, hAttempt)}
+	t := c.table.Load()
+	uri := rc.Request.Header.RequestURI()
+	path, _, _ := strings.Cut(string(uri), "?")
+	if !strings.HasPrefix(path, "/") || v.id == "" || malformed(rc) {
+		v.deny(400, "", 0)
+		return
+	}
+	if v.route = t.Match(string(rc.Request.Header.Host()), path); v.route == nil {
+		v.deny(404, "", 0)
+		return
+	}
+	tenant := ""
+	if t.Tenants > 0 && !v.route.Unkeyed {
+		key, ok := strings.CutPrefix(get(rc, hAuth), "Token ")
+		if ok {
+			v.tenant = t.Tenant(strings.TrimSpace(key))
+		}
+		if v.tenant == nil {
+			v.deny(401, "", 0)
+			return
+		}
+		tenant = v.tenant.Name
+	}
+	v.endUs = v.startUs + v.route.CutoffUs
+	if ms, err := strconv.ParseFloat(get(rc, hTimeLeft), 64); err == nil {
+		v.endUs = min(v.endUs, v.startUs+int64(ms*1000))
+	}
+	v.service = v.route.Pick(rand.Float64())
+	in, out, _ := strings.Cut(get(rc, hTokens), ",")
+	tokensIn, _ := strconv.Atoi(strings.TrimSpace(in))
+	tokensOut, _ := strconv.Atoi(strings.TrimSpace(out))
+	v.ask = doorman.Ask{
+		Service: v.service, Tenant: tenant, Rank: v.route.Rank, TokensIn: max(tokensIn, 0), TokensOut: max(tokensOut, 0),
+		Model: get(rc, hModel), Parts: pantry.ParseParts(get(rc, hPrefix)), SetpointUs: v.route.SetpointUs, LeftUs: v.endUs - v.startUs,
+	}
+	if v.tenant != nil {
+		v.ask.Rank += 16 * v.tenant.Rank
+		v.ask.Isolated = v.tenant.Isolated
+	}
+	v.run()
+}
+
+// malformed finds requests whose end could be read in two ways.
+func malformed(rc *app.RequestContext) bool {
+	h := &rc.Request.Header
+	lengths := 0
+	chunked := false
+	h.VisitAll(func(k, _ []byte) {
+		switch {
+		case bytes.EqualFold(k, []byte("Content-Length")):
+			lengths++
+		case bytes.EqualFold(k, []byte("Transfer-Encoding")):
+			chunked = true
+		}
+	})
+	return lengths > 1 || lengths > 0 && chunked && len(h.Peek("Content-Length")) > 0 && h.ContentLength() >= 0 && len(h.Peek("Transfer-Encoding")) > 0
+}
+
+func get(rc *app.RequestContext, key string) string {
+	if b := rc.Request.Header.Peek(key); len(b) > 0 {
+		return string(b)
+	}
+	return string(rc.Request.Header.Peek(lower(key)))
+}
+
+// deny answers at once. A status that promises that the request has not run
+// says when to come back.
+func (v *visit) deny(status int, reason doorman.Reason, againUs int64) {
+	h := &v.rc.Response.Header
+	if v.id != "" {
+		h.Set(hAttempt, v.id)
+	}
+	if againUs > 0 && (status == 429 || status == 503) {
+		h.Set(hRetryAfter, strconv.FormatFloat(float64(againUs)/1e6, 'f', 3, 64))
+	}
+	v.rc.SetStatusCode(status)
+	if reason != "" {
+		v.rc.Response.Header.SetContentType("text/plain")
+		v.rc.Response.SetBodyString(string(reason) + "\n")
+	}
+}
--- /dev/null
+++ b/internal/counter/shots.go
@@ -0,0 +1,411 @@
+// The shots of a request: the doorman's ruling, a link, the head, the stream,
+// and what may follow when a shot fails. A further shot goes out only where the
+// runner said that it has not run the request, where nothing was sent, or where
+// the request may be repeated; and only within tries, budget and time.
+package counter
+
+import (
+	"context"
+	"io"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/cloudwego/hertz/pkg/network"
+	"github.com/cloudwego/hertz/pkg/protocol"
+	"github.com/cloudwego/hertz/pkg/protocol/http1/resp"
+	"github.com/pkg/errors"
+
+	"beechtide.org/beechtide/internal/cab"
+	"beechtide.org/beechtide/internal/calls"
+	"beechtide.org/beechtide/internal/doorman"
+)
+
+// ending is how a shot went.
+type ending int
+
+const (
+	whole    ending = iota // the client has the whole answer
+	notSent                // nothing reached the runner
+	notRun                 // the runner said that it has not run it
+	unknown                // it was sent, and may have run
+	brokeOff               // broken after a part had been passed on
+	clientGone
+)
+
+// maxUnsent bounds how many runners are tried whose links do not come up.
+const maxUnsent = 4
+
+func (v *visit) run() {
+	c := v.c
+	now := v.startUs
+	c.dmu.Lock()
+	c.budget(v.service).Request(now)
+	c.dmu.Unlock()
+	tries := max(v.route.Tries, 1)
+	unsent := 0
+	ran := false // it may have run somewhere
+	var stream *answerStream
+	defer func() {
+		if stream != nil && !stream.finished {
+			v.cut()
+		}
+	}()
+	for {
+		ruling := v.admit()
+		if ruling.Admit == nil {
+			switch {
+			case stream != nil:
+				return
+			case ran:
+				v.deny(502, ruling.Deny, 0)
+			default:
+				v.deny(ruling.Status, ruling.Deny, ruling.AgainUs)
+			}
+			return
+		}
+		end, out := v.shoot(ruling.Admit, stream)
+		stream = out
+		switch end {
+		case whole, clientGone:
+			return
+		case notSent:
+			v.shots--
+			if unsent++; unsent < maxUnsent && c.clock() < v.endUs {
+				v.ask.Avoid = append(v.ask.Avoid, ruling.Admit.Runner.ID)
+				continue
+			}
+		case notRun:
+			v.ask.Avoid = append(v.ask.Avoid, ruling.Admit.Runner.ID)
+		case unknown, brokeOff:
+			ran = true
+			v.ask.Avoid = append(v.ask.Avoid, ruling.Admit.Runner.ID)
+		}
+		again := v.shots < tries && c.clock() < v.endUs && end != notSent
+		if end == unknown || end == brokeOff {
+			again = again && v.route.Repeatable()
+		}
+		if again {
+			c.dmu.Lock()
+			again = c.budget(v.service).Spend(c.clock(), int(c.nodes.Load()))
+			c.dmu.Unlock()
+		}
+		if again {
+			continue
+		}
+		switch {
+		case stream != nil && stream.started:
+		case ran && c.clock() >= v.endUs:
+			v.deny(504, "", 0)
+		case ran:
+			v.deny(502, "", 0)
+		default:
+			v.deny(503, "", 100_000)
+		}
+		return
+	}
+}
+
+func (c *Counter) budget(service string) *cab.Budget {
+	b := c.budgets[service]
+	if b == nil {
+		s := c.set.Bounds
+		b = &cab.Budget{Ratio: s.ShotRatio, Slack: s.ShotSlack, WindowUs: int64(s.ShotWindowS * 1e6)}
+		c.budgets[service] = b
+	}
+	return b
+}
+
+// admit asks the doorman, and waits where the request is held.
+func (v *visit) admit() doorman.Ruling {
+	c := v.c
+	ch := make(chan doorman.Ruling, 1)
+	v.ask.Ref = c.slab.Put(func(r doorman.Ruling) { ch <- r })
+	now := c.clock()
+	v.ask.LeftUs = v.endUs - now
+	c.dmu.Lock()
+	r := c.door.Arrive(v.ask, now)
+	if r.Deny == doorman.DenyPending || r.Deny == doorman.DenyTokens {
+		if shed, ok := c.door.ShedFor(v.ask, now); ok {
+			defer c.slab.Resume(shed.Ref, shed)
+			r = c.door.Arrive(v.ask, now)
+		}
+	}
+	c.dmu.Unlock()
+	if !r.Hold {
+		c.slab.Drop(v.ask.Ref)
+		return r
+	}
+	c.wake()
+	return <-ch
+}
+
+// answerStream is the client's side of a streamed answer; it outlives a shot
+// where another runner takes the stream up.
+type answerStream struct {
+	out      network.ExtWriter
+	events   cab.Events
+	started  bool
+	finished bool
+	cutting  bool // the answer is a series of events
+}
+
+func (v *visit) shoot(adm *doorman.Admission, stream *answerStream) (ending, *answerStream) {
+	c := v.c
+	v.shots++
+	link, err := c.link(adm.Runner.Addr, v.endUs)
+	if err != nil {
+		c.done(adm, false)
+		return notSent, stream
+	}
+	if n, ok := c.roster.Snapshot().ByID[adm.Runner.ID]; !ok || n.Draining {
+		link.Close()
+		c.done(adm, true)
+		return notSent, stream
+	}
+	leftUs := v.endUs - c.clock()
+	head := v.head(adm, leftUs, stream)
+	deadline := time.Now().Add(time.Duration(leftUs)*time.Microsecond + 150*time.Millisecond)
+	if err := link.Send(head, v.rc.Request.Body(), deadline); err != nil {
+		link.Close()
+		c.done(adm, false)
+		return unknown, stream
+	}
+	r := protocol.AcquireResponse()
+	defer protocol.ReleaseResponse(r)
+	if err := v.readHead(link, r, deadline); err != nil {
+		link.Close()
+		c.done(adm, errors.Is(err, cab.ErrLate))
+		return unknown, stream
+	}
+	status := r.StatusCode()
+	if status == 421 || r.Header.Get(hNotRun) != "" {
+		_, err := io.Copy(io.Discard, io.LimitReader(r.BodyStream(), 64<<10))
+		c.giveBack(adm, link, r, err == nil)
+		c.dmu.Lock()
+		c.door.Full(adm, c.clock())
+		c.dmu.Unlock()
+		return notRun, stream
+	}
+	end := unknown
+	if status/100 == 2 && r.Header.ContentLength() < 0 {
+		end, stream = v.passStream(adm, link, r, stream)
+	} else {
+		end = v.passBody(adm, link, r, stream)
+	}
+	return end, stream
+}
+
+// readHead reads the head that answers this request; a surplus answer to an
+// earlier one may stand before it and is passed over.
+func (v *visit) readHead(link *cab.Link, r *protocol.Response, deadline time.Time) error {
+	for range 3 {
+		r.Reset()
+		if err := link.Head(r, deadline); err != nil {
+			return err
+		}
+		if id := r.Header.Get(hAttempt); id == "" || id == v.id {
+			return nil
+		}
+		if _, err := io.Copy(io.Discard, r.BodyStream()); err != nil {
+			return errors.Wrap(cab.ErrForeign, err.Error())
+		}
+	}
+	return cab.ErrForeign
+}
+
+func (c *Counter) link(addr string, endUs int64) (*cab.Link, error) {
+	ctx, cancel := context.WithTimeout(context.Background(), time.Duration(max(endUs-c.clock(), 1000))*time.Microsecond)
+	defer cancel()
+	return c.garage.Get(ctx, addr)
+}
+
+func (c *Counter) done(adm *doorman.Admission, ok bool) {
+	c.dmu.Lock()
+	c.door.Done(adm, ok, c.clock())
+	c.dmu.Unlock()
+	c.wake()
+}
+
+func (c *Counter) giveBack(adm *doorman.Admission, link *cab.Link, r *protocol.Response, ok bool) {
+	if ok {
+		c.garage.Put(adm.Runner.Addr, link, &r.Header)
+	} else {
+		link.Close()
+	}
+	c.done(adm, ok)
+}
+
+// head makes the head of a shot by the rules for headers.
+func (v *visit) head(adm *doorman.Admission, leftUs int64, stream *answerStream) *protocol.RequestHeader {
+	in := &v.rc.Request.Header
+	h := &protocol.RequestHeader{}
+	h.DisableNormalizing()
+	h.SetNoDefaultContentType(true)
+	h.SetMethodBytes(in.Method())
+	h.SetRequestURIBytes(in.RequestURI())
+	h.SetHostBytes(in.Host())
+	extra := named(string(in.Peek("Connection")))
+	in.VisitAll(func(k, val []byte) {
+		key := string(k)
+		if strings.EqualFold(key, hLastEvent) && stream != nil && stream.events.LastID != "" {
+			return
+		}
+		if passes(requestRules, extra, key) {
+			h.Add(key, string(val))
+		}
+	})
+	body := len(v.rc.Request.Body())
+	if body > 0 || !in.IsGet() && !in.IsHead() {
+		h.SetContentLength(body)
+	}
+	h.Set(hTimeLeft, strconv.FormatInt(max(leftUs/1000, 1), 10))
+	h.Set(hTarget, adm.Runner.ID)
+	if v.tenant != nil {
+		h.Set(hTenant, v.tenant.Name)
+	}
+	if v.ask.Model != "" {
+		h.Set(hSalt, adm.Salt)
+		h.Set(hUrgency, strconv.Itoa(urgency(v)))
+		if adm.Mark > 0 {
+			h.Set(hExpected, strconv.FormatInt(adm.Mark, 10))
+		}
+	}
+	if stream != nil && stream.events.LastID != "" {
+		h.Set(hLastEvent, stream.events.LastID)
+	}
+	return h
+}
+
+func urgency(v *visit) int {
+	u := 1 + min(v.route.Rank, 1)
+	if v.tenant != nil {
+		u += 2 * v.tenant.Rank
+	}
+	return min(max(u, 0), 9)
+}
+
+func (v *visit) answerHead(r *protocol.Response) {
+	out := &v.rc.Response.Header
+	out.SetStatusCode(r.StatusCode())
+	out.SetNoDefaultContentType(true)
+	extra := named(string(r.Header.Peek("Connection")))
+	r.Header.VisitAll(func(k, val []byte) {
+		if key := string(k); passes(answerRules, extra, key) {
+			out.Add(key, string(val))
+		}
+	})
+	if v.c.leaving.Load() {
+		out.SetConnectionClose(true)
+	}
+}
+
+// passBody passes on an answer of known length, once it is whole.
+func (v *visit) passBody(adm *doorman.Admission, link *cab.Link, r *protocol.Response, stream *answerStream) ending {
+	b, err := io.ReadAll(r.BodyStream())
+	want := r.Header.ContentLength()
+	if err != nil || want >= 0 && len(b) != want {
+		v.c.giveBack(adm, link, r, false)
+		return unknown
+	}
+	v.c.first(adm)
+	status := r.StatusCode()
+	v.c.giveBack(adm, link, r, true)
+	if stream != nil && stream.started {
+		return brokeOff
+	}
+	if status >= 500 && v.route.Repeatable() && v.shots < max(v.route.Tries, 1) {
+		return unknown
+	}
+	v.answerHead(r)
+	v.rc.Response.SetBody(b)
+	return whole
+}
+
+func (c *Counter) first(adm *doorman.Admission) {
+	c.dmu.Lock()
+	c.door.FirstToken(adm, c.clock())
+	c.dmu.Unlock()
+	c.wake()
+}
+
+// passStream passes on a streamed answer, event by event.
+func (v *visit) passStream(adm *doorman.Admission, link *cab.Link, r *protocol.Response, stream *answerStream) (ending, *answerStream) {
+	c := v.c
+	if stream == nil {
+		stream = &answerStream{cutting: v.route.Kind == calls.Streaming}
+	}
+	stream.events.Cut()
+	body := r.BodyStream()
+	buf := make([]byte, 2048)
+	first := true
+	for {
+		n, err := body.Read(buf)
+		if n > 0 {
+			if first {
+				first = false
+				c.first(adm)
+			}
+			b := buf[:n]
+			if stream.cutting {
+				b = stream.events.Add(b)
+			}
+			if len(b) > 0 {
+				if !v.write(r, stream, b) {
+					link.Close()
+					c.done(adm, true)
+					return clientGone, stream
+				}
+			}
+		}
+		if err == nil {
+			continue
+		}
+		if err != io.EOF {
+			link.Close()
+			c.done(adm, false)
+			if stream.started {
+				return brokeOff, stream
+			}
+			return unknown, nil
+		}
+		if rest := stream.events.Rest(); len(rest) > 0 && stream.cutting {
+			if !v.write(r, stream, rest) {
+				link.Close()
+				c.done(adm, true)
+				return clientGone, stream
+			}
+		}
+		if !stream.started {
+			v.begin(r, stream)
+		}
+		stream.finished = stream.out.Finalize() == nil && v.rc.Flush() == nil
+		c.giveBack(adm, link, r, true)
+		return whole, stream
+	}
+}
+
+func (v *visit) begin(r *protocol.Response, stream *answerStream) {
+	v.answerHead(r)
+	stream.out = resp.NewChunkedBodyWriter(&v.rc.Response, v.rc.GetWriter())
+	v.rc.Response.HijackWriter(stream.out)
+	stream.started = true
+}
+
+func (v *visit) write(r *protocol.Response, stream *answerStream, b []byte) bool {
+	if !stream.started {
+		v.begin(r, stream)
+	}
+	if _, err := stream.out.Write(b); err != nil {
+		return false
+	}
+	return stream.out.Flush() == nil
+}
+
+// cut ends the client's connection so that the answer cannot be taken for whole.
+func (v *visit) cut() {
+	if conn := v.rc.GetConn(); conn != nil {
+		conn.Close()
+	}
+	v.rc.Response.Header.SetConnectionClose(true)
+}
--- /dev/null
+++ b/internal/dispatch/control.go
@@ -0,0 +1,251 @@
+// The calls of runners and of the operator (api/calls.yaml).
+package dispatch
+
+import (
+	"context"
+	"encoding/json"
+	"strconv"
+	"time"
+
+	"github.com/cloudwego/hertz/pkg/app"
+	"github.com/cloudwego/hertz/pkg/app/server"
+	hconfig "github.com/cloudwego/hertz/pkg/common/config"
+	"github.com/cloudwego/hertz/pkg/network/standard"
+	"github.com/go-playground/validator/v10"
+	"github.com/pkg/errors"
+
+	"beechtide.org/beechtide/internal/calls"
+	"beechtide.org/beechtide/internal/ledger"
+	"beechtide.org/beechtide/internal/menu"
+	"beechtide.org/beechtide/internal/radio"
+	"beechtide.org/beechtide/internal/wire"
+)
+
+var errNoChange = errors.New("dispatch: nothing to change")
+
+var checkCall = validator.New(validator.WithRequiredStructEnabled())
+
+// operatorWait bounds how long a change may take before the caller is told to
+// repeat it; callers move on after a second of silence.
+const operatorWait = 900 * time.Millisecond
+
+// Server makes a hertz server as beechtide uses it.
+func Server(addr string, more ...hconfig.Option) *server.Hertz {
+	opts := append([]hconfig.Option{
+		server.WithHostPorts(addr), server.WithTransport(standard.NewTransporter),
+		server.WithDisablePrintRoute(true), server.WithDisableDefaultDate(true),
+		server.WithDisableHeaderNamesNormalizing(false), server.WithIdleTimeout(60 * time.Second),
+		server.WithReadTimeout(60 * time.Second), server.WithMaxRequestBodySize(64 << 20), server.WithRedirectTrailingSlash(false),
+		server.WithExitWaitTime(100 * time.Millisecond),
+	}, more...)
+	return server.New(opts...)
+}
+
+func (d *Dispatch) serveControl(ctx context.Context) error {
+	if d.set.Listen.Control == "" {
+		return errors.New("dispatch: settings name no control address")
+	}
+	h := Server(d.set.Listen.Control)
+	h.POST("/api/Runners.Heartbeat/:id", d.beat)
+	h.POST("/api/Runners.Leave/:id", d.leave)
+	h.POST("/api/Config.Replace", d.replace)
+	h.GET("/api/Config.Read", d.read)
+	h.POST("/api/version-put", d.nameWeights)
+	failed := make(chan error, 1)
+	go func() { failed <- h.Run() }()
+	select {
+	case err := <-failed:
+		return err
+	case <-ctx.Done():
+		return nil
+	}
+}
+
+func deny(c *app.RequestContext, status int, field, reason string) {
+	c.JSON(status, calls.Fault{Error: reason, Field: field})
+}
+
+func (d *Dispatch) beat(_ context.Context, c *app.RequestContext) {
+	var b calls.Beat
+	if err := json.Unmarshal(c.Request.Body(), &b); err != nil {
+		deny(c, 400, "(body)", err.Error())
+		return
+	}
+	if err := checkCall.Struct(b); err != nil || !b.State.Valid() {
+		deny(c, 400, "(body)", "not a beat")
+		return
+	}
+	n := wire.RunnerNote{ID: c.Param("id"), Service: b.Service, Addr: b.Address, Site: b.Site, Capacity: b.Capacity, Seq: b.Sequence, Draining: b.State == calls.Draining, Models: []wire.Target{}}
+	for _, m := range b.Models {
+		n.Models = append(n.Models, wire.Target{Model: m.Name, Mark: m.Mark})
+	}
+	changed := d.roster.Hear(n, d.clock())
+	if changed {
+		d.relay.Publish(wire.News{Runners: []wire.RunnerNote{n}})
+	}
+	out := calls.BeatOutcome{}
+	near := false
+	for _, p := range d.watch.Alive(wire.Dispatch) {
+		if p.Addr == d.radio.Addr() {
+			near = near || p.Site == n.Site
+			continue
+		}
+		d.radio.Cast(p.Addr, radio.KindRunner, &n)
+		if p.Site == n.Site && !near && p.Control != "" && p.Standing == wire.Alive && d.set.Site != n.Site {
+			out.BeatTo, near = p.Control, true
+		}
+	}
+	c.JSON(200, out)
+}
+
+func (d *Dispatch) leave(_ context.Context, c *app.RequestContext) {
+	if n, changed := d.roster.Leave(c.Param("id"), d.clock()); changed {
+		d.relay.Publish(wire.News{Runners: []wire.RunnerNote{n}})
+	}
+	c.Status(200)
+}
+
+func (d *Dispatch) replace(ctx context.Context, c *app.RequestContext) {
+	raw := append([]byte{}, c.Request.Body()...)
+	m, err := menu.Parse(raw)
+	if err != nil {
+		invalid(c, err)
+		return
+	}
+	base, err := strconv.ParseInt(string(c.GetHeader("Beechtide-Base-Version")), 10, 64)
+	if err != nil {
+		deny(c, 400, "Beechtide-Base-Version", "not a version")
+		return
+	}
+	ctx, cancel := context.WithTimeout(ctx, operatorWait)
+	defer cancel()
+	_, err = d.ledger.Change(ctx, ledger.MenuPart, func(cur wire.Value) ([]wire.Member, []byte, error) {
+		body, err := menuBody(cur)
+		if err != nil {
+			return nil, nil, err
+		}
+		next, err := menu.Replace(body, raw, m.Mark, base)
+		if err != nil {
+			return nil, nil, err
+		}
+		b, err := next.MarshalMsg(nil)
+		return nil, b, err
+	})
+	var bad *menu.Invalid
+	switch {
+	case err == nil, errors.Is(err, menu.ErrTakenBefore):
+		c.JSON(200, map[string]int64{"version": m.Mark})
+	case errors.Is(err, menu.ErrOvertaken):
+		deny(c, 412, "Beechtide-Base-Version", "another version is in place")
+	case errors.As(err, &bad):
+		invalid(c, err)
+	default:
+		d.log.Info("change unsure", "err", err)
+		deny(c, 503, "", err.Error())
+	}
+}
+
+func invalid(c *app.RequestContext, err error) {
+	var bad *menu.Invalid
+	if errors.As(err, &bad) {
+		deny(c, 400, bad.Field, bad.Reason)
+		return
+	}
+	deny(c, 400, "(body)", err.Error())
+}
+
+func menuBody(v wire.Value) (wire.MenuBody, error) {
+	var body wire.MenuBody
+	if len(v.Body) == 0 {
+		return body, nil
+	}
+	_, err := body.UnmarshalMsg(v.Body)
+	return body, err
+}
+
+func (d *Dispatch) read(ctx context.Context, c *app.RequestContext) {
+	ctx, cancel := context.WithTimeout(ctx, operatorWait)
+	defer cancel()
+	v, err := d.ledger.Read(ctx, ledger.MenuPart)
+	if err != nil {
+		deny(c, 503, "", err.Error())
+		return
+	}
+	body, err := menuBody(v)
+	switch {
+	case err != nil:
+		deny(c, 500, "", err.Error())
+	case body.Mark == 0:
+		deny(c, 404, "", "no configuration yet")
+	default:
+		c.Data(200, "application/json", body.Raw)
+	}
+}
+
+func (d *Dispatch) nameWeights(ctx context.Context, c *app.RequestContext) {
+	var w calls.WeightsNamed
+	if err := json.Unmarshal(c.Request.Body(), &w); err != nil {
+		deny(c, 400, "(body)", err.Error())
+		return
+	}
+	if err := checkCall.Struct(w); err != nil {
+		deny(c, 400, "(body)", err.Error())
+		return
+	}
+	ctx, cancel := context.WithTimeout(ctx, operatorWait)
+	defer cancel()
+	service := w.Model
+	if t := d.table.Load(); t != nil {
+		if s := t.ServiceOfModel(w.Model); s != "" {
+			service = s
+		}
+	}
+	part := ledger.PartOf(service)
+	v, err := d.ledger.Change(ctx, part, func(cur wire.Value) ([]wire.Member, []byte, error) {
+		return nameTarget(cur, w, d.ledger.ID())
+	})
+	if body, berr := dutyBody(v); err == nil && berr == nil && body.Claim.Holder == d.ledger.ID() && body.Claim.Fence == 1 {
+		d.refits.wonFirst(part, 1)
+	}
+	if err != nil && !errors.Is(err, errNoChange) {
+		deny(c, 503, "", err.Error())
+		return
+	}
+	c.JSON(200, w)
+}
+
+// nameTarget notes a model's newest weights. The one who notes it takes the
+// duty along where it was never held.
+func nameTarget(cur wire.Value, w calls.WeightsNamed, self string) ([]wire.Member, []byte, error) {
+	body, err := dutyBody(cur)
+	if err != nil {
+		return nil, nil, err
+	}
+	found := false
+	for i := range body.Targets {
+		if body.Targets[i].Model == w.Model {
+			found = true
+			if body.Targets[i].Mark >= w.Mark {
+				return nil, nil, errNoChange
+			}
+			body.Targets[i].Mark = w.Mark
+		}
+	}
+	if !found {
+		body.Targets = append(body.Targets, wire.Target{Model: w.Model, Mark: w.Mark})
+	}
+	if body.Claim.Holder == "" {
+		body.Claim = wire.Claim{Holder: self, Fence: 1}
+	}
+	b, err := body.MarshalMsg(nil)
+	return nil, b, err
+}
+
+func dutyBody(v wire.Value) (wire.DutyBody, error) {
+	body := wire.DutyBody{Targets: []wire.Target{}}
+	if len(v.Body) == 0 {
+		return body, nil
+	}
+	_, err := body.UnmarshalMsg(v.Body)
+	return body, err
+}
--- /dev/null
+++ b/internal/dispatch/dispatch.go
@@ -0,0 +1,346 @@
+// Package dispatch is the role that keeps the control state: it takes the
+// calls of runners and of the operator, agrees with the other dispatches on
+// configuration and duties, and sends news down the tree.
+package dispatch
+
+import (
+	"context"
+	"path/filepath"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/go-logr/logr"
+	"github.com/panjf2000/ants/v2"
+
+	"beechtide.org/beechtide/internal/cab"
+	"beechtide.org/beechtide/internal/config"
+	"beechtide.org/beechtide/internal/ledger"
+	"beechtide.org/beechtide/internal/menu"
+	"beechtide.org/beechtide/internal/pantry"
+	"beechtide.org/beechtide/internal/radio"
+	"beechtide.org/beechtide/internal/roster"
+	"beechtide.org/beechtide/internal/wire"
+)
+
+// Dispatch is the running role.
+type Dispatch struct {
+	set    config.Settings
+	log    logr.Logger
+	clock  func() int64
+	radio  *radio.Radio
+	watch  *radio.Watch
+	relay  *radio.Relay
+	ledger *ledger.Ledger
+	roster *roster.Roster
+	garage *cab.Garage
+	table  atomic.Pointer[menu.Table]
+
+	kmu     sync.Mutex
+	kept    *pantry.Index
+	readers map[string]context.CancelFunc
+
+	refits   refits
+	startUs  int64
+	readOnly atomic.Bool
+}
+
+// New builds the role.
+func New(set config.Settings, pool *ants.Pool, clock func() int64, log logr.Logger) (*Dispatch, error) {
+	rad, err := radio.New(set.DispatchAddr(), pool, log)
+	if err != nil {
+		return nil, err
+	}
+	d := &Dispatch{set: set, log: log, clock: clock, radio: rad, roster: roster.New(), garage: cab.NewGarage(clock), kept: pantry.NewIndex(), readers: map[string]context.CancelFunc{}, startUs: clock()}
+	var store ledger.Store = &ledger.MemoryStore{}
+	if set.DataDir != "" {
+		if store, err = ledger.NewDiskStore(filepath.Join(set.DataDir, "ledger")); err != nil {
+			return nil, err
+		}
+	}
+	d.relay = radio.NewRelay(rad, d.snapshot)
+	d.ledger, err = ledger.Open(set.DispatchAddr(), radio.KindLedger, set.Bootstrap, set.SeedAddrs(), rad, store, log, d.learned)
+	if err != nil {
+		return nil, err
+	}
+	self := wire.Peer{Addr: set.DispatchAddr(), Role: wire.Dispatch, Site: set.Site, LedgerID: d.ledger.ID(), Control: set.Listen.Control, Node: set.Node}
+	d.watch = radio.NewWatch(rad, self, clock, d.knownDispatches)
+	rad.OnCall(radio.KindLedger, func(ctx context.Context, _ *radio.Link, body []byte) ([]byte, error) {
+		return d.ledger.Handle(ctx, body)
+	})
+	rad.OnCall(radio.KindMarks, func(context.Context, *radio.Link, []byte) ([]byte, error) {
+		m := d.marks()
+		return m.MarshalMsg(nil)
+	})
+	rad.OnCast(radio.KindRunner, d.heardRunner)
+	for p := range ledger.Parts {
+		if v, ok := d.ledger.Committed(p); ok && v.Mark > 0 {
+			d.learned(p, v)
+		}
+	}
+	return d, nil
+}
+
+// knownDispatches are the addresses to greet: the seeds and the members known
+// from disk, since all the seeds may be stale.
+func (d *Dispatch) knownDispatches() []string {
+	out := d.set.SeedAddrs()
+	for p := range ledger.Parts {
+		if v, ok := d.ledger.Committed(p); ok {
+			for _, m := range v.Group {
+				out = append(out, m.Addr)
+			}
+		}
+	}
+	return out
+}
+
+// Run serves until ctx ends.
+func (d *Dispatch) Run(ctx context.Context) error {
+	d.radio.Run(ctx)
+	go d.watch.Run(ctx)
+	go d.listenToOthers(ctx)
+	go every(ctx, 300*time.Millisecond, func() { d.keepGroups(ctx) })
+	go every(ctx, 500*time.Millisecond, func() { d.catchUp(ctx) })
+	go every(ctx, 500*time.Millisecond, func() { d.sweep() })
+	go every(ctx, 500*time.Millisecond, func() { d.wantReaders(ctx) })
+	go every(ctx, 200*time.Millisecond, func() { d.wantRefits(ctx) })
+	go d.settleParts(ctx)
+	return d.serveControl(ctx)
+}
+
+func every(ctx context.Context, period time.Duration, f func()) {
+	t := time.NewTicker(period)
+	defer t.Stop()
+	for {
+		f()
+		select {
+		case <-t.C:
+		case <-ctx.Done():
+			return
+		}
+	}
+}
+
+// settleParts reads every part once after the start, so that what was agreed
+// on before a loss of power but not known as such is finished.
+func (d *Dispatch) settleParts(ctx context.Context) {
+	for p := range ledger.Parts {
+		for ctx.Err() == nil {
+			cctx, cancel := context.WithTimeout(ctx, time.Second)
+			_, err := d.ledger.Read(cctx, p)
+			cancel()
+			if err == nil {
+				break
+			}
+			time.Sleep(100 * time.Millisecond)
+		}
+	}
+}
+
+func (d *Dispatch) learned(p int, v wire.Value) {
+	if v.Mark == 0 || len(v.Body) == 0 {
+		return
+	}
+	if p == ledger.MenuPart {
+		var body wire.MenuBody
+		if _, err := body.UnmarshalMsg(v.Body); err == nil && body.Mark > 0 {
+			if m, err := menu.Parse(body.Raw); err == nil {
+				t := menu.Compile(m)
+				if cur := d.table.Load(); cur == nil || cur.Mark < t.Mark {
+					d.table.Store(t)
+				}
+			}
+		}
+	}
+	d.relay.Publish(wire.News{Parts: []wire.PartNote{{Part: p, Mark: v.Mark, Body: publicBody(p, v.Body)}}})
+}
+
+// publicBody leaves out what only the core needs.
+func publicBody(p int, b []byte) []byte {
+	if p != ledger.MenuPart {
+		return b
+	}
+	var body wire.MenuBody
+	if _, err := body.UnmarshalMsg(b); err != nil {
+		return b
+	}
+	body.Taken = []wire.Taken{}
+	out, err := body.MarshalMsg(nil)
+	if err != nil {
+		return b
+	}
+	return out
+}
+
+func (d *Dispatch) marks() wire.Marks {
+	m := wire.Marks{Parts: make([]int64, ledger.Parts), RosterSum: d.roster.Snapshot().Sum, Dispatch: true}
+	for p := range m.Parts {
+		m.Parts[p] = -1
+		if v, ok := d.ledger.Committed(p); ok {
+			m.Parts[p] = v.Mark
+		}
+	}
+	return m
+}
+
+func (d *Dispatch) snapshot() wire.News {
+	var n wire.News
+	for p := range ledger.Parts {
+		if v, ok := d.ledger.Committed(p); ok && v.Mark > 0 && len(v.Body) > 0 {
+			n.Parts = append(n.Parts, wire.PartNote{Part: p, Mark: v.Mark, Body: publicBody(p, v.Body)})
+		}
+	}
+	n.Runners = d.roster.All()
+	d.kmu.Lock()
+	defer d.kmu.Unlock()
+	byRunner := map[string][]wire.KeptPart{}
+	d.kept.Each(func(r string, k uint64, t int32) { byRunner[r] = append(byRunner[r], wire.KeptPart{Key: k, Tokens: t}) })
+	for r, parts := range byRunner {
+		n.Kept = append(n.Kept, wire.KeptNote{ID: r, Reset: true, Parts: parts})
+	}
+	return n
+}
+
+// listenToOthers keeps one subscription to every other dispatch.
+func (d *Dispatch) listenToOthers(ctx context.Context) {
+	have := map[string]context.CancelFunc{}
+	every(ctx, 200*time.Millisecond, func() {
+		want := map[string]bool{}
+		for _, p := range d.watch.Alive(wire.Dispatch) {
+			if p.Addr == d.radio.Addr() {
+				continue
+			}
+			want[p.Addr] = true
+			if have[p.Addr] == nil {
+				cctx, cancel := context.WithCancel(ctx)
+				have[p.Addr] = cancel
+				go radio.Listen(cctx, d.radio, true, func() []string { return []string{p.Addr} }, func(n wire.News) { d.takeNews(n) })
+			}
+		}
+		for addr, cancel := range have {
+			if !want[addr] {
+				cancel()
+				delete(have, addr)
+			}
+		}
+	})
+}
+
+func (d *Dispatch) takeNews(n wire.News) {
+	now := d.clock()
+	var up []wire.RunnerNote
+	for _, r := range n.Runners {
+		if d.roster.Merge(r, now) {
+			up = append(up, r)
+		}
+	}
+	if len(up) > 0 {
+		d.relay.Publish(wire.News{Runners: up})
+	}
+	down := wire.News{Reports: n.Reports}
+	d.kmu.Lock()
+	for _, k := range n.Kept {
+		if d.readers[k.ID] == nil {
+			applyKept(d.kept, k)
+			down.Kept = append(down.Kept, k)
+		}
+	}
+	d.kmu.Unlock()
+	if len(down.Kept)+len(down.Reports) > 0 {
+		d.relay.PublishDown(down)
+	}
+}
+
+func applyKept(x *pantry.Index, k wire.KeptNote) {
+	if k.Reset {
+		x.Reset(k.ID)
+	}
+	for _, p := range k.Parts {
+		x.Put(k.ID, p.Key, p.Tokens)
+	}
+}
+
+func (d *Dispatch) heardRunner(_ string, body []byte) {
+	var n wire.RunnerNote
+	if _, err := n.UnmarshalMsg(body); err == nil && d.roster.Hear(n, d.clock()) {
+		d.relay.Publish(wire.News{Runners: []wire.RunnerNote{n}})
+	}
+}
+
+func (d *Dispatch) sweep() {
+	beatUs := int64(d.set.BeatPeriodMs) * 1000
+	if out := d.roster.Sweep(d.clock(), 4*beatUs+500_000, 12*beatUs); len(out) > 0 {
+		d.relay.Publish(wire.News{Runners: out})
+	}
+	snap := d.roster.Snapshot()
+	d.kmu.Lock()
+	d.kept.Retain(func(r string) bool { _, ok := snap.ByID[r]; return ok })
+	d.kmu.Unlock()
+	d.garage.Sweep(func(string) bool { return true })
+}
+
+// catchUp compares marks with the other dispatches and pulls what is newer.
+func (d *Dispatch) catchUp(ctx context.Context) {
+	for _, p := range d.watch.Alive(wire.Dispatch) {
+		if p.Addr == d.radio.Addr() {
+			continue
+		}
+		go func() {
+			cctx, cancel := context.WithTimeout(ctx, 450*time.Millisecond)
+			defer cancel()
+			mine := d.marks()
+			b, err := d.radio.Call(cctx, p.Addr, radio.KindMarks, &mine)
+			if err != nil {
+				return
+			}
+			var m wire.Marks
+			if _, err := m.UnmarshalMsg(b); err != nil {
+				return
+			}
+			for part := range min(len(m.Parts), ledger.Parts) {
+				if m.Parts[part] > mine.Parts[part] {
+					_ = d.ledger.Pull(cctx, p.Addr, part)
+				}
+			}
+		}()
+	}
+}
+
+// keepGroups is the steward's duty: the lowest live dispatch proposes changes
+// of the groups.
+func (d *Dispatch) keepGroups(ctx context.Context) {
+	alive := d.watch.Alive(wire.Dispatch)
+	if len(alive) == 0 || alive[0].Addr != d.radio.Addr() {
+		return
+	}
+	st := ledger.Standing{GoneFor: d.watch.DeadForUs, GoneUs: 1_000_000}
+	for _, p := range alive {
+		st.Ready = append(st.Ready, wire.Member{ID: p.LedgerID, Addr: p.Addr})
+	}
+	for part := range ledger.Parts {
+		v, ok := d.ledger.Committed(part)
+		if !ok {
+			continue
+		}
+		if _, want := ledger.Regroup(v.Group, st); !want {
+			continue
+		}
+		cctx, cancel := context.WithTimeout(ctx, 2*time.Second)
+		_, err := d.ledger.Change(cctx, part, func(cur wire.Value) ([]wire.Member, []byte, error) {
+			group, want := ledger.Regroup(cur.Group, st)
+			if !want {
+				return nil, nil, errNoChange
+			}
+			return group, cur.Body, nil
+		})
+		cancel()
+		d.log.Info("group change", "part", part, "err", err)
+	}
+}
+
+func addrOf(id string) string {
+	addr, _, _ := strings.Cut(id, "/")
+	return addr
+}
--- /dev/null
+++ b/internal/dispatch/readers.go
@@ -0,0 +1,166 @@
+// Readers follow what runners keep and report: one dispatch reads one runner,
+// chosen by rendezvous hashing among the live dispatches of the runner's site,
+// and tells the rest. Kept parts come as events; the list is fetched only after
+// a gap, since it holds up the runner.
+package dispatch
+
+import (
+	"context"
+	"encoding/json"
+	"hash/fnv"
+	"strconv"
+	"time"
+
+	"beechtide.org/beechtide/internal/calls"
+	"beechtide.org/beechtide/internal/pantry"
+	"beechtide.org/beechtide/internal/wire"
+)
+
+// Pauses of a reader.
+const (
+	eventsEvery  = time.Second
+	reportsEvery = time.Second
+	callWait     = 2 * time.Second
+)
+
+func (d *Dispatch) wantReaders(ctx context.Context) {
+	t := d.table.Load()
+	if t == nil {
+		return
+	}
+	alive := d.watch.Alive(wire.Dispatch)
+	want := map[string]wire.RunnerNote{}
+	for _, n := range d.roster.Snapshot().ByID {
+		s := t.Service(n.Service)
+		if s == nil || s.Engine.CacheTokens == 0 || n.Stale {
+			continue
+		}
+		if readerOf(n, alive) == d.radio.Addr() {
+			want[n.ID] = n
+		}
+	}
+	d.kmu.Lock()
+	defer d.kmu.Unlock()
+	for id, cancel := range d.readers {
+		if _, ok := want[id]; !ok {
+			cancel()
+			delete(d.readers, id)
+		}
+	}
+	for id, n := range want {
+		if d.readers[id] == nil {
+			cctx, cancel := context.WithCancel(ctx)
+			d.readers[id] = cancel
+			go d.readKept(cctx, n)
+			go d.readReports(cctx, n)
+		}
+	}
+}
+
+func readerOf(n wire.RunnerNote, alive []wire.Peer) string {
+	best, top := "", uint64(0)
+	for pass := range 2 {
+		for _, p := range alive {
+			if p.Standing != wire.Alive || pass == 0 && p.Site != n.Site {
+				continue
+			}
+			h := fnv.New64a()
+			_, _ = h.Write([]byte(p.Addr + " " + n.ID))
+			if v := h.Sum64(); best == "" || v > top {
+				best, top = p.Addr, v
+			}
+		}
+		if best != "" {
+			break
+		}
+	}
+	return best
+}
+
+func (d *Dispatch) readKept(ctx context.Context, n wire.RunnerNote) {
+	var since, epoch int64
+	known := false
+	for ctx.Err() == nil {
+		cctx, cancel := context.WithTimeout(ctx, callWait)
+		status, body, _, err := d.garage.Ask(cctx, n.Addr, "GET", "/api/kv-events?since="+strconv.FormatInt(since, 10), map[string]string{"Wait-Ms": "1000", "Beechtide-Target-Instance": n.ID}, nil)
+		cancel()
+		var ev calls.KeptEvents
+		if err != nil || status != 200 || json.Unmarshal(body, &ev) != nil {
+			sleep(ctx, eventsEvery)
+			continue
+		}
+		note := wire.KeptNote{ID: n.ID, Parts: []wire.KeptPart{}}
+		if ev.Lost || known && ev.Epoch != epoch {
+			since, epoch, known = d.readList(ctx, n, &note)
+		} else {
+			epoch, known, since = ev.Epoch, true, ev.NextPage
+			for _, e := range ev.Events {
+				if len(e) >= 6 {
+					note.Parts = append(note.Parts, wire.KeptPart{Key: pantry.Key(text(e[2]), text(e[5]), text(e[3])), Tokens: int32(number(e[4]))})
+				}
+			}
+		}
+		if len(note.Parts) > 0 || note.Reset {
+			d.tellKept(note)
+		}
+		sleep(ctx, eventsEvery)
+	}
+}
+
+func (d *Dispatch) readList(ctx context.Context, n wire.RunnerNote, note *wire.KeptNote) (since, epoch int64, ok bool) {
+	cctx, cancel := context.WithTimeout(ctx, callWait)
+	defer cancel()
+	status, body, _, err := d.garage.Ask(cctx, n.Addr, "GET", "/api/kv-list", map[string]string{"Beechtide-Target-Instance": n.ID}, nil)
+	var list calls.KeptList
+	if err != nil || status != 200 || json.Unmarshal(body, &list) != nil {
+		return 0, 0, false
+	}
+	note.Reset = true
+	for _, h := range list.Held {
+		if len(h) >= 4 {
+			note.Parts = append(note.Parts, wire.KeptPart{Key: pantry.Key(text(h[0]), text(h[3]), text(h[1])), Tokens: int32(number(h[2]))})
+		}
+	}
+	return list.NextPage, list.Epoch, true
+}
+
+func (d *Dispatch) tellKept(note wire.KeptNote) {
+	d.kmu.Lock()
+	applyKept(d.kept, note)
+	d.kmu.Unlock()
+	d.relay.Publish(wire.News{Kept: []wire.KeptNote{note}})
+}
+
+func (d *Dispatch) readReports(ctx context.Context, n wire.RunnerNote) {
+	for ctx.Err() == nil {
+		if r, ok := d.report(ctx, n); ok {
+			d.relay.Publish(wire.News{Reports: []wire.ReportNote{{ID: n.ID, Used: r.CacheUsed, Total: r.CacheTotal, Active: r.Active, Pending: r.Pending}}})
+		}
+		sleep(ctx, reportsEvery)
+	}
+}
+
+func (d *Dispatch) report(ctx context.Context, n wire.RunnerNote) (calls.Report, bool) {
+	cctx, cancel := context.WithTimeout(ctx, callWait)
+	defer cancel()
+	status, body, _, err := d.garage.Ask(cctx, n.Addr, "GET", "/api/report", map[string]string{"Beechtide-Target-Instance": n.ID}, nil)
+	var r calls.Report
+	return r, err == nil && status == 200 && json.Unmarshal(body, &r) == nil
+}
+
+func sleep(ctx context.Context, t time.Duration) {
+	select {
+	case <-time.After(t):
+	case <-ctx.Done():
+	}
+}
+
+func text(v any) string {
+	s, _ := v.(string)
+	return s
+}
+
+func number(v any) float64 {
+	f, _ := v.(float64)
+	return f
+}
--- /dev/null
+++ b/internal/dispatch/refits.go
@@ -0,0 +1,266 @@
+// Refits carries out the duty of bringing runners to named weights: it wins or
+// takes over the claim, confirms it with a majority before it orders, and
+// follows the plan.
+package dispatch
+
+import (
+	"context"
+	"encoding/json"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"beechtide.org/beechtide/internal/calls"
+	"beechtide.org/beechtide/internal/ledger"
+	"beechtide.org/beechtide/internal/refit"
+	"beechtide.org/beechtide/internal/shift"
+	"beechtide.org/beechtide/internal/wire"
+)
+
+type refits struct {
+	mu     sync.Mutex
+	shifts map[int]*shift.Shift
+	plans  map[string]*refit.Plan
+	busy   map[int]bool
+	polls  map[string]bool
+	won    map[int]int64
+	bars   atomic.Int64
+}
+
+func (r *refits) init() {
+	if r.shifts == nil {
+		r.shifts, r.plans, r.busy = map[int]*shift.Shift{}, map[string]*refit.Plan{}, map[int]bool{}
+		r.polls, r.won = map[string]bool{}, map[int]int64{}
+	}
+}
+
+// wonFirst notes a claim that nobody held before.
+func (r *refits) wonFirst(part int, fence int64) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.init()
+	r.won[part] = fence
+}
+
+func (d *Dispatch) wantRefits(ctx context.Context) {
+	r := &d.refits
+	r.mu.Lock()
+	r.init()
+	for part := 1; part < ledger.Parts; part++ {
+		if r.busy[part] {
+			continue
+		}
+		v, ok := d.ledger.Committed(part)
+		if !ok {
+			continue
+		}
+		body, err := dutyBody(v)
+		if err != nil || len(body.Targets) == 0 {
+			continue
+		}
+		r.busy[part] = true
+		go func() {
+			d.workShift(ctx, part, body)
+			r.mu.Lock()
+			r.busy[part] = false
+			r.mu.Unlock()
+		}()
+	}
+	r.mu.Unlock()
+}
+
+// behind gives, for a target, the marks of the runners that carry the model.
+func (d *Dispatch) behind(t wire.Target) (marks map[string]int64, old bool, barred bool) {
+	marks = map[string]int64{}
+	for id, n := range d.roster.Snapshot().ByID {
+		if n.Stale || n.Draining {
+			continue
+		}
+		for _, m := range n.Models {
+			if m.Model == t.Model {
+				marks[id] = m.Mark
+				old = old || m.Mark < t.Mark
+				barred = barred || n.Barred && m.Mark >= t.Mark
+			}
+		}
+	}
+	return marks, old, barred
+}
+
+func (d *Dispatch) workShift(ctx context.Context, part int, body wire.DutyBody) {
+	needed := false
+	for _, t := range body.Targets {
+		_, old, barred := d.behind(t)
+		needed = needed || old || barred
+	}
+	if !needed {
+		return
+	}
+	r := &d.refits
+	r.mu.Lock()
+	s := r.shifts[part]
+	if s == nil {
+		s = &shift.Shift{T: shift.Times{ClaimUs: int64(d.set.Bounds.ClaimMs) * 1000, ActUs: 1_000_000, SpareUs: 1_500_000}}
+		r.shifts[part] = s
+	}
+	won := r.won[part]
+	r.mu.Unlock()
+	if body.Claim.Holder != d.ledger.ID() {
+		s.Lost()
+		d.maybeTake(ctx, part, body.Claim, s)
+		return
+	}
+	if won == body.Claim.Fence && s.Fence() != won {
+		s.Took(won, true, d.clock())
+	}
+	s.Found(body.Claim.Fence, d.clock())
+	if !s.MayAct(d.clock()) {
+		askedUs := d.clock()
+		cctx, cancel := context.WithTimeout(ctx, 600*time.Millisecond)
+		v, err := d.ledger.Read(cctx, part)
+		cancel()
+		if err != nil {
+			return
+		}
+		now, err := dutyBody(v)
+		if err != nil || now.Claim.Holder != d.ledger.ID() {
+			s.Lost()
+			return
+		}
+		s.Confirmed(now.Claim.Fence, askedUs)
+	}
+	if !s.MayAct(d.clock()) {
+		return
+	}
+	for _, t := range body.Targets {
+		d.follow(ctx, t, s)
+	}
+}
+
+// maybeTake takes the claim over once its holder is gone. Only the lowest live
+// dispatch tries, so that two seldom meet in a ballot.
+func (d *Dispatch) maybeTake(ctx context.Context, part int, was wire.Claim, s *shift.Shift) {
+	alive := d.watch.Alive(wire.Dispatch)
+	if len(alive) == 0 || alive[0].Addr != d.radio.Addr() {
+		return
+	}
+	for _, p := range alive {
+		if p.LedgerID == was.Holder {
+			return
+		}
+	}
+	if was.Holder != "" && d.watch.DeadForUs(addrOf(was.Holder)) == 0 && d.clock()-d.startUs < 3_000_000 {
+		return
+	}
+	cctx, cancel := context.WithTimeout(ctx, time.Second)
+	defer cancel()
+	v, err := d.ledger.Change(cctx, part, func(cur wire.Value) ([]wire.Member, []byte, error) {
+		body, err := dutyBody(cur)
+		if err != nil {
+			return nil, nil, err
+		}
+		if body.Claim != was {
+			return nil, nil, errNoChange
+		}
+		body.Claim = wire.Claim{Holder: d.ledger.ID(), Fence: was.Fence + 1}
+		b, err := body.MarshalMsg(nil)
+		return nil, b, err
+	})
+	if err != nil {
+		return
+	}
+	if body, err := dutyBody(v); err == nil && body.Claim.Holder == d.ledger.ID() {
+		s.Took(body.Claim.Fence, was.Holder == "", d.clock())
+		d.log.Info("claim taken", "part", part, "fence", body.Claim.Fence)
+	}
+}
+
+func (d *Dispatch) follow(ctx context.Context, t wire.Target, s *shift.Shift) {
+	r := &d.refits
+	r.mu.Lock()
+	plan := r.plans[t.Model]
+	if plan == nil || plan.Mark != t.Mark {
+		plan = refit.NewPlan(t.Mark)
+		r.plans[t.Model] = plan
+	}
+	r.mu.Unlock()
+	marks, _, _ := d.behind(t)
+	now := d.clock()
+	plan.See(marks, now)
+	for id, m := range marks {
+		if n, ok := d.roster.Snapshot().ByID[id]; ok && n.Barred && m >= t.Mark {
+			d.bar(id, false, s.Fence())
+		}
+	}
+	bar, order := plan.Next(now)
+	for _, id := range bar {
+		d.bar(id, true, s.Fence())
+		plan.Move(id, refit.Barred, now)
+	}
+	for _, id := range order {
+		n, ok := d.roster.Snapshot().ByID[id]
+		if !ok || !s.MayAct(d.clock()) {
+			continue
+		}
+		plan.Move(id, refit.Ordered, d.clock())
+		d.order(ctx, n, t, s.Fence())
+	}
+	for id, j := range plan.Jobs {
+		if j.Stage == refit.Ordered {
+			d.pollWeights(ctx, id, t)
+		}
+	}
+}
+
+func (d *Dispatch) bar(id string, barred bool, fence int64) {
+	if n, changed := d.roster.Bar(id, barred, fence<<20|d.refits.bars.Add(1)); changed {
+		d.relay.Publish(wire.News{Runners: []wire.RunnerNote{n}})
+	}
+}
+
+func (d *Dispatch) order(ctx context.Context, n wire.RunnerNote, t wire.Target, fence int64) {
+	b, err := json.Marshal(calls.Order{Op: calls.Version, Model: t.Model, Mark: t.Mark, Method: calls.Hold, Holder: d.ledger.ID(), Fence: fence})
+	if err != nil {
+		return
+	}
+	go func() {
+		cctx, cancel := context.WithTimeout(ctx, 800*time.Millisecond)
+		defer cancel()
+		status, _, _, err := d.garage.Ask(cctx, n.Addr, "POST", "/api/order", map[string]string{"Beechtide-Target-Instance": n.ID}, b)
+		d.log.Info("order", "runner", n.ID, "mark", t.Mark, "fence", fence, "status", status, "err", err)
+		if err == nil && status == 200 {
+			d.tellWeights(n.ID, t)
+		}
+	}()
+}
+
+func (d *Dispatch) pollWeights(ctx context.Context, id string, t wire.Target) {
+	r := &d.refits
+	r.mu.Lock()
+	running := r.polls[id]
+	r.polls[id] = true
+	r.mu.Unlock()
+	n, ok := d.roster.Snapshot().ByID[id]
+	if running || !ok {
+		return
+	}
+	go func() {
+		if rep, ok := d.report(ctx, n); ok && !rep.Saturated {
+			for _, m := range rep.Models {
+				if m.Name == t.Model && m.Mark >= t.Mark {
+					d.tellWeights(id, t)
+				}
+			}
+		}
+		sleep(ctx, 200*time.Millisecond)
+		r.mu.Lock()
+		delete(r.polls, id)
+		r.mu.Unlock()
+	}()
+}
+
+func (d *Dispatch) tellWeights(id string, t wire.Target) {
+	if n, changed := d.roster.Weights(id, t.Model, t.Mark); changed {
+		d.relay.Publish(wire.News{Runners: []wire.RunnerNote{n}})
+	}
+}
--- /dev/null
+++ b/internal/doorman/doorman.go
@@ -0,0 +1,566 @@
+// Doorman holds all of admission's state of one node. Checks run cheapest
+// first; load is counted in blocks of runner memory, output blocks included,
+// and in prompt tokens waiting to be read; a runner past a threshold gets no
+// new request; what cannot go now waits within caps and a time to live, or is
+// denied at once with a time to come back.
+package doorman
+
+import (
+	"beechtide.org/beechtide/internal/hail"
+	"beechtide.org/beechtide/internal/pantry"
+	"beechtide.org/beechtide/internal/ticket"
+	"beechtide.org/beechtide/internal/wire"
+)
+
+// Ask is a request at the door.
+type Ask struct {
+	Ref        ticket.Ref
+	Service    string
+	Tenant     string
+	Rank       int // band: the tenant's rank goes before the route's
+	TokensIn   int
+	TokensOut  int
+	Model      string
+	Parts      []pantry.Part
+	Isolated   bool
+	SetpointUs int64
+	LeftUs     int64
+	Avoid      []string // runners tried before
+}
+
+// Reason says which check denied a request.
+type Reason string
+
+// Reasons of a denial.
+const (
+	DenyRate    Reason = "tenant-rate"
+	DenyContext Reason = "context"
+	DenyPending Reason = "pending-requests"
+	DenyTokens  Reason = "pending-tokens"
+	DenyShed    Reason = "shed"
+	DenyTTL     Reason = "ttl"
+)
+
+// Ruling is what the doorman says of one request.
+type Ruling struct {
+	Ref     ticket.Ref
+	Admit   *Admission
+	Hold    bool
+	Deny    Reason
+	Status  int
+	AgainUs int64
+}
+
+// Admission is a request's place at a runner; it is given back with Done.
+type Admission struct {
+	Runner   wire.RunnerNote
+	Salt     string
+	Mark     int64
+	Kept     int
+	atUs     int64
+	blocks   int
+	pins     []pin
+	prefill  int
+	ahead    int
+	reading  bool
+	tenant   string
+	service  string
+	tokensIn int
+	Keys     []uint64
+	Parts    []pantry.Part
+}
+
+type pin struct {
+	key    uint64
+	blocks int
+}
+
+type tenantState struct {
+	window   float64
+	admitted int
+	hit, all float64
+	bucket   float64
+	bucketUs int64
+	windowUs int64
+}
+
+type pool struct {
+	runners map[string]*runner
+	order   []string
+	queue   pending
+	tokens  int // memory of a runner, in tokens
+}
+
+// Doorman is not safe for concurrent use.
+type Doorman struct {
+	T       Tuning
+	Site    string
+	Index   *pantry.Index
+	nodes   int
+	pools   map[string]*pool
+	tenants map[string]*tenantState
+	oldUs   map[string]int64 // by model: since when the newest mark is known
+	newest  map[string]int64 // by model
+	MarkUs  int64            // after how long an older mark is out of bounds
+	Salt    func(tenant string, isolated bool, mark int64) string
+}
+
+// New makes a doorman for a node at a site.
+func New(t Tuning, site string) *Doorman {
+	return &Doorman{T: t, Site: site, Index: pantry.NewIndex(), nodes: 1, pools: map[string]*pool{}, tenants: map[string]*tenantState{}, oldUs: map[string]int64{}, newest: map[string]int64{}, MarkUs: 6_000_000, Salt: Salt}
+}
+
+// Salt keeps weight marks apart, and isolated tenants from all others.
+func Salt(tenant string, isolated bool, mark int64) string {
+	b := []byte{'w'}
+	b = appendInt(b, mark)
+	if isolated {
+		b = append(append(b, '/'), tenant...)
+	}
+	return string(b)
+}
+
+func appendInt(b []byte, n int64) []byte {
+	if n >= 10 {
+		b = appendInt(b, n/10)
+	}
+	return append(b, byte('0'+n%10))
+}
+
+// SetNodes tells how many nodes share the runners.
+func (d *Doorman) SetNodes(n int) { d.nodes = max(n, 1) }
+
+// SetNewest tells the newest mark named for a model.
+func (d *Doorman) SetNewest(model string, mark, nowUs int64) {
+	if mark > d.newest[model] {
+		d.newest[model] = mark
+		d.oldUs[model] = nowUs
+	}
+}
+
+// SetService tells the runners of a service and the memory of each.
+func (d *Doorman) SetService(service string, notes []wire.RunnerNote, tokens int) {
+	p := d.pool(service)
+	p.tokens = tokens
+	keep := map[string]bool{}
+	p.order = p.order[:0]
+	for _, n := range notes {
+		r := p.runners[n.ID]
+		if r == nil {
+			r = newRunner()
+			p.runners[n.ID] = r
+		}
+		r.note, r.capacity, r.blocks = n, n.Capacity, tokens/d.T.BlockTokens
+		keep[n.ID] = true
+		p.order = append(p.order, n.ID)
+	}
+	for id, r := range p.runners {
+		if !keep[id] && r.own.count == 0 {
+			delete(p.runners, id)
+			d.Index.Reset(id)
+		}
+	}
+}
+
+// Services lists those with requests waiting.
+func (d *Doorman) Services() []string {
+	var out []string
+	for name := range d.pools {
+		out = append(out, name)
+	}
+	return out
+}
+
+func (d *Doorman) pool(service string) *pool {
+	p := d.pools[service]
+	if p == nil {
+		p = &pool{runners: map[string]*runner{}}
+		d.pools[service] = p
+	}
+	return p
+}
+
+func (d *Doorman) tenant(name string, nowUs int64) *tenantState {
+	t := d.tenants[name]
+	if t == nil {
+		t = &tenantState{window: d.T.WindowStart, bucket: -1, bucketUs: nowUs, windowUs: nowUs}
+		d.tenants[name] = t
+	}
+	return t
+}
+
+func (d *Doorman) places(p *pool) int {
+	n := 0
+	for _, id := range p.order {
+		n += p.runners[id].capacity
+	}
+	return n
+}
+
+func (d *Doorman) rate(p *pool) float64 {
+	sum := 0.0
+	for _, id := range p.order {
+		sum += p.runners[id].readRate(&d.T)
+	}
+	return max(sum, d.T.RateFloor)
+}
+
+// Arrive rules on a new request.
+func (d *Doorman) Arrive(a Ask, nowUs int64) Ruling {
+	p := d.pool(a.Service)
+	t := d.tenant(a.Tenant, nowUs)
+	if !d.allowRate(t, p, nowUs) {
+		return d.deny(a, p, DenyRate, 429)
+	}
+	if p.tokens > 0 && a.TokensIn+a.TokensOut > p.tokens {
+		return d.deny(a, p, DenyContext, 503)
+	}
+	if p.queue.count == 0 || p.queue.bands[0].rank > a.Rank || d.nothingAhead(p, a.Rank) {
+		if adm := d.admit(a, p, t, nowUs); adm != nil {
+			return Ruling{Ref: a.Ref, Admit: adm}
+		}
+	}
+	return d.hold(a, p, nowUs)
+}
+
+func (d *Doorman) nothingAhead(p *pool, rank int) bool {
+	for _, b := range p.queue.bands {
+		if b.rank <= rank && len(b.turn) > 0 {
+			return false
+		}
+	}
+	return true
+}
+
+func (d *Doorman) hold(a Ask, p *pool, nowUs int64) Ruling {
+	share := func(total float64) float64 {
+		if d.nodes > 2 {
+			return 2 * total / float64(d.nodes)
+		}
+		return total
+	}
+	if float64(p.queue.count+1) > share(float64(d.places(p)+d.T.BufferRequests)) {
+		return d.deny(a, p, DenyPending, 503)
+	}
+	setpoint := max(a.SetpointUs, 100_000)
+	if p.queue.count > 0 && float64(p.queue.tokens+a.TokensIn) > share(float64(setpoint)*d.rate(p)) {
+		return d.deny(a, p, DenyTokens, 503)
+	}
+	ttl := min(int64(float64(a.LeftUs)*d.T.TTLPart), int64(float64(setpoint)*d.T.TTLSetpoints))
+	p.queue.put(&waiting{ask: a, untilUs: nowUs + max(ttl, 50_000)})
+	return Ruling{Ref: a.Ref, Hold: true}
+}
+
+// ShedFor makes room for a request of a higher band that was denied for a full
+// queue: the newest of the lowest band goes instead.
+func (d *Doorman) ShedFor(a Ask, nowUs int64) (Ruling, bool) {
+	p := d.pool(a.Service)
+	w := p.queue.shed(a.Rank)
+	if w == nil {
+		return Ruling{}, false
+	}
+	return d.deny(w.ask, p, DenyShed, 503), true
+}
+
+func (d *Doorman) deny(a Ask, p *pool, why Reason, status int) Ruling {
+	again := int64(float64(p.queue.tokens)/d.rate(p)) + 60_000
+	return Ruling{Ref: a.Ref, Deny: why, Status: status, AgainUs: min(max(again, 60_000), 1_000_000)}
+}
+
+func (d *Doorman) allowRate(t *tenantState, p *pool, nowUs int64) bool {
+	most := max(d.T.TenantBurst*float64(d.places(p)), 64)
+	if t.bucket < 0 {
+		t.bucket = most
+	}
+	t.bucket = min(most, t.bucket+float64(nowUs-t.bucketUs)/1e6*most/2)
+	t.bucketUs = nowUs
+	if t.bucket < 1 {
+		return false
+	}
+	t.bucket--
+	return true
+}
+
+// Candidates lists the runners that a request may go to now.
+func (d *Doorman) Candidates(a Ask, nowUs int64) []hail.Candidate {
+	list, _ := d.candidates(a, d.pool(a.Service), nowUs)
+	return list
+}
+
+func (d *Doorman) candidates(a Ask, p *pool, nowUs int64) ([]hail.Candidate, []*runner) {
+	var out []hail.Candidate
+	var who []*runner
+	need := (a.TokensIn + a.TokensOut + d.T.BlockTokens - 1) / d.T.BlockTokens
+	for pass := range 2 {
+		for _, id := range p.order {
+			r := p.runners[id]
+			if r.note.Draining || r.note.Barred || avoided(a.Avoid, id) || (pass == 0) != (!r.note.Stale && r.unsoundUs <= nowUs) {
+				continue
+			}
+			if !d.markAllowed(a.Model, r, nowUs) {
+				continue
+			}
+			use := r.settle(&d.T, nowUs, d.nodes)
+			active := r.active(&d.T, nowUs)
+			if r.busyKV || r.busyRead || r.capacity > 0 && active >= r.capacity {
+				continue
+			}
+			mark := markOf(r.note, a.Model)
+			keys := pantry.Keys(d.Salt(a.Tenant, a.Isolated, mark), a.Model, a.Parts)
+			kept := d.Index.Kept(id, keys, a.Parts)
+			if r.blocks > 0 && active > 0 {
+				if after := use + float64(need-kept/d.T.BlockTokens)/float64(r.blocks); after > 0.98 {
+					continue
+				}
+			}
+			out = append(out, hail.Candidate{ID: id, NearSite: r.note.Site == d.Site, Kept: kept, Prefill: r.prefill(&d.T, nowUs), Active: active, Capacity: r.capacity, Used: use, Rate: r.readRate(&d.T)})
+			who = append(who, r)
+		}
+		if len(out) > 0 {
+			break
+		}
+	}
+	return out, who
+}
+
+func avoided(list []string, id string) bool {
+	for _, a := range list {
+		if a == id {
+			return true
+		}
+	}
+	return false
+}
+
+func markOf(n wire.RunnerNote, model string) int64 {
+	for _, m := range n.Models {
+		if m.Model == model {
+			return m.Mark
+		}
+	}
+	return 0
+}
+
+func (d *Doorman) markAllowed(model string, r *runner, nowUs int64) bool {
+	want := d.newest[model]
+	if want == 0 || nowUs-d.oldUs[model] < d.MarkUs {
+		return true
+	}
+	have := markOf(r.note, model)
+	return have == 0 || have >= want
+}
+
+func (d *Doorman) admit(a Ask, p *pool, t *tenantState, nowUs int64) *Admission {
+	if float64(t.admitted) >= t.window {
+		return nil
+	}
+	list, who := d.candidates(a, p, nowUs)
+	prompt := hail.Prompt{Tokens: a.TokensIn}
+	if n := len(a.Parts); n > 1 {
+		prompt.Shared = pantry.Key("", a.Model, a.Parts[n-2].ID)
+	}
+	i := hail.Match(prompt, list)
+	if i < 0 {
+		return nil
+	}
+	r, c := who[i], list[i]
+	mark := markOf(r.note, a.Model)
+	salt := d.Salt(a.Tenant, a.Isolated, mark)
+	adm := &Admission{Runner: r.note, Salt: salt, Mark: mark, Kept: c.Kept, atUs: nowUs, tenant: a.Tenant, service: a.Service, tokensIn: a.TokensIn, Parts: a.Parts, Keys: pantry.Keys(salt, a.Model, a.Parts), reading: true}
+	bt := d.T.BlockTokens
+	inParts := 0
+	for j, k := range adm.Keys {
+		n := (a.Parts[j].Tokens + bt - 1) / bt
+		inParts += a.Parts[j].Tokens
+		adm.pins = append(adm.pins, pin{k, n})
+		if r.pins[k]++; r.pins[k] == 1 {
+			r.own.blocks += n
+		}
+	}
+	adm.blocks = (max(a.TokensIn-inParts, 0) + a.TokensOut + bt - 1) / bt
+	r.own.blocks += adm.blocks
+	adm.ahead = c.Prefill
+	adm.prefill = max(a.TokensIn-c.Kept, 0)
+	r.own.prefill += adm.prefill
+	r.own.count++
+	r.recent = append(r.recent, recentShot{nowUs, adm.blocks + adm.prefill/bt})
+	r.trim(nowUs)
+	t.admitted++
+	t.hit += float64(c.Kept)
+	t.all += float64(a.TokensIn)
+	return adm
+}
+
+// FirstToken notes that a runner has read a prompt, which also tells how fast
+// it reads and what it keeps now.
+func (d *Doorman) FirstToken(adm *Admission, nowUs int64) {
+	r := d.pool(adm.service).runners[adm.Runner.ID]
+	if r == nil || !adm.reading {
+		return
+	}
+	adm.reading = false
+	r.own.prefill -= adm.prefill
+	if took := nowUs - adm.atUs; took > 0 && adm.prefill >= 512 {
+		sample := float64(adm.ahead+adm.prefill) / float64(took)
+		if r.rate <= 0 {
+			r.rate = sample
+		} else {
+			r.rate += (sample - r.rate) * 0.2
+		}
+	}
+	for i, k := range adm.Keys {
+		d.Index.Put(r.note.ID, k, int32(adm.Parts[i].Tokens))
+	}
+}
+
+// Done gives the place back. ok tells whether the runner behaved; a runner
+// whose links fail is passed over for a while.
+func (d *Doorman) Done(adm *Admission, ok bool, nowUs int64) {
+	p := d.pool(adm.service)
+	r := p.runners[adm.Runner.ID]
+	d.tenant(adm.tenant, nowUs).admitted--
+	if r == nil {
+		return
+	}
+	if adm.reading {
+		adm.reading = false
+		r.own.prefill -= adm.prefill
+	}
+	for _, k := range adm.pins {
+		if r.pins[k.key]--; r.pins[k.key] <= 0 {
+			delete(r.pins, k.key)
+			r.own.blocks -= k.blocks
+		}
+	}
+	r.own.blocks -= adm.blocks
+	r.own.count--
+	if ok {
+		r.pauseUs, r.unsoundUs = 0, 0
+		return
+	}
+	r.pauseUs = min(max(2*r.pauseUs, d.T.UnsoundUs), d.T.UnsoundMaxUs)
+	r.unsoundUs = nowUs + r.pauseUs
+}
+
+// Full notes that a runner turned a request away: for a short while it counts
+// as having no place.
+func (d *Doorman) Full(adm *Admission, nowUs int64) {
+	if r := d.pool(adm.service).runners[adm.Runner.ID]; r != nil {
+		r.unsoundUs = max(r.unsoundUs, nowUs+150_000)
+	}
+}
+
+// Report takes a runner's own word.
+func (d *Doorman) Report(n wire.ReportNote, nowUs int64) {
+	for _, p := range d.pools {
+		if r := p.runners[n.ID]; r != nil {
+			r.report = word{blocks: n.Used / d.T.BlockTokens, count: n.Active + n.Pending, atUs: nowUs}
+			r.reported = true
+			if n.Total > 0 {
+				r.blocks = n.Total / d.T.BlockTokens
+			}
+		}
+	}
+}
+
+// Tally takes another node's word on what it has where.
+func (d *Doorman) Tally(t wire.Tally, nowUs int64) {
+	for _, w := range t.Weights {
+		for _, p := range d.pools {
+			if r := p.runners[w.ID]; r != nil {
+				r.others[t.From] = word{blocks: w.Blocks, prefill: w.Prefill, count: w.Count, atUs: nowUs}
+				if w.Rate > 0 && r.rate <= 0 {
+					r.rate = w.Rate
+				}
+			}
+		}
+	}
+}
+
+// Own tells this node's word: the runners where it has something, or had.
+func (d *Doorman) Own(from string) wire.Tally {
+	t := wire.Tally{From: from, Weights: []wire.RunnerWeight{}}
+	for _, p := range d.pools {
+		for _, id := range p.order {
+			r := p.runners[id]
+			if r.own.count > 0 || r.hits > 0 {
+				t.Weights = append(t.Weights, wire.RunnerWeight{ID: id, Blocks: r.own.blocks, Prefill: r.own.prefill, Count: r.own.count, Rate: r.rate})
+			}
+			r.hits = r.own.count
+		}
+	}
+	return t
+}
+
+// Tick lets time pass: requests whose wait is over are denied, others that
+// find room are admitted, and the tenants' windows move.
+func (d *Doorman) Tick(nowUs int64) []Ruling {
+	var out []Ruling
+	for _, p := range d.pools {
+		if p.queue.count == 0 {
+			continue
+		}
+		for _, w := range p.queue.expired(nowUs) {
+			out = append(out, d.deny(w.ask, p, DenyTTL, 503))
+		}
+		p.queue.walk(func(w *waiting) bool {
+			adm := d.admit(w.ask, p, d.tenant(w.ask.Tenant, nowUs), nowUs)
+			if adm == nil {
+				return false
+			}
+			out = append(out, Ruling{Ref: w.ask.Ref, Admit: adm})
+			return true
+		})
+	}
+	d.moveWindows(nowUs)
+	return out
+}
+
+func (d *Doorman) moveWindows(nowUs int64) {
+	use, n := 0.0, 0
+	for name, t := range d.tenants {
+		if nowUs-t.windowUs < d.T.WindowEveryUs {
+			continue
+		}
+		if n == 0 {
+			use, n = d.meanUse(nowUs), 1
+		}
+		t.windowUs = nowUs
+		hits := 1.0
+		if t.all > 0 {
+			hits = t.hit / t.all
+		}
+		t.window = Window(&d.T, t.window, use, hits)
+		t.hit, t.all = t.hit/2, t.all/2
+		if t.admitted == 0 && t.all < 1 && t.window >= d.T.WindowStart && t.bucket >= 0 && nowUs-t.bucketUs > 60_000_000 {
+			delete(d.tenants, name)
+		}
+	}
+}
+
+// Window is the AIMD step of a tenant's window.
+func Window(t *Tuning, w, use, hits float64) float64 {
+	switch {
+	case use < t.LowUse:
+		w += t.WindowAdd
+	case use > t.HighUse && hits < t.LowHits:
+		w *= t.WindowCut
+	}
+	return min(max(w, t.WindowMin), t.WindowMax)
+}
+
+func (d *Doorman) meanUse(nowUs int64) float64 {
+	sum, n := 0.0, 0
+	for _, p := range d.pools {
+		for _, id := range p.order {
+			if r := p.runners[id]; r.blocks > 0 {
+				sum += r.settle(&d.T, nowUs, d.nodes)
+				n++
+			}
+		}
+	}
+	if n == 0 {
+		return 0
+	}
+	return sum / float64(n)
+}
--- /dev/null
+++ b/internal/doorman/pending.go
@@ -0,0 +1,105 @@
+// Pending is the bounded queue of one service: strict bands by rank, inside a
+// band the tenants in turn, and a time to live for every request.
+package doorman
+
+import "sort"
+
+type waiting struct {
+	ask     Ask
+	untilUs int64
+}
+
+type band struct {
+	rank    int
+	turn    []string
+	tenants map[string][]*waiting
+}
+
+type pending struct {
+	bands  []*band
+	count  int
+	tokens int
+}
+
+func (p *pending) put(w *waiting) {
+	i := sort.Search(len(p.bands), func(i int) bool { return p.bands[i].rank >= w.ask.Rank })
+	if i == len(p.bands) || p.bands[i].rank != w.ask.Rank {
+		p.bands = append(p.bands, nil)
+		copy(p.bands[i+1:], p.bands[i:])
+		p.bands[i] = &band{rank: w.ask.Rank, tenants: map[string][]*waiting{}}
+	}
+	b := p.bands[i]
+	if len(b.tenants[w.ask.Tenant]) == 0 {
+		b.turn = append(b.turn, w.ask.Tenant)
+	}
+	b.tenants[w.ask.Tenant] = append(b.tenants[w.ask.Tenant], w)
+	p.count++
+	p.tokens += w.ask.TokensIn
+}
+
+// remove takes out the i-th request of a tenant in a band.
+func (p *pending) remove(b *band, tenant string, i int) *waiting {
+	list := b.tenants[tenant]
+	w := list[i]
+	b.tenants[tenant] = append(list[:i:i], list[i+1:]...)
+	if len(b.tenants[tenant]) == 0 {
+		delete(b.tenants, tenant)
+		for j, t := range b.turn {
+			if t == tenant {
+				b.turn = append(b.turn[:j:j], b.turn[j+1:]...)
+				break
+			}
+		}
+	}
+	p.count--
+	p.tokens -= w.ask.TokensIn
+	return w
+}
+
+// expired takes out all whose time to live is over.
+func (p *pending) expired(nowUs int64) []*waiting {
+	var out []*waiting
+	for _, b := range p.bands {
+		for _, tenant := range append([]string{}, b.turn...) {
+			for i := len(b.tenants[tenant]) - 1; i >= 0; i-- {
+				if b.tenants[tenant][i].untilUs <= nowUs {
+					out = append(out, p.remove(b, tenant, i))
+				}
+			}
+		}
+	}
+	return out
+}
+
+// shed takes out the newest request of the lowest band below rank.
+func (p *pending) shed(rank int) *waiting {
+	for i := len(p.bands) - 1; i >= 0 && p.bands[i].rank > rank; i-- {
+		b := p.bands[i]
+		worst, at := "", -1
+		for tenant, list := range b.tenants {
+			if at < 0 || len(list) > len(b.tenants[worst]) || len(list) == len(b.tenants[worst]) && tenant < worst {
+				worst, at = tenant, len(list)-1
+			}
+		}
+		if at >= 0 {
+			return p.remove(b, worst, at)
+		}
+	}
+	return nil
+}
+
+// walk offers the requests in their order, band by band and the tenants of a
+// band in turn; what take accepts leaves the queue. A tenant whose first
+// request is not taken is passed over.
+func (p *pending) walk(take func(*waiting) bool) {
+	for _, b := range p.bands {
+		for tries := len(b.turn); tries > 0 && len(b.turn) > 0; tries-- {
+			tenant := b.turn[0]
+			b.turn = append(b.turn[1:], tenant)
+			if take(b.tenants[tenant][0]) {
+				p.remove(b, tenant, 0)
+				tries = len(b.turn) + 1
+			}
+		}
+	}
+}
--- /dev/null
+++ b/internal/doorman/runner.go
@@ -0,0 +1,124 @@
+// Runner is what the doorman knows of one runner: what this node has there,
+// what the others say they have there, what the runner itself reported, how
+// fast it reads, and whether its links hold.
+package doorman
+
+import (
+	"beechtide.org/beechtide/internal/wire"
+)
+
+type word struct {
+	blocks, prefill, count int
+	atUs                   int64
+}
+
+type runner struct {
+	note      wire.RunnerNote
+	capacity  int
+	blocks    int // memory in blocks; 0 where the runner has none to count
+	own       word
+	recent    []recentShot
+	pins      map[uint64]int
+	others    map[string]word
+	report    word
+	reported  bool
+	rate      float64
+	hits      int
+	busyKV    bool
+	busyRead  bool
+	unsoundUs int64 // until when
+	pauseUs   int64
+	failed    int
+}
+
+type recentShot struct {
+	atUs   int64
+	blocks int
+}
+
+func newRunner() *runner {
+	return &runner{pins: map[uint64]int{}, others: map[string]word{}}
+}
+
+// usedBlocks estimates the memory in use: the runner's own fresh report with
+// what was sent since, else what the nodes know of each other's requests, else
+// this node's own, as though every other had as much there.
+func (r *runner) usedBlocks(t *Tuning, nowUs int64, nodes int) int {
+	if r.reported && nowUs-r.report.atUs < t.ReportFreshUs {
+		since := 0
+		for _, s := range r.recent {
+			if s.atUs > r.report.atUs-500_000 {
+				since += s.blocks
+			}
+		}
+		return max(r.own.blocks, r.report.blocks+since)
+	}
+	sum, fresh := r.own.blocks, 0
+	for _, o := range r.others {
+		if nowUs-o.atUs < t.ReportFreshUs {
+			sum += o.blocks
+			fresh++
+		}
+	}
+	if fresh == 0 && nodes > 1 {
+		return r.own.blocks * nodes
+	}
+	return sum
+}
+
+func (r *runner) active(t *Tuning, nowUs int64) int {
+	sum := r.own.count
+	for _, o := range r.others {
+		if nowUs-o.atUs < t.ReportFreshUs {
+			sum += o.count
+		}
+	}
+	if r.reported && nowUs-r.report.atUs < t.ReportFreshUs {
+		return max(sum, r.report.count)
+	}
+	return sum
+}
+
+func (r *runner) prefill(t *Tuning, nowUs int64) int {
+	sum := r.own.prefill
+	for _, o := range r.others {
+		if nowUs-o.atUs < t.ReportFreshUs {
+			sum += o.prefill
+		}
+	}
+	return sum
+}
+
+func (r *runner) readRate(t *Tuning) float64 {
+	if r.rate <= 0 {
+		return t.RateStart
+	}
+	return max(r.rate, t.RateFloor)
+}
+
+// settle moves the two busy marks, each with its hysteresis.
+func (r *runner) settle(t *Tuning, nowUs int64, nodes int) (use float64) {
+	if r.blocks > 0 {
+		use = float64(r.usedBlocks(t, nowUs, nodes)) / float64(r.blocks)
+		if use >= t.BusyAt {
+			r.busyKV = true
+		} else if use <= t.FreeAt {
+			r.busyKV = false
+		}
+	}
+	wait := float64(r.prefill(t, nowUs)) / r.readRate(t)
+	if wait >= float64(t.PrefillUs) {
+		r.busyRead = true
+	} else if wait <= float64(t.PrefillUs)*t.PrefillFree {
+		r.busyRead = false
+	}
+	return use
+}
+
+func (r *runner) trim(nowUs int64) {
+	i := 0
+	for i < len(r.recent) && nowUs-r.recent[i].atUs > 2_000_000 {
+		i++
+	}
+	r.recent = r.recent[i:]
+}
--- /dev/null
+++ b/internal/doorman/tuning.go
@@ -0,0 +1,42 @@
+// Package doorman is admission: for every generation request it says whether
+// it goes to a runner now, waits in a bounded queue, or is denied at once. It
+// follows "Admission control for distributed LLM inference" (docs/source.md
+// says what was kept and what was changed). Everything here is pure: time and
+// input are arguments. This file holds the values that are ours to choose.
+package doorman
+
+// Tuning are the free values of the design, with defaults in Defaults.
+type Tuning struct {
+	BlockTokens     int     // tokens in a block of a runner's memory
+	BusyAt, FreeAt  float64 // memory use at which a runner leaves the candidates, and comes back
+	PrefillUs       int64   // a runner is busy once reading what waits there takes this long
+	PrefillFree     float64 // it is free again below this part of that
+	BufferRequests  int     // requests that may wait beyond runners x capacity
+	RateFloor       float64 // tokens a microsecond, the least rate believed
+	RateStart       float64
+	ReportFreshUs   int64 // a report or another node's word is believed for this long
+	WindowStart     float64
+	WindowMin       float64
+	WindowMax       float64
+	WindowAdd       float64
+	WindowCut       float64
+	LowUse, HighUse float64 // U below which W grows, above which it may be cut
+	LowHits         float64 // H below which a cut is made
+	WindowEveryUs   int64
+	TenantBurst     float64 // requests a tenant may send at once, in parts of runners x capacity
+	TTLPart         float64 // part of the time left that a request may wait
+	TTLSetpoints    float64 // and how many times its setpoint
+	UnsoundUs       int64   // first pause for a runner whose links fail
+	UnsoundMaxUs    int64
+}
+
+// Defaults are the starting values.
+var Defaults = Tuning{
+	BlockTokens: 16, BusyAt: 0.85, FreeAt: 0.8,
+	PrefillUs: 600_000, PrefillFree: 0.7, BufferRequests: 16,
+	RateFloor: 0.004, RateStart: 0.02, ReportFreshUs: 1_500_000,
+	WindowStart: 48, WindowMin: 4, WindowMax: 1024, WindowAdd: 2, WindowCut: 0.5,
+	LowUse: 0.2, HighUse: 0.5, LowHits: 0.2, WindowEveryUs: 500_000,
+	TenantBurst: 2, TTLPart: 0.33, TTLSetpoints: 2,
+	UnsoundUs: 200_000, UnsoundMaxUs: 2_000_000,
+}
--- /dev/null
+++ b/internal/ledger/group.go
@@ -0,0 +1,63 @@
+// Regroup decides whether the group of a register should change: a wiped
+// member is swapped for its new incarnation, one that is gone for a newcomer
+// that stands ready, and a group grows only to an odd size. One change at a
+// time; what is decided here still has to win a round.
+package ledger
+
+import (
+	"sort"
+
+	"beechtide.org/beechtide/internal/wire"
+)
+
+// maxGroup bounds the members of one register.
+const maxGroup = 9
+
+// Standing is what the steward sees of the other dispatches.
+type Standing struct {
+	Ready   []wire.Member // alive, with the identity they now have
+	GoneFor func(addr string) int64
+	GoneUs  int64 // how long a member must be gone to be swapped or dropped
+}
+
+// Regroup returns the wanted group, and false where it should stay as it is.
+func Regroup(group []wire.Member, s Standing) ([]wire.Member, bool) {
+	var newcomers []wire.Member
+	for _, m := range s.Ready {
+		if m.ID != "" && !has(group, m.ID) {
+			newcomers = append(newcomers, m)
+		}
+	}
+	sort.Slice(newcomers, func(i, j int) bool { return newcomers[i].ID < newcomers[j].ID })
+	for _, n := range newcomers {
+		for i, m := range group {
+			if m.Addr == n.Addr {
+				return swap(group, i, &n), true
+			}
+		}
+	}
+	gone := -1
+	for i, m := range group {
+		if s.GoneFor(m.Addr) >= s.GoneUs {
+			gone = i
+			break
+		}
+	}
+	switch {
+	case gone >= 0 && len(newcomers) > 0:
+		return swap(group, gone, &newcomers[0]), true
+	case gone >= 0 && len(group)%2 == 0:
+		return swap(group, gone, nil), true
+	case gone < 0 && len(newcomers) > 0 && len(group) < maxGroup && (len(group)%2 == 0 || len(newcomers) > 1):
+		return append(append([]wire.Member{}, group...), newcomers[0]), true
+	}
+	return nil, false
+}
+
+func swap(group []wire.Member, i int, by *wire.Member) []wire.Member {
+	out := append([]wire.Member{}, group[:i]...)
+	if by != nil {
+		out = append(out, *by)
+	}
+	return append(out, group[i+1:]...)
+}
--- /dev/null
+++ b/internal/ledger/ledger.go
@@ -0,0 +1,374 @@
+// Package ledger keeps the control state: one replicated register a part,
+// agreed on by ballots among a small group. Ledger drives the pure machines of
+// this package: it carries asks over the radio, makes records durable before
+// words go out, and keeps disk calls apart from everything else, so that a
+// hanging disk holds up nothing but this member's own vote.
+package ledger
+
+import (
+	"context"
+	"crypto/rand"
+	"encoding/hex"
+	"math/big"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/go-logr/logr"
+	"github.com/pkg/errors"
+	"github.com/tinylib/msgp/msgp"
+
+	"beechtide.org/beechtide/internal/wire"
+)
+
+// Parts is the number of registers: the configuration's and those that
+// services are hashed to.
+const Parts = 5
+
+// MenuPart is the part that holds the configuration.
+const MenuPart = 0
+
+// Caller carries an ask to another member.
+type Caller interface {
+	Call(ctx context.Context, addr string, kind int, body msgp.Marshaler) ([]byte, error)
+}
+
+type part struct {
+	sem     chan struct{}
+	acc     Acceptor
+	learned atomic.Pointer[wire.Value]
+}
+
+// Ledger is one member's view of all registers.
+type Ledger struct {
+	id, addr string
+	kind     int
+	caller   Caller
+	store    Store
+	log      logr.Logger
+	parts    [Parts]*part
+	mu       sync.Mutex
+	onLearn  func(part int, v wire.Value)
+	life     string
+}
+
+// PartOf tells which part a service belongs to.
+func PartOf(service string) int {
+	h := uint32(2166136261)
+	for i := range len(service) {
+		h = (h ^ uint32(service[i])) * 16777619
+	}
+	return 1 + int(h%(Parts-1))
+}
+
+// FirstID is the identity of a member at the very first start.
+func FirstID(addr string) string { return addr + "/0" }
+
+// Random gives a short random text.
+func Random() string {
+	b := make([]byte, 6)
+	_, _ = rand.Read(b)
+	return hex.EncodeToString(b)
+}
+
+// Open loads what the store holds. With found set, an empty store takes part
+// in founding the group made of the seeds.
+func Open(addr string, kind int, found bool, seeds []string, caller Caller, store Store, log logr.Logger, onLearn func(int, wire.Value)) (*Ledger, error) {
+	l := &Ledger{addr: addr, kind: kind, caller: caller, store: store, log: log, onLearn: onLearn, life: Random()}
+	id, err := store.Identity(func() string {
+		if found {
+			return FirstID(addr)
+		}
+		return addr + "/" + Random()
+	})
+	if err != nil {
+		return nil, err
+	}
+	l.id = id
+	for p := range l.parts {
+		rec, ok, err := store.Load(p)
+		if err != nil {
+			return nil, err
+		}
+		if !ok && found && id == FirstID(addr) {
+			rec.Committed = Genesis(seeds)
+		}
+		l.parts[p] = &part{sem: make(chan struct{}, 1), acc: Acceptor{ID: id, Rec: rec}}
+		if len(rec.Committed.Group) > 0 {
+			v := rec.Committed
+			l.parts[p].learned.Store(&v)
+		}
+	}
+	return l, nil
+}
+
+// Genesis is the value before the first: the seeds form the group.
+func Genesis(seeds []string) wire.Value {
+	var v wire.Value
+	for _, s := range seeds {
+		v.Group = append(v.Group, wire.Member{ID: FirstID(s), Addr: s})
+	}
+	return v
+}
+
+// ID is this member's identity.
+func (l *Ledger) ID() string { return l.id }
+
+// Committed gives the newest committed value this node knows.
+func (l *Ledger) Committed(p int) (wire.Value, bool) {
+	v := l.parts[p].learned.Load()
+	if v == nil {
+		return wire.Value{}, false
+	}
+	return *v, true
+}
+
+// Learn takes in a committed value; older ones are left aside.
+func (l *Ledger) Learn(p int, v wire.Value) {
+	if p < 0 || p >= Parts || len(v.Group) == 0 {
+		return
+	}
+	for {
+		cur := l.parts[p].learned.Load()
+		if cur != nil && cur.Mark >= v.Mark {
+			return
+		}
+		if l.parts[p].learned.CompareAndSwap(cur, &v) {
+			break
+		}
+	}
+	if l.onLearn != nil {
+		l.onLearn(p, v)
+	}
+}
+
+// Handle answers an ask that came over the radio.
+func (l *Ledger) Handle(ctx context.Context, body []byte) ([]byte, error) {
+	var ask wire.LedgerAsk
+	if _, err := ask.UnmarshalMsg(body); err != nil {
+		return nil, errors.Wrap(err, "ledger: ask")
+	}
+	if ask.Part < 0 || ask.Part >= Parts {
+		return nil, errors.New("ledger: no such part")
+	}
+	ctx, cancel := context.WithTimeout(ctx, 2*time.Second)
+	defer cancel()
+	w, err := l.local(ctx, ask)
+	if err != nil {
+		return nil, err
+	}
+	return w.MarshalMsg(nil)
+}
+
+func (l *Ledger) local(ctx context.Context, ask wire.LedgerAsk) (wire.LedgerWord, error) {
+	if ask.Step == wire.Commit {
+		l.Learn(ask.Part, ask.Value)
+		return wire.LedgerWord{Verdict: wire.Granted}, nil
+	}
+	p := l.parts[ask.Part]
+	select {
+	case p.sem <- struct{}{}:
+	case <-ctx.Done():
+		return wire.LedgerWord{}, errors.Wrap(ErrStore, "busy")
+	}
+	defer func() { <-p.sem }()
+	if v := p.learned.Load(); v != nil {
+		p.acc.Fold(*v)
+	}
+	before := p.acc.Rec
+	w, dirty := p.acc.Handle(ask)
+	if dirty {
+		if err := l.store.Save(ask.Part, p.acc.Rec); err != nil {
+			p.acc.Rec = before
+			return wire.LedgerWord{}, err
+		}
+	}
+	return w, nil
+}
+
+func (l *Ledger) send(ctx context.Context, to wire.Member, ask wire.LedgerAsk) (wire.LedgerWord, error) {
+	if to.Addr == l.addr {
+		return l.local(ctx, ask)
+	}
+	b, err := l.caller.Call(ctx, to.Addr, l.kind, &ask)
+	if err != nil {
+		return wire.LedgerWord{}, err
+	}
+	var w wire.LedgerWord
+	if _, err := w.UnmarshalMsg(b); err != nil {
+		return wire.LedgerWord{}, err
+	}
+	return w, nil
+}
+
+// Change runs rounds until the change is made, denied by itself, or ctx ends.
+// After ErrUnsure the change may still come into force.
+func (l *Ledger) Change(ctx context.Context, p int, change Change) (wire.Value, error) {
+	stamp := l.life + Random()
+	seen := wire.Ballot{}
+	for try := 0; ; try++ {
+		if ctx.Err() != nil {
+			return wire.Value{}, ErrUnsure
+		}
+		base, ok := l.Committed(p)
+		if !ok {
+			return wire.Value{}, ErrNoGroup
+		}
+		r := NewRound(p, base, wire.Ballot{N: seen.N + 1, Who: stamp}, stamp, change)
+		l.run(ctx, r)
+		switch r.End {
+		case Denied:
+			return base, r.Err
+		case Chosen:
+			l.spread(p, r.Value, r.Base.Group)
+			if r.Mine {
+				return r.Value, nil
+			}
+			seen = wire.Ballot{}
+			continue
+		case Overtook:
+			mine := r.Value.Stamp == stamp
+			l.Learn(p, r.Value)
+			if mine {
+				return r.Value, nil
+			}
+			seen = wire.Ballot{}
+			continue
+		}
+		if Less(seen, r.Seen) {
+			seen = r.Seen
+		}
+		if Less(seen, r.Ballot) {
+			seen = r.Ballot
+		}
+		n, _ := rand.Int(rand.Reader, big.NewInt(int64(10+20*min(try, 8))))
+		select {
+		case <-time.After(time.Duration(n.Int64()) * time.Millisecond):
+		case <-ctx.Done():
+		}
+	}
+}
+
+type heard struct {
+	from wire.Member
+	step wire.Step
+	word wire.LedgerWord
+	err  error
+}
+
+func (l *Ledger) run(ctx context.Context, r *Round) {
+	ctx, cancel := context.WithTimeout(ctx, 500*time.Millisecond)
+	defer cancel()
+	words := make(chan heard, 64)
+	post := func(asks []Ask) {
+		byMember := map[string][]Ask{}
+		for _, a := range asks {
+			byMember[a.To.ID] = append(byMember[a.To.ID], a)
+		}
+		for _, list := range byMember {
+			go func() {
+				for _, a := range list {
+					w, err := l.send(ctx, a.To, a.Ask)
+					if a.Ask.Step == wire.Commit && err == nil {
+						continue
+					}
+					select {
+					case words <- heard{a.To, a.Ask.Step, w, err}:
+					case <-ctx.Done():
+					}
+				}
+			}()
+		}
+	}
+	post(r.Asks())
+	for r.End == Going {
+		select {
+		case h := <-words:
+			if h.err == nil {
+				post(r.Hear(h.from, h.step, h.word))
+			}
+		case <-ctx.Done():
+			return
+		}
+	}
+}
+
+// spread tells the group what has been chosen; who misses it learns it later.
+func (l *Ledger) spread(p int, v wire.Value, old []wire.Member) {
+	l.Learn(p, v)
+	for _, m := range union(old, v.Group) {
+		if m.Addr == l.addr {
+			continue
+		}
+		go func() {
+			ctx, cancel := context.WithTimeout(context.Background(), time.Second)
+			defer cancel()
+			_, _ = l.send(ctx, m, wire.LedgerAsk{Part: p, To: m.ID, Step: wire.Commit, Slot: v.Mark, Value: v})
+		}()
+	}
+}
+
+// Read gives the newest value that a majority vouches for.
+func (l *Ledger) Read(ctx context.Context, p int) (wire.Value, error) {
+	for ctx.Err() == nil {
+		base, ok := l.Committed(p)
+		if !ok {
+			return wire.Value{}, ErrNoGroup
+		}
+		words := make(chan heard, len(base.Group))
+		cctx, cancel := context.WithTimeout(ctx, 400*time.Millisecond)
+		for _, m := range base.Group {
+			go func() {
+				w, err := l.send(cctx, m, wire.LedgerAsk{Part: p, To: m.ID, Step: wire.Read, Slot: base.Mark + 1})
+				words <- heard{from: m, word: w, err: err}
+			}()
+		}
+		votes, unsettled, newer := 0, false, false
+		for range base.Group {
+			h := <-words
+			if h.err != nil || h.word.Verdict != wire.Granted {
+				continue
+			}
+			votes++
+			if h.word.Mark > base.Mark {
+				newer = true
+				l.Learn(p, h.word.Value)
+			}
+			if h.word.HasAccepted && h.word.Mark == base.Mark {
+				unsettled = true
+			}
+			if votes > len(base.Group)/2 && !unsettled && !newer {
+				break
+			}
+		}
+		cancel()
+		switch {
+		case newer:
+			continue
+		case votes > len(base.Group)/2 && !unsettled:
+			return base, nil
+		case unsettled:
+			if _, err := l.Change(ctx, p, func(wire.Value) ([]wire.Member, []byte, error) { return nil, nil, errSettled }); err != nil && !errors.Is(err, errSettled) {
+				return wire.Value{}, err
+			}
+			continue
+		}
+		select {
+		case <-time.After(30 * time.Millisecond):
+		case <-ctx.Done():
+		}
+	}
+	return wire.Value{}, ErrUnsure
+}
+
+var errSettled = errors.New("ledger: settled")
+
+// Pull learns what the dispatch at addr has committed.
+func (l *Ledger) Pull(ctx context.Context, addr string, p int) error {
+	w, err := l.send(ctx, wire.Member{Addr: addr}, wire.LedgerAsk{Part: p, Step: wire.Read})
+	if err != nil {
+		return err
+	}
+	l.Learn(p, w.Value)
+	return nil
+}
--- /dev/null
+++ b/internal/ledger/round.go
@@ -0,0 +1,187 @@
+// Round is one attempt to agree on the next value of a register. It asks the
+// group for promises, takes over what may already have been chosen, else makes
+// the change that is wanted, and asks for acceptance by a majority of the old
+// and of the new group. It is a pure state machine: words come in, asks go out.
+package ledger
+
+import (
+	"github.com/pkg/errors"
+
+	"beechtide.org/beechtide/internal/wire"
+)
+
+// Change makes the next group and body from the current value. An error ends
+// the round with nothing changed and is handed to the caller as it is.
+type Change func(cur wire.Value) (group []wire.Member, body []byte, err error)
+
+// Ask is an ask with its receiver.
+type Ask struct {
+	To  wire.Member
+	Ask wire.LedgerAsk
+}
+
+// End says how a round stands.
+type End int
+
+// Ends of a round.
+const (
+	Going    End = iota
+	Chosen       // Value is agreed on
+	Overtook     // somebody is ahead; Value is what they have committed
+	Outbidden
+	Denied // the change itself said no; Err tells why
+)
+
+// Round is the state of the attempt.
+type Round struct {
+	Part   int
+	Base   wire.Value
+	Ballot wire.Ballot
+	Stamp  string
+	End    End
+	Value  wire.Value
+	Mine   bool
+	Err    error
+	Seen   wire.Ballot
+
+	change    Change
+	accepting bool
+	votes     map[string]bool
+	best      wire.Ballot
+	found     bool
+	refused   map[string]bool
+}
+
+// NewRound starts from a committed value.
+func NewRound(part int, base wire.Value, ballot wire.Ballot, stamp string, change Change) *Round {
+	return &Round{Part: part, Base: base, Ballot: ballot, Stamp: stamp, change: change, votes: map[string]bool{}, refused: map[string]bool{}}
+}
+
+// Asks gives the asks of the current phase, one a member.
+func (r *Round) Asks() []Ask {
+	var out []Ask
+	for _, m := range r.group() {
+		out = append(out, Ask{To: m, Ask: r.ask(m)})
+	}
+	return out
+}
+
+func (r *Round) group() []wire.Member {
+	if !r.accepting {
+		return r.Base.Group
+	}
+	return union(r.Base.Group, r.Value.Group)
+}
+
+func (r *Round) ask(m wire.Member) wire.LedgerAsk {
+	a := wire.LedgerAsk{Part: r.Part, To: m.ID, Step: wire.Prepare, Slot: r.Base.Mark + 1, Ballot: r.Ballot}
+	if r.accepting {
+		a.Step, a.Value = wire.Accept, r.Value
+	}
+	return a
+}
+
+// Hear takes the word of a member on an ask of the given step. It returns
+// further asks: the next phase's, or the committed base for one who is behind.
+func (r *Round) Hear(from wire.Member, step wire.Step, w wire.LedgerWord) []Ask {
+	if r.End != Going || (step == wire.Accept) != r.accepting {
+		return nil
+	}
+	switch w.Verdict {
+	case wire.Ahead:
+		if w.Value.Mark > r.Base.Mark {
+			r.End, r.Value = Overtook, w.Value
+		}
+		return nil
+	case wire.Behind:
+		return []Ask{
+			{To: from, Ask: wire.LedgerAsk{Part: r.Part, To: from.ID, Step: wire.Commit, Slot: r.Base.Mark, Value: r.Base}},
+			{To: from, Ask: r.ask(from)},
+		}
+	case wire.Outbid:
+		if Less(r.Seen, w.Promised) {
+			r.Seen = w.Promised
+		}
+		r.refused[from.ID] = true
+		left := 0
+		for _, m := range r.Base.Group {
+			if !r.refused[m.ID] {
+				left++
+			}
+		}
+		if left <= len(r.Base.Group)/2 {
+			r.End = Outbidden
+		}
+		return nil
+	case wire.Granted:
+	default:
+		return nil
+	}
+	r.votes[from.ID] = true
+	if !r.accepting {
+		if w.HasAccepted && (!r.found || Less(r.best, w.AcceptedAt)) {
+			r.found, r.best, r.Value = true, w.AcceptedAt, w.Value
+		}
+		if !r.most(r.Base.Group) {
+			return nil
+		}
+		return r.propose()
+	}
+	if r.most(r.Base.Group) && r.most(r.Value.Group) {
+		r.End = Chosen
+		r.Mine = r.Value.Stamp == r.Stamp
+	}
+	return nil
+}
+
+func (r *Round) propose() []Ask {
+	if !r.found {
+		group, body, err := r.change(r.Base)
+		if err != nil {
+			r.End, r.Err, r.Value = Denied, err, r.Base
+			return nil
+		}
+		if len(group) == 0 {
+			group = r.Base.Group
+		}
+		r.Value = wire.Value{Mark: r.Base.Mark + 1, Group: group, Body: body, Stamp: r.Stamp}
+	}
+	r.accepting = true
+	r.votes, r.refused = map[string]bool{}, map[string]bool{}
+	return r.Asks()
+}
+
+func (r *Round) most(group []wire.Member) bool {
+	n := 0
+	for _, m := range group {
+		if r.votes[m.ID] {
+			n++
+		}
+	}
+	return n > len(group)/2
+}
+
+func union(a, b []wire.Member) []wire.Member {
+	out := append([]wire.Member{}, a...)
+	for _, m := range b {
+		if !has(out, m.ID) {
+			out = append(out, m)
+		}
+	}
+	return out
+}
+
+func has(group []wire.Member, id string) bool {
+	for _, m := range group {
+		if m.ID == id {
+			return true
+		}
+	}
+	return false
+}
+
+// ErrUnsure means that a change may or may not have been made.
+var ErrUnsure = errors.New("ledger: no majority answered; the change may or may not have been made")
+
+// ErrNoGroup means that this node does not yet know any group.
+var ErrNoGroup = errors.New("ledger: no group known yet")
--- /dev/null
+++ b/internal/menu/check.go
@@ -0,0 +1,87 @@
+// Package menu is the operator's configuration: read, checked and compiled to
+// a table that the request path uses without locks. This file reads and checks;
+// struct tags say what a field must be, and what concerns several fields at
+// once is checked by hand.
+package menu
+
+import (
+	"encoding/json"
+	"fmt"
+
+	"github.com/go-playground/validator/v10"
+	"github.com/pkg/errors"
+
+	"beechtide.org/beechtide/internal/calls"
+)
+
+// Invalid says which field of a configuration is wrong, and why.
+type Invalid struct {
+	Field  string
+	Reason string
+}
+
+func (i *Invalid) Error() string { return fmt.Sprintf("menu: field %s: %s", i.Field, i.Reason) }
+
+var tags = validator.New(validator.WithRequiredStructEnabled())
+
+// Parse reads a configuration and checks it as far as it stands by itself.
+func Parse(raw []byte) (calls.Menu, error) {
+	var m calls.Menu
+	if err := json.Unmarshal(raw, &m); err != nil {
+		return m, &Invalid{"(body)", err.Error()}
+	}
+	if err := tags.Struct(m); err != nil {
+		var faults validator.ValidationErrors
+		if errors.As(err, &faults) && len(faults) > 0 {
+			f := faults[0]
+			return m, &Invalid{f.Namespace(), fmt.Sprintf("%v does not satisfy %s %s", f.Value(), f.Tag(), f.Param())}
+		}
+		return m, &Invalid{"(body)", err.Error()}
+	}
+	return m, crossCheck(m)
+}
+
+func crossCheck(m calls.Menu) error {
+	services := map[string]bool{}
+	for _, s := range m.Services {
+		services[s.Name] = true
+	}
+	places := map[string]string{}
+	for i, r := range m.Routes {
+		at := fmt.Sprintf("routes[%d]", i)
+		if !r.Kind.Valid() {
+			return &Invalid{at + ".kind", fmt.Sprintf("%q is no kind of route", r.Kind)}
+		}
+		place := r.Host + r.Prefix
+		if other, ok := places[place]; ok {
+			return &Invalid{at + ".prefix", "same host and prefix as route " + other}
+		}
+		places[place] = r.Name
+		if len(r.Shares) == 0 {
+			if !services[r.Service] {
+				return &Invalid{at + ".service", fmt.Sprintf("unknown service %q", r.Service)}
+			}
+			continue
+		}
+		var sum float32
+		for j, s := range r.Shares {
+			if !services[s.Service] {
+				return &Invalid{fmt.Sprintf("%s.shares[%d].service", at, j), fmt.Sprintf("unknown service %q", s.Service)}
+			}
+			sum += s.Gain
+		}
+		if sum <= 0 {
+			return &Invalid{at + ".shares", "gains sum to 0"}
+		}
+	}
+	owner := map[string]string{}
+	for i, t := range m.Tenants {
+		for _, k := range t.Keys {
+			if o, ok := owner[k]; ok && o != t.Name {
+				return &Invalid{fmt.Sprintf("tenants[%d].apiKeys", i), "a key is shared with tenant " + o}
+			}
+			owner[k] = t.Name
+		}
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/menu/replace.go
@@ -0,0 +1,44 @@
+// Replace decides what becomes of a configuration that the operator sends on
+// top of a version: taken, taken before, overtaken or invalid. It is pure; the
+// ledger calls it inside a round, so its answer holds for the committed state.
+package menu
+
+import (
+	"bytes"
+	"crypto/sha256"
+
+	"github.com/pkg/errors"
+
+	"beechtide.org/beechtide/internal/wire"
+)
+
+// What Replace may answer besides an Invalid.
+var (
+	ErrTakenBefore = errors.New("menu: taken before")
+	ErrOvertaken   = errors.New("menu: another version is in place")
+)
+
+// keepTaken bounds how many accepted versions are remembered for repeats.
+const keepTaken = 2048
+
+// Replace makes the next body from the current one.
+func Replace(cur wire.MenuBody, raw []byte, mark, base int64) (wire.MenuBody, error) {
+	sum := sha256.Sum256(raw)
+	digest := sum[:16]
+	for _, t := range cur.Taken {
+		if t.Mark == mark && bytes.Equal(t.Digest, digest) {
+			return cur, ErrTakenBefore
+		}
+	}
+	if cur.Mark != base {
+		return cur, ErrOvertaken
+	}
+	if mark <= cur.Mark {
+		return cur, &Invalid{"version", "not above the current one"}
+	}
+	taken := append(append([]wire.Taken{}, cur.Taken...), wire.Taken{Mark: mark, Digest: digest})
+	if len(taken) > keepTaken {
+		taken = taken[len(taken)-keepTaken:]
+	}
+	return wire.MenuBody{Mark: mark, Raw: raw, Taken: taken}, nil
+}
--- /dev/null
+++ b/internal/menu/table.go
@@ -0,0 +1,117 @@
+// Table is a configuration compiled for the request path. It is never changed:
+// a new version makes a new table, and readers hold on to the one they took.
+package menu
+
+import (
+	"sort"
+	"strings"
+
+	"beechtide.org/beechtide/internal/calls"
+)
+
+// Route is a route with its times in microseconds.
+type Route struct {
+	calls.Route
+	CutoffUs   int64
+	SetpointUs int64
+	gains      float32
+}
+
+// Table answers which route, service and tenant a request belongs to.
+type Table struct {
+	Mark     int64
+	Limits   calls.Limits
+	hosts    map[string][]*Route
+	services map[string]*calls.Service
+	keys     map[string]*calls.Tenant
+	Tenants  int
+	Stores   []*calls.Service
+}
+
+// Compile makes a table from a checked configuration.
+func Compile(m calls.Menu) *Table {
+	t := &Table{Mark: m.Mark, Limits: m.Limits, hosts: map[string][]*Route{}, services: map[string]*calls.Service{}, keys: map[string]*calls.Tenant{}, Tenants: len(m.Tenants)}
+	for i := range m.Services {
+		t.services[m.Services[i].Name] = &m.Services[i]
+		if m.Services[i].CacheStore != "" {
+			t.Stores = append(t.Stores, &m.Services[i])
+		}
+	}
+	for i := range m.Routes {
+		r := &Route{Route: m.Routes[i], CutoffUs: int64(m.Routes[i].CutoffMs * 1000), SetpointUs: int64(m.Routes[i].SetpointMs * 1000)}
+		if len(r.Shares) == 0 {
+			r.Shares = []calls.Share{{Service: r.Service, Gain: 1}}
+		}
+		for _, s := range r.Shares {
+			r.gains += s.Gain
+		}
+		host := strings.ToLower(r.Host)
+		t.hosts[host] = append(t.hosts[host], r)
+	}
+	for _, list := range t.hosts {
+		sort.Slice(list, func(i, j int) bool { return len(list[i].Prefix) > len(list[j].Prefix) })
+	}
+	for i := range m.Tenants {
+		for _, k := range m.Tenants[i].Keys {
+			t.keys[k] = &m.Tenants[i]
+		}
+	}
+	return t
+}
+
+// Match finds the route with the longest prefix for a host and path.
+func (t *Table) Match(host, path string) *Route {
+	host = strings.ToLower(host)
+	list, ok := t.hosts[host]
+	if !ok {
+		if i := strings.LastIndexByte(host, ':'); i >= 0 {
+			list = t.hosts[host[:i]]
+		}
+	}
+	for _, r := range list {
+		if strings.HasPrefix(path, r.Prefix) {
+			return r
+		}
+	}
+	return nil
+}
+
+// Tenant finds the holder of a key.
+func (t *Table) Tenant(key string) *calls.Tenant { return t.keys[key] }
+
+// Service finds a service by name.
+func (t *Table) Service(name string) *calls.Service { return t.services[name] }
+
+// ServiceOfModel finds the service whose engine runs a model.
+func (t *Table) ServiceOfModel(model string) string {
+	names := []string{}
+	for name, s := range t.services {
+		for _, m := range s.Engine.Models {
+			if m.Name == model {
+				names = append(names, name)
+			}
+		}
+	}
+	sort.Strings(names)
+	if len(names) == 0 {
+		return ""
+	}
+	return names[0]
+}
+
+// Pick chooses one of the route's services; x lies in [0,1).
+func (r *Route) Pick(x float64) string {
+	at := float32(x) * r.gains
+	for _, s := range r.Shares {
+		if at < s.Gain {
+			return s.Service
+		}
+		at -= s.Gain
+	}
+	return r.Shares[len(r.Shares)-1].Service
+}
+
+// Repeatable tells whether a request of this route may run more than once.
+func (r *Route) Repeatable() bool {
+	return r.Kind == calls.Idempotent || r.Kind == calls.Streaming && r.Resumable
+}
--- /dev/null
+++ b/internal/radio/crew.go
@@ -0,0 +1,308 @@
+// Crew is the membership of nodes as one of them sees it: probes to a few
+// others in turn, second opinions through third parties, suspicion before
+// removal. It is a state machine: time and messages come in as arguments, and
+// what is to be sent comes back as a list.
+package radio
+
+import (
+	"sort"
+
+	"beechtide.org/beechtide/internal/wire"
+)
+
+// CrewTimes are the waits of a Crew, in microseconds.
+type CrewTimes struct {
+	ProbeUs   int64
+	AckUs     int64
+	SuspectUs int64
+	ForgetUs  int64
+}
+
+// DefaultCrewTimes suit links of a few milliseconds.
+var DefaultCrewTimes = CrewTimes{ProbeUs: 400_000, AckUs: 250_000, SuspectUs: 900_000, ForgetUs: 60_000_000}
+
+// Send is a datagram that a Crew wants sent.
+type Send struct {
+	To   string
+	Kind int
+	Msg  wire.Probe
+}
+
+type mate struct {
+	peer    wire.Peer
+	sinceUs int64
+	spread  int
+	older   bool
+}
+
+type probing struct {
+	of       string
+	sentUs   int64
+	indirect bool
+}
+
+// Crew holds the view.
+type Crew struct {
+	self   wire.Peer
+	times  CrewTimes
+	mates  map[string]*mate
+	order  []string
+	turn   int
+	seq    int64
+	wait   map[int64]*probing
+	nextUs int64
+	rnd    func(n int) int
+	mark   int64
+}
+
+// NewCrew starts with the node alone.
+func NewCrew(self wire.Peer, times CrewTimes, rnd func(n int) int) *Crew {
+	self.Standing = wire.Alive
+	return &Crew{self: self, times: times, mates: map[string]*mate{}, wait: map[int64]*probing{}, rnd: rnd}
+}
+
+// Self is the node's own entry.
+func (c *Crew) Self() wire.Peer { return c.self }
+
+// SetLedgerID tells the others under which name this node keeps the ledger.
+func (c *Crew) SetLedgerID(id string) {
+	if c.self.LedgerID != id {
+		c.self.LedgerID = id
+		c.self.Life++
+		c.mark++
+	}
+}
+
+// Mark rises with every change of the view.
+func (c *Crew) Mark() int64 { return c.mark }
+
+// Alive lists the peers not known dead, the node itself included, by address.
+func (c *Crew) Alive(role wire.Role) []wire.Peer {
+	var out []wire.Peer
+	if c.self.Role == role {
+		out = append(out, c.self)
+	}
+	for _, m := range c.mates {
+		if m.peer.Role == role && m.peer.Standing != wire.Dead {
+			out = append(out, m.peer)
+		}
+	}
+	sort.Slice(out, func(i, j int) bool { return out[i].Addr < out[j].Addr })
+	return out
+}
+
+// DeadForUs tells for how long the peer at addr has been known dead; 0 where it is not.
+func (c *Crew) DeadForUs(addr string, nowUs int64) int64 {
+	m := c.mates[addr]
+	if m == nil || m.peer.Standing != wire.Dead {
+		return 0
+	}
+	return max(nowUs-m.sinceUs, 1)
+}
+
+// Knows tells whether addr was ever heard of.
+func (c *Crew) Knows(addr string) bool { return c.mates[addr] != nil }
+
+// Greet makes a probe to an address that is not yet known, such as a seed.
+func (c *Crew) Greet(addr string) Send {
+	c.seq++
+	return Send{To: addr, Kind: KindProbe, Msg: wire.Probe{Seq: c.seq, From: c.self, Gossip: c.gossip(nil, true)}}
+}
+
+// Tick moves time on.
+func (c *Crew) Tick(nowUs int64) []Send {
+	var out []Send
+	for seq, w := range c.wait {
+		m := c.mates[w.of]
+		if m == nil {
+			delete(c.wait, seq)
+			continue
+		}
+		age := nowUs - w.sentUs
+		if !w.indirect && age >= c.times.AckUs {
+			w.indirect = true
+			for _, via := range c.pick(2, w.of) {
+				out = append(out, Send{To: via, Kind: KindProbe, Msg: wire.Probe{Seq: seq, From: c.self, Of: w.of, Gossip: c.gossip(nil, false)}})
+			}
+		}
+		if age >= 2*c.times.AckUs {
+			delete(c.wait, seq)
+			if m.peer.Standing == wire.Alive {
+				p := m.peer
+				p.Standing = wire.Suspect
+				c.take(p, nowUs)
+			}
+		}
+	}
+	for addr, m := range c.mates {
+		if m.peer.Standing == wire.Suspect && nowUs-m.sinceUs >= c.times.SuspectUs {
+			p := m.peer
+			p.Standing = wire.Dead
+			c.take(p, nowUs)
+		}
+		if m.peer.Standing == wire.Dead && nowUs-m.sinceUs >= c.times.ForgetUs {
+			delete(c.mates, addr)
+			c.order = nil
+		}
+	}
+	if nowUs >= c.nextUs {
+		c.nextUs = nowUs + c.times.ProbeUs
+		if of := c.next(nowUs); of != "" {
+			c.seq++
+			c.wait[c.seq] = &probing{of: of, sentUs: nowUs}
+			out = append(out, Send{To: of, Kind: KindProbe, Msg: wire.Probe{Seq: c.seq, From: c.self, Gossip: c.gossip(c.mates[of], false)}})
+		}
+	}
+	return out
+}
+
+// Hear takes a probe or an acknowledgement.
+func (c *Crew) Hear(kind int, p wire.Probe, nowUs int64) []Send {
+	fresh := c.mates[p.From.Addr] == nil
+	from := p.From
+	from.Standing = wire.Alive
+	c.take(from, nowUs)
+	for _, g := range p.Gossip {
+		c.take(g, nowUs)
+	}
+	if kind == KindProbe {
+		switch {
+		case p.Of != "" && p.Of != c.self.Addr:
+			return []Send{{To: p.Of, Kind: KindProbe, Msg: wire.Probe{Seq: p.Seq, From: c.self, Through: p.From.Addr, Gossip: c.gossip(nil, false)}}}
+		case p.Through != "":
+			return []Send{{To: p.From.Addr, Kind: KindAck, Msg: wire.Probe{Seq: p.Seq, From: c.self, Through: p.Through, Gossip: c.gossip(nil, false)}}}
+		}
+		return []Send{{To: p.From.Addr, Kind: KindAck, Msg: wire.Probe{Seq: p.Seq, From: c.self, Gossip: c.gossip(c.mates[p.From.Addr], fresh)}}}
+	}
+	if p.Through != "" && p.Through != c.self.Addr {
+		return []Send{{To: p.Through, Kind: KindAck, Msg: wire.Probe{Seq: p.Seq, From: c.self, Of: p.From.Addr, Gossip: []wire.Peer{p.From}}}}
+	}
+	if w := c.wait[p.Seq]; w != nil && (w.of == p.From.Addr || w.of == p.Of) {
+		if m := c.mates[w.of]; m != nil && m.peer.Standing == wire.Suspect {
+			q := m.peer
+			q.Standing = wire.Alive
+			q.Life++
+			if w.of != p.From.Addr {
+				c.take(q, nowUs)
+			}
+		}
+		delete(c.wait, p.Seq)
+	}
+	return nil
+}
+
+func rankOf(s wire.Standing) int {
+	switch s {
+	case wire.Dead:
+		return 2
+	case wire.Suspect:
+		return 1
+	}
+	return 0
+}
+
+func (c *Crew) take(p wire.Peer, nowUs int64) {
+	if p.Addr == "" {
+		return
+	}
+	if p.Addr == c.self.Addr {
+		if p.Life > c.self.Life || p.Standing != wire.Alive && p.Life == c.self.Life {
+			c.self.Life = p.Life + 1
+			c.mark++
+		}
+		return
+	}
+	m := c.mates[p.Addr]
+	if m == nil {
+		if p.Standing == wire.Dead {
+			return
+		}
+		c.mates[p.Addr] = &mate{peer: p, sinceUs: nowUs, spread: 6}
+		c.order = nil
+		c.mark++
+		return
+	}
+	if p.Life < m.peer.Life && p.Standing == wire.Alive {
+		m.older = true
+	}
+	newer := p.Life > m.peer.Life || p.Life == m.peer.Life && rankOf(p.Standing) > rankOf(m.peer.Standing)
+	if !newer {
+		return
+	}
+	if p.Standing != m.peer.Standing {
+		m.sinceUs = nowUs
+	}
+	m.peer = p
+	m.spread = 6
+	c.mark++
+}
+
+// next picks whom to probe; now and then a dead one, so that healed cuts are found.
+func (c *Crew) next(int64) string {
+	if len(c.order) == 0 {
+		for addr := range c.mates {
+			c.order = append(c.order, addr)
+		}
+		sort.Strings(c.order)
+		for i := len(c.order) - 1; i > 0; i-- {
+			j := c.rnd(i + 1)
+			c.order[i], c.order[j] = c.order[j], c.order[i]
+		}
+		c.turn = 0
+	}
+	if len(c.order) == 0 {
+		return ""
+	}
+	if c.turn >= len(c.order) {
+		c.order = nil
+		return c.next(0)
+	}
+	c.turn++
+	return c.order[c.turn-1]
+}
+
+func (c *Crew) pick(n int, except string) []string {
+	var all []string
+	for addr, m := range c.mates {
+		if addr != except && m.peer.Standing == wire.Alive {
+			all = append(all, addr)
+		}
+	}
+	sort.Strings(all)
+	for i := 0; i < n && i < len(all); i++ {
+		j := i + c.rnd(len(all)-i)
+		all[i], all[j] = all[j], all[i]
+	}
+	return all[:min(n, len(all))]
+}
+
+// gossip gives the news about others that has been passed on least, always
+// with what the receiver would want to deny about itself.
+func (c *Crew) gossip(to *mate, all bool) []wire.Peer {
+	out := []wire.Peer{}
+	if to != nil && (to.peer.Standing != wire.Alive || to.older) {
+		to.older = false
+		out = append(out, to.peer)
+	}
+	var fresh []*mate
+	for _, m := range c.mates {
+		if m != to && (all || m.spread > 0) {
+			fresh = append(fresh, m)
+		}
+	}
+	sort.Slice(fresh, func(i, j int) bool {
+		if fresh[i].spread != fresh[j].spread {
+			return fresh[i].spread > fresh[j].spread
+		}
+		return fresh[i].peer.Addr < fresh[j].peer.Addr
+	})
+	limit := 6
+	if all {
+		limit = 100
+	}
+	for _, m := range fresh[:min(limit, len(fresh))] {
+		m.spread--
+		out = append(out, m.peer)
+	}
+	return out
+}
--- /dev/null
+++ b/internal/refit/plan.go
@@ -0,0 +1,109 @@
+// Package refit plans how runners come to the weights that were named: a few
+// at a time, each first taken from the candidates, then given the time to begin
+// what it was sent, then ordered, then watched until it holds the new weights.
+// Plan is pure; the dispatch that holds the duty carries it out.
+package refit
+
+import "sort"
+
+// Stage is how far a runner is.
+type Stage int
+
+// Stages of a runner.
+const (
+	Old Stage = iota
+	Barred
+	Ordered
+	Done
+)
+
+// Job is one runner's way.
+type Job struct {
+	ID      string
+	Stage   Stage
+	SinceUs int64
+	Orders  int
+}
+
+// SettleUs is how long a runner is left to begin what it was sent before the
+// order; AgainUs after how long an order that shows no effect is repeated.
+const (
+	SettleUs = 500_000
+	AgainUs  = 4_000_000
+)
+
+// Plan is the roll-out of one model's weights at one service.
+type Plan struct {
+	Mark int64
+	Jobs map[string]*Job
+}
+
+// NewPlan starts a roll-out.
+func NewPlan(mark int64) *Plan { return &Plan{Mark: mark, Jobs: map[string]*Job{}} }
+
+// See takes the runners' marks as they are known now; who is gone is dropped.
+func (p *Plan) See(marks map[string]int64, nowUs int64) {
+	for id := range p.Jobs {
+		if _, ok := marks[id]; !ok {
+			delete(p.Jobs, id)
+		}
+	}
+	for id, m := range marks {
+		j := p.Jobs[id]
+		if j == nil {
+			j = &Job{ID: id}
+			p.Jobs[id] = j
+		}
+		if m >= p.Mark && j.Stage != Done {
+			j.Stage, j.SinceUs = Done, nowUs
+		}
+	}
+}
+
+// AtOnce is how many runners may be under way together.
+func AtOnce(n int) int { return max(2, (n+2)/3) }
+
+// Next lists the runners to bar now and those to order now.
+func (p *Plan) Next(nowUs int64) (bar, order []string) {
+	var ids []string
+	under := 0
+	for id, j := range p.Jobs {
+		ids = append(ids, id)
+		if j.Stage == Barred || j.Stage == Ordered {
+			under++
+		}
+	}
+	sort.Strings(ids)
+	for _, id := range ids {
+		j := p.Jobs[id]
+		switch {
+		case j.Stage == Old && under < AtOnce(len(ids)):
+			under++
+			bar = append(bar, id)
+		case j.Stage == Barred && nowUs-j.SinceUs >= SettleUs,
+			j.Stage == Ordered && nowUs-j.SinceUs >= AgainUs:
+			order = append(order, id)
+		}
+	}
+	return bar, order
+}
+
+// Move notes a new stage.
+func (p *Plan) Move(id string, s Stage, nowUs int64) {
+	if j := p.Jobs[id]; j != nil && j.Stage != Done {
+		j.Stage, j.SinceUs = s, nowUs
+		if s == Ordered {
+			j.Orders++
+		}
+	}
+}
+
+// Finished tells whether all runners hold the weights.
+func (p *Plan) Finished() bool {
+	for _, j := range p.Jobs {
+		if j.Stage != Done {
+			return false
+		}
+	}
+	return true
+}
