--- a/cmd/beechtide/main.go
+++ b/cmd/beechtide/main.go
@@ -62,6 +62,7 @@
 func serve(name string, args []string) int {
 	fs := flag.NewFlagSet("beechtide "+name, flag.ContinueOnError)
 	path := fs.String("config", config.Path(), "path of the settings file")
+	logAll := fs.Bool("log-all", false, "write every line of the log at once, not only when something goes wrong")
 	if err := fs.Parse(args); err != nil {
 		if err == flag.ErrHelp {
 			return 0
@@ -76,6 +77,9 @@
 	debug.SetGCPercent(50)
 	hlog.SetLevel(hlog.LevelFatal)
 	ring := logbook.New(512, os.Stderr)
+	if *logAll {
+		ring.WriteAll()
+	}
 	log := logr.New(ring).WithName(name)
 	pool, err := ants.NewPool(512, ants.WithNonblocking(true))
 	if err != nil {
--- a/internal/counter/counter.go
+++ b/internal/counter/counter.go
@@ -43,6 +43,7 @@
 	budgets map[string]*cab.Budget
 	slab    ticket.Slab[doorman.Ruling]
 	kick    chan struct{}
+	core    string
 
 	nodes    atomic.Int64
 	informed atomic.Bool
@@ -58,7 +59,7 @@
 		return nil, err
 	}
 	c := &Counter{set: set, log: log, clock: clock, radio: rad, roster: roster.New(), garage: cab.NewGarage(clock), parts: map[int]wire.PartNote{}, door: doorman.New(doorman.Defaults, set.Site), budgets: map[string]*cab.Budget{}, kick: make(chan struct{}, 1)}
-	c.door.MarkUs = int64(set.Bounds.MarkMs) * 1000 * 3 / 4
+	c.door.MarkUs = int64(set.Bounds.MarkMs)*1000 - 2_300_000
 	c.nodes.Store(1)
 	c.relay = radio.NewRelay(rad, c.snapshot)
 	c.watch = radio.NewWatch(rad, wire.Peer{Addr: set.CounterAddr(), Role: wire.Counter, Site: set.Site, Node: set.Node}, clock, set.SeedAddrs)
@@ -292,7 +293,15 @@
 func (c *Counter) tellTally() {
 	peers := c.watch.Alive(wire.Counter)
 	c.nodes.Store(int64(max(len(peers), 1)))
+	core := ""
+	for _, p := range c.watch.Alive(wire.Dispatch) {
+		core += p.Addr + p.LedgerID + " "
+	}
 	c.dmu.Lock()
+	if core != c.core {
+		c.core = core
+		c.door.Unsettled(c.clock())
+	}
 	c.door.SetNodes(len(peers))
 	t := c.door.Own(c.radio.Addr())
 	c.dmu.Unlock()
--- a/internal/dispatch/refits.go
+++ b/internal/dispatch/refits.go
@@ -100,7 +100,7 @@
 	r.mu.Lock()
 	s := r.shifts[part]
 	if s == nil {
-		s = &shift.Shift{T: shift.Times{ClaimUs: int64(d.set.Bounds.ClaimMs) * 1000, ActUs: 1_000_000, SpareUs: 1_500_000}}
+		s = &shift.Shift{T: shift.Times{ClaimUs: int64(d.set.Bounds.ClaimMs) * 1000, ActUs: 400_000, SpareUs: 800_000}}
 		r.shifts[part] = s
 	}
 	won := r.won[part]
@@ -261,6 +261,7 @@
 
 func (d *Dispatch) tellWeights(id string, t wire.Target) {
 	if n, changed := d.roster.Weights(id, t.Model, t.Mark); changed {
+		d.log.Info("weights in place", "runner", id, "mark", t.Mark)
 		d.relay.Publish(wire.News{Runners: []wire.RunnerNote{n}})
 	}
 }
--- a/internal/doorman/doorman.go
+++ b/internal/doorman/doorman.go
@@ -138,6 +138,14 @@
 	}
 }
 
+// Unsettled notes a change among the dispatches: the time in which runners are
+// to be brought to new weights counts in one calm stretch and starts anew.
+func (d *Doorman) Unsettled(nowUs int64) {
+	for model := range d.oldUs {
+		d.oldUs[model] = nowUs
+	}
+}
+
 // SetService tells the runners of a service and the memory of each.
 func (d *Doorman) SetService(service string, notes []wire.RunnerNote, tokens int) {
 	p := d.pool(service)
--- a/internal/logbook/logbook.go
+++ b/internal/logbook/logbook.go
@@ -22,6 +22,7 @@
 	name  string
 	vals  []any
 	spill *time.Time
+	all   bool
 }
 
 // New makes a ring of the given size; Error calls write it to out.
@@ -30,6 +31,9 @@
 	return &Ring{mu: &sync.Mutex{}, lines: &lines, next: &next, out: out, spill: &time.Time{}}
 }
 
+// WriteAll makes every line go out at once, for a search for a fault.
+func (r *Ring) WriteAll() { r.all = true }
+
 // Init is part of logr.LogSink.
 func (r *Ring) Init(logr.RuntimeInfo) {}
 
@@ -48,7 +52,7 @@
 		*r.spill = time.Now()
 	}
 	r.mu.Unlock()
-	if due {
+	if due && !r.all {
 		r.Dump(r.out)
 	}
 }
@@ -90,6 +94,9 @@
 		}
 	}
 	r.mu.Lock()
+	if r.all {
+		fmt.Fprintln(r.out, b.String())
+	}
 	(*r.lines)[*r.next] = b.String()
 	*r.next = (*r.next + 1) % len(*r.lines)
 	r.mu.Unlock()
--- a/internal/refit/plan.go
+++ b/internal/refit/plan.go
@@ -28,7 +28,7 @@
 // SettleUs is how long a runner is left to begin what it was sent before the
 // order; AgainUs after how long an order that shows no effect is repeated.
 const (
-	SettleUs = 500_000
+	SettleUs = 300_000
 	AgainUs  = 4_000_000
 )
 
@@ -61,7 +61,7 @@
 }
 
 // AtOnce is how many runners may be under way together.
-func AtOnce(n int) int { return max(2, (n+2)/3) }
+func AtOnce(n int) int { return max(2, (2*n+4)/5) }
 
 // Next lists the runners to bar now and those to order now.
 func (p *Plan) Next(nowUs int64) (bar, order []string) {
