--- a/internal/counter/counter.go
+++ b/internal/counter/counter.go
@@ -220,17 +220,20 @@
 	c.dmu.Lock()
 	defer c.dmu.Unlock()
 	for service, notes := range snap.ByService {
-		tokens := 0
+		tokens, moveUs := 0, 0.0
 		if t != nil {
 			if s := t.Service(service); s != nil {
 				tokens = s.Engine.CacheTokens
+				if s.Engine.LinkMbps > 0 {
+					moveUs = float64(s.Engine.TokenBytes) * 8 / float64(s.Engine.LinkMbps)
+				}
 			}
 		}
-		c.door.SetService(service, notes, tokens)
+		c.door.SetService(service, notes, tokens, moveUs)
 	}
 	for _, name := range c.door.Services() {
 		if _, ok := snap.ByService[name]; !ok {
-			c.door.SetService(name, nil, 0)
+			c.door.SetService(name, nil, 0, 0)
 		}
 	}
 }
--- a/internal/counter/shots.go
+++ b/internal/counter/shots.go
@@ -267,6 +267,9 @@
 	if v.ask.Model != "" {
 		h.Set(hSalt, adm.Salt)
 		h.Set(hUrgency, strconv.Itoa(urgency(v)))
+		if adm.Source != "" {
+			h.Set(hSource, adm.Source)
+		}
 		if adm.Mark > 0 {
 			h.Set(hExpected, strconv.FormatInt(adm.Mark, 10))
 		}
--- a/internal/doorman/doorman.go
+++ b/internal/doorman/doorman.go
@@ -57,6 +57,7 @@
 	Salt     string
 	Mark     int64
 	Kept     int
+	Source   string // address of the runner to take kept parts from
 	atUs     int64
 	blocks   int
 	pins     []pin
@@ -88,7 +89,8 @@
 	runners map[string]*runner
 	order   []string
 	queue   pending
-	tokens  int // memory of a runner, in tokens
+	tokens  int     // memory of a runner, in tokens
+	moveUs  float64 // to move the memory of one token between runners; 0: not moved
 }
 
 // Doorman is not safe for concurrent use.
@@ -146,10 +148,11 @@
 	}
 }
 
-// SetService tells the runners of a service and the memory of each.
-func (d *Doorman) SetService(service string, notes []wire.RunnerNote, tokens int) {
+// SetService tells the runners of a service, the memory of each in tokens, and
+// how long moving the memory of a token takes.
+func (d *Doorman) SetService(service string, notes []wire.RunnerNote, tokens int, moveUs float64) {
 	p := d.pool(service)
-	p.tokens = tokens
+	p.tokens, p.moveUs = tokens, moveUs
 	keep := map[string]bool{}
 	p.order = p.order[:0]
 	for _, n := range notes {
@@ -328,9 +331,60 @@
 			break
 		}
 	}
+	if p.moveUs > 0 && len(a.Parts) > 0 {
+		d.findMoves(a, p, out, who, nowUs)
+	}
 	return out, who
 }
 
+// Costs of a move of kept parts: its start, and how much longer it takes
+// between sites. Fewer tokens than moveMin are not worth one.
+const (
+	moveStartUs = 3_000
+	moveFar     = 2
+	moveMin     = 256
+)
+
+// findMoves finds for every candidate the runner with the same weights that
+// keeps more of the prompt and from where it comes soonest.
+func (d *Doorman) findMoves(a Ask, p *pool, out []hail.Candidate, who []*runner, nowUs int64) {
+	type holder struct {
+		r    *runner
+		mark int64
+		kept int
+	}
+	var holders []holder
+	for _, id := range p.order {
+		r := p.runners[id]
+		if r.note.Stale || r.unsoundUs > nowUs {
+			continue
+		}
+		mark := markOf(r.note, a.Model)
+		if kept := d.Index.Kept(id, pantry.Keys(d.Salt(a.Tenant, a.Isolated, mark), a.Model, a.Parts), a.Parts); kept >= moveMin {
+			holders = append(holders, holder{r, mark, kept})
+		}
+	}
+	for i := range out {
+		c := &out[i]
+		mark := markOf(who[i].note, a.Model)
+		best := 0.0
+		for _, h := range holders {
+			more := h.kept - c.Kept
+			if h.r == who[i] || h.mark != mark || more < moveMin {
+				continue
+			}
+			us := moveStartUs + float64(more)*p.moveUs
+			if h.r.note.Site != who[i].note.Site {
+				us *= moveFar
+			}
+			if gain := float64(more)/c.Rate - us; gain > best {
+				best = gain
+				c.Moved, c.MoveUs, c.From = more, us, h.r.note.Addr
+			}
+		}
+	}
+}
+
 func avoided(list []string, id string) bool {
 	for _, a := range list {
 		if a == id {
@@ -374,7 +428,7 @@
 	r, c := who[i], list[i]
 	mark := markOf(r.note, a.Model)
 	salt := d.Salt(a.Tenant, a.Isolated, mark)
-	adm := &Admission{Runner: r.note, Salt: salt, Mark: mark, Kept: c.Kept, atUs: nowUs, tenant: a.Tenant, service: a.Service, tokensIn: a.TokensIn, Parts: a.Parts, Keys: pantry.Keys(salt, a.Model, a.Parts), reading: true}
+	adm := &Admission{Runner: r.note, Salt: salt, Mark: mark, Kept: c.Kept, Source: c.From, atUs: nowUs, tenant: a.Tenant, service: a.Service, tokensIn: a.TokensIn, Parts: a.Parts, Keys: pantry.Keys(salt, a.Model, a.Parts), reading: true}
 	bt := d.T.BlockTokens
 	inParts := 0
 	for j, k := range adm.Keys {
@@ -388,13 +442,13 @@
 	adm.blocks = (max(a.TokensIn-inParts, 0) + a.TokensOut + bt - 1) / bt
 	r.own.blocks += adm.blocks
 	adm.ahead = c.Prefill
-	adm.prefill = max(a.TokensIn-c.Kept, 0)
+	adm.prefill = max(a.TokensIn-c.Kept-c.Moved, 0)
 	r.own.prefill += adm.prefill
 	r.own.count++
 	r.recent = append(r.recent, recentShot{nowUs, adm.blocks + adm.prefill/bt})
 	r.trim(nowUs)
 	t.admitted++
-	t.hit += float64(c.Kept)
+	t.hit += float64(c.Kept + c.Moved)
 	t.all += float64(a.TokensIn)
 	return adm
 }
--- a/internal/hail/match.go
+++ b/internal/hail/match.go
@@ -12,6 +12,9 @@
 	ID       string
 	NearSite bool
 	Kept     int     // tokens of this prompt kept there
+	Moved    int     // tokens it could take over from another runner
+	MoveUs   float64 // how long that takes
+	From     string  // address of that runner
 	Prefill  int     // tokens waiting to be read there
 	Active   int     // requests there
 	Capacity int     // requests it takes at once
@@ -40,7 +43,7 @@
 	home := Home(p.Shared, list)
 	for i, c := range list {
 		us := CostUs(p, c)
-		if p.Shared != 0 && i != home && c.Kept < p.Tokens/4 {
+		if p.Shared != 0 && i != home && c.Kept+c.Moved < p.Tokens/4 {
 			us += homeUs
 		}
 		if best < 0 || us < bestUs {
@@ -53,7 +56,7 @@
 // CostUs estimates how long the first token takes at a candidate.
 func CostUs(p Prompt, c Candidate) float64 {
 	rate := max(c.Rate, minRateTok)
-	us := float64(c.Prefill+max(p.Tokens-c.Kept, 0)) / rate
+	us := float64(c.Prefill+max(p.Tokens-c.Kept-c.Moved, 0))/rate + c.MoveUs
 	if c.Capacity > 0 {
 		us += slotUs * float64(c.Active) / float64(c.Capacity)
 	}
