--- a/internal/counter/counter.go
+++ b/internal/counter/counter.go
@@ -44,6 +44,7 @@
 	slab    ticket.Slab[doorman.Ruling]
 	kick    chan struct{}
 	core    string
+	fresh   chan struct{}
 
 	nodes    atomic.Int64
 	informed atomic.Bool
@@ -58,7 +59,7 @@
 	if err != nil {
 		return nil, err
 	}
-	c := &Counter{set: set, log: log, clock: clock, radio: rad, roster: roster.New(), garage: cab.NewGarage(clock), parts: map[int]wire.PartNote{}, door: doorman.New(doorman.Defaults, set.Site), budgets: map[string]*cab.Budget{}, kick: make(chan struct{}, 1)}
+	c := &Counter{set: set, log: log, clock: clock, radio: rad, roster: roster.New(), garage: cab.NewGarage(clock), parts: map[int]wire.PartNote{}, door: doorman.New(doorman.Defaults, set.Site), budgets: map[string]*cab.Budget{}, kick: make(chan struct{}, 1), fresh: make(chan struct{}, 1)}
 	c.door.MarkUs = int64(set.Bounds.MarkMs)*1000 - 2_300_000
 	c.nodes.Store(1)
 	c.relay = radio.NewRelay(rad, c.snapshot)
@@ -82,7 +83,7 @@
 	go c.watch.Run(live)
 	go radio.Listen(live, c.radio, false, c.parents, c.takeNews)
 	go every(live, 250*time.Millisecond, c.compareMarks(live))
-	go every(live, 250*time.Millisecond, c.tellTally)
+	go c.tellTallies(live)
 	go every(live, time.Second, func() { c.garage.Sweep(func(string) bool { return true }) })
 	go c.pump(live)
 	failed := make(chan error, 2)
@@ -292,6 +293,22 @@
 	}
 }
 
+// tellTallies tells them four times a second, and sooner when a runner has been
+// sent shared parts to read.
+func (c *Counter) tellTallies(ctx context.Context) {
+	t := time.NewTicker(250 * time.Millisecond)
+	defer t.Stop()
+	for {
+		c.tellTally()
+		select {
+		case <-t.C:
+		case <-c.fresh:
+		case <-ctx.Done():
+			return
+		}
+	}
+}
+
 // tellTally tells the other counters what this one has where.
 func (c *Counter) tellTally() {
 	peers := c.watch.Alive(wire.Counter)
@@ -308,7 +325,7 @@
 	c.door.SetNodes(len(peers))
 	t := c.door.Own(c.radio.Addr())
 	c.dmu.Unlock()
-	if len(t.Weights) == 0 {
+	if len(t.Weights)+len(t.Coming) == 0 {
 		return
 	}
 	for _, p := range peers {
@@ -318,9 +335,11 @@
 	}
 }
 
-func (c *Counter) wake() {
+func (c *Counter) wake() { poke(c.kick) }
+
+func poke(ch chan struct{}) {
 	select {
-	case c.kick <- struct{}{}:
+	case ch <- struct{}{}:
 	default:
 	}
 }
@@ -336,7 +355,11 @@
 		for {
 			c.dmu.Lock()
 			out := c.door.Tick(c.clock())
+			fresh := c.door.HasFresh()
 			c.dmu.Unlock()
+			if fresh {
+				poke(c.fresh)
+			}
 			for _, r := range out {
 				if !c.slab.Resume(r.Ref, r) && r.Admit != nil {
 					c.dmu.Lock()
--- a/internal/counter/shots.go
+++ b/internal/counter/shots.go
@@ -131,7 +131,11 @@
 			r = c.door.Arrive(v.ask, now)
 		}
 	}
+	fresh := c.door.HasFresh()
 	c.dmu.Unlock()
+	if fresh {
+		poke(c.fresh)
+	}
 	if !r.Hold {
 		c.slab.Drop(v.ask.Ref)
 		return r
--- a/internal/doorman/doorman.go
+++ b/internal/doorman/doorman.go
@@ -69,6 +69,7 @@
 	tokensIn int
 	Keys     []uint64
 	Parts    []pantry.Part
+	coming   []uint64
 }
 
 type pin struct {
@@ -103,6 +104,7 @@
 	tenants map[string]*tenantState
 	oldUs   map[string]int64 // by model: since when the newest mark is known
 	newest  map[string]int64 // by model
+	fresh   []wire.KeptNote  // parts that this node has sent somewhere to be read
 	MarkUs  int64            // after how long an older mark is out of bounds
 	Salt    func(tenant string, isolated bool, mark int64) string
 }
@@ -318,7 +320,7 @@
 			}
 			mark := markOf(r.note, a.Model)
 			keys := pantry.Keys(d.Salt(a.Tenant, a.Isolated, mark), a.Model, a.Parts)
-			kept := d.Index.Kept(id, keys, a.Parts)
+			kept := d.Index.Expected(id, keys, a.Parts)
 			if r.blocks > 0 && active > 0 {
 				if after := use + float64(need-kept/d.T.BlockTokens)/float64(r.blocks); after > 0.98 {
 					continue
@@ -348,6 +350,11 @@
 // findMoves finds for every candidate the runner with the same weights that
 // keeps more of the prompt and from where it comes soonest.
 func (d *Doorman) findMoves(a Ask, p *pool, out []hail.Candidate, who []*runner, nowUs int64) {
+	shared := 0
+	for _, part := range a.Parts[:len(a.Parts)-1] {
+		shared += part.Tokens
+	}
+	known := map[int64]int{}
 	type holder struct {
 		r    *runner
 		mark int64
@@ -360,9 +367,11 @@
 			continue
 		}
 		mark := markOf(r.note, a.Model)
-		if kept := d.Index.Kept(id, pantry.Keys(d.Salt(a.Tenant, a.Isolated, mark), a.Model, a.Parts), a.Parts); kept >= moveMin {
+		keys := pantry.Keys(d.Salt(a.Tenant, a.Isolated, mark), a.Model, a.Parts)
+		if kept := d.Index.Kept(id, keys, a.Parts); kept >= moveMin {
 			holders = append(holders, holder{r, mark, kept})
 		}
+		known[mark] = max(known[mark], min(shared, d.Index.Expected(id, keys, a.Parts)))
 	}
 	for i := range out {
 		c := &out[i]
@@ -382,6 +391,7 @@
 				c.Moved, c.MoveUs, c.From = more, us, h.r.note.Addr
 			}
 		}
+		c.Again = max(known[mark]-c.Kept-c.Moved, 0)
 	}
 }
 
@@ -441,6 +451,7 @@
 	}
 	adm.blocks = (max(a.TokensIn-inParts, 0) + a.TokensOut + bt - 1) / bt
 	r.own.blocks += adm.blocks
+	d.expect(adm, len(a.Parts)-1)
 	adm.ahead = c.Prefill
 	adm.prefill = max(a.TokensIn-c.Kept-c.Moved, 0)
 	r.own.prefill += adm.prefill
@@ -453,6 +464,27 @@
 	return adm
 }
 
+// expect notes the shared parts that a runner is about to read, here and for
+// the other nodes.
+func (d *Doorman) expect(adm *Admission, shared int) {
+	note := wire.KeptNote{ID: adm.Runner.ID, Parts: []wire.KeptPart{}}
+	for i := range max(shared, 0) {
+		k, n := adm.Keys[i], int32(adm.Parts[i].Tokens)
+		if d.Index.Kept(note.ID, adm.Keys[i:i+1], adm.Parts[i:i+1]) < int(n) {
+			d.Index.Expect(note.ID, k, n)
+			adm.coming = append(adm.coming, k)
+			note.Parts = append(note.Parts, wire.KeptPart{Key: k, Tokens: n})
+		}
+	}
+	if len(note.Parts) > 0 {
+		d.fresh = append(d.fresh, note)
+	}
+}
+
+// HasFresh tells whether there is something that the other nodes should hear
+// soon.
+func (d *Doorman) HasFresh() bool { return len(d.fresh) > 0 }
+
 // FirstToken notes that a runner has read a prompt, which also tells how fast
 // it reads and what it keeps now.
 func (d *Doorman) FirstToken(adm *Admission, nowUs int64) {
@@ -487,6 +519,9 @@
 	if adm.reading {
 		adm.reading = false
 		r.own.prefill -= adm.prefill
+		for _, k := range adm.coming {
+			d.Index.Forget(r.note.ID, k)
+		}
 	}
 	for _, k := range adm.pins {
 		if r.pins[k.key]--; r.pins[k.key] <= 0 {
@@ -527,6 +562,11 @@
 
 // Tally takes another node's word on what it has where.
 func (d *Doorman) Tally(t wire.Tally, nowUs int64) {
+	for _, n := range t.Coming {
+		for _, part := range n.Parts {
+			d.Index.Expect(n.ID, part.Key, part.Tokens)
+		}
+	}
 	for _, w := range t.Weights {
 		for _, p := range d.pools {
 			if r := p.runners[w.ID]; r != nil {
@@ -541,7 +581,8 @@
 
 // Own tells this node's word: the runners where it has something, or had.
 func (d *Doorman) Own(from string) wire.Tally {
-	t := wire.Tally{From: from, Weights: []wire.RunnerWeight{}}
+	t := wire.Tally{From: from, Weights: []wire.RunnerWeight{}, Coming: d.fresh}
+	d.fresh = nil
 	for _, p := range d.pools {
 		for _, id := range p.order {
 			r := p.runners[id]
--- a/internal/hail/match.go
+++ b/internal/hail/match.go
@@ -15,6 +15,7 @@
 	Moved    int     // tokens it could take over from another runner
 	MoveUs   float64 // how long that takes
 	From     string  // address of that runner
+	Again    int     // shared tokens it would read although another runner has them
 	Prefill  int     // tokens waiting to be read there
 	Active   int     // requests there
 	Capacity int     // requests it takes at once
@@ -34,6 +35,7 @@
 	slotUs     = 20_000
 	homeUs     = 60_000
 	fullUs     = 80_000
+	againUs    = 100 // for each token read again
 	minRateTok = 0.002
 )
 
@@ -57,6 +59,7 @@
 func CostUs(p Prompt, c Candidate) float64 {
 	rate := max(c.Rate, minRateTok)
 	us := float64(c.Prefill+max(p.Tokens-c.Kept-c.Moved, 0))/rate + c.MoveUs
+	us += againUs * float64(c.Again)
 	if c.Capacity > 0 {
 		us += slotUs * float64(c.Active) / float64(c.Capacity)
 	}
--- a/internal/pantry/index.go
+++ b/internal/pantry/index.go
@@ -57,19 +57,60 @@
 	return out
 }
 
-// Index is not safe for concurrent use.
+// Index is not safe for concurrent use. Besides what is kept it knows what is
+// coming: parts that a runner has been sent and has not read yet.
 type Index struct {
 	runners map[string]map[uint64]int32
+	coming  map[string]map[uint64]int32
 }
 
 // NewIndex makes an empty one.
-func NewIndex() *Index { return &Index{runners: map[string]map[uint64]int32{}} }
+func NewIndex() *Index {
+	return &Index{runners: map[string]map[uint64]int32{}, coming: map[string]map[uint64]int32{}}
+}
 
 // Reset forgets all about a runner.
-func (x *Index) Reset(runner string) { delete(x.runners, runner) }
+func (x *Index) Reset(runner string) {
+	delete(x.runners, runner)
+	delete(x.coming, runner)
+}
+
+// Expect notes a part that a runner will keep once it has read it.
+func (x *Index) Expect(runner string, key uint64, tokens int32) {
+	m := x.coming[runner]
+	if m == nil {
+		m = map[uint64]int32{}
+		x.coming[runner] = m
+	}
+	if len(m) >= maxParts {
+		clear(m)
+	}
+	m[key] = tokens
+}
+
+// Forget takes back what Expect noted.
+func (x *Index) Forget(runner string, key uint64) { delete(x.coming[runner], key) }
+
+// Expected counts like Kept, with the parts that are coming.
+func (x *Index) Expected(runner string, keys []uint64, parts []Part) int {
+	m, n := x.runners[runner], x.coming[runner]
+	if m == nil && n == nil {
+		return 0
+	}
+	sum := 0
+	for i, k := range keys {
+		have := int(max(m[k], n[k]))
+		if have < parts[i].Tokens {
+			return sum + have
+		}
+		sum += parts[i].Tokens
+	}
+	return sum
+}
 
 // Put notes how many tokens of a part a runner keeps; 0 means none.
 func (x *Index) Put(runner string, key uint64, tokens int32) {
+	delete(x.coming[runner], key)
 	m := x.runners[runner]
 	if tokens <= 0 {
 		delete(m, key)
@@ -116,7 +157,7 @@
 func (x *Index) Retain(keep func(runner string) bool) {
 	for r := range x.runners {
 		if !keep(r) {
-			delete(x.runners, r)
+			x.Reset(r)
 		}
 	}
 }
--- a/internal/wire/msgp.gen.go
+++ b/internal/wire/msgp.gen.go
@@ -2345,17 +2345,27 @@
 // MarshalMsg implements msgp.Marshaler
 func (z *Tally) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
-	// map header, size 2
+	// map header, size 3
+	// string "c"
+	o = append(o, 0x83, 0xa1, 0x63)
+	o = msgp.AppendArrayHeader(o, uint32(len(z.Coming)))
+	for za0001 := range z.Coming {
+		o, err = z.Coming[za0001].MarshalMsg(o)
+		if err != nil {
+			err = msgp.WrapError(err, "Coming", za0001)
+			return
+		}
+	}
 	// string "f"
-	o = append(o, 0x82, 0xa1, 0x66)
+	o = append(o, 0xa1, 0x66)
 	o = msgp.AppendString(o, z.From)
 	// string "w"
 	o = append(o, 0xa1, 0x77)
 	o = msgp.AppendArrayHeader(o, uint32(len(z.Weights)))
-	for za0001 := range z.Weights {
-		o, err = z.Weights[za0001].MarshalMsg(o)
+	for za0002 := range z.Weights {
+		o, err = z.Weights[za0002].MarshalMsg(o)
 		if err != nil {
-			err = msgp.WrapError(err, "Weights", za0001)
+			err = msgp.WrapError(err, "Weights", za0002)
 			return
 		}
 	}
@@ -2380,6 +2390,25 @@
 			return
 		}
 		switch msgp.UnsafeString(field) {
+		case "c":
+			var zb0002 uint32
+			zb0002, bts, err = msgp.ReadArrayHeaderBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Coming")
+				return
+			}
+			if cap(z.Coming) >= int(zb0002) {
+				z.Coming = (z.Coming)[:zb0002]
+			} else {
+				z.Coming = make([]KeptNote, zb0002)
+			}
+			for za0001 := range z.Coming {
+				bts, err = z.Coming[za0001].UnmarshalMsg(bts)
+				if err != nil {
+					err = msgp.WrapError(err, "Coming", za0001)
+					return
+				}
+			}
 		case "f":
 			z.From, bts, err = msgp.ReadStringBytes(bts)
 			if err != nil {
@@ -2387,21 +2416,21 @@
 				return
 			}
 		case "w":
-			var zb0002 uint32
-			zb0002, bts, err = msgp.ReadArrayHeaderBytes(bts)
+			var zb0003 uint32
+			zb0003, bts, err = msgp.ReadArrayHeaderBytes(bts)
 			if err != nil {
 				err = msgp.WrapError(err, "Weights")
 				return
 			}
-			if cap(z.Weights) >= int(zb0002) {
-				z.Weights = (z.Weights)[:zb0002]
+			if cap(z.Weights) >= int(zb0003) {
+				z.Weights = (z.Weights)[:zb0003]
 			} else {
-				z.Weights = make([]RunnerWeight, zb0002)
+				z.Weights = make([]RunnerWeight, zb0003)
 			}
-			for za0001 := range z.Weights {
-				bts, err = z.Weights[za0001].UnmarshalMsg(bts)
+			for za0002 := range z.Weights {
+				bts, err = z.Weights[za0002].UnmarshalMsg(bts)
 				if err != nil {
-					err = msgp.WrapError(err, "Weights", za0001)
+					err = msgp.WrapError(err, "Weights", za0002)
 					return
 				}
 			}
@@ -2419,9 +2448,13 @@
 
 // Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
 func (z *Tally) Msgsize() (s int) {
-	s = 1 + 2 + msgp.StringPrefixSize + len(z.From) + 2 + msgp.ArrayHeaderSize
-	for za0001 := range z.Weights {
-		s += z.Weights[za0001].Msgsize()
+	s = 1 + 2 + msgp.ArrayHeaderSize
+	for za0001 := range z.Coming {
+		s += z.Coming[za0001].Msgsize()
+	}
+	s += 2 + msgp.StringPrefixSize + len(z.From) + 2 + msgp.ArrayHeaderSize
+	for za0002 := range z.Weights {
+		s += z.Weights[za0002].Msgsize()
 	}
 	return
 }
--- a/internal/wire/types.gen.go
+++ b/internal/wire/types.gen.go
@@ -268,6 +268,7 @@
 
 // Tally defines model for Tally.
 type Tally struct {
+	Coming  []KeptNote     `msg:"c"`
 	From    string         `msg:"f"`
 	Weights []RunnerWeight `msg:"w"`
 }
