--- a/internal/counter/counter.go
+++ b/internal/counter/counter.go
@@ -231,6 +231,7 @@
 			}
 		}
 		c.door.SetService(service, notes, tokens, moveUs)
+		c.door.SetStores(service, storesFor(t, service))
 	}
 	for _, name := range c.door.Services() {
 		if _, ok := snap.ByService[name]; !ok {
@@ -239,6 +240,25 @@
 	}
 }
 
+// storesFor lists the stores that the runners of a service may use: all there
+// are, where moving memory is possible at all.
+func storesFor(t *menu.Table, service string) []doorman.Store {
+	if t == nil {
+		return nil
+	}
+	s := t.Service(service)
+	if s == nil || s.Engine.TokenBytes == 0 {
+		return nil
+	}
+	var out []doorman.Store
+	for _, box := range t.Stores {
+		if box.LinkMbps > 0 {
+			out = append(out, doorman.Store{ID: box.CacheStore, Addr: box.CacheStore, Site: box.Site, MoveUs: float64(s.Engine.TokenBytes) * 8 / float64(box.LinkMbps)})
+		}
+	}
+	return out
+}
+
 // compareMarks asks the dispatches in turn what they hold, and pulls where
 // something newer is there: a gap in the news is noticed this way.
 func (c *Counter) compareMarks(ctx context.Context) func() {
--- a/internal/counter/shots.go
+++ b/internal/counter/shots.go
@@ -274,6 +274,9 @@
 		if adm.Source != "" {
 			h.Set(hSource, adm.Source)
 		}
+		if adm.Sink != "" {
+			h.Set(hSink, adm.Sink)
+		}
 		if adm.Mark > 0 {
 			h.Set(hExpected, strconv.FormatInt(adm.Mark, 10))
 		}
--- a/internal/dispatch/dispatch.go
+++ b/internal/dispatch/dispatch.go
@@ -276,7 +276,7 @@
 	}
 	snap := d.roster.Snapshot()
 	d.kmu.Lock()
-	d.kept.Retain(func(r string) bool { _, ok := snap.ByID[r]; return ok })
+	d.kept.Retain(func(r string) bool { _, ok := snap.ByID[r]; return ok || strings.Contains(r, ":") })
 	d.kmu.Unlock()
 	d.garage.Sweep(func(string) bool { return true })
 }
--- a/internal/dispatch/readers.go
+++ b/internal/dispatch/readers.go
@@ -39,6 +39,12 @@
 			want[n.ID] = n
 		}
 	}
+	for _, box := range t.Stores {
+		n := wire.RunnerNote{ID: box.CacheStore, Addr: box.CacheStore, Site: box.Site}
+		if readerOf(n, alive) == d.radio.Addr() {
+			want[n.ID] = n
+		}
+	}
 	d.kmu.Lock()
 	defer d.kmu.Unlock()
 	for id, cancel := range d.readers {
@@ -52,7 +58,9 @@
 			cctx, cancel := context.WithCancel(ctx)
 			d.readers[id] = cancel
 			go d.readKept(cctx, n)
-			go d.readReports(cctx, n)
+			if n.Service != "" {
+				go d.readReports(cctx, n)
+			}
 		}
 	}
 }
@@ -82,7 +90,7 @@
 	known := false
 	for ctx.Err() == nil {
 		cctx, cancel := context.WithTimeout(ctx, callWait)
-		status, body, _, err := d.garage.Ask(cctx, n.Addr, "GET", "/api/kv-events?since="+strconv.FormatInt(since, 10), map[string]string{"Wait-Ms": "1000", "Beechtide-Target-Instance": n.ID}, nil)
+		status, body, _, err := d.garage.Ask(cctx, n.Addr, "GET", "/api/kv-events?since="+strconv.FormatInt(since, 10), aimed(n, map[string]string{"Wait-Ms": "1000"}), nil)
 		cancel()
 		var ev calls.KeptEvents
 		if err != nil || status != 200 || json.Unmarshal(body, &ev) != nil {
@@ -110,7 +118,7 @@
 func (d *Dispatch) readList(ctx context.Context, n wire.RunnerNote, note *wire.KeptNote) (since, epoch int64, ok bool) {
 	cctx, cancel := context.WithTimeout(ctx, callWait)
 	defer cancel()
-	status, body, _, err := d.garage.Ask(cctx, n.Addr, "GET", "/api/kv-list", map[string]string{"Beechtide-Target-Instance": n.ID}, nil)
+	status, body, _, err := d.garage.Ask(cctx, n.Addr, "GET", "/api/kv-list", aimed(n, map[string]string{}), nil)
 	var list calls.KeptList
 	if err != nil || status != 200 || json.Unmarshal(body, &list) != nil {
 		return 0, 0, false
@@ -143,11 +151,19 @@
 func (d *Dispatch) report(ctx context.Context, n wire.RunnerNote) (calls.Report, bool) {
 	cctx, cancel := context.WithTimeout(ctx, callWait)
 	defer cancel()
-	status, body, _, err := d.garage.Ask(cctx, n.Addr, "GET", "/api/report", map[string]string{"Beechtide-Target-Instance": n.ID}, nil)
+	status, body, _, err := d.garage.Ask(cctx, n.Addr, "GET", "/api/report", aimed(n, map[string]string{}), nil)
 	var r calls.Report
 	return r, err == nil && status == 200 && json.Unmarshal(body, &r) == nil
 }
 
+// aimed adds for whom a call is meant; a store has no id.
+func aimed(n wire.RunnerNote, h map[string]string) map[string]string {
+	if n.Service != "" {
+		h["Beechtide-Target-Instance"] = n.ID
+	}
+	return h
+}
+
 func sleep(ctx context.Context, t time.Duration) {
 	select {
 	case <-time.After(t):
--- a/internal/doorman/doorman.go
+++ b/internal/doorman/doorman.go
@@ -57,7 +57,8 @@
 	Salt     string
 	Mark     int64
 	Kept     int
-	Source   string // address of the runner to take kept parts from
+	Source   string // address of the runner or store to take kept parts from
+	Sink     string // address of the store to send parts to once they are read
 	atUs     int64
 	blocks   int
 	pins     []pin
@@ -90,10 +91,19 @@
 	runners map[string]*runner
 	order   []string
 	queue   pending
+	stores  []Store
 	tokens  int     // memory of a runner, in tokens
 	moveUs  float64 // to move the memory of one token between runners; 0: not moved
 }
 
+// Store is a box that keeps parts for the runners of a service.
+type Store struct {
+	ID     string
+	Addr   string
+	Site   string
+	MoveUs float64 // to move the memory of one token
+}
+
 // Doorman is not safe for concurrent use.
 type Doorman struct {
 	T       Tuning
@@ -175,6 +185,9 @@
 	}
 }
 
+// SetStores tells the stores that runners of a service may use.
+func (d *Doorman) SetStores(service string, stores []Store) { d.pool(service).stores = stores }
+
 // Services lists those with requests waiting.
 func (d *Doorman) Services() []string {
 	var out []string
@@ -356,9 +369,12 @@
 	}
 	known := map[int64]int{}
 	type holder struct {
-		r    *runner
-		mark int64
-		kept int
+		r      *runner
+		addr   string
+		site   string
+		mark   int64
+		kept   int
+		moveUs float64
 	}
 	var holders []holder
 	for _, id := range p.order {
@@ -369,10 +385,19 @@
 		mark := markOf(r.note, a.Model)
 		keys := pantry.Keys(d.Salt(a.Tenant, a.Isolated, mark), a.Model, a.Parts)
 		if kept := d.Index.Kept(id, keys, a.Parts); kept >= moveMin {
-			holders = append(holders, holder{r, mark, kept})
+			holders = append(holders, holder{r, r.note.Addr, r.note.Site, mark, kept, p.moveUs})
 		}
 		known[mark] = max(known[mark], min(shared, d.Index.Expected(id, keys, a.Parts)))
 	}
+	for _, s := range p.stores {
+		for mark := range known {
+			keys := pantry.Keys(d.Salt(a.Tenant, a.Isolated, mark), a.Model, a.Parts)
+			if kept := d.Index.Kept(s.ID, keys, a.Parts); kept >= moveMin {
+				holders = append(holders, holder{nil, s.Addr, s.Site, mark, kept, s.MoveUs})
+				known[mark] = max(known[mark], min(shared, kept))
+			}
+		}
+	}
 	for i := range out {
 		c := &out[i]
 		mark := markOf(who[i].note, a.Model)
@@ -382,13 +407,13 @@
 			if h.r == who[i] || h.mark != mark || more < moveMin {
 				continue
 			}
-			us := moveStartUs + float64(more)*p.moveUs
-			if h.r.note.Site != who[i].note.Site {
+			us := moveStartUs + float64(more)*h.moveUs
+			if h.site != who[i].note.Site {
 				us *= moveFar
 			}
 			if gain := float64(more)/c.Rate - us; gain > best {
 				best = gain
-				c.Moved, c.MoveUs, c.From = more, us, h.r.note.Addr
+				c.Moved, c.MoveUs, c.From = more, us, h.addr
 			}
 		}
 		c.Again = max(known[mark]-c.Kept-c.Moved, 0)
@@ -451,7 +476,9 @@
 	}
 	adm.blocks = (max(a.TokensIn-inParts, 0) + a.TokensOut + bt - 1) / bt
 	r.own.blocks += adm.blocks
-	d.expect(adm, len(a.Parts)-1)
+	if d.expect(adm, len(a.Parts)-1) && len(p.stores) > 0 && c.Moved < moveMin {
+		adm.Sink = p.stores[0].Addr
+	}
 	adm.ahead = c.Prefill
 	adm.prefill = max(a.TokensIn-c.Kept-c.Moved, 0)
 	r.own.prefill += adm.prefill
@@ -466,7 +493,7 @@
 
 // expect notes the shared parts that a runner is about to read, here and for
 // the other nodes.
-func (d *Doorman) expect(adm *Admission, shared int) {
+func (d *Doorman) expect(adm *Admission, shared int) bool {
 	note := wire.KeptNote{ID: adm.Runner.ID, Parts: []wire.KeptPart{}}
 	for i := range max(shared, 0) {
 		k, n := adm.Keys[i], int32(adm.Parts[i].Tokens)
@@ -479,6 +506,7 @@
 	if len(note.Parts) > 0 {
 		d.fresh = append(d.fresh, note)
 	}
+	return len(note.Parts) > 0
 }
 
 // HasFresh tells whether there is something that the other nodes should hear
