--- a/cmd/beechtide/main.go
+++ b/cmd/beechtide/main.go
@@ -99,6 +99,7 @@
 		fmt.Fprintf(os.Stderr, "beechtide %s: %v\n", name, err)
 		return 1
 	}
+	log.Info("up", "node", set.Node, "bootstrap", set.Bootstrap)
 	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
 	defer stop()
 	quit := make(chan os.Signal, 4)
--- a/internal/counter/counter.go
+++ b/internal/counter/counter.go
@@ -158,8 +158,8 @@
 	for _, r := range n.Runners {
 		changed = c.roster.Merge(r, now) || changed
 	}
-	if len(n.Runners) > 0 {
-		c.informed.Store(true)
+	if len(n.Runners) > 0 && !c.informed.Swap(true) {
+		c.log.Info("runners known", "count", len(n.Runners))
 	}
 	if changed {
 		c.syncDoor()
@@ -199,6 +199,7 @@
 			return false
 		}
 		c.table.Store(menu.Compile(m))
+		c.log.Info("configuration in place", "mark", m.Mark)
 	} else {
 		var body wire.DutyBody
 		if _, err := body.UnmarshalMsg(p.Body); err != nil {
--- a/internal/dispatch/dispatch.go
+++ b/internal/dispatch/dispatch.go
@@ -41,9 +41,9 @@
 	kept    *pantry.Index
 	readers map[string]context.CancelFunc
 
-	refits   refits
-	startUs  int64
-	readOnly atomic.Bool
+	refits  refits
+	startUs int64
+	disk    *ledger.DiskStore // nil on machines without one
 }
 
 // New builds the role.
@@ -55,9 +55,11 @@
 	d := &Dispatch{set: set, log: log, clock: clock, radio: rad, roster: roster.New(), garage: cab.NewGarage(clock), kept: pantry.NewIndex(), readers: map[string]context.CancelFunc{}, startUs: clock()}
 	var store ledger.Store = &ledger.MemoryStore{}
 	if set.DataDir != "" {
-		if store, err = ledger.NewDiskStore(filepath.Join(set.DataDir, "ledger")); err != nil {
+		if d.disk, err = ledger.NewDiskStore(filepath.Join(set.DataDir, "ledger")); err != nil {
 			return nil, err
 		}
+		store = d.disk
+		d.recallRunners()
 	}
 	d.relay = radio.NewRelay(rad, d.snapshot)
 	d.ledger, err = ledger.Open(set.DispatchAddr(), radio.KindLedger, set.Bootstrap, set.SeedAddrs(), rad, store, log, d.learned)
@@ -107,6 +109,9 @@
 	go every(ctx, 500*time.Millisecond, func() { d.wantReaders(ctx) })
 	go every(ctx, 200*time.Millisecond, func() { d.wantRefits(ctx) })
 	go d.settleParts(ctx)
+	if d.disk != nil {
+		go d.keepRunners(ctx)
+	}
 	return d.serveControl(ctx)
 }
 
--- a/internal/ledger/store.go
+++ b/internal/ledger/store.go
@@ -47,17 +47,28 @@
 
 // Identity reads the identity, or makes and keeps a fresh one.
 func (d *DiskStore) Identity(fresh func() string) (string, error) {
-	path := filepath.Join(d.dir, "identity")
-	if b, err := os.ReadFile(path); err == nil && len(b) > 4 && crc32.ChecksumIEEE(b[4:]) == binary.BigEndian.Uint32(b) {
-		return string(b[4:]), nil
+	if b, ok := d.Note("identity"); ok {
+		return string(b), nil
 	}
 	id := fresh()
-	if err := d.write("identity", sealed([]byte(id))); err != nil {
+	if err := d.Keep("identity", []byte(id)); err != nil {
 		return "", err
 	}
 	return id, nil
 }
 
+// Note reads a file that Keep wrote; a torn one counts as none.
+func (d *DiskStore) Note(name string) ([]byte, bool) {
+	b, err := os.ReadFile(filepath.Join(d.dir, name))
+	if err != nil || len(b) <= 4 || crc32.ChecksumIEEE(b[4:]) != binary.BigEndian.Uint32(b) {
+		return nil, false
+	}
+	return b[4:], true
+}
+
+// Keep makes a small file durable under a name, in place of what it held.
+func (d *DiskStore) Keep(name string, body []byte) error { return d.write(name, sealed(body)) }
+
 func sealed(body []byte) []byte {
 	out := binary.BigEndian.AppendUint32(make([]byte, 0, len(body)+4), crc32.ChecksumIEEE(body))
 	return append(out, body...)
--- a/internal/radio/listen.go
+++ b/internal/radio/listen.go
@@ -27,7 +27,9 @@
 	if parent == r.Addr() {
 		return false
 	}
-	l, err := r.dialFresh(ctx, parent)
+	dctx, dcancel := context.WithTimeout(ctx, 250*time.Millisecond)
+	l, err := r.dialFresh(dctx, parent)
+	dcancel()
 	if err != nil {
 		return false
 	}
