--- a/internal/dispatch/refits.go
+++ b/internal/dispatch/refits.go
@@ -80,7 +80,7 @@
 			if m.Model == t.Model {
 				marks[id] = m.Mark
 				old = old || m.Mark < t.Mark
-				barred = barred || n.Barred && m.Mark >= t.Mark
+				barred = barred || (n.Barred || n.Easing) && m.Mark >= t.Mark
 			}
 		}
 	}
@@ -188,13 +188,17 @@
 	now := d.clock()
 	plan.See(marks, now)
 	for id, m := range marks {
-		if n, ok := d.roster.Snapshot().ByID[id]; ok && n.Barred && m >= t.Mark {
-			d.bar(id, false, s.Fence())
+		if n, ok := d.roster.Snapshot().ByID[id]; ok && (n.Barred || n.Easing) && m >= t.Mark {
+			d.bar(id, false, false, s.Fence())
 		}
 	}
-	bar, order := plan.Next(now)
+	ease, bar, order := plan.Next(now)
+	for _, id := range ease {
+		d.bar(id, true, false, s.Fence())
+		plan.Move(id, refit.Easing, now)
+	}
 	for _, id := range bar {
-		d.bar(id, true, s.Fence())
+		d.bar(id, false, true, s.Fence())
 		plan.Move(id, refit.Barred, now)
 	}
 	for _, id := range order {
@@ -212,8 +216,8 @@
 	}
 }
 
-func (d *Dispatch) bar(id string, barred bool, fence int64) {
-	if n, changed := d.roster.Bar(id, barred, fence<<20|d.refits.bars.Add(1)); changed {
+func (d *Dispatch) bar(id string, easing, barred bool, fence int64) {
+	if n, changed := d.roster.Bar(id, easing, barred, fence<<20|d.refits.bars.Add(1)); changed {
 		d.relay.Publish(wire.News{Runners: []wire.RunnerNote{n}})
 	}
 }
--- a/internal/doorman/doorman.go
+++ b/internal/doorman/doorman.go
@@ -317,10 +317,10 @@
 	var out []hail.Candidate
 	var who []*runner
 	need := (a.TokensIn + a.TokensOut + d.T.BlockTokens - 1) / d.T.BlockTokens
-	for pass := range 2 {
+	for pass := range 3 {
 		for _, id := range p.order {
 			r := p.runners[id]
-			if r.note.Draining || r.note.Barred || avoided(a.Avoid, id) || (pass == 0) != (!r.note.Stale && r.unsoundUs <= nowUs) {
+			if r.note.Draining || r.note.Barred || avoided(a.Avoid, id) || pass != d.preference(a, r, nowUs) {
 				continue
 			}
 			if !d.markAllowed(a.Model, r, nowUs) {
@@ -420,6 +420,19 @@
 	}
 }
 
+// preference sorts runners into three: those to be used, those that are about
+// to get an order and should not begin a long request, and those that are
+// silent or whose links fail.
+func (d *Doorman) preference(a Ask, r *runner, nowUs int64) int {
+	switch {
+	case r.note.Stale || r.unsoundUs > nowUs:
+		return 2
+	case r.note.Easing && a.TokensOut > d.T.LongOut:
+		return 1
+	}
+	return 0
+}
+
 func avoided(list []string, id string) bool {
 	for _, a := range list {
 		if a == id {
--- a/internal/doorman/tuning.go
+++ b/internal/doorman/tuning.go
@@ -26,6 +26,7 @@
 	TenantBurst     float64 // requests a tenant may send at once, in parts of runners x capacity
 	TTLPart         float64 // part of the time left that a request may wait
 	TTLSetpoints    float64 // and how many times its setpoint
+	LongOut         int     // a request that may bring more tokens than this is long
 	UnsoundUs       int64   // first pause for a runner whose links fail
 	UnsoundMaxUs    int64
 }
@@ -38,5 +39,5 @@
 	WindowStart: 48, WindowMin: 4, WindowMax: 1024, WindowAdd: 2, WindowCut: 0.5,
 	LowUse: 0.2, HighUse: 0.5, LowHits: 0.2, WindowEveryUs: 500_000,
 	TenantBurst: 2, TTLPart: 0.33, TTLSetpoints: 2,
-	UnsoundUs: 200_000, UnsoundMaxUs: 2_000_000,
+	LongOut: 64, UnsoundUs: 200_000, UnsoundMaxUs: 2_000_000,
 }
--- a/internal/refit/plan.go
+++ b/internal/refit/plan.go
@@ -1,6 +1,7 @@
 // Package refit plans how runners come to the weights that were named: a few
-// at a time, each first taken from the candidates, then given the time to begin
-// what it was sent, then ordered, then watched until it holds the new weights.
+// at a time. Each is first eased: no long request goes there any more, so that
+// its runs end soon. Then it is taken from the candidates, given the time to
+// begin what it was sent, ordered, and watched until it holds the new weights.
 // Plan is pure; the dispatch that holds the duty carries it out.
 package refit
 
@@ -12,6 +13,7 @@
 // Stages of a runner.
 const (
 	Old Stage = iota
+	Easing
 	Barred
 	Ordered
 	Done
@@ -25,9 +27,11 @@
 	Orders  int
 }
 
+// EaseUs is how long a runner gets no long requests before it gets none;
 // SettleUs is how long a runner is left to begin what it was sent before the
 // order; AgainUs after how long an order that shows no effect is repeated.
 const (
+	EaseUs   = 700_000
 	SettleUs = 300_000
 	AgainUs  = 4_000_000
 )
@@ -60,32 +64,43 @@
 	}
 }
 
-// AtOnce is how many runners may be under way together.
-func AtOnce(n int) int { return max(2, (2*n+4)/5) }
+// AtOnce is how many runners may be out of the candidates together.
+func AtOnce(n int) int { return max(2, (n+2)/3) }
 
-// Next lists the runners to bar now and those to order now.
-func (p *Plan) Next(nowUs int64) (bar, order []string) {
+// Next lists the runners to ease, to bar and to order now.
+func (p *Plan) Next(nowUs int64) (ease, bar, order []string) {
 	var ids []string
-	under := 0
+	out, easing := 0, 0
 	for id, j := range p.Jobs {
 		ids = append(ids, id)
-		if j.Stage == Barred || j.Stage == Ordered {
-			under++
+		switch j.Stage {
+		case Barred, Ordered:
+			out++
+		case Easing:
+			easing++
 		}
 	}
 	sort.Strings(ids)
+	most := AtOnce(len(ids))
 	for _, id := range ids {
 		j := p.Jobs[id]
 		switch {
-		case j.Stage == Old && under < AtOnce(len(ids)):
-			under++
+		case j.Stage == Easing && nowUs-j.SinceUs >= EaseUs && out < most:
+			out++
+			easing--
 			bar = append(bar, id)
 		case j.Stage == Barred && nowUs-j.SinceUs >= SettleUs,
 			j.Stage == Ordered && nowUs-j.SinceUs >= AgainUs:
 			order = append(order, id)
 		}
 	}
-	return bar, order
+	for _, id := range ids {
+		if p.Jobs[id].Stage == Old && easing < most {
+			easing++
+			ease = append(ease, id)
+		}
+	}
+	return ease, bar, order
 }
 
 // Move notes a new stage.
--- a/internal/roster/roster.go
+++ b/internal/roster/roster.go
@@ -60,7 +60,7 @@
 	e.heardUs = max(e.heardUs, nowUs)
 	old := e.note
 	e.note = n
-	e.note.Barred, e.note.BarMark = old.Barred, old.BarMark
+	e.note.Barred, e.note.Easing, e.note.BarMark = old.Barred, old.Easing, old.BarMark
 	e.note.Draining = n.Draining || old.Draining
 	e.note.Models = newest(old.Models, n.Models)
 	return r.settle(e, old)
@@ -96,9 +96,9 @@
 	e.note.Draining = n.Draining || old.Draining
 	e.note.Models = newest(old.Models, n.Models)
 	if n.BarMark >= old.BarMark {
-		e.note.Barred, e.note.BarMark = n.Barred, n.BarMark
+		e.note.Barred, e.note.Easing, e.note.BarMark = n.Barred, n.Easing, n.BarMark
 	} else {
-		e.note.Barred, e.note.BarMark = old.Barred, old.BarMark
+		e.note.Barred, e.note.Easing, e.note.BarMark = old.Barred, old.Easing, old.BarMark
 	}
 	return r.settle(e, old)
 }
@@ -129,7 +129,7 @@
 }
 
 func same(a, b wire.RunnerNote) bool {
-	if a.Addr != b.Addr || a.Draining != b.Draining || a.Gone != b.Gone || a.Stale != b.Stale || a.Barred != b.Barred || a.Capacity != b.Capacity || a.Service != b.Service || len(a.Models) != len(b.Models) {
+	if a.Addr != b.Addr || a.Draining != b.Draining || a.Gone != b.Gone || a.Stale != b.Stale || a.Barred != b.Barred || a.Easing != b.Easing || a.Capacity != b.Capacity || a.Service != b.Service || len(a.Models) != len(b.Models) {
 		return false
 	}
 	for i := range a.Models {
@@ -157,8 +157,9 @@
 	return e.note, changed
 }
 
-// Bar marks a runner as under order, or frees it.
-func (r *Roster) Bar(id string, barred bool, mark int64) (wire.RunnerNote, bool) {
+// Bar marks a runner as soon to be ordered (easing: no more long requests), as
+// under order (barred: none at all), or frees it.
+func (r *Roster) Bar(id string, easing, barred bool, mark int64) (wire.RunnerNote, bool) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	e := r.all[id]
@@ -166,7 +167,7 @@
 		return wire.RunnerNote{}, false
 	}
 	old := e.note
-	e.note.Barred, e.note.BarMark = barred, mark
+	e.note.Barred, e.note.Easing, e.note.BarMark = barred, easing, mark
 	return e.note, r.settle(e, old)
 }
 
@@ -246,6 +247,9 @@
 		if n.Barred {
 			flags |= 2
 		}
+		if n.Easing {
+			flags |= 4
+		}
 		_, _ = h.Write([]byte{flags})
 		for _, m := range n.Models {
 			_, _ = h.Write([]byte{byte(m.Mark), byte(m.Mark >> 8)})
--- a/internal/wire/msgp.gen.go
+++ b/internal/wire/msgp.gen.go
@@ -1934,9 +1934,9 @@
 // MarshalMsg implements msgp.Marshaler
 func (z *RunnerNote) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
-	// map header, size 12
+	// map header, size 13
 	// string "a"
-	o = append(o, 0x8c, 0xa1, 0x61)
+	o = append(o, 0x8d, 0xa1, 0x61)
 	o = msgp.AppendString(o, z.Addr)
 	// string "b"
 	o = append(o, 0xa1, 0x62)
@@ -1977,6 +1977,9 @@
 	// string "s"
 	o = append(o, 0xa1, 0x73)
 	o = msgp.AppendString(o, z.Service)
+	// string "w"
+	o = append(o, 0xa1, 0x77)
+	o = msgp.AppendBool(o, z.Easing)
 	// string "z"
 	o = append(o, 0xa1, 0x7a)
 	o = msgp.AppendString(o, z.Site)
@@ -2109,6 +2112,12 @@
 				err = msgp.WrapError(err, "Service")
 				return
 			}
+		case "w":
+			z.Easing, bts, err = msgp.ReadBoolBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Easing")
+				return
+			}
 		case "z":
 			z.Site, bts, err = msgp.ReadStringBytes(bts)
 			if err != nil {
@@ -2133,7 +2142,7 @@
 	for za0001 := range z.Models {
 		s += 1 + 2 + msgp.StringPrefixSize + len(z.Models[za0001].Model) + 2 + msgp.Int64Size
 	}
-	s += 2 + msgp.Int64Size + 2 + msgp.Int64Size + 2 + msgp.StringPrefixSize + len(z.Service) + 2 + msgp.StringPrefixSize + len(z.Site)
+	s += 2 + msgp.Int64Size + 2 + msgp.Int64Size + 2 + msgp.StringPrefixSize + len(z.Service) + 2 + msgp.BoolSize + 2 + msgp.StringPrefixSize + len(z.Site)
 	return
 }
 
--- a/internal/wire/types.gen.go
+++ b/internal/wire/types.gen.go
@@ -242,6 +242,7 @@
 	Seq      int64    `msg:"q"`
 	BarMark  int64    `msg:"r"`
 	Service  string   `msg:"s"`
+	Easing   bool     `msg:"w"`
 	Site     string   `msg:"z"`
 }
 
