--- a/internal/doorman/doorman.go
+++ b/internal/doorman/doorman.go
@@ -357,7 +357,7 @@
 const (
 	moveStartUs = 3_000
 	moveFar     = 2
-	moveMin     = 256
+	moveMin     = 48
 )
 
 // findMoves finds for every candidate the runner with the same weights that
@@ -411,7 +411,7 @@
 			if h.site != who[i].note.Site {
 				us *= moveFar
 			}
-			if gain := float64(more)/c.Rate - us; gain > best {
+			if gain := float64(more)*(1/c.Rate+hail.AgainUs) - us; gain > best {
 				best = gain
 				c.Moved, c.MoveUs, c.From = more, us, h.addr
 			}
--- a/internal/hail/match.go
+++ b/internal/hail/match.go
@@ -7,6 +7,10 @@
 
 import "hash/fnv"
 
+// AgainUs is what reading a token counts, beyond the time it takes, where
+// another runner has it already.
+const AgainUs = 100.0
+
 // Candidate is a runner as the matching sees it.
 type Candidate struct {
 	ID       string
@@ -35,7 +39,6 @@
 	slotUs     = 20_000
 	homeUs     = 60_000
 	fullUs     = 80_000
-	againUs    = 100 // for each token read again
 	minRateTok = 0.002
 )
 
@@ -59,7 +62,7 @@
 func CostUs(p Prompt, c Candidate) float64 {
 	rate := max(c.Rate, minRateTok)
 	us := float64(c.Prefill+max(p.Tokens-c.Kept-c.Moved, 0))/rate + c.MoveUs
-	us += againUs * float64(c.Again)
+	us += AgainUs * float64(c.Again)
 	if c.Capacity > 0 {
 		us += slotUs * float64(c.Active) / float64(c.Capacity)
 	}
