--- a/internal/doorman/doorman.go
+++ b/internal/doorman/doorman.go
@@ -535,8 +535,8 @@
 	}
 	adm.reading = false
 	r.own.prefill -= adm.prefill
-	if took := nowUs - adm.atUs; took > 0 && adm.prefill >= 512 {
-		sample := float64(adm.ahead+adm.prefill) / float64(took)
+	if took := nowUs - adm.atUs; took > 0 && adm.prefill >= 512 && adm.ahead*4 <= adm.prefill {
+		sample := float64(adm.prefill) / float64(took)
 		if r.rate <= 0 {
 			r.rate = sample
 		} else {
