--- a/internal/counter/counter.go
+++ b/internal/counter/counter.go
@@ -43,7 +43,6 @@
 	budgets map[string]*cab.Budget
 	slab    ticket.Slab[doorman.Ruling]
 	kick    chan struct{}
-	core    string
 	fresh   chan struct{}
 
 	nodes    atomic.Int64
@@ -286,6 +285,9 @@
 		if _, err := m.UnmarshalMsg(b); err != nil {
 			return
 		}
+		c.dmu.Lock()
+		c.door.Calm(c.clock() - m.CalmUs)
+		c.dmu.Unlock()
 		behind := false
 		c.nmu.Lock()
 		for part, mark := range m.Parts {
@@ -334,15 +336,7 @@
 func (c *Counter) tellTally() {
 	peers := c.watch.Alive(wire.Counter)
 	c.nodes.Store(int64(max(len(peers), 1)))
-	core := ""
-	for _, p := range c.watch.Alive(wire.Dispatch) {
-		core += p.Addr + p.LedgerID + " "
-	}
 	c.dmu.Lock()
-	if core != c.core {
-		c.core = core
-		c.door.Unsettled(c.clock())
-	}
 	c.door.SetNodes(len(peers))
 	t := c.door.Own(c.radio.Addr())
 	c.dmu.Unlock()
--- a/internal/dispatch/dispatch.go
+++ b/internal/dispatch/dispatch.go
@@ -42,6 +42,7 @@
 	readers map[string]context.CancelFunc
 
 	refits  refits
+	calm    calm
 	startUs int64
 	disk    *ledger.DiskStore // nil on machines without one
 }
@@ -180,7 +181,7 @@
 }
 
 func (d *Dispatch) marks() wire.Marks {
-	m := wire.Marks{Parts: make([]int64, ledger.Parts), RosterSum: d.roster.Snapshot().Sum, Dispatch: true}
+	m := wire.Marks{Parts: make([]int64, ledger.Parts), RosterSum: d.roster.Snapshot().Sum, Dispatch: true, CalmUs: d.calm.forUs(d.clock())}
 	for p := range m.Parts {
 		m.Parts[p] = -1
 		if v, ok := d.ledger.Committed(p); ok {
@@ -288,7 +289,13 @@
 
 // catchUp compares marks with the other dispatches and pulls what is newer.
 func (d *Dispatch) catchUp(ctx context.Context) {
-	for _, p := range d.watch.Alive(wire.Dispatch) {
+	alive := d.watch.Alive(wire.Dispatch)
+	view := ""
+	for _, p := range alive {
+		view += p.Addr + p.LedgerID + " "
+	}
+	d.calm.saw(view, d.clock())
+	for _, p := range alive {
 		if p.Addr == d.radio.Addr() {
 			continue
 		}
@@ -297,6 +304,7 @@
 			defer cancel()
 			mine := d.marks()
 			b, err := d.radio.Call(cctx, p.Addr, radio.KindMarks, &mine)
+			d.calm.tried(p.Addr, err == nil, d.clock())
 			if err != nil {
 				return
 			}
--- a/internal/dispatch/refits.go
+++ b/internal/dispatch/refits.go
@@ -24,13 +24,19 @@
 	busy   map[int]bool
 	polls  map[string]bool
 	won    map[int]int64
+	moved  map[int]moved
 	bars   atomic.Int64
 }
 
+// moved is when this node saw a claim change hands.
+type moved struct {
+	fence, atUs int64
+}
+
 func (r *refits) init() {
 	if r.shifts == nil {
 		r.shifts, r.plans, r.busy = map[int]*shift.Shift{}, map[string]*refit.Plan{}, map[int]bool{}
-		r.polls, r.won = map[string]bool{}, map[int]int64{}
+		r.polls, r.won, r.moved = map[string]bool{}, map[int]int64{}, map[int]moved{}
 	}
 }
 
@@ -137,19 +143,49 @@
 	}
 }
 
+// reachable lists the live dispatches that this one is not cut off from.
+func (d *Dispatch) reachable() []wire.Peer {
+	var out []wire.Peer
+	for _, p := range d.watch.Alive(wire.Dispatch) {
+		if p.Addr == d.radio.Addr() || !d.calm.isCut(p.Addr) {
+			out = append(out, p)
+		}
+	}
+	return out
+}
+
+// takenAgainUs is how long a claim that has just changed hands is left alone,
+// so that two who do not reach each other do not take it in turns.
+const takenAgainUs = 8_000_000
+
 // maybeTake takes the claim over once its holder is gone. Only the lowest live
 // dispatch tries, so that two seldom meet in a ballot.
 func (d *Dispatch) maybeTake(ctx context.Context, part int, was wire.Claim, s *shift.Shift) {
-	alive := d.watch.Alive(wire.Dispatch)
+	alive := d.reachable()
 	if len(alive) == 0 || alive[0].Addr != d.radio.Addr() {
 		return
 	}
+	held := addrOf(was.Holder)
 	for _, p := range alive {
-		if p.LedgerID == was.Holder {
+		if p.LedgerID == was.Holder && !d.calm.isCut(held) {
 			return
 		}
 	}
-	if was.Holder != "" && d.watch.DeadForUs(addrOf(was.Holder)) == 0 && d.clock()-d.startUs < 3_000_000 {
+	if was.Holder != "" && !d.calm.isCut(held) && d.watch.DeadForUs(held) == 0 && d.clock()-d.startUs < 3_000_000 {
+		return
+	}
+	d.refits.mu.Lock()
+	recent := d.refits.moved[part]
+	if recent.fence != was.Fence {
+		first := recent.fence == 0
+		recent = moved{was.Fence, d.clock()}
+		if first {
+			recent.atUs -= takenAgainUs
+		}
+		d.refits.moved[part] = recent
+	}
+	d.refits.mu.Unlock()
+	if was.Holder != "" && d.clock()-recent.atUs < takenAgainUs {
 		return
 	}
 	cctx, cancel := context.WithTimeout(ctx, time.Second)
--- a/internal/doorman/doorman.go
+++ b/internal/doorman/doorman.go
@@ -114,8 +114,9 @@
 	tenants map[string]*tenantState
 	oldUs   map[string]int64 // by model: since when the newest mark is known
 	newest  map[string]int64 // by model
-	fresh   []wire.KeptNote  // parts that this node has sent somewhere to be read
-	MarkUs  int64            // after how long an older mark is out of bounds
+	calmUs  int64
+	fresh   []wire.KeptNote // parts that this node has sent somewhere to be read
+	MarkUs  int64           // after how long an older mark is out of bounds
 	Salt    func(tenant string, isolated bool, mark int64) string
 }
 
@@ -152,13 +153,9 @@
 	}
 }
 
-// Unsettled notes a change among the dispatches: the time in which runners are
-// to be brought to new weights counts in one calm stretch and starts anew.
-func (d *Doorman) Unsettled(nowUs int64) {
-	for model := range d.oldUs {
-		d.oldUs[model] = nowUs
-	}
-}
+// Calm tells since when the core has been calm. The time in which runners are
+// to be brought to new weights counts in one calm stretch.
+func (d *Doorman) Calm(sinceUs int64) { d.calmUs = max(d.calmUs, sinceUs) }
 
 // SetService tells the runners of a service, the memory of each in tokens, and
 // how long moving the memory of a token takes.
@@ -453,7 +450,7 @@
 
 func (d *Doorman) markAllowed(model string, r *runner, nowUs int64) bool {
 	want := d.newest[model]
-	if want == 0 || nowUs-d.oldUs[model] < d.MarkUs {
+	if want == 0 || nowUs-max(d.oldUs[model], d.calmUs) < d.MarkUs {
 		return true
 	}
 	have := markOf(r.note, model)
--- a/internal/wire/msgp.gen.go
+++ b/internal/wire/msgp.gen.go
@@ -857,9 +857,9 @@
 // MarshalMsg implements msgp.Marshaler
 func (z *Marks) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
-	// map header, size 3
+	// map header, size 4
 	// string "d"
-	o = append(o, 0x83, 0xa1, 0x64)
+	o = append(o, 0x84, 0xa1, 0x64)
 	o = msgp.AppendBool(o, z.Dispatch)
 	// string "p"
 	o = append(o, 0xa1, 0x70)
@@ -870,6 +870,9 @@
 	// string "r"
 	o = append(o, 0xa1, 0x72)
 	o = msgp.AppendUint64(o, z.RosterSum)
+	// string "u"
+	o = append(o, 0xa1, 0x75)
+	o = msgp.AppendInt64(o, z.CalmUs)
 	return
 }
 
@@ -922,6 +925,12 @@
 				err = msgp.WrapError(err, "RosterSum")
 				return
 			}
+		case "u":
+			z.CalmUs, bts, err = msgp.ReadInt64Bytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "CalmUs")
+				return
+			}
 		default:
 			bts, err = msgp.Skip(bts)
 			if err != nil {
@@ -936,7 +945,7 @@
 
 // Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
 func (z *Marks) Msgsize() (s int) {
-	s = 1 + 2 + msgp.BoolSize + 2 + msgp.ArrayHeaderSize + (len(z.Parts) * (msgp.Int64Size)) + 2 + msgp.Uint64Size
+	s = 1 + 2 + msgp.BoolSize + 2 + msgp.ArrayHeaderSize + (len(z.Parts) * (msgp.Int64Size)) + 2 + msgp.Uint64Size + 2 + msgp.Int64Size
 	return
 }
 
--- a/internal/wire/types.gen.go
+++ b/internal/wire/types.gen.go
@@ -157,6 +157,7 @@
 	Dispatch  bool    `msg:"d"`
 	Parts     []int64 `msg:"p"`
 	RosterSum uint64  `msg:"r"`
+	CalmUs    int64   `msg:"u"`
 }
 
 // Member defines model for Member.
