--- a/internal/counter/counter.go
+++ b/internal/counter/counter.go
@@ -9,7 +9,6 @@
 	"sync/atomic"
 	"time"
 
-	"github.com/cloudwego/hertz/pkg/app/server"
 	"github.com/go-logr/logr"
 	"github.com/panjf2000/ants/v2"
 
@@ -49,7 +48,7 @@
 	informed atomic.Bool
 	leaving  atomic.Bool
 	inFlight atomic.Int64
-	front    atomic.Pointer[server.Hertz]
+	front    atomic.Pointer[timedListener]
 }
 
 // New builds the role.
--- a/internal/counter/counter_test.go
+++ b/internal/counter/counter_test.go
@@ -353,6 +353,39 @@
 	must.True(t, a.Close)
 }
 
+func TestLeavingClosesOnlyConnectionsWithoutARequest(t *testing.T) {
+	ln, err := listenFront("127.0.0.1:0", time.Minute, time.Minute)
+	must.NoError(t, err)
+	defer ln.Listener.Close()
+	dial := func() (net.Conn, net.Conn) {
+		c, err := net.Dial("tcp4", ln.Addr().String())
+		must.NoError(t, err)
+		s, err := ln.Accept()
+		must.NoError(t, err)
+		return c, s
+	}
+	_, quiet := dial()
+	ended := make(chan error, 1)
+	go func() {
+		_, err := quiet.Read(make([]byte, 8))
+		ended <- err
+	}()
+	c, busy := dial()
+	_, err = io.WriteString(c, "POST")
+	must.NoError(t, err)
+	_, err = busy.Read(make([]byte, 8))
+	must.NoError(t, err)
+	for ln.closeIdle() != 1 {
+		runtime.Gosched()
+	}
+	must.Error(t, <-ended)
+	_, err = io.WriteString(busy, "HTTP/1.1 200 OK\r\n\r\n")
+	must.NoError(t, err)
+	must.Eq(t, 1, ln.closeIdle(), must.Sprint("an answer under way is not idle"))
+	busy.Close()
+	must.Eq(t, 0, ln.closeIdle())
+}
+
 func TestOlderNewsNeverComesBack(t *testing.T) {
 	c, _, _ := start(t, newRunner(t))
 	older := wire.MenuBody{Mark: 2, Raw: []byte(strings.Replace(menuText, `"version":3`, `"version":2`, 1)), Taken: []wire.Taken{}}
--- a/internal/counter/front.go
+++ b/internal/counter/front.go
@@ -65,7 +65,7 @@
 		server.WithWriteTimeout(10*time.Second), server.WithDisableHeaderNamesNormalizing(true), server.WithUseRawPath(true),
 		server.WithMaxKeepBodySize(64<<10), server.WithReadBufferSize(4096))
 	h.NoRoute(c.serve)
-	c.front.Store(h)
+	c.front.Store(ln)
 	return h.Run()
 }
 
--- a/internal/counter/leave.go
+++ b/internal/counter/leave.go
@@ -1,12 +1,10 @@
 // Leaving in order: say so on the ready address, go on taking connections until
-// the platform has noticed, let every answer end its connection, and go when
-// the last stream has ended or the time of grace is nearly over.
+// the platform has noticed, let every answer end its connection. Then take no
+// more connections, close those on which no request has begun, and go when the
+// last answer has ended or the time of grace is nearly over.
 package counter
 
-import (
-	"context"
-	"time"
-)
+import "time"
 
 // noticeMs is how long the platform needs to notice: two missed probes of one
 // a second, and some.
@@ -17,16 +15,21 @@
 	c.log.Info("leaving")
 	start := time.Now()
 	graceMs := int64(c.set.Bounds.GraceS*1000) - 500
-	for {
+	ln := c.front.Load()
+	for closed := false; ; time.Sleep(20 * time.Millisecond) {
 		aged := time.Since(start).Milliseconds()
-		if aged >= graceMs || aged >= noticeMs && c.inFlight.Load() == 0 {
-			break
+		if aged >= graceMs || ln == nil {
+			return
+		}
+		if aged < noticeMs {
+			continue
+		}
+		if !closed {
+			closed = true
+			ln.Listener.Close()
+		}
+		if ln.closeIdle() == 0 && c.inFlight.Load() == 0 {
+			return
 		}
-		time.Sleep(20 * time.Millisecond)
-	}
-	if h := c.front.Load(); h != nil {
-		ctx, cancel := context.WithTimeout(context.Background(), 200*time.Millisecond)
-		_ = h.Shutdown(ctx)
-		cancel()
 	}
 }
--- a/internal/counter/listener.go
+++ b/internal/counter/listener.go
@@ -8,6 +8,8 @@
 	"context"
 	"net"
 	"os"
+	"sync"
+	"sync/atomic"
 	"syscall"
 	"time"
 
@@ -25,9 +27,12 @@
 	net.Listener
 	idle time.Duration
 	rest time.Duration
+
+	mu    sync.Mutex
+	conns map[*timedConn]bool
 }
 
-func listenFront(addr string, idle, rest time.Duration) (net.Listener, error) {
+func listenFront(addr string, idle, rest time.Duration) (*timedListener, error) {
 	lc := &net.ListenConfig{Control: func(_, _ string, rc syscall.RawConn) error {
 		return rc.Control(func(fd uintptr) {
 			_ = syscall.SetsockoptInt(int(fd), syscall.SOL_SOCKET, syscall.SO_REUSEADDR, 1)
@@ -38,7 +43,7 @@
 	if err != nil {
 		return nil, errors.Wrap(err, "counter: front")
 	}
-	return &timedListener{Listener: ln, idle: idle, rest: rest}, nil
+	return &timedListener{Listener: ln, idle: idle, rest: rest, conns: map[*timedConn]bool{}}, nil
 }
 
 func (l *timedListener) Accept() (net.Conn, error) {
@@ -46,23 +51,58 @@
 	if err != nil {
 		return nil, err
 	}
-	return &timedConn{Conn: c, l: l}, nil
+	tc := &timedConn{Conn: c, l: l}
+	l.mu.Lock()
+	l.conns[tc] = true
+	l.mu.Unlock()
+	return tc, nil
+}
+
+// closeIdle closes the connections on which no request has begun; those that
+// send one at this moment see it unread. It returns how many are left.
+func (l *timedListener) closeIdle() int {
+	l.mu.Lock()
+	var idle []*timedConn
+	for c := range l.conns {
+		if c.waiting.CompareAndSwap(true, false) {
+			idle = append(idle, c)
+		}
+	}
+	left := len(l.conns) - len(idle)
+	l.mu.Unlock()
+	for _, c := range idle {
+		c.Close()
+	}
+	return left
 }
 
 // timedConn is read and written by one goroutine at a time.
 type timedConn struct {
 	net.Conn
-	l     *timedListener
-	begun time.Time // when the request being read began; zero between requests
+	l       *timedListener
+	begun   time.Time   // when the request being read began; zero between requests
+	waiting atomic.Bool // it waits for a request to begin
+}
+
+// Close is called by hertz and by closeIdle.
+func (c *timedConn) Close() error {
+	c.l.mu.Lock()
+	delete(c.l.conns, c)
+	c.l.mu.Unlock()
+	return c.Conn.Close()
 }
 
 func (c *timedConn) Read(b []byte) (int, error) {
 	if c.begun.IsZero() {
 		_ = c.SetReadDeadline(time.Now().Add(c.l.idle))
+		c.waiting.Store(true)
 	} else {
 		_ = c.SetReadDeadline(c.begun.Add(c.l.rest))
 	}
 	n, err := c.Conn.Read(b)
+	if c.begun.IsZero() && !c.waiting.CompareAndSwap(true, false) {
+		return 0, net.ErrClosed
+	}
 	if n > 0 && c.begun.IsZero() {
 		c.begun = time.Now()
 	}
