--- a/internal/dispatch/readers.go
+++ b/internal/dispatch/readers.go
@@ -18,7 +18,7 @@
 
 // Pauses of a reader.
 const (
-	eventsEvery  = time.Second
+	eventsEvery  = 300 * time.Millisecond
 	reportsEvery = time.Second
 	callWait     = 2 * time.Second
 )
