--- a/internal/counter/counter.go
+++ b/internal/counter/counter.go
@@ -337,7 +337,7 @@
 	c.nodes.Store(int64(max(len(peers), 1)))
 	c.dmu.Lock()
 	c.door.SetNodes(len(peers))
-	t := c.door.Own(c.radio.Addr())
+	t := c.door.Own(c.radio.Addr(), c.clock())
 	c.dmu.Unlock()
 	if len(t.Weights)+len(t.Coming) == 0 {
 		return
--- a/internal/doorman/doorman.go
+++ b/internal/doorman/doorman.go
@@ -336,7 +336,7 @@
 					continue
 				}
 			}
-			out = append(out, hail.Candidate{ID: id, NearSite: r.note.Site == d.Site, Kept: kept, Prefill: r.prefill(&d.T, nowUs), Active: active, Capacity: r.capacity, Used: use, Rate: r.readRate(&d.T)})
+			out = append(out, hail.Candidate{ID: id, NearSite: r.note.Site == d.Site, Kept: kept, Prefill: r.prefill(&d.T, nowUs), Active: active, Capacity: r.capacity, Used: use, Rate: r.readRate(&d.T), Reading: r.reading(&d.T, nowUs)})
 			who = append(who, r)
 		}
 		if len(out) > 0 {
@@ -462,7 +462,7 @@
 		return nil
 	}
 	list, who := d.candidates(a, p, nowUs)
-	prompt := hail.Prompt{Tokens: a.TokensIn}
+	prompt := hail.Prompt{Tokens: a.TokensIn, Out: a.TokensOut}
 	if n := len(a.Parts); n > 1 {
 		prompt.Shared = pantry.Key("", a.Model, a.Parts[n-2].ID)
 	}
@@ -492,6 +492,7 @@
 	adm.ahead = c.Prefill
 	adm.prefill = max(a.TokensIn-c.Kept-c.Moved, 0)
 	r.own.prefill += adm.prefill
+	r.sent(adm.prefill, nowUs)
 	r.own.count++
 	r.recent = append(r.recent, recentShot{nowUs, adm.blocks + adm.prefill/bt})
 	r.trim(nowUs)
@@ -608,7 +609,7 @@
 	for _, w := range t.Weights {
 		for _, p := range d.pools {
 			if r := p.runners[w.ID]; r != nil {
-				r.others[t.From] = word{blocks: w.Blocks, prefill: w.Prefill, count: w.Count, atUs: nowUs}
+				r.others[t.From] = word{blocks: w.Blocks, prefill: w.Prefill, count: w.Count, flow: float64(w.Flow), atUs: nowUs}
 				if w.Rate > 0 && r.rate <= 0 {
 					r.rate = w.Rate
 				}
@@ -618,14 +619,14 @@
 }
 
 // Own tells this node's word: the runners where it has something, or had.
-func (d *Doorman) Own(from string) wire.Tally {
+func (d *Doorman) Own(from string, nowUs int64) wire.Tally {
 	t := wire.Tally{From: from, Weights: []wire.RunnerWeight{}, Coming: d.fresh}
 	d.fresh = nil
 	for _, p := range d.pools {
 		for _, id := range p.order {
 			r := p.runners[id]
-			if r.own.count > 0 || r.hits > 0 {
-				t.Weights = append(t.Weights, wire.RunnerWeight{ID: id, Blocks: r.own.blocks, Prefill: r.own.prefill, Count: r.own.count, Rate: r.rate})
+			if r.own.count > 0 || r.hits > 0 || r.ownFlow(nowUs) > 100 {
+				t.Weights = append(t.Weights, wire.RunnerWeight{ID: id, Blocks: r.own.blocks, Prefill: r.own.prefill, Count: r.own.count, Rate: r.rate, Flow: int(r.ownFlow(nowUs))})
 			}
 			r.hits = r.own.count
 		}
--- a/internal/doorman/runner.go
+++ b/internal/doorman/runner.go
@@ -4,11 +4,14 @@
 package doorman
 
 import (
+	"math"
+
 	"beechtide.org/beechtide/internal/wire"
 )
 
 type word struct {
 	blocks, prefill, count int
+	flow                   float64 // prompt tokens a second sent there lately
 	atUs                   int64
 }
 
@@ -89,6 +92,31 @@
 	return sum
 }
 
+// flowUs is over which time the flow of prompt tokens is told.
+const flowUs = 2_000_000
+
+// sent adds to the flow of prompt tokens to this runner.
+func (r *runner) sent(tokens int, nowUs int64) {
+	r.own.flow = r.ownFlow(nowUs) + float64(tokens)*1e6/flowUs
+	r.own.atUs = nowUs
+}
+
+func (r *runner) ownFlow(nowUs int64) float64 {
+	return r.own.flow * math.Exp(-float64(nowUs-r.own.atUs)/flowUs)
+}
+
+// reading is the part of its time that the runner needs for the prompts that
+// all nodes send it.
+func (r *runner) reading(t *Tuning, nowUs int64) float64 {
+	sum := r.ownFlow(nowUs)
+	for _, o := range r.others {
+		if nowUs-o.atUs < t.ReportFreshUs {
+			sum += o.flow
+		}
+	}
+	return sum / 1e6 / r.readRate(t)
+}
+
 func (r *runner) readRate(t *Tuning) float64 {
 	if r.rate <= 0 {
 		return t.RateStart
--- a/internal/hail/match.go
+++ b/internal/hail/match.go
@@ -25,11 +25,13 @@
 	Capacity int     // requests it takes at once
 	Used     float64 // part of its memory in use
 	Rate     float64 // tokens read a microsecond
+	Reading  float64 // part of its time in which it has been reading prompts
 }
 
 // Prompt is what is asked for.
 type Prompt struct {
 	Tokens int
+	Out    int    // tokens it may bring
 	Shared uint64 // hash of the deepest shared part; 0 without one
 }
 
@@ -39,6 +41,8 @@
 	slotUs     = 20_000
 	homeUs     = 60_000
 	fullUs     = 80_000
+	delayPart  = 0.3  // what holding up each request that runs there counts
+	slowUs     = 8_000 // for each token to come, where the runner always reads
 	minRateTok = 0.002
 )
 
@@ -63,6 +67,8 @@
 	rate := max(c.Rate, minRateTok)
 	us := float64(c.Prefill+max(p.Tokens-c.Kept-c.Moved, 0))/rate + c.MoveUs
 	us += AgainUs * float64(c.Again)
+	us += delayPart * float64(max(p.Tokens-c.Kept-c.Moved, 0)) / rate * float64(c.Active)
+	us += slowUs * float64(p.Out) * min(c.Reading, 1)
 	if c.Capacity > 0 {
 		us += slotUs * float64(c.Active) / float64(c.Capacity)
 	}
--- a/internal/wire/msgp.gen.go
+++ b/internal/wire/msgp.gen.go
@@ -2158,10 +2158,13 @@
 // MarshalMsg implements msgp.Marshaler
 func (z *RunnerWeight) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
-	// map header, size 5
+	// map header, size 6
 	// string "b"
-	o = append(o, 0x85, 0xa1, 0x62)
+	o = append(o, 0x86, 0xa1, 0x62)
 	o = msgp.AppendInt(o, z.Blocks)
+	// string "f"
+	o = append(o, 0xa1, 0x66)
+	o = msgp.AppendInt(o, z.Flow)
 	// string "i"
 	o = append(o, 0xa1, 0x69)
 	o = msgp.AppendString(o, z.ID)
@@ -2201,6 +2204,12 @@
 				err = msgp.WrapError(err, "Blocks")
 				return
 			}
+		case "f":
+			z.Flow, bts, err = msgp.ReadIntBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Flow")
+				return
+			}
 		case "i":
 			z.ID, bts, err = msgp.ReadStringBytes(bts)
 			if err != nil {
@@ -2239,7 +2248,7 @@
 
 // Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
 func (z *RunnerWeight) Msgsize() (s int) {
-	s = 1 + 2 + msgp.IntSize + 2 + msgp.StringPrefixSize + len(z.ID) + 2 + msgp.IntSize + 2 + msgp.IntSize + 2 + msgp.Float64Size
+	s = 1 + 2 + msgp.IntSize + 2 + msgp.IntSize + 2 + msgp.StringPrefixSize + len(z.ID) + 2 + msgp.IntSize + 2 + msgp.IntSize + 2 + msgp.Float64Size
 	return
 }
 
--- a/internal/wire/types.gen.go
+++ b/internal/wire/types.gen.go
@@ -250,6 +250,7 @@
 // RunnerWeight defines model for RunnerWeight.
 type RunnerWeight struct {
 	Blocks  int     `msg:"b"`
+	Flow    int     `msg:"f"`
 	ID      string  `msg:"i"`
 	Count   int     `msg:"n"`
 	Prefill int     `msg:"p"`
