--- a/cmd/beechtide/main.go
+++ b/cmd/beechtide/main.go
@@ -57,6 +57,7 @@
 
 type role interface {
 	Run(ctx context.Context) error
+	Reload(set config.Settings)
 }
 
 func serve(name string, args []string) int {
@@ -110,9 +111,12 @@
 				ring.Dump(os.Stderr)
 				continue
 			}
-			if _, err := config.Load(*path); err != nil {
+			changed, err := config.Load(*path)
+			if err != nil {
 				log.Error(err, "changed settings do not check; the old ones stay")
+				continue
 			}
+			r.Reload(changed)
 		}
 	}()
 	if err := r.Run(ctx); err != nil {
--- a/internal/counter/counter.go
+++ b/internal/counter/counter.go
@@ -44,6 +44,9 @@
 	kick    chan struct{}
 	fresh   chan struct{}
 
+	recheckedUs atomic.Int64
+
+	seeds    atomic.Pointer[[]string]
 	nodes    atomic.Int64
 	informed atomic.Bool
 	leaving  atomic.Bool
@@ -61,7 +64,8 @@
 	c.door.MarkUs = int64(set.Bounds.MarkMs)*1000 - 2_300_000
 	c.nodes.Store(1)
 	c.relay = radio.NewRelay(rad, c.snapshot)
-	c.watch = radio.NewWatch(rad, wire.Peer{Addr: set.CounterAddr(), Role: wire.Counter, Site: set.Site, Node: set.Node}, clock, set.SeedAddrs)
+	c.seeds.Store(&set.Seeds)
+	c.watch = radio.NewWatch(rad, wire.Peer{Addr: set.CounterAddr(), Role: wire.Counter, Site: set.Site, Node: set.Node}, clock, c.seedAddrs)
 	rad.OnCast(radio.KindTally, func(_ string, body []byte) {
 		var t wire.Tally
 		if _, err := t.UnmarshalMsg(body); err == nil {
@@ -121,11 +125,21 @@
 func (c *Counter) parents() []string {
 	list := radio.Parents(c.radio.Addr(), c.set.Site, c.watch.Alive(wire.Dispatch), c.watch.Alive(wire.Counter))
 	if len(list) == 0 {
-		return c.set.SeedAddrs()
+		return c.seedAddrs()
 	}
 	return list
 }
 
+// Reload takes what may change in a running process from newly read settings:
+// the seeds.
+func (c *Counter) Reload(set config.Settings) { c.seeds.Store(&set.Seeds) }
+
+func (c *Counter) seedAddrs() []string {
+	set := c.set
+	set.Seeds = *c.seeds.Load()
+	return set.SeedAddrs()
+}
+
 func (c *Counter) snapshot() wire.News {
 	var n wire.News
 	c.nmu.Lock()
@@ -263,56 +277,88 @@
 func (c *Counter) compareMarks(ctx context.Context) func() {
 	turn, differs := 0, 0
 	return func() {
-		var list []wire.Peer
-		for _, p := range c.watch.Alive(wire.Dispatch) {
-			if p.Standing == wire.Alive {
-				list = append(list, p)
-			}
-		}
+		list := c.aliveDispatches()
 		if len(list) == 0 {
 			return
 		}
 		turn++
-		addr := list[turn%len(list)].Addr
-		cctx, cancel := context.WithTimeout(ctx, 400*time.Millisecond)
-		defer cancel()
-		b, err := c.radio.Call(cctx, addr, radio.KindMarks, &wire.Marks{Parts: []int64{}})
-		if err != nil {
-			return
-		}
-		var m wire.Marks
-		if _, err := m.UnmarshalMsg(b); err != nil {
+		m, ok := c.compareWith(ctx, list[turn%len(list)], differs%4 == 2)
+		if !ok {
 			return
 		}
-		c.dmu.Lock()
-		c.door.Calm(c.clock() - m.CalmUs)
-		c.dmu.Unlock()
-		behind := false
-		c.nmu.Lock()
-		for part, mark := range m.Parts {
-			if mark > 0 && c.parts[part].Mark < mark {
-				behind = true
-			}
-		}
-		c.nmu.Unlock()
 		if m.RosterSum != c.roster.Snapshot().Sum {
 			differs++
 		} else {
 			differs = 0
 		}
-		if !behind && differs%4 != 2 {
-			return
-		}
-		b, err = c.radio.Call(cctx, addr, radio.KindSnapshot, &wire.Marks{Parts: []int64{}})
-		if err != nil {
-			return
-		}
-		var n wire.News
-		if _, err := n.UnmarshalMsg(b); err == nil {
-			n.Kept = nil
-			c.takeNews(n)
+	}
+}
+
+func (c *Counter) aliveDispatches() []string {
+	var list []string
+	for _, p := range c.watch.Alive(wire.Dispatch) {
+		if p.Standing == wire.Alive {
+			list = append(list, p.Addr)
 		}
 	}
+	return list
+}
+
+// compareWith asks one dispatch for its marks and pulls all from it where it
+// has something newer, or anyway.
+func (c *Counter) compareWith(ctx context.Context, addr string, anyway bool) (m wire.Marks, ok bool) {
+	ctx, cancel := context.WithTimeout(ctx, 400*time.Millisecond)
+	defer cancel()
+	b, err := c.radio.Call(ctx, addr, radio.KindMarks, &wire.Marks{Parts: []int64{}})
+	if err != nil {
+		return m, false
+	}
+	if _, err := m.UnmarshalMsg(b); err != nil {
+		return m, false
+	}
+	c.dmu.Lock()
+	c.door.Calm(c.clock() - m.CalmUs)
+	c.dmu.Unlock()
+	behind := false
+	c.nmu.Lock()
+	for part, mark := range m.Parts {
+		behind = behind || mark > 0 && c.parts[part].Mark < mark
+	}
+	c.nmu.Unlock()
+	if !behind && !anyway {
+		return m, true
+	}
+	if b, err = c.radio.Call(ctx, addr, radio.KindSnapshot, &wire.Marks{Parts: []int64{}}); err != nil {
+		return m, false
+	}
+	var n wire.News
+	if _, err := n.UnmarshalMsg(b); err == nil {
+		n.Kept = nil
+		c.takeNews(n)
+	}
+	return m, true
+}
+
+// recheckUs is how seldom a node asks before it denies an unknown route or key.
+const recheckUs = 200_000
+
+// recheck makes sure, before a proper request may be denied for a configuration
+// that is on its way, that no dispatch in reach has a newer one. It tells
+// whether the table has changed.
+func (c *Counter) recheck() bool {
+	last, now := c.recheckedUs.Load(), c.clock()
+	if now-last < recheckUs || !c.recheckedUs.CompareAndSwap(last, now) {
+		return false
+	}
+	before := c.table.Load()
+	ctx, cancel := context.WithTimeout(context.Background(), 100*time.Millisecond)
+	defer cancel()
+	var wg sync.WaitGroup
+	for _, addr := range c.aliveDispatches() {
+		wg.Go(func() { c.compareWith(ctx, addr, false) })
+	}
+	wg.Wait()
+	return c.table.Load() != before
 }
 
 // tellTallies tells them four times a second, and sooner when a runner has been
--- a/internal/counter/front.go
+++ b/internal/counter/front.go
@@ -101,20 +101,17 @@
 		v.deny(400, "", 0)
 		return
 	}
-	if v.route = t.Match(string(rc.Request.Header.Host()), path); v.route == nil {
-		v.deny(404, "", 0)
+	status := v.find(t, path)
+	if status != 0 && c.recheck() {
+		t = c.table.Load()
+		status = v.find(t, path)
+	}
+	if status != 0 {
+		v.deny(status, "", 0)
 		return
 	}
 	tenant := ""
-	if t.Tenants > 0 && !v.route.Unkeyed {
-		key, ok := strings.CutPrefix(get(rc, hAuth), "Token ")
-		if ok {
-			v.tenant = t.Tenant(strings.TrimSpace(key))
-		}
-		if v.tenant == nil {
-			v.deny(401, "", 0)
-			return
-		}
+	if v.tenant != nil {
 		tenant = v.tenant.Name
 	}
 	v.endUs = v.startUs + v.route.CutoffUs
@@ -136,6 +133,24 @@
 	v.run()
 }
 
+// find looks up the route and the tenant; it returns the status of a denial, or 0.
+func (v *visit) find(t *menu.Table, path string) int {
+	if v.route = t.Match(string(v.rc.Request.Header.Host()), path); v.route == nil {
+		return 404
+	}
+	v.tenant = nil
+	if t.Tenants == 0 || v.route.Unkeyed {
+		return 0
+	}
+	if key, ok := strings.CutPrefix(get(v.rc, hAuth), "Token "); ok {
+		v.tenant = t.Tenant(strings.TrimSpace(key))
+	}
+	if v.tenant == nil {
+		return 401
+	}
+	return 0
+}
+
 // malformed finds requests whose end could be read in two ways.
 func malformed(rc *app.RequestContext) bool {
 	lengths, chunked := 0, 0
--- a/internal/counter/listener.go
+++ b/internal/counter/listener.go
@@ -21,6 +21,10 @@
 // clientSilentMs is after how long a client that acknowledges nothing is gone.
 const clientSilentMs = 4000
 
+// writeWait is how long a client may leave its window shut before it is given
+// up; nothing is buffered for it meanwhile beyond one read from the runner.
+const writeWait = 10 * time.Second
+
 const answer408 = "HTTP/1.1 408 Request Timeout\r\nContent-Length: 0\r\nConnection: close\r\n\r\n"
 
 type timedListener struct {
@@ -114,5 +118,6 @@
 
 func (c *timedConn) Write(b []byte) (int, error) {
 	c.begun = time.Time{}
+	_ = c.SetWriteDeadline(time.Now().Add(writeWait))
 	return c.Conn.Write(b)
 }
--- a/internal/dispatch/dispatch.go
+++ b/internal/dispatch/dispatch.go
@@ -36,6 +36,7 @@
 	roster *roster.Roster
 	garage *cab.Garage
 	table  atomic.Pointer[menu.Table]
+	seeds  atomic.Pointer[[]string]
 
 	kmu     sync.Mutex
 	kept    *pantry.Index
@@ -62,6 +63,7 @@
 		store = d.disk
 		d.recallRunners()
 	}
+	d.seeds.Store(&set.Seeds)
 	d.relay = radio.NewRelay(rad, d.snapshot)
 	d.ledger, err = ledger.Open(set.DispatchAddr(), radio.KindLedger, set.Bootstrap, set.SeedAddrs(), rad, store, log, d.learned)
 	if err != nil {
@@ -88,7 +90,9 @@
 // knownDispatches are the addresses to greet: the seeds and the members known
 // from disk, since all the seeds may be stale.
 func (d *Dispatch) knownDispatches() []string {
-	out := d.set.SeedAddrs()
+	set := d.set
+	set.Seeds = *d.seeds.Load()
+	out := set.SeedAddrs()
 	for p := range ledger.Parts {
 		if v, ok := d.ledger.Committed(p); ok {
 			for _, m := range v.Group {
@@ -99,6 +103,10 @@
 	return out
 }
 
+// Reload takes what may change in a running process from newly read settings:
+// the seeds.
+func (d *Dispatch) Reload(set config.Settings) { d.seeds.Store(&set.Seeds) }
+
 // Run serves until ctx ends.
 func (d *Dispatch) Run(ctx context.Context) error {
 	d.radio.Run(ctx)
--- a/internal/hail/match.go
+++ b/internal/hail/match.go
@@ -41,7 +41,7 @@
 	slotUs     = 20_000
 	homeUs     = 60_000
 	fullUs     = 80_000
-	delayPart  = 0.3  // what holding up each request that runs there counts
+	delayPart  = 0.3   // what holding up each request that runs there counts
 	slowUs     = 8_000 // for each token to come, where the runner always reads
 	minRateTok = 0.002
 )
