--- a/internal/counter/counter.go
+++ b/internal/counter/counter.go
@@ -317,7 +317,7 @@
 		return m, false
 	}
 	c.dmu.Lock()
-	c.door.Calm(c.clock() - m.CalmUs)
+	c.door.Calm(c.clock() - m.CalmUs + contactPartUs(c.set.Bounds.ContactMs))
 	c.dmu.Unlock()
 	behind := false
 	c.nmu.Lock()
@@ -339,6 +339,11 @@
 	return m, true
 }
 
+// contactPartUs is how long after the last change in the core the stretch begins
+// in which runners must come to new weights: the time of contact, less what the
+// dispatches may have taken to see the change.
+func contactPartUs(contactMs int) int64 { return int64(contactMs) * 1000 / 2 }
+
 // recheckUs is how seldom a node asks before it denies an unknown route or key.
 const recheckUs = 200_000
 
