--- /dev/null
+++ b/internal/dispatch/dispatch_test.go
@@ -0,0 +1,161 @@
+package dispatch
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"os"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/cloudwego/hertz/pkg/common/hlog"
+	"github.com/go-logr/logr"
+	"github.com/panjf2000/ants/v2"
+	"github.com/shoenig/test/must"
+
+	"beechtide.org/beechtide/internal/config"
+	"beechtide.org/beechtide/internal/roster"
+	"beechtide.org/beechtide/internal/wire"
+)
+
+func TestMain(m *testing.M) {
+	hlog.SetLevel(hlog.LevelFatal)
+	os.Exit(m.Run())
+}
+
+// core starts a core of one, at the same addresses each time.
+func core(t *testing.T, dir string, port int, bootstrap bool) (*Dispatch, string, func()) {
+	t.Helper()
+	control := fmt.Sprintf("127.0.0.1:%d", port+2)
+	set := config.Settings{Node: "n", Ip: "127.0.0.1", Site: "a", Ports: []int{port, port + 1}, Seeds: []string{control}, Bootstrap: bootstrap, DataDir: dir, BeatPeriodMs: 1000}
+	set.Listen.Control = control
+	set.Bounds.ClaimMs = 3000
+	pool, err := ants.NewPool(64, ants.WithNonblocking(true))
+	must.NoError(t, err)
+	began := time.Now()
+	d, err := New(set, pool, func() int64 { return time.Since(began).Microseconds() + 1 }, logr.Discard())
+	must.NoError(t, err)
+	ctx, cancel := context.WithCancel(context.Background())
+	ended := make(chan error, 1)
+	go func() { ended <- d.Run(ctx) }()
+	for {
+		c, err := net.Dial("tcp4", control)
+		if err == nil {
+			c.Close()
+			break
+		}
+	}
+	return d, "http://" + control, func() {
+		cancel()
+		<-ended
+	}
+}
+
+func freePort(t *testing.T) int {
+	t.Helper()
+	ln, err := net.Listen("tcp4", "127.0.0.1:0")
+	must.NoError(t, err)
+	defer ln.Close()
+	return ln.Addr().(*net.TCPAddr).Port
+}
+
+func call(t *testing.T, method, url, body string, base int) (int, string) {
+	t.Helper()
+	q, err := http.NewRequest(method, url, strings.NewReader(body))
+	must.NoError(t, err)
+	q.Header.Set("Beechtide-Base-Version", fmt.Sprint(base))
+	r, err := http.DefaultClient.Do(q)
+	must.NoError(t, err)
+	defer r.Body.Close()
+	b, err := io.ReadAll(r.Body)
+	must.NoError(t, err)
+	return r.StatusCode, string(b)
+}
+
+func text3(version int, service string) string {
+	return fmt.Sprintf(`{"version":%d,"routes":[{"name":"r","host":"h","prefix":"/a/","kind":"idempotent","cutoffMs":100,"service":%q}],"services":[{"name":"s","engine":{"models":[{"name":"m"}]}}]}`, version, service)
+}
+
+func TestOperatorsCalls(t *testing.T) {
+	_, url, stop := core(t, t.TempDir(), freePort(t), true)
+	defer stop()
+	status, _ := call(t, "GET", url+"/api/Config.Read", "", 0)
+	must.Eq(t, 404, status)
+	for _, c := range []struct {
+		name, body   string
+		base, status int
+	}{
+		{"first", text3(5, "s"), 0, 200},
+		{"repeated", text3(5, "s"), 0, 200},
+		{"overtaken", text3(6, "s"), 0, 412},
+		{"old version", text3(5, "s") + " ", 5, 400},
+		{"unknown service", text3(9, "x"), 5, 400},
+		{"cut short", text3(9, "s")[:40], 5, 400},
+		{"next", text3(9, "s"), 5, 200},
+		{"first again", text3(5, "s"), 0, 200},
+	} {
+		status, body := call(t, "POST", url+"/api/Config.Replace", c.body, c.base)
+		must.Eq(t, c.status, status, must.Sprint(c.name, body))
+		if status == 400 {
+			must.StrContains(t, body, `"field"`)
+		}
+	}
+	status, body := call(t, "GET", url+"/api/Config.Read", "", 0)
+	must.Eq(t, 200, status)
+	must.Eq(t, text3(9, "s"), body)
+	status, _ = call(t, "POST", url+"/api/version-put", `{"model":"m","version":2}`, 0)
+	must.Eq(t, 200, status)
+	status, _ = call(t, "POST", url+"/api/version-put", `{"model":"m","version":0}`, 0)
+	must.Eq(t, 400, status)
+}
+
+func TestMalformedBeatsAreDenied(t *testing.T) {
+	d, url, stop := core(t, "", freePort(t), true)
+	defer stop()
+	good := `{"service":"s","address":"1.2.3.4:80","zone":"a","version":"v1","capacity":4,"state":"ready","coldLeftMs":0,"models":[{"name":"m","version":1}],"sequence":1}`
+	for _, bad := range []string{"", "{", strings.Replace(good, "1.2.3.4:80", "nowhere", 1), strings.Replace(good, `"ready"`, `"asleep"`, 1), strings.Replace(good, `"s"`, `""`, 1)} {
+		status, _ := call(t, "POST", url+"/api/Runners.Heartbeat/i-1", bad, 0)
+		must.Eq(t, 400, status, must.Sprint(bad))
+	}
+	must.MapEmpty(t, d.roster.Snapshot().ByID)
+	status, _ := call(t, "POST", url+"/api/Runners.Heartbeat/i-1", good, 0)
+	must.Eq(t, 200, status)
+	must.MapContainsKey(t, d.roster.Snapshot().ByID, "i-1")
+	status, _ = call(t, "POST", url+"/api/Runners.Leave/i-1", "", 0)
+	must.Eq(t, 200, status)
+	must.MapEmpty(t, d.roster.Snapshot().ByID)
+}
+
+// The incident of docs/incidents/restart-lifts-bars.md: a dispatch that starts
+// again must not tell the others that runners under order are free.
+func TestRestartKeepsWhatWasAcknowledgedAndTheBars(t *testing.T) {
+	dir, port := t.TempDir(), freePort(t)
+	d, url, stop := core(t, dir, port, true)
+	status, _ := call(t, "POST", url+"/api/Config.Replace", text3(5, "s"), 0)
+	must.Eq(t, 200, status)
+	n := wire.RunnerNote{ID: "i-1", Service: "s", Addr: "1.2.3.4:80", Site: "a", Seq: 1, Models: []wire.Target{{Model: "m", Mark: 1}}}
+	d.roster.Hear(n, 1)
+	d.roster.Bar("i-1", false, true, 77)
+	kept := wire.News{Runners: []wire.RunnerNote{d.roster.Snapshot().ByID["i-1"]}}
+	b, err := kept.MarshalMsg(nil)
+	must.NoError(t, err)
+	must.NoError(t, d.disk.Keep(runnersFile, b))
+	id := d.ledger.ID()
+	stop()
+
+	fresh := &Dispatch{disk: d.disk, roster: roster.New(), clock: d.clock, log: logr.Discard()}
+	fresh.recallRunners()
+	got := fresh.roster.Snapshot().ByID["i-1"]
+	must.True(t, got.Barred)
+	must.Eq(t, int64(77), got.BarMark)
+	keptID, ok := d.disk.Note("identity")
+	must.True(t, ok)
+	must.Eq(t, id, string(keptID))
+	rec, ok, err := d.disk.Load(0)
+	must.NoError(t, err)
+	must.True(t, ok)
+	must.True(t, rec.HasAccepted || rec.Committed.Mark > 0)
+}
--- a/internal/dispatch/recall.go
+++ b/internal/dispatch/recall.go
@@ -24,7 +24,7 @@
 		return
 	}
 	for _, r := range n.Runners {
-		r.Barred, r.Easing, r.Stale = false, false, false
+		r.Stale = false
 		d.roster.Merge(r, d.clock())
 	}
 }
--- a/internal/dispatch/refits.go
+++ b/internal/dispatch/refits.go
@@ -119,7 +119,12 @@
 	if won == body.Claim.Fence && s.Fence() != won {
 		s.Took(won, true, d.clock())
 	}
-	s.Found(body.Claim.Fence, d.clock())
+	if s.Fence() != body.Claim.Fence {
+		// A claim of an earlier life of this process: a new fence puts all that
+		// life said about runners behind what will be said now.
+		d.take(ctx, part, body.Claim, s)
+		return
+	}
 	if !s.MayAct(d.clock()) {
 		askedUs := d.clock()
 		cctx, cancel := context.WithTimeout(ctx, 600*time.Millisecond)
@@ -188,6 +193,11 @@
 	if was.Holder != "" && d.clock()-recent.atUs < takenAgainUs {
 		return
 	}
+	d.take(ctx, part, was, s)
+}
+
+// take wins the claim by a ballot, if it is still as it was.
+func (d *Dispatch) take(ctx context.Context, part int, was wire.Claim, s *shift.Shift) {
 	cctx, cancel := context.WithTimeout(ctx, time.Second)
 	defer cancel()
 	v, err := d.ledger.Change(cctx, part, func(cur wire.Value) ([]wire.Member, []byte, error) {
--- a/internal/doorman/doorman.go
+++ b/internal/doorman/doorman.go
@@ -317,7 +317,7 @@
 	for pass := range 3 {
 		for _, id := range p.order {
 			r := p.runners[id]
-			if r.note.Draining || r.note.Barred || avoided(a.Avoid, id) || pass != d.preference(a, r, nowUs) {
+			if r.note.Draining || r.barred(nowUs) || avoided(a.Avoid, id) || pass != d.preference(a, r, nowUs) {
 				continue
 			}
 			if !d.markAllowed(a.Model, r, nowUs) {
--- a/internal/doorman/doorman_test.go
+++ b/internal/doorman/doorman_test.go
@@ -253,6 +253,16 @@
 	must.SliceEmpty(t, d.Candidates(q, 1))
 }
 
+func TestABarThatNobodyLiftsEnds(t *testing.T) {
+	d := door("x")
+	n := note("x")
+	n.Barred = true
+	d.SetService("s", []wire.RunnerNote{n}, memory, 2)
+	must.SliceEmpty(t, d.Candidates(ask(16, 1), 1))
+	must.SliceEmpty(t, d.Candidates(ask(16, 1), barredMaxUs))
+	must.Len(t, 1, d.Candidates(ask(16, 1), 1+barredMaxUs))
+}
+
 func TestEasedRunnersGetNoLongRequestsUnlessNoneIsLeft(t *testing.T) {
 	d := door("x", "y")
 	e := note("x")
--- a/internal/doorman/runner.go
+++ b/internal/doorman/runner.go
@@ -27,6 +27,7 @@
 	reported  bool
 	rate      float64
 	hits      int
+	barredUs  int64 // since when it has been barred; 0: it is not
 	busyKV    bool
 	busyRead  bool
 	unsoundUs int64 // until when
@@ -39,6 +40,21 @@
 	blocks int
 }
 
+// barredMaxUs is how long a bar holds: an order that its giver could not finish
+// must not take a runner away for good.
+const barredMaxUs = 10_000_000
+
+func (r *runner) barred(nowUs int64) bool {
+	if !r.note.Barred {
+		r.barredUs = 0
+		return false
+	}
+	if r.barredUs == 0 {
+		r.barredUs = nowUs
+	}
+	return nowUs-r.barredUs < barredMaxUs
+}
+
 func newRunner() *runner {
 	return &runner{pins: map[uint64]int{}, others: map[string]word{}}
 }
--- a/internal/shift/shift.go
+++ b/internal/shift/shift.go
@@ -29,15 +29,6 @@
 	}
 }
 
-// Found notes a claim in this node's name that it does not remember winning,
-// such as after a restart: it waits as long as a new holder would.
-func (s *Shift) Found(fence, nowUs int64) {
-	if s.fence != fence {
-		s.Took(fence, false, nowUs)
-		s.confirmUs = 0
-	}
-}
-
 // Confirmed notes that a majority still had this claim when asked at askedUs.
 func (s *Shift) Confirmed(fence, askedUs int64) {
 	if fence == s.fence {
--- a/internal/shift/shift_test.go
+++ b/internal/shift/shift_test.go
@@ -37,9 +37,9 @@
 	}
 }
 
-func TestFoundClaimWaitsLikeANewOne(t *testing.T) {
+func TestTakenClaimWaitsAndOnlyItsOwnFenceCounts(t *testing.T) {
 	s := &Shift{T: times}
-	s.Found(4, 1)
+	s.Took(4, false, 1)
 	s.Confirmed(4, 2)
 	must.False(t, s.MayAct(3))
 	s.Confirmed(4, 4_300_000)
