--- a/cmd/beechtide/main.go
+++ b/cmd/beechtide/main.go
@@ -31,6 +31,7 @@
 
 commands
   check FILE  check a configuration before it is sent
+  audit       check audit trails of regulated requests against configurations
 
 Run beechtide COMMAND -h for its flags.
 `
@@ -47,6 +48,8 @@
 		return serve(args[0], args[1:])
 	case "check":
 		return check(args[1:])
+	case "audit":
+		return audit(args[1:])
 	case "-h", "-help", "--help", "help":
 		fmt.Print(usage)
 		return 0
--- a/internal/calls/types.gen.go
+++ b/internal/calls/types.gen.go
@@ -102,6 +102,14 @@
 	BeatTo string `json:"beatTo,omitempty,omitzero"`
 }
 
+// Certificate defines model for Certificate.
+type Certificate struct {
+	Regime  string   `json:"regime" validate:"required"`
+	Runners []string `json:"runners,omitempty,omitzero"`
+	Service string   `json:"service,omitempty,omitzero"`
+	Site    string   `json:"zone,omitempty,omitzero"`
+}
+
 // Engine defines model for Engine.
 type Engine struct {
 	CacheTokens int           `json:"cacheTokens,omitempty,omitzero" validate:"min=0"`
@@ -149,11 +157,13 @@
 
 // Menu defines model for Menu.
 type Menu struct {
-	Limits   Limits    `json:"limits,omitempty,omitzero"`
-	Routes   []Route   `json:"routes" validate:"dive"`
-	Services []Service `json:"services" validate:"dive"`
-	Tenants  []Tenant  `json:"tenants,omitempty,omitzero" validate:"omitempty,dive"`
-	Mark     int64     `json:"version" validate:"gt=0"`
+	Certificates []Certificate `json:"certificates,omitempty,omitzero" validate:"omitempty,max=1024,dive"`
+	Limits       Limits        `json:"limits,omitempty,omitzero"`
+	Regimes      []Regime      `json:"regimes,omitempty,omitzero" validate:"omitempty,max=64,dive"`
+	Routes       []Route       `json:"routes" validate:"dive"`
+	Services     []Service     `json:"services" validate:"dive"`
+	Tenants      []Tenant      `json:"tenants,omitempty,omitzero" validate:"omitempty,dive"`
+	Mark         int64         `json:"version" validate:"gt=0"`
 }
 
 // Order defines model for Order.
@@ -173,6 +183,14 @@
 // OrderOp defines model for OrderOp.
 type OrderOp string
 
+// Regime defines model for Regime.
+type Regime struct {
+	Name string `json:"name" validate:"required,max=64"`
+
+	// Policy An expression over runner, certificates, tenant and regime; empty: the runner holds a certificate of the regime.
+	Policy string `json:"policy,omitempty,omitzero" validate:"max=512"`
+}
+
 // Report defines model for Report.
 type Report struct {
 	Active     int         `json:"active,omitempty,omitzero"`
@@ -236,6 +254,9 @@
 	Isolated bool     `json:"isolated,omitempty,omitzero"`
 	Name     string   `json:"name" validate:"required"`
 	Rank     int      `json:"rank,omitempty,omitzero"`
+
+	// Regime The tenant's requests go only to runners that the regime's policy lets in.
+	Regime string `json:"regime,omitempty,omitzero"`
 }
 
 // WeightsNamed defines model for WeightsNamed.
--- a/internal/counter/counter.go
+++ b/internal/counter/counter.go
@@ -17,6 +17,7 @@
 	"beechtide.org/beechtide/internal/doorman"
 	"beechtide.org/beechtide/internal/menu"
 	"beechtide.org/beechtide/internal/radio"
+	"beechtide.org/beechtide/internal/regime"
 	"beechtide.org/beechtide/internal/roster"
 	"beechtide.org/beechtide/internal/ticket"
 	"beechtide.org/beechtide/internal/wire"
@@ -46,6 +47,7 @@
 
 	recheckedUs atomic.Int64
 
+	trail    regime.Trail
 	seeds    atomic.Pointer[[]string]
 	nodes    atomic.Int64
 	informed atomic.Bool
@@ -245,6 +247,7 @@
 		}
 		c.door.SetService(service, notes, tokens, moveUs)
 		c.door.SetStores(service, storesFor(t, service))
+		c.door.SetCertified(service, certified(t, notes))
 	}
 	for _, name := range c.door.Services() {
 		if _, ok := snap.ByService[name]; !ok {
@@ -253,6 +256,32 @@
 	}
 }
 
+// certified works out which runners and stores each regime lets in.
+func certified(t *menu.Table, notes []wire.RunnerNote) map[string]map[string]bool {
+	if t == nil || t.Policies.None() {
+		return nil
+	}
+	out := map[string]map[string]bool{}
+	for _, name := range t.Policies.Names() {
+		out[name] = map[string]bool{}
+		for _, n := range notes {
+			if _, ok := t.Policies.Allows(name, sightOf(n)); ok {
+				out[name][n.ID] = true
+			}
+		}
+		for _, box := range t.Stores {
+			if _, ok := t.Policies.Allows(name, regime.Runner{ID: box.CacheStore, Service: box.Name, Site: box.Site}); ok {
+				out[name][box.CacheStore] = true
+			}
+		}
+	}
+	return out
+}
+
+func sightOf(n wire.RunnerNote) regime.Runner {
+	return regime.Runner{ID: n.ID, Service: n.Service, Site: n.Site}
+}
+
 // storesFor lists the stores that the runners of a service may use: all there
 // are, where moving memory is possible at all.
 func storesFor(t *menu.Table, service string) []doorman.Store {
--- a/internal/counter/counter_test.go
+++ b/internal/counter/counter_test.go
@@ -19,7 +19,11 @@
 	"github.com/panjf2000/ants/v2"
 	"github.com/shoenig/test/must"
 
+	"beechtide.org/beechtide/internal/calls"
 	"beechtide.org/beechtide/internal/config"
+	"beechtide.org/beechtide/internal/doorman"
+	"beechtide.org/beechtide/internal/menu"
+	"beechtide.org/beechtide/internal/regime"
 	"beechtide.org/beechtide/internal/wire"
 )
 
@@ -386,6 +390,89 @@
 	must.Eq(t, 0, ln.closeIdle())
 }
 
+// regulated is the menu with a regime that only runner r1 is certified for.
+func regulated(version int, runners string) string {
+	s := strings.Replace(menuText, `"version":3`, fmt.Sprintf(`"version":%d`, version), 1)
+	s = strings.Replace(s, `"isolated":true}`, `"isolated":true,"regime":"allergen"},{"name":"t2","apiKeys":["k2"]}`, 1)
+	return strings.Replace(s, `"limits"`, `"regimes":[{"name":"allergen"}],"certificates":[{"regime":"allergen","runners":[`+runners+`]}],"limits"`, 1)
+}
+
+func (c *Counter) adopt(t *testing.T, mark int64, version int64, text string) {
+	t.Helper()
+	body := wire.MenuBody{Mark: version, Raw: []byte(text), Taken: []wire.Taken{}}
+	raw, err := body.MarshalMsg(nil)
+	must.NoError(t, err)
+	c.takeNews(wire.News{Parts: []wire.PartNote{{Part: 0, Mark: mark, Body: raw}}})
+	must.Eq(t, version, c.table.Load().Mark)
+}
+
+func TestRegulatedRequestsGoToCertifiedRunnersOnly(t *testing.T) {
+	a, b := newRunner(t), newRunner(t)
+	c, front, _ := start(t, a, b)
+	c.adopt(t, 2, 4, regulated(4, `"r1"`))
+	for range 6 {
+		ans, _, err := say(t, front, request("/pay/", "x"))
+		must.NoError(t, err)
+		must.Eq(t, 200, ans.StatusCode)
+	}
+	must.Eq(t, 0, a.count())
+	must.Eq(t, 6, b.count())
+	must.Eq(t, "w4~allergen/t1", b.seen[0].Header.Get(hSalt))
+	other := strings.Replace(request("/pay/", "x", "X-Other: 1"), "Token k1", "Token k2", 1)
+	ans, _, err := say(t, front, other)
+	must.NoError(t, err)
+	must.Eq(t, 200, ans.StatusCode)
+
+	// the certificate moves; the next request follows it
+	c.adopt(t, 3, 5, regulated(5, `"r0"`))
+	was := a.count()
+	ans, _, err = say(t, front, request("/pay/", "x"))
+	must.NoError(t, err)
+	must.Eq(t, 200, ans.StatusCode)
+	must.Eq(t, was+1, a.count())
+
+	// nobody is certified: denied with a time to come back, sent nowhere
+	c.adopt(t, 4, 6, regulated(6, `"r9"`))
+	sum := a.count() + b.count()
+	ans, _, err = say(t, front, request("/pay/", "x"))
+	must.NoError(t, err)
+	must.Eq(t, 503, ans.StatusCode)
+	must.NotEq(t, "", ans.Header.Get(hRetryAfter))
+	must.Eq(t, sum, a.count()+b.count())
+
+	var out strings.Builder
+	must.NoError(t, c.trail.Write(&out))
+	list, err := regime.ReadTrail(strings.NewReader(out.String()))
+	must.NoError(t, err)
+	var menus []calls.Menu
+	for v, who := range map[int]string{4: `"r1"`, 5: `"r0"`, 6: `"r9"`} {
+		m, err := menu.Parse([]byte(regulated(v, who)))
+		must.NoError(t, err)
+		menus = append(menus, m)
+	}
+	for i := range list {
+		list[i].Attempt = fmt.Sprint((i) / 3) // the stand-in client repeats one id
+	}
+	must.SliceEmpty(t, regime.CheckTrail(list, menus))
+	must.Len(t, 7*3+2, list)
+}
+
+func TestOldRunnerIsRefusedAtTheMomentOfSending(t *testing.T) {
+	a, b := newRunner(t), newRunner(t)
+	c, _, _ := start(t, a, b)
+	c.adopt(t, 2, 4, regulated(4, `"r1"`))
+	v := &visit{c: c, tenant: c.table.Load().Tenant("k1"), id: "x"}
+	v.ask.Regime = "allergen"
+	snap := c.roster.Snapshot()
+	must.True(t, v.mayGo(&doorman.Admission{Runner: snap.ByID["r1"]}))
+	must.False(t, v.mayGo(&doorman.Admission{Runner: snap.ByID["r0"]}))
+	c.adopt(t, 3, 5, regulated(5, `"r0"`))
+	must.False(t, v.mayGo(&doorman.Admission{Runner: snap.ByID["r1"]}), must.Sprint("admitted before the certificate went"))
+	v.ask.Regime = ""
+	must.False(t, v.mayGo(&doorman.Admission{Runner: snap.ByID["r0"]}), must.Sprint("the regime came while it waited"))
+	must.Eq(t, "allergen", v.ask.Regime)
+}
+
 func TestOlderNewsNeverComesBack(t *testing.T) {
 	c, _, _ := start(t, newRunner(t))
 	older := wire.MenuBody{Mark: 2, Raw: []byte(strings.Replace(menuText, `"version":3`, `"version":2`, 1)), Taken: []wire.Taken{}}
--- /dev/null
+++ b/internal/counter/evening_test.go
@@ -0,0 +1,352 @@
+package counter
+
+import (
+	"bytes"
+	"fmt"
+	"math/rand/v2"
+	"sort"
+	"testing"
+
+	"github.com/shoenig/test/must"
+
+	"beechtide.org/beechtide/internal/calls"
+	"beechtide.org/beechtide/internal/doorman"
+	"beechtide.org/beechtide/internal/menu"
+	"beechtide.org/beechtide/internal/pantry"
+	"beechtide.org/beechtide/internal/regime"
+	"beechtide.org/beechtide/internal/roster"
+	"beechtide.org/beechtide/internal/ticket"
+	"beechtide.org/beechtide/internal/wire"
+)
+
+// evening plays a busy evening against the machines that decide: runners join,
+// leave, lose and regain certificates by new configurations, nodes die and come
+// back with nothing, links are cut so that news comes late. Time is an argument;
+// the order of events comes from a seed.
+type evening struct {
+	t       *testing.T
+	rnd     *rand.Rand
+	nowUs   int64
+	nodes   []*deskNode
+	runners map[string]wire.RunnerNote
+	certs   map[string]bool
+	version int64
+	menus   []calls.Menu
+	ends    map[string]int
+	count   int
+	sent    map[string]int // regulated requests by runner
+	open    []*guest
+}
+
+type deskNode struct {
+	name   string
+	table  *menu.Table
+	roster *roster.Roster
+	door   *doorman.Doorman
+	slab   ticket.Slab[doorman.Ruling]
+	trail  *regime.Trail
+	cut    bool
+	up     bool
+}
+
+type guest struct {
+	id     string
+	node   *deskNode
+	ask    doorman.Ask
+	adm    *doorman.Admission
+	endsUs int64
+}
+
+func (e *evening) menu() calls.Menu {
+	m := calls.Menu{Mark: e.version, Services: []calls.Service{{Name: "s", Engine: calls.Engine{CacheTokens: 16000}}}, Regimes: []calls.Regime{{Name: "allergen"}}, Tenants: []calls.Tenant{{Name: "directorate", Regime: "allergen"}, {Name: "taxi"}}}
+	var ids []string
+	for id := range e.certs {
+		ids = append(ids, id)
+	}
+	sort.Strings(ids)
+	if len(ids) > 0 {
+		m.Certificates = []calls.Certificate{{Regime: "allergen", Runners: ids}}
+	}
+	return m
+}
+
+// publish brings a new configuration to the nodes that are not cut off.
+func (e *evening) publish() {
+	e.version++
+	e.menus = append(e.menus, e.menu())
+	e.tell()
+}
+
+func (e *evening) tell() {
+	for _, n := range e.nodes {
+		if n.up && !n.cut {
+			n.hear(e)
+		}
+	}
+}
+
+func (n *deskNode) hear(e *evening) {
+	n.table = menu.Compile(e.menus[len(e.menus)-1])
+	for _, r := range e.runners {
+		n.roster.Merge(r, e.nowUs)
+	}
+	notes := n.roster.Snapshot().ByService["s"]
+	n.door.SetService("s", notes, 16000, 2)
+	n.door.SetCertified("s", certified(n.table, notes))
+}
+
+func (n *deskNode) start(e *evening) {
+	n.roster, n.door, n.up = roster.New(), doorman.New(doorman.Defaults, "a"), true
+	n.hear(e)
+}
+
+func (n *deskNode) note(e *evening, step regime.Step, g *guest, r *wire.RunnerNote, cert int) {
+	x := regime.Entry{Node: n.name, Step: step, Attempt: g.id, Tenant: g.ask.Tenant, Regime: g.ask.Regime, Certificate: cert, Mark: n.table.Mark}
+	if r != nil {
+		x.Runner, x.Service, x.Site = r.ID, r.Service, r.Site
+	}
+	n.trail.Note(x)
+}
+
+func (e *evening) arrive() {
+	n := e.nodes[e.rnd.IntN(len(e.nodes))]
+	if !n.up {
+		return
+	}
+	e.count++
+	g := &guest{id: fmt.Sprint(e.count), node: n}
+	g.ask = doorman.Ask{Service: "s", Tenant: "taxi", TokensIn: 200, TokensOut: 50, Model: "m", Parts: []pantry.Part{{ID: "own", Tokens: 200}}, SetpointUs: 400_000, LeftUs: 6_000_000}
+	if e.rnd.IntN(2) == 0 {
+		g.ask.Tenant = "directorate"
+		g.ask.Regime = n.table.RegimeOf("directorate")
+		n.note(e, regime.Asked, g, nil, -1)
+	}
+	e.open = append(e.open, g)
+	e.offer(g)
+}
+
+func (e *evening) offer(g *guest) {
+	n := g.node
+	g.ask.Ref = n.slab.Put(func(r doorman.Ruling) { e.ruled(g, r) })
+	r := n.door.Arrive(g.ask, e.nowUs)
+	if !r.Hold {
+		n.slab.Resume(g.ask.Ref, r)
+	}
+}
+
+func (e *evening) ruled(g *guest, r doorman.Ruling) {
+	if r.Admit == nil {
+		e.end(g, regime.Denied)
+		return
+	}
+	_, cert, ok := g.node.table.Allows(g.ask.Tenant, sightOf(r.Admit.Runner))
+	if !ok {
+		g.node.door.Done(r.Admit, true, e.nowUs)
+		g.ask.Avoid = append(g.ask.Avoid, r.Admit.Runner.ID)
+		if len(g.ask.Avoid) > maxUnsent {
+			e.end(g, regime.Denied)
+			return
+		}
+		e.offer(g)
+		return
+	}
+	g.adm, g.endsUs = r.Admit, e.nowUs+200_000+int64(e.rnd.IntN(1_500_000))
+	if g.ask.Regime != "" {
+		g.node.note(e, regime.Sent, g, &r.Admit.Runner, cert)
+		e.sent[r.Admit.Runner.ID]++
+		must.True(e.t, e.certifiedAt(g.node.table.Mark, r.Admit.Runner.ID), must.Sprintf("%s in version %d", r.Admit.Runner.ID, g.node.table.Mark))
+	}
+}
+
+func (e *evening) certifiedAt(version int64, id string) bool {
+	for _, m := range e.menus {
+		if m.Mark == version && len(m.Certificates) > 0 {
+			for _, r := range m.Certificates[0].Runners {
+				if r == id {
+					return true
+				}
+			}
+		}
+	}
+	return false
+}
+
+func (e *evening) end(g *guest, step regime.Step) {
+	e.ends[g.id]++
+	if g.ask.Regime != "" {
+		g.node.note(e, step, g, nil, -1)
+	}
+	g.endsUs = -1
+}
+
+func (e *evening) step() {
+	e.nowUs += 20_000
+	for _, n := range e.nodes {
+		if n.up {
+			for _, r := range n.door.Tick(e.nowUs) {
+				n.slab.Resume(r.Ref, r)
+			}
+		}
+	}
+	left := e.open[:0]
+	for _, g := range append([]*guest{}, e.open...) {
+		if g.adm != nil && g.endsUs > 0 && g.endsUs <= e.nowUs {
+			if _, alive := e.runners[g.adm.Runner.ID]; alive {
+				e.end(g, regime.Answered)
+			} else {
+				e.end(g, regime.Cut)
+			}
+			g.node.door.Done(g.adm, true, e.nowUs)
+		}
+		if g.endsUs >= 0 {
+			left = append(left, g)
+		}
+	}
+	e.open = left
+	for range e.rnd.IntN(4) {
+		e.arrive()
+	}
+	switch e.rnd.IntN(60) {
+	case 0: // a runner joins
+		id := fmt.Sprintf("r%d", e.rnd.IntN(1_000_000))
+		e.runners[id] = wire.RunnerNote{ID: id, Service: "s", Addr: id + ":1", Site: "a", Capacity: 4, Seq: 1, Models: []wire.Target{{Model: "m", Mark: 1}}}
+		e.tell()
+	case 1: // one leaves
+		if id := e.any(); id != "" && len(e.runners) > 2 {
+			r := e.runners[id]
+			r.Gone = true
+			for _, n := range e.nodes {
+				if n.up && !n.cut {
+					n.roster.Merge(r, e.nowUs)
+				}
+			}
+			delete(e.runners, id)
+			e.tell()
+		}
+	case 2: // one gains a certificate
+		if id := e.any(); id != "" {
+			e.certs[id] = true
+			e.publish()
+		}
+	case 3: // one loses it
+		for id := range e.certs {
+			delete(e.certs, id)
+			break
+		}
+		e.publish()
+	case 4: // a node is cut off, or a cut heals
+		n := e.nodes[e.rnd.IntN(len(e.nodes))]
+		n.cut = !n.cut
+		e.tell()
+	case 5: // a node dies; its clients' connections end with it
+		n := e.nodes[e.rnd.IntN(len(e.nodes))]
+		if n.up {
+			n.up = false
+			for _, g := range e.open {
+				if g.node == n {
+					e.end(g, regime.Cut)
+				}
+			}
+		} else {
+			n.cut = false
+			n.start(e)
+		}
+	}
+}
+
+func (e *evening) any() string {
+	var ids []string
+	for id := range e.runners {
+		ids = append(ids, id)
+	}
+	if len(ids) == 0 {
+		return ""
+	}
+	sort.Strings(ids)
+	return ids[e.rnd.IntN(len(ids))]
+}
+
+func play(t *testing.T, seed uint64) *evening {
+	e := &evening{t: t, rnd: rand.New(rand.NewPCG(seed, 3)), nowUs: 1, runners: map[string]wire.RunnerNote{}, certs: map[string]bool{}, ends: map[string]int{}, sent: map[string]int{}}
+	for i := range 6 {
+		id := fmt.Sprintf("r%d", i)
+		e.runners[id] = wire.RunnerNote{ID: id, Service: "s", Addr: id + ":1", Site: "a", Capacity: 4, Seq: 1, Models: []wire.Target{{Model: "m", Mark: 1}}}
+		if i < 2 {
+			e.certs[id] = true
+		}
+	}
+	e.version, e.menus = 1, nil
+	e.menus = append(e.menus, e.menu())
+	for i := range 4 {
+		n := &deskNode{name: fmt.Sprint("n", i), trail: &regime.Trail{}}
+		n.start(e)
+		e.nodes = append(e.nodes, n)
+	}
+	for range 900 {
+		e.step()
+	}
+	for _, n := range e.nodes { // the evening ends: everything waits out its time
+		n.cut = false
+	}
+	e.rnd = rand.New(rand.NewPCG(seed, 4))
+	for len(e.open) > 0 {
+		e.nowUs += 20_000
+		for _, n := range e.nodes {
+			if n.up {
+				for _, r := range n.door.Tick(e.nowUs) {
+					n.slab.Resume(r.Ref, r)
+				}
+			}
+		}
+		left := []*guest{}
+		for _, g := range e.open {
+			if g.adm != nil && g.endsUs > 0 && g.endsUs <= e.nowUs {
+				e.end(g, regime.Answered)
+				g.node.door.Done(g.adm, true, e.nowUs)
+			}
+			if g.endsUs >= 0 {
+				left = append(left, g)
+			}
+		}
+		e.open = left
+	}
+	return e
+}
+
+func (e *evening) trail() []regime.Entry {
+	var out []regime.Entry
+	for _, n := range e.nodes {
+		var b bytes.Buffer
+		must.NoError(e.t, n.trail.Write(&b))
+		list, err := regime.ReadTrail(&b)
+		must.NoError(e.t, err)
+		out = append(out, list...)
+	}
+	return out
+}
+
+func TestBusyEveningKeepsRegulatedRequestsOnCertifiedRunners(t *testing.T) {
+	regulated := 0
+	for seed := range uint64(40) {
+		e := play(t, seed)
+		must.Greater(t, 100, e.count)
+		for id := 1; id <= e.count; id++ {
+			must.Eq(t, 1, e.ends[fmt.Sprint(id)], must.Sprintf("seed %d: request %d ended %d times", seed, id, e.ends[fmt.Sprint(id)]))
+		}
+		list := e.trail()
+		bad := regime.CheckTrail(list, e.menus)
+		must.SliceEmpty(t, bad, must.Sprint(seed, bad))
+		for _, n := range e.sent {
+			regulated += n
+		}
+		// a planted violation is found
+		for i := range list {
+			if list[i].Step == regime.Sent {
+				list[i].Runner = "nobody"
+				break
+			}
+		}
+		must.SliceNotEmpty(t, regime.CheckTrail(list, e.menus), must.Sprint(seed))
+	}
+	must.Greater(t, 2000, regulated, must.Sprint("too few regulated requests were sent to show anything"))
+}
--- a/internal/counter/front.go
+++ b/internal/counter/front.go
@@ -18,6 +18,8 @@
 	"beechtide.org/beechtide/internal/doorman"
 	"beechtide.org/beechtide/internal/menu"
 	"beechtide.org/beechtide/internal/pantry"
+	"beechtide.org/beechtide/internal/regime"
+	"beechtide.org/beechtide/internal/wire"
 )
 
 func (c *Counter) serveReady() error {
@@ -29,6 +31,10 @@
 			rc.SetStatusCode(503)
 		}
 	})
+	h.GET("/api/audit", func(_ context.Context, rc *app.RequestContext) {
+		rc.SetContentType("application/jsonl")
+		_ = c.trail.Write(rc.Response.BodyWriter())
+	})
 	return h.Run()
 }
 
@@ -71,17 +77,18 @@
 
 // visit is one request on its way through the counter.
 type visit struct {
-	c        *Counter
-	rc       *app.RequestContext
-	route    *menu.Route
-	tenant   *calls.Tenant
-	service  string
-	id       string
-	startUs  int64
-	endUs    int64 // the client's deadline or the route's cutoff
-	ask      doorman.Ask
-	shots    int
-	lastSent string
+	c       *Counter
+	rc      *app.RequestContext
+	route   *menu.Route
+	tenant  *calls.Tenant
+	service string
+	id      string
+	startUs int64
+	endUs   int64 // the client's deadline or the route's cutoff
+	ask     doorman.Ask
+	shots   int
+	ended   regime.Step
+	changed bool // the tenant's regime changed while the request waited
 }
 
 func (c *Counter) serve(_ context.Context, rc *app.RequestContext) {
@@ -129,10 +136,24 @@
 	if v.tenant != nil {
 		v.ask.Rank += 16 * v.tenant.Rank
 		v.ask.Isolated = v.tenant.Isolated
+		v.ask.Regime = t.RegimeOf(v.tenant.Name)
+	}
+	if v.ask.Regime != "" {
+		v.note(regime.Asked, nil, -1)
+		defer func() { v.note(v.ended, nil, -1) }()
 	}
 	v.run()
 }
 
+// note adds to the audit trail of regulated requests.
+func (v *visit) note(step regime.Step, n *wire.RunnerNote, certificate int) {
+	e := regime.Entry{Node: v.c.set.Node, Step: step, Attempt: v.id, Tenant: v.tenant.Name, Regime: v.ask.Regime, Certificate: certificate, Mark: v.c.table.Load().Mark}
+	if n != nil {
+		e.Runner, e.Service, e.Site = n.ID, n.Service, n.Site
+	}
+	v.c.trail.Note(e)
+}
+
 // find looks up the route and the tenant; it returns the status of a denial, or 0.
 func (v *visit) find(t *menu.Table, path string) int {
 	if v.route = t.Match(string(v.rc.Request.Header.Host()), path); v.route == nil {
@@ -183,6 +204,7 @@
 	if againUs > 0 && (status == 429 || status == 503) {
 		h.Set(hRetryAfter, strconv.FormatFloat(float64(againUs)/1e6, 'f', 3, 64))
 	}
+	v.ended = regime.Denied
 	v.rc.SetStatusCode(status)
 	if reason != "" {
 		v.rc.Response.Header.SetContentType("text/plain")
--- a/internal/counter/shots.go
+++ b/internal/counter/shots.go
@@ -19,6 +19,7 @@
 	"beechtide.org/beechtide/internal/cab"
 	"beechtide.org/beechtide/internal/calls"
 	"beechtide.org/beechtide/internal/doorman"
+	"beechtide.org/beechtide/internal/regime"
 )
 
 // ending is how a shot went.
@@ -47,7 +48,8 @@
 	ran := false // it may have run somewhere
 	var stream *answerStream
 	defer func() {
-		if stream != nil && !stream.finished {
+		if stream != nil && stream.started && !stream.finished {
+			v.ended = regime.Cut
 			v.cut()
 		}
 	}()
@@ -67,11 +69,19 @@
 		end, out := v.shoot(ruling.Admit, stream)
 		stream = out
 		switch end {
-		case whole, clientGone:
+		case whole:
+			v.ended = regime.Answered
+			return
+		case clientGone:
+			v.ended = regime.Cut
 			return
 		case notSent:
 			v.shots--
 			if unsent++; unsent < maxUnsent && c.clock() < v.endUs {
+				if v.changed {
+					v.changed = false
+					continue
+				}
 				v.ask.Avoid = append(v.ask.Avoid, ruling.Admit.Runner.ID)
 				continue
 			}
@@ -167,6 +177,11 @@
 		c.done(adm, true)
 		return notSent, stream
 	}
+	if !v.mayGo(adm) {
+		link.Close()
+		c.done(adm, true)
+		return notSent, stream
+	}
 	leftUs := v.endUs - c.clock()
 	head := v.head(adm, leftUs, stream)
 	deadline := time.Now().Add(time.Duration(leftUs)*time.Microsecond + 150*time.Millisecond)
@@ -200,6 +215,30 @@
 	return end, stream
 }
 
+// mayGo checks at the moment of sending, against the configuration in force
+// now, that a regulated request goes to a certified runner; a regime that came
+// or went while the request waited counts as it is now. The salt was made for
+// the regime at admission, so a change of regime sends the request back.
+func (v *visit) mayGo(adm *doorman.Admission) bool {
+	if v.tenant == nil {
+		return true
+	}
+	t := v.c.table.Load()
+	now := t.RegimeOf(v.tenant.Name)
+	if now == "" && v.ask.Regime == "" {
+		return true
+	}
+	if now != v.ask.Regime {
+		v.ask.Regime, v.changed = now, true
+		return false
+	}
+	_, certificate, ok := t.Allows(v.tenant.Name, sightOf(adm.Runner))
+	if ok {
+		v.note(regime.Sent, &adm.Runner, certificate)
+	}
+	return ok
+}
+
 // readHead reads the head that answers this request; a surplus answer to an
 // earlier one may stand before it and is passed over.
 func (v *visit) readHead(link *cab.Link, r *protocol.Response, deadline time.Time) error {
--- a/internal/doorman/doorman.go
+++ b/internal/doorman/doorman.go
@@ -23,6 +23,7 @@
 	Model      string
 	Parts      []pantry.Part
 	Isolated   bool
+	Regime     string // only runners certified for it are candidates
 	SetpointUs int64
 	LeftUs     int64
 	Avoid      []string // runners tried before
@@ -92,8 +93,9 @@
 	order   []string
 	queue   pending
 	stores  []Store
-	tokens  int     // memory of a runner, in tokens
-	moveUs  float64 // to move the memory of one token between runners; 0: not moved
+	allowed map[string]map[string]bool // by regime, the ids of runners and stores let in
+	tokens  int                        // memory of a runner, in tokens
+	moveUs  float64                    // to move the memory of one token between runners; 0: not moved
 }
 
 // Store is a box that keeps parts for the runners of a service.
@@ -117,7 +119,7 @@
 	calmUs  int64
 	fresh   []wire.KeptNote // parts that this node has sent somewhere to be read
 	MarkUs  int64           // after how long an older mark is out of bounds
-	Salt    func(tenant string, isolated bool, mark int64) string
+	Salt    func(tenant string, isolated bool, regime string, mark int64) string
 }
 
 // New makes a doorman for a node at a site.
@@ -125,10 +127,14 @@
 	return &Doorman{T: t, Site: site, Index: pantry.NewIndex(), nodes: 1, pools: map[string]*pool{}, tenants: map[string]*tenantState{}, oldUs: map[string]int64{}, newest: map[string]int64{}, MarkUs: 6_000_000, Salt: Salt}
 }
 
-// Salt keeps weight marks apart, and isolated tenants from all others.
-func Salt(tenant string, isolated bool, mark int64) string {
+// Salt keeps weight marks apart, isolated tenants from all others, and the
+// tenants of a regime from those outside it, whose requests may go anywhere.
+func Salt(tenant string, isolated bool, regime string, mark int64) string {
 	b := []byte{'w'}
 	b = appendInt(b, mark)
+	if regime != "" {
+		b = append(append(b, '~'), regime...)
+	}
 	if isolated {
 		b = append(append(b, '/'), tenant...)
 	}
@@ -182,6 +188,15 @@
 	}
 }
 
+// SetCertified tells which runners and stores of a service each regime lets in.
+func (d *Doorman) SetCertified(service string, allowed map[string]map[string]bool) {
+	d.pool(service).allowed = allowed
+}
+
+// lets tells whether a request may have to do with a runner or store. Without
+// sure knowledge the answer is no.
+func (p *pool) lets(a Ask, id string) bool { return a.Regime == "" || p.allowed[a.Regime][id] }
+
 // SetStores tells the stores that runners of a service may use.
 func (d *Doorman) SetStores(service string, stores []Store) { d.pool(service).stores = stores }
 
@@ -317,7 +332,7 @@
 	for pass := range 3 {
 		for _, id := range p.order {
 			r := p.runners[id]
-			if r.note.Draining || r.barred(nowUs) || avoided(a.Avoid, id) || pass != d.preference(a, r, nowUs) {
+			if r.note.Draining || r.barred(nowUs) || !p.lets(a, id) || avoided(a.Avoid, id) || pass != d.preference(a, r, nowUs) {
 				continue
 			}
 			if !d.markAllowed(a.Model, r, nowUs) {
@@ -329,7 +344,7 @@
 				continue
 			}
 			mark := markOf(r.note, a.Model)
-			keys := pantry.Keys(d.Salt(a.Tenant, a.Isolated, mark), a.Model, a.Parts)
+			keys := pantry.Keys(d.Salt(a.Tenant, a.Isolated, a.Regime, mark), a.Model, a.Parts)
 			kept := d.Index.Expected(id, keys, a.Parts)
 			if r.blocks > 0 && active > 0 {
 				if after := use + float64(need-kept/d.T.BlockTokens)/float64(r.blocks); after > 0.98 {
@@ -376,19 +391,22 @@
 	var holders []holder
 	for _, id := range p.order {
 		r := p.runners[id]
-		if r.note.Stale || r.unsoundUs > nowUs {
+		if r.note.Stale || r.unsoundUs > nowUs || !p.lets(a, id) {
 			continue
 		}
 		mark := markOf(r.note, a.Model)
-		keys := pantry.Keys(d.Salt(a.Tenant, a.Isolated, mark), a.Model, a.Parts)
+		keys := pantry.Keys(d.Salt(a.Tenant, a.Isolated, a.Regime, mark), a.Model, a.Parts)
 		if kept := d.Index.Kept(id, keys, a.Parts); kept >= moveMin {
 			holders = append(holders, holder{r, r.note.Addr, r.note.Site, mark, kept, p.moveUs})
 		}
 		known[mark] = max(known[mark], min(shared, d.Index.Expected(id, keys, a.Parts)))
 	}
 	for _, s := range p.stores {
+		if !p.lets(a, s.ID) {
+			continue
+		}
 		for mark := range known {
-			keys := pantry.Keys(d.Salt(a.Tenant, a.Isolated, mark), a.Model, a.Parts)
+			keys := pantry.Keys(d.Salt(a.Tenant, a.Isolated, a.Regime, mark), a.Model, a.Parts)
 			if kept := d.Index.Kept(s.ID, keys, a.Parts); kept >= moveMin {
 				holders = append(holders, holder{nil, s.Addr, s.Site, mark, kept, s.MoveUs})
 				known[mark] = max(known[mark], min(shared, kept))
@@ -472,7 +490,7 @@
 	}
 	r, c := who[i], list[i]
 	mark := markOf(r.note, a.Model)
-	salt := d.Salt(a.Tenant, a.Isolated, mark)
+	salt := d.Salt(a.Tenant, a.Isolated, a.Regime, mark)
 	adm := &Admission{Runner: r.note, Salt: salt, Mark: mark, Kept: c.Kept, Source: c.From, atUs: nowUs, tenant: a.Tenant, service: a.Service, tokensIn: a.TokensIn, Parts: a.Parts, Keys: pantry.Keys(salt, a.Model, a.Parts), reading: true}
 	bt := d.T.BlockTokens
 	inParts := 0
@@ -486,7 +504,7 @@
 	}
 	adm.blocks = (max(a.TokensIn-inParts, 0) + a.TokensOut + bt - 1) / bt
 	r.own.blocks += adm.blocks
-	if d.expect(adm, len(a.Parts)-1) && len(p.stores) > 0 && c.Moved < moveMin {
+	if d.expect(adm, len(a.Parts)-1) && len(p.stores) > 0 && c.Moved < moveMin && p.lets(a, p.stores[0].ID) {
 		adm.Sink = p.stores[0].Addr
 	}
 	adm.ahead = c.Prefill
--- a/internal/doorman/doorman_test.go
+++ b/internal/doorman/doorman_test.go
@@ -295,12 +295,13 @@
 	seen := map[string]bool{}
 	for _, mark := range []int64{1, 2, 12} {
 		for _, tenant := range []string{"a", "b"} {
-			seen[Salt(tenant, true, mark)] = true
+			seen[Salt(tenant, true, "", mark)] = true
 		}
-		must.Eq(t, Salt("a", false, mark), Salt("b", false, mark))
-		seen[Salt("a", false, mark)] = true
+		seen[Salt("a", false, "r", mark)], seen[Salt("a", true, "r", mark)] = true, true
+		must.Eq(t, Salt("a", false, "", mark), Salt("b", false, "", mark))
+		seen[Salt("a", false, "", mark)] = true
 	}
-	must.MapLen(t, 9, seen)
+	must.MapLen(t, 15, seen)
 }
 
 func TestBrokenLinksPassARunnerOver(t *testing.T) {
--- a/internal/menu/check.go
+++ b/internal/menu/check.go
@@ -12,6 +12,7 @@
 	"github.com/pkg/errors"
 
 	"beechtide.org/beechtide/internal/calls"
+	"beechtide.org/beechtide/internal/regime"
 )
 
 // Invalid says which field of a configuration is wrong, and why.
@@ -83,5 +84,10 @@
 			owner[k] = t.Name
 		}
 	}
-	return nil
+	_, err := regime.Compile(m)
+	var fault *regime.Fault
+	if errors.As(err, &fault) {
+		return &Invalid{fault.Field, fault.Reason}
+	}
+	return err
 }
--- a/internal/menu/table.go
+++ b/internal/menu/table.go
@@ -7,6 +7,7 @@
 	"strings"
 
 	"beechtide.org/beechtide/internal/calls"
+	"beechtide.org/beechtide/internal/regime"
 )
 
 // Route is a route with its times in microseconds.
@@ -26,11 +27,22 @@
 	keys     map[string]*calls.Tenant
 	Tenants  int
 	Stores   []*calls.Service
+	Policies *regime.Policies
+	regimes  map[string]string // by tenant
 }
 
 // Compile makes a table from a checked configuration.
 func Compile(m calls.Menu) *Table {
 	t := &Table{Mark: m.Mark, Limits: m.Limits, hosts: map[string][]*Route{}, services: map[string]*calls.Service{}, keys: map[string]*calls.Tenant{}, Tenants: len(m.Tenants)}
+	if p, err := regime.Compile(m); err == nil && len(m.Regimes) > 0 {
+		t.Policies = p
+	}
+	t.regimes = map[string]string{}
+	for _, tenant := range m.Tenants {
+		if tenant.Regime != "" {
+			t.regimes[tenant.Name] = tenant.Regime
+		}
+	}
 	for i := range m.Services {
 		t.services[m.Services[i].Name] = &m.Services[i]
 		if m.Services[i].CacheStore != "" {
@@ -79,6 +91,23 @@
 // Tenant finds the holder of a key.
 func (t *Table) Tenant(key string) *calls.Tenant { return t.keys[key] }
 
+// RegimeOf is the regime of a tenant, or none.
+func (t *Table) RegimeOf(tenant string) string { return t.regimes[tenant] }
+
+// Allows tells whether a tenant's requests may go to a runner now, and by which
+// certificate. Without a regime every runner will do.
+func (t *Table) Allows(tenant string, r regime.Runner) (regimeName string, certificate int, ok bool) {
+	name := t.regimes[tenant]
+	if name == "" {
+		return "", -1, true
+	}
+	if t.Policies.None() {
+		return name, -1, false
+	}
+	certificate, ok = t.Policies.Allows(name, r)
+	return name, certificate, ok
+}
+
 // Service finds a service by name.
 func (t *Table) Service(name string) *calls.Service { return t.services[name] }
 
