--- a/cmd/beechtide/main.go
+++ b/cmd/beechtide/main.go
@@ -3,6 +3,7 @@
 package main
 
 import (
+	"bytes"
 	"context"
 	"flag"
 	"fmt"
@@ -30,6 +31,7 @@
   dispatch   keep configuration, registrations and duties
 
 commands
+  doctor      look for common faults of a running system
   check FILE  check a configuration before it is sent
   audit       check audit trails of regulated requests against configurations
 
@@ -48,6 +50,8 @@
 		return serve(args[0], args[1:])
 	case "check":
 		return check(args[1:])
+	case "doctor":
+		return examine(args[1:])
 	case "audit":
 		return audit(args[1:])
 	case "-h", "-help", "--help", "help":
@@ -61,6 +65,7 @@
 type role interface {
 	Run(ctx context.Context) error
 	Reload(set config.Settings)
+	OnRing(show func() ([]byte, error))
 }
 
 func serve(name string, args []string) int {
@@ -93,6 +98,11 @@
 	defer pool.Release()
 	start := time.Now()
 	clock := func() int64 { return time.Since(start).Microseconds() + 1 }
+	showRing := func() ([]byte, error) {
+		var b bytes.Buffer
+		ring.Show(&b)
+		return b.Bytes(), nil
+	}
 	var r role
 	if name == "counter" {
 		r, err = counter.New(set, pool, clock, log)
@@ -103,6 +113,7 @@
 		fmt.Fprintf(os.Stderr, "beechtide %s: %v\n", name, err)
 		return 1
 	}
+	r.OnRing(showRing)
 	log.Info("up", "node", set.Node, "bootstrap", set.Bootstrap)
 	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
 	defer stop()
--- /dev/null
+++ b/internal/counter/condition.go
@@ -0,0 +1,32 @@
+// Condition is what a counter tells the doctor of itself.
+package counter
+
+import (
+	"context"
+	"time"
+
+	"beechtide.org/beechtide/internal/radio"
+	"beechtide.org/beechtide/internal/wire"
+)
+
+func (c *Counter) condition() wire.Condition {
+	x := wire.Condition{Node: c.set.Node, Role: wire.Counter, Site: c.set.Site, Addr: c.radio.Addr(), TimeUs: time.Now().UnixMicro()}
+	c.nmu.Lock()
+	for p, n := range c.parts {
+		for len(x.Marks) <= p {
+			x.Marks = append(x.Marks, 0)
+		}
+		x.Marks[p] = n.Mark
+	}
+	c.nmu.Unlock()
+	c.dmu.Lock()
+	x.Blind = c.door.Blind(c.clock())
+	c.dmu.Unlock()
+	x.Runners = len(c.roster.Snapshot().ByID)
+	return x
+}
+
+// OnRing tells how the doctor gets the log ring.
+func (c *Counter) OnRing(show func() ([]byte, error)) {
+	c.radio.OnCall(radio.KindRing, func(context.Context, *radio.Link, []byte) ([]byte, error) { return show() })
+}
--- a/internal/counter/counter.go
+++ b/internal/counter/counter.go
@@ -68,6 +68,10 @@
 	c.relay = radio.NewRelay(rad, c.snapshot)
 	c.seeds.Store(&set.Seeds)
 	c.watch = radio.NewWatch(rad, wire.Peer{Addr: set.CounterAddr(), Role: wire.Counter, Site: set.Site, Node: set.Node}, clock, c.seedAddrs)
+	rad.OnCall(radio.KindCondition, func(context.Context, *radio.Link, []byte) ([]byte, error) {
+		x := c.condition()
+		return x.MarshalMsg(nil)
+	})
 	rad.OnCast(radio.KindTally, func(_ string, body []byte) {
 		var t wire.Tally
 		if _, err := t.UnmarshalMsg(body); err == nil {
--- /dev/null
+++ b/internal/dispatch/condition.go
@@ -0,0 +1,55 @@
+// Condition is what a dispatch tells the doctor of itself.
+package dispatch
+
+import (
+	"context"
+	"sort"
+	"time"
+
+	"beechtide.org/beechtide/internal/ledger"
+	"beechtide.org/beechtide/internal/radio"
+	"beechtide.org/beechtide/internal/wire"
+)
+
+// unreadUs is after how long without an answer a runner counts as not read.
+const unreadUs = 5_000_000
+
+func (d *Dispatch) condition() wire.Condition {
+	c := wire.Condition{Node: d.set.Node, Role: wire.Dispatch, Site: d.set.Site, Addr: d.radio.Addr(), TimeUs: time.Now().UnixMicro(), LedgerID: d.ledger.ID(), Marks: d.marks().Parts, HasDisk: d.disk != nil}
+	c.SaveUs, c.SaveFault = d.ledger.LastSave()
+	for p := range ledger.Parts {
+		v, _ := d.ledger.Committed(p)
+		c.Groups = append(c.Groups, append([]wire.Member{}, v.Group...))
+	}
+	c.Peers = append(d.watch.Alive(wire.Dispatch), d.watch.Alive(wire.Counter)...)
+	snap := d.roster.Snapshot()
+	c.Runners = len(snap.ByID)
+	for id, n := range snap.ByID {
+		if n.Stale {
+			c.Stale = append(c.Stale, id)
+		}
+	}
+	now := d.clock()
+	d.kmu.Lock()
+	for id := range d.readers {
+		if now-d.heardUs[id] > unreadUs && now-d.startUs > unreadUs {
+			c.Unread = append(c.Unread, id)
+		}
+	}
+	d.kmu.Unlock()
+	sort.Strings(c.Stale)
+	sort.Strings(c.Unread)
+	return c
+}
+
+// heard notes that a runner answered a reader.
+func (d *Dispatch) heard(id string) {
+	d.kmu.Lock()
+	d.heardUs[id] = d.clock()
+	d.kmu.Unlock()
+}
+
+// OnRing tells how the doctor gets the log ring.
+func (d *Dispatch) OnRing(show func() ([]byte, error)) {
+	d.radio.OnCall(radio.KindRing, func(context.Context, *radio.Link, []byte) ([]byte, error) { return show() })
+}
--- a/internal/dispatch/dispatch.go
+++ b/internal/dispatch/dispatch.go
@@ -41,6 +41,7 @@
 	kmu     sync.Mutex
 	kept    *pantry.Index
 	readers map[string]context.CancelFunc
+	heardUs map[string]int64 // when a runner's events or report last came
 
 	refits  refits
 	calm    calm
@@ -54,7 +55,7 @@
 	if err != nil {
 		return nil, err
 	}
-	d := &Dispatch{set: set, log: log, clock: clock, radio: rad, roster: roster.New(), garage: cab.NewGarage(clock), kept: pantry.NewIndex(), readers: map[string]context.CancelFunc{}, startUs: clock()}
+	d := &Dispatch{set: set, log: log, clock: clock, radio: rad, roster: roster.New(), garage: cab.NewGarage(clock), kept: pantry.NewIndex(), readers: map[string]context.CancelFunc{}, heardUs: map[string]int64{}, startUs: clock()}
 	var store ledger.Store = &ledger.MemoryStore{}
 	if set.DataDir != "" {
 		if d.disk, err = ledger.NewDiskStore(filepath.Join(set.DataDir, "ledger")); err != nil {
@@ -78,6 +79,10 @@
 		m := d.marks()
 		return m.MarshalMsg(nil)
 	})
+	rad.OnCall(radio.KindCondition, func(context.Context, *radio.Link, []byte) ([]byte, error) {
+		c := d.condition()
+		return c.MarshalMsg(nil)
+	})
 	rad.OnCast(radio.KindRunner, d.heardRunner)
 	for p := range ledger.Parts {
 		if v, ok := d.ledger.Committed(p); ok && v.Mark > 0 {
@@ -143,8 +148,9 @@
 	for p := range ledger.Parts {
 		for ctx.Err() == nil {
 			cctx, cancel := context.WithTimeout(ctx, time.Second)
-			_, err := d.ledger.Read(cctx, p)
+			v, err := d.ledger.Read(cctx, p)
 			cancel()
+			d.log.Info("settled", "part", p, "mark", v.Mark, "group", v.Group, "err", err)
 			if err == nil {
 				break
 			}
--- a/internal/dispatch/readers.go
+++ b/internal/dispatch/readers.go
@@ -51,12 +51,14 @@
 		if _, ok := want[id]; !ok {
 			cancel()
 			delete(d.readers, id)
+			delete(d.heardUs, id)
 		}
 	}
 	for id, n := range want {
 		if d.readers[id] == nil {
 			cctx, cancel := context.WithCancel(ctx)
 			d.readers[id] = cancel
+			d.heardUs[id] = d.clock()
 			go d.readKept(cctx, n)
 			if n.Service != "" {
 				go d.readReports(cctx, n)
@@ -97,6 +99,7 @@
 			sleep(ctx, eventsEvery)
 			continue
 		}
+		d.heard(n.ID)
 		note := wire.KeptNote{ID: n.ID, Parts: []wire.KeptPart{}}
 		if ev.Lost || known && ev.Epoch != epoch {
 			since, epoch, known = d.readList(ctx, n, &note)
--- a/internal/dispatch/refits.go
+++ b/internal/dispatch/refits.go
@@ -117,7 +117,7 @@
 		return
 	}
 	if won == body.Claim.Fence && s.Fence() != won {
-		s.Took(won, true, d.clock())
+		s.Took(won, shift.Nobody, d.clock())
 	}
 	if s.Fence() != body.Claim.Fence {
 		// A claim of an earlier life of this process: a new fence puts all that
@@ -140,7 +140,7 @@
 		}
 		s.Confirmed(now.Claim.Fence, askedUs)
 	}
-	if !s.MayAct(d.clock()) {
+	if s.ReadyInUs(d.clock()) > refit.EaseUs+refit.SettleUs {
 		return
 	}
 	for _, t := range body.Targets {
@@ -216,7 +216,14 @@
 		return
 	}
 	if body, err := dutyBody(v); err == nil && body.Claim.Holder == d.ledger.ID() {
-		s.Took(body.Claim.Fence, was.Holder == "", d.clock())
+		before := shift.Another
+		switch was.Holder {
+		case "":
+			before = shift.Nobody
+		case d.ledger.ID():
+			before = shift.Itself
+		}
+		s.Took(body.Claim.Fence, before, d.clock())
 		d.log.Info("claim taken", "part", part, "fence", body.Claim.Fence)
 	}
 }
--- a/internal/doorman/doorman.go
+++ b/internal/doorman/doorman.go
@@ -6,6 +6,8 @@
 package doorman
 
 import (
+	"sort"
+
 	"beechtide.org/beechtide/internal/hail"
 	"beechtide.org/beechtide/internal/pantry"
 	"beechtide.org/beechtide/internal/ticket"
@@ -636,6 +638,22 @@
 	}
 }
 
+// Blind lists the runners whose thresholds cannot fire as they should: memory
+// that is not known, or no report within three times the time one is believed.
+func (d *Doorman) Blind(nowUs int64) []string {
+	var out []string
+	for _, p := range d.pools {
+		for _, id := range p.order {
+			r := p.runners[id]
+			if r.blocks == 0 || !r.reported || nowUs-r.report.atUs > 3*d.T.ReportFreshUs {
+				out = append(out, id)
+			}
+		}
+	}
+	sort.Strings(out)
+	return out
+}
+
 // Own tells this node's word: the runners where it has something, or had.
 func (d *Doorman) Own(from string, nowUs int64) wire.Tally {
 	t := wire.Tally{From: from, Weights: []wire.RunnerWeight{}, Coming: d.fresh}
--- a/internal/ledger/ledger.go
+++ b/internal/ledger/ledger.go
@@ -37,6 +37,7 @@
 	sem     chan struct{}
 	acc     Acceptor
 	learned atomic.Pointer[wire.Value]
+	keeping atomic.Bool
 }
 
 // Ledger is one member's view of all registers.
@@ -50,6 +51,8 @@
 	mu       sync.Mutex
 	onLearn  func(part int, v wire.Value)
 	life     string
+	saveUs   atomic.Int64
+	saveErr  atomic.Pointer[string]
 }
 
 // PartOf tells which part a service belongs to.
@@ -140,6 +143,50 @@
 	if l.onLearn != nil {
 		l.onLearn(p, v)
 	}
+	l.keep(p)
+}
+
+// keepWait is how long a member waits before it tries again to keep a value
+// that its disk refused.
+const keepWait = 300 * time.Millisecond
+
+// keep makes what was learned durable, apart from everything else. Agreement
+// does not need it, but after a change of group the old one may be gone: then
+// the new one must know by itself, after a loss of power too, that it is it.
+func (l *Ledger) keep(p int) {
+	at := l.parts[p]
+	if !at.keeping.CompareAndSwap(false, true) {
+		return
+	}
+	go func() {
+		for {
+			v := at.learned.Load()
+			at.sem <- struct{}{}
+			before := at.acc.Rec
+			var err error
+			if at.acc.Fold(*v) {
+				if err = l.save(p, at.acc.Rec); err != nil {
+					at.acc.Rec = before
+				}
+			}
+			<-at.sem
+			if err != nil {
+				time.Sleep(keepWait)
+				continue
+			}
+			at.keeping.Store(false)
+			if at.learned.Load() == v || !at.keeping.CompareAndSwap(false, true) {
+				return
+			}
+		}
+	}()
+}
+
+func (l *Ledger) save(p int, rec wire.Record) error {
+	began := time.Now()
+	err := l.store.Save(p, rec)
+	l.noteSave(time.Since(began).Microseconds(), err)
+	return err
 }
 
 // Handle answers an ask that came over the radio.
@@ -178,7 +225,7 @@
 	before := p.acc.Rec
 	w, dirty := p.acc.Handle(ask)
 	if dirty {
-		if err := l.store.Save(ask.Part, p.acc.Rec); err != nil {
+		if err := l.save(ask.Part, p.acc.Rec); err != nil {
 			p.acc.Rec = before
 			return wire.LedgerWord{}, err
 		}
@@ -186,6 +233,23 @@
 	return w, nil
 }
 
+func (l *Ledger) noteSave(us int64, err error) {
+	l.saveUs.Store(us)
+	fault := ""
+	if err != nil {
+		fault = err.Error()
+	}
+	l.saveErr.Store(&fault)
+}
+
+// LastSave tells how long the last write to the store took, and how it failed.
+func (l *Ledger) LastSave() (us int64, fault string) {
+	if f := l.saveErr.Load(); f != nil {
+		fault = *f
+	}
+	return l.saveUs.Load(), fault
+}
+
 func (l *Ledger) send(ctx context.Context, to wire.Member, ask wire.LedgerAsk) (wire.LedgerWord, error) {
 	if to.Addr == l.addr {
 		return l.local(ctx, ask)
--- a/internal/ledger/ledger_test.go
+++ b/internal/ledger/ledger_test.go
@@ -1,14 +1,19 @@
 package ledger
 
 import (
+	"context"
 	"fmt"
 	"math/rand/v2"
 	"os"
 	"path/filepath"
+	"runtime"
+	"sync"
 	"testing"
 
+	"github.com/go-logr/logr"
 	"github.com/pkg/errors"
 	"github.com/shoenig/test/must"
+	"github.com/tinylib/msgp/msgp"
 
 	"beechtide.org/beechtide/internal/wire"
 )
@@ -306,6 +311,80 @@
 	}
 }
 
+// A member is replaced, every node loses power, and another one its disk: the
+// new group must know by itself that it is it (ritwerk trouble-2 --seed 13).
+func TestNewGroupKnowsItselfAfterALossOfPower(t *testing.T) {
+	nodes := map[string]*Ledger{}
+	stores := map[string]*MemoryStore{}
+	var mu sync.Mutex
+	net := carrier(func(ctx context.Context, addr string, body []byte) ([]byte, error) {
+		mu.Lock()
+		n := nodes[addr]
+		mu.Unlock()
+		if n == nil {
+			return nil, errors.New("dark")
+		}
+		return n.Handle(ctx, body)
+	})
+	seeds := []string{"a", "b", "c"}
+	open := func(addr string, found bool) {
+		if stores[addr] == nil {
+			stores[addr] = &MemoryStore{}
+		}
+		l, err := Open(addr, 1, found, seeds, net, stores[addr], logr.Discard(), nil)
+		must.NoError(t, err)
+		mu.Lock()
+		nodes[addr] = l
+		mu.Unlock()
+	}
+	stop := func(addr string) {
+		mu.Lock()
+		delete(nodes, addr)
+		mu.Unlock()
+	}
+	for _, s := range seeds {
+		open(s, true)
+	}
+	ctx := context.Background()
+	stop("a")
+	open("d", false)
+	must.NoError(t, nodes["d"].Pull(ctx, "b", 1))
+	group := []wire.Member{{ID: nodes["d"].ID(), Addr: "d"}, {ID: nodes["b"].ID(), Addr: "b"}, {ID: nodes["c"].ID(), Addr: "c"}}
+	_, err := nodes["b"].Change(ctx, 1, func(cur wire.Value) ([]wire.Member, []byte, error) { return group, []byte("x"), nil })
+	must.NoError(t, err)
+	for _, addr := range []string{"b", "c", "d"} { // what was told reaches the disks
+		for {
+			rec, _, _ := stores[addr].Load(1)
+			if rec.Committed.Mark == 1 {
+				break
+			}
+			runtime.Gosched()
+		}
+	}
+	for _, addr := range []string{"b", "c", "d"} {
+		stop(addr)
+	}
+	stores["b"] = &MemoryStore{}
+	for _, addr := range []string{"b", "c", "d"} {
+		open(addr, false)
+	}
+	v, err := nodes["c"].Read(ctx, 1)
+	must.NoError(t, err)
+	must.Eq(t, "x", string(v.Body))
+	_, err = nodes["d"].Change(ctx, 1, body("y"))
+	must.NoError(t, err)
+}
+
+type carrier func(ctx context.Context, addr string, body []byte) ([]byte, error)
+
+func (c carrier) Call(ctx context.Context, addr string, _ int, m msgp.Marshaler) ([]byte, error) {
+	b, err := m.MarshalMsg(nil)
+	if err != nil {
+		return nil, err
+	}
+	return c(ctx, addr, b)
+}
+
 func TestWipedMemberNeitherPromisesNorVotes(t *testing.T) {
 	g := Genesis([]string{"a", "b", "c"})
 	a := Acceptor{ID: "a/new", Rec: wire.Record{Committed: g}}
--- a/internal/logbook/logbook.go
+++ b/internal/logbook/logbook.go
@@ -71,6 +71,17 @@
 	return &c
 }
 
+// Show writes what the ring holds, oldest first, and keeps it.
+func (r *Ring) Show(w io.Writer) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	for i := range len(*r.lines) {
+		if line := (*r.lines)[(*r.next+i)%len(*r.lines)]; line != "" {
+			fmt.Fprintln(w, line)
+		}
+	}
+}
+
 // Dump writes what the ring holds, oldest first, and empties it.
 func (r *Ring) Dump(w io.Writer) {
 	r.mu.Lock()
--- a/internal/radio/radio.go
+++ b/internal/radio/radio.go
@@ -32,6 +32,8 @@
 	KindAck
 	KindTally
 	KindRunner
+	KindCondition
+	KindRing
 	kinds
 )
 
--- a/internal/shift/shift.go
+++ b/internal/shift/shift.go
@@ -19,16 +19,33 @@
 	confirmUs int64 // when the last confirmation was asked for
 }
 
-// Took notes a claim that this node has just won. first tells that nobody held
-// the duty before, so there is no one to wait for.
-func (s *Shift) Took(fence int64, first bool, nowUs int64) {
+// Before says who held the duty before the one who takes it.
+type Before int
+
+// Who held it before.
+const (
+	Nobody Before = iota
+	Itself        // an earlier life of the same holder, which has ended
+	Another
+)
+
+// Took notes a claim that this node has just won. It waits as long as the one
+// before could still act: another holder that is cut off goes on until its
+// confirmation runs out, an earlier life of its own has ended with its process.
+func (s *Shift) Took(fence int64, before Before, nowUs int64) {
 	s.fence, s.confirmUs = fence, nowUs
 	s.fromUs = nowUs
-	if !first {
+	switch before {
+	case Itself:
+		s.fromUs += s.T.SpareUs
+	case Another:
 		s.fromUs += s.T.ClaimUs + s.T.ActUs + s.T.SpareUs
 	}
 }
 
+// ReadyInUs is how long it has to wait before it may act at all.
+func (s *Shift) ReadyInUs(nowUs int64) int64 { return max(s.fromUs-nowUs, 0) }
+
 // Confirmed notes that a majority still had this claim when asked at askedUs.
 func (s *Shift) Confirmed(fence, askedUs int64) {
 	if fence == s.fence {
--- a/internal/shift/shift_test.go
+++ b/internal/shift/shift_test.go
@@ -13,7 +13,7 @@
 func TestHoldersNeverActWithinTheClaimTime(t *testing.T) {
 	for cutUs := int64(0); cutUs < 3_000_000; cutUs += 37_000 {
 		a, b := &Shift{T: times}, &Shift{T: times}
-		a.Took(1, true, 1)
+		a.Took(1, Nobody, 1)
 		lastA, firstB := int64(0), int64(0)
 		for now := int64(1); now < 12_000_000; now += 10_000 {
 			if now < cutUs && now%100_000 < 10_000 {
@@ -23,7 +23,7 @@
 				lastA = now
 			}
 			if now >= cutUs+500_000 && b.Fence() == 0 {
-				b.Took(2, false, now)
+				b.Took(2, Another, now)
 			}
 			if b.Fence() == 2 {
 				b.Confirmed(2, now)
@@ -39,7 +39,7 @@
 
 func TestTakenClaimWaitsAndOnlyItsOwnFenceCounts(t *testing.T) {
 	s := &Shift{T: times}
-	s.Took(4, false, 1)
+	s.Took(4, Another, 1)
 	s.Confirmed(4, 2)
 	must.False(t, s.MayAct(3))
 	s.Confirmed(4, 4_300_000)
@@ -49,3 +49,12 @@
 	s.Lost()
 	must.False(t, s.MayAct(9_000_002))
 }
+
+func TestOwnEarlierLifeIsWaitedOutShortly(t *testing.T) {
+	s := &Shift{T: times}
+	s.Took(5, Itself, 1)
+	must.Eq(t, times.SpareUs, s.ReadyInUs(1))
+	s.Confirmed(5, times.SpareUs)
+	must.False(t, s.MayAct(times.SpareUs))
+	must.True(t, s.MayAct(times.SpareUs+1))
+}
--- a/internal/wire/msgp.gen.go
+++ b/internal/wire/msgp.gen.go
@@ -128,6 +128,371 @@
 	return
 }
 
+// MarshalMsg implements msgp.Marshaler
+func (z *Condition) MarshalMsg(b []byte) (o []byte, err error) {
+	o = msgp.Require(b, z.Msgsize())
+	// map header, size 16
+	// string "a"
+	o = append(o, 0xde, 0x0, 0x10, 0xa1, 0x61)
+	o = msgp.AppendString(o, z.Addr)
+	// string "b"
+	o = append(o, 0xa1, 0x62)
+	o = msgp.AppendArrayHeader(o, uint32(len(z.Blind)))
+	for za0001 := range z.Blind {
+		o = msgp.AppendString(o, z.Blind[za0001])
+	}
+	// string "c"
+	o = append(o, 0xa1, 0x63)
+	o = msgp.AppendInt(o, z.Runners)
+	// string "d"
+	o = append(o, 0xa1, 0x64)
+	o = msgp.AppendBool(o, z.HasDisk)
+	// string "e"
+	o = append(o, 0xa1, 0x65)
+	o = msgp.AppendArrayHeader(o, uint32(len(z.Unread)))
+	for za0002 := range z.Unread {
+		o = msgp.AppendString(o, z.Unread[za0002])
+	}
+	// string "f"
+	o = append(o, 0xa1, 0x66)
+	o = msgp.AppendString(o, z.SaveFault)
+	// string "g"
+	o = append(o, 0xa1, 0x67)
+	o = msgp.AppendArrayHeader(o, uint32(len(z.Groups)))
+	for za0003 := range z.Groups {
+		o = msgp.AppendArrayHeader(o, uint32(len(z.Groups[za0003])))
+		for za0004 := range z.Groups[za0003] {
+			// map header, size 2
+			// string "a"
+			o = append(o, 0x82, 0xa1, 0x61)
+			o = msgp.AppendString(o, z.Groups[za0003][za0004].Addr)
+			// string "i"
+			o = append(o, 0xa1, 0x69)
+			o = msgp.AppendString(o, z.Groups[za0003][za0004].ID)
+		}
+	}
+	// string "l"
+	o = append(o, 0xa1, 0x6c)
+	o = msgp.AppendString(o, z.LedgerID)
+	// string "m"
+	o = append(o, 0xa1, 0x6d)
+	o = msgp.AppendArrayHeader(o, uint32(len(z.Marks)))
+	for za0005 := range z.Marks {
+		o = msgp.AppendInt64(o, z.Marks[za0005])
+	}
+	// string "n"
+	o = append(o, 0xa1, 0x6e)
+	o = msgp.AppendString(o, z.Node)
+	// string "p"
+	o = append(o, 0xa1, 0x70)
+	o = msgp.AppendArrayHeader(o, uint32(len(z.Peers)))
+	for za0006 := range z.Peers {
+		o, err = z.Peers[za0006].MarshalMsg(o)
+		if err != nil {
+			err = msgp.WrapError(err, "Peers", za0006)
+			return
+		}
+	}
+	// string "q"
+	o = append(o, 0xa1, 0x71)
+	o = msgp.AppendArrayHeader(o, uint32(len(z.Stale)))
+	for za0007 := range z.Stale {
+		o = msgp.AppendString(o, z.Stale[za0007])
+	}
+	// string "r"
+	o = append(o, 0xa1, 0x72)
+	o = msgp.AppendString(o, string(z.Role))
+	// string "s"
+	o = append(o, 0xa1, 0x73)
+	o = msgp.AppendInt64(o, z.SaveUs)
+	// string "t"
+	o = append(o, 0xa1, 0x74)
+	o = msgp.AppendInt64(o, z.TimeUs)
+	// string "z"
+	o = append(o, 0xa1, 0x7a)
+	o = msgp.AppendString(o, z.Site)
+	return
+}
+
+// UnmarshalMsg implements msgp.Unmarshaler
+func (z *Condition) UnmarshalMsg(bts []byte) (o []byte, err error) {
+	var field []byte
+	_ = field
+	var zb0001 uint32
+	zb0001, bts, err = msgp.ReadMapHeaderBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err)
+		return
+	}
+	for zb0001 > 0 {
+		zb0001--
+		field, bts, err = msgp.ReadMapKeyZC(bts)
+		if err != nil {
+			err = msgp.WrapError(err)
+			return
+		}
+		switch msgp.UnsafeString(field) {
+		case "a":
+			z.Addr, bts, err = msgp.ReadStringBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Addr")
+				return
+			}
+		case "b":
+			var zb0002 uint32
+			zb0002, bts, err = msgp.ReadArrayHeaderBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Blind")
+				return
+			}
+			if cap(z.Blind) >= int(zb0002) {
+				z.Blind = (z.Blind)[:zb0002]
+			} else {
+				z.Blind = make([]string, zb0002)
+			}
+			for za0001 := range z.Blind {
+				z.Blind[za0001], bts, err = msgp.ReadStringBytes(bts)
+				if err != nil {
+					err = msgp.WrapError(err, "Blind", za0001)
+					return
+				}
+			}
+		case "c":
+			z.Runners, bts, err = msgp.ReadIntBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Runners")
+				return
+			}
+		case "d":
+			z.HasDisk, bts, err = msgp.ReadBoolBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "HasDisk")
+				return
+			}
+		case "e":
+			var zb0003 uint32
+			zb0003, bts, err = msgp.ReadArrayHeaderBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Unread")
+				return
+			}
+			if cap(z.Unread) >= int(zb0003) {
+				z.Unread = (z.Unread)[:zb0003]
+			} else {
+				z.Unread = make([]string, zb0003)
+			}
+			for za0002 := range z.Unread {
+				z.Unread[za0002], bts, err = msgp.ReadStringBytes(bts)
+				if err != nil {
+					err = msgp.WrapError(err, "Unread", za0002)
+					return
+				}
+			}
+		case "f":
+			z.SaveFault, bts, err = msgp.ReadStringBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "SaveFault")
+				return
+			}
+		case "g":
+			var zb0004 uint32
+			zb0004, bts, err = msgp.ReadArrayHeaderBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Groups")
+				return
+			}
+			if cap(z.Groups) >= int(zb0004) {
+				z.Groups = (z.Groups)[:zb0004]
+			} else {
+				z.Groups = make([][]Member, zb0004)
+			}
+			for za0003 := range z.Groups {
+				var zb0005 uint32
+				zb0005, bts, err = msgp.ReadArrayHeaderBytes(bts)
+				if err != nil {
+					err = msgp.WrapError(err, "Groups", za0003)
+					return
+				}
+				if cap(z.Groups[za0003]) >= int(zb0005) {
+					z.Groups[za0003] = (z.Groups[za0003])[:zb0005]
+				} else {
+					z.Groups[za0003] = make([]Member, zb0005)
+				}
+				for za0004 := range z.Groups[za0003] {
+					var zb0006 uint32
+					zb0006, bts, err = msgp.ReadMapHeaderBytes(bts)
+					if err != nil {
+						err = msgp.WrapError(err, "Groups", za0003, za0004)
+						return
+					}
+					for zb0006 > 0 {
+						zb0006--
+						field, bts, err = msgp.ReadMapKeyZC(bts)
+						if err != nil {
+							err = msgp.WrapError(err, "Groups", za0003, za0004)
+							return
+						}
+						switch msgp.UnsafeString(field) {
+						case "a":
+							z.Groups[za0003][za0004].Addr, bts, err = msgp.ReadStringBytes(bts)
+							if err != nil {
+								err = msgp.WrapError(err, "Groups", za0003, za0004, "Addr")
+								return
+							}
+						case "i":
+							z.Groups[za0003][za0004].ID, bts, err = msgp.ReadStringBytes(bts)
+							if err != nil {
+								err = msgp.WrapError(err, "Groups", za0003, za0004, "ID")
+								return
+							}
+						default:
+							bts, err = msgp.Skip(bts)
+							if err != nil {
+								err = msgp.WrapError(err, "Groups", za0003, za0004)
+								return
+							}
+						}
+					}
+				}
+			}
+		case "l":
+			z.LedgerID, bts, err = msgp.ReadStringBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "LedgerID")
+				return
+			}
+		case "m":
+			var zb0007 uint32
+			zb0007, bts, err = msgp.ReadArrayHeaderBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Marks")
+				return
+			}
+			if cap(z.Marks) >= int(zb0007) {
+				z.Marks = (z.Marks)[:zb0007]
+			} else {
+				z.Marks = make([]int64, zb0007)
+			}
+			for za0005 := range z.Marks {
+				z.Marks[za0005], bts, err = msgp.ReadInt64Bytes(bts)
+				if err != nil {
+					err = msgp.WrapError(err, "Marks", za0005)
+					return
+				}
+			}
+		case "n":
+			z.Node, bts, err = msgp.ReadStringBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Node")
+				return
+			}
+		case "p":
+			var zb0008 uint32
+			zb0008, bts, err = msgp.ReadArrayHeaderBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Peers")
+				return
+			}
+			if cap(z.Peers) >= int(zb0008) {
+				z.Peers = (z.Peers)[:zb0008]
+			} else {
+				z.Peers = make([]Peer, zb0008)
+			}
+			for za0006 := range z.Peers {
+				bts, err = z.Peers[za0006].UnmarshalMsg(bts)
+				if err != nil {
+					err = msgp.WrapError(err, "Peers", za0006)
+					return
+				}
+			}
+		case "q":
+			var zb0009 uint32
+			zb0009, bts, err = msgp.ReadArrayHeaderBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Stale")
+				return
+			}
+			if cap(z.Stale) >= int(zb0009) {
+				z.Stale = (z.Stale)[:zb0009]
+			} else {
+				z.Stale = make([]string, zb0009)
+			}
+			for za0007 := range z.Stale {
+				z.Stale[za0007], bts, err = msgp.ReadStringBytes(bts)
+				if err != nil {
+					err = msgp.WrapError(err, "Stale", za0007)
+					return
+				}
+			}
+		case "r":
+			{
+				var zb0010 string
+				zb0010, bts, err = msgp.ReadStringBytes(bts)
+				if err != nil {
+					err = msgp.WrapError(err, "Role")
+					return
+				}
+				z.Role = Role(zb0010)
+			}
+		case "s":
+			z.SaveUs, bts, err = msgp.ReadInt64Bytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "SaveUs")
+				return
+			}
+		case "t":
+			z.TimeUs, bts, err = msgp.ReadInt64Bytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "TimeUs")
+				return
+			}
+		case "z":
+			z.Site, bts, err = msgp.ReadStringBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Site")
+				return
+			}
+		default:
+			bts, err = msgp.Skip(bts)
+			if err != nil {
+				err = msgp.WrapError(err)
+				return
+			}
+		}
+	}
+	o = bts
+	return
+}
+
+// Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
+func (z *Condition) Msgsize() (s int) {
+	s = 3 + 2 + msgp.StringPrefixSize + len(z.Addr) + 2 + msgp.ArrayHeaderSize
+	for za0001 := range z.Blind {
+		s += msgp.StringPrefixSize + len(z.Blind[za0001])
+	}
+	s += 2 + msgp.IntSize + 2 + msgp.BoolSize + 2 + msgp.ArrayHeaderSize
+	for za0002 := range z.Unread {
+		s += msgp.StringPrefixSize + len(z.Unread[za0002])
+	}
+	s += 2 + msgp.StringPrefixSize + len(z.SaveFault) + 2 + msgp.ArrayHeaderSize
+	for za0003 := range z.Groups {
+		s += msgp.ArrayHeaderSize
+		for za0004 := range z.Groups[za0003] {
+			s += 1 + 2 + msgp.StringPrefixSize + len(z.Groups[za0003][za0004].Addr) + 2 + msgp.StringPrefixSize + len(z.Groups[za0003][za0004].ID)
+		}
+	}
+	s += 2 + msgp.StringPrefixSize + len(z.LedgerID) + 2 + msgp.ArrayHeaderSize + (len(z.Marks) * (msgp.Int64Size)) + 2 + msgp.StringPrefixSize + len(z.Node) + 2 + msgp.ArrayHeaderSize
+	for za0006 := range z.Peers {
+		s += z.Peers[za0006].Msgsize()
+	}
+	s += 2 + msgp.ArrayHeaderSize
+	for za0007 := range z.Stale {
+		s += msgp.StringPrefixSize + len(z.Stale[za0007])
+	}
+	s += 2 + msgp.StringPrefixSize + len(string(z.Role)) + 2 + msgp.Int64Size + 2 + msgp.Int64Size + 2 + msgp.StringPrefixSize + len(z.Site)
+	return
+}
+
 // MarshalMsg implements msgp.Marshaler
 func (z *DutyBody) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
--- a/internal/wire/types.gen.go
+++ b/internal/wire/types.gen.go
@@ -105,6 +105,26 @@
 	Holder string `msg:"h"`
 }
 
+// Condition defines model for Condition.
+type Condition struct {
+	Addr      string     `msg:"a"`
+	Blind     []string   `msg:"b"`
+	Runners   int        `msg:"c"`
+	HasDisk   bool       `msg:"d"`
+	Unread    []string   `msg:"e"`
+	SaveFault string     `msg:"f"`
+	Groups    [][]Member `msg:"g"`
+	LedgerID  string     `msg:"l"`
+	Marks     []int64    `msg:"m"`
+	Node      string     `msg:"n"`
+	Peers     []Peer     `msg:"p"`
+	Stale     []string   `msg:"q"`
+	Role      Role       `msg:"r"`
+	SaveUs    int64      `msg:"s"`
+	TimeUs    int64      `msg:"t"`
+	Site      string     `msg:"z"`
+}
+
 // DutyBody defines model for DutyBody.
 type DutyBody struct {
 	Claim   Claim    `msg:"c"`
