--- a/internal/dispatch/dispatch.go
+++ b/internal/dispatch/dispatch.go
@@ -150,7 +150,7 @@
 			cctx, cancel := context.WithTimeout(ctx, time.Second)
 			v, err := d.ledger.Read(cctx, p)
 			cancel()
-			d.log.Info("settled", "part", p, "mark", v.Mark, "group", v.Group, "err", err)
+			d.log.Info("part read", "part", p, "mark", v.Mark, "members", len(v.Group), "err", err)
 			if err == nil {
 				break
 			}
--- a/internal/radio/crew.go
+++ b/internal/radio/crew.go
@@ -53,6 +53,7 @@
 	nextUs int64
 	rnd    func(n int) int
 	mark   int64
+	bornUs int64
 }
 
 // NewCrew starts with the node alone.
@@ -91,10 +92,22 @@
 	return out
 }
 
-// DeadForUs tells for how long the peer at addr has been known dead; 0 where it is not.
+// unknownUs is how long after its own start a node waits for an address to be
+// heard of before it takes it for gone: whoever died before that start is never
+// heard of at all.
+const unknownUs = 2_000_000
+
+// DeadForUs tells for how long the peer at addr has been known dead, or has not
+// been heard of; 0 where it is not gone.
 func (c *Crew) DeadForUs(addr string, nowUs int64) int64 {
+	if addr == c.self.Addr {
+		return 0
+	}
 	m := c.mates[addr]
-	if m == nil || m.peer.Standing != wire.Dead {
+	if m == nil {
+		return max(nowUs-c.bornUs-unknownUs, 0)
+	}
+	if m.peer.Standing != wire.Dead {
 		return 0
 	}
 	return max(nowUs-m.sinceUs, 1)
@@ -111,6 +124,9 @@
 
 // Tick moves time on.
 func (c *Crew) Tick(nowUs int64) []Send {
+	if c.bornUs == 0 {
+		c.bornUs = nowUs
+	}
 	var out []Send
 	for seq, w := range c.wait {
 		m := c.mates[w.of]
--- a/internal/radio/crew_test.go
+++ b/internal/radio/crew_test.go
@@ -124,3 +124,21 @@
 	must.Eq(t, []string{"c01", "da", "db"}, Parents("c17", "a", dispatches, counters))
 	must.Eq(t, []string{"da", "db"}, Parents("x", "c", dispatches, counters))
 }
+
+// A newcomer that starts after a member died must still see that it is gone
+// (ritwerk trouble-2 --seed 13: the newcomer was the steward).
+func TestNewcomerTakesTheNeverHeardForGone(t *testing.T) {
+	a := newAir(4)
+	a.run(6_000_000)
+	a.down["n1"] = true
+	a.run(8_000_000)
+	c := NewCrew(wire.Peer{Addr: "new", Role: wire.Counter, Life: 9}, DefaultCrewTimes, a.rnd.IntN)
+	a.crews["new"] = c
+	a.carry("new", []Send{c.Greet("n0")})
+	a.run(1_000_000)
+	must.Eq(t, int64(0), c.DeadForUs("n1", a.nowUs), must.Sprint("too early to tell"))
+	a.run(4_000_000)
+	must.Greater(t, int64(1_000_000), c.DeadForUs("n1", a.nowUs))
+	must.Eq(t, int64(0), c.DeadForUs("n2", a.nowUs))
+	must.Eq(t, int64(0), c.DeadForUs("new", a.nowUs))
+}
