--- a/internal/counter/counter.go
+++ b/internal/counter/counter.go
@@ -15,6 +15,7 @@
 	"beechtide.org/beechtide/internal/cab"
 	"beechtide.org/beechtide/internal/config"
 	"beechtide.org/beechtide/internal/doorman"
+	"beechtide.org/beechtide/internal/loop"
 	"beechtide.org/beechtide/internal/menu"
 	"beechtide.org/beechtide/internal/radio"
 	"beechtide.org/beechtide/internal/regime"
@@ -90,9 +91,9 @@
 	c.radio.Run(live)
 	go c.watch.Run(live)
 	go radio.Listen(live, c.radio, false, c.parents, c.takeNews)
-	go every(live, 250*time.Millisecond, c.compareMarks(live))
+	go loop.Every(live, 250*time.Millisecond, c.compareMarks(live))
 	go c.tellTallies(live)
-	go every(live, time.Second, func() { c.garage.Sweep(func(string) bool { return true }) })
+	go loop.Every(live, time.Second, func() { c.garage.Sweep(func(string) bool { return true }) })
 	go c.pump(live)
 	failed := make(chan error, 2)
 	go func() { failed <- c.serveReady() }()
@@ -115,19 +116,6 @@
 	return nil
 }
 
-func every(ctx context.Context, period time.Duration, f func()) {
-	t := time.NewTicker(period)
-	defer t.Stop()
-	for {
-		f()
-		select {
-		case <-t.C:
-		case <-ctx.Done():
-			return
-		}
-	}
-}
-
 func (c *Counter) parents() []string {
 	list := radio.Parents(c.radio.Addr(), c.set.Site, c.watch.Alive(wire.Dispatch), c.watch.Alive(wire.Counter))
 	if len(list) == 0 {
@@ -240,16 +228,17 @@
 	c.dmu.Lock()
 	defer c.dmu.Unlock()
 	for service, notes := range snap.ByService {
-		tokens, moveUs := 0, 0.0
+		tokens, moveUs, links := 0, 0.0, 0
 		if t != nil {
 			if s := t.Service(service); s != nil {
-				tokens = s.Engine.CacheTokens
+				tokens, links = s.Engine.CacheTokens, s.LinkLimit
 				if s.Engine.LinkMbps > 0 {
 					moveUs = float64(s.Engine.TokenBytes) * 8 / float64(s.Engine.LinkMbps)
 				}
 			}
 		}
 		c.door.SetService(service, notes, tokens, moveUs)
+		c.door.SetLinks(service, links)
 		c.door.SetStores(service, storesFor(t, service))
 		c.door.SetCertified(service, certified(t, notes))
 	}
--- a/internal/dispatch/dispatch.go
+++ b/internal/dispatch/dispatch.go
@@ -17,6 +17,7 @@
 	"beechtide.org/beechtide/internal/cab"
 	"beechtide.org/beechtide/internal/config"
 	"beechtide.org/beechtide/internal/ledger"
+	"beechtide.org/beechtide/internal/loop"
 	"beechtide.org/beechtide/internal/menu"
 	"beechtide.org/beechtide/internal/pantry"
 	"beechtide.org/beechtide/internal/radio"
@@ -117,11 +118,11 @@
 	d.radio.Run(ctx)
 	go d.watch.Run(ctx)
 	go d.listenToOthers(ctx)
-	go every(ctx, 300*time.Millisecond, func() { d.keepGroups(ctx) })
-	go every(ctx, 500*time.Millisecond, func() { d.catchUp(ctx) })
-	go every(ctx, 500*time.Millisecond, func() { d.sweep() })
-	go every(ctx, 500*time.Millisecond, func() { d.wantReaders(ctx) })
-	go every(ctx, 200*time.Millisecond, func() { d.wantRefits(ctx) })
+	go loop.Every(ctx, 300*time.Millisecond, func() { d.keepGroups(ctx) })
+	go loop.Every(ctx, 500*time.Millisecond, func() { d.catchUp(ctx) })
+	go loop.Every(ctx, 500*time.Millisecond, func() { d.sweep() })
+	go loop.Every(ctx, 500*time.Millisecond, func() { d.wantReaders(ctx) })
+	go loop.Every(ctx, 200*time.Millisecond, func() { d.wantRefits(ctx) })
 	go d.settleParts(ctx)
 	if d.disk != nil {
 		go d.keepRunners(ctx)
@@ -129,19 +130,6 @@
 	return d.serveControl(ctx)
 }
 
-func every(ctx context.Context, period time.Duration, f func()) {
-	t := time.NewTicker(period)
-	defer t.Stop()
-	for {
-		f()
-		select {
-		case <-t.C:
-		case <-ctx.Done():
-			return
-		}
-	}
-}
-
 // settleParts reads every part once after the start, so that what was agreed
 // on before a loss of power but not known as such is finished.
 func (d *Dispatch) settleParts(ctx context.Context) {
@@ -226,7 +214,7 @@
 // listenToOthers keeps one subscription to every other dispatch.
 func (d *Dispatch) listenToOthers(ctx context.Context) {
 	have := map[string]context.CancelFunc{}
-	every(ctx, 200*time.Millisecond, func() {
+	loop.Every(ctx, 200*time.Millisecond, func() {
 		want := map[string]bool{}
 		for _, p := range d.watch.Alive(wire.Dispatch) {
 			if p.Addr == d.radio.Addr() {
--- a/internal/dispatch/readers.go
+++ b/internal/dispatch/readers.go
@@ -12,6 +12,7 @@
 	"time"
 
 	"beechtide.org/beechtide/internal/calls"
+	"beechtide.org/beechtide/internal/loop"
 	"beechtide.org/beechtide/internal/pantry"
 	"beechtide.org/beechtide/internal/wire"
 )
@@ -96,7 +97,7 @@
 		cancel()
 		var ev calls.KeptEvents
 		if err != nil || status != 200 || json.Unmarshal(body, &ev) != nil {
-			sleep(ctx, eventsEvery)
+			loop.Pause(ctx, eventsEvery)
 			continue
 		}
 		d.heard(n.ID)
@@ -114,7 +115,7 @@
 		if len(note.Parts) > 0 || note.Reset {
 			d.tellKept(note)
 		}
-		sleep(ctx, eventsEvery)
+		loop.Pause(ctx, eventsEvery)
 	}
 }
 
@@ -147,7 +148,7 @@
 		if r, ok := d.report(ctx, n); ok {
 			d.relay.Publish(wire.News{Reports: []wire.ReportNote{{ID: n.ID, Used: r.CacheUsed, Total: r.CacheTotal, Active: r.Active, Pending: r.Pending}}})
 		}
-		sleep(ctx, reportsEvery)
+		loop.Pause(ctx, reportsEvery)
 	}
 }
 
@@ -167,13 +168,6 @@
 	return h
 }
 
-func sleep(ctx context.Context, t time.Duration) {
-	select {
-	case <-time.After(t):
-	case <-ctx.Done():
-	}
-}
-
 func text(v any) string {
 	s, _ := v.(string)
 	return s
--- a/internal/dispatch/recall.go
+++ b/internal/dispatch/recall.go
@@ -9,6 +9,7 @@
 	"context"
 	"time"
 
+	"beechtide.org/beechtide/internal/loop"
 	"beechtide.org/beechtide/internal/wire"
 )
 
@@ -32,7 +33,7 @@
 // keepRunners writes the list when it has changed, at most every two seconds.
 func (d *Dispatch) keepRunners(ctx context.Context) {
 	var sum uint64
-	every(ctx, 2*time.Second, func() {
+	loop.Every(ctx, 2*time.Second, func() {
 		snap := d.roster.Snapshot()
 		if snap.Sum == sum {
 			return
--- a/internal/dispatch/refits.go
+++ b/internal/dispatch/refits.go
@@ -12,6 +12,7 @@
 
 	"beechtide.org/beechtide/internal/calls"
 	"beechtide.org/beechtide/internal/ledger"
+	"beechtide.org/beechtide/internal/loop"
 	"beechtide.org/beechtide/internal/refit"
 	"beechtide.org/beechtide/internal/shift"
 	"beechtide.org/beechtide/internal/wire"
@@ -309,7 +310,7 @@
 				}
 			}
 		}
-		sleep(ctx, 200*time.Millisecond)
+		loop.Pause(ctx, 200*time.Millisecond)
 		r.mu.Lock()
 		delete(r.polls, id)
 		r.mu.Unlock()
--- a/internal/doorman/doorman.go
+++ b/internal/doorman/doorman.go
@@ -95,6 +95,7 @@
 	order   []string
 	queue   pending
 	stores  []Store
+	links   int                        // connections a runner takes from all nodes together; 0: no limit
 	allowed map[string]map[string]bool // by regime, the ids of runners and stores let in
 	tokens  int                        // memory of a runner, in tokens
 	moveUs  float64                    // to move the memory of one token between runners; 0: not moved
@@ -190,6 +191,22 @@
 	}
 }
 
+// linkPart is the part of a runner's connections that requests may take; the
+// rest is for reports, events and orders.
+const linkPart = 0.9
+
+// SetLinks tells how many connections a runner of a service takes in all.
+func (d *Doorman) SetLinks(service string, limit int) { d.pool(service).links = limit }
+
+// linkShare is how many requests this node may have at one runner at a time,
+// each on a connection of its own; 0 means any number.
+func (d *Doorman) linkShare(p *pool) int {
+	if p.links <= 0 {
+		return 0
+	}
+	return max(int(linkPart*float64(p.links))/d.nodes, 1)
+}
+
 // SetCertified tells which runners and stores of a service each regime lets in.
 func (d *Doorman) SetCertified(service string, allowed map[string]map[string]bool) {
 	d.pool(service).allowed = allowed
@@ -330,6 +347,7 @@
 func (d *Doorman) candidates(a Ask, p *pool, nowUs int64) ([]hail.Candidate, []*runner) {
 	var out []hail.Candidate
 	var who []*runner
+	share := d.linkShare(p)
 	need := (a.TokensIn + a.TokensOut + d.T.BlockTokens - 1) / d.T.BlockTokens
 	for pass := range 3 {
 		for _, id := range p.order {
@@ -342,7 +360,7 @@
 			}
 			use := r.settle(&d.T, nowUs, d.nodes)
 			active := r.active(&d.T, nowUs)
-			if r.busyKV || r.busyRead || r.capacity > 0 && active >= r.capacity {
+			if r.busyKV || r.busyRead || r.capacity > 0 && active >= r.capacity || share > 0 && r.own.count >= share {
 				continue
 			}
 			mark := markOf(r.note, a.Model)
--- a/internal/doorman/doorman_test.go
+++ b/internal/doorman/doorman_test.go
@@ -263,6 +263,17 @@
 	must.Len(t, 1, d.Candidates(ask(16, 1), 1+barredMaxUs))
 }
 
+func TestNodesKeepToTheirShareOfARunnersConnections(t *testing.T) {
+	d := door("x")
+	d.SetLinks("s", 10)
+	d.SetNodes(4)
+	must.NotNil(t, d.Arrive(ask(16, 1), 1).Admit)
+	must.NotNil(t, d.Arrive(ask(16, 1), 2).Admit)
+	must.True(t, d.Arrive(ask(16, 1), 3).Hold, must.Sprint("nine of ten over four nodes are two"))
+	d.SetNodes(1)
+	must.Len(t, 1, d.Tick(4))
+}
+
 func TestEasedRunnersGetNoLongRequestsUnlessNoneIsLeft(t *testing.T) {
 	d := door("x", "y")
 	e := note("x")
--- /dev/null
+++ b/internal/loop/loop.go
@@ -0,0 +1,32 @@
+// Package loop holds the select loops that the roles share: something done
+// again and again, and a pause that ends with its context.
+package loop
+
+import (
+	"context"
+	"time"
+)
+
+// Every calls f at once and then every period, until ctx ends.
+func Every(ctx context.Context, period time.Duration, f func()) {
+	t := time.NewTicker(period)
+	defer t.Stop()
+	for {
+		f()
+		select {
+		case <-t.C:
+		case <-ctx.Done():
+			return
+		}
+	}
+}
+
+// Pause waits for d, or until ctx ends.
+func Pause(ctx context.Context, d time.Duration) {
+	t := time.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-t.C:
+	case <-ctx.Done():
+	}
+}
--- a/internal/radio/listen.go
+++ b/internal/radio/listen.go
@@ -7,6 +7,7 @@
 	"context"
 	"time"
 
+	"beechtide.org/beechtide/internal/loop"
 	"beechtide.org/beechtide/internal/wire"
 )
 
@@ -19,7 +20,7 @@
 				break
 			}
 		}
-		pause(ctx, 50*time.Millisecond)
+		loop.Pause(ctx, 50*time.Millisecond)
 	}
 }
 
@@ -63,13 +64,6 @@
 	}
 }
 
-func pause(ctx context.Context, d time.Duration) {
-	select {
-	case <-time.After(d):
-	case <-ctx.Done():
-	}
-}
-
 // Parents orders the nodes that a counter may take news from: its place in the
 // tree first. The counters of a site stand in a fixed order; the first few
 // hang on the site's dispatch, the others on counters before them, so that a
