--- a/internal/dispatch/dispatch.go
+++ b/internal/dispatch/dispatch.go
@@ -71,7 +71,7 @@
 	if err != nil {
 		return nil, err
 	}
-	self := wire.Peer{Addr: set.DispatchAddr(), Role: wire.Dispatch, Site: set.Site, LedgerID: d.ledger.ID(), Control: set.Listen.Control, Node: set.Node}
+	self := wire.Peer{Addr: set.DispatchAddr(), Role: wire.Dispatch, Site: set.Site, LedgerID: d.ledger.ID(), Control: set.Listen.Control, Node: set.Node, Counted: set.Counted}
 	d.watch = radio.NewWatch(rad, self, clock, d.knownDispatches)
 	rad.OnCall(radio.KindLedger, func(ctx context.Context, _ *radio.Link, body []byte) ([]byte, error) {
 		return d.ledger.Handle(ctx, body)
@@ -330,10 +330,7 @@
 	if len(alive) == 0 || alive[0].Addr != d.radio.Addr() {
 		return
 	}
-	st := ledger.Standing{GoneFor: d.watch.DeadForUs, GoneUs: 1_000_000}
-	for _, p := range alive {
-		st.Ready = append(st.Ready, wire.Member{ID: p.LedgerID, Addr: p.Addr})
-	}
+	st := ledger.Stand(alive, d.watch.DeadForUs, 1_000_000)
 	for part := range ledger.Parts {
 		v, ok := d.ledger.Committed(part)
 		if !ok {
--- a/internal/ledger/group.go
+++ b/internal/ledger/group.go
@@ -20,6 +20,33 @@
 	GoneUs  int64 // how long a member must be gone to be swapped or dropped
 }
 
+// Stand sorts the live dispatches. Where some of them count among those whose
+// loss is bounded, only they are to be members: any number of the others may go
+// at once, so a member that does not count is as good as gone once another
+// stands ready.
+func Stand(alive []wire.Peer, goneFor func(addr string) int64, goneUs int64) Standing {
+	counted := false
+	for _, p := range alive {
+		counted = counted || p.Counted
+	}
+	s := Standing{GoneUs: goneUs}
+	uncounted := map[string]bool{}
+	for _, p := range alive {
+		if counted && !p.Counted {
+			uncounted[p.Addr] = true
+			continue
+		}
+		s.Ready = append(s.Ready, wire.Member{ID: p.LedgerID, Addr: p.Addr})
+	}
+	s.GoneFor = func(addr string) int64 {
+		if uncounted[addr] {
+			return goneUs
+		}
+		return goneFor(addr)
+	}
+	return s
+}
+
 // Regroup returns the wanted group, and false where it should stay as it is.
 func Regroup(group []wire.Member, s Standing) ([]wire.Member, bool) {
 	var newcomers []wire.Member
--- a/internal/ledger/ledger_test.go
+++ b/internal/ledger/ledger_test.go
@@ -448,6 +448,22 @@
 	must.Len(t, 4, next)
 }
 
+func TestMembersAreThoseThatCount(t *testing.T) {
+	alive := func(addr string) int64 { return 0 }
+	peer := func(addr string, counted bool) wire.Peer {
+		return wire.Peer{Addr: addr, LedgerID: FirstID(addr), Counted: counted}
+	}
+	g := Genesis([]string{"a", "b", "x"}).Group
+	next, want := Regroup(g, Stand([]wire.Peer{peer("a", true), peer("b", true), peer("c", true), peer("x", false)}, alive, 10))
+	must.True(t, want)
+	must.True(t, has(next, FirstID("c")))
+	must.False(t, has(next, FirstID("x")))
+	_, want = Regroup(g, Stand([]wire.Peer{peer("a", true), peer("b", true), peer("x", false)}, alive, 10))
+	must.False(t, want, must.Sprint("nobody to take its place"))
+	_, want = Regroup(g, Stand([]wire.Peer{peer("a", false), peer("b", false), peer("x", false), peer("y", false)}, alive, 10))
+	must.False(t, want, must.Sprint("where none counts, all do"))
+}
+
 func TestDiskStoreFallsBackFromATornFile(t *testing.T) {
 	dir := t.TempDir()
 	d, err := NewDiskStore(dir)
--- a/internal/wire/msgp.gen.go
+++ b/internal/wire/msgp.gen.go
@@ -1787,9 +1787,9 @@
 // MarshalMsg implements msgp.Marshaler
 func (z *Peer) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
-	// map header, size 8
+	// map header, size 9
 	// string "a"
-	o = append(o, 0x88, 0xa1, 0x61)
+	o = append(o, 0x89, 0xa1, 0x61)
 	o = msgp.AppendString(o, z.Addr)
 	// string "c"
 	o = append(o, 0xa1, 0x63)
@@ -1797,6 +1797,9 @@
 	// string "i"
 	o = append(o, 0xa1, 0x69)
 	o = msgp.AppendInt64(o, z.Life)
+	// string "k"
+	o = append(o, 0xa1, 0x6b)
+	o = msgp.AppendBool(o, z.Counted)
 	// string "l"
 	o = append(o, 0xa1, 0x6c)
 	o = msgp.AppendString(o, z.LedgerID)
@@ -1851,6 +1854,12 @@
 				err = msgp.WrapError(err, "Life")
 				return
 			}
+		case "k":
+			z.Counted, bts, err = msgp.ReadBoolBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Counted")
+				return
+			}
 		case "l":
 			z.LedgerID, bts, err = msgp.ReadStringBytes(bts)
 			if err != nil {
@@ -1903,7 +1912,7 @@
 
 // Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
 func (z *Peer) Msgsize() (s int) {
-	s = 1 + 2 + msgp.StringPrefixSize + len(z.Addr) + 2 + msgp.StringPrefixSize + len(z.Control) + 2 + msgp.Int64Size + 2 + msgp.StringPrefixSize + len(z.LedgerID) + 2 + msgp.StringPrefixSize + len(z.Node) + 2 + msgp.StringPrefixSize + len(string(z.Role)) + 2 + msgp.StringPrefixSize + len(string(z.Standing)) + 2 + msgp.StringPrefixSize + len(z.Site)
+	s = 1 + 2 + msgp.StringPrefixSize + len(z.Addr) + 2 + msgp.StringPrefixSize + len(z.Control) + 2 + msgp.Int64Size + 2 + msgp.BoolSize + 2 + msgp.StringPrefixSize + len(z.LedgerID) + 2 + msgp.StringPrefixSize + len(z.Node) + 2 + msgp.StringPrefixSize + len(string(z.Role)) + 2 + msgp.StringPrefixSize + len(string(z.Standing)) + 2 + msgp.StringPrefixSize + len(z.Site)
 	return
 }
 
--- a/internal/wire/types.gen.go
+++ b/internal/wire/types.gen.go
@@ -213,6 +213,7 @@
 	Addr     string   `msg:"a"`
 	Control  string   `msg:"c"`
 	Life     int64    `msg:"i"`
+	Counted  bool     `msg:"k"`
 	LedgerID string   `msg:"l"`
 	Node     string   `msg:"n"`
 	Role     Role     `msg:"r"`
