--- a/cmd/beechtide/audit.go
+++ b/cmd/beechtide/audit.go
@@ -31,11 +31,8 @@
 		fmt.Fprintln(fs.Output(), "usage: beechtide audit -c CONFIGURATION... TRAIL...\n\nTrails are JSON lines as GET /api/audit on a counter's ready address gives them.")
 		fs.PrintDefaults()
 	}
-	if err := fs.Parse(args); err != nil {
-		if err == flag.ErrHelp {
-			return 0
-		}
-		return 2
+	if status := parse(fs, args); status >= 0 {
+		return status
 	}
 	if len(configs) == 0 || fs.NArg() == 0 {
 		fmt.Fprintln(os.Stderr, "beechtide audit: name at least one configuration (-c) and one trail")
--- a/cmd/beechtide/doctor.go
+++ b/cmd/beechtide/doctor.go
@@ -30,11 +30,8 @@
 		fmt.Fprintln(fs.Output(), "usage: beechtide doctor [flags]\n\nEnds with 0 where all is well, 1 on warnings, 3 on faults.")
 		fs.PrintDefaults()
 	}
-	if err := fs.Parse(args); err != nil {
-		if err == flag.ErrHelp {
-			return 0
-		}
-		return 2
+	if status := parse(fs, args); status >= 0 {
+		return status
 	}
 	if fs.NArg() > 0 {
 		fmt.Fprintln(os.Stderr, "beechtide doctor: takes no arguments; see -h")
--- a/cmd/beechtide/main.go
+++ b/cmd/beechtide/main.go
@@ -7,6 +7,7 @@
 	"context"
 	"flag"
 	"fmt"
+	"io"
 	"os"
 	"os/signal"
 	"runtime/debug"
@@ -62,6 +63,23 @@
 	return 2
 }
 
+// parse reads flags. It tells the status to end with, or -1 to go on: 0 after
+// -h, 2 with one line after wrong use.
+func parse(fs *flag.FlagSet, args []string) int {
+	fs.SetOutput(io.Discard)
+	switch err := fs.Parse(args); err {
+	case nil:
+		return -1
+	case flag.ErrHelp:
+		fs.SetOutput(os.Stdout)
+		fs.Usage()
+		return 0
+	default:
+		fmt.Fprintf(os.Stderr, "%s: %v; see -h\n", fs.Name(), err)
+		return 2
+	}
+}
+
 type role interface {
 	Run(ctx context.Context) error
 	Reload(set config.Settings)
@@ -71,12 +89,13 @@
 func serve(name string, args []string) int {
 	fs := flag.NewFlagSet("beechtide "+name, flag.ContinueOnError)
 	path := fs.String("config", config.Path(), "path of the settings file")
+	fs.Usage = func() {
+		fmt.Fprintf(fs.Output(), "usage: beechtide %s [flags]\n\nRuns the role until SIGTERM. SIGHUP reads the settings again, SIGQUIT writes the log out.\n", name)
+		fs.PrintDefaults()
+	}
 	logAll := fs.Bool("log-all", false, "write every line of the log at once, not only when something goes wrong")
-	if err := fs.Parse(args); err != nil {
-		if err == flag.ErrHelp {
-			return 0
-		}
-		return 2
+	if status := parse(fs, args); status >= 0 {
+		return status
 	}
 	set, err := config.Load(*path)
 	if err != nil {
@@ -144,11 +163,8 @@
 func check(args []string) int {
 	fs := flag.NewFlagSet("beechtide check", flag.ContinueOnError)
 	fs.Usage = func() { fmt.Fprintln(fs.Output(), "usage: beechtide check FILE") }
-	if err := fs.Parse(args); err != nil {
-		if err == flag.ErrHelp {
-			return 0
-		}
-		return 2
+	if status := parse(fs, args); status >= 0 {
+		return status
 	}
 	if fs.NArg() != 1 {
 		fmt.Fprintln(os.Stderr, "beechtide check: name one configuration file")
--- a/internal/regime/policy_test.go
+++ b/internal/regime/policy_test.go
@@ -131,3 +131,11 @@
 	must.Eq(t, int64(11), list[0].Seq)
 	must.Eq(t, int64(trailSize+10), list[trailSize-1].Seq)
 }
+
+func BenchmarkAllows(b *testing.B) {
+	p, err := Compile(menuOf(1))
+	must.NoError(b, err)
+	for b.Loop() {
+		p.Allows("strict", Runner{"r1", "s", "a"})
+	}
+}
