--- a/internal/counter/counter_test.go
+++ b/internal/counter/counter_test.go
@@ -5,6 +5,7 @@
 	"context"
 	"fmt"
 	"io"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"os"
@@ -107,14 +108,18 @@
  "limits":{"headerBytes":4096,"bodyBytes":65536,"headerMs":200,"idleMs":5000},
  "tenants":[{"name":"t1","apiKeys":["k1"],"isolated":true}]}`
 
+// ports finds free ports, below those that connections take for themselves.
 func ports(t *testing.T, n int) []int {
 	t.Helper()
 	var out []int
-	for range n {
-		ln, err := net.Listen("tcp4", "127.0.0.1:0")
-		must.NoError(t, err)
+	for len(out) < n {
+		p := 21000 + rand.IntN(9000)
+		ln, err := net.Listen("tcp4", fmt.Sprintf("127.0.0.1:%d", p))
+		if err != nil {
+			continue
+		}
 		defer ln.Close()
-		out = append(out, ln.Addr().(*net.TCPAddr).Port)
+		out = append(out, p)
 	}
 	return out
 }
--- a/internal/dispatch/control.go
+++ b/internal/dispatch/control.go
@@ -140,7 +140,7 @@
 	case errors.As(err, &bad):
 		invalid(c, err)
 	default:
-		d.log.Info("change unsure", "err", err)
+		d.log.Error(err, "a change of the configuration is unsure", "version", m.Mark)
 		deny(c, 503, "", err.Error())
 	}
 }
--- a/internal/dispatch/dispatch.go
+++ b/internal/dispatch/dispatch.go
@@ -127,7 +127,27 @@
 	if d.disk != nil {
 		go d.keepRunners(ctx)
 	}
-	return d.serveControl(ctx)
+	err := d.serveControl(ctx)
+	d.closeDisk()
+	return err
+}
+
+// closeWait is how long an ending process waits for writes under way.
+const closeWait = 500 * time.Millisecond
+
+func (d *Dispatch) closeDisk() {
+	if d.disk == nil {
+		return
+	}
+	done := make(chan struct{})
+	go func() {
+		d.disk.Close()
+		close(done)
+	}()
+	select {
+	case <-done:
+	case <-time.After(closeWait):
+	}
 }
 
 // settleParts reads every part once after the start, so that what was agreed
--- a/internal/dispatch/dispatch_test.go
+++ b/internal/dispatch/dispatch_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"io"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"os"
@@ -54,12 +55,25 @@
 	}
 }
 
+// freePort finds three free ports in a row, below those that connections take
+// for themselves.
 func freePort(t *testing.T) int {
 	t.Helper()
-	ln, err := net.Listen("tcp4", "127.0.0.1:0")
-	must.NoError(t, err)
-	defer ln.Close()
-	return ln.Addr().(*net.TCPAddr).Port
+	for {
+		base := 12000 + rand.IntN(8000)
+		free := true
+		for i := range 3 {
+			ln, err := net.Listen("tcp4", fmt.Sprintf("127.0.0.1:%d", base+i))
+			if err != nil {
+				free = false
+				break
+			}
+			ln.Close()
+		}
+		if free {
+			return base
+		}
+	}
 }
 
 func call(t *testing.T, method, url, body string, base int) (int, string) {
--- a/internal/ledger/ledger.go
+++ b/internal/ledger/ledger.go
@@ -239,7 +239,9 @@
 	if err != nil {
 		fault = err.Error()
 	}
-	l.saveErr.Store(&fault)
+	if old := l.saveErr.Swap(&fault); err != nil && (old == nil || *old == "") {
+		l.log.Error(err, "the store refuses writes; this member gives no votes meanwhile")
+	}
 }
 
 // LastSave tells how long the last write to the store took, and how it failed.
--- a/internal/ledger/ledger_test.go
+++ b/internal/ledger/ledger_test.go
@@ -1,12 +1,14 @@
 package ledger
 
 import (
+	"bytes"
 	"context"
 	"fmt"
 	"math/rand/v2"
 	"os"
 	"path/filepath"
 	"runtime"
+	"strings"
 	"sync"
 	"testing"
 
@@ -15,6 +17,7 @@
 	"github.com/shoenig/test/must"
 	"github.com/tinylib/msgp/msgp"
 
+	"beechtide.org/beechtide/internal/logbook"
 	"beechtide.org/beechtide/internal/wire"
 )
 
@@ -375,6 +378,43 @@
 	must.NoError(t, err)
 }
 
+type refusing struct{ MemoryStore }
+
+func (*refusing) Save(int, wire.Record) error { return errors.Wrap(ErrStore, "full") }
+
+// A member whose disk refuses writes gives no vote, says so once, and does not
+// keep the others from agreeing.
+func TestRefusingStoreGivesNoVoteAndSaysSoOnce(t *testing.T) {
+	var out bytes.Buffer
+	nodes := map[string]*Ledger{}
+	net := carrier(func(ctx context.Context, addr string, body []byte) ([]byte, error) {
+		return nodes[addr].Handle(ctx, body)
+	})
+	seeds := []string{"a", "b", "c"}
+	log := logr.New(logbook.New(16, &out))
+	for _, s := range seeds {
+		var store Store = &MemoryStore{}
+		if s == "a" {
+			store = &refusing{}
+		}
+		l, err := Open(s, 1, true, seeds, net, store, log, nil)
+		must.NoError(t, err)
+		nodes[s] = l
+	}
+	for i := range 3 {
+		_, err := nodes["a"].Change(context.Background(), 0, body(fmt.Sprint(i)))
+		must.NoError(t, err)
+	}
+	ask := wire.LedgerAsk{To: nodes["a"].ID(), Step: wire.Prepare, Slot: 4, Ballot: wire.Ballot{N: 9, Who: "x"}}
+	b, err := ask.MarshalMsg(nil)
+	must.NoError(t, err)
+	_, err = nodes["a"].Handle(context.Background(), b)
+	must.ErrorIs(t, err, ErrStore)
+	_, fault := nodes["a"].LastSave()
+	must.StrContains(t, fault, "full")
+	must.Eq(t, 1, strings.Count(out.String(), "refuses writes"))
+}
+
 type carrier func(ctx context.Context, addr string, body []byte) ([]byte, error)
 
 func (c carrier) Call(ctx context.Context, addr string, _ int, m msgp.Marshaler) ([]byte, error) {
--- a/internal/ledger/store.go
+++ b/internal/ledger/store.go
@@ -35,6 +35,16 @@
 	dir string
 	mu  sync.Mutex
 	seq map[int]int64
+
+	writing sync.RWMutex
+	closed  bool
+}
+
+// Close waits for the writes under way; later ones are refused.
+func (d *DiskStore) Close() {
+	d.writing.Lock()
+	d.closed = true
+	d.writing.Unlock()
 }
 
 // NewDiskStore uses dir, which is made if it is missing.
@@ -75,6 +85,11 @@
 }
 
 func (d *DiskStore) write(name string, body []byte) (err error) {
+	d.writing.RLock()
+	defer d.writing.RUnlock()
+	if d.closed {
+		return errors.Wrap(ErrStore, "closed")
+	}
 	aside := filepath.Join(d.dir, name+".new")
 	f, err := os.OpenFile(aside, os.O_CREATE|os.O_TRUNC|os.O_WRONLY, 0o644)
 	if err != nil {
