--- a/internal/cab/garage.go
+++ b/internal/cab/garage.go
@@ -18,15 +18,73 @@
 	mu    sync.Mutex
 	idle  map[string][]*Link
 	clock func() int64
+	safe  map[string]float64 // by service, microseconds
+}
+
+// A runner may drop an idle link without a word, and earlier than it says; what
+// is sent over it then is lost. How long a link may have rested is learned by
+// service: shorter when one that rested was dead, longer by little steps.
+const (
+	safeStartUs = 1_500_000
+	safeLeastUs = 50_000
+	safeMostUs  = 30_000_000
+	safeCut     = 0.6
+	safeGrow    = 0.02
+	tryBeyond   = 2 // a request that may be repeated may use a link that has rested longer
+)
+
+func (g *Garage) safeUs(service string) float64 {
+	if us, ok := g.safe[service]; ok {
+		return us
+	}
+	return safeStartUs
+}
+
+// Dead notes that a link was of no use, and Alive that it was.
+func (g *Garage) Dead(l *Link) {
+	if l.RestedUs > 0 {
+		g.mu.Lock()
+		g.safe[l.service] = max(min(g.safeUs(l.service), safeCut*float64(l.RestedUs)), safeLeastUs)
+		g.mu.Unlock()
+	}
+}
+
+// Alive notes that a link that had rested was good.
+func (g *Garage) Alive(l *Link) {
+	g.mu.Lock()
+	if us := g.safeUs(l.service); float64(l.RestedUs) > us {
+		g.safe[l.service] = min(us+safeGrow*(float64(l.RestedUs)-us), safeMostUs)
+	}
+	g.mu.Unlock()
+}
+
+// GetFor gives a link for a request to a runner of a service, which may have
+// rested only as long as is safe for it.
+func (g *Garage) GetFor(ctx context.Context, addr, service string, repeatable bool) (*Link, error) {
+	g.mu.Lock()
+	mostUs := g.safeUs(service)
+	g.mu.Unlock()
+	if repeatable {
+		mostUs *= tryBeyond
+	}
+	l, err := g.get(ctx, addr, int64(mostUs))
+	if l != nil {
+		l.service = service
+	}
+	return l, err
 }
 
 // NewGarage makes one; clock gives steady microseconds.
 func NewGarage(clock func() int64) *Garage {
-	return &Garage{idle: map[string][]*Link{}, clock: clock}
+	return &Garage{idle: map[string][]*Link{}, clock: clock, safe: map[string]float64{}}
 }
 
 // Get gives a link to addr, an idle one where there is a good one.
 func (g *Garage) Get(ctx context.Context, addr string) (*Link, error) {
+	return g.get(ctx, addr, safeMostUs)
+}
+
+func (g *Garage) get(ctx context.Context, addr string, mostUs int64) (*Link, error) {
 	for {
 		g.mu.Lock()
 		list := g.idle[addr]
@@ -40,10 +98,11 @@
 			return Connect(ctx, addr)
 		}
 		age := g.clock() - l.idleUs
-		if (l.keepUs > 0 && age > l.keepUs-idleMarginUs) || !l.clean() {
+		if (l.keepUs > 0 && age > l.keepUs-idleMarginUs) || age > mostUs || !l.clean() {
 			l.Close()
 			continue
 		}
+		l.RestedUs = max(age, 1)
 		return l, nil
 	}
 }
--- a/internal/cab/link.go
+++ b/internal/cab/link.go
@@ -60,7 +60,10 @@
 	idleUs  int64 // since when it is idle
 	keepUs  int64 // for how long the runner keeps it idle; 0: unknown
 	used    bool
-	Answers int
+	service string
+
+	Answers  int
+	RestedUs int64 // how long it had rested when it was taken; 0: it is new
 }
 
 // Connect opens a link.
--- a/internal/counter/condition.go
+++ b/internal/counter/condition.go
@@ -12,16 +12,13 @@
 func (c *Counter) condition() wire.Condition {
 	x := wire.Condition{Node: c.set.Node, Role: wire.Counter, Site: c.set.Site, Addr: c.radio.Addr(), TimeUs: time.Now().UnixMicro()}
 	c.nmu.Lock()
-	for p, n := range c.parts {
-		for len(x.Marks) <= p {
-			x.Marks = append(x.Marks, 0)
-		}
-		x.Marks[p] = n.Mark
-	}
+	x.Marks = c.versions()
 	c.nmu.Unlock()
 	c.dmu.Lock()
 	x.Blind = c.door.Blind(c.clock())
 	c.dmu.Unlock()
+	x.Wholes, x.Changes = c.news.wholes.Load(), c.news.changes.Load()
+	x.Malformed = c.news.malformed.Load() + c.up.Malformed.Load()
 	x.Runners = len(c.roster.Snapshot().ByID)
 	return x
 }
--- a/internal/counter/counter.go
+++ b/internal/counter/counter.go
@@ -5,6 +5,7 @@
 
 import (
 	"context"
+	"math/rand/v2"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -12,6 +13,7 @@
 	"github.com/go-logr/logr"
 	"github.com/panjf2000/ants/v2"
 
+	"beechtide.org/beechtide/internal/bulletin"
 	"beechtide.org/beechtide/internal/cab"
 	"beechtide.org/beechtide/internal/config"
 	"beechtide.org/beechtide/internal/doorman"
@@ -36,8 +38,16 @@
 	garage *cab.Garage
 	table  atomic.Pointer[menu.Table]
 
-	nmu   sync.Mutex
-	parts map[int]wire.PartNote
+	nmu      sync.Mutex
+	parts    map[int]wire.PartNote
+	menu     *bulletin.Entries
+	assembly menu.Assembly
+	runners  *bulletin.Entries // as the parent has them
+	news     stats
+
+	up     radio.Uplink
+	parent atomic.Pointer[string]
+	loads  loads
 
 	dmu     sync.Mutex
 	door    *doorman.Doorman
@@ -64,23 +74,21 @@
 		return nil, err
 	}
 	c := &Counter{set: set, log: log, clock: clock, radio: rad, roster: roster.New(), garage: cab.NewGarage(clock), parts: map[int]wire.PartNote{}, door: doorman.New(doorman.Defaults, set.Site), budgets: map[string]*cab.Budget{}, kick: make(chan struct{}, 1), fresh: make(chan struct{}, 1)}
+	c.menu, c.runners = bulletin.NewEntries(), bulletin.NewEntries()
+	c.loads.init(clock())
+	none := ""
+	c.parent.Store(&none)
 	c.door.MarkUs = int64(set.Bounds.MarkMs)*1000 - 2_300_000
 	c.nodes.Store(1)
-	c.relay = radio.NewRelay(rad, c.snapshot)
+	c.relay = radio.NewRelay(rad, radio.Upward{Since: c.since, Told: c.toldBelow, Gone: c.goneBelow})
+	c.up.Hold, c.up.Parents, c.up.Take = c.hold, c.parents, c.takeFeed
+	c.up.Heard, c.up.TellAgain, c.up.Ended = c.loads.heardUp, c.tellAgain, func(string) {}
 	c.seeds.Store(&set.Seeds)
 	c.watch = radio.NewWatch(rad, wire.Peer{Addr: set.CounterAddr(), Role: wire.Counter, Site: set.Site, Node: set.Node}, clock, c.seedAddrs)
 	rad.OnCall(radio.KindCondition, func(context.Context, *radio.Link, []byte) ([]byte, error) {
 		x := c.condition()
 		return x.MarshalMsg(nil)
 	})
-	rad.OnCast(radio.KindTally, func(_ string, body []byte) {
-		var t wire.Tally
-		if _, err := t.UnmarshalMsg(body); err == nil {
-			c.dmu.Lock()
-			c.door.Tally(t, c.clock())
-			c.dmu.Unlock()
-		}
-	})
 	return c, nil
 }
 
@@ -90,9 +98,9 @@
 	defer stop()
 	c.radio.Run(live)
 	go c.watch.Run(live)
-	go radio.Listen(live, c.radio, false, c.parents, c.takeNews)
-	go loop.Every(live, 250*time.Millisecond, c.compareMarks(live))
-	go c.tellTallies(live)
+	go c.up.Listen(live, c.radio)
+	go loop.Every(live, compareEvery, c.compareVersions(live))
+	go c.tellLoads(live)
 	go loop.Every(live, time.Second, func() { c.garage.Sweep(func(string) bool { return true }) })
 	go c.pump(live)
 	failed := make(chan error, 2)
@@ -134,93 +142,6 @@
 	return set.SeedAddrs()
 }
 
-func (c *Counter) snapshot() wire.News {
-	var n wire.News
-	c.nmu.Lock()
-	for _, p := range c.parts {
-		n.Parts = append(n.Parts, p)
-	}
-	c.nmu.Unlock()
-	n.Runners = c.roster.All()
-	byRunner := map[string][]wire.KeptPart{}
-	c.dmu.Lock()
-	c.door.Index.Each(func(r string, k uint64, t int32) { byRunner[r] = append(byRunner[r], wire.KeptPart{Key: k, Tokens: t}) })
-	c.dmu.Unlock()
-	for r, parts := range byRunner {
-		n.Kept = append(n.Kept, wire.KeptNote{ID: r, Reset: true, Parts: parts})
-	}
-	return n
-}
-
-// takeNews applies what a relay or a pull brought: versions in rising order
-// only, never back.
-func (c *Counter) takeNews(n wire.News) {
-	now := c.clock()
-	c.relay.Publish(n)
-	changed := false
-	for _, p := range n.Parts {
-		changed = c.takePart(p, now) || changed
-	}
-	for _, r := range n.Runners {
-		changed = c.roster.Merge(r, now) || changed
-	}
-	if len(n.Runners) > 0 && !c.informed.Swap(true) {
-		c.log.Info("runners known", "count", len(n.Runners))
-	}
-	if changed {
-		c.syncDoor()
-	}
-	if len(n.Kept)+len(n.Reports) > 0 {
-		c.dmu.Lock()
-		for _, k := range n.Kept {
-			if k.Reset {
-				c.door.Index.Reset(k.ID)
-			}
-			for _, p := range k.Parts {
-				c.door.Index.Put(k.ID, p.Key, p.Tokens)
-			}
-		}
-		for _, r := range n.Reports {
-			c.door.Report(r, now)
-		}
-		c.dmu.Unlock()
-	}
-	c.wake()
-}
-
-func (c *Counter) takePart(p wire.PartNote, nowUs int64) bool {
-	c.nmu.Lock()
-	defer c.nmu.Unlock()
-	if old, ok := c.parts[p.Part]; ok && old.Mark >= p.Mark {
-		return false
-	}
-	if p.Part == 0 {
-		var body wire.MenuBody
-		if _, err := body.UnmarshalMsg(p.Body); err != nil {
-			return false
-		}
-		m, err := menu.Parse(body.Raw)
-		if err != nil {
-			c.log.Error(err, "a committed configuration does not check")
-			return false
-		}
-		c.table.Store(menu.Compile(m))
-		c.log.Info("configuration in place", "mark", m.Mark)
-	} else {
-		var body wire.DutyBody
-		if _, err := body.UnmarshalMsg(p.Body); err != nil {
-			return false
-		}
-		c.dmu.Lock()
-		for _, t := range body.Targets {
-			c.door.SetNewest(t.Model, t.Mark, nowUs)
-		}
-		c.dmu.Unlock()
-	}
-	c.parts[p.Part] = p
-	return true
-}
-
 // syncDoor brings the doorman to the runners and services that are known.
 func (c *Counter) syncDoor() {
 	t := c.table.Load()
@@ -294,12 +215,23 @@
 	return out
 }
 
-// compareMarks asks the dispatches in turn what they hold, and pulls where
-// something newer is there: a gap in the news is noticed this way.
-func (c *Counter) compareMarks(ctx context.Context) func() {
-	turn, differs := 0, 0
+// compareEvery is how often a counter asks a dispatch that is not its parent
+// for its versions. What it lacks reaches it through its parent; this covers a
+// parent that is on the wrong side of a cut and does not know it.
+const compareEvery = 500 * time.Millisecond
+
+// compareVersions asks the dispatches in turn what they hold, and takes what is
+// newer.
+func (c *Counter) compareVersions(ctx context.Context) func() {
+	turn, differs := rand.IntN(64), 0
 	return func() {
 		list := c.aliveDispatches()
+		for i, addr := range list {
+			if len(list) > 1 && addr == *c.parent.Load() {
+				list = append(list[:i:i], list[i+1:]...)
+				break
+			}
+		}
 		if len(list) == 0 {
 			return
 		}
@@ -318,7 +250,7 @@
 
 func (c *Counter) aliveDispatches() []string {
 	var list []string
-	for _, p := range c.watch.Alive(wire.Dispatch) {
+	for _, p := range radio.Core(c.watch.Alive(wire.Dispatch)) {
 		if p.Standing == wire.Alive {
 			list = append(list, p.Addr)
 		}
@@ -326,8 +258,8 @@
 	return list
 }
 
-// compareWith asks one dispatch for its marks and pulls all from it where it
-// has something newer, or anyway.
+// compareWith asks one dispatch for its versions and takes the changes since
+// this node's from it where it has something newer; all runners with anyway.
 func (c *Counter) compareWith(ctx context.Context, addr string, anyway bool) (m wire.Marks, ok bool) {
 	ctx, cancel := context.WithTimeout(ctx, 400*time.Millisecond)
 	defer cancel()
@@ -338,25 +270,21 @@
 	if _, err := m.UnmarshalMsg(b); err != nil {
 		return m, false
 	}
-	c.dmu.Lock()
-	c.door.Calm(c.clock() - m.CalmUs + contactPartUs(c.set.Bounds.ContactMs))
-	c.dmu.Unlock()
-	behind := false
-	c.nmu.Lock()
-	for part, mark := range m.Parts {
-		behind = behind || mark > 0 && c.parts[part].Mark < mark
-	}
-	c.nmu.Unlock()
-	if !behind && !anyway {
+	c.calm(m.CalmUs)
+	if !c.behind(m.Parts) && !anyway {
 		return m, true
 	}
-	if b, err = c.radio.Call(ctx, addr, radio.KindSnapshot, &wire.Marks{Parts: []int64{}}); err != nil {
+	h := c.hold()
+	h.MenuOnly, h.Kept = true, nil
+	if !anyway {
+		h.Roster.Epoch = -1
+	}
+	if b, err = c.radio.Call(ctx, addr, radio.KindSince, &h); err != nil {
 		return m, false
 	}
-	var n wire.News
-	if _, err := n.UnmarshalMsg(b); err == nil {
-		n.Kept = nil
-		c.takeNews(n)
+	var f wire.Feed
+	if _, err := f.UnmarshalMsg(b); err == nil {
+		c.take("", f)
 	}
 	return m, true
 }
@@ -388,40 +316,6 @@
 	return c.table.Load() != before
 }
 
-// tellTallies tells them four times a second, and sooner when a runner has been
-// sent shared parts to read.
-func (c *Counter) tellTallies(ctx context.Context) {
-	t := time.NewTicker(250 * time.Millisecond)
-	defer t.Stop()
-	for {
-		c.tellTally()
-		select {
-		case <-t.C:
-		case <-c.fresh:
-		case <-ctx.Done():
-			return
-		}
-	}
-}
-
-// tellTally tells the other counters what this one has where.
-func (c *Counter) tellTally() {
-	peers := c.watch.Alive(wire.Counter)
-	c.nodes.Store(int64(max(len(peers), 1)))
-	c.dmu.Lock()
-	c.door.SetNodes(len(peers))
-	t := c.door.Own(c.radio.Addr(), c.clock())
-	c.dmu.Unlock()
-	if len(t.Weights)+len(t.Coming) == 0 {
-		return
-	}
-	for _, p := range peers {
-		if p.Addr != c.radio.Addr() {
-			c.radio.Cast(p.Addr, radio.KindTally, &t)
-		}
-	}
-}
-
 func (c *Counter) wake() { poke(c.kick) }
 
 func poke(ch chan struct{}) {
--- a/internal/counter/counter_test.go
+++ b/internal/counter/counter_test.go
@@ -20,6 +20,7 @@
 	"github.com/panjf2000/ants/v2"
 	"github.com/shoenig/test/must"
 
+	"beechtide.org/beechtide/internal/bulletin"
 	"beechtide.org/beechtide/internal/calls"
 	"beechtide.org/beechtide/internal/config"
 	"beechtide.org/beechtide/internal/doorman"
@@ -136,14 +137,13 @@
 	began := time.Now()
 	c, err := New(set, pool, func() int64 { return time.Since(began).Microseconds() + 1 }, logr.Discard())
 	must.NoError(t, err)
-	body := wire.MenuBody{Mark: 3, Raw: []byte(menuText), Taken: []wire.Taken{}}
-	raw, err := body.MarshalMsg(nil)
-	must.NoError(t, err)
-	news := wire.News{Parts: []wire.PartNote{{Part: 0, Mark: 1, Body: raw}}}
+	feed := wire.Feed{Menu: []wire.EntryChange{wholeMenu(t, menuText, 1)}}
+	var notes []wire.RunnerNote
 	for i, r := range runners {
-		news.Runners = append(news.Runners, wire.RunnerNote{ID: fmt.Sprintf("r%d", i), Service: "s", Addr: r.addr, Site: "a", Capacity: 8, Seq: 1, Models: []wire.Target{{Model: "m", Mark: 4}}})
+		notes = append(notes, wire.RunnerNote{ID: fmt.Sprintf("r%d", i), Service: "s", Addr: r.addr, Site: "a", Capacity: 8, Seq: 1, Models: []wire.Target{{Model: "m", Mark: 4}}})
 	}
-	c.takeNews(news)
+	feed.Roster = []wire.EntryChange{runnerEntries(t, notes...)}
+	must.True(t, c.take("", feed))
 	ctx, cancel := context.WithCancel(context.Background())
 	ended := make(chan error, 1)
 	go func() { ended <- c.Run(ctx) }()
@@ -158,6 +158,31 @@
 	return c, set.Listen.Front, cancel
 }
 
+func wholeMenu(t *testing.T, text string, version int64) wire.EntryChange {
+	t.Helper()
+	m, err := menu.Parse([]byte(text))
+	must.NoError(t, err)
+	entries, err := menu.Entries(m)
+	must.NoError(t, err)
+	s := bulletin.NewEntries()
+	s.Begin(1, 0)
+	s.Replace(entries)
+	s.Commit(version)
+	ch, _ := s.Since(0, 0)
+	return bulletin.SendEntries(ch)
+}
+
+func runnerEntries(t *testing.T, notes ...wire.RunnerNote) wire.EntryChange {
+	t.Helper()
+	out := wire.EntryChange{Epoch: 9, Whole: true}
+	for _, n := range notes {
+		b, err := n.MarshalMsg(nil)
+		must.NoError(t, err)
+		out.Entries = append(out.Entries, wire.Entry{Key: n.ID, Body: b})
+	}
+	return out
+}
+
 func request(path, body string, extra ...string) string {
 	return "POST " + path + " HTTP/1.1\r\nHost: h.example\r\nBeechtide-Attempt-Id: id1\r\nBeechtide-Time-Left: 2500\r\nBeechtide-Model: m\r\n" +
 		"Beechtide-Token-Count: 20,5\r\nBeechtide-Prompt-Prefix: ab:15,cd:5\r\nAuthorization: Token k1\r\n" +
@@ -337,7 +362,7 @@
 	c, front, _ := start(t, a, b)
 	n := c.roster.Snapshot().ByID["r0"]
 	n.Seq, n.Draining = 2, true
-	c.takeNews(wire.News{Runners: []wire.RunnerNote{n}})
+	must.True(t, c.take("", wire.Feed{Roster: []wire.EntryChange{runnerEntries(t, n)}}))
 	for range 6 {
 		ans, _, err := say(t, front, request("/pay/", "x"))
 		must.NoError(t, err)
@@ -404,10 +429,7 @@
 
 func (c *Counter) adopt(t *testing.T, mark int64, version int64, text string) {
 	t.Helper()
-	body := wire.MenuBody{Mark: version, Raw: []byte(text), Taken: []wire.Taken{}}
-	raw, err := body.MarshalMsg(nil)
-	must.NoError(t, err)
-	c.takeNews(wire.News{Parts: []wire.PartNote{{Part: 0, Mark: mark, Body: raw}}})
+	must.True(t, c.take("", wire.Feed{Menu: []wire.EntryChange{wholeMenu(t, text, mark)}}))
 	must.Eq(t, version, c.table.Load().Mark)
 }
 
@@ -480,9 +502,46 @@
 
 func TestOlderNewsNeverComesBack(t *testing.T) {
 	c, _, _ := start(t, newRunner(t))
-	older := wire.MenuBody{Mark: 2, Raw: []byte(strings.Replace(menuText, `"version":3`, `"version":2`, 1)), Taken: []wire.Taken{}}
-	raw, err := older.MarshalMsg(nil)
-	must.NoError(t, err)
-	c.takeNews(wire.News{Parts: []wire.PartNote{{Part: 0, Mark: 0, Body: raw}}})
+	older := strings.Replace(menuText, `"version":3`, `"version":2`, 1)
+	must.True(t, c.take("", wire.Feed{Menu: []wire.EntryChange{wholeMenu(t, older, 0)}}))
 	must.Eq(t, int64(3), c.table.Load().Mark)
 }
+
+// A change that is damaged, builds on what is not held, or cannot be read ends
+// nothing and changes nothing; the whole repairs it.
+func TestBadChangesOfTheConfigurationAreRepairedByAWhole(t *testing.T) {
+	c, _, _ := start(t, newRunner(t))
+	s := bulletin.NewEntries()
+	m, err := menu.Parse([]byte(menuText))
+	must.NoError(t, err)
+	entries, err := menu.Entries(m)
+	must.NoError(t, err)
+	s.Begin(1, 0)
+	s.Replace(entries)
+	s.Commit(1)
+	m.Mark, m.Tenants[0].Keys = 4, []string{"k9"}
+	entries, err = menu.Entries(m)
+	must.NoError(t, err)
+	s.Replace(entries)
+	good := bulletin.SendEntries(s.Commit(2))
+	must.Len(t, 2, good.Entries, must.Sprint("the tenant and the version"))
+	for name, spoil := range map[string]func(x *wire.EntryChange){
+		"digest":        func(x *wire.EntryChange) { x.Digest++ },
+		"missing base":  func(x *wire.EntryChange) { x.From = 7; x.To = 9 },
+		"another epoch": func(x *wire.EntryChange) { x.Epoch = 8 },
+		"not readable":  func(x *wire.EntryChange) { x.Entries[0].Body = []byte("{") },
+		"strange kind":  func(x *wire.EntryChange) { x.Entries[0].Key = "meal/000/x" },
+	} {
+		bad := good
+		bad.Entries = append([]wire.Entry{}, good.Entries...)
+		spoil(&bad)
+		must.False(t, c.take("p", wire.Feed{Menu: []wire.EntryChange{bad}}), must.Sprint(name))
+		must.Eq(t, int64(3), c.table.Load().Mark, must.Sprint(name))
+	}
+	must.False(t, c.take("p", wire.Feed{Roster: []wire.EntryChange{{Epoch: 1, Whole: true, Digest: 1, Entries: []wire.Entry{{Key: "x", Body: []byte("junk")}}}}}))
+	must.True(t, c.take("p", wire.Feed{Menu: []wire.EntryChange{good}}))
+	must.Eq(t, int64(4), c.table.Load().Mark)
+	must.Eq(t, "t1", c.table.Load().Tenant("k9").Name)
+	must.Nil(t, c.table.Load().Tenant("k1"))
+	must.True(t, c.take("p", wire.Feed{Menu: []wire.EntryChange{good}}), must.Sprint("twice does nothing"))
+}
--- /dev/null
+++ b/internal/counter/feed.go
@@ -0,0 +1,245 @@
+// The feed: what reaches a counter down the tree, taken in as changes. Whatever
+// does not fit what is held is asked for again, by naming what is held; nothing
+// is ever guessed, and no version goes back.
+package counter
+
+import (
+	"sync/atomic"
+
+	"beechtide.org/beechtide/internal/bulletin"
+	"beechtide.org/beechtide/internal/menu"
+	"beechtide.org/beechtide/internal/radio"
+	"beechtide.org/beechtide/internal/wire"
+)
+
+// stats are for the doctor: how many changes were taken, how many wholes of a
+// stream that was held already, and how many could not be read.
+type stats struct {
+	changes, wholes, malformed atomic.Int64
+}
+
+func (s *stats) count(r bulletin.Result, again bool) {
+	switch {
+	case r == bulletin.Applied && again:
+		s.wholes.Add(1)
+	case r == bulletin.Applied:
+		s.changes.Add(1)
+	}
+}
+
+// hold names what this node holds of every stream.
+func (c *Counter) hold() wire.Hold {
+	var h wire.Hold
+	c.nmu.Lock()
+	for p, n := range c.parts {
+		for len(h.Parts) <= p {
+			h.Parts = append(h.Parts, 0)
+		}
+		h.Parts[p] = n.Mark
+	}
+	h.Menu = wire.StreamHold{Epoch: c.menu.Epoch, Version: c.menu.Version}
+	h.Roster = wire.StreamHold{Epoch: c.runners.Epoch, Version: c.runners.Version}
+	c.nmu.Unlock()
+	h.Loads = c.loads.hold()
+	c.dmu.Lock()
+	h.Kept = c.door.Index.Holds()
+	c.dmu.Unlock()
+	return h
+}
+
+// since gives what a node below lacks.
+func (c *Counter) since(h wire.Hold) wire.Feed {
+	var f wire.Feed
+	c.nmu.Lock()
+	f.Versions = c.versions()
+	for p, n := range c.parts {
+		if p > 0 && (p >= len(h.Parts) || h.Parts[p] < n.Mark) {
+			f.Parts = append(f.Parts, n)
+		}
+	}
+	if ch, lacks := c.menu.Since(h.Menu.Epoch, h.Menu.Version); lacks && c.menu.Version > h.Menu.Version {
+		f.Menu = append(f.Menu, bulletin.SendEntries(ch))
+	}
+	if ch, lacks := c.runners.Since(h.Roster.Epoch, h.Roster.Version); lacks {
+		f.Roster = append(f.Roster, bulletin.SendEntries(ch))
+	}
+	c.nmu.Unlock()
+	if h.MenuOnly {
+		return f
+	}
+	if ch, lacks := c.loads.since(h.Loads); lacks {
+		f.Loads = append(f.Loads, ch)
+	}
+	c.dmu.Lock()
+	f.Kept = c.door.Index.Since(h.Kept, func(string) bool { return true })
+	c.dmu.Unlock()
+	return f
+}
+
+// versions are those of the parts that are held.
+func (c *Counter) versions() []int64 {
+	out := []int64{c.menu.Version}
+	for p, n := range c.parts {
+		for len(out) <= p {
+			out = append(out, 0)
+		}
+		out[p] = n.Mark
+	}
+	return out
+}
+
+// behind tells whether a node with these versions has something newer.
+func (c *Counter) behind(versions []int64) bool {
+	c.nmu.Lock()
+	defer c.nmu.Unlock()
+	mine := c.versions()
+	for p, v := range versions {
+		if v > 0 && (p >= len(mine) || mine[p] < v) {
+			return true
+		}
+	}
+	return false
+}
+
+// calm takes a dispatch's word on how long the core has been as it is.
+func (c *Counter) calm(forUs int64) {
+	c.dmu.Lock()
+	c.door.Calm(c.clock() - forUs + contactPartUs(c.set.Bounds.ContactMs))
+	c.dmu.Unlock()
+}
+
+// takeFeed takes what the parent sent and passes it on.
+func (c *Counter) takeFeed(parent string, f wire.Feed, raw []byte) *wire.Hold {
+	c.parent.Store(&parent)
+	c.relay.Pass(radio.ToCounters, raw)
+	if !c.take(parent, f) || c.behind(f.Versions) {
+		h := c.hold()
+		return &h
+	}
+	return nil
+}
+
+// take takes a feed in; parent is empty where it came from another node than
+// the parent. It tells whether all of it fitted.
+func (c *Counter) take(parent string, f wire.Feed) (fits bool) {
+	now := c.clock()
+	fits = true
+	note := func(r bulletin.Result, again bool) {
+		c.news.count(r, again)
+		fits = fits && (r == bulletin.Applied || r == bulletin.Known)
+	}
+	if parent != "" {
+		c.calm(f.CalmUs)
+	}
+	changed := false
+	c.nmu.Lock()
+	for _, ch := range f.Menu {
+		again := ch.Whole && c.menu.Epoch == ch.Epoch
+		r, renewed := c.takeMenu(ch)
+		note(r, again)
+		changed = changed || renewed
+	}
+	for _, p := range f.Parts {
+		c.takePart(p, now)
+	}
+	for _, ch := range f.Roster {
+		in := bulletin.HearEntries(ch)
+		if parent != "" {
+			again := ch.Whole && c.runners.Epoch == ch.Epoch
+			r := c.runners.Apply(in)
+			note(r, again)
+			if r == bulletin.Mismatch {
+				continue
+			}
+		}
+		for _, p := range in.Puts {
+			var n wire.RunnerNote
+			if p.Gone {
+				continue
+			}
+			if _, err := n.UnmarshalMsg([]byte(p.Value)); err != nil {
+				c.news.malformed.Add(1)
+				continue
+			}
+			changed = c.roster.Merge(n, now) || changed
+		}
+		if ch.Whole && !c.informed.Swap(true) {
+			c.log.Info("runners known", "count", len(in.Puts))
+		}
+	}
+	c.nmu.Unlock()
+	if changed {
+		c.syncDoor()
+	}
+	for _, ch := range f.Loads {
+		again := ch.Whole && c.loads.hold().Epoch == ch.Epoch
+		note(c.loads.take(ch), again)
+	}
+	c.dmu.Lock()
+	for _, k := range f.Kept {
+		again := k.Whole && c.door.Index.Shelf(k.ID).Epoch == k.Epoch
+		note(c.door.Index.Hear(k), again)
+	}
+	c.door.Coming(f.Coming)
+	for _, r := range f.Reports {
+		c.door.Report(r, now)
+	}
+	if parent != "" {
+		c.door.Others(c.loads.others(), now)
+	}
+	c.dmu.Unlock()
+	if changed || len(f.Reports)+len(f.Loads) > 0 {
+		c.wake()
+	}
+	return fits
+}
+
+// takeMenu takes a change of the configuration; the table is made anew from the
+// entries that changed and then swapped in.
+func (c *Counter) takeMenu(ch wire.EntryChange) (r bulletin.Result, renewed bool) {
+	if ch.Whole && ch.To <= c.menu.Version {
+		return bulletin.Known, false
+	}
+	in := bulletin.HearEntries(ch)
+	entries := map[string]string{}
+	for _, p := range in.Puts {
+		entries[p.Key] = ""
+		if !p.Gone {
+			entries[p.Key] = p.Value
+		}
+	}
+	before := c.assembly
+	if err := c.assembly.Take(entries, ch.Whole); err != nil {
+		c.log.Error(err, "a change of the configuration cannot be read")
+		c.news.malformed.Add(1)
+		return bulletin.Mismatch, false
+	}
+	if r = c.menu.Apply(in); r != bulletin.Applied {
+		c.assembly = before
+		return r, false
+	}
+	if len(entries) == 0 {
+		return r, false
+	}
+	t := menu.Compile(c.assembly.Menu())
+	c.table.Store(t)
+	c.log.Info("configuration in place", "version", t.Mark, "entries", len(entries), "whole", ch.Whole)
+	return r, true
+}
+
+func (c *Counter) takePart(p wire.PartNote, nowUs int64) {
+	if old, ok := c.parts[p.Part]; p.Part == 0 || ok && old.Mark >= p.Mark {
+		return
+	}
+	var body wire.DutyBody
+	if _, err := body.UnmarshalMsg(p.Body); err != nil {
+		c.news.malformed.Add(1)
+		return
+	}
+	c.dmu.Lock()
+	for _, t := range body.Targets {
+		c.door.SetNewest(t.Model, t.Mark, nowUs)
+	}
+	c.dmu.Unlock()
+	c.parts[p.Part] = p
+}
--- a/internal/counter/shots.go
+++ b/internal/counter/shots.go
@@ -167,7 +167,7 @@
 func (v *visit) shoot(adm *doorman.Admission, stream *answerStream) (ending, *answerStream) {
 	c := v.c
 	v.shots++
-	link, err := c.link(adm.Runner.Addr, v.endUs)
+	link, err := v.link(adm.Runner.Addr)
 	if err != nil {
 		c.done(adm, false)
 		return notSent, stream
@@ -186,6 +186,7 @@
 	head := v.head(adm, leftUs, stream)
 	deadline := time.Now().Add(time.Duration(leftUs)*time.Microsecond + 150*time.Millisecond)
 	if err := link.Send(head, v.rc.Request.Body(), deadline); err != nil {
+		c.ended(adm, link, false, false)
 		link.Close()
 		c.done(adm, false)
 		return unknown, stream
@@ -193,6 +194,9 @@
 	r := protocol.AcquireResponse()
 	defer protocol.ReleaseResponse(r)
 	if err := v.readHead(link, r, deadline); err != nil {
+		if !errors.Is(err, cab.ErrLate) {
+			c.ended(adm, link, false, false)
+		}
 		link.Close()
 		c.done(adm, errors.Is(err, cab.ErrLate))
 		return unknown, stream
@@ -257,10 +261,25 @@
 	return cab.ErrForeign
 }
 
-func (c *Counter) link(addr string, endUs int64) (*cab.Link, error) {
-	ctx, cancel := context.WithTimeout(context.Background(), time.Duration(max(endUs-c.clock(), 1000))*time.Microsecond)
+func (v *visit) link(addr string) (*cab.Link, error) {
+	ctx, cancel := context.WithTimeout(context.Background(), time.Duration(max(v.endUs-v.c.clock(), 1000))*time.Microsecond)
 	defer cancel()
-	return c.garage.Get(ctx, addr)
+	return v.c.garage.GetFor(ctx, addr, v.service, v.route.Repeatable())
+}
+
+// ended notes how a shot that was sent ended at its runner. One that died on a
+// link that had rested says something of the link, not of the runner.
+func (c *Counter) ended(adm *doorman.Admission, link *cab.Link, good, answered bool) {
+	if !good && !answered && link.RestedUs > 0 {
+		c.garage.Dead(link)
+		return
+	}
+	if answered {
+		c.garage.Alive(link)
+	}
+	c.dmu.Lock()
+	c.door.Ended(adm, good, c.clock())
+	c.dmu.Unlock()
 }
 
 func (c *Counter) done(adm *doorman.Admission, ok bool) {
@@ -354,11 +373,13 @@
 	b, err := io.ReadAll(r.BodyStream())
 	want := r.Header.ContentLength()
 	if err != nil || want >= 0 && len(b) != want {
+		v.c.ended(adm, link, false, true)
 		v.c.giveBack(adm, link, r, false)
 		return unknown
 	}
 	v.c.first(adm)
 	status := r.StatusCode()
+	v.c.ended(adm, link, status < 500, true)
 	v.c.giveBack(adm, link, r, true)
 	if stream != nil && stream.started {
 		return brokeOff
@@ -411,6 +432,7 @@
 			continue
 		}
 		if err != io.EOF {
+			c.ended(adm, link, false, true)
 			link.Close()
 			c.done(adm, false)
 			if stream.started {
@@ -429,6 +451,7 @@
 			v.begin(r, stream)
 		}
 		stream.finished = stream.out.Finalize() == nil && v.rc.Flush() == nil
+		c.ended(adm, link, true, true)
 		c.giveBack(adm, link, r, true)
 		return whole, stream
 	}
--- a/internal/dispatch/condition.go
+++ b/internal/dispatch/condition.go
@@ -15,13 +15,14 @@
 const unreadUs = 5_000_000
 
 func (d *Dispatch) condition() wire.Condition {
-	c := wire.Condition{Node: d.set.Node, Role: wire.Dispatch, Site: d.set.Site, Addr: d.radio.Addr(), TimeUs: time.Now().UnixMicro(), LedgerID: d.ledger.ID(), Marks: d.marks().Parts, HasDisk: d.disk != nil}
+	c := wire.Condition{Node: d.set.Node, Role: wire.Dispatch, Site: d.set.Site, Addr: d.radio.Addr(), TimeUs: time.Now().UnixMicro(), LedgerID: d.ledger.ID(), Marks: d.told(), HasDisk: d.disk != nil}
 	c.SaveUs, c.SaveFault = d.ledger.LastSave()
 	for p := range ledger.Parts {
 		v, _ := d.ledger.Committed(p)
 		c.Groups = append(c.Groups, append([]wire.Member{}, v.Group...))
 	}
 	c.Peers = append(d.watch.Alive(wire.Dispatch), d.watch.Alive(wire.Counter)...)
+	c.Wholes, c.Changes, c.Malformed = d.feed.wholes.Load(), d.feed.changes.Load(), d.feed.malformed.Load()
 	snap := d.roster.Snapshot()
 	c.Runners = len(snap.ByID)
 	for id, n := range snap.ByID {
--- a/internal/dispatch/control.go
+++ b/internal/dispatch/control.go
@@ -14,6 +14,7 @@
 	"github.com/go-playground/validator/v10"
 	"github.com/pkg/errors"
 
+	"beechtide.org/beechtide/internal/bulletin"
 	"beechtide.org/beechtide/internal/calls"
 	"beechtide.org/beechtide/internal/ledger"
 	"beechtide.org/beechtide/internal/menu"
@@ -81,26 +82,41 @@
 	}
 	changed := d.roster.Hear(n, d.clock())
 	if changed {
-		d.relay.Publish(wire.News{Runners: []wire.RunnerNote{n}})
+		d.tellRunners(n.ID)
 	}
 	out := calls.BeatOutcome{}
-	near := false
-	for _, p := range d.watch.Alive(wire.Dispatch) {
-		if p.Addr == d.radio.Addr() {
-			near = near || p.Site == n.Site
-			continue
-		}
-		d.radio.Cast(p.Addr, radio.KindRunner, &n)
-		if p.Site == n.Site && !near && p.Control != "" && p.Standing == wire.Alive && d.set.Site != n.Site {
-			out.BeatTo, near = p.Control, true
+	all := d.watch.Alive(wire.Dispatch)
+	for _, p := range all {
+		if p.Addr != d.radio.Addr() {
+			d.radio.Cast(p.Addr, radio.KindRunner, &n)
 		}
 	}
+	out.BeatTo = beatTo(radio.Core(all), d.radio.Addr(), n)
 	c.JSON(200, out)
 }
 
+// beatTo is where a runner should beat: at a dispatch of its own site, each of
+// them taking a part of the runners. It is empty where it beats already.
+func beatTo(core []wire.Peer, self string, n wire.RunnerNote) string {
+	var near []wire.Peer
+	for _, p := range core {
+		if p.Site == n.Site && (p.Addr == self || p.Control != "" && p.Standing == wire.Alive) {
+			near = append(near, p)
+		}
+	}
+	if len(near) == 0 {
+		return ""
+	}
+	pick := near[bulletin.HashText(n.ID, "")%uint64(len(near))]
+	if pick.Addr == self {
+		return ""
+	}
+	return pick.Control
+}
+
 func (d *Dispatch) leave(_ context.Context, c *app.RequestContext) {
 	if n, changed := d.roster.Leave(c.Param("id"), d.clock()); changed {
-		d.relay.Publish(wire.News{Runners: []wire.RunnerNote{n}})
+		d.tellRunners(n.ID)
 	}
 	c.Status(200)
 }
--- a/internal/dispatch/dispatch.go
+++ b/internal/dispatch/dispatch.go
@@ -39,6 +39,7 @@
 	table  atomic.Pointer[menu.Table]
 	seeds  atomic.Pointer[[]string]
 
+	feed    feed
 	kmu     sync.Mutex
 	kept    *pantry.Index
 	readers map[string]context.CancelFunc
@@ -66,7 +67,8 @@
 		d.recallRunners()
 	}
 	d.seeds.Store(&set.Seeds)
-	d.relay = radio.NewRelay(rad, d.snapshot)
+	d.feed.init(clock())
+	d.relay = radio.NewRelay(rad, radio.Upward{Since: d.since, Told: d.toldBelow, Gone: d.goneBelow})
 	d.ledger, err = ledger.Open(set.DispatchAddr(), radio.KindLedger, set.Bootstrap, set.SeedAddrs(), rad, store, log, d.learned)
 	if err != nil {
 		return nil, err
@@ -76,8 +78,12 @@
 	rad.OnCall(radio.KindLedger, func(ctx context.Context, _ *radio.Link, body []byte) ([]byte, error) {
 		return d.ledger.Handle(ctx, body)
 	})
-	rad.OnCall(radio.KindMarks, func(context.Context, *radio.Link, []byte) ([]byte, error) {
+	rad.OnCall(radio.KindMarks, func(_ context.Context, _ *radio.Link, body []byte) ([]byte, error) {
 		m := d.marks()
+		var from wire.Marks
+		if _, err := from.UnmarshalMsg(body); err == nil && !from.Dispatch {
+			m.Parts = d.told()
+		}
 		return m.MarshalMsg(nil)
 	})
 	rad.OnCall(radio.KindCondition, func(context.Context, *radio.Link, []byte) ([]byte, error) {
@@ -123,6 +129,7 @@
 	go loop.Every(ctx, 500*time.Millisecond, func() { d.sweep() })
 	go loop.Every(ctx, 500*time.Millisecond, func() { d.wantReaders(ctx) })
 	go loop.Every(ctx, 200*time.Millisecond, func() { d.wantRefits(ctx) })
+	go d.flushFeed(ctx)
 	go d.settleParts(ctx)
 	if d.disk != nil {
 		go d.keepRunners(ctx)
@@ -179,27 +186,13 @@
 				if cur := d.table.Load(); cur == nil || cur.Mark < t.Mark {
 					d.table.Store(t)
 				}
+				d.tellMenu(v.Mark, m)
 			}
 		}
 	}
-	d.relay.Publish(wire.News{Parts: []wire.PartNote{{Part: p, Mark: v.Mark, Body: publicBody(p, v.Body)}}})
-}
-
-// publicBody leaves out what only the core needs.
-func publicBody(p int, b []byte) []byte {
 	if p != ledger.MenuPart {
-		return b
-	}
-	var body wire.MenuBody
-	if _, err := body.UnmarshalMsg(b); err != nil {
-		return b
-	}
-	body.Taken = []wire.Taken{}
-	out, err := body.MarshalMsg(nil)
-	if err != nil {
-		return b
+		d.tellPart(wire.PartNote{Part: p, Mark: v.Mark, Body: v.Body})
 	}
-	return out
 }
 
 func (d *Dispatch) marks() wire.Marks {
@@ -213,38 +206,28 @@
 	return m
 }
 
-func (d *Dispatch) snapshot() wire.News {
-	var n wire.News
-	for p := range ledger.Parts {
-		if v, ok := d.ledger.Committed(p); ok && v.Mark > 0 && len(v.Body) > 0 {
-			n.Parts = append(n.Parts, wire.PartNote{Part: p, Mark: v.Mark, Body: publicBody(p, v.Body)})
-		}
-	}
-	n.Runners = d.roster.All()
-	d.kmu.Lock()
-	defer d.kmu.Unlock()
-	byRunner := map[string][]wire.KeptPart{}
-	d.kept.Each(func(r string, k uint64, t int32) { byRunner[r] = append(byRunner[r], wire.KeptPart{Key: k, Tokens: t}) })
-	for r, parts := range byRunner {
-		n.Kept = append(n.Kept, wire.KeptNote{ID: r, Reset: true, Parts: parts})
-	}
-	return n
-}
-
-// listenToOthers keeps one subscription to every other dispatch.
+// listenToOthers keeps a subscription to every other dispatch; one that does
+// not count, among others that do, listens to one of those only.
 func (d *Dispatch) listenToOthers(ctx context.Context) {
 	have := map[string]context.CancelFunc{}
 	loop.Every(ctx, 200*time.Millisecond, func() {
 		want := map[string]bool{}
-		for _, p := range d.watch.Alive(wire.Dispatch) {
-			if p.Addr == d.radio.Addr() {
-				continue
+		all := d.watch.Alive(wire.Dispatch)
+		if !d.inCore(all) {
+			all = radio.Core(all)
+			if near := nearest(all, d.set.Site); near != "" {
+				want[near] = true
+			}
+		} else {
+			for _, p := range all {
+				want[p.Addr] = p.Addr != d.radio.Addr()
 			}
-			want[p.Addr] = true
-			if have[p.Addr] == nil {
+		}
+		for addr, wanted := range want {
+			if wanted && have[addr] == nil {
 				cctx, cancel := context.WithCancel(ctx)
-				have[p.Addr] = cancel
-				go radio.Listen(cctx, d.radio, true, func() []string { return []string{p.Addr} }, func(n wire.News) { d.takeNews(n) })
+				have[addr] = cancel
+				go d.listenTo(cctx, addr)
 			}
 		}
 		for addr, cancel := range have {
@@ -256,52 +239,42 @@
 	})
 }
 
-func (d *Dispatch) takeNews(n wire.News) {
-	now := d.clock()
-	var up []wire.RunnerNote
-	for _, r := range n.Runners {
-		if d.roster.Merge(r, now) {
-			up = append(up, r)
-		}
-	}
-	if len(up) > 0 {
-		d.relay.Publish(wire.News{Runners: up})
-	}
-	down := wire.News{Reports: n.Reports}
-	d.kmu.Lock()
-	for _, k := range n.Kept {
-		if d.readers[k.ID] == nil {
-			applyKept(d.kept, k)
-			down.Kept = append(down.Kept, k)
+// inCore tells whether this dispatch counts, or nobody does.
+func (d *Dispatch) inCore(all []wire.Peer) bool {
+	for _, p := range radio.Core(all) {
+		if p.Addr == d.radio.Addr() {
+			return true
 		}
 	}
-	d.kmu.Unlock()
-	if len(down.Kept)+len(down.Reports) > 0 {
-		d.relay.PublishDown(down)
-	}
+	return false
 }
 
-func applyKept(x *pantry.Index, k wire.KeptNote) {
-	if k.Reset {
-		x.Reset(k.ID)
+// nearest is the first of a site, else the first of all.
+func nearest(list []wire.Peer, site string) string {
+	for _, p := range list {
+		if p.Site == site {
+			return p.Addr
+		}
 	}
-	for _, p := range k.Parts {
-		x.Put(k.ID, p.Key, p.Tokens)
+	if len(list) > 0 {
+		return list[0].Addr
 	}
+	return ""
 }
 
 func (d *Dispatch) heardRunner(_ string, body []byte) {
 	var n wire.RunnerNote
 	if _, err := n.UnmarshalMsg(body); err == nil && d.roster.Hear(n, d.clock()) {
-		d.relay.Publish(wire.News{Runners: []wire.RunnerNote{n}})
+		d.tellRunners(n.ID)
 	}
 }
 
 func (d *Dispatch) sweep() {
 	beatUs := int64(d.set.BeatPeriodMs) * 1000
-	if out := d.roster.Sweep(d.clock(), 4*beatUs+500_000, 12*beatUs); len(out) > 0 {
-		d.relay.Publish(wire.News{Runners: out})
+	for _, n := range d.roster.Sweep(d.clock(), 4*beatUs+500_000, 12*beatUs) {
+		d.tellRunners(n.ID)
 	}
+	d.dropForgotten()
 	snap := d.roster.Snapshot()
 	d.kmu.Lock()
 	d.kept.Retain(func(r string) bool { _, ok := snap.ByID[r]; return ok || strings.Contains(r, ":") })
--- /dev/null
+++ b/internal/dispatch/feed.go
@@ -0,0 +1,434 @@
+// The feed is what a dispatch sends: to the counters all that it knows, to the
+// other dispatches what it is the first to know. What comes between two sendings
+// is put together. Everything goes as changes; a receiver that lacks something
+// names what it holds.
+package dispatch
+
+import (
+	"context"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"beechtide.org/beechtide/internal/bulletin"
+	"beechtide.org/beechtide/internal/calls"
+	"beechtide.org/beechtide/internal/ledger"
+	"beechtide.org/beechtide/internal/loop"
+	"beechtide.org/beechtide/internal/menu"
+	"beechtide.org/beechtide/internal/pantry"
+	"beechtide.org/beechtide/internal/radio"
+	"beechtide.org/beechtide/internal/wire"
+)
+
+// flushEvery is how often changes of kept prompts, reports and loads go out.
+const flushEvery = 100 * time.Millisecond
+
+// flushAtOnce is the least time between two sendings where something presses:
+// a change of runners or configuration, or long prompts that have been sent to a
+// runner.
+const flushAtOnce = 15 * time.Millisecond
+
+// below is under which name the nodes below this one stand in the sum of all.
+const below = "below"
+
+type feed struct {
+	mu     sync.Mutex
+	roster *bulletin.Entries
+	menu   *bulletin.Entries
+	parts  map[int]wire.PartNote
+	below  *bulletin.Sum // the nodes below this one
+	all    *bulletin.Sum // those and the ones below the other dispatches
+
+	own, down outbox // to the other dispatches, and to the counters
+	urgent    chan struct{}
+	pulling   atomic.Bool
+
+	changes, wholes, malformed atomic.Int64
+}
+
+// outbox is what waits to be sent.
+type outbox struct {
+	menu    []wire.EntryChange
+	parts   []wire.PartNote
+	kept    []wire.KeptChange
+	reports []wire.ReportNote
+	coming  []wire.KeptNote
+}
+
+func (o *outbox) take(f *wire.Feed) {
+	f.Menu, f.Parts, f.Kept, f.Reports, f.Coming = o.menu, o.parts, o.kept, o.reports, o.coming
+	*o = outbox{}
+}
+
+func (f *feed) init(epoch int64) {
+	f.roster, f.menu = bulletin.NewEntries(), bulletin.NewEntries()
+	epoch = epoch ^ time.Now().UnixNano()
+	f.roster.Begin(epoch, 0)
+	f.menu.Begin(menuEpoch, 0)
+	f.parts = map[int]wire.PartNote{}
+	f.below, f.all = bulletin.NewSum(epoch), bulletin.NewSum(epoch+1)
+	f.urgent = make(chan struct{}, 1)
+}
+
+// menuEpoch is that of the configuration: its versions are the register's, the
+// same at every node and in every life.
+const menuEpoch = 1
+
+func (f *feed) hurry() {
+	select {
+	case f.urgent <- struct{}{}:
+	default:
+	}
+}
+
+// count is for the doctor; again tells a whole of a stream that was held already.
+func (f *feed) count(r bulletin.Result, again bool) (fits bool) {
+	switch {
+	case r == bulletin.Applied && again:
+		f.wholes.Add(1)
+	case r == bulletin.Applied:
+		f.changes.Add(1)
+	}
+	return r == bulletin.Applied || r == bulletin.Known
+}
+
+// versions are those of what is told: a version of a register that has no body,
+// or only another group, is none to those below.
+func (f *feed) versions() []int64 {
+	out := make([]int64, ledger.Parts)
+	out[ledger.MenuPart] = f.menu.Version
+	for p, n := range f.parts {
+		out[p] = n.Mark
+	}
+	return out
+}
+
+// told are the versions that those below are told.
+func (d *Dispatch) told() []int64 {
+	d.feed.mu.Lock()
+	defer d.feed.mu.Unlock()
+	return d.feed.versions()
+}
+
+// tellRunners sends the notes of runners as the roster has them now.
+func (d *Dispatch) tellRunners(ids ...string) {
+	f := &d.feed
+	f.mu.Lock()
+	for _, id := range ids {
+		if n, ok := d.roster.Note(id); ok {
+			if b, err := n.MarshalMsg(nil); err == nil {
+				f.roster.Put(id, string(b))
+			}
+		}
+	}
+	f.mu.Unlock()
+	f.hurry()
+}
+
+// dropForgotten takes runners out that the roster has forgotten.
+func (d *Dispatch) dropForgotten() {
+	f := &d.feed
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	var gone []string
+	f.roster.Each(func(id, _ string) {
+		if _, ok := d.roster.Note(id); !ok {
+			gone = append(gone, id)
+		}
+	})
+	for _, id := range gone {
+		f.roster.Drop(id)
+	}
+}
+
+// tellMenu sends what differs in a newly committed configuration. A version of
+// the register that only changes its group has no entries.
+func (d *Dispatch) tellMenu(version int64, m calls.Menu) {
+	entries, err := menu.Entries(m)
+	if err != nil {
+		d.log.Error(err, "a committed configuration cannot be cut")
+		return
+	}
+	f := &d.feed
+	f.mu.Lock()
+	if version > f.menu.Version {
+		f.menu.Replace(entries)
+		c := bulletin.SendEntries(f.menu.Commit(version))
+		f.own.menu, f.down.menu = append(f.own.menu, c), append(f.down.menu, c)
+	}
+	f.mu.Unlock()
+	f.hurry()
+}
+
+func (d *Dispatch) tellPart(p wire.PartNote) {
+	f := &d.feed
+	f.mu.Lock()
+	if f.parts[p.Part].Mark < p.Mark {
+		f.parts[p.Part] = p
+		f.own.parts, f.down.parts = append(f.own.parts, p), append(f.down.parts, p)
+	}
+	f.mu.Unlock()
+	f.hurry()
+}
+
+func (d *Dispatch) tellReport(n wire.ReportNote) {
+	f := &d.feed
+	f.mu.Lock()
+	f.own.reports, f.down.reports = append(f.own.reports, n), append(f.down.reports, n)
+	f.mu.Unlock()
+}
+
+// shelve changes what a runner keeps, as its reader, and sends the change.
+func (d *Dispatch) shelve(id string, change func(s *pantry.Shelf) wire.KeptChange) {
+	d.kmu.Lock()
+	c := change(d.kept.Shelf(id))
+	d.kmu.Unlock()
+	f := &d.feed
+	f.mu.Lock()
+	f.own.kept, f.down.kept = append(f.own.kept, c), append(f.down.kept, c)
+	f.mu.Unlock()
+}
+
+// flushFeed sends what waits, and now and then an empty feed, by which those
+// below know that this node is there and which versions it holds.
+func (d *Dispatch) flushFeed(ctx context.Context) {
+	t := time.NewTicker(flushEvery)
+	defer t.Stop()
+	for {
+		select {
+		case <-t.C:
+		case <-d.feed.urgent:
+		case <-ctx.Done():
+			return
+		}
+		d.flush()
+		loop.Pause(ctx, flushAtOnce)
+	}
+}
+
+func (d *Dispatch) flush() {
+	cutOff := d.cutOff()
+	f := &d.feed
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	up := wire.Feed{Versions: f.versions(), CalmUs: d.calm.forUs(d.clock()), CutOff: cutOff}
+	down := up
+	f.own.take(&up)
+	f.down.take(&down)
+	if f.roster.Dirty() {
+		c := bulletin.SendEntries(f.roster.Commit(f.roster.Version + 1))
+		up.Roster, down.Roster = append(up.Roster, c), append(down.Roster, c)
+	}
+	if f.below.Total.Dirty() {
+		c := bulletin.SendLoads(f.below.Total.Commit(f.below.Total.Version + 1))
+		up.Loads = append(up.Loads, c)
+		f.all.Follow(below, f.below.Total)
+	}
+	if f.all.Total.Dirty() {
+		down.Loads = append(down.Loads, bulletin.SendLoads(f.all.Total.Commit(f.all.Total.Version+1)))
+	}
+	d.relay.Publish(radio.ToDispatches, up)
+	d.relay.Publish(radio.ToCounters, down)
+}
+
+// cutOff tells whether the group that holds the configuration is out of this
+// node's reach, so that those below had better listen to another.
+func (d *Dispatch) cutOff() bool {
+	v, ok := d.ledger.Committed(ledger.MenuPart)
+	if !ok || len(v.Group) < 2 {
+		return false
+	}
+	reached := 0
+	for _, m := range v.Group {
+		if m.Addr == d.radio.Addr() || d.watch.DeadForUs(m.Addr) == 0 && !d.calm.isCut(m.Addr) {
+			reached++
+		}
+	}
+	return reached <= len(v.Group)/2
+}
+
+// since gives what a receiver lacks: a counter of everything, a dispatch of what
+// this one is the first to know.
+func (d *Dispatch) since(h wire.Hold) wire.Feed {
+	out := wire.Feed{CalmUs: d.calm.forUs(d.clock())}
+	f := &d.feed
+	f.mu.Lock()
+	out.Versions = f.versions()
+	if c, lacks := f.menu.Since(h.Menu.Epoch, h.Menu.Version); lacks && f.menu.Version > h.Menu.Version {
+		out.Menu = append(out.Menu, bulletin.SendEntries(c))
+	}
+	for p, n := range f.parts {
+		if p >= len(h.Parts) || h.Parts[p] < n.Mark {
+			out.Parts = append(out.Parts, n)
+		}
+	}
+	if c, lacks := f.roster.Since(h.Roster.Epoch, h.Roster.Version); lacks && h.Roster.Epoch != -1 {
+		out.Roster = append(out.Roster, bulletin.SendEntries(c))
+	}
+	if !h.MenuOnly {
+		sum := f.all.Total
+		if h.Dispatch {
+			sum = f.below.Total
+		}
+		if c, lacks := sum.Since(h.Loads.Epoch, h.Loads.Version); lacks {
+			out.Loads = append(out.Loads, bulletin.SendLoads(c))
+		}
+	}
+	f.mu.Unlock()
+	if !h.MenuOnly {
+		d.kmu.Lock()
+		out.Kept = d.kept.Since(h.Kept, func(id string) bool { return !h.Dispatch || d.readers[id] != nil })
+		d.kmu.Unlock()
+	}
+	return out
+}
+
+// toldBelow takes the loads of a node below.
+func (d *Dispatch) toldBelow(from string, t wire.Told) bool {
+	f := &d.feed
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	ok := true
+	for _, c := range t.Loads {
+		r := f.below.Tell(from, c)
+		ok = ok && (r == bulletin.Applied || r == bulletin.Known)
+	}
+	f.own.coming, f.down.coming = append(f.own.coming, t.Coming...), append(f.down.coming, t.Coming...)
+	if len(t.Coming) > 0 {
+		f.hurry()
+	}
+	return ok
+}
+
+func (d *Dispatch) goneBelow(from string) {
+	d.feed.mu.Lock()
+	d.feed.below.Drop(from)
+	d.feed.mu.Unlock()
+}
+
+// listenTo keeps the subscription to one other dispatch.
+func (d *Dispatch) listenTo(ctx context.Context, addr string) {
+	runners := bulletin.NewEntries() // as the other has them
+	u := radio.Uplink{
+		Dispatch: true,
+		Parents:  func() []string { return []string{addr} },
+		Hold:     func() wire.Hold { return d.holdOf(addr, runners) },
+		Take: func(_ string, f wire.Feed, _ []byte) *wire.Hold {
+			if d.takeFeed(addr, f, runners) {
+				return nil
+			}
+			h := d.holdOf(addr, runners)
+			return &h
+		},
+		Heard: func(int64) {}, TellAgain: func() {},
+		Ended: func(string) {
+			d.feed.mu.Lock()
+			d.feed.all.Drop(addr)
+			d.feed.mu.Unlock()
+		},
+	}
+	u.Listen(ctx, d.radio)
+	d.feed.malformed.Add(u.Malformed.Load())
+}
+
+// holdOf names what this node holds of another's streams. The configuration and
+// the parts come through the ledger.
+func (d *Dispatch) holdOf(addr string, runners *bulletin.Entries) wire.Hold {
+	f := &d.feed
+	f.mu.Lock()
+	h := wire.Hold{Roster: wire.StreamHold{Epoch: runners.Epoch, Version: runners.Version}, Menu: wire.StreamHold{Epoch: menuEpoch, Version: never}}
+	if l := f.all.Teller(addr); l != nil {
+		h.Loads = wire.StreamHold{Epoch: l.Epoch, Version: l.Version}
+	}
+	f.mu.Unlock()
+	for range ledger.Parts {
+		h.Parts = append(h.Parts, never)
+	}
+	d.kmu.Lock()
+	h.Kept = d.kept.Holds()
+	d.kmu.Unlock()
+	return h
+}
+
+// never is a version that is not reached: what is held under it is not sent.
+const never = 1 << 62
+
+// pullNewer learns at once of a version that another dispatch has and this one
+// has not: one that is not in the group is not told by the round itself.
+func (d *Dispatch) pullNewer(addr string, versions []int64) {
+	f, mine := &d.feed, d.told()
+	for p, v := range versions {
+		if p < len(mine) && v > mine[p] && f.pulling.CompareAndSwap(false, true) {
+			go func() {
+				defer f.pulling.Store(false)
+				ctx, cancel := context.WithTimeout(context.Background(), 400*time.Millisecond)
+				defer cancel()
+				_ = d.ledger.Pull(ctx, addr, p)
+			}()
+		}
+	}
+}
+
+// takeFeed takes what another dispatch is the first to know and passes it down.
+func (d *Dispatch) takeFeed(addr string, in wire.Feed, runners *bulletin.Entries) (fits bool) {
+	now := d.clock()
+	fits = true
+	f := &d.feed
+	d.pullNewer(addr, in.Versions)
+	var changed []string
+	for _, c := range in.Roster {
+		ch := bulletin.HearEntries(c)
+		f.mu.Lock()
+		again := c.Whole && runners.Epoch == c.Epoch
+		r := runners.Apply(ch)
+		fits = f.count(r, again) && fits
+		f.mu.Unlock()
+		if r == bulletin.Mismatch {
+			continue
+		}
+		for _, p := range ch.Puts {
+			var n wire.RunnerNote
+			if p.Gone {
+				continue
+			}
+			if _, err := n.UnmarshalMsg([]byte(p.Value)); err != nil {
+				f.malformed.Add(1)
+				continue
+			}
+			if d.roster.Merge(n, now) {
+				changed = append(changed, n.ID)
+			}
+		}
+	}
+	if len(changed) > 0 {
+		d.tellRunners(changed...)
+	}
+	var kept []wire.KeptChange
+	d.kmu.Lock()
+	for _, c := range in.Kept {
+		if d.readers[c.ID] != nil {
+			continue
+		}
+		again := c.Whole && d.kept.Shelf(c.ID).Epoch == c.Epoch
+		r := d.kept.Hear(c)
+		fits = f.count(r, again) && fits
+		if r == bulletin.Applied {
+			kept = append(kept, c)
+		}
+	}
+	d.kmu.Unlock()
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	for _, c := range in.Loads {
+		held := f.all.Teller(addr)
+		again := c.Whole && held != nil && held.Epoch == c.Epoch
+		fits = f.count(f.all.Tell(addr, c), again) && fits
+	}
+	f.down.kept = append(f.down.kept, kept...)
+	f.down.reports = append(f.down.reports, in.Reports...)
+	f.down.coming = append(f.down.coming, in.Coming...)
+	if len(in.Coming) > 0 {
+		f.hurry()
+	}
+	return fits
+}
--- a/internal/dispatch/readers.go
+++ b/internal/dispatch/readers.go
@@ -14,6 +14,7 @@
 	"beechtide.org/beechtide/internal/calls"
 	"beechtide.org/beechtide/internal/loop"
 	"beechtide.org/beechtide/internal/pantry"
+	"beechtide.org/beechtide/internal/radio"
 	"beechtide.org/beechtide/internal/wire"
 )
 
@@ -24,12 +25,19 @@
 	callWait     = 2 * time.Second
 )
 
+// learnUs is how long a dispatch that has just started leaves the runners to the
+// others: it goes on from what they have read, without lists.
+const learnUs = 2_000_000
+
 func (d *Dispatch) wantReaders(ctx context.Context) {
 	t := d.table.Load()
 	if t == nil {
 		return
 	}
-	alive := d.watch.Alive(wire.Dispatch)
+	alive := radio.Core(d.watch.Alive(wire.Dispatch))
+	if d.clock()-d.startUs < learnUs && len(alive) > 1 {
+		return
+	}
 	want := map[string]wire.RunnerNote{}
 	for _, n := range d.roster.Snapshot().ByID {
 		s := t.Service(n.Service)
@@ -88,10 +96,14 @@
 	return best
 }
 
+// readKept follows a runner's events from where the shelf stands, whoever read
+// it so far.
 func (d *Dispatch) readKept(ctx context.Context, n wire.RunnerNote) {
-	var since, epoch int64
-	known := false
 	for ctx.Err() == nil {
+		d.kmu.Lock()
+		shelf := d.kept.Shelf(n.ID)
+		since, epoch := shelf.Version, shelf.Epoch
+		d.kmu.Unlock()
 		cctx, cancel := context.WithTimeout(ctx, callWait)
 		status, body, _, err := d.garage.Ask(cctx, n.Addr, "GET", "/api/kv-events?since="+strconv.FormatInt(since, 10), aimed(n, map[string]string{"Wait-Ms": "1000"}), nil)
 		cancel()
@@ -101,52 +113,69 @@
 			continue
 		}
 		d.heard(n.ID)
-		note := wire.KeptNote{ID: n.ID, Parts: []wire.KeptPart{}}
-		if ev.Lost || known && ev.Epoch != epoch {
-			since, epoch, known = d.readList(ctx, n, &note)
-		} else {
-			epoch, known, since = ev.Epoch, true, ev.NextPage
-			for _, e := range ev.Events {
-				if len(e) >= 6 {
-					note.Parts = append(note.Parts, wire.KeptPart{Key: pantry.Key(text(e[2]), text(e[5]), text(e[3])), Tokens: int32(number(e[4]))})
+		if ev.Lost || epoch != 0 && ev.Epoch != epoch {
+			d.readList(ctx, n)
+		} else if ev.NextPage > since || epoch == 0 {
+			d.shelve(n.ID, func(s *pantry.Shelf) wire.KeptChange {
+				if epoch == 0 {
+					s.Begin(ev.Epoch, since)
 				}
-			}
-		}
-		if len(note.Parts) > 0 || note.Reset {
-			d.tellKept(note)
+				for _, e := range ev.Events {
+					if len(e) >= 6 {
+						put(s, pantry.Key(text(e[2]), text(e[5]), text(e[3])), int32(number(e[4])))
+					}
+				}
+				c := s.Commit(ev.NextPage)
+				if epoch == 0 {
+					c, _ = s.Since(0, 0)
+				}
+				return pantry.Send(n.ID, c)
+			})
 		}
 		loop.Pause(ctx, eventsEvery)
 	}
 }
 
-func (d *Dispatch) readList(ctx context.Context, n wire.RunnerNote, note *wire.KeptNote) (since, epoch int64, ok bool) {
+func put(s *pantry.Shelf, key uint64, tokens int32) {
+	if tokens <= 0 {
+		s.Drop(key)
+		return
+	}
+	s.Put(key, tokens)
+}
+
+// readList fetches the list after a gap, which the other nodes get as a whole.
+func (d *Dispatch) readList(ctx context.Context, n wire.RunnerNote) {
 	cctx, cancel := context.WithTimeout(ctx, callWait)
 	defer cancel()
 	status, body, _, err := d.garage.Ask(cctx, n.Addr, "GET", "/api/kv-list", aimed(n, map[string]string{}), nil)
 	var list calls.KeptList
 	if err != nil || status != 200 || json.Unmarshal(body, &list) != nil {
-		return 0, 0, false
+		return
 	}
-	note.Reset = true
-	for _, h := range list.Held {
-		if len(h) >= 4 {
-			note.Parts = append(note.Parts, wire.KeptPart{Key: pantry.Key(text(h[0]), text(h[3]), text(h[1])), Tokens: int32(number(h[2]))})
+	d.shelve(n.ID, func(s *pantry.Shelf) wire.KeptChange {
+		if s.Epoch != list.Epoch {
+			s.Begin(list.Epoch, 0)
 		}
-	}
-	return list.NextPage, list.Epoch, true
-}
-
-func (d *Dispatch) tellKept(note wire.KeptNote) {
-	d.kmu.Lock()
-	applyKept(d.kept, note)
-	d.kmu.Unlock()
-	d.relay.Publish(wire.News{Kept: []wire.KeptNote{note}})
+		all := map[uint64]int32{}
+		for _, h := range list.Held {
+			if len(h) >= 4 {
+				if t := int32(number(h[2])); t > 0 {
+					all[pantry.Key(text(h[0]), text(h[3]), text(h[1]))] = t
+				}
+			}
+		}
+		s.Replace(all)
+		s.Commit(list.NextPage)
+		c, _ := s.Since(0, 0)
+		return pantry.Send(n.ID, c)
+	})
 }
 
 func (d *Dispatch) readReports(ctx context.Context, n wire.RunnerNote) {
 	for ctx.Err() == nil {
 		if r, ok := d.report(ctx, n); ok {
-			d.relay.Publish(wire.News{Reports: []wire.ReportNote{{ID: n.ID, Used: r.CacheUsed, Total: r.CacheTotal, Active: r.Active, Pending: r.Pending}}})
+			d.tellReport(wire.ReportNote{ID: n.ID, Used: r.CacheUsed, Total: r.CacheTotal, Active: r.Active, Pending: r.Pending})
 		}
 		loop.Pause(ctx, reportsEvery)
 	}
--- a/internal/dispatch/refits.go
+++ b/internal/dispatch/refits.go
@@ -272,7 +272,7 @@
 
 func (d *Dispatch) bar(id string, easing, barred bool, fence int64) {
 	if n, changed := d.roster.Bar(id, easing, barred, fence<<20|d.refits.bars.Add(1)); changed {
-		d.relay.Publish(wire.News{Runners: []wire.RunnerNote{n}})
+		d.tellRunners(n.ID)
 	}
 }
 
@@ -320,6 +320,6 @@
 func (d *Dispatch) tellWeights(id string, t wire.Target) {
 	if n, changed := d.roster.Weights(id, t.Model, t.Mark); changed {
 		d.log.Info("weights in place", "runner", id, "mark", t.Mark)
-		d.relay.Publish(wire.News{Runners: []wire.RunnerNote{n}})
+		d.tellRunners(n.ID)
 	}
 }
--- a/internal/doctor/doctor_test.go
+++ b/internal/doctor/doctor_test.go
@@ -26,6 +26,13 @@
 	must.Eq(t, 0, Status(nil))
 }
 
+func TestWhatIsInOrderIsNotNamed(t *testing.T) {
+	l := healthy()
+	l[3].Condition.Wholes, l[3].Condition.Changes = 30, 100_000
+	l = append(l, Visited{Addr: "d", Role: wire.Dispatch, AskedUs: 1_000_000, Condition: &wire.Condition{Node: "d", Role: wire.Dispatch, Addr: "d", LedgerID: "d/x", TimeUs: 1_000_000, Marks: []int64{4}, Groups: l[0].Condition.Groups, Runners: 3}})
+	must.SliceEmpty(t, Examine(l), must.Sprint("few repairs, and a dispatch without a disk that is in no group"))
+}
+
 func TestEachFaultIsNamed(t *testing.T) {
 	for _, c := range []struct {
 		want   string
@@ -56,6 +63,8 @@
 		{"runner r1 has not beaten", 1, func(l []Visited) { l[0].Condition.Stale = []string{"r1"} }},
 		{"kept parts of runner r1", 1, func(l []Visited) { l[0].Condition.Unread = []string{"r1"} }},
 		{"thresholds of runner r1", 1, func(l []Visited) { l[3].Condition.Blind = []string{"r1"} }},
+		{"falls back to wholes: 30", 1, func(l []Visited) { l[3].Condition.Wholes, l[3].Condition.Changes = 30, 900 }},
+		{"2 messages that it could not read", 1, func(l []Visited) { l[3].Condition.Malformed = 2 }},
 		{"2000 ms off", 1, func(l []Visited) { l[3].Condition.TimeUs += 2_000_000 }},
 	} {
 		l := healthy()
--- a/internal/doctor/examine.go
+++ b/internal/doctor/examine.go
@@ -133,7 +133,7 @@
 		}
 	}
 	if c.Role == wire.Dispatch {
-		if !c.HasDisk {
+		if !c.HasDisk && member(c) {
 			add("keeps the control state in memory only", "give it a dataDir, or be sure that enough members never stop together")
 		}
 		if c.SaveFault != "" {
@@ -145,6 +145,12 @@
 			add("knows no runner", "look whether runners reach its control address")
 		}
 	}
+	if c.Wholes >= manyWholes && c.Wholes*wholesPart > c.Changes {
+		add(fmt.Sprintf("falls back to wholes: %d, beside %d changes", c.Wholes, c.Changes), "look at its links and whether it keeps up; changes are lost on the way to it or do not fit")
+	}
+	if c.Malformed > 0 {
+		add(fmt.Sprintf("got %d messages that it could not read", c.Malformed), "see whether its neighbours run another release")
+	}
 	for _, id := range c.Stale {
 		add("runner "+id+" has not beaten for a while", "look whether it runs; it is passed over meanwhile")
 	}
@@ -160,6 +166,25 @@
 	return out
 }
 
+// Wholes of streams that a node held already are repairs; more than these, and
+// more than one beside so many changes, are too many.
+const (
+	manyWholes = 20
+	wholesPart = 50
+)
+
+// member tells whether a dispatch is in a group.
+func member(c *wire.Condition) bool {
+	for _, g := range c.Groups {
+		for _, m := range g {
+			if m.ID == c.LedgerID {
+				return true
+			}
+		}
+	}
+	return false
+}
+
 // Status is the exit status for findings: 0 none, 1 warnings, 3 faults.
 func Status(list []Finding) int {
 	status := 0
--- a/internal/doorman/doorman.go
+++ b/internal/doorman/doorman.go
@@ -6,8 +6,11 @@
 package doorman
 
 import (
+	"math"
+	"slices"
 	"sort"
 
+	"beechtide.org/beechtide/internal/bulletin"
 	"beechtide.org/beechtide/internal/hail"
 	"beechtide.org/beechtide/internal/pantry"
 	"beechtide.org/beechtide/internal/ticket"
@@ -120,6 +123,11 @@
 	oldUs   map[string]int64 // by model: since when the newest mark is known
 	newest  map[string]int64 // by model
 	calmUs  int64
+	list    []hail.Candidate // kept from one look for candidates to the next
+	who     []*runner
+	turn    int             // whose turn it is among equals
+	free    bool            // the last look for candidates found a runner with a place
+	toldUs  int64           // when the others' loads last came
 	fresh   []wire.KeptNote // parts that this node has sent somewhere to be read
 	MarkUs  int64           // after how long an older mark is out of bounds
 	Salt    func(tenant string, isolated bool, regime string, mark int64) string
@@ -341,13 +349,19 @@
 // Candidates lists the runners that a request may go to now.
 func (d *Doorman) Candidates(a Ask, nowUs int64) []hail.Candidate {
 	list, _ := d.candidates(a, d.pool(a.Service), nowUs)
-	return list
+	return slices.Clone(list)
 }
 
+// candidates gives the runners that a request may go to; the result holds until
+// the next call.
 func (d *Doorman) candidates(a Ask, p *pool, nowUs int64) ([]hail.Candidate, []*runner) {
-	var out []hail.Candidate
-	var who []*runner
+	out, who := d.list[:0], d.who[:0]
+	defer func() { d.list, d.who = out, who }()
+	d.free = false
 	share := d.linkShare(p)
+	d.forgetOthers(nowUs)
+	told := d.told(nowUs)
+	keysOf := d.keysOf(a)
 	need := (a.TokensIn + a.TokensOut + d.T.BlockTokens - 1) / d.T.BlockTokens
 	for pass := range 3 {
 		for _, id := range p.order {
@@ -358,20 +372,19 @@
 			if !d.markAllowed(a.Model, r, nowUs) {
 				continue
 			}
-			use := r.settle(&d.T, nowUs, d.nodes)
+			use := r.settle(&d.T, nowUs, d.nodes, told)
 			active := r.active(&d.T, nowUs)
 			if r.busyKV || r.busyRead || r.capacity > 0 && active >= r.capacity || share > 0 && r.own.count >= share {
 				continue
 			}
-			mark := markOf(r.note, a.Model)
-			keys := pantry.Keys(d.Salt(a.Tenant, a.Isolated, a.Regime, mark), a.Model, a.Parts)
-			kept := d.Index.Expected(id, keys, a.Parts)
+			kept := d.Index.Expected(id, keysOf(markOf(r.note, a.Model)), a.Parts)
+			d.free = true
 			if r.blocks > 0 && active > 0 {
 				if after := use + float64(need-kept/d.T.BlockTokens)/float64(r.blocks); after > 0.98 {
 					continue
 				}
 			}
-			out = append(out, hail.Candidate{ID: id, NearSite: r.note.Site == d.Site, Kept: kept, Prefill: r.prefill(&d.T, nowUs), Active: active, Capacity: r.capacity, Used: use, Rate: r.readRate(&d.T), Reading: r.reading(&d.T, nowUs)})
+			out = append(out, hail.Candidate{ID: id, NearSite: r.note.Site == d.Site, Kept: kept, Prefill: r.prefill(), Active: active, Capacity: r.capacity, Used: use, Rate: r.readRate(&d.T), Reading: r.reading(&d.T, nowUs), DoubtUs: r.soundness.doubtUs(nowUs)})
 			who = append(who, r)
 		}
 		if len(out) > 0 {
@@ -379,11 +392,28 @@
 		}
 	}
 	if p.moveUs > 0 && len(a.Parts) > 0 {
-		d.findMoves(a, p, out, who, nowUs)
+		d.findMoves(a, p, out, who, keysOf, nowUs)
 	}
 	return out, who
 }
 
+// keysOf gives the keys of a request's parts under each mark, each worked out
+// once.
+func (d *Doorman) keysOf(a Ask) func(mark int64) []uint64 {
+	var marks []int64
+	var keys [][]uint64
+	return func(mark int64) []uint64 {
+		for i, m := range marks {
+			if m == mark {
+				return keys[i]
+			}
+		}
+		marks = append(marks, mark)
+		keys = append(keys, pantry.Keys(d.Salt(a.Tenant, a.Isolated, a.Regime, mark), a.Model, a.Parts))
+		return keys[len(keys)-1]
+	}
+}
+
 // Costs of a move of kept parts: its start, and how much longer it takes
 // between sites. Fewer tokens than moveMin are not worth one.
 const (
@@ -392,43 +422,67 @@
 	moveMin     = 48
 )
 
+// holder is a runner or store that keeps some of a prompt.
+type holder struct {
+	addr   string
+	site   string
+	mark   int64
+	kept   int
+	moveUs float64
+	equals int
+}
+
 // findMoves finds for every candidate the runner with the same weights that
 // keeps more of the prompt and from where it comes soonest.
-func (d *Doorman) findMoves(a Ask, p *pool, out []hail.Candidate, who []*runner, nowUs int64) {
+func (d *Doorman) findMoves(a Ask, p *pool, out []hail.Candidate, who []*runner, keysOf func(mark int64) []uint64, nowUs int64) {
 	shared := 0
 	for _, part := range a.Parts[:len(a.Parts)-1] {
 		shared += part.Tokens
 	}
 	known := map[int64]int{}
-	type holder struct {
-		r      *runner
-		addr   string
-		site   string
-		mark   int64
-		kept   int
-		moveUs float64
-	}
 	var holders []holder
+	// of several with the same weights, site and speed the one with most is
+	// enough; among equals they take turns
+	add := func(h holder) {
+		if h.kept < moveMin {
+			return
+		}
+		for i := range holders {
+			o := &holders[i]
+			if o.mark != h.mark || o.site != h.site || o.moveUs != h.moveUs {
+				continue
+			}
+			switch {
+			case h.kept > o.kept:
+				*o = h
+			case h.kept == o.kept:
+				o.equals++
+				if d.turn++; d.turn%(o.equals+1) == 0 {
+					h.equals = o.equals
+					*o = h
+				}
+			}
+			return
+		}
+		holders = append(holders, h)
+	}
 	for _, id := range p.order {
 		r := p.runners[id]
 		if r.note.Stale || r.unsoundUs > nowUs || !p.lets(a, id) {
 			continue
 		}
 		mark := markOf(r.note, a.Model)
-		keys := pantry.Keys(d.Salt(a.Tenant, a.Isolated, a.Regime, mark), a.Model, a.Parts)
-		if kept := d.Index.Kept(id, keys, a.Parts); kept >= moveMin {
-			holders = append(holders, holder{r, r.note.Addr, r.note.Site, mark, kept, p.moveUs})
-		}
-		known[mark] = max(known[mark], min(shared, d.Index.Expected(id, keys, a.Parts)))
+		kept, expected := d.Index.Both(id, keysOf(mark), a.Parts)
+		add(holder{addr: r.note.Addr, site: r.note.Site, mark: mark, kept: kept, moveUs: p.moveUs})
+		known[mark] = max(known[mark], min(shared, expected))
 	}
 	for _, s := range p.stores {
 		if !p.lets(a, s.ID) {
 			continue
 		}
 		for mark := range known {
-			keys := pantry.Keys(d.Salt(a.Tenant, a.Isolated, a.Regime, mark), a.Model, a.Parts)
-			if kept := d.Index.Kept(s.ID, keys, a.Parts); kept >= moveMin {
-				holders = append(holders, holder{nil, s.Addr, s.Site, mark, kept, s.MoveUs})
+			if kept := d.Index.Kept(s.ID, keysOf(mark), a.Parts); kept >= moveMin {
+				add(holder{addr: s.Addr, site: s.Site, mark: mark, kept: kept, moveUs: s.MoveUs})
 				known[mark] = max(known[mark], min(shared, kept))
 			}
 		}
@@ -439,7 +493,7 @@
 		best := 0.0
 		for _, h := range holders {
 			more := h.kept - c.Kept
-			if h.r == who[i] || h.mark != mark || more < moveMin {
+			if h.addr == who[i].note.Addr || h.mark != mark || more < moveMin {
 				continue
 			}
 			us := moveStartUs + float64(more)*h.moveUs
@@ -460,7 +514,7 @@
 // silent or whose links fail.
 func (d *Doorman) preference(a Ask, r *runner, nowUs int64) int {
 	switch {
-	case r.note.Stale || r.unsoundUs > nowUs:
+	case r.note.Stale || r.unsoundUs > nowUs || r.soundness.out(nowUs):
 		return 2
 	case r.note.Easing && a.TokensOut > d.T.LongOut:
 		return 1
@@ -496,6 +550,7 @@
 }
 
 func (d *Doorman) admit(a Ask, p *pool, t *tenantState, nowUs int64) *Admission {
+	d.free = true
 	if float64(t.admitted) >= t.window {
 		return nil
 	}
@@ -524,8 +579,8 @@
 	}
 	adm.blocks = (max(a.TokensIn-inParts, 0) + a.TokensOut + bt - 1) / bt
 	r.own.blocks += adm.blocks
-	if d.expect(adm, len(a.Parts)-1) && len(p.stores) > 0 && c.Moved < moveMin && p.lets(a, p.stores[0].ID) {
-		adm.Sink = p.stores[0].Addr
+	if d.expect(adm, len(a.Parts)-1) && c.Moved < moveMin {
+		adm.Sink = p.sink(a, adm.Keys)
 	}
 	adm.ahead = c.Prefill
 	adm.prefill = max(a.TokensIn-c.Kept-c.Moved, 0)
@@ -540,6 +595,18 @@
 	return adm
 }
 
+// sink is the store for a prompt's shared parts: by the deepest of them, so that
+// what hangs together lies in one, and all stores are used.
+func (p *pool) sink(a Ask, keys []uint64) string {
+	best, top := "", uint64(0)
+	for _, s := range p.stores {
+		if v := bulletin.Mix(keys[max(len(keys)-2, 0)] ^ bulletin.HashText(s.ID, "")); p.lets(a, s.ID) && (best == "" || v > top) {
+			best, top = s.Addr, v
+		}
+	}
+	return best
+}
+
 // expect notes the shared parts that a runner is about to read, here and for
 // the other nodes.
 func (d *Doorman) expect(adm *Admission, shared int) bool {
@@ -616,6 +683,17 @@
 	r.unsoundUs = nowUs + r.pauseUs
 }
 
+// Ended notes how a request that ran at a runner ended there.
+func (d *Doorman) Ended(adm *Admission, good bool, nowUs int64) {
+	p := d.pool(adm.service)
+	if r := p.runners[adm.Runner.ID]; r != nil {
+		r.soundness.note(good, nowUs)
+		if !good {
+			p.eject(nowUs)
+		}
+	}
+}
+
 // Full notes that a runner turned a request away: for a short while it counts
 // as having no place.
 func (d *Doorman) Full(adm *Admission, nowUs int64) {
@@ -637,25 +715,50 @@
 	}
 }
 
-// Tally takes another node's word on what it has where.
-func (d *Doorman) Tally(t wire.Tally, nowUs int64) {
-	for _, n := range t.Coming {
+// Coming takes other nodes' word on the parts that they have sent to be read.
+func (d *Doorman) Coming(notes []wire.KeptNote) {
+	for _, n := range notes {
 		for _, part := range n.Parts {
 			d.Index.Expect(n.ID, part.Key, part.Tokens)
 		}
 	}
-	for _, w := range t.Weights {
-		for _, p := range d.pools {
-			if r := p.runners[w.ID]; r != nil {
-				r.others[t.From] = word{blocks: w.Blocks, prefill: w.Prefill, count: w.Count, flow: float64(w.Flow), atUs: nowUs}
-				if w.Rate > 0 && r.rate <= 0 {
-					r.rate = w.Rate
-				}
+}
+
+// Others takes what the other nodes have at the runners, added up; a runner
+// that is not named has nothing of theirs.
+func (d *Doorman) Others(loads func(id string) wire.RunnerLoad, nowUs int64) {
+	d.toldUs = nowUs
+	for _, p := range d.pools {
+		for id, r := range p.runners {
+			l := loads(id)
+			r.soundness.hint = outcomes{max(l.Tried, 0), max(l.Failed, 0)}
+			r.others = word{blocks: max(l.Blocks, 0), prefill: max(l.Prefill, 0), count: max(l.Count, 0), flow: max(float64(l.Flow), 0)}
+			if l.Rate > 0 && r.rate <= 0 {
+				r.rate = l.Rate
 			}
 		}
+		p.eject(nowUs)
 	}
 }
 
+// forgetOthers lets go of what the others said once it is too old.
+func (d *Doorman) forgetOthers(nowUs int64) {
+	if d.toldUs == 0 || d.told(nowUs) {
+		return
+	}
+	d.toldUs = 0
+	for _, p := range d.pools {
+		for _, r := range p.runners {
+			r.others = word{}
+		}
+	}
+}
+
+// told tells whether the others' loads are fresh enough to go by.
+func (d *Doorman) told(nowUs int64) bool {
+	return d.toldUs > 0 && nowUs-d.toldUs < d.T.ReportFreshUs
+}
+
 // Blind lists the runners whose thresholds cannot fire as they should: memory
 // that is not known, or no report within three times the time one is believed.
 func (d *Doorman) Blind(nowUs int64) []string {
@@ -672,20 +775,31 @@
 	return out
 }
 
-// Own tells this node's word: the runners where it has something, or had.
-func (d *Doorman) Own(from string, nowUs int64) wire.Tally {
-	t := wire.Tally{From: from, Weights: []wire.RunnerWeight{}, Coming: d.fresh}
-	d.fresh = nil
+// flowStep is to what the flow of prompt tokens is rounded where it is told, so
+// that it is no change with every moment.
+const flowStep = 250
+
+// Own is what this node has at the runners.
+func (d *Doorman) Own(nowUs int64) map[string]wire.RunnerLoad {
+	out := map[string]wire.RunnerLoad{}
 	for _, p := range d.pools {
-		for _, id := range p.order {
-			r := p.runners[id]
-			if r.own.count > 0 || r.hits > 0 || r.ownFlow(nowUs) > 100 {
-				t.Weights = append(t.Weights, wire.RunnerWeight{ID: id, Blocks: r.own.blocks, Prefill: r.own.prefill, Count: r.own.count, Rate: r.rate, Flow: int(r.ownFlow(nowUs))})
+		for id, r := range p.runners {
+			flow := int(r.ownFlow(nowUs)/flowStep+0.5) * flowStep
+			seen := r.soundness.own(nowUs)
+			if r.own.count > 0 || flow > 0 || seen.tried > 0 {
+				out[id] = wire.RunnerLoad{ID: id, Tried: seen.tried, Failed: seen.failed, Blocks: r.own.blocks, Prefill: r.own.prefill, Count: r.own.count, Rate: math.Round(r.rate*1e4) / 1e4, Flow: flow}
 			}
-			r.hits = r.own.count
 		}
 	}
-	return t
+	return out
+}
+
+// TakeFresh gives the parts that this node has sent to be read since the last
+// call.
+func (d *Doorman) TakeFresh() []wire.KeptNote {
+	out := d.fresh
+	d.fresh = nil
+	return out
 }
 
 // Tick lets time pass: requests whose wait is over are denied, others that
@@ -699,9 +813,15 @@
 		for _, w := range p.queue.expired(nowUs) {
 			out = append(out, d.deny(w.ask, p, DenyTTL, 503))
 		}
+		full := false
 		p.queue.walk(func(w *waiting) bool {
+			if full {
+				return false
+			}
 			adm := d.admit(w.ask, p, d.tenant(w.ask.Tenant, nowUs), nowUs)
 			if adm == nil {
+				// no place anywhere for this one means none for the next
+				full = !d.free && w.ask.Regime == "" && len(w.ask.Avoid) == 0
 				return false
 			}
 			out = append(out, Ruling{Ref: w.ask.Ref, Admit: adm})
@@ -750,7 +870,7 @@
 	for _, p := range d.pools {
 		for _, id := range p.order {
 			if r := p.runners[id]; r.blocks > 0 {
-				sum += r.settle(&d.T, nowUs, d.nodes)
+				sum += r.settle(&d.T, nowUs, d.nodes, d.told(nowUs))
 				n++
 			}
 		}
--- a/internal/doorman/doorman_test.go
+++ b/internal/doorman/doorman_test.go
@@ -109,9 +109,46 @@
 	d.SetNodes(2)
 	d.Report(wire.ReportNote{ID: "x", Used: 0, Total: memory}, 1)
 	now := int64(1 + d.T.ReportFreshUs) // the report is too old to be believed
-	d.Tally(wire.Tally{From: "n2", Weights: []wire.RunnerWeight{{ID: "x", Blocks: 870, Count: 2}}}, now)
+	d.Others(func(string) wire.RunnerLoad { return wire.RunnerLoad{Blocks: 870, Count: 2} }, now)
 	must.True(t, d.Arrive(ask(16, 1), now+1).Hold, must.Sprint("others' word counts"))
 	must.Len(t, 1, d.Tick(now+1_000_000), must.Sprint("a held request does not wait for ever"))
+	late := now + d.T.ReportFreshUs + 1
+	d.SetNodes(4)
+	must.NotNil(t, d.Arrive(ask(3_600, 20), late).Admit, must.Sprint("an old word is let go"))
+	must.True(t, d.Arrive(ask(16, 1), late+1).Hold, must.Sprint("and the node keeps to its share"))
+}
+
+// Sums that are short, because a part of the tree is missing from them, must
+// not take away a threshold that the node's own requests reach.
+func TestThresholdsFireWithSumsThatAreShort(t *testing.T) {
+	d := door("x")
+	d.SetNodes(3)
+	d.Others(func(string) wire.RunnerLoad { return wire.RunnerLoad{Blocks: -40, Count: -2, Prefill: -5} }, 1)
+	must.NotNil(t, d.Arrive(ask(13_600, 20), 2).Admit)
+	must.True(t, d.Arrive(ask(16, 1), 3).Hold)
+}
+
+func TestStoresAreAllUsedAndHoldTogetherWhatIsShared(t *testing.T) {
+	d := door("x")
+	d.SetService("s", []wire.RunnerNote{note("x")}, memory, 2)
+	d.SetStores("s", []Store{{ID: "s1", Addr: "s1"}, {ID: "s2", Addr: "s2"}, {ID: "s3", Addr: "s3"}})
+	used := map[string]bool{}
+	for i := range 40 {
+		var last string
+		for j := range 2 {
+			a := ask(116, 1)
+			a.Parts = []pantry.Part{{ID: "top", Tokens: 50}, {ID: fmt.Sprint("deep", i), Tokens: 50}, {ID: fmt.Sprint("own", i, j), Tokens: 16}}
+			r := d.Arrive(a, int64(1+i)*1_000_000)
+			must.NotNil(t, r.Admit)
+			if j == 0 {
+				last = r.Admit.Sink
+			}
+			must.Eq(t, last, r.Admit.Sink)
+			d.Done(r.Admit, true, int64(1+i)*1_000_000)
+		}
+		used[last] = true
+	}
+	must.MapLen(t, 3, used)
 }
 
 func TestOwnRequestsCountOnTopOfALateReport(t *testing.T) {
--- a/internal/doorman/runner.go
+++ b/internal/doorman/runner.go
@@ -22,17 +22,16 @@
 	own       word
 	recent    []recentShot
 	pins      map[uint64]int
-	others    map[string]word
+	others    word // what the other nodes have there, added up
 	report    word
 	reported  bool
 	rate      float64
-	hits      int
 	barredUs  int64 // since when it has been barred; 0: it is not
 	busyKV    bool
 	busyRead  bool
 	unsoundUs int64 // until when
 	pauseUs   int64
-	failed    int
+	soundness soundness
 }
 
 type recentShot struct {
@@ -56,13 +55,13 @@
 }
 
 func newRunner() *runner {
-	return &runner{pins: map[uint64]int{}, others: map[string]word{}}
+	return &runner{pins: map[uint64]int{}}
 }
 
 // usedBlocks estimates the memory in use: the runner's own fresh report with
 // what was sent since, else what the nodes know of each other's requests, else
 // this node's own, as though every other had as much there.
-func (r *runner) usedBlocks(t *Tuning, nowUs int64, nodes int) int {
+func (r *runner) usedBlocks(t *Tuning, nowUs int64, nodes int, told bool) int {
 	if r.reported && nowUs-r.report.atUs < t.ReportFreshUs {
 		since := 0
 		for _, s := range r.recent {
@@ -72,41 +71,21 @@
 		}
 		return max(r.own.blocks, r.report.blocks+since)
 	}
-	sum, fresh := r.own.blocks, 0
-	for _, o := range r.others {
-		if nowUs-o.atUs < t.ReportFreshUs {
-			sum += o.blocks
-			fresh++
-		}
-	}
-	if fresh == 0 && nodes > 1 {
+	if !told && nodes > 1 {
 		return r.own.blocks * nodes
 	}
-	return sum
+	return r.own.blocks + r.others.blocks
 }
 
 func (r *runner) active(t *Tuning, nowUs int64) int {
-	sum := r.own.count
-	for _, o := range r.others {
-		if nowUs-o.atUs < t.ReportFreshUs {
-			sum += o.count
-		}
-	}
+	sum := r.own.count + r.others.count
 	if r.reported && nowUs-r.report.atUs < t.ReportFreshUs {
 		return max(sum, r.report.count)
 	}
 	return sum
 }
 
-func (r *runner) prefill(t *Tuning, nowUs int64) int {
-	sum := r.own.prefill
-	for _, o := range r.others {
-		if nowUs-o.atUs < t.ReportFreshUs {
-			sum += o.prefill
-		}
-	}
-	return sum
-}
+func (r *runner) prefill() int { return r.own.prefill + r.others.prefill }
 
 // flowUs is over which time the flow of prompt tokens is told.
 const flowUs = 2_000_000
@@ -124,13 +103,7 @@
 // reading is the part of its time that the runner needs for the prompts that
 // all nodes send it.
 func (r *runner) reading(t *Tuning, nowUs int64) float64 {
-	sum := r.ownFlow(nowUs)
-	for _, o := range r.others {
-		if nowUs-o.atUs < t.ReportFreshUs {
-			sum += o.flow
-		}
-	}
-	return sum / 1e6 / r.readRate(t)
+	return (r.ownFlow(nowUs) + r.others.flow) / 1e6 / r.readRate(t)
 }
 
 func (r *runner) readRate(t *Tuning) float64 {
@@ -141,16 +114,16 @@
 }
 
 // settle moves the two busy marks, each with its hysteresis.
-func (r *runner) settle(t *Tuning, nowUs int64, nodes int) (use float64) {
+func (r *runner) settle(t *Tuning, nowUs int64, nodes int, told bool) (use float64) {
 	if r.blocks > 0 {
-		use = float64(r.usedBlocks(t, nowUs, nodes)) / float64(r.blocks)
+		use = float64(r.usedBlocks(t, nowUs, nodes, told)) / float64(r.blocks)
 		if use >= t.BusyAt {
 			r.busyKV = true
 		} else if use <= t.FreeAt {
 			r.busyKV = false
 		}
 	}
-	wait := float64(r.prefill(t, nowUs)) / r.readRate(t)
+	wait := float64(r.prefill()) / r.readRate(t)
 	if wait >= float64(t.PrefillUs) {
 		r.busyRead = true
 	} else if wait <= float64(t.PrefillUs)*t.PrefillFree {
--- a/internal/hail/match.go
+++ b/internal/hail/match.go
@@ -25,6 +25,7 @@
 	Capacity int     // requests it takes at once
 	Used     float64 // part of its memory in use
 	Rate     float64 // tokens read a microsecond
+	DoubtUs  float64 // what doubt in its soundness counts
 	Reading  float64 // part of its time in which it has been reading prompts
 }
 
@@ -76,6 +77,7 @@
 	if !c.NearSite {
 		us += farUs
 	}
+	us += c.DoubtUs
 	return us
 }
 
--- /dev/null
+++ b/internal/menu/entries_test.go
@@ -0,0 +1,64 @@
+package menu
+
+import (
+	"encoding/json"
+	"strings"
+	"testing"
+
+	"github.com/shoenig/test/must"
+)
+
+// The entries of a configuration and the changes between two give the table
+// that reading the whole would have given.
+func TestEntriesGiveWhatTheWholeGives(t *testing.T) {
+	one, err := Parse([]byte(good))
+	must.NoError(t, err)
+	two, err := Parse([]byte(strings.NewReplacer(`"version":7`, `"version":9`, `"k1","k2"`, `"k2","k9"`, `"name":"b"`, `"name":"bb"`, `{"name":"s2"}`, `{"name":"s2"},{"name":"s3"}`, `,{"name":"t2","apiKeys":["k3"]}`, ``).Replace(good)))
+	must.NoError(t, err)
+	was, err := Entries(one)
+	must.NoError(t, err)
+	is, err := Entries(two)
+	must.NoError(t, err)
+	var a Assembly
+	must.NoError(t, a.Take(was, true))
+	text := func(v any) string {
+		b, err := json.Marshal(v)
+		must.NoError(t, err)
+		return string(b)
+	}
+	must.Eq(t, text(one), text(a.Menu()))
+	diff := map[string]string{}
+	for k := range was {
+		if _, ok := is[k]; !ok {
+			diff[k] = ""
+		}
+	}
+	for k, v := range is {
+		if was[k] != v {
+			diff[k] = v
+		}
+	}
+	must.MapLen(t, 5, diff, must.Sprint("route b, tenant t1, tenant t2, service s3, version"))
+	must.NoError(t, a.Take(diff, false))
+	must.Eq(t, text(two), text(a.Menu()))
+	tab := Compile(a.Menu())
+	must.Eq(t, int64(9), tab.Mark)
+	must.Nil(t, tab.Tenant("k1"))
+	must.Eq(t, "t1", tab.Tenant("k9").Name)
+	before := text(a.Menu())
+	must.Error(t, a.Take(map[string]string{"route/000/x": "{"}, false))
+	must.Error(t, a.Take(map[string]string{"strange/000/x": "{}"}, false))
+	must.Eq(t, before, text(a.Menu()), must.Sprint("a bad entry changes nothing"))
+}
+
+func TestEntriesOfOneNameAreKeptApart(t *testing.T) {
+	m, err := Parse([]byte(strings.Replace(good, `{"name":"t2","apiKeys":["k3"]}`, `{"name":"t1","apiKeys":["k3"]}`, 1)))
+	must.NoError(t, err)
+	e, err := Entries(m)
+	must.NoError(t, err)
+	var a Assembly
+	must.NoError(t, a.Take(e, true))
+	tab := Compile(a.Menu())
+	must.Eq(t, "t1", tab.Tenant("k3").Name)
+	must.Eq(t, "t1", tab.Tenant("k1").Name)
+}
--- a/internal/pantry/index.go
+++ b/internal/pantry/index.go
@@ -8,6 +8,9 @@
 import (
 	"strconv"
 	"strings"
+
+	"beechtide.org/beechtide/internal/bulletin"
+	"beechtide.org/beechtide/internal/wire"
 )
 
 // maxParts bounds what is held for one runner.
@@ -57,105 +60,205 @@
 	return out
 }
 
-// Index is not safe for concurrent use. Besides what is kept it knows what is
-// coming: parts that a runner has been sent and has not read yet.
+// Shelf is what a runner keeps by its own word, as a stream: its epoch and its
+// versions are those of the runner's events, so that whoever reads the runner
+// next goes on where the one before stopped.
+type Shelf = bulletin.Stream[uint64, int32]
+
+func hashPart(k uint64, tokens int32) uint64 { return bulletin.Mix(k ^ bulletin.Mix(uint64(tokens)+1)) }
+
+// seen is what this node makes of its own requests until the runner's word on
+// the part comes: it has been read there, or it is coming.
+type seen struct {
+	tokens int32
+	read   bool
+}
+
+// Index is not safe for concurrent use.
 type Index struct {
-	runners map[string]map[uint64]int32
-	coming  map[string]map[uint64]int32
+	shelves map[string]*Shelf
+	seen    map[string]map[uint64]seen
 }
 
 // NewIndex makes an empty one.
 func NewIndex() *Index {
-	return &Index{runners: map[string]map[uint64]int32{}, coming: map[string]map[uint64]int32{}}
+	return &Index{shelves: map[string]*Shelf{}, seen: map[string]map[uint64]seen{}}
+}
+
+// Shelf gives the stream of a runner.
+func (x *Index) Shelf(runner string) *Shelf {
+	s := x.shelves[runner]
+	if s == nil {
+		s = bulletin.New(hashPart)
+		x.shelves[runner] = s
+	}
+	return s
+}
+
+// Send is a change of a runner's shelf as it goes over the wire.
+func Send(runner string, c bulletin.Change[uint64, int32]) wire.KeptChange {
+	out := wire.KeptChange{ID: runner, Epoch: c.Epoch, From: c.From, To: c.To, Whole: c.Whole, Digest: c.Digest, Parts: make([]wire.KeptPart, 0, len(c.Puts))}
+	for _, p := range c.Puts {
+		n := p.Value
+		if p.Gone {
+			n = 0
+		}
+		out.Parts = append(out.Parts, wire.KeptPart{Key: p.Key, Tokens: n})
+	}
+	return out
+}
+
+// Hear takes a change of a runner's shelf.
+func (x *Index) Hear(c wire.KeptChange) bulletin.Result {
+	in := bulletin.Change[uint64, int32]{Epoch: c.Epoch, From: c.From, To: c.To, Whole: c.Whole, Digest: c.Digest}
+	for _, p := range c.Parts {
+		in.Puts = append(in.Puts, bulletin.Put[uint64, int32]{Key: p.Key, Value: p.Tokens, Gone: p.Tokens <= 0})
+	}
+	r := x.Shelf(c.ID).Apply(in)
+	if r == bulletin.Applied {
+		m := x.seen[c.ID]
+		for _, p := range c.Parts {
+			delete(m, p.Key)
+		}
+	}
+	return r
+}
+
+// Holds tells how much of every shelf is here.
+func (x *Index) Holds() []wire.StreamHold {
+	out := make([]wire.StreamHold, 0, len(x.shelves))
+	for id, s := range x.shelves {
+		if s.Epoch != 0 {
+			out = append(out, wire.StreamHold{ID: id, Epoch: s.Epoch, Version: s.Version})
+		}
+	}
+	return out
+}
+
+// Since gives what a receiver with these holds lacks, for the runners that
+// pick says yes to.
+func (x *Index) Since(holds []wire.StreamHold, pick func(runner string) bool) []wire.KeptChange {
+	have := make(map[string]wire.StreamHold, len(holds))
+	for _, h := range holds {
+		have[h.ID] = h
+	}
+	var out []wire.KeptChange
+	for id, s := range x.shelves {
+		if s.Epoch == 0 || !pick(id) {
+			continue
+		}
+		h := have[id]
+		if h.Epoch == s.Epoch && h.Version > s.Version {
+			continue
+		}
+		if c, lacks := s.Since(h.Epoch, h.Version); lacks {
+			out = append(out, Send(id, c))
+		}
+	}
+	return out
 }
 
 // Reset forgets all about a runner.
 func (x *Index) Reset(runner string) {
-	delete(x.runners, runner)
-	delete(x.coming, runner)
+	delete(x.shelves, runner)
+	delete(x.seen, runner)
 }
 
-// Expect notes a part that a runner will keep once it has read it.
-func (x *Index) Expect(runner string, key uint64, tokens int32) {
-	m := x.coming[runner]
+func (x *Index) note(runner string, key uint64, n seen) {
+	m := x.seen[runner]
 	if m == nil {
-		m = map[uint64]int32{}
-		x.coming[runner] = m
+		m = map[uint64]seen{}
+		x.seen[runner] = m
 	}
 	if len(m) >= maxParts {
 		clear(m)
 	}
-	m[key] = tokens
+	m[key] = n
 }
 
-// Forget takes back what Expect noted.
-func (x *Index) Forget(runner string, key uint64) { delete(x.coming[runner], key) }
-
-// Expected counts like Kept, with the parts that are coming.
-func (x *Index) Expected(runner string, keys []uint64, parts []Part) int {
-	m, n := x.runners[runner], x.coming[runner]
-	if m == nil && n == nil {
-		return 0
+// Expect notes a part that a runner will keep once it has read it.
+func (x *Index) Expect(runner string, key uint64, tokens int32) {
+	if old := x.seen[runner][key]; !old.read {
+		x.note(runner, key, seen{tokens, false})
 	}
-	sum := 0
-	for i, k := range keys {
-		have := int(max(m[k], n[k]))
-		if have < parts[i].Tokens {
-			return sum + have
-		}
-		sum += parts[i].Tokens
+}
+
+// Forget takes back what Expect noted.
+func (x *Index) Forget(runner string, key uint64) {
+	if m := x.seen[runner]; !m[key].read {
+		delete(m, key)
 	}
-	return sum
 }
 
-// Put notes how many tokens of a part a runner keeps; 0 means none.
+// Put notes that a runner has read a part, as this node saw it; the runner's
+// own word on the part goes before it.
 func (x *Index) Put(runner string, key uint64, tokens int32) {
-	delete(x.coming[runner], key)
-	m := x.runners[runner]
 	if tokens <= 0 {
-		delete(m, key)
+		delete(x.seen[runner], key)
 		return
 	}
-	if m == nil {
-		m = map[uint64]int32{}
-		x.runners[runner] = m
-	}
-	if len(m) >= maxParts {
-		clear(m)
+	if s := x.shelves[runner]; s != nil {
+		if have, ok := s.Get(key); ok && have >= tokens {
+			delete(x.seen[runner], key)
+			return
+		}
 	}
-	m[key] = tokens
+	x.note(runner, key, seen{tokens, true})
 }
 
 // Kept counts the tokens of a prompt that a runner need not read again: whole
 // parts from the first on, and the kept beginning of the next.
 func (x *Index) Kept(runner string, keys []uint64, parts []Part) int {
-	m := x.runners[runner]
-	if m == nil {
-		return 0
+	kept, _ := x.Both(runner, keys, parts)
+	return kept
+}
+
+// Expected counts like Kept, with the parts that are coming.
+func (x *Index) Expected(runner string, keys []uint64, parts []Part) int {
+	_, expected := x.Both(runner, keys, parts)
+	return expected
+}
+
+// Both gives Kept and Expected in one pass.
+func (x *Index) Both(runner string, keys []uint64, parts []Part) (kept, expected int) {
+	s, m := x.shelves[runner], x.seen[runner]
+	if s == nil && len(m) == 0 {
+		return 0, 0
 	}
-	sum := 0
+	still := true
 	for i, k := range keys {
-		have := int(m[k])
-		if have < parts[i].Tokens {
-			return sum + have
+		have := int32(0)
+		if s != nil {
+			have, _ = s.Get(k)
 		}
-		sum += parts[i].Tokens
-	}
-	return sum
-}
-
-// Each calls f for everything held about a runner.
-func (x *Index) Each(f func(runner string, key uint64, tokens int32)) {
-	for r, m := range x.runners {
-		for k, t := range m {
-			f(r, k, t)
+		sure := have
+		if n, ok := m[k]; ok {
+			have = max(have, n.tokens)
+			if n.read {
+				sure = have
+			}
+		}
+		want := parts[i].Tokens
+		if still {
+			kept += min(int(sure), want)
+			still = int(sure) >= want
+		}
+		expected += min(int(have), want)
+		if int(have) < want {
+			break
 		}
 	}
+	return kept, expected
 }
 
 // Retain forgets runners for which keep says no.
 func (x *Index) Retain(keep func(runner string) bool) {
-	for r := range x.runners {
+	for r := range x.shelves {
+		if !keep(r) {
+			x.Reset(r)
+		}
+	}
+	for r := range x.seen {
 		if !keep(r) {
 			x.Reset(r)
 		}
--- a/internal/radio/crew.go
+++ b/internal/radio/crew.go
@@ -5,6 +5,7 @@
 package radio
 
 import (
+	"math/bits"
 	"sort"
 
 	"beechtide.org/beechtide/internal/wire"
@@ -151,7 +152,7 @@
 		}
 	}
 	for addr, m := range c.mates {
-		if m.peer.Standing == wire.Suspect && nowUs-m.sinceUs >= c.times.SuspectUs {
+		if m.peer.Standing == wire.Suspect && nowUs-m.sinceUs >= c.suspectUs() {
 			p := m.peer
 			p.Standing = wire.Dead
 			c.take(p, nowUs)
@@ -207,6 +208,16 @@
 	return nil
 }
 
+// often is how many times a piece of news is passed on: enough that it reaches
+// all, which takes a number that grows with the logarithm of theirs.
+func (c *Crew) often() int { return max(6, 2*bits.Len(uint(len(c.mates)))) }
+
+// suspectUs is how long a suspicion may be denied; with many nodes a denial
+// takes more hops.
+func (c *Crew) suspectUs() int64 {
+	return c.times.SuspectUs * int64(max(6, bits.Len(uint(len(c.mates))))) / 6
+}
+
 func rankOf(s wire.Standing) int {
 	switch s {
 	case wire.Dead:
@@ -233,7 +244,7 @@
 		if p.Standing == wire.Dead {
 			return
 		}
-		c.mates[p.Addr] = &mate{peer: p, sinceUs: nowUs, spread: 6}
+		c.mates[p.Addr] = &mate{peer: p, sinceUs: nowUs, spread: c.often()}
 		c.order = nil
 		c.mark++
 		return
@@ -249,7 +260,7 @@
 		m.sinceUs = nowUs
 	}
 	m.peer = p
-	m.spread = 6
+	m.spread = c.often()
 	c.mark++
 }
 
--- a/internal/radio/crew_test.go
+++ b/internal/radio/crew_test.go
@@ -115,16 +115,30 @@
 
 func TestParentsKeepSitesTogether(t *testing.T) {
 	var counters []wire.Peer
-	for i := range 20 {
+	for i := range 40 {
 		counters = append(counters, wire.Peer{Addr: fmt.Sprintf("c%02d", i), Site: "a"})
 	}
 	dispatches := []wire.Peer{{Addr: "da", Site: "a"}, {Addr: "db", Site: "b"}}
 	must.Eq(t, []string{"da", "db"}, Parents("c03", "a", dispatches, counters))
-	must.Eq(t, []string{"c00", "da", "db"}, Parents("c08", "a", dispatches, counters))
-	must.Eq(t, []string{"c01", "da", "db"}, Parents("c17", "a", dispatches, counters))
+	must.Eq(t, []string{"da", "db"}, Parents("c15", "a", dispatches, counters))
+	must.Eq(t, []string{"c00", "da", "db"}, Parents("c16", "a", dispatches, counters))
+	must.Eq(t, []string{"c01", "da", "db"}, Parents("c33", "a", dispatches, counters))
 	must.Eq(t, []string{"da", "db"}, Parents("x", "c", dispatches, counters))
 }
 
+func TestCountersTakeTurnsAtTheDispatchesThatCount(t *testing.T) {
+	var counters []wire.Peer
+	for i := range 34 {
+		counters = append(counters, wire.Peer{Addr: fmt.Sprintf("c%02d", i), Site: "a"})
+	}
+	dispatches := []wire.Peer{{Addr: "d1", Site: "a", Counted: true}, {Addr: "d2", Site: "a", Counted: true}, {Addr: "d3", Site: "a"}, {Addr: "d4", Site: "b", Counted: true}}
+	must.Eq(t, []string{"d1", "d2", "d4"}, Parents("c02", "a", dispatches, counters))
+	must.Eq(t, []string{"d2", "d1", "d4"}, Parents("c03", "a", dispatches, counters))
+	must.Eq(t, []string{"d2", "d1", "d4"}, Parents("c31", "a", dispatches, counters))
+	must.Eq(t, "c00", Parents("c32", "a", dispatches, counters)[0])
+	must.Eq(t, []string{"d3"}, Parents("c00", "a", dispatches[2:3], counters), must.Sprint("where none counts, all do"))
+}
+
 // A newcomer that starts after a member died must still see that it is gone
 // (ritwerk trouble-2 --seed 13: the newcomer was the steward).
 func TestNewcomerTakesTheNeverHeardForGone(t *testing.T) {
--- a/internal/radio/listen.go
+++ b/internal/radio/listen.go
@@ -1,22 +1,59 @@
-// Listen is the other end of a Relay: it keeps one subscription, to the first
-// of the wanted parents that answers, and moves when the wanted parent changes
-// or the link ends.
+// Listen is the receiving side of the tree: it keeps one subscription, to the
+// first of the wanted parents that answers, and moves when the wanted parent
+// changes, the link ends, the parent falls silent, or the parent says that the
+// core is out of its reach.
 package radio
 
 import (
 	"context"
+	"sync/atomic"
 	"time"
 
+	"github.com/tinylib/msgp/msgp"
+
 	"beechtide.org/beechtide/internal/loop"
 	"beechtide.org/beechtide/internal/wire"
 )
 
-// Listen subscribes until ctx ends. parents gives the wanted parents, best
-// first; take gets every piece of news.
-func Listen(ctx context.Context, r *Radio, dispatch bool, parents func() []string, take func(wire.News)) {
+// Times of a subscription.
+const (
+	// FeedEvery is how often a feed goes out at least, be it empty.
+	FeedEvery = 250 * time.Millisecond
+	// silentFor is after how long without one a parent is left.
+	silentFor = 900 * time.Millisecond
+	// shunFor is how long a parent that was left is not the first choice.
+	shunFor = 2 * time.Second
+)
+
+// Uplink is a node's link to its parent.
+type Uplink struct {
+	Dispatch  bool // this node is a dispatch
+	Hold      func() wire.Hold
+	Parents   func() []string
+	Take      func(parent string, f wire.Feed, raw []byte) (want *wire.Hold)
+	Heard     func(seq int64)   // the parent has taken what was told under seq
+	TellAgain func()            // the parent lacks what came before: all is to be told
+	Ended     func(addr string) // the subscription there has ended
+
+	Malformed atomic.Int64
+
+	lacking bool // something did not fit and has not been asked for
+	askedAt time.Time
+
+	link   atomic.Pointer[Link]
+	shun   string
+	shunAt time.Time
+}
+
+// Listen subscribes until ctx ends.
+func (u *Uplink) Listen(ctx context.Context, r *Radio) {
 	for ctx.Err() == nil {
-		for _, p := range parents() {
-			if listenOnce(ctx, r, p, dispatch, parents, take) {
+		list := u.Parents()
+		if len(list) > 1 && list[0] == u.shun && time.Since(u.shunAt) < shunFor {
+			list = append(append([]string{}, list[1:]...), list[0])
+		}
+		for _, p := range list {
+			if u.once(ctx, r, p) {
 				break
 			}
 		}
@@ -24,7 +61,17 @@
 	}
 }
 
-func listenOnce(ctx context.Context, r *Radio, parent string, dispatch bool, parents func() []string, take func(wire.News)) bool {
+// Tell sends something up; false where there is no parent now.
+func (u *Uplink) Tell(kind int, body msgp.Marshaler) bool {
+	l := u.link.Load()
+	if l == nil {
+		return false
+	}
+	b, err := body.MarshalMsg(nil)
+	return err == nil && l.Push(kind, b) == nil
+}
+
+func (u *Uplink) once(ctx context.Context, r *Radio, parent string) bool {
 	if parent == r.Addr() {
 		return false
 	}
@@ -35,20 +82,29 @@
 		return false
 	}
 	defer l.Close()
-	l.OnNews = func(body []byte) {
-		var n wire.News
-		if _, err := n.UnmarshalMsg(body); err == nil {
-			take(n)
-		}
+	var last atomic.Int64
+	began := time.Now()
+	leave := make(chan struct{}, 1)
+	l.OnPush = func(kind int, body []byte) {
+		u.hear(l, parent, kind, body, func() { last.Store(int64(time.Since(began))) }, leave)
 	}
 	go l.read(ctx)
+	h := u.Hold()
+	h.Dispatch = u.Dispatch
 	cctx, cancel := context.WithTimeout(ctx, 600*time.Millisecond)
-	_, err = l.Call(cctx, KindSubscribe, &wire.Marks{Parts: []int64{}, Dispatch: dispatch})
+	_, err = l.Call(cctx, KindSubscribe, &h)
 	cancel()
 	if err != nil {
 		return false
 	}
-	t := time.NewTicker(500 * time.Millisecond)
+	u.link.Store(l)
+	u.TellAgain()
+	defer func() {
+		u.link.CompareAndSwap(l, nil)
+		u.Ended(parent)
+	}()
+	last.Store(int64(time.Since(began)))
+	t := time.NewTicker(FeedEvery)
 	defer t.Stop()
 	for {
 		select {
@@ -56,21 +112,95 @@
 			return true
 		case <-ctx.Done():
 			return true
+		case <-leave:
+			u.shun, u.shunAt = parent, time.Now()
+			return true
 		case <-t.C:
-			if list := parents(); len(list) > 0 && list[0] != parent {
+			if time.Since(began)-time.Duration(last.Load()) > silentFor {
+				u.shun, u.shunAt = parent, time.Now()
 				return true
 			}
+			if list := u.Parents(); len(list) > 0 && list[0] != parent && (list[0] != u.shun || time.Since(u.shunAt) >= shunFor) {
+				return true
+			}
+		}
+	}
+}
+
+func (u *Uplink) hear(l *Link, parent string, kind int, body []byte, alive func(), leave chan struct{}) {
+	switch kind {
+	case KindFeed:
+		alive()
+		var f wire.Feed
+		if _, err := f.UnmarshalMsg(body); err != nil {
+			u.Malformed.Add(1)
+			u.want(l, nil)
+			return
+		}
+		if want := u.Take(parent, f, body); want != nil || u.lacking {
+			u.want(l, want)
+		}
+		if f.CutOff && !u.Dispatch {
+			select {
+			case leave <- struct{}{}:
+			default:
+			}
+		}
+	case KindHeard:
+		var t wire.Told
+		if _, err := t.UnmarshalMsg(body); err == nil {
+			u.Heard(t.Seq)
+		}
+	case KindTellAgain:
+		u.TellAgain()
+	default:
+		u.Malformed.Add(1)
+	}
+}
+
+// askAgain is how long an answer may take before what is lacking is asked for
+// again.
+const askAgain = 200 * time.Millisecond
+
+// want asks the parent for what is lacking, at most once in askAgain.
+func (u *Uplink) want(l *Link, h *wire.Hold) {
+	u.lacking = true
+	if time.Since(u.askedAt) < askAgain {
+		return
+	}
+	u.lacking, u.askedAt = false, time.Now()
+	if h == nil {
+		held := u.Hold()
+		h = &held
+	}
+	h.Dispatch = u.Dispatch
+	if b, err := h.MarshalMsg(nil); err == nil {
+		_ = l.Push(KindWant, b)
+	}
+}
+
+// Core is those of the dispatches that count among the machines whose loss is
+// bounded, or all where none does.
+func Core(dispatches []wire.Peer) []wire.Peer {
+	var out []wire.Peer
+	for _, d := range dispatches {
+		if d.Counted {
+			out = append(out, d)
 		}
 	}
+	if len(out) == 0 {
+		return dispatches
+	}
+	return out
 }
 
-// Parents orders the nodes that a counter may take news from: its place in the
-// tree first. The counters of a site stand in a fixed order; the first few
-// hang on the site's dispatch, the others on counters before them, so that a
-// piece of news crosses to a site once for every dispatch there.
+// Parents orders the nodes that a counter may take feeds from: its place in the
+// tree first. The counters of a site stand in a fixed order; the first ones
+// hang on the site's dispatches in turn, the others on counters before them, so
+// that a change crosses to a site once for every dispatch there.
 func Parents(self string, site string, dispatches, counters []wire.Peer) []string {
 	var near, far, row []string
-	for _, d := range dispatches {
+	for _, d := range Core(dispatches) {
 		if d.Site == site {
 			near = append(near, d.Addr)
 		} else {
@@ -88,14 +218,18 @@
 		row = append(row, c.Addr)
 	}
 	var out []string
-	if at >= fanOut {
-		out = append(out, row[(at-fanOut)/fanOut])
+	if roots := max(len(near), 1) * fanOut; at >= roots {
+		out = append(out, row[(at-roots)/fanOut])
 	}
-	if len(far) > 1 {
-		turn := max(at, 0) % len(far)
-		far = append(far[turn:], far[:turn]...)
+	return append(append(out, rotate(near, at)...), rotate(far, at)...)
+}
+
+func rotate(list []string, at int) []string {
+	if len(list) < 2 {
+		return list
 	}
-	return append(append(out, near...), far...)
+	turn := max(at, 0) % len(list)
+	return append(append([]string{}, list[turn:]...), list[:turn]...)
 }
 
-const fanOut = 8
+const fanOut = 16
--- a/internal/radio/radio.go
+++ b/internal/radio/radio.go
@@ -24,16 +24,19 @@
 const (
 	KindLedger = iota + 1
 	KindMarks
-	KindSnapshot
+	KindSince
 	KindSubscribe
-	KindNews
+	KindFeed
 	KindIdentity
 	KindProbe
 	KindAck
-	KindTally
+	KindTold
 	KindRunner
 	KindCondition
 	KindRing
+	KindWant
+	KindHeard
+	KindTellAgain
 	kinds
 )
 
@@ -46,6 +49,10 @@
 // Handler answers a call. A nil body with a nil error is an empty answer.
 type Handler func(ctx context.Context, from *Link, body []byte) ([]byte, error)
 
+// PushHandler takes a frame that wants no answer; the frames of a link come one
+// after the other.
+type PushHandler func(from *Link, body []byte)
+
 // CastHandler takes a datagram.
 type CastHandler func(from string, body []byte)
 
@@ -60,6 +67,7 @@
 	links map[string]*Link
 	calls [kinds]Handler
 	casts [kinds]CastHandler
+	pushs [kinds]PushHandler
 }
 
 // New listens on addr. Handlers are hung in before Run.
@@ -98,6 +106,9 @@
 // OnCall hangs in the handler of a kind of call.
 func (r *Radio) OnCall(kind int, h Handler) { r.calls[kind] = h }
 
+// OnPush hangs in the handler of a kind of frame that wants no answer.
+func (r *Radio) OnPush(kind int, h PushHandler) { r.pushs[kind] = h }
+
 // OnCast hangs in the handler of a kind of datagram.
 func (r *Radio) OnCast(kind int, h CastHandler) { r.casts[kind] = h }
 
@@ -215,7 +226,7 @@
 	seq     int64
 	closed  atomic.Bool
 	done    chan struct{}
-	OnNews  func(body []byte)
+	OnPush  func(kind int, body []byte) // instead of the radio's own handlers
 }
 
 // Done is closed when the link has ended.
@@ -243,10 +254,18 @@
 	if err != nil {
 		return err
 	}
+	return l.send(b)
+}
+
+// perByte is the time that a byte of a long write may take.
+const perByte = 4 * time.Microsecond
+
+// send writes frames as they are.
+func (l *Link) send(b []byte) error {
 	l.wmu.Lock()
 	defer l.wmu.Unlock()
-	_ = l.conn.SetWriteDeadline(time.Now().Add(time.Second))
-	if _, err = l.conn.Write(b); err != nil {
+	_ = l.conn.SetWriteDeadline(time.Now().Add(time.Second + time.Duration(len(b))*perByte))
+	if _, err := l.conn.Write(b); err != nil {
 		go l.Close()
 		return errors.Wrap(ErrClosed, err.Error())
 	}
@@ -315,9 +334,12 @@
 			}
 			continue
 		}
-		if f.Kind == KindNews {
-			if l.OnNews != nil {
-				l.OnNews(f.Body)
+		if f.Seq == 0 {
+			// a kind that this node does not know passes by
+			if l.OnPush != nil {
+				l.OnPush(f.Kind, f.Body)
+			} else if f.Kind > 0 && f.Kind < kinds && l.radio.pushs[f.Kind] != nil {
+				l.radio.pushs[f.Kind](l, f.Body)
 			}
 			continue
 		}
--- a/internal/radio/relay.go
+++ b/internal/radio/relay.go
@@ -1,101 +1,205 @@
-// Relay passes news down the tree: whoever subscribes gets a snapshot of all
-// there is, then every piece of news as it comes. A subscriber that does not
-// keep up is cut off and comes back for a new snapshot.
+// Relay is the sending side of the tree: whoever subscribes names what it holds
+// and gets what it lacks, then every feed as it comes. What waits for one
+// subscriber is bounded in bytes; past that it is dropped whole, and the
+// subscriber, which sees the gap, names again what it holds and gets the
+// changes since, merged. Subscribers tell their loads up the same link.
 package radio
 
 import (
 	"context"
 	"sync"
+	"sync/atomic"
 
 	"beechtide.org/beechtide/internal/wire"
 )
 
-const relayDepth = 256
+// mostWaiting bounds the bytes that wait for one subscriber.
+const mostWaiting = 4 << 20
+
+// Upward is what a relay does with what comes from below.
+type Upward struct {
+	Since func(h wire.Hold) wire.Feed         // what a receiver lacks
+	Told  func(from string, t wire.Told) bool // loads from below; false: they do not fit what came before
+	Gone  func(from string)                   // a subscriber has ended
+}
+
+// Audience picks subscribers.
+type Audience int
+
+// Audiences of a feed.
+const (
+	ToCounters Audience = iota
+	ToDispatches
+)
 
 // Relay is one node's place in the tree.
 type Relay struct {
-	mu       sync.Mutex
-	subs     map[*Link]*sub
-	snapshot func() wire.News
+	mu      sync.Mutex
+	subs    map[*Link]*sub
+	up      Upward
+	wholes  chan struct{} // bounds how many receivers are brought up at a time
+	Dropped atomic.Int64
 }
 
 type sub struct {
-	news     chan []byte
+	mu       sync.Mutex
+	waiting  []byte
+	kick     chan struct{}
 	dispatch bool
+	heard    int64
 }
 
+// atOnce bounds how many subscribers are brought up to date at one time.
+const atOnce = 2
+
 // NewRelay hangs the subscription into the radio.
-func NewRelay(r *Radio, snapshot func() wire.News) *Relay {
-	y := &Relay{subs: map[*Link]*sub{}, snapshot: snapshot}
+func NewRelay(r *Radio, up Upward) *Relay {
+	y := &Relay{subs: map[*Link]*sub{}, up: up, wholes: make(chan struct{}, atOnce)}
 	r.OnCall(KindSubscribe, func(_ context.Context, from *Link, body []byte) ([]byte, error) {
-		var m wire.Marks
-		if _, err := m.UnmarshalMsg(body); err != nil {
+		var h wire.Hold
+		if _, err := h.UnmarshalMsg(body); err != nil {
 			return nil, err
 		}
-		y.add(from, m.Dispatch)
+		y.add(from, h)
 		return nil, nil
 	})
-	r.OnCall(KindSnapshot, func(context.Context, *Link, []byte) ([]byte, error) {
-		n := snapshot()
-		return n.MarshalMsg(nil)
+	r.OnCall(KindSince, func(_ context.Context, _ *Link, body []byte) ([]byte, error) {
+		var h wire.Hold
+		if _, err := h.UnmarshalMsg(body); err != nil {
+			return nil, err
+		}
+		return y.since(h)
+	})
+	r.OnPush(KindWant, func(from *Link, body []byte) {
+		var h wire.Hold
+		if _, err := h.UnmarshalMsg(body); err != nil {
+			return
+		}
+		if s := y.sub(from); s != nil {
+			go y.bring(s, h)
+		}
+	})
+	r.OnPush(KindTold, func(from *Link, body []byte) {
+		var t wire.Told
+		if _, err := t.UnmarshalMsg(body); err != nil {
+			return
+		}
+		s := y.sub(from)
+		if s == nil {
+			return
+		}
+		if !y.up.Told(from.Remote(), t) {
+			y.put(s, KindTellAgain, nil)
+			return
+		}
+		s.mu.Lock()
+		s.heard = t.Seq
+		s.mu.Unlock()
 	})
 	return y
 }
 
-func (y *Relay) add(l *Link, dispatch bool) {
-	ch := make(chan []byte, relayDepth)
+func (y *Relay) sub(l *Link) *sub {
 	y.mu.Lock()
-	y.subs[l] = &sub{ch, dispatch}
-	n := y.snapshot()
-	y.mu.Unlock()
-	if b, err := n.MarshalMsg(nil); err == nil {
-		ch <- b
+	defer y.mu.Unlock()
+	return y.subs[l]
+}
+
+func (y *Relay) since(h wire.Hold) ([]byte, error) {
+	y.wholes <- struct{}{}
+	defer func() { <-y.wholes }()
+	f := y.up.Since(h)
+	return f.MarshalMsg(nil)
+}
+
+func (y *Relay) bring(s *sub, h wire.Hold) {
+	if b, err := y.since(h); err == nil {
+		y.put(s, KindFeed, b)
 	}
+}
+
+func (y *Relay) add(l *Link, h wire.Hold) {
+	s := &sub{kick: make(chan struct{}, 1), dispatch: h.Dispatch}
+	y.mu.Lock()
+	y.subs[l] = s
+	y.mu.Unlock()
 	go func() {
 		defer func() {
 			y.mu.Lock()
 			delete(y.subs, l)
 			y.mu.Unlock()
 			l.Close()
+			y.up.Gone(l.Remote())
 		}()
+		y.bring(s, h)
 		for {
 			select {
-			case b, ok := <-ch:
-				if !ok || l.Push(KindNews, b) != nil {
-					return
-				}
+			case <-s.kick:
 			case <-l.Done():
 				return
 			}
+			s.mu.Lock()
+			b := s.waiting
+			s.waiting = nil
+			s.mu.Unlock()
+			if len(b) > 0 && l.send(b) != nil {
+				return
+			}
 		}
 	}()
 }
 
-// Publish sends news to all subscribers.
-func (y *Relay) Publish(n wire.News) { y.publish(n, true) }
-
-// PublishDown sends news to those further down the tree only.
-func (y *Relay) PublishDown(n wire.News) { y.publish(n, false) }
+func (y *Relay) put(s *sub, kind int, body []byte) {
+	f := wire.Frame{Kind: kind, Body: body}
+	s.mu.Lock()
+	if len(s.waiting)+len(body) > mostWaiting {
+		s.waiting = nil
+		y.Dropped.Add(1)
+	}
+	if kind == KindFeed && s.heard > 0 {
+		t := wire.Told{Seq: s.heard}
+		if b, err := t.MarshalMsg(nil); err == nil {
+			h := wire.Frame{Kind: KindHeard, Body: b}
+			s.waiting, _ = h.MarshalMsg(s.waiting)
+		}
+	}
+	s.waiting, _ = f.MarshalMsg(s.waiting)
+	s.mu.Unlock()
+	select {
+	case s.kick <- struct{}{}:
+	default:
+	}
+}
 
-func (y *Relay) publish(n wire.News, toDispatches bool) {
+// Wanted tells whether anybody of an audience listens.
+func (y *Relay) Wanted(to Audience) bool {
 	y.mu.Lock()
 	defer y.mu.Unlock()
-	if len(y.subs) == 0 {
-		return
+	for _, s := range y.subs {
+		if s.dispatch == (to == ToDispatches) {
+			return true
+		}
 	}
-	b, err := n.MarshalMsg(nil)
-	if err != nil {
+	return false
+}
+
+// Publish sends a feed to an audience.
+func (y *Relay) Publish(to Audience, f wire.Feed) {
+	if !y.Wanted(to) {
 		return
 	}
-	for l, s := range y.subs {
-		if s.dispatch && !toDispatches {
-			continue
-		}
-		select {
-		case s.news <- b:
-		default:
-			delete(y.subs, l)
-			close(s.news)
+	if b, err := f.MarshalMsg(nil); err == nil {
+		y.Pass(to, b)
+	}
+}
+
+// Pass sends a feed on as it came.
+func (y *Relay) Pass(to Audience, body []byte) {
+	y.mu.Lock()
+	defer y.mu.Unlock()
+	for _, s := range y.subs {
+		if s.dispatch == (to == ToDispatches) {
+			y.put(s, KindFeed, body)
 		}
 	}
 }
--- /dev/null
+++ b/internal/radio/relay_test.go
@@ -0,0 +1,158 @@
+package radio
+
+import (
+	"context"
+	"net"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/go-logr/logr"
+	"github.com/panjf2000/ants/v2"
+	"github.com/shoenig/test/must"
+
+	"beechtide.org/beechtide/internal/bulletin"
+	"beechtide.org/beechtide/internal/wire"
+)
+
+func station(t *testing.T) *Radio {
+	t.Helper()
+	ln, err := net.Listen("tcp4", "127.0.0.1:0")
+	must.NoError(t, err)
+	addr := ln.Addr().String()
+	ln.Close()
+	pool, err := ants.NewPool(16, ants.WithNonblocking(true))
+	must.NoError(t, err)
+	r, err := New(addr, pool, logr.Discard())
+	must.NoError(t, err)
+	return r
+}
+
+// A tree of one parent and one child: the child follows changes, asks for what
+// it lacks when one was lost or is damaged, and its loads go up. What the
+// parent sends is a script; nothing here waits for time to pass, only for what
+// is to come.
+func TestAChildFollowsAndRepairsGaps(t *testing.T) {
+	parent, child := station(t), station(t)
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	var mu sync.Mutex
+	state := bulletin.NewEntries()
+	state.Begin(1, 0)
+	asked, told, refuse := 0, make(chan wire.Told, 8), false
+	relay := NewRelay(parent, Upward{
+		Since: func(h wire.Hold) wire.Feed {
+			mu.Lock()
+			defer mu.Unlock()
+			asked++
+			f := wire.Feed{Versions: []int64{}}
+			if c, lacks := state.Since(h.Roster.Epoch, h.Roster.Version); lacks {
+				f.Roster = []wire.EntryChange{bulletin.SendEntries(c)}
+			}
+			return f
+		},
+		Told: func(_ string, w wire.Told) bool {
+			told <- w
+			mu.Lock()
+			defer mu.Unlock()
+			return !refuse
+		},
+		Gone: func(string) {},
+	})
+	parent.Run(ctx)
+	child.Run(ctx)
+	var cmu sync.Mutex
+	replica := bulletin.NewEntries()
+	hold := func() wire.Hold {
+		cmu.Lock()
+		defer cmu.Unlock()
+		return wire.Hold{Roster: wire.StreamHold{Epoch: replica.Epoch, Version: replica.Version}}
+	}
+	arrived, again, heard := make(chan bulletin.Result, 64), make(chan bool, 8), make(chan int64, 8)
+	up := &Uplink{
+		Hold: hold, Parents: func() []string { return []string{parent.Addr()} },
+		Take: func(_ string, f wire.Feed, _ []byte) (want *wire.Hold) {
+			for _, c := range f.Roster {
+				cmu.Lock()
+				r := replica.Apply(bulletin.HearEntries(c))
+				cmu.Unlock()
+				if r == bulletin.Gap || r == bulletin.Mismatch {
+					h := hold()
+					want = &h
+				}
+				arrived <- r
+			}
+			return want
+		},
+		Heard: func(seq int64) { heard <- seq }, TellAgain: func() { again <- true }, Ended: func(string) {},
+	}
+	go up.Listen(ctx, child)
+	must.True(t, <-again)
+	change := func(k, v string) wire.EntryChange {
+		mu.Lock()
+		defer mu.Unlock()
+		state.Put(k, v)
+		return bulletin.SendEntries(state.Commit(state.Version + 1))
+	}
+	change("a", "1")
+	relay.Publish(ToCounters, wire.Feed{Versions: []int64{}, Roster: []wire.EntryChange{change("b", "1")}}) // the one before is lost
+	until := func(want string) {
+		t.Helper()
+		for range 1000 {
+			cmu.Lock()
+			same := replica.Digest() == state.Digest() && replica.Version == state.Version
+			cmu.Unlock()
+			if same {
+				return
+			}
+			select {
+			case <-arrived:
+			case <-time.After(20 * time.Millisecond): // as a parent does: an empty feed now and then
+				relay.Publish(ToCounters, wire.Feed{Versions: []int64{}})
+			}
+		}
+		t.Fatal("never came to the state of the parent: " + want)
+	}
+	until("after a lost change")
+	bad := change("c", "1")
+	bad.Digest++
+	relay.Publish(ToCounters, wire.Feed{Versions: []int64{}, Roster: []wire.EntryChange{bad}})
+	for r := range arrived {
+		if r == bulletin.Mismatch {
+			break
+		}
+	}
+	relay.Publish(ToCounters, wire.Feed{Versions: []int64{}}) // what is lacking is asked for with the next feed
+	until("after a damaged change")
+	relay.Pass(ToCounters, []byte("no feed"))
+	relay.Publish(ToCounters, wire.Feed{Versions: []int64{}, Roster: []wire.EntryChange{change("d", "1")}})
+	until("after bytes that are no feed")
+	must.Eq(t, int64(1), up.Malformed.Load())
+
+	must.True(t, up.Tell(KindTold, &wire.Told{Seq: 7}))
+	must.Eq(t, int64(7), (<-told).Seq)
+	for seq := int64(0); seq != 7; {
+		relay.Publish(ToCounters, wire.Feed{Versions: []int64{}})
+		select {
+		case seq = <-heard:
+		case <-time.After(20 * time.Millisecond):
+		}
+	}
+	mu.Lock()
+	refuse = true
+	mu.Unlock()
+	must.True(t, up.Tell(KindTold, &wire.Told{Seq: 8}))
+	must.True(t, <-again, must.Sprint("a word that does not fit is asked for whole"))
+}
+
+// What waits for a subscriber that does not read is dropped past its bound, not
+// kept and not waited for.
+func TestWhatWaitsForASlowReceiverIsBounded(t *testing.T) {
+	y := &Relay{subs: map[*Link]*sub{}}
+	s := &sub{kick: make(chan struct{}, 1)}
+	for range 3 {
+		y.put(s, KindFeed, make([]byte, mostWaiting/2-100))
+	}
+	must.Eq(t, int64(1), y.Dropped.Load())
+	must.LessEq(t, mostWaiting, len(s.waiting))
+}
--- a/internal/roster/roster.go
+++ b/internal/roster/roster.go
@@ -214,6 +214,17 @@
 	return out
 }
 
+// Note gives what is known of one runner, also of one that is gone.
+func (r *Roster) Note(id string) (wire.RunnerNote, bool) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	e := r.all[id]
+	if e == nil {
+		return wire.RunnerNote{}, false
+	}
+	return e.note, true
+}
+
 // All lists every note, tombstones included.
 func (r *Roster) All() []wire.RunnerNote {
 	r.mu.Lock()
--- a/internal/wire/msgp.gen.go
+++ b/internal/wire/msgp.gen.go
@@ -131,9 +131,9 @@
 // MarshalMsg implements msgp.Marshaler
 func (z *Condition) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
-	// map header, size 16
+	// map header, size 19
 	// string "a"
-	o = append(o, 0xde, 0x0, 0x10, 0xa1, 0x61)
+	o = append(o, 0xde, 0x0, 0x13, 0xa1, 0x61)
 	o = msgp.AppendString(o, z.Addr)
 	// string "b"
 	o = append(o, 0xa1, 0x62)
@@ -171,6 +171,9 @@
 			o = msgp.AppendString(o, z.Groups[za0003][za0004].ID)
 		}
 	}
+	// string "j"
+	o = append(o, 0xa1, 0x6a)
+	o = msgp.AppendInt64(o, z.Changes)
 	// string "l"
 	o = append(o, 0xa1, 0x6c)
 	o = msgp.AppendString(o, z.LedgerID)
@@ -208,6 +211,12 @@
 	// string "t"
 	o = append(o, 0xa1, 0x74)
 	o = msgp.AppendInt64(o, z.TimeUs)
+	// string "w"
+	o = append(o, 0xa1, 0x77)
+	o = msgp.AppendInt64(o, z.Wholes)
+	// string "x"
+	o = append(o, 0xa1, 0x78)
+	o = msgp.AppendInt64(o, z.Malformed)
 	// string "z"
 	o = append(o, 0xa1, 0x7a)
 	o = msgp.AppendString(o, z.Site)
@@ -355,6 +364,12 @@
 					}
 				}
 			}
+		case "j":
+			z.Changes, bts, err = msgp.ReadInt64Bytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Changes")
+				return
+			}
 		case "l":
 			z.LedgerID, bts, err = msgp.ReadStringBytes(bts)
 			if err != nil {
@@ -446,6 +461,18 @@
 				err = msgp.WrapError(err, "TimeUs")
 				return
 			}
+		case "w":
+			z.Wholes, bts, err = msgp.ReadInt64Bytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Wholes")
+				return
+			}
+		case "x":
+			z.Malformed, bts, err = msgp.ReadInt64Bytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Malformed")
+				return
+			}
 		case "z":
 			z.Site, bts, err = msgp.ReadStringBytes(bts)
 			if err != nil {
@@ -481,7 +508,7 @@
 			s += 1 + 2 + msgp.StringPrefixSize + len(z.Groups[za0003][za0004].Addr) + 2 + msgp.StringPrefixSize + len(z.Groups[za0003][za0004].ID)
 		}
 	}
-	s += 2 + msgp.StringPrefixSize + len(z.LedgerID) + 2 + msgp.ArrayHeaderSize + (len(z.Marks) * (msgp.Int64Size)) + 2 + msgp.StringPrefixSize + len(z.Node) + 2 + msgp.ArrayHeaderSize
+	s += 2 + msgp.Int64Size + 2 + msgp.StringPrefixSize + len(z.LedgerID) + 2 + msgp.ArrayHeaderSize + (len(z.Marks) * (msgp.Int64Size)) + 2 + msgp.StringPrefixSize + len(z.Node) + 2 + msgp.ArrayHeaderSize
 	for za0006 := range z.Peers {
 		s += z.Peers[za0006].Msgsize()
 	}
@@ -489,7 +516,7 @@
 	for za0007 := range z.Stale {
 		s += msgp.StringPrefixSize + len(z.Stale[za0007])
 	}
-	s += 2 + msgp.StringPrefixSize + len(string(z.Role)) + 2 + msgp.Int64Size + 2 + msgp.Int64Size + 2 + msgp.StringPrefixSize + len(z.Site)
+	s += 2 + msgp.StringPrefixSize + len(string(z.Role)) + 2 + msgp.Int64Size + 2 + msgp.Int64Size + 2 + msgp.Int64Size + 2 + msgp.Int64Size + 2 + msgp.StringPrefixSize + len(z.Site)
 	return
 }
 
@@ -644,26 +671,20 @@
 }
 
 // MarshalMsg implements msgp.Marshaler
-func (z *Frame) MarshalMsg(b []byte) (o []byte, err error) {
+func (z *Entry) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
-	// map header, size 4
-	// string "a"
-	o = append(o, 0x84, 0xa1, 0x61)
-	o = msgp.AppendBool(o, z.Reply)
+	// map header, size 2
 	// string "b"
-	o = append(o, 0xa1, 0x62)
+	o = append(o, 0x82, 0xa1, 0x62)
 	o = msgp.AppendBytes(o, z.Body)
 	// string "k"
 	o = append(o, 0xa1, 0x6b)
-	o = msgp.AppendInt(o, z.Kind)
-	// string "q"
-	o = append(o, 0xa1, 0x71)
-	o = msgp.AppendInt64(o, z.Seq)
+	o = msgp.AppendString(o, z.Key)
 	return
 }
 
 // UnmarshalMsg implements msgp.Unmarshaler
-func (z *Frame) UnmarshalMsg(bts []byte) (o []byte, err error) {
+func (z *Entry) UnmarshalMsg(bts []byte) (o []byte, err error) {
 	var field []byte
 	_ = field
 	var zb0001 uint32
@@ -680,12 +701,6 @@
 			return
 		}
 		switch msgp.UnsafeString(field) {
-		case "a":
-			z.Reply, bts, err = msgp.ReadBoolBytes(bts)
-			if err != nil {
-				err = msgp.WrapError(err, "Reply")
-				return
-			}
 		case "b":
 			z.Body, bts, err = msgp.ReadBytesBytes(bts, z.Body)
 			if err != nil {
@@ -693,15 +708,9 @@
 				return
 			}
 		case "k":
-			z.Kind, bts, err = msgp.ReadIntBytes(bts)
-			if err != nil {
-				err = msgp.WrapError(err, "Kind")
-				return
-			}
-		case "q":
-			z.Seq, bts, err = msgp.ReadInt64Bytes(bts)
+			z.Key, bts, err = msgp.ReadStringBytes(bts)
 			if err != nil {
-				err = msgp.WrapError(err, "Seq")
+				err = msgp.WrapError(err, "Key")
 				return
 			}
 		default:
@@ -717,38 +726,47 @@
 }
 
 // Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
-func (z *Frame) Msgsize() (s int) {
-	s = 1 + 2 + msgp.BoolSize + 2 + msgp.BytesPrefixSize + len(z.Body) + 2 + msgp.IntSize + 2 + msgp.Int64Size
+func (z *Entry) Msgsize() (s int) {
+	s = 1 + 2 + msgp.BytesPrefixSize + len(z.Body) + 2 + msgp.StringPrefixSize + len(z.Key)
 	return
 }
 
 // MarshalMsg implements msgp.Marshaler
-func (z *KeptNote) MarshalMsg(b []byte) (o []byte, err error) {
+func (z *EntryChange) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
-	// map header, size 3
-	// string "i"
-	o = append(o, 0x83, 0xa1, 0x69)
-	o = msgp.AppendString(o, z.ID)
+	// map header, size 6
+	// string "d"
+	o = append(o, 0x86, 0xa1, 0x64)
+	o = msgp.AppendUint64(o, z.Digest)
+	// string "e"
+	o = append(o, 0xa1, 0x65)
+	o = msgp.AppendInt64(o, z.Epoch)
+	// string "f"
+	o = append(o, 0xa1, 0x66)
+	o = msgp.AppendInt64(o, z.From)
 	// string "p"
 	o = append(o, 0xa1, 0x70)
-	o = msgp.AppendArrayHeader(o, uint32(len(z.Parts)))
-	for za0001 := range z.Parts {
+	o = msgp.AppendArrayHeader(o, uint32(len(z.Entries)))
+	for za0001 := range z.Entries {
 		// map header, size 2
+		// string "b"
+		o = append(o, 0x82, 0xa1, 0x62)
+		o = msgp.AppendBytes(o, z.Entries[za0001].Body)
 		// string "k"
-		o = append(o, 0x82, 0xa1, 0x6b)
-		o = msgp.AppendUint64(o, z.Parts[za0001].Key)
-		// string "t"
-		o = append(o, 0xa1, 0x74)
-		o = msgp.AppendInt32(o, z.Parts[za0001].Tokens)
+		o = append(o, 0xa1, 0x6b)
+		o = msgp.AppendString(o, z.Entries[za0001].Key)
 	}
-	// string "r"
-	o = append(o, 0xa1, 0x72)
-	o = msgp.AppendBool(o, z.Reset)
+	// string "t"
+	o = append(o, 0xa1, 0x74)
+	o = msgp.AppendInt64(o, z.To)
+	// string "w"
+	o = append(o, 0xa1, 0x77)
+	o = msgp.AppendBool(o, z.Whole)
 	return
 }
 
 // UnmarshalMsg implements msgp.Unmarshaler
-func (z *KeptNote) UnmarshalMsg(bts []byte) (o []byte, err error) {
+func (z *EntryChange) UnmarshalMsg(bts []byte) (o []byte, err error) {
 	var field []byte
 	_ = field
 	var zb0001 uint32
@@ -765,64 +783,82 @@
 			return
 		}
 		switch msgp.UnsafeString(field) {
-		case "i":
-			z.ID, bts, err = msgp.ReadStringBytes(bts)
+		case "d":
+			z.Digest, bts, err = msgp.ReadUint64Bytes(bts)
 			if err != nil {
-				err = msgp.WrapError(err, "ID")
+				err = msgp.WrapError(err, "Digest")
+				return
+			}
+		case "e":
+			z.Epoch, bts, err = msgp.ReadInt64Bytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Epoch")
+				return
+			}
+		case "f":
+			z.From, bts, err = msgp.ReadInt64Bytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "From")
 				return
 			}
 		case "p":
 			var zb0002 uint32
 			zb0002, bts, err = msgp.ReadArrayHeaderBytes(bts)
 			if err != nil {
-				err = msgp.WrapError(err, "Parts")
+				err = msgp.WrapError(err, "Entries")
 				return
 			}
-			if cap(z.Parts) >= int(zb0002) {
-				z.Parts = (z.Parts)[:zb0002]
+			if cap(z.Entries) >= int(zb0002) {
+				z.Entries = (z.Entries)[:zb0002]
 			} else {
-				z.Parts = make([]KeptPart, zb0002)
+				z.Entries = make([]Entry, zb0002)
 			}
-			for za0001 := range z.Parts {
+			for za0001 := range z.Entries {
 				var zb0003 uint32
 				zb0003, bts, err = msgp.ReadMapHeaderBytes(bts)
 				if err != nil {
-					err = msgp.WrapError(err, "Parts", za0001)
+					err = msgp.WrapError(err, "Entries", za0001)
 					return
 				}
 				for zb0003 > 0 {
 					zb0003--
 					field, bts, err = msgp.ReadMapKeyZC(bts)
 					if err != nil {
-						err = msgp.WrapError(err, "Parts", za0001)
+						err = msgp.WrapError(err, "Entries", za0001)
 						return
 					}
 					switch msgp.UnsafeString(field) {
-					case "k":
-						z.Parts[za0001].Key, bts, err = msgp.ReadUint64Bytes(bts)
+					case "b":
+						z.Entries[za0001].Body, bts, err = msgp.ReadBytesBytes(bts, z.Entries[za0001].Body)
 						if err != nil {
-							err = msgp.WrapError(err, "Parts", za0001, "Key")
+							err = msgp.WrapError(err, "Entries", za0001, "Body")
 							return
 						}
-					case "t":
-						z.Parts[za0001].Tokens, bts, err = msgp.ReadInt32Bytes(bts)
+					case "k":
+						z.Entries[za0001].Key, bts, err = msgp.ReadStringBytes(bts)
 						if err != nil {
-							err = msgp.WrapError(err, "Parts", za0001, "Tokens")
+							err = msgp.WrapError(err, "Entries", za0001, "Key")
 							return
 						}
 					default:
 						bts, err = msgp.Skip(bts)
 						if err != nil {
-							err = msgp.WrapError(err, "Parts", za0001)
+							err = msgp.WrapError(err, "Entries", za0001)
 							return
 						}
 					}
 				}
 			}
-		case "r":
-			z.Reset, bts, err = msgp.ReadBoolBytes(bts)
+		case "t":
+			z.To, bts, err = msgp.ReadInt64Bytes(bts)
 			if err != nil {
-				err = msgp.WrapError(err, "Reset")
+				err = msgp.WrapError(err, "To")
+				return
+			}
+		case "w":
+			z.Whole, bts, err = msgp.ReadBoolBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Whole")
 				return
 			}
 		default:
@@ -838,109 +874,111 @@
 }
 
 // Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
-func (z *KeptNote) Msgsize() (s int) {
-	s = 1 + 2 + msgp.StringPrefixSize + len(z.ID) + 2 + msgp.ArrayHeaderSize + (len(z.Parts) * (5 + msgp.Uint64Size + msgp.Int32Size)) + 2 + msgp.BoolSize
+func (z *EntryChange) Msgsize() (s int) {
+	s = 1 + 2 + msgp.Uint64Size + 2 + msgp.Int64Size + 2 + msgp.Int64Size + 2 + msgp.ArrayHeaderSize
+	for za0001 := range z.Entries {
+		s += 1 + 2 + msgp.BytesPrefixSize + len(z.Entries[za0001].Body) + 2 + msgp.StringPrefixSize + len(z.Entries[za0001].Key)
+	}
+	s += 2 + msgp.Int64Size + 2 + msgp.BoolSize
 	return
 }
 
 // MarshalMsg implements msgp.Marshaler
-func (z KeptPart) MarshalMsg(b []byte) (o []byte, err error) {
+func (z *Feed) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
-	// map header, size 2
-	// string "k"
-	o = append(o, 0x82, 0xa1, 0x6b)
-	o = msgp.AppendUint64(o, z.Key)
-	// string "t"
-	o = append(o, 0xa1, 0x74)
-	o = msgp.AppendInt32(o, z.Tokens)
-	return
-}
-
-// UnmarshalMsg implements msgp.Unmarshaler
-func (z *KeptPart) UnmarshalMsg(bts []byte) (o []byte, err error) {
-	var field []byte
-	_ = field
-	var zb0001 uint32
-	zb0001, bts, err = msgp.ReadMapHeaderBytes(bts)
-	if err != nil {
-		err = msgp.WrapError(err)
-		return
+	// map header, size 10
+	// string "c"
+	o = append(o, 0x8a, 0xa1, 0x63)
+	o = msgp.AppendArrayHeader(o, uint32(len(z.Coming)))
+	for za0001 := range z.Coming {
+		o, err = z.Coming[za0001].MarshalMsg(o)
+		if err != nil {
+			err = msgp.WrapError(err, "Coming", za0001)
+			return
+		}
 	}
-	for zb0001 > 0 {
-		zb0001--
-		field, bts, err = msgp.ReadMapKeyZC(bts)
+	// string "k"
+	o = append(o, 0xa1, 0x6b)
+	o = msgp.AppendArrayHeader(o, uint32(len(z.Kept)))
+	for za0002 := range z.Kept {
+		o, err = z.Kept[za0002].MarshalMsg(o)
 		if err != nil {
-			err = msgp.WrapError(err)
+			err = msgp.WrapError(err, "Kept", za0002)
 			return
 		}
-		switch msgp.UnsafeString(field) {
-		case "k":
-			z.Key, bts, err = msgp.ReadUint64Bytes(bts)
-			if err != nil {
-				err = msgp.WrapError(err, "Key")
-				return
-			}
-		case "t":
-			z.Tokens, bts, err = msgp.ReadInt32Bytes(bts)
-			if err != nil {
-				err = msgp.WrapError(err, "Tokens")
-				return
-			}
-		default:
-			bts, err = msgp.Skip(bts)
-			if err != nil {
-				err = msgp.WrapError(err)
-				return
-			}
+	}
+	// string "l"
+	o = append(o, 0xa1, 0x6c)
+	o = msgp.AppendArrayHeader(o, uint32(len(z.Loads)))
+	for za0003 := range z.Loads {
+		o, err = z.Loads[za0003].MarshalMsg(o)
+		if err != nil {
+			err = msgp.WrapError(err, "Loads", za0003)
+			return
 		}
 	}
-	o = bts
-	return
-}
-
-// Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
-func (z KeptPart) Msgsize() (s int) {
-	s = 1 + 2 + msgp.Uint64Size + 2 + msgp.Int32Size
-	return
-}
-
-// MarshalMsg implements msgp.Marshaler
-func (z *LedgerAsk) MarshalMsg(b []byte) (o []byte, err error) {
-	o = msgp.Require(b, z.Msgsize())
-	// map header, size 6
-	// string "b"
-	o = append(o, 0x86, 0xa1, 0x62)
-	// map header, size 2
+	// string "m"
+	o = append(o, 0xa1, 0x6d)
+	o = msgp.AppendArrayHeader(o, uint32(len(z.Versions)))
+	for za0004 := range z.Versions {
+		o = msgp.AppendInt64(o, z.Versions[za0004])
+	}
 	// string "n"
-	o = append(o, 0x82, 0xa1, 0x6e)
-	o = msgp.AppendInt64(o, z.Ballot.N)
-	// string "w"
-	o = append(o, 0xa1, 0x77)
-	o = msgp.AppendString(o, z.Ballot.Who)
-	// string "k"
-	o = append(o, 0xa1, 0x6b)
-	o = msgp.AppendString(o, string(z.Step))
+	o = append(o, 0xa1, 0x6e)
+	o = msgp.AppendArrayHeader(o, uint32(len(z.Menu)))
+	for za0005 := range z.Menu {
+		o, err = z.Menu[za0005].MarshalMsg(o)
+		if err != nil {
+			err = msgp.WrapError(err, "Menu", za0005)
+			return
+		}
+	}
+	// string "o"
+	o = append(o, 0xa1, 0x6f)
+	o = msgp.AppendArrayHeader(o, uint32(len(z.Reports)))
+	for za0006 := range z.Reports {
+		o, err = z.Reports[za0006].MarshalMsg(o)
+		if err != nil {
+			err = msgp.WrapError(err, "Reports", za0006)
+			return
+		}
+	}
 	// string "p"
 	o = append(o, 0xa1, 0x70)
-	o = msgp.AppendInt(o, z.Part)
-	// string "s"
-	o = append(o, 0xa1, 0x73)
-	o = msgp.AppendInt64(o, z.Slot)
-	// string "t"
-	o = append(o, 0xa1, 0x74)
-	o = msgp.AppendString(o, z.To)
-	// string "v"
-	o = append(o, 0xa1, 0x76)
-	o, err = z.Value.MarshalMsg(o)
-	if err != nil {
-		err = msgp.WrapError(err, "Value")
-		return
+	o = msgp.AppendArrayHeader(o, uint32(len(z.Parts)))
+	for za0007 := range z.Parts {
+		// map header, size 3
+		// string "b"
+		o = append(o, 0x83, 0xa1, 0x62)
+		o = msgp.AppendBytes(o, z.Parts[za0007].Body)
+		// string "m"
+		o = append(o, 0xa1, 0x6d)
+		o = msgp.AppendInt64(o, z.Parts[za0007].Mark)
+		// string "p"
+		o = append(o, 0xa1, 0x70)
+		o = msgp.AppendInt(o, z.Parts[za0007].Part)
+	}
+	// string "r"
+	o = append(o, 0xa1, 0x72)
+	o = msgp.AppendArrayHeader(o, uint32(len(z.Roster)))
+	for za0008 := range z.Roster {
+		o, err = z.Roster[za0008].MarshalMsg(o)
+		if err != nil {
+			err = msgp.WrapError(err, "Roster", za0008)
+			return
+		}
 	}
+	// string "u"
+	o = append(o, 0xa1, 0x75)
+	o = msgp.AppendInt64(o, z.CalmUs)
+	// string "x"
+	o = append(o, 0xa1, 0x78)
+	o = msgp.AppendBool(o, z.CutOff)
 	return
 }
 
 // UnmarshalMsg implements msgp.Unmarshaler
-func (z *LedgerAsk) UnmarshalMsg(bts []byte) (o []byte, err error) {
+func (z *Feed) UnmarshalMsg(bts []byte) (o []byte, err error) {
 	var field []byte
 	_ = field
 	var zb0001 uint32
@@ -957,16 +995,1050 @@
 			return
 		}
 		switch msgp.UnsafeString(field) {
-		case "b":
+		case "c":
 			var zb0002 uint32
-			zb0002, bts, err = msgp.ReadMapHeaderBytes(bts)
+			zb0002, bts, err = msgp.ReadArrayHeaderBytes(bts)
 			if err != nil {
-				err = msgp.WrapError(err, "Ballot")
+				err = msgp.WrapError(err, "Coming")
 				return
 			}
-			for zb0002 > 0 {
-				zb0002--
-				field, bts, err = msgp.ReadMapKeyZC(bts)
+			if cap(z.Coming) >= int(zb0002) {
+				z.Coming = (z.Coming)[:zb0002]
+			} else {
+				z.Coming = make([]KeptNote, zb0002)
+			}
+			for za0001 := range z.Coming {
+				bts, err = z.Coming[za0001].UnmarshalMsg(bts)
+				if err != nil {
+					err = msgp.WrapError(err, "Coming", za0001)
+					return
+				}
+			}
+		case "k":
+			var zb0003 uint32
+			zb0003, bts, err = msgp.ReadArrayHeaderBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Kept")
+				return
+			}
+			if cap(z.Kept) >= int(zb0003) {
+				z.Kept = (z.Kept)[:zb0003]
+			} else {
+				z.Kept = make([]KeptChange, zb0003)
+			}
+			for za0002 := range z.Kept {
+				bts, err = z.Kept[za0002].UnmarshalMsg(bts)
+				if err != nil {
+					err = msgp.WrapError(err, "Kept", za0002)
+					return
+				}
+			}
+		case "l":
+			var zb0004 uint32
+			zb0004, bts, err = msgp.ReadArrayHeaderBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Loads")
+				return
+			}
+			if cap(z.Loads) >= int(zb0004) {
+				z.Loads = (z.Loads)[:zb0004]
+			} else {
+				z.Loads = make([]LoadChange, zb0004)
+			}
+			for za0003 := range z.Loads {
+				bts, err = z.Loads[za0003].UnmarshalMsg(bts)
+				if err != nil {
+					err = msgp.WrapError(err, "Loads", za0003)
+					return
+				}
+			}
+		case "m":
+			var zb0005 uint32
+			zb0005, bts, err = msgp.ReadArrayHeaderBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Versions")
+				return
+			}
+			if cap(z.Versions) >= int(zb0005) {
+				z.Versions = (z.Versions)[:zb0005]
+			} else {
+				z.Versions = make([]int64, zb0005)
+			}
+			for za0004 := range z.Versions {
+				z.Versions[za0004], bts, err = msgp.ReadInt64Bytes(bts)
+				if err != nil {
+					err = msgp.WrapError(err, "Versions", za0004)
+					return
+				}
+			}
+		case "n":
+			var zb0006 uint32
+			zb0006, bts, err = msgp.ReadArrayHeaderBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Menu")
+				return
+			}
+			if cap(z.Menu) >= int(zb0006) {
+				z.Menu = (z.Menu)[:zb0006]
+			} else {
+				z.Menu = make([]EntryChange, zb0006)
+			}
+			for za0005 := range z.Menu {
+				bts, err = z.Menu[za0005].UnmarshalMsg(bts)
+				if err != nil {
+					err = msgp.WrapError(err, "Menu", za0005)
+					return
+				}
+			}
+		case "o":
+			var zb0007 uint32
+			zb0007, bts, err = msgp.ReadArrayHeaderBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Reports")
+				return
+			}
+			if cap(z.Reports) >= int(zb0007) {
+				z.Reports = (z.Reports)[:zb0007]
+			} else {
+				z.Reports = make([]ReportNote, zb0007)
+			}
+			for za0006 := range z.Reports {
+				bts, err = z.Reports[za0006].UnmarshalMsg(bts)
+				if err != nil {
+					err = msgp.WrapError(err, "Reports", za0006)
+					return
+				}
+			}
+		case "p":
+			var zb0008 uint32
+			zb0008, bts, err = msgp.ReadArrayHeaderBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Parts")
+				return
+			}
+			if cap(z.Parts) >= int(zb0008) {
+				z.Parts = (z.Parts)[:zb0008]
+			} else {
+				z.Parts = make([]PartNote, zb0008)
+			}
+			for za0007 := range z.Parts {
+				var zb0009 uint32
+				zb0009, bts, err = msgp.ReadMapHeaderBytes(bts)
+				if err != nil {
+					err = msgp.WrapError(err, "Parts", za0007)
+					return
+				}
+				for zb0009 > 0 {
+					zb0009--
+					field, bts, err = msgp.ReadMapKeyZC(bts)
+					if err != nil {
+						err = msgp.WrapError(err, "Parts", za0007)
+						return
+					}
+					switch msgp.UnsafeString(field) {
+					case "b":
+						z.Parts[za0007].Body, bts, err = msgp.ReadBytesBytes(bts, z.Parts[za0007].Body)
+						if err != nil {
+							err = msgp.WrapError(err, "Parts", za0007, "Body")
+							return
+						}
+					case "m":
+						z.Parts[za0007].Mark, bts, err = msgp.ReadInt64Bytes(bts)
+						if err != nil {
+							err = msgp.WrapError(err, "Parts", za0007, "Mark")
+							return
+						}
+					case "p":
+						z.Parts[za0007].Part, bts, err = msgp.ReadIntBytes(bts)
+						if err != nil {
+							err = msgp.WrapError(err, "Parts", za0007, "Part")
+							return
+						}
+					default:
+						bts, err = msgp.Skip(bts)
+						if err != nil {
+							err = msgp.WrapError(err, "Parts", za0007)
+							return
+						}
+					}
+				}
+			}
+		case "r":
+			var zb0010 uint32
+			zb0010, bts, err = msgp.ReadArrayHeaderBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Roster")
+				return
+			}
+			if cap(z.Roster) >= int(zb0010) {
+				z.Roster = (z.Roster)[:zb0010]
+			} else {
+				z.Roster = make([]EntryChange, zb0010)
+			}
+			for za0008 := range z.Roster {
+				bts, err = z.Roster[za0008].UnmarshalMsg(bts)
+				if err != nil {
+					err = msgp.WrapError(err, "Roster", za0008)
+					return
+				}
+			}
+		case "u":
+			z.CalmUs, bts, err = msgp.ReadInt64Bytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "CalmUs")
+				return
+			}
+		case "x":
+			z.CutOff, bts, err = msgp.ReadBoolBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "CutOff")
+				return
+			}
+		default:
+			bts, err = msgp.Skip(bts)
+			if err != nil {
+				err = msgp.WrapError(err)
+				return
+			}
+		}
+	}
+	o = bts
+	return
+}
+
+// Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
+func (z *Feed) Msgsize() (s int) {
+	s = 1 + 2 + msgp.ArrayHeaderSize
+	for za0001 := range z.Coming {
+		s += z.Coming[za0001].Msgsize()
+	}
+	s += 2 + msgp.ArrayHeaderSize
+	for za0002 := range z.Kept {
+		s += z.Kept[za0002].Msgsize()
+	}
+	s += 2 + msgp.ArrayHeaderSize
+	for za0003 := range z.Loads {
+		s += z.Loads[za0003].Msgsize()
+	}
+	s += 2 + msgp.ArrayHeaderSize + (len(z.Versions) * (msgp.Int64Size)) + 2 + msgp.ArrayHeaderSize
+	for za0005 := range z.Menu {
+		s += z.Menu[za0005].Msgsize()
+	}
+	s += 2 + msgp.ArrayHeaderSize
+	for za0006 := range z.Reports {
+		s += z.Reports[za0006].Msgsize()
+	}
+	s += 2 + msgp.ArrayHeaderSize
+	for za0007 := range z.Parts {
+		s += 1 + 2 + msgp.BytesPrefixSize + len(z.Parts[za0007].Body) + 2 + msgp.Int64Size + 2 + msgp.IntSize
+	}
+	s += 2 + msgp.ArrayHeaderSize
+	for za0008 := range z.Roster {
+		s += z.Roster[za0008].Msgsize()
+	}
+	s += 2 + msgp.Int64Size + 2 + msgp.BoolSize
+	return
+}
+
+// MarshalMsg implements msgp.Marshaler
+func (z *Frame) MarshalMsg(b []byte) (o []byte, err error) {
+	o = msgp.Require(b, z.Msgsize())
+	// map header, size 4
+	// string "a"
+	o = append(o, 0x84, 0xa1, 0x61)
+	o = msgp.AppendBool(o, z.Reply)
+	// string "b"
+	o = append(o, 0xa1, 0x62)
+	o = msgp.AppendBytes(o, z.Body)
+	// string "k"
+	o = append(o, 0xa1, 0x6b)
+	o = msgp.AppendInt(o, z.Kind)
+	// string "q"
+	o = append(o, 0xa1, 0x71)
+	o = msgp.AppendInt64(o, z.Seq)
+	return
+}
+
+// UnmarshalMsg implements msgp.Unmarshaler
+func (z *Frame) UnmarshalMsg(bts []byte) (o []byte, err error) {
+	var field []byte
+	_ = field
+	var zb0001 uint32
+	zb0001, bts, err = msgp.ReadMapHeaderBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err)
+		return
+	}
+	for zb0001 > 0 {
+		zb0001--
+		field, bts, err = msgp.ReadMapKeyZC(bts)
+		if err != nil {
+			err = msgp.WrapError(err)
+			return
+		}
+		switch msgp.UnsafeString(field) {
+		case "a":
+			z.Reply, bts, err = msgp.ReadBoolBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Reply")
+				return
+			}
+		case "b":
+			z.Body, bts, err = msgp.ReadBytesBytes(bts, z.Body)
+			if err != nil {
+				err = msgp.WrapError(err, "Body")
+				return
+			}
+		case "k":
+			z.Kind, bts, err = msgp.ReadIntBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Kind")
+				return
+			}
+		case "q":
+			z.Seq, bts, err = msgp.ReadInt64Bytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Seq")
+				return
+			}
+		default:
+			bts, err = msgp.Skip(bts)
+			if err != nil {
+				err = msgp.WrapError(err)
+				return
+			}
+		}
+	}
+	o = bts
+	return
+}
+
+// Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
+func (z *Frame) Msgsize() (s int) {
+	s = 1 + 2 + msgp.BoolSize + 2 + msgp.BytesPrefixSize + len(z.Body) + 2 + msgp.IntSize + 2 + msgp.Int64Size
+	return
+}
+
+// MarshalMsg implements msgp.Marshaler
+func (z *Hold) MarshalMsg(b []byte) (o []byte, err error) {
+	o = msgp.Require(b, z.Msgsize())
+	// map header, size 7
+	// string "d"
+	o = append(o, 0x87, 0xa1, 0x64)
+	o = msgp.AppendBool(o, z.Dispatch)
+	// string "k"
+	o = append(o, 0xa1, 0x6b)
+	o = msgp.AppendArrayHeader(o, uint32(len(z.Kept)))
+	for za0001 := range z.Kept {
+		// map header, size 3
+		// string "e"
+		o = append(o, 0x83, 0xa1, 0x65)
+		o = msgp.AppendInt64(o, z.Kept[za0001].Epoch)
+		// string "i"
+		o = append(o, 0xa1, 0x69)
+		o = msgp.AppendString(o, z.Kept[za0001].ID)
+		// string "t"
+		o = append(o, 0xa1, 0x74)
+		o = msgp.AppendInt64(o, z.Kept[za0001].Version)
+	}
+	// string "l"
+	o = append(o, 0xa1, 0x6c)
+	// map header, size 3
+	// string "e"
+	o = append(o, 0x83, 0xa1, 0x65)
+	o = msgp.AppendInt64(o, z.Loads.Epoch)
+	// string "i"
+	o = append(o, 0xa1, 0x69)
+	o = msgp.AppendString(o, z.Loads.ID)
+	// string "t"
+	o = append(o, 0xa1, 0x74)
+	o = msgp.AppendInt64(o, z.Loads.Version)
+	// string "n"
+	o = append(o, 0xa1, 0x6e)
+	// map header, size 3
+	// string "e"
+	o = append(o, 0x83, 0xa1, 0x65)
+	o = msgp.AppendInt64(o, z.Menu.Epoch)
+	// string "i"
+	o = append(o, 0xa1, 0x69)
+	o = msgp.AppendString(o, z.Menu.ID)
+	// string "t"
+	o = append(o, 0xa1, 0x74)
+	o = msgp.AppendInt64(o, z.Menu.Version)
+	// string "o"
+	o = append(o, 0xa1, 0x6f)
+	o = msgp.AppendBool(o, z.MenuOnly)
+	// string "p"
+	o = append(o, 0xa1, 0x70)
+	o = msgp.AppendArrayHeader(o, uint32(len(z.Parts)))
+	for za0002 := range z.Parts {
+		o = msgp.AppendInt64(o, z.Parts[za0002])
+	}
+	// string "r"
+	o = append(o, 0xa1, 0x72)
+	// map header, size 3
+	// string "e"
+	o = append(o, 0x83, 0xa1, 0x65)
+	o = msgp.AppendInt64(o, z.Roster.Epoch)
+	// string "i"
+	o = append(o, 0xa1, 0x69)
+	o = msgp.AppendString(o, z.Roster.ID)
+	// string "t"
+	o = append(o, 0xa1, 0x74)
+	o = msgp.AppendInt64(o, z.Roster.Version)
+	return
+}
+
+// UnmarshalMsg implements msgp.Unmarshaler
+func (z *Hold) UnmarshalMsg(bts []byte) (o []byte, err error) {
+	var field []byte
+	_ = field
+	var zb0001 uint32
+	zb0001, bts, err = msgp.ReadMapHeaderBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err)
+		return
+	}
+	for zb0001 > 0 {
+		zb0001--
+		field, bts, err = msgp.ReadMapKeyZC(bts)
+		if err != nil {
+			err = msgp.WrapError(err)
+			return
+		}
+		switch msgp.UnsafeString(field) {
+		case "d":
+			z.Dispatch, bts, err = msgp.ReadBoolBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Dispatch")
+				return
+			}
+		case "k":
+			var zb0002 uint32
+			zb0002, bts, err = msgp.ReadArrayHeaderBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Kept")
+				return
+			}
+			if cap(z.Kept) >= int(zb0002) {
+				z.Kept = (z.Kept)[:zb0002]
+			} else {
+				z.Kept = make([]StreamHold, zb0002)
+			}
+			for za0001 := range z.Kept {
+				var zb0003 uint32
+				zb0003, bts, err = msgp.ReadMapHeaderBytes(bts)
+				if err != nil {
+					err = msgp.WrapError(err, "Kept", za0001)
+					return
+				}
+				for zb0003 > 0 {
+					zb0003--
+					field, bts, err = msgp.ReadMapKeyZC(bts)
+					if err != nil {
+						err = msgp.WrapError(err, "Kept", za0001)
+						return
+					}
+					switch msgp.UnsafeString(field) {
+					case "e":
+						z.Kept[za0001].Epoch, bts, err = msgp.ReadInt64Bytes(bts)
+						if err != nil {
+							err = msgp.WrapError(err, "Kept", za0001, "Epoch")
+							return
+						}
+					case "i":
+						z.Kept[za0001].ID, bts, err = msgp.ReadStringBytes(bts)
+						if err != nil {
+							err = msgp.WrapError(err, "Kept", za0001, "ID")
+							return
+						}
+					case "t":
+						z.Kept[za0001].Version, bts, err = msgp.ReadInt64Bytes(bts)
+						if err != nil {
+							err = msgp.WrapError(err, "Kept", za0001, "Version")
+							return
+						}
+					default:
+						bts, err = msgp.Skip(bts)
+						if err != nil {
+							err = msgp.WrapError(err, "Kept", za0001)
+							return
+						}
+					}
+				}
+			}
+		case "l":
+			var zb0004 uint32
+			zb0004, bts, err = msgp.ReadMapHeaderBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Loads")
+				return
+			}
+			for zb0004 > 0 {
+				zb0004--
+				field, bts, err = msgp.ReadMapKeyZC(bts)
+				if err != nil {
+					err = msgp.WrapError(err, "Loads")
+					return
+				}
+				switch msgp.UnsafeString(field) {
+				case "e":
+					z.Loads.Epoch, bts, err = msgp.ReadInt64Bytes(bts)
+					if err != nil {
+						err = msgp.WrapError(err, "Loads", "Epoch")
+						return
+					}
+				case "i":
+					z.Loads.ID, bts, err = msgp.ReadStringBytes(bts)
+					if err != nil {
+						err = msgp.WrapError(err, "Loads", "ID")
+						return
+					}
+				case "t":
+					z.Loads.Version, bts, err = msgp.ReadInt64Bytes(bts)
+					if err != nil {
+						err = msgp.WrapError(err, "Loads", "Version")
+						return
+					}
+				default:
+					bts, err = msgp.Skip(bts)
+					if err != nil {
+						err = msgp.WrapError(err, "Loads")
+						return
+					}
+				}
+			}
+		case "n":
+			var zb0005 uint32
+			zb0005, bts, err = msgp.ReadMapHeaderBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Menu")
+				return
+			}
+			for zb0005 > 0 {
+				zb0005--
+				field, bts, err = msgp.ReadMapKeyZC(bts)
+				if err != nil {
+					err = msgp.WrapError(err, "Menu")
+					return
+				}
+				switch msgp.UnsafeString(field) {
+				case "e":
+					z.Menu.Epoch, bts, err = msgp.ReadInt64Bytes(bts)
+					if err != nil {
+						err = msgp.WrapError(err, "Menu", "Epoch")
+						return
+					}
+				case "i":
+					z.Menu.ID, bts, err = msgp.ReadStringBytes(bts)
+					if err != nil {
+						err = msgp.WrapError(err, "Menu", "ID")
+						return
+					}
+				case "t":
+					z.Menu.Version, bts, err = msgp.ReadInt64Bytes(bts)
+					if err != nil {
+						err = msgp.WrapError(err, "Menu", "Version")
+						return
+					}
+				default:
+					bts, err = msgp.Skip(bts)
+					if err != nil {
+						err = msgp.WrapError(err, "Menu")
+						return
+					}
+				}
+			}
+		case "o":
+			z.MenuOnly, bts, err = msgp.ReadBoolBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "MenuOnly")
+				return
+			}
+		case "p":
+			var zb0006 uint32
+			zb0006, bts, err = msgp.ReadArrayHeaderBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Parts")
+				return
+			}
+			if cap(z.Parts) >= int(zb0006) {
+				z.Parts = (z.Parts)[:zb0006]
+			} else {
+				z.Parts = make([]int64, zb0006)
+			}
+			for za0002 := range z.Parts {
+				z.Parts[za0002], bts, err = msgp.ReadInt64Bytes(bts)
+				if err != nil {
+					err = msgp.WrapError(err, "Parts", za0002)
+					return
+				}
+			}
+		case "r":
+			var zb0007 uint32
+			zb0007, bts, err = msgp.ReadMapHeaderBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Roster")
+				return
+			}
+			for zb0007 > 0 {
+				zb0007--
+				field, bts, err = msgp.ReadMapKeyZC(bts)
+				if err != nil {
+					err = msgp.WrapError(err, "Roster")
+					return
+				}
+				switch msgp.UnsafeString(field) {
+				case "e":
+					z.Roster.Epoch, bts, err = msgp.ReadInt64Bytes(bts)
+					if err != nil {
+						err = msgp.WrapError(err, "Roster", "Epoch")
+						return
+					}
+				case "i":
+					z.Roster.ID, bts, err = msgp.ReadStringBytes(bts)
+					if err != nil {
+						err = msgp.WrapError(err, "Roster", "ID")
+						return
+					}
+				case "t":
+					z.Roster.Version, bts, err = msgp.ReadInt64Bytes(bts)
+					if err != nil {
+						err = msgp.WrapError(err, "Roster", "Version")
+						return
+					}
+				default:
+					bts, err = msgp.Skip(bts)
+					if err != nil {
+						err = msgp.WrapError(err, "Roster")
+						return
+					}
+				}
+			}
+		default:
+			bts, err = msgp.Skip(bts)
+			if err != nil {
+				err = msgp.WrapError(err)
+				return
+			}
+		}
+	}
+	o = bts
+	return
+}
+
+// Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
+func (z *Hold) Msgsize() (s int) {
+	s = 1 + 2 + msgp.BoolSize + 2 + msgp.ArrayHeaderSize
+	for za0001 := range z.Kept {
+		s += 1 + 2 + msgp.Int64Size + 2 + msgp.StringPrefixSize + len(z.Kept[za0001].ID) + 2 + msgp.Int64Size
+	}
+	s += 2 + 1 + 2 + msgp.Int64Size + 2 + msgp.StringPrefixSize + len(z.Loads.ID) + 2 + msgp.Int64Size + 2 + 1 + 2 + msgp.Int64Size + 2 + msgp.StringPrefixSize + len(z.Menu.ID) + 2 + msgp.Int64Size + 2 + msgp.BoolSize + 2 + msgp.ArrayHeaderSize + (len(z.Parts) * (msgp.Int64Size)) + 2 + 1 + 2 + msgp.Int64Size + 2 + msgp.StringPrefixSize + len(z.Roster.ID) + 2 + msgp.Int64Size
+	return
+}
+
+// MarshalMsg implements msgp.Marshaler
+func (z *KeptChange) MarshalMsg(b []byte) (o []byte, err error) {
+	o = msgp.Require(b, z.Msgsize())
+	// map header, size 7
+	// string "d"
+	o = append(o, 0x87, 0xa1, 0x64)
+	o = msgp.AppendUint64(o, z.Digest)
+	// string "e"
+	o = append(o, 0xa1, 0x65)
+	o = msgp.AppendInt64(o, z.Epoch)
+	// string "f"
+	o = append(o, 0xa1, 0x66)
+	o = msgp.AppendInt64(o, z.From)
+	// string "i"
+	o = append(o, 0xa1, 0x69)
+	o = msgp.AppendString(o, z.ID)
+	// string "p"
+	o = append(o, 0xa1, 0x70)
+	o = msgp.AppendArrayHeader(o, uint32(len(z.Parts)))
+	for za0001 := range z.Parts {
+		// map header, size 2
+		// string "k"
+		o = append(o, 0x82, 0xa1, 0x6b)
+		o = msgp.AppendUint64(o, z.Parts[za0001].Key)
+		// string "t"
+		o = append(o, 0xa1, 0x74)
+		o = msgp.AppendInt32(o, z.Parts[za0001].Tokens)
+	}
+	// string "t"
+	o = append(o, 0xa1, 0x74)
+	o = msgp.AppendInt64(o, z.To)
+	// string "w"
+	o = append(o, 0xa1, 0x77)
+	o = msgp.AppendBool(o, z.Whole)
+	return
+}
+
+// UnmarshalMsg implements msgp.Unmarshaler
+func (z *KeptChange) UnmarshalMsg(bts []byte) (o []byte, err error) {
+	var field []byte
+	_ = field
+	var zb0001 uint32
+	zb0001, bts, err = msgp.ReadMapHeaderBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err)
+		return
+	}
+	for zb0001 > 0 {
+		zb0001--
+		field, bts, err = msgp.ReadMapKeyZC(bts)
+		if err != nil {
+			err = msgp.WrapError(err)
+			return
+		}
+		switch msgp.UnsafeString(field) {
+		case "d":
+			z.Digest, bts, err = msgp.ReadUint64Bytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Digest")
+				return
+			}
+		case "e":
+			z.Epoch, bts, err = msgp.ReadInt64Bytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Epoch")
+				return
+			}
+		case "f":
+			z.From, bts, err = msgp.ReadInt64Bytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "From")
+				return
+			}
+		case "i":
+			z.ID, bts, err = msgp.ReadStringBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "ID")
+				return
+			}
+		case "p":
+			var zb0002 uint32
+			zb0002, bts, err = msgp.ReadArrayHeaderBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Parts")
+				return
+			}
+			if cap(z.Parts) >= int(zb0002) {
+				z.Parts = (z.Parts)[:zb0002]
+			} else {
+				z.Parts = make([]KeptPart, zb0002)
+			}
+			for za0001 := range z.Parts {
+				var zb0003 uint32
+				zb0003, bts, err = msgp.ReadMapHeaderBytes(bts)
+				if err != nil {
+					err = msgp.WrapError(err, "Parts", za0001)
+					return
+				}
+				for zb0003 > 0 {
+					zb0003--
+					field, bts, err = msgp.ReadMapKeyZC(bts)
+					if err != nil {
+						err = msgp.WrapError(err, "Parts", za0001)
+						return
+					}
+					switch msgp.UnsafeString(field) {
+					case "k":
+						z.Parts[za0001].Key, bts, err = msgp.ReadUint64Bytes(bts)
+						if err != nil {
+							err = msgp.WrapError(err, "Parts", za0001, "Key")
+							return
+						}
+					case "t":
+						z.Parts[za0001].Tokens, bts, err = msgp.ReadInt32Bytes(bts)
+						if err != nil {
+							err = msgp.WrapError(err, "Parts", za0001, "Tokens")
+							return
+						}
+					default:
+						bts, err = msgp.Skip(bts)
+						if err != nil {
+							err = msgp.WrapError(err, "Parts", za0001)
+							return
+						}
+					}
+				}
+			}
+		case "t":
+			z.To, bts, err = msgp.ReadInt64Bytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "To")
+				return
+			}
+		case "w":
+			z.Whole, bts, err = msgp.ReadBoolBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Whole")
+				return
+			}
+		default:
+			bts, err = msgp.Skip(bts)
+			if err != nil {
+				err = msgp.WrapError(err)
+				return
+			}
+		}
+	}
+	o = bts
+	return
+}
+
+// Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
+func (z *KeptChange) Msgsize() (s int) {
+	s = 1 + 2 + msgp.Uint64Size + 2 + msgp.Int64Size + 2 + msgp.Int64Size + 2 + msgp.StringPrefixSize + len(z.ID) + 2 + msgp.ArrayHeaderSize + (len(z.Parts) * (5 + msgp.Uint64Size + msgp.Int32Size)) + 2 + msgp.Int64Size + 2 + msgp.BoolSize
+	return
+}
+
+// MarshalMsg implements msgp.Marshaler
+func (z *KeptNote) MarshalMsg(b []byte) (o []byte, err error) {
+	o = msgp.Require(b, z.Msgsize())
+	// map header, size 3
+	// string "i"
+	o = append(o, 0x83, 0xa1, 0x69)
+	o = msgp.AppendString(o, z.ID)
+	// string "p"
+	o = append(o, 0xa1, 0x70)
+	o = msgp.AppendArrayHeader(o, uint32(len(z.Parts)))
+	for za0001 := range z.Parts {
+		// map header, size 2
+		// string "k"
+		o = append(o, 0x82, 0xa1, 0x6b)
+		o = msgp.AppendUint64(o, z.Parts[za0001].Key)
+		// string "t"
+		o = append(o, 0xa1, 0x74)
+		o = msgp.AppendInt32(o, z.Parts[za0001].Tokens)
+	}
+	// string "r"
+	o = append(o, 0xa1, 0x72)
+	o = msgp.AppendBool(o, z.Reset)
+	return
+}
+
+// UnmarshalMsg implements msgp.Unmarshaler
+func (z *KeptNote) UnmarshalMsg(bts []byte) (o []byte, err error) {
+	var field []byte
+	_ = field
+	var zb0001 uint32
+	zb0001, bts, err = msgp.ReadMapHeaderBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err)
+		return
+	}
+	for zb0001 > 0 {
+		zb0001--
+		field, bts, err = msgp.ReadMapKeyZC(bts)
+		if err != nil {
+			err = msgp.WrapError(err)
+			return
+		}
+		switch msgp.UnsafeString(field) {
+		case "i":
+			z.ID, bts, err = msgp.ReadStringBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "ID")
+				return
+			}
+		case "p":
+			var zb0002 uint32
+			zb0002, bts, err = msgp.ReadArrayHeaderBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Parts")
+				return
+			}
+			if cap(z.Parts) >= int(zb0002) {
+				z.Parts = (z.Parts)[:zb0002]
+			} else {
+				z.Parts = make([]KeptPart, zb0002)
+			}
+			for za0001 := range z.Parts {
+				var zb0003 uint32
+				zb0003, bts, err = msgp.ReadMapHeaderBytes(bts)
+				if err != nil {
+					err = msgp.WrapError(err, "Parts", za0001)
+					return
+				}
+				for zb0003 > 0 {
+					zb0003--
+					field, bts, err = msgp.ReadMapKeyZC(bts)
+					if err != nil {
+						err = msgp.WrapError(err, "Parts", za0001)
+						return
+					}
+					switch msgp.UnsafeString(field) {
+					case "k":
+						z.Parts[za0001].Key, bts, err = msgp.ReadUint64Bytes(bts)
+						if err != nil {
+							err = msgp.WrapError(err, "Parts", za0001, "Key")
+							return
+						}
+					case "t":
+						z.Parts[za0001].Tokens, bts, err = msgp.ReadInt32Bytes(bts)
+						if err != nil {
+							err = msgp.WrapError(err, "Parts", za0001, "Tokens")
+							return
+						}
+					default:
+						bts, err = msgp.Skip(bts)
+						if err != nil {
+							err = msgp.WrapError(err, "Parts", za0001)
+							return
+						}
+					}
+				}
+			}
+		case "r":
+			z.Reset, bts, err = msgp.ReadBoolBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Reset")
+				return
+			}
+		default:
+			bts, err = msgp.Skip(bts)
+			if err != nil {
+				err = msgp.WrapError(err)
+				return
+			}
+		}
+	}
+	o = bts
+	return
+}
+
+// Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
+func (z *KeptNote) Msgsize() (s int) {
+	s = 1 + 2 + msgp.StringPrefixSize + len(z.ID) + 2 + msgp.ArrayHeaderSize + (len(z.Parts) * (5 + msgp.Uint64Size + msgp.Int32Size)) + 2 + msgp.BoolSize
+	return
+}
+
+// MarshalMsg implements msgp.Marshaler
+func (z KeptPart) MarshalMsg(b []byte) (o []byte, err error) {
+	o = msgp.Require(b, z.Msgsize())
+	// map header, size 2
+	// string "k"
+	o = append(o, 0x82, 0xa1, 0x6b)
+	o = msgp.AppendUint64(o, z.Key)
+	// string "t"
+	o = append(o, 0xa1, 0x74)
+	o = msgp.AppendInt32(o, z.Tokens)
+	return
+}
+
+// UnmarshalMsg implements msgp.Unmarshaler
+func (z *KeptPart) UnmarshalMsg(bts []byte) (o []byte, err error) {
+	var field []byte
+	_ = field
+	var zb0001 uint32
+	zb0001, bts, err = msgp.ReadMapHeaderBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err)
+		return
+	}
+	for zb0001 > 0 {
+		zb0001--
+		field, bts, err = msgp.ReadMapKeyZC(bts)
+		if err != nil {
+			err = msgp.WrapError(err)
+			return
+		}
+		switch msgp.UnsafeString(field) {
+		case "k":
+			z.Key, bts, err = msgp.ReadUint64Bytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Key")
+				return
+			}
+		case "t":
+			z.Tokens, bts, err = msgp.ReadInt32Bytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Tokens")
+				return
+			}
+		default:
+			bts, err = msgp.Skip(bts)
+			if err != nil {
+				err = msgp.WrapError(err)
+				return
+			}
+		}
+	}
+	o = bts
+	return
+}
+
+// Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
+func (z KeptPart) Msgsize() (s int) {
+	s = 1 + 2 + msgp.Uint64Size + 2 + msgp.Int32Size
+	return
+}
+
+// MarshalMsg implements msgp.Marshaler
+func (z *LedgerAsk) MarshalMsg(b []byte) (o []byte, err error) {
+	o = msgp.Require(b, z.Msgsize())
+	// map header, size 6
+	// string "b"
+	o = append(o, 0x86, 0xa1, 0x62)
+	// map header, size 2
+	// string "n"
+	o = append(o, 0x82, 0xa1, 0x6e)
+	o = msgp.AppendInt64(o, z.Ballot.N)
+	// string "w"
+	o = append(o, 0xa1, 0x77)
+	o = msgp.AppendString(o, z.Ballot.Who)
+	// string "k"
+	o = append(o, 0xa1, 0x6b)
+	o = msgp.AppendString(o, string(z.Step))
+	// string "p"
+	o = append(o, 0xa1, 0x70)
+	o = msgp.AppendInt(o, z.Part)
+	// string "s"
+	o = append(o, 0xa1, 0x73)
+	o = msgp.AppendInt64(o, z.Slot)
+	// string "t"
+	o = append(o, 0xa1, 0x74)
+	o = msgp.AppendString(o, z.To)
+	// string "v"
+	o = append(o, 0xa1, 0x76)
+	o, err = z.Value.MarshalMsg(o)
+	if err != nil {
+		err = msgp.WrapError(err, "Value")
+		return
+	}
+	return
+}
+
+// UnmarshalMsg implements msgp.Unmarshaler
+func (z *LedgerAsk) UnmarshalMsg(bts []byte) (o []byte, err error) {
+	var field []byte
+	_ = field
+	var zb0001 uint32
+	zb0001, bts, err = msgp.ReadMapHeaderBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err)
+		return
+	}
+	for zb0001 > 0 {
+		zb0001--
+		field, bts, err = msgp.ReadMapKeyZC(bts)
+		if err != nil {
+			err = msgp.WrapError(err)
+			return
+		}
+		switch msgp.UnsafeString(field) {
+		case "b":
+			var zb0002 uint32
+			zb0002, bts, err = msgp.ReadMapHeaderBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Ballot")
+				return
+			}
+			for zb0002 > 0 {
+				zb0002--
+				field, bts, err = msgp.ReadMapKeyZC(bts)
 				if err != nil {
 					err = msgp.WrapError(err, "Ballot")
 					return
@@ -1164,41 +2236,158 @@
 			var zb0004 uint32
 			zb0004, bts, err = msgp.ReadMapHeaderBytes(bts)
 			if err != nil {
-				err = msgp.WrapError(err, "Promised")
+				err = msgp.WrapError(err, "Promised")
+				return
+			}
+			for zb0004 > 0 {
+				zb0004--
+				field, bts, err = msgp.ReadMapKeyZC(bts)
+				if err != nil {
+					err = msgp.WrapError(err, "Promised")
+					return
+				}
+				switch msgp.UnsafeString(field) {
+				case "n":
+					z.Promised.N, bts, err = msgp.ReadInt64Bytes(bts)
+					if err != nil {
+						err = msgp.WrapError(err, "Promised", "N")
+						return
+					}
+				case "w":
+					z.Promised.Who, bts, err = msgp.ReadStringBytes(bts)
+					if err != nil {
+						err = msgp.WrapError(err, "Promised", "Who")
+						return
+					}
+				default:
+					bts, err = msgp.Skip(bts)
+					if err != nil {
+						err = msgp.WrapError(err, "Promised")
+						return
+					}
+				}
+			}
+		case "v":
+			bts, err = z.Value.UnmarshalMsg(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Value")
+				return
+			}
+		default:
+			bts, err = msgp.Skip(bts)
+			if err != nil {
+				err = msgp.WrapError(err)
+				return
+			}
+		}
+	}
+	o = bts
+	return
+}
+
+// Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
+func (z *LedgerWord) Msgsize() (s int) {
+	s = 1 + 2 + 1 + 2 + msgp.Int64Size + 2 + msgp.StringPrefixSize + len(z.AcceptedAt.Who) + 2 + msgp.StringPrefixSize + len(string(z.Verdict)) + 2 + msgp.BoolSize + 2 + msgp.Int64Size + 2 + 1 + 2 + msgp.Int64Size + 2 + msgp.StringPrefixSize + len(z.Promised.Who) + 2 + z.Value.Msgsize()
+	return
+}
+
+// MarshalMsg implements msgp.Marshaler
+func (z *LoadChange) MarshalMsg(b []byte) (o []byte, err error) {
+	o = msgp.Require(b, z.Msgsize())
+	// map header, size 6
+	// string "d"
+	o = append(o, 0x86, 0xa1, 0x64)
+	o = msgp.AppendUint64(o, z.Digest)
+	// string "e"
+	o = append(o, 0xa1, 0x65)
+	o = msgp.AppendInt64(o, z.Epoch)
+	// string "f"
+	o = append(o, 0xa1, 0x66)
+	o = msgp.AppendInt64(o, z.From)
+	// string "l"
+	o = append(o, 0xa1, 0x6c)
+	o = msgp.AppendArrayHeader(o, uint32(len(z.Loads)))
+	for za0001 := range z.Loads {
+		o, err = z.Loads[za0001].MarshalMsg(o)
+		if err != nil {
+			err = msgp.WrapError(err, "Loads", za0001)
+			return
+		}
+	}
+	// string "t"
+	o = append(o, 0xa1, 0x74)
+	o = msgp.AppendInt64(o, z.To)
+	// string "w"
+	o = append(o, 0xa1, 0x77)
+	o = msgp.AppendBool(o, z.Whole)
+	return
+}
+
+// UnmarshalMsg implements msgp.Unmarshaler
+func (z *LoadChange) UnmarshalMsg(bts []byte) (o []byte, err error) {
+	var field []byte
+	_ = field
+	var zb0001 uint32
+	zb0001, bts, err = msgp.ReadMapHeaderBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err)
+		return
+	}
+	for zb0001 > 0 {
+		zb0001--
+		field, bts, err = msgp.ReadMapKeyZC(bts)
+		if err != nil {
+			err = msgp.WrapError(err)
+			return
+		}
+		switch msgp.UnsafeString(field) {
+		case "d":
+			z.Digest, bts, err = msgp.ReadUint64Bytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Digest")
+				return
+			}
+		case "e":
+			z.Epoch, bts, err = msgp.ReadInt64Bytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Epoch")
+				return
+			}
+		case "f":
+			z.From, bts, err = msgp.ReadInt64Bytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "From")
+				return
+			}
+		case "l":
+			var zb0002 uint32
+			zb0002, bts, err = msgp.ReadArrayHeaderBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Loads")
 				return
 			}
-			for zb0004 > 0 {
-				zb0004--
-				field, bts, err = msgp.ReadMapKeyZC(bts)
+			if cap(z.Loads) >= int(zb0002) {
+				z.Loads = (z.Loads)[:zb0002]
+			} else {
+				z.Loads = make([]RunnerLoad, zb0002)
+			}
+			for za0001 := range z.Loads {
+				bts, err = z.Loads[za0001].UnmarshalMsg(bts)
 				if err != nil {
-					err = msgp.WrapError(err, "Promised")
+					err = msgp.WrapError(err, "Loads", za0001)
 					return
 				}
-				switch msgp.UnsafeString(field) {
-				case "n":
-					z.Promised.N, bts, err = msgp.ReadInt64Bytes(bts)
-					if err != nil {
-						err = msgp.WrapError(err, "Promised", "N")
-						return
-					}
-				case "w":
-					z.Promised.Who, bts, err = msgp.ReadStringBytes(bts)
-					if err != nil {
-						err = msgp.WrapError(err, "Promised", "Who")
-						return
-					}
-				default:
-					bts, err = msgp.Skip(bts)
-					if err != nil {
-						err = msgp.WrapError(err, "Promised")
-						return
-					}
-				}
 			}
-		case "v":
-			bts, err = z.Value.UnmarshalMsg(bts)
+		case "t":
+			z.To, bts, err = msgp.ReadInt64Bytes(bts)
 			if err != nil {
-				err = msgp.WrapError(err, "Value")
+				err = msgp.WrapError(err, "To")
+				return
+			}
+		case "w":
+			z.Whole, bts, err = msgp.ReadBoolBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Whole")
 				return
 			}
 		default:
@@ -1214,8 +2403,12 @@
 }
 
 // Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
-func (z *LedgerWord) Msgsize() (s int) {
-	s = 1 + 2 + 1 + 2 + msgp.Int64Size + 2 + msgp.StringPrefixSize + len(z.AcceptedAt.Who) + 2 + msgp.StringPrefixSize + len(string(z.Verdict)) + 2 + msgp.BoolSize + 2 + msgp.Int64Size + 2 + 1 + 2 + msgp.Int64Size + 2 + msgp.StringPrefixSize + len(z.Promised.Who) + 2 + z.Value.Msgsize()
+func (z *LoadChange) Msgsize() (s int) {
+	s = 1 + 2 + msgp.Uint64Size + 2 + msgp.Int64Size + 2 + msgp.Int64Size + 2 + msgp.ArrayHeaderSize
+	for za0001 := range z.Loads {
+		s += z.Loads[za0001].Msgsize()
+	}
+	s += 2 + msgp.Int64Size + 2 + msgp.BoolSize
 	return
 }
 
@@ -2314,6 +3507,121 @@
 	return
 }
 
+// MarshalMsg implements msgp.Marshaler
+func (z *RunnerLoad) MarshalMsg(b []byte) (o []byte, err error) {
+	o = msgp.Require(b, z.Msgsize())
+	// map header, size 8
+	// string "b"
+	o = append(o, 0x88, 0xa1, 0x62)
+	o = msgp.AppendInt(o, z.Blocks)
+	// string "f"
+	o = append(o, 0xa1, 0x66)
+	o = msgp.AppendInt(o, z.Flow)
+	// string "i"
+	o = append(o, 0xa1, 0x69)
+	o = msgp.AppendString(o, z.ID)
+	// string "n"
+	o = append(o, 0xa1, 0x6e)
+	o = msgp.AppendInt(o, z.Count)
+	// string "p"
+	o = append(o, 0xa1, 0x70)
+	o = msgp.AppendInt(o, z.Prefill)
+	// string "r"
+	o = append(o, 0xa1, 0x72)
+	o = msgp.AppendFloat64(o, z.Rate)
+	// string "t"
+	o = append(o, 0xa1, 0x74)
+	o = msgp.AppendInt(o, z.Tried)
+	// string "x"
+	o = append(o, 0xa1, 0x78)
+	o = msgp.AppendInt(o, z.Failed)
+	return
+}
+
+// UnmarshalMsg implements msgp.Unmarshaler
+func (z *RunnerLoad) UnmarshalMsg(bts []byte) (o []byte, err error) {
+	var field []byte
+	_ = field
+	var zb0001 uint32
+	zb0001, bts, err = msgp.ReadMapHeaderBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err)
+		return
+	}
+	for zb0001 > 0 {
+		zb0001--
+		field, bts, err = msgp.ReadMapKeyZC(bts)
+		if err != nil {
+			err = msgp.WrapError(err)
+			return
+		}
+		switch msgp.UnsafeString(field) {
+		case "b":
+			z.Blocks, bts, err = msgp.ReadIntBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Blocks")
+				return
+			}
+		case "f":
+			z.Flow, bts, err = msgp.ReadIntBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Flow")
+				return
+			}
+		case "i":
+			z.ID, bts, err = msgp.ReadStringBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "ID")
+				return
+			}
+		case "n":
+			z.Count, bts, err = msgp.ReadIntBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Count")
+				return
+			}
+		case "p":
+			z.Prefill, bts, err = msgp.ReadIntBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Prefill")
+				return
+			}
+		case "r":
+			z.Rate, bts, err = msgp.ReadFloat64Bytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Rate")
+				return
+			}
+		case "t":
+			z.Tried, bts, err = msgp.ReadIntBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Tried")
+				return
+			}
+		case "x":
+			z.Failed, bts, err = msgp.ReadIntBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Failed")
+				return
+			}
+		default:
+			bts, err = msgp.Skip(bts)
+			if err != nil {
+				err = msgp.WrapError(err)
+				return
+			}
+		}
+	}
+	o = bts
+	return
+}
+
+// Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
+func (z *RunnerLoad) Msgsize() (s int) {
+	s = 1 + 2 + msgp.IntSize + 2 + msgp.IntSize + 2 + msgp.StringPrefixSize + len(z.ID) + 2 + msgp.IntSize + 2 + msgp.IntSize + 2 + msgp.Float64Size + 2 + msgp.IntSize + 2 + msgp.IntSize
+	return
+}
+
 // MarshalMsg implements msgp.Marshaler
 func (z *RunnerNote) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
@@ -2460,152 +3768,51 @@
 						z.Models[za0001].Model, bts, err = msgp.ReadStringBytes(bts)
 						if err != nil {
 							err = msgp.WrapError(err, "Models", za0001, "Model")
-							return
-						}
-					case "v":
-						z.Models[za0001].Mark, bts, err = msgp.ReadInt64Bytes(bts)
-						if err != nil {
-							err = msgp.WrapError(err, "Models", za0001, "Mark")
-							return
-						}
-					default:
-						bts, err = msgp.Skip(bts)
-						if err != nil {
-							err = msgp.WrapError(err, "Models", za0001)
-							return
-						}
-					}
-				}
-			}
-		case "q":
-			z.Seq, bts, err = msgp.ReadInt64Bytes(bts)
-			if err != nil {
-				err = msgp.WrapError(err, "Seq")
-				return
-			}
-		case "r":
-			z.BarMark, bts, err = msgp.ReadInt64Bytes(bts)
-			if err != nil {
-				err = msgp.WrapError(err, "BarMark")
-				return
-			}
-		case "s":
-			z.Service, bts, err = msgp.ReadStringBytes(bts)
-			if err != nil {
-				err = msgp.WrapError(err, "Service")
-				return
-			}
-		case "w":
-			z.Easing, bts, err = msgp.ReadBoolBytes(bts)
-			if err != nil {
-				err = msgp.WrapError(err, "Easing")
-				return
-			}
-		case "z":
-			z.Site, bts, err = msgp.ReadStringBytes(bts)
-			if err != nil {
-				err = msgp.WrapError(err, "Site")
-				return
-			}
-		default:
-			bts, err = msgp.Skip(bts)
-			if err != nil {
-				err = msgp.WrapError(err)
-				return
-			}
-		}
-	}
-	o = bts
-	return
-}
-
-// Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
-func (z *RunnerNote) Msgsize() (s int) {
-	s = 1 + 2 + msgp.StringPrefixSize + len(z.Addr) + 2 + msgp.BoolSize + 2 + msgp.IntSize + 2 + msgp.BoolSize + 2 + msgp.BoolSize + 2 + msgp.BoolSize + 2 + msgp.StringPrefixSize + len(z.ID) + 2 + msgp.ArrayHeaderSize
-	for za0001 := range z.Models {
-		s += 1 + 2 + msgp.StringPrefixSize + len(z.Models[za0001].Model) + 2 + msgp.Int64Size
-	}
-	s += 2 + msgp.Int64Size + 2 + msgp.Int64Size + 2 + msgp.StringPrefixSize + len(z.Service) + 2 + msgp.BoolSize + 2 + msgp.StringPrefixSize + len(z.Site)
-	return
-}
-
-// MarshalMsg implements msgp.Marshaler
-func (z *RunnerWeight) MarshalMsg(b []byte) (o []byte, err error) {
-	o = msgp.Require(b, z.Msgsize())
-	// map header, size 6
-	// string "b"
-	o = append(o, 0x86, 0xa1, 0x62)
-	o = msgp.AppendInt(o, z.Blocks)
-	// string "f"
-	o = append(o, 0xa1, 0x66)
-	o = msgp.AppendInt(o, z.Flow)
-	// string "i"
-	o = append(o, 0xa1, 0x69)
-	o = msgp.AppendString(o, z.ID)
-	// string "n"
-	o = append(o, 0xa1, 0x6e)
-	o = msgp.AppendInt(o, z.Count)
-	// string "p"
-	o = append(o, 0xa1, 0x70)
-	o = msgp.AppendInt(o, z.Prefill)
-	// string "r"
-	o = append(o, 0xa1, 0x72)
-	o = msgp.AppendFloat64(o, z.Rate)
-	return
-}
-
-// UnmarshalMsg implements msgp.Unmarshaler
-func (z *RunnerWeight) UnmarshalMsg(bts []byte) (o []byte, err error) {
-	var field []byte
-	_ = field
-	var zb0001 uint32
-	zb0001, bts, err = msgp.ReadMapHeaderBytes(bts)
-	if err != nil {
-		err = msgp.WrapError(err)
-		return
-	}
-	for zb0001 > 0 {
-		zb0001--
-		field, bts, err = msgp.ReadMapKeyZC(bts)
-		if err != nil {
-			err = msgp.WrapError(err)
-			return
-		}
-		switch msgp.UnsafeString(field) {
-		case "b":
-			z.Blocks, bts, err = msgp.ReadIntBytes(bts)
-			if err != nil {
-				err = msgp.WrapError(err, "Blocks")
-				return
+							return
+						}
+					case "v":
+						z.Models[za0001].Mark, bts, err = msgp.ReadInt64Bytes(bts)
+						if err != nil {
+							err = msgp.WrapError(err, "Models", za0001, "Mark")
+							return
+						}
+					default:
+						bts, err = msgp.Skip(bts)
+						if err != nil {
+							err = msgp.WrapError(err, "Models", za0001)
+							return
+						}
+					}
+				}
 			}
-		case "f":
-			z.Flow, bts, err = msgp.ReadIntBytes(bts)
+		case "q":
+			z.Seq, bts, err = msgp.ReadInt64Bytes(bts)
 			if err != nil {
-				err = msgp.WrapError(err, "Flow")
+				err = msgp.WrapError(err, "Seq")
 				return
 			}
-		case "i":
-			z.ID, bts, err = msgp.ReadStringBytes(bts)
+		case "r":
+			z.BarMark, bts, err = msgp.ReadInt64Bytes(bts)
 			if err != nil {
-				err = msgp.WrapError(err, "ID")
+				err = msgp.WrapError(err, "BarMark")
 				return
 			}
-		case "n":
-			z.Count, bts, err = msgp.ReadIntBytes(bts)
+		case "s":
+			z.Service, bts, err = msgp.ReadStringBytes(bts)
 			if err != nil {
-				err = msgp.WrapError(err, "Count")
+				err = msgp.WrapError(err, "Service")
 				return
 			}
-		case "p":
-			z.Prefill, bts, err = msgp.ReadIntBytes(bts)
+		case "w":
+			z.Easing, bts, err = msgp.ReadBoolBytes(bts)
 			if err != nil {
-				err = msgp.WrapError(err, "Prefill")
+				err = msgp.WrapError(err, "Easing")
 				return
 			}
-		case "r":
-			z.Rate, bts, err = msgp.ReadFloat64Bytes(bts)
+		case "z":
+			z.Site, bts, err = msgp.ReadStringBytes(bts)
 			if err != nil {
-				err = msgp.WrapError(err, "Rate")
+				err = msgp.WrapError(err, "Site")
 				return
 			}
 		default:
@@ -2621,8 +3828,12 @@
 }
 
 // Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
-func (z *RunnerWeight) Msgsize() (s int) {
-	s = 1 + 2 + msgp.IntSize + 2 + msgp.IntSize + 2 + msgp.StringPrefixSize + len(z.ID) + 2 + msgp.IntSize + 2 + msgp.IntSize + 2 + msgp.Float64Size
+func (z *RunnerNote) Msgsize() (s int) {
+	s = 1 + 2 + msgp.StringPrefixSize + len(z.Addr) + 2 + msgp.BoolSize + 2 + msgp.IntSize + 2 + msgp.BoolSize + 2 + msgp.BoolSize + 2 + msgp.BoolSize + 2 + msgp.StringPrefixSize + len(z.ID) + 2 + msgp.ArrayHeaderSize
+	for za0001 := range z.Models {
+		s += 1 + 2 + msgp.StringPrefixSize + len(z.Models[za0001].Model) + 2 + msgp.Int64Size
+	}
+	s += 2 + msgp.Int64Size + 2 + msgp.Int64Size + 2 + msgp.StringPrefixSize + len(z.Service) + 2 + msgp.BoolSize + 2 + msgp.StringPrefixSize + len(z.Site)
 	return
 }
 
@@ -2683,20 +3894,23 @@
 }
 
 // MarshalMsg implements msgp.Marshaler
-func (z *Taken) MarshalMsg(b []byte) (o []byte, err error) {
+func (z StreamHold) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
-	// map header, size 2
-	// string "d"
-	o = append(o, 0x82, 0xa1, 0x64)
-	o = msgp.AppendBytes(o, z.Digest)
-	// string "v"
-	o = append(o, 0xa1, 0x76)
-	o = msgp.AppendInt64(o, z.Mark)
+	// map header, size 3
+	// string "e"
+	o = append(o, 0x83, 0xa1, 0x65)
+	o = msgp.AppendInt64(o, z.Epoch)
+	// string "i"
+	o = append(o, 0xa1, 0x69)
+	o = msgp.AppendString(o, z.ID)
+	// string "t"
+	o = append(o, 0xa1, 0x74)
+	o = msgp.AppendInt64(o, z.Version)
 	return
 }
 
 // UnmarshalMsg implements msgp.Unmarshaler
-func (z *Taken) UnmarshalMsg(bts []byte) (o []byte, err error) {
+func (z *StreamHold) UnmarshalMsg(bts []byte) (o []byte, err error) {
 	var field []byte
 	_ = field
 	var zb0001 uint32
@@ -2713,16 +3927,22 @@
 			return
 		}
 		switch msgp.UnsafeString(field) {
-		case "d":
-			z.Digest, bts, err = msgp.ReadBytesBytes(bts, z.Digest)
+		case "e":
+			z.Epoch, bts, err = msgp.ReadInt64Bytes(bts)
 			if err != nil {
-				err = msgp.WrapError(err, "Digest")
+				err = msgp.WrapError(err, "Epoch")
 				return
 			}
-		case "v":
-			z.Mark, bts, err = msgp.ReadInt64Bytes(bts)
+		case "i":
+			z.ID, bts, err = msgp.ReadStringBytes(bts)
 			if err != nil {
-				err = msgp.WrapError(err, "Mark")
+				err = msgp.WrapError(err, "ID")
+				return
+			}
+		case "t":
+			z.Version, bts, err = msgp.ReadInt64Bytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Version")
 				return
 			}
 		default:
@@ -2738,43 +3958,26 @@
 }
 
 // Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
-func (z *Taken) Msgsize() (s int) {
-	s = 1 + 2 + msgp.BytesPrefixSize + len(z.Digest) + 2 + msgp.Int64Size
+func (z StreamHold) Msgsize() (s int) {
+	s = 1 + 2 + msgp.Int64Size + 2 + msgp.StringPrefixSize + len(z.ID) + 2 + msgp.Int64Size
 	return
 }
 
 // MarshalMsg implements msgp.Marshaler
-func (z *Tally) MarshalMsg(b []byte) (o []byte, err error) {
+func (z *Taken) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
-	// map header, size 3
-	// string "c"
-	o = append(o, 0x83, 0xa1, 0x63)
-	o = msgp.AppendArrayHeader(o, uint32(len(z.Coming)))
-	for za0001 := range z.Coming {
-		o, err = z.Coming[za0001].MarshalMsg(o)
-		if err != nil {
-			err = msgp.WrapError(err, "Coming", za0001)
-			return
-		}
-	}
-	// string "f"
-	o = append(o, 0xa1, 0x66)
-	o = msgp.AppendString(o, z.From)
-	// string "w"
-	o = append(o, 0xa1, 0x77)
-	o = msgp.AppendArrayHeader(o, uint32(len(z.Weights)))
-	for za0002 := range z.Weights {
-		o, err = z.Weights[za0002].MarshalMsg(o)
-		if err != nil {
-			err = msgp.WrapError(err, "Weights", za0002)
-			return
-		}
-	}
+	// map header, size 2
+	// string "d"
+	o = append(o, 0x82, 0xa1, 0x64)
+	o = msgp.AppendBytes(o, z.Digest)
+	// string "v"
+	o = append(o, 0xa1, 0x76)
+	o = msgp.AppendInt64(o, z.Mark)
 	return
 }
 
 // UnmarshalMsg implements msgp.Unmarshaler
-func (z *Tally) UnmarshalMsg(bts []byte) (o []byte, err error) {
+func (z *Taken) UnmarshalMsg(bts []byte) (o []byte, err error) {
 	var field []byte
 	_ = field
 	var zb0001 uint32
@@ -2791,50 +3994,18 @@
 			return
 		}
 		switch msgp.UnsafeString(field) {
-		case "c":
-			var zb0002 uint32
-			zb0002, bts, err = msgp.ReadArrayHeaderBytes(bts)
-			if err != nil {
-				err = msgp.WrapError(err, "Coming")
-				return
-			}
-			if cap(z.Coming) >= int(zb0002) {
-				z.Coming = (z.Coming)[:zb0002]
-			} else {
-				z.Coming = make([]KeptNote, zb0002)
-			}
-			for za0001 := range z.Coming {
-				bts, err = z.Coming[za0001].UnmarshalMsg(bts)
-				if err != nil {
-					err = msgp.WrapError(err, "Coming", za0001)
-					return
-				}
-			}
-		case "f":
-			z.From, bts, err = msgp.ReadStringBytes(bts)
+		case "d":
+			z.Digest, bts, err = msgp.ReadBytesBytes(bts, z.Digest)
 			if err != nil {
-				err = msgp.WrapError(err, "From")
+				err = msgp.WrapError(err, "Digest")
 				return
 			}
-		case "w":
-			var zb0003 uint32
-			zb0003, bts, err = msgp.ReadArrayHeaderBytes(bts)
+		case "v":
+			z.Mark, bts, err = msgp.ReadInt64Bytes(bts)
 			if err != nil {
-				err = msgp.WrapError(err, "Weights")
+				err = msgp.WrapError(err, "Mark")
 				return
 			}
-			if cap(z.Weights) >= int(zb0003) {
-				z.Weights = (z.Weights)[:zb0003]
-			} else {
-				z.Weights = make([]RunnerWeight, zb0003)
-			}
-			for za0002 := range z.Weights {
-				bts, err = z.Weights[za0002].UnmarshalMsg(bts)
-				if err != nil {
-					err = msgp.WrapError(err, "Weights", za0002)
-					return
-				}
-			}
 		default:
 			bts, err = msgp.Skip(bts)
 			if err != nil {
@@ -2848,15 +4019,8 @@
 }
 
 // Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
-func (z *Tally) Msgsize() (s int) {
-	s = 1 + 2 + msgp.ArrayHeaderSize
-	for za0001 := range z.Coming {
-		s += z.Coming[za0001].Msgsize()
-	}
-	s += 2 + msgp.StringPrefixSize + len(z.From) + 2 + msgp.ArrayHeaderSize
-	for za0002 := range z.Weights {
-		s += z.Weights[za0002].Msgsize()
-	}
+func (z *Taken) Msgsize() (s int) {
+	s = 1 + 2 + msgp.BytesPrefixSize + len(z.Digest) + 2 + msgp.Int64Size
 	return
 }
 
@@ -2921,6 +4085,124 @@
 	return
 }
 
+// MarshalMsg implements msgp.Marshaler
+func (z *Told) MarshalMsg(b []byte) (o []byte, err error) {
+	o = msgp.Require(b, z.Msgsize())
+	// map header, size 3
+	// string "c"
+	o = append(o, 0x83, 0xa1, 0x63)
+	o = msgp.AppendArrayHeader(o, uint32(len(z.Coming)))
+	for za0001 := range z.Coming {
+		o, err = z.Coming[za0001].MarshalMsg(o)
+		if err != nil {
+			err = msgp.WrapError(err, "Coming", za0001)
+			return
+		}
+	}
+	// string "l"
+	o = append(o, 0xa1, 0x6c)
+	o = msgp.AppendArrayHeader(o, uint32(len(z.Loads)))
+	for za0002 := range z.Loads {
+		o, err = z.Loads[za0002].MarshalMsg(o)
+		if err != nil {
+			err = msgp.WrapError(err, "Loads", za0002)
+			return
+		}
+	}
+	// string "s"
+	o = append(o, 0xa1, 0x73)
+	o = msgp.AppendInt64(o, z.Seq)
+	return
+}
+
+// UnmarshalMsg implements msgp.Unmarshaler
+func (z *Told) UnmarshalMsg(bts []byte) (o []byte, err error) {
+	var field []byte
+	_ = field
+	var zb0001 uint32
+	zb0001, bts, err = msgp.ReadMapHeaderBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err)
+		return
+	}
+	for zb0001 > 0 {
+		zb0001--
+		field, bts, err = msgp.ReadMapKeyZC(bts)
+		if err != nil {
+			err = msgp.WrapError(err)
+			return
+		}
+		switch msgp.UnsafeString(field) {
+		case "c":
+			var zb0002 uint32
+			zb0002, bts, err = msgp.ReadArrayHeaderBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Coming")
+				return
+			}
+			if cap(z.Coming) >= int(zb0002) {
+				z.Coming = (z.Coming)[:zb0002]
+			} else {
+				z.Coming = make([]KeptNote, zb0002)
+			}
+			for za0001 := range z.Coming {
+				bts, err = z.Coming[za0001].UnmarshalMsg(bts)
+				if err != nil {
+					err = msgp.WrapError(err, "Coming", za0001)
+					return
+				}
+			}
+		case "l":
+			var zb0003 uint32
+			zb0003, bts, err = msgp.ReadArrayHeaderBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Loads")
+				return
+			}
+			if cap(z.Loads) >= int(zb0003) {
+				z.Loads = (z.Loads)[:zb0003]
+			} else {
+				z.Loads = make([]LoadChange, zb0003)
+			}
+			for za0002 := range z.Loads {
+				bts, err = z.Loads[za0002].UnmarshalMsg(bts)
+				if err != nil {
+					err = msgp.WrapError(err, "Loads", za0002)
+					return
+				}
+			}
+		case "s":
+			z.Seq, bts, err = msgp.ReadInt64Bytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Seq")
+				return
+			}
+		default:
+			bts, err = msgp.Skip(bts)
+			if err != nil {
+				err = msgp.WrapError(err)
+				return
+			}
+		}
+	}
+	o = bts
+	return
+}
+
+// Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
+func (z *Told) Msgsize() (s int) {
+	s = 1 + 2 + msgp.ArrayHeaderSize
+	for za0001 := range z.Coming {
+		s += z.Coming[za0001].Msgsize()
+	}
+	s += 2 + msgp.ArrayHeaderSize
+	for za0002 := range z.Loads {
+		s += z.Loads[za0002].Msgsize()
+	}
+	s += 2 + msgp.Int64Size
+	return
+}
+
 // MarshalMsg implements msgp.Marshaler
 func (z *Value) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
--- a/internal/wire/types.gen.go
+++ b/internal/wire/types.gen.go
@@ -114,6 +114,7 @@
 	Unread    []string   `msg:"e"`
 	SaveFault string     `msg:"f"`
 	Groups    [][]Member `msg:"g"`
+	Changes   int64      `msg:"j"`
 	LedgerID  string     `msg:"l"`
 	Marks     []int64    `msg:"m"`
 	Node      string     `msg:"n"`
@@ -122,6 +123,8 @@
 	Role      Role       `msg:"r"`
 	SaveUs    int64      `msg:"s"`
 	TimeUs    int64      `msg:"t"`
+	Wholes    int64      `msg:"w"`
+	Malformed int64      `msg:"x"`
 	Site      string     `msg:"z"`
 }
 
@@ -131,6 +134,36 @@
 	Targets []Target `msg:"t"`
 }
 
+// Entry an entry by its key; one that is no longer there has no body
+type Entry struct {
+	Body []byte `msg:"b"`
+	Key  string `msg:"k"`
+}
+
+// EntryChange defines model for EntryChange.
+type EntryChange struct {
+	Digest  uint64  `msg:"d"`
+	Epoch   int64   `msg:"e"`
+	From    int64   `msg:"f"`
+	Entries []Entry `msg:"p"`
+	To      int64   `msg:"t"`
+	Whole   bool    `msg:"w"`
+}
+
+// Feed what a node sends down the tree; versions of parts go along with every one
+type Feed struct {
+	Coming   []KeptNote    `msg:"c"`
+	Kept     []KeptChange  `msg:"k"`
+	Loads    []LoadChange  `msg:"l"`
+	Versions []int64       `msg:"m"`
+	Menu     []EntryChange `msg:"n"`
+	Reports  []ReportNote  `msg:"o"`
+	Parts    []PartNote    `msg:"p"`
+	Roster   []EntryChange `msg:"r"`
+	CalmUs   int64         `msg:"u"`
+	CutOff   bool          `msg:"x"`
+}
+
 // Frame defines model for Frame.
 type Frame struct {
 	Reply bool   `msg:"a"`
@@ -139,6 +172,34 @@
 	Seq   int64  `msg:"q"`
 }
 
+// Hold what a receiver holds of every stream it wants
+type Hold struct {
+	Dispatch bool         `msg:"d"`
+	Kept     []StreamHold `msg:"k"`
+
+	// Loads how much of a stream a receiver holds
+	Loads StreamHold `msg:"l"`
+
+	// Menu how much of a stream a receiver holds
+	Menu     StreamHold `msg:"n"`
+	MenuOnly bool       `msg:"o"`
+	Parts    []int64    `msg:"p"`
+
+	// Roster how much of a stream a receiver holds
+	Roster StreamHold `msg:"r"`
+}
+
+// KeptChange parts that a runner keeps now; 0 tokens mean that it keeps one no longer
+type KeptChange struct {
+	Digest uint64     `msg:"d"`
+	Epoch  int64      `msg:"e"`
+	From   int64      `msg:"f"`
+	ID     string     `msg:"i"`
+	Parts  []KeptPart `msg:"p"`
+	To     int64      `msg:"t"`
+	Whole  bool       `msg:"w"`
+}
+
 // KeptNote defines model for KeptNote.
 type KeptNote struct {
 	ID    string     `msg:"i"`
@@ -172,6 +233,16 @@
 	Value       Value   `msg:"v"`
 }
 
+// LoadChange defines model for LoadChange.
+type LoadChange struct {
+	Digest uint64       `msg:"d"`
+	Epoch  int64        `msg:"e"`
+	From   int64        `msg:"f"`
+	Loads  []RunnerLoad `msg:"l"`
+	To     int64        `msg:"t"`
+	Whole  bool         `msg:"w"`
+}
+
 // Marks defines model for Marks.
 type Marks struct {
 	Dispatch  bool    `msg:"d"`
@@ -251,6 +322,18 @@
 // Role defines model for Role.
 type Role string
 
+// RunnerLoad what requests have at a runner, of one node or summed over several; all zero means nothing
+type RunnerLoad struct {
+	Blocks  int     `msg:"b"`
+	Flow    int     `msg:"f"`
+	ID      string  `msg:"i"`
+	Count   int     `msg:"n"`
+	Prefill int     `msg:"p"`
+	Rate    float64 `msg:"r"`
+	Tried   int     `msg:"t"`
+	Failed  int     `msg:"x"`
+}
+
 // RunnerNote defines model for RunnerNote.
 type RunnerNote struct {
 	Addr     string   `msg:"a"`
@@ -268,41 +351,38 @@
 	Site     string   `msg:"z"`
 }
 
-// RunnerWeight defines model for RunnerWeight.
-type RunnerWeight struct {
-	Blocks  int     `msg:"b"`
-	Flow    int     `msg:"f"`
-	ID      string  `msg:"i"`
-	Count   int     `msg:"n"`
-	Prefill int     `msg:"p"`
-	Rate    float64 `msg:"r"`
-}
-
 // Standing defines model for Standing.
 type Standing string
 
 // Step defines model for Step.
 type Step string
 
+// StreamHold how much of a stream a receiver holds
+type StreamHold struct {
+	Epoch   int64  `msg:"e"`
+	ID      string `msg:"i"`
+	Version int64  `msg:"t"`
+}
+
 // Taken defines model for Taken.
 type Taken struct {
 	Digest []byte `msg:"d"`
 	Mark   int64  `msg:"v"`
 }
 
-// Tally defines model for Tally.
-type Tally struct {
-	Coming  []KeptNote     `msg:"c"`
-	From    string         `msg:"f"`
-	Weights []RunnerWeight `msg:"w"`
-}
-
 // Target defines model for Target.
 type Target struct {
 	Model string `msg:"m"`
 	Mark  int64  `msg:"v"`
 }
 
+// Told what a node sends up the tree, and the word back that it was heard
+type Told struct {
+	Coming []KeptNote   `msg:"c"`
+	Loads  []LoadChange `msg:"l"`
+	Seq    int64        `msg:"s"`
+}
+
 // Value defines model for Value.
 type Value struct {
 	Body  []byte   `msg:"b"`
