--- a/internal/dispatch/dispatch.go
+++ b/internal/dispatch/dispatch.go
@@ -68,6 +68,7 @@
 	}
 	d.seeds.Store(&set.Seeds)
 	d.feed.init(clock())
+	d.syncRunners()
 	d.relay = radio.NewRelay(rad, radio.Upward{Since: d.since, Told: d.toldBelow, Gone: d.goneBelow})
 	d.ledger, err = ledger.Open(set.DispatchAddr(), radio.KindLedger, set.Bootstrap, set.SeedAddrs(), rad, store, log, d.learned)
 	if err != nil {
@@ -274,7 +275,7 @@
 	for _, n := range d.roster.Sweep(d.clock(), 4*beatUs+500_000, 12*beatUs) {
 		d.tellRunners(n.ID)
 	}
-	d.dropForgotten()
+	d.syncRunners()
 	snap := d.roster.Snapshot()
 	d.kmu.Lock()
 	d.kept.Retain(func(r string) bool { _, ok := snap.ByID[r]; return ok || strings.Contains(r, ":") })
--- a/internal/dispatch/dispatch_test.go
+++ b/internal/dispatch/dispatch_test.go
@@ -161,10 +161,19 @@
 	stop()
 
 	fresh := &Dispatch{disk: d.disk, roster: roster.New(), clock: d.clock, log: logr.Discard()}
+	fresh.feed.init(1)
 	fresh.recallRunners()
+	fresh.syncRunners()
+	lacks, ok := fresh.feed.roster.Since(0, 0)
+	must.True(t, ok)
+	must.Len(t, 1, lacks.Puts, must.Sprint("the counters are told of runners that the disk named"))
 	got := fresh.roster.Snapshot().ByID["i-1"]
 	must.True(t, got.Barred)
 	must.Eq(t, int64(77), got.BarMark)
+	fresh.roster.Leave("i-1", 1)
+	fresh.roster.Sweep(200_000_000, 1, 1)
+	fresh.syncRunners()
+	must.Eq(t, 0, fresh.feed.roster.Len(), must.Sprint("what the roster forgets is told no longer"))
 	keptID, ok := d.disk.Note("identity")
 	must.True(t, ok)
 	must.Eq(t, id, string(keptID))
--- a/internal/dispatch/feed.go
+++ b/internal/dispatch/feed.go
@@ -21,12 +21,20 @@
 )
 
 // flushEvery is how often changes of kept prompts, reports and loads go out.
-const flushEvery = 100 * time.Millisecond
+const flushEvery = 60 * time.Millisecond
+
+// Least time between two sendings where something presses: a change of runners
+// or configuration, or long prompts that have been sent to a runner. What presses
+// grows with the number of nodes, so the pause does too, and what reaches a node
+// does not.
+const (
+	pressPart  = 200 * time.Microsecond // a counter
+	pressLeast = 2 * time.Millisecond
+)
 
-// flushAtOnce is the least time between two sendings where something presses:
-// a change of runners or configuration, or long prompts that have been sent to a
-// runner.
-const flushAtOnce = 15 * time.Millisecond
+func (d *Dispatch) pressPause() time.Duration {
+	return min(max(time.Duration(len(d.watch.Alive(wire.Counter)))*pressPart, pressLeast), flushEvery)
+}
 
 // below is under which name the nodes below this one stand in the sum of all.
 const below = "below"
@@ -42,6 +50,7 @@
 	own, down outbox // to the other dispatches, and to the counters
 	urgent    chan struct{}
 	pulling   atomic.Bool
+	sentUs    int64 // when a feed last went out to everybody
 
 	changes, wholes, malformed atomic.Int64
 }
@@ -125,14 +134,25 @@
 	f.hurry()
 }
 
-// dropForgotten takes runners out that the roster has forgotten.
-func (d *Dispatch) dropForgotten() {
+// syncRunners brings what is told of runners to what the roster holds: those
+// recalled from disk go in, those it has forgotten go out.
+func (d *Dispatch) syncRunners() {
 	f := &d.feed
 	f.mu.Lock()
 	defer f.mu.Unlock()
+	known := map[string]bool{}
+	for _, n := range d.roster.All() {
+		known[n.ID] = true
+		if _, told := f.roster.Get(n.ID); told {
+			continue
+		}
+		if b, err := n.MarshalMsg(nil); err == nil {
+			f.roster.Put(n.ID, string(b))
+		}
+	}
 	var gone []string
 	f.roster.Each(func(id, _ string) {
-		if _, ok := d.roster.Note(id); !ok {
+		if !known[id] {
 			gone = append(gone, id)
 		}
 	})
@@ -202,7 +222,7 @@
 			return
 		}
 		d.flush()
-		loop.Pause(ctx, flushAtOnce)
+		loop.Pause(ctx, d.pressPause())
 	}
 }
 
@@ -227,8 +247,23 @@
 	if f.all.Total.Dirty() {
 		down.Loads = append(down.Loads, bulletin.SendLoads(f.all.Total.Commit(f.all.Total.Version+1)))
 	}
-	d.relay.Publish(radio.ToDispatches, up)
-	d.relay.Publish(radio.ToCounters, down)
+	rest := d.clock()-f.sentUs > restUs
+	if rest || something(&up) {
+		d.relay.Publish(radio.ToDispatches, up)
+	}
+	if rest || something(&down) {
+		d.relay.Publish(radio.ToCounters, down)
+	}
+	if rest {
+		f.sentUs = d.clock()
+	}
+}
+
+// restUs is how often a feed goes out though it has nothing to tell.
+const restUs = int64(radio.FeedEvery/time.Microsecond) - 50_000
+
+func something(f *wire.Feed) bool {
+	return len(f.Menu)+len(f.Parts)+len(f.Roster)+len(f.Kept)+len(f.Reports)+len(f.Loads)+len(f.Coming) > 0
 }
 
 // cutOff tells whether the group that holds the configuration is out of this
--- a/internal/radio/listen.go
+++ b/internal/radio/listen.go
@@ -6,11 +6,13 @@
 
 import (
 	"context"
+	"sort"
 	"sync/atomic"
 	"time"
 
 	"github.com/tinylib/msgp/msgp"
 
+	"beechtide.org/beechtide/internal/bulletin"
 	"beechtide.org/beechtide/internal/loop"
 	"beechtide.org/beechtide/internal/wire"
 )
@@ -195,9 +197,10 @@
 }
 
 // Parents orders the nodes that a counter may take feeds from: its place in the
-// tree first. The counters of a site stand in a fixed order; the first ones
-// hang on the site's dispatches in turn, the others on counters before them, so
-// that a change crosses to a site once for every dispatch there.
+// tree first. The first counters of a site hang on the site's dispatches, the
+// others on counters before them, so that a change crosses to a site once for
+// every dispatch there. Which dispatch it is follows from a hash, so that hardly
+// anybody moves when nodes come and go.
 func Parents(self string, site string, dispatches, counters []wire.Peer) []string {
 	var near, far, row []string
 	for _, d := range Core(dispatches) {
@@ -221,15 +224,15 @@
 	if roots := max(len(near), 1) * fanOut; at >= roots {
 		out = append(out, row[(at-roots)/fanOut])
 	}
-	return append(append(out, rotate(near, at)...), rotate(far, at)...)
+	return append(append(out, shuffled(self, near)...), shuffled(self, far)...)
 }
 
-func rotate(list []string, at int) []string {
-	if len(list) < 2 {
-		return list
-	}
-	turn := max(at, 0) % len(list)
-	return append(append([]string{}, list[turn:]...), list[:turn]...)
+// shuffled is an order of its own for every node.
+func shuffled(self string, list []string) []string {
+	sort.Slice(list, func(i, j int) bool {
+		return bulletin.HashText(self, list[i]) > bulletin.HashText(self, list[j])
+	})
+	return list
 }
 
 const fanOut = 16
