--- a/internal/calls/types.gen.go
+++ b/internal/calls/types.gen.go
@@ -160,6 +160,7 @@
 	Certificates []Certificate `json:"certificates,omitempty,omitzero" validate:"omitempty,max=1024,dive"`
 	Limits       Limits        `json:"limits,omitempty,omitzero"`
 	Regimes      []Regime      `json:"regimes,omitempty,omitzero" validate:"omitempty,max=64,dive"`
+	Relinquish   []Relinquish  `json:"relinquish,omitempty,omitzero" validate:"omitempty,max=64,dive"`
 	Routes       []Route       `json:"routes" validate:"dive"`
 	Services     []Service     `json:"services" validate:"dive"`
 	Tenants      []Tenant      `json:"tenants,omitempty,omitzero" validate:"omitempty,dive"`
@@ -191,6 +192,13 @@
 	Policy string `json:"policy,omitempty,omitzero" validate:"max=512"`
 }
 
+// Relinquish A zone that gives up its sessions; others go on with them.
+type Relinquish struct {
+	// OverMs Over how long the sessions go; 0: at once.
+	OverMs float32 `json:"overMs,omitempty,omitzero" validate:"min=0,max=3600000"`
+	Site   string  `json:"zone" validate:"required,max=128"`
+}
+
 // Report defines model for Report.
 type Report struct {
 	Active     int         `json:"active,omitempty,omitzero"`
--- a/internal/counter/counter.go
+++ b/internal/counter/counter.go
@@ -148,6 +148,9 @@
 	snap := c.roster.Snapshot()
 	c.dmu.Lock()
 	defer c.dmu.Unlock()
+	if t != nil {
+		c.door.SetRelinquished(t.Relinquished, c.clock())
+	}
 	for service, notes := range snap.ByService {
 		tokens, moveUs, links := 0, 0.0, 0
 		if t != nil {
--- a/internal/counter/counter_test.go
+++ b/internal/counter/counter_test.go
@@ -39,6 +39,7 @@
 	seen    []*http.Request
 	bodies  []string
 	next    func() string
+	stream  func(write func(string), closed <-chan struct{}) // instead of scripts: writes as it likes, then the link ends
 }
 
 func newRunner(t *testing.T, scripts ...string) *runner {
@@ -77,6 +78,17 @@
 			script, r.scripts = r.scripts[0], r.scripts[1:]
 		}
 		r.mu.Unlock()
+		if r.stream != nil {
+			closed := make(chan struct{})
+			go func() {
+				_, _ = br.ReadByte()
+				close(closed)
+			}()
+			r.stream(func(s string) {
+				_, _ = io.WriteString(c, strings.ReplaceAll(s, "ID", q.Header.Get(hAttempt)))
+			}, closed)
+			return
+		}
 		script, cut := strings.CutSuffix(script, "CUT")
 		_, _ = io.WriteString(c, strings.ReplaceAll(script, "ID", q.Header.Get(hAttempt)))
 		if cut {
@@ -85,6 +97,12 @@
 	}
 }
 
+func (r *runner) last() *http.Request {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.seen[len(r.seen)-1]
+}
+
 func (r *runner) count() int {
 	r.mu.Lock()
 	defer r.mu.Unlock()
--- a/internal/counter/front.go
+++ b/internal/counter/front.go
@@ -87,6 +87,8 @@
 	endUs   int64 // the client's deadline or the route's cutoff
 	ask     doorman.Ask
 	shots   int
+	next    *nextShot // for a stream on the move
+	moveUs  int64     // when it looks for a place again
 	ended   regime.Step
 	changed bool // the tenant's regime changed while the request waited
 }
--- a/internal/counter/loads.go
+++ b/internal/counter/loads.go
@@ -18,8 +18,8 @@
 // tellEvery is how often loads go up at most, and tellRest how often at least
 // where nothing presses.
 const (
-	tellEvery = 10 * time.Millisecond
-	tellRest  = 200 * time.Millisecond
+	tellEvery = 2 * time.Millisecond
+	tellRest  = 50 * time.Millisecond
 )
 
 // mostTold bounds the words that are remembered until the parent has heard one.
@@ -164,21 +164,44 @@
 	c.loads.mu.Unlock()
 }
 
+// restTicks is after how many ticks without a change loads are looked at all the
+// same: the flow of prompts sinks by itself, and nodes come and go.
+const restTicks = 10
+
+// pressed tells whether the parent waits for a whole, or nodes below have told
+// something.
+func (l *loads) pressed() bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.whole || len(l.coming) > 0 || l.below.Total.Dirty()
+}
+
+func (c *Counter) tellOnce() {
+	if n := len(c.watch.Alive(wire.Counter)); n > 0 {
+		c.nodes.Store(int64(n))
+	}
+	c.dmu.Lock()
+	c.door.SetNodes(int(c.nodes.Load()))
+	own, coming := c.door.Own(c.clock()), c.door.TakeFresh()
+	c.dmu.Unlock()
+	if w, some := c.loads.next(own, coming); some && !c.up.Tell(radio.KindTold, &w) {
+		c.tellAgain()
+	}
+}
+
 // tellLoads tells them up the tree, sooner when a runner has been sent shared
 // parts to read.
 func (c *Counter) tellLoads(ctx context.Context) {
 	t := time.NewTicker(tellRest)
 	defer t.Stop()
-	for {
-		if n := len(c.watch.Alive(wire.Counter)); n > 0 {
-			c.nodes.Store(int64(n))
-		}
+	for idle := restTicks; ; {
+		idle++
 		c.dmu.Lock()
-		c.door.SetNodes(int(c.nodes.Load()))
-		own, coming := c.door.Own(c.clock()), c.door.TakeFresh()
+		stirred := c.door.Stirred()
 		c.dmu.Unlock()
-		if w, some := c.loads.next(own, coming); some && !c.up.Tell(radio.KindTold, &w) {
-			c.tellAgain()
+		if stirred || idle >= restTicks || c.loads.pressed() {
+			idle = 0
+			c.tellOnce()
 		}
 		select {
 		case <-t.C:
--- /dev/null
+++ b/internal/counter/move.go
@@ -0,0 +1,71 @@
+// Moving a live stream: where its session leaves the site of its runner, a stream
+// that may be resumed goes on at the session's new home, from its last whole
+// event on. A place and a link there are taken before the old link is closed, and
+// the old one is closed before anything is sent, so that one runner at a time
+// answers and the client sees one answer. A stream that may not be resumed ends
+// where it runs; the next request of its session goes to the new home.
+package counter
+
+import (
+	"beechtide.org/beechtide/internal/cab"
+	"beechtide.org/beechtide/internal/doorman"
+)
+
+// nextShot is a place and a link that wait for a stream which is on the move.
+type nextShot struct {
+	adm  *doorman.Admission
+	link *cab.Link
+}
+
+// moves tells whether the stream leaves its runner now; then the next shot is
+// there. It is within tries and budget like every further shot.
+func (v *visit) moves(adm *doorman.Admission, stream *answerStream) bool {
+	c := v.c
+	t := c.table.Load()
+	if _, left := t.Relinquished[adm.Runner.Site]; !left || !v.route.Repeatable() || !stream.cutting || stream.events.LastID == "" || v.shots >= max(v.route.Tries, 1) {
+		return false
+	}
+	now := c.clock()
+	if now < v.moveUs {
+		return false
+	}
+	v.moveUs = now + moveAgainUs
+	ask := v.ask
+	ask.LeftUs = v.endUs - now
+	ask.Avoid = append(append([]string{}, ask.Avoid...), adm.Runner.ID)
+	c.dmu.Lock()
+	if !c.door.Leaves(ask, adm.Runner.Site, now) {
+		c.dmu.Unlock()
+		return false
+	}
+	next := c.door.TryNow(ask, now)
+	c.dmu.Unlock()
+	if next == nil {
+		return false
+	}
+	giveUp := func(ok bool) bool {
+		c.done(next, ok)
+		return false
+	}
+	if next.Runner.Site == adm.Runner.Site {
+		return giveUp(true)
+	}
+	link, err := v.link(next.Runner.Addr)
+	if err != nil {
+		return giveUp(false)
+	}
+	c.dmu.Lock()
+	may := c.budget(v.service).Spend(c.clock(), int(c.nodes.Load()))
+	c.dmu.Unlock()
+	if !may {
+		link.Close()
+		return giveUp(true)
+	}
+	v.ask.Avoid = ask.Avoid
+	v.next = &nextShot{next, link}
+	return true
+}
+
+// moveAgainUs is how long a stream that found no place to go to stays before it
+// looks again.
+const moveAgainUs = 200_000
--- a/internal/counter/shots.go
+++ b/internal/counter/shots.go
@@ -32,6 +32,7 @@
 	unknown                // it was sent, and may have run
 	brokeOff               // broken after a part had been passed on
 	clientGone
+	moving // it goes on at another runner, whose place and link are there
 )
 
 // maxUnsent bounds how many runners are tried whose links do not come up.
@@ -54,7 +55,12 @@
 		}
 	}()
 	for {
-		ruling := v.admit()
+		var ruling doorman.Ruling
+		if v.next != nil {
+			ruling.Admit = v.next.adm
+		} else {
+			ruling = v.admit()
+		}
 		if ruling.Admit == nil {
 			switch {
 			case stream != nil:
@@ -69,6 +75,8 @@
 		end, out := v.shoot(ruling.Admit, stream)
 		stream = out
 		switch end {
+		case moving:
+			continue
 		case whole:
 			v.ended = regime.Answered
 			return
@@ -167,8 +175,11 @@
 func (v *visit) shoot(adm *doorman.Admission, stream *answerStream) (ending, *answerStream) {
 	c := v.c
 	v.shots++
-	link, err := v.link(adm.Runner.Addr)
-	if err != nil {
+	var link *cab.Link
+	var err error
+	if v.next != nil {
+		link, v.next = v.next.link, nil
+	} else if link, err = v.link(adm.Runner.Addr); err != nil {
 		c.done(adm, false)
 		return notSent, stream
 	}
@@ -429,6 +440,11 @@
 			}
 		}
 		if err == nil {
+			if stream.started && v.moves(adm, stream) {
+				link.Close()
+				c.done(adm, true)
+				return moving, stream
+			}
 			continue
 		}
 		if err != io.EOF {
--- a/internal/doorman/doorman.go
+++ b/internal/doorman/doorman.go
@@ -123,7 +123,9 @@
 	oldUs   map[string]int64 // by model: since when the newest mark is known
 	newest  map[string]int64 // by model
 	calmUs  int64
-	list    []hail.Candidate // kept from one look for candidates to the next
+	left    map[string]relinquished // by site
+	stirred bool                    // this node's loads have changed since they were last asked for
+	list    []hail.Candidate        // kept from one look for candidates to the next
 	who     []*runner
 	turn    int             // whose turn it is among equals
 	free    bool            // the last look for candidates found a runner with a place
@@ -362,6 +364,15 @@
 	d.forgetOthers(nowUs)
 	told := d.told(nowUs)
 	keysOf := d.keysOf(a)
+	near, leaving := d.Site, false
+	if len(d.left) > 0 {
+		if home := d.home(a, p); home != "" {
+			leaving = true // there is where to go
+			if d.Leaves(a, d.Site, nowUs) {
+				near = home
+			}
+		}
+	}
 	need := (a.TokensIn + a.TokensOut + d.T.BlockTokens - 1) / d.T.BlockTokens
 	for pass := range 3 {
 		for _, id := range p.order {
@@ -369,7 +380,7 @@
 			if r.note.Draining || r.barred(nowUs) || !p.lets(a, id) || avoided(a.Avoid, id) || pass != d.preference(a, r, nowUs) {
 				continue
 			}
-			if !d.markAllowed(a.Model, r, nowUs) {
+			if !d.markAllowed(a.Model, r, nowUs) || leaving && d.Leaves(a, r.note.Site, nowUs) {
 				continue
 			}
 			use := r.settle(&d.T, nowUs, d.nodes, told)
@@ -384,7 +395,7 @@
 					continue
 				}
 			}
-			out = append(out, hail.Candidate{ID: id, NearSite: r.note.Site == d.Site, Kept: kept, Prefill: r.prefill(), Active: active, Capacity: r.capacity, Used: use, Rate: r.readRate(&d.T), Reading: r.reading(&d.T, nowUs), DoubtUs: r.soundness.doubtUs(nowUs)})
+			out = append(out, hail.Candidate{ID: id, NearSite: r.note.Site == near, Kept: kept, Prefill: r.prefill(), Active: active, Capacity: r.capacity, Used: use, Rate: r.readRate(&d.T), Reading: r.reading(&d.T, nowUs), DoubtUs: r.soundness.doubtUs(nowUs)})
 			who = append(who, r)
 		}
 		if len(out) > 0 {
@@ -587,6 +598,7 @@
 	r.own.prefill += adm.prefill
 	r.sent(adm.prefill, nowUs)
 	r.own.count++
+	d.stirred = true
 	r.recent = append(r.recent, recentShot{nowUs, adm.blocks + adm.prefill/bt})
 	r.trim(nowUs)
 	t.admitted++
@@ -637,6 +649,7 @@
 		return
 	}
 	adm.reading = false
+	d.stirred = true
 	r.own.prefill -= adm.prefill
 	if took := nowUs - adm.atUs; took > 0 && adm.prefill >= 512 && adm.ahead*4 <= adm.prefill {
 		sample := float64(adm.prefill) / float64(took)
@@ -675,6 +688,7 @@
 	}
 	r.own.blocks -= adm.blocks
 	r.own.count--
+	d.stirred = true
 	if ok {
 		r.pauseUs, r.unsoundUs = 0, 0
 		return
@@ -779,9 +793,14 @@
 // that it is no change with every moment.
 const flowStep = 250
 
+// Stirred tells whether this node's loads have changed since the last Own,
+// apart from what changes by itself with time.
+func (d *Doorman) Stirred() bool { return d.stirred }
+
 // Own is what this node has at the runners.
 func (d *Doorman) Own(nowUs int64) map[string]wire.RunnerLoad {
 	out := map[string]wire.RunnerLoad{}
+	d.stirred = false
 	for _, p := range d.pools {
 		for id, r := range p.runners {
 			flow := int(r.ownFlow(nowUs)/flowStep+0.5) * flowStep
--- /dev/null
+++ b/internal/doorman/session_test.go
@@ -0,0 +1,158 @@
+package doorman
+
+import (
+	"fmt"
+	"testing"
+
+	"github.com/shoenig/test/must"
+
+	"beechtide.org/beechtide/internal/pantry"
+	"beechtide.org/beechtide/internal/wire"
+)
+
+func sited(sites ...string) []wire.RunnerNote {
+	var out []wire.RunnerNote
+	for i, s := range sites {
+		n := note(fmt.Sprint("r", i))
+		n.Site, n.Capacity = s, 1000
+		out = append(out, n)
+	}
+	return out
+}
+
+func sessionAsk(i int) Ask {
+	a := ask(116, 1)
+	a.Parts = []pantry.Part{{ID: "top", Tokens: 50}, {ID: fmt.Sprint("session", i), Tokens: 50}, {ID: "own", Tokens: 16}}
+	return a
+}
+
+func goes(t *testing.T, d *Doorman, i int, nowUs int64) string {
+	t.Helper()
+	a := sessionAsk(i)
+	a.Tenant = fmt.Sprint("t", i) // so that no tenant's rate is in the way
+	r := d.Arrive(a, nowUs)
+	must.NotNil(t, r.Admit, must.Sprint(r.Deny))
+	d.FirstToken(r.Admit, nowUs)
+	d.Done(r.Admit, true, nowUs)
+	return r.Admit.Runner.Site
+}
+
+const some = 400
+
+func moveDoor() *Doorman {
+	d := New(Defaults, "a")
+	d.SetService("s", sited("a", "b", "c", "a", "b", "c"), memory, 0.01)
+	return d
+}
+
+// Sessions leave one after the other over the time given, and what has left
+// does not come back while the declaration stands.
+func TestSessionsLeaveASiteByAndBy(t *testing.T) {
+	d := moveDoor()
+	d.SetRelinquished(map[string]int64{"a": 10_000_000}, 1_000_000)
+	left := map[int]bool{}
+	for _, at := range []int64{1_000_000, 3_500_000, 6_000_000, 8_500_000, 11_000_000} {
+		for i := range some {
+			leaves := d.Leaves(sessionAsk(i), "a", at)
+			must.False(t, left[i] && !leaves, must.Sprint("back again: ", i))
+			left[i] = left[i] || leaves
+			must.False(t, d.Leaves(sessionAsk(i), "b", at))
+		}
+		n := 0
+		for _, l := range left {
+			if l {
+				n++
+			}
+		}
+		want := int(float64(some) * float64(at-1_000_000) / 10_000_000)
+		must.Between(t, want-40, n, want+40, must.Sprint("at ", at))
+		d.SetRelinquished(map[string]int64{"a": 10_000_000}, at) // the next version of the configuration says so again
+	}
+	for i := range 40 {
+		must.NotEq(t, "a", goes(t, d, i, 12_000_000))
+	}
+	d.SetRelinquished(nil, 13_000_000)
+	must.False(t, d.Leaves(sessionAsk(1), "a", 14_000_000), must.Sprint("the declaration is gone"))
+}
+
+// All nodes send a session to the same home, and a second declaration moves only
+// the sessions of the site that it names.
+func TestASecondMoveTakesOnlyItsOwn(t *testing.T) {
+	one, two := moveDoor(), moveDoor()
+	two.Site = "c"
+	for _, d := range []*Doorman{one, two} {
+		d.SetRelinquished(map[string]int64{"a": 0}, 1)
+	}
+	first := map[int]string{}
+	seen := map[string]int{}
+	for i := range some {
+		first[i] = one.home(sessionAsk(i), one.pool("s"))
+		must.Eq(t, first[i], two.home(sessionAsk(i), two.pool("s")))
+		seen[first[i]]++
+	}
+	must.MapLen(t, 2, seen)
+	must.Greater(t, some/3, seen["b"])
+	must.Greater(t, some/3, seen["c"])
+	one.SetService("s", sited("a", "b", "c", "d", "b", "c"), memory, 0.01)
+	one.SetRelinquished(map[string]int64{"a": 0, "b": 0}, 2)
+	for i := range some {
+		home := one.home(sessionAsk(i), one.pool("s"))
+		must.NotEq(t, "b", home)
+		if first[i] == "c" {
+			must.True(t, home == "c" || home == "d", must.Sprint("a new site may draw some"))
+		}
+	}
+	one.SetService("s", sited("a", "b", "c", "c", "b", "c"), memory, 0.01)
+	for i := range some {
+		must.Eq(t, "c", goes(t, one, i, int64(1_000_000+i)))
+	}
+}
+
+func TestAMoveBesideDrainingWeightsAndCertificates(t *testing.T) {
+	d := moveDoor()
+	d.SetRelinquished(map[string]int64{"a": 0}, 1)
+	notes := sited("a", "b", "c", "a", "b", "c")
+	notes[1].Draining, notes[4].Draining = true, true
+	d.SetService("s", notes, memory, 0.01)
+	must.Eq(t, "c", goes(t, d, 1, 10), must.Sprint("site b drains"))
+
+	notes = sited("a", "b", "c", "a", "b", "c")
+	notes[2].Barred, notes[5].Barred = true, true
+	d.SetService("s", notes, memory, 0.01)
+	must.Eq(t, "b", goes(t, d, 1, 20), must.Sprint("site c gets new weights"))
+
+	// kept under the old weights is not taken along to the new ones
+	notes = sited("a", "b")
+	notes[1].Models = []wire.Target{{Model: "m", Mark: 2}}
+	d.SetService("s", notes, memory, 0.01)
+	a := sessionAsk(7)
+	for i, k := range pantry.Keys(d.Salt(a.Tenant, false, "", 1), "m", a.Parts) {
+		d.Index.Put("r0", k, int32(a.Parts[i].Tokens))
+	}
+	adm := d.Arrive(a, 30).Admit
+	must.Eq(t, "r1", adm.Runner.ID)
+	must.Eq(t, "", adm.Source)
+	d.Done(adm, true, 31)
+
+	d.SetService("s", sited("a", "b", "c"), memory, 0.01)
+	d.SetCertified("s", map[string]map[string]bool{"allergen": {"r0": true, "r2": true}})
+	a.Regime = "allergen"
+	must.Eq(t, "r2", d.Arrive(a, 40).Admit.Runner.ID)
+	d.SetCertified("s", map[string]map[string]bool{"allergen": {"r0": true}})
+	must.True(t, d.Arrive(a, 50).Hold, must.Sprint("the regime goes before the move, and the site is left"))
+
+	d.pool("s").queue = pending{}
+	d.SetService("s", sited("a", "a"), memory, 0.01)
+	must.Eq(t, "a", goes(t, d, 3, 60), must.Sprint("nowhere else to go"))
+}
+
+func TestTryNowDoesNotWait(t *testing.T) {
+	d := moveDoor()
+	a := sessionAsk(1)
+	must.NotNil(t, d.TryNow(a, 1))
+	a.Avoid = []string{"r0", "r1", "r2", "r3", "r4", "r5"}
+	must.Nil(t, d.TryNow(a, 2))
+	must.Eq(t, 0, d.pool("s").queue.count)
+	a.TokensIn = 10 * memory
+	must.Nil(t, d.TryNow(a, 3))
+}
--- /dev/null
+++ b/internal/menu/change_test.go
@@ -0,0 +1,101 @@
+package menu
+
+import (
+	"encoding/json"
+	"fmt"
+	"testing"
+
+	"github.com/shoenig/test/must"
+
+	"beechtide.org/beechtide/internal/bulletin"
+	"beechtide.org/beechtide/internal/calls"
+)
+
+// large is a configuration of so many tenants and routes.
+func large(tenants, routes int) calls.Menu {
+	m := calls.Menu{Mark: 1, Services: []calls.Service{{Name: "s", Engine: calls.Engine{CacheTokens: 96350, Models: []calls.EngineModel{{Name: "m"}}}}}}
+	for i := range routes {
+		m.Routes = append(m.Routes, calls.Route{Name: fmt.Sprint("r-", i), Host: "ficu95.example", Prefix: fmt.Sprintf("/lohu%d/", i), Kind: calls.Streaming, CutoffMs: 15000, SetpointMs: 400, Service: "s", Tries: 2, Pinned: true, Resumable: true})
+	}
+	for i := range tenants {
+		m.Tenants = append(m.Tenants, calls.Tenant{Name: fmt.Sprint("nowu", i), Keys: []string{fmt.Sprintf("3d3zji9n73hh2b9wu%03d", i), fmt.Sprintf("xd9dnn2ctnfzs989an%03d", i)}, Rank: i % 3})
+	}
+	return m
+}
+
+// turn gives tenant 5 another key.
+func turn(m calls.Menu, n int) calls.Menu {
+	m.Mark = int64(n)
+	m.Tenants = append([]calls.Tenant{}, m.Tenants...)
+	m.Tenants[5].Keys = []string{fmt.Sprintf("fresh%015d", n)}
+	return m
+}
+
+func changeOf(t testing.TB, s *bulletin.Entries, m calls.Menu) []byte {
+	e, err := Entries(m)
+	must.NoError(t, err)
+	s.Replace(e)
+	c := bulletin.SendEntries(s.Commit(m.Mark))
+	b, err := c.MarshalMsg(nil)
+	must.NoError(t, err)
+	return b
+}
+
+// A change is as long as what changed, however large the configuration.
+func TestAChangeIsAsLongAsWhatChanged(t *testing.T) {
+	var sizes []int
+	for _, n := range []int{71, 650} {
+		m := large(n, n/5)
+		s := bulletin.NewEntries()
+		s.Begin(1, 0)
+		whole := len(changeOf(t, s, m))
+		change := len(changeOf(t, s, turn(m, 2)))
+		must.Less(t, whole/20, change)
+		sizes = append(sizes, change)
+		t.Logf("%d tenants: whole %d bytes, change %d", n, whole, change)
+	}
+	must.Between(t, sizes[0]-8, sizes[1], sizes[0]+8)
+}
+
+func BenchmarkTakeWhole(b *testing.B) {
+	for _, n := range []int{71, 650} {
+		raw, err := json.Marshal(large(n, n/5))
+		must.NoError(b, err)
+		b.Run(fmt.Sprint(n), func(b *testing.B) {
+			b.ReportMetric(float64(len(raw)), "bytes/change")
+			for b.Loop() {
+				m, err := Parse(raw)
+				if err != nil {
+					b.Fatal(err)
+				}
+				Compile(m)
+			}
+		})
+	}
+}
+
+func BenchmarkTakeChange(b *testing.B) {
+	for _, n := range []int{71, 650} {
+		m := large(n, n/5)
+		first, err := Entries(m)
+		must.NoError(b, err)
+		next, err := Entries(turn(m, 2))
+		must.NoError(b, err)
+		diff := map[string]string{}
+		for k, v := range next {
+			if first[k] != v {
+				diff[k] = v
+			}
+		}
+		b.Run(fmt.Sprint(n), func(b *testing.B) {
+			var a Assembly
+			must.NoError(b, a.Take(first, true))
+			for b.Loop() {
+				if err := a.Take(diff, false); err != nil {
+					b.Fatal(err)
+				}
+				Compile(a.Menu())
+			}
+		})
+	}
+}
--- a/internal/menu/check.go
+++ b/internal/menu/check.go
@@ -75,6 +75,13 @@
 			return &Invalid{at + ".shares", "gains sum to 0"}
 		}
 	}
+	left := map[string]bool{}
+	for i, x := range m.Relinquish {
+		if left[x.Site] {
+			return &Invalid{fmt.Sprintf("relinquish[%d].zone", i), "named twice"}
+		}
+		left[x.Site] = true
+	}
 	owner := map[string]string{}
 	for i, t := range m.Tenants {
 		for _, k := range t.Keys {
--- a/internal/menu/entries.go
+++ b/internal/menu/entries.go
@@ -69,7 +69,7 @@
 			return nil, err
 		}
 	}
-	rest := calls.Menu{Mark: m.Mark, Limits: m.Limits, Routes: []calls.Route{}, Services: []calls.Service{}}
+	rest := calls.Menu{Mark: m.Mark, Limits: m.Limits, Relinquish: m.Relinquish, Routes: []calls.Route{}, Services: []calls.Service{}}
 	return out, put(restEntry, "", rest)
 }
 
@@ -148,7 +148,7 @@
 		case *calls.Regime:
 			m.Regimes = append(m.Regimes, *v)
 		case *calls.Menu:
-			m.Mark, m.Limits = v.Mark, v.Limits
+			m.Mark, m.Limits, m.Relinquish = v.Mark, v.Limits, v.Relinquish
 		}
 	}
 	return m
--- /dev/null
+++ b/internal/menu/relinquish_test.go
@@ -0,0 +1,30 @@
+package menu
+
+import (
+	"strings"
+	"testing"
+
+	"github.com/pkg/errors"
+	"github.com/shoenig/test/must"
+)
+
+func TestRelinquishIsCheckedAndTravels(t *testing.T) {
+	with := func(list string) string { return strings.Replace(good, `"unknown":1`, `"relinquish":`+list, 1) }
+	for _, c := range []struct{ list, field string }{
+		{`[{"zone":"a"},{"zone":"a"}]`, "relinquish[1].zone"},
+		{`[{"zone":""}]`, "Menu.Relinquish[0].Site"},
+		{`[{"zone":"a","overMs":-1}]`, "Menu.Relinquish[0].OverMs"},
+	} {
+		_, err := Parse([]byte(with(c.list)))
+		var bad *Invalid
+		must.True(t, errors.As(err, &bad), must.Sprint(c.list))
+		must.Eq(t, c.field, bad.Field)
+	}
+	m, err := Parse([]byte(with(`[{"zone":"a","overMs":1500}]`)))
+	must.NoError(t, err)
+	e, err := Entries(m)
+	must.NoError(t, err)
+	var a Assembly
+	must.NoError(t, a.Take(e, true))
+	must.Eq(t, map[string]int64{"a": 1_500_000}, Compile(a.Menu()).Relinquished)
+}
--- a/internal/menu/table.go
+++ b/internal/menu/table.go
@@ -29,6 +29,8 @@
 	Stores   []*calls.Service
 	Policies *regime.Policies
 	regimes  map[string]string // by tenant
+	// Relinquished are the sites that give up their sessions, and over how long.
+	Relinquished map[string]int64
 }
 
 // Compile makes a table from a checked configuration.
@@ -37,6 +39,12 @@
 	if p, err := regime.Compile(m); err == nil && len(m.Regimes) > 0 {
 		t.Policies = p
 	}
+	for _, x := range m.Relinquish {
+		if t.Relinquished == nil {
+			t.Relinquished = map[string]int64{}
+		}
+		t.Relinquished[x.Site] = int64(x.OverMs * 1000)
+	}
 	t.regimes = map[string]string{}
 	for _, tenant := range m.Tenants {
 		if tenant.Regime != "" {
