Leave a parent out of the core's reach once in 6 s; ready only with a runner

A counter whose parents all say that the core is out of reach went round them, each time with wholes of runners and loads; found by reading. A whole list of no runners, from a dispatch that has just started, made a counter ready.

--- a/internal/counter/counter_test.go
+++ b/internal/counter/counter_test.go
@@ -563,3 +563,13 @@
 	must.Nil(t, c.table.Load().Tenant("k1"))
 	must.True(t, c.take("p", wire.Feed{Menu: []wire.EntryChange{good}}), must.Sprint("twice does nothing"))
 }
+
+// A dispatch that has just started and knows no runner does not make a counter
+// ready.
+func TestReadyNeedsAConfigurationAndARunner(t *testing.T) {
+	c, _, _ := start(t)
+	must.True(t, c.take("p", wire.Feed{Roster: []wire.EntryChange{{Epoch: 4, Whole: true, Entries: []wire.Entry{}}}}))
+	must.False(t, c.ready())
+	must.True(t, c.take("", wire.Feed{Roster: []wire.EntryChange{runnerEntries(t, wire.RunnerNote{ID: "r", Service: "s", Models: []wire.Target{}})}}))
+	must.True(t, c.ready())
+}
--- a/internal/counter/feed.go
+++ b/internal/counter/feed.go
@@ -163,7 +163,7 @@
 			}
 			changed = c.roster.Merge(n, now) || changed
 		}
-		if ch.Whole && !c.informed.Swap(true) {
+		if len(in.Puts) > 0 && !c.informed.Swap(true) {
 			c.log.Info("runners known", "count", len(in.Puts))
 		}
 	}
--- a/internal/radio/listen.go
+++ b/internal/radio/listen.go
@@ -23,8 +23,12 @@
 	FeedEvery = 250 * time.Millisecond
 	// silentFor is after how long without one a parent is left.
 	silentFor = 900 * time.Millisecond
-	// shunFor is how long a parent that was left is not the first choice.
+	// shunFor is how long a parent that fell silent is not the first choice.
 	shunFor = 2 * time.Second
+	// shunCut is the same for one that the core is out of reach of. It also
+	// bounds how often a node moves for that: if it is so with all parents,
+	// moving is of no use.
+	shunCut = 6 * time.Second
 )
 
 // Uplink is a node's link to its parent.
@@ -42,16 +46,17 @@
 	lacking bool // something did not fit and has not been asked for
 	askedAt time.Time
 
-	link   atomic.Pointer[Link]
-	shun   string
-	shunAt time.Time
+	link      atomic.Pointer[Link]
+	shun      string
+	shunUntil time.Time
+	cutAt     time.Time
 }
 
 // Listen subscribes until ctx ends.
 func (u *Uplink) Listen(ctx context.Context, r *Radio) {
 	for ctx.Err() == nil {
 		list := u.Parents()
-		if len(list) > 1 && list[0] == u.shun && time.Since(u.shunAt) < shunFor {
+		if len(list) > 1 && u.shuns(list[0]) {
 			list = append(append([]string{}, list[1:]...), list[0])
 		}
 		for _, p := range list {
@@ -63,6 +68,10 @@
 	}
 }
 
+func (u *Uplink) shuns(parent string) bool {
+	return parent == u.shun && time.Now().Before(u.shunUntil)
+}
+
 // Tell sends something up; false where there is no parent now.
 func (u *Uplink) Tell(kind int, body msgp.Marshaler) bool {
 	l := u.link.Load()
@@ -115,14 +124,17 @@
 		case <-ctx.Done():
 			return true
 		case <-leave:
-			u.shun, u.shunAt = parent, time.Now()
-			return true
+			if time.Since(u.cutAt) > shunCut {
+				u.cutAt = time.Now()
+				u.shun, u.shunUntil = parent, u.cutAt.Add(shunCut)
+				return true
+			}
 		case <-t.C:
 			if time.Since(began)-time.Duration(last.Load()) > silentFor {
-				u.shun, u.shunAt = parent, time.Now()
+				u.shun, u.shunUntil = parent, time.Now().Add(shunFor)
 				return true
 			}
-			if list := u.Parents(); len(list) > 0 && list[0] != parent && (list[0] != u.shun || time.Since(u.shunAt) >= shunFor) {
+			if list := u.Parents(); len(list) > 0 && list[0] != parent && !u.shuns(list[0]) {
 				return true
 			}
 		}
--- a/internal/radio/relay_test.go
+++ b/internal/radio/relay_test.go
@@ -156,3 +156,57 @@
 	must.Eq(t, int64(1), y.Dropped.Load())
 	must.LessEq(t, mostWaiting, len(s.waiting))
 }
+
+// A parent that the core is out of reach of is left, but where it is so with all
+// of them a node does not go round in circles.
+func TestACutOffParentIsLeftOnce(t *testing.T) {
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	child := station(t)
+	child.Run(ctx)
+	joined := make(chan int, 16)
+	var addrs []string
+	var relays []*Relay
+	for i := range 2 {
+		p := station(t)
+		relays = append(relays, NewRelay(p, Upward{
+			Since: func(wire.Hold) wire.Feed {
+				joined <- i
+				return wire.Feed{Versions: []int64{}, CutOff: true}
+			},
+			Told: func(string, wire.Told) bool { return true }, Gone: func(string) {},
+		}))
+		p.Run(ctx)
+		addrs = append(addrs, p.Addr())
+	}
+	fed := make(chan string, 256)
+	up := &Uplink{
+		Hold: func() wire.Hold { return wire.Hold{} }, Parents: func() []string { return append([]string{}, addrs...) },
+		Take: func(p string, _ wire.Feed, _ []byte) *wire.Hold {
+			fed <- p
+			return nil
+		},
+		Heard: func(int64) {}, TellAgain: func() {}, Ended: func(string) {},
+	}
+	go up.Listen(ctx, child)
+	must.Eq(t, 0, <-joined)
+	must.Eq(t, 1, <-joined)
+	for seen := 0; seen < 30; {
+		relays[1].Publish(ToCounters, wire.Feed{Versions: []int64{}, CutOff: true})
+		if p := <-fed; p == addrs[1] {
+			seen++
+		}
+	}
+	must.SliceEmpty(t, append([]int{}, drain(joined)...))
+}
+
+func drain(ch chan int) (out []int) {
+	for {
+		select {
+		case i := <-ch:
+			out = append(out, i)
+		default:
+			return out
+		}
+	}
+}
