Tell loads when they stir, take others' by change, pace feeds at 0.4 ms a counter

Of 0.041 cores a counter some 0.009 is spent without traffic; every feed, up to 58 a second, put together what all runners have of the others.

Excluded: the matching (0.09 ms a look at 140 runners), idle feeds (gone already).

Changed: a feed at most every 0.4 ms a counter (86: 34 ms); only runners that a feed names are brought up to date; loads are looked at when something stirred, instead of every 50 ms. What a feed costs to take: 47 us of processor time with 20 runners changed of 140 (profile).

--- a/internal/counter/counter.go
+++ b/internal/counter/counter.go
@@ -54,7 +54,8 @@
 	budgets map[string]*cab.Budget
 	slab    ticket.Slab[doorman.Ruling]
 	kick    chan struct{}
-	fresh   chan struct{}
+	fresh   chan struct{} // shared parts have been sent to be read
+	stir    chan struct{} // this node's loads have changed
 
 	recheckedUs atomic.Int64
 
@@ -73,7 +74,7 @@
 	if err != nil {
 		return nil, err
 	}
-	c := &Counter{set: set, log: log, clock: clock, radio: rad, roster: roster.New(), garage: cab.NewGarage(clock), parts: map[int]wire.PartNote{}, door: doorman.New(doorman.Defaults, set.Site), budgets: map[string]*cab.Budget{}, kick: make(chan struct{}, 1), fresh: make(chan struct{}, 1)}
+	c := &Counter{set: set, log: log, clock: clock, radio: rad, roster: roster.New(), garage: cab.NewGarage(clock), parts: map[int]wire.PartNote{}, door: doorman.New(doorman.Defaults, set.Site), budgets: map[string]*cab.Budget{}, kick: make(chan struct{}, 1), fresh: make(chan struct{}, 1), stir: make(chan struct{}, 1)}
 	c.menu, c.runners = bulletin.NewEntries(), bulletin.NewEntries()
 	c.loads.init(clock())
 	none := ""
@@ -146,6 +147,7 @@
 func (c *Counter) syncDoor() {
 	t := c.table.Load()
 	snap := c.roster.Snapshot()
+	c.loads.anew()
 	c.dmu.Lock()
 	defer c.dmu.Unlock()
 	if t != nil {
@@ -344,6 +346,9 @@
 			if fresh {
 				poke(c.fresh)
 			}
+			if len(out) > 0 {
+				poke(c.stir)
+			}
 			for _, r := range out {
 				if !c.slab.Resume(r.Ref, r) && r.Admit != nil {
 					c.dmu.Lock()
--- a/internal/counter/feed.go
+++ b/internal/counter/feed.go
@@ -185,7 +185,7 @@
 		c.door.Report(r, now)
 	}
 	if parent != "" {
-		c.door.Others(c.loads.others(), now)
+		c.loads.tell(c.door, now)
 	}
 	c.dmu.Unlock()
 	if changed || len(f.Reports)+len(f.Loads) > 0 {
--- a/internal/counter/loads.go
+++ b/internal/counter/loads.go
@@ -10,16 +10,19 @@
 	"time"
 
 	"beechtide.org/beechtide/internal/bulletin"
+	"beechtide.org/beechtide/internal/doorman"
 	"beechtide.org/beechtide/internal/loop"
 	"beechtide.org/beechtide/internal/radio"
 	"beechtide.org/beechtide/internal/wire"
 )
 
-// tellEvery is how often loads go up at most, and tellRest how often at least
-// where nothing presses.
+// tellEvery is the least time between two words, tellSoon how long a change that
+// does not press may wait, and tellRest how often loads are looked at without
+// one: the flow of prompts sinks by itself, and nodes come and go.
 const (
 	tellEvery = 2 * time.Millisecond
-	tellRest  = 50 * time.Millisecond
+	tellSoon  = 50 * time.Millisecond
+	tellRest  = 500 * time.Millisecond
 )
 
 // mostTold bounds the words that are remembered until the parent has heard one.
@@ -43,13 +46,16 @@
 	whole  bool
 	told   []toldWord
 	heard  map[string]wire.RunnerLoad // of this node's own, what the total holds
+
+	touched map[string]bool // runners of which the others' part has changed
+	all     bool            // it may have of any
 }
 
 func (l *loads) init(epoch int64) {
 	l.own, l.total = bulletin.NewLoads(), bulletin.NewLoads()
 	l.own.Begin(epoch, 0)
 	l.below = bulletin.NewSum(epoch)
-	l.whole = true
+	l.whole, l.all, l.touched = true, true, map[string]bool{}
 }
 
 func (l *loads) hold() wire.StreamHold {
@@ -68,7 +74,14 @@
 func (l *loads) take(c wire.LoadChange) bulletin.Result {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	return l.total.Apply(bulletin.HearLoads(c))
+	r := l.total.Apply(bulletin.HearLoads(c))
+	if r == bulletin.Applied {
+		l.all = l.all || c.Whole
+		for i := range c.Loads {
+			l.touched[c.Loads[i].ID] = true
+		}
+	}
+	return r
 }
 
 // heardUp notes that the total holds what was told under seq.
@@ -76,28 +89,53 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	for len(l.told) > 0 && l.told[0].seq <= seq {
+		l.touch(l.heard)
 		l.heard = l.told[0].own
+		l.touch(l.heard)
 		l.told = l.told[1:]
 	}
 }
 
-// others gives what the other nodes have, as far as is known. It holds for as
-// long as nothing else is taken.
-func (l *loads) others() func(id string) wire.RunnerLoad {
+func (l *loads) touch(of map[string]wire.RunnerLoad) {
+	for id := range of {
+		l.touched[id] = true
+	}
+}
+
+// others is what the other nodes have at a runner.
+func (l *loads) others(id string) wire.RunnerLoad {
+	t, _ := l.total.Get(id)
+	mine := l.heard[id]
+	t.Blocks -= mine.Blocks
+	t.Prefill -= mine.Prefill
+	t.Count -= mine.Count
+	t.Flow -= mine.Flow
+	t.Tried -= mine.Tried
+	t.Failed -= mine.Failed
+	return t
+}
+
+// tell brings the doorman to what the other nodes have.
+func (l *loads) tell(d *doorman.Doorman, nowUs int64) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	out := make(map[string]wire.RunnerLoad, l.total.Len())
-	l.total.Each(func(id string, t wire.RunnerLoad) {
-		mine := l.heard[id]
-		t.Blocks -= mine.Blocks
-		t.Prefill -= mine.Prefill
-		t.Count -= mine.Count
-		t.Flow -= mine.Flow
-		t.Tried -= mine.Tried
-		t.Failed -= mine.Failed
-		out[id] = t
-	})
-	return func(id string) wire.RunnerLoad { return out[id] }
+	if l.all {
+		d.Others(l.others, nowUs)
+	} else {
+		for id := range l.touched {
+			d.Other(id, l.others(id))
+		}
+		d.Told(nowUs)
+	}
+	l.all = false
+	clear(l.touched)
+}
+
+// anew makes the next telling one of all runners.
+func (l *loads) anew() {
+	l.mu.Lock()
+	l.all = true
+	l.mu.Unlock()
 }
 
 // next makes the word that is to go up; false where there is nothing to say.
@@ -134,8 +172,9 @@
 // before.
 func (c *Counter) tellAgain() {
 	c.loads.mu.Lock()
-	c.loads.whole, c.loads.told, c.loads.heard = true, nil, nil
+	c.loads.whole, c.loads.told, c.loads.heard, c.loads.all = true, nil, nil, true
 	c.loads.mu.Unlock()
+	poke(c.stir)
 }
 
 // toldBelow takes the word of a node below.
@@ -155,6 +194,7 @@
 		c.dmu.Unlock()
 		poke(c.fresh)
 	}
+	poke(c.stir)
 	return ok
 }
 
@@ -164,18 +204,6 @@
 	c.loads.mu.Unlock()
 }
 
-// restTicks is after how many ticks without a change loads are looked at all the
-// same: the flow of prompts sinks by itself, and nodes come and go.
-const restTicks = 10
-
-// pressed tells whether the parent waits for a whole, or nodes below have told
-// something.
-func (l *loads) pressed() bool {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	return l.whole || len(l.coming) > 0 || l.below.Total.Dirty()
-}
-
 func (c *Counter) tellOnce() {
 	if n := len(c.watch.Alive(wire.Counter)); n > 0 {
 		c.nodes.Store(int64(n))
@@ -189,23 +217,23 @@
 	}
 }
 
-// tellLoads tells them up the tree, sooner when a runner has been sent shared
-// parts to read.
+// tellLoads tells them up the tree: at once when a runner has been sent shared
+// parts to read, a little later when anything else has stirred.
 func (c *Counter) tellLoads(ctx context.Context) {
 	t := time.NewTicker(tellRest)
 	defer t.Stop()
-	for idle := restTicks; ; {
-		idle++
-		c.dmu.Lock()
-		stirred := c.door.Stirred()
-		c.dmu.Unlock()
-		if stirred || idle >= restTicks || c.loads.pressed() {
-			idle = 0
-			c.tellOnce()
-		}
+	for {
+		c.tellOnce()
 		select {
-		case <-t.C:
 		case <-c.fresh:
+		case <-t.C:
+		case <-c.stir:
+			select {
+			case <-c.fresh:
+			case <-time.After(tellSoon):
+			case <-ctx.Done():
+				return
+			}
 		case <-ctx.Done():
 			return
 		}
--- a/internal/counter/shots.go
+++ b/internal/counter/shots.go
@@ -154,6 +154,7 @@
 	if fresh {
 		poke(c.fresh)
 	}
+	poke(c.stir)
 	if !r.Hold {
 		c.slab.Drop(v.ask.Ref)
 		return r
@@ -297,6 +298,7 @@
 	c.dmu.Lock()
 	c.door.Done(adm, ok, c.clock())
 	c.dmu.Unlock()
+	poke(c.stir)
 	c.wake()
 }
 
@@ -407,6 +409,7 @@
 	c.dmu.Lock()
 	c.door.FirstToken(adm, c.clock())
 	c.dmu.Unlock()
+	poke(c.stir)
 	c.wake()
 }
 
--- a/internal/dispatch/feed.go
+++ b/internal/dispatch/feed.go
@@ -28,7 +28,7 @@
 // grows with the number of nodes, so the pause does too, and what reaches a node
 // does not.
 const (
-	pressPart  = 200 * time.Microsecond // a counter
+	pressPart  = 400 * time.Microsecond // a counter
 	pressLeast = 2 * time.Millisecond
 )
 
--- a/internal/doorman/doorman.go
+++ b/internal/doorman/doorman.go
@@ -124,7 +124,6 @@
 	newest  map[string]int64 // by model
 	calmUs  int64
 	left    map[string]relinquished // by site
-	stirred bool                    // this node's loads have changed since they were last asked for
 	list    []hail.Candidate        // kept from one look for candidates to the next
 	who     []*runner
 	turn    int             // whose turn it is among equals
@@ -598,7 +597,6 @@
 	r.own.prefill += adm.prefill
 	r.sent(adm.prefill, nowUs)
 	r.own.count++
-	d.stirred = true
 	r.recent = append(r.recent, recentShot{nowUs, adm.blocks + adm.prefill/bt})
 	r.trim(nowUs)
 	t.admitted++
@@ -649,7 +647,6 @@
 		return
 	}
 	adm.reading = false
-	d.stirred = true
 	r.own.prefill -= adm.prefill
 	if took := nowUs - adm.atUs; took > 0 && adm.prefill >= 512 && adm.ahead*4 <= adm.prefill {
 		sample := float64(adm.prefill) / float64(took)
@@ -688,7 +685,6 @@
 	}
 	r.own.blocks -= adm.blocks
 	r.own.count--
-	d.stirred = true
 	if ok {
 		r.pauseUs, r.unsoundUs = 0, 0
 		return
@@ -741,16 +737,27 @@
 // Others takes what the other nodes have at the runners, added up; a runner
 // that is not named has nothing of theirs.
 func (d *Doorman) Others(loads func(id string) wire.RunnerLoad, nowUs int64) {
-	d.toldUs = nowUs
 	for _, p := range d.pools {
 		for id, r := range p.runners {
-			l := loads(id)
-			r.soundness.hint = outcomes{max(l.Tried, 0), max(l.Failed, 0)}
-			r.others = word{blocks: max(l.Blocks, 0), prefill: max(l.Prefill, 0), count: max(l.Count, 0), flow: max(float64(l.Flow), 0)}
-			if l.Rate > 0 && r.rate <= 0 {
-				r.rate = l.Rate
-			}
+			r.other(loads(id))
+		}
+	}
+	d.Told(nowUs)
+}
+
+// Other takes it for one runner.
+func (d *Doorman) Other(id string, l wire.RunnerLoad) {
+	for _, p := range d.pools {
+		if r := p.runners[id]; r != nil {
+			r.other(l)
 		}
+	}
+}
+
+// Told notes that what is known of the others is of now.
+func (d *Doorman) Told(nowUs int64) {
+	d.toldUs = nowUs
+	for _, p := range d.pools {
 		p.eject(nowUs)
 	}
 }
@@ -793,14 +800,9 @@
 // that it is no change with every moment.
 const flowStep = 250
 
-// Stirred tells whether this node's loads have changed since the last Own,
-// apart from what changes by itself with time.
-func (d *Doorman) Stirred() bool { return d.stirred }
-
 // Own is what this node has at the runners.
 func (d *Doorman) Own(nowUs int64) map[string]wire.RunnerLoad {
 	out := map[string]wire.RunnerLoad{}
-	d.stirred = false
 	for _, p := range d.pools {
 		for id, r := range p.runners {
 			flow := int(r.ownFlow(nowUs)/flowStep+0.5) * flowStep
--- a/internal/doorman/runner.go
+++ b/internal/doorman/runner.go
@@ -77,6 +77,15 @@
 	return r.own.blocks + r.others.blocks
 }
 
+// other takes what the other nodes have here.
+func (r *runner) other(l wire.RunnerLoad) {
+	r.soundness.hint = outcomes{max(l.Tried, 0), max(l.Failed, 0)}
+	r.others = word{blocks: max(l.Blocks, 0), prefill: max(l.Prefill, 0), count: max(l.Count, 0), flow: max(float64(l.Flow), 0)}
+	if l.Rate > 0 && r.rate <= 0 {
+		r.rate = l.Rate
+	}
+}
+
 func (r *runner) active(t *Tuning, nowUs int64) int {
 	sum := r.own.count + r.others.count
 	if r.reported && nowUs-r.report.atUs < t.ReportFreshUs {
