Give changes only since a version that the sender was at; a mismatch gets a whole

A dispatch that had skipped a version gave changes since it that lacked what had been changed there and back; the receiver refused them by their digest, rightly, and asked for the same again, for ever. docs/incidents/skipped-version-as-base.md.

Excluded: the polls (answered by the same changes), the ledger (read back well).

Three tests, among them receivers that go from sender to sender over versions that some skipped.

--- a/internal/bulletin/loads.go
+++ b/internal/bulletin/loads.go
@@ -88,7 +88,7 @@
 func (s *Sum) Follow(teller string, of *Loads) {
 	epoch, version := int64(0), int64(0)
 	if in := s.tellers[teller]; in != nil {
-		epoch, version = in.Epoch, in.Version
+		epoch, version = in.Holds()
 	}
 	if c, lacks := of.Since(epoch, version); lacks {
 		s.Tell(teller, SendLoads(c))
--- a/internal/bulletin/stream.go
+++ b/internal/bulletin/stream.go
@@ -55,6 +55,7 @@
 	log    []step[K]
 	logged int
 	floor  int64 // the version that the log builds on
+	doubt  bool  // a change did not fit though its base did: only a whole helps
 }
 
 // New makes an empty stream.
@@ -121,7 +122,7 @@
 	s.Epoch, s.Version, s.floor = epoch, version, version
 	clear(s.state)
 	clear(s.dirty)
-	s.digest, s.log, s.logged = 0, nil, 0
+	s.digest, s.log, s.logged, s.doubt = 0, nil, 0, false
 }
 
 // Dirty tells whether Commit would have something to send.
@@ -161,6 +162,29 @@
 	}
 }
 
+// Holds is what a receiver names as held: nothing, where a change onto the
+// version held did not come out.
+func (s *Stream[K, V]) Holds() (epoch, version int64) {
+	if s.doubt {
+		return 0, 0
+	}
+	return s.Epoch, s.Version
+}
+
+// had tells whether this stream itself was at a version, as far as its log goes.
+// One that it skipped is no base: what changed there and back is not in its log.
+func (s *Stream[K, V]) had(version int64) bool {
+	if version == s.floor || version == s.Version {
+		return true
+	}
+	for _, t := range s.log {
+		if t.to == version {
+			return true
+		}
+	}
+	return false
+}
+
 // Since gives what a receiver at an epoch and version lacks; false where it
 // lacks nothing.
 func (s *Stream[K, V]) Since(epoch, version int64) (Change[K, V], bool) {
@@ -168,7 +192,7 @@
 	if epoch == s.Epoch && version == s.Version {
 		return c, false
 	}
-	if epoch != s.Epoch || version < s.floor || version > s.Version {
+	if epoch != s.Epoch || version < s.floor || version > s.Version || !s.had(version) {
 		c.Whole, c.From = true, 0
 		for k, v := range s.state {
 			c.Puts = append(c.Puts, Put[K, V]{Key: k, Value: v})
@@ -219,6 +243,7 @@
 		}
 	}
 	if digest != c.Digest {
+		s.doubt = true
 		return Mismatch
 	}
 	keys := make([]K, 0, len(now))
@@ -252,7 +277,7 @@
 		return Mismatch
 	}
 	s.Begin(c.Epoch, c.To)
-	s.state, s.digest = state, digest
+	s.state, s.digest, s.doubt = state, digest, false
 	return Applied
 }
 
--- a/internal/bulletin/stream_test.go
+++ b/internal/bulletin/stream_test.go
@@ -153,3 +153,86 @@
 	must.Eq(t, Applied, b.Apply(c))
 	must.Eq(t, Known, b.Apply(w), must.Sprint("an older whole of the same epoch"))
 }
+
+// The incident of docs/incidents/skipped-version-as-base.md: two senders of one
+// stream, each of which skips versions that the other had, and a receiver that
+// takes from both. What was changed and changed back in a version that a sender
+// skipped is not in its log.
+func TestAVersionThatTheSenderSkippedIsNoBase(t *testing.T) {
+	a, b, to := texts(), texts(), texts()
+	for _, s := range []*Stream[string, string]{a, b} {
+		s.Begin(1, 0)
+		s.Put("route", "old")
+		s.Commit(1)
+	}
+	w, _ := a.Since(0, 0)
+	must.Eq(t, Applied, to.Apply(w))
+	a.Put("route", "new")
+	must.Eq(t, Applied, to.Apply(a.Commit(2)))
+	b.Put("other", "x") // b learned version 3 without 2; the route is as it was in 1
+	b.Commit(3)
+	c, lacks := b.Since(to.Holds())
+	must.True(t, lacks)
+	must.True(t, c.Whole)
+	must.Eq(t, Applied, to.Apply(c))
+	must.Eq(t, state(b), state(to))
+}
+
+// A receiver whose state is not what its version says gets the whole: a change
+// that does not come out is not asked for again.
+func TestAMismatchIsRepairedByTheWhole(t *testing.T) {
+	a, to := texts(), texts()
+	a.Begin(1, 0)
+	a.Put("k", "1")
+	a.Commit(1)
+	w, _ := a.Since(0, 0)
+	must.Eq(t, Applied, to.Apply(w))
+	to.state["k"], to.digest = "not so", to.hash("k", "not so")
+	a.Put("other", "2")
+	must.Eq(t, Mismatch, to.Apply(a.Commit(2)))
+	c, lacks := a.Since(to.Holds())
+	must.True(t, lacks)
+	must.True(t, c.Whole)
+	must.Eq(t, Applied, to.Apply(c))
+	must.Eq(t, state(a), state(to))
+	epoch, version := to.Holds()
+	must.Eq(t, [2]int64{1, 2}, [2]int64{epoch, version})
+}
+
+// Many senders that skip versions at random, and receivers that go from one to
+// another, end in the same state.
+func TestReceiversMayGoFromSenderToSender(t *testing.T) {
+	for seed := range uint64(100) {
+		rnd := rand.New(rand.NewPCG(seed, 11))
+		truth := map[string]string{}
+		senders := []*Stream[string, string]{texts(), texts(), texts()}
+		for _, s := range senders {
+			s.Begin(1, 0)
+		}
+		to := texts()
+		for version := int64(1); version < 60; version++ {
+			for range 1 + rnd.IntN(3) {
+				k := fmt.Sprint(rnd.IntN(6))
+				if rnd.IntN(3) == 0 {
+					delete(truth, k)
+				} else {
+					truth[k] = fmt.Sprint(rnd.IntN(3))
+				}
+			}
+			for _, s := range senders {
+				if rnd.IntN(2) == 0 {
+					s.Replace(truth)
+					s.Commit(version)
+				}
+			}
+			from := senders[rnd.IntN(3)]
+			if from.Version <= to.Version {
+				continue
+			}
+			c, lacks := from.Since(to.Holds())
+			must.True(t, lacks)
+			must.Eq(t, Applied, to.Apply(c), must.Sprint("seed ", seed, " version ", version))
+			must.True(t, maps.Equal(state(from), state(to)))
+		}
+	}
+}
--- a/internal/counter/feed.go
+++ b/internal/counter/feed.go
@@ -37,8 +37,8 @@
 		}
 		h.Parts[p] = n.Mark
 	}
-	h.Menu = wire.StreamHold{Epoch: c.menu.Epoch, Version: c.menu.Version}
-	h.Roster = wire.StreamHold{Epoch: c.runners.Epoch, Version: c.runners.Version}
+	h.Menu.Epoch, h.Menu.Version = c.menu.Holds()
+	h.Roster.Epoch, h.Roster.Version = c.runners.Holds()
 	c.nmu.Unlock()
 	h.Loads = c.loads.hold()
 	c.dmu.Lock()
--- a/internal/counter/loads.go
+++ b/internal/counter/loads.go
@@ -61,7 +61,8 @@
 func (l *loads) hold() wire.StreamHold {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	return wire.StreamHold{Epoch: l.total.Epoch, Version: l.total.Version}
+	epoch, version := l.total.Holds()
+	return wire.StreamHold{Epoch: epoch, Version: version}
 }
 
 func (l *loads) since(h wire.StreamHold) (wire.LoadChange, bool) {
--- a/internal/dispatch/feed.go
+++ b/internal/dispatch/feed.go
@@ -371,9 +371,10 @@
 func (d *Dispatch) holdOf(addr string, runners *bulletin.Entries) wire.Hold {
 	f := &d.feed
 	f.mu.Lock()
-	h := wire.Hold{Roster: wire.StreamHold{Epoch: runners.Epoch, Version: runners.Version}, Menu: wire.StreamHold{Epoch: menuEpoch, Version: never}}
+	h := wire.Hold{Menu: wire.StreamHold{Epoch: menuEpoch, Version: never}}
+	h.Roster.Epoch, h.Roster.Version = runners.Holds()
 	if l := f.all.Teller(addr); l != nil {
-		h.Loads = wire.StreamHold{Epoch: l.Epoch, Version: l.Version}
+		h.Loads.Epoch, h.Loads.Version = l.Holds()
 	}
 	f.mu.Unlock()
 	for range ledger.Parts {
--- a/internal/pantry/index.go
+++ b/internal/pantry/index.go
@@ -128,8 +128,8 @@
 func (x *Index) Holds() []wire.StreamHold {
 	out := make([]wire.StreamHold, 0, len(x.shelves))
 	for id, s := range x.shelves {
-		if s.Epoch != 0 {
-			out = append(out, wire.StreamHold{ID: id, Epoch: s.Epoch, Version: s.Version})
+		if epoch, version := s.Holds(); epoch != 0 {
+			out = append(out, wire.StreamHold{ID: id, Epoch: epoch, Version: version})
 		}
 	}
 	return out
