--- a/internal/ledger/ledger_test.go
+++ b/internal/ledger/ledger_test.go
@@ -283,6 +283,56 @@
 	}
 }
 
+// Groups of five and seven: two disks are lost at one moment while every other
+// member loses power. What was acknowledged stays, and the newcomers are taken
+// in one after the other.
+func TestTwoDisksLostAtOnceLoseNothingAcknowledged(t *testing.T) {
+	for seed := range uint64(200) {
+		size := 5 + 2*int(seed%2)
+		w := newWorld(t, seed, size)
+		for range 4 {
+			for range 90 {
+				if w.rnd.IntN(12) == 0 {
+					if n := w.pickUp(); n != nil {
+						w.start(n, body(fmt.Sprint(w.serial)))
+					}
+				} else if len(w.wires) > 0 {
+					w.deliver(w.rnd.IntN(len(w.wires)))
+				}
+			}
+			acked := w.acked
+			first := w.rnd.IntN(size)
+			second := (first + 1 + w.rnd.IntN(size-1)) % size
+			var lost []*node
+			for i := range size {
+				n := w.nodes[fmt.Sprintf("10.0.0.%d:1", i+1)]
+				if i == first || i == second {
+					w.wipe(n)
+					lost = append(lost, n)
+				} else {
+					w.crash(n)
+				}
+			}
+			last := w.settle()
+			must.Greater(t, acked, last.Mark, must.Sprintf("seed %d", seed))
+			for _, n := range w.nodes {
+				w.learn(n, last)
+			}
+			for range lost {
+				v := w.nodes[last.Group[0].Addr].known
+				group, want := Regroup(v.Group, Standing{Ready: w.ready(), GoneFor: func(string) int64 { return 0 }, GoneUs: 1})
+				must.True(t, want)
+				w.swap(v, group)
+			}
+			group := w.nodes[last.Group[0].Addr].known.Group
+			must.Len(t, size, group)
+			for _, n := range lost {
+				must.True(t, has(group, n.acc.ID), must.Sprintf("seed %d", seed))
+			}
+		}
+	}
+}
+
 func (w *world) ready() []wire.Member {
 	var out []wire.Member
 	for _, n := range w.nodes {
