Count only dispatches that count when telling how long the core has been calm

A dispatch without a disk, which the small sites have since each site has two, started the calm stretch anew when it was killed. docs/incidents/uncounted-unsettled-the-core.md.

Excluded: the roll-out's plan (orders in time), the path of the news. The grown sites' dispatches all count; nothing changes there.

--- a/internal/dispatch/dispatch.go
+++ b/internal/dispatch/dispatch.go
@@ -283,13 +283,21 @@
 	d.garage.Sweep(func(string) bool { return true })
 }
 
+// coreView names the dispatches whose coming and going unsettles the core: those
+// that count, where some do.
+func coreView(alive []wire.Peer) (view string, core map[string]bool) {
+	core = map[string]bool{}
+	for _, p := range radio.Core(alive) {
+		view += p.Addr + p.LedgerID + " "
+		core[p.Addr] = true
+	}
+	return view, core
+}
+
 // catchUp compares marks with the other dispatches and pulls what is newer.
 func (d *Dispatch) catchUp(ctx context.Context) {
 	alive := d.watch.Alive(wire.Dispatch)
-	view := ""
-	for _, p := range alive {
-		view += p.Addr + p.LedgerID + " "
-	}
+	view, core := coreView(alive)
 	d.calm.saw(view, d.clock())
 	for _, p := range alive {
 		if p.Addr == d.radio.Addr() {
@@ -300,7 +308,9 @@
 			defer cancel()
 			mine := d.marks()
 			b, err := d.radio.Call(cctx, p.Addr, radio.KindMarks, &mine)
-			d.calm.tried(p.Addr, err == nil, d.clock())
+			if core[p.Addr] {
+				d.calm.tried(p.Addr, err == nil, d.clock())
+			}
 			if err != nil {
 				return
 			}
--- a/internal/dispatch/dispatch_test.go
+++ b/internal/dispatch/dispatch_test.go
@@ -182,3 +182,22 @@
 	must.True(t, ok)
 	must.True(t, rec.HasAccepted || rec.Committed.Mark > 0)
 }
+
+// The incident of docs/incidents/uncounted-unsettled-the-core.md: a dispatch that
+// does not count comes and goes, and the core is as calm as before.
+func TestOnlyDispatchesThatCountUnsettleTheCore(t *testing.T) {
+	counted := []wire.Peer{{Addr: "a", LedgerID: "a/0", Counted: true}, {Addr: "b", LedgerID: "b/0", Counted: true}}
+	all := append(append([]wire.Peer{}, counted...), wire.Peer{Addr: "x", LedgerID: "x/1"})
+	var c calm
+	view, core := coreView(all)
+	must.MapLen(t, 2, core)
+	c.saw(view, 1_000_000)
+	view, _ = coreView(counted)
+	c.saw(view, 3_000_000)
+	must.Eq(t, int64(4_000_000), c.forUs(5_000_000))
+	view, _ = coreView(all[1:])
+	c.saw(view, 6_000_000)
+	must.Eq(t, int64(0), c.forUs(6_000_000), must.Sprint("one that counts has gone"))
+	_, core = coreView(all[2:])
+	must.True(t, core["x"], must.Sprint("where none counts, all do"))
+}
