--- a/internal/ledger/acceptor.go
+++ b/internal/consensus/acceptor.go
@@ -2,7 +2,7 @@
 // committed, the ballot it has promised for the next slot and what it has
 // accepted there. It is a pure state machine; whoever drives it must make a
 // changed record durable before the word goes out.
-package ledger
+package consensus
 
 import "beechtide.org/beechtide/internal/wire"
 
--- a/internal/ledger/ledger.go
+++ b/internal/consensus/consensus.go
@@ -1,9 +1,9 @@
-// Package ledger keeps the control state: one replicated register a part,
+// Package consensus keeps the control state: one replicated register a part,
 // agreed on by ballots among a small group. Ledger drives the pure machines of
 // this package: it carries asks over the radio, makes records durable before
 // words go out, and keeps disk calls apart from everything else, so that a
 // hanging disk holds up nothing but this member's own vote.
-package ledger
+package consensus
 
 import (
 	"context"
@@ -193,10 +193,10 @@
 func (l *Ledger) Handle(ctx context.Context, body []byte) ([]byte, error) {
 	var ask wire.LedgerAsk
 	if _, err := ask.UnmarshalMsg(body); err != nil {
-		return nil, errors.Wrap(err, "ledger: ask")
+		return nil, errors.Wrap(err, "consensus: ask")
 	}
 	if ask.Part < 0 || ask.Part >= Parts {
-		return nil, errors.New("ledger: no such part")
+		return nil, errors.New("consensus: no such part")
 	}
 	ctx, cancel := context.WithTimeout(ctx, 2*time.Second)
 	defer cancel()
@@ -427,7 +427,7 @@
 	return wire.Value{}, ErrUnsure
 }
 
-var errSettled = errors.New("ledger: settled")
+var errSettled = errors.New("consensus: settled")
 
 // Pull learns what the dispatch at addr has committed.
 func (l *Ledger) Pull(ctx context.Context, addr string, p int) error {
--- a/internal/ledger/ledger_test.go
+++ b/internal/consensus/consensus_test.go
@@ -1,4 +1,4 @@
-package ledger
+package consensus
 
 import (
 	"bytes"
--- a/internal/ledger/group.go
+++ b/internal/consensus/group.go
@@ -2,7 +2,7 @@
 // member is swapped for its new incarnation, one that is gone for a newcomer
 // that stands ready, and a group grows only to an odd size. One change at a
 // time; what is decided here still has to win a round.
-package ledger
+package consensus
 
 import (
 	"sort"
--- a/internal/ledger/round.go
+++ b/internal/consensus/round.go
@@ -2,7 +2,7 @@
 // group for promises, takes over what may already have been chosen, else makes
 // the change that is wanted, and asks for acceptance by a majority of the old
 // and of the new group. It is a pure state machine: words come in, asks go out.
-package ledger
+package consensus
 
 import (
 	"github.com/pkg/errors"
@@ -181,7 +181,7 @@
 }
 
 // ErrUnsure means that a change may or may not have been made.
-var ErrUnsure = errors.New("ledger: no majority answered; the change may or may not have been made")
+var ErrUnsure = errors.New("consensus: no majority answered; the change may or may not have been made")
 
 // ErrNoGroup means that this node does not yet know any group.
-var ErrNoGroup = errors.New("ledger: no group known yet")
+var ErrNoGroup = errors.New("consensus: no group known yet")
--- a/internal/ledger/store.go
+++ b/internal/consensus/store.go
@@ -2,7 +2,7 @@
 // written aside, synced, renamed, the folder synced, and only then the older
 // ones removed. A file that is torn fails its checksum and the one before it
 // counts. MemoryStore serves machines without a disk.
-package ledger
+package consensus
 
 import (
 	"encoding/binary"
@@ -21,7 +21,7 @@
 )
 
 // ErrStore is the cause of every error of a store.
-var ErrStore = errors.New("ledger: store")
+var ErrStore = errors.New("consensus: store")
 
 // Store is where a member keeps its identity and its records.
 type Store interface {
--- a/internal/dispatch/condition.go
+++ b/internal/dispatch/condition.go
@@ -6,7 +6,7 @@
 	"sort"
 	"time"
 
-	"beechtide.org/beechtide/internal/ledger"
+	"beechtide.org/beechtide/internal/consensus"
 	"beechtide.org/beechtide/internal/radio"
 	"beechtide.org/beechtide/internal/wire"
 )
@@ -17,7 +17,7 @@
 func (d *Dispatch) condition() wire.Condition {
 	c := wire.Condition{Node: d.set.Node, Role: wire.Dispatch, Site: d.set.Site, Addr: d.radio.Addr(), TimeUs: time.Now().UnixMicro(), LedgerID: d.ledger.ID(), Marks: d.told(), HasDisk: d.disk != nil}
 	c.SaveUs, c.SaveFault = d.ledger.LastSave()
-	for p := range ledger.Parts {
+	for p := range consensus.Parts {
 		v, _ := d.ledger.Committed(p)
 		c.Groups = append(c.Groups, append([]wire.Member{}, v.Group...))
 	}
--- a/internal/dispatch/control.go
+++ b/internal/dispatch/control.go
@@ -16,7 +16,7 @@
 
 	"beechtide.org/beechtide/internal/bulletin"
 	"beechtide.org/beechtide/internal/calls"
-	"beechtide.org/beechtide/internal/ledger"
+	"beechtide.org/beechtide/internal/consensus"
 	"beechtide.org/beechtide/internal/menu"
 	"beechtide.org/beechtide/internal/radio"
 	"beechtide.org/beechtide/internal/wire"
@@ -135,7 +135,7 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, operatorWait)
 	defer cancel()
-	_, err = d.ledger.Change(ctx, ledger.MenuPart, func(cur wire.Value) ([]wire.Member, []byte, error) {
+	_, err = d.ledger.Change(ctx, consensus.MenuPart, func(cur wire.Value) ([]wire.Member, []byte, error) {
 		body, err := menuBody(cur)
 		if err != nil {
 			return nil, nil, err
@@ -182,7 +182,7 @@
 func (d *Dispatch) read(ctx context.Context, c *app.RequestContext) {
 	ctx, cancel := context.WithTimeout(ctx, operatorWait)
 	defer cancel()
-	v, err := d.ledger.Read(ctx, ledger.MenuPart)
+	v, err := d.ledger.Read(ctx, consensus.MenuPart)
 	if err != nil {
 		deny(c, 503, "", err.Error())
 		return
@@ -216,7 +216,7 @@
 			service = s
 		}
 	}
-	part := ledger.PartOf(service)
+	part := consensus.PartOf(service)
 	v, err := d.ledger.Change(ctx, part, func(cur wire.Value) ([]wire.Member, []byte, error) {
 		return nameTarget(cur, w, d.ledger.ID())
 	})
--- a/internal/dispatch/dispatch.go
+++ b/internal/dispatch/dispatch.go
@@ -16,7 +16,7 @@
 
 	"beechtide.org/beechtide/internal/cab"
 	"beechtide.org/beechtide/internal/config"
-	"beechtide.org/beechtide/internal/ledger"
+	"beechtide.org/beechtide/internal/consensus"
 	"beechtide.org/beechtide/internal/loop"
 	"beechtide.org/beechtide/internal/menu"
 	"beechtide.org/beechtide/internal/pantry"
@@ -33,7 +33,7 @@
 	radio  *radio.Radio
 	watch  *radio.Watch
 	relay  *radio.Relay
-	ledger *ledger.Ledger
+	ledger *consensus.Ledger
 	roster *roster.Roster
 	garage *cab.Garage
 	table  atomic.Pointer[menu.Table]
@@ -48,7 +48,7 @@
 	refits  refits
 	calm    calm
 	startUs int64
-	disk    *ledger.DiskStore // nil on machines without one
+	disk    *consensus.DiskStore // nil on machines without one
 }
 
 // New builds the role.
@@ -58,9 +58,9 @@
 		return nil, err
 	}
 	d := &Dispatch{set: set, log: log, clock: clock, radio: rad, roster: roster.New(), garage: cab.NewGarage(clock), kept: pantry.NewIndex(), readers: map[string]context.CancelFunc{}, heardUs: map[string]int64{}, startUs: clock()}
-	var store ledger.Store = &ledger.MemoryStore{}
+	var store consensus.Store = &consensus.MemoryStore{}
 	if set.DataDir != "" {
-		if d.disk, err = ledger.NewDiskStore(filepath.Join(set.DataDir, "ledger")); err != nil {
+		if d.disk, err = consensus.NewDiskStore(filepath.Join(set.DataDir, "ledger")); err != nil {
 			return nil, err
 		}
 		store = d.disk
@@ -70,7 +70,7 @@
 	d.feed.init(clock())
 	d.syncRunners()
 	d.relay = radio.NewRelay(rad, radio.Upward{Since: d.since, Told: d.toldBelow, Gone: d.goneBelow})
-	d.ledger, err = ledger.Open(set.DispatchAddr(), radio.KindLedger, set.Bootstrap, set.SeedAddrs(), rad, store, log, d.learned)
+	d.ledger, err = consensus.Open(set.DispatchAddr(), radio.KindLedger, set.Bootstrap, set.SeedAddrs(), rad, store, log, d.learned)
 	if err != nil {
 		return nil, err
 	}
@@ -92,7 +92,7 @@
 		return c.MarshalMsg(nil)
 	})
 	rad.OnCast(radio.KindRunner, d.heardRunner)
-	for p := range ledger.Parts {
+	for p := range consensus.Parts {
 		if v, ok := d.ledger.Committed(p); ok && v.Mark > 0 {
 			d.learned(p, v)
 		}
@@ -106,7 +106,7 @@
 	set := d.set
 	set.Seeds = *d.seeds.Load()
 	out := set.SeedAddrs()
-	for p := range ledger.Parts {
+	for p := range consensus.Parts {
 		if v, ok := d.ledger.Committed(p); ok {
 			for _, m := range v.Group {
 				out = append(out, m.Addr)
@@ -161,7 +161,7 @@
 // settleParts reads every part once after the start, so that what was agreed
 // on before a loss of power but not known as such is finished.
 func (d *Dispatch) settleParts(ctx context.Context) {
-	for p := range ledger.Parts {
+	for p := range consensus.Parts {
 		for ctx.Err() == nil {
 			cctx, cancel := context.WithTimeout(ctx, time.Second)
 			v, err := d.ledger.Read(cctx, p)
@@ -179,7 +179,7 @@
 	if v.Mark == 0 || len(v.Body) == 0 {
 		return
 	}
-	if p == ledger.MenuPart {
+	if p == consensus.MenuPart {
 		var body wire.MenuBody
 		if _, err := body.UnmarshalMsg(v.Body); err == nil && body.Mark > 0 {
 			if m, err := menu.Parse(body.Raw); err == nil {
@@ -191,13 +191,13 @@
 			}
 		}
 	}
-	if p != ledger.MenuPart {
+	if p != consensus.MenuPart {
 		d.tellPart(wire.PartNote{Part: p, Mark: v.Mark, Body: v.Body})
 	}
 }
 
 func (d *Dispatch) marks() wire.Marks {
-	m := wire.Marks{Parts: make([]int64, ledger.Parts), RosterSum: d.roster.Snapshot().Sum, Dispatch: true, CalmUs: d.calm.forUs(d.clock())}
+	m := wire.Marks{Parts: make([]int64, consensus.Parts), RosterSum: d.roster.Snapshot().Sum, Dispatch: true, CalmUs: d.calm.forUs(d.clock())}
 	for p := range m.Parts {
 		m.Parts[p] = -1
 		if v, ok := d.ledger.Committed(p); ok {
@@ -318,7 +318,7 @@
 			if _, err := m.UnmarshalMsg(b); err != nil {
 				return
 			}
-			for part := range min(len(m.Parts), ledger.Parts) {
+			for part := range min(len(m.Parts), consensus.Parts) {
 				if m.Parts[part] > mine.Parts[part] {
 					_ = d.ledger.Pull(cctx, p.Addr, part)
 				}
@@ -334,18 +334,18 @@
 	if len(alive) == 0 || alive[0].Addr != d.radio.Addr() {
 		return
 	}
-	st := ledger.Stand(alive, d.watch.DeadForUs, 1_000_000)
-	for part := range ledger.Parts {
+	st := consensus.Stand(alive, d.watch.DeadForUs, 1_000_000)
+	for part := range consensus.Parts {
 		v, ok := d.ledger.Committed(part)
 		if !ok {
 			continue
 		}
-		if _, want := ledger.Regroup(v.Group, st); !want {
+		if _, want := consensus.Regroup(v.Group, st); !want {
 			continue
 		}
 		cctx, cancel := context.WithTimeout(ctx, 2*time.Second)
 		_, err := d.ledger.Change(cctx, part, func(cur wire.Value) ([]wire.Member, []byte, error) {
-			group, want := ledger.Regroup(cur.Group, st)
+			group, want := consensus.Regroup(cur.Group, st)
 			if !want {
 				return nil, nil, errNoChange
 			}
--- a/internal/dispatch/feed.go
+++ b/internal/dispatch/feed.go
@@ -12,7 +12,7 @@
 
 	"beechtide.org/beechtide/internal/bulletin"
 	"beechtide.org/beechtide/internal/calls"
-	"beechtide.org/beechtide/internal/ledger"
+	"beechtide.org/beechtide/internal/consensus"
 	"beechtide.org/beechtide/internal/loop"
 	"beechtide.org/beechtide/internal/menu"
 	"beechtide.org/beechtide/internal/pantry"
@@ -104,8 +104,8 @@
 // versions are those of what is told: a version of a register that has no body,
 // or only another group, is none to those below.
 func (f *feed) versions() []int64 {
-	out := make([]int64, ledger.Parts)
-	out[ledger.MenuPart] = f.menu.Version
+	out := make([]int64, consensus.Parts)
+	out[consensus.MenuPart] = f.menu.Version
 	for p, n := range f.parts {
 		out[p] = n.Mark
 	}
@@ -269,7 +269,7 @@
 // cutOff tells whether the group that holds the configuration is out of this
 // node's reach, so that those below had better listen to another.
 func (d *Dispatch) cutOff() bool {
-	v, ok := d.ledger.Committed(ledger.MenuPart)
+	v, ok := d.ledger.Committed(consensus.MenuPart)
 	if !ok || len(v.Group) < 2 {
 		return false
 	}
@@ -377,7 +377,7 @@
 		h.Loads.Epoch, h.Loads.Version = l.Holds()
 	}
 	f.mu.Unlock()
-	for range ledger.Parts {
+	for range consensus.Parts {
 		h.Parts = append(h.Parts, never)
 	}
 	d.kmu.Lock()
--- a/internal/dispatch/refits.go
+++ b/internal/dispatch/refits.go
@@ -11,7 +11,7 @@
 	"time"
 
 	"beechtide.org/beechtide/internal/calls"
-	"beechtide.org/beechtide/internal/ledger"
+	"beechtide.org/beechtide/internal/consensus"
 	"beechtide.org/beechtide/internal/loop"
 	"beechtide.org/beechtide/internal/refit"
 	"beechtide.org/beechtide/internal/shift"
@@ -53,7 +53,7 @@
 	r := &d.refits
 	r.mu.Lock()
 	r.init()
-	for part := 1; part < ledger.Parts; part++ {
+	for part := 1; part < consensus.Parts; part++ {
 		if r.busy[part] {
 			continue
 		}
