--- a/internal/dispatch/refits.go
+++ b/internal/dispatch/refits.go
@@ -12,15 +12,15 @@
 
 	"beechtide.org/beechtide/internal/calls"
 	"beechtide.org/beechtide/internal/consensus"
+	"beechtide.org/beechtide/internal/lease"
 	"beechtide.org/beechtide/internal/loop"
 	"beechtide.org/beechtide/internal/refit"
-	"beechtide.org/beechtide/internal/shift"
 	"beechtide.org/beechtide/internal/wire"
 )
 
 type refits struct {
 	mu     sync.Mutex
-	shifts map[int]*shift.Shift
+	shifts map[int]*lease.Shift
 	plans  map[string]*refit.Plan
 	busy   map[int]bool
 	polls  map[string]bool
@@ -36,7 +36,7 @@
 
 func (r *refits) init() {
 	if r.shifts == nil {
-		r.shifts, r.plans, r.busy = map[int]*shift.Shift{}, map[string]*refit.Plan{}, map[int]bool{}
+		r.shifts, r.plans, r.busy = map[int]*lease.Shift{}, map[string]*refit.Plan{}, map[int]bool{}
 		r.polls, r.won, r.moved = map[string]bool{}, map[int]int64{}, map[int]moved{}
 	}
 }
@@ -107,7 +107,7 @@
 	r.mu.Lock()
 	s := r.shifts[part]
 	if s == nil {
-		s = &shift.Shift{T: shift.Times{ClaimUs: int64(d.set.Bounds.ClaimMs) * 1000, ActUs: 400_000, SpareUs: 800_000}}
+		s = &lease.Shift{T: lease.Times{ClaimUs: int64(d.set.Bounds.ClaimMs) * 1000, ActUs: 400_000, SpareUs: 800_000}}
 		r.shifts[part] = s
 	}
 	won := r.won[part]
@@ -118,7 +118,7 @@
 		return
 	}
 	if won == body.Claim.Fence && s.Fence() != won {
-		s.Took(won, shift.Nobody, d.clock())
+		s.Took(won, lease.Nobody, d.clock())
 	}
 	if s.Fence() != body.Claim.Fence {
 		// A claim of an earlier life of this process: a new fence puts all that
@@ -166,7 +166,7 @@
 
 // maybeTake takes the claim over once its holder is gone. Only the lowest live
 // dispatch tries, so that two seldom meet in a ballot.
-func (d *Dispatch) maybeTake(ctx context.Context, part int, was wire.Claim, s *shift.Shift) {
+func (d *Dispatch) maybeTake(ctx context.Context, part int, was wire.Claim, s *lease.Shift) {
 	alive := d.reachable()
 	if len(alive) == 0 || alive[0].Addr != d.radio.Addr() {
 		return
@@ -198,7 +198,7 @@
 }
 
 // take wins the claim by a ballot, if it is still as it was.
-func (d *Dispatch) take(ctx context.Context, part int, was wire.Claim, s *shift.Shift) {
+func (d *Dispatch) take(ctx context.Context, part int, was wire.Claim, s *lease.Shift) {
 	cctx, cancel := context.WithTimeout(ctx, time.Second)
 	defer cancel()
 	v, err := d.ledger.Change(cctx, part, func(cur wire.Value) ([]wire.Member, []byte, error) {
@@ -217,19 +217,19 @@
 		return
 	}
 	if body, err := dutyBody(v); err == nil && body.Claim.Holder == d.ledger.ID() {
-		before := shift.Another
+		before := lease.Another
 		switch was.Holder {
 		case "":
-			before = shift.Nobody
+			before = lease.Nobody
 		case d.ledger.ID():
-			before = shift.Itself
+			before = lease.Itself
 		}
 		s.Took(body.Claim.Fence, before, d.clock())
 		d.log.Info("claim taken", "part", part, "fence", body.Claim.Fence)
 	}
 }
 
-func (d *Dispatch) follow(ctx context.Context, t wire.Target, s *shift.Shift) {
+func (d *Dispatch) follow(ctx context.Context, t wire.Target, s *lease.Shift) {
 	r := &d.refits
 	r.mu.Lock()
 	plan := r.plans[t.Model]
--- a/internal/shift/shift.go
+++ b/internal/lease/lease.go
@@ -1,8 +1,8 @@
-// Package shift is the rules of duties: who may hold one, when a holder may
+// Package lease is the rules of duties: who may hold one, when a holder may
 // act, and when another may take over. A claim and its fence lie in a register,
 // so two holders never share a fence; the waits here keep holders from acting
 // within the claim time of one another. It is pure: time comes in as arguments.
-package shift
+package lease
 
 // Times of a claim, in microseconds.
 type Times struct {
--- a/internal/shift/shift_test.go
+++ b/internal/lease/lease_test.go
@@ -1,4 +1,4 @@
-package shift
+package lease
 
 import (
 	"testing"
