--- a/internal/counter/counter.go
+++ b/internal/counter/counter.go
@@ -13,7 +13,6 @@
 	"github.com/go-logr/logr"
 	"github.com/panjf2000/ants/v2"
 
-	"beechtide.org/beechtide/internal/bulletin"
 	"beechtide.org/beechtide/internal/cab"
 	"beechtide.org/beechtide/internal/config"
 	"beechtide.org/beechtide/internal/doorman"
@@ -22,6 +21,7 @@
 	"beechtide.org/beechtide/internal/radio"
 	"beechtide.org/beechtide/internal/regime"
 	"beechtide.org/beechtide/internal/roster"
+	"beechtide.org/beechtide/internal/statesync"
 	"beechtide.org/beechtide/internal/ticket"
 	"beechtide.org/beechtide/internal/wire"
 )
@@ -40,9 +40,9 @@
 
 	nmu      sync.Mutex
 	parts    map[int]wire.PartNote
-	menu     *bulletin.Entries
+	menu     *statesync.Entries
 	assembly menu.Assembly
-	runners  *bulletin.Entries // as the parent has them
+	runners  *statesync.Entries // as the parent has them
 	news     stats
 
 	up     radio.Uplink
@@ -75,7 +75,7 @@
 		return nil, err
 	}
 	c := &Counter{set: set, log: log, clock: clock, radio: rad, roster: roster.New(), garage: cab.NewGarage(clock), parts: map[int]wire.PartNote{}, door: doorman.New(doorman.Defaults, set.Site), budgets: map[string]*cab.Budget{}, kick: make(chan struct{}, 1), fresh: make(chan struct{}, 1), stir: make(chan struct{}, 1)}
-	c.menu, c.runners = bulletin.NewEntries(), bulletin.NewEntries()
+	c.menu, c.runners = statesync.NewEntries(), statesync.NewEntries()
 	c.loads.init(clock())
 	none := ""
 	c.parent.Store(&none)
--- a/internal/counter/counter_test.go
+++ b/internal/counter/counter_test.go
@@ -20,12 +20,12 @@
 	"github.com/panjf2000/ants/v2"
 	"github.com/shoenig/test/must"
 
-	"beechtide.org/beechtide/internal/bulletin"
 	"beechtide.org/beechtide/internal/calls"
 	"beechtide.org/beechtide/internal/config"
 	"beechtide.org/beechtide/internal/doorman"
 	"beechtide.org/beechtide/internal/menu"
 	"beechtide.org/beechtide/internal/regime"
+	"beechtide.org/beechtide/internal/statesync"
 	"beechtide.org/beechtide/internal/wire"
 )
 
@@ -182,12 +182,12 @@
 	must.NoError(t, err)
 	entries, err := menu.Entries(m)
 	must.NoError(t, err)
-	s := bulletin.NewEntries()
+	s := statesync.NewEntries()
 	s.Begin(1, 0)
 	s.Replace(entries)
 	s.Commit(version)
 	ch, _ := s.Since(0, 0)
-	return bulletin.SendEntries(ch)
+	return statesync.SendEntries(ch)
 }
 
 func runnerEntries(t *testing.T, notes ...wire.RunnerNote) wire.EntryChange {
@@ -529,7 +529,7 @@
 // nothing and changes nothing; the whole repairs it.
 func TestBadChangesOfTheConfigurationAreRepairedByAWhole(t *testing.T) {
 	c, _, _ := start(t, newRunner(t))
-	s := bulletin.NewEntries()
+	s := statesync.NewEntries()
 	m, err := menu.Parse([]byte(menuText))
 	must.NoError(t, err)
 	entries, err := menu.Entries(m)
@@ -541,7 +541,7 @@
 	entries, err = menu.Entries(m)
 	must.NoError(t, err)
 	s.Replace(entries)
-	good := bulletin.SendEntries(s.Commit(2))
+	good := statesync.SendEntries(s.Commit(2))
 	must.Len(t, 2, good.Entries, must.Sprint("the tenant and the version"))
 	for name, spoil := range map[string]func(x *wire.EntryChange){
 		"digest":        func(x *wire.EntryChange) { x.Digest++ },
--- a/internal/counter/feed.go
+++ b/internal/counter/feed.go
@@ -6,9 +6,9 @@
 import (
 	"sync/atomic"
 
-	"beechtide.org/beechtide/internal/bulletin"
 	"beechtide.org/beechtide/internal/menu"
 	"beechtide.org/beechtide/internal/radio"
+	"beechtide.org/beechtide/internal/statesync"
 	"beechtide.org/beechtide/internal/wire"
 )
 
@@ -18,11 +18,11 @@
 	changes, wholes, malformed atomic.Int64
 }
 
-func (s *stats) count(r bulletin.Result, again bool) {
+func (s *stats) count(r statesync.Result, again bool) {
 	switch {
-	case r == bulletin.Applied && again:
+	case r == statesync.Applied && again:
 		s.wholes.Add(1)
-	case r == bulletin.Applied:
+	case r == statesync.Applied:
 		s.changes.Add(1)
 	}
 }
@@ -58,10 +58,10 @@
 		}
 	}
 	if ch, lacks := c.menu.Since(h.Menu.Epoch, h.Menu.Version); lacks && c.menu.Version > h.Menu.Version {
-		f.Menu = append(f.Menu, bulletin.SendEntries(ch))
+		f.Menu = append(f.Menu, statesync.SendEntries(ch))
 	}
 	if ch, lacks := c.runners.Since(h.Roster.Epoch, h.Roster.Version); lacks {
-		f.Roster = append(f.Roster, bulletin.SendEntries(ch))
+		f.Roster = append(f.Roster, statesync.SendEntries(ch))
 	}
 	c.nmu.Unlock()
 	if h.MenuOnly {
@@ -124,9 +124,9 @@
 func (c *Counter) take(parent string, f wire.Feed) (fits bool) {
 	now := c.clock()
 	fits = true
-	note := func(r bulletin.Result, again bool) {
+	note := func(r statesync.Result, again bool) {
 		c.news.count(r, again)
-		fits = fits && (r == bulletin.Applied || r == bulletin.Known)
+		fits = fits && (r == statesync.Applied || r == statesync.Known)
 	}
 	if parent != "" {
 		c.calm(f.CalmUs)
@@ -143,12 +143,12 @@
 		c.takePart(p, now)
 	}
 	for _, ch := range f.Roster {
-		in := bulletin.HearEntries(ch)
+		in := statesync.HearEntries(ch)
 		if parent != "" {
 			again := ch.Whole && c.runners.Epoch == ch.Epoch
 			r := c.runners.Apply(in)
 			note(r, again)
-			if r == bulletin.Mismatch {
+			if r == statesync.Mismatch {
 				continue
 			}
 		}
@@ -196,11 +196,11 @@
 
 // takeMenu takes a change of the configuration; the table is made anew from the
 // entries that changed and then swapped in.
-func (c *Counter) takeMenu(ch wire.EntryChange) (r bulletin.Result, renewed bool) {
+func (c *Counter) takeMenu(ch wire.EntryChange) (r statesync.Result, renewed bool) {
 	if ch.Whole && ch.To <= c.menu.Version {
-		return bulletin.Known, false
+		return statesync.Known, false
 	}
-	in := bulletin.HearEntries(ch)
+	in := statesync.HearEntries(ch)
 	entries := map[string]string{}
 	for _, p := range in.Puts {
 		entries[p.Key] = ""
@@ -212,9 +212,9 @@
 	if err := c.assembly.Take(entries, ch.Whole); err != nil {
 		c.log.Error(err, "a change of the configuration cannot be read")
 		c.news.malformed.Add(1)
-		return bulletin.Mismatch, false
+		return statesync.Mismatch, false
 	}
-	if r = c.menu.Apply(in); r != bulletin.Applied {
+	if r = c.menu.Apply(in); r != statesync.Applied {
 		c.assembly = before
 		return r, false
 	}
--- a/internal/counter/loads.go
+++ b/internal/counter/loads.go
@@ -9,10 +9,10 @@
 	"sync"
 	"time"
 
-	"beechtide.org/beechtide/internal/bulletin"
 	"beechtide.org/beechtide/internal/doorman"
 	"beechtide.org/beechtide/internal/loop"
 	"beechtide.org/beechtide/internal/radio"
+	"beechtide.org/beechtide/internal/statesync"
 	"beechtide.org/beechtide/internal/wire"
 )
 
@@ -38,9 +38,9 @@
 
 type loads struct {
 	mu     sync.Mutex
-	own    *bulletin.Loads
-	below  *bulletin.Sum // this node's and those below it
-	total  *bulletin.Loads
+	own    *statesync.Loads
+	below  *statesync.Sum // this node's and those below it
+	total  *statesync.Loads
 	coming []wire.KeptNote
 	seq    int64
 	whole  bool
@@ -52,9 +52,9 @@
 }
 
 func (l *loads) init(epoch int64) {
-	l.own, l.total = bulletin.NewLoads(), bulletin.NewLoads()
+	l.own, l.total = statesync.NewLoads(), statesync.NewLoads()
 	l.own.Begin(epoch, 0)
-	l.below = bulletin.NewSum(epoch)
+	l.below = statesync.NewSum(epoch)
 	l.whole, l.all, l.touched = true, true, map[string]bool{}
 }
 
@@ -69,14 +69,14 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	c, lacks := l.total.Since(h.Epoch, h.Version)
-	return bulletin.SendLoads(c), lacks
+	return statesync.SendLoads(c), lacks
 }
 
-func (l *loads) take(c wire.LoadChange) bulletin.Result {
+func (l *loads) take(c wire.LoadChange) statesync.Result {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	r := l.total.Apply(bulletin.HearLoads(c))
-	if r == bulletin.Applied {
+	r := l.total.Apply(statesync.HearLoads(c))
+	if r == statesync.Applied {
 		l.all = l.all || c.Whole
 		for i := range c.Loads {
 			l.touched[c.Loads[i].ID] = true
@@ -160,7 +160,7 @@
 	if l.whole {
 		ch, _ = total.Since(0, 0)
 	}
-	w.Loads = append(w.Loads, bulletin.SendLoads(ch))
+	w.Loads = append(w.Loads, statesync.SendLoads(ch))
 	l.whole = false
 	if len(l.told) >= mostTold {
 		l.told = l.told[1:]
@@ -185,7 +185,7 @@
 	ok := true
 	for _, ch := range t.Loads {
 		r := l.below.Tell(from, ch)
-		ok = ok && (r == bulletin.Applied || r == bulletin.Known)
+		ok = ok && (r == statesync.Applied || r == statesync.Known)
 	}
 	l.coming = append(l.coming, t.Coming...)
 	l.mu.Unlock()
--- a/internal/dispatch/control.go
+++ b/internal/dispatch/control.go
@@ -14,11 +14,11 @@
 	"github.com/go-playground/validator/v10"
 	"github.com/pkg/errors"
 
-	"beechtide.org/beechtide/internal/bulletin"
 	"beechtide.org/beechtide/internal/calls"
 	"beechtide.org/beechtide/internal/consensus"
 	"beechtide.org/beechtide/internal/menu"
 	"beechtide.org/beechtide/internal/radio"
+	"beechtide.org/beechtide/internal/statesync"
 	"beechtide.org/beechtide/internal/wire"
 )
 
@@ -107,7 +107,7 @@
 	if len(near) == 0 {
 		return ""
 	}
-	pick := near[bulletin.HashText(n.ID, "")%uint64(len(near))]
+	pick := near[statesync.HashText(n.ID, "")%uint64(len(near))]
 	if pick.Addr == self {
 		return ""
 	}
--- a/internal/dispatch/feed.go
+++ b/internal/dispatch/feed.go
@@ -10,13 +10,13 @@
 	"sync/atomic"
 	"time"
 
-	"beechtide.org/beechtide/internal/bulletin"
 	"beechtide.org/beechtide/internal/calls"
 	"beechtide.org/beechtide/internal/consensus"
 	"beechtide.org/beechtide/internal/loop"
 	"beechtide.org/beechtide/internal/menu"
 	"beechtide.org/beechtide/internal/pantry"
 	"beechtide.org/beechtide/internal/radio"
+	"beechtide.org/beechtide/internal/statesync"
 	"beechtide.org/beechtide/internal/wire"
 )
 
@@ -41,11 +41,11 @@
 
 type feed struct {
 	mu     sync.Mutex
-	roster *bulletin.Entries
-	menu   *bulletin.Entries
+	roster *statesync.Entries
+	menu   *statesync.Entries
 	parts  map[int]wire.PartNote
-	below  *bulletin.Sum // the nodes below this one
-	all    *bulletin.Sum // those and the ones below the other dispatches
+	below  *statesync.Sum // the nodes below this one
+	all    *statesync.Sum // those and the ones below the other dispatches
 
 	own, down outbox // to the other dispatches, and to the counters
 	urgent    chan struct{}
@@ -70,12 +70,12 @@
 }
 
 func (f *feed) init(epoch int64) {
-	f.roster, f.menu = bulletin.NewEntries(), bulletin.NewEntries()
+	f.roster, f.menu = statesync.NewEntries(), statesync.NewEntries()
 	epoch = epoch ^ time.Now().UnixNano()
 	f.roster.Begin(epoch, 0)
 	f.menu.Begin(menuEpoch, 0)
 	f.parts = map[int]wire.PartNote{}
-	f.below, f.all = bulletin.NewSum(epoch), bulletin.NewSum(epoch+1)
+	f.below, f.all = statesync.NewSum(epoch), statesync.NewSum(epoch+1)
 	f.urgent = make(chan struct{}, 1)
 }
 
@@ -91,14 +91,14 @@
 }
 
 // count is for the doctor; again tells a whole of a stream that was held already.
-func (f *feed) count(r bulletin.Result, again bool) (fits bool) {
+func (f *feed) count(r statesync.Result, again bool) (fits bool) {
 	switch {
-	case r == bulletin.Applied && again:
+	case r == statesync.Applied && again:
 		f.wholes.Add(1)
-	case r == bulletin.Applied:
+	case r == statesync.Applied:
 		f.changes.Add(1)
 	}
-	return r == bulletin.Applied || r == bulletin.Known
+	return r == statesync.Applied || r == statesync.Known
 }
 
 // versions are those of what is told: a version of a register that has no body,
@@ -173,7 +173,7 @@
 	f.mu.Lock()
 	if version > f.menu.Version {
 		f.menu.Replace(entries)
-		c := bulletin.SendEntries(f.menu.Commit(version))
+		c := statesync.SendEntries(f.menu.Commit(version))
 		f.own.menu, f.down.menu = append(f.own.menu, c), append(f.down.menu, c)
 	}
 	f.mu.Unlock()
@@ -236,16 +236,16 @@
 	f.own.take(&up)
 	f.down.take(&down)
 	if f.roster.Dirty() {
-		c := bulletin.SendEntries(f.roster.Commit(f.roster.Version + 1))
+		c := statesync.SendEntries(f.roster.Commit(f.roster.Version + 1))
 		up.Roster, down.Roster = append(up.Roster, c), append(down.Roster, c)
 	}
 	if f.below.Total.Dirty() {
-		c := bulletin.SendLoads(f.below.Total.Commit(f.below.Total.Version + 1))
+		c := statesync.SendLoads(f.below.Total.Commit(f.below.Total.Version + 1))
 		up.Loads = append(up.Loads, c)
 		f.all.Follow(below, f.below.Total)
 	}
 	if f.all.Total.Dirty() {
-		down.Loads = append(down.Loads, bulletin.SendLoads(f.all.Total.Commit(f.all.Total.Version+1)))
+		down.Loads = append(down.Loads, statesync.SendLoads(f.all.Total.Commit(f.all.Total.Version+1)))
 	}
 	rest := d.clock()-f.sentUs > restUs
 	if rest || something(&up) {
@@ -290,7 +290,7 @@
 	f.mu.Lock()
 	out.Versions = f.versions()
 	if c, lacks := f.menu.Since(h.Menu.Epoch, h.Menu.Version); lacks && f.menu.Version > h.Menu.Version {
-		out.Menu = append(out.Menu, bulletin.SendEntries(c))
+		out.Menu = append(out.Menu, statesync.SendEntries(c))
 	}
 	for p, n := range f.parts {
 		if p >= len(h.Parts) || h.Parts[p] < n.Mark {
@@ -298,7 +298,7 @@
 		}
 	}
 	if c, lacks := f.roster.Since(h.Roster.Epoch, h.Roster.Version); lacks && h.Roster.Epoch != -1 {
-		out.Roster = append(out.Roster, bulletin.SendEntries(c))
+		out.Roster = append(out.Roster, statesync.SendEntries(c))
 	}
 	if !h.MenuOnly {
 		sum := f.all.Total
@@ -306,7 +306,7 @@
 			sum = f.below.Total
 		}
 		if c, lacks := sum.Since(h.Loads.Epoch, h.Loads.Version); lacks {
-			out.Loads = append(out.Loads, bulletin.SendLoads(c))
+			out.Loads = append(out.Loads, statesync.SendLoads(c))
 		}
 	}
 	f.mu.Unlock()
@@ -326,7 +326,7 @@
 	ok := true
 	for _, c := range t.Loads {
 		r := f.below.Tell(from, c)
-		ok = ok && (r == bulletin.Applied || r == bulletin.Known)
+		ok = ok && (r == statesync.Applied || r == statesync.Known)
 	}
 	f.own.coming, f.down.coming = append(f.own.coming, t.Coming...), append(f.down.coming, t.Coming...)
 	if len(t.Coming) > 0 {
@@ -343,7 +343,7 @@
 
 // listenTo keeps the subscription to one other dispatch.
 func (d *Dispatch) listenTo(ctx context.Context, addr string) {
-	runners := bulletin.NewEntries() // as the other has them
+	runners := statesync.NewEntries() // as the other has them
 	u := radio.Uplink{
 		Dispatch: true,
 		Parents:  func() []string { return []string{addr} },
@@ -368,7 +368,7 @@
 
 // holdOf names what this node holds of another's streams. The configuration and
 // the parts come through the ledger.
-func (d *Dispatch) holdOf(addr string, runners *bulletin.Entries) wire.Hold {
+func (d *Dispatch) holdOf(addr string, runners *statesync.Entries) wire.Hold {
 	f := &d.feed
 	f.mu.Lock()
 	h := wire.Hold{Menu: wire.StreamHold{Epoch: menuEpoch, Version: never}}
@@ -406,20 +406,20 @@
 }
 
 // takeFeed takes what another dispatch is the first to know and passes it down.
-func (d *Dispatch) takeFeed(addr string, in wire.Feed, runners *bulletin.Entries) (fits bool) {
+func (d *Dispatch) takeFeed(addr string, in wire.Feed, runners *statesync.Entries) (fits bool) {
 	now := d.clock()
 	fits = true
 	f := &d.feed
 	d.pullNewer(addr, in.Versions)
 	var changed []string
 	for _, c := range in.Roster {
-		ch := bulletin.HearEntries(c)
+		ch := statesync.HearEntries(c)
 		f.mu.Lock()
 		again := c.Whole && runners.Epoch == c.Epoch
 		r := runners.Apply(ch)
 		fits = f.count(r, again) && fits
 		f.mu.Unlock()
-		if r == bulletin.Mismatch {
+		if r == statesync.Mismatch {
 			continue
 		}
 		for _, p := range ch.Puts {
@@ -448,7 +448,7 @@
 		again := c.Whole && d.kept.Shelf(c.ID).Epoch == c.Epoch
 		r := d.kept.Hear(c)
 		fits = f.count(r, again) && fits
-		if r == bulletin.Applied {
+		if r == statesync.Applied {
 			kept = append(kept, c)
 		}
 	}
--- a/internal/doorman/doorman.go
+++ b/internal/doorman/doorman.go
@@ -10,9 +10,9 @@
 	"slices"
 	"sort"
 
-	"beechtide.org/beechtide/internal/bulletin"
 	"beechtide.org/beechtide/internal/hail"
 	"beechtide.org/beechtide/internal/pantry"
+	"beechtide.org/beechtide/internal/statesync"
 	"beechtide.org/beechtide/internal/ticket"
 	"beechtide.org/beechtide/internal/wire"
 )
@@ -610,7 +610,7 @@
 func (p *pool) sink(a Ask, keys []uint64) string {
 	best, top := "", uint64(0)
 	for _, s := range p.stores {
-		if v := bulletin.Mix(keys[max(len(keys)-2, 0)] ^ bulletin.HashText(s.ID, "")); p.lets(a, s.ID) && (best == "" || v > top) {
+		if v := statesync.Mix(keys[max(len(keys)-2, 0)] ^ statesync.HashText(s.ID, "")); p.lets(a, s.ID) && (best == "" || v > top) {
 			best, top = s.Addr, v
 		}
 	}
--- a/internal/doorman/session.go
+++ b/internal/doorman/session.go
@@ -6,7 +6,7 @@
 package doorman
 
 import (
-	"beechtide.org/beechtide/internal/bulletin"
+	"beechtide.org/beechtide/internal/statesync"
 )
 
 type relinquished struct {
@@ -30,9 +30,9 @@
 
 // Session names the session that a request belongs to.
 func Session(a Ask) uint64 {
-	h := bulletin.HashText(a.Tenant, a.Model)
+	h := statesync.HashText(a.Tenant, a.Model)
 	if n := len(a.Parts); n > 0 {
-		h = bulletin.Mix(h ^ bulletin.HashText(a.Parts[max(n-2, 0)].ID, ""))
+		h = statesync.Mix(h ^ statesync.HashText(a.Parts[max(n-2, 0)].ID, ""))
 	}
 	return h
 }
@@ -60,7 +60,7 @@
 		if _, left := d.left[n.Site]; left || n.Draining || n.Stale {
 			continue
 		}
-		if v := bulletin.Mix(session ^ bulletin.HashText(n.Site, "")); best == "" || v > top {
+		if v := statesync.Mix(session ^ statesync.HashText(n.Site, "")); best == "" || v > top {
 			best, top = n.Site, v
 		}
 	}
--- a/internal/menu/change_test.go
+++ b/internal/menu/change_test.go
@@ -7,8 +7,8 @@
 
 	"github.com/shoenig/test/must"
 
-	"beechtide.org/beechtide/internal/bulletin"
 	"beechtide.org/beechtide/internal/calls"
+	"beechtide.org/beechtide/internal/statesync"
 )
 
 // large is a configuration of so many tenants and routes.
@@ -31,11 +31,11 @@
 	return m
 }
 
-func changeOf(t testing.TB, s *bulletin.Entries, m calls.Menu) []byte {
+func changeOf(t testing.TB, s *statesync.Entries, m calls.Menu) []byte {
 	e, err := Entries(m)
 	must.NoError(t, err)
 	s.Replace(e)
-	c := bulletin.SendEntries(s.Commit(m.Mark))
+	c := statesync.SendEntries(s.Commit(m.Mark))
 	b, err := c.MarshalMsg(nil)
 	must.NoError(t, err)
 	return b
@@ -46,7 +46,7 @@
 	var sizes []int
 	for _, n := range []int{71, 650} {
 		m := large(n, n/5)
-		s := bulletin.NewEntries()
+		s := statesync.NewEntries()
 		s.Begin(1, 0)
 		whole := len(changeOf(t, s, m))
 		change := len(changeOf(t, s, turn(m, 2)))
--- a/internal/pantry/index.go
+++ b/internal/pantry/index.go
@@ -9,7 +9,7 @@
 	"strconv"
 	"strings"
 
-	"beechtide.org/beechtide/internal/bulletin"
+	"beechtide.org/beechtide/internal/statesync"
 	"beechtide.org/beechtide/internal/wire"
 )
 
@@ -63,9 +63,11 @@
 // Shelf is what a runner keeps by its own word, as a stream: its epoch and its
 // versions are those of the runner's events, so that whoever reads the runner
 // next goes on where the one before stopped.
-type Shelf = bulletin.Stream[uint64, int32]
+type Shelf = statesync.Stream[uint64, int32]
 
-func hashPart(k uint64, tokens int32) uint64 { return bulletin.Mix(k ^ bulletin.Mix(uint64(tokens)+1)) }
+func hashPart(k uint64, tokens int32) uint64 {
+	return statesync.Mix(k ^ statesync.Mix(uint64(tokens)+1))
+}
 
 // seen is what this node makes of its own requests until the runner's word on
 // the part comes: it has been read there, or it is coming.
@@ -89,14 +91,14 @@
 func (x *Index) Shelf(runner string) *Shelf {
 	s := x.shelves[runner]
 	if s == nil {
-		s = bulletin.New(hashPart)
+		s = statesync.New(hashPart)
 		x.shelves[runner] = s
 	}
 	return s
 }
 
 // Send is a change of a runner's shelf as it goes over the wire.
-func Send(runner string, c bulletin.Change[uint64, int32]) wire.KeptChange {
+func Send(runner string, c statesync.Change[uint64, int32]) wire.KeptChange {
 	out := wire.KeptChange{ID: runner, Epoch: c.Epoch, From: c.From, To: c.To, Whole: c.Whole, Digest: c.Digest, Parts: make([]wire.KeptPart, 0, len(c.Puts))}
 	for _, p := range c.Puts {
 		n := p.Value
@@ -109,13 +111,13 @@
 }
 
 // Hear takes a change of a runner's shelf.
-func (x *Index) Hear(c wire.KeptChange) bulletin.Result {
-	in := bulletin.Change[uint64, int32]{Epoch: c.Epoch, From: c.From, To: c.To, Whole: c.Whole, Digest: c.Digest}
+func (x *Index) Hear(c wire.KeptChange) statesync.Result {
+	in := statesync.Change[uint64, int32]{Epoch: c.Epoch, From: c.From, To: c.To, Whole: c.Whole, Digest: c.Digest}
 	for _, p := range c.Parts {
-		in.Puts = append(in.Puts, bulletin.Put[uint64, int32]{Key: p.Key, Value: p.Tokens, Gone: p.Tokens <= 0})
+		in.Puts = append(in.Puts, statesync.Put[uint64, int32]{Key: p.Key, Value: p.Tokens, Gone: p.Tokens <= 0})
 	}
 	r := x.Shelf(c.ID).Apply(in)
-	if r == bulletin.Applied {
+	if r == statesync.Applied {
 		m := x.seen[c.ID]
 		for _, p := range c.Parts {
 			delete(m, p.Key)
--- a/internal/radio/listen.go
+++ b/internal/radio/listen.go
@@ -12,8 +12,8 @@
 
 	"github.com/tinylib/msgp/msgp"
 
-	"beechtide.org/beechtide/internal/bulletin"
 	"beechtide.org/beechtide/internal/loop"
+	"beechtide.org/beechtide/internal/statesync"
 	"beechtide.org/beechtide/internal/wire"
 )
 
@@ -242,7 +242,7 @@
 // shuffled is an order of its own for every node.
 func shuffled(self string, list []string) []string {
 	sort.Slice(list, func(i, j int) bool {
-		return bulletin.HashText(self, list[i]) > bulletin.HashText(self, list[j])
+		return statesync.HashText(self, list[i]) > statesync.HashText(self, list[j])
 	})
 	return list
 }
--- a/internal/radio/relay_test.go
+++ b/internal/radio/relay_test.go
@@ -11,7 +11,7 @@
 	"github.com/panjf2000/ants/v2"
 	"github.com/shoenig/test/must"
 
-	"beechtide.org/beechtide/internal/bulletin"
+	"beechtide.org/beechtide/internal/statesync"
 	"beechtide.org/beechtide/internal/wire"
 )
 
@@ -37,7 +37,7 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	defer cancel()
 	var mu sync.Mutex
-	state := bulletin.NewEntries()
+	state := statesync.NewEntries()
 	state.Begin(1, 0)
 	asked, told, refuse := 0, make(chan wire.Told, 8), false
 	relay := NewRelay(parent, Upward{
@@ -47,7 +47,7 @@
 			asked++
 			f := wire.Feed{Versions: []int64{}}
 			if c, lacks := state.Since(h.Roster.Epoch, h.Roster.Version); lacks {
-				f.Roster = []wire.EntryChange{bulletin.SendEntries(c)}
+				f.Roster = []wire.EntryChange{statesync.SendEntries(c)}
 			}
 			return f
 		},
@@ -62,21 +62,21 @@
 	parent.Run(ctx)
 	child.Run(ctx)
 	var cmu sync.Mutex
-	replica := bulletin.NewEntries()
+	replica := statesync.NewEntries()
 	hold := func() wire.Hold {
 		cmu.Lock()
 		defer cmu.Unlock()
 		return wire.Hold{Roster: wire.StreamHold{Epoch: replica.Epoch, Version: replica.Version}}
 	}
-	arrived, again, heard := make(chan bulletin.Result, 64), make(chan bool, 8), make(chan int64, 8)
+	arrived, again, heard := make(chan statesync.Result, 64), make(chan bool, 8), make(chan int64, 8)
 	up := &Uplink{
 		Hold: hold, Parents: func() []string { return []string{parent.Addr()} },
 		Take: func(_ string, f wire.Feed, _ []byte) (want *wire.Hold) {
 			for _, c := range f.Roster {
 				cmu.Lock()
-				r := replica.Apply(bulletin.HearEntries(c))
+				r := replica.Apply(statesync.HearEntries(c))
 				cmu.Unlock()
-				if r == bulletin.Gap || r == bulletin.Mismatch {
+				if r == statesync.Gap || r == statesync.Mismatch {
 					h := hold()
 					want = &h
 				}
@@ -92,7 +92,7 @@
 		mu.Lock()
 		defer mu.Unlock()
 		state.Put(k, v)
-		return bulletin.SendEntries(state.Commit(state.Version + 1))
+		return statesync.SendEntries(state.Commit(state.Version + 1))
 	}
 	change("a", "1")
 	relay.Publish(ToCounters, wire.Feed{Versions: []int64{}, Roster: []wire.EntryChange{change("b", "1")}}) // the one before is lost
@@ -118,7 +118,7 @@
 	bad.Digest++
 	relay.Publish(ToCounters, wire.Feed{Versions: []int64{}, Roster: []wire.EntryChange{bad}})
 	for r := range arrived {
-		if r == bulletin.Mismatch {
+		if r == statesync.Mismatch {
 			break
 		}
 	}
--- a/internal/bulletin/entries.go
+++ b/internal/statesync/entries.go
@@ -1,6 +1,6 @@
 // Entries are streams of texts by key: the configuration by route, service and
 // tenant, and the runners by id.
-package bulletin
+package statesync
 
 import "beechtide.org/beechtide/internal/wire"
 
--- a/internal/bulletin/loads_test.go
+++ b/internal/statesync/loads_test.go
@@ -1,4 +1,4 @@
-package bulletin
+package statesync
 
 import (
 	"fmt"
--- a/internal/bulletin/stream.go
+++ b/internal/statesync/stream.go
@@ -1,11 +1,11 @@
-// Package bulletin is how replicated state travels between nodes: as changes,
+// Package statesync is how replicated state travels between nodes: as changes,
 // not wholes. A Stream is a keyed state with an epoch, a version and a digest.
 // A change names the version it builds on and the digest of the result. A
 // receiver takes it only onto exactly that version and only if the digest comes
 // out; else it names what it holds, and gets the changes since, merged, or the
 // whole where the epoch differs or the sender's log does not reach back so far.
 // Everything here is pure.
-package bulletin
+package statesync
 
 // Result is what became of a change.
 type Result int
