--- a/internal/counter/counter.go
+++ b/internal/counter/counter.go
@@ -20,7 +20,7 @@
 	"beechtide.org/beechtide/internal/menu"
 	"beechtide.org/beechtide/internal/radio"
 	"beechtide.org/beechtide/internal/regime"
-	"beechtide.org/beechtide/internal/roster"
+	"beechtide.org/beechtide/internal/registry"
 	"beechtide.org/beechtide/internal/statesync"
 	"beechtide.org/beechtide/internal/ticket"
 	"beechtide.org/beechtide/internal/wire"
@@ -34,7 +34,7 @@
 	radio  *radio.Radio
 	watch  *radio.Watch
 	relay  *radio.Relay
-	roster *roster.Roster
+	roster *registry.Roster
 	garage *cab.Garage
 	table  atomic.Pointer[menu.Table]
 
@@ -74,7 +74,7 @@
 	if err != nil {
 		return nil, err
 	}
-	c := &Counter{set: set, log: log, clock: clock, radio: rad, roster: roster.New(), garage: cab.NewGarage(clock), parts: map[int]wire.PartNote{}, door: doorman.New(doorman.Defaults, set.Site), budgets: map[string]*cab.Budget{}, kick: make(chan struct{}, 1), fresh: make(chan struct{}, 1), stir: make(chan struct{}, 1)}
+	c := &Counter{set: set, log: log, clock: clock, radio: rad, roster: registry.New(), garage: cab.NewGarage(clock), parts: map[int]wire.PartNote{}, door: doorman.New(doorman.Defaults, set.Site), budgets: map[string]*cab.Budget{}, kick: make(chan struct{}, 1), fresh: make(chan struct{}, 1), stir: make(chan struct{}, 1)}
 	c.menu, c.runners = statesync.NewEntries(), statesync.NewEntries()
 	c.loads.init(clock())
 	none := ""
--- a/internal/counter/evening_test.go
+++ b/internal/counter/evening_test.go
@@ -14,7 +14,7 @@
 	"beechtide.org/beechtide/internal/menu"
 	"beechtide.org/beechtide/internal/pantry"
 	"beechtide.org/beechtide/internal/regime"
-	"beechtide.org/beechtide/internal/roster"
+	"beechtide.org/beechtide/internal/registry"
 	"beechtide.org/beechtide/internal/ticket"
 	"beechtide.org/beechtide/internal/wire"
 )
@@ -41,7 +41,7 @@
 type deskNode struct {
 	name   string
 	table  *menu.Table
-	roster *roster.Roster
+	roster *registry.Roster
 	door   *doorman.Doorman
 	slab   ticket.Slab[doorman.Ruling]
 	trail  *regime.Trail
@@ -96,7 +96,7 @@
 }
 
 func (n *deskNode) start(e *evening) {
-	n.roster, n.door, n.up = roster.New(), doorman.New(doorman.Defaults, "a"), true
+	n.roster, n.door, n.up = registry.New(), doorman.New(doorman.Defaults, "a"), true
 	n.hear(e)
 }
 
--- a/internal/dispatch/dispatch.go
+++ b/internal/dispatch/dispatch.go
@@ -21,7 +21,7 @@
 	"beechtide.org/beechtide/internal/menu"
 	"beechtide.org/beechtide/internal/pantry"
 	"beechtide.org/beechtide/internal/radio"
-	"beechtide.org/beechtide/internal/roster"
+	"beechtide.org/beechtide/internal/registry"
 	"beechtide.org/beechtide/internal/wire"
 )
 
@@ -34,7 +34,7 @@
 	watch  *radio.Watch
 	relay  *radio.Relay
 	ledger *consensus.Ledger
-	roster *roster.Roster
+	roster *registry.Roster
 	garage *cab.Garage
 	table  atomic.Pointer[menu.Table]
 	seeds  atomic.Pointer[[]string]
@@ -57,7 +57,7 @@
 	if err != nil {
 		return nil, err
 	}
-	d := &Dispatch{set: set, log: log, clock: clock, radio: rad, roster: roster.New(), garage: cab.NewGarage(clock), kept: pantry.NewIndex(), readers: map[string]context.CancelFunc{}, heardUs: map[string]int64{}, startUs: clock()}
+	d := &Dispatch{set: set, log: log, clock: clock, radio: rad, roster: registry.New(), garage: cab.NewGarage(clock), kept: pantry.NewIndex(), readers: map[string]context.CancelFunc{}, heardUs: map[string]int64{}, startUs: clock()}
 	var store consensus.Store = &consensus.MemoryStore{}
 	if set.DataDir != "" {
 		if d.disk, err = consensus.NewDiskStore(filepath.Join(set.DataDir, "ledger")); err != nil {
--- a/internal/dispatch/dispatch_test.go
+++ b/internal/dispatch/dispatch_test.go
@@ -18,7 +18,7 @@
 	"github.com/shoenig/test/must"
 
 	"beechtide.org/beechtide/internal/config"
-	"beechtide.org/beechtide/internal/roster"
+	"beechtide.org/beechtide/internal/registry"
 	"beechtide.org/beechtide/internal/wire"
 )
 
@@ -160,7 +160,7 @@
 	id := d.ledger.ID()
 	stop()
 
-	fresh := &Dispatch{disk: d.disk, roster: roster.New(), clock: d.clock, log: logr.Discard()}
+	fresh := &Dispatch{disk: d.disk, roster: registry.New(), clock: d.clock, log: logr.Discard()}
 	fresh.feed.init(1)
 	fresh.recallRunners()
 	fresh.syncRunners()
--- a/internal/roster/roster.go
+++ b/internal/registry/registry.go
@@ -1,8 +1,8 @@
-// Package roster knows the runners. A Roster merges what is told about them,
+// Package registry knows the runners. A Roster merges what is told about them,
 // by id and rising sequence, in whatever order it comes: nothing here has to be
 // agreed on, and what is lost is told again by the runners within a beat.
 // Readers take an immutable snapshot.
-package roster
+package registry
 
 import (
 	"hash/fnv"
--- a/internal/roster/roster_test.go
+++ b/internal/registry/registry_test.go
@@ -1,4 +1,4 @@
-package roster
+package registry
 
 import (
 	"math/rand/v2"
