--- a/cmd/beechtide/audit.go
+++ b/cmd/beechtide/audit.go
@@ -8,8 +8,8 @@
 	"strings"
 
 	"beechtide.org/beechtide/internal/calls"
-	"beechtide.org/beechtide/internal/menu"
 	"beechtide.org/beechtide/internal/regime"
+	"beechtide.org/beechtide/internal/routeconfig"
 )
 
 type files []string
@@ -43,7 +43,7 @@
 		raw, err := os.ReadFile(path)
 		if err == nil {
 			var m calls.Menu
-			if m, err = menu.Parse(raw); err == nil {
+			if m, err = routeconfig.Parse(raw); err == nil {
 				menus = append(menus, m)
 				continue
 			}
--- a/cmd/beechtide/main.go
+++ b/cmd/beechtide/main.go
@@ -22,7 +22,7 @@
 	"beechtide.org/beechtide/internal/counter"
 	"beechtide.org/beechtide/internal/dispatch"
 	"beechtide.org/beechtide/internal/logbook"
-	"beechtide.org/beechtide/internal/menu"
+	"beechtide.org/beechtide/internal/routeconfig"
 )
 
 const usage = `usage: beechtide ROLE|COMMAND [flags]
@@ -172,7 +172,7 @@
 	}
 	raw, err := os.ReadFile(fs.Arg(0))
 	if err == nil {
-		_, err = menu.Parse(raw)
+		_, err = routeconfig.Parse(raw)
 	}
 	if err != nil {
 		fmt.Fprintf(os.Stderr, "beechtide check: %v\n", err)
--- a/internal/counter/counter.go
+++ b/internal/counter/counter.go
@@ -17,10 +17,10 @@
 	"beechtide.org/beechtide/internal/config"
 	"beechtide.org/beechtide/internal/doorman"
 	"beechtide.org/beechtide/internal/loop"
-	"beechtide.org/beechtide/internal/menu"
 	"beechtide.org/beechtide/internal/radio"
 	"beechtide.org/beechtide/internal/regime"
 	"beechtide.org/beechtide/internal/registry"
+	"beechtide.org/beechtide/internal/routeconfig"
 	"beechtide.org/beechtide/internal/statesync"
 	"beechtide.org/beechtide/internal/ticket"
 	"beechtide.org/beechtide/internal/wire"
@@ -36,12 +36,12 @@
 	relay  *radio.Relay
 	roster *registry.Roster
 	garage *cab.Garage
-	table  atomic.Pointer[menu.Table]
+	table  atomic.Pointer[routeconfig.Table]
 
 	nmu      sync.Mutex
 	parts    map[int]wire.PartNote
 	menu     *statesync.Entries
-	assembly menu.Assembly
+	assembly routeconfig.Assembly
 	runners  *statesync.Entries // as the parent has them
 	news     stats
 
@@ -176,7 +176,7 @@
 }
 
 // certified works out which runners and stores each regime lets in.
-func certified(t *menu.Table, notes []wire.RunnerNote) map[string]map[string]bool {
+func certified(t *routeconfig.Table, notes []wire.RunnerNote) map[string]map[string]bool {
 	if t == nil || t.Policies.None() {
 		return nil
 	}
@@ -203,7 +203,7 @@
 
 // storesFor lists the stores that the runners of a service may use: all there
 // are, where moving memory is possible at all.
-func storesFor(t *menu.Table, service string) []doorman.Store {
+func storesFor(t *routeconfig.Table, service string) []doorman.Store {
 	if t == nil {
 		return nil
 	}
--- a/internal/counter/counter_test.go
+++ b/internal/counter/counter_test.go
@@ -23,8 +23,8 @@
 	"beechtide.org/beechtide/internal/calls"
 	"beechtide.org/beechtide/internal/config"
 	"beechtide.org/beechtide/internal/doorman"
-	"beechtide.org/beechtide/internal/menu"
 	"beechtide.org/beechtide/internal/regime"
+	"beechtide.org/beechtide/internal/routeconfig"
 	"beechtide.org/beechtide/internal/statesync"
 	"beechtide.org/beechtide/internal/wire"
 )
@@ -178,9 +178,9 @@
 
 func wholeMenu(t *testing.T, text string, version int64) wire.EntryChange {
 	t.Helper()
-	m, err := menu.Parse([]byte(text))
+	m, err := routeconfig.Parse([]byte(text))
 	must.NoError(t, err)
-	entries, err := menu.Entries(m)
+	entries, err := routeconfig.Entries(m)
 	must.NoError(t, err)
 	s := statesync.NewEntries()
 	s.Begin(1, 0)
@@ -491,7 +491,7 @@
 	must.NoError(t, err)
 	var menus []calls.Menu
 	for v, who := range map[int]string{4: `"r1"`, 5: `"r0"`, 6: `"r9"`} {
-		m, err := menu.Parse([]byte(regulated(v, who)))
+		m, err := routeconfig.Parse([]byte(regulated(v, who)))
 		must.NoError(t, err)
 		menus = append(menus, m)
 	}
@@ -530,15 +530,15 @@
 func TestBadChangesOfTheConfigurationAreRepairedByAWhole(t *testing.T) {
 	c, _, _ := start(t, newRunner(t))
 	s := statesync.NewEntries()
-	m, err := menu.Parse([]byte(menuText))
+	m, err := routeconfig.Parse([]byte(menuText))
 	must.NoError(t, err)
-	entries, err := menu.Entries(m)
+	entries, err := routeconfig.Entries(m)
 	must.NoError(t, err)
 	s.Begin(1, 0)
 	s.Replace(entries)
 	s.Commit(1)
 	m.Mark, m.Tenants[0].Keys = 4, []string{"k9"}
-	entries, err = menu.Entries(m)
+	entries, err = routeconfig.Entries(m)
 	must.NoError(t, err)
 	s.Replace(entries)
 	good := statesync.SendEntries(s.Commit(2))
--- a/internal/counter/evening_test.go
+++ b/internal/counter/evening_test.go
@@ -11,10 +11,10 @@
 
 	"beechtide.org/beechtide/internal/calls"
 	"beechtide.org/beechtide/internal/doorman"
-	"beechtide.org/beechtide/internal/menu"
 	"beechtide.org/beechtide/internal/pantry"
 	"beechtide.org/beechtide/internal/regime"
 	"beechtide.org/beechtide/internal/registry"
+	"beechtide.org/beechtide/internal/routeconfig"
 	"beechtide.org/beechtide/internal/ticket"
 	"beechtide.org/beechtide/internal/wire"
 )
@@ -40,7 +40,7 @@
 
 type deskNode struct {
 	name   string
-	table  *menu.Table
+	table  *routeconfig.Table
 	roster *registry.Roster
 	door   *doorman.Doorman
 	slab   ticket.Slab[doorman.Ruling]
@@ -86,7 +86,7 @@
 }
 
 func (n *deskNode) hear(e *evening) {
-	n.table = menu.Compile(e.menus[len(e.menus)-1])
+	n.table = routeconfig.Compile(e.menus[len(e.menus)-1])
 	for _, r := range e.runners {
 		n.roster.Merge(r, e.nowUs)
 	}
--- a/internal/counter/feed.go
+++ b/internal/counter/feed.go
@@ -6,8 +6,8 @@
 import (
 	"sync/atomic"
 
-	"beechtide.org/beechtide/internal/menu"
 	"beechtide.org/beechtide/internal/radio"
+	"beechtide.org/beechtide/internal/routeconfig"
 	"beechtide.org/beechtide/internal/statesync"
 	"beechtide.org/beechtide/internal/wire"
 )
@@ -221,7 +221,7 @@
 	if len(entries) == 0 {
 		return r, false
 	}
-	t := menu.Compile(c.assembly.Menu())
+	t := routeconfig.Compile(c.assembly.Menu())
 	c.table.Store(t)
 	c.log.Info("configuration in place", "version", t.Mark, "entries", len(entries), "whole", ch.Whole)
 	return r, true
--- a/internal/counter/front.go
+++ b/internal/counter/front.go
@@ -16,9 +16,9 @@
 	"beechtide.org/beechtide/internal/calls"
 	"beechtide.org/beechtide/internal/dispatch"
 	"beechtide.org/beechtide/internal/doorman"
-	"beechtide.org/beechtide/internal/menu"
 	"beechtide.org/beechtide/internal/pantry"
 	"beechtide.org/beechtide/internal/regime"
+	"beechtide.org/beechtide/internal/routeconfig"
 	"beechtide.org/beechtide/internal/wire"
 )
 
@@ -79,7 +79,7 @@
 type visit struct {
 	c       *Counter
 	rc      *app.RequestContext
-	route   *menu.Route
+	route   *routeconfig.Route
 	tenant  *calls.Tenant
 	service string
 	id      string
@@ -157,7 +157,7 @@
 }
 
 // find looks up the route and the tenant; it returns the status of a denial, or 0.
-func (v *visit) find(t *menu.Table, path string) int {
+func (v *visit) find(t *routeconfig.Table, path string) int {
 	if v.route = t.Match(string(v.rc.Request.Header.Host()), path); v.route == nil {
 		return 404
 	}
--- a/internal/dispatch/control.go
+++ b/internal/dispatch/control.go
@@ -16,8 +16,8 @@
 
 	"beechtide.org/beechtide/internal/calls"
 	"beechtide.org/beechtide/internal/consensus"
-	"beechtide.org/beechtide/internal/menu"
 	"beechtide.org/beechtide/internal/radio"
+	"beechtide.org/beechtide/internal/routeconfig"
 	"beechtide.org/beechtide/internal/statesync"
 	"beechtide.org/beechtide/internal/wire"
 )
@@ -123,7 +123,7 @@
 
 func (d *Dispatch) replace(ctx context.Context, c *app.RequestContext) {
 	raw := append([]byte{}, c.Request.Body()...)
-	m, err := menu.Parse(raw)
+	m, err := routeconfig.Parse(raw)
 	if err != nil {
 		invalid(c, err)
 		return
@@ -140,18 +140,18 @@
 		if err != nil {
 			return nil, nil, err
 		}
-		next, err := menu.Replace(body, raw, m.Mark, base)
+		next, err := routeconfig.Replace(body, raw, m.Mark, base)
 		if err != nil {
 			return nil, nil, err
 		}
 		b, err := next.MarshalMsg(nil)
 		return nil, b, err
 	})
-	var bad *menu.Invalid
+	var bad *routeconfig.Invalid
 	switch {
-	case err == nil, errors.Is(err, menu.ErrTakenBefore):
+	case err == nil, errors.Is(err, routeconfig.ErrTakenBefore):
 		c.JSON(200, map[string]int64{"version": m.Mark})
-	case errors.Is(err, menu.ErrOvertaken):
+	case errors.Is(err, routeconfig.ErrOvertaken):
 		deny(c, 412, "Beechtide-Base-Version", "another version is in place")
 	case errors.As(err, &bad):
 		invalid(c, err)
@@ -162,7 +162,7 @@
 }
 
 func invalid(c *app.RequestContext, err error) {
-	var bad *menu.Invalid
+	var bad *routeconfig.Invalid
 	if errors.As(err, &bad) {
 		deny(c, 400, bad.Field, bad.Reason)
 		return
--- a/internal/dispatch/dispatch.go
+++ b/internal/dispatch/dispatch.go
@@ -18,10 +18,10 @@
 	"beechtide.org/beechtide/internal/config"
 	"beechtide.org/beechtide/internal/consensus"
 	"beechtide.org/beechtide/internal/loop"
-	"beechtide.org/beechtide/internal/menu"
 	"beechtide.org/beechtide/internal/pantry"
 	"beechtide.org/beechtide/internal/radio"
 	"beechtide.org/beechtide/internal/registry"
+	"beechtide.org/beechtide/internal/routeconfig"
 	"beechtide.org/beechtide/internal/wire"
 )
 
@@ -36,7 +36,7 @@
 	ledger *consensus.Ledger
 	roster *registry.Roster
 	garage *cab.Garage
-	table  atomic.Pointer[menu.Table]
+	table  atomic.Pointer[routeconfig.Table]
 	seeds  atomic.Pointer[[]string]
 
 	feed    feed
@@ -182,8 +182,8 @@
 	if p == consensus.MenuPart {
 		var body wire.MenuBody
 		if _, err := body.UnmarshalMsg(v.Body); err == nil && body.Mark > 0 {
-			if m, err := menu.Parse(body.Raw); err == nil {
-				t := menu.Compile(m)
+			if m, err := routeconfig.Parse(body.Raw); err == nil {
+				t := routeconfig.Compile(m)
 				if cur := d.table.Load(); cur == nil || cur.Mark < t.Mark {
 					d.table.Store(t)
 				}
--- a/internal/dispatch/feed.go
+++ b/internal/dispatch/feed.go
@@ -13,9 +13,9 @@
 	"beechtide.org/beechtide/internal/calls"
 	"beechtide.org/beechtide/internal/consensus"
 	"beechtide.org/beechtide/internal/loop"
-	"beechtide.org/beechtide/internal/menu"
 	"beechtide.org/beechtide/internal/pantry"
 	"beechtide.org/beechtide/internal/radio"
+	"beechtide.org/beechtide/internal/routeconfig"
 	"beechtide.org/beechtide/internal/statesync"
 	"beechtide.org/beechtide/internal/wire"
 )
@@ -164,7 +164,7 @@
 // tellMenu sends what differs in a newly committed configuration. A version of
 // the register that only changes its group has no entries.
 func (d *Dispatch) tellMenu(version int64, m calls.Menu) {
-	entries, err := menu.Entries(m)
+	entries, err := routeconfig.Entries(m)
 	if err != nil {
 		d.log.Error(err, "a committed configuration cannot be cut")
 		return
--- a/internal/menu/check.go
+++ b/internal/routeconfig/check.go
@@ -1,8 +1,8 @@
-// Package menu is the operator's configuration: read, checked and compiled to
+// Package routeconfig is the operator's configuration: read, checked and compiled to
 // a table that the request path uses without locks. This file reads and checks;
 // struct tags say what a field must be, and what concerns several fields at
 // once is checked by hand.
-package menu
+package routeconfig
 
 import (
 	"encoding/json"
@@ -21,7 +21,7 @@
 	Reason string
 }
 
-func (i *Invalid) Error() string { return fmt.Sprintf("menu: field %s: %s", i.Field, i.Reason) }
+func (i *Invalid) Error() string { return fmt.Sprintf("routeconfig: field %s: %s", i.Field, i.Reason) }
 
 var tags = validator.New(validator.WithRequiredStructEnabled())
 
--- a/internal/menu/entries.go
+++ b/internal/routeconfig/entries.go
@@ -2,7 +2,7 @@
 // which is how it travels between nodes: a change carries only what differs.
 // An Assembly puts a configuration together again, reading only the entries
 // that changed.
-package menu
+package routeconfig
 
 import (
 	"encoding/json"
@@ -16,7 +16,7 @@
 )
 
 // ErrEntry means that an entry cannot be read.
-var ErrEntry = errors.New("menu: entry")
+var ErrEntry = errors.New("routeconfig: entry")
 
 // Kinds of entries. The number after the name tells entries of one name apart.
 const (
--- a/internal/menu/entries_test.go
+++ b/internal/routeconfig/entries_test.go
@@ -1,4 +1,4 @@
-package menu
+package routeconfig
 
 import (
 	"encoding/json"
--- a/internal/menu/replace.go
+++ b/internal/routeconfig/replace.go
@@ -1,7 +1,7 @@
 // Replace decides what becomes of a configuration that the operator sends on
 // top of a version: taken, taken before, overtaken or invalid. It is pure; the
 // ledger calls it inside a round, so its answer holds for the committed state.
-package menu
+package routeconfig
 
 import (
 	"bytes"
@@ -14,8 +14,8 @@
 
 // What Replace may answer besides an Invalid.
 var (
-	ErrTakenBefore = errors.New("menu: taken before")
-	ErrOvertaken   = errors.New("menu: another version is in place")
+	ErrTakenBefore = errors.New("routeconfig: taken before")
+	ErrOvertaken   = errors.New("routeconfig: another version is in place")
 )
 
 // keepTaken bounds how many accepted versions are remembered for repeats.
