--- a/cmd/beechtide/doctor.go
+++ b/cmd/beechtide/doctor.go
@@ -13,16 +13,16 @@
 	"github.com/go-logr/logr"
 	"github.com/panjf2000/ants/v2"
 
-	"beechtide.org/beechtide/internal/config"
 	"beechtide.org/beechtide/internal/doctor"
 	"beechtide.org/beechtide/internal/radio"
+	"beechtide.org/beechtide/internal/settings"
 )
 
 // examine ends with 0 where nothing is found, 1 on warnings, 3 on faults and 2
 // on wrong use.
 func examine(args []string) int {
 	fs := flag.NewFlagSet("beechtide doctor", flag.ContinueOnError)
-	path := fs.String("config", config.Path(), "path of the settings file")
+	path := fs.String("config", settings.Path(), "path of the settings file")
 	asJSON := fs.Bool("json", false, "print the findings as JSON")
 	rings := fs.Bool("rings", false, "print the log rings of the nodes as well")
 	from := fs.String("from", "", "address to ask from; empty: any free port of the settings' ip")
@@ -37,7 +37,7 @@
 		fmt.Fprintln(os.Stderr, "beechtide doctor: takes no arguments; see -h")
 		return 2
 	}
-	set, err := config.Load(*path)
+	set, err := settings.Load(*path)
 	if err != nil {
 		return report([]doctor.Finding{{Severity: doctor.Fault, About: *path, What: err.Error(), Do: "mend the settings file"}}, *asJSON)
 	}
--- a/cmd/beechtide/main.go
+++ b/cmd/beechtide/main.go
@@ -18,11 +18,11 @@
 	"github.com/go-logr/logr"
 	"github.com/panjf2000/ants/v2"
 
-	"beechtide.org/beechtide/internal/config"
 	"beechtide.org/beechtide/internal/counter"
 	"beechtide.org/beechtide/internal/dispatch"
 	"beechtide.org/beechtide/internal/logbook"
 	"beechtide.org/beechtide/internal/routeconfig"
+	"beechtide.org/beechtide/internal/settings"
 )
 
 const usage = `usage: beechtide ROLE|COMMAND [flags]
@@ -82,13 +82,13 @@
 
 type role interface {
 	Run(ctx context.Context) error
-	Reload(set config.Settings)
+	Reload(set settings.Settings)
 	OnRing(show func() ([]byte, error))
 }
 
 func serve(name string, args []string) int {
 	fs := flag.NewFlagSet("beechtide "+name, flag.ContinueOnError)
-	path := fs.String("config", config.Path(), "path of the settings file")
+	path := fs.String("config", settings.Path(), "path of the settings file")
 	fs.Usage = func() {
 		fmt.Fprintf(fs.Output(), "usage: beechtide %s [flags]\n\nRuns the role until SIGTERM. SIGHUP reads the settings again, SIGQUIT writes the log out.\n", name)
 		fs.PrintDefaults()
@@ -97,7 +97,7 @@
 	if status := parse(fs, args); status >= 0 {
 		return status
 	}
-	set, err := config.Load(*path)
+	set, err := settings.Load(*path)
 	if err != nil {
 		fmt.Fprintf(os.Stderr, "beechtide %s: %v\n", name, err)
 		return 1
@@ -144,7 +144,7 @@
 				ring.Dump(os.Stderr)
 				continue
 			}
-			changed, err := config.Load(*path)
+			changed, err := settings.Load(*path)
 			if err != nil {
 				log.Error(err, "changed settings do not check; the old ones stay")
 				continue
--- a/internal/counter/counter.go
+++ b/internal/counter/counter.go
@@ -14,13 +14,13 @@
 	"github.com/panjf2000/ants/v2"
 
 	"beechtide.org/beechtide/internal/cab"
-	"beechtide.org/beechtide/internal/config"
 	"beechtide.org/beechtide/internal/doorman"
 	"beechtide.org/beechtide/internal/loop"
 	"beechtide.org/beechtide/internal/radio"
 	"beechtide.org/beechtide/internal/regime"
 	"beechtide.org/beechtide/internal/registry"
 	"beechtide.org/beechtide/internal/routeconfig"
+	"beechtide.org/beechtide/internal/settings"
 	"beechtide.org/beechtide/internal/statesync"
 	"beechtide.org/beechtide/internal/ticket"
 	"beechtide.org/beechtide/internal/wire"
@@ -28,7 +28,7 @@
 
 // Counter is the running role.
 type Counter struct {
-	set    config.Settings
+	set    settings.Settings
 	log    logr.Logger
 	clock  func() int64
 	radio  *radio.Radio
@@ -69,7 +69,7 @@
 }
 
 // New builds the role.
-func New(set config.Settings, pool *ants.Pool, clock func() int64, log logr.Logger) (*Counter, error) {
+func New(set settings.Settings, pool *ants.Pool, clock func() int64, log logr.Logger) (*Counter, error) {
 	rad, err := radio.New(set.CounterAddr(), pool, log)
 	if err != nil {
 		return nil, err
@@ -135,7 +135,7 @@
 
 // Reload takes what may change in a running process from newly read settings:
 // the seeds.
-func (c *Counter) Reload(set config.Settings) { c.seeds.Store(&set.Seeds) }
+func (c *Counter) Reload(set settings.Settings) { c.seeds.Store(&set.Seeds) }
 
 func (c *Counter) seedAddrs() []string {
 	set := c.set
--- a/internal/counter/counter_test.go
+++ b/internal/counter/counter_test.go
@@ -21,10 +21,10 @@
 	"github.com/shoenig/test/must"
 
 	"beechtide.org/beechtide/internal/calls"
-	"beechtide.org/beechtide/internal/config"
 	"beechtide.org/beechtide/internal/doorman"
 	"beechtide.org/beechtide/internal/regime"
 	"beechtide.org/beechtide/internal/routeconfig"
+	"beechtide.org/beechtide/internal/settings"
 	"beechtide.org/beechtide/internal/statesync"
 	"beechtide.org/beechtide/internal/wire"
 )
@@ -147,9 +147,9 @@
 	t.Helper()
 	p := ports(t, 3)
 	addr := func(i int) string { return fmt.Sprintf("127.0.0.1:%d", p[i]) }
-	set := config.Settings{Node: "n", Ip: "127.0.0.1", Site: "a", Ports: []int{p[0], p[0] + 1}, Seeds: []string{"127.0.0.1:1"}}
+	set := settings.Settings{Node: "n", Ip: "127.0.0.1", Site: "a", Ports: []int{p[0], p[0] + 1}, Seeds: []string{"127.0.0.1:1"}}
 	set.Listen.Front, set.Listen.Ready = addr(1), addr(2)
-	set.Bounds = config.Bounds{GraceS: 1, MarkMs: 8000, ShotRatio: 0.2, ShotSlack: 100, ShotWindowS: 10}
+	set.Bounds = settings.Bounds{GraceS: 1, MarkMs: 8000, ShotRatio: 0.2, ShotSlack: 100, ShotWindowS: 10}
 	pool, err := ants.NewPool(64, ants.WithNonblocking(true))
 	must.NoError(t, err)
 	began := time.Now()
--- a/internal/dispatch/dispatch.go
+++ b/internal/dispatch/dispatch.go
@@ -15,19 +15,19 @@
 	"github.com/panjf2000/ants/v2"
 
 	"beechtide.org/beechtide/internal/cab"
-	"beechtide.org/beechtide/internal/config"
 	"beechtide.org/beechtide/internal/consensus"
 	"beechtide.org/beechtide/internal/loop"
 	"beechtide.org/beechtide/internal/pantry"
 	"beechtide.org/beechtide/internal/radio"
 	"beechtide.org/beechtide/internal/registry"
 	"beechtide.org/beechtide/internal/routeconfig"
+	"beechtide.org/beechtide/internal/settings"
 	"beechtide.org/beechtide/internal/wire"
 )
 
 // Dispatch is the running role.
 type Dispatch struct {
-	set    config.Settings
+	set    settings.Settings
 	log    logr.Logger
 	clock  func() int64
 	radio  *radio.Radio
@@ -52,7 +52,7 @@
 }
 
 // New builds the role.
-func New(set config.Settings, pool *ants.Pool, clock func() int64, log logr.Logger) (*Dispatch, error) {
+func New(set settings.Settings, pool *ants.Pool, clock func() int64, log logr.Logger) (*Dispatch, error) {
 	rad, err := radio.New(set.DispatchAddr(), pool, log)
 	if err != nil {
 		return nil, err
@@ -118,7 +118,7 @@
 
 // Reload takes what may change in a running process from newly read settings:
 // the seeds.
-func (d *Dispatch) Reload(set config.Settings) { d.seeds.Store(&set.Seeds) }
+func (d *Dispatch) Reload(set settings.Settings) { d.seeds.Store(&set.Seeds) }
 
 // Run serves until ctx ends.
 func (d *Dispatch) Run(ctx context.Context) error {
--- a/internal/dispatch/dispatch_test.go
+++ b/internal/dispatch/dispatch_test.go
@@ -17,8 +17,8 @@
 	"github.com/panjf2000/ants/v2"
 	"github.com/shoenig/test/must"
 
-	"beechtide.org/beechtide/internal/config"
 	"beechtide.org/beechtide/internal/registry"
+	"beechtide.org/beechtide/internal/settings"
 	"beechtide.org/beechtide/internal/wire"
 )
 
@@ -31,7 +31,7 @@
 func core(t *testing.T, dir string, port int, bootstrap bool) (*Dispatch, string, func()) {
 	t.Helper()
 	control := fmt.Sprintf("127.0.0.1:%d", port+2)
-	set := config.Settings{Node: "n", Ip: "127.0.0.1", Site: "a", Ports: []int{port, port + 1}, Seeds: []string{control}, Bootstrap: bootstrap, DataDir: dir, BeatPeriodMs: 1000}
+	set := settings.Settings{Node: "n", Ip: "127.0.0.1", Site: "a", Ports: []int{port, port + 1}, Seeds: []string{control}, Bootstrap: bootstrap, DataDir: dir, BeatPeriodMs: 1000}
 	set.Listen.Control = control
 	set.Bounds.ClaimMs = 3000
 	pool, err := ants.NewPool(64, ants.WithNonblocking(true))
--- a/internal/config/load.go
+++ b/internal/settings/load.go
@@ -1,7 +1,7 @@
-// Package config reads the settings file of a process and checks it. The type
+// Package settings reads the settings file of a process and checks it. The type
 // Settings is generated from api/config.yaml; this file adds reading, checks
 // and the few values that follow from the settings, such as inner addresses.
-package config
+package settings
 
 import (
 	"encoding/json"
--- a/internal/config/load_test.go
+++ b/internal/settings/load_test.go
@@ -1,4 +1,4 @@
-package config
+package settings
 
 import (
 	"strings"
