--- a/internal/dispatch/refits.go
+++ b/internal/dispatch/refits.go
@@ -14,14 +14,14 @@
 	"beechtide.org/beechtide/internal/consensus"
 	"beechtide.org/beechtide/internal/lease"
 	"beechtide.org/beechtide/internal/loop"
-	"beechtide.org/beechtide/internal/refit"
+	"beechtide.org/beechtide/internal/rollout"
 	"beechtide.org/beechtide/internal/wire"
 )
 
 type refits struct {
 	mu     sync.Mutex
 	shifts map[int]*lease.Shift
-	plans  map[string]*refit.Plan
+	plans  map[string]*rollout.Plan
 	busy   map[int]bool
 	polls  map[string]bool
 	won    map[int]int64
@@ -36,7 +36,7 @@
 
 func (r *refits) init() {
 	if r.shifts == nil {
-		r.shifts, r.plans, r.busy = map[int]*lease.Shift{}, map[string]*refit.Plan{}, map[int]bool{}
+		r.shifts, r.plans, r.busy = map[int]*lease.Shift{}, map[string]*rollout.Plan{}, map[int]bool{}
 		r.polls, r.won, r.moved = map[string]bool{}, map[int]int64{}, map[int]moved{}
 	}
 }
@@ -141,7 +141,7 @@
 		}
 		s.Confirmed(now.Claim.Fence, askedUs)
 	}
-	if s.ReadyInUs(d.clock()) > refit.EaseUs+refit.SettleUs {
+	if s.ReadyInUs(d.clock()) > rollout.EaseUs+rollout.SettleUs {
 		return
 	}
 	for _, t := range body.Targets {
@@ -234,7 +234,7 @@
 	r.mu.Lock()
 	plan := r.plans[t.Model]
 	if plan == nil || plan.Mark != t.Mark {
-		plan = refit.NewPlan(t.Mark)
+		plan = rollout.NewPlan(t.Mark)
 		r.plans[t.Model] = plan
 	}
 	r.mu.Unlock()
@@ -249,22 +249,22 @@
 	ease, bar, order := plan.Next(now)
 	for _, id := range ease {
 		d.bar(id, true, false, s.Fence())
-		plan.Move(id, refit.Easing, now)
+		plan.Move(id, rollout.Easing, now)
 	}
 	for _, id := range bar {
 		d.bar(id, false, true, s.Fence())
-		plan.Move(id, refit.Barred, now)
+		plan.Move(id, rollout.Barred, now)
 	}
 	for _, id := range order {
 		n, ok := d.roster.Snapshot().ByID[id]
 		if !ok || !s.MayAct(d.clock()) {
 			continue
 		}
-		plan.Move(id, refit.Ordered, d.clock())
+		plan.Move(id, rollout.Ordered, d.clock())
 		d.order(ctx, n, t, s.Fence())
 	}
 	for id, j := range plan.Jobs {
-		if j.Stage == refit.Ordered {
+		if j.Stage == rollout.Ordered {
 			d.pollWeights(ctx, id, t)
 		}
 	}
--- a/internal/refit/plan.go
+++ b/internal/rollout/plan.go
@@ -1,9 +1,9 @@
-// Package refit plans how runners come to the weights that were named: a few
+// Package rollout plans how runners come to the weights that were named: a few
 // at a time. Each is first eased: no long request goes there any more, so that
 // its runs end soon. Then it is taken from the candidates, given the time to
 // begin what it was sent, ordered, and watched until it holds the new weights.
 // Plan is pure; the dispatch that holds the duty carries it out.
-package refit
+package rollout
 
 import "sort"
 
--- a/internal/refit/plan_test.go
+++ b/internal/rollout/plan_test.go
@@ -1,4 +1,4 @@
-package refit
+package rollout
 
 import (
 	"fmt"
