--- a/internal/counter/counter.go
+++ b/internal/counter/counter.go
@@ -13,7 +13,6 @@
 	"github.com/go-logr/logr"
 	"github.com/panjf2000/ants/v2"
 
-	"beechtide.org/beechtide/internal/cab"
 	"beechtide.org/beechtide/internal/doorman"
 	"beechtide.org/beechtide/internal/loop"
 	"beechtide.org/beechtide/internal/radio"
@@ -23,6 +22,7 @@
 	"beechtide.org/beechtide/internal/settings"
 	"beechtide.org/beechtide/internal/statesync"
 	"beechtide.org/beechtide/internal/ticket"
+	"beechtide.org/beechtide/internal/upstream"
 	"beechtide.org/beechtide/internal/wire"
 )
 
@@ -35,7 +35,7 @@
 	watch  *radio.Watch
 	relay  *radio.Relay
 	roster *registry.Roster
-	garage *cab.Garage
+	garage *upstream.Garage
 	table  atomic.Pointer[routeconfig.Table]
 
 	nmu      sync.Mutex
@@ -51,7 +51,7 @@
 
 	dmu     sync.Mutex
 	door    *doorman.Doorman
-	budgets map[string]*cab.Budget
+	budgets map[string]*upstream.Budget
 	slab    ticket.Slab[doorman.Ruling]
 	kick    chan struct{}
 	fresh   chan struct{} // shared parts have been sent to be read
@@ -74,7 +74,7 @@
 	if err != nil {
 		return nil, err
 	}
-	c := &Counter{set: set, log: log, clock: clock, radio: rad, roster: registry.New(), garage: cab.NewGarage(clock), parts: map[int]wire.PartNote{}, door: doorman.New(doorman.Defaults, set.Site), budgets: map[string]*cab.Budget{}, kick: make(chan struct{}, 1), fresh: make(chan struct{}, 1), stir: make(chan struct{}, 1)}
+	c := &Counter{set: set, log: log, clock: clock, radio: rad, roster: registry.New(), garage: upstream.NewGarage(clock), parts: map[int]wire.PartNote{}, door: doorman.New(doorman.Defaults, set.Site), budgets: map[string]*upstream.Budget{}, kick: make(chan struct{}, 1), fresh: make(chan struct{}, 1), stir: make(chan struct{}, 1)}
 	c.menu, c.runners = statesync.NewEntries(), statesync.NewEntries()
 	c.loads.init(clock())
 	none := ""
--- a/internal/counter/move.go
+++ b/internal/counter/move.go
@@ -7,14 +7,14 @@
 package counter
 
 import (
-	"beechtide.org/beechtide/internal/cab"
 	"beechtide.org/beechtide/internal/doorman"
+	"beechtide.org/beechtide/internal/upstream"
 )
 
 // nextShot is a place and a link that wait for a stream which is on the move.
 type nextShot struct {
 	adm  *doorman.Admission
-	link *cab.Link
+	link *upstream.Link
 }
 
 // moves tells whether the stream leaves its runner now; then the next shot is
--- a/internal/counter/shots.go
+++ b/internal/counter/shots.go
@@ -16,10 +16,10 @@
 	"github.com/cloudwego/hertz/pkg/protocol/http1/resp"
 	"github.com/pkg/errors"
 
-	"beechtide.org/beechtide/internal/cab"
 	"beechtide.org/beechtide/internal/calls"
 	"beechtide.org/beechtide/internal/doorman"
 	"beechtide.org/beechtide/internal/regime"
+	"beechtide.org/beechtide/internal/upstream"
 )
 
 // ending is how a shot went.
@@ -124,11 +124,11 @@
 	}
 }
 
-func (c *Counter) budget(service string) *cab.Budget {
+func (c *Counter) budget(service string) *upstream.Budget {
 	b := c.budgets[service]
 	if b == nil {
 		s := c.set.Bounds
-		b = &cab.Budget{Ratio: s.ShotRatio, Slack: s.ShotSlack, WindowUs: int64(s.ShotWindowS * 1e6)}
+		b = &upstream.Budget{Ratio: s.ShotRatio, Slack: s.ShotSlack, WindowUs: int64(s.ShotWindowS * 1e6)}
 		c.budgets[service] = b
 	}
 	return b
@@ -167,7 +167,7 @@
 // where another runner takes the stream up.
 type answerStream struct {
 	out      network.ExtWriter
-	events   cab.Events
+	events   upstream.Events
 	started  bool
 	finished bool
 	cutting  bool // the answer is a series of events
@@ -176,7 +176,7 @@
 func (v *visit) shoot(adm *doorman.Admission, stream *answerStream) (ending, *answerStream) {
 	c := v.c
 	v.shots++
-	var link *cab.Link
+	var link *upstream.Link
 	var err error
 	if v.next != nil {
 		link, v.next = v.next.link, nil
@@ -206,11 +206,11 @@
 	r := protocol.AcquireResponse()
 	defer protocol.ReleaseResponse(r)
 	if err := v.readHead(link, r, deadline); err != nil {
-		if !errors.Is(err, cab.ErrLate) {
+		if !errors.Is(err, upstream.ErrLate) {
 			c.ended(adm, link, false, false)
 		}
 		link.Close()
-		c.done(adm, errors.Is(err, cab.ErrLate))
+		c.done(adm, errors.Is(err, upstream.ErrLate))
 		return unknown, stream
 	}
 	status := r.StatusCode()
@@ -257,7 +257,7 @@
 
 // readHead reads the head that answers this request; a surplus answer to an
 // earlier one may stand before it and is passed over.
-func (v *visit) readHead(link *cab.Link, r *protocol.Response, deadline time.Time) error {
+func (v *visit) readHead(link *upstream.Link, r *protocol.Response, deadline time.Time) error {
 	for range 3 {
 		r.Reset()
 		if err := link.Head(r, deadline); err != nil {
@@ -267,13 +267,13 @@
 			return nil
 		}
 		if _, err := io.Copy(io.Discard, r.BodyStream()); err != nil {
-			return errors.Wrap(cab.ErrForeign, err.Error())
+			return errors.Wrap(upstream.ErrForeign, err.Error())
 		}
 	}
-	return cab.ErrForeign
+	return upstream.ErrForeign
 }
 
-func (v *visit) link(addr string) (*cab.Link, error) {
+func (v *visit) link(addr string) (*upstream.Link, error) {
 	ctx, cancel := context.WithTimeout(context.Background(), time.Duration(max(v.endUs-v.c.clock(), 1000))*time.Microsecond)
 	defer cancel()
 	return v.c.garage.GetFor(ctx, addr, v.service, v.route.Repeatable())
@@ -281,7 +281,7 @@
 
 // ended notes how a shot that was sent ended at its runner. One that died on a
 // link that had rested says something of the link, not of the runner.
-func (c *Counter) ended(adm *doorman.Admission, link *cab.Link, good, answered bool) {
+func (c *Counter) ended(adm *doorman.Admission, link *upstream.Link, good, answered bool) {
 	if !good && !answered && link.RestedUs > 0 {
 		c.garage.Dead(link)
 		return
@@ -302,7 +302,7 @@
 	c.wake()
 }
 
-func (c *Counter) giveBack(adm *doorman.Admission, link *cab.Link, r *protocol.Response, ok bool) {
+func (c *Counter) giveBack(adm *doorman.Admission, link *upstream.Link, r *protocol.Response, ok bool) {
 	if ok {
 		c.garage.Put(adm.Runner.Addr, link, &r.Header)
 	} else {
@@ -382,7 +382,7 @@
 }
 
 // passBody passes on an answer of known length, once it is whole.
-func (v *visit) passBody(adm *doorman.Admission, link *cab.Link, r *protocol.Response, stream *answerStream) ending {
+func (v *visit) passBody(adm *doorman.Admission, link *upstream.Link, r *protocol.Response, stream *answerStream) ending {
 	b, err := io.ReadAll(r.BodyStream())
 	want := r.Header.ContentLength()
 	if err != nil || want >= 0 && len(b) != want {
@@ -414,7 +414,7 @@
 }
 
 // passStream passes on a streamed answer, event by event.
-func (v *visit) passStream(adm *doorman.Admission, link *cab.Link, r *protocol.Response, stream *answerStream) (ending, *answerStream) {
+func (v *visit) passStream(adm *doorman.Admission, link *upstream.Link, r *protocol.Response, stream *answerStream) (ending, *answerStream) {
 	c := v.c
 	if stream == nil {
 		stream = &answerStream{cutting: v.route.Kind == calls.Streaming}
--- a/internal/dispatch/dispatch.go
+++ b/internal/dispatch/dispatch.go
@@ -14,7 +14,6 @@
 	"github.com/go-logr/logr"
 	"github.com/panjf2000/ants/v2"
 
-	"beechtide.org/beechtide/internal/cab"
 	"beechtide.org/beechtide/internal/consensus"
 	"beechtide.org/beechtide/internal/loop"
 	"beechtide.org/beechtide/internal/pantry"
@@ -22,6 +21,7 @@
 	"beechtide.org/beechtide/internal/registry"
 	"beechtide.org/beechtide/internal/routeconfig"
 	"beechtide.org/beechtide/internal/settings"
+	"beechtide.org/beechtide/internal/upstream"
 	"beechtide.org/beechtide/internal/wire"
 )
 
@@ -35,7 +35,7 @@
 	relay  *radio.Relay
 	ledger *consensus.Ledger
 	roster *registry.Roster
-	garage *cab.Garage
+	garage *upstream.Garage
 	table  atomic.Pointer[routeconfig.Table]
 	seeds  atomic.Pointer[[]string]
 
@@ -57,7 +57,7 @@
 	if err != nil {
 		return nil, err
 	}
-	d := &Dispatch{set: set, log: log, clock: clock, radio: rad, roster: registry.New(), garage: cab.NewGarage(clock), kept: pantry.NewIndex(), readers: map[string]context.CancelFunc{}, heardUs: map[string]int64{}, startUs: clock()}
+	d := &Dispatch{set: set, log: log, clock: clock, radio: rad, roster: registry.New(), garage: upstream.NewGarage(clock), kept: pantry.NewIndex(), readers: map[string]context.CancelFunc{}, heardUs: map[string]int64{}, startUs: clock()}
 	var store consensus.Store = &consensus.MemoryStore{}
 	if set.DataDir != "" {
 		if d.disk, err = consensus.NewDiskStore(filepath.Join(set.DataDir, "ledger")); err != nil {
--- a/internal/cab/garage.go
+++ b/internal/upstream/garage.go
@@ -1,5 +1,5 @@
 // Garage keeps the idle links to runners and bounds how many there are to each.
-package cab
+package upstream
 
 import (
 	"context"
--- a/internal/cab/get.go
+++ b/internal/upstream/get.go
@@ -1,5 +1,5 @@
 // Ask makes small calls to runners: reports, kept parts, orders.
-package cab
+package upstream
 
 import (
 	"context"
--- a/internal/cab/link.go
+++ b/internal/upstream/link.go
@@ -1,8 +1,8 @@
-// Package cab carries shots to runners. This file is the Link: one connection
+// Package upstream carries shots to runners. This file is the Link: one connection
 // to a runner, read through a small buffer with hertz's HTTP/1 reader, never
 // retried by itself, and looked at before it is used again, so that a link the
 // runner has closed or sent surplus bytes on is not taken for a good one.
-package cab
+package upstream
 
 import (
 	"bufio"
@@ -21,10 +21,10 @@
 
 // Errors of a link.
 var (
-	ErrConnect = errors.New("cab: no link to the runner")
-	ErrBroken  = errors.New("cab: link broken")
-	ErrForeign = errors.New("cab: the answer belongs to another request")
-	ErrLate    = errors.New("cab: no answer in time")
+	ErrConnect = errors.New("upstream: no link to the runner")
+	ErrBroken  = errors.New("upstream: link broken")
+	ErrForeign = errors.New("upstream: the answer belongs to another request")
+	ErrLate    = errors.New("upstream: no answer in time")
 )
 
 const tcpUserTimeout = 18
--- a/internal/cab/cab_test.go
+++ b/internal/upstream/upstream_test.go
@@ -1,4 +1,4 @@
-package cab
+package upstream
 
 import (
 	"context"
