--- a/internal/counter/counter.go
+++ b/internal/counter/counter.go
@@ -14,6 +14,7 @@
 	"github.com/panjf2000/ants/v2"
 
 	"beechtide.org/beechtide/internal/doorman"
+	"beechtide.org/beechtide/internal/inflight"
 	"beechtide.org/beechtide/internal/loop"
 	"beechtide.org/beechtide/internal/radio"
 	"beechtide.org/beechtide/internal/regime"
@@ -21,7 +22,6 @@
 	"beechtide.org/beechtide/internal/routeconfig"
 	"beechtide.org/beechtide/internal/settings"
 	"beechtide.org/beechtide/internal/statesync"
-	"beechtide.org/beechtide/internal/ticket"
 	"beechtide.org/beechtide/internal/upstream"
 	"beechtide.org/beechtide/internal/wire"
 )
@@ -52,7 +52,7 @@
 	dmu     sync.Mutex
 	door    *doorman.Doorman
 	budgets map[string]*upstream.Budget
-	slab    ticket.Slab[doorman.Ruling]
+	slab    inflight.Slab[doorman.Ruling]
 	kick    chan struct{}
 	fresh   chan struct{} // shared parts have been sent to be read
 	stir    chan struct{} // this node's loads have changed
--- a/internal/counter/evening_test.go
+++ b/internal/counter/evening_test.go
@@ -11,11 +11,11 @@
 
 	"beechtide.org/beechtide/internal/calls"
 	"beechtide.org/beechtide/internal/doorman"
+	"beechtide.org/beechtide/internal/inflight"
 	"beechtide.org/beechtide/internal/pantry"
 	"beechtide.org/beechtide/internal/regime"
 	"beechtide.org/beechtide/internal/registry"
 	"beechtide.org/beechtide/internal/routeconfig"
-	"beechtide.org/beechtide/internal/ticket"
 	"beechtide.org/beechtide/internal/wire"
 )
 
@@ -43,7 +43,7 @@
 	table  *routeconfig.Table
 	roster *registry.Roster
 	door   *doorman.Doorman
-	slab   ticket.Slab[doorman.Ruling]
+	slab   inflight.Slab[doorman.Ruling]
 	trail  *regime.Trail
 	cut    bool
 	up     bool
--- a/internal/doorman/doorman.go
+++ b/internal/doorman/doorman.go
@@ -11,15 +11,15 @@
 	"sort"
 
 	"beechtide.org/beechtide/internal/hail"
+	"beechtide.org/beechtide/internal/inflight"
 	"beechtide.org/beechtide/internal/pantry"
 	"beechtide.org/beechtide/internal/statesync"
-	"beechtide.org/beechtide/internal/ticket"
 	"beechtide.org/beechtide/internal/wire"
 )
 
 // Ask is a request at the door.
 type Ask struct {
-	Ref        ticket.Ref
+	Ref        inflight.Ref
 	Service    string
 	Tenant     string
 	Rank       int // band: the tenant's rank goes before the route's
@@ -49,7 +49,7 @@
 
 // Ruling is what the doorman says of one request.
 type Ruling struct {
-	Ref     ticket.Ref
+	Ref     inflight.Ref
 	Admit   *Admission
 	Hold    bool
 	Deny    Reason
--- a/internal/doorman/doorman_test.go
+++ b/internal/doorman/doorman_test.go
@@ -6,8 +6,8 @@
 
 	"github.com/shoenig/test/must"
 
+	"beechtide.org/beechtide/internal/inflight"
 	"beechtide.org/beechtide/internal/pantry"
-	"beechtide.org/beechtide/internal/ticket"
 	"beechtide.org/beechtide/internal/wire"
 )
 
@@ -27,7 +27,7 @@
 	return d
 }
 
-var slab ticket.Slab[int]
+var slab inflight.Slab[int]
 
 func ask(in, out int) Ask {
 	return Ask{Ref: slab.Put(func(int) {}), Service: "s", Tenant: "t", TokensIn: in, TokensOut: out, Model: "m", Parts: []pantry.Part{{ID: "own", Tokens: in}}, SetpointUs: 400_000, LeftUs: 6_000_000}
@@ -209,7 +209,7 @@
 		first = d.Arrive(ask(16, 1), int64(i)).Admit
 	}
 	order := []string{}
-	names := map[ticket.Ref]string{}
+	names := map[inflight.Ref]string{}
 	for i, c := range []struct {
 		tenant string
 		rank   int
@@ -234,7 +234,7 @@
 	for i := range 4 {
 		d.Arrive(ask(16, 1), int64(i))
 	}
-	var last ticket.Ref
+	var last inflight.Ref
 	for i := range 4 + d.T.BufferRequests {
 		a := ask(16, 1)
 		a.Rank = 1
--- a/internal/ticket/slab.go
+++ b/internal/inflight/slab.go
@@ -1,8 +1,8 @@
-// Package ticket keeps the requests that are waiting in a slab: a slot and a
+// Package inflight keeps the requests that are waiting in a slab: a slot and a
 // generation name one of them, and with it the continuation that goes on once
 // something is decided. A late decision finds another generation and does
 // nothing, so no request ever gets what was meant for another.
-package ticket
+package inflight
 
 import "sync"
 
--- a/internal/ticket/slab_test.go
+++ b/internal/inflight/slab_test.go
@@ -1,4 +1,4 @@
-package ticket
+package inflight
 
 import (
 	"testing"
