--- a/internal/doorman/pending.go
+++ b/internal/admission/pending.go
@@ -1,6 +1,6 @@
 // Pending is the bounded queue of one service: strict bands by rank, inside a
 // band the tenants in turn, and a time to live for every request.
-package doorman
+package admission
 
 import "sort"
 
--- a/internal/doorman/runner.go
+++ b/internal/admission/runner.go
@@ -1,7 +1,7 @@
 // Runner is what the doorman knows of one runner: what this node has there,
 // what the others say they have there, what the runner itself reported, how
 // fast it reads, and whether its links hold.
-package doorman
+package admission
 
 import (
 	"math"
--- a/internal/doorman/session_test.go
+++ b/internal/admission/session_test.go
@@ -1,4 +1,4 @@
-package doorman
+package admission
 
 import (
 	"fmt"
--- a/internal/doorman/soundness.go
+++ b/internal/admission/soundness.go
@@ -3,7 +3,7 @@
 // candidates for a while, longer each time, and comes back by few requests. The
 // outcomes are this node's own; those of the other nodes are a hint, which
 // counts half. Its roster entry stays, and it is used where no other is left.
-package doorman
+package admission
 
 import (
 	"math"
--- a/internal/doorman/tuning.go
+++ b/internal/admission/tuning.go
@@ -1,9 +1,9 @@
-// Package doorman is admission: for every generation request it says whether
+// Package admission is admission: for every generation request it says whether
 // it goes to a runner now, waits in a bounded queue, or is denied at once. It
 // follows "Admission control for distributed LLM inference" (docs/source.md
 // says what was kept and what was changed). Everything here is pure: time and
 // input are arguments. This file holds the values that are ours to choose.
-package doorman
+package admission
 
 // Tuning are the free values of the design, with defaults in Defaults.
 type Tuning struct {
--- a/internal/counter/counter.go
+++ b/internal/counter/counter.go
@@ -13,7 +13,7 @@
 	"github.com/go-logr/logr"
 	"github.com/panjf2000/ants/v2"
 
-	"beechtide.org/beechtide/internal/doorman"
+	"beechtide.org/beechtide/internal/admission"
 	"beechtide.org/beechtide/internal/inflight"
 	"beechtide.org/beechtide/internal/loop"
 	"beechtide.org/beechtide/internal/radio"
@@ -50,9 +50,9 @@
 	loads  loads
 
 	dmu     sync.Mutex
-	door    *doorman.Doorman
+	door    *admission.Doorman
 	budgets map[string]*upstream.Budget
-	slab    inflight.Slab[doorman.Ruling]
+	slab    inflight.Slab[admission.Ruling]
 	kick    chan struct{}
 	fresh   chan struct{} // shared parts have been sent to be read
 	stir    chan struct{} // this node's loads have changed
@@ -74,7 +74,7 @@
 	if err != nil {
 		return nil, err
 	}
-	c := &Counter{set: set, log: log, clock: clock, radio: rad, roster: registry.New(), garage: upstream.NewGarage(clock), parts: map[int]wire.PartNote{}, door: doorman.New(doorman.Defaults, set.Site), budgets: map[string]*upstream.Budget{}, kick: make(chan struct{}, 1), fresh: make(chan struct{}, 1), stir: make(chan struct{}, 1)}
+	c := &Counter{set: set, log: log, clock: clock, radio: rad, roster: registry.New(), garage: upstream.NewGarage(clock), parts: map[int]wire.PartNote{}, door: admission.New(admission.Defaults, set.Site), budgets: map[string]*upstream.Budget{}, kick: make(chan struct{}, 1), fresh: make(chan struct{}, 1), stir: make(chan struct{}, 1)}
 	c.menu, c.runners = statesync.NewEntries(), statesync.NewEntries()
 	c.loads.init(clock())
 	none := ""
@@ -203,7 +203,7 @@
 
 // storesFor lists the stores that the runners of a service may use: all there
 // are, where moving memory is possible at all.
-func storesFor(t *routeconfig.Table, service string) []doorman.Store {
+func storesFor(t *routeconfig.Table, service string) []admission.Store {
 	if t == nil {
 		return nil
 	}
@@ -211,10 +211,10 @@
 	if s == nil || s.Engine.TokenBytes == 0 {
 		return nil
 	}
-	var out []doorman.Store
+	var out []admission.Store
 	for _, box := range t.Stores {
 		if box.LinkMbps > 0 {
-			out = append(out, doorman.Store{ID: box.CacheStore, Addr: box.CacheStore, Site: box.Site, MoveUs: float64(s.Engine.TokenBytes) * 8 / float64(box.LinkMbps)})
+			out = append(out, admission.Store{ID: box.CacheStore, Addr: box.CacheStore, Site: box.Site, MoveUs: float64(s.Engine.TokenBytes) * 8 / float64(box.LinkMbps)})
 		}
 	}
 	return out
--- a/internal/counter/counter_test.go
+++ b/internal/counter/counter_test.go
@@ -20,8 +20,8 @@
 	"github.com/panjf2000/ants/v2"
 	"github.com/shoenig/test/must"
 
+	"beechtide.org/beechtide/internal/admission"
 	"beechtide.org/beechtide/internal/calls"
-	"beechtide.org/beechtide/internal/doorman"
 	"beechtide.org/beechtide/internal/regime"
 	"beechtide.org/beechtide/internal/routeconfig"
 	"beechtide.org/beechtide/internal/settings"
@@ -509,12 +509,12 @@
 	v := &visit{c: c, tenant: c.table.Load().Tenant("k1"), id: "x"}
 	v.ask.Regime = "allergen"
 	snap := c.roster.Snapshot()
-	must.True(t, v.mayGo(&doorman.Admission{Runner: snap.ByID["r1"]}))
-	must.False(t, v.mayGo(&doorman.Admission{Runner: snap.ByID["r0"]}))
+	must.True(t, v.mayGo(&admission.Admission{Runner: snap.ByID["r1"]}))
+	must.False(t, v.mayGo(&admission.Admission{Runner: snap.ByID["r0"]}))
 	c.adopt(t, 3, 5, regulated(5, `"r0"`))
-	must.False(t, v.mayGo(&doorman.Admission{Runner: snap.ByID["r1"]}), must.Sprint("admitted before the certificate went"))
+	must.False(t, v.mayGo(&admission.Admission{Runner: snap.ByID["r1"]}), must.Sprint("admitted before the certificate went"))
 	v.ask.Regime = ""
-	must.False(t, v.mayGo(&doorman.Admission{Runner: snap.ByID["r0"]}), must.Sprint("the regime came while it waited"))
+	must.False(t, v.mayGo(&admission.Admission{Runner: snap.ByID["r0"]}), must.Sprint("the regime came while it waited"))
 	must.Eq(t, "allergen", v.ask.Regime)
 }
 
--- a/internal/counter/evening_test.go
+++ b/internal/counter/evening_test.go
@@ -9,8 +9,8 @@
 
 	"github.com/shoenig/test/must"
 
+	"beechtide.org/beechtide/internal/admission"
 	"beechtide.org/beechtide/internal/calls"
-	"beechtide.org/beechtide/internal/doorman"
 	"beechtide.org/beechtide/internal/inflight"
 	"beechtide.org/beechtide/internal/pantry"
 	"beechtide.org/beechtide/internal/regime"
@@ -42,8 +42,8 @@
 	name   string
 	table  *routeconfig.Table
 	roster *registry.Roster
-	door   *doorman.Doorman
-	slab   inflight.Slab[doorman.Ruling]
+	door   *admission.Doorman
+	slab   inflight.Slab[admission.Ruling]
 	trail  *regime.Trail
 	cut    bool
 	up     bool
@@ -52,8 +52,8 @@
 type guest struct {
 	id     string
 	node   *deskNode
-	ask    doorman.Ask
-	adm    *doorman.Admission
+	ask    admission.Ask
+	adm    *admission.Admission
 	endsUs int64
 }
 
@@ -96,7 +96,7 @@
 }
 
 func (n *deskNode) start(e *evening) {
-	n.roster, n.door, n.up = registry.New(), doorman.New(doorman.Defaults, "a"), true
+	n.roster, n.door, n.up = registry.New(), admission.New(admission.Defaults, "a"), true
 	n.hear(e)
 }
 
@@ -115,7 +115,7 @@
 	}
 	e.count++
 	g := &guest{id: fmt.Sprint(e.count), node: n}
-	g.ask = doorman.Ask{Service: "s", Tenant: "taxi", TokensIn: 200, TokensOut: 50, Model: "m", Parts: []pantry.Part{{ID: "own", Tokens: 200}}, SetpointUs: 400_000, LeftUs: 6_000_000}
+	g.ask = admission.Ask{Service: "s", Tenant: "taxi", TokensIn: 200, TokensOut: 50, Model: "m", Parts: []pantry.Part{{ID: "own", Tokens: 200}}, SetpointUs: 400_000, LeftUs: 6_000_000}
 	if e.rnd.IntN(2) == 0 {
 		g.ask.Tenant = "directorate"
 		g.ask.Regime = n.table.RegimeOf("directorate")
@@ -127,14 +127,14 @@
 
 func (e *evening) offer(g *guest) {
 	n := g.node
-	g.ask.Ref = n.slab.Put(func(r doorman.Ruling) { e.ruled(g, r) })
+	g.ask.Ref = n.slab.Put(func(r admission.Ruling) { e.ruled(g, r) })
 	r := n.door.Arrive(g.ask, e.nowUs)
 	if !r.Hold {
 		n.slab.Resume(g.ask.Ref, r)
 	}
 }
 
-func (e *evening) ruled(g *guest, r doorman.Ruling) {
+func (e *evening) ruled(g *guest, r admission.Ruling) {
 	if r.Admit == nil {
 		e.end(g, regime.Denied)
 		return
--- a/internal/counter/front.go
+++ b/internal/counter/front.go
@@ -13,9 +13,9 @@
 	"github.com/cloudwego/hertz/pkg/app"
 	"github.com/cloudwego/hertz/pkg/app/server"
 
+	"beechtide.org/beechtide/internal/admission"
 	"beechtide.org/beechtide/internal/calls"
 	"beechtide.org/beechtide/internal/dispatch"
-	"beechtide.org/beechtide/internal/doorman"
 	"beechtide.org/beechtide/internal/pantry"
 	"beechtide.org/beechtide/internal/regime"
 	"beechtide.org/beechtide/internal/routeconfig"
@@ -85,7 +85,7 @@
 	id      string
 	startUs int64
 	endUs   int64 // the client's deadline or the route's cutoff
-	ask     doorman.Ask
+	ask     admission.Ask
 	shots   int
 	next    *nextShot // for a stream on the move
 	moveUs  int64     // when it looks for a place again
@@ -131,7 +131,7 @@
 	in, out, _ := strings.Cut(get(rc, hTokens), ",")
 	tokensIn, _ := strconv.Atoi(strings.TrimSpace(in))
 	tokensOut, _ := strconv.Atoi(strings.TrimSpace(out))
-	v.ask = doorman.Ask{
+	v.ask = admission.Ask{
 		Service: v.service, Tenant: tenant, Rank: v.route.Rank, TokensIn: max(tokensIn, 0), TokensOut: max(tokensOut, 0),
 		Model: get(rc, hModel), Parts: pantry.ParseParts(get(rc, hPrefix)), SetpointUs: v.route.SetpointUs, LeftUs: v.endUs - v.startUs,
 	}
@@ -198,7 +198,7 @@
 
 // deny answers at once. A status that promises that the request has not run
 // says when to come back.
-func (v *visit) deny(status int, reason doorman.Reason, againUs int64) {
+func (v *visit) deny(status int, reason admission.Reason, againUs int64) {
 	h := &v.rc.Response.Header
 	if v.id != "" {
 		h.Set(hAttempt, v.id)
--- a/internal/counter/loads.go
+++ b/internal/counter/loads.go
@@ -9,7 +9,7 @@
 	"sync"
 	"time"
 
-	"beechtide.org/beechtide/internal/doorman"
+	"beechtide.org/beechtide/internal/admission"
 	"beechtide.org/beechtide/internal/loop"
 	"beechtide.org/beechtide/internal/radio"
 	"beechtide.org/beechtide/internal/statesync"
@@ -117,7 +117,7 @@
 }
 
 // tell brings the doorman to what the other nodes have.
-func (l *loads) tell(d *doorman.Doorman, nowUs int64) {
+func (l *loads) tell(d *admission.Doorman, nowUs int64) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	if l.all {
--- a/internal/counter/move.go
+++ b/internal/counter/move.go
@@ -7,19 +7,19 @@
 package counter
 
 import (
-	"beechtide.org/beechtide/internal/doorman"
+	"beechtide.org/beechtide/internal/admission"
 	"beechtide.org/beechtide/internal/upstream"
 )
 
 // nextShot is a place and a link that wait for a stream which is on the move.
 type nextShot struct {
-	adm  *doorman.Admission
+	adm  *admission.Admission
 	link *upstream.Link
 }
 
 // moves tells whether the stream leaves its runner now; then the next shot is
 // there. It is within tries and budget like every further shot.
-func (v *visit) moves(adm *doorman.Admission, stream *answerStream) bool {
+func (v *visit) moves(adm *admission.Admission, stream *answerStream) bool {
 	c := v.c
 	t := c.table.Load()
 	if _, left := t.Relinquished[adm.Runner.Site]; !left || !v.route.Repeatable() || !stream.cutting || stream.events.LastID == "" || v.shots >= max(v.route.Tries, 1) {
--- a/internal/counter/move_test.go
+++ b/internal/counter/move_test.go
@@ -9,7 +9,7 @@
 
 	"github.com/shoenig/test/must"
 
-	"beechtide.org/beechtide/internal/doorman"
+	"beechtide.org/beechtide/internal/admission"
 	"beechtide.org/beechtide/internal/pantry"
 	"beechtide.org/beechtide/internal/wire"
 )
@@ -156,13 +156,13 @@
 // The context goes along: the new home takes the kept parts from the old one, as
 // many tokens as would have been found there, and reads only what is new.
 func TestTheContextGoesAlong(t *testing.T) {
-	d := doorman.New(doorman.Defaults, "b")
+	d := admission.New(admission.Defaults, "b")
 	notes := []wire.RunnerNote{}
 	for i := range 6 {
 		notes = append(notes, wire.RunnerNote{ID: fmt.Sprint("r", i), Service: "s", Addr: fmt.Sprint("r", i, ":1"), Site: []string{"a", "b", "c"}[i%3], Capacity: 8, Models: []wire.Target{{Model: "m", Mark: 1}}})
 	}
 	d.SetService("s", notes, 100_000, 0.01)
-	ask := doorman.Ask{Service: "s", Tenant: "t", Model: "m", TokensIn: 6200, TokensOut: 20, SetpointUs: 800_000, LeftUs: 5_000_000,
+	ask := admission.Ask{Service: "s", Tenant: "t", Model: "m", TokensIn: 6200, TokensOut: 20, SetpointUs: 800_000, LeftUs: 5_000_000,
 		Parts: []pantry.Part{{ID: "top", Tokens: 2500}, {ID: "deep", Tokens: 3500}, {ID: "own", Tokens: 200}}}
 	keys := pantry.Keys(d.Salt("t", false, "", 1), "m", ask.Parts)
 	for i, k := range keys[:2] {
--- a/internal/counter/shots.go
+++ b/internal/counter/shots.go
@@ -16,8 +16,8 @@
 	"github.com/cloudwego/hertz/pkg/protocol/http1/resp"
 	"github.com/pkg/errors"
 
+	"beechtide.org/beechtide/internal/admission"
 	"beechtide.org/beechtide/internal/calls"
-	"beechtide.org/beechtide/internal/doorman"
 	"beechtide.org/beechtide/internal/regime"
 	"beechtide.org/beechtide/internal/upstream"
 )
@@ -55,7 +55,7 @@
 		}
 	}()
 	for {
-		var ruling doorman.Ruling
+		var ruling admission.Ruling
 		if v.next != nil {
 			ruling.Admit = v.next.adm
 		} else {
@@ -135,15 +135,15 @@
 }
 
 // admit asks the doorman, and waits where the request is held.
-func (v *visit) admit() doorman.Ruling {
+func (v *visit) admit() admission.Ruling {
 	c := v.c
-	ch := make(chan doorman.Ruling, 1)
-	v.ask.Ref = c.slab.Put(func(r doorman.Ruling) { ch <- r })
+	ch := make(chan admission.Ruling, 1)
+	v.ask.Ref = c.slab.Put(func(r admission.Ruling) { ch <- r })
 	now := c.clock()
 	v.ask.LeftUs = v.endUs - now
 	c.dmu.Lock()
 	r := c.door.Arrive(v.ask, now)
-	if r.Deny == doorman.DenyPending || r.Deny == doorman.DenyTokens {
+	if r.Deny == admission.DenyPending || r.Deny == admission.DenyTokens {
 		if shed, ok := c.door.ShedFor(v.ask, now); ok {
 			defer c.slab.Resume(shed.Ref, shed)
 			r = c.door.Arrive(v.ask, now)
@@ -173,7 +173,7 @@
 	cutting  bool // the answer is a series of events
 }
 
-func (v *visit) shoot(adm *doorman.Admission, stream *answerStream) (ending, *answerStream) {
+func (v *visit) shoot(adm *admission.Admission, stream *answerStream) (ending, *answerStream) {
 	c := v.c
 	v.shots++
 	var link *upstream.Link
@@ -235,7 +235,7 @@
 // now, that a regulated request goes to a certified runner; a regime that came
 // or went while the request waited counts as it is now. The salt was made for
 // the regime at admission, so a change of regime sends the request back.
-func (v *visit) mayGo(adm *doorman.Admission) bool {
+func (v *visit) mayGo(adm *admission.Admission) bool {
 	if v.tenant == nil {
 		return true
 	}
@@ -281,7 +281,7 @@
 
 // ended notes how a shot that was sent ended at its runner. One that died on a
 // link that had rested says something of the link, not of the runner.
-func (c *Counter) ended(adm *doorman.Admission, link *upstream.Link, good, answered bool) {
+func (c *Counter) ended(adm *admission.Admission, link *upstream.Link, good, answered bool) {
 	if !good && !answered && link.RestedUs > 0 {
 		c.garage.Dead(link)
 		return
@@ -294,7 +294,7 @@
 	c.dmu.Unlock()
 }
 
-func (c *Counter) done(adm *doorman.Admission, ok bool) {
+func (c *Counter) done(adm *admission.Admission, ok bool) {
 	c.dmu.Lock()
 	c.door.Done(adm, ok, c.clock())
 	c.dmu.Unlock()
@@ -302,7 +302,7 @@
 	c.wake()
 }
 
-func (c *Counter) giveBack(adm *doorman.Admission, link *upstream.Link, r *protocol.Response, ok bool) {
+func (c *Counter) giveBack(adm *admission.Admission, link *upstream.Link, r *protocol.Response, ok bool) {
 	if ok {
 		c.garage.Put(adm.Runner.Addr, link, &r.Header)
 	} else {
@@ -312,7 +312,7 @@
 }
 
 // head makes the head of a shot by the rules for headers.
-func (v *visit) head(adm *doorman.Admission, leftUs int64, stream *answerStream) *protocol.RequestHeader {
+func (v *visit) head(adm *admission.Admission, leftUs int64, stream *answerStream) *protocol.RequestHeader {
 	in := &v.rc.Request.Header
 	h := &protocol.RequestHeader{}
 	h.DisableNormalizing()
@@ -382,7 +382,7 @@
 }
 
 // passBody passes on an answer of known length, once it is whole.
-func (v *visit) passBody(adm *doorman.Admission, link *upstream.Link, r *protocol.Response, stream *answerStream) ending {
+func (v *visit) passBody(adm *admission.Admission, link *upstream.Link, r *protocol.Response, stream *answerStream) ending {
 	b, err := io.ReadAll(r.BodyStream())
 	want := r.Header.ContentLength()
 	if err != nil || want >= 0 && len(b) != want {
@@ -405,7 +405,7 @@
 	return whole
 }
 
-func (c *Counter) first(adm *doorman.Admission) {
+func (c *Counter) first(adm *admission.Admission) {
 	c.dmu.Lock()
 	c.door.FirstToken(adm, c.clock())
 	c.dmu.Unlock()
@@ -414,7 +414,7 @@
 }
 
 // passStream passes on a streamed answer, event by event.
-func (v *visit) passStream(adm *doorman.Admission, link *upstream.Link, r *protocol.Response, stream *answerStream) (ending, *answerStream) {
+func (v *visit) passStream(adm *admission.Admission, link *upstream.Link, r *protocol.Response, stream *answerStream) (ending, *answerStream) {
 	c := v.c
 	if stream == nil {
 		stream = &answerStream{cutting: v.route.Kind == calls.Streaming}
