--- a/internal/admission/admission.go
+++ b/internal/admission/admission.go
@@ -10,9 +10,9 @@
 	"slices"
 	"sort"
 
-	"beechtide.org/beechtide/internal/hail"
 	"beechtide.org/beechtide/internal/inflight"
 	"beechtide.org/beechtide/internal/pantry"
+	"beechtide.org/beechtide/internal/placement"
 	"beechtide.org/beechtide/internal/statesync"
 	"beechtide.org/beechtide/internal/wire"
 )
@@ -124,7 +124,7 @@
 	newest  map[string]int64 // by model
 	calmUs  int64
 	left    map[string]relinquished // by site
-	list    []hail.Candidate        // kept from one look for candidates to the next
+	list    []placement.Candidate   // kept from one look for candidates to the next
 	who     []*runner
 	turn    int             // whose turn it is among equals
 	free    bool            // the last look for candidates found a runner with a place
@@ -348,14 +348,14 @@
 }
 
 // Candidates lists the runners that a request may go to now.
-func (d *Doorman) Candidates(a Ask, nowUs int64) []hail.Candidate {
+func (d *Doorman) Candidates(a Ask, nowUs int64) []placement.Candidate {
 	list, _ := d.candidates(a, d.pool(a.Service), nowUs)
 	return slices.Clone(list)
 }
 
 // candidates gives the runners that a request may go to; the result holds until
 // the next call.
-func (d *Doorman) candidates(a Ask, p *pool, nowUs int64) ([]hail.Candidate, []*runner) {
+func (d *Doorman) candidates(a Ask, p *pool, nowUs int64) ([]placement.Candidate, []*runner) {
 	out, who := d.list[:0], d.who[:0]
 	defer func() { d.list, d.who = out, who }()
 	d.free = false
@@ -394,7 +394,7 @@
 					continue
 				}
 			}
-			out = append(out, hail.Candidate{ID: id, NearSite: r.note.Site == near, Kept: kept, Prefill: r.prefill(), Active: active, Capacity: r.capacity, Used: use, Rate: r.readRate(&d.T), Reading: r.reading(&d.T, nowUs), DoubtUs: r.soundness.doubtUs(nowUs)})
+			out = append(out, placement.Candidate{ID: id, NearSite: r.note.Site == near, Kept: kept, Prefill: r.prefill(), Active: active, Capacity: r.capacity, Used: use, Rate: r.readRate(&d.T), Reading: r.reading(&d.T, nowUs), DoubtUs: r.soundness.doubtUs(nowUs)})
 			who = append(who, r)
 		}
 		if len(out) > 0 {
@@ -444,7 +444,7 @@
 
 // findMoves finds for every candidate the runner with the same weights that
 // keeps more of the prompt and from where it comes soonest.
-func (d *Doorman) findMoves(a Ask, p *pool, out []hail.Candidate, who []*runner, keysOf func(mark int64) []uint64, nowUs int64) {
+func (d *Doorman) findMoves(a Ask, p *pool, out []placement.Candidate, who []*runner, keysOf func(mark int64) []uint64, nowUs int64) {
 	shared := 0
 	for _, part := range a.Parts[:len(a.Parts)-1] {
 		shared += part.Tokens
@@ -510,7 +510,7 @@
 			if h.site != who[i].note.Site {
 				us *= moveFar
 			}
-			if gain := float64(more)*(1/c.Rate+hail.AgainUs) - us; gain > best {
+			if gain := float64(more)*(1/c.Rate+placement.AgainUs) - us; gain > best {
 				best = gain
 				c.Moved, c.MoveUs, c.From = more, us, h.addr
 			}
@@ -565,11 +565,11 @@
 		return nil
 	}
 	list, who := d.candidates(a, p, nowUs)
-	prompt := hail.Prompt{Tokens: a.TokensIn, Out: a.TokensOut}
+	prompt := placement.Prompt{Tokens: a.TokensIn, Out: a.TokensOut}
 	if n := len(a.Parts); n > 1 {
 		prompt.Shared = pantry.Key("", a.Model, a.Parts[n-2].ID)
 	}
-	i := hail.Match(prompt, list)
+	i := placement.Match(prompt, list)
 	if i < 0 {
 		return nil
 	}
--- a/internal/hail/match_test.go
+++ b/internal/placement/match_test.go
@@ -1,4 +1,4 @@
-package hail
+package placement
 
 import (
 	"testing"
