--- a/internal/admission/admission.go
+++ b/internal/admission/admission.go
@@ -11,8 +11,8 @@
 	"sort"
 
 	"beechtide.org/beechtide/internal/inflight"
-	"beechtide.org/beechtide/internal/pantry"
 	"beechtide.org/beechtide/internal/placement"
+	"beechtide.org/beechtide/internal/prefixindex"
 	"beechtide.org/beechtide/internal/statesync"
 	"beechtide.org/beechtide/internal/wire"
 )
@@ -26,7 +26,7 @@
 	TokensIn   int
 	TokensOut  int
 	Model      string
-	Parts      []pantry.Part
+	Parts      []prefixindex.Part
 	Isolated   bool
 	Regime     string // only runners certified for it are candidates
 	SetpointUs int64
@@ -75,7 +75,7 @@
 	service  string
 	tokensIn int
 	Keys     []uint64
-	Parts    []pantry.Part
+	Parts    []prefixindex.Part
 	coming   []uint64
 }
 
@@ -116,7 +116,7 @@
 type Doorman struct {
 	T       Tuning
 	Site    string
-	Index   *pantry.Index
+	Index   *prefixindex.Index
 	nodes   int
 	pools   map[string]*pool
 	tenants map[string]*tenantState
@@ -136,7 +136,7 @@
 
 // New makes a doorman for a node at a site.
 func New(t Tuning, site string) *Doorman {
-	return &Doorman{T: t, Site: site, Index: pantry.NewIndex(), nodes: 1, pools: map[string]*pool{}, tenants: map[string]*tenantState{}, oldUs: map[string]int64{}, newest: map[string]int64{}, MarkUs: 6_000_000, Salt: Salt}
+	return &Doorman{T: t, Site: site, Index: prefixindex.NewIndex(), nodes: 1, pools: map[string]*pool{}, tenants: map[string]*tenantState{}, oldUs: map[string]int64{}, newest: map[string]int64{}, MarkUs: 6_000_000, Salt: Salt}
 }
 
 // Salt keeps weight marks apart, isolated tenants from all others, and the
@@ -419,7 +419,7 @@
 			}
 		}
 		marks = append(marks, mark)
-		keys = append(keys, pantry.Keys(d.Salt(a.Tenant, a.Isolated, a.Regime, mark), a.Model, a.Parts))
+		keys = append(keys, prefixindex.Keys(d.Salt(a.Tenant, a.Isolated, a.Regime, mark), a.Model, a.Parts))
 		return keys[len(keys)-1]
 	}
 }
@@ -567,7 +567,7 @@
 	list, who := d.candidates(a, p, nowUs)
 	prompt := placement.Prompt{Tokens: a.TokensIn, Out: a.TokensOut}
 	if n := len(a.Parts); n > 1 {
-		prompt.Shared = pantry.Key("", a.Model, a.Parts[n-2].ID)
+		prompt.Shared = prefixindex.Key("", a.Model, a.Parts[n-2].ID)
 	}
 	i := placement.Match(prompt, list)
 	if i < 0 {
@@ -576,7 +576,7 @@
 	r, c := who[i], list[i]
 	mark := markOf(r.note, a.Model)
 	salt := d.Salt(a.Tenant, a.Isolated, a.Regime, mark)
-	adm := &Admission{Runner: r.note, Salt: salt, Mark: mark, Kept: c.Kept, Source: c.From, atUs: nowUs, tenant: a.Tenant, service: a.Service, tokensIn: a.TokensIn, Parts: a.Parts, Keys: pantry.Keys(salt, a.Model, a.Parts), reading: true}
+	adm := &Admission{Runner: r.note, Salt: salt, Mark: mark, Kept: c.Kept, Source: c.From, atUs: nowUs, tenant: a.Tenant, service: a.Service, tokensIn: a.TokensIn, Parts: a.Parts, Keys: prefixindex.Keys(salt, a.Model, a.Parts), reading: true}
 	bt := d.T.BlockTokens
 	inParts := 0
 	for j, k := range adm.Keys {
--- a/internal/admission/admission_test.go
+++ b/internal/admission/admission_test.go
@@ -7,7 +7,7 @@
 	"github.com/shoenig/test/must"
 
 	"beechtide.org/beechtide/internal/inflight"
-	"beechtide.org/beechtide/internal/pantry"
+	"beechtide.org/beechtide/internal/prefixindex"
 	"beechtide.org/beechtide/internal/wire"
 )
 
@@ -30,7 +30,7 @@
 var slab inflight.Slab[int]
 
 func ask(in, out int) Ask {
-	return Ask{Ref: slab.Put(func(int) {}), Service: "s", Tenant: "t", TokensIn: in, TokensOut: out, Model: "m", Parts: []pantry.Part{{ID: "own", Tokens: in}}, SetpointUs: 400_000, LeftUs: 6_000_000}
+	return Ask{Ref: slab.Put(func(int) {}), Service: "s", Tenant: "t", TokensIn: in, TokensOut: out, Model: "m", Parts: []prefixindex.Part{{ID: "own", Tokens: in}}, SetpointUs: 400_000, LeftUs: 6_000_000}
 }
 
 func TestFreeRunnerAdmits(t *testing.T) {
@@ -137,7 +137,7 @@
 		var last string
 		for j := range 2 {
 			a := ask(116, 1)
-			a.Parts = []pantry.Part{{ID: "top", Tokens: 50}, {ID: fmt.Sprint("deep", i), Tokens: 50}, {ID: fmt.Sprint("own", i, j), Tokens: 16}}
+			a.Parts = []prefixindex.Part{{ID: "top", Tokens: 50}, {ID: fmt.Sprint("deep", i), Tokens: 50}, {ID: fmt.Sprint("own", i, j), Tokens: 16}}
 			r := d.Arrive(a, int64(1+i)*1_000_000)
 			must.NotNil(t, r.Admit)
 			if j == 0 {
@@ -375,9 +375,9 @@
 	y.Models[0].Mark = 2
 	d.SetService("s", []wire.RunnerNote{note("x"), y}, memory, 2)
 	a := ask(16, 1)
-	a.Parts = []pantry.Part{{ID: "shared", Tokens: 1000}, {ID: "own", Tokens: 16}}
+	a.Parts = []prefixindex.Part{{ID: "shared", Tokens: 1000}, {ID: "own", Tokens: 16}}
 	a.TokensIn = 1016
-	d.Index.Put("x", pantry.Key("w1", "m", "shared"), 1000)
+	d.Index.Put("x", prefixindex.Key("w1", "m", "shared"), 1000)
 	for _, c := range d.Candidates(a, 1) {
 		must.Eq(t, "", c.From)
 	}
@@ -398,7 +398,7 @@
 	var list []*Admission
 	for i := range 8 {
 		a := ask(100+i, 50)
-		a.Parts = []pantry.Part{{ID: "shared", Tokens: 64}, {ID: fmt.Sprint(i), Tokens: 36 + i}}
+		a.Parts = []prefixindex.Part{{ID: "shared", Tokens: 64}, {ID: fmt.Sprint(i), Tokens: 36 + i}}
 		r := d.Arrive(a, int64(i))
 		must.NotNil(t, r.Admit)
 		list = append(list, r.Admit)
--- a/internal/admission/session_test.go
+++ b/internal/admission/session_test.go
@@ -6,7 +6,7 @@
 
 	"github.com/shoenig/test/must"
 
-	"beechtide.org/beechtide/internal/pantry"
+	"beechtide.org/beechtide/internal/prefixindex"
 	"beechtide.org/beechtide/internal/wire"
 )
 
@@ -22,7 +22,7 @@
 
 func sessionAsk(i int) Ask {
 	a := ask(116, 1)
-	a.Parts = []pantry.Part{{ID: "top", Tokens: 50}, {ID: fmt.Sprint("session", i), Tokens: 50}, {ID: "own", Tokens: 16}}
+	a.Parts = []prefixindex.Part{{ID: "top", Tokens: 50}, {ID: fmt.Sprint("session", i), Tokens: 50}, {ID: "own", Tokens: 16}}
 	return a
 }
 
@@ -126,7 +126,7 @@
 	notes[1].Models = []wire.Target{{Model: "m", Mark: 2}}
 	d.SetService("s", notes, memory, 0.01)
 	a := sessionAsk(7)
-	for i, k := range pantry.Keys(d.Salt(a.Tenant, false, "", 1), "m", a.Parts) {
+	for i, k := range prefixindex.Keys(d.Salt(a.Tenant, false, "", 1), "m", a.Parts) {
 		d.Index.Put("r0", k, int32(a.Parts[i].Tokens))
 	}
 	adm := d.Arrive(a, 30).Admit
--- a/internal/counter/evening_test.go
+++ b/internal/counter/evening_test.go
@@ -12,7 +12,7 @@
 	"beechtide.org/beechtide/internal/admission"
 	"beechtide.org/beechtide/internal/calls"
 	"beechtide.org/beechtide/internal/inflight"
-	"beechtide.org/beechtide/internal/pantry"
+	"beechtide.org/beechtide/internal/prefixindex"
 	"beechtide.org/beechtide/internal/regime"
 	"beechtide.org/beechtide/internal/registry"
 	"beechtide.org/beechtide/internal/routeconfig"
@@ -115,7 +115,7 @@
 	}
 	e.count++
 	g := &guest{id: fmt.Sprint(e.count), node: n}
-	g.ask = admission.Ask{Service: "s", Tenant: "taxi", TokensIn: 200, TokensOut: 50, Model: "m", Parts: []pantry.Part{{ID: "own", Tokens: 200}}, SetpointUs: 400_000, LeftUs: 6_000_000}
+	g.ask = admission.Ask{Service: "s", Tenant: "taxi", TokensIn: 200, TokensOut: 50, Model: "m", Parts: []prefixindex.Part{{ID: "own", Tokens: 200}}, SetpointUs: 400_000, LeftUs: 6_000_000}
 	if e.rnd.IntN(2) == 0 {
 		g.ask.Tenant = "directorate"
 		g.ask.Regime = n.table.RegimeOf("directorate")
--- a/internal/counter/front.go
+++ b/internal/counter/front.go
@@ -16,7 +16,7 @@
 	"beechtide.org/beechtide/internal/admission"
 	"beechtide.org/beechtide/internal/calls"
 	"beechtide.org/beechtide/internal/dispatch"
-	"beechtide.org/beechtide/internal/pantry"
+	"beechtide.org/beechtide/internal/prefixindex"
 	"beechtide.org/beechtide/internal/regime"
 	"beechtide.org/beechtide/internal/routeconfig"
 	"beechtide.org/beechtide/internal/wire"
@@ -133,7 +133,7 @@
 	tokensOut, _ := strconv.Atoi(strings.TrimSpace(out))
 	v.ask = admission.Ask{
 		Service: v.service, Tenant: tenant, Rank: v.route.Rank, TokensIn: max(tokensIn, 0), TokensOut: max(tokensOut, 0),
-		Model: get(rc, hModel), Parts: pantry.ParseParts(get(rc, hPrefix)), SetpointUs: v.route.SetpointUs, LeftUs: v.endUs - v.startUs,
+		Model: get(rc, hModel), Parts: prefixindex.ParseParts(get(rc, hPrefix)), SetpointUs: v.route.SetpointUs, LeftUs: v.endUs - v.startUs,
 	}
 	if v.tenant != nil {
 		v.ask.Rank += 16 * v.tenant.Rank
--- a/internal/counter/move_test.go
+++ b/internal/counter/move_test.go
@@ -10,7 +10,7 @@
 	"github.com/shoenig/test/must"
 
 	"beechtide.org/beechtide/internal/admission"
-	"beechtide.org/beechtide/internal/pantry"
+	"beechtide.org/beechtide/internal/prefixindex"
 	"beechtide.org/beechtide/internal/wire"
 )
 
@@ -85,7 +85,7 @@
 		c.sited(t, "a", "b")
 		c.dmu.Lock() // the first choice is r0: it keeps the prompt
 		for _, p := range []string{"ab", "cd"} {
-			c.door.Index.Put("r0", pantry.Key("w4/t1", "m", p), 15)
+			c.door.Index.Put("r0", prefixindex.Key("w4/t1", "m", p), 15)
 		}
 		c.dmu.Unlock()
 		go func() {
@@ -132,7 +132,7 @@
 	c.sited(t, "a", "b")
 	c.dmu.Lock()
 	for _, p := range []string{"ab", "cd"} {
-		c.door.Index.Put("r0", pantry.Key("w4/t1", "m", p), 15)
+		c.door.Index.Put("r0", prefixindex.Key("w4/t1", "m", p), 15)
 	}
 	c.dmu.Unlock()
 	go func() {
@@ -163,8 +163,8 @@
 	}
 	d.SetService("s", notes, 100_000, 0.01)
 	ask := admission.Ask{Service: "s", Tenant: "t", Model: "m", TokensIn: 6200, TokensOut: 20, SetpointUs: 800_000, LeftUs: 5_000_000,
-		Parts: []pantry.Part{{ID: "top", Tokens: 2500}, {ID: "deep", Tokens: 3500}, {ID: "own", Tokens: 200}}}
-	keys := pantry.Keys(d.Salt("t", false, "", 1), "m", ask.Parts)
+		Parts: []prefixindex.Part{{ID: "top", Tokens: 2500}, {ID: "deep", Tokens: 3500}, {ID: "own", Tokens: 200}}}
+	keys := prefixindex.Keys(d.Salt("t", false, "", 1), "m", ask.Parts)
 	for i, k := range keys[:2] {
 		d.Index.Put("r0", k, int32(ask.Parts[i].Tokens))
 	}
--- a/internal/dispatch/dispatch.go
+++ b/internal/dispatch/dispatch.go
@@ -16,7 +16,7 @@
 
 	"beechtide.org/beechtide/internal/consensus"
 	"beechtide.org/beechtide/internal/loop"
-	"beechtide.org/beechtide/internal/pantry"
+	"beechtide.org/beechtide/internal/prefixindex"
 	"beechtide.org/beechtide/internal/radio"
 	"beechtide.org/beechtide/internal/registry"
 	"beechtide.org/beechtide/internal/routeconfig"
@@ -41,7 +41,7 @@
 
 	feed    feed
 	kmu     sync.Mutex
-	kept    *pantry.Index
+	kept    *prefixindex.Index
 	readers map[string]context.CancelFunc
 	heardUs map[string]int64 // when a runner's events or report last came
 
@@ -57,7 +57,7 @@
 	if err != nil {
 		return nil, err
 	}
-	d := &Dispatch{set: set, log: log, clock: clock, radio: rad, roster: registry.New(), garage: upstream.NewGarage(clock), kept: pantry.NewIndex(), readers: map[string]context.CancelFunc{}, heardUs: map[string]int64{}, startUs: clock()}
+	d := &Dispatch{set: set, log: log, clock: clock, radio: rad, roster: registry.New(), garage: upstream.NewGarage(clock), kept: prefixindex.NewIndex(), readers: map[string]context.CancelFunc{}, heardUs: map[string]int64{}, startUs: clock()}
 	var store consensus.Store = &consensus.MemoryStore{}
 	if set.DataDir != "" {
 		if d.disk, err = consensus.NewDiskStore(filepath.Join(set.DataDir, "ledger")); err != nil {
--- a/internal/dispatch/feed.go
+++ b/internal/dispatch/feed.go
@@ -13,7 +13,7 @@
 	"beechtide.org/beechtide/internal/calls"
 	"beechtide.org/beechtide/internal/consensus"
 	"beechtide.org/beechtide/internal/loop"
-	"beechtide.org/beechtide/internal/pantry"
+	"beechtide.org/beechtide/internal/prefixindex"
 	"beechtide.org/beechtide/internal/radio"
 	"beechtide.org/beechtide/internal/routeconfig"
 	"beechtide.org/beechtide/internal/statesync"
@@ -199,7 +199,7 @@
 }
 
 // shelve changes what a runner keeps, as its reader, and sends the change.
-func (d *Dispatch) shelve(id string, change func(s *pantry.Shelf) wire.KeptChange) {
+func (d *Dispatch) shelve(id string, change func(s *prefixindex.Shelf) wire.KeptChange) {
 	d.kmu.Lock()
 	c := change(d.kept.Shelf(id))
 	d.kmu.Unlock()
--- a/internal/dispatch/readers.go
+++ b/internal/dispatch/readers.go
@@ -13,7 +13,7 @@
 
 	"beechtide.org/beechtide/internal/calls"
 	"beechtide.org/beechtide/internal/loop"
-	"beechtide.org/beechtide/internal/pantry"
+	"beechtide.org/beechtide/internal/prefixindex"
 	"beechtide.org/beechtide/internal/radio"
 	"beechtide.org/beechtide/internal/wire"
 )
@@ -116,27 +116,27 @@
 		if ev.Lost || epoch != 0 && ev.Epoch != epoch {
 			d.readList(ctx, n)
 		} else if ev.NextPage > since || epoch == 0 {
-			d.shelve(n.ID, func(s *pantry.Shelf) wire.KeptChange {
+			d.shelve(n.ID, func(s *prefixindex.Shelf) wire.KeptChange {
 				if epoch == 0 {
 					s.Begin(ev.Epoch, since)
 				}
 				for _, e := range ev.Events {
 					if len(e) >= 6 {
-						put(s, pantry.Key(text(e[2]), text(e[5]), text(e[3])), int32(number(e[4])))
+						put(s, prefixindex.Key(text(e[2]), text(e[5]), text(e[3])), int32(number(e[4])))
 					}
 				}
 				c := s.Commit(ev.NextPage)
 				if epoch == 0 {
 					c, _ = s.Since(0, 0)
 				}
-				return pantry.Send(n.ID, c)
+				return prefixindex.Send(n.ID, c)
 			})
 		}
 		loop.Pause(ctx, eventsEvery)
 	}
 }
 
-func put(s *pantry.Shelf, key uint64, tokens int32) {
+func put(s *prefixindex.Shelf, key uint64, tokens int32) {
 	if tokens <= 0 {
 		s.Drop(key)
 		return
@@ -153,7 +153,7 @@
 	if err != nil || status != 200 || json.Unmarshal(body, &list) != nil {
 		return
 	}
-	d.shelve(n.ID, func(s *pantry.Shelf) wire.KeptChange {
+	d.shelve(n.ID, func(s *prefixindex.Shelf) wire.KeptChange {
 		if s.Epoch != list.Epoch {
 			s.Begin(list.Epoch, 0)
 		}
@@ -161,14 +161,14 @@
 		for _, h := range list.Held {
 			if len(h) >= 4 {
 				if t := int32(number(h[2])); t > 0 {
-					all[pantry.Key(text(h[0]), text(h[3]), text(h[1]))] = t
+					all[prefixindex.Key(text(h[0]), text(h[3]), text(h[1]))] = t
 				}
 			}
 		}
 		s.Replace(all)
 		s.Commit(list.NextPage)
 		c, _ := s.Since(0, 0)
-		return pantry.Send(n.ID, c)
+		return prefixindex.Send(n.ID, c)
 	})
 }
 
--- a/internal/pantry/index.go
+++ b/internal/prefixindex/index.go
@@ -1,9 +1,9 @@
-// Package pantry is the index of kept prompts: which runner keeps which parts,
+// Package prefixindex is the index of kept prompts: which runner keeps which parts,
 // under which salt and model. It is fed by the runners' own events, by lists
 // after a gap, and by what this node saw come of its requests. It may be wrong
 // at any time, which costs time and never a rule, since salts keep tenants and
 // weight marks apart.
-package pantry
+package prefixindex
 
 import (
 	"strconv"
--- a/internal/pantry/index_test.go
+++ b/internal/prefixindex/index_test.go
@@ -1,4 +1,4 @@
-package pantry
+package prefixindex
 
 import (
 	"testing"
