--- a/cmd/beechtide/main.go
+++ b/cmd/beechtide/main.go
@@ -20,7 +20,7 @@
 
 	"beechtide.org/beechtide/internal/counter"
 	"beechtide.org/beechtide/internal/dispatch"
-	"beechtide.org/beechtide/internal/logbook"
+	"beechtide.org/beechtide/internal/logring"
 	"beechtide.org/beechtide/internal/routeconfig"
 	"beechtide.org/beechtide/internal/settings"
 )
@@ -104,7 +104,7 @@
 	}
 	debug.SetGCPercent(50)
 	hlog.SetLevel(hlog.LevelFatal)
-	ring := logbook.New(512, os.Stderr)
+	ring := logring.New(512, os.Stderr)
 	if *logAll {
 		ring.WriteAll()
 	}
--- a/internal/consensus/consensus_test.go
+++ b/internal/consensus/consensus_test.go
@@ -17,7 +17,7 @@
 	"github.com/shoenig/test/must"
 	"github.com/tinylib/msgp/msgp"
 
-	"beechtide.org/beechtide/internal/logbook"
+	"beechtide.org/beechtide/internal/logring"
 	"beechtide.org/beechtide/internal/wire"
 )
 
@@ -441,7 +441,7 @@
 		return nodes[addr].Handle(ctx, body)
 	})
 	seeds := []string{"a", "b", "c"}
-	log := logr.New(logbook.New(16, &out))
+	log := logr.New(logring.New(16, &out))
 	for _, s := range seeds {
 		var store Store = &MemoryStore{}
 		if s == "a" {
--- a/internal/logbook/logbook.go
+++ b/internal/logring/logring.go
@@ -1,7 +1,7 @@
-// Package logbook keeps the log: a ring in memory behind logr, written out
+// Package logring keeps the log: a ring in memory behind logr, written out
 // when something goes wrong, on SIGQUIT, or when the doctor asks. In quiet
 // times nothing is written, which is what writing costs least.
-package logbook
+package logring
 
 import (
 	"fmt"
--- a/internal/logbook/logbook_test.go
+++ b/internal/logring/logring_test.go
@@ -1,4 +1,4 @@
-package logbook
+package logring
 
 import (
 	"bytes"
