--- a/cmd/beechtide/audit.go
+++ b/cmd/beechtide/audit.go
@@ -8,7 +8,7 @@
 	"strings"
 
 	"beechtide.org/beechtide/internal/calls"
-	"beechtide.org/beechtide/internal/regime"
+	"beechtide.org/beechtide/internal/compliance"
 	"beechtide.org/beechtide/internal/routeconfig"
 )
 
@@ -51,14 +51,14 @@
 		fmt.Fprintf(os.Stderr, "beechtide audit: %s: %v\n", path, err)
 		return 1
 	}
-	var list []regime.Entry
+	var list []compliance.Entry
 	for _, path := range fs.Args() {
 		f, err := os.Open(path)
 		if err != nil {
 			fmt.Fprintf(os.Stderr, "beechtide audit: %v\n", err)
 			return 1
 		}
-		part, err := regime.ReadTrail(f)
+		part, err := compliance.ReadTrail(f)
 		f.Close()
 		if err != nil {
 			fmt.Fprintf(os.Stderr, "beechtide audit: %s: %v\n", path, err)
@@ -66,7 +66,7 @@
 		}
 		list = append(list, part...)
 	}
-	bad := regime.CheckTrail(list, menus)
+	bad := compliance.CheckTrail(list, menus)
 	for _, v := range bad {
 		fmt.Println(v)
 	}
--- a/internal/regime/policy.go
+++ b/internal/compliance/policy.go
@@ -1,9 +1,9 @@
-// Package regime decides which runners may serve a regulated tenant. Regimes
+// Package compliance decides which runners may serve a regulated tenant. Regimes
 // and certificates are declared in the operator's configuration; each regime's
 // policy is compiled to bytecode when the configuration is checked and run once
 // a runner and configuration, not once a request. What a runner says of itself
 // certifies nothing.
-package regime
+package compliance
 
 import (
 	"fmt"
@@ -39,7 +39,7 @@
 const byCertificate = "regime in certificates"
 
 // ErrPolicy is the cause of errors in a policy.
-var ErrPolicy = errors.New("regime: policy")
+var ErrPolicy = errors.New("compliance: policy")
 
 // Policies are the compiled rules of one configuration. They are not changed.
 type Policies struct {
@@ -50,7 +50,7 @@
 // Fault is a declaration that makes no sense.
 type Fault struct{ Field, Reason string }
 
-func (f *Fault) Error() string { return fmt.Sprintf("regime: field %s: %s", f.Field, f.Reason) }
+func (f *Fault) Error() string { return fmt.Sprintf("compliance: field %s: %s", f.Field, f.Reason) }
 
 // Compile checks what a configuration declares and compiles its policies.
 func Compile(m calls.Menu) (*Policies, error) {
--- a/internal/regime/policy_test.go
+++ b/internal/compliance/policy_test.go
@@ -1,4 +1,4 @@
-package regime
+package compliance
 
 import (
 	"bytes"
--- a/internal/regime/trail.go
+++ b/internal/compliance/trail.go
@@ -1,7 +1,7 @@
 // Trail is the audit trail of regulated requests: a bounded ring of what was
 // asked, sent, answered and denied, each with the runner, its certificate and
 // the mark of the configuration that was in force at the node.
-package regime
+package compliance
 
 import (
 	"bufio"
--- a/internal/counter/counter.go
+++ b/internal/counter/counter.go
@@ -14,10 +14,10 @@
 	"github.com/panjf2000/ants/v2"
 
 	"beechtide.org/beechtide/internal/admission"
+	"beechtide.org/beechtide/internal/compliance"
 	"beechtide.org/beechtide/internal/inflight"
 	"beechtide.org/beechtide/internal/loop"
 	"beechtide.org/beechtide/internal/radio"
-	"beechtide.org/beechtide/internal/regime"
 	"beechtide.org/beechtide/internal/registry"
 	"beechtide.org/beechtide/internal/routeconfig"
 	"beechtide.org/beechtide/internal/settings"
@@ -59,7 +59,7 @@
 
 	recheckedUs atomic.Int64
 
-	trail    regime.Trail
+	trail    compliance.Trail
 	seeds    atomic.Pointer[[]string]
 	nodes    atomic.Int64
 	informed atomic.Bool
@@ -189,7 +189,7 @@
 			}
 		}
 		for _, box := range t.Stores {
-			if _, ok := t.Policies.Allows(name, regime.Runner{ID: box.CacheStore, Service: box.Name, Site: box.Site}); ok {
+			if _, ok := t.Policies.Allows(name, compliance.Runner{ID: box.CacheStore, Service: box.Name, Site: box.Site}); ok {
 				out[name][box.CacheStore] = true
 			}
 		}
@@ -197,8 +197,8 @@
 	return out
 }
 
-func sightOf(n wire.RunnerNote) regime.Runner {
-	return regime.Runner{ID: n.ID, Service: n.Service, Site: n.Site}
+func sightOf(n wire.RunnerNote) compliance.Runner {
+	return compliance.Runner{ID: n.ID, Service: n.Service, Site: n.Site}
 }
 
 // storesFor lists the stores that the runners of a service may use: all there
--- a/internal/counter/counter_test.go
+++ b/internal/counter/counter_test.go
@@ -22,7 +22,7 @@
 
 	"beechtide.org/beechtide/internal/admission"
 	"beechtide.org/beechtide/internal/calls"
-	"beechtide.org/beechtide/internal/regime"
+	"beechtide.org/beechtide/internal/compliance"
 	"beechtide.org/beechtide/internal/routeconfig"
 	"beechtide.org/beechtide/internal/settings"
 	"beechtide.org/beechtide/internal/statesync"
@@ -487,7 +487,7 @@
 
 	var out strings.Builder
 	must.NoError(t, c.trail.Write(&out))
-	list, err := regime.ReadTrail(strings.NewReader(out.String()))
+	list, err := compliance.ReadTrail(strings.NewReader(out.String()))
 	must.NoError(t, err)
 	var menus []calls.Menu
 	for v, who := range map[int]string{4: `"r1"`, 5: `"r0"`, 6: `"r9"`} {
@@ -498,7 +498,7 @@
 	for i := range list {
 		list[i].Attempt = fmt.Sprint((i) / 3) // the stand-in client repeats one id
 	}
-	must.SliceEmpty(t, regime.CheckTrail(list, menus))
+	must.SliceEmpty(t, compliance.CheckTrail(list, menus))
 	must.Len(t, 7*3+2, list)
 }
 
--- a/internal/counter/evening_test.go
+++ b/internal/counter/evening_test.go
@@ -11,9 +11,9 @@
 
 	"beechtide.org/beechtide/internal/admission"
 	"beechtide.org/beechtide/internal/calls"
+	"beechtide.org/beechtide/internal/compliance"
 	"beechtide.org/beechtide/internal/inflight"
 	"beechtide.org/beechtide/internal/prefixindex"
-	"beechtide.org/beechtide/internal/regime"
 	"beechtide.org/beechtide/internal/registry"
 	"beechtide.org/beechtide/internal/routeconfig"
 	"beechtide.org/beechtide/internal/wire"
@@ -44,7 +44,7 @@
 	roster *registry.Roster
 	door   *admission.Doorman
 	slab   inflight.Slab[admission.Ruling]
-	trail  *regime.Trail
+	trail  *compliance.Trail
 	cut    bool
 	up     bool
 }
@@ -100,8 +100,8 @@
 	n.hear(e)
 }
 
-func (n *deskNode) note(e *evening, step regime.Step, g *guest, r *wire.RunnerNote, cert int) {
-	x := regime.Entry{Node: n.name, Step: step, Attempt: g.id, Tenant: g.ask.Tenant, Regime: g.ask.Regime, Certificate: cert, Mark: n.table.Mark}
+func (n *deskNode) note(e *evening, step compliance.Step, g *guest, r *wire.RunnerNote, cert int) {
+	x := compliance.Entry{Node: n.name, Step: step, Attempt: g.id, Tenant: g.ask.Tenant, Regime: g.ask.Regime, Certificate: cert, Mark: n.table.Mark}
 	if r != nil {
 		x.Runner, x.Service, x.Site = r.ID, r.Service, r.Site
 	}
@@ -119,7 +119,7 @@
 	if e.rnd.IntN(2) == 0 {
 		g.ask.Tenant = "directorate"
 		g.ask.Regime = n.table.RegimeOf("directorate")
-		n.note(e, regime.Asked, g, nil, -1)
+		n.note(e, compliance.Asked, g, nil, -1)
 	}
 	e.open = append(e.open, g)
 	e.offer(g)
@@ -136,7 +136,7 @@
 
 func (e *evening) ruled(g *guest, r admission.Ruling) {
 	if r.Admit == nil {
-		e.end(g, regime.Denied)
+		e.end(g, compliance.Denied)
 		return
 	}
 	_, cert, ok := g.node.table.Allows(g.ask.Tenant, sightOf(r.Admit.Runner))
@@ -144,7 +144,7 @@
 		g.node.door.Done(r.Admit, true, e.nowUs)
 		g.ask.Avoid = append(g.ask.Avoid, r.Admit.Runner.ID)
 		if len(g.ask.Avoid) > maxUnsent {
-			e.end(g, regime.Denied)
+			e.end(g, compliance.Denied)
 			return
 		}
 		e.offer(g)
@@ -152,7 +152,7 @@
 	}
 	g.adm, g.endsUs = r.Admit, e.nowUs+200_000+int64(e.rnd.IntN(1_500_000))
 	if g.ask.Regime != "" {
-		g.node.note(e, regime.Sent, g, &r.Admit.Runner, cert)
+		g.node.note(e, compliance.Sent, g, &r.Admit.Runner, cert)
 		e.sent[r.Admit.Runner.ID]++
 		must.True(e.t, e.certifiedAt(g.node.table.Mark, r.Admit.Runner.ID), must.Sprintf("%s in version %d", r.Admit.Runner.ID, g.node.table.Mark))
 	}
@@ -171,7 +171,7 @@
 	return false
 }
 
-func (e *evening) end(g *guest, step regime.Step) {
+func (e *evening) end(g *guest, step compliance.Step) {
 	e.ends[g.id]++
 	if g.ask.Regime != "" {
 		g.node.note(e, step, g, nil, -1)
@@ -192,9 +192,9 @@
 	for _, g := range append([]*guest{}, e.open...) {
 		if g.adm != nil && g.endsUs > 0 && g.endsUs <= e.nowUs {
 			if _, alive := e.runners[g.adm.Runner.ID]; alive {
-				e.end(g, regime.Answered)
+				e.end(g, compliance.Answered)
 			} else {
-				e.end(g, regime.Cut)
+				e.end(g, compliance.Cut)
 			}
 			g.node.door.Done(g.adm, true, e.nowUs)
 		}
@@ -244,7 +244,7 @@
 			n.up = false
 			for _, g := range e.open {
 				if g.node == n {
-					e.end(g, regime.Cut)
+					e.end(g, compliance.Cut)
 				}
 			}
 		} else {
@@ -278,7 +278,7 @@
 	e.version, e.menus = 1, nil
 	e.menus = append(e.menus, e.menu())
 	for i := range 4 {
-		n := &deskNode{name: fmt.Sprint("n", i), trail: &regime.Trail{}}
+		n := &deskNode{name: fmt.Sprint("n", i), trail: &compliance.Trail{}}
 		n.start(e)
 		e.nodes = append(e.nodes, n)
 	}
@@ -301,7 +301,7 @@
 		left := []*guest{}
 		for _, g := range e.open {
 			if g.adm != nil && g.endsUs > 0 && g.endsUs <= e.nowUs {
-				e.end(g, regime.Answered)
+				e.end(g, compliance.Answered)
 				g.node.door.Done(g.adm, true, e.nowUs)
 			}
 			if g.endsUs >= 0 {
@@ -313,12 +313,12 @@
 	return e
 }
 
-func (e *evening) trail() []regime.Entry {
-	var out []regime.Entry
+func (e *evening) trail() []compliance.Entry {
+	var out []compliance.Entry
 	for _, n := range e.nodes {
 		var b bytes.Buffer
 		must.NoError(e.t, n.trail.Write(&b))
-		list, err := regime.ReadTrail(&b)
+		list, err := compliance.ReadTrail(&b)
 		must.NoError(e.t, err)
 		out = append(out, list...)
 	}
@@ -334,19 +334,19 @@
 			must.Eq(t, 1, e.ends[fmt.Sprint(id)], must.Sprintf("seed %d: request %d ended %d times", seed, id, e.ends[fmt.Sprint(id)]))
 		}
 		list := e.trail()
-		bad := regime.CheckTrail(list, e.menus)
+		bad := compliance.CheckTrail(list, e.menus)
 		must.SliceEmpty(t, bad, must.Sprint(seed, bad))
 		for _, n := range e.sent {
 			regulated += n
 		}
 		// a planted violation is found
 		for i := range list {
-			if list[i].Step == regime.Sent {
+			if list[i].Step == compliance.Sent {
 				list[i].Runner = "nobody"
 				break
 			}
 		}
-		must.SliceNotEmpty(t, regime.CheckTrail(list, e.menus), must.Sprint(seed))
+		must.SliceNotEmpty(t, compliance.CheckTrail(list, e.menus), must.Sprint(seed))
 	}
 	must.Greater(t, 2000, regulated, must.Sprint("too few regulated requests were sent to show anything"))
 }
--- a/internal/counter/front.go
+++ b/internal/counter/front.go
@@ -15,9 +15,9 @@
 
 	"beechtide.org/beechtide/internal/admission"
 	"beechtide.org/beechtide/internal/calls"
+	"beechtide.org/beechtide/internal/compliance"
 	"beechtide.org/beechtide/internal/dispatch"
 	"beechtide.org/beechtide/internal/prefixindex"
-	"beechtide.org/beechtide/internal/regime"
 	"beechtide.org/beechtide/internal/routeconfig"
 	"beechtide.org/beechtide/internal/wire"
 )
@@ -89,7 +89,7 @@
 	shots   int
 	next    *nextShot // for a stream on the move
 	moveUs  int64     // when it looks for a place again
-	ended   regime.Step
+	ended   compliance.Step
 	changed bool // the tenant's regime changed while the request waited
 }
 
@@ -141,15 +141,15 @@
 		v.ask.Regime = t.RegimeOf(v.tenant.Name)
 	}
 	if v.ask.Regime != "" {
-		v.note(regime.Asked, nil, -1)
+		v.note(compliance.Asked, nil, -1)
 		defer func() { v.note(v.ended, nil, -1) }()
 	}
 	v.run()
 }
 
 // note adds to the audit trail of regulated requests.
-func (v *visit) note(step regime.Step, n *wire.RunnerNote, certificate int) {
-	e := regime.Entry{Node: v.c.set.Node, Step: step, Attempt: v.id, Tenant: v.tenant.Name, Regime: v.ask.Regime, Certificate: certificate, Mark: v.c.table.Load().Mark}
+func (v *visit) note(step compliance.Step, n *wire.RunnerNote, certificate int) {
+	e := compliance.Entry{Node: v.c.set.Node, Step: step, Attempt: v.id, Tenant: v.tenant.Name, Regime: v.ask.Regime, Certificate: certificate, Mark: v.c.table.Load().Mark}
 	if n != nil {
 		e.Runner, e.Service, e.Site = n.ID, n.Service, n.Site
 	}
@@ -206,7 +206,7 @@
 	if againUs > 0 && (status == 429 || status == 503) {
 		h.Set(hRetryAfter, strconv.FormatFloat(float64(againUs)/1e6, 'f', 3, 64))
 	}
-	v.ended = regime.Denied
+	v.ended = compliance.Denied
 	v.rc.SetStatusCode(status)
 	if reason != "" {
 		v.rc.Response.Header.SetContentType("text/plain")
--- a/internal/counter/shots.go
+++ b/internal/counter/shots.go
@@ -18,7 +18,7 @@
 
 	"beechtide.org/beechtide/internal/admission"
 	"beechtide.org/beechtide/internal/calls"
-	"beechtide.org/beechtide/internal/regime"
+	"beechtide.org/beechtide/internal/compliance"
 	"beechtide.org/beechtide/internal/upstream"
 )
 
@@ -50,7 +50,7 @@
 	var stream *answerStream
 	defer func() {
 		if stream != nil && stream.started && !stream.finished {
-			v.ended = regime.Cut
+			v.ended = compliance.Cut
 			v.cut()
 		}
 	}()
@@ -78,10 +78,10 @@
 		case moving:
 			continue
 		case whole:
-			v.ended = regime.Answered
+			v.ended = compliance.Answered
 			return
 		case clientGone:
-			v.ended = regime.Cut
+			v.ended = compliance.Cut
 			return
 		case notSent:
 			v.shots--
@@ -250,7 +250,7 @@
 	}
 	_, certificate, ok := t.Allows(v.tenant.Name, sightOf(adm.Runner))
 	if ok {
-		v.note(regime.Sent, &adm.Runner, certificate)
+		v.note(compliance.Sent, &adm.Runner, certificate)
 	}
 	return ok
 }
--- a/internal/routeconfig/check.go
+++ b/internal/routeconfig/check.go
@@ -12,7 +12,7 @@
 	"github.com/pkg/errors"
 
 	"beechtide.org/beechtide/internal/calls"
-	"beechtide.org/beechtide/internal/regime"
+	"beechtide.org/beechtide/internal/compliance"
 )
 
 // Invalid says which field of a configuration is wrong, and why.
@@ -91,8 +91,8 @@
 			owner[k] = t.Name
 		}
 	}
-	_, err := regime.Compile(m)
-	var fault *regime.Fault
+	_, err := compliance.Compile(m)
+	var fault *compliance.Fault
 	if errors.As(err, &fault) {
 		return &Invalid{fault.Field, fault.Reason}
 	}
--- a/internal/routeconfig/table.go
+++ b/internal/routeconfig/table.go
@@ -7,7 +7,7 @@
 	"strings"
 
 	"beechtide.org/beechtide/internal/calls"
-	"beechtide.org/beechtide/internal/regime"
+	"beechtide.org/beechtide/internal/compliance"
 )
 
 // Route is a route with its times in microseconds.
@@ -27,7 +27,7 @@
 	keys     map[string]*calls.Tenant
 	Tenants  int
 	Stores   []*calls.Service
-	Policies *regime.Policies
+	Policies *compliance.Policies
 	regimes  map[string]string // by tenant
 	// Relinquished are the sites that give up their sessions, and over how long.
 	Relinquished map[string]int64
@@ -36,7 +36,7 @@
 // Compile makes a table from a checked configuration.
 func Compile(m calls.Menu) *Table {
 	t := &Table{Mark: m.Mark, Limits: m.Limits, hosts: map[string][]*Route{}, services: map[string]*calls.Service{}, keys: map[string]*calls.Tenant{}, Tenants: len(m.Tenants)}
-	if p, err := regime.Compile(m); err == nil && len(m.Regimes) > 0 {
+	if p, err := compliance.Compile(m); err == nil && len(m.Regimes) > 0 {
 		t.Policies = p
 	}
 	for _, x := range m.Relinquish {
@@ -104,7 +104,7 @@
 
 // Allows tells whether a tenant's requests may go to a runner now, and by which
 // certificate. Without a regime every runner will do.
-func (t *Table) Allows(tenant string, r regime.Runner) (regimeName string, certificate int, ok bool) {
+func (t *Table) Allows(tenant string, r compliance.Runner) (regimeName string, certificate int, ok bool) {
 	name := t.regimes[tenant]
 	if name == "" {
 		return "", -1, true
