--- a/cmd/beechtide/audit.go
+++ b/cmd/beechtide/audit.go
@@ -7,7 +7,7 @@
 	"os"
 	"strings"
 
-	"beechtide.org/beechtide/internal/calls"
+	"beechtide.org/beechtide/internal/api"
 	"beechtide.org/beechtide/internal/compliance"
 	"beechtide.org/beechtide/internal/routeconfig"
 )
@@ -38,11 +38,11 @@
 		fmt.Fprintln(os.Stderr, "beechtide audit: name at least one configuration (-c) and one trail")
 		return 2
 	}
-	var menus []calls.Menu
+	var menus []api.Menu
 	for _, path := range configs {
 		raw, err := os.ReadFile(path)
 		if err == nil {
-			var m calls.Menu
+			var m api.Menu
 			if m, err = routeconfig.Parse(raw); err == nil {
 				menus = append(menus, m)
 				continue
--- a/internal/compliance/policy.go
+++ b/internal/compliance/policy.go
@@ -13,7 +13,7 @@
 	"github.com/expr-lang/expr/vm"
 	"github.com/pkg/errors"
 
-	"beechtide.org/beechtide/internal/calls"
+	"beechtide.org/beechtide/internal/api"
 )
 
 // Bounds on what a policy may cost.
@@ -44,7 +44,7 @@
 // Policies are the compiled rules of one configuration. They are not changed.
 type Policies struct {
 	rules        map[string]*vm.Program
-	certificates []calls.Certificate
+	certificates []api.Certificate
 }
 
 // Fault is a declaration that makes no sense.
@@ -53,7 +53,7 @@
 func (f *Fault) Error() string { return fmt.Sprintf("compliance: field %s: %s", f.Field, f.Reason) }
 
 // Compile checks what a configuration declares and compiles its policies.
-func Compile(m calls.Menu) (*Policies, error) {
+func Compile(m api.Menu) (*Policies, error) {
 	p := &Policies{rules: map[string]*vm.Program{}, certificates: m.Certificates}
 	for i, r := range m.Regimes {
 		if p.rules[r.Name] != nil {
--- a/internal/compliance/policy_test.go
+++ b/internal/compliance/policy_test.go
@@ -8,20 +8,20 @@
 	"github.com/pkg/errors"
 	"github.com/shoenig/test/must"
 
-	"beechtide.org/beechtide/internal/calls"
+	"beechtide.org/beechtide/internal/api"
 )
 
-func menuOf(version int64) calls.Menu {
-	return calls.Menu{
+func menuOf(version int64) api.Menu {
+	return api.Menu{
 		Mark:     version,
-		Services: []calls.Service{{Name: "s"}, {Name: "t"}},
-		Regimes:  []calls.Regime{{Name: "allergen"}, {Name: "strict", Policy: `regime in certificates && runner.site == "a"`}},
-		Certificates: []calls.Certificate{
+		Services: []api.Service{{Name: "s"}, {Name: "t"}},
+		Regimes:  []api.Regime{{Name: "allergen"}, {Name: "strict", Policy: `regime in certificates && runner.site == "a"`}},
+		Certificates: []api.Certificate{
 			{Regime: "allergen", Service: "s", Site: "a"},
 			{Regime: "allergen", Runners: []string{"r9"}},
 			{Regime: "strict", Service: "s"},
 		},
-		Tenants: []calls.Tenant{{Name: "directorate", Regime: "allergen"}, {Name: "taxi"}},
+		Tenants: []api.Tenant{{Name: "directorate", Regime: "allergen"}, {Name: "taxi"}},
 	}
 }
 
@@ -51,18 +51,18 @@
 func TestSenselessDeclarationsNameTheField(t *testing.T) {
 	for _, c := range []struct {
 		field string
-		spoil func(*calls.Menu)
+		spoil func(*api.Menu)
 	}{
-		{"tenants[0].regime", func(m *calls.Menu) { m.Tenants[0].Regime = "none" }},
-		{"certificates[0].regime", func(m *calls.Menu) { m.Certificates[0].Regime = "none" }},
-		{"certificates[1]", func(m *calls.Menu) { m.Certificates[1].Runners = nil }},
-		{"certificates[2].service", func(m *calls.Menu) { m.Certificates[2].Service = "none" }},
-		{"certificates[1].runners", func(m *calls.Menu) { m.Certificates[1].Runners = []string{""} }},
-		{"regimes[1].name", func(m *calls.Menu) { m.Regimes[1].Name = "allergen" }},
-		{"regimes[1].policy", func(m *calls.Menu) { m.Regimes[1].Policy = "runner.colour == 1" }},
-		{"regimes[1].policy", func(m *calls.Menu) { m.Regimes[1].Policy = "1 + 1" }},
-		{"regimes[1].policy", func(m *calls.Menu) { m.Regimes[1].Policy = "now().Year() > 1" }},
-		{"regimes[1].policy", func(m *calls.Menu) { m.Regimes[1].Policy = strings.Repeat("true && ", 200) + "true" }},
+		{"tenants[0].regime", func(m *api.Menu) { m.Tenants[0].Regime = "none" }},
+		{"certificates[0].regime", func(m *api.Menu) { m.Certificates[0].Regime = "none" }},
+		{"certificates[1]", func(m *api.Menu) { m.Certificates[1].Runners = nil }},
+		{"certificates[2].service", func(m *api.Menu) { m.Certificates[2].Service = "none" }},
+		{"certificates[1].runners", func(m *api.Menu) { m.Certificates[1].Runners = []string{""} }},
+		{"regimes[1].name", func(m *api.Menu) { m.Regimes[1].Name = "allergen" }},
+		{"regimes[1].policy", func(m *api.Menu) { m.Regimes[1].Policy = "runner.colour == 1" }},
+		{"regimes[1].policy", func(m *api.Menu) { m.Regimes[1].Policy = "1 + 1" }},
+		{"regimes[1].policy", func(m *api.Menu) { m.Regimes[1].Policy = "now().Year() > 1" }},
+		{"regimes[1].policy", func(m *api.Menu) { m.Regimes[1].Policy = strings.Repeat("true && ", 200) + "true" }},
 	} {
 		m := menuOf(1)
 		c.spoil(&m)
@@ -96,7 +96,7 @@
 }
 
 func TestCheckerPassesAGoodTrailAndNamesEachPlantedViolation(t *testing.T) {
-	menus := []calls.Menu{menuOf(1)}
+	menus := []api.Menu{menuOf(1)}
 	good := append(sent("1", "r1", 0), sent("2", "r2", 0)...)
 	must.SliceEmpty(t, CheckTrail(good, menus))
 	for _, c := range []struct {
--- a/internal/compliance/trail.go
+++ b/internal/compliance/trail.go
@@ -10,7 +10,7 @@
 	"io"
 	"sync"
 
-	"beechtide.org/beechtide/internal/calls"
+	"beechtide.org/beechtide/internal/api"
 )
 
 // Step is what happened to a request.
@@ -112,7 +112,7 @@
 // the configuration in force did not let in, one answered twice, one whose end
 // is missing. Configurations are matched by their version; an entry of a version
 // that is not given can't be vouched for and is named as well.
-func CheckTrail(list []Entry, menus []calls.Menu) []Violation {
+func CheckTrail(list []Entry, menus []api.Menu) []Violation {
 	var out []Violation
 	rules := map[int64]*Policies{}
 	regimeOf := map[int64]map[string]string{}
--- a/internal/counter/counter_test.go
+++ b/internal/counter/counter_test.go
@@ -21,7 +21,7 @@
 	"github.com/shoenig/test/must"
 
 	"beechtide.org/beechtide/internal/admission"
-	"beechtide.org/beechtide/internal/calls"
+	"beechtide.org/beechtide/internal/api"
 	"beechtide.org/beechtide/internal/compliance"
 	"beechtide.org/beechtide/internal/routeconfig"
 	"beechtide.org/beechtide/internal/settings"
@@ -489,7 +489,7 @@
 	must.NoError(t, c.trail.Write(&out))
 	list, err := compliance.ReadTrail(strings.NewReader(out.String()))
 	must.NoError(t, err)
-	var menus []calls.Menu
+	var menus []api.Menu
 	for v, who := range map[int]string{4: `"r1"`, 5: `"r0"`, 6: `"r9"`} {
 		m, err := routeconfig.Parse([]byte(regulated(v, who)))
 		must.NoError(t, err)
--- a/internal/counter/evening_test.go
+++ b/internal/counter/evening_test.go
@@ -10,7 +10,7 @@
 	"github.com/shoenig/test/must"
 
 	"beechtide.org/beechtide/internal/admission"
-	"beechtide.org/beechtide/internal/calls"
+	"beechtide.org/beechtide/internal/api"
 	"beechtide.org/beechtide/internal/compliance"
 	"beechtide.org/beechtide/internal/inflight"
 	"beechtide.org/beechtide/internal/prefixindex"
@@ -31,7 +31,7 @@
 	runners map[string]wire.RunnerNote
 	certs   map[string]bool
 	version int64
-	menus   []calls.Menu
+	menus   []api.Menu
 	ends    map[string]int
 	count   int
 	sent    map[string]int // regulated requests by runner
@@ -57,15 +57,15 @@
 	endsUs int64
 }
 
-func (e *evening) menu() calls.Menu {
-	m := calls.Menu{Mark: e.version, Services: []calls.Service{{Name: "s", Engine: calls.Engine{CacheTokens: 16000}}}, Regimes: []calls.Regime{{Name: "allergen"}}, Tenants: []calls.Tenant{{Name: "directorate", Regime: "allergen"}, {Name: "taxi"}}}
+func (e *evening) menu() api.Menu {
+	m := api.Menu{Mark: e.version, Services: []api.Service{{Name: "s", Engine: api.Engine{CacheTokens: 16000}}}, Regimes: []api.Regime{{Name: "allergen"}}, Tenants: []api.Tenant{{Name: "directorate", Regime: "allergen"}, {Name: "taxi"}}}
 	var ids []string
 	for id := range e.certs {
 		ids = append(ids, id)
 	}
 	sort.Strings(ids)
 	if len(ids) > 0 {
-		m.Certificates = []calls.Certificate{{Regime: "allergen", Runners: ids}}
+		m.Certificates = []api.Certificate{{Regime: "allergen", Runners: ids}}
 	}
 	return m
 }
--- a/internal/counter/front.go
+++ b/internal/counter/front.go
@@ -14,7 +14,7 @@
 	"github.com/cloudwego/hertz/pkg/app/server"
 
 	"beechtide.org/beechtide/internal/admission"
-	"beechtide.org/beechtide/internal/calls"
+	"beechtide.org/beechtide/internal/api"
 	"beechtide.org/beechtide/internal/compliance"
 	"beechtide.org/beechtide/internal/dispatch"
 	"beechtide.org/beechtide/internal/prefixindex"
@@ -80,7 +80,7 @@
 	c       *Counter
 	rc      *app.RequestContext
 	route   *routeconfig.Route
-	tenant  *calls.Tenant
+	tenant  *api.Tenant
 	service string
 	id      string
 	startUs int64
--- a/internal/counter/shots.go
+++ b/internal/counter/shots.go
@@ -17,7 +17,7 @@
 	"github.com/pkg/errors"
 
 	"beechtide.org/beechtide/internal/admission"
-	"beechtide.org/beechtide/internal/calls"
+	"beechtide.org/beechtide/internal/api"
 	"beechtide.org/beechtide/internal/compliance"
 	"beechtide.org/beechtide/internal/upstream"
 )
@@ -417,7 +417,7 @@
 func (v *visit) passStream(adm *admission.Admission, link *upstream.Link, r *protocol.Response, stream *answerStream) (ending, *answerStream) {
 	c := v.c
 	if stream == nil {
-		stream = &answerStream{cutting: v.route.Kind == calls.Streaming}
+		stream = &answerStream{cutting: v.route.Kind == api.Streaming}
 	}
 	stream.events.Cut()
 	body := r.BodyStream()
--- a/internal/dispatch/control.go
+++ b/internal/dispatch/control.go
@@ -14,7 +14,7 @@
 	"github.com/go-playground/validator/v10"
 	"github.com/pkg/errors"
 
-	"beechtide.org/beechtide/internal/calls"
+	"beechtide.org/beechtide/internal/api"
 	"beechtide.org/beechtide/internal/consensus"
 	"beechtide.org/beechtide/internal/radio"
 	"beechtide.org/beechtide/internal/routeconfig"
@@ -63,11 +63,11 @@
 }
 
 func deny(c *app.RequestContext, status int, field, reason string) {
-	c.JSON(status, calls.Fault{Error: reason, Field: field})
+	c.JSON(status, api.Fault{Error: reason, Field: field})
 }
 
 func (d *Dispatch) beat(_ context.Context, c *app.RequestContext) {
-	var b calls.Beat
+	var b api.Beat
 	if err := json.Unmarshal(c.Request.Body(), &b); err != nil {
 		deny(c, 400, "(body)", err.Error())
 		return
@@ -76,7 +76,7 @@
 		deny(c, 400, "(body)", "not a beat")
 		return
 	}
-	n := wire.RunnerNote{ID: c.Param("id"), Service: b.Service, Addr: b.Address, Site: b.Site, Capacity: b.Capacity, Seq: b.Sequence, Draining: b.State == calls.Draining, Models: []wire.Target{}}
+	n := wire.RunnerNote{ID: c.Param("id"), Service: b.Service, Addr: b.Address, Site: b.Site, Capacity: b.Capacity, Seq: b.Sequence, Draining: b.State == api.Draining, Models: []wire.Target{}}
 	for _, m := range b.Models {
 		n.Models = append(n.Models, wire.Target{Model: m.Name, Mark: m.Mark})
 	}
@@ -84,7 +84,7 @@
 	if changed {
 		d.tellRunners(n.ID)
 	}
-	out := calls.BeatOutcome{}
+	out := api.BeatOutcome{}
 	all := d.watch.Alive(wire.Dispatch)
 	for _, p := range all {
 		if p.Addr != d.radio.Addr() {
@@ -199,7 +199,7 @@
 }
 
 func (d *Dispatch) nameWeights(ctx context.Context, c *app.RequestContext) {
-	var w calls.WeightsNamed
+	var w api.WeightsNamed
 	if err := json.Unmarshal(c.Request.Body(), &w); err != nil {
 		deny(c, 400, "(body)", err.Error())
 		return
@@ -232,7 +232,7 @@
 
 // nameTarget notes a model's newest weights. The one who notes it takes the
 // duty along where it was never held.
-func nameTarget(cur wire.Value, w calls.WeightsNamed, self string) ([]wire.Member, []byte, error) {
+func nameTarget(cur wire.Value, w api.WeightsNamed, self string) ([]wire.Member, []byte, error) {
 	body, err := dutyBody(cur)
 	if err != nil {
 		return nil, nil, err
--- a/internal/dispatch/feed.go
+++ b/internal/dispatch/feed.go
@@ -10,7 +10,7 @@
 	"sync/atomic"
 	"time"
 
-	"beechtide.org/beechtide/internal/calls"
+	"beechtide.org/beechtide/internal/api"
 	"beechtide.org/beechtide/internal/consensus"
 	"beechtide.org/beechtide/internal/loop"
 	"beechtide.org/beechtide/internal/prefixindex"
@@ -163,7 +163,7 @@
 
 // tellMenu sends what differs in a newly committed configuration. A version of
 // the register that only changes its group has no entries.
-func (d *Dispatch) tellMenu(version int64, m calls.Menu) {
+func (d *Dispatch) tellMenu(version int64, m api.Menu) {
 	entries, err := routeconfig.Entries(m)
 	if err != nil {
 		d.log.Error(err, "a committed configuration cannot be cut")
--- a/internal/dispatch/readers.go
+++ b/internal/dispatch/readers.go
@@ -11,7 +11,7 @@
 	"strconv"
 	"time"
 
-	"beechtide.org/beechtide/internal/calls"
+	"beechtide.org/beechtide/internal/api"
 	"beechtide.org/beechtide/internal/loop"
 	"beechtide.org/beechtide/internal/prefixindex"
 	"beechtide.org/beechtide/internal/radio"
@@ -107,7 +107,7 @@
 		cctx, cancel := context.WithTimeout(ctx, callWait)
 		status, body, _, err := d.garage.Ask(cctx, n.Addr, "GET", "/api/kv-events?since="+strconv.FormatInt(since, 10), aimed(n, map[string]string{"Wait-Ms": "1000"}), nil)
 		cancel()
-		var ev calls.KeptEvents
+		var ev api.KeptEvents
 		if err != nil || status != 200 || json.Unmarshal(body, &ev) != nil {
 			loop.Pause(ctx, eventsEvery)
 			continue
@@ -149,7 +149,7 @@
 	cctx, cancel := context.WithTimeout(ctx, callWait)
 	defer cancel()
 	status, body, _, err := d.garage.Ask(cctx, n.Addr, "GET", "/api/kv-list", aimed(n, map[string]string{}), nil)
-	var list calls.KeptList
+	var list api.KeptList
 	if err != nil || status != 200 || json.Unmarshal(body, &list) != nil {
 		return
 	}
@@ -181,11 +181,11 @@
 	}
 }
 
-func (d *Dispatch) report(ctx context.Context, n wire.RunnerNote) (calls.Report, bool) {
+func (d *Dispatch) report(ctx context.Context, n wire.RunnerNote) (api.Report, bool) {
 	cctx, cancel := context.WithTimeout(ctx, callWait)
 	defer cancel()
 	status, body, _, err := d.garage.Ask(cctx, n.Addr, "GET", "/api/report", aimed(n, map[string]string{}), nil)
-	var r calls.Report
+	var r api.Report
 	return r, err == nil && status == 200 && json.Unmarshal(body, &r) == nil
 }
 
--- a/internal/dispatch/refits.go
+++ b/internal/dispatch/refits.go
@@ -10,7 +10,7 @@
 	"sync/atomic"
 	"time"
 
-	"beechtide.org/beechtide/internal/calls"
+	"beechtide.org/beechtide/internal/api"
 	"beechtide.org/beechtide/internal/consensus"
 	"beechtide.org/beechtide/internal/lease"
 	"beechtide.org/beechtide/internal/loop"
@@ -277,7 +277,7 @@
 }
 
 func (d *Dispatch) order(ctx context.Context, n wire.RunnerNote, t wire.Target, fence int64) {
-	b, err := json.Marshal(calls.Order{Op: calls.Version, Model: t.Model, Mark: t.Mark, Method: calls.Hold, Holder: d.ledger.ID(), Fence: fence})
+	b, err := json.Marshal(api.Order{Op: api.Version, Model: t.Model, Mark: t.Mark, Method: api.Hold, Holder: d.ledger.ID(), Fence: fence})
 	if err != nil {
 		return
 	}
--- a/internal/routeconfig/change_test.go
+++ b/internal/routeconfig/change_test.go
@@ -7,31 +7,31 @@
 
 	"github.com/shoenig/test/must"
 
-	"beechtide.org/beechtide/internal/calls"
+	"beechtide.org/beechtide/internal/api"
 	"beechtide.org/beechtide/internal/statesync"
 )
 
 // large is a configuration of so many tenants and routes.
-func large(tenants, routes int) calls.Menu {
-	m := calls.Menu{Mark: 1, Services: []calls.Service{{Name: "s", Engine: calls.Engine{CacheTokens: 96350, Models: []calls.EngineModel{{Name: "m"}}}}}}
+func large(tenants, routes int) api.Menu {
+	m := api.Menu{Mark: 1, Services: []api.Service{{Name: "s", Engine: api.Engine{CacheTokens: 96350, Models: []api.EngineModel{{Name: "m"}}}}}}
 	for i := range routes {
-		m.Routes = append(m.Routes, calls.Route{Name: fmt.Sprint("r-", i), Host: "ficu95.example", Prefix: fmt.Sprintf("/lohu%d/", i), Kind: calls.Streaming, CutoffMs: 15000, SetpointMs: 400, Service: "s", Tries: 2, Pinned: true, Resumable: true})
+		m.Routes = append(m.Routes, api.Route{Name: fmt.Sprint("r-", i), Host: "ficu95.example", Prefix: fmt.Sprintf("/lohu%d/", i), Kind: api.Streaming, CutoffMs: 15000, SetpointMs: 400, Service: "s", Tries: 2, Pinned: true, Resumable: true})
 	}
 	for i := range tenants {
-		m.Tenants = append(m.Tenants, calls.Tenant{Name: fmt.Sprint("nowu", i), Keys: []string{fmt.Sprintf("3d3zji9n73hh2b9wu%03d", i), fmt.Sprintf("xd9dnn2ctnfzs989an%03d", i)}, Rank: i % 3})
+		m.Tenants = append(m.Tenants, api.Tenant{Name: fmt.Sprint("nowu", i), Keys: []string{fmt.Sprintf("3d3zji9n73hh2b9wu%03d", i), fmt.Sprintf("xd9dnn2ctnfzs989an%03d", i)}, Rank: i % 3})
 	}
 	return m
 }
 
 // turn gives tenant 5 another key.
-func turn(m calls.Menu, n int) calls.Menu {
+func turn(m api.Menu, n int) api.Menu {
 	m.Mark = int64(n)
-	m.Tenants = append([]calls.Tenant{}, m.Tenants...)
+	m.Tenants = append([]api.Tenant{}, m.Tenants...)
 	m.Tenants[5].Keys = []string{fmt.Sprintf("fresh%015d", n)}
 	return m
 }
 
-func changeOf(t testing.TB, s *statesync.Entries, m calls.Menu) []byte {
+func changeOf(t testing.TB, s *statesync.Entries, m api.Menu) []byte {
 	e, err := Entries(m)
 	must.NoError(t, err)
 	s.Replace(e)
--- a/internal/routeconfig/check.go
+++ b/internal/routeconfig/check.go
@@ -11,7 +11,7 @@
 	"github.com/go-playground/validator/v10"
 	"github.com/pkg/errors"
 
-	"beechtide.org/beechtide/internal/calls"
+	"beechtide.org/beechtide/internal/api"
 	"beechtide.org/beechtide/internal/compliance"
 )
 
@@ -26,8 +26,8 @@
 var tags = validator.New(validator.WithRequiredStructEnabled())
 
 // Parse reads a configuration and checks it as far as it stands by itself.
-func Parse(raw []byte) (calls.Menu, error) {
-	var m calls.Menu
+func Parse(raw []byte) (api.Menu, error) {
+	var m api.Menu
 	if err := json.Unmarshal(raw, &m); err != nil {
 		return m, &Invalid{"(body)", err.Error()}
 	}
@@ -42,7 +42,7 @@
 	return m, crossCheck(m)
 }
 
-func crossCheck(m calls.Menu) error {
+func crossCheck(m api.Menu) error {
 	services := map[string]bool{}
 	for _, s := range m.Services {
 		services[s.Name] = true
--- a/internal/routeconfig/entries.go
+++ b/internal/routeconfig/entries.go
@@ -12,7 +12,7 @@
 
 	"github.com/pkg/errors"
 
-	"beechtide.org/beechtide/internal/calls"
+	"beechtide.org/beechtide/internal/api"
 )
 
 // ErrEntry means that an entry cannot be read.
@@ -29,7 +29,7 @@
 )
 
 // Entries cuts a configuration.
-func Entries(m calls.Menu) (map[string]string, error) {
+func Entries(m api.Menu) (map[string]string, error) {
 	out := map[string]string{}
 	put := func(kind, name string, v any) error {
 		b, err := json.Marshal(v)
@@ -69,7 +69,7 @@
 			return nil, err
 		}
 	}
-	rest := calls.Menu{Mark: m.Mark, Limits: m.Limits, Relinquish: m.Relinquish, Routes: []calls.Route{}, Services: []calls.Service{}}
+	rest := api.Menu{Mark: m.Mark, Limits: m.Limits, Relinquish: m.Relinquish, Routes: []api.Route{}, Services: []api.Service{}}
 	return out, put(restEntry, "", rest)
 }
 
@@ -107,17 +107,17 @@
 	var v any
 	switch kind {
 	case routeEntry:
-		v = &calls.Route{}
+		v = &api.Route{}
 	case serviceEntry:
-		v = &calls.Service{}
+		v = &api.Service{}
 	case tenantEntry:
-		v = &calls.Tenant{}
+		v = &api.Tenant{}
 	case certificateEntry:
-		v = &calls.Certificate{}
+		v = &api.Certificate{}
 	case regimeEntry:
-		v = &calls.Regime{}
+		v = &api.Regime{}
 	case restEntry:
-		v = &calls.Menu{}
+		v = &api.Menu{}
 	default:
 		return nil, errors.Wrap(ErrEntry, key)
 	}
@@ -128,26 +128,26 @@
 }
 
 // Menu is the configuration as it is now.
-func (a *Assembly) Menu() calls.Menu {
+func (a *Assembly) Menu() api.Menu {
 	keys := make([]string, 0, len(a.parsed))
 	for k := range a.parsed {
 		keys = append(keys, k)
 	}
 	sort.Strings(keys)
-	var m calls.Menu
+	var m api.Menu
 	for _, k := range keys {
 		switch v := a.parsed[k].(type) {
-		case *calls.Route:
+		case *api.Route:
 			m.Routes = append(m.Routes, *v)
-		case *calls.Service:
+		case *api.Service:
 			m.Services = append(m.Services, *v)
-		case *calls.Tenant:
+		case *api.Tenant:
 			m.Tenants = append(m.Tenants, *v)
-		case *calls.Certificate:
+		case *api.Certificate:
 			m.Certificates = append(m.Certificates, *v)
-		case *calls.Regime:
+		case *api.Regime:
 			m.Regimes = append(m.Regimes, *v)
-		case *calls.Menu:
+		case *api.Menu:
 			m.Mark, m.Limits, m.Relinquish = v.Mark, v.Limits, v.Relinquish
 		}
 	}
--- a/internal/routeconfig/table.go
+++ b/internal/routeconfig/table.go
@@ -6,13 +6,13 @@
 	"sort"
 	"strings"
 
-	"beechtide.org/beechtide/internal/calls"
+	"beechtide.org/beechtide/internal/api"
 	"beechtide.org/beechtide/internal/compliance"
 )
 
 // Route is a route with its times in microseconds.
 type Route struct {
-	calls.Route
+	api.Route
 	CutoffUs   int64
 	SetpointUs int64
 	gains      float32
@@ -21,12 +21,12 @@
 // Table answers which route, service and tenant a request belongs to.
 type Table struct {
 	Mark     int64
-	Limits   calls.Limits
+	Limits   api.Limits
 	hosts    map[string][]*Route
-	services map[string]*calls.Service
-	keys     map[string]*calls.Tenant
+	services map[string]*api.Service
+	keys     map[string]*api.Tenant
 	Tenants  int
-	Stores   []*calls.Service
+	Stores   []*api.Service
 	Policies *compliance.Policies
 	regimes  map[string]string // by tenant
 	// Relinquished are the sites that give up their sessions, and over how long.
@@ -34,8 +34,8 @@
 }
 
 // Compile makes a table from a checked configuration.
-func Compile(m calls.Menu) *Table {
-	t := &Table{Mark: m.Mark, Limits: m.Limits, hosts: map[string][]*Route{}, services: map[string]*calls.Service{}, keys: map[string]*calls.Tenant{}, Tenants: len(m.Tenants)}
+func Compile(m api.Menu) *Table {
+	t := &Table{Mark: m.Mark, Limits: m.Limits, hosts: map[string][]*Route{}, services: map[string]*api.Service{}, keys: map[string]*api.Tenant{}, Tenants: len(m.Tenants)}
 	if p, err := compliance.Compile(m); err == nil && len(m.Regimes) > 0 {
 		t.Policies = p
 	}
@@ -60,7 +60,7 @@
 	for i := range m.Routes {
 		r := &Route{Route: m.Routes[i], CutoffUs: int64(m.Routes[i].CutoffMs * 1000), SetpointUs: int64(m.Routes[i].SetpointMs * 1000)}
 		if len(r.Shares) == 0 {
-			r.Shares = []calls.Share{{Service: r.Service, Gain: 1}}
+			r.Shares = []api.Share{{Service: r.Service, Gain: 1}}
 		}
 		for _, s := range r.Shares {
 			r.gains += s.Gain
@@ -97,7 +97,7 @@
 }
 
 // Tenant finds the holder of a key.
-func (t *Table) Tenant(key string) *calls.Tenant { return t.keys[key] }
+func (t *Table) Tenant(key string) *api.Tenant { return t.keys[key] }
 
 // RegimeOf is the regime of a tenant, or none.
 func (t *Table) RegimeOf(tenant string) string { return t.regimes[tenant] }
@@ -117,7 +117,7 @@
 }
 
 // Service finds a service by name.
-func (t *Table) Service(name string) *calls.Service { return t.services[name] }
+func (t *Table) Service(name string) *api.Service { return t.services[name] }
 
 // ServiceOfModel finds the service whose engine runs a model.
 func (t *Table) ServiceOfModel(model string) string {
@@ -150,5 +150,5 @@
 
 // Repeatable tells whether a request of this route may run more than once.
 func (r *Route) Repeatable() bool {
-	return r.Kind == calls.Idempotent || r.Kind == calls.Streaming && r.Resumable
+	return r.Kind == api.Idempotent || r.Kind == api.Streaming && r.Resumable
 }
