--- a/api/generate.go
+++ b/api/generate.go
@@ -5,5 +5,5 @@
 //go:generate go tool oapi-codegen -config calls.gen.yaml calls.yaml
 //go:generate go tool oapi-codegen -config config.gen.yaml config.yaml
 //go:generate go tool oapi-codegen -config wire.gen.yaml wire.yaml
-//go:generate sed -i -E "s/json:\"([a-z])[^\"]*\"/msg:\"\\1\"/" ../internal/wire/types.gen.go
-//go:generate go tool msgp -file ../internal/wire/types.gen.go -o ../internal/wire/msgp.gen.go -tests=false -io=false
+//go:generate sed -i -E "s/json:\"([a-z])[^\"]*\"/msg:\"\\1\"/" ../internal/messages/types.gen.go
+//go:generate go tool msgp -file ../internal/messages/types.gen.go -o ../internal/messages/msgp.gen.go -tests=false -io=false
--- a/internal/admission/admission.go
+++ b/internal/admission/admission.go
@@ -11,10 +11,10 @@
 	"sort"
 
 	"beechtide.org/beechtide/internal/inflight"
+	"beechtide.org/beechtide/internal/messages"
 	"beechtide.org/beechtide/internal/placement"
 	"beechtide.org/beechtide/internal/prefixindex"
 	"beechtide.org/beechtide/internal/statesync"
-	"beechtide.org/beechtide/internal/wire"
 )
 
 // Ask is a request at the door.
@@ -59,7 +59,7 @@
 
 // Admission is a request's place at a runner; it is given back with Done.
 type Admission struct {
-	Runner   wire.RunnerNote
+	Runner   messages.RunnerNote
 	Salt     string
 	Mark     int64
 	Kept     int
@@ -126,11 +126,11 @@
 	left    map[string]relinquished // by site
 	list    []placement.Candidate   // kept from one look for candidates to the next
 	who     []*runner
-	turn    int             // whose turn it is among equals
-	free    bool            // the last look for candidates found a runner with a place
-	toldUs  int64           // when the others' loads last came
-	fresh   []wire.KeptNote // parts that this node has sent somewhere to be read
-	MarkUs  int64           // after how long an older mark is out of bounds
+	turn    int                 // whose turn it is among equals
+	free    bool                // the last look for candidates found a runner with a place
+	toldUs  int64               // when the others' loads last came
+	fresh   []messages.KeptNote // parts that this node has sent somewhere to be read
+	MarkUs  int64               // after how long an older mark is out of bounds
 	Salt    func(tenant string, isolated bool, regime string, mark int64) string
 }
 
@@ -177,7 +177,7 @@
 
 // SetService tells the runners of a service, the memory of each in tokens, and
 // how long moving the memory of a token takes.
-func (d *Doorman) SetService(service string, notes []wire.RunnerNote, tokens int, moveUs float64) {
+func (d *Doorman) SetService(service string, notes []messages.RunnerNote, tokens int, moveUs float64) {
 	p := d.pool(service)
 	p.tokens, p.moveUs = tokens, moveUs
 	keep := map[string]bool{}
@@ -541,7 +541,7 @@
 	return false
 }
 
-func markOf(n wire.RunnerNote, model string) int64 {
+func markOf(n messages.RunnerNote, model string) int64 {
 	for _, m := range n.Models {
 		if m.Model == model {
 			return m.Mark
@@ -620,13 +620,13 @@
 // expect notes the shared parts that a runner is about to read, here and for
 // the other nodes.
 func (d *Doorman) expect(adm *Admission, shared int) bool {
-	note := wire.KeptNote{ID: adm.Runner.ID, Parts: []wire.KeptPart{}}
+	note := messages.KeptNote{ID: adm.Runner.ID, Parts: []messages.KeptPart{}}
 	for i := range max(shared, 0) {
 		k, n := adm.Keys[i], int32(adm.Parts[i].Tokens)
 		if d.Index.Kept(note.ID, adm.Keys[i:i+1], adm.Parts[i:i+1]) < int(n) {
 			d.Index.Expect(note.ID, k, n)
 			adm.coming = append(adm.coming, k)
-			note.Parts = append(note.Parts, wire.KeptPart{Key: k, Tokens: n})
+			note.Parts = append(note.Parts, messages.KeptPart{Key: k, Tokens: n})
 		}
 	}
 	if len(note.Parts) > 0 {
@@ -713,7 +713,7 @@
 }
 
 // Report takes a runner's own word.
-func (d *Doorman) Report(n wire.ReportNote, nowUs int64) {
+func (d *Doorman) Report(n messages.ReportNote, nowUs int64) {
 	for _, p := range d.pools {
 		if r := p.runners[n.ID]; r != nil {
 			r.report = word{blocks: n.Used / d.T.BlockTokens, count: n.Active + n.Pending, atUs: nowUs}
@@ -726,7 +726,7 @@
 }
 
 // Coming takes other nodes' word on the parts that they have sent to be read.
-func (d *Doorman) Coming(notes []wire.KeptNote) {
+func (d *Doorman) Coming(notes []messages.KeptNote) {
 	for _, n := range notes {
 		for _, part := range n.Parts {
 			d.Index.Expect(n.ID, part.Key, part.Tokens)
@@ -736,7 +736,7 @@
 
 // Others takes what the other nodes have at the runners, added up; a runner
 // that is not named has nothing of theirs.
-func (d *Doorman) Others(loads func(id string) wire.RunnerLoad, nowUs int64) {
+func (d *Doorman) Others(loads func(id string) messages.RunnerLoad, nowUs int64) {
 	for _, p := range d.pools {
 		for id, r := range p.runners {
 			r.other(loads(id))
@@ -746,7 +746,7 @@
 }
 
 // Other takes it for one runner.
-func (d *Doorman) Other(id string, l wire.RunnerLoad) {
+func (d *Doorman) Other(id string, l messages.RunnerLoad) {
 	for _, p := range d.pools {
 		if r := p.runners[id]; r != nil {
 			r.other(l)
@@ -801,14 +801,14 @@
 const flowStep = 250
 
 // Own is what this node has at the runners.
-func (d *Doorman) Own(nowUs int64) map[string]wire.RunnerLoad {
-	out := map[string]wire.RunnerLoad{}
+func (d *Doorman) Own(nowUs int64) map[string]messages.RunnerLoad {
+	out := map[string]messages.RunnerLoad{}
 	for _, p := range d.pools {
 		for id, r := range p.runners {
 			flow := int(r.ownFlow(nowUs)/flowStep+0.5) * flowStep
 			seen := r.soundness.own(nowUs)
 			if r.own.count > 0 || flow > 0 || seen.tried > 0 {
-				out[id] = wire.RunnerLoad{ID: id, Tried: seen.tried, Failed: seen.failed, Blocks: r.own.blocks, Prefill: r.own.prefill, Count: r.own.count, Rate: math.Round(r.rate*1e4) / 1e4, Flow: flow}
+				out[id] = messages.RunnerLoad{ID: id, Tried: seen.tried, Failed: seen.failed, Blocks: r.own.blocks, Prefill: r.own.prefill, Count: r.own.count, Rate: math.Round(r.rate*1e4) / 1e4, Flow: flow}
 			}
 		}
 	}
@@ -817,7 +817,7 @@
 
 // TakeFresh gives the parts that this node has sent to be read since the last
 // call.
-func (d *Doorman) TakeFresh() []wire.KeptNote {
+func (d *Doorman) TakeFresh() []messages.KeptNote {
 	out := d.fresh
 	d.fresh = nil
 	return out
--- a/internal/admission/admission_test.go
+++ b/internal/admission/admission_test.go
@@ -7,19 +7,19 @@
 	"github.com/shoenig/test/must"
 
 	"beechtide.org/beechtide/internal/inflight"
+	"beechtide.org/beechtide/internal/messages"
 	"beechtide.org/beechtide/internal/prefixindex"
-	"beechtide.org/beechtide/internal/wire"
 )
 
 const memory = 16_000 // tokens of a runner: 1,000 blocks
 
-func note(id string) wire.RunnerNote {
-	return wire.RunnerNote{ID: id, Service: "s", Addr: id + ":1", Site: "a", Capacity: 4, Models: []wire.Target{{Model: "m", Mark: 1}}}
+func note(id string) messages.RunnerNote {
+	return messages.RunnerNote{ID: id, Service: "s", Addr: id + ":1", Site: "a", Capacity: 4, Models: []messages.Target{{Model: "m", Mark: 1}}}
 }
 
 func door(ids ...string) *Doorman {
 	d := New(Defaults, "a")
-	var notes []wire.RunnerNote
+	var notes []messages.RunnerNote
 	for _, id := range ids {
 		notes = append(notes, note(id))
 	}
@@ -77,7 +77,7 @@
 func TestHysteresisKeepsARunnerOutUntilItIsWellFree(t *testing.T) {
 	d := door("x")
 	report := func(used int, now int64) {
-		d.Report(wire.ReportNote{ID: "x", Used: used, Total: memory, Active: 1}, now)
+		d.Report(messages.ReportNote{ID: "x", Used: used, Total: memory, Active: 1}, now)
 	}
 	report(memory*86/100, 1_000_000)
 	must.True(t, d.Arrive(ask(16, 1), 1_000_001).Hold)
@@ -107,9 +107,9 @@
 func TestThresholdsFireWithLateReportsAndGaps(t *testing.T) {
 	d := door("x")
 	d.SetNodes(2)
-	d.Report(wire.ReportNote{ID: "x", Used: 0, Total: memory}, 1)
+	d.Report(messages.ReportNote{ID: "x", Used: 0, Total: memory}, 1)
 	now := int64(1 + d.T.ReportFreshUs) // the report is too old to be believed
-	d.Others(func(string) wire.RunnerLoad { return wire.RunnerLoad{Blocks: 870, Count: 2} }, now)
+	d.Others(func(string) messages.RunnerLoad { return messages.RunnerLoad{Blocks: 870, Count: 2} }, now)
 	must.True(t, d.Arrive(ask(16, 1), now+1).Hold, must.Sprint("others' word counts"))
 	must.Len(t, 1, d.Tick(now+1_000_000), must.Sprint("a held request does not wait for ever"))
 	late := now + d.T.ReportFreshUs + 1
@@ -123,14 +123,14 @@
 func TestThresholdsFireWithSumsThatAreShort(t *testing.T) {
 	d := door("x")
 	d.SetNodes(3)
-	d.Others(func(string) wire.RunnerLoad { return wire.RunnerLoad{Blocks: -40, Count: -2, Prefill: -5} }, 1)
+	d.Others(func(string) messages.RunnerLoad { return messages.RunnerLoad{Blocks: -40, Count: -2, Prefill: -5} }, 1)
 	must.NotNil(t, d.Arrive(ask(13_600, 20), 2).Admit)
 	must.True(t, d.Arrive(ask(16, 1), 3).Hold)
 }
 
 func TestStoresAreAllUsedAndHoldTogetherWhatIsShared(t *testing.T) {
 	d := door("x")
-	d.SetService("s", []wire.RunnerNote{note("x")}, memory, 2)
+	d.SetService("s", []messages.RunnerNote{note("x")}, memory, 2)
 	d.SetStores("s", []Store{{ID: "s1", Addr: "s1"}, {ID: "s2", Addr: "s2"}, {ID: "s3", Addr: "s3"}})
 	used := map[string]bool{}
 	for i := range 40 {
@@ -153,7 +153,7 @@
 
 func TestOwnRequestsCountOnTopOfALateReport(t *testing.T) {
 	d := door("x")
-	d.Report(wire.ReportNote{ID: "x", Used: memory / 2, Total: memory, Active: 1}, 1_000_000)
+	d.Report(messages.ReportNote{ID: "x", Used: memory / 2, Total: memory, Active: 1}, 1_000_000)
 	a := d.Arrive(ask(5_700, 10), 1_000_001).Admit
 	must.NotNil(t, a)
 	d.FirstToken(a, 1_100_000)
@@ -281,7 +281,7 @@
 	d := door("x", "y", "z")
 	a, b := note("x"), note("y")
 	a.Draining, b.Barred = true, true
-	d.SetService("s", []wire.RunnerNote{a, b, note("z")}, memory, 2)
+	d.SetService("s", []messages.RunnerNote{a, b, note("z")}, memory, 2)
 	list := d.Candidates(ask(16, 1), 1)
 	must.Len(t, 1, list)
 	must.Eq(t, "z", list[0].ID)
@@ -294,7 +294,7 @@
 	d := door("x")
 	n := note("x")
 	n.Barred = true
-	d.SetService("s", []wire.RunnerNote{n}, memory, 2)
+	d.SetService("s", []messages.RunnerNote{n}, memory, 2)
 	must.SliceEmpty(t, d.Candidates(ask(16, 1), 1))
 	must.SliceEmpty(t, d.Candidates(ask(16, 1), barredMaxUs))
 	must.Len(t, 1, d.Candidates(ask(16, 1), 1+barredMaxUs))
@@ -315,10 +315,10 @@
 	d := door("x", "y")
 	e := note("x")
 	e.Easing = true
-	d.SetService("s", []wire.RunnerNote{e, note("y")}, memory, 2)
+	d.SetService("s", []messages.RunnerNote{e, note("y")}, memory, 2)
 	must.Len(t, 2, d.Candidates(ask(16, 10), 1))
 	must.Len(t, 1, d.Candidates(ask(16, 200), 1))
-	d.SetService("s", []wire.RunnerNote{e}, memory, 2)
+	d.SetService("s", []messages.RunnerNote{e}, memory, 2)
 	must.Len(t, 1, d.Candidates(ask(16, 200), 1))
 }
 
@@ -333,7 +333,7 @@
 	must.SliceEmpty(t, d.Candidates(ask(16, 1), 1_600_000))
 	n := note("x")
 	n.Models[0].Mark = 2
-	d.SetService("s", []wire.RunnerNote{n}, memory, 2)
+	d.SetService("s", []messages.RunnerNote{n}, memory, 2)
 	r := d.Arrive(ask(16, 1), 1_700_000)
 	must.NotNil(t, r.Admit)
 	must.Eq(t, "w2", r.Admit.Salt)
@@ -373,7 +373,7 @@
 	d := door("x", "y")
 	y := note("y")
 	y.Models[0].Mark = 2
-	d.SetService("s", []wire.RunnerNote{note("x"), y}, memory, 2)
+	d.SetService("s", []messages.RunnerNote{note("x"), y}, memory, 2)
 	a := ask(16, 1)
 	a.Parts = []prefixindex.Part{{ID: "shared", Tokens: 1000}, {ID: "own", Tokens: 16}}
 	a.TokensIn = 1016
@@ -381,7 +381,7 @@
 	for _, c := range d.Candidates(a, 1) {
 		must.Eq(t, "", c.From)
 	}
-	d.SetService("s", []wire.RunnerNote{note("x"), note("y")}, memory, 2)
+	d.SetService("s", []messages.RunnerNote{note("x"), note("y")}, memory, 2)
 	found := false
 	for _, c := range d.Candidates(a, 1) {
 		if c.ID == "y" {
--- a/internal/admission/runner.go
+++ b/internal/admission/runner.go
@@ -6,7 +6,7 @@
 import (
 	"math"
 
-	"beechtide.org/beechtide/internal/wire"
+	"beechtide.org/beechtide/internal/messages"
 )
 
 type word struct {
@@ -16,7 +16,7 @@
 }
 
 type runner struct {
-	note      wire.RunnerNote
+	note      messages.RunnerNote
 	capacity  int
 	blocks    int // memory in blocks; 0 where the runner has none to count
 	own       word
@@ -78,7 +78,7 @@
 }
 
 // other takes what the other nodes have here.
-func (r *runner) other(l wire.RunnerLoad) {
+func (r *runner) other(l messages.RunnerLoad) {
 	r.soundness.hint = outcomes{max(l.Tried, 0), max(l.Failed, 0)}
 	r.others = word{blocks: max(l.Blocks, 0), prefill: max(l.Prefill, 0), count: max(l.Count, 0), flow: max(float64(l.Flow), 0)}
 	if l.Rate > 0 && r.rate <= 0 {
--- a/internal/admission/session_test.go
+++ b/internal/admission/session_test.go
@@ -6,12 +6,12 @@
 
 	"github.com/shoenig/test/must"
 
+	"beechtide.org/beechtide/internal/messages"
 	"beechtide.org/beechtide/internal/prefixindex"
-	"beechtide.org/beechtide/internal/wire"
 )
 
-func sited(sites ...string) []wire.RunnerNote {
-	var out []wire.RunnerNote
+func sited(sites ...string) []messages.RunnerNote {
+	var out []messages.RunnerNote
 	for i, s := range sites {
 		n := note(fmt.Sprint("r", i))
 		n.Site, n.Capacity = s, 1000
@@ -123,7 +123,7 @@
 
 	// kept under the old weights is not taken along to the new ones
 	notes = sited("a", "b")
-	notes[1].Models = []wire.Target{{Model: "m", Mark: 2}}
+	notes[1].Models = []messages.Target{{Model: "m", Mark: 2}}
 	d.SetService("s", notes, memory, 0.01)
 	a := sessionAsk(7)
 	for i, k := range prefixindex.Keys(d.Salt(a.Tenant, false, "", 1), "m", a.Parts) {
--- a/internal/admission/soundness_test.go
+++ b/internal/admission/soundness_test.go
@@ -6,7 +6,7 @@
 
 	"github.com/shoenig/test/must"
 
-	"beechtide.org/beechtide/internal/wire"
+	"beechtide.org/beechtide/internal/messages"
 )
 
 func tenRunners() (*Doorman, []string) {
@@ -18,7 +18,7 @@
 }
 
 func (d *Doorman) end(id string, good bool, nowUs int64) {
-	d.Ended(&Admission{Runner: wire.RunnerNote{ID: id}, service: "s"}, good, nowUs)
+	d.Ended(&Admission{Runner: messages.RunnerNote{ID: id}, service: "s"}, good, nowUs)
 }
 
 func offered(d *Doorman, nowUs int64) map[string]bool {
@@ -77,8 +77,8 @@
 func TestOthersOutcomesAreAHintOnly(t *testing.T) {
 	d, _ := tenRunners()
 	say := func(failed int) {
-		d.Others(func(id string) wire.RunnerLoad {
-			l := wire.RunnerLoad{ID: id, Tried: 10}
+		d.Others(func(id string) messages.RunnerLoad {
+			l := messages.RunnerLoad{ID: id, Tried: 10}
 			if id == "r1" {
 				l.Failed = failed
 			}
@@ -92,7 +92,7 @@
 	for range 20 {
 		d.end("r2", true, 1_000_000)
 	}
-	d.Others(func(id string) wire.RunnerLoad { return wire.RunnerLoad{ID: id, Tried: 10, Failed: 4} }, 1_000_000)
+	d.Others(func(id string) messages.RunnerLoad { return messages.RunnerLoad{ID: id, Tried: 10, Failed: 4} }, 1_000_000)
 	must.True(t, offered(d, 1_000_001)["r2"], must.Sprint("this node has seen it well"))
 }
 
--- a/internal/consensus/acceptor.go
+++ b/internal/consensus/acceptor.go
@@ -4,16 +4,16 @@
 // changed record durable before the word goes out.
 package consensus
 
-import "beechtide.org/beechtide/internal/wire"
+import "beechtide.org/beechtide/internal/messages"
 
 // Acceptor answers asks for one part under one identity.
 type Acceptor struct {
 	ID  string
-	Rec wire.Record
+	Rec messages.Record
 }
 
 // Less orders ballots.
-func Less(a, b wire.Ballot) bool {
+func Less(a, b messages.Ballot) bool {
 	if a.N != b.N {
 		return a.N < b.N
 	}
@@ -21,48 +21,48 @@
 }
 
 // Fold takes in a committed value learned elsewhere.
-func (a *Acceptor) Fold(v wire.Value) bool {
+func (a *Acceptor) Fold(v messages.Value) bool {
 	if v.Mark <= a.Rec.Committed.Mark && len(a.Rec.Committed.Group) > 0 || len(v.Group) == 0 {
 		return false
 	}
-	a.Rec = wire.Record{Committed: v}
+	a.Rec = messages.Record{Committed: v}
 	return true
 }
 
 // Handle answers an ask. The second result tells that the record has changed
 // and must reach the disk before the word is sent.
-func (a *Acceptor) Handle(ask wire.LedgerAsk) (wire.LedgerWord, bool) {
+func (a *Acceptor) Handle(ask messages.LedgerAsk) (messages.LedgerWord, bool) {
 	mark := a.Rec.Committed.Mark
 	known := len(a.Rec.Committed.Group) > 0
-	if ask.Step == wire.Read {
+	if ask.Step == messages.Read {
 		if ask.To != "" && ask.To != a.ID {
-			return wire.LedgerWord{Verdict: wire.Stranger, Mark: mark}, false
+			return messages.LedgerWord{Verdict: messages.Stranger, Mark: mark}, false
 		}
-		w := wire.LedgerWord{Verdict: wire.Granted, Mark: mark, HasAccepted: a.Rec.HasAccepted}
+		w := messages.LedgerWord{Verdict: messages.Granted, Mark: mark, HasAccepted: a.Rec.HasAccepted}
 		if !known {
-			w.Verdict = wire.Behind
+			w.Verdict = messages.Behind
 		} else if mark >= ask.Slot {
 			w.Value = a.Rec.Committed
 		}
 		return w, false
 	}
 	if ask.To != a.ID {
-		return wire.LedgerWord{Verdict: wire.Stranger, Mark: mark}, false
+		return messages.LedgerWord{Verdict: messages.Stranger, Mark: mark}, false
 	}
 	switch {
 	case known && ask.Slot <= mark:
-		return wire.LedgerWord{Verdict: wire.Ahead, Mark: mark, Value: a.Rec.Committed}, false
+		return messages.LedgerWord{Verdict: messages.Ahead, Mark: mark, Value: a.Rec.Committed}, false
 	case !known || ask.Slot > mark+1:
-		return wire.LedgerWord{Verdict: wire.Behind, Mark: mark}, false
+		return messages.LedgerWord{Verdict: messages.Behind, Mark: mark}, false
 	}
 	if Less(ask.Ballot, a.Rec.Promised) {
-		return wire.LedgerWord{Verdict: wire.Outbid, Mark: mark, Promised: a.Rec.Promised}, false
+		return messages.LedgerWord{Verdict: messages.Outbid, Mark: mark, Promised: a.Rec.Promised}, false
 	}
-	if ask.Step == wire.Prepare {
+	if ask.Step == messages.Prepare {
 		dirty := a.Rec.Promised != ask.Ballot
 		a.Rec.Promised = ask.Ballot
-		return wire.LedgerWord{Verdict: wire.Granted, Mark: mark, Promised: ask.Ballot, AcceptedAt: a.Rec.AcceptedAt, HasAccepted: a.Rec.HasAccepted, Value: a.Rec.Accepted}, dirty
+		return messages.LedgerWord{Verdict: messages.Granted, Mark: mark, Promised: ask.Ballot, AcceptedAt: a.Rec.AcceptedAt, HasAccepted: a.Rec.HasAccepted, Value: a.Rec.Accepted}, dirty
 	}
 	a.Rec.Promised, a.Rec.AcceptedAt, a.Rec.Accepted, a.Rec.HasAccepted = ask.Ballot, ask.Ballot, ask.Value, true
-	return wire.LedgerWord{Verdict: wire.Granted, Mark: mark, Promised: ask.Ballot}, true
+	return messages.LedgerWord{Verdict: messages.Granted, Mark: mark, Promised: ask.Ballot}, true
 }
--- a/internal/consensus/consensus.go
+++ b/internal/consensus/consensus.go
@@ -18,7 +18,7 @@
 	"github.com/pkg/errors"
 	"github.com/tinylib/msgp/msgp"
 
-	"beechtide.org/beechtide/internal/wire"
+	"beechtide.org/beechtide/internal/messages"
 )
 
 // Parts is the number of registers: the configuration's and those that
@@ -36,7 +36,7 @@
 type part struct {
 	sem     chan struct{}
 	acc     Acceptor
-	learned atomic.Pointer[wire.Value]
+	learned atomic.Pointer[messages.Value]
 	keeping atomic.Bool
 }
 
@@ -49,7 +49,7 @@
 	log      logr.Logger
 	parts    [Parts]*part
 	mu       sync.Mutex
-	onLearn  func(part int, v wire.Value)
+	onLearn  func(part int, v messages.Value)
 	life     string
 	saveUs   atomic.Int64
 	saveErr  atomic.Pointer[string]
@@ -76,7 +76,7 @@
 
 // Open loads what the store holds. With found set, an empty store takes part
 // in founding the group made of the seeds.
-func Open(addr string, kind int, found bool, seeds []string, caller Caller, store Store, log logr.Logger, onLearn func(int, wire.Value)) (*Ledger, error) {
+func Open(addr string, kind int, found bool, seeds []string, caller Caller, store Store, log logr.Logger, onLearn func(int, messages.Value)) (*Ledger, error) {
 	l := &Ledger{addr: addr, kind: kind, caller: caller, store: store, log: log, onLearn: onLearn, life: Random()}
 	id, err := store.Identity(func() string {
 		if found {
@@ -106,10 +106,10 @@
 }
 
 // Genesis is the value before the first: the seeds form the group.
-func Genesis(seeds []string) wire.Value {
-	var v wire.Value
+func Genesis(seeds []string) messages.Value {
+	var v messages.Value
 	for _, s := range seeds {
-		v.Group = append(v.Group, wire.Member{ID: FirstID(s), Addr: s})
+		v.Group = append(v.Group, messages.Member{ID: FirstID(s), Addr: s})
 	}
 	return v
 }
@@ -118,16 +118,16 @@
 func (l *Ledger) ID() string { return l.id }
 
 // Committed gives the newest committed value this node knows.
-func (l *Ledger) Committed(p int) (wire.Value, bool) {
+func (l *Ledger) Committed(p int) (messages.Value, bool) {
 	v := l.parts[p].learned.Load()
 	if v == nil {
-		return wire.Value{}, false
+		return messages.Value{}, false
 	}
 	return *v, true
 }
 
 // Learn takes in a committed value; older ones are left aside.
-func (l *Ledger) Learn(p int, v wire.Value) {
+func (l *Ledger) Learn(p int, v messages.Value) {
 	if p < 0 || p >= Parts || len(v.Group) == 0 {
 		return
 	}
@@ -182,7 +182,7 @@
 	}()
 }
 
-func (l *Ledger) save(p int, rec wire.Record) error {
+func (l *Ledger) save(p int, rec messages.Record) error {
 	began := time.Now()
 	err := l.store.Save(p, rec)
 	l.noteSave(time.Since(began).Microseconds(), err)
@@ -191,7 +191,7 @@
 
 // Handle answers an ask that came over the radio.
 func (l *Ledger) Handle(ctx context.Context, body []byte) ([]byte, error) {
-	var ask wire.LedgerAsk
+	var ask messages.LedgerAsk
 	if _, err := ask.UnmarshalMsg(body); err != nil {
 		return nil, errors.Wrap(err, "consensus: ask")
 	}
@@ -207,16 +207,16 @@
 	return w.MarshalMsg(nil)
 }
 
-func (l *Ledger) local(ctx context.Context, ask wire.LedgerAsk) (wire.LedgerWord, error) {
-	if ask.Step == wire.Commit {
+func (l *Ledger) local(ctx context.Context, ask messages.LedgerAsk) (messages.LedgerWord, error) {
+	if ask.Step == messages.Commit {
 		l.Learn(ask.Part, ask.Value)
-		return wire.LedgerWord{Verdict: wire.Granted}, nil
+		return messages.LedgerWord{Verdict: messages.Granted}, nil
 	}
 	p := l.parts[ask.Part]
 	select {
 	case p.sem <- struct{}{}:
 	case <-ctx.Done():
-		return wire.LedgerWord{}, errors.Wrap(ErrStore, "busy")
+		return messages.LedgerWord{}, errors.Wrap(ErrStore, "busy")
 	}
 	defer func() { <-p.sem }()
 	if v := p.learned.Load(); v != nil {
@@ -227,7 +227,7 @@
 	if dirty {
 		if err := l.save(ask.Part, p.acc.Rec); err != nil {
 			p.acc.Rec = before
-			return wire.LedgerWord{}, err
+			return messages.LedgerWord{}, err
 		}
 	}
 	return w, nil
@@ -252,35 +252,35 @@
 	return l.saveUs.Load(), fault
 }
 
-func (l *Ledger) send(ctx context.Context, to wire.Member, ask wire.LedgerAsk) (wire.LedgerWord, error) {
+func (l *Ledger) send(ctx context.Context, to messages.Member, ask messages.LedgerAsk) (messages.LedgerWord, error) {
 	if to.Addr == l.addr {
 		return l.local(ctx, ask)
 	}
 	b, err := l.caller.Call(ctx, to.Addr, l.kind, &ask)
 	if err != nil {
-		return wire.LedgerWord{}, err
+		return messages.LedgerWord{}, err
 	}
-	var w wire.LedgerWord
+	var w messages.LedgerWord
 	if _, err := w.UnmarshalMsg(b); err != nil {
-		return wire.LedgerWord{}, err
+		return messages.LedgerWord{}, err
 	}
 	return w, nil
 }
 
 // Change runs rounds until the change is made, denied by itself, or ctx ends.
 // After ErrUnsure the change may still come into force.
-func (l *Ledger) Change(ctx context.Context, p int, change Change) (wire.Value, error) {
+func (l *Ledger) Change(ctx context.Context, p int, change Change) (messages.Value, error) {
 	stamp := l.life + Random()
-	seen := wire.Ballot{}
+	seen := messages.Ballot{}
 	for try := 0; ; try++ {
 		if ctx.Err() != nil {
-			return wire.Value{}, ErrUnsure
+			return messages.Value{}, ErrUnsure
 		}
 		base, ok := l.Committed(p)
 		if !ok {
-			return wire.Value{}, ErrNoGroup
+			return messages.Value{}, ErrNoGroup
 		}
-		r := NewRound(p, base, wire.Ballot{N: seen.N + 1, Who: stamp}, stamp, change)
+		r := NewRound(p, base, messages.Ballot{N: seen.N + 1, Who: stamp}, stamp, change)
 		l.run(ctx, r)
 		switch r.End {
 		case Denied:
@@ -290,7 +290,7 @@
 			if r.Mine {
 				return r.Value, nil
 			}
-			seen = wire.Ballot{}
+			seen = messages.Ballot{}
 			continue
 		case Overtook:
 			mine := r.Value.Stamp == stamp
@@ -298,7 +298,7 @@
 			if mine {
 				return r.Value, nil
 			}
-			seen = wire.Ballot{}
+			seen = messages.Ballot{}
 			continue
 		}
 		if Less(seen, r.Seen) {
@@ -316,9 +316,9 @@
 }
 
 type heard struct {
-	from wire.Member
-	step wire.Step
-	word wire.LedgerWord
+	from messages.Member
+	step messages.Step
+	word messages.LedgerWord
 	err  error
 }
 
@@ -335,7 +335,7 @@
 			go func() {
 				for _, a := range list {
 					w, err := l.send(ctx, a.To, a.Ask)
-					if a.Ask.Step == wire.Commit && err == nil {
+					if a.Ask.Step == messages.Commit && err == nil {
 						continue
 					}
 					select {
@@ -360,7 +360,7 @@
 }
 
 // spread tells the group what has been chosen; who misses it learns it later.
-func (l *Ledger) spread(p int, v wire.Value, old []wire.Member) {
+func (l *Ledger) spread(p int, v messages.Value, old []messages.Member) {
 	l.Learn(p, v)
 	for _, m := range union(old, v.Group) {
 		if m.Addr == l.addr {
@@ -369,30 +369,30 @@
 		go func() {
 			ctx, cancel := context.WithTimeout(context.Background(), time.Second)
 			defer cancel()
-			_, _ = l.send(ctx, m, wire.LedgerAsk{Part: p, To: m.ID, Step: wire.Commit, Slot: v.Mark, Value: v})
+			_, _ = l.send(ctx, m, messages.LedgerAsk{Part: p, To: m.ID, Step: messages.Commit, Slot: v.Mark, Value: v})
 		}()
 	}
 }
 
 // Read gives the newest value that a majority vouches for.
-func (l *Ledger) Read(ctx context.Context, p int) (wire.Value, error) {
+func (l *Ledger) Read(ctx context.Context, p int) (messages.Value, error) {
 	for ctx.Err() == nil {
 		base, ok := l.Committed(p)
 		if !ok {
-			return wire.Value{}, ErrNoGroup
+			return messages.Value{}, ErrNoGroup
 		}
 		words := make(chan heard, len(base.Group))
 		cctx, cancel := context.WithTimeout(ctx, 400*time.Millisecond)
 		for _, m := range base.Group {
 			go func() {
-				w, err := l.send(cctx, m, wire.LedgerAsk{Part: p, To: m.ID, Step: wire.Read, Slot: base.Mark + 1})
+				w, err := l.send(cctx, m, messages.LedgerAsk{Part: p, To: m.ID, Step: messages.Read, Slot: base.Mark + 1})
 				words <- heard{from: m, word: w, err: err}
 			}()
 		}
 		votes, unsettled, newer := 0, false, false
 		for range base.Group {
 			h := <-words
-			if h.err != nil || h.word.Verdict != wire.Granted {
+			if h.err != nil || h.word.Verdict != messages.Granted {
 				continue
 			}
 			votes++
@@ -414,8 +414,8 @@
 		case votes > len(base.Group)/2 && !unsettled:
 			return base, nil
 		case unsettled:
-			if _, err := l.Change(ctx, p, func(wire.Value) ([]wire.Member, []byte, error) { return nil, nil, errSettled }); err != nil && !errors.Is(err, errSettled) {
-				return wire.Value{}, err
+			if _, err := l.Change(ctx, p, func(messages.Value) ([]messages.Member, []byte, error) { return nil, nil, errSettled }); err != nil && !errors.Is(err, errSettled) {
+				return messages.Value{}, err
 			}
 			continue
 		}
@@ -424,14 +424,14 @@
 		case <-ctx.Done():
 		}
 	}
-	return wire.Value{}, ErrUnsure
+	return messages.Value{}, ErrUnsure
 }
 
 var errSettled = errors.New("consensus: settled")
 
 // Pull learns what the dispatch at addr has committed.
 func (l *Ledger) Pull(ctx context.Context, addr string, p int) error {
-	w, err := l.send(ctx, wire.Member{Addr: addr}, wire.LedgerAsk{Part: p, Step: wire.Read})
+	w, err := l.send(ctx, messages.Member{Addr: addr}, messages.LedgerAsk{Part: p, Step: messages.Read})
 	if err != nil {
 		return err
 	}
--- a/internal/consensus/consensus_test.go
+++ b/internal/consensus/consensus_test.go
@@ -18,7 +18,7 @@
 	"github.com/tinylib/msgp/msgp"
 
 	"beechtide.org/beechtide/internal/logring"
-	"beechtide.org/beechtide/internal/wire"
+	"beechtide.org/beechtide/internal/messages"
 )
 
 // world plays messages, crashes, torn files and disk losses against the pure
@@ -40,16 +40,16 @@
 type node struct {
 	addr  string
 	acc   Acceptor
-	disk  wire.Record // what survives a crash
+	disk  messages.Record // what survives a crash
 	up    bool
-	known wire.Value
+	known messages.Value
 }
 
 type message struct {
 	round *Round
 	ask   Ask
 	reply bool
-	word  wire.LedgerWord
+	word  messages.LedgerWord
 	ok    bool
 }
 
@@ -60,13 +60,13 @@
 		seeds = append(seeds, fmt.Sprintf("10.0.0.%d:1", i+1))
 	}
 	for _, s := range seeds {
-		rec := wire.Record{Committed: Genesis(seeds)}
+		rec := messages.Record{Committed: Genesis(seeds)}
 		w.nodes[s] = &node{addr: s, acc: Acceptor{ID: FirstID(s), Rec: rec}, disk: rec, up: true, known: rec.Committed}
 	}
 	return w
 }
 
-func (w *world) commit(v wire.Value) {
+func (w *world) commit(v messages.Value) {
 	if old, ok := w.chosen[v.Mark]; ok {
 		must.Eq(w.t, old, v.Stamp, must.Sprintf("two values under mark %d", v.Mark))
 	}
@@ -74,7 +74,7 @@
 	w.acked = max(w.acked, v.Mark)
 }
 
-func (w *world) learn(n *node, v wire.Value) {
+func (w *world) learn(n *node, v messages.Value) {
 	if v.Mark > n.known.Mark || len(n.known.Group) == 0 {
 		n.known = v
 	}
@@ -83,7 +83,7 @@
 func (w *world) start(n *node, change Change) {
 	w.serial++
 	stamp := fmt.Sprintf("s%d", w.serial)
-	r := NewRound(0, n.known, wire.Ballot{N: int64(1 + w.rnd.IntN(6)), Who: stamp}, stamp, change)
+	r := NewRound(0, n.known, messages.Ballot{N: int64(1 + w.rnd.IntN(6)), Who: stamp}, stamp, change)
 	w.rounds = append(w.rounds, r)
 	for _, a := range r.Asks() {
 		w.wires = append(w.wires, message{round: r, ask: a, ok: true})
@@ -101,7 +101,7 @@
 		if n == nil || !n.up {
 			return
 		}
-		if m.ask.Ask.Step == wire.Commit {
+		if m.ask.Ask.Step == messages.Commit {
 			w.learn(n, m.ask.Ask.Value)
 			return
 		}
@@ -156,13 +156,13 @@
 // wipe takes a disk away; the node comes back as somebody new.
 func (w *world) wipe(n *node) {
 	w.serial++
-	n.disk = wire.Record{}
+	n.disk = messages.Record{}
 	n.acc = Acceptor{ID: fmt.Sprintf("%s/w%d", n.addr, w.serial)}
-	n.known = wire.Value{}
+	n.known = messages.Value{}
 }
 
 func body(s string) Change {
-	return func(wire.Value) ([]wire.Member, []byte, error) { return nil, []byte(s), nil }
+	return func(messages.Value) ([]messages.Member, []byte, error) { return nil, []byte(s), nil }
 }
 
 func (w *world) pickUp() *node {
@@ -180,12 +180,12 @@
 }
 
 // settle delivers without loss until one more change is agreed on, and returns it.
-func (w *world) settle() wire.Value {
+func (w *world) settle() messages.Value {
 	w.wires = nil
 	for _, n := range w.nodes {
 		n.up = true
 	}
-	newest := wire.Value{}
+	newest := messages.Value{}
 	for _, n := range w.nodes {
 		if n.known.Mark >= newest.Mark && len(n.known.Group) > 0 {
 			newest = n.known
@@ -193,7 +193,7 @@
 	}
 	for try := range 40 {
 		stamp := fmt.Sprintf("final%d", try)
-		r := NewRound(0, newest, wire.Ballot{N: 1000 + int64(try), Who: stamp}, stamp, body("final"))
+		r := NewRound(0, newest, messages.Ballot{N: 1000 + int64(try), Who: stamp}, stamp, body("final"))
 		asks := r.Asks()
 		for len(asks) > 0 && r.End == Going {
 			a := asks[0]
@@ -202,7 +202,7 @@
 			if n == nil {
 				continue
 			}
-			if a.Ask.Step == wire.Commit {
+			if a.Ask.Step == messages.Commit {
 				w.learn(n, a.Ask.Value)
 				continue
 			}
@@ -333,22 +333,22 @@
 	}
 }
 
-func (w *world) ready() []wire.Member {
-	var out []wire.Member
+func (w *world) ready() []messages.Member {
+	var out []messages.Member
 	for _, n := range w.nodes {
-		out = append(out, wire.Member{ID: n.acc.ID, Addr: n.addr})
+		out = append(out, messages.Member{ID: n.acc.ID, Addr: n.addr})
 	}
 	return out
 }
 
-func (w *world) swap(base wire.Value, group []wire.Member) {
-	r := NewRound(0, base, wire.Ballot{N: 5000, Who: "steward"}, "steward", func(cur wire.Value) ([]wire.Member, []byte, error) { return group, cur.Body, nil })
+func (w *world) swap(base messages.Value, group []messages.Member) {
+	r := NewRound(0, base, messages.Ballot{N: 5000, Who: "steward"}, "steward", func(cur messages.Value) ([]messages.Member, []byte, error) { return group, cur.Body, nil })
 	asks := r.Asks()
 	for len(asks) > 0 && r.End == Going {
 		a := asks[0]
 		asks = asks[1:]
 		n := w.nodes[a.To.Addr]
-		if a.Ask.Step == wire.Commit {
+		if a.Ask.Step == messages.Commit {
 			w.learn(n, a.Ask.Value)
 			continue
 		}
@@ -402,8 +402,8 @@
 	stop("a")
 	open("d", false)
 	must.NoError(t, nodes["d"].Pull(ctx, "b", 1))
-	group := []wire.Member{{ID: nodes["d"].ID(), Addr: "d"}, {ID: nodes["b"].ID(), Addr: "b"}, {ID: nodes["c"].ID(), Addr: "c"}}
-	_, err := nodes["b"].Change(ctx, 1, func(cur wire.Value) ([]wire.Member, []byte, error) { return group, []byte("x"), nil })
+	group := []messages.Member{{ID: nodes["d"].ID(), Addr: "d"}, {ID: nodes["b"].ID(), Addr: "b"}, {ID: nodes["c"].ID(), Addr: "c"}}
+	_, err := nodes["b"].Change(ctx, 1, func(cur messages.Value) ([]messages.Member, []byte, error) { return group, []byte("x"), nil })
 	must.NoError(t, err)
 	for _, addr := range []string{"b", "c", "d"} { // what was told reaches the disks
 		for {
@@ -430,7 +430,7 @@
 
 type refusing struct{ MemoryStore }
 
-func (*refusing) Save(int, wire.Record) error { return errors.Wrap(ErrStore, "full") }
+func (*refusing) Save(int, messages.Record) error { return errors.Wrap(ErrStore, "full") }
 
 // A member whose disk refuses writes gives no vote, says so once, and does not
 // keep the others from agreeing.
@@ -455,7 +455,7 @@
 		_, err := nodes["a"].Change(context.Background(), 0, body(fmt.Sprint(i)))
 		must.NoError(t, err)
 	}
-	ask := wire.LedgerAsk{To: nodes["a"].ID(), Step: wire.Prepare, Slot: 4, Ballot: wire.Ballot{N: 9, Who: "x"}}
+	ask := messages.LedgerAsk{To: nodes["a"].ID(), Step: messages.Prepare, Slot: 4, Ballot: messages.Ballot{N: 9, Who: "x"}}
 	b, err := ask.MarshalMsg(nil)
 	must.NoError(t, err)
 	_, err = nodes["a"].Handle(context.Background(), b)
@@ -477,80 +477,80 @@
 
 func TestWipedMemberNeitherPromisesNorVotes(t *testing.T) {
 	g := Genesis([]string{"a", "b", "c"})
-	a := Acceptor{ID: "a/new", Rec: wire.Record{Committed: g}}
-	w, dirty := a.Handle(wire.LedgerAsk{To: FirstID("a"), Step: wire.Prepare, Slot: 1, Ballot: wire.Ballot{N: 1}})
-	must.Eq(t, wire.Stranger, w.Verdict)
+	a := Acceptor{ID: "a/new", Rec: messages.Record{Committed: g}}
+	w, dirty := a.Handle(messages.LedgerAsk{To: FirstID("a"), Step: messages.Prepare, Slot: 1, Ballot: messages.Ballot{N: 1}})
+	must.Eq(t, messages.Stranger, w.Verdict)
 	must.False(t, dirty)
-	w, _ = a.Handle(wire.LedgerAsk{To: FirstID("a"), Step: wire.Read, Slot: 1})
-	must.Eq(t, wire.Stranger, w.Verdict)
+	w, _ = a.Handle(messages.LedgerAsk{To: FirstID("a"), Step: messages.Read, Slot: 1})
+	must.Eq(t, messages.Stranger, w.Verdict)
 }
 
 func TestDenialIsFinalOnlyAfterAMajorityPromised(t *testing.T) {
 	g := Genesis([]string{"a", "b", "c"})
 	no := errors.New("no")
-	r := NewRound(0, g, wire.Ballot{N: 1, Who: "x"}, "x", func(wire.Value) ([]wire.Member, []byte, error) { return nil, nil, no })
-	r.Hear(g.Group[0], wire.Prepare, wire.LedgerWord{Verdict: wire.Granted})
+	r := NewRound(0, g, messages.Ballot{N: 1, Who: "x"}, "x", func(messages.Value) ([]messages.Member, []byte, error) { return nil, nil, no })
+	r.Hear(g.Group[0], messages.Prepare, messages.LedgerWord{Verdict: messages.Granted})
 	must.Eq(t, Going, r.End)
-	r.Hear(g.Group[1], wire.Prepare, wire.LedgerWord{Verdict: wire.Granted})
+	r.Hear(g.Group[1], messages.Prepare, messages.LedgerWord{Verdict: messages.Granted})
 	must.Eq(t, Denied, r.End)
 	must.ErrorIs(t, r.Err, no)
 }
 
 func TestChangeOfGroupNeedsBothMajorities(t *testing.T) {
 	g := Genesis([]string{"a", "b", "c"})
-	next := []wire.Member{{ID: "d/1", Addr: "d"}, {ID: "e/1", Addr: "e"}, g.Group[0]}
-	r := NewRound(0, g, wire.Ballot{N: 1, Who: "x"}, "x", func(wire.Value) ([]wire.Member, []byte, error) { return next, nil, nil })
+	next := []messages.Member{{ID: "d/1", Addr: "d"}, {ID: "e/1", Addr: "e"}, g.Group[0]}
+	r := NewRound(0, g, messages.Ballot{N: 1, Who: "x"}, "x", func(messages.Value) ([]messages.Member, []byte, error) { return next, nil, nil })
 	for _, m := range g.Group[:2] {
-		r.Hear(m, wire.Prepare, wire.LedgerWord{Verdict: wire.Granted})
+		r.Hear(m, messages.Prepare, messages.LedgerWord{Verdict: messages.Granted})
 	}
 	for _, m := range g.Group {
-		r.Hear(m, wire.Accept, wire.LedgerWord{Verdict: wire.Granted})
+		r.Hear(m, messages.Accept, messages.LedgerWord{Verdict: messages.Granted})
 	}
 	must.Eq(t, Going, r.End)
-	r.Hear(next[0], wire.Accept, wire.LedgerWord{Verdict: wire.Granted})
+	r.Hear(next[0], messages.Accept, messages.LedgerWord{Verdict: messages.Granted})
 	must.Eq(t, Chosen, r.End)
 }
 
 func TestRegroup(t *testing.T) {
 	g := Genesis([]string{"a", "b", "c"}).Group
 	gone := map[string]int64{}
-	st := func(ready ...wire.Member) Standing {
-		return Standing{Ready: append(append([]wire.Member{}, g...), ready...), GoneFor: func(a string) int64 { return gone[a] }, GoneUs: 10}
+	st := func(ready ...messages.Member) Standing {
+		return Standing{Ready: append(append([]messages.Member{}, g...), ready...), GoneFor: func(a string) int64 { return gone[a] }, GoneUs: 10}
 	}
 	_, want := Regroup(g, st())
 	must.False(t, want)
-	_, want = Regroup(g, st(wire.Member{ID: "d/1", Addr: "d"}))
+	_, want = Regroup(g, st(messages.Member{ID: "d/1", Addr: "d"}))
 	must.False(t, want, must.Sprint("a single newcomer waits"))
-	next, want := Regroup(g, st(wire.Member{ID: "b/2", Addr: "b"}))
+	next, want := Regroup(g, st(messages.Member{ID: "b/2", Addr: "b"}))
 	must.True(t, want)
 	must.False(t, has(next, FirstID("b")))
 	must.Len(t, 3, next)
 	gone["c"] = 11
-	next, want = Regroup(g, st(wire.Member{ID: "d/1", Addr: "d"}))
+	next, want = Regroup(g, st(messages.Member{ID: "d/1", Addr: "d"}))
 	must.True(t, want)
 	must.False(t, has(next, FirstID("c")))
 	must.True(t, has(next, "d/1"))
 	_, want = Regroup(g, st())
 	must.False(t, want, must.Sprint("nobody to take its place"))
 	delete(gone, "c")
-	next, want = Regroup(g, st(wire.Member{ID: "d/1", Addr: "d"}, wire.Member{ID: "e/1", Addr: "e"}))
+	next, want = Regroup(g, st(messages.Member{ID: "d/1", Addr: "d"}, messages.Member{ID: "e/1", Addr: "e"}))
 	must.True(t, want)
 	must.Len(t, 4, next)
 }
 
 func TestMembersAreThoseThatCount(t *testing.T) {
 	alive := func(addr string) int64 { return 0 }
-	peer := func(addr string, counted bool) wire.Peer {
-		return wire.Peer{Addr: addr, LedgerID: FirstID(addr), Counted: counted}
+	peer := func(addr string, counted bool) messages.Peer {
+		return messages.Peer{Addr: addr, LedgerID: FirstID(addr), Counted: counted}
 	}
 	g := Genesis([]string{"a", "b", "x"}).Group
-	next, want := Regroup(g, Stand([]wire.Peer{peer("a", true), peer("b", true), peer("c", true), peer("x", false)}, alive, 10))
+	next, want := Regroup(g, Stand([]messages.Peer{peer("a", true), peer("b", true), peer("c", true), peer("x", false)}, alive, 10))
 	must.True(t, want)
 	must.True(t, has(next, FirstID("c")))
 	must.False(t, has(next, FirstID("x")))
-	_, want = Regroup(g, Stand([]wire.Peer{peer("a", true), peer("b", true), peer("x", false)}, alive, 10))
+	_, want = Regroup(g, Stand([]messages.Peer{peer("a", true), peer("b", true), peer("x", false)}, alive, 10))
 	must.False(t, want, must.Sprint("nobody to take its place"))
-	_, want = Regroup(g, Stand([]wire.Peer{peer("a", false), peer("b", false), peer("x", false), peer("y", false)}, alive, 10))
+	_, want = Regroup(g, Stand([]messages.Peer{peer("a", false), peer("b", false), peer("x", false), peer("y", false)}, alive, 10))
 	must.False(t, want, must.Sprint("where none counts, all do"))
 }
 
@@ -561,8 +561,8 @@
 	id, err := d.Identity(func() string { return "me/1" })
 	must.NoError(t, err)
 	must.Eq(t, "me/1", id)
-	rec := func(n int64) wire.Record {
-		return wire.Record{Committed: wire.Value{Mark: n, Group: []wire.Member{{ID: "x", Addr: "y"}}, Body: []byte("b"), Stamp: "s"}}
+	rec := func(n int64) messages.Record {
+		return messages.Record{Committed: messages.Value{Mark: n, Group: []messages.Member{{ID: "x", Addr: "y"}}, Body: []byte("b"), Stamp: "s"}}
 	}
 	for n := range int64(5) {
 		must.NoError(t, d.Save(2, rec(n+1)))
--- a/internal/consensus/group.go
+++ b/internal/consensus/group.go
@@ -7,7 +7,7 @@
 import (
 	"sort"
 
-	"beechtide.org/beechtide/internal/wire"
+	"beechtide.org/beechtide/internal/messages"
 )
 
 // maxGroup bounds the members of one register.
@@ -15,7 +15,7 @@
 
 // Standing is what the steward sees of the other dispatches.
 type Standing struct {
-	Ready   []wire.Member // alive, with the identity they now have
+	Ready   []messages.Member // alive, with the identity they now have
 	GoneFor func(addr string) int64
 	GoneUs  int64 // how long a member must be gone to be swapped or dropped
 }
@@ -24,7 +24,7 @@
 // loss is bounded, only they are to be members: any number of the others may go
 // at once, so a member that does not count is as good as gone once another
 // stands ready.
-func Stand(alive []wire.Peer, goneFor func(addr string) int64, goneUs int64) Standing {
+func Stand(alive []messages.Peer, goneFor func(addr string) int64, goneUs int64) Standing {
 	counted := false
 	for _, p := range alive {
 		counted = counted || p.Counted
@@ -36,7 +36,7 @@
 			uncounted[p.Addr] = true
 			continue
 		}
-		s.Ready = append(s.Ready, wire.Member{ID: p.LedgerID, Addr: p.Addr})
+		s.Ready = append(s.Ready, messages.Member{ID: p.LedgerID, Addr: p.Addr})
 	}
 	s.GoneFor = func(addr string) int64 {
 		if uncounted[addr] {
@@ -48,8 +48,8 @@
 }
 
 // Regroup returns the wanted group, and false where it should stay as it is.
-func Regroup(group []wire.Member, s Standing) ([]wire.Member, bool) {
-	var newcomers []wire.Member
+func Regroup(group []messages.Member, s Standing) ([]messages.Member, bool) {
+	var newcomers []messages.Member
 	for _, m := range s.Ready {
 		if m.ID != "" && !has(group, m.ID) {
 			newcomers = append(newcomers, m)
@@ -76,13 +76,13 @@
 	case gone >= 0 && len(group)%2 == 0:
 		return swap(group, gone, nil), true
 	case gone < 0 && len(newcomers) > 0 && len(group) < maxGroup && (len(group)%2 == 0 || len(newcomers) > 1):
-		return append(append([]wire.Member{}, group...), newcomers[0]), true
+		return append(append([]messages.Member{}, group...), newcomers[0]), true
 	}
 	return nil, false
 }
 
-func swap(group []wire.Member, i int, by *wire.Member) []wire.Member {
-	out := append([]wire.Member{}, group[:i]...)
+func swap(group []messages.Member, i int, by *messages.Member) []messages.Member {
+	out := append([]messages.Member{}, group[:i]...)
 	if by != nil {
 		out = append(out, *by)
 	}
--- a/internal/consensus/round.go
+++ b/internal/consensus/round.go
@@ -7,17 +7,17 @@
 import (
 	"github.com/pkg/errors"
 
-	"beechtide.org/beechtide/internal/wire"
+	"beechtide.org/beechtide/internal/messages"
 )
 
 // Change makes the next group and body from the current value. An error ends
 // the round with nothing changed and is handed to the caller as it is.
-type Change func(cur wire.Value) (group []wire.Member, body []byte, err error)
+type Change func(cur messages.Value) (group []messages.Member, body []byte, err error)
 
 // Ask is an ask with its receiver.
 type Ask struct {
-	To  wire.Member
-	Ask wire.LedgerAsk
+	To  messages.Member
+	Ask messages.LedgerAsk
 }
 
 // End says how a round stands.
@@ -35,25 +35,25 @@
 // Round is the state of the attempt.
 type Round struct {
 	Part   int
-	Base   wire.Value
-	Ballot wire.Ballot
+	Base   messages.Value
+	Ballot messages.Ballot
 	Stamp  string
 	End    End
-	Value  wire.Value
+	Value  messages.Value
 	Mine   bool
 	Err    error
-	Seen   wire.Ballot
+	Seen   messages.Ballot
 
 	change    Change
 	accepting bool
 	votes     map[string]bool
-	best      wire.Ballot
+	best      messages.Ballot
 	found     bool
 	refused   map[string]bool
 }
 
 // NewRound starts from a committed value.
-func NewRound(part int, base wire.Value, ballot wire.Ballot, stamp string, change Change) *Round {
+func NewRound(part int, base messages.Value, ballot messages.Ballot, stamp string, change Change) *Round {
 	return &Round{Part: part, Base: base, Ballot: ballot, Stamp: stamp, change: change, votes: map[string]bool{}, refused: map[string]bool{}}
 }
 
@@ -66,39 +66,39 @@
 	return out
 }
 
-func (r *Round) group() []wire.Member {
+func (r *Round) group() []messages.Member {
 	if !r.accepting {
 		return r.Base.Group
 	}
 	return union(r.Base.Group, r.Value.Group)
 }
 
-func (r *Round) ask(m wire.Member) wire.LedgerAsk {
-	a := wire.LedgerAsk{Part: r.Part, To: m.ID, Step: wire.Prepare, Slot: r.Base.Mark + 1, Ballot: r.Ballot}
+func (r *Round) ask(m messages.Member) messages.LedgerAsk {
+	a := messages.LedgerAsk{Part: r.Part, To: m.ID, Step: messages.Prepare, Slot: r.Base.Mark + 1, Ballot: r.Ballot}
 	if r.accepting {
-		a.Step, a.Value = wire.Accept, r.Value
+		a.Step, a.Value = messages.Accept, r.Value
 	}
 	return a
 }
 
 // Hear takes the word of a member on an ask of the given step. It returns
 // further asks: the next phase's, or the committed base for one who is behind.
-func (r *Round) Hear(from wire.Member, step wire.Step, w wire.LedgerWord) []Ask {
-	if r.End != Going || (step == wire.Accept) != r.accepting {
+func (r *Round) Hear(from messages.Member, step messages.Step, w messages.LedgerWord) []Ask {
+	if r.End != Going || (step == messages.Accept) != r.accepting {
 		return nil
 	}
 	switch w.Verdict {
-	case wire.Ahead:
+	case messages.Ahead:
 		if w.Value.Mark > r.Base.Mark {
 			r.End, r.Value = Overtook, w.Value
 		}
 		return nil
-	case wire.Behind:
+	case messages.Behind:
 		return []Ask{
-			{To: from, Ask: wire.LedgerAsk{Part: r.Part, To: from.ID, Step: wire.Commit, Slot: r.Base.Mark, Value: r.Base}},
+			{To: from, Ask: messages.LedgerAsk{Part: r.Part, To: from.ID, Step: messages.Commit, Slot: r.Base.Mark, Value: r.Base}},
 			{To: from, Ask: r.ask(from)},
 		}
-	case wire.Outbid:
+	case messages.Outbid:
 		if Less(r.Seen, w.Promised) {
 			r.Seen = w.Promised
 		}
@@ -113,7 +113,7 @@
 			r.End = Outbidden
 		}
 		return nil
-	case wire.Granted:
+	case messages.Granted:
 	default:
 		return nil
 	}
@@ -144,14 +144,14 @@
 		if len(group) == 0 {
 			group = r.Base.Group
 		}
-		r.Value = wire.Value{Mark: r.Base.Mark + 1, Group: group, Body: body, Stamp: r.Stamp}
+		r.Value = messages.Value{Mark: r.Base.Mark + 1, Group: group, Body: body, Stamp: r.Stamp}
 	}
 	r.accepting = true
 	r.votes, r.refused = map[string]bool{}, map[string]bool{}
 	return r.Asks()
 }
 
-func (r *Round) most(group []wire.Member) bool {
+func (r *Round) most(group []messages.Member) bool {
 	n := 0
 	for _, m := range group {
 		if r.votes[m.ID] {
@@ -161,8 +161,8 @@
 	return n > len(group)/2
 }
 
-func union(a, b []wire.Member) []wire.Member {
-	out := append([]wire.Member{}, a...)
+func union(a, b []messages.Member) []messages.Member {
+	out := append([]messages.Member{}, a...)
 	for _, m := range b {
 		if !has(out, m.ID) {
 			out = append(out, m)
@@ -171,7 +171,7 @@
 	return out
 }
 
-func has(group []wire.Member, id string) bool {
+func has(group []messages.Member, id string) bool {
 	for _, m := range group {
 		if m.ID == id {
 			return true
--- a/internal/consensus/store.go
+++ b/internal/consensus/store.go
@@ -17,7 +17,7 @@
 
 	"github.com/pkg/errors"
 
-	"beechtide.org/beechtide/internal/wire"
+	"beechtide.org/beechtide/internal/messages"
 )
 
 // ErrStore is the cause of every error of a store.
@@ -26,8 +26,8 @@
 // Store is where a member keeps its identity and its records.
 type Store interface {
 	Identity(fresh func() string) (string, error)
-	Load(part int) (wire.Record, bool, error)
-	Save(part int, rec wire.Record) error
+	Load(part int) (messages.Record, bool, error)
+	Save(part int, rec messages.Record) error
 }
 
 // DiskStore is a Store in a folder.
@@ -149,12 +149,12 @@
 }
 
 // Load gives the newest whole record of a part.
-func (d *DiskStore) Load(part int) (wire.Record, bool, error) {
+func (d *DiskStore) Load(part int) (messages.Record, bool, error) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	list, err := d.versions(part)
 	if err != nil {
-		return wire.Record{}, false, err
+		return messages.Record{}, false, err
 	}
 	if len(list) > 0 {
 		d.seq[part] = list[0].seq
@@ -164,17 +164,17 @@
 		if err != nil || len(b) < 4 || crc32.ChecksumIEEE(b[4:]) != binary.BigEndian.Uint32(b) {
 			continue
 		}
-		var rec wire.Record
+		var rec messages.Record
 		if _, err := rec.UnmarshalMsg(b[4:]); err != nil {
 			continue
 		}
 		return rec, true, nil
 	}
-	return wire.Record{}, false, nil
+	return messages.Record{}, false, nil
 }
 
 // Save makes a record durable.
-func (d *DiskStore) Save(part int, rec wire.Record) error {
+func (d *DiskStore) Save(part int, rec messages.Record) error {
 	b, err := rec.MarshalMsg(nil)
 	if err != nil {
 		return errors.Wrap(ErrStore, err.Error())
@@ -201,7 +201,7 @@
 // MemoryStore is a Store that ends with the process.
 type MemoryStore struct {
 	mu  sync.Mutex
-	rec map[int]wire.Record
+	rec map[int]messages.Record
 	id  string
 }
 
@@ -214,7 +214,7 @@
 }
 
 // Load gives what was saved.
-func (m *MemoryStore) Load(part int) (wire.Record, bool, error) {
+func (m *MemoryStore) Load(part int) (messages.Record, bool, error) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	r, ok := m.rec[part]
@@ -222,11 +222,11 @@
 }
 
 // Save keeps the record.
-func (m *MemoryStore) Save(part int, rec wire.Record) error {
+func (m *MemoryStore) Save(part int, rec messages.Record) error {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	if m.rec == nil {
-		m.rec = map[int]wire.Record{}
+		m.rec = map[int]messages.Record{}
 	}
 	m.rec[part] = rec
 	return nil
--- a/internal/counter/condition.go
+++ b/internal/counter/condition.go
@@ -5,12 +5,12 @@
 	"context"
 	"time"
 
+	"beechtide.org/beechtide/internal/messages"
 	"beechtide.org/beechtide/internal/radio"
-	"beechtide.org/beechtide/internal/wire"
 )
 
-func (c *Counter) condition() wire.Condition {
-	x := wire.Condition{Node: c.set.Node, Role: wire.Counter, Site: c.set.Site, Addr: c.radio.Addr(), TimeUs: time.Now().UnixMicro()}
+func (c *Counter) condition() messages.Condition {
+	x := messages.Condition{Node: c.set.Node, Role: messages.Counter, Site: c.set.Site, Addr: c.radio.Addr(), TimeUs: time.Now().UnixMicro()}
 	c.nmu.Lock()
 	x.Marks = c.versions()
 	c.nmu.Unlock()
--- a/internal/counter/counter.go
+++ b/internal/counter/counter.go
@@ -17,13 +17,13 @@
 	"beechtide.org/beechtide/internal/compliance"
 	"beechtide.org/beechtide/internal/inflight"
 	"beechtide.org/beechtide/internal/loop"
+	"beechtide.org/beechtide/internal/messages"
 	"beechtide.org/beechtide/internal/radio"
 	"beechtide.org/beechtide/internal/registry"
 	"beechtide.org/beechtide/internal/routeconfig"
 	"beechtide.org/beechtide/internal/settings"
 	"beechtide.org/beechtide/internal/statesync"
 	"beechtide.org/beechtide/internal/upstream"
-	"beechtide.org/beechtide/internal/wire"
 )
 
 // Counter is the running role.
@@ -39,7 +39,7 @@
 	table  atomic.Pointer[routeconfig.Table]
 
 	nmu      sync.Mutex
-	parts    map[int]wire.PartNote
+	parts    map[int]messages.PartNote
 	menu     *statesync.Entries
 	assembly routeconfig.Assembly
 	runners  *statesync.Entries // as the parent has them
@@ -74,7 +74,7 @@
 	if err != nil {
 		return nil, err
 	}
-	c := &Counter{set: set, log: log, clock: clock, radio: rad, roster: registry.New(), garage: upstream.NewGarage(clock), parts: map[int]wire.PartNote{}, door: admission.New(admission.Defaults, set.Site), budgets: map[string]*upstream.Budget{}, kick: make(chan struct{}, 1), fresh: make(chan struct{}, 1), stir: make(chan struct{}, 1)}
+	c := &Counter{set: set, log: log, clock: clock, radio: rad, roster: registry.New(), garage: upstream.NewGarage(clock), parts: map[int]messages.PartNote{}, door: admission.New(admission.Defaults, set.Site), budgets: map[string]*upstream.Budget{}, kick: make(chan struct{}, 1), fresh: make(chan struct{}, 1), stir: make(chan struct{}, 1)}
 	c.menu, c.runners = statesync.NewEntries(), statesync.NewEntries()
 	c.loads.init(clock())
 	none := ""
@@ -85,7 +85,7 @@
 	c.up.Hold, c.up.Parents, c.up.Take = c.hold, c.parents, c.takeFeed
 	c.up.Heard, c.up.TellAgain, c.up.Ended = c.loads.heardUp, c.tellAgain, func(string) {}
 	c.seeds.Store(&set.Seeds)
-	c.watch = radio.NewWatch(rad, wire.Peer{Addr: set.CounterAddr(), Role: wire.Counter, Site: set.Site, Node: set.Node}, clock, c.seedAddrs)
+	c.watch = radio.NewWatch(rad, messages.Peer{Addr: set.CounterAddr(), Role: messages.Counter, Site: set.Site, Node: set.Node}, clock, c.seedAddrs)
 	rad.OnCall(radio.KindCondition, func(context.Context, *radio.Link, []byte) ([]byte, error) {
 		x := c.condition()
 		return x.MarshalMsg(nil)
@@ -126,7 +126,7 @@
 }
 
 func (c *Counter) parents() []string {
-	list := radio.Parents(c.radio.Addr(), c.set.Site, c.watch.Alive(wire.Dispatch), c.watch.Alive(wire.Counter))
+	list := radio.Parents(c.radio.Addr(), c.set.Site, c.watch.Alive(messages.Dispatch), c.watch.Alive(messages.Counter))
 	if len(list) == 0 {
 		return c.seedAddrs()
 	}
@@ -176,7 +176,7 @@
 }
 
 // certified works out which runners and stores each regime lets in.
-func certified(t *routeconfig.Table, notes []wire.RunnerNote) map[string]map[string]bool {
+func certified(t *routeconfig.Table, notes []messages.RunnerNote) map[string]map[string]bool {
 	if t == nil || t.Policies.None() {
 		return nil
 	}
@@ -197,7 +197,7 @@
 	return out
 }
 
-func sightOf(n wire.RunnerNote) compliance.Runner {
+func sightOf(n messages.RunnerNote) compliance.Runner {
 	return compliance.Runner{ID: n.ID, Service: n.Service, Site: n.Site}
 }
 
@@ -255,8 +255,8 @@
 
 func (c *Counter) aliveDispatches() []string {
 	var list []string
-	for _, p := range radio.Core(c.watch.Alive(wire.Dispatch)) {
-		if p.Standing == wire.Alive {
+	for _, p := range radio.Core(c.watch.Alive(messages.Dispatch)) {
+		if p.Standing == messages.Alive {
 			list = append(list, p.Addr)
 		}
 	}
@@ -265,10 +265,10 @@
 
 // compareWith asks one dispatch for its versions and takes the changes since
 // this node's from it where it has something newer; all runners with anyway.
-func (c *Counter) compareWith(ctx context.Context, addr string, anyway bool) (m wire.Marks, ok bool) {
+func (c *Counter) compareWith(ctx context.Context, addr string, anyway bool) (m messages.Marks, ok bool) {
 	ctx, cancel := context.WithTimeout(ctx, 400*time.Millisecond)
 	defer cancel()
-	b, err := c.radio.Call(ctx, addr, radio.KindMarks, &wire.Marks{Parts: []int64{}})
+	b, err := c.radio.Call(ctx, addr, radio.KindMarks, &messages.Marks{Parts: []int64{}})
 	if err != nil {
 		return m, false
 	}
@@ -287,7 +287,7 @@
 	if b, err = c.radio.Call(ctx, addr, radio.KindSince, &h); err != nil {
 		return m, false
 	}
-	var f wire.Feed
+	var f messages.Feed
 	if _, err := f.UnmarshalMsg(b); err == nil {
 		c.take("", f)
 	}
--- a/internal/counter/counter_test.go
+++ b/internal/counter/counter_test.go
@@ -23,10 +23,10 @@
 	"beechtide.org/beechtide/internal/admission"
 	"beechtide.org/beechtide/internal/api"
 	"beechtide.org/beechtide/internal/compliance"
+	"beechtide.org/beechtide/internal/messages"
 	"beechtide.org/beechtide/internal/routeconfig"
 	"beechtide.org/beechtide/internal/settings"
 	"beechtide.org/beechtide/internal/statesync"
-	"beechtide.org/beechtide/internal/wire"
 )
 
 // runner is our stand-in for a runner: it answers each request with the next
@@ -155,12 +155,12 @@
 	began := time.Now()
 	c, err := New(set, pool, func() int64 { return time.Since(began).Microseconds() + 1 }, logr.Discard())
 	must.NoError(t, err)
-	feed := wire.Feed{Menu: []wire.EntryChange{wholeMenu(t, menuText, 1)}}
-	var notes []wire.RunnerNote
+	feed := messages.Feed{Menu: []messages.EntryChange{wholeMenu(t, menuText, 1)}}
+	var notes []messages.RunnerNote
 	for i, r := range runners {
-		notes = append(notes, wire.RunnerNote{ID: fmt.Sprintf("r%d", i), Service: "s", Addr: r.addr, Site: "a", Capacity: 8, Seq: 1, Models: []wire.Target{{Model: "m", Mark: 4}}})
+		notes = append(notes, messages.RunnerNote{ID: fmt.Sprintf("r%d", i), Service: "s", Addr: r.addr, Site: "a", Capacity: 8, Seq: 1, Models: []messages.Target{{Model: "m", Mark: 4}}})
 	}
-	feed.Roster = []wire.EntryChange{runnerEntries(t, notes...)}
+	feed.Roster = []messages.EntryChange{runnerEntries(t, notes...)}
 	must.True(t, c.take("", feed))
 	ctx, cancel := context.WithCancel(context.Background())
 	ended := make(chan error, 1)
@@ -176,7 +176,7 @@
 	return c, set.Listen.Front, cancel
 }
 
-func wholeMenu(t *testing.T, text string, version int64) wire.EntryChange {
+func wholeMenu(t *testing.T, text string, version int64) messages.EntryChange {
 	t.Helper()
 	m, err := routeconfig.Parse([]byte(text))
 	must.NoError(t, err)
@@ -190,13 +190,13 @@
 	return statesync.SendEntries(ch)
 }
 
-func runnerEntries(t *testing.T, notes ...wire.RunnerNote) wire.EntryChange {
+func runnerEntries(t *testing.T, notes ...messages.RunnerNote) messages.EntryChange {
 	t.Helper()
-	out := wire.EntryChange{Epoch: 9, Whole: true}
+	out := messages.EntryChange{Epoch: 9, Whole: true}
 	for _, n := range notes {
 		b, err := n.MarshalMsg(nil)
 		must.NoError(t, err)
-		out.Entries = append(out.Entries, wire.Entry{Key: n.ID, Body: b})
+		out.Entries = append(out.Entries, messages.Entry{Key: n.ID, Body: b})
 	}
 	return out
 }
@@ -380,7 +380,7 @@
 	c, front, _ := start(t, a, b)
 	n := c.roster.Snapshot().ByID["r0"]
 	n.Seq, n.Draining = 2, true
-	must.True(t, c.take("", wire.Feed{Roster: []wire.EntryChange{runnerEntries(t, n)}}))
+	must.True(t, c.take("", messages.Feed{Roster: []messages.EntryChange{runnerEntries(t, n)}}))
 	for range 6 {
 		ans, _, err := say(t, front, request("/pay/", "x"))
 		must.NoError(t, err)
@@ -447,7 +447,7 @@
 
 func (c *Counter) adopt(t *testing.T, mark int64, version int64, text string) {
 	t.Helper()
-	must.True(t, c.take("", wire.Feed{Menu: []wire.EntryChange{wholeMenu(t, text, mark)}}))
+	must.True(t, c.take("", messages.Feed{Menu: []messages.EntryChange{wholeMenu(t, text, mark)}}))
 	must.Eq(t, version, c.table.Load().Mark)
 }
 
@@ -521,7 +521,7 @@
 func TestOlderNewsNeverComesBack(t *testing.T) {
 	c, _, _ := start(t, newRunner(t))
 	older := strings.Replace(menuText, `"version":3`, `"version":2`, 1)
-	must.True(t, c.take("", wire.Feed{Menu: []wire.EntryChange{wholeMenu(t, older, 0)}}))
+	must.True(t, c.take("", messages.Feed{Menu: []messages.EntryChange{wholeMenu(t, older, 0)}}))
 	must.Eq(t, int64(3), c.table.Load().Mark)
 }
 
@@ -543,33 +543,33 @@
 	s.Replace(entries)
 	good := statesync.SendEntries(s.Commit(2))
 	must.Len(t, 2, good.Entries, must.Sprint("the tenant and the version"))
-	for name, spoil := range map[string]func(x *wire.EntryChange){
-		"digest":        func(x *wire.EntryChange) { x.Digest++ },
-		"missing base":  func(x *wire.EntryChange) { x.From = 7; x.To = 9 },
-		"another epoch": func(x *wire.EntryChange) { x.Epoch = 8 },
-		"not readable":  func(x *wire.EntryChange) { x.Entries[0].Body = []byte("{") },
-		"strange kind":  func(x *wire.EntryChange) { x.Entries[0].Key = "meal/000/x" },
+	for name, spoil := range map[string]func(x *messages.EntryChange){
+		"digest":        func(x *messages.EntryChange) { x.Digest++ },
+		"missing base":  func(x *messages.EntryChange) { x.From = 7; x.To = 9 },
+		"another epoch": func(x *messages.EntryChange) { x.Epoch = 8 },
+		"not readable":  func(x *messages.EntryChange) { x.Entries[0].Body = []byte("{") },
+		"strange kind":  func(x *messages.EntryChange) { x.Entries[0].Key = "meal/000/x" },
 	} {
 		bad := good
-		bad.Entries = append([]wire.Entry{}, good.Entries...)
+		bad.Entries = append([]messages.Entry{}, good.Entries...)
 		spoil(&bad)
-		must.False(t, c.take("p", wire.Feed{Menu: []wire.EntryChange{bad}}), must.Sprint(name))
+		must.False(t, c.take("p", messages.Feed{Menu: []messages.EntryChange{bad}}), must.Sprint(name))
 		must.Eq(t, int64(3), c.table.Load().Mark, must.Sprint(name))
 	}
-	must.False(t, c.take("p", wire.Feed{Roster: []wire.EntryChange{{Epoch: 1, Whole: true, Digest: 1, Entries: []wire.Entry{{Key: "x", Body: []byte("junk")}}}}}))
-	must.True(t, c.take("p", wire.Feed{Menu: []wire.EntryChange{good}}))
+	must.False(t, c.take("p", messages.Feed{Roster: []messages.EntryChange{{Epoch: 1, Whole: true, Digest: 1, Entries: []messages.Entry{{Key: "x", Body: []byte("junk")}}}}}))
+	must.True(t, c.take("p", messages.Feed{Menu: []messages.EntryChange{good}}))
 	must.Eq(t, int64(4), c.table.Load().Mark)
 	must.Eq(t, "t1", c.table.Load().Tenant("k9").Name)
 	must.Nil(t, c.table.Load().Tenant("k1"))
-	must.True(t, c.take("p", wire.Feed{Menu: []wire.EntryChange{good}}), must.Sprint("twice does nothing"))
+	must.True(t, c.take("p", messages.Feed{Menu: []messages.EntryChange{good}}), must.Sprint("twice does nothing"))
 }
 
 // A dispatch that has just started and knows no runner does not make a counter
 // ready.
 func TestReadyNeedsAConfigurationAndARunner(t *testing.T) {
 	c, _, _ := start(t)
-	must.True(t, c.take("p", wire.Feed{Roster: []wire.EntryChange{{Epoch: 4, Whole: true, Entries: []wire.Entry{}}}}))
+	must.True(t, c.take("p", messages.Feed{Roster: []messages.EntryChange{{Epoch: 4, Whole: true, Entries: []messages.Entry{}}}}))
 	must.False(t, c.ready())
-	must.True(t, c.take("", wire.Feed{Roster: []wire.EntryChange{runnerEntries(t, wire.RunnerNote{ID: "r", Service: "s", Models: []wire.Target{}})}}))
+	must.True(t, c.take("", messages.Feed{Roster: []messages.EntryChange{runnerEntries(t, messages.RunnerNote{ID: "r", Service: "s", Models: []messages.Target{}})}}))
 	must.True(t, c.ready())
 }
--- a/internal/counter/evening_test.go
+++ b/internal/counter/evening_test.go
@@ -13,10 +13,10 @@
 	"beechtide.org/beechtide/internal/api"
 	"beechtide.org/beechtide/internal/compliance"
 	"beechtide.org/beechtide/internal/inflight"
+	"beechtide.org/beechtide/internal/messages"
 	"beechtide.org/beechtide/internal/prefixindex"
 	"beechtide.org/beechtide/internal/registry"
 	"beechtide.org/beechtide/internal/routeconfig"
-	"beechtide.org/beechtide/internal/wire"
 )
 
 // evening plays a busy evening against the machines that decide: runners join,
@@ -28,7 +28,7 @@
 	rnd     *rand.Rand
 	nowUs   int64
 	nodes   []*deskNode
-	runners map[string]wire.RunnerNote
+	runners map[string]messages.RunnerNote
 	certs   map[string]bool
 	version int64
 	menus   []api.Menu
@@ -100,7 +100,7 @@
 	n.hear(e)
 }
 
-func (n *deskNode) note(e *evening, step compliance.Step, g *guest, r *wire.RunnerNote, cert int) {
+func (n *deskNode) note(e *evening, step compliance.Step, g *guest, r *messages.RunnerNote, cert int) {
 	x := compliance.Entry{Node: n.name, Step: step, Attempt: g.id, Tenant: g.ask.Tenant, Regime: g.ask.Regime, Certificate: cert, Mark: n.table.Mark}
 	if r != nil {
 		x.Runner, x.Service, x.Site = r.ID, r.Service, r.Site
@@ -209,7 +209,7 @@
 	switch e.rnd.IntN(60) {
 	case 0: // a runner joins
 		id := fmt.Sprintf("r%d", e.rnd.IntN(1_000_000))
-		e.runners[id] = wire.RunnerNote{ID: id, Service: "s", Addr: id + ":1", Site: "a", Capacity: 4, Seq: 1, Models: []wire.Target{{Model: "m", Mark: 1}}}
+		e.runners[id] = messages.RunnerNote{ID: id, Service: "s", Addr: id + ":1", Site: "a", Capacity: 4, Seq: 1, Models: []messages.Target{{Model: "m", Mark: 1}}}
 		e.tell()
 	case 1: // one leaves
 		if id := e.any(); id != "" && len(e.runners) > 2 {
@@ -267,10 +267,10 @@
 }
 
 func play(t *testing.T, seed uint64) *evening {
-	e := &evening{t: t, rnd: rand.New(rand.NewPCG(seed, 3)), nowUs: 1, runners: map[string]wire.RunnerNote{}, certs: map[string]bool{}, ends: map[string]int{}, sent: map[string]int{}}
+	e := &evening{t: t, rnd: rand.New(rand.NewPCG(seed, 3)), nowUs: 1, runners: map[string]messages.RunnerNote{}, certs: map[string]bool{}, ends: map[string]int{}, sent: map[string]int{}}
 	for i := range 6 {
 		id := fmt.Sprintf("r%d", i)
-		e.runners[id] = wire.RunnerNote{ID: id, Service: "s", Addr: id + ":1", Site: "a", Capacity: 4, Seq: 1, Models: []wire.Target{{Model: "m", Mark: 1}}}
+		e.runners[id] = messages.RunnerNote{ID: id, Service: "s", Addr: id + ":1", Site: "a", Capacity: 4, Seq: 1, Models: []messages.Target{{Model: "m", Mark: 1}}}
 		if i < 2 {
 			e.certs[id] = true
 		}
--- a/internal/counter/feed.go
+++ b/internal/counter/feed.go
@@ -6,10 +6,10 @@
 import (
 	"sync/atomic"
 
+	"beechtide.org/beechtide/internal/messages"
 	"beechtide.org/beechtide/internal/radio"
 	"beechtide.org/beechtide/internal/routeconfig"
 	"beechtide.org/beechtide/internal/statesync"
-	"beechtide.org/beechtide/internal/wire"
 )
 
 // stats are for the doctor: how many changes were taken, how many wholes of a
@@ -28,8 +28,8 @@
 }
 
 // hold names what this node holds of every stream.
-func (c *Counter) hold() wire.Hold {
-	var h wire.Hold
+func (c *Counter) hold() messages.Hold {
+	var h messages.Hold
 	c.nmu.Lock()
 	for p, n := range c.parts {
 		for len(h.Parts) <= p {
@@ -48,8 +48,8 @@
 }
 
 // since gives what a node below lacks.
-func (c *Counter) since(h wire.Hold) wire.Feed {
-	var f wire.Feed
+func (c *Counter) since(h messages.Hold) messages.Feed {
+	var f messages.Feed
 	c.nmu.Lock()
 	f.Versions = c.versions()
 	for p, n := range c.parts {
@@ -109,7 +109,7 @@
 }
 
 // takeFeed takes what the parent sent and passes it on.
-func (c *Counter) takeFeed(parent string, f wire.Feed, raw []byte) *wire.Hold {
+func (c *Counter) takeFeed(parent string, f messages.Feed, raw []byte) *messages.Hold {
 	c.parent.Store(&parent)
 	c.relay.Pass(radio.ToCounters, raw)
 	if !c.take(parent, f) || c.behind(f.Versions) {
@@ -121,7 +121,7 @@
 
 // take takes a feed in; parent is empty where it came from another node than
 // the parent. It tells whether all of it fitted.
-func (c *Counter) take(parent string, f wire.Feed) (fits bool) {
+func (c *Counter) take(parent string, f messages.Feed) (fits bool) {
 	now := c.clock()
 	fits = true
 	note := func(r statesync.Result, again bool) {
@@ -153,7 +153,7 @@
 			}
 		}
 		for _, p := range in.Puts {
-			var n wire.RunnerNote
+			var n messages.RunnerNote
 			if p.Gone {
 				continue
 			}
@@ -196,7 +196,7 @@
 
 // takeMenu takes a change of the configuration; the table is made anew from the
 // entries that changed and then swapped in.
-func (c *Counter) takeMenu(ch wire.EntryChange) (r statesync.Result, renewed bool) {
+func (c *Counter) takeMenu(ch messages.EntryChange) (r statesync.Result, renewed bool) {
 	if ch.Whole && ch.To <= c.menu.Version {
 		return statesync.Known, false
 	}
@@ -227,11 +227,11 @@
 	return r, true
 }
 
-func (c *Counter) takePart(p wire.PartNote, nowUs int64) {
+func (c *Counter) takePart(p messages.PartNote, nowUs int64) {
 	if old, ok := c.parts[p.Part]; p.Part == 0 || ok && old.Mark >= p.Mark {
 		return
 	}
-	var body wire.DutyBody
+	var body messages.DutyBody
 	if _, err := body.UnmarshalMsg(p.Body); err != nil {
 		c.news.malformed.Add(1)
 		return
--- a/internal/counter/front.go
+++ b/internal/counter/front.go
@@ -17,9 +17,9 @@
 	"beechtide.org/beechtide/internal/api"
 	"beechtide.org/beechtide/internal/compliance"
 	"beechtide.org/beechtide/internal/dispatch"
+	"beechtide.org/beechtide/internal/messages"
 	"beechtide.org/beechtide/internal/prefixindex"
 	"beechtide.org/beechtide/internal/routeconfig"
-	"beechtide.org/beechtide/internal/wire"
 )
 
 func (c *Counter) serveReady() error {
@@ -148,7 +148,7 @@
 }
 
 // note adds to the audit trail of regulated requests.
-func (v *visit) note(step compliance.Step, n *wire.RunnerNote, certificate int) {
+func (v *visit) note(step compliance.Step, n *messages.RunnerNote, certificate int) {
 	e := compliance.Entry{Node: v.c.set.Node, Step: step, Attempt: v.id, Tenant: v.tenant.Name, Regime: v.ask.Regime, Certificate: certificate, Mark: v.c.table.Load().Mark}
 	if n != nil {
 		e.Runner, e.Service, e.Site = n.ID, n.Service, n.Site
--- a/internal/counter/loads.go
+++ b/internal/counter/loads.go
@@ -11,9 +11,9 @@
 
 	"beechtide.org/beechtide/internal/admission"
 	"beechtide.org/beechtide/internal/loop"
+	"beechtide.org/beechtide/internal/messages"
 	"beechtide.org/beechtide/internal/radio"
 	"beechtide.org/beechtide/internal/statesync"
-	"beechtide.org/beechtide/internal/wire"
 )
 
 // tellEvery is the least time between two words, tellSoon how long a change that
@@ -33,7 +33,7 @@
 
 type toldWord struct {
 	seq int64
-	own map[string]wire.RunnerLoad
+	own map[string]messages.RunnerLoad
 }
 
 type loads struct {
@@ -41,11 +41,11 @@
 	own    *statesync.Loads
 	below  *statesync.Sum // this node's and those below it
 	total  *statesync.Loads
-	coming []wire.KeptNote
+	coming []messages.KeptNote
 	seq    int64
 	whole  bool
 	told   []toldWord
-	heard  map[string]wire.RunnerLoad // of this node's own, what the total holds
+	heard  map[string]messages.RunnerLoad // of this node's own, what the total holds
 
 	touched map[string]bool // runners of which the others' part has changed
 	all     bool            // it may have of any
@@ -58,21 +58,21 @@
 	l.whole, l.all, l.touched = true, true, map[string]bool{}
 }
 
-func (l *loads) hold() wire.StreamHold {
+func (l *loads) hold() messages.StreamHold {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	epoch, version := l.total.Holds()
-	return wire.StreamHold{Epoch: epoch, Version: version}
+	return messages.StreamHold{Epoch: epoch, Version: version}
 }
 
-func (l *loads) since(h wire.StreamHold) (wire.LoadChange, bool) {
+func (l *loads) since(h messages.StreamHold) (messages.LoadChange, bool) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	c, lacks := l.total.Since(h.Epoch, h.Version)
 	return statesync.SendLoads(c), lacks
 }
 
-func (l *loads) take(c wire.LoadChange) statesync.Result {
+func (l *loads) take(c messages.LoadChange) statesync.Result {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	r := l.total.Apply(statesync.HearLoads(c))
@@ -97,14 +97,14 @@
 	}
 }
 
-func (l *loads) touch(of map[string]wire.RunnerLoad) {
+func (l *loads) touch(of map[string]messages.RunnerLoad) {
 	for id := range of {
 		l.touched[id] = true
 	}
 }
 
 // others is what the other nodes have at a runner.
-func (l *loads) others(id string) wire.RunnerLoad {
+func (l *loads) others(id string) messages.RunnerLoad {
 	t, _ := l.total.Get(id)
 	mine := l.heard[id]
 	t.Blocks -= mine.Blocks
@@ -140,7 +140,7 @@
 }
 
 // next makes the word that is to go up; false where there is nothing to say.
-func (l *loads) next(own map[string]wire.RunnerLoad, coming []wire.KeptNote) (wire.Told, bool) {
+func (l *loads) next(own map[string]messages.RunnerLoad, coming []messages.KeptNote) (messages.Told, bool) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	l.own.Replace(own)
@@ -149,7 +149,7 @@
 		l.below.Follow(itself, l.own)
 	}
 	total := l.below.Total
-	w := wire.Told{Coming: append(l.coming, coming...)}
+	w := messages.Told{Coming: append(l.coming, coming...)}
 	if !l.whole && !total.Dirty() && len(w.Coming) == 0 {
 		return w, false
 	}
@@ -179,7 +179,7 @@
 }
 
 // toldBelow takes the word of a node below.
-func (c *Counter) toldBelow(from string, t wire.Told) bool {
+func (c *Counter) toldBelow(from string, t messages.Told) bool {
 	l := &c.loads
 	l.mu.Lock()
 	ok := true
@@ -206,7 +206,7 @@
 }
 
 func (c *Counter) tellOnce() {
-	if n := len(c.watch.Alive(wire.Counter)); n > 0 {
+	if n := len(c.watch.Alive(messages.Counter)); n > 0 {
 		c.nodes.Store(int64(n))
 	}
 	c.dmu.Lock()
--- a/internal/counter/move_test.go
+++ b/internal/counter/move_test.go
@@ -10,8 +10,8 @@
 	"github.com/shoenig/test/must"
 
 	"beechtide.org/beechtide/internal/admission"
+	"beechtide.org/beechtide/internal/messages"
 	"beechtide.org/beechtide/internal/prefixindex"
-	"beechtide.org/beechtide/internal/wire"
 )
 
 // gate lets a scripted runner hold its answer back until it is told to go on.
@@ -41,13 +41,13 @@
 func (c *Counter) sited(t *testing.T, sites ...string) {
 	t.Helper()
 	snap := c.roster.Snapshot()
-	var notes []wire.RunnerNote
+	var notes []messages.RunnerNote
 	for i, site := range sites {
 		n := snap.ByID[fmt.Sprint("r", i)]
 		n.Site, n.Seq, n.Capacity = site, 2, 9
 		notes = append(notes, n)
 	}
-	must.True(t, c.take("", wire.Feed{Roster: []wire.EntryChange{runnerEntries(t, notes...)}}))
+	must.True(t, c.take("", messages.Feed{Roster: []messages.EntryChange{runnerEntries(t, notes...)}}))
 	c.syncDoor()
 }
 
@@ -157,9 +157,9 @@
 // many tokens as would have been found there, and reads only what is new.
 func TestTheContextGoesAlong(t *testing.T) {
 	d := admission.New(admission.Defaults, "b")
-	notes := []wire.RunnerNote{}
+	notes := []messages.RunnerNote{}
 	for i := range 6 {
-		notes = append(notes, wire.RunnerNote{ID: fmt.Sprint("r", i), Service: "s", Addr: fmt.Sprint("r", i, ":1"), Site: []string{"a", "b", "c"}[i%3], Capacity: 8, Models: []wire.Target{{Model: "m", Mark: 1}}})
+		notes = append(notes, messages.RunnerNote{ID: fmt.Sprint("r", i), Service: "s", Addr: fmt.Sprint("r", i, ":1"), Site: []string{"a", "b", "c"}[i%3], Capacity: 8, Models: []messages.Target{{Model: "m", Mark: 1}}})
 	}
 	d.SetService("s", notes, 100_000, 0.01)
 	ask := admission.Ask{Service: "s", Tenant: "t", Model: "m", TokensIn: 6200, TokensOut: 20, SetpointUs: 800_000, LeftUs: 5_000_000,
--- a/internal/dispatch/condition.go
+++ b/internal/dispatch/condition.go
@@ -7,21 +7,21 @@
 	"time"
 
 	"beechtide.org/beechtide/internal/consensus"
+	"beechtide.org/beechtide/internal/messages"
 	"beechtide.org/beechtide/internal/radio"
-	"beechtide.org/beechtide/internal/wire"
 )
 
 // unreadUs is after how long without an answer a runner counts as not read.
 const unreadUs = 5_000_000
 
-func (d *Dispatch) condition() wire.Condition {
-	c := wire.Condition{Node: d.set.Node, Role: wire.Dispatch, Site: d.set.Site, Addr: d.radio.Addr(), TimeUs: time.Now().UnixMicro(), LedgerID: d.ledger.ID(), Marks: d.told(), HasDisk: d.disk != nil}
+func (d *Dispatch) condition() messages.Condition {
+	c := messages.Condition{Node: d.set.Node, Role: messages.Dispatch, Site: d.set.Site, Addr: d.radio.Addr(), TimeUs: time.Now().UnixMicro(), LedgerID: d.ledger.ID(), Marks: d.told(), HasDisk: d.disk != nil}
 	c.SaveUs, c.SaveFault = d.ledger.LastSave()
 	for p := range consensus.Parts {
 		v, _ := d.ledger.Committed(p)
-		c.Groups = append(c.Groups, append([]wire.Member{}, v.Group...))
+		c.Groups = append(c.Groups, append([]messages.Member{}, v.Group...))
 	}
-	c.Peers = append(d.watch.Alive(wire.Dispatch), d.watch.Alive(wire.Counter)...)
+	c.Peers = append(d.watch.Alive(messages.Dispatch), d.watch.Alive(messages.Counter)...)
 	c.Wholes, c.Changes, c.Malformed = d.feed.wholes.Load(), d.feed.changes.Load(), d.feed.malformed.Load()
 	snap := d.roster.Snapshot()
 	c.Runners = len(snap.ByID)
--- a/internal/dispatch/control.go
+++ b/internal/dispatch/control.go
@@ -16,10 +16,10 @@
 
 	"beechtide.org/beechtide/internal/api"
 	"beechtide.org/beechtide/internal/consensus"
+	"beechtide.org/beechtide/internal/messages"
 	"beechtide.org/beechtide/internal/radio"
 	"beechtide.org/beechtide/internal/routeconfig"
 	"beechtide.org/beechtide/internal/statesync"
-	"beechtide.org/beechtide/internal/wire"
 )
 
 var errNoChange = errors.New("dispatch: nothing to change")
@@ -76,16 +76,16 @@
 		deny(c, 400, "(body)", "not a beat")
 		return
 	}
-	n := wire.RunnerNote{ID: c.Param("id"), Service: b.Service, Addr: b.Address, Site: b.Site, Capacity: b.Capacity, Seq: b.Sequence, Draining: b.State == api.Draining, Models: []wire.Target{}}
+	n := messages.RunnerNote{ID: c.Param("id"), Service: b.Service, Addr: b.Address, Site: b.Site, Capacity: b.Capacity, Seq: b.Sequence, Draining: b.State == api.Draining, Models: []messages.Target{}}
 	for _, m := range b.Models {
-		n.Models = append(n.Models, wire.Target{Model: m.Name, Mark: m.Mark})
+		n.Models = append(n.Models, messages.Target{Model: m.Name, Mark: m.Mark})
 	}
 	changed := d.roster.Hear(n, d.clock())
 	if changed {
 		d.tellRunners(n.ID)
 	}
 	out := api.BeatOutcome{}
-	all := d.watch.Alive(wire.Dispatch)
+	all := d.watch.Alive(messages.Dispatch)
 	for _, p := range all {
 		if p.Addr != d.radio.Addr() {
 			d.radio.Cast(p.Addr, radio.KindRunner, &n)
@@ -97,10 +97,10 @@
 
 // beatTo is where a runner should beat: at a dispatch of its own site, each of
 // them taking a part of the runners. It is empty where it beats already.
-func beatTo(core []wire.Peer, self string, n wire.RunnerNote) string {
-	var near []wire.Peer
+func beatTo(core []messages.Peer, self string, n messages.RunnerNote) string {
+	var near []messages.Peer
 	for _, p := range core {
-		if p.Site == n.Site && (p.Addr == self || p.Control != "" && p.Standing == wire.Alive) {
+		if p.Site == n.Site && (p.Addr == self || p.Control != "" && p.Standing == messages.Alive) {
 			near = append(near, p)
 		}
 	}
@@ -135,7 +135,7 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, operatorWait)
 	defer cancel()
-	_, err = d.ledger.Change(ctx, consensus.MenuPart, func(cur wire.Value) ([]wire.Member, []byte, error) {
+	_, err = d.ledger.Change(ctx, consensus.MenuPart, func(cur messages.Value) ([]messages.Member, []byte, error) {
 		body, err := menuBody(cur)
 		if err != nil {
 			return nil, nil, err
@@ -170,8 +170,8 @@
 	deny(c, 400, "(body)", err.Error())
 }
 
-func menuBody(v wire.Value) (wire.MenuBody, error) {
-	var body wire.MenuBody
+func menuBody(v messages.Value) (messages.MenuBody, error) {
+	var body messages.MenuBody
 	if len(v.Body) == 0 {
 		return body, nil
 	}
@@ -217,7 +217,7 @@
 		}
 	}
 	part := consensus.PartOf(service)
-	v, err := d.ledger.Change(ctx, part, func(cur wire.Value) ([]wire.Member, []byte, error) {
+	v, err := d.ledger.Change(ctx, part, func(cur messages.Value) ([]messages.Member, []byte, error) {
 		return nameTarget(cur, w, d.ledger.ID())
 	})
 	if body, berr := dutyBody(v); err == nil && berr == nil && body.Claim.Holder == d.ledger.ID() && body.Claim.Fence == 1 {
@@ -232,7 +232,7 @@
 
 // nameTarget notes a model's newest weights. The one who notes it takes the
 // duty along where it was never held.
-func nameTarget(cur wire.Value, w api.WeightsNamed, self string) ([]wire.Member, []byte, error) {
+func nameTarget(cur messages.Value, w api.WeightsNamed, self string) ([]messages.Member, []byte, error) {
 	body, err := dutyBody(cur)
 	if err != nil {
 		return nil, nil, err
@@ -248,17 +248,17 @@
 		}
 	}
 	if !found {
-		body.Targets = append(body.Targets, wire.Target{Model: w.Model, Mark: w.Mark})
+		body.Targets = append(body.Targets, messages.Target{Model: w.Model, Mark: w.Mark})
 	}
 	if body.Claim.Holder == "" {
-		body.Claim = wire.Claim{Holder: self, Fence: 1}
+		body.Claim = messages.Claim{Holder: self, Fence: 1}
 	}
 	b, err := body.MarshalMsg(nil)
 	return nil, b, err
 }
 
-func dutyBody(v wire.Value) (wire.DutyBody, error) {
-	body := wire.DutyBody{Targets: []wire.Target{}}
+func dutyBody(v messages.Value) (messages.DutyBody, error) {
+	body := messages.DutyBody{Targets: []messages.Target{}}
 	if len(v.Body) == 0 {
 		return body, nil
 	}
--- a/internal/dispatch/dispatch.go
+++ b/internal/dispatch/dispatch.go
@@ -16,13 +16,13 @@
 
 	"beechtide.org/beechtide/internal/consensus"
 	"beechtide.org/beechtide/internal/loop"
+	"beechtide.org/beechtide/internal/messages"
 	"beechtide.org/beechtide/internal/prefixindex"
 	"beechtide.org/beechtide/internal/radio"
 	"beechtide.org/beechtide/internal/registry"
 	"beechtide.org/beechtide/internal/routeconfig"
 	"beechtide.org/beechtide/internal/settings"
 	"beechtide.org/beechtide/internal/upstream"
-	"beechtide.org/beechtide/internal/wire"
 )
 
 // Dispatch is the running role.
@@ -74,14 +74,14 @@
 	if err != nil {
 		return nil, err
 	}
-	self := wire.Peer{Addr: set.DispatchAddr(), Role: wire.Dispatch, Site: set.Site, LedgerID: d.ledger.ID(), Control: set.Listen.Control, Node: set.Node, Counted: set.Counted}
+	self := messages.Peer{Addr: set.DispatchAddr(), Role: messages.Dispatch, Site: set.Site, LedgerID: d.ledger.ID(), Control: set.Listen.Control, Node: set.Node, Counted: set.Counted}
 	d.watch = radio.NewWatch(rad, self, clock, d.knownDispatches)
 	rad.OnCall(radio.KindLedger, func(ctx context.Context, _ *radio.Link, body []byte) ([]byte, error) {
 		return d.ledger.Handle(ctx, body)
 	})
 	rad.OnCall(radio.KindMarks, func(_ context.Context, _ *radio.Link, body []byte) ([]byte, error) {
 		m := d.marks()
-		var from wire.Marks
+		var from messages.Marks
 		if _, err := from.UnmarshalMsg(body); err == nil && !from.Dispatch {
 			m.Parts = d.told()
 		}
@@ -175,12 +175,12 @@
 	}
 }
 
-func (d *Dispatch) learned(p int, v wire.Value) {
+func (d *Dispatch) learned(p int, v messages.Value) {
 	if v.Mark == 0 || len(v.Body) == 0 {
 		return
 	}
 	if p == consensus.MenuPart {
-		var body wire.MenuBody
+		var body messages.MenuBody
 		if _, err := body.UnmarshalMsg(v.Body); err == nil && body.Mark > 0 {
 			if m, err := routeconfig.Parse(body.Raw); err == nil {
 				t := routeconfig.Compile(m)
@@ -192,12 +192,12 @@
 		}
 	}
 	if p != consensus.MenuPart {
-		d.tellPart(wire.PartNote{Part: p, Mark: v.Mark, Body: v.Body})
+		d.tellPart(messages.PartNote{Part: p, Mark: v.Mark, Body: v.Body})
 	}
 }
 
-func (d *Dispatch) marks() wire.Marks {
-	m := wire.Marks{Parts: make([]int64, consensus.Parts), RosterSum: d.roster.Snapshot().Sum, Dispatch: true, CalmUs: d.calm.forUs(d.clock())}
+func (d *Dispatch) marks() messages.Marks {
+	m := messages.Marks{Parts: make([]int64, consensus.Parts), RosterSum: d.roster.Snapshot().Sum, Dispatch: true, CalmUs: d.calm.forUs(d.clock())}
 	for p := range m.Parts {
 		m.Parts[p] = -1
 		if v, ok := d.ledger.Committed(p); ok {
@@ -213,7 +213,7 @@
 	have := map[string]context.CancelFunc{}
 	loop.Every(ctx, 200*time.Millisecond, func() {
 		want := map[string]bool{}
-		all := d.watch.Alive(wire.Dispatch)
+		all := d.watch.Alive(messages.Dispatch)
 		if !d.inCore(all) {
 			all = radio.Core(all)
 			if near := nearest(all, d.set.Site); near != "" {
@@ -241,7 +241,7 @@
 }
 
 // inCore tells whether this dispatch counts, or nobody does.
-func (d *Dispatch) inCore(all []wire.Peer) bool {
+func (d *Dispatch) inCore(all []messages.Peer) bool {
 	for _, p := range radio.Core(all) {
 		if p.Addr == d.radio.Addr() {
 			return true
@@ -251,7 +251,7 @@
 }
 
 // nearest is the first of a site, else the first of all.
-func nearest(list []wire.Peer, site string) string {
+func nearest(list []messages.Peer, site string) string {
 	for _, p := range list {
 		if p.Site == site {
 			return p.Addr
@@ -264,7 +264,7 @@
 }
 
 func (d *Dispatch) heardRunner(_ string, body []byte) {
-	var n wire.RunnerNote
+	var n messages.RunnerNote
 	if _, err := n.UnmarshalMsg(body); err == nil && d.roster.Hear(n, d.clock()) {
 		d.tellRunners(n.ID)
 	}
@@ -285,7 +285,7 @@
 
 // coreView names the dispatches whose coming and going unsettles the core: those
 // that count, where some do.
-func coreView(alive []wire.Peer) (view string, core map[string]bool) {
+func coreView(alive []messages.Peer) (view string, core map[string]bool) {
 	core = map[string]bool{}
 	for _, p := range radio.Core(alive) {
 		view += p.Addr + p.LedgerID + " "
@@ -296,7 +296,7 @@
 
 // catchUp compares marks with the other dispatches and pulls what is newer.
 func (d *Dispatch) catchUp(ctx context.Context) {
-	alive := d.watch.Alive(wire.Dispatch)
+	alive := d.watch.Alive(messages.Dispatch)
 	view, core := coreView(alive)
 	d.calm.saw(view, d.clock())
 	for _, p := range alive {
@@ -314,7 +314,7 @@
 			if err != nil {
 				return
 			}
-			var m wire.Marks
+			var m messages.Marks
 			if _, err := m.UnmarshalMsg(b); err != nil {
 				return
 			}
@@ -330,7 +330,7 @@
 // keepGroups is the steward's duty: the lowest live dispatch proposes changes
 // of the groups.
 func (d *Dispatch) keepGroups(ctx context.Context) {
-	alive := d.watch.Alive(wire.Dispatch)
+	alive := d.watch.Alive(messages.Dispatch)
 	if len(alive) == 0 || alive[0].Addr != d.radio.Addr() {
 		return
 	}
@@ -344,7 +344,7 @@
 			continue
 		}
 		cctx, cancel := context.WithTimeout(ctx, 2*time.Second)
-		_, err := d.ledger.Change(cctx, part, func(cur wire.Value) ([]wire.Member, []byte, error) {
+		_, err := d.ledger.Change(cctx, part, func(cur messages.Value) ([]messages.Member, []byte, error) {
 			group, want := consensus.Regroup(cur.Group, st)
 			if !want {
 				return nil, nil, errNoChange
--- a/internal/dispatch/dispatch_test.go
+++ b/internal/dispatch/dispatch_test.go
@@ -17,9 +17,9 @@
 	"github.com/panjf2000/ants/v2"
 	"github.com/shoenig/test/must"
 
+	"beechtide.org/beechtide/internal/messages"
 	"beechtide.org/beechtide/internal/registry"
 	"beechtide.org/beechtide/internal/settings"
-	"beechtide.org/beechtide/internal/wire"
 )
 
 func TestMain(m *testing.M) {
@@ -150,10 +150,10 @@
 	d, url, stop := core(t, dir, port, true)
 	status, _ := call(t, "POST", url+"/api/Config.Replace", text3(5, "s"), 0)
 	must.Eq(t, 200, status)
-	n := wire.RunnerNote{ID: "i-1", Service: "s", Addr: "1.2.3.4:80", Site: "a", Seq: 1, Models: []wire.Target{{Model: "m", Mark: 1}}}
+	n := messages.RunnerNote{ID: "i-1", Service: "s", Addr: "1.2.3.4:80", Site: "a", Seq: 1, Models: []messages.Target{{Model: "m", Mark: 1}}}
 	d.roster.Hear(n, 1)
 	d.roster.Bar("i-1", false, true, 77)
-	kept := wire.News{Runners: []wire.RunnerNote{d.roster.Snapshot().ByID["i-1"]}}
+	kept := messages.News{Runners: []messages.RunnerNote{d.roster.Snapshot().ByID["i-1"]}}
 	b, err := kept.MarshalMsg(nil)
 	must.NoError(t, err)
 	must.NoError(t, d.disk.Keep(runnersFile, b))
@@ -186,8 +186,8 @@
 // The incident of docs/incidents/uncounted-unsettled-the-core.md: a dispatch that
 // does not count comes and goes, and the core is as calm as before.
 func TestOnlyDispatchesThatCountUnsettleTheCore(t *testing.T) {
-	counted := []wire.Peer{{Addr: "a", LedgerID: "a/0", Counted: true}, {Addr: "b", LedgerID: "b/0", Counted: true}}
-	all := append(append([]wire.Peer{}, counted...), wire.Peer{Addr: "x", LedgerID: "x/1"})
+	counted := []messages.Peer{{Addr: "a", LedgerID: "a/0", Counted: true}, {Addr: "b", LedgerID: "b/0", Counted: true}}
+	all := append(append([]messages.Peer{}, counted...), messages.Peer{Addr: "x", LedgerID: "x/1"})
 	var c calm
 	view, core := coreView(all)
 	must.MapLen(t, 2, core)
--- a/internal/dispatch/feed.go
+++ b/internal/dispatch/feed.go
@@ -13,11 +13,11 @@
 	"beechtide.org/beechtide/internal/api"
 	"beechtide.org/beechtide/internal/consensus"
 	"beechtide.org/beechtide/internal/loop"
+	"beechtide.org/beechtide/internal/messages"
 	"beechtide.org/beechtide/internal/prefixindex"
 	"beechtide.org/beechtide/internal/radio"
 	"beechtide.org/beechtide/internal/routeconfig"
 	"beechtide.org/beechtide/internal/statesync"
-	"beechtide.org/beechtide/internal/wire"
 )
 
 // flushEvery is how often changes of kept prompts, reports and loads go out.
@@ -33,7 +33,7 @@
 )
 
 func (d *Dispatch) pressPause() time.Duration {
-	return min(max(time.Duration(len(d.watch.Alive(wire.Counter)))*pressPart, pressLeast), flushEvery)
+	return min(max(time.Duration(len(d.watch.Alive(messages.Counter)))*pressPart, pressLeast), flushEvery)
 }
 
 // below is under which name the nodes below this one stand in the sum of all.
@@ -43,7 +43,7 @@
 	mu     sync.Mutex
 	roster *statesync.Entries
 	menu   *statesync.Entries
-	parts  map[int]wire.PartNote
+	parts  map[int]messages.PartNote
 	below  *statesync.Sum // the nodes below this one
 	all    *statesync.Sum // those and the ones below the other dispatches
 
@@ -57,14 +57,14 @@
 
 // outbox is what waits to be sent.
 type outbox struct {
-	menu    []wire.EntryChange
-	parts   []wire.PartNote
-	kept    []wire.KeptChange
-	reports []wire.ReportNote
-	coming  []wire.KeptNote
+	menu    []messages.EntryChange
+	parts   []messages.PartNote
+	kept    []messages.KeptChange
+	reports []messages.ReportNote
+	coming  []messages.KeptNote
 }
 
-func (o *outbox) take(f *wire.Feed) {
+func (o *outbox) take(f *messages.Feed) {
 	f.Menu, f.Parts, f.Kept, f.Reports, f.Coming = o.menu, o.parts, o.kept, o.reports, o.coming
 	*o = outbox{}
 }
@@ -74,7 +74,7 @@
 	epoch = epoch ^ time.Now().UnixNano()
 	f.roster.Begin(epoch, 0)
 	f.menu.Begin(menuEpoch, 0)
-	f.parts = map[int]wire.PartNote{}
+	f.parts = map[int]messages.PartNote{}
 	f.below, f.all = statesync.NewSum(epoch), statesync.NewSum(epoch+1)
 	f.urgent = make(chan struct{}, 1)
 }
@@ -180,7 +180,7 @@
 	f.hurry()
 }
 
-func (d *Dispatch) tellPart(p wire.PartNote) {
+func (d *Dispatch) tellPart(p messages.PartNote) {
 	f := &d.feed
 	f.mu.Lock()
 	if f.parts[p.Part].Mark < p.Mark {
@@ -191,7 +191,7 @@
 	f.hurry()
 }
 
-func (d *Dispatch) tellReport(n wire.ReportNote) {
+func (d *Dispatch) tellReport(n messages.ReportNote) {
 	f := &d.feed
 	f.mu.Lock()
 	f.own.reports, f.down.reports = append(f.own.reports, n), append(f.down.reports, n)
@@ -199,7 +199,7 @@
 }
 
 // shelve changes what a runner keeps, as its reader, and sends the change.
-func (d *Dispatch) shelve(id string, change func(s *prefixindex.Shelf) wire.KeptChange) {
+func (d *Dispatch) shelve(id string, change func(s *prefixindex.Shelf) messages.KeptChange) {
 	d.kmu.Lock()
 	c := change(d.kept.Shelf(id))
 	d.kmu.Unlock()
@@ -231,7 +231,7 @@
 	f := &d.feed
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	up := wire.Feed{Versions: f.versions(), CalmUs: d.calm.forUs(d.clock()), CutOff: cutOff}
+	up := messages.Feed{Versions: f.versions(), CalmUs: d.calm.forUs(d.clock()), CutOff: cutOff}
 	down := up
 	f.own.take(&up)
 	f.down.take(&down)
@@ -262,7 +262,7 @@
 // restUs is how often a feed goes out though it has nothing to tell.
 const restUs = int64(radio.FeedEvery/time.Microsecond) - 50_000
 
-func something(f *wire.Feed) bool {
+func something(f *messages.Feed) bool {
 	return len(f.Menu)+len(f.Parts)+len(f.Roster)+len(f.Kept)+len(f.Reports)+len(f.Loads)+len(f.Coming) > 0
 }
 
@@ -284,8 +284,8 @@
 
 // since gives what a receiver lacks: a counter of everything, a dispatch of what
 // this one is the first to know.
-func (d *Dispatch) since(h wire.Hold) wire.Feed {
-	out := wire.Feed{CalmUs: d.calm.forUs(d.clock())}
+func (d *Dispatch) since(h messages.Hold) messages.Feed {
+	out := messages.Feed{CalmUs: d.calm.forUs(d.clock())}
 	f := &d.feed
 	f.mu.Lock()
 	out.Versions = f.versions()
@@ -319,7 +319,7 @@
 }
 
 // toldBelow takes the loads of a node below.
-func (d *Dispatch) toldBelow(from string, t wire.Told) bool {
+func (d *Dispatch) toldBelow(from string, t messages.Told) bool {
 	f := &d.feed
 	f.mu.Lock()
 	defer f.mu.Unlock()
@@ -347,8 +347,8 @@
 	u := radio.Uplink{
 		Dispatch: true,
 		Parents:  func() []string { return []string{addr} },
-		Hold:     func() wire.Hold { return d.holdOf(addr, runners) },
-		Take: func(_ string, f wire.Feed, _ []byte) *wire.Hold {
+		Hold:     func() messages.Hold { return d.holdOf(addr, runners) },
+		Take: func(_ string, f messages.Feed, _ []byte) *messages.Hold {
 			if d.takeFeed(addr, f, runners) {
 				return nil
 			}
@@ -368,10 +368,10 @@
 
 // holdOf names what this node holds of another's streams. The configuration and
 // the parts come through the ledger.
-func (d *Dispatch) holdOf(addr string, runners *statesync.Entries) wire.Hold {
+func (d *Dispatch) holdOf(addr string, runners *statesync.Entries) messages.Hold {
 	f := &d.feed
 	f.mu.Lock()
-	h := wire.Hold{Menu: wire.StreamHold{Epoch: menuEpoch, Version: never}}
+	h := messages.Hold{Menu: messages.StreamHold{Epoch: menuEpoch, Version: never}}
 	h.Roster.Epoch, h.Roster.Version = runners.Holds()
 	if l := f.all.Teller(addr); l != nil {
 		h.Loads.Epoch, h.Loads.Version = l.Holds()
@@ -406,7 +406,7 @@
 }
 
 // takeFeed takes what another dispatch is the first to know and passes it down.
-func (d *Dispatch) takeFeed(addr string, in wire.Feed, runners *statesync.Entries) (fits bool) {
+func (d *Dispatch) takeFeed(addr string, in messages.Feed, runners *statesync.Entries) (fits bool) {
 	now := d.clock()
 	fits = true
 	f := &d.feed
@@ -423,7 +423,7 @@
 			continue
 		}
 		for _, p := range ch.Puts {
-			var n wire.RunnerNote
+			var n messages.RunnerNote
 			if p.Gone {
 				continue
 			}
@@ -439,7 +439,7 @@
 	if len(changed) > 0 {
 		d.tellRunners(changed...)
 	}
-	var kept []wire.KeptChange
+	var kept []messages.KeptChange
 	d.kmu.Lock()
 	for _, c := range in.Kept {
 		if d.readers[c.ID] != nil {
--- a/internal/dispatch/readers.go
+++ b/internal/dispatch/readers.go
@@ -13,9 +13,9 @@
 
 	"beechtide.org/beechtide/internal/api"
 	"beechtide.org/beechtide/internal/loop"
+	"beechtide.org/beechtide/internal/messages"
 	"beechtide.org/beechtide/internal/prefixindex"
 	"beechtide.org/beechtide/internal/radio"
-	"beechtide.org/beechtide/internal/wire"
 )
 
 // Pauses of a reader.
@@ -34,11 +34,11 @@
 	if t == nil {
 		return
 	}
-	alive := radio.Core(d.watch.Alive(wire.Dispatch))
+	alive := radio.Core(d.watch.Alive(messages.Dispatch))
 	if d.clock()-d.startUs < learnUs && len(alive) > 1 {
 		return
 	}
-	want := map[string]wire.RunnerNote{}
+	want := map[string]messages.RunnerNote{}
 	for _, n := range d.roster.Snapshot().ByID {
 		s := t.Service(n.Service)
 		if s == nil || s.Engine.CacheTokens == 0 || n.Stale {
@@ -49,7 +49,7 @@
 		}
 	}
 	for _, box := range t.Stores {
-		n := wire.RunnerNote{ID: box.CacheStore, Addr: box.CacheStore, Site: box.Site}
+		n := messages.RunnerNote{ID: box.CacheStore, Addr: box.CacheStore, Site: box.Site}
 		if readerOf(n, alive) == d.radio.Addr() {
 			want[n.ID] = n
 		}
@@ -76,11 +76,11 @@
 	}
 }
 
-func readerOf(n wire.RunnerNote, alive []wire.Peer) string {
+func readerOf(n messages.RunnerNote, alive []messages.Peer) string {
 	best, top := "", uint64(0)
 	for pass := range 2 {
 		for _, p := range alive {
-			if p.Standing != wire.Alive || pass == 0 && p.Site != n.Site {
+			if p.Standing != messages.Alive || pass == 0 && p.Site != n.Site {
 				continue
 			}
 			h := fnv.New64a()
@@ -98,7 +98,7 @@
 
 // readKept follows a runner's events from where the shelf stands, whoever read
 // it so far.
-func (d *Dispatch) readKept(ctx context.Context, n wire.RunnerNote) {
+func (d *Dispatch) readKept(ctx context.Context, n messages.RunnerNote) {
 	for ctx.Err() == nil {
 		d.kmu.Lock()
 		shelf := d.kept.Shelf(n.ID)
@@ -116,7 +116,7 @@
 		if ev.Lost || epoch != 0 && ev.Epoch != epoch {
 			d.readList(ctx, n)
 		} else if ev.NextPage > since || epoch == 0 {
-			d.shelve(n.ID, func(s *prefixindex.Shelf) wire.KeptChange {
+			d.shelve(n.ID, func(s *prefixindex.Shelf) messages.KeptChange {
 				if epoch == 0 {
 					s.Begin(ev.Epoch, since)
 				}
@@ -145,7 +145,7 @@
 }
 
 // readList fetches the list after a gap, which the other nodes get as a whole.
-func (d *Dispatch) readList(ctx context.Context, n wire.RunnerNote) {
+func (d *Dispatch) readList(ctx context.Context, n messages.RunnerNote) {
 	cctx, cancel := context.WithTimeout(ctx, callWait)
 	defer cancel()
 	status, body, _, err := d.garage.Ask(cctx, n.Addr, "GET", "/api/kv-list", aimed(n, map[string]string{}), nil)
@@ -153,7 +153,7 @@
 	if err != nil || status != 200 || json.Unmarshal(body, &list) != nil {
 		return
 	}
-	d.shelve(n.ID, func(s *prefixindex.Shelf) wire.KeptChange {
+	d.shelve(n.ID, func(s *prefixindex.Shelf) messages.KeptChange {
 		if s.Epoch != list.Epoch {
 			s.Begin(list.Epoch, 0)
 		}
@@ -172,16 +172,16 @@
 	})
 }
 
-func (d *Dispatch) readReports(ctx context.Context, n wire.RunnerNote) {
+func (d *Dispatch) readReports(ctx context.Context, n messages.RunnerNote) {
 	for ctx.Err() == nil {
 		if r, ok := d.report(ctx, n); ok {
-			d.tellReport(wire.ReportNote{ID: n.ID, Used: r.CacheUsed, Total: r.CacheTotal, Active: r.Active, Pending: r.Pending})
+			d.tellReport(messages.ReportNote{ID: n.ID, Used: r.CacheUsed, Total: r.CacheTotal, Active: r.Active, Pending: r.Pending})
 		}
 		loop.Pause(ctx, reportsEvery)
 	}
 }
 
-func (d *Dispatch) report(ctx context.Context, n wire.RunnerNote) (api.Report, bool) {
+func (d *Dispatch) report(ctx context.Context, n messages.RunnerNote) (api.Report, bool) {
 	cctx, cancel := context.WithTimeout(ctx, callWait)
 	defer cancel()
 	status, body, _, err := d.garage.Ask(cctx, n.Addr, "GET", "/api/report", aimed(n, map[string]string{}), nil)
@@ -190,7 +190,7 @@
 }
 
 // aimed adds for whom a call is meant; a store has no id.
-func aimed(n wire.RunnerNote, h map[string]string) map[string]string {
+func aimed(n messages.RunnerNote, h map[string]string) map[string]string {
 	if n.Service != "" {
 		h["Beechtide-Target-Instance"] = n.ID
 	}
--- a/internal/dispatch/recall.go
+++ b/internal/dispatch/recall.go
@@ -10,7 +10,7 @@
 	"time"
 
 	"beechtide.org/beechtide/internal/loop"
-	"beechtide.org/beechtide/internal/wire"
+	"beechtide.org/beechtide/internal/messages"
 )
 
 const runnersFile = "runners"
@@ -20,7 +20,7 @@
 	if !ok {
 		return
 	}
-	var n wire.News
+	var n messages.News
 	if _, err := n.UnmarshalMsg(b); err != nil {
 		return
 	}
@@ -38,7 +38,7 @@
 		if snap.Sum == sum {
 			return
 		}
-		n := wire.News{}
+		n := messages.News{}
 		for _, r := range snap.ByID {
 			n.Runners = append(n.Runners, r)
 		}
--- a/internal/dispatch/refits.go
+++ b/internal/dispatch/refits.go
@@ -14,8 +14,8 @@
 	"beechtide.org/beechtide/internal/consensus"
 	"beechtide.org/beechtide/internal/lease"
 	"beechtide.org/beechtide/internal/loop"
+	"beechtide.org/beechtide/internal/messages"
 	"beechtide.org/beechtide/internal/rollout"
-	"beechtide.org/beechtide/internal/wire"
 )
 
 type refits struct {
@@ -77,7 +77,7 @@
 }
 
 // behind gives, for a target, the marks of the runners that carry the model.
-func (d *Dispatch) behind(t wire.Target) (marks map[string]int64, old bool, barred bool) {
+func (d *Dispatch) behind(t messages.Target) (marks map[string]int64, old bool, barred bool) {
 	marks = map[string]int64{}
 	for id, n := range d.roster.Snapshot().ByID {
 		if n.Stale || n.Draining {
@@ -94,7 +94,7 @@
 	return marks, old, barred
 }
 
-func (d *Dispatch) workShift(ctx context.Context, part int, body wire.DutyBody) {
+func (d *Dispatch) workShift(ctx context.Context, part int, body messages.DutyBody) {
 	needed := false
 	for _, t := range body.Targets {
 		_, old, barred := d.behind(t)
@@ -150,9 +150,9 @@
 }
 
 // reachable lists the live dispatches that this one is not cut off from.
-func (d *Dispatch) reachable() []wire.Peer {
-	var out []wire.Peer
-	for _, p := range d.watch.Alive(wire.Dispatch) {
+func (d *Dispatch) reachable() []messages.Peer {
+	var out []messages.Peer
+	for _, p := range d.watch.Alive(messages.Dispatch) {
 		if p.Addr == d.radio.Addr() || !d.calm.isCut(p.Addr) {
 			out = append(out, p)
 		}
@@ -166,7 +166,7 @@
 
 // maybeTake takes the claim over once its holder is gone. Only the lowest live
 // dispatch tries, so that two seldom meet in a ballot.
-func (d *Dispatch) maybeTake(ctx context.Context, part int, was wire.Claim, s *lease.Shift) {
+func (d *Dispatch) maybeTake(ctx context.Context, part int, was messages.Claim, s *lease.Shift) {
 	alive := d.reachable()
 	if len(alive) == 0 || alive[0].Addr != d.radio.Addr() {
 		return
@@ -198,10 +198,10 @@
 }
 
 // take wins the claim by a ballot, if it is still as it was.
-func (d *Dispatch) take(ctx context.Context, part int, was wire.Claim, s *lease.Shift) {
+func (d *Dispatch) take(ctx context.Context, part int, was messages.Claim, s *lease.Shift) {
 	cctx, cancel := context.WithTimeout(ctx, time.Second)
 	defer cancel()
-	v, err := d.ledger.Change(cctx, part, func(cur wire.Value) ([]wire.Member, []byte, error) {
+	v, err := d.ledger.Change(cctx, part, func(cur messages.Value) ([]messages.Member, []byte, error) {
 		body, err := dutyBody(cur)
 		if err != nil {
 			return nil, nil, err
@@ -209,7 +209,7 @@
 		if body.Claim != was {
 			return nil, nil, errNoChange
 		}
-		body.Claim = wire.Claim{Holder: d.ledger.ID(), Fence: was.Fence + 1}
+		body.Claim = messages.Claim{Holder: d.ledger.ID(), Fence: was.Fence + 1}
 		b, err := body.MarshalMsg(nil)
 		return nil, b, err
 	})
@@ -229,7 +229,7 @@
 	}
 }
 
-func (d *Dispatch) follow(ctx context.Context, t wire.Target, s *lease.Shift) {
+func (d *Dispatch) follow(ctx context.Context, t messages.Target, s *lease.Shift) {
 	r := &d.refits
 	r.mu.Lock()
 	plan := r.plans[t.Model]
@@ -276,7 +276,7 @@
 	}
 }
 
-func (d *Dispatch) order(ctx context.Context, n wire.RunnerNote, t wire.Target, fence int64) {
+func (d *Dispatch) order(ctx context.Context, n messages.RunnerNote, t messages.Target, fence int64) {
 	b, err := json.Marshal(api.Order{Op: api.Version, Model: t.Model, Mark: t.Mark, Method: api.Hold, Holder: d.ledger.ID(), Fence: fence})
 	if err != nil {
 		return
@@ -292,7 +292,7 @@
 	}()
 }
 
-func (d *Dispatch) pollWeights(ctx context.Context, id string, t wire.Target) {
+func (d *Dispatch) pollWeights(ctx context.Context, id string, t messages.Target) {
 	r := &d.refits
 	r.mu.Lock()
 	running := r.polls[id]
@@ -317,7 +317,7 @@
 	}()
 }
 
-func (d *Dispatch) tellWeights(id string, t wire.Target) {
+func (d *Dispatch) tellWeights(id string, t messages.Target) {
 	if n, changed := d.roster.Weights(id, t.Model, t.Mark); changed {
 		d.log.Info("weights in place", "runner", id, "mark", t.Mark)
 		d.tellRunners(n.ID)
--- a/internal/doctor/doctor_test.go
+++ b/internal/doctor/doctor_test.go
@@ -9,16 +9,16 @@
 	"github.com/shoenig/test/must"
 	"github.com/tinylib/msgp/msgp"
 
-	"beechtide.org/beechtide/internal/wire"
+	"beechtide.org/beechtide/internal/messages"
 )
 
 func healthy() []Visited {
-	group := []wire.Member{{ID: "a/0", Addr: "a"}, {ID: "b/0", Addr: "b"}, {ID: "c/0", Addr: "c"}}
+	group := []messages.Member{{ID: "a/0", Addr: "a"}, {ID: "b/0", Addr: "b"}, {ID: "c/0", Addr: "c"}}
 	var out []Visited
 	for _, addr := range []string{"a", "b", "c"} {
-		out = append(out, Visited{Addr: addr, Role: wire.Dispatch, Seed: true, AskedUs: 1_000_000, TookUs: 2_000, Condition: &wire.Condition{Node: addr, Role: wire.Dispatch, Addr: addr, LedgerID: addr + "/0", TimeUs: 1_001_000, Marks: []int64{4}, Groups: [][]wire.Member{group}, HasDisk: true, SaveUs: 900, Runners: 3}})
+		out = append(out, Visited{Addr: addr, Role: messages.Dispatch, Seed: true, AskedUs: 1_000_000, TookUs: 2_000, Condition: &messages.Condition{Node: addr, Role: messages.Dispatch, Addr: addr, LedgerID: addr + "/0", TimeUs: 1_001_000, Marks: []int64{4}, Groups: [][]messages.Member{group}, HasDisk: true, SaveUs: 900, Runners: 3}})
 	}
-	return append(out, Visited{Addr: "x", Role: wire.Counter, AskedUs: 1_000_000, Condition: &wire.Condition{Node: "x", Role: wire.Counter, Addr: "x", TimeUs: 1_000_000, Marks: []int64{4}, Runners: 3}})
+	return append(out, Visited{Addr: "x", Role: messages.Counter, AskedUs: 1_000_000, Condition: &messages.Condition{Node: "x", Role: messages.Counter, Addr: "x", TimeUs: 1_000_000, Marks: []int64{4}, Runners: 3}})
 }
 
 func TestHealthySystemHasNoFindings(t *testing.T) {
@@ -29,7 +29,7 @@
 func TestWhatIsInOrderIsNotNamed(t *testing.T) {
 	l := healthy()
 	l[3].Condition.Wholes, l[3].Condition.Changes = 30, 100_000
-	l = append(l, Visited{Addr: "d", Role: wire.Dispatch, AskedUs: 1_000_000, Condition: &wire.Condition{Node: "d", Role: wire.Dispatch, Addr: "d", LedgerID: "d/x", TimeUs: 1_000_000, Marks: []int64{4}, Groups: l[0].Condition.Groups, Runners: 3}})
+	l = append(l, Visited{Addr: "d", Role: messages.Dispatch, AskedUs: 1_000_000, Condition: &messages.Condition{Node: "d", Role: messages.Dispatch, Addr: "d", LedgerID: "d/x", TimeUs: 1_000_000, Marks: []int64{4}, Groups: l[0].Condition.Groups, Runners: 3}})
 	must.SliceEmpty(t, Examine(l), must.Sprint("few repairs, and a dispatch without a disk that is in no group"))
 }
 
@@ -51,7 +51,7 @@
 		{"that others know does not answer", 1, func(l []Visited) { l[3].Condition = nil }},
 		{"no group is known", 3, func(l []Visited) {
 			for i := range 3 {
-				l[i].Condition.Groups = [][]wire.Member{{}}
+				l[i].Condition.Groups = [][]messages.Member{{}}
 			}
 		}},
 		{"part 0 is at 3, others have 4", 1, func(l []Visited) { l[3].Condition.Marks[0] = 3 }},
@@ -80,7 +80,7 @@
 	}
 }
 
-type stand map[string]*wire.Condition
+type stand map[string]*messages.Condition
 
 func (s stand) Call(_ context.Context, addr string, _ int, _ msgp.Marshaler) ([]byte, error) {
 	if s[addr] == nil {
@@ -90,7 +90,7 @@
 }
 
 func TestVisitFollowsWhatSeedsKnow(t *testing.T) {
-	s := stand{"a": {Node: "a", Peers: []wire.Peer{{Addr: "a"}, {Addr: "x", Role: wire.Counter}, {Addr: "y", Role: wire.Counter}}}, "x": {Node: "x"}}
+	s := stand{"a": {Node: "a", Peers: []messages.Peer{{Addr: "a"}, {Addr: "x", Role: messages.Counter}, {Addr: "y", Role: messages.Counter}}}, "x": {Node: "x"}}
 	list := Visit(context.Background(), s, []string{"a", "b"})
 	var got []string
 	for _, v := range list {
--- a/internal/doctor/examine.go
+++ b/internal/doctor/examine.go
@@ -6,7 +6,7 @@
 	"fmt"
 	"sort"
 
-	"beechtide.org/beechtide/internal/wire"
+	"beechtide.org/beechtide/internal/messages"
 )
 
 // Severity of a finding.
@@ -33,10 +33,10 @@
 // Visited is what was found out about one address.
 type Visited struct {
 	Addr      string
-	Role      wire.Role
+	Role      messages.Role
 	Seed      bool
-	Condition *wire.Condition // nil: no answer
-	AskedUs   int64           // the doctor's time of day when it asked
+	Condition *messages.Condition // nil: no answer
+	AskedUs   int64               // the doctor's time of day when it asked
 	TookUs    int64
 }
 
@@ -53,7 +53,7 @@
 	answered, seeds := 0, 0
 	byID := map[string]bool{}
 	var newest []int64
-	groups := map[int][]wire.Member{}
+	groups := map[int][]messages.Member{}
 	groupMark := map[int]int64{}
 	for _, v := range list {
 		if v.Condition == nil {
@@ -97,7 +97,7 @@
 	return out
 }
 
-func examineGroups(groups map[int][]wire.Member, byID map[string]bool) []Finding {
+func examineGroups(groups map[int][]messages.Member, byID map[string]bool) []Finding {
 	var out []Finding
 	var parts []int
 	for p := range groups {
@@ -124,7 +124,7 @@
 	return out
 }
 
-func examineNode(v Visited, c *wire.Condition, newest []int64) []Finding {
+func examineNode(v Visited, c *messages.Condition, newest []int64) []Finding {
 	var out []Finding
 	add := func(what, do string) { out = append(out, Finding{Warning, c.Node + " " + string(c.Role), what, do}) }
 	for p, m := range c.Marks {
@@ -132,7 +132,7 @@
 			add(fmt.Sprintf("part %d is at %d, others have %d", p, m, newest[p]), "run the doctor again; if it stays, look at this node's links to the dispatches")
 		}
 	}
-	if c.Role == wire.Dispatch {
+	if c.Role == messages.Dispatch {
 		if !c.HasDisk && member(c) {
 			add("keeps the control state in memory only", "give it a dataDir, or be sure that enough members never stop together")
 		}
@@ -174,7 +174,7 @@
 )
 
 // member tells whether a dispatch is in a group.
-func member(c *wire.Condition) bool {
+func member(c *messages.Condition) bool {
 	for _, g := range c.Groups {
 		for _, m := range g {
 			if m.ID == c.LedgerID {
--- a/internal/doctor/visit.go
+++ b/internal/doctor/visit.go
@@ -8,8 +8,8 @@
 
 	"github.com/tinylib/msgp/msgp"
 
+	"beechtide.org/beechtide/internal/messages"
 	"beechtide.org/beechtide/internal/radio"
-	"beechtide.org/beechtide/internal/wire"
 )
 
 // Caller carries a call to a node.
@@ -23,7 +23,7 @@
 func Visit(ctx context.Context, r Caller, seeds []string) []Visited {
 	seen := map[string]Visited{}
 	for _, s := range seeds {
-		v := ask(ctx, r, s, wire.Dispatch)
+		v := ask(ctx, r, s, messages.Dispatch)
 		v.Seed = true
 		seen[s] = v
 	}
@@ -50,14 +50,14 @@
 	return out
 }
 
-func ask(ctx context.Context, r Caller, addr string, role wire.Role) Visited {
+func ask(ctx context.Context, r Caller, addr string, role messages.Role) Visited {
 	ctx, cancel := context.WithTimeout(ctx, visitWait)
 	defer cancel()
 	began := time.Now()
 	v := Visited{Addr: addr, Role: role, AskedUs: began.UnixMicro()}
-	b, err := r.Call(ctx, addr, radio.KindCondition, &wire.Marks{Parts: []int64{}})
+	b, err := r.Call(ctx, addr, radio.KindCondition, &messages.Marks{Parts: []int64{}})
 	v.TookUs = time.Since(began).Microseconds()
-	var c wire.Condition
+	var c messages.Condition
 	if err == nil {
 		if _, err := c.UnmarshalMsg(b); err == nil {
 			v.Condition = &c
@@ -74,7 +74,7 @@
 			continue
 		}
 		cctx, cancel := context.WithTimeout(ctx, visitWait)
-		b, err := r.Call(cctx, v.Addr, radio.KindRing, &wire.Marks{Parts: []int64{}})
+		b, err := r.Call(cctx, v.Addr, radio.KindRing, &messages.Marks{Parts: []int64{}})
 		cancel()
 		if err == nil {
 			out[v.Condition.Node+" "+string(v.Condition.Role)] = string(b)
--- a/internal/prefixindex/index.go
+++ b/internal/prefixindex/index.go
@@ -9,8 +9,8 @@
 	"strconv"
 	"strings"
 
+	"beechtide.org/beechtide/internal/messages"
 	"beechtide.org/beechtide/internal/statesync"
-	"beechtide.org/beechtide/internal/wire"
 )
 
 // maxParts bounds what is held for one runner.
@@ -98,20 +98,20 @@
 }
 
 // Send is a change of a runner's shelf as it goes over the wire.
-func Send(runner string, c statesync.Change[uint64, int32]) wire.KeptChange {
-	out := wire.KeptChange{ID: runner, Epoch: c.Epoch, From: c.From, To: c.To, Whole: c.Whole, Digest: c.Digest, Parts: make([]wire.KeptPart, 0, len(c.Puts))}
+func Send(runner string, c statesync.Change[uint64, int32]) messages.KeptChange {
+	out := messages.KeptChange{ID: runner, Epoch: c.Epoch, From: c.From, To: c.To, Whole: c.Whole, Digest: c.Digest, Parts: make([]messages.KeptPart, 0, len(c.Puts))}
 	for _, p := range c.Puts {
 		n := p.Value
 		if p.Gone {
 			n = 0
 		}
-		out.Parts = append(out.Parts, wire.KeptPart{Key: p.Key, Tokens: n})
+		out.Parts = append(out.Parts, messages.KeptPart{Key: p.Key, Tokens: n})
 	}
 	return out
 }
 
 // Hear takes a change of a runner's shelf.
-func (x *Index) Hear(c wire.KeptChange) statesync.Result {
+func (x *Index) Hear(c messages.KeptChange) statesync.Result {
 	in := statesync.Change[uint64, int32]{Epoch: c.Epoch, From: c.From, To: c.To, Whole: c.Whole, Digest: c.Digest}
 	for _, p := range c.Parts {
 		in.Puts = append(in.Puts, statesync.Put[uint64, int32]{Key: p.Key, Value: p.Tokens, Gone: p.Tokens <= 0})
@@ -127,11 +127,11 @@
 }
 
 // Holds tells how much of every shelf is here.
-func (x *Index) Holds() []wire.StreamHold {
-	out := make([]wire.StreamHold, 0, len(x.shelves))
+func (x *Index) Holds() []messages.StreamHold {
+	out := make([]messages.StreamHold, 0, len(x.shelves))
 	for id, s := range x.shelves {
 		if epoch, version := s.Holds(); epoch != 0 {
-			out = append(out, wire.StreamHold{ID: id, Epoch: epoch, Version: version})
+			out = append(out, messages.StreamHold{ID: id, Epoch: epoch, Version: version})
 		}
 	}
 	return out
@@ -139,12 +139,12 @@
 
 // Since gives what a receiver with these holds lacks, for the runners that
 // pick says yes to.
-func (x *Index) Since(holds []wire.StreamHold, pick func(runner string) bool) []wire.KeptChange {
-	have := make(map[string]wire.StreamHold, len(holds))
+func (x *Index) Since(holds []messages.StreamHold, pick func(runner string) bool) []messages.KeptChange {
+	have := make(map[string]messages.StreamHold, len(holds))
 	for _, h := range holds {
 		have[h.ID] = h
 	}
-	var out []wire.KeptChange
+	var out []messages.KeptChange
 	for id, s := range x.shelves {
 		if s.Epoch == 0 || !pick(id) {
 			continue
--- a/internal/prefixindex/size_test.go
+++ b/internal/prefixindex/size_test.go
@@ -5,7 +5,7 @@
 	"runtime"
 	"testing"
 
-	"beechtide.org/beechtide/internal/wire"
+	"beechtide.org/beechtide/internal/messages"
 )
 
 // BenchmarkKeptPart gives what a kept part costs a node in memory, and a change
@@ -42,7 +42,7 @@
 				i++
 				out := Send("r0", s.Commit(i))
 				buf, _ := out.MarshalMsg(nil)
-				var in wire.KeptChange
+				var in messages.KeptChange
 				_, _ = in.UnmarshalMsg(buf)
 				x.Hear(in)
 				bytes, parts = bytes+len(buf), parts+len(out.Parts)
--- a/internal/radio/crew.go
+++ b/internal/radio/crew.go
@@ -8,7 +8,7 @@
 	"math/bits"
 	"sort"
 
-	"beechtide.org/beechtide/internal/wire"
+	"beechtide.org/beechtide/internal/messages"
 )
 
 // CrewTimes are the waits of a Crew, in microseconds.
@@ -26,11 +26,11 @@
 type Send struct {
 	To   string
 	Kind int
-	Msg  wire.Probe
+	Msg  messages.Probe
 }
 
 type mate struct {
-	peer    wire.Peer
+	peer    messages.Peer
 	sinceUs int64
 	spread  int
 	older   bool
@@ -44,7 +44,7 @@
 
 // Crew holds the view.
 type Crew struct {
-	self   wire.Peer
+	self   messages.Peer
 	times  CrewTimes
 	mates  map[string]*mate
 	order  []string
@@ -58,13 +58,13 @@
 }
 
 // NewCrew starts with the node alone.
-func NewCrew(self wire.Peer, times CrewTimes, rnd func(n int) int) *Crew {
-	self.Standing = wire.Alive
+func NewCrew(self messages.Peer, times CrewTimes, rnd func(n int) int) *Crew {
+	self.Standing = messages.Alive
 	return &Crew{self: self, times: times, mates: map[string]*mate{}, wait: map[int64]*probing{}, rnd: rnd}
 }
 
 // Self is the node's own entry.
-func (c *Crew) Self() wire.Peer { return c.self }
+func (c *Crew) Self() messages.Peer { return c.self }
 
 // SetLedgerID tells the others under which name this node keeps the ledger.
 func (c *Crew) SetLedgerID(id string) {
@@ -79,13 +79,13 @@
 func (c *Crew) Mark() int64 { return c.mark }
 
 // Alive lists the peers not known dead, the node itself included, by address.
-func (c *Crew) Alive(role wire.Role) []wire.Peer {
-	var out []wire.Peer
+func (c *Crew) Alive(role messages.Role) []messages.Peer {
+	var out []messages.Peer
 	if c.self.Role == role {
 		out = append(out, c.self)
 	}
 	for _, m := range c.mates {
-		if m.peer.Role == role && m.peer.Standing != wire.Dead {
+		if m.peer.Role == role && m.peer.Standing != messages.Dead {
 			out = append(out, m.peer)
 		}
 	}
@@ -108,7 +108,7 @@
 	if m == nil {
 		return max(nowUs-c.bornUs-unknownUs, 0)
 	}
-	if m.peer.Standing != wire.Dead {
+	if m.peer.Standing != messages.Dead {
 		return 0
 	}
 	return max(nowUs-m.sinceUs, 1)
@@ -120,7 +120,7 @@
 // Greet makes a probe to an address that is not yet known, such as a seed.
 func (c *Crew) Greet(addr string) Send {
 	c.seq++
-	return Send{To: addr, Kind: KindProbe, Msg: wire.Probe{Seq: c.seq, From: c.self, Gossip: c.gossip(nil, true)}}
+	return Send{To: addr, Kind: KindProbe, Msg: messages.Probe{Seq: c.seq, From: c.self, Gossip: c.gossip(nil, true)}}
 }
 
 // Tick moves time on.
@@ -139,25 +139,25 @@
 		if !w.indirect && age >= c.times.AckUs {
 			w.indirect = true
 			for _, via := range c.pick(2, w.of) {
-				out = append(out, Send{To: via, Kind: KindProbe, Msg: wire.Probe{Seq: seq, From: c.self, Of: w.of, Gossip: c.gossip(nil, false)}})
+				out = append(out, Send{To: via, Kind: KindProbe, Msg: messages.Probe{Seq: seq, From: c.self, Of: w.of, Gossip: c.gossip(nil, false)}})
 			}
 		}
 		if age >= 2*c.times.AckUs {
 			delete(c.wait, seq)
-			if m.peer.Standing == wire.Alive {
+			if m.peer.Standing == messages.Alive {
 				p := m.peer
-				p.Standing = wire.Suspect
+				p.Standing = messages.Suspect
 				c.take(p, nowUs)
 			}
 		}
 	}
 	for addr, m := range c.mates {
-		if m.peer.Standing == wire.Suspect && nowUs-m.sinceUs >= c.suspectUs() {
+		if m.peer.Standing == messages.Suspect && nowUs-m.sinceUs >= c.suspectUs() {
 			p := m.peer
-			p.Standing = wire.Dead
+			p.Standing = messages.Dead
 			c.take(p, nowUs)
 		}
-		if m.peer.Standing == wire.Dead && nowUs-m.sinceUs >= c.times.ForgetUs {
+		if m.peer.Standing == messages.Dead && nowUs-m.sinceUs >= c.times.ForgetUs {
 			delete(c.mates, addr)
 			c.order = nil
 		}
@@ -167,17 +167,17 @@
 		if of := c.next(nowUs); of != "" {
 			c.seq++
 			c.wait[c.seq] = &probing{of: of, sentUs: nowUs}
-			out = append(out, Send{To: of, Kind: KindProbe, Msg: wire.Probe{Seq: c.seq, From: c.self, Gossip: c.gossip(c.mates[of], false)}})
+			out = append(out, Send{To: of, Kind: KindProbe, Msg: messages.Probe{Seq: c.seq, From: c.self, Gossip: c.gossip(c.mates[of], false)}})
 		}
 	}
 	return out
 }
 
 // Hear takes a probe or an acknowledgement.
-func (c *Crew) Hear(kind int, p wire.Probe, nowUs int64) []Send {
+func (c *Crew) Hear(kind int, p messages.Probe, nowUs int64) []Send {
 	fresh := c.mates[p.From.Addr] == nil
 	from := p.From
-	from.Standing = wire.Alive
+	from.Standing = messages.Alive
 	c.take(from, nowUs)
 	for _, g := range p.Gossip {
 		c.take(g, nowUs)
@@ -185,19 +185,19 @@
 	if kind == KindProbe {
 		switch {
 		case p.Of != "" && p.Of != c.self.Addr:
-			return []Send{{To: p.Of, Kind: KindProbe, Msg: wire.Probe{Seq: p.Seq, From: c.self, Through: p.From.Addr, Gossip: c.gossip(nil, false)}}}
+			return []Send{{To: p.Of, Kind: KindProbe, Msg: messages.Probe{Seq: p.Seq, From: c.self, Through: p.From.Addr, Gossip: c.gossip(nil, false)}}}
 		case p.Through != "":
-			return []Send{{To: p.From.Addr, Kind: KindAck, Msg: wire.Probe{Seq: p.Seq, From: c.self, Through: p.Through, Gossip: c.gossip(nil, false)}}}
+			return []Send{{To: p.From.Addr, Kind: KindAck, Msg: messages.Probe{Seq: p.Seq, From: c.self, Through: p.Through, Gossip: c.gossip(nil, false)}}}
 		}
-		return []Send{{To: p.From.Addr, Kind: KindAck, Msg: wire.Probe{Seq: p.Seq, From: c.self, Gossip: c.gossip(c.mates[p.From.Addr], fresh)}}}
+		return []Send{{To: p.From.Addr, Kind: KindAck, Msg: messages.Probe{Seq: p.Seq, From: c.self, Gossip: c.gossip(c.mates[p.From.Addr], fresh)}}}
 	}
 	if p.Through != "" && p.Through != c.self.Addr {
-		return []Send{{To: p.Through, Kind: KindAck, Msg: wire.Probe{Seq: p.Seq, From: c.self, Of: p.From.Addr, Gossip: []wire.Peer{p.From}}}}
+		return []Send{{To: p.Through, Kind: KindAck, Msg: messages.Probe{Seq: p.Seq, From: c.self, Of: p.From.Addr, Gossip: []messages.Peer{p.From}}}}
 	}
 	if w := c.wait[p.Seq]; w != nil && (w.of == p.From.Addr || w.of == p.Of) {
-		if m := c.mates[w.of]; m != nil && m.peer.Standing == wire.Suspect {
+		if m := c.mates[w.of]; m != nil && m.peer.Standing == messages.Suspect {
 			q := m.peer
-			q.Standing = wire.Alive
+			q.Standing = messages.Alive
 			q.Life++
 			if w.of != p.From.Addr {
 				c.take(q, nowUs)
@@ -218,22 +218,22 @@
 	return c.times.SuspectUs * int64(max(6, bits.Len(uint(len(c.mates))))) / 6
 }
 
-func rankOf(s wire.Standing) int {
+func rankOf(s messages.Standing) int {
 	switch s {
-	case wire.Dead:
+	case messages.Dead:
 		return 2
-	case wire.Suspect:
+	case messages.Suspect:
 		return 1
 	}
 	return 0
 }
 
-func (c *Crew) take(p wire.Peer, nowUs int64) {
+func (c *Crew) take(p messages.Peer, nowUs int64) {
 	if p.Addr == "" {
 		return
 	}
 	if p.Addr == c.self.Addr {
-		if p.Life > c.self.Life || p.Standing != wire.Alive && p.Life == c.self.Life {
+		if p.Life > c.self.Life || p.Standing != messages.Alive && p.Life == c.self.Life {
 			c.self.Life = p.Life + 1
 			c.mark++
 		}
@@ -241,7 +241,7 @@
 	}
 	m := c.mates[p.Addr]
 	if m == nil {
-		if p.Standing == wire.Dead {
+		if p.Standing == messages.Dead {
 			return
 		}
 		c.mates[p.Addr] = &mate{peer: p, sinceUs: nowUs, spread: c.often()}
@@ -249,7 +249,7 @@
 		c.mark++
 		return
 	}
-	if p.Life < m.peer.Life && p.Standing == wire.Alive {
+	if p.Life < m.peer.Life && p.Standing == messages.Alive {
 		m.older = true
 	}
 	newer := p.Life > m.peer.Life || p.Life == m.peer.Life && rankOf(p.Standing) > rankOf(m.peer.Standing)
@@ -291,7 +291,7 @@
 func (c *Crew) pick(n int, except string) []string {
 	var all []string
 	for addr, m := range c.mates {
-		if addr != except && m.peer.Standing == wire.Alive {
+		if addr != except && m.peer.Standing == messages.Alive {
 			all = append(all, addr)
 		}
 	}
@@ -305,9 +305,9 @@
 
 // gossip gives the news about others that has been passed on least, always
 // with what the receiver would want to deny about itself.
-func (c *Crew) gossip(to *mate, all bool) []wire.Peer {
-	out := []wire.Peer{}
-	if to != nil && (to.peer.Standing != wire.Alive || to.older) {
+func (c *Crew) gossip(to *mate, all bool) []messages.Peer {
+	out := []messages.Peer{}
+	if to != nil && (to.peer.Standing != messages.Alive || to.older) {
 		to.older = false
 		out = append(out, to.peer)
 	}
--- a/internal/radio/listen.go
+++ b/internal/radio/listen.go
@@ -13,8 +13,8 @@
 	"github.com/tinylib/msgp/msgp"
 
 	"beechtide.org/beechtide/internal/loop"
+	"beechtide.org/beechtide/internal/messages"
 	"beechtide.org/beechtide/internal/statesync"
-	"beechtide.org/beechtide/internal/wire"
 )
 
 // Times of a subscription.
@@ -34,9 +34,9 @@
 // Uplink is a node's link to its parent.
 type Uplink struct {
 	Dispatch  bool // this node is a dispatch
-	Hold      func() wire.Hold
+	Hold      func() messages.Hold
 	Parents   func() []string
-	Take      func(parent string, f wire.Feed, raw []byte) (want *wire.Hold)
+	Take      func(parent string, f messages.Feed, raw []byte) (want *messages.Hold)
 	Heard     func(seq int64)   // the parent has taken what was told under seq
 	TellAgain func()            // the parent lacks what came before: all is to be told
 	Ended     func(addr string) // the subscription there has ended
@@ -145,7 +145,7 @@
 	switch kind {
 	case KindFeed:
 		alive()
-		var f wire.Feed
+		var f messages.Feed
 		if _, err := f.UnmarshalMsg(body); err != nil {
 			u.Malformed.Add(1)
 			u.want(l, nil)
@@ -161,7 +161,7 @@
 			}
 		}
 	case KindHeard:
-		var t wire.Told
+		var t messages.Told
 		if _, err := t.UnmarshalMsg(body); err == nil {
 			u.Heard(t.Seq)
 		}
@@ -177,7 +177,7 @@
 const askAgain = 200 * time.Millisecond
 
 // want asks the parent for what is lacking, at most once in askAgain.
-func (u *Uplink) want(l *Link, h *wire.Hold) {
+func (u *Uplink) want(l *Link, h *messages.Hold) {
 	u.lacking = true
 	if time.Since(u.askedAt) < askAgain {
 		return
@@ -195,8 +195,8 @@
 
 // Core is those of the dispatches that count among the machines whose loss is
 // bounded, or all where none does.
-func Core(dispatches []wire.Peer) []wire.Peer {
-	var out []wire.Peer
+func Core(dispatches []messages.Peer) []messages.Peer {
+	var out []messages.Peer
 	for _, d := range dispatches {
 		if d.Counted {
 			out = append(out, d)
@@ -213,7 +213,7 @@
 // others on counters before them, so that a change crosses to a site once for
 // every dispatch there. Which dispatch it is follows from a hash, so that hardly
 // anybody moves when nodes come and go.
-func Parents(self string, site string, dispatches, counters []wire.Peer) []string {
+func Parents(self string, site string, dispatches, counters []messages.Peer) []string {
 	var near, far, row []string
 	for _, d := range Core(dispatches) {
 		if d.Site == site {
--- a/internal/radio/radio.go
+++ b/internal/radio/radio.go
@@ -17,7 +17,7 @@
 	"github.com/pkg/errors"
 	"github.com/tinylib/msgp/msgp"
 
-	"beechtide.org/beechtide/internal/wire"
+	"beechtide.org/beechtide/internal/messages"
 )
 
 // Kinds of frames.
@@ -249,7 +249,7 @@
 	}
 }
 
-func (l *Link) write(f wire.Frame) error {
+func (l *Link) write(f messages.Frame) error {
 	b, err := f.MarshalMsg(make([]byte, 0, len(f.Body)+32))
 	if err != nil {
 		return err
@@ -273,7 +273,9 @@
 }
 
 // Push sends a frame that wants no answer.
-func (l *Link) Push(kind int, body []byte) error { return l.write(wire.Frame{Kind: kind, Body: body}) }
+func (l *Link) Push(kind int, body []byte) error {
+	return l.write(messages.Frame{Kind: kind, Body: body})
+}
 
 // Call sends a frame and waits for its answer.
 func (l *Link) Call(ctx context.Context, kind int, body msgp.Marshaler) ([]byte, error) {
@@ -296,7 +298,7 @@
 		forget()
 		return nil, ErrClosed
 	}
-	if err := l.write(wire.Frame{Kind: kind, Seq: q, Body: b}); err != nil {
+	if err := l.write(messages.Frame{Kind: kind, Seq: q, Body: b}); err != nil {
 		forget()
 		return nil, err
 	}
@@ -320,7 +322,7 @@
 		if err := raw.DecodeMsg(r); err != nil {
 			return
 		}
-		var f wire.Frame
+		var f messages.Frame
 		if _, err := f.UnmarshalMsg(raw); err != nil {
 			return
 		}
@@ -353,7 +355,7 @@
 				l.radio.log.V(1).Info("call failed", "kind", f.Kind, "err", err)
 				return
 			}
-			_ = l.write(wire.Frame{Kind: f.Kind, Seq: f.Seq, Reply: true, Body: out})
+			_ = l.write(messages.Frame{Kind: f.Kind, Seq: f.Seq, Reply: true, Body: out})
 		}
 		if err := l.radio.pool.Submit(work); err != nil {
 			go work()
--- a/internal/radio/relay.go
+++ b/internal/radio/relay.go
@@ -10,7 +10,7 @@
 	"sync"
 	"sync/atomic"
 
-	"beechtide.org/beechtide/internal/wire"
+	"beechtide.org/beechtide/internal/messages"
 )
 
 // mostWaiting bounds the bytes that wait for one subscriber.
@@ -18,9 +18,9 @@
 
 // Upward is what a relay does with what comes from below.
 type Upward struct {
-	Since func(h wire.Hold) wire.Feed         // what a receiver lacks
-	Told  func(from string, t wire.Told) bool // loads from below; false: they do not fit what came before
-	Gone  func(from string)                   // a subscriber has ended
+	Since func(h messages.Hold) messages.Feed     // what a receiver lacks
+	Told  func(from string, t messages.Told) bool // loads from below; false: they do not fit what came before
+	Gone  func(from string)                       // a subscriber has ended
 }
 
 // Audience picks subscribers.
@@ -56,7 +56,7 @@
 func NewRelay(r *Radio, up Upward) *Relay {
 	y := &Relay{subs: map[*Link]*sub{}, up: up, wholes: make(chan struct{}, atOnce)}
 	r.OnCall(KindSubscribe, func(_ context.Context, from *Link, body []byte) ([]byte, error) {
-		var h wire.Hold
+		var h messages.Hold
 		if _, err := h.UnmarshalMsg(body); err != nil {
 			return nil, err
 		}
@@ -64,14 +64,14 @@
 		return nil, nil
 	})
 	r.OnCall(KindSince, func(_ context.Context, _ *Link, body []byte) ([]byte, error) {
-		var h wire.Hold
+		var h messages.Hold
 		if _, err := h.UnmarshalMsg(body); err != nil {
 			return nil, err
 		}
 		return y.since(h)
 	})
 	r.OnPush(KindWant, func(from *Link, body []byte) {
-		var h wire.Hold
+		var h messages.Hold
 		if _, err := h.UnmarshalMsg(body); err != nil {
 			return
 		}
@@ -80,7 +80,7 @@
 		}
 	})
 	r.OnPush(KindTold, func(from *Link, body []byte) {
-		var t wire.Told
+		var t messages.Told
 		if _, err := t.UnmarshalMsg(body); err != nil {
 			return
 		}
@@ -105,20 +105,20 @@
 	return y.subs[l]
 }
 
-func (y *Relay) since(h wire.Hold) ([]byte, error) {
+func (y *Relay) since(h messages.Hold) ([]byte, error) {
 	y.wholes <- struct{}{}
 	defer func() { <-y.wholes }()
 	f := y.up.Since(h)
 	return f.MarshalMsg(nil)
 }
 
-func (y *Relay) bring(s *sub, h wire.Hold) {
+func (y *Relay) bring(s *sub, h messages.Hold) {
 	if b, err := y.since(h); err == nil {
 		y.put(s, KindFeed, b)
 	}
 }
 
-func (y *Relay) add(l *Link, h wire.Hold) {
+func (y *Relay) add(l *Link, h messages.Hold) {
 	s := &sub{kick: make(chan struct{}, 1), dispatch: h.Dispatch}
 	y.mu.Lock()
 	y.subs[l] = s
@@ -150,16 +150,16 @@
 }
 
 func (y *Relay) put(s *sub, kind int, body []byte) {
-	f := wire.Frame{Kind: kind, Body: body}
+	f := messages.Frame{Kind: kind, Body: body}
 	s.mu.Lock()
 	if len(s.waiting)+len(body) > mostWaiting {
 		s.waiting = nil
 		y.Dropped.Add(1)
 	}
 	if kind == KindFeed && s.heard > 0 {
-		t := wire.Told{Seq: s.heard}
+		t := messages.Told{Seq: s.heard}
 		if b, err := t.MarshalMsg(nil); err == nil {
-			h := wire.Frame{Kind: KindHeard, Body: b}
+			h := messages.Frame{Kind: KindHeard, Body: b}
 			s.waiting, _ = h.MarshalMsg(s.waiting)
 		}
 	}
@@ -184,7 +184,7 @@
 }
 
 // Publish sends a feed to an audience.
-func (y *Relay) Publish(to Audience, f wire.Feed) {
+func (y *Relay) Publish(to Audience, f messages.Feed) {
 	if !y.Wanted(to) {
 		return
 	}
--- a/internal/radio/relay_test.go
+++ b/internal/radio/relay_test.go
@@ -11,8 +11,8 @@
 	"github.com/panjf2000/ants/v2"
 	"github.com/shoenig/test/must"
 
+	"beechtide.org/beechtide/internal/messages"
 	"beechtide.org/beechtide/internal/statesync"
-	"beechtide.org/beechtide/internal/wire"
 )
 
 func station(t *testing.T) *Radio {
@@ -39,19 +39,19 @@
 	var mu sync.Mutex
 	state := statesync.NewEntries()
 	state.Begin(1, 0)
-	asked, told, refuse := 0, make(chan wire.Told, 8), false
+	asked, told, refuse := 0, make(chan messages.Told, 8), false
 	relay := NewRelay(parent, Upward{
-		Since: func(h wire.Hold) wire.Feed {
+		Since: func(h messages.Hold) messages.Feed {
 			mu.Lock()
 			defer mu.Unlock()
 			asked++
-			f := wire.Feed{Versions: []int64{}}
+			f := messages.Feed{Versions: []int64{}}
 			if c, lacks := state.Since(h.Roster.Epoch, h.Roster.Version); lacks {
-				f.Roster = []wire.EntryChange{statesync.SendEntries(c)}
+				f.Roster = []messages.EntryChange{statesync.SendEntries(c)}
 			}
 			return f
 		},
-		Told: func(_ string, w wire.Told) bool {
+		Told: func(_ string, w messages.Told) bool {
 			told <- w
 			mu.Lock()
 			defer mu.Unlock()
@@ -63,15 +63,15 @@
 	child.Run(ctx)
 	var cmu sync.Mutex
 	replica := statesync.NewEntries()
-	hold := func() wire.Hold {
+	hold := func() messages.Hold {
 		cmu.Lock()
 		defer cmu.Unlock()
-		return wire.Hold{Roster: wire.StreamHold{Epoch: replica.Epoch, Version: replica.Version}}
+		return messages.Hold{Roster: messages.StreamHold{Epoch: replica.Epoch, Version: replica.Version}}
 	}
 	arrived, again, heard := make(chan statesync.Result, 64), make(chan bool, 8), make(chan int64, 8)
 	up := &Uplink{
 		Hold: hold, Parents: func() []string { return []string{parent.Addr()} },
-		Take: func(_ string, f wire.Feed, _ []byte) (want *wire.Hold) {
+		Take: func(_ string, f messages.Feed, _ []byte) (want *messages.Hold) {
 			for _, c := range f.Roster {
 				cmu.Lock()
 				r := replica.Apply(statesync.HearEntries(c))
@@ -88,14 +88,14 @@
 	}
 	go up.Listen(ctx, child)
 	must.True(t, <-again)
-	change := func(k, v string) wire.EntryChange {
+	change := func(k, v string) messages.EntryChange {
 		mu.Lock()
 		defer mu.Unlock()
 		state.Put(k, v)
 		return statesync.SendEntries(state.Commit(state.Version + 1))
 	}
 	change("a", "1")
-	relay.Publish(ToCounters, wire.Feed{Versions: []int64{}, Roster: []wire.EntryChange{change("b", "1")}}) // the one before is lost
+	relay.Publish(ToCounters, messages.Feed{Versions: []int64{}, Roster: []messages.EntryChange{change("b", "1")}}) // the one before is lost
 	until := func(want string) {
 		t.Helper()
 		for range 1000 {
@@ -108,7 +108,7 @@
 			select {
 			case <-arrived:
 			case <-time.After(20 * time.Millisecond): // as a parent does: an empty feed now and then
-				relay.Publish(ToCounters, wire.Feed{Versions: []int64{}})
+				relay.Publish(ToCounters, messages.Feed{Versions: []int64{}})
 			}
 		}
 		t.Fatal("never came to the state of the parent: " + want)
@@ -116,23 +116,23 @@
 	until("after a lost change")
 	bad := change("c", "1")
 	bad.Digest++
-	relay.Publish(ToCounters, wire.Feed{Versions: []int64{}, Roster: []wire.EntryChange{bad}})
+	relay.Publish(ToCounters, messages.Feed{Versions: []int64{}, Roster: []messages.EntryChange{bad}})
 	for r := range arrived {
 		if r == statesync.Mismatch {
 			break
 		}
 	}
-	relay.Publish(ToCounters, wire.Feed{Versions: []int64{}}) // what is lacking is asked for with the next feed
+	relay.Publish(ToCounters, messages.Feed{Versions: []int64{}}) // what is lacking is asked for with the next feed
 	until("after a damaged change")
 	relay.Pass(ToCounters, []byte("no feed"))
-	relay.Publish(ToCounters, wire.Feed{Versions: []int64{}, Roster: []wire.EntryChange{change("d", "1")}})
+	relay.Publish(ToCounters, messages.Feed{Versions: []int64{}, Roster: []messages.EntryChange{change("d", "1")}})
 	until("after bytes that are no feed")
 	must.Eq(t, int64(1), up.Malformed.Load())
 
-	must.True(t, up.Tell(KindTold, &wire.Told{Seq: 7}))
+	must.True(t, up.Tell(KindTold, &messages.Told{Seq: 7}))
 	must.Eq(t, int64(7), (<-told).Seq)
 	for seq := int64(0); seq != 7; {
-		relay.Publish(ToCounters, wire.Feed{Versions: []int64{}})
+		relay.Publish(ToCounters, messages.Feed{Versions: []int64{}})
 		select {
 		case seq = <-heard:
 		case <-time.After(20 * time.Millisecond):
@@ -141,7 +141,7 @@
 	mu.Lock()
 	refuse = true
 	mu.Unlock()
-	must.True(t, up.Tell(KindTold, &wire.Told{Seq: 8}))
+	must.True(t, up.Tell(KindTold, &messages.Told{Seq: 8}))
 	must.True(t, <-again, must.Sprint("a word that does not fit is asked for whole"))
 }
 
@@ -170,19 +170,19 @@
 	for i := range 2 {
 		p := station(t)
 		relays = append(relays, NewRelay(p, Upward{
-			Since: func(wire.Hold) wire.Feed {
+			Since: func(messages.Hold) messages.Feed {
 				joined <- i
-				return wire.Feed{Versions: []int64{}, CutOff: true}
+				return messages.Feed{Versions: []int64{}, CutOff: true}
 			},
-			Told: func(string, wire.Told) bool { return true }, Gone: func(string) {},
+			Told: func(string, messages.Told) bool { return true }, Gone: func(string) {},
 		}))
 		p.Run(ctx)
 		addrs = append(addrs, p.Addr())
 	}
 	fed := make(chan string, 256)
 	up := &Uplink{
-		Hold: func() wire.Hold { return wire.Hold{} }, Parents: func() []string { return append([]string{}, addrs...) },
-		Take: func(p string, _ wire.Feed, _ []byte) *wire.Hold {
+		Hold: func() messages.Hold { return messages.Hold{} }, Parents: func() []string { return append([]string{}, addrs...) },
+		Take: func(p string, _ messages.Feed, _ []byte) *messages.Hold {
 			fed <- p
 			return nil
 		},
@@ -192,7 +192,7 @@
 	must.Eq(t, 0, <-joined)
 	must.Eq(t, 1, <-joined)
 	for seen := 0; seen < 30; {
-		relays[1].Publish(ToCounters, wire.Feed{Versions: []int64{}, CutOff: true})
+		relays[1].Publish(ToCounters, messages.Feed{Versions: []int64{}, CutOff: true})
 		if p := <-fed; p == addrs[1] {
 			seen++
 		}
--- a/internal/radio/watch.go
+++ b/internal/radio/watch.go
@@ -8,7 +8,7 @@
 	"sync"
 	"time"
 
-	"beechtide.org/beechtide/internal/wire"
+	"beechtide.org/beechtide/internal/messages"
 )
 
 const tickUs = 100_000
@@ -23,12 +23,12 @@
 }
 
 // NewWatch hangs the crew's messages into the radio.
-func NewWatch(r *Radio, self wire.Peer, clock func() int64, seeds func() []string) *Watch {
+func NewWatch(r *Radio, self messages.Peer, clock func() int64, seeds func() []string) *Watch {
 	self.Life = 1 + rand.Int64N(1<<20)
 	w := &Watch{crew: NewCrew(self, DefaultCrewTimes, rand.IntN), radio: r, clock: clock, seeds: seeds}
 	for _, kind := range []int{KindProbe, KindAck} {
 		r.OnCast(kind, func(_ string, body []byte) {
-			var p wire.Probe
+			var p messages.Probe
 			if _, err := p.UnmarshalMsg(body); err != nil {
 				return
 			}
@@ -72,7 +72,7 @@
 }
 
 // Alive lists the live peers of a role.
-func (w *Watch) Alive(role wire.Role) []wire.Peer {
+func (w *Watch) Alive(role messages.Role) []messages.Peer {
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	return w.crew.Alive(role)
--- a/internal/registry/registry.go
+++ b/internal/registry/registry.go
@@ -10,19 +10,19 @@
 	"sync"
 	"sync/atomic"
 
-	"beechtide.org/beechtide/internal/wire"
+	"beechtide.org/beechtide/internal/messages"
 )
 
 type entry struct {
-	note     wire.RunnerNote
+	note     messages.RunnerNote
 	heardUs  int64
 	goneAtUs int64
 }
 
 // Snapshot is the runners at one moment.
 type Snapshot struct {
-	ByService map[string][]wire.RunnerNote
-	ByID      map[string]wire.RunnerNote
+	ByService map[string][]messages.RunnerNote
+	ByID      map[string]messages.RunnerNote
 	Sum       uint64
 }
 
@@ -36,7 +36,7 @@
 // New makes an empty roster.
 func New() *Roster {
 	r := &Roster{all: map[string]*entry{}}
-	r.snap.Store(&Snapshot{ByService: map[string][]wire.RunnerNote{}, ByID: map[string]wire.RunnerNote{}})
+	r.snap.Store(&Snapshot{ByService: map[string][]messages.RunnerNote{}, ByID: map[string]messages.RunnerNote{}})
 	return r
 }
 
@@ -45,7 +45,7 @@
 
 // Hear takes a beat that came straight from a runner or was passed on by the
 // dispatch that got it. It tells whether anything but the sequence changed.
-func (r *Roster) Hear(n wire.RunnerNote, nowUs int64) bool {
+func (r *Roster) Hear(n messages.RunnerNote, nowUs int64) bool {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	e := r.all[n.ID]
@@ -67,7 +67,7 @@
 }
 
 // Merge takes a note from another node's roster.
-func (r *Roster) Merge(n wire.RunnerNote, nowUs int64) bool {
+func (r *Roster) Merge(n messages.RunnerNote, nowUs int64) bool {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	e := r.all[n.ID]
@@ -103,8 +103,8 @@
 	return r.settle(e, old)
 }
 
-func newest(a, b []wire.Target) []wire.Target {
-	out := append([]wire.Target{}, b...)
+func newest(a, b []messages.Target) []messages.Target {
+	out := append([]messages.Target{}, b...)
 	for _, t := range a {
 		found := false
 		for i := range out {
@@ -120,7 +120,7 @@
 	return out
 }
 
-func (r *Roster) settle(e *entry, old wire.RunnerNote) bool {
+func (r *Roster) settle(e *entry, old messages.RunnerNote) bool {
 	if same(e.note, old) {
 		return false
 	}
@@ -128,7 +128,7 @@
 	return true
 }
 
-func same(a, b wire.RunnerNote) bool {
+func same(a, b messages.RunnerNote) bool {
 	if a.Addr != b.Addr || a.Draining != b.Draining || a.Gone != b.Gone || a.Stale != b.Stale || a.Barred != b.Barred || a.Easing != b.Easing || a.Capacity != b.Capacity || a.Service != b.Service || len(a.Models) != len(b.Models) {
 		return false
 	}
@@ -141,12 +141,12 @@
 }
 
 // Leave notes that a runner is gone for good.
-func (r *Roster) Leave(id string, nowUs int64) (wire.RunnerNote, bool) {
+func (r *Roster) Leave(id string, nowUs int64) (messages.RunnerNote, bool) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	e := r.all[id]
 	if e == nil {
-		e = &entry{note: wire.RunnerNote{ID: id}}
+		e = &entry{note: messages.RunnerNote{ID: id}}
 		r.all[id] = e
 	}
 	changed := !e.note.Gone
@@ -159,12 +159,12 @@
 
 // Bar marks a runner as soon to be ordered (easing: no more long requests), as
 // under order (barred: none at all), or frees it.
-func (r *Roster) Bar(id string, easing, barred bool, mark int64) (wire.RunnerNote, bool) {
+func (r *Roster) Bar(id string, easing, barred bool, mark int64) (messages.RunnerNote, bool) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	e := r.all[id]
 	if e == nil || mark < e.note.BarMark {
-		return wire.RunnerNote{}, false
+		return messages.RunnerNote{}, false
 	}
 	old := e.note
 	e.note.Barred, e.note.Easing, e.note.BarMark = barred, easing, mark
@@ -172,24 +172,24 @@
 }
 
 // Weights notes the mark of a model at a runner, as a report told it.
-func (r *Roster) Weights(id, model string, mark int64) (wire.RunnerNote, bool) {
+func (r *Roster) Weights(id, model string, mark int64) (messages.RunnerNote, bool) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	e := r.all[id]
 	if e == nil {
-		return wire.RunnerNote{}, false
+		return messages.RunnerNote{}, false
 	}
 	old := e.note
-	e.note.Models = newest(old.Models, []wire.Target{{Model: model, Mark: mark}})
+	e.note.Models = newest(old.Models, []messages.Target{{Model: model, Mark: mark}})
 	return e.note, r.settle(e, old)
 }
 
 // Sweep marks runners silent for staleUs, and forgets those silent for
 // dropUs. It returns the notes that changed.
-func (r *Roster) Sweep(nowUs, staleUs, dropUs int64) []wire.RunnerNote {
+func (r *Roster) Sweep(nowUs, staleUs, dropUs int64) []messages.RunnerNote {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	var out []wire.RunnerNote
+	var out []messages.RunnerNote
 	for id, e := range r.all {
 		if e.note.Gone {
 			if nowUs-e.goneAtUs > 120_000_000 {
@@ -215,21 +215,21 @@
 }
 
 // Note gives what is known of one runner, also of one that is gone.
-func (r *Roster) Note(id string) (wire.RunnerNote, bool) {
+func (r *Roster) Note(id string) (messages.RunnerNote, bool) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	e := r.all[id]
 	if e == nil {
-		return wire.RunnerNote{}, false
+		return messages.RunnerNote{}, false
 	}
 	return e.note, true
 }
 
 // All lists every note, tombstones included.
-func (r *Roster) All() []wire.RunnerNote {
+func (r *Roster) All() []messages.RunnerNote {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	out := make([]wire.RunnerNote, 0, len(r.all))
+	out := make([]messages.RunnerNote, 0, len(r.all))
 	for _, e := range r.all {
 		out = append(out, e.note)
 	}
@@ -237,7 +237,7 @@
 }
 
 func (r *Roster) publish() {
-	s := &Snapshot{ByService: map[string][]wire.RunnerNote{}, ByID: map[string]wire.RunnerNote{}}
+	s := &Snapshot{ByService: map[string][]messages.RunnerNote{}, ByID: map[string]messages.RunnerNote{}}
 	var ids []string
 	for id, e := range r.all {
 		if !e.note.Gone {
--- a/internal/registry/registry_test.go
+++ b/internal/registry/registry_test.go
@@ -6,11 +6,11 @@
 
 	"github.com/shoenig/test/must"
 
-	"beechtide.org/beechtide/internal/wire"
+	"beechtide.org/beechtide/internal/messages"
 )
 
-func beat(id string, seq int64) wire.RunnerNote {
-	return wire.RunnerNote{ID: id, Service: "s", Addr: "1.2.3.4:1", Site: "a", Capacity: 8, Seq: seq, Models: []wire.Target{{Model: "m", Mark: 1}}}
+func beat(id string, seq int64) messages.RunnerNote {
+	return messages.RunnerNote{ID: id, Service: "s", Addr: "1.2.3.4:1", Site: "a", Capacity: 8, Seq: seq, Models: []messages.Target{{Model: "m", Mark: 1}}}
 }
 
 func TestLateBeatsDoNotGoBack(t *testing.T) {
@@ -37,8 +37,8 @@
 }
 
 func TestMergeInAnyOrderComesToTheSame(t *testing.T) {
-	notes := []wire.RunnerNote{beat("x", 1), beat("x", 2), beat("y", 1), beat("y", 3)}
-	notes[1].Models = []wire.Target{{Model: "m", Mark: 2}}
+	notes := []messages.RunnerNote{beat("x", 1), beat("x", 2), beat("y", 1), beat("y", 3)}
+	notes[1].Models = []messages.Target{{Model: "m", Mark: 2}}
 	notes[3].Draining = true
 	bar := beat("x", 2)
 	bar.Models, bar.Barred, bar.BarMark = notes[1].Models, true, 7
--- a/internal/routeconfig/replace.go
+++ b/internal/routeconfig/replace.go
@@ -9,7 +9,7 @@
 
 	"github.com/pkg/errors"
 
-	"beechtide.org/beechtide/internal/wire"
+	"beechtide.org/beechtide/internal/messages"
 )
 
 // What Replace may answer besides an Invalid.
@@ -22,7 +22,7 @@
 const keepTaken = 2048
 
 // Replace makes the next body from the current one.
-func Replace(cur wire.MenuBody, raw []byte, mark, base int64) (wire.MenuBody, error) {
+func Replace(cur messages.MenuBody, raw []byte, mark, base int64) (messages.MenuBody, error) {
 	sum := sha256.Sum256(raw)
 	digest := sum[:16]
 	for _, t := range cur.Taken {
@@ -36,9 +36,9 @@
 	if mark <= cur.Mark {
 		return cur, &Invalid{"version", "not above the current one"}
 	}
-	taken := append(append([]wire.Taken{}, cur.Taken...), wire.Taken{Mark: mark, Digest: digest})
+	taken := append(append([]messages.Taken{}, cur.Taken...), messages.Taken{Mark: mark, Digest: digest})
 	if len(taken) > keepTaken {
 		taken = taken[len(taken)-keepTaken:]
 	}
-	return wire.MenuBody{Mark: mark, Raw: raw, Taken: taken}, nil
+	return messages.MenuBody{Mark: mark, Raw: raw, Taken: taken}, nil
 }
--- a/internal/routeconfig/routeconfig_test.go
+++ b/internal/routeconfig/routeconfig_test.go
@@ -7,7 +7,7 @@
 	"github.com/pkg/errors"
 	"github.com/shoenig/test/must"
 
-	"beechtide.org/beechtide/internal/wire"
+	"beechtide.org/beechtide/internal/messages"
 )
 
 const good = `{"version":7,"routes":[
@@ -59,7 +59,7 @@
 }
 
 func TestReplaceIsFinal(t *testing.T) {
-	var cur wire.MenuBody
+	var cur messages.MenuBody
 	one, err := Replace(cur, []byte("one"), 5, 0)
 	must.NoError(t, err)
 	_, err = Replace(one, []byte("one"), 5, 0)
--- a/internal/statesync/entries.go
+++ b/internal/statesync/entries.go
@@ -2,7 +2,7 @@
 // tenant, and the runners by id.
 package statesync
 
-import "beechtide.org/beechtide/internal/wire"
+import "beechtide.org/beechtide/internal/messages"
 
 // Entries is a stream of them.
 type Entries = Stream[string, string]
@@ -11,10 +11,10 @@
 func NewEntries() *Entries { return New(HashText) }
 
 // SendEntries is a change as it goes over the wire.
-func SendEntries(c Change[string, string]) wire.EntryChange {
-	out := wire.EntryChange{Epoch: c.Epoch, From: c.From, To: c.To, Whole: c.Whole, Digest: c.Digest, Entries: make([]wire.Entry, 0, len(c.Puts))}
+func SendEntries(c Change[string, string]) messages.EntryChange {
+	out := messages.EntryChange{Epoch: c.Epoch, From: c.From, To: c.To, Whole: c.Whole, Digest: c.Digest, Entries: make([]messages.Entry, 0, len(c.Puts))}
 	for _, p := range c.Puts {
-		e := wire.Entry{Key: p.Key, Body: []byte{}}
+		e := messages.Entry{Key: p.Key, Body: []byte{}}
 		if !p.Gone {
 			e.Body = []byte(p.Value)
 		}
@@ -24,7 +24,7 @@
 }
 
 // HearEntries reads one from the wire.
-func HearEntries(c wire.EntryChange) Change[string, string] {
+func HearEntries(c messages.EntryChange) Change[string, string] {
 	out := Change[string, string]{Epoch: c.Epoch, From: c.From, To: c.To, Whole: c.Whole, Digest: c.Digest}
 	for _, e := range c.Entries {
 		out.Puts = append(out.Puts, Put[string, string]{Key: e.Key, Value: string(e.Body), Gone: len(e.Body) == 0})
--- a/internal/statesync/loads.go
+++ b/internal/statesync/loads.go
@@ -3,15 +3,15 @@
 // stream for all below it.
 package statesync
 
-import "beechtide.org/beechtide/internal/wire"
+import "beechtide.org/beechtide/internal/messages"
 
 // Loads is a stream of them.
-type Loads = Stream[string, wire.RunnerLoad]
+type Loads = Stream[string, messages.RunnerLoad]
 
 // NewLoads makes an empty one.
 func NewLoads() *Loads { return New(hashLoad) }
 
-func hashLoad(id string, l wire.RunnerLoad) uint64 {
+func hashLoad(id string, l messages.RunnerLoad) uint64 {
 	h := text(fnvStart, id)
 	for _, n := range [7]int{l.Blocks, l.Prefill, l.Count, l.Flow, int(l.Rate * 1e6), l.Tried, l.Failed} {
 		h = Mix(h ^ uint64(n))
@@ -20,12 +20,12 @@
 }
 
 // SendLoads is a change as it goes over the wire.
-func SendLoads(c Change[string, wire.RunnerLoad]) wire.LoadChange {
-	out := wire.LoadChange{Epoch: c.Epoch, From: c.From, To: c.To, Whole: c.Whole, Digest: c.Digest, Loads: make([]wire.RunnerLoad, 0, len(c.Puts))}
+func SendLoads(c Change[string, messages.RunnerLoad]) messages.LoadChange {
+	out := messages.LoadChange{Epoch: c.Epoch, From: c.From, To: c.To, Whole: c.Whole, Digest: c.Digest, Loads: make([]messages.RunnerLoad, 0, len(c.Puts))}
 	for _, p := range c.Puts {
 		l := p.Value
 		if p.Gone {
-			l = wire.RunnerLoad{}
+			l = messages.RunnerLoad{}
 		}
 		l.ID = p.Key
 		out.Loads = append(out.Loads, l)
@@ -34,15 +34,15 @@
 }
 
 // HearLoads reads one from the wire.
-func HearLoads(c wire.LoadChange) Change[string, wire.RunnerLoad] {
-	out := Change[string, wire.RunnerLoad]{Epoch: c.Epoch, From: c.From, To: c.To, Whole: c.Whole, Digest: c.Digest}
+func HearLoads(c messages.LoadChange) Change[string, messages.RunnerLoad] {
+	out := Change[string, messages.RunnerLoad]{Epoch: c.Epoch, From: c.From, To: c.To, Whole: c.Whole, Digest: c.Digest}
 	for _, l := range c.Loads {
-		out.Puts = append(out.Puts, Put[string, wire.RunnerLoad]{Key: l.ID, Value: l, Gone: nothing(l)})
+		out.Puts = append(out.Puts, Put[string, messages.RunnerLoad]{Key: l.ID, Value: l, Gone: nothing(l)})
 	}
 	return out
 }
 
-func nothing(l wire.RunnerLoad) bool {
+func nothing(l messages.RunnerLoad) bool {
 	return l.Blocks == 0 && l.Prefill == 0 && l.Count == 0 && l.Flow == 0 && l.Tried == 0 && l.Failed == 0
 }
 
@@ -60,15 +60,15 @@
 }
 
 // Tell takes a change of one teller's stream into the total.
-func (s *Sum) Tell(teller string, c wire.LoadChange) Result {
+func (s *Sum) Tell(teller string, c messages.LoadChange) Result {
 	in := s.tellers[teller]
 	if in == nil {
 		in = NewLoads()
 		s.tellers[teller] = in
 	}
-	before := map[string]wire.RunnerLoad{}
+	before := map[string]messages.RunnerLoad{}
 	if c.Whole {
-		in.Each(func(id string, l wire.RunnerLoad) { before[id] = l })
+		in.Each(func(id string, l messages.RunnerLoad) { before[id] = l })
 	}
 	for _, l := range c.Loads {
 		before[l.ID], _ = in.Get(l.ID)
@@ -102,13 +102,13 @@
 		return
 	}
 	delete(s.tellers, teller)
-	in.Each(func(id string, l wire.RunnerLoad) { s.move(id, l, wire.RunnerLoad{}) })
+	in.Each(func(id string, l messages.RunnerLoad) { s.move(id, l, messages.RunnerLoad{}) })
 }
 
 // Teller is what one teller said last.
 func (s *Sum) Teller(teller string) *Loads { return s.tellers[teller] }
 
-func (s *Sum) move(id string, was, is wire.RunnerLoad) {
+func (s *Sum) move(id string, was, is messages.RunnerLoad) {
 	t, _ := s.Total.Get(id)
 	t.ID = id
 	t.Blocks += is.Blocks - was.Blocks
--- a/internal/statesync/loads_test.go
+++ b/internal/statesync/loads_test.go
@@ -7,7 +7,7 @@
 
 	"github.com/shoenig/test/must"
 
-	"beechtide.org/beechtide/internal/wire"
+	"beechtide.org/beechtide/internal/messages"
 )
 
 // Two levels of sums give what adding up by hand gives, also after tellers have
@@ -36,7 +36,7 @@
 		if rnd.IntN(4) == 0 {
 			l.Drop(id)
 		} else {
-			l.Put(id, wire.RunnerLoad{ID: id, Blocks: rnd.IntN(50), Count: 1 + rnd.IntN(3), Prefill: rnd.IntN(9)})
+			l.Put(id, messages.RunnerLoad{ID: id, Blocks: rnd.IntN(50), Count: 1 + rnd.IntN(3), Prefill: rnd.IntN(9)})
 		}
 		version++
 		c := l.Commit(version)
@@ -71,7 +71,7 @@
 	l, s := NewLoads(), NewSum(2)
 	l.Begin(7, 0)
 	for i := range 3 {
-		l.Put("r", wire.RunnerLoad{ID: "r", Count: i + 1})
+		l.Put("r", messages.RunnerLoad{ID: "r", Count: i + 1})
 		l.Commit(int64(i + 1))
 		s.Follow("x", l)
 		got, _ := s.Total.Get("r")
