--- a/cmd/beechtide/main.go
+++ b/cmd/beechtide/main.go
@@ -18,10 +18,10 @@
 	"github.com/go-logr/logr"
 	"github.com/panjf2000/ants/v2"
 
-	"beechtide.org/beechtide/internal/counter"
 	"beechtide.org/beechtide/internal/dispatch"
 	"beechtide.org/beechtide/internal/logring"
 	"beechtide.org/beechtide/internal/routeconfig"
+	"beechtide.org/beechtide/internal/router"
 	"beechtide.org/beechtide/internal/settings"
 )
 
@@ -124,7 +124,7 @@
 	}
 	var r role
 	if name == "counter" {
-		r, err = counter.New(set, pool, clock, log)
+		r, err = router.New(set, pool, clock, log)
 	} else {
 		r, err = dispatch.New(set, pool, clock, log)
 	}
--- a/internal/counter/condition.go
+++ b/internal/router/condition.go
@@ -1,5 +1,5 @@
 // Condition is what a counter tells the doctor of itself.
-package counter
+package router
 
 import (
 	"context"
--- a/internal/counter/feed.go
+++ b/internal/router/feed.go
@@ -1,7 +1,7 @@
 // The feed: what reaches a counter down the tree, taken in as changes. Whatever
 // does not fit what is held is asked for again, by naming what is held; nothing
 // is ever guessed, and no version goes back.
-package counter
+package router
 
 import (
 	"sync/atomic"
--- a/internal/counter/listener.go
+++ b/internal/router/listener.go
@@ -2,7 +2,7 @@
 // request once it has begun, and to be idle between two. hertz's standard
 // transport has no such bounds of its own. A request that comes too slowly gets
 // 408, since it has not been read.
-package counter
+package router
 
 import (
 	"context"
@@ -45,7 +45,7 @@
 	}}
 	ln, err := lc.Listen(context.Background(), "tcp4", addr)
 	if err != nil {
-		return nil, errors.Wrap(err, "counter: front")
+		return nil, errors.Wrap(err, "router: front")
 	}
 	return &timedListener{Listener: ln, idle: idle, rest: rest, conns: map[*timedConn]bool{}}, nil
 }
--- a/internal/counter/counter.go
+++ b/internal/router/router.go
@@ -1,7 +1,7 @@
-// Package counter is the role that carries the traffic: it takes the clients'
+// Package router is the role that carries the traffic: it takes the clients'
 // requests, asks the doorman, sends shots to runners and streams what comes
 // back. It keeps nothing on disk; configuration and runners reach it as news.
-package counter
+package router
 
 import (
 	"context"
--- a/internal/counter/counter_test.go
+++ b/internal/router/router_test.go
@@ -1,4 +1,4 @@
-package counter
+package router
 
 import (
 	"bufio"
--- a/internal/counter/shots.go
+++ b/internal/router/shots.go
@@ -2,7 +2,7 @@
 // and what may follow when a shot fails. A further shot goes out only where the
 // runner said that it has not run the request, where nothing was sent, or where
 // the request may be repeated; and only within tries, budget and time.
-package counter
+package router
 
 import (
 	"context"
