--- a/cmd/beechtide/main.go
+++ b/cmd/beechtide/main.go
@@ -18,7 +18,7 @@
 	"github.com/go-logr/logr"
 	"github.com/panjf2000/ants/v2"
 
-	"beechtide.org/beechtide/internal/dispatch"
+	"beechtide.org/beechtide/internal/controller"
 	"beechtide.org/beechtide/internal/logring"
 	"beechtide.org/beechtide/internal/routeconfig"
 	"beechtide.org/beechtide/internal/router"
@@ -126,7 +126,7 @@
 	if name == "counter" {
 		r, err = router.New(set, pool, clock, log)
 	} else {
-		r, err = dispatch.New(set, pool, clock, log)
+		r, err = controller.New(set, pool, clock, log)
 	}
 	if err != nil {
 		fmt.Fprintf(os.Stderr, "beechtide %s: %v\n", name, err)
--- a/internal/dispatch/calm.go
+++ b/internal/controller/calm.go
@@ -1,7 +1,7 @@
 // Calm tells for how long the core has been as it is now, as this dispatch sees
 // it: who is alive, and whom it reaches itself. A cut between dispatches is not
 // seen by probes that go round it through counters, so direct calls count.
-package dispatch
+package controller
 
 import "sync"
 
--- a/internal/dispatch/condition.go
+++ b/internal/controller/condition.go
@@ -1,5 +1,5 @@
 // Condition is what a dispatch tells the doctor of itself.
-package dispatch
+package controller
 
 import (
 	"context"
--- a/internal/dispatch/control.go
+++ b/internal/controller/control.go
@@ -1,5 +1,5 @@
 // The calls of runners and of the operator (api/calls.yaml).
-package dispatch
+package controller
 
 import (
 	"context"
@@ -22,7 +22,7 @@
 	"beechtide.org/beechtide/internal/statesync"
 )
 
-var errNoChange = errors.New("dispatch: nothing to change")
+var errNoChange = errors.New("controller: nothing to change")
 
 var checkCall = validator.New(validator.WithRequiredStructEnabled())
 
@@ -44,7 +44,7 @@
 
 func (d *Dispatch) serveControl(ctx context.Context) error {
 	if d.set.Listen.Control == "" {
-		return errors.New("dispatch: settings name no control address")
+		return errors.New("controller: settings name no control address")
 	}
 	h := Server(d.set.Listen.Control)
 	h.POST("/api/Runners.Heartbeat/:id", d.beat)
--- a/internal/dispatch/dispatch.go
+++ b/internal/controller/controller.go
@@ -1,7 +1,7 @@
-// Package dispatch is the role that keeps the control state: it takes the
+// Package controller is the role that keeps the control state: it takes the
 // calls of runners and of the operator, agrees with the other dispatches on
 // configuration and duties, and sends news down the tree.
-package dispatch
+package controller
 
 import (
 	"context"
--- a/internal/dispatch/dispatch_test.go
+++ b/internal/controller/controller_test.go
@@ -1,4 +1,4 @@
-package dispatch
+package controller
 
 import (
 	"context"
--- a/internal/dispatch/readers.go
+++ b/internal/controller/readers.go
@@ -2,7 +2,7 @@
 // chosen by rendezvous hashing among the live dispatches of the runner's site,
 // and tells the rest. Kept parts come as events; the list is fetched only after
 // a gap, since it holds up the runner.
-package dispatch
+package controller
 
 import (
 	"context"
--- a/internal/dispatch/refits.go
+++ b/internal/controller/refits.go
@@ -1,7 +1,7 @@
 // Refits carries out the duty of bringing runners to named weights: it wins or
 // takes over the claim, confirms it with a majority before it orders, and
 // follows the plan.
-package dispatch
+package controller
 
 import (
 	"context"
--- a/internal/router/front.go
+++ b/internal/router/front.go
@@ -16,14 +16,14 @@
 	"beechtide.org/beechtide/internal/admission"
 	"beechtide.org/beechtide/internal/api"
 	"beechtide.org/beechtide/internal/compliance"
-	"beechtide.org/beechtide/internal/dispatch"
+	"beechtide.org/beechtide/internal/controller"
 	"beechtide.org/beechtide/internal/messages"
 	"beechtide.org/beechtide/internal/prefixindex"
 	"beechtide.org/beechtide/internal/routeconfig"
 )
 
 func (c *Counter) serveReady() error {
-	h := dispatch.Server(c.set.Listen.Ready)
+	h := controller.Server(c.set.Listen.Ready)
 	h.GET("/api/ready", func(_ context.Context, rc *app.RequestContext) {
 		if c.ready() {
 			rc.SetStatusCode(200)
@@ -66,7 +66,7 @@
 	if err != nil {
 		return err
 	}
-	h := dispatch.Server(c.set.Listen.Front,
+	h := controller.Server(c.set.Listen.Front,
 		server.WithListener(ln), server.WithMaxRequestBodySize(body), server.WithMaxHeaderBytes(head),
 		server.WithWriteTimeout(10*time.Second), server.WithDisableHeaderNamesNormalizing(true), server.WithUseRawPath(true),
 		server.WithMaxKeepBodySize(64<<10), server.WithReadBufferSize(4096))
