--- a/cmd/beechtide/audit.go
+++ b/cmd/beechtide/audit.go
@@ -28,7 +28,7 @@
 	var configs files
 	fs.Var(&configs, "c", "a configuration `file` that was in force; give it once for each version")
 	fs.Usage = func() {
-		fmt.Fprintln(fs.Output(), "usage: beechtide audit -c CONFIGURATION... TRAIL...\n\nTrails are JSON lines as GET /api/audit on a counter's ready address gives them.")
+		fmt.Fprintln(fs.Output(), "usage: beechtide audit -c CONFIGURATION... TRAIL...\n\nTrails are JSON lines as GET /api/audit on a router's ready address gives them.")
 		fs.PrintDefaults()
 	}
 	if status := parse(fs, args); status >= 0 {
--- a/cmd/beechtide/main.go
+++ b/cmd/beechtide/main.go
@@ -28,8 +28,8 @@
 const usage = `usage: beechtide ROLE|COMMAND [flags]
 
 roles
-  counter    take clients' requests and send them to runners
-  dispatch   keep configuration, registrations and duties
+  router    take clients' requests and send them to runners
+  controller   keep configuration, registrations and duties
 
 commands
   doctor      look for common faults of a running system
@@ -47,7 +47,7 @@
 		return 2
 	}
 	switch args[0] {
-	case "counter", "dispatch":
+	case "router", "controller":
 		return serve(args[0], args[1:])
 	case "check":
 		return check(args[1:])
@@ -123,7 +123,7 @@
 		return b.Bytes(), nil
 	}
 	var r role
-	if name == "counter" {
+	if name == "router" {
 		r, err = router.New(set, pool, clock, log)
 	} else {
 		r, err = controller.New(set, pool, clock, log)
--- a/cmd/beechtide/main_test.go
+++ b/cmd/beechtide/main_test.go
@@ -30,7 +30,7 @@
 
 func TestWrongUseEndsWithTwoAndOneLine(t *testing.T) {
 	for _, args := range [][]string{
-		{"nonsense"}, {"counter", "-x"}, {"dispatch", "-config"}, {"check"}, {"check", "a", "b"}, {"doctor", "x"}, {"doctor", "-y"}, {"audit"}, {"audit", "-c"},
+		{"nonsense"}, {"router", "-x"}, {"controller", "-config"}, {"check"}, {"check", "a", "b"}, {"doctor", "x"}, {"doctor", "-y"}, {"audit"}, {"audit", "-c"},
 	} {
 		status, out, err := say(t, args...)
 		must.Eq(t, 2, status, must.Sprint(args))
@@ -40,7 +40,7 @@
 }
 
 func TestEachSubcommandHasHelp(t *testing.T) {
-	for _, name := range []string{"counter", "dispatch", "check", "doctor", "audit"} {
+	for _, name := range []string{"router", "controller", "check", "doctor", "audit"} {
 		status, out, err := say(t, name, "-h")
 		must.Eq(t, 0, status, must.Sprint(name))
 		must.StrContains(t, out, "usage: beechtide "+name)
@@ -54,7 +54,7 @@
 func TestSenselessSettingsEndTheStartWithOneLine(t *testing.T) {
 	path := filepath.Join(t.TempDir(), "local.yaml")
 	must.NoError(t, os.WriteFile(path, []byte("node: x\n"), 0o644))
-	status, _, err := say(t, "counter", "-config", path)
+	status, _, err := say(t, "router", "-config", path)
 	must.Eq(t, 1, status)
 	must.Eq(t, 1, strings.Count(err, "\n"))
 	must.StrContains(t, err, "Settings.")
--- a/internal/consensus/consensus.go
+++ b/internal/consensus/consensus.go
@@ -429,7 +429,7 @@
 
 var errSettled = errors.New("consensus: settled")
 
-// Pull learns what the dispatch at addr has committed.
+// Pull learns what the controller at addr has committed.
 func (l *Ledger) Pull(ctx context.Context, addr string, p int) error {
 	w, err := l.send(ctx, messages.Member{Addr: addr}, messages.LedgerAsk{Part: p, Step: messages.Read})
 	if err != nil {
--- a/internal/consensus/group.go
+++ b/internal/consensus/group.go
@@ -13,14 +13,14 @@
 // maxGroup bounds the members of one register.
 const maxGroup = 9
 
-// Standing is what the steward sees of the other dispatches.
+// Standing is what the steward sees of the other controllers.
 type Standing struct {
 	Ready   []messages.Member // alive, with the identity they now have
 	GoneFor func(addr string) int64
 	GoneUs  int64 // how long a member must be gone to be swapped or dropped
 }
 
-// Stand sorts the live dispatches. Where some of them count among those whose
+// Stand sorts the live controllers. Where some of them count among those whose
 // loss is bounded, only they are to be members: any number of the others may go
 // at once, so a member that does not count is as good as gone once another
 // stands ready.
--- a/internal/controller/calm.go
+++ b/internal/controller/calm.go
@@ -1,11 +1,11 @@
-// Calm tells for how long the core has been as it is now, as this dispatch sees
-// it: who is alive, and whom it reaches itself. A cut between dispatches is not
-// seen by probes that go round it through counters, so direct calls count.
+// Calm tells for how long the core has been as it is now, as this controller sees
+// it: who is alive, and whom it reaches itself. A cut between controllers is not
+// seen by probes that go round it through routers, so direct calls count.
 package controller
 
 import "sync"
 
-// unreachedUs is after how long without an answer a dispatch counts as not
+// unreachedUs is after how long without an answer a controller counts as not
 // reached.
 const unreachedUs = 1_200_000
 
@@ -44,7 +44,7 @@
 	}
 }
 
-// isCut tells whether direct calls to a dispatch have failed for long.
+// isCut tells whether direct calls to a controller have failed for long.
 func (c *calm) isCut(addr string) bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
--- a/internal/controller/condition.go
+++ b/internal/controller/condition.go
@@ -1,4 +1,4 @@
-// Condition is what a dispatch tells the doctor of itself.
+// Condition is what a controller tells the doctor of itself.
 package controller
 
 import (
@@ -14,14 +14,14 @@
 // unreadUs is after how long without an answer a runner counts as not read.
 const unreadUs = 5_000_000
 
-func (d *Dispatch) condition() messages.Condition {
-	c := messages.Condition{Node: d.set.Node, Role: messages.Dispatch, Site: d.set.Site, Addr: d.radio.Addr(), TimeUs: time.Now().UnixMicro(), LedgerID: d.ledger.ID(), Marks: d.told(), HasDisk: d.disk != nil}
+func (d *Controller) condition() messages.Condition {
+	c := messages.Condition{Node: d.set.Node, Role: messages.Controller, Site: d.set.Site, Addr: d.radio.Addr(), TimeUs: time.Now().UnixMicro(), LedgerID: d.ledger.ID(), Marks: d.told(), HasDisk: d.disk != nil}
 	c.SaveUs, c.SaveFault = d.ledger.LastSave()
 	for p := range consensus.Parts {
 		v, _ := d.ledger.Committed(p)
 		c.Groups = append(c.Groups, append([]messages.Member{}, v.Group...))
 	}
-	c.Peers = append(d.watch.Alive(messages.Dispatch), d.watch.Alive(messages.Counter)...)
+	c.Peers = append(d.watch.Alive(messages.Controller), d.watch.Alive(messages.Router)...)
 	c.Wholes, c.Changes, c.Malformed = d.feed.wholes.Load(), d.feed.changes.Load(), d.feed.malformed.Load()
 	snap := d.roster.Snapshot()
 	c.Runners = len(snap.ByID)
@@ -44,13 +44,13 @@
 }
 
 // heard notes that a runner answered a reader.
-func (d *Dispatch) heard(id string) {
+func (d *Controller) heard(id string) {
 	d.kmu.Lock()
 	d.heardUs[id] = d.clock()
 	d.kmu.Unlock()
 }
 
 // OnRing tells how the doctor gets the log ring.
-func (d *Dispatch) OnRing(show func() ([]byte, error)) {
+func (d *Controller) OnRing(show func() ([]byte, error)) {
 	d.radio.OnCall(radio.KindRing, func(context.Context, *radio.Link, []byte) ([]byte, error) { return show() })
 }
--- a/internal/controller/control.go
+++ b/internal/controller/control.go
@@ -42,7 +42,7 @@
 	return server.New(opts...)
 }
 
-func (d *Dispatch) serveControl(ctx context.Context) error {
+func (d *Controller) serveControl(ctx context.Context) error {
 	if d.set.Listen.Control == "" {
 		return errors.New("controller: settings name no control address")
 	}
@@ -66,7 +66,7 @@
 	c.JSON(status, api.Fault{Error: reason, Field: field})
 }
 
-func (d *Dispatch) beat(_ context.Context, c *app.RequestContext) {
+func (d *Controller) beat(_ context.Context, c *app.RequestContext) {
 	var b api.Beat
 	if err := json.Unmarshal(c.Request.Body(), &b); err != nil {
 		deny(c, 400, "(body)", err.Error())
@@ -85,7 +85,7 @@
 		d.tellRunners(n.ID)
 	}
 	out := api.BeatOutcome{}
-	all := d.watch.Alive(messages.Dispatch)
+	all := d.watch.Alive(messages.Controller)
 	for _, p := range all {
 		if p.Addr != d.radio.Addr() {
 			d.radio.Cast(p.Addr, radio.KindRunner, &n)
@@ -95,7 +95,7 @@
 	c.JSON(200, out)
 }
 
-// beatTo is where a runner should beat: at a dispatch of its own site, each of
+// beatTo is where a runner should beat: at a controller of its own site, each of
 // them taking a part of the runners. It is empty where it beats already.
 func beatTo(core []messages.Peer, self string, n messages.RunnerNote) string {
 	var near []messages.Peer
@@ -114,14 +114,14 @@
 	return pick.Control
 }
 
-func (d *Dispatch) leave(_ context.Context, c *app.RequestContext) {
+func (d *Controller) leave(_ context.Context, c *app.RequestContext) {
 	if n, changed := d.roster.Leave(c.Param("id"), d.clock()); changed {
 		d.tellRunners(n.ID)
 	}
 	c.Status(200)
 }
 
-func (d *Dispatch) replace(ctx context.Context, c *app.RequestContext) {
+func (d *Controller) replace(ctx context.Context, c *app.RequestContext) {
 	raw := append([]byte{}, c.Request.Body()...)
 	m, err := routeconfig.Parse(raw)
 	if err != nil {
@@ -179,7 +179,7 @@
 	return body, err
 }
 
-func (d *Dispatch) read(ctx context.Context, c *app.RequestContext) {
+func (d *Controller) read(ctx context.Context, c *app.RequestContext) {
 	ctx, cancel := context.WithTimeout(ctx, operatorWait)
 	defer cancel()
 	v, err := d.ledger.Read(ctx, consensus.MenuPart)
@@ -198,7 +198,7 @@
 	}
 }
 
-func (d *Dispatch) nameWeights(ctx context.Context, c *app.RequestContext) {
+func (d *Controller) nameWeights(ctx context.Context, c *app.RequestContext) {
 	var w api.WeightsNamed
 	if err := json.Unmarshal(c.Request.Body(), &w); err != nil {
 		deny(c, 400, "(body)", err.Error())
--- a/internal/controller/controller.go
+++ b/internal/controller/controller.go
@@ -1,5 +1,5 @@
 // Package controller is the role that keeps the control state: it takes the
-// calls of runners and of the operator, agrees with the other dispatches on
+// calls of runners and of the operator, agrees with the other controllers on
 // configuration and duties, and sends news down the tree.
 package controller
 
@@ -25,8 +25,8 @@
 	"beechtide.org/beechtide/internal/upstream"
 )
 
-// Dispatch is the running role.
-type Dispatch struct {
+// Controller is the running role.
+type Controller struct {
 	set    settings.Settings
 	log    logr.Logger
 	clock  func() int64
@@ -52,12 +52,12 @@
 }
 
 // New builds the role.
-func New(set settings.Settings, pool *ants.Pool, clock func() int64, log logr.Logger) (*Dispatch, error) {
-	rad, err := radio.New(set.DispatchAddr(), pool, log)
+func New(set settings.Settings, pool *ants.Pool, clock func() int64, log logr.Logger) (*Controller, error) {
+	rad, err := radio.New(set.ControllerAddr(), pool, log)
 	if err != nil {
 		return nil, err
 	}
-	d := &Dispatch{set: set, log: log, clock: clock, radio: rad, roster: registry.New(), garage: upstream.NewGarage(clock), kept: prefixindex.NewIndex(), readers: map[string]context.CancelFunc{}, heardUs: map[string]int64{}, startUs: clock()}
+	d := &Controller{set: set, log: log, clock: clock, radio: rad, roster: registry.New(), garage: upstream.NewGarage(clock), kept: prefixindex.NewIndex(), readers: map[string]context.CancelFunc{}, heardUs: map[string]int64{}, startUs: clock()}
 	var store consensus.Store = &consensus.MemoryStore{}
 	if set.DataDir != "" {
 		if d.disk, err = consensus.NewDiskStore(filepath.Join(set.DataDir, "ledger")); err != nil {
@@ -70,19 +70,19 @@
 	d.feed.init(clock())
 	d.syncRunners()
 	d.relay = radio.NewRelay(rad, radio.Upward{Since: d.since, Told: d.toldBelow, Gone: d.goneBelow})
-	d.ledger, err = consensus.Open(set.DispatchAddr(), radio.KindLedger, set.Bootstrap, set.SeedAddrs(), rad, store, log, d.learned)
+	d.ledger, err = consensus.Open(set.ControllerAddr(), radio.KindLedger, set.Bootstrap, set.SeedAddrs(), rad, store, log, d.learned)
 	if err != nil {
 		return nil, err
 	}
-	self := messages.Peer{Addr: set.DispatchAddr(), Role: messages.Dispatch, Site: set.Site, LedgerID: d.ledger.ID(), Control: set.Listen.Control, Node: set.Node, Counted: set.Counted}
-	d.watch = radio.NewWatch(rad, self, clock, d.knownDispatches)
+	self := messages.Peer{Addr: set.ControllerAddr(), Role: messages.Controller, Site: set.Site, LedgerID: d.ledger.ID(), Control: set.Listen.Control, Node: set.Node, Counted: set.Counted}
+	d.watch = radio.NewWatch(rad, self, clock, d.knownControllers)
 	rad.OnCall(radio.KindLedger, func(ctx context.Context, _ *radio.Link, body []byte) ([]byte, error) {
 		return d.ledger.Handle(ctx, body)
 	})
 	rad.OnCall(radio.KindMarks, func(_ context.Context, _ *radio.Link, body []byte) ([]byte, error) {
 		m := d.marks()
 		var from messages.Marks
-		if _, err := from.UnmarshalMsg(body); err == nil && !from.Dispatch {
+		if _, err := from.UnmarshalMsg(body); err == nil && !from.Controller {
 			m.Parts = d.told()
 		}
 		return m.MarshalMsg(nil)
@@ -100,9 +100,9 @@
 	return d, nil
 }
 
-// knownDispatches are the addresses to greet: the seeds and the members known
+// knownControllers are the addresses to greet: the seeds and the members known
 // from disk, since all the seeds may be stale.
-func (d *Dispatch) knownDispatches() []string {
+func (d *Controller) knownControllers() []string {
 	set := d.set
 	set.Seeds = *d.seeds.Load()
 	out := set.SeedAddrs()
@@ -118,10 +118,10 @@
 
 // Reload takes what may change in a running process from newly read settings:
 // the seeds.
-func (d *Dispatch) Reload(set settings.Settings) { d.seeds.Store(&set.Seeds) }
+func (d *Controller) Reload(set settings.Settings) { d.seeds.Store(&set.Seeds) }
 
 // Run serves until ctx ends.
-func (d *Dispatch) Run(ctx context.Context) error {
+func (d *Controller) Run(ctx context.Context) error {
 	d.radio.Run(ctx)
 	go d.watch.Run(ctx)
 	go d.listenToOthers(ctx)
@@ -143,7 +143,7 @@
 // closeWait is how long an ending process waits for writes under way.
 const closeWait = 500 * time.Millisecond
 
-func (d *Dispatch) closeDisk() {
+func (d *Controller) closeDisk() {
 	if d.disk == nil {
 		return
 	}
@@ -160,7 +160,7 @@
 
 // settleParts reads every part once after the start, so that what was agreed
 // on before a loss of power but not known as such is finished.
-func (d *Dispatch) settleParts(ctx context.Context) {
+func (d *Controller) settleParts(ctx context.Context) {
 	for p := range consensus.Parts {
 		for ctx.Err() == nil {
 			cctx, cancel := context.WithTimeout(ctx, time.Second)
@@ -175,7 +175,7 @@
 	}
 }
 
-func (d *Dispatch) learned(p int, v messages.Value) {
+func (d *Controller) learned(p int, v messages.Value) {
 	if v.Mark == 0 || len(v.Body) == 0 {
 		return
 	}
@@ -196,8 +196,8 @@
 	}
 }
 
-func (d *Dispatch) marks() messages.Marks {
-	m := messages.Marks{Parts: make([]int64, consensus.Parts), RosterSum: d.roster.Snapshot().Sum, Dispatch: true, CalmUs: d.calm.forUs(d.clock())}
+func (d *Controller) marks() messages.Marks {
+	m := messages.Marks{Parts: make([]int64, consensus.Parts), RosterSum: d.roster.Snapshot().Sum, Controller: true, CalmUs: d.calm.forUs(d.clock())}
 	for p := range m.Parts {
 		m.Parts[p] = -1
 		if v, ok := d.ledger.Committed(p); ok {
@@ -207,13 +207,13 @@
 	return m
 }
 
-// listenToOthers keeps a subscription to every other dispatch; one that does
+// listenToOthers keeps a subscription to every other controller; one that does
 // not count, among others that do, listens to one of those only.
-func (d *Dispatch) listenToOthers(ctx context.Context) {
+func (d *Controller) listenToOthers(ctx context.Context) {
 	have := map[string]context.CancelFunc{}
 	loop.Every(ctx, 200*time.Millisecond, func() {
 		want := map[string]bool{}
-		all := d.watch.Alive(messages.Dispatch)
+		all := d.watch.Alive(messages.Controller)
 		if !d.inCore(all) {
 			all = radio.Core(all)
 			if near := nearest(all, d.set.Site); near != "" {
@@ -240,8 +240,8 @@
 	})
 }
 
-// inCore tells whether this dispatch counts, or nobody does.
-func (d *Dispatch) inCore(all []messages.Peer) bool {
+// inCore tells whether this controller counts, or nobody does.
+func (d *Controller) inCore(all []messages.Peer) bool {
 	for _, p := range radio.Core(all) {
 		if p.Addr == d.radio.Addr() {
 			return true
@@ -263,14 +263,14 @@
 	return ""
 }
 
-func (d *Dispatch) heardRunner(_ string, body []byte) {
+func (d *Controller) heardRunner(_ string, body []byte) {
 	var n messages.RunnerNote
 	if _, err := n.UnmarshalMsg(body); err == nil && d.roster.Hear(n, d.clock()) {
 		d.tellRunners(n.ID)
 	}
 }
 
-func (d *Dispatch) sweep() {
+func (d *Controller) sweep() {
 	beatUs := int64(d.set.BeatPeriodMs) * 1000
 	for _, n := range d.roster.Sweep(d.clock(), 4*beatUs+500_000, 12*beatUs) {
 		d.tellRunners(n.ID)
@@ -283,7 +283,7 @@
 	d.garage.Sweep(func(string) bool { return true })
 }
 
-// coreView names the dispatches whose coming and going unsettles the core: those
+// coreView names the controllers whose coming and going unsettles the core: those
 // that count, where some do.
 func coreView(alive []messages.Peer) (view string, core map[string]bool) {
 	core = map[string]bool{}
@@ -294,9 +294,9 @@
 	return view, core
 }
 
-// catchUp compares marks with the other dispatches and pulls what is newer.
-func (d *Dispatch) catchUp(ctx context.Context) {
-	alive := d.watch.Alive(messages.Dispatch)
+// catchUp compares marks with the other controllers and pulls what is newer.
+func (d *Controller) catchUp(ctx context.Context) {
+	alive := d.watch.Alive(messages.Controller)
 	view, core := coreView(alive)
 	d.calm.saw(view, d.clock())
 	for _, p := range alive {
@@ -327,10 +327,10 @@
 	}
 }
 
-// keepGroups is the steward's duty: the lowest live dispatch proposes changes
+// keepGroups is the steward's duty: the lowest live controller proposes changes
 // of the groups.
-func (d *Dispatch) keepGroups(ctx context.Context) {
-	alive := d.watch.Alive(messages.Dispatch)
+func (d *Controller) keepGroups(ctx context.Context) {
+	alive := d.watch.Alive(messages.Controller)
 	if len(alive) == 0 || alive[0].Addr != d.radio.Addr() {
 		return
 	}
--- a/internal/controller/controller_test.go
+++ b/internal/controller/controller_test.go
@@ -28,7 +28,7 @@
 }
 
 // core starts a core of one, at the same addresses each time.
-func core(t *testing.T, dir string, port int, bootstrap bool) (*Dispatch, string, func()) {
+func core(t *testing.T, dir string, port int, bootstrap bool) (*Controller, string, func()) {
 	t.Helper()
 	control := fmt.Sprintf("127.0.0.1:%d", port+2)
 	set := settings.Settings{Node: "n", Ip: "127.0.0.1", Site: "a", Ports: []int{port, port + 1}, Seeds: []string{control}, Bootstrap: bootstrap, DataDir: dir, BeatPeriodMs: 1000}
@@ -143,7 +143,7 @@
 	must.MapEmpty(t, d.roster.Snapshot().ByID)
 }
 
-// The incident of docs/incidents/restart-lifts-bars.md: a dispatch that starts
+// The incident of docs/incidents/restart-lifts-bars.md: a controller that starts
 // again must not tell the others that runners under order are free.
 func TestRestartKeepsWhatWasAcknowledgedAndTheBars(t *testing.T) {
 	dir, port := t.TempDir(), freePort(t)
@@ -160,13 +160,13 @@
 	id := d.ledger.ID()
 	stop()
 
-	fresh := &Dispatch{disk: d.disk, roster: registry.New(), clock: d.clock, log: logr.Discard()}
+	fresh := &Controller{disk: d.disk, roster: registry.New(), clock: d.clock, log: logr.Discard()}
 	fresh.feed.init(1)
 	fresh.recallRunners()
 	fresh.syncRunners()
 	lacks, ok := fresh.feed.roster.Since(0, 0)
 	must.True(t, ok)
-	must.Len(t, 1, lacks.Puts, must.Sprint("the counters are told of runners that the disk named"))
+	must.Len(t, 1, lacks.Puts, must.Sprint("the routers are told of runners that the disk named"))
 	got := fresh.roster.Snapshot().ByID["i-1"]
 	must.True(t, got.Barred)
 	must.Eq(t, int64(77), got.BarMark)
@@ -183,7 +183,7 @@
 	must.True(t, rec.HasAccepted || rec.Committed.Mark > 0)
 }
 
-// The incident of docs/incidents/uncounted-unsettled-the-core.md: a dispatch that
+// The incident of docs/incidents/uncounted-unsettled-the-core.md: a controller that
 // does not count comes and goes, and the core is as calm as before.
 func TestOnlyDispatchesThatCountUnsettleTheCore(t *testing.T) {
 	counted := []messages.Peer{{Addr: "a", LedgerID: "a/0", Counted: true}, {Addr: "b", LedgerID: "b/0", Counted: true}}
--- a/internal/controller/feed.go
+++ b/internal/controller/feed.go
@@ -1,5 +1,5 @@
-// The feed is what a dispatch sends: to the counters all that it knows, to the
-// other dispatches what it is the first to know. What comes between two sendings
+// The feed is what a controller sends: to the routers all that it knows, to the
+// other controllers what it is the first to know. What comes between two sendings
 // is put together. Everything goes as changes; a receiver that lacks something
 // names what it holds.
 package controller
@@ -28,12 +28,12 @@
 // grows with the number of nodes, so the pause does too, and what reaches a node
 // does not.
 const (
-	pressPart  = 400 * time.Microsecond // a counter
+	pressPart  = 400 * time.Microsecond // a router
 	pressLeast = 2 * time.Millisecond
 )
 
-func (d *Dispatch) pressPause() time.Duration {
-	return min(max(time.Duration(len(d.watch.Alive(messages.Counter)))*pressPart, pressLeast), flushEvery)
+func (d *Controller) pressPause() time.Duration {
+	return min(max(time.Duration(len(d.watch.Alive(messages.Router)))*pressPart, pressLeast), flushEvery)
 }
 
 // below is under which name the nodes below this one stand in the sum of all.
@@ -45,9 +45,9 @@
 	menu   *statesync.Entries
 	parts  map[int]messages.PartNote
 	below  *statesync.Sum // the nodes below this one
-	all    *statesync.Sum // those and the ones below the other dispatches
+	all    *statesync.Sum // those and the ones below the other controllers
 
-	own, down outbox // to the other dispatches, and to the counters
+	own, down outbox // to the other controllers, and to the routers
 	urgent    chan struct{}
 	pulling   atomic.Bool
 	sentUs    int64 // when a feed last went out to everybody
@@ -113,14 +113,14 @@
 }
 
 // told are the versions that those below are told.
-func (d *Dispatch) told() []int64 {
+func (d *Controller) told() []int64 {
 	d.feed.mu.Lock()
 	defer d.feed.mu.Unlock()
 	return d.feed.versions()
 }
 
 // tellRunners sends the notes of runners as the roster has them now.
-func (d *Dispatch) tellRunners(ids ...string) {
+func (d *Controller) tellRunners(ids ...string) {
 	f := &d.feed
 	f.mu.Lock()
 	for _, id := range ids {
@@ -136,7 +136,7 @@
 
 // syncRunners brings what is told of runners to what the roster holds: those
 // recalled from disk go in, those it has forgotten go out.
-func (d *Dispatch) syncRunners() {
+func (d *Controller) syncRunners() {
 	f := &d.feed
 	f.mu.Lock()
 	defer f.mu.Unlock()
@@ -163,7 +163,7 @@
 
 // tellMenu sends what differs in a newly committed configuration. A version of
 // the register that only changes its group has no entries.
-func (d *Dispatch) tellMenu(version int64, m api.Menu) {
+func (d *Controller) tellMenu(version int64, m api.Menu) {
 	entries, err := routeconfig.Entries(m)
 	if err != nil {
 		d.log.Error(err, "a committed configuration cannot be cut")
@@ -180,7 +180,7 @@
 	f.hurry()
 }
 
-func (d *Dispatch) tellPart(p messages.PartNote) {
+func (d *Controller) tellPart(p messages.PartNote) {
 	f := &d.feed
 	f.mu.Lock()
 	if f.parts[p.Part].Mark < p.Mark {
@@ -191,7 +191,7 @@
 	f.hurry()
 }
 
-func (d *Dispatch) tellReport(n messages.ReportNote) {
+func (d *Controller) tellReport(n messages.ReportNote) {
 	f := &d.feed
 	f.mu.Lock()
 	f.own.reports, f.down.reports = append(f.own.reports, n), append(f.down.reports, n)
@@ -199,7 +199,7 @@
 }
 
 // shelve changes what a runner keeps, as its reader, and sends the change.
-func (d *Dispatch) shelve(id string, change func(s *prefixindex.Shelf) messages.KeptChange) {
+func (d *Controller) shelve(id string, change func(s *prefixindex.Shelf) messages.KeptChange) {
 	d.kmu.Lock()
 	c := change(d.kept.Shelf(id))
 	d.kmu.Unlock()
@@ -211,7 +211,7 @@
 
 // flushFeed sends what waits, and now and then an empty feed, by which those
 // below know that this node is there and which versions it holds.
-func (d *Dispatch) flushFeed(ctx context.Context) {
+func (d *Controller) flushFeed(ctx context.Context) {
 	t := time.NewTicker(flushEvery)
 	defer t.Stop()
 	for {
@@ -226,7 +226,7 @@
 	}
 }
 
-func (d *Dispatch) flush() {
+func (d *Controller) flush() {
 	cutOff := d.cutOff()
 	f := &d.feed
 	f.mu.Lock()
@@ -249,10 +249,10 @@
 	}
 	rest := d.clock()-f.sentUs > restUs
 	if rest || something(&up) {
-		d.relay.Publish(radio.ToDispatches, up)
+		d.relay.Publish(radio.ToControllers, up)
 	}
 	if rest || something(&down) {
-		d.relay.Publish(radio.ToCounters, down)
+		d.relay.Publish(radio.ToRouters, down)
 	}
 	if rest {
 		f.sentUs = d.clock()
@@ -268,7 +268,7 @@
 
 // cutOff tells whether the group that holds the configuration is out of this
 // node's reach, so that those below had better listen to another.
-func (d *Dispatch) cutOff() bool {
+func (d *Controller) cutOff() bool {
 	v, ok := d.ledger.Committed(consensus.MenuPart)
 	if !ok || len(v.Group) < 2 {
 		return false
@@ -282,9 +282,9 @@
 	return reached <= len(v.Group)/2
 }
 
-// since gives what a receiver lacks: a counter of everything, a dispatch of what
+// since gives what a receiver lacks: a router of everything, a controller of what
 // this one is the first to know.
-func (d *Dispatch) since(h messages.Hold) messages.Feed {
+func (d *Controller) since(h messages.Hold) messages.Feed {
 	out := messages.Feed{CalmUs: d.calm.forUs(d.clock())}
 	f := &d.feed
 	f.mu.Lock()
@@ -302,7 +302,7 @@
 	}
 	if !h.MenuOnly {
 		sum := f.all.Total
-		if h.Dispatch {
+		if h.Controller {
 			sum = f.below.Total
 		}
 		if c, lacks := sum.Since(h.Loads.Epoch, h.Loads.Version); lacks {
@@ -312,14 +312,14 @@
 	f.mu.Unlock()
 	if !h.MenuOnly {
 		d.kmu.Lock()
-		out.Kept = d.kept.Since(h.Kept, func(id string) bool { return !h.Dispatch || d.readers[id] != nil })
+		out.Kept = d.kept.Since(h.Kept, func(id string) bool { return !h.Controller || d.readers[id] != nil })
 		d.kmu.Unlock()
 	}
 	return out
 }
 
 // toldBelow takes the loads of a node below.
-func (d *Dispatch) toldBelow(from string, t messages.Told) bool {
+func (d *Controller) toldBelow(from string, t messages.Told) bool {
 	f := &d.feed
 	f.mu.Lock()
 	defer f.mu.Unlock()
@@ -335,19 +335,19 @@
 	return ok
 }
 
-func (d *Dispatch) goneBelow(from string) {
+func (d *Controller) goneBelow(from string) {
 	d.feed.mu.Lock()
 	d.feed.below.Drop(from)
 	d.feed.mu.Unlock()
 }
 
-// listenTo keeps the subscription to one other dispatch.
-func (d *Dispatch) listenTo(ctx context.Context, addr string) {
+// listenTo keeps the subscription to one other controller.
+func (d *Controller) listenTo(ctx context.Context, addr string) {
 	runners := statesync.NewEntries() // as the other has them
 	u := radio.Uplink{
-		Dispatch: true,
-		Parents:  func() []string { return []string{addr} },
-		Hold:     func() messages.Hold { return d.holdOf(addr, runners) },
+		Controller: true,
+		Parents:    func() []string { return []string{addr} },
+		Hold:       func() messages.Hold { return d.holdOf(addr, runners) },
 		Take: func(_ string, f messages.Feed, _ []byte) *messages.Hold {
 			if d.takeFeed(addr, f, runners) {
 				return nil
@@ -368,7 +368,7 @@
 
 // holdOf names what this node holds of another's streams. The configuration and
 // the parts come through the ledger.
-func (d *Dispatch) holdOf(addr string, runners *statesync.Entries) messages.Hold {
+func (d *Controller) holdOf(addr string, runners *statesync.Entries) messages.Hold {
 	f := &d.feed
 	f.mu.Lock()
 	h := messages.Hold{Menu: messages.StreamHold{Epoch: menuEpoch, Version: never}}
@@ -389,9 +389,9 @@
 // never is a version that is not reached: what is held under it is not sent.
 const never = 1 << 62
 
-// pullNewer learns at once of a version that another dispatch has and this one
+// pullNewer learns at once of a version that another controller has and this one
 // has not: one that is not in the group is not told by the round itself.
-func (d *Dispatch) pullNewer(addr string, versions []int64) {
+func (d *Controller) pullNewer(addr string, versions []int64) {
 	f, mine := &d.feed, d.told()
 	for p, v := range versions {
 		if p < len(mine) && v > mine[p] && f.pulling.CompareAndSwap(false, true) {
@@ -405,8 +405,8 @@
 	}
 }
 
-// takeFeed takes what another dispatch is the first to know and passes it down.
-func (d *Dispatch) takeFeed(addr string, in messages.Feed, runners *statesync.Entries) (fits bool) {
+// takeFeed takes what another controller is the first to know and passes it down.
+func (d *Controller) takeFeed(addr string, in messages.Feed, runners *statesync.Entries) (fits bool) {
 	now := d.clock()
 	fits = true
 	f := &d.feed
--- a/internal/controller/readers.go
+++ b/internal/controller/readers.go
@@ -1,5 +1,5 @@
-// Readers follow what runners keep and report: one dispatch reads one runner,
-// chosen by rendezvous hashing among the live dispatches of the runner's site,
+// Readers follow what runners keep and report: one controller reads one runner,
+// chosen by rendezvous hashing among the live controllers of the runner's site,
 // and tells the rest. Kept parts come as events; the list is fetched only after
 // a gap, since it holds up the runner.
 package controller
@@ -25,16 +25,16 @@
 	callWait     = 2 * time.Second
 )
 
-// learnUs is how long a dispatch that has just started leaves the runners to the
+// learnUs is how long a controller that has just started leaves the runners to the
 // others: it goes on from what they have read, without lists.
 const learnUs = 2_000_000
 
-func (d *Dispatch) wantReaders(ctx context.Context) {
+func (d *Controller) wantReaders(ctx context.Context) {
 	t := d.table.Load()
 	if t == nil {
 		return
 	}
-	alive := radio.Core(d.watch.Alive(messages.Dispatch))
+	alive := radio.Core(d.watch.Alive(messages.Controller))
 	if d.clock()-d.startUs < learnUs && len(alive) > 1 {
 		return
 	}
@@ -98,7 +98,7 @@
 
 // readKept follows a runner's events from where the shelf stands, whoever read
 // it so far.
-func (d *Dispatch) readKept(ctx context.Context, n messages.RunnerNote) {
+func (d *Controller) readKept(ctx context.Context, n messages.RunnerNote) {
 	for ctx.Err() == nil {
 		d.kmu.Lock()
 		shelf := d.kept.Shelf(n.ID)
@@ -145,7 +145,7 @@
 }
 
 // readList fetches the list after a gap, which the other nodes get as a whole.
-func (d *Dispatch) readList(ctx context.Context, n messages.RunnerNote) {
+func (d *Controller) readList(ctx context.Context, n messages.RunnerNote) {
 	cctx, cancel := context.WithTimeout(ctx, callWait)
 	defer cancel()
 	status, body, _, err := d.garage.Ask(cctx, n.Addr, "GET", "/api/kv-list", aimed(n, map[string]string{}), nil)
@@ -172,7 +172,7 @@
 	})
 }
 
-func (d *Dispatch) readReports(ctx context.Context, n messages.RunnerNote) {
+func (d *Controller) readReports(ctx context.Context, n messages.RunnerNote) {
 	for ctx.Err() == nil {
 		if r, ok := d.report(ctx, n); ok {
 			d.tellReport(messages.ReportNote{ID: n.ID, Used: r.CacheUsed, Total: r.CacheTotal, Active: r.Active, Pending: r.Pending})
@@ -181,7 +181,7 @@
 	}
 }
 
-func (d *Dispatch) report(ctx context.Context, n messages.RunnerNote) (api.Report, bool) {
+func (d *Controller) report(ctx context.Context, n messages.RunnerNote) (api.Report, bool) {
 	cctx, cancel := context.WithTimeout(ctx, callWait)
 	defer cancel()
 	status, body, _, err := d.garage.Ask(cctx, n.Addr, "GET", "/api/report", aimed(n, map[string]string{}), nil)
--- a/internal/controller/recall.go
+++ b/internal/controller/recall.go
@@ -15,7 +15,7 @@
 
 const runnersFile = "runners"
 
-func (d *Dispatch) recallRunners() {
+func (d *Controller) recallRunners() {
 	b, ok := d.disk.Note(runnersFile)
 	if !ok {
 		return
@@ -31,7 +31,7 @@
 }
 
 // keepRunners writes the list when it has changed, at most every two seconds.
-func (d *Dispatch) keepRunners(ctx context.Context) {
+func (d *Controller) keepRunners(ctx context.Context) {
 	var sum uint64
 	loop.Every(ctx, 2*time.Second, func() {
 		snap := d.roster.Snapshot()
--- a/internal/controller/refits.go
+++ b/internal/controller/refits.go
@@ -49,7 +49,7 @@
 	r.won[part] = fence
 }
 
-func (d *Dispatch) wantRefits(ctx context.Context) {
+func (d *Controller) wantRefits(ctx context.Context) {
 	r := &d.refits
 	r.mu.Lock()
 	r.init()
@@ -77,7 +77,7 @@
 }
 
 // behind gives, for a target, the marks of the runners that carry the model.
-func (d *Dispatch) behind(t messages.Target) (marks map[string]int64, old bool, barred bool) {
+func (d *Controller) behind(t messages.Target) (marks map[string]int64, old bool, barred bool) {
 	marks = map[string]int64{}
 	for id, n := range d.roster.Snapshot().ByID {
 		if n.Stale || n.Draining {
@@ -94,7 +94,7 @@
 	return marks, old, barred
 }
 
-func (d *Dispatch) workShift(ctx context.Context, part int, body messages.DutyBody) {
+func (d *Controller) workShift(ctx context.Context, part int, body messages.DutyBody) {
 	needed := false
 	for _, t := range body.Targets {
 		_, old, barred := d.behind(t)
@@ -149,10 +149,10 @@
 	}
 }
 
-// reachable lists the live dispatches that this one is not cut off from.
-func (d *Dispatch) reachable() []messages.Peer {
+// reachable lists the live controllers that this one is not cut off from.
+func (d *Controller) reachable() []messages.Peer {
 	var out []messages.Peer
-	for _, p := range d.watch.Alive(messages.Dispatch) {
+	for _, p := range d.watch.Alive(messages.Controller) {
 		if p.Addr == d.radio.Addr() || !d.calm.isCut(p.Addr) {
 			out = append(out, p)
 		}
@@ -165,8 +165,8 @@
 const takenAgainUs = 8_000_000
 
 // maybeTake takes the claim over once its holder is gone. Only the lowest live
-// dispatch tries, so that two seldom meet in a ballot.
-func (d *Dispatch) maybeTake(ctx context.Context, part int, was messages.Claim, s *lease.Shift) {
+// controller tries, so that two seldom meet in a ballot.
+func (d *Controller) maybeTake(ctx context.Context, part int, was messages.Claim, s *lease.Shift) {
 	alive := d.reachable()
 	if len(alive) == 0 || alive[0].Addr != d.radio.Addr() {
 		return
@@ -198,7 +198,7 @@
 }
 
 // take wins the claim by a ballot, if it is still as it was.
-func (d *Dispatch) take(ctx context.Context, part int, was messages.Claim, s *lease.Shift) {
+func (d *Controller) take(ctx context.Context, part int, was messages.Claim, s *lease.Shift) {
 	cctx, cancel := context.WithTimeout(ctx, time.Second)
 	defer cancel()
 	v, err := d.ledger.Change(cctx, part, func(cur messages.Value) ([]messages.Member, []byte, error) {
@@ -229,7 +229,7 @@
 	}
 }
 
-func (d *Dispatch) follow(ctx context.Context, t messages.Target, s *lease.Shift) {
+func (d *Controller) follow(ctx context.Context, t messages.Target, s *lease.Shift) {
 	r := &d.refits
 	r.mu.Lock()
 	plan := r.plans[t.Model]
@@ -270,13 +270,13 @@
 	}
 }
 
-func (d *Dispatch) bar(id string, easing, barred bool, fence int64) {
+func (d *Controller) bar(id string, easing, barred bool, fence int64) {
 	if n, changed := d.roster.Bar(id, easing, barred, fence<<20|d.refits.bars.Add(1)); changed {
 		d.tellRunners(n.ID)
 	}
 }
 
-func (d *Dispatch) order(ctx context.Context, n messages.RunnerNote, t messages.Target, fence int64) {
+func (d *Controller) order(ctx context.Context, n messages.RunnerNote, t messages.Target, fence int64) {
 	b, err := json.Marshal(api.Order{Op: api.Version, Model: t.Model, Mark: t.Mark, Method: api.Hold, Holder: d.ledger.ID(), Fence: fence})
 	if err != nil {
 		return
@@ -292,7 +292,7 @@
 	}()
 }
 
-func (d *Dispatch) pollWeights(ctx context.Context, id string, t messages.Target) {
+func (d *Controller) pollWeights(ctx context.Context, id string, t messages.Target) {
 	r := &d.refits
 	r.mu.Lock()
 	running := r.polls[id]
@@ -317,7 +317,7 @@
 	}()
 }
 
-func (d *Dispatch) tellWeights(id string, t messages.Target) {
+func (d *Controller) tellWeights(id string, t messages.Target) {
 	if n, changed := d.roster.Weights(id, t.Model, t.Mark); changed {
 		d.log.Info("weights in place", "runner", id, "mark", t.Mark)
 		d.tellRunners(n.ID)
--- a/internal/doctor/doctor_test.go
+++ b/internal/doctor/doctor_test.go
@@ -16,9 +16,9 @@
 	group := []messages.Member{{ID: "a/0", Addr: "a"}, {ID: "b/0", Addr: "b"}, {ID: "c/0", Addr: "c"}}
 	var out []Visited
 	for _, addr := range []string{"a", "b", "c"} {
-		out = append(out, Visited{Addr: addr, Role: messages.Dispatch, Seed: true, AskedUs: 1_000_000, TookUs: 2_000, Condition: &messages.Condition{Node: addr, Role: messages.Dispatch, Addr: addr, LedgerID: addr + "/0", TimeUs: 1_001_000, Marks: []int64{4}, Groups: [][]messages.Member{group}, HasDisk: true, SaveUs: 900, Runners: 3}})
+		out = append(out, Visited{Addr: addr, Role: messages.Controller, Seed: true, AskedUs: 1_000_000, TookUs: 2_000, Condition: &messages.Condition{Node: addr, Role: messages.Controller, Addr: addr, LedgerID: addr + "/0", TimeUs: 1_001_000, Marks: []int64{4}, Groups: [][]messages.Member{group}, HasDisk: true, SaveUs: 900, Runners: 3}})
 	}
-	return append(out, Visited{Addr: "x", Role: messages.Counter, AskedUs: 1_000_000, Condition: &messages.Condition{Node: "x", Role: messages.Counter, Addr: "x", TimeUs: 1_000_000, Marks: []int64{4}, Runners: 3}})
+	return append(out, Visited{Addr: "x", Role: messages.Router, AskedUs: 1_000_000, Condition: &messages.Condition{Node: "x", Role: messages.Router, Addr: "x", TimeUs: 1_000_000, Marks: []int64{4}, Runners: 3}})
 }
 
 func TestHealthySystemHasNoFindings(t *testing.T) {
@@ -29,8 +29,8 @@
 func TestWhatIsInOrderIsNotNamed(t *testing.T) {
 	l := healthy()
 	l[3].Condition.Wholes, l[3].Condition.Changes = 30, 100_000
-	l = append(l, Visited{Addr: "d", Role: messages.Dispatch, AskedUs: 1_000_000, Condition: &messages.Condition{Node: "d", Role: messages.Dispatch, Addr: "d", LedgerID: "d/x", TimeUs: 1_000_000, Marks: []int64{4}, Groups: l[0].Condition.Groups, Runners: 3}})
-	must.SliceEmpty(t, Examine(l), must.Sprint("few repairs, and a dispatch without a disk that is in no group"))
+	l = append(l, Visited{Addr: "d", Role: messages.Controller, AskedUs: 1_000_000, Condition: &messages.Condition{Node: "d", Role: messages.Controller, Addr: "d", LedgerID: "d/x", TimeUs: 1_000_000, Marks: []int64{4}, Groups: l[0].Condition.Groups, Runners: 3}})
+	must.SliceEmpty(t, Examine(l), must.Sprint("few repairs, and a controller without a disk that is in no group"))
 }
 
 func TestEachFaultIsNamed(t *testing.T) {
@@ -90,7 +90,7 @@
 }
 
 func TestVisitFollowsWhatSeedsKnow(t *testing.T) {
-	s := stand{"a": {Node: "a", Peers: []messages.Peer{{Addr: "a"}, {Addr: "x", Role: messages.Counter}, {Addr: "y", Role: messages.Counter}}}, "x": {Node: "x"}}
+	s := stand{"a": {Node: "a", Peers: []messages.Peer{{Addr: "a"}, {Addr: "x", Role: messages.Router}, {Addr: "y", Role: messages.Router}}}, "x": {Node: "x"}}
 	list := Visit(context.Background(), s, []string{"a", "b"})
 	var got []string
 	for _, v := range list {
--- a/internal/doctor/examine.go
+++ b/internal/doctor/examine.go
@@ -58,7 +58,7 @@
 	for _, v := range list {
 		if v.Condition == nil {
 			if v.Seed {
-				add(Warning, v.Addr, "a seed does not answer", "start its dispatch, or name another seed in the settings")
+				add(Warning, v.Addr, "a seed does not answer", "start its controller, or name another seed in the settings")
 			} else {
 				add(Warning, v.Addr, "a node that others know does not answer the doctor", "look whether it runs and whether its inner port is reachable from here")
 			}
@@ -81,11 +81,11 @@
 		}
 	}
 	if answered == 0 {
-		add(Fault, "all", "no node answers", "check the seeds of the settings and start a dispatch")
+		add(Fault, "all", "no node answers", "check the seeds of the settings and start a controller")
 		return out
 	}
 	if seeds == 0 {
-		add(Fault, "seeds", "no seed answers", "a node that starts anew will find nobody; name live dispatches as seeds")
+		add(Fault, "seeds", "no seed answers", "a node that starts anew will find nobody; name live controllers as seeds")
 	}
 	out = append(out, examineGroups(groups, byID)...)
 	for _, v := range list {
@@ -118,7 +118,7 @@
 		case n-len(missing) <= n/2:
 			out = append(out, Finding{Fault, about, fmt.Sprintf("no majority: members %v do not answer", missing), "bring back as many of them, with their disks, as a majority needs"})
 		case len(missing) > 0:
-			out = append(out, Finding{Warning, about, fmt.Sprintf("members %v do not answer", missing), "bring them back or start a dispatch on a new machine"})
+			out = append(out, Finding{Warning, about, fmt.Sprintf("members %v do not answer", missing), "bring them back or start a controller on a new machine"})
 		}
 	}
 	return out
@@ -129,10 +129,10 @@
 	add := func(what, do string) { out = append(out, Finding{Warning, c.Node + " " + string(c.Role), what, do}) }
 	for p, m := range c.Marks {
 		if m < newest[p] {
-			add(fmt.Sprintf("part %d is at %d, others have %d", p, m, newest[p]), "run the doctor again; if it stays, look at this node's links to the dispatches")
+			add(fmt.Sprintf("part %d is at %d, others have %d", p, m, newest[p]), "run the doctor again; if it stays, look at this node's links to the controllers")
 		}
 	}
-	if c.Role == messages.Dispatch {
+	if c.Role == messages.Controller {
 		if !c.HasDisk && member(c) {
 			add("keeps the control state in memory only", "give it a dataDir, or be sure that enough members never stop together")
 		}
@@ -173,7 +173,7 @@
 	wholesPart = 50
 )
 
-// member tells whether a dispatch is in a group.
+// member tells whether a controller is in a group.
 func member(c *messages.Condition) bool {
 	for _, g := range c.Groups {
 		for _, m := range g {
--- a/internal/doctor/visit.go
+++ b/internal/doctor/visit.go
@@ -23,7 +23,7 @@
 func Visit(ctx context.Context, r Caller, seeds []string) []Visited {
 	seen := map[string]Visited{}
 	for _, s := range seeds {
-		v := ask(ctx, r, s, messages.Dispatch)
+		v := ask(ctx, r, s, messages.Controller)
 		v.Seed = true
 		seen[s] = v
 	}
--- a/internal/messages/msgp.gen.go
+++ b/internal/messages/msgp.gen.go
@@ -1325,7 +1325,7 @@
 	// map header, size 7
 	// string "d"
 	o = append(o, 0x87, 0xa1, 0x64)
-	o = msgp.AppendBool(o, z.Dispatch)
+	o = msgp.AppendBool(o, z.Controller)
 	// string "k"
 	o = append(o, 0xa1, 0x6b)
 	o = msgp.AppendArrayHeader(o, uint32(len(z.Kept)))
@@ -1408,9 +1408,9 @@
 		}
 		switch msgp.UnsafeString(field) {
 		case "d":
-			z.Dispatch, bts, err = msgp.ReadBoolBytes(bts)
+			z.Controller, bts, err = msgp.ReadBoolBytes(bts)
 			if err != nil {
-				err = msgp.WrapError(err, "Dispatch")
+				err = msgp.WrapError(err, "Controller")
 				return
 			}
 		case "k":
@@ -2418,7 +2418,7 @@
 	// map header, size 4
 	// string "d"
 	o = append(o, 0x84, 0xa1, 0x64)
-	o = msgp.AppendBool(o, z.Dispatch)
+	o = msgp.AppendBool(o, z.Controller)
 	// string "p"
 	o = append(o, 0xa1, 0x70)
 	o = msgp.AppendArrayHeader(o, uint32(len(z.Parts)))
@@ -2453,9 +2453,9 @@
 		}
 		switch msgp.UnsafeString(field) {
 		case "d":
-			z.Dispatch, bts, err = msgp.ReadBoolBytes(bts)
+			z.Controller, bts, err = msgp.ReadBoolBytes(bts)
 			if err != nil {
-				err = msgp.WrapError(err, "Dispatch")
+				err = msgp.WrapError(err, "Controller")
 				return
 			}
 		case "p":
--- a/internal/messages/types.gen.go
+++ b/internal/messages/types.gen.go
@@ -5,16 +5,16 @@
 
 // Defines values for Role.
 const (
-	Counter  Role = "counter"
-	Dispatch Role = "dispatch"
+	Controller Role = "dispatch"
+	Router     Role = "counter"
 )
 
 // Valid indicates whether the value is a known member of the Role enum.
 func (e Role) Valid() bool {
 	switch e {
-	case Counter:
+	case Controller:
 		return true
-	case Dispatch:
+	case Router:
 		return true
 	default:
 		return false
@@ -174,8 +174,8 @@
 
 // Hold what a receiver holds of every stream it wants
 type Hold struct {
-	Dispatch bool         `msg:"d"`
-	Kept     []StreamHold `msg:"k"`
+	Controller bool         `msg:"d"`
+	Kept       []StreamHold `msg:"k"`
 
 	// Loads how much of a stream a receiver holds
 	Loads StreamHold `msg:"l"`
@@ -245,10 +245,10 @@
 
 // Marks defines model for Marks.
 type Marks struct {
-	Dispatch  bool    `msg:"d"`
-	Parts     []int64 `msg:"p"`
-	RosterSum uint64  `msg:"r"`
-	CalmUs    int64   `msg:"u"`
+	Controller bool    `msg:"d"`
+	Parts      []int64 `msg:"p"`
+	RosterSum  uint64  `msg:"r"`
+	CalmUs     int64   `msg:"u"`
 }
 
 // Member defines model for Member.
--- a/internal/radio/crew_test.go
+++ b/internal/radio/crew_test.go
@@ -24,7 +24,7 @@
 	a := &air{crews: map[string]*Crew{}, cut: map[[2]string]bool{}, down: map[string]bool{}, rnd: rand.New(rand.NewPCG(1, 2))}
 	for i := range n {
 		addr := fmt.Sprintf("n%d", i)
-		a.crews[addr] = NewCrew(messages.Peer{Addr: addr, Role: messages.Counter, Life: int64(i + 1)}, DefaultCrewTimes, a.rnd.IntN)
+		a.crews[addr] = NewCrew(messages.Peer{Addr: addr, Role: messages.Router, Life: int64(i + 1)}, DefaultCrewTimes, a.rnd.IntN)
 	}
 	for addr, c := range a.crews {
 		if addr != "n0" {
@@ -62,7 +62,7 @@
 	a := newAir(12)
 	a.run(8_000_000)
 	for addr, c := range a.crews {
-		must.Len(t, 12, c.Alive(messages.Counter), must.Sprint(addr))
+		must.Len(t, 12, c.Alive(messages.Router), must.Sprint(addr))
 	}
 }
 
@@ -73,17 +73,17 @@
 	a.run(8_000_000)
 	for addr, c := range a.crews {
 		if addr != "n3" {
-			must.Len(t, 7, c.Alive(messages.Counter), must.Sprint(addr))
+			must.Len(t, 7, c.Alive(messages.Router), must.Sprint(addr))
 			must.Greater(t, 0, c.DeadForUs("n3", a.nowUs))
 		}
 	}
 	a.down["n3"] = false
-	a.crews["n3"] = NewCrew(messages.Peer{Addr: "n3", Role: messages.Counter, Life: 1, LedgerID: "new"}, DefaultCrewTimes, a.rnd.IntN)
+	a.crews["n3"] = NewCrew(messages.Peer{Addr: "n3", Role: messages.Router, Life: 1, LedgerID: "new"}, DefaultCrewTimes, a.rnd.IntN)
 	a.carry("n3", []Send{a.crews["n3"].Greet("n0")})
 	a.run(10_000_000)
 	for addr, c := range a.crews {
-		must.Len(t, 8, c.Alive(messages.Counter), must.Sprint(addr))
-		for _, p := range c.Alive(messages.Counter) {
+		must.Len(t, 8, c.Alive(messages.Router), must.Sprint(addr))
+		for _, p := range c.Alive(messages.Router) {
 			if p.Addr == "n3" {
 				must.Eq(t, "new", p.LedgerID)
 			}
@@ -98,7 +98,7 @@
 	for range 40 {
 		a.run(500_000)
 		for addr, c := range a.crews {
-			must.Len(t, 6, c.Alive(messages.Counter), must.Sprint(addr))
+			must.Len(t, 6, c.Alive(messages.Router), must.Sprint(addr))
 		}
 	}
 }
@@ -109,44 +109,44 @@
 	a.loss = 50
 	a.run(60_000_000)
 	for addr, c := range a.crews {
-		must.Len(t, 8, c.Alive(messages.Counter), must.Sprint(addr))
+		must.Len(t, 8, c.Alive(messages.Router), must.Sprint(addr))
 	}
 }
 
 func TestParentsKeepSitesTogether(t *testing.T) {
-	var counters []messages.Peer
+	var routers []messages.Peer
 	for i := range 40 {
-		counters = append(counters, messages.Peer{Addr: fmt.Sprintf("c%02d", i), Site: "a"})
+		routers = append(routers, messages.Peer{Addr: fmt.Sprintf("c%02d", i), Site: "a"})
 	}
-	dispatches := []messages.Peer{{Addr: "da", Site: "a"}, {Addr: "db", Site: "b"}}
-	must.Eq(t, []string{"da", "db"}, Parents("c03", "a", dispatches, counters))
-	must.Eq(t, []string{"da", "db"}, Parents("c15", "a", dispatches, counters))
-	must.Eq(t, []string{"c00", "da", "db"}, Parents("c16", "a", dispatches, counters))
-	must.Eq(t, []string{"c01", "da", "db"}, Parents("c33", "a", dispatches, counters))
-	must.Eq(t, []string{"da", "db"}, Parents("x", "c", dispatches, counters))
+	controllers := []messages.Peer{{Addr: "da", Site: "a"}, {Addr: "db", Site: "b"}}
+	must.Eq(t, []string{"da", "db"}, Parents("c03", "a", controllers, routers))
+	must.Eq(t, []string{"da", "db"}, Parents("c15", "a", controllers, routers))
+	must.Eq(t, []string{"c00", "da", "db"}, Parents("c16", "a", controllers, routers))
+	must.Eq(t, []string{"c01", "da", "db"}, Parents("c33", "a", controllers, routers))
+	must.Eq(t, []string{"da", "db"}, Parents("x", "c", controllers, routers))
 }
 
 func TestCountersSpreadOverTheDispatchesThatCount(t *testing.T) {
-	var counters []messages.Peer
+	var routers []messages.Peer
 	for i := range 34 {
-		counters = append(counters, messages.Peer{Addr: fmt.Sprintf("c%02d", i), Site: "a"})
+		routers = append(routers, messages.Peer{Addr: fmt.Sprintf("c%02d", i), Site: "a"})
 	}
-	dispatches := []messages.Peer{{Addr: "d1", Site: "a", Counted: true}, {Addr: "d2", Site: "a", Counted: true}, {Addr: "d3", Site: "a"}, {Addr: "d4", Site: "b", Counted: true}}
+	controllers := []messages.Peer{{Addr: "d1", Site: "a", Counted: true}, {Addr: "d2", Site: "a", Counted: true}, {Addr: "d3", Site: "a"}, {Addr: "d4", Site: "b", Counted: true}}
 	first := map[string]int{}
-	for i, c := range counters[:32] {
-		p := Parents(c.Addr, "a", dispatches, counters)
+	for i, c := range routers[:32] {
+		p := Parents(c.Addr, "a", controllers, routers)
 		must.Len(t, 3, p)
 		must.Eq(t, "d4", p[2])
 		first[p[0]]++
 		if i > 0 {
-			must.Eq(t, p, Parents(c.Addr, "a", dispatches, counters[1:]), must.Sprint("it stays when another goes"))
+			must.Eq(t, p, Parents(c.Addr, "a", controllers, routers[1:]), must.Sprint("it stays when another goes"))
 		}
 	}
 	must.Greater(t, 8, first["d1"])
 	must.Greater(t, 8, first["d2"])
 	must.Eq(t, 32, first["d1"]+first["d2"])
-	must.Eq(t, "c00", Parents("c32", "a", dispatches, counters)[0])
-	must.Eq(t, []string{"d3"}, Parents("c00", "a", dispatches[2:3], counters), must.Sprint("where none counts, all do"))
+	must.Eq(t, "c00", Parents("c32", "a", controllers, routers)[0])
+	must.Eq(t, []string{"d3"}, Parents("c00", "a", controllers[2:3], routers), must.Sprint("where none counts, all do"))
 }
 
 // A newcomer that starts after a member died must still see that it is gone
@@ -156,7 +156,7 @@
 	a.run(6_000_000)
 	a.down["n1"] = true
 	a.run(8_000_000)
-	c := NewCrew(messages.Peer{Addr: "new", Role: messages.Counter, Life: 9}, DefaultCrewTimes, a.rnd.IntN)
+	c := NewCrew(messages.Peer{Addr: "new", Role: messages.Router, Life: 9}, DefaultCrewTimes, a.rnd.IntN)
 	a.crews["new"] = c
 	a.carry("new", []Send{c.Greet("n0")})
 	a.run(1_000_000)
--- a/internal/radio/listen.go
+++ b/internal/radio/listen.go
@@ -33,13 +33,13 @@
 
 // Uplink is a node's link to its parent.
 type Uplink struct {
-	Dispatch  bool // this node is a dispatch
-	Hold      func() messages.Hold
-	Parents   func() []string
-	Take      func(parent string, f messages.Feed, raw []byte) (want *messages.Hold)
-	Heard     func(seq int64)   // the parent has taken what was told under seq
-	TellAgain func()            // the parent lacks what came before: all is to be told
-	Ended     func(addr string) // the subscription there has ended
+	Controller bool // this node is a controller
+	Hold       func() messages.Hold
+	Parents    func() []string
+	Take       func(parent string, f messages.Feed, raw []byte) (want *messages.Hold)
+	Heard      func(seq int64)   // the parent has taken what was told under seq
+	TellAgain  func()            // the parent lacks what came before: all is to be told
+	Ended      func(addr string) // the subscription there has ended
 
 	Malformed atomic.Int64
 
@@ -101,7 +101,7 @@
 	}
 	go l.read(ctx)
 	h := u.Hold()
-	h.Dispatch = u.Dispatch
+	h.Controller = u.Controller
 	cctx, cancel := context.WithTimeout(ctx, 600*time.Millisecond)
 	_, err = l.Call(cctx, KindSubscribe, &h)
 	cancel()
@@ -154,7 +154,7 @@
 		if want := u.Take(parent, f, body); want != nil || u.lacking {
 			u.want(l, want)
 		}
-		if f.CutOff && !u.Dispatch {
+		if f.CutOff && !u.Controller {
 			select {
 			case leave <- struct{}{}:
 			default:
@@ -187,35 +187,35 @@
 		held := u.Hold()
 		h = &held
 	}
-	h.Dispatch = u.Dispatch
+	h.Controller = u.Controller
 	if b, err := h.MarshalMsg(nil); err == nil {
 		_ = l.Push(KindWant, b)
 	}
 }
 
-// Core is those of the dispatches that count among the machines whose loss is
+// Core is those of the controllers that count among the machines whose loss is
 // bounded, or all where none does.
-func Core(dispatches []messages.Peer) []messages.Peer {
+func Core(controllers []messages.Peer) []messages.Peer {
 	var out []messages.Peer
-	for _, d := range dispatches {
+	for _, d := range controllers {
 		if d.Counted {
 			out = append(out, d)
 		}
 	}
 	if len(out) == 0 {
-		return dispatches
+		return controllers
 	}
 	return out
 }
 
-// Parents orders the nodes that a counter may take feeds from: its place in the
-// tree first. The first counters of a site hang on the site's dispatches, the
-// others on counters before them, so that a change crosses to a site once for
-// every dispatch there. Which dispatch it is follows from a hash, so that hardly
+// Parents orders the nodes that a router may take feeds from: its place in the
+// tree first. The first routers of a site hang on the site's controllers, the
+// others on routers before them, so that a change crosses to a site once for
+// every controller there. Which controller it is follows from a hash, so that hardly
 // anybody moves when nodes come and go.
-func Parents(self string, site string, dispatches, counters []messages.Peer) []string {
+func Parents(self string, site string, controllers, routers []messages.Peer) []string {
 	var near, far, row []string
-	for _, d := range Core(dispatches) {
+	for _, d := range Core(controllers) {
 		if d.Site == site {
 			near = append(near, d.Addr)
 		} else {
@@ -223,7 +223,7 @@
 		}
 	}
 	at := -1
-	for _, c := range counters {
+	for _, c := range routers {
 		if c.Site != site {
 			continue
 		}
--- a/internal/radio/relay.go
+++ b/internal/radio/relay.go
@@ -28,8 +28,8 @@
 
 // Audiences of a feed.
 const (
-	ToCounters Audience = iota
-	ToDispatches
+	ToRouters Audience = iota
+	ToControllers
 )
 
 // Relay is one node's place in the tree.
@@ -42,11 +42,11 @@
 }
 
 type sub struct {
-	mu       sync.Mutex
-	waiting  []byte
-	kick     chan struct{}
-	dispatch bool
-	heard    int64
+	mu         sync.Mutex
+	waiting    []byte
+	kick       chan struct{}
+	controller bool
+	heard      int64
 }
 
 // atOnce bounds how many subscribers are brought up to date at one time.
@@ -119,7 +119,7 @@
 }
 
 func (y *Relay) add(l *Link, h messages.Hold) {
-	s := &sub{kick: make(chan struct{}, 1), dispatch: h.Dispatch}
+	s := &sub{kick: make(chan struct{}, 1), controller: h.Controller}
 	y.mu.Lock()
 	y.subs[l] = s
 	y.mu.Unlock()
@@ -176,7 +176,7 @@
 	y.mu.Lock()
 	defer y.mu.Unlock()
 	for _, s := range y.subs {
-		if s.dispatch == (to == ToDispatches) {
+		if s.controller == (to == ToControllers) {
 			return true
 		}
 	}
@@ -198,7 +198,7 @@
 	y.mu.Lock()
 	defer y.mu.Unlock()
 	for _, s := range y.subs {
-		if s.dispatch == (to == ToDispatches) {
+		if s.controller == (to == ToControllers) {
 			y.put(s, KindFeed, body)
 		}
 	}
--- a/internal/radio/relay_test.go
+++ b/internal/radio/relay_test.go
@@ -95,7 +95,7 @@
 		return statesync.SendEntries(state.Commit(state.Version + 1))
 	}
 	change("a", "1")
-	relay.Publish(ToCounters, messages.Feed{Versions: []int64{}, Roster: []messages.EntryChange{change("b", "1")}}) // the one before is lost
+	relay.Publish(ToRouters, messages.Feed{Versions: []int64{}, Roster: []messages.EntryChange{change("b", "1")}}) // the one before is lost
 	until := func(want string) {
 		t.Helper()
 		for range 1000 {
@@ -108,7 +108,7 @@
 			select {
 			case <-arrived:
 			case <-time.After(20 * time.Millisecond): // as a parent does: an empty feed now and then
-				relay.Publish(ToCounters, messages.Feed{Versions: []int64{}})
+				relay.Publish(ToRouters, messages.Feed{Versions: []int64{}})
 			}
 		}
 		t.Fatal("never came to the state of the parent: " + want)
@@ -116,23 +116,23 @@
 	until("after a lost change")
 	bad := change("c", "1")
 	bad.Digest++
-	relay.Publish(ToCounters, messages.Feed{Versions: []int64{}, Roster: []messages.EntryChange{bad}})
+	relay.Publish(ToRouters, messages.Feed{Versions: []int64{}, Roster: []messages.EntryChange{bad}})
 	for r := range arrived {
 		if r == statesync.Mismatch {
 			break
 		}
 	}
-	relay.Publish(ToCounters, messages.Feed{Versions: []int64{}}) // what is lacking is asked for with the next feed
+	relay.Publish(ToRouters, messages.Feed{Versions: []int64{}}) // what is lacking is asked for with the next feed
 	until("after a damaged change")
-	relay.Pass(ToCounters, []byte("no feed"))
-	relay.Publish(ToCounters, messages.Feed{Versions: []int64{}, Roster: []messages.EntryChange{change("d", "1")}})
+	relay.Pass(ToRouters, []byte("no feed"))
+	relay.Publish(ToRouters, messages.Feed{Versions: []int64{}, Roster: []messages.EntryChange{change("d", "1")}})
 	until("after bytes that are no feed")
 	must.Eq(t, int64(1), up.Malformed.Load())
 
 	must.True(t, up.Tell(KindTold, &messages.Told{Seq: 7}))
 	must.Eq(t, int64(7), (<-told).Seq)
 	for seq := int64(0); seq != 7; {
-		relay.Publish(ToCounters, messages.Feed{Versions: []int64{}})
+		relay.Publish(ToRouters, messages.Feed{Versions: []int64{}})
 		select {
 		case seq = <-heard:
 		case <-time.After(20 * time.Millisecond):
@@ -192,7 +192,7 @@
 	must.Eq(t, 0, <-joined)
 	must.Eq(t, 1, <-joined)
 	for seen := 0; seen < 30; {
-		relays[1].Publish(ToCounters, messages.Feed{Versions: []int64{}, CutOff: true})
+		relays[1].Publish(ToRouters, messages.Feed{Versions: []int64{}, CutOff: true})
 		if p := <-fed; p == addrs[1] {
 			seen++
 		}
--- a/internal/registry/registry.go
+++ b/internal/registry/registry.go
@@ -44,7 +44,7 @@
 func (r *Roster) Snapshot() *Snapshot { return r.snap.Load() }
 
 // Hear takes a beat that came straight from a runner or was passed on by the
-// dispatch that got it. It tells whether anything but the sequence changed.
+// controller that got it. It tells whether anything but the sequence changed.
 func (r *Roster) Hear(n messages.RunnerNote, nowUs int64) bool {
 	r.mu.Lock()
 	defer r.mu.Unlock()
--- a/internal/rollout/plan.go
+++ b/internal/rollout/plan.go
@@ -2,7 +2,7 @@
 // at a time. Each is first eased: no long request goes there any more, so that
 // its runs end soon. Then it is taken from the candidates, given the time to
 // begin what it was sent, ordered, and watched until it holds the new weights.
-// Plan is pure; the dispatch that holds the duty carries it out.
+// Plan is pure; the controller that holds the duty carries it out.
 package rollout
 
 import "sort"
--- a/internal/router/condition.go
+++ b/internal/router/condition.go
@@ -1,4 +1,4 @@
-// Condition is what a counter tells the doctor of itself.
+// Condition is what a router tells the doctor of itself.
 package router
 
 import (
@@ -9,8 +9,8 @@
 	"beechtide.org/beechtide/internal/radio"
 )
 
-func (c *Counter) condition() messages.Condition {
-	x := messages.Condition{Node: c.set.Node, Role: messages.Counter, Site: c.set.Site, Addr: c.radio.Addr(), TimeUs: time.Now().UnixMicro()}
+func (c *Router) condition() messages.Condition {
+	x := messages.Condition{Node: c.set.Node, Role: messages.Router, Site: c.set.Site, Addr: c.radio.Addr(), TimeUs: time.Now().UnixMicro()}
 	c.nmu.Lock()
 	x.Marks = c.versions()
 	c.nmu.Unlock()
@@ -24,6 +24,6 @@
 }
 
 // OnRing tells how the doctor gets the log ring.
-func (c *Counter) OnRing(show func() ([]byte, error)) {
+func (c *Router) OnRing(show func() ([]byte, error)) {
 	c.radio.OnCall(radio.KindRing, func(context.Context, *radio.Link, []byte) ([]byte, error) { return show() })
 }
--- a/internal/router/feed.go
+++ b/internal/router/feed.go
@@ -1,4 +1,4 @@
-// The feed: what reaches a counter down the tree, taken in as changes. Whatever
+// The feed: what reaches a router down the tree, taken in as changes. Whatever
 // does not fit what is held is asked for again, by naming what is held; nothing
 // is ever guessed, and no version goes back.
 package router
@@ -28,7 +28,7 @@
 }
 
 // hold names what this node holds of every stream.
-func (c *Counter) hold() messages.Hold {
+func (c *Router) hold() messages.Hold {
 	var h messages.Hold
 	c.nmu.Lock()
 	for p, n := range c.parts {
@@ -48,7 +48,7 @@
 }
 
 // since gives what a node below lacks.
-func (c *Counter) since(h messages.Hold) messages.Feed {
+func (c *Router) since(h messages.Hold) messages.Feed {
 	var f messages.Feed
 	c.nmu.Lock()
 	f.Versions = c.versions()
@@ -77,7 +77,7 @@
 }
 
 // versions are those of the parts that are held.
-func (c *Counter) versions() []int64 {
+func (c *Router) versions() []int64 {
 	out := []int64{c.menu.Version}
 	for p, n := range c.parts {
 		for len(out) <= p {
@@ -89,7 +89,7 @@
 }
 
 // behind tells whether a node with these versions has something newer.
-func (c *Counter) behind(versions []int64) bool {
+func (c *Router) behind(versions []int64) bool {
 	c.nmu.Lock()
 	defer c.nmu.Unlock()
 	mine := c.versions()
@@ -101,17 +101,17 @@
 	return false
 }
 
-// calm takes a dispatch's word on how long the core has been as it is.
-func (c *Counter) calm(forUs int64) {
+// calm takes a controller's word on how long the core has been as it is.
+func (c *Router) calm(forUs int64) {
 	c.dmu.Lock()
 	c.door.Calm(c.clock() - forUs + contactPartUs(c.set.Bounds.ContactMs))
 	c.dmu.Unlock()
 }
 
 // takeFeed takes what the parent sent and passes it on.
-func (c *Counter) takeFeed(parent string, f messages.Feed, raw []byte) *messages.Hold {
+func (c *Router) takeFeed(parent string, f messages.Feed, raw []byte) *messages.Hold {
 	c.parent.Store(&parent)
-	c.relay.Pass(radio.ToCounters, raw)
+	c.relay.Pass(radio.ToRouters, raw)
 	if !c.take(parent, f) || c.behind(f.Versions) {
 		h := c.hold()
 		return &h
@@ -121,7 +121,7 @@
 
 // take takes a feed in; parent is empty where it came from another node than
 // the parent. It tells whether all of it fitted.
-func (c *Counter) take(parent string, f messages.Feed) (fits bool) {
+func (c *Router) take(parent string, f messages.Feed) (fits bool) {
 	now := c.clock()
 	fits = true
 	note := func(r statesync.Result, again bool) {
@@ -196,7 +196,7 @@
 
 // takeMenu takes a change of the configuration; the table is made anew from the
 // entries that changed and then swapped in.
-func (c *Counter) takeMenu(ch messages.EntryChange) (r statesync.Result, renewed bool) {
+func (c *Router) takeMenu(ch messages.EntryChange) (r statesync.Result, renewed bool) {
 	if ch.Whole && ch.To <= c.menu.Version {
 		return statesync.Known, false
 	}
@@ -227,7 +227,7 @@
 	return r, true
 }
 
-func (c *Counter) takePart(p messages.PartNote, nowUs int64) {
+func (c *Router) takePart(p messages.PartNote, nowUs int64) {
 	if old, ok := c.parts[p.Part]; p.Part == 0 || ok && old.Mark >= p.Mark {
 		return
 	}
--- a/internal/router/front.go
+++ b/internal/router/front.go
@@ -22,7 +22,7 @@
 	"beechtide.org/beechtide/internal/routeconfig"
 )
 
-func (c *Counter) serveReady() error {
+func (c *Router) serveReady() error {
 	h := controller.Server(c.set.Listen.Ready)
 	h.GET("/api/ready", func(_ context.Context, rc *app.RequestContext) {
 		if c.ready() {
@@ -38,7 +38,7 @@
 	return h.Run()
 }
 
-func (c *Counter) ready() bool {
+func (c *Router) ready() bool {
 	return c.table.Load() != nil && c.informed.Load() && !c.leaving.Load()
 }
 
@@ -52,7 +52,7 @@
 
 // The limits on connections are those of the configuration that is in force
 // when the front opens.
-func (c *Counter) serveFront() error {
+func (c *Router) serveFront() error {
 	lim := c.table.Load().Limits
 	body := lim.BodyBytes
 	if body <= 0 {
@@ -75,9 +75,9 @@
 	return h.Run()
 }
 
-// visit is one request on its way through the counter.
+// visit is one request on its way through the router.
 type visit struct {
-	c       *Counter
+	c       *Router
 	rc      *app.RequestContext
 	route   *routeconfig.Route
 	tenant  *api.Tenant
@@ -93,7 +93,7 @@
 	changed bool // the tenant's regime changed while the request waited
 }
 
-func (c *Counter) serve(_ context.Context, rc *app.RequestContext) {
+func (c *Router) serve(_ context.Context, rc *app.RequestContext) {
 	c.inFlight.Add(1)
 	defer c.inFlight.Add(-1)
 	defer func() {
--- a/internal/router/leave.go
+++ b/internal/router/leave.go
@@ -10,7 +10,7 @@
 // a second, and some.
 const noticeMs = 2600
 
-func (c *Counter) leave() {
+func (c *Router) leave() {
 	c.leaving.Store(true)
 	c.log.Info("leaving")
 	start := time.Now()
--- a/internal/router/loads.go
+++ b/internal/router/loads.go
@@ -171,7 +171,7 @@
 
 // tellAgain makes the next word a whole one, for a parent that lacks the ones
 // before.
-func (c *Counter) tellAgain() {
+func (c *Router) tellAgain() {
 	c.loads.mu.Lock()
 	c.loads.whole, c.loads.told, c.loads.heard, c.loads.all = true, nil, nil, true
 	c.loads.mu.Unlock()
@@ -179,7 +179,7 @@
 }
 
 // toldBelow takes the word of a node below.
-func (c *Counter) toldBelow(from string, t messages.Told) bool {
+func (c *Router) toldBelow(from string, t messages.Told) bool {
 	l := &c.loads
 	l.mu.Lock()
 	ok := true
@@ -199,14 +199,14 @@
 	return ok
 }
 
-func (c *Counter) goneBelow(from string) {
+func (c *Router) goneBelow(from string) {
 	c.loads.mu.Lock()
 	c.loads.below.Drop(from)
 	c.loads.mu.Unlock()
 }
 
-func (c *Counter) tellOnce() {
-	if n := len(c.watch.Alive(messages.Counter)); n > 0 {
+func (c *Router) tellOnce() {
+	if n := len(c.watch.Alive(messages.Router)); n > 0 {
 		c.nodes.Store(int64(n))
 	}
 	c.dmu.Lock()
@@ -220,7 +220,7 @@
 
 // tellLoads tells them up the tree: at once when a runner has been sent shared
 // parts to read, a little later when anything else has stirred.
-func (c *Counter) tellLoads(ctx context.Context) {
+func (c *Router) tellLoads(ctx context.Context) {
 	t := time.NewTicker(tellRest)
 	defer t.Stop()
 	for {
--- a/internal/router/move_test.go
+++ b/internal/router/move_test.go
@@ -38,7 +38,7 @@
 }
 
 // sited puts runner i at sites[i].
-func (c *Counter) sited(t *testing.T, sites ...string) {
+func (c *Router) sited(t *testing.T, sites ...string) {
 	t.Helper()
 	snap := c.roster.Snapshot()
 	var notes []messages.RunnerNote
@@ -68,7 +68,7 @@
 				return
 			}
 			write(chunk("id: 2\ndata: b\n\nid: 3\nda"))
-			<-closed // the counter hangs up first
+			<-closed // the router hangs up first
 			close(g.at("left"))
 		}
 		b.stream = func(write func(string), _ <-chan struct{}) {
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -26,8 +26,8 @@
 	"beechtide.org/beechtide/internal/upstream"
 )
 
-// Counter is the running role.
-type Counter struct {
+// Router is the running role.
+type Router struct {
 	set    settings.Settings
 	log    logr.Logger
 	clock  func() int64
@@ -69,12 +69,12 @@
 }
 
 // New builds the role.
-func New(set settings.Settings, pool *ants.Pool, clock func() int64, log logr.Logger) (*Counter, error) {
-	rad, err := radio.New(set.CounterAddr(), pool, log)
+func New(set settings.Settings, pool *ants.Pool, clock func() int64, log logr.Logger) (*Router, error) {
+	rad, err := radio.New(set.RouterAddr(), pool, log)
 	if err != nil {
 		return nil, err
 	}
-	c := &Counter{set: set, log: log, clock: clock, radio: rad, roster: registry.New(), garage: upstream.NewGarage(clock), parts: map[int]messages.PartNote{}, door: admission.New(admission.Defaults, set.Site), budgets: map[string]*upstream.Budget{}, kick: make(chan struct{}, 1), fresh: make(chan struct{}, 1), stir: make(chan struct{}, 1)}
+	c := &Router{set: set, log: log, clock: clock, radio: rad, roster: registry.New(), garage: upstream.NewGarage(clock), parts: map[int]messages.PartNote{}, door: admission.New(admission.Defaults, set.Site), budgets: map[string]*upstream.Budget{}, kick: make(chan struct{}, 1), fresh: make(chan struct{}, 1), stir: make(chan struct{}, 1)}
 	c.menu, c.runners = statesync.NewEntries(), statesync.NewEntries()
 	c.loads.init(clock())
 	none := ""
@@ -85,7 +85,7 @@
 	c.up.Hold, c.up.Parents, c.up.Take = c.hold, c.parents, c.takeFeed
 	c.up.Heard, c.up.TellAgain, c.up.Ended = c.loads.heardUp, c.tellAgain, func(string) {}
 	c.seeds.Store(&set.Seeds)
-	c.watch = radio.NewWatch(rad, messages.Peer{Addr: set.CounterAddr(), Role: messages.Counter, Site: set.Site, Node: set.Node}, clock, c.seedAddrs)
+	c.watch = radio.NewWatch(rad, messages.Peer{Addr: set.RouterAddr(), Role: messages.Router, Site: set.Site, Node: set.Node}, clock, c.seedAddrs)
 	rad.OnCall(radio.KindCondition, func(context.Context, *radio.Link, []byte) ([]byte, error) {
 		x := c.condition()
 		return x.MarshalMsg(nil)
@@ -94,7 +94,7 @@
 }
 
 // Run serves until ctx ends; it then leaves in order.
-func (c *Counter) Run(ctx context.Context) error {
+func (c *Router) Run(ctx context.Context) error {
 	live, stop := context.WithCancel(context.Background())
 	defer stop()
 	c.radio.Run(live)
@@ -125,8 +125,8 @@
 	return nil
 }
 
-func (c *Counter) parents() []string {
-	list := radio.Parents(c.radio.Addr(), c.set.Site, c.watch.Alive(messages.Dispatch), c.watch.Alive(messages.Counter))
+func (c *Router) parents() []string {
+	list := radio.Parents(c.radio.Addr(), c.set.Site, c.watch.Alive(messages.Controller), c.watch.Alive(messages.Router))
 	if len(list) == 0 {
 		return c.seedAddrs()
 	}
@@ -135,16 +135,16 @@
 
 // Reload takes what may change in a running process from newly read settings:
 // the seeds.
-func (c *Counter) Reload(set settings.Settings) { c.seeds.Store(&set.Seeds) }
+func (c *Router) Reload(set settings.Settings) { c.seeds.Store(&set.Seeds) }
 
-func (c *Counter) seedAddrs() []string {
+func (c *Router) seedAddrs() []string {
 	set := c.set
 	set.Seeds = *c.seeds.Load()
 	return set.SeedAddrs()
 }
 
 // syncDoor brings the doorman to the runners and services that are known.
-func (c *Counter) syncDoor() {
+func (c *Router) syncDoor() {
 	t := c.table.Load()
 	snap := c.roster.Snapshot()
 	c.loads.anew()
@@ -220,14 +220,14 @@
 	return out
 }
 
-// compareEvery is how often a counter asks a dispatch that is not its parent
+// compareEvery is how often a router asks a controller that is not its parent
 // for its versions. What it lacks reaches it through its parent; this covers a
 // parent that is on the wrong side of a cut and does not know it.
 const compareEvery = 500 * time.Millisecond
 
-// compareVersions asks the dispatches in turn what they hold, and takes what is
+// compareVersions asks the controllers in turn what they hold, and takes what is
 // newer.
-func (c *Counter) compareVersions(ctx context.Context) func() {
+func (c *Router) compareVersions(ctx context.Context) func() {
 	turn, differs := rand.IntN(64), 0
 	return func() {
 		list := c.aliveDispatches()
@@ -253,9 +253,9 @@
 	}
 }
 
-func (c *Counter) aliveDispatches() []string {
+func (c *Router) aliveDispatches() []string {
 	var list []string
-	for _, p := range radio.Core(c.watch.Alive(messages.Dispatch)) {
+	for _, p := range radio.Core(c.watch.Alive(messages.Controller)) {
 		if p.Standing == messages.Alive {
 			list = append(list, p.Addr)
 		}
@@ -263,9 +263,9 @@
 	return list
 }
 
-// compareWith asks one dispatch for its versions and takes the changes since
+// compareWith asks one controller for its versions and takes the changes since
 // this node's from it where it has something newer; all runners with anyway.
-func (c *Counter) compareWith(ctx context.Context, addr string, anyway bool) (m messages.Marks, ok bool) {
+func (c *Router) compareWith(ctx context.Context, addr string, anyway bool) (m messages.Marks, ok bool) {
 	ctx, cancel := context.WithTimeout(ctx, 400*time.Millisecond)
 	defer cancel()
 	b, err := c.radio.Call(ctx, addr, radio.KindMarks, &messages.Marks{Parts: []int64{}})
@@ -296,16 +296,16 @@
 
 // contactPartUs is how long after the last change in the core the stretch begins
 // in which runners must come to new weights: the time of contact, less what the
-// dispatches may have taken to see the change.
+// controllers may have taken to see the change.
 func contactPartUs(contactMs int) int64 { return int64(contactMs) * 1000 / 2 }
 
 // recheckUs is how seldom a node asks before it denies an unknown route or key.
 const recheckUs = 200_000
 
 // recheck makes sure, before a proper request may be denied for a configuration
-// that is on its way, that no dispatch in reach has a newer one. It tells
+// that is on its way, that no controller in reach has a newer one. It tells
 // whether the table has changed.
-func (c *Counter) recheck() bool {
+func (c *Router) recheck() bool {
 	last, now := c.recheckedUs.Load(), c.clock()
 	if now-last < recheckUs || !c.recheckedUs.CompareAndSwap(last, now) {
 		return false
@@ -321,7 +321,7 @@
 	return c.table.Load() != before
 }
 
-func (c *Counter) wake() { poke(c.kick) }
+func (c *Router) wake() { poke(c.kick) }
 
 func poke(ch chan struct{}) {
 	select {
@@ -331,7 +331,7 @@
 }
 
 // pump lets the doorman's time pass while requests wait.
-func (c *Counter) pump(ctx context.Context) {
+func (c *Router) pump(ctx context.Context) {
 	for {
 		select {
 		case <-c.kick:
--- a/internal/router/router_test.go
+++ b/internal/router/router_test.go
@@ -143,7 +143,7 @@
 	return out
 }
 
-func start(t *testing.T, runners ...*runner) (*Counter, string, context.CancelFunc) {
+func start(t *testing.T, runners ...*runner) (*Router, string, context.CancelFunc) {
 	t.Helper()
 	p := ports(t, 3)
 	addr := func(i int) string { return fmt.Sprintf("127.0.0.1:%d", p[i]) }
@@ -445,7 +445,7 @@
 	return strings.Replace(s, `"limits"`, `"regimes":[{"name":"allergen"}],"certificates":[{"regime":"allergen","runners":[`+runners+`]}],"limits"`, 1)
 }
 
-func (c *Counter) adopt(t *testing.T, mark int64, version int64, text string) {
+func (c *Router) adopt(t *testing.T, mark int64, version int64, text string) {
 	t.Helper()
 	must.True(t, c.take("", messages.Feed{Menu: []messages.EntryChange{wholeMenu(t, text, mark)}}))
 	must.Eq(t, version, c.table.Load().Mark)
@@ -564,7 +564,7 @@
 	must.True(t, c.take("p", messages.Feed{Menu: []messages.EntryChange{good}}), must.Sprint("twice does nothing"))
 }
 
-// A dispatch that has just started and knows no runner does not make a counter
+// A controller that has just started and knows no runner does not make a router
 // ready.
 func TestReadyNeedsAConfigurationAndARunner(t *testing.T) {
 	c, _, _ := start(t)
--- a/internal/router/shots.go
+++ b/internal/router/shots.go
@@ -124,7 +124,7 @@
 	}
 }
 
-func (c *Counter) budget(service string) *upstream.Budget {
+func (c *Router) budget(service string) *upstream.Budget {
 	b := c.budgets[service]
 	if b == nil {
 		s := c.set.Bounds
@@ -281,7 +281,7 @@
 
 // ended notes how a shot that was sent ended at its runner. One that died on a
 // link that had rested says something of the link, not of the runner.
-func (c *Counter) ended(adm *admission.Admission, link *upstream.Link, good, answered bool) {
+func (c *Router) ended(adm *admission.Admission, link *upstream.Link, good, answered bool) {
 	if !good && !answered && link.RestedUs > 0 {
 		c.garage.Dead(link)
 		return
@@ -294,7 +294,7 @@
 	c.dmu.Unlock()
 }
 
-func (c *Counter) done(adm *admission.Admission, ok bool) {
+func (c *Router) done(adm *admission.Admission, ok bool) {
 	c.dmu.Lock()
 	c.door.Done(adm, ok, c.clock())
 	c.dmu.Unlock()
@@ -302,7 +302,7 @@
 	c.wake()
 }
 
-func (c *Counter) giveBack(adm *admission.Admission, link *upstream.Link, r *protocol.Response, ok bool) {
+func (c *Router) giveBack(adm *admission.Admission, link *upstream.Link, r *protocol.Response, ok bool) {
 	if ok {
 		c.garage.Put(adm.Runner.Addr, link, &r.Header)
 	} else {
@@ -405,7 +405,7 @@
 	return whole
 }
 
-func (c *Counter) first(adm *admission.Admission) {
+func (c *Router) first(adm *admission.Admission) {
 	c.dmu.Lock()
 	c.door.FirstToken(adm, c.clock())
 	c.dmu.Unlock()
--- a/internal/settings/load.go
+++ b/internal/settings/load.go
@@ -92,16 +92,16 @@
 	}
 }
 
-// CounterAddr is where the counter of this machine listens to other nodes.
-func (s Settings) CounterAddr() string { return fmt.Sprintf("%s:%d", s.Ip, s.Ports[0]) }
+// RouterAddr is where the router of this machine listens to other nodes.
+func (s Settings) RouterAddr() string { return fmt.Sprintf("%s:%d", s.Ip, s.Ports[0]) }
 
-// DispatchAddr is where the dispatch of this machine listens to other nodes.
-func (s Settings) DispatchAddr() string { return s.DispatchAt(s.Ip) }
+// ControllerAddr is where the controller of this machine listens to other nodes.
+func (s Settings) ControllerAddr() string { return s.DispatchAt(s.Ip) }
 
-// DispatchAt is where the dispatch of another machine listens.
+// DispatchAt is where the controller of another machine listens.
 func (s Settings) DispatchAt(ip string) string { return fmt.Sprintf("%s:%d", ip, s.Ports[0]+1) }
 
-// SeedAddrs are the inner addresses of the dispatches named as seeds.
+// SeedAddrs are the inner addresses of the controllers named as seeds.
 func (s Settings) SeedAddrs() []string {
 	var out []string
 	for _, seed := range s.Seeds {
--- a/internal/upstream/budget.go
+++ b/internal/upstream/budget.go
@@ -1,6 +1,6 @@
 // Budget bounds further shots. The budget is one for the whole system; a node
 // spends from the requests it took itself, and from its share of the slack by
-// the number of counters it knows, with a margin for windows that slide and
+// the number of routers it knows, with a margin for windows that slide and
 // for nodes that start anew.
 package upstream
 
