--- a/cmd/beechtide/audit.go
+++ b/cmd/beechtide/audit.go
@@ -38,11 +38,11 @@
 		fmt.Fprintln(os.Stderr, "beechtide audit: name at least one configuration (-c) and one trail")
 		return 2
 	}
-	var menus []api.Menu
+	var menus []api.Configuration
 	for _, path := range configs {
 		raw, err := os.ReadFile(path)
 		if err == nil {
-			var m api.Menu
+			var m api.Configuration
 			if m, err = routeconfig.Parse(raw); err == nil {
 				menus = append(menus, m)
 				continue
--- a/internal/admission/admission.go
+++ b/internal/admission/admission.go
@@ -47,7 +47,7 @@
 	DenyTTL     Reason = "ttl"
 )
 
-// Ruling is what the doorman says of one request.
+// Ruling is what the admission control says of one request.
 type Ruling struct {
 	Ref     inflight.Ref
 	Admit   *Admission
@@ -59,9 +59,9 @@
 
 // Admission is a request's place at a runner; it is given back with Done.
 type Admission struct {
-	Runner   messages.RunnerNote
+	Runner   messages.RunnerRecord
 	Salt     string
-	Mark     int64
+	Version  int64
 	Kept     int
 	Source   string // address of the runner or store to take kept parts from
 	Sink     string // address of the store to send parts to once they are read
@@ -108,42 +108,42 @@
 type Store struct {
 	ID     string
 	Addr   string
-	Site   string
+	Zone   string
 	MoveUs float64 // to move the memory of one token
 }
 
 // Doorman is not safe for concurrent use.
 type Doorman struct {
 	T       Tuning
-	Site    string
+	Zone    string
 	Index   *prefixindex.Index
 	nodes   int
 	pools   map[string]*pool
 	tenants map[string]*tenantState
-	oldUs   map[string]int64 // by model: since when the newest mark is known
+	oldUs   map[string]int64 // by model: since when the newest version is known
 	newest  map[string]int64 // by model
 	calmUs  int64
-	left    map[string]relinquished // by site
+	left    map[string]relinquished // by zone
 	list    []placement.Candidate   // kept from one look for candidates to the next
 	who     []*runner
 	turn    int                 // whose turn it is among equals
 	free    bool                // the last look for candidates found a runner with a place
 	toldUs  int64               // when the others' loads last came
 	fresh   []messages.KeptNote // parts that this node has sent somewhere to be read
-	MarkUs  int64               // after how long an older mark is out of bounds
-	Salt    func(tenant string, isolated bool, regime string, mark int64) string
+	MarkUs  int64               // after how long an older version is out of bounds
+	Salt    func(tenant string, isolated bool, regime string, version int64) string
 }
 
-// New makes a doorman for a node at a site.
-func New(t Tuning, site string) *Doorman {
-	return &Doorman{T: t, Site: site, Index: prefixindex.NewIndex(), nodes: 1, pools: map[string]*pool{}, tenants: map[string]*tenantState{}, oldUs: map[string]int64{}, newest: map[string]int64{}, MarkUs: 6_000_000, Salt: Salt}
+// New makes a admission control for a node at a zone.
+func New(t Tuning, zone string) *Doorman {
+	return &Doorman{T: t, Zone: zone, Index: prefixindex.NewIndex(), nodes: 1, pools: map[string]*pool{}, tenants: map[string]*tenantState{}, oldUs: map[string]int64{}, newest: map[string]int64{}, MarkUs: 6_000_000, Salt: Salt}
 }
 
-// Salt keeps weight marks apart, isolated tenants from all others, and the
+// Salt keeps weight versions apart, isolated tenants from all others, and the
 // tenants of a regime from those outside it, whose requests may go anywhere.
-func Salt(tenant string, isolated bool, regime string, mark int64) string {
+func Salt(tenant string, isolated bool, regime string, version int64) string {
 	b := []byte{'w'}
-	b = appendInt(b, mark)
+	b = appendInt(b, version)
 	if regime != "" {
 		b = append(append(b, '~'), regime...)
 	}
@@ -163,10 +163,10 @@
 // SetNodes tells how many nodes share the runners.
 func (d *Doorman) SetNodes(n int) { d.nodes = max(n, 1) }
 
-// SetNewest tells the newest mark named for a model.
-func (d *Doorman) SetNewest(model string, mark, nowUs int64) {
-	if mark > d.newest[model] {
-		d.newest[model] = mark
+// SetNewest tells the newest version named for a model.
+func (d *Doorman) SetNewest(model string, version, nowUs int64) {
+	if version > d.newest[model] {
+		d.newest[model] = version
 		d.oldUs[model] = nowUs
 	}
 }
@@ -177,7 +177,7 @@
 
 // SetService tells the runners of a service, the memory of each in tokens, and
 // how long moving the memory of a token takes.
-func (d *Doorman) SetService(service string, notes []messages.RunnerNote, tokens int, moveUs float64) {
+func (d *Doorman) SetService(service string, notes []messages.RunnerRecord, tokens int, moveUs float64) {
 	p := d.pool(service)
 	p.tokens, p.moveUs = tokens, moveUs
 	keep := map[string]bool{}
@@ -363,11 +363,11 @@
 	d.forgetOthers(nowUs)
 	told := d.told(nowUs)
 	keysOf := d.keysOf(a)
-	near, leaving := d.Site, false
+	near, leaving := d.Zone, false
 	if len(d.left) > 0 {
 		if home := d.home(a, p); home != "" {
 			leaving = true // there is where to go
-			if d.Leaves(a, d.Site, nowUs) {
+			if d.Leaves(a, d.Zone, nowUs) {
 				near = home
 			}
 		}
@@ -379,7 +379,7 @@
 			if r.note.Draining || r.barred(nowUs) || !p.lets(a, id) || avoided(a.Avoid, id) || pass != d.preference(a, r, nowUs) {
 				continue
 			}
-			if !d.markAllowed(a.Model, r, nowUs) || leaving && d.Leaves(a, r.note.Site, nowUs) {
+			if !d.markAllowed(a.Model, r, nowUs) || leaving && d.Leaves(a, r.note.Zone, nowUs) {
 				continue
 			}
 			use := r.settle(&d.T, nowUs, d.nodes, told)
@@ -394,7 +394,7 @@
 					continue
 				}
 			}
-			out = append(out, placement.Candidate{ID: id, NearSite: r.note.Site == near, Kept: kept, Prefill: r.prefill(), Active: active, Capacity: r.capacity, Used: use, Rate: r.readRate(&d.T), Reading: r.reading(&d.T, nowUs), DoubtUs: r.soundness.doubtUs(nowUs)})
+			out = append(out, placement.Candidate{ID: id, NearSite: r.note.Zone == near, Kept: kept, Prefill: r.prefill(), Active: active, Capacity: r.capacity, Used: use, Rate: r.readRate(&d.T), Reading: r.reading(&d.T, nowUs), DoubtUs: r.soundness.doubtUs(nowUs)})
 			who = append(who, r)
 		}
 		if len(out) > 0 {
@@ -407,25 +407,25 @@
 	return out, who
 }
 
-// keysOf gives the keys of a request's parts under each mark, each worked out
+// keysOf gives the keys of a request's parts under each version, each worked out
 // once.
-func (d *Doorman) keysOf(a Ask) func(mark int64) []uint64 {
-	var marks []int64
+func (d *Doorman) keysOf(a Ask) func(version int64) []uint64 {
+	var versions []int64
 	var keys [][]uint64
-	return func(mark int64) []uint64 {
-		for i, m := range marks {
-			if m == mark {
+	return func(version int64) []uint64 {
+		for i, m := range versions {
+			if m == version {
 				return keys[i]
 			}
 		}
-		marks = append(marks, mark)
-		keys = append(keys, prefixindex.Keys(d.Salt(a.Tenant, a.Isolated, a.Regime, mark), a.Model, a.Parts))
+		versions = append(versions, version)
+		keys = append(keys, prefixindex.Keys(d.Salt(a.Tenant, a.Isolated, a.Regime, version), a.Model, a.Parts))
 		return keys[len(keys)-1]
 	}
 }
 
 // Costs of a move of kept parts: its start, and how much longer it takes
-// between sites. Fewer tokens than moveMin are not worth one.
+// between zones. Fewer tokens than moveMin are not worth one.
 const (
 	moveStartUs = 3_000
 	moveFar     = 2
@@ -434,24 +434,24 @@
 
 // holder is a runner or store that keeps some of a prompt.
 type holder struct {
-	addr   string
-	site   string
-	mark   int64
-	kept   int
-	moveUs float64
-	equals int
+	addr    string
+	zone    string
+	version int64
+	kept    int
+	moveUs  float64
+	equals  int
 }
 
 // findMoves finds for every candidate the runner with the same weights that
 // keeps more of the prompt and from where it comes soonest.
-func (d *Doorman) findMoves(a Ask, p *pool, out []placement.Candidate, who []*runner, keysOf func(mark int64) []uint64, nowUs int64) {
+func (d *Doorman) findMoves(a Ask, p *pool, out []placement.Candidate, who []*runner, keysOf func(version int64) []uint64, nowUs int64) {
 	shared := 0
 	for _, part := range a.Parts[:len(a.Parts)-1] {
 		shared += part.Tokens
 	}
 	known := map[int64]int{}
 	var holders []holder
-	// of several with the same weights, site and speed the one with most is
+	// of several with the same weights, zone and speed the one with most is
 	// enough; among equals they take turns
 	add := func(h holder) {
 		if h.kept < moveMin {
@@ -459,7 +459,7 @@
 		}
 		for i := range holders {
 			o := &holders[i]
-			if o.mark != h.mark || o.site != h.site || o.moveUs != h.moveUs {
+			if o.version != h.version || o.zone != h.zone || o.moveUs != h.moveUs {
 				continue
 			}
 			switch {
@@ -481,33 +481,33 @@
 		if r.note.Stale || r.unsoundUs > nowUs || !p.lets(a, id) {
 			continue
 		}
-		mark := markOf(r.note, a.Model)
-		kept, expected := d.Index.Both(id, keysOf(mark), a.Parts)
-		add(holder{addr: r.note.Addr, site: r.note.Site, mark: mark, kept: kept, moveUs: p.moveUs})
-		known[mark] = max(known[mark], min(shared, expected))
+		version := markOf(r.note, a.Model)
+		kept, expected := d.Index.Both(id, keysOf(version), a.Parts)
+		add(holder{addr: r.note.Addr, zone: r.note.Zone, version: version, kept: kept, moveUs: p.moveUs})
+		known[version] = max(known[version], min(shared, expected))
 	}
 	for _, s := range p.stores {
 		if !p.lets(a, s.ID) {
 			continue
 		}
-		for mark := range known {
-			if kept := d.Index.Kept(s.ID, keysOf(mark), a.Parts); kept >= moveMin {
-				add(holder{addr: s.Addr, site: s.Site, mark: mark, kept: kept, moveUs: s.MoveUs})
-				known[mark] = max(known[mark], min(shared, kept))
+		for version := range known {
+			if kept := d.Index.Kept(s.ID, keysOf(version), a.Parts); kept >= moveMin {
+				add(holder{addr: s.Addr, zone: s.Zone, version: version, kept: kept, moveUs: s.MoveUs})
+				known[version] = max(known[version], min(shared, kept))
 			}
 		}
 	}
 	for i := range out {
 		c := &out[i]
-		mark := markOf(who[i].note, a.Model)
+		version := markOf(who[i].note, a.Model)
 		best := 0.0
 		for _, h := range holders {
 			more := h.kept - c.Kept
-			if h.addr == who[i].note.Addr || h.mark != mark || more < moveMin {
+			if h.addr == who[i].note.Addr || h.version != version || more < moveMin {
 				continue
 			}
 			us := moveStartUs + float64(more)*h.moveUs
-			if h.site != who[i].note.Site {
+			if h.zone != who[i].note.Zone {
 				us *= moveFar
 			}
 			if gain := float64(more)*(1/c.Rate+placement.AgainUs) - us; gain > best {
@@ -515,7 +515,7 @@
 				c.Moved, c.MoveUs, c.From = more, us, h.addr
 			}
 		}
-		c.Again = max(known[mark]-c.Kept-c.Moved, 0)
+		c.Again = max(known[version]-c.Kept-c.Moved, 0)
 	}
 }
 
@@ -541,10 +541,10 @@
 	return false
 }
 
-func markOf(n messages.RunnerNote, model string) int64 {
+func markOf(n messages.RunnerRecord, model string) int64 {
 	for _, m := range n.Models {
 		if m.Model == model {
-			return m.Mark
+			return m.Version
 		}
 	}
 	return 0
@@ -574,9 +574,9 @@
 		return nil
 	}
 	r, c := who[i], list[i]
-	mark := markOf(r.note, a.Model)
-	salt := d.Salt(a.Tenant, a.Isolated, a.Regime, mark)
-	adm := &Admission{Runner: r.note, Salt: salt, Mark: mark, Kept: c.Kept, Source: c.From, atUs: nowUs, tenant: a.Tenant, service: a.Service, tokensIn: a.TokensIn, Parts: a.Parts, Keys: prefixindex.Keys(salt, a.Model, a.Parts), reading: true}
+	version := markOf(r.note, a.Model)
+	salt := d.Salt(a.Tenant, a.Isolated, a.Regime, version)
+	adm := &Admission{Runner: r.note, Salt: salt, Version: version, Kept: c.Kept, Source: c.From, atUs: nowUs, tenant: a.Tenant, service: a.Service, tokensIn: a.TokensIn, Parts: a.Parts, Keys: prefixindex.Keys(salt, a.Model, a.Parts), reading: true}
 	bt := d.T.BlockTokens
 	inParts := 0
 	for j, k := range adm.Keys {
--- a/internal/admission/admission_test.go
+++ b/internal/admission/admission_test.go
@@ -13,13 +13,13 @@
 
 const memory = 16_000 // tokens of a runner: 1,000 blocks
 
-func note(id string) messages.RunnerNote {
-	return messages.RunnerNote{ID: id, Service: "s", Addr: id + ":1", Site: "a", Capacity: 4, Models: []messages.Target{{Model: "m", Mark: 1}}}
+func note(id string) messages.RunnerRecord {
+	return messages.RunnerRecord{ID: id, Service: "s", Addr: id + ":1", Zone: "a", Capacity: 4, Models: []messages.Target{{Model: "m", Version: 1}}}
 }
 
 func door(ids ...string) *Doorman {
 	d := New(Defaults, "a")
-	var notes []messages.RunnerNote
+	var notes []messages.RunnerRecord
 	for _, id := range ids {
 		notes = append(notes, note(id))
 	}
@@ -130,7 +130,7 @@
 
 func TestStoresAreAllUsedAndHoldTogetherWhatIsShared(t *testing.T) {
 	d := door("x")
-	d.SetService("s", []messages.RunnerNote{note("x")}, memory, 2)
+	d.SetService("s", []messages.RunnerRecord{note("x")}, memory, 2)
 	d.SetStores("s", []Store{{ID: "s1", Addr: "s1"}, {ID: "s2", Addr: "s2"}, {ID: "s3", Addr: "s3"}})
 	used := map[string]bool{}
 	for i := range 40 {
@@ -281,7 +281,7 @@
 	d := door("x", "y", "z")
 	a, b := note("x"), note("y")
 	a.Draining, b.Barred = true, true
-	d.SetService("s", []messages.RunnerNote{a, b, note("z")}, memory, 2)
+	d.SetService("s", []messages.RunnerRecord{a, b, note("z")}, memory, 2)
 	list := d.Candidates(ask(16, 1), 1)
 	must.Len(t, 1, list)
 	must.Eq(t, "z", list[0].ID)
@@ -294,7 +294,7 @@
 	d := door("x")
 	n := note("x")
 	n.Barred = true
-	d.SetService("s", []messages.RunnerNote{n}, memory, 2)
+	d.SetService("s", []messages.RunnerRecord{n}, memory, 2)
 	must.SliceEmpty(t, d.Candidates(ask(16, 1), 1))
 	must.SliceEmpty(t, d.Candidates(ask(16, 1), barredMaxUs))
 	must.Len(t, 1, d.Candidates(ask(16, 1), 1+barredMaxUs))
@@ -315,10 +315,10 @@
 	d := door("x", "y")
 	e := note("x")
 	e.Easing = true
-	d.SetService("s", []messages.RunnerNote{e, note("y")}, memory, 2)
+	d.SetService("s", []messages.RunnerRecord{e, note("y")}, memory, 2)
 	must.Len(t, 2, d.Candidates(ask(16, 10), 1))
 	must.Len(t, 1, d.Candidates(ask(16, 200), 1))
-	d.SetService("s", []messages.RunnerNote{e}, memory, 2)
+	d.SetService("s", []messages.RunnerRecord{e}, memory, 2)
 	must.Len(t, 1, d.Candidates(ask(16, 200), 1))
 }
 
@@ -332,8 +332,8 @@
 	must.Len(t, 1, d.Candidates(ask(16, 1), 1_100_000))
 	must.SliceEmpty(t, d.Candidates(ask(16, 1), 1_600_000))
 	n := note("x")
-	n.Models[0].Mark = 2
-	d.SetService("s", []messages.RunnerNote{n}, memory, 2)
+	n.Models[0].Version = 2
+	d.SetService("s", []messages.RunnerRecord{n}, memory, 2)
 	r := d.Arrive(ask(16, 1), 1_700_000)
 	must.NotNil(t, r.Admit)
 	must.Eq(t, "w2", r.Admit.Salt)
@@ -341,13 +341,13 @@
 
 func TestIsolatedTenantsShareNoSalt(t *testing.T) {
 	seen := map[string]bool{}
-	for _, mark := range []int64{1, 2, 12} {
+	for _, version := range []int64{1, 2, 12} {
 		for _, tenant := range []string{"a", "b"} {
-			seen[Salt(tenant, true, "", mark)] = true
+			seen[Salt(tenant, true, "", version)] = true
 		}
-		seen[Salt("a", false, "r", mark)], seen[Salt("a", true, "r", mark)] = true, true
-		must.Eq(t, Salt("a", false, "", mark), Salt("b", false, "", mark))
-		seen[Salt("a", false, "", mark)] = true
+		seen[Salt("a", false, "r", version)], seen[Salt("a", true, "r", version)] = true, true
+		must.Eq(t, Salt("a", false, "", version), Salt("b", false, "", version))
+		seen[Salt("a", false, "", version)] = true
 	}
 	must.MapLen(t, 15, seen)
 }
@@ -372,8 +372,8 @@
 func TestMovesComeFromSameWeightsOnly(t *testing.T) {
 	d := door("x", "y")
 	y := note("y")
-	y.Models[0].Mark = 2
-	d.SetService("s", []messages.RunnerNote{note("x"), y}, memory, 2)
+	y.Models[0].Version = 2
+	d.SetService("s", []messages.RunnerRecord{note("x"), y}, memory, 2)
 	a := ask(16, 1)
 	a.Parts = []prefixindex.Part{{ID: "shared", Tokens: 1000}, {ID: "own", Tokens: 16}}
 	a.TokensIn = 1016
@@ -381,7 +381,7 @@
 	for _, c := range d.Candidates(a, 1) {
 		must.Eq(t, "", c.From)
 	}
-	d.SetService("s", []messages.RunnerNote{note("x"), note("y")}, memory, 2)
+	d.SetService("s", []messages.RunnerRecord{note("x"), note("y")}, memory, 2)
 	found := false
 	for _, c := range d.Candidates(a, 1) {
 		if c.ID == "y" {
--- a/internal/admission/runner.go
+++ b/internal/admission/runner.go
@@ -1,4 +1,4 @@
-// Runner is what the doorman knows of one runner: what this node has there,
+// Runner is what the admission control knows of one runner: what this node has there,
 // what the others say they have there, what the runner itself reported, how
 // fast it reads, and whether its links hold.
 package admission
@@ -16,7 +16,7 @@
 }
 
 type runner struct {
-	note      messages.RunnerNote
+	note      messages.RunnerRecord
 	capacity  int
 	blocks    int // memory in blocks; 0 where the runner has none to count
 	own       word
@@ -122,7 +122,7 @@
 	return max(r.rate, t.RateFloor)
 }
 
-// settle moves the two busy marks, each with its hysteresis.
+// settle moves the two busy versions, each with its hysteresis.
 func (r *runner) settle(t *Tuning, nowUs int64, nodes int, told bool) (use float64) {
 	if r.blocks > 0 {
 		use = float64(r.usedBlocks(t, nowUs, nodes, told)) / float64(r.blocks)
--- a/internal/admission/session.go
+++ b/internal/admission/session.go
@@ -1,5 +1,5 @@
 // A session is the chain of requests of one tenant and model that share their
-// prompt parts up to the last. A site that relinquishes its sessions is left by
+// prompt parts up to the last. A zone that relinquishes its sessions is left by
 // them one after the other, over a time that the operator gives; each goes to a
 // home that all nodes work out alike, and stays there. There is no entry a
 // session anywhere.
@@ -13,17 +13,17 @@
 	sinceUs, overUs int64
 }
 
-// SetRelinquished tells which sites give up their sessions, and over how long
-// each. What has been left stays left for as long as the site is named.
-func (d *Doorman) SetRelinquished(sites map[string]int64, nowUs int64) {
+// SetRelinquished tells which zones give up their sessions, and over how long
+// each. What has been left stays left for as long as the zone is named.
+func (d *Doorman) SetRelinquished(zones map[string]int64, nowUs int64) {
 	next := map[string]relinquished{}
-	for site, overUs := range sites {
-		x, known := d.left[site]
+	for zone, overUs := range zones {
+		x, known := d.left[zone]
 		if !known {
 			x.sinceUs = nowUs
 		}
 		x.overUs = overUs
-		next[site] = x
+		next[zone] = x
 	}
 	d.left = next
 }
@@ -37,10 +37,10 @@
 	return h
 }
 
-// Leaves tells whether a request's session has left a site, or is to leave it
+// Leaves tells whether a request's session has left a zone, or is to leave it
 // now.
-func (d *Doorman) Leaves(a Ask, site string, nowUs int64) bool {
-	x, ok := d.left[site]
+func (d *Doorman) Leaves(a Ask, zone string, nowUs int64) bool {
+	x, ok := d.left[zone]
 	if !ok {
 		return false
 	}
@@ -51,17 +51,17 @@
 	return float64(Session(a)>>11)/(1<<53) < float64(nowUs-x.sinceUs)/float64(x.overUs)
 }
 
-// home is the site that a session goes to: the same for all nodes, and the same
-// again whatever becomes of the other sites.
+// home is the zone that a session goes to: the same for all nodes, and the same
+// again whatever becomes of the other zones.
 func (d *Doorman) home(a Ask, p *pool) string {
 	session, best, top := Session(a), "", uint64(0)
 	for _, id := range p.order {
 		n := &p.runners[id].note
-		if _, left := d.left[n.Site]; left || n.Draining || n.Stale {
+		if _, left := d.left[n.Zone]; left || n.Draining || n.Stale {
 			continue
 		}
-		if v := statesync.Mix(session ^ statesync.HashText(n.Site, "")); best == "" || v > top {
-			best, top = n.Site, v
+		if v := statesync.Mix(session ^ statesync.HashText(n.Zone, "")); best == "" || v > top {
+			best, top = n.Zone, v
 		}
 	}
 	return best
--- a/internal/admission/session_test.go
+++ b/internal/admission/session_test.go
@@ -10,11 +10,11 @@
 	"beechtide.org/beechtide/internal/prefixindex"
 )
 
-func sited(sites ...string) []messages.RunnerNote {
-	var out []messages.RunnerNote
-	for i, s := range sites {
+func sited(zones ...string) []messages.RunnerRecord {
+	var out []messages.RunnerRecord
+	for i, s := range zones {
 		n := note(fmt.Sprint("r", i))
-		n.Site, n.Capacity = s, 1000
+		n.Zone, n.Capacity = s, 1000
 		out = append(out, n)
 	}
 	return out
@@ -34,7 +34,7 @@
 	must.NotNil(t, r.Admit, must.Sprint(r.Deny))
 	d.FirstToken(r.Admit, nowUs)
 	d.Done(r.Admit, true, nowUs)
-	return r.Admit.Runner.Site
+	return r.Admit.Runner.Zone
 }
 
 const some = 400
@@ -76,10 +76,10 @@
 }
 
 // All nodes send a session to the same home, and a second declaration moves only
-// the sessions of the site that it names.
+// the sessions of the zone that it names.
 func TestASecondMoveTakesOnlyItsOwn(t *testing.T) {
 	one, two := moveDoor(), moveDoor()
-	two.Site = "c"
+	two.Zone = "c"
 	for _, d := range []*Doorman{one, two} {
 		d.SetRelinquished(map[string]int64{"a": 0}, 1)
 	}
@@ -99,7 +99,7 @@
 		home := one.home(sessionAsk(i), one.pool("s"))
 		must.NotEq(t, "b", home)
 		if first[i] == "c" {
-			must.True(t, home == "c" || home == "d", must.Sprint("a new site may draw some"))
+			must.True(t, home == "c" || home == "d", must.Sprint("a new zone may draw some"))
 		}
 	}
 	one.SetService("s", sited("a", "b", "c", "c", "b", "c"), memory, 0.01)
@@ -114,16 +114,16 @@
 	notes := sited("a", "b", "c", "a", "b", "c")
 	notes[1].Draining, notes[4].Draining = true, true
 	d.SetService("s", notes, memory, 0.01)
-	must.Eq(t, "c", goes(t, d, 1, 10), must.Sprint("site b drains"))
+	must.Eq(t, "c", goes(t, d, 1, 10), must.Sprint("zone b drains"))
 
 	notes = sited("a", "b", "c", "a", "b", "c")
 	notes[2].Barred, notes[5].Barred = true, true
 	d.SetService("s", notes, memory, 0.01)
-	must.Eq(t, "b", goes(t, d, 1, 20), must.Sprint("site c gets new weights"))
+	must.Eq(t, "b", goes(t, d, 1, 20), must.Sprint("zone c gets new weights"))
 
 	// kept under the old weights is not taken along to the new ones
 	notes = sited("a", "b")
-	notes[1].Models = []messages.Target{{Model: "m", Mark: 2}}
+	notes[1].Models = []messages.Target{{Model: "m", Version: 2}}
 	d.SetService("s", notes, memory, 0.01)
 	a := sessionAsk(7)
 	for i, k := range prefixindex.Keys(d.Salt(a.Tenant, false, "", 1), "m", a.Parts) {
@@ -139,7 +139,7 @@
 	a.Regime = "allergen"
 	must.Eq(t, "r2", d.Arrive(a, 40).Admit.Runner.ID)
 	d.SetCertified("s", map[string]map[string]bool{"allergen": {"r0": true}})
-	must.True(t, d.Arrive(a, 50).Hold, must.Sprint("the regime goes before the move, and the site is left"))
+	must.True(t, d.Arrive(a, 50).Hold, must.Sprint("the regime goes before the move, and the zone is left"))
 
 	d.pool("s").queue = pending{}
 	d.SetService("s", sited("a", "a"), memory, 0.01)
--- a/internal/admission/soundness.go
+++ b/internal/admission/soundness.go
@@ -2,7 +2,7 @@
 // runner that fails far more of its requests than the others leaves the
 // candidates for a while, longer each time, and comes back by few requests. The
 // outcomes are this node's own; those of the other nodes are a hint, which
-// counts half. Its roster entry stays, and it is used where no other is left.
+// counts half. Its registry entry stays, and it is used where no other is left.
 package admission
 
 import (
--- a/internal/admission/soundness_test.go
+++ b/internal/admission/soundness_test.go
@@ -18,7 +18,7 @@
 }
 
 func (d *Doorman) end(id string, good bool, nowUs int64) {
-	d.Ended(&Admission{Runner: messages.RunnerNote{ID: id}, service: "s"}, good, nowUs)
+	d.Ended(&Admission{Runner: messages.RunnerRecord{ID: id}, service: "s"}, good, nowUs)
 }
 
 func offered(d *Doorman, nowUs int64) map[string]bool {
--- a/internal/api/types.gen.go
+++ b/internal/api/types.gen.go
@@ -78,36 +78,24 @@
 	}
 }
 
-// Beat defines model for Beat.
-type Beat struct {
-	Address    string      `json:"address" validate:"required,hostname_port"`
-	Capacity   int         `json:"capacity" validate:"min=0"`
-	ColdLeftMs float32     `json:"coldLeftMs,omitempty,omitzero"`
-	Models     []BeatModel `json:"models"`
-	Sequence   int64       `json:"sequence"`
-	Service    string      `json:"service" validate:"required"`
-	State      RunnerState `json:"state"`
-	Mark       string      `json:"version"`
-	Site       string      `json:"zone"`
-}
-
-// BeatModel defines model for BeatModel.
-type BeatModel struct {
-	Name string `json:"name"`
-	Mark int64  `json:"version"`
-}
-
-// BeatOutcome defines model for BeatOutcome.
-type BeatOutcome struct {
-	BeatTo string `json:"beatTo,omitempty,omitzero"`
-}
-
 // Certificate defines model for Certificate.
 type Certificate struct {
 	Regime  string   `json:"regime" validate:"required"`
 	Runners []string `json:"runners,omitempty,omitzero"`
 	Service string   `json:"service,omitempty,omitzero"`
-	Site    string   `json:"zone,omitempty,omitzero"`
+	Zone    string   `json:"zone,omitempty,omitzero"`
+}
+
+// Configuration defines model for Configuration.
+type Configuration struct {
+	Certificates []Certificate `json:"certificates,omitempty,omitzero" validate:"omitempty,max=1024,dive"`
+	Limits       Limits        `json:"limits,omitempty,omitzero"`
+	Regimes      []Regime      `json:"regimes,omitempty,omitzero" validate:"omitempty,max=64,dive"`
+	Relinquish   []Relinquish  `json:"relinquish,omitempty,omitzero" validate:"omitempty,max=64,dive"`
+	Routes       []Route       `json:"routes" validate:"dive"`
+	Services     []Service     `json:"services" validate:"dive"`
+	Tenants      []Tenant      `json:"tenants,omitempty,omitzero" validate:"omitempty,dive"`
+	Version      int64         `json:"version" validate:"gt=0"`
 }
 
 // Engine defines model for Engine.
@@ -132,19 +120,28 @@
 	Field string `json:"field,omitempty,omitzero"`
 }
 
-// KeptEvents defines model for KeptEvents.
-type KeptEvents struct {
-	Epoch    int64           `json:"epoch,omitempty,omitzero"`
-	Events   [][]interface{} `json:"events,omitempty,omitzero"`
-	Lost     bool            `json:"lost,omitempty,omitzero"`
-	NextPage int64           `json:"nextPage,omitempty,omitzero"`
+// Heartbeat defines model for Heartbeat.
+type Heartbeat struct {
+	Address    string           `json:"address" validate:"required,hostname_port"`
+	Capacity   int              `json:"capacity" validate:"min=0"`
+	ColdLeftMs float32          `json:"coldLeftMs,omitempty,omitzero"`
+	Models     []HeartbeatModel `json:"models"`
+	Sequence   int64            `json:"sequence"`
+	Service    string           `json:"service" validate:"required"`
+	State      RunnerState      `json:"state"`
+	Version    string           `json:"version"`
+	Zone       string           `json:"zone"`
 }
 
-// KeptList defines model for KeptList.
-type KeptList struct {
-	Epoch    int64           `json:"epoch,omitempty,omitzero"`
-	Held     [][]interface{} `json:"held,omitempty,omitzero"`
-	NextPage int64           `json:"nextPage,omitempty,omitzero"`
+// HeartbeatModel defines model for HeartbeatModel.
+type HeartbeatModel struct {
+	Name    string `json:"name"`
+	Version int64  `json:"version"`
+}
+
+// HeartbeatResponse defines model for HeartbeatResponse.
+type HeartbeatResponse struct {
+	BeatTo string `json:"beatTo,omitempty,omitzero"`
 }
 
 // Limits defines model for Limits.
@@ -155,18 +152,6 @@
 	IdleMs      int `json:"idleMs,omitempty,omitzero" validate:"min=0"`
 }
 
-// Menu defines model for Menu.
-type Menu struct {
-	Certificates []Certificate `json:"certificates,omitempty,omitzero" validate:"omitempty,max=1024,dive"`
-	Limits       Limits        `json:"limits,omitempty,omitzero"`
-	Regimes      []Regime      `json:"regimes,omitempty,omitzero" validate:"omitempty,max=64,dive"`
-	Relinquish   []Relinquish  `json:"relinquish,omitempty,omitzero" validate:"omitempty,max=64,dive"`
-	Routes       []Route       `json:"routes" validate:"dive"`
-	Services     []Service     `json:"services" validate:"dive"`
-	Tenants      []Tenant      `json:"tenants,omitempty,omitzero" validate:"omitempty,dive"`
-	Mark         int64         `json:"version" validate:"gt=0"`
-}
-
 // Order defines model for Order.
 type Order struct {
 	Expected *int64      `json:"expected,omitempty"`
@@ -175,7 +160,7 @@
 	Method   OrderMethod `json:"method"`
 	Model    string      `json:"model"`
 	Op       OrderOp     `json:"op"`
-	Mark     int64       `json:"version"`
+	Version  int64       `json:"version"`
 }
 
 // OrderMethod defines model for OrderMethod.
@@ -184,6 +169,21 @@
 // OrderOp defines model for OrderOp.
 type OrderOp string
 
+// PrefixEvents defines model for PrefixEvents.
+type PrefixEvents struct {
+	Epoch    int64           `json:"epoch,omitempty,omitzero"`
+	Events   [][]interface{} `json:"events,omitempty,omitzero"`
+	Lost     bool            `json:"lost,omitempty,omitzero"`
+	NextPage int64           `json:"nextPage,omitempty,omitzero"`
+}
+
+// PrefixList defines model for PrefixList.
+type PrefixList struct {
+	Epoch    int64           `json:"epoch,omitempty,omitzero"`
+	Held     [][]interface{} `json:"held,omitempty,omitzero"`
+	NextPage int64           `json:"nextPage,omitempty,omitzero"`
+}
+
 // Regime defines model for Regime.
 type Regime struct {
 	Name string `json:"name" validate:"required,max=64"`
@@ -196,19 +196,19 @@
 type Relinquish struct {
 	// OverMs Over how long the sessions go; 0: at once.
 	OverMs float32 `json:"overMs,omitempty,omitzero" validate:"min=0,max=3600000"`
-	Site   string  `json:"zone" validate:"required,max=128"`
+	Zone   string  `json:"zone" validate:"required,max=128"`
 }
 
 // Report defines model for Report.
 type Report struct {
-	Active     int         `json:"active,omitempty,omitzero"`
-	CacheTotal int         `json:"cacheTotal,omitempty,omitzero"`
-	CacheUsed  int         `json:"cacheUsed,omitempty,omitzero"`
-	Models     []BeatModel `json:"models,omitempty,omitzero"`
-	Phase      string      `json:"phase,omitempty,omitzero"`
-	Pending    int         `json:"queued,omitempty,omitzero"`
-	Saturated  bool        `json:"saturated,omitempty,omitzero"`
-	Sequence   int64       `json:"sequence,omitempty,omitzero"`
+	Active     int              `json:"active,omitempty,omitzero"`
+	CacheTotal int              `json:"cacheTotal,omitempty,omitzero"`
+	CacheUsed  int              `json:"cacheUsed,omitempty,omitzero"`
+	Models     []HeartbeatModel `json:"models,omitempty,omitzero"`
+	Phase      string           `json:"phase,omitempty,omitzero"`
+	Pending    int              `json:"queued,omitempty,omitzero"`
+	Saturated  bool             `json:"saturated,omitempty,omitzero"`
+	Sequence   int64            `json:"sequence,omitempty,omitzero"`
 }
 
 // Route defines model for Route.
@@ -247,7 +247,7 @@
 	Probe       string  `json:"probe,omitempty,omitzero"`
 	Protocol    string  `json:"protocol,omitempty,omitzero"`
 	TLS         bool    `json:"tls,omitempty,omitzero"`
-	Site        string  `json:"zone,omitempty,omitzero"`
+	Zone        string  `json:"zone,omitempty,omitzero"`
 }
 
 // Share defines model for Share.
@@ -267,10 +267,10 @@
 	Regime string `json:"regime,omitempty,omitzero"`
 }
 
-// WeightsNamed defines model for WeightsNamed.
-type WeightsNamed struct {
-	Model string `json:"model" validate:"required"`
-	Mark  int64  `json:"version" validate:"gt=0"`
+// WeightsVersion defines model for WeightsVersion.
+type WeightsVersion struct {
+	Model   string `json:"model" validate:"required"`
+	Version int64  `json:"version" validate:"gt=0"`
 }
 
 // ReplaceMenuParams defines parameters for ReplaceMenu.
@@ -279,10 +279,10 @@
 }
 
 // ReplaceMenuJSONRequestBody defines body for ReplaceMenu for application/json ContentType.
-type ReplaceMenuJSONRequestBody = Menu
+type ReplaceMenuJSONRequestBody = Configuration
 
 // BeatJSONRequestBody defines body for Beat for application/json ContentType.
-type BeatJSONRequestBody = Beat
+type BeatJSONRequestBody = Heartbeat
 
 // NameWeightsJSONRequestBody defines body for NameWeights for application/json ContentType.
-type NameWeightsJSONRequestBody = WeightsNamed
+type NameWeightsJSONRequestBody = WeightsVersion
--- a/internal/compliance/policy.go
+++ b/internal/compliance/policy.go
@@ -26,7 +26,7 @@
 type Runner struct {
 	ID      string `expr:"id"`
 	Service string `expr:"service"`
-	Site    string `expr:"site"`
+	Zone    string `expr:"site"`
 }
 
 type sight struct {
@@ -53,7 +53,7 @@
 func (f *Fault) Error() string { return fmt.Sprintf("compliance: field %s: %s", f.Field, f.Reason) }
 
 // Compile checks what a configuration declares and compiles its policies.
-func Compile(m api.Menu) (*Policies, error) {
+func Compile(m api.Configuration) (*Policies, error) {
 	p := &Policies{rules: map[string]*vm.Program{}, certificates: m.Certificates}
 	for i, r := range m.Regimes {
 		if p.rules[r.Name] != nil {
@@ -78,7 +78,7 @@
 		switch {
 		case p.rules[c.Regime] == nil:
 			return nil, &Fault{at + ".regime", fmt.Sprintf("unknown regime %q", c.Regime)}
-		case c.Service == "" && c.Site == "" && len(c.Runners) == 0:
+		case c.Service == "" && c.Zone == "" && len(c.Runners) == 0:
 			return nil, &Fault{at, "certifies nothing: name a service, a zone or runners"}
 		case c.Service != "" && !services[c.Service]:
 			return nil, &Fault{at + ".service", fmt.Sprintf("unknown service %q", c.Service)}
@@ -99,7 +99,7 @@
 func (p *Policies) Held(r Runner) (regimes []string, by map[string]int) {
 	by = map[string]int{}
 	for i, c := range p.certificates {
-		if c.Service != "" && c.Service != r.Service || c.Site != "" && c.Site != r.Site || len(c.Runners) > 0 && !slices.Contains(c.Runners, r.ID) {
+		if c.Service != "" && c.Service != r.Service || c.Zone != "" && c.Zone != r.Zone || len(c.Runners) > 0 && !slices.Contains(c.Runners, r.ID) {
 			continue
 		}
 		if _, ok := by[c.Regime]; !ok {
--- a/internal/compliance/policy_test.go
+++ b/internal/compliance/policy_test.go
@@ -11,13 +11,13 @@
 	"beechtide.org/beechtide/internal/api"
 )
 
-func menuOf(version int64) api.Menu {
-	return api.Menu{
-		Mark:     version,
+func menuOf(version int64) api.Configuration {
+	return api.Configuration{
+		Version:  version,
 		Services: []api.Service{{Name: "s"}, {Name: "t"}},
 		Regimes:  []api.Regime{{Name: "allergen"}, {Name: "strict", Policy: `regime in certificates && runner.site == "a"`}},
 		Certificates: []api.Certificate{
-			{Regime: "allergen", Service: "s", Site: "a"},
+			{Regime: "allergen", Service: "s", Zone: "a"},
 			{Regime: "allergen", Runners: []string{"r9"}},
 			{Regime: "strict", Service: "s"},
 		},
@@ -51,18 +51,18 @@
 func TestSenselessDeclarationsNameTheField(t *testing.T) {
 	for _, c := range []struct {
 		field string
-		spoil func(*api.Menu)
+		spoil func(*api.Configuration)
 	}{
-		{"tenants[0].regime", func(m *api.Menu) { m.Tenants[0].Regime = "none" }},
-		{"certificates[0].regime", func(m *api.Menu) { m.Certificates[0].Regime = "none" }},
-		{"certificates[1]", func(m *api.Menu) { m.Certificates[1].Runners = nil }},
-		{"certificates[2].service", func(m *api.Menu) { m.Certificates[2].Service = "none" }},
-		{"certificates[1].runners", func(m *api.Menu) { m.Certificates[1].Runners = []string{""} }},
-		{"regimes[1].name", func(m *api.Menu) { m.Regimes[1].Name = "allergen" }},
-		{"regimes[1].policy", func(m *api.Menu) { m.Regimes[1].Policy = "runner.colour == 1" }},
-		{"regimes[1].policy", func(m *api.Menu) { m.Regimes[1].Policy = "1 + 1" }},
-		{"regimes[1].policy", func(m *api.Menu) { m.Regimes[1].Policy = "now().Year() > 1" }},
-		{"regimes[1].policy", func(m *api.Menu) { m.Regimes[1].Policy = strings.Repeat("true && ", 200) + "true" }},
+		{"tenants[0].regime", func(m *api.Configuration) { m.Tenants[0].Regime = "none" }},
+		{"certificates[0].regime", func(m *api.Configuration) { m.Certificates[0].Regime = "none" }},
+		{"certificates[1]", func(m *api.Configuration) { m.Certificates[1].Runners = nil }},
+		{"certificates[2].service", func(m *api.Configuration) { m.Certificates[2].Service = "none" }},
+		{"certificates[1].runners", func(m *api.Configuration) { m.Certificates[1].Runners = []string{""} }},
+		{"regimes[1].name", func(m *api.Configuration) { m.Regimes[1].Name = "allergen" }},
+		{"regimes[1].policy", func(m *api.Configuration) { m.Regimes[1].Policy = "runner.colour == 1" }},
+		{"regimes[1].policy", func(m *api.Configuration) { m.Regimes[1].Policy = "1 + 1" }},
+		{"regimes[1].policy", func(m *api.Configuration) { m.Regimes[1].Policy = "now().Year() > 1" }},
+		{"regimes[1].policy", func(m *api.Configuration) { m.Regimes[1].Policy = strings.Repeat("true && ", 200) + "true" }},
 	} {
 		m := menuOf(1)
 		c.spoil(&m)
@@ -88,25 +88,25 @@
 }
 
 func sent(attempt, runner string, cert int) []Entry {
-	e := Entry{Node: "n", Attempt: attempt, Tenant: "directorate", Regime: "allergen", Mark: 1, Certificate: -1}
+	e := Entry{Node: "n", Attempt: attempt, Tenant: "directorate", Regime: "allergen", Version: 1, Certificate: -1}
 	a, s, z := e, e, e
 	a.Step, s.Step, z.Step = Asked, Sent, Answered
-	s.Runner, s.Service, s.Site, s.Certificate = runner, "s", "a", cert
+	s.Runner, s.Service, s.Zone, s.Certificate = runner, "s", "a", cert
 	return []Entry{a, s, z}
 }
 
 func TestCheckerPassesAGoodTrailAndNamesEachPlantedViolation(t *testing.T) {
-	menus := []api.Menu{menuOf(1)}
+	menus := []api.Configuration{menuOf(1)}
 	good := append(sent("1", "r1", 0), sent("2", "r2", 0)...)
 	must.SliceEmpty(t, CheckTrail(good, menus))
 	for _, c := range []struct {
 		reason string
 		plant  func([]Entry) []Entry
 	}{
-		{"not certified", func(l []Entry) []Entry { l[1].Site = "b"; return l }},
+		{"not certified", func(l []Entry) []Entry { l[1].Zone = "b"; return l }},
 		{"names certificate", func(l []Entry) []Entry { l[1].Certificate = 1; return l }},
 		{"has regime", func(l []Entry) []Entry { l[1].Regime = "strict"; return l }},
-		{"not at hand", func(l []Entry) []Entry { l[1].Mark = 7; return l }},
+		{"not at hand", func(l []Entry) []Entry { l[1].Version = 7; return l }},
 		{"ended twice", func(l []Entry) []Entry { return append(l, l[2]) }},
 		{"end is missing", func(l []Entry) []Entry { return append(l[:2:2], l[3:]...) }},
 		{"sent after", func(l []Entry) []Entry { return append(l, l[1]) }},
--- a/internal/compliance/trail.go
+++ b/internal/compliance/trail.go
@@ -1,6 +1,6 @@
 // Trail is the audit trail of regulated requests: a bounded ring of what was
 // asked, sent, answered and denied, each with the runner, its certificate and
-// the mark of the configuration that was in force at the node.
+// the version of the configuration that was in force at the node.
 package compliance
 
 import (
@@ -35,9 +35,9 @@
 	Regime      string `json:"regime"`
 	Runner      string `json:"runner,omitempty"`
 	Service     string `json:"service,omitempty"`
-	Site        string `json:"zone,omitempty"`
+	Zone        string `json:"zone,omitempty"`
 	Certificate int    `json:"certificate"`
-	Mark        int64  `json:"version"`
+	Version     int64  `json:"version"`
 }
 
 // trailSize bounds what a node remembers.
@@ -112,16 +112,16 @@
 // the configuration in force did not let in, one answered twice, one whose end
 // is missing. Configurations are matched by their version; an entry of a version
 // that is not given can't be vouched for and is named as well.
-func CheckTrail(list []Entry, menus []api.Menu) []Violation {
+func CheckTrail(list []Entry, menus []api.Configuration) []Violation {
 	var out []Violation
 	rules := map[int64]*Policies{}
 	regimeOf := map[int64]map[string]string{}
 	for _, m := range menus {
 		if p, err := Compile(m); err == nil {
-			rules[m.Mark] = p
-			regimeOf[m.Mark] = map[string]string{}
+			rules[m.Version] = p
+			regimeOf[m.Version] = map[string]string{}
 			for _, t := range m.Tenants {
-				regimeOf[m.Mark][t.Name] = t.Regime
+				regimeOf[m.Version][t.Name] = t.Regime
 			}
 		}
 	}
@@ -136,7 +136,7 @@
 			}
 			asked[e.Attempt] = e
 		case Sent:
-			if why := checkSent(e, rules[e.Mark], regimeOf[e.Mark]); why != "" {
+			if why := checkSent(e, rules[e.Version], regimeOf[e.Version]); why != "" {
 				out = append(out, Violation{e, why})
 			}
 			if was, ok := ended[e.Attempt]; ok && was == Answered {
@@ -161,21 +161,21 @@
 
 func checkSent(e Entry, p *Policies, regimeOf map[string]string) string {
 	if p == nil {
-		return fmt.Sprintf("configuration %d is not at hand", e.Mark)
+		return fmt.Sprintf("configuration %d is not at hand", e.Version)
 	}
 	want := regimeOf[e.Tenant]
 	if want != e.Regime {
-		return fmt.Sprintf("tenant %s has regime %q in version %d, not %q", e.Tenant, want, e.Mark, e.Regime)
+		return fmt.Sprintf("tenant %s has regime %q in version %d, not %q", e.Tenant, want, e.Version, e.Regime)
 	}
 	if want == "" {
 		return ""
 	}
-	cert, ok := p.Allows(want, Runner{ID: e.Runner, Service: e.Service, Site: e.Site})
+	cert, ok := p.Allows(want, Runner{ID: e.Runner, Service: e.Service, Zone: e.Zone})
 	if !ok {
-		return fmt.Sprintf("not certified for %s in version %d", want, e.Mark)
+		return fmt.Sprintf("not certified for %s in version %d", want, e.Version)
 	}
 	if cert != e.Certificate {
-		return fmt.Sprintf("names certificate %d, version %d has %d", e.Certificate, e.Mark, cert)
+		return fmt.Sprintf("names certificate %d, version %d has %d", e.Certificate, e.Version, cert)
 	}
 	return ""
 }
--- a/internal/consensus/acceptor.go
+++ b/internal/consensus/acceptor.go
@@ -22,7 +22,7 @@
 
 // Fold takes in a committed value learned elsewhere.
 func (a *Acceptor) Fold(v messages.Value) bool {
-	if v.Mark <= a.Rec.Committed.Mark && len(a.Rec.Committed.Group) > 0 || len(v.Group) == 0 {
+	if v.Version <= a.Rec.Committed.Version && len(a.Rec.Committed.Group) > 0 || len(v.Group) == 0 {
 		return false
 	}
 	a.Rec = messages.Record{Committed: v}
@@ -31,38 +31,38 @@
 
 // Handle answers an ask. The second result tells that the record has changed
 // and must reach the disk before the word is sent.
-func (a *Acceptor) Handle(ask messages.LedgerAsk) (messages.LedgerWord, bool) {
-	mark := a.Rec.Committed.Mark
+func (a *Acceptor) Handle(ask messages.ConsensusRequest) (messages.ConsensusResponse, bool) {
+	version := a.Rec.Committed.Version
 	known := len(a.Rec.Committed.Group) > 0
 	if ask.Step == messages.Read {
 		if ask.To != "" && ask.To != a.ID {
-			return messages.LedgerWord{Verdict: messages.Stranger, Mark: mark}, false
+			return messages.ConsensusResponse{Verdict: messages.Stranger, Version: version}, false
 		}
-		w := messages.LedgerWord{Verdict: messages.Granted, Mark: mark, HasAccepted: a.Rec.HasAccepted}
+		w := messages.ConsensusResponse{Verdict: messages.Granted, Version: version, HasAccepted: a.Rec.HasAccepted}
 		if !known {
 			w.Verdict = messages.Behind
-		} else if mark >= ask.Slot {
+		} else if version >= ask.Slot {
 			w.Value = a.Rec.Committed
 		}
 		return w, false
 	}
 	if ask.To != a.ID {
-		return messages.LedgerWord{Verdict: messages.Stranger, Mark: mark}, false
+		return messages.ConsensusResponse{Verdict: messages.Stranger, Version: version}, false
 	}
 	switch {
-	case known && ask.Slot <= mark:
-		return messages.LedgerWord{Verdict: messages.Ahead, Mark: mark, Value: a.Rec.Committed}, false
-	case !known || ask.Slot > mark+1:
-		return messages.LedgerWord{Verdict: messages.Behind, Mark: mark}, false
+	case known && ask.Slot <= version:
+		return messages.ConsensusResponse{Verdict: messages.Ahead, Version: version, Value: a.Rec.Committed}, false
+	case !known || ask.Slot > version+1:
+		return messages.ConsensusResponse{Verdict: messages.Behind, Version: version}, false
 	}
 	if Less(ask.Ballot, a.Rec.Promised) {
-		return messages.LedgerWord{Verdict: messages.Outbid, Mark: mark, Promised: a.Rec.Promised}, false
+		return messages.ConsensusResponse{Verdict: messages.Outbid, Version: version, Promised: a.Rec.Promised}, false
 	}
 	if ask.Step == messages.Prepare {
 		dirty := a.Rec.Promised != ask.Ballot
 		a.Rec.Promised = ask.Ballot
-		return messages.LedgerWord{Verdict: messages.Granted, Mark: mark, Promised: ask.Ballot, AcceptedAt: a.Rec.AcceptedAt, HasAccepted: a.Rec.HasAccepted, Value: a.Rec.Accepted}, dirty
+		return messages.ConsensusResponse{Verdict: messages.Granted, Version: version, Promised: ask.Ballot, AcceptedAt: a.Rec.AcceptedAt, HasAccepted: a.Rec.HasAccepted, Value: a.Rec.Accepted}, dirty
 	}
 	a.Rec.Promised, a.Rec.AcceptedAt, a.Rec.Accepted, a.Rec.HasAccepted = ask.Ballot, ask.Ballot, ask.Value, true
-	return messages.LedgerWord{Verdict: messages.Granted, Mark: mark, Promised: ask.Ballot}, true
+	return messages.ConsensusResponse{Verdict: messages.Granted, Version: version, Promised: ask.Ballot}, true
 }
--- a/internal/consensus/consensus.go
+++ b/internal/consensus/consensus.go
@@ -1,5 +1,5 @@
 // Package consensus keeps the control state: one replicated register a part,
-// agreed on by ballots among a small group. Ledger drives the pure machines of
+// agreed on by ballots among a small group. Registers drives the pure machines of
 // this package: it carries asks over the radio, makes records durable before
 // words go out, and keeps disk calls apart from everything else, so that a
 // hanging disk holds up nothing but this member's own vote.
@@ -25,8 +25,8 @@
 // services are hashed to.
 const Parts = 5
 
-// MenuPart is the part that holds the configuration.
-const MenuPart = 0
+// ConfigPart is the part that holds the configuration.
+const ConfigPart = 0
 
 // Caller carries an ask to another member.
 type Caller interface {
@@ -40,8 +40,8 @@
 	keeping atomic.Bool
 }
 
-// Ledger is one member's view of all registers.
-type Ledger struct {
+// Registers is one member's view of all registers.
+type Registers struct {
 	id, addr string
 	kind     int
 	caller   Caller
@@ -76,8 +76,8 @@
 
 // Open loads what the store holds. With found set, an empty store takes part
 // in founding the group made of the seeds.
-func Open(addr string, kind int, found bool, seeds []string, caller Caller, store Store, log logr.Logger, onLearn func(int, messages.Value)) (*Ledger, error) {
-	l := &Ledger{addr: addr, kind: kind, caller: caller, store: store, log: log, onLearn: onLearn, life: Random()}
+func Open(addr string, kind int, found bool, seeds []string, caller Caller, store Store, log logr.Logger, onLearn func(int, messages.Value)) (*Registers, error) {
+	l := &Registers{addr: addr, kind: kind, caller: caller, store: store, log: log, onLearn: onLearn, life: Random()}
 	id, err := store.Identity(func() string {
 		if found {
 			return FirstID(addr)
@@ -115,10 +115,10 @@
 }
 
 // ID is this member's identity.
-func (l *Ledger) ID() string { return l.id }
+func (l *Registers) ID() string { return l.id }
 
 // Committed gives the newest committed value this node knows.
-func (l *Ledger) Committed(p int) (messages.Value, bool) {
+func (l *Registers) Committed(p int) (messages.Value, bool) {
 	v := l.parts[p].learned.Load()
 	if v == nil {
 		return messages.Value{}, false
@@ -127,13 +127,13 @@
 }
 
 // Learn takes in a committed value; older ones are left aside.
-func (l *Ledger) Learn(p int, v messages.Value) {
+func (l *Registers) Learn(p int, v messages.Value) {
 	if p < 0 || p >= Parts || len(v.Group) == 0 {
 		return
 	}
 	for {
 		cur := l.parts[p].learned.Load()
-		if cur != nil && cur.Mark >= v.Mark {
+		if cur != nil && cur.Version >= v.Version {
 			return
 		}
 		if l.parts[p].learned.CompareAndSwap(cur, &v) {
@@ -153,7 +153,7 @@
 // keep makes what was learned durable, apart from everything else. Agreement
 // does not need it, but after a change of group the old one may be gone: then
 // the new one must know by itself, after a loss of power too, that it is it.
-func (l *Ledger) keep(p int) {
+func (l *Registers) keep(p int) {
 	at := l.parts[p]
 	if !at.keeping.CompareAndSwap(false, true) {
 		return
@@ -182,7 +182,7 @@
 	}()
 }
 
-func (l *Ledger) save(p int, rec messages.Record) error {
+func (l *Registers) save(p int, rec messages.Record) error {
 	began := time.Now()
 	err := l.store.Save(p, rec)
 	l.noteSave(time.Since(began).Microseconds(), err)
@@ -190,8 +190,8 @@
 }
 
 // Handle answers an ask that came over the radio.
-func (l *Ledger) Handle(ctx context.Context, body []byte) ([]byte, error) {
-	var ask messages.LedgerAsk
+func (l *Registers) Handle(ctx context.Context, body []byte) ([]byte, error) {
+	var ask messages.ConsensusRequest
 	if _, err := ask.UnmarshalMsg(body); err != nil {
 		return nil, errors.Wrap(err, "consensus: ask")
 	}
@@ -207,16 +207,16 @@
 	return w.MarshalMsg(nil)
 }
 
-func (l *Ledger) local(ctx context.Context, ask messages.LedgerAsk) (messages.LedgerWord, error) {
+func (l *Registers) local(ctx context.Context, ask messages.ConsensusRequest) (messages.ConsensusResponse, error) {
 	if ask.Step == messages.Commit {
 		l.Learn(ask.Part, ask.Value)
-		return messages.LedgerWord{Verdict: messages.Granted}, nil
+		return messages.ConsensusResponse{Verdict: messages.Granted}, nil
 	}
 	p := l.parts[ask.Part]
 	select {
 	case p.sem <- struct{}{}:
 	case <-ctx.Done():
-		return messages.LedgerWord{}, errors.Wrap(ErrStore, "busy")
+		return messages.ConsensusResponse{}, errors.Wrap(ErrStore, "busy")
 	}
 	defer func() { <-p.sem }()
 	if v := p.learned.Load(); v != nil {
@@ -227,13 +227,13 @@
 	if dirty {
 		if err := l.save(ask.Part, p.acc.Rec); err != nil {
 			p.acc.Rec = before
-			return messages.LedgerWord{}, err
+			return messages.ConsensusResponse{}, err
 		}
 	}
 	return w, nil
 }
 
-func (l *Ledger) noteSave(us int64, err error) {
+func (l *Registers) noteSave(us int64, err error) {
 	l.saveUs.Store(us)
 	fault := ""
 	if err != nil {
@@ -245,31 +245,31 @@
 }
 
 // LastSave tells how long the last write to the store took, and how it failed.
-func (l *Ledger) LastSave() (us int64, fault string) {
+func (l *Registers) LastSave() (us int64, fault string) {
 	if f := l.saveErr.Load(); f != nil {
 		fault = *f
 	}
 	return l.saveUs.Load(), fault
 }
 
-func (l *Ledger) send(ctx context.Context, to messages.Member, ask messages.LedgerAsk) (messages.LedgerWord, error) {
+func (l *Registers) send(ctx context.Context, to messages.Member, ask messages.ConsensusRequest) (messages.ConsensusResponse, error) {
 	if to.Addr == l.addr {
 		return l.local(ctx, ask)
 	}
 	b, err := l.caller.Call(ctx, to.Addr, l.kind, &ask)
 	if err != nil {
-		return messages.LedgerWord{}, err
+		return messages.ConsensusResponse{}, err
 	}
-	var w messages.LedgerWord
+	var w messages.ConsensusResponse
 	if _, err := w.UnmarshalMsg(b); err != nil {
-		return messages.LedgerWord{}, err
+		return messages.ConsensusResponse{}, err
 	}
 	return w, nil
 }
 
 // Change runs rounds until the change is made, denied by itself, or ctx ends.
 // After ErrUnsure the change may still come into force.
-func (l *Ledger) Change(ctx context.Context, p int, change Change) (messages.Value, error) {
+func (l *Registers) Change(ctx context.Context, p int, change Change) (messages.Value, error) {
 	stamp := l.life + Random()
 	seen := messages.Ballot{}
 	for try := 0; ; try++ {
@@ -318,11 +318,11 @@
 type heard struct {
 	from messages.Member
 	step messages.Step
-	word messages.LedgerWord
+	word messages.ConsensusResponse
 	err  error
 }
 
-func (l *Ledger) run(ctx context.Context, r *Round) {
+func (l *Registers) run(ctx context.Context, r *Round) {
 	ctx, cancel := context.WithTimeout(ctx, 500*time.Millisecond)
 	defer cancel()
 	words := make(chan heard, 64)
@@ -360,7 +360,7 @@
 }
 
 // spread tells the group what has been chosen; who misses it learns it later.
-func (l *Ledger) spread(p int, v messages.Value, old []messages.Member) {
+func (l *Registers) spread(p int, v messages.Value, old []messages.Member) {
 	l.Learn(p, v)
 	for _, m := range union(old, v.Group) {
 		if m.Addr == l.addr {
@@ -369,13 +369,13 @@
 		go func() {
 			ctx, cancel := context.WithTimeout(context.Background(), time.Second)
 			defer cancel()
-			_, _ = l.send(ctx, m, messages.LedgerAsk{Part: p, To: m.ID, Step: messages.Commit, Slot: v.Mark, Value: v})
+			_, _ = l.send(ctx, m, messages.ConsensusRequest{Part: p, To: m.ID, Step: messages.Commit, Slot: v.Version, Value: v})
 		}()
 	}
 }
 
 // Read gives the newest value that a majority vouches for.
-func (l *Ledger) Read(ctx context.Context, p int) (messages.Value, error) {
+func (l *Registers) Read(ctx context.Context, p int) (messages.Value, error) {
 	for ctx.Err() == nil {
 		base, ok := l.Committed(p)
 		if !ok {
@@ -385,7 +385,7 @@
 		cctx, cancel := context.WithTimeout(ctx, 400*time.Millisecond)
 		for _, m := range base.Group {
 			go func() {
-				w, err := l.send(cctx, m, messages.LedgerAsk{Part: p, To: m.ID, Step: messages.Read, Slot: base.Mark + 1})
+				w, err := l.send(cctx, m, messages.ConsensusRequest{Part: p, To: m.ID, Step: messages.Read, Slot: base.Version + 1})
 				words <- heard{from: m, word: w, err: err}
 			}()
 		}
@@ -396,11 +396,11 @@
 				continue
 			}
 			votes++
-			if h.word.Mark > base.Mark {
+			if h.word.Version > base.Version {
 				newer = true
 				l.Learn(p, h.word.Value)
 			}
-			if h.word.HasAccepted && h.word.Mark == base.Mark {
+			if h.word.HasAccepted && h.word.Version == base.Version {
 				unsettled = true
 			}
 			if votes > len(base.Group)/2 && !unsettled && !newer {
@@ -430,8 +430,8 @@
 var errSettled = errors.New("consensus: settled")
 
 // Pull learns what the controller at addr has committed.
-func (l *Ledger) Pull(ctx context.Context, addr string, p int) error {
-	w, err := l.send(ctx, messages.Member{Addr: addr}, messages.LedgerAsk{Part: p, Step: messages.Read})
+func (l *Registers) Pull(ctx context.Context, addr string, p int) error {
+	w, err := l.send(ctx, messages.Member{Addr: addr}, messages.ConsensusRequest{Part: p, Step: messages.Read})
 	if err != nil {
 		return err
 	}
--- a/internal/consensus/consensus_test.go
+++ b/internal/consensus/consensus_test.go
@@ -23,7 +23,7 @@
 
 // world plays messages, crashes, torn files and disk losses against the pure
 // machines, in an order drawn from a seed. It checks that no two values are
-// ever committed under one mark and that nothing acknowledged is lost.
+// ever committed under one version and that nothing acknowledged is lost.
 type world struct {
 	t       *testing.T
 	rnd     *rand.Rand
@@ -49,7 +49,7 @@
 	round *Round
 	ask   Ask
 	reply bool
-	word  messages.LedgerWord
+	word  messages.ConsensusResponse
 	ok    bool
 }
 
@@ -67,15 +67,15 @@
 }
 
 func (w *world) commit(v messages.Value) {
-	if old, ok := w.chosen[v.Mark]; ok {
-		must.Eq(w.t, old, v.Stamp, must.Sprintf("two values under mark %d", v.Mark))
+	if old, ok := w.chosen[v.Version]; ok {
+		must.Eq(w.t, old, v.Stamp, must.Sprintf("two values under version %d", v.Version))
 	}
-	w.chosen[v.Mark] = v.Stamp
-	w.acked = max(w.acked, v.Mark)
+	w.chosen[v.Version] = v.Stamp
+	w.acked = max(w.acked, v.Version)
 }
 
 func (w *world) learn(n *node, v messages.Value) {
-	if v.Mark > n.known.Mark || len(n.known.Group) == 0 {
+	if v.Version > n.known.Version || len(n.known.Group) == 0 {
 		n.known = v
 	}
 }
@@ -187,7 +187,7 @@
 	}
 	newest := messages.Value{}
 	for _, n := range w.nodes {
-		if n.known.Mark >= newest.Mark && len(n.known.Group) > 0 {
+		if n.known.Version >= newest.Version && len(n.known.Group) > 0 {
 			newest = n.known
 		}
 	}
@@ -249,7 +249,7 @@
 		}
 		acked := w.acked
 		last := w.settle()
-		must.Greater(t, acked, last.Mark, must.Sprintf("seed %d: acknowledged mark lost", seed))
+		must.Greater(t, acked, last.Version, must.Sprintf("seed %d: acknowledged version lost", seed))
 	}
 }
 
@@ -271,11 +271,11 @@
 			victim := w.nodes[fmt.Sprintf("10.0.0.%d:1", 1+w.rnd.IntN(3))]
 			w.wipe(victim)
 			last := w.settle()
-			must.Greater(t, acked, last.Mark, must.Sprintf("seed %d", seed))
+			must.Greater(t, acked, last.Version, must.Sprintf("seed %d", seed))
 			for _, n := range w.nodes {
 				w.learn(n, last)
 			}
-			group, want := Regroup(last.Group, Standing{Ready: w.ready(), GoneFor: func(string) int64 { return 0 }, GoneUs: 1})
+			group, want := Regroup(last.Group, Status{Ready: w.ready(), GoneFor: func(string) int64 { return 0 }, GoneUs: 1})
 			must.True(t, want)
 			must.True(t, has(group, victim.acc.ID))
 			w.swap(last, group)
@@ -314,13 +314,13 @@
 				}
 			}
 			last := w.settle()
-			must.Greater(t, acked, last.Mark, must.Sprintf("seed %d", seed))
+			must.Greater(t, acked, last.Version, must.Sprintf("seed %d", seed))
 			for _, n := range w.nodes {
 				w.learn(n, last)
 			}
 			for range lost {
 				v := w.nodes[last.Group[0].Addr].known
-				group, want := Regroup(v.Group, Standing{Ready: w.ready(), GoneFor: func(string) int64 { return 0 }, GoneUs: 1})
+				group, want := Regroup(v.Group, Status{Ready: w.ready(), GoneFor: func(string) int64 { return 0 }, GoneUs: 1})
 				must.True(t, want)
 				w.swap(v, group)
 			}
@@ -367,7 +367,7 @@
 // A member is replaced, every node loses power, and another one its disk: the
 // new group must know by itself that it is it (ritwerk trouble-2 --seed 13).
 func TestNewGroupKnowsItselfAfterALossOfPower(t *testing.T) {
-	nodes := map[string]*Ledger{}
+	nodes := map[string]*Registers{}
 	stores := map[string]*MemoryStore{}
 	var mu sync.Mutex
 	net := carrier(func(ctx context.Context, addr string, body []byte) ([]byte, error) {
@@ -408,7 +408,7 @@
 	for _, addr := range []string{"b", "c", "d"} { // what was told reaches the disks
 		for {
 			rec, _, _ := stores[addr].Load(1)
-			if rec.Committed.Mark == 1 {
+			if rec.Committed.Version == 1 {
 				break
 			}
 			runtime.Gosched()
@@ -436,7 +436,7 @@
 // keep the others from agreeing.
 func TestRefusingStoreGivesNoVoteAndSaysSoOnce(t *testing.T) {
 	var out bytes.Buffer
-	nodes := map[string]*Ledger{}
+	nodes := map[string]*Registers{}
 	net := carrier(func(ctx context.Context, addr string, body []byte) ([]byte, error) {
 		return nodes[addr].Handle(ctx, body)
 	})
@@ -455,7 +455,7 @@
 		_, err := nodes["a"].Change(context.Background(), 0, body(fmt.Sprint(i)))
 		must.NoError(t, err)
 	}
-	ask := messages.LedgerAsk{To: nodes["a"].ID(), Step: messages.Prepare, Slot: 4, Ballot: messages.Ballot{N: 9, Who: "x"}}
+	ask := messages.ConsensusRequest{To: nodes["a"].ID(), Step: messages.Prepare, Slot: 4, Ballot: messages.Ballot{N: 9, Who: "x"}}
 	b, err := ask.MarshalMsg(nil)
 	must.NoError(t, err)
 	_, err = nodes["a"].Handle(context.Background(), b)
@@ -478,10 +478,10 @@
 func TestWipedMemberNeitherPromisesNorVotes(t *testing.T) {
 	g := Genesis([]string{"a", "b", "c"})
 	a := Acceptor{ID: "a/new", Rec: messages.Record{Committed: g}}
-	w, dirty := a.Handle(messages.LedgerAsk{To: FirstID("a"), Step: messages.Prepare, Slot: 1, Ballot: messages.Ballot{N: 1}})
+	w, dirty := a.Handle(messages.ConsensusRequest{To: FirstID("a"), Step: messages.Prepare, Slot: 1, Ballot: messages.Ballot{N: 1}})
 	must.Eq(t, messages.Stranger, w.Verdict)
 	must.False(t, dirty)
-	w, _ = a.Handle(messages.LedgerAsk{To: FirstID("a"), Step: messages.Read, Slot: 1})
+	w, _ = a.Handle(messages.ConsensusRequest{To: FirstID("a"), Step: messages.Read, Slot: 1})
 	must.Eq(t, messages.Stranger, w.Verdict)
 }
 
@@ -489,9 +489,9 @@
 	g := Genesis([]string{"a", "b", "c"})
 	no := errors.New("no")
 	r := NewRound(0, g, messages.Ballot{N: 1, Who: "x"}, "x", func(messages.Value) ([]messages.Member, []byte, error) { return nil, nil, no })
-	r.Hear(g.Group[0], messages.Prepare, messages.LedgerWord{Verdict: messages.Granted})
+	r.Hear(g.Group[0], messages.Prepare, messages.ConsensusResponse{Verdict: messages.Granted})
 	must.Eq(t, Going, r.End)
-	r.Hear(g.Group[1], messages.Prepare, messages.LedgerWord{Verdict: messages.Granted})
+	r.Hear(g.Group[1], messages.Prepare, messages.ConsensusResponse{Verdict: messages.Granted})
 	must.Eq(t, Denied, r.End)
 	must.ErrorIs(t, r.Err, no)
 }
@@ -501,21 +501,21 @@
 	next := []messages.Member{{ID: "d/1", Addr: "d"}, {ID: "e/1", Addr: "e"}, g.Group[0]}
 	r := NewRound(0, g, messages.Ballot{N: 1, Who: "x"}, "x", func(messages.Value) ([]messages.Member, []byte, error) { return next, nil, nil })
 	for _, m := range g.Group[:2] {
-		r.Hear(m, messages.Prepare, messages.LedgerWord{Verdict: messages.Granted})
+		r.Hear(m, messages.Prepare, messages.ConsensusResponse{Verdict: messages.Granted})
 	}
 	for _, m := range g.Group {
-		r.Hear(m, messages.Accept, messages.LedgerWord{Verdict: messages.Granted})
+		r.Hear(m, messages.Accept, messages.ConsensusResponse{Verdict: messages.Granted})
 	}
 	must.Eq(t, Going, r.End)
-	r.Hear(next[0], messages.Accept, messages.LedgerWord{Verdict: messages.Granted})
+	r.Hear(next[0], messages.Accept, messages.ConsensusResponse{Verdict: messages.Granted})
 	must.Eq(t, Chosen, r.End)
 }
 
 func TestRegroup(t *testing.T) {
 	g := Genesis([]string{"a", "b", "c"}).Group
 	gone := map[string]int64{}
-	st := func(ready ...messages.Member) Standing {
-		return Standing{Ready: append(append([]messages.Member{}, g...), ready...), GoneFor: func(a string) int64 { return gone[a] }, GoneUs: 10}
+	st := func(ready ...messages.Member) Status {
+		return Status{Ready: append(append([]messages.Member{}, g...), ready...), GoneFor: func(a string) int64 { return gone[a] }, GoneUs: 10}
 	}
 	_, want := Regroup(g, st())
 	must.False(t, want)
@@ -541,7 +541,7 @@
 func TestMembersAreThoseThatCount(t *testing.T) {
 	alive := func(addr string) int64 { return 0 }
 	peer := func(addr string, counted bool) messages.Peer {
-		return messages.Peer{Addr: addr, LedgerID: FirstID(addr), Counted: counted}
+		return messages.Peer{Addr: addr, MemberID: FirstID(addr), Counted: counted}
 	}
 	g := Genesis([]string{"a", "b", "x"}).Group
 	next, want := Regroup(g, Stand([]messages.Peer{peer("a", true), peer("b", true), peer("c", true), peer("x", false)}, alive, 10))
@@ -562,7 +562,7 @@
 	must.NoError(t, err)
 	must.Eq(t, "me/1", id)
 	rec := func(n int64) messages.Record {
-		return messages.Record{Committed: messages.Value{Mark: n, Group: []messages.Member{{ID: "x", Addr: "y"}}, Body: []byte("b"), Stamp: "s"}}
+		return messages.Record{Committed: messages.Value{Version: n, Group: []messages.Member{{ID: "x", Addr: "y"}}, Body: []byte("b"), Stamp: "s"}}
 	}
 	for n := range int64(5) {
 		must.NoError(t, d.Save(2, rec(n+1)))
@@ -575,7 +575,7 @@
 	got, ok, err := again.Load(2)
 	must.NoError(t, err)
 	must.True(t, ok)
-	must.Eq(t, int64(5), got.Committed.Mark)
+	must.Eq(t, int64(5), got.Committed.Version)
 	list, err := again.versions(2)
 	must.NoError(t, err)
 	must.SliceNotEmpty(t, list)
@@ -586,8 +586,8 @@
 	got, ok, err = again.Load(2)
 	must.NoError(t, err)
 	must.True(t, ok)
-	must.Eq(t, int64(4), got.Committed.Mark)
+	must.Eq(t, int64(4), got.Committed.Version)
 	must.NoError(t, again.Save(2, rec(9)))
 	got, _, _ = again.Load(2)
-	must.Eq(t, int64(9), got.Committed.Mark)
+	must.Eq(t, int64(9), got.Committed.Version)
 }
--- a/internal/consensus/group.go
+++ b/internal/consensus/group.go
@@ -13,8 +13,8 @@
 // maxGroup bounds the members of one register.
 const maxGroup = 9
 
-// Standing is what the steward sees of the other controllers.
-type Standing struct {
+// Status is what the steward sees of the other controllers.
+type Status struct {
 	Ready   []messages.Member // alive, with the identity they now have
 	GoneFor func(addr string) int64
 	GoneUs  int64 // how long a member must be gone to be swapped or dropped
@@ -24,19 +24,19 @@
 // loss is bounded, only they are to be members: any number of the others may go
 // at once, so a member that does not count is as good as gone once another
 // stands ready.
-func Stand(alive []messages.Peer, goneFor func(addr string) int64, goneUs int64) Standing {
+func Stand(alive []messages.Peer, goneFor func(addr string) int64, goneUs int64) Status {
 	counted := false
 	for _, p := range alive {
 		counted = counted || p.Counted
 	}
-	s := Standing{GoneUs: goneUs}
+	s := Status{GoneUs: goneUs}
 	uncounted := map[string]bool{}
 	for _, p := range alive {
 		if counted && !p.Counted {
 			uncounted[p.Addr] = true
 			continue
 		}
-		s.Ready = append(s.Ready, messages.Member{ID: p.LedgerID, Addr: p.Addr})
+		s.Ready = append(s.Ready, messages.Member{ID: p.MemberID, Addr: p.Addr})
 	}
 	s.GoneFor = func(addr string) int64 {
 		if uncounted[addr] {
@@ -48,7 +48,7 @@
 }
 
 // Regroup returns the wanted group, and false where it should stay as it is.
-func Regroup(group []messages.Member, s Standing) ([]messages.Member, bool) {
+func Regroup(group []messages.Member, s Status) ([]messages.Member, bool) {
 	var newcomers []messages.Member
 	for _, m := range s.Ready {
 		if m.ID != "" && !has(group, m.ID) {
--- a/internal/consensus/round.go
+++ b/internal/consensus/round.go
@@ -17,7 +17,7 @@
 // Ask is an ask with its receiver.
 type Ask struct {
 	To  messages.Member
-	Ask messages.LedgerAsk
+	Ask messages.ConsensusRequest
 }
 
 // End says how a round stands.
@@ -73,8 +73,8 @@
 	return union(r.Base.Group, r.Value.Group)
 }
 
-func (r *Round) ask(m messages.Member) messages.LedgerAsk {
-	a := messages.LedgerAsk{Part: r.Part, To: m.ID, Step: messages.Prepare, Slot: r.Base.Mark + 1, Ballot: r.Ballot}
+func (r *Round) ask(m messages.Member) messages.ConsensusRequest {
+	a := messages.ConsensusRequest{Part: r.Part, To: m.ID, Step: messages.Prepare, Slot: r.Base.Version + 1, Ballot: r.Ballot}
 	if r.accepting {
 		a.Step, a.Value = messages.Accept, r.Value
 	}
@@ -83,19 +83,19 @@
 
 // Hear takes the word of a member on an ask of the given step. It returns
 // further asks: the next phase's, or the committed base for one who is behind.
-func (r *Round) Hear(from messages.Member, step messages.Step, w messages.LedgerWord) []Ask {
+func (r *Round) Hear(from messages.Member, step messages.Step, w messages.ConsensusResponse) []Ask {
 	if r.End != Going || (step == messages.Accept) != r.accepting {
 		return nil
 	}
 	switch w.Verdict {
 	case messages.Ahead:
-		if w.Value.Mark > r.Base.Mark {
+		if w.Value.Version > r.Base.Version {
 			r.End, r.Value = Overtook, w.Value
 		}
 		return nil
 	case messages.Behind:
 		return []Ask{
-			{To: from, Ask: messages.LedgerAsk{Part: r.Part, To: from.ID, Step: messages.Commit, Slot: r.Base.Mark, Value: r.Base}},
+			{To: from, Ask: messages.ConsensusRequest{Part: r.Part, To: from.ID, Step: messages.Commit, Slot: r.Base.Version, Value: r.Base}},
 			{To: from, Ask: r.ask(from)},
 		}
 	case messages.Outbid:
@@ -144,7 +144,7 @@
 		if len(group) == 0 {
 			group = r.Base.Group
 		}
-		r.Value = messages.Value{Mark: r.Base.Mark + 1, Group: group, Body: body, Stamp: r.Stamp}
+		r.Value = messages.Value{Version: r.Base.Version + 1, Group: group, Body: body, Stamp: r.Stamp}
 	}
 	r.accepting = true
 	r.votes, r.refused = map[string]bool{}, map[string]bool{}
--- a/internal/controller/condition.go
+++ b/internal/controller/condition.go
@@ -15,15 +15,15 @@
 const unreadUs = 5_000_000
 
 func (d *Controller) condition() messages.Condition {
-	c := messages.Condition{Node: d.set.Node, Role: messages.Controller, Site: d.set.Site, Addr: d.radio.Addr(), TimeUs: time.Now().UnixMicro(), LedgerID: d.ledger.ID(), Marks: d.told(), HasDisk: d.disk != nil}
-	c.SaveUs, c.SaveFault = d.ledger.LastSave()
+	c := messages.Condition{Node: d.set.Node, Role: messages.Controller, Zone: d.set.Zone, Addr: d.radio.Addr(), TimeUs: time.Now().UnixMicro(), MemberID: d.registers.ID(), Versions: d.told(), HasDisk: d.disk != nil}
+	c.SaveUs, c.SaveFault = d.registers.LastSave()
 	for p := range consensus.Parts {
-		v, _ := d.ledger.Committed(p)
+		v, _ := d.registers.Committed(p)
 		c.Groups = append(c.Groups, append([]messages.Member{}, v.Group...))
 	}
 	c.Peers = append(d.watch.Alive(messages.Controller), d.watch.Alive(messages.Router)...)
 	c.Wholes, c.Changes, c.Malformed = d.feed.wholes.Load(), d.feed.changes.Load(), d.feed.malformed.Load()
-	snap := d.roster.Snapshot()
+	snap := d.registry.Snapshot()
 	c.Runners = len(snap.ByID)
 	for id, n := range snap.ByID {
 		if n.Stale {
--- a/internal/controller/control.go
+++ b/internal/controller/control.go
@@ -67,7 +67,7 @@
 }
 
 func (d *Controller) beat(_ context.Context, c *app.RequestContext) {
-	var b api.Beat
+	var b api.Heartbeat
 	if err := json.Unmarshal(c.Request.Body(), &b); err != nil {
 		deny(c, 400, "(body)", err.Error())
 		return
@@ -76,15 +76,15 @@
 		deny(c, 400, "(body)", "not a beat")
 		return
 	}
-	n := messages.RunnerNote{ID: c.Param("id"), Service: b.Service, Addr: b.Address, Site: b.Site, Capacity: b.Capacity, Seq: b.Sequence, Draining: b.State == api.Draining, Models: []messages.Target{}}
+	n := messages.RunnerRecord{ID: c.Param("id"), Service: b.Service, Addr: b.Address, Zone: b.Zone, Capacity: b.Capacity, Seq: b.Sequence, Draining: b.State == api.Draining, Models: []messages.Target{}}
 	for _, m := range b.Models {
-		n.Models = append(n.Models, messages.Target{Model: m.Name, Mark: m.Mark})
+		n.Models = append(n.Models, messages.Target{Model: m.Name, Version: m.Version})
 	}
-	changed := d.roster.Hear(n, d.clock())
+	changed := d.registry.Hear(n, d.clock())
 	if changed {
 		d.tellRunners(n.ID)
 	}
-	out := api.BeatOutcome{}
+	out := api.HeartbeatResponse{}
 	all := d.watch.Alive(messages.Controller)
 	for _, p := range all {
 		if p.Addr != d.radio.Addr() {
@@ -95,12 +95,12 @@
 	c.JSON(200, out)
 }
 
-// beatTo is where a runner should beat: at a controller of its own site, each of
+// beatTo is where a runner should beat: at a controller of its own zone, each of
 // them taking a part of the runners. It is empty where it beats already.
-func beatTo(core []messages.Peer, self string, n messages.RunnerNote) string {
+func beatTo(core []messages.Peer, self string, n messages.RunnerRecord) string {
 	var near []messages.Peer
 	for _, p := range core {
-		if p.Site == n.Site && (p.Addr == self || p.Control != "" && p.Standing == messages.Alive) {
+		if p.Zone == n.Zone && (p.Addr == self || p.Control != "" && p.Status == messages.Alive) {
 			near = append(near, p)
 		}
 	}
@@ -115,7 +115,7 @@
 }
 
 func (d *Controller) leave(_ context.Context, c *app.RequestContext) {
-	if n, changed := d.roster.Leave(c.Param("id"), d.clock()); changed {
+	if n, changed := d.registry.Leave(c.Param("id"), d.clock()); changed {
 		d.tellRunners(n.ID)
 	}
 	c.Status(200)
@@ -135,12 +135,12 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, operatorWait)
 	defer cancel()
-	_, err = d.ledger.Change(ctx, consensus.MenuPart, func(cur messages.Value) ([]messages.Member, []byte, error) {
-		body, err := menuBody(cur)
+	_, err = d.registers.Change(ctx, consensus.ConfigPart, func(cur messages.Value) ([]messages.Member, []byte, error) {
+		body, err := configBody(cur)
 		if err != nil {
 			return nil, nil, err
 		}
-		next, err := routeconfig.Replace(body, raw, m.Mark, base)
+		next, err := routeconfig.Replace(body, raw, m.Version, base)
 		if err != nil {
 			return nil, nil, err
 		}
@@ -150,13 +150,13 @@
 	var bad *routeconfig.Invalid
 	switch {
 	case err == nil, errors.Is(err, routeconfig.ErrTakenBefore):
-		c.JSON(200, map[string]int64{"version": m.Mark})
+		c.JSON(200, map[string]int64{"version": m.Version})
 	case errors.Is(err, routeconfig.ErrOvertaken):
 		deny(c, 412, "Beechtide-Base-Version", "another version is in place")
 	case errors.As(err, &bad):
 		invalid(c, err)
 	default:
-		d.log.Error(err, "a change of the configuration is unsure", "version", m.Mark)
+		d.log.Error(err, "a change of the configuration is unsure", "version", m.Version)
 		deny(c, 503, "", err.Error())
 	}
 }
@@ -170,8 +170,8 @@
 	deny(c, 400, "(body)", err.Error())
 }
 
-func menuBody(v messages.Value) (messages.MenuBody, error) {
-	var body messages.MenuBody
+func configBody(v messages.Value) (messages.ConfigBody, error) {
+	var body messages.ConfigBody
 	if len(v.Body) == 0 {
 		return body, nil
 	}
@@ -182,16 +182,16 @@
 func (d *Controller) read(ctx context.Context, c *app.RequestContext) {
 	ctx, cancel := context.WithTimeout(ctx, operatorWait)
 	defer cancel()
-	v, err := d.ledger.Read(ctx, consensus.MenuPart)
+	v, err := d.registers.Read(ctx, consensus.ConfigPart)
 	if err != nil {
 		deny(c, 503, "", err.Error())
 		return
 	}
-	body, err := menuBody(v)
+	body, err := configBody(v)
 	switch {
 	case err != nil:
 		deny(c, 500, "", err.Error())
-	case body.Mark == 0:
+	case body.Version == 0:
 		deny(c, 404, "", "no configuration yet")
 	default:
 		c.Data(200, "application/json", body.Raw)
@@ -199,7 +199,7 @@
 }
 
 func (d *Controller) nameWeights(ctx context.Context, c *app.RequestContext) {
-	var w api.WeightsNamed
+	var w api.WeightsVersion
 	if err := json.Unmarshal(c.Request.Body(), &w); err != nil {
 		deny(c, 400, "(body)", err.Error())
 		return
@@ -217,10 +217,10 @@
 		}
 	}
 	part := consensus.PartOf(service)
-	v, err := d.ledger.Change(ctx, part, func(cur messages.Value) ([]messages.Member, []byte, error) {
-		return nameTarget(cur, w, d.ledger.ID())
+	v, err := d.registers.Change(ctx, part, func(cur messages.Value) ([]messages.Member, []byte, error) {
+		return nameTarget(cur, w, d.registers.ID())
 	})
-	if body, berr := dutyBody(v); err == nil && berr == nil && body.Claim.Holder == d.ledger.ID() && body.Claim.Fence == 1 {
+	if body, berr := leaseBody(v); err == nil && berr == nil && body.Lease.Holder == d.registers.ID() && body.Lease.Fence == 1 {
 		d.refits.wonFirst(part, 1)
 	}
 	if err != nil && !errors.Is(err, errNoChange) {
@@ -232,8 +232,8 @@
 
 // nameTarget notes a model's newest weights. The one who notes it takes the
 // duty along where it was never held.
-func nameTarget(cur messages.Value, w api.WeightsNamed, self string) ([]messages.Member, []byte, error) {
-	body, err := dutyBody(cur)
+func nameTarget(cur messages.Value, w api.WeightsVersion, self string) ([]messages.Member, []byte, error) {
+	body, err := leaseBody(cur)
 	if err != nil {
 		return nil, nil, err
 	}
@@ -241,24 +241,24 @@
 	for i := range body.Targets {
 		if body.Targets[i].Model == w.Model {
 			found = true
-			if body.Targets[i].Mark >= w.Mark {
+			if body.Targets[i].Version >= w.Version {
 				return nil, nil, errNoChange
 			}
-			body.Targets[i].Mark = w.Mark
+			body.Targets[i].Version = w.Version
 		}
 	}
 	if !found {
-		body.Targets = append(body.Targets, messages.Target{Model: w.Model, Mark: w.Mark})
+		body.Targets = append(body.Targets, messages.Target{Model: w.Model, Version: w.Version})
 	}
-	if body.Claim.Holder == "" {
-		body.Claim = messages.Claim{Holder: self, Fence: 1}
+	if body.Lease.Holder == "" {
+		body.Lease = messages.Lease{Holder: self, Fence: 1}
 	}
 	b, err := body.MarshalMsg(nil)
 	return nil, b, err
 }
 
-func dutyBody(v messages.Value) (messages.DutyBody, error) {
-	body := messages.DutyBody{Targets: []messages.Target{}}
+func leaseBody(v messages.Value) (messages.LeaseBody, error) {
+	body := messages.LeaseBody{Targets: []messages.Target{}}
 	if len(v.Body) == 0 {
 		return body, nil
 	}
--- a/internal/controller/controller.go
+++ b/internal/controller/controller.go
@@ -27,17 +27,17 @@
 
 // Controller is the running role.
 type Controller struct {
-	set    settings.Settings
-	log    logr.Logger
-	clock  func() int64
-	radio  *radio.Radio
-	watch  *radio.Watch
-	relay  *radio.Relay
-	ledger *consensus.Ledger
-	roster *registry.Roster
-	garage *upstream.Garage
-	table  atomic.Pointer[routeconfig.Table]
-	seeds  atomic.Pointer[[]string]
+	set       settings.Settings
+	log       logr.Logger
+	clock     func() int64
+	radio     *radio.Radio
+	watch     *radio.Watch
+	relay     *radio.Relay
+	registers *consensus.Registers
+	registry  *registry.Registry
+	garage    *upstream.Garage
+	table     atomic.Pointer[routeconfig.Table]
+	seeds     atomic.Pointer[[]string]
 
 	feed    feed
 	kmu     sync.Mutex
@@ -57,7 +57,7 @@
 	if err != nil {
 		return nil, err
 	}
-	d := &Controller{set: set, log: log, clock: clock, radio: rad, roster: registry.New(), garage: upstream.NewGarage(clock), kept: prefixindex.NewIndex(), readers: map[string]context.CancelFunc{}, heardUs: map[string]int64{}, startUs: clock()}
+	d := &Controller{set: set, log: log, clock: clock, radio: rad, registry: registry.New(), garage: upstream.NewGarage(clock), kept: prefixindex.NewIndex(), readers: map[string]context.CancelFunc{}, heardUs: map[string]int64{}, startUs: clock()}
 	var store consensus.Store = &consensus.MemoryStore{}
 	if set.DataDir != "" {
 		if d.disk, err = consensus.NewDiskStore(filepath.Join(set.DataDir, "ledger")); err != nil {
@@ -70,18 +70,18 @@
 	d.feed.init(clock())
 	d.syncRunners()
 	d.relay = radio.NewRelay(rad, radio.Upward{Since: d.since, Told: d.toldBelow, Gone: d.goneBelow})
-	d.ledger, err = consensus.Open(set.ControllerAddr(), radio.KindLedger, set.Bootstrap, set.SeedAddrs(), rad, store, log, d.learned)
+	d.registers, err = consensus.Open(set.ControllerAddr(), radio.KindConsensus, set.Bootstrap, set.SeedAddrs(), rad, store, log, d.learned)
 	if err != nil {
 		return nil, err
 	}
-	self := messages.Peer{Addr: set.ControllerAddr(), Role: messages.Controller, Site: set.Site, LedgerID: d.ledger.ID(), Control: set.Listen.Control, Node: set.Node, Counted: set.Counted}
+	self := messages.Peer{Addr: set.ControllerAddr(), Role: messages.Controller, Zone: set.Zone, MemberID: d.registers.ID(), Control: set.Listen.Control, Node: set.Node, Counted: set.Counted}
 	d.watch = radio.NewWatch(rad, self, clock, d.knownControllers)
-	rad.OnCall(radio.KindLedger, func(ctx context.Context, _ *radio.Link, body []byte) ([]byte, error) {
-		return d.ledger.Handle(ctx, body)
+	rad.OnCall(radio.KindConsensus, func(ctx context.Context, _ *radio.Link, body []byte) ([]byte, error) {
+		return d.registers.Handle(ctx, body)
 	})
-	rad.OnCall(radio.KindMarks, func(_ context.Context, _ *radio.Link, body []byte) ([]byte, error) {
-		m := d.marks()
-		var from messages.Marks
+	rad.OnCall(radio.KindVersions, func(_ context.Context, _ *radio.Link, body []byte) ([]byte, error) {
+		m := d.versions()
+		var from messages.Versions
 		if _, err := from.UnmarshalMsg(body); err == nil && !from.Controller {
 			m.Parts = d.told()
 		}
@@ -93,7 +93,7 @@
 	})
 	rad.OnCast(radio.KindRunner, d.heardRunner)
 	for p := range consensus.Parts {
-		if v, ok := d.ledger.Committed(p); ok && v.Mark > 0 {
+		if v, ok := d.registers.Committed(p); ok && v.Version > 0 {
 			d.learned(p, v)
 		}
 	}
@@ -107,7 +107,7 @@
 	set.Seeds = *d.seeds.Load()
 	out := set.SeedAddrs()
 	for p := range consensus.Parts {
-		if v, ok := d.ledger.Committed(p); ok {
+		if v, ok := d.registers.Committed(p); ok {
 			for _, m := range v.Group {
 				out = append(out, m.Addr)
 			}
@@ -164,9 +164,9 @@
 	for p := range consensus.Parts {
 		for ctx.Err() == nil {
 			cctx, cancel := context.WithTimeout(ctx, time.Second)
-			v, err := d.ledger.Read(cctx, p)
+			v, err := d.registers.Read(cctx, p)
 			cancel()
-			d.log.Info("part read", "part", p, "mark", v.Mark, "members", len(v.Group), "err", err)
+			d.log.Info("part read", "part", p, "version", v.Version, "members", len(v.Group), "err", err)
 			if err == nil {
 				break
 			}
@@ -176,32 +176,32 @@
 }
 
 func (d *Controller) learned(p int, v messages.Value) {
-	if v.Mark == 0 || len(v.Body) == 0 {
+	if v.Version == 0 || len(v.Body) == 0 {
 		return
 	}
-	if p == consensus.MenuPart {
-		var body messages.MenuBody
-		if _, err := body.UnmarshalMsg(v.Body); err == nil && body.Mark > 0 {
+	if p == consensus.ConfigPart {
+		var body messages.ConfigBody
+		if _, err := body.UnmarshalMsg(v.Body); err == nil && body.Version > 0 {
 			if m, err := routeconfig.Parse(body.Raw); err == nil {
 				t := routeconfig.Compile(m)
-				if cur := d.table.Load(); cur == nil || cur.Mark < t.Mark {
+				if cur := d.table.Load(); cur == nil || cur.Version < t.Version {
 					d.table.Store(t)
 				}
-				d.tellMenu(v.Mark, m)
+				d.publishConfig(v.Version, m)
 			}
 		}
 	}
-	if p != consensus.MenuPart {
-		d.tellPart(messages.PartNote{Part: p, Mark: v.Mark, Body: v.Body})
+	if p != consensus.ConfigPart {
+		d.tellPart(messages.PartNote{Part: p, Version: v.Version, Body: v.Body})
 	}
 }
 
-func (d *Controller) marks() messages.Marks {
-	m := messages.Marks{Parts: make([]int64, consensus.Parts), RosterSum: d.roster.Snapshot().Sum, Controller: true, CalmUs: d.calm.forUs(d.clock())}
+func (d *Controller) versions() messages.Versions {
+	m := messages.Versions{Parts: make([]int64, consensus.Parts), RegistrySum: d.registry.Snapshot().Sum, Controller: true, CalmUs: d.calm.forUs(d.clock())}
 	for p := range m.Parts {
 		m.Parts[p] = -1
-		if v, ok := d.ledger.Committed(p); ok {
-			m.Parts[p] = v.Mark
+		if v, ok := d.registers.Committed(p); ok {
+			m.Parts[p] = v.Version
 		}
 	}
 	return m
@@ -216,7 +216,7 @@
 		all := d.watch.Alive(messages.Controller)
 		if !d.inCore(all) {
 			all = radio.Core(all)
-			if near := nearest(all, d.set.Site); near != "" {
+			if near := nearest(all, d.set.Zone); near != "" {
 				want[near] = true
 			}
 		} else {
@@ -250,10 +250,10 @@
 	return false
 }
 
-// nearest is the first of a site, else the first of all.
-func nearest(list []messages.Peer, site string) string {
+// nearest is the first of a zone, else the first of all.
+func nearest(list []messages.Peer, zone string) string {
 	for _, p := range list {
-		if p.Site == site {
+		if p.Zone == zone {
 			return p.Addr
 		}
 	}
@@ -264,19 +264,19 @@
 }
 
 func (d *Controller) heardRunner(_ string, body []byte) {
-	var n messages.RunnerNote
-	if _, err := n.UnmarshalMsg(body); err == nil && d.roster.Hear(n, d.clock()) {
+	var n messages.RunnerRecord
+	if _, err := n.UnmarshalMsg(body); err == nil && d.registry.Hear(n, d.clock()) {
 		d.tellRunners(n.ID)
 	}
 }
 
 func (d *Controller) sweep() {
 	beatUs := int64(d.set.BeatPeriodMs) * 1000
-	for _, n := range d.roster.Sweep(d.clock(), 4*beatUs+500_000, 12*beatUs) {
+	for _, n := range d.registry.Sweep(d.clock(), 4*beatUs+500_000, 12*beatUs) {
 		d.tellRunners(n.ID)
 	}
 	d.syncRunners()
-	snap := d.roster.Snapshot()
+	snap := d.registry.Snapshot()
 	d.kmu.Lock()
 	d.kept.Retain(func(r string) bool { _, ok := snap.ByID[r]; return ok || strings.Contains(r, ":") })
 	d.kmu.Unlock()
@@ -288,13 +288,13 @@
 func coreView(alive []messages.Peer) (view string, core map[string]bool) {
 	core = map[string]bool{}
 	for _, p := range radio.Core(alive) {
-		view += p.Addr + p.LedgerID + " "
+		view += p.Addr + p.MemberID + " "
 		core[p.Addr] = true
 	}
 	return view, core
 }
 
-// catchUp compares marks with the other controllers and pulls what is newer.
+// catchUp compares versions with the other controllers and pulls what is newer.
 func (d *Controller) catchUp(ctx context.Context) {
 	alive := d.watch.Alive(messages.Controller)
 	view, core := coreView(alive)
@@ -306,21 +306,21 @@
 		go func() {
 			cctx, cancel := context.WithTimeout(ctx, 450*time.Millisecond)
 			defer cancel()
-			mine := d.marks()
-			b, err := d.radio.Call(cctx, p.Addr, radio.KindMarks, &mine)
+			mine := d.versions()
+			b, err := d.radio.Call(cctx, p.Addr, radio.KindVersions, &mine)
 			if core[p.Addr] {
 				d.calm.tried(p.Addr, err == nil, d.clock())
 			}
 			if err != nil {
 				return
 			}
-			var m messages.Marks
+			var m messages.Versions
 			if _, err := m.UnmarshalMsg(b); err != nil {
 				return
 			}
 			for part := range min(len(m.Parts), consensus.Parts) {
 				if m.Parts[part] > mine.Parts[part] {
-					_ = d.ledger.Pull(cctx, p.Addr, part)
+					_ = d.registers.Pull(cctx, p.Addr, part)
 				}
 			}
 		}()
@@ -336,7 +336,7 @@
 	}
 	st := consensus.Stand(alive, d.watch.DeadForUs, 1_000_000)
 	for part := range consensus.Parts {
-		v, ok := d.ledger.Committed(part)
+		v, ok := d.registers.Committed(part)
 		if !ok {
 			continue
 		}
@@ -344,7 +344,7 @@
 			continue
 		}
 		cctx, cancel := context.WithTimeout(ctx, 2*time.Second)
-		_, err := d.ledger.Change(cctx, part, func(cur messages.Value) ([]messages.Member, []byte, error) {
+		_, err := d.registers.Change(cctx, part, func(cur messages.Value) ([]messages.Member, []byte, error) {
 			group, want := consensus.Regroup(cur.Group, st)
 			if !want {
 				return nil, nil, errNoChange
--- a/internal/controller/controller_test.go
+++ b/internal/controller/controller_test.go
@@ -31,9 +31,9 @@
 func core(t *testing.T, dir string, port int, bootstrap bool) (*Controller, string, func()) {
 	t.Helper()
 	control := fmt.Sprintf("127.0.0.1:%d", port+2)
-	set := settings.Settings{Node: "n", Ip: "127.0.0.1", Site: "a", Ports: []int{port, port + 1}, Seeds: []string{control}, Bootstrap: bootstrap, DataDir: dir, BeatPeriodMs: 1000}
+	set := settings.Settings{Node: "n", Ip: "127.0.0.1", Zone: "a", Ports: []int{port, port + 1}, Seeds: []string{control}, Bootstrap: bootstrap, DataDir: dir, BeatPeriodMs: 1000}
 	set.Listen.Control = control
-	set.Bounds.ClaimMs = 3000
+	set.Bounds.LeaseMs = 3000
 	pool, err := ants.NewPool(64, ants.WithNonblocking(true))
 	must.NoError(t, err)
 	began := time.Now()
@@ -134,13 +134,13 @@
 		status, _ := call(t, "POST", url+"/api/Runners.Heartbeat/i-1", bad, 0)
 		must.Eq(t, 400, status, must.Sprint(bad))
 	}
-	must.MapEmpty(t, d.roster.Snapshot().ByID)
+	must.MapEmpty(t, d.registry.Snapshot().ByID)
 	status, _ := call(t, "POST", url+"/api/Runners.Heartbeat/i-1", good, 0)
 	must.Eq(t, 200, status)
-	must.MapContainsKey(t, d.roster.Snapshot().ByID, "i-1")
+	must.MapContainsKey(t, d.registry.Snapshot().ByID, "i-1")
 	status, _ = call(t, "POST", url+"/api/Runners.Leave/i-1", "", 0)
 	must.Eq(t, 200, status)
-	must.MapEmpty(t, d.roster.Snapshot().ByID)
+	must.MapEmpty(t, d.registry.Snapshot().ByID)
 }
 
 // The incident of docs/incidents/restart-lifts-bars.md: a controller that starts
@@ -150,44 +150,44 @@
 	d, url, stop := core(t, dir, port, true)
 	status, _ := call(t, "POST", url+"/api/Config.Replace", text3(5, "s"), 0)
 	must.Eq(t, 200, status)
-	n := messages.RunnerNote{ID: "i-1", Service: "s", Addr: "1.2.3.4:80", Site: "a", Seq: 1, Models: []messages.Target{{Model: "m", Mark: 1}}}
-	d.roster.Hear(n, 1)
-	d.roster.Bar("i-1", false, true, 77)
-	kept := messages.News{Runners: []messages.RunnerNote{d.roster.Snapshot().ByID["i-1"]}}
+	n := messages.RunnerRecord{ID: "i-1", Service: "s", Addr: "1.2.3.4:80", Zone: "a", Seq: 1, Models: []messages.Target{{Model: "m", Version: 1}}}
+	d.registry.Hear(n, 1)
+	d.registry.Bar("i-1", false, true, 77)
+	kept := messages.News{Runners: []messages.RunnerRecord{d.registry.Snapshot().ByID["i-1"]}}
 	b, err := kept.MarshalMsg(nil)
 	must.NoError(t, err)
 	must.NoError(t, d.disk.Keep(runnersFile, b))
-	id := d.ledger.ID()
+	id := d.registers.ID()
 	stop()
 
-	fresh := &Controller{disk: d.disk, roster: registry.New(), clock: d.clock, log: logr.Discard()}
+	fresh := &Controller{disk: d.disk, registry: registry.New(), clock: d.clock, log: logr.Discard()}
 	fresh.feed.init(1)
 	fresh.recallRunners()
 	fresh.syncRunners()
-	lacks, ok := fresh.feed.roster.Since(0, 0)
+	lacks, ok := fresh.feed.registry.Since(0, 0)
 	must.True(t, ok)
 	must.Len(t, 1, lacks.Puts, must.Sprint("the routers are told of runners that the disk named"))
-	got := fresh.roster.Snapshot().ByID["i-1"]
+	got := fresh.registry.Snapshot().ByID["i-1"]
 	must.True(t, got.Barred)
-	must.Eq(t, int64(77), got.BarMark)
-	fresh.roster.Leave("i-1", 1)
-	fresh.roster.Sweep(200_000_000, 1, 1)
+	must.Eq(t, int64(77), got.BarVersion)
+	fresh.registry.Leave("i-1", 1)
+	fresh.registry.Sweep(200_000_000, 1, 1)
 	fresh.syncRunners()
-	must.Eq(t, 0, fresh.feed.roster.Len(), must.Sprint("what the roster forgets is told no longer"))
+	must.Eq(t, 0, fresh.feed.registry.Len(), must.Sprint("what the registry forgets is told no longer"))
 	keptID, ok := d.disk.Note("identity")
 	must.True(t, ok)
 	must.Eq(t, id, string(keptID))
 	rec, ok, err := d.disk.Load(0)
 	must.NoError(t, err)
 	must.True(t, ok)
-	must.True(t, rec.HasAccepted || rec.Committed.Mark > 0)
+	must.True(t, rec.HasAccepted || rec.Committed.Version > 0)
 }
 
 // The incident of docs/incidents/uncounted-unsettled-the-core.md: a controller that
 // does not count comes and goes, and the core is as calm as before.
 func TestOnlyDispatchesThatCountUnsettleTheCore(t *testing.T) {
-	counted := []messages.Peer{{Addr: "a", LedgerID: "a/0", Counted: true}, {Addr: "b", LedgerID: "b/0", Counted: true}}
-	all := append(append([]messages.Peer{}, counted...), messages.Peer{Addr: "x", LedgerID: "x/1"})
+	counted := []messages.Peer{{Addr: "a", MemberID: "a/0", Counted: true}, {Addr: "b", MemberID: "b/0", Counted: true}}
+	all := append(append([]messages.Peer{}, counted...), messages.Peer{Addr: "x", MemberID: "x/1"})
 	var c calm
 	view, core := coreView(all)
 	must.MapLen(t, 2, core)
--- a/internal/controller/feed.go
+++ b/internal/controller/feed.go
@@ -40,12 +40,12 @@
 const below = "below"
 
 type feed struct {
-	mu     sync.Mutex
-	roster *statesync.Entries
-	menu   *statesync.Entries
-	parts  map[int]messages.PartNote
-	below  *statesync.Sum // the nodes below this one
-	all    *statesync.Sum // those and the ones below the other controllers
+	mu            sync.Mutex
+	registry      *statesync.Entries
+	configuration *statesync.Entries
+	parts         map[int]messages.PartNote
+	below         *statesync.Sum // the nodes below this one
+	all           *statesync.Sum // those and the ones below the other controllers
 
 	own, down outbox // to the other controllers, and to the routers
 	urgent    chan struct{}
@@ -57,31 +57,31 @@
 
 // outbox is what waits to be sent.
 type outbox struct {
-	menu    []messages.EntryChange
-	parts   []messages.PartNote
-	kept    []messages.KeptChange
-	reports []messages.ReportNote
-	coming  []messages.KeptNote
+	configuration []messages.EntryChange
+	parts         []messages.PartNote
+	kept          []messages.KeptChange
+	reports       []messages.ReportNote
+	coming        []messages.KeptNote
 }
 
 func (o *outbox) take(f *messages.Feed) {
-	f.Menu, f.Parts, f.Kept, f.Reports, f.Coming = o.menu, o.parts, o.kept, o.reports, o.coming
+	f.Configuration, f.Parts, f.Kept, f.Reports, f.Coming = o.configuration, o.parts, o.kept, o.reports, o.coming
 	*o = outbox{}
 }
 
 func (f *feed) init(epoch int64) {
-	f.roster, f.menu = statesync.NewEntries(), statesync.NewEntries()
+	f.registry, f.configuration = statesync.NewEntries(), statesync.NewEntries()
 	epoch = epoch ^ time.Now().UnixNano()
-	f.roster.Begin(epoch, 0)
-	f.menu.Begin(menuEpoch, 0)
+	f.registry.Begin(epoch, 0)
+	f.configuration.Begin(configEpoch, 0)
 	f.parts = map[int]messages.PartNote{}
 	f.below, f.all = statesync.NewSum(epoch), statesync.NewSum(epoch+1)
 	f.urgent = make(chan struct{}, 1)
 }
 
-// menuEpoch is that of the configuration: its versions are the register's, the
+// configEpoch is that of the configuration: its versions are the register's, the
 // same at every node and in every life.
-const menuEpoch = 1
+const configEpoch = 1
 
 func (f *feed) hurry() {
 	select {
@@ -105,9 +105,9 @@
 // or only another group, is none to those below.
 func (f *feed) versions() []int64 {
 	out := make([]int64, consensus.Parts)
-	out[consensus.MenuPart] = f.menu.Version
+	out[consensus.ConfigPart] = f.configuration.Version
 	for p, n := range f.parts {
-		out[p] = n.Mark
+		out[p] = n.Version
 	}
 	return out
 }
@@ -119,14 +119,14 @@
 	return d.feed.versions()
 }
 
-// tellRunners sends the notes of runners as the roster has them now.
+// tellRunners sends the notes of runners as the registry has them now.
 func (d *Controller) tellRunners(ids ...string) {
 	f := &d.feed
 	f.mu.Lock()
 	for _, id := range ids {
-		if n, ok := d.roster.Note(id); ok {
+		if n, ok := d.registry.Note(id); ok {
 			if b, err := n.MarshalMsg(nil); err == nil {
-				f.roster.Put(id, string(b))
+				f.registry.Put(id, string(b))
 			}
 		}
 	}
@@ -134,36 +134,36 @@
 	f.hurry()
 }
 
-// syncRunners brings what is told of runners to what the roster holds: those
+// syncRunners brings what is told of runners to what the registry holds: those
 // recalled from disk go in, those it has forgotten go out.
 func (d *Controller) syncRunners() {
 	f := &d.feed
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	known := map[string]bool{}
-	for _, n := range d.roster.All() {
+	for _, n := range d.registry.All() {
 		known[n.ID] = true
-		if _, told := f.roster.Get(n.ID); told {
+		if _, told := f.registry.Get(n.ID); told {
 			continue
 		}
 		if b, err := n.MarshalMsg(nil); err == nil {
-			f.roster.Put(n.ID, string(b))
+			f.registry.Put(n.ID, string(b))
 		}
 	}
 	var gone []string
-	f.roster.Each(func(id, _ string) {
+	f.registry.Each(func(id, _ string) {
 		if !known[id] {
 			gone = append(gone, id)
 		}
 	})
 	for _, id := range gone {
-		f.roster.Drop(id)
+		f.registry.Drop(id)
 	}
 }
 
-// tellMenu sends what differs in a newly committed configuration. A version of
+// publishConfig sends what differs in a newly committed configuration. A version of
 // the register that only changes its group has no entries.
-func (d *Controller) tellMenu(version int64, m api.Menu) {
+func (d *Controller) publishConfig(version int64, m api.Configuration) {
 	entries, err := routeconfig.Entries(m)
 	if err != nil {
 		d.log.Error(err, "a committed configuration cannot be cut")
@@ -171,10 +171,10 @@
 	}
 	f := &d.feed
 	f.mu.Lock()
-	if version > f.menu.Version {
-		f.menu.Replace(entries)
-		c := statesync.SendEntries(f.menu.Commit(version))
-		f.own.menu, f.down.menu = append(f.own.menu, c), append(f.down.menu, c)
+	if version > f.configuration.Version {
+		f.configuration.Replace(entries)
+		c := statesync.SendEntries(f.configuration.Commit(version))
+		f.own.configuration, f.down.configuration = append(f.own.configuration, c), append(f.down.configuration, c)
 	}
 	f.mu.Unlock()
 	f.hurry()
@@ -183,7 +183,7 @@
 func (d *Controller) tellPart(p messages.PartNote) {
 	f := &d.feed
 	f.mu.Lock()
-	if f.parts[p.Part].Mark < p.Mark {
+	if f.parts[p.Part].Version < p.Version {
 		f.parts[p.Part] = p
 		f.own.parts, f.down.parts = append(f.own.parts, p), append(f.down.parts, p)
 	}
@@ -235,9 +235,9 @@
 	down := up
 	f.own.take(&up)
 	f.down.take(&down)
-	if f.roster.Dirty() {
-		c := statesync.SendEntries(f.roster.Commit(f.roster.Version + 1))
-		up.Roster, down.Roster = append(up.Roster, c), append(down.Roster, c)
+	if f.registry.Dirty() {
+		c := statesync.SendEntries(f.registry.Commit(f.registry.Version + 1))
+		up.Registry, down.Registry = append(up.Registry, c), append(down.Registry, c)
 	}
 	if f.below.Total.Dirty() {
 		c := statesync.SendLoads(f.below.Total.Commit(f.below.Total.Version + 1))
@@ -263,13 +263,13 @@
 const restUs = int64(radio.FeedEvery/time.Microsecond) - 50_000
 
 func something(f *messages.Feed) bool {
-	return len(f.Menu)+len(f.Parts)+len(f.Roster)+len(f.Kept)+len(f.Reports)+len(f.Loads)+len(f.Coming) > 0
+	return len(f.Configuration)+len(f.Parts)+len(f.Registry)+len(f.Kept)+len(f.Reports)+len(f.Loads)+len(f.Coming) > 0
 }
 
 // cutOff tells whether the group that holds the configuration is out of this
 // node's reach, so that those below had better listen to another.
 func (d *Controller) cutOff() bool {
-	v, ok := d.ledger.Committed(consensus.MenuPart)
+	v, ok := d.registers.Committed(consensus.ConfigPart)
 	if !ok || len(v.Group) < 2 {
 		return false
 	}
@@ -289,18 +289,18 @@
 	f := &d.feed
 	f.mu.Lock()
 	out.Versions = f.versions()
-	if c, lacks := f.menu.Since(h.Menu.Epoch, h.Menu.Version); lacks && f.menu.Version > h.Menu.Version {
-		out.Menu = append(out.Menu, statesync.SendEntries(c))
+	if c, lacks := f.configuration.Since(h.Configuration.Epoch, h.Configuration.Version); lacks && f.configuration.Version > h.Configuration.Version {
+		out.Configuration = append(out.Configuration, statesync.SendEntries(c))
 	}
 	for p, n := range f.parts {
-		if p >= len(h.Parts) || h.Parts[p] < n.Mark {
+		if p >= len(h.Parts) || h.Parts[p] < n.Version {
 			out.Parts = append(out.Parts, n)
 		}
 	}
-	if c, lacks := f.roster.Since(h.Roster.Epoch, h.Roster.Version); lacks && h.Roster.Epoch != -1 {
-		out.Roster = append(out.Roster, statesync.SendEntries(c))
+	if c, lacks := f.registry.Since(h.Registry.Epoch, h.Registry.Version); lacks && h.Registry.Epoch != -1 {
+		out.Registry = append(out.Registry, statesync.SendEntries(c))
 	}
-	if !h.MenuOnly {
+	if !h.ConfigOnly {
 		sum := f.all.Total
 		if h.Controller {
 			sum = f.below.Total
@@ -310,7 +310,7 @@
 		}
 	}
 	f.mu.Unlock()
-	if !h.MenuOnly {
+	if !h.ConfigOnly {
 		d.kmu.Lock()
 		out.Kept = d.kept.Since(h.Kept, func(id string) bool { return !h.Controller || d.readers[id] != nil })
 		d.kmu.Unlock()
@@ -367,12 +367,12 @@
 }
 
 // holdOf names what this node holds of another's streams. The configuration and
-// the parts come through the ledger.
+// the parts come through the registers.
 func (d *Controller) holdOf(addr string, runners *statesync.Entries) messages.Hold {
 	f := &d.feed
 	f.mu.Lock()
-	h := messages.Hold{Menu: messages.StreamHold{Epoch: menuEpoch, Version: never}}
-	h.Roster.Epoch, h.Roster.Version = runners.Holds()
+	h := messages.Hold{Configuration: messages.StreamHold{Epoch: configEpoch, Version: never}}
+	h.Registry.Epoch, h.Registry.Version = runners.Holds()
 	if l := f.all.Teller(addr); l != nil {
 		h.Loads.Epoch, h.Loads.Version = l.Holds()
 	}
@@ -399,7 +399,7 @@
 				defer f.pulling.Store(false)
 				ctx, cancel := context.WithTimeout(context.Background(), 400*time.Millisecond)
 				defer cancel()
-				_ = d.ledger.Pull(ctx, addr, p)
+				_ = d.registers.Pull(ctx, addr, p)
 			}()
 		}
 	}
@@ -412,7 +412,7 @@
 	f := &d.feed
 	d.pullNewer(addr, in.Versions)
 	var changed []string
-	for _, c := range in.Roster {
+	for _, c := range in.Registry {
 		ch := statesync.HearEntries(c)
 		f.mu.Lock()
 		again := c.Whole && runners.Epoch == c.Epoch
@@ -423,7 +423,7 @@
 			continue
 		}
 		for _, p := range ch.Puts {
-			var n messages.RunnerNote
+			var n messages.RunnerRecord
 			if p.Gone {
 				continue
 			}
@@ -431,7 +431,7 @@
 				f.malformed.Add(1)
 				continue
 			}
-			if d.roster.Merge(n, now) {
+			if d.registry.Merge(n, now) {
 				changed = append(changed, n.ID)
 			}
 		}
--- a/internal/controller/readers.go
+++ b/internal/controller/readers.go
@@ -1,5 +1,5 @@
 // Readers follow what runners keep and report: one controller reads one runner,
-// chosen by rendezvous hashing among the live controllers of the runner's site,
+// chosen by rendezvous hashing among the live controllers of the runner's zone,
 // and tells the rest. Kept parts come as events; the list is fetched only after
 // a gap, since it holds up the runner.
 package controller
@@ -38,8 +38,8 @@
 	if d.clock()-d.startUs < learnUs && len(alive) > 1 {
 		return
 	}
-	want := map[string]messages.RunnerNote{}
-	for _, n := range d.roster.Snapshot().ByID {
+	want := map[string]messages.RunnerRecord{}
+	for _, n := range d.registry.Snapshot().ByID {
 		s := t.Service(n.Service)
 		if s == nil || s.Engine.CacheTokens == 0 || n.Stale {
 			continue
@@ -49,7 +49,7 @@
 		}
 	}
 	for _, box := range t.Stores {
-		n := messages.RunnerNote{ID: box.CacheStore, Addr: box.CacheStore, Site: box.Site}
+		n := messages.RunnerRecord{ID: box.CacheStore, Addr: box.CacheStore, Zone: box.Zone}
 		if readerOf(n, alive) == d.radio.Addr() {
 			want[n.ID] = n
 		}
@@ -76,11 +76,11 @@
 	}
 }
 
-func readerOf(n messages.RunnerNote, alive []messages.Peer) string {
+func readerOf(n messages.RunnerRecord, alive []messages.Peer) string {
 	best, top := "", uint64(0)
 	for pass := range 2 {
 		for _, p := range alive {
-			if p.Standing != messages.Alive || pass == 0 && p.Site != n.Site {
+			if p.Status != messages.Alive || pass == 0 && p.Zone != n.Zone {
 				continue
 			}
 			h := fnv.New64a()
@@ -98,7 +98,7 @@
 
 // readKept follows a runner's events from where the shelf stands, whoever read
 // it so far.
-func (d *Controller) readKept(ctx context.Context, n messages.RunnerNote) {
+func (d *Controller) readKept(ctx context.Context, n messages.RunnerRecord) {
 	for ctx.Err() == nil {
 		d.kmu.Lock()
 		shelf := d.kept.Shelf(n.ID)
@@ -107,7 +107,7 @@
 		cctx, cancel := context.WithTimeout(ctx, callWait)
 		status, body, _, err := d.garage.Ask(cctx, n.Addr, "GET", "/api/kv-events?since="+strconv.FormatInt(since, 10), aimed(n, map[string]string{"Wait-Ms": "1000"}), nil)
 		cancel()
-		var ev api.KeptEvents
+		var ev api.PrefixEvents
 		if err != nil || status != 200 || json.Unmarshal(body, &ev) != nil {
 			loop.Pause(ctx, eventsEvery)
 			continue
@@ -145,11 +145,11 @@
 }
 
 // readList fetches the list after a gap, which the other nodes get as a whole.
-func (d *Controller) readList(ctx context.Context, n messages.RunnerNote) {
+func (d *Controller) readList(ctx context.Context, n messages.RunnerRecord) {
 	cctx, cancel := context.WithTimeout(ctx, callWait)
 	defer cancel()
 	status, body, _, err := d.garage.Ask(cctx, n.Addr, "GET", "/api/kv-list", aimed(n, map[string]string{}), nil)
-	var list api.KeptList
+	var list api.PrefixList
 	if err != nil || status != 200 || json.Unmarshal(body, &list) != nil {
 		return
 	}
@@ -172,7 +172,7 @@
 	})
 }
 
-func (d *Controller) readReports(ctx context.Context, n messages.RunnerNote) {
+func (d *Controller) readReports(ctx context.Context, n messages.RunnerRecord) {
 	for ctx.Err() == nil {
 		if r, ok := d.report(ctx, n); ok {
 			d.tellReport(messages.ReportNote{ID: n.ID, Used: r.CacheUsed, Total: r.CacheTotal, Active: r.Active, Pending: r.Pending})
@@ -181,7 +181,7 @@
 	}
 }
 
-func (d *Controller) report(ctx context.Context, n messages.RunnerNote) (api.Report, bool) {
+func (d *Controller) report(ctx context.Context, n messages.RunnerRecord) (api.Report, bool) {
 	cctx, cancel := context.WithTimeout(ctx, callWait)
 	defer cancel()
 	status, body, _, err := d.garage.Ask(cctx, n.Addr, "GET", "/api/report", aimed(n, map[string]string{}), nil)
@@ -190,7 +190,7 @@
 }
 
 // aimed adds for whom a call is meant; a store has no id.
-func aimed(n messages.RunnerNote, h map[string]string) map[string]string {
+func aimed(n messages.RunnerRecord, h map[string]string) map[string]string {
 	if n.Service != "" {
 		h["Beechtide-Target-Instance"] = n.ID
 	}
--- a/internal/controller/recall.go
+++ b/internal/controller/recall.go
@@ -26,7 +26,7 @@
 	}
 	for _, r := range n.Runners {
 		r.Stale = false
-		d.roster.Merge(r, d.clock())
+		d.registry.Merge(r, d.clock())
 	}
 }
 
@@ -34,7 +34,7 @@
 func (d *Controller) keepRunners(ctx context.Context) {
 	var sum uint64
 	loop.Every(ctx, 2*time.Second, func() {
-		snap := d.roster.Snapshot()
+		snap := d.registry.Snapshot()
 		if snap.Sum == sum {
 			return
 		}
--- a/internal/controller/refits.go
+++ b/internal/controller/refits.go
@@ -20,7 +20,7 @@
 
 type refits struct {
 	mu     sync.Mutex
-	shifts map[int]*lease.Shift
+	shifts map[int]*lease.Lease
 	plans  map[string]*rollout.Plan
 	busy   map[int]bool
 	polls  map[string]bool
@@ -36,7 +36,7 @@
 
 func (r *refits) init() {
 	if r.shifts == nil {
-		r.shifts, r.plans, r.busy = map[int]*lease.Shift{}, map[string]*rollout.Plan{}, map[int]bool{}
+		r.shifts, r.plans, r.busy = map[int]*lease.Lease{}, map[string]*rollout.Plan{}, map[int]bool{}
 		r.polls, r.won, r.moved = map[string]bool{}, map[int]int64{}, map[int]moved{}
 	}
 }
@@ -57,11 +57,11 @@
 		if r.busy[part] {
 			continue
 		}
-		v, ok := d.ledger.Committed(part)
+		v, ok := d.registers.Committed(part)
 		if !ok {
 			continue
 		}
-		body, err := dutyBody(v)
+		body, err := leaseBody(v)
 		if err != nil || len(body.Targets) == 0 {
 			continue
 		}
@@ -76,25 +76,25 @@
 	r.mu.Unlock()
 }
 
-// behind gives, for a target, the marks of the runners that carry the model.
-func (d *Controller) behind(t messages.Target) (marks map[string]int64, old bool, barred bool) {
-	marks = map[string]int64{}
-	for id, n := range d.roster.Snapshot().ByID {
+// behind gives, for a target, the versions of the runners that carry the model.
+func (d *Controller) behind(t messages.Target) (versions map[string]int64, old bool, barred bool) {
+	versions = map[string]int64{}
+	for id, n := range d.registry.Snapshot().ByID {
 		if n.Stale || n.Draining {
 			continue
 		}
 		for _, m := range n.Models {
 			if m.Model == t.Model {
-				marks[id] = m.Mark
-				old = old || m.Mark < t.Mark
-				barred = barred || (n.Barred || n.Easing) && m.Mark >= t.Mark
+				versions[id] = m.Version
+				old = old || m.Version < t.Version
+				barred = barred || (n.Barred || n.Easing) && m.Version >= t.Version
 			}
 		}
 	}
-	return marks, old, barred
+	return versions, old, barred
 }
 
-func (d *Controller) workShift(ctx context.Context, part int, body messages.DutyBody) {
+func (d *Controller) workShift(ctx context.Context, part int, body messages.LeaseBody) {
 	needed := false
 	for _, t := range body.Targets {
 		_, old, barred := d.behind(t)
@@ -107,39 +107,39 @@
 	r.mu.Lock()
 	s := r.shifts[part]
 	if s == nil {
-		s = &lease.Shift{T: lease.Times{ClaimUs: int64(d.set.Bounds.ClaimMs) * 1000, ActUs: 400_000, SpareUs: 800_000}}
+		s = &lease.Lease{T: lease.Times{LeaseUs: int64(d.set.Bounds.LeaseMs) * 1000, ActUs: 400_000, SpareUs: 800_000}}
 		r.shifts[part] = s
 	}
 	won := r.won[part]
 	r.mu.Unlock()
-	if body.Claim.Holder != d.ledger.ID() {
+	if body.Lease.Holder != d.registers.ID() {
 		s.Lost()
-		d.maybeTake(ctx, part, body.Claim, s)
+		d.maybeTake(ctx, part, body.Lease, s)
 		return
 	}
-	if won == body.Claim.Fence && s.Fence() != won {
+	if won == body.Lease.Fence && s.Fence() != won {
 		s.Took(won, lease.Nobody, d.clock())
 	}
-	if s.Fence() != body.Claim.Fence {
+	if s.Fence() != body.Lease.Fence {
 		// A claim of an earlier life of this process: a new fence puts all that
 		// life said about runners behind what will be said now.
-		d.take(ctx, part, body.Claim, s)
+		d.take(ctx, part, body.Lease, s)
 		return
 	}
 	if !s.MayAct(d.clock()) {
 		askedUs := d.clock()
 		cctx, cancel := context.WithTimeout(ctx, 600*time.Millisecond)
-		v, err := d.ledger.Read(cctx, part)
+		v, err := d.registers.Read(cctx, part)
 		cancel()
 		if err != nil {
 			return
 		}
-		now, err := dutyBody(v)
-		if err != nil || now.Claim.Holder != d.ledger.ID() {
+		now, err := leaseBody(v)
+		if err != nil || now.Lease.Holder != d.registers.ID() {
 			s.Lost()
 			return
 		}
-		s.Confirmed(now.Claim.Fence, askedUs)
+		s.Confirmed(now.Lease.Fence, askedUs)
 	}
 	if s.ReadyInUs(d.clock()) > rollout.EaseUs+rollout.SettleUs {
 		return
@@ -166,14 +166,14 @@
 
 // maybeTake takes the claim over once its holder is gone. Only the lowest live
 // controller tries, so that two seldom meet in a ballot.
-func (d *Controller) maybeTake(ctx context.Context, part int, was messages.Claim, s *lease.Shift) {
+func (d *Controller) maybeTake(ctx context.Context, part int, was messages.Lease, s *lease.Lease) {
 	alive := d.reachable()
 	if len(alive) == 0 || alive[0].Addr != d.radio.Addr() {
 		return
 	}
 	held := addrOf(was.Holder)
 	for _, p := range alive {
-		if p.LedgerID == was.Holder && !d.calm.isCut(held) {
+		if p.MemberID == was.Holder && !d.calm.isCut(held) {
 			return
 		}
 	}
@@ -198,51 +198,51 @@
 }
 
 // take wins the claim by a ballot, if it is still as it was.
-func (d *Controller) take(ctx context.Context, part int, was messages.Claim, s *lease.Shift) {
+func (d *Controller) take(ctx context.Context, part int, was messages.Lease, s *lease.Lease) {
 	cctx, cancel := context.WithTimeout(ctx, time.Second)
 	defer cancel()
-	v, err := d.ledger.Change(cctx, part, func(cur messages.Value) ([]messages.Member, []byte, error) {
-		body, err := dutyBody(cur)
+	v, err := d.registers.Change(cctx, part, func(cur messages.Value) ([]messages.Member, []byte, error) {
+		body, err := leaseBody(cur)
 		if err != nil {
 			return nil, nil, err
 		}
-		if body.Claim != was {
+		if body.Lease != was {
 			return nil, nil, errNoChange
 		}
-		body.Claim = messages.Claim{Holder: d.ledger.ID(), Fence: was.Fence + 1}
+		body.Lease = messages.Lease{Holder: d.registers.ID(), Fence: was.Fence + 1}
 		b, err := body.MarshalMsg(nil)
 		return nil, b, err
 	})
 	if err != nil {
 		return
 	}
-	if body, err := dutyBody(v); err == nil && body.Claim.Holder == d.ledger.ID() {
+	if body, err := leaseBody(v); err == nil && body.Lease.Holder == d.registers.ID() {
 		before := lease.Another
 		switch was.Holder {
 		case "":
 			before = lease.Nobody
-		case d.ledger.ID():
+		case d.registers.ID():
 			before = lease.Itself
 		}
-		s.Took(body.Claim.Fence, before, d.clock())
-		d.log.Info("claim taken", "part", part, "fence", body.Claim.Fence)
+		s.Took(body.Lease.Fence, before, d.clock())
+		d.log.Info("claim taken", "part", part, "fence", body.Lease.Fence)
 	}
 }
 
-func (d *Controller) follow(ctx context.Context, t messages.Target, s *lease.Shift) {
+func (d *Controller) follow(ctx context.Context, t messages.Target, s *lease.Lease) {
 	r := &d.refits
 	r.mu.Lock()
 	plan := r.plans[t.Model]
-	if plan == nil || plan.Mark != t.Mark {
-		plan = rollout.NewPlan(t.Mark)
+	if plan == nil || plan.Version != t.Version {
+		plan = rollout.NewPlan(t.Version)
 		r.plans[t.Model] = plan
 	}
 	r.mu.Unlock()
-	marks, _, _ := d.behind(t)
+	versions, _, _ := d.behind(t)
 	now := d.clock()
-	plan.See(marks, now)
-	for id, m := range marks {
-		if n, ok := d.roster.Snapshot().ByID[id]; ok && (n.Barred || n.Easing) && m >= t.Mark {
+	plan.See(versions, now)
+	for id, m := range versions {
+		if n, ok := d.registry.Snapshot().ByID[id]; ok && (n.Barred || n.Easing) && m >= t.Version {
 			d.bar(id, false, false, s.Fence())
 		}
 	}
@@ -256,7 +256,7 @@
 		plan.Move(id, rollout.Barred, now)
 	}
 	for _, id := range order {
-		n, ok := d.roster.Snapshot().ByID[id]
+		n, ok := d.registry.Snapshot().ByID[id]
 		if !ok || !s.MayAct(d.clock()) {
 			continue
 		}
@@ -271,13 +271,13 @@
 }
 
 func (d *Controller) bar(id string, easing, barred bool, fence int64) {
-	if n, changed := d.roster.Bar(id, easing, barred, fence<<20|d.refits.bars.Add(1)); changed {
+	if n, changed := d.registry.Bar(id, easing, barred, fence<<20|d.refits.bars.Add(1)); changed {
 		d.tellRunners(n.ID)
 	}
 }
 
-func (d *Controller) order(ctx context.Context, n messages.RunnerNote, t messages.Target, fence int64) {
-	b, err := json.Marshal(api.Order{Op: api.Version, Model: t.Model, Mark: t.Mark, Method: api.Hold, Holder: d.ledger.ID(), Fence: fence})
+func (d *Controller) order(ctx context.Context, n messages.RunnerRecord, t messages.Target, fence int64) {
+	b, err := json.Marshal(api.Order{Op: api.Version, Model: t.Model, Version: t.Version, Method: api.Hold, Holder: d.registers.ID(), Fence: fence})
 	if err != nil {
 		return
 	}
@@ -285,7 +285,7 @@
 		cctx, cancel := context.WithTimeout(ctx, 800*time.Millisecond)
 		defer cancel()
 		status, _, _, err := d.garage.Ask(cctx, n.Addr, "POST", "/api/order", map[string]string{"Beechtide-Target-Instance": n.ID}, b)
-		d.log.Info("order", "runner", n.ID, "mark", t.Mark, "fence", fence, "status", status, "err", err)
+		d.log.Info("order", "runner", n.ID, "version", t.Version, "fence", fence, "status", status, "err", err)
 		if err == nil && status == 200 {
 			d.tellWeights(n.ID, t)
 		}
@@ -298,14 +298,14 @@
 	running := r.polls[id]
 	r.polls[id] = true
 	r.mu.Unlock()
-	n, ok := d.roster.Snapshot().ByID[id]
+	n, ok := d.registry.Snapshot().ByID[id]
 	if running || !ok {
 		return
 	}
 	go func() {
 		if rep, ok := d.report(ctx, n); ok && !rep.Saturated {
 			for _, m := range rep.Models {
-				if m.Name == t.Model && m.Mark >= t.Mark {
+				if m.Name == t.Model && m.Version >= t.Version {
 					d.tellWeights(id, t)
 				}
 			}
@@ -318,8 +318,8 @@
 }
 
 func (d *Controller) tellWeights(id string, t messages.Target) {
-	if n, changed := d.roster.Weights(id, t.Model, t.Mark); changed {
-		d.log.Info("weights in place", "runner", id, "mark", t.Mark)
+	if n, changed := d.registry.Weights(id, t.Model, t.Version); changed {
+		d.log.Info("weights in place", "runner", id, "version", t.Version)
 		d.tellRunners(n.ID)
 	}
 }
--- a/internal/doctor/doctor_test.go
+++ b/internal/doctor/doctor_test.go
@@ -16,9 +16,9 @@
 	group := []messages.Member{{ID: "a/0", Addr: "a"}, {ID: "b/0", Addr: "b"}, {ID: "c/0", Addr: "c"}}
 	var out []Visited
 	for _, addr := range []string{"a", "b", "c"} {
-		out = append(out, Visited{Addr: addr, Role: messages.Controller, Seed: true, AskedUs: 1_000_000, TookUs: 2_000, Condition: &messages.Condition{Node: addr, Role: messages.Controller, Addr: addr, LedgerID: addr + "/0", TimeUs: 1_001_000, Marks: []int64{4}, Groups: [][]messages.Member{group}, HasDisk: true, SaveUs: 900, Runners: 3}})
+		out = append(out, Visited{Addr: addr, Role: messages.Controller, Seed: true, AskedUs: 1_000_000, TookUs: 2_000, Condition: &messages.Condition{Node: addr, Role: messages.Controller, Addr: addr, MemberID: addr + "/0", TimeUs: 1_001_000, Versions: []int64{4}, Groups: [][]messages.Member{group}, HasDisk: true, SaveUs: 900, Runners: 3}})
 	}
-	return append(out, Visited{Addr: "x", Role: messages.Router, AskedUs: 1_000_000, Condition: &messages.Condition{Node: "x", Role: messages.Router, Addr: "x", TimeUs: 1_000_000, Marks: []int64{4}, Runners: 3}})
+	return append(out, Visited{Addr: "x", Role: messages.Router, AskedUs: 1_000_000, Condition: &messages.Condition{Node: "x", Role: messages.Router, Addr: "x", TimeUs: 1_000_000, Versions: []int64{4}, Runners: 3}})
 }
 
 func TestHealthySystemHasNoFindings(t *testing.T) {
@@ -29,7 +29,7 @@
 func TestWhatIsInOrderIsNotNamed(t *testing.T) {
 	l := healthy()
 	l[3].Condition.Wholes, l[3].Condition.Changes = 30, 100_000
-	l = append(l, Visited{Addr: "d", Role: messages.Controller, AskedUs: 1_000_000, Condition: &messages.Condition{Node: "d", Role: messages.Controller, Addr: "d", LedgerID: "d/x", TimeUs: 1_000_000, Marks: []int64{4}, Groups: l[0].Condition.Groups, Runners: 3}})
+	l = append(l, Visited{Addr: "d", Role: messages.Controller, AskedUs: 1_000_000, Condition: &messages.Condition{Node: "d", Role: messages.Controller, Addr: "d", MemberID: "d/x", TimeUs: 1_000_000, Versions: []int64{4}, Groups: l[0].Condition.Groups, Runners: 3}})
 	must.SliceEmpty(t, Examine(l), must.Sprint("few repairs, and a controller without a disk that is in no group"))
 }
 
@@ -54,11 +54,11 @@
 				l[i].Condition.Groups = [][]messages.Member{{}}
 			}
 		}},
-		{"part 0 is at 3, others have 4", 1, func(l []Visited) { l[3].Condition.Marks[0] = 3 }},
+		{"part 0 is at 3, others have 4", 1, func(l []Visited) { l[3].Condition.Versions[0] = 3 }},
 		{"in memory only", 1, func(l []Visited) { l[0].Condition.HasDisk = false }},
 		{"last write failed: full", 1, func(l []Visited) { l[0].Condition.SaveFault = "full" }},
 		{"last write took 900 ms", 1, func(l []Visited) { l[0].Condition.SaveUs = 900_000 }},
-		{"members [b/0] do not answer", 1, func(l []Visited) { l[1].Condition.LedgerID = "b/new" }},
+		{"members [b/0] do not answer", 1, func(l []Visited) { l[1].Condition.MemberID = "b/new" }},
 		{"knows no runner", 1, func(l []Visited) { l[0].Condition.Runners = 0 }},
 		{"runner r1 has not beaten", 1, func(l []Visited) { l[0].Condition.Stale = []string{"r1"} }},
 		{"kept parts of runner r1", 1, func(l []Visited) { l[0].Condition.Unread = []string{"r1"} }},
@@ -94,11 +94,11 @@
 	list := Visit(context.Background(), s, []string{"a", "b"})
 	var got []string
 	for _, v := range list {
-		mark := ""
+		version := ""
 		if v.Condition == nil {
-			mark = "!"
+			version = "!"
 		}
-		got = append(got, v.Addr+mark)
+		got = append(got, v.Addr+version)
 	}
 	must.Eq(t, "a b! x y!", strings.Join(got, " "))
 }
--- a/internal/doctor/examine.go
+++ b/internal/doctor/examine.go
@@ -69,8 +69,8 @@
 			seeds++
 		}
 		c := v.Condition
-		byID[c.LedgerID] = true
-		for p, m := range c.Marks {
+		byID[c.MemberID] = true
+		for p, m := range c.Versions {
 			for len(newest) <= p {
 				newest = append(newest, 0)
 			}
@@ -127,7 +127,7 @@
 func examineNode(v Visited, c *messages.Condition, newest []int64) []Finding {
 	var out []Finding
 	add := func(what, do string) { out = append(out, Finding{Warning, c.Node + " " + string(c.Role), what, do}) }
-	for p, m := range c.Marks {
+	for p, m := range c.Versions {
 		if m < newest[p] {
 			add(fmt.Sprintf("part %d is at %d, others have %d", p, m, newest[p]), "run the doctor again; if it stays, look at this node's links to the controllers")
 		}
@@ -177,7 +177,7 @@
 func member(c *messages.Condition) bool {
 	for _, g := range c.Groups {
 		for _, m := range g {
-			if m.ID == c.LedgerID {
+			if m.ID == c.MemberID {
 				return true
 			}
 		}
--- a/internal/lease/lease.go
+++ b/internal/lease/lease.go
@@ -6,13 +6,13 @@
 
 // Times of a claim, in microseconds.
 type Times struct {
-	ClaimUs int64 // two holders must not act within this time
+	LeaseUs int64 // two holders must not act within this time
 	ActUs   int64 // how long a confirmation by a majority allows to act
 	SpareUs int64 // for what was sent and has not arrived
 }
 
-// Shift is one node's standing towards one duty.
-type Shift struct {
+// Lease is one node's standing towards one duty.
+type Lease struct {
 	T         Times
 	fence     int64
 	fromUs    int64 // not before this
@@ -32,34 +32,34 @@
 // Took notes a claim that this node has just won. It waits as long as the one
 // before could still act: another holder that is cut off goes on until its
 // confirmation runs out, an earlier life of its own has ended with its process.
-func (s *Shift) Took(fence int64, before Before, nowUs int64) {
+func (s *Lease) Took(fence int64, before Before, nowUs int64) {
 	s.fence, s.confirmUs = fence, nowUs
 	s.fromUs = nowUs
 	switch before {
 	case Itself:
 		s.fromUs += s.T.SpareUs
 	case Another:
-		s.fromUs += s.T.ClaimUs + s.T.ActUs + s.T.SpareUs
+		s.fromUs += s.T.LeaseUs + s.T.ActUs + s.T.SpareUs
 	}
 }
 
 // ReadyInUs is how long it has to wait before it may act at all.
-func (s *Shift) ReadyInUs(nowUs int64) int64 { return max(s.fromUs-nowUs, 0) }
+func (s *Lease) ReadyInUs(nowUs int64) int64 { return max(s.fromUs-nowUs, 0) }
 
 // Confirmed notes that a majority still had this claim when asked at askedUs.
-func (s *Shift) Confirmed(fence, askedUs int64) {
+func (s *Lease) Confirmed(fence, askedUs int64) {
 	if fence == s.fence {
 		s.confirmUs = askedUs
 	}
 }
 
 // MayAct tells whether the holder may send an order now.
-func (s *Shift) MayAct(nowUs int64) bool {
+func (s *Lease) MayAct(nowUs int64) bool {
 	return s.fence > 0 && nowUs >= s.fromUs && s.confirmUs > 0 && nowUs-s.confirmUs < s.T.ActUs
 }
 
 // Fence is the fence of the claim.
-func (s *Shift) Fence() int64 { return s.fence }
+func (s *Lease) Fence() int64 { return s.fence }
 
 // Lost notes that the claim is another's.
-func (s *Shift) Lost() { s.fence, s.confirmUs = 0, 0 }
+func (s *Lease) Lost() { s.fence, s.confirmUs = 0, 0 }
--- a/internal/lease/lease_test.go
+++ b/internal/lease/lease_test.go
@@ -6,13 +6,13 @@
 	"github.com/shoenig/test/must"
 )
 
-var times = Times{ClaimUs: 3_000_000, ActUs: 400_000, SpareUs: 800_000}
+var times = Times{LeaseUs: 3_000_000, ActUs: 400_000, SpareUs: 800_000}
 
 // Two holders on traces of confirmations and cuts never act within the claim
 // time of each other.
 func TestHoldersNeverActWithinTheClaimTime(t *testing.T) {
 	for cutUs := int64(0); cutUs < 3_000_000; cutUs += 37_000 {
-		a, b := &Shift{T: times}, &Shift{T: times}
+		a, b := &Lease{T: times}, &Lease{T: times}
 		a.Took(1, Nobody, 1)
 		lastA, firstB := int64(0), int64(0)
 		for now := int64(1); now < 12_000_000; now += 10_000 {
@@ -33,12 +33,12 @@
 			}
 		}
 		must.Greater(t, 0, firstB)
-		must.GreaterEq(t, lastA+times.ClaimUs, firstB)
+		must.GreaterEq(t, lastA+times.LeaseUs, firstB)
 	}
 }
 
 func TestTakenClaimWaitsAndOnlyItsOwnFenceCounts(t *testing.T) {
-	s := &Shift{T: times}
+	s := &Lease{T: times}
 	s.Took(4, Another, 1)
 	s.Confirmed(4, 2)
 	must.False(t, s.MayAct(3))
@@ -51,7 +51,7 @@
 }
 
 func TestOwnEarlierLifeIsWaitedOutShortly(t *testing.T) {
-	s := &Shift{T: times}
+	s := &Lease{T: times}
 	s.Took(5, Itself, 1)
 	must.Eq(t, times.SpareUs, s.ReadyInUs(1))
 	s.Confirmed(5, times.SpareUs)
--- a/internal/messages/msgp.gen.go
+++ b/internal/messages/msgp.gen.go
@@ -7,20 +7,20 @@
 )
 
 // MarshalMsg implements msgp.Marshaler
-func (z Ballot) MarshalMsg(b []byte) (o []byte, err error) {
+func (z *AcceptedDigest) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
 	// map header, size 2
-	// string "n"
-	o = append(o, 0x82, 0xa1, 0x6e)
-	o = msgp.AppendInt64(o, z.N)
-	// string "w"
-	o = append(o, 0xa1, 0x77)
-	o = msgp.AppendString(o, z.Who)
+	// string "d"
+	o = append(o, 0x82, 0xa1, 0x64)
+	o = msgp.AppendBytes(o, z.Digest)
+	// string "v"
+	o = append(o, 0xa1, 0x76)
+	o = msgp.AppendInt64(o, z.Version)
 	return
 }
 
 // UnmarshalMsg implements msgp.Unmarshaler
-func (z *Ballot) UnmarshalMsg(bts []byte) (o []byte, err error) {
+func (z *AcceptedDigest) UnmarshalMsg(bts []byte) (o []byte, err error) {
 	var field []byte
 	_ = field
 	var zb0001 uint32
@@ -37,16 +37,16 @@
 			return
 		}
 		switch msgp.UnsafeString(field) {
-		case "n":
-			z.N, bts, err = msgp.ReadInt64Bytes(bts)
+		case "d":
+			z.Digest, bts, err = msgp.ReadBytesBytes(bts, z.Digest)
 			if err != nil {
-				err = msgp.WrapError(err, "N")
+				err = msgp.WrapError(err, "Digest")
 				return
 			}
-		case "w":
-			z.Who, bts, err = msgp.ReadStringBytes(bts)
+		case "v":
+			z.Version, bts, err = msgp.ReadInt64Bytes(bts)
 			if err != nil {
-				err = msgp.WrapError(err, "Who")
+				err = msgp.WrapError(err, "Version")
 				return
 			}
 		default:
@@ -62,26 +62,26 @@
 }
 
 // Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
-func (z Ballot) Msgsize() (s int) {
-	s = 1 + 2 + msgp.Int64Size + 2 + msgp.StringPrefixSize + len(z.Who)
+func (z *AcceptedDigest) Msgsize() (s int) {
+	s = 1 + 2 + msgp.BytesPrefixSize + len(z.Digest) + 2 + msgp.Int64Size
 	return
 }
 
 // MarshalMsg implements msgp.Marshaler
-func (z Claim) MarshalMsg(b []byte) (o []byte, err error) {
+func (z Ballot) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
 	// map header, size 2
-	// string "f"
-	o = append(o, 0x82, 0xa1, 0x66)
-	o = msgp.AppendInt64(o, z.Fence)
-	// string "h"
-	o = append(o, 0xa1, 0x68)
-	o = msgp.AppendString(o, z.Holder)
+	// string "n"
+	o = append(o, 0x82, 0xa1, 0x6e)
+	o = msgp.AppendInt64(o, z.N)
+	// string "w"
+	o = append(o, 0xa1, 0x77)
+	o = msgp.AppendString(o, z.Who)
 	return
 }
 
 // UnmarshalMsg implements msgp.Unmarshaler
-func (z *Claim) UnmarshalMsg(bts []byte) (o []byte, err error) {
+func (z *Ballot) UnmarshalMsg(bts []byte) (o []byte, err error) {
 	var field []byte
 	_ = field
 	var zb0001 uint32
@@ -98,16 +98,16 @@
 			return
 		}
 		switch msgp.UnsafeString(field) {
-		case "f":
-			z.Fence, bts, err = msgp.ReadInt64Bytes(bts)
+		case "n":
+			z.N, bts, err = msgp.ReadInt64Bytes(bts)
 			if err != nil {
-				err = msgp.WrapError(err, "Fence")
+				err = msgp.WrapError(err, "N")
 				return
 			}
-		case "h":
-			z.Holder, bts, err = msgp.ReadStringBytes(bts)
+		case "w":
+			z.Who, bts, err = msgp.ReadStringBytes(bts)
 			if err != nil {
-				err = msgp.WrapError(err, "Holder")
+				err = msgp.WrapError(err, "Who")
 				return
 			}
 		default:
@@ -123,8 +123,8 @@
 }
 
 // Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
-func (z Claim) Msgsize() (s int) {
-	s = 1 + 2 + msgp.Int64Size + 2 + msgp.StringPrefixSize + len(z.Holder)
+func (z Ballot) Msgsize() (s int) {
+	s = 1 + 2 + msgp.Int64Size + 2 + msgp.StringPrefixSize + len(z.Who)
 	return
 }
 
@@ -176,12 +176,12 @@
 	o = msgp.AppendInt64(o, z.Changes)
 	// string "l"
 	o = append(o, 0xa1, 0x6c)
-	o = msgp.AppendString(o, z.LedgerID)
+	o = msgp.AppendString(o, z.MemberID)
 	// string "m"
 	o = append(o, 0xa1, 0x6d)
-	o = msgp.AppendArrayHeader(o, uint32(len(z.Marks)))
-	for za0005 := range z.Marks {
-		o = msgp.AppendInt64(o, z.Marks[za0005])
+	o = msgp.AppendArrayHeader(o, uint32(len(z.Versions)))
+	for za0005 := range z.Versions {
+		o = msgp.AppendInt64(o, z.Versions[za0005])
 	}
 	// string "n"
 	o = append(o, 0xa1, 0x6e)
@@ -219,7 +219,7 @@
 	o = msgp.AppendInt64(o, z.Malformed)
 	// string "z"
 	o = append(o, 0xa1, 0x7a)
-	o = msgp.AppendString(o, z.Site)
+	o = msgp.AppendString(o, z.Zone)
 	return
 }
 
@@ -371,27 +371,27 @@
 				return
 			}
 		case "l":
-			z.LedgerID, bts, err = msgp.ReadStringBytes(bts)
+			z.MemberID, bts, err = msgp.ReadStringBytes(bts)
 			if err != nil {
-				err = msgp.WrapError(err, "LedgerID")
+				err = msgp.WrapError(err, "MemberID")
 				return
 			}
 		case "m":
 			var zb0007 uint32
 			zb0007, bts, err = msgp.ReadArrayHeaderBytes(bts)
 			if err != nil {
-				err = msgp.WrapError(err, "Marks")
+				err = msgp.WrapError(err, "Versions")
 				return
 			}
-			if cap(z.Marks) >= int(zb0007) {
-				z.Marks = (z.Marks)[:zb0007]
+			if cap(z.Versions) >= int(zb0007) {
+				z.Versions = (z.Versions)[:zb0007]
 			} else {
-				z.Marks = make([]int64, zb0007)
+				z.Versions = make([]int64, zb0007)
 			}
-			for za0005 := range z.Marks {
-				z.Marks[za0005], bts, err = msgp.ReadInt64Bytes(bts)
+			for za0005 := range z.Versions {
+				z.Versions[za0005], bts, err = msgp.ReadInt64Bytes(bts)
 				if err != nil {
-					err = msgp.WrapError(err, "Marks", za0005)
+					err = msgp.WrapError(err, "Versions", za0005)
 					return
 				}
 			}
@@ -474,9 +474,9 @@
 				return
 			}
 		case "z":
-			z.Site, bts, err = msgp.ReadStringBytes(bts)
+			z.Zone, bts, err = msgp.ReadStringBytes(bts)
 			if err != nil {
-				err = msgp.WrapError(err, "Site")
+				err = msgp.WrapError(err, "Zone")
 				return
 			}
 		default:
@@ -508,7 +508,7 @@
 			s += 1 + 2 + msgp.StringPrefixSize + len(z.Groups[za0003][za0004].Addr) + 2 + msgp.StringPrefixSize + len(z.Groups[za0003][za0004].ID)
 		}
 	}
-	s += 2 + msgp.Int64Size + 2 + msgp.StringPrefixSize + len(z.LedgerID) + 2 + msgp.ArrayHeaderSize + (len(z.Marks) * (msgp.Int64Size)) + 2 + msgp.StringPrefixSize + len(z.Node) + 2 + msgp.ArrayHeaderSize
+	s += 2 + msgp.Int64Size + 2 + msgp.StringPrefixSize + len(z.MemberID) + 2 + msgp.ArrayHeaderSize + (len(z.Versions) * (msgp.Int64Size)) + 2 + msgp.StringPrefixSize + len(z.Node) + 2 + msgp.ArrayHeaderSize
 	for za0006 := range z.Peers {
 		s += z.Peers[za0006].Msgsize()
 	}
@@ -516,40 +516,37 @@
 	for za0007 := range z.Stale {
 		s += msgp.StringPrefixSize + len(z.Stale[za0007])
 	}
-	s += 2 + msgp.StringPrefixSize + len(string(z.Role)) + 2 + msgp.Int64Size + 2 + msgp.Int64Size + 2 + msgp.Int64Size + 2 + msgp.Int64Size + 2 + msgp.StringPrefixSize + len(z.Site)
+	s += 2 + msgp.StringPrefixSize + len(string(z.Role)) + 2 + msgp.Int64Size + 2 + msgp.Int64Size + 2 + msgp.Int64Size + 2 + msgp.Int64Size + 2 + msgp.StringPrefixSize + len(z.Zone)
 	return
 }
 
 // MarshalMsg implements msgp.Marshaler
-func (z *DutyBody) MarshalMsg(b []byte) (o []byte, err error) {
+func (z *ConfigBody) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
-	// map header, size 2
-	// string "c"
-	o = append(o, 0x82, 0xa1, 0x63)
-	// map header, size 2
-	// string "f"
-	o = append(o, 0x82, 0xa1, 0x66)
-	o = msgp.AppendInt64(o, z.Claim.Fence)
+	// map header, size 3
 	// string "h"
-	o = append(o, 0xa1, 0x68)
-	o = msgp.AppendString(o, z.Claim.Holder)
-	// string "t"
-	o = append(o, 0xa1, 0x74)
-	o = msgp.AppendArrayHeader(o, uint32(len(z.Targets)))
-	for za0001 := range z.Targets {
+	o = append(o, 0x83, 0xa1, 0x68)
+	o = msgp.AppendArrayHeader(o, uint32(len(z.AcceptedDigest)))
+	for za0001 := range z.AcceptedDigest {
 		// map header, size 2
-		// string "m"
-		o = append(o, 0x82, 0xa1, 0x6d)
-		o = msgp.AppendString(o, z.Targets[za0001].Model)
+		// string "d"
+		o = append(o, 0x82, 0xa1, 0x64)
+		o = msgp.AppendBytes(o, z.AcceptedDigest[za0001].Digest)
 		// string "v"
 		o = append(o, 0xa1, 0x76)
-		o = msgp.AppendInt64(o, z.Targets[za0001].Mark)
+		o = msgp.AppendInt64(o, z.AcceptedDigest[za0001].Version)
 	}
+	// string "r"
+	o = append(o, 0xa1, 0x72)
+	o = msgp.AppendBytes(o, z.Raw)
+	// string "v"
+	o = append(o, 0xa1, 0x76)
+	o = msgp.AppendInt64(o, z.Version)
 	return
 }
 
 // UnmarshalMsg implements msgp.Unmarshaler
-func (z *DutyBody) UnmarshalMsg(bts []byte) (o []byte, err error) {
+func (z *ConfigBody) UnmarshalMsg(bts []byte) (o []byte, err error) {
 	var field []byte
 	_ = field
 	var zb0001 uint32
@@ -566,89 +563,66 @@
 			return
 		}
 		switch msgp.UnsafeString(field) {
-		case "c":
+		case "h":
 			var zb0002 uint32
-			zb0002, bts, err = msgp.ReadMapHeaderBytes(bts)
-			if err != nil {
-				err = msgp.WrapError(err, "Claim")
-				return
-			}
-			for zb0002 > 0 {
-				zb0002--
-				field, bts, err = msgp.ReadMapKeyZC(bts)
-				if err != nil {
-					err = msgp.WrapError(err, "Claim")
-					return
-				}
-				switch msgp.UnsafeString(field) {
-				case "f":
-					z.Claim.Fence, bts, err = msgp.ReadInt64Bytes(bts)
-					if err != nil {
-						err = msgp.WrapError(err, "Claim", "Fence")
-						return
-					}
-				case "h":
-					z.Claim.Holder, bts, err = msgp.ReadStringBytes(bts)
-					if err != nil {
-						err = msgp.WrapError(err, "Claim", "Holder")
-						return
-					}
-				default:
-					bts, err = msgp.Skip(bts)
-					if err != nil {
-						err = msgp.WrapError(err, "Claim")
-						return
-					}
-				}
-			}
-		case "t":
-			var zb0003 uint32
-			zb0003, bts, err = msgp.ReadArrayHeaderBytes(bts)
+			zb0002, bts, err = msgp.ReadArrayHeaderBytes(bts)
 			if err != nil {
-				err = msgp.WrapError(err, "Targets")
+				err = msgp.WrapError(err, "AcceptedDigest")
 				return
 			}
-			if cap(z.Targets) >= int(zb0003) {
-				z.Targets = (z.Targets)[:zb0003]
+			if cap(z.AcceptedDigest) >= int(zb0002) {
+				z.AcceptedDigest = (z.AcceptedDigest)[:zb0002]
 			} else {
-				z.Targets = make([]Target, zb0003)
+				z.AcceptedDigest = make([]AcceptedDigest, zb0002)
 			}
-			for za0001 := range z.Targets {
-				var zb0004 uint32
-				zb0004, bts, err = msgp.ReadMapHeaderBytes(bts)
+			for za0001 := range z.AcceptedDigest {
+				var zb0003 uint32
+				zb0003, bts, err = msgp.ReadMapHeaderBytes(bts)
 				if err != nil {
-					err = msgp.WrapError(err, "Targets", za0001)
+					err = msgp.WrapError(err, "AcceptedDigest", za0001)
 					return
 				}
-				for zb0004 > 0 {
-					zb0004--
+				for zb0003 > 0 {
+					zb0003--
 					field, bts, err = msgp.ReadMapKeyZC(bts)
 					if err != nil {
-						err = msgp.WrapError(err, "Targets", za0001)
+						err = msgp.WrapError(err, "AcceptedDigest", za0001)
 						return
 					}
 					switch msgp.UnsafeString(field) {
-					case "m":
-						z.Targets[za0001].Model, bts, err = msgp.ReadStringBytes(bts)
+					case "d":
+						z.AcceptedDigest[za0001].Digest, bts, err = msgp.ReadBytesBytes(bts, z.AcceptedDigest[za0001].Digest)
 						if err != nil {
-							err = msgp.WrapError(err, "Targets", za0001, "Model")
+							err = msgp.WrapError(err, "AcceptedDigest", za0001, "Digest")
 							return
 						}
 					case "v":
-						z.Targets[za0001].Mark, bts, err = msgp.ReadInt64Bytes(bts)
+						z.AcceptedDigest[za0001].Version, bts, err = msgp.ReadInt64Bytes(bts)
 						if err != nil {
-							err = msgp.WrapError(err, "Targets", za0001, "Mark")
+							err = msgp.WrapError(err, "AcceptedDigest", za0001, "Version")
 							return
 						}
 					default:
 						bts, err = msgp.Skip(bts)
 						if err != nil {
-							err = msgp.WrapError(err, "Targets", za0001)
+							err = msgp.WrapError(err, "AcceptedDigest", za0001)
 							return
 						}
 					}
 				}
 			}
+		case "r":
+			z.Raw, bts, err = msgp.ReadBytesBytes(bts, z.Raw)
+			if err != nil {
+				err = msgp.WrapError(err, "Raw")
+				return
+			}
+		case "v":
+			z.Version, bts, err = msgp.ReadInt64Bytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Version")
+				return
+			}
 		default:
 			bts, err = msgp.Skip(bts)
 			if err != nil {
@@ -662,29 +636,52 @@
 }
 
 // Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
-func (z *DutyBody) Msgsize() (s int) {
-	s = 1 + 2 + 1 + 2 + msgp.Int64Size + 2 + msgp.StringPrefixSize + len(z.Claim.Holder) + 2 + msgp.ArrayHeaderSize
-	for za0001 := range z.Targets {
-		s += 1 + 2 + msgp.StringPrefixSize + len(z.Targets[za0001].Model) + 2 + msgp.Int64Size
+func (z *ConfigBody) Msgsize() (s int) {
+	s = 1 + 2 + msgp.ArrayHeaderSize
+	for za0001 := range z.AcceptedDigest {
+		s += 1 + 2 + msgp.BytesPrefixSize + len(z.AcceptedDigest[za0001].Digest) + 2 + msgp.Int64Size
 	}
+	s += 2 + msgp.BytesPrefixSize + len(z.Raw) + 2 + msgp.Int64Size
 	return
 }
 
 // MarshalMsg implements msgp.Marshaler
-func (z *Entry) MarshalMsg(b []byte) (o []byte, err error) {
+func (z *ConsensusRequest) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
-	// map header, size 2
+	// map header, size 6
 	// string "b"
-	o = append(o, 0x82, 0xa1, 0x62)
-	o = msgp.AppendBytes(o, z.Body)
+	o = append(o, 0x86, 0xa1, 0x62)
+	// map header, size 2
+	// string "n"
+	o = append(o, 0x82, 0xa1, 0x6e)
+	o = msgp.AppendInt64(o, z.Ballot.N)
+	// string "w"
+	o = append(o, 0xa1, 0x77)
+	o = msgp.AppendString(o, z.Ballot.Who)
 	// string "k"
 	o = append(o, 0xa1, 0x6b)
-	o = msgp.AppendString(o, z.Key)
+	o = msgp.AppendString(o, string(z.Step))
+	// string "p"
+	o = append(o, 0xa1, 0x70)
+	o = msgp.AppendInt(o, z.Part)
+	// string "s"
+	o = append(o, 0xa1, 0x73)
+	o = msgp.AppendInt64(o, z.Slot)
+	// string "t"
+	o = append(o, 0xa1, 0x74)
+	o = msgp.AppendString(o, z.To)
+	// string "v"
+	o = append(o, 0xa1, 0x76)
+	o, err = z.Value.MarshalMsg(o)
+	if err != nil {
+		err = msgp.WrapError(err, "Value")
+		return
+	}
 	return
 }
 
 // UnmarshalMsg implements msgp.Unmarshaler
-func (z *Entry) UnmarshalMsg(bts []byte) (o []byte, err error) {
+func (z *ConsensusRequest) UnmarshalMsg(bts []byte) (o []byte, err error) {
 	var field []byte
 	_ = field
 	var zb0001 uint32
@@ -702,15 +699,72 @@
 		}
 		switch msgp.UnsafeString(field) {
 		case "b":
-			z.Body, bts, err = msgp.ReadBytesBytes(bts, z.Body)
+			var zb0002 uint32
+			zb0002, bts, err = msgp.ReadMapHeaderBytes(bts)
 			if err != nil {
-				err = msgp.WrapError(err, "Body")
+				err = msgp.WrapError(err, "Ballot")
 				return
 			}
+			for zb0002 > 0 {
+				zb0002--
+				field, bts, err = msgp.ReadMapKeyZC(bts)
+				if err != nil {
+					err = msgp.WrapError(err, "Ballot")
+					return
+				}
+				switch msgp.UnsafeString(field) {
+				case "n":
+					z.Ballot.N, bts, err = msgp.ReadInt64Bytes(bts)
+					if err != nil {
+						err = msgp.WrapError(err, "Ballot", "N")
+						return
+					}
+				case "w":
+					z.Ballot.Who, bts, err = msgp.ReadStringBytes(bts)
+					if err != nil {
+						err = msgp.WrapError(err, "Ballot", "Who")
+						return
+					}
+				default:
+					bts, err = msgp.Skip(bts)
+					if err != nil {
+						err = msgp.WrapError(err, "Ballot")
+						return
+					}
+				}
+			}
 		case "k":
-			z.Key, bts, err = msgp.ReadStringBytes(bts)
+			{
+				var zb0003 string
+				zb0003, bts, err = msgp.ReadStringBytes(bts)
+				if err != nil {
+					err = msgp.WrapError(err, "Step")
+					return
+				}
+				z.Step = Step(zb0003)
+			}
+		case "p":
+			z.Part, bts, err = msgp.ReadIntBytes(bts)
 			if err != nil {
-				err = msgp.WrapError(err, "Key")
+				err = msgp.WrapError(err, "Part")
+				return
+			}
+		case "s":
+			z.Slot, bts, err = msgp.ReadInt64Bytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Slot")
+				return
+			}
+		case "t":
+			z.To, bts, err = msgp.ReadStringBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "To")
+				return
+			}
+		case "v":
+			bts, err = z.Value.UnmarshalMsg(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Value")
 				return
 			}
 		default:
@@ -726,18 +780,254 @@
 }
 
 // Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
-func (z *Entry) Msgsize() (s int) {
-	s = 1 + 2 + msgp.BytesPrefixSize + len(z.Body) + 2 + msgp.StringPrefixSize + len(z.Key)
+func (z *ConsensusRequest) Msgsize() (s int) {
+	s = 1 + 2 + 1 + 2 + msgp.Int64Size + 2 + msgp.StringPrefixSize + len(z.Ballot.Who) + 2 + msgp.StringPrefixSize + len(string(z.Step)) + 2 + msgp.IntSize + 2 + msgp.Int64Size + 2 + msgp.StringPrefixSize + len(z.To) + 2 + z.Value.Msgsize()
 	return
 }
 
 // MarshalMsg implements msgp.Marshaler
-func (z *EntryChange) MarshalMsg(b []byte) (o []byte, err error) {
+func (z *ConsensusResponse) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
 	// map header, size 6
-	// string "d"
-	o = append(o, 0x86, 0xa1, 0x64)
-	o = msgp.AppendUint64(o, z.Digest)
+	// string "a"
+	o = append(o, 0x86, 0xa1, 0x61)
+	// map header, size 2
+	// string "n"
+	o = append(o, 0x82, 0xa1, 0x6e)
+	o = msgp.AppendInt64(o, z.AcceptedAt.N)
+	// string "w"
+	o = append(o, 0xa1, 0x77)
+	o = msgp.AppendString(o, z.AcceptedAt.Who)
+	// string "d"
+	o = append(o, 0xa1, 0x64)
+	o = msgp.AppendString(o, string(z.Verdict))
+	// string "h"
+	o = append(o, 0xa1, 0x68)
+	o = msgp.AppendBool(o, z.HasAccepted)
+	// string "m"
+	o = append(o, 0xa1, 0x6d)
+	o = msgp.AppendInt64(o, z.Version)
+	// string "p"
+	o = append(o, 0xa1, 0x70)
+	// map header, size 2
+	// string "n"
+	o = append(o, 0x82, 0xa1, 0x6e)
+	o = msgp.AppendInt64(o, z.Promised.N)
+	// string "w"
+	o = append(o, 0xa1, 0x77)
+	o = msgp.AppendString(o, z.Promised.Who)
+	// string "v"
+	o = append(o, 0xa1, 0x76)
+	o, err = z.Value.MarshalMsg(o)
+	if err != nil {
+		err = msgp.WrapError(err, "Value")
+		return
+	}
+	return
+}
+
+// UnmarshalMsg implements msgp.Unmarshaler
+func (z *ConsensusResponse) UnmarshalMsg(bts []byte) (o []byte, err error) {
+	var field []byte
+	_ = field
+	var zb0001 uint32
+	zb0001, bts, err = msgp.ReadMapHeaderBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err)
+		return
+	}
+	for zb0001 > 0 {
+		zb0001--
+		field, bts, err = msgp.ReadMapKeyZC(bts)
+		if err != nil {
+			err = msgp.WrapError(err)
+			return
+		}
+		switch msgp.UnsafeString(field) {
+		case "a":
+			var zb0002 uint32
+			zb0002, bts, err = msgp.ReadMapHeaderBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "AcceptedAt")
+				return
+			}
+			for zb0002 > 0 {
+				zb0002--
+				field, bts, err = msgp.ReadMapKeyZC(bts)
+				if err != nil {
+					err = msgp.WrapError(err, "AcceptedAt")
+					return
+				}
+				switch msgp.UnsafeString(field) {
+				case "n":
+					z.AcceptedAt.N, bts, err = msgp.ReadInt64Bytes(bts)
+					if err != nil {
+						err = msgp.WrapError(err, "AcceptedAt", "N")
+						return
+					}
+				case "w":
+					z.AcceptedAt.Who, bts, err = msgp.ReadStringBytes(bts)
+					if err != nil {
+						err = msgp.WrapError(err, "AcceptedAt", "Who")
+						return
+					}
+				default:
+					bts, err = msgp.Skip(bts)
+					if err != nil {
+						err = msgp.WrapError(err, "AcceptedAt")
+						return
+					}
+				}
+			}
+		case "d":
+			{
+				var zb0003 string
+				zb0003, bts, err = msgp.ReadStringBytes(bts)
+				if err != nil {
+					err = msgp.WrapError(err, "Verdict")
+					return
+				}
+				z.Verdict = Verdict(zb0003)
+			}
+		case "h":
+			z.HasAccepted, bts, err = msgp.ReadBoolBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "HasAccepted")
+				return
+			}
+		case "m":
+			z.Version, bts, err = msgp.ReadInt64Bytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Version")
+				return
+			}
+		case "p":
+			var zb0004 uint32
+			zb0004, bts, err = msgp.ReadMapHeaderBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Promised")
+				return
+			}
+			for zb0004 > 0 {
+				zb0004--
+				field, bts, err = msgp.ReadMapKeyZC(bts)
+				if err != nil {
+					err = msgp.WrapError(err, "Promised")
+					return
+				}
+				switch msgp.UnsafeString(field) {
+				case "n":
+					z.Promised.N, bts, err = msgp.ReadInt64Bytes(bts)
+					if err != nil {
+						err = msgp.WrapError(err, "Promised", "N")
+						return
+					}
+				case "w":
+					z.Promised.Who, bts, err = msgp.ReadStringBytes(bts)
+					if err != nil {
+						err = msgp.WrapError(err, "Promised", "Who")
+						return
+					}
+				default:
+					bts, err = msgp.Skip(bts)
+					if err != nil {
+						err = msgp.WrapError(err, "Promised")
+						return
+					}
+				}
+			}
+		case "v":
+			bts, err = z.Value.UnmarshalMsg(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Value")
+				return
+			}
+		default:
+			bts, err = msgp.Skip(bts)
+			if err != nil {
+				err = msgp.WrapError(err)
+				return
+			}
+		}
+	}
+	o = bts
+	return
+}
+
+// Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
+func (z *ConsensusResponse) Msgsize() (s int) {
+	s = 1 + 2 + 1 + 2 + msgp.Int64Size + 2 + msgp.StringPrefixSize + len(z.AcceptedAt.Who) + 2 + msgp.StringPrefixSize + len(string(z.Verdict)) + 2 + msgp.BoolSize + 2 + msgp.Int64Size + 2 + 1 + 2 + msgp.Int64Size + 2 + msgp.StringPrefixSize + len(z.Promised.Who) + 2 + z.Value.Msgsize()
+	return
+}
+
+// MarshalMsg implements msgp.Marshaler
+func (z *Entry) MarshalMsg(b []byte) (o []byte, err error) {
+	o = msgp.Require(b, z.Msgsize())
+	// map header, size 2
+	// string "b"
+	o = append(o, 0x82, 0xa1, 0x62)
+	o = msgp.AppendBytes(o, z.Body)
+	// string "k"
+	o = append(o, 0xa1, 0x6b)
+	o = msgp.AppendString(o, z.Key)
+	return
+}
+
+// UnmarshalMsg implements msgp.Unmarshaler
+func (z *Entry) UnmarshalMsg(bts []byte) (o []byte, err error) {
+	var field []byte
+	_ = field
+	var zb0001 uint32
+	zb0001, bts, err = msgp.ReadMapHeaderBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err)
+		return
+	}
+	for zb0001 > 0 {
+		zb0001--
+		field, bts, err = msgp.ReadMapKeyZC(bts)
+		if err != nil {
+			err = msgp.WrapError(err)
+			return
+		}
+		switch msgp.UnsafeString(field) {
+		case "b":
+			z.Body, bts, err = msgp.ReadBytesBytes(bts, z.Body)
+			if err != nil {
+				err = msgp.WrapError(err, "Body")
+				return
+			}
+		case "k":
+			z.Key, bts, err = msgp.ReadStringBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Key")
+				return
+			}
+		default:
+			bts, err = msgp.Skip(bts)
+			if err != nil {
+				err = msgp.WrapError(err)
+				return
+			}
+		}
+	}
+	o = bts
+	return
+}
+
+// Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
+func (z *Entry) Msgsize() (s int) {
+	s = 1 + 2 + msgp.BytesPrefixSize + len(z.Body) + 2 + msgp.StringPrefixSize + len(z.Key)
+	return
+}
+
+// MarshalMsg implements msgp.Marshaler
+func (z *EntryChange) MarshalMsg(b []byte) (o []byte, err error) {
+	o = msgp.Require(b, z.Msgsize())
+	// map header, size 6
+	// string "d"
+	o = append(o, 0x86, 0xa1, 0x64)
+	o = msgp.AppendUint64(o, z.Digest)
 	// string "e"
 	o = append(o, 0xa1, 0x65)
 	o = msgp.AppendInt64(o, z.Epoch)
@@ -925,11 +1215,11 @@
 	}
 	// string "n"
 	o = append(o, 0xa1, 0x6e)
-	o = msgp.AppendArrayHeader(o, uint32(len(z.Menu)))
-	for za0005 := range z.Menu {
-		o, err = z.Menu[za0005].MarshalMsg(o)
+	o = msgp.AppendArrayHeader(o, uint32(len(z.Configuration)))
+	for za0005 := range z.Configuration {
+		o, err = z.Configuration[za0005].MarshalMsg(o)
 		if err != nil {
-			err = msgp.WrapError(err, "Menu", za0005)
+			err = msgp.WrapError(err, "Configuration", za0005)
 			return
 		}
 	}
@@ -953,18 +1243,18 @@
 		o = msgp.AppendBytes(o, z.Parts[za0007].Body)
 		// string "m"
 		o = append(o, 0xa1, 0x6d)
-		o = msgp.AppendInt64(o, z.Parts[za0007].Mark)
+		o = msgp.AppendInt64(o, z.Parts[za0007].Version)
 		// string "p"
 		o = append(o, 0xa1, 0x70)
 		o = msgp.AppendInt(o, z.Parts[za0007].Part)
 	}
 	// string "r"
 	o = append(o, 0xa1, 0x72)
-	o = msgp.AppendArrayHeader(o, uint32(len(z.Roster)))
-	for za0008 := range z.Roster {
-		o, err = z.Roster[za0008].MarshalMsg(o)
+	o = msgp.AppendArrayHeader(o, uint32(len(z.Registry)))
+	for za0008 := range z.Registry {
+		o, err = z.Registry[za0008].MarshalMsg(o)
 		if err != nil {
-			err = msgp.WrapError(err, "Roster", za0008)
+			err = msgp.WrapError(err, "Registry", za0008)
 			return
 		}
 	}
@@ -1075,18 +1365,18 @@
 			var zb0006 uint32
 			zb0006, bts, err = msgp.ReadArrayHeaderBytes(bts)
 			if err != nil {
-				err = msgp.WrapError(err, "Menu")
+				err = msgp.WrapError(err, "Configuration")
 				return
 			}
-			if cap(z.Menu) >= int(zb0006) {
-				z.Menu = (z.Menu)[:zb0006]
+			if cap(z.Configuration) >= int(zb0006) {
+				z.Configuration = (z.Configuration)[:zb0006]
 			} else {
-				z.Menu = make([]EntryChange, zb0006)
+				z.Configuration = make([]EntryChange, zb0006)
 			}
-			for za0005 := range z.Menu {
-				bts, err = z.Menu[za0005].UnmarshalMsg(bts)
+			for za0005 := range z.Configuration {
+				bts, err = z.Configuration[za0005].UnmarshalMsg(bts)
 				if err != nil {
-					err = msgp.WrapError(err, "Menu", za0005)
+					err = msgp.WrapError(err, "Configuration", za0005)
 					return
 				}
 			}
@@ -1143,9 +1433,9 @@
 							return
 						}
 					case "m":
-						z.Parts[za0007].Mark, bts, err = msgp.ReadInt64Bytes(bts)
+						z.Parts[za0007].Version, bts, err = msgp.ReadInt64Bytes(bts)
 						if err != nil {
-							err = msgp.WrapError(err, "Parts", za0007, "Mark")
+							err = msgp.WrapError(err, "Parts", za0007, "Version")
 							return
 						}
 					case "p":
@@ -1167,18 +1457,18 @@
 			var zb0010 uint32
 			zb0010, bts, err = msgp.ReadArrayHeaderBytes(bts)
 			if err != nil {
-				err = msgp.WrapError(err, "Roster")
+				err = msgp.WrapError(err, "Registry")
 				return
 			}
-			if cap(z.Roster) >= int(zb0010) {
-				z.Roster = (z.Roster)[:zb0010]
+			if cap(z.Registry) >= int(zb0010) {
+				z.Registry = (z.Registry)[:zb0010]
 			} else {
-				z.Roster = make([]EntryChange, zb0010)
+				z.Registry = make([]EntryChange, zb0010)
 			}
-			for za0008 := range z.Roster {
-				bts, err = z.Roster[za0008].UnmarshalMsg(bts)
+			for za0008 := range z.Registry {
+				bts, err = z.Registry[za0008].UnmarshalMsg(bts)
 				if err != nil {
-					err = msgp.WrapError(err, "Roster", za0008)
+					err = msgp.WrapError(err, "Registry", za0008)
 					return
 				}
 			}
@@ -1221,8 +1511,8 @@
 		s += z.Loads[za0003].Msgsize()
 	}
 	s += 2 + msgp.ArrayHeaderSize + (len(z.Versions) * (msgp.Int64Size)) + 2 + msgp.ArrayHeaderSize
-	for za0005 := range z.Menu {
-		s += z.Menu[za0005].Msgsize()
+	for za0005 := range z.Configuration {
+		s += z.Configuration[za0005].Msgsize()
 	}
 	s += 2 + msgp.ArrayHeaderSize
 	for za0006 := range z.Reports {
@@ -1233,8 +1523,8 @@
 		s += 1 + 2 + msgp.BytesPrefixSize + len(z.Parts[za0007].Body) + 2 + msgp.Int64Size + 2 + msgp.IntSize
 	}
 	s += 2 + msgp.ArrayHeaderSize
-	for za0008 := range z.Roster {
-		s += z.Roster[za0008].Msgsize()
+	for za0008 := range z.Registry {
+		s += z.Registry[za0008].Msgsize()
 	}
 	s += 2 + msgp.Int64Size + 2 + msgp.BoolSize
 	return
@@ -1358,16 +1648,16 @@
 	// map header, size 3
 	// string "e"
 	o = append(o, 0x83, 0xa1, 0x65)
-	o = msgp.AppendInt64(o, z.Menu.Epoch)
+	o = msgp.AppendInt64(o, z.Configuration.Epoch)
 	// string "i"
 	o = append(o, 0xa1, 0x69)
-	o = msgp.AppendString(o, z.Menu.ID)
+	o = msgp.AppendString(o, z.Configuration.ID)
 	// string "t"
 	o = append(o, 0xa1, 0x74)
-	o = msgp.AppendInt64(o, z.Menu.Version)
+	o = msgp.AppendInt64(o, z.Configuration.Version)
 	// string "o"
 	o = append(o, 0xa1, 0x6f)
-	o = msgp.AppendBool(o, z.MenuOnly)
+	o = msgp.AppendBool(o, z.ConfigOnly)
 	// string "p"
 	o = append(o, 0xa1, 0x70)
 	o = msgp.AppendArrayHeader(o, uint32(len(z.Parts)))
@@ -1379,13 +1669,13 @@
 	// map header, size 3
 	// string "e"
 	o = append(o, 0x83, 0xa1, 0x65)
-	o = msgp.AppendInt64(o, z.Roster.Epoch)
+	o = msgp.AppendInt64(o, z.Registry.Epoch)
 	// string "i"
 	o = append(o, 0xa1, 0x69)
-	o = msgp.AppendString(o, z.Roster.ID)
+	o = msgp.AppendString(o, z.Registry.ID)
 	// string "t"
 	o = append(o, 0xa1, 0x74)
-	o = msgp.AppendInt64(o, z.Roster.Version)
+	o = msgp.AppendInt64(o, z.Registry.Version)
 	return
 }
 
@@ -1512,47 +1802,47 @@
 			var zb0005 uint32
 			zb0005, bts, err = msgp.ReadMapHeaderBytes(bts)
 			if err != nil {
-				err = msgp.WrapError(err, "Menu")
+				err = msgp.WrapError(err, "Configuration")
 				return
 			}
 			for zb0005 > 0 {
 				zb0005--
 				field, bts, err = msgp.ReadMapKeyZC(bts)
 				if err != nil {
-					err = msgp.WrapError(err, "Menu")
+					err = msgp.WrapError(err, "Configuration")
 					return
 				}
 				switch msgp.UnsafeString(field) {
 				case "e":
-					z.Menu.Epoch, bts, err = msgp.ReadInt64Bytes(bts)
+					z.Configuration.Epoch, bts, err = msgp.ReadInt64Bytes(bts)
 					if err != nil {
-						err = msgp.WrapError(err, "Menu", "Epoch")
+						err = msgp.WrapError(err, "Configuration", "Epoch")
 						return
 					}
 				case "i":
-					z.Menu.ID, bts, err = msgp.ReadStringBytes(bts)
+					z.Configuration.ID, bts, err = msgp.ReadStringBytes(bts)
 					if err != nil {
-						err = msgp.WrapError(err, "Menu", "ID")
+						err = msgp.WrapError(err, "Configuration", "ID")
 						return
 					}
 				case "t":
-					z.Menu.Version, bts, err = msgp.ReadInt64Bytes(bts)
+					z.Configuration.Version, bts, err = msgp.ReadInt64Bytes(bts)
 					if err != nil {
-						err = msgp.WrapError(err, "Menu", "Version")
+						err = msgp.WrapError(err, "Configuration", "Version")
 						return
 					}
 				default:
 					bts, err = msgp.Skip(bts)
 					if err != nil {
-						err = msgp.WrapError(err, "Menu")
+						err = msgp.WrapError(err, "Configuration")
 						return
 					}
 				}
 			}
 		case "o":
-			z.MenuOnly, bts, err = msgp.ReadBoolBytes(bts)
+			z.ConfigOnly, bts, err = msgp.ReadBoolBytes(bts)
 			if err != nil {
-				err = msgp.WrapError(err, "MenuOnly")
+				err = msgp.WrapError(err, "ConfigOnly")
 				return
 			}
 		case "p":
@@ -1578,39 +1868,39 @@
 			var zb0007 uint32
 			zb0007, bts, err = msgp.ReadMapHeaderBytes(bts)
 			if err != nil {
-				err = msgp.WrapError(err, "Roster")
+				err = msgp.WrapError(err, "Registry")
 				return
 			}
 			for zb0007 > 0 {
 				zb0007--
 				field, bts, err = msgp.ReadMapKeyZC(bts)
 				if err != nil {
-					err = msgp.WrapError(err, "Roster")
+					err = msgp.WrapError(err, "Registry")
 					return
 				}
 				switch msgp.UnsafeString(field) {
 				case "e":
-					z.Roster.Epoch, bts, err = msgp.ReadInt64Bytes(bts)
+					z.Registry.Epoch, bts, err = msgp.ReadInt64Bytes(bts)
 					if err != nil {
-						err = msgp.WrapError(err, "Roster", "Epoch")
+						err = msgp.WrapError(err, "Registry", "Epoch")
 						return
 					}
 				case "i":
-					z.Roster.ID, bts, err = msgp.ReadStringBytes(bts)
+					z.Registry.ID, bts, err = msgp.ReadStringBytes(bts)
 					if err != nil {
-						err = msgp.WrapError(err, "Roster", "ID")
+						err = msgp.WrapError(err, "Registry", "ID")
 						return
 					}
 				case "t":
-					z.Roster.Version, bts, err = msgp.ReadInt64Bytes(bts)
+					z.Registry.Version, bts, err = msgp.ReadInt64Bytes(bts)
 					if err != nil {
-						err = msgp.WrapError(err, "Roster", "Version")
+						err = msgp.WrapError(err, "Registry", "Version")
 						return
 					}
 				default:
 					bts, err = msgp.Skip(bts)
 					if err != nil {
-						err = msgp.WrapError(err, "Roster")
+						err = msgp.WrapError(err, "Registry")
 						return
 					}
 				}
@@ -1633,7 +1923,7 @@
 	for za0001 := range z.Kept {
 		s += 1 + 2 + msgp.Int64Size + 2 + msgp.StringPrefixSize + len(z.Kept[za0001].ID) + 2 + msgp.Int64Size
 	}
-	s += 2 + 1 + 2 + msgp.Int64Size + 2 + msgp.StringPrefixSize + len(z.Loads.ID) + 2 + msgp.Int64Size + 2 + 1 + 2 + msgp.Int64Size + 2 + msgp.StringPrefixSize + len(z.Menu.ID) + 2 + msgp.Int64Size + 2 + msgp.BoolSize + 2 + msgp.ArrayHeaderSize + (len(z.Parts) * (msgp.Int64Size)) + 2 + 1 + 2 + msgp.Int64Size + 2 + msgp.StringPrefixSize + len(z.Roster.ID) + 2 + msgp.Int64Size
+	s += 2 + 1 + 2 + msgp.Int64Size + 2 + msgp.StringPrefixSize + len(z.Loads.ID) + 2 + msgp.Int64Size + 2 + 1 + 2 + msgp.Int64Size + 2 + msgp.StringPrefixSize + len(z.Configuration.ID) + 2 + msgp.Int64Size + 2 + msgp.BoolSize + 2 + msgp.ArrayHeaderSize + (len(z.Parts) * (msgp.Int64Size)) + 2 + 1 + 2 + msgp.Int64Size + 2 + msgp.StringPrefixSize + len(z.Registry.ID) + 2 + msgp.Int64Size
 	return
 }
 
@@ -1977,42 +2267,20 @@
 }
 
 // MarshalMsg implements msgp.Marshaler
-func (z *LedgerAsk) MarshalMsg(b []byte) (o []byte, err error) {
+func (z Lease) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
-	// map header, size 6
-	// string "b"
-	o = append(o, 0x86, 0xa1, 0x62)
 	// map header, size 2
-	// string "n"
-	o = append(o, 0x82, 0xa1, 0x6e)
-	o = msgp.AppendInt64(o, z.Ballot.N)
-	// string "w"
-	o = append(o, 0xa1, 0x77)
-	o = msgp.AppendString(o, z.Ballot.Who)
-	// string "k"
-	o = append(o, 0xa1, 0x6b)
-	o = msgp.AppendString(o, string(z.Step))
-	// string "p"
-	o = append(o, 0xa1, 0x70)
-	o = msgp.AppendInt(o, z.Part)
-	// string "s"
-	o = append(o, 0xa1, 0x73)
-	o = msgp.AppendInt64(o, z.Slot)
-	// string "t"
-	o = append(o, 0xa1, 0x74)
-	o = msgp.AppendString(o, z.To)
-	// string "v"
-	o = append(o, 0xa1, 0x76)
-	o, err = z.Value.MarshalMsg(o)
-	if err != nil {
-		err = msgp.WrapError(err, "Value")
-		return
-	}
+	// string "f"
+	o = append(o, 0x82, 0xa1, 0x66)
+	o = msgp.AppendInt64(o, z.Fence)
+	// string "h"
+	o = append(o, 0xa1, 0x68)
+	o = msgp.AppendString(o, z.Holder)
 	return
 }
 
 // UnmarshalMsg implements msgp.Unmarshaler
-func (z *LedgerAsk) UnmarshalMsg(bts []byte) (o []byte, err error) {
+func (z *Lease) UnmarshalMsg(bts []byte) (o []byte, err error) {
 	var field []byte
 	_ = field
 	var zb0001 uint32
@@ -2029,73 +2297,16 @@
 			return
 		}
 		switch msgp.UnsafeString(field) {
-		case "b":
-			var zb0002 uint32
-			zb0002, bts, err = msgp.ReadMapHeaderBytes(bts)
-			if err != nil {
-				err = msgp.WrapError(err, "Ballot")
-				return
-			}
-			for zb0002 > 0 {
-				zb0002--
-				field, bts, err = msgp.ReadMapKeyZC(bts)
-				if err != nil {
-					err = msgp.WrapError(err, "Ballot")
-					return
-				}
-				switch msgp.UnsafeString(field) {
-				case "n":
-					z.Ballot.N, bts, err = msgp.ReadInt64Bytes(bts)
-					if err != nil {
-						err = msgp.WrapError(err, "Ballot", "N")
-						return
-					}
-				case "w":
-					z.Ballot.Who, bts, err = msgp.ReadStringBytes(bts)
-					if err != nil {
-						err = msgp.WrapError(err, "Ballot", "Who")
-						return
-					}
-				default:
-					bts, err = msgp.Skip(bts)
-					if err != nil {
-						err = msgp.WrapError(err, "Ballot")
-						return
-					}
-				}
-			}
-		case "k":
-			{
-				var zb0003 string
-				zb0003, bts, err = msgp.ReadStringBytes(bts)
-				if err != nil {
-					err = msgp.WrapError(err, "Step")
-					return
-				}
-				z.Step = Step(zb0003)
-			}
-		case "p":
-			z.Part, bts, err = msgp.ReadIntBytes(bts)
-			if err != nil {
-				err = msgp.WrapError(err, "Part")
-				return
-			}
-		case "s":
-			z.Slot, bts, err = msgp.ReadInt64Bytes(bts)
-			if err != nil {
-				err = msgp.WrapError(err, "Slot")
-				return
-			}
-		case "t":
-			z.To, bts, err = msgp.ReadStringBytes(bts)
+		case "f":
+			z.Fence, bts, err = msgp.ReadInt64Bytes(bts)
 			if err != nil {
-				err = msgp.WrapError(err, "To")
+				err = msgp.WrapError(err, "Fence")
 				return
 			}
-		case "v":
-			bts, err = z.Value.UnmarshalMsg(bts)
+		case "h":
+			z.Holder, bts, err = msgp.ReadStringBytes(bts)
 			if err != nil {
-				err = msgp.WrapError(err, "Value")
+				err = msgp.WrapError(err, "Holder")
 				return
 			}
 		default:
@@ -2111,54 +2322,41 @@
 }
 
 // Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
-func (z *LedgerAsk) Msgsize() (s int) {
-	s = 1 + 2 + 1 + 2 + msgp.Int64Size + 2 + msgp.StringPrefixSize + len(z.Ballot.Who) + 2 + msgp.StringPrefixSize + len(string(z.Step)) + 2 + msgp.IntSize + 2 + msgp.Int64Size + 2 + msgp.StringPrefixSize + len(z.To) + 2 + z.Value.Msgsize()
+func (z Lease) Msgsize() (s int) {
+	s = 1 + 2 + msgp.Int64Size + 2 + msgp.StringPrefixSize + len(z.Holder)
 	return
 }
 
 // MarshalMsg implements msgp.Marshaler
-func (z *LedgerWord) MarshalMsg(b []byte) (o []byte, err error) {
+func (z *LeaseBody) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
-	// map header, size 6
-	// string "a"
-	o = append(o, 0x86, 0xa1, 0x61)
 	// map header, size 2
-	// string "n"
-	o = append(o, 0x82, 0xa1, 0x6e)
-	o = msgp.AppendInt64(o, z.AcceptedAt.N)
-	// string "w"
-	o = append(o, 0xa1, 0x77)
-	o = msgp.AppendString(o, z.AcceptedAt.Who)
-	// string "d"
-	o = append(o, 0xa1, 0x64)
-	o = msgp.AppendString(o, string(z.Verdict))
+	// string "c"
+	o = append(o, 0x82, 0xa1, 0x63)
+	// map header, size 2
+	// string "f"
+	o = append(o, 0x82, 0xa1, 0x66)
+	o = msgp.AppendInt64(o, z.Lease.Fence)
 	// string "h"
 	o = append(o, 0xa1, 0x68)
-	o = msgp.AppendBool(o, z.HasAccepted)
-	// string "m"
-	o = append(o, 0xa1, 0x6d)
-	o = msgp.AppendInt64(o, z.Mark)
-	// string "p"
-	o = append(o, 0xa1, 0x70)
-	// map header, size 2
-	// string "n"
-	o = append(o, 0x82, 0xa1, 0x6e)
-	o = msgp.AppendInt64(o, z.Promised.N)
-	// string "w"
-	o = append(o, 0xa1, 0x77)
-	o = msgp.AppendString(o, z.Promised.Who)
-	// string "v"
-	o = append(o, 0xa1, 0x76)
-	o, err = z.Value.MarshalMsg(o)
-	if err != nil {
-		err = msgp.WrapError(err, "Value")
-		return
+	o = msgp.AppendString(o, z.Lease.Holder)
+	// string "t"
+	o = append(o, 0xa1, 0x74)
+	o = msgp.AppendArrayHeader(o, uint32(len(z.Targets)))
+	for za0001 := range z.Targets {
+		// map header, size 2
+		// string "m"
+		o = append(o, 0x82, 0xa1, 0x6d)
+		o = msgp.AppendString(o, z.Targets[za0001].Model)
+		// string "v"
+		o = append(o, 0xa1, 0x76)
+		o = msgp.AppendInt64(o, z.Targets[za0001].Version)
 	}
 	return
 }
 
 // UnmarshalMsg implements msgp.Unmarshaler
-func (z *LedgerWord) UnmarshalMsg(bts []byte) (o []byte, err error) {
+func (z *LeaseBody) UnmarshalMsg(bts []byte) (o []byte, err error) {
 	var field []byte
 	_ = field
 	var zb0001 uint32
@@ -2175,104 +2373,89 @@
 			return
 		}
 		switch msgp.UnsafeString(field) {
-		case "a":
+		case "c":
 			var zb0002 uint32
 			zb0002, bts, err = msgp.ReadMapHeaderBytes(bts)
 			if err != nil {
-				err = msgp.WrapError(err, "AcceptedAt")
+				err = msgp.WrapError(err, "Lease")
 				return
 			}
 			for zb0002 > 0 {
 				zb0002--
 				field, bts, err = msgp.ReadMapKeyZC(bts)
 				if err != nil {
-					err = msgp.WrapError(err, "AcceptedAt")
+					err = msgp.WrapError(err, "Lease")
 					return
 				}
 				switch msgp.UnsafeString(field) {
-				case "n":
-					z.AcceptedAt.N, bts, err = msgp.ReadInt64Bytes(bts)
+				case "f":
+					z.Lease.Fence, bts, err = msgp.ReadInt64Bytes(bts)
 					if err != nil {
-						err = msgp.WrapError(err, "AcceptedAt", "N")
+						err = msgp.WrapError(err, "Lease", "Fence")
 						return
 					}
-				case "w":
-					z.AcceptedAt.Who, bts, err = msgp.ReadStringBytes(bts)
+				case "h":
+					z.Lease.Holder, bts, err = msgp.ReadStringBytes(bts)
 					if err != nil {
-						err = msgp.WrapError(err, "AcceptedAt", "Who")
+						err = msgp.WrapError(err, "Lease", "Holder")
 						return
 					}
 				default:
 					bts, err = msgp.Skip(bts)
 					if err != nil {
-						err = msgp.WrapError(err, "AcceptedAt")
+						err = msgp.WrapError(err, "Lease")
 						return
 					}
 				}
 			}
-		case "d":
-			{
-				var zb0003 string
-				zb0003, bts, err = msgp.ReadStringBytes(bts)
-				if err != nil {
-					err = msgp.WrapError(err, "Verdict")
-					return
-				}
-				z.Verdict = Verdict(zb0003)
-			}
-		case "h":
-			z.HasAccepted, bts, err = msgp.ReadBoolBytes(bts)
-			if err != nil {
-				err = msgp.WrapError(err, "HasAccepted")
-				return
-			}
-		case "m":
-			z.Mark, bts, err = msgp.ReadInt64Bytes(bts)
+		case "t":
+			var zb0003 uint32
+			zb0003, bts, err = msgp.ReadArrayHeaderBytes(bts)
 			if err != nil {
-				err = msgp.WrapError(err, "Mark")
+				err = msgp.WrapError(err, "Targets")
 				return
 			}
-		case "p":
-			var zb0004 uint32
-			zb0004, bts, err = msgp.ReadMapHeaderBytes(bts)
-			if err != nil {
-				err = msgp.WrapError(err, "Promised")
-				return
+			if cap(z.Targets) >= int(zb0003) {
+				z.Targets = (z.Targets)[:zb0003]
+			} else {
+				z.Targets = make([]Target, zb0003)
 			}
-			for zb0004 > 0 {
-				zb0004--
-				field, bts, err = msgp.ReadMapKeyZC(bts)
+			for za0001 := range z.Targets {
+				var zb0004 uint32
+				zb0004, bts, err = msgp.ReadMapHeaderBytes(bts)
 				if err != nil {
-					err = msgp.WrapError(err, "Promised")
+					err = msgp.WrapError(err, "Targets", za0001)
 					return
 				}
-				switch msgp.UnsafeString(field) {
-				case "n":
-					z.Promised.N, bts, err = msgp.ReadInt64Bytes(bts)
-					if err != nil {
-						err = msgp.WrapError(err, "Promised", "N")
-						return
-					}
-				case "w":
-					z.Promised.Who, bts, err = msgp.ReadStringBytes(bts)
+				for zb0004 > 0 {
+					zb0004--
+					field, bts, err = msgp.ReadMapKeyZC(bts)
 					if err != nil {
-						err = msgp.WrapError(err, "Promised", "Who")
+						err = msgp.WrapError(err, "Targets", za0001)
 						return
 					}
-				default:
-					bts, err = msgp.Skip(bts)
-					if err != nil {
-						err = msgp.WrapError(err, "Promised")
-						return
+					switch msgp.UnsafeString(field) {
+					case "m":
+						z.Targets[za0001].Model, bts, err = msgp.ReadStringBytes(bts)
+						if err != nil {
+							err = msgp.WrapError(err, "Targets", za0001, "Model")
+							return
+						}
+					case "v":
+						z.Targets[za0001].Version, bts, err = msgp.ReadInt64Bytes(bts)
+						if err != nil {
+							err = msgp.WrapError(err, "Targets", za0001, "Version")
+							return
+						}
+					default:
+						bts, err = msgp.Skip(bts)
+						if err != nil {
+							err = msgp.WrapError(err, "Targets", za0001)
+							return
+						}
 					}
 				}
 			}
-		case "v":
-			bts, err = z.Value.UnmarshalMsg(bts)
-			if err != nil {
-				err = msgp.WrapError(err, "Value")
-				return
-			}
 		default:
 			bts, err = msgp.Skip(bts)
 			if err != nil {
@@ -2286,8 +2469,11 @@
 }
 
 // Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
-func (z *LedgerWord) Msgsize() (s int) {
-	s = 1 + 2 + 1 + 2 + msgp.Int64Size + 2 + msgp.StringPrefixSize + len(z.AcceptedAt.Who) + 2 + msgp.StringPrefixSize + len(string(z.Verdict)) + 2 + msgp.BoolSize + 2 + msgp.Int64Size + 2 + 1 + 2 + msgp.Int64Size + 2 + msgp.StringPrefixSize + len(z.Promised.Who) + 2 + z.Value.Msgsize()
+func (z *LeaseBody) Msgsize() (s int) {
+	s = 1 + 2 + 1 + 2 + msgp.Int64Size + 2 + msgp.StringPrefixSize + len(z.Lease.Holder) + 2 + msgp.ArrayHeaderSize
+	for za0001 := range z.Targets {
+		s += 1 + 2 + msgp.StringPrefixSize + len(z.Targets[za0001].Model) + 2 + msgp.Int64Size
+	}
 	return
 }
 
@@ -2367,187 +2553,27 @@
 				return
 			}
 			if cap(z.Loads) >= int(zb0002) {
-				z.Loads = (z.Loads)[:zb0002]
-			} else {
-				z.Loads = make([]RunnerLoad, zb0002)
-			}
-			for za0001 := range z.Loads {
-				bts, err = z.Loads[za0001].UnmarshalMsg(bts)
-				if err != nil {
-					err = msgp.WrapError(err, "Loads", za0001)
-					return
-				}
-			}
-		case "t":
-			z.To, bts, err = msgp.ReadInt64Bytes(bts)
-			if err != nil {
-				err = msgp.WrapError(err, "To")
-				return
-			}
-		case "w":
-			z.Whole, bts, err = msgp.ReadBoolBytes(bts)
-			if err != nil {
-				err = msgp.WrapError(err, "Whole")
-				return
-			}
-		default:
-			bts, err = msgp.Skip(bts)
-			if err != nil {
-				err = msgp.WrapError(err)
-				return
-			}
-		}
-	}
-	o = bts
-	return
-}
-
-// Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
-func (z *LoadChange) Msgsize() (s int) {
-	s = 1 + 2 + msgp.Uint64Size + 2 + msgp.Int64Size + 2 + msgp.Int64Size + 2 + msgp.ArrayHeaderSize
-	for za0001 := range z.Loads {
-		s += z.Loads[za0001].Msgsize()
-	}
-	s += 2 + msgp.Int64Size + 2 + msgp.BoolSize
-	return
-}
-
-// MarshalMsg implements msgp.Marshaler
-func (z *Marks) MarshalMsg(b []byte) (o []byte, err error) {
-	o = msgp.Require(b, z.Msgsize())
-	// map header, size 4
-	// string "d"
-	o = append(o, 0x84, 0xa1, 0x64)
-	o = msgp.AppendBool(o, z.Controller)
-	// string "p"
-	o = append(o, 0xa1, 0x70)
-	o = msgp.AppendArrayHeader(o, uint32(len(z.Parts)))
-	for za0001 := range z.Parts {
-		o = msgp.AppendInt64(o, z.Parts[za0001])
-	}
-	// string "r"
-	o = append(o, 0xa1, 0x72)
-	o = msgp.AppendUint64(o, z.RosterSum)
-	// string "u"
-	o = append(o, 0xa1, 0x75)
-	o = msgp.AppendInt64(o, z.CalmUs)
-	return
-}
-
-// UnmarshalMsg implements msgp.Unmarshaler
-func (z *Marks) UnmarshalMsg(bts []byte) (o []byte, err error) {
-	var field []byte
-	_ = field
-	var zb0001 uint32
-	zb0001, bts, err = msgp.ReadMapHeaderBytes(bts)
-	if err != nil {
-		err = msgp.WrapError(err)
-		return
-	}
-	for zb0001 > 0 {
-		zb0001--
-		field, bts, err = msgp.ReadMapKeyZC(bts)
-		if err != nil {
-			err = msgp.WrapError(err)
-			return
-		}
-		switch msgp.UnsafeString(field) {
-		case "d":
-			z.Controller, bts, err = msgp.ReadBoolBytes(bts)
-			if err != nil {
-				err = msgp.WrapError(err, "Controller")
-				return
-			}
-		case "p":
-			var zb0002 uint32
-			zb0002, bts, err = msgp.ReadArrayHeaderBytes(bts)
-			if err != nil {
-				err = msgp.WrapError(err, "Parts")
-				return
-			}
-			if cap(z.Parts) >= int(zb0002) {
-				z.Parts = (z.Parts)[:zb0002]
-			} else {
-				z.Parts = make([]int64, zb0002)
-			}
-			for za0001 := range z.Parts {
-				z.Parts[za0001], bts, err = msgp.ReadInt64Bytes(bts)
-				if err != nil {
-					err = msgp.WrapError(err, "Parts", za0001)
-					return
-				}
-			}
-		case "r":
-			z.RosterSum, bts, err = msgp.ReadUint64Bytes(bts)
-			if err != nil {
-				err = msgp.WrapError(err, "RosterSum")
-				return
-			}
-		case "u":
-			z.CalmUs, bts, err = msgp.ReadInt64Bytes(bts)
-			if err != nil {
-				err = msgp.WrapError(err, "CalmUs")
-				return
-			}
-		default:
-			bts, err = msgp.Skip(bts)
-			if err != nil {
-				err = msgp.WrapError(err)
-				return
-			}
-		}
-	}
-	o = bts
-	return
-}
-
-// Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
-func (z *Marks) Msgsize() (s int) {
-	s = 1 + 2 + msgp.BoolSize + 2 + msgp.ArrayHeaderSize + (len(z.Parts) * (msgp.Int64Size)) + 2 + msgp.Uint64Size + 2 + msgp.Int64Size
-	return
-}
-
-// MarshalMsg implements msgp.Marshaler
-func (z Member) MarshalMsg(b []byte) (o []byte, err error) {
-	o = msgp.Require(b, z.Msgsize())
-	// map header, size 2
-	// string "a"
-	o = append(o, 0x82, 0xa1, 0x61)
-	o = msgp.AppendString(o, z.Addr)
-	// string "i"
-	o = append(o, 0xa1, 0x69)
-	o = msgp.AppendString(o, z.ID)
-	return
-}
-
-// UnmarshalMsg implements msgp.Unmarshaler
-func (z *Member) UnmarshalMsg(bts []byte) (o []byte, err error) {
-	var field []byte
-	_ = field
-	var zb0001 uint32
-	zb0001, bts, err = msgp.ReadMapHeaderBytes(bts)
-	if err != nil {
-		err = msgp.WrapError(err)
-		return
-	}
-	for zb0001 > 0 {
-		zb0001--
-		field, bts, err = msgp.ReadMapKeyZC(bts)
-		if err != nil {
-			err = msgp.WrapError(err)
-			return
-		}
-		switch msgp.UnsafeString(field) {
-		case "a":
-			z.Addr, bts, err = msgp.ReadStringBytes(bts)
+				z.Loads = (z.Loads)[:zb0002]
+			} else {
+				z.Loads = make([]RunnerLoad, zb0002)
+			}
+			for za0001 := range z.Loads {
+				bts, err = z.Loads[za0001].UnmarshalMsg(bts)
+				if err != nil {
+					err = msgp.WrapError(err, "Loads", za0001)
+					return
+				}
+			}
+		case "t":
+			z.To, bts, err = msgp.ReadInt64Bytes(bts)
 			if err != nil {
-				err = msgp.WrapError(err, "Addr")
+				err = msgp.WrapError(err, "To")
 				return
 			}
-		case "i":
-			z.ID, bts, err = msgp.ReadStringBytes(bts)
+		case "w":
+			z.Whole, bts, err = msgp.ReadBoolBytes(bts)
 			if err != nil {
-				err = msgp.WrapError(err, "ID")
+				err = msgp.WrapError(err, "Whole")
 				return
 			}
 		default:
@@ -2563,38 +2589,30 @@
 }
 
 // Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
-func (z Member) Msgsize() (s int) {
-	s = 1 + 2 + msgp.StringPrefixSize + len(z.Addr) + 2 + msgp.StringPrefixSize + len(z.ID)
+func (z *LoadChange) Msgsize() (s int) {
+	s = 1 + 2 + msgp.Uint64Size + 2 + msgp.Int64Size + 2 + msgp.Int64Size + 2 + msgp.ArrayHeaderSize
+	for za0001 := range z.Loads {
+		s += z.Loads[za0001].Msgsize()
+	}
+	s += 2 + msgp.Int64Size + 2 + msgp.BoolSize
 	return
 }
 
 // MarshalMsg implements msgp.Marshaler
-func (z *MenuBody) MarshalMsg(b []byte) (o []byte, err error) {
+func (z Member) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
-	// map header, size 3
-	// string "h"
-	o = append(o, 0x83, 0xa1, 0x68)
-	o = msgp.AppendArrayHeader(o, uint32(len(z.Taken)))
-	for za0001 := range z.Taken {
-		// map header, size 2
-		// string "d"
-		o = append(o, 0x82, 0xa1, 0x64)
-		o = msgp.AppendBytes(o, z.Taken[za0001].Digest)
-		// string "v"
-		o = append(o, 0xa1, 0x76)
-		o = msgp.AppendInt64(o, z.Taken[za0001].Mark)
-	}
-	// string "r"
-	o = append(o, 0xa1, 0x72)
-	o = msgp.AppendBytes(o, z.Raw)
-	// string "v"
-	o = append(o, 0xa1, 0x76)
-	o = msgp.AppendInt64(o, z.Mark)
+	// map header, size 2
+	// string "a"
+	o = append(o, 0x82, 0xa1, 0x61)
+	o = msgp.AppendString(o, z.Addr)
+	// string "i"
+	o = append(o, 0xa1, 0x69)
+	o = msgp.AppendString(o, z.ID)
 	return
 }
 
 // UnmarshalMsg implements msgp.Unmarshaler
-func (z *MenuBody) UnmarshalMsg(bts []byte) (o []byte, err error) {
+func (z *Member) UnmarshalMsg(bts []byte) (o []byte, err error) {
 	var field []byte
 	_ = field
 	var zb0001 uint32
@@ -2611,64 +2629,16 @@
 			return
 		}
 		switch msgp.UnsafeString(field) {
-		case "h":
-			var zb0002 uint32
-			zb0002, bts, err = msgp.ReadArrayHeaderBytes(bts)
-			if err != nil {
-				err = msgp.WrapError(err, "Taken")
-				return
-			}
-			if cap(z.Taken) >= int(zb0002) {
-				z.Taken = (z.Taken)[:zb0002]
-			} else {
-				z.Taken = make([]Taken, zb0002)
-			}
-			for za0001 := range z.Taken {
-				var zb0003 uint32
-				zb0003, bts, err = msgp.ReadMapHeaderBytes(bts)
-				if err != nil {
-					err = msgp.WrapError(err, "Taken", za0001)
-					return
-				}
-				for zb0003 > 0 {
-					zb0003--
-					field, bts, err = msgp.ReadMapKeyZC(bts)
-					if err != nil {
-						err = msgp.WrapError(err, "Taken", za0001)
-						return
-					}
-					switch msgp.UnsafeString(field) {
-					case "d":
-						z.Taken[za0001].Digest, bts, err = msgp.ReadBytesBytes(bts, z.Taken[za0001].Digest)
-						if err != nil {
-							err = msgp.WrapError(err, "Taken", za0001, "Digest")
-							return
-						}
-					case "v":
-						z.Taken[za0001].Mark, bts, err = msgp.ReadInt64Bytes(bts)
-						if err != nil {
-							err = msgp.WrapError(err, "Taken", za0001, "Mark")
-							return
-						}
-					default:
-						bts, err = msgp.Skip(bts)
-						if err != nil {
-							err = msgp.WrapError(err, "Taken", za0001)
-							return
-						}
-					}
-				}
-			}
-		case "r":
-			z.Raw, bts, err = msgp.ReadBytesBytes(bts, z.Raw)
+		case "a":
+			z.Addr, bts, err = msgp.ReadStringBytes(bts)
 			if err != nil {
-				err = msgp.WrapError(err, "Raw")
+				err = msgp.WrapError(err, "Addr")
 				return
 			}
-		case "v":
-			z.Mark, bts, err = msgp.ReadInt64Bytes(bts)
+		case "i":
+			z.ID, bts, err = msgp.ReadStringBytes(bts)
 			if err != nil {
-				err = msgp.WrapError(err, "Mark")
+				err = msgp.WrapError(err, "ID")
 				return
 			}
 		default:
@@ -2684,12 +2654,8 @@
 }
 
 // Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
-func (z *MenuBody) Msgsize() (s int) {
-	s = 1 + 2 + msgp.ArrayHeaderSize
-	for za0001 := range z.Taken {
-		s += 1 + 2 + msgp.BytesPrefixSize + len(z.Taken[za0001].Digest) + 2 + msgp.Int64Size
-	}
-	s += 2 + msgp.BytesPrefixSize + len(z.Raw) + 2 + msgp.Int64Size
+func (z Member) Msgsize() (s int) {
+	s = 1 + 2 + msgp.StringPrefixSize + len(z.Addr) + 2 + msgp.StringPrefixSize + len(z.ID)
 	return
 }
 
@@ -2727,7 +2693,7 @@
 		o = msgp.AppendBytes(o, z.Parts[za0003].Body)
 		// string "m"
 		o = append(o, 0xa1, 0x6d)
-		o = msgp.AppendInt64(o, z.Parts[za0003].Mark)
+		o = msgp.AppendInt64(o, z.Parts[za0003].Version)
 		// string "p"
 		o = append(o, 0xa1, 0x70)
 		o = msgp.AppendInt(o, z.Parts[za0003].Part)
@@ -2835,9 +2801,9 @@
 							return
 						}
 					case "m":
-						z.Parts[za0003].Mark, bts, err = msgp.ReadInt64Bytes(bts)
+						z.Parts[za0003].Version, bts, err = msgp.ReadInt64Bytes(bts)
 						if err != nil {
-							err = msgp.WrapError(err, "Parts", za0003, "Mark")
+							err = msgp.WrapError(err, "Parts", za0003, "Version")
 							return
 						}
 					case "p":
@@ -2865,7 +2831,7 @@
 			if cap(z.Runners) >= int(zb0006) {
 				z.Runners = (z.Runners)[:zb0006]
 			} else {
-				z.Runners = make([]RunnerNote, zb0006)
+				z.Runners = make([]RunnerRecord, zb0006)
 			}
 			for za0004 := range z.Runners {
 				bts, err = z.Runners[za0004].UnmarshalMsg(bts)
@@ -2916,7 +2882,7 @@
 	o = msgp.AppendBytes(o, z.Body)
 	// string "m"
 	o = append(o, 0xa1, 0x6d)
-	o = msgp.AppendInt64(o, z.Mark)
+	o = msgp.AppendInt64(o, z.Version)
 	// string "p"
 	o = append(o, 0xa1, 0x70)
 	o = msgp.AppendInt(o, z.Part)
@@ -2948,9 +2914,9 @@
 				return
 			}
 		case "m":
-			z.Mark, bts, err = msgp.ReadInt64Bytes(bts)
+			z.Version, bts, err = msgp.ReadInt64Bytes(bts)
 			if err != nil {
-				err = msgp.WrapError(err, "Mark")
+				err = msgp.WrapError(err, "Version")
 				return
 			}
 		case "p":
@@ -2995,7 +2961,7 @@
 	o = msgp.AppendBool(o, z.Counted)
 	// string "l"
 	o = append(o, 0xa1, 0x6c)
-	o = msgp.AppendString(o, z.LedgerID)
+	o = msgp.AppendString(o, z.MemberID)
 	// string "n"
 	o = append(o, 0xa1, 0x6e)
 	o = msgp.AppendString(o, z.Node)
@@ -3004,10 +2970,10 @@
 	o = msgp.AppendString(o, string(z.Role))
 	// string "s"
 	o = append(o, 0xa1, 0x73)
-	o = msgp.AppendString(o, string(z.Standing))
+	o = msgp.AppendString(o, string(z.Status))
 	// string "z"
 	o = append(o, 0xa1, 0x7a)
-	o = msgp.AppendString(o, z.Site)
+	o = msgp.AppendString(o, z.Zone)
 	return
 }
 
@@ -3054,9 +3020,9 @@
 				return
 			}
 		case "l":
-			z.LedgerID, bts, err = msgp.ReadStringBytes(bts)
+			z.MemberID, bts, err = msgp.ReadStringBytes(bts)
 			if err != nil {
-				err = msgp.WrapError(err, "LedgerID")
+				err = msgp.WrapError(err, "MemberID")
 				return
 			}
 		case "n":
@@ -3080,15 +3046,15 @@
 				var zb0003 string
 				zb0003, bts, err = msgp.ReadStringBytes(bts)
 				if err != nil {
-					err = msgp.WrapError(err, "Standing")
+					err = msgp.WrapError(err, "Status")
 					return
 				}
-				z.Standing = Standing(zb0003)
+				z.Status = Status(zb0003)
 			}
 		case "z":
-			z.Site, bts, err = msgp.ReadStringBytes(bts)
+			z.Zone, bts, err = msgp.ReadStringBytes(bts)
 			if err != nil {
-				err = msgp.WrapError(err, "Site")
+				err = msgp.WrapError(err, "Zone")
 				return
 			}
 		default:
@@ -3105,7 +3071,7 @@
 
 // Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
 func (z *Peer) Msgsize() (s int) {
-	s = 1 + 2 + msgp.StringPrefixSize + len(z.Addr) + 2 + msgp.StringPrefixSize + len(z.Control) + 2 + msgp.Int64Size + 2 + msgp.BoolSize + 2 + msgp.StringPrefixSize + len(z.LedgerID) + 2 + msgp.StringPrefixSize + len(z.Node) + 2 + msgp.StringPrefixSize + len(string(z.Role)) + 2 + msgp.StringPrefixSize + len(string(z.Standing)) + 2 + msgp.StringPrefixSize + len(z.Site)
+	s = 1 + 2 + msgp.StringPrefixSize + len(z.Addr) + 2 + msgp.StringPrefixSize + len(z.Control) + 2 + msgp.Int64Size + 2 + msgp.BoolSize + 2 + msgp.StringPrefixSize + len(z.MemberID) + 2 + msgp.StringPrefixSize + len(z.Node) + 2 + msgp.StringPrefixSize + len(string(z.Role)) + 2 + msgp.StringPrefixSize + len(string(z.Status)) + 2 + msgp.StringPrefixSize + len(z.Zone)
 	return
 }
 
@@ -3623,7 +3589,7 @@
 }
 
 // MarshalMsg implements msgp.Marshaler
-func (z *RunnerNote) MarshalMsg(b []byte) (o []byte, err error) {
+func (z *RunnerRecord) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
 	// map header, size 13
 	// string "a"
@@ -3657,14 +3623,14 @@
 		o = msgp.AppendString(o, z.Models[za0001].Model)
 		// string "v"
 		o = append(o, 0xa1, 0x76)
-		o = msgp.AppendInt64(o, z.Models[za0001].Mark)
+		o = msgp.AppendInt64(o, z.Models[za0001].Version)
 	}
 	// string "q"
 	o = append(o, 0xa1, 0x71)
 	o = msgp.AppendInt64(o, z.Seq)
 	// string "r"
 	o = append(o, 0xa1, 0x72)
-	o = msgp.AppendInt64(o, z.BarMark)
+	o = msgp.AppendInt64(o, z.BarVersion)
 	// string "s"
 	o = append(o, 0xa1, 0x73)
 	o = msgp.AppendString(o, z.Service)
@@ -3673,12 +3639,12 @@
 	o = msgp.AppendBool(o, z.Easing)
 	// string "z"
 	o = append(o, 0xa1, 0x7a)
-	o = msgp.AppendString(o, z.Site)
+	o = msgp.AppendString(o, z.Zone)
 	return
 }
 
 // UnmarshalMsg implements msgp.Unmarshaler
-func (z *RunnerNote) UnmarshalMsg(bts []byte) (o []byte, err error) {
+func (z *RunnerRecord) UnmarshalMsg(bts []byte) (o []byte, err error) {
 	var field []byte
 	_ = field
 	var zb0001 uint32
@@ -3771,9 +3737,9 @@
 							return
 						}
 					case "v":
-						z.Models[za0001].Mark, bts, err = msgp.ReadInt64Bytes(bts)
+						z.Models[za0001].Version, bts, err = msgp.ReadInt64Bytes(bts)
 						if err != nil {
-							err = msgp.WrapError(err, "Models", za0001, "Mark")
+							err = msgp.WrapError(err, "Models", za0001, "Version")
 							return
 						}
 					default:
@@ -3792,9 +3758,9 @@
 				return
 			}
 		case "r":
-			z.BarMark, bts, err = msgp.ReadInt64Bytes(bts)
+			z.BarVersion, bts, err = msgp.ReadInt64Bytes(bts)
 			if err != nil {
-				err = msgp.WrapError(err, "BarMark")
+				err = msgp.WrapError(err, "BarVersion")
 				return
 			}
 		case "s":
@@ -3810,9 +3776,9 @@
 				return
 			}
 		case "z":
-			z.Site, bts, err = msgp.ReadStringBytes(bts)
+			z.Zone, bts, err = msgp.ReadStringBytes(bts)
 			if err != nil {
-				err = msgp.WrapError(err, "Site")
+				err = msgp.WrapError(err, "Zone")
 				return
 			}
 		default:
@@ -3828,24 +3794,24 @@
 }
 
 // Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
-func (z *RunnerNote) Msgsize() (s int) {
+func (z *RunnerRecord) Msgsize() (s int) {
 	s = 1 + 2 + msgp.StringPrefixSize + len(z.Addr) + 2 + msgp.BoolSize + 2 + msgp.IntSize + 2 + msgp.BoolSize + 2 + msgp.BoolSize + 2 + msgp.BoolSize + 2 + msgp.StringPrefixSize + len(z.ID) + 2 + msgp.ArrayHeaderSize
 	for za0001 := range z.Models {
 		s += 1 + 2 + msgp.StringPrefixSize + len(z.Models[za0001].Model) + 2 + msgp.Int64Size
 	}
-	s += 2 + msgp.Int64Size + 2 + msgp.Int64Size + 2 + msgp.StringPrefixSize + len(z.Service) + 2 + msgp.BoolSize + 2 + msgp.StringPrefixSize + len(z.Site)
+	s += 2 + msgp.Int64Size + 2 + msgp.Int64Size + 2 + msgp.StringPrefixSize + len(z.Service) + 2 + msgp.BoolSize + 2 + msgp.StringPrefixSize + len(z.Zone)
 	return
 }
 
 // MarshalMsg implements msgp.Marshaler
-func (z Standing) MarshalMsg(b []byte) (o []byte, err error) {
+func (z Status) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
 	o = msgp.AppendString(o, string(z))
 	return
 }
 
 // UnmarshalMsg implements msgp.Unmarshaler
-func (z *Standing) UnmarshalMsg(bts []byte) (o []byte, err error) {
+func (z *Status) UnmarshalMsg(bts []byte) (o []byte, err error) {
 	{
 		var zb0001 string
 		zb0001, bts, err = msgp.ReadStringBytes(bts)
@@ -3853,14 +3819,14 @@
 			err = msgp.WrapError(err)
 			return
 		}
-		(*z) = Standing(zb0001)
+		(*z) = Status(zb0001)
 	}
 	o = bts
 	return
 }
 
 // Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
-func (z Standing) Msgsize() (s int) {
+func (z Status) Msgsize() (s int) {
 	s = msgp.StringPrefixSize + len(string(z))
 	return
 }
@@ -3963,67 +3929,6 @@
 	return
 }
 
-// MarshalMsg implements msgp.Marshaler
-func (z *Taken) MarshalMsg(b []byte) (o []byte, err error) {
-	o = msgp.Require(b, z.Msgsize())
-	// map header, size 2
-	// string "d"
-	o = append(o, 0x82, 0xa1, 0x64)
-	o = msgp.AppendBytes(o, z.Digest)
-	// string "v"
-	o = append(o, 0xa1, 0x76)
-	o = msgp.AppendInt64(o, z.Mark)
-	return
-}
-
-// UnmarshalMsg implements msgp.Unmarshaler
-func (z *Taken) UnmarshalMsg(bts []byte) (o []byte, err error) {
-	var field []byte
-	_ = field
-	var zb0001 uint32
-	zb0001, bts, err = msgp.ReadMapHeaderBytes(bts)
-	if err != nil {
-		err = msgp.WrapError(err)
-		return
-	}
-	for zb0001 > 0 {
-		zb0001--
-		field, bts, err = msgp.ReadMapKeyZC(bts)
-		if err != nil {
-			err = msgp.WrapError(err)
-			return
-		}
-		switch msgp.UnsafeString(field) {
-		case "d":
-			z.Digest, bts, err = msgp.ReadBytesBytes(bts, z.Digest)
-			if err != nil {
-				err = msgp.WrapError(err, "Digest")
-				return
-			}
-		case "v":
-			z.Mark, bts, err = msgp.ReadInt64Bytes(bts)
-			if err != nil {
-				err = msgp.WrapError(err, "Mark")
-				return
-			}
-		default:
-			bts, err = msgp.Skip(bts)
-			if err != nil {
-				err = msgp.WrapError(err)
-				return
-			}
-		}
-	}
-	o = bts
-	return
-}
-
-// Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
-func (z *Taken) Msgsize() (s int) {
-	s = 1 + 2 + msgp.BytesPrefixSize + len(z.Digest) + 2 + msgp.Int64Size
-	return
-}
-
 // MarshalMsg implements msgp.Marshaler
 func (z Target) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
@@ -4033,7 +3938,7 @@
 	o = msgp.AppendString(o, z.Model)
 	// string "v"
 	o = append(o, 0xa1, 0x76)
-	o = msgp.AppendInt64(o, z.Mark)
+	o = msgp.AppendInt64(o, z.Version)
 	return
 }
 
@@ -4062,9 +3967,9 @@
 				return
 			}
 		case "v":
-			z.Mark, bts, err = msgp.ReadInt64Bytes(bts)
+			z.Version, bts, err = msgp.ReadInt64Bytes(bts)
 			if err != nil {
-				err = msgp.WrapError(err, "Mark")
+				err = msgp.WrapError(err, "Version")
 				return
 			}
 		default:
@@ -4224,7 +4129,7 @@
 	}
 	// string "m"
 	o = append(o, 0xa1, 0x6d)
-	o = msgp.AppendInt64(o, z.Mark)
+	o = msgp.AppendInt64(o, z.Version)
 	// string "s"
 	o = append(o, 0xa1, 0x73)
 	o = msgp.AppendString(o, z.Stamp)
@@ -4304,9 +4209,9 @@
 				}
 			}
 		case "m":
-			z.Mark, bts, err = msgp.ReadInt64Bytes(bts)
+			z.Version, bts, err = msgp.ReadInt64Bytes(bts)
 			if err != nil {
-				err = msgp.WrapError(err, "Mark")
+				err = msgp.WrapError(err, "Version")
 				return
 			}
 		case "s":
@@ -4364,3 +4269,98 @@
 	s = msgp.StringPrefixSize + len(string(z))
 	return
 }
+
+// MarshalMsg implements msgp.Marshaler
+func (z *Versions) MarshalMsg(b []byte) (o []byte, err error) {
+	o = msgp.Require(b, z.Msgsize())
+	// map header, size 4
+	// string "d"
+	o = append(o, 0x84, 0xa1, 0x64)
+	o = msgp.AppendBool(o, z.Controller)
+	// string "p"
+	o = append(o, 0xa1, 0x70)
+	o = msgp.AppendArrayHeader(o, uint32(len(z.Parts)))
+	for za0001 := range z.Parts {
+		o = msgp.AppendInt64(o, z.Parts[za0001])
+	}
+	// string "r"
+	o = append(o, 0xa1, 0x72)
+	o = msgp.AppendUint64(o, z.RegistrySum)
+	// string "u"
+	o = append(o, 0xa1, 0x75)
+	o = msgp.AppendInt64(o, z.CalmUs)
+	return
+}
+
+// UnmarshalMsg implements msgp.Unmarshaler
+func (z *Versions) UnmarshalMsg(bts []byte) (o []byte, err error) {
+	var field []byte
+	_ = field
+	var zb0001 uint32
+	zb0001, bts, err = msgp.ReadMapHeaderBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err)
+		return
+	}
+	for zb0001 > 0 {
+		zb0001--
+		field, bts, err = msgp.ReadMapKeyZC(bts)
+		if err != nil {
+			err = msgp.WrapError(err)
+			return
+		}
+		switch msgp.UnsafeString(field) {
+		case "d":
+			z.Controller, bts, err = msgp.ReadBoolBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Controller")
+				return
+			}
+		case "p":
+			var zb0002 uint32
+			zb0002, bts, err = msgp.ReadArrayHeaderBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Parts")
+				return
+			}
+			if cap(z.Parts) >= int(zb0002) {
+				z.Parts = (z.Parts)[:zb0002]
+			} else {
+				z.Parts = make([]int64, zb0002)
+			}
+			for za0001 := range z.Parts {
+				z.Parts[za0001], bts, err = msgp.ReadInt64Bytes(bts)
+				if err != nil {
+					err = msgp.WrapError(err, "Parts", za0001)
+					return
+				}
+			}
+		case "r":
+			z.RegistrySum, bts, err = msgp.ReadUint64Bytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "RegistrySum")
+				return
+			}
+		case "u":
+			z.CalmUs, bts, err = msgp.ReadInt64Bytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "CalmUs")
+				return
+			}
+		default:
+			bts, err = msgp.Skip(bts)
+			if err != nil {
+				err = msgp.WrapError(err)
+				return
+			}
+		}
+	}
+	o = bts
+	return
+}
+
+// Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
+func (z *Versions) Msgsize() (s int) {
+	s = 1 + 2 + msgp.BoolSize + 2 + msgp.ArrayHeaderSize + (len(z.Parts) * (msgp.Int64Size)) + 2 + msgp.Uint64Size + 2 + msgp.Int64Size
+	return
+}
--- a/internal/messages/types.gen.go
+++ b/internal/messages/types.gen.go
@@ -21,15 +21,15 @@
 	}
 }
 
-// Defines values for Standing.
+// Defines values for Status.
 const (
-	Alive   Standing = "alive"
-	Dead    Standing = "dead"
-	Suspect Standing = "suspect"
+	Alive   Status = "alive"
+	Dead    Status = "dead"
+	Suspect Status = "suspect"
 )
 
-// Valid indicates whether the value is a known member of the Standing enum.
-func (e Standing) Valid() bool {
+// Valid indicates whether the value is a known member of the Status enum.
+func (e Status) Valid() bool {
 	switch e {
 	case Alive:
 		return true
@@ -93,18 +93,18 @@
 	}
 }
 
+// AcceptedDigest defines model for AcceptedDigest.
+type AcceptedDigest struct {
+	Digest  []byte `msg:"d"`
+	Version int64  `msg:"v"`
+}
+
 // Ballot defines model for Ballot.
 type Ballot struct {
 	N   int64  `msg:"n"`
 	Who string `msg:"w"`
 }
 
-// Claim defines model for Claim.
-type Claim struct {
-	Fence  int64  `msg:"f"`
-	Holder string `msg:"h"`
-}
-
 // Condition defines model for Condition.
 type Condition struct {
 	Addr      string     `msg:"a"`
@@ -115,8 +115,8 @@
 	SaveFault string     `msg:"f"`
 	Groups    [][]Member `msg:"g"`
 	Changes   int64      `msg:"j"`
-	LedgerID  string     `msg:"l"`
-	Marks     []int64    `msg:"m"`
+	MemberID  string     `msg:"l"`
+	Versions  []int64    `msg:"m"`
 	Node      string     `msg:"n"`
 	Peers     []Peer     `msg:"p"`
 	Stale     []string   `msg:"q"`
@@ -125,13 +125,34 @@
 	TimeUs    int64      `msg:"t"`
 	Wholes    int64      `msg:"w"`
 	Malformed int64      `msg:"x"`
-	Site      string     `msg:"z"`
+	Zone      string     `msg:"z"`
 }
 
-// DutyBody defines model for DutyBody.
-type DutyBody struct {
-	Claim   Claim    `msg:"c"`
-	Targets []Target `msg:"t"`
+// ConfigBody defines model for ConfigBody.
+type ConfigBody struct {
+	AcceptedDigest []AcceptedDigest `msg:"h"`
+	Raw            []byte           `msg:"r"`
+	Version        int64            `msg:"v"`
+}
+
+// ConsensusRequest defines model for ConsensusRequest.
+type ConsensusRequest struct {
+	Ballot Ballot `msg:"b"`
+	Step   Step   `msg:"k"`
+	Part   int    `msg:"p"`
+	Slot   int64  `msg:"s"`
+	To     string `msg:"t"`
+	Value  Value  `msg:"v"`
+}
+
+// ConsensusResponse defines model for ConsensusResponse.
+type ConsensusResponse struct {
+	AcceptedAt  Ballot  `msg:"a"`
+	Verdict     Verdict `msg:"d"`
+	HasAccepted bool    `msg:"h"`
+	Version     int64   `msg:"m"`
+	Promised    Ballot  `msg:"p"`
+	Value       Value   `msg:"v"`
 }
 
 // Entry an entry by its key; one that is no longer there has no body
@@ -152,16 +173,16 @@
 
 // Feed what a node sends down the tree; versions of parts go along with every one
 type Feed struct {
-	Coming   []KeptNote    `msg:"c"`
-	Kept     []KeptChange  `msg:"k"`
-	Loads    []LoadChange  `msg:"l"`
-	Versions []int64       `msg:"m"`
-	Menu     []EntryChange `msg:"n"`
-	Reports  []ReportNote  `msg:"o"`
-	Parts    []PartNote    `msg:"p"`
-	Roster   []EntryChange `msg:"r"`
-	CalmUs   int64         `msg:"u"`
-	CutOff   bool          `msg:"x"`
+	Coming        []KeptNote    `msg:"c"`
+	Kept          []KeptChange  `msg:"k"`
+	Loads         []LoadChange  `msg:"l"`
+	Versions      []int64       `msg:"m"`
+	Configuration []EntryChange `msg:"n"`
+	Reports       []ReportNote  `msg:"o"`
+	Parts         []PartNote    `msg:"p"`
+	Registry      []EntryChange `msg:"r"`
+	CalmUs        int64         `msg:"u"`
+	CutOff        bool          `msg:"x"`
 }
 
 // Frame defines model for Frame.
@@ -180,13 +201,13 @@
 	// Loads how much of a stream a receiver holds
 	Loads StreamHold `msg:"l"`
 
-	// Menu how much of a stream a receiver holds
-	Menu     StreamHold `msg:"n"`
-	MenuOnly bool       `msg:"o"`
-	Parts    []int64    `msg:"p"`
+	// Configuration how much of a stream a receiver holds
+	Configuration StreamHold `msg:"n"`
+	ConfigOnly    bool       `msg:"o"`
+	Parts         []int64    `msg:"p"`
 
-	// Roster how much of a stream a receiver holds
-	Roster StreamHold `msg:"r"`
+	// Registry how much of a stream a receiver holds
+	Registry StreamHold `msg:"r"`
 }
 
 // KeptChange parts that a runner keeps now; 0 tokens mean that it keeps one no longer
@@ -213,24 +234,16 @@
 	Tokens int32  `msg:"t"`
 }
 
-// LedgerAsk defines model for LedgerAsk.
-type LedgerAsk struct {
-	Ballot Ballot `msg:"b"`
-	Step   Step   `msg:"k"`
-	Part   int    `msg:"p"`
-	Slot   int64  `msg:"s"`
-	To     string `msg:"t"`
-	Value  Value  `msg:"v"`
+// Lease defines model for Lease.
+type Lease struct {
+	Fence  int64  `msg:"f"`
+	Holder string `msg:"h"`
 }
 
-// LedgerWord defines model for LedgerWord.
-type LedgerWord struct {
-	AcceptedAt  Ballot  `msg:"a"`
-	Verdict     Verdict `msg:"d"`
-	HasAccepted bool    `msg:"h"`
-	Mark        int64   `msg:"m"`
-	Promised    Ballot  `msg:"p"`
-	Value       Value   `msg:"v"`
+// LeaseBody defines model for LeaseBody.
+type LeaseBody struct {
+	Lease   Lease    `msg:"c"`
+	Targets []Target `msg:"t"`
 }
 
 // LoadChange defines model for LoadChange.
@@ -243,53 +256,38 @@
 	Whole  bool         `msg:"w"`
 }
 
-// Marks defines model for Marks.
-type Marks struct {
-	Controller bool    `msg:"d"`
-	Parts      []int64 `msg:"p"`
-	RosterSum  uint64  `msg:"r"`
-	CalmUs     int64   `msg:"u"`
-}
-
 // Member defines model for Member.
 type Member struct {
 	Addr string `msg:"a"`
 	ID   string `msg:"i"`
 }
 
-// MenuBody defines model for MenuBody.
-type MenuBody struct {
-	Taken []Taken `msg:"h"`
-	Raw   []byte  `msg:"r"`
-	Mark  int64   `msg:"v"`
-}
-
 // News defines model for News.
 type News struct {
-	Kept    []KeptNote   `msg:"k"`
-	Reports []ReportNote `msg:"o"`
-	Parts   []PartNote   `msg:"p"`
-	Runners []RunnerNote `msg:"r"`
+	Kept    []KeptNote     `msg:"k"`
+	Reports []ReportNote   `msg:"o"`
+	Parts   []PartNote     `msg:"p"`
+	Runners []RunnerRecord `msg:"r"`
 }
 
 // PartNote defines model for PartNote.
 type PartNote struct {
-	Body []byte `msg:"b"`
-	Mark int64  `msg:"m"`
-	Part int    `msg:"p"`
+	Body    []byte `msg:"b"`
+	Version int64  `msg:"m"`
+	Part    int    `msg:"p"`
 }
 
 // Peer defines model for Peer.
 type Peer struct {
-	Addr     string   `msg:"a"`
-	Control  string   `msg:"c"`
-	Life     int64    `msg:"i"`
-	Counted  bool     `msg:"k"`
-	LedgerID string   `msg:"l"`
-	Node     string   `msg:"n"`
-	Role     Role     `msg:"r"`
-	Standing Standing `msg:"s"`
-	Site     string   `msg:"z"`
+	Addr     string `msg:"a"`
+	Control  string `msg:"c"`
+	Life     int64  `msg:"i"`
+	Counted  bool   `msg:"k"`
+	MemberID string `msg:"l"`
+	Node     string `msg:"n"`
+	Role     Role   `msg:"r"`
+	Status   Status `msg:"s"`
+	Zone     string `msg:"z"`
 }
 
 // Probe defines model for Probe.
@@ -334,25 +332,25 @@
 	Failed  int     `msg:"x"`
 }
 
-// RunnerNote defines model for RunnerNote.
-type RunnerNote struct {
-	Addr     string   `msg:"a"`
-	Barred   bool     `msg:"b"`
-	Capacity int      `msg:"c"`
-	Draining bool     `msg:"d"`
-	Stale    bool     `msg:"e"`
-	Gone     bool     `msg:"g"`
-	ID       string   `msg:"i"`
-	Models   []Target `msg:"m"`
-	Seq      int64    `msg:"q"`
-	BarMark  int64    `msg:"r"`
-	Service  string   `msg:"s"`
-	Easing   bool     `msg:"w"`
-	Site     string   `msg:"z"`
+// RunnerRecord defines model for RunnerRecord.
+type RunnerRecord struct {
+	Addr       string   `msg:"a"`
+	Barred     bool     `msg:"b"`
+	Capacity   int      `msg:"c"`
+	Draining   bool     `msg:"d"`
+	Stale      bool     `msg:"e"`
+	Gone       bool     `msg:"g"`
+	ID         string   `msg:"i"`
+	Models     []Target `msg:"m"`
+	Seq        int64    `msg:"q"`
+	BarVersion int64    `msg:"r"`
+	Service    string   `msg:"s"`
+	Easing     bool     `msg:"w"`
+	Zone       string   `msg:"z"`
 }
 
-// Standing defines model for Standing.
-type Standing string
+// Status defines model for Status.
+type Status string
 
 // Step defines model for Step.
 type Step string
@@ -364,16 +362,10 @@
 	Version int64  `msg:"t"`
 }
 
-// Taken defines model for Taken.
-type Taken struct {
-	Digest []byte `msg:"d"`
-	Mark   int64  `msg:"v"`
-}
-
 // Target defines model for Target.
 type Target struct {
-	Model string `msg:"m"`
-	Mark  int64  `msg:"v"`
+	Model   string `msg:"m"`
+	Version int64  `msg:"v"`
 }
 
 // Told what a node sends up the tree, and the word back that it was heard
@@ -385,11 +377,19 @@
 
 // Value defines model for Value.
 type Value struct {
-	Body  []byte   `msg:"b"`
-	Group []Member `msg:"g"`
-	Mark  int64    `msg:"m"`
-	Stamp string   `msg:"s"`
+	Body    []byte   `msg:"b"`
+	Group   []Member `msg:"g"`
+	Version int64    `msg:"m"`
+	Stamp   string   `msg:"s"`
 }
 
 // Verdict defines model for Verdict.
 type Verdict string
+
+// Versions defines model for Versions.
+type Versions struct {
+	Controller  bool    `msg:"d"`
+	Parts       []int64 `msg:"p"`
+	RegistrySum uint64  `msg:"r"`
+	CalmUs      int64   `msg:"u"`
+}
--- a/internal/placement/match.go
+++ b/internal/placement/match.go
@@ -1,5 +1,5 @@
 // Package placement matches an admitted request to one of the runners that the
-// doorman left as candidates: the one where its first token can be expected
+// admission control left as candidates: the one where its first token can be expected
 // soonest, kept prompt parts against waiting. Where nothing is kept anywhere,
 // rendezvous hashing of the shared parts sends the same prompts to the same
 // runner without the nodes having to talk.
--- a/internal/prefixindex/index.go
+++ b/internal/prefixindex/index.go
@@ -2,7 +2,7 @@
 // under which salt and model. It is fed by the runners' own events, by lists
 // after a gap, and by what this node saw come of its requests. It may be wrong
 // at any time, which costs time and never a rule, since salts keep tenants and
-// weight marks apart.
+// weight versions apart.
 package prefixindex
 
 import (
--- a/internal/radio/crew.go
+++ b/internal/radio/crew.go
@@ -44,39 +44,39 @@
 
 // Crew holds the view.
 type Crew struct {
-	self   messages.Peer
-	times  CrewTimes
-	mates  map[string]*mate
-	order  []string
-	turn   int
-	seq    int64
-	wait   map[int64]*probing
-	nextUs int64
-	rnd    func(n int) int
-	mark   int64
-	bornUs int64
+	self    messages.Peer
+	times   CrewTimes
+	mates   map[string]*mate
+	order   []string
+	turn    int
+	seq     int64
+	wait    map[int64]*probing
+	nextUs  int64
+	rnd     func(n int) int
+	version int64
+	bornUs  int64
 }
 
 // NewCrew starts with the node alone.
 func NewCrew(self messages.Peer, times CrewTimes, rnd func(n int) int) *Crew {
-	self.Standing = messages.Alive
+	self.Status = messages.Alive
 	return &Crew{self: self, times: times, mates: map[string]*mate{}, wait: map[int64]*probing{}, rnd: rnd}
 }
 
 // Self is the node's own entry.
 func (c *Crew) Self() messages.Peer { return c.self }
 
-// SetLedgerID tells the others under which name this node keeps the ledger.
-func (c *Crew) SetLedgerID(id string) {
-	if c.self.LedgerID != id {
-		c.self.LedgerID = id
+// SetMemberID tells the others under which name this node keeps the registers.
+func (c *Crew) SetMemberID(id string) {
+	if c.self.MemberID != id {
+		c.self.MemberID = id
 		c.self.Life++
-		c.mark++
+		c.version++
 	}
 }
 
-// Mark rises with every change of the view.
-func (c *Crew) Mark() int64 { return c.mark }
+// Version rises with every change of the view.
+func (c *Crew) Version() int64 { return c.version }
 
 // Alive lists the peers not known dead, the node itself included, by address.
 func (c *Crew) Alive(role messages.Role) []messages.Peer {
@@ -85,7 +85,7 @@
 		out = append(out, c.self)
 	}
 	for _, m := range c.mates {
-		if m.peer.Role == role && m.peer.Standing != messages.Dead {
+		if m.peer.Role == role && m.peer.Status != messages.Dead {
 			out = append(out, m.peer)
 		}
 	}
@@ -108,7 +108,7 @@
 	if m == nil {
 		return max(nowUs-c.bornUs-unknownUs, 0)
 	}
-	if m.peer.Standing != messages.Dead {
+	if m.peer.Status != messages.Dead {
 		return 0
 	}
 	return max(nowUs-m.sinceUs, 1)
@@ -144,20 +144,20 @@
 		}
 		if age >= 2*c.times.AckUs {
 			delete(c.wait, seq)
-			if m.peer.Standing == messages.Alive {
+			if m.peer.Status == messages.Alive {
 				p := m.peer
-				p.Standing = messages.Suspect
+				p.Status = messages.Suspect
 				c.take(p, nowUs)
 			}
 		}
 	}
 	for addr, m := range c.mates {
-		if m.peer.Standing == messages.Suspect && nowUs-m.sinceUs >= c.suspectUs() {
+		if m.peer.Status == messages.Suspect && nowUs-m.sinceUs >= c.suspectUs() {
 			p := m.peer
-			p.Standing = messages.Dead
+			p.Status = messages.Dead
 			c.take(p, nowUs)
 		}
-		if m.peer.Standing == messages.Dead && nowUs-m.sinceUs >= c.times.ForgetUs {
+		if m.peer.Status == messages.Dead && nowUs-m.sinceUs >= c.times.ForgetUs {
 			delete(c.mates, addr)
 			c.order = nil
 		}
@@ -177,7 +177,7 @@
 func (c *Crew) Hear(kind int, p messages.Probe, nowUs int64) []Send {
 	fresh := c.mates[p.From.Addr] == nil
 	from := p.From
-	from.Standing = messages.Alive
+	from.Status = messages.Alive
 	c.take(from, nowUs)
 	for _, g := range p.Gossip {
 		c.take(g, nowUs)
@@ -195,9 +195,9 @@
 		return []Send{{To: p.Through, Kind: KindAck, Msg: messages.Probe{Seq: p.Seq, From: c.self, Of: p.From.Addr, Gossip: []messages.Peer{p.From}}}}
 	}
 	if w := c.wait[p.Seq]; w != nil && (w.of == p.From.Addr || w.of == p.Of) {
-		if m := c.mates[w.of]; m != nil && m.peer.Standing == messages.Suspect {
+		if m := c.mates[w.of]; m != nil && m.peer.Status == messages.Suspect {
 			q := m.peer
-			q.Standing = messages.Alive
+			q.Status = messages.Alive
 			q.Life++
 			if w.of != p.From.Addr {
 				c.take(q, nowUs)
@@ -218,7 +218,7 @@
 	return c.times.SuspectUs * int64(max(6, bits.Len(uint(len(c.mates))))) / 6
 }
 
-func rankOf(s messages.Standing) int {
+func rankOf(s messages.Status) int {
 	switch s {
 	case messages.Dead:
 		return 2
@@ -233,35 +233,35 @@
 		return
 	}
 	if p.Addr == c.self.Addr {
-		if p.Life > c.self.Life || p.Standing != messages.Alive && p.Life == c.self.Life {
+		if p.Life > c.self.Life || p.Status != messages.Alive && p.Life == c.self.Life {
 			c.self.Life = p.Life + 1
-			c.mark++
+			c.version++
 		}
 		return
 	}
 	m := c.mates[p.Addr]
 	if m == nil {
-		if p.Standing == messages.Dead {
+		if p.Status == messages.Dead {
 			return
 		}
 		c.mates[p.Addr] = &mate{peer: p, sinceUs: nowUs, spread: c.often()}
 		c.order = nil
-		c.mark++
+		c.version++
 		return
 	}
-	if p.Life < m.peer.Life && p.Standing == messages.Alive {
+	if p.Life < m.peer.Life && p.Status == messages.Alive {
 		m.older = true
 	}
-	newer := p.Life > m.peer.Life || p.Life == m.peer.Life && rankOf(p.Standing) > rankOf(m.peer.Standing)
+	newer := p.Life > m.peer.Life || p.Life == m.peer.Life && rankOf(p.Status) > rankOf(m.peer.Status)
 	if !newer {
 		return
 	}
-	if p.Standing != m.peer.Standing {
+	if p.Status != m.peer.Status {
 		m.sinceUs = nowUs
 	}
 	m.peer = p
 	m.spread = c.often()
-	c.mark++
+	c.version++
 }
 
 // next picks whom to probe; now and then a dead one, so that healed cuts are found.
@@ -291,7 +291,7 @@
 func (c *Crew) pick(n int, except string) []string {
 	var all []string
 	for addr, m := range c.mates {
-		if addr != except && m.peer.Standing == messages.Alive {
+		if addr != except && m.peer.Status == messages.Alive {
 			all = append(all, addr)
 		}
 	}
@@ -307,7 +307,7 @@
 // with what the receiver would want to deny about itself.
 func (c *Crew) gossip(to *mate, all bool) []messages.Peer {
 	out := []messages.Peer{}
-	if to != nil && (to.peer.Standing != messages.Alive || to.older) {
+	if to != nil && (to.peer.Status != messages.Alive || to.older) {
 		to.older = false
 		out = append(out, to.peer)
 	}
