--- a/internal/radio/crew_test.go
+++ b/internal/radio/crew_test.go
@@ -78,14 +78,14 @@
 		}
 	}
 	a.down["n3"] = false
-	a.crews["n3"] = NewCrew(messages.Peer{Addr: "n3", Role: messages.Router, Life: 1, LedgerID: "new"}, DefaultCrewTimes, a.rnd.IntN)
+	a.crews["n3"] = NewCrew(messages.Peer{Addr: "n3", Role: messages.Router, Life: 1, MemberID: "new"}, DefaultCrewTimes, a.rnd.IntN)
 	a.carry("n3", []Send{a.crews["n3"].Greet("n0")})
 	a.run(10_000_000)
 	for addr, c := range a.crews {
 		must.Len(t, 8, c.Alive(messages.Router), must.Sprint(addr))
 		for _, p := range c.Alive(messages.Router) {
 			if p.Addr == "n3" {
-				must.Eq(t, "new", p.LedgerID)
+				must.Eq(t, "new", p.MemberID)
 			}
 		}
 	}
@@ -116,9 +116,9 @@
 func TestParentsKeepSitesTogether(t *testing.T) {
 	var routers []messages.Peer
 	for i := range 40 {
-		routers = append(routers, messages.Peer{Addr: fmt.Sprintf("c%02d", i), Site: "a"})
+		routers = append(routers, messages.Peer{Addr: fmt.Sprintf("c%02d", i), Zone: "a"})
 	}
-	controllers := []messages.Peer{{Addr: "da", Site: "a"}, {Addr: "db", Site: "b"}}
+	controllers := []messages.Peer{{Addr: "da", Zone: "a"}, {Addr: "db", Zone: "b"}}
 	must.Eq(t, []string{"da", "db"}, Parents("c03", "a", controllers, routers))
 	must.Eq(t, []string{"da", "db"}, Parents("c15", "a", controllers, routers))
 	must.Eq(t, []string{"c00", "da", "db"}, Parents("c16", "a", controllers, routers))
@@ -129,9 +129,9 @@
 func TestCountersSpreadOverTheDispatchesThatCount(t *testing.T) {
 	var routers []messages.Peer
 	for i := range 34 {
-		routers = append(routers, messages.Peer{Addr: fmt.Sprintf("c%02d", i), Site: "a"})
+		routers = append(routers, messages.Peer{Addr: fmt.Sprintf("c%02d", i), Zone: "a"})
 	}
-	controllers := []messages.Peer{{Addr: "d1", Site: "a", Counted: true}, {Addr: "d2", Site: "a", Counted: true}, {Addr: "d3", Site: "a"}, {Addr: "d4", Site: "b", Counted: true}}
+	controllers := []messages.Peer{{Addr: "d1", Zone: "a", Counted: true}, {Addr: "d2", Zone: "a", Counted: true}, {Addr: "d3", Zone: "a"}, {Addr: "d4", Zone: "b", Counted: true}}
 	first := map[string]int{}
 	for i, c := range routers[:32] {
 		p := Parents(c.Addr, "a", controllers, routers)
--- a/internal/radio/listen.go
+++ b/internal/radio/listen.go
@@ -209,14 +209,14 @@
 }
 
 // Parents orders the nodes that a router may take feeds from: its place in the
-// tree first. The first routers of a site hang on the site's controllers, the
-// others on routers before them, so that a change crosses to a site once for
+// tree first. The first routers of a zone hang on the zone's controllers, the
+// others on routers before them, so that a change crosses to a zone once for
 // every controller there. Which controller it is follows from a hash, so that hardly
 // anybody moves when nodes come and go.
-func Parents(self string, site string, controllers, routers []messages.Peer) []string {
+func Parents(self string, zone string, controllers, routers []messages.Peer) []string {
 	var near, far, row []string
 	for _, d := range Core(controllers) {
-		if d.Site == site {
+		if d.Zone == zone {
 			near = append(near, d.Addr)
 		} else {
 			far = append(far, d.Addr)
@@ -224,7 +224,7 @@
 	}
 	at := -1
 	for _, c := range routers {
-		if c.Site != site {
+		if c.Zone != zone {
 			continue
 		}
 		if c.Addr == self {
--- a/internal/radio/radio.go
+++ b/internal/radio/radio.go
@@ -22,8 +22,8 @@
 
 // Kinds of frames.
 const (
-	KindLedger = iota + 1
-	KindMarks
+	KindConsensus = iota + 1
+	KindVersions
 	KindSince
 	KindSubscribe
 	KindFeed
--- a/internal/radio/relay_test.go
+++ b/internal/radio/relay_test.go
@@ -46,8 +46,8 @@
 			defer mu.Unlock()
 			asked++
 			f := messages.Feed{Versions: []int64{}}
-			if c, lacks := state.Since(h.Roster.Epoch, h.Roster.Version); lacks {
-				f.Roster = []messages.EntryChange{statesync.SendEntries(c)}
+			if c, lacks := state.Since(h.Registry.Epoch, h.Registry.Version); lacks {
+				f.Registry = []messages.EntryChange{statesync.SendEntries(c)}
 			}
 			return f
 		},
@@ -66,13 +66,13 @@
 	hold := func() messages.Hold {
 		cmu.Lock()
 		defer cmu.Unlock()
-		return messages.Hold{Roster: messages.StreamHold{Epoch: replica.Epoch, Version: replica.Version}}
+		return messages.Hold{Registry: messages.StreamHold{Epoch: replica.Epoch, Version: replica.Version}}
 	}
 	arrived, again, heard := make(chan statesync.Result, 64), make(chan bool, 8), make(chan int64, 8)
 	up := &Uplink{
 		Hold: hold, Parents: func() []string { return []string{parent.Addr()} },
 		Take: func(_ string, f messages.Feed, _ []byte) (want *messages.Hold) {
-			for _, c := range f.Roster {
+			for _, c := range f.Registry {
 				cmu.Lock()
 				r := replica.Apply(statesync.HearEntries(c))
 				cmu.Unlock()
@@ -95,7 +95,7 @@
 		return statesync.SendEntries(state.Commit(state.Version + 1))
 	}
 	change("a", "1")
-	relay.Publish(ToRouters, messages.Feed{Versions: []int64{}, Roster: []messages.EntryChange{change("b", "1")}}) // the one before is lost
+	relay.Publish(ToRouters, messages.Feed{Versions: []int64{}, Registry: []messages.EntryChange{change("b", "1")}}) // the one before is lost
 	until := func(want string) {
 		t.Helper()
 		for range 1000 {
@@ -116,7 +116,7 @@
 	until("after a lost change")
 	bad := change("c", "1")
 	bad.Digest++
-	relay.Publish(ToRouters, messages.Feed{Versions: []int64{}, Roster: []messages.EntryChange{bad}})
+	relay.Publish(ToRouters, messages.Feed{Versions: []int64{}, Registry: []messages.EntryChange{bad}})
 	for r := range arrived {
 		if r == statesync.Mismatch {
 			break
@@ -125,7 +125,7 @@
 	relay.Publish(ToRouters, messages.Feed{Versions: []int64{}}) // what is lacking is asked for with the next feed
 	until("after a damaged change")
 	relay.Pass(ToRouters, []byte("no feed"))
-	relay.Publish(ToRouters, messages.Feed{Versions: []int64{}, Roster: []messages.EntryChange{change("d", "1")}})
+	relay.Publish(ToRouters, messages.Feed{Versions: []int64{}, Registry: []messages.EntryChange{change("d", "1")}})
 	until("after bytes that are no feed")
 	must.Eq(t, int64(1), up.Malformed.Load())
 
--- a/internal/radio/watch.go
+++ b/internal/radio/watch.go
@@ -85,16 +85,16 @@
 	return w.crew.DeadForUs(addr, w.clock())
 }
 
-// SetLedgerID tells the others under which name this node keeps the ledger.
-func (w *Watch) SetLedgerID(id string) {
+// SetMemberID tells the others under which name this node keeps the registers.
+func (w *Watch) SetMemberID(id string) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	w.crew.SetLedgerID(id)
+	w.crew.SetMemberID(id)
 }
 
-// Mark rises with every change of the view.
-func (w *Watch) Mark() int64 {
+// Version rises with every change of the view.
+func (w *Watch) Version() int64 {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	return w.crew.Mark()
+	return w.crew.Version()
 }
--- a/internal/registry/registry.go
+++ b/internal/registry/registry.go
@@ -1,4 +1,4 @@
-// Package registry knows the runners. A Roster merges what is told about them,
+// Package registry knows the runners. A Registry merges what is told about them,
 // by id and rising sequence, in whatever order it comes: nothing here has to be
 // agreed on, and what is lost is told again by the runners within a beat.
 // Readers take an immutable snapshot.
@@ -14,38 +14,38 @@
 )
 
 type entry struct {
-	note     messages.RunnerNote
+	note     messages.RunnerRecord
 	heardUs  int64
 	goneAtUs int64
 }
 
 // Snapshot is the runners at one moment.
 type Snapshot struct {
-	ByService map[string][]messages.RunnerNote
-	ByID      map[string]messages.RunnerNote
+	ByService map[string][]messages.RunnerRecord
+	ByID      map[string]messages.RunnerRecord
 	Sum       uint64
 }
 
-// Roster is the mutable side.
-type Roster struct {
+// Registry is the mutable side.
+type Registry struct {
 	mu   sync.Mutex
 	all  map[string]*entry
 	snap atomic.Pointer[Snapshot]
 }
 
-// New makes an empty roster.
-func New() *Roster {
-	r := &Roster{all: map[string]*entry{}}
-	r.snap.Store(&Snapshot{ByService: map[string][]messages.RunnerNote{}, ByID: map[string]messages.RunnerNote{}})
+// New makes an empty registry.
+func New() *Registry {
+	r := &Registry{all: map[string]*entry{}}
+	r.snap.Store(&Snapshot{ByService: map[string][]messages.RunnerRecord{}, ByID: map[string]messages.RunnerRecord{}})
 	return r
 }
 
 // Snapshot is what readers use.
-func (r *Roster) Snapshot() *Snapshot { return r.snap.Load() }
+func (r *Registry) Snapshot() *Snapshot { return r.snap.Load() }
 
 // Hear takes a beat that came straight from a runner or was passed on by the
 // controller that got it. It tells whether anything but the sequence changed.
-func (r *Roster) Hear(n messages.RunnerNote, nowUs int64) bool {
+func (r *Registry) Hear(n messages.RunnerRecord, nowUs int64) bool {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	e := r.all[n.ID]
@@ -60,14 +60,14 @@
 	e.heardUs = max(e.heardUs, nowUs)
 	old := e.note
 	e.note = n
-	e.note.Barred, e.note.Easing, e.note.BarMark = old.Barred, old.Easing, old.BarMark
+	e.note.Barred, e.note.Easing, e.note.BarVersion = old.Barred, old.Easing, old.BarVersion
 	e.note.Draining = n.Draining || old.Draining
 	e.note.Models = newest(old.Models, n.Models)
 	return r.settle(e, old)
 }
 
-// Merge takes a note from another node's roster.
-func (r *Roster) Merge(n messages.RunnerNote, nowUs int64) bool {
+// Merge takes a note from another node's registry.
+func (r *Registry) Merge(n messages.RunnerRecord, nowUs int64) bool {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	e := r.all[n.ID]
@@ -95,10 +95,10 @@
 	}
 	e.note.Draining = n.Draining || old.Draining
 	e.note.Models = newest(old.Models, n.Models)
-	if n.BarMark >= old.BarMark {
-		e.note.Barred, e.note.Easing, e.note.BarMark = n.Barred, n.Easing, n.BarMark
+	if n.BarVersion >= old.BarVersion {
+		e.note.Barred, e.note.Easing, e.note.BarVersion = n.Barred, n.Easing, n.BarVersion
 	} else {
-		e.note.Barred, e.note.Easing, e.note.BarMark = old.Barred, old.Easing, old.BarMark
+		e.note.Barred, e.note.Easing, e.note.BarVersion = old.Barred, old.Easing, old.BarVersion
 	}
 	return r.settle(e, old)
 }
@@ -109,7 +109,7 @@
 		found := false
 		for i := range out {
 			if out[i].Model == t.Model {
-				out[i].Mark = max(out[i].Mark, t.Mark)
+				out[i].Version = max(out[i].Version, t.Version)
 				found = true
 			}
 		}
@@ -120,7 +120,7 @@
 	return out
 }
 
-func (r *Roster) settle(e *entry, old messages.RunnerNote) bool {
+func (r *Registry) settle(e *entry, old messages.RunnerRecord) bool {
 	if same(e.note, old) {
 		return false
 	}
@@ -128,7 +128,7 @@
 	return true
 }
 
-func same(a, b messages.RunnerNote) bool {
+func same(a, b messages.RunnerRecord) bool {
 	if a.Addr != b.Addr || a.Draining != b.Draining || a.Gone != b.Gone || a.Stale != b.Stale || a.Barred != b.Barred || a.Easing != b.Easing || a.Capacity != b.Capacity || a.Service != b.Service || len(a.Models) != len(b.Models) {
 		return false
 	}
@@ -141,12 +141,12 @@
 }
 
 // Leave notes that a runner is gone for good.
-func (r *Roster) Leave(id string, nowUs int64) (messages.RunnerNote, bool) {
+func (r *Registry) Leave(id string, nowUs int64) (messages.RunnerRecord, bool) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	e := r.all[id]
 	if e == nil {
-		e = &entry{note: messages.RunnerNote{ID: id}}
+		e = &entry{note: messages.RunnerRecord{ID: id}}
 		r.all[id] = e
 	}
 	changed := !e.note.Gone
@@ -157,39 +157,39 @@
 	return e.note, changed
 }
 
-// Bar marks a runner as soon to be ordered (easing: no more long requests), as
+// Bar versions a runner as soon to be ordered (easing: no more long requests), as
 // under order (barred: none at all), or frees it.
-func (r *Roster) Bar(id string, easing, barred bool, mark int64) (messages.RunnerNote, bool) {
+func (r *Registry) Bar(id string, easing, barred bool, version int64) (messages.RunnerRecord, bool) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	e := r.all[id]
-	if e == nil || mark < e.note.BarMark {
-		return messages.RunnerNote{}, false
+	if e == nil || version < e.note.BarVersion {
+		return messages.RunnerRecord{}, false
 	}
 	old := e.note
-	e.note.Barred, e.note.Easing, e.note.BarMark = barred, easing, mark
+	e.note.Barred, e.note.Easing, e.note.BarVersion = barred, easing, version
 	return e.note, r.settle(e, old)
 }
 
-// Weights notes the mark of a model at a runner, as a report told it.
-func (r *Roster) Weights(id, model string, mark int64) (messages.RunnerNote, bool) {
+// Weights notes the version of a model at a runner, as a report told it.
+func (r *Registry) Weights(id, model string, version int64) (messages.RunnerRecord, bool) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	e := r.all[id]
 	if e == nil {
-		return messages.RunnerNote{}, false
+		return messages.RunnerRecord{}, false
 	}
 	old := e.note
-	e.note.Models = newest(old.Models, []messages.Target{{Model: model, Mark: mark}})
+	e.note.Models = newest(old.Models, []messages.Target{{Model: model, Version: version}})
 	return e.note, r.settle(e, old)
 }
 
-// Sweep marks runners silent for staleUs, and forgets those silent for
+// Sweep versions runners silent for staleUs, and forgets those silent for
 // dropUs. It returns the notes that changed.
-func (r *Roster) Sweep(nowUs, staleUs, dropUs int64) []messages.RunnerNote {
+func (r *Registry) Sweep(nowUs, staleUs, dropUs int64) []messages.RunnerRecord {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	var out []messages.RunnerNote
+	var out []messages.RunnerRecord
 	for id, e := range r.all {
 		if e.note.Gone {
 			if nowUs-e.goneAtUs > 120_000_000 {
@@ -215,29 +215,29 @@
 }
 
 // Note gives what is known of one runner, also of one that is gone.
-func (r *Roster) Note(id string) (messages.RunnerNote, bool) {
+func (r *Registry) Note(id string) (messages.RunnerRecord, bool) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	e := r.all[id]
 	if e == nil {
-		return messages.RunnerNote{}, false
+		return messages.RunnerRecord{}, false
 	}
 	return e.note, true
 }
 
 // All lists every note, tombstones included.
-func (r *Roster) All() []messages.RunnerNote {
+func (r *Registry) All() []messages.RunnerRecord {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	out := make([]messages.RunnerNote, 0, len(r.all))
+	out := make([]messages.RunnerRecord, 0, len(r.all))
 	for _, e := range r.all {
 		out = append(out, e.note)
 	}
 	return out
 }
 
-func (r *Roster) publish() {
-	s := &Snapshot{ByService: map[string][]messages.RunnerNote{}, ByID: map[string]messages.RunnerNote{}}
+func (r *Registry) publish() {
+	s := &Snapshot{ByService: map[string][]messages.RunnerRecord{}, ByID: map[string]messages.RunnerRecord{}}
 	var ids []string
 	for id, e := range r.all {
 		if !e.note.Gone {
@@ -263,7 +263,7 @@
 		}
 		_, _ = h.Write([]byte{flags})
 		for _, m := range n.Models {
-			_, _ = h.Write([]byte{byte(m.Mark), byte(m.Mark >> 8)})
+			_, _ = h.Write([]byte{byte(m.Version), byte(m.Version >> 8)})
 		}
 	}
 	s.Sum = h.Sum64()
--- a/internal/registry/registry_test.go
+++ b/internal/registry/registry_test.go
@@ -9,8 +9,8 @@
 	"beechtide.org/beechtide/internal/messages"
 )
 
-func beat(id string, seq int64) messages.RunnerNote {
-	return messages.RunnerNote{ID: id, Service: "s", Addr: "1.2.3.4:1", Site: "a", Capacity: 8, Seq: seq, Models: []messages.Target{{Model: "m", Mark: 1}}}
+func beat(id string, seq int64) messages.RunnerRecord {
+	return messages.RunnerRecord{ID: id, Service: "s", Addr: "1.2.3.4:1", Zone: "a", Capacity: 8, Seq: seq, Models: []messages.Target{{Model: "m", Version: 1}}}
 }
 
 func TestLateBeatsDoNotGoBack(t *testing.T) {
@@ -37,13 +37,13 @@
 }
 
 func TestMergeInAnyOrderComesToTheSame(t *testing.T) {
-	notes := []messages.RunnerNote{beat("x", 1), beat("x", 2), beat("y", 1), beat("y", 3)}
-	notes[1].Models = []messages.Target{{Model: "m", Mark: 2}}
+	notes := []messages.RunnerRecord{beat("x", 1), beat("x", 2), beat("y", 1), beat("y", 3)}
+	notes[1].Models = []messages.Target{{Model: "m", Version: 2}}
 	notes[3].Draining = true
 	bar := beat("x", 2)
-	bar.Models, bar.Barred, bar.BarMark = notes[1].Models, true, 7
+	bar.Models, bar.Barred, bar.BarVersion = notes[1].Models, true, 7
 	free := bar
-	free.Barred, free.BarMark = false, 8
+	free.Barred, free.BarVersion = false, 8
 	notes = append(notes, bar, free)
 	var sum uint64
 	for seed := range uint64(50) {
@@ -56,7 +56,7 @@
 			}
 		}
 		s := r.Snapshot()
-		must.Eq(t, int64(2), s.ByID["x"].Models[0].Mark)
+		must.Eq(t, int64(2), s.ByID["x"].Models[0].Version)
 		must.False(t, s.ByID["x"].Barred)
 		must.True(t, s.ByID["y"].Draining)
 		if seed == 0 {
--- a/internal/rollout/plan.go
+++ b/internal/rollout/plan.go
@@ -38,27 +38,27 @@
 
 // Plan is the roll-out of one model's weights at one service.
 type Plan struct {
-	Mark int64
-	Jobs map[string]*Job
+	Version int64
+	Jobs    map[string]*Job
 }
 
 // NewPlan starts a roll-out.
-func NewPlan(mark int64) *Plan { return &Plan{Mark: mark, Jobs: map[string]*Job{}} }
+func NewPlan(version int64) *Plan { return &Plan{Version: version, Jobs: map[string]*Job{}} }
 
-// See takes the runners' marks as they are known now; who is gone is dropped.
-func (p *Plan) See(marks map[string]int64, nowUs int64) {
+// See takes the runners' versions as they are known now; who is gone is dropped.
+func (p *Plan) See(versions map[string]int64, nowUs int64) {
 	for id := range p.Jobs {
-		if _, ok := marks[id]; !ok {
+		if _, ok := versions[id]; !ok {
 			delete(p.Jobs, id)
 		}
 	}
-	for id, m := range marks {
+	for id, m := range versions {
 		j := p.Jobs[id]
 		if j == nil {
 			j = &Job{ID: id}
 			p.Jobs[id] = j
 		}
-		if m >= p.Mark && j.Stage != Done {
+		if m >= p.Version && j.Stage != Done {
 			j.Stage, j.SinceUs = Done, nowUs
 		}
 	}
--- a/internal/rollout/plan_test.go
+++ b/internal/rollout/plan_test.go
@@ -9,9 +9,9 @@
 
 // A trace of a roll-out over nine runners that take 1.5 s each after the order.
 func TestRollOutKeepsMostRunnersAndEnds(t *testing.T) {
-	marks := map[string]int64{}
+	versions := map[string]int64{}
 	for i := range 9 {
-		marks[fmt.Sprint(i)] = 1
+		versions[fmt.Sprint(i)] = 1
 	}
 	p := NewPlan(2)
 	ordered := map[string]int64{}
@@ -19,10 +19,10 @@
 	for ; now < 60_000_000 && !(len(ordered) == 9 && p.Finished()); now += 100_000 {
 		for id, at := range ordered {
 			if now-at > 1_500_000 {
-				marks[id] = 2
+				versions[id] = 2
 			}
 		}
-		p.See(marks, now)
+		p.See(versions, now)
 		ease, bar, order := p.Next(now)
 		for _, id := range ease {
 			p.Move(id, Easing, now)
--- a/internal/routeconfig/change_test.go
+++ b/internal/routeconfig/change_test.go
@@ -12,8 +12,8 @@
 )
 
 // large is a configuration of so many tenants and routes.
-func large(tenants, routes int) api.Menu {
-	m := api.Menu{Mark: 1, Services: []api.Service{{Name: "s", Engine: api.Engine{CacheTokens: 96350, Models: []api.EngineModel{{Name: "m"}}}}}}
+func large(tenants, routes int) api.Configuration {
+	m := api.Configuration{Version: 1, Services: []api.Service{{Name: "s", Engine: api.Engine{CacheTokens: 96350, Models: []api.EngineModel{{Name: "m"}}}}}}
 	for i := range routes {
 		m.Routes = append(m.Routes, api.Route{Name: fmt.Sprint("r-", i), Host: "ficu95.example", Prefix: fmt.Sprintf("/lohu%d/", i), Kind: api.Streaming, CutoffMs: 15000, SetpointMs: 400, Service: "s", Tries: 2, Pinned: true, Resumable: true})
 	}
@@ -24,18 +24,18 @@
 }
 
 // turn gives tenant 5 another key.
-func turn(m api.Menu, n int) api.Menu {
-	m.Mark = int64(n)
+func turn(m api.Configuration, n int) api.Configuration {
+	m.Version = int64(n)
 	m.Tenants = append([]api.Tenant{}, m.Tenants...)
 	m.Tenants[5].Keys = []string{fmt.Sprintf("fresh%015d", n)}
 	return m
 }
 
-func changeOf(t testing.TB, s *statesync.Entries, m api.Menu) []byte {
+func changeOf(t testing.TB, s *statesync.Entries, m api.Configuration) []byte {
 	e, err := Entries(m)
 	must.NoError(t, err)
 	s.Replace(e)
-	c := statesync.SendEntries(s.Commit(m.Mark))
+	c := statesync.SendEntries(s.Commit(m.Version))
 	b, err := c.MarshalMsg(nil)
 	must.NoError(t, err)
 	return b
@@ -94,7 +94,7 @@
 				if err := a.Take(diff, false); err != nil {
 					b.Fatal(err)
 				}
-				Compile(a.Menu())
+				Compile(a.Configuration())
 			}
 		})
 	}
--- a/internal/routeconfig/check.go
+++ b/internal/routeconfig/check.go
@@ -26,8 +26,8 @@
 var tags = validator.New(validator.WithRequiredStructEnabled())
 
 // Parse reads a configuration and checks it as far as it stands by itself.
-func Parse(raw []byte) (api.Menu, error) {
-	var m api.Menu
+func Parse(raw []byte) (api.Configuration, error) {
+	var m api.Configuration
 	if err := json.Unmarshal(raw, &m); err != nil {
 		return m, &Invalid{"(body)", err.Error()}
 	}
@@ -42,7 +42,7 @@
 	return m, crossCheck(m)
 }
 
-func crossCheck(m api.Menu) error {
+func crossCheck(m api.Configuration) error {
 	services := map[string]bool{}
 	for _, s := range m.Services {
 		services[s.Name] = true
@@ -77,10 +77,10 @@
 	}
 	left := map[string]bool{}
 	for i, x := range m.Relinquish {
-		if left[x.Site] {
+		if left[x.Zone] {
 			return &Invalid{fmt.Sprintf("relinquish[%d].zone", i), "named twice"}
 		}
-		left[x.Site] = true
+		left[x.Zone] = true
 	}
 	owner := map[string]string{}
 	for i, t := range m.Tenants {
--- a/internal/routeconfig/entries.go
+++ b/internal/routeconfig/entries.go
@@ -29,7 +29,7 @@
 )
 
 // Entries cuts a configuration.
-func Entries(m api.Menu) (map[string]string, error) {
+func Entries(m api.Configuration) (map[string]string, error) {
 	out := map[string]string{}
 	put := func(kind, name string, v any) error {
 		b, err := json.Marshal(v)
@@ -69,7 +69,7 @@
 			return nil, err
 		}
 	}
-	rest := api.Menu{Mark: m.Mark, Limits: m.Limits, Relinquish: m.Relinquish, Routes: []api.Route{}, Services: []api.Service{}}
+	rest := api.Configuration{Version: m.Version, Limits: m.Limits, Relinquish: m.Relinquish, Routes: []api.Route{}, Services: []api.Service{}}
 	return out, put(restEntry, "", rest)
 }
 
@@ -117,7 +117,7 @@
 	case regimeEntry:
 		v = &api.Regime{}
 	case restEntry:
-		v = &api.Menu{}
+		v = &api.Configuration{}
 	default:
 		return nil, errors.Wrap(ErrEntry, key)
 	}
@@ -127,14 +127,14 @@
 	return v, nil
 }
 
-// Menu is the configuration as it is now.
-func (a *Assembly) Menu() api.Menu {
+// Configuration is the configuration as it is now.
+func (a *Assembly) Configuration() api.Configuration {
 	keys := make([]string, 0, len(a.parsed))
 	for k := range a.parsed {
 		keys = append(keys, k)
 	}
 	sort.Strings(keys)
-	var m api.Menu
+	var m api.Configuration
 	for _, k := range keys {
 		switch v := a.parsed[k].(type) {
 		case *api.Route:
@@ -147,8 +147,8 @@
 			m.Certificates = append(m.Certificates, *v)
 		case *api.Regime:
 			m.Regimes = append(m.Regimes, *v)
-		case *api.Menu:
-			m.Mark, m.Limits, m.Relinquish = v.Mark, v.Limits, v.Relinquish
+		case *api.Configuration:
+			m.Version, m.Limits, m.Relinquish = v.Version, v.Limits, v.Relinquish
 		}
 	}
 	return m
--- a/internal/routeconfig/entries_test.go
+++ b/internal/routeconfig/entries_test.go
@@ -26,7 +26,7 @@
 		must.NoError(t, err)
 		return string(b)
 	}
-	must.Eq(t, text(one), text(a.Menu()))
+	must.Eq(t, text(one), text(a.Configuration()))
 	diff := map[string]string{}
 	for k := range was {
 		if _, ok := is[k]; !ok {
@@ -40,15 +40,15 @@
 	}
 	must.MapLen(t, 5, diff, must.Sprint("route b, tenant t1, tenant t2, service s3, version"))
 	must.NoError(t, a.Take(diff, false))
-	must.Eq(t, text(two), text(a.Menu()))
-	tab := Compile(a.Menu())
-	must.Eq(t, int64(9), tab.Mark)
+	must.Eq(t, text(two), text(a.Configuration()))
+	tab := Compile(a.Configuration())
+	must.Eq(t, int64(9), tab.Version)
 	must.Nil(t, tab.Tenant("k1"))
 	must.Eq(t, "t1", tab.Tenant("k9").Name)
-	before := text(a.Menu())
+	before := text(a.Configuration())
 	must.Error(t, a.Take(map[string]string{"route/000/x": "{"}, false))
 	must.Error(t, a.Take(map[string]string{"strange/000/x": "{}"}, false))
-	must.Eq(t, before, text(a.Menu()), must.Sprint("a bad entry changes nothing"))
+	must.Eq(t, before, text(a.Configuration()), must.Sprint("a bad entry changes nothing"))
 }
 
 func TestEntriesOfOneNameAreKeptApart(t *testing.T) {
@@ -58,7 +58,7 @@
 	must.NoError(t, err)
 	var a Assembly
 	must.NoError(t, a.Take(e, true))
-	tab := Compile(a.Menu())
+	tab := Compile(a.Configuration())
 	must.Eq(t, "t1", tab.Tenant("k3").Name)
 	must.Eq(t, "t1", tab.Tenant("k1").Name)
 }
--- a/internal/routeconfig/relinquish_test.go
+++ b/internal/routeconfig/relinquish_test.go
@@ -12,8 +12,8 @@
 	with := func(list string) string { return strings.Replace(good, `"unknown":1`, `"relinquish":`+list, 1) }
 	for _, c := range []struct{ list, field string }{
 		{`[{"zone":"a"},{"zone":"a"}]`, "relinquish[1].zone"},
-		{`[{"zone":""}]`, "Menu.Relinquish[0].Site"},
-		{`[{"zone":"a","overMs":-1}]`, "Menu.Relinquish[0].OverMs"},
+		{`[{"zone":""}]`, "Configuration.Relinquish[0].Zone"},
+		{`[{"zone":"a","overMs":-1}]`, "Configuration.Relinquish[0].OverMs"},
 	} {
 		_, err := Parse([]byte(with(c.list)))
 		var bad *Invalid
@@ -26,5 +26,5 @@
 	must.NoError(t, err)
 	var a Assembly
 	must.NoError(t, a.Take(e, true))
-	must.Eq(t, map[string]int64{"a": 1_500_000}, Compile(a.Menu()).Relinquished)
+	must.Eq(t, map[string]int64{"a": 1_500_000}, Compile(a.Configuration()).Relinquished)
 }
--- a/internal/routeconfig/replace.go
+++ b/internal/routeconfig/replace.go
@@ -1,6 +1,6 @@
 // Replace decides what becomes of a configuration that the operator sends on
 // top of a version: taken, taken before, overtaken or invalid. It is pure; the
-// ledger calls it inside a round, so its answer holds for the committed state.
+// registers calls it inside a round, so its answer holds for the committed state.
 package routeconfig
 
 import (
@@ -22,23 +22,23 @@
 const keepTaken = 2048
 
 // Replace makes the next body from the current one.
-func Replace(cur messages.MenuBody, raw []byte, mark, base int64) (messages.MenuBody, error) {
+func Replace(cur messages.ConfigBody, raw []byte, version, base int64) (messages.ConfigBody, error) {
 	sum := sha256.Sum256(raw)
 	digest := sum[:16]
-	for _, t := range cur.Taken {
-		if t.Mark == mark && bytes.Equal(t.Digest, digest) {
+	for _, t := range cur.AcceptedDigest {
+		if t.Version == version && bytes.Equal(t.Digest, digest) {
 			return cur, ErrTakenBefore
 		}
 	}
-	if cur.Mark != base {
+	if cur.Version != base {
 		return cur, ErrOvertaken
 	}
-	if mark <= cur.Mark {
+	if version <= cur.Version {
 		return cur, &Invalid{"version", "not above the current one"}
 	}
-	taken := append(append([]messages.Taken{}, cur.Taken...), messages.Taken{Mark: mark, Digest: digest})
+	taken := append(append([]messages.AcceptedDigest{}, cur.AcceptedDigest...), messages.AcceptedDigest{Version: version, Digest: digest})
 	if len(taken) > keepTaken {
 		taken = taken[len(taken)-keepTaken:]
 	}
-	return messages.MenuBody{Mark: mark, Raw: raw, Taken: taken}, nil
+	return messages.ConfigBody{Version: version, Raw: raw, AcceptedDigest: taken}, nil
 }
--- a/internal/routeconfig/routeconfig_test.go
+++ b/internal/routeconfig/routeconfig_test.go
@@ -24,9 +24,9 @@
 		{"unknown service in a split", `{"service":"s2","gain":10}`, `{"service":"s9","gain":10}`, "routes[1].shares[1].service"},
 		{"same place", `"/x/y/"`, `"/x/"`, "routes[1].prefix"},
 		{"no weight", `"gain":90},{"service":"s2","gain":10}`, `"gain":0},{"service":"s2","gain":0}`, "routes[1].shares"},
-		{"no timeout", `"cutoffMs":500`, `"cutoffMs":0`, "Menu.Routes[1].CutoffMs"},
-		{"timeout missing", `"cutoffMs":500,`, ``, "Menu.Routes[1].CutoffMs"},
-		{"no version", `"version":7`, `"version":0`, "Menu.Mark"},
+		{"no timeout", `"cutoffMs":500`, `"cutoffMs":0`, "Configuration.Routes[1].CutoffMs"},
+		{"timeout missing", `"cutoffMs":500,`, ``, "Configuration.Routes[1].CutoffMs"},
+		{"no version", `"version":7`, `"version":0`, "Configuration.Version"},
 		{"shared key", `"k3"`, `"k1"`, "tenants[1].apiKeys"},
 		{"kind", `"effectful"`, `"sometimes"`, "routes[1].kind"},
 	} {
@@ -59,7 +59,7 @@
 }
 
 func TestReplaceIsFinal(t *testing.T) {
-	var cur messages.MenuBody
+	var cur messages.ConfigBody
 	one, err := Replace(cur, []byte("one"), 5, 0)
 	must.NoError(t, err)
 	_, err = Replace(one, []byte("one"), 5, 0)
--- a/internal/routeconfig/table.go
+++ b/internal/routeconfig/table.go
@@ -20,7 +20,7 @@
 
 // Table answers which route, service and tenant a request belongs to.
 type Table struct {
-	Mark     int64
+	Version  int64
 	Limits   api.Limits
 	hosts    map[string][]*Route
 	services map[string]*api.Service
@@ -29,13 +29,13 @@
 	Stores   []*api.Service
 	Policies *compliance.Policies
 	regimes  map[string]string // by tenant
-	// Relinquished are the sites that give up their sessions, and over how long.
+	// Relinquished are the zones that give up their sessions, and over how long.
 	Relinquished map[string]int64
 }
 
 // Compile makes a table from a checked configuration.
-func Compile(m api.Menu) *Table {
-	t := &Table{Mark: m.Mark, Limits: m.Limits, hosts: map[string][]*Route{}, services: map[string]*api.Service{}, keys: map[string]*api.Tenant{}, Tenants: len(m.Tenants)}
+func Compile(m api.Configuration) *Table {
+	t := &Table{Version: m.Version, Limits: m.Limits, hosts: map[string][]*Route{}, services: map[string]*api.Service{}, keys: map[string]*api.Tenant{}, Tenants: len(m.Tenants)}
 	if p, err := compliance.Compile(m); err == nil && len(m.Regimes) > 0 {
 		t.Policies = p
 	}
@@ -43,7 +43,7 @@
 		if t.Relinquished == nil {
 			t.Relinquished = map[string]int64{}
 		}
-		t.Relinquished[x.Site] = int64(x.OverMs * 1000)
+		t.Relinquished[x.Zone] = int64(x.OverMs * 1000)
 	}
 	t.regimes = map[string]string{}
 	for _, tenant := range m.Tenants {
--- a/internal/router/condition.go
+++ b/internal/router/condition.go
@@ -10,16 +10,16 @@
 )
 
 func (c *Router) condition() messages.Condition {
-	x := messages.Condition{Node: c.set.Node, Role: messages.Router, Site: c.set.Site, Addr: c.radio.Addr(), TimeUs: time.Now().UnixMicro()}
+	x := messages.Condition{Node: c.set.Node, Role: messages.Router, Zone: c.set.Zone, Addr: c.radio.Addr(), TimeUs: time.Now().UnixMicro()}
 	c.nmu.Lock()
-	x.Marks = c.versions()
+	x.Versions = c.versions()
 	c.nmu.Unlock()
 	c.dmu.Lock()
 	x.Blind = c.door.Blind(c.clock())
 	c.dmu.Unlock()
 	x.Wholes, x.Changes = c.news.wholes.Load(), c.news.changes.Load()
 	x.Malformed = c.news.malformed.Load() + c.up.Malformed.Load()
-	x.Runners = len(c.roster.Snapshot().ByID)
+	x.Runners = len(c.registry.Snapshot().ByID)
 	return x
 }
 
--- a/internal/router/evening_test.go
+++ b/internal/router/evening_test.go
@@ -28,10 +28,10 @@
 	rnd     *rand.Rand
 	nowUs   int64
 	nodes   []*deskNode
-	runners map[string]messages.RunnerNote
+	runners map[string]messages.RunnerRecord
 	certs   map[string]bool
 	version int64
-	menus   []api.Menu
+	menus   []api.Configuration
 	ends    map[string]int
 	count   int
 	sent    map[string]int // regulated requests by runner
@@ -39,14 +39,14 @@
 }
 
 type deskNode struct {
-	name   string
-	table  *routeconfig.Table
-	roster *registry.Roster
-	door   *admission.Doorman
-	slab   inflight.Slab[admission.Ruling]
-	trail  *compliance.Trail
-	cut    bool
-	up     bool
+	name     string
+	table    *routeconfig.Table
+	registry *registry.Registry
+	door     *admission.Doorman
+	slab     inflight.Slab[admission.Ruling]
+	trail    *compliance.Trail
+	cut      bool
+	up       bool
 }
 
 type guest struct {
@@ -57,8 +57,8 @@
 	endsUs int64
 }
 
-func (e *evening) menu() api.Menu {
-	m := api.Menu{Mark: e.version, Services: []api.Service{{Name: "s", Engine: api.Engine{CacheTokens: 16000}}}, Regimes: []api.Regime{{Name: "allergen"}}, Tenants: []api.Tenant{{Name: "directorate", Regime: "allergen"}, {Name: "taxi"}}}
+func (e *evening) configuration() api.Configuration {
+	m := api.Configuration{Version: e.version, Services: []api.Service{{Name: "s", Engine: api.Engine{CacheTokens: 16000}}}, Regimes: []api.Regime{{Name: "allergen"}}, Tenants: []api.Tenant{{Name: "directorate", Regime: "allergen"}, {Name: "taxi"}}}
 	var ids []string
 	for id := range e.certs {
 		ids = append(ids, id)
@@ -73,7 +73,7 @@
 // publish brings a new configuration to the nodes that are not cut off.
 func (e *evening) publish() {
 	e.version++
-	e.menus = append(e.menus, e.menu())
+	e.menus = append(e.menus, e.configuration())
 	e.tell()
 }
 
@@ -88,22 +88,22 @@
 func (n *deskNode) hear(e *evening) {
 	n.table = routeconfig.Compile(e.menus[len(e.menus)-1])
 	for _, r := range e.runners {
-		n.roster.Merge(r, e.nowUs)
+		n.registry.Merge(r, e.nowUs)
 	}
-	notes := n.roster.Snapshot().ByService["s"]
+	notes := n.registry.Snapshot().ByService["s"]
 	n.door.SetService("s", notes, 16000, 2)
 	n.door.SetCertified("s", certified(n.table, notes))
 }
 
 func (n *deskNode) start(e *evening) {
-	n.roster, n.door, n.up = registry.New(), admission.New(admission.Defaults, "a"), true
+	n.registry, n.door, n.up = registry.New(), admission.New(admission.Defaults, "a"), true
 	n.hear(e)
 }
 
-func (n *deskNode) note(e *evening, step compliance.Step, g *guest, r *messages.RunnerNote, cert int) {
-	x := compliance.Entry{Node: n.name, Step: step, Attempt: g.id, Tenant: g.ask.Tenant, Regime: g.ask.Regime, Certificate: cert, Mark: n.table.Mark}
+func (n *deskNode) note(e *evening, step compliance.Step, g *guest, r *messages.RunnerRecord, cert int) {
+	x := compliance.Entry{Node: n.name, Step: step, Attempt: g.id, Tenant: g.ask.Tenant, Regime: g.ask.Regime, Certificate: cert, Version: n.table.Version}
 	if r != nil {
-		x.Runner, x.Service, x.Site = r.ID, r.Service, r.Site
+		x.Runner, x.Service, x.Zone = r.ID, r.Service, r.Zone
 	}
 	n.trail.Note(x)
 }
@@ -154,13 +154,13 @@
 	if g.ask.Regime != "" {
 		g.node.note(e, compliance.Sent, g, &r.Admit.Runner, cert)
 		e.sent[r.Admit.Runner.ID]++
-		must.True(e.t, e.certifiedAt(g.node.table.Mark, r.Admit.Runner.ID), must.Sprintf("%s in version %d", r.Admit.Runner.ID, g.node.table.Mark))
+		must.True(e.t, e.certifiedAt(g.node.table.Version, r.Admit.Runner.ID), must.Sprintf("%s in version %d", r.Admit.Runner.ID, g.node.table.Version))
 	}
 }
 
 func (e *evening) certifiedAt(version int64, id string) bool {
 	for _, m := range e.menus {
-		if m.Mark == version && len(m.Certificates) > 0 {
+		if m.Version == version && len(m.Certificates) > 0 {
 			for _, r := range m.Certificates[0].Runners {
 				if r == id {
 					return true
@@ -209,7 +209,7 @@
 	switch e.rnd.IntN(60) {
 	case 0: // a runner joins
 		id := fmt.Sprintf("r%d", e.rnd.IntN(1_000_000))
-		e.runners[id] = messages.RunnerNote{ID: id, Service: "s", Addr: id + ":1", Site: "a", Capacity: 4, Seq: 1, Models: []messages.Target{{Model: "m", Mark: 1}}}
+		e.runners[id] = messages.RunnerRecord{ID: id, Service: "s", Addr: id + ":1", Zone: "a", Capacity: 4, Seq: 1, Models: []messages.Target{{Model: "m", Version: 1}}}
 		e.tell()
 	case 1: // one leaves
 		if id := e.any(); id != "" && len(e.runners) > 2 {
@@ -217,7 +217,7 @@
 			r.Gone = true
 			for _, n := range e.nodes {
 				if n.up && !n.cut {
-					n.roster.Merge(r, e.nowUs)
+					n.registry.Merge(r, e.nowUs)
 				}
 			}
 			delete(e.runners, id)
@@ -267,16 +267,16 @@
 }
 
 func play(t *testing.T, seed uint64) *evening {
-	e := &evening{t: t, rnd: rand.New(rand.NewPCG(seed, 3)), nowUs: 1, runners: map[string]messages.RunnerNote{}, certs: map[string]bool{}, ends: map[string]int{}, sent: map[string]int{}}
+	e := &evening{t: t, rnd: rand.New(rand.NewPCG(seed, 3)), nowUs: 1, runners: map[string]messages.RunnerRecord{}, certs: map[string]bool{}, ends: map[string]int{}, sent: map[string]int{}}
 	for i := range 6 {
 		id := fmt.Sprintf("r%d", i)
-		e.runners[id] = messages.RunnerNote{ID: id, Service: "s", Addr: id + ":1", Site: "a", Capacity: 4, Seq: 1, Models: []messages.Target{{Model: "m", Mark: 1}}}
+		e.runners[id] = messages.RunnerRecord{ID: id, Service: "s", Addr: id + ":1", Zone: "a", Capacity: 4, Seq: 1, Models: []messages.Target{{Model: "m", Version: 1}}}
 		if i < 2 {
 			e.certs[id] = true
 		}
 	}
 	e.version, e.menus = 1, nil
-	e.menus = append(e.menus, e.menu())
+	e.menus = append(e.menus, e.configuration())
 	for i := range 4 {
 		n := &deskNode{name: fmt.Sprint("n", i), trail: &compliance.Trail{}}
 		n.start(e)
--- a/internal/router/feed.go
+++ b/internal/router/feed.go
@@ -35,10 +35,10 @@
 		for len(h.Parts) <= p {
 			h.Parts = append(h.Parts, 0)
 		}
-		h.Parts[p] = n.Mark
+		h.Parts[p] = n.Version
 	}
-	h.Menu.Epoch, h.Menu.Version = c.menu.Holds()
-	h.Roster.Epoch, h.Roster.Version = c.runners.Holds()
+	h.Configuration.Epoch, h.Configuration.Version = c.configuration.Holds()
+	h.Registry.Epoch, h.Registry.Version = c.runners.Holds()
 	c.nmu.Unlock()
 	h.Loads = c.loads.hold()
 	c.dmu.Lock()
@@ -53,18 +53,18 @@
 	c.nmu.Lock()
 	f.Versions = c.versions()
 	for p, n := range c.parts {
-		if p > 0 && (p >= len(h.Parts) || h.Parts[p] < n.Mark) {
+		if p > 0 && (p >= len(h.Parts) || h.Parts[p] < n.Version) {
 			f.Parts = append(f.Parts, n)
 		}
 	}
-	if ch, lacks := c.menu.Since(h.Menu.Epoch, h.Menu.Version); lacks && c.menu.Version > h.Menu.Version {
-		f.Menu = append(f.Menu, statesync.SendEntries(ch))
+	if ch, lacks := c.configuration.Since(h.Configuration.Epoch, h.Configuration.Version); lacks && c.configuration.Version > h.Configuration.Version {
+		f.Configuration = append(f.Configuration, statesync.SendEntries(ch))
 	}
-	if ch, lacks := c.runners.Since(h.Roster.Epoch, h.Roster.Version); lacks {
-		f.Roster = append(f.Roster, statesync.SendEntries(ch))
+	if ch, lacks := c.runners.Since(h.Registry.Epoch, h.Registry.Version); lacks {
+		f.Registry = append(f.Registry, statesync.SendEntries(ch))
 	}
 	c.nmu.Unlock()
-	if h.MenuOnly {
+	if h.ConfigOnly {
 		return f
 	}
 	if ch, lacks := c.loads.since(h.Loads); lacks {
@@ -78,12 +78,12 @@
 
 // versions are those of the parts that are held.
 func (c *Router) versions() []int64 {
-	out := []int64{c.menu.Version}
+	out := []int64{c.configuration.Version}
 	for p, n := range c.parts {
 		for len(out) <= p {
 			out = append(out, 0)
 		}
-		out[p] = n.Mark
+		out[p] = n.Version
 	}
 	return out
 }
@@ -133,8 +133,8 @@
 	}
 	changed := false
 	c.nmu.Lock()
-	for _, ch := range f.Menu {
-		again := ch.Whole && c.menu.Epoch == ch.Epoch
+	for _, ch := range f.Configuration {
+		again := ch.Whole && c.configuration.Epoch == ch.Epoch
 		r, renewed := c.takeMenu(ch)
 		note(r, again)
 		changed = changed || renewed
@@ -142,7 +142,7 @@
 	for _, p := range f.Parts {
 		c.takePart(p, now)
 	}
-	for _, ch := range f.Roster {
+	for _, ch := range f.Registry {
 		in := statesync.HearEntries(ch)
 		if parent != "" {
 			again := ch.Whole && c.runners.Epoch == ch.Epoch
@@ -153,7 +153,7 @@
 			}
 		}
 		for _, p := range in.Puts {
-			var n messages.RunnerNote
+			var n messages.RunnerRecord
 			if p.Gone {
 				continue
 			}
@@ -161,7 +161,7 @@
 				c.news.malformed.Add(1)
 				continue
 			}
-			changed = c.roster.Merge(n, now) || changed
+			changed = c.registry.Merge(n, now) || changed
 		}
 		if len(in.Puts) > 0 && !c.informed.Swap(true) {
 			c.log.Info("runners known", "count", len(in.Puts))
@@ -197,7 +197,7 @@
 // takeMenu takes a change of the configuration; the table is made anew from the
 // entries that changed and then swapped in.
 func (c *Router) takeMenu(ch messages.EntryChange) (r statesync.Result, renewed bool) {
-	if ch.Whole && ch.To <= c.menu.Version {
+	if ch.Whole && ch.To <= c.configuration.Version {
 		return statesync.Known, false
 	}
 	in := statesync.HearEntries(ch)
@@ -214,31 +214,31 @@
 		c.news.malformed.Add(1)
 		return statesync.Mismatch, false
 	}
-	if r = c.menu.Apply(in); r != statesync.Applied {
+	if r = c.configuration.Apply(in); r != statesync.Applied {
 		c.assembly = before
 		return r, false
 	}
 	if len(entries) == 0 {
 		return r, false
 	}
-	t := routeconfig.Compile(c.assembly.Menu())
+	t := routeconfig.Compile(c.assembly.Configuration())
 	c.table.Store(t)
-	c.log.Info("configuration in place", "version", t.Mark, "entries", len(entries), "whole", ch.Whole)
+	c.log.Info("configuration in place", "version", t.Version, "entries", len(entries), "whole", ch.Whole)
 	return r, true
 }
 
 func (c *Router) takePart(p messages.PartNote, nowUs int64) {
-	if old, ok := c.parts[p.Part]; p.Part == 0 || ok && old.Mark >= p.Mark {
+	if old, ok := c.parts[p.Part]; p.Part == 0 || ok && old.Version >= p.Version {
 		return
 	}
-	var body messages.DutyBody
+	var body messages.LeaseBody
 	if _, err := body.UnmarshalMsg(p.Body); err != nil {
 		c.news.malformed.Add(1)
 		return
 	}
 	c.dmu.Lock()
 	for _, t := range body.Targets {
-		c.door.SetNewest(t.Model, t.Mark, nowUs)
+		c.door.SetNewest(t.Model, t.Version, nowUs)
 	}
 	c.dmu.Unlock()
 	c.parts[p.Part] = p
--- a/internal/router/front.go
+++ b/internal/router/front.go
@@ -1,5 +1,5 @@
 // The front: hertz takes the clients' requests, this file checks them, cheapest
-// check first, and hands the proper ones to the shots.
+// check first, and hands the proper ones to the attempts.
 package router
 
 import (
@@ -77,20 +77,20 @@
 
 // visit is one request on its way through the router.
 type visit struct {
-	c       *Router
-	rc      *app.RequestContext
-	route   *routeconfig.Route
-	tenant  *api.Tenant
-	service string
-	id      string
-	startUs int64
-	endUs   int64 // the client's deadline or the route's cutoff
-	ask     admission.Ask
-	shots   int
-	next    *nextShot // for a stream on the move
-	moveUs  int64     // when it looks for a place again
-	ended   compliance.Step
-	changed bool // the tenant's regime changed while the request waited
+	c        *Router
+	rc       *app.RequestContext
+	route    *routeconfig.Route
+	tenant   *api.Tenant
+	service  string
+	id       string
+	startUs  int64
+	endUs    int64 // the client's deadline or the route's cutoff
+	ask      admission.Ask
+	attempts int
+	next     *nextShot // for a stream on the move
+	moveUs   int64     // when it looks for a place again
+	ended    compliance.Step
+	changed  bool // the tenant's regime changed while the request waited
 }
 
 func (c *Router) serve(_ context.Context, rc *app.RequestContext) {
@@ -148,10 +148,10 @@
 }
 
 // note adds to the audit trail of regulated requests.
-func (v *visit) note(step compliance.Step, n *messages.RunnerNote, certificate int) {
-	e := compliance.Entry{Node: v.c.set.Node, Step: step, Attempt: v.id, Tenant: v.tenant.Name, Regime: v.ask.Regime, Certificate: certificate, Mark: v.c.table.Load().Mark}
+func (v *visit) note(step compliance.Step, n *messages.RunnerRecord, certificate int) {
+	e := compliance.Entry{Node: v.c.set.Node, Step: step, Attempt: v.id, Tenant: v.tenant.Name, Regime: v.ask.Regime, Certificate: certificate, Version: v.c.table.Load().Version}
 	if n != nil {
-		e.Runner, e.Service, e.Site = n.ID, n.Service, n.Site
+		e.Runner, e.Service, e.Zone = n.ID, n.Service, n.Zone
 	}
 	v.c.trail.Note(e)
 }
--- a/internal/router/loads.go
+++ b/internal/router/loads.go
@@ -116,7 +116,7 @@
 	return t
 }
 
-// tell brings the doorman to what the other nodes have.
+// tell brings the admission control to what the other nodes have.
 func (l *loads) tell(d *admission.Doorman, nowUs int64) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
--- a/internal/router/move.go
+++ b/internal/router/move.go
@@ -1,4 +1,4 @@
-// Moving a live stream: where its session leaves the site of its runner, a stream
+// Moving a live stream: where its session leaves the zone of its runner, a stream
 // that may be resumed goes on at the session's new home, from its last whole
 // event on. A place and a link there are taken before the old link is closed, and
 // the old one is closed before anything is sent, so that one runner at a time
@@ -17,12 +17,12 @@
 	link *upstream.Link
 }
 
-// moves tells whether the stream leaves its runner now; then the next shot is
-// there. It is within tries and budget like every further shot.
+// moves tells whether the stream leaves its runner now; then the next attempt is
+// there. It is within tries and budget like every further attempt.
 func (v *visit) moves(adm *admission.Admission, stream *answerStream) bool {
 	c := v.c
 	t := c.table.Load()
-	if _, left := t.Relinquished[adm.Runner.Site]; !left || !v.route.Repeatable() || !stream.cutting || stream.events.LastID == "" || v.shots >= max(v.route.Tries, 1) {
+	if _, left := t.Relinquished[adm.Runner.Zone]; !left || !v.route.Repeatable() || !stream.cutting || stream.events.LastID == "" || v.attempts >= max(v.route.Tries, 1) {
 		return false
 	}
 	now := c.clock()
@@ -34,7 +34,7 @@
 	ask.LeftUs = v.endUs - now
 	ask.Avoid = append(append([]string{}, ask.Avoid...), adm.Runner.ID)
 	c.dmu.Lock()
-	if !c.door.Leaves(ask, adm.Runner.Site, now) {
+	if !c.door.Leaves(ask, adm.Runner.Zone, now) {
 		c.dmu.Unlock()
 		return false
 	}
@@ -47,7 +47,7 @@
 		c.done(next, ok)
 		return false
 	}
-	if next.Runner.Site == adm.Runner.Site {
+	if next.Runner.Zone == adm.Runner.Zone {
 		return giveUp(true)
 	}
 	link, err := v.link(next.Runner.Addr)
--- a/internal/router/move_test.go
+++ b/internal/router/move_test.go
@@ -32,32 +32,32 @@
 	return g.open[name]
 }
 
-func relinquishing(version int64, sites string) string {
+func relinquishing(version int64, zones string) string {
 	s := strings.Replace(menuText, `"version":3`, fmt.Sprintf(`"version":%d`, version), 1)
-	return strings.Replace(s, `"limits"`, `"relinquish":[`+sites+`],"limits"`, 1)
+	return strings.Replace(s, `"limits"`, `"relinquish":[`+zones+`],"limits"`, 1)
 }
 
-// sited puts runner i at sites[i].
-func (c *Router) sited(t *testing.T, sites ...string) {
+// sited puts runner i at zones[i].
+func (c *Router) sited(t *testing.T, zones ...string) {
 	t.Helper()
-	snap := c.roster.Snapshot()
-	var notes []messages.RunnerNote
-	for i, site := range sites {
+	snap := c.registry.Snapshot()
+	var notes []messages.RunnerRecord
+	for i, zone := range zones {
 		n := snap.ByID[fmt.Sprint("r", i)]
-		n.Site, n.Seq, n.Capacity = site, 2, 9
+		n.Zone, n.Seq, n.Capacity = zone, 2, 9
 		notes = append(notes, n)
 	}
-	must.True(t, c.take("", messages.Feed{Roster: []messages.EntryChange{runnerEntries(t, notes...)}}))
+	must.True(t, c.take("", messages.Feed{Registry: []messages.EntryChange{runnerEntries(t, notes...)}}))
 	c.syncDoor()
 }
 
-// A live stream that may be resumed goes on at the other site from its last
+// A live stream that may be resumed goes on at the other zone from its last
 // whole event on; its old link is closed before the new request goes out, and
 // the client sees one answer, whole.
 func TestALiveStreamMovesToTheOtherSite(t *testing.T) {
 	for name, old := range map[string]string{
 		"under ordinary load": "more", // the old runner would go on
-		"the site fails":      "dies",
+		"the zone fails":      "dies",
 	} {
 		var g gate
 		a, b := newRunner(t), newRunner(t)
@@ -157,9 +157,9 @@
 // many tokens as would have been found there, and reads only what is new.
 func TestTheContextGoesAlong(t *testing.T) {
 	d := admission.New(admission.Defaults, "b")
-	notes := []messages.RunnerNote{}
+	notes := []messages.RunnerRecord{}
 	for i := range 6 {
-		notes = append(notes, messages.RunnerNote{ID: fmt.Sprint("r", i), Service: "s", Addr: fmt.Sprint("r", i, ":1"), Site: []string{"a", "b", "c"}[i%3], Capacity: 8, Models: []messages.Target{{Model: "m", Mark: 1}}})
+		notes = append(notes, messages.RunnerRecord{ID: fmt.Sprint("r", i), Service: "s", Addr: fmt.Sprint("r", i, ":1"), Zone: []string{"a", "b", "c"}[i%3], Capacity: 8, Models: []messages.Target{{Model: "m", Version: 1}}})
 	}
 	d.SetService("s", notes, 100_000, 0.01)
 	ask := admission.Ask{Service: "s", Tenant: "t", Model: "m", TokensIn: 6200, TokensOut: 20, SetpointUs: 800_000, LeftUs: 5_000_000,
@@ -174,7 +174,7 @@
 	d.Done(before, true, 1_500_000)
 	d.SetRelinquished(map[string]int64{"a": 0}, 2_000_000)
 	after := d.Arrive(ask, 2_000_000).Admit
-	must.NotEq(t, "a", after.Runner.Site)
+	must.NotEq(t, "a", after.Runner.Zone)
 	must.Eq(t, "r0:1", after.Source, must.Sprint("taken over from the old runner"))
 	d.FirstToken(after, 2_100_000)
 	d.Done(after, true, 2_200_000)
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -1,5 +1,5 @@
 // Package router is the role that carries the traffic: it takes the clients'
-// requests, asks the doorman, sends shots to runners and streams what comes
+// requests, asks the admission control, sends attempts to runners and streams what comes
 // back. It keeps nothing on disk; configuration and runners reach it as news.
 package router
 
@@ -28,22 +28,22 @@
 
 // Router is the running role.
 type Router struct {
-	set    settings.Settings
-	log    logr.Logger
-	clock  func() int64
-	radio  *radio.Radio
-	watch  *radio.Watch
-	relay  *radio.Relay
-	roster *registry.Roster
-	garage *upstream.Garage
-	table  atomic.Pointer[routeconfig.Table]
+	set      settings.Settings
+	log      logr.Logger
+	clock    func() int64
+	radio    *radio.Radio
+	watch    *radio.Watch
+	relay    *radio.Relay
+	registry *registry.Registry
+	garage   *upstream.Garage
+	table    atomic.Pointer[routeconfig.Table]
 
-	nmu      sync.Mutex
-	parts    map[int]messages.PartNote
-	menu     *statesync.Entries
-	assembly routeconfig.Assembly
-	runners  *statesync.Entries // as the parent has them
-	news     stats
+	nmu           sync.Mutex
+	parts         map[int]messages.PartNote
+	configuration *statesync.Entries
+	assembly      routeconfig.Assembly
+	runners       *statesync.Entries // as the parent has them
+	news          stats
 
 	up     radio.Uplink
 	parent atomic.Pointer[string]
@@ -74,18 +74,18 @@
 	if err != nil {
 		return nil, err
 	}
-	c := &Router{set: set, log: log, clock: clock, radio: rad, roster: registry.New(), garage: upstream.NewGarage(clock), parts: map[int]messages.PartNote{}, door: admission.New(admission.Defaults, set.Site), budgets: map[string]*upstream.Budget{}, kick: make(chan struct{}, 1), fresh: make(chan struct{}, 1), stir: make(chan struct{}, 1)}
-	c.menu, c.runners = statesync.NewEntries(), statesync.NewEntries()
+	c := &Router{set: set, log: log, clock: clock, radio: rad, registry: registry.New(), garage: upstream.NewGarage(clock), parts: map[int]messages.PartNote{}, door: admission.New(admission.Defaults, set.Zone), budgets: map[string]*upstream.Budget{}, kick: make(chan struct{}, 1), fresh: make(chan struct{}, 1), stir: make(chan struct{}, 1)}
+	c.configuration, c.runners = statesync.NewEntries(), statesync.NewEntries()
 	c.loads.init(clock())
 	none := ""
 	c.parent.Store(&none)
-	c.door.MarkUs = int64(set.Bounds.MarkMs)*1000 - 2_300_000
+	c.door.MarkUs = int64(set.Bounds.VersionMs)*1000 - 2_300_000
 	c.nodes.Store(1)
 	c.relay = radio.NewRelay(rad, radio.Upward{Since: c.since, Told: c.toldBelow, Gone: c.goneBelow})
 	c.up.Hold, c.up.Parents, c.up.Take = c.hold, c.parents, c.takeFeed
 	c.up.Heard, c.up.TellAgain, c.up.Ended = c.loads.heardUp, c.tellAgain, func(string) {}
 	c.seeds.Store(&set.Seeds)
-	c.watch = radio.NewWatch(rad, messages.Peer{Addr: set.RouterAddr(), Role: messages.Router, Site: set.Site, Node: set.Node}, clock, c.seedAddrs)
+	c.watch = radio.NewWatch(rad, messages.Peer{Addr: set.RouterAddr(), Role: messages.Router, Zone: set.Zone, Node: set.Node}, clock, c.seedAddrs)
 	rad.OnCall(radio.KindCondition, func(context.Context, *radio.Link, []byte) ([]byte, error) {
 		x := c.condition()
 		return x.MarshalMsg(nil)
@@ -126,7 +126,7 @@
 }
 
 func (c *Router) parents() []string {
-	list := radio.Parents(c.radio.Addr(), c.set.Site, c.watch.Alive(messages.Controller), c.watch.Alive(messages.Router))
+	list := radio.Parents(c.radio.Addr(), c.set.Zone, c.watch.Alive(messages.Controller), c.watch.Alive(messages.Router))
 	if len(list) == 0 {
 		return c.seedAddrs()
 	}
@@ -143,10 +143,10 @@
 	return set.SeedAddrs()
 }
 
-// syncDoor brings the doorman to the runners and services that are known.
+// syncDoor brings the admission control to the runners and services that are known.
 func (c *Router) syncDoor() {
 	t := c.table.Load()
-	snap := c.roster.Snapshot()
+	snap := c.registry.Snapshot()
 	c.loads.anew()
 	c.dmu.Lock()
 	defer c.dmu.Unlock()
@@ -176,7 +176,7 @@
 }
 
 // certified works out which runners and stores each regime lets in.
-func certified(t *routeconfig.Table, notes []messages.RunnerNote) map[string]map[string]bool {
+func certified(t *routeconfig.Table, notes []messages.RunnerRecord) map[string]map[string]bool {
 	if t == nil || t.Policies.None() {
 		return nil
 	}
@@ -189,7 +189,7 @@
 			}
 		}
 		for _, box := range t.Stores {
-			if _, ok := t.Policies.Allows(name, compliance.Runner{ID: box.CacheStore, Service: box.Name, Site: box.Site}); ok {
+			if _, ok := t.Policies.Allows(name, compliance.Runner{ID: box.CacheStore, Service: box.Name, Zone: box.Zone}); ok {
 				out[name][box.CacheStore] = true
 			}
 		}
@@ -197,8 +197,8 @@
 	return out
 }
 
-func sightOf(n messages.RunnerNote) compliance.Runner {
-	return compliance.Runner{ID: n.ID, Service: n.Service, Site: n.Site}
+func sightOf(n messages.RunnerRecord) compliance.Runner {
+	return compliance.Runner{ID: n.ID, Service: n.Service, Zone: n.Zone}
 }
 
 // storesFor lists the stores that the runners of a service may use: all there
@@ -214,7 +214,7 @@
 	var out []admission.Store
 	for _, box := range t.Stores {
 		if box.LinkMbps > 0 {
-			out = append(out, admission.Store{ID: box.CacheStore, Addr: box.CacheStore, Site: box.Site, MoveUs: float64(s.Engine.TokenBytes) * 8 / float64(box.LinkMbps)})
+			out = append(out, admission.Store{ID: box.CacheStore, Addr: box.CacheStore, Zone: box.Zone, MoveUs: float64(s.Engine.TokenBytes) * 8 / float64(box.LinkMbps)})
 		}
 	}
 	return out
@@ -245,7 +245,7 @@
 		if !ok {
 			return
 		}
-		if m.RosterSum != c.roster.Snapshot().Sum {
+		if m.RegistrySum != c.registry.Snapshot().Sum {
 			differs++
 		} else {
 			differs = 0
@@ -256,7 +256,7 @@
 func (c *Router) aliveDispatches() []string {
 	var list []string
 	for _, p := range radio.Core(c.watch.Alive(messages.Controller)) {
-		if p.Standing == messages.Alive {
+		if p.Status == messages.Alive {
 			list = append(list, p.Addr)
 		}
 	}
@@ -265,10 +265,10 @@
 
 // compareWith asks one controller for its versions and takes the changes since
 // this node's from it where it has something newer; all runners with anyway.
-func (c *Router) compareWith(ctx context.Context, addr string, anyway bool) (m messages.Marks, ok bool) {
+func (c *Router) compareWith(ctx context.Context, addr string, anyway bool) (m messages.Versions, ok bool) {
 	ctx, cancel := context.WithTimeout(ctx, 400*time.Millisecond)
 	defer cancel()
-	b, err := c.radio.Call(ctx, addr, radio.KindMarks, &messages.Marks{Parts: []int64{}})
+	b, err := c.radio.Call(ctx, addr, radio.KindVersions, &messages.Versions{Parts: []int64{}})
 	if err != nil {
 		return m, false
 	}
@@ -280,9 +280,9 @@
 		return m, true
 	}
 	h := c.hold()
-	h.MenuOnly, h.Kept = true, nil
+	h.ConfigOnly, h.Kept = true, nil
 	if !anyway {
-		h.Roster.Epoch = -1
+		h.Registry.Epoch = -1
 	}
 	if b, err = c.radio.Call(ctx, addr, radio.KindSince, &h); err != nil {
 		return m, false
@@ -330,7 +330,7 @@
 	}
 }
 
-// pump lets the doorman's time pass while requests wait.
+// pump lets the admission control's time pass while requests wait.
 func (c *Router) pump(ctx context.Context) {
 	for {
 		select {
--- a/internal/router/router_test.go
+++ b/internal/router/router_test.go
@@ -147,20 +147,20 @@
 	t.Helper()
 	p := ports(t, 3)
 	addr := func(i int) string { return fmt.Sprintf("127.0.0.1:%d", p[i]) }
-	set := settings.Settings{Node: "n", Ip: "127.0.0.1", Site: "a", Ports: []int{p[0], p[0] + 1}, Seeds: []string{"127.0.0.1:1"}}
+	set := settings.Settings{Node: "n", Ip: "127.0.0.1", Zone: "a", Ports: []int{p[0], p[0] + 1}, Seeds: []string{"127.0.0.1:1"}}
 	set.Listen.Front, set.Listen.Ready = addr(1), addr(2)
-	set.Bounds = settings.Bounds{GraceS: 1, MarkMs: 8000, ShotRatio: 0.2, ShotSlack: 100, ShotWindowS: 10}
+	set.Bounds = settings.Bounds{GraceS: 1, VersionMs: 8000, RetryRatio: 0.2, RetrySlack: 100, RetryWindowS: 10}
 	pool, err := ants.NewPool(64, ants.WithNonblocking(true))
 	must.NoError(t, err)
 	began := time.Now()
 	c, err := New(set, pool, func() int64 { return time.Since(began).Microseconds() + 1 }, logr.Discard())
 	must.NoError(t, err)
-	feed := messages.Feed{Menu: []messages.EntryChange{wholeMenu(t, menuText, 1)}}
-	var notes []messages.RunnerNote
+	feed := messages.Feed{Configuration: []messages.EntryChange{wholeMenu(t, menuText, 1)}}
+	var notes []messages.RunnerRecord
 	for i, r := range runners {
-		notes = append(notes, messages.RunnerNote{ID: fmt.Sprintf("r%d", i), Service: "s", Addr: r.addr, Site: "a", Capacity: 8, Seq: 1, Models: []messages.Target{{Model: "m", Mark: 4}}})
+		notes = append(notes, messages.RunnerRecord{ID: fmt.Sprintf("r%d", i), Service: "s", Addr: r.addr, Zone: "a", Capacity: 8, Seq: 1, Models: []messages.Target{{Model: "m", Version: 4}}})
 	}
-	feed.Roster = []messages.EntryChange{runnerEntries(t, notes...)}
+	feed.Registry = []messages.EntryChange{runnerEntries(t, notes...)}
 	must.True(t, c.take("", feed))
 	ctx, cancel := context.WithCancel(context.Background())
 	ended := make(chan error, 1)
@@ -190,7 +190,7 @@
 	return statesync.SendEntries(ch)
 }
 
-func runnerEntries(t *testing.T, notes ...messages.RunnerNote) messages.EntryChange {
+func runnerEntries(t *testing.T, notes ...messages.RunnerRecord) messages.EntryChange {
 	t.Helper()
 	out := messages.EntryChange{Epoch: 9, Whole: true}
 	for _, n := range notes {
@@ -378,9 +378,9 @@
 func TestDrainingRunnerGetsNothingMore(t *testing.T) {
 	a, b := newRunner(t), newRunner(t)
 	c, front, _ := start(t, a, b)
-	n := c.roster.Snapshot().ByID["r0"]
+	n := c.registry.Snapshot().ByID["r0"]
 	n.Seq, n.Draining = 2, true
-	must.True(t, c.take("", messages.Feed{Roster: []messages.EntryChange{runnerEntries(t, n)}}))
+	must.True(t, c.take("", messages.Feed{Registry: []messages.EntryChange{runnerEntries(t, n)}}))
 	for range 6 {
 		ans, _, err := say(t, front, request("/pay/", "x"))
 		must.NoError(t, err)
@@ -438,17 +438,17 @@
 	must.Eq(t, 0, ln.closeIdle())
 }
 
-// regulated is the menu with a regime that only runner r1 is certified for.
+// regulated is the configuration with a regime that only runner r1 is certified for.
 func regulated(version int, runners string) string {
 	s := strings.Replace(menuText, `"version":3`, fmt.Sprintf(`"version":%d`, version), 1)
 	s = strings.Replace(s, `"isolated":true}`, `"isolated":true,"regime":"allergen"},{"name":"t2","apiKeys":["k2"]}`, 1)
 	return strings.Replace(s, `"limits"`, `"regimes":[{"name":"allergen"}],"certificates":[{"regime":"allergen","runners":[`+runners+`]}],"limits"`, 1)
 }
 
-func (c *Router) adopt(t *testing.T, mark int64, version int64, text string) {
+func (c *Router) adopt(t *testing.T, streamVersion, version int64, text string) {
 	t.Helper()
-	must.True(t, c.take("", messages.Feed{Menu: []messages.EntryChange{wholeMenu(t, text, mark)}}))
-	must.Eq(t, version, c.table.Load().Mark)
+	must.True(t, c.take("", messages.Feed{Configuration: []messages.EntryChange{wholeMenu(t, text, streamVersion)}}))
+	must.Eq(t, version, c.table.Load().Version)
 }
 
 func TestRegulatedRequestsGoToCertifiedRunnersOnly(t *testing.T) {
@@ -489,7 +489,7 @@
 	must.NoError(t, c.trail.Write(&out))
 	list, err := compliance.ReadTrail(strings.NewReader(out.String()))
 	must.NoError(t, err)
-	var menus []api.Menu
+	var menus []api.Configuration
 	for v, who := range map[int]string{4: `"r1"`, 5: `"r0"`, 6: `"r9"`} {
 		m, err := routeconfig.Parse([]byte(regulated(v, who)))
 		must.NoError(t, err)
@@ -508,7 +508,7 @@
 	c.adopt(t, 2, 4, regulated(4, `"r1"`))
 	v := &visit{c: c, tenant: c.table.Load().Tenant("k1"), id: "x"}
 	v.ask.Regime = "allergen"
-	snap := c.roster.Snapshot()
+	snap := c.registry.Snapshot()
 	must.True(t, v.mayGo(&admission.Admission{Runner: snap.ByID["r1"]}))
 	must.False(t, v.mayGo(&admission.Admission{Runner: snap.ByID["r0"]}))
 	c.adopt(t, 3, 5, regulated(5, `"r0"`))
@@ -521,8 +521,8 @@
 func TestOlderNewsNeverComesBack(t *testing.T) {
 	c, _, _ := start(t, newRunner(t))
 	older := strings.Replace(menuText, `"version":3`, `"version":2`, 1)
-	must.True(t, c.take("", messages.Feed{Menu: []messages.EntryChange{wholeMenu(t, older, 0)}}))
-	must.Eq(t, int64(3), c.table.Load().Mark)
+	must.True(t, c.take("", messages.Feed{Configuration: []messages.EntryChange{wholeMenu(t, older, 0)}}))
+	must.Eq(t, int64(3), c.table.Load().Version)
 }
 
 // A change that is damaged, builds on what is not held, or cannot be read ends
@@ -537,7 +537,7 @@
 	s.Begin(1, 0)
 	s.Replace(entries)
 	s.Commit(1)
-	m.Mark, m.Tenants[0].Keys = 4, []string{"k9"}
+	m.Version, m.Tenants[0].Keys = 4, []string{"k9"}
 	entries, err = routeconfig.Entries(m)
 	must.NoError(t, err)
 	s.Replace(entries)
@@ -553,23 +553,23 @@
 		bad := good
 		bad.Entries = append([]messages.Entry{}, good.Entries...)
 		spoil(&bad)
-		must.False(t, c.take("p", messages.Feed{Menu: []messages.EntryChange{bad}}), must.Sprint(name))
-		must.Eq(t, int64(3), c.table.Load().Mark, must.Sprint(name))
+		must.False(t, c.take("p", messages.Feed{Configuration: []messages.EntryChange{bad}}), must.Sprint(name))
+		must.Eq(t, int64(3), c.table.Load().Version, must.Sprint(name))
 	}
-	must.False(t, c.take("p", messages.Feed{Roster: []messages.EntryChange{{Epoch: 1, Whole: true, Digest: 1, Entries: []messages.Entry{{Key: "x", Body: []byte("junk")}}}}}))
-	must.True(t, c.take("p", messages.Feed{Menu: []messages.EntryChange{good}}))
-	must.Eq(t, int64(4), c.table.Load().Mark)
+	must.False(t, c.take("p", messages.Feed{Registry: []messages.EntryChange{{Epoch: 1, Whole: true, Digest: 1, Entries: []messages.Entry{{Key: "x", Body: []byte("junk")}}}}}))
+	must.True(t, c.take("p", messages.Feed{Configuration: []messages.EntryChange{good}}))
+	must.Eq(t, int64(4), c.table.Load().Version)
 	must.Eq(t, "t1", c.table.Load().Tenant("k9").Name)
 	must.Nil(t, c.table.Load().Tenant("k1"))
-	must.True(t, c.take("p", messages.Feed{Menu: []messages.EntryChange{good}}), must.Sprint("twice does nothing"))
+	must.True(t, c.take("p", messages.Feed{Configuration: []messages.EntryChange{good}}), must.Sprint("twice does nothing"))
 }
 
 // A controller that has just started and knows no runner does not make a router
 // ready.
 func TestReadyNeedsAConfigurationAndARunner(t *testing.T) {
 	c, _, _ := start(t)
-	must.True(t, c.take("p", messages.Feed{Roster: []messages.EntryChange{{Epoch: 4, Whole: true, Entries: []messages.Entry{}}}}))
+	must.True(t, c.take("p", messages.Feed{Registry: []messages.EntryChange{{Epoch: 4, Whole: true, Entries: []messages.Entry{}}}}))
 	must.False(t, c.ready())
-	must.True(t, c.take("", messages.Feed{Roster: []messages.EntryChange{runnerEntries(t, messages.RunnerNote{ID: "r", Service: "s", Models: []messages.Target{}})}}))
+	must.True(t, c.take("", messages.Feed{Registry: []messages.EntryChange{runnerEntries(t, messages.RunnerRecord{ID: "r", Service: "s", Models: []messages.Target{}})}}))
 	must.True(t, c.ready())
 }
--- a/internal/router/shots.go
+++ b/internal/router/shots.go
@@ -1,5 +1,5 @@
-// The shots of a request: the doorman's ruling, a link, the head, the stream,
-// and what may follow when a shot fails. A further shot goes out only where the
+// The attempts of a request: the admission control's ruling, a link, the head, the stream,
+// and what may follow when a attempt fails. A further attempt goes out only where the
 // runner said that it has not run the request, where nothing was sent, or where
 // the request may be repeated; and only within tries, budget and time.
 package router
@@ -22,7 +22,7 @@
 	"beechtide.org/beechtide/internal/upstream"
 )
 
-// ending is how a shot went.
+// ending is how a attempt went.
 type ending int
 
 const (
@@ -84,7 +84,7 @@
 			v.ended = compliance.Cut
 			return
 		case notSent:
-			v.shots--
+			v.attempts--
 			if unsent++; unsent < maxUnsent && c.clock() < v.endUs {
 				if v.changed {
 					v.changed = false
@@ -99,7 +99,7 @@
 			ran = true
 			v.ask.Avoid = append(v.ask.Avoid, ruling.Admit.Runner.ID)
 		}
-		again := v.shots < tries && c.clock() < v.endUs && end != notSent
+		again := v.attempts < tries && c.clock() < v.endUs && end != notSent
 		if end == unknown || end == brokeOff {
 			again = again && v.route.Repeatable()
 		}
@@ -128,13 +128,13 @@
 	b := c.budgets[service]
 	if b == nil {
 		s := c.set.Bounds
-		b = &upstream.Budget{Ratio: s.ShotRatio, Slack: s.ShotSlack, WindowUs: int64(s.ShotWindowS * 1e6)}
+		b = &upstream.Budget{Ratio: s.RetryRatio, Slack: s.RetrySlack, WindowUs: int64(s.RetryWindowS * 1e6)}
 		c.budgets[service] = b
 	}
 	return b
 }
 
-// admit asks the doorman, and waits where the request is held.
+// admit asks the admission control, and waits where the request is held.
 func (v *visit) admit() admission.Ruling {
 	c := v.c
 	ch := make(chan admission.Ruling, 1)
@@ -163,7 +163,7 @@
 	return <-ch
 }
 
-// answerStream is the client's side of a streamed answer; it outlives a shot
+// answerStream is the client's side of a streamed answer; it outlives a attempt
 // where another runner takes the stream up.
 type answerStream struct {
 	out      network.ExtWriter
@@ -175,7 +175,7 @@
 
 func (v *visit) shoot(adm *admission.Admission, stream *answerStream) (ending, *answerStream) {
 	c := v.c
-	v.shots++
+	v.attempts++
 	var link *upstream.Link
 	var err error
 	if v.next != nil {
@@ -184,7 +184,7 @@
 		c.done(adm, false)
 		return notSent, stream
 	}
-	if n, ok := c.roster.Snapshot().ByID[adm.Runner.ID]; !ok || n.Draining {
+	if n, ok := c.registry.Snapshot().ByID[adm.Runner.ID]; !ok || n.Draining {
 		link.Close()
 		c.done(adm, true)
 		return notSent, stream
@@ -279,7 +279,7 @@
 	return v.c.garage.GetFor(ctx, addr, v.service, v.route.Repeatable())
 }
 
-// ended notes how a shot that was sent ended at its runner. One that died on a
+// ended notes how a attempt that was sent ended at its runner. One that died on a
 // link that had rested says something of the link, not of the runner.
 func (c *Router) ended(adm *admission.Admission, link *upstream.Link, good, answered bool) {
 	if !good && !answered && link.RestedUs > 0 {
@@ -311,7 +311,7 @@
 	c.done(adm, ok)
 }
 
-// head makes the head of a shot by the rules for headers.
+// head makes the head of a attempt by the rules for headers.
 func (v *visit) head(adm *admission.Admission, leftUs int64, stream *answerStream) *protocol.RequestHeader {
 	in := &v.rc.Request.Header
 	h := &protocol.RequestHeader{}
@@ -348,8 +348,8 @@
 		if adm.Sink != "" {
 			h.Set(hSink, adm.Sink)
 		}
-		if adm.Mark > 0 {
-			h.Set(hExpected, strconv.FormatInt(adm.Mark, 10))
+		if adm.Version > 0 {
+			h.Set(hExpected, strconv.FormatInt(adm.Version, 10))
 		}
 	}
 	if stream != nil && stream.events.LastID != "" {
@@ -397,7 +397,7 @@
 	if stream != nil && stream.started {
 		return brokeOff
 	}
-	if status >= 500 && v.route.Repeatable() && v.shots < max(v.route.Tries, 1) {
+	if status >= 500 && v.route.Repeatable() && v.attempts < max(v.route.Tries, 1) {
 		return unknown
 	}
 	v.answerHead(r)
--- a/internal/settings/load.go
+++ b/internal/settings/load.go
@@ -75,14 +75,14 @@
 func (s *Settings) fill() {
 	b := &s.Bounds
 	orInt(&s.BeatPeriodMs, 1000)
-	orInt(&b.ClaimMs, 3000)
-	orInt(&b.MarkMs, 8000)
+	orInt(&b.LeaseMs, 3000)
+	orInt(&b.VersionMs, 8000)
 	orInt(&b.DrainMs, 2000)
 	if b.GraceS <= 0 {
 		b.GraceS = 8
 	}
-	if b.ShotWindowS <= 0 {
-		b.ShotWindowS = 10
+	if b.RetryWindowS <= 0 {
+		b.RetryWindowS = 10
 	}
 }
 
--- a/internal/settings/load_test.go
+++ b/internal/settings/load_test.go
@@ -24,7 +24,7 @@
 	must.NoError(t, err)
 	must.Eq(t, "10.0.0.1:7000", s.RouterAddr())
 	must.Eq(t, []string{"10.0.0.1:7001", "10.0.0.2:7001"}, s.SeedAddrs())
-	must.Eq(t, 2500, s.Bounds.ClaimMs)
+	must.Eq(t, 2500, s.Bounds.LeaseMs)
 	must.Eq(t, 8.0, s.Bounds.GraceS)
 }
 
--- a/internal/settings/types.gen.go
+++ b/internal/settings/types.gen.go
@@ -5,18 +5,18 @@
 
 // Bounds defines model for Bounds.
 type Bounds struct {
-	AckMs       int     `json:"ackMs,omitempty,omitzero"`
-	ContactMs   int     `json:"contactMs,omitempty,omitzero"`
-	ConvergeMs  int     `json:"convergeMs,omitempty,omitzero"`
-	DrainMs     int     `json:"drainMs,omitempty,omitzero"`
-	Fenced      bool    `json:"fenced,omitempty,omitzero"`
-	GraceS      float64 `json:"graceS,omitempty,omitzero"`
-	ClaimMs     int     `json:"leaseMs,omitempty,omitzero" validate:"min=0"`
-	ShotRatio   float64 `json:"retryRatio,omitempty,omitzero"`
-	ShotSlack   float64 `json:"retrySlack,omitempty,omitzero"`
-	ShotWindowS float64 `json:"retryWindowS,omitempty,omitzero"`
-	TransitMs   int     `json:"transitMs,omitempty,omitzero"`
-	MarkMs      int     `json:"versionMs,omitempty,omitzero"`
+	AckMs        int     `json:"ackMs,omitempty,omitzero"`
+	ContactMs    int     `json:"contactMs,omitempty,omitzero"`
+	ConvergeMs   int     `json:"convergeMs,omitempty,omitzero"`
+	DrainMs      int     `json:"drainMs,omitempty,omitzero"`
+	Fenced       bool    `json:"fenced,omitempty,omitzero"`
+	GraceS       float64 `json:"graceS,omitempty,omitzero"`
+	LeaseMs      int     `json:"leaseMs,omitempty,omitzero" validate:"min=0"`
+	RetryRatio   float64 `json:"retryRatio,omitempty,omitzero"`
+	RetrySlack   float64 `json:"retrySlack,omitempty,omitzero"`
+	RetryWindowS float64 `json:"retryWindowS,omitempty,omitzero"`
+	TransitMs    int     `json:"transitMs,omitempty,omitzero"`
+	VersionMs    int     `json:"versionMs,omitempty,omitzero"`
 }
 
 // Limits defines model for Limits.
@@ -55,13 +55,13 @@
 	Seeds        []string          `json:"seeds" validate:"required,min=1,dive,hostname_port"`
 	Serves       []string          `json:"serves,omitempty,omitzero"`
 	Tolerance    Tolerance         `json:"tolerance,omitempty,omitzero"`
-	Site         string            `json:"zone" validate:"required"`
-	Sites        map[string]string `json:"zones,omitempty,omitzero"`
+	Zone         string            `json:"zone" validate:"required"`
+	Zones        map[string]string `json:"zones,omitempty,omitzero"`
 }
 
 // Tolerance defines model for Tolerance.
 type Tolerance struct {
 	Machines int `json:"machines,omitempty,omitzero"`
 	Regions  int `json:"regions,omitempty,omitzero"`
-	Sites    int `json:"zones,omitempty,omitzero"`
+	Zones    int `json:"zones,omitempty,omitzero"`
 }
--- a/internal/upstream/budget.go
+++ b/internal/upstream/budget.go
@@ -1,4 +1,4 @@
-// Budget bounds further shots. The budget is one for the whole system; a node
+// Budget bounds further attempts. The budget is one for the whole system; a node
 // spends from the requests it took itself, and from its share of the slack by
 // the number of routers it knows, with a margin for windows that slide and
 // for nodes that start anew.
@@ -24,7 +24,7 @@
 	b.first = append(trim(b.first, nowUs-b.WindowUs/2), nowUs)
 }
 
-// Spend tells whether a further shot may go out, and counts it.
+// Spend tells whether a further attempt may go out, and counts it.
 func (b *Budget) Spend(nowUs int64, nodes int) bool {
 	b.first = trim(b.first, nowUs-b.WindowUs/2)
 	b.further = trim(b.further, nowUs-b.WindowUs)
--- a/internal/upstream/link.go
+++ b/internal/upstream/link.go
@@ -1,4 +1,4 @@
-// Package upstream carries shots to runners. This file is the Link: one connection
+// Package upstream carries attempts to runners. This file is the Link: one connection
 // to a runner, read through a small buffer with hertz's HTTP/1 reader, never
 // retried by itself, and looked at before it is used again, so that a link the
 // runner has closed or sent surplus bytes on is not taken for a good one.
