--- a/api/generate.go
+++ b/api/generate.go
@@ -3,7 +3,7 @@
 package api
 
 //go:generate go tool oapi-codegen -config calls.gen.yaml calls.yaml
-//go:generate go tool oapi-codegen -config config.gen.yaml config.yaml
-//go:generate go tool oapi-codegen -config wire.gen.yaml wire.yaml
+//go:generate go tool oapi-codegen -config settings.gen.yaml settings.yaml
+//go:generate go tool oapi-codegen -config messages.gen.yaml messages.yaml
 //go:generate sed -i -E "s/json:\"([a-z])[^\"]*\"/msg:\"\\1\"/" ../internal/messages/types.gen.go
 //go:generate go tool msgp -file ../internal/messages/types.gen.go -o ../internal/messages/msgp.gen.go -tests=false -io=false
--- a/cmd/beechtide/doctor.go
+++ b/cmd/beechtide/doctor.go
@@ -14,8 +14,8 @@
 	"github.com/panjf2000/ants/v2"
 
 	"beechtide.org/beechtide/internal/doctor"
-	"beechtide.org/beechtide/internal/radio"
 	"beechtide.org/beechtide/internal/settings"
+	"beechtide.org/beechtide/internal/transport"
 )
 
 // examine ends with 0 where nothing is found, 1 on warnings, 3 on faults and 2
@@ -50,7 +50,7 @@
 	if *from == "" {
 		*from = set.Ip + ":0"
 	}
-	r, err := radio.New(*from, pool, logr.Discard())
+	r, err := transport.New(*from, pool, logr.Discard())
 	if err != nil {
 		fmt.Fprintf(os.Stderr, "beechtide doctor: %v\n", err)
 		return 3
--- a/internal/admission/admission.go
+++ b/internal/admission/admission.go
@@ -394,7 +394,7 @@
 					continue
 				}
 			}
-			out = append(out, placement.Candidate{ID: id, NearSite: r.note.Zone == near, Kept: kept, Prefill: r.prefill(), Active: active, Capacity: r.capacity, Used: use, Rate: r.readRate(&d.T), Reading: r.reading(&d.T, nowUs), DoubtUs: r.soundness.doubtUs(nowUs)})
+			out = append(out, placement.Candidate{ID: id, NearSite: r.note.Zone == near, Kept: kept, Prefill: r.prefill(), Active: active, Capacity: r.capacity, Used: use, Rate: r.readRate(&d.T), Reading: r.reading(&d.T, nowUs), DoubtUs: r.health.doubtUs(nowUs)})
 			who = append(who, r)
 		}
 		if len(out) > 0 {
@@ -524,7 +524,7 @@
 // silent or whose links fail.
 func (d *Doorman) preference(a Ask, r *runner, nowUs int64) int {
 	switch {
-	case r.note.Stale || r.unsoundUs > nowUs || r.soundness.out(nowUs):
+	case r.note.Stale || r.unsoundUs > nowUs || r.health.out(nowUs):
 		return 2
 	case r.note.Easing && a.TokensOut > d.T.LongOut:
 		return 1
@@ -697,7 +697,7 @@
 func (d *Doorman) Ended(adm *Admission, good bool, nowUs int64) {
 	p := d.pool(adm.service)
 	if r := p.runners[adm.Runner.ID]; r != nil {
-		r.soundness.note(good, nowUs)
+		r.health.note(good, nowUs)
 		if !good {
 			p.eject(nowUs)
 		}
@@ -806,7 +806,7 @@
 	for _, p := range d.pools {
 		for id, r := range p.runners {
 			flow := int(r.ownFlow(nowUs)/flowStep+0.5) * flowStep
-			seen := r.soundness.own(nowUs)
+			seen := r.health.own(nowUs)
 			if r.own.count > 0 || flow > 0 || seen.tried > 0 {
 				out[id] = messages.RunnerLoad{ID: id, Tried: seen.tried, Failed: seen.failed, Blocks: r.own.blocks, Prefill: r.own.prefill, Count: r.own.count, Rate: math.Round(r.rate*1e4) / 1e4, Flow: flow}
 			}
--- a/internal/admission/soundness.go
+++ b/internal/admission/health.go
@@ -1,4 +1,4 @@
-// Soundness is what outcomes say of a runner, whatever its health answer says. A
+// Health is what outcomes say of a runner, whatever its health answer says. A
 // runner that fails far more of its requests than the others leaves the
 // candidates for a while, longer each time, and comes back by few requests. The
 // outcomes are this node's own; those of the other nodes are a hint, which
@@ -27,7 +27,7 @@
 
 type outcomes struct{ tried, failed int }
 
-type soundness struct {
+type health struct {
 	span      int64
 	now, last outcomes
 	hint      outcomes
@@ -35,7 +35,7 @@
 	outFor    int64
 }
 
-func (s *soundness) roll(nowUs int64) {
+func (s *health) roll(nowUs int64) {
 	switch span := nowUs / spanUs; {
 	case span == s.span:
 	case span == s.span+1:
@@ -45,7 +45,7 @@
 	}
 }
 
-func (s *soundness) note(good bool, nowUs int64) {
+func (s *health) note(good bool, nowUs int64) {
 	s.roll(nowUs)
 	s.now.tried++
 	if !good {
@@ -54,20 +54,20 @@
 }
 
 // own are this node's outcomes that still count.
-func (s *soundness) own(nowUs int64) outcomes {
+func (s *health) own(nowUs int64) outcomes {
 	s.roll(nowUs)
 	return outcomes{s.now.tried + s.last.tried, s.now.failed + s.last.failed}
 }
 
-func (s *soundness) weighed(nowUs int64) (tried, failed float64) {
+func (s *health) weighed(nowUs int64) (tried, failed float64) {
 	own := s.own(nowUs)
 	return float64(own.tried) + hintPart*float64(s.hint.tried), float64(own.failed) + hintPart*float64(s.hint.failed)
 }
 
-func (s *soundness) out(nowUs int64) bool { return nowUs < s.outUntil }
+func (s *health) out(nowUs int64) bool { return nowUs < s.outUntil }
 
 // doubtUs is what a runner that has just come back costs in the matching.
-func (s *soundness) doubtUs(nowUs int64) float64 {
+func (s *health) doubtUs(nowUs int64) float64 {
 	if s.outUntil == 0 {
 		return 0
 	}
@@ -78,13 +78,13 @@
 // fail it is not the runners, and none is.
 func (p *pool) eject(nowUs int64) {
 	type suspect struct {
-		s     *soundness
+		s     *health
 		share float64
 	}
 	var ill []suspect
 	wellTried, wellFailed, out := 0.0, 0.0, 0
 	for _, id := range p.order {
-		s := &p.runners[id].soundness
+		s := &p.runners[id].health
 		if s.out(nowUs) {
 			out++
 			continue
--- a/internal/admission/runner.go
+++ b/internal/admission/runner.go
@@ -31,7 +31,7 @@
 	busyRead  bool
 	unsoundUs int64 // until when
 	pauseUs   int64
-	soundness soundness
+	health    health
 }
 
 type recentShot struct {
@@ -79,7 +79,7 @@
 
 // other takes what the other nodes have here.
 func (r *runner) other(l messages.RunnerLoad) {
-	r.soundness.hint = outcomes{max(l.Tried, 0), max(l.Failed, 0)}
+	r.health.hint = outcomes{max(l.Tried, 0), max(l.Failed, 0)}
 	r.others = word{blocks: max(l.Blocks, 0), prefill: max(l.Prefill, 0), count: max(l.Count, 0), flow: max(float64(l.Flow), 0)}
 	if l.Rate > 0 && r.rate <= 0 {
 		r.rate = l.Rate
--- a/internal/consensus/consensus.go
+++ b/internal/consensus/consensus.go
@@ -1,6 +1,6 @@
 // Package consensus keeps the control state: one replicated register a part,
 // agreed on by ballots among a small group. Registers drives the pure machines of
-// this package: it carries asks over the radio, makes records durable before
+// this package: it carries asks over the transport, makes records durable before
 // words go out, and keeps disk calls apart from everything else, so that a
 // hanging disk holds up nothing but this member's own vote.
 package consensus
@@ -10,7 +10,6 @@
 	"crypto/rand"
 	"encoding/hex"
 	"math/big"
-	"sync"
 	"sync/atomic"
 	"time"
 
@@ -48,7 +47,6 @@
 	store    Store
 	log      logr.Logger
 	parts    [Parts]*part
-	mu       sync.Mutex
 	onLearn  func(part int, v messages.Value)
 	life     string
 	saveUs   atomic.Int64
@@ -189,7 +187,7 @@
 	return err
 }
 
-// Handle answers an ask that came over the radio.
+// Handle answers an ask that came over the transport.
 func (l *Registers) Handle(ctx context.Context, body []byte) ([]byte, error) {
 	var ask messages.ConsensusRequest
 	if _, err := ask.UnmarshalMsg(body); err != nil {
--- a/internal/controller/condition.go
+++ b/internal/controller/condition.go
@@ -8,20 +8,20 @@
 
 	"beechtide.org/beechtide/internal/consensus"
 	"beechtide.org/beechtide/internal/messages"
-	"beechtide.org/beechtide/internal/radio"
+	"beechtide.org/beechtide/internal/transport"
 )
 
 // unreadUs is after how long without an answer a runner counts as not read.
 const unreadUs = 5_000_000
 
 func (d *Controller) condition() messages.Condition {
-	c := messages.Condition{Node: d.set.Node, Role: messages.Controller, Zone: d.set.Zone, Addr: d.radio.Addr(), TimeUs: time.Now().UnixMicro(), MemberID: d.registers.ID(), Versions: d.told(), HasDisk: d.disk != nil}
+	c := messages.Condition{Node: d.set.Node, Role: messages.Controller, Zone: d.set.Zone, Addr: d.transport.Addr(), TimeUs: time.Now().UnixMicro(), MemberID: d.registers.ID(), Versions: d.told(), HasDisk: d.disk != nil}
 	c.SaveUs, c.SaveFault = d.registers.LastSave()
 	for p := range consensus.Parts {
 		v, _ := d.registers.Committed(p)
 		c.Groups = append(c.Groups, append([]messages.Member{}, v.Group...))
 	}
-	c.Peers = append(d.watch.Alive(messages.Controller), d.watch.Alive(messages.Router)...)
+	c.Peers = append(d.monitor.Alive(messages.Controller), d.monitor.Alive(messages.Router)...)
 	c.Wholes, c.Changes, c.Malformed = d.feed.wholes.Load(), d.feed.changes.Load(), d.feed.malformed.Load()
 	snap := d.registry.Snapshot()
 	c.Runners = len(snap.ByID)
@@ -52,5 +52,5 @@
 
 // OnRing tells how the doctor gets the log ring.
 func (d *Controller) OnRing(show func() ([]byte, error)) {
-	d.radio.OnCall(radio.KindRing, func(context.Context, *radio.Link, []byte) ([]byte, error) { return show() })
+	d.transport.OnCall(transport.KindRing, func(context.Context, *transport.Conn, []byte) ([]byte, error) { return show() })
 }
--- a/internal/controller/control.go
+++ b/internal/controller/control.go
@@ -16,10 +16,11 @@
 
 	"beechtide.org/beechtide/internal/api"
 	"beechtide.org/beechtide/internal/consensus"
+	"beechtide.org/beechtide/internal/membership"
 	"beechtide.org/beechtide/internal/messages"
-	"beechtide.org/beechtide/internal/radio"
 	"beechtide.org/beechtide/internal/routeconfig"
 	"beechtide.org/beechtide/internal/statesync"
+	"beechtide.org/beechtide/internal/transport"
 )
 
 var errNoChange = errors.New("controller: nothing to change")
@@ -85,13 +86,13 @@
 		d.tellRunners(n.ID)
 	}
 	out := api.HeartbeatResponse{}
-	all := d.watch.Alive(messages.Controller)
+	all := d.monitor.Alive(messages.Controller)
 	for _, p := range all {
-		if p.Addr != d.radio.Addr() {
-			d.radio.Cast(p.Addr, radio.KindRunner, &n)
+		if p.Addr != d.transport.Addr() {
+			d.transport.SendDatagram(p.Addr, transport.KindRunner, &n)
 		}
 	}
-	out.BeatTo = beatTo(radio.Core(all), d.radio.Addr(), n)
+	out.BeatTo = beatTo(membership.Core(all), d.transport.Addr(), n)
 	c.JSON(200, out)
 }
 
@@ -221,7 +222,7 @@
 		return nameTarget(cur, w, d.registers.ID())
 	})
 	if body, berr := leaseBody(v); err == nil && berr == nil && body.Lease.Holder == d.registers.ID() && body.Lease.Fence == 1 {
-		d.refits.wonFirst(part, 1)
+		d.rollouts.wonFirst(part, 1)
 	}
 	if err != nil && !errors.Is(err, errNoChange) {
 		deny(c, 503, "", err.Error())
--- a/internal/controller/controller.go
+++ b/internal/controller/controller.go
@@ -15,13 +15,15 @@
 	"github.com/panjf2000/ants/v2"
 
 	"beechtide.org/beechtide/internal/consensus"
+	"beechtide.org/beechtide/internal/dissemination"
 	"beechtide.org/beechtide/internal/loop"
+	"beechtide.org/beechtide/internal/membership"
 	"beechtide.org/beechtide/internal/messages"
 	"beechtide.org/beechtide/internal/prefixindex"
-	"beechtide.org/beechtide/internal/radio"
 	"beechtide.org/beechtide/internal/registry"
 	"beechtide.org/beechtide/internal/routeconfig"
 	"beechtide.org/beechtide/internal/settings"
+	"beechtide.org/beechtide/internal/transport"
 	"beechtide.org/beechtide/internal/upstream"
 )
 
@@ -30,12 +32,12 @@
 	set       settings.Settings
 	log       logr.Logger
 	clock     func() int64
-	radio     *radio.Radio
-	watch     *radio.Watch
-	relay     *radio.Relay
+	transport *transport.Transport
+	monitor   *membership.Monitor
+	publisher *dissemination.Publisher
 	registers *consensus.Registers
 	registry  *registry.Registry
-	garage    *upstream.Garage
+	connPool  *upstream.ConnPool
 	table     atomic.Pointer[routeconfig.Table]
 	seeds     atomic.Pointer[[]string]
 
@@ -45,19 +47,19 @@
 	readers map[string]context.CancelFunc
 	heardUs map[string]int64 // when a runner's events or report last came
 
-	refits  refits
-	calm    calm
-	startUs int64
-	disk    *consensus.DiskStore // nil on machines without one
+	rollouts rollouts
+	calm     calm
+	startUs  int64
+	disk     *consensus.DiskStore // nil on machines without one
 }
 
 // New builds the role.
 func New(set settings.Settings, pool *ants.Pool, clock func() int64, log logr.Logger) (*Controller, error) {
-	rad, err := radio.New(set.ControllerAddr(), pool, log)
+	trans, err := transport.New(set.ControllerAddr(), pool, log)
 	if err != nil {
 		return nil, err
 	}
-	d := &Controller{set: set, log: log, clock: clock, radio: rad, registry: registry.New(), garage: upstream.NewGarage(clock), kept: prefixindex.NewIndex(), readers: map[string]context.CancelFunc{}, heardUs: map[string]int64{}, startUs: clock()}
+	d := &Controller{set: set, log: log, clock: clock, transport: trans, registry: registry.New(), connPool: upstream.NewConnPool(clock), kept: prefixindex.NewIndex(), readers: map[string]context.CancelFunc{}, heardUs: map[string]int64{}, startUs: clock()}
 	var store consensus.Store = &consensus.MemoryStore{}
 	if set.DataDir != "" {
 		if d.disk, err = consensus.NewDiskStore(filepath.Join(set.DataDir, "ledger")); err != nil {
@@ -69,17 +71,17 @@
 	d.seeds.Store(&set.Seeds)
 	d.feed.init(clock())
 	d.syncRunners()
-	d.relay = radio.NewRelay(rad, radio.Upward{Since: d.since, Told: d.toldBelow, Gone: d.goneBelow})
-	d.registers, err = consensus.Open(set.ControllerAddr(), radio.KindConsensus, set.Bootstrap, set.SeedAddrs(), rad, store, log, d.learned)
+	d.publisher = dissemination.NewPublisher(trans, dissemination.Upstream{Since: d.since, Told: d.toldBelow, Gone: d.goneBelow})
+	d.registers, err = consensus.Open(set.ControllerAddr(), transport.KindConsensus, set.Bootstrap, set.SeedAddrs(), trans, store, log, d.learned)
 	if err != nil {
 		return nil, err
 	}
 	self := messages.Peer{Addr: set.ControllerAddr(), Role: messages.Controller, Zone: set.Zone, MemberID: d.registers.ID(), Control: set.Listen.Control, Node: set.Node, Counted: set.Counted}
-	d.watch = radio.NewWatch(rad, self, clock, d.knownControllers)
-	rad.OnCall(radio.KindConsensus, func(ctx context.Context, _ *radio.Link, body []byte) ([]byte, error) {
+	d.monitor = membership.NewMonitor(trans, self, clock, d.knownControllers)
+	trans.OnCall(transport.KindConsensus, func(ctx context.Context, _ *transport.Conn, body []byte) ([]byte, error) {
 		return d.registers.Handle(ctx, body)
 	})
-	rad.OnCall(radio.KindVersions, func(_ context.Context, _ *radio.Link, body []byte) ([]byte, error) {
+	trans.OnCall(transport.KindVersions, func(_ context.Context, _ *transport.Conn, body []byte) ([]byte, error) {
 		m := d.versions()
 		var from messages.Versions
 		if _, err := from.UnmarshalMsg(body); err == nil && !from.Controller {
@@ -87,11 +89,11 @@
 		}
 		return m.MarshalMsg(nil)
 	})
-	rad.OnCall(radio.KindCondition, func(context.Context, *radio.Link, []byte) ([]byte, error) {
+	trans.OnCall(transport.KindCondition, func(context.Context, *transport.Conn, []byte) ([]byte, error) {
 		c := d.condition()
 		return c.MarshalMsg(nil)
 	})
-	rad.OnCast(radio.KindRunner, d.heardRunner)
+	trans.OnDatagram(transport.KindRunner, d.heardRunner)
 	for p := range consensus.Parts {
 		if v, ok := d.registers.Committed(p); ok && v.Version > 0 {
 			d.learned(p, v)
@@ -122,16 +124,16 @@
 
 // Run serves until ctx ends.
 func (d *Controller) Run(ctx context.Context) error {
-	d.radio.Run(ctx)
-	go d.watch.Run(ctx)
+	d.transport.Run(ctx)
+	go d.monitor.Run(ctx)
 	go d.listenToOthers(ctx)
-	go loop.Every(ctx, 300*time.Millisecond, func() { d.keepGroups(ctx) })
+	go loop.Every(ctx, 300*time.Millisecond, func() { d.repairGroups(ctx) })
 	go loop.Every(ctx, 500*time.Millisecond, func() { d.catchUp(ctx) })
 	go loop.Every(ctx, 500*time.Millisecond, func() { d.sweep() })
 	go loop.Every(ctx, 500*time.Millisecond, func() { d.wantReaders(ctx) })
-	go loop.Every(ctx, 200*time.Millisecond, func() { d.wantRefits(ctx) })
+	go loop.Every(ctx, 200*time.Millisecond, func() { d.reconcileRollouts(ctx) })
 	go d.flushFeed(ctx)
-	go d.settleParts(ctx)
+	go d.settleRegisters(ctx)
 	if d.disk != nil {
 		go d.keepRunners(ctx)
 	}
@@ -158,9 +160,9 @@
 	}
 }
 
-// settleParts reads every part once after the start, so that what was agreed
+// settleRegisters reads every part once after the start, so that what was agreed
 // on before a loss of power but not known as such is finished.
-func (d *Controller) settleParts(ctx context.Context) {
+func (d *Controller) settleRegisters(ctx context.Context) {
 	for p := range consensus.Parts {
 		for ctx.Err() == nil {
 			cctx, cancel := context.WithTimeout(ctx, time.Second)
@@ -213,15 +215,15 @@
 	have := map[string]context.CancelFunc{}
 	loop.Every(ctx, 200*time.Millisecond, func() {
 		want := map[string]bool{}
-		all := d.watch.Alive(messages.Controller)
+		all := d.monitor.Alive(messages.Controller)
 		if !d.inCore(all) {
-			all = radio.Core(all)
+			all = membership.Core(all)
 			if near := nearest(all, d.set.Zone); near != "" {
 				want[near] = true
 			}
 		} else {
 			for _, p := range all {
-				want[p.Addr] = p.Addr != d.radio.Addr()
+				want[p.Addr] = p.Addr != d.transport.Addr()
 			}
 		}
 		for addr, wanted := range want {
@@ -242,8 +244,8 @@
 
 // inCore tells whether this controller counts, or nobody does.
 func (d *Controller) inCore(all []messages.Peer) bool {
-	for _, p := range radio.Core(all) {
-		if p.Addr == d.radio.Addr() {
+	for _, p := range membership.Core(all) {
+		if p.Addr == d.transport.Addr() {
 			return true
 		}
 	}
@@ -280,14 +282,14 @@
 	d.kmu.Lock()
 	d.kept.Retain(func(r string) bool { _, ok := snap.ByID[r]; return ok || strings.Contains(r, ":") })
 	d.kmu.Unlock()
-	d.garage.Sweep(func(string) bool { return true })
+	d.connPool.Sweep(func(string) bool { return true })
 }
 
 // coreView names the controllers whose coming and going unsettles the core: those
 // that count, where some do.
 func coreView(alive []messages.Peer) (view string, core map[string]bool) {
 	core = map[string]bool{}
-	for _, p := range radio.Core(alive) {
+	for _, p := range membership.Core(alive) {
 		view += p.Addr + p.MemberID + " "
 		core[p.Addr] = true
 	}
@@ -296,18 +298,18 @@
 
 // catchUp compares versions with the other controllers and pulls what is newer.
 func (d *Controller) catchUp(ctx context.Context) {
-	alive := d.watch.Alive(messages.Controller)
+	alive := d.monitor.Alive(messages.Controller)
 	view, core := coreView(alive)
 	d.calm.saw(view, d.clock())
 	for _, p := range alive {
-		if p.Addr == d.radio.Addr() {
+		if p.Addr == d.transport.Addr() {
 			continue
 		}
 		go func() {
 			cctx, cancel := context.WithTimeout(ctx, 450*time.Millisecond)
 			defer cancel()
 			mine := d.versions()
-			b, err := d.radio.Call(cctx, p.Addr, radio.KindVersions, &mine)
+			b, err := d.transport.Call(cctx, p.Addr, transport.KindVersions, &mine)
 			if core[p.Addr] {
 				d.calm.tried(p.Addr, err == nil, d.clock())
 			}
@@ -327,14 +329,14 @@
 	}
 }
 
-// keepGroups is the steward's duty: the lowest live controller proposes changes
+// repairGroups is the steward's duty: the lowest live controller proposes changes
 // of the groups.
-func (d *Controller) keepGroups(ctx context.Context) {
-	alive := d.watch.Alive(messages.Controller)
-	if len(alive) == 0 || alive[0].Addr != d.radio.Addr() {
+func (d *Controller) repairGroups(ctx context.Context) {
+	alive := d.monitor.Alive(messages.Controller)
+	if len(alive) == 0 || alive[0].Addr != d.transport.Addr() {
 		return
 	}
-	st := consensus.Stand(alive, d.watch.DeadForUs, 1_000_000)
+	st := consensus.Stand(alive, d.monitor.DeadForUs, 1_000_000)
 	for part := range consensus.Parts {
 		v, ok := d.registers.Committed(part)
 		if !ok {
--- a/internal/controller/feed.go
+++ b/internal/controller/feed.go
@@ -12,10 +12,10 @@
 
 	"beechtide.org/beechtide/internal/api"
 	"beechtide.org/beechtide/internal/consensus"
+	"beechtide.org/beechtide/internal/dissemination"
 	"beechtide.org/beechtide/internal/loop"
 	"beechtide.org/beechtide/internal/messages"
 	"beechtide.org/beechtide/internal/prefixindex"
-	"beechtide.org/beechtide/internal/radio"
 	"beechtide.org/beechtide/internal/routeconfig"
 	"beechtide.org/beechtide/internal/statesync"
 )
@@ -33,7 +33,7 @@
 )
 
 func (d *Controller) pressPause() time.Duration {
-	return min(max(time.Duration(len(d.watch.Alive(messages.Router)))*pressPart, pressLeast), flushEvery)
+	return min(max(time.Duration(len(d.monitor.Alive(messages.Router)))*pressPart, pressLeast), flushEvery)
 }
 
 // below is under which name the nodes below this one stand in the sum of all.
@@ -249,10 +249,10 @@
 	}
 	rest := d.clock()-f.sentUs > restUs
 	if rest || something(&up) {
-		d.relay.Publish(radio.ToControllers, up)
+		d.publisher.Publish(dissemination.ToControllers, up)
 	}
 	if rest || something(&down) {
-		d.relay.Publish(radio.ToRouters, down)
+		d.publisher.Publish(dissemination.ToRouters, down)
 	}
 	if rest {
 		f.sentUs = d.clock()
@@ -260,7 +260,7 @@
 }
 
 // restUs is how often a feed goes out though it has nothing to tell.
-const restUs = int64(radio.FeedEvery/time.Microsecond) - 50_000
+const restUs = int64(dissemination.FeedEvery/time.Microsecond) - 50_000
 
 func something(f *messages.Feed) bool {
 	return len(f.Configuration)+len(f.Parts)+len(f.Registry)+len(f.Kept)+len(f.Reports)+len(f.Loads)+len(f.Coming) > 0
@@ -275,7 +275,7 @@
 	}
 	reached := 0
 	for _, m := range v.Group {
-		if m.Addr == d.radio.Addr() || d.watch.DeadForUs(m.Addr) == 0 && !d.calm.isCut(m.Addr) {
+		if m.Addr == d.transport.Addr() || d.monitor.DeadForUs(m.Addr) == 0 && !d.calm.isCut(m.Addr) {
 			reached++
 		}
 	}
@@ -344,7 +344,7 @@
 // listenTo keeps the subscription to one other controller.
 func (d *Controller) listenTo(ctx context.Context, addr string) {
 	runners := statesync.NewEntries() // as the other has them
-	u := radio.Uplink{
+	u := dissemination.Subscriber{
 		Controller: true,
 		Parents:    func() []string { return []string{addr} },
 		Hold:       func() messages.Hold { return d.holdOf(addr, runners) },
@@ -362,7 +362,7 @@
 			d.feed.mu.Unlock()
 		},
 	}
-	u.Listen(ctx, d.radio)
+	u.Listen(ctx, d.transport)
 	d.feed.malformed.Add(u.Malformed.Load())
 }
 
--- a/internal/controller/readers.go
+++ b/internal/controller/readers.go
@@ -13,9 +13,9 @@
 
 	"beechtide.org/beechtide/internal/api"
 	"beechtide.org/beechtide/internal/loop"
+	"beechtide.org/beechtide/internal/membership"
 	"beechtide.org/beechtide/internal/messages"
 	"beechtide.org/beechtide/internal/prefixindex"
-	"beechtide.org/beechtide/internal/radio"
 )
 
 // Pauses of a reader.
@@ -34,7 +34,7 @@
 	if t == nil {
 		return
 	}
-	alive := radio.Core(d.watch.Alive(messages.Controller))
+	alive := membership.Core(d.monitor.Alive(messages.Controller))
 	if d.clock()-d.startUs < learnUs && len(alive) > 1 {
 		return
 	}
@@ -44,13 +44,13 @@
 		if s == nil || s.Engine.CacheTokens == 0 || n.Stale {
 			continue
 		}
-		if readerOf(n, alive) == d.radio.Addr() {
+		if readerOf(n, alive) == d.transport.Addr() {
 			want[n.ID] = n
 		}
 	}
 	for _, box := range t.Stores {
 		n := messages.RunnerRecord{ID: box.CacheStore, Addr: box.CacheStore, Zone: box.Zone}
-		if readerOf(n, alive) == d.radio.Addr() {
+		if readerOf(n, alive) == d.transport.Addr() {
 			want[n.ID] = n
 		}
 	}
@@ -105,7 +105,7 @@
 		since, epoch := shelf.Version, shelf.Epoch
 		d.kmu.Unlock()
 		cctx, cancel := context.WithTimeout(ctx, callWait)
-		status, body, _, err := d.garage.Ask(cctx, n.Addr, "GET", "/api/kv-events?since="+strconv.FormatInt(since, 10), aimed(n, map[string]string{"Wait-Ms": "1000"}), nil)
+		status, body, _, err := d.connPool.Ask(cctx, n.Addr, "GET", "/api/kv-events?since="+strconv.FormatInt(since, 10), aimed(n, map[string]string{"Wait-Ms": "1000"}), nil)
 		cancel()
 		var ev api.PrefixEvents
 		if err != nil || status != 200 || json.Unmarshal(body, &ev) != nil {
@@ -148,7 +148,7 @@
 func (d *Controller) readList(ctx context.Context, n messages.RunnerRecord) {
 	cctx, cancel := context.WithTimeout(ctx, callWait)
 	defer cancel()
-	status, body, _, err := d.garage.Ask(cctx, n.Addr, "GET", "/api/kv-list", aimed(n, map[string]string{}), nil)
+	status, body, _, err := d.connPool.Ask(cctx, n.Addr, "GET", "/api/kv-list", aimed(n, map[string]string{}), nil)
 	var list api.PrefixList
 	if err != nil || status != 200 || json.Unmarshal(body, &list) != nil {
 		return
@@ -184,7 +184,7 @@
 func (d *Controller) report(ctx context.Context, n messages.RunnerRecord) (api.Report, bool) {
 	cctx, cancel := context.WithTimeout(ctx, callWait)
 	defer cancel()
-	status, body, _, err := d.garage.Ask(cctx, n.Addr, "GET", "/api/report", aimed(n, map[string]string{}), nil)
+	status, body, _, err := d.connPool.Ask(cctx, n.Addr, "GET", "/api/report", aimed(n, map[string]string{}), nil)
 	var r api.Report
 	return r, err == nil && status == 200 && json.Unmarshal(body, &r) == nil
 }
--- a/internal/controller/refits.go
+++ b/internal/controller/rollouts.go
@@ -18,7 +18,7 @@
 	"beechtide.org/beechtide/internal/rollout"
 )
 
-type refits struct {
+type rollouts struct {
 	mu     sync.Mutex
 	shifts map[int]*lease.Lease
 	plans  map[string]*rollout.Plan
@@ -34,7 +34,7 @@
 	fence, atUs int64
 }
 
-func (r *refits) init() {
+func (r *rollouts) init() {
 	if r.shifts == nil {
 		r.shifts, r.plans, r.busy = map[int]*lease.Lease{}, map[string]*rollout.Plan{}, map[int]bool{}
 		r.polls, r.won, r.moved = map[string]bool{}, map[int]int64{}, map[int]moved{}
@@ -42,15 +42,15 @@
 }
 
 // wonFirst notes a claim that nobody held before.
-func (r *refits) wonFirst(part int, fence int64) {
+func (r *rollouts) wonFirst(part int, fence int64) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	r.init()
 	r.won[part] = fence
 }
 
-func (d *Controller) wantRefits(ctx context.Context) {
-	r := &d.refits
+func (d *Controller) reconcileRollouts(ctx context.Context) {
+	r := &d.rollouts
 	r.mu.Lock()
 	r.init()
 	for part := 1; part < consensus.Parts; part++ {
@@ -67,7 +67,7 @@
 		}
 		r.busy[part] = true
 		go func() {
-			d.workShift(ctx, part, body)
+			d.workLease(ctx, part, body)
 			r.mu.Lock()
 			r.busy[part] = false
 			r.mu.Unlock()
@@ -94,7 +94,7 @@
 	return versions, old, barred
 }
 
-func (d *Controller) workShift(ctx context.Context, part int, body messages.LeaseBody) {
+func (d *Controller) workLease(ctx context.Context, part int, body messages.LeaseBody) {
 	needed := false
 	for _, t := range body.Targets {
 		_, old, barred := d.behind(t)
@@ -103,7 +103,7 @@
 	if !needed {
 		return
 	}
-	r := &d.refits
+	r := &d.rollouts
 	r.mu.Lock()
 	s := r.shifts[part]
 	if s == nil {
@@ -152,8 +152,8 @@
 // reachable lists the live controllers that this one is not cut off from.
 func (d *Controller) reachable() []messages.Peer {
 	var out []messages.Peer
-	for _, p := range d.watch.Alive(messages.Controller) {
-		if p.Addr == d.radio.Addr() || !d.calm.isCut(p.Addr) {
+	for _, p := range d.monitor.Alive(messages.Controller) {
+		if p.Addr == d.transport.Addr() || !d.calm.isCut(p.Addr) {
 			out = append(out, p)
 		}
 	}
@@ -168,7 +168,7 @@
 // controller tries, so that two seldom meet in a ballot.
 func (d *Controller) maybeTake(ctx context.Context, part int, was messages.Lease, s *lease.Lease) {
 	alive := d.reachable()
-	if len(alive) == 0 || alive[0].Addr != d.radio.Addr() {
+	if len(alive) == 0 || alive[0].Addr != d.transport.Addr() {
 		return
 	}
 	held := addrOf(was.Holder)
@@ -177,20 +177,20 @@
 			return
 		}
 	}
-	if was.Holder != "" && !d.calm.isCut(held) && d.watch.DeadForUs(held) == 0 && d.clock()-d.startUs < 3_000_000 {
+	if was.Holder != "" && !d.calm.isCut(held) && d.monitor.DeadForUs(held) == 0 && d.clock()-d.startUs < 3_000_000 {
 		return
 	}
-	d.refits.mu.Lock()
-	recent := d.refits.moved[part]
+	d.rollouts.mu.Lock()
+	recent := d.rollouts.moved[part]
 	if recent.fence != was.Fence {
 		first := recent.fence == 0
 		recent = moved{was.Fence, d.clock()}
 		if first {
 			recent.atUs -= takenAgainUs
 		}
-		d.refits.moved[part] = recent
+		d.rollouts.moved[part] = recent
 	}
-	d.refits.mu.Unlock()
+	d.rollouts.mu.Unlock()
 	if was.Holder != "" && d.clock()-recent.atUs < takenAgainUs {
 		return
 	}
@@ -230,7 +230,7 @@
 }
 
 func (d *Controller) follow(ctx context.Context, t messages.Target, s *lease.Lease) {
-	r := &d.refits
+	r := &d.rollouts
 	r.mu.Lock()
 	plan := r.plans[t.Model]
 	if plan == nil || plan.Version != t.Version {
@@ -271,7 +271,7 @@
 }
 
 func (d *Controller) bar(id string, easing, barred bool, fence int64) {
-	if n, changed := d.registry.Bar(id, easing, barred, fence<<20|d.refits.bars.Add(1)); changed {
+	if n, changed := d.registry.Bar(id, easing, barred, fence<<20|d.rollouts.bars.Add(1)); changed {
 		d.tellRunners(n.ID)
 	}
 }
@@ -284,7 +284,7 @@
 	go func() {
 		cctx, cancel := context.WithTimeout(ctx, 800*time.Millisecond)
 		defer cancel()
-		status, _, _, err := d.garage.Ask(cctx, n.Addr, "POST", "/api/order", map[string]string{"Beechtide-Target-Instance": n.ID}, b)
+		status, _, _, err := d.connPool.Ask(cctx, n.Addr, "POST", "/api/order", map[string]string{"Beechtide-Target-Instance": n.ID}, b)
 		d.log.Info("order", "runner", n.ID, "version", t.Version, "fence", fence, "status", status, "err", err)
 		if err == nil && status == 200 {
 			d.tellWeights(n.ID, t)
@@ -293,7 +293,7 @@
 }
 
 func (d *Controller) pollWeights(ctx context.Context, id string, t messages.Target) {
-	r := &d.refits
+	r := &d.rollouts
 	r.mu.Lock()
 	running := r.polls[id]
 	r.polls[id] = true
--- a/internal/radio/relay.go
+++ b/internal/dissemination/publisher.go
@@ -1,9 +1,9 @@
-// Relay is the sending side of the tree: whoever subscribes names what it holds
+// Publisher is the sending side of the tree: whoever subscribes names what it holds
 // and gets what it lacks, then every feed as it comes. What waits for one
 // subscriber is bounded in bytes; past that it is dropped whole, and the
 // subscriber, which sees the gap, names again what it holds and gets the
 // changes since, merged. Subscribers tell their loads up the same link.
-package radio
+package dissemination
 
 import (
 	"context"
@@ -11,13 +11,14 @@
 	"sync/atomic"
 
 	"beechtide.org/beechtide/internal/messages"
+	"beechtide.org/beechtide/internal/transport"
 )
 
 // mostWaiting bounds the bytes that wait for one subscriber.
 const mostWaiting = 4 << 20
 
-// Upward is what a relay does with what comes from below.
-type Upward struct {
+// Upstream is what a relay does with what comes from below.
+type Upstream struct {
 	Since func(h messages.Hold) messages.Feed     // what a receiver lacks
 	Told  func(from string, t messages.Told) bool // loads from below; false: they do not fit what came before
 	Gone  func(from string)                       // a subscriber has ended
@@ -32,11 +33,11 @@
 	ToControllers
 )
 
-// Relay is one node's place in the tree.
-type Relay struct {
+// Publisher is one node's place in the tree.
+type Publisher struct {
 	mu      sync.Mutex
-	subs    map[*Link]*sub
-	up      Upward
+	subs    map[*transport.Conn]*sub
+	up      Upstream
 	wholes  chan struct{} // bounds how many receivers are brought up at a time
 	Dropped atomic.Int64
 }
@@ -52,10 +53,10 @@
 // atOnce bounds how many subscribers are brought up to date at one time.
 const atOnce = 2
 
-// NewRelay hangs the subscription into the radio.
-func NewRelay(r *Radio, up Upward) *Relay {
-	y := &Relay{subs: map[*Link]*sub{}, up: up, wholes: make(chan struct{}, atOnce)}
-	r.OnCall(KindSubscribe, func(_ context.Context, from *Link, body []byte) ([]byte, error) {
+// NewPublisher hangs the subscription into the transport.
+func NewPublisher(r *transport.Transport, up Upstream) *Publisher {
+	y := &Publisher{subs: map[*transport.Conn]*sub{}, up: up, wholes: make(chan struct{}, atOnce)}
+	r.OnCall(transport.KindSubscribe, func(_ context.Context, from *transport.Conn, body []byte) ([]byte, error) {
 		var h messages.Hold
 		if _, err := h.UnmarshalMsg(body); err != nil {
 			return nil, err
@@ -63,14 +64,14 @@
 		y.add(from, h)
 		return nil, nil
 	})
-	r.OnCall(KindSince, func(_ context.Context, _ *Link, body []byte) ([]byte, error) {
+	r.OnCall(transport.KindSince, func(_ context.Context, _ *transport.Conn, body []byte) ([]byte, error) {
 		var h messages.Hold
 		if _, err := h.UnmarshalMsg(body); err != nil {
 			return nil, err
 		}
 		return y.since(h)
 	})
-	r.OnPush(KindWant, func(from *Link, body []byte) {
+	r.OnPush(transport.KindWant, func(from *transport.Conn, body []byte) {
 		var h messages.Hold
 		if _, err := h.UnmarshalMsg(body); err != nil {
 			return
@@ -79,7 +80,7 @@
 			go y.bring(s, h)
 		}
 	})
-	r.OnPush(KindTold, func(from *Link, body []byte) {
+	r.OnPush(transport.KindTold, func(from *transport.Conn, body []byte) {
 		var t messages.Told
 		if _, err := t.UnmarshalMsg(body); err != nil {
 			return
@@ -89,7 +90,7 @@
 			return
 		}
 		if !y.up.Told(from.Remote(), t) {
-			y.put(s, KindTellAgain, nil)
+			y.put(s, transport.KindTellAgain, nil)
 			return
 		}
 		s.mu.Lock()
@@ -99,26 +100,26 @@
 	return y
 }
 
-func (y *Relay) sub(l *Link) *sub {
+func (y *Publisher) sub(l *transport.Conn) *sub {
 	y.mu.Lock()
 	defer y.mu.Unlock()
 	return y.subs[l]
 }
 
-func (y *Relay) since(h messages.Hold) ([]byte, error) {
+func (y *Publisher) since(h messages.Hold) ([]byte, error) {
 	y.wholes <- struct{}{}
 	defer func() { <-y.wholes }()
 	f := y.up.Since(h)
 	return f.MarshalMsg(nil)
 }
 
-func (y *Relay) bring(s *sub, h messages.Hold) {
+func (y *Publisher) bring(s *sub, h messages.Hold) {
 	if b, err := y.since(h); err == nil {
-		y.put(s, KindFeed, b)
+		y.put(s, transport.KindFeed, b)
 	}
 }
 
-func (y *Relay) add(l *Link, h messages.Hold) {
+func (y *Publisher) add(l *transport.Conn, h messages.Hold) {
 	s := &sub{kick: make(chan struct{}, 1), controller: h.Controller}
 	y.mu.Lock()
 	y.subs[l] = s
@@ -142,24 +143,24 @@
 			b := s.waiting
 			s.waiting = nil
 			s.mu.Unlock()
-			if len(b) > 0 && l.send(b) != nil {
+			if len(b) > 0 && l.SendRaw(b) != nil {
 				return
 			}
 		}
 	}()
 }
 
-func (y *Relay) put(s *sub, kind int, body []byte) {
+func (y *Publisher) put(s *sub, kind int, body []byte) {
 	f := messages.Frame{Kind: kind, Body: body}
 	s.mu.Lock()
 	if len(s.waiting)+len(body) > mostWaiting {
 		s.waiting = nil
 		y.Dropped.Add(1)
 	}
-	if kind == KindFeed && s.heard > 0 {
+	if kind == transport.KindFeed && s.heard > 0 {
 		t := messages.Told{Seq: s.heard}
 		if b, err := t.MarshalMsg(nil); err == nil {
-			h := messages.Frame{Kind: KindHeard, Body: b}
+			h := messages.Frame{Kind: transport.KindHeard, Body: b}
 			s.waiting, _ = h.MarshalMsg(s.waiting)
 		}
 	}
@@ -172,7 +173,7 @@
 }
 
 // Wanted tells whether anybody of an audience listens.
-func (y *Relay) Wanted(to Audience) bool {
+func (y *Publisher) Wanted(to Audience) bool {
 	y.mu.Lock()
 	defer y.mu.Unlock()
 	for _, s := range y.subs {
@@ -184,7 +185,7 @@
 }
 
 // Publish sends a feed to an audience.
-func (y *Relay) Publish(to Audience, f messages.Feed) {
+func (y *Publisher) Publish(to Audience, f messages.Feed) {
 	if !y.Wanted(to) {
 		return
 	}
@@ -194,12 +195,12 @@
 }
 
 // Pass sends a feed on as it came.
-func (y *Relay) Pass(to Audience, body []byte) {
+func (y *Publisher) Pass(to Audience, body []byte) {
 	y.mu.Lock()
 	defer y.mu.Unlock()
 	for _, s := range y.subs {
 		if s.controller == (to == ToControllers) {
-			y.put(s, KindFeed, body)
+			y.put(s, transport.KindFeed, body)
 		}
 	}
 }
--- a/internal/radio/listen.go
+++ b/internal/dissemination/subscriber.go
@@ -2,11 +2,10 @@
 // first of the wanted parents that answers, and moves when the wanted parent
 // changes, the link ends, the parent falls silent, or the parent says that the
 // core is out of its reach.
-package radio
+package dissemination
 
 import (
 	"context"
-	"sort"
 	"sync/atomic"
 	"time"
 
@@ -14,7 +13,7 @@
 
 	"beechtide.org/beechtide/internal/loop"
 	"beechtide.org/beechtide/internal/messages"
-	"beechtide.org/beechtide/internal/statesync"
+	"beechtide.org/beechtide/internal/transport"
 )
 
 // Times of a subscription.
@@ -31,8 +30,8 @@
 	shunCut = 6 * time.Second
 )
 
-// Uplink is a node's link to its parent.
-type Uplink struct {
+// Subscriber is a node's link to its parent.
+type Subscriber struct {
 	Controller bool // this node is a controller
 	Hold       func() messages.Hold
 	Parents    func() []string
@@ -46,14 +45,14 @@
 	lacking bool // something did not fit and has not been asked for
 	askedAt time.Time
 
-	link      atomic.Pointer[Link]
+	link      atomic.Pointer[transport.Conn]
 	shun      string
 	shunUntil time.Time
 	cutAt     time.Time
 }
 
 // Listen subscribes until ctx ends.
-func (u *Uplink) Listen(ctx context.Context, r *Radio) {
+func (u *Subscriber) Listen(ctx context.Context, r *transport.Transport) {
 	for ctx.Err() == nil {
 		list := u.Parents()
 		if len(list) > 1 && u.shuns(list[0]) {
@@ -68,12 +67,12 @@
 	}
 }
 
-func (u *Uplink) shuns(parent string) bool {
+func (u *Subscriber) shuns(parent string) bool {
 	return parent == u.shun && time.Now().Before(u.shunUntil)
 }
 
 // Tell sends something up; false where there is no parent now.
-func (u *Uplink) Tell(kind int, body msgp.Marshaler) bool {
+func (u *Subscriber) Tell(kind int, body msgp.Marshaler) bool {
 	l := u.link.Load()
 	if l == nil {
 		return false
@@ -82,12 +81,12 @@
 	return err == nil && l.Push(kind, b) == nil
 }
 
-func (u *Uplink) once(ctx context.Context, r *Radio, parent string) bool {
+func (u *Subscriber) once(ctx context.Context, r *transport.Transport, parent string) bool {
 	if parent == r.Addr() {
 		return false
 	}
 	dctx, dcancel := context.WithTimeout(ctx, 250*time.Millisecond)
-	l, err := r.dialFresh(dctx, parent)
+	l, err := r.DialFresh(dctx, parent)
 	dcancel()
 	if err != nil {
 		return false
@@ -99,11 +98,11 @@
 	l.OnPush = func(kind int, body []byte) {
 		u.hear(l, parent, kind, body, func() { last.Store(int64(time.Since(began))) }, leave)
 	}
-	go l.read(ctx)
+	go l.Serve(ctx)
 	h := u.Hold()
 	h.Controller = u.Controller
 	cctx, cancel := context.WithTimeout(ctx, 600*time.Millisecond)
-	_, err = l.Call(cctx, KindSubscribe, &h)
+	_, err = l.Call(cctx, transport.KindSubscribe, &h)
 	cancel()
 	if err != nil {
 		return false
@@ -141,9 +140,9 @@
 	}
 }
 
-func (u *Uplink) hear(l *Link, parent string, kind int, body []byte, alive func(), leave chan struct{}) {
+func (u *Subscriber) hear(l *transport.Conn, parent string, kind int, body []byte, alive func(), leave chan struct{}) {
 	switch kind {
-	case KindFeed:
+	case transport.KindFeed:
 		alive()
 		var f messages.Feed
 		if _, err := f.UnmarshalMsg(body); err != nil {
@@ -160,12 +159,12 @@
 			default:
 			}
 		}
-	case KindHeard:
+	case transport.KindHeard:
 		var t messages.Told
 		if _, err := t.UnmarshalMsg(body); err == nil {
 			u.Heard(t.Seq)
 		}
-	case KindTellAgain:
+	case transport.KindTellAgain:
 		u.TellAgain()
 	default:
 		u.Malformed.Add(1)
@@ -177,7 +176,7 @@
 const askAgain = 200 * time.Millisecond
 
 // want asks the parent for what is lacking, at most once in askAgain.
-func (u *Uplink) want(l *Link, h *messages.Hold) {
+func (u *Subscriber) want(l *transport.Conn, h *messages.Hold) {
 	u.lacking = true
 	if time.Since(u.askedAt) < askAgain {
 		return
@@ -189,62 +188,6 @@
 	}
 	h.Controller = u.Controller
 	if b, err := h.MarshalMsg(nil); err == nil {
-		_ = l.Push(KindWant, b)
+		_ = l.Push(transport.KindWant, b)
 	}
 }
-
-// Core is those of the controllers that count among the machines whose loss is
-// bounded, or all where none does.
-func Core(controllers []messages.Peer) []messages.Peer {
-	var out []messages.Peer
-	for _, d := range controllers {
-		if d.Counted {
-			out = append(out, d)
-		}
-	}
-	if len(out) == 0 {
-		return controllers
-	}
-	return out
-}
-
-// Parents orders the nodes that a router may take feeds from: its place in the
-// tree first. The first routers of a zone hang on the zone's controllers, the
-// others on routers before them, so that a change crosses to a zone once for
-// every controller there. Which controller it is follows from a hash, so that hardly
-// anybody moves when nodes come and go.
-func Parents(self string, zone string, controllers, routers []messages.Peer) []string {
-	var near, far, row []string
-	for _, d := range Core(controllers) {
-		if d.Zone == zone {
-			near = append(near, d.Addr)
-		} else {
-			far = append(far, d.Addr)
-		}
-	}
-	at := -1
-	for _, c := range routers {
-		if c.Zone != zone {
-			continue
-		}
-		if c.Addr == self {
-			at = len(row)
-		}
-		row = append(row, c.Addr)
-	}
-	var out []string
-	if roots := max(len(near), 1) * fanOut; at >= roots {
-		out = append(out, row[(at-roots)/fanOut])
-	}
-	return append(append(out, shuffled(self, near)...), shuffled(self, far)...)
-}
-
-// shuffled is an order of its own for every node.
-func shuffled(self string, list []string) []string {
-	sort.Slice(list, func(i, j int) bool {
-		return statesync.HashText(self, list[i]) > statesync.HashText(self, list[j])
-	})
-	return list
-}
-
-const fanOut = 16
--- /dev/null
+++ b/internal/dissemination/tree.go
@@ -0,0 +1,51 @@
+// The tree: which nodes a router takes its updates from.
+package dissemination
+
+import (
+	"sort"
+
+	"beechtide.org/beechtide/internal/membership"
+	"beechtide.org/beechtide/internal/messages"
+	"beechtide.org/beechtide/internal/statesync"
+)
+
+// Parents orders the nodes that a router may take feeds from: its place in the
+// tree first. The first routers of a zone hang on the zone's controllers, the
+// others on routers before them, so that a change crosses to a zone once for
+// every controller there. Which controller it is follows from a hash, so that hardly
+// anybody moves when nodes come and go.
+func Parents(self string, zone string, controllers, routers []messages.Peer) []string {
+	var near, far, row []string
+	for _, d := range membership.Core(controllers) {
+		if d.Zone == zone {
+			near = append(near, d.Addr)
+		} else {
+			far = append(far, d.Addr)
+		}
+	}
+	at := -1
+	for _, c := range routers {
+		if c.Zone != zone {
+			continue
+		}
+		if c.Addr == self {
+			at = len(row)
+		}
+		row = append(row, c.Addr)
+	}
+	var out []string
+	if roots := max(len(near), 1) * fanOut; at >= roots {
+		out = append(out, row[(at-roots)/fanOut])
+	}
+	return append(append(out, shuffled(self, near)...), shuffled(self, far)...)
+}
+
+// shuffled is an order of its own for every node.
+func shuffled(self string, list []string) []string {
+	sort.Slice(list, func(i, j int) bool {
+		return statesync.HashText(self, list[i]) > statesync.HashText(self, list[j])
+	})
+	return list
+}
+
+const fanOut = 16
--- a/internal/doctor/visit.go
+++ b/internal/doctor/visit.go
@@ -9,7 +9,7 @@
 	"github.com/tinylib/msgp/msgp"
 
 	"beechtide.org/beechtide/internal/messages"
-	"beechtide.org/beechtide/internal/radio"
+	"beechtide.org/beechtide/internal/transport"
 )
 
 // Caller carries a call to a node.
@@ -55,7 +55,7 @@
 	defer cancel()
 	began := time.Now()
 	v := Visited{Addr: addr, Role: role, AskedUs: began.UnixMicro()}
-	b, err := r.Call(ctx, addr, radio.KindCondition, &messages.Versions{Parts: []int64{}})
+	b, err := r.Call(ctx, addr, transport.KindCondition, &messages.Versions{Parts: []int64{}})
 	v.TookUs = time.Since(began).Microseconds()
 	var c messages.Condition
 	if err == nil {
@@ -74,7 +74,7 @@
 			continue
 		}
 		cctx, cancel := context.WithTimeout(ctx, visitWait)
-		b, err := r.Call(cctx, v.Addr, radio.KindRing, &messages.Versions{Parts: []int64{}})
+		b, err := r.Call(cctx, v.Addr, transport.KindRing, &messages.Versions{Parts: []int64{}})
 		cancel()
 		if err == nil {
 			out[v.Condition.Node+" "+string(v.Condition.Role)] = string(b)
--- a/internal/radio/crew.go
+++ b/internal/membership/view.go
@@ -1,35 +1,36 @@
-// Crew is the membership of nodes as one of them sees it: probes to a few
+// View is the membership of nodes as one of them sees it: probes to a few
 // others in turn, second opinions through third parties, suspicion before
 // removal. It is a state machine: time and messages come in as arguments, and
 // what is to be sent comes back as a list.
-package radio
+package membership
 
 import (
 	"math/bits"
 	"sort"
 
 	"beechtide.org/beechtide/internal/messages"
+	"beechtide.org/beechtide/internal/transport"
 )
 
-// CrewTimes are the waits of a Crew, in microseconds.
-type CrewTimes struct {
+// ViewTimes are the waits of a View, in microseconds.
+type ViewTimes struct {
 	ProbeUs   int64
 	AckUs     int64
 	SuspectUs int64
 	ForgetUs  int64
 }
 
-// DefaultCrewTimes suit links of a few milliseconds.
-var DefaultCrewTimes = CrewTimes{ProbeUs: 400_000, AckUs: 250_000, SuspectUs: 900_000, ForgetUs: 60_000_000}
+// DefaultViewTimes suit links of a few milliseconds.
+var DefaultViewTimes = ViewTimes{ProbeUs: 400_000, AckUs: 250_000, SuspectUs: 900_000, ForgetUs: 60_000_000}
 
-// Send is a datagram that a Crew wants sent.
+// Send is a datagram that a View wants sent.
 type Send struct {
 	To   string
 	Kind int
 	Msg  messages.Probe
 }
 
-type mate struct {
+type peerState struct {
 	peer    messages.Peer
 	sinceUs int64
 	spread  int
@@ -42,11 +43,11 @@
 	indirect bool
 }
 
-// Crew holds the view.
-type Crew struct {
+// View holds the view.
+type View struct {
 	self    messages.Peer
-	times   CrewTimes
-	mates   map[string]*mate
+	times   ViewTimes
+	peers   map[string]*peerState
 	order   []string
 	turn    int
 	seq     int64
@@ -57,17 +58,17 @@
 	bornUs  int64
 }
 
-// NewCrew starts with the node alone.
-func NewCrew(self messages.Peer, times CrewTimes, rnd func(n int) int) *Crew {
+// NewView starts with the node alone.
+func NewView(self messages.Peer, times ViewTimes, rnd func(n int) int) *View {
 	self.Status = messages.Alive
-	return &Crew{self: self, times: times, mates: map[string]*mate{}, wait: map[int64]*probing{}, rnd: rnd}
+	return &View{self: self, times: times, peers: map[string]*peerState{}, wait: map[int64]*probing{}, rnd: rnd}
 }
 
 // Self is the node's own entry.
-func (c *Crew) Self() messages.Peer { return c.self }
+func (c *View) Self() messages.Peer { return c.self }
 
 // SetMemberID tells the others under which name this node keeps the registers.
-func (c *Crew) SetMemberID(id string) {
+func (c *View) SetMemberID(id string) {
 	if c.self.MemberID != id {
 		c.self.MemberID = id
 		c.self.Life++
@@ -76,15 +77,15 @@
 }
 
 // Version rises with every change of the view.
-func (c *Crew) Version() int64 { return c.version }
+func (c *View) Version() int64 { return c.version }
 
 // Alive lists the peers not known dead, the node itself included, by address.
-func (c *Crew) Alive(role messages.Role) []messages.Peer {
+func (c *View) Alive(role messages.Role) []messages.Peer {
 	var out []messages.Peer
 	if c.self.Role == role {
 		out = append(out, c.self)
 	}
-	for _, m := range c.mates {
+	for _, m := range c.peers {
 		if m.peer.Role == role && m.peer.Status != messages.Dead {
 			out = append(out, m.peer)
 		}
@@ -100,11 +101,11 @@
 
 // DeadForUs tells for how long the peer at addr has been known dead, or has not
 // been heard of; 0 where it is not gone.
-func (c *Crew) DeadForUs(addr string, nowUs int64) int64 {
+func (c *View) DeadForUs(addr string, nowUs int64) int64 {
 	if addr == c.self.Addr {
 		return 0
 	}
-	m := c.mates[addr]
+	m := c.peers[addr]
 	if m == nil {
 		return max(nowUs-c.bornUs-unknownUs, 0)
 	}
@@ -115,22 +116,22 @@
 }
 
 // Knows tells whether addr was ever heard of.
-func (c *Crew) Knows(addr string) bool { return c.mates[addr] != nil }
+func (c *View) Knows(addr string) bool { return c.peers[addr] != nil }
 
 // Greet makes a probe to an address that is not yet known, such as a seed.
-func (c *Crew) Greet(addr string) Send {
+func (c *View) Greet(addr string) Send {
 	c.seq++
-	return Send{To: addr, Kind: KindProbe, Msg: messages.Probe{Seq: c.seq, From: c.self, Gossip: c.gossip(nil, true)}}
+	return Send{To: addr, Kind: transport.KindProbe, Msg: messages.Probe{Seq: c.seq, From: c.self, Gossip: c.gossip(nil, true)}}
 }
 
 // Tick moves time on.
-func (c *Crew) Tick(nowUs int64) []Send {
+func (c *View) Tick(nowUs int64) []Send {
 	if c.bornUs == 0 {
 		c.bornUs = nowUs
 	}
 	var out []Send
 	for seq, w := range c.wait {
-		m := c.mates[w.of]
+		m := c.peers[w.of]
 		if m == nil {
 			delete(c.wait, seq)
 			continue
@@ -139,7 +140,7 @@
 		if !w.indirect && age >= c.times.AckUs {
 			w.indirect = true
 			for _, via := range c.pick(2, w.of) {
-				out = append(out, Send{To: via, Kind: KindProbe, Msg: messages.Probe{Seq: seq, From: c.self, Of: w.of, Gossip: c.gossip(nil, false)}})
+				out = append(out, Send{To: via, Kind: transport.KindProbe, Msg: messages.Probe{Seq: seq, From: c.self, Of: w.of, Gossip: c.gossip(nil, false)}})
 			}
 		}
 		if age >= 2*c.times.AckUs {
@@ -151,14 +152,14 @@
 			}
 		}
 	}
-	for addr, m := range c.mates {
+	for addr, m := range c.peers {
 		if m.peer.Status == messages.Suspect && nowUs-m.sinceUs >= c.suspectUs() {
 			p := m.peer
 			p.Status = messages.Dead
 			c.take(p, nowUs)
 		}
 		if m.peer.Status == messages.Dead && nowUs-m.sinceUs >= c.times.ForgetUs {
-			delete(c.mates, addr)
+			delete(c.peers, addr)
 			c.order = nil
 		}
 	}
@@ -167,35 +168,35 @@
 		if of := c.next(nowUs); of != "" {
 			c.seq++
 			c.wait[c.seq] = &probing{of: of, sentUs: nowUs}
-			out = append(out, Send{To: of, Kind: KindProbe, Msg: messages.Probe{Seq: c.seq, From: c.self, Gossip: c.gossip(c.mates[of], false)}})
+			out = append(out, Send{To: of, Kind: transport.KindProbe, Msg: messages.Probe{Seq: c.seq, From: c.self, Gossip: c.gossip(c.peers[of], false)}})
 		}
 	}
 	return out
 }
 
 // Hear takes a probe or an acknowledgement.
-func (c *Crew) Hear(kind int, p messages.Probe, nowUs int64) []Send {
-	fresh := c.mates[p.From.Addr] == nil
+func (c *View) Hear(kind int, p messages.Probe, nowUs int64) []Send {
+	fresh := c.peers[p.From.Addr] == nil
 	from := p.From
 	from.Status = messages.Alive
 	c.take(from, nowUs)
 	for _, g := range p.Gossip {
 		c.take(g, nowUs)
 	}
-	if kind == KindProbe {
+	if kind == transport.KindProbe {
 		switch {
 		case p.Of != "" && p.Of != c.self.Addr:
-			return []Send{{To: p.Of, Kind: KindProbe, Msg: messages.Probe{Seq: p.Seq, From: c.self, Through: p.From.Addr, Gossip: c.gossip(nil, false)}}}
+			return []Send{{To: p.Of, Kind: transport.KindProbe, Msg: messages.Probe{Seq: p.Seq, From: c.self, Through: p.From.Addr, Gossip: c.gossip(nil, false)}}}
 		case p.Through != "":
-			return []Send{{To: p.From.Addr, Kind: KindAck, Msg: messages.Probe{Seq: p.Seq, From: c.self, Through: p.Through, Gossip: c.gossip(nil, false)}}}
+			return []Send{{To: p.From.Addr, Kind: transport.KindAck, Msg: messages.Probe{Seq: p.Seq, From: c.self, Through: p.Through, Gossip: c.gossip(nil, false)}}}
 		}
-		return []Send{{To: p.From.Addr, Kind: KindAck, Msg: messages.Probe{Seq: p.Seq, From: c.self, Gossip: c.gossip(c.mates[p.From.Addr], fresh)}}}
+		return []Send{{To: p.From.Addr, Kind: transport.KindAck, Msg: messages.Probe{Seq: p.Seq, From: c.self, Gossip: c.gossip(c.peers[p.From.Addr], fresh)}}}
 	}
 	if p.Through != "" && p.Through != c.self.Addr {
-		return []Send{{To: p.Through, Kind: KindAck, Msg: messages.Probe{Seq: p.Seq, From: c.self, Of: p.From.Addr, Gossip: []messages.Peer{p.From}}}}
+		return []Send{{To: p.Through, Kind: transport.KindAck, Msg: messages.Probe{Seq: p.Seq, From: c.self, Of: p.From.Addr, Gossip: []messages.Peer{p.From}}}}
 	}
 	if w := c.wait[p.Seq]; w != nil && (w.of == p.From.Addr || w.of == p.Of) {
-		if m := c.mates[w.of]; m != nil && m.peer.Status == messages.Suspect {
+		if m := c.peers[w.of]; m != nil && m.peer.Status == messages.Suspect {
 			q := m.peer
 			q.Status = messages.Alive
 			q.Life++
@@ -210,12 +211,12 @@
 
 // often is how many times a piece of news is passed on: enough that it reaches
 // all, which takes a number that grows with the logarithm of theirs.
-func (c *Crew) often() int { return max(6, 2*bits.Len(uint(len(c.mates)))) }
+func (c *View) often() int { return max(6, 2*bits.Len(uint(len(c.peers)))) }
 
 // suspectUs is how long a suspicion may be denied; with many nodes a denial
 // takes more hops.
-func (c *Crew) suspectUs() int64 {
-	return c.times.SuspectUs * int64(max(6, bits.Len(uint(len(c.mates))))) / 6
+func (c *View) suspectUs() int64 {
+	return c.times.SuspectUs * int64(max(6, bits.Len(uint(len(c.peers))))) / 6
 }
 
 func rankOf(s messages.Status) int {
@@ -228,7 +229,7 @@
 	return 0
 }
 
-func (c *Crew) take(p messages.Peer, nowUs int64) {
+func (c *View) take(p messages.Peer, nowUs int64) {
 	if p.Addr == "" {
 		return
 	}
@@ -239,12 +240,12 @@
 		}
 		return
 	}
-	m := c.mates[p.Addr]
+	m := c.peers[p.Addr]
 	if m == nil {
 		if p.Status == messages.Dead {
 			return
 		}
-		c.mates[p.Addr] = &mate{peer: p, sinceUs: nowUs, spread: c.often()}
+		c.peers[p.Addr] = &peerState{peer: p, sinceUs: nowUs, spread: c.often()}
 		c.order = nil
 		c.version++
 		return
@@ -265,9 +266,9 @@
 }
 
 // next picks whom to probe; now and then a dead one, so that healed cuts are found.
-func (c *Crew) next(int64) string {
+func (c *View) next(int64) string {
 	if len(c.order) == 0 {
-		for addr := range c.mates {
+		for addr := range c.peers {
 			c.order = append(c.order, addr)
 		}
 		sort.Strings(c.order)
@@ -288,9 +289,9 @@
 	return c.order[c.turn-1]
 }
 
-func (c *Crew) pick(n int, except string) []string {
+func (c *View) pick(n int, except string) []string {
 	var all []string
-	for addr, m := range c.mates {
+	for addr, m := range c.peers {
 		if addr != except && m.peer.Status == messages.Alive {
 			all = append(all, addr)
 		}
@@ -305,14 +306,14 @@
 
 // gossip gives the news about others that has been passed on least, always
 // with what the receiver would want to deny about itself.
-func (c *Crew) gossip(to *mate, all bool) []messages.Peer {
+func (c *View) gossip(to *peerState, all bool) []messages.Peer {
 	out := []messages.Peer{}
 	if to != nil && (to.peer.Status != messages.Alive || to.older) {
 		to.older = false
 		out = append(out, to.peer)
 	}
-	var fresh []*mate
-	for _, m := range c.mates {
+	var fresh []*peerState
+	for _, m := range c.peers {
 		if m != to && (all || m.spread > 0) {
 			fresh = append(fresh, m)
 		}
--- a/internal/router/shots.go
+++ b/internal/router/attempts.go
@@ -72,7 +72,7 @@
 			}
 			return
 		}
-		end, out := v.shoot(ruling.Admit, stream)
+		end, out := v.send(ruling.Admit, stream)
 		stream = out
 		switch end {
 		case moving:
@@ -173,10 +173,10 @@
 	cutting  bool // the answer is a series of events
 }
 
-func (v *visit) shoot(adm *admission.Admission, stream *answerStream) (ending, *answerStream) {
+func (v *visit) send(adm *admission.Admission, stream *answerStream) (ending, *answerStream) {
 	c := v.c
 	v.attempts++
-	var link *upstream.Link
+	var link *upstream.Conn
 	var err error
 	if v.next != nil {
 		link, v.next = v.next.link, nil
@@ -257,7 +257,7 @@
 
 // readHead reads the head that answers this request; a surplus answer to an
 // earlier one may stand before it and is passed over.
-func (v *visit) readHead(link *upstream.Link, r *protocol.Response, deadline time.Time) error {
+func (v *visit) readHead(link *upstream.Conn, r *protocol.Response, deadline time.Time) error {
 	for range 3 {
 		r.Reset()
 		if err := link.Head(r, deadline); err != nil {
@@ -273,21 +273,21 @@
 	return upstream.ErrForeign
 }
 
-func (v *visit) link(addr string) (*upstream.Link, error) {
+func (v *visit) link(addr string) (*upstream.Conn, error) {
 	ctx, cancel := context.WithTimeout(context.Background(), time.Duration(max(v.endUs-v.c.clock(), 1000))*time.Microsecond)
 	defer cancel()
-	return v.c.garage.GetFor(ctx, addr, v.service, v.route.Repeatable())
+	return v.c.connPool.GetFor(ctx, addr, v.service, v.route.Repeatable())
 }
 
 // ended notes how a attempt that was sent ended at its runner. One that died on a
 // link that had rested says something of the link, not of the runner.
-func (c *Router) ended(adm *admission.Admission, link *upstream.Link, good, answered bool) {
+func (c *Router) ended(adm *admission.Admission, link *upstream.Conn, good, answered bool) {
 	if !good && !answered && link.RestedUs > 0 {
-		c.garage.Dead(link)
+		c.connPool.Dead(link)
 		return
 	}
 	if answered {
-		c.garage.Alive(link)
+		c.connPool.Alive(link)
 	}
 	c.dmu.Lock()
 	c.door.Ended(adm, good, c.clock())
@@ -302,9 +302,9 @@
 	c.wake()
 }
 
-func (c *Router) giveBack(adm *admission.Admission, link *upstream.Link, r *protocol.Response, ok bool) {
+func (c *Router) giveBack(adm *admission.Admission, link *upstream.Conn, r *protocol.Response, ok bool) {
 	if ok {
-		c.garage.Put(adm.Runner.Addr, link, &r.Header)
+		c.connPool.Put(adm.Runner.Addr, link, &r.Header)
 	} else {
 		link.Close()
 	}
@@ -382,7 +382,7 @@
 }
 
 // passBody passes on an answer of known length, once it is whole.
-func (v *visit) passBody(adm *admission.Admission, link *upstream.Link, r *protocol.Response, stream *answerStream) ending {
+func (v *visit) passBody(adm *admission.Admission, link *upstream.Conn, r *protocol.Response, stream *answerStream) ending {
 	b, err := io.ReadAll(r.BodyStream())
 	want := r.Header.ContentLength()
 	if err != nil || want >= 0 && len(b) != want {
@@ -414,7 +414,7 @@
 }
 
 // passStream passes on a streamed answer, event by event.
-func (v *visit) passStream(adm *admission.Admission, link *upstream.Link, r *protocol.Response, stream *answerStream) (ending, *answerStream) {
+func (v *visit) passStream(adm *admission.Admission, link *upstream.Conn, r *protocol.Response, stream *answerStream) (ending, *answerStream) {
 	c := v.c
 	if stream == nil {
 		stream = &answerStream{cutting: v.route.Kind == api.Streaming}
--- a/internal/router/condition.go
+++ b/internal/router/condition.go
@@ -6,11 +6,11 @@
 	"time"
 
 	"beechtide.org/beechtide/internal/messages"
-	"beechtide.org/beechtide/internal/radio"
+	"beechtide.org/beechtide/internal/transport"
 )
 
 func (c *Router) condition() messages.Condition {
-	x := messages.Condition{Node: c.set.Node, Role: messages.Router, Zone: c.set.Zone, Addr: c.radio.Addr(), TimeUs: time.Now().UnixMicro()}
+	x := messages.Condition{Node: c.set.Node, Role: messages.Router, Zone: c.set.Zone, Addr: c.transport.Addr(), TimeUs: time.Now().UnixMicro()}
 	c.nmu.Lock()
 	x.Versions = c.versions()
 	c.nmu.Unlock()
@@ -25,5 +25,5 @@
 
 // OnRing tells how the doctor gets the log ring.
 func (c *Router) OnRing(show func() ([]byte, error)) {
-	c.radio.OnCall(radio.KindRing, func(context.Context, *radio.Link, []byte) ([]byte, error) { return show() })
+	c.transport.OnCall(transport.KindRing, func(context.Context, *transport.Conn, []byte) ([]byte, error) { return show() })
 }
--- a/internal/router/feed.go
+++ b/internal/router/feed.go
@@ -6,8 +6,8 @@
 import (
 	"sync/atomic"
 
+	"beechtide.org/beechtide/internal/dissemination"
 	"beechtide.org/beechtide/internal/messages"
-	"beechtide.org/beechtide/internal/radio"
 	"beechtide.org/beechtide/internal/routeconfig"
 	"beechtide.org/beechtide/internal/statesync"
 )
@@ -111,7 +111,7 @@
 // takeFeed takes what the parent sent and passes it on.
 func (c *Router) takeFeed(parent string, f messages.Feed, raw []byte) *messages.Hold {
 	c.parent.Store(&parent)
-	c.relay.Pass(radio.ToRouters, raw)
+	c.publisher.Pass(dissemination.ToRouters, raw)
 	if !c.take(parent, f) || c.behind(f.Versions) {
 		h := c.hold()
 		return &h
--- a/internal/router/loads.go
+++ b/internal/router/loads.go
@@ -12,8 +12,8 @@
 	"beechtide.org/beechtide/internal/admission"
 	"beechtide.org/beechtide/internal/loop"
 	"beechtide.org/beechtide/internal/messages"
-	"beechtide.org/beechtide/internal/radio"
 	"beechtide.org/beechtide/internal/statesync"
+	"beechtide.org/beechtide/internal/transport"
 )
 
 // tellEvery is the least time between two words, tellSoon how long a change that
@@ -206,14 +206,14 @@
 }
 
 func (c *Router) tellOnce() {
-	if n := len(c.watch.Alive(messages.Router)); n > 0 {
+	if n := len(c.monitor.Alive(messages.Router)); n > 0 {
 		c.nodes.Store(int64(n))
 	}
 	c.dmu.Lock()
 	c.door.SetNodes(int(c.nodes.Load()))
 	own, coming := c.door.Own(c.clock()), c.door.TakeFresh()
 	c.dmu.Unlock()
-	if w, some := c.loads.next(own, coming); some && !c.up.Tell(radio.KindTold, &w) {
+	if w, some := c.loads.next(own, coming); some && !c.up.Tell(transport.KindTold, &w) {
 		c.tellAgain()
 	}
 }
--- a/internal/router/move.go
+++ b/internal/router/move.go
@@ -14,7 +14,7 @@
 // nextShot is a place and a link that wait for a stream which is on the move.
 type nextShot struct {
 	adm  *admission.Admission
-	link *upstream.Link
+	link *upstream.Conn
 }
 
 // moves tells whether the stream leaves its runner now; then the next attempt is
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -15,28 +15,30 @@
 
 	"beechtide.org/beechtide/internal/admission"
 	"beechtide.org/beechtide/internal/compliance"
+	"beechtide.org/beechtide/internal/dissemination"
 	"beechtide.org/beechtide/internal/inflight"
 	"beechtide.org/beechtide/internal/loop"
+	"beechtide.org/beechtide/internal/membership"
 	"beechtide.org/beechtide/internal/messages"
-	"beechtide.org/beechtide/internal/radio"
 	"beechtide.org/beechtide/internal/registry"
 	"beechtide.org/beechtide/internal/routeconfig"
 	"beechtide.org/beechtide/internal/settings"
 	"beechtide.org/beechtide/internal/statesync"
+	"beechtide.org/beechtide/internal/transport"
 	"beechtide.org/beechtide/internal/upstream"
 )
 
 // Router is the running role.
 type Router struct {
-	set      settings.Settings
-	log      logr.Logger
-	clock    func() int64
-	radio    *radio.Radio
-	watch    *radio.Watch
-	relay    *radio.Relay
-	registry *registry.Registry
-	garage   *upstream.Garage
-	table    atomic.Pointer[routeconfig.Table]
+	set       settings.Settings
+	log       logr.Logger
+	clock     func() int64
+	transport *transport.Transport
+	monitor   *membership.Monitor
+	publisher *dissemination.Publisher
+	registry  *registry.Registry
+	connPool  *upstream.ConnPool
+	table     atomic.Pointer[routeconfig.Table]
 
 	nmu           sync.Mutex
 	parts         map[int]messages.PartNote
@@ -45,7 +47,7 @@
 	runners       *statesync.Entries // as the parent has them
 	news          stats
 
-	up     radio.Uplink
+	up     dissemination.Subscriber
 	parent atomic.Pointer[string]
 	loads  loads
 
@@ -70,23 +72,23 @@
 
 // New builds the role.
 func New(set settings.Settings, pool *ants.Pool, clock func() int64, log logr.Logger) (*Router, error) {
-	rad, err := radio.New(set.RouterAddr(), pool, log)
+	trans, err := transport.New(set.RouterAddr(), pool, log)
 	if err != nil {
 		return nil, err
 	}
-	c := &Router{set: set, log: log, clock: clock, radio: rad, registry: registry.New(), garage: upstream.NewGarage(clock), parts: map[int]messages.PartNote{}, door: admission.New(admission.Defaults, set.Zone), budgets: map[string]*upstream.Budget{}, kick: make(chan struct{}, 1), fresh: make(chan struct{}, 1), stir: make(chan struct{}, 1)}
+	c := &Router{set: set, log: log, clock: clock, transport: trans, registry: registry.New(), connPool: upstream.NewConnPool(clock), parts: map[int]messages.PartNote{}, door: admission.New(admission.Defaults, set.Zone), budgets: map[string]*upstream.Budget{}, kick: make(chan struct{}, 1), fresh: make(chan struct{}, 1), stir: make(chan struct{}, 1)}
 	c.configuration, c.runners = statesync.NewEntries(), statesync.NewEntries()
 	c.loads.init(clock())
 	none := ""
 	c.parent.Store(&none)
 	c.door.MarkUs = int64(set.Bounds.VersionMs)*1000 - 2_300_000
 	c.nodes.Store(1)
-	c.relay = radio.NewRelay(rad, radio.Upward{Since: c.since, Told: c.toldBelow, Gone: c.goneBelow})
+	c.publisher = dissemination.NewPublisher(trans, dissemination.Upstream{Since: c.since, Told: c.toldBelow, Gone: c.goneBelow})
 	c.up.Hold, c.up.Parents, c.up.Take = c.hold, c.parents, c.takeFeed
 	c.up.Heard, c.up.TellAgain, c.up.Ended = c.loads.heardUp, c.tellAgain, func(string) {}
 	c.seeds.Store(&set.Seeds)
-	c.watch = radio.NewWatch(rad, messages.Peer{Addr: set.RouterAddr(), Role: messages.Router, Zone: set.Zone, Node: set.Node}, clock, c.seedAddrs)
-	rad.OnCall(radio.KindCondition, func(context.Context, *radio.Link, []byte) ([]byte, error) {
+	c.monitor = membership.NewMonitor(trans, messages.Peer{Addr: set.RouterAddr(), Role: messages.Router, Zone: set.Zone, Node: set.Node}, clock, c.seedAddrs)
+	trans.OnCall(transport.KindCondition, func(context.Context, *transport.Conn, []byte) ([]byte, error) {
 		x := c.condition()
 		return x.MarshalMsg(nil)
 	})
@@ -97,12 +99,12 @@
 func (c *Router) Run(ctx context.Context) error {
 	live, stop := context.WithCancel(context.Background())
 	defer stop()
-	c.radio.Run(live)
-	go c.watch.Run(live)
-	go c.up.Listen(live, c.radio)
+	c.transport.Run(live)
+	go c.monitor.Run(live)
+	go c.up.Listen(live, c.transport)
 	go loop.Every(live, compareEvery, c.compareVersions(live))
 	go c.tellLoads(live)
-	go loop.Every(live, time.Second, func() { c.garage.Sweep(func(string) bool { return true }) })
+	go loop.Every(live, time.Second, func() { c.connPool.Sweep(func(string) bool { return true }) })
 	go c.pump(live)
 	failed := make(chan error, 2)
 	go func() { failed <- c.serveReady() }()
@@ -126,7 +128,7 @@
 }
 
 func (c *Router) parents() []string {
-	list := radio.Parents(c.radio.Addr(), c.set.Zone, c.watch.Alive(messages.Controller), c.watch.Alive(messages.Router))
+	list := dissemination.Parents(c.transport.Addr(), c.set.Zone, c.monitor.Alive(messages.Controller), c.monitor.Alive(messages.Router))
 	if len(list) == 0 {
 		return c.seedAddrs()
 	}
@@ -255,7 +257,7 @@
 
 func (c *Router) aliveDispatches() []string {
 	var list []string
-	for _, p := range radio.Core(c.watch.Alive(messages.Controller)) {
+	for _, p := range membership.Core(c.monitor.Alive(messages.Controller)) {
 		if p.Status == messages.Alive {
 			list = append(list, p.Addr)
 		}
@@ -268,7 +270,7 @@
 func (c *Router) compareWith(ctx context.Context, addr string, anyway bool) (m messages.Versions, ok bool) {
 	ctx, cancel := context.WithTimeout(ctx, 400*time.Millisecond)
 	defer cancel()
-	b, err := c.radio.Call(ctx, addr, radio.KindVersions, &messages.Versions{Parts: []int64{}})
+	b, err := c.transport.Call(ctx, addr, transport.KindVersions, &messages.Versions{Parts: []int64{}})
 	if err != nil {
 		return m, false
 	}
@@ -284,7 +286,7 @@
 	if !anyway {
 		h.Registry.Epoch = -1
 	}
-	if b, err = c.radio.Call(ctx, addr, radio.KindSince, &h); err != nil {
+	if b, err = c.transport.Call(ctx, addr, transport.KindSince, &h); err != nil {
 		return m, false
 	}
 	var f messages.Feed
--- a/internal/settings/load.go
+++ b/internal/settings/load.go
@@ -1,5 +1,5 @@
 // Package settings reads the settings file of a process and checks it. The type
-// Settings is generated from api/config.yaml; this file adds reading, checks
+// Settings is generated from api/settings.yaml; this file adds reading, checks
 // and the few values that follow from the settings, such as inner addresses.
 package settings
 
--- a/internal/radio/radio.go
+++ b/internal/transport/transport.go
@@ -1,8 +1,8 @@
-// Package radio is how nodes talk. A Radio owns one TCP listener and one UDP
-// socket on an inner address. Calls and pushes go over links (TCP, kept open,
-// msgp frames); casts are single datagrams that may be lost. What the messages
-// mean is the business of the handlers that other packages hang in.
-package radio
+// Package transport carries messages between nodes. A Transport owns one TCP
+// listener and one UDP socket on an internal address. Calls and pushes go over
+// long-lived TCP connections in msgp frames; datagrams may be lost. What the
+// messages mean is up to the handlers that other packages register.
+package transport
 
 import (
 	"context"
@@ -40,55 +40,55 @@
 	kinds
 )
 
-// Errors of the radio.
+// Errors of the transport.
 var (
-	ErrClosed  = errors.New("radio: link closed")
-	ErrTimeout = errors.New("radio: no answer in time")
+	ErrClosed  = errors.New("transport: link closed")
+	ErrTimeout = errors.New("transport: no answer in time")
 )
 
 // Handler answers a call. A nil body with a nil error is an empty answer.
-type Handler func(ctx context.Context, from *Link, body []byte) ([]byte, error)
+type Handler func(ctx context.Context, from *Conn, body []byte) ([]byte, error)
 
-// PushHandler takes a frame that wants no answer; the frames of a link come one
+// PushHandler takes a frame that wants no answer; the frames of a connection come one
 // after the other.
-type PushHandler func(from *Link, body []byte)
-
-// CastHandler takes a datagram.
-type CastHandler func(from string, body []byte)
-
-// Radio is one node's end of all its links.
-type Radio struct {
-	addr  string
-	log   logr.Logger
-	pool  *ants.Pool
-	udp   *net.UDPConn
-	ln    net.Listener
-	mu    sync.Mutex
-	links map[string]*Link
-	calls [kinds]Handler
-	casts [kinds]CastHandler
-	pushs [kinds]PushHandler
+type PushHandler func(from *Conn, body []byte)
+
+// DatagramHandler takes a datagram.
+type DatagramHandler func(from string, body []byte)
+
+// Transport is one node's end of all its conns.
+type Transport struct {
+	addr      string
+	log       logr.Logger
+	pool      *ants.Pool
+	udp       *net.UDPConn
+	ln        net.Listener
+	mu        sync.Mutex
+	conns     map[string]*Conn
+	calls     [kinds]Handler
+	datagrams [kinds]DatagramHandler
+	pushes    [kinds]PushHandler
 }
 
 // New listens on addr. Handlers are hung in before Run.
-func New(addr string, pool *ants.Pool, log logr.Logger) (*Radio, error) {
+func New(addr string, pool *ants.Pool, log logr.Logger) (*Transport, error) {
 	lc := net.ListenConfig{Control: tune}
 	ln, err := lc.Listen(context.Background(), "tcp4", addr)
 	if err != nil {
-		return nil, errors.Wrap(err, "radio: listen")
+		return nil, errors.Wrap(err, "transport: listen")
 	}
 	ua, err := net.ResolveUDPAddr("udp4", addr)
 	if err != nil {
-		return nil, errors.Wrap(err, "radio: address")
+		return nil, errors.Wrap(err, "transport: address")
 	}
 	udp, err := net.ListenUDP("udp4", ua)
 	if err != nil {
-		return nil, errors.Wrap(err, "radio: listen udp")
+		return nil, errors.Wrap(err, "transport: listen udp")
 	}
-	return &Radio{addr: addr, log: log, pool: pool, udp: udp, ln: ln, links: map[string]*Link{}}, nil
+	return &Transport{addr: addr, log: log, pool: pool, udp: udp, ln: ln, conns: map[string]*Conn{}}, nil
 }
 
-// userTimeoutMs is after how long unacknowledged bytes end a link.
+// userTimeoutMs is after how long unacknowledged bytes end a connection.
 const userTimeoutMs = 1500
 
 const tcpUserTimeout = 18
@@ -101,20 +101,20 @@
 }
 
 // Addr is the node's own inner address.
-func (r *Radio) Addr() string { return r.addr }
+func (r *Transport) Addr() string { return r.addr }
 
 // OnCall hangs in the handler of a kind of call.
-func (r *Radio) OnCall(kind int, h Handler) { r.calls[kind] = h }
+func (r *Transport) OnCall(kind int, h Handler) { r.calls[kind] = h }
 
 // OnPush hangs in the handler of a kind of frame that wants no answer.
-func (r *Radio) OnPush(kind int, h PushHandler) { r.pushs[kind] = h }
+func (r *Transport) OnPush(kind int, h PushHandler) { r.pushes[kind] = h }
 
-// OnCast hangs in the handler of a kind of datagram.
-func (r *Radio) OnCast(kind int, h CastHandler) { r.casts[kind] = h }
+// OnDatagram hangs in the handler of a kind of datagram.
+func (r *Transport) OnDatagram(kind int, h DatagramHandler) { r.datagrams[kind] = h }
 
-// Run accepts links and reads datagrams until ctx ends.
-func (r *Radio) Run(ctx context.Context) {
-	go r.readCasts()
+// Run accepts conns and reads datagrams until ctx ends.
+func (r *Transport) Run(ctx context.Context) {
+	go r.readDatagrams()
 	go func() {
 		for {
 			c, err := r.ln.Accept()
@@ -125,8 +125,8 @@
 				time.Sleep(10 * time.Millisecond)
 				continue
 			}
-			l := r.link("", c)
-			go l.read(ctx)
+			l := r.newConn("", c)
+			go l.Serve(ctx)
 		}
 	}()
 	go func() {
@@ -136,7 +136,7 @@
 	}()
 }
 
-func (r *Radio) readCasts() {
+func (r *Transport) readDatagrams() {
 	buf := make([]byte, 64<<10)
 	for {
 		n, from, err := r.udp.ReadFromUDPAddrPort(buf)
@@ -146,15 +146,15 @@
 			}
 			continue
 		}
-		if n < 1 || int(buf[0]) >= kinds || r.casts[buf[0]] == nil {
+		if n < 1 || int(buf[0]) >= kinds || r.datagrams[buf[0]] == nil {
 			continue
 		}
-		r.casts[buf[0]](from.String(), buf[1:n])
+		r.datagrams[buf[0]](from.String(), buf[1:n])
 	}
 }
 
-// Cast sends a datagram; it may be lost.
-func (r *Radio) Cast(addr string, kind int, body msgp.Marshaler) {
+// SendDatagram sends a datagram; it may be lost.
+func (r *Transport) SendDatagram(addr string, kind int, body msgp.Marshaler) {
 	b := make([]byte, 1, 512)
 	b[0] = byte(kind)
 	b, err := body.MarshalMsg(b)
@@ -168,42 +168,42 @@
 	_, _ = r.udp.WriteToUDP(b, ua)
 }
 
-// Dial gives the link to addr, opening it if there is none.
-func (r *Radio) Dial(ctx context.Context, addr string) (*Link, error) {
+// Dial gives the connection to addr, opening it if there is none.
+func (r *Transport) Dial(ctx context.Context, addr string) (*Conn, error) {
 	r.mu.Lock()
-	l := r.links[addr]
+	l := r.conns[addr]
 	r.mu.Unlock()
 	if l != nil && !l.closed.Load() {
 		return l, nil
 	}
-	l, err := r.dialFresh(ctx, addr)
+	l, err := r.DialFresh(ctx, addr)
 	if err != nil {
 		return nil, err
 	}
 	r.mu.Lock()
-	if old := r.links[addr]; old != nil && !old.closed.Load() {
+	if old := r.conns[addr]; old != nil && !old.closed.Load() {
 		r.mu.Unlock()
 		l.Close()
 		return old, nil
 	}
-	r.links[addr] = l
+	r.conns[addr] = l
 	r.mu.Unlock()
-	go l.read(context.Background())
+	go l.Serve(context.Background())
 	return l, nil
 }
 
-// dialFresh opens a link of its own; the caller reads it.
-func (r *Radio) dialFresh(ctx context.Context, addr string) (*Link, error) {
+// DialFresh opens a connection of its own; the caller serves it.
+func (r *Transport) DialFresh(ctx context.Context, addr string) (*Conn, error) {
 	d := net.Dialer{Timeout: 800 * time.Millisecond, Control: tune, KeepAlive: -1}
 	c, err := d.DialContext(ctx, "tcp4", addr)
 	if err != nil {
-		return nil, errors.Wrap(err, "radio: dial")
+		return nil, errors.Wrap(err, "transport: dial")
 	}
-	return r.link(addr, c), nil
+	return r.newConn(addr, c), nil
 }
 
 // Call asks addr and waits for the answer.
-func (r *Radio) Call(ctx context.Context, addr string, kind int, body msgp.Marshaler) ([]byte, error) {
+func (r *Transport) Call(ctx context.Context, addr string, kind int, body msgp.Marshaler) ([]byte, error) {
 	l, err := r.Dial(ctx, addr)
 	if err != nil {
 		return nil, err
@@ -211,32 +211,32 @@
 	return l.Call(ctx, kind, body)
 }
 
-func (r *Radio) link(addr string, c net.Conn) *Link {
-	return &Link{radio: r, addr: addr, conn: c, pending: map[int64]chan []byte{}, done: make(chan struct{})}
+func (r *Transport) newConn(addr string, c net.Conn) *Conn {
+	return &Conn{transport: r, addr: addr, conn: c, pending: map[int64]chan []byte{}, done: make(chan struct{})}
 }
 
-// Link is one TCP connection between two nodes, used both ways.
-type Link struct {
-	radio   *Radio
-	addr    string
-	conn    net.Conn
-	wmu     sync.Mutex
-	mu      sync.Mutex
-	pending map[int64]chan []byte
-	seq     int64
-	closed  atomic.Bool
-	done    chan struct{}
-	OnPush  func(kind int, body []byte) // instead of the radio's own handlers
+// Conn is one TCP connection between two nodes, used both ways.
+type Conn struct {
+	transport *Transport
+	addr      string
+	conn      net.Conn
+	wmu       sync.Mutex
+	mu        sync.Mutex
+	pending   map[int64]chan []byte
+	seq       int64
+	closed    atomic.Bool
+	done      chan struct{}
+	OnPush    func(kind int, body []byte) // instead of the transport's own handlers
 }
 
-// Done is closed when the link has ended.
-func (l *Link) Done() <-chan struct{} { return l.done }
+// Done is closed when the connection has ended.
+func (l *Conn) Done() <-chan struct{} { return l.done }
 
 // Remote is the address at the other end.
-func (l *Link) Remote() string { return l.conn.RemoteAddr().String() }
+func (l *Conn) Remote() string { return l.conn.RemoteAddr().String() }
 
-// Close ends the link.
-func (l *Link) Close() {
+// Close ends the connection.
+func (l *Conn) Close() {
 	if l.closed.CompareAndSwap(false, true) {
 		l.conn.Close()
 		close(l.done)
@@ -249,19 +249,19 @@
 	}
 }
 
-func (l *Link) write(f messages.Frame) error {
+func (l *Conn) write(f messages.Frame) error {
 	b, err := f.MarshalMsg(make([]byte, 0, len(f.Body)+32))
 	if err != nil {
 		return err
 	}
-	return l.send(b)
+	return l.SendRaw(b)
 }
 
 // perByte is the time that a byte of a long write may take.
 const perByte = 4 * time.Microsecond
 
-// send writes frames as they are.
-func (l *Link) send(b []byte) error {
+// SendRaw writes encoded frames as they are.
+func (l *Conn) SendRaw(b []byte) error {
 	l.wmu.Lock()
 	defer l.wmu.Unlock()
 	_ = l.conn.SetWriteDeadline(time.Now().Add(time.Second + time.Duration(len(b))*perByte))
@@ -273,12 +273,12 @@
 }
 
 // Push sends a frame that wants no answer.
-func (l *Link) Push(kind int, body []byte) error {
+func (l *Conn) Push(kind int, body []byte) error {
 	return l.write(messages.Frame{Kind: kind, Body: body})
 }
 
 // Call sends a frame and waits for its answer.
-func (l *Link) Call(ctx context.Context, kind int, body msgp.Marshaler) ([]byte, error) {
+func (l *Conn) Call(ctx context.Context, kind int, body msgp.Marshaler) ([]byte, error) {
 	b, err := body.MarshalMsg(nil)
 	if err != nil {
 		return nil, err
@@ -314,7 +314,8 @@
 	}
 }
 
-func (l *Link) read(ctx context.Context) {
+// Serve reads frames until the connection ends, and hands them on.
+func (l *Conn) Serve(ctx context.Context) {
 	defer l.Close()
 	r := msgp.NewReaderSize(l.conn, 2048)
 	for {
@@ -340,24 +341,24 @@
 			// a kind that this node does not know passes by
 			if l.OnPush != nil {
 				l.OnPush(f.Kind, f.Body)
-			} else if f.Kind > 0 && f.Kind < kinds && l.radio.pushs[f.Kind] != nil {
-				l.radio.pushs[f.Kind](l, f.Body)
+			} else if f.Kind > 0 && f.Kind < kinds && l.transport.pushes[f.Kind] != nil {
+				l.transport.pushes[f.Kind](l, f.Body)
 			}
 			continue
 		}
-		if f.Kind <= 0 || f.Kind >= kinds || l.radio.calls[f.Kind] == nil {
+		if f.Kind <= 0 || f.Kind >= kinds || l.transport.calls[f.Kind] == nil {
 			return
 		}
-		h := l.radio.calls[f.Kind]
+		h := l.transport.calls[f.Kind]
 		work := func() {
 			out, err := h(ctx, l, f.Body)
 			if err != nil {
-				l.radio.log.V(1).Info("call failed", "kind", f.Kind, "err", err)
+				l.transport.log.V(1).Info("call failed", "kind", f.Kind, "err", err)
 				return
 			}
 			_ = l.write(messages.Frame{Kind: f.Kind, Seq: f.Seq, Reply: true, Body: out})
 		}
-		if err := l.radio.pool.Submit(work); err != nil {
+		if err := l.transport.pool.Submit(work); err != nil {
 			go work()
 		}
 	}
--- a/internal/upstream/get.go
+++ b/internal/upstream/call.go
@@ -16,7 +16,7 @@
 
 // Ask sends one request and reads the whole answer. sent tells whether the
 // runner may have got it.
-func (g *Garage) Ask(ctx context.Context, addr, method, path string, headers map[string]string, body []byte) (status int, out []byte, sent bool, err error) {
+func (g *ConnPool) Ask(ctx context.Context, addr, method, path string, headers map[string]string, body []byte) (status int, out []byte, sent bool, err error) {
 	deadline, ok := ctx.Deadline()
 	if !ok {
 		deadline = time.Now().Add(2 * time.Second)
--- a/internal/upstream/link.go
+++ b/internal/upstream/conn.go
@@ -1,6 +1,6 @@
-// Package upstream carries attempts to runners. This file is the Link: one connection
+// Package upstream carries attempts to runners. This file is the Conn: one connection
 // to a runner, read through a small buffer with hertz's HTTP/1 reader, never
-// retried by itself, and looked at before it is used again, so that a link the
+// retried by itself, and looked at before it is used again, so that a conn the
 // runner has closed or sent surplus bytes on is not taken for a good one.
 package upstream
 
@@ -19,17 +19,17 @@
 	"github.com/pkg/errors"
 )
 
-// Errors of a link.
+// Errors of a conn.
 var (
-	ErrConnect = errors.New("upstream: no link to the runner")
-	ErrBroken  = errors.New("upstream: link broken")
+	ErrConnect = errors.New("upstream: no conn to the runner")
+	ErrBroken  = errors.New("upstream: conn broken")
 	ErrForeign = errors.New("upstream: the answer belongs to another request")
 	ErrLate    = errors.New("upstream: no answer in time")
 )
 
 const tcpUserTimeout = 18
 
-// Timeouts of links, in milliseconds: how long bytes may stay unacknowledged,
+// Timeouts of conns, in milliseconds: how long bytes may stay unacknowledged,
 // and how quickly a silent peer is probed.
 const (
 	userTimeoutMs = 1500
@@ -53,8 +53,8 @@
 	return b, err
 }
 
-// Link is one connection to a runner. It serves one request at a time.
-type Link struct {
+// Conn is one connection to a runner. It serves one request at a time.
+type Conn struct {
 	conn    net.Conn
 	in      reader
 	idleUs  int64 // since when it is idle
@@ -66,8 +66,8 @@
 	RestedUs int64 // how long it had rested when it was taken; 0: it is new
 }
 
-// Connect opens a link.
-func Connect(ctx context.Context, addr string) (*Link, error) {
+// Connect opens a conn.
+func Connect(ctx context.Context, addr string) (*Conn, error) {
 	d := net.Dialer{Timeout: connectMs * time.Millisecond, KeepAlive: -1, Control: func(_, _ string, c syscall.RawConn) error {
 		return c.Control(func(fd uintptr) {
 			s := int(fd)
@@ -82,15 +82,15 @@
 	if err != nil {
 		return nil, errors.Wrap(ErrConnect, err.Error())
 	}
-	return &Link{conn: c, in: reader{bufio.NewReaderSize(c, 4096)}}, nil
+	return &Conn{conn: c, in: reader{bufio.NewReaderSize(c, 4096)}}, nil
 }
 
-// Close ends the link.
-func (l *Link) Close() { l.conn.Close() }
+// Close ends the conn.
+func (l *Conn) Close() { l.conn.Close() }
 
-// clean tells whether an idle link may carry another request: still open, and
+// clean tells whether an idle conn may carry another request: still open, and
 // nothing has come that nobody asked for.
-func (l *Link) clean() bool {
+func (l *Conn) clean() bool {
 	if l.in.Buffered() > 0 {
 		return false
 	}
@@ -113,7 +113,7 @@
 }
 
 // Send writes a whole request.
-func (l *Link) Send(head *protocol.RequestHeader, body []byte, deadline time.Time) error {
+func (l *Conn) Send(head *protocol.RequestHeader, body []byte, deadline time.Time) error {
 	l.used = true
 	_ = l.conn.SetDeadline(deadline)
 	raw := head.AppendBytes(make([]byte, 0, 1024+len(body)))
@@ -125,7 +125,7 @@
 
 // Head reads the head of the next answer. Its body is then read from the
 // stream of out until the end, which comes as io.EOF only if it is whole.
-func (l *Link) Head(out *protocol.Response, deadline time.Time) error {
+func (l *Conn) Head(out *protocol.Response, deadline time.Time) error {
 	_ = l.conn.SetReadDeadline(deadline)
 	if err := resp.ReadHeaderBodyStream(out, l.in, 0, func(bool) error { return nil }); err != nil {
 		var ne net.Error
@@ -138,8 +138,8 @@
 	return nil
 }
 
-// keepAlive notes what the answer says of the link, and whether it can be kept.
-func (l *Link) keepAlive(h *protocol.ResponseHeader) bool {
+// keepAlive notes what the answer says of the conn, and whether it can be kept.
+func (l *Conn) keepAlive(h *protocol.ResponseHeader) bool {
 	if h.ConnectionClose() || !h.IsHTTP11() {
 		return false
 	}
--- a/internal/upstream/garage.go
+++ b/internal/upstream/conn_pool.go
@@ -1,4 +1,4 @@
-// Garage keeps the idle links to runners and bounds how many there are to each.
+// ConnPool keeps the idle conns to runners and bounds how many there are to each.
 package upstream
 
 import (
@@ -9,20 +9,20 @@
 	"github.com/cloudwego/hertz/pkg/protocol"
 )
 
-// idleMarginUs is how long before the runner's own limit an idle link is no
+// idleMarginUs is how long before the runner's own limit an idle conn is no
 // longer used.
 const idleMarginUs = 600_000
 
-// Garage is safe for concurrent use.
-type Garage struct {
+// ConnPool is safe for concurrent use.
+type ConnPool struct {
 	mu    sync.Mutex
-	idle  map[string][]*Link
+	idle  map[string][]*Conn
 	clock func() int64
 	safe  map[string]float64 // by service, microseconds
 }
 
-// A runner may drop an idle link without a word, and earlier than it says; what
-// is sent over it then is lost. How long a link may have rested is learned by
+// A runner may drop an idle conn without a word, and earlier than it says; what
+// is sent over it then is lost. How long a conn may have rested is learned by
 // service: shorter when one that rested was dead, longer by little steps.
 const (
 	safeStartUs = 1_500_000
@@ -30,18 +30,18 @@
 	safeMostUs  = 30_000_000
 	safeCut     = 0.6
 	safeGrow    = 0.02
-	tryBeyond   = 2 // a request that may be repeated may use a link that has rested longer
+	tryBeyond   = 2 // a request that may be repeated may use a conn that has rested longer
 )
 
-func (g *Garage) safeUs(service string) float64 {
+func (g *ConnPool) safeUs(service string) float64 {
 	if us, ok := g.safe[service]; ok {
 		return us
 	}
 	return safeStartUs
 }
 
-// Dead notes that a link was of no use, and Alive that it was.
-func (g *Garage) Dead(l *Link) {
+// Dead notes that a conn was of no use, and Alive that it was.
+func (g *ConnPool) Dead(l *Conn) {
 	if l.RestedUs > 0 {
 		g.mu.Lock()
 		g.safe[l.service] = max(min(g.safeUs(l.service), safeCut*float64(l.RestedUs)), safeLeastUs)
@@ -49,8 +49,8 @@
 	}
 }
 
-// Alive notes that a link that had rested was good.
-func (g *Garage) Alive(l *Link) {
+// Alive notes that a conn that had rested was good.
+func (g *ConnPool) Alive(l *Conn) {
 	g.mu.Lock()
 	if us := g.safeUs(l.service); float64(l.RestedUs) > us {
 		g.safe[l.service] = min(us+safeGrow*(float64(l.RestedUs)-us), safeMostUs)
@@ -58,9 +58,9 @@
 	g.mu.Unlock()
 }
 
-// GetFor gives a link for a request to a runner of a service, which may have
+// GetFor gives a conn for a request to a runner of a service, which may have
 // rested only as long as is safe for it.
-func (g *Garage) GetFor(ctx context.Context, addr, service string, repeatable bool) (*Link, error) {
+func (g *ConnPool) GetFor(ctx context.Context, addr, service string, repeatable bool) (*Conn, error) {
 	g.mu.Lock()
 	mostUs := g.safeUs(service)
 	g.mu.Unlock()
@@ -74,21 +74,21 @@
 	return l, err
 }
 
-// NewGarage makes one; clock gives steady microseconds.
-func NewGarage(clock func() int64) *Garage {
-	return &Garage{idle: map[string][]*Link{}, clock: clock, safe: map[string]float64{}}
+// NewConnPool makes one; clock gives steady microseconds.
+func NewConnPool(clock func() int64) *ConnPool {
+	return &ConnPool{idle: map[string][]*Conn{}, clock: clock, safe: map[string]float64{}}
 }
 
-// Get gives a link to addr, an idle one where there is a good one.
-func (g *Garage) Get(ctx context.Context, addr string) (*Link, error) {
+// Get gives a conn to addr, an idle one where there is a good one.
+func (g *ConnPool) Get(ctx context.Context, addr string) (*Conn, error) {
 	return g.get(ctx, addr, safeMostUs)
 }
 
-func (g *Garage) get(ctx context.Context, addr string, mostUs int64) (*Link, error) {
+func (g *ConnPool) get(ctx context.Context, addr string, mostUs int64) (*Conn, error) {
 	for {
 		g.mu.Lock()
 		list := g.idle[addr]
-		var l *Link
+		var l *Conn
 		if n := len(list); n > 0 {
 			l = list[n-1]
 			g.idle[addr] = list[:n-1]
@@ -107,8 +107,8 @@
 	}
 }
 
-// Put takes a link back after a whole answer, or closes it.
-func (g *Garage) Put(addr string, l *Link, h *protocol.ResponseHeader) {
+// Put takes a conn back after a whole answer, or closes it.
+func (g *ConnPool) Put(addr string, l *Conn, h *protocol.ResponseHeader) {
 	if !l.keepAlive(h) || l.in.Buffered() > 0 {
 		l.Close()
 		return
@@ -120,11 +120,11 @@
 	g.mu.Unlock()
 }
 
-// Sweep closes links that have been idle too long, and all to addresses that
+// Sweep closes conns that have been idle too long, and all to addresses that
 // keep says no to.
-func (g *Garage) Sweep(keep func(addr string) bool) {
+func (g *ConnPool) Sweep(keep func(addr string) bool) {
 	now := g.clock()
-	var shut []*Link
+	var shut []*Conn
 	g.mu.Lock()
 	for addr, list := range g.idle {
 		left := list[:0]
