Histories of operators' calls, judged by porcupine

The control side had no check over whole histories of Replace, Read and weights named. internal/simulation/history records calls and answers and judges them: linearizable as one register of configurations (compare and set on the version, repeats by digest) and one a model for weights, and no order both refused for good and taken. An unclear answer (503, silence, a lost one) may have its effect at any later time.

--- /dev/null
+++ b/internal/simulation/history/check.go
@@ -0,0 +1,175 @@
+package history
+
+import (
+	"strings"
+	"time"
+
+	"github.com/anishathalye/porcupine"
+	"github.com/pkg/errors"
+)
+
+// What Check may find.
+var (
+	ErrNotLinearizable = errors.New("history: no order of the calls explains the answers")
+	ErrRefusedTaken    = errors.New("history: a configuration that was refused for good is in force or acknowledged")
+	ErrUndecided       = errors.New("history: not decided in time")
+)
+
+// Check judges the history. The time bounds the search; 0 is none.
+func (h *History) Check(limit time.Duration) error {
+	if err := h.checkRefusals(); err != nil {
+		return err
+	}
+	switch porcupine.CheckOperationsTimeout(Model(), h.operations(), limit) {
+	case porcupine.Ok:
+		return nil
+	case porcupine.Unknown:
+		return ErrUndecided
+	default:
+		return ErrNotLinearizable
+	}
+}
+
+// operations gives the calls as porcupine takes them. Reads without an answer
+// say nothing and are left out.
+func (h *History) operations() []porcupine.Operation {
+	var out []porcupine.Operation
+	for _, e := range h.entries {
+		reads := e.call.Kind == Read || e.call.Kind == ReadWeights
+		if reads && e.answer.Verdict == Unclear {
+			continue
+		}
+		out = append(out, porcupine.Operation{ClientId: e.client, Input: e.call, Call: e.began, Output: e.answer, Return: e.ended})
+	}
+	return out
+}
+
+// order is one change by one operator: repeats of it are the same order.
+type order struct {
+	digest string
+	base   int64
+}
+
+// checkRefusals sees to it that no order is both refused and taken. A refusal
+// before the taking may pass as one copy's answer, yet tells the operator
+// something that does not stay true.
+func (h *History) checkRefusals() error {
+	refused := map[order]bool{}
+	taken := map[order]bool{}
+	bases := map[string]map[int64]bool{}
+	for _, e := range h.entries {
+		if e.call.Kind != Replace {
+			continue
+		}
+		o := order{e.call.Digest, e.call.Base}
+		if bases[o.digest] == nil {
+			bases[o.digest] = map[int64]bool{}
+		}
+		bases[o.digest][o.base] = true
+		switch e.answer.Verdict {
+		case Taken:
+			taken[o] = true
+		case Overtaken, Invalid:
+			refused[o] = true
+		}
+	}
+	for _, e := range h.entries {
+		if e.call.Kind != Read || e.answer.Verdict != Taken || len(bases[e.answer.Digest]) != 1 {
+			continue
+		}
+		for base := range bases[e.answer.Digest] {
+			taken[order{e.answer.Digest, base}] = true
+		}
+	}
+	for o := range refused {
+		if taken[o] {
+			return errors.Wrapf(ErrRefusedTaken, "%s on %d", o.digest, o.base)
+		}
+	}
+	return nil
+}
+
+// register is the state of one register: the configuration's or that of one
+// model's weights. It is comparable, so that the search finds equal states fast.
+type register struct {
+	version  int64
+	digest   string
+	accepted string // digests that were ever in force, each between bars
+}
+
+func (r register) has(digest string) bool { return strings.Contains(r.accepted, "|"+digest+"|") }
+
+// Model is the sequential specification: a configuration is taken where it
+// builds on the current version and is above it, a repeat of what was ever
+// taken is acknowledged, and weights only rise.
+func Model() porcupine.Model {
+	return porcupine.Model{
+		Partition: partition,
+		Init:      func() any { return register{} },
+		Step: func(state, input, output any) (bool, any) {
+			return step(state.(register), input.(Call), output.(Answer))
+		},
+		DescribeOperation: func(input, output any) string { return input.(Call).String() + " -> " + output.(Answer).String() },
+	}
+}
+
+// partition keeps the registers apart: each must be linearizable by itself.
+func partition(history []porcupine.Operation) [][]porcupine.Operation {
+	by := map[string][]porcupine.Operation{}
+	var names []string
+	for _, op := range history {
+		name := op.Input.(Call).Model
+		if by[name] == nil {
+			names = append(names, name)
+		}
+		by[name] = append(by[name], op)
+	}
+	var out [][]porcupine.Operation
+	for _, name := range names {
+		out = append(out, by[name])
+	}
+	return out
+}
+
+func step(r register, c Call, a Answer) (bool, any) {
+	switch c.Kind {
+	case Read:
+		return a.Version == r.version && a.Digest == r.digest, r
+	case ReadWeights:
+		return a.Version == r.version, r
+	case NameWeights:
+		r.version = max(r.version, c.Version)
+		return true, r
+	default:
+		return replace(r, c, a.Verdict)
+	}
+}
+
+func replace(r register, c Call, v Verdict) (bool, any) {
+	known := r.has(c.Digest)
+	takes := !known && !c.Faulty && c.Base == r.version && c.Version > r.version
+	switch v {
+	case Unclear: // placed after everything else, it has no effect that anybody saw
+		if takes {
+			return true, r.take(c)
+		}
+		return true, r
+	case Taken:
+		if known {
+			return true, r
+		}
+		return takes, r.take(c)
+	case Overtaken:
+		return !known && c.Base != r.version, r
+	default:
+		return !known && (c.Faulty || c.Base == r.version && c.Version <= r.version), r
+	}
+}
+
+func (r register) take(c Call) register {
+	accepted := r.accepted
+	if accepted == "" {
+		accepted = "|"
+	}
+	return register{version: c.Version, digest: c.Digest, accepted: accepted + c.Digest + "|"}
+}
