Repeats are looked for before checks; refusals that nothing can overturn

Cause: Config.Replace parsed and validated first, so that a repeat of what was taken was refused once the checks were stricter. A base above the current version was refused with 412, though it may still come into force and an earlier try of the same order with it. A refusal by checks that an earlier version of the program lacked could be overturned: a try accepted by a member outside the majority that promised can be taken up by a later round.

Change: an order is looked up by the digest of its bytes first (at once from the committed state known here, as a yes stays true; a no comes from a round). Apply refuses only what stays refused on every later version; a base that is not in place yet, and a number from before the oldest digest kept, are 503. A refusal that other checks may not share is sealed: it waits for the promise of every member (150 ms), else the value as it is takes the slot first. Only invalid orders pay for it: one round where they had none, two where a member is silent. Change and Read are split into Attempt, Reading (pure) and their drivers. Read returns once a majority has accepted nothing newer; one member's unfinished vote no longer holds it up.

--- a/internal/consensus/consensus.go
+++ b/internal/consensus/consensus.go
@@ -268,8 +268,7 @@
 // Change runs rounds until the change is made, denied by itself, or ctx ends.
 // After ErrUnsure the change may still come into force.
 func (l *Registers) Change(ctx context.Context, p int, change Change) (messages.Value, error) {
-	stamp := l.life + Random()
-	seen := messages.Ballot{}
+	attempt := NewAttempt(p, l.life+Random(), change)
 	for try := 0; ; try++ {
 		if ctx.Err() != nil {
 			return messages.Value{}, ErrUnsure
@@ -278,41 +277,33 @@
 		if !ok {
 			return messages.Value{}, ErrNoGroup
 		}
-		r := NewRound(p, base, messages.Ballot{N: seen.N + 1, Who: stamp}, stamp, change)
+		r := attempt.Round(base)
 		l.run(ctx, r)
 		switch r.End {
-		case Denied:
-			return base, r.Err
 		case Chosen:
 			l.spread(p, r.Value, r.Base.Group)
-			if r.Mine {
-				return r.Value, nil
-			}
-			seen = messages.Ballot{}
-			continue
 		case Overtook:
-			mine := r.Value.Stamp == stamp
 			l.Learn(p, r.Value)
-			if mine {
-				return r.Value, nil
-			}
-			seen = messages.Ballot{}
-			continue
-		}
-		if Less(seen, r.Seen) {
-			seen = r.Seen
 		}
-		if Less(seen, r.Ballot) {
-			seen = r.Ballot
-		}
-		n, _ := rand.Int(rand.Reader, big.NewInt(int64(10+20*min(try, 8))))
-		select {
-		case <-time.After(time.Duration(n.Int64()) * time.Millisecond):
-		case <-ctx.Done():
+		switch attempt.Close(r) {
+		case Finished:
+			return r.Value, r.Err
+		case Pause:
+			pause(ctx, try)
 		}
 	}
 }
 
+// pause waits a little longer with each try, by chance, so that those who bid
+// against each other come apart.
+func pause(ctx context.Context, try int) {
+	n, _ := rand.Int(rand.Reader, big.NewInt(int64(10+20*min(try, 8))))
+	select {
+	case <-time.After(time.Duration(n.Int64()) * time.Millisecond):
+	case <-ctx.Done():
+	}
+}
+
 type heard struct {
 	from messages.Member
 	step messages.Step
@@ -320,6 +311,10 @@
 	err  error
 }
 
+// sealWait is how long a sealed refusal waits for the members that have not
+// promised yet, before the slot is closed without them.
+const sealWait = 150 * time.Millisecond
+
 func (l *Registers) run(ctx context.Context, r *Round) {
 	ctx, cancel := context.WithTimeout(ctx, 500*time.Millisecond)
 	defer cancel()
@@ -345,8 +340,14 @@
 		}
 	}
 	post(r.Asks())
+	var doubt <-chan time.Time
 	for r.End == Going {
+		if r.InDoubt() && doubt == nil {
+			doubt = time.After(sealWait)
+		}
 		select {
+		case <-doubt:
+			post(r.Seal())
 		case h := <-words:
 			if h.err == nil {
 				post(r.Hear(h.from, h.step, h.word))
@@ -372,6 +373,9 @@
 	}
 }
 
+// readWait bounds one look at the members.
+const readWait = 400 * time.Millisecond
+
 // Read gives the newest value that a majority vouches for.
 func (l *Registers) Read(ctx context.Context, p int) (messages.Value, error) {
 	for ctx.Err() == nil {
@@ -379,39 +383,14 @@
 		if !ok {
 			return messages.Value{}, ErrNoGroup
 		}
-		words := make(chan heard, len(base.Group))
-		cctx, cancel := context.WithTimeout(ctx, 400*time.Millisecond)
-		for _, m := range base.Group {
-			go func() {
-				w, err := l.send(cctx, m, messages.ConsensusRequest{Part: p, To: m.ID, Step: messages.Read, Slot: base.Version + 1})
-				words <- heard{from: m, word: w, err: err}
-			}()
-		}
-		votes, unsettled, newer := 0, false, false
-		for range base.Group {
-			h := <-words
-			if h.err != nil || h.word.Verdict != messages.Granted {
-				continue
-			}
-			votes++
-			if h.word.Version > base.Version {
-				newer = true
-				l.Learn(p, h.word.Value)
-			}
-			if h.word.HasAccepted && h.word.Version == base.Version {
-				unsettled = true
-			}
-			if votes > len(base.Group)/2 && !unsettled && !newer {
-				break
-			}
-		}
-		cancel()
-		switch {
-		case newer:
+		look := l.look(ctx, p, base)
+		switch look.Found() {
+		case Newer:
+			l.Learn(p, look.Newer)
 			continue
-		case votes > len(base.Group)/2 && !unsettled:
+		case Current:
 			return base, nil
-		case unsettled:
+		case Unsettled:
 			if _, err := l.Change(ctx, p, func(messages.Value) ([]messages.Member, []byte, error) { return nil, nil, errSettled }); err != nil && !errors.Is(err, errSettled) {
 				return messages.Value{}, err
 			}
@@ -425,6 +404,29 @@
 	return messages.Value{}, ErrUnsure
 }
 
+// look asks the members of the base's group what they hold.
+func (l *Registers) look(ctx context.Context, p int, base messages.Value) *Reading {
+	ctx, cancel := context.WithTimeout(ctx, readWait)
+	defer cancel()
+	words := make(chan heard, len(base.Group))
+	for _, m := range base.Group {
+		go func() {
+			w, err := l.send(ctx, m, messages.ConsensusRequest{Part: p, To: m.ID, Step: messages.Read, Slot: base.Version + 1})
+			words <- heard{from: m, word: w, err: err}
+		}()
+	}
+	look := NewReading(base)
+	for range base.Group {
+		if h := <-words; h.err == nil {
+			look.Hear(h.from, h.word)
+		}
+		if look.Found() == Current {
+			break
+		}
+	}
+	return look
+}
+
 var errSettled = errors.New("consensus: settled")
 
 // Pull learns what the controller at addr has committed.
--- a/internal/consensus/round.go
+++ b/internal/consensus/round.go
@@ -11,7 +11,11 @@
 )
 
 // Change makes the next group and body from the current value. An error ends
-// the round with nothing changed and is handed to the caller as it is.
+// the round with nothing changed and is handed to the caller as it is. It must
+// depend on nothing but the value and the order that it stands for: a refusal is
+// final as no earlier try of the same order can have found otherwise on the same
+// value. Where it may have (other checks in an earlier version of the program),
+// it returns the refusal as SealRefusal(err).
 type Change func(cur messages.Value) (group []messages.Member, body []byte, err error)
 
 // Ask is an ask with its receiver.
@@ -41,7 +45,7 @@
 	End    End
 	Value  messages.Value
 	Mine   bool
-	Err    error
+	Err    error // why the change said no: with Denied, or with Chosen where the refusal was sealed
 	Seen   messages.Ballot
 
 	change    Change
@@ -49,6 +53,7 @@
 	votes     map[string]bool
 	best      messages.Ballot
 	found     bool
+	doubt     bool // a majority promised, and a sealed refusal waits for the others
 	refused   map[string]bool
 }
 
@@ -90,7 +95,7 @@
 	switch w.Verdict {
 	case messages.Ahead:
 		if w.Value.Version > r.Base.Version {
-			r.End, r.Value = Overtook, w.Value
+			r.End, r.Value, r.Err = Overtook, w.Value, nil
 		}
 		return nil
 	case messages.Behind:
@@ -122,7 +127,8 @@
 		if w.HasAccepted && (!r.found || Less(r.best, w.AcceptedAt)) {
 			r.found, r.best, r.Value = true, w.AcceptedAt, w.Value
 		}
-		if !r.most(r.Base.Group) {
+		if !r.most(r.Base.Group) || r.doubt && !r.found {
+			r.settleDoubt()
 			return nil
 		}
 		return r.propose()
@@ -134,23 +140,62 @@
 	return nil
 }
 
+// propose takes over what was found, else makes the change.
 func (r *Round) propose() []Ask {
-	if !r.found {
-		group, body, err := r.change(r.Base)
-		if err != nil {
-			r.End, r.Err, r.Value = Denied, err, r.Base
-			return nil
-		}
-		if len(group) == 0 {
-			group = r.Base.Group
-		}
-		r.Value = messages.Value{Version: r.Base.Version + 1, Group: group, Body: body, Stamp: r.Stamp}
+	if r.found {
+		r.Err = nil
+		return r.accept()
+	}
+	group, body, err := r.change(r.Base)
+	var s *sealedRefusal
+	switch {
+	case errors.As(err, &s):
+		r.doubt, r.Err = true, s.cause
+		r.settleDoubt()
+		return nil
+	case err != nil:
+		r.End, r.Err, r.Value = Denied, err, r.Base
+		return nil
 	}
-	r.accepting = true
+	if len(group) == 0 {
+		group = r.Base.Group
+	}
+	r.Value = messages.Value{Version: r.Base.Version + 1, Group: group, Body: body, Stamp: r.Stamp}
+	return r.accept()
+}
+
+func (r *Round) accept() []Ask {
+	r.accepting, r.doubt = true, false
 	r.votes, r.refused = map[string]bool{}, map[string]bool{}
 	return r.Asks()
 }
 
+// InDoubt tells that a sealed refusal waits for the members that have not
+// answered: one of them may have accepted an earlier try.
+func (r *Round) InDoubt() bool { return r.End == Going && r.doubt }
+
+// settleDoubt refuses once every member has promised and none has accepted
+// anything: then nothing under a lower ballot can be chosen any more.
+func (r *Round) settleDoubt() {
+	if r.doubt && !r.found && len(r.votes) == len(r.Base.Group) {
+		r.End, r.Value = Denied, r.Base
+	}
+}
+
+// Seal ends the wait for members that don't answer: the value as it is takes
+// the slot, so that no earlier try can. Once that is chosen, the refusal stands.
+func (r *Round) Seal() []Ask {
+	if !r.InDoubt() {
+		return nil
+	}
+	r.Value = messages.Value{Version: r.Base.Version + 1, Group: r.Base.Group, Body: r.Base.Body, Stamp: r.Stamp + sealMark}
+	return r.accept()
+}
+
+// sealMark sets the stamp of a sealing value apart from that of a change made:
+// met again in a later round, it must not pass for the change.
+const sealMark = "/seal"
+
 func (r *Round) most(group []messages.Member) bool {
 	n := 0
 	for _, m := range group {
@@ -180,6 +225,15 @@
 	return false
 }
 
+// sealedRefusal marks a refusal that needs the slot closed.
+type sealedRefusal struct{ cause error }
+
+func (s *sealedRefusal) Error() string { return s.cause.Error() }
+
+// SealRefusal marks a refusal as one that an earlier try of the same order may not
+// have met: the round gives it only when no such try can be chosen at its slot.
+func SealRefusal(cause error) error { return &sealedRefusal{cause} }
+
 // ErrUnsure means that a change may or may not have been made.
 var ErrUnsure = errors.New("consensus: no majority answered; the change may or may not have been made")
 
--- a/internal/controller/control.go
+++ b/internal/controller/control.go
@@ -122,46 +122,75 @@
 	c.Status(200)
 }
 
+// replace takes an order of the operator. What was taken before is acknowledged
+// from what this node knows, as that stays true; everything else is decided in
+// a round of the register.
 func (d *Controller) replace(ctx context.Context, c *app.RequestContext) {
-	raw := append([]byte{}, c.Request.Body()...)
-	m, err := routeconfig.Parse(raw)
-	if err != nil {
-		invalid(c, err)
-		return
-	}
-	base, err := strconv.ParseInt(string(c.GetHeader("Beechtide-Base-Version")), 10, 64)
-	if err != nil {
-		deny(c, 400, "Beechtide-Base-Version", "not a version")
+	order := readOrder(c)
+	if d.takenBefore(order) {
+		c.JSON(200, map[string]int64{"version": order.Version})
 		return
 	}
 	ctx, cancel := context.WithTimeout(ctx, operatorWait)
 	defer cancel()
-	_, err = d.registers.Change(ctx, consensus.ConfigPart, func(cur messages.Value) ([]messages.Member, []byte, error) {
-		body, err := configBody(cur)
-		if err != nil {
-			return nil, nil, err
-		}
-		next, err := routeconfig.Replace(body, raw, m.Version, base)
-		if err != nil {
-			return nil, nil, err
-		}
-		b, err := next.MarshalMsg(nil)
-		return nil, b, err
+	_, err := d.registers.Change(ctx, consensus.ConfigPart, func(cur messages.Value) ([]messages.Member, []byte, error) {
+		return applyOrder(cur, order)
 	})
 	var bad *routeconfig.Invalid
 	switch {
 	case err == nil, errors.Is(err, routeconfig.ErrTakenBefore):
-		c.JSON(200, map[string]int64{"version": m.Version})
+		c.JSON(200, map[string]int64{"version": order.Version})
 	case errors.Is(err, routeconfig.ErrOvertaken):
 		deny(c, 412, "Beechtide-Base-Version", "another version is in place")
 	case errors.As(err, &bad):
 		invalid(c, err)
 	default:
-		d.log.Error(err, "a change of the configuration is unsure", "version", m.Version)
+		d.log.Error(err, "a change of the configuration is unsure", "version", order.Version)
 		deny(c, 503, "", err.Error())
 	}
 }
 
+func readOrder(c *app.RequestContext) routeconfig.Order {
+	order := routeconfig.ReadOrder(append([]byte{}, c.Request.Body()...))
+	base, err := strconv.ParseInt(string(c.GetHeader("Beechtide-Base-Version")), 10, 64)
+	order.Base = base
+	if err == nil {
+		return order
+	}
+	order.Base = -1
+	if order.Fault == nil {
+		order.Fault = &routeconfig.Invalid{Field: "Beechtide-Base-Version", Reason: "not a version"}
+	}
+	return order
+}
+
+func (d *Controller) takenBefore(order routeconfig.Order) bool {
+	known, ok := d.registers.Committed(consensus.ConfigPart)
+	if !ok {
+		return false
+	}
+	body, err := configBody(known)
+	return err == nil && order.TakenIn(body)
+}
+
+// applyOrder is the change that an order asks for. A refusal by checks that
+// another version of the program may not have is sealed.
+func applyOrder(cur messages.Value, order routeconfig.Order) ([]messages.Member, []byte, error) {
+	body, err := configBody(cur)
+	if err != nil {
+		return nil, nil, err
+	}
+	next, err := order.Apply(body)
+	if err != nil && order.Contested(body) {
+		return nil, nil, consensus.SealRefusal(err)
+	}
+	if err != nil {
+		return nil, nil, err
+	}
+	b, err := next.MarshalMsg(nil)
+	return nil, b, err
+}
+
 func invalid(c *app.RequestContext, err error) {
 	var bad *routeconfig.Invalid
 	if errors.As(err, &bad) {
--- /dev/null
+++ b/internal/routeconfig/replace_test.go
@@ -0,0 +1,108 @@
+package routeconfig
+
+import (
+	"fmt"
+	"testing"
+
+	"github.com/pkg/errors"
+	"github.com/shoenig/test/must"
+
+	"beechtide.org/beechtide/internal/messages"
+)
+
+// bring is an order that today's checks let pass.
+func bring(raw string, version, base int64) Order {
+	return Order{Raw: []byte(raw), Version: version, Base: base}
+}
+
+func TestReplaceIsFinal(t *testing.T) {
+	var cur messages.ConfigBody
+	one, err := bring("one", 5, 0).Apply(cur)
+	must.NoError(t, err)
+	_, err = bring("one", 5, 0).Apply(one)
+	must.ErrorIs(t, err, ErrTakenBefore)
+	_, err = bring("other", 6, 0).Apply(one)
+	must.ErrorIs(t, err, ErrOvertaken)
+	var bad *Invalid
+	_, err = bring("other", 5, 5).Apply(one)
+	must.True(t, errors.As(err, &bad))
+	two, err := bring("two", 9, 5).Apply(one)
+	must.NoError(t, err)
+	_, err = bring("one", 5, 0).Apply(two)
+	must.ErrorIs(t, err, ErrTakenBefore, must.Sprint("also after newer versions"))
+	_, err = bring("changed", 5, 0).Apply(two)
+	must.ErrorIs(t, err, ErrOvertaken)
+}
+
+// A base that is not in place yet may come into force, and then an earlier try
+// of the same order too: that is no time for a refusal.
+func TestABaseThatIsNotInPlaceIsNoRefusal(t *testing.T) {
+	one, err := bring("one", 5, 0).Apply(messages.ConfigBody{})
+	must.NoError(t, err)
+	late := bring("three", 9, 7)
+	_, err = late.Apply(one)
+	must.ErrorIs(t, err, ErrBaseUnknown)
+	late.Fault = &Invalid{"routes", "refused by today's checks"}
+	_, err = late.Apply(one)
+	must.ErrorIs(t, err, ErrBaseUnknown)
+	two, err := bring("two", 7, 5).Apply(one)
+	must.NoError(t, err)
+	late.Fault = nil
+	_, err = late.Apply(two)
+	must.NoError(t, err)
+}
+
+// What was taken under checks that were less strict is known again before
+// today's checks, or a header that can't be read, may refuse it.
+func TestARepeatIsLookedForBeforeAnyCheck(t *testing.T) {
+	raw := []byte(`{"version":5,"routes":[{"name":"r","kind":"a kind that is no longer one"}]}`)
+	cur, err := bring(string(raw), 5, 0).Apply(messages.ConfigBody{})
+	must.NoError(t, err)
+	cur, err = bring("next", 6, 5).Apply(cur)
+	must.NoError(t, err)
+	again := ReadOrder(raw)
+	must.Error(t, again.Fault, must.Sprint("today's checks refuse it"))
+	must.Eq(t, int64(5), again.Version, must.Sprint("the number is found all the same"))
+	must.True(t, again.TakenIn(cur))
+	_, err = again.Apply(cur)
+	must.ErrorIs(t, err, ErrTakenBefore)
+	other := ReadOrder(append(raw, ' '))
+	other.Base = 6
+	_, err = other.Apply(cur)
+	var bad *Invalid
+	must.True(t, errors.As(err, &bad), must.Sprint("other bytes are checked"))
+	unread := ReadOrder([]byte("{"))
+	must.Error(t, unread.Fault)
+	must.False(t, unread.TakenIn(cur))
+	_, err = unread.Apply(cur)
+	must.True(t, errors.As(err, &bad))
+}
+
+// Only an order that other checks could take on this state needs a sealed refusal.
+func TestContestedIsWhatOtherChecksCouldTake(t *testing.T) {
+	cur := messages.ConfigBody{Version: 5}
+	faulty := Order{Raw: []byte("x"), Version: 6, Base: 5, Fault: &Invalid{"routes", "no"}}
+	must.True(t, faulty.Contested(cur))
+	must.False(t, bring("x", 6, 5).Contested(cur))
+	faulty.Base = 4
+	must.False(t, faulty.Contested(cur))
+	faulty.Version, faulty.Base = 0, 5
+	must.False(t, faulty.Contested(cur))
+}
+
+// Versions whose digests are no longer kept are left without a clear answer.
+func TestAnOrderFromBeforeTheOldestDigestIsNotRefused(t *testing.T) {
+	var cur messages.ConfigBody
+	var err error
+	for n := range int64(keepTaken + 10) {
+		cur, err = bring(fmt.Sprint("c", n), 10+n, cur.Version).Apply(cur)
+		must.NoError(t, err)
+	}
+	must.Len(t, keepTaken, cur.AcceptedDigest)
+	_, err = bring("c0", 10, 0).Apply(cur)
+	must.ErrorIs(t, err, ErrForgotten)
+	_, err = bring("c10", 20, 19).Apply(cur)
+	must.ErrorIs(t, err, ErrTakenBefore)
+	_, err = bring("other", 20, 19).Apply(cur)
+	must.ErrorIs(t, err, ErrOvertaken)
+}
--- a/internal/simulation/history/history.go
+++ b/internal/simulation/history/history.go
@@ -45,7 +45,10 @@
 	Version int64  // of the configuration or the weights
 	Base    int64  // the version that the configuration builds on
 	Faulty  bool   // validation refuses the configuration
-	Model   string // whose weights
+	// Disputed says that some versions of the program take the configuration and
+	// others refuse it. Either will do, but not both.
+	Disputed bool
+	Model    string // whose weights
 }
 
 func (c Call) String() string {
@@ -61,6 +64,8 @@
 	}
 }
 
+func (c Call) reads() bool { return c.Kind == Read || c.Kind == ReadWeights }
+
 // Answer is what came back. Digest and Version belong to reads; version 0 is
 // that of a register that holds nothing yet.
 type Answer struct {
