Silence at one controller is no fact about a runner

Cause: a controller that was cut off marked the runners that beat elsewhere as gone; on healing that was merged, final, and later heartbeats ignored.

Change: the registry keeps facts apart from beliefs. Only a runner's own leaving is final; stale and lost are one observer's, end with a higher sequence, are not merged, and count only time in contact and not frozen. Routers mirror the node they follow and forget what it no longer lists.

--- a/internal/controller/controller.go
+++ b/internal/controller/controller.go
@@ -272,9 +272,21 @@
 	}
 }
 
+// Silence of a runner, in periods of its heartbeat, and what a heartbeat may take
+// on its way.
+const (
+	stalePeriods   = 4
+	lostPeriods    = 12
+	heartbeatLagUs = 500_000
+)
+
+func silenceAfter(heartbeatPeriodMs int) registry.Silence {
+	periodUs := int64(heartbeatPeriodMs) * 1000
+	return registry.Silence{StaleUs: stalePeriods*periodUs + heartbeatLagUs, LostUs: lostPeriods * periodUs}
+}
+
 func (d *Controller) sweep() {
-	beatUs := int64(d.set.BeatPeriodMs) * 1000
-	for _, n := range d.registry.Sweep(d.clock(), 4*beatUs+500_000, 12*beatUs) {
+	for _, n := range d.registry.Sweep(d.clock(), silenceAfter(d.set.BeatPeriodMs), !d.cutOff()) {
 		d.tellRunners(n.ID)
 	}
 	d.syncRunners()
--- a/internal/controller/feed.go
+++ b/internal/controller/feed.go
@@ -124,7 +124,7 @@
 	f := &d.feed
 	f.mu.Lock()
 	for _, id := range ids {
-		if n, ok := d.registry.Note(id); ok {
+		if n, ok := d.registry.Record(id); ok {
 			if b, err := n.MarshalMsg(nil); err == nil {
 				f.registry.Put(id, string(b))
 			}
--- a/internal/controller/recall.go
+++ b/internal/controller/recall.go
@@ -25,7 +25,7 @@
 		return
 	}
 	for _, r := range n.Runners {
-		r.Stale = false
+		r.Stale, r.Lost = false, false
 		d.registry.Merge(r, d.clock())
 	}
 }
--- a/internal/messages/msgp.gen.go
+++ b/internal/messages/msgp.gen.go
@@ -3591,9 +3591,9 @@
 // MarshalMsg implements msgp.Marshaler
 func (z *RunnerRecord) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
-	// map header, size 13
+	// map header, size 14
 	// string "a"
-	o = append(o, 0x8d, 0xa1, 0x61)
+	o = append(o, 0x8e, 0xa1, 0x61)
 	o = msgp.AppendString(o, z.Addr)
 	// string "b"
 	o = append(o, 0xa1, 0x62)
@@ -3613,6 +3613,9 @@
 	// string "i"
 	o = append(o, 0xa1, 0x69)
 	o = msgp.AppendString(o, z.ID)
+	// string "l"
+	o = append(o, 0xa1, 0x6c)
+	o = msgp.AppendBool(o, z.Lost)
 	// string "m"
 	o = append(o, 0xa1, 0x6d)
 	o = msgp.AppendArrayHeader(o, uint32(len(z.Models)))
@@ -3703,6 +3706,12 @@
 				err = msgp.WrapError(err, "ID")
 				return
 			}
+		case "l":
+			z.Lost, bts, err = msgp.ReadBoolBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Lost")
+				return
+			}
 		case "m":
 			var zb0002 uint32
 			zb0002, bts, err = msgp.ReadArrayHeaderBytes(bts)
@@ -3795,7 +3804,7 @@
 
 // Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
 func (z *RunnerRecord) Msgsize() (s int) {
-	s = 1 + 2 + msgp.StringPrefixSize + len(z.Addr) + 2 + msgp.BoolSize + 2 + msgp.IntSize + 2 + msgp.BoolSize + 2 + msgp.BoolSize + 2 + msgp.BoolSize + 2 + msgp.StringPrefixSize + len(z.ID) + 2 + msgp.ArrayHeaderSize
+	s = 1 + 2 + msgp.StringPrefixSize + len(z.Addr) + 2 + msgp.BoolSize + 2 + msgp.IntSize + 2 + msgp.BoolSize + 2 + msgp.BoolSize + 2 + msgp.BoolSize + 2 + msgp.StringPrefixSize + len(z.ID) + 2 + msgp.BoolSize + 2 + msgp.ArrayHeaderSize
 	for za0001 := range z.Models {
 		s += 1 + 2 + msgp.StringPrefixSize + len(z.Models[za0001].Model) + 2 + msgp.Int64Size
 	}
--- a/internal/messages/types.gen.go
+++ b/internal/messages/types.gen.go
@@ -334,13 +334,20 @@
 
 // RunnerRecord defines model for RunnerRecord.
 type RunnerRecord struct {
-	Addr       string   `msg:"a"`
-	Barred     bool     `msg:"b"`
-	Capacity   int      `msg:"c"`
-	Draining   bool     `msg:"d"`
-	Stale      bool     `msg:"e"`
-	Gone       bool     `msg:"g"`
-	ID         string   `msg:"i"`
+	Addr     string `msg:"a"`
+	Barred   bool   `msg:"b"`
+	Capacity int    `msg:"c"`
+	Draining bool   `msg:"d"`
+
+	// Stale The sender has not heard of it for a few heartbeats.
+	Stale bool `msg:"e"`
+
+	// Gone It has left by its own word, which is final.
+	Gone bool   `msg:"g"`
+	ID   string `msg:"i"`
+
+	// Lost The sender has not heard of it for long, or another runner has its address; a later heartbeat brings it back.
+	Lost       bool     `msg:"l"`
 	Models     []Target `msg:"m"`
 	Seq        int64    `msg:"q"`
 	BarVersion int64    `msg:"r"`
--- /dev/null
+++ b/internal/registry/facts.go
@@ -0,0 +1,40 @@
+package registry
+
+import (
+	"slices"
+
+	"beechtide.org/beechtide/internal/messages"
+)
+
+// withFacts adds to a record what another record of the same runner knows and
+// that is not taken back: that it drains, its newest weights, and the newest bar.
+func withFacts(n, other messages.RunnerRecord) messages.RunnerRecord {
+	n.Draining = n.Draining || other.Draining
+	n.Models = newestOf(n.Models, other.Models)
+	if other.BarVersion > n.BarVersion {
+		n.Barred, n.Easing, n.BarVersion = other.Barred, other.Easing, other.BarVersion
+	}
+	return n
+}
+
+// newestOf gives, for each model of either list, the newest version.
+func newestOf(a, b []messages.Target) []messages.Target {
+	out := slices.Clone(b)
+	for _, t := range a {
+		i := slices.IndexFunc(out, func(o messages.Target) bool { return o.Model == t.Model })
+		if i < 0 {
+			out = append(out, t)
+			continue
+		}
+		out[i].Version = max(out[i].Version, t.Version)
+	}
+	return out
+}
+
+// sameButSequence tells whether two records of a runner say the same to those
+// who use it.
+func sameButSequence(a, b messages.RunnerRecord) bool {
+	return slices.Equal(a.Models, b.Models) && a.Addr == b.Addr && a.Service == b.Service && a.Capacity == b.Capacity &&
+		a.Draining == b.Draining && a.Gone == b.Gone && a.Stale == b.Stale && a.Lost == b.Lost &&
+		a.Barred == b.Barred && a.Easing == b.Easing
+}
--- a/internal/registry/registry.go
+++ b/internal/registry/registry.go
@@ -1,271 +1,316 @@
-// Package registry knows the runners. A Registry merges what is told about them,
-// by id and rising sequence, in whatever order it comes: nothing here has to be
-// agreed on, and what is lost is told again by the runners within a beat.
-// Readers take an immutable snapshot.
+// Package registry knows the runners. It merges what is told about them, by id
+// and rising sequence, in whatever order it comes: nothing here has to be
+// agreed on, and what is lost is told again by the runners within a heartbeat.
+//
+// Two kinds of knowledge are kept apart. Facts hold wherever they are heard: a
+// runner's own words, its leaving, its weights, bars by their version. Beliefs
+// (stale, lost) are conclusions of one observer from silence; they are drawn by
+// Sweep alone, never merged from another controller, and end with the next
+// heartbeat. Readers take an immutable snapshot.
 package registry
 
 import (
-	"hash/fnv"
-	"sort"
 	"sync"
 	"sync/atomic"
 
 	"beechtide.org/beechtide/internal/messages"
 )
 
+// keepGoneUs is how long the entry of a runner that has left or was lost is
+// remembered, so that late words do not bring it back. It bounds the memory.
+const keepGoneUs = 120_000_000
+
 type entry struct {
-	note     messages.RunnerRecord
-	heardUs  int64
-	goneAtUs int64
+	record     messages.RunnerRecord
+	heardUs    int64 // observed time of the newest heartbeat
+	endedUs    int64 // when it left or was lost
+	unlistedUs int64 // since when the node that is mirrored does not list it
 }
 
-// Snapshot is the runners at one moment.
-type Snapshot struct {
-	ByService map[string][]messages.RunnerRecord
-	ByID      map[string]messages.RunnerRecord
-	Sum       uint64
-}
+func (e *entry) usable() bool { return !e.record.Gone && !e.record.Lost }
 
 // Registry is the mutable side.
 type Registry struct {
-	mu   sync.Mutex
-	all  map[string]*entry
-	snap atomic.Pointer[Snapshot]
+	mu        sync.Mutex
+	entries   map[string]*entry
+	byAddress map[string]string // the id of the runner last heard at an address
+	pending   map[string]bool   // beliefs that changed outside of Sweep
+	observed  observedClock
+	newsUs    int64 // observed time of the newest heartbeat of any runner
+	snapshot  atomic.Pointer[Snapshot]
 }
 
 // New makes an empty registry.
 func New() *Registry {
-	r := &Registry{all: map[string]*entry{}}
-	r.snap.Store(&Snapshot{ByService: map[string][]messages.RunnerRecord{}, ByID: map[string]messages.RunnerRecord{}})
+	r := &Registry{entries: map[string]*entry{}, byAddress: map[string]string{}, pending: map[string]bool{}}
+	r.snapshot.Store(newSnapshot(nil))
 	return r
 }
 
 // Snapshot is what readers use.
-func (r *Registry) Snapshot() *Snapshot { return r.snap.Load() }
+func (r *Registry) Snapshot() *Snapshot { return r.snapshot.Load() }
 
-// Hear takes a beat that came straight from a runner or was passed on by the
-// controller that got it. It tells whether anything but the sequence changed.
+// Hear takes a heartbeat that came straight from a runner, or was passed on at
+// once by the controller that got it. A higher sequence overrides every belief;
+// only the runner's own leaving stands against it. It tells whether anything
+// but the sequence changed.
 func (r *Registry) Hear(n messages.RunnerRecord, nowUs int64) bool {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	e := r.all[n.ID]
+	heardUs := r.observed.advance(nowUs)
+	e := r.entries[n.ID]
+	if e != nil && (e.record.Gone || n.Seq <= e.record.Seq) {
+		return false
+	}
+	r.newsUs = heardUs
+	r.supersede(n, nowUs)
 	if e == nil {
-		r.all[n.ID] = &entry{note: n, heardUs: nowUs}
+		r.entries[n.ID] = &entry{record: n, heardUs: heardUs}
 		r.publish()
 		return true
 	}
-	if e.note.Gone || n.Seq < e.note.Seq {
-		return false
-	}
-	e.heardUs = max(e.heardUs, nowUs)
-	old := e.note
-	e.note = n
-	e.note.Barred, e.note.Easing, e.note.BarVersion = old.Barred, old.Easing, old.BarVersion
-	e.note.Draining = n.Draining || old.Draining
-	e.note.Models = newest(old.Models, n.Models)
+	old := e.record
+	e.heardUs, e.record = heardUs, n
+	e.record = withFacts(e.record, old)
 	return r.settle(e, old)
 }
 
-// Merge takes a note from another node's registry.
+// supersede takes the address from the runner that was last heard there: an
+// address belongs to one runner at a time. That is a belief like silence, since
+// the word may have come late.
+func (r *Registry) supersede(n messages.RunnerRecord, nowUs int64) {
+	former := r.byAddress[n.Addr]
+	r.byAddress[n.Addr] = n.ID
+	if former == "" || former == n.ID {
+		return
+	}
+	if e := r.entries[former]; e != nil && e.usable() && e.record.Addr == n.Addr {
+		e.record.Lost, e.endedUs = true, nowUs
+		r.pending[former] = true
+		r.publish()
+	}
+}
+
+// Merge takes the facts of another controller's record and leaves its beliefs
+// aside: what it has not heard may have been told here.
 func (r *Registry) Merge(n messages.RunnerRecord, nowUs int64) bool {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	e := r.all[n.ID]
+	e := r.entries[n.ID]
+	if e == nil && n.Lost {
+		return false
+	}
+	n.Stale, n.Lost = false, false
+	if e != nil {
+		n.Stale, n.Lost = e.record.Stale, e.record.Lost
+		if n.Seq > e.record.Seq {
+			n.Stale, n.Lost = false, false
+		}
+	}
+	return r.merge(n, nowUs)
+}
+
+// Mirror takes a record of the node that this one follows, with its beliefs:
+// a router hears no heartbeats itself.
+func (r *Registry) Mirror(n messages.RunnerRecord, nowUs int64) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.merge(n, nowUs)
+}
+
+func (r *Registry) merge(n messages.RunnerRecord, nowUs int64) bool {
+	heardUs := r.observed.advance(nowUs)
+	e := r.entries[n.ID]
 	if e == nil {
-		if n.Gone {
-			r.all[n.ID] = &entry{note: n, heardUs: nowUs, goneAtUs: nowUs}
-			return false
+		if n.Gone || n.Lost {
+			return false // nodes would remind each other of it for good
+		}
+		r.entries[n.ID] = &entry{record: n, heardUs: heardUs}
+		if r.byAddress[n.Addr] == "" {
+			r.byAddress[n.Addr] = n.ID
 		}
-		r.all[n.ID] = &entry{note: n, heardUs: nowUs}
 		r.publish()
 		return true
 	}
-	old := e.note
+	old := e.record
 	if old.Gone {
 		return false
 	}
-	if n.Gone {
-		e.note.Gone, e.goneAtUs = true, nowUs
-		r.publish()
-		return true
+	if n.Seq > old.Seq {
+		e.heardUs = heardUs
 	}
 	if n.Seq >= old.Seq {
-		e.heardUs = nowUs
-		e.note = n
+		e.record = n
 	}
-	e.note.Draining = n.Draining || old.Draining
-	e.note.Models = newest(old.Models, n.Models)
-	if n.BarVersion >= old.BarVersion {
-		e.note.Barred, e.note.Easing, e.note.BarVersion = n.Barred, n.Easing, n.BarVersion
-	} else {
-		e.note.Barred, e.note.Easing, e.note.BarVersion = old.Barred, old.Easing, old.BarVersion
+	e.record.Stale, e.record.Lost, e.record.Gone = n.Stale, n.Lost, n.Gone
+	e.record = withFacts(e.record, old)
+	e.record = withFacts(e.record, n)
+	if !e.usable() && (!old.Lost || e.record.Gone) {
+		e.endedUs = nowUs
 	}
 	return r.settle(e, old)
 }
 
-func newest(a, b []messages.Target) []messages.Target {
-	out := append([]messages.Target{}, b...)
-	for _, t := range a {
-		found := false
-		for i := range out {
-			if out[i].Model == t.Model {
-				out[i].Version = max(out[i].Version, t.Version)
-				found = true
-			}
-		}
-		if !found {
-			out = append(out, t)
-		}
-	}
-	return out
-}
-
 func (r *Registry) settle(e *entry, old messages.RunnerRecord) bool {
-	if same(e.note, old) {
+	if sameButSequence(e.record, old) {
 		return false
 	}
 	r.publish()
 	return true
 }
 
-func same(a, b messages.RunnerRecord) bool {
-	if a.Addr != b.Addr || a.Draining != b.Draining || a.Gone != b.Gone || a.Stale != b.Stale || a.Barred != b.Barred || a.Easing != b.Easing || a.Capacity != b.Capacity || a.Service != b.Service || len(a.Models) != len(b.Models) {
-		return false
-	}
-	for i := range a.Models {
-		if a.Models[i] != b.Models[i] {
-			return false
-		}
-	}
-	return true
-}
-
-// Leave notes that a runner is gone for good.
+// Leave notes that a runner has left by its own word.
 func (r *Registry) Leave(id string, nowUs int64) (messages.RunnerRecord, bool) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	e := r.all[id]
+	e := r.entries[id]
 	if e == nil {
-		e = &entry{note: messages.RunnerRecord{ID: id}}
-		r.all[id] = e
+		e = &entry{record: messages.RunnerRecord{ID: id}}
+		r.entries[id] = e
 	}
-	changed := !e.note.Gone
-	e.note.Gone, e.goneAtUs = true, nowUs
+	changed := !e.record.Gone
+	e.record.Gone, e.endedUs = true, nowUs
 	if changed {
 		r.publish()
 	}
-	return e.note, changed
+	return e.record, changed
 }
 
-// Bar versions a runner as soon to be ordered (easing: no more long requests), as
+// Bar marks a runner as soon to be ordered (easing: no more long requests), as
 // under order (barred: none at all), or frees it.
 func (r *Registry) Bar(id string, easing, barred bool, version int64) (messages.RunnerRecord, bool) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	e := r.all[id]
-	if e == nil || version < e.note.BarVersion {
+	e := r.entries[id]
+	if e == nil || version < e.record.BarVersion {
 		return messages.RunnerRecord{}, false
 	}
-	old := e.note
-	e.note.Barred, e.note.Easing, e.note.BarVersion = barred, easing, version
-	return e.note, r.settle(e, old)
+	old := e.record
+	e.record.Barred, e.record.Easing, e.record.BarVersion = barred, easing, version
+	return e.record, r.settle(e, old)
 }
 
 // Weights notes the version of a model at a runner, as a report told it.
 func (r *Registry) Weights(id, model string, version int64) (messages.RunnerRecord, bool) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	e := r.all[id]
+	e := r.entries[id]
 	if e == nil {
 		return messages.RunnerRecord{}, false
 	}
-	old := e.note
-	e.note.Models = newest(old.Models, []messages.Target{{Model: model, Version: version}})
-	return e.note, r.settle(e, old)
+	old := e.record
+	e.record.Models = newestOf(old.Models, []messages.Target{{Model: model, Version: version}})
+	return e.record, r.settle(e, old)
+}
+
+// Silence is after how long without a heartbeat, while other runners are heard,
+// a runner counts as stale and as lost.
+type Silence struct {
+	StaleUs int64
+	LostUs  int64
 }
 
-// Sweep versions runners silent for staleUs, and forgets those silent for
-// dropUs. It returns the notes that changed.
-func (r *Registry) Sweep(nowUs, staleUs, dropUs int64) []messages.RunnerRecord {
+// Sweep draws this observer's conclusions and forgets runners that ended long
+// ago. inContact says that it reaches a majority of the core; the time in which
+// it does not counts for no runner's silence. It returns the records whose
+// beliefs changed.
+func (r *Registry) Sweep(nowUs int64, after Silence, inContact bool) []messages.RunnerRecord {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	var out []messages.RunnerRecord
-	for id, e := range r.all {
-		if e.note.Gone {
-			if nowUs-e.goneAtUs > 120_000_000 {
-				delete(r.all, id)
-			}
-			continue
+	r.observed.advance(nowUs)
+	r.observed.running = inContact
+	var changed []messages.RunnerRecord
+	for id, e := range r.entries {
+		if !e.usable() {
+			r.forgetOld(id, e, nowUs)
+		} else if r.judge(e, after, nowUs) {
+			r.pending[id] = true
 		}
-		age := nowUs - e.heardUs
-		if age > dropUs {
-			e.note.Gone, e.goneAtUs = true, nowUs
-			out = append(out, e.note)
-			continue
+		if r.pending[id] && r.entries[id] != nil {
+			changed = append(changed, e.record)
 		}
-		if stale := age > staleUs; stale != e.note.Stale {
-			e.note.Stale = stale
-			out = append(out, e.note)
+	}
+	clear(r.pending)
+	if len(changed) > 0 {
+		r.publish()
+	}
+	return changed
+}
+
+// judge compares a runner's silence with the newest word of any runner: an
+// observer that hears nobody learns nothing about one of them.
+func (r *Registry) judge(e *entry, after Silence, nowUs int64) bool {
+	silentUs := r.newsUs - e.heardUs
+	if silentUs > after.LostUs {
+		e.record.Lost, e.endedUs = true, nowUs
+		return true
+	}
+	stale := silentUs > after.StaleUs
+	changed := stale != e.record.Stale
+	e.record.Stale = stale
+	return changed
+}
+
+func (r *Registry) forgetOld(id string, e *entry, nowUs int64) {
+	if nowUs-e.endedUs <= keepGoneUs {
+		return
+	}
+	delete(r.entries, id)
+	if r.byAddress[e.record.Addr] == id {
+		delete(r.byAddress, e.record.Addr)
+	}
+}
+
+// unlistedLimitUs is how long a runner stays that the mirrored node does not
+// list. That node may have just started and not have heard all runners yet.
+const unlistedLimitUs = 30_000_000
+
+// Retain forgets what the mirrored node has not listed for long. It tells
+// whether a usable runner went.
+func (r *Registry) Retain(listed func(id string) bool, nowUs int64) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	went := false
+	for id, e := range r.entries {
+		switch {
+		case listed(id):
+			e.unlistedUs = 0
+		case e.unlistedUs == 0:
+			e.unlistedUs = nowUs
+		case nowUs-e.unlistedUs > unlistedLimitUs:
+			went = went || e.usable()
+			e.endedUs = min(e.endedUs, nowUs-keepGoneUs-1)
+			r.forgetOld(id, e, nowUs)
 		}
 	}
-	if len(out) > 0 {
+	if went {
 		r.publish()
 	}
-	return out
+	return went
 }
 
-// Note gives what is known of one runner, also of one that is gone.
-func (r *Registry) Note(id string) (messages.RunnerRecord, bool) {
+// Record gives what is known of one runner, also of one that is gone.
+func (r *Registry) Record(id string) (messages.RunnerRecord, bool) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	e := r.all[id]
+	e := r.entries[id]
 	if e == nil {
 		return messages.RunnerRecord{}, false
 	}
-	return e.note, true
+	return e.record, true
 }
 
-// All lists every note, tombstones included.
+// All lists every record, those of ended runners included.
 func (r *Registry) All() []messages.RunnerRecord {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	out := make([]messages.RunnerRecord, 0, len(r.all))
-	for _, e := range r.all {
-		out = append(out, e.note)
+	all := make([]messages.RunnerRecord, 0, len(r.entries))
+	for _, e := range r.entries {
+		all = append(all, e.record)
 	}
-	return out
+	return all
 }
 
 func (r *Registry) publish() {
-	s := &Snapshot{ByService: map[string][]messages.RunnerRecord{}, ByID: map[string]messages.RunnerRecord{}}
-	var ids []string
-	for id, e := range r.all {
-		if !e.note.Gone {
-			ids = append(ids, id)
-		}
-	}
-	sort.Strings(ids)
-	h := fnv.New64a()
-	for _, id := range ids {
-		n := r.all[id].note
-		s.ByID[id] = n
-		s.ByService[n.Service] = append(s.ByService[n.Service], n)
-		_, _ = h.Write([]byte(id))
-		flags := byte(0)
-		if n.Draining {
-			flags |= 1
-		}
-		if n.Barred {
-			flags |= 2
-		}
-		if n.Easing {
-			flags |= 4
-		}
-		_, _ = h.Write([]byte{flags})
-		for _, m := range n.Models {
-			_, _ = h.Write([]byte{byte(m.Version), byte(m.Version >> 8)})
-		}
-	}
-	s.Sum = h.Sum64()
-	r.snap.Store(s)
+	r.snapshot.Store(newSnapshot(r.entries))
 }
--- a/internal/registry/registry_test.go
+++ b/internal/registry/registry_test.go
@@ -66,14 +66,21 @@
 	}
 }
 
-func TestSweepMarksThenDropsTheSilent(t *testing.T) {
-	r := New()
-	r.Hear(beat("x", 1), 0)
-	r.Hear(beat("y", 1), 9)
-	must.Len(t, 1, r.Sweep(10, 5, 20))
+// What silence means is compared with the newest word of any runner.
+func TestSweepMarksThenLosesTheSilent(t *testing.T) {
+	r, after := New(), Silence{StaleUs: 5, LostUs: 20}
+	r.Hear(at("x", "1:1", 1), 0)
+	r.Hear(at("y", "2:1", 1), 9)
+	must.Len(t, 1, r.Sweep(10, after, true))
 	must.True(t, r.Snapshot().ByID["x"].Stale)
-	must.True(t, r.Hear(beat("x", 2), 11))
+	must.True(t, r.Hear(at("x", "1:1", 2), 11))
 	must.False(t, r.Snapshot().ByID["x"].Stale)
-	must.Len(t, 2, r.Sweep(100, 5, 20))
-	must.MapEmpty(t, r.Snapshot().ByID)
+	must.SliceEmpty(t, r.Sweep(100, after, true), must.Sprint("nobody has been heard since"))
+	r.Hear(at("z", "3:1", 1), 100)
+	must.Len(t, 2, r.Sweep(100, after, true))
+	must.MapLen(t, 1, r.Snapshot().ByID)
+	must.MapContainsKey(t, r.Snapshot().ByID, "z")
+	must.Len(t, 3, r.All())
+	r.Sweep(101+keepGoneUs, after, true)
+	must.Len(t, 1, r.All(), must.Sprint("what was lost long ago is forgotten"))
 }
--- /dev/null
+++ b/internal/registry/snapshot.go
@@ -0,0 +1,60 @@
+package registry
+
+import (
+	"hash/fnv"
+	"sort"
+
+	"beechtide.org/beechtide/internal/messages"
+)
+
+// Snapshot is the usable runners at one moment.
+type Snapshot struct {
+	ByService map[string][]messages.RunnerRecord
+	ByID      map[string]messages.RunnerRecord
+	Sum       uint64 // changes with what a router has to know
+}
+
+// Flags of a runner in the sum of a snapshot.
+const (
+	flagDraining = 1 << iota
+	flagBarred
+	flagEasing
+)
+
+func newSnapshot(entries map[string]*entry) *Snapshot {
+	s := &Snapshot{ByService: map[string][]messages.RunnerRecord{}, ByID: map[string]messages.RunnerRecord{}}
+	ids := make([]string, 0, len(entries))
+	for id, e := range entries {
+		if e.usable() {
+			ids = append(ids, id)
+		}
+	}
+	sort.Strings(ids)
+	sum := fnv.New64a()
+	for _, id := range ids {
+		n := entries[id].record
+		s.ByID[id] = n
+		s.ByService[n.Service] = append(s.ByService[n.Service], n)
+		_, _ = sum.Write([]byte(id))
+		_, _ = sum.Write([]byte{flagsOf(n)})
+		for _, m := range n.Models {
+			_, _ = sum.Write([]byte{byte(m.Version), byte(m.Version >> 8)})
+		}
+	}
+	s.Sum = sum.Sum64()
+	return s
+}
+
+func flagsOf(n messages.RunnerRecord) byte {
+	flags := byte(0)
+	if n.Draining {
+		flags |= flagDraining
+	}
+	if n.Barred {
+		flags |= flagBarred
+	}
+	if n.Easing {
+		flags |= flagEasing
+	}
+	return flags
+}
--- a/internal/router/feed.go
+++ b/internal/router/feed.go
@@ -161,7 +161,7 @@
 				c.news.malformed.Add(1)
 				continue
 			}
-			changed = c.registry.Merge(n, now) || changed
+			changed = c.takeRunner(parent, n, now) || changed
 		}
 		if len(in.Puts) > 0 && !c.informed.Swap(true) {
 			c.log.Info("runners known", "count", len(in.Puts))
@@ -194,6 +194,29 @@
 	return fits
 }
 
+// takeRunner takes the record of a runner: the parent's as it stands, of another
+// node only the facts.
+func (c *Router) takeRunner(parent string, n messages.RunnerRecord, nowUs int64) (changed bool) {
+	if parent == "" {
+		return c.registry.Merge(n, nowUs)
+	}
+	return c.registry.Mirror(n, nowUs)
+}
+
+// forgetUnlisted drops runners that the parent has not listed for long.
+func (c *Router) forgetUnlisted() {
+	c.nmu.Lock()
+	listed := func(id string) bool {
+		_, ok := c.runners.Get(id)
+		return ok
+	}
+	went := c.registry.Retain(listed, c.clock())
+	c.nmu.Unlock()
+	if went {
+		c.syncDoor()
+	}
+}
+
 // takeMenu takes a change of the configuration; the table is made anew from the
 // entries that changed and then swapped in.
 func (c *Router) takeMenu(ch messages.EntryChange) (r statesync.Result, renewed bool) {
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -105,6 +105,7 @@
 	go loop.Every(live, compareEvery, c.compareVersions(live))
 	go c.tellLoads(live)
 	go loop.Every(live, time.Second, func() { c.connPool.Sweep(func(string) bool { return true }) })
+	go loop.Every(live, forgetEvery, c.forgetUnlisted)
 	go c.pump(live)
 	failed := make(chan error, 2)
 	go func() { failed <- c.serveReady() }()
@@ -222,6 +223,9 @@
 	return out
 }
 
+// forgetEvery is how often runners that the parent no longer lists are looked for.
+const forgetEvery = 5 * time.Second
+
 // compareEvery is how often a router asks a controller that is not its parent
 // for its versions. What it lacks reaches it through its parent; this covers a
 // parent that is on the wrong side of a cut and does not know it.
