A runner that is not at its address leaves at the first 421

Cause: 421 was taken for a full runner. The entry of a crashed runner whose address belongs to another service stayed in the choice, and as it never has work it looked the freest of all.

Change: at a 421 the runner leaves the router's candidates, also as a source of kept prompts, and its idle connections are closed. The connection that brought a 421 is closed.

--- a/internal/admission/admission.go
+++ b/internal/admission/admission.go
@@ -189,6 +189,9 @@
 			p.runners[n.ID] = r
 		}
 		r.note, r.capacity, r.blocks = n, n.Capacity, tokens/d.T.BlockTokens
+		if r.absence.out && r.absence.renewed(n) {
+			r.absence = absence{}
+		}
 		keep[n.ID] = true
 		p.order = append(p.order, n.ID)
 	}
@@ -376,7 +379,7 @@
 	for pass := range 3 {
 		for _, id := range p.order {
 			r := p.runners[id]
-			if r.note.Draining || r.barred(nowUs) || !p.lets(a, id) || avoided(a.Avoid, id) || pass != d.preference(a, r, nowUs) {
+			if r.absence.out || r.note.Draining || r.barred(nowUs) || !p.lets(a, id) || avoided(a.Avoid, id) || pass != d.preference(a, r, nowUs) {
 				continue
 			}
 			if !d.markAllowed(a.Model, r, nowUs) || leaving && d.Leaves(a, r.note.Zone, nowUs) {
@@ -478,7 +481,7 @@
 	}
 	for _, id := range p.order {
 		r := p.runners[id]
-		if r.note.Stale || r.unsoundUs > nowUs || !p.lets(a, id) {
+		if r.absence.out || r.note.Stale || r.unsoundUs > nowUs || !p.lets(a, id) {
 			continue
 		}
 		version := markOf(r.note, a.Model)
@@ -700,6 +703,8 @@
 		r.health.note(good, nowUs)
 		if !good {
 			p.eject(nowUs)
+		} else if !r.absence.out {
+			r.absence.pauseUs = 0
 		}
 	}
 }
@@ -708,7 +713,7 @@
 // as having no place.
 func (d *Doorman) Full(adm *Admission, nowUs int64) {
 	if r := d.pool(adm.service).runners[adm.Runner.ID]; r != nil {
-		r.unsoundUs = max(r.unsoundUs, nowUs+150_000)
+		r.unsoundUs = max(r.unsoundUs, nowUs+turnedAwayUs)
 	}
 }
 
--- a/internal/admission/runner.go
+++ b/internal/admission/runner.go
@@ -32,6 +32,7 @@
 	unsoundUs int64 // until when
 	pauseUs   int64
 	health    health
+	absence   absence
 }
 
 type recentShot struct {
--- a/internal/router/attempts.go
+++ b/internal/router/attempts.go
@@ -184,7 +184,7 @@
 		c.done(adm, false)
 		return notSent, stream
 	}
-	if n, ok := c.registry.Snapshot().ByID[adm.Runner.ID]; !ok || n.Draining {
+	if n, ok := c.registry.Snapshot().ByID[adm.Runner.ID]; !ok || n.Draining || c.isAbsent(adm) {
 		link.Close()
 		c.done(adm, true)
 		return notSent, stream
@@ -214,7 +214,13 @@
 		return unknown, stream
 	}
 	status := r.StatusCode()
-	if status == 421 || r.Header.Get(hNotRun) != "" {
+	if status == statusWrongInstance {
+		link.Close()
+		c.done(adm, true)
+		c.wrongInstance(adm)
+		return notRun, stream
+	}
+	if r.Header.Get(hNotRun) != "" {
 		_, err := io.Copy(io.Discard, io.LimitReader(r.BodyStream(), 64<<10))
 		c.giveBack(adm, link, r, err == nil)
 		c.dmu.Lock()
--- a/internal/router/headers.go
+++ b/internal/router/headers.go
@@ -33,6 +33,7 @@
 	hLastEvent  = "Last-Event-Id"
 	hAuth       = "Authorization"
 	hRetryAfter = "Retry-After"
+	hInstance   = "Beechtide-Instance"
 )
 
 var requestRules = map[string]headerRule{
--- /dev/null
+++ b/internal/router/missing.go
@@ -0,0 +1,109 @@
+// Runners that are not at their address. One that answers 421 leaves the choice
+// (package admission says how); its idle connections are closed, and probes look
+// whether it is there after all, so that an answer that meant something else
+// takes no runner away for good.
+package router
+
+import (
+	"context"
+	"net/http"
+	"sync"
+	"time"
+
+	"beechtide.org/beechtide/internal/admission"
+	"beechtide.org/beechtide/internal/loop"
+	"beechtide.org/beechtide/internal/messages"
+)
+
+// statusWrongInstance is what a runner answers that is not the one named, or
+// whose weights have another version; it has not run the request.
+const statusWrongInstance = http.StatusMisdirectedRequest
+
+// Probes of runners that may be gone.
+const (
+	missingEvery = 100 * time.Millisecond // how often due probes are looked for while a runner is missing
+	missingWait  = time.Second            // for one answer
+)
+
+// isAbsent tells whether a runner has left the choice since it was chosen.
+func (c *Router) isAbsent(adm *admission.Admission) bool {
+	c.dmu.Lock()
+	defer c.dmu.Unlock()
+	return c.door.Absent(adm)
+}
+
+// wrongInstance notes that a runner answered 421.
+func (c *Router) wrongInstance(adm *admission.Admission) {
+	c.dmu.Lock()
+	left := c.door.WrongInstance(adm, adm.Version > 0, c.clock())
+	c.dmu.Unlock()
+	if !left {
+		return
+	}
+	c.log.Info("a runner is not at its address", "runner", adm.Runner.ID, "address", adm.Runner.Addr)
+	c.connPool.Drop(adm.Runner.Addr)
+	poke(c.missing)
+}
+
+// probeMissing probes missing runners for as long as there are any.
+func (c *Router) probeMissing(ctx context.Context) {
+	for {
+		select {
+		case <-c.missing:
+		case <-ctx.Done():
+			return
+		}
+		for c.probeDue(ctx) {
+			loop.Pause(ctx, missingEvery)
+		}
+	}
+}
+
+// probeDue makes the probes that are due and tells whether a runner is missing.
+func (c *Router) probeDue(ctx context.Context) bool {
+	c.dmu.Lock()
+	due, any := c.door.DueProbes(c.clock())
+	c.dmu.Unlock()
+	var wg sync.WaitGroup
+	for _, n := range due {
+		wg.Go(func() { c.probe(ctx, n) })
+	}
+	wg.Wait()
+	return any && ctx.Err() == nil
+}
+
+// probe looks which instance answers at a runner's address.
+func (c *Router) probe(ctx context.Context, n messages.RunnerRecord) {
+	t := c.table.Load()
+	if t == nil {
+		return
+	}
+	s := t.Service(n.Service)
+	if s == nil {
+		return
+	}
+	what := admission.Unprobed
+	if s.Probe != "" {
+		what = c.whoIsAt(ctx, n, s.Probe)
+	}
+	c.dmu.Lock()
+	c.door.Found(n, what, c.clock())
+	c.dmu.Unlock()
+	c.wake()
+}
+
+// whoIsAt asks at a runner's address whether it is there.
+func (c *Router) whoIsAt(ctx context.Context, n messages.RunnerRecord, path string) admission.Presence {
+	ctx, cancel := context.WithTimeout(ctx, missingWait)
+	defer cancel()
+	status, found, err := c.connPool.Probe(ctx, n.Addr, path, hInstance, map[string]string{hTarget: n.ID})
+	switch {
+	case err != nil:
+		return admission.Unknown
+	case found == n.ID:
+		return admission.Here
+	case status == statusWrongInstance || found != "":
+		return admission.Elsewhere
+	}
+	return admission.Unknown
+}
--- /dev/null
+++ b/internal/router/missing_test.go
@@ -0,0 +1,86 @@
+package router
+
+import (
+	"fmt"
+	"strings"
+	"testing"
+
+	"github.com/shoenig/test/must"
+
+	"beechtide.org/beechtide/internal/messages"
+)
+
+const elsewhere = "HTTP/1.1 421 Misdirected Request\r\nBeechtide-Attempt-Id: ID\r\nBeechtide-Instance: other\r\nContent-Length: 0\r\n\r\n"
+
+func (r *runner) probes() (n int) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	for _, q := range r.seen {
+		if strings.HasPrefix(q.URL.Path, "/health") {
+			n++
+		}
+	}
+	return n
+}
+
+func (r *runner) say(answer string) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.next = func() string { return answer }
+}
+
+// fresh is a request with a prompt of its own, so that no runner is preferred for
+// what it keeps.
+func fresh(path string, i int) string {
+	return strings.Replace(request(path, "x"), "ab:15,cd:5", fmt.Sprintf("%x:15,%x:5", 1000+i, 2000+i), 1)
+}
+
+func missing(c *Router) bool {
+	c.dmu.Lock()
+	defer c.dmu.Unlock()
+	_, any := c.door.DueProbes(0)
+	return any
+}
+
+// TestARunnerWhoseAddressIsAnothersGetsNothingMore has one of two runners gone
+// and its address taken by another service's.
+func TestARunnerWhoseAddressIsAnothersGetsNothingMore(t *testing.T) {
+	a, b := newRunner(t), newRunner(t)
+	a.say(elsewhere)
+	c, front, _ := start(t, a, b)
+	for i := 0; a.count() == 0; i++ {
+		ans, body, err := say(t, front, fresh("/pay/", i))
+		must.NoError(t, err)
+		must.Eq(t, 200, ans.StatusCode, must.Sprint("a request that has not run goes on to the other"))
+		must.Eq(t, "ok", body)
+	}
+	must.True(t, missing(c))
+	for a.probes() == 0 {
+		must.True(t, missing(c))
+	}
+	for i := range 30 {
+		ans, _, err := say(t, front, fresh("/chat/", 100+i))
+		must.NoError(t, err)
+		must.Eq(t, 200, ans.StatusCode)
+	}
+	must.Eq(t, 1, a.count()-a.probes())
+
+	a.say("HTTP/1.1 200 OK\r\nBeechtide-Attempt-Id: ID\r\nContent-Length: 2\r\n\r\nok")
+	back := messages.RunnerRecord{ID: "r0", Service: "s", Addr: a.addr, Zone: "a", Capacity: 8, Seq: 2, Barred: true, Models: []messages.Target{{Model: "m", Version: 4}}}
+	must.True(t, c.take("", messages.Feed{Registry: []messages.EntryChange{runnerEntries(t, back)}}))
+	must.False(t, missing(c), must.Sprint("a newer registration brings it back"))
+}
+
+func TestARunnerThatOnlyHasOtherWeightsComesBackByAProbe(t *testing.T) {
+	a, b := newRunner(t), newRunner(t)
+	a.say(strings.Replace(elsewhere, "other", "r0", 1))
+	c, front, _ := start(t, a, b)
+	for i := 0; a.count() == 0; i++ {
+		ans, _, err := say(t, front, fresh("/pay/", i))
+		must.NoError(t, err)
+		must.Eq(t, 200, ans.StatusCode)
+	}
+	for missing(c) {
+	}
+	must.GreaterEq(t, 1, a.probes())
+}
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -58,6 +58,7 @@
 	kick    chan struct{}
 	fresh   chan struct{} // shared parts have been sent to be read
 	stir    chan struct{} // this node's loads have changed
+	missing chan struct{} // a runner was not at its address
 
 	recheckedUs atomic.Int64
 
@@ -76,7 +77,7 @@
 	if err != nil {
 		return nil, err
 	}
-	c := &Router{set: set, log: log, clock: clock, transport: trans, registry: registry.New(), connPool: upstream.NewConnPool(clock), parts: map[int]messages.PartNote{}, door: admission.New(admission.Defaults, set.Zone), budgets: map[string]*upstream.Budget{}, kick: make(chan struct{}, 1), fresh: make(chan struct{}, 1), stir: make(chan struct{}, 1)}
+	c := &Router{set: set, log: log, clock: clock, transport: trans, registry: registry.New(), connPool: upstream.NewConnPool(clock), parts: map[int]messages.PartNote{}, door: admission.New(admission.Defaults, set.Zone), budgets: map[string]*upstream.Budget{}, kick: make(chan struct{}, 1), fresh: make(chan struct{}, 1), stir: make(chan struct{}, 1), missing: make(chan struct{}, 1)}
 	c.configuration, c.runners = statesync.NewEntries(), statesync.NewEntries()
 	c.loads.init(clock())
 	none := ""
@@ -106,6 +107,7 @@
 	go c.tellLoads(live)
 	go loop.Every(live, time.Second, func() { c.connPool.Sweep(func(string) bool { return true }) })
 	go c.pump(live)
+	go c.probeMissing(live)
 	failed := make(chan error, 2)
 	go func() { failed <- c.serveReady() }()
 	for c.table.Load() == nil {
--- a/internal/router/router_test.go
+++ b/internal/router/router_test.go
@@ -123,7 +123,7 @@
  {"name":"sort","host":"h.example","prefix":"/sort/","kind":"streaming","cutoffMs":3000,"setpointMs":800,"service":"s","tries":2,"resumable":true},
  {"name":"pay","host":"h.example","prefix":"/pay/","kind":"effectful","cutoffMs":3000,"service":"s","tries":2},
  {"name":"open","host":"h.example","prefix":"/open/","kind":"idempotent","cutoffMs":3000,"service":"s","tries":2,"unkeyed":true}],
- "services":[{"name":"s","engine":{"cacheTokens":100000,"capacity":8}}],
+ "services":[{"name":"s","probe":"/health","engine":{"cacheTokens":100000,"capacity":8}}],
  "limits":{"headerBytes":4096,"bodyBytes":65536,"headerMs":200,"idleMs":5000},
  "tenants":[{"name":"t1","apiKeys":["k1"],"isolated":true}]}`
 
--- a/internal/upstream/conn_pool.go
+++ b/internal/upstream/conn_pool.go
@@ -120,6 +120,17 @@
 	g.mu.Unlock()
 }
 
+// Drop closes the idle conns to an address, as when another has taken it over.
+func (g *ConnPool) Drop(addr string) {
+	g.mu.Lock()
+	list := g.idle[addr]
+	delete(g.idle, addr)
+	g.mu.Unlock()
+	for _, l := range list {
+		l.Close()
+	}
+}
+
 // Sweep closes conns that have been idle too long, and all to addresses that
 // keep says no to.
 func (g *ConnPool) Sweep(keep func(addr string) bool) {
