Runners that are not at their address are told up the tree as a hint

Cause: each router found a dead runner by itself, and a heartbeat that changes nothing but the sequence never reached a router, so that a runner which was wrongly left out came back by probes alone.

Change: a router tells the instances that were surely not at their address (a new optional field of Told) up the tree. The controller takes such a runner for silent long enough to be stale; the next heartbeat ends that and so brings the higher sequence to the routers. A registration that only says that the runner is silent does not bring it back. Hints alone never make a runner lost.

Taken out, and what failed then: - registry.Doubt in toldBelow: TestAHintFromBelowMakesARunnerStaleAndNoMore - "newsUs" in Doubt ("heardUs" in its place): TestHintsAloneNeverLoseARunner - "!n.Stale" in absence.hear: TestAnAbsentRunnerComesBackOnlyByANewerRegistration - t.Absent in Router.toldBelow: TestHintsOfMissingRunnersGoUpTheTree - surelyAbsent in Found: TestOnlyWhatIsSureIsToldToOthers

--- a/internal/admission/absent.go
+++ b/internal/admission/absent.go
@@ -6,6 +6,7 @@
 // runner's weights have another version than the request expected; the two are
 // told apart by a probe, and until then only a part of a service's runners may
 // be out at once, so that a storm of such answers empties no service.
+// What is sure is told to others as a hint.
 package admission
 
 import (
@@ -19,6 +20,7 @@
 	probeMostUs  = 16_000_000 // and at most; it doubles with each
 	provenUs     = 2_000_000  // how long a probe that found the instance vouches for it
 	turnedAwayUs = 150_000    // how long a runner that turned a request away has no place
+	hintsAtOnce  = 64         // runners that wait to be told to others
 	probesAtOnce = 8          // probes handed out at one time
 )
 
@@ -44,9 +46,17 @@
 	foundUs  int64 // when a probe last found it; 0: never
 }
 
-// renewed tells whether a registration is newer than the one the runner left by.
-func (a *absence) renewed(n messages.RunnerRecord) bool {
-	return n.Seq > a.sequence || n.Addr != a.addr
+// hear takes the runner's registration. One that is newer than the one the
+// runner left by ends the absence, unless it only says that the runner is silent.
+func (a *absence) hear(n messages.RunnerRecord) {
+	if !a.out {
+		return
+	}
+	if n.Addr != a.addr || n.Seq > a.sequence && !n.Stale {
+		*a = absence{}
+		return
+	}
+	a.sequence = max(a.sequence, n.Seq)
 }
 
 // WrongInstance notes that a runner answered 421. expected tells whether the
@@ -69,7 +79,7 @@
 	pauseUs := r.absence.pauseUs
 	r.absence = absence{out: true, proven: !expected, sequence: r.note.Seq, addr: r.note.Addr, pauseUs: pauseUs, probeUs: nowUs + pauseUs}
 	if !expected {
-		d.Index.Reset(r.note.ID)
+		d.surelyAbsent(r.note.ID)
 	}
 	return true
 }
@@ -127,7 +137,23 @@
 	case Elsewhere:
 		if !r.absence.proven {
 			r.absence.proven = true
-			d.Index.Reset(n.ID)
+			d.surelyAbsent(n.ID)
 		}
 	}
 }
+
+// surelyAbsent forgets what the runner kept and notes it for others.
+func (d *Doorman) surelyAbsent(id string) {
+	d.Index.Reset(id)
+	if len(d.absent) < hintsAtOnce {
+		d.absent = append(d.absent, id)
+	}
+}
+
+// TakeAbsent gives the runners that were surely not at their address and have
+// not been given before.
+func (d *Doorman) TakeAbsent() []string {
+	ids := d.absent
+	d.absent = nil
+	return ids
+}
--- a/internal/admission/admission.go
+++ b/internal/admission/admission.go
@@ -130,6 +130,7 @@
 	free    bool                // the last look for candidates found a runner with a place
 	toldUs  int64               // when the others' loads last came
 	fresh   []messages.KeptNote // parts that this node has sent somewhere to be read
+	absent  []string            // runners that are not at their address, for others to hear of
 	MarkUs  int64               // after how long an older version is out of bounds
 	Salt    func(tenant string, isolated bool, regime string, version int64) string
 }
@@ -189,9 +190,7 @@
 			p.runners[n.ID] = r
 		}
 		r.note, r.capacity, r.blocks = n, n.Capacity, tokens/d.T.BlockTokens
-		if r.absence.out && r.absence.renewed(n) {
-			r.absence = absence{}
-		}
+		r.absence.hear(n)
 		keep[n.ID] = true
 		p.order = append(p.order, n.ID)
 	}
--- a/internal/controller/feed.go
+++ b/internal/controller/feed.go
@@ -320,6 +320,9 @@
 
 // toldBelow takes the loads of a node below.
 func (d *Controller) toldBelow(from string, t messages.Told) bool {
+	for _, id := range t.Absent {
+		d.registry.Doubt(id, silenceAfter(d.set.BeatPeriodMs))
+	}
 	f := &d.feed
 	f.mu.Lock()
 	defer f.mu.Unlock()
--- a/internal/messages/msgp.gen.go
+++ b/internal/messages/msgp.gen.go
@@ -4002,24 +4002,30 @@
 // MarshalMsg implements msgp.Marshaler
 func (z *Told) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
-	// map header, size 3
+	// map header, size 4
+	// string "a"
+	o = append(o, 0x84, 0xa1, 0x61)
+	o = msgp.AppendArrayHeader(o, uint32(len(z.Absent)))
+	for za0001 := range z.Absent {
+		o = msgp.AppendString(o, z.Absent[za0001])
+	}
 	// string "c"
-	o = append(o, 0x83, 0xa1, 0x63)
+	o = append(o, 0xa1, 0x63)
 	o = msgp.AppendArrayHeader(o, uint32(len(z.Coming)))
-	for za0001 := range z.Coming {
-		o, err = z.Coming[za0001].MarshalMsg(o)
+	for za0002 := range z.Coming {
+		o, err = z.Coming[za0002].MarshalMsg(o)
 		if err != nil {
-			err = msgp.WrapError(err, "Coming", za0001)
+			err = msgp.WrapError(err, "Coming", za0002)
 			return
 		}
 	}
 	// string "l"
 	o = append(o, 0xa1, 0x6c)
 	o = msgp.AppendArrayHeader(o, uint32(len(z.Loads)))
-	for za0002 := range z.Loads {
-		o, err = z.Loads[za0002].MarshalMsg(o)
+	for za0003 := range z.Loads {
+		o, err = z.Loads[za0003].MarshalMsg(o)
 		if err != nil {
-			err = msgp.WrapError(err, "Loads", za0002)
+			err = msgp.WrapError(err, "Loads", za0003)
 			return
 		}
 	}
@@ -4047,41 +4053,60 @@
 			return
 		}
 		switch msgp.UnsafeString(field) {
-		case "c":
+		case "a":
 			var zb0002 uint32
 			zb0002, bts, err = msgp.ReadArrayHeaderBytes(bts)
 			if err != nil {
-				err = msgp.WrapError(err, "Coming")
+				err = msgp.WrapError(err, "Absent")
 				return
 			}
-			if cap(z.Coming) >= int(zb0002) {
-				z.Coming = (z.Coming)[:zb0002]
+			if cap(z.Absent) >= int(zb0002) {
+				z.Absent = (z.Absent)[:zb0002]
 			} else {
-				z.Coming = make([]KeptNote, zb0002)
+				z.Absent = make([]string, zb0002)
 			}
-			for za0001 := range z.Coming {
-				bts, err = z.Coming[za0001].UnmarshalMsg(bts)
+			for za0001 := range z.Absent {
+				z.Absent[za0001], bts, err = msgp.ReadStringBytes(bts)
 				if err != nil {
-					err = msgp.WrapError(err, "Coming", za0001)
+					err = msgp.WrapError(err, "Absent", za0001)
 					return
 				}
 			}
-		case "l":
+		case "c":
 			var zb0003 uint32
 			zb0003, bts, err = msgp.ReadArrayHeaderBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Coming")
+				return
+			}
+			if cap(z.Coming) >= int(zb0003) {
+				z.Coming = (z.Coming)[:zb0003]
+			} else {
+				z.Coming = make([]KeptNote, zb0003)
+			}
+			for za0002 := range z.Coming {
+				bts, err = z.Coming[za0002].UnmarshalMsg(bts)
+				if err != nil {
+					err = msgp.WrapError(err, "Coming", za0002)
+					return
+				}
+			}
+		case "l":
+			var zb0004 uint32
+			zb0004, bts, err = msgp.ReadArrayHeaderBytes(bts)
 			if err != nil {
 				err = msgp.WrapError(err, "Loads")
 				return
 			}
-			if cap(z.Loads) >= int(zb0003) {
-				z.Loads = (z.Loads)[:zb0003]
+			if cap(z.Loads) >= int(zb0004) {
+				z.Loads = (z.Loads)[:zb0004]
 			} else {
-				z.Loads = make([]LoadChange, zb0003)
+				z.Loads = make([]LoadChange, zb0004)
 			}
-			for za0002 := range z.Loads {
-				bts, err = z.Loads[za0002].UnmarshalMsg(bts)
+			for za0003 := range z.Loads {
+				bts, err = z.Loads[za0003].UnmarshalMsg(bts)
 				if err != nil {
-					err = msgp.WrapError(err, "Loads", za0002)
+					err = msgp.WrapError(err, "Loads", za0003)
 					return
 				}
 			}
@@ -4106,12 +4131,16 @@
 // Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
 func (z *Told) Msgsize() (s int) {
 	s = 1 + 2 + msgp.ArrayHeaderSize
-	for za0001 := range z.Coming {
-		s += z.Coming[za0001].Msgsize()
+	for za0001 := range z.Absent {
+		s += msgp.StringPrefixSize + len(z.Absent[za0001])
+	}
+	s += 2 + msgp.ArrayHeaderSize
+	for za0002 := range z.Coming {
+		s += z.Coming[za0002].Msgsize()
 	}
 	s += 2 + msgp.ArrayHeaderSize
-	for za0002 := range z.Loads {
-		s += z.Loads[za0002].Msgsize()
+	for za0003 := range z.Loads {
+		s += z.Loads[za0003].Msgsize()
 	}
 	s += 2 + msgp.Int64Size
 	return
--- a/internal/messages/types.gen.go
+++ b/internal/messages/types.gen.go
@@ -377,6 +377,8 @@
 
 // Told what a node sends up the tree, and the word back that it was heard
 type Told struct {
+	// Absent runners that were not at their address; a hint
+	Absent []string     `msg:"a"`
 	Coming []KeptNote   `msg:"c"`
 	Loads  []LoadChange `msg:"l"`
 	Seq    int64        `msg:"s"`
--- /dev/null
+++ b/internal/registry/doubt.go
@@ -0,0 +1,14 @@
+package registry
+
+// Doubt takes a hint that a runner was not at its address. The runner counts as
+// silent for long enough to be stale, and for no longer: a hint alone never
+// makes it lost, and its next heartbeat ends the doubt.
+func (r *Registry) Doubt(id string, after Silence) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	e := r.entries[id]
+	if e == nil || !e.usable() {
+		return
+	}
+	e.heardUs = min(e.heardUs, r.newsUs-after.StaleUs-1)
+}
--- a/internal/router/loads.go
+++ b/internal/router/loads.go
@@ -42,6 +42,7 @@
 	below  *statesync.Sum // this node's and those below it
 	total  *statesync.Loads
 	coming []messages.KeptNote
+	absent []string // runners that were not at their address
 	seq    int64
 	whole  bool
 	told   []toldWord
@@ -140,7 +141,7 @@
 }
 
 // next makes the word that is to go up; false where there is nothing to say.
-func (l *loads) next(own map[string]messages.RunnerLoad, coming []messages.KeptNote) (messages.Told, bool) {
+func (l *loads) next(own map[string]messages.RunnerLoad, coming []messages.KeptNote, absent []string) (messages.Told, bool) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	l.own.Replace(own)
@@ -149,11 +150,11 @@
 		l.below.Follow(itself, l.own)
 	}
 	total := l.below.Total
-	w := messages.Told{Coming: append(l.coming, coming...)}
-	if !l.whole && !total.Dirty() && len(w.Coming) == 0 {
+	w := messages.Told{Coming: append(l.coming, coming...), Absent: append(l.absent, absent...)}
+	if !l.whole && !total.Dirty() && len(w.Coming)+len(w.Absent) == 0 {
 		return w, false
 	}
-	l.coming = nil
+	l.coming, l.absent = nil, nil
 	l.seq++
 	w.Seq = l.seq
 	ch := total.Commit(total.Version + 1)
@@ -187,7 +188,7 @@
 		r := l.below.Tell(from, ch)
 		ok = ok && (r == statesync.Applied || r == statesync.Known)
 	}
-	l.coming = append(l.coming, t.Coming...)
+	l.coming, l.absent = append(l.coming, t.Coming...), append(l.absent, t.Absent...)
 	l.mu.Unlock()
 	if len(t.Coming) > 0 {
 		c.dmu.Lock()
@@ -211,9 +212,9 @@
 	}
 	c.dmu.Lock()
 	c.door.SetNodes(int(c.nodes.Load()))
-	own, coming := c.door.Own(c.clock()), c.door.TakeFresh()
+	own, coming, absent := c.door.Own(c.clock()), c.door.TakeFresh(), c.door.TakeAbsent()
 	c.dmu.Unlock()
-	if w, some := c.loads.next(own, coming); some && !c.up.Tell(transport.KindTold, &w) {
+	if w, some := c.loads.next(own, coming, absent); some && !c.up.Tell(transport.KindTold, &w) {
 		c.tellAgain()
 	}
 }
--- a/internal/router/missing.go
+++ b/internal/router/missing.go
@@ -42,6 +42,7 @@
 	}
 	c.log.Info("a runner is not at its address", "runner", adm.Runner.ID, "address", adm.Runner.Addr)
 	c.connPool.Drop(adm.Runner.Addr)
+	poke(c.stir)
 	poke(c.missing)
 }
 
@@ -89,6 +90,7 @@
 	c.dmu.Lock()
 	c.door.Found(n, what, c.clock())
 	c.dmu.Unlock()
+	poke(c.stir)
 	c.wake()
 }
 
