Repairs by whoever can; joining in two steps; handing over before the end

Cause: the lowest live controller alone proposed changes of groups, so one that was cut off, frozen or had a full disk stopped every repair. A newcomer was counted on before it had said that it holds the state, and a member that was told to leave ended at once.

Change: RepairCoordinator, a pure state machine run by every counted controller for each register. It acts after 600 ms a rank, only in contact with a majority, last where the own disk is in fault. It proposes a group once each newcomer and a majority of both groups have said from their disks that they hold the base (Commit with the new optional field f, answered with k), and starts no further change before the newcomers of the last one have said so, for at most 1.5 s. A newcomer that cannot say so is passed over where another one will do. On SIGTERM a member gives its places to a counted controller that stands ready, bounded by 2.5 s; where there is none, the others are asked to have all on disk (0.3 s at most), and the process ends.

Also mended: a committed value that an ask had folded into the record in memory before it was saved was never saved, until the next vote.

--- a/internal/consensus/consensus.go
+++ b/internal/consensus/consensus.go
@@ -37,8 +37,12 @@
 	acc     Acceptor
 	learned atomic.Pointer[messages.Value]
 	keeping atomic.Bool
+	durable int64 // the committed version on disk, notOnDisk for none; guarded by sem
 }
 
+// notOnDisk says that no committed value is on disk.
+const notOnDisk = -1
+
 // Registers is one member's view of all registers.
 type Registers struct {
 	id, addr string
@@ -51,6 +55,7 @@
 	life     string
 	saveUs   atomic.Int64
 	saveErr  atomic.Pointer[string]
+	retired  atomic.Bool
 }
 
 // PartOf tells which part a service belongs to.
@@ -94,7 +99,10 @@
 		if !ok && found && id == FirstID(addr) {
 			rec.Committed = Genesis(seeds)
 		}
-		l.parts[p] = &part{sem: make(chan struct{}, 1), acc: Acceptor{ID: id, Rec: rec}}
+		l.parts[p] = &part{sem: make(chan struct{}, 1), acc: Acceptor{ID: id, Rec: rec}, durable: notOnDisk}
+		if ok && len(rec.Committed.Group) > 0 {
+			l.parts[p].durable = rec.Committed.Version
+		}
 		if len(rec.Committed.Group) > 0 {
 			v := rec.Committed
 			l.parts[p].learned.Store(&v)
@@ -160,13 +168,7 @@
 		for {
 			v := at.learned.Load()
 			at.sem <- struct{}{}
-			before := at.acc.Rec
-			var err error
-			if at.acc.Fold(*v) {
-				if err = l.save(p, at.acc.Rec); err != nil {
-					at.acc.Rec = before
-				}
-			}
+			err := l.makeDurable(p, *v)
 			<-at.sem
 			if err != nil {
 				time.Sleep(keepWait)
@@ -184,6 +186,9 @@
 	began := time.Now()
 	err := l.store.Save(p, rec)
 	l.noteSave(time.Since(began).Microseconds(), err)
+	if err == nil && len(rec.Committed.Group) > 0 {
+		l.parts[p].durable = rec.Committed.Version
+	}
 	return err
 }
 
@@ -208,6 +213,9 @@
 func (l *Registers) local(ctx context.Context, ask messages.ConsensusRequest) (messages.ConsensusResponse, error) {
 	if ask.Step == messages.Commit {
 		l.Learn(ask.Part, ask.Value)
+		if ask.Flush {
+			return l.flush(ctx, ask)
+		}
 		return messages.ConsensusResponse{Verdict: messages.Granted}, nil
 	}
 	p := l.parts[ask.Part]
--- a/internal/consensus/group.go
+++ b/internal/consensus/group.go
@@ -13,7 +13,7 @@
 // maxGroup bounds the members of one register.
 const maxGroup = 9
 
-// Status is what the steward sees of the other controllers.
+// Status is what a controller sees of the others.
 type Status struct {
 	Ready   []messages.Member // alive, with the identity they now have
 	GoneFor func(addr string) int64
@@ -49,13 +49,7 @@
 
 // Regroup returns the wanted group, and false where it should stay as it is.
 func Regroup(group []messages.Member, s Status) ([]messages.Member, bool) {
-	var newcomers []messages.Member
-	for _, m := range s.Ready {
-		if m.ID != "" && !has(group, m.ID) {
-			newcomers = append(newcomers, m)
-		}
-	}
-	sort.Slice(newcomers, func(i, j int) bool { return newcomers[i].ID < newcomers[j].ID })
+	newcomers := newcomers(group, s)
 	for _, n := range newcomers {
 		for i, m := range group {
 			if m.Addr == n.Addr {
@@ -81,6 +75,35 @@
 	return nil, false
 }
 
+// HandOver is the group in which a member that is about to end has given its
+// place to a newcomer that stands ready. A newcomer at the address of a member
+// has lost that member's disk and takes its place, which is Regroup's affair.
+func HandOver(group []messages.Member, self string, s Status) ([]messages.Member, bool) {
+	for _, n := range newcomers(group, s) {
+		if memberAt(group, n.Addr).ID != "" {
+			continue
+		}
+		for i, m := range group {
+			if m.Addr == self {
+				return swap(group, i, &n), true
+			}
+		}
+	}
+	return nil, false
+}
+
+// newcomers are those that stand ready and are no members, by identity.
+func newcomers(group []messages.Member, s Status) []messages.Member {
+	var out []messages.Member
+	for _, m := range s.Ready {
+		if m.ID != "" && !has(group, m.ID) {
+			out = append(out, m)
+		}
+	}
+	sort.Slice(out, func(i, j int) bool { return out[i].ID < out[j].ID })
+	return out
+}
+
 func swap(group []messages.Member, i int, by *messages.Member) []messages.Member {
 	out := append([]messages.Member{}, group[:i]...)
 	if by != nil {
--- a/internal/controller/controller.go
+++ b/internal/controller/controller.go
@@ -49,6 +49,7 @@
 
 	rollouts rollouts
 	calm     calm
+	repairs  repairs
 	startUs  int64
 	disk     *consensus.DiskStore // nil on machines without one
 }
@@ -122,22 +123,33 @@
 // the seeds.
 func (d *Controller) Reload(set settings.Settings) { d.seeds.Store(&set.Seeds) }
 
-// Run serves until ctx ends.
+// Run serves until ctx ends; then the registers are handed over where a newcomer
+// stands ready, and served on meanwhile.
 func (d *Controller) Run(ctx context.Context) error {
-	d.transport.Run(ctx)
-	go d.monitor.Run(ctx)
-	go d.listenToOthers(ctx)
-	go loop.Every(ctx, 300*time.Millisecond, func() { d.repairGroups(ctx) })
-	go loop.Every(ctx, 500*time.Millisecond, func() { d.catchUp(ctx) })
-	go loop.Every(ctx, 500*time.Millisecond, func() { d.sweep() })
-	go loop.Every(ctx, 500*time.Millisecond, func() { d.wantReaders(ctx) })
-	go loop.Every(ctx, 200*time.Millisecond, func() { d.reconcileRollouts(ctx) })
-	go d.flushFeed(ctx)
-	go d.settleRegisters(ctx)
+	live, end := context.WithCancel(context.WithoutCancel(ctx))
+	defer end()
+	d.transport.Run(live)
+	go d.monitor.Run(live)
+	go d.listenToOthers(live)
+	go loop.Every(live, repairPeriod, func() { d.repairGroups(live) })
+	go loop.Every(live, 500*time.Millisecond, func() { d.catchUp(live) })
+	go loop.Every(live, 500*time.Millisecond, func() { d.sweep() })
+	go loop.Every(live, 500*time.Millisecond, func() { d.wantReaders(live) })
+	go loop.Every(live, 200*time.Millisecond, func() { d.reconcileRollouts(live) })
+	go d.flushFeed(live)
+	go d.settleRegisters(live)
 	if d.disk != nil {
-		go d.keepRunners(ctx)
+		go d.keepRunners(live)
 	}
-	err := d.serveControl(ctx)
+	served := make(chan error, 1)
+	go func() { served <- d.serveControl(live) }()
+	var err error
+	select {
+	case err = <-served:
+	case <-ctx.Done():
+		d.leaveGroups(live)
+	}
+	end()
 	d.closeDisk()
 	return err
 }
@@ -329,35 +341,6 @@
 	}
 }
 
-// repairGroups is the steward's duty: the lowest live controller proposes changes
-// of the groups.
-func (d *Controller) repairGroups(ctx context.Context) {
-	alive := d.monitor.Alive(messages.Controller)
-	if len(alive) == 0 || alive[0].Addr != d.transport.Addr() {
-		return
-	}
-	st := consensus.Stand(alive, d.monitor.DeadForUs, 1_000_000)
-	for part := range consensus.Parts {
-		v, ok := d.registers.Committed(part)
-		if !ok {
-			continue
-		}
-		if _, want := consensus.Regroup(v.Group, st); !want {
-			continue
-		}
-		cctx, cancel := context.WithTimeout(ctx, 2*time.Second)
-		_, err := d.registers.Change(cctx, part, func(cur messages.Value) ([]messages.Member, []byte, error) {
-			group, want := consensus.Regroup(cur.Group, st)
-			if !want {
-				return nil, nil, errNoChange
-			}
-			return group, cur.Body, nil
-		})
-		cancel()
-		d.log.Info("group change", "part", part, "err", err)
-	}
-}
-
 func addrOf(id string) string {
 	addr, _, _ := strings.Cut(id, "/")
 	return addr
--- /dev/null
+++ b/internal/controller/repair.go
@@ -0,0 +1,243 @@
+// Repair drives the repair coordinators: it shows them what this controller sees,
+// asks members to confirm what they hold, and carries proposals through a round.
+// It also hands the registers over when the process is told to end.
+package controller
+
+import (
+	"context"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"beechtide.org/beechtide/internal/consensus"
+	"beechtide.org/beechtide/internal/loop"
+	"beechtide.org/beechtide/internal/messages"
+)
+
+// Waits of the driver.
+const (
+	repairPeriod  = 300 * time.Millisecond
+	goneUs        = 1_000_000               // a member that is dead for so long is replaced
+	confirmWait   = time.Second             // for one member's word
+	proposeWait   = 2 * time.Second         // for a round
+	handOverWait  = 2500 * time.Millisecond // for all registers; graceS is 8 s
+	handOverPause = 50 * time.Millisecond
+	lastWordWait  = 300 * time.Millisecond // for the others' disks, where nobody takes over
+	// stepsAtOnce bounds the steps of one repair that follow without a pause.
+	stepsAtOnce = 8
+)
+
+// repairs holds a coordinator for each register.
+type repairs struct {
+	parts   [consensus.Parts]partRepair
+	leaving atomic.Bool
+}
+
+type partRepair struct {
+	mu          sync.Mutex // guards coordinator
+	coordinator consensus.RepairCoordinator
+	busy        atomic.Bool // a step is being carried out
+}
+
+// settled tells whether no change is under way, and the one that led to this
+// group is complete.
+func (r *partRepair) settled(group []messages.Member) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return !r.busy.Load() && r.coordinator.Complete(group)
+}
+
+// repairGroups lets the coordinator of each register take its next steps, each
+// register apart from the others.
+func (d *Controller) repairGroups(ctx context.Context) {
+	status := d.repairStatus()
+	for part := range consensus.Parts {
+		at := &d.repairs.parts[part]
+		if !at.busy.CompareAndSwap(false, true) {
+			continue
+		}
+		step, due := d.nextRepair(part, status)
+		if !due {
+			at.busy.Store(false)
+			continue
+		}
+		go func() {
+			defer at.busy.Store(false)
+			d.repair(ctx, part, step)
+		}()
+	}
+}
+
+func (d *Controller) repairStatus() consensus.Status {
+	return consensus.Stand(d.monitor.Alive(messages.Controller), d.monitor.DeadForUs, goneUs)
+}
+
+// repair carries out a step and those that follow from it.
+func (d *Controller) repair(ctx context.Context, part int, step consensus.RepairStep) {
+	for range stepsAtOnce {
+		went := false
+		if len(step.Confirm) > 0 {
+			went = d.confirm(ctx, part, step)
+		} else {
+			went = d.propose(ctx, part, step)
+		}
+		if !went || ctx.Err() != nil {
+			return
+		}
+		due := false
+		if step, due = d.nextRepair(part, d.repairStatus()); !due {
+			return
+		}
+	}
+}
+
+func (d *Controller) nextRepair(part int, status consensus.Status) (consensus.RepairStep, bool) {
+	base, ok := d.registers.Committed(part)
+	if !ok {
+		return consensus.RepairStep{}, false
+	}
+	_, fault := d.registers.LastSave()
+	view := consensus.RepairView{
+		Self: d.transport.Addr(), Base: base, Status: status, Contact: d.hasContact(base.Group),
+		DiskFault: fault != "", Leaving: d.repairs.leaving.Load(),
+	}
+	at := &d.repairs.parts[part]
+	at.mu.Lock()
+	defer at.mu.Unlock()
+	return at.coordinator.Step(d.clock(), view)
+}
+
+// hasContact tells whether this controller reaches a majority of a group itself.
+func (d *Controller) hasContact(group []messages.Member) bool {
+	near := 0
+	for _, p := range d.reachable() {
+		for _, m := range group {
+			if m.ID == p.MemberID {
+				near++
+			}
+		}
+	}
+	return near > len(group)/2
+}
+
+// confirm asks members whether they hold the base on disk, all at once. It waits
+// until the coordinator has another step, since a member that is about to be
+// found dead must not hold the others up, and tells whether it has.
+func (d *Controller) confirm(ctx context.Context, part int, step consensus.RepairStep) bool {
+	base, ok := d.registers.Committed(part)
+	if !ok || base.Version != step.Version {
+		return ok
+	}
+	ctx, cancel := context.WithTimeout(ctx, confirmWait)
+	defer cancel()
+	words := make(chan bool, len(step.Confirm))
+	for _, m := range step.Confirm {
+		go func() {
+			kept, err := d.registers.Confirm(ctx, part, m, base)
+			if kept {
+				d.noteKept(part, m.ID, base.Version)
+			} else {
+				d.log.Info("member does not confirm", "part", part, "member", m.ID, "version", base.Version, "err", err)
+			}
+			words <- kept
+		}()
+	}
+	for range step.Confirm {
+		if !<-words {
+			continue
+		}
+		if next, due := d.nextRepair(part, d.repairStatus()); !due || len(next.Propose) > 0 {
+			return true
+		}
+	}
+	return false
+}
+
+func (d *Controller) noteKept(part int, id string, version int64) {
+	at := &d.repairs.parts[part]
+	at.mu.Lock()
+	defer at.mu.Unlock()
+	at.coordinator.Kept(id, version)
+}
+
+// propose carries a change of the group through a round. It comes to nothing if
+// the register has moved on, since then nobody has confirmed its value.
+func (d *Controller) propose(ctx context.Context, part int, step consensus.RepairStep) bool {
+	ctx, cancel := context.WithTimeout(ctx, proposeWait)
+	defer cancel()
+	_, err := d.registers.Change(ctx, part, func(cur messages.Value) ([]messages.Member, []byte, error) {
+		if cur.Version != step.Version {
+			return nil, nil, errNoChange
+		}
+		return step.Propose, cur.Body, nil
+	})
+	d.log.Info("group change", "part", part, "err", err)
+	return err == nil || errors.Is(err, errNoChange)
+}
+
+// leaveGroups is what a process does that is told to end. It cannot know whether
+// it will come back. Where a controller stands ready that is no member, its place
+// is handed over to that one; elsewhere the others are left with all that was
+// agreed on on their disks, and the process ends at once.
+func (d *Controller) leaveGroups(ctx context.Context) {
+	d.registers.Retire()
+	d.repairs.leaving.Store(true)
+	ctx, cancel := context.WithTimeout(ctx, handOverWait)
+	defer cancel()
+	for ctx.Err() == nil && d.mayHandOver() {
+		d.repairGroups(ctx)
+		loop.Pause(ctx, handOverPause)
+	}
+	d.lastWord(ctx)
+}
+
+// mayHandOver tells whether a register is left in which this controller is a
+// member and somebody stands ready to take its place, or a change is under way.
+func (d *Controller) mayHandOver() bool {
+	status := consensus.Stand(d.steadyControllers(), d.monitor.DeadForUs, goneUs)
+	for part := range consensus.Parts {
+		v, ok := d.registers.Committed(part)
+		if !ok || !d.hasContact(v.Group) {
+			continue
+		}
+		if !d.repairs.parts[part].settled(v.Group) {
+			return true
+		}
+		if _, may := consensus.HandOver(v.Group, d.transport.Addr(), status); may {
+			return true
+		}
+	}
+	return false
+}
+
+// steadyControllers are those alive and not suspected.
+func (d *Controller) steadyControllers() []messages.Peer {
+	var out []messages.Peer
+	for _, p := range d.monitor.Alive(messages.Controller) {
+		if p.Status == messages.Alive {
+			out = append(out, p)
+		}
+	}
+	return out
+}
+
+// lastWord has the other members take what was agreed on to their disks.
+func (d *Controller) lastWord(ctx context.Context) {
+	ctx, cancel := context.WithTimeout(ctx, lastWordWait)
+	defer cancel()
+	var asked sync.WaitGroup
+	for part := range consensus.Parts {
+		v, ok := d.registers.Committed(part)
+		if !ok {
+			continue
+		}
+		for _, m := range v.Group {
+			if m.Addr != d.transport.Addr() {
+				asked.Go(func() { _, _ = d.registers.Confirm(ctx, part, m, v) })
+			}
+		}
+	}
+	asked.Wait()
+}
--- a/internal/messages/msgp.gen.go
+++ b/internal/messages/msgp.gen.go
@@ -648,9 +648,9 @@
 // MarshalMsg implements msgp.Marshaler
 func (z *ConsensusRequest) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
-	// map header, size 6
+	// map header, size 7
 	// string "b"
-	o = append(o, 0x86, 0xa1, 0x62)
+	o = append(o, 0x87, 0xa1, 0x62)
 	// map header, size 2
 	// string "n"
 	o = append(o, 0x82, 0xa1, 0x6e)
@@ -658,6 +658,9 @@
 	// string "w"
 	o = append(o, 0xa1, 0x77)
 	o = msgp.AppendString(o, z.Ballot.Who)
+	// string "f"
+	o = append(o, 0xa1, 0x66)
+	o = msgp.AppendBool(o, z.Flush)
 	// string "k"
 	o = append(o, 0xa1, 0x6b)
 	o = msgp.AppendString(o, string(z.Step))
@@ -733,6 +736,12 @@
 					}
 				}
 			}
+		case "f":
+			z.Flush, bts, err = msgp.ReadBoolBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Flush")
+				return
+			}
 		case "k":
 			{
 				var zb0003 string
@@ -781,16 +790,16 @@
 
 // Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
 func (z *ConsensusRequest) Msgsize() (s int) {
-	s = 1 + 2 + 1 + 2 + msgp.Int64Size + 2 + msgp.StringPrefixSize + len(z.Ballot.Who) + 2 + msgp.StringPrefixSize + len(string(z.Step)) + 2 + msgp.IntSize + 2 + msgp.Int64Size + 2 + msgp.StringPrefixSize + len(z.To) + 2 + z.Value.Msgsize()
+	s = 1 + 2 + 1 + 2 + msgp.Int64Size + 2 + msgp.StringPrefixSize + len(z.Ballot.Who) + 2 + msgp.BoolSize + 2 + msgp.StringPrefixSize + len(string(z.Step)) + 2 + msgp.IntSize + 2 + msgp.Int64Size + 2 + msgp.StringPrefixSize + len(z.To) + 2 + z.Value.Msgsize()
 	return
 }
 
 // MarshalMsg implements msgp.Marshaler
 func (z *ConsensusResponse) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
-	// map header, size 6
+	// map header, size 7
 	// string "a"
-	o = append(o, 0x86, 0xa1, 0x61)
+	o = append(o, 0x87, 0xa1, 0x61)
 	// map header, size 2
 	// string "n"
 	o = append(o, 0x82, 0xa1, 0x6e)
@@ -804,6 +813,9 @@
 	// string "h"
 	o = append(o, 0xa1, 0x68)
 	o = msgp.AppendBool(o, z.HasAccepted)
+	// string "k"
+	o = append(o, 0xa1, 0x6b)
+	o = msgp.AppendBool(o, z.Kept)
 	// string "m"
 	o = append(o, 0xa1, 0x6d)
 	o = msgp.AppendInt64(o, z.Version)
@@ -895,6 +907,12 @@
 				err = msgp.WrapError(err, "HasAccepted")
 				return
 			}
+		case "k":
+			z.Kept, bts, err = msgp.ReadBoolBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Kept")
+				return
+			}
 		case "m":
 			z.Version, bts, err = msgp.ReadInt64Bytes(bts)
 			if err != nil {
@@ -956,7 +974,7 @@
 
 // Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
 func (z *ConsensusResponse) Msgsize() (s int) {
-	s = 1 + 2 + 1 + 2 + msgp.Int64Size + 2 + msgp.StringPrefixSize + len(z.AcceptedAt.Who) + 2 + msgp.StringPrefixSize + len(string(z.Verdict)) + 2 + msgp.BoolSize + 2 + msgp.Int64Size + 2 + 1 + 2 + msgp.Int64Size + 2 + msgp.StringPrefixSize + len(z.Promised.Who) + 2 + z.Value.Msgsize()
+	s = 1 + 2 + 1 + 2 + msgp.Int64Size + 2 + msgp.StringPrefixSize + len(z.AcceptedAt.Who) + 2 + msgp.StringPrefixSize + len(string(z.Verdict)) + 2 + msgp.BoolSize + 2 + msgp.BoolSize + 2 + msgp.Int64Size + 2 + 1 + 2 + msgp.Int64Size + 2 + msgp.StringPrefixSize + len(z.Promised.Who) + 2 + z.Value.Msgsize()
 	return
 }
 
--- a/internal/messages/types.gen.go
+++ b/internal/messages/types.gen.go
@@ -138,11 +138,14 @@
 // ConsensusRequest defines model for ConsensusRequest.
 type ConsensusRequest struct {
 	Ballot Ballot `msg:"b"`
-	Step   Step   `msg:"k"`
-	Part   int    `msg:"p"`
-	Slot   int64  `msg:"s"`
-	To     string `msg:"t"`
-	Value  Value  `msg:"v"`
+
+	// Flush on a commit
+	Flush bool   `msg:"f"`
+	Step  Step   `msg:"k"`
+	Part  int    `msg:"p"`
+	Slot  int64  `msg:"s"`
+	To    string `msg:"t"`
+	Value Value  `msg:"v"`
 }
 
 // ConsensusResponse defines model for ConsensusResponse.
@@ -150,9 +153,12 @@
 	AcceptedAt  Ballot  `msg:"a"`
 	Verdict     Verdict `msg:"d"`
 	HasAccepted bool    `msg:"h"`
-	Version     int64   `msg:"m"`
-	Promised    Ballot  `msg:"p"`
-	Value       Value   `msg:"v"`
+
+	// Kept the slot that a flush asked for is on this member's disk
+	Kept     bool   `msg:"k"`
+	Version  int64  `msg:"m"`
+	Promised Ballot `msg:"p"`
+	Value    Value  `msg:"v"`
 }
 
 // Entry an entry by its key; one that is no longer there has no body
