--- a/internal/controller/feed.go
+++ b/internal/controller/feed.go
@@ -124,7 +124,7 @@
 	f := &d.feed
 	f.mu.Lock()
 	for _, id := range ids {
-		if n, ok := d.registry.Note(id); ok {
+		if n, ok := d.registry.Record(id); ok {
 			if b, err := n.MarshalMsg(nil); err == nil {
 				f.registry.Put(id, string(b))
 			}
@@ -320,6 +320,9 @@
 
 // toldBelow takes the loads of a node below.
 func (d *Controller) toldBelow(from string, t messages.Told) bool {
+	for _, id := range t.Absent {
+		d.registry.Doubt(id, silenceAfter(d.set.BeatPeriodMs))
+	}
 	f := &d.feed
 	f.mu.Lock()
 	defer f.mu.Unlock()
--- a/internal/messages/msgp.gen.go
+++ b/internal/messages/msgp.gen.go
@@ -648,9 +648,9 @@
 // MarshalMsg implements msgp.Marshaler
 func (z *ConsensusRequest) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
-	// map header, size 6
+	// map header, size 7
 	// string "b"
-	o = append(o, 0x86, 0xa1, 0x62)
+	o = append(o, 0x87, 0xa1, 0x62)
 	// map header, size 2
 	// string "n"
 	o = append(o, 0x82, 0xa1, 0x6e)
@@ -658,6 +658,9 @@
 	// string "w"
 	o = append(o, 0xa1, 0x77)
 	o = msgp.AppendString(o, z.Ballot.Who)
+	// string "f"
+	o = append(o, 0xa1, 0x66)
+	o = msgp.AppendBool(o, z.Flush)
 	// string "k"
 	o = append(o, 0xa1, 0x6b)
 	o = msgp.AppendString(o, string(z.Step))
@@ -733,6 +736,12 @@
 					}
 				}
 			}
+		case "f":
+			z.Flush, bts, err = msgp.ReadBoolBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Flush")
+				return
+			}
 		case "k":
 			{
 				var zb0003 string
@@ -781,16 +790,16 @@
 
 // Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
 func (z *ConsensusRequest) Msgsize() (s int) {
-	s = 1 + 2 + 1 + 2 + msgp.Int64Size + 2 + msgp.StringPrefixSize + len(z.Ballot.Who) + 2 + msgp.StringPrefixSize + len(string(z.Step)) + 2 + msgp.IntSize + 2 + msgp.Int64Size + 2 + msgp.StringPrefixSize + len(z.To) + 2 + z.Value.Msgsize()
+	s = 1 + 2 + 1 + 2 + msgp.Int64Size + 2 + msgp.StringPrefixSize + len(z.Ballot.Who) + 2 + msgp.BoolSize + 2 + msgp.StringPrefixSize + len(string(z.Step)) + 2 + msgp.IntSize + 2 + msgp.Int64Size + 2 + msgp.StringPrefixSize + len(z.To) + 2 + z.Value.Msgsize()
 	return
 }
 
 // MarshalMsg implements msgp.Marshaler
 func (z *ConsensusResponse) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
-	// map header, size 6
+	// map header, size 7
 	// string "a"
-	o = append(o, 0x86, 0xa1, 0x61)
+	o = append(o, 0x87, 0xa1, 0x61)
 	// map header, size 2
 	// string "n"
 	o = append(o, 0x82, 0xa1, 0x6e)
@@ -804,6 +813,9 @@
 	// string "h"
 	o = append(o, 0xa1, 0x68)
 	o = msgp.AppendBool(o, z.HasAccepted)
+	// string "k"
+	o = append(o, 0xa1, 0x6b)
+	o = msgp.AppendBool(o, z.Kept)
 	// string "m"
 	o = append(o, 0xa1, 0x6d)
 	o = msgp.AppendInt64(o, z.Version)
@@ -895,6 +907,12 @@
 				err = msgp.WrapError(err, "HasAccepted")
 				return
 			}
+		case "k":
+			z.Kept, bts, err = msgp.ReadBoolBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Kept")
+				return
+			}
 		case "m":
 			z.Version, bts, err = msgp.ReadInt64Bytes(bts)
 			if err != nil {
@@ -956,7 +974,7 @@
 
 // Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
 func (z *ConsensusResponse) Msgsize() (s int) {
-	s = 1 + 2 + 1 + 2 + msgp.Int64Size + 2 + msgp.StringPrefixSize + len(z.AcceptedAt.Who) + 2 + msgp.StringPrefixSize + len(string(z.Verdict)) + 2 + msgp.BoolSize + 2 + msgp.Int64Size + 2 + 1 + 2 + msgp.Int64Size + 2 + msgp.StringPrefixSize + len(z.Promised.Who) + 2 + z.Value.Msgsize()
+	s = 1 + 2 + 1 + 2 + msgp.Int64Size + 2 + msgp.StringPrefixSize + len(z.AcceptedAt.Who) + 2 + msgp.StringPrefixSize + len(string(z.Verdict)) + 2 + msgp.BoolSize + 2 + msgp.BoolSize + 2 + msgp.Int64Size + 2 + 1 + 2 + msgp.Int64Size + 2 + msgp.StringPrefixSize + len(z.Promised.Who) + 2 + z.Value.Msgsize()
 	return
 }
 
@@ -3591,9 +3609,9 @@
 // MarshalMsg implements msgp.Marshaler
 func (z *RunnerRecord) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
-	// map header, size 13
+	// map header, size 14
 	// string "a"
-	o = append(o, 0x8d, 0xa1, 0x61)
+	o = append(o, 0x8e, 0xa1, 0x61)
 	o = msgp.AppendString(o, z.Addr)
 	// string "b"
 	o = append(o, 0xa1, 0x62)
@@ -3613,6 +3631,9 @@
 	// string "i"
 	o = append(o, 0xa1, 0x69)
 	o = msgp.AppendString(o, z.ID)
+	// string "l"
+	o = append(o, 0xa1, 0x6c)
+	o = msgp.AppendBool(o, z.Lost)
 	// string "m"
 	o = append(o, 0xa1, 0x6d)
 	o = msgp.AppendArrayHeader(o, uint32(len(z.Models)))
@@ -3703,6 +3724,12 @@
 				err = msgp.WrapError(err, "ID")
 				return
 			}
+		case "l":
+			z.Lost, bts, err = msgp.ReadBoolBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Lost")
+				return
+			}
 		case "m":
 			var zb0002 uint32
 			zb0002, bts, err = msgp.ReadArrayHeaderBytes(bts)
@@ -3795,7 +3822,7 @@
 
 // Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
 func (z *RunnerRecord) Msgsize() (s int) {
-	s = 1 + 2 + msgp.StringPrefixSize + len(z.Addr) + 2 + msgp.BoolSize + 2 + msgp.IntSize + 2 + msgp.BoolSize + 2 + msgp.BoolSize + 2 + msgp.BoolSize + 2 + msgp.StringPrefixSize + len(z.ID) + 2 + msgp.ArrayHeaderSize
+	s = 1 + 2 + msgp.StringPrefixSize + len(z.Addr) + 2 + msgp.BoolSize + 2 + msgp.IntSize + 2 + msgp.BoolSize + 2 + msgp.BoolSize + 2 + msgp.BoolSize + 2 + msgp.StringPrefixSize + len(z.ID) + 2 + msgp.BoolSize + 2 + msgp.ArrayHeaderSize
 	for za0001 := range z.Models {
 		s += 1 + 2 + msgp.StringPrefixSize + len(z.Models[za0001].Model) + 2 + msgp.Int64Size
 	}
@@ -3993,24 +4020,30 @@
 // MarshalMsg implements msgp.Marshaler
 func (z *Told) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
-	// map header, size 3
+	// map header, size 4
+	// string "a"
+	o = append(o, 0x84, 0xa1, 0x61)
+	o = msgp.AppendArrayHeader(o, uint32(len(z.Absent)))
+	for za0001 := range z.Absent {
+		o = msgp.AppendString(o, z.Absent[za0001])
+	}
 	// string "c"
-	o = append(o, 0x83, 0xa1, 0x63)
+	o = append(o, 0xa1, 0x63)
 	o = msgp.AppendArrayHeader(o, uint32(len(z.Coming)))
-	for za0001 := range z.Coming {
-		o, err = z.Coming[za0001].MarshalMsg(o)
+	for za0002 := range z.Coming {
+		o, err = z.Coming[za0002].MarshalMsg(o)
 		if err != nil {
-			err = msgp.WrapError(err, "Coming", za0001)
+			err = msgp.WrapError(err, "Coming", za0002)
 			return
 		}
 	}
 	// string "l"
 	o = append(o, 0xa1, 0x6c)
 	o = msgp.AppendArrayHeader(o, uint32(len(z.Loads)))
-	for za0002 := range z.Loads {
-		o, err = z.Loads[za0002].MarshalMsg(o)
+	for za0003 := range z.Loads {
+		o, err = z.Loads[za0003].MarshalMsg(o)
 		if err != nil {
-			err = msgp.WrapError(err, "Loads", za0002)
+			err = msgp.WrapError(err, "Loads", za0003)
 			return
 		}
 	}
@@ -4038,41 +4071,60 @@
 			return
 		}
 		switch msgp.UnsafeString(field) {
-		case "c":
+		case "a":
 			var zb0002 uint32
 			zb0002, bts, err = msgp.ReadArrayHeaderBytes(bts)
 			if err != nil {
-				err = msgp.WrapError(err, "Coming")
+				err = msgp.WrapError(err, "Absent")
 				return
 			}
-			if cap(z.Coming) >= int(zb0002) {
-				z.Coming = (z.Coming)[:zb0002]
+			if cap(z.Absent) >= int(zb0002) {
+				z.Absent = (z.Absent)[:zb0002]
 			} else {
-				z.Coming = make([]KeptNote, zb0002)
+				z.Absent = make([]string, zb0002)
 			}
-			for za0001 := range z.Coming {
-				bts, err = z.Coming[za0001].UnmarshalMsg(bts)
+			for za0001 := range z.Absent {
+				z.Absent[za0001], bts, err = msgp.ReadStringBytes(bts)
 				if err != nil {
-					err = msgp.WrapError(err, "Coming", za0001)
+					err = msgp.WrapError(err, "Absent", za0001)
 					return
 				}
 			}
-		case "l":
+		case "c":
 			var zb0003 uint32
 			zb0003, bts, err = msgp.ReadArrayHeaderBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Coming")
+				return
+			}
+			if cap(z.Coming) >= int(zb0003) {
+				z.Coming = (z.Coming)[:zb0003]
+			} else {
+				z.Coming = make([]KeptNote, zb0003)
+			}
+			for za0002 := range z.Coming {
+				bts, err = z.Coming[za0002].UnmarshalMsg(bts)
+				if err != nil {
+					err = msgp.WrapError(err, "Coming", za0002)
+					return
+				}
+			}
+		case "l":
+			var zb0004 uint32
+			zb0004, bts, err = msgp.ReadArrayHeaderBytes(bts)
 			if err != nil {
 				err = msgp.WrapError(err, "Loads")
 				return
 			}
-			if cap(z.Loads) >= int(zb0003) {
-				z.Loads = (z.Loads)[:zb0003]
+			if cap(z.Loads) >= int(zb0004) {
+				z.Loads = (z.Loads)[:zb0004]
 			} else {
-				z.Loads = make([]LoadChange, zb0003)
+				z.Loads = make([]LoadChange, zb0004)
 			}
-			for za0002 := range z.Loads {
-				bts, err = z.Loads[za0002].UnmarshalMsg(bts)
+			for za0003 := range z.Loads {
+				bts, err = z.Loads[za0003].UnmarshalMsg(bts)
 				if err != nil {
-					err = msgp.WrapError(err, "Loads", za0002)
+					err = msgp.WrapError(err, "Loads", za0003)
 					return
 				}
 			}
@@ -4097,12 +4149,16 @@
 // Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
 func (z *Told) Msgsize() (s int) {
 	s = 1 + 2 + msgp.ArrayHeaderSize
-	for za0001 := range z.Coming {
-		s += z.Coming[za0001].Msgsize()
+	for za0001 := range z.Absent {
+		s += msgp.StringPrefixSize + len(z.Absent[za0001])
 	}
 	s += 2 + msgp.ArrayHeaderSize
-	for za0002 := range z.Loads {
-		s += z.Loads[za0002].Msgsize()
+	for za0002 := range z.Coming {
+		s += z.Coming[za0002].Msgsize()
+	}
+	s += 2 + msgp.ArrayHeaderSize
+	for za0003 := range z.Loads {
+		s += z.Loads[za0003].Msgsize()
 	}
 	s += 2 + msgp.Int64Size
 	return
