--- a/internal/controller/control_test.go
+++ b/internal/controller/control_test.go
@@ -23,6 +23,7 @@
 		return applyOrder(cur, lax)
 	})
 	must.NoError(t, err)
+	must.Eq(t, int64(5), d.table.Load().Version, must.Sprint("what was taken is in force"))
 	for _, c := range []struct {
 		name, body   string
 		base, status int
--- a/internal/controller/controller.go
+++ b/internal/controller/controller.go
@@ -196,7 +196,7 @@
 	if p == consensus.ConfigPart {
 		var body messages.ConfigBody
 		if _, err := body.UnmarshalMsg(v.Body); err == nil && body.Version > 0 {
-			if m, err := routeconfig.Parse(body.Raw); err == nil {
+			if m, err := routeconfig.ReadTaken(body.Raw); err == nil {
 				t := routeconfig.Compile(m)
 				if cur := d.table.Load(); cur == nil || cur.Version < t.Version {
 					d.table.Store(t)
--- a/internal/routeconfig/check.go
+++ b/internal/routeconfig/check.go
@@ -42,6 +42,14 @@
 	return m, crossCheck(m)
 }
 
+// ReadTaken reads a configuration that was taken. It is not checked again: what
+// is in force stays so, whatever a later version of the program would refuse.
+func ReadTaken(raw []byte) (api.Configuration, error) {
+	var m api.Configuration
+	err := json.Unmarshal(raw, &m)
+	return m, errors.Wrap(err, "routeconfig: taken before, and not to be read")
+}
+
 func crossCheck(m api.Configuration) error {
 	services := map[string]bool{}
 	for _, s := range m.Services {
