Founders keep the first group of every register on disk

Cause: Open held the first group in memory until a register's first promise. Change: Open saves it. A disk that refuses keeps nobody from starting, as before. Result: TestFoundersKeepAGroupThatHasTakenNoValue; without the line '_ = l.save(p, rec)' it fails with 'no group known yet'.

--- a/internal/consensus/consensus.go
+++ b/internal/consensus/consensus.go
@@ -92,7 +92,11 @@
 			return nil, err
 		}
 		if !ok && found && id == FirstID(addr) {
+			// The founders may all restart before the first value: they have to
+			// know their group from disk. One whose disk refuses this learns it
+			// from the others; save tells the log.
 			rec.Committed = Genesis(seeds)
+			_ = l.save(p, rec)
 		}
 		l.parts[p] = &part{sem: make(chan struct{}, 1), acc: Acceptor{ID: id, Rec: rec}}
 		if len(rec.Committed.Group) > 0 {
--- a/internal/consensus/consensus_test.go
+++ b/internal/consensus/consensus_test.go
@@ -426,6 +426,29 @@
 	must.NoError(t, err)
 }
 
+// All founders restart before a register has taken its first value: they still
+// know its group (found by the simulation).
+func TestFoundersKeepAGroupThatHasTakenNoValue(t *testing.T) {
+	nodes := map[string]*Registers{}
+	net := carrier(func(ctx context.Context, addr string, body []byte) ([]byte, error) {
+		return nodes[addr].Handle(ctx, body)
+	})
+	seeds := []string{"a", "b", "c"}
+	stores := map[string]*MemoryStore{}
+	for _, found := range []bool{true, false} {
+		for _, s := range seeds {
+			if found {
+				stores[s] = &MemoryStore{}
+			}
+			l, err := Open(s, 1, found, seeds, net, stores[s], logr.Discard(), nil)
+			must.NoError(t, err)
+			nodes[s] = l
+		}
+	}
+	_, err := nodes["b"].Change(context.Background(), 3, body("first"))
+	must.NoError(t, err)
+}
+
 type refusing struct{ MemoryStore }
 
 func (*refusing) Save(int, messages.Record) error { return errors.Wrap(ErrStore, "full") }
