Simulation of controllers, links, disks and clocks, run by seed

Change: internal/simulation plays histories in virtual time: processes that crash, freeze and lose power, links that lose, double, delay and are cut, disks that stall, fill up and lose what was not synced. The real Acceptor, Round, Regroup, Lease and routeconfig.Replace run in it. Change and Read of consensus.Registers, whose driver uses goroutines, are mirrored event by event, and membership is simplified to pings that pass on what was heard. Checked: one value a version, nothing chosen lost, versions never go back, one holder a fence and the lease time between holders, every node reads again within 6 s of the faults' end, and what operators saw is linearizable. 'beechtide simulate' plays as many seeds as asked.

--- a/cmd/beechtide/main.go
+++ b/cmd/beechtide/main.go
@@ -35,6 +35,7 @@
   doctor      look for common faults of a running system
   check FILE  check a configuration before it is sent
   audit       check audit trails of regulated requests against configurations
+  simulate    play histories of the control side in memory, run by seed
 
 Run beechtide COMMAND -h for its flags.
 `
@@ -55,6 +56,8 @@
 		return examine(args[1:])
 	case "audit":
 		return audit(args[1:])
+	case "simulate":
+		return simulate(args[1:])
 	case "-h", "-help", "--help", "help":
 		fmt.Print(usage)
 		return 0
--- /dev/null
+++ b/internal/simulation/checks.go
@@ -0,0 +1,112 @@
+// Checks of the registers while a history runs, and what is told to the
+// operators for the check of linearizability afterwards.
+package simulation
+
+import (
+	"fmt"
+	"slices"
+
+	"beechtide.org/beechtide/internal/messages"
+)
+
+// deed is the last act of a holder of the duty.
+type deed struct {
+	holder string
+	fence  int64
+	atUs   int64
+}
+
+// checks keeps what has been seen of each register.
+type checks struct {
+	cluster    *Cluster
+	stamps     [parts]map[int64]string
+	newest     [parts]messages.Value
+	groupSince [parts]int64
+	holders    map[int64]string // by fence
+	deeds      map[string]deed  // by holder
+	counts     Counts
+}
+
+// Counts tell what histories were made of, so that a quiet one is seen.
+type Counts struct {
+	Histories, Chosen, Taken, Refused, Read, Unclear, Regroups, Acts, Wipes int64
+}
+
+// Add sums counts up.
+func (c *Counts) Add(other Counts) {
+	c.Histories += other.Histories
+	c.Chosen += other.Chosen
+	c.Taken += other.Taken
+	c.Refused += other.Refused
+	c.Read += other.Read
+	c.Unclear += other.Unclear
+	c.Regroups += other.Regroups
+	c.Acts += other.Acts
+	c.Wipes += other.Wipes
+}
+
+// String tells the counts in one line.
+func (c Counts) String() string {
+	return fmt.Sprintf("%d histories: %d values chosen, %d changes of a group, %d disks lost, %d acts under a lease; "+
+		"operators: %d configurations taken, %d refused, %d reads, %d calls unclear",
+		c.Histories, c.Chosen, c.Regroups, c.Wipes, c.Acts, c.Taken, c.Refused, c.Read, c.Unclear)
+}
+
+func newChecks(c *Cluster) *checks {
+	out := &checks{cluster: c, holders: map[int64]string{}, deeds: map[string]deed{}}
+	for part := range out.stamps {
+		out.stamps[part] = map[int64]string{}
+		out.newest[part] = c.genesis()
+	}
+	return out
+}
+
+// chosen is called where a proposer sees a value chosen.
+func (c *checks) chosen(part int, v messages.Value) {
+	if old, known := c.stamps[part][v.Version]; known {
+		if old != v.Stamp {
+			c.cluster.kernel.Fail("two values under version %d of part %d: %s and %s", v.Version, part, old, v.Stamp)
+		}
+		return
+	}
+	c.stamps[part][v.Version] = v.Stamp
+	c.counts.Chosen++
+	c.cluster.kernel.Note("part %d version %d is chosen: %s, group %v", part, v.Version, v.Stamp, v.Group)
+	if v.Version <= c.newest[part].Version {
+		return
+	}
+	if !slices.Equal(v.Group, c.newest[part].Group) {
+		c.groupSince[part] = v.Version
+		c.counts.Regroups++
+	}
+	c.newest[part] = v
+}
+
+// committed is called where a node learns a value for committed; a value may be
+// seen here first, where its proposer did not live to see it chosen.
+func (c *checks) committed(node *Controller, part int, v messages.Value) {
+	if v.Version > 0 {
+		c.chosen(part, v)
+	}
+	known, ok := node.committed(part)
+	if ok && known.Version > v.Version {
+		c.cluster.kernel.Fail("%s goes back from version %d to %d of part %d", node.addr, known.Version, v.Version, part)
+	}
+}
+
+// acted is called where a holder of the duty acts.
+func (c *checks) acted(holder string, fence int64) {
+	now := c.cluster.kernel.NowUs()
+	c.counts.Acts++
+	if other, known := c.holders[fence]; known && other != holder {
+		c.cluster.kernel.Fail("%s and %s act under one fence %d", other, holder, fence)
+	}
+	c.holders[fence] = holder
+	for _, name := range sortedKeys(c.deeds) {
+		d := c.deeds[name]
+		if name != holder && now-d.atUs < dutyTimes.LeaseUs {
+			c.cluster.kernel.Fail("%s acts under fence %d, %d us after %s under fence %d", holder, fence, now-d.atUs, name, d.fence)
+		}
+	}
+	c.deeds[holder] = deed{holder, fence, now}
+}
--- /dev/null
+++ b/internal/simulation/cluster.go
@@ -0,0 +1,156 @@
+// The cluster: controllers, their links and the operators who call them.
+package simulation
+
+import (
+	"cmp"
+	"fmt"
+	"maps"
+	"slices"
+
+	"beechtide.org/beechtide/internal/consensus"
+	"beechtide.org/beechtide/internal/messages"
+	"beechtide.org/beechtide/internal/simulation/history"
+)
+
+// Defects take a mechanism out on purpose, so that a test can see the checks
+// find it missing.
+type Defects struct {
+	RespondBeforeDurable bool // a response leaves before its record is durable
+	DenyWithoutRound     bool // an order is refused by what this node has learned
+	ReadWithoutMajority  bool // a read is served by what this node has learned
+	ForgetTaken          bool // a repeated change isn't looked for
+	ActWithoutWaiting    bool // a holder acts as soon and as long as it thinks it holds
+	ForgetGenesis        bool // the first group isn't kept before the first value
+	TrustUnusedClaim     bool // a claim that was never acted under counts as one that was
+}
+
+// Cluster is everything in one history.
+type Cluster struct {
+	kernel      *Kernel
+	network     *Network
+	controllers []*Controller
+	operators   []*operator
+	founders    []string
+	checks      *checks
+	history     history.History
+	defects     Defects
+	serial      int
+	aimed       []func()
+	healed      bool
+}
+
+func sortedKeys[K cmp.Ordered, V any](m map[K]V) []K { return slices.Sorted(maps.Keys(m)) }
+
+// newCluster makes a group of the given size, and others who stand ready.
+func newCluster(k *Kernel, size, ready, operators int, defects Defects) *Cluster {
+	c := &Cluster{kernel: k, network: NewNetwork(k), defects: defects}
+	for i := range size + ready {
+		addr := fmt.Sprintf("c%d", i+1)
+		c.controllers = append(c.controllers, &Controller{cluster: c, addr: addr, process: NewProcess(k), disk: NewStorage(k)})
+		if i < size {
+			c.founders = append(c.founders, addr)
+		}
+	}
+	c.checks = newChecks(c)
+	for i, node := range c.controllers {
+		node.boot(i < size)
+	}
+	for i := range operators {
+		o := &operator{cluster: c, name: fmt.Sprintf("operator-%d", i+1), number: i}
+		c.operators = append(c.operators, o)
+		k.After(k.Between(Second/2, 2*Second), o.next)
+	}
+	return c
+}
+
+func (c *Cluster) at(addr string) *Controller {
+	for _, node := range c.controllers {
+		if node.addr == addr {
+			return node
+		}
+	}
+	return nil
+}
+
+// crash ends a process; what it was writing may or may not be seen afterwards.
+func (c *Cluster) crash(node *Controller) {
+	c.kernel.Note("%s crashes", node.addr)
+	node.process.Stop()
+	node.disk.Kill()
+}
+
+// losePower ends a process and loses what its disk had not synced.
+func (c *Cluster) losePower(node *Controller) {
+	c.kernel.Note("%s loses power", node.addr)
+	node.process.Stop()
+	node.disk.LosePower()
+}
+
+// wipe ends a process and takes its disk.
+func (c *Cluster) wipe(node *Controller) {
+	c.kernel.Note("%s loses its disk", node.addr)
+	node.process.Stop()
+	node.disk.Wipe()
+}
+
+// restart begins another life where there is none.
+func (c *Cluster) restart(node *Controller) {
+	if !node.process.Up() {
+		node.boot(false)
+	}
+}
+
+// bearsLossOf tells whether the design promises to bear the loss of this disk
+// now: a majority of the newest group of each register is left that knows from
+// disk that it is the group.
+func (c *Cluster) bearsLossOf(victim *Controller) bool {
+	for part := range parts {
+		newest := c.checks.newest[part]
+		since := c.checks.groupSince[part]
+		left := 0
+		for _, m := range newest.Group {
+			node := c.at(m.Addr)
+			if node != victim && node.knowsDurably(part, m.ID, since) {
+				left++
+			}
+		}
+		if left <= len(newest.Group)/2 {
+			return false
+		}
+	}
+	return true
+}
+
+// knowsDurably tells whether a loss of power leaves this disk with an identity
+// and a register committed up to a version.
+func (c *Controller) knowsDurably(part int, id string, version int64) bool {
+	identity, ok := c.disk.Durable(identityFile)
+	if !ok || string(identity) != id {
+		return false
+	}
+	raw, ok := c.disk.Durable(recordFile(part))
+	if !ok {
+		return false
+	}
+	var record messages.Record
+	if _, err := record.UnmarshalMsg(raw); err != nil {
+		return false
+	}
+	return len(record.Committed.Group) > 0 && record.Committed.Version >= version
+}
+
+// heal ends every fault: links, disks and processes are as they should be.
+func (c *Cluster) heal() {
+	c.kernel.Note("everything heals")
+	c.healed = true
+	c.network.Heal()
+	for _, node := range c.controllers {
+		node.disk.Full, node.disk.SlowUs = false, 0
+		node.disk.Resume()
+		node.process.Thaw()
+		c.restart(node)
+	}
+}
+
+// genesis is the value before the first.
+func (c *Cluster) genesis() messages.Value { return consensus.Genesis(c.founders) }
--- /dev/null
+++ b/internal/simulation/duties.go
@@ -0,0 +1,181 @@
+// Duties of a controller: repair of the groups, and the lease of the one who
+// rolls out weights.
+package simulation
+
+import (
+	"strconv"
+
+	"github.com/pkg/errors"
+
+	"beechtide.org/beechtide/internal/consensus"
+	"beechtide.org/beechtide/internal/lease"
+	"beechtide.org/beechtide/internal/messages"
+)
+
+const (
+	repairEveryUs = 500 * Millisecond
+	repairUs      = 2 * Second
+	goneUs        = Second
+	dutyEveryUs   = 250 * Millisecond
+	confirmUs     = 600 * Millisecond
+	takeUs        = Second
+)
+
+// dutyTimes are those the controllers use.
+var dutyTimes = lease.Times{LeaseUs: 3 * Second, ActUs: 400 * Millisecond, SpareUs: 800 * Millisecond}
+
+var errNoChange = errors.New("simulation: nothing to change")
+
+// repairGroups proposes changes of the groups, one register after the other.
+func (c *Controller) repairGroups() {
+	alive := c.alive()
+	if c.repairing || alive[0].Addr != c.addr {
+		return
+	}
+	c.repairing = true
+	status := consensus.Stand(alive, c.silentForUs, goneUs)
+	c.repairFrom(0, status)
+}
+
+func (c *Controller) repairFrom(part int, status consensus.Status) {
+	if part == parts {
+		c.repairing = false
+		return
+	}
+	v, ok := c.committed(part)
+	if _, want := consensus.Regroup(v.Group, status); !ok || !want {
+		c.repairFrom(part+1, status)
+		return
+	}
+	regroup := func(cur messages.Value) ([]messages.Member, []byte, error) {
+		group, want := consensus.Regroup(cur.Group, status)
+		if !want {
+			return nil, nil, errNoChange
+		}
+		return group, cur.Body, nil
+	}
+	c.change(part, repairUs, regroup, func(v messages.Value, err error) {
+		c.cluster.kernel.Note("%s regroups part %d: version %d, %v", c.addr, part, v.Version, err)
+		c.repairFrom(part+1, status)
+	})
+}
+
+// workDuty is one turn of the one who holds the duty, or would take it over.
+func (c *Controller) workDuty() {
+	v, ok := c.committed(dutyPart)
+	if c.dutyBusy || !ok {
+		return
+	}
+	held := dutyOf(v).Lease
+	if held.Holder != c.id {
+		c.duty.Lost()
+		if alive := c.alive(); alive[0].Addr == c.addr && !hasMember(alive, held.Holder) {
+			c.takeDuty(held)
+		}
+		return
+	}
+	if c.duty.Fence() != held.Fence {
+		c.takeDuty(held)
+		return
+	}
+	if c.mayAct() {
+		c.act()
+		return
+	}
+	askedUs := c.process.NowUs()
+	c.dutyBusy = true
+	c.read(dutyPart, confirmUs, func(v messages.Value, err error) {
+		c.dutyBusy = false
+		if err != nil {
+			return
+		}
+		now := dutyOf(v).Lease
+		if now.Holder != c.id {
+			c.duty.Lost()
+			return
+		}
+		c.duty.Confirmed(now.Fence, askedUs)
+		if c.mayAct() {
+			c.act()
+		}
+	})
+}
+
+func (c *Controller) mayAct() bool {
+	now := c.process.NowUs()
+	if c.cluster.defects.ActWithoutWaiting {
+		return c.duty.Fence() > 0
+	}
+	return c.duty.MayAct(now)
+}
+
+// actedFile is where a holder notes the fence that it has acted under.
+const actedFile = "acted"
+
+// act stands for an order to a runner. The first one under a fence is noted on
+// disk, at leisure: the note only spares a later life of this holder a wait.
+func (c *Controller) act() {
+	fence := c.duty.Fence()
+	c.cluster.checks.acted(c.id, fence)
+	if c.actedAs == fence {
+		return
+	}
+	c.actedAs = fence
+	c.disk.Write(actedFile, strconv.AppendInt(nil, fence, 10), func(error) {})
+}
+
+// actedUnder tells whether a life of this holder has acted under a fence, so
+// that nobody before it can still act.
+func (c *Controller) actedUnder(fence int64) bool {
+	noted, ok := c.disk.Read(actedFile)
+	return c.cluster.defects.TrustUnusedClaim || ok && string(noted) == strconv.FormatInt(fence, 10)
+}
+
+// takeDuty wins the duty by a ballot, if it is still as it was.
+func (c *Controller) takeDuty(was messages.Lease) {
+	c.dutyBusy = true
+	take := func(cur messages.Value) ([]messages.Member, []byte, error) {
+		body := dutyOf(cur)
+		if body.Lease != was {
+			return nil, nil, errNoChange
+		}
+		body.Lease = messages.Lease{Holder: c.id, Fence: was.Fence + 1}
+		raw, err := body.MarshalMsg(nil)
+		return nil, raw, err
+	}
+	c.change(dutyPart, takeUs, take, func(v messages.Value, err error) {
+		c.dutyBusy = false
+		if err != nil || dutyOf(v).Lease.Holder != c.id {
+			return
+		}
+		before := lease.Another
+		switch {
+		case was.Holder == "":
+			before = lease.Nobody
+		case was.Holder == c.id && c.actedUnder(was.Fence):
+			before = lease.Itself
+		}
+		c.duty.Took(dutyOf(v).Lease.Fence, before, c.process.NowUs())
+		c.cluster.kernel.Note("%s takes the duty under fence %d", c.id, c.duty.Fence())
+	})
+}
+
+func hasMember(peers []messages.Peer, id string) bool {
+	for _, p := range peers {
+		if p.MemberID == id {
+			return true
+		}
+	}
+	return false
+}
+
+// dutyOf reads the body of the duty's register.
+func dutyOf(v messages.Value) messages.LeaseBody {
+	body := messages.LeaseBody{Targets: []messages.Target{}}
+	if len(v.Body) > 0 {
+		if _, err := body.UnmarshalMsg(v.Body); err != nil {
+			return messages.LeaseBody{}
+		}
+	}
+	return body
+}
--- /dev/null
+++ b/internal/simulation/operator.go
@@ -0,0 +1,236 @@
+// Operators: they replace the configuration on top of what they last read, at
+// times under numbers that others use too, read it back and name weights. Who
+// gets no answer repeats the same call at another controller.
+package simulation
+
+import (
+	"fmt"
+
+	"github.com/pkg/errors"
+
+	"beechtide.org/beechtide/internal/messages"
+	"beechtide.org/beechtide/internal/routeconfig"
+	"beechtide.org/beechtide/internal/simulation/history"
+)
+
+const (
+	operatorWaitUs = 900 * Millisecond // as the controllers bound a change
+	callerWaitUs   = Second            // after which a caller moves on
+	mostTries      = 6
+)
+
+type operator struct {
+	cluster *Cluster
+	name    string
+	number  int
+	version int64 // as last read or written
+	serial  int
+}
+
+// order is one call with all its repeats, from the first sending to the answer.
+type order struct {
+	id   int // in the history
+	call history.Call
+}
+
+const model = "model"
+
+// next thinks, calls, and comes back, until the end of the history.
+func (o *operator) next() {
+	k := o.cluster.kernel
+	if o.cluster.healed {
+		return
+	}
+	call := history.Call{Kind: history.Replace}
+	switch draw := k.Below(100); {
+	case draw < 45:
+		o.serial++
+		call.Base = o.version
+		call.Version = call.Base + 1
+		if k.Chance(100) {
+			call.Version += int64(k.Below(3))
+		}
+		call.Digest = fmt.Sprintf("%s/%d", o.name, o.serial)
+	case draw < 70:
+		call.Kind = history.Read
+	case draw < 90:
+		call = history.Call{Kind: history.NameWeights, Model: model, Version: k.Between(1, 40)}
+	default:
+		call = history.Call{Kind: history.ReadWeights, Model: model}
+	}
+	o.try(order{id: o.cluster.history.Begin(o.number, call), call: call}, 1)
+}
+
+// try sends a call to some controller, and again to another where no final
+// answer comes in time.
+func (o *operator) try(call order, try int) {
+	k := o.cluster.kernel
+	node := o.cluster.controllers[k.Below(len(o.cluster.controllers))]
+	over := false
+	again := func() {
+		if over {
+			return
+		}
+		over = true
+		if try == mostTries || o.cluster.healed {
+			o.end(call, history.Answer{})
+			return
+		}
+		k.After(k.Between(5*Millisecond, 60*Millisecond), func() { o.try(call, try+1) })
+	}
+	answer := func(a history.Answer) {
+		switch {
+		case over:
+		case a.Verdict == history.Unclear:
+			again()
+		default:
+			over = true
+			o.end(call, a)
+		}
+	}
+	o.cluster.ask(o.name, node, call.call, answer)
+	k.After(callerWaitUs, again)
+}
+
+func (o *operator) end(call order, answer history.Answer) {
+	k := o.cluster.kernel
+	o.cluster.history.End(call.id, answer)
+	k.Note("%s: %s: %s", o.name, call.call, answer)
+	counts := &o.cluster.checks.counts
+	switch {
+	case answer.Verdict == history.Unclear:
+		counts.Unclear++
+	case answer.Verdict != history.Taken:
+		counts.Refused++
+	case call.call.Kind == history.Replace:
+		counts.Taken++
+		o.version = call.call.Version
+		o.cluster.strikeAimed()
+	case call.call.Kind == history.Read:
+		counts.Read++
+		o.version = answer.Version
+	}
+	if answer.Verdict == history.Overtaken && k.Chance(700) {
+		o.version = max(o.version, o.cluster.anyVersion())
+	}
+	k.After(k.Between(20*Millisecond, 900*Millisecond), o.next)
+}
+
+// anyVersion is what some operator knows; two of them may build on one base.
+func (c *Cluster) anyVersion() int64 { return c.operators[c.kernel.Below(len(c.operators))].version }
+
+// ask carries a call to a controller and its answer back, or neither.
+func (c *Cluster) ask(from string, node *Controller, call history.Call, answer func(history.Answer)) {
+	c.network.Send(from, node.addr, func() {
+		node.process.Deliver(func() {
+			node.serve(call, func(a history.Answer) {
+				c.network.Send(node.addr, from, func() { answer(a) })
+			})
+		})
+	})
+}
+
+// serve carries a call out, as the handlers of the control address do.
+func (c *Controller) serve(call history.Call, answer func(history.Answer)) {
+	switch call.Kind {
+	case history.Replace:
+		c.serveReplace(call, answer)
+	case history.NameWeights:
+		name := func(cur messages.Value) ([]messages.Member, []byte, error) { return nameWeights(cur, call.Version) }
+		c.change(dutyPart, operatorWaitUs, name, func(_ messages.Value, err error) {
+			if err != nil && !errors.Is(err, errNoChange) {
+				answer(history.Answer{})
+				return
+			}
+			answer(history.Answer{Verdict: history.Taken})
+		})
+	case history.Read:
+		c.serveRead(configPart, answer, func(v messages.Value) history.Answer {
+			body := configOf(v)
+			return history.Answer{Verdict: history.Taken, Version: body.Version, Digest: string(body.Raw)}
+		})
+	case history.ReadWeights:
+		c.serveRead(dutyPart, answer, func(v messages.Value) history.Answer {
+			return history.Answer{Verdict: history.Taken, Version: weightsOf(dutyOf(v))}
+		})
+	}
+}
+
+func (c *Controller) serveRead(part int, answer func(history.Answer), tell func(messages.Value) history.Answer) {
+	c.read(part, operatorWaitUs, func(v messages.Value, err error) {
+		if err != nil {
+			answer(history.Answer{})
+			return
+		}
+		answer(tell(v))
+	})
+}
+
+func (c *Controller) serveReplace(call history.Call, answer func(history.Answer)) {
+	replace := func(cur messages.Value) ([]messages.Member, []byte, error) {
+		body := configOf(cur)
+		if c.cluster.defects.ForgetTaken {
+			body.AcceptedDigest = nil
+		}
+		next, err := routeconfig.Replace(body, []byte(call.Digest), call.Version, call.Base)
+		if err != nil {
+			return nil, nil, err
+		}
+		raw, err := next.MarshalMsg(nil)
+		return nil, raw, err
+	}
+	if c.cluster.defects.DenyWithoutRound {
+		if cur, known := c.committed(configPart); known {
+			if _, _, err := replace(cur); err != nil {
+				answer(history.Answer{Verdict: verdictOf(err)})
+				return
+			}
+		}
+	}
+	c.change(configPart, operatorWaitUs, replace, func(_ messages.Value, err error) {
+		answer(history.Answer{Verdict: verdictOf(err)})
+	})
+}
+
+func verdictOf(err error) history.Verdict {
+	var invalid *routeconfig.Invalid
+	switch {
+	case err == nil, errors.Is(err, routeconfig.ErrTakenBefore):
+		return history.Taken
+	case errors.Is(err, routeconfig.ErrOvertaken):
+		return history.Overtaken
+	case errors.As(err, &invalid):
+		return history.Invalid
+	}
+	return history.Unclear
+}
+
+func configOf(v messages.Value) messages.ConfigBody {
+	var body messages.ConfigBody
+	if len(v.Body) > 0 {
+		if _, err := body.UnmarshalMsg(v.Body); err != nil {
+			return messages.ConfigBody{}
+		}
+	}
+	return body
+}
+
+func weightsOf(body messages.LeaseBody) int64 {
+	for _, t := range body.Targets {
+		if t.Model == model {
+			return t.Version
+		}
+	}
+	return 0
+}
+
+// nameWeights notes the newest weights of the one model there is.
+func nameWeights(cur messages.Value, version int64) ([]messages.Member, []byte, error) {
+	body := dutyOf(cur)
+	if weightsOf(body) >= version {
+		return nil, nil, errNoChange
+	}
+	body.Targets = []messages.Target{{Model: model, Version: version}}
+	raw, err := body.MarshalMsg(nil)
+	return nil, raw, err
+}
--- /dev/null
+++ b/internal/simulation/play.go
@@ -0,0 +1,79 @@
+// Play runs one history from a seed and says what it broke.
+package simulation
+
+import (
+	"time"
+
+	"beechtide.org/beechtide/internal/messages"
+)
+
+// mostSearchTime bounds the search for an order of the calls in one history.
+const mostSearchTime = 20 * time.Second
+
+// Options say how a history is played.
+type Options struct {
+	Record  bool // keep the history as text
+	Defects Defects
+}
+
+// Result is what came of a history.
+type Result struct {
+	Seed    uint64
+	Failure string // empty where every check held
+	History []string
+	Counts  Counts
+}
+
+// Play plays the controllers' history of a seed.
+func Play(seed uint64, options Options) Result {
+	k := NewKernel(seed, options.Record)
+	size := []int{3, 3, 3, 5, 5, 7}[k.Below(6)]
+	c := newCluster(k, size, k.Below(3), 2+k.Below(3), options.Defects)
+	c.plan()
+	k.RunUntil(calmUs + faultsUs + mostFault/2)
+	c.heal()
+	k.RunUntil(k.NowUs() + comeBackUs)
+	c.checkTheEnd()
+	if k.failure == "" {
+		if err := c.history.Check(mostSearchTime); err != nil {
+			k.Fail("%v", err)
+		}
+	}
+	c.checks.counts.Histories = 1
+	return Result{Seed: seed, Failure: k.failure, History: k.history, Counts: c.checks.counts}
+}
+
+// endWaitUs is how long each call of the last checks may take.
+const endWaitUs = Second
+
+// checkTheEnd has every node read each register: it must get the newest value
+// that was ever chosen, or a newer one.
+func (c *Cluster) checkTheEnd() {
+	for _, node := range c.controllers {
+		for part := range parts {
+			c.checkRead(node, part)
+		}
+	}
+}
+
+func (c *Cluster) checkRead(node *Controller, part int) {
+	k := c.kernel
+	least, answered := c.checks.newest[part].Version, false
+	node.process.Deliver(func() {
+		node.read(part, endWaitUs, func(v messages.Value, err error) {
+			answered = true
+			switch {
+			case err != nil:
+				k.Fail("%s can't read part %d, %d us after everything healed: %v", node.addr, part, comeBackUs, err)
+			case v.Version < least:
+				k.Fail("%s reads version %d of part %d after %d was chosen", node.addr, v.Version, part, least)
+			}
+		})
+	})
+	for waitedUs := int64(0); !answered && waitedUs < 2*endWaitUs; waitedUs += 5 * Millisecond {
+		k.RunUntil(k.NowUs() + 5*Millisecond)
+	}
+	if !answered {
+		k.Fail("%s doesn't answer a read of part %d after everything healed", node.addr, part)
+	}
+}
--- /dev/null
+++ b/internal/simulation/play_test.go
@@ -0,0 +1,76 @@
+package simulation
+
+import (
+	"strings"
+	"testing"
+
+	"github.com/shoenig/test/must"
+)
+
+// testRange is the fixed set of seeds that CI plays.
+var testRange = Range{First: 0, Count: 300, Parallel: 3}
+
+// onceFailing are seeds that broke a check before a fault was mended.
+var onceFailing = []uint64{71, 90, 1033, 1046, 1488, 1878, 2023, 3160}
+
+func TestSeedsBreakNothing(t *testing.T) {
+	counts := Run(testRange, Options{}, func(r Result) { t.Errorf("seed %d: %s", r.Seed, r.Failure) })
+	t.Log(counts)
+	must.Positive(t, counts.Taken)
+	must.Positive(t, counts.Refused)
+	must.Positive(t, counts.Read)
+	must.Positive(t, counts.Unclear)
+	must.Positive(t, counts.Regroups)
+	must.Positive(t, counts.Wipes)
+	must.Positive(t, counts.Acts)
+}
+
+func TestOnceFailingSeedsBreakNothing(t *testing.T) {
+	for _, seed := range onceFailing {
+		r := Play(seed, Options{Record: true})
+		must.Eq(t, "", r.Failure, must.Sprintf("seed %d\n%s", seed, strings.Join(r.History, "\n")))
+	}
+}
+
+func TestOneSeedPlaysOneHistory(t *testing.T) {
+	for seed := range uint64(10) {
+		a, b := Play(seed, Options{Record: true}), Play(seed, Options{Record: true})
+		must.Eq(t, strings.Join(a.History, "\n"), strings.Join(b.History, "\n"))
+	}
+}
+
+// Each mechanism that can be taken out in the model is missed by a check.
+func TestChecksFindWhatIsTakenOut(t *testing.T) {
+	for _, c := range []struct {
+		name    string
+		defects Defects
+		finds   string
+	}{
+		{"response before durability", Defects{RespondBeforeDurable: true}, ""},
+		{"refusal without a round", Defects{DenyWithoutRound: true}, "history"},
+		{"read without a majority", Defects{ReadWithoutMajority: true}, "history"},
+		{"repeats not looked for", Defects{ForgetTaken: true}, "history"},
+		{"lease without its waits", Defects{ActWithoutWaiting: true}, "acts under"},
+		{"first group not kept", Defects{ForgetGenesis: true}, "no group"},
+		{"claim never used counts as used", Defects{TrustUnusedClaim: true}, "acts under"},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			seed, failure := firstFailure(Options{Defects: c.defects})
+			t.Logf("found by seed %d: %s", seed, failure)
+			must.StrContains(t, failure, c.finds)
+			must.NotEq(t, "", failure)
+		})
+	}
+}
+
+// mostSeedsToFind bounds the search for a seed that misses a mechanism.
+const mostSeedsToFind = 4000
+
+func firstFailure(options Options) (uint64, string) {
+	for seed := range uint64(mostSeedsToFind) {
+		if r := Play(seed, options); r.Failure != "" {
+			return seed, r.Failure
+		}
+	}
+	return mostSeedsToFind, ""
+}
--- /dev/null
+++ b/internal/simulation/run.go
@@ -0,0 +1,45 @@
+// Run plays many seeds, several at a time.
+package simulation
+
+import "sync"
+
+// Range is which seeds to play.
+type Range struct {
+	First, Count uint64
+	Parallel     int
+}
+
+// Run plays a range of seeds and hands over each history that broke a check,
+// played once more so that it is recorded. It gives what all were made of.
+func Run(r Range, options Options, failed func(Result)) Counts {
+	seeds := make(chan uint64)
+	var (
+		wait   sync.WaitGroup
+		mu     sync.Mutex
+		counts Counts
+	)
+	for range max(r.Parallel, 1) {
+		wait.Go(func() {
+			for seed := range seeds {
+				result := Play(seed, options)
+				if result.Failure != "" {
+					again := options
+					again.Record = true
+					result = Play(seed, again)
+				}
+				mu.Lock()
+				counts.Add(result.Counts)
+				if result.Failure != "" {
+					failed(result)
+				}
+				mu.Unlock()
+			}
+		})
+	}
+	for seed := r.First; seed < r.First+r.Count; seed++ {
+		seeds <- seed
+	}
+	close(seeds)
+	wait.Wait()
+	return counts
+}
--- /dev/null
+++ b/internal/simulation/scenario.go
@@ -0,0 +1,232 @@
+// Scenarios: which faults come when, drawn from the seed.
+package simulation
+
+// A history has a calm start, in which every register takes its first value,
+// then faults, then time to come back.
+const (
+	calmUs     = 1_500 * Millisecond
+	faultsUs   = 10 * Second
+	comeBackUs = 6 * Second
+	leastFault = 100 * Millisecond
+	mostFault  = 5 * Second
+)
+
+// fault is one kind of trouble; how often it is drawn is its weight.
+type fault struct {
+	weight int
+	strike func(c *Cluster, victim *Controller, forUs int64)
+}
+
+var faults = []fault{
+	{3, (*Cluster).crashFor},
+	{2, (*Cluster).losePowerFor},
+	{2, (*Cluster).loseAllPower},
+	{3, (*Cluster).freezeFor},
+	{3, (*Cluster).cutOffFor},
+	{3, (*Cluster).cutOneWayFor},
+	{3, (*Cluster).cutSomeFor},
+	{2, (*Cluster).stormFor},
+	{2, (*Cluster).stallFor},
+	{1, (*Cluster).fillFor},
+	{1, (*Cluster).slowDiskFor},
+	{4, (*Cluster).wipeFor},
+	{1, (*Cluster).slowAllDisksFor},
+	{4, (*Cluster).aimAllPower},
+	{2, (*Cluster).aimWipe},
+	{2, (*Cluster).aimKillAll},
+	{1, (*Cluster).stepClock},
+}
+
+// plan draws the faults of a history.
+func (c *Cluster) plan() {
+	k := c.kernel
+	total := 0
+	for _, f := range faults {
+		total += f.weight
+	}
+	for range 2 + k.Below(9) {
+		draw, chosen := k.Below(total), 0
+		for draw >= faults[chosen].weight {
+			draw -= faults[chosen].weight
+			chosen++
+		}
+		forUs := k.Between(leastFault, mostFault)
+		if k.Chance(300) {
+			forUs = k.Between(1, leastFault)
+		}
+		k.After(calmUs+k.Between(0, faultsUs), func() {
+			if !c.healed {
+				faults[chosen].strike(c, c.controllers[k.Below(len(c.controllers))], forUs)
+			}
+		})
+	}
+}
+
+// later ends a fault, where not everything has healed before.
+func (c *Cluster) later(forUs int64, end func()) {
+	c.kernel.After(forUs, func() {
+		if !c.healed {
+			end()
+		}
+	})
+}
+
+func (c *Cluster) crashFor(victim *Controller, forUs int64) {
+	c.crash(victim)
+	c.later(forUs, func() { c.restart(victim) })
+}
+
+func (c *Cluster) losePowerFor(victim *Controller, forUs int64) {
+	c.losePower(victim)
+	c.later(forUs, func() { c.restart(victim) })
+}
+
+func (c *Cluster) loseAllPower(_ *Controller, forUs int64) {
+	for _, node := range c.controllers {
+		c.losePower(node)
+		c.later(c.kernel.Between(0, forUs), func() { c.restart(node) })
+	}
+}
+
+func (c *Cluster) freezeFor(victim *Controller, forUs int64) {
+	c.kernel.Note("%s freezes for %d us", victim.addr, forUs)
+	victim.process.Freeze()
+	c.later(forUs, victim.process.Thaw)
+}
+
+// cutOffFor parts one from all other controllers; operators still reach it.
+func (c *Cluster) cutOffFor(victim *Controller, forUs int64) {
+	c.kernel.Note("%s is cut off for %d us", victim.addr, forUs)
+	for _, other := range c.controllers {
+		c.cutLink(victim.addr, other.addr, forUs)
+		c.cutLink(other.addr, victim.addr, forUs)
+	}
+}
+
+// cutOneWayFor has one either not heard by the others or not hear them.
+func (c *Cluster) cutOneWayFor(victim *Controller, forUs int64) {
+	deaf := c.kernel.Chance(500)
+	c.kernel.Note("%s is cut off one way for %d us, deaf: %v", victim.addr, forUs, deaf)
+	for _, other := range c.controllers {
+		if deaf {
+			c.cutLink(other.addr, victim.addr, forUs)
+		} else {
+			c.cutLink(victim.addr, other.addr, forUs)
+		}
+	}
+}
+
+// cutSomeFor cuts links one by one, so that probes may go round.
+func (c *Cluster) cutSomeFor(_ *Controller, forUs int64) {
+	c.kernel.Note("some links are cut for %d us", forUs)
+	for _, a := range c.controllers {
+		for _, b := range c.controllers {
+			if a != b && c.kernel.Chance(300) {
+				c.cutLink(a.addr, b.addr, forUs)
+			}
+		}
+	}
+}
+
+func (c *Cluster) cutLink(from, to string, forUs int64) {
+	if from == to {
+		return
+	}
+	l := c.network.Link(from, to)
+	l.Cut = true
+	c.later(forUs, func() { l.Cut = false })
+}
+
+// stormFor loses, doubles, delays and reorders everything.
+func (c *Cluster) stormFor(_ *Controller, forUs int64) {
+	c.kernel.Note("a storm for %d us", forUs)
+	names := []string{}
+	for _, node := range c.controllers {
+		names = append(names, node.addr)
+	}
+	for _, o := range c.operators {
+		names = append(names, o.name)
+	}
+	loss := c.kernel.Below(400)
+	for _, from := range names {
+		for _, to := range names {
+			l := c.network.Link(from, to)
+			l.LossPerMille, l.DoublePerMille, l.DelayHighUs = loss, 100, 150*Millisecond
+			c.later(forUs, func() {
+				cut := l.Cut
+				*l = ordinary()
+				l.Cut = cut
+			})
+		}
+	}
+}
+
+func (c *Cluster) stallFor(victim *Controller, forUs int64) {
+	c.kernel.Note("the disk of %s stalls for %d us", victim.addr, forUs)
+	victim.disk.Stalled = true
+	c.later(forUs, victim.disk.Resume)
+}
+
+func (c *Cluster) fillFor(victim *Controller, forUs int64) {
+	c.kernel.Note("the disk of %s is full for %d us", victim.addr, forUs)
+	victim.disk.Full = true
+	c.later(forUs, func() { victim.disk.Full = false })
+}
+
+func (c *Cluster) slowDiskFor(victim *Controller, forUs int64) {
+	c.kernel.Note("the disk of %s is slow for %d us", victim.addr, forUs)
+	victim.disk.SlowUs = c.kernel.Between(10*Millisecond, 400*Millisecond)
+	c.later(forUs, func() { victim.disk.SlowUs = 0 })
+}
+
+// wipeFor takes a disk where the design promises to bear that now.
+func (c *Cluster) wipeFor(victim *Controller, forUs int64) {
+	if !c.bearsLossOf(victim) {
+		return
+	}
+	c.checks.counts.Wipes++
+	c.wipe(victim)
+	c.later(forUs, func() { c.restart(victim) })
+}
+
+func (c *Cluster) slowAllDisksFor(_ *Controller, forUs int64) {
+	for _, node := range c.controllers {
+		c.slowDiskFor(node, forUs)
+	}
+}
+
+// aim holds a fault back until an operator is told that a change was taken.
+func (c *Cluster) aim(strike func()) { c.aimed = append(c.aimed, strike) }
+
+// strikeAimed lets aimed faults come, at the moment they were aimed at.
+func (c *Cluster) strikeAimed() {
+	if c.healed {
+		return
+	}
+	aimed := c.aimed
+	c.aimed = nil
+	for _, strike := range aimed {
+		strike()
+	}
+}
+
+func (c *Cluster) aimAllPower(victim *Controller, forUs int64) {
+	c.aim(func() { c.loseAllPower(victim, forUs) })
+}
+
+func (c *Cluster) aimWipe(victim *Controller, forUs int64) {
+	c.aim(func() { c.wipeFor(victim, forUs) })
+}
+
+func (c *Cluster) aimKillAll(_ *Controller, forUs int64) {
+	c.aim(func() {
+		for _, node := range c.controllers {
+			c.crashFor(node, c.kernel.Between(0, forUs))
+		}
+	})
+}
+
+func (c *Cluster) stepClock(victim *Controller, _ int64) {
+	const hour = 3600 * Second
+	victim.process.StepTimeOfDay(c.kernel.Between(-hour, hour))
+}
