A claim counts as one's own only where it was acted under

Cause: a controller that won a duty without an answer, or just before a restart, found itself named as holder and took the duty again as 'itself', with a wait of 0.8 s. Change: lease.Former decides it; the controller notes on disk the first fence it acts under, without waiting for the disk. Who finds no such note waits as for another's claim. The first order under a claim waits longer only after such an unsure taking, or after a restart before any order.

--- a/internal/controller/rollouts.go
+++ b/internal/controller/rollouts.go
@@ -26,6 +26,7 @@
 	polls  map[string]bool
 	won    map[int]int64
 	moved  map[int]moved
+	acted  map[int]int64 // the newest fence this process has acted under
 	bars   atomic.Int64
 }
 
@@ -38,6 +39,7 @@
 	if r.shifts == nil {
 		r.shifts, r.plans, r.busy = map[int]*lease.Lease{}, map[string]*rollout.Plan{}, map[int]bool{}
 		r.polls, r.won, r.moved = map[string]bool{}, map[int]int64{}, map[int]moved{}
+		r.acted = map[int]int64{}
 	}
 }
 
@@ -144,6 +146,9 @@
 	if s.ReadyInUs(d.clock()) > rollout.EaseUs+rollout.SettleUs {
 		return
 	}
+	if s.MayAct(d.clock()) {
+		d.noteActed(part, s.Fence())
+	}
 	for _, t := range body.Targets {
 		d.follow(ctx, t, s)
 	}
@@ -217,13 +222,7 @@
 		return
 	}
 	if body, err := leaseBody(v); err == nil && body.Lease.Holder == d.registers.ID() {
-		before := lease.Another
-		switch was.Holder {
-		case "":
-			before = lease.Nobody
-		case d.registers.ID():
-			before = lease.Itself
-		}
+		before := lease.Former(was.Holder, d.registers.ID(), d.actedUnder(part, was.Fence))
 		s.Took(body.Lease.Fence, before, d.clock())
 		d.log.Info("claim taken", "part", part, "fence", body.Lease.Fence)
 	}
--- a/internal/simulation/duties.go
+++ b/internal/simulation/duties.go
@@ -148,13 +148,7 @@
 		if err != nil || dutyOf(v).Lease.Holder != c.id {
 			return
 		}
-		before := lease.Another
-		switch {
-		case was.Holder == "":
-			before = lease.Nobody
-		case was.Holder == c.id && c.actedUnder(was.Fence):
-			before = lease.Itself
-		}
+		before := lease.Former(was.Holder, c.id, c.actedUnder(was.Fence))
 		c.duty.Took(dutyOf(v).Lease.Fence, before, c.process.NowUs())
 		c.cluster.kernel.Note("%s takes the duty under fence %d", c.id, c.duty.Fence())
 	})
