Simulation drives Attempt and Reading, orders by routeconfig.Order

It now drives the pure machines that the product drives. The defect 'refusal without a round' keeps its meaning (any other version than the base is refused by what the node has learned, a lower one too); with the new Apply a refusal of a higher base alone would be right wherever it is given.

--- a/internal/simulation/operator.go
+++ b/internal/simulation/operator.go
@@ -167,12 +167,13 @@
 }
 
 func (c *Controller) serveReplace(call history.Call, answer func(history.Answer)) {
+	order := routeconfig.Order{Raw: []byte(call.Digest), Version: call.Version, Base: call.Base}
 	replace := func(cur messages.Value) ([]messages.Member, []byte, error) {
 		body := configOf(cur)
 		if c.cluster.defects.ForgetTaken {
 			body.AcceptedDigest = nil
 		}
-		next, err := routeconfig.Replace(body, []byte(call.Digest), call.Version, call.Base)
+		next, err := order.Apply(body)
 		if err != nil {
 			return nil, nil, err
 		}
@@ -180,11 +181,11 @@
 		return nil, raw, err
 	}
 	if c.cluster.defects.DenyWithoutRound {
-		if cur, known := c.committed(configPart); known {
-			if _, _, err := replace(cur); err != nil {
-				answer(history.Answer{Verdict: verdictOf(err)})
-				return
-			}
+		// Any other version than the base is refused, a lower one too: this node
+		// may be behind.
+		if cur, known := c.committed(configPart); known && configOf(cur).Version != call.Base && !order.TakenIn(configOf(cur)) {
+			answer(history.Answer{Verdict: history.Overtaken})
+			return
 		}
 	}
 	c.change(configPart, operatorWaitUs, replace, func(_ messages.Value, err error) {
--- a/internal/simulation/proposer.go
+++ b/internal/simulation/proposer.go
@@ -24,22 +24,20 @@
 type changing struct {
 	node    *Controller
 	part    int
-	change  consensus.Change
 	untilUs int64
 	done    func(messages.Value, error)
 
-	stamp string
-	seen  messages.Ballot
-	try   int
-	round *consensus.Round
+	attempt *consensus.Attempt
+	try     int
+	round   *consensus.Round
 }
 
 // change runs rounds until the change is made, denied by itself, or the time is
 // over. After consensus.ErrUnsure it may still come into force.
 func (c *Controller) change(part int, forUs int64, change consensus.Change, done func(messages.Value, error)) {
 	c.cluster.serial++
-	p := &changing{node: c, part: part, change: change, untilUs: c.process.NowUs() + forUs, done: done}
-	p.stamp = fmt.Sprintf("%s#%d", c.addr, c.cluster.serial)
+	p := &changing{node: c, part: part, untilUs: c.process.NowUs() + forUs, done: done}
+	p.attempt = consensus.NewAttempt(part, fmt.Sprintf("%s#%d", c.addr, c.cluster.serial), change)
 	p.start()
 }
 
@@ -55,7 +53,7 @@
 		p.done(messages.Value{}, consensus.ErrNoGroup)
 		return
 	}
-	round := consensus.NewRound(p.part, base, messages.Ballot{N: p.seen.N + 1, Who: p.stamp}, p.stamp, p.change)
+	round := p.attempt.Round(base)
 	p.round = round
 	p.node.process.After(min(roundUs, p.leftUs()), func() { p.finish(round) })
 	p.post(round, round.Asks())
@@ -107,40 +105,26 @@
 	}
 	p.round = nil
 	switch round.End {
-	case consensus.Denied:
-		p.done(round.Base, round.Err)
-		return
 	case consensus.Chosen:
 		p.node.cluster.checks.chosen(p.part, round.Value)
 		p.spread(round)
-		p.settle(round, round.Mine)
-		return
 	case consensus.Overtook:
 		p.node.learn(p.part, round.Value)
-		p.settle(round, round.Value.Stamp == p.stamp)
-		return
 	}
-	if consensus.Less(p.seen, round.Seen) {
-		p.seen = round.Seen
-	}
-	if consensus.Less(p.seen, round.Ballot) {
-		p.seen = round.Ballot
+	switch p.attempt.Close(round) {
+	case consensus.Finished:
+		p.done(round.Value, round.Err)
+		return
+	case consensus.NextRound:
+		p.try++
+		p.start()
+		return
 	}
 	backOffUs := p.node.cluster.kernel.Between(0, int64(10+20*min(p.try, 8))*Millisecond)
 	p.try++
 	p.node.process.After(min(backOffUs, max(p.leftUs(), 0)), p.start)
 }
 
-func (p *changing) settle(round *consensus.Round, mine bool) {
-	if mine {
-		p.done(round.Value, nil)
-		return
-	}
-	p.seen = messages.Ballot{}
-	p.try++
-	p.start()
-}
-
 // spread tells both groups what has been chosen.
 func (p *changing) spread(round *consensus.Round) {
 	v := round.Value
@@ -173,11 +157,9 @@
 
 // poll is one question to the whole group.
 type poll struct {
-	base             messages.Value
-	votes            int
-	unsettled, newer bool
-	heard            int
-	over             bool
+	*consensus.Reading
+	heard int
+	over  bool
 }
 
 func (p *reading) start() {
@@ -193,31 +175,21 @@
 		p.done(base, nil)
 		return
 	}
-	q := &poll{base: base}
+	q := &poll{Reading: consensus.NewReading(base)}
 	p.node.process.After(readUs, func() { p.finish(q) })
 	for _, m := range base.Group {
 		request := messages.ConsensusRequest{Part: p.part, To: m.ID, Step: messages.Read, Slot: base.Version + 1}
-		p.node.call(m.Addr, request, func(r messages.ConsensusResponse) { p.hear(q, r) })
+		p.node.call(m.Addr, request, func(r messages.ConsensusResponse) { p.hear(q, m, r) })
 	}
 }
 
-func (p *reading) hear(q *poll, r messages.ConsensusResponse) {
+func (p *reading) hear(q *poll, from messages.Member, r messages.ConsensusResponse) {
 	if q.over {
 		return
 	}
 	q.heard++
-	if r.Verdict == messages.Granted {
-		q.votes++
-		if r.Version > q.base.Version {
-			q.newer = true
-			p.node.learn(p.part, r.Value)
-		}
-		if r.HasAccepted && r.Version == q.base.Version {
-			q.unsettled = true
-		}
-	}
-	settled := q.votes > len(q.base.Group)/2 && !q.unsettled && !q.newer
-	if settled || q.heard == len(q.base.Group) {
+	q.Hear(from, r)
+	if q.Found() == consensus.Current || q.heard == len(q.Base.Group) {
 		p.finish(q)
 	}
 }
@@ -227,12 +199,13 @@
 		return
 	}
 	q.over = true
-	switch {
-	case q.newer:
+	switch q.Found() {
+	case consensus.Newer:
+		p.node.learn(p.part, q.Newer)
 		p.start()
-	case q.votes > len(q.base.Group)/2 && !q.unsettled:
-		p.done(q.base, nil)
-	case q.unsettled:
+	case consensus.Current:
+		p.done(q.Base, nil)
+	case consensus.Unsettled:
 		nothing := func(messages.Value) ([]messages.Member, []byte, error) { return nil, nil, errSettled }
 		p.node.change(p.part, p.untilUs-p.node.process.NowUs(), nothing, func(_ messages.Value, err error) {
 			if err != nil && !errors.Is(err, errSettled) {
