--- a/internal/simulation/operator.go
+++ b/internal/simulation/operator.go
@@ -167,12 +167,13 @@
 }
 
 func (c *Controller) serveReplace(call history.Call, answer func(history.Answer)) {
+	order := routeconfig.Order{Raw: []byte(call.Digest), Version: call.Version, Base: call.Base}
 	replace := func(cur messages.Value) ([]messages.Member, []byte, error) {
 		body := configOf(cur)
 		if c.cluster.defects.ForgetTaken {
 			body.AcceptedDigest = nil
 		}
-		next, err := routeconfig.Replace(body, []byte(call.Digest), call.Version, call.Base)
+		next, err := order.Apply(body)
 		if err != nil {
 			return nil, nil, err
 		}
