--- a/internal/controller/repair.go
+++ b/internal/controller/repair.go
@@ -5,6 +5,7 @@
 
 import (
 	"context"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -24,15 +25,16 @@
 	proposeWait   = 2 * time.Second         // for a round
 	handOverWait  = 2500 * time.Millisecond // for all registers; graceS is 8 s
 	handOverPause = 50 * time.Millisecond
-	lastWordWait  = 300 * time.Millisecond // for the others' disks, where nobody takes over
+	heirWait      = 800 * time.Millisecond // for a newcomer's word before a handing over
+	lastWordWait  = 300 * time.Millisecond // for the others' disks
 	// stepsAtOnce bounds the steps of one repair that follow without a pause.
 	stepsAtOnce = 8
 )
 
 // repairs holds a coordinator for each register.
 type repairs struct {
-	parts   [consensus.Parts]partRepair
-	leaving atomic.Bool
+	parts [consensus.Parts]partRepair
+	heirs atomic.Pointer[[]messages.Peer] // set once this process is about to end
 }
 
 type partRepair struct {
@@ -71,7 +73,11 @@
 }
 
 func (d *Controller) repairStatus() consensus.Status {
-	return consensus.Stand(d.monitor.Alive(messages.Controller), d.monitor.DeadForUs, goneUs)
+	alive := d.monitor.Alive(messages.Controller)
+	if heirs := d.repairs.heirs.Load(); heirs != nil {
+		alive = *heirs
+	}
+	return consensus.Stand(alive, d.monitor.DeadForUs, goneUs)
 }
 
 // repair carries out a step and those that follow from it.
@@ -101,7 +107,7 @@
 	_, fault := d.registers.LastSave()
 	view := consensus.RepairView{
 		Self: d.transport.Addr(), Base: base, Status: status, Contact: d.hasContact(base.Group),
-		DiskFault: fault != "", Leaving: d.repairs.leaving.Load(),
+		DiskFault: fault != "", Leaving: d.repairs.heirs.Load() != nil,
 	}
 	at := &d.repairs.parts[part]
 	at.mu.Lock()
@@ -182,10 +188,11 @@
 // is handed over to that one; elsewhere the others are left with all that was
 // agreed on on their disks, and the process ends at once.
 func (d *Controller) leaveGroups(ctx context.Context) {
-	d.registers.Retire()
-	d.repairs.leaving.Store(true)
 	ctx, cancel := context.WithTimeout(ctx, handOverWait)
 	defer cancel()
+	d.registers.Retire()
+	heirs := d.heirs(ctx)
+	d.repairs.heirs.Store(&heirs)
 	for ctx.Err() == nil && d.mayHandOver() {
 		d.repairGroups(ctx)
 		loop.Pause(ctx, handOverPause)
@@ -193,10 +200,39 @@
 	d.lastWord(ctx)
 }
 
+// heirs are the live controllers without the non-members that do not now confirm
+// what they hold: one that has just ended is alive to probes for a while, and one
+// that is about to end itself takes no place.
+func (d *Controller) heirs(ctx context.Context) []messages.Peer {
+	ctx, cancel := context.WithTimeout(ctx, heirWait)
+	defer cancel()
+	base, _ := d.registers.Committed(consensus.ConfigPart)
+	alive := d.monitor.Alive(messages.Controller)
+	stands := make([]bool, len(alive))
+	var asked sync.WaitGroup
+	for i, p := range alive {
+		m := messages.Member{ID: p.MemberID, Addr: p.Addr}
+		if stands[i] = slices.Contains(base.Group, m); stands[i] {
+			continue
+		}
+		asked.Go(func() {
+			stands[i], _ = d.registers.Confirm(ctx, consensus.ConfigPart, m, base)
+		})
+	}
+	asked.Wait()
+	var out []messages.Peer
+	for i, p := range alive {
+		if stands[i] {
+			out = append(out, p)
+		}
+	}
+	return out
+}
+
 // mayHandOver tells whether a register is left in which this controller is a
 // member and somebody stands ready to take its place, or a change is under way.
 func (d *Controller) mayHandOver() bool {
-	status := consensus.Stand(d.steadyControllers(), d.monitor.DeadForUs, goneUs)
+	status := d.repairStatus()
 	for part := range consensus.Parts {
 		v, ok := d.registers.Committed(part)
 		if !ok || !d.hasContact(v.Group) {
@@ -212,17 +248,6 @@
 	return false
 }
 
-// steadyControllers are those alive and not suspected.
-func (d *Controller) steadyControllers() []messages.Peer {
-	var out []messages.Peer
-	for _, p := range d.monitor.Alive(messages.Controller) {
-		if p.Status == messages.Alive {
-			out = append(out, p)
-		}
-	}
-	return out
-}
-
 // lastWord has the other members take what was agreed on to their disks.
 func (d *Controller) lastWord(ctx context.Context) {
 	ctx, cancel := context.WithTimeout(ctx, lastWordWait)
