Repairs: a thawed coordinator first hears what went on

Cause: the wait by rank ran on while a process stood still, so on thawing it acted on what it had seen before.

The list of newcomers without those asked in vain is made only if there are any.

--- a/internal/consensus/repair.go
+++ b/internal/consensus/repair.go
@@ -21,6 +21,9 @@
 	// PatienceUs is how long a member that is asked may take to say that it holds
 	// the value before others are preferred, or the change goes on without it.
 	PatienceUs = 1_500_000
+	// PauseUs is how long a coordinator may go unasked. After more, the process
+	// stood still: what it saw is old, and others have had the time to act.
+	PauseUs = 3_000_000
 )
 
 // RepairView is what a controller sees of one register.
@@ -49,6 +52,7 @@
 	mine     bool              // the last change was proposed here
 	needed   bool
 	needUs   int64 // when the need was first seen
+	lastUs   int64 // when Step was called last
 	version  int64
 	kept     map[string]bool  // members that hold version on disk
 	askedUs  map[string]int64 // since when a member has been asked in vain
@@ -80,6 +84,8 @@
 
 // Step gives what to do now, and false where there is nothing.
 func (c *RepairCoordinator) Step(nowUs int64, v RepairView) (RepairStep, bool) {
+	paused := c.lastUs > 0 && nowUs-c.lastUs > PauseUs
+	c.lastUs = nowUs
 	c.see(v)
 	want, needed := c.want(nowUs, v)
 	if !needed {
@@ -89,6 +95,9 @@
 	if !c.needed {
 		c.needed, c.needUs = true, nowUs
 	}
+	if paused {
+		c.needUs = nowUs + RankDelayUs
+	}
 	dueUs, may := c.dueUs(v)
 	if !may || nowUs < dueUs {
 		return RepairStep{}, false
@@ -121,9 +130,10 @@
 // want is the group that is needed. A newcomer that has been asked in vain for
 // long is passed over where another one will do.
 func (c *RepairCoordinator) want(nowUs int64, v RepairView) ([]messages.Member, bool) {
-	patient := c.withoutSilent(nowUs, v)
-	if want, needed := wantedGroup(v, patient); needed {
-		return want, true
+	if len(c.askedUs) > 0 {
+		if want, needed := wantedGroup(v, c.withoutSilent(nowUs, v)); needed {
+			return want, true
+		}
 	}
 	return wantedGroup(v, v.Status)
 }
--- a/internal/consensus/repair_test.go
+++ b/internal/consensus/repair_test.go
@@ -696,6 +696,16 @@
 	v.Base.Version, v.Base.Group = 1, append([]messages.Member{{ID: "e/1", Addr: "e"}}, g.Group[1:]...)
 	_, due = c.Step(1+RankDelayUs, v)
 	must.False(t, due, must.Sprint("the group has just changed"))
+
+	c = RepairCoordinator{}
+	calm := view("a")
+	calm.Status.GoneFor = func(string) int64 { return 0 }
+	_, due = c.Step(1, calm)
+	must.False(t, due)
+	_, due = c.Step(2+PauseUs, view("a"))
+	must.False(t, due, must.Sprint("after a freeze what is seen is old"))
+	_, due = c.Step(2+PauseUs+RankDelayUs, view("a"))
+	must.True(t, due)
 }
 
 // The next change waits for the word of the newcomer that the last one took in,
