The doctor names repairs that wait for a member's word

Cause: until a newcomer has said that it holds the state on disk, its group bears one loss less, and nothing showed that.

Change: a controller's condition lists whom its repairs wait for (optional field u); the doctor warns.

Taken out: the warning; TestEachFaultIsNamed failed.

--- a/internal/consensus/repair.go
+++ b/internal/consensus/repair.go
@@ -72,6 +72,15 @@
 	return sameGroup(c.group, group) && (!c.mine || len(c.unkept(c.joining)) == 0)
 }
 
+// Awaited names the members that have been asked to confirm and have not yet.
+func (c *RepairCoordinator) Awaited() []string {
+	var out []string
+	for id := range c.askedUs {
+		out = append(out, id)
+	}
+	return out
+}
+
 func (c *RepairCoordinator) unkept(list []messages.Member) []messages.Member {
 	var out []messages.Member
 	for _, m := range list {
@@ -223,10 +232,14 @@
 // finish asks the newcomers of the last change, if it was made here, until each
 // has said that it holds the outcome.
 func (c *RepairCoordinator) finish(nowUs int64, v RepairView) (RepairStep, bool) {
-	if !c.mine || !v.Contact {
+	c.joining = c.unkept(c.joining)
+	if !c.mine || len(c.joining) == 0 {
+		clear(c.askedUs)
+		return RepairStep{}, false
+	}
+	if !v.Contact {
 		return RepairStep{}, false
 	}
-	c.joining = c.unkept(c.joining)
 	var alive []messages.Member
 	for _, m := range c.joining {
 		if has(v.Status.Ready, m.ID) {
--- a/internal/consensus/repair_test.go
+++ b/internal/consensus/repair_test.go
@@ -744,6 +744,7 @@
 		c.Kept(id, 1)
 	}
 	must.Eq(t, []messages.Member{newest}, step(c, 3).Confirm)
+	must.Eq(t, []string{newest.ID}, c.Awaited())
 	must.SliceNotEmpty(t, step(c, 3+PatienceUs).Propose)
 	c.Kept("d/1", 1)
 	must.SliceNotEmpty(t, step(c, 4).Propose)
--- a/internal/controller/repair.go
+++ b/internal/controller/repair.go
@@ -168,6 +168,19 @@
 	at.coordinator.Kept(id, version)
 }
 
+// unconfirmed names the members that repairs wait for here.
+func (d *Controller) unconfirmed() []string {
+	var out []string
+	for part := range d.repairs.parts {
+		at := &d.repairs.parts[part]
+		at.mu.Lock()
+		out = append(out, at.coordinator.Awaited()...)
+		at.mu.Unlock()
+	}
+	slices.Sort(out)
+	return slices.Compact(out)
+}
+
 // propose carries a change of the group through a round. It comes to nothing if
 // the register has moved on, since then nobody has confirmed its value.
 func (d *Controller) propose(ctx context.Context, part int, step consensus.RepairStep) bool {
--- a/internal/doctor/doctor_test.go
+++ b/internal/doctor/doctor_test.go
@@ -41,6 +41,7 @@
 	}{
 		{"a seed does not answer", 1, func(l []Visited) { l[2].Condition = nil }},
 		{"members [c/0] do not answer", 1, func(l []Visited) { l[2].Condition = nil }},
+		{"a repair waits for members [d/1]", 1, func(l []Visited) { l[1].Condition.Unconfirmed = []string{"d/1"} }},
 		{"no majority", 3, func(l []Visited) { l[1].Condition, l[2].Condition = nil, nil }},
 		{"no node answers", 3, func(l []Visited) {
 			for i := range l {
--- a/internal/doctor/examine.go
+++ b/internal/doctor/examine.go
@@ -136,6 +136,9 @@
 		if !c.HasDisk && member(c) {
 			add("keeps the control state in memory only", "give it a dataDir, or be sure that enough members never stop together")
 		}
+		if len(c.Unconfirmed) > 0 {
+			add(fmt.Sprintf("a repair waits for members %v to say that they hold the state on disk", c.Unconfirmed), "run the doctor again; if it stays, look at their disks and links")
+		}
 		if c.SaveFault != "" {
 			add("its last write failed: "+c.SaveFault, "make room on its disk or replace the disk; the others decide without it meanwhile")
 		} else if c.SaveUs > slowSaveUs {
--- a/internal/messages/msgp.gen.go
+++ b/internal/messages/msgp.gen.go
@@ -131,9 +131,9 @@
 // MarshalMsg implements msgp.Marshaler
 func (z *Condition) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
-	// map header, size 19
+	// map header, size 20
 	// string "a"
-	o = append(o, 0xde, 0x0, 0x13, 0xa1, 0x61)
+	o = append(o, 0xde, 0x0, 0x14, 0xa1, 0x61)
 	o = msgp.AppendString(o, z.Addr)
 	// string "b"
 	o = append(o, 0xa1, 0x62)
@@ -211,6 +211,12 @@
 	// string "t"
 	o = append(o, 0xa1, 0x74)
 	o = msgp.AppendInt64(o, z.TimeUs)
+	// string "u"
+	o = append(o, 0xa1, 0x75)
+	o = msgp.AppendArrayHeader(o, uint32(len(z.Unconfirmed)))
+	for za0008 := range z.Unconfirmed {
+		o = msgp.AppendString(o, z.Unconfirmed[za0008])
+	}
 	// string "w"
 	o = append(o, 0xa1, 0x77)
 	o = msgp.AppendInt64(o, z.Wholes)
@@ -461,6 +467,25 @@
 				err = msgp.WrapError(err, "TimeUs")
 				return
 			}
+		case "u":
+			var zb0011 uint32
+			zb0011, bts, err = msgp.ReadArrayHeaderBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Unconfirmed")
+				return
+			}
+			if cap(z.Unconfirmed) >= int(zb0011) {
+				z.Unconfirmed = (z.Unconfirmed)[:zb0011]
+			} else {
+				z.Unconfirmed = make([]string, zb0011)
+			}
+			for za0008 := range z.Unconfirmed {
+				z.Unconfirmed[za0008], bts, err = msgp.ReadStringBytes(bts)
+				if err != nil {
+					err = msgp.WrapError(err, "Unconfirmed", za0008)
+					return
+				}
+			}
 		case "w":
 			z.Wholes, bts, err = msgp.ReadInt64Bytes(bts)
 			if err != nil {
@@ -516,7 +541,11 @@
 	for za0007 := range z.Stale {
 		s += msgp.StringPrefixSize + len(z.Stale[za0007])
 	}
-	s += 2 + msgp.StringPrefixSize + len(string(z.Role)) + 2 + msgp.Int64Size + 2 + msgp.Int64Size + 2 + msgp.Int64Size + 2 + msgp.Int64Size + 2 + msgp.StringPrefixSize + len(z.Zone)
+	s += 2 + msgp.StringPrefixSize + len(string(z.Role)) + 2 + msgp.Int64Size + 2 + msgp.Int64Size + 2 + msgp.ArrayHeaderSize
+	for za0008 := range z.Unconfirmed {
+		s += msgp.StringPrefixSize + len(z.Unconfirmed[za0008])
+	}
+	s += 2 + msgp.Int64Size + 2 + msgp.Int64Size + 2 + msgp.StringPrefixSize + len(z.Zone)
 	return
 }
 
--- a/internal/messages/types.gen.go
+++ b/internal/messages/types.gen.go
@@ -123,9 +123,12 @@
 	Role      Role       `msg:"r"`
 	SaveUs    int64      `msg:"s"`
 	TimeUs    int64      `msg:"t"`
-	Wholes    int64      `msg:"w"`
-	Malformed int64      `msg:"x"`
-	Zone      string     `msg:"z"`
+
+	// Unconfirmed members that this controller waits for in a repair
+	Unconfirmed []string `msg:"u"`
+	Wholes      int64    `msg:"w"`
+	Malformed   int64    `msg:"x"`
+	Zone        string   `msg:"z"`
 }
 
 // ConfigBody defines model for ConfigBody.
