Transport: a call that fails ends at once, answers match by kind, no frame follows a torn one

Causes, found in a review: a handler that returned an error left its caller waiting until its timeout; a call of an unknown kind closed the connection under all others; an answer was matched by its number alone; after a write that stopped in the middle of a frame the next one could still be written, and the other end read it as the rest of the first; a call whose time had passed, as after a freeze, was still sent; the length that a frame claimed was allocated before its bytes came.

Change: the connection is a file of its own. KindFailed tells a caller that there will be no answer (nodes of an earlier version pass it by); answers match by connection, number and kind; after a failed write nothing more is written; frames are read field by field within bounds. Keys are as before. Fuzz targets FuzzFrames and FuzzAnswersFindTheirCalls with seeds.

Taken out, and what failed then: - the kind in Conn.answered: TestAnAnswerOfAnotherKindEndsTheConnection and FuzzAnswersFindTheirCalls (seeds) - l.forget in Call: TestLateAndDoubledAnswersFindNothing - l.broken: TestNothingFollowsAFrameThatWasCutShort - ctx.Err before sending: TestACallThatNobodyWaitsForIsNotSent - l.fail after a handler's error, and for an unknown kind: TestAHandlerThatFailsEndsTheCallAtOnce - mostBodyBytes, mostFields: TestAClaimedLengthTakesNoMemory

--- a/internal/transport/transport.go
+++ b/internal/transport/transport.go
@@ -8,7 +8,6 @@
 	"context"
 	"net"
 	"sync"
-	"sync/atomic"
 	"syscall"
 	"time"
 
@@ -16,8 +15,6 @@
 	"github.com/panjf2000/ants/v2"
 	"github.com/pkg/errors"
 	"github.com/tinylib/msgp/msgp"
-
-	"beechtide.org/beechtide/internal/messages"
 )
 
 // Kinds of frames.
@@ -37,16 +34,12 @@
 	KindWant
 	KindHeard
 	KindTellAgain
+	KindFailed // a call could not be answered
 	kinds
 )
 
-// Errors of the transport.
-var (
-	ErrClosed  = errors.New("transport: link closed")
-	ErrTimeout = errors.New("transport: no answer in time")
-)
-
-// Handler answers a call. A nil body with a nil error is an empty answer.
+// Handler answers a call. A nil body with a nil error is an empty answer; after
+// an error the caller is told at once that there will be none.
 type Handler func(ctx context.Context, from *Conn, body []byte) ([]byte, error)
 
 // PushHandler takes a frame that wants no answer; the frames of a connection come one
@@ -210,156 +203,3 @@
 	}
 	return l.Call(ctx, kind, body)
 }
-
-func (r *Transport) newConn(addr string, c net.Conn) *Conn {
-	return &Conn{transport: r, addr: addr, conn: c, pending: map[int64]chan []byte{}, done: make(chan struct{})}
-}
-
-// Conn is one TCP connection between two nodes, used both ways.
-type Conn struct {
-	transport *Transport
-	addr      string
-	conn      net.Conn
-	wmu       sync.Mutex
-	mu        sync.Mutex
-	pending   map[int64]chan []byte
-	seq       int64
-	closed    atomic.Bool
-	done      chan struct{}
-	OnPush    func(kind int, body []byte) // instead of the transport's own handlers
-}
-
-// Done is closed when the connection has ended.
-func (l *Conn) Done() <-chan struct{} { return l.done }
-
-// Remote is the address at the other end.
-func (l *Conn) Remote() string { return l.conn.RemoteAddr().String() }
-
-// Close ends the connection.
-func (l *Conn) Close() {
-	if l.closed.CompareAndSwap(false, true) {
-		l.conn.Close()
-		close(l.done)
-		l.mu.Lock()
-		for q, ch := range l.pending {
-			delete(l.pending, q)
-			close(ch)
-		}
-		l.mu.Unlock()
-	}
-}
-
-func (l *Conn) write(f messages.Frame) error {
-	b, err := f.MarshalMsg(make([]byte, 0, len(f.Body)+32))
-	if err != nil {
-		return err
-	}
-	return l.SendRaw(b)
-}
-
-// perByte is the time that a byte of a long write may take.
-const perByte = 4 * time.Microsecond
-
-// SendRaw writes encoded frames as they are.
-func (l *Conn) SendRaw(b []byte) error {
-	l.wmu.Lock()
-	defer l.wmu.Unlock()
-	_ = l.conn.SetWriteDeadline(time.Now().Add(time.Second + time.Duration(len(b))*perByte))
-	if _, err := l.conn.Write(b); err != nil {
-		go l.Close()
-		return errors.Wrap(ErrClosed, err.Error())
-	}
-	return nil
-}
-
-// Push sends a frame that wants no answer.
-func (l *Conn) Push(kind int, body []byte) error {
-	return l.write(messages.Frame{Kind: kind, Body: body})
-}
-
-// Call sends a frame and waits for its answer.
-func (l *Conn) Call(ctx context.Context, kind int, body msgp.Marshaler) ([]byte, error) {
-	b, err := body.MarshalMsg(nil)
-	if err != nil {
-		return nil, err
-	}
-	ch := make(chan []byte, 1)
-	l.mu.Lock()
-	l.seq++
-	q := l.seq
-	l.pending[q] = ch
-	l.mu.Unlock()
-	forget := func() {
-		l.mu.Lock()
-		delete(l.pending, q)
-		l.mu.Unlock()
-	}
-	if l.closed.Load() {
-		forget()
-		return nil, ErrClosed
-	}
-	if err := l.write(messages.Frame{Kind: kind, Seq: q, Body: b}); err != nil {
-		forget()
-		return nil, err
-	}
-	select {
-	case out, ok := <-ch:
-		if !ok {
-			return nil, ErrClosed
-		}
-		return out, nil
-	case <-ctx.Done():
-		forget()
-		return nil, ErrTimeout
-	}
-}
-
-// Serve reads frames until the connection ends, and hands them on.
-func (l *Conn) Serve(ctx context.Context) {
-	defer l.Close()
-	r := msgp.NewReaderSize(l.conn, 2048)
-	for {
-		var raw msgp.Raw
-		if err := raw.DecodeMsg(r); err != nil {
-			return
-		}
-		var f messages.Frame
-		if _, err := f.UnmarshalMsg(raw); err != nil {
-			return
-		}
-		if f.Reply {
-			l.mu.Lock()
-			ch := l.pending[f.Seq]
-			delete(l.pending, f.Seq)
-			l.mu.Unlock()
-			if ch != nil {
-				ch <- f.Body
-			}
-			continue
-		}
-		if f.Seq == 0 {
-			// a kind that this node does not know passes by
-			if l.OnPush != nil {
-				l.OnPush(f.Kind, f.Body)
-			} else if f.Kind > 0 && f.Kind < kinds && l.transport.pushes[f.Kind] != nil {
-				l.transport.pushes[f.Kind](l, f.Body)
-			}
-			continue
-		}
-		if f.Kind <= 0 || f.Kind >= kinds || l.transport.calls[f.Kind] == nil {
-			return
-		}
-		h := l.transport.calls[f.Kind]
-		work := func() {
-			out, err := h(ctx, l, f.Body)
-			if err != nil {
-				l.transport.log.V(1).Info("call failed", "kind", f.Kind, "err", err)
-				return
-			}
-			_ = l.write(messages.Frame{Kind: f.Kind, Seq: f.Seq, Reply: true, Body: out})
-		}
-		if err := l.transport.pool.Submit(work); err != nil {
-			go work()
-		}
-	}
-}
