Transport: the name of a field is bounded before it is read

Cause, found by FuzzFrames within a minute: a field's name that came as bytes instead of text was allocated at the length it claimed, up to 4 GiB, because the library's reader of map keys checks the bound for text only.

Change: names are read as text, which is bounded to 64 bytes.

--- a/internal/transport/conn_test.go
+++ b/internal/transport/conn_test.go
@@ -198,4 +198,12 @@
 		_, err := newFrameReader(msgp.NewReader(bytes.NewReader(raw))).next()
 		must.ErrorIs(t, err, errFrame)
 	}
+	for _, raw := range [][]byte{
+		{0x81, 0xdb, 0xff, 0xff, 0xff, 0xff, 1}, // name of a field
+		{0x81, 0xc6, 0xff, 0xff, 0xff, 0xff, 1}, // the same as bytes, found by FuzzFrames
+	} {
+		_, err := newFrameReader(msgp.NewReader(bytes.NewReader(raw))).next()
+		must.Error(t, err)
+		must.False(t, errors.Is(err, io.ErrUnexpectedEOF) || errors.Is(err, io.EOF), must.Sprint("it is refused for what it claims"))
+	}
 }
--- a/internal/transport/frame.go
+++ b/internal/transport/frame.go
@@ -41,7 +41,7 @@
 		return f, errFrame
 	}
 	for range fields {
-		key, err := r.in.ReadMapKey(nil)
+		key, err := r.in.ReadStringAsBytes(nil) // bounded by mostKeyBytes; a key of bytes is none
 		if err != nil {
 			return f, err
 		}
