--- /dev/null
+++ b/internal/dissemination/newcomer_test.go
@@ -0,0 +1,72 @@
+package dissemination
+
+import (
+	"context"
+	"testing"
+	"time"
+
+	"github.com/shoenig/test/must"
+
+	"beechtide.org/beechtide/internal/messages"
+)
+
+// joining is a subscription as a parent gets it.
+type joining struct {
+	parent int
+	hold   messages.Hold
+}
+
+// newcomerAmong starts a node that holds nothing below parents of which some are
+// cut off, and tells whom it joins.
+func newcomerAmong(t *testing.T, patience time.Duration, cutOff ...bool) <-chan joining {
+	t.Helper()
+	ctx, cancel := context.WithCancel(context.Background())
+	t.Cleanup(cancel)
+	joined := make(chan joining, 64)
+	var addrs []string
+	for i, cut := range cutOff {
+		p := station(t)
+		NewPublisher(p, Upstream{
+			Since: func(h messages.Hold) messages.Feed {
+				joined <- joining{i, h}
+				return messages.Feed{Versions: []int64{}, CutOff: cut}
+			},
+			Told: func(string, messages.Told) bool { return true }, Gone: func(string) {},
+		})
+		p.Run(ctx)
+		addrs = append(addrs, p.Addr())
+	}
+	child := station(t)
+	child.Run(ctx)
+	up := &Subscriber{
+		Patience: patience,
+		Hold:     func() messages.Hold { return messages.Hold{} },
+		Parents:  func() []string { return append([]string{}, addrs...) },
+		Take:     func(string, messages.Feed, []byte) *messages.Hold { return nil },
+		Heard:    func(int64) {}, TellAgain: func() {}, Ended: func(string) {},
+	}
+	go up.Listen(ctx, child)
+	return joined
+}
+
+// A node that holds nothing passes by parents that are cut off until it comes to
+// one that is not: their configuration may be old.
+func TestANewcomerPassesByParentsThatAreCutOff(t *testing.T) {
+	joined := newcomerAmong(t, time.Hour, true, true, false)
+	for parent := range 3 {
+		j := <-joined
+		must.Eq(t, parent, j.parent)
+		must.False(t, j.hold.Anything)
+	}
+}
+
+// Where all are cut off it goes round, and once its patience is over takes what
+// there is.
+func TestANewcomerEndsUpWithSomething(t *testing.T) {
+	joined := newcomerAmong(t, time.Hour, true, true)
+	for i := range 6 {
+		must.Eq(t, i%2, (<-joined).parent)
+	}
+	j := <-newcomerAmong(t, time.Nanosecond, true, true)
+	must.True(t, j.hold.Anything)
+}
--- a/internal/dissemination/subscriber.go
+++ b/internal/dissemination/subscriber.go
@@ -28,6 +28,11 @@
 	// bounds how often a node moves for that: if it is so with all parents,
 	// moving is of no use.
 	shunCut = 6 * time.Second
+	// anythingAfter is for how long a node that holds nothing looks for a parent
+	// that has the core in reach. After that it takes what there is: rather an old
+	// configuration than none, when the whole core is down. A machine that has
+	// just started is not held to be in touch for longer than this.
+	anythingAfter = 2500 * time.Millisecond
 )
 
 // Subscriber is a node's link to its parent.
@@ -39,6 +44,7 @@
 	Heard      func(seq int64)   // the parent has taken what was told under seq
 	TellAgain  func()            // the parent lacks what came before: all is to be told
 	Ended      func(addr string) // the subscription there has ended
+	Patience   time.Duration     // instead of anythingAfter
 
 	Malformed atomic.Int64
 
@@ -49,10 +55,15 @@
 	shun      string
 	shunUntil time.Time
 	cutAt     time.Time
+	began     time.Time // when Listen began
 }
 
 // Listen subscribes until ctx ends.
 func (u *Subscriber) Listen(ctx context.Context, r *transport.Transport) {
+	u.began = time.Now()
+	if u.Patience == 0 {
+		u.Patience = anythingAfter
+	}
 	for ctx.Err() == nil {
 		list := u.Parents()
 		if len(list) > 1 && u.shuns(list[0]) {
@@ -81,6 +92,21 @@
 	return err == nil && l.Push(kind, b) == nil
 }
 
+// holds names what this node holds and who asks.
+func (u *Subscriber) holds() messages.Hold {
+	h := u.Hold()
+	u.complete(&h)
+	return h
+}
+
+func (u *Subscriber) complete(h *messages.Hold) {
+	h.Controller = u.Controller
+	h.Anything = newcomer(*h) && time.Since(u.began) > u.Patience
+}
+
+// newcomer tells a node that has no configuration yet.
+func newcomer(h messages.Hold) bool { return !h.Controller && h.Configuration.Version == 0 }
+
 func (u *Subscriber) once(ctx context.Context, r *transport.Transport, parent string) bool {
 	if parent == r.Addr() {
 		return false
@@ -99,8 +125,7 @@
 		u.hear(l, parent, kind, body, func() { last.Store(int64(time.Since(began))) }, leave)
 	}
 	go l.Serve(ctx)
-	h := u.Hold()
-	h.Controller = u.Controller
+	h := u.holds()
 	cctx, cancel := context.WithTimeout(ctx, 600*time.Millisecond)
 	_, err = l.Call(cctx, transport.KindSubscribe, &h)
 	cancel()
@@ -123,6 +148,9 @@
 		case <-ctx.Done():
 			return true
 		case <-leave:
+			if h := u.holds(); newcomer(h) && !h.Anything {
+				return false
+			}
 			if time.Since(u.cutAt) > shunCut {
 				u.cutAt = time.Now()
 				u.shun, u.shunUntil = parent, u.cutAt.Add(shunCut)
@@ -186,7 +214,7 @@
 		held := u.Hold()
 		h = &held
 	}
-	h.Controller = u.Controller
+	u.complete(h)
 	if b, err := h.MarshalMsg(nil); err == nil {
 		_ = l.Push(transport.KindWant, b)
 	}
--- a/internal/lease/lease.go
+++ b/internal/lease/lease.go
@@ -58,6 +58,9 @@
 	return s.fence > 0 && nowUs >= s.fromUs && s.confirmUs > 0 && nowUs-s.confirmUs < s.T.ActUs
 }
 
+// ActUntilUs is until when MayAct holds unless it is confirmed again.
+func (s *Lease) ActUntilUs() int64 { return s.confirmUs + s.T.ActUs }
+
 // Fence is the fence of the claim.
 func (s *Lease) Fence() int64 { return s.fence }
 
--- a/internal/messages/msgp.gen.go
+++ b/internal/messages/msgp.gen.go
@@ -1612,9 +1612,12 @@
 // MarshalMsg implements msgp.Marshaler
 func (z *Hold) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
-	// map header, size 7
+	// map header, size 8
+	// string "a"
+	o = append(o, 0x88, 0xa1, 0x61)
+	o = msgp.AppendBool(o, z.Anything)
 	// string "d"
-	o = append(o, 0x87, 0xa1, 0x64)
+	o = append(o, 0xa1, 0x64)
 	o = msgp.AppendBool(o, z.Controller)
 	// string "k"
 	o = append(o, 0xa1, 0x6b)
@@ -1697,6 +1700,12 @@
 			return
 		}
 		switch msgp.UnsafeString(field) {
+		case "a":
+			z.Anything, bts, err = msgp.ReadBoolBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Anything")
+				return
+			}
 		case "d":
 			z.Controller, bts, err = msgp.ReadBoolBytes(bts)
 			if err != nil {
@@ -1919,7 +1928,7 @@
 
 // Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
 func (z *Hold) Msgsize() (s int) {
-	s = 1 + 2 + msgp.BoolSize + 2 + msgp.ArrayHeaderSize
+	s = 1 + 2 + msgp.BoolSize + 2 + msgp.BoolSize + 2 + msgp.ArrayHeaderSize
 	for za0001 := range z.Kept {
 		s += 1 + 2 + msgp.Int64Size + 2 + msgp.StringPrefixSize + len(z.Kept[za0001].ID) + 2 + msgp.Int64Size
 	}
@@ -4273,10 +4282,13 @@
 // MarshalMsg implements msgp.Marshaler
 func (z *Versions) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
-	// map header, size 4
+	// map header, size 5
 	// string "d"
-	o = append(o, 0x84, 0xa1, 0x64)
+	o = append(o, 0x85, 0xa1, 0x64)
 	o = msgp.AppendBool(o, z.Controller)
+	// string "i"
+	o = append(o, 0xa1, 0x69)
+	o = msgp.AppendString(o, z.MemberID)
 	// string "p"
 	o = append(o, 0xa1, 0x70)
 	o = msgp.AppendArrayHeader(o, uint32(len(z.Parts)))
@@ -4316,6 +4328,12 @@
 				err = msgp.WrapError(err, "Controller")
 				return
 			}
+		case "i":
+			z.MemberID, bts, err = msgp.ReadStringBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "MemberID")
+				return
+			}
 		case "p":
 			var zb0002 uint32
 			zb0002, bts, err = msgp.ReadArrayHeaderBytes(bts)
@@ -4361,6 +4379,6 @@
 
 // Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
 func (z *Versions) Msgsize() (s int) {
-	s = 1 + 2 + msgp.BoolSize + 2 + msgp.ArrayHeaderSize + (len(z.Parts) * (msgp.Int64Size)) + 2 + msgp.Uint64Size + 2 + msgp.Int64Size
+	s = 1 + 2 + msgp.BoolSize + 2 + msgp.StringPrefixSize + len(z.MemberID) + 2 + msgp.ArrayHeaderSize + (len(z.Parts) * (msgp.Int64Size)) + 2 + msgp.Uint64Size + 2 + msgp.Int64Size
 	return
 }
--- a/internal/messages/types.gen.go
+++ b/internal/messages/types.gen.go
@@ -195,6 +195,8 @@
 
 // Hold what a receiver holds of every stream it wants
 type Hold struct {
+	// Anything nobody in contact was found; also what may be old is welcome
+	Anything   bool         `msg:"a"`
 	Controller bool         `msg:"d"`
 	Kept       []StreamHold `msg:"k"`
 
@@ -389,6 +391,7 @@
 // Versions defines model for Versions.
 type Versions struct {
 	Controller  bool    `msg:"d"`
+	MemberID    string  `msg:"i"`
 	Parts       []int64 `msg:"p"`
 	RegistrySum uint64  `msg:"r"`
 	CalmUs      int64   `msg:"u"`
