Controllers check the contact lease as answers leave; leaving waits for a majority

Cause: a cut-off or thawed controller could hand out an old configuration, refuse for good and confirm; a heartbeat that said draining got its 200 after unacknowledged datagrams. Change: Config.Replace, Config.Read and version-put are served only under the lease and checked again after the work; otherwise 503 at once. Round trips are the comparison of versions that was there, and reads by a majority. Subscribers that name no configuration get none from a controller without the lease. Orders to runners are checked in the goroutine that sends them. Other heartbeats are answered as before; a controller that is cut off names another for the next ones.

--- /dev/null
+++ b/internal/controller/contact.go
@@ -0,0 +1,105 @@
+// The lease of contact with a majority of the configuration's group (package
+// lease), as this controller holds it, and where it is checked: the calls whose
+// answers others rely on pass through inContactOnly.
+package controller
+
+import (
+	"context"
+	"sync"
+
+	"github.com/cloudwego/hertz/pkg/app"
+
+	"beechtide.org/beechtide/internal/consensus"
+	"beechtide.org/beechtide/internal/lease"
+	"beechtide.org/beechtide/internal/messages"
+)
+
+// contact is the lease, safe for concurrent use.
+type contact struct {
+	mu    sync.Mutex
+	lease lease.Contact
+}
+
+func (c *contact) answered(member string, sentUs int64) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.lease.Answered(member, sentUs)
+}
+
+func (c *contact) vouched(begunUs int64) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.lease.Vouched(begunUs)
+}
+
+func (c *contact) holds(group []string, nowUs int64) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.lease.Holds(group, nowUs)
+}
+
+func (c *contact) mayAnswer(group []string, begunUs, nowUs int64) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.lease.MayAnswer(group, begunUs, nowUs)
+}
+
+// configGroup is the identities of the group that holds the configuration, as far
+// as this node knows.
+func (d *Controller) configGroup() []string {
+	v, _ := d.registers.Committed(consensus.ConfigPart)
+	var ids []string
+	for _, m := range v.Group {
+		ids = append(ids, m.ID)
+	}
+	return ids
+}
+
+// inContact tells whether this controller holds the lease now.
+func (d *Controller) inContact() bool { return d.contact.holds(d.configGroup(), d.clock()) }
+
+// starting is true while a controller has not had the time to come by a lease.
+func (d *Controller) starting() bool { return d.clock()-d.startUs < lease.ContactUs }
+
+// cutOff tells whether the group that holds the configuration is out of this
+// node's reach, so that those below had better listen to another.
+func (d *Controller) cutOff() bool {
+	return len(d.configGroup()) > 1 && !d.starting() && !d.inContact()
+}
+
+// readRegister is a majority's read of a register; one of the configuration renews the
+// lease.
+func (d *Controller) readRegister(ctx context.Context, part int) (messages.Value, error) {
+	begunUs := d.clock()
+	v, err := d.registers.Read(ctx, part)
+	if err == nil && part == consensus.ConfigPart {
+		d.contact.vouched(begunUs)
+	}
+	return v, err
+}
+
+// inContactOnly serves a call only under the lease. A controller without it says
+// 503 at once, so that callers go on to another. The check is made again on the
+// answer, after the work: what leaves must not rest on an older word.
+func (d *Controller) inContactOnly(serve app.HandlerFunc) app.HandlerFunc {
+	return func(ctx context.Context, c *app.RequestContext) {
+		begunUs := d.clock()
+		if !d.inContact() && !d.starting() {
+			outOfContact(c)
+			return
+		}
+		serve(ctx, c)
+		if c.Response.StatusCode() >= 500 {
+			return
+		}
+		if !d.contact.mayAnswer(d.configGroup(), begunUs, d.clock()) {
+			outOfContact(c)
+		}
+	}
+}
+
+// outOfContact answers that nothing can be said now, in place of any other answer.
+func outOfContact(c *app.RequestContext) {
+	c.Response.Reset()
+	deny(c, 503, "", "out of contact with a majority")
+}
--- a/internal/controller/control.go
+++ b/internal/controller/control.go
@@ -16,6 +16,7 @@
 
 	"beechtide.org/beechtide/internal/api"
 	"beechtide.org/beechtide/internal/consensus"
+	"beechtide.org/beechtide/internal/lease"
 	"beechtide.org/beechtide/internal/membership"
 	"beechtide.org/beechtide/internal/messages"
 	"beechtide.org/beechtide/internal/routeconfig"
@@ -50,9 +51,9 @@
 	h := Server(d.set.Listen.Control)
 	h.POST("/api/Runners.Heartbeat/:id", d.beat)
 	h.POST("/api/Runners.Leave/:id", d.leave)
-	h.POST("/api/Config.Replace", d.replace)
-	h.GET("/api/Config.Read", d.read)
-	h.POST("/api/version-put", d.nameWeights)
+	h.POST("/api/Config.Replace", d.inContactOnly(d.replace))
+	h.GET("/api/Config.Read", d.inContactOnly(d.read))
+	h.POST("/api/version-put", d.inContactOnly(d.nameWeights))
 	failed := make(chan error, 1)
 	go func() { failed <- h.Run() }()
 	select {
@@ -67,7 +68,11 @@
 	c.JSON(status, api.Fault{Error: reason, Field: field})
 }
 
-func (d *Controller) beat(_ context.Context, c *app.RequestContext) {
+// beat takes a heartbeat. It is noted in any case, also without the lease: nothing
+// rests on it but the list of runners, which merges. One that says draining is
+// acknowledged only once a majority has it.
+func (d *Controller) beat(ctx context.Context, c *app.RequestContext) {
+	begunUs := d.clock()
 	var b api.Heartbeat
 	if err := json.Unmarshal(c.Request.Body(), &b); err != nil {
 		deny(c, 400, "(body)", err.Error())
@@ -85,15 +90,58 @@
 	if changed {
 		d.tellRunners(n.ID)
 	}
-	out := api.HeartbeatResponse{}
+	if n.Draining && !d.confirmLeaving(ctx, n.ID, begunUs) {
+		outOfContact(c)
+		return
+	}
 	all := d.monitor.Alive(messages.Controller)
 	for _, p := range all {
 		if p.Addr != d.transport.Addr() {
 			d.transport.SendDatagram(p.Addr, transport.KindRunner, &n)
 		}
 	}
-	out.BeatTo = beatTo(membership.Core(all), d.transport.Addr(), n)
-	c.JSON(200, out)
+	c.JSON(200, api.HeartbeatResponse{BeatTo: d.beatElsewhere(all, n)})
+}
+
+// confirmLeaving tells the core that a runner drains or is gone, and whether that
+// may be acknowledged now.
+func (d *Controller) confirmLeaving(ctx context.Context, id string, begunUs int64) bool {
+	n, ok := d.registry.Note(id)
+	if !ok || !d.spreadLeaving(ctx, n) {
+		return false
+	}
+	return d.clock()-begunUs < lease.ContactUs
+}
+
+// beatElsewhere is where a runner's next beats should go, if not here. A controller
+// that is cut off sends them to another each time: one of them is in contact, and
+// none need be.
+func (d *Controller) beatElsewhere(all []messages.Peer, n messages.RunnerRecord) string {
+	core := membership.Core(all)
+	if d.cutOff() {
+		return beatAnywhere(core, d.transport.Addr(), n)
+	}
+	var reached []messages.Peer
+	for _, p := range core {
+		if !d.calm.isCut(p.Addr) {
+			reached = append(reached, p)
+		}
+	}
+	return beatTo(reached, d.transport.Addr(), n)
+}
+
+// beatAnywhere is any other controller, the next one with each beat.
+func beatAnywhere(core []messages.Peer, self string, n messages.RunnerRecord) string {
+	var others []string
+	for _, p := range core {
+		if p.Addr != self && p.Control != "" {
+			others = append(others, p.Control)
+		}
+	}
+	if len(others) == 0 {
+		return ""
+	}
+	return others[uint64(n.Seq)%uint64(len(others))]
 }
 
 // beatTo is where a runner should beat: at a controller of its own zone, each of
@@ -115,10 +163,16 @@
 	return pick.Control
 }
 
-func (d *Controller) leave(_ context.Context, c *app.RequestContext) {
-	if n, changed := d.registry.Leave(c.Param("id"), d.clock()); changed {
+func (d *Controller) leave(ctx context.Context, c *app.RequestContext) {
+	begunUs := d.clock()
+	n, changed := d.registry.Leave(c.Param("id"), begunUs)
+	if changed {
 		d.tellRunners(n.ID)
 	}
+	if !d.confirmLeaving(ctx, n.ID, begunUs) {
+		outOfContact(c)
+		return
+	}
 	c.Status(200)
 }
 
@@ -183,7 +237,7 @@
 func (d *Controller) read(ctx context.Context, c *app.RequestContext) {
 	ctx, cancel := context.WithTimeout(ctx, operatorWait)
 	defer cancel()
-	v, err := d.registers.Read(ctx, consensus.ConfigPart)
+	v, err := d.readRegister(ctx, consensus.ConfigPart)
 	if err != nil {
 		deny(c, 503, "", err.Error())
 		return
--- a/internal/controller/controller.go
+++ b/internal/controller/controller.go
@@ -49,6 +49,8 @@
 
 	rollouts rollouts
 	calm     calm
+	contact  contact
+	drained  drained
 	startUs  int64
 	disk     *consensus.DiskStore // nil on machines without one
 }
@@ -76,6 +78,7 @@
 	if err != nil {
 		return nil, err
 	}
+	d.contact.lease.Self = d.registers.ID()
 	self := messages.Peer{Addr: set.ControllerAddr(), Role: messages.Controller, Zone: set.Zone, MemberID: d.registers.ID(), Control: set.Listen.Control, Node: set.Node, Counted: set.Counted}
 	d.monitor = membership.NewMonitor(trans, self, clock, d.knownControllers)
 	trans.OnCall(transport.KindConsensus, func(ctx context.Context, _ *transport.Conn, body []byte) ([]byte, error) {
@@ -93,6 +96,7 @@
 		c := d.condition()
 		return c.MarshalMsg(nil)
 	})
+	trans.OnCall(transport.KindDraining, d.hearLeaving)
 	trans.OnDatagram(transport.KindRunner, d.heardRunner)
 	for p := range consensus.Parts {
 		if v, ok := d.registers.Committed(p); ok && v.Version > 0 {
@@ -166,7 +170,7 @@
 	for p := range consensus.Parts {
 		for ctx.Err() == nil {
 			cctx, cancel := context.WithTimeout(ctx, time.Second)
-			v, err := d.registers.Read(cctx, p)
+			v, err := d.readRegister(cctx, p)
 			cancel()
 			d.log.Info("part read", "part", p, "version", v.Version, "members", len(v.Group), "err", err)
 			if err == nil {
@@ -199,7 +203,7 @@
 }
 
 func (d *Controller) versions() messages.Versions {
-	m := messages.Versions{Parts: make([]int64, consensus.Parts), RegistrySum: d.registry.Snapshot().Sum, Controller: true, CalmUs: d.calm.forUs(d.clock())}
+	m := messages.Versions{Parts: make([]int64, consensus.Parts), RegistrySum: d.registry.Snapshot().Sum, Controller: true, CalmUs: d.calm.forUs(d.clock()), MemberID: d.registers.ID()}
 	for p := range m.Parts {
 		m.Parts[p] = -1
 		if v, ok := d.registers.Committed(p); ok {
@@ -308,7 +312,7 @@
 		go func() {
 			cctx, cancel := context.WithTimeout(ctx, 450*time.Millisecond)
 			defer cancel()
-			mine := d.versions()
+			mine, sentUs := d.versions(), d.clock()
 			b, err := d.transport.Call(cctx, p.Addr, transport.KindVersions, &mine)
 			if core[p.Addr] {
 				d.calm.tried(p.Addr, err == nil, d.clock())
@@ -320,6 +324,7 @@
 			if _, err := m.UnmarshalMsg(b); err != nil {
 				return
 			}
+			d.contact.answered(m.MemberID, sentUs)
 			for part := range min(len(m.Parts), consensus.Parts) {
 				if m.Parts[part] > mine.Parts[part] {
 					_ = d.registers.Pull(cctx, p.Addr, part)
--- a/internal/controller/feed.go
+++ b/internal/controller/feed.go
@@ -266,26 +266,16 @@
 	return len(f.Configuration)+len(f.Parts)+len(f.Registry)+len(f.Kept)+len(f.Reports)+len(f.Loads)+len(f.Coming) > 0
 }
 
-// cutOff tells whether the group that holds the configuration is out of this
-// node's reach, so that those below had better listen to another.
-func (d *Controller) cutOff() bool {
-	v, ok := d.registers.Committed(consensus.ConfigPart)
-	if !ok || len(v.Group) < 2 {
-		return false
-	}
-	reached := 0
-	for _, m := range v.Group {
-		if m.Addr == d.transport.Addr() || d.monitor.DeadForUs(m.Addr) == 0 && !d.calm.isCut(m.Addr) {
-			reached++
-		}
-	}
-	return reached <= len(v.Group)/2
-}
-
 // since gives what a receiver lacks: a router of everything, a controller of what
-// this one is the first to know.
+// this one is the first to know. Without the lease, a router that holds nothing
+// gets nothing: what is here may be old. It asks again, or finds a controller that
+// has the lease; if it finds none it says so, and then gets what there is.
 func (d *Controller) since(h messages.Hold) messages.Feed {
-	out := messages.Feed{CalmUs: d.calm.forUs(d.clock())}
+	out := messages.Feed{CalmUs: d.calm.forUs(d.clock()), CutOff: d.cutOff()}
+	if newcomer(h) && !h.Anything && !d.inContact() {
+		out.Versions = d.told()
+		return out
+	}
 	f := &d.feed
 	f.mu.Lock()
 	out.Versions = f.versions()
@@ -318,6 +308,9 @@
 	return out
 }
 
+// newcomer tells a router that has no configuration yet.
+func newcomer(h messages.Hold) bool { return !h.Controller && h.Configuration.Version == 0 }
+
 // toldBelow takes the loads of a node below.
 func (d *Controller) toldBelow(from string, t messages.Told) bool {
 	f := &d.feed
--- a/internal/controller/rollouts.go
+++ b/internal/controller/rollouts.go
@@ -261,7 +261,7 @@
 			continue
 		}
 		plan.Move(id, rollout.Ordered, d.clock())
-		d.order(ctx, n, t, s.Fence())
+		d.order(ctx, n, t, s.Fence(), s.ActUntilUs())
 	}
 	for id, j := range plan.Jobs {
 		if j.Stage == rollout.Ordered {
@@ -276,7 +276,8 @@
 	}
 }
 
-func (d *Controller) order(ctx context.Context, n messages.RunnerRecord, t messages.Target, fence int64) {
+// order sends an order, unless the majority's word behind it has run out at untilUs.
+func (d *Controller) order(ctx context.Context, n messages.RunnerRecord, t messages.Target, fence, untilUs int64) {
 	b, err := json.Marshal(api.Order{Op: api.Version, Model: t.Model, Version: t.Version, Method: api.Hold, Holder: d.registers.ID(), Fence: fence})
 	if err != nil {
 		return
@@ -284,6 +285,9 @@
 	go func() {
 		cctx, cancel := context.WithTimeout(ctx, 800*time.Millisecond)
 		defer cancel()
+		if d.clock() >= untilUs {
+			return // the confirmation ran out before the order could leave
+		}
 		status, _, _, err := d.connPool.Ask(cctx, n.Addr, "POST", "/api/order", map[string]string{"Beechtide-Target-Instance": n.ID}, b)
 		d.log.Info("order", "runner", n.ID, "version", t.Version, "fence", fence, "status", status, "err", err)
 		if err == nil && status == 200 {
--- a/internal/transport/transport.go
+++ b/internal/transport/transport.go
@@ -37,6 +37,7 @@
 	KindWant
 	KindHeard
 	KindTellAgain
+	KindDraining
 	kinds
 )
 
