--- /dev/null
+++ b/internal/admission/candidates.go
@@ -0,0 +1,223 @@
+// Candidates: the runners that admission still counts for a request, and from
+// where each could take kept parts of its prompt.
+package admission
+
+import (
+	"slices"
+
+	"beechtide.org/beechtide/internal/messages"
+	"beechtide.org/beechtide/internal/placement"
+	"beechtide.org/beechtide/internal/prefixindex"
+)
+
+// Candidates lists the runners that a request may go to now.
+func (d *Doorman) Candidates(a Ask, nowUs int64) []placement.Candidate {
+	list, _ := d.candidates(a, d.pool(a.Service), nowUs)
+	return slices.Clone(list)
+}
+
+// candidates gives the runners that a request may go to; the result holds until
+// the next call.
+func (d *Doorman) candidates(a Ask, p *pool, nowUs int64) ([]placement.Candidate, []*runner) {
+	out, who := d.list[:0], d.who[:0]
+	defer func() { d.list, d.who = out, who }()
+	d.free = false
+	share := d.linkShare(p)
+	d.forgetOthers(nowUs)
+	told := d.told(nowUs)
+	keysOf := d.keysOf(a)
+	near, leaving := d.Zone, false
+	if len(d.left) > 0 {
+		if home := d.home(a, p); home != "" {
+			leaving = true // there is where to go
+			if d.Leaves(a, d.Zone, nowUs) {
+				near = home
+			}
+		}
+	}
+	need := (a.TokensIn + a.TokensOut + d.T.BlockTokens - 1) / d.T.BlockTokens
+	for pass := range 3 {
+		for _, id := range p.order {
+			r := p.runners[id]
+			if r.absence.out || r.note.Draining || r.barred(nowUs) || !p.lets(a, id) || avoided(a.Avoid, id) || pass != d.preference(a, r, nowUs) {
+				continue
+			}
+			if !d.markAllowed(a.Model, r, nowUs) || leaving && d.Leaves(a, r.note.Zone, nowUs) {
+				continue
+			}
+			use := r.settle(&d.T, nowUs, d.nodes, told)
+			active := r.active(&d.T, nowUs)
+			if r.busyKV || r.busyRead || r.capacity > 0 && active >= r.capacity || share > 0 && r.own.count >= share {
+				continue
+			}
+			kept := d.Index.Expected(id, keysOf(markOf(r.note, a.Model)), a.Parts)
+			d.free = true
+			if r.blocks > 0 && active > 0 {
+				if after := use + float64(need-kept/d.T.BlockTokens)/float64(r.blocks); after > 0.98 {
+					continue
+				}
+			}
+			out = append(out, placement.Candidate{ID: id, NearSite: r.note.Zone == near, Kept: kept, Prefill: r.prefill(), Active: active, Capacity: r.capacity, Used: use, Rate: r.readRate(&d.T), Reading: r.reading(&d.T, nowUs), DoubtUs: r.health.doubtUs(nowUs)})
+			who = append(who, r)
+		}
+		if len(out) > 0 {
+			break
+		}
+	}
+	if p.moveUs > 0 && len(a.Parts) > 0 {
+		d.findMoves(a, p, out, who, keysOf, nowUs)
+	}
+	return out, who
+}
+
+// keysOf gives the keys of a request's parts under each version, each worked out
+// once.
+func (d *Doorman) keysOf(a Ask) func(version int64) []uint64 {
+	var versions []int64
+	var keys [][]uint64
+	return func(version int64) []uint64 {
+		for i, m := range versions {
+			if m == version {
+				return keys[i]
+			}
+		}
+		versions = append(versions, version)
+		keys = append(keys, prefixindex.Keys(d.Salt(a.Tenant, a.Isolated, a.Regime, version), a.Model, a.Parts))
+		return keys[len(keys)-1]
+	}
+}
+
+// Costs of a move of kept parts: its start, and how much longer it takes
+// between zones. Fewer tokens than moveMin are not worth one.
+const (
+	moveStartUs = 3_000
+	moveFar     = 2
+	moveMin     = 48
+)
+
+// holder is a runner or store that keeps some of a prompt.
+type holder struct {
+	addr    string
+	zone    string
+	version int64
+	kept    int
+	moveUs  float64
+	equals  int
+}
+
+// findMoves finds for every candidate the runner with the same weights that
+// keeps more of the prompt and from where it comes soonest.
+func (d *Doorman) findMoves(a Ask, p *pool, out []placement.Candidate, who []*runner, keysOf func(version int64) []uint64, nowUs int64) {
+	shared := 0
+	for _, part := range a.Parts[:len(a.Parts)-1] {
+		shared += part.Tokens
+	}
+	known := map[int64]int{}
+	var holders []holder
+	// of several with the same weights, zone and speed the one with most is
+	// enough; among equals they take turns
+	add := func(h holder) {
+		if h.kept < moveMin {
+			return
+		}
+		for i := range holders {
+			o := &holders[i]
+			if o.version != h.version || o.zone != h.zone || o.moveUs != h.moveUs {
+				continue
+			}
+			switch {
+			case h.kept > o.kept:
+				*o = h
+			case h.kept == o.kept:
+				o.equals++
+				if d.turn++; d.turn%(o.equals+1) == 0 {
+					h.equals = o.equals
+					*o = h
+				}
+			}
+			return
+		}
+		holders = append(holders, h)
+	}
+	for _, id := range p.order {
+		r := p.runners[id]
+		if r.absence.out || r.note.Stale || r.unsoundUs > nowUs || !p.lets(a, id) {
+			continue
+		}
+		version := markOf(r.note, a.Model)
+		kept, expected := d.Index.Both(id, keysOf(version), a.Parts)
+		add(holder{addr: r.note.Addr, zone: r.note.Zone, version: version, kept: kept, moveUs: p.moveUs})
+		known[version] = max(known[version], min(shared, expected))
+	}
+	for _, s := range p.stores {
+		if !p.lets(a, s.ID) {
+			continue
+		}
+		for version := range known {
+			if kept := d.Index.Kept(s.ID, keysOf(version), a.Parts); kept >= moveMin {
+				add(holder{addr: s.Addr, zone: s.Zone, version: version, kept: kept, moveUs: s.MoveUs})
+				known[version] = max(known[version], min(shared, kept))
+			}
+		}
+	}
+	for i := range out {
+		c := &out[i]
+		version := markOf(who[i].note, a.Model)
+		best := 0.0
+		for _, h := range holders {
+			more := h.kept - c.Kept
+			if h.addr == who[i].note.Addr || h.version != version || more < moveMin {
+				continue
+			}
+			us := moveStartUs + float64(more)*h.moveUs
+			if h.zone != who[i].note.Zone {
+				us *= moveFar
+			}
+			if gain := float64(more)*(1/c.Rate+placement.AgainUs) - us; gain > best {
+				best = gain
+				c.Moved, c.MoveUs, c.From = more, us, h.addr
+			}
+		}
+		c.Again = max(known[version]-c.Kept-c.Moved, 0)
+	}
+}
+
+// preference sorts runners into three: those to be used, those that are about
+// to get an order and should not begin a long request, and those that are
+// silent or whose links fail.
+func (d *Doorman) preference(a Ask, r *runner, nowUs int64) int {
+	switch {
+	case r.note.Stale || r.unsoundUs > nowUs || r.health.out(nowUs):
+		return 2
+	case r.note.Easing && a.TokensOut > d.T.LongOut:
+		return 1
+	}
+	return 0
+}
+
+func avoided(list []string, id string) bool {
+	for _, a := range list {
+		if a == id {
+			return true
+		}
+	}
+	return false
+}
+
+func markOf(n messages.RunnerRecord, model string) int64 {
+	for _, m := range n.Models {
+		if m.Model == model {
+			return m.Version
+		}
+	}
+	return 0
+}
+
+func (d *Doorman) markAllowed(model string, r *runner, nowUs int64) bool {
+	want := d.newest[model]
+	if want == 0 || nowUs-max(d.oldUs[model], d.calmUs) < d.MarkUs {
+		return true
+	}
+	have := markOf(r.note, model)
+	return have == 0 || have >= want
+}
--- /dev/null
+++ b/internal/admission/window.go
@@ -0,0 +1,113 @@
+// Windows: how many requests of a tenant are admitted, by AIMD, and its rate.
+package admission
+
+type tenantState struct {
+	window   float64
+	admitted int
+	hit, all float64
+	bucket   float64
+	bucketUs int64
+	windowUs int64
+}
+
+func (d *Doorman) tenant(name string, nowUs int64) *tenantState {
+	t := d.tenants[name]
+	if t == nil {
+		t = &tenantState{window: d.T.WindowStart, bucket: -1, bucketUs: nowUs, windowUs: nowUs}
+		d.tenants[name] = t
+	}
+	return t
+}
+
+func (d *Doorman) allowRate(t *tenantState, p *pool, nowUs int64) bool {
+	most := max(d.T.TenantBurst*float64(d.places(p)), 64)
+	if t.bucket < 0 {
+		t.bucket = most
+	}
+	t.bucket = min(most, t.bucket+float64(nowUs-t.bucketUs)/1e6*most/2)
+	t.bucketUs = nowUs
+	if t.bucket < 1 {
+		return false
+	}
+	t.bucket--
+	return true
+}
+
+// Tick lets time pass: requests whose wait is over are denied, others that
+// find room are admitted, and the tenants' windows move.
+func (d *Doorman) Tick(nowUs int64) []Ruling {
+	var out []Ruling
+	for _, p := range d.pools {
+		if p.queue.count == 0 {
+			continue
+		}
+		for _, w := range p.queue.expired(nowUs) {
+			out = append(out, d.deny(w.ask, p, DenyTTL, 503))
+		}
+		full := false
+		p.queue.walk(func(w *waiting) bool {
+			if full {
+				return false
+			}
+			adm := d.admit(w.ask, p, d.tenant(w.ask.Tenant, nowUs), nowUs)
+			if adm == nil {
+				// no place anywhere for this one means none for the next
+				full = !d.free && w.ask.Regime == "" && len(w.ask.Avoid) == 0
+				return false
+			}
+			out = append(out, Ruling{Ref: w.ask.Ref, Admit: adm})
+			return true
+		})
+	}
+	d.moveWindows(nowUs)
+	return out
+}
+
+func (d *Doorman) moveWindows(nowUs int64) {
+	use, n := 0.0, 0
+	for name, t := range d.tenants {
+		if nowUs-t.windowUs < d.T.WindowEveryUs {
+			continue
+		}
+		if n == 0 {
+			use, n = d.meanUse(nowUs), 1
+		}
+		t.windowUs = nowUs
+		hits := 1.0
+		if t.all > 0 {
+			hits = t.hit / t.all
+		}
+		t.window = Window(&d.T, t.window, use, hits)
+		t.hit, t.all = t.hit/2, t.all/2
+		if t.admitted == 0 && t.all < 1 && t.window >= d.T.WindowStart && t.bucket >= 0 && nowUs-t.bucketUs > 60_000_000 {
+			delete(d.tenants, name)
+		}
+	}
+}
+
+// Window is the AIMD step of a tenant's window.
+func Window(t *Tuning, w, use, hits float64) float64 {
+	switch {
+	case use < t.LowUse:
+		w += t.WindowAdd
+	case use > t.HighUse && hits < t.LowHits:
+		w *= t.WindowCut
+	}
+	return min(max(w, t.WindowMin), t.WindowMax)
+}
+
+func (d *Doorman) meanUse(nowUs int64) float64 {
+	sum, n := 0.0, 0
+	for _, p := range d.pools {
+		for _, id := range p.order {
+			if r := p.runners[id]; r.blocks > 0 {
+				sum += r.settle(&d.T, nowUs, d.nodes, d.told(nowUs))
+				n++
+			}
+		}
+	}
+	if n == 0 {
+		return 0
+	}
+	return sum / float64(n)
+}
