--- a/internal/consensus/consensus.go
+++ b/internal/consensus/consensus.go
@@ -81,34 +81,31 @@
 // in founding the group made of the seeds.
 func Open(addr string, kind int, found bool, seeds []string, caller Caller, store Store, log logr.Logger, onLearn func(int, messages.Value)) (*Registers, error) {
 	l := &Registers{addr: addr, kind: kind, caller: caller, store: store, log: log, onLearn: onLearn, life: Random()}
-	id, err := store.Identity(func() string {
-		if found {
-			return FirstID(addr)
-		}
-		return addr + "/" + Random()
-	})
+	first := ""
+	if found {
+		first = FirstID(addr)
+	}
+	kept, err := Restore(store, first, func() string { return addr + "/" + Random() })
 	if err != nil {
 		return nil, err
 	}
-	l.id = id
-	for p := range l.parts {
-		rec, ok, err := store.Load(p)
-		if err != nil {
-			return nil, err
-		}
+	if len(kept.Lost) > 0 {
+		log.Error(ErrDamaged, "votes are lost; this member goes on under a new identity", "parts", kept.Lost, "id", kept.ID)
+	}
+	l.id = kept.ID
+	for p, rec := range kept.Records {
 		at := &part{sem: make(chan struct{}, 1), durable: notOnDisk}
 		l.parts[p] = at
-		if ok && len(rec.Committed.Group) > 0 {
+		if len(rec.Committed.Group) > 0 {
 			at.durable = rec.Committed.Version
-		}
-		if !ok && found && id == FirstID(addr) {
+		} else if found && l.id == FirstID(addr) {
 			// The founders may all restart before the first value: they have to
 			// know their group from disk. One whose disk refuses this learns it
 			// from the others; save tells the log.
 			rec.Committed = Genesis(seeds)
 			_ = l.save(p, rec)
 		}
-		at.acc = Acceptor{ID: id, Rec: rec}
+		at.acc = Acceptor{ID: l.id, Rec: rec}
 		if len(rec.Committed.Group) > 0 {
 			v := rec.Committed
 			at.learned.Store(&v)
@@ -236,11 +233,12 @@
 	}
 	before := p.acc.Rec
 	w, dirty := p.acc.Handle(ask)
-	if dirty {
-		if err := l.save(ask.Part, p.acc.Rec); err != nil {
-			p.acc.Rec = before
-			return messages.ConsensusResponse{}, err
-		}
+	if !dirty {
+		return w, l.store.Settle()
+	}
+	if err := l.save(ask.Part, p.acc.Rec); err != nil {
+		p.acc.Rec = before
+		return messages.ConsensusResponse{}, err
 	}
 	return w, nil
 }
