Handing over: only members ask, and three newcomers at most

Cause: any controller that was told to end, also one that is no member, asked every counted non-member; at large sites those are dozens.

Change: one that is no member ends at once; a member asks three.

--- a/internal/consensus/group.go
+++ b/internal/consensus/group.go
@@ -49,7 +49,7 @@
 
 // Regroup returns the wanted group, and false where it should stay as it is.
 func Regroup(group []messages.Member, s Status) ([]messages.Member, bool) {
-	newcomers := newcomers(group, s)
+	newcomers := Newcomers(group, s)
 	for _, n := range newcomers {
 		for i, m := range group {
 			if m.Addr == n.Addr {
@@ -79,7 +79,7 @@
 // place to a newcomer that stands ready. A newcomer at the address of a member
 // has lost that member's disk and takes its place, which is Regroup's affair.
 func HandOver(group []messages.Member, self string, s Status) ([]messages.Member, bool) {
-	for _, n := range newcomers(group, s) {
+	for _, n := range Newcomers(group, s) {
 		if memberAt(group, n.Addr).ID != "" {
 			continue
 		}
@@ -92,8 +92,8 @@
 	return nil, false
 }
 
-// newcomers are those that stand ready and are no members, by identity.
-func newcomers(group []messages.Member, s Status) []messages.Member {
+// Newcomers are those that stand ready and are no members, by identity.
+func Newcomers(group []messages.Member, s Status) []messages.Member {
 	var out []messages.Member
 	for _, m := range s.Ready {
 		if m.ID != "" && !has(group, m.ID) {
--- a/internal/controller/repair.go
+++ b/internal/controller/repair.go
@@ -27,6 +27,8 @@
 	handOverPause = 50 * time.Millisecond
 	heirWait      = 800 * time.Millisecond // for a newcomer's word before a handing over
 	lastWordWait  = 300 * time.Millisecond // for the others' disks
+	// maxHeirs bounds how many newcomers a member that ends asks.
+	maxHeirs = 3
 	// stepsAtOnce bounds the steps of one repair that follow without a pause.
 	stepsAtOnce = 8
 )
@@ -201,9 +203,12 @@
 // is handed over to that one; elsewhere the others are left with all that was
 // agreed on on their disks, and the process ends at once.
 func (d *Controller) leaveGroups(ctx context.Context) {
+	d.registers.Retire()
+	if !d.groupMembers()[d.registers.ID()] {
+		return
+	}
 	ctx, cancel := context.WithTimeout(ctx, handOverWait)
 	defer cancel()
-	d.registers.Retire()
 	heirs := d.heirs(ctx)
 	d.repairs.heirs.Store(&heirs)
 	for ctx.Err() == nil && d.mayHandOver() {
@@ -213,29 +218,41 @@
 	d.lastWord(ctx)
 }
 
-// heirs are the live controllers without the non-members that do not now confirm
-// what they hold: one that has just ended is alive to probes for a while, and one
-// that is about to end itself takes no place.
+// groupMembers are the identities in the groups of all registers.
+func (d *Controller) groupMembers() map[string]bool {
+	out := map[string]bool{}
+	for part := range consensus.Parts {
+		v, _ := d.registers.Committed(part)
+		for _, m := range v.Group {
+			out[m.ID] = true
+		}
+	}
+	return out
+}
+
+// heirs are those who may take places over: a few of the counted controllers that
+// are no members and confirm now what they hold. One that has just ended is alive
+// to probes for a while, and one that is about to end itself takes no place.
 func (d *Controller) heirs(ctx context.Context) []messages.Peer {
 	ctx, cancel := context.WithTimeout(ctx, heirWait)
 	defer cancel()
 	base, _ := d.registers.Committed(consensus.ConfigPart)
 	alive := d.monitor.Alive(messages.Controller)
-	stands := make([]bool, len(alive))
+	candidates := consensus.Newcomers(base.Group, consensus.Stand(alive, d.monitor.DeadForUs, goneUs))
+	candidates = candidates[:min(len(candidates), maxHeirs)]
+	stands := make([]bool, len(candidates))
 	var asked sync.WaitGroup
-	for i, p := range alive {
-		m := messages.Member{ID: p.MemberID, Addr: p.Addr}
-		if stands[i] = slices.Contains(base.Group, m); stands[i] {
-			continue
-		}
+	for i, m := range candidates {
 		asked.Go(func() {
 			stands[i], _ = d.registers.Confirm(ctx, consensus.ConfigPart, m, base)
 		})
 	}
 	asked.Wait()
 	var out []messages.Peer
-	for i, p := range alive {
-		if stands[i] {
+	members := d.groupMembers()
+	for _, p := range alive {
+		i := slices.Index(candidates, messages.Member{ID: p.MemberID, Addr: p.Addr})
+		if i >= 0 && stands[i] || members[p.MemberID] {
 			out = append(out, p)
 		}
 	}
