--- a/internal/simulation/operator.go
+++ b/internal/simulation/operator.go
@@ -181,11 +181,11 @@
 		return nil, raw, err
 	}
 	if c.cluster.defects.DenyWithoutRound {
-		if cur, known := c.committed(configPart); known {
-			if _, _, err := replace(cur); err != nil {
-				answer(history.Answer{Verdict: verdictOf(err)})
-				return
-			}
+		// Any other version than the base is refused, a lower one too: this node
+		// may be behind.
+		if cur, known := c.committed(configPart); known && configOf(cur).Version != call.Base && !order.TakenIn(configOf(cur)) {
+			answer(history.Answer{Verdict: history.Overtaken})
+			return
 		}
 	}
 	c.change(configPart, operatorWaitUs, replace, func(_ messages.Value, err error) {
