--- a/internal/registry/registry_test.go
+++ b/internal/registry/registry_test.go
@@ -25,6 +25,17 @@
 	must.True(t, r.Snapshot().ByID["x"].Draining)
 }
 
+func TestDrainingHoldsHoweverLateItComes(t *testing.T) {
+	r := New()
+	r.Hear(beat("x", 5), 1)
+	late := beat("x", 4)
+	late.Draining = true
+	must.True(t, r.Hear(late, 2))
+	must.True(t, r.Snapshot().ByID["x"].Draining)
+	r.Leave("x", 3)
+	must.False(t, r.Hear(late, 4))
+}
+
 func TestLeaveIsFinal(t *testing.T) {
 	r := New()
 	r.Hear(beat("x", 1), 1)
--- a/internal/transport/transport.go
+++ b/internal/transport/transport.go
@@ -35,6 +35,7 @@
 	KindHeard
 	KindTellAgain
 	KindFailed // a call could not be answered
+	KindDraining
 	kinds
 )
 
