--- a/internal/router/attempts.go
+++ b/internal/router/attempts.go
@@ -1,27 +1,21 @@
 // The attempts of a request: the admission control's ruling, a link, the head, the stream,
-// and what may follow when a attempt fails. A further attempt goes out only where the
+// and what may follow when an attempt fails. A further attempt goes out only where the
 // runner said that it has not run the request, where nothing was sent, or where
 // the request may be repeated; and only within tries, budget and time.
 package router
 
 import (
 	"context"
-	"io"
-	"strconv"
-	"strings"
 	"time"
 
-	"github.com/cloudwego/hertz/pkg/network"
 	"github.com/cloudwego/hertz/pkg/protocol"
-	"github.com/cloudwego/hertz/pkg/protocol/http1/resp"
 
 	"beechtide.org/beechtide/internal/admission"
-	"beechtide.org/beechtide/internal/api"
 	"beechtide.org/beechtide/internal/compliance"
 	"beechtide.org/beechtide/internal/upstream"
 )
 
-// ending is how a attempt went.
+// ending is how an attempt went.
 type ending int
 
 const (
@@ -39,42 +33,32 @@
 // maxUnsent bounds how many runners are tried whose links do not come up.
 const maxUnsent = 4
 
+// course is how far a request has come.
+type course struct {
+	stream *answerStream
+	unsent int  // attempts of which nothing reached a runner
+	ran    bool // it may have run somewhere
+}
+
 func (v *visit) run() {
-	c := v.c
-	now := v.startUs
-	c.dmu.Lock()
-	c.budget(v.service).Request(now)
-	c.dmu.Unlock()
-	tries := max(v.route.Tries, 1)
-	unsent := 0
-	ran := false // it may have run somewhere
-	var stream *answerStream
+	v.c.dmu.Lock()
+	v.c.budget(v.service).Request(v.startUs)
+	v.c.dmu.Unlock()
+	var so course
 	defer func() {
-		if stream != nil && stream.started && !stream.finished {
+		if so.stream != nil && so.stream.started && !so.stream.finished {
 			v.ended = compliance.Cut
 			v.cut()
 		}
 	}()
 	for {
-		var ruling admission.Ruling
-		if v.next != nil {
-			ruling.Admit = v.next.adm
-		} else {
-			ruling = v.admit()
-		}
+		ruling := v.place()
 		if ruling.Admit == nil {
-			switch {
-			case stream != nil:
-				return
-			case ran:
-				v.deny(502, ruling.Deny, 0)
-			default:
-				v.deny(ruling.Status, ruling.Deny, ruling.AgainUs)
-			}
+			v.denyPlaceless(ruling, &so)
 			return
 		}
-		end, out := v.send(ruling.Admit, stream)
-		stream = out
+		var end ending
+		end, so.stream = v.send(ruling.Admit, so.stream)
 		switch end {
 		case moving:
 			continue
@@ -84,45 +68,87 @@
 		case clientGone:
 			v.ended = compliance.Cut
 			return
-		case notSent:
-			v.attempts--
-			if unsent++; unsent < maxUnsent && c.clock() < v.endUs {
-				if v.changed {
-					v.changed = false
-					continue
-				}
-				v.ask.Avoid = append(v.ask.Avoid, ruling.Admit.Runner.ID)
-				continue
-			}
-		case notRun:
-			v.ask.Avoid = append(v.ask.Avoid, ruling.Admit.Runner.ID)
-		case unknown, brokeOff:
-			ran = true
-			v.ask.Avoid = append(v.ask.Avoid, ruling.Admit.Runner.ID)
 		}
-		again := v.attempts < tries && c.clock() < v.endUs && end != notSent
-		if end == unknown || end == brokeOff {
-			again = again && v.route.Repeatable()
-		}
-		if again {
-			c.dmu.Lock()
-			again = c.budget(v.service).Spend(c.clock(), int(c.nodes.Load()))
-			c.dmu.Unlock()
-		}
-		if again {
-			continue
+		if !v.goesOn(end, ruling.Admit.Runner.ID, &so) {
+			v.denyFailed(&so)
+			return
 		}
-		switch {
-		case stream != nil && stream.started:
-		case ran && c.clock() >= v.endUs:
-			v.deny(504, "", 0)
-		case ran:
-			v.deny(502, "", 0)
-		default:
-			v.deny(503, "", 100_000)
+	}
+}
+
+// place is where the next attempt goes.
+func (v *visit) place() admission.Ruling {
+	if v.next != nil {
+		return admission.Ruling{Admit: v.next.adm}
+	}
+	return v.admit()
+}
+
+// goesOn tells whether another attempt follows one that failed.
+func (v *visit) goesOn(end ending, runnerID string, so *course) bool {
+	if end == notSent {
+		return v.goesOnUnsent(runnerID, so)
+	}
+	v.ask.Avoid = append(v.ask.Avoid, runnerID)
+	if end != notRun {
+		so.ran = true
+		if !v.route.Repeatable() {
+			return false
 		}
-		return
 	}
+	return v.attempts < max(v.route.Tries, 1) && v.c.clock() < v.endUs && v.spend()
+}
+
+// goesOnUnsent is the same for an attempt of which nothing reached the runner: it
+// counts neither as a try nor against the budget.
+func (v *visit) goesOnUnsent(runnerID string, so *course) bool {
+	v.attempts--
+	so.unsent++
+	if so.unsent >= maxUnsent || v.c.clock() >= v.endUs {
+		return false
+	}
+	if v.changed {
+		v.changed = false
+		return true
+	}
+	v.ask.Avoid = append(v.ask.Avoid, runnerID)
+	return true
+}
+
+// denyPlaceless answers a request for which there is no place, unless a part of
+// its answer has gone out.
+func (v *visit) denyPlaceless(ruling admission.Ruling, so *course) {
+	switch {
+	case so.stream != nil:
+	case so.ran:
+		v.deny(502, ruling.Deny, 0)
+	default:
+		v.deny(ruling.Status, ruling.Deny, ruling.AgainUs)
+	}
+}
+
+// againUs is after how long a client may come back whose request found no runner.
+const againUs = 100_000
+
+// denyFailed answers a request whose last attempt has failed. What may have run
+// gets no status that promises that it has not.
+func (v *visit) denyFailed(so *course) {
+	switch {
+	case so.stream != nil && so.stream.started:
+	case so.ran && v.c.clock() >= v.endUs:
+		v.deny(504, "", 0)
+	case so.ran:
+		v.deny(502, "", 0)
+	default:
+		v.deny(503, "", againUs)
+	}
+}
+
+// spend takes a further attempt from the budget, if there is one.
+func (v *visit) spend() bool {
+	v.c.dmu.Lock()
+	defer v.c.dmu.Unlock()
+	return v.c.budget(v.service).Spend(v.c.clock(), int(v.c.nodes.Load()))
 }
 
 func (c *Router) budget(service string) *upstream.Budget {
@@ -164,16 +190,6 @@
 	return <-ch
 }
 
-// answerStream is the client's side of a streamed answer; it outlives a attempt
-// where another runner takes the stream up.
-type answerStream struct {
-	out      network.ExtWriter
-	events   upstream.Events
-	started  bool
-	finished bool
-	cutting  bool // the answer is a series of events
-}
-
 func (v *visit) send(adm *admission.Admission, stream *answerStream) (ending, *answerStream) {
 	c := v.c
 	v.attempts++
@@ -305,7 +321,7 @@
 	return v.c.connPool.GetFor(ctx, addr, v.service, v.route.Repeatable())
 }
 
-// ended notes how a attempt that was sent ended at its runner. One that died on a
+// ended notes how an attempt that was sent ended at its runner. One that died on a
 // link that had rested says something of the link, not of the runner.
 func (c *Router) ended(adm *admission.Admission, link *upstream.Conn, good, answered bool) {
 	if !good && !answered && link.RestedUs > 0 {
@@ -336,195 +352,3 @@
 	}
 	c.done(adm, ok)
 }
-
-// head makes the head of a attempt by the rules for headers.
-func (v *visit) head(adm *admission.Admission, leftUs int64, stream *answerStream) *protocol.RequestHeader {
-	in := &v.rc.Request.Header
-	h := &protocol.RequestHeader{}
-	h.DisableNormalizing()
-	h.SetNoDefaultContentType(true)
-	h.SetMethodBytes(in.Method())
-	h.SetRequestURIBytes(in.RequestURI())
-	h.SetHostBytes(in.Host())
-	extra := named(string(in.Peek("Connection")))
-	in.VisitAll(func(k, val []byte) {
-		key := string(k)
-		if strings.EqualFold(key, hLastEvent) && stream != nil && stream.events.LastID != "" {
-			return
-		}
-		if passes(requestRules, extra, key) {
-			h.Add(key, string(val))
-		}
-	})
-	body := len(v.rc.Request.Body())
-	if body > 0 || !in.IsGet() && !in.IsHead() {
-		h.SetContentLength(body)
-	}
-	h.Set(hTimeLeft, strconv.FormatInt(max(leftUs/1000, 1), 10))
-	h.Set(hTarget, adm.Runner.ID)
-	if v.tenant != nil {
-		h.Set(hTenant, v.tenant.Name)
-	}
-	if v.ask.Model != "" {
-		h.Set(hSalt, adm.Salt)
-		h.Set(hUrgency, strconv.Itoa(urgency(v)))
-		if adm.Source != "" {
-			h.Set(hSource, adm.Source)
-		}
-		if adm.Sink != "" {
-			h.Set(hSink, adm.Sink)
-		}
-		if adm.Version > 0 {
-			h.Set(hExpected, strconv.FormatInt(adm.Version, 10))
-		}
-	}
-	if stream != nil && stream.events.LastID != "" {
-		h.Set(hLastEvent, stream.events.LastID)
-	}
-	return h
-}
-
-func urgency(v *visit) int {
-	u := 1 + min(v.route.Rank, 1)
-	if v.tenant != nil {
-		u += 2 * v.tenant.Rank
-	}
-	return min(max(u, 0), 9)
-}
-
-func (v *visit) answerHead(r *protocol.Response) {
-	out := &v.rc.Response.Header
-	out.SetStatusCode(r.StatusCode())
-	out.SetNoDefaultContentType(true)
-	extra := named(string(r.Header.Peek("Connection")))
-	r.Header.VisitAll(func(k, val []byte) {
-		if key := string(k); passes(answerRules, extra, key) {
-			out.Add(key, string(val))
-		}
-	})
-	if v.c.leaving.Load() {
-		out.SetConnectionClose(true)
-	}
-}
-
-// mostBody bounds an answer that is held until it is whole.
-const mostBody = 64 << 20
-
-// passBody passes on an answer of known length, once it is whole.
-func (v *visit) passBody(adm *admission.Admission, link *upstream.Conn, r *protocol.Response, stream *answerStream) ending {
-	b, err := upstream.ReadBody(r, mostBody)
-	if err != nil {
-		v.c.ended(adm, link, false, true)
-		v.c.giveBack(adm, link, r, false)
-		return unknown
-	}
-	v.c.first(adm)
-	status := r.StatusCode()
-	v.c.ended(adm, link, status < 500, true)
-	v.c.giveBack(adm, link, r, true)
-	if stream != nil && stream.started {
-		return brokeOff
-	}
-	if status >= 500 && v.route.Repeatable() && v.attempts < max(v.route.Tries, 1) {
-		return unknown
-	}
-	v.answerHead(r)
-	v.rc.Response.SetBody(b)
-	return whole
-}
-
-func (c *Router) first(adm *admission.Admission) {
-	c.dmu.Lock()
-	c.door.FirstToken(adm, c.clock())
-	c.dmu.Unlock()
-	poke(c.stir)
-	c.wake()
-}
-
-// passStream passes on a streamed answer, event by event.
-func (v *visit) passStream(adm *admission.Admission, link *upstream.Conn, r *protocol.Response, stream *answerStream) (ending, *answerStream) {
-	c := v.c
-	if stream == nil {
-		stream = &answerStream{cutting: v.route.Kind == api.Streaming}
-	}
-	stream.events.Cut()
-	body := r.BodyStream()
-	buf := make([]byte, 2048)
-	first := true
-	for {
-		n, err := body.Read(buf)
-		if n > 0 {
-			if first {
-				first = false
-				c.first(adm)
-			}
-			b := buf[:n]
-			if stream.cutting {
-				b = stream.events.Add(b)
-			}
-			if len(b) > 0 {
-				if !v.write(r, stream, b) {
-					link.Close()
-					c.done(adm, true)
-					return clientGone, stream
-				}
-			}
-		}
-		if err == nil {
-			if stream.started && v.moves(adm, stream) {
-				link.Close()
-				c.done(adm, true)
-				return moving, stream
-			}
-			continue
-		}
-		if err != io.EOF {
-			c.ended(adm, link, false, true)
-			link.Close()
-			c.done(adm, false)
-			if stream.started {
-				return brokeOff, stream
-			}
-			return unknown, nil
-		}
-		if rest := stream.events.Rest(); len(rest) > 0 && stream.cutting {
-			if !v.write(r, stream, rest) {
-				link.Close()
-				c.done(adm, true)
-				return clientGone, stream
-			}
-		}
-		if !stream.started {
-			v.begin(r, stream)
-		}
-		stream.finished = stream.out.Finalize() == nil && v.rc.Flush() == nil
-		c.ended(adm, link, true, true)
-		c.giveBack(adm, link, r, true)
-		return whole, stream
-	}
-}
-
-func (v *visit) begin(r *protocol.Response, stream *answerStream) {
-	v.answerHead(r)
-	stream.out = resp.NewChunkedBodyWriter(&v.rc.Response, v.rc.GetWriter())
-	v.rc.Response.HijackWriter(stream.out)
-	stream.started = true
-}
-
-func (v *visit) write(r *protocol.Response, stream *answerStream, b []byte) bool {
-	if !stream.started {
-		v.begin(r, stream)
-	}
-	if _, err := stream.out.Write(b); err != nil {
-		return false
-	}
-	return stream.out.Flush() == nil
-}
-
-// cut ends the client's connection so that the answer cannot be taken for whole.
-func (v *visit) cut() {
-	if conn := v.rc.GetConn(); conn != nil {
-		conn.Close()
-	}
-	v.rc.Response.Header.SetConnectionClose(true)
-}
--- a/internal/router/move.go
+++ b/internal/router/move.go
@@ -54,10 +54,7 @@
 	if err != nil {
 		return giveUp(false)
 	}
-	c.dmu.Lock()
-	may := c.budget(v.service).Spend(c.clock(), int(c.nodes.Load()))
-	c.dmu.Unlock()
-	if !may {
+	if !v.spend() {
 		link.Close()
 		return giveUp(true)
 	}
--- /dev/null
+++ b/internal/router/request_head.go
@@ -0,0 +1,66 @@
+// The head of an attempt, made from the client's by the rules for headers.
+package router
+
+import (
+	"strconv"
+	"strings"
+
+	"github.com/cloudwego/hertz/pkg/protocol"
+
+	"beechtide.org/beechtide/internal/admission"
+)
+
+// head makes the head of an attempt by the rules for headers.
+func (v *visit) head(adm *admission.Admission, leftUs int64, stream *answerStream) *protocol.RequestHeader {
+	in := &v.rc.Request.Header
+	h := &protocol.RequestHeader{}
+	h.DisableNormalizing()
+	h.SetNoDefaultContentType(true)
+	h.SetMethodBytes(in.Method())
+	h.SetRequestURIBytes(in.RequestURI())
+	h.SetHostBytes(in.Host())
+	extra := named(string(in.Peek("Connection")))
+	in.VisitAll(func(k, val []byte) {
+		key := string(k)
+		if strings.EqualFold(key, hLastEvent) && stream != nil && stream.events.LastID != "" {
+			return
+		}
+		if passes(requestRules, extra, key) {
+			h.Add(key, string(val))
+		}
+	})
+	body := len(v.rc.Request.Body())
+	if body > 0 || !in.IsGet() && !in.IsHead() {
+		h.SetContentLength(body)
+	}
+	h.Set(hTimeLeft, strconv.FormatInt(max(leftUs/1000, 1), 10))
+	h.Set(hTarget, adm.Runner.ID)
+	if v.tenant != nil {
+		h.Set(hTenant, v.tenant.Name)
+	}
+	if v.ask.Model != "" {
+		h.Set(hSalt, adm.Salt)
+		h.Set(hUrgency, strconv.Itoa(urgency(v)))
+		if adm.Source != "" {
+			h.Set(hSource, adm.Source)
+		}
+		if adm.Sink != "" {
+			h.Set(hSink, adm.Sink)
+		}
+		if adm.Version > 0 {
+			h.Set(hExpected, strconv.FormatInt(adm.Version, 10))
+		}
+	}
+	if stream != nil && stream.events.LastID != "" {
+		h.Set(hLastEvent, stream.events.LastID)
+	}
+	return h
+}
+
+func urgency(v *visit) int {
+	u := 1 + min(v.route.Rank, 1)
+	if v.tenant != nil {
+		u += 2 * v.tenant.Rank
+	}
+	return min(max(u, 0), 9)
+}
