--- a/internal/controller/contact.go
+++ b/internal/controller/contact.go
@@ -8,6 +8,7 @@
 	"sync"
 
 	"github.com/cloudwego/hertz/pkg/app"
+	"github.com/pkg/errors"
 
 	"beechtide.org/beechtide/internal/consensus"
 	"beechtide.org/beechtide/internal/lease"
@@ -78,6 +79,18 @@
 	return v, err
 }
 
+// changeRegister is a change of a register that a majority decides on, also where it
+// says no; one of the configuration renews the lease.
+func (d *Controller) changeRegister(ctx context.Context, part int, change consensus.Change) (messages.Value, error) {
+	begunUs := d.clock()
+	v, err := d.registers.Change(ctx, part, change)
+	unsure := errors.Is(err, consensus.ErrUnsure) || errors.Is(err, consensus.ErrNoGroup)
+	if !unsure && part == consensus.ConfigPart {
+		d.contact.vouched(begunUs)
+	}
+	return v, err
+}
+
 // inContactOnly serves a call only under the lease. A controller without it says
 // 503 at once, so that callers go on to another. The check is made again on the
 // answer, after the work: what leaves must not rest on an older word.
--- a/internal/messages/types.gen.go
+++ b/internal/messages/types.gen.go
@@ -138,11 +138,14 @@
 // ConsensusRequest defines model for ConsensusRequest.
 type ConsensusRequest struct {
 	Ballot Ballot `msg:"b"`
-	Step   Step   `msg:"k"`
-	Part   int    `msg:"p"`
-	Slot   int64  `msg:"s"`
-	To     string `msg:"t"`
-	Value  Value  `msg:"v"`
+
+	// Flush on a commit
+	Flush bool   `msg:"f"`
+	Step  Step   `msg:"k"`
+	Part  int    `msg:"p"`
+	Slot  int64  `msg:"s"`
+	To    string `msg:"t"`
+	Value Value  `msg:"v"`
 }
 
 // ConsensusResponse defines model for ConsensusResponse.
@@ -150,9 +153,12 @@
 	AcceptedAt  Ballot  `msg:"a"`
 	Verdict     Verdict `msg:"d"`
 	HasAccepted bool    `msg:"h"`
-	Version     int64   `msg:"m"`
-	Promised    Ballot  `msg:"p"`
-	Value       Value   `msg:"v"`
+
+	// Kept the slot that a flush asked for is on this member's disk
+	Kept     bool   `msg:"k"`
+	Version  int64  `msg:"m"`
+	Promised Ballot `msg:"p"`
+	Value    Value  `msg:"v"`
 }
 
 // Entry an entry by its key; one that is no longer there has no body
@@ -336,13 +342,20 @@
 
 // RunnerRecord defines model for RunnerRecord.
 type RunnerRecord struct {
-	Addr       string   `msg:"a"`
-	Barred     bool     `msg:"b"`
-	Capacity   int      `msg:"c"`
-	Draining   bool     `msg:"d"`
-	Stale      bool     `msg:"e"`
-	Gone       bool     `msg:"g"`
-	ID         string   `msg:"i"`
+	Addr     string `msg:"a"`
+	Barred   bool   `msg:"b"`
+	Capacity int    `msg:"c"`
+	Draining bool   `msg:"d"`
+
+	// Stale The sender has not heard of it for a few heartbeats.
+	Stale bool `msg:"e"`
+
+	// Gone It has left by its own word, which is final.
+	Gone bool   `msg:"g"`
+	ID   string `msg:"i"`
+
+	// Lost The sender has not heard of it for long, or another runner has its address; a later heartbeat brings it back.
+	Lost       bool     `msg:"l"`
 	Models     []Target `msg:"m"`
 	Seq        int64    `msg:"q"`
 	BarVersion int64    `msg:"r"`
@@ -372,6 +385,8 @@
 
 // Told what a node sends up the tree, and the word back that it was heard
 type Told struct {
+	// Absent runners that were not at their address; a hint
+	Absent []string     `msg:"a"`
 	Coming []KeptNote   `msg:"c"`
 	Loads  []LoadChange `msg:"l"`
 	Seq    int64        `msg:"s"`
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -58,6 +58,7 @@
 	kick    chan struct{}
 	fresh   chan struct{} // shared parts have been sent to be read
 	stir    chan struct{} // this node's loads have changed
+	missing chan struct{} // a runner was not at its address
 
 	recheckedUs atomic.Int64
 
@@ -76,7 +77,7 @@
 	if err != nil {
 		return nil, err
 	}
-	c := &Router{set: set, log: log, clock: clock, transport: trans, registry: registry.New(), connPool: upstream.NewConnPool(clock), parts: map[int]messages.PartNote{}, door: admission.New(admission.Defaults, set.Zone), budgets: map[string]*upstream.Budget{}, kick: make(chan struct{}, 1), fresh: make(chan struct{}, 1), stir: make(chan struct{}, 1)}
+	c := &Router{set: set, log: log, clock: clock, transport: trans, registry: registry.New(), connPool: upstream.NewConnPool(clock), parts: map[int]messages.PartNote{}, door: admission.New(admission.Defaults, set.Zone), budgets: map[string]*upstream.Budget{}, kick: make(chan struct{}, 1), fresh: make(chan struct{}, 1), stir: make(chan struct{}, 1), missing: make(chan struct{}, 1)}
 	c.configuration, c.runners = statesync.NewEntries(), statesync.NewEntries()
 	c.loads.init(clock())
 	none := ""
@@ -105,7 +106,9 @@
 	go loop.Every(live, compareEvery, c.compareVersions(live))
 	go c.tellLoads(live)
 	go loop.Every(live, time.Second, func() { c.connPool.Sweep(func(string) bool { return true }) })
+	go loop.Every(live, forgetEvery, c.forgetUnlisted)
 	go c.pump(live)
+	go c.probeMissing(live)
 	failed := make(chan error, 2)
 	go func() { failed <- c.serveReady() }()
 	for c.table.Load() == nil {
@@ -222,6 +225,9 @@
 	return out
 }
 
+// forgetEvery is how often runners that the parent no longer lists are looked for.
+const forgetEvery = 5 * time.Second
+
 // compareEvery is how often a router asks a controller that is not its parent
 // for its versions. What it lacks reaches it through its parent; this covers a
 // parent that is on the wrong side of a cut and does not know it.
