--- a/internal/controller/control.go
+++ b/internal/controller/control.go
@@ -87,7 +87,7 @@
 		n.Models = append(n.Models, messages.Target{Model: m.Name, Version: m.Version})
 	}
 	changed := d.registry.Hear(n, d.clock())
-	if changed {
+	if n.Draining && d.takeLeaving(n) || changed {
 		d.tellRunners(n.ID)
 	}
 	if n.Draining && !d.confirmLeaving(ctx, n.ID, begunUs) {
@@ -187,7 +187,7 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, operatorWait)
 	defer cancel()
-	_, err := d.registers.Change(ctx, consensus.ConfigPart, func(cur messages.Value) ([]messages.Member, []byte, error) {
+	_, err := d.changeRegister(ctx, consensus.ConfigPart, func(cur messages.Value) ([]messages.Member, []byte, error) {
 		return applyOrder(cur, order)
 	})
 	var bad *routeconfig.Invalid
