A repeat is known by its bytes alone, before it is read

Each repeat of a taken configuration was parsed and checked in full before the lookup. The digest is looked up first now; the answer's version comes from the digest's entry. Tests of internal/controller and internal/routeconfig pass.

--- a/internal/controller/control.go
+++ b/internal/controller/control.go
@@ -180,11 +180,11 @@
 // from what this node knows, as that stays true; everything else is decided in
 // a round of the register.
 func (d *Controller) replace(ctx context.Context, c *app.RequestContext) {
-	order := readOrder(c)
-	if d.takenBefore(order) {
-		c.JSON(200, map[string]int64{"version": order.Version})
+	if version, ok := d.takenBefore(c.Request.Body()); ok {
+		c.JSON(200, map[string]int64{"version": version})
 		return
 	}
+	order := readOrder(c)
 	ctx, cancel := context.WithTimeout(ctx, operatorWait)
 	defer cancel()
 	_, err := d.registers.Change(ctx, consensus.ConfigPart, func(cur messages.Value) ([]messages.Member, []byte, error) {
@@ -218,13 +218,16 @@
 	return order
 }
 
-func (d *Controller) takenBefore(order routeconfig.Order) bool {
+func (d *Controller) takenBefore(raw []byte) (version int64, ok bool) {
 	known, ok := d.registers.Committed(consensus.ConfigPart)
 	if !ok {
-		return false
+		return 0, false
 	}
 	body, err := configBody(known)
-	return err == nil && order.TakenIn(body)
+	if err != nil {
+		return 0, false
+	}
+	return routeconfig.TakenAs(body, raw)
 }
 
 // applyOrder is the change that an order asks for. A refusal by checks that
--- a/internal/routeconfig/replace.go
+++ b/internal/routeconfig/replace.go
@@ -66,17 +66,24 @@
 // version. What was taken stays taken, so a yes holds for any committed state,
 // be it old; a no is for Apply to say, inside a round.
 func (o Order) TakenIn(cur messages.ConfigBody) bool {
-	digest := o.digest()
+	_, taken := TakenAs(cur, o.Raw)
+	return taken
+}
+
+// TakenAs gives the version under which these very bytes were taken. It needs
+// nothing but the bytes, so a repeat costs no reading and no checks.
+func TakenAs(cur messages.ConfigBody, raw []byte) (version int64, taken bool) {
+	digest := digestOf(raw)
 	for _, t := range cur.AcceptedDigest {
 		if bytes.Equal(t.Digest, digest) {
-			return true
+			return t.Version, true
 		}
 	}
-	return false
+	return 0, false
 }
 
-func (o Order) digest() []byte {
-	sum := sha256.Sum256(o.Raw)
+func digestOf(raw []byte) []byte {
+	sum := sha256.Sum256(raw)
 	return sum[:digestBytes]
 }
 
@@ -120,7 +127,7 @@
 }
 
 func remember(before []messages.AcceptedDigest, o Order) []messages.AcceptedDigest {
-	taken := append(append([]messages.AcceptedDigest{}, before...), messages.AcceptedDigest{Version: o.Version, Digest: o.digest()})
+	taken := append(append([]messages.AcceptedDigest{}, before...), messages.AcceptedDigest{Version: o.Version, Digest: digestOf(o.Raw)})
 	if len(taken) > keepTaken {
 		taken = taken[len(taken)-keepTaken:]
 	}
