--- a/internal/controller/drain.go
+++ b/internal/controller/drain.go
@@ -141,9 +141,20 @@
 	if _, err := n.UnmarshalMsg(body); err != nil {
 		return nil, err
 	}
-	if d.registry.Merge(n, d.clock()) {
+	if d.takeLeaving(n) {
 		d.tellRunners(n.ID)
 	}
 	self := messages.Member{ID: d.registers.ID(), Addr: d.transport.Addr()}
 	return self.MarshalMsg(nil)
 }
+
+// takeLeaving notes what a runner has said of itself, whatever its beats said since
+// and whatever the other controller believes of it.
+func (d *Controller) takeLeaving(n messages.RunnerRecord) (changed bool) {
+	if n.Gone {
+		_, changed = d.registry.Leave(n.ID, d.clock())
+		return changed
+	}
+	n.Stale, n.Lost = false, false
+	return d.registry.Merge(n, d.clock())
+}
