Repairs are proposed under the lease of contact

Change: what a coordinator takes for contact with a majority is the lease, in place of who is alive to probes and not found cut.

--- a/internal/controller/contact.go
+++ b/internal/controller/contact.go
@@ -48,11 +48,7 @@
 // as this node knows.
 func (d *Controller) configGroup() []string {
 	v, _ := d.registers.Committed(consensus.ConfigPart)
-	var ids []string
-	for _, m := range v.Group {
-		ids = append(ids, m.ID)
-	}
-	return ids
+	return identities(v.Group)
 }
 
 // inContact tells whether this controller holds the lease now.
--- a/internal/controller/repair.go
+++ b/internal/controller/repair.go
@@ -117,17 +117,18 @@
 	return at.coordinator.Step(d.clock(), view)
 }
 
-// hasContact tells whether this controller reaches a majority of a group itself.
+// hasContact tells whether this controller holds the lease of contact with a
+// majority of a group.
 func (d *Controller) hasContact(group []messages.Member) bool {
-	near := 0
-	for _, p := range d.reachable() {
-		for _, m := range group {
-			if m.ID == p.MemberID {
-				near++
-			}
-		}
+	return d.contact.holds(identities(group), d.clock())
+}
+
+func identities(group []messages.Member) []string {
+	var ids []string
+	for _, m := range group {
+		ids = append(ids, m.ID)
 	}
-	return near > len(group)/2
+	return ids
 }
 
 // confirm asks members whether they hold the base on disk, all at once. It waits
