--- a/internal/consensus/repair_test.go
+++ b/internal/consensus/repair_test.go
@@ -574,6 +574,33 @@
 	must.LessEq(t, histories/50, late)
 }
 
+// As many disks as may be are lost at any moment of a handing over, while all
+// others lose power, the one that hands over too.
+func TestLossesInTheMiddleOfHandingOver(t *testing.T) {
+	eachWorld(t, 60, func(w *repairWorld) {
+		leaver := draw(w.rnd, w.members(), 1)[0]
+		w.join()
+		w.play(3)
+		leaver.leaving = true
+		w.play(w.rnd.IntN(10))
+		var others []*machine
+		for _, m := range w.members() {
+			if m != leaver {
+				others = append(others, m)
+			}
+		}
+		lost := draw(w.rnd, others, w.lossesAtOnce())
+		for _, m := range lost {
+			w.loseDisk(m)
+		}
+		w.othersLosePower(lost...)
+		w.stands()
+		leaver.leaving = false
+		w.play(2)
+		w.repaired()
+	})
+}
+
 // playWithout plays until something holds, while a member is down for a moment.
 func (w *repairWorld) playWithout(absent *machine, until func() bool) {
 	for !until() {
