--- a/internal/simulation/operator.go
+++ b/internal/simulation/operator.go
@@ -8,6 +8,7 @@
 
 	"github.com/pkg/errors"
 
+	"beechtide.org/beechtide/internal/consensus"
 	"beechtide.org/beechtide/internal/messages"
 	"beechtide.org/beechtide/internal/routeconfig"
 	"beechtide.org/beechtide/internal/simulation/history"
@@ -51,6 +52,7 @@
 			call.Version += int64(k.Below(3))
 		}
 		call.Digest = fmt.Sprintf("%s/%d", o.name, o.serial)
+		call.Faulty = k.Chance(60)
 	case draw < 70:
 		call.Kind = history.Read
 	case draw < 90:
@@ -167,32 +169,45 @@
 }
 
 func (c *Controller) serveReplace(call history.Call, answer func(history.Answer)) {
-	order := routeconfig.Order{Raw: []byte(call.Digest), Version: call.Version, Base: call.Base}
-	replace := func(cur messages.Value) ([]messages.Member, []byte, error) {
-		body := configOf(cur)
-		if c.cluster.defects.ForgetTaken {
-			body.AcceptedDigest = nil
-		}
-		next, err := order.Apply(body)
-		if err != nil {
-			return nil, nil, err
-		}
-		raw, err := next.MarshalMsg(nil)
-		return nil, raw, err
+	wanted := routeconfig.Order{Raw: []byte(call.Digest), Version: call.Version, Base: call.Base}
+	if call.Faulty {
+		wanted.Fault = &routeconfig.Invalid{Field: "services", Reason: "faulty"}
 	}
-	if c.cluster.defects.DenyWithoutRound {
-		// Any other version than the base is refused, a lower one too: this node
-		// may be behind.
-		if cur, known := c.committed(configPart); known && configOf(cur).Version != call.Base && !order.TakenIn(configOf(cur)) {
+	if cur, known := c.committed(configPart); known {
+		taken := wanted.TakenIn(configOf(cur))
+		switch {
+		case taken && !c.cluster.defects.ForgetTaken:
+			answer(history.Answer{Verdict: history.Taken})
+			return
+		case !taken && configOf(cur).Version != call.Base && c.cluster.defects.DenyWithoutRound:
+			// A lower version than the base is refused too: this node may be behind.
 			answer(history.Answer{Verdict: history.Overtaken})
 			return
 		}
 	}
+	replace := func(cur messages.Value) ([]messages.Member, []byte, error) { return c.apply(cur, wanted) }
 	c.change(configPart, operatorWaitUs, replace, func(_ messages.Value, err error) {
 		answer(history.Answer{Verdict: verdictOf(err)})
 	})
 }
 
+// apply is the change that an order asks for.
+func (c *Controller) apply(cur messages.Value, wanted routeconfig.Order) ([]messages.Member, []byte, error) {
+	body := configOf(cur)
+	if c.cluster.defects.ForgetTaken {
+		body.AcceptedDigest = nil
+	}
+	next, err := wanted.Apply(body)
+	if err != nil && wanted.Contested(body) {
+		return nil, nil, consensus.SealRefusal(err)
+	}
+	if err != nil {
+		return nil, nil, err
+	}
+	raw, err := next.MarshalMsg(nil)
+	return nil, raw, err
+}
+
 func verdictOf(err error) history.Verdict {
 	var invalid *routeconfig.Invalid
 	switch {
--- a/internal/simulation/proposer.go
+++ b/internal/simulation/proposer.go
@@ -1,5 +1,5 @@
-// Proposers: Change and Read of consensus.Registers, step by step as there, but
-// driven by events instead of goroutines.
+// Proposers: consensus.Attempt, Round and Reading, driven by events as
+// consensus.Registers drives them by goroutines.
 package simulation
 
 import (
@@ -14,6 +14,7 @@
 // Waits of the proposer, as in consensus.Registers.
 const (
 	roundUs     = 500 * Millisecond
+	sealUs      = 150 * Millisecond
 	readUs      = 400 * Millisecond
 	readAgainUs = 30 * Millisecond
 )
@@ -30,6 +31,7 @@
 	attempt *consensus.Attempt
 	try     int
 	round   *consensus.Round
+	sealing bool // the wait before the round is sealed has begun
 }
 
 // change runs rounds until the change is made, denied by itself, or the time is
@@ -54,7 +56,7 @@
 		return
 	}
 	round := p.attempt.Round(base)
-	p.round = round
+	p.round, p.sealing = round, false
 	p.node.process.After(min(roundUs, p.leftUs()), func() { p.finish(round) })
 	p.post(round, round.Asks())
 }
@@ -93,11 +95,25 @@
 			p.finish(round)
 			return
 		}
+		p.sealLater(round)
 		p.post(round, more)
 		p.postInTurn(round, asks[1:])
 	})
 }
 
+// sealLater closes the slot of a refusal that waits for members in vain.
+func (p *changing) sealLater(round *consensus.Round) {
+	if p.sealing || !round.InDoubt() {
+		return
+	}
+	p.sealing = true
+	p.node.process.After(sealUs, func() {
+		if p.round == round {
+			p.post(round, round.Seal())
+		}
+	})
+}
+
 // finish looks at how a round ended and goes on, or is done.
 func (p *changing) finish(round *consensus.Round) {
 	if p.round != round {
@@ -155,8 +171,8 @@
 	p.start()
 }
 
-// poll is one question to the whole group.
-type poll struct {
+// look is one question to the whole group.
+type look struct {
 	*consensus.Reading
 	heard int
 	over  bool
@@ -175,7 +191,7 @@
 		p.done(base, nil)
 		return
 	}
-	q := &poll{Reading: consensus.NewReading(base)}
+	q := &look{Reading: consensus.NewReading(base)}
 	p.node.process.After(readUs, func() { p.finish(q) })
 	for _, m := range base.Group {
 		request := messages.ConsensusRequest{Part: p.part, To: m.ID, Step: messages.Read, Slot: base.Version + 1}
@@ -183,7 +199,7 @@
 	}
 }
 
-func (p *reading) hear(q *poll, from messages.Member, r messages.ConsensusResponse) {
+func (p *reading) hear(q *look, from messages.Member, r messages.ConsensusResponse) {
 	if q.over {
 		return
 	}
@@ -195,7 +211,7 @@
 	}
 }
 
-func (p *reading) finish(q *poll) {
+func (p *reading) finish(q *look) {
 	if q.over {
 		return
 	}
