A 421 that may be about the weights closes no connections

Cause: at the first 421 all idle connections to the address were closed, also where the runner was there and only its weights differed; new connections are priced.

Change: they are closed once it is sure that the instance is not there (a 421 to a request that named no version, or a probe that found another). The link of the 421 is kept if its answer was whole, and closed with the others.

--- a/internal/admission/absent.go
+++ b/internal/admission/absent.go
@@ -122,11 +122,12 @@
 	return due, any
 }
 
-// Found takes what a probe found at the address of a runner.
-func (d *Doorman) Found(n messages.RunnerRecord, what Presence, nowUs int64) {
+// Found takes what a probe found at the address of a runner. It tells whether the
+// runner's absence has become sure by it.
+func (d *Doorman) Found(n messages.RunnerRecord, what Presence, nowUs int64) (sure bool) {
 	r := d.pool(n.Service).runners[n.ID]
 	if r == nil || !r.absence.out || r.note.Addr != n.Addr {
-		return
+		return false
 	}
 	switch what {
 	case Here:
@@ -138,8 +139,10 @@
 		if !r.absence.proven {
 			r.absence.proven = true
 			d.surelyAbsent(n.ID)
+			return true
 		}
 	}
+	return false
 }
 
 // surelyAbsent forgets what the runner kept and notes it for others.
--- a/internal/router/attempts.go
+++ b/internal/router/attempts.go
@@ -226,8 +226,8 @@
 	}
 	status := r.StatusCode()
 	if status == statusWrongInstance {
-		link.Close()
-		c.done(adm, true)
+		_, err := upstream.ReadBody(r, mostUnwanted)
+		c.giveBack(adm, link, r, err == nil)
 		c.wrongInstance(adm)
 		return notRun, stream
 	}
--- a/internal/router/missing.go
+++ b/internal/router/missing.go
@@ -34,18 +34,27 @@
 
 // wrongInstance notes that a runner answered 421.
 func (c *Router) wrongInstance(adm *admission.Admission) {
+	expected := adm.Version > 0
 	c.dmu.Lock()
-	left := c.door.WrongInstance(adm, adm.Version > 0, c.clock())
+	left := c.door.WrongInstance(adm, expected, c.clock())
 	c.dmu.Unlock()
 	if !left {
 		return
 	}
-	c.log.Info("a runner is not at its address", "runner", adm.Runner.ID, "address", adm.Runner.Addr)
-	c.connPool.Drop(adm.Runner.Addr)
-	poke(c.stir)
+	if !expected {
+		c.surelyMissing(adm.Runner)
+	}
 	poke(c.missing)
 }
 
+// surelyMissing closes the connections to the address of a runner that is not
+// there, and has the others told.
+func (c *Router) surelyMissing(n messages.RunnerRecord) {
+	c.log.Info("a runner is not at its address", "runner", n.ID, "address", n.Addr)
+	c.connPool.Drop(n.Addr)
+	poke(c.stir)
+}
+
 // probeMissing probes missing runners for as long as there are any.
 func (c *Router) probeMissing(ctx context.Context) {
 	for {
@@ -88,9 +97,11 @@
 		what = c.whoIsAt(ctx, n, s.Probe)
 	}
 	c.dmu.Lock()
-	c.door.Found(n, what, c.clock())
+	sure := c.door.Found(n, what, c.clock())
 	c.dmu.Unlock()
-	poke(c.stir)
+	if sure {
+		c.surelyMissing(n)
+	}
 	c.wake()
 }
 
--- a/internal/router/missing_test.go
+++ b/internal/router/missing_test.go
@@ -23,6 +23,12 @@
 	return n
 }
 
+func (r *runner) connections() int {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.conns
+}
+
 func (r *runner) say(answer string) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
@@ -66,9 +72,15 @@
 	must.Eq(t, 1, a.count()-a.probes())
 
 	a.say("HTTP/1.1 200 OK\r\nBeechtide-Attempt-Id: ID\r\nContent-Length: 2\r\n\r\nok")
-	back := messages.RunnerRecord{ID: "r0", Service: "s", Addr: a.addr, Zone: "a", Capacity: 8, Seq: 2, Barred: true, Models: []messages.Target{{Model: "m", Version: 4}}}
+	back := messages.RunnerRecord{ID: "r0", Service: "s", Addr: a.addr, Zone: "a", Capacity: 9, Seq: 2, Models: []messages.Target{{Model: "m", Version: 4}}}
 	must.True(t, c.take("", messages.Feed{Registry: []messages.EntryChange{runnerEntries(t, back)}}))
 	must.False(t, missing(c), must.Sprint("a newer registration brings it back"))
+	for i := 0; a.count() == 1+a.probes(); i++ {
+		ans, _, err := say(t, front, fresh("/open/", 200+i))
+		must.NoError(t, err)
+		must.Eq(t, 200, ans.StatusCode)
+	}
+	must.Eq(t, 2+a.probes(), a.connections(), must.Sprint("the connections from before were closed"))
 }
 
 func TestARunnerThatOnlyHasOtherWeightsComesBackByAProbe(t *testing.T) {
