--- a/internal/controller/contact_test.go
+++ b/internal/controller/contact_test.go
@@ -218,6 +218,12 @@
 	must.NoError(t, err)
 	must.Eq(t, d.registers.ID(), m.ID)
 	must.True(t, d.registry.Snapshot().ByID["i-1"].Draining)
+	n.ID, n.Addr, n.Lost = "i-2", "1.2.3.4:81", true
+	b, err = n.MarshalMsg(nil)
+	must.NoError(t, err)
+	_, err = d.hearLeaving(context.Background(), nil, b)
+	must.NoError(t, err)
+	must.True(t, d.registry.Snapshot().ByID["i-2"].Draining, must.Sprint("what the teller believes beside it is its own"))
 	later := messages.RunnerRecord{ID: "i-1", Service: "s", Seq: 9, Models: []messages.Target{}}
 	d.registry.Hear(later, d.clock())
 	must.True(t, d.registry.Snapshot().ByID["i-1"].Draining, must.Sprint("a late beat does not undo it"))
--- /dev/null
+++ b/internal/controller/three_test.go
@@ -0,0 +1,101 @@
+package controller
+
+import (
+	"context"
+	"fmt"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/go-logr/logr"
+	"github.com/panjf2000/ants/v2"
+	"github.com/shoenig/test/must"
+
+	"beechtide.org/beechtide/internal/lease"
+	"beechtide.org/beechtide/internal/membership"
+	"beechtide.org/beechtide/internal/messages"
+	"beechtide.org/beechtide/internal/settings"
+)
+
+// three starts a core of three on the loopback and waits until each reaches the
+// others. The first one's clock can be put on by skipUs.
+func three(t *testing.T) (nodes []*Controller, url string, skipUs *atomic.Int64) {
+	t.Helper()
+	port, began := freePort(t), time.Now()
+	skipUs = &atomic.Int64{}
+	var seeds []string
+	for i := range 3 {
+		seeds = append(seeds, fmt.Sprintf("127.0.0.%d:%d", i+1, port+2))
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	t.Cleanup(cancel)
+	for i := range 3 {
+		set := settings.Settings{Node: fmt.Sprint("n", i), Ip: fmt.Sprintf("127.0.0.%d", i+1), Zone: "a", Ports: []int{port, port + 1}, Seeds: seeds, Bootstrap: true, BeatPeriodMs: 1000}
+		set.Listen.Control = seeds[i]
+		set.Bounds.LeaseMs = 3000
+		pool, err := ants.NewPool(64, ants.WithNonblocking(true))
+		must.NoError(t, err)
+		clock := func() int64 { return time.Since(began).Microseconds() + 1 }
+		if i == 0 {
+			clock = func() int64 { return time.Since(began).Microseconds() + 1 + skipUs.Load() }
+		}
+		d, err := New(set, pool, clock, logr.Discard())
+		must.NoError(t, err)
+		nodes = append(nodes, d)
+		go func() { _ = d.Run(ctx) }()
+	}
+	for _, d := range nodes {
+		until(t, func() bool {
+			return d.inContact() && len(membership.Core(d.monitor.Alive(messages.Controller))) == len(nodes)
+		})
+	}
+	return nodes, "http://" + seeds[0], skipUs
+}
+
+// until polls for what is to come; the test's own time-out bounds it.
+func until(t *testing.T, reached func() bool) {
+	t.Helper()
+	for !reached() {
+		select {
+		case <-t.Context().Done():
+			t.Fatal("the test has ended")
+		case <-time.After(5 * time.Millisecond):
+		}
+	}
+}
+
+// When a runner hears that its leaving is acknowledged, the other controllers have
+// it already.
+func TestAcknowledgedLeavingIsKnownToAll(t *testing.T) {
+	nodes, url, _ := three(t)
+	until(t, func() bool {
+		status, _ := call(t, "GET", url+"/api/Config.Read", "", 0)
+		return status == 404
+	})
+	for i := range 20 {
+		id := fmt.Sprint("i-", i)
+		beat := fmt.Sprintf(`{"service":"s","address":"1.2.3.4:%d","zone":"a","version":"v1","capacity":4,"state":%q,"coldLeftMs":0,"sequence":%d}`, 100+i, "draining", 7)
+		status, _ := call(t, "POST", url+"/api/Runners.Heartbeat/"+id, beat, 0)
+		must.Eq(t, 200, status)
+		for _, d := range nodes {
+			n, ok := d.registry.Record(id)
+			must.True(t, ok)
+			must.True(t, n.Draining)
+		}
+		status, _ = call(t, "POST", url+"/api/Runners.Leave/"+id, "", 0)
+		must.Eq(t, 200, status)
+		for _, d := range nodes {
+			n, _ := d.registry.Record(id)
+			must.True(t, n.Gone)
+		}
+	}
+}
+
+// The comparison of versions renews the lease by itself, also after a freeze.
+func TestComparisonsRenewTheLease(t *testing.T) {
+	nodes, _, skipUs := three(t)
+	until(t, func() bool { return !nodes[0].starting() })
+	skipUs.Add(2 * lease.ContactUs)
+	until(t, nodes[0].inContact)
+	must.False(t, nodes[0].cutOff())
+}
