--- a/internal/consensus/consensus.go
+++ b/internal/consensus/consensus.go
@@ -81,36 +81,34 @@
 // in founding the group made of the seeds.
 func Open(addr string, kind int, found bool, seeds []string, caller Caller, store Store, log logr.Logger, onLearn func(int, messages.Value)) (*Registers, error) {
 	l := &Registers{addr: addr, kind: kind, caller: caller, store: store, log: log, onLearn: onLearn, life: Random()}
-	id, err := store.Identity(func() string {
-		if found {
-			return FirstID(addr)
-		}
-		return addr + "/" + Random()
-	})
+	first := ""
+	if found {
+		first = FirstID(addr)
+	}
+	kept, err := Restore(store, first, func() string { return addr + "/" + Random() })
 	if err != nil {
 		return nil, err
 	}
-	l.id = id
-	for p := range l.parts {
-		rec, ok, err := store.Load(p)
-		if err != nil {
-			return nil, err
-		}
-		l.parts[p] = &part{sem: make(chan struct{}, 1), acc: Acceptor{ID: id, Rec: rec}, durable: notOnDisk}
-		if !ok && found && id == FirstID(addr) {
+	if len(kept.Lost) > 0 {
+		log.Error(ErrDamaged, "votes are lost; this member goes on under a new identity", "parts", kept.Lost, "id", kept.ID)
+	}
+	l.id = kept.ID
+	for p, rec := range kept.Records {
+		at := &part{sem: make(chan struct{}, 1), durable: notOnDisk}
+		l.parts[p] = at
+		if len(rec.Committed.Group) > 0 {
+			at.durable = rec.Committed.Version
+		} else if found && l.id == FirstID(addr) {
 			// The founders may all restart before the first value: they have to
 			// know their group from disk. One whose disk refuses this learns it
 			// from the others; save tells the log.
 			rec.Committed = Genesis(seeds)
 			_ = l.save(p, rec)
 		}
-		l.parts[p].acc.Rec = rec
-		if ok && len(rec.Committed.Group) > 0 {
-			l.parts[p].durable = rec.Committed.Version
-		}
+		at.acc = Acceptor{ID: l.id, Rec: rec}
 		if len(rec.Committed.Group) > 0 {
 			v := rec.Committed
-			l.parts[p].learned.Store(&v)
+			at.learned.Store(&v)
 		}
 	}
 	return l, nil
@@ -235,11 +233,12 @@
 	}
 	before := p.acc.Rec
 	w, dirty := p.acc.Handle(ask)
-	if dirty {
-		if err := l.save(ask.Part, p.acc.Rec); err != nil {
-			p.acc.Rec = before
-			return messages.ConsensusResponse{}, err
-		}
+	if !dirty {
+		return w, l.store.Settle()
+	}
+	if err := l.save(ask.Part, p.acc.Rec); err != nil {
+		p.acc.Rec = before
+		return messages.ConsensusResponse{}, err
 	}
 	return w, nil
 }
@@ -433,7 +432,7 @@
 		if h := <-words; h.err == nil {
 			look.Hear(h.from, h.word)
 		}
-		if look.Found() == Current {
+		if found := look.Found(); found == Current || found == Newer {
 			break
 		}
 	}
--- a/internal/registry/registry.go
+++ b/internal/registry/registry.go
@@ -60,7 +60,7 @@
 	heardUs := r.observed.advance(nowUs)
 	e := r.entries[n.ID]
 	if e != nil && (e.record.Gone || n.Seq <= e.record.Seq) {
-		return false
+		return r.hearLate(e, n)
 	}
 	r.newsUs = heardUs
 	r.supersede(n, nowUs)
@@ -75,6 +75,17 @@
 	return r.settle(e, old)
 }
 
+// hearLate takes a heartbeat that is not newer than what is known. Draining is
+// never taken back, so it holds however late it comes.
+func (r *Registry) hearLate(e *entry, n messages.RunnerRecord) bool {
+	if e.record.Gone || e.record.Draining || !n.Draining {
+		return false
+	}
+	e.record.Draining = true
+	r.publish()
+	return true
+}
+
 // supersede takes the address from the runner that was last heard there: an
 // address belongs to one runner at a time. That is a belief like silence, since
 // the word may have come late.
