Responses to the registers' requests renew the contact lease

Cause: under many changes the comparisons of versions come late, and a controller that is in the middle of rounds with a majority would say that it is cut off. Change: the caller handed to the registers notes which member answered, from when it was asked. Taken out and seen to fail (TestRoundTripsOfTheRegistersRenewTheLease): the look at strangers, the exception of commits, the time of the question.

--- a/internal/controller/contact_test.go
+++ b/internal/controller/contact_test.go
@@ -13,6 +13,7 @@
 	"github.com/panjf2000/ants/v2"
 	"github.com/pkg/errors"
 	"github.com/shoenig/test/must"
+	"github.com/tinylib/msgp/msgp"
 
 	"beechtide.org/beechtide/internal/api"
 	"beechtide.org/beechtide/internal/consensus"
@@ -244,3 +245,40 @@
 	}
 	must.LessEq(t, mostDrained, len(d.drained.told))
 }
+
+// answering is a stand-in for another member.
+type answering struct {
+	verdict messages.Verdict
+	err     error
+}
+
+func (a answering) Call(context.Context, string, int, msgp.Marshaler) ([]byte, error) {
+	r := messages.ConsensusResponse{Verdict: a.verdict}
+	b, _ := r.MarshalMsg(nil)
+	return b, a.err
+}
+
+// Whatever a member answers renews the lease, from when it was asked; what a
+// stranger at its address answers, or anybody to a commit, does not.
+func TestRoundTripsOfTheRegistersRenewTheLease(t *testing.T) {
+	group := []string{"a", "b", "c"}
+	for _, c := range []struct {
+		other   answering
+		request messages.ConsensusRequest
+		renews  bool
+	}{
+		{answering{verdict: messages.Granted}, messages.ConsensusRequest{To: "b", Step: messages.Read}, true},
+		{answering{verdict: messages.Outbid}, messages.ConsensusRequest{To: "b", Step: messages.Prepare}, true},
+		{answering{verdict: messages.Stranger}, messages.ConsensusRequest{To: "b", Step: messages.Prepare}, false},
+		{answering{verdict: messages.Granted}, messages.ConsensusRequest{To: "b", Step: messages.Commit}, false},
+		{answering{verdict: messages.Granted}, messages.ConsensusRequest{Step: messages.Read}, false},
+		{answering{err: errors.New("cut")}, messages.ConsensusRequest{To: "b", Step: messages.Read}, false},
+	} {
+		held := contact{lease: lease.Contact{Self: "a"}}
+		nowUs := int64(4)
+		caller := contactCaller{c.other, &held, func() int64 { nowUs++; return nowUs }}
+		_, _ = caller.Call(context.Background(), "b:1", 1, &c.request)
+		must.Eq(t, c.renews, held.holds(group, 6), must.Sprint(c))
+		must.False(t, held.holds(group, 5+lease.ContactUs))
+	}
+}
--- a/internal/controller/controller.go
+++ b/internal/controller/controller.go
@@ -75,7 +75,7 @@
 	d.feed.init(clock())
 	d.syncRunners()
 	d.publisher = dissemination.NewPublisher(trans, dissemination.Upstream{Since: d.since, Told: d.toldBelow, Gone: d.goneBelow})
-	d.registers, err = consensus.Open(set.ControllerAddr(), transport.KindConsensus, set.Bootstrap, set.SeedAddrs(), trans, store, log, d.learned)
+	d.registers, err = consensus.Open(set.ControllerAddr(), transport.KindConsensus, set.Bootstrap, set.SeedAddrs(), contactCaller{trans, &d.contact, clock}, store, log, d.learned)
 	if err != nil {
 		return nil, err
 	}
