Orders are sent by a function that says whether they left; the earlier format renews the lease

Cause: the check at the moment of an order's send had no test, and members of the earlier format send no identity with their versions, which would leave a controller without the lease in a change of programs. Change: order is plain and runs in a goroutine of its caller; where the identity is missing, that of the membership counts. Taken out and seen to fail: the look at the clock in order (TestOrdersDoNotOutliveTheirConfirmation).

--- a/internal/controller/contact_test.go
+++ b/internal/controller/contact_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net/http"
+	"net/http/httptest"
 	"strings"
 	"sync/atomic"
 	"testing"
@@ -282,3 +283,17 @@
 		must.False(t, held.holds(group, 5+lease.ContactUs))
 	}
 }
+
+// An order leaves only while the majority's word behind it counts.
+func TestOrdersDoNotOutliveTheirConfirmation(t *testing.T) {
+	d, clock := alone(t)
+	var orders atomic.Int64
+	runner := httptest.NewServer(http.HandlerFunc(func(http.ResponseWriter, *http.Request) { orders.Add(1) }))
+	defer runner.Close()
+	n := messages.RunnerRecord{ID: "i-1", Addr: runner.Listener.Addr().String()}
+	target := messages.Target{Model: "m", Version: 2}
+	must.False(t, d.order(context.Background(), n, target, 1, clock.Load()))
+	must.Eq(t, 0, orders.Load())
+	must.True(t, d.order(context.Background(), n, target, 1, clock.Load()+1))
+	must.Eq(t, 1, orders.Load())
+}
--- a/internal/controller/controller.go
+++ b/internal/controller/controller.go
@@ -4,6 +4,7 @@
 package controller
 
 import (
+	"cmp"
 	"context"
 	"path/filepath"
 	"strings"
@@ -348,7 +349,7 @@
 			if _, err := m.UnmarshalMsg(b); err != nil {
 				return
 			}
-			d.contact.answered(m.MemberID, sentUs)
+			d.contact.answered(cmp.Or(m.MemberID, p.MemberID), sentUs) // the earlier format has none
 			for part := range min(len(m.Parts), consensus.Parts) {
 				if m.Parts[part] > mine.Parts[part] {
 					_ = d.registers.Pull(cctx, p.Addr, part)
--- a/internal/controller/rollouts.go
+++ b/internal/controller/rollouts.go
@@ -260,7 +260,7 @@
 			continue
 		}
 		plan.Move(id, rollout.Ordered, d.clock())
-		d.order(ctx, n, t, s.Fence(), s.ActUntilUs())
+		go d.order(ctx, n, t, s.Fence(), s.ActUntilUs())
 	}
 	for id, j := range plan.Jobs {
 		if j.Stage == rollout.Ordered {
@@ -275,24 +275,27 @@
 	}
 }
 
+// orderWait is how long a runner may take to answer an order.
+const orderWait = 800 * time.Millisecond
+
 // order sends an order, unless the majority's word behind it has run out at untilUs.
-func (d *Controller) order(ctx context.Context, n messages.RunnerRecord, t messages.Target, fence, untilUs int64) {
+// It tells whether the order went out.
+func (d *Controller) order(ctx context.Context, n messages.RunnerRecord, t messages.Target, fence, untilUs int64) bool {
 	b, err := json.Marshal(api.Order{Op: api.Version, Model: t.Model, Version: t.Version, Method: api.Hold, Holder: d.registers.ID(), Fence: fence})
 	if err != nil {
-		return
+		return false
 	}
-	go func() {
-		cctx, cancel := context.WithTimeout(ctx, 800*time.Millisecond)
-		defer cancel()
-		if d.clock() >= untilUs {
-			return // the confirmation ran out before the order could leave
-		}
-		status, _, _, err := d.connPool.Ask(cctx, n.Addr, "POST", "/api/order", map[string]string{"Beechtide-Target-Instance": n.ID}, b)
-		d.log.Info("order", "runner", n.ID, "version", t.Version, "fence", fence, "status", status, "err", err)
-		if err == nil && status == 200 {
-			d.tellWeights(n.ID, t)
-		}
-	}()
+	ctx, cancel := context.WithTimeout(ctx, orderWait)
+	defer cancel()
+	if d.clock() >= untilUs {
+		return false
+	}
+	status, _, _, err := d.connPool.Ask(ctx, n.Addr, "POST", "/api/order", map[string]string{"Beechtide-Target-Instance": n.ID}, b)
+	d.log.Info("order", "runner", n.ID, "version", t.Version, "fence", fence, "status", status, "err", err)
+	if err == nil && status == 200 {
+		d.tellWeights(n.ID, t)
+	}
+	return true
 }
 
 func (d *Controller) pollWeights(ctx context.Context, id string, t messages.Target) {
