--- a/internal/consensus/consensus.go
+++ b/internal/consensus/consensus.go
@@ -37,8 +37,12 @@
 	acc     Acceptor
 	learned atomic.Pointer[messages.Value]
 	keeping atomic.Bool
+	durable int64 // the committed version on disk, notOnDisk for none; guarded by sem
 }
 
+// notOnDisk says that no committed value is on disk.
+const notOnDisk = -1
+
 // Registers is one member's view of all registers.
 type Registers struct {
 	id, addr string
@@ -51,6 +55,7 @@
 	life     string
 	saveUs   atomic.Int64
 	saveErr  atomic.Pointer[string]
+	retired  atomic.Bool
 }
 
 // PartOf tells which part a service belongs to.
@@ -89,10 +94,19 @@
 	}
 	l.id = kept.ID
 	for p, rec := range kept.Records {
-		if len(rec.Committed.Group) == 0 && found && l.id == FirstID(addr) {
+		durable := int64(notOnDisk)
+		if len(rec.Committed.Group) > 0 {
+			durable = rec.Committed.Version
+		}
+		l.parts[p] = &part{sem: make(chan struct{}, 1), acc: Acceptor{ID: l.id, Rec: rec}, durable: durable}
+		if durable == notOnDisk && found && l.id == FirstID(addr) {
+			// The founders may all restart before the first value: they have to
+			// know their group from disk. One whose disk refuses this learns it
+			// from the others; save tells the log.
 			rec.Committed = Genesis(seeds)
+			l.parts[p].acc.Rec = rec
+			_ = l.save(p, rec)
 		}
-		l.parts[p] = &part{sem: make(chan struct{}, 1), acc: Acceptor{ID: l.id, Rec: rec}}
 		if len(rec.Committed.Group) > 0 {
 			v := rec.Committed
 			l.parts[p].learned.Store(&v)
@@ -158,13 +172,7 @@
 		for {
 			v := at.learned.Load()
 			at.sem <- struct{}{}
-			before := at.acc.Rec
-			var err error
-			if at.acc.Fold(*v) {
-				if err = l.save(p, at.acc.Rec); err != nil {
-					at.acc.Rec = before
-				}
-			}
+			err := l.makeDurable(p, *v)
 			<-at.sem
 			if err != nil {
 				time.Sleep(keepWait)
@@ -182,6 +190,9 @@
 	began := time.Now()
 	err := l.store.Save(p, rec)
 	l.noteSave(time.Since(began).Microseconds(), err)
+	if err == nil && len(rec.Committed.Group) > 0 {
+		l.parts[p].durable = rec.Committed.Version
+	}
 	return err
 }
 
@@ -206,6 +217,9 @@
 func (l *Registers) local(ctx context.Context, ask messages.ConsensusRequest) (messages.ConsensusResponse, error) {
 	if ask.Step == messages.Commit {
 		l.Learn(ask.Part, ask.Value)
+		if ask.Flush {
+			return l.flush(ctx, ask)
+		}
 		return messages.ConsensusResponse{Verdict: messages.Granted}, nil
 	}
 	p := l.parts[ask.Part]
@@ -267,8 +281,7 @@
 // Change runs rounds until the change is made, denied by itself, or ctx ends.
 // After ErrUnsure the change may still come into force.
 func (l *Registers) Change(ctx context.Context, p int, change Change) (messages.Value, error) {
-	stamp := l.life + Random()
-	seen := messages.Ballot{}
+	attempt := NewAttempt(p, l.life+Random(), change)
 	for try := 0; ; try++ {
 		if ctx.Err() != nil {
 			return messages.Value{}, ErrUnsure
@@ -277,41 +290,33 @@
 		if !ok {
 			return messages.Value{}, ErrNoGroup
 		}
-		r := NewRound(p, base, messages.Ballot{N: seen.N + 1, Who: stamp}, stamp, change)
+		r := attempt.Round(base)
 		l.run(ctx, r)
 		switch r.End {
-		case Denied:
-			return base, r.Err
 		case Chosen:
 			l.spread(p, r.Value, r.Base.Group)
-			if r.Mine {
-				return r.Value, nil
-			}
-			seen = messages.Ballot{}
-			continue
 		case Overtook:
-			mine := r.Value.Stamp == stamp
 			l.Learn(p, r.Value)
-			if mine {
-				return r.Value, nil
-			}
-			seen = messages.Ballot{}
-			continue
 		}
-		if Less(seen, r.Seen) {
-			seen = r.Seen
-		}
-		if Less(seen, r.Ballot) {
-			seen = r.Ballot
-		}
-		n, _ := rand.Int(rand.Reader, big.NewInt(int64(10+20*min(try, 8))))
-		select {
-		case <-time.After(time.Duration(n.Int64()) * time.Millisecond):
-		case <-ctx.Done():
+		switch attempt.Close(r) {
+		case Finished:
+			return r.Value, r.Err
+		case Pause:
+			pause(ctx, try)
 		}
 	}
 }
 
+// pause waits a little longer with each try, by chance, so that those who bid
+// against each other come apart.
+func pause(ctx context.Context, try int) {
+	n, _ := rand.Int(rand.Reader, big.NewInt(int64(10+20*min(try, 8))))
+	select {
+	case <-time.After(time.Duration(n.Int64()) * time.Millisecond):
+	case <-ctx.Done():
+	}
+}
+
 type heard struct {
 	from messages.Member
 	step messages.Step
@@ -319,6 +324,10 @@
 	err  error
 }
 
+// sealWait is how long a sealed refusal waits for the members that have not
+// promised yet, before the slot is closed without them.
+const sealWait = 150 * time.Millisecond
+
 func (l *Registers) run(ctx context.Context, r *Round) {
 	ctx, cancel := context.WithTimeout(ctx, 500*time.Millisecond)
 	defer cancel()
@@ -344,8 +353,14 @@
 		}
 	}
 	post(r.Asks())
+	var doubt <-chan time.Time
 	for r.End == Going {
+		if r.InDoubt() && doubt == nil {
+			doubt = time.After(sealWait)
+		}
 		select {
+		case <-doubt:
+			post(r.Seal())
 		case h := <-words:
 			if h.err == nil {
 				post(r.Hear(h.from, h.step, h.word))
@@ -371,6 +386,9 @@
 	}
 }
 
+// readWait bounds one look at the members.
+const readWait = 400 * time.Millisecond
+
 // Read gives the newest value that a majority vouches for.
 func (l *Registers) Read(ctx context.Context, p int) (messages.Value, error) {
 	for ctx.Err() == nil {
@@ -378,39 +396,14 @@
 		if !ok {
 			return messages.Value{}, ErrNoGroup
 		}
-		words := make(chan heard, len(base.Group))
-		cctx, cancel := context.WithTimeout(ctx, 400*time.Millisecond)
-		for _, m := range base.Group {
-			go func() {
-				w, err := l.send(cctx, m, messages.ConsensusRequest{Part: p, To: m.ID, Step: messages.Read, Slot: base.Version + 1})
-				words <- heard{from: m, word: w, err: err}
-			}()
-		}
-		votes, unsettled, newer := 0, false, false
-		for range base.Group {
-			h := <-words
-			if h.err != nil || h.word.Verdict != messages.Granted {
-				continue
-			}
-			votes++
-			if h.word.Version > base.Version {
-				newer = true
-				l.Learn(p, h.word.Value)
-			}
-			if h.word.HasAccepted && h.word.Version == base.Version {
-				unsettled = true
-			}
-			if votes > len(base.Group)/2 && !unsettled && !newer {
-				break
-			}
-		}
-		cancel()
-		switch {
-		case newer:
+		look := l.look(ctx, p, base)
+		switch look.Found() {
+		case Newer:
+			l.Learn(p, look.Newer)
 			continue
-		case votes > len(base.Group)/2 && !unsettled:
+		case Current:
 			return base, nil
-		case unsettled:
+		case Unsettled:
 			if _, err := l.Change(ctx, p, func(messages.Value) ([]messages.Member, []byte, error) { return nil, nil, errSettled }); err != nil && !errors.Is(err, errSettled) {
 				return messages.Value{}, err
 			}
@@ -424,6 +417,29 @@
 	return messages.Value{}, ErrUnsure
 }
 
+// look asks the members of the base's group what they hold.
+func (l *Registers) look(ctx context.Context, p int, base messages.Value) *Reading {
+	ctx, cancel := context.WithTimeout(ctx, readWait)
+	defer cancel()
+	words := make(chan heard, len(base.Group))
+	for _, m := range base.Group {
+		go func() {
+			w, err := l.send(ctx, m, messages.ConsensusRequest{Part: p, To: m.ID, Step: messages.Read, Slot: base.Version + 1})
+			words <- heard{from: m, word: w, err: err}
+		}()
+	}
+	look := NewReading(base)
+	for range base.Group {
+		if h := <-words; h.err == nil {
+			look.Hear(h.from, h.word)
+		}
+		if look.Found() == Current {
+			break
+		}
+	}
+	return look
+}
+
 var errSettled = errors.New("consensus: settled")
 
 // Pull learns what the controller at addr has committed.
--- a/internal/consensus/store_test.go
+++ b/internal/consensus/store_test.go
@@ -32,8 +32,8 @@
 	}
 }
 
-// A machine is one member on a simulated disk, with what it has told others.
-type machine struct {
+// A diskMember is one member on a simulated disk, with what it has told others.
+type diskMember struct {
 	t      *testing.T
 	rnd    *rand.Rand
 	disk   *disk.Disk
@@ -48,7 +48,7 @@
 }
 
 // start opens the store; a process that ends meanwhile is started again.
-func (m *machine) start() {
+func (m *diskMember) start() {
 	for {
 		store, err := OpenDiskStore(m.disk)
 		if err == nil {
@@ -68,7 +68,7 @@
 	}
 }
 
-func (m *machine) begin(store *DiskStore, kept Restored) {
+func (m *diskMember) begin(store *DiskStore, kept Restored) {
 	if kept.ID != m.id {
 		must.True(m.t, m.ground || !m.shown, must.Sprint("an identity was given up without need"))
 		for p, rec := range kept.Records {
@@ -84,7 +84,7 @@
 }
 
 // act gives a vote, repeats one without a write, or meets with trouble.
-func (m *machine) act() {
+func (m *diskMember) act() {
 	part := m.rnd.IntN(Parts)
 	switch k := m.rnd.IntN(40); {
 	case k < 26:
@@ -111,7 +111,7 @@
 	}
 }
 
-func (m *machine) end(how func()) {
+func (m *diskMember) end(how func()) {
 	m.disk.SetFull(false)
 	how()
 	if m.rnd.IntN(3) == 0 {
@@ -121,7 +121,7 @@
 }
 
 // damage spoils a file that is in force; the process finds it at its next start.
-func (m *machine) damage() {
+func (m *diskMember) damage() {
 	m.disk.Restart()
 	name := identityFile
 	if list, _ := m.store.versions(m.rnd.IntN(Parts)); len(list) > 0 && m.rnd.IntN(4) > 0 {
@@ -150,7 +150,7 @@
 	}
 	for seed := range histories {
 		t.Run(fmt.Sprint("seed", seed), func(t *testing.T) {
-			m := &machine{t: t, rnd: rand.New(rand.NewPCG(seed, 41)), disk: disk.New(seed), fresh: serialIDs("m")}
+			m := &diskMember{t: t, rnd: rand.New(rand.NewPCG(seed, 41)), disk: disk.New(seed), fresh: serialIDs("m")}
 			m.start()
 			for range 60 {
 				m.act()
