--- a/internal/consensus/consensus.go
+++ b/internal/consensus/consensus.go
@@ -94,22 +94,21 @@
 	}
 	l.id = kept.ID
 	for p, rec := range kept.Records {
-		durable := int64(notOnDisk)
+		at := &part{sem: make(chan struct{}, 1), durable: notOnDisk}
+		l.parts[p] = at
 		if len(rec.Committed.Group) > 0 {
-			durable = rec.Committed.Version
-		}
-		l.parts[p] = &part{sem: make(chan struct{}, 1), acc: Acceptor{ID: l.id, Rec: rec}, durable: durable}
-		if durable == notOnDisk && found && l.id == FirstID(addr) {
+			at.durable = rec.Committed.Version
+		} else if found && l.id == FirstID(addr) {
 			// The founders may all restart before the first value: they have to
 			// know their group from disk. One whose disk refuses this learns it
 			// from the others; save tells the log.
 			rec.Committed = Genesis(seeds)
-			l.parts[p].acc.Rec = rec
 			_ = l.save(p, rec)
 		}
+		at.acc = Acceptor{ID: l.id, Rec: rec}
 		if len(rec.Committed.Group) > 0 {
 			v := rec.Committed
-			l.parts[p].learned.Store(&v)
+			at.learned.Store(&v)
 		}
 	}
 	return l, nil
@@ -433,7 +432,7 @@
 		if h := <-words; h.err == nil {
 			look.Hear(h.from, h.word)
 		}
-		if look.Found() == Current {
+		if found := look.Found(); found == Current || found == Newer {
 			break
 		}
 	}
--- a/internal/consensus/repair.go
+++ b/internal/consensus/repair.go
@@ -21,6 +21,9 @@
 	// PatienceUs is how long a member that is asked may take to say that it holds
 	// the value before others are preferred, or the change goes on without it.
 	PatienceUs = 1_500_000
+	// PauseUs is how long a coordinator may go unasked. After more, the process
+	// stood still: what it saw is old, and others have had the time to act.
+	PauseUs = 3_000_000
 )
 
 // RepairView is what a controller sees of one register.
@@ -49,6 +52,7 @@
 	mine     bool              // the last change was proposed here
 	needed   bool
 	needUs   int64 // when the need was first seen
+	lastUs   int64 // when Step was called last
 	version  int64
 	kept     map[string]bool  // members that hold version on disk
 	askedUs  map[string]int64 // since when a member has been asked in vain
@@ -68,6 +72,15 @@
 	return sameGroup(c.group, group) && (!c.mine || len(c.unkept(c.joining)) == 0)
 }
 
+// Awaited names the members that have been asked to confirm and have not yet.
+func (c *RepairCoordinator) Awaited() []string {
+	var out []string
+	for id := range c.askedUs {
+		out = append(out, id)
+	}
+	return out
+}
+
 func (c *RepairCoordinator) unkept(list []messages.Member) []messages.Member {
 	var out []messages.Member
 	for _, m := range list {
@@ -80,6 +93,8 @@
 
 // Step gives what to do now, and false where there is nothing.
 func (c *RepairCoordinator) Step(nowUs int64, v RepairView) (RepairStep, bool) {
+	paused := c.lastUs > 0 && nowUs-c.lastUs > PauseUs
+	c.lastUs = nowUs
 	c.see(v)
 	want, needed := c.want(nowUs, v)
 	if !needed {
@@ -89,6 +104,9 @@
 	if !c.needed {
 		c.needed, c.needUs = true, nowUs
 	}
+	if paused {
+		c.needUs = nowUs + RankDelayUs
+	}
 	dueUs, may := c.dueUs(v)
 	if !may || nowUs < dueUs {
 		return RepairStep{}, false
@@ -121,9 +139,10 @@
 // want is the group that is needed. A newcomer that has been asked in vain for
 // long is passed over where another one will do.
 func (c *RepairCoordinator) want(nowUs int64, v RepairView) ([]messages.Member, bool) {
-	patient := c.withoutSilent(nowUs, v)
-	if want, needed := wantedGroup(v, patient); needed {
-		return want, true
+	if len(c.askedUs) > 0 {
+		if want, needed := wantedGroup(v, c.withoutSilent(nowUs, v)); needed {
+			return want, true
+		}
 	}
 	return wantedGroup(v, v.Status)
 }
@@ -213,10 +232,14 @@
 // finish asks the newcomers of the last change, if it was made here, until each
 // has said that it holds the outcome.
 func (c *RepairCoordinator) finish(nowUs int64, v RepairView) (RepairStep, bool) {
-	if !c.mine || !v.Contact {
+	c.joining = c.unkept(c.joining)
+	if !c.mine || len(c.joining) == 0 {
+		clear(c.askedUs)
+		return RepairStep{}, false
+	}
+	if !v.Contact {
 		return RepairStep{}, false
 	}
-	c.joining = c.unkept(c.joining)
 	var alive []messages.Member
 	for _, m := range c.joining {
 		if has(v.Status.Ready, m.ID) {
