Catch up by progress: large values travel by pieces, and only silence ends a transfer

Cause: a member that was behind had 450 ms for the newer values of all parts, each in one frame; rounds carried the whole to whoever was behind within 500 ms. A value that takes longer than that over its link never arrived, and each try began at the front. A pull also waited for the sender's disk.

Change: a value over 32 KiB comes in pieces that name version and offset; what has arrived stays after a silence, the sender keeps up to two versions that are being fetched, so that a transfer overtaken by newer ones ends and the next takes the newest. A round leaves large values to the transfer, a repair waits for it, and round and commit get 4 us a byte more for values over 32 KiB. Smaller values go in one call as before, and builds that know no pieces give and get the whole. A committed value is told without waiting for the disk.

--- a/internal/consensus/confirm.go
+++ b/internal/consensus/confirm.go
@@ -19,6 +19,9 @@
 	if err != nil || w.Kept || w.Verdict != messages.Granted {
 		return w.Kept, err
 	}
+	if large(v) {
+		return false, nil // it fetches that by pieces and is asked again
+	}
 	ask.Value = v
 	w, err = l.send(ctx, m, ask)
 	return w.Kept, err
--- a/internal/consensus/consensus.go
+++ b/internal/consensus/consensus.go
@@ -37,7 +37,9 @@
 	acc     Acceptor
 	learned atomic.Pointer[messages.Value]
 	keeping atomic.Bool
-	durable int64 // the committed version on disk, notOnDisk for none; guarded by sem
+
+	transfers transfers
+	durable   int64 // the committed version on disk, notOnDisk for none; guarded by sem
 }
 
 // notOnDisk says that no committed value is on disk.
@@ -53,6 +55,7 @@
 	parts    [Parts]*part
 	onLearn  func(part int, v messages.Value)
 	life     string
+	started  time.Time
 	saveUs   atomic.Int64
 	saveErr  atomic.Pointer[string]
 	retired  atomic.Bool
@@ -80,7 +83,7 @@
 // Open loads what the store holds. With found set, an empty store takes part
 // in founding the group made of the seeds.
 func Open(addr string, kind int, found bool, seeds []string, caller Caller, store Store, log logr.Logger, onLearn func(int, messages.Value)) (*Registers, error) {
-	l := &Registers{addr: addr, kind: kind, caller: caller, store: store, log: log, onLearn: onLearn, life: Random()}
+	l := &Registers{addr: addr, kind: kind, caller: caller, store: store, log: log, onLearn: onLearn, life: Random(), started: time.Now()}
 	first := ""
 	if found {
 		first = FirstID(addr)
@@ -222,6 +225,9 @@
 		return messages.ConsensusResponse{Verdict: messages.Granted}, nil
 	}
 	p := l.parts[ask.Part]
+	if ask.Step == messages.Read && ask.To == "" {
+		return l.give(ask)
+	}
 	select {
 	case p.sem <- struct{}{}:
 	case <-ctx.Done():
@@ -327,8 +333,14 @@
 // promised yet, before the slot is closed without them.
 const sealWait = 150 * time.Millisecond
 
+// How long a round, and the word of its result, may take where values are small.
+const (
+	roundWait  = 500 * time.Millisecond
+	spreadWait = time.Second
+)
+
 func (l *Registers) run(ctx context.Context, r *Round) {
-	ctx, cancel := context.WithTimeout(ctx, 500*time.Millisecond)
+	ctx, cancel := context.WithTimeout(ctx, roundWait+transferWait(r.Base))
 	defer cancel()
 	words := make(chan heard, 64)
 	post := func(asks []Ask) {
@@ -339,6 +351,9 @@
 		for _, list := range byMember {
 			go func() {
 				for _, a := range list {
+					if a.Ask.Step == messages.Commit && large(a.Ask.Value) {
+						return // it fetches that by pieces, and votes once it has it
+					}
 					w, err := l.send(ctx, a.To, a.Ask)
 					if a.Ask.Step == messages.Commit && err == nil {
 						continue
@@ -378,7 +393,7 @@
 			continue
 		}
 		go func() {
-			ctx, cancel := context.WithTimeout(context.Background(), time.Second)
+			ctx, cancel := context.WithTimeout(context.Background(), spreadWait+transferWait(v))
 			defer cancel()
 			_, _ = l.send(ctx, m, messages.ConsensusRequest{Part: p, To: m.ID, Step: messages.Commit, Slot: v.Version, Value: v})
 		}()
@@ -440,13 +455,3 @@
 }
 
 var errSettled = errors.New("consensus: settled")
-
-// Pull learns what the controller at addr has committed.
-func (l *Registers) Pull(ctx context.Context, addr string, p int) error {
-	w, err := l.send(ctx, messages.Member{Addr: addr}, messages.ConsensusRequest{Part: p, Step: messages.Read})
-	if err != nil {
-		return err
-	}
-	l.Learn(p, w.Value)
-	return nil
-}
--- a/internal/controller/controller.go
+++ b/internal/controller/controller.go
@@ -326,6 +326,7 @@
 
 // catchUp compares versions with the other controllers and pulls what is newer.
 func (d *Controller) catchUp(ctx context.Context) {
+	d.registers.ForgetTransfers()
 	alive := d.monitor.Alive(messages.Controller)
 	view, core := coreView(alive)
 	d.calm.saw(view, d.clock())
@@ -351,7 +352,7 @@
 			d.contact.answered(m.MemberID, sentUs)
 			for part := range min(len(m.Parts), consensus.Parts) {
 				if m.Parts[part] > mine.Parts[part] {
-					_ = d.registers.Pull(cctx, p.Addr, part)
+					go func() { _ = d.registers.Pull(ctx, p.Addr, part) }()
 				}
 			}
 		}()
--- a/internal/controller/feed.go
+++ b/internal/controller/feed.go
@@ -49,7 +49,6 @@
 
 	own, down outbox // to the other controllers, and to the routers
 	urgent    chan struct{}
-	pulling   atomic.Bool
 	sentUs    int64 // when a feed last went out to everybody
 
 	changes, wholes, malformed atomic.Int64
@@ -388,15 +387,10 @@
 // pullNewer learns at once of a version that another controller has and this one
 // has not: one that is not in the group is not told by the round itself.
 func (d *Controller) pullNewer(addr string, versions []int64) {
-	f, mine := &d.feed, d.told()
+	mine := d.told()
 	for p, v := range versions {
-		if p < len(mine) && v > mine[p] && f.pulling.CompareAndSwap(false, true) {
-			go func() {
-				defer f.pulling.Store(false)
-				ctx, cancel := context.WithTimeout(context.Background(), 400*time.Millisecond)
-				defer cancel()
-				_ = d.registers.Pull(ctx, addr, p)
-			}()
+		if p < len(mine) && v > mine[p] {
+			go func() { _ = d.registers.Pull(context.Background(), addr, p) }()
 		}
 	}
 }
--- a/internal/messages/msgp.gen.go
+++ b/internal/messages/msgp.gen.go
@@ -677,9 +677,9 @@
 // MarshalMsg implements msgp.Marshaler
 func (z *ConsensusRequest) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
-	// map header, size 7
+	// map header, size 9
 	// string "b"
-	o = append(o, 0x87, 0xa1, 0x62)
+	o = append(o, 0x89, 0xa1, 0x62)
 	// map header, size 2
 	// string "n"
 	o = append(o, 0x82, 0xa1, 0x6e)
@@ -693,6 +693,12 @@
 	// string "k"
 	o = append(o, 0xa1, 0x6b)
 	o = msgp.AppendString(o, string(z.Step))
+	// string "l"
+	o = append(o, 0xa1, 0x6c)
+	o = msgp.AppendBool(o, z.Pieces)
+	// string "o"
+	o = append(o, 0xa1, 0x6f)
+	o = msgp.AppendInt64(o, z.Offset)
 	// string "p"
 	o = append(o, 0xa1, 0x70)
 	o = msgp.AppendInt(o, z.Part)
@@ -781,6 +787,18 @@
 				}
 				z.Step = Step(zb0003)
 			}
+		case "l":
+			z.Pieces, bts, err = msgp.ReadBoolBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Pieces")
+				return
+			}
+		case "o":
+			z.Offset, bts, err = msgp.ReadInt64Bytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Offset")
+				return
+			}
 		case "p":
 			z.Part, bts, err = msgp.ReadIntBytes(bts)
 			if err != nil {
@@ -819,16 +837,16 @@
 
 // Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
 func (z *ConsensusRequest) Msgsize() (s int) {
-	s = 1 + 2 + 1 + 2 + msgp.Int64Size + 2 + msgp.StringPrefixSize + len(z.Ballot.Who) + 2 + msgp.BoolSize + 2 + msgp.StringPrefixSize + len(string(z.Step)) + 2 + msgp.IntSize + 2 + msgp.Int64Size + 2 + msgp.StringPrefixSize + len(z.To) + 2 + z.Value.Msgsize()
+	s = 1 + 2 + 1 + 2 + msgp.Int64Size + 2 + msgp.StringPrefixSize + len(z.Ballot.Who) + 2 + msgp.BoolSize + 2 + msgp.StringPrefixSize + len(string(z.Step)) + 2 + msgp.BoolSize + 2 + msgp.Int64Size + 2 + msgp.IntSize + 2 + msgp.Int64Size + 2 + msgp.StringPrefixSize + len(z.To) + 2 + z.Value.Msgsize()
 	return
 }
 
 // MarshalMsg implements msgp.Marshaler
 func (z *ConsensusResponse) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
-	// map header, size 7
+	// map header, size 11
 	// string "a"
-	o = append(o, 0x87, 0xa1, 0x61)
+	o = append(o, 0x8b, 0xa1, 0x61)
 	// map header, size 2
 	// string "n"
 	o = append(o, 0x82, 0xa1, 0x6e)
@@ -848,6 +866,9 @@
 	// string "m"
 	o = append(o, 0xa1, 0x6d)
 	o = msgp.AppendInt64(o, z.Version)
+	// string "o"
+	o = append(o, 0xa1, 0x6f)
+	o = msgp.AppendInt64(o, z.Offset)
 	// string "p"
 	o = append(o, 0xa1, 0x70)
 	// map header, size 2
@@ -857,6 +878,12 @@
 	// string "w"
 	o = append(o, 0xa1, 0x77)
 	o = msgp.AppendString(o, z.Promised.Who)
+	// string "s"
+	o = append(o, 0xa1, 0x73)
+	o = msgp.AppendInt64(o, z.Sum)
+	// string "t"
+	o = append(o, 0xa1, 0x74)
+	o = msgp.AppendInt64(o, z.Total)
 	// string "v"
 	o = append(o, 0xa1, 0x76)
 	o, err = z.Value.MarshalMsg(o)
@@ -864,6 +891,9 @@
 		err = msgp.WrapError(err, "Value")
 		return
 	}
+	// string "x"
+	o = append(o, 0xa1, 0x78)
+	o = msgp.AppendBytes(o, z.Piece)
 	return
 }
 
@@ -948,6 +978,12 @@
 				err = msgp.WrapError(err, "Version")
 				return
 			}
+		case "o":
+			z.Offset, bts, err = msgp.ReadInt64Bytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Offset")
+				return
+			}
 		case "p":
 			var zb0004 uint32
 			zb0004, bts, err = msgp.ReadMapHeaderBytes(bts)
@@ -983,12 +1019,30 @@
 					}
 				}
 			}
+		case "s":
+			z.Sum, bts, err = msgp.ReadInt64Bytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Sum")
+				return
+			}
+		case "t":
+			z.Total, bts, err = msgp.ReadInt64Bytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Total")
+				return
+			}
 		case "v":
 			bts, err = z.Value.UnmarshalMsg(bts)
 			if err != nil {
 				err = msgp.WrapError(err, "Value")
 				return
 			}
+		case "x":
+			z.Piece, bts, err = msgp.ReadBytesBytes(bts, z.Piece)
+			if err != nil {
+				err = msgp.WrapError(err, "Piece")
+				return
+			}
 		default:
 			bts, err = msgp.Skip(bts)
 			if err != nil {
@@ -1003,7 +1057,7 @@
 
 // Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
 func (z *ConsensusResponse) Msgsize() (s int) {
-	s = 1 + 2 + 1 + 2 + msgp.Int64Size + 2 + msgp.StringPrefixSize + len(z.AcceptedAt.Who) + 2 + msgp.StringPrefixSize + len(string(z.Verdict)) + 2 + msgp.BoolSize + 2 + msgp.BoolSize + 2 + msgp.Int64Size + 2 + 1 + 2 + msgp.Int64Size + 2 + msgp.StringPrefixSize + len(z.Promised.Who) + 2 + z.Value.Msgsize()
+	s = 1 + 2 + 1 + 2 + msgp.Int64Size + 2 + msgp.StringPrefixSize + len(z.AcceptedAt.Who) + 2 + msgp.StringPrefixSize + len(string(z.Verdict)) + 2 + msgp.BoolSize + 2 + msgp.BoolSize + 2 + msgp.Int64Size + 2 + msgp.Int64Size + 2 + 1 + 2 + msgp.Int64Size + 2 + msgp.StringPrefixSize + len(z.Promised.Who) + 2 + msgp.Int64Size + 2 + msgp.Int64Size + 2 + z.Value.Msgsize() + 2 + msgp.BytesPrefixSize + len(z.Piece)
 	return
 }
 
--- a/internal/messages/types.gen.go
+++ b/internal/messages/types.gen.go
@@ -143,12 +143,18 @@
 	Ballot Ballot `msg:"b"`
 
 	// Flush on a commit
-	Flush bool   `msg:"f"`
-	Step  Step   `msg:"k"`
-	Part  int    `msg:"p"`
-	Slot  int64  `msg:"s"`
-	To    string `msg:"t"`
-	Value Value  `msg:"v"`
+	Flush bool `msg:"f"`
+	Step  Step `msg:"k"`
+
+	// Pieces a read of a large value may be answered with a piece of it
+	Pieces bool `msg:"l"`
+
+	// Offset on a read by pieces, where to go on in the version that the slot names
+	Offset int64  `msg:"o"`
+	Part   int    `msg:"p"`
+	Slot   int64  `msg:"s"`
+	To     string `msg:"t"`
+	Value  Value  `msg:"v"`
 }
 
 // ConsensusResponse defines model for ConsensusResponse.
@@ -158,10 +164,22 @@
 	HasAccepted bool    `msg:"h"`
 
 	// Kept the slot that a flush asked for is on this member's disk
-	Kept     bool   `msg:"k"`
-	Version  int64  `msg:"m"`
+	Kept    bool  `msg:"k"`
+	Version int64 `msg:"m"`
+
+	// Offset where the piece begins
+	Offset   int64  `msg:"o"`
 	Promised Ballot `msg:"p"`
-	Value    Value  `msg:"v"`
+
+	// Sum its checksum
+	Sum int64 `msg:"s"`
+
+	// Total how long the encoded value is
+	Total int64 `msg:"t"`
+	Value Value `msg:"v"`
+
+	// Piece bytes of the encoded value of the version given
+	Piece []byte `msg:"x"`
 }
 
 // Entry an entry by its key; one that is no longer there has no body
