A controller that starts withholds the configuration only

Cause: a router that subscribed before the first lease got no runners, and would ask for them only with the next change of the list. The configuration is asked for again by its version. Taken out and seen to fail: the exception at the start, and the withheld configuration (TestNewcomersGetNoOldState).

--- a/internal/controller/feed.go
+++ b/internal/controller/feed.go
@@ -269,17 +269,20 @@
 // since gives what a receiver lacks: a router of everything, a controller of what
 // this one is the first to know. Without the lease, a router that holds nothing
 // gets nothing: what is here may be old. It asks again, or finds a controller that
-// has the lease; if it finds none it says so, and then gets what there is.
+// has the lease; if it finds none it says so, and then gets what there is. While
+// this controller starts, only the configuration is withheld: runners are told of
+// as they come, and one that was missed at first would be asked for late.
 func (d *Controller) since(h messages.Hold) messages.Feed {
 	out := messages.Feed{CalmUs: d.calm.forUs(d.clock()), CutOff: d.cutOff()}
-	if newcomer(h) && !h.Anything && !d.inContact() {
+	withheld := newcomer(h) && !h.Anything && !d.inContact()
+	if withheld && !d.starting() {
 		out.Versions = d.told()
 		return out
 	}
 	f := &d.feed
 	f.mu.Lock()
 	out.Versions = f.versions()
-	if c, lacks := f.configuration.Since(h.Configuration.Epoch, h.Configuration.Version); lacks && f.configuration.Version > h.Configuration.Version {
+	if c, lacks := f.configuration.Since(h.Configuration.Epoch, h.Configuration.Version); lacks && f.configuration.Version > h.Configuration.Version && !withheld {
 		out.Configuration = append(out.Configuration, statesync.SendEntries(c))
 	}
 	for p, n := range f.parts {
