--- a/internal/consensus/confirm.go
+++ b/internal/consensus/confirm.go
@@ -19,6 +19,9 @@
 	if err != nil || w.Kept || w.Verdict != messages.Granted {
 		return w.Kept, err
 	}
+	if large(v) {
+		return false, nil // it fetches that by pieces and is asked again
+	}
 	ask.Value = v
 	w, err = l.send(ctx, m, ask)
 	return w.Kept, err
@@ -58,7 +61,7 @@
 	at := l.parts[p]
 	before := at.acc.Rec
 	if !at.acc.Fold(v) && at.durable >= at.acc.Rec.Committed.Version {
-		return nil
+		return l.store.Settle()
 	}
 	if err := l.save(p, at.acc.Rec); err != nil {
 		at.acc.Rec = before
