A member that ends waits for its lease where an heir has confirmed

Cause: a member without the lease of contact, just after its start or between two round trips, ended at once though a newcomer had just confirmed; seen as a failure of TestMemberToldToEndHandsOverFirst in 2 runs of 32 on a loaded machine.

Change: who may take the place over decides whether to go on, within the same 2.5 s; the proposal itself still needs the lease.

--- a/internal/controller/repair.go
+++ b/internal/controller/repair.go
@@ -266,7 +266,7 @@
 	status := d.repairStatus()
 	for part := range consensus.Parts {
 		v, ok := d.registers.Committed(part)
-		if !ok || !d.hasContact(v.Group) {
+		if !ok {
 			continue
 		}
 		if !d.repairs.parts[part].settled(v.Group) {
