--- a/internal/controller/controller.go
+++ b/internal/controller/controller.go
@@ -4,6 +4,7 @@
 package controller
 
 import (
+	"cmp"
 	"context"
 	"path/filepath"
 	"strings"
@@ -75,7 +76,7 @@
 	d.feed.init(clock())
 	d.syncRunners()
 	d.publisher = dissemination.NewPublisher(trans, dissemination.Upstream{Since: d.since, Told: d.toldBelow, Gone: d.goneBelow})
-	d.registers, err = consensus.Open(set.ControllerAddr(), transport.KindConsensus, set.Bootstrap, set.SeedAddrs(), trans, store, log, d.learned)
+	d.registers, err = consensus.Open(set.ControllerAddr(), transport.KindConsensus, set.Bootstrap, set.SeedAddrs(), contactCaller{trans, &d.contact, clock}, store, log, d.learned)
 	if err != nil {
 		return nil, err
 	}
@@ -326,6 +327,7 @@
 
 // catchUp compares versions with the other controllers and pulls what is newer.
 func (d *Controller) catchUp(ctx context.Context) {
+	d.registers.ForgetTransfers()
 	alive := d.monitor.Alive(messages.Controller)
 	view, core := coreView(alive)
 	d.calm.saw(view, d.clock())
@@ -348,10 +350,10 @@
 			if _, err := m.UnmarshalMsg(b); err != nil {
 				return
 			}
-			d.contact.answered(m.MemberID, sentUs)
+			d.contact.answered(cmp.Or(m.MemberID, p.MemberID), sentUs) // the earlier format has none
 			for part := range min(len(m.Parts), consensus.Parts) {
 				if m.Parts[part] > mine.Parts[part] {
-					_ = d.registers.Pull(cctx, p.Addr, part)
+					go func() { _ = d.registers.Pull(ctx, p.Addr, part) }()
 				}
 			}
 		}()
