A large base is named to members that have accepted it

Cause: since rounds leave large values to the transfer, a member that had accepted one and missed the word of its commit could not vote in the next round until it had fetched what it already held.

Change: the round names the value by version, stamp and digest; who has accepted just that learns it, and votes within the round. Others fetch it by pieces.

Taken out, and what failed: learning by name, and comparing the digest, each TestLargeBaseIsNamedToWhoHasAcceptedIt.

--- a/internal/consensus/consensus.go
+++ b/internal/consensus/consensus.go
@@ -218,6 +218,9 @@
 
 func (l *Registers) local(ctx context.Context, ask messages.ConsensusRequest) (messages.ConsensusResponse, error) {
 	if ask.Step == messages.Commit {
+		if len(ask.Value.Group) == 0 && len(ask.Value.Body) > 0 {
+			return l.commitNamed(ctx, ask)
+		}
 		l.Learn(ask.Part, ask.Value)
 		if ask.Flush {
 			return l.flush(ctx, ask)
@@ -343,17 +346,26 @@
 	ctx, cancel := context.WithTimeout(ctx, roundWait+transferWait(r.Base))
 	defer cancel()
 	words := make(chan heard, 64)
+	named := map[string]bool{} // members whom the base was named to, as it is large
 	post := func(asks []Ask) {
 		byMember := map[string][]Ask{}
 		for _, a := range asks {
 			byMember[a.To.ID] = append(byMember[a.To.ID], a)
 		}
+		for id, list := range byMember {
+			if !large(r.Base) || list[0].Ask.Step != messages.Commit {
+				continue
+			}
+			if named[id] { // it fetches the base by pieces, and votes once it has it
+				delete(byMember, id)
+				continue
+			}
+			named[id] = true
+			list[0].Ask.Value = nameOf(r.Base)
+		}
 		for _, list := range byMember {
 			go func() {
 				for _, a := range list {
-					if a.Ask.Step == messages.Commit && large(a.Ask.Value) {
-						return // it fetches that by pieces, and votes once it has it
-					}
 					w, err := l.send(ctx, a.To, a.Ask)
 					if a.Ask.Step == messages.Commit && err == nil {
 						continue
--- a/internal/consensus/pull.go
+++ b/internal/consensus/pull.go
@@ -4,7 +4,9 @@
 package consensus
 
 import (
+	"bytes"
 	"context"
+	"crypto/sha256"
 	"sync"
 	"time"
 
@@ -38,6 +40,32 @@
 	return time.Duration(len(v.Body)) * perByte
 }
 
+// nameOf stands for a large value towards a member that is likely to have accepted
+// it: no group, and a digest in place of the body. Who has not accepted it, and a
+// build that knows no names, takes no notice.
+func nameOf(v messages.Value) messages.Value {
+	encoded, _ := v.MarshalMsg(nil)
+	digest := sha256.Sum256(encoded)
+	return messages.Value{Version: v.Version, Body: digest[:], Stamp: v.Stamp}
+}
+
+// commitNamed learns what this member has accepted, if that is the value named.
+func (l *Registers) commitNamed(ctx context.Context, ask messages.ConsensusRequest) (messages.ConsensusResponse, error) {
+	at := l.parts[ask.Part]
+	select {
+	case at.sem <- struct{}{}:
+	case <-ctx.Done():
+		return messages.ConsensusResponse{}, errors.Wrap(ErrStore, "busy")
+	}
+	rec := at.acc.Rec
+	<-at.sem
+	accepted := rec.Accepted
+	if rec.HasAccepted && accepted.Version == ask.Value.Version && accepted.Stamp == ask.Value.Stamp && bytes.Equal(nameOf(accepted).Body, ask.Value.Body) {
+		l.Learn(ask.Part, accepted)
+	}
+	return messages.ConsensusResponse{Verdict: messages.Granted}, nil
+}
+
 // transfers are both ends of the transfers of one part.
 type transfers struct {
 	mu     sync.Mutex
--- a/internal/consensus/pull_test.go
+++ b/internal/consensus/pull_test.go
@@ -112,3 +112,38 @@
 	must.True(t, ok)
 	close(store.free)
 }
+
+// Two of three have accepted a large value and one was not told that it is
+// committed: the next round names it, and both vote at once. One whose accepted
+// value is another takes no notice.
+func TestLargeBaseIsNamedToWhoHasAcceptedIt(t *testing.T) {
+	nodes := map[string]*Registers{}
+	net := carrier(func(ctx context.Context, addr string, b []byte) ([]byte, error) {
+		var ask messages.ConsensusRequest
+		_, err := ask.UnmarshalMsg(b)
+		must.NoError(t, err)
+		if addr == "c" || ask.Step == messages.Commit && len(ask.Value.Group) > 0 {
+			return nil, errors.New("lost")
+		}
+		return nodes[addr].Handle(ctx, b)
+	})
+	seeds := []string{"a", "b", "c"}
+	for _, s := range seeds {
+		l, err := Open(s, 1, true, seeds, net, &MemoryStore{}, logr.Discard(), nil)
+		must.NoError(t, err)
+		nodes[s] = l
+	}
+	bigBody := string(bytes.Repeat([]byte("x"), 2*statesync.PieceBytes))
+	first, err := nodes["a"].Change(t.Context(), 0, body(bigBody))
+	must.NoError(t, err)
+	other := nameOf(messages.Value{Version: 1, Group: first.Group, Body: []byte("another"), Stamp: first.Stamp})
+	_, err = nodes["b"].local(t.Context(), messages.ConsensusRequest{Step: messages.Commit, Slot: 1, Value: other})
+	must.NoError(t, err)
+	v, _ := nodes["b"].Committed(0)
+	must.Eq(t, int64(0), v.Version)
+	ctx, cancel := context.WithTimeout(t.Context(), 3*roundWait)
+	defer cancel()
+	second, err := nodes["a"].Change(ctx, 0, body("small"))
+	must.NoError(t, err)
+	must.Eq(t, int64(2), second.Version)
+}
