--- a/internal/controller/contact_test.go
+++ b/internal/controller/contact_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net/http"
+	"net/http/httptest"
 	"strings"
 	"sync/atomic"
 	"testing"
@@ -13,6 +14,7 @@
 	"github.com/panjf2000/ants/v2"
 	"github.com/pkg/errors"
 	"github.com/shoenig/test/must"
+	"github.com/tinylib/msgp/msgp"
 
 	"beechtide.org/beechtide/internal/api"
 	"beechtide.org/beechtide/internal/consensus"
@@ -126,7 +128,8 @@
 // Who holds nothing gets no state from a controller that is cut off, and is told
 // so; who holds a configuration, or has found nobody else, is served on.
 func TestNewcomersGetNoOldState(t *testing.T) {
-	d, _ := alone(t)
+	d, clock := alone(t)
+	nowUs := clock.Load()
 	d.publishConfig(4, api.Configuration{Version: 4})
 	d.registry.Hear(messages.RunnerRecord{ID: "i-1", Service: "s", Models: []messages.Target{}}, d.clock())
 	d.tellRunners("i-1")
@@ -137,6 +140,12 @@
 	must.True(t, f.CutOff)
 	must.Eq(t, int64(4), f.Versions[0], must.Sprint("so that the newcomer asks again"))
 	must.False(t, empty(d.since(messages.Hold{Anything: true})))
+	clock.Store(2)
+	f = d.since(messages.Hold{})
+	must.SliceEmpty(t, f.Configuration)
+	must.SliceNotEmpty(t, f.Registry, must.Sprint("the list of runners at a start"))
+	must.False(t, f.CutOff)
+	clock.Store(nowUs)
 	must.False(t, empty(d.since(messages.Hold{Configuration: messages.StreamHold{Epoch: configEpoch, Version: 3}})))
 	touch(d)
 	f = d.since(messages.Hold{})
@@ -218,6 +227,12 @@
 	must.NoError(t, err)
 	must.Eq(t, d.registers.ID(), m.ID)
 	must.True(t, d.registry.Snapshot().ByID["i-1"].Draining)
+	n.ID, n.Addr, n.Lost = "i-2", "1.2.3.4:81", true
+	b, err = n.MarshalMsg(nil)
+	must.NoError(t, err)
+	_, err = d.hearLeaving(context.Background(), nil, b)
+	must.NoError(t, err)
+	must.True(t, d.registry.Snapshot().ByID["i-2"].Draining, must.Sprint("what the teller believes beside it is its own"))
 	later := messages.RunnerRecord{ID: "i-1", Service: "s", Seq: 9, Models: []messages.Target{}}
 	d.registry.Hear(later, d.clock())
 	must.True(t, d.registry.Snapshot().ByID["i-1"].Draining, must.Sprint("a late beat does not undo it"))
@@ -238,3 +253,54 @@
 	}
 	must.LessEq(t, mostDrained, len(d.drained.told))
 }
+
+// answering is a stand-in for another member.
+type answering struct {
+	verdict messages.Verdict
+	err     error
+}
+
+func (a answering) Call(context.Context, string, int, msgp.Marshaler) ([]byte, error) {
+	r := messages.ConsensusResponse{Verdict: a.verdict}
+	b, _ := r.MarshalMsg(nil)
+	return b, a.err
+}
+
+// Whatever a member answers renews the lease, from when it was asked; what a
+// stranger at its address answers, or anybody to a commit, does not.
+func TestRoundTripsOfTheRegistersRenewTheLease(t *testing.T) {
+	group := []string{"a", "b", "c"}
+	for _, c := range []struct {
+		other   answering
+		request messages.ConsensusRequest
+		renews  bool
+	}{
+		{answering{verdict: messages.Granted}, messages.ConsensusRequest{To: "b", Step: messages.Read}, true},
+		{answering{verdict: messages.Outbid}, messages.ConsensusRequest{To: "b", Step: messages.Prepare}, true},
+		{answering{verdict: messages.Stranger}, messages.ConsensusRequest{To: "b", Step: messages.Prepare}, false},
+		{answering{verdict: messages.Granted}, messages.ConsensusRequest{To: "b", Step: messages.Commit}, false},
+		{answering{verdict: messages.Granted}, messages.ConsensusRequest{Step: messages.Read}, false},
+		{answering{err: errors.New("cut")}, messages.ConsensusRequest{To: "b", Step: messages.Read}, false},
+	} {
+		held := contact{lease: lease.Contact{Self: "a"}}
+		nowUs := int64(4)
+		caller := contactCaller{c.other, &held, func() int64 { nowUs++; return nowUs }}
+		_, _ = caller.Call(context.Background(), "b:1", 1, &c.request)
+		must.Eq(t, c.renews, held.holds(group, 6), must.Sprint(c))
+		must.False(t, held.holds(group, 5+lease.ContactUs))
+	}
+}
+
+// An order leaves only while the majority's word behind it counts.
+func TestOrdersDoNotOutliveTheirConfirmation(t *testing.T) {
+	d, clock := alone(t)
+	var orders atomic.Int64
+	runner := httptest.NewServer(http.HandlerFunc(func(http.ResponseWriter, *http.Request) { orders.Add(1) }))
+	defer runner.Close()
+	n := messages.RunnerRecord{ID: "i-1", Addr: runner.Listener.Addr().String()}
+	target := messages.Target{Model: "m", Version: 2}
+	must.False(t, d.order(context.Background(), n, target, 1, clock.Load()))
+	must.Eq(t, 0, orders.Load())
+	must.True(t, d.order(context.Background(), n, target, 1, clock.Load()+1))
+	must.Eq(t, 1, orders.Load())
+}
