What 2,000 changes leave behind is measured

The log of a stream is bounded too. Pieces carry up to 64 KiB, so that digests alone make no value large.

--- /dev/null
+++ b/internal/consensus/bounded_test.go
@@ -0,0 +1,76 @@
+package consensus
+
+import (
+	"bytes"
+	"context"
+	"fmt"
+	"sync/atomic"
+	"testing"
+
+	"github.com/go-logr/logr"
+	"github.com/shoenig/test/must"
+
+	"beechtide.org/beechtide/internal/messages"
+	"beechtide.org/beechtide/internal/routeconfig"
+	"beechtide.org/beechtide/internal/simulation/disk"
+)
+
+// What is left behind by 2,000 changes of a configuration, and by some more, until
+// the digests of earlier versions have reached their bound (2,048): files stay as
+// few as at the start; bytes on disk and in a round grow by 26 a change up to
+// that bound and are flat from then on.
+func TestWhat2000ChangesLeaveBehind(t *testing.T) {
+	const changes, flatFrom = 2260, 2180 // 2,048 digests, and the last of the 127 whose version takes a byte is gone
+	const mostFiles = 1 + 1 + 2 // identity, the record, one just written and one just replaced
+	nodes, disks := map[string]*Registers{}, map[string]*disk.Disk{}
+	var accept atomic.Int64 // bytes of the newest ask for acceptance
+	net := carrier(func(ctx context.Context, addr string, b []byte) ([]byte, error) {
+		var ask messages.ConsensusRequest
+		if _, err := ask.UnmarshalMsg(b); err == nil && ask.Step == messages.Accept {
+			accept.Store(int64(len(b)))
+		}
+		return nodes[addr].Handle(ctx, b)
+	})
+	seeds := []string{"a", "b", "c"}
+	for i, s := range seeds {
+		disks[s] = disk.New(uint64(i))
+		l, err := Open(s, 1, true, seeds, net, openSimulated(t, disks[s]), logr.Discard(), nil)
+		must.NoError(t, err)
+		nodes[s] = l
+	}
+	raw := bytes.Repeat([]byte("r"), 3000)
+	others := Parts - 1 // records of the other parts
+	var rounds []int64
+	for n := range int64(changes) {
+		order := routeconfig.Order{Raw: append(fmt.Appendf(nil, "%06d", n), raw...), Version: n + 1, Base: n}
+		_, err := nodes["a"].Change(t.Context(), ConfigPart, func(cur messages.Value) ([]messages.Member, []byte, error) {
+			var body messages.ConfigBody
+			if len(cur.Body) > 0 {
+				if _, err := body.UnmarshalMsg(cur.Body); err != nil {
+					return nil, nil, err
+				}
+			}
+			next, err := order.Apply(body)
+			if err != nil {
+				return nil, nil, err
+			}
+			b, err := next.MarshalMsg(nil)
+			return nil, b, err
+		})
+		must.NoError(t, err)
+		rounds = append(rounds, accept.Load())
+		for _, s := range seeds {
+			names, err := disks[s].List()
+			must.NoError(t, err)
+			must.LessEq(t, mostFiles+others, len(names))
+		}
+	}
+	most := 0
+	for _, s := range seeds {
+		most = max(most, disks[s].Bytes())
+	}
+	t.Logf("ask for acceptance: %d bytes at change 10, %d at 1000, %d at 2000, %d at %d; largest disk %d bytes", rounds[9], rounds[999], rounds[1999], rounds[changes-1], changes, most)
+	must.Between(t, 25*990, rounds[999]-rounds[9], 28*990)
+	must.Eq(t, rounds[flatFrom], rounds[changes-1])
+	must.Less(t, 6*rounds[changes-1], int64(most), must.Sprint("a record holds two values, and for a moment there are three files"))
+}
--- a/internal/statesync/transfer.go
+++ b/internal/statesync/transfer.go
@@ -9,7 +9,7 @@
 import "hash/crc32"
 
 // PieceBytes is the most that one piece carries; states up to this size go whole.
-const PieceBytes = 32 << 10
+const PieceBytes = 64 << 10
 
 // Piece is a part of one version of an encoded state.
 type Piece struct {
--- a/internal/statesync/transfer_test.go
+++ b/internal/statesync/transfer_test.go
@@ -124,3 +124,17 @@
 	must.Eq(t, 1, s.server.Len())
 	must.Eq(t, 2, s.encoded)
 }
+
+// The log of a stream that 2,000 changes went through is as long as after the
+// first few hundred.
+func TestLogStaysShortOver2000Changes(t *testing.T) {
+	s := NewEntries()
+	s.Begin(1, 0)
+	for n := range int64(2000) {
+		s.Put(fmt.Sprint("route", n%40), fmt.Sprint(n))
+		s.Commit(n + 1)
+		must.LessEq(t, mostLogged+s.Len(), s.logged)
+		must.LessEq(t, mostLogged+s.Len(), len(s.log))
+	}
+	must.Eq(t, 40, s.Len())
+}
