--- a/internal/consensus/bounded_test.go
+++ b/internal/consensus/bounded_test.go
@@ -21,7 +21,7 @@
 // that bound and are flat from then on.
 func TestWhat2000ChangesLeaveBehind(t *testing.T) {
 	const changes, flatFrom = 2260, 2180 // 2,048 digests, and the last of the 127 whose version takes a byte is gone
-	const mostFiles = 1 + 1 + 2 // identity, the record, one just written and one just replaced
+	const mostFiles = 1 + 1 + 2          // identity, the record, one just written and one just replaced
 	nodes, disks := map[string]*Registers{}, map[string]*disk.Disk{}
 	var accept atomic.Int64 // bytes of the newest ask for acceptance
 	net := carrier(func(ctx context.Context, addr string, b []byte) ([]byte, error) {
