Simulation of runners and of the registries that know them

Cuts of a link are counted, so that the end of one fault no longer ends another's. 'beechtide simulate -model' chooses.

--- a/cmd/beechtide/simulate.go
+++ b/cmd/beechtide/simulate.go
@@ -11,6 +11,7 @@
 
 func simulate(args []string) int {
 	fs := flag.NewFlagSet("beechtide simulate", flag.ContinueOnError)
+	model := fs.String("model", "registers", "what to play: registers, runners or runners-partial")
 	seeds := fs.Uint64("seeds", 1000, "how many histories to play")
 	first := fs.Uint64("first", 0, "the first seed")
 	parallel := fs.Int("parallel", 1, "how many to play at a time")
@@ -26,13 +27,17 @@
 		fmt.Fprintln(os.Stderr, "beechtide simulate: takes flags only; see -h")
 		return 2
 	}
+	if simulation.Models[*model] == nil {
+		fmt.Fprintf(os.Stderr, "beechtide simulate: no model %q; see -h\n", *model)
+		return 2
+	}
 	if *show {
-		return printHistories(*first, *seeds)
+		return printHistories(*model, *first, *seeds)
 	}
 	broken := 0
-	counts := simulation.Run(simulation.Range{First: *first, Count: *seeds, Parallel: *parallel}, simulation.Options{}, func(r simulation.Result) {
+	counts := simulation.Run(simulation.Range{Model: *model, First: *first, Count: *seeds, Parallel: *parallel}, simulation.Options{}, func(r simulation.Result) {
 		broken++
-		printHistory(r)
+		printHistory(*model, r)
 	})
 	fmt.Printf("%s; %d broke a check\n", counts, broken)
 	if broken > 0 {
@@ -41,11 +46,11 @@
 	return 0
 }
 
-func printHistories(first, count uint64) int {
+func printHistories(model string, first, count uint64) int {
 	status := 0
 	for seed := first; seed < first+count; seed++ {
-		r := simulation.Play(seed, simulation.Options{Record: true})
-		printHistory(r)
+		r := simulation.Models[model](seed, simulation.Options{Record: true})
+		printHistory(model, r)
 		if r.Failure != "" {
 			status = 1
 		}
@@ -53,7 +58,7 @@
 	return status
 }
 
-func printHistory(r simulation.Result) {
+func printHistory(model string, r simulation.Result) {
 	for _, line := range r.History {
 		fmt.Println(line)
 	}
@@ -61,5 +66,5 @@
 		fmt.Printf("seed %d: every check held\n\n", r.Seed)
 		return
 	}
-	fmt.Printf("seed %d: %s\nreplay: beechtide simulate -print -seeds 1 -first %d\n\n", r.Seed, r.Failure, r.Seed)
+	fmt.Printf("seed %d: %s\nreplay: beechtide simulate -model %s -print -seeds 1 -first %d\n\n", r.Seed, r.Failure, model, r.Seed)
 }
--- /dev/null
+++ b/internal/simulation/fleet_test.go
@@ -0,0 +1,13 @@
+package simulation
+
+import (
+	"testing"
+
+	"github.com/shoenig/test/must"
+)
+
+func TestFleetSeedsBreakNothing(t *testing.T) {
+	fleets := Range{Model: "runners", Count: 300, Parallel: 3}
+	counts := Run(fleets, Options{}, func(r Result) { t.Errorf("seed %d: %s", r.Seed, r.Failure) })
+	must.Eq(t, int64(fleets.Count), counts.Fleets)
+}
--- a/internal/simulation/network.go
+++ b/internal/simulation/network.go
@@ -4,7 +4,7 @@
 
 // Link is the way from one address to another.
 type Link struct {
-	Cut            bool
+	Cuts           int // how many faults cut it now
 	LossPerMille   int
 	DoublePerMille int
 	DelayLowUs     int64
@@ -53,12 +53,12 @@
 	if n.kernel.Chance(l.DoublePerMille) {
 		times = 2
 	}
-	if l.Cut || n.kernel.Chance(l.LossPerMille) {
+	if l.Cuts > 0 || n.kernel.Chance(l.LossPerMille) {
 		return
 	}
 	for range times {
 		n.kernel.After(n.kernel.Between(l.DelayLowUs, l.DelayHighUs), func() {
-			if !l.Cut {
+			if l.Cuts == 0 {
 				deliver()
 			}
 		})
--- a/internal/simulation/play_test.go
+++ b/internal/simulation/play_test.go
@@ -8,7 +8,7 @@
 )
 
 // testRange is the fixed set of seeds that CI plays.
-var testRange = Range{First: 0, Count: 300, Parallel: 3}
+var testRange = Range{Model: "registers", First: 0, Count: 300, Parallel: 3}
 
 // onceFailing are seeds that broke a check before a fault was mended.
 var onceFailing = []uint64{71, 90, 1033, 1046, 1488, 1878, 2023, 3160}
--- a/internal/simulation/run.go
+++ b/internal/simulation/run.go
@@ -3,8 +3,14 @@
 
 import "sync"
 
-// Range is which seeds to play.
+// Models are what can be played, by name.
+var Models = map[string]func(seed uint64, options Options) Result{
+	"registers": Play, "runners": PlayFleet, "runners-partial": PlayFleetPartial,
+}
+
+// Range is which seeds of a model to play.
 type Range struct {
+	Model        string
 	First, Count uint64
 	Parallel     int
 }
@@ -12,6 +18,7 @@
 // Run plays a range of seeds and hands over each history that broke a check,
 // played once more so that it is recorded. It gives what all were made of.
 func Run(r Range, options Options, failed func(Result)) Counts {
+	play := Models[r.Model]
 	seeds := make(chan uint64)
 	var (
 		wait   sync.WaitGroup
@@ -21,11 +28,11 @@
 	for range max(r.Parallel, 1) {
 		wait.Go(func() {
 			for seed := range seeds {
-				result := Play(seed, options)
+				result := play(seed, options)
 				if result.Failure != "" {
 					again := options
 					again.Record = true
-					result = Play(seed, again)
+					result = play(seed, again)
 				}
 				mu.Lock()
 				counts.Add(result.Counts)
--- a/internal/simulation/scenario.go
+++ b/internal/simulation/scenario.go
@@ -133,8 +133,8 @@
 		return
 	}
 	l := c.network.Link(from, to)
-	l.Cut = true
-	c.later(forUs, func() { l.Cut = false })
+	l.Cuts++
+	c.later(forUs, func() { l.Cuts-- })
 }
 
 // stormFor loses, doubles, delays and reorders everything.
@@ -153,9 +153,9 @@
 			l := c.network.Link(from, to)
 			l.LossPerMille, l.DoublePerMille, l.DelayHighUs = loss, 100, 150*Millisecond
 			c.later(forUs, func() {
-				cut := l.Cut
+				cuts := l.Cuts
 				*l = ordinary()
-				l.Cut = cut
+				l.Cuts = cuts
 			})
 		}
 	}
