--- a/internal/controller/controller.go
+++ b/internal/controller/controller.go
@@ -4,6 +4,7 @@
 package controller
 
 import (
+	"cmp"
 	"context"
 	"path/filepath"
 	"strings"
@@ -50,6 +51,8 @@
 	rollouts rollouts
 	calm     calm
 	repairs  repairs
+	contact  contact
+	drained  drained
 	startUs  int64
 	disk     *consensus.DiskStore // nil on machines without one
 }
@@ -73,10 +76,11 @@
 	d.feed.init(clock())
 	d.syncRunners()
 	d.publisher = dissemination.NewPublisher(trans, dissemination.Upstream{Since: d.since, Told: d.toldBelow, Gone: d.goneBelow})
-	d.registers, err = consensus.Open(set.ControllerAddr(), transport.KindConsensus, set.Bootstrap, set.SeedAddrs(), trans, store, log, d.learned)
+	d.registers, err = consensus.Open(set.ControllerAddr(), transport.KindConsensus, set.Bootstrap, set.SeedAddrs(), contactCaller{trans, &d.contact, clock}, store, log, d.learned)
 	if err != nil {
 		return nil, err
 	}
+	d.contact.lease.Self = d.registers.ID()
 	self := messages.Peer{Addr: set.ControllerAddr(), Role: messages.Controller, Zone: set.Zone, MemberID: d.registers.ID(), Control: set.Listen.Control, Node: set.Node, Counted: set.Counted}
 	d.monitor = membership.NewMonitor(trans, self, clock, d.knownControllers)
 	trans.OnCall(transport.KindConsensus, func(ctx context.Context, _ *transport.Conn, body []byte) ([]byte, error) {
@@ -94,6 +98,7 @@
 		c := d.condition()
 		return c.MarshalMsg(nil)
 	})
+	trans.OnCall(transport.KindDraining, d.hearLeaving)
 	trans.OnDatagram(transport.KindRunner, d.heardRunner)
 	for p := range consensus.Parts {
 		if v, ok := d.registers.Committed(p); ok && v.Version > 0 {
@@ -178,7 +183,7 @@
 	for p := range consensus.Parts {
 		for ctx.Err() == nil {
 			cctx, cancel := context.WithTimeout(ctx, time.Second)
-			v, err := d.registers.Read(cctx, p)
+			v, err := d.readRegister(cctx, p)
 			cancel()
 			d.log.Info("part read", "part", p, "version", v.Version, "members", len(v.Group), "err", err)
 			if err == nil {
@@ -211,7 +216,7 @@
 }
 
 func (d *Controller) versions() messages.Versions {
-	m := messages.Versions{Parts: make([]int64, consensus.Parts), RegistrySum: d.registry.Snapshot().Sum, Controller: true, CalmUs: d.calm.forUs(d.clock())}
+	m := messages.Versions{Parts: make([]int64, consensus.Parts), RegistrySum: d.registry.Snapshot().Sum, Controller: true, CalmUs: d.calm.forUs(d.clock()), MemberID: d.registers.ID()}
 	for p := range m.Parts {
 		m.Parts[p] = -1
 		if v, ok := d.registers.Committed(p); ok {
@@ -322,6 +327,7 @@
 
 // catchUp compares versions with the other controllers and pulls what is newer.
 func (d *Controller) catchUp(ctx context.Context) {
+	d.registers.ForgetTransfers()
 	alive := d.monitor.Alive(messages.Controller)
 	view, core := coreView(alive)
 	d.calm.saw(view, d.clock())
@@ -332,7 +338,7 @@
 		go func() {
 			cctx, cancel := context.WithTimeout(ctx, 450*time.Millisecond)
 			defer cancel()
-			mine := d.versions()
+			mine, sentUs := d.versions(), d.clock()
 			b, err := d.transport.Call(cctx, p.Addr, transport.KindVersions, &mine)
 			if core[p.Addr] {
 				d.calm.tried(p.Addr, err == nil, d.clock())
@@ -344,9 +350,10 @@
 			if _, err := m.UnmarshalMsg(b); err != nil {
 				return
 			}
+			d.contact.answered(cmp.Or(m.MemberID, p.MemberID), sentUs) // the earlier format has none
 			for part := range min(len(m.Parts), consensus.Parts) {
 				if m.Parts[part] > mine.Parts[part] {
-					_ = d.registers.Pull(cctx, p.Addr, part)
+					go func() { _ = d.registers.Pull(ctx, p.Addr, part) }()
 				}
 			}
 		}()
--- a/internal/controller/feed.go
+++ b/internal/controller/feed.go
@@ -49,7 +49,6 @@
 
 	own, down outbox // to the other controllers, and to the routers
 	urgent    chan struct{}
-	pulling   atomic.Bool
 	sentUs    int64 // when a feed last went out to everybody
 
 	changes, wholes, malformed atomic.Int64
@@ -266,30 +265,23 @@
 	return len(f.Configuration)+len(f.Parts)+len(f.Registry)+len(f.Kept)+len(f.Reports)+len(f.Loads)+len(f.Coming) > 0
 }
 
-// cutOff tells whether the group that holds the configuration is out of this
-// node's reach, so that those below had better listen to another.
-func (d *Controller) cutOff() bool {
-	v, ok := d.registers.Committed(consensus.ConfigPart)
-	if !ok || len(v.Group) < 2 {
-		return false
-	}
-	reached := 0
-	for _, m := range v.Group {
-		if m.Addr == d.transport.Addr() || d.monitor.DeadForUs(m.Addr) == 0 && !d.calm.isCut(m.Addr) {
-			reached++
-		}
-	}
-	return reached <= len(v.Group)/2
-}
-
 // since gives what a receiver lacks: a router of everything, a controller of what
-// this one is the first to know.
+// this one is the first to know. Without the lease, a router that holds nothing
+// gets nothing: what is here may be old. It asks again, or finds a controller that
+// has the lease; if it finds none it says so, and then gets what there is. While
+// this controller starts, only the configuration is withheld: runners are told of
+// as they come, and one that was missed at first would be asked for late.
 func (d *Controller) since(h messages.Hold) messages.Feed {
-	out := messages.Feed{CalmUs: d.calm.forUs(d.clock())}
+	out := messages.Feed{CalmUs: d.calm.forUs(d.clock()), CutOff: d.cutOff()}
+	withheld := newcomer(h) && !h.Anything && !d.inContact()
+	if withheld && !d.starting() {
+		out.Versions = d.told()
+		return out
+	}
 	f := &d.feed
 	f.mu.Lock()
 	out.Versions = f.versions()
-	if c, lacks := f.configuration.Since(h.Configuration.Epoch, h.Configuration.Version); lacks && f.configuration.Version > h.Configuration.Version {
+	if c, lacks := f.configuration.Since(h.Configuration.Epoch, h.Configuration.Version); lacks && f.configuration.Version > h.Configuration.Version && !withheld {
 		out.Configuration = append(out.Configuration, statesync.SendEntries(c))
 	}
 	for p, n := range f.parts {
@@ -318,6 +310,9 @@
 	return out
 }
 
+// newcomer tells a router that has no configuration yet.
+func newcomer(h messages.Hold) bool { return !h.Controller && h.Configuration.Version == 0 }
+
 // toldBelow takes the loads of a node below.
 func (d *Controller) toldBelow(from string, t messages.Told) bool {
 	for _, id := range t.Absent {
@@ -395,15 +390,10 @@
 // pullNewer learns at once of a version that another controller has and this one
 // has not: one that is not in the group is not told by the round itself.
 func (d *Controller) pullNewer(addr string, versions []int64) {
-	f, mine := &d.feed, d.told()
+	mine := d.told()
 	for p, v := range versions {
-		if p < len(mine) && v > mine[p] && f.pulling.CompareAndSwap(false, true) {
-			go func() {
-				defer f.pulling.Store(false)
-				ctx, cancel := context.WithTimeout(context.Background(), 400*time.Millisecond)
-				defer cancel()
-				_ = d.registers.Pull(ctx, addr, p)
-			}()
+		if p < len(mine) && v > mine[p] {
+			go func() { _ = d.registers.Pull(context.Background(), addr, p) }()
 		}
 	}
 }
