Those who keep a file under one name go one after the other

Cause: two who kept the same small file wrote aside under one name; a rename found nothing (once in TestRestartKeepsWhatWasAcknowledgedAndTheBars). Change: DiskStore.Keep takes a turn for each name. Taken out, the turn: TestThoseWhoKeepOneNameGoOneAfterTheOther fails.

--- a/internal/consensus/disk_store.go
+++ b/internal/consensus/disk_store.go
@@ -35,6 +35,7 @@
 	files   filesystem.FileSystem
 	mu      sync.Mutex
 	seq     map[int]int64
+	keeping map[string]*sync.Mutex // by name of a small file
 	settled atomic.Bool
 
 	writing sync.RWMutex
@@ -61,7 +62,7 @@
 			_ = files.Remove(name)
 		}
 	}
-	return &DiskStore{files: files, seq: map[int]int64{}}, nil
+	return &DiskStore{files: files, seq: map[int]int64{}, keeping: map[string]*sync.Mutex{}}, nil
 }
 
 // Close waits for the writes under way; later ones are refused.
@@ -169,8 +170,20 @@
 	return b, err == nil
 }
 
-// Keep makes a small file durable under a name, in place of what it held.
-func (d *DiskStore) Keep(name string, body []byte) error { return d.write(name, sealed(body)) }
+// Keep makes a small file durable under a name, in place of what it held. Those
+// who keep under one name go one after the other, as they write aside under one
+// name too.
+func (d *DiskStore) Keep(name string, body []byte) error {
+	d.mu.Lock()
+	if d.keeping[name] == nil {
+		d.keeping[name] = &sync.Mutex{}
+	}
+	turn := d.keeping[name]
+	d.mu.Unlock()
+	turn.Lock()
+	defer turn.Unlock()
+	return d.write(name, sealed(body))
+}
 
 func sealed(body []byte) []byte {
 	out := binary.BigEndian.AppendUint32(make([]byte, 0, len(body)+checksumSize), crc32.ChecksumIEEE(body))
--- a/internal/consensus/store_test.go
+++ b/internal/consensus/store_test.go
@@ -7,6 +7,7 @@
 	"os"
 	"path/filepath"
 	"strings"
+	"sync"
 	"testing"
 
 	"github.com/go-logr/logr"
@@ -329,3 +330,25 @@
 		HasAccepted: true,
 	}, kept.Records[0])
 }
+
+// The list of runners and notes of leases may be kept by several at a time.
+func TestThoseWhoKeepOneNameGoOneAfterTheOther(t *testing.T) {
+	d, err := NewDiskStore(t.TempDir())
+	must.NoError(t, err)
+	var group sync.WaitGroup
+	faults := make(chan error, 400)
+	for range 8 {
+		group.Go(func() {
+			for range 50 {
+				faults <- d.Keep("note", []byte("kept"))
+			}
+		})
+	}
+	group.Wait()
+	for range cap(faults) {
+		must.NoError(t, <-faults)
+	}
+	kept, ok := d.Note("note")
+	must.True(t, ok)
+	must.Eq(t, "kept", string(kept))
+}
