--- a/internal/admission/absent.go
+++ b/internal/admission/absent.go
@@ -62,7 +62,7 @@
 // WrongInstance notes that a runner answered 421. expected tells whether the
 // request named a version of the weights, so that the answer may be about that.
 // It tells whether the runner has left the choice by it.
-func (d *Doorman) WrongInstance(adm *Admission, expected bool, nowUs int64) bool {
+func (d *Controller) WrongInstance(adm *Admission, expected bool, nowUs int64) bool {
 	p := d.pool(adm.service)
 	r := p.runners[adm.Runner.ID]
 	if r == nil || r.absence.out {
@@ -73,7 +73,7 @@
 	}
 	vouched := r.absence.foundUs > 0 && nowUs-r.absence.foundUs < provenUs
 	if expected && (vouched || !p.mayDoubt()) {
-		r.unsoundUs = max(r.unsoundUs, nowUs+turnedAwayUs)
+		r.avoidUntilUs = max(r.avoidUntilUs, nowUs+turnedAwayUs)
 		return false
 	}
 	pauseUs := r.absence.pauseUs
@@ -96,14 +96,14 @@
 }
 
 // Absent tells whether the runner of an admission has left the choice since.
-func (d *Doorman) Absent(adm *Admission) bool {
+func (d *Controller) Absent(adm *Admission) bool {
 	r := d.pool(adm.service).runners[adm.Runner.ID]
 	return r != nil && r.absence.out
 }
 
 // DueProbes gives the registrations of absent runners whose probe is due, and
 // whether any runner is absent at all.
-func (d *Doorman) DueProbes(nowUs int64) (due []messages.RunnerRecord, any bool) {
+func (d *Controller) DueProbes(nowUs int64) (due []messages.RunnerRecord, any bool) {
 	for _, p := range d.pools {
 		for _, id := range p.order {
 			r := p.runners[id]
@@ -124,7 +124,7 @@
 
 // Found takes what a probe found at the address of a runner. It tells whether the
 // runner's absence has become sure by it.
-func (d *Doorman) Found(n messages.RunnerRecord, what Presence, nowUs int64) (sure bool) {
+func (d *Controller) Found(n messages.RunnerRecord, what Presence, nowUs int64) (sure bool) {
 	r := d.pool(n.Service).runners[n.ID]
 	if r == nil || !r.absence.out || r.note.Addr != n.Addr {
 		return false
@@ -132,7 +132,7 @@
 	switch what {
 	case Here:
 		r.absence = absence{foundUs: nowUs}
-		r.unsoundUs = max(r.unsoundUs, nowUs+turnedAwayUs)
+		r.avoidUntilUs = max(r.avoidUntilUs, nowUs+turnedAwayUs)
 	case Unprobed:
 		r.absence.out = r.absence.pauseUs <= probeFirstUs // the first look is at once
 	case Elsewhere:
@@ -146,7 +146,7 @@
 }
 
 // surelyAbsent forgets what the runner kept and notes it for others.
-func (d *Doorman) surelyAbsent(id string) {
+func (d *Controller) surelyAbsent(id string) {
 	d.Index.Reset(id)
 	if len(d.absent) < hintsAtOnce {
 		d.absent = append(d.absent, id)
@@ -155,7 +155,7 @@
 
 // TakeAbsent gives the runners that were surely not at their address and have
 // not been given before.
-func (d *Doorman) TakeAbsent() []string {
+func (d *Controller) TakeAbsent() []string {
 	ids := d.absent
 	d.absent = nil
 	return ids
--- a/internal/admission/admission.go
+++ b/internal/admission/admission.go
@@ -1,8 +1,8 @@
-// Doorman holds all of admission's state of one node. Checks run cheapest
+// Controller holds all of admission's state of one node. Checks run cheapest
 // first; load is counted in blocks of runner memory, output blocks included,
 // and in prompt tokens waiting to be read; a runner past a threshold gets no
 // new request; what cannot go now waits within caps and a time to live, or is
-// denied at once with a time to come back.
+// rejected at once with a time to come back.
 package admission
 
 import (
@@ -29,17 +29,17 @@
 	Avoid      []string // runners tried before
 }
 
-// Reason says which check denied a request.
+// Reason says which check rejected a request.
 type Reason string
 
 // Reasons of a denial.
 const (
-	DenyRate    Reason = "tenant-rate"
-	DenyContext Reason = "context"
-	DenyPending Reason = "pending-requests"
-	DenyTokens  Reason = "pending-tokens"
-	DenyShed    Reason = "shed"
-	DenyTTL     Reason = "ttl"
+	RejectRate    Reason = "tenant-rate"
+	RejectContext Reason = "context"
+	RejectQueue   Reason = "pending-requests"
+	RejectTokens  Reason = "pending-tokens"
+	RejectShed    Reason = "shed"
+	RejectTTL     Reason = "ttl"
 )
 
 // Ruling is what the admission control says of one request.
@@ -47,13 +47,13 @@
 	Ref     inflight.Ref
 	Admit   *Admission
 	Hold    bool
-	Deny    Reason
+	Reject  Reason
 	Status  int
 	AgainUs int64
 }
 
-// Doorman is not safe for concurrent use.
-type Doorman struct {
+// Controller is not safe for concurrent use.
+type Controller struct {
 	T       Tuning
 	Zone    string
 	Index   *prefixindex.Index
@@ -76,8 +76,8 @@
 }
 
 // New makes a admission control for a node at a zone.
-func New(t Tuning, zone string) *Doorman {
-	return &Doorman{T: t, Zone: zone, Index: prefixindex.NewIndex(), nodes: 1, pools: map[string]*pool{}, tenants: map[string]*tenantState{}, oldUs: map[string]int64{}, newest: map[string]int64{}, MarkUs: 6_000_000, Salt: Salt}
+func New(t Tuning, zone string) *Controller {
+	return &Controller{T: t, Zone: zone, Index: prefixindex.NewIndex(), nodes: 1, pools: map[string]*pool{}, tenants: map[string]*tenantState{}, oldUs: map[string]int64{}, newest: map[string]int64{}, MarkUs: 6_000_000, Salt: Salt}
 }
 
 // Salt keeps weight versions apart, isolated tenants from all others, and the
@@ -102,10 +102,10 @@
 }
 
 // SetNodes tells how many nodes share the runners.
-func (d *Doorman) SetNodes(n int) { d.nodes = max(n, 1) }
+func (d *Controller) SetNodes(n int) { d.nodes = max(n, 1) }
 
 // SetNewest tells the newest version named for a model.
-func (d *Doorman) SetNewest(model string, version, nowUs int64) {
+func (d *Controller) SetNewest(model string, version, nowUs int64) {
 	if version > d.newest[model] {
 		d.newest[model] = version
 		d.oldUs[model] = nowUs
@@ -114,17 +114,17 @@
 
 // Calm tells since when the core has been calm. The time in which runners are
 // to be brought to new weights counts in one calm stretch.
-func (d *Doorman) Calm(sinceUs int64) { d.calmUs = max(d.calmUs, sinceUs) }
+func (d *Controller) Calm(sinceUs int64) { d.calmUs = max(d.calmUs, sinceUs) }
 
 // Arrive rules on a new request.
-func (d *Doorman) Arrive(a Ask, nowUs int64) Ruling {
+func (d *Controller) Arrive(a Ask, nowUs int64) Ruling {
 	p := d.pool(a.Service)
 	t := d.tenant(a.Tenant, nowUs)
 	if !d.allowRate(t, p, nowUs) {
-		return d.deny(a, p, DenyRate, 429)
+		return d.reject(a, p, RejectRate, 429)
 	}
 	if p.tokens > 0 && a.TokensIn+a.TokensOut > p.tokens {
-		return d.deny(a, p, DenyContext, 503)
+		return d.reject(a, p, RejectContext, 503)
 	}
 	if p.queue.count == 0 || p.queue.bands[0].rank > a.Rank || d.nothingAhead(p, a.Rank) {
 		if adm := d.admit(a, p, t, nowUs); adm != nil {
@@ -134,7 +134,7 @@
 	return d.hold(a, p, nowUs)
 }
 
-func (d *Doorman) nothingAhead(p *pool, rank int) bool {
+func (d *Controller) nothingAhead(p *pool, rank int) bool {
 	for _, b := range p.queue.bands {
 		if b.rank <= rank && len(b.turn) > 0 {
 			return false
@@ -143,7 +143,7 @@
 	return true
 }
 
-func (d *Doorman) hold(a Ask, p *pool, nowUs int64) Ruling {
+func (d *Controller) hold(a Ask, p *pool, nowUs int64) Ruling {
 	share := func(total float64) float64 {
 		if d.nodes > 2 {
 			return 2 * total / float64(d.nodes)
@@ -151,29 +151,29 @@
 		return total
 	}
 	if float64(p.queue.count+1) > share(float64(d.places(p)+d.T.BufferRequests)) {
-		return d.deny(a, p, DenyPending, 503)
+		return d.reject(a, p, RejectQueue, 503)
 	}
 	setpoint := max(a.SetpointUs, 100_000)
 	if p.queue.count > 0 && float64(p.queue.tokens+a.TokensIn) > share(float64(setpoint)*d.rate(p)) {
-		return d.deny(a, p, DenyTokens, 503)
+		return d.reject(a, p, RejectTokens, 503)
 	}
 	ttl := min(int64(float64(a.LeftUs)*d.T.TTLPart), int64(float64(setpoint)*d.T.TTLSetpoints))
 	p.queue.put(&waiting{ask: a, untilUs: nowUs + max(ttl, 50_000)})
 	return Ruling{Ref: a.Ref, Hold: true}
 }
 
-// ShedFor makes room for a request of a higher band that was denied for a full
+// ShedFor makes room for a request of a higher band that was rejected for a full
 // queue: the newest of the lowest band goes instead.
-func (d *Doorman) ShedFor(a Ask, nowUs int64) (Ruling, bool) {
+func (d *Controller) ShedFor(a Ask, nowUs int64) (Ruling, bool) {
 	p := d.pool(a.Service)
 	w := p.queue.shed(a.Rank)
 	if w == nil {
 		return Ruling{}, false
 	}
-	return d.deny(w.ask, p, DenyShed, 503), true
+	return d.reject(w.ask, p, RejectShed, 503), true
 }
 
-func (d *Doorman) deny(a Ask, p *pool, why Reason, status int) Ruling {
+func (d *Controller) reject(a Ask, p *pool, why Reason, status int) Ruling {
 	again := int64(float64(p.queue.tokens)/d.rate(p)) + 60_000
-	return Ruling{Ref: a.Ref, Deny: why, Status: status, AgainUs: min(max(again, 60_000), 1_000_000)}
+	return Ruling{Ref: a.Ref, Reject: why, Status: status, AgainUs: min(max(again, 60_000), 1_000_000)}
 }
--- a/internal/admission/admission_test.go
+++ b/internal/admission/admission_test.go
@@ -17,7 +17,7 @@
 	return messages.RunnerRecord{ID: id, Service: "s", Addr: id + ":1", Zone: "a", Capacity: 4, Models: []messages.Target{{Model: "m", Version: 1}}}
 }
 
-func door(ids ...string) *Doorman {
+func door(ids ...string) *Controller {
 	d := New(Defaults, "a")
 	var notes []messages.RunnerRecord
 	for _, id := range ids {
@@ -45,19 +45,19 @@
 	d := door("x")
 	a := ask(memory, memory)
 	for range 64 {
-		must.Eq(t, DenyContext, d.Arrive(a, 1).Deny)
+		must.Eq(t, RejectContext, d.Arrive(a, 1).Reject)
 	}
 	r := d.Arrive(a, 1)
-	must.Eq(t, DenyRate, r.Deny)
+	must.Eq(t, RejectRate, r.Reject)
 	must.Eq(t, 429, r.Status)
 	must.Greater(t, 0, r.AgainUs)
-	must.Eq(t, DenyContext, d.Arrive(a, 10_000_000).Deny, must.Sprint("the bucket fills again"))
+	must.Eq(t, RejectContext, d.Arrive(a, 10_000_000).Reject, must.Sprint("the bucket fills again"))
 }
 
 func TestContextBudgetCountsOutputAndIsNo4xx(t *testing.T) {
 	d := door("x")
 	r := d.Arrive(ask(memory-5, 6), 1)
-	must.Eq(t, DenyContext, r.Deny)
+	must.Eq(t, RejectContext, r.Reject)
 	must.Eq(t, 503, r.Status)
 	must.NotNil(t, d.Arrive(ask(memory-6, 6), 2).Admit)
 }
@@ -172,7 +172,7 @@
 			held++
 			continue
 		}
-		must.Eq(t, DenyPending, r.Deny)
+		must.Eq(t, RejectQueue, r.Reject)
 		must.Eq(t, 503, r.Status)
 		must.Greater(t, 0, r.AgainUs)
 	}
@@ -186,7 +186,7 @@
 		d.Arrive(ask(16, 1), int64(i))
 	}
 	must.True(t, d.Arrive(ask(3_000, 1), 10).Hold)
-	must.Eq(t, DenyTokens, d.Arrive(ask(1_500, 1), 11).Deny)
+	must.Eq(t, RejectTokens, d.Arrive(ask(1_500, 1), 11).Reject)
 	must.True(t, d.Arrive(ask(900, 1), 12).Hold)
 }
 
@@ -198,7 +198,7 @@
 	must.SliceEmpty(t, d.Tick(98_000))
 	out := d.Tick(100_000)
 	must.Len(t, 1, out)
-	must.Eq(t, DenyTTL, out[0].Deny)
+	must.Eq(t, RejectTTL, out[0].Reject)
 	must.Eq(t, 503, out[0].Status)
 }
 
@@ -242,11 +242,11 @@
 		must.True(t, d.Arrive(a, int64(10+i)).Hold)
 	}
 	high := ask(16, 1)
-	must.Eq(t, DenyPending, d.Arrive(high, 50).Deny)
+	must.Eq(t, RejectQueue, d.Arrive(high, 50).Reject)
 	shed, ok := d.ShedFor(high, 51)
 	must.True(t, ok)
 	must.Eq(t, last, shed.Ref)
-	must.Eq(t, DenyShed, shed.Deny)
+	must.Eq(t, RejectShed, shed.Reject)
 	must.True(t, d.Arrive(high, 52).Hold)
 	low := ask(16, 1)
 	low.Rank = 1
--- a/internal/admission/admit.go
+++ b/internal/admission/admit.go
@@ -35,7 +35,7 @@
 	blocks int
 }
 
-func (d *Doorman) admit(a Ask, p *pool, t *tenantState, nowUs int64) *Admission {
+func (d *Controller) admit(a Ask, p *pool, t *tenantState, nowUs int64) *Admission {
 	d.free = true
 	if float64(t.admitted) >= t.window {
 		return nil
@@ -95,7 +95,7 @@
 
 // expect notes the shared parts that a runner is about to read, here and for
 // the other nodes.
-func (d *Doorman) expect(adm *Admission, shared int) bool {
+func (d *Controller) expect(adm *Admission, shared int) bool {
 	note := messages.KeptNote{ID: adm.Runner.ID, Parts: []messages.KeptPart{}}
 	for i := range max(shared, 0) {
 		k, n := adm.Keys[i], int32(adm.Parts[i].Tokens)
@@ -113,11 +113,11 @@
 
 // HasFresh tells whether there is something that the other nodes should hear
 // soon.
-func (d *Doorman) HasFresh() bool { return len(d.fresh) > 0 }
+func (d *Controller) HasFresh() bool { return len(d.fresh) > 0 }
 
 // FirstToken notes that a runner has read a prompt, which also tells how fast
 // it reads and what it keeps now.
-func (d *Doorman) FirstToken(adm *Admission, nowUs int64) {
+func (d *Controller) FirstToken(adm *Admission, nowUs int64) {
 	r := d.pool(adm.service).runners[adm.Runner.ID]
 	if r == nil || !adm.reading {
 		return
@@ -139,7 +139,7 @@
 
 // Done gives the place back. ok tells whether the runner behaved; a runner
 // whose links fail is passed over for a while.
-func (d *Doorman) Done(adm *Admission, ok bool, nowUs int64) {
+func (d *Controller) Done(adm *Admission, ok bool, nowUs int64) {
 	p := d.pool(adm.service)
 	r := p.runners[adm.Runner.ID]
 	d.tenant(adm.tenant, nowUs).admitted--
@@ -162,15 +162,15 @@
 	r.own.blocks -= adm.blocks
 	r.own.count--
 	if ok {
-		r.pauseUs, r.unsoundUs = 0, 0
+		r.pauseUs, r.avoidUntilUs = 0, 0
 		return
 	}
 	r.pauseUs = min(max(2*r.pauseUs, d.T.UnsoundUs), d.T.UnsoundMaxUs)
-	r.unsoundUs = nowUs + r.pauseUs
+	r.avoidUntilUs = nowUs + r.pauseUs
 }
 
 // Ended notes how a request that ran at a runner ended there.
-func (d *Doorman) Ended(adm *Admission, good bool, nowUs int64) {
+func (d *Controller) Ended(adm *Admission, good bool, nowUs int64) {
 	p := d.pool(adm.service)
 	if r := p.runners[adm.Runner.ID]; r != nil {
 		r.health.note(good, nowUs)
@@ -184,15 +184,15 @@
 
 // Full notes that a runner turned a request away: for a short while it counts
 // as having no place.
-func (d *Doorman) Full(adm *Admission, nowUs int64) {
+func (d *Controller) Full(adm *Admission, nowUs int64) {
 	if r := d.pool(adm.service).runners[adm.Runner.ID]; r != nil {
-		r.unsoundUs = max(r.unsoundUs, nowUs+turnedAwayUs)
+		r.avoidUntilUs = max(r.avoidUntilUs, nowUs+turnedAwayUs)
 	}
 }
 
 // TakeFresh gives the parts that this node has sent to be read since the last
 // call.
-func (d *Doorman) TakeFresh() []messages.KeptNote {
+func (d *Controller) TakeFresh() []messages.KeptNote {
 	out := d.fresh
 	d.fresh = nil
 	return out
--- a/internal/admission/candidates.go
+++ b/internal/admission/candidates.go
@@ -11,14 +11,14 @@
 )
 
 // Candidates lists the runners that a request may go to now.
-func (d *Doorman) Candidates(a Ask, nowUs int64) []placement.Candidate {
+func (d *Controller) Candidates(a Ask, nowUs int64) []placement.Candidate {
 	list, _ := d.candidates(a, d.pool(a.Service), nowUs)
 	return slices.Clone(list)
 }
 
 // candidates gives the runners that a request may go to; the result holds until
 // the next call.
-func (d *Doorman) candidates(a Ask, p *pool, nowUs int64) ([]placement.Candidate, []*runner) {
+func (d *Controller) candidates(a Ask, p *pool, nowUs int64) ([]placement.Candidate, []*runner) {
 	out, who := d.list[:0], d.who[:0]
 	defer func() { d.list, d.who = out, who }()
 	d.free = false
@@ -72,7 +72,7 @@
 
 // keysOf gives the keys of a request's parts under each version, each worked out
 // once.
-func (d *Doorman) keysOf(a Ask) func(version int64) []uint64 {
+func (d *Controller) keysOf(a Ask) func(version int64) []uint64 {
 	var versions []int64
 	var keys [][]uint64
 	return func(version int64) []uint64 {
@@ -107,7 +107,7 @@
 
 // findMoves finds for every candidate the runner with the same weights that
 // keeps more of the prompt and from where it comes soonest.
-func (d *Doorman) findMoves(a Ask, p *pool, out []placement.Candidate, who []*runner, keysOf func(version int64) []uint64, nowUs int64) {
+func (d *Controller) findMoves(a Ask, p *pool, out []placement.Candidate, who []*runner, keysOf func(version int64) []uint64, nowUs int64) {
 	shared := 0
 	for _, part := range a.Parts[:len(a.Parts)-1] {
 		shared += part.Tokens
@@ -141,7 +141,7 @@
 	}
 	for _, id := range p.order {
 		r := p.runners[id]
-		if r.absence.out || r.note.Stale || r.unsoundUs > nowUs || !p.lets(a, id) {
+		if r.absence.out || r.note.Stale || r.avoidUntilUs > nowUs || !p.lets(a, id) {
 			continue
 		}
 		version := markOf(r.note, a.Model)
@@ -185,9 +185,9 @@
 // preference sorts runners into three: those to be used, those that are about
 // to get an order and should not begin a long request, and those that are
 // silent or whose links fail.
-func (d *Doorman) preference(a Ask, r *runner, nowUs int64) int {
+func (d *Controller) preference(a Ask, r *runner, nowUs int64) int {
 	switch {
-	case r.note.Stale || r.unsoundUs > nowUs || r.health.out(nowUs):
+	case r.note.Stale || r.avoidUntilUs > nowUs || r.health.out(nowUs):
 		return 2
 	case r.note.Easing && a.TokensOut > d.T.LongOut:
 		return 1
@@ -213,7 +213,7 @@
 	return 0
 }
 
-func (d *Doorman) markAllowed(model string, r *runner, nowUs int64) bool {
+func (d *Controller) markAllowed(model string, r *runner, nowUs int64) bool {
 	want := d.newest[model]
 	if want == 0 || nowUs-max(d.oldUs[model], d.calmUs) < d.MarkUs {
 		return true
--- a/internal/admission/health_test.go
+++ b/internal/admission/health_test.go
@@ -9,7 +9,7 @@
 	"beechtide.org/beechtide/internal/messages"
 )
 
-func tenRunners() (*Doorman, []string) {
+func tenRunners() (*Controller, []string) {
 	var ids []string
 	for i := range 10 {
 		ids = append(ids, fmt.Sprint("r", i))
@@ -17,11 +17,11 @@
 	return door(ids...), ids
 }
 
-func (d *Doorman) end(id string, good bool, nowUs int64) {
+func (d *Controller) end(id string, good bool, nowUs int64) {
 	d.Ended(&Admission{Runner: messages.RunnerRecord{ID: id}, service: "s"}, good, nowUs)
 }
 
-func offered(d *Doorman, nowUs int64) map[string]bool {
+func offered(d *Controller, nowUs int64) map[string]bool {
 	out := map[string]bool{}
 	for _, c := range d.Candidates(ask(16, 1), nowUs) {
 		out[c.ID] = true
--- a/internal/admission/loads.go
+++ b/internal/admission/loads.go
@@ -9,10 +9,10 @@
 )
 
 // Report takes a runner's own word.
-func (d *Doorman) Report(n messages.ReportNote, nowUs int64) {
+func (d *Controller) Report(n messages.ReportNote, nowUs int64) {
 	for _, p := range d.pools {
 		if r := p.runners[n.ID]; r != nil {
-			r.report = word{blocks: n.Used / d.T.BlockTokens, count: n.Active + n.Pending, atUs: nowUs}
+			r.report = word{blocks: n.Used / d.T.BlockTokens, count: n.Active + n.Queued, atUs: nowUs}
 			r.reported = true
 			if n.Total > 0 {
 				r.blocks = n.Total / d.T.BlockTokens
@@ -22,7 +22,7 @@
 }
 
 // Coming takes other nodes' word on the parts that they have sent to be read.
-func (d *Doorman) Coming(notes []messages.KeptNote) {
+func (d *Controller) Coming(notes []messages.KeptNote) {
 	for _, n := range notes {
 		for _, part := range n.Parts {
 			d.Index.Expect(n.ID, part.Key, part.Tokens)
@@ -32,7 +32,7 @@
 
 // Others takes what the other nodes have at the runners, added up; a runner
 // that is not named has nothing of theirs.
-func (d *Doorman) Others(loads func(id string) messages.RunnerLoad, nowUs int64) {
+func (d *Controller) Others(loads func(id string) messages.RunnerLoad, nowUs int64) {
 	for _, p := range d.pools {
 		for id, r := range p.runners {
 			r.other(loads(id))
@@ -42,7 +42,7 @@
 }
 
 // Other takes it for one runner.
-func (d *Doorman) Other(id string, l messages.RunnerLoad) {
+func (d *Controller) Other(id string, l messages.RunnerLoad) {
 	for _, p := range d.pools {
 		if r := p.runners[id]; r != nil {
 			r.other(l)
@@ -51,7 +51,7 @@
 }
 
 // Told notes that what is known of the others is of now.
-func (d *Doorman) Told(nowUs int64) {
+func (d *Controller) Told(nowUs int64) {
 	d.toldUs = nowUs
 	for _, p := range d.pools {
 		p.eject(nowUs)
@@ -59,7 +59,7 @@
 }
 
 // forgetOthers lets go of what the others said once it is too old.
-func (d *Doorman) forgetOthers(nowUs int64) {
+func (d *Controller) forgetOthers(nowUs int64) {
 	if d.toldUs == 0 || d.told(nowUs) {
 		return
 	}
@@ -72,13 +72,13 @@
 }
 
 // told tells whether the others' loads are fresh enough to go by.
-func (d *Doorman) told(nowUs int64) bool {
+func (d *Controller) told(nowUs int64) bool {
 	return d.toldUs > 0 && nowUs-d.toldUs < d.T.ReportFreshUs
 }
 
 // Blind lists the runners whose thresholds cannot fire as they should: memory
 // that is not known, or no report within three times the time one is believed.
-func (d *Doorman) Blind(nowUs int64) []string {
+func (d *Controller) Blind(nowUs int64) []string {
 	var out []string
 	for _, p := range d.pools {
 		for _, id := range p.order {
@@ -97,7 +97,7 @@
 const flowStep = 250
 
 // Own is what this node has at the runners.
-func (d *Doorman) Own(nowUs int64) map[string]messages.RunnerLoad {
+func (d *Controller) Own(nowUs int64) map[string]messages.RunnerLoad {
 	out := map[string]messages.RunnerLoad{}
 	for _, p := range d.pools {
 		for id, r := range p.runners {
--- a/internal/admission/pending.go
+++ b/internal/admission/pending.go
@@ -1,4 +1,4 @@
-// Pending is the bounded queue of one service: strict bands by rank, inside a
+// Queue is the bounded queue of one service: strict bands by rank, inside a
 // band the tenants in turn, and a time to live for every request.
 package admission
 
--- a/internal/admission/pool.go
+++ b/internal/admission/pool.go
@@ -24,7 +24,7 @@
 
 // SetService tells the runners of a service, the memory of each in tokens, and
 // how long moving the memory of a token takes.
-func (d *Doorman) SetService(service string, notes []messages.RunnerRecord, tokens int, moveUs float64) {
+func (d *Controller) SetService(service string, notes []messages.RunnerRecord, tokens int, moveUs float64) {
 	p := d.pool(service)
 	p.tokens, p.moveUs = tokens, moveUs
 	keep := map[string]bool{}
@@ -53,11 +53,11 @@
 const linkPart = 0.9
 
 // SetLinks tells how many connections a runner of a service takes in all.
-func (d *Doorman) SetLinks(service string, limit int) { d.pool(service).links = limit }
+func (d *Controller) SetLinks(service string, limit int) { d.pool(service).links = limit }
 
 // linkShare is how many requests this node may have at one runner at a time,
 // each on a connection of its own; 0 means any number.
-func (d *Doorman) linkShare(p *pool) int {
+func (d *Controller) linkShare(p *pool) int {
 	if p.links <= 0 {
 		return 0
 	}
@@ -65,7 +65,7 @@
 }
 
 // SetCertified tells which runners and stores of a service each regime lets in.
-func (d *Doorman) SetCertified(service string, allowed map[string]map[string]bool) {
+func (d *Controller) SetCertified(service string, allowed map[string]map[string]bool) {
 	d.pool(service).allowed = allowed
 }
 
@@ -74,10 +74,10 @@
 func (p *pool) lets(a Ask, id string) bool { return a.Regime == "" || p.allowed[a.Regime][id] }
 
 // SetStores tells the stores that runners of a service may use.
-func (d *Doorman) SetStores(service string, stores []Store) { d.pool(service).stores = stores }
+func (d *Controller) SetStores(service string, stores []Store) { d.pool(service).stores = stores }
 
 // Services lists those with requests waiting.
-func (d *Doorman) Services() []string {
+func (d *Controller) Services() []string {
 	var out []string
 	for name := range d.pools {
 		out = append(out, name)
@@ -85,7 +85,7 @@
 	return out
 }
 
-func (d *Doorman) pool(service string) *pool {
+func (d *Controller) pool(service string) *pool {
 	p := d.pools[service]
 	if p == nil {
 		p = &pool{runners: map[string]*runner{}}
@@ -94,7 +94,7 @@
 	return p
 }
 
-func (d *Doorman) places(p *pool) int {
+func (d *Controller) places(p *pool) int {
 	n := 0
 	for _, id := range p.order {
 		n += p.runners[id].capacity
@@ -102,7 +102,7 @@
 	return n
 }
 
-func (d *Doorman) rate(p *pool) float64 {
+func (d *Controller) rate(p *pool) float64 {
 	sum := 0.0
 	for _, id := range p.order {
 		sum += p.runners[id].readRate(&d.T)
--- a/internal/admission/runner.go
+++ b/internal/admission/runner.go
@@ -16,23 +16,23 @@
 }
 
 type runner struct {
-	note      messages.RunnerRecord
-	capacity  int
-	blocks    int // memory in blocks; 0 where the runner has none to count
-	own       word
-	recent    []recentShot
-	pins      map[uint64]int
-	others    word // what the other nodes have there, added up
-	report    word
-	reported  bool
-	rate      float64
-	barredUs  int64 // since when it has been barred; 0: it is not
-	busyKV    bool
-	busyRead  bool
-	unsoundUs int64 // until when
-	pauseUs   int64
-	health    health
-	absence   absence
+	note         messages.RunnerRecord
+	capacity     int
+	blocks       int // memory in blocks; 0 where the runner has none to count
+	own          word
+	recent       []recentShot
+	pins         map[uint64]int
+	others       word // what the other nodes have there, added up
+	report       word
+	reported     bool
+	rate         float64
+	barredUs     int64 // since when it has been barred; 0: it is not
+	busyKV       bool
+	busyRead     bool
+	avoidUntilUs int64 // until when
+	pauseUs      int64
+	health       health
+	absence      absence
 }
 
 type recentShot struct {
--- a/internal/admission/session.go
+++ b/internal/admission/session.go
@@ -15,7 +15,7 @@
 
 // SetRelinquished tells which zones give up their sessions, and over how long
 // each. What has been left stays left for as long as the zone is named.
-func (d *Doorman) SetRelinquished(zones map[string]int64, nowUs int64) {
+func (d *Controller) SetRelinquished(zones map[string]int64, nowUs int64) {
 	next := map[string]relinquished{}
 	for zone, overUs := range zones {
 		x, known := d.left[zone]
@@ -39,7 +39,7 @@
 
 // Leaves tells whether a request's session has left a zone, or is to leave it
 // now.
-func (d *Doorman) Leaves(a Ask, zone string, nowUs int64) bool {
+func (d *Controller) Leaves(a Ask, zone string, nowUs int64) bool {
 	x, ok := d.left[zone]
 	if !ok {
 		return false
@@ -53,7 +53,7 @@
 
 // home is the zone that a session goes to: the same for all nodes, and the same
 // again whatever becomes of the other zones.
-func (d *Doorman) home(a Ask, p *pool) string {
+func (d *Controller) home(a Ask, p *pool) string {
 	session, best, top := Session(a), "", uint64(0)
 	for _, id := range p.order {
 		n := &p.runners[id].note
@@ -69,7 +69,7 @@
 
 // TryNow admits a request if there is a place for it at this moment, and does
 // not let it wait.
-func (d *Doorman) TryNow(a Ask, nowUs int64) *Admission {
+func (d *Controller) TryNow(a Ask, nowUs int64) *Admission {
 	p := d.pool(a.Service)
 	if p.tokens > 0 && a.TokensIn+a.TokensOut > p.tokens || !d.nothingAhead(p, a.Rank) {
 		return nil
--- a/internal/admission/session_test.go
+++ b/internal/admission/session_test.go
@@ -26,12 +26,12 @@
 	return a
 }
 
-func goes(t *testing.T, d *Doorman, i int, nowUs int64) string {
+func goes(t *testing.T, d *Controller, i int, nowUs int64) string {
 	t.Helper()
 	a := sessionAsk(i)
 	a.Tenant = fmt.Sprint("t", i) // so that no tenant's rate is in the way
 	r := d.Arrive(a, nowUs)
-	must.NotNil(t, r.Admit, must.Sprint(r.Deny))
+	must.NotNil(t, r.Admit, must.Sprint(r.Reject))
 	d.FirstToken(r.Admit, nowUs)
 	d.Done(r.Admit, true, nowUs)
 	return r.Admit.Runner.Zone
@@ -39,7 +39,7 @@
 
 const some = 400
 
-func moveDoor() *Doorman {
+func moveDoor() *Controller {
 	d := New(Defaults, "a")
 	d.SetService("s", sited("a", "b", "c", "a", "b", "c"), memory, 0.01)
 	return d
@@ -80,7 +80,7 @@
 func TestASecondMoveTakesOnlyItsOwn(t *testing.T) {
 	one, two := moveDoor(), moveDoor()
 	two.Zone = "c"
-	for _, d := range []*Doorman{one, two} {
+	for _, d := range []*Controller{one, two} {
 		d.SetRelinquished(map[string]int64{"a": 0}, 1)
 	}
 	first := map[int]string{}
--- a/internal/admission/tuning.go
+++ b/internal/admission/tuning.go
@@ -1,5 +1,5 @@
 // Package admission is admission: for every generation request it says whether
-// it goes to a runner now, waits in a bounded queue, or is denied at once. It
+// it goes to a runner now, waits in a bounded queue, or is rejected at once. It
 // follows "Admission control for distributed LLM inference" (docs/source.md
 // says what was kept and what was changed). Everything here is pure: time and
 // input are arguments. This file holds the values that are ours to choose.
--- a/internal/admission/window.go
+++ b/internal/admission/window.go
@@ -10,7 +10,7 @@
 	windowUs int64
 }
 
-func (d *Doorman) tenant(name string, nowUs int64) *tenantState {
+func (d *Controller) tenant(name string, nowUs int64) *tenantState {
 	t := d.tenants[name]
 	if t == nil {
 		t = &tenantState{window: d.T.WindowStart, bucket: -1, bucketUs: nowUs, windowUs: nowUs}
@@ -19,7 +19,7 @@
 	return t
 }
 
-func (d *Doorman) allowRate(t *tenantState, p *pool, nowUs int64) bool {
+func (d *Controller) allowRate(t *tenantState, p *pool, nowUs int64) bool {
 	most := max(d.T.TenantBurst*float64(d.places(p)), 64)
 	if t.bucket < 0 {
 		t.bucket = most
@@ -33,16 +33,16 @@
 	return true
 }
 
-// Tick lets time pass: requests whose wait is over are denied, others that
+// Tick lets time pass: requests whose wait is over are rejected, others that
 // find room are admitted, and the tenants' windows move.
-func (d *Doorman) Tick(nowUs int64) []Ruling {
+func (d *Controller) Tick(nowUs int64) []Ruling {
 	var out []Ruling
 	for _, p := range d.pools {
 		if p.queue.count == 0 {
 			continue
 		}
 		for _, w := range p.queue.expired(nowUs) {
-			out = append(out, d.deny(w.ask, p, DenyTTL, 503))
+			out = append(out, d.reject(w.ask, p, RejectTTL, 503))
 		}
 		full := false
 		p.queue.walk(func(w *waiting) bool {
@@ -63,7 +63,7 @@
 	return out
 }
 
-func (d *Doorman) moveWindows(nowUs int64) {
+func (d *Controller) moveWindows(nowUs int64) {
 	use, n := 0.0, 0
 	for name, t := range d.tenants {
 		if nowUs-t.windowUs < d.T.WindowEveryUs {
@@ -96,7 +96,7 @@
 	return min(max(w, t.WindowMin), t.WindowMax)
 }
 
-func (d *Doorman) meanUse(nowUs int64) float64 {
+func (d *Controller) meanUse(nowUs int64) float64 {
 	sum, n := 0.0, 0
 	for _, p := range d.pools {
 		for _, id := range p.order {
--- a/internal/api/types.gen.go
+++ b/internal/api/types.gen.go
@@ -206,7 +206,7 @@
 	CacheUsed  int              `json:"cacheUsed,omitempty,omitzero"`
 	Models     []HeartbeatModel `json:"models,omitempty,omitzero"`
 	Phase      string           `json:"phase,omitempty,omitzero"`
-	Pending    int              `json:"queued,omitempty,omitzero"`
+	Queued     int              `json:"queued,omitempty,omitzero"`
 	Saturated  bool             `json:"saturated,omitempty,omitzero"`
 	Sequence   int64            `json:"sequence,omitempty,omitzero"`
 }
--- a/internal/compliance/trail.go
+++ b/internal/compliance/trail.go
@@ -1,5 +1,5 @@
 // Trail is the audit trail of regulated requests: a bounded ring of what was
-// asked, sent, answered and denied, each with the runner, its certificate and
+// asked, sent, answered and rejected, each with the runner, its certificate and
 // the version of the configuration that was in force at the node.
 package compliance
 
@@ -21,7 +21,7 @@
 	Asked    Step = "asked"
 	Sent     Step = "sent"
 	Answered Step = "answered"
-	Denied   Step = "denied"
+	Rejected Step = "denied"
 	Cut      Step = "cut"
 )
 
@@ -142,7 +142,7 @@
 			if was, ok := ended[e.Attempt]; ok && was == Answered {
 				out = append(out, Violation{e, "sent after it was answered"})
 			}
-		case Answered, Denied, Cut:
+		case Answered, Rejected, Cut:
 			if was, ok := ended[e.Attempt]; ok {
 				out = append(out, Violation{e, fmt.Sprintf("ended twice: %s and %s", was, e.Step)})
 			}
--- a/internal/consensus/attempt.go
+++ b/internal/consensus/attempt.go
@@ -44,7 +44,7 @@
 // Close takes a round that has ended or was given up.
 func (a *Attempt) Close(r *Round) Progress {
 	switch r.End {
-	case Denied:
+	case Rejected:
 		return Finished
 	case Chosen:
 		a.seen = messages.Ballot{}
--- a/internal/consensus/consensus.go
+++ b/internal/consensus/consensus.go
@@ -286,7 +286,7 @@
 	return w, nil
 }
 
-// Change runs rounds until the change is made, denied by itself, or ctx ends.
+// Change runs rounds until the change is made, rejected by itself, or ctx ends.
 // After ErrUnsure the change may still come into force.
 func (l *Registers) Change(ctx context.Context, p int, change Change) (messages.Value, error) {
 	attempt := NewAttempt(p, l.life+Random(), change)
--- a/internal/consensus/consensus_test.go
+++ b/internal/consensus/consensus_test.go
@@ -511,7 +511,7 @@
 	r.Hear(g.Group[0], messages.Prepare, messages.ConsensusResponse{Verdict: messages.Granted})
 	must.Eq(t, Going, r.End)
 	r.Hear(g.Group[1], messages.Prepare, messages.ConsensusResponse{Verdict: messages.Granted})
-	must.Eq(t, Denied, r.End)
+	must.Eq(t, Rejected, r.End)
 	must.ErrorIs(t, r.Err, no)
 }
 
--- a/internal/consensus/round.go
+++ b/internal/consensus/round.go
@@ -33,7 +33,7 @@
 	Chosen       // Value is agreed on
 	Overtook     // somebody is ahead; Value is what they have committed
 	Outbidden
-	Denied // the change itself said no; Err tells why
+	Rejected // the change itself said no; Err tells why
 )
 
 // Round is the state of the attempt.
@@ -45,7 +45,7 @@
 	End    End
 	Value  messages.Value
 	Mine   bool
-	Err    error // why the change said no: with Denied, or with Chosen where the refusal was sealed
+	Err    error // why the change said no: with Rejected, or with Chosen where the refusal was sealed
 	Seen   messages.Ballot
 
 	change    Change
@@ -154,7 +154,7 @@
 		r.settleDoubt()
 		return nil
 	case err != nil:
-		r.End, r.Err, r.Value = Denied, err, r.Base
+		r.End, r.Err, r.Value = Rejected, err, r.Base
 		return nil
 	}
 	if len(group) == 0 {
@@ -178,7 +178,7 @@
 // anything: then nothing under a lower ballot can be chosen any more.
 func (r *Round) settleDoubt() {
 	if r.doubt && !r.found && len(r.votes) == len(r.Base.Group) {
-		r.End, r.Value = Denied, r.Base
+		r.End, r.Value = Rejected, r.Base
 	}
 }
 
--- a/internal/consensus/seal_test.go
+++ b/internal/consensus/seal_test.go
@@ -82,7 +82,7 @@
 		must.Eq(t, Going, r.End)
 		must.SliceEmpty(t, r.Hear(m, messages.Prepare, messages.ConsensusResponse{Verdict: messages.Granted}))
 	}
-	must.Eq(t, Denied, r.End)
+	must.Eq(t, Rejected, r.End)
 	must.ErrorIs(t, r.Err, errStricter)
 	must.SliceEmpty(t, r.Seal())
 }
--- a/internal/controller/contact.go
+++ b/internal/controller/contact.go
@@ -110,5 +110,5 @@
 // outOfContact answers that nothing can be said now, in place of any other answer.
 func outOfContact(c *app.RequestContext) {
 	c.Response.Reset()
-	deny(c, 503, "", "out of contact with a majority")
+	reject(c, 503, "", "out of contact with a majority")
 }
--- a/internal/controller/control.go
+++ b/internal/controller/control.go
@@ -64,7 +64,7 @@
 	}
 }
 
-func deny(c *app.RequestContext, status int, field, reason string) {
+func reject(c *app.RequestContext, status int, field, reason string) {
 	c.JSON(status, api.Fault{Error: reason, Field: field})
 }
 
@@ -75,11 +75,11 @@
 	begunUs := d.clock()
 	var b api.Heartbeat
 	if err := json.Unmarshal(c.Request.Body(), &b); err != nil {
-		deny(c, 400, "(body)", err.Error())
+		reject(c, 400, "(body)", err.Error())
 		return
 	}
 	if err := checkCall.Struct(b); err != nil || !b.State.Valid() {
-		deny(c, 400, "(body)", "not a beat")
+		reject(c, 400, "(body)", "not a beat")
 		return
 	}
 	n := messages.RunnerRecord{ID: c.Param("id"), Service: b.Service, Addr: b.Address, Zone: b.Zone, Capacity: b.Capacity, Seq: b.Sequence, Draining: b.State == api.Draining, Models: []messages.Target{}}
@@ -195,12 +195,12 @@
 	case err == nil, errors.Is(err, routeconfig.ErrTakenBefore):
 		c.JSON(200, map[string]int64{"version": order.Version})
 	case errors.Is(err, routeconfig.ErrOvertaken):
-		deny(c, 412, "Beechtide-Base-Version", "another version is in place")
+		reject(c, 412, "Beechtide-Base-Version", "another version is in place")
 	case errors.As(err, &bad):
 		invalid(c, err)
 	default:
 		d.log.Error(err, "a change of the configuration is unsure", "version", order.Version)
-		deny(c, 503, "", err.Error())
+		reject(c, 503, "", err.Error())
 	}
 }
 
@@ -251,10 +251,10 @@
 func invalid(c *app.RequestContext, err error) {
 	var bad *routeconfig.Invalid
 	if errors.As(err, &bad) {
-		deny(c, 400, bad.Field, bad.Reason)
+		reject(c, 400, bad.Field, bad.Reason)
 		return
 	}
-	deny(c, 400, "(body)", err.Error())
+	reject(c, 400, "(body)", err.Error())
 }
 
 func configBody(v messages.Value) (messages.ConfigBody, error) {
@@ -271,15 +271,15 @@
 	defer cancel()
 	v, err := d.readRegister(ctx, consensus.ConfigPart)
 	if err != nil {
-		deny(c, 503, "", err.Error())
+		reject(c, 503, "", err.Error())
 		return
 	}
 	body, err := configBody(v)
 	switch {
 	case err != nil:
-		deny(c, 500, "", err.Error())
+		reject(c, 500, "", err.Error())
 	case body.Version == 0:
-		deny(c, 404, "", "no configuration yet")
+		reject(c, 404, "", "no configuration yet")
 	default:
 		c.Data(200, "application/json", body.Raw)
 	}
@@ -288,11 +288,11 @@
 func (d *Controller) nameWeights(ctx context.Context, c *app.RequestContext) {
 	var w api.WeightsVersion
 	if err := json.Unmarshal(c.Request.Body(), &w); err != nil {
-		deny(c, 400, "(body)", err.Error())
+		reject(c, 400, "(body)", err.Error())
 		return
 	}
 	if err := checkCall.Struct(w); err != nil {
-		deny(c, 400, "(body)", err.Error())
+		reject(c, 400, "(body)", err.Error())
 		return
 	}
 	ctx, cancel := context.WithTimeout(ctx, operatorWait)
@@ -311,7 +311,7 @@
 		d.rollouts.wonFirst(part, 1)
 	}
 	if err != nil && !errors.Is(err, errNoChange) {
-		deny(c, 503, "", err.Error())
+		reject(c, 503, "", err.Error())
 		return
 	}
 	c.JSON(200, w)
--- a/internal/controller/controller_test.go
+++ b/internal/controller/controller_test.go
@@ -126,7 +126,7 @@
 	must.Eq(t, 400, status)
 }
 
-func TestMalformedBeatsAreDenied(t *testing.T) {
+func TestMalformedHeartbeatsAreRejected(t *testing.T) {
 	d, url, stop := core(t, "", freePort(t), true)
 	defer stop()
 	good := `{"service":"s","address":"1.2.3.4:80","zone":"a","version":"v1","capacity":4,"state":"ready","coldLeftMs":0,"models":[{"name":"m","version":1}],"sequence":1}`
--- a/internal/controller/readers.go
+++ b/internal/controller/readers.go
@@ -175,7 +175,7 @@
 func (d *Controller) readReports(ctx context.Context, n messages.RunnerRecord) {
 	for ctx.Err() == nil {
 		if r, ok := d.report(ctx, n); ok {
-			d.tellReport(messages.ReportNote{ID: n.ID, Used: r.CacheUsed, Total: r.CacheTotal, Active: r.Active, Pending: r.Pending})
+			d.tellReport(messages.ReportNote{ID: n.ID, Used: r.CacheUsed, Total: r.CacheTotal, Active: r.Active, Queued: r.Queued})
 		}
 		loop.Pause(ctx, reportsEvery)
 	}
--- a/internal/messages/msgp.gen.go
+++ b/internal/messages/msgp.gen.go
@@ -3479,7 +3479,7 @@
 	o = msgp.AppendString(o, z.ID)
 	// string "q"
 	o = append(o, 0xa1, 0x71)
-	o = msgp.AppendInt(o, z.Pending)
+	o = msgp.AppendInt(o, z.Queued)
 	// string "t"
 	o = append(o, 0xa1, 0x74)
 	o = msgp.AppendInt(o, z.Total)
@@ -3520,9 +3520,9 @@
 				return
 			}
 		case "q":
-			z.Pending, bts, err = msgp.ReadIntBytes(bts)
+			z.Queued, bts, err = msgp.ReadIntBytes(bts)
 			if err != nil {
-				err = msgp.WrapError(err, "Pending")
+				err = msgp.WrapError(err, "Queued")
 				return
 			}
 		case "t":
--- a/internal/messages/types.gen.go
+++ b/internal/messages/types.gen.go
@@ -339,11 +339,11 @@
 
 // ReportNote defines model for ReportNote.
 type ReportNote struct {
-	Active  int    `msg:"a"`
-	ID      string `msg:"i"`
-	Pending int    `msg:"q"`
-	Total   int    `msg:"t"`
-	Used    int    `msg:"u"`
+	Active int    `msg:"a"`
+	ID     string `msg:"i"`
+	Queued int    `msg:"q"`
+	Total  int    `msg:"t"`
+	Used   int    `msg:"u"`
 }
 
 // Role defines model for Role.
--- a/internal/router/answers_test.go
+++ b/internal/router/answers_test.go
@@ -23,7 +23,7 @@
 	v.ask = admission.Ask{Service: "s", LeftUs: 1_000_000}
 	v.endUs = c.clock() + endsInUs
 	c.dmu.Lock()
-	adm := c.door.Arrive(v.ask, c.clock()).Admit
+	adm := c.admission.Arrive(v.ask, c.clock()).Admit
 	c.dmu.Unlock()
 	must.NotNil(t, adm)
 	link, err := upstream.Connect(context.Background(), adm.Runner.Addr)
--- a/internal/router/attempts.go
+++ b/internal/router/attempts.go
@@ -54,7 +54,7 @@
 	for {
 		ruling := v.place()
 		if ruling.Admit == nil {
-			v.denyPlaceless(ruling, &so)
+			v.rejectPlaceless(ruling, &so)
 			return
 		}
 		var end ending
@@ -70,7 +70,7 @@
 			return
 		}
 		if !v.goesOn(end, ruling.Admit.Runner.ID, &so) {
-			v.denyFailed(&so)
+			v.rejectFailed(&so)
 			return
 		}
 	}
@@ -115,32 +115,32 @@
 	return true
 }
 
-// denyPlaceless answers a request for which there is no place, unless a part of
+// rejectPlaceless answers a request for which there is no place, unless a part of
 // its answer has gone out.
-func (v *visit) denyPlaceless(ruling admission.Ruling, so *course) {
+func (v *visit) rejectPlaceless(ruling admission.Ruling, so *course) {
 	switch {
 	case so.stream != nil:
 	case so.ran:
-		v.deny(502, ruling.Deny, 0)
+		v.reject(502, ruling.Reject, 0)
 	default:
-		v.deny(ruling.Status, ruling.Deny, ruling.AgainUs)
+		v.reject(ruling.Status, ruling.Reject, ruling.AgainUs)
 	}
 }
 
 // againUs is after how long a client may come back whose request found no runner.
 const againUs = 100_000
 
-// denyFailed answers a request whose last attempt has failed. What may have run
+// rejectFailed answers a request whose last attempt has failed. What may have run
 // gets no status that promises that it has not.
-func (v *visit) denyFailed(so *course) {
+func (v *visit) rejectFailed(so *course) {
 	switch {
 	case so.stream != nil && so.stream.started:
 	case so.ran && v.c.clock() >= v.endUs:
-		v.deny(504, "", 0)
+		v.reject(504, "", 0)
 	case so.ran:
-		v.deny(502, "", 0)
+		v.reject(502, "", 0)
 	default:
-		v.deny(503, "", againUs)
+		v.reject(503, "", againUs)
 	}
 }
 
@@ -169,14 +169,14 @@
 	now := c.clock()
 	v.ask.LeftUs = v.endUs - now
 	c.dmu.Lock()
-	r := c.door.Arrive(v.ask, now)
-	if r.Deny == admission.DenyPending || r.Deny == admission.DenyTokens {
-		if shed, ok := c.door.ShedFor(v.ask, now); ok {
+	r := c.admission.Arrive(v.ask, now)
+	if r.Reject == admission.RejectQueue || r.Reject == admission.RejectTokens {
+		if shed, ok := c.admission.ShedFor(v.ask, now); ok {
 			defer c.slab.Resume(shed.Ref, shed)
-			r = c.door.Arrive(v.ask, now)
+			r = c.admission.Arrive(v.ask, now)
 		}
 	}
-	fresh := c.door.HasFresh()
+	fresh := c.admission.HasFresh()
 	c.dmu.Unlock()
 	if fresh {
 		poke(c.fresh)
@@ -235,7 +235,7 @@
 		_, err := upstream.ReadBody(r, mostUnwanted)
 		c.giveBack(adm, link, r, err == nil)
 		c.dmu.Lock()
-		c.door.Full(adm, c.clock())
+		c.admission.Full(adm, c.clock())
 		c.dmu.Unlock()
 		return notRun, stream
 	}
@@ -332,13 +332,13 @@
 		c.connPool.Alive(link)
 	}
 	c.dmu.Lock()
-	c.door.Ended(adm, good, c.clock())
+	c.admission.Ended(adm, good, c.clock())
 	c.dmu.Unlock()
 }
 
 func (c *Router) done(adm *admission.Admission, ok bool) {
 	c.dmu.Lock()
-	c.door.Done(adm, ok, c.clock())
+	c.admission.Done(adm, ok, c.clock())
 	c.dmu.Unlock()
 	poke(c.stir)
 	c.wake()
--- a/internal/router/condition.go
+++ b/internal/router/condition.go
@@ -15,7 +15,7 @@
 	x.Versions = c.versions()
 	c.nmu.Unlock()
 	c.dmu.Lock()
-	x.Blind = c.door.Blind(c.clock())
+	x.Blind = c.admission.Blind(c.clock())
 	c.dmu.Unlock()
 	x.Wholes, x.Changes = c.news.wholes.Load(), c.news.changes.Load()
 	x.Malformed = c.news.malformed.Load() + c.up.Malformed.Load()
--- a/internal/router/evening_test.go
+++ b/internal/router/evening_test.go
@@ -39,14 +39,14 @@
 }
 
 type deskNode struct {
-	name     string
-	table    *routeconfig.Table
-	registry *registry.Registry
-	door     *admission.Doorman
-	slab     inflight.Slab[admission.Ruling]
-	trail    *compliance.Trail
-	cut      bool
-	up       bool
+	name      string
+	table     *routeconfig.Table
+	registry  *registry.Registry
+	admission *admission.Controller
+	slab      inflight.Slab[admission.Ruling]
+	trail     *compliance.Trail
+	cut       bool
+	up        bool
 }
 
 type guest struct {
@@ -91,12 +91,12 @@
 		n.registry.Merge(r, e.nowUs)
 	}
 	notes := n.registry.Snapshot().ByService["s"]
-	n.door.SetService("s", notes, 16000, 2)
-	n.door.SetCertified("s", certified(n.table, notes))
+	n.admission.SetService("s", notes, 16000, 2)
+	n.admission.SetCertified("s", certified(n.table, notes))
 }
 
 func (n *deskNode) start(e *evening) {
-	n.registry, n.door, n.up = registry.New(), admission.New(admission.Defaults, "a"), true
+	n.registry, n.admission, n.up = registry.New(), admission.New(admission.Defaults, "a"), true
 	n.hear(e)
 }
 
@@ -128,7 +128,7 @@
 func (e *evening) offer(g *guest) {
 	n := g.node
 	g.ask.Ref = n.slab.Put(func(r admission.Ruling) { e.ruled(g, r) })
-	r := n.door.Arrive(g.ask, e.nowUs)
+	r := n.admission.Arrive(g.ask, e.nowUs)
 	if !r.Hold {
 		n.slab.Resume(g.ask.Ref, r)
 	}
@@ -136,15 +136,15 @@
 
 func (e *evening) ruled(g *guest, r admission.Ruling) {
 	if r.Admit == nil {
-		e.end(g, compliance.Denied)
+		e.end(g, compliance.Rejected)
 		return
 	}
 	_, cert, ok := g.node.table.Allows(g.ask.Tenant, sightOf(r.Admit.Runner))
 	if !ok {
-		g.node.door.Done(r.Admit, true, e.nowUs)
+		g.node.admission.Done(r.Admit, true, e.nowUs)
 		g.ask.Avoid = append(g.ask.Avoid, r.Admit.Runner.ID)
 		if len(g.ask.Avoid) > maxUnsent {
-			e.end(g, compliance.Denied)
+			e.end(g, compliance.Rejected)
 			return
 		}
 		e.offer(g)
@@ -183,7 +183,7 @@
 	e.nowUs += 20_000
 	for _, n := range e.nodes {
 		if n.up {
-			for _, r := range n.door.Tick(e.nowUs) {
+			for _, r := range n.admission.Tick(e.nowUs) {
 				n.slab.Resume(r.Ref, r)
 			}
 		}
@@ -196,7 +196,7 @@
 			} else {
 				e.end(g, compliance.Cut)
 			}
-			g.node.door.Done(g.adm, true, e.nowUs)
+			g.node.admission.Done(g.adm, true, e.nowUs)
 		}
 		if g.endsUs >= 0 {
 			left = append(left, g)
@@ -293,7 +293,7 @@
 		e.nowUs += 20_000
 		for _, n := range e.nodes {
 			if n.up {
-				for _, r := range n.door.Tick(e.nowUs) {
+				for _, r := range n.admission.Tick(e.nowUs) {
 					n.slab.Resume(r.Ref, r)
 				}
 			}
@@ -302,7 +302,7 @@
 		for _, g := range e.open {
 			if g.adm != nil && g.endsUs > 0 && g.endsUs <= e.nowUs {
 				e.end(g, compliance.Answered)
-				g.node.door.Done(g.adm, true, e.nowUs)
+				g.node.admission.Done(g.adm, true, e.nowUs)
 			}
 			if g.endsUs >= 0 {
 				left = append(left, g)
--- a/internal/router/feed.go
+++ b/internal/router/feed.go
@@ -42,7 +42,7 @@
 	c.nmu.Unlock()
 	h.Loads = c.loads.hold()
 	c.dmu.Lock()
-	h.Kept = c.door.Index.Holds()
+	h.Kept = c.admission.Index.Holds()
 	c.dmu.Unlock()
 	return h
 }
@@ -71,7 +71,7 @@
 		f.Loads = append(f.Loads, ch)
 	}
 	c.dmu.Lock()
-	f.Kept = c.door.Index.Since(h.Kept, func(string) bool { return true })
+	f.Kept = c.admission.Index.Since(h.Kept, func(string) bool { return true })
 	c.dmu.Unlock()
 	return f
 }
@@ -104,7 +104,7 @@
 // calm takes a controller's word on how long the core has been as it is.
 func (c *Router) calm(forUs int64) {
 	c.dmu.Lock()
-	c.door.Calm(c.clock() - forUs + contactPartUs(c.set.Bounds.ContactMs))
+	c.admission.Calm(c.clock() - forUs + contactPartUs(c.set.Bounds.ContactMs))
 	c.dmu.Unlock()
 }
 
@@ -169,7 +169,7 @@
 	}
 	c.nmu.Unlock()
 	if changed {
-		c.syncDoor()
+		c.syncAdmission()
 	}
 	for _, ch := range f.Loads {
 		again := ch.Whole && c.loads.hold().Epoch == ch.Epoch
@@ -177,15 +177,15 @@
 	}
 	c.dmu.Lock()
 	for _, k := range f.Kept {
-		again := k.Whole && c.door.Index.Shelf(k.ID).Epoch == k.Epoch
-		note(c.door.Index.Hear(k), again)
+		again := k.Whole && c.admission.Index.Shelf(k.ID).Epoch == k.Epoch
+		note(c.admission.Index.Hear(k), again)
 	}
-	c.door.Coming(f.Coming)
+	c.admission.Coming(f.Coming)
 	for _, r := range f.Reports {
-		c.door.Report(r, now)
+		c.admission.Report(r, now)
 	}
 	if parent != "" {
-		c.loads.tell(c.door, now)
+		c.loads.tell(c.admission, now)
 	}
 	c.dmu.Unlock()
 	if changed || len(f.Reports)+len(f.Loads) > 0 {
@@ -213,7 +213,7 @@
 	went := c.registry.Retain(listed, c.clock())
 	c.nmu.Unlock()
 	if went {
-		c.syncDoor()
+		c.syncAdmission()
 	}
 }
 
@@ -261,7 +261,7 @@
 	}
 	c.dmu.Lock()
 	for _, t := range body.Targets {
-		c.door.SetNewest(t.Model, t.Version, nowUs)
+		c.admission.SetNewest(t.Model, t.Version, nowUs)
 	}
 	c.dmu.Unlock()
 	c.parts[p.Part] = p
--- a/internal/router/front.go
+++ b/internal/router/front.go
@@ -107,7 +107,7 @@
 	path, _, _ := strings.Cut(string(uri), "?")
 	if !strings.HasPrefix(path, "/") || v.id == "" || malformed(rc) {
 		rc.Response.Header.SetConnectionClose(true)
-		v.deny(400, "", 0)
+		v.reject(400, "", 0)
 		return
 	}
 	status := v.find(t, path)
@@ -116,7 +116,7 @@
 		status = v.find(t, path)
 	}
 	if status != 0 {
-		v.deny(status, "", 0)
+		v.reject(status, "", 0)
 		return
 	}
 	tenant := ""
@@ -196,9 +196,9 @@
 	return string(rc.Request.Header.Peek(lower(key)))
 }
 
-// deny answers at once. A status that promises that the request has not run
+// reject answers at once. A status that promises that the request has not run
 // says when to come back.
-func (v *visit) deny(status int, reason admission.Reason, againUs int64) {
+func (v *visit) reject(status int, reason admission.Reason, againUs int64) {
 	h := &v.rc.Response.Header
 	if v.id != "" {
 		h.Set(hAttempt, v.id)
@@ -206,7 +206,7 @@
 	if againUs > 0 && (status == 429 || status == 503) {
 		h.Set(hRetryAfter, strconv.FormatFloat(float64(againUs)/1e6, 'f', 3, 64))
 	}
-	v.ended = compliance.Denied
+	v.ended = compliance.Rejected
 	v.rc.SetStatusCode(status)
 	if reason != "" {
 		v.rc.Response.Header.SetContentType("text/plain")
--- a/internal/router/loads.go
+++ b/internal/router/loads.go
@@ -118,7 +118,7 @@
 }
 
 // tell brings the admission control to what the other nodes have.
-func (l *loads) tell(d *admission.Doorman, nowUs int64) {
+func (l *loads) tell(d *admission.Controller, nowUs int64) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	if l.all {
@@ -192,7 +192,7 @@
 	l.mu.Unlock()
 	if len(t.Coming) > 0 {
 		c.dmu.Lock()
-		c.door.Coming(t.Coming)
+		c.admission.Coming(t.Coming)
 		c.dmu.Unlock()
 		poke(c.fresh)
 	}
@@ -211,8 +211,8 @@
 		c.nodes.Store(int64(n))
 	}
 	c.dmu.Lock()
-	c.door.SetNodes(int(c.nodes.Load()))
-	own, coming, absent := c.door.Own(c.clock()), c.door.TakeFresh(), c.door.TakeAbsent()
+	c.admission.SetNodes(int(c.nodes.Load()))
+	own, coming, absent := c.admission.Own(c.clock()), c.admission.TakeFresh(), c.admission.TakeAbsent()
 	c.dmu.Unlock()
 	if w, some := c.loads.next(own, coming, absent); some && !c.up.Tell(transport.KindTold, &w) {
 		c.tellAgain()
--- a/internal/router/missing.go
+++ b/internal/router/missing.go
@@ -29,14 +29,14 @@
 func (c *Router) isAbsent(adm *admission.Admission) bool {
 	c.dmu.Lock()
 	defer c.dmu.Unlock()
-	return c.door.Absent(adm)
+	return c.admission.Absent(adm)
 }
 
 // wrongInstance notes that a runner answered 421.
 func (c *Router) wrongInstance(adm *admission.Admission) {
 	expected := adm.Version > 0
 	c.dmu.Lock()
-	left := c.door.WrongInstance(adm, expected, c.clock())
+	left := c.admission.WrongInstance(adm, expected, c.clock())
 	c.dmu.Unlock()
 	if !left {
 		return
@@ -72,7 +72,7 @@
 // probeDue makes the probes that are due and tells whether a runner is missing.
 func (c *Router) probeDue(ctx context.Context) bool {
 	c.dmu.Lock()
-	due, any := c.door.DueProbes(c.clock())
+	due, any := c.admission.DueProbes(c.clock())
 	c.dmu.Unlock()
 	var wg sync.WaitGroup
 	for _, n := range due {
@@ -97,7 +97,7 @@
 		what = c.whoIsAt(ctx, n, s.Probe)
 	}
 	c.dmu.Lock()
-	sure := c.door.Found(n, what, c.clock())
+	sure := c.admission.Found(n, what, c.clock())
 	c.dmu.Unlock()
 	if sure {
 		c.surelyMissing(n)
--- a/internal/router/missing_test.go
+++ b/internal/router/missing_test.go
@@ -44,7 +44,7 @@
 func missing(c *Router) bool {
 	c.dmu.Lock()
 	defer c.dmu.Unlock()
-	_, any := c.door.DueProbes(0)
+	_, any := c.admission.DueProbes(0)
 	return any
 }
 
--- a/internal/router/move.go
+++ b/internal/router/move.go
@@ -34,11 +34,11 @@
 	ask.LeftUs = v.endUs - now
 	ask.Avoid = append(append([]string{}, ask.Avoid...), adm.Runner.ID)
 	c.dmu.Lock()
-	if !c.door.Leaves(ask, adm.Runner.Zone, now) {
+	if !c.admission.Leaves(ask, adm.Runner.Zone, now) {
 		c.dmu.Unlock()
 		return false
 	}
-	next := c.door.TryNow(ask, now)
+	next := c.admission.TryNow(ask, now)
 	c.dmu.Unlock()
 	if next == nil {
 		return false
--- a/internal/router/move_test.go
+++ b/internal/router/move_test.go
@@ -48,7 +48,7 @@
 		notes = append(notes, n)
 	}
 	must.True(t, c.take("", messages.Feed{Registry: []messages.EntryChange{runnerEntries(t, notes...)}}))
-	c.syncDoor()
+	c.syncAdmission()
 }
 
 // A live stream that may be resumed goes on at the other zone from its last
@@ -85,7 +85,7 @@
 		c.sited(t, "a", "b")
 		c.dmu.Lock() // the first choice is r0: it keeps the prompt
 		for _, p := range []string{"ab", "cd"} {
-			c.door.Index.Put("r0", prefixindex.Key("w4/t1", "m", p), 15)
+			c.admission.Index.Put("r0", prefixindex.Key("w4/t1", "m", p), 15)
 		}
 		c.dmu.Unlock()
 		go func() {
@@ -107,7 +107,7 @@
 			runtime.Gosched()
 		}
 		c.dmu.Lock()
-		own := c.door.Own(c.clock())
+		own := c.admission.Own(c.clock())
 		c.dmu.Unlock()
 		for id, l := range own {
 			must.Eq(t, 0, l.Count, must.Sprint(id))
@@ -132,7 +132,7 @@
 	c.sited(t, "a", "b")
 	c.dmu.Lock()
 	for _, p := range []string{"ab", "cd"} {
-		c.door.Index.Put("r0", prefixindex.Key("w4/t1", "m", p), 15)
+		c.admission.Index.Put("r0", prefixindex.Key("w4/t1", "m", p), 15)
 	}
 	c.dmu.Unlock()
 	go func() {
--- a/internal/router/responses.go
+++ b/internal/router/responses.go
@@ -67,7 +67,7 @@
 
 func (c *Router) first(adm *admission.Admission) {
 	c.dmu.Lock()
-	c.door.FirstToken(adm, c.clock())
+	c.admission.FirstToken(adm, c.clock())
 	c.dmu.Unlock()
 	poke(c.stir)
 	c.wake()
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -51,14 +51,14 @@
 	parent atomic.Pointer[string]
 	loads  loads
 
-	dmu     sync.Mutex
-	door    *admission.Doorman
-	budgets map[string]*upstream.Budget
-	slab    inflight.Slab[admission.Ruling]
-	kick    chan struct{}
-	fresh   chan struct{} // shared parts have been sent to be read
-	stir    chan struct{} // this node's loads have changed
-	missing chan struct{} // a runner was not at its address
+	dmu       sync.Mutex
+	admission *admission.Controller
+	budgets   map[string]*upstream.Budget
+	slab      inflight.Slab[admission.Ruling]
+	kick      chan struct{}
+	fresh     chan struct{} // shared parts have been sent to be read
+	stir      chan struct{} // this node's loads have changed
+	missing   chan struct{} // a runner was not at its address
 
 	recheckedUs atomic.Int64
 
@@ -77,12 +77,12 @@
 	if err != nil {
 		return nil, err
 	}
-	c := &Router{set: set, log: log, clock: clock, transport: trans, registry: registry.New(), connPool: upstream.NewConnPool(clock), parts: map[int]messages.PartNote{}, door: admission.New(admission.Defaults, set.Zone), budgets: map[string]*upstream.Budget{}, kick: make(chan struct{}, 1), fresh: make(chan struct{}, 1), stir: make(chan struct{}, 1), missing: make(chan struct{}, 1)}
+	c := &Router{set: set, log: log, clock: clock, transport: trans, registry: registry.New(), connPool: upstream.NewConnPool(clock), parts: map[int]messages.PartNote{}, admission: admission.New(admission.Defaults, set.Zone), budgets: map[string]*upstream.Budget{}, kick: make(chan struct{}, 1), fresh: make(chan struct{}, 1), stir: make(chan struct{}, 1), missing: make(chan struct{}, 1)}
 	c.configuration, c.runners = statesync.NewEntries(), statesync.NewEntries()
 	c.loads.init(clock())
 	none := ""
 	c.parent.Store(&none)
-	c.door.MarkUs = int64(set.Bounds.VersionMs)*1000 - 2_300_000
+	c.admission.MarkUs = int64(set.Bounds.VersionMs)*1000 - 2_300_000
 	c.nodes.Store(1)
 	c.publisher = dissemination.NewPublisher(trans, dissemination.Upstream{Since: c.since, Told: c.toldBelow, Gone: c.goneBelow})
 	c.up.Hold, c.up.Parents, c.up.Take = c.hold, c.parents, c.takeFeed
@@ -148,15 +148,15 @@
 	return set.SeedAddrs()
 }
 
-// syncDoor brings the admission control to the runners and services that are known.
-func (c *Router) syncDoor() {
+// syncAdmission brings the admission control to the runners and services that are known.
+func (c *Router) syncAdmission() {
 	t := c.table.Load()
 	snap := c.registry.Snapshot()
 	c.loads.anew()
 	c.dmu.Lock()
 	defer c.dmu.Unlock()
 	if t != nil {
-		c.door.SetRelinquished(t.Relinquished, c.clock())
+		c.admission.SetRelinquished(t.Relinquished, c.clock())
 	}
 	for service, notes := range snap.ByService {
 		tokens, moveUs, links := 0, 0.0, 0
@@ -168,14 +168,14 @@
 				}
 			}
 		}
-		c.door.SetService(service, notes, tokens, moveUs)
-		c.door.SetLinks(service, links)
-		c.door.SetStores(service, storesFor(t, service))
-		c.door.SetCertified(service, certified(t, notes))
+		c.admission.SetService(service, notes, tokens, moveUs)
+		c.admission.SetLinks(service, links)
+		c.admission.SetStores(service, storesFor(t, service))
+		c.admission.SetCertified(service, certified(t, notes))
 	}
-	for _, name := range c.door.Services() {
+	for _, name := range c.admission.Services() {
 		if _, ok := snap.ByService[name]; !ok {
-			c.door.SetService(name, nil, 0, 0)
+			c.admission.SetService(name, nil, 0, 0)
 		}
 	}
 }
@@ -307,10 +307,10 @@
 // controllers may have taken to see the change.
 func contactPartUs(contactMs int) int64 { return int64(contactMs) * 1000 / 2 }
 
-// recheckUs is how seldom a node asks before it denies an unknown route or key.
+// recheckUs is how seldom a node asks before it rejects an unknown route or key.
 const recheckUs = 200_000
 
-// recheck makes sure, before a proper request may be denied for a configuration
+// recheck makes sure, before a proper request may be rejected for a configuration
 // that is on its way, that no controller in reach has a newer one. It tells
 // whether the table has changed.
 func (c *Router) recheck() bool {
@@ -348,8 +348,8 @@
 		}
 		for {
 			c.dmu.Lock()
-			out := c.door.Tick(c.clock())
-			fresh := c.door.HasFresh()
+			out := c.admission.Tick(c.clock())
+			fresh := c.admission.HasFresh()
 			c.dmu.Unlock()
 			if fresh {
 				poke(c.fresh)
@@ -360,7 +360,7 @@
 			for _, r := range out {
 				if !c.slab.Resume(r.Ref, r) && r.Admit != nil {
 					c.dmu.Lock()
-					c.door.Done(r.Admit, true, c.clock())
+					c.admission.Done(r.Admit, true, c.clock())
 					c.dmu.Unlock()
 				}
 			}
--- a/internal/router/router_test.go
+++ b/internal/router/router_test.go
@@ -348,7 +348,7 @@
 	must.Eq(t, "right", body)
 }
 
-func TestBadInputIsDeniedAndNeverReachesARunner(t *testing.T) {
+func TestBadInputIsRejectedAndNeverReachesARunner(t *testing.T) {
 	r := newRunner(t)
 	_, front, _ := start(t, r)
 	good := request("/pay/", "x")
@@ -480,7 +480,7 @@
 	must.Eq(t, 200, ans.StatusCode)
 	must.Eq(t, was+1, a.count())
 
-	// nobody is certified: denied with a time to come back, sent nowhere
+	// nobody is certified: rejected with a time to come back, sent nowhere
 	c.adopt(t, 4, 6, regulated(6, `"r9"`))
 	sum := a.count() + b.count()
 	ans, _, err = say(t, front, request("/pay/", "x"))
