Tests of the controller wait for its writes before their folder goes

Cause: an ending process waits 0.5 s for writes under way; on a loaded machine one came later and the clean-up of TestOperatorsCalls found the folder not empty.

--- a/internal/controller/controller_test.go
+++ b/internal/controller/controller_test.go
@@ -52,6 +52,9 @@
 	return d, "http://" + control, func() {
 		cancel()
 		<-ended
+		if d.disk != nil {
+			d.disk.Close() // all writes have ended before the folder goes
+		}
 	}
 }
 
