--- a/internal/controller/controller.go
+++ b/internal/controller/controller.go
@@ -226,62 +226,6 @@
 	return m
 }
 
-// listenToOthers keeps a subscription to every other controller; one that does
-// not count, among others that do, listens to one of those only.
-func (d *Controller) listenToOthers(ctx context.Context) {
-	have := map[string]context.CancelFunc{}
-	loop.Every(ctx, 200*time.Millisecond, func() {
-		want := map[string]bool{}
-		all := d.monitor.Alive(messages.Controller)
-		if !d.inCore(all) {
-			all = membership.Core(all)
-			if near := nearest(all, d.set.Zone); near != "" {
-				want[near] = true
-			}
-		} else {
-			for _, p := range all {
-				want[p.Addr] = p.Addr != d.transport.Addr()
-			}
-		}
-		for addr, wanted := range want {
-			if wanted && have[addr] == nil {
-				cctx, cancel := context.WithCancel(ctx)
-				have[addr] = cancel
-				go d.listenTo(cctx, addr)
-			}
-		}
-		for addr, cancel := range have {
-			if !want[addr] {
-				cancel()
-				delete(have, addr)
-			}
-		}
-	})
-}
-
-// inCore tells whether this controller counts, or nobody does.
-func (d *Controller) inCore(all []messages.Peer) bool {
-	for _, p := range membership.Core(all) {
-		if p.Addr == d.transport.Addr() {
-			return true
-		}
-	}
-	return false
-}
-
-// nearest is the first of a zone, else the first of all.
-func nearest(list []messages.Peer, zone string) string {
-	for _, p := range list {
-		if p.Zone == zone {
-			return p.Addr
-		}
-	}
-	if len(list) > 0 {
-		return list[0].Addr
-	}
-	return ""
-}
-
 func (d *Controller) heardRunner(_ string, body []byte) {
 	var n messages.RunnerRecord
 	if _, err := n.UnmarshalMsg(body); err == nil && d.registry.Hear(n, d.clock()) {
--- /dev/null
+++ b/internal/controller/subscriptions.go
@@ -0,0 +1,193 @@
+// Subscriptions: what this controller takes from the others, and passes down.
+package controller
+
+import (
+	"context"
+	"time"
+
+	"beechtide.org/beechtide/internal/consensus"
+	"beechtide.org/beechtide/internal/dissemination"
+	"beechtide.org/beechtide/internal/loop"
+	"beechtide.org/beechtide/internal/membership"
+	"beechtide.org/beechtide/internal/messages"
+	"beechtide.org/beechtide/internal/statesync"
+)
+
+// listenToOthers keeps a subscription to every other controller; one that does
+// not count, among others that do, listens to one of those only.
+func (d *Controller) listenToOthers(ctx context.Context) {
+	have := map[string]context.CancelFunc{}
+	loop.Every(ctx, 200*time.Millisecond, func() {
+		want := map[string]bool{}
+		all := d.monitor.Alive(messages.Controller)
+		if !d.inCore(all) {
+			all = membership.Core(all)
+			if near := nearest(all, d.set.Zone); near != "" {
+				want[near] = true
+			}
+		} else {
+			for _, p := range all {
+				want[p.Addr] = p.Addr != d.transport.Addr()
+			}
+		}
+		for addr, wanted := range want {
+			if wanted && have[addr] == nil {
+				cctx, cancel := context.WithCancel(ctx)
+				have[addr] = cancel
+				go d.listenTo(cctx, addr)
+			}
+		}
+		for addr, cancel := range have {
+			if !want[addr] {
+				cancel()
+				delete(have, addr)
+			}
+		}
+	})
+}
+
+// inCore tells whether this controller counts, or nobody does.
+func (d *Controller) inCore(all []messages.Peer) bool {
+	for _, p := range membership.Core(all) {
+		if p.Addr == d.transport.Addr() {
+			return true
+		}
+	}
+	return false
+}
+
+// nearest is the first of a zone, else the first of all.
+func nearest(list []messages.Peer, zone string) string {
+	for _, p := range list {
+		if p.Zone == zone {
+			return p.Addr
+		}
+	}
+	if len(list) > 0 {
+		return list[0].Addr
+	}
+	return ""
+}
+
+// listenTo keeps the subscription to one other controller.
+func (d *Controller) listenTo(ctx context.Context, addr string) {
+	runners := statesync.NewEntries() // as the other has them
+	u := dissemination.Subscriber{
+		Controller: true,
+		Parents:    func() []string { return []string{addr} },
+		Hold:       func() messages.Hold { return d.holdOf(addr, runners) },
+		Take: func(_ string, f messages.Feed, _ []byte) *messages.Hold {
+			if d.takeFeed(addr, f, runners) {
+				return nil
+			}
+			h := d.holdOf(addr, runners)
+			return &h
+		},
+		Heard: func(int64) {}, TellAgain: func() {},
+		Ended: func(string) {
+			d.feed.mu.Lock()
+			d.feed.all.Drop(addr)
+			d.feed.mu.Unlock()
+		},
+	}
+	u.Listen(ctx, d.transport)
+	d.feed.malformed.Add(u.Malformed.Load())
+}
+
+// holdOf names what this node holds of another's streams. The configuration and
+// the parts come through the registers.
+func (d *Controller) holdOf(addr string, runners *statesync.Entries) messages.Hold {
+	f := &d.feed
+	f.mu.Lock()
+	h := messages.Hold{Configuration: messages.StreamHold{Epoch: configEpoch, Version: never}}
+	h.Registry.Epoch, h.Registry.Version = runners.Holds()
+	if l := f.all.Teller(addr); l != nil {
+		h.Loads.Epoch, h.Loads.Version = l.Holds()
+	}
+	f.mu.Unlock()
+	for range consensus.Parts {
+		h.Parts = append(h.Parts, never)
+	}
+	d.kmu.Lock()
+	h.Kept = d.kept.Holds()
+	d.kmu.Unlock()
+	return h
+}
+
+// never is a version that is not reached: what is held under it is not sent.
+const never = 1 << 62
+
+// pullNewer learns at once of a version that another controller has and this one
+// has not: one that is not in the group is not told by the round itself.
+func (d *Controller) pullNewer(addr string, versions []int64) {
+	mine := d.told()
+	for p, v := range versions {
+		if p < len(mine) && v > mine[p] {
+			go func() { _ = d.registers.Pull(context.Background(), addr, p) }()
+		}
+	}
+}
+
+// takeFeed takes what another controller is the first to know and passes it down.
+func (d *Controller) takeFeed(addr string, in messages.Feed, runners *statesync.Entries) (fits bool) {
+	now := d.clock()
+	fits = true
+	f := &d.feed
+	d.pullNewer(addr, in.Versions)
+	var changed []string
+	for _, c := range in.Registry {
+		ch := statesync.HearEntries(c)
+		f.mu.Lock()
+		again := c.Whole && runners.Epoch == c.Epoch
+		r := runners.Apply(ch)
+		fits = f.count(r, again) && fits
+		f.mu.Unlock()
+		if r == statesync.Mismatch {
+			continue
+		}
+		for _, p := range ch.Puts {
+			var n messages.RunnerRecord
+			if p.Gone {
+				continue
+			}
+			if _, err := n.UnmarshalMsg([]byte(p.Value)); err != nil {
+				f.malformed.Add(1)
+				continue
+			}
+			if d.registry.Merge(n, now) {
+				changed = append(changed, n.ID)
+			}
+		}
+	}
+	if len(changed) > 0 {
+		d.tellRunners(changed...)
+	}
+	var kept []messages.KeptChange
+	d.kmu.Lock()
+	for _, c := range in.Kept {
+		if d.readers[c.ID] != nil {
+			continue
+		}
+		again := c.Whole && d.kept.Shelf(c.ID).Epoch == c.Epoch
+		r := d.kept.Hear(c)
+		fits = f.count(r, again) && fits
+		if r == statesync.Applied {
+			kept = append(kept, c)
+		}
+	}
+	d.kmu.Unlock()
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	for _, c := range in.Loads {
+		held := f.all.Teller(addr)
+		again := c.Whole && held != nil && held.Epoch == c.Epoch
+		fits = f.count(f.all.Tell(addr, c), again) && fits
+	}
+	f.down.kept = append(f.down.kept, kept...)
+	f.down.reports = append(f.down.reports, in.Reports...)
+	f.down.coming = append(f.down.coming, in.Coming...)
+	if len(in.Coming) > 0 {
+		f.hurry()
+	}
+	return fits
+}
