--- a/internal/consensus/consensus_test.go
+++ b/internal/consensus/consensus_test.go
@@ -43,7 +43,7 @@
 
 type message struct {
 	round *Round
-	ask   Ask
+	ask   Request
 	reply bool
 	word  messages.ConsensusResponse
 	ok    bool
@@ -81,7 +81,7 @@
 	stamp := fmt.Sprintf("s%d", w.serial)
 	r := NewRound(0, n.known, messages.Ballot{N: int64(1 + w.rnd.IntN(6)), Who: stamp}, stamp, change)
 	w.rounds = append(w.rounds, r)
-	for _, a := range r.Asks() {
+	for _, a := range r.Requests() {
 		w.wires = append(w.wires, message{round: r, ask: a, ok: true})
 	}
 }
@@ -97,13 +97,13 @@
 		if n == nil || !n.up {
 			return
 		}
-		if m.ask.Ask.Step == messages.Commit {
-			w.learn(n, m.ask.Ask.Value)
+		if m.ask.Body.Step == messages.Commit {
+			w.learn(n, m.ask.Body.Value)
 			return
 		}
 		n.acc.Fold(n.known)
 		before := n.acc.Rec
-		word, dirty := n.acc.Handle(m.ask.Ask)
+		word, dirty := n.acc.Handle(m.ask.Body)
 		if dirty {
 			switch w.rnd.IntN(12) {
 			case 0: // the disk refuses: no word
@@ -123,7 +123,7 @@
 		return
 	}
 	was := m.round.End
-	for _, a := range m.round.Hear(m.ask.To, m.ask.Ask.Step, m.word) {
+	for _, a := range m.round.Hear(m.ask.To, m.ask.Body.Step, m.word) {
 		w.wires = append(w.wires, message{round: m.round, ask: a})
 	}
 	if was == Going && m.round.End == Chosen {
@@ -190,7 +190,7 @@
 	for try := range 40 {
 		stamp := fmt.Sprintf("final%d", try)
 		r := NewRound(0, newest, messages.Ballot{N: 1000 + int64(try), Who: stamp}, stamp, body("final"))
-		asks := r.Asks()
+		asks := r.Requests()
 		for len(asks) > 0 && r.End == Going {
 			a := asks[0]
 			asks = asks[1:]
@@ -198,13 +198,13 @@
 			if n == nil {
 				continue
 			}
-			if a.Ask.Step == messages.Commit {
-				w.learn(n, a.Ask.Value)
+			if a.Body.Step == messages.Commit {
+				w.learn(n, a.Body.Value)
 				continue
 			}
 			n.acc.Fold(n.known)
-			word, _ := n.acc.Handle(a.Ask)
-			asks = append(asks, r.Hear(a.To, a.Ask.Step, word)...)
+			word, _ := n.acc.Handle(a.Body)
+			asks = append(asks, r.Hear(a.To, a.Body.Step, word)...)
 		}
 		switch r.End {
 		case Chosen:
@@ -339,19 +339,19 @@
 
 func (w *world) swap(base messages.Value, group []messages.Member) {
 	r := NewRound(0, base, messages.Ballot{N: 5000, Who: "steward"}, "steward", func(cur messages.Value) ([]messages.Member, []byte, error) { return group, cur.Body, nil })
-	asks := r.Asks()
+	asks := r.Requests()
 	for len(asks) > 0 && r.End == Going {
 		a := asks[0]
 		asks = asks[1:]
 		n := w.nodes[a.To.Addr]
-		if a.Ask.Step == messages.Commit {
-			w.learn(n, a.Ask.Value)
+		if a.Body.Step == messages.Commit {
+			w.learn(n, a.Body.Value)
 			continue
 		}
 		n.acc.Fold(n.known)
-		word, _ := n.acc.Handle(a.Ask)
+		word, _ := n.acc.Handle(a.Body)
 		n.disk = n.acc.Rec
-		asks = append(asks, r.Hear(a.To, a.Ask.Step, word)...)
+		asks = append(asks, r.Hear(a.To, a.Body.Step, word)...)
 	}
 	must.Eq(w.t, Chosen, r.End)
 	w.commit(r.Value)
--- a/internal/consensus/office_test.go
+++ b/internal/consensus/office_test.go
@@ -47,7 +47,7 @@
 type letter struct {
 	call  *pending
 	of    any // the round or look that it belongs to: words for another find nothing
-	ask   Ask
+	ask   Request
 	reply bool
 	word  messages.ConsensusResponse
 }
@@ -95,7 +95,7 @@
 	p.look = NewReading(p.at.known[p.part])
 	for _, m := range p.look.Base.Group {
 		ask := messages.ConsensusRequest{Part: p.part, To: m.ID, Step: messages.Read, Slot: p.look.Base.Version + 1}
-		o.wires = append(o.wires, letter{call: p, of: p.look, ask: Ask{To: m, Ask: ask}})
+		o.wires = append(o.wires, letter{call: p, of: p.look, ask: Request{To: m, Body: ask}})
 	}
 }
 
@@ -108,10 +108,10 @@
 
 func (o *office) nextRound(p *pending) {
 	p.round = p.attempt.Round(p.at.known[p.part])
-	o.post(p, p.round.Asks())
+	o.post(p, p.round.Requests())
 }
 
-func (o *office) post(p *pending, asks []Ask) {
+func (o *office) post(p *pending, asks []Request) {
 	for _, a := range asks {
 		o.wires = append(o.wires, letter{call: p, of: p.round, ask: a})
 	}
@@ -156,17 +156,17 @@
 }
 
 func (o *office) handle(l letter) {
-	m, part := o.byAddr(l.ask.To.Addr), l.ask.Ask.Part
+	m, part := o.byAddr(l.ask.To.Addr), l.ask.Body.Part
 	if !m.up {
 		return
 	}
-	if l.ask.Ask.Step == messages.Commit {
-		m.learn(part, l.ask.Ask.Value)
+	if l.ask.Body.Step == messages.Commit {
+		m.learn(part, l.ask.Body.Value)
 		return
 	}
 	m.acc[part].Fold(m.known[part])
 	before := m.acc[part].Rec
-	word, dirty := m.acc[part].Handle(l.ask.Ask)
+	word, dirty := m.acc[part].Handle(l.ask.Body)
 	if dirty && o.trouble(15) { // the disk refuses: no word
 		m.acc[part].Rec = before
 		return
@@ -193,7 +193,7 @@
 	}
 	switch l.of {
 	case p.round:
-		o.post(p, p.round.Hear(l.ask.To, l.ask.Ask.Step, l.word))
+		o.post(p, p.round.Hear(l.ask.To, l.ask.Body.Step, l.word))
 		if p.round.End != Going {
 			o.close(p)
 		}
@@ -236,7 +236,7 @@
 	o.hist.Note("part %d version %d chosen at %s: %s", p.part, v.Version, p.at.addr, v.Stamp)
 	for _, m := range union(p.round.Base.Group, v.Group) {
 		ask := messages.ConsensusRequest{Part: p.part, To: m.ID, Step: messages.Commit, Slot: v.Version, Value: v}
-		o.wires = append(o.wires, letter{call: p, ask: Ask{To: m, Ask: ask}})
+		o.wires = append(o.wires, letter{call: p, ask: Request{To: m, Body: ask}})
 	}
 }
 
--- a/internal/consensus/repair_test.go
+++ b/internal/consensus/repair_test.go
@@ -215,7 +215,7 @@
 	stamp := fmt.Sprintf("s%d", w.serial)
 	r := NewRound(0, m.known, messages.Ballot{N: int64(w.serial), Who: stamp}, stamp, change)
 	w.busy[m.addr], m.beganUs = r, w.nowUs
-	for _, a := range r.Asks() {
+	for _, a := range r.Requests() {
 		w.wires = append(w.wires, message{round: r, ask: a, ok: true})
 	}
 }
@@ -245,13 +245,13 @@
 		return
 	}
 	to := w.machines[m.ask.To.Addr]
-	if m.ask.Ask.Step == messages.Commit {
-		w.learn(to.node, m.ask.Ask.Value)
+	if m.ask.Body.Step == messages.Commit {
+		w.learn(to.node, m.ask.Body.Value)
 		return
 	}
 	to.acc.Fold(to.known)
 	before := to.acc.Rec
-	word, dirty := to.acc.Handle(m.ask.Ask)
+	word, dirty := to.acc.Handle(m.ask.Body)
 	if dirty && to.full {
 		to.acc.Rec = before
 		return
@@ -275,7 +275,7 @@
 func (w *repairWorld) hear(m *machine, msg message) {
 	r := msg.round
 	was := r.End
-	for _, a := range r.Hear(msg.ask.To, msg.ask.Ask.Step, msg.word) {
+	for _, a := range r.Hear(msg.ask.To, msg.ask.Body.Step, msg.word) {
 		w.wires = append(w.wires, message{round: r, ask: a})
 	}
 	if was != Going || r.End != Chosen && r.End != Overtook {
--- a/internal/consensus/round.go
+++ b/internal/consensus/round.go
@@ -18,10 +18,10 @@
 // it returns the refusal as SealRefusal(err).
 type Change func(cur messages.Value) (group []messages.Member, body []byte, err error)
 
-// Ask is an ask with its receiver.
-type Ask struct {
-	To  messages.Member
-	Ask messages.ConsensusRequest
+// Request is what a member is asked, with its receiver.
+type Request struct {
+	To   messages.Member
+	Body messages.ConsensusRequest
 }
 
 // End says how a round stands.
@@ -62,11 +62,11 @@
 	return &Round{Part: part, Base: base, Ballot: ballot, Stamp: stamp, change: change, votes: map[string]bool{}, refused: map[string]bool{}}
 }
 
-// Asks gives the asks of the current phase, one a member.
-func (r *Round) Asks() []Ask {
-	var out []Ask
+// Requests gives the asks of the current phase, one a member.
+func (r *Round) Requests() []Request {
+	var out []Request
 	for _, m := range r.group() {
-		out = append(out, Ask{To: m, Ask: r.ask(m)})
+		out = append(out, Request{To: m, Body: r.ask(m)})
 	}
 	return out
 }
@@ -88,7 +88,7 @@
 
 // Hear takes the word of a member on an ask of the given step. It returns
 // further asks: the next phase's, or the committed base for one who is behind.
-func (r *Round) Hear(from messages.Member, step messages.Step, w messages.ConsensusResponse) []Ask {
+func (r *Round) Hear(from messages.Member, step messages.Step, w messages.ConsensusResponse) []Request {
 	if r.End != Going || (step == messages.Accept) != r.accepting {
 		return nil
 	}
@@ -99,9 +99,9 @@
 		}
 		return nil
 	case messages.Behind:
-		return []Ask{
-			{To: from, Ask: messages.ConsensusRequest{Part: r.Part, To: from.ID, Step: messages.Commit, Slot: r.Base.Version, Value: r.Base}},
-			{To: from, Ask: r.ask(from)},
+		return []Request{
+			{To: from, Body: messages.ConsensusRequest{Part: r.Part, To: from.ID, Step: messages.Commit, Slot: r.Base.Version, Value: r.Base}},
+			{To: from, Body: r.ask(from)},
 		}
 	case messages.Outbid:
 		if Less(r.Seen, w.Promised) {
@@ -141,7 +141,7 @@
 }
 
 // propose takes over what was found, else makes the change.
-func (r *Round) propose() []Ask {
+func (r *Round) propose() []Request {
 	if r.found {
 		r.Err = nil
 		return r.accept()
@@ -164,10 +164,10 @@
 	return r.accept()
 }
 
-func (r *Round) accept() []Ask {
+func (r *Round) accept() []Request {
 	r.accepting, r.doubt = true, false
 	r.votes, r.refused = map[string]bool{}, map[string]bool{}
-	return r.Asks()
+	return r.Requests()
 }
 
 // InDoubt tells that a sealed refusal waits for the members that have not
@@ -184,7 +184,7 @@
 
 // Seal ends the wait for members that don't answer: the value as it is takes
 // the slot, so that no earlier try can. Once that is chosen, the refusal stands.
-func (r *Round) Seal() []Ask {
+func (r *Round) Seal() []Request {
 	if !r.InDoubt() {
 		return nil
 	}
--- a/internal/consensus/seal_test.go
+++ b/internal/consensus/seal_test.go
@@ -24,19 +24,19 @@
 		accs[m.Addr] = &Acceptor{ID: m.ID, Rec: messages.Record{Committed: g}}
 	}
 	earlier = NewRound(0, g, messages.Ballot{N: 1, Who: "lax"}, "lax", body("taken by laxer checks"))
-	asks := tell(earlier, accs, earlier.Asks(), "a", "b")
+	asks := tell(earlier, accs, earlier.Requests(), "a", "b")
 	tell(earlier, accs, asks, "c")
 	return g, accs, earlier
 }
 
 // tell carries asks to those named and their words back, and returns what is asked next.
-func tell(r *Round, accs map[string]*Acceptor, asks []Ask, to ...string) []Ask {
-	var next []Ask
+func tell(r *Round, accs map[string]*Acceptor, asks []Request, to ...string) []Request {
+	var next []Request
 	for _, addr := range to {
 		for _, a := range asks {
 			if a.To.Addr == addr {
-				word, _ := accs[addr].Handle(a.Ask)
-				next = append(next, r.Hear(a.To, a.Ask.Step, word)...)
+				word, _ := accs[addr].Handle(a.Body)
+				next = append(next, r.Hear(a.To, a.Body.Step, word)...)
 			}
 		}
 	}
@@ -48,7 +48,7 @@
 func TestSealedRefusalIsNotOverturned(t *testing.T) {
 	g, accs, _ := trio()
 	r := NewRound(0, g, messages.Ballot{N: 2, Who: "strict"}, "strict", refuse)
-	must.SliceEmpty(t, tell(r, accs, r.Asks(), "a", "b"))
+	must.SliceEmpty(t, tell(r, accs, r.Requests(), "a", "b"))
 	must.True(t, r.InDoubt(), must.Sprint("c may hold an earlier try"))
 	asks := r.Seal()
 	tell(r, accs, asks, "a", "b")
@@ -57,14 +57,14 @@
 	must.ErrorIs(t, r.Err, errStricter)
 	must.Eq(t, Finished, NewAttempt(0, "strict", refuse).Close(r))
 	later := NewRound(0, g, messages.Ballot{N: 3, Who: "later"}, "later", body("x"))
-	tell(later, accs, later.Asks(), "b", "c")
+	tell(later, accs, later.Requests(), "b", "c")
 	must.Eq(t, r.Value.Stamp, later.Value.Stamp, must.Sprint("the seal stands, not the earlier try"))
 }
 
 func TestSealedRefusalTakesOverAnEarlierTry(t *testing.T) {
 	g, accs, earlier := trio()
 	r := NewRound(0, g, messages.Ballot{N: 2, Who: "strict"}, "strict", refuse)
-	prepare := r.Asks()
+	prepare := r.Requests()
 	tell(r, accs, prepare, "a", "b")
 	asks := tell(r, accs, prepare, "c")
 	tell(r, accs, asks, "a", "c")
--- a/internal/simulation/proposer.go
+++ b/internal/simulation/proposer.go
@@ -58,14 +58,14 @@
 	round := p.attempt.Round(base)
 	p.round, p.sealing = round, false
 	p.node.process.After(min(roundUs, p.leftUs()), func() { p.finish(round) })
-	p.post(round, round.Asks())
+	p.post(round, round.Requests())
 }
 
 // post sends asks; those to one member go one after the other, each once the
 // one before it was answered.
-func (p *changing) post(round *consensus.Round, asks []consensus.Ask) {
+func (p *changing) post(round *consensus.Round, asks []consensus.Request) {
 	var order []string
-	byMember := map[string][]consensus.Ask{}
+	byMember := map[string][]consensus.Request{}
 	for _, a := range asks {
 		if byMember[a.To.ID] == nil {
 			order = append(order, a.To.ID)
@@ -77,20 +77,20 @@
 	}
 }
 
-func (p *changing) postInTurn(round *consensus.Round, asks []consensus.Ask) {
+func (p *changing) postInTurn(round *consensus.Round, asks []consensus.Request) {
 	if len(asks) == 0 || p.round != round {
 		return
 	}
 	a := asks[0]
-	p.node.call(a.To.Addr, a.Ask, func(r messages.ConsensusResponse) {
-		if a.Ask.Step == messages.Commit {
+	p.node.call(a.To.Addr, a.Body, func(r messages.ConsensusResponse) {
+		if a.Body.Step == messages.Commit {
 			p.postInTurn(round, asks[1:])
 			return
 		}
 		if p.round != round || round.End != consensus.Going {
 			return
 		}
-		more := round.Hear(a.To, a.Ask.Step, r)
+		more := round.Hear(a.To, a.Body.Step, r)
 		if round.End != consensus.Going {
 			p.finish(round)
 			return
