--- a/internal/controller/readers.go
+++ b/internal/controller/readers.go
@@ -106,7 +106,7 @@
 		since, epoch := shelf.Version, shelf.Epoch
 		d.kmu.Unlock()
 		cctx, cancel := context.WithTimeout(ctx, callWait)
-		status, body, _, err := d.connPool.Ask(cctx, n.Addr, "GET", "/api/kv-events?since="+strconv.FormatInt(since, 10), aimed(n, map[string]string{"Wait-Ms": "1000"}), nil)
+		status, body, err := d.connPool.Ask(cctx, n.Addr, "GET", "/api/kv-events?since="+strconv.FormatInt(since, 10), aimed(n, map[string]string{"Wait-Ms": "1000"}), nil)
 		cancel()
 		var ev api.PrefixEvents
 		if err != nil || status != 200 || json.Unmarshal(body, &ev) != nil {
@@ -149,7 +149,7 @@
 func (d *Controller) readList(ctx context.Context, n messages.RunnerRecord) {
 	cctx, cancel := context.WithTimeout(ctx, callWait)
 	defer cancel()
-	status, body, _, err := d.connPool.Ask(cctx, n.Addr, "GET", "/api/kv-list", aimed(n, map[string]string{}), nil)
+	status, body, err := d.connPool.Ask(cctx, n.Addr, "GET", "/api/kv-list", aimed(n, map[string]string{}), nil)
 	var list api.PrefixList
 	if err != nil || status != 200 || json.Unmarshal(body, &list) != nil {
 		return
@@ -185,7 +185,7 @@
 func (d *Controller) report(ctx context.Context, n messages.RunnerRecord) (api.Report, bool) {
 	cctx, cancel := context.WithTimeout(ctx, callWait)
 	defer cancel()
-	status, body, _, err := d.connPool.Ask(cctx, n.Addr, "GET", "/api/report", aimed(n, map[string]string{}), nil)
+	status, body, err := d.connPool.Ask(cctx, n.Addr, "GET", "/api/report", aimed(n, map[string]string{}), nil)
 	var r api.Report
 	return r, err == nil && status == 200 && json.Unmarshal(body, &r) == nil
 }
--- a/internal/controller/rollout_calls.go
+++ b/internal/controller/rollout_calls.go
@@ -41,7 +41,7 @@
 	if d.clock() >= untilUs {
 		return 0, false
 	}
-	status, _, _, err = d.connPool.Ask(ctx, n.Addr, "POST", "/api/order", map[string]string{"Beechtide-Target-Instance": n.ID}, b)
+	status, _, err = d.connPool.Ask(ctx, n.Addr, "POST", "/api/order", map[string]string{"Beechtide-Target-Instance": n.ID}, b)
 	d.log.Info("order", "runner", n.ID, "version", o.Version, "fence", o.Fence, "status", status, "err", err)
 	if err != nil {
 		return 0, true
--- a/internal/upstream/budget.go
+++ b/internal/upstream/budget.go
@@ -6,14 +6,15 @@
 
 // Budget is not safe for concurrent use.
 type Budget struct {
-	Ratio    float64
-	Slack    float64
-	WindowUs int64
-	first    []int64
-	further  []int64
+	Ratio    float64 // retries for each request
+	Slack    float64 // retries beside those
+	WindowUs int64   // the sliding window that both are counted in
+
+	requests []int64 // when requests arrived
+	retries  []int64 // when retries were sent
 }
 
-// Parts of the budget that a node dares to spend.
+// Parts of its share that a node spends.
 const (
 	ratioMargin = 0.6
 	slackMargin = 0.4
@@ -21,21 +22,22 @@
 
 // Request counts a request for the service.
 func (b *Budget) Request(nowUs int64) {
-	b.first = append(trim(b.first, nowUs-b.WindowUs/2), nowUs)
+	b.requests = append(trim(b.requests, nowUs-b.WindowUs/2), nowUs)
 }
 
-// Spend tells whether a further attempt may go out, and counts it.
+// Spend reports whether a retry may be sent, and counts it.
 func (b *Budget) Spend(nowUs int64, nodes int) bool {
-	b.first = trim(b.first, nowUs-b.WindowUs/2)
-	b.further = trim(b.further, nowUs-b.WindowUs)
-	most := b.Ratio*ratioMargin*float64(len(b.first)) + b.Slack*slackMargin/float64(max(nodes, 1))
-	if float64(len(b.further)+1) > most {
+	b.requests = trim(b.requests, nowUs-b.WindowUs/2)
+	b.retries = trim(b.retries, nowUs-b.WindowUs)
+	allowed := b.Ratio*ratioMargin*float64(len(b.requests)) + b.Slack*slackMargin/float64(max(nodes, 1))
+	if float64(len(b.retries)+1) > allowed {
 		return false
 	}
-	b.further = append(b.further, nowUs)
+	b.retries = append(b.retries, nowUs)
 	return true
 }
 
+// trim drops the times before fromUs.
 func trim(list []int64, fromUs int64) []int64 {
 	i := 0
 	for i < len(list) && list[i] < fromUs {
--- a/internal/upstream/call.go
+++ b/internal/upstream/call.go
@@ -11,102 +11,102 @@
 	"github.com/cloudwego/hertz/pkg/protocol"
 )
 
-// maxAnswer bounds the body of such a call.
-const maxAnswer = 8 << 20
+// maxResponseBytes bounds the body of the response to such a call.
+const maxResponseBytes = 8 << 20
 
-// askWait is for how long a call waits whose context says nothing.
-const askWait = 2 * time.Second
+// defaultCallTimeout bounds a call whose context has no deadline.
+const defaultCallTimeout = 2 * time.Second
 
-// attemptID names the request that an answer belongs to.
+// attemptID is the header that names the request that a response belongs to.
 const attemptID = "Beechtide-Attempt-Id"
 
-// reply is the whole answer to a small call.
-type reply struct {
+// call is one small call. One that may have an effect at the runner, or that asks who
+// is at an address, takes a connection of its own: on a reused one a late second
+// response to an earlier call could be taken for the response to this one.
+type call struct {
+	method  string
+	path    string
+	headers map[string]string
+	body    []byte
+	ownConn bool
+}
+
+// response is the complete response to a call.
+type response struct {
 	status int
 	header *protocol.ResponseHeader
 	body   []byte
 }
 
-// Ask sends one request and reads the whole answer. sent tells whether the
-// runner may have got it.
-func (g *ConnPool) Ask(ctx context.Context, addr, method, path string, headers map[string]string, body []byte) (status int, out []byte, sent bool, err error) {
-	a, sent, err := g.exchange(ctx, addr, smallCall{method, path, headers, body, method != "GET"})
+// Ask sends one request and reads the complete response. After an error the runner may
+// have carried the request out.
+func (p *ConnPool) Ask(ctx context.Context, addr, method, path string, headers map[string]string, body []byte) (status int, out []byte, err error) {
+	r, err := p.exchange(ctx, addr, call{method, path, headers, body, method != "GET"})
 	if err != nil {
-		return 0, nil, sent, err
+		return 0, nil, err
 	}
-	return a.status, a.body, sent, nil
+	return r.status, r.body, nil
 }
 
-// Probe sends a GET over a conn of its own and gives the status and one header
-// of the answer.
-func (g *ConnPool) Probe(ctx context.Context, addr, path, header string, headers map[string]string) (status int, value string, err error) {
-	a, _, err := g.exchange(ctx, addr, smallCall{"GET", path, headers, nil, true})
+// Probe sends a GET over a connection of its own and returns the status and one header
+// of the response.
+func (p *ConnPool) Probe(ctx context.Context, addr, path, header string, headers map[string]string) (status int, value string, err error) {
+	r, err := p.exchange(ctx, addr, call{"GET", path, headers, nil, true})
 	if err != nil {
 		return 0, "", err
 	}
-	return a.status, a.header.Get(header), nil
+	return r.status, r.header.Get(header), nil
 }
 
-// smallCall is what is asked. What may do something at the runner, and what asks
-// who is there, goes over a conn of its own: on one that was used before, a late
-// second answer to an earlier call could be taken for this one's.
-type smallCall struct {
-	method  string
-	path    string
-	headers map[string]string
-	body    []byte
-	ownConn bool
-}
-
-// exchange sends one request and reads the whole answer.
-func (g *ConnPool) exchange(ctx context.Context, addr string, call smallCall) (a *reply, sent bool, err error) {
+// exchange sends one request and reads the complete response.
+func (p *ConnPool) exchange(ctx context.Context, addr string, request call) (*response, error) {
 	deadline, ok := ctx.Deadline()
 	if !ok {
-		deadline = time.Now().Add(askWait)
+		deadline = time.Now().Add(defaultCallTimeout)
 	}
-	connect := g.Get
-	if call.ownConn {
+	connect := p.Get
+	if request.ownConn {
 		connect = Connect
 	}
-	l, err := connect(ctx, addr)
+	c, err := connect(ctx, addr)
 	if err != nil {
-		return nil, false, err
+		return nil, err
 	}
-	if sent, err := l.Send(call.head(addr), call.body, deadline); err != nil {
-		l.Close()
-		return nil, sent, err
+	if _, err := c.Send(request.head(addr), request.body, deadline); err != nil {
+		c.Close()
+		return nil, err
 	}
-	a, err = l.reply(deadline)
+	r, err := c.readResponse(deadline)
 	if err != nil {
-		l.Close()
-		return nil, true, err
+		c.Close()
+		return nil, err
 	}
-	if call.ownConn {
-		l.Close()
-		return a, true, nil
+	if request.ownConn {
+		c.Close()
+	} else {
+		p.Put(addr, c, r.header)
 	}
-	g.Put(addr, l, a.header)
-	return a, true, nil
+	return r, nil
 }
 
-// reply reads the whole answer to a small call. Such a call has no attempt id, so
-// an answer that has one belongs to something else.
-func (l *Conn) reply(deadline time.Time) (*reply, error) {
+// readResponse reads the complete response to a call. A call has no attempt id, so a
+// response that has one belongs to something else.
+func (c *Conn) readResponse(deadline time.Time) (*response, error) {
 	r := &protocol.Response{}
-	if err := l.Head(r, deadline); err != nil {
+	if err := c.Head(r, deadline); err != nil {
 		return nil, err
 	}
 	if r.Header.Get(attemptID) != "" {
 		return nil, ErrForeign
 	}
-	body, err := ReadBody(r, maxAnswer)
+	body, err := ReadBody(r, maxResponseBytes)
 	if err != nil {
 		return nil, err
 	}
-	return &reply{r.StatusCode(), &r.Header, body}, nil
+	return &response{r.StatusCode(), &r.Header, body}, nil
 }
 
-func (c smallCall) head(addr string) *protocol.RequestHeader {
+func (c call) head(addr string) *protocol.RequestHeader {
 	var h protocol.RequestHeader
 	h.DisableNormalizing()
 	h.SetMethod(c.method)
--- a/internal/upstream/conn.go
+++ b/internal/upstream/conn.go
@@ -22,133 +22,119 @@
 import (
 	"context"
 	"net"
-	"strconv"
-	"strings"
 	"sync/atomic"
 	"syscall"
 	"time"
 
-	"github.com/cloudwego/hertz/pkg/protocol"
 	"github.com/pkg/errors"
 )
 
-// Errors of a conn.
+// Errors of a connection.
 var (
-	ErrConnect = errors.New("upstream: no conn to the runner")
-	ErrBroken  = errors.New("upstream: conn broken")
-	ErrForeign = errors.New("upstream: the answer belongs to another request")
-	ErrLate    = errors.New("upstream: no answer in time")
+	ErrConnect = errors.New("upstream: no connection to the runner")
+	ErrBroken  = errors.New("upstream: connection broken")
+	ErrForeign = errors.New("upstream: the response belongs to another request")
+	ErrLate    = errors.New("upstream: no response in time")
 )
 
-const tcpUserTimeout = 18
-
-// Timeouts of conns, in milliseconds: how long bytes may stay unacknowledged,
-// and how quickly a silent peer is probed.
 const (
-	userTimeoutMs = 1500
-	keepIdleS     = 1
-	keepEveryS    = 1
-	keepCount     = 2
-	connectMs     = 700
+	connectTimeout = 700 * time.Millisecond
+
+	// userTimeoutMs is for how long bytes may stay unacknowledged before the connection
+	// ends.
+	userTimeoutMs  = 1500
+	tcpUserTimeout = 18 // TCP_USER_TIMEOUT of tcp(7)
+
+	// When and how often a silent peer is probed by the kernel.
+	keepAliveIdleS     = 1
+	keepAliveIntervalS = 1
+	keepAliveCount     = 2
 )
 
 // Conn is one connection to a runner. It serves one request at a time.
 type Conn struct {
-	conn    net.Conn
-	in      reader
-	idleUs  int64       // since when it is idle
-	keepUs  int64       // for how long the runner keeps it idle; 0: unknown
-	spoiled bool        // it carries bytes that belong to no request
-	sending atomic.Bool // a request's body is not all written
-	patient bool        // its user timeout has been raised
-	service string
-	// interrupted is set while no answer is waited for any longer.
-	interrupted atomic.Bool
-
-	Answers  int
-	RestedUs int64 // how long it had rested when it was taken; 0: it is new
+	conn              net.Conn
+	in                reader
+	service           string      // of the runner, as named by ConnPool.GetFor
+	idleSinceUs       int64       // when it was put into the pool
+	keepAliveUs       int64       // for how long the runner keeps it open while idle; 0: unknown
+	tainted           bool        // it carries bytes that belong to no request
+	userTimeoutRaised bool        // above userTimeoutMs, for a slow reader
+	sending           atomic.Bool // the rest of a request's body is being written
+	interrupted       atomic.Bool // nobody waits for a response any longer
+
+	Answers  int   // responses whose heads have been read
+	RestedUs int64 // for how long it was idle when it was taken from the pool; 0: it is new
 }
 
-// Connect opens a conn.
+// Connect opens a connection.
 func Connect(ctx context.Context, addr string) (*Conn, error) {
-	d := net.Dialer{Timeout: connectMs * time.Millisecond, KeepAlive: -1, Control: func(_, _ string, c syscall.RawConn) error {
-		return c.Control(func(fd uintptr) {
-			s := int(fd)
-			_ = syscall.SetsockoptInt(s, syscall.IPPROTO_TCP, tcpUserTimeout, userTimeoutMs)
-			_ = syscall.SetsockoptInt(s, syscall.SOL_SOCKET, syscall.SO_KEEPALIVE, 1)
-			_ = syscall.SetsockoptInt(s, syscall.IPPROTO_TCP, syscall.TCP_KEEPIDLE, keepIdleS)
-			_ = syscall.SetsockoptInt(s, syscall.IPPROTO_TCP, syscall.TCP_KEEPINTVL, keepEveryS)
-			_ = syscall.SetsockoptInt(s, syscall.IPPROTO_TCP, syscall.TCP_KEEPCNT, keepCount)
-		})
-	}}
-	c, err := d.DialContext(ctx, "tcp4", addr)
+	dialer := net.Dialer{Timeout: connectTimeout, KeepAlive: -1, Control: setSocketOptions}
+	c, err := dialer.DialContext(ctx, "tcp4", addr)
 	if err != nil {
 		return nil, errors.Wrap(ErrConnect, err.Error())
 	}
 	return &Conn{conn: c, in: newReader(c)}, nil
 }
 
-// Close ends the conn.
-func (l *Conn) Close() { l.conn.Close() }
+func setSocketOptions(_, _ string, raw syscall.RawConn) error {
+	return raw.Control(func(fd uintptr) {
+		socket := int(fd)
+		_ = syscall.SetsockoptInt(socket, syscall.IPPROTO_TCP, tcpUserTimeout, userTimeoutMs)
+		_ = syscall.SetsockoptInt(socket, syscall.SOL_SOCKET, syscall.SO_KEEPALIVE, 1)
+		_ = syscall.SetsockoptInt(socket, syscall.IPPROTO_TCP, syscall.TCP_KEEPIDLE, keepAliveIdleS)
+		_ = syscall.SetsockoptInt(socket, syscall.IPPROTO_TCP, syscall.TCP_KEEPINTVL, keepAliveIntervalS)
+		_ = syscall.SetsockoptInt(socket, syscall.IPPROTO_TCP, syscall.TCP_KEEPCNT, keepAliveCount)
+	})
+}
+
+// Close ends the connection.
+func (c *Conn) Close() { c.conn.Close() }
 
-// clean tells whether an idle conn may carry another request: still open, and
-// nothing has come that nobody asked for.
-func (l *Conn) clean() bool {
-	if l.in.Len() > 0 {
+// expired reports whether the runner may close the connection soon, by what it
+// announced.
+func (c *Conn) expired(idleUs int64) bool {
+	return c.keepAliveUs > 0 && idleUs > c.keepAliveUs-keepAliveMarginUs
+}
+
+// reusable reports whether an idle connection may carry another request: it is still
+// open, and nothing has arrived that was not requested.
+func (c *Conn) reusable() bool {
+	if c.in.Len() > 0 {
 		return false
 	}
-	sc, ok := l.conn.(syscall.Conn)
+	socket, ok := c.conn.(syscall.Conn)
 	if !ok {
 		return true
 	}
-	raw, err := sc.SyscallConn()
+	raw, err := socket.SyscallConn()
 	if err != nil {
 		return false
 	}
-	good := false
+	nothingToRead := false
 	err = raw.Read(func(fd uintptr) bool {
 		var b [1]byte
-		_, _, rerr := syscall.Recvfrom(int(fd), b[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
-		good = rerr == syscall.EAGAIN || rerr == syscall.EWOULDBLOCK
+		_, _, err := syscall.Recvfrom(int(fd), b[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
+		nothingToRead = err == syscall.EAGAIN || err == syscall.EWOULDBLOCK
 		return true
 	})
-	return err == nil && good
+	return err == nil && nothingToRead
 }
 
-// Interrupt ends the wait for a head, now or when it begins. It may be called
-// while another goroutine uses the conn.
-func (l *Conn) Interrupt() {
-	l.interrupted.Store(true)
-	_ = l.conn.SetReadDeadline(time.Unix(1, 0))
+// Interrupt ends the wait for a response's head, now or when it begins. It may be
+// called while another goroutine uses the connection.
+func (c *Conn) Interrupt() {
+	c.interrupted.Store(true)
+	_ = c.conn.SetReadDeadline(time.Unix(1, 0))
 }
 
-// Resume lets an answer whose head has come be read on until the deadline, also
-// where the conn was interrupted meanwhile.
-func (l *Conn) Resume(deadline time.Time) {
-	l.interrupted.Store(false)
-	_ = l.conn.SetReadDeadline(deadline)
+// Resume lets a response whose head has arrived be read on until the deadline, also
+// if the connection was interrupted meanwhile.
+func (c *Conn) Resume(deadline time.Time) {
+	c.interrupted.Store(false)
+	_ = c.conn.SetReadDeadline(deadline)
 }
 
-// Spoil notes that something came on the conn that was no answer to what was
-// asked on it. It is not used again.
-func (l *Conn) Spoil() { l.spoiled = true }
-
-// keepAlive notes what the answer says of the conn, and whether it can be kept.
-func (l *Conn) keepAlive(h *protocol.ResponseHeader) bool {
-	if h.ConnectionClose() || !h.IsHTTP11() {
-		return false
-	}
-	if v := h.Get("Keep-Alive"); v != "" {
-		for item := range strings.SplitSeq(v, ",") {
-			if k, n, ok := strings.Cut(strings.TrimSpace(item), "="); ok && strings.EqualFold(k, "timeout") {
-				if s, err := strconv.Atoi(n); err == nil {
-					if s <= 0 {
-						return false
-					}
-					l.keepUs = int64(s) * 1_000_000
-				}
-			}
-		}
-	}
-	return true
-}
+// Spoil records that bytes arrived that are no response to a request on this
+// connection. It is not used again.
+func (c *Conn) Spoil() { c.tainted = true }
--- a/internal/upstream/conn_pool.go
+++ b/internal/upstream/conn_pool.go
@@ -1,5 +1,3 @@
-// ConnPool keeps idle connections to runners and bounds how many there are to each.
-
 package upstream
 
 import (
@@ -10,156 +8,149 @@
 	"github.com/cloudwego/hertz/pkg/protocol"
 )
 
-// idleMarginUs is how long before the runner's own limit an idle conn is no
-// longer used.
-const idleMarginUs = 600_000
+// keepAliveMarginUs is how long before the runner's announced limit an idle connection
+// is no longer used.
+const keepAliveMarginUs = 600_000
 
-// ConnPool is safe for concurrent use.
+// ConnPool keeps idle connections to runners. It is safe for concurrent use.
 type ConnPool struct {
-	mu    sync.Mutex
-	idle  map[string][]*Conn
-	clock func() int64
-	safe  map[string]float64 // by service, microseconds
-}
-
-// A runner may drop an idle conn without a word, and earlier than it says; what
-// is sent over it then is lost. How long a conn may have rested is learned by
-// service: shorter when one that rested was dead, longer by little steps.
-const (
-	safeStartUs = 1_500_000
-	safeLeastUs = 50_000
-	safeMostUs  = 30_000_000
-	safeCut     = 0.6
-	safeGrow    = 0.02
-	tryBeyond   = 2 // a request that may be repeated may use a conn that has rested longer
-)
+	clock func() int64 // monotonic, in microseconds
 
-func (g *ConnPool) safeUs(service string) float64 {
-	if us, ok := g.safe[service]; ok {
-		return us
-	}
-	return safeStartUs
+	mu     sync.Mutex         // guards all below
+	idle   map[string][]*Conn // by address, the one idle for the shortest time last
+	limits idleLimits
 }
 
-// Dead notes that a conn was of no use, and Alive that it was.
-func (g *ConnPool) Dead(l *Conn) {
-	if l.RestedUs > 0 {
-		g.mu.Lock()
-		g.safe[l.service] = max(min(g.safeUs(l.service), safeCut*float64(l.RestedUs)), safeLeastUs)
-		g.mu.Unlock()
-	}
+// NewConnPool makes an empty pool. clock returns monotonic microseconds.
+func NewConnPool(clock func() int64) *ConnPool {
+	return &ConnPool{clock: clock, idle: map[string][]*Conn{}, limits: idleLimits{}}
 }
 
-// Alive notes that a conn that had rested was good.
-func (g *ConnPool) Alive(l *Conn) {
-	g.mu.Lock()
-	if us := g.safeUs(l.service); float64(l.RestedUs) > us {
-		g.safe[l.service] = min(us+safeGrow*(float64(l.RestedUs)-us), safeMostUs)
+// Dead records that a connection from the pool had been dropped by the runner.
+func (p *ConnPool) Dead(c *Conn) {
+	if c.RestedUs == 0 {
+		return
 	}
-	g.mu.Unlock()
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.limits.recordDead(c.service, c.RestedUs)
 }
 
-// GetFor gives a conn for a request to a runner of a service, which may have
-// rested only as long as is safe for it.
-func (g *ConnPool) GetFor(ctx context.Context, addr, service string, repeatable bool) (*Conn, error) {
-	g.mu.Lock()
-	mostUs := g.safeUs(service)
-	g.mu.Unlock()
-	if repeatable {
-		mostUs *= tryBeyond
-	}
-	l, err := g.get(ctx, addr, int64(mostUs))
-	if l != nil {
-		l.service = service
-	}
-	return l, err
+// Alive records that a response came on a connection from the pool.
+func (p *ConnPool) Alive(c *Conn) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.limits.recordAlive(c.service, c.RestedUs)
 }
 
-// NewConnPool makes one; clock gives steady microseconds.
-func NewConnPool(clock func() int64) *ConnPool {
-	return &ConnPool{idle: map[string][]*Conn{}, clock: clock, safe: map[string]float64{}}
+// GetFor returns a connection for a request to a runner of a service. It has been idle
+// only for as long as is safe for that service.
+func (p *ConnPool) GetFor(ctx context.Context, addr, service string, repeatable bool) (*Conn, error) {
+	p.mu.Lock()
+	maxIdleUs := p.limits.limitFor(service, repeatable)
+	p.mu.Unlock()
+	c, err := p.getWithin(ctx, addr, maxIdleUs)
+	if c != nil {
+		c.service = service
+	}
+	return c, err
 }
 
-// Get gives a conn to addr, an idle one where there is a good one.
-func (g *ConnPool) Get(ctx context.Context, addr string) (*Conn, error) {
-	return g.get(ctx, addr, safeMostUs)
+// Get returns a connection to addr, an idle one if there is a good one.
+func (p *ConnPool) Get(ctx context.Context, addr string) (*Conn, error) {
+	return p.getWithin(ctx, addr, idleLimitMaxUs)
 }
 
-func (g *ConnPool) get(ctx context.Context, addr string, mostUs int64) (*Conn, error) {
+// getWithin returns a connection that has been idle for no longer than maxIdleUs.
+func (p *ConnPool) getWithin(ctx context.Context, addr string, maxIdleUs int64) (*Conn, error) {
 	for {
-		g.mu.Lock()
-		list := g.idle[addr]
-		var l *Conn
-		if n := len(list); n > 0 {
-			l = list[n-1]
-			g.idle[addr] = list[:n-1]
-		}
-		g.mu.Unlock()
-		if l == nil {
+		c := p.popIdle(addr)
+		if c == nil {
 			return Connect(ctx, addr)
 		}
-		age := g.clock() - l.idleUs
-		if (l.keepUs > 0 && age > l.keepUs-idleMarginUs) || age > mostUs || !l.clean() {
-			l.Close()
+		idleUs := p.clock() - c.idleSinceUs
+		if c.expired(idleUs) || idleUs > maxIdleUs || !c.reusable() {
+			c.Close()
 			continue
 		}
-		l.RestedUs = max(age, 1)
-		return l, nil
+		c.RestedUs = max(idleUs, 1)
+		return c, nil
+	}
+}
+
+// popIdle takes the connection out of the pool that has been idle for the shortest
+// time; nil where there is none.
+func (p *ConnPool) popIdle(addr string) *Conn {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	list := p.idle[addr]
+	if len(list) == 0 {
+		return nil
 	}
+	last := len(list) - 1
+	p.idle[addr] = list[:last]
+	return list[last]
 }
 
-// Put takes a conn back after a whole answer, or closes it. A runner may answer before
-// it has read the whole body: nothing else may come in the place of the rest.
-func (g *ConnPool) Put(addr string, l *Conn, h *protocol.ResponseHeader) {
-	if l.spoiled || l.sending.Load() || !l.keepAlive(h) || l.in.Len() > 0 {
-		l.Close()
+// Put returns a connection to the pool after a complete response, or closes it. A
+// runner may respond before it has read the whole body of a request: as long as the
+// rest is being written, no other request may follow it.
+func (p *ConnPool) Put(addr string, c *Conn, h *protocol.ResponseHeader) {
+	if c.tainted || c.sending.Load() || !c.keepAlive(h) || c.in.Len() > 0 {
+		c.Close()
 		return
 	}
-	_ = l.conn.SetDeadline(time.Time{})
-	if l.patient {
-		l.setUserTimeout(0)
+	_ = c.conn.SetDeadline(time.Time{})
+	if c.userTimeoutRaised {
+		c.setUserTimeout(0)
 	}
-	l.idleUs = g.clock()
-	g.mu.Lock()
-	g.idle[addr] = append(g.idle[addr], l)
-	g.mu.Unlock()
+	c.idleSinceUs = p.clock()
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.idle[addr] = append(p.idle[addr], c)
 }
 
-// Drop closes the idle conns to an address, as when another has taken it over.
-func (g *ConnPool) Drop(addr string) {
-	g.mu.Lock()
-	list := g.idle[addr]
-	delete(g.idle, addr)
-	g.mu.Unlock()
-	for _, l := range list {
-		l.Close()
-	}
+// Drop closes the idle connections to an address, as when another runner has taken it
+// over.
+func (p *ConnPool) Drop(addr string) {
+	p.mu.Lock()
+	list := p.idle[addr]
+	delete(p.idle, addr)
+	p.mu.Unlock()
+	closeAll(list)
+}
+
+// Sweep closes connections that have been idle for too long, and all to addresses that
+// keep returns false for.
+func (p *ConnPool) Sweep(keep func(addr string) bool) {
+	closeAll(p.takeExpired(keep))
 }
 
-// Sweep closes conns that have been idle too long, and all to addresses that
-// keep says no to.
-func (g *ConnPool) Sweep(keep func(addr string) bool) {
-	now := g.clock()
-	var shut []*Conn
-	g.mu.Lock()
-	for addr, list := range g.idle {
-		left := list[:0]
-		for _, l := range list {
-			age := now - l.idleUs
-			if !keep(addr) || l.keepUs > 0 && age > l.keepUs-idleMarginUs || age > 30_000_000 {
-				shut = append(shut, l)
+func (p *ConnPool) takeExpired(keep func(addr string) bool) (expired []*Conn) {
+	nowUs := p.clock()
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for addr, list := range p.idle {
+		kept := list[:0]
+		for _, c := range list {
+			idleUs := nowUs - c.idleSinceUs
+			if !keep(addr) || c.expired(idleUs) || idleUs > idleLimitMaxUs {
+				expired = append(expired, c)
 			} else {
-				left = append(left, l)
+				kept = append(kept, c)
 			}
 		}
-		if len(left) == 0 {
-			delete(g.idle, addr)
+		if len(kept) == 0 {
+			delete(p.idle, addr)
 		} else {
-			g.idle[addr] = left
+			p.idle[addr] = kept
 		}
 	}
-	g.mu.Unlock()
-	for _, l := range shut {
-		l.Close()
+	return expired
+}
+
+func closeAll(list []*Conn) {
+	for _, c := range list {
+		c.Close()
 	}
 }
--- a/internal/upstream/events.go
+++ b/internal/upstream/events.go
@@ -13,8 +13,8 @@
 	Count  int
 }
 
-// Add takes bytes and returns those that make whole events, in order. The
-// result is valid until the next call.
+// Add appends bytes and returns those that make up whole events, in order. The result
+// is valid until the next call.
 func (e *Events) Add(b []byte) []byte {
 	e.rest = append(e.rest, b...)
 	end := bytes.LastIndex(e.rest, []byte("\n\n"))
@@ -23,18 +23,19 @@
 	}
 	whole := e.rest[:end+2]
 	out := append([]byte{}, whole...)
-	e.note(whole)
+	e.record(whole)
 	e.rest = append(e.rest[:0], e.rest[end+2:]...)
 	return out
 }
 
-// Rest is what has come of an event that is not whole.
+// Rest returns what has arrived of an event that is not complete.
 func (e *Events) Rest() []byte { return e.rest }
 
-// Cut drops the rest, before a stream is taken up elsewhere.
+// Cut drops the rest, before the stream is resumed at another runner.
 func (e *Events) Cut() { e.rest = e.rest[:0] }
 
-func (e *Events) note(whole []byte) {
+// record counts whole events and keeps the id of the last one.
+func (e *Events) record(whole []byte) {
 	e.Count += bytes.Count(whole, []byte("\n\n"))
 	for len(whole) > 0 {
 		line := whole
--- a/internal/upstream/fuzz_test.go
+++ b/internal/upstream/fuzz_test.go
@@ -123,7 +123,7 @@
 			return
 		}
 		first := slices.IndexFunc(script, func(b byte) bool { return b%4 == 0 })
-		must.Between(t, 0, first, mostForeign, must.Sprint(script))
+		must.Between(t, 0, first, maxForeignResponses, must.Sprint(script))
 		body, err := ReadBody(&r, 1<<20)
 		must.NoError(t, err)
 		must.Eq(t, fmt.Sprint("own ", first), string(body))
--- a/internal/upstream/head.go
+++ b/internal/upstream/head.go
@@ -7,9 +7,9 @@
 	"github.com/pkg/errors"
 )
 
-// The library's reader is lenient: it takes any first line and any line ends, and
-// of two lengths the last. What a runner in trouble sends could pass for an
-// answer so. The head is therefore looked at, in the buffer, before it is read.
+// The library's parser is lenient: it accepts any first line and any line ends, and of
+// two lengths takes the last, so bytes that are no response could pass for one. The
+// head is therefore validated in the buffer before the library parses it.
 
 var (
 	headEnd    = []byte("\r\n\r\n")
@@ -17,19 +17,19 @@
 	statusLine = []byte("HTTP/1.1 ")
 )
 
-// mostInterim is how many interim answers (1xx) may stand before the answer.
-const mostInterim = 2
+// maxInterimResponses bounds the interim responses (1xx) before the final one.
+const maxInterimResponses = 2
 
-// awaitHead waits until the whole head of an answer is in the buffer, and checks
-// it. Interim answers are passed over.
+// awaitHead waits until the whole head of a response is in the buffer, and validates
+// it. Interim responses are skipped.
 func awaitHead(in reader) error {
-	for range mostInterim + 1 {
+	for range maxInterimResponses + 1 {
 		head, err := peekHead(in)
 		if err != nil {
 			return err
 		}
-		if !proper(head) {
-			return errors.Wrap(ErrBroken, "not an answer")
+		if !validHead(head) {
+			return errors.Wrap(ErrBroken, "malformed head")
 		}
 		if status := head[len(statusLine):]; status[0] != '1' {
 			return nil
@@ -38,10 +38,10 @@
 			return errors.Wrap(ErrBroken, err.Error())
 		}
 	}
-	return errors.Wrap(ErrBroken, "interim answers only")
+	return errors.Wrap(ErrBroken, "too many interim responses")
 }
 
-// peekHead gives the head that is next, its last empty line included.
+// peekHead returns the next head, including its last empty line.
 func peekHead(in reader) ([]byte, error) {
 	for {
 		buffered, err := in.Peek(in.Len())
@@ -61,36 +61,36 @@
 	}
 }
 
-// proper tells whether a head is one of HTTP/1.1 that can be read in one way.
-func proper(head []byte) bool {
-	first, bounds := true, 0
+// validHead reports whether a head is of HTTP/1.1 and unambiguous.
+func validHead(head []byte) bool {
+	first, lengths := true, 0
 	for line := range bytes.SplitSeq(head[:len(head)-len(headEnd)], lineEnd) {
 		if bytes.ContainsAny(line, "\r\n\x00") {
 			return false
 		}
 		if first {
 			first = false
-			if !properStatus(line) {
+			if !validStatusLine(line) {
 				return false
 			}
 			continue
 		}
-		bound, ok := properField(line)
+		givesLength, ok := checkField(line)
 		if !ok {
 			return false
 		}
-		if bound {
-			bounds++
+		if givesLength {
+			lengths++
 		}
 	}
-	return bounds <= 1
+	return lengths <= 1
 }
 
-// properField checks one line of a head; bound tells whether it says where the
-// body ends.
-func properField(line []byte) (bound, ok bool) {
+// checkField checks one field of a head; givesLength reports whether the field says
+// where the body ends.
+func checkField(line []byte) (givesLength, ok bool) {
 	name, value, ok := bytes.Cut(line, []byte(":"))
-	if !ok || !token(name) {
+	if !ok || !isToken(name) {
 		return false, false
 	}
 	if bytes.EqualFold(name, []byte("Transfer-Encoding")) {
@@ -99,21 +99,22 @@
 	return bytes.EqualFold(name, []byte("Content-Length")), true
 }
 
-func properStatus(line []byte) bool {
+// validStatusLine checks the first line of a head.
+func validStatusLine(line []byte) bool {
 	status, ok := bytes.CutPrefix(line, statusLine)
 	if !ok || len(status) < 3 || len(status) > 3 && status[3] != ' ' {
 		return false
 	}
-	return '1' <= status[0] && status[0] <= '5' && digit(status[1]) && digit(status[2])
+	return '1' <= status[0] && status[0] <= '5' && isDigit(status[1]) && isDigit(status[2])
 }
 
-func digit(c byte) bool { return '0' <= c && c <= '9' }
+func isDigit(c byte) bool { return '0' <= c && c <= '9' }
 
-// token tells whether a field's name is one: letters, digits and some signs.
-func token(name []byte) bool {
+// isToken reports whether a field's name is a token of RFC 9110.
+func isToken(name []byte) bool {
 	for _, c := range name {
 		letter := 'a' <= c|0x20 && c|0x20 <= 'z'
-		if !letter && !digit(c) && bytes.IndexByte([]byte("!#$%&'*+-.^_`|~"), c) < 0 {
+		if !letter && !isDigit(c) && bytes.IndexByte([]byte("!#$%&'*+-.^_`|~"), c) < 0 {
 			return false
 		}
 	}
--- /dev/null
+++ b/internal/upstream/response.go
@@ -0,0 +1,149 @@
+package upstream
+
+import (
+	"bufio"
+	"io"
+	"time"
+
+	"github.com/cloudwego/hertz/pkg/protocol"
+	"github.com/cloudwego/hertz/pkg/protocol/http1/resp"
+	"github.com/pkg/errors"
+)
+
+const (
+	bufferBytes = 4096 // of the reader; a whole head has to fit
+	chunkBytes  = 2048 // of a body, read at a time
+)
+
+// identityLength is the content length that the library reports for a body that ends
+// with the connection.
+const identityLength = -2
+
+// reader gives the connection's bytes to the library's parser. It has no method Read:
+// if it had, the library would read past the end of a body that is longer than its
+// first chunk.
+type reader struct{ in *bufio.Reader }
+
+func newReader(in io.Reader) reader { return reader{bufio.NewReaderSize(in, bufferBytes)} }
+
+func (r reader) Peek(n int) ([]byte, error) { return r.in.Peek(n) }
+func (r reader) ReadByte() (byte, error)    { return r.in.ReadByte() }
+func (r reader) Release() error             { return nil }
+func (r reader) Len() int                   { return r.in.Buffered() }
+func (r reader) Skip(n int) error {
+	_, err := r.in.Discard(n)
+	return err
+}
+
+func (r reader) ReadBinary(n int) ([]byte, error) {
+	b := make([]byte, n)
+	_, err := io.ReadFull(r.in, b)
+	return b, err
+}
+
+// readHead reads a head, once all of it has arrived and been checked, and sets the
+// stream of its body.
+func readHead(out *protocol.Response, in reader) error {
+	if err := awaitHead(in); err != nil {
+		return err
+	}
+	if err := resp.ReadHeaders(out, in); err != nil {
+		return errors.Wrap(ErrBroken, err.Error())
+	}
+	h := &out.Header
+	if h.ContentLength() == identityLength && !h.MustSkipContentLength() {
+		out.SetBodyStream(untilClose(in), identityLength)
+		return nil
+	}
+	if err := resp.ReadRespBodyStream(out, in, 0, func(bool) error { return nil }); err != nil {
+		return errors.Wrap(ErrBroken, err.Error())
+	}
+	return nil
+}
+
+// untilClose is the body of a response without a length, which ends with the
+// connection. It is complete if the runner closes the connection in order; a reset is
+// an error. The library's own reader takes either for the end.
+type untilClose struct{ in *bufio.Reader }
+
+func (u untilClose) Read(b []byte) (int, error) { return u.in.Read(b) }
+
+// EndsWithConn reports whether a response ends with its connection.
+func EndsWithConn(r *protocol.Response) bool {
+	_, ok := r.BodyStream().(untilClose)
+	return ok
+}
+
+// Head reads the head of the next response. The body is then read from the stream of
+// out until its end, which is io.EOF only if the body is complete.
+func (c *Conn) Head(out *protocol.Response, deadline time.Time) error {
+	_ = c.conn.SetReadDeadline(deadline)
+	if c.interrupted.Load() { // checked after the deadline is set, which an interrupt replaces
+		return errors.Wrap(ErrLate, "interrupted")
+	}
+	if c.sending.Load() {
+		if err := awaitHead(c.in); err != nil {
+			return err
+		}
+		c.setUserTimeout(time.Until(deadline)) // it responds, and may read the rest of the body late
+	}
+	if err := readHead(out, c.in); err != nil {
+		return err
+	}
+	c.Answers++
+	return nil
+}
+
+// Bounds of responses to other requests that may precede the response: how many, and
+// how long the body of each.
+const (
+	maxForeignResponses = 2
+	maxForeignBytes     = 1 << 20
+)
+
+// HeadFor reads the head of the response to the request with this attempt id. A late
+// second response to an earlier request may precede it; that one is skipped, and the
+// connection is not used again. Every response of a runner has an attempt id; one
+// without is an error.
+func (c *Conn) HeadFor(id string, out *protocol.Response, deadline time.Time) error {
+	for range maxForeignResponses + 1 {
+		out.Reset()
+		if err := c.Head(out, deadline); err != nil {
+			return err
+		}
+		switch out.Header.Get(attemptID) {
+		case id:
+			return nil
+		case "":
+			return ErrForeign
+		}
+		c.Spoil()
+		if _, err := ReadBody(out, maxForeignBytes); err != nil {
+			return errors.Wrap(ErrForeign, err.Error())
+		}
+	}
+	return ErrForeign
+}
+
+// ReadBody reads the complete body of a response whose head has been read. A body that
+// is truncated or longer than maxBytes is an error; the connection must not be used
+// after it.
+func ReadBody(r *protocol.Response, maxBytes int) ([]byte, error) {
+	stream, chunk := r.BodyStream(), make([]byte, chunkBytes)
+	var body []byte
+	for {
+		n, err := stream.Read(chunk)
+		body = append(body, chunk[:n]...)
+		switch {
+		case len(body) > maxBytes:
+			return nil, errors.Wrap(ErrBroken, "the body is too long")
+		case err == io.EOF:
+			if want := r.Header.ContentLength(); want >= 0 && len(body) != want && !r.Header.MustSkipContentLength() {
+				return nil, errors.Wrap(ErrBroken, "the body has another length than announced")
+			}
+			return body, nil
+		case err != nil:
+			return nil, errors.Wrap(ErrBroken, err.Error())
+		}
+	}
+}
--- a/internal/upstream/answer_test.go
+++ b/internal/upstream/response_test.go
@@ -96,7 +96,7 @@
 	t.Helper()
 	ctx, cancel := context.WithTimeout(context.Background(), 5*time.Second)
 	defer cancel()
-	status, _, _, err := g.Ask(ctx, addr, method, "/api/x", nil, nil)
+	status, _, err := g.Ask(ctx, addr, method, "/api/x", nil, nil)
 	return status, err
 }
 
@@ -134,32 +134,32 @@
 }
 
 func TestASpoiledConnIsNotKept(t *testing.T) {
-	g := NewConnPool(steady)
+	pool := NewConnPool(steady)
 	addr := fake(t, okAnswer)
-	_, l, r, err := shoot(t, g, addr)
+	e, err := roundTrip(t, pool, addr)
 	must.NoError(t, err)
-	l.Spoil()
-	g.Put(addr, l, &r.Header)
-	must.MapEmpty(t, g.idle)
+	e.conn.Spoil()
+	pool.Put(addr, e.conn, &e.response.Header)
+	must.MapEmpty(t, pool.idle)
 }
 
 func TestAConnThatIsNotToRestIsNotKept(t *testing.T) {
-	g := NewConnPool(steady)
+	pool := NewConnPool(steady)
 	addr := fake(t, "HTTP/1.1 200 OK\r\nKeep-Alive: timeout=0\r\nContent-Length: 2\r\n\r\nok")
-	_, l, r, err := shoot(t, g, addr)
+	e, err := roundTrip(t, pool, addr)
 	must.NoError(t, err)
-	g.Put(addr, l, &r.Header)
-	must.MapEmpty(t, g.idle)
+	pool.Put(addr, e.conn, &e.response.Header)
+	must.MapEmpty(t, pool.idle)
 }
 
 func TestDropClosesWhatRestsAtAnAddress(t *testing.T) {
-	g := NewConnPool(steady)
+	pool := NewConnPool(steady)
 	addr := fake(t, okAnswer, noAnswer)
-	_, l, r, err := shoot(t, g, addr)
+	e, err := roundTrip(t, pool, addr)
 	must.NoError(t, err)
-	g.Put(addr, l, &r.Header)
-	g.Drop(addr)
-	must.MapEmpty(t, g.idle)
+	pool.Put(addr, e.conn, &e.response.Header)
+	pool.Drop(addr)
+	must.MapEmpty(t, pool.idle)
 }
 
 // resetting sends an answer without a length and ends its connection with a reset.
--- a/internal/upstream/send_test.go
+++ b/internal/upstream/send_test.go
@@ -25,12 +25,12 @@
 
 // early is a runner that answers before it has read a body, and reads on when it is
 // told to. It gives what came after the head until the connection ended.
-func early(t *testing.T, readOn <-chan struct{}, answers ...string) (addr string, got chan []byte) {
+func early(t *testing.T, readOn <-chan struct{}, answers ...string) (addr string, received <-chan []byte) {
 	t.Helper()
 	ln, err := net.Listen("tcp4", "127.0.0.1:0")
 	must.NoError(t, err)
 	t.Cleanup(func() { ln.Close() })
-	got = make(chan []byte, 1)
+	got := make(chan []byte, 1)
 	go func() {
 		c, err := ln.Accept()
 		if err != nil {
@@ -109,5 +109,5 @@
 	}
 	g.Put(addr, l, &r.Header)
 	must.MapLen(t, 1, g.idle)
-	must.False(t, l.patient, must.Sprint("the next request notices a dead runner as quickly as others"))
+	must.False(t, l.userTimeoutRaised, must.Sprint("the next request notices a dead runner as quickly as others"))
 }
--- a/internal/upstream/upstream_test.go
+++ b/internal/upstream/upstream_test.go
@@ -11,35 +11,34 @@
 	"github.com/shoenig/test/must"
 )
 
-// fake answers every request on a connection with the given raw bytes.
+// fake responds to every request on a connection with the given raw bytes.
 func fake(t *testing.T, answers ...string) string {
 	t.Helper()
 	ln, err := net.Listen("tcp4", "127.0.0.1:0")
 	must.NoError(t, err)
 	t.Cleanup(func() { ln.Close() })
 	go func() {
-		for {
-			c, err := ln.Accept()
-			if err != nil {
-				return
-			}
-			go func() {
-				defer c.Close()
-				buf := make([]byte, 4096)
-				for _, a := range answers {
-					if _, err := c.Read(buf); err != nil {
-						return
-					}
-					if _, err := io.WriteString(c, a); err != nil {
-						return
-					}
-				}
-			}()
+		for c, err := ln.Accept(); err == nil; c, err = ln.Accept() {
+			go respondRaw(c, answers)
 		}
 	}()
 	return ln.Addr().String()
 }
 
+// respondRaw writes one of the answers for each read of a request, and closes.
+func respondRaw(c net.Conn, answers []string) {
+	defer c.Close()
+	buf := make([]byte, 4096)
+	for _, a := range answers {
+		if _, err := c.Read(buf); err != nil {
+			return
+		}
+		if _, err := io.WriteString(c, a); err != nil {
+			return
+		}
+	}
+}
+
 func head() *protocol.RequestHeader {
 	var h protocol.RequestHeader
 	h.DisableNormalizing()
@@ -52,32 +51,41 @@
 
 func steady() int64 { return time.Now().UnixMicro() }
 
-func shoot(t *testing.T, g *ConnPool, addr string) (string, *Conn, *protocol.Response, error) {
+// exchange is a request that was sent and its response.
+type exchange struct {
+	conn     *Conn
+	response *protocol.Response
+	body     string
+}
+
+// roundTrip sends a request over a connection of the pool and reads the response.
+func roundTrip(t *testing.T, p *ConnPool, addr string) (exchange, error) {
 	t.Helper()
-	l, err := g.Get(context.Background(), addr)
+	c, err := p.Get(context.Background(), addr)
 	must.NoError(t, err)
-	sent, err := l.Send(head(), []byte("hi"), time.Now().Add(time.Second))
+	sent, err := c.Send(head(), []byte("hi"), time.Now().Add(time.Second))
 	must.NoError(t, err)
 	must.True(t, sent)
-	r := protocol.AcquireResponse()
-	if err := l.Head(r, time.Now().Add(time.Second)); err != nil {
-		return "", l, r, err
+	e := exchange{conn: c, response: protocol.AcquireResponse()}
+	if err := c.Head(e.response, time.Now().Add(time.Second)); err != nil {
+		return e, err
 	}
-	b, err := io.ReadAll(r.BodyStream())
-	return string(b), l, r, err
+	b, err := io.ReadAll(e.response.BodyStream())
+	e.body = string(b)
+	return e, err
 }
 
 func TestWholeChunkedAnswer(t *testing.T) {
 	addr := fake(t, "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n4\r\nid:1\r\n2\r\n\n\n\r\n0\r\n\r\n", "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok")
-	g := NewConnPool(steady)
-	b, l, r, err := shoot(t, g, addr)
+	pool := NewConnPool(steady)
+	first, err := roundTrip(t, pool, addr)
 	must.NoError(t, err)
-	must.Eq(t, "id:1\n\n", b)
-	g.Put(addr, l, &r.Header)
-	b, l2, _, err := shoot(t, g, addr)
+	must.Eq(t, "id:1\n\n", first.body)
+	pool.Put(addr, first.conn, &first.response.Header)
+	second, err := roundTrip(t, pool, addr)
 	must.NoError(t, err)
-	must.Eq(t, "ok", b)
-	must.True(t, l == l2)
+	must.Eq(t, "ok", second.body)
+	must.True(t, first.conn == second.conn)
 }
 
 func TestTruncatedAnswersAreSeen(t *testing.T) {
@@ -87,31 +95,31 @@
 		"HTTP/1.1 200 OK\r\nContent-Length: 10\r\n\r\nok",
 		"HTTP/1.1 20",
 	} {
-		_, _, _, err := shoot(t, NewConnPool(steady), fake(t, raw))
+		_, err := roundTrip(t, NewConnPool(steady), fake(t, raw))
 		must.Error(t, err, must.Sprint(raw))
 	}
 }
 
 func TestSurplusBytesEndALink(t *testing.T) {
 	addr := fake(t, "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nokHTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nno", "HTTP/1.1 200 OK\r\nContent-Length: 3\r\n\r\nnew")
-	g := NewConnPool(steady)
-	b, l, r, err := shoot(t, g, addr)
+	pool := NewConnPool(steady)
+	e, err := roundTrip(t, pool, addr)
 	must.NoError(t, err)
-	must.Eq(t, "ok", b)
-	g.Put(addr, l, &r.Header)
-	must.MapLen(t, 0, g.idle)
+	must.Eq(t, "ok", e.body)
+	pool.Put(addr, e.conn, &e.response.Header)
+	must.MapLen(t, 0, pool.idle)
 }
 
 func TestClosedIdleLinkIsNotUsed(t *testing.T) {
 	addr := fake(t, "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok")
-	g := NewConnPool(steady)
-	_, l, r, err := shoot(t, g, addr)
+	pool := NewConnPool(steady)
+	e, err := roundTrip(t, pool, addr)
 	must.NoError(t, err)
-	g.Put(addr, l, &r.Header)
-	_, _ = l.conn.Read(make([]byte, 1)) // returns once the runner has closed
-	got, err := g.Get(context.Background(), addr)
+	pool.Put(addr, e.conn, &e.response.Header)
+	_, _ = e.conn.conn.Read(make([]byte, 1)) // returns once the runner has closed
+	got, err := pool.Get(context.Background(), addr)
 	must.NoError(t, err)
-	must.False(t, got == l)
+	must.False(t, got == e.conn)
 }
 
 func TestEventsKeepBackWhatIsNotWhole(t *testing.T) {
