--- a/internal/controller/controller.go
+++ b/internal/controller/controller.go
@@ -92,6 +92,7 @@
 	targets  namedTargets
 	calm     calm
 	repairs  repairs
+	handOver handOverTimes
 	contact  contact
 	drained  drained
 	startUs  int64
@@ -123,6 +124,7 @@
 		return nil, err
 	}
 	d.contact.lease.Self = d.registers.ID()
+	d.handOver = defaultHandOverTimes
 	self := messages.Peer{Addr: set.ControllerAddr(), Role: messages.Controller, Zone: set.Zone, MemberID: d.registers.ID(), Control: set.Listen.Control, Node: set.Node, Counted: set.Counted}
 	d.monitor = membership.NewMonitor(trans, self, clock, d.knownControllers)
 	trans.OnCall(transport.KindConsensus, func(ctx context.Context, _ *transport.Conn, body []byte) ([]byte, error) {
