--- a/internal/controller/contact_test.go
+++ b/internal/controller/contact_test.go
@@ -168,11 +168,11 @@
 	t.Helper()
 	ctx, cancel := context.WithCancel(context.Background())
 	defer cancel()
-	var peers []peerWord
+	var peers []drainPeer
 	for addr := range answers {
-		peers = append(peers, peerWord{addr, answers[addr] != "silent"})
+		peers = append(peers, drainPeer{addr, answers[addr] != "silent"})
 	}
-	return spreadWord(ctx, "a", []string{"a", "b", "c"}, peers, func(ctx context.Context, addr string) (string, error) {
+	return replicate(ctx, "a", []string{"a", "b", "c"}, peers, func(ctx context.Context, addr string) (string, error) {
 		switch answers[addr] {
 		case "fails":
 			return "", errors.New("refused")
@@ -202,7 +202,7 @@
 		close(late)
 	}()
 	var done atomic.Bool
-	ok := spreadWord(context.Background(), "a", []string{"a", "b", "c"}, []peerWord{{"b", true}, {"c", true}}, func(_ context.Context, addr string) (string, error) {
+	ok := replicate(context.Background(), "a", []string{"a", "b", "c"}, []drainPeer{{"b", true}, {"c", true}}, func(_ context.Context, addr string) (string, error) {
 		if addr == "b" {
 			told <- addr
 			return addr, nil
@@ -221,7 +221,7 @@
 	n := messages.RunnerRecord{ID: "i-1", Service: "s", Seq: 3, Draining: true, Models: []messages.Target{}}
 	b, err := n.MarshalMsg(nil)
 	must.NoError(t, err)
-	out, err := d.hearLeaving(context.Background(), nil, b)
+	out, err := d.handleDrain(context.Background(), nil, b)
 	must.NoError(t, err)
 	var m messages.Member
 	_, err = m.UnmarshalMsg(out)
@@ -231,7 +231,7 @@
 	n.ID, n.Addr, n.Lost = "i-2", "1.2.3.4:81", true
 	b, err = n.MarshalMsg(nil)
 	must.NoError(t, err)
-	_, err = d.hearLeaving(context.Background(), nil, b)
+	_, err = d.handleDrain(context.Background(), nil, b)
 	must.NoError(t, err)
 	must.True(t, d.registry.Snapshot().ByID["i-2"].Draining, must.Sprint("what the teller believes beside it is its own"))
 	later := messages.RunnerRecord{ID: "i-1", Service: "s", Seq: 9, Models: []messages.Target{}}
@@ -245,14 +245,14 @@
 func TestWhatIsToldIsNotToldAgain(t *testing.T) {
 	d, _ := alone(t)
 	draining := messages.RunnerRecord{ID: "i-1", Draining: true}
-	must.False(t, d.spreadLeaving(context.Background(), draining))
-	d.drained.note(draining)
-	must.True(t, d.spreadLeaving(context.Background(), draining))
-	must.False(t, d.spreadLeaving(context.Background(), messages.RunnerRecord{ID: "i-1", Gone: true}))
-	for i := range 2 * mostDrained {
-		d.drained.note(messages.RunnerRecord{ID: strings.Repeat("x", i%100) + string(rune('a'+i/100))})
+	must.False(t, d.replicateDrain(context.Background(), draining))
+	d.drained.add(draining)
+	must.True(t, d.replicateDrain(context.Background(), draining))
+	must.False(t, d.replicateDrain(context.Background(), messages.RunnerRecord{ID: "i-1", Gone: true}))
+	for i := range 2 * maxAckedDrains {
+		d.drained.add(messages.RunnerRecord{ID: strings.Repeat("x", i%100) + string(rune('a'+i/100))})
 	}
-	must.LessEq(t, mostDrained, len(d.drained.told))
+	must.LessEq(t, maxAckedDrains, len(d.drained.acked))
 }
 
 // answering is a stand-in for another member.
--- a/internal/controller/control.go
+++ b/internal/controller/control.go
@@ -89,7 +89,7 @@
 		n.Models = append(n.Models, messages.Target{Model: m.Name, Version: m.Version})
 	}
 	changed := d.registry.ApplyHeartbeat(n, d.clock())
-	if n.Draining && d.takeLeaving(n) || changed {
+	if n.Draining && d.recordDrain(n) || changed {
 		d.tellRunners(n.ID)
 	}
 	if n.Draining && !d.confirmLeaving(ctx, n.ID, begunUs) {
@@ -109,7 +109,7 @@
 // may be acknowledged now.
 func (d *Controller) confirmLeaving(ctx context.Context, id string, begunUs int64) bool {
 	n, ok := d.registry.Record(id)
-	if !ok || !d.spreadLeaving(ctx, n) {
+	if !ok || !d.replicateDrain(ctx, n) {
 		return false
 	}
 	return d.clock()-begunUs < lease.ContactUs
--- a/internal/controller/controller.go
+++ b/internal/controller/controller.go
@@ -94,7 +94,7 @@
 	repairs  repairs
 	handOver handOverTimes
 	contact  contact
-	drained  drained
+	drained  ackedDrains
 	startUs  int64
 	disk     *consensus.DiskStore // nil on machines without one
 }
@@ -143,7 +143,7 @@
 		c := d.condition()
 		return c.MarshalMsg(nil)
 	})
-	trans.OnCall(transport.KindDraining, d.hearLeaving)
+	trans.OnCall(transport.KindDraining, d.handleDrain)
 	trans.OnDatagram(transport.KindRunner, d.heardRunner)
 	for p := range consensus.Parts {
 		if v, ok := d.registers.Committed(p); ok && v.Version > 0 {
--- a/internal/controller/drain.go
+++ b/internal/controller/drain.go
@@ -19,20 +19,21 @@
 	"beechtide.org/beechtide/internal/transport"
 )
 
-// drainWait bounds how long a runner's leaving waits for the other controllers.
-// The runner itself waits a second before it calls another node.
-const drainWait = 400 * time.Millisecond
-
-// mostDrained bounds how many runners are remembered as told.
-const mostDrained = 4096
-
-// drained remembers what a majority has been told, so that a repeat costs nothing.
-type drained struct {
-	mu   sync.Mutex
-	told map[string]bool
+// drainTimeout bounds how long the acknowledgement of a runner's leaving waits for the
+// other controllers. The runner itself waits a second before it calls another node.
+const drainTimeout = 400 * time.Millisecond
+
+// maxAckedDrains bounds how many runners are remembered as acknowledged by a majority.
+const maxAckedDrains = 4096
+
+// ackedDrains remembers which drains a majority has acknowledged, so that a repeat of
+// the call costs nothing. The zero value is ready for use; it is safe for concurrent use.
+type ackedDrains struct {
+	mu    sync.Mutex
+	acked map[string]bool
 }
 
-// drainKey tells a runner that drains from the same one gone.
+// drainKey distinguishes a runner that drains from the same one gone.
 func drainKey(n messages.RunnerRecord) string {
 	if n.Gone {
 		return n.ID + " gone"
@@ -40,89 +41,107 @@
 	return n.ID
 }
 
-func (t *drained) known(n messages.RunnerRecord) bool {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	return t.told[drainKey(n)]
+func (a *ackedDrains) contains(n messages.RunnerRecord) bool {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	return a.acked[drainKey(n)]
 }
 
-func (t *drained) note(n messages.RunnerRecord) {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	if t.told == nil || len(t.told) >= mostDrained {
-		t.told = map[string]bool{}
+func (a *ackedDrains) add(n messages.RunnerRecord) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	if a.acked == nil || len(a.acked) >= maxAckedDrains {
+		a.acked = map[string]bool{}
 	}
-	t.told[drainKey(n)] = true
+	a.acked[drainKey(n)] = true
 }
 
-// peerWord is a controller to be told; urgent ones are waited for.
-type peerWord struct {
-	addr   string
-	urgent bool
+// drainPeer is a controller to be notified. A required one is waited for even after a
+// majority has acknowledged.
+type drainPeer struct {
+	addr     string
+	required bool
 }
 
-// sendWord tells one controller and gives its identity as the acknowledgement.
-type sendWord func(ctx context.Context, addr string) (member string, err error)
-
-// spreadWord tells all peers. It ends once a majority of the group has it and all
-// urgent peers have answered, or with ctx; it tells whether a majority has it.
-func spreadWord(ctx context.Context, self string, group []string, peers []peerWord, send sendWord) bool {
-	type ack struct {
-		peer   peerWord
-		member string
-		err    error
-	}
-	acks := make(chan ack, len(peers))
-	urgent := 0
-	for _, p := range peers {
-		if p.urgent {
-			urgent++
-		}
-		go func() {
-			member, err := send(ctx, p.addr)
-			acks <- ack{p, member, err}
-		}()
-	}
-	has := map[string]bool{self: true}
-	enough := func() bool { return lease.Majority(group, func(m string) bool { return has[m] }) }
-	for left := len(peers); left > 0 && (urgent > 0 || !enough()); left-- {
+// notifyPeer notifies the controller at addr and returns its identity, which stands for
+// its acknowledgement.
+type notifyPeer func(ctx context.Context, addr string) (member string, err error)
+
+// replicate notifies all peers at once. It returns once a majority of the group has
+// acknowledged and all required peers have answered, or when ctx ends, and reports
+// whether a majority has acknowledged.
+func replicate(ctx context.Context, self string, group []string, peers []drainPeer, notify notifyPeer) bool {
+	acks := notifyAll(ctx, peers, notify)
+	acked := map[string]bool{self: true}
+	hasMajority := func() bool { return lease.Majority(group, func(m string) bool { return acked[m] }) }
+	required := countRequired(peers)
+	for left := len(peers); left > 0 && (required > 0 || !hasMajority()); left-- {
 		select {
 		case a := <-acks:
-			if a.peer.urgent {
-				urgent--
+			if a.peer.required {
+				required--
 			}
 			if a.err == nil {
-				has[a.member] = true
+				acked[a.member] = true
 			}
 		case <-ctx.Done():
-			return enough()
+			return hasMajority()
+		}
+	}
+	return hasMajority()
+}
+
+// drainAck is the outcome of notifying one peer.
+type drainAck struct {
+	peer   drainPeer
+	member string
+	err    error
+}
+
+// notifyAll notifies the peers concurrently; one outcome for each arrives on the channel.
+func notifyAll(ctx context.Context, peers []drainPeer, notify notifyPeer) <-chan drainAck {
+	acks := make(chan drainAck, len(peers))
+	for _, p := range peers {
+		go func() {
+			member, err := notify(ctx, p.addr)
+			acks <- drainAck{p, member, err}
+		}()
+	}
+	return acks
+}
+
+func countRequired(peers []drainPeer) int {
+	required := 0
+	for _, p := range peers {
+		if p.required {
+			required++
 		}
 	}
-	return enough()
+	return required
 }
 
-// spreadLeaving tells the core that a runner drains or is gone, and whether a
-// majority has acknowledged it, now or earlier.
-func (d *Controller) spreadLeaving(ctx context.Context, n messages.RunnerRecord) bool {
-	if d.drained.known(n) {
+// replicateDrain notifies the core that a runner drains or is gone, and reports whether
+// a majority has acknowledged it, now or earlier.
+func (d *Controller) replicateDrain(ctx context.Context, n messages.RunnerRecord) bool {
+	if d.drained.contains(n) {
 		return true
 	}
-	var peers []peerWord
+	var peers []drainPeer
 	for _, p := range membership.Core(d.monitor.Alive(messages.Controller)) {
 		if p.Addr != d.transport.Addr() {
-			peers = append(peers, peerWord{p.Addr, !d.calm.isCut(p.Addr)})
+			peers = append(peers, drainPeer{p.Addr, !d.calm.isCut(p.Addr)})
 		}
 	}
-	ctx, cancel := context.WithTimeout(ctx, drainWait)
+	ctx, cancel := context.WithTimeout(ctx, drainTimeout)
 	defer cancel()
-	if !spreadWord(ctx, d.registers.ID(), d.configGroup(), peers, d.sendLeaving(n)) {
+	if !replicate(ctx, d.registers.ID(), d.configGroup(), peers, d.notifyOfDrain(n)) {
 		return false
 	}
-	d.drained.note(n)
+	d.drained.add(n)
 	return true
 }
 
-func (d *Controller) sendLeaving(n messages.RunnerRecord) sendWord {
+func (d *Controller) notifyOfDrain(n messages.RunnerRecord) notifyPeer {
 	return func(ctx context.Context, addr string) (string, error) {
 		b, err := d.transport.Call(ctx, addr, transport.KindDraining, &n)
 		if err != nil {
@@ -130,29 +149,29 @@
 		}
 		var m messages.Member
 		if _, err := m.UnmarshalMsg(b); err != nil {
-			return "", errors.Wrap(err, "controller: acknowledgement")
+			return "", errors.Wrap(err, "controller: decode acknowledgement")
 		}
 		return m.ID, nil
 	}
 }
 
-// hearLeaving takes another controller's word that a runner drains or is gone,
-// sends it down its own tree and acknowledges it by its identity.
-func (d *Controller) hearLeaving(_ context.Context, _ *transport.Conn, body []byte) ([]byte, error) {
+// handleDrain handles another controller's notification that a runner drains or is
+// gone: it publishes that to its own subscribers and acknowledges with its identity.
+func (d *Controller) handleDrain(_ context.Context, _ *transport.Conn, body []byte) ([]byte, error) {
 	var n messages.RunnerRecord
 	if _, err := n.UnmarshalMsg(body); err != nil {
 		return nil, err
 	}
-	if d.takeLeaving(n) {
+	if d.recordDrain(n) {
 		d.tellRunners(n.ID)
 	}
 	self := messages.Member{ID: d.registers.ID(), Addr: d.transport.Addr()}
 	return self.MarshalMsg(nil)
 }
 
-// takeLeaving notes what a runner has said of itself, whatever its beats said since
-// and whatever the other controller believes of it.
-func (d *Controller) takeLeaving(n messages.RunnerRecord) (changed bool) {
+// recordDrain records what a runner has said of itself, whatever its heartbeats said
+// since and whatever the other controller believes of it.
+func (d *Controller) recordDrain(n messages.RunnerRecord) (changed bool) {
 	if n.Gone {
 		_, changed = d.registry.Leave(n.ID, d.clock())
 		return changed
--- a/internal/controller/leave_test.go
+++ b/internal/controller/leave_test.go
@@ -23,7 +23,7 @@
 		must.Eq(t, 200, status)
 		must.MapNotContainsKey(t, d.registry.Snapshot().ByID, "i-1")
 	}
-	must.True(t, d.drained.told["i-1 gone"], must.Sprint("acknowledged only once a majority has it"))
+	must.True(t, d.drained.acked["i-1 gone"], must.Sprint("acknowledged only once a majority has it"))
 	for sequence, state := range []string{"draining", "ready", "ready", "draining"} {
 		must.Eq(t, 200, beat(sequence, state))
 		must.MapNotContainsKey(t, d.registry.Snapshot().ByID, "i-1", must.Sprint("a late heartbeat, ", sequence))
