A draining router rejects what may outlast it, and answers everything before it ends

A request is forwarded only if its deadline or cutoff comes before the router's last answers; any other gets 503 with Retry-After on a connection that closes. At the last answers, queued requests get 503 and attempts without a head are withdrawn and get 504.

--- a/internal/router/attempts.go
+++ b/internal/router/attempts.go
@@ -201,11 +201,13 @@
 		return r
 	case <-v.client.leftChannel():
 		return v.abandon(ch)
+	case <-c.lastAnswers:
+		return v.abandon(ch)
 	}
 }
 
-// abandon takes a request whose client has left out of the queue. A ruling that
-// was already on its way stands.
+// abandon takes a request out of the queue whose client has left, or whose router ends.
+// A ruling that was already on its way stands.
 func (v *visit) abandon(ruling <-chan admission.Decision) admission.Decision {
 	c := v.c
 	if !c.slab.Drop(v.ask.Ref) {
@@ -214,7 +216,7 @@
 	c.dmu.Lock()
 	c.admission.Abandon(v.ask)
 	c.dmu.Unlock()
-	return admission.Decision{Ref: v.ask.Ref, Status: 503}
+	return admission.Decision{Ref: v.ask.Ref, Status: 503, AgainUs: drainRetryUs}
 }
 
 func (v *visit) send(adm *admission.Admission, stream *answerStream) (ending, *answerStream) {
--- a/internal/router/front.go
+++ b/internal/router/front.go
@@ -41,7 +41,7 @@
 }
 
 func (c *Router) ready() bool {
-	return c.table.Load() != nil && c.informed.Load() && !c.leaving.Load()
+	return c.table.Load() != nil && c.informed.Load() && !c.draining()
 }
 
 // orMs gives a limit in milliseconds, or the fallback where there is none.
@@ -100,7 +100,7 @@
 	c.inFlight.Add(1)
 	defer c.inFlight.Add(-1)
 	defer func() {
-		if c.leaving.Load() {
+		if c.draining() {
 			rc.Response.Header.SetConnectionClose(true)
 		}
 	}()
@@ -136,6 +136,10 @@
 		tenant = v.tenant.Name
 	}
 	v.endUs = endOf(v.startUs, v.route.CutoffUs, get(rc, hTimeLeft))
+	if !c.shutdown.Load().forwards(v.endUs) {
+		v.reject(503, rejectDraining, drainRetryUs)
+		return
+	}
 	conn.answerUntil(time.Now().Add(time.Duration(v.endUs-c.clock()) * time.Microsecond))
 	v.service = v.route.Pick(rand.Float64())
 	in, out, _ := strings.Cut(get(rc, hTokens), ",")
--- a/internal/router/leave.go
+++ b/internal/router/leave.go
@@ -1,35 +1,61 @@
 // Graceful shutdown: report not ready, accept connections until the platform has
-// noticed, and let every response end its connection. Then accept no more connections,
-// close those on which no request has begun, and end with the last response or when
-// the grace period is nearly over.
+// noticed, and let every response end its connection. A request that may outlast the
+// process is rejected at once, so that its client goes to another router. Then accept
+// no more connections, close those on which no request has begun, and end with the last
+// response. What is in flight when the grace period is nearly over is answered where
+// nothing of an answer has been sent; only a stream that has begun is cut.
 
 package router
 
-import "time"
+import (
+	"time"
 
-// noticeMs is how long the platform needs to notice: two missed probes of one
-// a second, and some.
-const noticeMs = 2600
+	"beechtide.org/beechtide/internal/admission"
+)
 
+// shutdownInterval is how often a draining router looks whether it is done.
+const shutdownInterval = 20 * time.Millisecond
+
+// rejectDraining is why a draining router rejects a request.
+const rejectDraining admission.Reason = "draining"
+
+// drainRetryUs is after how long a client may come back: at once, as another router
+// serves its new connection.
+const drainRetryUs = 10_000
+
+// draining reports whether the graceful shutdown has begun.
+func (c *Router) draining() bool { return c.shutdown.Load() != nil }
+
+// leave shuts down gracefully. It returns when the process may end.
 func (c *Router) leave() {
-	c.leaving.Store(true)
+	plan := newShutdownPlan(c.clock(), int64(c.set.Bounds.GraceS*1e6))
+	c.shutdown.Store(plan)
 	c.log.Info("leaving")
-	start := time.Now()
-	graceMs := int64(c.set.Bounds.GraceS*1000) - 500
-	ln := c.front.Load()
-	for closed := false; ; time.Sleep(20 * time.Millisecond) {
-		aged := time.Since(start).Milliseconds()
-		if aged >= graceMs || ln == nil {
+	front := c.front.Load()
+	if front == nil {
+		return
+	}
+	entered := phaseNotice
+	for ; ; time.Sleep(shutdownInterval) {
+		phase := plan.phase(c.clock())
+		if phase == phaseNotice {
+			continue
+		}
+		if phase == phaseOver {
+			c.log.Info("grace period over", "inFlight", c.inFlight.Load())
 			return
 		}
-		if aged < noticeMs {
-			continue
+		if entered == phaseNotice {
+			front.Listener.Close()
 		}
-		if !closed {
-			closed = true
-			ln.Listener.Close()
+		if phase == phaseAnswers {
+			if entered != phaseAnswers {
+				close(c.lastAnswers)
+			}
+			c.sent.withdraw(c.sent.snapshot())
 		}
-		if ln.closeIdle() == 0 && c.inFlight.Load() == 0 {
+		entered = phase
+		if front.closeIdle() == 0 && c.inFlight.Load() == 0 {
 			return
 		}
 	}
--- a/internal/router/responses.go
+++ b/internal/router/responses.go
@@ -35,7 +35,7 @@
 			out.Add(key, string(val))
 		}
 	})
-	if v.c.leaving.Load() {
+	if v.c.draining() {
 		out.SetConnectionClose(true)
 	}
 }
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -23,7 +23,7 @@
 // response, move.go resumes streams elsewhere, withdraw.go ends attempts,
 // client_watch.go notices clients that leave, feed.go applies feeds, loads.go reports
 // load, compare.go and recheck.go ask controllers beside the tree, missing.go probes
-// absent runners, leave.go shuts down.
+// absent runners, leave.go shuts down by the plan of shutdown_plan.go.
 //
 // # Who owns which state
 //
@@ -113,9 +113,11 @@
 	seeds    atomic.Pointer[[]string]
 	nodes    atomic.Int64
 	informed atomic.Bool
-	leaving  atomic.Bool
 	inFlight atomic.Int64
 	front    atomic.Pointer[timedListener]
+
+	shutdown    atomic.Pointer[shutdownPlan] // nil until SIGTERM
+	lastAnswers chan struct{}                // closed when what has no answer yet gets its last one
 }
 
 // New builds the role.
@@ -124,7 +126,7 @@
 	if err != nil {
 		return nil, err
 	}
-	c := &Router{set: set, log: log, clock: clock, transport: trans, registry: registry.New(), connPool: upstream.NewConnPool(clock), parts: map[int]messages.PartNote{}, admission: admission.New(admission.Defaults, set.Zone), budgets: map[string]*upstream.Budget{}, kick: make(chan struct{}, 1), fresh: make(chan struct{}, 1), stir: make(chan struct{}, 1), missing: make(chan struct{}, 1)}
+	c := &Router{set: set, log: log, clock: clock, transport: trans, registry: registry.New(), connPool: upstream.NewConnPool(clock), parts: map[int]messages.PartNote{}, admission: admission.New(admission.Defaults, set.Zone), budgets: map[string]*upstream.Budget{}, kick: make(chan struct{}, 1), fresh: make(chan struct{}, 1), stir: make(chan struct{}, 1), missing: make(chan struct{}, 1), lastAnswers: make(chan struct{})}
 	c.configuration, c.runners = routeconfig.NewReplica(), statesync.NewEntries()
 	c.loads.init(clock())
 	c.comparisons = dissemination.NewComparisons(rand.IntN(64))
--- a/internal/router/withdraw.go
+++ b/internal/router/withdraw.go
@@ -103,9 +103,11 @@
 	c.sent.withdraw(due)
 }
 
-// timeOver tells whether the request's time is over for attempts that have not
-// begun.
-func (v *visit) timeOver() bool { return v.c.clock() >= v.endUs-closeLeadUs }
+// timeOver tells whether the request's time, or the router's, is over for attempts that
+// have not begun.
+func (v *visit) timeOver() bool {
+	return v.c.clock() >= min(v.endUs, v.c.shutdown.Load().lastEndUs())-closeLeadUs
+}
 
 // readHead reads the head of the answer to an attempt that was sent. It returns
 // errWithdrawn where the attempt was taken back before a head came.
