--- /dev/null
+++ b/internal/router/leave_test.go
@@ -0,0 +1,106 @@
+package router
+
+import (
+	"bufio"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/shoenig/test/must"
+)
+
+// drain begins the graceful shutdown and waits until the router has noticed.
+func (c *Router) drain(cancel func()) {
+	cancel()
+	for !c.draining() {
+		time.Sleep(time.Millisecond)
+	}
+}
+
+// A request that may last longer than the draining router is not forwarded: no answer
+// could be promised to its client.
+func TestDrainingRouterRejectsWhatMayOutlastIt(t *testing.T) {
+	for _, path := range []string{"/chat/", "/sort/", "/pay/", "/open/"} {
+		t.Run(path, func(t *testing.T) {
+			t.Parallel()
+			r := newRunner(t)
+			c, front, cancel := start(t, r)
+			c.takesMenu(t, unhurriedMenu)
+			c.drain(cancel)
+			answer, _, err := say(t, front, unhurried(path))
+			must.NoError(t, err)
+			must.Eq(t, http.StatusServiceUnavailable, answer.StatusCode)
+			must.NotEq(t, "", answer.Header.Get(hRetryAfter))
+			must.True(t, answer.Close)
+			must.Eq(t, 0, r.count(), must.Sprint("nothing was sent to a runner"))
+		})
+	}
+}
+
+// When the grace period is over, a request whose answer has not begun gets one that
+// says so; its connection is not just closed.
+func TestEndOfGraceAnswersRequestsWithoutAHead(t *testing.T) {
+	for _, path := range []string{"/chat/", "/pay/", "/open/"} {
+		t.Run(path, func(t *testing.T) {
+			t.Parallel()
+			r, reached, _ := working(t, "")
+			c, front, cancel := start(t, r)
+			c.takesMenu(t, unhurriedMenu)
+			conn := send(t, front, unhurried(path))
+			awaited(t, reached, "the request at the runner")
+			cancel()
+			must.NoError(t, conn.SetReadDeadline(time.Now().Add(patience)))
+			answer, err := http.ReadResponse(bufio.NewReader(conn), nil)
+			must.NoError(t, err)
+			must.Eq(t, http.StatusGatewayTimeout, answer.StatusCode, must.Sprint("it may have run"))
+			must.True(t, answer.Close)
+			must.Eq(t, 1, r.count(), must.Sprint("not sent once more"))
+		})
+	}
+}
+
+// What a draining router takes in, it serves to the end; only then it ends itself.
+func TestDrainingRouterServesToItsEndWhatItForwards(t *testing.T) {
+	finish := make(chan struct{})
+	r := newRunner(t)
+	r.stream = func(write func(string), _ <-chan struct{}) {
+		write(streamHead + chunk("id: 1\ndata: a\n\n"))
+		<-finish
+		write(chunk("id: 2\ndata: b\n\n") + "0\r\n\r\n")
+	}
+	c, front, cancel, ended := startWithGrace(t, 120, r)
+	c.takesMenu(t, unhurriedMenu)
+	c.drain(cancel)
+	conn := send(t, front, strings.Replace(request("/chat/", "x"), "Time-Left: 2500", "Time-Left: 60000", 1))
+	must.NoError(t, conn.SetReadDeadline(time.Now().Add(patience)))
+	answer, err := http.ReadResponse(bufio.NewReader(conn), nil)
+	must.NoError(t, err)
+	must.True(t, answer.Close)
+	awaitClosed(t, front)
+	select {
+	case <-ended:
+		t.Fatal("the router has ended before its stream")
+	default:
+	}
+	close(finish)
+	body, err := io.ReadAll(answer.Body)
+	must.NoError(t, err)
+	must.Eq(t, "id: 1\ndata: a\n\nid: 2\ndata: b\n\n", string(body))
+	must.NoError(t, <-ended)
+}
+
+// awaitClosed waits until an address accepts no more connections.
+func awaitClosed(t *testing.T, addr string) {
+	t.Helper()
+	for begun := time.Now(); time.Since(begun) < patience; time.Sleep(10 * time.Millisecond) {
+		conn, err := net.Dial("tcp4", addr)
+		if err != nil {
+			return
+		}
+		conn.Close()
+	}
+	t.Fatal("connections are still accepted")
+}
