--- a/internal/controller/controller.go
+++ b/internal/controller/controller.go
@@ -92,8 +92,9 @@
 	targets  namedTargets
 	calm     calm
 	repairs  repairs
+	handOver handOverTimes
 	contact  contact
-	drained  drained
+	drained  ackedDrains
 	startUs  int64
 	disk     *consensus.DiskStore // nil on machines without one
 }
@@ -123,6 +124,7 @@
 		return nil, err
 	}
 	d.contact.lease.Self = d.registers.ID()
+	d.handOver = defaultHandOverTimes
 	self := messages.Peer{Addr: set.ControllerAddr(), Role: messages.Controller, Zone: set.Zone, MemberID: d.registers.ID(), Control: set.Listen.Control, Node: set.Node, Counted: set.Counted}
 	d.monitor = membership.NewMonitor(trans, self, clock, d.knownControllers)
 	trans.OnCall(transport.KindConsensus, func(ctx context.Context, _ *transport.Conn, body []byte) ([]byte, error) {
@@ -141,7 +143,7 @@
 		c := d.condition()
 		return c.MarshalMsg(nil)
 	})
-	trans.OnCall(transport.KindDraining, d.hearLeaving)
+	trans.OnCall(transport.KindDraining, d.handleDrain)
 	trans.OnDatagram(transport.KindRunner, d.heardRunner)
 	for p := range consensus.Parts {
 		if v, ok := d.registers.Committed(p); ok && v.Version > 0 {
