Counts of messages, writes, subscriptions, catch-ups, rounds and reads

Cause: an incident left no figures by which a full link, an amplified fetch and a missing quorum could be told apart. Package histogram counts durations in fixed buckets. All are atomic additions; nobody reads them yet. A subscriber's decision to leave its parent became a function with the reason as its result. Checked: transport, dissemination, consensus and histogram with -race.

--- a/internal/consensus/change.go
+++ b/internal/consensus/change.go
@@ -44,7 +44,10 @@
 			return messages.Value{}, ErrNoGroup
 		}
 		round := attempt.Round(base)
+		begun := time.Now()
 		newRoundDriver(r, round).run(ctx)
+		r.counts.RoundDurations.Observe(time.Since(begun))
+		r.counts.rounds[round.End].Add(1)
 		switch round.End {
 		case Chosen:
 			r.broadcastCommit(part, round.Value, round.Base.Group)
--- a/internal/consensus/read.go
+++ b/internal/consensus/read.go
@@ -29,7 +29,9 @@
 			return messages.Value{}, ErrNoGroup
 		}
 		reading := r.readFromGroup(ctx, part, base)
-		switch reading.Result() {
+		result := reading.Result()
+		r.counts.reads[result].Add(1)
+		switch result {
 		case Newer:
 			r.Learn(part, reading.Newer)
 			continue
--- a/internal/consensus/registers.go
+++ b/internal/consensus/registers.go
@@ -83,6 +83,7 @@
 	lastSaveUs    atomic.Int64
 	lastSaveFault atomic.Pointer[string]
 	retired       atomic.Bool
+	counts        Counts
 }
 
 // PartOf returns the register that a service belongs to: FNV-1a over its name.
--- a/internal/dissemination/publisher.go
+++ b/internal/dissemination/publisher.go
@@ -57,6 +57,7 @@
 	up        Upstream
 	snapshots chan struct{} // bounds how many receivers are caught up at a time
 	Dropped   atomic.Int64
+	answers   answers
 }
 
 // subscriberQueue is what waits for one subscriber.
@@ -130,7 +131,9 @@
 	p.snapshots <- struct{}{}
 	defer func() { <-p.snapshots }()
 	f := p.up.DeltaSince(h)
-	return f.MarshalMsg(nil)
+	b, err := f.MarshalMsg(nil)
+	p.answers.count(&f, len(b))
+	return b, err
 }
 
 // catchUp sends a subscriber what it does not have. One answer is made at a time; of the
--- a/internal/dissemination/subscriber.go
+++ b/internal/dissemination/subscriber.go
@@ -45,10 +45,11 @@
 	SyncState    func() messages.Hold
 	Parents      func() []string
 	ApplyUpdate  func(parent string, f messages.Feed, raw []byte) (want *messages.Hold)
-	Acked        func(seq int64)   // the parent has applied the report with this seq
-	ResendAll    func()            // the parent needs all reports again
-	Unsubscribed func(addr string) // the subscription there has ended
-	Patience     time.Duration     // instead of anythingAfter
+	Acked        func(seq int64)     // the parent has applied the report with this seq
+	ResendAll    func()              // the parent needs all reports again
+	Unsubscribed func(addr string)   // the subscription there has ended
+	Patience     time.Duration       // instead of anythingAfter
+	Counts       *SubscriptionCounts // where subscriptions are counted, or nil
 
 	Malformed atomic.Int64
 
@@ -130,6 +131,7 @@
 		return false
 	}
 	u.link.Store(conn)
+	u.Counts.begin()
 	u.ResendAll()
 	defer func() {
 		u.link.CompareAndSwap(conn, nil)
@@ -162,25 +164,33 @@
 	for {
 		select {
 		case <-s.conn.Done():
-			return true
+			return u.Counts.end(EndClosed, true)
 		case <-ctx.Done():
-			return true
+			return u.Counts.end(EndStopped, true)
 		case <-s.cutOff:
 			if state := u.syncState(); unsynced(state) && !state.Anything {
-				return false
+				return u.Counts.end(EndCutOff, false)
 			}
 			if u.policy.LeaveCutOff(s.parent, u.nowUs()) {
-				return true
+				return u.Counts.end(EndCutOff, true)
 			}
 		case <-t.C:
-			nowUs := u.nowUs()
-			if u.policy.LeaveSilent(s.parent, nowUs-s.lastUpdateUs.Load(), nowUs) || u.policy.Moves(u.Parents(), s.parent, nowUs) {
-				return true
+			if reason, leaves := u.leaves(s); leaves {
+				return u.Counts.end(reason, true)
 			}
 		}
 	}
 }
 
+// leaves reports whether the parent is left that is followed now, and why.
+func (u *Subscriber) leaves(s *subscription) (reason EndReason, leaves bool) {
+	nowUs := u.nowUs()
+	if u.policy.LeaveSilent(s.parent, nowUs-s.lastUpdateUs.Load(), nowUs) {
+		return EndSilent, true
+	}
+	return EndMoved, u.policy.Moves(u.Parents(), s.parent, nowUs)
+}
+
 // receive handles a push of the parent.
 func (u *Subscriber) receive(s *subscription, kind int, body []byte) {
 	switch kind {
--- a/internal/transport/conn.go
+++ b/internal/transport/conn.go
@@ -76,12 +76,17 @@
 	if err != nil {
 		return errors.Wrap(err, "transport: encode frame")
 	}
-	return c.SendRaw(b)
+	return c.writeFrames(f.Kind, b)
 }
 
-// SendRaw writes encoded frames as they are. After a write that failed nothing
-// more is written: the peer would read it as the rest of the frame before.
-func (c *Conn) SendRaw(b []byte) error {
+// SendRaw writes encoded updates as they are; they count as one message of KindFeed.
+// After a write that failed nothing more is written: the peer would read it as the
+// rest of the frame before.
+func (c *Conn) SendRaw(b []byte) error { return c.writeFrames(KindFeed, b) }
+
+// writeFrames writes encoded frames, which count as one message of a kind.
+func (c *Conn) writeFrames(kind int, b []byte) error {
+	start := time.Now()
 	c.writeMu.Lock()
 	defer c.writeMu.Unlock()
 	if c.broken {
@@ -90,9 +95,12 @@
 	_ = c.conn.SetWriteDeadline(time.Now().Add(writeTimeout + time.Duration(len(b))*writeTimePerByte))
 	if _, err := c.conn.Write(b); err != nil {
 		c.broken = true
+		c.transport.traffic.failedWrites.Add(1)
 		go c.Close()
 		return errors.Wrap(ErrClosed, err.Error())
 	}
+	c.transport.traffic.sent.count(kind, len(b))
+	c.transport.traffic.writeWaits.Observe(time.Since(start))
 	return nil
 }
 
@@ -144,6 +152,7 @@
 // handle handles one frame. It returns false where the peer breaks the protocol
 // and the connection has to end.
 func (c *Conn) handle(ctx context.Context, f messages.Frame) bool {
+	c.transport.traffic.received.count(f.Kind, len(f.Body))
 	switch {
 	case f.Reply:
 		return c.pending.complete(f.Seq, f.Kind, result{body: f.Body})
--- a/internal/transport/datagram.go
+++ b/internal/transport/datagram.go
@@ -26,6 +26,7 @@
 			continue
 		}
 		kind := int(buf[0])
+		t.traffic.received.count(kind, n)
 		if kind < kindCount && t.datagramHandlers[kind] != nil {
 			t.datagramHandlers[kind](from.String(), buf[1:n])
 		}
@@ -46,4 +47,5 @@
 		return
 	}
 	_, _ = t.udp.WriteToUDP(b, to)
+	t.traffic.sent.count(kind, len(b))
 }
--- a/internal/transport/transport.go
+++ b/internal/transport/transport.go
@@ -63,6 +63,8 @@
 
 	mu    sync.Mutex // guards conns
 	conns map[string]*Conn
+
+	traffic traffic
 }
 
 // New listens on addr, an IPv4 address with a port, for TCP and UDP. Requests
