--- /dev/null
+++ b/internal/rollout/invariants.go
@@ -0,0 +1,8 @@
+package rollout
+
+import "beechtide.org/beechtide/internal/invariant"
+
+// Runners reject orders under a lower fencing token than one they have seen, so a
+// controller whose token went back could not finish its roll-out.
+var fenceGoesForward = invariant.New("rollout_fence_goes_forward",
+	"the fencing token under which a controller plans a roll-out never decreases")
--- a/internal/rollout/shard.go
+++ b/internal/rollout/shard.go
@@ -139,6 +139,9 @@
 
 // work plans under the lease, and requests a confirmation if the last one has expired.
 func (s *Shard) work(v View) Step {
+	if s.lease.Fence() < s.fence {
+		fenceGoesForward.Violated("before", s.fence, "next", s.lease.Fence())
+	}
 	if s.fence != s.lease.Fence() {
 		s.fence, s.plans = s.lease.Fence(), map[string]*Plan{}
 	}
