Metrics of routers and controllers over HTTP, and invariants of their requests

Change: package metrics serves a role's figures in the text format of Prometheus on the third and fourth port of portRange; collectors read counters and existing state when asked. Routers count requests by ending, attempts by result, comparisons, fetches, denial checks and how late a new configuration comes into force; controllers count calls, rounds and contact. Invariants: a request ends with an answer or a refusal; a denial rests on a confirmed configuration; nothing is sent again that may have run; what is acknowledged is committed, and no read is older; fences of orders never decrease.

--- a/cmd/beechtide/role.go
+++ b/cmd/beechtide/role.go
@@ -17,6 +17,7 @@
 	"github.com/pkg/errors"
 
 	"beechtide.org/beechtide/internal/controller"
+	"beechtide.org/beechtide/internal/invariant"
 	"beechtide.org/beechtide/internal/logring"
 	"beechtide.org/beechtide/internal/router"
 	"beechtide.org/beechtide/internal/settings"
@@ -70,6 +71,7 @@
 	hlog.SetLevel(hlog.LevelFatal)
 	ring := newLogRing(logAll)
 	log := logr.New(ring).WithName(name)
+	invariant.LogTo(log)
 	pool, err := ants.NewPool(poolSize, ants.WithNonblocking(true))
 	if err != nil {
 		return errors.Wrap(err, "start goroutine pool")
--- a/internal/controller/control.go
+++ b/internal/controller/control.go
@@ -51,11 +51,11 @@
 		return errors.New("controller: settings name no control address")
 	}
 	h := Server(d.set.Listen.Control)
-	h.POST("/api/Runners.Heartbeat/:id", d.beat)
-	h.POST("/api/Runners.Leave/:id", d.leave)
-	h.POST("/api/Config.Replace", d.inContactOnly(d.replace))
-	h.GET("/api/Config.Read", d.inContactOnly(d.read))
-	h.POST("/api/version-put", d.inContactOnly(d.nameWeights))
+	h.POST("/api/Runners.Heartbeat/:id", d.counted(callHeartbeat, d.beat))
+	h.POST("/api/Runners.Leave/:id", d.counted(callLeave, d.leave))
+	h.POST("/api/Config.Replace", d.counted(callReplace, d.inContactOnly(d.replace)))
+	h.GET("/api/Config.Read", d.counted(callRead, d.inContactOnly(d.read)))
+	h.POST("/api/version-put", d.counted(callNameWeights, d.inContactOnly(d.nameWeights)))
 	failed := make(chan error, 1)
 	go func() { failed <- h.Run() }()
 	select {
@@ -183,18 +183,20 @@
 // a round of the register.
 func (d *Controller) replace(ctx context.Context, c *app.RequestContext) {
 	if version, ok := d.takenBefore(c.Request.Body()); ok {
+		d.acknowledged.Advance(version)
 		c.JSON(200, map[string]int64{"version": version})
 		return
 	}
 	order := readOrder(c)
 	ctx, cancel := context.WithTimeout(ctx, operatorWait)
 	defer cancel()
-	_, err := d.changeRegister(ctx, consensus.ConfigPart, func(cur messages.Value) ([]messages.Member, []byte, error) {
+	v, err := d.changeRegister(ctx, consensus.ConfigPart, func(cur messages.Value) ([]messages.Member, []byte, error) {
 		return applyOrder(cur, order)
 	})
 	var bad *routeconfig.Invalid
 	switch {
 	case err == nil, errors.Is(err, routeconfig.ErrAlreadyAccepted):
+		d.checkAcknowledged(order.Version, v)
 		c.JSON(200, map[string]int64{"version": order.Version})
 	case errors.Is(err, routeconfig.ErrVersionConflict):
 		reject(c, 412, "Beechtide-Base-Version", "another version is in place")
@@ -271,6 +273,7 @@
 func (d *Controller) read(ctx context.Context, c *app.RequestContext) {
 	ctx, cancel := context.WithTimeout(ctx, operatorWait)
 	defer cancel()
+	acknowledged := d.acknowledged.Load()
 	v, err := d.readRegister(ctx, consensus.ConfigPart)
 	if err != nil {
 		reject(c, 503, "", err.Error())
@@ -283,6 +286,7 @@
 	case body.Version == 0:
 		reject(c, 404, "", "no configuration yet")
 	default:
+		checkRead(body.Version, acknowledged)
 		c.Data(200, "application/json", body.Raw)
 	}
 }
--- a/internal/controller/controller.go
+++ b/internal/controller/controller.go
@@ -57,6 +57,7 @@
 
 	"beechtide.org/beechtide/internal/consensus"
 	"beechtide.org/beechtide/internal/dissemination"
+	"beechtide.org/beechtide/internal/invariant"
 	"beechtide.org/beechtide/internal/loop"
 	"beechtide.org/beechtide/internal/membership"
 	"beechtide.org/beechtide/internal/messages"
@@ -95,7 +96,11 @@
 	contact  contact
 	drained  drained
 	startUs  int64
-	disk     *consensus.DiskStore // nil on machines without one
+
+	counters     counters
+	acknowledged invariant.Newest // the newest configuration that was acknowledged here
+
+	disk *consensus.DiskStore // nil on machines without one
 }
 
 // New builds the role.
@@ -188,6 +193,7 @@
 	go d.flushFeed(live)
 	go d.settleRegisters(live)
 	go d.finishRounds(live)
+	go d.metricsServer().Run(live)
 	if d.disk != nil {
 		go d.keepRunners(live)
 	}
--- a/internal/controller/controller_test.go
+++ b/internal/controller/controller_test.go
@@ -17,6 +17,7 @@
 	"github.com/panjf2000/ants/v2"
 	"github.com/shoenig/test/must"
 
+	"beechtide.org/beechtide/internal/invariant/invarianttest"
 	"beechtide.org/beechtide/internal/messages"
 	"beechtide.org/beechtide/internal/registry"
 	"beechtide.org/beechtide/internal/settings"
@@ -24,7 +25,7 @@
 
 func TestMain(m *testing.M) {
 	hlog.SetLevel(hlog.LevelFatal)
-	os.Exit(m.Run())
+	os.Exit(invarianttest.Main(m))
 }
 
 // core starts a core of one, at the same addresses each time.
--- /dev/null
+++ b/internal/controller/counters.go
@@ -0,0 +1,63 @@
+// Counters of a controller for its metrics: the calls of runners and of the operator.
+
+package controller
+
+import (
+	"context"
+	"sync/atomic"
+	"time"
+
+	"github.com/cloudwego/hertz/pkg/app"
+
+	"beechtide.org/beechtide/internal/dissemination"
+	"beechtide.org/beechtide/internal/histogram"
+)
+
+// counters are safe for concurrent use, and their zero value is ready for use.
+type counters struct {
+	calls         [callCount]callCounter
+	subscriptions dissemination.SubscriptionCounts
+}
+
+// callKind is a call of a runner or of the operator.
+type callKind int
+
+const (
+	callHeartbeat callKind = iota
+	callLeave
+	callReplace
+	callRead
+	callNameWeights
+	callCount
+)
+
+var callNames = [callCount]string{"heartbeat", "leave", "replace", "read", "name_weights"}
+
+// callCounter counts the responses to one call. What is not 2xx or 4xx is unsure: the
+// caller asks another controller.
+type callCounter struct {
+	done, rejected, unsure atomic.Int64
+	durations              histogram.Durations
+}
+
+func (c *callCounter) record(status int, took time.Duration) {
+	switch status / 100 {
+	case 2:
+		c.done.Add(1)
+	case 4:
+		c.rejected.Add(1)
+	default:
+		c.unsure.Add(1)
+	}
+	c.durations.Observe(took)
+}
+
+// counted counts the responses to a call.
+func (d *Controller) counted(which callKind, serve app.HandlerFunc) app.HandlerFunc {
+	counter := &d.counters.calls[which]
+	return func(ctx context.Context, c *app.RequestContext) {
+		begun := time.Now()
+		serve(ctx, c)
+		counter.record(c.Response.StatusCode(), time.Since(begun))
+	}
+}
--- a/internal/controller/feed.go
+++ b/internal/controller/feed.go
@@ -152,7 +152,7 @@
 	f := &d.feed
 	f.mu.Lock()
 	if c, newer := f.configuration.Commit(version, entries); newer {
-		d.table.Store(t)
+		routeconfig.PutInForce(&d.table, t)
 		f.own.configuration, f.down.configuration = append(f.own.configuration, c), append(f.down.configuration, c)
 	}
 	f.mu.Unlock()
--- /dev/null
+++ b/internal/controller/invariants.go
@@ -0,0 +1,46 @@
+// Invariants of the configuration and of roll-outs (docs/design/invariants.md).
+
+package controller
+
+import (
+	"beechtide.org/beechtide/internal/consensus"
+	"beechtide.org/beechtide/internal/invariant"
+	"beechtide.org/beechtide/internal/messages"
+)
+
+// What the operator was told to be in place must survive this process.
+var acknowledgedIsCommitted = invariant.New("acknowledged_change_is_committed",
+	"a change that is acknowledged to the operator is committed, as far as this controller knows")
+
+// A read is linearizable: it gives what was acknowledged before it began, or something
+// newer.
+var readIsNewest = invariant.New("read_not_older_than_acknowledged",
+	"a read of the configuration gives no older version than this controller had acknowledged when it began")
+
+// Runners reject orders under a lower fencing token than one they have seen.
+var fenceGoesForward = invariant.New("order_fence_goes_forward",
+	"the fencing token of the orders that a controller sends for a register never decreases")
+
+// checkAcknowledged checks a change that is about to be acknowledged; v is the value of
+// the register that its round gave.
+func (d *Controller) checkAcknowledged(version int64, v messages.Value) {
+	d.acknowledged.Advance(version)
+	if committed, _ := d.registers.Committed(consensus.ConfigPart); committed.Version < v.Version {
+		acknowledgedIsCommitted.Violated("version", version, "register", v.Version, "committed", committed.Version)
+	}
+}
+
+// checkRead checks a version that is about to be given to a reader against the newest
+// that was acknowledged before the read began.
+func checkRead(version, acknowledged int64) {
+	if version < acknowledged {
+		readIsNewest.Violated("version", version, "acknowledged", acknowledged)
+	}
+}
+
+// checkFence checks the fencing token of orders against the one used before.
+func checkFence(part int, before, next int64) {
+	if next < before {
+		fenceGoesForward.Violated("part", part, "before", before, "next", next)
+	}
+}
--- /dev/null
+++ b/internal/controller/metrics.go
@@ -0,0 +1,89 @@
+// The metrics of a controller (docs/operating/metrics.md).
+
+package controller
+
+import (
+	"slices"
+	"strconv"
+
+	"github.com/prometheus/client_golang/prometheus"
+
+	"beechtide.org/beechtide/internal/consensus"
+	"beechtide.org/beechtide/internal/messages"
+	"beechtide.org/beechtide/internal/metrics"
+)
+
+func (d *Controller) metricsServer() *metrics.Server {
+	return metrics.NewServer(metrics.Config{Addr: d.set.ControllerMetricsAddr(), Log: d.log}, slices.Concat(
+		metrics.Node(d.transport, d.publisher, &d.counters.subscriptions),
+		d.consensusMetrics(), d.callMetrics(),
+	)...)
+}
+
+// consensusMetrics are the figures of the registers and of the contact with a majority.
+func (d *Controller) consensusMetrics() []prometheus.Collector {
+	counts := d.registers.Counts()
+	return []prometheus.Collector{
+		metrics.Gauge("beechtide_register_version", "Newest committed version of each register that is known here.", []string{"register"}, func(emit metrics.Emit) {
+			for part := range consensus.Parts {
+				v, _ := d.registers.Committed(part)
+				emit(float64(v.Version), strconv.Itoa(part))
+			}
+		}),
+		metrics.Gauge("beechtide_register_unfinished", "1 where this member has accepted a value and does not know whether it is committed.", []string{"register"}, func(emit metrics.Emit) {
+			for part := range consensus.Parts {
+				_, unfinished := d.registers.Unfinished(part)
+				emit(metrics.Bool(unfinished), strconv.Itoa(part))
+			}
+		}),
+		metrics.Gauge("beechtide_config_version", "Version of the configuration: in force as the operator numbers it, and as the register does.", []string{"of"}, func(emit metrics.Emit) {
+			emit(float64(d.told()[consensus.ConfigPart]), "register")
+			if t := d.table.Load(); t != nil {
+				emit(float64(t.Version), "in_force")
+			}
+			emit(float64(d.acknowledged.Load()), "acknowledged")
+		}),
+		metrics.Counter("beechtide_consensus_rounds_total", "Rounds that this member has run, by outcome.", []string{"outcome"}, func(emit metrics.Emit) {
+			for outcome, count := range counts.Rounds() {
+				emit(float64(count), outcome)
+			}
+		}),
+		metrics.Durations("beechtide_consensus_round_seconds", "How long rounds took, whatever their outcome.", &counts.RoundDurations),
+		metrics.Counter("beechtide_consensus_reads_total", "Questions to a group for its newest value, by result.", []string{"result"}, func(emit metrics.Emit) {
+			for result, count := range counts.Reads() {
+				emit(float64(count), result)
+			}
+		}),
+		metrics.Gauge("beechtide_contact", "1 while this controller holds the lease of contact with a majority.", nil, func(emit metrics.Emit) {
+			emit(metrics.Bool(d.inContact()))
+		}),
+		metrics.Gauge("beechtide_disk_save_seconds", "How long the last write of a record took.", nil, func(emit metrics.Emit) {
+			tookUs, _ := d.registers.LastSave()
+			emit(float64(tookUs) / 1e6)
+		}),
+	}
+}
+
+// callMetrics are the figures of the calls of runners and of the operator, and of what
+// they rest on.
+func (d *Controller) callMetrics() []prometheus.Collector {
+	calls := &d.counters.calls
+	return []prometheus.Collector{
+		metrics.Counter("beechtide_calls_total", "Calls of runners and of the operator: done, rejected for what they ask, or unsure (5xx).", []string{"call", "outcome"}, func(emit metrics.Emit) {
+			for which, name := range callNames {
+				emit(float64(calls[which].done.Load()), name, "done")
+				emit(float64(calls[which].rejected.Load()), name, "rejected")
+				emit(float64(calls[which].unsure.Load()), name, "unsure")
+			}
+		}),
+		metrics.Durations("beechtide_config_replace_seconds", "How long changes of the configuration took to be answered.", &calls[callReplace].durations),
+		metrics.Durations("beechtide_config_read_seconds", "How long reads of the configuration took to be answered.", &calls[callRead].durations),
+		metrics.Gauge("beechtide_runners", "Runners that are known.", nil, func(emit metrics.Emit) {
+			emit(float64(len(d.registry.Snapshot().ByID)))
+		}),
+		metrics.Gauge("beechtide_nodes", "Nodes that are not known to be dead, by role.", []string{"role"}, func(emit metrics.Emit) {
+			emit(float64(len(d.monitor.Alive(messages.Controller))), "controller")
+			emit(float64(len(d.monitor.Alive(messages.Router))), "router")
+		}),
+	}
+}
--- a/internal/controller/subscriptions.go
+++ b/internal/controller/subscriptions.go
@@ -86,7 +86,7 @@
 			h := d.holdOf(addr, runners)
 			return &h
 		},
-		Acked: func(int64) {}, ResendAll: func() {},
+		Acked: func(int64) {}, ResendAll: func() {}, Counts: &d.counters.subscriptions,
 		Unsubscribed: func(string) {
 			d.feed.mu.Lock()
 			d.feed.all.Remove(addr)
--- a/internal/controller/used_fences.go
+++ b/internal/controller/used_fences.go
@@ -16,6 +16,7 @@
 // the holder before.
 func (m *rolloutManager) recordFenceUsed(part int, fence int64) {
 	m.mu.Lock()
+	checkFence(part, m.used[part], fence)
 	known := m.used[part] == fence
 	m.used[part] = fence
 	m.mu.Unlock()
--- /dev/null
+++ b/internal/metrics/collectors.go
@@ -0,0 +1,65 @@
+package metrics
+
+import (
+	"github.com/prometheus/client_golang/prometheus"
+
+	"beechtide.org/beechtide/internal/histogram"
+)
+
+// Emit gives one figure of a metric, with the values of its labels in their order.
+type Emit func(value float64, labels ...string)
+
+// readCollector reads the figures of one metric when they are asked for.
+type readCollector struct {
+	desc *prometheus.Desc
+	kind prometheus.ValueType
+	read func(emit Emit)
+}
+
+// Describe implements prometheus.Collector.
+func (c *readCollector) Describe(out chan<- *prometheus.Desc) { out <- c.desc }
+
+// Collect implements prometheus.Collector.
+func (c *readCollector) Collect(out chan<- prometheus.Metric) {
+	c.read(func(value float64, labels ...string) {
+		out <- prometheus.MustNewConstMetric(c.desc, c.kind, value, labels...)
+	})
+}
+
+// Counter is a metric that only rises while the process runs.
+func Counter(name, help string, labels []string, read func(emit Emit)) prometheus.Collector {
+	return &readCollector{prometheus.NewDesc(name, help, labels, nil), prometheus.CounterValue, read}
+}
+
+// Gauge is a metric that rises and falls.
+func Gauge(name, help string, labels []string, read func(emit Emit)) prometheus.Collector {
+	return &readCollector{prometheus.NewDesc(name, help, labels, nil), prometheus.GaugeValue, read}
+}
+
+// durationsCollector reads a histogram of durations.
+type durationsCollector struct {
+	desc      *prometheus.Desc
+	durations *histogram.Durations
+}
+
+// Describe implements prometheus.Collector.
+func (c *durationsCollector) Describe(out chan<- *prometheus.Desc) { out <- c.desc }
+
+// Collect implements prometheus.Collector.
+func (c *durationsCollector) Collect(out chan<- prometheus.Metric) {
+	s := c.durations.Snapshot()
+	out <- prometheus.MustNewConstHistogram(c.desc, s.Count, s.SumSeconds, s.Cumulative)
+}
+
+// Durations is a histogram in seconds.
+func Durations(name, help string, durations *histogram.Durations) prometheus.Collector {
+	return &durationsCollector{prometheus.NewDesc(name, help, nil, nil), durations}
+}
+
+// Bool is 1 for true and 0 for false.
+func Bool(value bool) float64 {
+	if value {
+		return 1
+	}
+	return 0
+}
--- /dev/null
+++ b/internal/metrics/metrics_test.go
@@ -0,0 +1,81 @@
+package metrics
+
+import (
+	"context"
+	"io"
+	"net"
+	"net/http"
+	"testing"
+	"time"
+
+	"github.com/go-logr/logr"
+	"github.com/go-logr/logr/funcr"
+	"github.com/shoenig/test/must"
+
+	"beechtide.org/beechtide/internal/histogram"
+)
+
+func freeAddr(t *testing.T) string {
+	t.Helper()
+	listener, err := net.Listen("tcp4", "127.0.0.1:0")
+	must.NoError(t, err)
+	defer listener.Close()
+	return listener.Addr().String()
+}
+
+// fetch asks until the server is there.
+func fetch(t *testing.T, addr string) string {
+	t.Helper()
+	url := "http://" + addr + Path
+	response, err := http.Get(url)
+	for tries := 0; err != nil && tries < 200; tries++ {
+		time.Sleep(5 * time.Millisecond)
+		response, err = http.Get(url)
+	}
+	must.NoError(t, err)
+	defer response.Body.Close()
+	text, err := io.ReadAll(response.Body)
+	must.NoError(t, err)
+	must.Eq(t, 200, response.StatusCode)
+	must.StrContains(t, response.Header.Get("Content-Type"), "text/plain")
+	return string(text)
+}
+
+func TestServerReadsFiguresWhenAsked(t *testing.T) {
+	value := 1.0
+	var durations histogram.Durations
+	durations.Observe(time.Second)
+	config := Config{Addr: freeAddr(t), Log: logr.Discard()}
+	s := NewServer(
+		config, Invariants(), Durations("test_seconds", "Durations.", &durations),
+		Gauge("test_gauge", "A gauge.", nil, func(emit Emit) { emit(value) }),
+		Counter("test_total", "A counter.", []string{"kind"}, func(emit Emit) { emit(2, "x") }),
+	)
+	ctx, cancel := context.WithCancel(context.Background())
+	ended := make(chan struct{})
+	go func() {
+		s.Run(ctx)
+		close(ended)
+	}()
+	text := fetch(t, config.Addr)
+	for _, line := range []string{"test_gauge 1\n", "test_total{kind=\"x\"} 2\n", "test_seconds_count 1\n", "test_seconds_bucket{le=\"1\"} 1\n", "# HELP test_total A counter.\n"} {
+		must.StrContains(t, text, line)
+	}
+	value = 7
+	must.StrContains(t, fetch(t, config.Addr), "test_gauge 7\n")
+	cancel()
+	<-ended
+}
+
+func TestServerGoesOnWithoutAddress(t *testing.T) {
+	listener, err := net.Listen("tcp4", "127.0.0.1:0")
+	must.NoError(t, err)
+	defer listener.Close()
+	logged := ""
+	log := funcr.New(func(_, line string) { logged = line }, funcr.Options{})
+	NewServer(Config{Addr: listener.Addr().String(), Log: log}).Run(t.Context())
+	must.StrContains(t, logged, "no metrics are served")
+	logged = ""
+	NewServer(Config{Log: log}).Run(t.Context())
+	must.Eq(t, "", logged)
+}
--- a/internal/router/attempts.go
+++ b/internal/router/attempts.go
@@ -59,11 +59,13 @@
 			v.rejectPlaceless(ruling, &so)
 			return
 		}
+		v.checkRepeat(&so)
 		var end ending
 		end, so.stream = v.send(ruling.Admit, so.stream)
 		if end != whole && v.client.hasLeft() {
 			end = clientGone
 		}
+		v.recordAttempt(end)
 		switch end {
 		case moving:
 			continue
--- a/internal/router/compare.go
+++ b/internal/router/compare.go
@@ -93,7 +93,9 @@
 // this node's from it where it has something newer; all runners with anyway. It
 // tells whether this node has by now what the controller had.
 func (c *Router) compareWith(ctx context.Context, addr string, anyway bool) (m messages.Versions, ok bool) {
+	c.counters.comparisons.begin()
 	b, err := c.transport.Call(ctx, addr, transport.KindVersions, &messages.Versions{Parts: []int64{}})
+	c.counters.comparisons.ended(err)
 	if err != nil {
 		return m, false
 	}
@@ -109,7 +111,10 @@
 	if !anyway {
 		h.Registry.Epoch = -1
 	}
-	if b, err = c.transport.Call(ctx, addr, transport.KindSince, &h); err != nil {
+	c.counters.fetches.begin()
+	b, err = c.transport.Call(ctx, addr, transport.KindSince, &h)
+	c.counters.fetches.ended(err)
+	if err != nil {
 		return m, false
 	}
 	var f messages.Feed
--- /dev/null
+++ b/internal/router/counters.go
@@ -0,0 +1,216 @@
+// Counters of a router for its metrics: how requests and attempts end, and how the
+// router learns of a new configuration.
+
+package router
+
+import (
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"beechtide.org/beechtide/internal/admission"
+	"beechtide.org/beechtide/internal/compliance"
+	"beechtide.org/beechtide/internal/consensus"
+	"beechtide.org/beechtide/internal/dissemination"
+	"beechtide.org/beechtide/internal/histogram"
+	"beechtide.org/beechtide/internal/transport"
+)
+
+// counters are safe for concurrent use, and their zero value is ready for use.
+type counters struct {
+	answered           atomic.Int64
+	rejections         rejections
+	cuts               [cutReasonCount]atomic.Int64
+	attempts           [len(attemptNames)]atomic.Int64
+	takenWhileDraining atomic.Int64
+
+	comparisons   callCounts
+	fetches       callCounts
+	rechecks      [recheckOutcomeCount]atomic.Int64
+	subscriptions dissemination.SubscriptionCounts
+}
+
+// attemptNames are the results of attempts, in the order of the type ending.
+var attemptNames = [...]string{
+	whole: "answered", notSent: "not_sent", notRun: "not_run", unknown: "unknown", brokeOff: "broke_off",
+	clientGone: "client_gone", moving: "moved",
+}
+
+// rejection is what the client is told.
+type rejection struct {
+	status int
+	reason admission.Reason
+}
+
+// rejections counts requests that were rejected, by status and reason.
+type rejections struct {
+	mu     sync.Mutex
+	counts map[rejection]int64
+}
+
+func (r *rejections) add(status int, reason admission.Reason) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.counts == nil {
+		r.counts = map[rejection]int64{}
+	}
+	r.counts[rejection{status, reason}]++
+}
+
+// visit calls see with each count.
+func (r *rejections) visit(see func(rejection, int64)) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	for what, count := range r.counts {
+		see(what, count)
+	}
+}
+
+// cutReason is why a request ended without a complete answer or a rejection.
+type cutReason int
+
+const (
+	cutClientGone  cutReason = iota // the client left, or took nothing more
+	cutTimeOver                     // the deadline or the route's cutoff was reached
+	cutRunner                       // the runner broke the answer off
+	cutByLeaving                    // this process ended while it was in flight
+	cutUnexplained                  // none of these
+	cutReasonCount
+)
+
+var cutReasonNames = [cutReasonCount]string{"client_gone", "time_over", "runner_broke_off", "grace_over", "unexplained"}
+
+// recordEnd counts how a request ended, and checks that it was not just dropped.
+func (v *visit) recordEnd() {
+	counters := &v.c.counters
+	switch v.ended {
+	case compliance.Answered:
+		counters.answered.Add(1)
+	case compliance.Rejected:
+		counters.rejections.add(v.rc.Response.StatusCode(), v.why)
+	default:
+		reason := v.cutReason()
+		counters.cuts[reason].Add(1)
+		if reason == cutUnexplained {
+			requestEnds.Violated("request", v.id, "attempts", v.attempts, "lastAttempt", attemptNames[v.lastEnd], "leaving", v.c.leaving.Load())
+		}
+	}
+}
+
+// cutReason tells why the request has no complete answer.
+func (v *visit) cutReason() cutReason {
+	switch {
+	case v.client.hasLeft() || v.lastEnd == clientGone:
+		return cutClientGone
+	case v.endUs > 0 && v.timeOver():
+		return cutTimeOver
+	case v.attempts > 0 && (v.lastEnd == brokeOff || v.lastEnd == unknown):
+		return cutRunner
+	case v.attempts > 0 && v.lastEnd == whole: // the end of the answer could not be written
+		return cutClientGone
+	}
+	return cutUnexplained
+}
+
+// recordAttempt counts an attempt that has ended.
+func (v *visit) recordAttempt(end ending) {
+	v.lastEnd = end
+	v.c.counters.attempts[end].Add(1)
+}
+
+// recordCutByLeaving counts the requests that end with the process.
+func (c *Router) recordCutByLeaving() {
+	if left := c.inFlight.Load(); left > 0 {
+		c.counters.cuts[cutByLeaving].Add(left)
+		c.log.Info("left with requests in flight", "count", left)
+	}
+}
+
+// recheckOutcome is how a check of the configuration before a denial came out.
+type recheckOutcome int
+
+const (
+	recheckConfirmed   recheckOutcome = iota // it is the newest
+	recheckNewer                             // a newer one was found
+	recheckUnconfirmed                       // too few controllers answered
+	recheckOutcomeCount
+)
+
+var recheckOutcomeNames = [recheckOutcomeCount]string{"confirmed", "newer_found", "unconfirmed"}
+
+// recordRecheck counts a request whose denial was checked.
+func (c *counters) recordRecheck(confirmed, newer bool) {
+	outcome := recheckUnconfirmed
+	switch {
+	case newer:
+		outcome = recheckNewer
+	case confirmed:
+		outcome = recheckConfirmed
+	}
+	c.rechecks[outcome].Add(1)
+}
+
+// callCounts counts requests to other nodes.
+type callCounts struct{ asked, answered, timedOut, failed, inProgress atomic.Int64 }
+
+func (c *callCounts) begin() {
+	c.asked.Add(1)
+	c.inProgress.Add(1)
+}
+
+func (c *callCounts) ended(err error) {
+	c.inProgress.Add(-1)
+	switch {
+	case err == nil:
+		c.answered.Add(1)
+	case errors.Is(err, transport.ErrTimeout):
+		c.timedOut.Add(1)
+	default:
+		c.failed.Add(1)
+	}
+}
+
+// configLag measures how long after this node first heard of a newer version of the
+// configuration it has that version in force. Its zero value is ready for use.
+type configLag struct {
+	mu       sync.Mutex
+	version  int64 // the first version heard of that is not in force; 0 for none
+	sinceUs  int64 // when it was heard of
+	catchUps histogram.Durations
+}
+
+// heardOf records the versions of the registers that another node has; mine are those
+// of this node.
+func (l *configLag) heardOf(mine, theirs []int64, nowUs int64) {
+	if len(mine) <= consensus.ConfigPart || len(theirs) <= consensus.ConfigPart {
+		return
+	}
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if theirs[consensus.ConfigPart] > mine[consensus.ConfigPart] && l.version == 0 {
+		l.version, l.sinceUs = theirs[consensus.ConfigPart], nowUs
+	}
+}
+
+// inForce records the version of the register that has come into force.
+func (l *configLag) inForce(version, nowUs int64) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.version == 0 || version < l.version {
+		return
+	}
+	l.catchUps.Observe(time.Duration(nowUs-l.sinceUs) * time.Microsecond)
+	l.version = 0
+}
+
+// lag is for how long a newer version has been known and not in force.
+func (l *configLag) lag(nowUs int64) time.Duration {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.version == 0 {
+		return 0
+	}
+	return time.Duration(nowUs-l.sinceUs) * time.Microsecond
+}
--- a/internal/router/feed.go
+++ b/internal/router/feed.go
@@ -9,6 +9,7 @@
 
 	"beechtide.org/beechtide/internal/dissemination"
 	"beechtide.org/beechtide/internal/messages"
+	"beechtide.org/beechtide/internal/routeconfig"
 	"beechtide.org/beechtide/internal/statesync"
 )
 
@@ -98,6 +99,7 @@
 	c.nmu.Lock()
 	defer c.nmu.Unlock()
 	mine := c.versions()
+	c.lag.heardOf(mine, versions, c.clock())
 	for p, v := range versions {
 		if v > 0 && (p >= len(mine) || mine[p] < v) {
 			return true
@@ -229,7 +231,8 @@
 	}
 	if renewed {
 		t := c.configuration.Table()
-		c.table.Store(t)
+		routeconfig.PutInForce(&c.table, t)
+		c.lag.inForce(c.configuration.Version(), c.clock())
 		c.log.Info("configuration in place", "version", t.Version, "entries", len(ch.Entries), "whole", ch.Snapshot)
 	}
 	return r, renewed
--- a/internal/router/front.go
+++ b/internal/router/front.go
@@ -93,12 +93,17 @@
 	moveUs   int64     // when it looks for a place again
 	client   *clientState
 	ended    compliance.Step
-	changed  bool // the tenant's regime changed while the request waited
+	lastEnd  ending           // of the newest attempt
+	why      admission.Reason // of a rejection
+	changed  bool             // the tenant's regime changed while the request waited
 }
 
 func (c *Router) serve(ctx context.Context, rc *app.RequestContext) {
 	c.inFlight.Add(1)
 	defer c.inFlight.Add(-1)
+	if c.leaving.Load() {
+		c.counters.takenWhileDraining.Add(1)
+	}
 	defer func() {
 		if c.leaving.Load() {
 			rc.Response.Header.SetConnectionClose(true)
@@ -106,6 +111,7 @@
 	}()
 	conn := clientConn(ctx)
 	v := &visit{c: c, rc: rc, startUs: c.clock() - conn.requestAge().Microseconds(), id: get(rc, hAttempt)}
+	defer v.recordEnd()
 	t := c.table.Load()
 	uri := rc.Request.Header.RequestURI()
 	path, _, _ := strings.Cut(string(uri), "?")
@@ -121,7 +127,9 @@
 	status := v.find(t, path)
 	if status != 0 {
 		confirmed := c.confirmCurrent()
+		before := t.Version
 		t = c.table.Load()
+		c.counters.recordRecheck(confirmed, t.Version > before)
 		if status = v.find(t, path); status != 0 && !confirmed {
 			v.reject(503, "", recheckUs)
 			return
@@ -228,7 +236,8 @@
 	if againUs > 0 && (status == 429 || status == 503) {
 		h.Set(hRetryAfter, strconv.FormatFloat(float64(againUs)/1e6, 'f', 3, 64))
 	}
-	v.ended = compliance.Rejected
+	v.ended, v.why = compliance.Rejected, reason
+	v.checkDenial(status)
 	v.rc.SetStatusCode(status)
 	if reason != "" {
 		v.rc.Response.Header.SetContentType("text/plain")
--- /dev/null
+++ b/internal/router/invariants_test.go
@@ -0,0 +1,88 @@
+package router
+
+import (
+	"testing"
+
+	"github.com/cloudwego/hertz/pkg/app"
+	"github.com/shoenig/test/must"
+
+	"beechtide.org/beechtide/internal/api"
+	"beechtide.org/beechtide/internal/compliance"
+	"beechtide.org/beechtide/internal/invariant/invarianttest"
+	"beechtide.org/beechtide/internal/routeconfig"
+)
+
+// visitAt makes a request of a router that runs nothing; its time is over at endUs.
+func visitAt(nowUs, endUs int64) *visit {
+	c := &Router{clock: func() int64 { return nowUs }}
+	return &visit{c: c, rc: app.NewContext(0), endUs: endUs, route: &routeconfig.Route{}}
+}
+
+func TestRequestThatIsDroppedViolatesInvariant(t *testing.T) {
+	invarianttest.Expect(t, requestEnds)
+	for _, last := range []ending{notSent, notRun, moving} {
+		before := requestEnds.Violations()
+		v := visitAt(1, 1_000_000)
+		v.attempts, v.ended, v.lastEnd = 1, compliance.Cut, last
+		v.recordEnd()
+		must.Eq(t, before+1, requestEnds.Violations(), must.Sprint(attemptNames[last]))
+	}
+}
+
+func TestRequestThatEndsForAReasonViolatesNothing(t *testing.T) {
+	for _, c := range []struct {
+		name     string
+		ended    compliance.Step
+		last     ending
+		attempts int
+		nowUs    int64
+		cut      cutReason
+	}{
+		{"answered", compliance.Answered, whole, 1, 1, cutReasonCount},
+		{"rejected", compliance.Rejected, notSent, 0, 1, cutReasonCount},
+		{"client gone", compliance.Cut, clientGone, 1, 1, cutClientGone},
+		{"time over", compliance.Cut, moving, 1, 1_000_000, cutTimeOver},
+		{"runner broke off", compliance.Cut, brokeOff, 1, 1, cutRunner},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			v := visitAt(c.nowUs, 1_000_000)
+			v.ended, v.lastEnd, v.attempts = c.ended, c.last, c.attempts
+			v.recordEnd()
+			for reason := range cutReasonCount {
+				want := int64(0)
+				if reason == c.cut {
+					want = 1
+				}
+				must.Eq(t, want, v.c.counters.cuts[reason].Load(), must.Sprint(cutReasonNames[reason]))
+			}
+		})
+	}
+}
+
+func TestAttemptAfterPossibleRunViolatesInvariant(t *testing.T) {
+	for _, end := range []ending{unknown, brokeOff} {
+		v := visitAt(1, 1_000_000)
+		v.attempts, v.lastEnd = 1, end
+		v.route.Kind = api.Idempotent
+		v.checkRepeat(&course{})
+	}
+	invarianttest.Expect(t, noAttemptAfterRun)
+	v := visitAt(1, 1_000_000)
+	v.attempts, v.lastEnd = 1, unknown
+	v.route.Kind = api.Streaming
+	v.checkRepeat(&course{})
+}
+
+func TestDenialOnUnconfirmedConfigViolatesInvariant(t *testing.T) {
+	c, _, _ := start(t)
+	c.core.mu.Lock()
+	c.core.last = []string{"10.0.0.1:7001"}
+	c.core.mu.Unlock()
+	v := &visit{c: c}
+	c.majorityUs.Store(c.clock())
+	v.checkDenial(404)
+	v.checkDenial(503)
+	invarianttest.Expect(t, denialConfirmed)
+	c.majorityUs.Store(c.clock() - recheckUs - 2*c.recheckWait().Microseconds())
+	v.checkDenial(401)
+}
--- a/internal/router/recheck.go
+++ b/internal/router/recheck.go
@@ -92,6 +92,7 @@
 			answered++
 		}
 		if answered > len(list)/2 {
+			c.majorityUs.Store(c.clock())
 			return true
 		}
 	}
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -116,6 +116,10 @@
 	leaving  atomic.Bool
 	inFlight atomic.Int64
 	front    atomic.Pointer[timedListener]
+
+	counters   counters
+	lag        configLag
+	majorityUs atomic.Int64 // when a majority of the core last confirmed the configuration
 }
 
 // New builds the role.
@@ -136,6 +140,7 @@
 	c.publisher = dissemination.NewPublisher(trans, dissemination.Upstream{DeltaSince: c.since, ApplyReport: c.toldBelow, Unsubscribed: c.goneBelow})
 	c.up.SyncState, c.up.Parents, c.up.ApplyUpdate = c.hold, c.parents, c.takeFeed
 	c.up.Acked, c.up.ResendAll, c.up.Unsubscribed = c.loads.heardUp, c.tellAgain, func(string) {}
+	c.up.Counts = &c.counters.subscriptions
 	c.seeds.Store(&set.Seeds)
 	c.monitor = membership.NewMonitor(trans, messages.Peer{Addr: set.RouterAddr(), Role: messages.Router, Zone: set.Zone, Node: set.Node}, clock, c.seedAddrs)
 	trans.OnCall(transport.KindCondition, func(context.Context, *transport.Conn, []byte) ([]byte, error) {
@@ -160,6 +165,7 @@
 	go c.pump(live)
 	go c.probeMissing(live)
 	go loop.Every(live, withdrawEvery, c.withdrawFromOldWeights)
+	go c.metricsServer().Run(live)
 	failed := make(chan error, 2)
 	go func() { failed <- c.serveReady() }()
 	for c.table.Load() == nil {
@@ -178,6 +184,7 @@
 	case <-ctx.Done():
 	}
 	c.leave()
+	c.recordCutByLeaving()
 	return nil
 }
 
--- a/internal/router/router_test.go
+++ b/internal/router/router_test.go
@@ -23,6 +23,7 @@
 	"beechtide.org/beechtide/internal/admission"
 	"beechtide.org/beechtide/internal/api"
 	"beechtide.org/beechtide/internal/compliance"
+	"beechtide.org/beechtide/internal/invariant/invarianttest"
 	"beechtide.org/beechtide/internal/messages"
 	"beechtide.org/beechtide/internal/routeconfig"
 	"beechtide.org/beechtide/internal/settings"
@@ -120,7 +121,7 @@
 
 func TestMain(m *testing.M) {
 	hlog.SetLevel(hlog.LevelFatal)
-	os.Exit(m.Run())
+	os.Exit(invarianttest.Main(m))
 }
 
 const streamHead = "HTTP/1.1 200 OK\r\nBeechtide-Attempt-Id: ID\r\nBeechtide-Server-Seal: seal\r\nContent-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n"
--- a/internal/settings/address.go
+++ b/internal/settings/address.go
@@ -28,3 +28,24 @@
 func (s Settings) controllerAddrAt(ip string) string {
 	return fmt.Sprintf("%s:%d", ip, s.Ports[0]+1)
 }
+
+// Places of the ports in the range.
+const (
+	routerMetricsPort     = 2
+	controllerMetricsPort = 3
+)
+
+// RouterMetricsAddr is where this machine's router serves its metrics: the third port
+// of the range. It is empty where the range has no such port.
+func (s Settings) RouterMetricsAddr() string { return s.addrInRange(routerMetricsPort) }
+
+// ControllerMetricsAddr is where this machine's controller serves its metrics: the
+// fourth port of the range. It is empty where the range has no such port.
+func (s Settings) ControllerMetricsAddr() string { return s.addrInRange(controllerMetricsPort) }
+
+func (s Settings) addrInRange(place int) string {
+	if s.Ports[0]+place > s.Ports[1] {
+		return ""
+	}
+	return fmt.Sprintf("%s:%d", s.Ip, s.Ports[0]+place)
+}
--- a/internal/settings/load_test.go
+++ b/internal/settings/load_test.go
@@ -27,6 +27,8 @@
 	must.Eq(t, "10.0.0.1:7000", s.RouterAddr())
 	must.Eq(t, "10.0.0.1:7001", s.ControllerAddr())
 	must.Eq(t, []string{"10.0.0.1:7001", "10.0.0.2:7001"}, s.SeedAddrs())
+	must.Eq(t, "10.0.0.1:7002", s.RouterMetricsAddr())
+	must.Eq(t, "10.0.0.1:7003", s.ControllerMetricsAddr())
 	must.Eq(t, 2500, s.Bounds.LeaseMs)
 	must.Eq(t, 8.0, s.Bounds.GraceS)
 	must.Eq(t, 10.0, s.Bounds.RetryWindowS)
@@ -35,6 +37,13 @@
 	must.Eq(t, 1000, s.BeatPeriodMs)
 }
 
+func TestMetricsAddrsAreEmptyOutsideThePortRange(t *testing.T) {
+	s, err := Parse([]byte(strings.Replace(testSettings, "7015", "7002", 1)))
+	must.NoError(t, err)
+	must.Eq(t, "10.0.0.1:7002", s.RouterMetricsAddr())
+	must.Eq(t, "", s.ControllerMetricsAddr())
+}
+
 func TestParseNamesInvalidField(t *testing.T) {
 	for _, c := range []struct{ old, new, want string }{
 		{`node: "n1"`, ``, "Node"},
