beechtide metrics; the doctor and the simulation report violated invariants

Cause: figures that only a scraper can read and violations that only a log shows help nobody at night. Change: a node's condition lists violated invariants, the doctor reports them as faults, beechtide simulate ends with status 1 on them; beechtide metrics prints what is not 0 of a role's figures.

--- a/cmd/beechtide/main.go
+++ b/cmd/beechtide/main.go
@@ -21,6 +21,7 @@
   controller  keeps the configuration and the registry of runners, and holds leases of singleton roles
 
 commands
+  metrics     print the figures of a role that matter in an incident
   doctor      look for common faults of a running system
   check FILE  check a configuration before it is sent
   audit       check audit trails of regulated requests against configurations
@@ -51,6 +52,8 @@
 		return runCheck(args[1:])
 	case "doctor":
 		return runDoctor(args[1:])
+	case "metrics":
+		return runMetrics(args[1:])
 	case "audit":
 		return runAudit(args[1:])
 	case "simulate":
--- a/cmd/beechtide/main_test.go
+++ b/cmd/beechtide/main_test.go
@@ -48,6 +48,7 @@
 		{"check", "a", "b"},
 		{"doctor", "x"},
 		{"doctor", "-y"},
+		{"metrics", "-z"},
 		{"audit"},
 		{"audit", "-c"},
 		{"simulate", "x"},
@@ -61,7 +62,7 @@
 }
 
 func TestEachSubcommandHasHelp(t *testing.T) {
-	for _, name := range []string{"router", "controller", "check", "doctor", "audit", "simulate"} {
+	for _, name := range []string{"router", "controller", "check", "doctor", "metrics", "audit", "simulate"} {
 		status, stdout, stderr := runCommand(t, name, "-h")
 		must.Eq(t, 0, status, must.Sprint(name))
 		must.StrContains(t, stdout, "usage: beechtide "+name)
--- a/cmd/beechtide/simulate.go
+++ b/cmd/beechtide/simulate.go
@@ -7,6 +7,7 @@
 	"slices"
 	"strings"
 
+	"beechtide.org/beechtide/internal/invariant"
 	"beechtide.org/beechtide/internal/simulation"
 )
 
@@ -49,7 +50,11 @@
 		printHistory(seeds.Model, r)
 	})
 	fmt.Printf("%s; %d broke a check\n", counts, failures)
-	if failures > 0 {
+	violated := invariant.Violations()
+	for _, v := range violated {
+		fmt.Printf("invariant %s was violated %d times\n", v.Name, v.Count)
+	}
+	if failures > 0 || len(violated) > 0 {
 		return statusFailure
 	}
 	return statusOK
--- a/internal/controller/condition.go
+++ b/internal/controller/condition.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"beechtide.org/beechtide/internal/consensus"
+	"beechtide.org/beechtide/internal/invariant"
 	"beechtide.org/beechtide/internal/messages"
 	"beechtide.org/beechtide/internal/transport"
 )
@@ -25,6 +26,7 @@
 	}
 	c.Peers = append(d.monitor.Alive(messages.Controller), d.monitor.Alive(messages.Router)...)
 	c.Wholes, c.Changes, c.Malformed = d.feed.wholes.Load(), d.feed.changes.Load(), d.feed.malformed.Load()
+	c.Violations = invariant.Violations()
 	snap := d.registry.Snapshot()
 	c.Runners = len(snap.ByID)
 	for id, n := range snap.ByID {
--- a/internal/doctor/examine_node.go
+++ b/internal/doctor/examine_node.go
@@ -34,6 +34,7 @@
 	}
 	exam.checkStreams()
 	exam.checkRunners()
+	exam.checkInvariants()
 	exam.checkClock(result.RequestedUs + result.RoundTripUs/2)
 	return exam.findings
 }
@@ -102,6 +103,17 @@
 	}
 }
 
+// checkInvariants reports rules of the program that did not hold.
+func (n *nodeExam) checkInvariants() {
+	for _, v := range n.condition.Violations {
+		n.findings = append(n.findings, Finding{
+			Fault, nodeName(n.condition),
+			fmt.Sprintf("violated the invariant %s %d times since its start", v.Name, v.Count),
+			"keep its log (beechtide doctor -rings) and metrics, and report both: this is a fault of the program",
+		})
+	}
+}
+
 // checkClock compares the node's time of day with the doctor's at the middle of
 // the round trip, microseconds since 1970.
 func (n *nodeExam) checkClock(doctorUs int64) {
--- a/internal/doctor/examine_test.go
+++ b/internal/doctor/examine_test.go
@@ -88,6 +88,9 @@
 		{"x router: thresholds of runner r1", 1, func(r []NodeResult) { r[3].Condition.Blind = []string{"r1"} }},
 		{"needed 30 snapshots beside 900", 1, func(r []NodeResult) { r[3].Condition.Wholes, r[3].Condition.Changes = 30, 900 }},
 		{"2 messages that it could not decode", 1, func(r []NodeResult) { r[3].Condition.Malformed = 2 }},
+		{"x router: violated the invariant some_rule 2 times", 3, func(r []NodeResult) {
+			r[3].Condition.Violations = []messages.ViolationCount{{Name: "some_rule", Count: 2}}
+		}},
 		{"2000 ms off", 1, func(r []NodeResult) { r[3].Condition.TimeUs += 2_000 * millisecond }},
 	} {
 		t.Run(c.want, func(t *testing.T) {
--- a/internal/invariant/invariant.go
+++ b/internal/invariant/invariant.go
@@ -18,6 +18,8 @@
 
 	"github.com/go-logr/logr"
 	"github.com/pkg/errors"
+
+	"beechtide.org/beechtide/internal/messages"
 )
 
 // ErrViolated is the error under which violations are logged.
@@ -104,6 +106,18 @@
 	return out
 }
 
+// Violations returns the counts of the invariants that were violated, for a node's
+// condition.
+func Violations() []messages.ViolationCount {
+	var out []messages.ViolationCount
+	for _, c := range Counts() {
+		if c.Violations > 0 {
+			out = append(out, messages.ViolationCount{Name: c.Name, Count: c.Violations})
+		}
+	}
+	return out
+}
+
 // LogTo sets the log that violations are written to; before that they are only
 // counted.
 func LogTo(log logr.Logger) {
--- a/internal/invariant/invariant_test.go
+++ b/internal/invariant/invariant_test.go
@@ -5,6 +5,8 @@
 
 	"github.com/go-logr/logr/funcr"
 	"github.com/shoenig/test/must"
+
+	"beechtide.org/beechtide/internal/messages"
 )
 
 func TestViolationIsCountedReportedAndLoggedOnceASecond(t *testing.T) {
@@ -18,6 +20,7 @@
 	i.Violated("version", 4)
 	must.Eq(t, 2, i.Violations())
 	must.Eq(t, []Count{{Name: "some_rule", Rule: "what always holds", Violations: 2}}, Counts())
+	must.Eq(t, []messages.ViolationCount{{Name: "some_rule", Count: 2}}, Violations())
 	must.Len(t, 2, seen)
 	must.Eq(t, []any{"version", 4}, seen[1].Detail)
 	must.Len(t, 1, lines)
--- a/internal/messages/msgp.gen.go
+++ b/internal/messages/msgp.gen.go
@@ -131,9 +131,9 @@
 // MarshalMsg implements msgp.Marshaler
 func (z *Condition) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
-	// map header, size 20
+	// map header, size 21
 	// string "a"
-	o = append(o, 0xde, 0x0, 0x14, 0xa1, 0x61)
+	o = append(o, 0xde, 0x0, 0x15, 0xa1, 0x61)
 	o = msgp.AppendString(o, z.Addr)
 	// string "b"
 	o = append(o, 0xa1, 0x62)
@@ -171,6 +171,18 @@
 			o = msgp.AppendString(o, z.Groups[za0003][za0004].ID)
 		}
 	}
+	// string "i"
+	o = append(o, 0xa1, 0x69)
+	o = msgp.AppendArrayHeader(o, uint32(len(z.Violations)))
+	for za0005 := range z.Violations {
+		// map header, size 2
+		// string "c"
+		o = append(o, 0x82, 0xa1, 0x63)
+		o = msgp.AppendInt64(o, z.Violations[za0005].Count)
+		// string "n"
+		o = append(o, 0xa1, 0x6e)
+		o = msgp.AppendString(o, z.Violations[za0005].Name)
+	}
 	// string "j"
 	o = append(o, 0xa1, 0x6a)
 	o = msgp.AppendInt64(o, z.Changes)
@@ -180,8 +192,8 @@
 	// string "m"
 	o = append(o, 0xa1, 0x6d)
 	o = msgp.AppendArrayHeader(o, uint32(len(z.Versions)))
-	for za0005 := range z.Versions {
-		o = msgp.AppendInt64(o, z.Versions[za0005])
+	for za0006 := range z.Versions {
+		o = msgp.AppendInt64(o, z.Versions[za0006])
 	}
 	// string "n"
 	o = append(o, 0xa1, 0x6e)
@@ -189,18 +201,18 @@
 	// string "p"
 	o = append(o, 0xa1, 0x70)
 	o = msgp.AppendArrayHeader(o, uint32(len(z.Peers)))
-	for za0006 := range z.Peers {
-		o, err = z.Peers[za0006].MarshalMsg(o)
+	for za0007 := range z.Peers {
+		o, err = z.Peers[za0007].MarshalMsg(o)
 		if err != nil {
-			err = msgp.WrapError(err, "Peers", za0006)
+			err = msgp.WrapError(err, "Peers", za0007)
 			return
 		}
 	}
 	// string "q"
 	o = append(o, 0xa1, 0x71)
 	o = msgp.AppendArrayHeader(o, uint32(len(z.Stale)))
-	for za0007 := range z.Stale {
-		o = msgp.AppendString(o, z.Stale[za0007])
+	for za0008 := range z.Stale {
+		o = msgp.AppendString(o, z.Stale[za0008])
 	}
 	// string "r"
 	o = append(o, 0xa1, 0x72)
@@ -214,8 +226,8 @@
 	// string "u"
 	o = append(o, 0xa1, 0x75)
 	o = msgp.AppendArrayHeader(o, uint32(len(z.Unconfirmed)))
-	for za0008 := range z.Unconfirmed {
-		o = msgp.AppendString(o, z.Unconfirmed[za0008])
+	for za0009 := range z.Unconfirmed {
+		o = msgp.AppendString(o, z.Unconfirmed[za0009])
 	}
 	// string "w"
 	o = append(o, 0xa1, 0x77)
@@ -370,6 +382,54 @@
 					}
 				}
 			}
+		case "i":
+			var zb0007 uint32
+			zb0007, bts, err = msgp.ReadArrayHeaderBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Violations")
+				return
+			}
+			if cap(z.Violations) >= int(zb0007) {
+				z.Violations = (z.Violations)[:zb0007]
+			} else {
+				z.Violations = make([]ViolationCount, zb0007)
+			}
+			for za0005 := range z.Violations {
+				var zb0008 uint32
+				zb0008, bts, err = msgp.ReadMapHeaderBytes(bts)
+				if err != nil {
+					err = msgp.WrapError(err, "Violations", za0005)
+					return
+				}
+				for zb0008 > 0 {
+					zb0008--
+					field, bts, err = msgp.ReadMapKeyZC(bts)
+					if err != nil {
+						err = msgp.WrapError(err, "Violations", za0005)
+						return
+					}
+					switch msgp.UnsafeString(field) {
+					case "c":
+						z.Violations[za0005].Count, bts, err = msgp.ReadInt64Bytes(bts)
+						if err != nil {
+							err = msgp.WrapError(err, "Violations", za0005, "Count")
+							return
+						}
+					case "n":
+						z.Violations[za0005].Name, bts, err = msgp.ReadStringBytes(bts)
+						if err != nil {
+							err = msgp.WrapError(err, "Violations", za0005, "Name")
+							return
+						}
+					default:
+						bts, err = msgp.Skip(bts)
+						if err != nil {
+							err = msgp.WrapError(err, "Violations", za0005)
+							return
+						}
+					}
+				}
+			}
 		case "j":
 			z.Changes, bts, err = msgp.ReadInt64Bytes(bts)
 			if err != nil {
@@ -383,21 +443,21 @@
 				return
 			}
 		case "m":
-			var zb0007 uint32
-			zb0007, bts, err = msgp.ReadArrayHeaderBytes(bts)
+			var zb0009 uint32
+			zb0009, bts, err = msgp.ReadArrayHeaderBytes(bts)
 			if err != nil {
 				err = msgp.WrapError(err, "Versions")
 				return
 			}
-			if cap(z.Versions) >= int(zb0007) {
-				z.Versions = (z.Versions)[:zb0007]
+			if cap(z.Versions) >= int(zb0009) {
+				z.Versions = (z.Versions)[:zb0009]
 			} else {
-				z.Versions = make([]int64, zb0007)
+				z.Versions = make([]int64, zb0009)
 			}
-			for za0005 := range z.Versions {
-				z.Versions[za0005], bts, err = msgp.ReadInt64Bytes(bts)
+			for za0006 := range z.Versions {
+				z.Versions[za0006], bts, err = msgp.ReadInt64Bytes(bts)
 				if err != nil {
-					err = msgp.WrapError(err, "Versions", za0005)
+					err = msgp.WrapError(err, "Versions", za0006)
 					return
 				}
 			}
@@ -408,52 +468,52 @@
 				return
 			}
 		case "p":
-			var zb0008 uint32
-			zb0008, bts, err = msgp.ReadArrayHeaderBytes(bts)
+			var zb0010 uint32
+			zb0010, bts, err = msgp.ReadArrayHeaderBytes(bts)
 			if err != nil {
 				err = msgp.WrapError(err, "Peers")
 				return
 			}
-			if cap(z.Peers) >= int(zb0008) {
-				z.Peers = (z.Peers)[:zb0008]
+			if cap(z.Peers) >= int(zb0010) {
+				z.Peers = (z.Peers)[:zb0010]
 			} else {
-				z.Peers = make([]Peer, zb0008)
+				z.Peers = make([]Peer, zb0010)
 			}
-			for za0006 := range z.Peers {
-				bts, err = z.Peers[za0006].UnmarshalMsg(bts)
+			for za0007 := range z.Peers {
+				bts, err = z.Peers[za0007].UnmarshalMsg(bts)
 				if err != nil {
-					err = msgp.WrapError(err, "Peers", za0006)
+					err = msgp.WrapError(err, "Peers", za0007)
 					return
 				}
 			}
 		case "q":
-			var zb0009 uint32
-			zb0009, bts, err = msgp.ReadArrayHeaderBytes(bts)
+			var zb0011 uint32
+			zb0011, bts, err = msgp.ReadArrayHeaderBytes(bts)
 			if err != nil {
 				err = msgp.WrapError(err, "Stale")
 				return
 			}
-			if cap(z.Stale) >= int(zb0009) {
-				z.Stale = (z.Stale)[:zb0009]
+			if cap(z.Stale) >= int(zb0011) {
+				z.Stale = (z.Stale)[:zb0011]
 			} else {
-				z.Stale = make([]string, zb0009)
+				z.Stale = make([]string, zb0011)
 			}
-			for za0007 := range z.Stale {
-				z.Stale[za0007], bts, err = msgp.ReadStringBytes(bts)
+			for za0008 := range z.Stale {
+				z.Stale[za0008], bts, err = msgp.ReadStringBytes(bts)
 				if err != nil {
-					err = msgp.WrapError(err, "Stale", za0007)
+					err = msgp.WrapError(err, "Stale", za0008)
 					return
 				}
 			}
 		case "r":
 			{
-				var zb0010 string
-				zb0010, bts, err = msgp.ReadStringBytes(bts)
+				var zb0012 string
+				zb0012, bts, err = msgp.ReadStringBytes(bts)
 				if err != nil {
 					err = msgp.WrapError(err, "Role")
 					return
 				}
-				z.Role = Role(zb0010)
+				z.Role = Role(zb0012)
 			}
 		case "s":
 			z.SaveUs, bts, err = msgp.ReadInt64Bytes(bts)
@@ -468,21 +528,21 @@
 				return
 			}
 		case "u":
-			var zb0011 uint32
-			zb0011, bts, err = msgp.ReadArrayHeaderBytes(bts)
+			var zb0013 uint32
+			zb0013, bts, err = msgp.ReadArrayHeaderBytes(bts)
 			if err != nil {
 				err = msgp.WrapError(err, "Unconfirmed")
 				return
 			}
-			if cap(z.Unconfirmed) >= int(zb0011) {
-				z.Unconfirmed = (z.Unconfirmed)[:zb0011]
+			if cap(z.Unconfirmed) >= int(zb0013) {
+				z.Unconfirmed = (z.Unconfirmed)[:zb0013]
 			} else {
-				z.Unconfirmed = make([]string, zb0011)
+				z.Unconfirmed = make([]string, zb0013)
 			}
-			for za0008 := range z.Unconfirmed {
-				z.Unconfirmed[za0008], bts, err = msgp.ReadStringBytes(bts)
+			for za0009 := range z.Unconfirmed {
+				z.Unconfirmed[za0009], bts, err = msgp.ReadStringBytes(bts)
 				if err != nil {
-					err = msgp.WrapError(err, "Unconfirmed", za0008)
+					err = msgp.WrapError(err, "Unconfirmed", za0009)
 					return
 				}
 			}
@@ -533,17 +593,21 @@
 			s += 1 + 2 + msgp.StringPrefixSize + len(z.Groups[za0003][za0004].Addr) + 2 + msgp.StringPrefixSize + len(z.Groups[za0003][za0004].ID)
 		}
 	}
+	s += 2 + msgp.ArrayHeaderSize
+	for za0005 := range z.Violations {
+		s += 1 + 2 + msgp.Int64Size + 2 + msgp.StringPrefixSize + len(z.Violations[za0005].Name)
+	}
 	s += 2 + msgp.Int64Size + 2 + msgp.StringPrefixSize + len(z.MemberID) + 2 + msgp.ArrayHeaderSize + (len(z.Versions) * (msgp.Int64Size)) + 2 + msgp.StringPrefixSize + len(z.Node) + 2 + msgp.ArrayHeaderSize
-	for za0006 := range z.Peers {
-		s += z.Peers[za0006].Msgsize()
+	for za0007 := range z.Peers {
+		s += z.Peers[za0007].Msgsize()
 	}
 	s += 2 + msgp.ArrayHeaderSize
-	for za0007 := range z.Stale {
-		s += msgp.StringPrefixSize + len(z.Stale[za0007])
+	for za0008 := range z.Stale {
+		s += msgp.StringPrefixSize + len(z.Stale[za0008])
 	}
 	s += 2 + msgp.StringPrefixSize + len(string(z.Role)) + 2 + msgp.Int64Size + 2 + msgp.Int64Size + 2 + msgp.ArrayHeaderSize
-	for za0008 := range z.Unconfirmed {
-		s += msgp.StringPrefixSize + len(z.Unconfirmed[za0008])
+	for za0009 := range z.Unconfirmed {
+		s += msgp.StringPrefixSize + len(z.Unconfirmed[za0009])
 	}
 	s += 2 + msgp.Int64Size + 2 + msgp.Int64Size + 2 + msgp.StringPrefixSize + len(z.Zone)
 	return
@@ -5043,3 +5107,64 @@
 	s += 2 + msgp.Int64Size + 2 + msgp.BoolSize
 	return
 }
+
+// MarshalMsg implements msgp.Marshaler
+func (z ViolationCount) MarshalMsg(b []byte) (o []byte, err error) {
+	o = msgp.Require(b, z.Msgsize())
+	// map header, size 2
+	// string "c"
+	o = append(o, 0x82, 0xa1, 0x63)
+	o = msgp.AppendInt64(o, z.Count)
+	// string "n"
+	o = append(o, 0xa1, 0x6e)
+	o = msgp.AppendString(o, z.Name)
+	return
+}
+
+// UnmarshalMsg implements msgp.Unmarshaler
+func (z *ViolationCount) UnmarshalMsg(bts []byte) (o []byte, err error) {
+	var field []byte
+	_ = field
+	var zb0001 uint32
+	zb0001, bts, err = msgp.ReadMapHeaderBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err)
+		return
+	}
+	for zb0001 > 0 {
+		zb0001--
+		field, bts, err = msgp.ReadMapKeyZC(bts)
+		if err != nil {
+			err = msgp.WrapError(err)
+			return
+		}
+		switch msgp.UnsafeString(field) {
+		case "c":
+			z.Count, bts, err = msgp.ReadInt64Bytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Count")
+				return
+			}
+		case "n":
+			z.Name, bts, err = msgp.ReadStringBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Name")
+				return
+			}
+		default:
+			bts, err = msgp.Skip(bts)
+			if err != nil {
+				err = msgp.WrapError(err)
+				return
+			}
+		}
+	}
+	o = bts
+	return
+}
+
+// Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
+func (z ViolationCount) Msgsize() (s int) {
+	s = 1 + 2 + msgp.Int64Size + 2 + msgp.StringPrefixSize + len(z.Name)
+	return
+}
--- a/internal/messages/types.gen.go
+++ b/internal/messages/types.gen.go
@@ -114,15 +114,18 @@
 	Unread    []string   `msg:"e"`
 	SaveFault string     `msg:"f"`
 	Groups    [][]Member `msg:"g"`
-	Changes   int64      `msg:"j"`
-	MemberID  string     `msg:"l"`
-	Versions  []int64    `msg:"m"`
-	Node      string     `msg:"n"`
-	Peers     []Peer     `msg:"p"`
-	Stale     []string   `msg:"q"`
-	Role      Role       `msg:"r"`
-	SaveUs    int64      `msg:"s"`
-	TimeUs    int64      `msg:"t"`
+
+	// Violations invariants that were violated since the start
+	Violations []ViolationCount `msg:"i"`
+	Changes    int64            `msg:"j"`
+	MemberID   string           `msg:"l"`
+	Versions   []int64          `msg:"m"`
+	Node       string           `msg:"n"`
+	Peers      []Peer           `msg:"p"`
+	Stale      []string         `msg:"q"`
+	Role       Role             `msg:"r"`
+	SaveUs     int64            `msg:"s"`
+	TimeUs     int64            `msg:"t"`
 
 	// Unconfirmed members that this controller waits for in a repair
 	Unconfirmed []string `msg:"u"`
@@ -465,3 +468,9 @@
 	// CutOff the group that holds the configuration is out of the sender's reach
 	CutOff bool `msg:"x"`
 }
+
+// ViolationCount how often an invariant of the program was violated
+type ViolationCount struct {
+	Count int64  `msg:"c"`
+	Name  string `msg:"n"`
+}
--- a/internal/metrics/metrics.go
+++ b/internal/metrics/metrics.go
@@ -10,6 +10,7 @@
 
 import (
 	"context"
+	"io"
 	"net"
 	"net/http"
 	"time"
@@ -23,6 +24,8 @@
 // Path is where the figures are served.
 const Path = "/metrics"
 
+var textFormat = expfmt.NewFormat(expfmt.TypeTextPlain)
+
 // Limits on a connection of somebody who asks.
 const (
 	requestTimeout = 5 * time.Second
@@ -75,16 +78,20 @@
 }
 
 func (s *Server) serve(w http.ResponseWriter, _ *http.Request) {
-	families, err := s.registry.Gather()
-	if err != nil {
-		s.config.Log.Error(err, "some metrics cannot be read")
+	w.Header().Set("Content-Type", string(textFormat))
+	if err := s.Write(w); err != nil {
+		s.config.Log.Error(err, "not all metrics were served")
 	}
-	format := expfmt.NewFormat(expfmt.TypeTextPlain)
-	w.Header().Set("Content-Type", string(format))
-	encoder := expfmt.NewEncoder(w, format)
+}
+
+// Write writes all figures as text. The error is that of a collector, or of w.
+func (s *Server) Write(w io.Writer) error {
+	families, err := s.registry.Gather()
+	encoder := expfmt.NewEncoder(w, textFormat)
 	for _, family := range families {
-		if encoder.Encode(family) != nil {
-			return // the other side has gone
+		if err := encoder.Encode(family); err != nil {
+			return errors.Wrap(err, "metrics: write")
 		}
 	}
+	return errors.Wrap(err, "metrics: gather")
 }
--- a/internal/metrics/metrics_test.go
+++ b/internal/metrics/metrics_test.go
@@ -1,10 +1,12 @@
 package metrics
 
 import (
+	"bytes"
 	"context"
 	"io"
 	"net"
 	"net/http"
+	"strings"
 	"testing"
 	"time"
 
@@ -79,3 +81,25 @@
 	NewServer(Config{Log: log}).Run(t.Context())
 	must.Eq(t, "", logged)
 }
+
+func TestSummaryLeavesOutZeros(t *testing.T) {
+	var durations, none histogram.Durations
+	for range 9 {
+		durations.Observe(3 * time.Millisecond)
+	}
+	durations.Observe(time.Minute)
+	s := NewServer(
+		Config{}, Durations("test_seconds", "Durations.", &durations), Durations("test_none_seconds", "Durations.", &none),
+		Gauge("test_gauge", "A gauge.", []string{"of"}, func(emit Emit) {
+			emit(1_234_567, "all")
+			emit(0, "none")
+		}),
+	)
+	var text bytes.Buffer
+	must.NoError(t, s.Write(&text))
+	lines, err := Summary(&text)
+	must.NoError(t, err)
+	must.Eq(t, []string{"test_gauge{of=all} 1234567", "test_seconds count 10, mean 6.003 s, nine of ten below 0.005 s"}, lines)
+	_, err = Summary(strings.NewReader("{"))
+	must.Error(t, err)
+}
--- a/internal/router/condition.go
+++ b/internal/router/condition.go
@@ -6,6 +6,7 @@
 	"context"
 	"time"
 
+	"beechtide.org/beechtide/internal/invariant"
 	"beechtide.org/beechtide/internal/messages"
 	"beechtide.org/beechtide/internal/transport"
 )
@@ -20,6 +21,7 @@
 	c.dmu.Unlock()
 	x.Wholes, x.Changes = c.news.wholes.Load(), c.news.changes.Load()
 	x.Malformed = c.news.malformed.Load() + c.up.Malformed.Load()
+	x.Violations = invariant.Violations()
 	x.Runners = len(c.registry.Snapshot().ByID)
 	return x
 }
