standin: a stand-in for a model runner

Cause: real runs of the system need runners, and they aren't part of this repository. Change: package standin speaks the runner's side: heartbeats, draining and leaving, plain answers and streams with attempt id and seal, rejections that say nothing has run, orders, report, events of kept prompt parts.

--- /dev/null
+++ b/internal/standin/standin.go
@@ -0,0 +1,206 @@
+// Package standin is a stand-in for a model runner: it speaks the runner's side of the
+// protocol and makes its answers without a model.
+//
+// A Runner accepts requests on its own address, sends heartbeats to controllers, takes
+// orders, reports its load and tells which prompt parts it keeps. Times to read a prompt
+// and to make a token are configured. Every request that begins to run is handed to
+// Config.OnRun and again when it has ended, so that a caller can compare what ran with
+// what clients saw.
+//
+// A Runner is safe for concurrent use. Start begins its goroutines; Crash and Leave end
+// them. A Runner isn't started twice: every start of a runner is a new incarnation with
+// an id of its own.
+package standin
+
+import (
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"sync"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"beechtide.org/beechtide/internal/loop"
+)
+
+// Config says what a runner is and how it behaves. Zero values are replaced by defaults.
+type Config struct {
+	Service         string
+	Zone            string
+	SoftwareVersion string
+	Listen          string   // address to accept requests on; port 0 for any
+	Advertise       string   // address told in heartbeats; empty: the one listened on
+	Controllers     []string // control addresses for heartbeats
+	// Translate gives the address to dial for a control address named by a controller;
+	// nil: the same. It leads heartbeats through proxies.
+	Translate      func(address string) string
+	ProbePath      string
+	Capacity       int // requests that run at a time
+	QueueLength    int // requests that wait for their turn
+	Model          string
+	WeightsVersion int64
+	CacheTokens    int
+	HeartbeatEvery time.Duration
+	PrefillTime    time.Duration // from the begin of a request to its first token
+	TokenTime      time.Duration // between two tokens of a stream
+	WorkTime       time.Duration // of a request that isn't a generation
+	OrderTime      time.Duration // to load other weights
+	DrainTime      time.Duration // served on after draining is acknowledged
+	OnRun          func(Run)
+}
+
+// Run is one request that a runner began to run. It is handed over when it begins and
+// again, with Ended set, when it has ended.
+type Run struct {
+	Attempt  string
+	Runner   string
+	Service  string
+	Path     string
+	Tenant   string
+	Seal     string
+	Checksum uint32 // of the request's body
+	Began    time.Time
+	Ended    time.Time
+	Finished bool // the whole answer was written
+	Resumed  bool // began after the first event of its stream
+}
+
+// Defaults of the configuration.
+const (
+	defaultCapacity       = 8
+	defaultQueueLength    = 4
+	defaultCacheTokens    = 100000
+	defaultHeartbeatEvery = time.Second
+	defaultPrefillTime    = 20 * time.Millisecond
+	defaultTokenTime      = 10 * time.Millisecond
+	defaultWorkTime       = 10 * time.Millisecond
+	defaultOrderTime      = 500 * time.Millisecond
+	defaultDrainTime      = 2 * time.Second
+	defaultProbePath      = "/health"
+	defaultModel          = "standin"
+)
+
+// Runner is one incarnation of a stand-in runner.
+type Runner struct {
+	config   Config
+	id       string
+	began    time.Time
+	listener net.Listener
+	server   *http.Server
+	stop     context.CancelFunc
+	loops    sync.WaitGroup
+	slots    chan struct{}
+	weights  *weights
+	cache    *cache
+
+	mu       sync.Mutex
+	active   int
+	queued   int
+	draining bool
+	sequence int64 // of heartbeats
+	seals    int64
+	beatTo   string
+}
+
+// New gives a runner that isn't started yet.
+func New(config Config) *Runner {
+	config.setDefaults()
+	return &Runner{
+		config:  config,
+		id:      fmt.Sprintf("i-%08x", rand.Uint32()),
+		began:   time.Now(),
+		slots:   make(chan struct{}, config.Capacity),
+		weights: newWeights(config.Model, config.WeightsVersion, config.OrderTime),
+		cache:   newCache(config.CacheTokens),
+	}
+}
+
+func (c *Config) setDefaults() {
+	setDefault(&c.Capacity, defaultCapacity)
+	setDefault(&c.QueueLength, defaultQueueLength)
+	setDefault(&c.CacheTokens, defaultCacheTokens)
+	setDefault(&c.HeartbeatEvery, defaultHeartbeatEvery)
+	setDefault(&c.PrefillTime, defaultPrefillTime)
+	setDefault(&c.TokenTime, defaultTokenTime)
+	setDefault(&c.WorkTime, defaultWorkTime)
+	setDefault(&c.OrderTime, defaultOrderTime)
+	setDefault(&c.DrainTime, defaultDrainTime)
+	setDefault(&c.ProbePath, defaultProbePath)
+	setDefault(&c.Model, defaultModel)
+	setDefault(&c.WeightsVersion, 1)
+	setDefault(&c.SoftwareVersion, "v1")
+	setDefault(&c.Listen, "127.0.0.1:0")
+	if c.OnRun == nil {
+		c.OnRun = func(Run) {}
+	}
+	if c.Translate == nil {
+		c.Translate = func(address string) string { return address }
+	}
+}
+
+func setDefault[T comparable](value *T, fallback T) {
+	var zero T
+	if *value == zero {
+		*value = fallback
+	}
+}
+
+// ID is the id of this incarnation.
+func (r *Runner) ID() string { return r.id }
+
+// Listen opens the address for requests without accepting any, so that a proxy can be
+// put before it prior to Start.
+func (r *Runner) Listen() (address string, err error) {
+	r.listener, err = net.Listen("tcp4", r.config.Listen)
+	if err != nil {
+		return "", errors.Wrap(err, "standin: open the address for requests")
+	}
+	return r.listener.Addr().String(), nil
+}
+
+// Start serves requests and, where controllers are configured, sends heartbeats. Listen
+// comes before it. advertise replaces Config.Advertise unless it is empty.
+func (r *Runner) Start(advertise string) {
+	if advertise != "" {
+		r.config.Advertise = advertise
+	}
+	setDefault(&r.config.Advertise, r.listener.Addr().String())
+	ctx, cancel := context.WithCancel(context.Background())
+	r.stop = cancel
+	r.server = &http.Server{Handler: r.handler(), BaseContext: func(net.Listener) context.Context { return ctx }}
+	r.loops.Go(func() { _ = r.server.Serve(r.listener) })
+	if len(r.config.Controllers) > 0 {
+		r.loops.Go(func() { r.sendHeartbeats(ctx) })
+	}
+}
+
+// Crash ends the runner at once: its connections break and nobody is told.
+func (r *Runner) Crash() {
+	r.stop()
+	_ = r.server.Close()
+	r.loops.Wait()
+}
+
+// Leave ends the runner as planned: it reports draining until that is acknowledged,
+// serves on for Config.DrainTime, says that it leaves and ends. It gives the moment at
+// which draining was acknowledged; zero where it never was before ctx ended.
+func (r *Runner) Leave(ctx context.Context) (acknowledged time.Time) {
+	r.mu.Lock()
+	r.draining = true
+	r.mu.Unlock()
+	for ctx.Err() == nil {
+		if r.sendHeartbeat(ctx) == nil {
+			acknowledged = time.Now()
+			break
+		}
+		loop.Pause(ctx, leaveRetryPause)
+	}
+	loop.Pause(ctx, r.config.DrainTime)
+	_ = r.sendLeave(ctx)
+	loop.Pause(ctx, r.config.DrainTime/2)
+	r.Crash()
+	return acknowledged
+}
--- /dev/null
+++ b/internal/standin/weights.go
@@ -0,0 +1,94 @@
+// Orders to load other weights.
+
+package standin
+
+import (
+	"encoding/json"
+	"net/http"
+	"sync"
+	"time"
+
+	"beechtide.org/beechtide/internal/api"
+)
+
+// weights is the model that a runner has loaded and the orders that it took.
+type weights struct {
+	loadTime time.Duration
+
+	mu       sync.Mutex
+	model    string
+	version  int64
+	target   int64 // being loaded; 0: nothing is
+	sequence int64
+	fence    int64 // highest seen
+}
+
+func newWeights(model string, version int64, loadTime time.Duration) *weights {
+	return &weights{model: model, version: version, loadTime: loadTime}
+}
+
+func (w *weights) inForce() int64 {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.version
+}
+
+func (w *weights) state() (sequence int64, busy bool) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.sequence, w.target != 0
+}
+
+// blocked reports whether requests for a model wait for an order to be done.
+func (w *weights) blocked(model string) bool {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.target != 0 && model == w.model
+}
+
+// take decides on an order and gives the status of its answer. Where it is 202, the new
+// weights are in force after the time to load them.
+func (w *weights) take(order api.Order) int {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	switch {
+	case order.Holder == "" || order.Fence == 0 || order.Op != api.Version || order.Model != w.model || order.Version <= 0:
+		return http.StatusBadRequest
+	case order.Fence < w.fence:
+		return http.StatusPreconditionFailed
+	}
+	w.fence = order.Fence
+	switch {
+	case order.Version == w.version && w.target == 0:
+		return http.StatusOK
+	case w.target != 0, order.Expected != nil && *order.Expected != w.sequence:
+		return http.StatusConflict
+	}
+	w.sequence++
+	w.target = order.Version
+	time.AfterFunc(w.loadTime, w.finish)
+	return http.StatusAccepted
+}
+
+func (w *weights) finish() {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.version, w.target = w.target, 0
+}
+
+func (r *Runner) serveOrder(w http.ResponseWriter, request *http.Request) {
+	if target := request.Header.Get(headerTarget); target != "" && target != r.id {
+		reject(w, http.StatusMisdirectedRequest)
+		return
+	}
+	var order api.Order
+	if json.NewDecoder(request.Body).Decode(&order) != nil {
+		w.WriteHeader(http.StatusBadRequest)
+		return
+	}
+	status := r.weights.take(order)
+	w.WriteHeader(status)
+	if status == http.StatusAccepted {
+		r.cache.dropAll()
+	}
+}
