load: clients that check what they receive

Cause: a run of real processes needs clients that notice a wrong or incomplete response. Change: package load sends idempotent, effectful and streaming requests on kept connections and records what each request saw.

--- /dev/null
+++ b/internal/load/client.go
@@ -0,0 +1,149 @@
+// One client: a connection that it keeps, and one request after the other.
+
+package load
+
+import (
+	"bufio"
+	"context"
+	"fmt"
+	"hash/crc32"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"strings"
+	"time"
+
+	"beechtide.org/beechtide/internal/loop"
+)
+
+const (
+	dialTimeout    = time.Second
+	keepChance     = 0.9 // that a connection is kept after a response
+	failurePause   = 100 * time.Millisecond
+	promptPart     = 64 // tokens of the part of a prompt that sessions share
+	promptOwn      = 16 // tokens of the request's own part
+	sharedSessions = 4
+)
+
+type client struct {
+	number   int
+	config   Config
+	platform *platform
+	random   *rand.Rand
+	conn     net.Conn
+	reader   *bufio.Reader
+	router   Router
+	reused   bool
+}
+
+func (c *client) run(ctx context.Context) {
+	for ctx.Err() == nil {
+		kind := c.config.Kinds[c.random.IntN(len(c.config.Kinds))]
+		record := c.request(ctx, kind)
+		c.config.OnRecord(record)
+		if record.Outcome != Answered || c.random.Float64() > keepChance {
+			c.disconnect()
+		}
+		if record.Outcome == Unconnected {
+			loop.Pause(ctx, failurePause)
+		}
+		loop.Pause(ctx, time.Duration(c.random.ExpFloat64()*float64(c.config.Think)))
+	}
+	c.disconnect()
+}
+
+func (c *client) disconnect() {
+	if c.conn != nil {
+		c.conn.Close()
+		c.conn = nil
+	}
+}
+
+// request sends one request and reads its response. An end of ctx doesn't break it off.
+func (c *client) request(ctx context.Context, kind Kind) Record {
+	attempt := fmt.Sprintf("%016x", c.random.Uint64())
+	body := fmt.Sprintf("body of %s", attempt)
+	record := Record{
+		Attempt: attempt, Client: c.number, Kind: kind, Sent: time.Now(),
+		Checksum: crc32.ChecksumIEEE([]byte(body)), Outcome: Unconnected,
+	}
+	if !c.connect(ctx) {
+		record.Node, record.Ended = c.router.Node, time.Now()
+		return record
+	}
+	record.Node, record.Reused, record.Sent = c.router.Node, c.reused, time.Now()
+	c.reused = true
+	_ = c.conn.SetDeadline(record.Sent.Add(kind.TimeLeft + c.config.Patience))
+	record.Outcome = Closed
+	if _, err := c.conn.Write([]byte(c.head(kind, attempt, body) + body)); err == nil {
+		c.receive(&record)
+	}
+	record.Ended = time.Now()
+	return record
+}
+
+func (c *client) connect(ctx context.Context) bool {
+	if c.conn != nil {
+		return true
+	}
+	c.router = c.platform.pick(c.random)
+	dialer := net.Dialer{Timeout: dialTimeout}
+	conn, err := dialer.DialContext(ctx, "tcp4", c.router.Front)
+	if err != nil {
+		return false
+	}
+	c.conn, c.reader, c.reused = conn, bufio.NewReader(conn), false
+	return true
+}
+
+// head is the head of a request as it goes over the wire.
+func (c *client) head(kind Kind, attempt, body string) string {
+	var b strings.Builder
+	fmt.Fprintf(&b, "POST %s HTTP/1.1\r\nHost: %s\r\n", kind.Path, kind.Host)
+	fmt.Fprintf(&b, "Beechtide-Attempt-Id: %s\r\nBeechtide-Time-Left: %d\r\n", attempt, kind.TimeLeft.Milliseconds())
+	if kind.Key != "" {
+		fmt.Fprintf(&b, "Authorization: Token %s\r\n", kind.Key)
+	}
+	if kind.Class.IsStream() {
+		fmt.Fprintf(&b, "Beechtide-Model: %s\r\nBeechtide-Token-Count: %d,%d\r\n", kind.Model, promptPart+promptOwn, kind.Tokens)
+		fmt.Fprintf(&b, "Beechtide-Prompt-Prefix: %08x:%d,%08x:%d\r\n", c.number%sharedSessions+1, promptPart, c.random.Uint32(), promptOwn)
+	}
+	fmt.Fprintf(&b, "Content-Length: %d\r\n\r\n", len(body))
+	return b.String()
+}
+
+// receive reads the response and completes the record.
+func (c *client) receive(record *Record) {
+	if _, err := c.reader.Peek(1); err != nil {
+		record.Outcome = outcomeOf(err)
+		return
+	}
+	record.Started = true
+	response, err := http.ReadResponse(c.reader, nil)
+	if err != nil {
+		record.Outcome = outcomeOf(err)
+		return
+	}
+	defer response.Body.Close()
+	record.Status = response.StatusCode
+	record.Seal = response.Header.Get("Beechtide-Server-Seal")
+	if err := c.readBody(record, response); err != nil {
+		record.Outcome = outcomeOf(err)
+		return
+	}
+	record.Outcome = Answered
+	if response.Close {
+		c.disconnect()
+		return
+	}
+	if c.reader.Buffered() > 0 {
+		record.Fault = "bytes after the end of the response"
+	}
+}
+
+func outcomeOf(err error) Outcome {
+	if timeout, ok := err.(net.Error); ok && timeout.Timeout() {
+		return Silent
+	}
+	return Closed
+}
--- /dev/null
+++ b/internal/load/platform.go
@@ -0,0 +1,84 @@
+// The platform before the routers: it asks each whether it is ready, and gives new
+// connections to those that are.
+
+package load
+
+import (
+	"context"
+	"math/rand/v2"
+	"net/http"
+	"sync"
+	"time"
+
+	"beechtide.org/beechtide/internal/loop"
+)
+
+const (
+	readyEvery    = time.Second
+	readyTimeout  = time.Second
+	missesToLeave = 2
+)
+
+type platform struct {
+	routers []Router
+	client  http.Client
+
+	mu     sync.Mutex
+	misses []int
+}
+
+func newPlatform(routers []Router) *platform {
+	return &platform{
+		routers: routers, misses: make([]int, len(routers)),
+		client: http.Client{Timeout: readyTimeout, Transport: &http.Transport{DisableKeepAlives: true}},
+	}
+}
+
+func (p *platform) watch(ctx context.Context) {
+	loop.Every(ctx, readyEvery, func() {
+		for i := range p.routers {
+			go p.check(ctx, i)
+		}
+	})
+}
+
+func (p *platform) check(ctx context.Context, i int) {
+	ready := p.isReady(ctx, p.routers[i].Ready)
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if ready {
+		p.misses[i] = 0
+		return
+	}
+	p.misses[i]++
+}
+
+func (p *platform) isReady(ctx context.Context, address string) bool {
+	request, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+address+"/api/ready", nil)
+	if err != nil {
+		return false
+	}
+	response, err := p.client.Do(request)
+	if err != nil {
+		return false
+	}
+	response.Body.Close()
+	return response.StatusCode == http.StatusOK
+}
+
+// pick chooses the router of a new connection: one that is in, any where fewer than half
+// are.
+func (p *platform) pick(random *rand.Rand) Router {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	var in []Router
+	for i, router := range p.routers {
+		if p.misses[i] < missesToLeave {
+			in = append(in, router)
+		}
+	}
+	if 2*len(in) < len(p.routers) {
+		in = p.routers
+	}
+	return in[random.IntN(len(in))]
+}
