soak: the program's own processes on one machine under faults

Change: beechtide soak starts routers and controllers as children on loopback addresses, with stand-in runners and clients, plays a schedule drawn from a seed (two or three faults at a time, configuration changes beside them) and judges what was seen. beechtide standin and beechtide load are the parts by themselves. The short form, two seeds of 5 s of faults, is a test of internal/soak.

--- a/cmd/beechtide/main.go
+++ b/cmd/beechtide/main.go
@@ -25,6 +25,9 @@
   check FILE  check a configuration before it is sent
   audit       check audit trails of regulated requests against configurations
   simulate    run simulated histories of the control plane in memory, one for each seed
+  standin     run a stand-in for a model runner
+  load        send requests to routers and check the responses
+  soak        run routers and controllers as processes on this machine under faults
 
 Run beechtide COMMAND -h for its flags.
 `
@@ -55,6 +58,12 @@
 		return runAudit(args[1:])
 	case "simulate":
 		return runSimulate(args[1:])
+	case "standin":
+		return runStandin(args[1:])
+	case "load":
+		return runLoad(args[1:])
+	case "soak":
+		return runSoak(args[1:])
 	case "-h", "-help", "--help", "help":
 		fmt.Print(usage)
 		return statusOK
--- a/cmd/beechtide/main_test.go
+++ b/cmd/beechtide/main_test.go
@@ -52,6 +52,10 @@
 		{"audit", "-c"},
 		{"simulate", "x"},
 		{"simulate", "-model", "nonsense"},
+		{"standin"},
+		{"load", "-c", "x"},
+		{"soak", "x"},
+		{"soak", "-runners", "0"},
 	} {
 		status, stdout, stderr := runCommand(t, args...)
 		must.Eq(t, 2, status, must.Sprint(args))
@@ -61,7 +65,7 @@
 }
 
 func TestEachSubcommandHasHelp(t *testing.T) {
-	for _, name := range []string{"router", "controller", "check", "doctor", "audit", "simulate"} {
+	for _, name := range []string{"router", "controller", "check", "doctor", "audit", "simulate", "standin", "load", "soak"} {
 		status, stdout, stderr := runCommand(t, name, "-h")
 		must.Eq(t, 0, status, must.Sprint(name))
 		must.StrContains(t, stdout, "usage: beechtide "+name)
--- /dev/null
+++ b/internal/soak/cluster.go
@@ -0,0 +1,277 @@
+// The parties of a soak: routers and controllers as processes, runners in this process,
+// and a proxy before each.
+
+package soak
+
+import (
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"net"
+	"os"
+	"path/filepath"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"beechtide.org/beechtide/internal/load"
+	"beechtide.org/beechtide/internal/settings"
+	"beechtide.org/beechtide/internal/standin"
+)
+
+// Ports of a node. Ports of all nodes are alike; their addresses differ.
+const (
+	lowestPort  = 12000
+	highestPort = 30000 // below those that connections take for themselves
+	portsOfNode = 8
+	controlPort = 2 // offsets from the first port
+	frontPort   = 3
+	readyPort   = 4
+)
+
+// Bounds that the nodes are told.
+const (
+	heartbeatMs = 1000
+	leaseMs     = 3000
+	versionMs   = 8000
+	drainMs     = 2000
+	graceS      = 8
+	contactMs   = 3000
+	convergeMs  = 2000
+)
+
+const (
+	zoneName    = "a"
+	serviceName = "generate"
+	modelName   = "model-1"
+)
+
+// cluster is the parties of one soak.
+type cluster struct {
+	dir         string
+	routers     []*process
+	controllers []*process
+	fronts      []*proxy // before the routers
+	controls    []*proxy // before the controllers
+	onRun       func(standin.Run)
+
+	mu      sync.Mutex
+	runners []*placedRunner
+}
+
+// placedRunner is the place of a runner; its incarnations follow each other there.
+type placedRunner struct {
+	runner *standin.Runner
+	proxy  *proxy
+}
+
+// newCluster prepares the parties; start starts them.
+func newCluster(program, dir string, shape Shape, onRun func(standin.Run), onExit func(*process, error)) (*cluster, error) {
+	subnet, port, err := freeAddresses(max(shape.Routers, shape.Controllers))
+	if err != nil {
+		return nil, err
+	}
+	c := &cluster{dir: dir, onRun: onRun}
+	var seeds []string
+	for i := range min(shape.Controllers, 3) {
+		seeds = append(seeds, fmt.Sprintf("%s.%d:%d", subnet, i+1, port+controlPort))
+	}
+	node := func(role string, i int) *process {
+		set := nodeSettings(role, fmt.Sprintf("%s.%d", subnet, i+1), port, seeds)
+		set.Node = fmt.Sprintf("%s-%d", role, i)
+		set.Counted = i < shape.Controllers
+		if set.Counted {
+			set.DataDir = filepath.Join(dir, set.Node+".data")
+		}
+		return &process{program: program, role: role, settings: set, dir: dir, onExit: onExit}
+	}
+	for i := range shape.Controllers {
+		c.controllers = append(c.controllers, node(roleController, i))
+	}
+	for i := range shape.Routers {
+		c.routers = append(c.routers, node(roleRouter, i))
+	}
+	return c, nil
+}
+
+func nodeSettings(role, ip string, port int, seeds []string) settings.Settings {
+	set := settings.Settings{
+		Role: role, MachineClass: "edge", Ip: ip, Zone: zoneName, Region: "r", Zones: map[string]string{zoneName: "r"},
+		Ports: []int{port, port + 1}, Seeds: seeds, Bootstrap: true, BeatPeriodMs: heartbeatMs,
+		Tolerance: settings.Tolerance{Machines: 1},
+		Limits:    settings.Limits{CpuShare: 1, Cores: 1, MemoryMb: 512, FdLimit: 4096, LinkMbps: 1000, DiskMb: 64},
+		Bounds: settings.Bounds{
+			ContactMs: contactMs, ConvergeMs: convergeMs, DrainMs: drainMs, GraceS: graceS, LeaseMs: leaseMs, VersionMs: versionMs,
+			AckMs: 4000, RetryRatio: 0.2, RetryWindowS: 10, RetrySlack: 60, TransitMs: 120, Fenced: true,
+		},
+	}
+	if role == roleController {
+		set.Serves = []string{"controller"}
+		set.Listen.Control = fmt.Sprintf("%s:%d", ip, port+controlPort)
+		return set
+	}
+	set.Serves = []string{"edge"}
+	set.Listen.Front = fmt.Sprintf("%s:%d", ip, port+frontPort)
+	set.Listen.Ready = fmt.Sprintf("%s:%d", ip, port+readyPort)
+	return set
+}
+
+// freeAddresses draws a subnet of the loopback network and a range of ports that nobody
+// listens on, so that soaks can run beside each other.
+func freeAddresses(nodes int) (subnet string, port int, err error) {
+	for range 100 {
+		subnet = fmt.Sprintf("127.%d.%d", 1+rand.IntN(250), 1+rand.IntN(250))
+		port = lowestPort + rand.IntN((highestPort-lowestPort)/portsOfNode)*portsOfNode
+		if areFree(subnet, port, nodes) {
+			return subnet, port, nil
+		}
+	}
+	return "", 0, errors.New("soak: no free addresses on the loopback network")
+}
+
+func areFree(subnet string, port, nodes int) bool {
+	for i := range nodes {
+		for offset := range portsOfNode {
+			listener, err := net.Listen("tcp4", fmt.Sprintf("%s.%d:%d", subnet, i+1, port+offset))
+			if err != nil {
+				return false
+			}
+			listener.Close()
+		}
+	}
+	return true
+}
+
+// start starts every process with empty disks, and the proxies before them.
+func (c *cluster) start() error {
+	for _, p := range slices.Concat(c.controllers, c.routers) {
+		if p.settings.DataDir != "" {
+			if err := os.MkdirAll(p.settings.DataDir, directoryMode); err != nil {
+				return errors.Wrap(err, "soak: disk")
+			}
+		}
+		if err := p.start(); err != nil {
+			return err
+		}
+	}
+	for _, p := range c.controllers {
+		px, err := newProxy(p.settings.Ip, p.settings.Listen.Control)
+		if err != nil {
+			return errors.Wrap(err, "soak: proxy")
+		}
+		c.controls = append(c.controls, px)
+	}
+	for _, p := range c.routers {
+		px, err := newProxy(p.settings.Ip, p.settings.Listen.Front)
+		if err != nil {
+			return errors.Wrap(err, "soak: proxy")
+		}
+		c.fronts = append(c.fronts, px)
+	}
+	return nil
+}
+
+// close kills the children, by their pids, and ends runners and proxies.
+func (c *cluster) close() {
+	for _, p := range slices.Concat(c.routers, c.controllers) {
+		if p.lives() > 0 {
+			p.kill()
+		}
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for _, placed := range c.runners {
+		placed.runner.Crash()
+		placed.proxy.close()
+	}
+	for _, px := range slices.Concat(c.controls, c.fronts) {
+		px.close()
+	}
+}
+
+// controlProxy gives the proxy's address for a control address.
+func (c *cluster) controlProxy(address string) string {
+	for i, p := range c.controllers {
+		if p.settings.Listen.Control == address {
+			return c.controls[i].address()
+		}
+	}
+	return address
+}
+
+// startRunners starts the runners, each behind a proxy.
+func (c *cluster) startRunners(count int) error {
+	for range count {
+		placed, err := c.newRunner()
+		if err != nil {
+			return err
+		}
+		c.mu.Lock()
+		c.runners = append(c.runners, placed)
+		c.mu.Unlock()
+	}
+	return nil
+}
+
+func (c *cluster) newRunner() (*placedRunner, error) {
+	var controls []string
+	for _, p := range c.controllers {
+		controls = append(controls, p.settings.Listen.Control)
+	}
+	runner := standin.New(standin.Config{
+		Service: serviceName, Zone: zoneName, Controllers: controls, Translate: c.controlProxy,
+		Model: modelName, HeartbeatEvery: heartbeatMs * time.Millisecond, DrainTime: drainMs * time.Millisecond,
+		Capacity: runnerCapacity, ProbePath: probePath, OnRun: c.onRun,
+	})
+	address, err := runner.Listen()
+	if err != nil {
+		return nil, err
+	}
+	px, err := newProxy("127.0.0.1", address)
+	if err != nil {
+		return nil, errors.Wrap(err, "soak: proxy")
+	}
+	runner.Start(px.address())
+	return &placedRunner{runner: runner, proxy: px}, nil
+}
+
+func (c *cluster) runnerAt(place int) *placedRunner {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.runners[place]
+}
+
+// replaceRunner starts a new incarnation at a place.
+func (c *cluster) replaceRunner(place int) error {
+	c.runnerAt(place).proxy.close()
+	placed, err := c.newRunner()
+	if err != nil {
+		return err
+	}
+	c.mu.Lock()
+	c.runners[place] = placed
+	c.mu.Unlock()
+	return nil
+}
+
+// loadRouters lists the routers as clients see them. Readiness is asked beside the
+// proxies.
+func (c *cluster) loadRouters() []load.Router {
+	var routers []load.Router
+	for i, p := range c.routers {
+		routers = append(routers, load.Router{Node: p.name(), Front: c.fronts[i].address(), Ready: p.settings.Listen.Ready})
+	}
+	return routers
+}
+
+// waitUntilServing waits for every process; it names those that don't serve.
+func (c *cluster) waitUntilServing(ctx context.Context) (missing []string) {
+	for _, p := range slices.Concat(c.controllers, c.routers) {
+		if ctx.Err() != nil || !p.waitUntilServing() {
+			missing = append(missing, p.name())
+		}
+	}
+	return missing
+}
--- /dev/null
+++ b/internal/soak/document.go
@@ -0,0 +1,86 @@
+// The configurations that a soak sends.
+
+package soak
+
+import (
+	"bytes"
+	"crypto/sha256"
+	"encoding/hex"
+	"encoding/json"
+	"fmt"
+
+	"beechtide.org/beechtide/internal/api"
+)
+
+const (
+	hostName       = "soak.example"
+	tenantName     = "tenant-1"
+	tenantKey      = "key-of-tenant-1"
+	probePath      = "/health"
+	runnerCapacity = 8
+	routeTries     = 2
+	largeRoutes    = 600 // of a large change
+	cutoffMs       = 12000
+	bodyBytes      = 4 << 20
+)
+
+// Prefixes of the routes that every configuration has.
+const (
+	prefixIdempotent = "/lookup/"
+	prefixEffectful  = "/pay/"
+	prefixStreaming  = "/chat/"
+	prefixResumable  = "/sort/"
+)
+
+// versionPrefix is the prefix of the route that only this version has.
+func versionPrefix(version int64) string { return fmt.Sprintf("/version-%d/", version) }
+
+// document makes the configuration of a version. Its route of the version tells by which
+// one a router serves; variant makes it differ from others of the same version.
+func document(version int64, extraRoutes int, variant string) ([]byte, error) {
+	route := func(name, prefix string, kind api.RouteKind) api.Route {
+		return api.Route{Name: name, Host: hostName, Prefix: prefix, Kind: kind, CutoffMs: cutoffMs, Service: serviceName, Tries: routeTries}
+	}
+	stream := func(name, prefix string, resumable bool) api.Route {
+		r := route(name, prefix, api.Streaming)
+		r.SetpointMs, r.GapSetpointMs, r.Pinned, r.Resumable = 1000, 1000, true, resumable
+		return r
+	}
+	config := api.Configuration{
+		Version: version,
+		Routes: []api.Route{
+			route("lookup", prefixIdempotent, api.Idempotent), route("pay", prefixEffectful, api.Effectful),
+			stream("chat", prefixStreaming, false), stream("sort", prefixResumable, true),
+			route("version"+variant, versionPrefix(version), api.Idempotent),
+		},
+		Services: []api.Service{{
+			Name: serviceName, Probe: probePath, LinkLimit: 256, Protocol: "h1",
+			Engine: api.Engine{Capacity: runnerCapacity, CacheTokens: 100000, TokenBytes: 1000, LinkMbps: 1000, Concurrency: 8, Stride: 1, Models: []api.EngineModel{{Name: modelName}}},
+		}},
+		Limits:  api.Limits{HeaderBytes: 16384, BodyBytes: bodyBytes, HeaderMs: 3000, IdleMs: 15000},
+		Tenants: []api.Tenant{{Name: tenantName, Keys: []string{tenantKey}}},
+	}
+	for i := range extraRoutes {
+		config.Routes = append(config.Routes, route(fmt.Sprintf("extra-%d", i), fmt.Sprintf("/extra-%d-%d/", version, i), api.Idempotent))
+	}
+	return json.Marshal(config)
+}
+
+// digest recognizes a configuration by its content, however its fields are ordered.
+func digest(raw []byte) (version int64, sum string) {
+	decoder := json.NewDecoder(bytes.NewReader(raw))
+	decoder.UseNumber()
+	var fields map[string]any
+	if decoder.Decode(&fields) != nil {
+		return 0, ""
+	}
+	canonical, err := json.Marshal(fields) // sorts the keys
+	if err != nil {
+		return 0, ""
+	}
+	if number, ok := fields["version"].(json.Number); ok {
+		version, _ = number.Int64()
+	}
+	hash := sha256.Sum256(canonical)
+	return version, hex.EncodeToString(hash[:])
+}
--- /dev/null
+++ b/internal/soak/judge_test.go
@@ -0,0 +1,178 @@
+package soak
+
+import (
+	"testing"
+	"time"
+
+	"github.com/shoenig/test/must"
+
+	"beechtide.org/beechtide/internal/load"
+	"beechtide.org/beechtide/internal/standin"
+)
+
+var begin = time.Unix(1000, 0)
+
+// at is a moment, in milliseconds from the begin.
+func at(ms int) time.Time { return begin.Add(time.Duration(ms) * time.Millisecond) }
+
+// answered is a request that ran at runner r1 and was answered.
+func answered() Evidence {
+	kind := load.Kind{Path: "/pay/x", Class: load.Effectful}
+	return Evidence{
+		Records: []load.Record{{Attempt: "a", Kind: kind, Node: "router-0", Sent: at(10000), Ended: at(10050), Outcome: load.Answered, Status: 200, Seal: "s1", Checksum: 5}},
+		Runs: []standin.Run{
+			{Attempt: "a", Runner: "r1", Path: "/pay/x", Tenant: tenantName, Seal: "s1", Checksum: 5, Began: at(10010)},
+			{Attempt: "a", Runner: "r1", Path: "/pay/x", Tenant: tenantName, Seal: "s1", Checksum: 5, Began: at(10010), Ended: at(10040), Finished: true},
+		},
+		Changes: []Change{
+			{Version: 1, Base: 0, Digest: "d1", Sent: at(0), Ended: at(100), Outcome: ChangeAcknowledged},
+			{Version: 3, Base: 1, Digest: "d3", Sent: at(200), Ended: at(300), Outcome: ChangeAcknowledged},
+		},
+		Reads: []Read{{Node: "controller-0", Sent: at(400), Status: 200, Version: 3, Digest: "d3"}},
+		Calm:  at(20000),
+	}
+}
+
+func secondRun(e *Evidence) {
+	e.Runs = append(e.Runs, standin.Run{Attempt: "a", Runner: "r2", Path: "/pay/x", Tenant: tenantName, Seal: "s2", Checksum: 5, Began: at(10045)})
+}
+
+func unanswered(e *Evidence) {
+	e.Records[0].Outcome, e.Records[0].Status = load.Closed, 0
+}
+
+func span(kind FaultKind, node string, from, to int) Span {
+	return Span{Fault: Fault{Kind: kind}, Node: node, From: at(from), To: at(to), Back: true}
+}
+
+func TestJudgeOfRequests(t *testing.T) {
+	for _, c := range []struct {
+		name   string
+		change func(e *Evidence)
+		want   []Rule
+	}{
+		{"nothing wrong", func(*Evidence) {}, nil},
+		{"fault of a response", func(e *Evidence) { e.Records[0].Fault = "body" }, []Rule{RuleMixed}},
+		{"foreign seal", func(e *Evidence) { e.Records[0].Seal = "other" }, []Rule{RuleMixed}},
+		{"ran twice", secondRun, []Rule{RuleTwice}},
+		{"repeatable ran twice", func(e *Evidence) { secondRun(e); e.Records[0].Kind.Class = load.Resumable }, nil},
+		{"ran more often than tries", func(e *Evidence) {
+			secondRun(e)
+			third := e.Runs[2]
+			third.Seal = "s3"
+			e.Runs = append(e.Runs, third)
+			e.Records[0].Kind.Class = load.Idempotent
+		}, []Rule{RuleBudget}},
+		{"refused and ran", func(e *Evidence) { e.Records[0].Status = 503 }, []Rule{RuleRefused}},
+		{"gateway timeout after a run", func(e *Evidence) { e.Records[0].Status = 504 }, nil},
+		{"denied", func(e *Evidence) { e.Records[0].Status = 404 }, []Rule{RuleDenied}},
+		{"run that nobody sent", func(e *Evidence) { e.Records = nil }, []Rule{RuleUnasked}},
+		{"run with another body", func(e *Evidence) { e.Records[0].Checksum = 6 }, []Rule{RuleUnasked}},
+		{"run at a runner that left", func(e *Evidence) {
+			left := span(LeaveRunner, "", 1000, 4000)
+			left.Runner, left.Acknowledged = "r1", at(1100)
+			e.Spans = []Span{left}
+		}, []Rule{RuleDrain}},
+		{"process ended", func(e *Evidence) { e.OwnEnds = []string{"router-0"} }, []Rule{RuleProcess}},
+		{"panic in a log", func(e *Evidence) { e.LogFindings = []LogFinding{{"router-0", "panic: x"}} }, []Rule{RuleInvariants}},
+		{"not back", func(e *Evidence) {
+			down := span(KillRouter, "router-0", 1000, 2000)
+			down.Back = false
+			e.Spans = []Span{down}
+		}, []Rule{RuleRecover}},
+	} {
+		t.Run(c.name, func(t *testing.T) { judged(t, c.change, c.want) })
+	}
+}
+
+func TestJudgeOfUnansweredRequests(t *testing.T) {
+	for _, c := range []struct {
+		name   string
+		change func(e *Evidence)
+		want   []Rule
+	}{
+		{"unanswered", unanswered, []Rule{RuleLost}},
+		{"unanswered, router killed", func(e *Evidence) {
+			unanswered(e)
+			e.Spans = []Span{span(KillRouter, "router-0", 10020, 11000)}
+		}, nil},
+		{"unanswered, other router killed", func(e *Evidence) {
+			unanswered(e)
+			e.Spans = []Span{span(KillRouter, "router-1", 10020, 11000)}
+		}, []Rule{RuleLost}},
+		{"unanswered, controller killed", func(e *Evidence) {
+			unanswered(e)
+			e.Spans = []Span{span(KillController, "controller-0", 10020, 11000)}
+		}, []Rule{RuleLost}},
+		{"unanswered, long after a runner's crash", func(e *Evidence) { unanswered(e); e.Spans = []Span{span(CrashRunner, "", 100, 200)} }, []Rule{RuleLost}},
+		{"cut by a leaving router", func(e *Evidence) {
+			unanswered(e)
+			e.Spans = []Span{span(TerminateRouter, "router-0", 9000, 18000)}
+		}, []Rule{RuleLost}},
+		{"not passed on by a leaving router", func(e *Evidence) {
+			unanswered(e)
+			e.Runs = nil
+			e.Spans = []Span{span(TerminateRouter, "router-0", 9000, 18000)}
+		}, nil},
+		{"read and not passed on by a leaving router", func(e *Evidence) {
+			unanswered(e)
+			e.Runs, e.Records[0].Ended = nil, at(16500)
+			e.Spans = []Span{span(TerminateRouter, "router-0", 9000, 18000)}
+		}, []Rule{RuleLost}},
+		{"still running at the end of the grace", func(e *Evidence) {
+			unanswered(e)
+			e.Records[0].Ended = at(16500)
+			e.Spans = []Span{span(TerminateRouter, "router-0", 9000, 18000)}
+		}, nil},
+	} {
+		t.Run(c.name, func(t *testing.T) { judged(t, c.change, c.want) })
+	}
+}
+
+func TestJudgeOfConfigurations(t *testing.T) {
+	probe := func(version int64, sent, status int) Probe {
+		return Probe{Node: "router-0", Life: 1, Version: version, Sent: at(sent), Ended: at(sent + 10), Status: status, Newest: 3}
+	}
+	for _, c := range []struct {
+		name   string
+		change func(e *Evidence)
+		want   []Rule
+	}{
+		{"older than acknowledged", func(e *Evidence) { e.Reads[0].Version, e.Reads[0].Digest = 1, "d1" }, []Rule{RuleConfig}},
+		{"read before the acknowledgement", func(e *Evidence) {
+			e.Reads[0] = Read{Node: "controller-0", Sent: at(250), Status: 200, Version: 1, Digest: "d1"}
+		}, nil},
+		{"content that nobody sent", func(e *Evidence) { e.Reads[0].Digest = "x" }, []Rule{RuleConfig}},
+		{"lost altogether", func(e *Evidence) { e.Reads[0].Status = 404 }, []Rule{RuleConfig}},
+		{"not sure of the newest", func(e *Evidence) { e.Reads[0].Status = 503 }, nil},
+		{"not sure at the end", func(e *Evidence) { e.Reads[0].Status, e.Reads[0].Final = 503, true }, []Rule{RuleConfig}},
+		{"two on one base", func(e *Evidence) {
+			e.Changes = append(e.Changes, Change{Version: 4, Base: 1, Digest: "d4", Sent: at(500), Ended: at(600), Outcome: ChangeAcknowledged})
+		}, []Rule{RuleConfig}},
+		{"rejected and in force", func(e *Evidence) { e.Changes[1].Outcome = ChangeConflict }, []Rule{RuleConfig}},
+		{"repeat rejected", func(e *Evidence) {
+			again := e.Changes[1]
+			again.Repeat, again.Outcome = true, ChangeConflict
+			e.Changes = append(e.Changes, again)
+		}, []Rule{RuleConfig}},
+		{"route of the version gone", func(e *Evidence) { e.Probes = []Probe{probe(3, 500, 200), probe(3, 600, 404)} }, []Rule{RuleConfig}},
+		{"older route served again", func(e *Evidence) { e.Probes = []Probe{probe(3, 500, 200), probe(1, 600, 200)} }, []Rule{RuleConfig}},
+		{"route not there yet", func(e *Evidence) { e.Probes = []Probe{probe(3, 500, 404), probe(3, 600, 200)} }, nil},
+		{"key unknown", func(e *Evidence) { e.Probes = []Probe{probe(3, 500, 401)} }, []Rule{RuleDenied}},
+		{"never in force", func(e *Evidence) { e.Convergences = []Convergence{{Node: "router-0", Version: 3}} }, []Rule{RuleConfig}},
+	} {
+		t.Run(c.name, func(t *testing.T) { judged(t, c.change, c.want) })
+	}
+}
+
+// judged changes what was seen and compares the rules that are broken then.
+func judged(t *testing.T, change func(e *Evidence), want []Rule) {
+	t.Helper()
+	evidence := answered()
+	change(&evidence)
+	var got []Rule
+	for _, violation := range Judge(evidence) {
+		got = append(got, violation.Rule)
+	}
+	must.Eq(t, want, got)
+}
--- /dev/null
+++ b/internal/soak/operator.go
@@ -0,0 +1,186 @@
+// The operator: sends configuration changes and reads the configuration back.
+
+package soak
+
+import (
+	"bytes"
+	"context"
+	"io"
+	"math/rand/v2"
+	"net/http"
+	"strconv"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"beechtide.org/beechtide/internal/loop"
+)
+
+const (
+	changeTimeout   = 5 * time.Second  // of one call
+	changePatience  = 20 * time.Second // for a clear answer, by repeated calls
+	changePause     = 200 * time.Millisecond
+	readTimeout     = 5 * time.Second
+	maxVersionSteps = 3
+)
+
+type operator struct {
+	cluster  *cluster
+	recorder *recorder
+	random   *rand.Rand
+	client   http.Client
+	newest   atomic.Int64 // sent
+	current  int64        // the version to build on, as far as known
+}
+
+func newOperator(c *cluster, r *recorder, seed uint64) *operator {
+	return &operator{
+		cluster: c, recorder: r, random: rand.New(rand.NewPCG(seed, 1)),
+		client: http.Client{Transport: &http.Transport{DisableKeepAlives: true}},
+	}
+}
+
+// play sends the planned changes, each at its time or once the one before has ended.
+func (o *operator) play(ctx context.Context, changes []PlannedChange, begin time.Time) {
+	for _, planned := range changes {
+		loop.Pause(ctx, time.Until(begin.Add(planned.At)))
+		if ctx.Err() != nil {
+			return
+		}
+		o.change(ctx, planned.Kind)
+	}
+}
+
+// change makes one planned change and reads back what is in force.
+func (o *operator) change(ctx context.Context, kind ChangeKind) {
+	switch kind {
+	case LargeChange:
+		o.submit(ctx, o.nextVersion(), largeRoutes, "")
+	case RacingChange:
+		var both sync.WaitGroup
+		base, first := o.current, o.nextVersion()
+		second := first + int64(o.random.IntN(2)) // two operators may choose one number
+		o.noteSent(second)
+		both.Go(func() { o.send(ctx, base, first, 0, "-one", false) })
+		both.Go(func() { o.send(ctx, base, second, 0, "-two", false) })
+		both.Wait()
+	case RepeatChange:
+		base, version := o.current, o.nextVersion()
+		if o.send(ctx, base, version, 0, "", false) == ChangeAcknowledged {
+			o.send(ctx, base, version, 0, "", true)
+		}
+	default:
+		o.submit(ctx, o.nextVersion(), 0, "")
+	}
+	o.readCurrent(ctx)
+}
+
+func (o *operator) nextVersion() int64 {
+	version := max(o.newest.Load(), o.current) + 1 + int64(o.random.IntN(maxVersionSteps))
+	o.noteSent(version)
+	return version
+}
+
+func (o *operator) noteSent(version int64) { o.newest.Store(max(o.newest.Load(), version)) }
+
+// submit sends one change on top of the current version.
+func (o *operator) submit(ctx context.Context, version int64, extraRoutes int, variant string) ChangeOutcome {
+	outcome := o.send(ctx, o.current, version, extraRoutes, variant, false)
+	if outcome == ChangeAcknowledged {
+		o.current = version
+	}
+	return outcome
+}
+
+// send sends a change until an answer is clear, to any controller, and records it.
+func (o *operator) send(ctx context.Context, base, version int64, extraRoutes int, variant string, repeat bool) ChangeOutcome {
+	raw, err := document(version, extraRoutes, variant)
+	if err != nil {
+		return ChangeUnknown
+	}
+	_, sum := digest(raw)
+	change := Change{Version: version, Base: base, Digest: sum, Sent: time.Now(), Outcome: ChangeUnknown, Repeat: repeat}
+	for give := change.Sent.Add(changePatience); change.Outcome == ChangeUnknown && time.Now().Before(give) && ctx.Err() == nil; {
+		change.Calls++
+		change.Outcome = o.call(ctx, raw, base)
+		if change.Outcome == ChangeUnknown {
+			loop.Pause(ctx, changePause)
+		}
+	}
+	change.Ended = time.Now()
+	o.recorder.update(func(e *Evidence) { e.Changes = append(e.Changes, change) })
+	return change.Outcome
+}
+
+func (o *operator) call(ctx context.Context, raw []byte, base int64) ChangeOutcome {
+	ctx, cancel := context.WithTimeout(ctx, changeTimeout)
+	defer cancel()
+	address := o.cluster.controls[rand.IntN(len(o.cluster.controls))].address()
+	request, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+address+"/api/Config.Replace", bytes.NewReader(raw))
+	if err != nil {
+		return ChangeUnknown
+	}
+	request.Header.Set("Content-Type", "application/json")
+	request.Header.Set("Beechtide-Base-Version", strconv.FormatInt(base, 10))
+	response, err := o.client.Do(request)
+	if err != nil {
+		return ChangeUnknown
+	}
+	defer response.Body.Close()
+	if _, err := io.Copy(io.Discard, response.Body); err != nil {
+		return ChangeUnknown
+	}
+	switch {
+	case response.StatusCode/100 == 2:
+		return ChangeAcknowledged
+	case response.StatusCode == http.StatusPreconditionFailed:
+		return ChangeConflict
+	case response.StatusCode/100 == 4 && response.StatusCode != http.StatusRequestTimeout && response.StatusCode != http.StatusTooManyRequests:
+		return ChangeRefused
+	default:
+		return ChangeUnknown
+	}
+}
+
+// readCurrent reads the version to build on from any controller that can tell.
+func (o *operator) readCurrent(ctx context.Context) {
+	for ctx.Err() == nil {
+		read := o.read(ctx, rand.IntN(len(o.cluster.controls)), false)
+		if read.Status == http.StatusOK {
+			o.current = read.Version
+			return
+		}
+		loop.Pause(ctx, changePause)
+	}
+}
+
+// read reads the configuration from one controller and records it.
+func (o *operator) read(ctx context.Context, controller int, final bool) Read {
+	read := Read{Node: o.cluster.controllers[controller].name(), Sent: time.Now(), Final: final}
+	read.Status, read.Version, read.Digest = o.fetch(ctx, controller)
+	o.recorder.update(func(e *Evidence) { e.Reads = append(e.Reads, read) })
+	return read
+}
+
+func (o *operator) fetch(ctx context.Context, controller int) (status int, version int64, sum string) {
+	ctx, cancel := context.WithTimeout(ctx, readTimeout)
+	defer cancel()
+	address := o.cluster.controls[controller].address()
+	request, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+address+"/api/Config.Read", nil)
+	if err != nil {
+		return 0, 0, ""
+	}
+	response, err := o.client.Do(request)
+	if err != nil {
+		return 0, 0, ""
+	}
+	defer response.Body.Close()
+	raw, err := io.ReadAll(response.Body)
+	if err != nil {
+		return 0, 0, ""
+	}
+	if response.StatusCode == http.StatusOK {
+		version, sum = digest(raw)
+	}
+	return response.StatusCode, version, sum
+}
--- /dev/null
+++ b/internal/soak/plan.go
@@ -0,0 +1,126 @@
+// The schedule of one soak: which fault befalls which party when. It is drawn from the
+// seed alone.
+
+package soak
+
+import (
+	"math/rand/v2"
+	"slices"
+	"time"
+)
+
+// Plan is a schedule.
+type Plan struct {
+	Seed    uint64
+	Faults  []Fault
+	Changes []PlannedChange
+}
+
+// Shape is the size of a soak.
+type Shape struct {
+	Routers     int
+	Controllers int
+	Runners     int
+	Duration    time.Duration // of the faults
+	Overlap     int           // faults at a time; 0: two or three, drawn
+}
+
+const (
+	mostOverlap   = 3
+	minFault      = 200 * time.Millisecond
+	maxFault      = 4 * time.Second
+	maxFaultPause = 1500 * time.Millisecond
+	subjectRest   = 2 * time.Second // between two faults of one party
+	minChangeGap  = 500 * time.Millisecond
+	maxChangeGap  = 2500 * time.Millisecond
+	drawAttempts  = 20
+)
+
+// NewPlan draws the schedule of a seed.
+func NewPlan(seed uint64, shape Shape) Plan {
+	random := rand.New(rand.NewPCG(seed, 0))
+	lanes := shape.Overlap
+	if lanes == 0 {
+		lanes = mostOverlap - random.IntN(2)
+	}
+	p := planner{random: random, shape: shape}
+	for range lanes {
+		p.fillLane()
+	}
+	slices.SortStableFunc(p.faults, func(a, b Fault) int { return int(a.At - b.At) })
+	return Plan{Seed: seed, Faults: p.faults, Changes: p.changes()}
+}
+
+type planner struct {
+	random *rand.Rand
+	shape  Shape
+	faults []Fault
+	wiped  bool
+}
+
+// fillLane adds faults that follow each other; faults of several lanes overlap.
+func (p *planner) fillLane() {
+	at := p.between(0, maxFaultPause)
+	for at < p.shape.Duration {
+		fault, found := p.draw(at)
+		if !found {
+			at += minFault
+			continue
+		}
+		p.faults = append(p.faults, fault)
+		at += fault.For + p.between(0, maxFaultPause)
+	}
+}
+
+// draw draws a fault whose party has no other at that time.
+func (p *planner) draw(at time.Duration) (Fault, bool) {
+	kinds := []FaultKind{
+		KillRouter, PauseRouter, TerminateRouter, ReloadRouter, CutFront, KillController, PauseController,
+		StopController, WipeController, CutControl, LoseControl, CrashRunner, LeaveRunner, CutRunner, LoseRunner,
+	}
+	for range drawAttempts {
+		kind := kinds[p.random.IntN(len(kinds))]
+		fault := Fault{Kind: kind, Subject: p.random.IntN(p.count(kind.Party())), At: at, For: p.between(minFault, maxFault)}
+		if p.isBusy(fault) || kind == WipeController && p.wiped {
+			continue
+		}
+		p.wiped = p.wiped || kind == WipeController
+		return fault, true
+	}
+	return Fault{}, false
+}
+
+func (p *planner) count(party Party) int {
+	switch party {
+	case PartyRouter:
+		return p.shape.Routers
+	case PartyController:
+		return p.shape.Controllers
+	default:
+		return p.shape.Runners
+	}
+}
+
+func (p *planner) isBusy(fault Fault) bool {
+	for _, other := range p.faults {
+		sameParty := other.Kind.Party() == fault.Kind.Party() && other.Subject == fault.Subject
+		apart := fault.At >= other.mayLast()+subjectRest || other.At >= fault.mayLast()+subjectRest
+		if sameParty && !apart {
+			return true
+		}
+	}
+	return false
+}
+
+func (p *planner) changes() []PlannedChange {
+	kinds := []ChangeKind{SmallChange, SmallChange, LargeChange, RacingChange, RepeatChange}
+	var changes []PlannedChange
+	for at := p.between(0, minChangeGap); at < p.shape.Duration; at += p.between(minChangeGap, maxChangeGap) {
+		changes = append(changes, PlannedChange{Kind: kinds[p.random.IntN(len(kinds))], At: at})
+	}
+	return changes
+}
+
+func (p *planner) between(low, high time.Duration) time.Duration {
+	return low + time.Duration(p.random.Int64N(int64(high-low)))
+}
--- /dev/null
+++ b/internal/soak/plan_test.go
@@ -0,0 +1,47 @@
+package soak
+
+import (
+	"testing"
+	"time"
+
+	"github.com/shoenig/test/must"
+)
+
+var testShape = Shape{Routers: 3, Controllers: 3, Runners: 3, Duration: 30 * time.Second}
+
+func TestPlanOfASeedIsAlwaysTheSame(t *testing.T) {
+	must.Eq(t, NewPlan(7, testShape), NewPlan(7, testShape))
+	must.NotEq(t, NewPlan(7, testShape), NewPlan(8, testShape))
+}
+
+func TestPlanKeepsFaultsOfOnePartyApart(t *testing.T) {
+	overlapping := 0
+	for seed := range uint64(200) {
+		faults := NewPlan(seed, testShape).Faults
+		for i, fault := range faults {
+			must.Less(t, testShape.Duration, fault.At)
+			for _, later := range faults[i+1:] {
+				sameParty := later.Kind.Party() == fault.Kind.Party() && later.Subject == fault.Subject
+				must.False(t, sameParty && later.At < fault.mayLast(), must.Sprint(seed, fault, later))
+				if later.At < fault.At+fault.For {
+					overlapping++
+				}
+			}
+		}
+	}
+	must.Greater(t, 200, overlapping)
+}
+
+func TestPlanLosesOneDiskAtMost(t *testing.T) {
+	for seed := range uint64(200) {
+		plan := NewPlan(seed, testShape)
+		must.SliceNotEmpty(t, plan.Changes)
+		wiped := 0
+		for _, fault := range plan.Faults {
+			if fault.Kind == WipeController {
+				wiped++
+			}
+		}
+		must.LessEq(t, 1, wiped, must.Sprint("tolerance is one machine"))
+	}
+}
--- /dev/null
+++ b/internal/soak/proxy.go
@@ -0,0 +1,163 @@
+// A TCP proxy before a party, whose link it can cut and whose answers it can lose.
+
+package soak
+
+import (
+	"errors"
+	"io"
+	"net"
+	"sync"
+	"time"
+)
+
+// linkMode is the state of a link.
+type linkMode int
+
+const (
+	linkWhole       linkMode = iota
+	linkCut                  // no byte passes; what was sent arrives once the link is whole
+	linkLoseAnswers          // what the party sends is dropped, and the connection breaks after it
+)
+
+const (
+	proxyDialTimeout = time.Second
+	proxyBuffer      = 32 << 10
+)
+
+// proxy passes connections on to the address of a party.
+type proxy struct {
+	listener net.Listener
+
+	mu      sync.Mutex
+	target  string
+	mode    linkMode
+	changed chan struct{} // closed when the mode changes
+	conns   map[net.Conn]bool
+	closed  bool
+}
+
+// newProxy opens a proxy at a free port of an address.
+func newProxy(ip, target string) (*proxy, error) {
+	listener, err := net.Listen("tcp4", ip+":0")
+	if err != nil {
+		return nil, err
+	}
+	p := &proxy{listener: listener, target: target, changed: make(chan struct{}), conns: map[net.Conn]bool{}}
+	go p.accept()
+	return p, nil
+}
+
+func (p *proxy) address() string { return p.listener.Addr().String() }
+
+func (p *proxy) setMode(mode linkMode) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.mode = mode
+	close(p.changed)
+	p.changed = make(chan struct{})
+}
+
+// close ends the proxy and its connections.
+func (p *proxy) close() {
+	p.listener.Close()
+	p.mu.Lock()
+	p.closed = true
+	for conn := range p.conns {
+		conn.Close()
+	}
+	p.mu.Unlock()
+	p.setMode(linkWhole)
+}
+
+func (p *proxy) accept() {
+	for {
+		conn, err := p.listener.Accept()
+		if err != nil {
+			return
+		}
+		go p.serve(conn)
+	}
+}
+
+func (p *proxy) serve(caller net.Conn) {
+	p.waitWhileCut()
+	party, err := net.DialTimeout("tcp4", p.target, proxyDialTimeout)
+	if err != nil {
+		reset(caller)
+		return
+	}
+	if !p.keep(caller, party) {
+		return
+	}
+	var directions sync.WaitGroup
+	directions.Go(func() { p.pass(party, caller, false) })
+	directions.Go(func() { p.pass(caller, party, true) })
+	directions.Wait()
+	p.mu.Lock()
+	delete(p.conns, caller)
+	delete(p.conns, party)
+	p.mu.Unlock()
+}
+
+// keep notes the connections so that close ends them.
+func (p *proxy) keep(caller, party net.Conn) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.closed {
+		caller.Close()
+		party.Close()
+		return false
+	}
+	p.conns[caller], p.conns[party] = true, true
+	return true
+}
+
+// pass copies one direction, and ends both when it ends: by a reset where the sender's
+// side was reset, so that a broken answer doesn't look complete.
+func (p *proxy) pass(to, from net.Conn, answers bool) {
+	buffer := make([]byte, proxyBuffer)
+	for {
+		n, readErr := from.Read(buffer)
+		lost := p.waitWhileCut() == linkLoseAnswers && answers && n > 0
+		if lost {
+			reset(to)
+			reset(from)
+			return
+		}
+		if _, err := to.Write(buffer[:n]); err != nil {
+			reset(from)
+			to.Close()
+			return
+		}
+		if errors.Is(readErr, io.EOF) {
+			to.Close()
+			from.Close()
+			return
+		}
+		if readErr != nil {
+			reset(to)
+			from.Close()
+			return
+		}
+	}
+}
+
+// waitWhileCut waits until the link isn't cut and gives its mode.
+func (p *proxy) waitWhileCut() linkMode {
+	for {
+		p.mu.Lock()
+		mode, changed := p.mode, p.changed
+		p.mu.Unlock()
+		if mode != linkCut {
+			return mode
+		}
+		<-changed
+	}
+}
+
+func reset(conn net.Conn) {
+	if tcp, ok := conn.(*net.TCPConn); ok {
+		_ = tcp.SetLinger(0)
+	}
+	conn.Close()
+}
--- /dev/null
+++ b/internal/soak/report.go
@@ -0,0 +1,90 @@
+// The report of a soak.
+
+package soak
+
+import (
+	"encoding/json"
+	"fmt"
+	"io"
+	"maps"
+	"os"
+	"path/filepath"
+	"slices"
+	"strings"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"beechtide.org/beechtide/internal/load"
+)
+
+// Summary is one line on a soak.
+func (r Result) Summary() string {
+	served, sent := Served(r.Evidence.Records, time.Time{})
+	calmServed, calmSent := Served(r.Evidence.Records, r.Evidence.Calm)
+	acknowledged := 0
+	for _, c := range r.Evidence.Changes {
+		if c.Outcome == ChangeAcknowledged {
+			acknowledged++
+		}
+	}
+	return fmt.Sprintf("seed %d: %d faults, %d of %d changes acknowledged, %d of %d requests served (%d of %d in calm), slowest in force after %.2f s, %d violations",
+		r.Plan.Seed, len(r.Evidence.Spans), acknowledged, len(r.Evidence.Changes), served, sent, calmServed, calmSent, r.slowest().Seconds(), len(r.Violations))
+}
+
+// slowest is the longest that a router took to have a change in force in calm.
+func (r Result) slowest() time.Duration {
+	var slowest time.Duration
+	for _, c := range r.Evidence.Convergences {
+		slowest = max(slowest, c.Took)
+	}
+	return slowest
+}
+
+// Print writes the report: the schedule, what requests ended in, and the violations.
+func (r Result) Print(w io.Writer) {
+	fmt.Fprintln(w, r.Summary())
+	for _, fault := range r.Plan.Faults {
+		fmt.Fprintln(w, "  fault ", fault)
+	}
+	for _, change := range r.Plan.Changes {
+		fmt.Fprintln(w, "  change", change)
+	}
+	for _, line := range r.outcomes() {
+		fmt.Fprintln(w, "  ended ", line)
+	}
+	for _, violation := range r.Violations {
+		fmt.Fprintln(w, "  VIOLATION", violation.At.Format("15:04:05.000"), violation)
+	}
+}
+
+// outcomes counts the requests by class and by how they ended.
+func (r Result) outcomes() []string {
+	counts := map[string]int{}
+	for _, record := range r.Evidence.Records {
+		ending := record.Outcome.String()
+		if record.Outcome == load.Answered {
+			ending = fmt.Sprint(record.Status)
+		}
+		counts[record.Kind.Class.String()+" "+ending]++
+	}
+	var lines []string
+	for _, ending := range slices.Sorted(maps.Keys(counts)) {
+		lines = append(lines, fmt.Sprintf("%6d %s", counts[ending], ending))
+	}
+	return lines
+}
+
+// Write leaves the report and the evidence in the folder of the soak.
+func (r Result) Write(dir string) error {
+	var text strings.Builder
+	r.Print(&text)
+	if err := os.WriteFile(filepath.Join(dir, "report.txt"), []byte(text.String()), fileMode); err != nil {
+		return errors.Wrap(err, "soak: report")
+	}
+	raw, err := json.Marshal(r.Evidence)
+	if err != nil {
+		return errors.Wrap(err, "soak: evidence")
+	}
+	return errors.Wrap(os.WriteFile(filepath.Join(dir, "evidence.json"), raw, fileMode), "soak: evidence")
+}
--- /dev/null
+++ b/internal/soak/soak.go
@@ -0,0 +1,220 @@
+// Package soak runs the system's own processes on one machine under faults and judges
+// what clients, runners and the operator see.
+//
+// Routers and controllers are child processes of the same program, on addresses of the
+// loopback network; runners (package standin) and clients (package load) are in this
+// process. A plan drawn from a seed says which process is killed, paused or terminated,
+// which link is cut or loses its answers, and which configuration changes are sent; two
+// or three faults overlap. After the last fault all parties must serve, and the newest
+// acknowledged configuration must be in force and be read back.
+//
+// Plan and Judge are pure. Run is bounded in time, kills its children by their pids and
+// returns when all of them have ended. The plan of a seed is always the same; what
+// happens isn't, since processes and sockets are real.
+package soak
+
+import (
+	"bufio"
+	"context"
+	"fmt"
+	"os"
+	"slices"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"beechtide.org/beechtide/internal/load"
+	"beechtide.org/beechtide/internal/loop"
+)
+
+// Options say how a soak is run.
+type Options struct {
+	Program string // path of beechtide
+	Dir     string // for settings, disks and logs of the children
+	Seed    uint64
+	Shape   Shape
+	Clients int
+}
+
+// Result is what came of a soak.
+type Result struct {
+	Plan       Plan
+	Evidence   Evidence
+	Violations []Violation
+}
+
+const (
+	startTimeout = 60 * time.Second // until the first configuration is acknowledged
+	calmTime     = 4 * time.Second  // of load after the faults
+	finalTimeout = 20 * time.Second // for the final reads
+	clientThink  = 100 * time.Millisecond
+	patience     = 4 * time.Second // of clients, beyond the time that is left
+)
+
+// Run runs one soak. An error says that it couldn't be run; what it found is in the
+// result.
+func Run(ctx context.Context, options Options) (Result, error) {
+	s := &soak{options: options, plan: NewPlan(options.Seed, options.Shape), recorder: &recorder{}}
+	if err := os.MkdirAll(options.Dir, directoryMode); err != nil {
+		return Result{}, errors.Wrap(err, "soak: folder")
+	}
+	var err error
+	s.cluster, err = newCluster(options.Program, options.Dir, options.Shape, s.recorder.onRun, s.onExit)
+	if err != nil {
+		return Result{}, err
+	}
+	defer s.cluster.close()
+	s.operator = newOperator(s.cluster, s.recorder, options.Seed)
+	s.prober = newProber(s.cluster, s.recorder, s.operator)
+	if err := s.begin(ctx); err != nil {
+		return Result{}, err
+	}
+	s.playUnderLoad(ctx)
+	s.cluster.close()
+	if ctx.Err() != nil {
+		return Result{}, errors.Wrap(ctx.Err(), "soak")
+	}
+	if err := s.scanLogs(); err != nil {
+		return Result{}, err
+	}
+	return Result{Plan: s.plan, Evidence: s.recorder.evidence, Violations: Judge(s.recorder.evidence)}, nil
+}
+
+type soak struct {
+	options  Options
+	plan     Plan
+	cluster  *cluster
+	recorder *recorder
+	operator *operator
+	prober   *prober
+}
+
+func (s *soak) onExit(p *process, err error) {
+	s.recorder.update(func(e *Evidence) {
+		e.OwnEnds = append(e.OwnEnds, fmt.Sprintf("%s ended by itself: %v", p.name(), err))
+	})
+}
+
+// begin starts the parties and waits until every router serves by the first
+// configuration.
+func (s *soak) begin(ctx context.Context) error {
+	if err := s.cluster.start(); err != nil {
+		return err
+	}
+	version := s.operator.nextVersion()
+	for deadline := time.Now().Add(startTimeout); s.operator.submit(ctx, version, 0, "") != ChangeAcknowledged; {
+		if time.Now().After(deadline) || ctx.Err() != nil {
+			return errors.New("soak: the first configuration isn't acknowledged; see the children's logs")
+		}
+	}
+	if err := s.cluster.startRunners(s.options.Shape.Runners); err != nil {
+		return err
+	}
+	if missing := s.cluster.waitUntilServing(ctx); len(missing) > 0 {
+		return errors.Errorf("soak: at the start these don't serve: %s; see their logs", strings.Join(missing, ", "))
+	}
+	s.prober.converge(ctx, version, 0)
+	return nil
+}
+
+// playUnderLoad plays the faults and the changes while clients send requests, then the
+// calm after them.
+func (s *soak) playUnderLoad(ctx context.Context) {
+	loaded, stop := context.WithCancel(ctx)
+	var background sync.WaitGroup
+	background.Go(func() { load.Run(loaded, s.loadConfig()) })
+	for router := range s.cluster.routers {
+		background.Go(func() { s.prober.watch(loaded, router) })
+	}
+	begin := time.Now()
+	var played sync.WaitGroup
+	played.Go(func() { newInjector(s.cluster, s.recorder).play(ctx, s.plan.Faults, begin) })
+	played.Go(func() { s.operator.play(ctx, s.plan.Changes, begin) })
+	played.Wait()
+	s.playCalm(ctx)
+	stop()
+	background.Wait()
+	s.readFinally(ctx)
+}
+
+func (s *soak) loadConfig() load.Config {
+	kind := func(prefix string, class load.Class, tokens int, left time.Duration) load.Kind {
+		return load.Kind{Host: hostName, Path: prefix + "x", Key: tenantKey, Class: class, Model: modelName, Tokens: tokens, TimeLeft: left}
+	}
+	return load.Config{
+		Routers: s.cluster.loadRouters(), Clients: s.options.Clients, Think: clientThink, Patience: patience,
+		Seed: s.options.Seed, OnRecord: s.recorder.onRecord,
+		Kinds: slices.Concat(
+			slices.Repeat([]load.Kind{kind(prefixIdempotent, load.Idempotent, 0, 3*time.Second)}, 3),
+			slices.Repeat([]load.Kind{kind(prefixEffectful, load.Effectful, 0, 3*time.Second)}, 4),
+			slices.Repeat([]load.Kind{kind(prefixStreaming, load.Streaming, 30, 4*time.Second)}, 2),
+			slices.Repeat([]load.Kind{kind(prefixResumable, load.Resumable, 50, 4*time.Second)}, 2),
+			[]load.Kind{kind(prefixStreaming, load.Streaming, 200, 8*time.Second)},
+		),
+	}
+}
+
+// playCalm lets the parties come back and has two more changes come into force.
+func (s *soak) playCalm(ctx context.Context) {
+	unserved := s.cluster.waitUntilServing(ctx)
+	loop.Pause(ctx, contactMs*time.Millisecond)
+	s.recorder.update(func(e *Evidence) { e.Calm, e.Unserved = time.Now(), unserved })
+	s.operator.readCurrent(ctx)
+	for range 2 {
+		before, version := s.operator.current, s.operator.nextVersion()
+		if outcome := s.operator.submit(ctx, version, 0, ""); outcome != ChangeAcknowledged {
+			s.recorder.update(func(e *Evidence) {
+				e.Unserved = append(e.Unserved, fmt.Sprintf("the core (version %d in calm: %s)", version, outcome))
+			})
+			continue
+		}
+		s.prober.converge(ctx, version, before)
+	}
+	loop.Pause(ctx, calmTime)
+}
+
+// readFinally reads the configuration back from every controller.
+func (s *soak) readFinally(ctx context.Context) {
+	for controller := range s.cluster.controllers {
+		for deadline := time.Now().Add(finalTimeout); ; loop.Pause(ctx, changePause) {
+			read := s.operator.read(ctx, controller, true)
+			if read.Status == 200 || time.Now().After(deadline) || ctx.Err() != nil {
+				break
+			}
+		}
+	}
+}
+
+// alarms are texts that no child should write.
+var alarms = []string{"invariant violated", "panic: ", "fatal error: "}
+
+func (s *soak) scanLogs() error {
+	for _, p := range slices.Concat(s.cluster.controllers, s.cluster.routers) {
+		if err := s.scanLog(p); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+func (s *soak) scanLog(p *process) error {
+	log, err := os.Open(p.logPath())
+	if err != nil {
+		return errors.Wrap(err, "soak: log")
+	}
+	defer log.Close()
+	lines := bufio.NewScanner(log)
+	lines.Buffer(nil, bodyBytes)
+	for lines.Scan() {
+		for _, alarm := range alarms {
+			if strings.Contains(lines.Text(), alarm) {
+				s.recorder.update(func(e *Evidence) {
+					e.LogFindings = append(e.LogFindings, LogFinding{Node: p.name(), Line: lines.Text()})
+				})
+			}
+		}
+	}
+	return errors.Wrap(lines.Err(), "soak: log")
+}
--- /dev/null
+++ b/internal/soak/soak_test.go
@@ -0,0 +1,56 @@
+package soak
+
+import (
+	"fmt"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/shoenig/test/must"
+)
+
+// program is the path of beechtide, built once for the tests.
+var program string
+
+func TestMain(m *testing.M) {
+	os.Exit(runTests(m))
+}
+
+func runTests(m *testing.M) int {
+	dir, err := os.MkdirTemp("", "beechtide-soak-test-")
+	if err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		return 1
+	}
+	defer os.RemoveAll(dir)
+	program = filepath.Join(dir, "beechtide")
+	build := exec.Command("go", "build", "-o", program, "beechtide.org/beechtide/cmd/beechtide")
+	if output, err := build.CombinedOutput(); err != nil {
+		fmt.Fprintf(os.Stderr, "build beechtide: %v\n%s", err, output)
+		return 1
+	}
+	return m.Run()
+}
+
+// The short form of a soak: real processes and sockets under the faults of two seeds.
+func TestShortSoak(t *testing.T) {
+	for _, seed := range []uint64{1, 2} {
+		t.Run(fmt.Sprint("seed ", seed), func(t *testing.T) {
+			t.Parallel()
+			result, err := Run(t.Context(), Options{
+				Program: program, Dir: t.TempDir(), Seed: seed, Clients: 6,
+				Shape: Shape{Routers: 2, Controllers: 3, Runners: 2, Duration: 5 * time.Second},
+			})
+			must.NoError(t, err)
+			var report strings.Builder
+			result.Print(&report)
+			must.SliceEmpty(t, result.Violations, must.Sprint(report.String()))
+			must.SliceNotEmpty(t, result.Evidence.Spans)
+			served, _ := Served(result.Evidence.Records, result.Evidence.Calm)
+			must.Positive(t, served)
+		})
+	}
+}
