--- a/internal/router/counters.go
+++ b/internal/router/counters.go
@@ -94,7 +94,7 @@
 		reason := v.cutReason()
 		counters.cuts[reason].Add(1)
 		if reason == cutUnexplained {
-			requestEnds.Violated("request", v.id, "attempts", v.attempts, "lastAttempt", attemptNames[v.lastEnd], "leaving", v.c.leaving.Load())
+			requestEnds.Violated("request", v.id, "attempts", v.attempts, "lastAttempt", attemptNames[v.lastEnd], "leaving", v.c.draining())
 		}
 	}
 }
--- a/internal/router/front.go
+++ b/internal/router/front.go
@@ -101,7 +101,7 @@
 func (c *Router) serve(ctx context.Context, rc *app.RequestContext) {
 	c.inFlight.Add(1)
 	defer c.inFlight.Add(-1)
-	if c.leaving.Load() {
+	if c.draining() {
 		c.counters.takenWhileDraining.Add(1)
 	}
 	defer func() {
--- a/internal/router/metrics.go
+++ b/internal/router/metrics.go
@@ -48,7 +48,7 @@
 			}
 		}),
 		metrics.Gauge("beechtide_draining", "1 while the process shuts down.", nil, func(emit metrics.Emit) {
-			emit(metrics.Bool(c.leaving.Load()))
+			emit(metrics.Bool(c.draining()))
 		}),
 		metrics.Counter("beechtide_requests_taken_while_draining_total", "Requests that began while the process shut down.", nil, func(emit metrics.Emit) {
 			emit(float64(counters.takenWhileDraining.Load()))
