--- a/internal/messages/msgp.gen.go
+++ b/internal/messages/msgp.gen.go
@@ -4715,9 +4715,9 @@
 // MarshalMsg implements msgp.Marshaler
 func (z *Versions) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
-	// map header, size 9
+	// map header, size 12
 	// string "a"
-	o = append(o, 0x89, 0xa1, 0x61)
+	o = append(o, 0x8c, 0xa1, 0x61)
 	o = msgp.AppendArrayHeader(o, uint32(len(z.TargetAges)))
 	for za0001 := range z.TargetAges {
 		// map header, size 3
@@ -4731,23 +4731,32 @@
 		o = append(o, 0xa1, 0x76)
 		o = msgp.AppendInt64(o, z.TargetAges[za0001].Version)
 	}
+	// string "c"
+	o = append(o, 0xa1, 0x63)
+	o = msgp.AppendInt64(o, z.ConfigCommitted)
 	// string "d"
 	o = append(o, 0xa1, 0x64)
 	o = msgp.AppendBool(o, z.Controller)
+	// string "g"
+	o = append(o, 0xa1, 0x67)
+	o = msgp.AppendArrayHeader(o, uint32(len(z.ConfigGroup)))
+	for za0002 := range z.ConfigGroup {
+		o = msgp.AppendString(o, z.ConfigGroup[za0002])
+	}
 	// string "h"
 	o = append(o, 0xa1, 0x68)
 	o = msgp.AppendArrayHeader(o, uint32(len(z.LaterHeartbeats)))
-	for za0002 := range z.LaterHeartbeats {
+	for za0003 := range z.LaterHeartbeats {
 		// map header, size 3
 		// string "a"
 		o = append(o, 0x83, 0xa1, 0x61)
-		o = msgp.AppendInt64(o, z.LaterHeartbeats[za0002].AgeUs)
+		o = msgp.AppendInt64(o, z.LaterHeartbeats[za0003].AgeUs)
 		// string "i"
 		o = append(o, 0xa1, 0x69)
-		o = msgp.AppendString(o, z.LaterHeartbeats[za0002].ID)
+		o = msgp.AppendString(o, z.LaterHeartbeats[za0003].ID)
 		// string "q"
 		o = append(o, 0xa1, 0x71)
-		o = msgp.AppendInt64(o, z.LaterHeartbeats[za0002].Seq)
+		o = msgp.AppendInt64(o, z.LaterHeartbeats[za0003].Seq)
 	}
 	// string "i"
 	o = append(o, 0xa1, 0x69)
@@ -4755,8 +4764,8 @@
 	// string "p"
 	o = append(o, 0xa1, 0x70)
 	o = msgp.AppendArrayHeader(o, uint32(len(z.Parts)))
-	for za0003 := range z.Parts {
-		o = msgp.AppendInt64(o, z.Parts[za0003])
+	for za0004 := range z.Parts {
+		o = msgp.AppendInt64(o, z.Parts[za0004])
 	}
 	// string "r"
 	o = append(o, 0xa1, 0x72)
@@ -4764,21 +4773,24 @@
 	// string "s"
 	o = append(o, 0xa1, 0x73)
 	o = msgp.AppendArrayHeader(o, uint32(len(z.SilentRunners)))
-	for za0004 := range z.SilentRunners {
+	for za0005 := range z.SilentRunners {
 		// map header, size 3
 		// string "a"
 		o = append(o, 0x83, 0xa1, 0x61)
-		o = msgp.AppendInt64(o, z.SilentRunners[za0004].AgeUs)
+		o = msgp.AppendInt64(o, z.SilentRunners[za0005].AgeUs)
 		// string "i"
 		o = append(o, 0xa1, 0x69)
-		o = msgp.AppendString(o, z.SilentRunners[za0004].ID)
+		o = msgp.AppendString(o, z.SilentRunners[za0005].ID)
 		// string "q"
 		o = append(o, 0xa1, 0x71)
-		o = msgp.AppendInt64(o, z.SilentRunners[za0004].Seq)
+		o = msgp.AppendInt64(o, z.SilentRunners[za0005].Seq)
 	}
 	// string "u"
 	o = append(o, 0xa1, 0x75)
 	o = msgp.AppendInt64(o, z.CalmUs)
+	// string "v"
+	o = append(o, 0xa1, 0x76)
+	o = msgp.AppendInt64(o, z.ConfigAccepted)
 	// string "x"
 	o = append(o, 0xa1, 0x78)
 	o = msgp.AppendBool(o, z.CutOff)
@@ -4857,61 +4869,86 @@
 					}
 				}
 			}
+		case "c":
+			z.ConfigCommitted, bts, err = msgp.ReadInt64Bytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "ConfigCommitted")
+				return
+			}
 		case "d":
 			z.Controller, bts, err = msgp.ReadBoolBytes(bts)
 			if err != nil {
 				err = msgp.WrapError(err, "Controller")
 				return
 			}
-		case "h":
+		case "g":
 			var zb0004 uint32
 			zb0004, bts, err = msgp.ReadArrayHeaderBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "ConfigGroup")
+				return
+			}
+			if cap(z.ConfigGroup) >= int(zb0004) {
+				z.ConfigGroup = (z.ConfigGroup)[:zb0004]
+			} else {
+				z.ConfigGroup = make([]string, zb0004)
+			}
+			for za0002 := range z.ConfigGroup {
+				z.ConfigGroup[za0002], bts, err = msgp.ReadStringBytes(bts)
+				if err != nil {
+					err = msgp.WrapError(err, "ConfigGroup", za0002)
+					return
+				}
+			}
+		case "h":
+			var zb0005 uint32
+			zb0005, bts, err = msgp.ReadArrayHeaderBytes(bts)
 			if err != nil {
 				err = msgp.WrapError(err, "LaterHeartbeats")
 				return
 			}
-			if cap(z.LaterHeartbeats) >= int(zb0004) {
-				z.LaterHeartbeats = (z.LaterHeartbeats)[:zb0004]
+			if cap(z.LaterHeartbeats) >= int(zb0005) {
+				z.LaterHeartbeats = (z.LaterHeartbeats)[:zb0005]
 			} else {
-				z.LaterHeartbeats = make([]LastHeartbeat, zb0004)
+				z.LaterHeartbeats = make([]LastHeartbeat, zb0005)
 			}
-			for za0002 := range z.LaterHeartbeats {
-				var zb0005 uint32
-				zb0005, bts, err = msgp.ReadMapHeaderBytes(bts)
+			for za0003 := range z.LaterHeartbeats {
+				var zb0006 uint32
+				zb0006, bts, err = msgp.ReadMapHeaderBytes(bts)
 				if err != nil {
-					err = msgp.WrapError(err, "LaterHeartbeats", za0002)
+					err = msgp.WrapError(err, "LaterHeartbeats", za0003)
 					return
 				}
-				for zb0005 > 0 {
-					zb0005--
+				for zb0006 > 0 {
+					zb0006--
 					field, bts, err = msgp.ReadMapKeyZC(bts)
 					if err != nil {
-						err = msgp.WrapError(err, "LaterHeartbeats", za0002)
+						err = msgp.WrapError(err, "LaterHeartbeats", za0003)
 						return
 					}
 					switch msgp.UnsafeString(field) {
 					case "a":
-						z.LaterHeartbeats[za0002].AgeUs, bts, err = msgp.ReadInt64Bytes(bts)
+						z.LaterHeartbeats[za0003].AgeUs, bts, err = msgp.ReadInt64Bytes(bts)
 						if err != nil {
-							err = msgp.WrapError(err, "LaterHeartbeats", za0002, "AgeUs")
+							err = msgp.WrapError(err, "LaterHeartbeats", za0003, "AgeUs")
 							return
 						}
 					case "i":
-						z.LaterHeartbeats[za0002].ID, bts, err = msgp.ReadStringBytes(bts)
+						z.LaterHeartbeats[za0003].ID, bts, err = msgp.ReadStringBytes(bts)
 						if err != nil {
-							err = msgp.WrapError(err, "LaterHeartbeats", za0002, "ID")
+							err = msgp.WrapError(err, "LaterHeartbeats", za0003, "ID")
 							return
 						}
 					case "q":
-						z.LaterHeartbeats[za0002].Seq, bts, err = msgp.ReadInt64Bytes(bts)
+						z.LaterHeartbeats[za0003].Seq, bts, err = msgp.ReadInt64Bytes(bts)
 						if err != nil {
-							err = msgp.WrapError(err, "LaterHeartbeats", za0002, "Seq")
+							err = msgp.WrapError(err, "LaterHeartbeats", za0003, "Seq")
 							return
 						}
 					default:
 						bts, err = msgp.Skip(bts)
 						if err != nil {
-							err = msgp.WrapError(err, "LaterHeartbeats", za0002)
+							err = msgp.WrapError(err, "LaterHeartbeats", za0003)
 							return
 						}
 					}
@@ -4924,21 +4961,21 @@
 				return
 			}
 		case "p":
-			var zb0006 uint32
-			zb0006, bts, err = msgp.ReadArrayHeaderBytes(bts)
+			var zb0007 uint32
+			zb0007, bts, err = msgp.ReadArrayHeaderBytes(bts)
 			if err != nil {
 				err = msgp.WrapError(err, "Parts")
 				return
 			}
-			if cap(z.Parts) >= int(zb0006) {
-				z.Parts = (z.Parts)[:zb0006]
+			if cap(z.Parts) >= int(zb0007) {
+				z.Parts = (z.Parts)[:zb0007]
 			} else {
-				z.Parts = make([]int64, zb0006)
+				z.Parts = make([]int64, zb0007)
 			}
-			for za0003 := range z.Parts {
-				z.Parts[za0003], bts, err = msgp.ReadInt64Bytes(bts)
+			for za0004 := range z.Parts {
+				z.Parts[za0004], bts, err = msgp.ReadInt64Bytes(bts)
 				if err != nil {
-					err = msgp.WrapError(err, "Parts", za0003)
+					err = msgp.WrapError(err, "Parts", za0004)
 					return
 				}
 			}
@@ -4949,54 +4986,54 @@
 				return
 			}
 		case "s":
-			var zb0007 uint32
-			zb0007, bts, err = msgp.ReadArrayHeaderBytes(bts)
+			var zb0008 uint32
+			zb0008, bts, err = msgp.ReadArrayHeaderBytes(bts)
 			if err != nil {
 				err = msgp.WrapError(err, "SilentRunners")
 				return
 			}
-			if cap(z.SilentRunners) >= int(zb0007) {
-				z.SilentRunners = (z.SilentRunners)[:zb0007]
+			if cap(z.SilentRunners) >= int(zb0008) {
+				z.SilentRunners = (z.SilentRunners)[:zb0008]
 			} else {
-				z.SilentRunners = make([]LastHeartbeat, zb0007)
+				z.SilentRunners = make([]LastHeartbeat, zb0008)
 			}
-			for za0004 := range z.SilentRunners {
-				var zb0008 uint32
-				zb0008, bts, err = msgp.ReadMapHeaderBytes(bts)
+			for za0005 := range z.SilentRunners {
+				var zb0009 uint32
+				zb0009, bts, err = msgp.ReadMapHeaderBytes(bts)
 				if err != nil {
-					err = msgp.WrapError(err, "SilentRunners", za0004)
+					err = msgp.WrapError(err, "SilentRunners", za0005)
 					return
 				}
-				for zb0008 > 0 {
-					zb0008--
+				for zb0009 > 0 {
+					zb0009--
 					field, bts, err = msgp.ReadMapKeyZC(bts)
 					if err != nil {
-						err = msgp.WrapError(err, "SilentRunners", za0004)
+						err = msgp.WrapError(err, "SilentRunners", za0005)
 						return
 					}
 					switch msgp.UnsafeString(field) {
 					case "a":
-						z.SilentRunners[za0004].AgeUs, bts, err = msgp.ReadInt64Bytes(bts)
+						z.SilentRunners[za0005].AgeUs, bts, err = msgp.ReadInt64Bytes(bts)
 						if err != nil {
-							err = msgp.WrapError(err, "SilentRunners", za0004, "AgeUs")
+							err = msgp.WrapError(err, "SilentRunners", za0005, "AgeUs")
 							return
 						}
 					case "i":
-						z.SilentRunners[za0004].ID, bts, err = msgp.ReadStringBytes(bts)
+						z.SilentRunners[za0005].ID, bts, err = msgp.ReadStringBytes(bts)
 						if err != nil {
-							err = msgp.WrapError(err, "SilentRunners", za0004, "ID")
+							err = msgp.WrapError(err, "SilentRunners", za0005, "ID")
 							return
 						}
 					case "q":
-						z.SilentRunners[za0004].Seq, bts, err = msgp.ReadInt64Bytes(bts)
+						z.SilentRunners[za0005].Seq, bts, err = msgp.ReadInt64Bytes(bts)
 						if err != nil {
-							err = msgp.WrapError(err, "SilentRunners", za0004, "Seq")
+							err = msgp.WrapError(err, "SilentRunners", za0005, "Seq")
 							return
 						}
 					default:
 						bts, err = msgp.Skip(bts)
 						if err != nil {
-							err = msgp.WrapError(err, "SilentRunners", za0004)
+							err = msgp.WrapError(err, "SilentRunners", za0005)
 							return
 						}
 					}
@@ -5008,6 +5045,12 @@
 				err = msgp.WrapError(err, "CalmUs")
 				return
 			}
+		case "v":
+			z.ConfigAccepted, bts, err = msgp.ReadInt64Bytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "ConfigAccepted")
+				return
+			}
 		case "x":
 			z.CutOff, bts, err = msgp.ReadBoolBytes(bts)
 			if err != nil {
@@ -5032,14 +5075,18 @@
 	for za0001 := range z.TargetAges {
 		s += 1 + 2 + msgp.Int64Size + 2 + msgp.StringPrefixSize + len(z.TargetAges[za0001].Model) + 2 + msgp.Int64Size
 	}
-	s += 2 + msgp.BoolSize + 2 + msgp.ArrayHeaderSize
-	for za0002 := range z.LaterHeartbeats {
-		s += 1 + 2 + msgp.Int64Size + 2 + msgp.StringPrefixSize + len(z.LaterHeartbeats[za0002].ID) + 2 + msgp.Int64Size
+	s += 2 + msgp.Int64Size + 2 + msgp.BoolSize + 2 + msgp.ArrayHeaderSize
+	for za0002 := range z.ConfigGroup {
+		s += msgp.StringPrefixSize + len(z.ConfigGroup[za0002])
+	}
+	s += 2 + msgp.ArrayHeaderSize
+	for za0003 := range z.LaterHeartbeats {
+		s += 1 + 2 + msgp.Int64Size + 2 + msgp.StringPrefixSize + len(z.LaterHeartbeats[za0003].ID) + 2 + msgp.Int64Size
 	}
 	s += 2 + msgp.StringPrefixSize + len(z.MemberID) + 2 + msgp.ArrayHeaderSize + (len(z.Parts) * (msgp.Int64Size)) + 2 + msgp.Uint64Size + 2 + msgp.ArrayHeaderSize
-	for za0004 := range z.SilentRunners {
-		s += 1 + 2 + msgp.Int64Size + 2 + msgp.StringPrefixSize + len(z.SilentRunners[za0004].ID) + 2 + msgp.Int64Size
+	for za0005 := range z.SilentRunners {
+		s += 1 + 2 + msgp.Int64Size + 2 + msgp.StringPrefixSize + len(z.SilentRunners[za0005].ID) + 2 + msgp.Int64Size
 	}
-	s += 2 + msgp.Int64Size + 2 + msgp.BoolSize
+	s += 2 + msgp.Int64Size + 2 + msgp.Int64Size + 2 + msgp.BoolSize
 	return
 }
--- a/internal/messages/types.gen.go
+++ b/internal/messages/types.gen.go
@@ -450,7 +450,13 @@
 // Versions defines model for Versions.
 type Versions struct {
 	TargetAges []TargetAge `msg:"a"`
-	Controller bool        `msg:"d"`
+
+	// ConfigCommitted the newest version of the configuration's register that the sender knows to be committed
+	ConfigCommitted int64 `msg:"c"`
+	Controller      bool  `msg:"d"`
+
+	// ConfigGroup identities of the members of the configuration's register, as of ConfigCommitted
+	ConfigGroup []string `msg:"g"`
 
 	// LaterHeartbeats in a response, those of the silent ones of which the sender knows a later heartbeat
 	LaterHeartbeats []LastHeartbeat `msg:"h"`
@@ -462,6 +468,9 @@
 	SilentRunners []LastHeartbeat `msg:"s"`
 	CalmUs        int64           `msg:"u"`
 
+	// ConfigAccepted the version for which the sender has, or may have, accepted a value that it does not know to be committed; 0 for none
+	ConfigAccepted int64 `msg:"v"`
+
 	// CutOff the group that holds the configuration is out of the sender's reach
 	CutOff bool `msg:"x"`
 }
--- /dev/null
+++ b/internal/router/core_stub_test.go
@@ -0,0 +1,79 @@
+package router
+
+import (
+	"context"
+	"fmt"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/go-logr/logr"
+	"github.com/panjf2000/ants/v2"
+	"github.com/shoenig/test/must"
+
+	"beechtide.org/beechtide/internal/membership"
+	"beechtide.org/beechtide/internal/messages"
+	"beechtide.org/beechtide/internal/transport"
+)
+
+// coreStub is a core of controllers that say what they are told to say. All are
+// members of the configuration's register.
+type coreStub struct {
+	group    []string
+	versions [](func() *messages.Versions) // by controller; nil gives no answer
+	fetches  atomic.Int64                  // requests for missing state, at all of them
+	delta    func(messages.Hold) messages.Feed
+}
+
+// confirming says that a version is the newest, and nothing newer is accepted.
+func (s *coreStub) confirming(i int, version int64) *messages.Versions {
+	return &messages.Versions{
+		Parts: []int64{version}, MemberID: s.group[i], ConfigGroup: s.group, ConfigCommitted: version,
+	}
+}
+
+// startCore runs size controllers beside a router and waits until it knows them.
+// At first each of them confirms version 1.
+func startCore(t *testing.T, c *Router, size int) *coreStub {
+	t.Helper()
+	s := &coreStub{versions: make([]func() *messages.Versions, size)}
+	ctx, cancel := context.WithCancel(context.Background())
+	t.Cleanup(cancel)
+	for i := range size {
+		s.group = append(s.group, fmt.Sprintf("member-%d", i))
+		s.versions[i] = func() *messages.Versions { return s.confirming(i, 1) }
+	}
+	for i := range size {
+		s.startMember(ctx, t, c, i)
+	}
+	for len(c.wholeCore()) < size {
+		time.Sleep(time.Millisecond)
+	}
+	return s
+}
+
+func (s *coreStub) startMember(ctx context.Context, t *testing.T, c *Router, i int) {
+	t.Helper()
+	pool, err := ants.NewPool(64, ants.WithNonblocking(true))
+	must.NoError(t, err)
+	station, err := transport.New(fmt.Sprintf("127.0.0.1:%d", ports(t, 1)[0]), pool, logr.Discard())
+	must.NoError(t, err)
+	station.OnCall(transport.KindVersions, func(context.Context, *transport.Conn, []byte) ([]byte, error) {
+		if m := s.versions[i](); m != nil {
+			return m.MarshalMsg(nil)
+		}
+		return nil, transport.ErrRemote
+	})
+	station.OnCall(transport.KindSince, func(_ context.Context, _ *transport.Conn, body []byte) ([]byte, error) {
+		s.fetches.Add(1)
+		var h messages.Hold
+		if _, err := h.UnmarshalMsg(body); err != nil {
+			return nil, err
+		}
+		f := s.delta(h)
+		return f.MarshalMsg(nil)
+	})
+	station.Run(ctx)
+	self := messages.Peer{Addr: station.Addr(), Role: messages.Controller, Zone: "a", Node: fmt.Sprintf("c%d", i), MemberID: s.group[i], Counted: true}
+	go membership.NewMonitor(station, self, c.clock, func() []string { return []string{c.transport.Addr()} }).Run(ctx)
+}
--- /dev/null
+++ b/internal/router/recheck_test.go
@@ -0,0 +1,114 @@
+package router
+
+import (
+	"strings"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/shoenig/test/must"
+
+	"beechtide.org/beechtide/internal/messages"
+)
+
+// unknownRoute is a valid request for a route that menuText does not have.
+func unknownRoute() string { return strings.Replace(request("/pay/", "x"), "/pay/", "/nothing/", 1) }
+
+// mustPutOff requires 503 with a time to come back, to a request that would be rejected
+// for good if the configuration were known to be the newest.
+func mustPutOff(t *testing.T, front, raw string) {
+	t.Helper()
+	ans, _, err := say(t, front, raw)
+	must.NoError(t, err)
+	must.Eq(t, 503, ans.StatusCode)
+	must.NotEq(t, "", ans.Header.Get(hRetryAfter))
+}
+
+// A 404 or 401 needs a read of what a majority of the register's members has accepted:
+// that none of them has learned of anything newer is not enough, nor is a majority of
+// those that happen to be in view, nor that nobody is.
+func TestFinalRefusalNeedsAQuorumRead(t *testing.T) {
+	const size = 5
+	accepted := func(s *coreStub, i int) *messages.Versions {
+		m := s.confirming(i, 1)
+		m.ConfigAccepted = 2
+		return m
+	}
+	for _, test := range []struct {
+		name    string
+		size    int
+		arrange func(s *coreStub)
+	}{
+		{"no controller is known", 0, func(*coreStub) {}},
+		{"a majority has accepted a newer version and not learned of it", size, func(s *coreStub) {
+			for i := range size/2 + 1 {
+				s.versions[i] = func() *messages.Versions { return accepted(s, i) }
+			}
+		}},
+		{"a minority is in view", 2, func(s *coreStub) { s.group = append(s.group, "out", "of", "view") }},
+		{"identities that are not members answer", size, func(s *coreStub) {
+			for i := range size/2 + 1 {
+				s.versions[i] = func() *messages.Versions {
+					m := s.confirming(i, 1)
+					m.MemberID = "wiped"
+					return m
+				}
+			}
+		}},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			c, front, _ := start(t, newRunner(t))
+			test.arrange(startCore(t, c, test.size))
+			mustPutOff(t, front, unknownRoute())
+			mustPutOff(t, front, strings.Replace(request("/pay/", "x"), "Token k1", "Token k9", 1))
+		})
+	}
+	t.Run("a minority has accepted a newer version", func(t *testing.T) {
+		c, front, _ := start(t, newRunner(t))
+		s := startCore(t, c, size)
+		for i := range size / 2 {
+			s.versions[i] = func() *messages.Versions { return accepted(s, i) }
+		}
+		ans, _, err := say(t, front, unknownRoute())
+		must.NoError(t, err)
+		must.Eq(t, 404, ans.StatusCode)
+	})
+}
+
+// A router that is behind and asked for unknown routes fetches what it lacks once, from
+// one controller, however many requests wait and however many controllers have it.
+func TestMissingStateIsFetchedOnceFromOnePeer(t *testing.T) {
+	const size, clients = 5, 8
+	c, front, _ := start(t, newRunner(t))
+	s := startCore(t, c, size)
+	newer := strings.Replace(strings.Replace(menuText, `"version":3`, `"version":4`, 1), `"/open/"`, `"/nothing/"`, 1)
+	change := wholeMenu(t, newer, 2)
+	var asked atomic.Int64 // controllers that have named the newer version
+	gate := make(chan struct{})
+	s.delta = func(messages.Hold) messages.Feed {
+		<-gate
+		return messages.Feed{Versions: []int64{2}, Configuration: []messages.EntryChange{change}}
+	}
+	for i := range size {
+		s.versions[i] = func() *messages.Versions {
+			asked.Add(1)
+			return s.confirming(i, 2)
+		}
+	}
+	var requests sync.WaitGroup
+	for range clients {
+		requests.Go(func() {
+			ans, _, err := say(t, front, unknownRoute())
+			must.NoError(t, err)
+			must.Eq(t, 200, ans.StatusCode)
+		})
+	}
+	for asked.Load() < size || s.fetches.Load() == 0 {
+		time.Sleep(time.Millisecond)
+	}
+	time.Sleep(20 * time.Millisecond) // for further requests to come, if there were any
+	close(gate)
+	requests.Wait()
+	must.Eq(t, int64(1), s.fetches.Load())
+}
