--- a/internal/dissemination/publisher.go
+++ b/internal/dissemination/publisher.go
@@ -65,6 +65,7 @@
 	queued     []byte
 	wake       chan struct{}
 	controller bool
+	compressed bool // the subscriber reads compressed frames
 	acked      int64
 	requested  *messages.Hold // what the receiver had when it last requested
 	answering  bool           // an answer to it is being made
@@ -162,7 +163,7 @@
 }
 
 func (p *Publisher) add(l *transport.Conn, h messages.Hold) {
-	s := &subscriberQueue{wake: make(chan struct{}, 1), controller: h.Controller}
+	s := &subscriberQueue{wake: make(chan struct{}, 1), controller: h.Controller, compressed: l.ReadsCompressed()}
 	p.mu.Lock()
 	p.queues[l] = s
 	p.mu.Unlock()
@@ -193,9 +194,15 @@
 }
 
 func (p *Publisher) enqueue(s *subscriberQueue, kind int, body []byte) {
-	f := messages.Frame{Kind: kind, Body: body}
+	if f, err := transport.EncodeFrame(messages.Frame{Kind: kind, Body: body}); err == nil {
+		p.enqueueFrame(s, kind, f)
+	}
+}
+
+func (p *Publisher) enqueueFrame(s *subscriberQueue, kind int, f transport.EncodedFrame) {
+	b := f.BytesFor(s.compressed)
 	s.mu.Lock()
-	if len(s.queued)+len(body) > maxQueuedBytes {
+	if len(s.queued)+len(b) > maxQueuedBytes {
 		s.queued = nil
 		p.Dropped.Add(1)
 	}
@@ -206,7 +213,7 @@
 			s.queued, _ = h.MarshalMsg(s.queued)
 		}
 	}
-	s.queued, _ = f.MarshalMsg(s.queued)
+	s.queued = append(s.queued, b...)
 	s.mu.Unlock()
 	select {
 	case s.wake <- struct{}{}:
@@ -238,11 +245,18 @@
 
 // Forward sends an encoded update to an audience as it was received.
 func (p *Publisher) Forward(to Audience, body []byte) {
+	if !p.HasSubscribers(to) {
+		return
+	}
+	f, err := transport.EncodeFrame(messages.Frame{Kind: transport.KindFeed, Body: body})
+	if err != nil {
+		return
+	}
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	for _, s := range p.queues {
 		if s.controller == (to == ToControllers) {
-			p.enqueue(s, transport.KindFeed, body)
+			p.enqueueFrame(s, transport.KindFeed, f)
 		}
 	}
 }
--- a/internal/transport/conn.go
+++ b/internal/transport/conn.go
@@ -41,7 +41,9 @@
 	conn      net.Conn
 	pending   *pendingRequests
 	closed    atomic.Bool
-	done      chan struct{}
+	// readsCompressed is set once the peer has said that it reads compressed frames.
+	readsCompressed atomic.Bool
+	done            chan struct{}
 
 	// OnPush handles the one-way frames of this connection instead of the
 	// transport's handlers. It is set before Serve.
@@ -72,13 +74,16 @@
 }
 
 func (c *Conn) write(f messages.Frame) error {
-	b, err := f.MarshalMsg(make([]byte, 0, len(f.Body)+frameHeadBytes))
+	encoded, err := EncodeFrame(f)
 	if err != nil {
-		return errors.Wrap(err, "transport: encode frame")
+		return err
 	}
-	return c.SendRaw(b)
+	return c.SendRaw(encoded.BytesFor(c.ReadsCompressed()))
 }
 
+// ReadsCompressed reports whether the peer has said that it reads compressed frames.
+func (c *Conn) ReadsCompressed() bool { return c.readsCompressed.Load() }
+
 // SendRaw writes encoded frames as they are. After a write that failed nothing
 // more is written: the peer would read it as the rest of the frame before.
 func (c *Conn) SendRaw(b []byte) error {
@@ -135,6 +140,9 @@
 	in := newFrameReader(msgp.NewReaderSize(c.conn, readBufferBytes))
 	for {
 		f, err := in.next()
+		if err == nil && f.Kind == KindCompressed {
+			f, err = decompressFrame(f.Body)
+		}
 		if err != nil || !c.handle(ctx, f) {
 			return
 		}
@@ -150,6 +158,8 @@
 	case f.Kind == KindFailed:
 		seq, kind, ok := decodeFailure(f.Body)
 		return ok && c.pending.complete(seq, kind, result{err: ErrRemote})
+	case f.Kind == KindReadsCompressed:
+		c.notePeerReadsCompressed()
 	case f.Seq == 0:
 		c.handleOneWay(f)
 	default:
@@ -158,6 +168,13 @@
 	return true
 }
 
+// notePeerReadsCompressed responds in kind where the peer has dialled.
+func (c *Conn) notePeerReadsCompressed() {
+	if first := !c.readsCompressed.Swap(true); first && c.addr == "" {
+		_ = c.Push(KindReadsCompressed, nil)
+	}
+}
+
 // handleOneWay handles a frame without a response; one of a kind without a
 // handler is ignored.
 func (c *Conn) handleOneWay(f messages.Frame) {
--- a/internal/transport/kind.go
+++ b/internal/transport/kind.go
@@ -5,23 +5,25 @@
 // Kinds of frames and datagrams. The numbers are part of the wire format: a new
 // kind goes to the end.
 const (
-	KindConsensus = iota + 1 // request: a step of a consensus round
-	KindVersions             // request: the versions of the control state that a node has
-	KindSince                // request: the updates that the requester lacks
-	KindSubscribe            // request: a subscription to updates
-	KindFeed                 // one-way: updates for a subscriber
-	KindIdentity             // not used any more
-	KindProbe                // datagram: a membership probe
-	KindAck                  // datagram: the acknowledgement of a probe
-	KindTold                 // one-way: a load report from a subscriber
-	KindRunner               // datagram: a runner's heartbeat, forwarded
-	KindCondition            // request: a node's condition, for the doctor
-	KindRing                 // request: a node's log ring, for the doctor
-	KindWant                 // one-way: what a subscriber has, for it to get the rest
-	KindHeard                // one-way: the acknowledgement of a load report
-	KindTellAgain            // one-way: asks a subscriber for a complete load report
-	KindFailed               // one-way: a request gets no response
-	KindDraining             // request: a runner starts or ends draining
+	KindConsensus       = iota + 1 // request: a step of a consensus round
+	KindVersions                   // request: the versions of the control state that a node has
+	KindSince                      // request: the updates that the requester lacks
+	KindSubscribe                  // request: a subscription to updates
+	KindFeed                       // one-way: updates for a subscriber
+	KindIdentity                   // not used any more
+	KindProbe                      // datagram: a membership probe
+	KindAck                        // datagram: the acknowledgement of a probe
+	KindTold                       // one-way: a load report from a subscriber
+	KindRunner                     // datagram: a runner's heartbeat, forwarded
+	KindCondition                  // request: a node's condition, for the doctor
+	KindRing                       // request: a node's log ring, for the doctor
+	KindWant                       // one-way: what a subscriber has, for it to get the rest
+	KindHeard                      // one-way: the acknowledgement of a load report
+	KindTellAgain                  // one-way: asks a subscriber for a complete load report
+	KindFailed                     // one-way: a request gets no response
+	KindDraining                   // request: a runner starts or ends draining
+	KindReadsCompressed            // one-way: the sender reads compressed frames
+	KindCompressed                 // one-way: a compressed frame
 	kindCount
 )
 
@@ -43,6 +45,9 @@
 	KindTellAgain: "tell-again",
 	KindFailed:    "failed",
 	KindDraining:  "draining",
+
+	KindReadsCompressed: "reads-compressed",
+	KindCompressed:      "compressed",
 }
 
 // kindName names a kind in the log.
--- a/internal/transport/transport.go
+++ b/internal/transport/transport.go
@@ -186,7 +186,11 @@
 	if err != nil {
 		return nil, errors.Wrap(err, "transport: dial")
 	}
-	return t.newConn(addr, c), nil
+	conn := t.newConn(addr, c)
+	if err := conn.Push(KindReadsCompressed, nil); err != nil {
+		return nil, err
+	}
+	return conn, nil
 }
 
 // Call sends a request to addr over the shared connection; see Conn.Call.
