--- a/internal/loop/loop_test.go
+++ b/internal/loop/loop_test.go
@@ -19,7 +19,7 @@
 	must.GreaterEq(t, 3, n)
 }
 
-func TestPauseEndsWithItsContext(t *testing.T) {
+func TestPauseEndsWithItsContext(*testing.T) {
 	ctx, cancel := context.WithCancel(context.Background())
 	cancel()
 	Pause(ctx, time.Hour)
--- a/internal/simulation/disk/disk.go
+++ b/internal/simulation/disk/disk.go
@@ -15,7 +15,7 @@
 import (
 	"io/fs"
 	"math/rand/v2"
-	"sort"
+	"slices"
 	"sync"
 
 	"github.com/pkg/errors"
@@ -116,7 +116,7 @@
 	for name := range seen {
 		list = append(list, name)
 	}
-	sort.Strings(list)
+	slices.Sort(list)
 	return list
 }
 
@@ -191,7 +191,7 @@
 	for name := range d.names {
 		list = append(list, name)
 	}
-	sort.Strings(list)
+	slices.Sort(list)
 	return list
 }
 
--- a/internal/simulation/history/check.go
+++ b/internal/simulation/history/check.go
@@ -54,43 +54,63 @@
 	base   int64
 }
 
-// checkRefusals sees to it that no order is both refused and taken. A refusal
-// before the taking may pass as one copy's answer, yet tells the operator
-// something that does not stay true.
+// checkRefusals checks that no order is both refused and accepted. A refusal before the
+// acceptance would be linearizable, yet tells the operator something that does not stay
+// true.
 func (h *History) checkRefusals() error {
-	refused := map[order]bool{}
-	taken := map[order]bool{}
-	bases := map[string]map[int64]bool{}
+	orders := h.orders()
+	accepted := h.acceptedOrders(orders)
+	for o := range orders {
+		if orders[o].refused && accepted[o] {
+			return errors.Wrapf(ErrRefusedTaken, "%s on %d", o.digest, o.base)
+		}
+	}
+	return nil
+}
+
+// verdicts says how the calls of one order ended.
+type verdicts struct{ accepted, refused bool }
+
+// orders collects the verdicts of all orders.
+func (h *History) orders() map[order]verdicts {
+	out := map[order]verdicts{}
 	for _, e := range h.entries {
 		if e.call.Kind != Replace {
 			continue
 		}
 		o := order{e.call.Digest, e.call.Base}
-		if bases[o.digest] == nil {
-			bases[o.digest] = map[int64]bool{}
-		}
-		bases[o.digest][o.base] = true
+		v := out[o]
 		switch e.answer.Verdict {
 		case Taken:
-			taken[o] = true
+			v.accepted = true
 		case Overtaken, Invalid:
-			refused[o] = true
+			v.refused = true
+		}
+		out[o] = v
+	}
+	return out
+}
+
+// acceptedOrders returns the orders that were acknowledged, or whose configuration was
+// read. A read tells the digest only, so it counts where one base was sent with it.
+func (h *History) acceptedOrders(orders map[order]verdicts) map[order]bool {
+	out := map[order]bool{}
+	byDigest := map[string][]order{}
+	for o, v := range orders {
+		byDigest[o.digest] = append(byDigest[o.digest], o)
+		if v.accepted {
+			out[o] = true
 		}
 	}
 	for _, e := range h.entries {
-		if e.call.Kind != Read || e.answer.Verdict != Taken || len(bases[e.answer.Digest]) != 1 {
+		if e.call.Kind != Read || e.answer.Verdict != Taken {
 			continue
 		}
-		for base := range bases[e.answer.Digest] {
-			taken[order{e.answer.Digest, base}] = true
+		if sent := byDigest[e.answer.Digest]; len(sent) == 1 {
+			out[sent[0]] = true
 		}
 	}
-	for o := range refused {
-		if taken[o] {
-			return errors.Wrapf(ErrRefusedTaken, "%s on %d", o.digest, o.base)
-		}
-	}
-	return nil
+	return out
 }
 
 // register is the state of one register: the configuration's or that of one
