Metrics: writes between nodes by class, and how long a configuration takes to publish

Cause: one histogram of writes cannot tell control messages that wait behind bulk from a full link. Change: beechtide_node_write_seconds has a class, bulk or control; controllers measure from a commit that is known to the table in force. Measured: transport, metrics and dissemination with -race; of controller and router the tests of metrics and invariants.

--- a/internal/controller/controller.go
+++ b/internal/controller/controller.go
@@ -253,7 +253,9 @@
 		var body messages.ConfigBody
 		if _, err := body.UnmarshalMsg(v.Body); err == nil && body.Version > 0 {
 			if m, err := routeconfig.ParseAccepted(body.Raw); err == nil {
+				begun := time.Now()
 				d.publishConfig(v.Version, m)
+				d.counters.publishes.Observe(time.Since(begun))
 			}
 		}
 	}
--- a/internal/controller/counters.go
+++ b/internal/controller/counters.go
@@ -16,6 +16,7 @@
 // counters are safe for concurrent use, and their zero value is ready for use.
 type counters struct {
 	calls         [callCount]callCounter
+	publishes     histogram.Durations // from when a configuration was known to be committed to when it was in force here
 	subscriptions dissemination.SubscriptionCounts
 }
 
--- a/internal/controller/metrics.go
+++ b/internal/controller/metrics.go
@@ -43,6 +43,7 @@
 			}
 			emit(float64(d.acknowledged.Load()), "acknowledged")
 		}),
+		metrics.Durations("beechtide_config_publish_seconds", "Time from when a committed configuration was known to when it was in force here.", &d.counters.publishes),
 		metrics.Counter("beechtide_consensus_rounds_total", "Rounds that this member has run, by outcome.", []string{"outcome"}, func(emit metrics.Emit) {
 			for outcome, count := range counts.Rounds() {
 				emit(float64(count), outcome)
--- a/internal/controller/metrics_test.go
+++ b/internal/controller/metrics_test.go
@@ -24,7 +24,7 @@
 	for _, line := range []string{
 		`beechtide_calls_total{call="replace",outcome="done"} 1`, `beechtide_config_version{of="acknowledged"} 7`,
 		`beechtide_config_version{of="in_force"} 7`, `beechtide_register_version{register="0"} 1`,
-		`beechtide_contact 1`, `beechtide_config_replace_seconds_count 1`, `beechtide_nodes{role="controller"} 1`,
+		`beechtide_contact 1`, `beechtide_config_publish_seconds_count 1`, `beechtide_config_replace_seconds_count 1`, `beechtide_nodes{role="controller"} 1`,
 	} {
 		must.StrContains(t, text.String(), line+"\n")
 	}
--- a/internal/metrics/collectors.go
+++ b/internal/metrics/collectors.go
@@ -36,10 +36,11 @@
 	return &readCollector{prometheus.NewDesc(name, help, labels, nil), prometheus.GaugeValue, read}
 }
 
-// durationsCollector reads a histogram of durations.
+// durationsCollector reads histograms of durations.
 type durationsCollector struct {
-	desc      *prometheus.Desc
-	durations *histogram.Durations
+	desc    *prometheus.Desc
+	byLabel map[string]*histogram.Durations
+	labels  int // how many labels the metric has: one, or none
 }
 
 // Describe implements prometheus.Collector.
@@ -47,13 +48,21 @@
 
 // Collect implements prometheus.Collector.
 func (c *durationsCollector) Collect(out chan<- prometheus.Metric) {
-	s := c.durations.Snapshot()
-	out <- prometheus.MustNewConstHistogram(c.desc, s.Count, s.SumSeconds, s.Cumulative)
+	for value, durations := range c.byLabel {
+		s := durations.Snapshot()
+		labels := []string{value}[:c.labels]
+		out <- prometheus.MustNewConstHistogram(c.desc, s.Count, s.SumSeconds, s.Cumulative, labels...)
+	}
 }
 
 // Durations is a histogram in seconds.
 func Durations(name, help string, durations *histogram.Durations) prometheus.Collector {
-	return &durationsCollector{prometheus.NewDesc(name, help, nil, nil), durations}
+	return &durationsCollector{prometheus.NewDesc(name, help, nil, nil), map[string]*histogram.Durations{"": durations}, 0}
+}
+
+// DurationsBy is a histogram in seconds for each value of a label.
+func DurationsBy(name, help, label string, byLabel map[string]*histogram.Durations) prometheus.Collector {
+	return &durationsCollector{prometheus.NewDesc(name, help, []string{label}, nil), byLabel, 1}
 }
 
 // Bool is 1 for true and 0 for false.
--- a/internal/metrics/shared.go
+++ b/internal/metrics/shared.go
@@ -6,6 +6,7 @@
 	"github.com/prometheus/client_golang/prometheus"
 
 	"beechtide.org/beechtide/internal/dissemination"
+	"beechtide.org/beechtide/internal/histogram"
 	"beechtide.org/beechtide/internal/invariant"
 	"beechtide.org/beechtide/internal/transport"
 )
@@ -28,6 +29,7 @@
 		}
 	}
 	labels := []string{"kind", "direction"}
+	bulk, control := t.WriteDurations()
 	return []prometheus.Collector{
 		Counter("beechtide_node_messages_total", "Messages between nodes.", labels, byKind(
 			func(k transport.KindTraffic) int64 { return k.SentMessages },
@@ -37,7 +39,10 @@
 			func(k transport.KindTraffic) int64 { return k.SentBytes },
 			func(k transport.KindTraffic) int64 { return k.ReceivedBytes },
 		)),
-		Durations("beechtide_node_write_seconds", "Time from when a frame was to be written to when the socket had taken it.", t.WriteWaits()),
+		DurationsBy(
+			"beechtide_node_write_seconds", "Time from when a frame was to be written to when the socket had taken it.", "class",
+			map[string]*histogram.Durations{"bulk": bulk, "control": control},
+		),
 		Counter("beechtide_node_failed_writes_total", "Writes that ended their connection.", nil, func(emit Emit) {
 			emit(float64(t.FailedWrites()))
 		}),
--- a/internal/transport/conn.go
+++ b/internal/transport/conn.go
@@ -99,8 +99,7 @@
 		go c.Close()
 		return errors.Wrap(ErrClosed, err.Error())
 	}
-	c.transport.traffic.sent.count(kind, len(b))
-	c.transport.traffic.writeWaits.Observe(time.Since(start))
+	c.transport.traffic.written(kind, len(b), time.Since(start))
 	return nil
 }
 
--- a/internal/transport/traffic.go
+++ b/internal/transport/traffic.go
@@ -4,6 +4,7 @@
 
 import (
 	"sync/atomic"
+	"time"
 
 	"beechtide.org/beechtide/internal/histogram"
 )
@@ -32,10 +33,25 @@
 // traffic is what a transport has carried.
 type traffic struct {
 	sent, received direction
-	writeWaits     histogram.Durations // from when a frame was to be written to when the socket had taken it
-	failedWrites   atomic.Int64
+	// From when a frame was to be written to when the socket had taken it.
+	bulkWrites, controlWrites histogram.Durations
+	failedWrites              atomic.Int64
 }
 
+// written records a write to a connection.
+func (t *traffic) written(kind, bytes int, took time.Duration) {
+	t.sent.count(kind, bytes)
+	if isBulk(kind) {
+		t.bulkWrites.Observe(took)
+		return
+	}
+	t.controlWrites.Observe(took)
+}
+
+// isBulk tells kinds that carry state, and may be large, from those that keep the
+// system together and are small.
+func isBulk(kind int) bool { return kind == KindFeed || kind == KindSince }
+
 // Traffic returns what was carried so far, by kind.
 func (t *Transport) Traffic() []KindTraffic {
 	out := make([]KindTraffic, 0, kindCount-1)
@@ -50,9 +66,11 @@
 	return out
 }
 
-// WriteWaits is how long writes to connections have taken, with the wait for writes
-// before them.
-func (t *Transport) WriteWaits() *histogram.Durations { return &t.traffic.writeWaits }
+// WriteDurations is how long writes to connections have taken, with the wait for writes
+// before them: those of state, which may be large, and all others.
+func (t *Transport) WriteDurations() (bulk, control *histogram.Durations) {
+	return &t.traffic.bulkWrites, &t.traffic.controlWrites
+}
 
 // FailedWrites is how many writes have ended their connection.
 func (t *Transport) FailedWrites() int64 { return t.traffic.failedWrites.Load() }
--- a/internal/transport/traffic_test.go
+++ b/internal/transport/traffic_test.go
@@ -32,5 +32,7 @@
 	must.Eq(t, KindTraffic{Kind: "since"}, byKind["since"])
 	must.Eq(t, 1, byKind["feed"].SentMessages)
 	must.Eq(t, int64(len(update)), byKind["feed"].SentBytes)
-	must.Eq(t, 2, trans.WriteWaits().Snapshot().Count)
+	bulk, control := trans.WriteDurations()
+	must.Eq(t, 1, bulk.Snapshot().Count)
+	must.Eq(t, 1, control.Snapshot().Count)
 }
