Routers fetch what they lack once, and refuse for good only after a quorum read

Cause: a router that was behind, or asked for an unknown route, fetched the whole difference from each controller that it compared with, up to all of the core at once; hundreds of routers filled the controllers' links. A 404 or 401 was confirmed by what more than half of the controllers in view had learned, which is not what a majority of the register's members has accepted, and also where no controller was known.

Change: comparisons and checks ask for versions, which are small. What is missing is fetched from one controller, one fetch at a time, beside the tree only after the tree had one turn of comparisons to bring it. The response names the members of the configuration's register, the newest committed version and the one that may be accepted; a 404 or 401 needs a majority of those members that has accepted nothing newer, and else it is 503. Controllers of an earlier release make no quorum. TestBadInput... and TestUnknownRoute... have a core of stubs now, since nothing is refused for good without one.

Measured: one fetch where five were made (TestMissingStateIsFetchedOnceFromOnePeer); 503 in all four cases of TestFinalRefusalNeedsAQuorumRead, 404 with a minority that has accepted a newer version.

--- a/internal/controller/controller.go
+++ b/internal/controller/controller.go
@@ -259,6 +259,10 @@
 
 func (d *Controller) versions() messages.Versions {
 	m := messages.Versions{Parts: make([]int64, consensus.Parts), RegistrySum: d.registry.Snapshot().Sum, Controller: true, CalmUs: d.calm.forUs(d.clock()), MemberID: d.registers.ID(), CutOff: d.cutOff(), TargetAges: d.targets.ages(d.clock())}
+	m.ConfigAccepted = d.registers.MayHaveAccepted(consensus.ConfigPart)
+	if v, ok := d.registers.Committed(consensus.ConfigPart); ok {
+		m.ConfigCommitted, m.ConfigGroup = v.Version, identities(v.Group)
+	}
 	for p := range m.Parts {
 		m.Parts[p] = -1
 		if v, ok := d.registers.Committed(p); ok {
--- a/internal/dissemination/comparisons.go
+++ b/internal/dissemination/comparisons.go
@@ -3,7 +3,11 @@
 
 package dissemination
 
-import "sync"
+import (
+	"slices"
+	"sync"
+	"time"
+)
 
 // Times of comparisons, as parts of convergeMs: how often one begins, how long one
 // may take, and after how long without its parent's update a router queries several
@@ -36,6 +40,10 @@
 	turn    int
 	asked   map[string]bool // who has not answered yet
 	differs int             // answers in a row with other runners than here
+
+	fetching bool    // missing state is being fetched from a peer
+	awaited  []int64 // versions that a controller had and this node had not
+	sinceUs  int64   // when that was found
 }
 
 // Next returns whom to query now: one controller, or several where the parent's update is
@@ -87,3 +95,49 @@
 	defer p.mu.Unlock()
 	return p.differs%takeRunnersEvery == takeRunnersAfter
 }
+
+// FetchDue reports whether a node fetches what it lacks from a controller that has
+// answered with its versions. As long as its parent delivers, updates come down the tree;
+// only what has not come within grace is fetched beside it.
+func (p *Comparisons) FetchDue(mine, theirs []int64, grace time.Duration, nowUs int64) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	newer := Behind(mine, theirs)
+	if !Behind(mine, p.awaited) {
+		p.awaited = nil
+		if newer {
+			p.awaited, p.sinceUs = slices.Clone(theirs), nowUs
+		}
+	}
+	return newer && nowUs-p.sinceUs >= grace.Microseconds()
+}
+
+// Behind reports whether a node with the versions mine lacks something that another one
+// has. A version of 0 or less is none.
+func Behind(mine, theirs []int64) bool {
+	for part, version := range theirs {
+		if version > 0 && (part >= len(mine) || mine[part] < version) {
+			return true
+		}
+	}
+	return false
+}
+
+// StartFetch makes the caller the one that fetches what this node lacks; false where a
+// fetch is under way. The caller ends it by EndFetch.
+func (p *Comparisons) StartFetch() bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.fetching {
+		return false
+	}
+	p.fetching = true
+	return true
+}
+
+// EndFetch ends a fetch, whatever came of it.
+func (p *Comparisons) EndFetch() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.fetching = false
+}
--- a/internal/dissemination/comparisons_test.go
+++ b/internal/dissemination/comparisons_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"testing"
+	"time"
 
 	"github.com/shoenig/test/must"
 )
@@ -48,3 +49,30 @@
 	p.Ended("a", true, true)
 	must.False(t, p.WantRunners())
 }
+
+// What a controller has and the tree has not brought within grace is fetched, also if
+// other controllers lack it too; a further change has a grace of its own.
+func TestFetchIsDueAfterGrace(t *testing.T) {
+	const grace = time.Second
+	graceUs := grace.Microseconds()
+	var p Comparisons
+	due := func(mine, theirs, nowUs int64) bool {
+		return p.FetchDue([]int64{mine}, []int64{theirs}, grace, nowUs)
+	}
+	must.False(t, due(1, 1, 1))
+	must.False(t, due(1, 2, 2), must.Sprint("the tree may bring it"))
+	must.False(t, due(1, 1, 2+graceUs), must.Sprint("this one lacks it too"))
+	must.True(t, due(1, 2, 2+graceUs))
+	must.False(t, due(2, 3, 3+graceUs), must.Sprint("version 2 came; this is another one"))
+	must.True(t, due(2, 4, 3+2*graceUs), must.Sprint("version 3 did not come"))
+	must.False(t, due(4, 4, 4+2*graceUs))
+	must.True(t, p.FetchDue([]int64{4}, []int64{5}, 0, 5+2*graceUs))
+}
+
+func TestOneFetchGoesOnAtATime(t *testing.T) {
+	var p Comparisons
+	must.True(t, p.StartFetch())
+	must.False(t, p.StartFetch())
+	p.EndFetch()
+	must.True(t, p.StartFetch())
+}
--- a/internal/router/compare.go
+++ b/internal/router/compare.go
@@ -37,7 +37,7 @@
 			go func() {
 				cctx, cancel := context.WithTimeout(ctx, c.convergeTime()/dissemination.ComparisonWaitParts)
 				defer cancel()
-				m, ok := c.compareWith(cctx, addr, c.comparisons.WantRunners())
+				m, ok := c.compareWith(cctx, addr, overdue)
 				c.comparisons.Ended(addr, ok, m.RegistrySum == c.registry.Snapshot().Sum)
 			}()
 		}
@@ -89,32 +89,58 @@
 // likelyCore is whom to ask where an answer is wanted soon.
 func (c *Router) likelyCore() []string { return c.core.likely(c.monitor.Alive(messages.Controller)) }
 
-// compareWith asks one controller for its versions and takes the changes since
-// this node's from it where it has something newer; all runners with anyway. It
-// tells whether this node has by now what the controller had.
-func (c *Router) compareWith(ctx context.Context, addr string, anyway bool) (m messages.Versions, ok bool) {
-	b, err := c.transport.Call(ctx, addr, transport.KindVersions, &messages.Versions{Parts: []int64{}})
+// compareWith asks one controller for its versions. Where it has had something newer for
+// longer than the tree is given to bring it, or runners differ again and again, the
+// changes since this node's are fetched from it. ok says that it has answered.
+func (c *Router) compareWith(ctx context.Context, addr string, overdue bool) (m messages.Versions, ok bool) {
+	m, err := c.askVersions(ctx, addr)
 	if err != nil {
 		return m, false
 	}
+	grace := c.convergeTime() / dissemination.ComparisonParts
+	if overdue {
+		grace = 0
+	}
+	runners := c.comparisons.WantRunners()
+	if !c.comparisons.FetchDue(c.heldVersions(), m.Parts, grace, c.clock()) && !runners {
+		return m, true
+	}
+	return m, c.fetchMissing(ctx, addr, runners)
+}
+
+// askVersions asks one controller which versions it has.
+func (c *Router) askVersions(ctx context.Context, addr string) (m messages.Versions, err error) {
+	b, err := c.transport.Call(ctx, addr, transport.KindVersions, &messages.Versions{Parts: []int64{}})
+	if err != nil {
+		return m, err
+	}
 	if _, err := m.UnmarshalMsg(b); err != nil {
-		return m, false
+		return m, err
 	}
 	c.takeVersions(m)
-	if !c.behind(m.Parts) && !anyway {
-		return m, true
+	return m, nil
+}
+
+// fetchMissing fetches from one controller the changes since this node's versions, and
+// all runners where they are wanted. One fetch goes on at a time. It tells whether what
+// came was applied; also true where another fetch is under way.
+func (c *Router) fetchMissing(ctx context.Context, addr string, runners bool) bool {
+	if !c.comparisons.StartFetch() {
+		return true
 	}
+	defer c.comparisons.EndFetch()
 	h := c.hold()
 	h.ConfigOnly, h.Kept = true, nil
-	if !anyway {
+	if !runners {
 		h.Registry.Epoch = -1
 	}
-	if b, err = c.transport.Call(ctx, addr, transport.KindSince, &h); err != nil {
-		return m, false
+	b, err := c.transport.Call(ctx, addr, transport.KindSince, &h)
+	if err != nil {
+		return false
 	}
 	var f messages.Feed
 	if _, err := f.UnmarshalMsg(b); err != nil {
-		return m, false
+		return false
 	}
-	return m, c.take("", f)
+	return c.take("", f)
 }
--- a/internal/router/compare_test.go
+++ b/internal/router/compare_test.go
@@ -1,20 +1,12 @@
 package router
 
 import (
-	"context"
-	"fmt"
-	"strings"
-	"sync/atomic"
 	"testing"
 	"time"
 
-	"github.com/go-logr/logr"
-	"github.com/panjf2000/ants/v2"
 	"github.com/shoenig/test/must"
 
-	"beechtide.org/beechtide/internal/membership"
 	"beechtide.org/beechtide/internal/messages"
-	"beechtide.org/beechtide/internal/transport"
 )
 
 // The second request comes while the first one's check is under way: it must not be
@@ -60,31 +52,14 @@
 // unknown; once it answers, the route is.
 func TestUnknownRouteIsPutOffUntilAControllerConfirms(t *testing.T) {
 	c, front, _ := start(t, newRunner(t))
-	pool, err := ants.NewPool(8, ants.WithNonblocking(true))
-	must.NoError(t, err)
-	station, err := transport.New(fmt.Sprintf("127.0.0.1:%d", ports(t, 1)[0]), pool, logr.Discard())
-	must.NoError(t, err)
-	var answers atomic.Bool
-	station.OnCall(transport.KindVersions, func(context.Context, *transport.Conn, []byte) ([]byte, error) {
-		if !answers.Load() {
-			return nil, transport.ErrRemote
-		}
-		return (&messages.Versions{Parts: []int64{1}}).MarshalMsg(nil)
-	})
-	ctx, cancel := context.WithCancel(context.Background())
-	t.Cleanup(cancel)
-	station.Run(ctx)
-	self := messages.Peer{Addr: station.Addr(), Role: messages.Controller, Zone: "a", Node: "c", Counted: true}
-	go membership.NewMonitor(station, self, c.clock, func() []string { return []string{c.transport.Addr()} }).Run(ctx)
-	for len(c.wholeCore()) == 0 {
-		time.Sleep(time.Millisecond)
-	}
-	unknown := strings.Replace(request("/pay/", "x"), "/pay/", "/nothing/", 1)
+	s := startCore(t, c, 1)
+	s.set(func() { s.versions[0] = func() *messages.Versions { return nil } })
+	unknown := unknownRoute()
 	ans, _, err := say(t, front, unknown)
 	must.NoError(t, err)
 	must.Eq(t, 503, ans.StatusCode)
 	must.NotEq(t, "", ans.Header.Get(hRetryAfter))
-	answers.Store(true)
+	s.set(func() { s.versions[0] = func() *messages.Versions { return s.confirming(0, 1) } })
 	for ans.StatusCode == 503 {
 		ans, _, err = say(t, front, unknown)
 		must.NoError(t, err)
--- a/internal/router/core_stub_test.go
+++ b/internal/router/core_stub_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"sync"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -19,12 +20,28 @@
 // coreStub is a core of controllers that say what they are told to say. All are
 // members of the configuration's register.
 type coreStub struct {
+	fetches atomic.Int64 // requests for missing state, at all of them
+
+	mu       sync.Mutex // guards what follows
 	group    []string
 	versions [](func() *messages.Versions) // by controller; nil gives no answer
-	fetches  atomic.Int64                  // requests for missing state, at all of them
 	delta    func(messages.Hold) messages.Feed
 }
 
+// set changes what the controllers say.
+func (s *coreStub) set(change func()) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	change()
+}
+
+// say gives the response of a controller; the functions of versions run under the mutex.
+func (s *coreStub) say(i int) *messages.Versions {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.versions[i]()
+}
+
 // confirming says that a version is the newest, and nothing newer is accepted.
 func (s *coreStub) confirming(i int, version int64) *messages.Versions {
 	return &messages.Versions{
@@ -59,7 +76,7 @@
 	station, err := transport.New(fmt.Sprintf("127.0.0.1:%d", ports(t, 1)[0]), pool, logr.Discard())
 	must.NoError(t, err)
 	station.OnCall(transport.KindVersions, func(context.Context, *transport.Conn, []byte) ([]byte, error) {
-		if m := s.versions[i](); m != nil {
+		if m := s.say(i); m != nil {
 			return m.MarshalMsg(nil)
 		}
 		return nil, transport.ErrRemote
@@ -70,7 +87,10 @@
 		if _, err := h.UnmarshalMsg(body); err != nil {
 			return nil, err
 		}
-		f := s.delta(h)
+		s.mu.Lock()
+		delta := s.delta
+		s.mu.Unlock()
+		f := delta(h)
 		return f.MarshalMsg(nil)
 	})
 	station.Run(ctx)
--- a/internal/router/feed.go
+++ b/internal/router/feed.go
@@ -81,7 +81,7 @@
 	return f
 }
 
-// versions are those of the parts that are held.
+// versions is heldVersions for a caller that has the mutex.
 func (c *Router) versions() []int64 {
 	out := []int64{c.configuration.Version()}
 	for p, n := range c.parts {
@@ -95,15 +95,14 @@
 
 // behind tells whether a node with these versions has something newer.
 func (c *Router) behind(versions []int64) bool {
+	return dissemination.Behind(c.heldVersions(), versions)
+}
+
+// heldVersions are those of the parts that are held.
+func (c *Router) heldVersions() []int64 {
 	c.nmu.Lock()
 	defer c.nmu.Unlock()
-	mine := c.versions()
-	for p, v := range versions {
-		if v > 0 && (p >= len(mine) || mine[p] < v) {
-			return true
-		}
-	}
-	return false
+	return c.versions()
 }
 
 // takeFeed takes what the parent sent and passes it on.
--- a/internal/router/recheck.go
+++ b/internal/router/recheck.go
@@ -8,6 +8,8 @@
 	"context"
 	"sync"
 	"time"
+
+	"beechtide.org/beechtide/internal/messages"
 )
 
 // Times of a check.
@@ -67,33 +69,47 @@
 	return max(c.convergeTime()/recheckParts, recheckLeastWait)
 }
 
-// confirmCurrent tells whether no controller in reach has a newer configuration,
-// or none had a short while ago. What is newer is taken in first. A router that
-// never knew of a controller has nobody to ask and goes by what it holds.
+// confirmCurrent tells whether the configuration is the newest that was committed when
+// the check began, or was so a short while ago. What is newer is fetched first.
 func (c *Router) confirmCurrent() bool {
-	return c.currency.confirm(c.clock, func() bool { return c.askMost(c.wholeCore()) })
+	return c.currency.confirm(c.clock, func() bool { return c.readNewest(c.wholeCore()) })
+}
+
+// answeredVersions is a controller's response, if there was one in time.
+type answeredVersions struct {
+	addr     string
+	versions messages.Versions
+	err      error
 }
 
-// askMost compares with all of these controllers at once, and tells whether more
-// than half of them have answered in time.
-func (c *Router) askMost(list []string) bool {
+// readNewest asks controllers for their versions, which are small, and fetches what this
+// node lacks from one of them. It tells whether by then the configuration is the newest.
+func (c *Router) readNewest(controllers []string) bool {
 	ctx, cancel := context.WithTimeout(context.Background(), c.recheckWait())
 	defer cancel()
-	answers := make(chan bool, len(list))
-	for _, addr := range list {
+	answers := make(chan answeredVersions, len(controllers))
+	for _, addr := range controllers {
 		go func() {
-			_, ok := c.compareWith(ctx, addr, false)
-			answers <- ok
+			m, err := c.askVersions(ctx, addr)
+			answers <- answeredVersions{addr, m, err}
 		}()
 	}
-	answered := 0
-	for range list {
-		if <-answers {
-			answered++
+	var read versionRead
+	for range controllers {
+		a := <-answers
+		if a.err != nil {
+			continue
 		}
-		if answered > len(list)/2 {
-			return true
+		read.receive(a.addr, a.versions)
+		if read.hasQuorum() {
+			break
 		}
 	}
-	return len(list) == 0
+	if !read.hasQuorum() {
+		return false
+	}
+	if !c.behind([]int64{read.committed}) {
+		return true
+	}
+	return c.fetchMissing(ctx, read.newestAt, false) && !c.behind([]int64{read.committed})
 }
--- a/internal/router/recheck_test.go
+++ b/internal/router/recheck_test.go
@@ -59,7 +59,8 @@
 	} {
 		t.Run(test.name, func(t *testing.T) {
 			c, front, _ := start(t, newRunner(t))
-			test.arrange(startCore(t, c, test.size))
+			s := startCore(t, c, test.size)
+			s.set(func() { test.arrange(s) })
 			mustPutOff(t, front, unknownRoute())
 			mustPutOff(t, front, strings.Replace(request("/pay/", "x"), "Token k1", "Token k9", 1))
 		})
@@ -67,9 +68,11 @@
 	t.Run("a minority has accepted a newer version", func(t *testing.T) {
 		c, front, _ := start(t, newRunner(t))
 		s := startCore(t, c, size)
-		for i := range size / 2 {
-			s.versions[i] = func() *messages.Versions { return accepted(s, i) }
-		}
+		s.set(func() {
+			for i := range size / 2 {
+				s.versions[i] = func() *messages.Versions { return accepted(s, i) }
+			}
+		})
 		ans, _, err := say(t, front, unknownRoute())
 		must.NoError(t, err)
 		must.Eq(t, 404, ans.StatusCode)
@@ -86,16 +89,18 @@
 	change := wholeMenu(t, newer, 2)
 	var asked atomic.Int64 // controllers that have named the newer version
 	gate := make(chan struct{})
-	s.delta = func(messages.Hold) messages.Feed {
-		<-gate
-		return messages.Feed{Versions: []int64{2}, Configuration: []messages.EntryChange{change}}
-	}
-	for i := range size {
-		s.versions[i] = func() *messages.Versions {
-			asked.Add(1)
-			return s.confirming(i, 2)
+	s.set(func() {
+		s.delta = func(messages.Hold) messages.Feed {
+			<-gate
+			return messages.Feed{Versions: []int64{2}, Configuration: []messages.EntryChange{change}}
 		}
-	}
+		for i := range size {
+			s.versions[i] = func() *messages.Versions {
+				asked.Add(1)
+				return s.confirming(i, 2)
+			}
+		}
+	})
 	var requests sync.WaitGroup
 	for range clients {
 		requests.Go(func() {
--- a/internal/router/router_test.go
+++ b/internal/router/router_test.go
@@ -355,7 +355,8 @@
 
 func TestBadInputIsRejectedAndNeverReachesARunner(t *testing.T) {
 	r := newRunner(t)
-	_, front, _ := start(t, r)
+	router, front, _ := start(t, r)
+	startCore(t, router, 1) // a refusal for good needs a core that confirms it
 	good := request("/pay/", "x")
 	for _, c := range []struct {
 		name, raw string
--- a/internal/simulation/distribution_sink.go
+++ b/internal/simulation/distribution_sink.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"time"
 
 	"beechtide.org/beechtide/internal/dissemination"
 	"beechtide.org/beechtide/internal/messages"
@@ -250,12 +251,13 @@
 	if r.parent != nil {
 		parent = r.parent.parent.address()
 	}
-	for _, addr := range r.comparisons.Next(alive, parent, r.process.NowUs()-r.heardUs > overdueUs) {
-		r.compareWith(r.d.node(addr))
+	overdue := r.process.NowUs()-r.heardUs > overdueUs
+	for _, addr := range r.comparisons.Next(alive, parent, overdue) {
+		r.compareWith(r.d.node(addr), overdue)
 	}
 }
 
-func (r *sink) compareWith(to node) {
+func (r *sink) compareWith(to node, overdue bool) {
 	begunUs := r.process.NowUs()
 	var version int64
 	ended := func(ok bool) { r.comparisons.Ended(to.address(), ok, true) }
@@ -264,7 +266,12 @@
 		return func() { version = f.Versions[0] }
 	}, func(ok bool) {
 		leftUs := compareWaitUs - (r.process.NowUs() - begunUs)
-		if !ok || version <= r.replica.Version() || leftUs <= 0 {
+		grace := compareEveryUs
+		if overdue {
+			grace = 0
+		}
+		due := r.comparisons.FetchDue([]int64{r.replica.Version()}, []int64{version}, time.Duration(grace)*time.Microsecond, r.process.NowUs())
+		if !ok || !due || leftUs <= 0 || !r.comparisons.StartFetch() {
 			ended(ok)
 			return
 		}
@@ -272,7 +279,10 @@
 		r.d.call(r.process, r.addr, to.running(), to.address(), leftUs, func() func() {
 			f := to.since(h)
 			return func() { r.take(f) }
-		}, ended)
+		}, func(ok bool) {
+			r.comparisons.EndFetch()
+			ended(ok)
+		})
 	})
 }
 
