A slow link is no silence: bytes that arrive or leave count as progress

Cause: a parent whose update took longer than 0.9 s on a slow link was left as silent, and a write that took longer than its bytes at 250 KB/s ended the connection; the next subscription got another whole copy.

Change: silence is counted from the last bytes that arrived, and each 16 KiB of a write have a second of their own.

--- a/internal/dissemination/large_change_test.go
+++ b/internal/dissemination/large_change_test.go
@@ -8,6 +8,7 @@
 	"net"
 	"sync/atomic"
 	"testing"
+	"time"
 
 	"github.com/shoenig/test/must"
 
@@ -34,29 +35,36 @@
 	return raw, config
 }
 
-// countingProxy forwards a connection and counts the bytes towards its client.
-func countingProxy(t *testing.T, target string, received *atomic.Int64) string {
+// proxy forwards connections to target; what goes to the client passes toClient.
+func proxy(t *testing.T, target string, toClient func(client io.Writer) io.Writer) string {
 	t.Helper()
 	ln := listenLoopback(t)
 	go func() {
 		for {
-			down, err := ln.Accept()
+			client, err := ln.Accept()
 			if err != nil {
 				return
 			}
-			up := dialLoopback(t, target)
-			go func() { _, _ = io.Copy(up, down); up.Close() }()
-			go func() { _, _ = io.Copy(countingWriter{down, received}, up); down.Close() }()
+			server := dialLoopback(t, target)
+			go forward(server, server, client)
+			go forward(client, toClient(client), server)
 		}
 	}()
 	return ln.Addr().String()
 }
 
+// forward copies a few bytes at a time, and closes the destination at the end.
+func forward(closes io.Closer, to io.Writer, from io.Reader) {
+	defer closes.Close()
+	_, _ = io.CopyBuffer(struct{ io.Writer }{to}, struct{ io.Reader }{from}, make([]byte, trickleBytes))
+}
+
 type countingWriter struct {
 	to    io.Writer
 	count *atomic.Int64
 }
 
+// Write writes to the other writer.
 func (w countingWriter) Write(b []byte) (int, error) {
 	w.count.Add(int64(len(b)))
 	return w.to.Write(b)
@@ -84,7 +92,7 @@
 	var received atomic.Int64
 	joined, changed := make(chan bool, fanOut), make(chan int, fanOut)
 	for range fanOut {
-		link := countingProxy(t, parent.Addr(), &received)
+		link := proxy(t, parent.Addr(), func(client io.Writer) io.Writer { return countingWriter{client, &received} })
 		subscriber := &Subscriber{
 			SyncState: func() messages.Hold { return messages.Hold{Configuration: messages.StreamHold{Epoch: 1, Version: 1}} },
 			Parents:   func() []string { return []string{link} },
@@ -113,6 +121,72 @@
 	must.LessEq(t, int64(len(raw)), sent)
 }
 
+// A parent whose update takes long on a slow link is not silent: its bytes arrive.
+// The link is a proxy that lets a byte through now and then; no clock is compared.
+func TestParentInTheMiddleOfAnUpdateIsNotSilent(t *testing.T) {
+	parent, child := station(t), station(t)
+	joined := make(chan bool, 16)
+	relay := NewPublisher(parent, Upstream{
+		DeltaSince: func(messages.Hold) messages.Feed {
+			joined <- true
+			return messages.Feed{Versions: []int64{1}}
+		},
+		ApplyReport: func(string, messages.Told) bool { return true }, Unsubscribed: func(string) {},
+	})
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	parent.Run(ctx)
+	child.Run(ctx)
+	var slow atomic.Bool
+	link := proxy(t, parent.Addr(), func(client io.Writer) io.Writer { return slowWriter{client, &slow} })
+	updates := make(chan int, 64)
+	subscriber := &Subscriber{
+		SyncState:   func() messages.Hold { return messages.Hold{Configuration: messages.StreamHold{Epoch: 1, Version: 1}} },
+		Parents:     func() []string { return []string{link} },
+		ApplyUpdate: func(_ string, f messages.Feed, _ []byte) *messages.Hold { updates <- len(f.Parts); return nil },
+		Acked:       func(int64) {}, ResendAll: func() {}, Unsubscribed: func(string) {},
+	}
+	go subscriber.Listen(ctx, child)
+	<-joined
+	<-updates
+	slow.Store(true)
+	relay.Publish(ToRouters, messages.Feed{Versions: []int64{1}, Parts: []messages.PartNote{{Part: 1, Version: 1, Body: make([]byte, trickleSteps*trickleBytes)}}})
+	must.Eq(t, 1, <-updates)
+	must.SliceEmpty(t, drainBools(joined), must.Sprint("the parent was left in the middle of its update and asked anew"))
+}
+
+// The slow link takes longer for the update than a parent may be silent.
+const (
+	trickleBytes = 128
+	trickleSteps = 32
+	trickleEvery = silentFor / 16
+)
+
+// slowWriter takes its time for each write once slow is set.
+type slowWriter struct {
+	to   io.Writer
+	slow *atomic.Bool
+}
+
+// Write writes to the other writer.
+func (w slowWriter) Write(b []byte) (int, error) {
+	if w.slow.Load() {
+		time.Sleep(trickleEvery)
+	}
+	return w.to.Write(b)
+}
+
+func drainBools(ch chan bool) (out []bool) {
+	for {
+		select {
+		case b := <-ch:
+			out = append(out, b)
+		default:
+			return out
+		}
+	}
+}
+
 func listenLoopback(t *testing.T) net.Listener {
 	t.Helper()
 	ln, err := net.Listen("tcp4", "127.0.0.1:0")
--- a/internal/dissemination/subscriber.go
+++ b/internal/dissemination/subscriber.go
@@ -174,13 +174,19 @@
 			}
 		case <-t.C:
 			nowUs := u.nowUs()
-			if u.policy.LeaveSilent(s.parent, nowUs-s.lastUpdateUs.Load(), nowUs) || u.policy.Moves(u.Parents(), s.parent, nowUs) {
+			if u.policy.LeaveSilent(s.parent, u.silentUs(s), nowUs) || u.policy.Moves(u.Parents(), s.parent, nowUs) {
 				return true
 			}
 		}
 	}
 }
 
+// silentUs is for how long the parent has been silent. One whose update is on its way
+// over a slow link is not.
+func (u *Subscriber) silentUs(s *subscription) int64 {
+	return min(u.nowUs()-s.lastUpdateUs.Load(), s.conn.SilentFor().Microseconds())
+}
+
 // receive handles a push of the parent.
 func (u *Subscriber) receive(s *subscription, kind int, body []byte) {
 	switch kind {
--- a/internal/transport/conn.go
+++ b/internal/transport/conn.go
@@ -2,7 +2,9 @@
 
 import (
 	"context"
+	"io"
 	"net"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -22,10 +24,10 @@
 )
 
 const (
-	// A write has writeTimeout plus writeTimePerByte for each byte. A write
-	// past that ends the connection.
-	writeTimeout     = time.Second
-	writeTimePerByte = 4 * time.Microsecond
+	// writeTimeout bounds the writing of writeBytes: a connection on which nothing gets
+	// through for that long ends, and a slow one does not.
+	writeTimeout = time.Second
+	writeBytes   = 16 << 10
 
 	readBufferBytes = 2048
 	frameHeadBytes  = 32 // room for all of a frame but its body
@@ -43,6 +45,7 @@
 	closed    atomic.Bool
 	// readsCompressed is set once the peer has said that it reads compressed frames.
 	readsCompressed atomic.Bool
+	lastReadNs      atomic.Int64 // when bytes last arrived, after processStart; 0 for never
 	done            chan struct{}
 
 	// OnPush handles the one-way frames of this connection instead of the
@@ -92,11 +95,13 @@
 	if c.broken {
 		return ErrClosed
 	}
-	_ = c.conn.SetWriteDeadline(time.Now().Add(writeTimeout + time.Duration(len(b))*writeTimePerByte))
-	if _, err := c.conn.Write(b); err != nil {
-		c.broken = true
-		go c.Close()
-		return errors.Wrap(ErrClosed, err.Error())
+	for part := range slices.Chunk(b, writeBytes) {
+		_ = c.conn.SetWriteDeadline(time.Now().Add(writeTimeout))
+		if _, err := c.conn.Write(part); err != nil {
+			c.broken = true
+			go c.Close()
+			return errors.Wrap(ErrClosed, err.Error())
+		}
 	}
 	return nil
 }
@@ -137,7 +142,7 @@
 // requests get ctx.
 func (c *Conn) Serve(ctx context.Context) {
 	defer c.Close()
-	in := newFrameReader(msgp.NewReaderSize(c.conn, readBufferBytes))
+	in := newFrameReader(msgp.NewReaderSize(&arrivals{c.conn, &c.lastReadNs}, readBufferBytes))
 	for {
 		f, err := in.next()
 		if err == nil && f.Kind == KindCompressed {
@@ -149,6 +154,30 @@
 	}
 }
 
+// arrivals notes when bytes arrive.
+type arrivals struct {
+	from   io.Reader
+	lastNs *atomic.Int64
+}
+
+// Read reads from the connection.
+func (a *arrivals) Read(b []byte) (int, error) {
+	n, err := a.from.Read(b)
+	if n > 0 {
+		a.lastNs.Store(int64(time.Since(processStart)))
+	}
+	return n, err
+}
+
+// processStart is the zero of a monotonic clock.
+var processStart = time.Now()
+
+// SilentFor returns for how long nothing has arrived from the peer, be it a part of a
+// frame.
+func (c *Conn) SilentFor() time.Duration {
+	return time.Since(processStart) - time.Duration(c.lastReadNs.Load())
+}
+
 // handle handles one frame. It returns false where the peer breaks the protocol
 // and the connection has to end.
 func (c *Conn) handle(ctx context.Context, f messages.Frame) bool {
--- a/internal/transport/conn_test.go
+++ b/internal/transport/conn_test.go
@@ -206,3 +206,18 @@
 	}
 	must.Eq(t, "kind 99", kindName(99))
 }
+
+// A peer that reads slowly but goes on reading keeps the connection.
+func TestSlowPeerKeepsTheConnection(t *testing.T) {
+	peer := newFakePeer(t, testTransport(t))
+	const parts = 4
+	sent := make(chan error, 1)
+	go func() { sent <- peer.near.SendRaw(make([]byte, parts*writeBytes)) }()
+	b := make([]byte, writeBytes)
+	for range parts {
+		time.Sleep(writeTimeout / 2)
+		_, err := io.ReadFull(peer.conn, b)
+		must.NoError(t, err)
+	}
+	must.NoError(t, <-sent)
+}
