Dissemination: a relay has 8 children in place of 16

Cause: what a relay sends for one large change is a copy for each child, and all copies share its link.

Change: fanOut is 8; in a zone of 72 routers with one controller the tree stays two steps deep.

--- a/internal/dissemination/tree.go
+++ b/internal/dissemination/tree.go
@@ -50,4 +50,7 @@
 	return list
 }
 
-const fanOut = 16
+// fanOut is how many routers a node sends its updates to. All that it sends for one large
+// change, compressed, is to be no more than one copy of the change uncompressed; and in a
+// zone of 72 routers with one controller none is further than two steps from it.
+const fanOut = 8
