--- a/internal/dissemination/subscriber.go
+++ b/internal/dissemination/subscriber.go
@@ -185,12 +185,18 @@
 // leaves reports whether the parent is left that is followed now, and why.
 func (u *Subscriber) leaves(s *subscription) (reason EndReason, leaves bool) {
 	nowUs := u.nowUs()
-	if u.policy.LeaveSilent(s.parent, nowUs-s.lastUpdateUs.Load(), nowUs) {
+	if u.policy.LeaveSilent(s.parent, u.silentUs(s), nowUs) {
 		return EndSilent, true
 	}
 	return EndMoved, u.policy.Moves(u.Parents(), s.parent, nowUs)
 }
 
+// silentUs is for how long the parent has been silent. One whose update is on its way
+// over a slow link is not.
+func (u *Subscriber) silentUs(s *subscription) int64 {
+	return min(u.nowUs()-s.lastUpdateUs.Load(), s.conn.SilentFor().Microseconds())
+}
+
 // receive handles a push of the parent.
 func (u *Subscriber) receive(s *subscription, kind int, body []byte) {
 	switch kind {
--- a/internal/router/feed.go
+++ b/internal/router/feed.go
@@ -82,7 +82,7 @@
 	return f
 }
 
-// versions are those of the parts that are held.
+// versions is heldVersions for a caller that has the mutex.
 func (c *Router) versions() []int64 {
 	out := []int64{c.configuration.Version()}
 	for p, n := range c.parts {
@@ -98,14 +98,16 @@
 func (c *Router) behind(versions []int64) bool {
 	c.nmu.Lock()
 	defer c.nmu.Unlock()
-	mine := c.versions()
-	c.lag.heardOf(mine, versions, c.clock())
-	for p, v := range versions {
-		if v > 0 && (p >= len(mine) || mine[p] < v) {
-			return true
-		}
-	}
-	return false
+	held := c.versions()
+	c.lag.heardOf(held, versions, c.clock())
+	return dissemination.Behind(held, versions)
+}
+
+// heldVersions are those of the parts that are held.
+func (c *Router) heldVersions() []int64 {
+	c.nmu.Lock()
+	defer c.nmu.Unlock()
+	return c.versions()
 }
 
 // takeFeed takes what the parent sent and passes it on.
--- a/internal/router/invariants.go
+++ b/internal/router/invariants.go
@@ -25,8 +25,7 @@
 // denies tells whether a status denies a request by the configuration.
 func denies(status int) bool { return status == 401 || status == 403 || status == 404 }
 
-// checkDenial checks that a denial rests on a confirmed configuration. A router that
-// knows of no controller has nobody to ask.
+// checkDenial checks that a denial rests on a confirmed configuration.
 func (v *visit) checkDenial(status int) {
 	c := v.c
 	if !denies(status) {
@@ -35,7 +34,7 @@
 	confirmedUs := c.majorityUs.Load()
 	age := time.Duration(c.clock()-confirmedUs) * time.Microsecond
 	recent := confirmedUs != 0 && age <= recheckUs*time.Microsecond+c.recheckWait()
-	if !recent && len(c.wholeCore()) > 0 {
+	if !recent {
 		denialConfirmed.Violated("request", v.id, "status", status, "confirmedUs", confirmedUs, "age", age)
 	}
 }
