soak, load: closed connections, Retry-After, named weights, closer excuses

A fault of any runner excused every cut, so that a router that was made to end 2.7 s after SIGTERM went unnoticed. Change: clients look for a close before they reuse a connection and wait as Retry-After says; RECOVER compares with the service before the faults; a runner's fault excuses only requests that ran there or may have. The schedule names weights as well (rules ONE and VERSION), and stand-ins hand over the orders they get.

--- a/internal/load/client.go
+++ b/internal/load/client.go
@@ -10,6 +10,7 @@
 	"math/rand/v2"
 	"net"
 	"net/http"
+	"strconv"
 	"strings"
 	"time"
 
@@ -23,6 +24,8 @@
 	promptPart     = 64 // tokens of the part of a prompt that sessions share
 	promptOwn      = 16 // tokens of the request's own part
 	sharedSessions = 4
+	closeCheckTime = time.Millisecond
+	retryShare     = 3 // clients wait for a third of their time at most
 )
 
 type client struct {
@@ -47,6 +50,7 @@
 		if record.Outcome == Unconnected {
 			loop.Pause(ctx, failurePause)
 		}
+		loop.Pause(ctx, min(record.RetryAfter, kind.TimeLeft/retryShare))
 		loop.Pause(ctx, time.Duration(c.random.ExpFloat64()*float64(c.config.Think)))
 	}
 	c.disconnect()
@@ -82,10 +86,12 @@
 	return record
 }
 
+// connect takes the kept connection, unless the router has closed it, or a new one.
 func (c *client) connect(ctx context.Context) bool {
-	if c.conn != nil {
+	if c.conn != nil && c.isStillOpen() {
 		return true
 	}
+	c.disconnect()
 	c.router = c.platform.pick(c.random)
 	dialer := net.Dialer{Timeout: dialTimeout}
 	conn, err := dialer.DialContext(ctx, "tcp4", c.router.Front)
@@ -96,6 +102,14 @@
 	return true
 }
 
+// isStillOpen reports whether the kept connection can carry a request. Bytes that nobody
+// asked for stay buffered: the next request takes them for its response, and notices.
+func (c *client) isStillOpen() bool {
+	_ = c.conn.SetReadDeadline(time.Now().Add(closeCheckTime))
+	_, err := c.reader.Peek(1)
+	return err == nil || outcomeOf(err) == Silent
+}
+
 // head is the head of a request as it goes over the wire.
 func (c *client) head(kind Kind, attempt, body string) string {
 	var b strings.Builder
@@ -127,6 +141,9 @@
 	defer response.Body.Close()
 	record.Status = response.StatusCode
 	record.Seal = response.Header.Get("Beechtide-Server-Seal")
+	if seconds, err := strconv.ParseFloat(response.Header.Get("Retry-After"), 64); err == nil {
+		record.RetryAfter = time.Duration(seconds * float64(time.Second))
+	}
 	if err := c.readBody(record, response); err != nil {
 		record.Outcome = outcomeOf(err)
 		return
--- a/internal/load/load_test.go
+++ b/internal/load/load_test.go
@@ -59,6 +59,30 @@
 	must.Positive(t, reused)
 }
 
+func TestConnectionThatWasClosedIsNotUsedAgain(t *testing.T) {
+	listener, err := net.Listen("tcp4", "127.0.0.1:0")
+	must.NoError(t, err)
+	defer listener.Close()
+	conn, err := net.Dial("tcp4", listener.Addr().String())
+	must.NoError(t, err)
+	defer conn.Close()
+	router, err := listener.Accept()
+	must.NoError(t, err)
+	c := &client{conn: conn, reader: bufio.NewReader(conn)}
+	must.True(t, c.isStillOpen())
+	router.Close()
+	for c.isStillOpen() { // until the close has arrived
+		must.NoError(t, t.Context().Err())
+	}
+}
+
+func TestClientsWaitAsToldAfterARefusal(t *testing.T) {
+	address := scripted(t, "HTTP/1.1 429 Busy\r\nRetry-After: 0.05\r\nContent-Length: 0\r\n\r\n")
+	records := sendTo(t, address, []Kind{{Path: "/p/", TimeLeft: time.Minute}}, 2)
+	must.Eq(t, 50*time.Millisecond, records[0].RetryAfter)
+	must.GreaterEq(t, 50*time.Millisecond, records[1].Sent.Sub(records[0].Ended))
+}
+
 // scripted answers every request with a text, in which ID stands for the attempt id, and
 // closes the connection.
 func scripted(t *testing.T, text string) (address string) {
--- a/internal/load/record.go
+++ b/internal/load/record.go
@@ -37,7 +37,10 @@
 	Checksum uint32 // of the body that was sent
 	Events   int    // whole events received
 	Started  bool   // some bytes of a response came
-	Fault    string // what is wrong with the response by itself; empty: nothing
+	// RetryAfter is when a refused request may be sent again, as the response says; 0 where
+	// it says nothing.
+	RetryAfter time.Duration
+	Fault      string // what is wrong with the response by itself; empty: nothing
 }
 
 func (r Record) String() string {
--- a/internal/soak/cluster.go
+++ b/internal/soak/cluster.go
@@ -12,6 +12,7 @@
 	"path/filepath"
 	"slices"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/pkg/errors"
@@ -55,7 +56,8 @@
 	controllers []*process
 	fronts      []*proxy // before the routers
 	controls    []*proxy // before the controllers
-	onRun       func(standin.Run)
+	recorder    *recorder
+	weights     atomic.Int64 // the newest version named; new runners have it
 
 	mu      sync.Mutex
 	runners []*placedRunner
@@ -68,12 +70,13 @@
 }
 
 // newCluster prepares the parties; start starts them.
-func newCluster(program, dir string, shape Shape, onRun func(standin.Run), onExit func(*process, error)) (*cluster, error) {
+func newCluster(program, dir string, shape Shape, r *recorder, onExit func(*process, error)) (*cluster, error) {
 	subnet, port, err := freeAddresses(max(shape.Routers, shape.Controllers))
 	if err != nil {
 		return nil, err
 	}
-	c := &cluster{dir: dir, onRun: onRun}
+	c := &cluster{dir: dir, recorder: r}
+	c.weights.Store(1)
 	var seeds []string
 	for i := range min(shape.Controllers, 3) {
 		seeds = append(seeds, fmt.Sprintf("%s.%d:%d", subnet, i+1, port+controlPort))
@@ -223,7 +226,8 @@
 	runner := standin.New(standin.Config{
 		Service: serviceName, Zone: zoneName, Controllers: controls, Translate: c.controlProxy,
 		Model: modelName, HeartbeatEvery: heartbeatMs * time.Millisecond, DrainTime: drainMs * time.Millisecond,
-		Capacity: runnerCapacity, ProbePath: probePath, OnRun: c.onRun,
+		Capacity: runnerCapacity, ProbePath: probePath, WeightsVersion: c.weights.Load(),
+		OnRun: c.recorder.onRun, OnOrder: c.recorder.onOrder,
 	})
 	address, err := runner.Listen()
 	if err != nil {
@@ -243,6 +247,17 @@
 	return c.runners[place]
 }
 
+// loadedWeights lists the versions that the runners have.
+func (c *cluster) loadedWeights() []LoadedWeights {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	var loaded []LoadedWeights
+	for _, placed := range c.runners {
+		loaded = append(loaded, LoadedWeights{Runner: placed.runner.ID(), Version: placed.runner.WeightsVersion()})
+	}
+	return loaded
+}
+
 // replaceRunner starts a new incarnation at a place.
 func (c *cluster) replaceRunner(place int) error {
 	c.runnerAt(place).proxy.close()
--- a/internal/soak/evidence.go
+++ b/internal/soak/evidence.go
@@ -36,9 +36,13 @@
 	Changes      []Change
 	Reads        []Read
 	Probes       []Probe
+	Namings      []Naming
+	Orders       []standin.Order
+	Weights      []LoadedWeights // at the end
 	Convergences []Convergence
 	OwnEnds      []string // processes that ended by themselves
 	LogFindings  []LogFinding
+	Faulty       time.Time // from when on faults were played
 	Calm         time.Time // from when on all parties were well
 	Unserved     []string  // parties that don't serve at the end
 }
@@ -62,3 +66,7 @@
 func (r *recorder) onRun(run standin.Run) {
 	r.update(func(e *Evidence) { e.Runs = append(e.Runs, run) })
 }
+
+func (r *recorder) onOrder(order standin.Order) {
+	r.update(func(e *Evidence) { e.Orders = append(e.Orders, order) })
+}
--- /dev/null
+++ b/internal/soak/evidence_weights.go
@@ -0,0 +1,19 @@
+// What was seen of named weights.
+
+package soak
+
+import "time"
+
+// Naming is a version of the weights that the operator named.
+type Naming struct {
+	Version      int64
+	Sent         time.Time
+	Ended        time.Time
+	Acknowledged bool
+}
+
+// LoadedWeights is the version that a runner has at the end.
+type LoadedWeights struct {
+	Runner  string
+	Version int64
+}
--- a/internal/soak/judge_test.go
+++ b/internal/soak/judge_test.go
@@ -41,6 +41,12 @@
 	e.Records[0].Outcome, e.Records[0].Status = load.Closed, 0
 }
 
+func manyRefused(e *Evidence) {
+	for range enoughRequests {
+		e.Records = append(e.Records, load.Record{Sent: at(21000), Status: 429})
+	}
+}
+
 func span(kind FaultKind, node string, from, to int) Span {
 	return Span{Fault: Fault{Kind: kind}, Node: node, From: at(from), To: at(to), Back: true}
 }
@@ -75,6 +81,13 @@
 		}, []Rule{RuleDrain}},
 		{"process ended", func(e *Evidence) { e.OwnEnds = []string{"router-0"} }, []Rule{RuleProcess}},
 		{"panic in a log", func(e *Evidence) { e.LogFindings = []LogFinding{{"router-0", "panic: x"}} }, []Rule{RuleInvariants}},
+		{"hardly any service after the faults", manyRefused, []Rule{RuleRecover}},
+		{"hardly any service before and after", func(e *Evidence) {
+			e.Faulty = at(10000)
+			early := load.Record{Sent: at(9000), Status: 429}
+			e.Records = append(e.Records, early, early, early, early)
+			manyRefused(e)
+		}, nil},
 		{"not back", func(e *Evidence) {
 			down := span(KillRouter, "router-0", 1000, 2000)
 			down.Back = false
@@ -104,6 +117,16 @@
 			unanswered(e)
 			e.Spans = []Span{span(KillController, "controller-0", 10020, 11000)}
 		}, []Rule{RuleLost}},
+		{"unanswered, its runner crashed", func(e *Evidence) {
+			unanswered(e)
+			e.Spans = []Span{span(CrashRunner, "", 10020, 11000)}
+			e.Spans[0].Runner = "r1"
+		}, nil},
+		{"unanswered, other runner crashed", func(e *Evidence) {
+			unanswered(e)
+			e.Spans = []Span{span(CrashRunner, "", 10020, 11000)}
+			e.Spans[0].Runner = "r2"
+		}, []Rule{RuleLost}},
 		{"unanswered, long after a runner's crash", func(e *Evidence) { unanswered(e); e.Spans = []Span{span(CrashRunner, "", 100, 200)} }, []Rule{RuleLost}},
 		{"cut by a leaving router", func(e *Evidence) {
 			unanswered(e)
@@ -165,6 +188,33 @@
 	}
 }
 
+func TestJudgeOfWeights(t *testing.T) {
+	order := func(runner, holder string, fence int64) standin.Order {
+		return standin.Order{Runner: runner, Holder: holder, Fence: fence, Arrived: at(500)}
+	}
+	for _, c := range []struct {
+		name   string
+		change func(e *Evidence)
+		want   []Rule
+	}{
+		{"holders under fences of their own", func(e *Evidence) {
+			e.Orders = []standin.Order{order("r1", "a", 1), order("r1", "a", 1), order("r1", "b", 2)}
+		}, nil},
+		{"two holders under one fence", func(e *Evidence) {
+			e.Orders = []standin.Order{order("r1", "a", 1), order("r1", "b", 1)}
+		}, []Rule{RuleOne}},
+		{"loaded", func(e *Evidence) {
+			e.Namings, e.Weights = []Naming{{Version: 2, Acknowledged: true}}, []LoadedWeights{{"r1", 2}}
+		}, nil},
+		{"not loaded", func(e *Evidence) {
+			e.Namings, e.Weights = []Naming{{Version: 2, Acknowledged: true}}, []LoadedWeights{{"r1", 1}}
+		}, []Rule{RuleVersion}},
+		{"not acknowledged", func(e *Evidence) { e.Namings = []Naming{{Version: 2}} }, []Rule{RuleVersion}},
+	} {
+		t.Run(c.name, func(t *testing.T) { judged(t, c.change, c.want) })
+	}
+}
+
 // judged changes what was seen and compares the rules that are broken then.
 func judged(t *testing.T, change func(e *Evidence), want []Rule) {
 	t.Helper()
--- a/internal/soak/operator.go
+++ b/internal/soak/operator.go
@@ -5,6 +5,7 @@
 import (
 	"bytes"
 	"context"
+	"encoding/json"
 	"io"
 	"math/rand/v2"
 	"net/http"
@@ -13,6 +14,7 @@
 	"sync/atomic"
 	"time"
 
+	"beechtide.org/beechtide/internal/api"
 	"beechtide.org/beechtide/internal/loop"
 )
 
@@ -21,6 +23,7 @@
 	changePatience  = 20 * time.Second // for a clear answer, by repeated calls
 	changePause     = 200 * time.Millisecond
 	readTimeout     = 5 * time.Second
+	namingPatience  = 60 * time.Second // longer than all faults of a short soak last
 	maxVersionSteps = 3
 )
 
@@ -54,6 +57,9 @@
 // change makes one planned change and reads back what is in force.
 func (o *operator) change(ctx context.Context, kind ChangeKind) {
 	switch kind {
+	case NameWeights:
+		o.nameWeights(ctx)
+		return
 	case LargeChange:
 		o.submit(ctx, o.nextVersion(), largeRoutes, "")
 	case RacingChange:
@@ -112,34 +118,59 @@
 	return change.Outcome
 }
 
+// call sends one call of a change and tells what its answer says.
 func (o *operator) call(ctx context.Context, raw []byte, base int64) ChangeOutcome {
+	status := o.post(ctx, "/api/Config.Replace", raw, base)
+	switch {
+	case status/100 == 2:
+		return ChangeAcknowledged
+	case status == http.StatusPreconditionFailed:
+		return ChangeConflict
+	case status/100 == 4 && status != http.StatusRequestTimeout && status != http.StatusTooManyRequests:
+		return ChangeRefused
+	default:
+		return ChangeUnknown
+	}
+}
+
+// post sends a call to any controller and gives the status; 0 where there is no complete
+// answer.
+func (o *operator) post(ctx context.Context, path string, raw []byte, base int64) (status int) {
 	ctx, cancel := context.WithTimeout(ctx, changeTimeout)
 	defer cancel()
 	address := o.cluster.controls[rand.IntN(len(o.cluster.controls))].address()
-	request, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+address+"/api/Config.Replace", bytes.NewReader(raw))
+	request, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+address+path, bytes.NewReader(raw))
 	if err != nil {
-		return ChangeUnknown
+		return 0
 	}
 	request.Header.Set("Content-Type", "application/json")
 	request.Header.Set("Beechtide-Base-Version", strconv.FormatInt(base, 10))
 	response, err := o.client.Do(request)
 	if err != nil {
-		return ChangeUnknown
+		return 0
 	}
 	defer response.Body.Close()
 	if _, err := io.Copy(io.Discard, response.Body); err != nil {
-		return ChangeUnknown
+		return 0
 	}
-	switch {
-	case response.StatusCode/100 == 2:
-		return ChangeAcknowledged
-	case response.StatusCode == http.StatusPreconditionFailed:
-		return ChangeConflict
-	case response.StatusCode/100 == 4 && response.StatusCode != http.StatusRequestTimeout && response.StatusCode != http.StatusTooManyRequests:
-		return ChangeRefused
-	default:
-		return ChangeUnknown
+	return response.StatusCode
+}
+
+// nameWeights names the next version of the model's weights until that is acknowledged.
+func (o *operator) nameWeights(ctx context.Context) {
+	naming := Naming{Version: o.cluster.weights.Add(1), Sent: time.Now()}
+	raw, err := json.Marshal(api.WeightsVersion{Model: modelName, Version: naming.Version})
+	if err != nil {
+		return
+	}
+	for ctx.Err() == nil && !naming.Acknowledged && time.Since(naming.Sent) < namingPatience {
+		naming.Acknowledged = o.post(ctx, "/api/version-put", raw, 0)/100 == 2
+		if !naming.Acknowledged {
+			loop.Pause(ctx, changePause)
+		}
 	}
+	naming.Ended = time.Now()
+	o.recorder.update(func(e *Evidence) { e.Namings = append(e.Namings, naming) })
 }
 
 // readCurrent reads the version to build on from any controller that can tell.
--- a/internal/soak/plan.go
+++ b/internal/soak/plan.go
@@ -113,7 +113,7 @@
 }
 
 func (p *planner) changes() []PlannedChange {
-	kinds := []ChangeKind{SmallChange, SmallChange, LargeChange, RacingChange, RepeatChange}
+	kinds := []ChangeKind{SmallChange, SmallChange, LargeChange, RacingChange, RepeatChange, NameWeights}
 	var changes []PlannedChange
 	for at := p.between(0, minChangeGap); at < p.shape.Duration; at += p.between(minChangeGap, maxChangeGap) {
 		changes = append(changes, PlannedChange{Kind: kinds[p.random.IntN(len(kinds))], At: at})
--- a/internal/soak/report.go
+++ b/internal/soak/report.go
@@ -20,8 +20,8 @@
 
 // Summary is one line on a soak.
 func (r Result) Summary() string {
-	served, sent := Served(r.Evidence.Records, time.Time{})
-	calmServed, calmSent := Served(r.Evidence.Records, r.Evidence.Calm)
+	served, sent := Served(r.Evidence.Records, time.Time{}, endOfTime)
+	calmServed, calmSent := Served(r.Evidence.Records, r.Evidence.Calm, endOfTime)
 	acknowledged := 0
 	for _, c := range r.Evidence.Changes {
 		if c.Outcome == ChangeAcknowledged {
--- a/internal/soak/schedule.go
+++ b/internal/soak/schedule.go
@@ -85,6 +85,7 @@
 	LargeChange  ChangeKind = "large change"
 	RacingChange ChangeKind = "two changes on one base"
 	RepeatChange ChangeKind = "change sent twice"
+	NameWeights  ChangeKind = "name weights"
 )
 
 // PlannedChange is a configuration change of the schedule.
--- a/internal/soak/soak.go
+++ b/internal/soak/soak.go
@@ -47,10 +47,14 @@
 
 const (
 	startTimeout = 60 * time.Second // until the first configuration is acknowledged
+	warmUpTime   = 2 * time.Second  // of load before the faults
 	calmTime     = 4 * time.Second  // of load after the faults
 	finalTimeout = 20 * time.Second // for the final reads
-	clientThink  = 100 * time.Millisecond
-	patience     = 4 * time.Second // of clients, beyond the time that is left
+	// weightsTimeout is for the runners to have the named weights in calm; far above the
+	// bound.
+	weightsTimeout = 40 * time.Second
+	clientThink    = 100 * time.Millisecond
+	patience       = 4 * time.Second // of clients, beyond the time that is left
 )
 
 // Run runs one soak. An error says that it couldn't be run; what it found is in the
@@ -61,7 +65,7 @@
 		return Result{}, errors.Wrap(err, "soak: folder")
 	}
 	var err error
-	s.cluster, err = newCluster(options.Program, options.Dir, options.Shape, s.recorder.onRun, s.onExit)
+	s.cluster, err = newCluster(options.Program, options.Dir, options.Shape, s.recorder, s.onExit)
 	if err != nil {
 		return Result{}, err
 	}
@@ -128,7 +132,9 @@
 	for router := range s.cluster.routers {
 		background.Go(func() { s.prober.watch(loaded, router) })
 	}
+	loop.Pause(ctx, warmUpTime)
 	begin := time.Now()
+	s.recorder.update(func(e *Evidence) { e.Faulty = begin })
 	var played sync.WaitGroup
 	played.Go(func() { newInjector(s.cluster, s.recorder).play(ctx, s.plan.Faults, begin) })
 	played.Go(func() { s.operator.play(ctx, s.plan.Changes, begin) })
@@ -173,6 +179,20 @@
 		s.prober.converge(ctx, version, before)
 	}
 	loop.Pause(ctx, calmTime)
+	s.awaitWeights(ctx)
+}
+
+// awaitWeights waits until every runner has the weights named last, and notes what they
+// have.
+func (s *soak) awaitWeights(ctx context.Context) {
+	named := s.cluster.weights.Load()
+	hasOther := func(w LoadedWeights) bool { return w.Version != named }
+	loaded := s.cluster.loadedWeights()
+	for deadline := time.Now().Add(weightsTimeout); slices.ContainsFunc(loaded, hasOther) && time.Now().Before(deadline) && ctx.Err() == nil; {
+		loop.Pause(ctx, pollEvery)
+		loaded = s.cluster.loadedWeights()
+	}
+	s.recorder.update(func(e *Evidence) { e.Weights = loaded })
 }
 
 // readFinally reads the configuration back from every controller.
--- a/internal/standin/standin.go
+++ b/internal/standin/standin.go
@@ -50,6 +50,7 @@
 	OrderTime      time.Duration // to load other weights
 	DrainTime      time.Duration // served on after draining is acknowledged
 	OnRun          func(Run)
+	OnOrder        func(Order)
 }
 
 // Run is one request that a runner began to run. It is handed over when it begins and
@@ -136,6 +137,9 @@
 	if c.OnRun == nil {
 		c.OnRun = func(Run) {}
 	}
+	if c.OnOrder == nil {
+		c.OnOrder = func(Order) {}
+	}
 	if c.Translate == nil {
 		c.Translate = func(address string) string { return address }
 	}
@@ -151,6 +155,9 @@
 // ID is the id of this incarnation.
 func (r *Runner) ID() string { return r.id }
 
+// WeightsVersion is the version of the weights in force.
+func (r *Runner) WeightsVersion() int64 { return r.weights.inForce() }
+
 // Listen opens the address for requests without accepting any, so that a proxy can be
 // put before it prior to Start.
 func (r *Runner) Listen() (address string, err error) {
--- a/internal/standin/weights.go
+++ b/internal/standin/weights.go
@@ -11,6 +11,17 @@
 	"beechtide.org/beechtide/internal/api"
 )
 
+// Order is an order that a runner was sent, and the status of its answer.
+type Order struct {
+	Runner  string
+	Holder  string
+	Fence   int64
+	Model   string
+	Version int64
+	Status  int
+	Arrived time.Time
+}
+
 // weights is the model that a runner has loaded and the orders that it took.
 type weights struct {
 	loadTime time.Duration
@@ -82,11 +93,16 @@
 		return
 	}
 	var order api.Order
+	arrived := time.Now()
 	if json.NewDecoder(request.Body).Decode(&order) != nil {
 		w.WriteHeader(http.StatusBadRequest)
 		return
 	}
 	status := r.weights.take(order)
+	r.config.OnOrder(Order{
+		Runner: r.id, Holder: order.Holder, Fence: order.Fence,
+		Model: order.Model, Version: order.Version, Status: status, Arrived: arrived,
+	})
 	w.WriteHeader(status)
 	if status == http.StatusAccepted {
 		r.cache.dropAll()
