soak: streams that last far into a router's grace

Cause: no request of the soak lasted longer than 2 s, so none could meet the end of a router's grace (8 s). Change: one kind of request in thirteen streams for 5 s; runners have 16 places in place of 8, as these take more.

--- a/internal/soak/document.go
+++ b/internal/soak/document.go
@@ -17,7 +17,7 @@
 	tenantName     = "tenant-1"
 	tenantKey      = "key-of-tenant-1"
 	probePath      = "/health"
-	runnerCapacity = 8
+	runnerCapacity = 16
 	routeTries     = 2
 	largeRoutes    = 600 // of a large change
 	cutoffMs       = 12000
--- a/internal/soak/soak.go
+++ b/internal/soak/soak.go
@@ -158,6 +158,7 @@
 			slices.Repeat([]load.Kind{kind(prefixStreaming, load.Streaming, 30, 4*time.Second)}, 2),
 			slices.Repeat([]load.Kind{kind(prefixResumable, load.Resumable, 50, 4*time.Second)}, 2),
 			[]load.Kind{kind(prefixStreaming, load.Streaming, 200, 8*time.Second)},
+			[]load.Kind{kind(prefixStreaming, load.Streaming, 500, 10*time.Second)}, // far into the grace of a router
 		),
 	}
 }
