Front: accepts on after errors, drops no request at its close, follows changed limits

Cause: found while listing every place where a clock or a policy closes a client's connection. An error of Accept (no descriptors left) ended the server and so the process with all that was in flight; a request that had been read while closeIdle closed its connection was dropped; a configuration that raises idleMs or headerMs did not hold for the open front. Change: Accept waits and goes on until the listener is closed; the reader alone closes an idle connection, and serves what it has read; limits are read at each wait, and again when one is over.

--- a/internal/router/client_watch_test.go
+++ b/internal/router/client_watch_test.go
@@ -181,7 +181,7 @@
 
 // A connection that served a long request is bounded as before.
 func TestConnectionIsReadAgainAfterAWatch(t *testing.T) {
-	ln, err := listenFront("127.0.0.1:0", patience, patience)
+	ln, err := listenFront("127.0.0.1:0", fixedLimits(time.Minute))
 	must.NoError(t, err)
 	defer ln.Listener.Close()
 	client, err := net.Dial("tcp4", ln.Addr().String())
--- a/internal/router/front.go
+++ b/internal/router/front.go
@@ -52,8 +52,14 @@
 	return time.Duration(ms) * time.Millisecond
 }
 
-// The limits on connections are those of the configuration that is in force
-// when the front opens.
+// frontLimits are the limits on clients' times that are in force.
+func (c *Router) frontLimits() frontLimits {
+	limits := c.table.Load().Limits
+	return frontLimits{idle: orMs(limits.IdleMs, 15000), rest: orMs(limits.HeaderMs, 10000)}
+}
+
+// The limits on sizes are those of the configuration that is in force when the front
+// opens.
 func (c *Router) serveFront() error {
 	lim := c.table.Load().Limits
 	body := lim.BodyBytes
@@ -64,7 +70,7 @@
 	if head <= 0 {
 		head = 64 << 10
 	}
-	ln, err := listenFront(c.set.Listen.Front, orMs(lim.IdleMs, 15000), orMs(lim.HeaderMs, 10000))
+	ln, err := listenFront(c.set.Listen.Front, c.frontLimits)
 	if err != nil {
 		return err
 	}
--- a/internal/router/listener.go
+++ b/internal/router/listener.go
@@ -1,7 +1,8 @@
 // The front's listener bounds how long a client may take to send the rest of a request
 // once it has begun, and to be idle between two. hertz's standard transport has no
 // such bounds of its own. A request that arrives too slowly gets 408, since it has not
-// been forwarded.
+// been forwarded. The bounds are those of the configuration in force, also for a
+// connection that waits already.
 
 package router
 
@@ -10,7 +11,6 @@
 	"net"
 	"os"
 	"sync"
-	"sync/atomic"
 	"syscall"
 	"time"
 
@@ -28,16 +28,31 @@
 
 const answer408 = "HTTP/1.1 408 Request Timeout\r\nContent-Length: 0\r\nConnection: close\r\n\r\n"
 
+// How long the listener waits after an error before it accepts again.
+const (
+	minAcceptBackoff = 5 * time.Millisecond
+	maxAcceptBackoff = time.Second
+)
+
+// frontLimits bound how long a client may take.
+type frontLimits struct {
+	idle time.Duration // between two requests of a connection
+	rest time.Duration // for a request that has begun
+}
+
 type timedListener struct {
 	net.Listener
-	idle time.Duration
-	rest time.Duration
+	limits func() frontLimits // those in force
 
 	mu    sync.Mutex
 	conns map[*timedConn]bool
 }
 
-func listenFront(addr string, idle, rest time.Duration) (*timedListener, error) {
+func newTimedListener(ln net.Listener, limits func() frontLimits) *timedListener {
+	return &timedListener{Listener: ln, limits: limits, conns: map[*timedConn]bool{}}
+}
+
+func listenFront(addr string, limits func() frontLimits) (*timedListener, error) {
 	lc := &net.ListenConfig{Control: func(_, _ string, rc syscall.RawConn) error {
 		return rc.Control(func(fd uintptr) {
 			_ = syscall.SetsockoptInt(int(fd), syscall.SOL_SOCKET, syscall.SO_REUSEADDR, 1)
@@ -48,50 +63,56 @@
 	if err != nil {
 		return nil, errors.Wrap(err, "router: front")
 	}
-	return &timedListener{Listener: ln, idle: idle, rest: rest, conns: map[*timedConn]bool{}}, nil
+	return newTimedListener(ln, limits), nil
 }
 
+// Accept returns an error only once the listener is closed: the server above it would
+// end the process, with all that is in flight, where for example descriptors run out.
 func (l *timedListener) Accept() (net.Conn, error) {
-	c, err := l.Listener.Accept()
-	if err != nil {
-		return nil, err
+	for backoff := minAcceptBackoff; ; backoff = min(2*backoff, maxAcceptBackoff) {
+		c, err := l.Listener.Accept()
+		if err == nil {
+			return l.track(c), nil
+		}
+		if errors.Is(err, net.ErrClosed) {
+			return nil, err
+		}
+		time.Sleep(backoff)
 	}
+}
+
+func (l *timedListener) track(c net.Conn) *timedConn {
 	tc := &timedConn{Conn: c, l: l}
 	l.mu.Lock()
+	defer l.mu.Unlock()
 	l.conns[tc] = true
-	l.mu.Unlock()
-	return tc, nil
+	return tc
 }
 
-// closeIdle closes the connections on which no request has begun; those that
-// send one at this moment see it unread. It returns how many are left.
+// closeIdle tells the connections on which no request has begun to close. It returns
+// how many connections are open, those that are about to close included.
 func (l *timedListener) closeIdle() int {
 	l.mu.Lock()
-	var idle []*timedConn
+	defer l.mu.Unlock()
 	for c := range l.conns {
-		if c.waiting.CompareAndSwap(true, false) {
-			idle = append(idle, c)
-		}
+		c.closeIfIdle()
 	}
-	left := len(l.conns) - len(idle)
-	l.mu.Unlock()
-	for _, c := range idle {
-		c.Close()
-	}
-	return left
+	return len(l.conns)
 }
 
 // timedConn is read and written by one goroutine at a time.
 type timedConn struct {
 	net.Conn
-	l       *timedListener
-	begun   time.Time   // when the request being read began; zero between requests
-	waiting atomic.Bool // it waits for a request to begin
-
+	l        *timedListener
+	begun    time.Time // when the request being read began; zero between requests
 	answerBy time.Time // when the request in hand is over; zero between requests
+
+	mu      sync.Mutex
+	idle    bool // a read waits for a request to begin
+	closing bool // the connection closes unless a request has begun
 }
 
-// Close is called by hertz and by closeIdle.
+// Close is called by hertz, and where a connection that was idle is to close.
 func (c *timedConn) Close() error {
 	c.l.mu.Lock()
 	delete(c.l.conns, c)
@@ -99,24 +120,79 @@
 	return c.Conn.Close()
 }
 
+// closeIfIdle ends the wait for a request. The reader closes the connection, so that a
+// request of which it has read a part meanwhile is served, and one that it has not
+// read is seen unread by its client.
+func (c *timedConn) closeIfIdle() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.idle && !c.closing {
+		c.closing = true
+		_ = c.SetReadDeadline(time.Unix(1, 0))
+	}
+}
+
 func (c *timedConn) Read(b []byte) (int, error) {
 	if c.begun.IsZero() {
-		_ = c.SetReadDeadline(time.Now().Add(c.l.idle))
-		c.waiting.Store(true)
-	} else {
-		_ = c.SetReadDeadline(c.begun.Add(c.l.rest))
+		return c.readFirst(b)
 	}
-	n, err := c.Conn.Read(b)
-	if c.begun.IsZero() && !c.waiting.CompareAndSwap(true, false) {
-		return 0, net.ErrClosed
+	return c.readRest(b)
+}
+
+// readFirst reads the first bytes of a request.
+func (c *timedConn) readFirst(b []byte) (int, error) {
+	for since := time.Now(); ; {
+		if !c.enterIdle(since) {
+			c.Close()
+			return 0, net.ErrClosed
+		}
+		n, err := c.Conn.Read(b)
+		stays := c.leaveIdle(since)
+		if n > 0 {
+			c.begun, c.answerBy = time.Now(), time.Time{}
+			return n, err
+		}
+		if !stays || !errors.Is(err, os.ErrDeadlineExceeded) {
+			return n, err
+		}
 	}
-	if n > 0 && c.begun.IsZero() {
-		c.begun, c.answerBy = time.Now(), time.Time{}
+}
+
+// enterIdle begins a wait for a request on a connection that is idle since then. It
+// returns false where the connection is to close.
+func (c *timedConn) enterIdle(since time.Time) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.closing {
+		return false
 	}
-	if err != nil && !c.begun.IsZero() && errors.Is(err, os.ErrDeadlineExceeded) {
-		_, _ = c.Conn.Write([]byte(answer408))
+	_ = c.SetReadDeadline(since.Add(c.l.limits().idle))
+	c.idle = true
+	return true
+}
+
+// leaveIdle ends a wait for a request. It reports whether there is a reason to look
+// again: the limit that is in force now is not over, or the connection is to close.
+func (c *timedConn) leaveIdle(since time.Time) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.idle = false
+	return c.closing || time.Since(since) < c.l.limits().idle
+}
+
+// readRest reads on in a request that has begun.
+func (c *timedConn) readRest(b []byte) (int, error) {
+	for {
+		_ = c.SetReadDeadline(c.begun.Add(c.l.limits().rest))
+		n, err := c.Conn.Read(b)
+		if !errors.Is(err, os.ErrDeadlineExceeded) {
+			return n, err
+		}
+		if time.Since(c.begun) >= c.l.limits().rest {
+			_, _ = c.Conn.Write([]byte(answer408))
+			return n, err
+		}
 	}
-	return n, err
 }
 
 func (c *timedConn) Write(b []byte) (int, error) {
--- a/internal/router/router_test.go
+++ b/internal/router/router_test.go
@@ -423,7 +423,7 @@
 }
 
 func TestLeavingClosesOnlyConnectionsWithoutARequest(t *testing.T) {
-	ln, err := listenFront("127.0.0.1:0", time.Minute, time.Minute)
+	ln, err := listenFront("127.0.0.1:0", fixedLimits(time.Minute))
 	must.NoError(t, err)
 	defer ln.Listener.Close()
 	dial := func() (net.Conn, net.Conn) {
