--- a/internal/router/front.go
+++ b/internal/router/front.go
@@ -14,6 +14,7 @@
 
 	"github.com/cloudwego/hertz/pkg/app"
 	"github.com/cloudwego/hertz/pkg/app/server"
+	"github.com/pkg/errors"
 
 	"beechtide.org/beechtide/internal/admission"
 	"beechtide.org/beechtide/internal/api"
@@ -25,7 +26,11 @@
 )
 
 func (c *Router) serveReady() error {
-	h := controller.Server(c.set.Listen.Ready)
+	ln, err := (&net.ListenConfig{}).Listen(context.Background(), "tcp4", c.set.Listen.Ready)
+	if err != nil {
+		return errors.Wrap(err, "router: ready address")
+	}
+	h := controller.Server(c.set.Listen.Ready, server.WithListener(steadyListener{ln}))
 	h.GET("/api/ready", func(_ context.Context, rc *app.RequestContext) {
 		if c.ready() {
 			rc.SetStatusCode(200)
--- a/internal/router/leave_test.go
+++ b/internal/router/leave_test.go
@@ -62,6 +62,23 @@
 	}
 }
 
+// A request that waits in the queue when the grace period is over has not run.
+func TestEndOfGraceRejectsWhatIsQueued(t *testing.T) {
+	r, reached, _ := working(t, streamHead+chunk("id: 1\ndata: a\n\n"))
+	c, front, cancel := start(t, r)
+	conns := fillUntilQueued(t, c, front, reached)
+	seen := r.count()
+	cancel()
+	queued := conns[len(conns)-1]
+	must.NoError(t, queued.SetReadDeadline(time.Now().Add(patience)))
+	answer, err := http.ReadResponse(bufio.NewReader(queued), nil)
+	must.NoError(t, err)
+	must.Eq(t, http.StatusServiceUnavailable, answer.StatusCode)
+	must.NotEq(t, "", answer.Header.Get(hRetryAfter))
+	must.True(t, answer.Close)
+	must.Eq(t, seen, r.count(), must.Sprint("it was not sent"))
+}
+
 // What a draining router takes in, it serves to the end; only then it ends itself.
 func TestDrainingRouterServesToItsEndWhatItForwards(t *testing.T) {
 	finish := make(chan struct{})
--- a/internal/router/listener.go
+++ b/internal/router/listener.go
@@ -49,7 +49,7 @@
 }
 
 func newTimedListener(ln net.Listener, limits func() frontLimits) *timedListener {
-	return &timedListener{Listener: ln, limits: limits, conns: map[*timedConn]bool{}}
+	return &timedListener{Listener: steadyListener{ln}, limits: limits, conns: map[*timedConn]bool{}}
 }
 
 func listenFront(addr string, limits func() frontLimits) (*timedListener, error) {
@@ -66,21 +66,30 @@
 	return newTimedListener(ln, limits), nil
 }
 
-// Accept returns an error only once the listener is closed: the server above it would
+// steadyListener returns an error only once it is closed: the server above it would
 // end the process, with all that is in flight, where for example descriptors run out.
-func (l *timedListener) Accept() (net.Conn, error) {
+type steadyListener struct{ net.Listener }
+
+// Accept waits a growing time after each error that is no end.
+func (l steadyListener) Accept() (net.Conn, error) {
 	for backoff := minAcceptBackoff; ; backoff = min(2*backoff, maxAcceptBackoff) {
 		c, err := l.Listener.Accept()
-		if err == nil {
-			return l.track(c), nil
-		}
-		if errors.Is(err, net.ErrClosed) {
-			return nil, err
+		if err == nil || errors.Is(err, net.ErrClosed) {
+			return c, err
 		}
 		time.Sleep(backoff)
 	}
 }
 
+// Accept accepts a connection and bounds it.
+func (l *timedListener) Accept() (net.Conn, error) {
+	c, err := l.Listener.Accept()
+	if err != nil {
+		return nil, err
+	}
+	return l.track(c), nil
+}
+
 func (l *timedListener) track(c net.Conn) *timedConn {
 	tc := &timedConn{Conn: c, l: l}
 	l.mu.Lock()
