--- a/internal/router/front.go
+++ b/internal/router/front.go
@@ -14,6 +14,7 @@
 
 	"github.com/cloudwego/hertz/pkg/app"
 	"github.com/cloudwego/hertz/pkg/app/server"
+	"github.com/pkg/errors"
 
 	"beechtide.org/beechtide/internal/admission"
 	"beechtide.org/beechtide/internal/api"
@@ -25,7 +26,11 @@
 )
 
 func (c *Router) serveReady() error {
-	h := controller.Server(c.set.Listen.Ready)
+	ln, err := (&net.ListenConfig{}).Listen(context.Background(), "tcp4", c.set.Listen.Ready)
+	if err != nil {
+		return errors.Wrap(err, "router: ready address")
+	}
+	h := controller.Server(c.set.Listen.Ready, server.WithListener(steadyListener{ln}))
 	h.GET("/api/ready", func(_ context.Context, rc *app.RequestContext) {
 		if c.ready() {
 			rc.SetStatusCode(200)
@@ -52,8 +57,14 @@
 	return time.Duration(ms) * time.Millisecond
 }
 
-// The limits on connections are those of the configuration that is in force
-// when the front opens.
+// frontLimits are the limits on clients' times that are in force.
+func (c *Router) frontLimits() frontLimits {
+	limits := c.table.Load().Limits
+	return frontLimits{idle: orMs(limits.IdleMs, 15000), rest: orMs(limits.HeaderMs, 10000)}
+}
+
+// The limits on sizes are those of the configuration that is in force when the front
+// opens.
 func (c *Router) serveFront() error {
 	lim := c.table.Load().Limits
 	body := lim.BodyBytes
@@ -64,7 +75,7 @@
 	if head <= 0 {
 		head = 64 << 10
 	}
-	ln, err := listenFront(c.set.Listen.Front, orMs(lim.IdleMs, 15000), orMs(lim.HeaderMs, 10000))
+	ln, err := listenFront(c.set.Listen.Front, c.frontLimits)
 	if err != nil {
 		return err
 	}
