soak: a runner that has left as planned breaks off what still runs there

Change: a planned leaving excuses a cut at the moment the runner ends, of requests that ran there. A cut before that is still LOST.

--- a/internal/soak/judge_test.go
+++ b/internal/soak/judge_test.go
@@ -41,6 +41,13 @@
 	e.Records[0].Outcome, e.Records[0].Status = load.Closed, 0
 }
 
+// leaves has runner r1 leave as planned; it ends at to.
+func leaves(e *Evidence, to int) {
+	left := span(LeaveRunner, "", 9500, to)
+	left.Runner, left.Acknowledged = "r1", at(9600)
+	e.Spans = append(e.Spans, left)
+}
+
 func manyRefused(e *Evidence) {
 	for range enoughRequests {
 		e.Records = append(e.Records, load.Record{Sent: at(21000), Status: 429})
@@ -127,6 +134,12 @@
 			e.Spans = []Span{span(CrashRunner, "", 10020, 11000)}
 			e.Spans[0].Runner = "r2"
 		}, []Rule{RuleLost}},
+		{"cut before its runner left", func(e *Evidence) { unanswered(e); leaves(e, 13000) }, []Rule{RuleLost}},
+		{"cut when its runner left", func(e *Evidence) {
+			unanswered(e)
+			leaves(e, 13000)
+			e.Records[0].Ended = at(12900)
+		}, nil},
 		{"unanswered, long after a runner's crash", func(e *Evidence) { unanswered(e); e.Spans = []Span{span(CrashRunner, "", 100, 200)} }, []Rule{RuleLost}},
 		{"cut by a leaving router", func(e *Evidence) {
 			unanswered(e)
