--- a/internal/consensus/catchup.go
+++ b/internal/consensus/catchup.go
@@ -52,7 +52,7 @@
 }
 
 // commitReferenced learns the value that this member has accepted, if the request
-// refers to it.
+// refers to it. The response has the version that it knows to be committed then.
 func (r *Registers) commitReferenced(ctx context.Context, request messages.ConsensusRequest) (messages.ConsensusResponse, error) {
 	register := r.registers[request.Part]
 	if err := register.lock(ctx); err != nil {
@@ -63,7 +63,8 @@
 	if record.HasAccepted && refersTo(request.Value, record.Accepted) {
 		r.Learn(request.Part, record.Accepted)
 	}
-	return messages.ConsensusResponse{Verdict: messages.Granted}, nil
+	known, _ := r.Committed(request.Part)
+	return messages.ConsensusResponse{Verdict: messages.Granted, Version: known.Version}, nil
 }
 
 // Pull is the catch-up: it learns what the controller at addr has committed, a small
--- a/internal/consensus/change.go
+++ b/internal/consensus/change.go
@@ -83,11 +83,26 @@
 			// The commit outlives the request that made the change.
 			ctx, cancel := context.WithTimeout(context.Background(), commitTimeout+transferAllowance(v))
 			defer cancel()
-			_, _ = r.send(ctx, m, messages.ConsensusRequest{Part: part, To: m.ID, Step: messages.Commit, Slot: v.Version, Value: v})
+			r.sendCommit(ctx, part, m, v)
 		}()
 	}
 }
 
+// sendCommit sends a member a committed value; a large one only if the member has not
+// accepted it, and so cannot tell it by a reference.
+func (r *Registers) sendCommit(ctx context.Context, part int, m messages.Member, v messages.Value) {
+	request := messages.ConsensusRequest{Part: part, To: m.ID, Step: messages.Commit, Slot: v.Version, Value: v}
+	if isLarge(v) {
+		request.Value = referenceTo(v)
+		response, err := r.send(ctx, m, request)
+		if err == nil && response.Version >= v.Version {
+			return
+		}
+		request.Value = v
+	}
+	_, _ = r.send(ctx, m, request)
+}
+
 // memberResponse is a member's response to a request of a step, or the error of
 // the call.
 type memberResponse struct {
@@ -117,13 +132,23 @@
 	}
 }
 
-// run returns once the round has ended, or with the round in progress at its timeout.
+// run returns once the round has ended, or with the round in progress at the timeout of
+// its phase. A large value that is proposed has the time to reach the members.
 func (d *roundDriver) run(ctx context.Context) {
-	ctx, cancel := context.WithTimeout(ctx, roundTimeout+transferAllowance(d.round.Base))
+	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
+	timeout := time.AfterFunc(roundTimeout+transferAllowance(d.round.Base), cancel)
+	defer timeout.Stop()
 	d.send(ctx, d.round.Requests())
+	accepting := false
 	var sealDue <-chan time.Time
 	for d.round.End == InProgress {
+		if d.round.accepting && !accepting {
+			accepting = true
+			if isLarge(d.round.Value) {
+				timeout.Reset(roundTimeout + transferAllowance(d.round.Value))
+			}
+		}
 		if d.round.SealPending() && sealDue == nil {
 			sealDue = time.After(sealTimeout)
 		}
