--- a/internal/transport/transport.go
+++ b/internal/transport/transport.go
@@ -3,7 +3,7 @@
 //
 // A Transport owns one TCP listener and one UDP socket on the node's internal
 // address. Requests with their responses and one-way frames go over long-lived
-// TCP connections in msgp frames; datagrams may get lost. Frames of one
+// TCP connections in msgp frames, large ones compressed; datagrams may get lost. Frames of one
 // connection arrive in order, or the connection ends. A request is sent at most
 // once: after an error the caller decides whether to retry.
 //
