A draining router rejects from its queue what may outlast it

Cause: the check against the end of the process was made when a request began. Change: the beginning of the drain ends the wait of requests of which nothing was sent and that may end later than the process; they get 503 and when to come back, under the reason draining. Those that were sent before wait on, so that a stream between two runners is not cut for it. The test of a queue and the new one fill it by the same function.

--- a/internal/router/attempts.go
+++ b/internal/router/attempts.go
@@ -198,19 +198,33 @@
 		return r
 	}
 	c.wake()
-	select {
-	case r = <-ch:
-		return r
-	case <-v.client.leftChannel():
-		return v.abandon(ch)
-	case <-c.lastAnswers:
-		return v.abandon(ch)
+	return v.awaitRuling(ch)
+}
+
+// awaitRuling waits in the queue. A request that nothing was sent of leaves it as soon as
+// the router drains, if it may outlast the router.
+func (v *visit) awaitRuling(ruling <-chan admission.Decision) admission.Decision {
+	drainBegun := v.c.drainBegun
+	for {
+		select {
+		case r := <-ruling:
+			return r
+		case <-v.client.leftChannel():
+			return v.abandon(ruling, "")
+		case <-v.c.lastAnswers:
+			return v.abandon(ruling, rejectDraining)
+		case <-drainBegun:
+			if v.attempts == 0 && !v.c.shutdown.Load().forwards(v.endUs) {
+				return v.abandon(ruling, rejectDraining)
+			}
+			drainBegun = nil
+		}
 	}
 }
 
 // abandon takes a request out of the queue whose client has left, or whose router ends.
 // A ruling that was already on its way stands.
-func (v *visit) abandon(ruling <-chan admission.Decision) admission.Decision {
+func (v *visit) abandon(ruling <-chan admission.Decision, reason admission.Reason) admission.Decision {
 	c := v.c
 	if !c.slab.Drop(v.ask.Ref) {
 		return <-ruling
@@ -218,7 +232,7 @@
 	c.dmu.Lock()
 	c.admission.Abandon(v.ask)
 	c.dmu.Unlock()
-	return admission.Decision{Ref: v.ask.Ref, Status: 503, AgainUs: drainRetryUs}
+	return admission.Decision{Ref: v.ask.Ref, Status: 503, Reject: reason, AgainUs: drainRetryUs}
 }
 
 func (v *visit) send(adm *admission.Admission, stream *answerStream) (ending, *answerStream) {
--- a/internal/router/client_watch_test.go
+++ b/internal/router/client_watch_test.go
@@ -125,19 +125,25 @@
 	must.True(t, <-ran)
 }
 
-func TestWaitingRequestLeavesTheQueueWithItsClient(t *testing.T) {
-	r, reached, ended := working(t, streamHead+chunk("id: 1\ndata: a\n\n"))
-	c, front, _ := start(t, r)
-	c.takesMenu(t, strings.Replace(unhurriedMenu, `"setpointMs":400`, `"setpointMs":3600000`, 1))
-	var busy []net.Conn
-	waits := func() bool { return c.slab.Len() > 0 }
-	for !waits() {
-		busy = append(busy, send(t, front, strings.Replace(unhurried("/chat/"), "20,5", "20,40000", 1)))
+// fillQueue sends streams until one waits in the queue, which is the last of them.
+func fillQueue(t *testing.T, c *Router, front string, reached <-chan struct{}) (streams []net.Conn) {
+	t.Helper()
+	for c.slab.Len() == 0 {
+		streams = append(streams, send(t, front, strings.Replace(unhurried("/chat/"), "20,5", "20,40000", 1)))
 		select {
 		case <-reached:
 		case <-time.After(watchDelay):
 		}
 	}
+	return streams
+}
+
+func TestWaitingRequestLeavesTheQueueWithItsClient(t *testing.T) {
+	r, reached, ended := working(t, streamHead+chunk("id: 1\ndata: a\n\n"))
+	c, front, _ := start(t, r)
+	c.takesMenu(t, strings.Replace(unhurriedMenu, `"setpointMs":400`, `"setpointMs":3600000`, 1))
+	waits := func() bool { return c.slab.Len() > 0 }
+	busy := fillQueue(t, c, front, reached)
 	seen := r.count()
 	busy[len(busy)-1].Close()
 	for waits() {
--- a/internal/router/leave.go
+++ b/internal/router/leave.go
@@ -1,9 +1,10 @@
 // Graceful shutdown: report not ready, accept connections until the platform has
 // noticed, and let every response end its connection. A request that may outlast the
-// process is rejected at once, so that its client goes to another router. Then accept
-// no more connections, close those on which no request has begun, and end with the last
-// response. What is in flight when the grace period is nearly over is answered where
-// nothing of an answer has been sent; only a stream that has begun is cut.
+// process is rejected at once, also one that waits in the queue, so that its client goes
+// to another router. Then accept no more connections, close those on which no request
+// has begun, and end with the last response. What is in flight when the grace period is
+// nearly over is answered where nothing of an answer has been sent; only a stream that
+// has begun is cut.
 
 package router
 
@@ -30,6 +31,7 @@
 func (c *Router) leave() {
 	plan := newShutdownPlan(c.clock(), int64(c.set.Bounds.GraceS*1e6))
 	c.shutdown.Store(plan)
+	close(c.drainBegun)
 	c.log.Info("leaving")
 	front := c.front.Load()
 	if front == nil {
--- a/internal/router/leave_test.go
+++ b/internal/router/leave_test.go
@@ -40,6 +40,28 @@
 	}
 }
 
+// A request that waits in the queue of a draining router, and that may outlast it, goes to
+// no runner any more.
+func TestDrainingRouterForwardsNothingFromItsQueueThatMayOutlastIt(t *testing.T) {
+	r, reached, ended := working(t, streamHead+chunk("id: 1\ndata: a\n\n"))
+	c, front, cancel, _ := startWithGrace(t, 120, r)
+	c.takesMenu(t, strings.Replace(unhurriedMenu, `"setpointMs":400`, `"setpointMs":3600000`, 1))
+	busy := fillQueue(t, c, front, reached)
+	seen := r.count()
+	c.drain(cancel)
+	waiting := busy[len(busy)-1]
+	for _, conn := range busy[:len(busy)-1] {
+		conn.Close()
+		awaited(t, ended, "the end of a stream")
+	}
+	must.NoError(t, waiting.SetReadDeadline(time.Now().Add(3*time.Second)))
+	answer, err := http.ReadResponse(bufio.NewReader(waiting), nil)
+	must.NoError(t, err)
+	must.Eq(t, http.StatusServiceUnavailable, answer.StatusCode)
+	must.Eq(t, seen, r.count(), must.Sprint("it was not forwarded"))
+	waiting.Close()
+}
+
 // When the grace period is over, a request whose answer has not begun gets one that
 // says so; its connection is not just closed.
 func TestEndOfGraceAnswersRequestsWithoutAHead(t *testing.T) {
