At the end of grace an answer that only the router has is replaced by 504

Cause: attempts without a head were withdrawn at the last answers. Where the head had come, and of the body a part, or of a stream no event, the client had nothing either, and its connection was closed with the process. Change: attempts whose answer has begun and of which nothing is passed on are held in a list; at the last answers their reading is interrupted, and they get 504 as those without a head. One that begins to pass on meanwhile leaves the list and is read on. TestEndOfGraceAnswersRequestsOfWhichTheClientHasNothing takes the place of TestEndOfGraceAnswersRequestsWithoutAHead, with its three cases and three more.

--- a/internal/router/attempts.go
+++ b/internal/router/attempts.go
@@ -302,6 +302,10 @@
 		c.giveBack(adm, link, r, err == nil)
 		return unknown, stream
 	}
+	if stream == nil {
+		v.held = c.held.add(adm, link)
+		defer c.held.remove(v.held)
+	}
 	if v.streams(r) {
 		end, stream = v.passStream(adm, link, r, stream)
 	} else {
--- a/internal/router/front.go
+++ b/internal/router/front.go
@@ -92,6 +92,7 @@
 	next     *nextShot // for a stream on the move
 	moveUs   int64     // when it looks for a place again
 	client   *clientState
+	held     *sentAttempt // whose answer has begun and is not passed on yet
 	ended    compliance.Step
 	lastEnd  ending           // of the newest attempt
 	why      admission.Reason // of a rejection
--- a/internal/router/leave.go
+++ b/internal/router/leave.go
@@ -55,6 +55,7 @@
 				close(c.lastAnswers)
 			}
 			c.sent.withdraw(c.sent.snapshot())
+			c.held.withdraw(c.held.snapshot())
 		}
 		entered = phase
 		if front.closeIdle() == 0 && c.inFlight.Load() == 0 {
--- a/internal/router/leave_test.go
+++ b/internal/router/leave_test.go
@@ -62,16 +62,24 @@
 	waiting.Close()
 }
 
-// When the grace period is over, a request whose answer has not begun gets one that
-// says so; its connection is not just closed.
-func TestEndOfGraceAnswersRequestsWithoutAHead(t *testing.T) {
-	for _, path := range []string{"/chat/", "/pay/", "/open/"} {
-		t.Run(path, func(t *testing.T) {
+// When the grace period is over, a request gets an answer that says so as long as its
+// client has nothing of another one; its connection is not just closed.
+func TestEndOfGraceAnswersRequestsOfWhichTheClientHasNothing(t *testing.T) {
+	partOfBody := "HTTP/1.1 200 OK\r\nBeechtide-Attempt-Id: ID\r\nContent-Length: 90000\r\n\r\n" + strings.Repeat("a", 20000)
+	for _, tc := range []struct{ name, path, writes string }{
+		{"stream without a head", "/chat/", ""},
+		{"effectful without a head", "/pay/", ""},
+		{"idempotent without a head", "/open/", ""},
+		{"stream without an event", "/chat/", streamHead},
+		{"effectful with a part of its body", "/pay/", partOfBody},
+		{"idempotent with a part of its body", "/open/", partOfBody},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
 			t.Parallel()
-			r, reached, _ := working(t, "")
+			r, reached, _ := working(t, tc.writes)
 			c, front, cancel := start(t, r)
 			c.takesMenu(t, unhurriedMenu)
-			conn := send(t, front, unhurried(path))
+			conn := send(t, front, unhurried(tc.path))
 			awaited(t, reached, "the request at the runner")
 			cancel()
 			must.NoError(t, conn.SetReadDeadline(time.Now().Add(patience)))
--- a/internal/router/responses.go
+++ b/internal/router/responses.go
@@ -46,6 +46,7 @@
 // passBody passes on an answer of known length, once it is whole.
 func (v *visit) passBody(adm *admission.Admission, link *upstream.Conn, r *protocol.Response, stream *answerStream) ending {
 	b, err := upstream.ReadBody(r, mostBody)
+	v.c.held.remove(v.held)
 	if err != nil {
 		link.Close()
 		v.failed(adm, link, true)
@@ -158,6 +159,9 @@
 	stream.out = resp.NewChunkedBodyWriter(&v.rc.Response, v.rc.GetWriter())
 	v.rc.Response.HijackWriter(stream.out)
 	stream.started = true
+	if v.c.held.remove(v.held) { // it has begun just in time
+		v.held.link.Resume(v.deadline(lateUs))
+	}
 }
 
 func (v *visit) write(r *protocol.Response, stream *answerStream, b []byte) bool {
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -103,6 +103,7 @@
 	stir      chan struct{} // this node's loads have changed
 	missing   chan struct{} // a runner was not at its address
 	sent      sentAttempts
+	held      sentAttempts // begun, and the client has nothing of the answer yet
 
 	currency    currencyChecks
 	comparisons *dissemination.Comparisons
--- a/internal/router/withdraw.go
+++ b/internal/router/withdraw.go
@@ -37,7 +37,7 @@
 	withdrawn bool
 }
 
-// sentAttempts are those of a router.
+// sentAttempts are attempts of a router that may still be withdrawn.
 type sentAttempts struct {
 	mu   sync.Mutex
 	list map[*sentAttempt]struct{}
