A draining router answers a pipelined request that it has read before it closes

Cause: each answer of a draining router ended its connection. Change: an answer ends the connection only if nothing of a next request has been read with it; the last one that was read ends it. Measured: TestDrainingRouterAnswersPipelinedRequestThatItHasRead fails without the change (unexpected EOF for the second request) and passes with it; tests of internal/router named EndOfGrace, Drain, Pipelined, Leav, Listener or Idle green with -race. Whether clients of the field pipeline is not known.

--- a/internal/router/front.go
+++ b/internal/router/front.go
@@ -106,7 +106,7 @@
 		c.counters.takenWhileDraining.Add(1)
 	}
 	defer func() {
-		if c.draining() {
+		if c.closesWithAnswer(rc) {
 			rc.Response.Header.SetConnectionClose(true)
 		}
 	}()
--- a/internal/router/leave.go
+++ b/internal/router/leave.go
@@ -11,6 +11,8 @@
 import (
 	"time"
 
+	"github.com/cloudwego/hertz/pkg/app"
+
 	"beechtide.org/beechtide/internal/admission"
 )
 
@@ -27,6 +29,13 @@
 // draining reports whether the graceful shutdown has begun.
 func (c *Router) draining() bool { return c.shutdown.Load() != nil }
 
+// closesWithAnswer reports whether a connection ends with the answer to its request
+// because the router drains. Not while a part of the next request has been read with
+// this one: a client that has sent it is answered that, too.
+func (c *Router) closesWithAnswer(rc *app.RequestContext) bool {
+	return c.draining() && rc.GetReader().Len() == 0
+}
+
 // leave shuts down gracefully. It returns when the process may end.
 func (c *Router) leave() {
 	plan := newShutdownPlan(c.clock(), int64(c.set.Bounds.GraceS*1e6))
--- a/internal/router/leave_test.go
+++ b/internal/router/leave_test.go
@@ -122,6 +122,34 @@
 	must.NoError(t, <-ended)
 }
 
+// A request that the router has read together with the one before it is answered too.
+func TestDrainingRouterAnswersPipelinedRequestThatItHasRead(t *testing.T) {
+	finish, reached := make(chan struct{}), make(chan struct{}, 4)
+	r := newRunner(t)
+	r.next = func() string {
+		reached <- struct{}{}
+		<-finish
+		return "HTTP/1.1 200 OK\r\nBeechtide-Attempt-Id: ID\r\nContent-Length: 2\r\n\r\nok"
+	}
+	c, front, cancel, _ := startWithGrace(t, 120, r)
+	first := strings.Replace(request("/open/", "x"), "Time-Left: 2500", "Time-Left: 2900", 1)
+	second := strings.Replace(first, "id1", "id2", 1)
+	conn := send(t, front, first+second)
+	awaited(t, reached, "the first request at the runner")
+	c.drain(cancel)
+	time.Sleep(500 * time.Millisecond)
+	close(finish)
+	in := bufio.NewReader(conn)
+	must.NoError(t, conn.SetReadDeadline(time.Now().Add(patience)))
+	for _, id := range []string{"id1", "id2"} {
+		answer, err := http.ReadResponse(in, nil)
+		must.NoError(t, err, must.Sprint(id))
+		_, err = io.ReadAll(answer.Body)
+		must.NoError(t, err)
+		must.Eq(t, id, answer.Header.Get(hAttempt))
+	}
+}
+
 // awaitClosed waits until an address accepts no more connections.
 func awaitClosed(t *testing.T, addr string) {
 	t.Helper()
--- a/internal/router/responses.go
+++ b/internal/router/responses.go
@@ -35,7 +35,7 @@
 			out.Add(key, string(val))
 		}
 	})
-	if v.c.draining() {
+	if v.c.closesWithAnswer(v.rc) {
 		out.SetConnectionClose(true)
 	}
 }
