A stream that its runner broke off is no dropped request, whatever followed

Cause: the reason of a cut request was read from its newest attempt. Where a runner broke a stream off and the next runner turned the request away (421 or not executed), the invariant request_ends_with_answer_or_refusal was violated by a legal fault; a soak ends red for it. Change: a request remembers that a runner has broken its answer off. The cases of the table go through recordAttempt, as requests do. Measured: TestStreamBrokenOffByItsRunnerViolatesNothing fails without the change (one violation in each of two cases) and passes with it; tests of internal/router named Violat, Invariant or Request.*Ends green with -race.

--- a/internal/router/counters.go
+++ b/internal/router/counters.go
@@ -106,7 +106,7 @@
 		return cutClientGone
 	case v.endUs > 0 && v.timeOver():
 		return cutTimeOver
-	case v.attempts > 0 && (v.lastEnd == brokeOff || v.lastEnd == unknown):
+	case v.attempts > 0 && (v.broken || v.lastEnd == unknown):
 		return cutRunner
 	case v.attempts > 0 && v.lastEnd == whole: // the end of the answer could not be written
 		return cutClientGone
@@ -117,6 +117,7 @@
 // recordAttempt counts an attempt that has ended.
 func (v *visit) recordAttempt(end ending) {
 	v.lastEnd = end
+	v.broken = v.broken || end == brokeOff
 	v.c.counters.attempts[end].Add(1)
 }
 
--- a/internal/router/front.go
+++ b/internal/router/front.go
@@ -95,6 +95,7 @@
 	held     *sentAttempt // whose answer has begun and is not passed on yet
 	ended    compliance.Step
 	lastEnd  ending           // of the newest attempt
+	broken   bool             // a runner broke off what had been passed on in part
 	why      admission.Reason // of a rejection
 	changed  bool             // the tenant's regime changed while the request waited
 }
--- a/internal/router/invariants_test.go
+++ b/internal/router/invariants_test.go
@@ -1,7 +1,9 @@
 package router
 
 import (
+	"sync/atomic"
 	"testing"
+	"time"
 
 	"github.com/cloudwego/hertz/pkg/app"
 	"github.com/shoenig/test/must"
@@ -43,10 +45,12 @@
 		{"client gone", compliance.Cut, clientGone, 1, 1, cutClientGone},
 		{"time over", compliance.Cut, moving, 1, 1_000_000, cutTimeOver},
 		{"runner broke off", compliance.Cut, brokeOff, 1, 1, cutRunner},
+		{"answer not known", compliance.Cut, unknown, 1, 1, cutRunner},
 	} {
 		t.Run(c.name, func(t *testing.T) {
 			v := visitAt(c.nowUs, 1_000_000)
-			v.ended, v.lastEnd, v.attempts = c.ended, c.last, c.attempts
+			v.ended, v.attempts = c.ended, c.attempts
+			v.recordAttempt(c.last)
 			v.recordEnd()
 			for reason := range cutReasonCount {
 				want := int64(0)
@@ -86,3 +90,31 @@
 	c.majorityUs.Store(c.clock() - recheckUs - 2*c.recheckWait().Microseconds())
 	v.checkDenial(401)
 }
+
+// A stream that its runner broke off, and that found no other runner, has an explanation.
+func TestStreamBrokenOffByItsRunnerViolatesNothing(t *testing.T) {
+	for name, second := range map[string]string{
+		"second turns it away": "HTTP/1.1 503 Service Unavailable\r\nBeechtide-Attempt-Id: ID\r\nBeechtide-Not-Executed: 1\r\nContent-Length: 0\r\n\r\n",
+		"second is another":    "HTTP/1.1 421 Misdirected Request\r\nBeechtide-Attempt-Id: ID\r\nContent-Length: 0\r\n\r\n",
+	} {
+		t.Run(name, func(t *testing.T) {
+			var sent atomic.Int64
+			script := func() string {
+				if sent.Add(1) == 1 {
+					return streamHead + chunk("id: 1\ndata: a\n\n") + "CUT"
+				}
+				return second
+			}
+			r, other := newRunner(t), newRunner(t)
+			r.next, other.next = script, script
+			c, front, _ := start(t, r, other)
+			before := requestEnds.Violations()
+			_, _, _ = say(t, front, request("/sort/", "x"))
+			for c.inFlight.Load() > 0 {
+				time.Sleep(time.Millisecond)
+			}
+			must.GreaterEq(t, 2, r.count()+other.count())
+			must.Eq(t, before, requestEnds.Violations())
+		})
+	}
+}
