--- a/internal/router/client_watch_test.go
+++ b/internal/router/client_watch_test.go
@@ -125,28 +125,13 @@
 	must.True(t, <-ran)
 }
 
-// fillQueue sends streams until one waits in the queue, which is the last of them.
-func fillQueue(t *testing.T, c *Router, front string, reached <-chan struct{}) (streams []net.Conn) {
-	t.Helper()
-	for c.slab.Len() == 0 {
-		streams = append(streams, send(t, front, strings.Replace(unhurried("/chat/"), "20,5", "20,40000", 1)))
-		select {
-		case <-reached:
-		case <-time.After(watchDelay):
-		}
-	}
-	return streams
-}
-
 func TestWaitingRequestLeavesTheQueueWithItsClient(t *testing.T) {
 	r, reached, ended := working(t, streamHead+chunk("id: 1\ndata: a\n\n"))
 	c, front, _ := start(t, r)
-	c.takesMenu(t, strings.Replace(unhurriedMenu, `"setpointMs":400`, `"setpointMs":3600000`, 1))
-	waits := func() bool { return c.slab.Len() > 0 }
-	busy := fillQueue(t, c, front, reached)
+	busy := fillUntilQueued(t, c, front, reached)
 	seen := r.count()
 	busy[len(busy)-1].Close()
-	for waits() {
+	for c.slab.Len() > 0 {
 		time.Sleep(time.Millisecond)
 	}
 	busy[0].Close()
@@ -156,6 +141,21 @@
 	must.Eq(t, seen+1, r.count(), must.Sprint("the one that left was not sent"))
 }
 
+// fillUntilQueued sends large streams until one waits in the queue, for as long as it
+// takes: the last of those that it returns.
+func fillUntilQueued(t *testing.T, c *Router, front string, reached <-chan struct{}) (conns []net.Conn) {
+	t.Helper()
+	c.takesMenu(t, strings.Replace(unhurriedMenu, `"setpointMs":400`, `"setpointMs":3600000`, 1))
+	for c.slab.Len() == 0 {
+		conns = append(conns, send(t, front, strings.Replace(unhurried("/chat/"), "20,5", "20,40000", 1)))
+		select {
+		case <-reached:
+		case <-time.After(watchDelay):
+		}
+	}
+	return conns
+}
+
 // A client may send its next request before it has the answer to the last.
 func TestPipelinedRequestIsAnsweredInItsTurn(t *testing.T) {
 	r := newRunner(t)
--- a/internal/router/leave_test.go
+++ b/internal/router/leave_test.go
@@ -45,8 +45,7 @@
 func TestDrainingRouterForwardsNothingFromItsQueueThatMayOutlastIt(t *testing.T) {
 	r, reached, ended := working(t, streamHead+chunk("id: 1\ndata: a\n\n"))
 	c, front, cancel, _ := startWithGrace(t, 120, r)
-	c.takesMenu(t, strings.Replace(unhurriedMenu, `"setpointMs":400`, `"setpointMs":3600000`, 1))
-	busy := fillQueue(t, c, front, reached)
+	busy := fillUntilQueued(t, c, front, reached)
 	seen := r.count()
 	c.drain(cancel)
 	waiting := busy[len(busy)-1]
