The front serves its connections on after its listener has closed

Cause: the HTTP server takes the error of a closed listener for its own end, and from then on ends each connection with its next answer. So a pipelined request that had been read was left without an answer from the third second of a drain on. Change: the listener that the server has returns that error only when the process ends; what ends connections meanwhile is closesWithAnswer and closeIdle.

--- a/internal/router/front.go
+++ b/internal/router/front.go
@@ -54,7 +54,7 @@
 
 // The limits on connections are those of the configuration that is in force
 // when the front opens.
-func (c *Router) serveFront() error {
+func (c *Router) serveFront(live context.Context) error {
 	lim := c.table.Load().Limits
 	body := lim.BodyBytes
 	if body <= 0 {
@@ -69,7 +69,7 @@
 		return err
 	}
 	h := controller.Server(c.set.Listen.Front,
-		server.WithListener(ln), server.WithOnAccept(onAccept), server.WithMaxRequestBodySize(body), server.WithMaxHeaderBytes(head),
+		server.WithListener(lingeringListener{ln, live}), server.WithOnAccept(onAccept), server.WithMaxRequestBodySize(body), server.WithMaxHeaderBytes(head),
 		server.WithWriteTimeout(10*time.Second), server.WithDisableHeaderNamesNormalizing(true), server.WithUseRawPath(true),
 		server.WithMaxKeepBodySize(64<<10), server.WithReadBufferSize(4096))
 	h.NoRoute(c.serve)
--- a/internal/router/leave.go
+++ b/internal/router/leave.go
@@ -9,9 +9,12 @@
 package router
 
 import (
+	"context"
+	"net"
 	"time"
 
 	"github.com/cloudwego/hertz/pkg/app"
+	"github.com/pkg/errors"
 
 	"beechtide.org/beechtide/internal/admission"
 )
@@ -36,6 +39,22 @@
 	return c.draining() && rc.GetReader().Len() == 0
 }
 
+// lingeringListener returns the error of a closed listener only once live has ended: the
+// server above it ends every connection with its next answer after an error.
+type lingeringListener struct {
+	net.Listener
+	live context.Context
+}
+
+// Accept accepts a connection.
+func (l lingeringListener) Accept() (net.Conn, error) {
+	conn, err := l.Listener.Accept()
+	if errors.Is(err, net.ErrClosed) {
+		<-l.live.Done()
+	}
+	return conn, err
+}
+
 // leave shuts down gracefully. It returns when the process may end.
 func (c *Router) leave() {
 	plan := newShutdownPlan(c.clock(), int64(c.set.Bounds.GraceS*1e6))
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -181,7 +181,7 @@
 			return nil
 		}
 	}
-	go func() { failed <- c.serveFront() }()
+	go func() { failed <- c.serveFront(live) }()
 	select {
 	case err := <-failed:
 		return err
