--- a/internal/router/front.go
+++ b/internal/router/front.go
@@ -65,7 +65,7 @@
 
 // The limits on sizes are those of the configuration that is in force when the front
 // opens.
-func (c *Router) serveFront() error {
+func (c *Router) serveFront(live context.Context) error {
 	lim := c.table.Load().Limits
 	body := lim.BodyBytes
 	if body <= 0 {
@@ -80,7 +80,7 @@
 		return err
 	}
 	h := controller.Server(c.set.Listen.Front,
-		server.WithListener(ln), server.WithOnAccept(onAccept), server.WithMaxRequestBodySize(body), server.WithMaxHeaderBytes(head),
+		server.WithListener(lingeringListener{ln, live}), server.WithOnAccept(onAccept), server.WithMaxRequestBodySize(body), server.WithMaxHeaderBytes(head),
 		server.WithWriteTimeout(10*time.Second), server.WithDisableHeaderNamesNormalizing(true), server.WithUseRawPath(true),
 		server.WithMaxKeepBodySize(64<<10), server.WithReadBufferSize(4096))
 	h.NoRoute(c.serve)
@@ -103,8 +103,10 @@
 	next     *nextShot // for a stream on the move
 	moveUs   int64     // when it looks for a place again
 	client   *clientState
+	held     *sentAttempt // whose answer has begun and is not passed on yet
 	ended    compliance.Step
 	lastEnd  ending           // of the newest attempt
+	broken   bool             // a runner broke off what had been passed on in part
 	why      admission.Reason // of a rejection
 	changed  bool             // the tenant's regime changed while the request waited
 }
@@ -116,7 +118,7 @@
 		c.counters.takenWhileDraining.Add(1)
 	}
 	defer func() {
-		if c.draining() {
+		if c.closesWithAnswer(rc) {
 			rc.Response.Header.SetConnectionClose(true)
 		}
 	}()
--- a/internal/router/leave.go
+++ b/internal/router/leave.go
@@ -1,15 +1,21 @@
 // Graceful shutdown: report not ready, accept connections until the platform has
 // noticed, and let every response end its connection. A request that may outlast the
-// process is rejected at once, so that its client goes to another router. Then accept
-// no more connections, close those on which no request has begun, and end with the last
-// response. What is in flight when the grace period is nearly over is answered where
-// nothing of an answer has been sent; only a stream that has begun is cut.
+// process is rejected at once, also one that waits in the queue, so that its client goes
+// to another router. Then accept no more connections, close those on which no request
+// has begun, and end with the last response. What is in flight when the grace period is
+// nearly over is answered where nothing of an answer has been sent; only a stream that
+// has begun is cut.
 
 package router
 
 import (
+	"context"
+	"net"
 	"time"
 
+	"github.com/cloudwego/hertz/pkg/app"
+	"github.com/pkg/errors"
+
 	"beechtide.org/beechtide/internal/admission"
 )
 
@@ -26,10 +32,34 @@
 // draining reports whether the graceful shutdown has begun.
 func (c *Router) draining() bool { return c.shutdown.Load() != nil }
 
+// closesWithAnswer reports whether a connection ends with the answer to its request
+// because the router drains. Not while a part of the next request has been read with
+// this one: a client that has sent it is answered that, too.
+func (c *Router) closesWithAnswer(rc *app.RequestContext) bool {
+	return c.draining() && rc.GetReader().Len() == 0
+}
+
+// lingeringListener returns the error of a closed listener only once live has ended: the
+// server above it ends every connection with its next answer after an error.
+type lingeringListener struct {
+	net.Listener
+	live context.Context
+}
+
+// Accept accepts a connection.
+func (l lingeringListener) Accept() (net.Conn, error) {
+	conn, err := l.Listener.Accept()
+	if errors.Is(err, net.ErrClosed) {
+		<-l.live.Done()
+	}
+	return conn, err
+}
+
 // leave shuts down gracefully. It returns when the process may end.
 func (c *Router) leave() {
 	plan := newShutdownPlan(c.clock(), int64(c.set.Bounds.GraceS*1e6))
 	c.shutdown.Store(plan)
+	close(c.drainBegun)
 	c.log.Info("leaving")
 	front := c.front.Load()
 	if front == nil {
@@ -53,6 +83,7 @@
 				close(c.lastAnswers)
 			}
 			c.sent.withdraw(c.sent.snapshot())
+			c.held.withdraw(c.held.snapshot())
 		}
 		entered = phase
 		if front.closeIdle() == 0 && c.inFlight.Load() == 0 {
--- a/internal/router/leave_test.go
+++ b/internal/router/leave_test.go
@@ -40,16 +40,45 @@
 	}
 }
 
-// When the grace period is over, a request whose answer has not begun gets one that
-// says so; its connection is not just closed.
-func TestEndOfGraceAnswersRequestsWithoutAHead(t *testing.T) {
-	for _, path := range []string{"/chat/", "/pay/", "/open/"} {
-		t.Run(path, func(t *testing.T) {
+// A request that waits in the queue of a draining router, and that may outlast it, goes to
+// no runner any more.
+func TestDrainingRouterForwardsNothingFromItsQueueThatMayOutlastIt(t *testing.T) {
+	r, reached, ended := working(t, streamHead+chunk("id: 1\ndata: a\n\n"))
+	c, front, cancel, _ := startWithGrace(t, 120, r)
+	busy := fillUntilQueued(t, c, front, reached)
+	seen := r.count()
+	c.drain(cancel)
+	waiting := busy[len(busy)-1]
+	for _, conn := range busy[:len(busy)-1] {
+		conn.Close()
+		awaited(t, ended, "the end of a stream")
+	}
+	must.NoError(t, waiting.SetReadDeadline(time.Now().Add(3*time.Second)))
+	answer, err := http.ReadResponse(bufio.NewReader(waiting), nil)
+	must.NoError(t, err)
+	must.Eq(t, http.StatusServiceUnavailable, answer.StatusCode)
+	must.Eq(t, seen, r.count(), must.Sprint("it was not forwarded"))
+	waiting.Close()
+}
+
+// When the grace period is over, a request gets an answer that says so as long as its
+// client has nothing of another one; its connection is not just closed.
+func TestEndOfGraceAnswersRequestsOfWhichTheClientHasNothing(t *testing.T) {
+	partOfBody := "HTTP/1.1 200 OK\r\nBeechtide-Attempt-Id: ID\r\nContent-Length: 90000\r\n\r\n" + strings.Repeat("a", 20000)
+	for _, tc := range []struct{ name, path, writes string }{
+		{"stream without a head", "/chat/", ""},
+		{"effectful without a head", "/pay/", ""},
+		{"idempotent without a head", "/open/", ""},
+		{"stream without an event", "/chat/", streamHead},
+		{"effectful with a part of its body", "/pay/", partOfBody},
+		{"idempotent with a part of its body", "/open/", partOfBody},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
 			t.Parallel()
-			r, reached, _ := working(t, "")
+			r, reached, _ := working(t, tc.writes)
 			c, front, cancel := start(t, r)
 			c.takesMenu(t, unhurriedMenu)
-			conn := send(t, front, unhurried(path))
+			conn := send(t, front, unhurried(tc.path))
 			awaited(t, reached, "the request at the runner")
 			cancel()
 			must.NoError(t, conn.SetReadDeadline(time.Now().Add(patience)))
@@ -109,6 +138,35 @@
 	must.NoError(t, <-ended)
 }
 
+// A request that the router has read together with the one before it is answered too.
+func TestDrainingRouterAnswersPipelinedRequestThatItHasRead(t *testing.T) {
+	finish, reached := make(chan struct{}), make(chan struct{}, 4)
+	r := newRunner(t)
+	r.next = func() string {
+		reached <- struct{}{}
+		<-finish
+		return "HTTP/1.1 200 OK\r\nBeechtide-Attempt-Id: ID\r\nContent-Length: 2\r\n\r\nok"
+	}
+	c, front, cancel, _ := startWithGrace(t, 120, r)
+	c.takesMenu(t, unhurriedMenu)
+	first := strings.Replace(request("/open/", "x"), "Time-Left: 2500", "Time-Left: 60000", 1)
+	second := strings.Replace(first, "id1", "id2", 1)
+	conn := send(t, front, first+second)
+	awaited(t, reached, "the first request at the runner")
+	c.drain(cancel)
+	awaitClosed(t, front)
+	close(finish)
+	in := bufio.NewReader(conn)
+	must.NoError(t, conn.SetReadDeadline(time.Now().Add(patience)))
+	for _, id := range []string{"id1", "id2"} {
+		answer, err := http.ReadResponse(in, nil)
+		must.NoError(t, err, must.Sprint(id))
+		_, err = io.ReadAll(answer.Body)
+		must.NoError(t, err)
+		must.Eq(t, id, answer.Header.Get(hAttempt))
+	}
+}
+
 // awaitClosed waits until an address accepts no more connections.
 func awaitClosed(t *testing.T, addr string) {
 	t.Helper()
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -103,6 +103,7 @@
 	stir      chan struct{} // this node's loads have changed
 	missing   chan struct{} // a runner was not at its address
 	sent      sentAttempts
+	held      sentAttempts // begun, and the client has nothing of the answer yet
 
 	currency    currencyChecks
 	comparisons *dissemination.Comparisons
@@ -117,6 +118,7 @@
 	front    atomic.Pointer[timedListener]
 
 	shutdown    atomic.Pointer[shutdownPlan] // nil until SIGTERM
+	drainBegun  chan struct{}                // closed when shutdown is set
 	lastAnswers chan struct{}                // closed when what has no answer yet gets its last one
 
 	counters   counters
@@ -130,7 +132,7 @@
 	if err != nil {
 		return nil, err
 	}
-	c := &Router{set: set, log: log, clock: clock, transport: trans, registry: registry.New(), connPool: upstream.NewConnPool(clock), parts: map[int]messages.PartNote{}, admission: admission.New(admission.Defaults, set.Zone), budgets: map[string]*upstream.Budget{}, kick: make(chan struct{}, 1), fresh: make(chan struct{}, 1), stir: make(chan struct{}, 1), missing: make(chan struct{}, 1), lastAnswers: make(chan struct{})}
+	c := &Router{set: set, log: log, clock: clock, transport: trans, registry: registry.New(), connPool: upstream.NewConnPool(clock), parts: map[int]messages.PartNote{}, admission: admission.New(admission.Defaults, set.Zone), budgets: map[string]*upstream.Budget{}, kick: make(chan struct{}, 1), fresh: make(chan struct{}, 1), stir: make(chan struct{}, 1), missing: make(chan struct{}, 1), drainBegun: make(chan struct{}), lastAnswers: make(chan struct{})}
 	c.configuration, c.runners = routeconfig.NewReplica(), statesync.NewEntries()
 	c.loads.init(clock())
 	c.comparisons = dissemination.NewComparisons(rand.IntN(64))
@@ -179,7 +181,7 @@
 			return nil
 		}
 	}
-	go func() { failed <- c.serveFront() }()
+	go func() { failed <- c.serveFront(live) }()
 	select {
 	case err := <-failed:
 		return err
