soak: all processes killed right after an acknowledged change

Change: a closing fault, drawn from the seed: none, all processes killed, or all killed and one controller's disk lost where no other was. The calm with its checks follows it.

--- a/internal/soak/faults.go
+++ b/internal/soak/faults.go
@@ -15,6 +15,9 @@
 // to hold the time that it serves on as well.
 const leavePatience = 12 * time.Second
 
+// closingDown is how long all processes are down in a closing fault.
+const closingDown = time.Second
+
 // injector plays the faults of a plan.
 type injector struct {
 	cluster  *cluster
@@ -63,6 +66,26 @@
 	running.Wait()
 }
 
+// playClosing kills every process at the same time and starts all of them again. Where the
+// closing fault says so, the first controller loses its disk.
+func (i *injector) playClosing(ctx context.Context, closing ClosingFault) {
+	if closing == NoClosingFault {
+		return
+	}
+	var running sync.WaitGroup
+	for subject := range i.cluster.routers {
+		running.Go(func() { i.inject(ctx, Fault{Kind: KillRouter, Subject: subject, For: closingDown}) })
+	}
+	for subject := range i.cluster.controllers {
+		kind := KillController
+		if subject == 0 && closing == KillAllWipeOne {
+			kind = WipeController
+		}
+		running.Go(func() { i.inject(ctx, Fault{Kind: kind, Subject: subject, For: closingDown}) })
+	}
+	running.Wait()
+}
+
 // inject plays one fault and records it with the time that its party needed to be back.
 func (i *injector) inject(ctx context.Context, fault Fault) {
 	unlock := i.lockParty(fault)
--- a/internal/soak/plan.go
+++ b/internal/soak/plan.go
@@ -9,11 +9,22 @@
 	"time"
 )
 
+// ClosingFault befalls all processes at once, after the last change.
+type ClosingFault string
+
+// The closing faults.
+const (
+	NoClosingFault ClosingFault = "none"
+	KillAll        ClosingFault = "kill all processes"
+	KillAllWipeOne ClosingFault = "kill all processes and wipe one controller"
+)
+
 // Plan is a schedule.
 type Plan struct {
 	Seed    uint64
 	Faults  []Fault
 	Changes []PlannedChange
+	Closing ClosingFault
 }
 
 // Shape is the size of a soak.
@@ -48,7 +59,7 @@
 		p.fillLane()
 	}
 	slices.SortStableFunc(p.faults, func(a, b Fault) int { return int(a.At - b.At) })
-	return Plan{Seed: seed, Faults: p.faults, Changes: p.changes()}
+	return Plan{Seed: seed, Faults: p.faults, Changes: p.changes(), Closing: p.closing()}
 }
 
 type planner struct {
@@ -121,6 +132,16 @@
 	return changes
 }
 
+// closing draws the closing fault. No second disk is lost.
+func (p *planner) closing() ClosingFault {
+	kinds := []ClosingFault{NoClosingFault, KillAll, KillAllWipeOne}
+	kind := kinds[p.random.IntN(len(kinds))]
+	if kind == KillAllWipeOne && p.wiped {
+		return KillAll
+	}
+	return kind
+}
+
 func (p *planner) between(low, high time.Duration) time.Duration {
 	return low + time.Duration(p.random.Int64N(int64(high-low)))
 }
--- a/internal/soak/plan_test.go
+++ b/internal/soak/plan_test.go
@@ -42,6 +42,9 @@
 				wiped++
 			}
 		}
+		if plan.Closing == KillAllWipeOne {
+			wiped++
+		}
 		must.LessEq(t, 1, wiped, must.Sprint("tolerance is one machine"))
 	}
 }
--- a/internal/soak/report.go
+++ b/internal/soak/report.go
@@ -50,6 +50,7 @@
 	for _, change := range r.Plan.Changes {
 		fmt.Fprintln(w, "  change", change)
 	}
+	fmt.Fprintln(w, "  closing fault:", r.Plan.Closing)
 	for _, line := range r.outcomes() {
 		fmt.Fprintln(w, "  ended ", line)
 	}
--- a/internal/soak/soak.go
+++ b/internal/soak/soak.go
@@ -136,9 +136,12 @@
 	begin := time.Now()
 	s.recorder.update(func(e *Evidence) { e.Faulty = begin })
 	var played sync.WaitGroup
-	played.Go(func() { newInjector(s.cluster, s.recorder).play(ctx, s.plan.Faults, begin) })
+	faults := newInjector(s.cluster, s.recorder)
+	played.Go(func() { faults.play(ctx, s.plan.Faults, begin) })
 	played.Go(func() { s.operator.play(ctx, s.plan.Changes, begin) })
 	played.Wait()
+	s.operator.submit(ctx, s.operator.nextVersion(), 0, "")
+	faults.playClosing(ctx, s.plan.Closing)
 	s.playCalm(ctx)
 	stop()
 	background.Wait()
