soak: only its own router's fault excuses a run at a runner that drains

Change: the router that forwarded the request, or a controller. Measured: the case of another router's fault fails without the change.

--- a/internal/soak/judge.go
+++ b/internal/soak/judge.go
@@ -241,13 +241,24 @@
 		late := span.Acknowledged.Add(drainMs*time.Millisecond + drainSlack)
 		for _, run := range j.Runs {
 			isLate := run.Runner == span.Runner && run.Ended.IsZero() && run.Began.After(late)
-			if isLate && !j.hasFault(PartyRouter, span.From, run.Began) && !j.hasFault(PartyController, span.From, run.Began) {
+			if isLate && !j.excusesLateRun(span, run) {
 				j.broken(RuleDrain, run.Began, "%s ran at %s %s after its draining was acknowledged", run.Attempt, run.Runner, run.Began.Sub(span.Acknowledged))
 			}
 		}
 	}
 }
 
+// excusesLateRun reports whether a router may not have known that a runner drains: there
+// was a fault of the router that forwarded the request, or of a controller.
+func (j *judge) excusesLateRun(left Span, run standin.Run) bool {
+	forwardedBy := j.known[run.Attempt].Node
+	return slices.ContainsFunc(j.Spans, func(span Span) bool {
+		party := span.Fault.Kind.Party()
+		onItsPath := party == PartyController || party == PartyRouter && span.Node == forwardedBy
+		return onItsPath && overlaps(span, left.From, run.Began)
+	})
+}
+
 // checkRecovery wants service after the faults if there was any before them: clients may
 // be more than the runners have places for.
 func (j *judge) checkRecovery() {
--- a/internal/soak/judge_test.go
+++ b/internal/soak/judge_test.go
@@ -86,6 +86,16 @@
 			left.Runner, left.Acknowledged = "r1", at(1100)
 			e.Spans = []Span{left}
 		}, []Rule{RuleDrain}},
+		{"run at a runner that left, during a fault of another router", func(e *Evidence) {
+			left := span(LeaveRunner, "", 1000, 4000)
+			left.Runner, left.Acknowledged = "r1", at(1100)
+			e.Spans = []Span{left, span(PauseRouter, "router-1", 2000, 2200)}
+		}, []Rule{RuleDrain}},
+		{"run at a runner that left, during a fault of its router", func(e *Evidence) {
+			left := span(LeaveRunner, "", 1000, 4000)
+			left.Runner, left.Acknowledged = "r1", at(1100)
+			e.Spans = []Span{left, span(PauseRouter, "router-0", 2000, 2200)}
+		}, nil},
 		{"process ended", func(e *Evidence) { e.OwnEnds = []string{"router-0"} }, []Rule{RuleProcess}},
 		{"panic in a log", func(e *Evidence) { e.LogFindings = []LogFinding{{"router-0", "panic: x"}} }, []Rule{RuleInvariants}},
 		{"hardly any service after the faults", manyRefused, []Rule{RuleRecover}},
