--- a/internal/dissemination/tree.go
+++ b/internal/dissemination/tree.go
@@ -50,7 +50,7 @@
 	return list
 }
 
-// fanOut is how many routers a node sends its updates to. All that it sends for one large
-// change, compressed, is to be no more than one copy of the change uncompressed; and in a
-// zone of 72 routers with one controller none is further than two steps from it.
-const fanOut = 8
+// fanOut is how many routers a node sends its updates to. With fewer, more routers are
+// relays, which costs processor time and serves worse; with more, the copies of a large
+// change share the node's link.
+const fanOut = 16
