dissemination: one look for subscribers an update; hand-over: plain loop over the others

Publish looked for subscribers and Forward, which it calls, looked again; both queue by broadcast now. The members to flush were a cloned and filtered list.

--- a/internal/controller/hand_over.go
+++ b/internal/controller/hand_over.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"slices"
 	"sync"
 	"time"
 
@@ -132,7 +131,10 @@
 		if !ok {
 			continue
 		}
-		for _, m := range slices.DeleteFunc(slices.Clone(v.Group), func(m messages.Member) bool { return m.Addr == d.transport.Addr() }) {
+		for _, m := range v.Group {
+			if m.Addr == d.transport.Addr() {
+				continue
+			}
 			asked.Go(func() { _, _ = d.registers.Confirm(ctx, part, m, v) })
 		}
 	}
--- a/internal/dissemination/publisher.go
+++ b/internal/dissemination/publisher.go
@@ -242,15 +242,19 @@
 		return
 	}
 	if b, err := f.MarshalMsg(nil); err == nil {
-		p.Forward(to, b)
+		p.broadcast(to, b)
 	}
 }
 
 // Forward sends an encoded update to an audience as it was received.
 func (p *Publisher) Forward(to Audience, body []byte) {
-	if !p.HasSubscribers(to) {
-		return
+	if p.HasSubscribers(to) {
+		p.broadcast(to, body)
 	}
+}
+
+// broadcast encodes an update once and queues it for all subscribers of an audience.
+func (p *Publisher) broadcast(to Audience, body []byte) {
 	f, err := transport.EncodeFrame(messages.Frame{Kind: transport.KindFeed, Body: body})
 	if err != nil {
 		return
