--- a/internal/dissemination/publisher.go
+++ b/internal/dissemination/publisher.go
@@ -66,7 +66,7 @@
 	queued     []byte
 	wake       chan struct{}
 	controller bool
-	compressed bool // the subscriber reads compressed frames
+	reads      transport.Compression // what the subscriber reads
 	acked      int64
 	requested  *messages.Hold // what the receiver had when it last requested
 	answering  bool           // an answer to it is being made
@@ -166,7 +166,7 @@
 }
 
 func (p *Publisher) add(l *transport.Conn, h messages.Hold) {
-	s := &subscriberQueue{wake: make(chan struct{}, 1), controller: h.Controller, compressed: l.ReadsCompressed()}
+	s := &subscriberQueue{wake: make(chan struct{}, 1), controller: h.Controller, reads: l.Reads()}
 	p.mu.Lock()
 	p.queues[l] = s
 	p.mu.Unlock()
@@ -203,7 +203,7 @@
 }
 
 func (p *Publisher) enqueueFrame(s *subscriberQueue, kind int, f transport.EncodedFrame) {
-	b := f.BytesFor(s.compressed)
+	b := f.BytesFor(s.reads)
 	s.mu.Lock()
 	if len(s.queued)+len(b) > maxQueuedBytes {
 		s.queued = nil
--- a/internal/transport/compress.go
+++ b/internal/transport/compress.go
@@ -14,22 +14,52 @@
 // Large frames are compressed, to a tenth where they carry configurations. A compressed
 // frame is the body of a one-way frame of KindCompressed. It is sent only to a peer that
 // has said that it reads them, by KindReadsCompressed: the node that dials says so first,
-// and the other one in response. So nodes of releases without compression get none.
+// and the other one in response. So nodes of releases without compression get none. The
+// body of KindReadsCompressed is the newest format that the sender reads.
+//
+// In the second format the frame is rearranged by splitColumns first, where that makes
+// it smaller, and the compressed bytes follow columnsMark.
 const (
 	// compressFromBytes is the least body that is compressed. Smaller ones are frequent
 	// and not worth the processor time.
 	compressFromBytes = 16 << 10
 	// compressWindowBytes bounds the memory of encoders.
 	compressWindowBytes = 256 << 10
+	// columnsMark is no byte that compressed data of the first format begins with.
+	columnsMark = 'c'
+	// textSampleBytes of a frame show whether it is text, which splitColumns is made for.
+	textSampleBytes = 4 << 10
 )
 
+// Compression is the newest format of compressed frames that a node reads.
+type Compression int32
+
+const (
+	noCompression Compression = iota
+	plainCompression
+	columnCompression
+)
+
+// compressionOf reads the body of a KindReadsCompressed. Releases with the first format
+// alone send none.
+func compressionOf(body []byte) Compression {
+	if len(body) == 0 {
+		return plainCompression
+	}
+	return min(Compression(body[0]), columnCompression)
+}
+
+// readsCompressedBody is the body of the KindReadsCompressed of this release.
+func readsCompressedBody() []byte { return []byte{byte(columnCompression)} }
+
 // The pools drop encoders and decoders while nothing large is sent or received.
 var encoders, decoders sync.Pool
 
 func newEncoder() *zstd.Encoder {
 	e, _ := zstd.NewWriter(nil, // no option given here fails
 		zstd.WithEncoderLevel(zstd.SpeedFastest), zstd.WithEncoderConcurrency(1),
-		zstd.WithLowerEncoderMem(true), zstd.WithWindowSize(compressWindowBytes))
+		zstd.WithLowerEncoderMem(true), zstd.WithWindowSize(compressWindowBytes),
+		zstd.WithAllLitEntropyCompression(true)) // columns of random words have few symbols and no matches
 	return e
 }
 
@@ -42,8 +72,7 @@
 
 // EncodedFrame is a frame ready to be sent to any number of peers. It is compressed once.
 type EncodedFrame struct {
-	plain      []byte
-	compressed []byte // nil where the frame is not compressed
+	formats [columnCompression + 1][]byte // by format; nil where it saves nothing over the one before
 }
 
 // EncodeFrame encodes a frame.
@@ -52,27 +81,55 @@
 	if err != nil {
 		return EncodedFrame{}, errors.Wrap(err, "transport: encode frame")
 	}
-	encoded := EncodedFrame{plain: plain}
+	var encoded EncodedFrame
+	encoded.formats[noCompression] = plain
 	if len(f.Body) < compressFromBytes {
 		return encoded, nil
 	}
-	outer := messages.Frame{Kind: KindCompressed, Body: compress(plain)}
-	if len(outer.Body) >= len(plain) {
-		return encoded, nil
+	if err := encoded.addFormat(plainCompression, compress(plain)); err != nil {
+		return EncodedFrame{}, err
 	}
-	encoded.compressed, err = outer.MarshalMsg(make([]byte, 0, len(outer.Body)+frameHeadBytes))
+	if isText(plain[:min(len(plain), textSampleBytes)]) {
+		columns := append([]byte{columnsMark}, compress(splitColumns(plain))...)
+		err = encoded.addFormat(columnCompression, columns)
+	}
+	return encoded, err
+}
+
+// addFormat adds the frame as compressed in a format, if that is smaller than the frame
+// in the formats before.
+func (e *EncodedFrame) addFormat(format Compression, compressed []byte) error {
+	if len(compressed) >= len(e.BytesFor(format-1)) {
+		return nil
+	}
+	outer := messages.Frame{Kind: KindCompressed, Body: compressed}
+	b, err := outer.MarshalMsg(make([]byte, 0, len(outer.Body)+frameHeadBytes))
 	if err != nil {
-		return EncodedFrame{}, errors.Wrap(err, "transport: encode frame")
+		return errors.Wrap(err, "transport: encode frame")
 	}
-	return encoded, nil
+	e.formats[format] = b
+	return nil
 }
 
-// BytesFor returns the bytes to send to a peer, which reads compressed frames or not.
-func (e EncodedFrame) BytesFor(readsCompressed bool) []byte {
-	if readsCompressed && e.compressed != nil {
-		return e.compressed
+// BytesFor returns the bytes to send to a peer that reads formats up to the given one.
+func (e *EncodedFrame) BytesFor(newest Compression) []byte {
+	for format := newest; format > noCompression; format-- {
+		if b := e.formats[format]; b != nil {
+			return b
+		}
 	}
-	return e.plain
+	return e.formats[noCompression]
+}
+
+// isText reports whether most bytes are letters and digits.
+func isText(b []byte) bool {
+	words := 0
+	for _, c := range b {
+		if isWordByte(c) {
+			words++
+		}
+	}
+	return 2*words > len(b)
 }
 
 func compress(b []byte) []byte {
@@ -91,7 +148,11 @@
 		d = newDecoder()
 	}
 	defer decoders.Put(d)
-	plain, err := d.DecodeAll(body, nil)
+	compressed, columns := bytes.CutPrefix(body, []byte{columnsMark})
+	plain, err := d.DecodeAll(compressed, nil)
+	if err == nil && columns {
+		plain, err = joinColumns(plain, maxBodyBytes+frameHeadBytes)
+	}
 	if err != nil {
 		return messages.Frame{}, errors.Wrap(errFrame, err.Error())
 	}
--- a/internal/transport/compress_test.go
+++ b/internal/transport/compress_test.go
@@ -2,6 +2,8 @@
 
 import (
 	"bytes"
+	"fmt"
+	"math/rand/v2"
 	"runtime"
 	"testing"
 
@@ -19,9 +21,9 @@
 	f := largeFrame()
 	encoded, err := EncodeFrame(f)
 	must.NoError(t, err)
-	must.Eq(t, encode(t, f), encoded.BytesFor(false), must.Sprint("an earlier release reads no compressed frames"))
-	must.Less(t, len(f.Body)/10, len(encoded.BytesFor(true)))
-	outer := decode(bytes.NewReader(encoded.BytesFor(true)))
+	must.Eq(t, encode(t, f), encoded.BytesFor(noCompression), must.Sprint("an earlier release reads no compressed frames"))
+	must.Less(t, len(f.Body)/10, len(encoded.BytesFor(plainCompression)))
+	outer := decode(bytes.NewReader(encoded.BytesFor(plainCompression)))
 	must.Len(t, 1, outer)
 	must.Eq(t, KindCompressed, outer[0].Kind)
 	inner, err := decompressFrame(outer[0].Body)
@@ -30,30 +32,53 @@
 
 	small, err := EncodeFrame(messages.Frame{Kind: KindFeed, Body: make([]byte, compressFromBytes-1)})
 	must.NoError(t, err)
-	must.Eq(t, small.BytesFor(false), small.BytesFor(true))
+	must.Eq(t, small.BytesFor(noCompression), small.BytesFor(columnCompression))
 }
 
+// A peer of a release with the first format alone sends a KindReadsCompressed without a
+// body, and is sent nothing that it cannot read.
 func TestPeerIsSentCompressedFramesOnlyAfterItSaidSo(t *testing.T) {
 	peer := newFakePeer(t, testTransport(t))
-	body := largeFrame().Body
+	body := textBody()
 	go func() { _ = peer.near.Push(KindFeed, body) }()
 	must.Eq(t, messages.Frame{Kind: KindFeed, Body: body}, peer.read())
 	peer.write(messages.Frame{Kind: KindReadsCompressed}, messages.Frame{Kind: KindReadsCompressed})
-	for !peer.near.ReadsCompressed() {
+	for peer.near.Reads() == noCompression {
 		runtime.Gosched()
 	}
 	go func() { _ = peer.near.Push(KindFeed, body) }()
 	f := peer.read()
 	must.Eq(t, KindCompressed, f.Kind)
+	must.NotEq(t, columnsMark, rune(f.Body[0]))
 	inner, err := decompressFrame(f.Body)
 	must.NoError(t, err)
 	must.Eq(t, messages.Frame{Kind: KindFeed, Body: body}, inner)
+
+	peer.write(messages.Frame{Kind: KindReadsCompressed, Body: readsCompressedBody()})
+	for peer.near.Reads() != columnCompression {
+		runtime.Gosched()
+	}
+	go func() { _ = peer.near.Push(KindFeed, body) }()
+	f = peer.read()
+	must.Eq(t, columnsMark, rune(f.Body[0]))
+	inner, err = decompressFrame(f.Body)
+	must.NoError(t, err)
+	must.Eq(t, messages.Frame{Kind: KindFeed, Body: body}, inner)
+}
+
+// textBody is a body that splitColumns makes smaller.
+func textBody() (b []byte) {
+	random := rand.New(rand.NewPCG(1, 2))
+	for range 1000 {
+		b = fmt.Appendf(b, `{"name":"r-%08x","kind":"stream"}`, random.Uint32())
+	}
+	return b
 }
 
 func TestConnEndsAfterBytesThatAreNoCompressedFrame(t *testing.T) {
 	twice, err := (&messages.Frame{Kind: KindCompressed}).MarshalMsg(nil)
 	must.NoError(t, err)
-	for _, body := range [][]byte{nil, []byte("garbage"), compress([]byte("garbage")), compress(twice)} {
+	for _, body := range [][]byte{nil, []byte("garbage"), compress([]byte("garbage")), compress(twice), {columnsMark}, append([]byte{columnsMark}, compress([]byte("garbage"))...), append([]byte{columnsMark}, compress(splitColumns(twice))...)} {
 		peer := newFakePeer(t, testTransport(t))
 		peer.write(messages.Frame{Kind: KindCompressed, Body: body})
 		<-peer.near.Done()
--- a/internal/transport/conn.go
+++ b/internal/transport/conn.go
@@ -43,10 +43,10 @@
 	conn      net.Conn
 	pending   *pendingRequests
 	closed    atomic.Bool
-	// readsCompressed is set once the peer has said that it reads compressed frames.
-	readsCompressed atomic.Bool
-	lastReadNs      atomic.Int64 // when bytes last arrived, after processStart; 0 for never
-	done            chan struct{}
+	// peerReads is the newest compression that the peer has said it reads.
+	peerReads  atomic.Int32
+	lastReadNs atomic.Int64 // when bytes last arrived, after processStart; 0 for never
+	done       chan struct{}
 
 	// OnPush handles the one-way frames of this connection instead of the
 	// transport's handlers. It is set before Serve.
@@ -81,11 +81,11 @@
 	if err != nil {
 		return err
 	}
-	return c.writeFrames(f.Kind, encoded.BytesFor(c.ReadsCompressed()))
+	return c.writeFrames(f.Kind, encoded.BytesFor(c.Reads()))
 }
 
-// ReadsCompressed reports whether the peer has said that it reads compressed frames.
-func (c *Conn) ReadsCompressed() bool { return c.readsCompressed.Load() }
+// Reads returns the newest compression that the peer has said it reads.
+func (c *Conn) Reads() Compression { return Compression(c.peerReads.Load()) }
 
 // SendRaw writes encoded updates as they are; they count as one message of KindFeed.
 // After a write that failed nothing more is written: the peer would read it as the
@@ -196,7 +196,7 @@
 		seq, kind, ok := decodeFailure(f.Body)
 		return ok && c.pending.complete(seq, kind, result{err: ErrRemote})
 	case f.Kind == KindReadsCompressed:
-		c.notePeerReadsCompressed()
+		c.notePeerReads(compressionOf(f.Body))
 	case f.Seq == 0:
 		c.handleOneWay(f)
 	default:
@@ -205,10 +205,10 @@
 	return true
 }
 
-// notePeerReadsCompressed responds in kind where the peer has dialled.
-func (c *Conn) notePeerReadsCompressed() {
-	if first := !c.readsCompressed.Swap(true); first && c.addr == "" {
-		_ = c.Push(KindReadsCompressed, nil)
+// notePeerReads responds in kind where the peer has dialled.
+func (c *Conn) notePeerReads(newest Compression) {
+	if before := c.peerReads.Swap(int32(newest)); before == int32(noCompression) && c.addr == "" {
+		_ = c.Push(KindReadsCompressed, readsCompressedBody())
 	}
 }
 
--- a/internal/transport/transport.go
+++ b/internal/transport/transport.go
@@ -189,7 +189,7 @@
 		return nil, errors.Wrap(err, "transport: dial")
 	}
 	conn := t.newConn(addr, c)
-	if err := conn.Push(KindReadsCompressed, nil); err != nil {
+	if err := conn.Push(KindReadsCompressed, readsCompressedBody()); err != nil {
 		return nil, err
 	}
 	return conn, nil
