placement: routers compare a sample of the runners, not all of them

Cause: 300 routers chose the cheapest of 240 runners by loads that are some tenths of a second late, all the same few at once.

Change: where other nodes send requests too, placement.Match compares the home of the prefix, one runner with the longest cached prefix and two random ones.

--- a/internal/admission/admission.go
+++ b/internal/admission/admission.go
@@ -7,6 +7,8 @@
 package admission
 
 import (
+	"math/rand/v2"
+
 	"beechtide.org/beechtide/internal/inflight"
 	"beechtide.org/beechtide/internal/messages"
 	"beechtide.org/beechtide/internal/placement"
@@ -67,6 +69,7 @@
 	relinquished    map[string]relinquished // by zone
 	candidateBuffer []placement.Candidate   // reused by the next search for candidates
 	runnerBuffer    []*runner
+	random          *rand.Rand          // which runners are compared, where other nodes send requests too
 	transferTurn    int                 // counts equal transfer sources, which take turns
 	hasCapacity     bool                // the last search found a runner below its thresholds
 	peerLoadsUs     int64               // when the loads of the other nodes were last updated; 0: expired
@@ -79,9 +82,10 @@
 	Salt      func(tenant string, isolated bool, regime string, version int64) string
 }
 
-// New returns the admitter of a node in a zone.
-func New(t Tuning, zone string) *Admitter {
-	return &Admitter{T: t, Zone: zone, Index: prefixindex.NewIndex(), nodes: 1, pools: map[string]*pool{}, tenants: map[string]*tenantState{}, Bound: WeightsBound{VersionUs: 8_000_000}, Salt: Salt}
+// New returns the admitter of a node in a zone. The nodes of a fleet should have
+// different seeds: from equal ones they would choose the same runners.
+func New(t Tuning, zone string, seed uint64) *Admitter {
+	return &Admitter{T: t, Zone: zone, Index: prefixindex.NewIndex(), random: rand.New(rand.NewPCG(seed, 0)), nodes: 1, pools: map[string]*pool{}, tenants: map[string]*tenantState{}, Bound: WeightsBound{VersionUs: 8_000_000}, Salt: Salt}
 }
 
 // Salt keeps weight versions apart, isolated tenants from all others, and the
--- a/internal/admission/admission_test.go
+++ b/internal/admission/admission_test.go
@@ -18,7 +18,7 @@
 }
 
 func newAdmitter(ids ...string) *Admitter {
-	admitter := New(Defaults, "a")
+	admitter := New(Defaults, "a", 1)
 	var notes []messages.RunnerRecord
 	for _, id := range ids {
 		notes = append(notes, runnerRecord(id))
--- a/internal/admission/admit.go
+++ b/internal/admission/admit.go
@@ -3,6 +3,8 @@
 package admission
 
 import (
+	"math/rand/v2"
+
 	"beechtide.org/beechtide/internal/messages"
 	"beechtide.org/beechtide/internal/placement"
 	"beechtide.org/beechtide/internal/prefixindex"
@@ -37,6 +39,15 @@
 	blocks int
 }
 
+// sampling returns the source of random choices, or nil where this node sends all
+// requests itself and so knows all loads exactly.
+func (a *Admitter) sampling() *rand.Rand {
+	if a.nodes <= 1 {
+		return nil
+	}
+	return a.random
+}
+
 func (a *Admitter) admit(request Request, p *pool, t *tenantState, nowUs int64) *Admission {
 	a.hasCapacity = true
 	if float64(t.admitted) >= t.window {
@@ -47,7 +58,7 @@
 	if n := len(request.Parts); n > 1 {
 		prompt.Shared = prefixindex.Key("", request.Model, request.Parts[n-2].ID)
 	}
-	i := placement.Match(prompt, list)
+	i := placement.Match(prompt, list, a.sampling())
 	if i < 0 {
 		return nil
 	}
--- a/internal/admission/session_test.go
+++ b/internal/admission/session_test.go
@@ -40,7 +40,7 @@
 const sessionCount = 400
 
 func zonedAdmitter() *Admitter {
-	admitter := New(Defaults, "a")
+	admitter := New(Defaults, "a", 1)
 	admitter.SetService("s", runnersInZones("a", "b", "c", "a", "b", "c"), memory, 0.01)
 	return admitter
 }
--- a/internal/placement/placement.go
+++ b/internal/placement/placement.go
@@ -7,13 +7,14 @@
 // of the prompt's shared prefix decides, so that all routers send the same
 // prefix to the same runner without coordination.
 //
-// All functions are pure: equal arguments give equal results. The package keeps
-// no state and starts no goroutine.
+// All functions are pure: equal arguments, the state of the random source included,
+// give equal results. The package keeps no state and starts no goroutine.
 package placement
 
 import (
 	"encoding/binary"
 	"hash/fnv"
+	"math/rand/v2"
 
 	"beechtide.org/beechtide/internal/statesync"
 )
@@ -47,6 +48,12 @@
 // cache bears notHomeUs.
 const usefulCacheDivisor = 4
 
+// randomChoices is how many random candidates a sample has.
+const randomChoices = 2
+
+// minSampled is the number of candidates up to which all of them are compared.
+const minSampled = randomChoices + 1
+
 // Candidate is a runner that may take the request, as the admission control
 // sees it.
 type Candidate struct {
@@ -67,7 +74,7 @@
 }
 
 // uncached is the number of prompt tokens that the candidate must prefill.
-func (c Candidate) uncached(p Prompt) int { return max(p.Tokens-c.Kept-c.Moved, 0) }
+func (c *Candidate) uncached(p Prompt) int { return max(p.Tokens-c.Kept-c.Moved, 0) }
 
 // Prompt describes the request.
 type Prompt struct {
@@ -76,12 +83,20 @@
 	Shared uint64 // hash of the deepest shared prefix; 0 without one
 }
 
-// Match returns the index of the candidate with the lowest cost, the first of
-// equals, or -1 without any.
-func Match(p Prompt, candidates []Candidate) int {
+// Match returns the index of the candidate with the lowest cost, or -1 without any.
+//
+// With a nil random all candidates are compared, and the first of equals wins: right for
+// a router that knows the backlogs exactly. Where many routers share the runners, each
+// learns late of what the others send. If all compared all candidates, they would send
+// everything to the few that were idle a moment ago, until the next news of loads. So
+// with random only a sample is compared: the home of the prefix, one candidate with the
+// longest cached prefix, and randomChoices others ("power of two choices": Mitzenmacher,
+// "How Useful Is Old Information?", 2000).
+func Match(p Prompt, candidates []Candidate, random *rand.Rand) int {
 	best, bestUs := -1, 0.0
 	home := rendezvous(p.Shared, candidates)
-	for i, c := range candidates {
+	compare := func(i int) {
+		c := &candidates[i]
 		us := costUs(p, c)
 		if p.Shared != 0 && i != home && c.Kept+c.Moved < p.Tokens/usefulCacheDivisor {
 			us += notHomeUs
@@ -90,12 +105,44 @@
 			best, bestUs = i, us
 		}
 	}
+	if random == nil || len(candidates) <= minSampled {
+		for i := range candidates {
+			compare(i)
+		}
+		return best
+	}
+	if home >= 0 {
+		compare(home)
+	}
+	if longest := longestPrefix(candidates, random); longest >= 0 {
+		compare(longest)
+	}
+	for range randomChoices {
+		compare(random.IntN(len(candidates)))
+	}
 	return best
 }
 
+// longestPrefix returns a random one of the candidates with the most cached tokens of
+// the prompt, or -1 where none has any.
+func longestPrefix(candidates []Candidate, random *rand.Rand) int {
+	longest, tokens, equals := -1, 0, 0
+	for i := range candidates {
+		switch kept := candidates[i].Kept; {
+		case kept > tokens:
+			longest, tokens, equals = i, kept, 1
+		case kept == tokens && kept > 0:
+			if equals++; random.IntN(equals) == 0 {
+				longest = i
+			}
+		}
+	}
+	return longest
+}
+
 // costUs estimates the time to the first token at a candidate, with penalties
 // for what the request costs others.
-func costUs(p Prompt, c Candidate) float64 {
+func costUs(p Prompt, c *Candidate) float64 {
 	rate := max(c.Rate, minRate)
 	us := float64(c.Prefill+c.uncached(p))/rate + c.MoveUs
 	us += AgainUs * float64(c.Again)
--- a/internal/placement/placement_test.go
+++ b/internal/placement/placement_test.go
@@ -19,16 +19,16 @@
 	candidates := idleCandidates()
 	candidates[1].Kept = 6000
 	p := Prompt{Tokens: 9000, Shared: 1}
-	must.Eq(t, 1, Match(p, candidates))
+	must.Eq(t, 1, Match(p, candidates, nil))
 	candidates[1].Prefill = 40_000
-	must.NotEq(t, 1, Match(p, candidates))
+	must.NotEq(t, 1, Match(p, candidates, nil))
 }
 
 func TestMatchTakesIdleRunnerWhenPrefixCanBeTransferred(t *testing.T) {
 	candidates := idleCandidates()
 	candidates[1].Kept, candidates[1].Prefill = 6000, 5000
 	candidates[2].Moved, candidates[2].MoveUs, candidates[2].From = 6000, 20_000, "b"
-	must.Eq(t, 2, Match(Prompt{Tokens: 9000, Shared: 1}, candidates))
+	must.Eq(t, 2, Match(Prompt{Tokens: 9000, Shared: 1}, candidates, nil))
 }
 
 func TestMatchChargesDuplicatePrefill(t *testing.T) {
@@ -36,20 +36,20 @@
 	candidates[0].Prefill = 3000
 	candidates[0].Kept = 2500
 	candidates[1].Again, candidates[2].Again = 2500, 2500
-	must.Eq(t, 0, Match(Prompt{Tokens: 5000, Shared: 1}, candidates))
+	must.Eq(t, 0, Match(Prompt{Tokens: 5000, Shared: 1}, candidates, nil))
 }
 
 func TestMatchSpreadsUncachedPrefixesByRendezvousHash(t *testing.T) {
 	matches := map[int]int{}
 	for prefix := uint64(1); prefix < 300; prefix++ {
-		i := Match(Prompt{Tokens: 5000, Shared: prefix}, idleCandidates())
+		i := Match(Prompt{Tokens: 5000, Shared: prefix}, idleCandidates(), nil)
 		must.Eq(t, rendezvous(prefix, idleCandidates()), i)
 		matches[i]++
 	}
 	for i := range idleCandidates() {
 		must.Greater(t, 60, matches[i])
 	}
-	must.Eq(t, -1, Match(Prompt{}, nil))
+	must.Eq(t, -1, Match(Prompt{}, nil, nil))
 }
 
 // All routers of a fleet must agree, whichever release they run.
--- a/internal/router/evening_test.go
+++ b/internal/router/evening_test.go
@@ -96,7 +96,7 @@
 }
 
 func (n *deskNode) start(e *evening) {
-	n.registry, n.admission, n.up = registry.New(), admission.New(admission.Defaults, "a"), true
+	n.registry, n.admission, n.up = registry.New(), admission.New(admission.Defaults, "a", 1), true
 	n.hear(e)
 }
 
--- a/internal/router/move_test.go
+++ b/internal/router/move_test.go
@@ -156,7 +156,7 @@
 // The context goes along: the new home takes the kept parts from the old one, as
 // many tokens as would have been found there, and reads only what is new.
 func TestTheContextGoesAlong(t *testing.T) {
-	d := admission.New(admission.Defaults, "b")
+	d := admission.New(admission.Defaults, "b", 1)
 	notes := []messages.RunnerRecord{}
 	for i := range 6 {
 		notes = append(notes, messages.RunnerRecord{ID: fmt.Sprint("r", i), Service: "s", Addr: fmt.Sprint("r", i, ":1"), Zone: []string{"a", "b", "c"}[i%3], Capacity: 8, Models: []messages.Target{{Model: "m", Version: 1}}})
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -132,7 +132,7 @@
 	if err != nil {
 		return nil, err
 	}
-	c := &Router{set: set, log: log, clock: clock, transport: trans, registry: registry.New(), connPool: upstream.NewConnPool(clock), parts: map[int]messages.PartNote{}, admission: admission.New(admission.Defaults, set.Zone), budgets: map[string]*upstream.Budget{}, kick: make(chan struct{}, 1), fresh: make(chan struct{}, 1), stir: make(chan struct{}, 1), missing: make(chan struct{}, 1), drainBegun: make(chan struct{}), lastAnswers: make(chan struct{})}
+	c := &Router{set: set, log: log, clock: clock, transport: trans, registry: registry.New(), connPool: upstream.NewConnPool(clock), parts: map[int]messages.PartNote{}, admission: admission.New(admission.Defaults, set.Zone, rand.Uint64()), budgets: map[string]*upstream.Budget{}, kick: make(chan struct{}, 1), fresh: make(chan struct{}, 1), stir: make(chan struct{}, 1), missing: make(chan struct{}, 1), drainBegun: make(chan struct{}), lastAnswers: make(chan struct{})}
 	c.configuration, c.runners = routeconfig.NewReplica(), statesync.NewEntries()
 	c.loads.init(clock())
 	c.comparisons = dissemination.NewComparisons(rand.IntN(64))
--- a/internal/router/targets_test.go
+++ b/internal/router/targets_test.go
@@ -11,7 +11,7 @@
 
 func TestOnlyAControllerWithTheCoreInReachCountsAsContact(t *testing.T) {
 	const versionUs, contactLossUs = 8_000_000, 3_000_000
-	c := &Router{admission: admission.New(admission.Defaults, "a")}
+	c := &Router{admission: admission.New(admission.Defaults, "a", 1)}
 	c.admission.Bound = admission.WeightsBound{VersionUs: versionUs, ContactLossUs: contactLossUs}
 	old := messages.RunnerRecord{ID: "r0", Service: "s", Capacity: 4, Models: []messages.Target{{Model: "m", Version: 4}}}
 	c.admission.SetService("s", []messages.RunnerRecord{old}, 1000, 0)
--- /dev/null
+++ b/internal/simulation/traffic/news.go
@@ -0,0 +1,69 @@
+// What routers learn of each other and of the runners, and when.
+
+package traffic
+
+import "beechtide.org/beechtide/internal/messages"
+
+// noticePending sends the prefixes that runners are about to cache to the other routers.
+func (f *fleet) noticePending(from int) {
+	notes := f.routers[from].TakeFresh()
+	if len(notes) == 0 {
+		return
+	}
+	f.kernel.After(f.options.NoticeDelay.Microseconds(), func() {
+		for i, a := range f.routers {
+			if i != from {
+				a.Coming(notes)
+			}
+		}
+	})
+}
+
+// shareLoads sends every router the loads of all the others, added up.
+func (f *fleet) shareLoads() {
+	if f.kernel.NowUs() > f.endUs {
+		return
+	}
+	f.kernel.After(f.options.LoadInterval.Microseconds(), f.shareLoads)
+	sum := map[string]messages.RunnerLoad{}
+	own := make([]map[string]messages.RunnerLoad, len(f.routers))
+	for i, a := range f.routers {
+		own[i] = a.Own(f.kernel.NowUs())
+		for id, load := range own[i] {
+			sum[id] = combine(sum[id], load, 1)
+		}
+	}
+	f.kernel.After(f.options.LoadDelay.Microseconds(), func() {
+		for i, a := range f.routers {
+			a.Others(func(id string) messages.RunnerLoad { return combine(sum[id], own[i][id], -1) }, f.kernel.NowUs())
+		}
+	})
+}
+
+// combine adds a load to a sum, or subtracts it with a sign of -1.
+func combine(sum, load messages.RunnerLoad, sign int) messages.RunnerLoad {
+	sum.Blocks += sign * load.Blocks
+	sum.Prefill += sign * load.Prefill
+	sum.Count += sign * load.Count
+	sum.Flow += sign * load.Flow
+	sum.Tried += sign * load.Tried
+	sum.Failed += sign * load.Failed
+	sum.Rate = max(sum.Rate, load.Rate)
+	return sum
+}
+
+// shareReports sends every router what the runners report.
+func (f *fleet) shareReports() {
+	if f.kernel.NowUs() > f.endUs {
+		return
+	}
+	f.kernel.After(reportIntervalUs, f.shareReports)
+	for _, r := range f.runners {
+		note := messages.ReportNote{ID: r.id, Active: r.active, Queued: len(r.queue), Total: runnerMemoryTokens, Used: r.used}
+		f.kernel.After(reportDelayUs, func() {
+			for _, a := range f.routers {
+				a.Report(note, f.kernel.NowUs())
+			}
+		})
+	}
+}
--- /dev/null
+++ b/internal/simulation/traffic/result.go
@@ -0,0 +1,79 @@
+package traffic
+
+import (
+	"fmt"
+	"slices"
+	"strings"
+	"time"
+)
+
+// Result is what one play measured.
+type Result struct {
+	Arrivals     []int // requests that were sent to each runner
+	Queued       int   // requests that waited in a router
+	DecidedTwice int   // requests that got two decisions, which must not be
+	TokensRead   int   // prompt tokens that runners read
+	Classes      []ClassResult
+}
+
+// ClassResult is what became of the requests of one class. A request whose first token
+// does not come before the play ends is in Sent only.
+type ClassResult struct {
+	Name           string
+	Sent, Rejected int
+	InAim          int
+	FirstTokenUs   []int64 // time from arrival
+}
+
+func newResult(options Options) Result {
+	result := Result{}
+	for _, c := range options.Classes {
+		result.Classes = append(result.Classes, ClassResult{Name: c.Name})
+	}
+	return result
+}
+
+func (c *ClassResult) firstToken(us int64, class Class) {
+	c.FirstTokenUs = append(c.FirstTokenUs, us)
+	if us <= class.Aim.Microseconds() {
+		c.InAim++
+	}
+}
+
+// ShareInAim is the share of the requests whose first token came in time.
+func (c *ClassResult) ShareInAim() float64 { return float64(c.InAim) / float64(max(c.Sent, 1)) }
+
+// Quantile returns the time to the first token that a share q of the requests did not
+// exceed; 0 without any.
+func (c *ClassResult) Quantile(q float64) time.Duration {
+	if len(c.FirstTokenUs) == 0 {
+		return 0
+	}
+	sorted := slices.Sorted(slices.Values(c.FirstTokenUs))
+	return time.Duration(sorted[int(q*float64(len(sorted)-1))]) * time.Microsecond
+}
+
+// Imbalance is the number of requests at the busiest runner over the mean.
+func (r *Result) Imbalance() float64 {
+	total := 0
+	for _, n := range r.Arrivals {
+		total += n
+	}
+	if total == 0 {
+		return 0
+	}
+	return float64(slices.Max(r.Arrivals)) * float64(len(r.Arrivals)) / float64(total)
+}
+
+// String is a table of the figures.
+func (r *Result) String() string {
+	var b strings.Builder
+	fmt.Fprintf(&b, "busiest runner %.2f of the mean; %d queued; %d tokens read\n", r.Imbalance(), r.Queued, r.TokensRead)
+	for i := range r.Classes {
+		c := &r.Classes[i]
+		fmt.Fprintf(&b, "%-14s %6d sent  %6d in aim (%.3f)  %5d rejected  first token %v p50, %v p95, %v p99\n", c.Name, c.Sent, c.InAim, c.ShareInAim(), c.Rejected, round(c.Quantile(0.5)), round(c.Quantile(0.95)), round(c.Quantile(0.99)))
+	}
+	return b.String()
+}
+
+func round(d time.Duration) time.Duration { return d.Round(time.Millisecond) }
--- /dev/null
+++ b/internal/simulation/traffic/traffic.go
@@ -0,0 +1,216 @@
+// Package traffic simulates requests from many routers to runners that they share.
+//
+// Every router has an admission.Admitter of its own, the code that runs in the role.
+// It knows its own requests exactly, and what the other routers send only after a
+// delay: the sum of loads every LoadInterval, LoadDelay old, and notices of prefixes
+// that a runner is about to cache, NoticeDelay old. Runners are modelled: they read
+// prompts one after the other, decode several at once, and report their load once a
+// second. There are no faults. What differs from a real fleet, and by how much, is not
+// known: the figures serve to compare designs, and sizes of one design.
+//
+// Play runs one simulation on one goroutine; the same options and seed give the same
+// result.
+package traffic
+
+import (
+	"fmt"
+	"math"
+	"math/rand/v2"
+	"time"
+
+	"beechtide.org/beechtide/internal/admission"
+	"beechtide.org/beechtide/internal/inflight"
+	"beechtide.org/beechtide/internal/messages"
+	"beechtide.org/beechtide/internal/prefixindex"
+	"beechtide.org/beechtide/internal/simulation"
+)
+
+// Class is a kind of request. Its prompt has a head that many requests share, a body
+// that the requests for one subject share, and a part of its own.
+type Class struct {
+	Name       string
+	Share      float64 // of all requests
+	Heads      int     // different heads
+	Subjects   int     // different bodies
+	HeadTokens int
+	BodyTokens int
+	OwnTokens  int // mean of a log-normal distribution
+	OutTokens  int
+	Aim        time.Duration // latest first token
+	Deadline   time.Duration
+}
+
+// Options are the size of a fleet and what its routers know of each other.
+type Options struct {
+	Routers, Runners  int
+	RequestsPerSecond float64
+	Duration          time.Duration // requests arrive for so long
+	LoadInterval      time.Duration
+	LoadDelay         time.Duration
+	NoticeDelay       time.Duration
+	Classes           []Class
+}
+
+// Parameters of the modelled runners and of what is known of them.
+const (
+	runnerCapacity     = 16      // requests at once
+	runnerMemoryTokens = 232_000 // of the cache
+	runnerRate         = 0.0387  // tokens read in a microsecond
+	slowRunnerEvery    = 3       // one runner of so many is slower
+	slowRunnerFactor   = 1.3
+	decodeTokenUs      = 6_000
+	decodeSharePercent = 3 // by which each other request lengthens a token
+	transferStartUs    = 3_000
+	transferTokenUs    = 2.4
+	reportIntervalUs   = 1_000_000
+	reportDelayUs      = 300_000
+	eventDelayUs       = 400_000 // until a cached part is known to the routers
+	queueTickUs        = 8_000   // how often a router looks at its queue
+	settleUs           = 5_000_000
+	service, model     = "service", "model"
+	tenants            = 190
+	maxOwnFactor       = 14
+)
+
+var zones = []string{"a", "b", "c", "d", "e"}
+
+// fleet is the state of one play.
+type fleet struct {
+	options Options
+	random  *rand.Rand
+	kernel  *simulation.Kernel
+	endUs   int64 // the last arrival
+	routers []*admission.Admitter
+	runners []*runner
+	byAddr  map[string]*runner
+	slab    inflight.Slab[admission.Decision]
+	queued  map[inflight.Ref]*request
+	counted int64
+	result  Result
+}
+
+type request struct {
+	class     int
+	router    int
+	arrivedUs int64
+	decided   bool
+	admission.Request
+	admitted *admission.Admission
+}
+
+// Play simulates a fleet.
+func Play(options Options, seed uint64) Result {
+	f := &fleet{
+		options: options, kernel: simulation.NewKernel(seed, false), random: rand.New(rand.NewPCG(seed, 0)), endUs: options.Duration.Microseconds(),
+		byAddr: map[string]*runner{}, queued: map[inflight.Ref]*request{}, result: newResult(options),
+	}
+	f.build()
+	f.kernel.After(0, f.arrive)
+	f.kernel.After(options.LoadInterval.Microseconds(), f.shareLoads)
+	f.kernel.After(reportIntervalUs, f.shareReports)
+	f.kernel.RunUntil(f.endUs + settleUs)
+	for _, r := range f.runners {
+		f.result.Arrivals = append(f.result.Arrivals, r.arrivals)
+	}
+	return f.result
+}
+
+// build makes the routers and the runners.
+func (f *fleet) build() {
+	var records []messages.RunnerRecord
+	for i := range f.options.Runners {
+		id := fmt.Sprintf("runner-%08x", f.random.Uint32())
+		r := newRunner(id, i%slowRunnerEvery == slowRunnerEvery-1)
+		record := messages.RunnerRecord{ID: id, Service: service, Addr: id + ":1", Zone: zones[i%len(zones)], Capacity: runnerCapacity, Models: []messages.Target{{Model: model, Version: 1}}}
+		records = append(records, record)
+		f.runners, f.byAddr[record.Addr] = append(f.runners, r), r
+	}
+	for i := range f.options.Routers {
+		a := admission.New(admission.Defaults, zones[i%len(zones)], uint64(i))
+		a.SetNodes(f.options.Routers)
+		a.SetService(service, records, runnerMemoryTokens, transferTokenUs)
+		f.routers = append(f.routers, a)
+	}
+}
+
+// arrive has one request arrive at a random router, and the next one come.
+func (f *fleet) arrive() {
+	if f.kernel.NowUs() > f.endUs {
+		return
+	}
+	f.kernel.After(int64(f.random.ExpFloat64()*1e6/f.options.RequestsPerSecond), f.arrive)
+	r := f.newRequest()
+	f.result.Classes[r.class].Sent++
+	decision := f.routers[r.router].Submit(r.Request, f.kernel.NowUs())
+	f.decide(r, decision)
+	f.noticePending(r.router)
+}
+
+func (f *fleet) newRequest() *request {
+	class, x := 0, f.random.Float64()
+	for class < len(f.options.Classes)-1 && x >= f.options.Classes[class].Share {
+		x -= f.options.Classes[class].Share
+		class++
+	}
+	c := f.options.Classes[class]
+	subject := f.random.IntN(c.Subjects)
+	own := f.ownTokens(c)
+	f.counted++
+	return &request{
+		class: class, router: f.random.IntN(f.options.Routers), arrivedUs: f.kernel.NowUs(),
+		Request: admission.Request{
+			Ref: f.slab.Put(func(admission.Decision) {}), Service: service, Model: model,
+			Tenant:   fmt.Sprint("tenant-", f.random.IntN(tenants)),
+			TokensIn: c.HeadTokens + c.BodyTokens + own, TokensOut: c.OutTokens,
+			SetpointUs: c.Aim.Microseconds(), LeftUs: c.Deadline.Microseconds(),
+			Parts: []prefixindex.Part{
+				{ID: fmt.Sprintf("%s/head-%d", c.Name, subject%c.Heads), Tokens: c.HeadTokens},
+				{ID: fmt.Sprintf("%s/body-%d", c.Name, subject), Tokens: c.BodyTokens},
+				{ID: fmt.Sprintf("%s/own-%d", c.Name, f.counted), Tokens: own},
+			},
+		},
+	}
+}
+
+// ownTokens draws from a log-normal distribution, cut off at maxOwnFactor of its mean.
+func (f *fleet) ownTokens(c Class) int {
+	factor := math.Exp(f.random.NormFloat64() - 0.5)
+	return max(int(float64(c.OwnTokens)*min(factor, maxOwnFactor)), 1)
+}
+
+// decide carries out a decision of a router.
+func (f *fleet) decide(r *request, decision admission.Decision) {
+	if decision.Hold {
+		f.queued[r.Ref] = r
+		f.result.Queued++
+		f.kernel.After(queueTickUs, func() { f.tick(r) })
+		return
+	}
+	if r.decided {
+		f.result.DecidedTwice++
+	}
+	r.decided = true
+	f.slab.Resume(r.Ref, decision)
+	if decision.Admit == nil {
+		f.result.Classes[r.class].Rejected++
+		return
+	}
+	r.admitted = decision.Admit
+	f.byAddr[decision.Admit.Runner.Addr].enqueue(f, r)
+}
+
+// tick lets a router look at its queue, while r waits in it.
+func (f *fleet) tick(r *request) {
+	if f.queued[r.Ref] == nil {
+		return
+	}
+	for _, decision := range f.routers[r.router].Tick(f.kernel.NowUs()) {
+		decided := f.queued[decision.Ref]
+		delete(f.queued, decision.Ref)
+		f.decide(decided, decision)
+	}
+	f.noticePending(r.router)
+	if f.queued[r.Ref] != nil {
+		f.kernel.After(queueTickUs, func() { f.tick(r) })
+	}
+}
