--- a/internal/controller/feed.go
+++ b/internal/controller/feed.go
@@ -36,6 +36,20 @@
 	return min(max(time.Duration(len(d.monitor.Alive(messages.Router)))*pressPart, pressLeast), flushEvery)
 }
 
+// Least time between two sums of loads to the routers. In a large fleet nearly every
+// runner's load changes within a few milliseconds, so each sum has most runners, and a
+// relay sends a copy to each child: the time grows with the number of routers, or the
+// sums fill the links of the relays and arrive late.
+const (
+	loadsPart  = 800 * time.Microsecond // a router
+	loadsMost  = 240 * time.Millisecond
+	loadsLeast = flushEvery
+)
+
+func (d *Controller) loadsPause() time.Duration {
+	return min(max(time.Duration(len(d.monitor.Alive(messages.Router)))*loadsPart, loadsLeast), loadsMost)
+}
+
 // below is under which name the nodes below this one stand in the sum of all.
 const below = "below"
 
@@ -50,6 +64,7 @@
 	own, down outbox // to the other controllers, and to the routers
 	urgent    chan struct{}
 	sentUs    int64 // when a feed last went out to everybody
+	loadsUs   int64 // when the loads last went out to the routers
 
 	changes, wholes, malformed atomic.Int64
 }
@@ -223,7 +238,8 @@
 		up.Loads = append(up.Loads, c)
 		f.all.Follow(below, f.below.Total)
 	}
-	if f.all.Total.Dirty() {
+	if now := d.clock(); f.all.Total.Dirty() && now-f.loadsUs >= d.loadsPause().Microseconds() {
+		f.loadsUs = now
 		down.Loads = append(down.Loads, statesync.EncodeLoads(f.all.Total.Commit(f.all.Total.Version+1)))
 	}
 	rest := d.clock()-f.sentUs > restUs
--- a/internal/membership/view.go
+++ b/internal/membership/view.go
@@ -41,6 +41,9 @@
 	version   int64
 	peers     map[string]*peerState // by address, without the node itself
 
+	alive        map[messages.Role][]messages.Peer // lists of Alive, at aliveVersion
+	aliveVersion int64
+
 	seq           int64                   // of the newest probe
 	pendingProbes map[int64]*pendingProbe // by sequence number
 	nextProbeUs   int64
@@ -68,6 +71,7 @@
 		config:        config,
 		rand:          rand,
 		peers:         map[string]*peerState{},
+		alive:         map[messages.Role][]messages.Peer{},
 		pendingProbes: map[int64]*pendingProbe{},
 	}
 }
@@ -88,8 +92,22 @@
 func (v *View) Version() int64 { return v.version }
 
 // Alive lists the peers of a role that are alive or suspect, the node itself
-// included, sorted by address.
+// included, sorted by address. The list is shared until the view changes: callers must
+// not write to it.
 func (v *View) Alive(role messages.Role) []messages.Peer {
+	if v.aliveVersion != v.version {
+		clear(v.alive)
+		v.aliveVersion = v.version
+	}
+	alive, known := v.alive[role]
+	if !known {
+		alive = slices.Clip(v.listAlive(role))
+		v.alive[role] = alive
+	}
+	return alive
+}
+
+func (v *View) listAlive(role messages.Role) []messages.Peer {
 	var alive []messages.Peer
 	if v.self.Role == role {
 		alive = append(alive, v.self)
--- a/internal/prefixindex/index.go
+++ b/internal/prefixindex/index.go
@@ -123,7 +123,7 @@
 // Apply applies a change of a runner's cached prefixes. Its parts replace what this node
 // concluded from its own requests.
 func (x *Index) Apply(c messages.KeptChange) statesync.Result {
-	in := statesync.Change[uint64, int32]{Epoch: c.Epoch, From: c.From, To: c.To, Snapshot: c.Snapshot, Digest: c.Digest}
+	in := statesync.Change[uint64, int32]{Epoch: c.Epoch, From: c.From, To: c.To, Snapshot: c.Snapshot, Digest: c.Digest, Puts: make([]statesync.Put[uint64, int32], 0, len(c.Parts))}
 	for _, p := range c.Parts {
 		in.Puts = append(in.Puts, statesync.Put[uint64, int32]{Key: p.Key, Value: p.Tokens, Deleted: p.Tokens <= 0})
 	}
--- a/internal/registry/freshness.go
+++ b/internal/registry/freshness.go
@@ -87,7 +87,7 @@
 		}
 	}
 	if len(changed) > 0 {
-		r.updateSnapshot()
+		r.invalidateSnapshot()
 	}
 	return changed
 }
--- a/internal/registry/registry.go
+++ b/internal/registry/registry.go
@@ -21,8 +21,8 @@
 //
 // # Who owns which state
 //
-// A mutex guards the entries. Readers take an immutable Snapshot by an atomic pointer
-// without the lock. Times are microseconds of the caller's monotonic clock. The
+// A mutex guards the entries. Readers take an immutable Snapshot by an atomic pointer;
+// the first one after a change makes it. Times are microseconds of the caller's monotonic clock. The
 // package starts no goroutine.
 package registry
 
@@ -68,18 +68,29 @@
 	pending          map[string]bool   // beliefs that changed outside of Sweep
 	observed         observedClock
 	newestObservedUs int64 // observed time of the newest heartbeat of any runner
-	snapshot         atomic.Pointer[Snapshot]
+	snapshot         atomic.Pointer[Snapshot] // nil after a change, until somebody asks for it
 }
 
 // New makes an empty registry.
 func New() *Registry {
-	r := &Registry{entries: map[string]*entry{}, byAddress: map[string]string{}, pending: map[string]bool{}}
-	r.snapshot.Store(newSnapshot(nil))
-	return r
+	return &Registry{entries: map[string]*entry{}, byAddress: map[string]string{}, pending: map[string]bool{}}
 }
 
-// Snapshot returns the usable runners. It takes no lock.
-func (r *Registry) Snapshot() *Snapshot { return r.snapshot.Load() }
+// Snapshot returns the usable runners. It takes the lock only after a change, to make the
+// snapshot: many changes that come one after the other, as at a start, cost one.
+func (r *Registry) Snapshot() *Snapshot {
+	if s := r.snapshot.Load(); s != nil {
+		return s
+	}
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if s := r.snapshot.Load(); s != nil {
+		return s
+	}
+	s := newSnapshot(r.entries)
+	r.snapshot.Store(s)
+	return s
+}
 
 // ApplyHeartbeat applies a heartbeat that came directly from a runner, or was forwarded at
 // once by the controller that received it. A higher sequence overrides every belief; only
@@ -96,7 +107,7 @@
 	r.evictAddress(n, nowUs)
 	if e == nil {
 		r.entries[n.ID] = newEntry(n, receivedUs, nowUs)
-		r.updateSnapshot()
+		r.invalidateSnapshot()
 		return true
 	}
 	old := e.record
@@ -113,7 +124,7 @@
 		return false
 	}
 	e.record.Draining = true
-	r.updateSnapshot()
+	r.invalidateSnapshot()
 	return true
 }
 
@@ -129,7 +140,7 @@
 	if e := r.entries[former]; e != nil && e.usable() && e.record.Addr == n.Addr {
 		e.record.Lost, e.removedAtUs = true, nowUs
 		r.pending[former] = true
-		r.updateSnapshot()
+		r.invalidateSnapshot()
 	}
 }
 
@@ -171,7 +182,7 @@
 		if r.byAddress[n.Addr] == "" {
 			r.byAddress[n.Addr] = n.ID
 		}
-		r.updateSnapshot()
+		r.invalidateSnapshot()
 		return true
 	}
 	old := e.record
@@ -195,7 +206,7 @@
 	if sameButSequence(e.record, old) {
 		return false
 	}
-	r.updateSnapshot()
+	r.invalidateSnapshot()
 	return true
 }
 
@@ -211,7 +222,7 @@
 	changed := !e.record.Gone
 	e.record.Gone, e.removedAtUs = true, nowUs
 	if changed {
-		r.updateSnapshot()
+		r.invalidateSnapshot()
 	}
 	return e.record, changed
 }
@@ -266,7 +277,7 @@
 	}
 	clear(r.pending)
 	if len(changed) > 0 {
-		r.updateSnapshot()
+		r.invalidateSnapshot()
 	}
 	return changed
 }
@@ -318,7 +329,7 @@
 		}
 	}
 	if deleted {
-		r.updateSnapshot()
+		r.invalidateSnapshot()
 	}
 	return deleted
 }
@@ -345,6 +356,6 @@
 	return all
 }
 
-func (r *Registry) updateSnapshot() {
-	r.snapshot.Store(newSnapshot(r.entries))
+func (r *Registry) invalidateSnapshot() {
+	r.snapshot.Store(nil)
 }
--- a/internal/statesync/loads.go
+++ b/internal/statesync/loads.go
@@ -35,7 +35,7 @@
 
 // DecodeLoads converts a message to the change that it carries.
 func DecodeLoads(c messages.LoadChange) Change[string, messages.RunnerLoad] {
-	out := Change[string, messages.RunnerLoad]{Epoch: c.Epoch, From: c.From, To: c.To, Snapshot: c.Snapshot, Digest: c.Digest}
+	out := Change[string, messages.RunnerLoad]{Epoch: c.Epoch, From: c.From, To: c.To, Snapshot: c.Snapshot, Digest: c.Digest, Puts: make([]Put[string, messages.RunnerLoad], 0, len(c.Loads))}
 	for _, l := range c.Loads {
 		out.Puts = append(out.Puts, Put[string, messages.RunnerLoad]{Key: l.ID, Value: l, Deleted: isZero(l)})
 	}
--- a/internal/statesync/stream.go
+++ b/internal/statesync/stream.go
@@ -247,37 +247,41 @@
 	case c.From < s.Version:
 		return Gap
 	}
-	digest := s.digest
-	now := map[K]Put[K, V]{}
-	for _, p := range c.Puts {
-		now[p.Key] = p
-	}
-	for k, p := range now {
-		if old, had := s.state[k]; had {
-			digest -= s.hash(k, old)
-		}
-		if !p.Deleted {
-			digest += s.hash(k, p.Value)
-		}
-	}
-	if digest != c.Digest {
+	digest, ok := s.digestAfter(c)
+	if !ok {
 		s.needsSnapshot = true
 		return Mismatch
 	}
-	keys := make([]K, 0, len(now))
-	for k, p := range now {
+	keys := make([]K, 0, len(c.Puts))
+	for _, p := range c.Puts {
 		if p.Deleted {
-			delete(s.state, k)
+			delete(s.state, p.Key)
 		} else {
-			s.state[k] = p.Value
+			s.state[p.Key] = p.Value
 		}
-		keys = append(keys, k)
+		keys = append(keys, p.Key)
 	}
 	s.digest, s.needsSnapshot = digest, false // the digest covers all of the state
 	s.appendLog(c.To, keys)
 	return Applied
 }
 
+// digestAfter returns the digest of the state with a change, and whether it is the one
+// that the change names. A sender puts each key once; where one is repeated the digest
+// does not fit.
+func (s *Stream[K, V]) digestAfter(c Change[K, V]) (digest uint64, ok bool) {
+	digest = s.digest
+	for _, p := range c.Puts {
+		if old, had := s.state[p.Key]; had {
+			digest -= s.hash(p.Key, old)
+		}
+		if !p.Deleted {
+			digest += s.hash(p.Key, p.Value)
+		}
+	}
+	return digest, digest == c.Digest
+}
+
 func (s *Stream[K, V]) applySnapshot(c Change[K, V]) Result {
 	if c.Epoch == s.Epoch && c.To < s.Version {
 		return Known
