rollout: a fence that a runner refused is never used again

Until now 412 counted as any rejection, and the order was repeated under the same fence for as long as the lease seemed held.

Change: FenceRefused as an answer of its own; the shard acts again only under a fence that it acquires anew, and orders that are already planned are not sent. A restarted process acquires a new fence anyway.

--- a/internal/controller/rollout_calls.go
+++ b/internal/controller/rollout_calls.go
@@ -15,7 +15,10 @@
 func (m *rolloutManager) order(ctx context.Context, part int, model string, o rollout.Order, step rollout.Step) {
 	d := m.controller
 	answer := rollout.NoAnswer
-	if n, ok := d.registry.Snapshot().ByID[o.ID]; ok {
+	m.mu.Lock()
+	refused := m.shards[part].Refused(step.Fence)
+	m.mu.Unlock()
+	if n, ok := d.registry.Snapshot().ByID[o.ID]; ok && !refused {
 		body := api.Order{Op: api.Version, Model: model, Version: o.Version, Method: api.Hold, Holder: d.registers.ID(), Fence: step.Fence, Expected: o.Expected}
 		status, _ := d.sendOrder(ctx, n, body, step.UntilUs)
 		answer = rollout.AnswerOf(status)
@@ -25,7 +28,7 @@
 	}
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	m.shards[part].Answered(model, o, answer, d.clock())
+	m.shards[part].Answered(model, o, step.Fence, answer, d.clock())
 }
 
 // sendOrder sends an order, unless the majority's word behind it has run out at
--- a/internal/rollout/answers.go
+++ b/internal/rollout/answers.go
@@ -10,6 +10,7 @@
 	AlreadyHolds               // the runner holds the weights
 	Conflict                   // another order is in progress, or the sequence differs
 	Rejected                   // the runner does not carry it out
+	FenceRefused               // the runner has seen a higher fencing token
 )
 
 // AnswerOf returns the answer that an HTTP status stands for; 0 means no response.
@@ -23,6 +24,8 @@
 		return AlreadyHolds
 	case 409:
 		return Conflict
+	case 412:
+		return FenceRefused
 	}
 	return Rejected
 }
@@ -48,7 +51,7 @@
 	case AlreadyHolds:
 		j.version = max(j.version, o.Version)
 		p.complete(j, nowUs)
-	case NoAnswer, Conflict, Rejected:
+	case NoAnswer, Conflict, Rejected, FenceRefused:
 	}
 }
 
--- a/internal/rollout/shard.go
+++ b/internal/rollout/shard.go
@@ -84,6 +84,7 @@
 	plans    map[string]*Plan
 	fence    int64 // fencing token under which the plans were made
 	initial  int64 // fencing token of a never held lease that this process won; 0: none
+	refused  int64 // highest fencing token that a runner has refused; nothing is sent under it any more
 }
 
 // NewShard returns a shard that sends all orders within boundUs after a naming.
@@ -115,9 +116,9 @@
 	if s.initial == v.Lease.Fence && s.lease.Fence() < s.initial {
 		s.lease.Acquired(s.initial, lease.Nobody, v.NowUs)
 	}
-	if s.lease.Fence() != v.Lease.Fence || v.Lease.Fence <= v.FenceFloor {
+	if s.lease.Fence() != v.Lease.Fence || v.Lease.Fence <= max(v.FenceFloor, s.refused) {
 		// A lease of an earlier process of this holder, or one whose fencing token
-		// runners would reject as old. Under a new token, messages about runners
+		// runners reject as old. Under a new token, messages about runners
 		// supersede all those sent under the old one.
 		return Step{Acquire: v.InContact}
 	}
@@ -191,13 +192,21 @@
 	s.lease.Confirmed(now.Fence, askedUs)
 }
 
-// Answered records the outcome of an order.
-func (s *Shard) Answered(model string, o Order, answer Answer, nowUs int64) {
+// Answered records the outcome of an order that was sent under a fencing token. A runner
+// that refuses the token has an order of a later holder: this one acts again only under
+// a token that it acquires anew.
+func (s *Shard) Answered(model string, o Order, fence int64, answer Answer, nowUs int64) {
+	if answer == FenceRefused {
+		s.refused = max(s.refused, fence)
+	}
 	if p := s.plans[model]; p != nil {
 		p.Answered(o, answer, nowUs)
 	}
 }
 
+// Refused reports whether a runner has refused a fencing token, or a higher one.
+func (s *Shard) Refused(fence int64) bool { return fence <= s.refused }
+
 // Reported records a runner's report that was requested at askedUs.
 func (s *Shard) Reported(model, id string, r Report, askedUs, nowUs int64) {
 	if p := s.plans[model]; p != nil {
--- a/internal/rollout/shard_test.go
+++ b/internal/rollout/shard_test.go
@@ -107,3 +107,28 @@
 	v.NowUs += 3 * second
 	must.True(t, s.Step(v).Acquire, must.Sprint("a lost lease is reacquired ahead of the next work"))
 }
+
+// A holder that does not know yet that it has lost the lease learns it from a runner.
+func TestRefusedFenceIsNeverUsedAgain(t *testing.T) {
+	s := NewShard(testTimes, boundUs)
+	s.RecordInitialHolder(1)
+	own := messages.Lease{Holder: "a", Fence: 1}
+	v := View{NowUs: 1, Self: "a", Lease: own, Models: behindModel(), InContact: true}
+	orderedAfter(t, s, v)
+	s.Answered("m", Order{ID: "i-0", Version: 2}, own.Fence, FenceRefused, v.NowUs)
+	must.True(t, s.Refused(own.Fence))
+	v.NowUs += second
+	s.Confirmed(own, v.NowUs, v.NowUs)
+	step := s.Step(v)
+	must.False(t, step.Orders())
+	must.True(t, step.Acquire)
+	v.Lease = s.NextLease(own, 0)
+	must.False(t, s.Refused(v.Lease.Fence))
+	s.Acquired(own, v.Lease, true, v.NowUs)
+	must.Positive(t, orderedAfter(t, s, v))
+}
+
+func TestAnswerOfRefusedFence(t *testing.T) {
+	must.Eq(t, FenceRefused, AnswerOf(412))
+	must.Eq(t, Rejected, AnswerOf(400))
+}
--- a/internal/simulation/coordinator.go
+++ b/internal/simulation/coordinator.go
@@ -300,10 +300,10 @@
 	answer := func(a rollout.Answer) {
 		if !answered {
 			answered = true
-			c.shard.Answered(rolloutModel, o, a, c.nowUs())
+			c.shard.Answered(rolloutModel, o, step.Fence, a, c.nowUs())
 		}
 	}
-	if c.nowUs() >= step.UntilUs {
+	if c.nowUs() >= step.UntilUs || c.shard.Refused(step.Fence) {
 		answer(rollout.NoAnswer)
 		return
 	}
--- a/internal/simulation/engine.go
+++ b/internal/simulation/engine.go
@@ -149,7 +149,7 @@
 	e.history.checks.order(e, from, fence)
 	switch {
 	case fence < e.fence:
-		return rollout.Rejected
+		return rollout.FenceRefused
 	case e.target > 0, o.Expected != nil && *o.Expected != e.sequence:
 		e.fence = fence
 		return rollout.Conflict
