--- a/internal/router/feed.go
+++ b/internal/router/feed.go
@@ -41,7 +41,7 @@
 	h.Configuration = c.configuration.Cursor()
 	h.Registry.Epoch, h.Registry.Version = c.runners.Cursor()
 	c.nmu.Unlock()
-	h.Loads = c.loads.hold()
+	h.Loads = c.loads.cursor()
 	c.dmu.Lock()
 	h.Kept = c.admission.Index.Cursors()
 	h.TargetAges = c.admission.TargetAges(c.clock())
@@ -73,7 +73,7 @@
 	if h.ConfigOnly {
 		return f
 	}
-	if ch, lacks := c.loads.since(h.Loads); lacks {
+	if ch, lacks := c.loads.deltaSince(h.Loads); lacks {
 		f.Loads = append(f.Loads, ch)
 	}
 	c.dmu.Lock()
@@ -179,8 +179,8 @@
 		c.syncAdmission()
 	}
 	for _, ch := range f.Loads {
-		again := ch.Snapshot && c.loads.hold().Epoch == ch.Epoch
-		note(c.loads.take(ch), again)
+		again := ch.Snapshot && c.loads.cursor().Epoch == ch.Epoch
+		note(c.loads.apply(ch), again)
 	}
 	c.dmu.Lock()
 	for _, k := range f.Kept {
@@ -192,7 +192,7 @@
 		c.admission.Report(r, now)
 	}
 	if parent != "" {
-		c.loads.tell(c.admission, now)
+		c.loads.updateAdmission(c.admission, now)
 	}
 	c.dmu.Unlock()
 	if changed || len(f.Reports)+len(f.Loads) > 0 {
--- a/internal/router/loads.go
+++ b/internal/router/loads.go
@@ -1,6 +1,6 @@
 // Loads: what this node and those below it have in flight at the runners goes up the
 // tree as deltas; the sum over all nodes comes down. The parent acknowledges which of
-// the load reports the sum holds, so that a node can subtract its own exactly.
+// the reports the sum holds, so that a node can subtract its own exactly.
 
 package router
 
@@ -17,183 +17,191 @@
 	"beechtide.org/beechtide/internal/transport"
 )
 
-// tellEvery is the least time between two words, tellSoon how long a change that
-// does not press may wait, and tellRest how often loads are looked at without
-// one: the flow of prompts sinks by itself, and nodes come and go.
 const (
-	tellEvery = 2 * time.Millisecond
-	tellSoon  = 50 * time.Millisecond
-	tellRest  = 500 * time.Millisecond
+	// minReportPause is the least time between two reports.
+	minReportPause = 2 * time.Millisecond
+	// reportDelay is how long a change waits for others that is not urgent.
+	reportDelay = 50 * time.Millisecond
+	// reportInterval is how often loads are looked at without a change: the flow of
+	// prompts decays by itself, and nodes come and go.
+	reportInterval = 500 * time.Millisecond
+
+	// maxUnacknowledged bounds the reports that are remembered until the parent
+	// acknowledges one.
+	maxUnacknowledged = 32
+
+	// ownSender is the name of the node's own loads in the sum of its subtree.
+	ownSender = "itself"
 )
 
-// mostTold bounds the words that are remembered until the parent has heard one.
-const mostTold = 32
-
-// itself is the teller's name for the node's own loads.
-const itself = "itself"
-
-type toldWord struct {
+// sentReport is the node's own loads as a report had them.
+type sentReport struct {
 	seq int64
 	own map[string]messages.RunnerLoad
 }
 
+// loads are the loads of this node, of its subtree and of all nodes. It is safe for
+// concurrent use.
 type loads struct {
-	mu     sync.Mutex
-	own    *statesync.Loads
-	below  *statesync.Sum // this node's and those below it
-	total  *statesync.Loads
-	coming []messages.KeptNote
-	absent []string // runners that were not at their address
-	seq    int64
-	whole  bool
-	told   []toldWord
-	heard  map[string]messages.RunnerLoad // of this node's own, what the total holds
+	mu             sync.Mutex // guards all below
+	own            *statesync.Loads
+	subtree        *statesync.Sum // this node's and those below it
+	total          *statesync.Loads
+	pending        []messages.KeptNote // prefixes that will be cached, for the next report
+	absent         []string            // runners that were not at their address
+	seq            int64
+	sendAll        bool // the next report has all loads, not the changes
+	unacknowledged []sentReport
+	acknowledged   map[string]messages.RunnerLoad // of this node's own, what the total holds
 
-	touched map[string]bool // runners of which the others' part has changed
-	all     bool            // it may have of any
+	changed    map[string]bool // runners of which the load of the other nodes has changed
+	allChanged bool            // that of any runner may have
 }
 
 func (l *loads) init(epoch int64) {
 	l.own, l.total = statesync.NewLoads(), statesync.NewLoads()
 	l.own.Begin(epoch, 0)
-	l.below = statesync.NewSum(epoch)
-	l.whole, l.all, l.touched = true, true, map[string]bool{}
+	l.subtree = statesync.NewSum(epoch)
+	l.sendAll, l.allChanged, l.changed = true, true, map[string]bool{}
 }
 
-func (l *loads) hold() messages.StreamHold {
+// cursor is the state of the total that this node holds.
+func (l *loads) cursor() messages.StreamHold {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	epoch, version := l.total.Cursor()
 	return messages.StreamHold{Epoch: epoch, Version: version}
 }
 
-func (l *loads) since(h messages.StreamHold) (messages.LoadChange, bool) {
+// deltaSince returns the change of the total that a receiver needs; false where it is up
+// to date.
+func (l *loads) deltaSince(h messages.StreamHold) (messages.LoadChange, bool) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	c, lacks := l.total.DeltaSince(h.Epoch, h.Version)
 	return statesync.EncodeLoads(c), lacks
 }
 
-func (l *loads) take(c messages.LoadChange) statesync.Result {
+// apply applies a change of the total.
+func (l *loads) apply(c messages.LoadChange) statesync.Result {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	r := l.total.Apply(statesync.DecodeLoads(c))
 	if r == statesync.Applied {
-		l.all = l.all || c.Snapshot
+		l.allChanged = l.allChanged || c.Snapshot
 		for i := range c.Loads {
-			l.touched[c.Loads[i].ID] = true
+			l.changed[c.Loads[i].ID] = true
 		}
 	}
 	return r
 }
 
-// heardUp notes that the total holds what was told under seq.
-func (l *loads) heardUp(seq int64) {
+// acknowledge notes that the total holds the report with the given number.
+func (l *loads) acknowledge(seq int64) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	for len(l.told) > 0 && l.told[0].seq <= seq {
-		l.touch(l.heard)
-		l.heard = l.told[0].own
-		l.touch(l.heard)
-		l.told = l.told[1:]
+	for len(l.unacknowledged) > 0 && l.unacknowledged[0].seq <= seq {
+		l.markChanged(l.acknowledged)
+		l.acknowledged = l.unacknowledged[0].own
+		l.markChanged(l.acknowledged)
+		l.unacknowledged = l.unacknowledged[1:]
 	}
 }
 
-func (l *loads) touch(of map[string]messages.RunnerLoad) {
-	for id := range of {
-		l.touched[id] = true
+func (l *loads) markChanged(at map[string]messages.RunnerLoad) {
+	for id := range at {
+		l.changed[id] = true
 	}
 }
 
-// others is what the other nodes have at a runner.
-func (l *loads) others(id string) messages.RunnerLoad {
-	t, _ := l.total.Get(id)
-	mine := l.heard[id]
-	t.Blocks -= mine.Blocks
-	t.Prefill -= mine.Prefill
-	t.Count -= mine.Count
-	t.Flow -= mine.Flow
-	t.Tried -= mine.Tried
-	t.Failed -= mine.Failed
-	return t
+// peerLoad is what the other nodes have at a runner.
+func (l *loads) peerLoad(id string) messages.RunnerLoad {
+	load, _ := l.total.Get(id)
+	own := l.acknowledged[id]
+	load.Blocks -= own.Blocks
+	load.Prefill -= own.Prefill
+	load.Count -= own.Count
+	load.Flow -= own.Flow
+	load.Tried -= own.Tried
+	load.Failed -= own.Failed
+	return load
 }
 
-// tell brings the admission control to what the other nodes have.
-func (l *loads) tell(d *admission.Admitter, nowUs int64) {
+// updateAdmission brings the admission control up to date with the loads of the others.
+func (l *loads) updateAdmission(a *admission.Admitter, nowUs int64) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	if l.all {
-		d.Others(l.others, nowUs)
+	if l.allChanged {
+		a.Others(l.peerLoad, nowUs)
 	} else {
-		for id := range l.touched {
-			d.Other(id, l.others(id))
+		for id := range l.changed {
+			a.Other(id, l.peerLoad(id))
 		}
-		d.Told(nowUs)
+		a.Told(nowUs)
 	}
-	l.all = false
-	clear(l.touched)
+	l.allChanged = false
+	clear(l.changed)
 }
 
-// anew makes the next telling one of all runners.
-func (l *loads) anew() {
+// markAllChanged makes the next updateAdmission one of all runners.
+func (l *loads) markAllChanged() {
 	l.mu.Lock()
-	l.all = true
+	l.allChanged = true
 	l.mu.Unlock()
 }
 
-// next makes the word that is to go up; false where there is nothing to say.
-func (l *loads) next(own map[string]messages.RunnerLoad, coming []messages.KeptNote, absent []string) (messages.Told, bool) {
+// nextReport makes the report that is to go up; false where there is nothing to report.
+func (l *loads) nextReport(own map[string]messages.RunnerLoad, pending []messages.KeptNote, absent []string) (messages.Told, bool) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	l.own.Replace(own)
 	if l.own.Dirty() {
 		l.own.Commit(l.own.Version + 1)
-		l.below.Follow(itself, l.own)
+		l.subtree.Follow(ownSender, l.own)
 	}
-	total := l.below.Total
-	w := messages.Told{Coming: append(l.coming, coming...), Absent: append(l.absent, absent...)}
-	if !l.whole && !total.Dirty() && len(w.Coming)+len(w.Absent) == 0 {
-		return w, false
+	total := l.subtree.Total
+	report := messages.Told{Coming: append(l.pending, pending...), Absent: append(l.absent, absent...)}
+	if !l.sendAll && !total.Dirty() && len(report.Coming)+len(report.Absent) == 0 {
+		return report, false
 	}
-	l.coming, l.absent = nil, nil
+	l.pending, l.absent = nil, nil
 	l.seq++
-	w.Seq = l.seq
-	ch := total.Commit(total.Version + 1)
-	if l.whole {
-		ch, _ = total.DeltaSince(0, 0)
+	report.Seq = l.seq
+	change := total.Commit(total.Version + 1)
+	if l.sendAll {
+		change, _ = total.DeltaSince(0, 0)
 	}
-	w.Loads = append(w.Loads, statesync.EncodeLoads(ch))
-	l.whole = false
-	if len(l.told) >= mostTold {
-		l.told = l.told[1:]
+	report.Loads = append(report.Loads, statesync.EncodeLoads(change))
+	l.sendAll = false
+	if len(l.unacknowledged) >= maxUnacknowledged {
+		l.unacknowledged = l.unacknowledged[1:]
 	}
-	l.told = append(l.told, toldWord{l.seq, maps.Clone(own)})
-	return w, true
+	l.unacknowledged = append(l.unacknowledged, sentReport{l.seq, maps.Clone(own)})
+	return report, true
 }
 
-// tellAgain makes the next word a whole one, for a parent that lacks the ones
-// before.
-func (c *Router) tellAgain() {
+// resendLoads makes the next report one of all loads, for a parent that lacks earlier ones.
+func (c *Router) resendLoads() {
 	c.loads.mu.Lock()
-	c.loads.whole, c.loads.told, c.loads.heard, c.loads.all = true, nil, nil, true
+	c.loads.sendAll, c.loads.unacknowledged, c.loads.acknowledged, c.loads.allChanged = true, nil, nil, true
 	c.loads.mu.Unlock()
 	poke(c.stir)
 }
 
-// toldBelow takes the word of a node below.
-func (c *Router) toldBelow(from string, t messages.Told) bool {
+// applyReport takes the report of a node below; false asks it for all of its loads.
+func (c *Router) applyReport(from string, report messages.Told) bool {
 	l := &c.loads
 	l.mu.Lock()
 	ok := true
-	for _, ch := range t.Loads {
-		r := l.below.Apply(from, ch)
+	for _, change := range report.Loads {
+		r := l.subtree.Apply(from, change)
 		ok = ok && (r == statesync.Applied || r == statesync.Known)
 	}
-	l.coming, l.absent = append(l.coming, t.Coming...), append(l.absent, t.Absent...)
+	l.pending, l.absent = append(l.pending, report.Coming...), append(l.absent, report.Absent...)
 	l.mu.Unlock()
-	if len(t.Coming) > 0 {
+	if len(report.Coming) > 0 {
 		c.dmu.Lock()
-		c.admission.Coming(t.Coming)
+		c.admission.Coming(report.Coming)
 		c.dmu.Unlock()
 		poke(c.fresh)
 	}
@@ -201,45 +209,47 @@
 	return ok
 }
 
-func (c *Router) goneBelow(from string) {
+// removeSender drops the loads of a node below that has unsubscribed.
+func (c *Router) removeSender(from string) {
 	c.loads.mu.Lock()
-	c.loads.below.Remove(from)
+	c.loads.subtree.Remove(from)
 	c.loads.mu.Unlock()
 }
 
-func (c *Router) tellOnce() {
+// report sends one report up the tree, if there is something to report.
+func (c *Router) report() {
 	if n := len(c.monitor.Alive(messages.Router)); n > 0 {
 		c.nodes.Store(int64(n))
 	}
 	c.dmu.Lock()
 	c.admission.SetNodes(int(c.nodes.Load()))
-	own, coming, absent := c.admission.Own(c.clock()), c.admission.TakeFresh(), c.admission.TakeAbsent()
+	own, pending, absent := c.admission.Own(c.clock()), c.admission.TakeFresh(), c.admission.TakeAbsent()
 	c.dmu.Unlock()
-	if w, some := c.loads.next(own, coming, absent); some && !c.up.Send(transport.KindTold, &w) {
-		c.tellAgain()
+	if report, some := c.loads.nextReport(own, pending, absent); some && !c.up.Send(transport.KindTold, &report) {
+		c.resendLoads()
 	}
 }
 
-// tellLoads tells them up the tree: at once when a runner has been sent shared
-// parts to read, a little later when anything else has stirred.
-func (c *Router) tellLoads(ctx context.Context) {
-	t := time.NewTicker(tellRest)
+// reportLoads sends reports up the tree: at once when a runner has been sent shared
+// parts to read, a little later after any other change.
+func (c *Router) reportLoads(ctx context.Context) {
+	t := time.NewTicker(reportInterval)
 	defer t.Stop()
 	for {
-		c.tellOnce()
+		c.report()
 		select {
 		case <-c.fresh:
 		case <-t.C:
 		case <-c.stir:
 			select {
 			case <-c.fresh:
-			case <-time.After(tellSoon):
+			case <-time.After(reportDelay):
 			case <-ctx.Done():
 				return
 			}
 		case <-ctx.Done():
 			return
 		}
-		loop.Pause(ctx, tellEvery)
+		loop.Pause(ctx, minReportPause)
 	}
 }
--- a/internal/router/missing_test.go
+++ b/internal/router/missing_test.go
@@ -100,11 +100,11 @@
 func TestHintsOfMissingRunnersGoUpTheTree(t *testing.T) {
 	var c Router
 	c.loads.init(1)
-	must.True(t, c.toldBelow("n", messages.Told{Absent: []string{"x"}}))
-	c.loads.whole = false
-	w, some := c.loads.next(nil, nil, []string{"y"})
+	must.True(t, c.applyReport("n", messages.Told{Absent: []string{"x"}}))
+	c.loads.sendAll = false
+	w, some := c.loads.nextReport(nil, nil, []string{"y"})
 	must.True(t, some)
 	must.Eq(t, []string{"x", "y"}, w.Absent)
-	_, some = c.loads.next(nil, nil, nil)
+	_, some = c.loads.nextReport(nil, nil, nil)
 	must.False(t, some, must.Sprint("each is told once"))
 }
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -141,9 +141,9 @@
 	c.admission.Bound = admission.WeightsBound{VersionUs: int64(set.Bounds.VersionMs) * 1000, ContactLossUs: int64(set.Bounds.ContactMs) * 1000}
 	c.admission.Contact(clock())
 	c.nodes.Store(1)
-	c.publisher = dissemination.NewPublisher(trans, dissemination.Upstream{DeltaSince: c.since, ApplyReport: c.toldBelow, Unsubscribed: c.goneBelow})
+	c.publisher = dissemination.NewPublisher(trans, dissemination.Upstream{DeltaSince: c.since, ApplyReport: c.applyReport, Unsubscribed: c.removeSender})
 	c.up.SyncState, c.up.Parents, c.up.ApplyUpdate = c.hold, c.parents, c.takeFeed
-	c.up.Acked, c.up.ResendAll, c.up.Unsubscribed = c.loads.heardUp, c.tellAgain, func(string) {}
+	c.up.Acked, c.up.ResendAll, c.up.Unsubscribed = c.loads.acknowledge, c.resendLoads, func(string) {}
 	c.up.Counts = &c.counters.subscriptions
 	c.seeds.Store(&set.Seeds)
 	c.monitor = membership.NewMonitor(trans, messages.Peer{Addr: set.RouterAddr(), Role: messages.Router, Zone: set.Zone, Node: set.Node}, clock, c.seedAddrs)
@@ -163,7 +163,7 @@
 	go c.monitor.Run(live)
 	go c.up.Listen(live, c.transport)
 	go loop.Every(live, c.convergeTime()/dissemination.ComparisonParts, c.compareVersions(live))
-	go c.tellLoads(live)
+	go c.reportLoads(live)
 	go loop.Every(live, time.Second, func() { c.connPool.Sweep(func(string) bool { return true }) })
 	go loop.Every(live, forgetEvery, c.forgetUnlisted)
 	go c.pump(live)
@@ -214,7 +214,7 @@
 // known. Several feeds may be taken in at the same time; what is known is read
 // under the lock, so that the last to get it leaves the newest behind.
 func (c *Router) syncAdmission() {
-	c.loads.anew()
+	c.loads.markAllChanged()
 	c.dmu.Lock()
 	defer c.dmu.Unlock()
 	t := c.table.Load()
--- a/internal/router/sync_test.go
+++ b/internal/router/sync_test.go
@@ -24,7 +24,7 @@
 		return false
 	}
 	c.loads.mu.Lock()
-	c.loads.all = false
+	c.loads.allChanged = false
 	c.loads.mu.Unlock()
 	c.dmu.Lock()
 	done := make(chan struct{})
@@ -34,7 +34,7 @@
 	}()
 	for waiting := false; !waiting; runtime.Gosched() { // it is on its way to the lock
 		c.loads.mu.Lock()
-		waiting = c.loads.all
+		waiting = c.loads.allChanged
 		c.loads.mu.Unlock()
 	}
 	c.registry.Merge(messages.RunnerRecord{ID: "added", Service: "added", Addr: "127.0.0.1:9", Capacity: 1, Seq: 1, Models: []messages.Target{}}, c.clock())
