--- a/internal/registry/registry.go
+++ b/internal/registry/registry.go
@@ -67,7 +67,7 @@
 	byAddress        map[string]string // the id of the runner last seen at an address
 	pending          map[string]bool   // beliefs that changed outside of Sweep
 	observed         observedClock
-	newestObservedUs int64 // observed time of the newest heartbeat of any runner
+	newestObservedUs int64                    // observed time of the newest heartbeat of any runner
 	snapshot         atomic.Pointer[Snapshot] // nil after a change, until somebody asks for it
 }
 
--- a/internal/simulation/traffic/traffic.go
+++ b/internal/simulation/traffic/traffic.go
@@ -58,8 +58,9 @@
 	runnerRate         = 0.0387  // tokens read in a microsecond
 	slowRunnerEvery    = 3       // one runner of so many is slower
 	slowRunnerFactor   = 1.3
-	decodeTokenUs      = 6_000
-	decodeSharePercent = 3 // by which each other request lengthens a token
+	decodeTokenUs      = 6_000  // of a token, while nothing is read
+	chunkUs            = 60_000 // of a token and the chunk that is read with it
+	attentionPairUs    = 0.000737
 	transferStartUs    = 3_000
 	transferTokenUs    = 2.4
 	reportIntervalUs   = 1_000_000
