beechtide traffic: the simulation of many routers and shared runners as a command

Flags are checked, wrong ones end with one line and status 2; figures as a table or JSON; the same seed prints the same. Nothing that a role runs is changed.

--- a/cmd/beechtide/main.go
+++ b/cmd/beechtide/main.go
@@ -26,6 +26,7 @@
   check FILE  check a configuration before it is sent
   audit       check audit trails of regulated requests against configurations
   simulate    run simulated histories of the control plane in memory, one for each seed
+  traffic     simulate requests from many routers to shared runners in memory
   standin     run a stand-in for a model runner
   load        send requests to routers and check the responses
   soak        run routers and controllers as processes on this machine under faults
@@ -61,6 +62,8 @@
 		return runAudit(args[1:])
 	case "simulate":
 		return runSimulate(args[1:])
+	case "traffic":
+		return runTraffic(args[1:])
 	case "standin":
 		return runStandin(args[1:])
 	case "load":
--- a/cmd/beechtide/main_test.go
+++ b/cmd/beechtide/main_test.go
@@ -1,6 +1,7 @@
 package main
 
 import (
+	"encoding/json"
 	"io"
 	"os"
 	"path/filepath"
@@ -8,6 +9,8 @@
 	"testing"
 
 	"github.com/shoenig/test/must"
+
+	"beechtide.org/beechtide/internal/simulation/traffic"
 )
 
 // runCommand runs the command line and gives its status and what it wrote. It
@@ -55,6 +58,10 @@
 		{"simulate", "-model", "nonsense"},
 		{"standin"},
 		{"load", "-c", "x"},
+		{"traffic", "x"},
+		{"traffic", "-routers", "0"},
+		{"traffic", "-rate", "NaN"},
+		{"traffic", "-duration", "0"},
 		{"soak", "x"},
 		{"soak", "-runners", "0"},
 	} {
@@ -124,3 +131,16 @@
 	must.Eq(t, 0, status, must.Sprint(stdout, stderr))
 	must.StrContains(t, stdout, "0 broke a check")
 }
+
+func TestTrafficPrintsFiguresAsJSON(t *testing.T) {
+	args := []string{"traffic", "-json", "-routers", "4", "-runners", "6", "-rate", "20", "-duration", "1s"}
+	status, stdout, stderr := runCommand(t, args...)
+	must.Eq(t, statusOK, status)
+	must.Eq(t, "", stderr)
+	var figures traffic.Figures
+	must.NoError(t, json.Unmarshal([]byte(stdout), &figures))
+	must.Len(t, 2, figures.Classes)
+	must.Positive(t, figures.Classes[0].Sent+figures.Classes[1].Sent)
+	_, again, _ := runCommand(t, args...)
+	must.Eq(t, stdout, again)
+}
--- /dev/null
+++ b/cmd/beechtide/traffic.go
@@ -0,0 +1,51 @@
+package main
+
+import (
+	"encoding/json"
+	"flag"
+	"fmt"
+	"os"
+
+	"beechtide.org/beechtide/internal/simulation/traffic"
+)
+
+// runTraffic simulates requests from many routers to shared runners and prints how they
+// were served.
+func runTraffic(args []string) int {
+	options := traffic.Defaults()
+	flags := flag.NewFlagSet("beechtide traffic", flag.ContinueOnError)
+	flags.IntVar(&options.Routers, "routers", options.Routers, "routers that share the runners")
+	flags.IntVar(&options.Runners, "runners", options.Runners, "runners")
+	flags.Float64Var(&options.RequestsPerSecond, "rate", options.RequestsPerSecond, "requests a second at all routers together")
+	flags.DurationVar(&options.Duration, "duration", options.Duration, "simulated time for which requests arrive")
+	flags.DurationVar(&options.LoadInterval, "load-interval", options.LoadInterval, "time between two sums of loads")
+	flags.DurationVar(&options.LoadDelay, "load-delay", options.LoadDelay, "age of a sum of loads when it reaches the routers")
+	flags.DurationVar(&options.NoticeDelay, "notice-delay", options.NoticeDelay, "age of a notice of a prefix that will be cached")
+	seed := flags.Uint64("seed", 1, "the source of chance; equal seeds give equal results")
+	asJSON := flags.Bool("json", false, "print the figures as JSON")
+	flags.Usage = func() {
+		fmt.Fprint(flags.Output(), "usage: beechtide traffic [flags]\n\nSimulates requests from many routers to runners that they share, in memory: the routers' admission and\nplacement are the program's own, the runners are modelled. Prints how many requests had their first token in\ntime, and how evenly the runners were used.\n")
+		flags.PrintDefaults()
+	}
+	if status, done := parseFlags(flags, args); done {
+		return status
+	}
+	if flags.NArg() != 0 {
+		return usageError(flags, "takes flags only; see -h")
+	}
+	if err := options.Validate(); err != nil {
+		return usageError(flags, err.Error())
+	}
+	result := traffic.Play(options, *seed)
+	if !*asJSON {
+		fmt.Print(result.String())
+		return statusOK
+	}
+	encoder := json.NewEncoder(os.Stdout)
+	encoder.SetIndent("", "  ")
+	if err := encoder.Encode(result.Figures()); err != nil {
+		reportError(flags, err)
+		return statusFailure
+	}
+	return statusOK
+}
--- a/internal/simulation/traffic/result.go
+++ b/internal/simulation/traffic/result.go
@@ -76,6 +76,41 @@
 	return float64(slices.Max(r.Arrivals)) * float64(len(r.Arrivals)) / float64(total)
 }
 
+// Figures are the result in a form for machines.
+type Figures struct {
+	Imbalance  float64        `json:"imbalance"` // requests at the busiest runner over the mean
+	Queued     int            `json:"queued"`
+	TokensRead int            `json:"tokensRead"`
+	Classes    []ClassFigures `json:"classes"`
+}
+
+// ClassFigures are those of one class. Times are those to the first token.
+type ClassFigures struct {
+	Name     string  `json:"name"`
+	Sent     int     `json:"sent"`
+	InAim    int     `json:"inAim"`
+	Paused   int     `json:"paused"`
+	Rejected int     `json:"rejected"`
+	P50Ms    float64 `json:"p50Ms"`
+	P95Ms    float64 `json:"p95Ms"`
+	P99Ms    float64 `json:"p99Ms"`
+}
+
+// Figures returns the result in a form for machines.
+func (r *Result) Figures() Figures {
+	f := Figures{Imbalance: r.Imbalance(), Queued: r.Queued, TokensRead: r.TokensRead}
+	for i := range r.Classes {
+		c := &r.Classes[i]
+		f.Classes = append(f.Classes, ClassFigures{
+			Name: c.Name, Sent: c.Sent, InAim: c.InAim, Paused: c.Paused, Rejected: c.Rejected,
+			P50Ms: inMs(c.Quantile(0.5)), P95Ms: inMs(c.Quantile(0.95)), P99Ms: inMs(c.Quantile(0.99)),
+		})
+	}
+	return f
+}
+
+func inMs(d time.Duration) float64 { return float64(d.Microseconds()) / 1000 }
+
 // String is a table of the figures.
 func (r *Result) String() string {
 	var b strings.Builder
--- a/internal/simulation/traffic/traffic.go
+++ b/internal/simulation/traffic/traffic.go
@@ -18,6 +18,8 @@
 	"math/rand/v2"
 	"time"
 
+	"github.com/pkg/errors"
+
 	"beechtide.org/beechtide/internal/admission"
 	"beechtide.org/beechtide/internal/inflight"
 	"beechtide.org/beechtide/internal/messages"
@@ -51,6 +53,29 @@
 	Classes           []Class
 }
 
+// Validate reports the first option that cannot be simulated.
+func (o *Options) Validate() error {
+	switch {
+	case o.Routers < 1 || o.Routers > maxSize:
+		return errors.Errorf("routers: %d is not from 1 to %d", o.Routers, maxSize)
+	case o.Runners < 1 || o.Runners > maxSize:
+		return errors.Errorf("runners: %d is not from 1 to %d", o.Runners, maxSize)
+	case !(o.RequestsPerSecond > 0) || math.IsInf(o.RequestsPerSecond, 0):
+		return errors.Errorf("rate: %v is not a positive number", o.RequestsPerSecond)
+	case o.Duration <= 0 || o.LoadInterval <= 0:
+		return errors.New("duration and load-interval must be positive")
+	case o.LoadDelay < 0 || o.NoticeDelay < 0:
+		return errors.New("load-delay and notice-delay must not be negative")
+	case len(o.Classes) == 0:
+		return errors.New("classes: none")
+	}
+	return nil
+}
+
+// maxSize bounds the routers and the runners of a simulation: its memory grows with their
+// product.
+const maxSize = 2000
+
 // Parameters of the modelled runners and of what is known of them.
 const (
 	runnerCapacity     = 16      // requests at once
