--- a/internal/controller/cache_reader.go
+++ b/internal/controller/cache_reader.go
@@ -34,10 +34,10 @@
 
 // readCacheEventsOnce fetches the events since the known version and publishes them.
 func (d *Controller) readCacheEventsOnce(ctx context.Context, n messages.RunnerRecord) {
-	d.kmu.Lock()
-	known := d.kept.CachedPrefixes(n.ID)
+	d.cachedMu.Lock()
+	known := d.cached.CachedPrefixes(n.ID)
 	since, epoch := known.Version, known.Epoch
-	d.kmu.Unlock()
+	d.cachedMu.Unlock()
 	events, ok := d.fetchCacheEvents(ctx, n, since)
 	if !ok {
 		return
@@ -48,7 +48,7 @@
 	case events.Lost || !first && events.Epoch != epoch:
 		d.readCacheList(ctx, n)
 	case events.NextPage > since || first:
-		d.shelve(n.ID, func(c *prefixindex.CachedPrefixes) messages.KeptChange {
+		d.changeCached(n.ID, func(c *prefixindex.CachedPrefixes) messages.KeptChange {
 			return applyCacheEvents(n.ID, c, events, since, first)
 		})
 	}
@@ -101,7 +101,7 @@
 	if err != nil || status != 200 || json.Unmarshal(body, &list) != nil {
 		return
 	}
-	d.shelve(n.ID, func(c *prefixindex.CachedPrefixes) messages.KeptChange {
+	d.changeCached(n.ID, func(c *prefixindex.CachedPrefixes) messages.KeptChange {
 		return replaceCached(n.ID, c, list)
 	})
 }
--- a/internal/controller/condition.go
+++ b/internal/controller/condition.go
@@ -17,7 +17,7 @@
 const unreadUs = 5_000_000
 
 func (d *Controller) condition() messages.Condition {
-	c := messages.Condition{Node: d.set.Node, Role: messages.Controller, Zone: d.set.Zone, Addr: d.transport.Addr(), TimeUs: time.Now().UnixMicro(), MemberID: d.registers.ID(), Versions: d.told(), HasDisk: d.disk != nil}
+	c := messages.Condition{Node: d.set.Node, Role: messages.Controller, Zone: d.set.Zone, Addr: d.transport.Addr(), TimeUs: time.Now().UnixMicro(), MemberID: d.registers.ID(), Versions: d.publishedVersions(), HasDisk: d.disk != nil}
 	c.SaveUs, c.SaveFault = d.registers.LastSave()
 	c.Unconfirmed = d.unconfirmed()
 	for p := range consensus.Parts {
@@ -25,7 +25,7 @@
 		c.Groups = append(c.Groups, append([]messages.Member{}, v.Group...))
 	}
 	c.Peers = append(d.monitor.Alive(messages.Controller), d.monitor.Alive(messages.Router)...)
-	c.Wholes, c.Changes, c.Malformed = d.feed.wholes.Load(), d.feed.changes.Load(), d.feed.malformed.Load()
+	c.Wholes, c.Changes, c.Malformed = d.feed.snapshots.Load(), d.feed.changes.Load(), d.feed.malformed.Load()
 	c.Violations = invariant.Violations()
 	snap := d.registry.Snapshot()
 	c.Runners = len(snap.ByID)
@@ -35,13 +35,13 @@
 		}
 	}
 	now := d.clock()
-	d.kmu.Lock()
+	d.cachedMu.Lock()
 	for id := range d.readers {
 		if now-d.heardUs[id] > unreadUs && now-d.startUs > unreadUs {
 			c.Unread = append(c.Unread, id)
 		}
 	}
-	d.kmu.Unlock()
+	d.cachedMu.Unlock()
 	sort.Strings(c.Stale)
 	sort.Strings(c.Unread)
 	return c
@@ -49,9 +49,9 @@
 
 // heard notes that a runner answered a reader.
 func (d *Controller) heard(id string) {
-	d.kmu.Lock()
+	d.cachedMu.Lock()
 	d.heardUs[id] = d.clock()
-	d.kmu.Unlock()
+	d.cachedMu.Unlock()
 }
 
 // OnRing tells how the doctor gets the log ring.
--- a/internal/controller/drain.go
+++ b/internal/controller/drain.go
@@ -163,7 +163,7 @@
 		return nil, err
 	}
 	if d.recordDrain(n) {
-		d.tellRunners(n.ID)
+		d.publishRunners(n.ID)
 	}
 	self := messages.Member{ID: d.registers.ID(), Addr: d.transport.Addr()}
 	return self.MarshalMsg(nil)
--- a/internal/controller/feed.go
+++ b/internal/controller/feed.go
@@ -20,20 +20,20 @@
 	"beechtide.org/beechtide/internal/statesync"
 )
 
-// flushEvery is how often changes of kept prompts, reports and loads go out.
-const flushEvery = 60 * time.Millisecond
+// updateInterval is how often changes of cached prefixes, reports and loads are sent.
+const updateInterval = 60 * time.Millisecond
 
-// Least time between two sendings where something presses: a change of runners
-// or configuration, or long prompts that have been sent to a runner. What presses
-// grows with the number of nodes, so the pause does too, and what reaches a node
-// does not.
+// Least time between two updates where something is urgent: a change of runners or of
+// the configuration, or a long prompt that has been sent to a runner. What is urgent
+// grows with the number of nodes, so the pause does too, and what reaches a node does
+// not.
 const (
-	pressPart  = 400 * time.Microsecond // a router
-	pressLeast = 2 * time.Millisecond
+	urgentPausePart = 400 * time.Microsecond // a router
+	minUrgentPause  = 2 * time.Millisecond
 )
 
-func (d *Controller) pressPause() time.Duration {
-	return min(max(time.Duration(len(d.monitor.Alive(messages.Router)))*pressPart, pressLeast), flushEvery)
+func (d *Controller) urgentPause() time.Duration {
+	return min(max(time.Duration(len(d.monitor.Alive(messages.Router)))*urgentPausePart, minUrgentPause), updateInterval)
 }
 
 // Least time between two sums of loads to the routers. In a large fleet nearly every
@@ -43,30 +43,30 @@
 const (
 	loadsPart  = 800 * time.Microsecond // a router
 	loadsMost  = 240 * time.Millisecond
-	loadsLeast = flushEvery
+	loadsLeast = updateInterval
 )
 
 func (d *Controller) loadsPause() time.Duration {
 	return min(max(time.Duration(len(d.monitor.Alive(messages.Router)))*loadsPart, loadsLeast), loadsMost)
 }
 
-// below is under which name the nodes below this one stand in the sum of all.
-const below = "below"
+// subtreeSender is the name of the nodes below this one in the sum of all.
+const subtreeSender = "below"
 
 type feed struct {
 	mu            sync.Mutex
 	registry      *statesync.Entries
 	configuration *routeconfig.Replica
 	parts         map[int]messages.PartNote
-	below         *statesync.Sum // the nodes below this one
-	all           *statesync.Sum // those and the ones below the other controllers
+	subtree       *statesync.Sum // the nodes below this one
+	aggregate     *statesync.Sum // those and the ones below the other controllers
 
-	own, down outbox // to the other controllers, and to the routers
-	urgent    chan struct{}
-	sentUs    int64 // when a feed last went out to everybody
-	loadsUs   int64 // when the loads last went out to the routers
+	toControllers, toRouters outbox // to the other controllers, and to the routers
+	urgent                   chan struct{}
+	lastUpdateUs             int64 // when a feed last went out to everybody
+	lastLoadsUs              int64 // when the loads last went out to the routers
 
-	changes, wholes, malformed atomic.Int64
+	changes, snapshots, malformed atomic.Int64
 }
 
 // outbox is what waits to be sent.
@@ -78,7 +78,7 @@
 	coming        []messages.KeptNote
 }
 
-func (o *outbox) take(f *messages.Feed) {
+func (o *outbox) moveTo(f *messages.Feed) {
 	f.Configuration, f.Parts, f.Kept, f.Reports, f.Coming = o.configuration, o.parts, o.kept, o.reports, o.coming
 	*o = outbox{}
 }
@@ -88,30 +88,30 @@
 	epoch = epoch ^ time.Now().UnixNano()
 	f.registry.Begin(epoch, 0)
 	f.parts = map[int]messages.PartNote{}
-	f.below, f.all = statesync.NewSum(epoch), statesync.NewSum(epoch+1)
+	f.subtree, f.aggregate = statesync.NewSum(epoch), statesync.NewSum(epoch+1)
 	f.urgent = make(chan struct{}, 1)
 }
 
-func (f *feed) hurry() {
+func (f *feed) wake() {
 	select {
 	case f.urgent <- struct{}{}:
 	default:
 	}
 }
 
-// count is for the doctor; again tells a whole of a stream that was held already.
+// count counts results for the doctor; again is set for a snapshot of a known stream.
 func (f *feed) count(r statesync.Result, again bool) (fits bool) {
 	switch {
 	case r == statesync.Applied && again:
-		f.wholes.Add(1)
+		f.snapshots.Add(1)
 	case r == statesync.Applied:
 		f.changes.Add(1)
 	}
 	return r == statesync.Applied || r == statesync.Known
 }
 
-// versions are those of what is told: a version of a register that has no body,
-// or only another group, is none to those below.
+// versions are those of the published state: a version of a register without a body, or
+// with only another group, is not published.
 func (f *feed) versions() []int64 {
 	out := make([]int64, consensus.Parts)
 	out[consensus.ConfigPart] = f.configuration.Version()
@@ -121,15 +121,15 @@
 	return out
 }
 
-// told are the versions that those below are told.
-func (d *Controller) told() []int64 {
+// publishedVersions are the versions that receivers are sent.
+func (d *Controller) publishedVersions() []int64 {
 	d.feed.mu.Lock()
 	defer d.feed.mu.Unlock()
 	return d.feed.versions()
 }
 
-// tellRunners sends the notes of runners as the registry has them now.
-func (d *Controller) tellRunners(ids ...string) {
+// publishRunners sends the records of runners as the registry has them now.
+func (d *Controller) publishRunners(ids ...string) {
 	if len(ids) == 0 {
 		return
 	}
@@ -140,11 +140,11 @@
 	if err != nil {
 		d.log.Error(err, "a runner's record cannot be sent")
 	}
-	f.hurry()
+	f.wake()
 }
 
-// syncRunners brings what is told of runners to what the registry holds: those
-// recalled from disk go in, those it has forgotten go out.
+// syncRunners brings the published records to what the registry has: those recalled from
+// disk are added, those that it has forgotten are deleted.
 func (d *Controller) syncRunners() {
 	d.feed.mu.Lock()
 	defer d.feed.mu.Unlock()
@@ -168,45 +168,45 @@
 	f.mu.Lock()
 	if c, newer := f.configuration.Commit(version, entries); newer {
 		routeconfig.PutInForce(&d.table, t)
-		f.own.configuration, f.down.configuration = append(f.own.configuration, c), append(f.down.configuration, c)
+		f.toControllers.configuration, f.toRouters.configuration = append(f.toControllers.configuration, c), append(f.toRouters.configuration, c)
 	}
 	f.mu.Unlock()
-	f.hurry()
+	f.wake()
 }
 
-func (d *Controller) tellPart(p messages.PartNote) {
+func (d *Controller) publishPart(p messages.PartNote) {
 	f := &d.feed
 	f.mu.Lock()
 	if f.parts[p.Part].Version < p.Version {
 		f.parts[p.Part] = p
-		f.own.parts, f.down.parts = append(f.own.parts, p), append(f.down.parts, p)
+		f.toControllers.parts, f.toRouters.parts = append(f.toControllers.parts, p), append(f.toRouters.parts, p)
 	}
 	f.mu.Unlock()
-	f.hurry()
+	f.wake()
 }
 
-func (d *Controller) tellReport(n messages.ReportNote) {
+func (d *Controller) publishReport(n messages.ReportNote) {
 	f := &d.feed
 	f.mu.Lock()
-	f.own.reports, f.down.reports = append(f.own.reports, n), append(f.down.reports, n)
+	f.toControllers.reports, f.toRouters.reports = append(f.toControllers.reports, n), append(f.toRouters.reports, n)
 	f.mu.Unlock()
 }
 
-// shelve changes what a runner keeps, as its reader, and sends the change.
-func (d *Controller) shelve(id string, change func(s *prefixindex.CachedPrefixes) messages.KeptChange) {
-	d.kmu.Lock()
-	c := change(d.kept.CachedPrefixes(id))
-	d.kmu.Unlock()
+// changeCached changes the cached prefixes of a runner, as its reader, and sends the change.
+func (d *Controller) changeCached(id string, change func(s *prefixindex.CachedPrefixes) messages.KeptChange) {
+	d.cachedMu.Lock()
+	c := change(d.cached.CachedPrefixes(id))
+	d.cachedMu.Unlock()
 	f := &d.feed
 	f.mu.Lock()
-	f.own.kept, f.down.kept = append(f.own.kept, c), append(f.down.kept, c)
+	f.toControllers.kept, f.toRouters.kept = append(f.toControllers.kept, c), append(f.toRouters.kept, c)
 	f.mu.Unlock()
 }
 
-// flushFeed sends what waits, and now and then an empty feed, by which those
-// below know that this node is there and which versions it holds.
-func (d *Controller) flushFeed(ctx context.Context) {
-	t := time.NewTicker(flushEvery)
+// runFeed sends what waits, and an empty update from time to time, from which receivers
+// know that this node is there and which versions it has.
+func (d *Controller) runFeed(ctx context.Context) {
+	t := time.NewTicker(updateInterval)
 	defer t.Stop()
 	for {
 		select {
@@ -216,7 +216,7 @@
 			return
 		}
 		d.flush()
-		loop.Pause(ctx, d.pressPause())
+		loop.Pause(ctx, d.urgentPause())
 	}
 }
 
@@ -227,56 +227,56 @@
 	defer f.mu.Unlock()
 	up := messages.Feed{Versions: f.versions(), CalmUs: d.calm.forUs(d.clock()), CutOff: cutOff}
 	down := up
-	f.own.take(&up)
-	f.down.take(&down)
+	f.toControllers.moveTo(&up)
+	f.toRouters.moveTo(&down)
 	if f.registry.Dirty() {
 		c := statesync.EncodeEntries(f.registry.Commit(f.registry.Version + 1))
 		up.Registry, down.Registry = append(up.Registry, c), append(down.Registry, c)
 	}
-	if f.below.Total.Dirty() {
-		c := statesync.EncodeLoads(f.below.Total.Commit(f.below.Total.Version + 1))
+	if f.subtree.Total.Dirty() {
+		c := statesync.EncodeLoads(f.subtree.Total.Commit(f.subtree.Total.Version + 1))
 		up.Loads = append(up.Loads, c)
-		f.all.Follow(below, f.below.Total)
+		f.aggregate.Follow(subtreeSender, f.subtree.Total)
 	}
-	if now := d.clock(); f.all.Total.Dirty() && now-f.loadsUs >= d.loadsPause().Microseconds() {
-		f.loadsUs = now
-		down.Loads = append(down.Loads, statesync.EncodeLoads(f.all.Total.Commit(f.all.Total.Version+1)))
+	if now := d.clock(); f.aggregate.Total.Dirty() && now-f.lastLoadsUs >= d.loadsPause().Microseconds() {
+		f.lastLoadsUs = now
+		down.Loads = append(down.Loads, statesync.EncodeLoads(f.aggregate.Total.Commit(f.aggregate.Total.Version+1)))
 	}
-	rest := d.clock()-f.sentUs > restUs
+	rest := d.clock()-f.lastUpdateUs > idleIntervalUs
 	if rest || len(down.Parts) > 0 {
 		up.TargetAges = d.targets.ages(d.clock())
 		down.TargetAges = up.TargetAges
 	}
-	if rest || something(&up) {
+	if rest || hasNews(&up) {
 		d.publisher.Publish(dissemination.ToControllers, up)
 	}
-	if rest || something(&down) {
+	if rest || hasNews(&down) {
 		d.publisher.Publish(dissemination.ToRouters, down)
 	}
 	if rest {
-		f.sentUs = d.clock()
+		f.lastUpdateUs = d.clock()
 	}
 }
 
-// restUs is how often a feed goes out though it has nothing to tell.
-const restUs = int64(dissemination.UpdateInterval/time.Microsecond) - 50_000
+// idleIntervalUs is how often an update is sent without news.
+const idleIntervalUs = int64(dissemination.UpdateInterval/time.Microsecond) - 50_000
 
-func something(f *messages.Feed) bool {
+func hasNews(f *messages.Feed) bool {
 	return len(f.Configuration)+len(f.Parts)+len(f.Registry)+len(f.Kept)+len(f.Reports)+len(f.Loads)+len(f.Coming) > 0
 }
 
-// since gives what a receiver lacks: a router of everything, a controller of what
-// this one is the first to know. Without the lease, a router that holds nothing
-// gets nothing: what is here may be old. It asks again, or finds a controller that
-// has the lease; if it finds none it says so, and then gets what there is. While
-// this controller starts, only the configuration is withheld: runners are told of
-// as they come, and one that was missed at first would be asked for late.
-func (d *Controller) since(h messages.Hold) messages.Feed {
+// deltaSince returns what a receiver needs: a router all of the state, a controller what
+// this one is the first to know. Without the lease of contact, a router that has nothing
+// yet gets nothing, since the state here may be old. It asks again, or finds a controller
+// with the lease; if it finds none it says so (Anything), and then gets what there is.
+// While this controller starts, only the configuration is withheld: records of runners
+// are published as they arrive, and one that was missed at first would come late.
+func (d *Controller) deltaSince(h messages.Hold) messages.Feed {
 	d.targets.observe(h.TargetAges, d.clock())
 	out := messages.Feed{CalmUs: d.calm.forUs(d.clock()), CutOff: d.cutOff(), TargetAges: d.targets.ages(d.clock())}
-	withheld := newcomer(h) && !h.Anything && !d.inContact()
+	withheld := unsynced(h) && !h.Anything && !d.inContact()
 	if withheld && !d.starting() {
-		out.Versions = d.told()
+		out.Versions = d.publishedVersions()
 		return out
 	}
 	f := &d.feed
@@ -294,9 +294,9 @@
 		out.Registry = append(out.Registry, statesync.EncodeEntries(c))
 	}
 	if !h.ConfigOnly {
-		sum := f.all.Total
+		sum := f.aggregate.Total
 		if h.Controller {
-			sum = f.below.Total
+			sum = f.subtree.Total
 		}
 		if c, lacks := sum.DeltaSince(h.Loads.Epoch, h.Loads.Version); lacks {
 			out.Loads = append(out.Loads, statesync.EncodeLoads(c))
@@ -304,18 +304,18 @@
 	}
 	f.mu.Unlock()
 	if !h.ConfigOnly {
-		d.kmu.Lock()
-		out.Kept = d.kept.DeltasSince(h.Kept, func(id string) bool { return !h.Controller || d.readers[id] != nil })
-		d.kmu.Unlock()
+		d.cachedMu.Lock()
+		out.Kept = d.cached.DeltasSince(h.Kept, func(id string) bool { return !h.Controller || d.readers[id] != nil })
+		d.cachedMu.Unlock()
 	}
 	return out
 }
 
-// newcomer tells a router that has no configuration yet.
-func newcomer(h messages.Hold) bool { return !h.Controller && h.Configuration.Version == 0 }
+// unsynced reports whether the receiver is a router without a configuration.
+func unsynced(h messages.Hold) bool { return !h.Controller && h.Configuration.Version == 0 }
 
-// toldBelow takes the loads of a node below.
-func (d *Controller) toldBelow(from string, t messages.Told) bool {
+// applyReport applies the loads of a node below.
+func (d *Controller) applyReport(from string, t messages.Told) bool {
 	for _, id := range t.Absent {
 		d.registry.Doubt(id, d.silence())
 	}
@@ -324,18 +324,18 @@
 	defer f.mu.Unlock()
 	ok := true
 	for _, c := range t.Loads {
-		r := f.below.Apply(from, c)
+		r := f.subtree.Apply(from, c)
 		ok = ok && (r == statesync.Applied || r == statesync.Known)
 	}
-	f.own.coming, f.down.coming = append(f.own.coming, t.Coming...), append(f.down.coming, t.Coming...)
+	f.toControllers.coming, f.toRouters.coming = append(f.toControllers.coming, t.Coming...), append(f.toRouters.coming, t.Coming...)
 	if len(t.Coming) > 0 {
-		f.hurry()
+		f.wake()
 	}
 	return ok
 }
 
-func (d *Controller) goneBelow(from string) {
+func (d *Controller) removeSender(from string) {
 	d.feed.mu.Lock()
-	d.feed.below.Remove(from)
+	d.feed.subtree.Remove(from)
 	d.feed.mu.Unlock()
 }
--- a/internal/controller/metrics.go
+++ b/internal/controller/metrics.go
@@ -37,7 +37,7 @@
 			}
 		}),
 		metrics.Gauge("beechtide_config_version", "Version of the configuration: in force as the operator numbers it, and as the register does.", []string{"of"}, func(emit metrics.Emit) {
-			emit(float64(d.told()[consensus.ConfigPart]), "register")
+			emit(float64(d.publishedVersions()[consensus.ConfigPart]), "register")
 			if t := d.table.Load(); t != nil {
 				emit(float64(t.Version), "in_force")
 			}
--- a/internal/controller/publish_test.go
+++ b/internal/controller/publish_test.go
@@ -31,6 +31,6 @@
 		}
 		wait.Wait()
 		must.Eq(t, newest, d.table.Load().Version)
-		must.Eq(t, newest, d.told()[consensus.ConfigPart])
+		must.Eq(t, newest, d.publishedVersions()[consensus.ConfigPart])
 	}
 }
--- a/internal/controller/readers.go
+++ b/internal/controller/readers.go
@@ -39,8 +39,8 @@
 			wanted[n.ID] = n
 		}
 	}
-	d.kmu.Lock()
-	defer d.kmu.Unlock()
+	d.cachedMu.Lock()
+	defer d.cachedMu.Unlock()
 	d.stopReaders(wanted)
 	for id, n := range wanted {
 		if d.readers[id] == nil {
--- a/internal/controller/rollout_calls.go
+++ b/internal/controller/rollout_calls.go
@@ -91,6 +91,6 @@
 func (d *Controller) recordWeights(id, model string, version int64) {
 	if n, changed := d.registry.SetWeights(id, model, version); changed {
 		d.log.Info("weights in place", "runner", id, "version", version)
-		d.tellRunners(n.ID)
+		d.publishRunners(n.ID)
 	}
 }
--- a/internal/controller/rollouts.go
+++ b/internal/controller/rollouts.go
@@ -284,6 +284,6 @@
 func (m *rolloutManager) setCordon(c rollout.Cordon, fence int64) {
 	d := m.controller
 	if n, changed := d.registry.SetCordon(c.ID, c.Draining, c.Cordoned, fence<<fenceShift|m.cordons.Add(1)); changed {
-		d.tellRunners(n.ID)
+		d.publishRunners(n.ID)
 	}
 }
--- a/internal/controller/subscriptions.go
+++ b/internal/controller/subscriptions.go
@@ -89,7 +89,7 @@
 		Acked: func(int64) {}, ResendAll: func() {}, Counts: &d.counters.subscriptions,
 		Unsubscribed: func(string) {
 			d.feed.mu.Lock()
-			d.feed.all.Remove(addr)
+			d.feed.aggregate.Remove(addr)
 			d.feed.mu.Unlock()
 		},
 	}
@@ -104,16 +104,16 @@
 	f.mu.Lock()
 	h := messages.Hold{Configuration: messages.StreamHold{Epoch: routeconfig.Epoch, Version: never}}
 	h.Registry.Epoch, h.Registry.Version = runners.Cursor()
-	if l := f.all.Sender(addr); l != nil {
+	if l := f.aggregate.Sender(addr); l != nil {
 		h.Loads.Epoch, h.Loads.Version = l.Cursor()
 	}
 	f.mu.Unlock()
 	for range consensus.Parts {
 		h.Parts = append(h.Parts, never)
 	}
-	d.kmu.Lock()
-	h.Kept = d.kept.Cursors()
-	d.kmu.Unlock()
+	d.cachedMu.Lock()
+	h.Kept = d.cached.Cursors()
+	d.cachedMu.Unlock()
 	return h
 }
 
@@ -123,7 +123,7 @@
 // pullNewer learns at once of a version that another controller has and this one
 // has not: one that is not in the group is not told by the round itself.
 func (d *Controller) pullNewer(addr string, versions []int64) {
-	mine := d.told()
+	mine := d.publishedVersions()
 	for p, v := range versions {
 		if p < len(mine) && v > mine[p] {
 			go func() { _ = d.registers.Pull(context.Background(), addr, p) }()
@@ -153,33 +153,33 @@
 		changed = append(changed, merged...)
 		f.malformed.Add(int64(malformed))
 	}
-	d.tellRunners(changed...)
+	d.publishRunners(changed...)
 	var kept []messages.KeptChange
-	d.kmu.Lock()
+	d.cachedMu.Lock()
 	for _, c := range in.Kept {
 		if d.readers[c.ID] != nil {
 			continue
 		}
-		again := c.Snapshot && d.kept.CachedPrefixes(c.ID).Epoch == c.Epoch
-		r := d.kept.Apply(c)
+		again := c.Snapshot && d.cached.CachedPrefixes(c.ID).Epoch == c.Epoch
+		r := d.cached.Apply(c)
 		fits = f.count(r, again) && fits
 		if r == statesync.Applied {
 			kept = append(kept, c)
 		}
 	}
-	d.kmu.Unlock()
+	d.cachedMu.Unlock()
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	for _, c := range in.Loads {
-		held := f.all.Sender(addr)
+		held := f.aggregate.Sender(addr)
 		again := c.Snapshot && held != nil && held.Epoch == c.Epoch
-		fits = f.count(f.all.Apply(addr, c), again) && fits
+		fits = f.count(f.aggregate.Apply(addr, c), again) && fits
 	}
-	f.down.kept = append(f.down.kept, kept...)
-	f.down.reports = append(f.down.reports, in.Reports...)
-	f.down.coming = append(f.down.coming, in.Coming...)
+	f.toRouters.kept = append(f.toRouters.kept, kept...)
+	f.toRouters.reports = append(f.toRouters.reports, in.Reports...)
+	f.toRouters.coming = append(f.toRouters.coming, in.Coming...)
 	if len(in.Coming) > 0 {
-		f.hurry()
+		f.wake()
 	}
 	return fits
 }
--- a/internal/controller/unfinished_test.go
+++ b/internal/controller/unfinished_test.go
@@ -44,7 +44,7 @@
 		}
 	}
 	for _, d := range nodes {
-		until(t, func() bool { return d.told()[consensus.ConfigPart] == next.Version })
+		until(t, func() bool { return d.publishedVersions()[consensus.ConfigPart] == next.Version })
 		must.Eq(t, order.Version, d.table.Load().Version)
 	}
 }
--- a/internal/router/answers_test.go
+++ b/internal/router/answers_test.go
@@ -15,16 +15,16 @@
 
 // chosen makes a run-once request that has been given its runner and link, and
 // that ends so many microseconds from now.
-func chosen(t *testing.T, c *Router, endsInUs int64) (*visit, *admission.Admission, *upstream.Conn) {
+func chosen(t *testing.T, c *Router, endsInUs int64) (*exchange, *admission.Admission, *upstream.Conn) {
 	t.Helper()
-	v := &visit{c: c, rc: app.NewContext(0), id: "id1", route: &routeconfig.Route{}, service: "s"}
+	v := &exchange{c: c, rc: app.NewContext(0), id: "id1", route: &routeconfig.Route{}, service: "s"}
 	v.rc.Request.Header.SetMethod("POST")
 	v.rc.Request.SetRequestURI("/pay/")
-	v.ask = admission.Request{Service: "s", LeftUs: 1_000_000}
+	v.request = admission.Request{Service: "s", LeftUs: 1_000_000}
 	v.endUs = c.clock() + endsInUs
-	c.dmu.Lock()
-	adm := c.admission.Submit(v.ask, c.clock()).Admit
-	c.dmu.Unlock()
+	c.admissionMu.Lock()
+	adm := c.admission.Submit(v.request, c.clock()).Admit
+	c.admissionMu.Unlock()
 	must.NotNil(t, adm)
 	link, err := upstream.Connect(context.Background(), adm.Runner.Addr)
 	must.NoError(t, err)
@@ -37,8 +37,8 @@
 	r := newRunner(t)
 	c, _, _ := start(t, r)
 	v, adm, link := chosen(t, c, -1)
-	end := v.put(adm, link, nil)
-	must.Eq(t, notSent, end)
+	end := v.writeRequest(adm, link, nil)
+	must.Eq(t, resultNotSent, end)
 	link.Close()
 	must.Eq(t, 0, r.count())
 }
@@ -47,8 +47,8 @@
 	c, _, _ := start(t, newRunner(t))
 	v, adm, link := chosen(t, c, 1_000_000)
 	link.Close()
-	end := v.put(adm, link, nil)
-	must.Eq(t, notSent, end)
+	end := v.writeRequest(adm, link, nil)
+	must.Eq(t, resultNotSent, end)
 }
 
 func TestAnAnswerThatNamesNoRequestIsNobodys(t *testing.T) {
--- a/internal/router/attempts.go
+++ b/internal/router/attempts.go
@@ -17,124 +17,124 @@
 	"beechtide.org/beechtide/internal/upstream"
 )
 
-// ending is how an attempt went.
-type ending int
+// attemptResult is how an attempt went.
+type attemptResult int
 
 const (
-	whole    ending = iota // the client has the whole answer
-	notSent                // nothing reached the runner
-	notRun                 // the runner said that it has not run it
-	unknown                // it was sent, and may have run
-	brokeOff               // broken after a part had been passed on
-	clientGone
-	moving // it goes on at another runner, whose place and link are there
+	resultAnswered  attemptResult = iota // the client has the whole answer
+	resultNotSent                        // nothing reached the runner
+	resultNotRun                         // the runner said that it has not run it
+	resultUnknown                        // it was sent, and may have run
+	resultBrokenOff                      // broken after a part had been passed on
+	resultClientGone
+	resultMoving // it goes on at another runner, whose place and link are there
 
-	sentWhole // it has been sent, and the answer is to be read
+	resultSent // it has been sent, and the answer is to be read
 )
 
 // maxUnsent bounds how many runners are tried whose links do not come up.
 const maxUnsent = 4
 
-// course is how far a request has come.
-type course struct {
+// progress is how far a request has come.
+type progress struct {
 	stream *answerStream
 	unsent int  // attempts of which nothing reached a runner
 	ran    bool // it may have run somewhere
 }
 
-func (v *visit) run() {
-	v.c.dmu.Lock()
-	v.c.budget(v.service).Request(v.startUs)
-	v.c.dmu.Unlock()
-	var so course
+func (e *exchange) run() {
+	e.c.admissionMu.Lock()
+	e.c.budget(e.service).Request(e.startUs)
+	e.c.admissionMu.Unlock()
+	var state progress
 	defer func() {
-		if so.stream != nil && so.stream.started && !so.stream.finished {
-			v.ended = compliance.Cut
-			v.cut()
+		if state.stream != nil && state.stream.started && !state.stream.finished {
+			e.ended = compliance.Cut
+			e.cut()
 		}
 	}()
 	for {
-		ruling := v.place()
-		if ruling.Admit == nil {
-			v.rejectPlaceless(ruling, &so)
+		decision := e.nextPlace()
+		if decision.Admit == nil {
+			e.rejectUnplaced(decision, &state)
 			return
 		}
-		v.checkRepeat(&so)
-		var end ending
-		end, so.stream = v.send(ruling.Admit, so.stream)
-		if end != whole && v.client.hasLeft() {
-			end = clientGone
+		e.checkRepeat(&state)
+		var end attemptResult
+		end, state.stream = e.send(decision.Admit, state.stream)
+		if end != resultAnswered && e.client.hasLeft() {
+			end = resultClientGone
 		}
-		v.recordAttempt(end)
+		e.recordAttempt(end)
 		switch end {
-		case moving:
+		case resultMoving:
 			continue
-		case whole:
-			v.ended = compliance.Answered
+		case resultAnswered:
+			e.ended = compliance.Answered
 			return
-		case clientGone:
-			v.ended = compliance.Cut
-			v.releaseNext()
-			v.cut()
+		case resultClientGone:
+			e.ended = compliance.Cut
+			e.releaseNext()
+			e.cut()
 			return
 		}
-		if !v.goesOn(end, ruling.Admit.Runner.ID, &so) {
-			v.rejectFailed(&so)
+		if !e.retries(end, decision.Admit.Runner.ID, &state) {
+			e.rejectFailed(&state)
 			return
 		}
 	}
 }
 
-// place is where the next attempt goes.
-func (v *visit) place() admission.Decision {
-	if v.next != nil {
-		return admission.Decision{Admit: v.next.adm}
+// nextPlace is where the next attempt goes.
+func (e *exchange) nextPlace() admission.Decision {
+	if e.next != nil {
+		return admission.Decision{Admit: e.next.adm}
 	}
-	return v.admit()
+	return e.admit()
 }
 
-// goesOn tells whether another attempt follows one that failed.
-func (v *visit) goesOn(end ending, runnerID string, so *course) bool {
-	if end == notSent {
-		return v.goesOnUnsent(runnerID, so)
-	}
-	v.ask.Avoid = append(v.ask.Avoid, runnerID)
-	if end != notRun {
-		so.ran = true
-		if !v.route.Repeatable() {
+// retries tells whether another attempt follows one that failed.
+func (e *exchange) retries(end attemptResult, runnerID string, state *progress) bool {
+	if end == resultNotSent {
+		return e.retriesUnsent(runnerID, state)
+	}
+	e.request.Avoid = append(e.request.Avoid, runnerID)
+	if end != resultNotRun {
+		state.ran = true
+		if !e.route.Repeatable() {
 			return false
 		}
 	}
-	return v.attempts < max(v.route.Tries, 1) && !v.timeOver() && v.spend()
+	return e.attempts < max(e.route.Tries, 1) && !e.timeOver() && e.spendRetry()
 }
 
-// goesOnUnsent is the same for an attempt of which nothing reached the runner: it
+// retriesUnsent is the same for an attempt of which nothing reached the runner: it
 // counts neither as a try nor against the budget.
-func (v *visit) goesOnUnsent(runnerID string, so *course) bool {
-	v.attempts--
-	so.unsent++
-	if so.unsent >= maxUnsent || v.timeOver() {
+func (e *exchange) retriesUnsent(runnerID string, state *progress) bool {
+	e.attempts--
+	state.unsent++
+	if state.unsent >= maxUnsent || e.timeOver() {
 		return false
 	}
-	if v.changed {
-		v.changed = false
+	if e.changed {
+		e.changed = false
 		return true
 	}
-	v.ask.Avoid = append(v.ask.Avoid, runnerID)
+	e.request.Avoid = append(e.request.Avoid, runnerID)
 	return true
 }
 
-// rejectPlaceless answers a request for which there is no place, unless a part of
+// rejectUnplaced answers a request for which there is no place, unless a part of
 // its answer has gone out.
-func (v *visit) rejectPlaceless(ruling admission.Decision, so *course) {
+func (e *exchange) rejectUnplaced(decision admission.Decision, state *progress) {
 	switch {
-	case so.stream != nil:
-	case so.ran && v.c.clock() >= v.endUs:
-		v.reject(504, ruling.Reject, 0)
-	case so.ran:
-		v.reject(502, ruling.Reject, 0)
+	case state.stream != nil:
+	case state.ran && e.c.clock() >= e.endUs:
+		e.reject(504, decision.Reject, 0)
+	case state.ran:
+		e.reject(502, decision.Reject, 0)
 	default:
-		v.reject(ruling.Status, ruling.Reject, ruling.AgainUs)
+		e.reject(decision.Status, decision.Reject, decision.AgainUs)
 	}
 }
 
@@ -143,23 +143,23 @@
 
 // rejectFailed answers a request whose last attempt has failed. What may have run
 // gets no status that promises that it has not.
-func (v *visit) rejectFailed(so *course) {
+func (e *exchange) rejectFailed(state *progress) {
 	switch {
-	case so.stream != nil && so.stream.started:
-	case so.ran && v.timeOver():
-		v.reject(504, "", 0)
-	case so.ran:
-		v.reject(502, "", 0)
+	case state.stream != nil && state.stream.started:
+	case state.ran && e.timeOver():
+		e.reject(504, "", 0)
+	case state.ran:
+		e.reject(502, "", 0)
 	default:
-		v.reject(503, "", againUs)
+		e.reject(503, "", againUs)
 	}
 }
 
-// spend takes a further attempt from the budget, if there is one.
-func (v *visit) spend() bool {
-	v.c.dmu.Lock()
-	defer v.c.dmu.Unlock()
-	return v.c.budget(v.service).Spend(v.c.clock(), int(v.c.nodes.Load()))
+// spendRetry takes a further attempt from the budget, if there is one.
+func (e *exchange) spendRetry() bool {
+	e.c.admissionMu.Lock()
+	defer e.c.admissionMu.Unlock()
+	return e.c.budget(e.service).Spend(e.c.clock(), int(e.c.nodes.Load()))
 }
 
 func (c *Router) budget(service string) *upstream.Budget {
@@ -173,49 +173,49 @@
 }
 
 // admit asks the admission control, and waits where the request is held.
-func (v *visit) admit() admission.Decision {
-	c := v.c
+func (e *exchange) admit() admission.Decision {
+	c := e.c
 	ch := make(chan admission.Decision, 1)
-	v.ask.Ref = c.slab.Put(func(r admission.Decision) { ch <- r })
+	e.request.Ref = c.slab.Put(func(r admission.Decision) { ch <- r })
 	now := c.clock()
-	v.ask.LeftUs = v.endUs - now
-	c.dmu.Lock()
-	r := c.admission.Submit(v.ask, now)
+	e.request.LeftUs = e.endUs - now
+	c.admissionMu.Lock()
+	r := c.admission.Submit(e.request, now)
 	if r.Reject == admission.RejectQueue || r.Reject == admission.RejectTokens {
-		if shed, ok := c.admission.ShedFor(v.ask, now); ok {
+		if shed, ok := c.admission.ShedFor(e.request, now); ok {
 			defer c.slab.Resume(shed.Ref, shed)
-			r = c.admission.Submit(v.ask, now)
+			r = c.admission.Submit(e.request, now)
 		}
 	}
 	fresh := c.admission.HasFresh()
-	c.dmu.Unlock()
+	c.admissionMu.Unlock()
 	if fresh {
-		poke(c.fresh)
+		signal(c.prefixesPending)
 	}
-	poke(c.stir)
+	signal(c.loadsChanged)
 	if !r.Hold {
-		c.slab.Drop(v.ask.Ref)
+		c.slab.Drop(e.request.Ref)
 		return r
 	}
-	c.wake()
-	return v.awaitRuling(ch)
+	c.wakeQueue()
+	return e.awaitDecision(ch)
 }
 
-// awaitRuling waits in the queue. A request that nothing was sent of leaves it as soon as
+// awaitDecision waits in the queue. A request that nothing was sent of leaves it as soon as
 // the router drains, if it may outlast the router.
-func (v *visit) awaitRuling(ruling <-chan admission.Decision) admission.Decision {
-	drainBegun := v.c.drainBegun
+func (e *exchange) awaitDecision(decision <-chan admission.Decision) admission.Decision {
+	drainBegun := e.c.drainBegun
 	for {
 		select {
-		case r := <-ruling:
+		case r := <-decision:
 			return r
-		case <-v.client.leftChannel():
-			return v.abandon(ruling, "")
-		case <-v.c.lastAnswers:
-			return v.abandon(ruling, rejectDraining)
+		case <-e.client.leftChannel():
+			return e.abandon(decision, "")
+		case <-e.c.lastAnswers:
+			return e.abandon(decision, rejectDraining)
 		case <-drainBegun:
-			if v.attempts == 0 && !v.c.shutdown.Load().forwards(v.endUs) {
-				return v.abandon(ruling, rejectDraining)
+			if e.attempts == 0 && !e.c.shutdown.Load().forwards(e.endUs) {
+				return e.abandon(decision, rejectDraining)
 			}
 			drainBegun = nil
 		}
@@ -223,93 +223,93 @@
 }
 
 // abandon takes a request out of the queue whose client has left, or whose router ends.
-// A ruling that was already on its way stands.
-func (v *visit) abandon(ruling <-chan admission.Decision, reason admission.Reason) admission.Decision {
-	c := v.c
-	if !c.slab.Drop(v.ask.Ref) {
-		return <-ruling
-	}
-	c.dmu.Lock()
-	c.admission.Abandon(v.ask)
-	c.dmu.Unlock()
-	return admission.Decision{Ref: v.ask.Ref, Status: 503, Reject: reason, AgainUs: drainRetryUs}
+// A decision that was already on its way stands.
+func (e *exchange) abandon(decision <-chan admission.Decision, reason admission.Reason) admission.Decision {
+	c := e.c
+	if !c.slab.Drop(e.request.Ref) {
+		return <-decision
+	}
+	c.admissionMu.Lock()
+	c.admission.Abandon(e.request)
+	c.admissionMu.Unlock()
+	return admission.Decision{Ref: e.request.Ref, Status: 503, Reject: reason, AgainUs: drainRetryUs}
 }
 
-func (v *visit) send(adm *admission.Admission, stream *answerStream) (ending, *answerStream) {
-	c := v.c
-	v.attempts++
+func (e *exchange) send(adm *admission.Admission, stream *answerStream) (attemptResult, *answerStream) {
+	c := e.c
+	e.attempts++
 	var link *upstream.Conn
 	var err error
-	if v.next != nil {
-		link, v.next = v.next.link, nil
-	} else if link, err = v.link(adm.Runner.Addr); err != nil {
-		c.done(adm, v.client.hasLeft())
-		return notSent, stream
-	}
-	defer v.client.use(nil)
-	if !v.useLink(link) {
+	if e.next != nil {
+		link, e.next = e.next.link, nil
+	} else if link, err = e.connect(adm.Runner.Addr); err != nil {
+		c.done(adm, e.client.hasLeft())
+		return resultNotSent, stream
+	}
+	defer e.client.use(nil)
+	if !e.useLink(link) {
 		link.Close()
 		c.done(adm, true)
-		return clientGone, stream
+		return resultClientGone, stream
 	}
-	if !c.mayStillGo(adm) {
+	if !c.stillAllowed(adm) {
 		link.Close()
 		c.done(adm, true)
-		return notSent, stream
+		return resultNotSent, stream
 	}
-	if !v.mayGo(adm) {
+	if !e.recheckPolicy(adm) {
 		link.Close()
 		c.done(adm, true)
-		return notSent, stream
+		return resultNotSent, stream
 	}
 	attempt := c.sent.add(adm, link)
 	defer c.sent.remove(attempt)
-	end := v.put(adm, link, stream)
-	if end != sentWhole {
+	end := e.writeRequest(adm, link, stream)
+	if end != resultSent {
 		link.Close()
 		return end, stream
 	}
 	r := protocol.AcquireResponse()
 	defer protocol.ReleaseResponse(r)
-	if err := v.readHead(attempt, r); err != nil {
+	if err := e.readHead(attempt, r); err != nil {
 		if errors.Is(err, errWithdrawn) {
 			c.done(adm, true)
 		} else {
-			v.failed(adm, link, false) // silence, too, is a failure of the runner
+			e.failed(adm, link, false) // silence, too, is a failure of the runner
 		}
 		link.Close()
-		return unknown, stream
+		return resultUnknown, stream
 	}
 	status := r.StatusCode()
 	if status == statusWrongInstance {
 		_, err := upstream.ReadBody(r, mostUnwanted)
-		c.giveBack(adm, link, r, err == nil)
+		c.release(adm, link, r, err == nil)
 		c.wrongInstance(adm, otherWeights(adm, r))
-		return notRun, stream
+		return resultNotRun, stream
 	}
 	if r.Header.Get(hNotRun) != "" {
 		_, err := upstream.ReadBody(r, mostUnwanted)
-		c.giveBack(adm, link, r, err == nil)
-		c.dmu.Lock()
+		c.release(adm, link, r, err == nil)
+		c.admissionMu.Lock()
 		c.admission.Full(adm, c.clock())
-		c.dmu.Unlock()
-		return notRun, stream
+		c.admissionMu.Unlock()
+		return resultNotRun, stream
 	}
 	if promises(status) {
 		// no runner gives this promise without saying that it has not run it
 		_, err := upstream.ReadBody(r, mostUnwanted)
 		c.ended(adm, link, status < 500, true)
-		c.giveBack(adm, link, r, err == nil)
-		return unknown, stream
+		c.release(adm, link, r, err == nil)
+		return resultUnknown, stream
 	}
 	if stream == nil {
-		v.held = c.held.add(adm, link)
-		defer c.held.remove(v.held)
+		e.held = c.held.add(adm, link)
+		defer c.held.remove(e.held)
 	}
-	if v.streams(r) {
-		end, stream = v.passStream(adm, link, r, stream)
+	if e.streams(r) {
+		end, stream = e.passStream(adm, link, r, stream)
 	} else {
-		end = v.passBody(adm, link, r, stream)
+		end = e.passBody(adm, link, r, stream)
 	}
 	return end, stream
 }
@@ -317,24 +317,24 @@
 // mostUnwanted bounds the body of an answer that is not passed on.
 const mostUnwanted = 1 << 20
 
-// put sends the request. Where it has not all been sent it says what that means:
+// writeRequest sends the request. Where it has not all been sent it says what that means:
 // as long as no byte can have reached the runner, it has not run.
-func (v *visit) put(adm *admission.Admission, link *upstream.Conn, stream *answerStream) ending {
-	c := v.c
-	leftUs := v.endUs - c.clock()
+func (e *exchange) writeRequest(adm *admission.Admission, link *upstream.Conn, stream *answerStream) attemptResult {
+	c := e.c
+	leftUs := e.endUs - c.clock()
 	if leftUs <= closeLeadUs { // as after a freeze of this process
 		c.done(adm, true)
-		return notSent
+		return resultNotSent
 	}
-	sent, err := link.Send(v.head(adm, leftUs, stream), v.rc.Request.Body(), v.deadline(-closeLeadUs))
+	sent, err := link.Send(e.head(adm, leftUs, stream), e.rc.Request.Body(), e.deadline(-closeLeadUs))
 	if err == nil {
-		return sentWhole
+		return resultSent
 	}
-	v.failed(adm, link, false)
+	e.failed(adm, link, false)
 	if sent {
-		return unknown
+		return resultUnknown
 	}
-	return notSent
+	return resultNotSent
 }
 
 // promises tells whether a status says that the request has not run.
@@ -346,35 +346,35 @@
 	return false
 }
 
-// mayGo checks at the moment of sending, against the configuration in force
+// recheckPolicy checks at the moment of sending, against the configuration in force
 // now, that a regulated request goes to a certified runner; a regime that came
 // or went while the request waited counts as it is now. The salt was made for
 // the regime at admission, so a change of regime sends the request back.
-func (v *visit) mayGo(adm *admission.Admission) bool {
-	if v.tenant == nil {
+func (e *exchange) recheckPolicy(adm *admission.Admission) bool {
+	if e.tenant == nil {
 		return true
 	}
-	t := v.c.table.Load()
-	now := t.RegimeOf(v.tenant.Name)
-	if now == "" && v.ask.Regime == "" {
+	t := e.c.table.Load()
+	now := t.RegimeOf(e.tenant.Name)
+	if now == "" && e.request.Regime == "" {
 		return true
 	}
-	if now != v.ask.Regime {
-		v.ask.Regime, v.changed = now, true
+	if now != e.request.Regime {
+		e.request.Regime, e.changed = now, true
 		return false
 	}
-	_, certificate, ok := t.Allows(v.tenant.Name, sightOf(adm.Runner))
+	_, certificate, ok := t.Allows(e.tenant.Name, sightOf(adm.Runner))
 	if ok {
-		v.note(compliance.Sent, &adm.Runner, certificate)
+		e.note(compliance.Sent, &adm.Runner, certificate)
 	}
 	return ok
 }
 
-func (v *visit) link(addr string) (*upstream.Conn, error) {
-	ctx, cancel := context.WithTimeout(context.Background(), time.Duration(max(v.endUs-v.c.clock(), 1000))*time.Microsecond)
+func (e *exchange) connect(addr string) (*upstream.Conn, error) {
+	ctx, cancel := context.WithTimeout(context.Background(), time.Duration(max(e.endUs-e.c.clock(), 1000))*time.Microsecond)
 	defer cancel()
-	defer v.client.onLeave(cancel)()
-	return v.c.connPool.GetFor(ctx, addr, v.service, v.route.Repeatable())
+	defer e.client.onLeave(cancel)()
+	return e.c.connPool.GetFor(ctx, addr, e.service, e.route.Repeatable())
 }
 
 // ended notes how an attempt that was sent ended at its runner. One that died on a
@@ -387,31 +387,31 @@
 	if answered {
 		c.connPool.Alive(link)
 	}
-	c.dmu.Lock()
+	c.admissionMu.Lock()
 	c.admission.Ended(adm, good, c.clock())
-	c.dmu.Unlock()
+	c.admissionMu.Unlock()
 }
 
 // failed gives back the place of an attempt that broke off. It is the runner's
 // failure unless the client has left, which ends the connection to the runner.
-func (v *visit) failed(adm *admission.Admission, link *upstream.Conn, answered bool) {
-	if v.client.hasLeft() {
-		v.c.done(adm, true)
+func (e *exchange) failed(adm *admission.Admission, link *upstream.Conn, answered bool) {
+	if e.client.hasLeft() {
+		e.c.done(adm, true)
 		return
 	}
-	v.c.ended(adm, link, false, answered)
-	v.c.done(adm, false)
+	e.c.ended(adm, link, false, answered)
+	e.c.done(adm, false)
 }
 
 func (c *Router) done(adm *admission.Admission, ok bool) {
-	c.dmu.Lock()
+	c.admissionMu.Lock()
 	c.admission.Done(adm, ok, c.clock())
-	c.dmu.Unlock()
-	poke(c.stir)
-	c.wake()
+	c.admissionMu.Unlock()
+	signal(c.loadsChanged)
+	c.wakeQueue()
 }
 
-func (c *Router) giveBack(adm *admission.Admission, link *upstream.Conn, r *protocol.Response, ok bool) {
+func (c *Router) release(adm *admission.Admission, link *upstream.Conn, r *protocol.Response, ok bool) {
 	if ok {
 		c.connPool.Put(adm.Runner.Addr, link, &r.Header)
 	} else {
--- a/internal/router/client_watch.go
+++ b/internal/router/client_watch.go
@@ -203,15 +203,15 @@
 // stopsWithClient tells whether a runner's work on the request ends when its client
 // leaves. A request that may run only once is left to its end: what it did cannot
 // be undone, and another attempt would be refused.
-func (v *visit) stopsWithClient() bool {
-	return v.route.Kind == api.Streaming || v.route.Repeatable()
+func (e *exchange) stopsWithClient() bool {
+	return e.route.Kind == api.Streaming || e.route.Repeatable()
 }
 
 // useLink names the connection that the request is sent on. It tells whether the
 // client still waits.
-func (v *visit) useLink(link *upstream.Conn) bool {
-	if !v.stopsWithClient() {
-		return !v.client.hasLeft()
+func (e *exchange) useLink(link *upstream.Conn) bool {
+	if !e.stopsWithClient() {
+		return !e.client.hasLeft()
 	}
-	return v.client.use(link)
+	return e.client.use(link)
 }
--- a/internal/router/client_watch_test.go
+++ b/internal/router/client_watch_test.go
@@ -64,7 +64,7 @@
 
 func (c *Router) takesMenu(t *testing.T, text string) {
 	t.Helper()
-	must.True(t, c.take("", messages.Feed{Configuration: []messages.EntryChange{wholeMenu(t, text, 2)}}))
+	must.True(t, c.applyFeed("", messages.Feed{Configuration: []messages.EntryChange{wholeMenu(t, text, 2)}}))
 }
 
 func TestRunnerIsReleasedWhenTheClientLeaves(t *testing.T) {
@@ -92,8 +92,8 @@
 					time.Sleep(time.Millisecond)
 				}
 				must.Eq(t, 1, r.count(), must.Sprint("not sent once more"))
-				c.dmu.Lock()
-				defer c.dmu.Unlock()
+				c.admissionMu.Lock()
+				defer c.admissionMu.Unlock()
 				must.NotNil(t, c.admission.TryNow(admission.Request{Service: "s", LeftUs: 1_000_000}, c.clock()), must.Sprint("no failure of the runner"))
 			})
 		}
--- a/internal/router/compare.go
+++ b/internal/router/compare.go
@@ -32,7 +32,7 @@
 // newer. A comparison that takes long does not put off the next.
 func (c *Router) compareVersions(ctx context.Context) func() {
 	return func() {
-		overdue := c.clock()-c.heardUs.Load() > max(c.convergeTime()/dissemination.OverdueParts, 2*dissemination.UpdateInterval).Microseconds()
+		overdue := c.clock()-c.lastUpdateUs.Load() > max(c.convergeTime()/dissemination.OverdueParts, 2*dissemination.UpdateInterval).Microseconds()
 		for _, addr := range c.comparisons.Next(c.likelyCore(), *c.parent.Load(), overdue) {
 			go func() {
 				cctx, cancel := context.WithTimeout(ctx, c.convergeTime()/dissemination.ComparisonWaitParts)
@@ -131,7 +131,7 @@
 		return true
 	}
 	defer c.comparisons.EndFetch()
-	h := c.hold()
+	h := c.syncState()
 	h.ConfigOnly, h.Kept = true, nil
 	if !runners {
 		h.Registry.Epoch = -1
@@ -146,5 +146,5 @@
 	if _, err := f.UnmarshalMsg(b); err != nil {
 		return false
 	}
-	return c.take("", f)
+	return c.applyFeed("", f)
 }
--- a/internal/router/condition.go
+++ b/internal/router/condition.go
@@ -13,14 +13,14 @@
 
 func (c *Router) condition() messages.Condition {
 	x := messages.Condition{Node: c.set.Node, Role: messages.Router, Zone: c.set.Zone, Addr: c.transport.Addr(), TimeUs: time.Now().UnixMicro()}
-	c.nmu.Lock()
+	c.stateMu.Lock()
 	x.Versions = c.versions()
-	c.nmu.Unlock()
-	c.dmu.Lock()
+	c.stateMu.Unlock()
+	c.admissionMu.Lock()
 	x.Blind = c.admission.Blind(c.clock())
-	c.dmu.Unlock()
-	x.Wholes, x.Changes = c.news.wholes.Load(), c.news.changes.Load()
-	x.Malformed = c.news.malformed.Load() + c.up.Malformed.Load()
+	c.admissionMu.Unlock()
+	x.Wholes, x.Changes = c.feedStats.wholes.Load(), c.feedStats.changes.Load()
+	x.Malformed = c.feedStats.malformed.Load() + c.up.Malformed.Load()
 	x.Violations = invariant.Violations()
 	x.Runners = len(c.registry.Snapshot().ByID)
 	return x
--- a/internal/router/counters.go
+++ b/internal/router/counters.go
@@ -32,10 +32,10 @@
 	subscriptions dissemination.SubscriptionCounts
 }
 
-// attemptNames are the results of attempts, in the order of the type ending.
+// attemptNames are the results of attempts, in the order of the type attemptResult.
 var attemptNames = [...]string{
-	whole: "answered", notSent: "not_sent", notRun: "not_run", unknown: "unknown", brokeOff: "broke_off",
-	clientGone: "client_gone", moving: "moved",
+	resultAnswered: "answered", resultNotSent: "not_sent", resultNotRun: "not_run", resultUnknown: "unknown", resultBrokenOff: "broke_off",
+	resultClientGone: "client_gone", resultMoving: "moved",
 }
 
 // rejection is what the client is told.
@@ -83,42 +83,42 @@
 var cutReasonNames = [cutReasonCount]string{"client_gone", "time_over", "runner_broke_off", "grace_over", "unexplained"}
 
 // recordEnd counts how a request ended, and checks that it was not just dropped.
-func (v *visit) recordEnd() {
-	counters := &v.c.counters
-	switch v.ended {
+func (e *exchange) recordEnd() {
+	counters := &e.c.counters
+	switch e.ended {
 	case compliance.Answered:
 		counters.answered.Add(1)
 	case compliance.Rejected:
-		counters.rejections.add(v.rc.Response.StatusCode(), v.why)
+		counters.rejections.add(e.rc.Response.StatusCode(), e.why)
 	default:
-		reason := v.cutReason()
+		reason := e.cutReason()
 		counters.cuts[reason].Add(1)
 		if reason == cutUnexplained {
-			requestEnds.Violated("request", v.id, "attempts", v.attempts, "lastAttempt", attemptNames[v.lastEnd], "leaving", v.c.draining())
+			requestEnds.Violated("request", e.id, "attempts", e.attempts, "lastAttempt", attemptNames[e.lastEnd], "leaving", e.c.draining())
 		}
 	}
 }
 
 // cutReason tells why the request has no complete answer.
-func (v *visit) cutReason() cutReason {
+func (e *exchange) cutReason() cutReason {
 	switch {
-	case v.client.hasLeft() || v.lastEnd == clientGone:
+	case e.client.hasLeft() || e.lastEnd == resultClientGone:
 		return cutClientGone
-	case v.endUs > 0 && v.timeOver():
+	case e.endUs > 0 && e.timeOver():
 		return cutTimeOver
-	case v.attempts > 0 && (v.broken || v.lastEnd == unknown):
+	case e.attempts > 0 && (e.broken || e.lastEnd == resultUnknown):
 		return cutRunner
-	case v.attempts > 0 && v.lastEnd == whole: // the end of the answer could not be written
+	case e.attempts > 0 && e.lastEnd == resultAnswered: // the end of the answer could not be written
 		return cutClientGone
 	}
 	return cutUnexplained
 }
 
 // recordAttempt counts an attempt that has ended.
-func (v *visit) recordAttempt(end ending) {
-	v.lastEnd = end
-	v.broken = v.broken || end == brokeOff
-	v.c.counters.attempts[end].Add(1)
+func (e *exchange) recordAttempt(end attemptResult) {
+	e.lastEnd = end
+	e.broken = e.broken || end == resultBrokenOff
+	e.c.counters.attempts[end].Add(1)
 }
 
 // recordCutByLeaving counts the requests that end with the process.
--- a/internal/router/feed.go
+++ b/internal/router/feed.go
@@ -28,10 +28,10 @@
 	}
 }
 
-// hold names what this node holds of every stream.
-func (c *Router) hold() messages.Hold {
+// syncState names what this node holds of every stream.
+func (c *Router) syncState() messages.Hold {
 	var h messages.Hold
-	c.nmu.Lock()
+	c.stateMu.Lock()
 	for p, n := range c.parts {
 		for len(h.Parts) <= p {
 			h.Parts = append(h.Parts, 0)
@@ -40,23 +40,23 @@
 	}
 	h.Configuration = c.configuration.Cursor()
 	h.Registry.Epoch, h.Registry.Version = c.runners.Cursor()
-	c.nmu.Unlock()
+	c.stateMu.Unlock()
 	h.Loads = c.loads.cursor()
-	c.dmu.Lock()
+	c.admissionMu.Lock()
 	h.Kept = c.admission.Index.Cursors()
 	h.TargetAges = c.admission.TargetAges(c.clock())
-	c.dmu.Unlock()
+	c.admissionMu.Unlock()
 	return h
 }
 
-// since gives what a node below lacks.
-func (c *Router) since(h messages.Hold) messages.Feed {
+// deltaSince gives what a node below lacks.
+func (c *Router) deltaSince(h messages.Hold) messages.Feed {
 	f := messages.Feed{FromRelay: true}
-	c.dmu.Lock()
+	c.admissionMu.Lock()
 	c.admission.ObserveTargets(h.TargetAges, c.clock())
 	f.TargetAges = c.admission.TargetAges(c.clock())
-	c.dmu.Unlock()
-	c.nmu.Lock()
+	c.admissionMu.Unlock()
+	c.stateMu.Lock()
 	f.Versions = c.versions()
 	for p, n := range c.parts {
 		if p > 0 && (p >= len(h.Parts) || h.Parts[p] < n.Version) {
@@ -69,16 +69,16 @@
 	if ch, lacks := c.runners.DeltaSince(h.Registry.Epoch, h.Registry.Version); lacks {
 		f.Registry = append(f.Registry, statesync.EncodeEntries(ch))
 	}
-	c.nmu.Unlock()
+	c.stateMu.Unlock()
 	if h.ConfigOnly {
 		return f
 	}
 	if ch, lacks := c.loads.deltaSince(h.Loads); lacks {
 		f.Loads = append(f.Loads, ch)
 	}
-	c.dmu.Lock()
+	c.admissionMu.Lock()
 	f.Kept = c.admission.Index.DeltasSince(h.Kept, func(string) bool { return true })
-	c.dmu.Unlock()
+	c.admissionMu.Unlock()
 	return f
 }
 
@@ -96,8 +96,8 @@
 
 // behind tells whether a node with these versions has something newer.
 func (c *Router) behind(versions []int64) bool {
-	c.nmu.Lock()
-	defer c.nmu.Unlock()
+	c.stateMu.Lock()
+	defer c.stateMu.Unlock()
 	held := c.versions()
 	c.lag.heardOf(held, versions, c.clock())
 	return dissemination.Behind(held, versions)
@@ -105,37 +105,37 @@
 
 // heldVersions are those of the parts that are held.
 func (c *Router) heldVersions() []int64 {
-	c.nmu.Lock()
-	defer c.nmu.Unlock()
+	c.stateMu.Lock()
+	defer c.stateMu.Unlock()
 	return c.versions()
 }
 
-// takeFeed takes what the parent sent and passes it on.
-func (c *Router) takeFeed(parent string, f messages.Feed, raw []byte) *messages.Hold {
+// receiveFeed takes what the parent sent and passes it on.
+func (c *Router) receiveFeed(parent string, f messages.Feed, raw []byte) *messages.Hold {
 	c.parent.Store(&parent)
 	if !f.CutOff {
-		c.heardUs.Store(c.clock())
+		c.lastUpdateUs.Store(c.clock())
 	}
 	c.publisher.Forward(dissemination.ToRouters, raw)
-	if !c.take(parent, f) || c.behind(f.Versions) {
-		h := c.hold()
+	if !c.applyFeed(parent, f) || c.behind(f.Versions) {
+		h := c.syncState()
 		return &h
 	}
 	return nil
 }
 
-// take takes a feed in; parent is empty where it came from another node than
+// applyFeed takes a feed in; parent is empty where it came from another node than
 // the parent. It tells whether all of it fitted.
-func (c *Router) take(parent string, f messages.Feed) (fits bool) {
+func (c *Router) applyFeed(parent string, f messages.Feed) (fits bool) {
 	now := c.clock()
 	fits = true
 	note := func(r statesync.Result, again bool) {
-		c.news.count(r, again)
+		c.feedStats.count(r, again)
 		fits = fits && (r == statesync.Applied || r == statesync.Known)
 	}
 	c.takeTargetAges(f, now)
 	changed := false
-	c.nmu.Lock()
+	c.stateMu.Lock()
 	for _, ch := range f.Configuration {
 		again := ch.Snapshot && c.configuration.Cursor().Epoch == ch.Epoch
 		r, renewed := c.applyConfig(ch)
@@ -143,7 +143,7 @@
 		changed = changed || renewed
 	}
 	for _, p := range f.Parts {
-		c.takePart(p, now)
+		c.applyPart(p, now)
 	}
 	for _, ch := range f.Registry {
 		in := statesync.DecodeEntries(ch)
@@ -165,16 +165,16 @@
 				continue
 			}
 			if _, err := n.UnmarshalMsg([]byte(p.Value)); err != nil {
-				c.news.malformed.Add(1)
+				c.feedStats.malformed.Add(1)
 				continue
 			}
-			changed = c.takeRunner(believed, n, now) || changed
+			changed = c.applyRunner(believed, n, now) || changed
 		}
 		if len(in.Puts) > 0 && !c.informed.Swap(true) {
 			c.log.Info("runners known", "count", len(in.Puts))
 		}
 	}
-	c.nmu.Unlock()
+	c.stateMu.Unlock()
 	if changed {
 		c.syncAdmission()
 	}
@@ -182,7 +182,7 @@
 		again := ch.Snapshot && c.loads.cursor().Epoch == ch.Epoch
 		note(c.loads.apply(ch), again)
 	}
-	c.dmu.Lock()
+	c.admissionMu.Lock()
 	for _, k := range f.Kept {
 		again := k.Snapshot && c.admission.Index.CachedPrefixes(k.ID).Epoch == k.Epoch
 		note(c.admission.Index.Apply(k), again)
@@ -194,16 +194,16 @@
 	if parent != "" {
 		c.loads.updateAdmission(c.admission, now)
 	}
-	c.dmu.Unlock()
+	c.admissionMu.Unlock()
 	if changed || len(f.Reports)+len(f.Loads) > 0 {
-		c.wake()
+		c.wakeQueue()
 	}
 	return fits
 }
 
-// takeRunner takes the record of a runner: the parent's as it stands, of another
+// applyRunner takes the record of a runner: the parent's as it stands, of another
 // node only the facts.
-func (c *Router) takeRunner(parent string, n messages.RunnerRecord, nowUs int64) (changed bool) {
+func (c *Router) applyRunner(parent string, n messages.RunnerRecord, nowUs int64) (changed bool) {
 	if parent == "" {
 		return c.registry.Merge(n, nowUs)
 	}
@@ -212,13 +212,13 @@
 
 // forgetUnlisted drops runners that the parent has not listed for long.
 func (c *Router) forgetUnlisted() {
-	c.nmu.Lock()
+	c.stateMu.Lock()
 	listed := func(id string) bool {
 		_, ok := c.runners.Get(id)
 		return ok
 	}
 	went := c.registry.Retain(listed, c.clock())
-	c.nmu.Unlock()
+	c.stateMu.Unlock()
 	if went {
 		c.syncAdmission()
 	}
@@ -229,7 +229,7 @@
 	r, renewed, err := c.configuration.Apply(ch)
 	if err != nil {
 		c.log.Error(err, "a change of the configuration is left aside")
-		c.news.malformed.Add(1)
+		c.feedStats.malformed.Add(1)
 	}
 	if renewed {
 		t := c.configuration.Table()
@@ -240,13 +240,13 @@
 	return r, renewed
 }
 
-func (c *Router) takePart(p messages.PartNote, nowUs int64) {
+func (c *Router) applyPart(p messages.PartNote, nowUs int64) {
 	if old, ok := c.parts[p.Part]; p.Part == 0 || ok && old.Version >= p.Version {
 		return
 	}
 	var body messages.LeaseBody
 	if _, err := body.UnmarshalMsg(p.Body); err != nil {
-		c.news.malformed.Add(1)
+		c.feedStats.malformed.Add(1)
 		return
 	}
 	c.assumeTargets(body.Targets, nowUs)
--- a/internal/router/front.go
+++ b/internal/router/front.go
@@ -88,8 +88,8 @@
 	return h.Run()
 }
 
-// visit is one request on its way through the router.
-type visit struct {
+// exchange is one request on its way through the router.
+type exchange struct {
 	c        *Router
 	rc       *app.RequestContext
 	route    *routeconfig.Route
@@ -98,14 +98,14 @@
 	id       string
 	startUs  int64
 	endUs    int64 // the client's deadline or the route's cutoff
-	ask      admission.Request
+	request  admission.Request
 	attempts int
-	next     *nextShot // for a stream on the move
-	moveUs   int64     // when it looks for a place again
+	next     *nextAttempt // for a stream on the move
+	moveUs   int64        // when it looks for a place again
 	client   *clientState
 	held     *sentAttempt // whose answer has begun and is not passed on yet
 	ended    compliance.Step
-	lastEnd  ending           // of the newest attempt
+	lastEnd  attemptResult    // of the newest attempt
 	broken   bool             // a runner broke off what had been passed on in part
 	why      admission.Reason // of a rejection
 	changed  bool             // the tenant's regime changed while the request waited
@@ -123,7 +123,7 @@
 		}
 	}()
 	conn := clientConn(ctx)
-	v := &visit{c: c, rc: rc, startUs: c.clock() - conn.requestAge().Microseconds(), id: get(rc, hAttempt)}
+	v := &exchange{c: c, rc: rc, startUs: c.clock() - conn.requestAge().Microseconds(), id: get(rc, hAttempt)}
 	defer v.recordEnd()
 	t := c.table.Load()
 	uri := rc.Request.Header.RequestURI()
@@ -167,16 +167,16 @@
 	in, out, _ := strings.Cut(get(rc, hTokens), ",")
 	tokensIn, _ := strconv.Atoi(strings.TrimSpace(in))
 	tokensOut, _ := strconv.Atoi(strings.TrimSpace(out))
-	v.ask = admission.Request{
+	v.request = admission.Request{
 		Service: v.service, Tenant: tenant, Rank: v.route.Rank, TokensIn: max(tokensIn, 0), TokensOut: max(tokensOut, 0),
 		Model: get(rc, hModel), Parts: prefixindex.ParseParts(get(rc, hPrefix)), SetpointUs: v.route.SetpointUs, LeftUs: v.endUs - c.clock(),
 	}
 	if v.tenant != nil {
-		v.ask.Rank += 16 * v.tenant.Rank
-		v.ask.Isolated = v.tenant.Isolated
-		v.ask.Regime = t.RegimeOf(v.tenant.Name)
+		v.request.Rank += 16 * v.tenant.Rank
+		v.request.Isolated = v.tenant.Isolated
+		v.request.Regime = t.RegimeOf(v.tenant.Name)
 	}
-	if v.ask.Regime != "" {
+	if v.request.Regime != "" {
 		v.note(compliance.Asked, nil, -1)
 		defer func() { v.note(v.ended, nil, -1) }()
 	}
@@ -196,27 +196,27 @@
 }
 
 // note adds to the audit trail of regulated requests.
-func (v *visit) note(step compliance.Step, n *messages.RunnerRecord, certificate int) {
-	e := compliance.Entry{Node: v.c.set.Node, Step: step, Attempt: v.id, Tenant: v.tenant.Name, Regime: v.ask.Regime, Certificate: certificate, Version: v.c.table.Load().Version}
+func (e *exchange) note(step compliance.Step, n *messages.RunnerRecord, certificate int) {
+	entry := compliance.Entry{Node: e.c.set.Node, Step: step, Attempt: e.id, Tenant: e.tenant.Name, Regime: e.request.Regime, Certificate: certificate, Version: e.c.table.Load().Version}
 	if n != nil {
-		e.Runner, e.Service, e.Zone = n.ID, n.Service, n.Zone
+		entry.Runner, entry.Service, entry.Zone = n.ID, n.Service, n.Zone
 	}
-	v.c.trail.Note(e)
+	e.c.trail.Note(entry)
 }
 
 // find looks up the route and the tenant; it returns the status of a denial, or 0.
-func (v *visit) find(t *routeconfig.Table, path string) int {
-	if v.route = t.Match(string(v.rc.Request.Header.Host()), path); v.route == nil {
+func (e *exchange) find(t *routeconfig.Table, path string) int {
+	if e.route = t.Match(string(e.rc.Request.Header.Host()), path); e.route == nil {
 		return 404
 	}
-	v.tenant = nil
-	if t.Tenants == 0 || v.route.Unkeyed {
+	e.tenant = nil
+	if t.Tenants == 0 || e.route.Unkeyed {
 		return 0
 	}
-	if key, ok := strings.CutPrefix(get(v.rc, hAuth), "Token "); ok {
-		v.tenant = t.Tenant(strings.TrimSpace(key))
+	if key, ok := strings.CutPrefix(get(e.rc, hAuth), "Token "); ok {
+		e.tenant = t.Tenant(strings.TrimSpace(key))
 	}
-	if v.tenant == nil {
+	if e.tenant == nil {
 		return 401
 	}
 	return 0
@@ -246,19 +246,19 @@
 
 // reject answers at once. A status that promises that the request has not run
 // says when to come back.
-func (v *visit) reject(status int, reason admission.Reason, againUs int64) {
-	h := &v.rc.Response.Header
-	if v.id != "" {
-		h.Set(hAttempt, v.id)
+func (e *exchange) reject(status int, reason admission.Reason, againUs int64) {
+	h := &e.rc.Response.Header
+	if e.id != "" {
+		h.Set(hAttempt, e.id)
 	}
 	if againUs > 0 && (status == 429 || status == 503) {
 		h.Set(hRetryAfter, strconv.FormatFloat(float64(againUs)/1e6, 'f', 3, 64))
 	}
-	v.ended, v.why = compliance.Rejected, reason
-	v.checkDenial(status)
-	v.rc.SetStatusCode(status)
+	e.ended, e.why = compliance.Rejected, reason
+	e.checkDenial(status)
+	e.rc.SetStatusCode(status)
 	if reason != "" {
-		v.rc.Response.Header.SetContentType("text/plain")
-		v.rc.Response.SetBodyString(string(reason) + "\n")
+		e.rc.Response.Header.SetContentType("text/plain")
+		e.rc.Response.SetBodyString(string(reason) + "\n")
 	}
 }
--- a/internal/router/invariants.go
+++ b/internal/router/invariants.go
@@ -22,20 +22,20 @@
 func denies(status int) bool { return status == 401 || status == 403 || status == 404 }
 
 // checkDenial checks that a denial rests on a confirmed configuration.
-func (v *visit) checkDenial(status int) {
-	c := v.c
+func (e *exchange) checkDenial(status int) {
+	c := e.c
 	if !denies(status) {
 		return
 	}
 	if !c.confirmationHolds() {
-		denialConfirmed.Violated("request", v.id, "status", status, "confirmedUs", c.majorityUs.Load(), "nowUs", c.clock())
+		denialConfirmed.Violated("request", e.id, "status", status, "confirmedUs", c.majorityUs.Load(), "nowUs", c.clock())
 	}
 }
 
 // checkRepeat checks, before an attempt, that the one before it cannot have run.
-func (v *visit) checkRepeat(so *course) {
-	mayHaveRun := so.ran || v.attempts > 0 && (v.lastEnd == unknown || v.lastEnd == brokeOff)
-	if mayHaveRun && !v.route.Repeatable() {
-		noAttemptAfterRun.Violated("request", v.id, "attempts", v.attempts, "route", v.route.Name)
+func (e *exchange) checkRepeat(state *progress) {
+	mayHaveRun := state.ran || e.attempts > 0 && (e.lastEnd == resultUnknown || e.lastEnd == resultBrokenOff)
+	if mayHaveRun && !e.route.Repeatable() {
+		noAttemptAfterRun.Violated("request", e.id, "attempts", e.attempts, "route", e.route.Name)
 	}
 }
--- a/internal/router/invariants_test.go
+++ b/internal/router/invariants_test.go
@@ -15,14 +15,14 @@
 )
 
 // visitAt makes a request of a router that runs nothing; its time is over at endUs.
-func visitAt(nowUs, endUs int64) *visit {
+func visitAt(nowUs, endUs int64) *exchange {
 	c := &Router{clock: func() int64 { return nowUs }}
-	return &visit{c: c, rc: app.NewContext(0), endUs: endUs, route: &routeconfig.Route{}}
+	return &exchange{c: c, rc: app.NewContext(0), endUs: endUs, route: &routeconfig.Route{}}
 }
 
 func TestRequestThatIsDroppedViolatesInvariant(t *testing.T) {
 	invarianttest.Expect(t, requestEnds)
-	for _, last := range []ending{notSent, notRun, moving} {
+	for _, last := range []attemptResult{resultNotSent, resultNotRun, resultMoving} {
 		before := requestEnds.Violations()
 		v := visitAt(1, 1_000_000)
 		v.attempts, v.ended, v.lastEnd = 1, compliance.Cut, last
@@ -35,17 +35,17 @@
 	for _, c := range []struct {
 		name     string
 		ended    compliance.Step
-		last     ending
+		last     attemptResult
 		attempts int
 		nowUs    int64
 		cut      cutReason
 	}{
-		{"answered", compliance.Answered, whole, 1, 1, cutReasonCount},
-		{"rejected", compliance.Rejected, notSent, 0, 1, cutReasonCount},
-		{"client gone", compliance.Cut, clientGone, 1, 1, cutClientGone},
-		{"time over", compliance.Cut, moving, 1, 1_000_000, cutTimeOver},
-		{"runner broke off", compliance.Cut, brokeOff, 1, 1, cutRunner},
-		{"answer not known", compliance.Cut, unknown, 1, 1, cutRunner},
+		{"answered", compliance.Answered, resultAnswered, 1, 1, cutReasonCount},
+		{"rejected", compliance.Rejected, resultNotSent, 0, 1, cutReasonCount},
+		{"client gone", compliance.Cut, resultClientGone, 1, 1, cutClientGone},
+		{"time over", compliance.Cut, resultMoving, 1, 1_000_000, cutTimeOver},
+		{"runner broke off", compliance.Cut, resultBrokenOff, 1, 1, cutRunner},
+		{"answer not known", compliance.Cut, resultUnknown, 1, 1, cutRunner},
 	} {
 		t.Run(c.name, func(t *testing.T) {
 			v := visitAt(c.nowUs, 1_000_000)
@@ -64,17 +64,17 @@
 }
 
 func TestAttemptAfterPossibleRunViolatesInvariant(t *testing.T) {
-	for _, end := range []ending{unknown, brokeOff} {
+	for _, end := range []attemptResult{resultUnknown, resultBrokenOff} {
 		v := visitAt(1, 1_000_000)
 		v.attempts, v.lastEnd = 1, end
 		v.route.Kind = api.Idempotent
-		v.checkRepeat(&course{})
+		v.checkRepeat(&progress{})
 	}
 	invarianttest.Expect(t, noAttemptAfterRun)
 	v := visitAt(1, 1_000_000)
-	v.attempts, v.lastEnd = 1, unknown
+	v.attempts, v.lastEnd = 1, resultUnknown
 	v.route.Kind = api.Streaming
-	v.checkRepeat(&course{})
+	v.checkRepeat(&progress{})
 }
 
 func TestDenialOnUnconfirmedConfigViolatesInvariant(t *testing.T) {
@@ -82,7 +82,7 @@
 	c.core.mu.Lock()
 	c.core.last = []string{"10.0.0.1:7001"}
 	c.core.mu.Unlock()
-	v := &visit{c: c}
+	v := &exchange{c: c}
 	c.majorityUs.Store(c.clock())
 	v.checkDenial(404)
 	v.checkDenial(503)
--- a/internal/router/late_answer_test.go
+++ b/internal/router/late_answer_test.go
@@ -24,7 +24,7 @@
 		return parent.Commit(parent.Version + 1)
 	}
 	take := func(ch statesync.Change[string, string]) {
-		must.True(t, c.take("p", messages.Feed{Registry: []messages.EntryChange{statesync.EncodeEntries(ch)}}))
+		must.True(t, c.applyFeed("p", messages.Feed{Registry: []messages.EntryChange{statesync.EncodeEntries(ch)}}))
 	}
 	put(false)
 	first, _ := parent.DeltaSince(0, 0)
@@ -58,11 +58,11 @@
 		return messages.Feed{Registry: []messages.EntryChange{statesync.EncodeEntries(ch)}}
 	}
 	n := messages.RunnerRecord{ID: "r", Service: "s", Addr: "127.0.0.1:9", Capacity: 1, Seq: 5, Models: []messages.Target{}}
-	must.True(t, c.take("new", feed(2, true, n)))
+	must.True(t, c.applyFeed("new", feed(2, true, n)))
 	n.Lost = true
-	must.False(t, c.take("former", feed(1, false, n)))
+	must.False(t, c.applyFeed("former", feed(1, false, n)))
 	must.MapContainsKey(t, c.registry.Snapshot().ByID, "r")
 	n.Lost, n.Draining, n.Seq = false, true, 6
-	must.False(t, c.take("former", feed(1, false, n)))
+	must.False(t, c.applyFeed("former", feed(1, false, n)))
 	must.True(t, c.registry.Snapshot().ByID["r"].Draining)
 }
--- a/internal/router/loads.go
+++ b/internal/router/loads.go
@@ -185,7 +185,7 @@
 	c.loads.mu.Lock()
 	c.loads.sendAll, c.loads.unacknowledged, c.loads.acknowledged, c.loads.allChanged = true, nil, nil, true
 	c.loads.mu.Unlock()
-	poke(c.stir)
+	signal(c.loadsChanged)
 }
 
 // applyReport takes the report of a node below; false asks it for all of its loads.
@@ -200,12 +200,12 @@
 	l.pending, l.absent = append(l.pending, report.Coming...), append(l.absent, report.Absent...)
 	l.mu.Unlock()
 	if len(report.Coming) > 0 {
-		c.dmu.Lock()
+		c.admissionMu.Lock()
 		c.admission.Coming(report.Coming)
-		c.dmu.Unlock()
-		poke(c.fresh)
+		c.admissionMu.Unlock()
+		signal(c.prefixesPending)
 	}
-	poke(c.stir)
+	signal(c.loadsChanged)
 	return ok
 }
 
@@ -221,10 +221,10 @@
 	if n := len(c.monitor.Alive(messages.Router)); n > 0 {
 		c.nodes.Store(int64(n))
 	}
-	c.dmu.Lock()
+	c.admissionMu.Lock()
 	c.admission.SetNodes(int(c.nodes.Load()))
 	own, pending, absent := c.admission.Own(c.clock()), c.admission.TakeFresh(), c.admission.TakeAbsent()
-	c.dmu.Unlock()
+	c.admissionMu.Unlock()
 	if report, some := c.loads.nextReport(own, pending, absent); some && !c.up.Send(transport.KindTold, &report) {
 		c.resendLoads()
 	}
@@ -238,11 +238,11 @@
 	for {
 		c.report()
 		select {
-		case <-c.fresh:
+		case <-c.prefixesPending:
 		case <-t.C:
-		case <-c.stir:
+		case <-c.loadsChanged:
 			select {
-			case <-c.fresh:
+			case <-c.prefixesPending:
 			case <-time.After(reportDelay):
 			case <-ctx.Done():
 				return
--- a/internal/router/metrics.go
+++ b/internal/router/metrics.go
@@ -61,9 +61,9 @@
 	counters := &c.counters
 	return []prometheus.Collector{
 		metrics.Gauge("beechtide_config_version", "Version of the configuration: in force as the operator numbers it, and as the register does.", []string{"of"}, func(emit metrics.Emit) {
-			c.nmu.Lock()
+			c.stateMu.Lock()
 			register := c.configuration.Version()
-			c.nmu.Unlock()
+			c.stateMu.Unlock()
 			emit(float64(register), "register")
 			if t := c.table.Load(); t != nil {
 				emit(float64(t.Version), "in_force")
@@ -74,7 +74,7 @@
 		}),
 		metrics.Durations("beechtide_config_catch_up_seconds", "Time from the first word of a newer version to when it was in force.", &c.lag.catchUps),
 		metrics.Gauge("beechtide_feed_age_seconds", "Time since the parent, in reach of the core, last sent an update.", nil, func(emit metrics.Emit) {
-			emit(time.Duration((c.clock() - c.heardUs.Load()) * int64(time.Microsecond)).Seconds())
+			emit(time.Duration((c.clock() - c.lastUpdateUs.Load()) * int64(time.Microsecond)).Seconds())
 		}),
 		metrics.Counter("beechtide_comparisons_total", "Requests for a controller's versions, by outcome.", []string{"outcome"}, counters.comparisons.emit),
 		metrics.Counter("beechtide_fetches_total", "Requests for missing state beside the tree, by outcome.", []string{"outcome"}, counters.fetches.emit),
--- a/internal/router/missing.go
+++ b/internal/router/missing.go
@@ -40,20 +40,20 @@
 func (c *Router) wrongInstance(adm *admission.Admission, otherWeights bool) {
 	expected := adm.Version > 0
 	left := false
-	c.dmu.Lock()
+	c.admissionMu.Lock()
 	if otherWeights {
 		c.admission.Full(adm, c.clock())
 	} else {
 		left = c.admission.WrongInstance(adm, expected, c.clock())
 	}
-	c.dmu.Unlock()
+	c.admissionMu.Unlock()
 	if !left {
 		return
 	}
 	if !expected {
 		c.surelyMissing(adm.Runner)
 	}
-	poke(c.missing)
+	signal(c.missing)
 }
 
 // surelyMissing closes the connections to the address of a runner that is not
@@ -61,7 +61,7 @@
 func (c *Router) surelyMissing(n messages.RunnerRecord) {
 	c.log.Info("a runner is not at its address", "runner", n.ID, "address", n.Addr)
 	c.connPool.Drop(n.Addr)
-	poke(c.stir)
+	signal(c.loadsChanged)
 }
 
 // probeMissing probes missing runners for as long as there are any.
@@ -80,9 +80,9 @@
 
 // probeDue makes the probes that are due and tells whether a runner is missing.
 func (c *Router) probeDue(ctx context.Context) bool {
-	c.dmu.Lock()
+	c.admissionMu.Lock()
 	due, any := c.admission.DueProbes(c.clock())
-	c.dmu.Unlock()
+	c.admissionMu.Unlock()
 	var wg sync.WaitGroup
 	for _, n := range due {
 		wg.Go(func() { c.probe(ctx, n) })
@@ -105,13 +105,13 @@
 	if s.Probe != "" {
 		what = c.whoIsAt(ctx, n, s.Probe)
 	}
-	c.dmu.Lock()
+	c.admissionMu.Lock()
 	sure := c.admission.Found(n, what, c.clock())
-	c.dmu.Unlock()
+	c.admissionMu.Unlock()
 	if sure {
 		c.surelyMissing(n)
 	}
-	c.wake()
+	c.wakeQueue()
 }
 
 // whoIsAt asks at a runner's address whether it is there.
--- a/internal/router/missing_test.go
+++ b/internal/router/missing_test.go
@@ -42,8 +42,8 @@
 }
 
 func missing(c *Router) bool {
-	c.dmu.Lock()
-	defer c.dmu.Unlock()
+	c.admissionMu.Lock()
+	defer c.admissionMu.Unlock()
 	_, any := c.admission.DueProbes(0)
 	return any
 }
@@ -73,7 +73,7 @@
 
 	a.say("HTTP/1.1 200 OK\r\nBeechtide-Attempt-Id: ID\r\nContent-Length: 2\r\n\r\nok")
 	back := messages.RunnerRecord{ID: "r0", Service: "s", Addr: a.addr, Zone: "a", Capacity: 9, Seq: 2, Models: []messages.Target{{Model: "m", Version: 4}}}
-	must.True(t, c.take("", messages.Feed{Registry: []messages.EntryChange{runnerEntries(t, back)}}))
+	must.True(t, c.applyFeed("", messages.Feed{Registry: []messages.EntryChange{runnerEntries(t, back)}}))
 	must.False(t, missing(c), must.Sprint("a newer registration brings it back"))
 	for i := 0; a.count() == 1+a.probes(); i++ {
 		ans, _, err := say(t, front, fresh("/open/", 200+i))
--- a/internal/router/move.go
+++ b/internal/router/move.go
@@ -12,35 +12,35 @@
 	"beechtide.org/beechtide/internal/upstream"
 )
 
-// nextShot is a place and a link that wait for a stream which is on the move.
-type nextShot struct {
+// nextAttempt is a place and a link that wait for a stream which is on the move.
+type nextAttempt struct {
 	adm  *admission.Admission
 	link *upstream.Conn
 }
 
 // moves tells whether the stream leaves its runner now; then the next attempt is
 // there. It is within tries and budget like every further attempt.
-func (v *visit) moves(adm *admission.Admission, stream *answerStream) bool {
-	c := v.c
+func (e *exchange) moves(adm *admission.Admission, stream *answerStream) bool {
+	c := e.c
 	t := c.table.Load()
-	if _, left := t.Relinquished[adm.Runner.Zone]; !left || !v.route.Repeatable() || !stream.cutting || stream.events.LastID == "" || v.attempts >= max(v.route.Tries, 1) {
+	if _, left := t.Relinquished[adm.Runner.Zone]; !left || !e.route.Repeatable() || !stream.cutting || stream.events.LastID == "" || e.attempts >= max(e.route.Tries, 1) {
 		return false
 	}
 	now := c.clock()
-	if now < v.moveUs {
+	if now < e.moveUs {
 		return false
 	}
-	v.moveUs = now + moveAgainUs
-	ask := v.ask
-	ask.LeftUs = v.endUs - now
+	e.moveUs = now + moveAgainUs
+	ask := e.request
+	ask.LeftUs = e.endUs - now
 	ask.Avoid = append(append([]string{}, ask.Avoid...), adm.Runner.ID)
-	c.dmu.Lock()
+	c.admissionMu.Lock()
 	if !c.admission.Leaves(ask, adm.Runner.Zone, now) {
-		c.dmu.Unlock()
+		c.admissionMu.Unlock()
 		return false
 	}
 	next := c.admission.TryNow(ask, now)
-	c.dmu.Unlock()
+	c.admissionMu.Unlock()
 	if next == nil {
 		return false
 	}
@@ -51,28 +51,28 @@
 	if next.Runner.Zone == adm.Runner.Zone {
 		return giveUp(true)
 	}
-	link, err := v.link(next.Runner.Addr)
+	link, err := e.connect(next.Runner.Addr)
 	if err != nil {
 		return giveUp(false)
 	}
-	if !v.spend() {
+	if !e.spendRetry() {
 		link.Close()
 		return giveUp(true)
 	}
-	v.ask.Avoid = ask.Avoid
-	v.next = &nextShot{next, link}
+	e.request.Avoid = ask.Avoid
+	e.next = &nextAttempt{next, link}
 	return true
 }
 
 // releaseNext gives up the place and the link of a stream that does not move after
 // all.
-func (v *visit) releaseNext() {
-	if v.next == nil {
+func (e *exchange) releaseNext() {
+	if e.next == nil {
 		return
 	}
-	v.next.link.Close()
-	v.c.done(v.next.adm, true)
-	v.next = nil
+	e.next.link.Close()
+	e.c.done(e.next.adm, true)
+	e.next = nil
 }
 
 // moveAgainUs is how long a stream that found no place to go to stays before it
--- a/internal/router/move_test.go
+++ b/internal/router/move_test.go
@@ -47,7 +47,7 @@
 		n.Zone, n.Seq, n.Capacity = zone, 2, 9
 		notes = append(notes, n)
 	}
-	must.True(t, c.take("", messages.Feed{Registry: []messages.EntryChange{runnerEntries(t, notes...)}}))
+	must.True(t, c.applyFeed("", messages.Feed{Registry: []messages.EntryChange{runnerEntries(t, notes...)}}))
 	c.syncAdmission()
 }
 
@@ -83,11 +83,11 @@
 		}
 		c, front, _ := start(t, a, b)
 		c.sited(t, "a", "b")
-		c.dmu.Lock() // the first choice is r0: it keeps the prompt
+		c.admissionMu.Lock() // the first choice is r0: it keeps the prompt
 		for _, p := range []string{"ab", "cd"} {
 			c.admission.Index.Put("r0", prefixindex.Key("w4/t1", "m", p), 15)
 		}
-		c.dmu.Unlock()
+		c.admissionMu.Unlock()
 		go func() {
 			for a.count() == 0 {
 				runtime.Gosched()
@@ -106,9 +106,9 @@
 		for c.inFlight.Load() > 0 {
 			runtime.Gosched()
 		}
-		c.dmu.Lock()
+		c.admissionMu.Lock()
 		own := c.admission.Own(c.clock())
-		c.dmu.Unlock()
+		c.admissionMu.Unlock()
 		for id, l := range own {
 			must.Eq(t, 0, l.Count, must.Sprint(id))
 		}
@@ -130,11 +130,11 @@
 	}
 	c, front, _ := start(t, a, b)
 	c.sited(t, "a", "b")
-	c.dmu.Lock()
+	c.admissionMu.Lock()
 	for _, p := range []string{"ab", "cd"} {
 		c.admission.Index.Put("r0", prefixindex.Key("w4/t1", "m", p), 15)
 	}
-	c.dmu.Unlock()
+	c.admissionMu.Unlock()
 	go func() {
 		for a.count() == 0 {
 			runtime.Gosched()
--- a/internal/router/request_head.go
+++ b/internal/router/request_head.go
@@ -12,8 +12,8 @@
 )
 
 // head makes the head of an attempt by the rules for headers.
-func (v *visit) head(adm *admission.Admission, leftUs int64, stream *answerStream) *protocol.RequestHeader {
-	in := &v.rc.Request.Header
+func (e *exchange) head(adm *admission.Admission, leftUs int64, stream *answerStream) *protocol.RequestHeader {
+	in := &e.rc.Request.Header
 	h := &protocol.RequestHeader{}
 	h.DisableNormalizing()
 	h.SetNoDefaultContentType(true)
@@ -30,18 +30,18 @@
 			h.Add(key, string(val))
 		}
 	})
-	body := len(v.rc.Request.Body())
+	body := len(e.rc.Request.Body())
 	if body > 0 || !in.IsGet() && !in.IsHead() {
 		h.SetContentLength(body)
 	}
 	h.Set(hTimeLeft, strconv.FormatInt(max(leftUs/1000, 1), 10))
 	h.Set(hTarget, adm.Runner.ID)
-	if v.tenant != nil {
-		h.Set(hTenant, v.tenant.Name)
+	if e.tenant != nil {
+		h.Set(hTenant, e.tenant.Name)
 	}
-	if v.ask.Model != "" {
+	if e.request.Model != "" {
 		h.Set(hSalt, adm.Salt)
-		h.Set(hUrgency, strconv.Itoa(urgency(v)))
+		h.Set(hUrgency, strconv.Itoa(urgency(e)))
 		if adm.Source != "" {
 			h.Set(hSource, adm.Source)
 		}
@@ -58,7 +58,7 @@
 	return h
 }
 
-func urgency(v *visit) int {
+func urgency(v *exchange) int {
 	u := 1 + min(v.route.Rank, 1)
 	if v.tenant != nil {
 		u += 2 * v.tenant.Rank
--- a/internal/router/responses.go
+++ b/internal/router/responses.go
@@ -25,8 +25,8 @@
 	cutting  bool // the answer is a series of events
 }
 
-func (v *visit) answerHead(r *protocol.Response) {
-	out := &v.rc.Response.Header
+func (e *exchange) answerHead(r *protocol.Response) {
+	out := &e.rc.Response.Header
 	out.SetStatusCode(r.StatusCode())
 	out.SetNoDefaultContentType(true)
 	extra := named(string(r.Header.Peek("Connection")))
@@ -35,7 +35,7 @@
 			out.Add(key, string(val))
 		}
 	})
-	if v.c.closesWithAnswer(v.rc) {
+	if e.c.closesWithAnswer(e.rc) {
 		out.SetConnectionClose(true)
 	}
 }
@@ -44,50 +44,50 @@
 const mostBody = 64 << 20
 
 // passBody passes on an answer of known length, once it is whole.
-func (v *visit) passBody(adm *admission.Admission, link *upstream.Conn, r *protocol.Response, stream *answerStream) ending {
+func (e *exchange) passBody(adm *admission.Admission, link *upstream.Conn, r *protocol.Response, stream *answerStream) attemptResult {
 	b, err := upstream.ReadBody(r, mostBody)
-	v.c.held.remove(v.held)
+	e.c.held.remove(e.held)
 	if err != nil {
 		link.Close()
-		v.failed(adm, link, true)
-		return unknown
+		e.failed(adm, link, true)
+		return resultUnknown
 	}
-	v.c.first(adm)
+	e.c.firstToken(adm)
 	status := r.StatusCode()
-	v.c.ended(adm, link, status < 500, true)
-	v.c.giveBack(adm, link, r, true)
+	e.c.ended(adm, link, status < 500, true)
+	e.c.release(adm, link, r, true)
 	if stream != nil && stream.started {
-		return brokeOff
+		return resultBrokenOff
 	}
-	if status >= 500 && v.route.Repeatable() && v.attempts < max(v.route.Tries, 1) {
-		return unknown
+	if status >= 500 && e.route.Repeatable() && e.attempts < max(e.route.Tries, 1) {
+		return resultUnknown
 	}
-	v.answerHead(r)
-	v.rc.Response.SetBody(b)
-	return whole
+	e.answerHead(r)
+	e.rc.Response.SetBody(b)
+	return resultAnswered
 }
 
-func (c *Router) first(adm *admission.Admission) {
-	c.dmu.Lock()
+func (c *Router) firstToken(adm *admission.Admission) {
+	c.admissionMu.Lock()
 	c.admission.FirstToken(adm, c.clock())
-	c.dmu.Unlock()
-	poke(c.stir)
-	c.wake()
+	c.admissionMu.Unlock()
+	signal(c.loadsChanged)
+	c.wakeQueue()
 }
 
 // streams tells whether an answer is passed on as it comes. One that is no series of
 // events is held until it is whole, whatever its framing: where it is broken off, the
 // client has seen nothing of it, and a request that may be repeated is sent again. Of a
 // part that the client has, nothing says where another runner's answer would go on.
-func (v *visit) streams(r *protocol.Response) bool {
-	return v.route.Kind == api.Streaming && r.StatusCode()/100 == 2 && r.Header.ContentLength() < 0
+func (e *exchange) streams(r *protocol.Response) bool {
+	return e.route.Kind == api.Streaming && r.StatusCode()/100 == 2 && r.Header.ContentLength() < 0
 }
 
 // passStream passes on a streamed answer, event by event.
-func (v *visit) passStream(adm *admission.Admission, link *upstream.Conn, r *protocol.Response, stream *answerStream) (ending, *answerStream) {
-	c := v.c
+func (e *exchange) passStream(adm *admission.Admission, link *upstream.Conn, r *protocol.Response, stream *answerStream) (attemptResult, *answerStream) {
+	c := e.c
 	if stream == nil {
-		stream = &answerStream{cutting: v.route.Kind == api.Streaming}
+		stream = &answerStream{cutting: e.route.Kind == api.Streaming}
 	}
 	stream.events.Cut()
 	body := r.BodyStream()
@@ -98,75 +98,75 @@
 		if n > 0 {
 			if first {
 				first = false
-				c.first(adm)
+				c.firstToken(adm)
 			}
 			b := buf[:n]
 			if stream.cutting {
 				b = stream.events.Add(b)
 			}
 			if len(b) > 0 {
-				if !v.write(r, stream, b) {
+				if !e.write(r, stream, b) {
 					link.Close()
 					c.done(adm, true)
-					return clientGone, stream
+					return resultClientGone, stream
 				}
 			}
 		}
 		if err == nil {
-			if stream.started && v.moves(adm, stream) {
+			if stream.started && e.moves(adm, stream) {
 				link.Close()
 				c.done(adm, true)
-				return moving, stream
+				return resultMoving, stream
 			}
 			continue
 		}
 		if err != io.EOF {
 			link.Close()
-			v.failed(adm, link, true)
+			e.failed(adm, link, true)
 			if stream.started {
-				return brokeOff, stream
+				return resultBrokenOff, stream
 			}
-			return unknown, nil
+			return resultUnknown, nil
 		}
 		rest := stream.events.Rest()
 		if len(rest) > 0 && stream.cutting && upstream.EndsWithConn(r) {
 			link.Close()
-			v.failed(adm, link, true) // nothing but a whole event tells an end from a crash
+			e.failed(adm, link, true) // nothing but a whole event tells an end from a crash
 			if stream.started {
-				return brokeOff, stream
+				return resultBrokenOff, stream
 			}
-			return unknown, nil
+			return resultUnknown, nil
 		}
 		if len(rest) > 0 && stream.cutting {
-			if !v.write(r, stream, rest) {
+			if !e.write(r, stream, rest) {
 				link.Close()
 				c.done(adm, true)
-				return clientGone, stream
+				return resultClientGone, stream
 			}
 		}
 		if !stream.started {
-			v.begin(r, stream)
+			e.begin(r, stream)
 		}
-		stream.finished = stream.out.Finalize() == nil && v.rc.Flush() == nil
+		stream.finished = stream.out.Finalize() == nil && e.rc.Flush() == nil
 		c.ended(adm, link, true, true)
-		c.giveBack(adm, link, r, true)
-		return whole, stream
+		c.release(adm, link, r, true)
+		return resultAnswered, stream
 	}
 }
 
-func (v *visit) begin(r *protocol.Response, stream *answerStream) {
-	v.answerHead(r)
-	stream.out = resp.NewChunkedBodyWriter(&v.rc.Response, v.rc.GetWriter())
-	v.rc.Response.HijackWriter(stream.out)
+func (e *exchange) begin(r *protocol.Response, stream *answerStream) {
+	e.answerHead(r)
+	stream.out = resp.NewChunkedBodyWriter(&e.rc.Response, e.rc.GetWriter())
+	e.rc.Response.HijackWriter(stream.out)
 	stream.started = true
-	if v.c.held.remove(v.held) { // it has begun just in time
-		v.held.link.Resume(v.deadline(lateUs))
+	if e.c.held.remove(e.held) { // it has begun just in time
+		e.held.link.Resume(e.deadline(lateUs))
 	}
 }
 
-func (v *visit) write(r *protocol.Response, stream *answerStream, b []byte) bool {
+func (e *exchange) write(r *protocol.Response, stream *answerStream, b []byte) bool {
 	if !stream.started {
-		v.begin(r, stream)
+		e.begin(r, stream)
 	}
 	if _, err := stream.out.Write(b); err != nil {
 		return false
@@ -175,9 +175,9 @@
 }
 
 // cut ends the client's connection so that the answer cannot be taken for whole.
-func (v *visit) cut() {
-	if conn := v.rc.GetConn(); conn != nil {
+func (e *exchange) cut() {
+	if conn := e.rc.GetConn(); conn != nil {
 		conn.Close()
 	}
-	v.rc.Response.Header.SetConnectionClose(true)
+	e.rc.Response.Header.SetConnectionClose(true)
 }
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -84,31 +84,31 @@
 	connPool  *upstream.ConnPool
 	table     atomic.Pointer[routeconfig.Table]
 
-	nmu           sync.Mutex
+	stateMu       sync.Mutex
 	parts         map[int]messages.PartNote
 	configuration *routeconfig.Replica
 	runners       *statesync.Entries // as the parent has them
-	news          stats
+	feedStats     stats
 
 	up     dissemination.Subscriber
 	parent atomic.Pointer[string]
 	loads  loads
 
-	dmu       sync.Mutex
-	admission *admission.Admitter
-	budgets   map[string]*upstream.Budget
-	slab      inflight.Slab[admission.Decision]
-	kick      chan struct{}
-	fresh     chan struct{} // shared parts have been sent to be read
-	stir      chan struct{} // this node's loads have changed
-	missing   chan struct{} // a runner was not at its address
-	sent      sentAttempts
-	held      sentAttempts // begun, and the client has nothing of the answer yet
+	admissionMu     sync.Mutex
+	admission       *admission.Admitter
+	budgets         map[string]*upstream.Budget
+	slab            inflight.Slab[admission.Decision]
+	queueChanged    chan struct{}
+	prefixesPending chan struct{} // shared parts have been sent to be read
+	loadsChanged    chan struct{} // this node's loads have changed
+	missing         chan struct{} // a runner was not at its address
+	sent            sentAttempts
+	held            sentAttempts // begun, and the client has nothing of the answer yet
 
-	currency    currencyChecks
-	comparisons *dissemination.Comparisons
-	core        coreMemory
-	heardUs     atomic.Int64 // when the parent, in reach of the core, last sent a feed
+	currency     currencyChecks
+	comparisons  *dissemination.Comparisons
+	core         coreMemory
+	lastUpdateUs atomic.Int64 // when the parent, in reach of the core, last sent a feed
 
 	trail    compliance.Trail
 	seeds    atomic.Pointer[[]string]
@@ -132,7 +132,7 @@
 	if err != nil {
 		return nil, err
 	}
-	c := &Router{set: set, log: log, clock: clock, transport: trans, registry: registry.New(), connPool: upstream.NewConnPool(clock), parts: map[int]messages.PartNote{}, admission: admission.New(admission.Defaults, set.Zone, rand.Uint64()), budgets: map[string]*upstream.Budget{}, kick: make(chan struct{}, 1), fresh: make(chan struct{}, 1), stir: make(chan struct{}, 1), missing: make(chan struct{}, 1), drainBegun: make(chan struct{}), lastAnswers: make(chan struct{})}
+	c := &Router{set: set, log: log, clock: clock, transport: trans, registry: registry.New(), connPool: upstream.NewConnPool(clock), parts: map[int]messages.PartNote{}, admission: admission.New(admission.Defaults, set.Zone, rand.Uint64()), budgets: map[string]*upstream.Budget{}, queueChanged: make(chan struct{}, 1), prefixesPending: make(chan struct{}, 1), loadsChanged: make(chan struct{}, 1), missing: make(chan struct{}, 1), drainBegun: make(chan struct{}), lastAnswers: make(chan struct{})}
 	c.configuration, c.runners = routeconfig.NewReplica(), statesync.NewEntries()
 	c.loads.init(clock())
 	c.comparisons = dissemination.NewComparisons(rand.IntN(64))
@@ -141,8 +141,8 @@
 	c.admission.Bound = admission.WeightsBound{VersionUs: int64(set.Bounds.VersionMs) * 1000, ContactLossUs: int64(set.Bounds.ContactMs) * 1000}
 	c.admission.Contact(clock())
 	c.nodes.Store(1)
-	c.publisher = dissemination.NewPublisher(trans, dissemination.Upstream{DeltaSince: c.since, ApplyReport: c.applyReport, Unsubscribed: c.removeSender})
-	c.up.SyncState, c.up.Parents, c.up.ApplyUpdate = c.hold, c.parents, c.takeFeed
+	c.publisher = dissemination.NewPublisher(trans, dissemination.Upstream{DeltaSince: c.deltaSince, ApplyReport: c.applyReport, Unsubscribed: c.removeSender})
+	c.up.SyncState, c.up.Parents, c.up.ApplyUpdate = c.syncState, c.parents, c.receiveFeed
 	c.up.Acked, c.up.ResendAll, c.up.Unsubscribed = c.loads.acknowledge, c.resendLoads, func(string) {}
 	c.up.Counts = &c.counters.subscriptions
 	c.seeds.Store(&set.Seeds)
@@ -215,8 +215,8 @@
 // under the lock, so that the last to get it leaves the newest behind.
 func (c *Router) syncAdmission() {
 	c.loads.markAllChanged()
-	c.dmu.Lock()
-	defer c.dmu.Unlock()
+	c.admissionMu.Lock()
+	defer c.admissionMu.Unlock()
 	t := c.table.Load()
 	snap := c.registry.Snapshot()
 	if t != nil {
@@ -292,9 +292,9 @@
 // forgetEvery is how often runners that the parent no longer lists are looked for.
 const forgetEvery = 5 * time.Second
 
-func (c *Router) wake() { poke(c.kick) }
+func (c *Router) wakeQueue() { signal(c.queueChanged) }
 
-func poke(ch chan struct{}) {
+func signal(ch chan struct{}) {
 	select {
 	case ch <- struct{}{}:
 	default:
@@ -305,26 +305,26 @@
 func (c *Router) pump(ctx context.Context) {
 	for {
 		select {
-		case <-c.kick:
+		case <-c.queueChanged:
 		case <-ctx.Done():
 			return
 		}
 		for {
-			c.dmu.Lock()
+			c.admissionMu.Lock()
 			out := c.admission.Tick(c.clock())
 			fresh := c.admission.HasFresh()
-			c.dmu.Unlock()
+			c.admissionMu.Unlock()
 			if fresh {
-				poke(c.fresh)
+				signal(c.prefixesPending)
 			}
 			if len(out) > 0 {
-				poke(c.stir)
+				signal(c.loadsChanged)
 			}
 			for _, r := range out {
 				if !c.slab.Resume(r.Ref, r) && r.Admit != nil {
-					c.dmu.Lock()
+					c.admissionMu.Lock()
 					c.admission.Done(r.Admit, true, c.clock())
-					c.dmu.Unlock()
+					c.admissionMu.Unlock()
 				}
 			}
 			if c.slab.Len() == 0 {
--- a/internal/router/router_test.go
+++ b/internal/router/router_test.go
@@ -199,7 +199,7 @@
 		notes = append(notes, messages.RunnerRecord{ID: fmt.Sprintf("r%d", i), Service: "s", Addr: r.addr, Zone: "a", Capacity: 8, Seq: 1, Models: []messages.Target{{Model: "m", Version: 4}}})
 	}
 	feed.Registry = []messages.EntryChange{runnerEntries(t, notes...)}
-	must.True(t, c.take("", feed))
+	must.True(t, c.applyFeed("", feed))
 	ctx, cancel := context.WithCancel(context.Background())
 	ended := make(chan error, 1)
 	go func() { ended <- c.Run(ctx) }()
@@ -418,7 +418,7 @@
 	c, front, _ := start(t, a, b)
 	n := c.registry.Snapshot().ByID["r0"]
 	n.Seq, n.Draining = 2, true
-	must.True(t, c.take("", messages.Feed{Registry: []messages.EntryChange{runnerEntries(t, n)}}))
+	must.True(t, c.applyFeed("", messages.Feed{Registry: []messages.EntryChange{runnerEntries(t, n)}}))
 	for range 6 {
 		ans, _, err := say(t, front, request("/pay/", "x"))
 		must.NoError(t, err)
@@ -486,7 +486,7 @@
 
 func (c *Router) adopt(t *testing.T, streamVersion, version int64, text string) {
 	t.Helper()
-	must.True(t, c.take("", messages.Feed{Configuration: []messages.EntryChange{wholeMenu(t, text, streamVersion)}}))
+	must.True(t, c.applyFeed("", messages.Feed{Configuration: []messages.EntryChange{wholeMenu(t, text, streamVersion)}}))
 	must.Eq(t, version, c.table.Load().Version)
 }
 
@@ -545,22 +545,22 @@
 	a, b := newRunner(t), newRunner(t)
 	c, _, _ := start(t, a, b)
 	c.adopt(t, 2, 4, regulated(4, `"r1"`))
-	v := &visit{c: c, tenant: c.table.Load().Tenant("k1"), id: "x"}
-	v.ask.Regime = "allergen"
+	v := &exchange{c: c, tenant: c.table.Load().Tenant("k1"), id: "x"}
+	v.request.Regime = "allergen"
 	snap := c.registry.Snapshot()
-	must.True(t, v.mayGo(&admission.Admission{Runner: snap.ByID["r1"]}))
-	must.False(t, v.mayGo(&admission.Admission{Runner: snap.ByID["r0"]}))
+	must.True(t, v.recheckPolicy(&admission.Admission{Runner: snap.ByID["r1"]}))
+	must.False(t, v.recheckPolicy(&admission.Admission{Runner: snap.ByID["r0"]}))
 	c.adopt(t, 3, 5, regulated(5, `"r0"`))
-	must.False(t, v.mayGo(&admission.Admission{Runner: snap.ByID["r1"]}), must.Sprint("admitted before the certificate went"))
-	v.ask.Regime = ""
-	must.False(t, v.mayGo(&admission.Admission{Runner: snap.ByID["r0"]}), must.Sprint("the regime came while it waited"))
-	must.Eq(t, "allergen", v.ask.Regime)
+	must.False(t, v.recheckPolicy(&admission.Admission{Runner: snap.ByID["r1"]}), must.Sprint("admitted before the certificate went"))
+	v.request.Regime = ""
+	must.False(t, v.recheckPolicy(&admission.Admission{Runner: snap.ByID["r0"]}), must.Sprint("the regime came while it waited"))
+	must.Eq(t, "allergen", v.request.Regime)
 }
 
 func TestOlderNewsNeverComesBack(t *testing.T) {
 	c, _, _ := start(t, newRunner(t))
 	older := strings.Replace(menuText, `"version":3`, `"version":2`, 1)
-	must.True(t, c.take("", messages.Feed{Configuration: []messages.EntryChange{wholeMenu(t, older, 0)}}))
+	must.True(t, c.applyFeed("", messages.Feed{Configuration: []messages.EntryChange{wholeMenu(t, older, 0)}}))
 	must.Eq(t, int64(3), c.table.Load().Version)
 }
 
@@ -592,23 +592,23 @@
 		bad := good
 		bad.Entries = append([]messages.Entry{}, good.Entries...)
 		spoil(&bad)
-		must.False(t, c.take("p", messages.Feed{Configuration: []messages.EntryChange{bad}}), must.Sprint(name))
+		must.False(t, c.applyFeed("p", messages.Feed{Configuration: []messages.EntryChange{bad}}), must.Sprint(name))
 		must.Eq(t, int64(3), c.table.Load().Version, must.Sprint(name))
 	}
-	must.False(t, c.take("p", messages.Feed{Registry: []messages.EntryChange{{Epoch: 1, Snapshot: true, Digest: 1, Entries: []messages.Entry{{Key: "x", Body: []byte("junk")}}}}}))
-	must.True(t, c.take("p", messages.Feed{Configuration: []messages.EntryChange{good}}))
+	must.False(t, c.applyFeed("p", messages.Feed{Registry: []messages.EntryChange{{Epoch: 1, Snapshot: true, Digest: 1, Entries: []messages.Entry{{Key: "x", Body: []byte("junk")}}}}}))
+	must.True(t, c.applyFeed("p", messages.Feed{Configuration: []messages.EntryChange{good}}))
 	must.Eq(t, int64(4), c.table.Load().Version)
 	must.Eq(t, "t1", c.table.Load().Tenant("k9").Name)
 	must.Nil(t, c.table.Load().Tenant("k1"))
-	must.True(t, c.take("p", messages.Feed{Configuration: []messages.EntryChange{good}}), must.Sprint("twice does nothing"))
+	must.True(t, c.applyFeed("p", messages.Feed{Configuration: []messages.EntryChange{good}}), must.Sprint("twice does nothing"))
 }
 
 // A controller that has just started and knows no runner does not make a router
 // ready.
 func TestReadyNeedsAConfigurationAndARunner(t *testing.T) {
 	c, _, _ := start(t)
-	must.True(t, c.take("p", messages.Feed{Registry: []messages.EntryChange{{Epoch: 4, Snapshot: true, Entries: []messages.Entry{}}}}))
+	must.True(t, c.applyFeed("p", messages.Feed{Registry: []messages.EntryChange{{Epoch: 4, Snapshot: true, Entries: []messages.Entry{}}}}))
 	must.False(t, c.ready())
-	must.True(t, c.take("", messages.Feed{Registry: []messages.EntryChange{runnerEntries(t, messages.RunnerRecord{ID: "r", Service: "s", Models: []messages.Target{}})}}))
+	must.True(t, c.applyFeed("", messages.Feed{Registry: []messages.EntryChange{runnerEntries(t, messages.RunnerRecord{ID: "r", Service: "s", Models: []messages.Target{}})}}))
 	must.True(t, c.ready())
 }
--- a/internal/router/runner_leaves_test.go
+++ b/internal/router/runner_leaves_test.go
@@ -30,7 +30,7 @@
 	left := c.registry.Snapshot().ByID["r0"]
 	left.Gone = true
 	tell := func(parent string, n ...messages.RunnerRecord) {
-		c.take(parent, messages.Feed{Registry: []messages.EntryChange{runnerEntries(t, n...)}})
+		c.applyFeed(parent, messages.Feed{Registry: []messages.EntryChange{runnerEntries(t, n...)}})
 	}
 	tell("", left, other)
 	late := left
--- a/internal/router/sync_test.go
+++ b/internal/router/sync_test.go
@@ -14,8 +14,8 @@
 func TestSyncAdmissionLeavesTheNewestRunnersBehind(t *testing.T) {
 	c, _, _ := start(t)
 	known := func(service string) bool {
-		c.dmu.Lock()
-		defer c.dmu.Unlock()
+		c.admissionMu.Lock()
+		defer c.admissionMu.Unlock()
 		for _, name := range c.admission.Services() {
 			if name == service {
 				return true
@@ -26,7 +26,7 @@
 	c.loads.mu.Lock()
 	c.loads.allChanged = false
 	c.loads.mu.Unlock()
-	c.dmu.Lock()
+	c.admissionMu.Lock()
 	done := make(chan struct{})
 	go func() {
 		c.syncAdmission()
@@ -38,7 +38,7 @@
 		c.loads.mu.Unlock()
 	}
 	c.registry.Merge(messages.RunnerRecord{ID: "added", Service: "added", Addr: "127.0.0.1:9", Capacity: 1, Seq: 1, Models: []messages.Target{}}, c.clock())
-	c.dmu.Unlock()
+	c.admissionMu.Unlock()
 	<-done
 	must.True(t, known("added"))
 }
--- a/internal/router/targets.go
+++ b/internal/router/targets.go
@@ -8,8 +8,8 @@
 // takeTargetAges takes the ages that came with a feed. A feed that a controller
 // sent which has the core in reach also shows that this node is in contact.
 func (c *Router) takeTargetAges(f messages.Feed, nowUs int64) {
-	c.dmu.Lock()
-	defer c.dmu.Unlock()
+	c.admissionMu.Lock()
+	defer c.admissionMu.Unlock()
 	c.admission.ObserveTargets(f.TargetAges, nowUs)
 	if !f.CutOff && !f.FromRelay {
 		c.admission.Contact(nowUs)
@@ -23,8 +23,8 @@
 
 // assumeTargets notes named versions that may have come without their ages.
 func (c *Router) assumeTargets(named []messages.Target, nowUs int64) {
-	c.dmu.Lock()
-	defer c.dmu.Unlock()
+	c.admissionMu.Lock()
+	defer c.admissionMu.Unlock()
 	for _, t := range named {
 		c.admission.AssumeTarget(t.Model, t.Version, nowUs)
 	}
--- a/internal/router/targets_test.go
+++ b/internal/router/targets_test.go
@@ -34,12 +34,12 @@
 // below gets them with whatever else it lacks.
 func TestAgesOfTargetsGoBothWaysInTheTree(t *testing.T) {
 	c, _, _ := start(t)
-	c.take("", messages.Feed{TargetAges: []messages.TargetAge{{Model: "m", Version: 5, AgeUs: 1_000_000}}})
-	up := c.hold().TargetAges
+	c.applyFeed("", messages.Feed{TargetAges: []messages.TargetAge{{Model: "m", Version: 5, AgeUs: 1_000_000}}})
+	up := c.syncState().TargetAges
 	must.Len(t, 1, up)
 	must.GreaterEq(t, 1_000_000, up[0].AgeUs)
 	below := messages.Hold{TargetAges: []messages.TargetAge{{Model: "m", Version: 5, AgeUs: 60_000_000}}}
-	f := c.since(below)
+	f := c.deltaSince(below)
 	must.True(t, f.FromRelay)
 	must.Len(t, 1, f.TargetAges)
 	must.GreaterEq(t, 60_000_000, f.TargetAges[0].AgeUs)
--- a/internal/router/withdraw.go
+++ b/internal/router/withdraw.go
@@ -93,31 +93,31 @@
 	}
 	due := attempts[:0]
 	now := c.clock()
-	c.dmu.Lock()
+	c.admissionMu.Lock()
 	for _, a := range attempts {
 		if c.admission.MustWithdraw(a.adm, now) {
 			due = append(due, a)
 		}
 	}
-	c.dmu.Unlock()
+	c.admissionMu.Unlock()
 	c.sent.withdraw(due)
 }
 
 // timeOver tells whether the request's time, or the router's, is over for attempts that
 // have not begun.
-func (v *visit) timeOver() bool {
-	return v.c.clock() >= min(v.endUs, v.c.shutdown.Load().lastEndUs())-closeLeadUs
+func (e *exchange) timeOver() bool {
+	return e.c.clock() >= min(e.endUs, e.c.shutdown.Load().lastEndUs())-closeLeadUs
 }
 
 // readHead reads the head of the answer to an attempt that was sent. It returns
 // errWithdrawn where the attempt was taken back before a head came.
-func (v *visit) readHead(a *sentAttempt, r *protocol.Response) error {
-	begunBy := v.deadline(-closeLeadUs)
-	err := a.link.HeadFor(v.id, r, begunBy)
-	withdrawn := v.c.sent.remove(a)
+func (e *exchange) readHead(a *sentAttempt, r *protocol.Response) error {
+	begunBy := e.deadline(-closeLeadUs)
+	err := a.link.HeadFor(e.id, r, begunBy)
+	withdrawn := e.c.sent.remove(a)
 	switch {
 	case err == nil:
-		a.link.Resume(v.deadline(lateUs))
+		a.link.Resume(e.deadline(lateUs))
 		return nil
 	case withdrawn:
 		return errWithdrawn
@@ -126,17 +126,17 @@
 }
 
 // deadline is the end of the request's time, put off by afterUs.
-func (v *visit) deadline(afterUs int64) time.Time {
-	return time.Now().Add(time.Duration(v.endUs-v.c.clock()+afterUs) * time.Microsecond)
+func (e *exchange) deadline(afterUs int64) time.Time {
+	return time.Now().Add(time.Duration(e.endUs-e.c.clock()+afterUs) * time.Microsecond)
 }
 
 // mayStillGo tells whether an admitted request may still be sent to its runner:
 // what was true at admission may have changed since.
-func (c *Router) mayStillGo(adm *admission.Admission) bool {
+func (c *Router) stillAllowed(adm *admission.Admission) bool {
 	if n, ok := c.registry.Snapshot().ByID[adm.Runner.ID]; !ok || n.Draining {
 		return false
 	}
-	c.dmu.Lock()
-	defer c.dmu.Unlock()
+	c.admissionMu.Lock()
+	defer c.admissionMu.Unlock()
 	return !c.admission.Absent(adm) && c.admission.WeightsAllowed(adm, c.clock())
 }
--- a/internal/router/withdraw_test.go
+++ b/internal/router/withdraw_test.go
@@ -29,13 +29,13 @@
 func (c *Router) join(t *testing.T, id string, r *runner, version int64) {
 	t.Helper()
 	n := messages.RunnerRecord{ID: id, Service: "s", Addr: r.addr, Zone: "a", Capacity: 8, Seq: 1, Models: []messages.Target{{Model: "m", Version: version}}}
-	c.take("", messages.Feed{Registry: []messages.EntryChange{runnerEntries(t, n)}})
+	c.applyFeed("", messages.Feed{Registry: []messages.EntryChange{runnerEntries(t, n)}})
 }
 
 // nameWeights makes the router learn of weights that were named so long ago that
 // nothing may begin on older ones.
 func (c *Router) nameWeights(version int64) {
-	c.take("", messages.Feed{TargetAges: []messages.TargetAge{{Model: "m", Version: version, AgeUs: c.admission.Bound.VersionUs}}})
+	c.applyFeed("", messages.Feed{TargetAges: []messages.TargetAge{{Model: "m", Version: version, AgeUs: c.admission.Bound.VersionUs}}})
 }
 
 type answered struct {
@@ -116,8 +116,8 @@
 
 // begun is how many requests are in flight and have begun at their runners.
 func (c *Router) begun() int {
-	c.dmu.Lock()
-	defer c.dmu.Unlock()
+	c.admissionMu.Lock()
+	defer c.admissionMu.Unlock()
 	n := 0
 	for _, l := range c.admission.Own(c.clock()) {
 		if l.Count > 0 && l.Prefill == 0 {
@@ -131,14 +131,14 @@
 	old := newRunner(t)
 	c, _, _ := start(t, old)
 	v, _, _ := chosen(t, c, 1_000_000)
-	v.ask.Model = "m"
-	adm := c.admission.Submit(v.ask, c.clock()).Admit
+	v.request.Model = "m"
+	adm := c.admission.Submit(v.request, c.clock()).Admit
 	must.NotNil(t, adm)
-	must.True(t, c.mayStillGo(adm))
+	must.True(t, c.stillAllowed(adm))
 	c.nameWeights(5)
-	must.False(t, c.mayStillGo(adm))
+	must.False(t, c.stillAllowed(adm))
 	end, _ := v.send(adm, nil)
-	must.Eq(t, notSent, end)
+	must.Eq(t, resultNotSent, end)
 	must.Eq(t, 0, old.count())
 }
 
