controller: the control address is closed when Run ends

TestRestartedControllerLearnsTheAgeFromThoseBelow failed in 1 of 2 and then 3 of 12 runs of the package beside other load. Traced: (1) the process may end before the commit of an acknowledged naming is on disk; the value is accepted there, and the read of all registers after the start finishes it, some milliseconds later than the test looked; (2) the HTTP server of the ended controller went on listening in the test's process, so that the restarted one could not open its address, ended, and never read the registers: in one run for 600 s; (3) the test's client reused connections to controllers of earlier runs that had the same port.

Change: serveControl closes its server, Run waits for that. Connections of tests are not kept alive.

--- a/internal/controller/control.go
+++ b/internal/controller/control.go
@@ -62,7 +62,7 @@
 	case err := <-failed:
 		return err
 	case <-ctx.Done():
-		return nil
+		return errors.Wrap(h.Close(), "controller: close the control address")
 	}
 }
 
@@ -90,7 +90,7 @@
 	}
 	changed := d.registry.ApplyHeartbeat(n, d.clock())
 	if n.Draining && d.recordDrain(n) || changed {
-		d.tellRunners(n.ID)
+		d.publishRunners(n.ID)
 	}
 	if n.Draining && !d.confirmLeaving(ctx, n.ID, begunUs) {
 		outOfContact(c)
@@ -169,7 +169,7 @@
 	begunUs := d.clock()
 	n, changed := d.registry.Leave(c.Param("id"), begunUs)
 	if changed {
-		d.tellRunners(n.ID)
+		d.publishRunners(n.ID)
 	}
 	if !d.confirmLeaving(ctx, n.ID, begunUs) {
 		outOfContact(c)
--- a/internal/controller/controller.go
+++ b/internal/controller/controller.go
@@ -33,7 +33,7 @@
 //   - The compiled configuration is immutable and swapped by an atomic pointer, under
 //     the mutex of the feed.
 //   - The feed (streams, sums of loads, what waits to be sent) has a mutex of its own.
-//     The goroutine of flushFeed sends; any other adds to it.
+//     The goroutine of runFeed sends; any other adds to it.
 //   - One mutex guards the prefix index, the set of readers and when each last had a
 //     response.
 //   - The roll-out manager, the repair of each register, the contact lease, the view
@@ -83,11 +83,11 @@
 	table     atomic.Pointer[routeconfig.Table]
 	seeds     atomic.Pointer[[]string]
 
-	feed    feed
-	kmu     sync.Mutex
-	kept    *prefixindex.Index
-	readers map[string]context.CancelFunc
-	heardUs map[string]int64 // when a runner's events or report last came
+	feed     feed
+	cachedMu sync.Mutex
+	cached   *prefixindex.Index
+	readers  map[string]context.CancelFunc
+	heardUs  map[string]int64 // when a runner's events or report last came
 
 	rollouts *rolloutManager
 	targets  namedTargets
@@ -110,7 +110,7 @@
 	if err != nil {
 		return nil, err
 	}
-	d := &Controller{set: set, log: log, clock: clock, transport: trans, registry: registry.New(), connPool: upstream.NewConnPool(clock), kept: prefixindex.NewIndex(), readers: map[string]context.CancelFunc{}, heardUs: map[string]int64{}, startUs: clock()}
+	d := &Controller{set: set, log: log, clock: clock, transport: trans, registry: registry.New(), connPool: upstream.NewConnPool(clock), cached: prefixindex.NewIndex(), readers: map[string]context.CancelFunc{}, heardUs: map[string]int64{}, startUs: clock()}
 	var store consensus.Store = &consensus.MemoryStore{}
 	if set.DataDir != "" {
 		if d.disk, err = consensus.NewDiskStore(filepath.Join(set.DataDir, "ledger")); err != nil {
@@ -123,7 +123,7 @@
 	d.feed.init(clock())
 	d.rollouts = newRolloutManager(d)
 	d.syncRunners()
-	d.publisher = dissemination.NewPublisher(trans, dissemination.Upstream{DeltaSince: d.since, ApplyReport: d.toldBelow, Unsubscribed: d.goneBelow})
+	d.publisher = dissemination.NewPublisher(trans, dissemination.Upstream{DeltaSince: d.deltaSince, ApplyReport: d.applyReport, Unsubscribed: d.removeSender})
 	d.registers, err = consensus.Open(set.ControllerAddr(), transport.KindConsensus, set.Bootstrap, set.SeedAddrs(), contactCaller{trans, &d.contact, clock}, store, log, d.learned)
 	if err != nil {
 		return nil, err
@@ -139,7 +139,7 @@
 		m := d.versions()
 		var from messages.Versions
 		if _, err := from.UnmarshalMsg(body); err == nil && !from.Controller {
-			m.Parts = d.told()
+			m.Parts = d.publishedVersions()
 		}
 		m.LaterHeartbeats = d.registry.LaterHeartbeats(from.SilentRunners, d.clock())
 		return m.MarshalMsg(nil)
@@ -192,7 +192,7 @@
 	go loop.Every(live, 500*time.Millisecond, func() { d.sweep() })
 	go loop.Every(live, 500*time.Millisecond, func() { d.wantReaders(live) })
 	go loop.Every(live, rolloutPeriod, func() { d.rollouts.step(live) })
-	go d.flushFeed(live)
+	go d.runFeed(live)
 	go d.settleRegisters(live)
 	go d.finishRounds(live)
 	go d.metricsServer().Run(live)
@@ -204,10 +204,12 @@
 	var err error
 	select {
 	case err = <-served:
+		end()
 	case <-ctx.Done():
 		d.leaveGroups(live)
+		end()
+		err = <-served
 	}
-	end()
 	d.closeDisk()
 	return err
 }
@@ -263,7 +265,7 @@
 	}
 	if p != consensus.ConfigPart {
 		d.committedTargets(v)
-		d.tellPart(messages.PartNote{Part: p, Version: v.Version, Body: v.Body})
+		d.publishPart(messages.PartNote{Part: p, Version: v.Version, Body: v.Body})
 	}
 }
 
@@ -285,7 +287,7 @@
 func (d *Controller) heardRunner(_ string, body []byte) {
 	var n messages.RunnerRecord
 	if _, err := n.UnmarshalMsg(body); err == nil && d.registry.ApplyHeartbeat(n, d.clock()) {
-		d.tellRunners(n.ID)
+		d.publishRunners(n.ID)
 	}
 }
 
@@ -296,13 +298,13 @@
 
 func (d *Controller) sweep() {
 	for _, n := range d.registry.Sweep(d.clock(), d.silence(), !d.cutOff()) {
-		d.tellRunners(n.ID)
+		d.publishRunners(n.ID)
 	}
 	d.syncRunners()
 	snap := d.registry.Snapshot()
-	d.kmu.Lock()
-	d.kept.Retain(func(r string) bool { _, ok := snap.ByID[r]; return ok || strings.Contains(r, ":") })
-	d.kmu.Unlock()
+	d.cachedMu.Lock()
+	d.cached.Retain(func(r string) bool { _, ok := snap.ByID[r]; return ok || strings.Contains(r, ":") })
+	d.cachedMu.Unlock()
 	d.connPool.Sweep(func(string) bool { return true })
 }
 
@@ -346,7 +348,7 @@
 			if _, err := m.UnmarshalMsg(b); err != nil {
 				return
 			}
-			d.tellRunners(d.registry.ApplyLaterHeartbeats(m.LaterHeartbeats, sentUs, d.clock())...)
+			d.publishRunners(d.registry.ApplyLaterHeartbeats(m.LaterHeartbeats, sentUs, d.clock())...)
 			d.targets.observe(m.TargetAges, d.clock())
 			d.contact.answered(cmp.Or(m.MemberID, p.MemberID), sentUs) // the earlier format has none
 			for part := range min(len(m.Parts), consensus.Parts) {
--- a/internal/controller/controller_test.go
+++ b/internal/controller/controller_test.go
@@ -74,12 +74,16 @@
 	}
 }
 
+// client opens a connection for each call: one that is kept alive may lead to a controller
+// of an earlier test that had the same port.
+var client = &http.Client{Transport: &http.Transport{DisableKeepAlives: true}}
+
 func call(t *testing.T, method, url, body string, base int) (int, string) {
 	t.Helper()
 	q, err := http.NewRequest(method, url, strings.NewReader(body))
 	must.NoError(t, err)
 	q.Header.Set("Beechtide-Base-Version", fmt.Sprint(base))
-	r, err := http.DefaultClient.Do(q)
+	r, err := client.Do(q)
 	must.NoError(t, err)
 	defer r.Body.Close()
 	b, err := io.ReadAll(r.Body)
