--- a/internal/standin/heartbeat.go
+++ b/internal/standin/heartbeat.go
@@ -34,7 +34,22 @@
 }
 
 func (r *Runner) sendHeartbeats(ctx context.Context) {
-	loop.Every(ctx, r.config.HeartbeatEvery, func() { _ = r.sendHeartbeat(ctx) })
+	loop.Every(ctx, r.config.HeartbeatEvery, func() {
+		r.announcing.Lock()
+		defer r.announcing.Unlock()
+		if !r.left {
+			_ = r.sendHeartbeat(ctx)
+		}
+	})
+}
+
+// announceLeave sends the leave, after a periodic heartbeat that is under way; none
+// follows it.
+func (r *Runner) announceLeave(ctx context.Context) {
+	r.announcing.Lock()
+	defer r.announcing.Unlock()
+	r.left = true
+	_ = r.sendLeave(ctx)
 }
 
 // sendHeartbeat sends one heartbeat: to the controller named last, else to the others in
--- a/internal/standin/standin.go
+++ b/internal/standin/standin.go
@@ -104,6 +104,9 @@
 	sequence int64 // of heartbeats
 	seals    int64
 	beatTo   string
+
+	announcing sync.Mutex // held for a periodic heartbeat and for the leave; guards left
+	left       bool
 }
 
 // New gives a runner that isn't started yet.
@@ -206,7 +209,7 @@
 		loop.Pause(ctx, leaveRetryPause)
 	}
 	loop.Pause(ctx, r.config.DrainTime)
-	_ = r.sendLeave(ctx)
+	r.announceLeave(ctx)
 	loop.Pause(ctx, r.config.DrainTime/2)
 	r.Crash()
 	return acknowledged
