--- a/internal/simulation/traffic/runner.go
+++ b/internal/simulation/traffic/runner.go
@@ -130,19 +130,28 @@
 // endReading notes for all streams how long the runner has read without a gap.
 func (r *runner) endReading(f *fleet) {
 	for _, s := range r.decoding {
-		s.longestUs = max(s.longestUs, f.kernel.NowUs()-max(r.readingUs, s.startedUs))
+		r.notePause(f, s)
 	}
 	r.reading = false
 }
 
+// notePause notes for one stream how long the runner has read without a gap.
+func (r *runner) notePause(f *fleet, s *stream) {
+	s.longestUs = max(s.longestUs, f.kernel.NowUs()-max(r.readingUs, s.startedUs))
+}
+
+// tokenUs is how long a token of each stream takes now.
+func (r *runner) tokenUs() float64 {
+	if r.reading {
+		return chunkUs
+	}
+	return decodeTokenUs
+}
+
 // progress brings decodedTokens up to date.
 func (r *runner) progress(f *fleet) {
 	now := f.kernel.NowUs()
-	tokenUs := float64(decodeTokenUs)
-	if r.reading {
-		tokenUs = chunkUs
-	}
-	r.decodedTokens += float64(now-r.updatedUs) / tokenUs
+	r.decodedTokens += float64(now-r.updatedUs) / r.tokenUs()
 	r.updatedUs = now
 }
 
@@ -158,12 +167,8 @@
 			next = s
 		}
 	}
-	tokenUs := float64(decodeTokenUs)
-	if r.reading {
-		tokenUs = chunkUs
-	}
 	generation := r.generation
-	f.kernel.After(int64((next.endTokens-r.decodedTokens)*tokenUs)+1, func() {
+	f.kernel.After(int64((next.endTokens-r.decodedTokens)*r.tokenUs())+1, func() {
 		if r.generation == generation {
 			r.endStream(f, next)
 		}
@@ -174,7 +179,7 @@
 	r.progress(f)
 	now := f.kernel.NowUs()
 	if r.reading {
-		s.longestUs = max(s.longestUs, now-max(r.readingUs, s.startedUs))
+		r.notePause(f, s)
 	}
 	r.decoding = slices.DeleteFunc(r.decoding, func(other *stream) bool { return other == s })
 	r.active--
