router: comparisons and fetches of the configuration are logged with their versions

Change: each comparison that finds a newer version, each fetch and each failure is a line of the log with the versions held and offered. Measured: nothing yet; no behaviour changes.

--- a/internal/router/compare.go
+++ b/internal/router/compare.go
@@ -95,14 +95,20 @@
 func (c *Router) compareWith(ctx context.Context, addr string, overdue bool) (m messages.Versions, ok bool) {
 	m, err := c.askVersions(ctx, addr)
 	if err != nil {
+		c.log.V(1).Info("comparison failed", "controller", addr, "overdue", overdue, "err", err.Error())
 		return m, false
 	}
 	grace := c.convergeTime() / dissemination.ComparisonParts
 	if overdue {
 		grace = 0
 	}
+	held := c.heldVersions()
 	runners := c.comparisons.WantRunners()
-	if !c.comparisons.FetchDue(c.heldVersions(), m.Parts, grace, c.clock()) && !runners {
+	due := c.comparisons.FetchDue(held, m.Parts, grace, c.clock())
+	if dissemination.Behind(held, m.Parts) {
+		c.log.Info("a controller has newer versions", "controller", addr, "theirs", m.Parts, "held", held, "overdue", overdue, "fetch", due)
+	}
+	if !due && !runners {
 		return m, true
 	}
 	return m, c.fetchMissing(ctx, addr, runners)
@@ -128,6 +134,7 @@
 // came was applied; also true where another fetch is under way.
 func (c *Router) fetchMissing(ctx context.Context, addr string, runners bool) bool {
 	if !c.comparisons.StartFetch() {
+		c.log.V(1).Info("another fetch is under way", "controller", addr)
 		return true
 	}
 	defer c.comparisons.EndFetch()
@@ -139,12 +146,15 @@
 	c.counters.fetches.begin()
 	b, err := c.transport.Call(ctx, addr, transport.KindSince, &h)
 	c.counters.fetches.ended(err)
-	if err != nil {
-		return false
-	}
 	var f messages.Feed
-	if _, err := f.UnmarshalMsg(b); err != nil {
+	if err == nil {
+		_, err = f.UnmarshalMsg(b)
+	}
+	if err != nil {
+		c.log.Info("fetch failed", "controller", addr, "held", h.Configuration.Version, "err", err.Error())
 		return false
 	}
-	return c.applyFeed("", f)
+	fits := c.applyFeed("", f)
+	c.log.Info("fetched", "controller", addr, "versions", f.Versions, "held", h.Configuration.Version, "changes", len(f.Configuration), "bytes", len(b), "fits", fits)
+	return fits
 }
