--- a/internal/api/types.gen.go
+++ b/internal/api/types.gen.go
@@ -235,6 +235,14 @@
 // RunnerState defines model for RunnerState.
 type RunnerState string
 
+// Scaling How many runners a service may have in each zone. Without it their number is not ordered.
+type Scaling struct {
+	// BootS seconds until a new runner serves
+	BootS   float64 `json:"bootS,omitempty,omitzero" validate:"min=0"`
+	Ceiling int     `json:"ceiling" validate:"gtefield=Floor"`
+	Floor   int     `json:"floor" validate:"min=0"`
+}
+
 // Service defines model for Service.
 type Service struct {
 	CacheStore  string  `json:"cacheStore,omitempty,omitzero"`
@@ -246,8 +254,18 @@
 	Name        string  `json:"name" validate:"required"`
 	Probe       string  `json:"probe,omitempty,omitzero"`
 	Protocol    string  `json:"protocol,omitempty,omitzero"`
-	TLS         bool    `json:"tls,omitempty,omitzero"`
-	Zone        string  `json:"zone,omitempty,omitzero"`
+
+	// Scaling How many runners a service may have in each zone. Without it their number is not ordered.
+	Scaling Scaling `json:"scaling,omitempty,omitzero"`
+	TLS     bool    `json:"tls,omitempty,omitzero"`
+	Zone    string  `json:"zone,omitempty,omitzero"`
+}
+
+// SetpointOrder How many runners a service is to have in a zone.
+type SetpointOrder struct {
+	Desired int    `json:"desired"`
+	Service string `json:"service"`
+	Zone    string `json:"zone"`
 }
 
 // Share defines model for Share.
@@ -267,6 +285,12 @@
 	Regime string `json:"regime,omitempty,omitzero"`
 }
 
+// UsageReport The usage of a window, as the platform is told it.
+type UsageReport struct {
+	Counts    map[string]int64 `json:"counts"`
+	WindowSeq int64            `json:"windowSeq"`
+}
+
 // WeightsVersion defines model for WeightsVersion.
 type WeightsVersion struct {
 	Model   string `json:"model" validate:"required"`
--- a/internal/controller/contact_test.go
+++ b/internal/controller/contact_test.go
@@ -300,10 +300,16 @@
 	defer runner.Close()
 	n := messages.RunnerRecord{ID: "i-1", Addr: runner.Listener.Addr().String()}
 	order := api.Order{Op: api.Version, Model: "m", Version: 2, Method: api.Hold, Holder: "n", Fence: 1}
-	_, sent := d.sendOrder(context.Background(), n, order, clock.Load())
+	granted := func(untilUs int64) func() bool {
+		return func() bool { return d.roles.mayCall(1, lease.Grant{Fence: 1, MayAct: true, UntilUs: untilUs}) }
+	}
+	_, sent := d.sendOrder(context.Background(), n, order, granted(clock.Load()))
 	must.False(t, sent)
 	must.Eq(t, 0, orders.Load())
-	_, sent = d.sendOrder(context.Background(), n, order, clock.Load()+1)
+	_, sent = d.sendOrder(context.Background(), n, order, granted(clock.Load()+1))
 	must.True(t, sent)
 	must.Eq(t, 1, orders.Load())
+	d.roles.refuse(1, 1)
+	_, sent = d.sendOrder(context.Background(), n, order, granted(clock.Load()+1))
+	must.False(t, sent, must.Sprint("nor under a fence that was refused"))
 }
--- a/internal/controller/control.go
+++ b/internal/controller/control.go
@@ -315,7 +315,7 @@
 		return nameTarget(cur, w, holder)
 	})
 	if body, berr := leaseBody(v); err == nil && berr == nil {
-		d.rollouts.recordInitialHolder(part, body.Lease)
+		d.roles.recordInitialHolder(part, body.Lease)
 	}
 	if err != nil && !errors.Is(err, errNoChange) {
 		reject(c, 503, "", err.Error())
--- a/internal/controller/controller.go
+++ b/internal/controller/controller.go
@@ -89,6 +89,7 @@
 	readers  map[string]context.CancelFunc
 	heardUs  map[string]int64 // when a runner's events or report last came
 
+	roles    *roleManager
 	rollouts *rolloutManager
 	targets  namedTargets
 	calm     calm
@@ -121,7 +122,8 @@
 	}
 	d.seeds.Store(&set.Seeds)
 	d.feed.init(clock())
-	d.rollouts = newRolloutManager(d)
+	d.roles, d.rollouts = newRoleManager(d), newRolloutManager(d)
+	d.roles.tasks = []task{d.rollouts}
 	d.syncRunners()
 	d.publisher = dissemination.NewPublisher(trans, dissemination.Upstream{DeltaSince: d.deltaSince, ApplyReport: d.applyReport, Unsubscribed: d.removeSender})
 	d.registers, err = consensus.Open(set.ControllerAddr(), transport.KindConsensus, set.Bootstrap, set.SeedAddrs(), contactCaller{trans, &d.contact, clock}, store, log, d.learned)
@@ -191,7 +193,7 @@
 	go loop.Every(live, 500*time.Millisecond, func() { d.catchUp(live) })
 	go loop.Every(live, 500*time.Millisecond, func() { d.sweep() })
 	go loop.Every(live, 500*time.Millisecond, func() { d.wantReaders(live) })
-	go loop.Every(live, rolloutPeriod, func() { d.rollouts.step(live) })
+	go loop.Every(live, rolePeriod, func() { d.roles.step(live) })
 	go d.runFeed(live)
 	go d.settleRegisters(live)
 	go d.finishRounds(live)
--- a/internal/controller/rollout_calls.go
+++ b/internal/controller/rollout_calls.go
@@ -7,41 +7,42 @@
 	"encoding/json"
 
 	"beechtide.org/beechtide/internal/api"
+	"beechtide.org/beechtide/internal/lease"
 	"beechtide.org/beechtide/internal/messages"
 	"beechtide.org/beechtide/internal/rollout"
 )
 
-// order sends an order and hands over its answer.
-func (m *rolloutManager) order(ctx context.Context, part int, model string, o rollout.Order, step rollout.Step) {
+// order sends an order and hands over its answer. A runner that refuses the fence has an
+// order of a later holder.
+func (m *rolloutManager) order(ctx context.Context, part int, model string, o rollout.Order, grant lease.Grant) {
 	d := m.controller
 	answer := rollout.NoAnswer
-	m.mu.Lock()
-	refused := m.shards[part].Refused(step.Fence)
-	m.mu.Unlock()
-	if n, ok := d.registry.Snapshot().ByID[o.ID]; ok && !refused {
-		body := api.Order{Op: api.Version, Model: model, Version: o.Version, Method: api.Hold, Holder: d.registers.ID(), Fence: step.Fence, Expected: o.Expected}
-		status, _ := d.sendOrder(ctx, n, body, step.UntilUs)
+	if n, ok := d.registry.Snapshot().ByID[o.ID]; ok {
+		body := api.Order{Op: api.Version, Model: model, Version: o.Version, Method: api.Hold, Holder: d.registers.ID(), Fence: grant.Fence, Expected: o.Expected}
+		status, _ := d.sendOrder(ctx, n, body, func() bool { return d.roles.mayCall(part, grant) })
 		answer = rollout.AnswerOf(status)
 	}
 	if answer == rollout.AlreadyHolds {
 		d.recordWeights(o.ID, model, o.Version)
 	}
+	if answer == rollout.FenceRefused {
+		d.roles.refuse(part, grant.Fence)
+	}
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	m.shards[part].Answered(model, o, step.Fence, answer, d.clock())
+	m.shards[part].Answered(model, o, answer, d.clock())
 }
 
-// sendOrder sends an order, unless the majority's word behind it has run out at
-// untilUs. It gives the status of the answer, 0 where there was none, and tells
-// whether the order went out.
-func (d *Controller) sendOrder(ctx context.Context, n messages.RunnerRecord, o api.Order, untilUs int64) (status int, sent bool) {
+// sendOrder sends an order, if it may still go as it leaves. It gives the status of the
+// answer, 0 where there was none, and tells whether the order went out.
+func (d *Controller) sendOrder(ctx context.Context, n messages.RunnerRecord, o api.Order, mayGo func() bool) (status int, sent bool) {
 	b, err := json.Marshal(o)
 	if err != nil {
 		return 0, false
 	}
 	ctx, cancel := context.WithTimeout(ctx, orderWait)
 	defer cancel()
-	if d.clock() >= untilUs {
+	if !mayGo() {
 		return 0, false
 	}
 	status, _, err = d.connPool.Ask(ctx, n.Addr, "POST", "/api/order", map[string]string{"Beechtide-Target-Instance": n.ID}, b)
--- a/internal/controller/rollouts_test.go
+++ b/internal/controller/rollouts_test.go
@@ -43,7 +43,7 @@
 	must.Eq(t, int64(4), d.rollouts.newest(model), must.Sprint("a lower version elsewhere changes nothing"))
 	must.SliceLen(t, 1, d.rollouts.models(home))
 	must.SliceEmpty(t, d.rollouts.models(other))
-	next := d.rollouts.shards[home].NextLease(messages.Lease{}, d.rollouts.fenceFloor(home))
+	next := d.roles.roles[home].NextLease(messages.Lease{}, d.rollouts.fenceFloor(home))
 	must.Eq(t, int64(8), next.Fence)
 }
 
--- a/internal/controller/used_fences.go
+++ b/internal/controller/used_fences.go
@@ -1,4 +1,5 @@
-// The fencing tokens under which this controller has sent orders.
+// The fencing tokens under which this controller has acted: sent orders to runners, or
+// calls to the platform.
 
 package controller
 
@@ -14,7 +15,7 @@
 // recordFenceUsed notes a fence before the first order under it. It does not wait
 // for the disk: the note only spares a later process of this holder the wait for
 // the holder before.
-func (m *rolloutManager) recordFenceUsed(part int, fence int64) {
+func (m *roleManager) recordFenceUsed(part int, fence int64) {
 	m.mu.Lock()
 	checkFence(part, m.used[part], fence)
 	known := m.used[part] == fence
@@ -27,7 +28,7 @@
 
 // usedFence tells whether this holder, in this process or an earlier one, has acted
 // under a fence.
-func (m *rolloutManager) usedFence(part int, fence int64) bool {
+func (m *roleManager) usedFence(part int, fence int64) bool {
 	m.mu.Lock()
 	used := m.used[part] == fence
 	m.mu.Unlock()
--- a/internal/controller/used_fences_test.go
+++ b/internal/controller/used_fences_test.go
@@ -12,7 +12,7 @@
 func TestUsedFenceIsKnownAfterARestart(t *testing.T) {
 	store, err := consensus.NewDiskStore(t.TempDir())
 	must.NoError(t, err)
-	process := func() *rolloutManager { return newRolloutManager(&Controller{disk: store}) }
+	process := func() *roleManager { return newRoleManager(&Controller{disk: store}) }
 	first := process()
 	must.False(t, first.usedFence(2, 7))
 	first.recordFenceUsed(2, 7)
--- a/internal/rollout/rank.go
+++ b/internal/lease/rank.go
@@ -1,4 +1,4 @@
-package rollout
+package lease
 
 import (
 	"cmp"
--- a/internal/messages/msgp.gen.go
+++ b/internal/messages/msgp.gen.go
@@ -2728,9 +2728,9 @@
 // MarshalMsg implements msgp.Marshaler
 func (z *LeaseBody) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
-	// map header, size 2
+	// map header, size 4
 	// string "c"
-	o = append(o, 0x82, 0xa1, 0x63)
+	o = append(o, 0x84, 0xa1, 0x63)
 	// map header, size 2
 	// string "f"
 	o = append(o, 0x82, 0xa1, 0x66)
@@ -2738,17 +2738,59 @@
 	// string "h"
 	o = append(o, 0xa1, 0x68)
 	o = msgp.AppendString(o, z.Lease.Holder)
+	// string "s"
+	o = append(o, 0xa1, 0x73)
+	o = msgp.AppendArrayHeader(o, uint32(len(z.Setpoints)))
+	for za0001 := range z.Setpoints {
+		// map header, size 3
+		// string "d"
+		o = append(o, 0x83, 0xa1, 0x64)
+		o = msgp.AppendInt(o, z.Setpoints[za0001].Desired)
+		// string "s"
+		o = append(o, 0xa1, 0x73)
+		o = msgp.AppendString(o, z.Setpoints[za0001].Service)
+		// string "z"
+		o = append(o, 0xa1, 0x7a)
+		o = msgp.AppendString(o, z.Setpoints[za0001].Zone)
+	}
 	// string "t"
 	o = append(o, 0xa1, 0x74)
 	o = msgp.AppendArrayHeader(o, uint32(len(z.Targets)))
-	for za0001 := range z.Targets {
+	for za0002 := range z.Targets {
 		// map header, size 2
 		// string "m"
 		o = append(o, 0x82, 0xa1, 0x6d)
-		o = msgp.AppendString(o, z.Targets[za0001].Model)
+		o = msgp.AppendString(o, z.Targets[za0002].Model)
 		// string "v"
 		o = append(o, 0xa1, 0x76)
-		o = msgp.AppendInt64(o, z.Targets[za0001].Version)
+		o = msgp.AppendInt64(o, z.Targets[za0002].Version)
+	}
+	// string "u"
+	o = append(o, 0xa1, 0x75)
+	// map header, size 2
+	// string "n"
+	o = append(o, 0x82, 0xa1, 0x6e)
+	o = msgp.AppendInt64(o, z.Usage.Next)
+	// string "p"
+	o = append(o, 0xa1, 0x70)
+	o = msgp.AppendArrayHeader(o, uint32(len(z.Usage.Pending)))
+	for za0003 := range z.Usage.Pending {
+		// map header, size 2
+		// string "c"
+		o = append(o, 0x82, 0xa1, 0x63)
+		o = msgp.AppendArrayHeader(o, uint32(len(z.Usage.Pending[za0003].Counts)))
+		for za0004 := range z.Usage.Pending[za0003].Counts {
+			// map header, size 2
+			// string "n"
+			o = append(o, 0x82, 0xa1, 0x6e)
+			o = msgp.AppendInt64(o, z.Usage.Pending[za0003].Counts[za0004].Count)
+			// string "t"
+			o = append(o, 0xa1, 0x74)
+			o = msgp.AppendString(o, z.Usage.Pending[za0003].Counts[za0004].Tenant)
+		}
+		// string "w"
+		o = append(o, 0xa1, 0x77)
+		o = msgp.AppendInt64(o, z.Usage.Pending[za0003].Window)
 	}
 	return
 }
@@ -2806,51 +2848,224 @@
 					}
 				}
 			}
-		case "t":
+		case "s":
 			var zb0003 uint32
 			zb0003, bts, err = msgp.ReadArrayHeaderBytes(bts)
 			if err != nil {
-				err = msgp.WrapError(err, "Targets")
+				err = msgp.WrapError(err, "Setpoints")
 				return
 			}
-			if cap(z.Targets) >= int(zb0003) {
-				z.Targets = (z.Targets)[:zb0003]
+			if cap(z.Setpoints) >= int(zb0003) {
+				z.Setpoints = (z.Setpoints)[:zb0003]
 			} else {
-				z.Targets = make([]Target, zb0003)
+				z.Setpoints = make([]Setpoint, zb0003)
 			}
-			for za0001 := range z.Targets {
+			for za0001 := range z.Setpoints {
 				var zb0004 uint32
 				zb0004, bts, err = msgp.ReadMapHeaderBytes(bts)
 				if err != nil {
-					err = msgp.WrapError(err, "Targets", za0001)
+					err = msgp.WrapError(err, "Setpoints", za0001)
 					return
 				}
 				for zb0004 > 0 {
 					zb0004--
 					field, bts, err = msgp.ReadMapKeyZC(bts)
 					if err != nil {
-						err = msgp.WrapError(err, "Targets", za0001)
+						err = msgp.WrapError(err, "Setpoints", za0001)
+						return
+					}
+					switch msgp.UnsafeString(field) {
+					case "d":
+						z.Setpoints[za0001].Desired, bts, err = msgp.ReadIntBytes(bts)
+						if err != nil {
+							err = msgp.WrapError(err, "Setpoints", za0001, "Desired")
+							return
+						}
+					case "s":
+						z.Setpoints[za0001].Service, bts, err = msgp.ReadStringBytes(bts)
+						if err != nil {
+							err = msgp.WrapError(err, "Setpoints", za0001, "Service")
+							return
+						}
+					case "z":
+						z.Setpoints[za0001].Zone, bts, err = msgp.ReadStringBytes(bts)
+						if err != nil {
+							err = msgp.WrapError(err, "Setpoints", za0001, "Zone")
+							return
+						}
+					default:
+						bts, err = msgp.Skip(bts)
+						if err != nil {
+							err = msgp.WrapError(err, "Setpoints", za0001)
+							return
+						}
+					}
+				}
+			}
+		case "t":
+			var zb0005 uint32
+			zb0005, bts, err = msgp.ReadArrayHeaderBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Targets")
+				return
+			}
+			if cap(z.Targets) >= int(zb0005) {
+				z.Targets = (z.Targets)[:zb0005]
+			} else {
+				z.Targets = make([]Target, zb0005)
+			}
+			for za0002 := range z.Targets {
+				var zb0006 uint32
+				zb0006, bts, err = msgp.ReadMapHeaderBytes(bts)
+				if err != nil {
+					err = msgp.WrapError(err, "Targets", za0002)
+					return
+				}
+				for zb0006 > 0 {
+					zb0006--
+					field, bts, err = msgp.ReadMapKeyZC(bts)
+					if err != nil {
+						err = msgp.WrapError(err, "Targets", za0002)
 						return
 					}
 					switch msgp.UnsafeString(field) {
 					case "m":
-						z.Targets[za0001].Model, bts, err = msgp.ReadStringBytes(bts)
+						z.Targets[za0002].Model, bts, err = msgp.ReadStringBytes(bts)
 						if err != nil {
-							err = msgp.WrapError(err, "Targets", za0001, "Model")
+							err = msgp.WrapError(err, "Targets", za0002, "Model")
 							return
 						}
 					case "v":
-						z.Targets[za0001].Version, bts, err = msgp.ReadInt64Bytes(bts)
+						z.Targets[za0002].Version, bts, err = msgp.ReadInt64Bytes(bts)
 						if err != nil {
-							err = msgp.WrapError(err, "Targets", za0001, "Version")
+							err = msgp.WrapError(err, "Targets", za0002, "Version")
 							return
 						}
 					default:
 						bts, err = msgp.Skip(bts)
 						if err != nil {
-							err = msgp.WrapError(err, "Targets", za0001)
+							err = msgp.WrapError(err, "Targets", za0002)
+							return
+						}
+					}
+				}
+			}
+		case "u":
+			var zb0007 uint32
+			zb0007, bts, err = msgp.ReadMapHeaderBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Usage")
+				return
+			}
+			for zb0007 > 0 {
+				zb0007--
+				field, bts, err = msgp.ReadMapKeyZC(bts)
+				if err != nil {
+					err = msgp.WrapError(err, "Usage")
+					return
+				}
+				switch msgp.UnsafeString(field) {
+				case "n":
+					z.Usage.Next, bts, err = msgp.ReadInt64Bytes(bts)
+					if err != nil {
+						err = msgp.WrapError(err, "Usage", "Next")
+						return
+					}
+				case "p":
+					var zb0008 uint32
+					zb0008, bts, err = msgp.ReadArrayHeaderBytes(bts)
+					if err != nil {
+						err = msgp.WrapError(err, "Usage", "Pending")
+						return
+					}
+					if cap(z.Usage.Pending) >= int(zb0008) {
+						z.Usage.Pending = (z.Usage.Pending)[:zb0008]
+					} else {
+						z.Usage.Pending = make([]UsageWindow, zb0008)
+					}
+					for za0003 := range z.Usage.Pending {
+						var zb0009 uint32
+						zb0009, bts, err = msgp.ReadMapHeaderBytes(bts)
+						if err != nil {
+							err = msgp.WrapError(err, "Usage", "Pending", za0003)
 							return
 						}
+						for zb0009 > 0 {
+							zb0009--
+							field, bts, err = msgp.ReadMapKeyZC(bts)
+							if err != nil {
+								err = msgp.WrapError(err, "Usage", "Pending", za0003)
+								return
+							}
+							switch msgp.UnsafeString(field) {
+							case "c":
+								var zb0010 uint32
+								zb0010, bts, err = msgp.ReadArrayHeaderBytes(bts)
+								if err != nil {
+									err = msgp.WrapError(err, "Usage", "Pending", za0003, "Counts")
+									return
+								}
+								if cap(z.Usage.Pending[za0003].Counts) >= int(zb0010) {
+									z.Usage.Pending[za0003].Counts = (z.Usage.Pending[za0003].Counts)[:zb0010]
+								} else {
+									z.Usage.Pending[za0003].Counts = make([]UsageCount, zb0010)
+								}
+								for za0004 := range z.Usage.Pending[za0003].Counts {
+									var zb0011 uint32
+									zb0011, bts, err = msgp.ReadMapHeaderBytes(bts)
+									if err != nil {
+										err = msgp.WrapError(err, "Usage", "Pending", za0003, "Counts", za0004)
+										return
+									}
+									for zb0011 > 0 {
+										zb0011--
+										field, bts, err = msgp.ReadMapKeyZC(bts)
+										if err != nil {
+											err = msgp.WrapError(err, "Usage", "Pending", za0003, "Counts", za0004)
+											return
+										}
+										switch msgp.UnsafeString(field) {
+										case "n":
+											z.Usage.Pending[za0003].Counts[za0004].Count, bts, err = msgp.ReadInt64Bytes(bts)
+											if err != nil {
+												err = msgp.WrapError(err, "Usage", "Pending", za0003, "Counts", za0004, "Count")
+												return
+											}
+										case "t":
+											z.Usage.Pending[za0003].Counts[za0004].Tenant, bts, err = msgp.ReadStringBytes(bts)
+											if err != nil {
+												err = msgp.WrapError(err, "Usage", "Pending", za0003, "Counts", za0004, "Tenant")
+												return
+											}
+										default:
+											bts, err = msgp.Skip(bts)
+											if err != nil {
+												err = msgp.WrapError(err, "Usage", "Pending", za0003, "Counts", za0004)
+												return
+											}
+										}
+									}
+								}
+							case "w":
+								z.Usage.Pending[za0003].Window, bts, err = msgp.ReadInt64Bytes(bts)
+								if err != nil {
+									err = msgp.WrapError(err, "Usage", "Pending", za0003, "Window")
+									return
+								}
+							default:
+								bts, err = msgp.Skip(bts)
+								if err != nil {
+									err = msgp.WrapError(err, "Usage", "Pending", za0003)
+									return
+								}
+							}
+						}
+					}
+				default:
+					bts, err = msgp.Skip(bts)
+					if err != nil {
+						err = msgp.WrapError(err, "Usage")
+						return
 					}
 				}
 			}
@@ -2869,8 +3084,20 @@
 // Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
 func (z *LeaseBody) Msgsize() (s int) {
 	s = 1 + 2 + 1 + 2 + msgp.Int64Size + 2 + msgp.StringPrefixSize + len(z.Lease.Holder) + 2 + msgp.ArrayHeaderSize
-	for za0001 := range z.Targets {
-		s += 1 + 2 + msgp.StringPrefixSize + len(z.Targets[za0001].Model) + 2 + msgp.Int64Size
+	for za0001 := range z.Setpoints {
+		s += 1 + 2 + msgp.IntSize + 2 + msgp.StringPrefixSize + len(z.Setpoints[za0001].Service) + 2 + msgp.StringPrefixSize + len(z.Setpoints[za0001].Zone)
+	}
+	s += 2 + msgp.ArrayHeaderSize
+	for za0002 := range z.Targets {
+		s += 1 + 2 + msgp.StringPrefixSize + len(z.Targets[za0002].Model) + 2 + msgp.Int64Size
+	}
+	s += 2 + 1 + 2 + msgp.Int64Size + 2 + msgp.ArrayHeaderSize
+	for za0003 := range z.Usage.Pending {
+		s += 1 + 2 + msgp.ArrayHeaderSize
+		for za0004 := range z.Usage.Pending[za0003].Counts {
+			s += 1 + 2 + msgp.Int64Size + 2 + msgp.StringPrefixSize + len(z.Usage.Pending[za0003].Counts[za0004].Tenant)
+		}
+		s += 2 + msgp.Int64Size
 	}
 	return
 }
@@ -4210,6 +4437,76 @@
 	return
 }
 
+// MarshalMsg implements msgp.Marshaler
+func (z Setpoint) MarshalMsg(b []byte) (o []byte, err error) {
+	o = msgp.Require(b, z.Msgsize())
+	// map header, size 3
+	// string "d"
+	o = append(o, 0x83, 0xa1, 0x64)
+	o = msgp.AppendInt(o, z.Desired)
+	// string "s"
+	o = append(o, 0xa1, 0x73)
+	o = msgp.AppendString(o, z.Service)
+	// string "z"
+	o = append(o, 0xa1, 0x7a)
+	o = msgp.AppendString(o, z.Zone)
+	return
+}
+
+// UnmarshalMsg implements msgp.Unmarshaler
+func (z *Setpoint) UnmarshalMsg(bts []byte) (o []byte, err error) {
+	var field []byte
+	_ = field
+	var zb0001 uint32
+	zb0001, bts, err = msgp.ReadMapHeaderBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err)
+		return
+	}
+	for zb0001 > 0 {
+		zb0001--
+		field, bts, err = msgp.ReadMapKeyZC(bts)
+		if err != nil {
+			err = msgp.WrapError(err)
+			return
+		}
+		switch msgp.UnsafeString(field) {
+		case "d":
+			z.Desired, bts, err = msgp.ReadIntBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Desired")
+				return
+			}
+		case "s":
+			z.Service, bts, err = msgp.ReadStringBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Service")
+				return
+			}
+		case "z":
+			z.Zone, bts, err = msgp.ReadStringBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Zone")
+				return
+			}
+		default:
+			bts, err = msgp.Skip(bts)
+			if err != nil {
+				err = msgp.WrapError(err)
+				return
+			}
+		}
+	}
+	o = bts
+	return
+}
+
+// Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
+func (z Setpoint) Msgsize() (s int) {
+	s = 1 + 2 + msgp.IntSize + 2 + msgp.StringPrefixSize + len(z.Service) + 2 + msgp.StringPrefixSize + len(z.Zone)
+	return
+}
+
 // MarshalMsg implements msgp.Marshaler
 func (z Status) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
@@ -4615,35 +4912,17 @@
 }
 
 // MarshalMsg implements msgp.Marshaler
-func (z *Value) MarshalMsg(b []byte) (o []byte, err error) {
+func (z UsageAck) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
-	// map header, size 4
-	// string "b"
-	o = append(o, 0x84, 0xa1, 0x62)
-	o = msgp.AppendBytes(o, z.Body)
-	// string "g"
-	o = append(o, 0xa1, 0x67)
-	o = msgp.AppendArrayHeader(o, uint32(len(z.Group)))
-	for za0001 := range z.Group {
-		// map header, size 2
-		// string "a"
-		o = append(o, 0x82, 0xa1, 0x61)
-		o = msgp.AppendString(o, z.Group[za0001].Addr)
-		// string "i"
-		o = append(o, 0xa1, 0x69)
-		o = msgp.AppendString(o, z.Group[za0001].ID)
-	}
-	// string "m"
-	o = append(o, 0xa1, 0x6d)
-	o = msgp.AppendInt64(o, z.Version)
-	// string "s"
-	o = append(o, 0xa1, 0x73)
-	o = msgp.AppendString(o, z.Stamp)
+	// map header, size 1
+	// string "e"
+	o = append(o, 0x81, 0xa1, 0x65)
+	o = msgp.AppendInt64(o, z.Epoch)
 	return
 }
 
 // UnmarshalMsg implements msgp.Unmarshaler
-func (z *Value) UnmarshalMsg(bts []byte) (o []byte, err error) {
+func (z *UsageAck) UnmarshalMsg(bts []byte) (o []byte, err error) {
 	var field []byte
 	_ = field
 	var zb0001 uint32
@@ -4660,29 +4939,707 @@
 			return
 		}
 		switch msgp.UnsafeString(field) {
-		case "b":
-			z.Body, bts, err = msgp.ReadBytesBytes(bts, z.Body)
+		case "e":
+			z.Epoch, bts, err = msgp.ReadInt64Bytes(bts)
 			if err != nil {
-				err = msgp.WrapError(err, "Body")
+				err = msgp.WrapError(err, "Epoch")
 				return
 			}
-		case "g":
-			var zb0002 uint32
-			zb0002, bts, err = msgp.ReadArrayHeaderBytes(bts)
+		default:
+			bts, err = msgp.Skip(bts)
 			if err != nil {
-				err = msgp.WrapError(err, "Group")
+				err = msgp.WrapError(err)
 				return
 			}
-			if cap(z.Group) >= int(zb0002) {
-				z.Group = (z.Group)[:zb0002]
-			} else {
-				z.Group = make([]Member, zb0002)
+		}
+	}
+	o = bts
+	return
+}
+
+// Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
+func (z UsageAck) Msgsize() (s int) {
+	s = 1 + 2 + msgp.Int64Size
+	return
+}
+
+// MarshalMsg implements msgp.Marshaler
+func (z UsageCount) MarshalMsg(b []byte) (o []byte, err error) {
+	o = msgp.Require(b, z.Msgsize())
+	// map header, size 2
+	// string "n"
+	o = append(o, 0x82, 0xa1, 0x6e)
+	o = msgp.AppendInt64(o, z.Count)
+	// string "t"
+	o = append(o, 0xa1, 0x74)
+	o = msgp.AppendString(o, z.Tenant)
+	return
+}
+
+// UnmarshalMsg implements msgp.Unmarshaler
+func (z *UsageCount) UnmarshalMsg(bts []byte) (o []byte, err error) {
+	var field []byte
+	_ = field
+	var zb0001 uint32
+	zb0001, bts, err = msgp.ReadMapHeaderBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err)
+		return
+	}
+	for zb0001 > 0 {
+		zb0001--
+		field, bts, err = msgp.ReadMapKeyZC(bts)
+		if err != nil {
+			err = msgp.WrapError(err)
+			return
+		}
+		switch msgp.UnsafeString(field) {
+		case "n":
+			z.Count, bts, err = msgp.ReadInt64Bytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Count")
+				return
 			}
-			for za0001 := range z.Group {
-				var zb0003 uint32
-				zb0003, bts, err = msgp.ReadMapHeaderBytes(bts)
-				if err != nil {
-					err = msgp.WrapError(err, "Group", za0001)
+		case "t":
+			z.Tenant, bts, err = msgp.ReadStringBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Tenant")
+				return
+			}
+		default:
+			bts, err = msgp.Skip(bts)
+			if err != nil {
+				err = msgp.WrapError(err)
+				return
+			}
+		}
+	}
+	o = bts
+	return
+}
+
+// Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
+func (z UsageCount) Msgsize() (s int) {
+	s = 1 + 2 + msgp.Int64Size + 2 + msgp.StringPrefixSize + len(z.Tenant)
+	return
+}
+
+// MarshalMsg implements msgp.Marshaler
+func (z *UsageLedger) MarshalMsg(b []byte) (o []byte, err error) {
+	o = msgp.Require(b, z.Msgsize())
+	// map header, size 2
+	// string "n"
+	o = append(o, 0x82, 0xa1, 0x6e)
+	o = msgp.AppendInt64(o, z.Next)
+	// string "p"
+	o = append(o, 0xa1, 0x70)
+	o = msgp.AppendArrayHeader(o, uint32(len(z.Pending)))
+	for za0001 := range z.Pending {
+		// map header, size 2
+		// string "c"
+		o = append(o, 0x82, 0xa1, 0x63)
+		o = msgp.AppendArrayHeader(o, uint32(len(z.Pending[za0001].Counts)))
+		for za0002 := range z.Pending[za0001].Counts {
+			// map header, size 2
+			// string "n"
+			o = append(o, 0x82, 0xa1, 0x6e)
+			o = msgp.AppendInt64(o, z.Pending[za0001].Counts[za0002].Count)
+			// string "t"
+			o = append(o, 0xa1, 0x74)
+			o = msgp.AppendString(o, z.Pending[za0001].Counts[za0002].Tenant)
+		}
+		// string "w"
+		o = append(o, 0xa1, 0x77)
+		o = msgp.AppendInt64(o, z.Pending[za0001].Window)
+	}
+	return
+}
+
+// UnmarshalMsg implements msgp.Unmarshaler
+func (z *UsageLedger) UnmarshalMsg(bts []byte) (o []byte, err error) {
+	var field []byte
+	_ = field
+	var zb0001 uint32
+	zb0001, bts, err = msgp.ReadMapHeaderBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err)
+		return
+	}
+	for zb0001 > 0 {
+		zb0001--
+		field, bts, err = msgp.ReadMapKeyZC(bts)
+		if err != nil {
+			err = msgp.WrapError(err)
+			return
+		}
+		switch msgp.UnsafeString(field) {
+		case "n":
+			z.Next, bts, err = msgp.ReadInt64Bytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Next")
+				return
+			}
+		case "p":
+			var zb0002 uint32
+			zb0002, bts, err = msgp.ReadArrayHeaderBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Pending")
+				return
+			}
+			if cap(z.Pending) >= int(zb0002) {
+				z.Pending = (z.Pending)[:zb0002]
+			} else {
+				z.Pending = make([]UsageWindow, zb0002)
+			}
+			for za0001 := range z.Pending {
+				var zb0003 uint32
+				zb0003, bts, err = msgp.ReadMapHeaderBytes(bts)
+				if err != nil {
+					err = msgp.WrapError(err, "Pending", za0001)
+					return
+				}
+				for zb0003 > 0 {
+					zb0003--
+					field, bts, err = msgp.ReadMapKeyZC(bts)
+					if err != nil {
+						err = msgp.WrapError(err, "Pending", za0001)
+						return
+					}
+					switch msgp.UnsafeString(field) {
+					case "c":
+						var zb0004 uint32
+						zb0004, bts, err = msgp.ReadArrayHeaderBytes(bts)
+						if err != nil {
+							err = msgp.WrapError(err, "Pending", za0001, "Counts")
+							return
+						}
+						if cap(z.Pending[za0001].Counts) >= int(zb0004) {
+							z.Pending[za0001].Counts = (z.Pending[za0001].Counts)[:zb0004]
+						} else {
+							z.Pending[za0001].Counts = make([]UsageCount, zb0004)
+						}
+						for za0002 := range z.Pending[za0001].Counts {
+							var zb0005 uint32
+							zb0005, bts, err = msgp.ReadMapHeaderBytes(bts)
+							if err != nil {
+								err = msgp.WrapError(err, "Pending", za0001, "Counts", za0002)
+								return
+							}
+							for zb0005 > 0 {
+								zb0005--
+								field, bts, err = msgp.ReadMapKeyZC(bts)
+								if err != nil {
+									err = msgp.WrapError(err, "Pending", za0001, "Counts", za0002)
+									return
+								}
+								switch msgp.UnsafeString(field) {
+								case "n":
+									z.Pending[za0001].Counts[za0002].Count, bts, err = msgp.ReadInt64Bytes(bts)
+									if err != nil {
+										err = msgp.WrapError(err, "Pending", za0001, "Counts", za0002, "Count")
+										return
+									}
+								case "t":
+									z.Pending[za0001].Counts[za0002].Tenant, bts, err = msgp.ReadStringBytes(bts)
+									if err != nil {
+										err = msgp.WrapError(err, "Pending", za0001, "Counts", za0002, "Tenant")
+										return
+									}
+								default:
+									bts, err = msgp.Skip(bts)
+									if err != nil {
+										err = msgp.WrapError(err, "Pending", za0001, "Counts", za0002)
+										return
+									}
+								}
+							}
+						}
+					case "w":
+						z.Pending[za0001].Window, bts, err = msgp.ReadInt64Bytes(bts)
+						if err != nil {
+							err = msgp.WrapError(err, "Pending", za0001, "Window")
+							return
+						}
+					default:
+						bts, err = msgp.Skip(bts)
+						if err != nil {
+							err = msgp.WrapError(err, "Pending", za0001)
+							return
+						}
+					}
+				}
+			}
+		default:
+			bts, err = msgp.Skip(bts)
+			if err != nil {
+				err = msgp.WrapError(err)
+				return
+			}
+		}
+	}
+	o = bts
+	return
+}
+
+// Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
+func (z *UsageLedger) Msgsize() (s int) {
+	s = 1 + 2 + msgp.Int64Size + 2 + msgp.ArrayHeaderSize
+	for za0001 := range z.Pending {
+		s += 1 + 2 + msgp.ArrayHeaderSize
+		for za0002 := range z.Pending[za0001].Counts {
+			s += 1 + 2 + msgp.Int64Size + 2 + msgp.StringPrefixSize + len(z.Pending[za0001].Counts[za0002].Tenant)
+		}
+		s += 2 + msgp.Int64Size
+	}
+	return
+}
+
+// MarshalMsg implements msgp.Marshaler
+func (z UsageQuery) MarshalMsg(b []byte) (o []byte, err error) {
+	o = msgp.Require(b, z.Msgsize())
+	// map header, size 2
+	// string "f"
+	o = append(o, 0x82, 0xa1, 0x66)
+	o = msgp.AppendInt64(o, z.From)
+	// string "t"
+	o = append(o, 0xa1, 0x74)
+	o = msgp.AppendInt64(o, z.To)
+	return
+}
+
+// UnmarshalMsg implements msgp.Unmarshaler
+func (z *UsageQuery) UnmarshalMsg(bts []byte) (o []byte, err error) {
+	var field []byte
+	_ = field
+	var zb0001 uint32
+	zb0001, bts, err = msgp.ReadMapHeaderBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err)
+		return
+	}
+	for zb0001 > 0 {
+		zb0001--
+		field, bts, err = msgp.ReadMapKeyZC(bts)
+		if err != nil {
+			err = msgp.WrapError(err)
+			return
+		}
+		switch msgp.UnsafeString(field) {
+		case "f":
+			z.From, bts, err = msgp.ReadInt64Bytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "From")
+				return
+			}
+		case "t":
+			z.To, bts, err = msgp.ReadInt64Bytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "To")
+				return
+			}
+		default:
+			bts, err = msgp.Skip(bts)
+			if err != nil {
+				err = msgp.WrapError(err)
+				return
+			}
+		}
+	}
+	o = bts
+	return
+}
+
+// Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
+func (z UsageQuery) Msgsize() (s int) {
+	s = 1 + 2 + msgp.Int64Size + 2 + msgp.Int64Size
+	return
+}
+
+// MarshalMsg implements msgp.Marshaler
+func (z *UsageRow) MarshalMsg(b []byte) (o []byte, err error) {
+	o = msgp.Require(b, z.Msgsize())
+	// map header, size 3
+	// string "c"
+	o = append(o, 0x83, 0xa1, 0x63)
+	o = msgp.AppendArrayHeader(o, uint32(len(z.Counts)))
+	for za0001 := range z.Counts {
+		// map header, size 2
+		// string "n"
+		o = append(o, 0x82, 0xa1, 0x6e)
+		o = msgp.AppendInt64(o, z.Counts[za0001].Count)
+		// string "t"
+		o = append(o, 0xa1, 0x74)
+		o = msgp.AppendString(o, z.Counts[za0001].Tenant)
+	}
+	// string "r"
+	o = append(o, 0xa1, 0x72)
+	o = msgp.AppendString(o, z.Router)
+	// string "w"
+	o = append(o, 0xa1, 0x77)
+	o = msgp.AppendInt64(o, z.Window)
+	return
+}
+
+// UnmarshalMsg implements msgp.Unmarshaler
+func (z *UsageRow) UnmarshalMsg(bts []byte) (o []byte, err error) {
+	var field []byte
+	_ = field
+	var zb0001 uint32
+	zb0001, bts, err = msgp.ReadMapHeaderBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err)
+		return
+	}
+	for zb0001 > 0 {
+		zb0001--
+		field, bts, err = msgp.ReadMapKeyZC(bts)
+		if err != nil {
+			err = msgp.WrapError(err)
+			return
+		}
+		switch msgp.UnsafeString(field) {
+		case "c":
+			var zb0002 uint32
+			zb0002, bts, err = msgp.ReadArrayHeaderBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Counts")
+				return
+			}
+			if cap(z.Counts) >= int(zb0002) {
+				z.Counts = (z.Counts)[:zb0002]
+			} else {
+				z.Counts = make([]UsageCount, zb0002)
+			}
+			for za0001 := range z.Counts {
+				var zb0003 uint32
+				zb0003, bts, err = msgp.ReadMapHeaderBytes(bts)
+				if err != nil {
+					err = msgp.WrapError(err, "Counts", za0001)
+					return
+				}
+				for zb0003 > 0 {
+					zb0003--
+					field, bts, err = msgp.ReadMapKeyZC(bts)
+					if err != nil {
+						err = msgp.WrapError(err, "Counts", za0001)
+						return
+					}
+					switch msgp.UnsafeString(field) {
+					case "n":
+						z.Counts[za0001].Count, bts, err = msgp.ReadInt64Bytes(bts)
+						if err != nil {
+							err = msgp.WrapError(err, "Counts", za0001, "Count")
+							return
+						}
+					case "t":
+						z.Counts[za0001].Tenant, bts, err = msgp.ReadStringBytes(bts)
+						if err != nil {
+							err = msgp.WrapError(err, "Counts", za0001, "Tenant")
+							return
+						}
+					default:
+						bts, err = msgp.Skip(bts)
+						if err != nil {
+							err = msgp.WrapError(err, "Counts", za0001)
+							return
+						}
+					}
+				}
+			}
+		case "r":
+			z.Router, bts, err = msgp.ReadStringBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Router")
+				return
+			}
+		case "w":
+			z.Window, bts, err = msgp.ReadInt64Bytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Window")
+				return
+			}
+		default:
+			bts, err = msgp.Skip(bts)
+			if err != nil {
+				err = msgp.WrapError(err)
+				return
+			}
+		}
+	}
+	o = bts
+	return
+}
+
+// Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
+func (z *UsageRow) Msgsize() (s int) {
+	s = 1 + 2 + msgp.ArrayHeaderSize
+	for za0001 := range z.Counts {
+		s += 1 + 2 + msgp.Int64Size + 2 + msgp.StringPrefixSize + len(z.Counts[za0001].Tenant)
+	}
+	s += 2 + msgp.StringPrefixSize + len(z.Router) + 2 + msgp.Int64Size
+	return
+}
+
+// MarshalMsg implements msgp.Marshaler
+func (z *UsageRows) MarshalMsg(b []byte) (o []byte, err error) {
+	o = msgp.Require(b, z.Msgsize())
+	// map header, size 1
+	// string "r"
+	o = append(o, 0x81, 0xa1, 0x72)
+	o = msgp.AppendArrayHeader(o, uint32(len(z.Rows)))
+	for za0001 := range z.Rows {
+		o, err = z.Rows[za0001].MarshalMsg(o)
+		if err != nil {
+			err = msgp.WrapError(err, "Rows", za0001)
+			return
+		}
+	}
+	return
+}
+
+// UnmarshalMsg implements msgp.Unmarshaler
+func (z *UsageRows) UnmarshalMsg(bts []byte) (o []byte, err error) {
+	var field []byte
+	_ = field
+	var zb0001 uint32
+	zb0001, bts, err = msgp.ReadMapHeaderBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err)
+		return
+	}
+	for zb0001 > 0 {
+		zb0001--
+		field, bts, err = msgp.ReadMapKeyZC(bts)
+		if err != nil {
+			err = msgp.WrapError(err)
+			return
+		}
+		switch msgp.UnsafeString(field) {
+		case "r":
+			var zb0002 uint32
+			zb0002, bts, err = msgp.ReadArrayHeaderBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Rows")
+				return
+			}
+			if cap(z.Rows) >= int(zb0002) {
+				z.Rows = (z.Rows)[:zb0002]
+			} else {
+				z.Rows = make([]UsageRow, zb0002)
+			}
+			for za0001 := range z.Rows {
+				bts, err = z.Rows[za0001].UnmarshalMsg(bts)
+				if err != nil {
+					err = msgp.WrapError(err, "Rows", za0001)
+					return
+				}
+			}
+		default:
+			bts, err = msgp.Skip(bts)
+			if err != nil {
+				err = msgp.WrapError(err)
+				return
+			}
+		}
+	}
+	o = bts
+	return
+}
+
+// Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
+func (z *UsageRows) Msgsize() (s int) {
+	s = 1 + 2 + msgp.ArrayHeaderSize
+	for za0001 := range z.Rows {
+		s += z.Rows[za0001].Msgsize()
+	}
+	return
+}
+
+// MarshalMsg implements msgp.Marshaler
+func (z *UsageWindow) MarshalMsg(b []byte) (o []byte, err error) {
+	o = msgp.Require(b, z.Msgsize())
+	// map header, size 2
+	// string "c"
+	o = append(o, 0x82, 0xa1, 0x63)
+	o = msgp.AppendArrayHeader(o, uint32(len(z.Counts)))
+	for za0001 := range z.Counts {
+		// map header, size 2
+		// string "n"
+		o = append(o, 0x82, 0xa1, 0x6e)
+		o = msgp.AppendInt64(o, z.Counts[za0001].Count)
+		// string "t"
+		o = append(o, 0xa1, 0x74)
+		o = msgp.AppendString(o, z.Counts[za0001].Tenant)
+	}
+	// string "w"
+	o = append(o, 0xa1, 0x77)
+	o = msgp.AppendInt64(o, z.Window)
+	return
+}
+
+// UnmarshalMsg implements msgp.Unmarshaler
+func (z *UsageWindow) UnmarshalMsg(bts []byte) (o []byte, err error) {
+	var field []byte
+	_ = field
+	var zb0001 uint32
+	zb0001, bts, err = msgp.ReadMapHeaderBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err)
+		return
+	}
+	for zb0001 > 0 {
+		zb0001--
+		field, bts, err = msgp.ReadMapKeyZC(bts)
+		if err != nil {
+			err = msgp.WrapError(err)
+			return
+		}
+		switch msgp.UnsafeString(field) {
+		case "c":
+			var zb0002 uint32
+			zb0002, bts, err = msgp.ReadArrayHeaderBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Counts")
+				return
+			}
+			if cap(z.Counts) >= int(zb0002) {
+				z.Counts = (z.Counts)[:zb0002]
+			} else {
+				z.Counts = make([]UsageCount, zb0002)
+			}
+			for za0001 := range z.Counts {
+				var zb0003 uint32
+				zb0003, bts, err = msgp.ReadMapHeaderBytes(bts)
+				if err != nil {
+					err = msgp.WrapError(err, "Counts", za0001)
+					return
+				}
+				for zb0003 > 0 {
+					zb0003--
+					field, bts, err = msgp.ReadMapKeyZC(bts)
+					if err != nil {
+						err = msgp.WrapError(err, "Counts", za0001)
+						return
+					}
+					switch msgp.UnsafeString(field) {
+					case "n":
+						z.Counts[za0001].Count, bts, err = msgp.ReadInt64Bytes(bts)
+						if err != nil {
+							err = msgp.WrapError(err, "Counts", za0001, "Count")
+							return
+						}
+					case "t":
+						z.Counts[za0001].Tenant, bts, err = msgp.ReadStringBytes(bts)
+						if err != nil {
+							err = msgp.WrapError(err, "Counts", za0001, "Tenant")
+							return
+						}
+					default:
+						bts, err = msgp.Skip(bts)
+						if err != nil {
+							err = msgp.WrapError(err, "Counts", za0001)
+							return
+						}
+					}
+				}
+			}
+		case "w":
+			z.Window, bts, err = msgp.ReadInt64Bytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Window")
+				return
+			}
+		default:
+			bts, err = msgp.Skip(bts)
+			if err != nil {
+				err = msgp.WrapError(err)
+				return
+			}
+		}
+	}
+	o = bts
+	return
+}
+
+// Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
+func (z *UsageWindow) Msgsize() (s int) {
+	s = 1 + 2 + msgp.ArrayHeaderSize
+	for za0001 := range z.Counts {
+		s += 1 + 2 + msgp.Int64Size + 2 + msgp.StringPrefixSize + len(z.Counts[za0001].Tenant)
+	}
+	s += 2 + msgp.Int64Size
+	return
+}
+
+// MarshalMsg implements msgp.Marshaler
+func (z *Value) MarshalMsg(b []byte) (o []byte, err error) {
+	o = msgp.Require(b, z.Msgsize())
+	// map header, size 4
+	// string "b"
+	o = append(o, 0x84, 0xa1, 0x62)
+	o = msgp.AppendBytes(o, z.Body)
+	// string "g"
+	o = append(o, 0xa1, 0x67)
+	o = msgp.AppendArrayHeader(o, uint32(len(z.Group)))
+	for za0001 := range z.Group {
+		// map header, size 2
+		// string "a"
+		o = append(o, 0x82, 0xa1, 0x61)
+		o = msgp.AppendString(o, z.Group[za0001].Addr)
+		// string "i"
+		o = append(o, 0xa1, 0x69)
+		o = msgp.AppendString(o, z.Group[za0001].ID)
+	}
+	// string "m"
+	o = append(o, 0xa1, 0x6d)
+	o = msgp.AppendInt64(o, z.Version)
+	// string "s"
+	o = append(o, 0xa1, 0x73)
+	o = msgp.AppendString(o, z.Stamp)
+	return
+}
+
+// UnmarshalMsg implements msgp.Unmarshaler
+func (z *Value) UnmarshalMsg(bts []byte) (o []byte, err error) {
+	var field []byte
+	_ = field
+	var zb0001 uint32
+	zb0001, bts, err = msgp.ReadMapHeaderBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err)
+		return
+	}
+	for zb0001 > 0 {
+		zb0001--
+		field, bts, err = msgp.ReadMapKeyZC(bts)
+		if err != nil {
+			err = msgp.WrapError(err)
+			return
+		}
+		switch msgp.UnsafeString(field) {
+		case "b":
+			z.Body, bts, err = msgp.ReadBytesBytes(bts, z.Body)
+			if err != nil {
+				err = msgp.WrapError(err, "Body")
+				return
+			}
+		case "g":
+			var zb0002 uint32
+			zb0002, bts, err = msgp.ReadArrayHeaderBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Group")
+				return
+			}
+			if cap(z.Group) >= int(zb0002) {
+				z.Group = (z.Group)[:zb0002]
+			} else {
+				z.Group = make([]Member, zb0002)
+			}
+			for za0001 := range z.Group {
+				var zb0003 uint32
+				zb0003, bts, err = msgp.ReadMapHeaderBytes(bts)
+				if err != nil {
+					err = msgp.WrapError(err, "Group", za0001)
 					return
 				}
 				for zb0003 > 0 {
@@ -4779,9 +5736,9 @@
 // MarshalMsg implements msgp.Marshaler
 func (z *Versions) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
-	// map header, size 12
+	// map header, size 14
 	// string "a"
-	o = append(o, 0x8c, 0xa1, 0x61)
+	o = append(o, 0x8e, 0xa1, 0x61)
 	o = msgp.AppendArrayHeader(o, uint32(len(z.TargetAges)))
 	for za0001 := range z.TargetAges {
 		// map header, size 3
@@ -4849,6 +5806,9 @@
 		o = append(o, 0xa1, 0x71)
 		o = msgp.AppendInt64(o, z.SilentRunners[za0005].Seq)
 	}
+	// string "t"
+	o = append(o, 0xa1, 0x74)
+	o = msgp.AppendInt64(o, z.TimeUs)
 	// string "u"
 	o = append(o, 0xa1, 0x75)
 	o = msgp.AppendInt64(o, z.CalmUs)
@@ -4858,6 +5818,9 @@
 	// string "x"
 	o = append(o, 0xa1, 0x78)
 	o = msgp.AppendBool(o, z.CutOff)
+	// string "y"
+	o = append(o, 0xa1, 0x79)
+	o = msgp.AppendBool(o, z.TimeAgreed)
 	return
 }
 
@@ -5103,6 +6066,12 @@
 					}
 				}
 			}
+		case "t":
+			z.TimeUs, bts, err = msgp.ReadInt64Bytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "TimeUs")
+				return
+			}
 		case "u":
 			z.CalmUs, bts, err = msgp.ReadInt64Bytes(bts)
 			if err != nil {
@@ -5121,6 +6090,12 @@
 				err = msgp.WrapError(err, "CutOff")
 				return
 			}
+		case "y":
+			z.TimeAgreed, bts, err = msgp.ReadBoolBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "TimeAgreed")
+				return
+			}
 		default:
 			bts, err = msgp.Skip(bts)
 			if err != nil {
@@ -5151,7 +6126,7 @@
 	for za0005 := range z.SilentRunners {
 		s += 1 + 2 + msgp.Int64Size + 2 + msgp.StringPrefixSize + len(z.SilentRunners[za0005].ID) + 2 + msgp.Int64Size
 	}
-	s += 2 + msgp.Int64Size + 2 + msgp.Int64Size + 2 + msgp.BoolSize
+	s += 2 + msgp.Int64Size + 2 + msgp.Int64Size + 2 + msgp.Int64Size + 2 + msgp.BoolSize + 2 + msgp.BoolSize
 	return
 }
 
--- a/internal/messages/types.gen.go
+++ b/internal/messages/types.gen.go
@@ -289,8 +289,14 @@
 
 // LeaseBody defines model for LeaseBody.
 type LeaseBody struct {
-	Lease   Lease    `msg:"c"`
-	Targets []Target `msg:"t"`
+	Lease Lease `msg:"c"`
+
+	// Setpoints the number of runners of each service and zone that was last ordered of the platform
+	Setpoints []Setpoint `msg:"s"`
+	Targets   []Target   `msg:"t"`
+
+	// Usage which windows are closed, and those that the platform may not have yet
+	Usage UsageLedger `msg:"u"`
 }
 
 // LoadChange defines model for LoadChange.
@@ -403,6 +409,13 @@
 	Zone       string   `msg:"z"`
 }
 
+// Setpoint defines model for Setpoint.
+type Setpoint struct {
+	Desired int    `msg:"d"`
+	Service string `msg:"s"`
+	Zone    string `msg:"z"`
+}
+
 // Status defines model for Status.
 type Status string
 
@@ -439,6 +452,50 @@
 	Seq    int64        `msg:"s"`
 }
 
+// UsageAck the answer to a router's rows; after a restart the epoch is another, and the receiver needs all rows again
+type UsageAck struct {
+	Epoch int64 `msg:"e"`
+}
+
+// UsageCount defines model for UsageCount.
+type UsageCount struct {
+	Count  int64  `msg:"n"`
+	Tenant string `msg:"t"`
+}
+
+// UsageLedger which windows are closed, and those that the platform may not have yet
+type UsageLedger struct {
+	// Next the first window that is not closed; 0 before the first request
+	Next    int64         `msg:"n"`
+	Pending []UsageWindow `msg:"p"`
+}
+
+// UsageQuery asks a controller for the rows of windows, both bounds included
+type UsageQuery struct {
+	From int64 `msg:"f"`
+	To   int64 `msg:"t"`
+}
+
+// UsageRow how many requests of each tenant began to run in a window, as one router has counted them so far; counts only grow
+type UsageRow struct {
+	Counts []UsageCount `msg:"c"`
+
+	// Router the router's address and the start of its process
+	Router string `msg:"r"`
+	Window int64  `msg:"w"`
+}
+
+// UsageRows defines model for UsageRows.
+type UsageRows struct {
+	Rows []UsageRow `msg:"r"`
+}
+
+// UsageWindow the agreed usage of a window
+type UsageWindow struct {
+	Counts []UsageCount `msg:"c"`
+	Window int64        `msg:"w"`
+}
+
 // Value defines model for Value.
 type Value struct {
 	Body    []byte   `msg:"b"`
@@ -469,13 +526,19 @@
 
 	// SilentRunners in a request, runners that the sender has not heard for a while
 	SilentRunners []LastHeartbeat `msg:"s"`
-	CalmUs        int64           `msg:"u"`
+
+	// TimeUs in a response of a controller, the time of day that it keeps, in microseconds since 1970; 0 if it does not know
+	TimeUs int64 `msg:"t"`
+	CalmUs int64 `msg:"u"`
 
 	// ConfigAccepted the version for which the sender has, or may have, accepted a value that it does not know to be committed; 0 for none
 	ConfigAccepted int64 `msg:"v"`
 
 	// CutOff the group that holds the configuration is out of the sender's reach
 	CutOff bool `msg:"x"`
+
+	// TimeAgreed the sender has compared its time of day with other controllers
+	TimeAgreed bool `msg:"y"`
 }
 
 // ViolationCount how often an invariant of the program was violated
--- a/internal/rollout/invariants_test.go
+++ b/internal/rollout/invariants_test.go
@@ -12,8 +12,7 @@
 
 func TestFenceThatGoesBackViolatesInvariant(t *testing.T) {
 	invarianttest.Expect(t, fenceGoesForward)
-	s := NewShard(lease.Times{}, 1)
-	s.lease.Acquired(3, lease.Nobody, 1)
-	s.fence = 4
-	s.work(View{NowUs: 2})
+	s := NewShard(1)
+	s.Step(1, lease.Grant{Fence: 4}, behindModel())
+	s.Step(2, lease.Grant{Fence: 3}, behindModel())
 }
--- a/internal/rollout/namings.go
+++ b/internal/rollout/namings.go
@@ -3,6 +3,7 @@
 import (
 	"slices"
 
+	"beechtide.org/beechtide/internal/lease"
 	"beechtide.org/beechtide/internal/messages"
 	"beechtide.org/beechtide/internal/targets"
 )
@@ -33,10 +34,7 @@
 		body.Targets[i].Version = target.Version
 	}
 	if body.Lease.Holder == "" && holder != "" {
-		body.Lease = messages.Lease{Holder: holder, Fence: InitialFence}
+		body.Lease = messages.Lease{Holder: holder, Fence: lease.InitialFence}
 	}
 	return true
 }
-
-// InitialFence is the fencing token of a lease that was never held before.
-const InitialFence = 1
--- a/internal/rollout/shard_test.go
+++ b/internal/rollout/shard_test.go
@@ -5,6 +5,7 @@
 
 	"github.com/shoenig/test/must"
 
+	"beechtide.org/beechtide/internal/lease"
 	"beechtide.org/beechtide/internal/messages"
 )
 
@@ -12,9 +13,43 @@
 	return []Model{{Name: "m", Namings: namedAtStart, Runners: []Runner{{ID: "i-0", Version: 1}}}}
 }
 
+// view is what a controller knows, with the models of its shard.
+type view struct {
+	lease.RoleView
+	Models []Model
+}
+
+// holder is a controller's role together with its shard, driven as a controller does.
+type holder struct {
+	*lease.Role
+	shard *Shard
+}
+
+func newHolder() holder { return holder{lease.NewRole(testTimes), NewShard(boundUs)} }
+
+// holderStep is what the role and the shard have to do.
+type holderStep struct {
+	lease.RoleStep
+	Step
+}
+
+func (h holder) Step(v view) holderStep {
+	v.Needed = Unfinished(v.Models)
+	role := h.Role.Step(v.RoleView)
+	return holderStep{role, h.shard.Step(v.NowUs, role.Grant, v.Models)}
+}
+
+// Answered hands an answer over as the controller does.
+func (h holder) Answered(model string, o Order, fence int64, answer Answer, nowUs int64) {
+	if answer == FenceRefused {
+		h.Refuse(fence)
+	}
+	h.shard.Answered(model, o, answer, nowUs)
+}
+
 // orderedAfter steps a shard with a lease that is confirmed whenever it requests it, and
 // returns how long it takes until the first order.
-func orderedAfter(t *testing.T, s *Shard, v View) int64 {
+func orderedAfter(t *testing.T, s holder, v view) int64 {
 	t.Helper()
 	from := v.NowUs
 	for ; v.NowUs < from+20*second; v.NowUs += stepUs {
@@ -32,17 +67,17 @@
 }
 
 func TestInitialHolderOrdersWithoutWaiting(t *testing.T) {
-	s := NewShard(testTimes, boundUs)
+	s := newHolder()
 	s.RecordInitialHolder(1)
-	waited := orderedAfter(t, s, View{NowUs: 1, Self: "a", Lease: messages.Lease{Holder: "a", Fence: 1}, Models: behindModel(), InContact: true})
+	waited := orderedAfter(t, s, view{lease.RoleView{NowUs: 1, Self: "a", Lease: messages.Lease{Holder: "a", Fence: 1}, InContact: true}, behindModel()})
 	must.LessEq(t, DrainUs+SettleUs+4*stepUs, waited)
 }
 
 // A successor waits no longer than the lease requires, and drains the runners meanwhile.
 func TestSuccessorOrdersAsSoonAsLeaseAllows(t *testing.T) {
-	s := NewShard(testTimes, boundUs)
+	s := newHolder()
 	was := messages.Lease{Holder: "b", Fence: 3}
-	v := View{NowUs: 1, Self: "a", Lease: was, Models: behindModel(), HolderGone: true, InContact: true}
+	v := view{lease.RoleView{NowUs: 1, Self: "a", Lease: was, HolderGone: true, InContact: true}, behindModel()}
 	for !s.Step(v).Acquire {
 		v.NowUs += stepUs
 		must.Less(t, second, v.NowUs)
@@ -56,9 +91,9 @@
 }
 
 func TestLeaseOfEarlierProcessIsReacquired(t *testing.T) {
-	s := NewShard(testTimes, boundUs)
+	s := newHolder()
 	own := messages.Lease{Holder: "a", Fence: 3}
-	v := View{NowUs: 1, Self: "a", Lease: own, Models: behindModel()}
+	v := view{lease.RoleView{NowUs: 1, Self: "a", Lease: own}, behindModel()}
 	must.False(t, s.Step(v).Acquire, must.Sprint("not without contact"))
 	v.InContact = true
 	must.True(t, s.Step(v).Acquire)
@@ -71,10 +106,10 @@
 // register used for the model; the next token is above, and the wait covers the other
 // holder.
 func TestFenceFloorIsExceededBeforeActing(t *testing.T) {
-	s := NewShard(testTimes, boundUs)
+	s := newHolder()
 	s.RecordInitialHolder(1)
 	low := messages.Lease{Holder: "a", Fence: 1}
-	v := View{NowUs: 1, Self: "a", Lease: low, FenceFloor: 6, Models: behindModel(), InContact: true}
+	v := view{lease.RoleView{NowUs: 1, Self: "a", Lease: low, FenceFloor: 6, InContact: true}, behindModel()}
 	step := s.Step(v)
 	must.True(t, step.Acquire)
 	must.False(t, step.Orders())
@@ -85,9 +120,9 @@
 }
 
 func TestStaleViewOfLeaseDoesNotReleaseIt(t *testing.T) {
-	s := NewShard(testTimes, boundUs)
+	s := newHolder()
 	was := messages.Lease{Holder: "b", Fence: 3}
-	v := View{NowUs: 1, Self: "a", Lease: was, Models: behindModel(), HolderGone: true, InContact: true}
+	v := view{lease.RoleView{NowUs: 1, Self: "a", Lease: was, HolderGone: true, InContact: true}, behindModel()}
 	s.Step(v)
 	won := s.NextLease(was, 0)
 	s.Acquired(was, won, false, v.NowUs)
@@ -98,10 +133,10 @@
 }
 
 func TestNoActionsWhenAllRunnersHoldNewestWeights(t *testing.T) {
-	s := NewShard(testTimes, boundUs)
+	s := newHolder()
 	models := []Model{{Name: "m", Namings: namedAtStart, Runners: []Runner{{ID: "i-0", Version: 2}}}}
-	v := View{NowUs: 1, Self: "a", Lease: messages.Lease{Holder: "a", Fence: 3}, Models: models, InContact: true}
-	must.Eq(t, Step{}, s.Step(v))
+	v := view{lease.RoleView{NowUs: 1, Self: "a", Lease: messages.Lease{Holder: "a", Fence: 3}, InContact: true}, models}
+	must.Eq(t, holderStep{}, s.Step(v))
 	v.Lease.Holder, v.HolderGone = "b", true
 	must.False(t, s.Step(v).Acquire)
 	v.NowUs += 3 * second
@@ -110,10 +145,10 @@
 
 // A holder that does not know yet that it has lost the lease learns it from a runner.
 func TestRefusedFenceIsNeverUsedAgain(t *testing.T) {
-	s := NewShard(testTimes, boundUs)
+	s := newHolder()
 	s.RecordInitialHolder(1)
 	own := messages.Lease{Holder: "a", Fence: 1}
-	v := View{NowUs: 1, Self: "a", Lease: own, Models: behindModel(), InContact: true}
+	v := view{lease.RoleView{NowUs: 1, Self: "a", Lease: own, InContact: true}, behindModel()}
 	orderedAfter(t, s, v)
 	s.Answered("m", Order{ID: "i-0", Version: 2}, own.Fence, FenceRefused, v.NowUs)
 	must.True(t, s.Refused(own.Fence))
--- a/internal/settings/types.gen.go
+++ b/internal/settings/types.gen.go
@@ -16,9 +16,18 @@
 	RetrySlack   float64 `json:"retrySlack,omitempty,omitzero"`
 	RetryWindowS float64 `json:"retryWindowS,omitempty,omitzero"`
 	TransitMs    int     `json:"transitMs,omitempty,omitzero"`
+	UsageDelayS  int     `json:"usageDelayS,omitempty,omitzero" validate:"min=0"`
+	UsageWindowS int     `json:"usageWindowS,omitempty,omitzero" validate:"min=0"`
 	VersionMs    int     `json:"versionMs,omitempty,omitzero"`
 }
 
+// Cloud The platform's API, and the calls to it that are made by one node at a time.
+type Cloud struct {
+	Address  string   `json:"address,omitempty,omitzero" validate:"omitempty,hostname_port"`
+	Duties   []string `json:"duties,omitempty,omitzero"`
+	DutyPerS float64  `json:"dutyPerS,omitempty,omitzero" validate:"min=0"`
+}
+
 // Limits defines model for Limits.
 type Limits struct {
 	Cores    float64 `json:"cores,omitempty,omitzero"`
@@ -38,9 +47,12 @@
 
 // Settings defines model for Settings.
 type Settings struct {
-	BeatPeriodMs int               `json:"beatPeriodMs,omitempty,omitzero" validate:"min=0"`
-	Bootstrap    bool              `json:"bootstrap,omitempty,omitzero"`
-	Bounds       Bounds            `json:"bounds,omitempty,omitzero"`
+	BeatPeriodMs int    `json:"beatPeriodMs,omitempty,omitzero" validate:"min=0"`
+	Bootstrap    bool   `json:"bootstrap,omitempty,omitzero"`
+	Bounds       Bounds `json:"bounds,omitempty,omitzero"`
+
+	// Cloud The platform's API, and the calls to it that are made by one node at a time.
+	Cloud        Cloud             `json:"cloud,omitempty,omitzero"`
 	Counted      bool              `json:"counted,omitempty,omitzero"`
 	DataDir      string            `json:"dataDir,omitempty,omitzero"`
 	Invariants   []string          `json:"invariants,omitempty,omitzero"`
--- a/internal/simulation/coordinator.go
+++ b/internal/simulation/coordinator.go
@@ -1,5 +1,5 @@
 // Coordinators: controllers as far as roll-outs are concerned. They drive the real
-// rollout.Shard as controller.rolloutManager does.
+// lease.Role and rollout.Shard as the controller's roleManager and rolloutManager do.
 
 package simulation
 
@@ -35,6 +35,7 @@
 	usedFence    int64
 
 	// What follows is gone with each life of the process.
+	role    *lease.Role
 	shard   *rollout.Shard
 	targets targets.Table
 	startUs int64
@@ -53,7 +54,7 @@
 func (c *coordinator) boot() {
 	h := c.history
 	c.registrar.boot()
-	c.shard = rollout.NewShard(h.times(), h.bound())
+	c.role, c.shard = lease.NewRole(h.times()), rollout.NewShard(h.bound())
 	c.targets, c.startUs = targets.Table{}, c.nowUs()
 	c.contact = lease.Contact{Self: c.member()}
 	c.reached, c.polling, c.busy = map[string]int64{}, map[string]bool{}, false
@@ -183,20 +184,21 @@
 		if !ok {
 			return
 		}
-		if first && now.Lease.Holder == c.member() && now.Lease.Fence == rollout.InitialFence {
-			c.shard.RecordInitialHolder(rollout.InitialFence)
+		if first && now.Lease.Holder == c.member() && now.Lease.Fence == lease.InitialFence {
+			c.role.RecordInitialHolder(lease.InitialFence)
 		}
 		acknowledge()
 	})
 }
 
-// step is one step of the shard.
+// step is one step of the role, and of the shard where the lease is held.
 func (c *coordinator) step() {
 	if c.knownVersion == 0 {
 		return
 	}
-	view := c.view()
-	step := c.shard.Step(view)
+	models := c.models()
+	view := c.view(rollout.Unfinished(models))
+	step := c.role.Step(view)
 	if (step.Acquire || step.Confirm) && !c.busy {
 		c.busy = true
 		if step.Acquire {
@@ -205,10 +207,17 @@
 			c.confirm()
 		}
 	}
-	c.carryOut(step)
+	c.carryOut(c.shard.Step(c.nowUs(), step.Grant, models))
 }
 
-func (c *coordinator) view() rollout.View {
+func (c *coordinator) models() []rollout.Model {
+	return []rollout.Model{{
+		Name: rolloutModel, Namings: rollout.NamingsOf(&c.targets, rolloutModel, c.history.bound(), c.nowUs()),
+		Runners: rollout.RunnersOf(c.registrar.runners.Snapshot().ByID, rolloutModel, rolloutService),
+	}}
+}
+
+func (c *coordinator) view(needed bool) lease.RoleView {
 	h := c.history
 	var group, candidates []string
 	for _, other := range h.coordinators {
@@ -217,13 +226,9 @@
 			candidates = append(candidates, other.addr())
 		}
 	}
-	rank, _ := rollout.Rank(candidates, c.addr(), c.known.Lease)
-	return rollout.View{
-		NowUs: c.nowUs(), Self: c.member(), Lease: c.known.Lease,
-		Models: []rollout.Model{{
-			Name: rolloutModel, Namings: rollout.NamingsOf(&c.targets, rolloutModel, c.history.bound(), c.nowUs()),
-			Runners: rollout.RunnersOf(c.registrar.runners.Snapshot().ByID, rolloutModel, rolloutService),
-		}},
+	rank, _ := lease.Rank(candidates, c.addr(), c.known.Lease)
+	return lease.RoleView{
+		NowUs: c.nowUs(), Self: c.member(), Lease: c.known.Lease, Needed: needed,
 		HolderGone: c.isGone(c.known.Lease.Holder), InContact: c.contact.Holds(group, c.nowUs()), Rank: rank,
 	}
 }
@@ -239,9 +244,9 @@
 	return false
 }
 
-func (c *coordinator) acquire(view rollout.View) {
+func (c *coordinator) acquire(view lease.RoleView) {
 	was := view.Lease
-	next := c.shard.NextLease(was, view.FenceFloor)
+	next := c.role.NextLease(was, view.FenceFloor)
 	edit := func(body *messages.LeaseBody) bool {
 		if body.Lease != was {
 			return false
@@ -253,7 +258,7 @@
 		c.busy = false
 		if ok && now.Lease == next {
 			c.history.kernel.Note("%s acquires the lease under fence %d", c.addr(), next.Fence)
-			c.shard.Acquired(was, next, c.usedFence == was.Fence, c.nowUs())
+			c.role.Acquired(was, next, c.usedFence == was.Fence, c.nowUs())
 		}
 	})
 }
@@ -264,7 +269,7 @@
 	c.round(unchanged, func(ok bool, now messages.LeaseBody) {
 		c.busy = false
 		if ok {
-			c.shard.Confirmed(now.Lease, askedUs, c.nowUs())
+			c.role.Confirmed(now.Lease, askedUs, c.nowUs())
 			c.step()
 		}
 	})
@@ -300,10 +305,13 @@
 	answer := func(a rollout.Answer) {
 		if !answered {
 			answered = true
-			c.shard.Answered(rolloutModel, o, step.Fence, a, c.nowUs())
+			if a == rollout.FenceRefused {
+				c.role.Refuse(step.Fence)
+			}
+			c.shard.Answered(rolloutModel, o, a, c.nowUs())
 		}
 	}
-	if c.nowUs() >= step.UntilUs || c.shard.Refused(step.Fence) {
+	if c.nowUs() >= step.UntilUs || c.role.Refused(step.Fence) {
 		answer(rollout.NoAnswer)
 		return
 	}
--- a/internal/simulation/duties.go
+++ b/internal/simulation/duties.go
@@ -9,7 +9,6 @@
 
 	"beechtide.org/beechtide/internal/lease"
 	"beechtide.org/beechtide/internal/messages"
-	"beechtide.org/beechtide/internal/rollout"
 )
 
 const (
@@ -75,7 +74,7 @@
 			candidates = append(candidates, p.Addr)
 		}
 	}
-	rank, found := rollout.Rank(candidates, c.addr, held)
+	rank, found := lease.Rank(candidates, c.addr, held)
 	view := lease.HolderView{Holder: held.Holder, Fence: held.Fence, Gone: !hasMember(alive, held.Holder), InContact: found, Needed: true, Rank: rank}
 	if c.takeover.Due(view, now) {
 		c.takeDuty(held)
