Usage: requests of every tenant counted once, windows closed in a register, reported by one holder

Change: routers count by window of a time of day that the fleet agrees on (clocksync), rows that only grow go to two controllers, the holder of a register's lease collects them, agrees on the sums before the first call leaves, and reports under its fence.

--- a/internal/controller/controller.go
+++ b/internal/controller/controller.go
@@ -55,6 +55,7 @@
 	"github.com/go-logr/logr"
 	"github.com/panjf2000/ants/v2"
 
+	"beechtide.org/beechtide/internal/clocksync"
 	"beechtide.org/beechtide/internal/consensus"
 	"beechtide.org/beechtide/internal/dissemination"
 	"beechtide.org/beechtide/internal/invariant"
@@ -91,6 +92,7 @@
 
 	roles    *roleManager
 	rollouts *rolloutManager
+	usage    *usageReporter // nil where the platform wants no usage
 	targets  namedTargets
 	calm     calm
 	repairs  repairs
@@ -99,6 +101,7 @@
 	drained  ackedDrains
 	startUs  int64
 
+	timeOfDay    clocksync.Shared
 	counters     counters
 	acknowledged invariant.Newest // the newest configuration that was acknowledged here
 
@@ -124,6 +127,12 @@
 	d.feed.init(clock())
 	d.roles, d.rollouts = newRoleManager(d), newRolloutManager(d)
 	d.roles.tasks = []task{d.rollouts}
+	d.timeOfDay.SetVotes()
+	d.timeOfDay.Observe(time.Now().UnixMicro(), clock())
+	if usageWanted(set) {
+		d.usage = newUsageReporter(d)
+		d.roles.tasks = append(d.roles.tasks, d.usage)
+	}
 	d.syncRunners()
 	d.publisher = dissemination.NewPublisher(trans, dissemination.Upstream{DeltaSince: d.deltaSince, ApplyReport: d.applyReport, Unsubscribed: d.removeSender})
 	d.registers, err = consensus.Open(set.ControllerAddr(), transport.KindConsensus, set.Bootstrap, set.SeedAddrs(), contactCaller{trans, &d.contact, clock}, store, log, d.learned)
@@ -151,6 +160,10 @@
 		return c.MarshalMsg(nil)
 	})
 	trans.OnCall(transport.KindDraining, d.handleDrain)
+	if d.usage != nil {
+		trans.OnCall(transport.KindUsageRows, d.usage.receiveRows)
+		trans.OnCall(transport.KindUsageQuery, d.usage.answerQuery)
+	}
 	trans.OnDatagram(transport.KindRunner, d.heardRunner)
 	for p := range consensus.Parts {
 		if v, ok := d.registers.Committed(p); ok && v.Version > 0 {
@@ -193,7 +206,13 @@
 	go loop.Every(live, 500*time.Millisecond, func() { d.catchUp(live) })
 	go loop.Every(live, 500*time.Millisecond, func() { d.sweep() })
 	go loop.Every(live, 500*time.Millisecond, func() { d.wantReaders(live) })
-	go loop.Every(live, rolePeriod, func() { d.roles.step(live) })
+	go loop.Every(live, rolePeriod, func() {
+		d.timeOfDay.Observe(time.Now().UnixMicro(), d.clock())
+		d.roles.step(live)
+	})
+	if d.usage != nil {
+		go loop.Every(live, keepUsagePeriod, d.usage.keep)
+	}
 	go d.runFeed(live)
 	go d.settleRegisters(live)
 	go d.finishRounds(live)
@@ -266,13 +285,34 @@
 		}
 	}
 	if p != consensus.ConfigPart {
-		d.committedTargets(v)
-		d.publishPart(messages.PartNote{Part: p, Version: v.Version, Body: v.Body})
+		d.learnedRole(p, v)
+	}
+}
+
+// learnedRole takes what a register with a lease has. Routers need no closed windows, so
+// these do not go along.
+func (d *Controller) learnedRole(p int, v messages.Value) {
+	body, err := leaseBody(v)
+	if err != nil {
+		d.log.Error(err, "a committed register cannot be read", "part", p)
+		return
+	}
+	d.targets.committed(body.Targets, d.starting(), d.clock())
+	if d.usage != nil {
+		d.usage.closed(body.Usage.Next)
+	}
+	body.Usage.Pending = nil
+	published, err := body.MarshalMsg(nil)
+	if err != nil {
+		d.log.Error(err, "a committed register cannot be sent", "part", p)
+		return
 	}
+	d.publishPart(messages.PartNote{Part: p, Version: v.Version, Body: published})
 }
 
 func (d *Controller) versions() messages.Versions {
 	m := messages.Versions{Parts: make([]int64, consensus.Parts), RegistrySum: d.registry.Snapshot().Sum, Controller: true, CalmUs: d.calm.forUs(d.clock()), MemberID: d.registers.ID(), CutOff: d.cutOff(), TargetAges: d.targets.ages(d.clock())}
+	m.TimeUs, m.TimeAgreed = d.timeOfDay.TimeUs(d.clock())
 	m.ConfigAccepted = d.registers.MayHaveAccepted(consensus.ConfigPart)
 	if v, ok := d.registers.Committed(consensus.ConfigPart); ok {
 		m.ConfigCommitted, m.ConfigGroup = v.Version, identities(v.Group)
@@ -352,6 +392,7 @@
 			}
 			d.publishRunners(d.registry.ApplyLaterHeartbeats(m.LaterHeartbeats, sentUs, d.clock())...)
 			d.targets.observe(m.TargetAges, d.clock())
+			d.timeOfDay.Compare(p.Addr, m, sentUs, d.clock())
 			d.contact.answered(cmp.Or(m.MemberID, p.MemberID), sentUs) // the earlier format has none
 			for part := range min(len(m.Parts), consensus.Parts) {
 				if m.Parts[part] > mine.Parts[part] {
--- a/internal/controller/metrics.go
+++ b/internal/controller/metrics.go
@@ -16,7 +16,7 @@
 func (d *Controller) metricsServer() *metrics.Server {
 	return metrics.NewServer(metrics.Config{Addr: d.set.ControllerMetricsAddr(), Log: d.log}, slices.Concat(
 		metrics.Node(d.transport, d.publisher, &d.counters.subscriptions),
-		d.consensusMetrics(), d.callMetrics(),
+		d.consensusMetrics(), d.callMetrics(), d.platformMetrics(),
 	)...)
 }
 
@@ -88,3 +88,26 @@
 		}),
 	}
 }
+
+// platformMetrics are the figures of the calls to the platform.
+func (d *Controller) platformMetrics() []prometheus.Collector {
+	if d.usage == nil {
+		return nil
+	}
+	return []prometheus.Collector{
+		metrics.Counter("beechtide_platform_calls_total", "Calls to the platform that this controller made as the holder of a lease, by outcome.", []string{"outcome"}, func(emit metrics.Emit) {
+			for answer, name := range platformAnswerNames {
+				emit(float64(d.counters.platform[answer].Load()), name)
+			}
+		}),
+		metrics.Counter("beechtide_usage_windows_closed_total", "Windows of usage whose counts were agreed on by this controller.", nil, func(emit metrics.Emit) {
+			emit(float64(d.counters.closedWindows.Load()))
+		}),
+		metrics.Counter("beechtide_usage_late_rows_total", "Counts of routers that came after their window was closed, and changed nothing.", nil, func(emit metrics.Emit) {
+			emit(float64(d.counters.lateUsage.Load()))
+		}),
+		metrics.Gauge("beechtide_usage_unreported_seconds", "Time since the end of the oldest window that the platform may not have; 0 if there is none.", nil, func(emit metrics.Emit) {
+			emit(d.usage.unreported().Seconds())
+		}),
+	}
+}
--- /dev/null
+++ b/internal/controller/platform.go
@@ -0,0 +1,60 @@
+// Calls to the platform's API. Each is made by the holder of a lease and carries its
+// fencing token.
+
+package controller
+
+import (
+	"context"
+	"encoding/json"
+	"net/http"
+	"strconv"
+	"time"
+
+	"beechtide.org/beechtide/internal/lease"
+)
+
+// platformWait is how long the platform may take to answer.
+const platformWait = 3 * time.Second
+
+// platformAnswer is what became of a call.
+type platformAnswer int
+
+// Outcomes of a call to the platform.
+const (
+	platformNotSent  platformAnswer = iota // the grant had run out
+	platformAccepted                       // done
+	platformRefused                        // a call with a higher fence was seen
+	platformFailed                         // anything else: it may have been done
+	platformAnswers
+)
+
+var platformAnswerNames = [platformAnswers]string{"not_sent", "accepted", "fence_refused", "failed"}
+
+// callPlatform makes a call under the grant of a register's lease, unless the grant has run
+// out as it leaves. After a refusal nothing is sent under this fence any more.
+func (d *Controller) callPlatform(ctx context.Context, part int, grant lease.Grant, path string, content any) platformAnswer {
+	body, err := json.Marshal(content)
+	if err != nil {
+		d.log.Error(err, "a call to the platform cannot be written", "path", path)
+		return platformNotSent
+	}
+	headers := map[string]string{"Beechtide-Duty-Holder": d.set.Node, "Beechtide-Fence": strconv.FormatInt(grant.Fence, 10)}
+	ctx, cancel := context.WithTimeout(ctx, platformWait)
+	defer cancel()
+	d.roles.recordFenceUsed(part, grant.Fence)
+	if !d.roles.mayCall(part, grant) {
+		return platformNotSent
+	}
+	status, _, err := d.connPool.Ask(ctx, d.set.Cloud.Address, http.MethodPost, path, headers, body)
+	d.log.Info("platform called", "path", path, "fence", grant.Fence, "status", status, "err", err)
+	answer := platformFailed
+	switch {
+	case err == nil && status/100 == 2:
+		answer = platformAccepted
+	case err == nil && status == http.StatusConflict:
+		answer = platformRefused
+		d.roles.refuse(part, grant.Fence)
+	}
+	d.counters.platform[answer].Add(1)
+	return answer
+}
--- a/internal/controller/targets.go
+++ b/internal/controller/targets.go
@@ -79,10 +79,3 @@
 	defer n.mu.Unlock()
 	return rollout.NamingsOf(&n.table, model, boundUs, nowUs)
 }
-
-// committedTargets notes the versions that a register names.
-func (d *Controller) committedTargets(v messages.Value) {
-	if body, err := leaseBody(v); err == nil {
-		d.targets.committed(body.Targets, d.starting(), d.clock())
-	}
-}
--- a/internal/router/compare.go
+++ b/internal/router/compare.go
@@ -117,6 +117,7 @@
 // askVersions asks one controller which versions it has.
 func (c *Router) askVersions(ctx context.Context, addr string) (m messages.Versions, err error) {
 	c.counters.comparisons.begin()
+	sentUs := c.clock()
 	b, err := c.transport.Call(ctx, addr, transport.KindVersions, &messages.Versions{Parts: []int64{}})
 	c.counters.comparisons.ended(err)
 	if err != nil {
@@ -125,6 +126,7 @@
 	if _, err := m.UnmarshalMsg(b); err != nil {
 		return m, err
 	}
+	c.timeOfDay.Compare(addr, m, sentUs, c.clock())
 	c.takeVersions(m)
 	return m, nil
 }
--- a/internal/router/feed.go
+++ b/internal/router/feed.go
@@ -250,5 +250,8 @@
 		return
 	}
 	c.assumeTargets(body.Targets, nowUs)
+	if c.usage != nil {
+		c.usage.closed(body.Usage.Next)
+	}
 	c.parts[p.Part] = p
 }
--- a/internal/router/front.go
+++ b/internal/router/front.go
@@ -108,6 +108,7 @@
 	lastEnd  attemptResult    // of the newest attempt
 	broken   bool             // a runner broke off what had been passed on in part
 	why      admission.Reason // of a rejection
+	counted  bool             // it counts as usage of the tenant
 	changed  bool             // the tenant's regime changed while the request waited
 }
 
--- a/internal/router/responses.go
+++ b/internal/router/responses.go
@@ -45,6 +45,7 @@
 
 // passBody passes on an answer of known length, once it is whole.
 func (e *exchange) passBody(adm *admission.Admission, link *upstream.Conn, r *protocol.Response, stream *answerStream) attemptResult {
+	e.countUsage(r)
 	b, err := upstream.ReadBody(r, mostBody)
 	e.c.held.remove(e.held)
 	if err != nil {
@@ -98,6 +99,7 @@
 		if n > 0 {
 			if first {
 				first = false
+				e.countUsage(r)
 				c.firstToken(adm)
 			}
 			b := buf[:n]
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -58,6 +58,7 @@
 	"github.com/panjf2000/ants/v2"
 
 	"beechtide.org/beechtide/internal/admission"
+	"beechtide.org/beechtide/internal/clocksync"
 	"beechtide.org/beechtide/internal/compliance"
 	"beechtide.org/beechtide/internal/dissemination"
 	"beechtide.org/beechtide/internal/inflight"
@@ -121,6 +122,9 @@
 	drainBegun  chan struct{}                // closed when shutdown is set
 	lastAnswers chan struct{}                // closed when what has no answer yet gets its last one
 
+	timeOfDay clocksync.Shared
+	usage     *usageReports // nil where no usage is wanted
+
 	counters   counters
 	lag        configLag
 	majorityUs atomic.Int64 // when a majority of the core last confirmed the configuration
@@ -146,6 +150,10 @@
 	c.up.Acked, c.up.ResendAll, c.up.Unsubscribed = c.loads.acknowledge, c.resendLoads, func(string) {}
 	c.up.Counts = &c.counters.subscriptions
 	c.seeds.Store(&set.Seeds)
+	c.timeOfDay.Observe(time.Now().UnixMicro(), clock())
+	if set.Bounds.UsageWindowS > 0 {
+		c.usage = newUsageReports(c)
+	}
 	c.monitor = membership.NewMonitor(trans, messages.Peer{Addr: set.RouterAddr(), Role: messages.Router, Zone: set.Zone, Node: set.Node}, clock, c.seedAddrs)
 	trans.OnCall(transport.KindCondition, func(context.Context, *transport.Conn, []byte) ([]byte, error) {
 		x := c.condition()
@@ -170,6 +178,10 @@
 	go c.probeMissing(live)
 	go loop.Every(live, withdrawEvery, c.withdrawFromOldWeights)
 	go c.metricsServer().Run(live)
+	if c.usage != nil {
+		go loop.Every(live, usageReportPeriod, func() { c.usage.report(live) })
+		defer c.usage.flush()
+	}
 	failed := make(chan error, 2)
 	go func() { failed <- c.serveReady() }()
 	for c.table.Load() == nil {
--- a/internal/transport/kind.go
+++ b/internal/transport/kind.go
@@ -24,6 +24,8 @@
 	KindDraining                   // request: a runner starts or ends draining
 	KindReadsCompressed            // one-way: the sender reads compressed frames
 	KindCompressed                 // one-way: a compressed frame
+	KindUsageRows                  // request: counts of a router's requests
+	KindUsageQuery                 // request: the counts that a controller has
 	kindCount
 )
 
@@ -46,6 +48,9 @@
 	KindFailed:    "failed",
 	KindDraining:  "draining",
 
+	KindUsageRows:  "usage-rows",
+	KindUsageQuery: "usage-query",
+
 	KindReadsCompressed: "reads-compressed",
 	KindCompressed:      "compressed",
 }
