consensus: a large value that was accepted before is finished by reference

Change: a proposer names the large value that it has accepted itself; members that have the same answer with the reference, and accept it by reference under the new ballot. The model of random orders plays large values too.

--- a/internal/consensus/acceptor.go
+++ b/internal/consensus/acceptor.go
@@ -40,9 +40,9 @@
 		return response, false
 	}
 	if request.Step == messages.Prepare {
-		return a.prepare(request.Ballot)
+		return a.prepare(request.Ballot, request.Value)
 	}
-	return a.accept(request.Ballot, request.Value), true
+	return a.accept(request.Ballot, request.Value)
 }
 
 // read answers a read: with the committed value only if it is at or above the
@@ -79,23 +79,37 @@
 	return messages.ConsensusResponse{}, true
 }
 
-// prepare promises a ballot and reports what has been accepted under a lower one.
-func (a *Acceptor) prepare(ballot messages.Ballot) (response messages.ConsensusResponse, changed bool) {
+// prepare promises a ballot and reports what has been accepted under a lower one: by the
+// reference that the proposer has sent, if that is to the accepted value.
+func (a *Acceptor) prepare(ballot messages.Ballot, reference messages.Value) (response messages.ConsensusResponse, changed bool) {
 	changed = a.Rec.Promised != ballot
 	a.Rec.Promised = ballot
+	accepted := a.Rec.Accepted
+	if a.Rec.HasAccepted && isReference(reference) && refersTo(reference, accepted) {
+		accepted = reference
+	}
 	return messages.ConsensusResponse{
 		Verdict:     messages.Granted,
 		Version:     a.Rec.Committed.Version,
 		Promised:    ballot,
 		AcceptedAt:  a.Rec.AcceptedAt,
 		HasAccepted: a.Rec.HasAccepted,
-		Value:       a.Rec.Accepted,
+		Value:       accepted,
 	}, changed
 }
 
-// accept accepts a value, which promises its ballot too.
-func (a *Acceptor) accept(ballot messages.Ballot, v messages.Value) messages.ConsensusResponse {
+// accept accepts a value, which promises its ballot too. A reference stands for the value
+// that is accepted already; one to another value is rejected as if a higher ballot were
+// promised, and changes nothing.
+func (a *Acceptor) accept(ballot messages.Ballot, v messages.Value) (response messages.ConsensusResponse, changed bool) {
+	version := a.Rec.Committed.Version
+	if isReference(v) {
+		if !a.Rec.HasAccepted || !refersTo(v, a.Rec.Accepted) {
+			return messages.ConsensusResponse{Verdict: messages.Outbid, Version: version, Promised: a.Rec.Promised}, false
+		}
+		v = a.Rec.Accepted
+	}
 	a.Rec.Promised, a.Rec.AcceptedAt = ballot, ballot
 	a.Rec.Accepted, a.Rec.HasAccepted = v, true
-	return messages.ConsensusResponse{Verdict: messages.Granted, Version: a.Rec.Committed.Version, Promised: ballot}
+	return messages.ConsensusResponse{Verdict: messages.Granted, Version: version, Promised: ballot}, true
 }
--- a/internal/consensus/catchup.go
+++ b/internal/consensus/catchup.go
@@ -1,9 +1,7 @@
 package consensus
 
 import (
-	"bytes"
 	"context"
-	"crypto/sha256"
 	"time"
 
 	"github.com/pkg/errors"
@@ -34,39 +32,6 @@
 	return time.Duration(len(v.Body)) * transferTimePerByte
 }
 
-// referenceTo stands for a large value in a commit to a member that has probably
-// accepted it: it has no group, and a digest in place of the body. A member that has not
-// accepted the value ignores it, as does a build that knows no references.
-func referenceTo(v messages.Value) messages.Value {
-	encoded, _ := v.MarshalMsg(nil)
-	digest := sha256.Sum256(encoded)
-	return messages.Value{Version: v.Version, Body: digest[:], Stamp: v.Stamp}
-}
-
-// isReference reports whether a value was made by referenceTo.
-func isReference(v messages.Value) bool { return len(v.Group) == 0 && len(v.Body) > 0 }
-
-// refersTo reports whether a reference is to a value.
-func refersTo(reference, v messages.Value) bool {
-	return v.Version == reference.Version && v.Stamp == reference.Stamp && bytes.Equal(referenceTo(v).Body, reference.Body)
-}
-
-// commitReferenced learns the value that this member has accepted, if the request
-// refers to it. The response has the version that it knows to be committed then.
-func (r *Registers) commitReferenced(ctx context.Context, request messages.ConsensusRequest) (messages.ConsensusResponse, error) {
-	register := r.registers[request.Part]
-	if err := register.lock(ctx); err != nil {
-		return messages.ConsensusResponse{}, err
-	}
-	record := register.acceptor.Rec
-	register.unlock()
-	if record.HasAccepted && refersTo(request.Value, record.Accepted) {
-		r.Learn(request.Part, record.Accepted)
-	}
-	known, _ := r.Committed(request.Part)
-	return messages.ConsensusResponse{Verdict: messages.Granted, Version: known.Version}, nil
-}
-
 // Pull is the catch-up: it learns what the controller at addr has committed, a small
 // value in one response, a large one in chunks. It does nothing while another
 // catch-up from there, or a transfer of this register, is under way. After
--- a/internal/consensus/change.go
+++ b/internal/consensus/change.go
@@ -44,6 +44,7 @@
 			return messages.Value{}, ErrNoGroup
 		}
 		round := attempt.Round(base)
+		round.Hold(r.accepted(ctx, part))
 		begun := time.Now()
 		newRoundDriver(r, round).run(ctx)
 		r.counts.RoundDurations.Observe(time.Since(begun))
--- a/internal/consensus/paxos_model_test.go
+++ b/internal/consensus/paxos_model_test.go
@@ -3,11 +3,13 @@
 import (
 	"fmt"
 	"math/rand/v2"
+	"strings"
 	"testing"
 
 	"github.com/shoenig/test/must"
 
 	"beechtide.org/beechtide/internal/messages"
+	"beechtide.org/beechtide/internal/statesync"
 )
 
 // paxosModel plays messages, crashes, failed writes and disk losses against the
@@ -22,6 +24,7 @@
 	acknowledged int64
 	serial       int
 	rounds       []*Round
+	padding      string // makes the values large
 }
 
 // node is a member of the model.
@@ -76,6 +79,9 @@
 	p.serial++
 	stamp := fmt.Sprintf("s%d", p.serial)
 	round := NewRound(0, n.known, messages.Ballot{N: int64(1 + p.rnd.IntN(6)), Who: stamp}, stamp, change)
+	if n.acceptor.Rec.HasAccepted {
+		round.Hold(n.acceptor.Rec.Accepted)
+	}
 	p.rounds = append(p.rounds, round)
 	for _, request := range round.Requests() {
 		p.inFlight = append(p.inFlight, message{round: round, request: request})
@@ -253,7 +259,7 @@
 	switch k := p.rnd.IntN(100); {
 	case k < 6:
 		if n := p.pickLive(); n != nil {
-			p.startRound(n, setBody(fmt.Sprint(p.serial)))
+			p.startRound(n, setBody(fmt.Sprint(p.serial, p.padding)))
 		}
 	case k < 8:
 		if n := p.pickLive(); n != nil {
@@ -287,6 +293,27 @@
 	}
 }
 
+// The same with values so large that members report and accept them by reference.
+func TestOneLargeValueCommittedPerVersionInRandomOrders(t *testing.T) {
+	references := 0
+	for seed := range uint64(40) {
+		model := newPaxosModel(t, seed, 3+2*int(seed%2))
+		model.padding = strings.Repeat("x", statesync.ChunkBytes)
+		for range 600 {
+			model.step()
+			for _, m := range model.inFlight {
+				if m.request.Body.Step == messages.Accept && isReference(m.request.Body.Value) {
+					references++
+				}
+			}
+		}
+		acked := model.acknowledged
+		last := model.commitFinal()
+		must.Greater(t, acked, last.Version, must.Sprintf("seed %d: acknowledged change lost", seed))
+	}
+	must.Positive(t, references)
+}
+
 // One disk is lost at a time; the new identity replaces the old one before the next
 // loss.
 func TestAcknowledgedChangeSurvivesDiskLoss(t *testing.T) {
--- /dev/null
+++ b/internal/consensus/references_test.go
@@ -0,0 +1,111 @@
+package consensus
+
+import (
+	"strings"
+	"testing"
+
+	"github.com/shoenig/test/must"
+
+	"beechtide.org/beechtide/internal/messages"
+	"beechtide.org/beechtide/internal/statesync"
+)
+
+// unfinishedCluster is three acceptors that have all accepted a large value of a proposer
+// that ended before it committed it.
+func unfinishedCluster(t *testing.T) (base, accepted messages.Value, acceptors map[string]*Acceptor) {
+	t.Helper()
+	base = Genesis([]string{"a", "b", "c"})
+	acceptors = map[string]*Acceptor{}
+	round := NewRound(0, base, messages.Ballot{N: 1, Who: "first"}, "first", setBody(strings.Repeat("x", 8*statesync.ChunkBytes)))
+	for _, m := range base.Group {
+		acceptors[m.ID] = &Acceptor{ID: m.ID, Rec: messages.Record{Committed: base}}
+	}
+	play(t, round, acceptors)
+	must.Eq(t, Chosen, round.End)
+	for _, a := range acceptors {
+		a.Rec = messages.Record{Committed: base, Accepted: round.Value, HasAccepted: true, AcceptedAt: round.Ballot, Promised: round.Ballot}
+	}
+	return base, round.Value, acceptors
+}
+
+// play delivers the requests of a round in order, and returns the bytes of all requests
+// and responses.
+func play(t *testing.T, round *Round, acceptors map[string]*Acceptor) (total int) {
+	t.Helper()
+	requests := round.Requests()
+	for len(requests) > 0 && round.End == InProgress {
+		request := requests[0]
+		requests = requests[1:]
+		response, _ := acceptors[request.To.ID].Handle(request.Body)
+		sent, err := request.Body.MarshalMsg(nil)
+		must.NoError(t, err)
+		answered, err := response.MarshalMsg(nil)
+		must.NoError(t, err)
+		total += len(sent) + len(answered)
+		requests = append(requests, round.Receive(request.To, request.Body.Step, response)...)
+	}
+	return total
+}
+
+// finishing is a round that brings an accepted value to its end.
+func finishing(base messages.Value) *Round {
+	return NewRound(0, base, messages.Ballot{N: 2, Who: "second"}, "second", func(messages.Value) ([]messages.Member, []byte, error) { return nil, nil, errNoChange })
+}
+
+func TestAcceptedLargeValueIsFinishedByReference(t *testing.T) {
+	base, accepted, acceptors := unfinishedCluster(t)
+	round := finishing(base)
+	round.Hold(accepted)
+	bytes := play(t, round, acceptors)
+	must.Eq(t, Chosen, round.End)
+	must.Eq(t, accepted, round.Value)
+	must.Less(t, 4096, bytes)
+	again := 0
+	for _, a := range acceptors {
+		must.Eq(t, accepted, a.Rec.Accepted)
+		if a.Rec.AcceptedAt == round.Ballot {
+			again++
+		}
+	}
+	must.GreaterEq(t, 2, again)
+}
+
+// A proposer that has not accepted the value itself is given all of it.
+func TestAcceptedLargeValueIsReportedToAProposerWithoutIt(t *testing.T) {
+	base, accepted, acceptors := unfinishedCluster(t)
+	round := finishing(base)
+	play(t, round, acceptors)
+	must.Eq(t, Chosen, round.End)
+	must.Eq(t, accepted, round.Value)
+}
+
+// A member that has not accepted the value is sent all of it.
+func TestMemberWithoutAcceptedLargeValueIsSentAllOfIt(t *testing.T) {
+	base, accepted, acceptors := unfinishedCluster(t)
+	for id, a := range acceptors {
+		a.Rec = messages.Record{Committed: base}
+		if id == base.Group[0].ID {
+			a.Rec.Accepted, a.Rec.HasAccepted, a.Rec.AcceptedAt = accepted, true, messages.Ballot{N: 1, Who: "first"}
+		}
+	}
+	round := finishing(base)
+	round.Hold(accepted)
+	play(t, round, acceptors)
+	must.Eq(t, Chosen, round.End)
+	for _, a := range acceptors {
+		must.True(t, !a.Rec.HasAccepted || len(a.Rec.Accepted.Group) == 3, must.Sprint("no reference is ever stored"))
+	}
+}
+
+func TestReferenceToAnotherValueIsRejected(t *testing.T) {
+	_, accepted, acceptors := unfinishedCluster(t)
+	other := accepted
+	other.Stamp = "other"
+	for _, a := range acceptors {
+		before := a.Rec
+		response, changed := a.Handle(messages.ConsensusRequest{To: a.ID, Step: messages.Accept, Slot: accepted.Version, Ballot: messages.Ballot{N: 9}, Value: referenceTo(other)})
+		must.Eq(t, messages.Outbid, response.Verdict)
+		must.False(t, changed)
+		must.Eq(t, before, a.Rec)
+	}
+}
--- a/internal/consensus/round.go
+++ b/internal/consensus/round.go
@@ -72,6 +72,9 @@
 	preemptedBy     map[string]bool // members that have promised a higher ballot
 	hasAccepted     bool            // a member has reported an accepted value: Value
 	highestAccepted messages.Ballot // the ballot of that value
+	held            messages.Value  // a large value that this node has accepted itself
+	heldReference   messages.Value  // the reference to it
+	holds           map[string]bool // members that have reported held by its reference
 	sealPending     bool            // rejected by a majority's promises, waiting for the other members
 }
 
@@ -79,7 +82,16 @@
 func NewRound(part int, base messages.Value, ballot messages.Ballot, stamp string, change Change) *Round {
 	return &Round{
 		Part: part, Base: base, Ballot: ballot, Stamp: stamp,
-		change: change, granted: map[string]bool{}, preemptedBy: map[string]bool{},
+		change: change, granted: map[string]bool{}, preemptedBy: map[string]bool{}, holds: map[string]bool{},
+	}
+}
+
+// Hold tells the round, before its first request, what this node has accepted itself.
+// Members that have accepted the same large value report it, and are sent it, by
+// reference.
+func (r *Round) Hold(accepted messages.Value) {
+	if isLarge(accepted) && accepted.Version == r.Base.Version+1 {
+		r.held, r.heldReference = accepted, referenceTo(accepted)
 	}
 }
 
@@ -101,13 +113,21 @@
 }
 
 func (r *Round) requestFor(m messages.Member) messages.ConsensusRequest {
-	request := messages.ConsensusRequest{Part: r.Part, To: m.ID, Step: messages.Prepare, Slot: r.Base.Version + 1, Ballot: r.Ballot}
+	request := messages.ConsensusRequest{Part: r.Part, To: m.ID, Step: messages.Prepare, Slot: r.Base.Version + 1, Ballot: r.Ballot, Value: r.heldReference}
 	if r.accepting {
-		request.Step, request.Value = messages.Accept, r.Value
+		request.Step, request.Value = messages.Accept, r.valueFor(m)
 	}
 	return request
 }
 
+// valueFor returns what a member is sent to accept.
+func (r *Round) valueFor(m messages.Member) messages.Value {
+	if r.holds[m.ID] {
+		return r.heldReference
+	}
+	return r.Value
+}
+
 // Receive records a member's response to a request of the given step. It returns
 // further requests: those of the next phase, or the committed base for a member that
 // is behind. Responses to the other phase are ignored.
@@ -127,6 +147,9 @@
 		r.preempt(from, response.Promised)
 		return nil
 	case messages.Granted:
+		if !r.accepting && !r.resolve(from, &response) {
+			return nil
+		}
 		r.granted[from.ID] = true
 		if r.accepting {
 			r.finishAccept()
@@ -161,6 +184,20 @@
 	}
 }
 
+// resolve puts the held value in place of the reference to it. It returns false for a
+// reference to another value, which nobody sends.
+func (r *Round) resolve(from messages.Member, promise *messages.ConsensusResponse) bool {
+	if !promise.HasAccepted || !isReference(promise.Value) {
+		return true
+	}
+	if !isReference(r.heldReference) || !sameReference(promise.Value, r.heldReference) {
+		return false
+	}
+	r.holds[from.ID] = true
+	promise.Value = r.held
+	return true
+}
+
 // receivePromise keeps the accepted value with the highest ballot, and goes on to
 // the accept phase once a majority has promised.
 func (r *Round) receivePromise(promise messages.ConsensusResponse) []Request {
@@ -210,6 +247,9 @@
 func (r *Round) startAccept() []Request {
 	r.accepting, r.sealPending = true, false
 	r.granted, r.preemptedBy = map[string]bool{}, map[string]bool{}
+	if len(r.holds) > 0 && !sameReference(referenceTo(r.Value), r.heldReference) {
+		clear(r.holds)
+	}
 	return r.Requests()
 }
 
