--- /dev/null
+++ b/internal/clocksync/clock_test.go
@@ -0,0 +1,140 @@
+package clocksync
+
+import (
+	"math/rand/v2"
+	"testing"
+
+	"github.com/shoenig/test/must"
+)
+
+const (
+	ms     = int64(1_000)
+	second = 1_000 * ms
+	dayUs  = 1_700_000_000 * second // a time of day at the start of the monotonic clock
+)
+
+// timeAt returns what a clock takes a moment for, less what it is.
+func timeAt(t *testing.T, c *Clock, nowUs int64) int64 {
+	t.Helper()
+	timeUs, _ := c.TimeUs(nowUs)
+	return timeUs - dayUs - nowUs
+}
+
+func TestJumpOfOwnTimeIsNotFollowed(t *testing.T) {
+	var c Clock
+	c.Observe(dayUs, 0)
+	const jumpUs = 100 * ms
+	for nowUs := jumpUs; nowUs < jumpUs+StepHoldUs; nowUs += 100 * ms {
+		c.Observe(dayUs+nowUs+2*second, nowUs)
+		must.Zero(t, timeAt(t, &c, nowUs))
+	}
+	c.Observe(dayUs+jumpUs+StepHoldUs+2*second, jumpUs+StepHoldUs)
+	must.Eq(t, 2*second, timeAt(t, &c, jumpUs+StepHoldUs), must.Sprint("what lasts is the time"))
+}
+
+func TestSlowCorrectionIsFollowed(t *testing.T) {
+	var c Clock
+	c.Observe(dayUs, 0)
+	for i := range int64(100) {
+		c.Observe(dayUs+i*100*ms+i*ms, i*100*ms)
+	}
+	must.Eq(t, 99*ms, timeAt(t, &c, 9_900*ms))
+}
+
+func TestProcessThatStartsDuringAJumpTakesTheTimeOfTheOthers(t *testing.T) {
+	c := Clock{Votes: true}
+	c.Observe(dayUs-2*second, 0)
+	must.Eq(t, -2*second, timeAt(t, &c, 0))
+	const sentUs, answeredUs = 100 * ms, 104 * ms
+	for _, node := range []string{"a", "b"} {
+		c.Compare(node, dayUs+102*ms, true, sentUs, answeredUs)
+	}
+	must.Between(t, -2*ms, timeAt(t, &c, second), 2*ms)
+	_, agreed := c.TimeUs(second)
+	must.True(t, agreed)
+}
+
+// One that agrees with the others within the error of the messages uses its own time,
+// which is more exact.
+func TestOwnTimeIsUsedWhereOthersAgree(t *testing.T) {
+	c := Clock{Votes: true}
+	c.Observe(dayUs, 0)
+	c.Compare("a", dayUs+130*ms, true, 100*ms, 150*ms)
+	must.Zero(t, timeAt(t, &c, second))
+}
+
+func TestNodesThatHaveComparedCountFirst(t *testing.T) {
+	c := Clock{Votes: true}
+	c.Observe(dayUs+2*second, 0)
+	for _, node := range []string{"a", "b", "c"} {
+		c.Compare(node, dayUs+2*second, false, 0, 0) // started during the same jump
+	}
+	c.Compare("d", dayUs, true, 0, 0)
+	must.Zero(t, timeAt(t, &c, 0))
+}
+
+func TestMoreExactSampleIsKept(t *testing.T) {
+	var c Clock
+	c.Compare("a", dayUs, true, -ms, ms)
+	c.Compare("a", dayUs+second+300*ms, true, second, second+400*ms)
+	must.Zero(t, timeAt(t, &c, 2*second))
+	c.Compare("a", dayUs+3*second+second, true, 3*second-200*ms, 3*second+200*ms)
+	must.Eq(t, second, timeAt(t, &c, 3*second), must.Sprint("it is contradicted"))
+	c.Compare("b", 0, true, 0, 0)
+	must.MapLen(t, 1, c.samples)
+}
+
+// A fleet of controllers whose clocks jump by seconds on up to two in five of them, and
+// whose processes are restarted, keeps one time.
+func TestFleetKeepsOneTime(t *testing.T) {
+	const nodes, stepsS = 5, 60
+	for seed := range uint64(200) {
+		random := rand.New(rand.NewPCG(seed, 2))
+		var clocks [nodes]Clock
+		var jumpedUs, startUs [nodes]int64 // of the machine's clock; of the process's monotonic clock
+		start := func(i int, nowUs int64) {
+			startUs[i] = nowUs
+			clocks[i] = Clock{Votes: true}
+			clocks[i].Observe(dayUs+nowUs+jumpedUs[i], 0)
+		}
+		for i := range nodes {
+			start(i, 0)
+		}
+		compare := func(nowUs int64) {
+			for i := range nodes {
+				clocks[i].Observe(dayUs+nowUs+jumpedUs[i], nowUs-startUs[i])
+				for j := range nodes {
+					if i == j || random.IntN(5) == 0 {
+						continue
+					}
+					there, back := random.Int64N(10*ms), random.Int64N(10*ms)
+					timeUs, agreed := clocks[j].TimeUs(nowUs - startUs[j])
+					clocks[i].Compare(string(rune('a'+j)), timeUs, agreed, nowUs-there-startUs[i], nowUs+back-startUs[i])
+				}
+			}
+		}
+		for range 4 {
+			compare(0)
+		}
+		for nowUs := second / 2; nowUs < stepsS*second; nowUs += second / 2 {
+			if random.IntN(20) == 0 {
+				jumpedUs = [nodes]int64{}
+				for range 2 {
+					jumpedUs[random.IntN(nodes)] = (random.Int64N(5) - 2) * second
+				}
+			}
+			if random.IntN(10) == 0 {
+				start(random.IntN(nodes), nowUs)
+			}
+			compare(nowUs)
+			for i := range nodes {
+				if nowUs-startUs[i] < 2*second {
+					continue
+				}
+				timeUs, _ := clocks[i].TimeUs(nowUs - startUs[i])
+				errorUs := timeUs - dayUs - nowUs
+				must.Between(t, -60*ms, errorUs, 60*ms, must.Sprintf("seed %d, node %d at %d", seed, i, nowUs))
+			}
+		}
+	}
+}
--- /dev/null
+++ b/internal/controller/usage_test.go
@@ -0,0 +1,214 @@
+package controller
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"net/http"
+	"net/http/httptest"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/go-logr/logr"
+	"github.com/panjf2000/ants/v2"
+	"github.com/shoenig/test/must"
+
+	"beechtide.org/beechtide/internal/api"
+	"beechtide.org/beechtide/internal/lease"
+	"beechtide.org/beechtide/internal/messages"
+	"beechtide.org/beechtide/internal/settings"
+	"beechtide.org/beechtide/internal/transport"
+)
+
+// platformCall is a call as the platform has seen it.
+type platformCall struct {
+	path, holder, fence string
+	usage               api.UsageReport
+}
+
+// platform is a stand-in for the platform's API.
+type platform struct {
+	mu     sync.Mutex
+	calls  []platformCall
+	status atomic.Int64 // of the answers
+}
+
+func newPlatform(t *testing.T) (p *platform, addr string) {
+	t.Helper()
+	p = &platform{}
+	p.status.Store(http.StatusOK)
+	server := httptest.NewServer(p)
+	t.Cleanup(server.Close)
+	return p, server.Listener.Addr().String()
+}
+
+func (p *platform) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	c := platformCall{path: r.URL.Path, holder: r.Header.Get("Beechtide-Duty-Holder"), fence: r.Header.Get("Beechtide-Fence")}
+	_ = json.NewDecoder(r.Body).Decode(&c.usage)
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.calls = append(p.calls, c)
+	w.WriteHeader(int(p.status.Load()))
+}
+
+func (p *platform) seen() []platformCall {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return append([]platformCall{}, p.calls...)
+}
+
+// metered starts a controller of a core of one that reports usage in windows of a second.
+// Its clock runs on real time and can be put on by skipUs.
+func metered(t *testing.T, dir, platformAddr string, port int, bootstrap bool) (d *Controller, skipUs *atomic.Int64, stop func()) {
+	t.Helper()
+	control := fmt.Sprintf("127.0.0.1:%d", port+2)
+	set := settings.Settings{Node: "n", Ip: "127.0.0.1", Zone: "a", Ports: []int{port, port + 1}, Seeds: []string{control}, Bootstrap: bootstrap, DataDir: dir, BeatPeriodMs: 1000}
+	set.Listen.Control = control
+	set.Bounds = settings.Bounds{LeaseMs: 200, UsageWindowS: 1, UsageDelayS: 10}
+	set.Cloud = settings.Cloud{Address: platformAddr, Duties: []string{usageDuty}}
+	pool, err := ants.NewPool(64, ants.WithNonblocking(true))
+	must.NoError(t, err)
+	began := time.Now()
+	skipUs = &atomic.Int64{}
+	d, err = New(set, pool, func() int64 { return time.Since(began).Microseconds() + 1 + skipUs.Load() }, logr.Discard())
+	must.NoError(t, err)
+	ctx, cancel := context.WithCancel(context.Background())
+	ended := make(chan error, 1)
+	go func() { ended <- d.Run(ctx) }()
+	until(t, func() bool { return listens(control) })
+	return d, skipUs, sync.OnceFunc(func() {
+		cancel()
+		<-ended
+		if d.disk != nil {
+			d.disk.Close()
+		}
+	})
+}
+
+// countRequests has a controller receive a router's counts of the current window.
+func countRequests(t *testing.T, d *Controller, router string, counts ...messages.UsageCount) (window int64) {
+	t.Helper()
+	nowUs, _ := d.timeOfDay.TimeUs(d.clock())
+	window = nowUs / d.usage.lengthUs
+	rows := messages.UsageRows{Rows: []messages.UsageRow{{Window: window, Router: router, Counts: counts}}}
+	body, err := rows.MarshalMsg(nil)
+	must.NoError(t, err)
+	answer, err := d.usage.receiveRows(context.Background(), nil, body)
+	must.NoError(t, err)
+	var ack messages.UsageAck
+	_, err = ack.UnmarshalMsg(answer)
+	must.NoError(t, err)
+	must.Positive(t, ack.Epoch)
+	return window
+}
+
+func TestWindowsAreReportedInTurnUnderAFence(t *testing.T) {
+	p, addr := newPlatform(t)
+	d, _, stop := metered(t, t.TempDir(), addr, freePort(t), true)
+	defer stop()
+	window := countRequests(t, d, "r1", messages.UsageCount{Tenant: "x", Count: 3}, messages.UsageCount{Tenant: "y", Count: 1})
+	countRequests(t, d, "r2", messages.UsageCount{Tenant: "x", Count: 4})
+	until(t, func() bool { return len(p.seen()) >= 3 })
+	total := map[string]int64{}
+	for i, c := range p.seen() {
+		must.Eq(t, platformCall{path: "/usage", holder: "n", fence: "1", usage: c.usage}, c)
+		must.Eq(t, window+int64(i), c.usage.WindowSeq)
+		for tenant, count := range c.usage.Counts {
+			total[tenant] += count
+		}
+	}
+	must.Eq(t, map[string]int64{"x": 7, "y": 1}, total)
+}
+
+// What was agreed on is sent again as it was, whatever has been counted since, also by
+// the next process, until the platform accepts it.
+func TestClosedWindowIsRepeatedUnchanged(t *testing.T) {
+	p, addr := newPlatform(t)
+	p.status.Store(http.StatusServiceUnavailable)
+	dir, port := t.TempDir(), freePort(t)
+	d, _, stop := metered(t, dir, addr, port, true)
+	defer stop()
+	window := countRequests(t, d, "r1", messages.UsageCount{Tenant: "x", Count: 3})
+	until(t, func() bool { return len(p.seen()) >= 2 })
+	stop()
+	p.status.Store(http.StatusOK)
+	d, _, stop = metered(t, dir, addr, port, false)
+	defer stop()
+	d.usage.merge([]messages.UsageRow{{Window: window, Router: "r1", Counts: []messages.UsageCount{{Tenant: "x", Count: 9}}}})
+	accepted := func() (window int64) {
+		d.usage.mu.Lock()
+		defer d.usage.mu.Unlock()
+		return d.usage.plan.Reported()
+	}
+	until(t, func() bool { return accepted() > window })
+	fences := map[string]bool{}
+	for _, c := range p.seen() {
+		fences[c.fence] = true
+		if c.usage.WindowSeq == window {
+			must.Eq(t, map[string]int64{"x": 3}, c.usage.Counts)
+		}
+	}
+	must.MapLen(t, 2, fences, must.Sprint("the next process has a fence of its own"))
+}
+
+// Counts that no window was made of yet outlive a loss of power.
+func TestCountsOutliveTheProcess(t *testing.T) {
+	p, addr := newPlatform(t)
+	dir, port := t.TempDir(), freePort(t)
+	d, _, stop := metered(t, dir, addr, port, true)
+	defer stop()
+	window := countRequests(t, d, "r1", messages.UsageCount{Tenant: "x", Count: 3})
+	d.usage.keep()
+	stop()
+	d, _, stop = metered(t, dir, addr, port, false)
+	defer stop()
+	until(t, func() bool { return len(p.seen()) > 0 })
+	must.Eq(t, api.UsageReport{WindowSeq: window, Counts: map[string]int64{"x": 3}}, p.seen()[0].usage)
+}
+
+// After a refusal nothing is sent under the fence any more; the next one is higher.
+func TestRefusedFenceIsReplaced(t *testing.T) {
+	p, addr := newPlatform(t)
+	p.status.Store(http.StatusConflict)
+	d, _, stop := metered(t, t.TempDir(), addr, freePort(t), true)
+	defer stop()
+	countRequests(t, d, "r1", messages.UsageCount{Tenant: "x", Count: 3})
+	until(t, func() bool { return len(p.seen()) >= 3 })
+	seen := map[string]int{}
+	for _, c := range p.seen() {
+		seen[c.fence]++
+	}
+	for fence, calls := range seen {
+		must.Eq(t, 1, calls, must.Sprintf("calls under fence %s", fence))
+	}
+}
+
+// A grant that has run out as the call leaves, or under a refused fence, allows no call.
+func TestPlatformIsNotCalledWithoutAGrant(t *testing.T) {
+	p, addr := newPlatform(t)
+	d, _, stop := metered(t, t.TempDir(), addr, freePort(t), true)
+	defer stop()
+	ctx, grant := context.Background(), lease.Grant{Fence: 4, MayAct: true, UntilUs: d.clock()}
+	must.Eq(t, platformNotSent, d.callPlatform(ctx, usagePart, grant, "/usage", api.UsageReport{}))
+	grant.UntilUs += 60_000_000
+	must.Eq(t, platformAccepted, d.callPlatform(ctx, usagePart, grant, "/usage", api.UsageReport{}))
+	d.roles.refuse(usagePart, 4)
+	must.Eq(t, platformNotSent, d.callPlatform(ctx, usagePart, grant, "/usage", api.UsageReport{}))
+	must.Len(t, 1, p.seen())
+}
+
+func TestHolderIsGivenTheRowsOfTheOthers(t *testing.T) {
+	_, addr := newPlatform(t)
+	d, _, stop := metered(t, t.TempDir(), addr, freePort(t), true)
+	defer stop()
+	window := countRequests(t, d, "r1", messages.UsageCount{Tenant: "x", Count: 3})
+	query := messages.UsageQuery{From: window, To: window}
+	b, err := d.transport.Call(context.Background(), d.transport.Addr(), transport.KindUsageQuery, &query)
+	must.NoError(t, err)
+	var rows messages.UsageRows
+	_, err = rows.UnmarshalMsg(b)
+	must.NoError(t, err)
+	must.Eq(t, []messages.UsageRow{{Window: window, Router: "r1", Counts: []messages.UsageCount{{Tenant: "x", Count: 3}}}}, rows.Rows)
+}
--- /dev/null
+++ b/internal/usage/usage_test.go
@@ -0,0 +1,185 @@
+package usage
+
+import (
+	"math/rand/v2"
+	"testing"
+
+	"github.com/shoenig/test/must"
+
+	"beechtide.org/beechtide/internal/messages"
+)
+
+const (
+	second   = int64(1_000_000)
+	lengthUs = 5 * second
+)
+
+func counts(of ...any) []messages.UsageCount {
+	out := []messages.UsageCount{}
+	for i := 0; i < len(of); i += 2 {
+		out = append(out, messages.UsageCount{Tenant: of[i].(string), Count: int64(of[i+1].(int))})
+	}
+	return out
+}
+
+func TestRowsSinceHasOnlyWhatChanged(t *testing.T) {
+	c := NewCounter("r")
+	c.Add(7, "a")
+	c.Add(7, "b")
+	c.Add(8, "a")
+	rows, first := c.RowsSince(0)
+	must.Len(t, 2, rows)
+	c.Add(8, "b")
+	c.Add(8, "b")
+	rows, newest := c.RowsSince(first)
+	must.Eq(t, []messages.UsageRow{{Window: 8, Router: "r", Counts: counts("b", 2)}}, rows)
+	rows, again := c.RowsSince(newest)
+	must.SliceEmpty(t, rows)
+	must.Eq(t, newest, again)
+	c.Closed(8)
+	rows, _ = c.RowsSince(0)
+	must.Len(t, 1, rows)
+}
+
+// Rows may come twice, in any order and by several ways.
+func TestTotalDoesNotDependOnOrderOrRepeats(t *testing.T) {
+	for seed := range uint64(50) {
+		random := rand.New(rand.NewPCG(seed, 1))
+		truth, collector := map[string]int64{}, NewCollector()
+		var sent []messages.UsageRow
+		for _, router := range []string{"r1", "r2", "r3"} {
+			c, change := NewCounter(router), int64(0)
+			for range 200 {
+				tenant := string(rune('a' + random.IntN(4)))
+				c.Add(3, tenant)
+				truth[tenant]++
+				if random.IntN(10) == 0 {
+					var rows []messages.UsageRow
+					rows, change = c.RowsSince(change)
+					sent = append(sent, rows...)
+				}
+			}
+			rows, _ := c.RowsSince(0)
+			sent = append(sent, rows...)
+		}
+		sent = append(sent, sent[:random.IntN(len(sent))]...)
+		random.Shuffle(len(sent), func(i, j int) { sent[i], sent[j] = sent[j], sent[i] })
+		for _, row := range sent {
+			must.Zero(t, collector.Merge([]messages.UsageRow{row}))
+		}
+		must.Eq(t, sorted(truth), collector.Total(3))
+		other := NewCollector()
+		other.Merge(collector.Rows(3, 3))
+		must.Eq(t, sorted(truth), other.Total(3))
+	}
+}
+
+func TestRowsOfClosedWindowsChangeNothing(t *testing.T) {
+	c := NewCollector()
+	row := messages.UsageRow{Window: 4, Router: "r", Counts: counts("a", 1)}
+	c.Merge([]messages.UsageRow{row})
+	c.Closed(5)
+	must.Eq(t, 1, c.Merge([]messages.UsageRow{row}))
+	must.SliceEmpty(t, c.Total(4))
+	_, any := c.Oldest()
+	must.False(t, any)
+}
+
+func TestWindowsAreBounded(t *testing.T) {
+	counter, collector := NewCounter("r"), NewCollector()
+	for window := range int64(2 * MaxWindows) {
+		counter.Add(window, "a")
+		rows, _ := counter.RowsSince(window)
+		collector.Merge(rows)
+	}
+	rows, _ := counter.RowsSince(0)
+	must.Len(t, MaxWindows, rows)
+	must.Len(t, MaxWindows, collector.Rows(0, 1<<62))
+}
+
+func TestWindowIsClosedOnceAndInTurn(t *testing.T) {
+	var ledger messages.UsageLedger
+	must.True(t, Close(&ledger, 10, counts("a", 1), 0))
+	must.False(t, Close(&ledger, 10, counts("a", 2), 0))
+	must.False(t, Close(&ledger, 12, counts(), 0))
+	must.True(t, Close(&ledger, 11, counts("a", 3), 0))
+	must.Eq(t, []messages.UsageWindow{{Window: 10, Counts: counts("a", 1)}, {Window: 11, Counts: counts("a", 3)}}, ledger.Pending)
+	must.True(t, Close(&ledger, 12, counts(), 11))
+	must.Eq(t, []messages.UsageWindow{{Window: 12, Counts: counts()}}, ledger.Pending)
+	must.SliceEmpty(t, Pending(ledger, 12))
+}
+
+// A copy of the ledger, as another reader has it, is not changed by the next closing.
+func TestCloseLeavesEarlierCopiesAlone(t *testing.T) {
+	ledger := messages.UsageLedger{Next: 3, Pending: make([]messages.UsageWindow, 2, 8)}
+	ledger.Pending[0].Window, ledger.Pending[1].Window = 1, 2
+	before := ledger
+	must.True(t, Close(&ledger, 3, counts(), 1))
+	must.Eq(t, int64(1), before.Pending[0].Window)
+	must.Eq(t, int64(2), before.Pending[1].Window)
+}
+
+func newTestPlan() *Plan {
+	return NewPlan(Config{LengthUs: lengthUs, Jitter: func() float64 { return 1 }})
+}
+
+func TestWindowIsClosedOnceItHasSettled(t *testing.T) {
+	p := newTestPlan()
+	v := View{NowUs: 1, Ledger: messages.UsageLedger{Next: 4}, IsHolder: true}
+	must.False(t, p.Step(v).Needed(), must.Sprint("the time of day is not known"))
+	v.TimeUs = 5*lengthUs + SettleUs - 1
+	must.False(t, p.Step(v).Needed())
+	v.TimeUs++
+	must.Eq(t, int64(4), p.Step(v).Close)
+	must.False(t, p.MayClose(4, v.TimeUs))
+	must.True(t, p.MayClose(4, 5*lengthUs+GiveUpUs))
+	p.Closing()
+	must.Zero(t, p.Step(v).Close, must.Sprint("one at a time"))
+	p.Closed(false, v.NowUs)
+	must.Zero(t, p.Step(v).Close)
+	v.NowUs += closePauseUs
+	must.Eq(t, int64(4), p.Step(v).Close)
+}
+
+// Before the first request there is nothing to report. The holder looks once a window
+// whether another controller has counts.
+func TestFirstWindowIsTheOldestWithACount(t *testing.T) {
+	p := newTestPlan()
+	v := View{NowUs: 1, TimeUs: 9*lengthUs + SettleUs}
+	must.False(t, p.Step(v).Needed())
+	v.IsHolder = true
+	must.Eq(t, int64(8), p.Step(v).Close)
+	p.Searched(8)
+	must.False(t, p.Step(v).Needed())
+	v.Counted, v.Oldest = true, 6
+	must.Eq(t, int64(6), p.Step(v).Close)
+	v.Oldest = 9
+	must.False(t, p.Step(v).Needed(), must.Sprint("that window has not ended"))
+}
+
+func TestWindowsAreReportedOldestFirstWithPauses(t *testing.T) {
+	p := newTestPlan()
+	v := View{NowUs: second, Ledger: messages.UsageLedger{Next: 6, Pending: []messages.UsageWindow{{Window: 4}, {Window: 5}}}}
+	must.Eq(t, int64(4), p.Step(v).Report.Window)
+	p.Reporting()
+	must.Nil(t, p.Step(v).Report)
+	pauseUs := minPauseUs
+	for range 8 {
+		p.Answered(4, false, v.NowUs)
+		must.Nil(t, p.Step(v).Report)
+		v.NowUs += pauseUs
+		must.Eq(t, int64(4), p.Step(v).Report.Window)
+		pauseUs = min(2*pauseUs, maxPauseUs)
+	}
+	p.Answered(4, true, v.NowUs)
+	must.Eq(t, int64(5), p.Step(v).Report.Window)
+	p.Answered(5, true, v.NowUs)
+	must.False(t, p.Step(v).Needed())
+	must.Eq(t, int64(5), p.Reported())
+}
+
+func TestNothingIsClosedWhileTooManyWindowsWait(t *testing.T) {
+	p := newTestPlan()
+	v := View{NowUs: 1, TimeUs: 1 << 50, Ledger: messages.UsageLedger{Next: 4, Pending: make([]messages.UsageWindow, MaxWindows)}}
+	must.Zero(t, p.Step(v).Close)
+}
