--- a/internal/clocksync/clock.go
+++ b/internal/clocksync/clock.go
@@ -26,6 +26,9 @@
 	ToleranceUs = int64(50_000)
 	// StepHoldUs is for how long a jump of the own time of day is not believed.
 	StepHoldUs = int64(60_000_000)
+	// AgreeUs is how long after the start a node waits, where no other has compared its
+	// time either, until it has heard of most others.
+	AgreeUs = int64(1_500_000)
 	// SampleAgeUs is for how long a sample of another node counts.
 	SampleAgeUs = int64(10_000_000)
 )
@@ -44,6 +47,8 @@
 	Votes bool
 
 	observed  bool
+	startUs   int64 // of the first observation or sample
+	started   bool
 	offsetUs  int64 // time of day minus monotonic clock, as kept
 	steppedUs int64 // since when the own time of day differs from it; 0 while it does not
 	agreed    bool  // the offset has been compared with others
@@ -53,6 +58,7 @@
 // Observe takes this machine's time of day. It is called often, as between two calls only
 // a small change is followed.
 func (c *Clock) Observe(timeOfDayUs, nowUs int64) {
+	c.start(nowUs)
 	offsetUs := timeOfDayUs - nowUs
 	switch {
 	case !c.observed, abs(offsetUs-c.offsetUs) <= SlewUs:
@@ -64,6 +70,13 @@
 	}
 }
 
+// start notes when the clock began.
+func (c *Clock) start(nowUs int64) {
+	if !c.started {
+		c.started, c.startUs = true, nowUs
+	}
+}
+
 // Compare takes the time of day that another node has answered to a request that was
 // sent and answered at these times of the monotonic clock here. agreed says that the other
 // has compared it with further nodes.
@@ -71,6 +84,7 @@
 	if timeOfDayUs == 0 || answeredUs < sentUs {
 		return
 	}
+	c.start(sentUs)
 	if c.samples == nil {
 		c.samples = map[string]sample{}
 	}
@@ -83,29 +97,40 @@
 	c.adopt(answeredUs)
 }
 
-// adopt compares the kept offset with the median of the others.
+// adopt compares the kept offset with the median of the others. Where none of them has
+// compared its own, as after a start of all, that waits until most have been heard, and
+// is not done again.
 func (c *Clock) adopt(nowUs int64) {
 	medianUs, errorUs, ok := c.median(nowUs)
 	if !ok {
 		return
 	}
+	if !c.anyAgreed(nowUs) && (c.agreed || nowUs-c.startUs < AgreeUs) {
+		return
+	}
 	c.agreed = true
 	if !c.observed || abs(c.offsetUs-medianUs) > errorUs+ToleranceUs {
 		c.observed, c.offsetUs = true, medianUs
 	}
 }
 
-// median returns the median of the offsets that count, and the largest error among them.
-// Nodes that have compared themselves count before those that have not.
-func (c *Clock) median(nowUs int64) (offsetUs, errorUs int64, ok bool) {
-	anyAgreed := c.Votes && c.agreed
+// anyAgreed reports whether another node has compared its offset. It drops old samples.
+func (c *Clock) anyAgreed(nowUs int64) bool {
+	any := false
 	for node, s := range c.samples {
 		if nowUs-s.atUs >= SampleAgeUs {
 			delete(c.samples, node)
 			continue
 		}
-		anyAgreed = anyAgreed || s.agreed
+		any = any || s.agreed
 	}
+	return any
+}
+
+// median returns the median of the offsets that count, and the largest error among them.
+// Nodes that have compared themselves count before those that have not.
+func (c *Clock) median(nowUs int64) (offsetUs, errorUs int64, ok bool) {
+	anyAgreed := c.Votes && c.agreed || c.anyAgreed(nowUs)
 	var offsets []int64
 	for _, s := range c.samples {
 		if s.agreed == anyAgreed {
--- a/internal/controller/usage.go
+++ b/internal/controller/usage.go
@@ -128,11 +128,16 @@
 		return nil, err
 	}
 	u.mu.Lock()
-	rows := messages.UsageRows{Rows: u.collector.Rows(query.From, query.To)}
+	rows := messages.UsageRows{Rows: u.collector.Rows(query.From, query.To), Refilling: u.refilling()}
 	u.mu.Unlock()
 	return rows.MarshalMsg(nil)
 }
 
+// refilling reports whether routers may not have repeated yet what an earlier process had.
+func (u *usageReporter) refilling() bool {
+	return u.controller.clock()-u.controller.startUs < usage.RefillUs
+}
+
 // closed forgets the windows before the first one that is not closed.
 func (u *usageReporter) closed(next int64) {
 	u.mu.Lock()
@@ -160,9 +165,9 @@
 	if !grant.MayAct {
 		return
 	}
-	if step.Close > 0 {
+	if step.Close > 0 && !u.refilling() {
 		u.mu.Lock()
-		u.plan.Closing()
+		u.plan.Closing(step.Close, u.controller.clock())
 		u.mu.Unlock()
 		go u.close(ctx, body, step.Close)
 	}
@@ -186,7 +191,7 @@
 	complete := u.collect(ctx, messages.UsageQuery{From: body.Usage.Next, To: window})
 	timeUs, _ := d.timeOfDay.TimeUs(d.clock())
 	u.mu.Lock()
-	mayClose := complete || u.plan.MayClose(window, timeUs)
+	mayClose := complete || u.plan.MayClose(window, timeUs, d.clock())
 	if oldest, counted := u.collector.Oldest(); body.Usage.Next == 0 && counted {
 		window = min(window, oldest)
 	} else if body.Usage.Next == 0 && mayClose {
@@ -209,7 +214,7 @@
 }
 
 // collect asks all other controllers for the rows of some windows. It reports whether all
-// of them have answered.
+// of them have answered, and have what they ever had.
 func (u *usageReporter) collect(ctx context.Context, query messages.UsageQuery) (complete bool) {
 	d := u.controller
 	ctx, cancel := context.WithTimeout(ctx, usageQueryWait)
@@ -230,7 +235,7 @@
 			u.merge(rows.Rows)
 			mu.Lock()
 			defer mu.Unlock()
-			complete = complete && err == nil
+			complete = complete && err == nil && !rows.Refilling
 		})
 	}
 	asked.Wait()
--- a/internal/messages/msgp.gen.go
+++ b/internal/messages/msgp.gen.go
@@ -5383,9 +5383,12 @@
 // MarshalMsg implements msgp.Marshaler
 func (z *UsageRows) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
-	// map header, size 1
+	// map header, size 2
+	// string "f"
+	o = append(o, 0x82, 0xa1, 0x66)
+	o = msgp.AppendBool(o, z.Refilling)
 	// string "r"
-	o = append(o, 0x81, 0xa1, 0x72)
+	o = append(o, 0xa1, 0x72)
 	o = msgp.AppendArrayHeader(o, uint32(len(z.Rows)))
 	for za0001 := range z.Rows {
 		o, err = z.Rows[za0001].MarshalMsg(o)
@@ -5415,6 +5418,12 @@
 			return
 		}
 		switch msgp.UnsafeString(field) {
+		case "f":
+			z.Refilling, bts, err = msgp.ReadBoolBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Refilling")
+				return
+			}
 		case "r":
 			var zb0002 uint32
 			zb0002, bts, err = msgp.ReadArrayHeaderBytes(bts)
@@ -5448,7 +5457,7 @@
 
 // Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
 func (z *UsageRows) Msgsize() (s int) {
-	s = 1 + 2 + msgp.ArrayHeaderSize
+	s = 1 + 2 + msgp.BoolSize + 2 + msgp.ArrayHeaderSize
 	for za0001 := range z.Rows {
 		s += z.Rows[za0001].Msgsize()
 	}
--- a/internal/messages/types.gen.go
+++ b/internal/messages/types.gen.go
@@ -487,7 +487,9 @@
 
 // UsageRows defines model for UsageRows.
 type UsageRows struct {
-	Rows []UsageRow `msg:"r"`
+	// Refilling in an answer, the sender has started a short while ago, and routers may not have repeated to it what it has lost
+	Refilling bool       `msg:"f"`
+	Rows      []UsageRow `msg:"r"`
 }
 
 // UsageWindow the agreed usage of a window
--- a/internal/router/usage.go
+++ b/internal/router/usage.go
@@ -38,6 +38,7 @@
 type usageReports struct {
 	router   *Router
 	lengthUs int64
+	startUs  int64
 
 	mu        sync.Mutex // guards what follows
 	counter   *usage.Counter
@@ -56,6 +57,7 @@
 	name := fmt.Sprintf("%s/%x", c.transport.Addr(), rand.Uint64())
 	return &usageReports{
 		router:    c,
+		startUs:   c.clock(),
 		lengthUs:  (time.Duration(c.set.Bounds.UsageWindowS) * time.Second).Microseconds(),
 		counter:   usage.NewCounter(name),
 		receivers: map[string]*usageReceiver{},
@@ -72,11 +74,35 @@
 }
 
 func (u *usageReports) add(tenant string) {
-	timeUs, _ := u.router.timeOfDay.TimeUs(u.router.clock())
-	window := usage.WindowOf(timeUs, u.lengthUs)
+	nowUs := u.router.clock()
 	u.mu.Lock()
 	defer u.mu.Unlock()
-	u.counter.Add(window, tenant)
+	if u.timeKnown(nowUs) {
+		u.counter.Add(u.windowAt(nowUs), tenant)
+	} else {
+		u.counter.Hold(tenant, nowUs)
+	}
+}
+
+// timeKnown reports whether the time of day has been compared with a controller's, or
+// there was time for it.
+func (u *usageReports) timeKnown(nowUs int64) bool {
+	_, agreed := u.router.timeOfDay.TimeUs(nowUs)
+	return agreed || nowUs-u.startUs > usage.HoldUs
+}
+
+func (u *usageReports) windowAt(atUs int64) int64 {
+	timeUs, _ := u.router.timeOfDay.TimeUs(atUs)
+	return usage.WindowOf(timeUs, u.lengthUs)
+}
+
+// place counts the requests that began before the time of day was known.
+func (u *usageReports) place() {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	if u.counter.Holding() && u.timeKnown(u.router.clock()) {
+		u.counter.Place(u.windowAt)
+	}
 }
 
 // closed forgets the windows before the first one that is not closed.
@@ -89,6 +115,7 @@
 // report sends each receiver what has changed.
 func (u *usageReports) report(ctx context.Context) {
 	u.router.timeOfDay.Observe(time.Now().UnixMicro(), u.router.clock())
+	u.place()
 	for _, addr := range u.receiving() {
 		if rows, newest, due := u.due(addr); due {
 			go u.send(ctx, addr, rows, newest)
@@ -176,6 +203,7 @@
 
 // flush sends what has changed before the process ends.
 func (u *usageReports) flush() {
+	u.place()
 	var sending sync.WaitGroup
 	for _, addr := range u.receiving() {
 		if rows, newest, due := u.due(addr); due {
--- a/internal/simulation/checks.go
+++ b/internal/simulation/checks.go
@@ -33,6 +33,7 @@
 type Counts struct {
 	Histories, Chosen, Taken, Refused, Read, Unclear, Regroups, Acts, Wipes, Fleets, Distributions int64
 	Rollouts, Orders, Begun, Takeovers                                                             int64
+	UsageHistories, UsageWindows                                                                   int64
 }
 
 // Add sums counts up.
@@ -52,15 +53,17 @@
 	c.Begun += other.Begun
 	c.Takeovers += other.Takeovers
 	c.Distributions += other.Distributions
+	c.UsageHistories += other.UsageHistories
+	c.UsageWindows += other.UsageWindows
 }
 
 // String tells the counts in one line.
 func (c Counts) String() string {
 	return fmt.Sprintf("%d histories: %d values chosen, %d changes of a group, %d disks lost, %d acts under a lease; "+
 		"operators: %d configurations taken, %d refused, %d reads, %d calls unclear; %d histories of runners, %d of configurations; "+
-		"%d of roll-outs: %d orders, %d requests begun, the lease changed hands %d times",
+		"%d of roll-outs: %d orders, %d requests begun, the lease changed hands %d times; %d of usage: %d windows reported",
 		c.Histories, c.Chosen, c.Regroups, c.Wipes, c.Acts, c.Taken, c.Refused, c.Read, c.Unclear, c.Fleets, c.Distributions,
-		c.Rollouts, c.Orders, c.Begun, c.Takeovers)
+		c.Rollouts, c.Orders, c.Begun, c.Takeovers, c.UsageHistories, c.UsageWindows)
 }
 
 func newChecks(c *Cluster) *checks {
--- a/internal/simulation/cluster.go
+++ b/internal/simulation/cluster.go
@@ -27,6 +27,10 @@
 	OrderWithoutBound    bool // a roll-out goes on only as runners are back
 	LeaveUnfinished      bool // nobody ends the round of a proposer that has ended
 	NeverCompare         bool // routers rely on their place in the tree
+	TrustOwnClock        bool // windows follow each machine's own time of day
+	ReportUnagreed       bool // a window is reported as its reporter has counted it
+	CountAtOneController bool // routers tell one controller what they have counted
+	NeverResend          bool // a controller that has restarted isn't told again
 }
 
 // Cluster is everything in one history.
--- a/internal/simulation/engine.go
+++ b/internal/simulation/engine.go
@@ -158,7 +158,7 @@
 	if e.version >= o.Version {
 		return rollout.AlreadyHolds
 	}
-	e.history.kernel.Note("%s is ordered to version %d under fence %d by %s", e.id(), o.Version, fence, from.addr())
+	e.history.kernel.Note("%s is ordered to version %d under fence %d by %s", e.id(), o.Version, fence, from.addr)
 	e.target = o.Version
 	e.accepted++
 	e.sequence++
--- /dev/null
+++ b/internal/simulation/lease_group.go
@@ -0,0 +1,295 @@
+// The lease of a singleton role among a group of controllers: the real lease.Role and
+// lease.Contact, driven as controller.roleManager does. The register of the lease is a model
+// of one (the model "registers" plays the real ones).
+
+package simulation
+
+import (
+	"slices"
+
+	"beechtide.org/beechtide/internal/lease"
+	"beechtide.org/beechtide/internal/messages"
+)
+
+// Periods and waits of a member.
+const (
+	roleEveryUs    = 100 * Millisecond
+	askEveryUs     = 500 * Millisecond
+	holderGoneUs   = 1_200 * Millisecond // a controller that has not answered for so long is gone
+	registerWaitUs = Second
+)
+
+// leaseGroup is the controllers that may hold the lease.
+type leaseGroup struct {
+	kernel   *Kernel
+	network  *Network
+	members  []*leaseMember
+	register leaseRegister
+	times    lease.Times
+}
+
+// lateBy is what a step of a process takes.
+func (g *leaseGroup) lateBy() int64 {
+	if g.kernel.Chance(lateStepChance) {
+		return g.kernel.Between(0, lateStepUs)
+	}
+	return g.kernel.Between(0, Millisecond)
+}
+
+func (g *leaseGroup) add(addr string, process *Process) *leaseMember {
+	m := &leaseMember{
+		group: g, index: len(g.members), addr: addr, process: process,
+		learned: func(messages.LeaseBody) {}, pinged: func(*leaseMember) func() { return func() {} },
+	}
+	g.members = append(g.members, m)
+	return m
+}
+
+// holder is the member that the register names.
+func (g *leaseGroup) holder() *leaseMember {
+	for _, m := range g.members {
+		if m.member() == g.register.body.Lease.Holder {
+			return m
+		}
+	}
+	return nil
+}
+
+// leaseMember is one controller as far as the lease is concerned.
+type leaseMember struct {
+	group    *leaseGroup
+	index    int
+	addr     string
+	process  *Process
+	thawedUs int64
+	learned  func(body messages.LeaseBody)           // called with each newer body of the register
+	pinged   func(other *leaseMember) (there func()) // what goes along with a ping
+
+	// What follows is on disk.
+	knownVersion int64
+	known        messages.LeaseBody // the register as last learned
+	usedFence    int64
+
+	// What follows is gone with each life of the process.
+	role    *lease.Role
+	contact lease.Contact
+	reached map[string]int64
+	busy    bool
+}
+
+func (m *leaseMember) member() string { return m.addr + "/0" }
+func (m *leaseMember) nowUs() int64   { return m.process.NowUs() }
+
+// boot begins a life; the process has been started.
+func (m *leaseMember) boot() {
+	m.role = lease.NewRole(m.group.times)
+	m.contact = lease.Contact{Self: m.member()}
+	m.reached, m.busy = map[string]int64{}, false
+	if m.knownVersion > 0 {
+		m.learned(m.known)
+	}
+	m.every(askEveryUs, m.ping)
+}
+
+// every runs something for the rest of this life.
+func (m *leaseMember) every(periodUs int64, run func()) {
+	m.process.After(periodUs, func() {
+		run()
+		m.every(periodUs, run)
+	})
+}
+
+// soon is a step that may be late.
+func (m *leaseMember) soon(run func()) func() {
+	return func() { m.process.After(m.group.lateBy(), run) }
+}
+
+// ping asks every other for an answer, and tells it what is known of the register.
+func (m *leaseMember) ping() {
+	for _, other := range m.group.members {
+		if other == m {
+			continue
+		}
+		if _, ever := m.reached[other.addr]; !ever {
+			m.reached[other.addr] = m.nowUs()
+		}
+		version, body, sentUs := m.knownVersion, m.known, m.nowUs()
+		there := m.pinged(other)
+		m.ask(other, func() {
+			other.learn(version, body)
+			there()
+		}, func() {
+			m.reached[other.addr] = m.nowUs()
+			m.contact.Answered(other.member(), sentUs)
+		})
+	}
+}
+
+// ask has something happen at another, and here when its answer is back.
+func (m *leaseMember) ask(other *leaseMember, there, answered func()) {
+	net, back := m.group.network, m.process.InLife(answered)
+	net.Send(m.addr, other.addr, func() {
+		other.process.Deliver(func() {
+			there()
+			net.Send(other.addr, m.addr, back)
+		})
+	})
+}
+
+func (m *leaseMember) learn(version int64, body messages.LeaseBody) {
+	if version > m.knownVersion {
+		m.knownVersion, m.known = version, body
+		m.learned(body)
+	}
+}
+
+// round asks a majority twice. The register is read or changed when it has answered
+// the first time; the outcome is known when it has answered the second time.
+func (m *leaseMember) round(edit func(body *messages.LeaseBody) bool, done func(ok bool, now messages.LeaseBody)) {
+	ended := false
+	end := func(ok bool, now messages.LeaseBody) {
+		if !ended {
+			ended = true
+			done(ok, now)
+		}
+	}
+	m.process.After(registerWaitUs, func() { end(false, messages.LeaseBody{}) })
+	m.majority(m.soon(func() {
+		m.group.register.change(edit)
+		version, body := m.group.register.version, m.group.register.copy()
+		m.majority(m.soon(func() {
+			m.learn(version, body)
+			m.spread(version, body)
+			end(true, body)
+		}))
+	}))
+}
+
+// spread tells the others what was committed; who misses it hears it with a ping.
+func (m *leaseMember) spread(version int64, body messages.LeaseBody) {
+	for _, other := range m.group.members {
+		if other != m {
+			m.ask(other, func() { other.learn(version, body) }, func() {})
+		}
+	}
+}
+
+// majority runs something once more than half of the controllers have answered.
+func (m *leaseMember) majority(run func()) {
+	votes, needed := 1, len(m.group.members)/2+1
+	for _, other := range m.group.members {
+		if other == m {
+			continue
+		}
+		m.ask(other, func() {}, func() {
+			if votes++; votes == needed {
+				run()
+			}
+		})
+	}
+}
+
+// stepRole is one step of the role; again is called once a confirmation has ended.
+func (m *leaseMember) stepRole(needed bool, again func()) lease.Grant {
+	view := m.view(needed)
+	step := m.role.Step(view)
+	if (step.Acquire || step.Confirm) && !m.busy {
+		m.busy = true
+		if step.Acquire {
+			m.acquire(view)
+		} else {
+			m.confirm(again)
+		}
+	}
+	return step.Grant
+}
+
+func (m *leaseMember) view(needed bool) lease.RoleView {
+	var group, candidates []string
+	for _, other := range m.group.members {
+		group = append(group, other.member())
+		if other.member() != m.known.Lease.Holder && !m.isGone(other.member()) {
+			candidates = append(candidates, other.addr)
+		}
+	}
+	rank, _ := lease.Rank(candidates, m.addr, m.known.Lease)
+	return lease.RoleView{
+		NowUs: m.nowUs(), Self: m.member(), Lease: m.known.Lease, Needed: needed,
+		HolderGone: m.isGone(m.known.Lease.Holder), InContact: m.contact.Holds(group, m.nowUs()), Rank: rank,
+	}
+}
+
+// isGone tells whether a controller has not answered for long.
+func (m *leaseMember) isGone(member string) bool {
+	i := slices.IndexFunc(m.group.members, func(other *leaseMember) bool { return other != m && other.member() == member })
+	if i < 0 {
+		return false
+	}
+	lastUs, ever := m.reached[m.group.members[i].addr]
+	return ever && m.nowUs()-lastUs > holderGoneUs
+}
+
+func (m *leaseMember) acquire(view lease.RoleView) {
+	was := view.Lease
+	next := m.role.NextLease(was, view.FenceFloor)
+	edit := func(body *messages.LeaseBody) bool {
+		if body.Lease != was {
+			return false
+		}
+		body.Lease = next
+		return true
+	}
+	m.round(edit, func(ok bool, now messages.LeaseBody) {
+		m.busy = false
+		if ok && now.Lease == next {
+			m.group.kernel.Note("%s acquires the lease under fence %d", m.addr, next.Fence)
+			m.role.Acquired(was, next, m.usedFence == was.Fence, m.nowUs())
+		}
+	})
+}
+
+func (m *leaseMember) confirm(again func()) {
+	askedUs := m.nowUs()
+	unchanged := func(*messages.LeaseBody) bool { return false }
+	m.round(unchanged, func(ok bool, now messages.LeaseBody) {
+		m.busy = false
+		if ok {
+			m.role.Confirmed(now.Lease, askedUs, m.nowUs())
+			again()
+		}
+	})
+}
+
+// recordFenceUsed notes on disk, at leisure, that this member has acted under a fence.
+func (m *leaseMember) recordFenceUsed(fence int64) {
+	if m.usedFence != fence {
+		m.process.After(m.group.lateBy(), func() { m.usedFence = fence })
+	}
+}
+
+// leaseRegister is the register of a lease and what it is for: one value, decided on where
+// a majority answers the one who asks.
+type leaseRegister struct {
+	version int64
+	body    messages.LeaseBody
+	holders int64 // how often the lease changed hands
+}
+
+// change replaces the value by what edit makes of it.
+func (r *leaseRegister) change(edit func(body *messages.LeaseBody) bool) {
+	body := r.copy()
+	if !edit(&body) {
+		return
+	}
+	if body.Lease.Holder != r.body.Lease.Holder {
+		r.holders++
+	}
+	r.version++
+	r.body = body
+}
+
+func (r *leaseRegister) copy() messages.LeaseBody {
+	body := r.body
+	body.Targets = append([]messages.Target{}, r.body.Targets...)
+	return body
+}
--- a/internal/simulation/rollout_checks.go
+++ b/internal/simulation/rollout_checks.go
@@ -52,25 +52,25 @@
 	if from.thawedUs > 0 && now-from.thawedUs < thawSlackUs {
 		return
 	}
-	if holder, known := c.holders[fence]; known && holder != from.addr() {
-		k.Fail("%s and %s order under one fence %d", holder, from.addr(), fence)
+	if holder, known := c.holders[fence]; known && holder != from.addr {
+		k.Fail("%s and %s order under one fence %d", holder, from.addr, fence)
 	}
-	c.holders[fence] = from.addr()
+	c.holders[fence] = from.addr
 	if fence < c.fence {
-		k.Fail("%s orders %s under fence %d after %d", from.addr(), e.id(), fence, c.fence)
+		k.Fail("%s orders %s under fence %d after %d", from.addr, e.id(), fence, c.fence)
 	}
 	c.fence = fence
 	for _, other := range sortedKeys(c.lastUs) {
-		if other != from.addr() && now-c.lastUs[other] < dutyTimes.LeaseUs {
-			k.Fail("%s orders %d us after %s", from.addr(), now-c.lastUs[other], other)
+		if other != from.addr && now-c.lastUs[other] < dutyTimes.LeaseUs {
+			k.Fail("%s orders %d us after %s", from.addr, now-c.lastUs[other], other)
 		}
 	}
-	c.lastUs[from.addr()] = now
+	c.lastUs[from.addr] = now
 }
 
 // ordered has every runner be on the newest weights or under an order.
 func (c *rolloutChecks) ordered() {
-	newest := targetOf(c.history.register.body)
+	newest := targetOf(c.history.group.register.body)
 	for _, e := range c.history.engines {
 		if e.up && e.version < newest && e.target == 0 {
 			c.history.kernel.Fail("%s serves on version %d long after %d was named", e.id(), e.version, newest)
@@ -80,7 +80,7 @@
 
 // completed has every runner serve on the newest weights, at every registrar.
 func (c *rolloutChecks) completed() {
-	newest := targetOf(c.history.register.body)
+	newest := targetOf(c.history.group.register.body)
 	for _, e := range c.history.engines {
 		if !e.up {
 			continue
--- a/internal/simulation/rollouts.go
+++ b/internal/simulation/rollouts.go
@@ -39,7 +39,7 @@
 	fleet        *fleet // the registrars, which the coordinators go by
 	coordinators []*coordinator
 	engines      []*engine
-	register     leaseRegister
+	group        *leaseGroup
 	checks       rolloutChecks
 	defects      Defects
 	bounded      bool // routers keep the bound on old weights
@@ -63,7 +63,7 @@
 	h.checks.ordered()
 	k.RunUntil(k.NowUs() + completedUs - orderedUs)
 	h.checks.completed()
-	counts := Counts{Rollouts: 1, Orders: h.checks.orders, Begun: h.checks.begun, Takeovers: h.register.holders}
+	counts := Counts{Rollouts: 1, Orders: h.checks.orders, Begun: h.checks.begun, Takeovers: h.group.register.holders}
 	return Result{Seed: seed, Failure: k.failure, History: k.history, Counts: counts}
 }
 
@@ -72,10 +72,11 @@
 	h := &rolloutHistory{kernel: k, network: NewNetwork(k), defects: defects}
 	h.checks = newRolloutChecks(h)
 	h.fleet = &fleet{kernel: k, network: h.network}
+	h.group = &leaseGroup{kernel: k, network: h.network, times: h.times()}
 	for i := range controllers {
 		r := &registrar{fleet: h.fleet, addr: registrarName(i), process: NewProcess(k)}
 		h.fleet.registrars = append(h.fleet.registrars, r)
-		h.coordinators = append(h.coordinators, &coordinator{history: h, registrar: r})
+		h.coordinators = append(h.coordinators, newCoordinator(h, r))
 	}
 	for _, c := range h.coordinators {
 		c.boot()
@@ -117,8 +118,8 @@
 func (h *rolloutHistory) name(version int64) {
 	c := h.coordinators[h.kernel.Below(len(h.coordinators))]
 	acknowledged := func() { h.checks.named(version) }
-	h.network.Send("operator", c.addr(), func() {
-		c.process().Deliver(func() { c.name(version, func() { h.network.Send(c.addr(), "operator", acknowledged) }) })
+	h.network.Send("operator", c.addr, func() {
+		c.process.Deliver(func() { c.name(version, func() { h.network.Send(c.addr, "operator", acknowledged) }) })
 	})
 	h.kernel.After(Second, func() {
 		if !h.checks.isNamed(version) {
@@ -149,10 +150,8 @@
 
 // holder is the controller that the register names.
 func (h *rolloutHistory) holder() *coordinator {
-	for _, c := range h.coordinators {
-		if c.member() == h.register.body.Lease.Holder {
-			return c
-		}
+	if holder := h.group.holder(); holder != nil {
+		return h.coordinators[holder.index]
 	}
 	return nil
 }
@@ -176,20 +175,20 @@
 }
 
 func (h *rolloutHistory) kill(victim *coordinator, forUs int64) {
-	h.kernel.Note("%s is killed for %d us", victim.addr(), forUs)
-	victim.process().Stop()
+	h.kernel.Note("%s is killed for %d us", victim.addr, forUs)
+	victim.process.Stop()
 	h.later(forUs, func() { h.restart(victim) })
 }
 
 func (h *rolloutHistory) freeze(victim *coordinator, forUs int64) {
-	h.kernel.Note("%s freezes for %d us", victim.addr(), forUs)
-	victim.process().Freeze()
+	h.kernel.Note("%s freezes for %d us", victim.addr, forUs)
+	victim.process.Freeze()
 	h.later(forUs, func() { h.thaw(victim) })
 }
 
 // cutOff parts a controller from all others; runners still reach it.
 func (h *rolloutHistory) cutOff(victim *coordinator, forUs int64) {
-	h.kernel.Note("%s is cut off for %d us", victim.addr(), forUs)
+	h.kernel.Note("%s is cut off for %d us", victim.addr, forUs)
 	for _, other := range h.coordinators {
 		h.cut(victim, other, forUs)
 	}
@@ -198,7 +197,7 @@
 // cutApart parts two controllers that both reach the others.
 func (h *rolloutHistory) cutApart(victim *coordinator, forUs int64) {
 	other := h.coordinators[h.kernel.Below(len(h.coordinators))]
-	h.kernel.Note("%s and %s are cut apart for %d us", victim.addr(), other.addr(), forUs)
+	h.kernel.Note("%s and %s are cut apart for %d us", victim.addr, other.addr, forUs)
 	h.cut(victim, other, forUs)
 }
 
@@ -215,19 +214,19 @@
 		return
 	}
 	h.fleet.healed = h.healed
-	h.fleet.cutLinks(a.addr(), b.addr(), forUs)
-	h.fleet.cutLinks(b.addr(), a.addr(), forUs)
+	h.fleet.cutLinks(a.addr, b.addr, forUs)
+	h.fleet.cutLinks(b.addr, a.addr, forUs)
 }
 
 func (h *rolloutHistory) restart(c *coordinator) {
-	if !c.process().Up() {
+	if !c.process.Up() {
 		c.boot()
 	}
 }
 
 func (h *rolloutHistory) thaw(c *coordinator) {
 	c.thawedUs = h.kernel.NowUs()
-	c.process().Thaw()
+	c.process.Thaw()
 }
 
 func (h *rolloutHistory) heal() {
@@ -243,14 +242,6 @@
 	}
 }
 
-// lateBy is what a step of a process takes.
-func (h *rolloutHistory) lateBy() int64 {
-	if h.kernel.Chance(lateStepChance) {
-		return h.kernel.Between(0, lateStepUs)
-	}
-	return h.kernel.Between(0, Millisecond)
-}
-
 // times are those of the lease, unless a test takes the waits out.
 func (h *rolloutHistory) times() lease.Times {
 	if h.defects.ActWithoutWaiting {
@@ -267,33 +258,6 @@
 	return orderBoundUs
 }
 
-// leaseRegister is the register of the model's target and lease: one value, decided
-// on where a majority answers the one who asks.
-type leaseRegister struct {
-	version int64
-	body    messages.LeaseBody
-	holders int64 // how often the lease changed hands
-}
-
-// change replaces the value by what edit makes of it.
-func (r *leaseRegister) change(edit func(body *messages.LeaseBody) bool) {
-	body := r.copy()
-	if !edit(&body) {
-		return
-	}
-	if body.Lease.Holder != r.body.Lease.Holder {
-		r.holders++
-	}
-	r.version++
-	r.body = body
-}
-
-func (r *leaseRegister) copy() messages.LeaseBody {
-	body := r.body
-	body.Targets = append([]messages.Target{}, r.body.Targets...)
-	return body
-}
-
 // targetOf is the version that a body names.
 func targetOf(body messages.LeaseBody) int64 {
 	for _, t := range body.Targets {
--- a/internal/simulation/run.go
+++ b/internal/simulation/run.go
@@ -7,7 +7,7 @@
 // Models are what can be played, by name.
 var Models = map[string]func(seed uint64, options Options) Result{
 	"registers": Play, "runners": PlayFleet, "runners-partial": PlayFleetPartial,
-	"rollouts": PlayRollouts, "distribution": PlayDistribution,
+	"rollouts": PlayRollouts, "distribution": PlayDistribution, "usage": PlayUsage,
 }
 
 // Range is which seeds of a model to play.
--- /dev/null
+++ b/internal/simulation/usage.go
@@ -0,0 +1,531 @@
+// Usage: requests are counted by routers and reported to the platform by the holder of a
+// lease, while holders are lost, clocks jump and the platform loses answers. The real
+// usage.Counter, Collector and Plan, clocksync.Clock and lease.Role run; the register and
+// the platform are models.
+
+package simulation
+
+import (
+	"fmt"
+
+	"beechtide.org/beechtide/internal/clocksync"
+	"beechtide.org/beechtide/internal/messages"
+	"beechtide.org/beechtide/internal/usage"
+)
+
+// Bounds of a history of usage.
+const (
+	windowUs         = 5 * Second
+	usageDelayUs     = 10 * Second // after its end a window has been reported
+	usageFaultsFrom  = 4 * Second  // processes know of one another
+	usageFaultsUs    = 30 * Second
+	usageRestUs      = 25 * Second // after the last fault
+	meterReportUs    = 400 * Millisecond
+	meterCompareUs   = 500 * Millisecond
+	meterQueryWaitUs = 700 * Millisecond
+	usageKeepUs      = Second
+	// Requests of so long may die with a router and the controllers that it told, before
+	// a copy is on their disks.
+	usageLossUs     = 2 * Second
+	meterReceivers  = 2
+	meterIdle       = 5 // periods without a change after which a receiver is asked
+	clockTolerance  = 60 * Millisecond
+	mostClockJumpUs = 2_500 * Millisecond
+	requestEveryUs  = 20 * Millisecond // of one router
+	usageTenants    = 4
+	dayStartUs      = 1000 * windowUs // the time of day at the start of a history
+)
+
+// timeOfDayUs is what a machine takes the time of day for.
+func timeOfDayUs(p *Process) int64 { return dayStartUs + p.TimeOfDayUs() }
+
+// usageHistory is everything in one history.
+type usageHistory struct {
+	kernel    *Kernel
+	network   *Network
+	group     *leaseGroup
+	reporters []*reporter
+	meters    []*meter
+	platform  *platform
+	checks    *usageChecks
+	defects   Defects
+	healed    bool
+}
+
+// PlayUsage plays the usage's history of a seed.
+func PlayUsage(seed uint64, options Options) Result {
+	k := NewKernel(seed, options.Record)
+	h := newUsageHistory(k, options.Defects, 3+2*k.Below(2), 3+k.Below(4))
+	h.plan()
+	k.RunUntil(usageFaultsFrom + usageFaultsUs)
+	h.heal()
+	k.RunUntil(k.NowUs() + usageRestUs)
+	h.checks.complete()
+	counts := Counts{UsageHistories: 1, UsageWindows: int64(len(h.platform.accepted)), Takeovers: h.group.register.holders}
+	return Result{Seed: seed, Failure: k.failure, History: k.history, Counts: counts}
+}
+
+func newUsageHistory(k *Kernel, defects Defects, reporters, meters int) *usageHistory {
+	h := &usageHistory{kernel: k, network: NewNetwork(k), defects: defects}
+	h.checks = &usageChecks{history: h, truth: map[int64]map[string]int64{}, lost: map[int64]int64{}}
+	h.platform = &platform{history: h, holders: map[int64]string{}, accepted: map[int64]map[string]int64{}, lastUs: map[string]int64{}}
+	h.group = &leaseGroup{kernel: k, network: h.network, times: dutyTimes}
+	if defects.ActWithoutWaiting {
+		h.group.times.LeaseUs, h.group.times.SpareUs = 0, 0
+	}
+	for i := range reporters {
+		p := &reporter{history: h, leaseMember: h.group.add(fmt.Sprintf("c%d", i+1), NewProcess(k))}
+		p.learned = func(body messages.LeaseBody) {
+			if !defects.ReportUnagreed {
+				p.collector.Closed(body.Usage.Next)
+			}
+		}
+		h.reporters = append(h.reporters, p)
+	}
+	for i := range meters {
+		h.meters = append(h.meters, &meter{history: h, addr: fmt.Sprintf("m%d", i+1), process: NewProcess(k)})
+	}
+	for _, p := range h.reporters {
+		p.boot()
+	}
+	for _, m := range h.meters {
+		m.boot()
+	}
+	return h
+}
+
+// reporter is a controller as far as usage is concerned.
+type reporter struct {
+	*leaseMember
+	history   *usageHistory
+	clock     clocksync.Clock
+	collector *usage.Collector
+	plan      *usage.Plan
+	lives     int64
+	kept      []messages.UsageRow // on disk
+}
+
+func (p *reporter) boot() {
+	p.process.Start()
+	p.lives++
+	p.clock = clocksync.Clock{Votes: true}
+	p.collector = usage.NewCollector()
+	p.collector.Merge(p.kept)
+	p.plan = usage.NewPlan(usage.Config{LengthUs: windowUs, Jitter: func() float64 { return float64(p.history.kernel.Below(1000)) / 1000 }})
+	p.leaseMember.boot()
+	p.clock.Observe(timeOfDayUs(p.process), p.nowUs())
+	p.every(roleEveryUs, p.soon(p.step))
+	p.every(meterCompareUs, p.compareClocks)
+	p.every(usageKeepUs, func() { p.kept = p.collector.Rows(0, 1<<62) })
+}
+
+// refilling is as in the controller.
+func (p *reporter) refilling() bool { return p.nowUs() < usage.RefillUs }
+
+// timeUs is the time of day that this controller keeps.
+func (p *reporter) timeUs() int64 {
+	if p.history.defects.TrustOwnClock {
+		return timeOfDayUs(p.process)
+	}
+	timeUs, _ := p.clock.TimeUs(p.nowUs())
+	return timeUs
+}
+
+func (p *reporter) compareClocks() {
+	for _, other := range p.history.reporters {
+		if other == p {
+			continue
+		}
+		sentUs, timeUs, agreed := p.nowUs(), int64(0), false
+		p.ask(other.leaseMember, func() { timeUs, agreed = other.clock.TimeUs(other.nowUs()) }, func() {
+			p.clock.Compare(other.addr, timeUs, agreed, sentUs, p.nowUs())
+		})
+	}
+}
+
+func (p *reporter) step() {
+	p.clock.Observe(timeOfDayUs(p.process), p.nowUs())
+	if p.knownVersion == 0 && p.group.register.version > 0 {
+		return // it learns what there is with the next ping
+	}
+	oldest, counted := p.collector.Oldest()
+	step := p.plan.Step(usage.View{
+		NowUs: p.nowUs(), TimeUs: p.timeUs(), Ledger: p.known.Usage, Counted: counted, Oldest: oldest,
+		IsHolder: p.known.Lease.Holder == p.member(),
+	})
+	grant := p.stepRole(step.Needed(), p.step)
+	if !grant.MayAct {
+		return
+	}
+	if step.Close > 0 && !p.refilling() {
+		p.plan.Closing(step.Close, p.nowUs())
+		p.closeWindow(step.Close)
+	}
+	if step.Report != nil {
+		p.plan.Reporting()
+		p.report(*step.Report, grant.Fence, grant.UntilUs)
+	}
+}
+
+// closeWindow collects the rows of a window and agrees on their sums.
+func (p *reporter) closeWindow(window int64) {
+	body, awaited, ended := p.known, len(p.history.reporters)-1, false
+	agree := func() {
+		if ended {
+			return
+		}
+		ended = true
+		p.agree(body, window, awaited == 0)
+	}
+	for _, other := range p.history.reporters {
+		if other == p {
+			continue
+		}
+		var rows []messages.UsageRow
+		refilling := false
+		p.ask(other.leaseMember, func() {
+			rows, refilling = other.collector.Rows(body.Usage.Next, window), other.refilling()
+		}, func() {
+			p.collector.Merge(rows)
+			if refilling {
+				return
+			}
+			if awaited--; awaited == 0 {
+				agree()
+			}
+		})
+	}
+	p.process.After(meterQueryWaitUs, agree)
+}
+
+func (p *reporter) agree(body messages.LeaseBody, window int64, complete bool) {
+	mayClose := complete || p.plan.MayClose(window, p.timeUs(), p.nowUs())
+	oldest, counted := p.collector.Oldest()
+	if body.Usage.Next == 0 && counted {
+		window = min(window, oldest)
+	}
+	if body.Usage.Next == 0 && !counted && mayClose {
+		p.plan.Searched(window)
+		mayClose = false
+	}
+	if !mayClose {
+		p.plan.Closed(false, p.nowUs())
+		return
+	}
+	counts, reported := p.collector.Total(window), p.plan.Reported()
+	edit := func(b *messages.LeaseBody) bool {
+		return b.Lease == body.Lease && usage.Close(&b.Usage, window, counts, reported)
+	}
+	p.round(edit, func(ok bool, _ messages.LeaseBody) { p.plan.Closed(ok, p.nowUs()) })
+}
+
+// report tells the platform a window, unless the confirmation of the lease has run out.
+func (p *reporter) report(window messages.UsageWindow, fence, untilUs int64) {
+	answered := false
+	answer := func(accepted bool) {
+		if !answered {
+			answered = true
+			p.plan.Answered(window.Window, accepted, p.nowUs())
+		}
+	}
+	if p.history.defects.ReportUnagreed {
+		window.Counts = p.collector.Total(window.Window)
+	}
+	if p.nowUs() >= untilUs && !p.history.defects.ActWithoutWaiting || p.role.Refused(fence) {
+		answer(false)
+		return
+	}
+	p.recordFenceUsed(fence)
+	p.process.After(3*Second, func() { answer(false) })
+	p.history.platform.call(p, window, fence, func(status int) {
+		if status == statusRefused {
+			p.role.Refuse(fence)
+		}
+		answer(status == statusAccepted)
+	})
+}
+
+// meter is a router as far as usage is concerned.
+type meter struct {
+	history   *usageHistory
+	addr      string
+	process   *Process
+	clock     clocksync.Clock
+	counter   *usage.Counter
+	lives     int
+	receivers map[string]*meterReceiver
+	recent    []int64 // when its last requests began
+}
+
+// meterReceiver is a controller that gets a router's counts.
+type meterReceiver struct {
+	life, change int64
+	waiting      bool
+	idle         int
+}
+
+func (m *meter) boot() {
+	m.process.Start()
+	m.lives++
+	m.clock = clocksync.Clock{}
+	m.clock.Observe(timeOfDayUs(m.process), m.process.NowUs())
+	m.counter = usage.NewCounter(fmt.Sprintf("%s/%d", m.addr, m.lives))
+	m.receivers, m.recent = map[string]*meterReceiver{}, nil
+	m.every(requestEveryUs, m.serve)
+	m.every(meterReportUs, m.report)
+	m.every(meterCompareUs, m.compareClocks)
+}
+
+func (m *meter) every(periodUs int64, run func()) {
+	m.process.After(m.history.kernel.Between(periodUs/2, periodUs*3/2), func() {
+		run()
+		m.every(periodUs, run)
+	})
+}
+
+func (m *meter) timeUs() int64 {
+	if m.history.defects.TrustOwnClock {
+		return timeOfDayUs(m.process)
+	}
+	timeUs, _ := m.clock.TimeUs(m.process.NowUs())
+	return timeUs
+}
+
+// known reports whether the time of day has been compared, or there was time for it.
+func (m *meter) known() bool {
+	_, agreed := m.clock.TimeUs(m.process.NowUs())
+	return agreed || m.history.defects.TrustOwnClock || m.process.NowUs() > usage.HoldUs
+}
+
+// serve counts a request that begins to run now.
+func (m *meter) serve() {
+	tenant := fmt.Sprintf("t%d", m.history.kernel.Below(usageTenants))
+	if m.known() {
+		m.counter.Add(usage.WindowOf(m.timeUs(), windowUs), tenant)
+	} else {
+		m.counter.Hold(tenant, m.process.NowUs())
+	}
+	m.recent = append(m.recent, m.history.kernel.NowUs())
+	m.history.checks.began(tenant)
+}
+
+func (m *meter) compareClocks() {
+	m.clock.Observe(timeOfDayUs(m.process), m.process.NowUs())
+	other := m.history.reporters[m.history.kernel.Below(len(m.history.reporters))]
+	sentUs, timeUs, agreed := m.process.NowUs(), int64(0), false
+	m.ask(other, func() { timeUs, agreed = other.clock.TimeUs(other.nowUs()) }, func() {
+		m.clock.Compare(other.addr, timeUs, agreed, sentUs, m.process.NowUs())
+	})
+}
+
+func (m *meter) ask(of *reporter, there, answered func()) {
+	net, back := m.history.network, m.process.InLife(answered)
+	net.Send(m.addr, of.addr, func() {
+		of.process.Deliver(func() {
+			there()
+			net.Send(of.addr, m.addr, back)
+		})
+	})
+}
+
+// report sends what has changed to the live controllers that come first.
+func (m *meter) report() {
+	if m.counter.Holding() && m.known() {
+		sinceUs := m.process.NowUs()
+		m.counter.Place(func(atUs int64) int64 { return usage.WindowOf(m.timeUs()-sinceUs+atUs, windowUs) })
+	}
+	sent := 0
+	for _, p := range m.history.reporters {
+		if !p.process.Up() || sent == m.history.receivers() {
+			continue
+		}
+		sent++
+		m.reportTo(p)
+	}
+}
+
+func (h *usageHistory) receivers() int {
+	if h.defects.CountAtOneController {
+		return 1
+	}
+	return meterReceivers
+}
+
+func (m *meter) reportTo(p *reporter) {
+	r := m.receivers[p.addr]
+	if r == nil {
+		r = &meterReceiver{}
+		m.receivers[p.addr] = r
+	}
+	if r.waiting {
+		return
+	}
+	rows, newest := m.counter.RowsSince(r.change)
+	r.idle++
+	if len(rows) == 0 && r.idle < meterIdle {
+		return
+	}
+	r.waiting, r.idle = true, 0
+	m.process.After(350*Millisecond, func() { r.waiting = false })
+	life := int64(0)
+	m.ask(p, func() {
+		p.collector.Merge(rows)
+		life = p.lives
+	}, func() {
+		if r.life != 0 && r.life != life && !m.history.defects.NeverResend {
+			newest = 0
+		}
+		r.life, r.change = life, newest
+	})
+}
+
+// plan draws what happens.
+func (h *usageHistory) plan() {
+	k := h.kernel
+	for range 2 + k.Below(6) {
+		atUs, forUs := usageFaultsFrom+k.Between(0, usageFaultsUs-8*Second), k.Between(leastFault, 6*Second)
+		k.After(atUs, func() { usageFaults[k.Below(len(usageFaults))](h, forUs) })
+	}
+}
+
+// usageFaults are what strikes for a while.
+var usageFaults = []func(h *usageHistory, forUs int64){
+	(*usageHistory).killHolder, (*usageHistory).freezeHolder, (*usageHistory).cutHolderOff, (*usageHistory).cutFromPlatform,
+	(*usageHistory).killMany, (*usageHistory).jumpClocks, (*usageHistory).slowPlatform, (*usageHistory).killAllControllers,
+}
+
+func (h *usageHistory) victim() *reporter {
+	if holder := h.group.holder(); holder != nil && h.kernel.Chance(800) {
+		return h.reporters[holder.index]
+	}
+	return h.reporters[h.kernel.Below(len(h.reporters))]
+}
+
+// later ends a fault, unless all have been ended.
+func (h *usageHistory) later(forUs int64, end func()) {
+	h.kernel.After(forUs, func() {
+		if !h.healed {
+			end()
+		}
+	})
+}
+
+func (h *usageHistory) kill(p *reporter, forUs int64) {
+	h.kernel.Note("%s is killed for %d us", p.addr, forUs)
+	p.process.Stop()
+	h.later(forUs, func() { h.restart(p) })
+}
+
+func (h *usageHistory) restart(p *reporter) {
+	if !p.process.Up() {
+		p.boot()
+	}
+}
+
+func (h *usageHistory) killHolder(forUs int64) { h.kill(h.victim(), forUs) }
+
+func (h *usageHistory) killAllControllers(forUs int64) {
+	for _, p := range h.reporters {
+		h.kill(p, min(forUs, Second))
+	}
+}
+
+// killMany kills half of the controllers and routers at once.
+func (h *usageHistory) killMany(forUs int64) {
+	for _, p := range h.reporters {
+		if h.kernel.Chance(500) {
+			h.kill(p, min(forUs, 2*Second))
+		}
+	}
+	for _, m := range h.meters {
+		if !h.kernel.Chance(500) {
+			continue
+		}
+		h.kernel.Note("%s is killed", m.addr)
+		h.checks.lose(m)
+		m.process.Stop()
+		h.later(min(forUs, 2*Second), func() { h.restartMeter(m) })
+	}
+}
+
+func (h *usageHistory) restartMeter(m *meter) {
+	if !m.process.Up() {
+		m.boot()
+	}
+}
+
+func (h *usageHistory) freezeHolder(forUs int64) {
+	p := h.victim()
+	h.kernel.Note("%s freezes for %d us", p.addr, forUs)
+	p.process.Freeze()
+	h.later(forUs, func() { h.thaw(p) })
+}
+
+func (h *usageHistory) thaw(p *reporter) {
+	p.thawedUs = h.kernel.NowUs()
+	p.process.Thaw()
+}
+
+func (h *usageHistory) cutHolderOff(forUs int64) {
+	p := h.victim()
+	h.kernel.Note("%s is cut off from the controllers for %d us", p.addr, forUs)
+	for _, other := range h.reporters {
+		if other != p {
+			h.cut(p.addr, other.addr, forUs)
+		}
+	}
+}
+
+func (h *usageHistory) cutFromPlatform(forUs int64) {
+	p := h.victim()
+	h.kernel.Note("%s is cut off from the platform for %d us", p.addr, forUs)
+	h.cut(p.addr, platformAddr, forUs)
+}
+
+func (h *usageHistory) cut(a, b string, forUs int64) {
+	for _, link := range []*Link{h.network.Link(a, b), h.network.Link(b, a)} {
+		link.Cuts++
+		h.later(forUs, func() { link.Cuts-- })
+	}
+}
+
+// jumpClocks steps the time of day of some machines, and back.
+func (h *usageHistory) jumpClocks(forUs int64) {
+	k := h.kernel
+	byUs := k.Between(-mostClockJumpUs, mostClockJumpUs)
+	k.Note("clocks jump by %d us for %d us", byUs, forUs)
+	jump := func(p *Process) {
+		p.StepTimeOfDay(byUs)
+		k.After(forUs, func() { p.StepTimeOfDay(-byUs) })
+	}
+	for i, p := range h.reporters {
+		if i%2 == 1 { // fewer than half
+			jump(p.process)
+		}
+	}
+	for _, m := range h.meters {
+		if k.Chance(300) {
+			jump(m.process)
+		}
+	}
+}
+
+func (h *usageHistory) slowPlatform(forUs int64) {
+	h.kernel.Note("the platform is slow and loses answers for %d us", forUs)
+	h.platform.ill++
+	h.later(forUs, func() { h.platform.ill-- })
+}
+
+func (h *usageHistory) heal() {
+	h.kernel.Note("everything heals")
+	h.healed = true
+	h.network.Heal()
+	h.platform.ill = 0
+	for _, p := range h.reporters {
+		h.thaw(p)
+		h.restart(p)
+	}
+	for _, m := range h.meters {
+		h.restartMeter(m)
+	}
+}
--- /dev/null
+++ b/internal/simulation/usage_platform.go
@@ -0,0 +1,162 @@
+// The platform's API as a model, and the checks of usage.
+
+package simulation
+
+import (
+	"maps"
+	"slices"
+
+	"beechtide.org/beechtide/internal/messages"
+	"beechtide.org/beechtide/internal/usage"
+)
+
+const (
+	platformAddr   = "platform"
+	statusAccepted = 200
+	statusRefused  = 409
+)
+
+// platform accepts reports of usage and refuses low fences.
+type platform struct {
+	history  *usageHistory
+	ill      int // faults that make it slow and lose answers
+	fence    int64
+	holders  map[int64]string           // by fence
+	accepted map[int64]map[string]int64 // counts by window
+	lastUs   map[string]int64           // by holder, when it was last heard
+}
+
+// call carries a report to the platform and its answer back.
+func (p *platform) call(from *reporter, window messages.UsageWindow, fence int64, answered func(status int)) {
+	net, back := p.history.network, from.process.InLife
+	net.Send(from.addr, platformAddr, func() {
+		status := p.receive(from, window, fence)
+		delayUs := 5 * Millisecond
+		if p.ill > 0 {
+			delayUs = p.history.kernel.Between(0, 4*Second)
+			if p.history.kernel.Chance(300) {
+				return
+			}
+		}
+		p.history.kernel.After(delayUs, func() { net.Send(platformAddr, from.addr, back(func() { answered(status) })) })
+	})
+}
+
+// receive judges a call as it arrives.
+func (p *platform) receive(from *reporter, window messages.UsageWindow, fence int64) int {
+	k, now := p.history.kernel, p.history.kernel.NowUs()
+	if holder, known := p.holders[fence]; known && holder != from.addr {
+		k.Fail("%s and %s call under one fence %d", holder, from.addr, fence)
+	}
+	p.holders[fence] = from.addr
+	if fence < p.fence {
+		return statusRefused
+	}
+	p.fence = fence
+	p.checkTurns(from, now)
+	counts := map[string]int64{}
+	for _, t := range window.Counts {
+		counts[t.Tenant] = t.Count
+	}
+	if before, repeated := p.accepted[window.Window]; repeated {
+		if !sameCounts(before, counts) {
+			k.Fail("window %d is reported with %v and with %v", window.Window, before, counts)
+		}
+		return statusAccepted
+	}
+	k.Note("window %d is reported by %s under fence %d: %v", window.Window, from.addr, fence, counts)
+	p.accepted[window.Window] = counts
+	p.history.checks.reported(window.Window, counts)
+	return statusAccepted
+}
+
+// checkTurns checks that no two holders act within the duration of a lease. A sender that
+// has just thawed is not counted.
+func (p *platform) checkTurns(from *reporter, now int64) {
+	if from.thawedUs > 0 && now-from.thawedUs < thawSlackUs {
+		return
+	}
+	for _, other := range sortedKeys(p.lastUs) {
+		if other != from.addr && now-p.lastUs[other] < dutyTimes.LeaseUs {
+			p.history.kernel.Fail("%s reports %d us after %s", from.addr, now-p.lastUs[other], other)
+		}
+	}
+	p.lastUs[from.addr] = now
+}
+
+func sameCounts(a, b map[string]int64) bool {
+	if len(a) != len(b) {
+		return false
+	}
+	for tenant, count := range a {
+		if b[tenant] != count {
+			return false
+		}
+	}
+	return true
+}
+
+// usageChecks keeps what is true.
+type usageChecks struct {
+	history *usageHistory
+	truth   map[int64]map[string]int64 // requests that began, by window and tenant
+	lost    map[int64]int64            // requests by window that may have died with a router
+}
+
+// began is called where a request begins to run.
+func (c *usageChecks) began(tenant string) {
+	window := usage.WindowOf(dayStartUs+c.history.kernel.NowUs(), windowUs)
+	if c.truth[window] == nil {
+		c.truth[window] = map[string]int64{}
+	}
+	c.truth[window][tenant]++
+}
+
+// lose is called where a router is about to be killed.
+func (c *usageChecks) lose(m *meter) {
+	now := c.history.kernel.NowUs()
+	for _, atUs := range m.recent {
+		if now-atUs < usageLossUs {
+			c.lost[usage.WindowOf(dayStartUs+atUs, windowUs)]++
+		}
+	}
+}
+
+// reported checks a window as it is accepted.
+func (c *usageChecks) reported(window int64, counts map[string]int64) {
+	// Requests within the error of the clocks may count in the next window.
+	slack := int64(len(c.history.meters)) * 2 * clockTolerance / requestEveryUs
+	for tenant, count := range counts {
+		if truth := c.truth[window][tenant]; count > truth+slack {
+			c.history.kernel.Fail("window %d has %d requests of %s, %d began", window, count, tenant, truth)
+		}
+	}
+}
+
+// complete checks at the end of a history that every window was reported, with all
+// requests but those that died with their router.
+func (c *usageChecks) complete() {
+	k := c.history.kernel
+	last := usage.WindowOf(dayStartUs+k.NowUs()-usageDelayUs, windowUs) - 1
+	slack := int64(len(c.history.meters)) * 2 * clockTolerance / requestEveryUs
+	for _, window := range slices.Sorted(maps.Keys(c.truth)) {
+		if window > last {
+			continue
+		}
+		counts, reported := c.history.platform.accepted[window]
+		if !reported {
+			k.Fail("window %d was not reported", window)
+			return
+		}
+		total, truth := int64(0), int64(0)
+		for _, count := range counts {
+			total += count
+		}
+		for _, count := range c.truth[window] {
+			truth += count
+		}
+		if total < truth-c.lost[window]-slack {
+			k.Fail("window %d was reported with %d requests, %d began and %d were lost with routers", window, total, truth, c.lost[window])
+		}
+	}
+}
--- a/internal/usage/counter.go
+++ b/internal/usage/counter.go
@@ -24,6 +24,10 @@
 // MaxWindows bounds how many windows are kept that are not closed. Older ones are dropped.
 const MaxWindows = 720
 
+// HoldUs is how long after its start a router waits for the time of day of the
+// controllers before it goes by its own.
+const HoldUs = int64(2_000_000)
+
 // WindowOf returns the window that a time of day belongs to: window k begins k times the
 // length after the start of 1970.
 func WindowOf(timeOfDayUs, lengthUs int64) int64 { return timeOfDayUs / lengthUs }
@@ -34,6 +38,13 @@
 	router  string
 	change  int64
 	windows map[int64]*counted
+	held    []heldRequest
+}
+
+// heldRequest is a request that began before the time of day was known.
+type heldRequest struct {
+	tenant string
+	atUs   int64 // on the monotonic clock
 }
 
 // counted is a window of a Counter.
@@ -62,6 +73,22 @@
 	w.counts[tenant] = tenantCount{w.counts[tenant].count + 1, c.change}
 }
 
+// Hold keeps a request that began at a moment of the monotonic clock until Place counts it.
+func (c *Counter) Hold(tenant string, atUs int64) {
+	c.held = append(c.held, heldRequest{tenant, atUs})
+}
+
+// Holding reports whether there are such requests.
+func (c *Counter) Holding() bool { return len(c.held) > 0 }
+
+// Place counts the requests that Hold has kept, in the windows of their moments.
+func (c *Counter) Place(windowAt func(atUs int64) int64) {
+	for _, request := range c.held {
+		c.Add(windowAt(request.atUs), request.tenant)
+	}
+	c.held = nil
+}
+
 // RowsSince returns the counts that have changed after the change with this number, and
 // the number of the newest one.
 func (c *Counter) RowsSince(change int64) (rows []messages.UsageRow, newest int64) {
--- a/internal/usage/plan.go
+++ b/internal/usage/plan.go
@@ -11,7 +11,13 @@
 	SettleUs = int64(2_000_000)
 	// GiveUpUs is how long after its end a window is closed even if a controller has not
 	// said what it has.
-	GiveUpUs = int64(3_500_000)
+	GiveUpUs = int64(4_500_000)
+	// TryUs is for how long the holder tries to hear of all controllers before it closes a
+	// window without one of them.
+	TryUs = int64(1_500_000)
+	// RefillUs is how long after the start of a controller the routers have told it again
+	// what an earlier process of it had.
+	RefillUs = int64(2_000_000)
 	// minPauseUs and maxPauseUs bound the pause after a call that failed; it doubles
 	// with every failure in a row.
 	minPauseUs = int64(200_000)
@@ -52,6 +58,8 @@
 	nextUs    int64 // no call before then
 	pauseUs   int64
 	closeUs   int64 // nothing is closed before then
+	tried     int64 // the window that was last tried to be closed
+	triedUs   int64 // since when
 	closing   bool
 	reporting bool
 }
@@ -100,10 +108,17 @@
 
 // MayClose reports whether a window may be closed although a controller has not said
 // what it has.
-func (p *Plan) MayClose(window, timeUs int64) bool { return window <= p.ended(timeUs, GiveUpUs) }
+func (p *Plan) MayClose(window, timeUs, nowUs int64) bool {
+	return window <= p.ended(timeUs, GiveUpUs) && nowUs-p.triedUs >= TryUs
+}
 
 // Closing records that the closing of a window has begun.
-func (p *Plan) Closing() { p.closing = true }
+func (p *Plan) Closing(window, nowUs int64) {
+	p.closing = true
+	if p.tried != window {
+		p.tried, p.triedUs = window, nowUs
+	}
+}
 
 // Reporting records that the call for a window has begun.
 func (p *Plan) Reporting() { p.reporting = true }
--- a/internal/usage/usage_test.go
+++ b/internal/usage/usage_test.go
@@ -41,6 +41,20 @@
 	must.Len(t, 1, rows)
 }
 
+// A request whose moment is known before the time of day is counted once that is known.
+func TestHeldRequestsAreCountedWhenTheTimeIsKnown(t *testing.T) {
+	c := NewCounter("r")
+	c.Hold("a", 3*second)
+	c.Hold("b", 6*second)
+	rows, _ := c.RowsSince(0)
+	must.SliceEmpty(t, rows)
+	must.True(t, c.Holding())
+	c.Place(func(atUs int64) int64 { return WindowOf(100*lengthUs+atUs, lengthUs) })
+	must.False(t, c.Holding())
+	rows, _ = c.RowsSince(0)
+	must.Eq(t, []messages.UsageRow{{Window: 100, Router: "r", Counts: counts("a", 1)}, {Window: 101, Router: "r", Counts: counts("b", 1)}}, rows)
+}
+
 // Rows may come twice, in any order and by several ways.
 func TestTotalDoesNotDependOnOrderOrRepeats(t *testing.T) {
 	for seed := range uint64(50) {
@@ -131,9 +145,10 @@
 	must.False(t, p.Step(v).Needed())
 	v.TimeUs++
 	must.Eq(t, int64(4), p.Step(v).Close)
-	must.False(t, p.MayClose(4, v.TimeUs))
-	must.True(t, p.MayClose(4, 5*lengthUs+GiveUpUs))
-	p.Closing()
+	p.Closing(4, v.NowUs)
+	must.False(t, p.MayClose(4, v.TimeUs, v.NowUs+TryUs), must.Sprint("it ended a short while ago"))
+	must.False(t, p.MayClose(4, 5*lengthUs+GiveUpUs, v.NowUs+TryUs-1), must.Sprint("the first try was a short while ago"))
+	must.True(t, p.MayClose(4, 5*lengthUs+GiveUpUs, v.NowUs+TryUs))
 	must.Zero(t, p.Step(v).Close, must.Sprint("one at a time"))
 	p.Closed(false, v.NowUs)
 	must.Zero(t, p.Step(v).Close)
