consensus: proposers of a large value begin apart

Change: a backoff, and the wait before a reader ends an accepted value, is random up to 2 us a byte; after the wait the reader looks again whether another has ended it.

--- a/internal/consensus/change.go
+++ b/internal/consensus/change.go
@@ -25,6 +25,9 @@
 	backoffStepMs   = 20
 	backoffMaxSteps = 8
 
+	// spreadPerByte is the time that a byte of a large value adds to a backoff.
+	spreadPerByte = 2 * time.Microsecond
+
 	// responseBuffer holds the responses of both phases and their repeats, so that
 	// senders rarely wait for the round.
 	responseBuffer = 64
@@ -59,18 +62,35 @@
 		case Finished:
 			return round.Value, round.Err
 		case Backoff:
-			backoff(ctx, retries)
+			backoff(ctx, retries, round.Value, base)
+		}
+	}
+}
+
+// backoff waits a random time that grows with the retries and with the values that every
+// vote writes to disk, so that proposers that preempt each other get out of step.
+func backoff(ctx context.Context, retries int, values ...messages.Value) {
+	limit := time.Duration(backoffBaseMs+backoffStepMs*min(retries, backoffMaxSteps)) * time.Millisecond
+	pause(ctx, limit+spread(values...))
+}
+
+// spread is the time over which proposers of a large value begin, so that one of them
+// comes to its end before the next begins.
+func spread(values ...messages.Value) time.Duration {
+	bytes := 0
+	for _, v := range values {
+		if isLarge(v) {
+			bytes = max(bytes, len(v.Body))
 		}
 	}
+	return time.Duration(bytes) * spreadPerByte
 }
 
-// backoff waits a random time that grows with the retries, so that proposers that
-// preempt each other get out of step.
-func backoff(ctx context.Context, retries int) {
-	limitMs := int64(backoffBaseMs + backoffStepMs*min(retries, backoffMaxSteps))
-	n, _ := rand.Int(rand.Reader, big.NewInt(limitMs))
+// pause waits a random time up to a limit, or until ctx ends.
+func pause(ctx context.Context, limit time.Duration) {
+	n, _ := rand.Int(rand.Reader, big.NewInt(int64(limit)+1))
 	select {
-	case <-time.After(time.Duration(n.Int64()) * time.Millisecond):
+	case <-time.After(time.Duration(n.Int64())):
 	case <-ctx.Done():
 	}
 }
--- a/internal/consensus/read.go
+++ b/internal/consensus/read.go
@@ -23,6 +23,7 @@
 // It retries until ctx ends, and returns ErrUnsure then. A value that is accepted and
 // may be committed is brought to an end first.
 func (r *Registers) Read(ctx context.Context, part int) (messages.Value, error) {
+	waited := false
 	for ctx.Err() == nil {
 		base, ok := r.Committed(part)
 		if !ok {
@@ -38,6 +39,11 @@
 		case Current:
 			return base, nil
 		case Undecided:
+			if limit := spread(r.accepted(ctx, part)); limit > 0 && !waited {
+				waited = true
+				pause(ctx, limit) // another member may bring it to its end meanwhile
+				continue
+			}
 			if err := r.finishAccepted(ctx, part); err != nil {
 				return messages.Value{}, err
 			}
--- a/internal/controller/usage_test.go
+++ b/internal/controller/usage_test.go
@@ -162,7 +162,7 @@
 	window := countRequests(t, d, "r1", messages.UsageCount{Tenant: "x", Count: 3})
 	d.usage.keep()
 	stop()
-	d, _, stop = metered(t, dir, addr, port, false)
+	_, _, stop = metered(t, dir, addr, port, false)
 	defer stop()
 	until(t, func() bool { return len(p.seen()) > 0 })
 	must.Eq(t, api.UsageReport{WindowSeq: window, Counts: map[string]int64{"x": 3}}, p.seen()[0].usage)
