--- a/internal/controller/controller.go
+++ b/internal/controller/controller.go
@@ -129,6 +129,9 @@
 	d.roles.tasks = []task{d.rollouts}
 	d.timeOfDay.SetVotes()
 	d.timeOfDay.Observe(time.Now().UnixMicro(), clock())
+	if scalingWanted(set) {
+		d.roles.tasks = append(d.roles.tasks, newScaler(d))
+	}
 	if usageWanted(set) {
 		d.usage = newUsageReporter(d)
 		d.roles.tasks = append(d.roles.tasks, d.usage)
--- a/internal/controller/rollouts.go
+++ b/internal/controller/rollouts.go
@@ -111,6 +111,16 @@
 	return job{needed: rollout.Unfinished(models), fenceFloor: m.fenceFloor(part), run: run}, len(models) > 0
 }
 
+// unfinished reports whether any model has runners to be brought to a named version.
+func (m *rolloutManager) unfinished() bool {
+	for part := 1; part < consensus.Parts; part++ {
+		if rollout.Unfinished(m.models(part)) {
+			return true
+		}
+	}
+	return false
+}
+
 // models are those that belong to a register, with their runners as known now.
 func (m *rolloutManager) models(part int) []rollout.Model {
 	var out []rollout.Model
