--- a/internal/autoscale/autoscale.go
+++ b/internal/autoscale/autoscale.go
@@ -35,7 +35,7 @@
 
 // Defaults are the default parameters.
 var Defaults = Config{
-	TargetLoad: 0.5, LossLoad: 0.75, Hysteresis: 0.15, SmoothUs: 1_000_000, PeakUs: 60_000_000, ObserveUs: 4_000_000,
+	TargetLoad: 0.5, LossLoad: 0.8, Hysteresis: 0.15, SmoothUs: 1_000_000, PeakUs: 60_000_000, ObserveUs: 4_000_000,
 	GrowHoldUs: 60_000_000, ShrinkHoldUs: 20_000_000, MostShrink: 0.25,
 }
 
@@ -166,7 +166,7 @@
 		current = z.Present
 	}
 	wanted, reason := p.wanted(s, state, 1)
-	least, _ := p.wanted(s, state, 1-p.config.Hysteresis)
+	least, _ := p.wanted(s, state, p.growAt(v))
 	most, _ := p.wanted(s, state, 1+p.config.Hysteresis)
 	switch {
 	case !v.Known:
@@ -182,6 +182,16 @@
 	return Order{messages.Setpoint{Service: s.Name, Zone: z.Name, Desired: wanted}, reason}, true
 }
 
+// growAt returns the part of the demand that must need more runners before more are
+// ordered. Where runners are cordoned for a roll-out or the core has changed, the others
+// are busier for a short while, and only what they could not bear counts.
+func (p *Plan) growAt(v View) float64 {
+	if v.Steady {
+		return 1 - p.config.Hysteresis
+	}
+	return p.config.TargetLoad / p.config.LossLoad
+}
+
 // wanted returns how many runners a zone needs for so many times its demand, and what for.
 func (p *Plan) wanted(s Service, state *zoneState, times float64) (runners int, reason Reason) {
 	forecast := max(p.forecast(state, s.BootUs), state.peak)
