--- a/cmd/beechtide/doctor.go
+++ b/cmd/beechtide/doctor.go
@@ -32,6 +32,7 @@
 	from         string // address to ask from
 	asJSON       bool
 	rings        bool // print the log rings as well
+	duties       bool // print the duties at the platform as well
 }
 
 // runDoctor looks for common faults of a running system. The status is 0 where
@@ -42,6 +43,7 @@
 	flags.StringVar(&options.settingsPath, "config", settings.Path(), "path of the settings file")
 	flags.BoolVar(&options.asJSON, "json", false, "print the findings as JSON")
 	flags.BoolVar(&options.rings, "rings", false, "print the log rings of the nodes as well")
+	flags.BoolVar(&options.duties, "duties", false, "print who holds the duties at the platform, and how many runners are ordered, as well")
 	flags.StringVar(&options.from, "from", "", "address to ask from; empty: any free port of the settings' ip")
 	flags.Usage = func() {
 		fmt.Fprintln(flags.Output(), "usage: beechtide doctor [flags]\n\nEnds with 0 where all is well, 1 on warnings, 3 on faults.")
@@ -86,6 +88,11 @@
 	defer cancel()
 	results := doctor.Collect(ctx, trans, set.SeedAddrs())
 	status = printFindings(doctor.Examine(results), options.asJSON)
+	if options.duties {
+		for _, line := range doctor.Duties(results) {
+			fmt.Println(line)
+		}
+	}
 	if options.rings {
 		for _, l := range doctor.CollectLogs(ctx, trans, results) {
 			fmt.Printf("== %s\n%s", l.Node, l.Text)
--- a/internal/controller/controller.go
+++ b/internal/controller/controller.go
@@ -93,6 +93,7 @@
 	roles    *roleManager
 	rollouts *rolloutManager
 	usage    *usageReporter // nil where the platform wants no usage
+	scaler   *scaler        // nil where the platform takes no orders of runners
 	targets  namedTargets
 	calm     calm
 	repairs  repairs
@@ -102,6 +103,7 @@
 	startUs  int64
 
 	timeOfDay    clocksync.Shared
+	lastCalls    lastCalls
 	counters     counters
 	acknowledged invariant.Newest // the newest configuration that was acknowledged here
 
@@ -130,7 +132,8 @@
 	d.timeOfDay.SetVotes()
 	d.timeOfDay.Observe(time.Now().UnixMicro(), clock())
 	if scalingWanted(set) {
-		d.roles.tasks = append(d.roles.tasks, newScaler(d))
+		d.scaler = newScaler(d)
+		d.roles.tasks = append(d.roles.tasks, d.scaler)
 	}
 	if usageWanted(set) {
 		d.usage = newUsageReporter(d)
--- a/internal/controller/metrics.go
+++ b/internal/controller/metrics.go
@@ -91,15 +91,31 @@
 
 // platformMetrics are the figures of the calls to the platform.
 func (d *Controller) platformMetrics() []prometheus.Collector {
-	if d.usage == nil {
-		return nil
-	}
-	return []prometheus.Collector{
+	collectors := []prometheus.Collector{
 		metrics.Counter("beechtide_platform_calls_total", "Calls to the platform that this controller made as the holder of a lease, by outcome.", []string{"outcome"}, func(emit metrics.Emit) {
 			for answer, name := range platformAnswerNames {
 				emit(float64(d.counters.platform[answer].Load()), name)
 			}
 		}),
+		metrics.Gauge("beechtide_duty_fence", "Fencing token of the lease of each duty at the platform, where this controller holds it.", []string{"duty"}, func(emit metrics.Emit) {
+			for _, duty := range d.dutyConditions() {
+				if duty.Holder == d.registers.ID() {
+					emit(float64(duty.Fence), duty.Name)
+				}
+			}
+		}),
+		metrics.Gauge("beechtide_runners_in_zone", "Runners of each service and zone that are present, ordered, and that the requests would keep busy all the time, at the controller that orders them.", []string{"service", "zone", "of"}, func(emit metrics.Emit) {
+			for _, c := range d.scalingConditions() {
+				emit(float64(c.Present), c.Service, c.Zone, "present")
+				emit(float64(c.Ordered), c.Service, c.Zone, "ordered")
+				emit(c.Demand, c.Service, c.Zone, "demand")
+			}
+		}),
+	}
+	if d.usage == nil {
+		return collectors
+	}
+	return append(collectors,
 		metrics.Counter("beechtide_usage_windows_closed_total", "Windows of usage whose counts were agreed on by this controller.", nil, func(emit metrics.Emit) {
 			emit(float64(d.counters.closedWindows.Load()))
 		}),
@@ -109,5 +125,5 @@
 		metrics.Gauge("beechtide_usage_unreported_seconds", "Time since the end of the oldest window that the platform may not have; 0 if there is none.", nil, func(emit metrics.Emit) {
 			emit(d.usage.unreported().Seconds())
 		}),
-	}
+	)
 }
--- a/internal/controller/platform.go
+++ b/internal/controller/platform.go
@@ -8,9 +8,12 @@
 	"encoding/json"
 	"net/http"
 	"strconv"
+	"sync"
 	"time"
 
+	"beechtide.org/beechtide/internal/consensus"
 	"beechtide.org/beechtide/internal/lease"
+	"beechtide.org/beechtide/internal/messages"
 )
 
 // platformWait is how long the platform may take to answer.
@@ -45,6 +48,7 @@
 	if !d.roles.mayCall(part, grant) {
 		return platformNotSent
 	}
+	sentUs := d.clock()
 	status, _, err := d.connPool.Ask(ctx, d.set.Cloud.Address, http.MethodPost, path, headers, body)
 	d.log.Info("platform called", "path", path, "fence", grant.Fence, "status", status, "err", err)
 	answer := platformFailed
@@ -56,5 +60,57 @@
 		d.roles.refuse(part, grant.Fence)
 	}
 	d.counters.platform[answer].Add(1)
+	d.lastCalls.record(part, lastCall{sentUs, answer})
 	return answer
 }
+
+// lastCall is when a call left, and what became of it.
+type lastCall struct {
+	sentUs int64
+	answer platformAnswer
+}
+
+// lastCalls has the last call under the lease of each register. It is safe for concurrent
+// use, and its zero value is ready for use.
+type lastCalls struct {
+	mu     sync.Mutex
+	byPart [consensus.Parts]lastCall
+}
+
+func (l *lastCalls) record(part int, c lastCall) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.byPart[part] = c
+}
+
+func (l *lastCalls) of(part int) lastCall {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.byPart[part]
+}
+
+// dutyConditions are the duties at the platform, for the doctor.
+func (d *Controller) dutyConditions() []messages.DutyCondition {
+	var out []messages.DutyCondition
+	if d.usage != nil {
+		duty := d.dutyCondition(usageDuty, usagePart)
+		duty.OverdueUs = d.usage.unreported().Microseconds()
+		out = append(out, duty)
+	}
+	if d.scaler != nil {
+		out = append(out, d.dutyCondition(scalingDuty, scalingPart))
+	}
+	return out
+}
+
+func (d *Controller) dutyCondition(name string, part int) messages.DutyCondition {
+	duty := messages.DutyCondition{Name: name}
+	v, _ := d.registers.Committed(part)
+	if body, err := leaseBody(v); err == nil {
+		duty.Holder, duty.Fence = body.Lease.Holder, body.Lease.Fence
+	}
+	if last := d.lastCalls.of(part); last.sentUs > 0 {
+		duty.LastCallUs, duty.Accepted = d.clock()-last.sentUs, last.answer == platformAccepted
+	}
+	return duty
+}
--- a/internal/controller/scaling.go
+++ b/internal/controller/scaling.go
@@ -50,6 +50,7 @@
 
 	mu      sync.Mutex // guards what follows
 	plan    *autoscale.Plan
+	seen    autoscale.View                      // what the plan last went by
 	planUs  int64                               // when the plan was last asked
 	decided map[autoscale.Key]autoscale.Order   // orders of the plan
 	sent    map[autoscale.Key]messages.Setpoint // what the platform has accepted from this process
@@ -68,7 +69,7 @@
 
 // reset forgets what only the holder of the lease goes by.
 func (s *scaler) reset() {
-	s.plan = autoscale.NewPlan(autoscale.Defaults)
+	s.plan, s.seen = autoscale.NewPlan(autoscale.Defaults), autoscale.View{}
 	s.decided, s.sent = map[autoscale.Key]autoscale.Order{}, map[autoscale.Key]messages.Setpoint{}
 }
 
@@ -104,7 +105,8 @@
 		return
 	}
 	s.planUs = nowUs
-	for _, order := range s.plan.Step(s.view(body, nowUs)) {
+	s.seen = s.view(body, nowUs)
+	for _, order := range s.plan.Step(s.seen) {
 		s.decided[keyOf(order.Setpoint)] = order
 		s.controller.log.Info("runners wanted", "service", order.Service, "zone", order.Zone, "runners", order.Desired, "reason", string(order.Reason))
 	}
@@ -269,3 +271,22 @@
 	s.sent[keyOf(order)] = order
 	return true
 }
+
+// scalingConditions are the runners of the services that this controller orders as the
+// holder of the lease, for the doctor.
+func (d *Controller) scalingConditions() []messages.ScalingCondition {
+	if d.scaler == nil {
+		return nil
+	}
+	s := d.scaler
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	var out []messages.ScalingCondition
+	for _, service := range s.seen.Services {
+		for _, z := range service.Zones {
+			reason := s.decided[autoscale.Key{Service: service.Name, Zone: z.Name}].Reason
+			out = append(out, messages.ScalingCondition{Service: service.Name, Zone: z.Name, Present: z.Present, Ordered: z.Ordered, Demand: z.Demand, Reason: string(reason)})
+		}
+	}
+	return out
+}
--- a/internal/doctor/doctor.go
+++ b/internal/doctor/doctor.go
@@ -56,6 +56,38 @@
 	return status
 }
 
+// Duties returns a line for each duty at the platform and for each zone whose runners are
+// ordered, as the controllers that hold their leases know them.
+func Duties(results []NodeResult) []string {
+	var lines []string
+	for _, result := range results {
+		c := result.Condition
+		if c == nil {
+			continue
+		}
+		for _, duty := range c.Duties {
+			if duty.Holder == c.MemberID {
+				lines = append(lines, dutyLine(c.Node, duty))
+			}
+		}
+		for _, z := range c.Scaling {
+			lines = append(lines, fmt.Sprintf("%s in %s: %d runners present, %d ordered, %.1f busy by demand, last order for %q", z.Service, z.Zone, z.Present, z.Ordered, z.Demand, z.Reason))
+		}
+	}
+	return lines
+}
+
+func dutyLine(node string, duty messages.DutyCondition) string {
+	line := fmt.Sprintf("%s: held by %s under fence %d", duty.Name, node, duty.Fence)
+	if duty.LastCallUs > 0 {
+		line += fmt.Sprintf(", last call %.1f s ago, accepted: %t", float64(duty.LastCallUs)/1e6, duty.Accepted)
+	}
+	if duty.OverdueUs > 0 {
+		line += fmt.Sprintf(", oldest window not reported ended %.1f s ago", float64(duty.OverdueUs)/1e6)
+	}
+	return line
+}
+
 // roleName is the operator's word for a role. The text of messages.Role is fixed
 // by the wire format and differs from it.
 func roleName(role messages.Role) string {
--- a/internal/doctor/examine_node.go
+++ b/internal/doctor/examine_node.go
@@ -8,8 +8,9 @@
 
 // Limits past which a node is reported.
 const (
-	slowSaveUs  = 250_000 // a write to disk
-	clockSkewUs = 500_000 // difference of its time of day from the doctor's
+	slowSaveUs  = 250_000    // a write to disk
+	clockSkewUs = 500_000    // difference of its time of day from the doctor's
+	lateUsageUs = 15_000_000 // time since the end of a window of usage that was not reported
 
 	// A receiver asks for a snapshot where updates of a stream are lost or do
 	// not apply. More snapshots than minSnapshots, and more than one for each
@@ -31,6 +32,7 @@
 	if exam.condition.Role == messages.Controller {
 		exam.checkDisk()
 		exam.checkRegistrations()
+		exam.checkDuties()
 	}
 	exam.checkStreams()
 	exam.checkRunners()
@@ -77,6 +79,23 @@
 	}
 }
 
+// checkDuties names windows of usage that are late at the platform, as their holder knows.
+func (n *nodeExam) checkDuties() {
+	for _, duty := range n.condition.Duties {
+		if duty.Holder != n.condition.MemberID {
+			continue
+		}
+		if duty.OverdueUs > lateUsageUs {
+			n.warn(fmt.Sprintf("the oldest window of %s that the platform may not have ended %d s ago", duty.Name, duty.OverdueUs/1_000_000),
+				"check that this node reaches the platform's address and that a majority of the controllers is connected; windows are reported later in turn")
+		}
+		if duty.LastCallUs > 0 && !duty.Accepted {
+			n.warn(fmt.Sprintf("the last call to the platform for %s, under fence %d, was not accepted", duty.Name, duty.Fence),
+				"see its log for the status; it is repeated")
+		}
+	}
+}
+
 func (n *nodeExam) checkStreams() {
 	c := n.condition
 	if c.Wholes >= minSnapshots && c.Wholes*changesPerSnapshot > c.Changes {
--- a/internal/messages/msgp.gen.go
+++ b/internal/messages/msgp.gen.go
@@ -131,9 +131,9 @@
 // MarshalMsg implements msgp.Marshaler
 func (z *Condition) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
-	// map header, size 21
+	// map header, size 23
 	// string "a"
-	o = append(o, 0xde, 0x0, 0x15, 0xa1, 0x61)
+	o = append(o, 0xde, 0x0, 0x17, 0xa1, 0x61)
 	o = msgp.AppendString(o, z.Addr)
 	// string "b"
 	o = append(o, 0xa1, 0x62)
@@ -198,21 +198,31 @@
 	// string "n"
 	o = append(o, 0xa1, 0x6e)
 	o = msgp.AppendString(o, z.Node)
+	// string "o"
+	o = append(o, 0xa1, 0x6f)
+	o = msgp.AppendArrayHeader(o, uint32(len(z.Duties)))
+	for za0007 := range z.Duties {
+		o, err = z.Duties[za0007].MarshalMsg(o)
+		if err != nil {
+			err = msgp.WrapError(err, "Duties", za0007)
+			return
+		}
+	}
 	// string "p"
 	o = append(o, 0xa1, 0x70)
 	o = msgp.AppendArrayHeader(o, uint32(len(z.Peers)))
-	for za0007 := range z.Peers {
-		o, err = z.Peers[za0007].MarshalMsg(o)
+	for za0008 := range z.Peers {
+		o, err = z.Peers[za0008].MarshalMsg(o)
 		if err != nil {
-			err = msgp.WrapError(err, "Peers", za0007)
+			err = msgp.WrapError(err, "Peers", za0008)
 			return
 		}
 	}
 	// string "q"
 	o = append(o, 0xa1, 0x71)
 	o = msgp.AppendArrayHeader(o, uint32(len(z.Stale)))
-	for za0008 := range z.Stale {
-		o = msgp.AppendString(o, z.Stale[za0008])
+	for za0009 := range z.Stale {
+		o = msgp.AppendString(o, z.Stale[za0009])
 	}
 	// string "r"
 	o = append(o, 0xa1, 0x72)
@@ -226,8 +236,18 @@
 	// string "u"
 	o = append(o, 0xa1, 0x75)
 	o = msgp.AppendArrayHeader(o, uint32(len(z.Unconfirmed)))
-	for za0009 := range z.Unconfirmed {
-		o = msgp.AppendString(o, z.Unconfirmed[za0009])
+	for za0010 := range z.Unconfirmed {
+		o = msgp.AppendString(o, z.Unconfirmed[za0010])
+	}
+	// string "v"
+	o = append(o, 0xa1, 0x76)
+	o = msgp.AppendArrayHeader(o, uint32(len(z.Scaling)))
+	for za0011 := range z.Scaling {
+		o, err = z.Scaling[za0011].MarshalMsg(o)
+		if err != nil {
+			err = msgp.WrapError(err, "Scaling", za0011)
+			return
+		}
 	}
 	// string "w"
 	o = append(o, 0xa1, 0x77)
@@ -467,53 +487,72 @@
 				err = msgp.WrapError(err, "Node")
 				return
 			}
-		case "p":
+		case "o":
 			var zb0010 uint32
 			zb0010, bts, err = msgp.ReadArrayHeaderBytes(bts)
 			if err != nil {
-				err = msgp.WrapError(err, "Peers")
+				err = msgp.WrapError(err, "Duties")
 				return
 			}
-			if cap(z.Peers) >= int(zb0010) {
-				z.Peers = (z.Peers)[:zb0010]
+			if cap(z.Duties) >= int(zb0010) {
+				z.Duties = (z.Duties)[:zb0010]
 			} else {
-				z.Peers = make([]Peer, zb0010)
+				z.Duties = make([]DutyCondition, zb0010)
 			}
-			for za0007 := range z.Peers {
-				bts, err = z.Peers[za0007].UnmarshalMsg(bts)
+			for za0007 := range z.Duties {
+				bts, err = z.Duties[za0007].UnmarshalMsg(bts)
 				if err != nil {
-					err = msgp.WrapError(err, "Peers", za0007)
+					err = msgp.WrapError(err, "Duties", za0007)
 					return
 				}
 			}
-		case "q":
+		case "p":
 			var zb0011 uint32
 			zb0011, bts, err = msgp.ReadArrayHeaderBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Peers")
+				return
+			}
+			if cap(z.Peers) >= int(zb0011) {
+				z.Peers = (z.Peers)[:zb0011]
+			} else {
+				z.Peers = make([]Peer, zb0011)
+			}
+			for za0008 := range z.Peers {
+				bts, err = z.Peers[za0008].UnmarshalMsg(bts)
+				if err != nil {
+					err = msgp.WrapError(err, "Peers", za0008)
+					return
+				}
+			}
+		case "q":
+			var zb0012 uint32
+			zb0012, bts, err = msgp.ReadArrayHeaderBytes(bts)
 			if err != nil {
 				err = msgp.WrapError(err, "Stale")
 				return
 			}
-			if cap(z.Stale) >= int(zb0011) {
-				z.Stale = (z.Stale)[:zb0011]
+			if cap(z.Stale) >= int(zb0012) {
+				z.Stale = (z.Stale)[:zb0012]
 			} else {
-				z.Stale = make([]string, zb0011)
+				z.Stale = make([]string, zb0012)
 			}
-			for za0008 := range z.Stale {
-				z.Stale[za0008], bts, err = msgp.ReadStringBytes(bts)
+			for za0009 := range z.Stale {
+				z.Stale[za0009], bts, err = msgp.ReadStringBytes(bts)
 				if err != nil {
-					err = msgp.WrapError(err, "Stale", za0008)
+					err = msgp.WrapError(err, "Stale", za0009)
 					return
 				}
 			}
 		case "r":
 			{
-				var zb0012 string
-				zb0012, bts, err = msgp.ReadStringBytes(bts)
+				var zb0013 string
+				zb0013, bts, err = msgp.ReadStringBytes(bts)
 				if err != nil {
 					err = msgp.WrapError(err, "Role")
 					return
 				}
-				z.Role = Role(zb0012)
+				z.Role = Role(zb0013)
 			}
 		case "s":
 			z.SaveUs, bts, err = msgp.ReadInt64Bytes(bts)
@@ -528,21 +567,40 @@
 				return
 			}
 		case "u":
-			var zb0013 uint32
-			zb0013, bts, err = msgp.ReadArrayHeaderBytes(bts)
+			var zb0014 uint32
+			zb0014, bts, err = msgp.ReadArrayHeaderBytes(bts)
 			if err != nil {
 				err = msgp.WrapError(err, "Unconfirmed")
 				return
 			}
-			if cap(z.Unconfirmed) >= int(zb0013) {
-				z.Unconfirmed = (z.Unconfirmed)[:zb0013]
+			if cap(z.Unconfirmed) >= int(zb0014) {
+				z.Unconfirmed = (z.Unconfirmed)[:zb0014]
+			} else {
+				z.Unconfirmed = make([]string, zb0014)
+			}
+			for za0010 := range z.Unconfirmed {
+				z.Unconfirmed[za0010], bts, err = msgp.ReadStringBytes(bts)
+				if err != nil {
+					err = msgp.WrapError(err, "Unconfirmed", za0010)
+					return
+				}
+			}
+		case "v":
+			var zb0015 uint32
+			zb0015, bts, err = msgp.ReadArrayHeaderBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Scaling")
+				return
+			}
+			if cap(z.Scaling) >= int(zb0015) {
+				z.Scaling = (z.Scaling)[:zb0015]
 			} else {
-				z.Unconfirmed = make([]string, zb0013)
+				z.Scaling = make([]ScalingCondition, zb0015)
 			}
-			for za0009 := range z.Unconfirmed {
-				z.Unconfirmed[za0009], bts, err = msgp.ReadStringBytes(bts)
+			for za0011 := range z.Scaling {
+				bts, err = z.Scaling[za0011].UnmarshalMsg(bts)
 				if err != nil {
-					err = msgp.WrapError(err, "Unconfirmed", za0009)
+					err = msgp.WrapError(err, "Scaling", za0011)
 					return
 				}
 			}
@@ -598,16 +656,24 @@
 		s += 1 + 2 + msgp.Int64Size + 2 + msgp.StringPrefixSize + len(z.Violations[za0005].Name)
 	}
 	s += 2 + msgp.Int64Size + 2 + msgp.StringPrefixSize + len(z.MemberID) + 2 + msgp.ArrayHeaderSize + (len(z.Versions) * (msgp.Int64Size)) + 2 + msgp.StringPrefixSize + len(z.Node) + 2 + msgp.ArrayHeaderSize
-	for za0007 := range z.Peers {
-		s += z.Peers[za0007].Msgsize()
+	for za0007 := range z.Duties {
+		s += z.Duties[za0007].Msgsize()
 	}
 	s += 2 + msgp.ArrayHeaderSize
-	for za0008 := range z.Stale {
-		s += msgp.StringPrefixSize + len(z.Stale[za0008])
+	for za0008 := range z.Peers {
+		s += z.Peers[za0008].Msgsize()
+	}
+	s += 2 + msgp.ArrayHeaderSize
+	for za0009 := range z.Stale {
+		s += msgp.StringPrefixSize + len(z.Stale[za0009])
 	}
 	s += 2 + msgp.StringPrefixSize + len(string(z.Role)) + 2 + msgp.Int64Size + 2 + msgp.Int64Size + 2 + msgp.ArrayHeaderSize
-	for za0009 := range z.Unconfirmed {
-		s += msgp.StringPrefixSize + len(z.Unconfirmed[za0009])
+	for za0010 := range z.Unconfirmed {
+		s += msgp.StringPrefixSize + len(z.Unconfirmed[za0010])
+	}
+	s += 2 + msgp.ArrayHeaderSize
+	for za0011 := range z.Scaling {
+		s += z.Scaling[za0011].Msgsize()
 	}
 	s += 2 + msgp.Int64Size + 2 + msgp.Int64Size + 2 + msgp.StringPrefixSize + len(z.Zone)
 	return
@@ -1125,6 +1191,103 @@
 	return
 }
 
+// MarshalMsg implements msgp.Marshaler
+func (z *DutyCondition) MarshalMsg(b []byte) (o []byte, err error) {
+	o = msgp.Require(b, z.Msgsize())
+	// map header, size 6
+	// string "a"
+	o = append(o, 0x86, 0xa1, 0x61)
+	o = msgp.AppendBool(o, z.Accepted)
+	// string "c"
+	o = append(o, 0xa1, 0x63)
+	o = msgp.AppendInt64(o, z.LastCallUs)
+	// string "f"
+	o = append(o, 0xa1, 0x66)
+	o = msgp.AppendInt64(o, z.Fence)
+	// string "h"
+	o = append(o, 0xa1, 0x68)
+	o = msgp.AppendString(o, z.Holder)
+	// string "n"
+	o = append(o, 0xa1, 0x6e)
+	o = msgp.AppendString(o, z.Name)
+	// string "u"
+	o = append(o, 0xa1, 0x75)
+	o = msgp.AppendInt64(o, z.OverdueUs)
+	return
+}
+
+// UnmarshalMsg implements msgp.Unmarshaler
+func (z *DutyCondition) UnmarshalMsg(bts []byte) (o []byte, err error) {
+	var field []byte
+	_ = field
+	var zb0001 uint32
+	zb0001, bts, err = msgp.ReadMapHeaderBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err)
+		return
+	}
+	for zb0001 > 0 {
+		zb0001--
+		field, bts, err = msgp.ReadMapKeyZC(bts)
+		if err != nil {
+			err = msgp.WrapError(err)
+			return
+		}
+		switch msgp.UnsafeString(field) {
+		case "a":
+			z.Accepted, bts, err = msgp.ReadBoolBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Accepted")
+				return
+			}
+		case "c":
+			z.LastCallUs, bts, err = msgp.ReadInt64Bytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "LastCallUs")
+				return
+			}
+		case "f":
+			z.Fence, bts, err = msgp.ReadInt64Bytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Fence")
+				return
+			}
+		case "h":
+			z.Holder, bts, err = msgp.ReadStringBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Holder")
+				return
+			}
+		case "n":
+			z.Name, bts, err = msgp.ReadStringBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Name")
+				return
+			}
+		case "u":
+			z.OverdueUs, bts, err = msgp.ReadInt64Bytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "OverdueUs")
+				return
+			}
+		default:
+			bts, err = msgp.Skip(bts)
+			if err != nil {
+				err = msgp.WrapError(err)
+				return
+			}
+		}
+	}
+	o = bts
+	return
+}
+
+// Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
+func (z *DutyCondition) Msgsize() (s int) {
+	s = 1 + 2 + msgp.BoolSize + 2 + msgp.Int64Size + 2 + msgp.Int64Size + 2 + msgp.StringPrefixSize + len(z.Holder) + 2 + msgp.StringPrefixSize + len(z.Name) + 2 + msgp.Int64Size
+	return
+}
+
 // MarshalMsg implements msgp.Marshaler
 func (z *Entry) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
@@ -4437,6 +4600,103 @@
 	return
 }
 
+// MarshalMsg implements msgp.Marshaler
+func (z *ScalingCondition) MarshalMsg(b []byte) (o []byte, err error) {
+	o = msgp.Require(b, z.Msgsize())
+	// map header, size 6
+	// string "d"
+	o = append(o, 0x86, 0xa1, 0x64)
+	o = msgp.AppendFloat64(o, z.Demand)
+	// string "o"
+	o = append(o, 0xa1, 0x6f)
+	o = msgp.AppendInt(o, z.Ordered)
+	// string "p"
+	o = append(o, 0xa1, 0x70)
+	o = msgp.AppendInt(o, z.Present)
+	// string "r"
+	o = append(o, 0xa1, 0x72)
+	o = msgp.AppendString(o, z.Reason)
+	// string "s"
+	o = append(o, 0xa1, 0x73)
+	o = msgp.AppendString(o, z.Service)
+	// string "z"
+	o = append(o, 0xa1, 0x7a)
+	o = msgp.AppendString(o, z.Zone)
+	return
+}
+
+// UnmarshalMsg implements msgp.Unmarshaler
+func (z *ScalingCondition) UnmarshalMsg(bts []byte) (o []byte, err error) {
+	var field []byte
+	_ = field
+	var zb0001 uint32
+	zb0001, bts, err = msgp.ReadMapHeaderBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err)
+		return
+	}
+	for zb0001 > 0 {
+		zb0001--
+		field, bts, err = msgp.ReadMapKeyZC(bts)
+		if err != nil {
+			err = msgp.WrapError(err)
+			return
+		}
+		switch msgp.UnsafeString(field) {
+		case "d":
+			z.Demand, bts, err = msgp.ReadFloat64Bytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Demand")
+				return
+			}
+		case "o":
+			z.Ordered, bts, err = msgp.ReadIntBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Ordered")
+				return
+			}
+		case "p":
+			z.Present, bts, err = msgp.ReadIntBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Present")
+				return
+			}
+		case "r":
+			z.Reason, bts, err = msgp.ReadStringBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Reason")
+				return
+			}
+		case "s":
+			z.Service, bts, err = msgp.ReadStringBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Service")
+				return
+			}
+		case "z":
+			z.Zone, bts, err = msgp.ReadStringBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Zone")
+				return
+			}
+		default:
+			bts, err = msgp.Skip(bts)
+			if err != nil {
+				err = msgp.WrapError(err)
+				return
+			}
+		}
+	}
+	o = bts
+	return
+}
+
+// Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
+func (z *ScalingCondition) Msgsize() (s int) {
+	s = 1 + 2 + msgp.Float64Size + 2 + msgp.IntSize + 2 + msgp.IntSize + 2 + msgp.StringPrefixSize + len(z.Reason) + 2 + msgp.StringPrefixSize + len(z.Service) + 2 + msgp.StringPrefixSize + len(z.Zone)
+	return
+}
+
 // MarshalMsg implements msgp.Marshaler
 func (z Setpoint) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
--- a/internal/messages/types.gen.go
+++ b/internal/messages/types.gen.go
@@ -121,6 +121,7 @@
 	MemberID   string           `msg:"l"`
 	Versions   []int64          `msg:"m"`
 	Node       string           `msg:"n"`
+	Duties     []DutyCondition  `msg:"o"`
 	Peers      []Peer           `msg:"p"`
 	Stale      []string         `msg:"q"`
 	Role       Role             `msg:"r"`
@@ -129,9 +130,12 @@
 
 	// Unconfirmed members that this controller waits for in a repair
 	Unconfirmed []string `msg:"u"`
-	Wholes      int64    `msg:"w"`
-	Malformed   int64    `msg:"x"`
-	Zone        string   `msg:"z"`
+
+	// Scaling of the controller that orders runners
+	Scaling   []ScalingCondition `msg:"v"`
+	Wholes    int64              `msg:"w"`
+	Malformed int64              `msg:"x"`
+	Zone      string             `msg:"z"`
 }
 
 // ConfigBody defines model for ConfigBody.
@@ -185,6 +189,23 @@
 	Piece []byte `msg:"x"`
 }
 
+// DutyCondition a duty at the platform, as this controller knows it
+type DutyCondition struct {
+	// Accepted that call was accepted
+	Accepted bool `msg:"a"`
+
+	// LastCallUs how long ago this controller last called the platform for it; 0 if it never did
+	LastCallUs int64 `msg:"c"`
+	Fence      int64 `msg:"f"`
+
+	// Holder member identity
+	Holder string `msg:"h"`
+	Name   string `msg:"n"`
+
+	// OverdueUs how long ago the oldest window of usage ended that the platform may not have
+	OverdueUs int64 `msg:"u"`
+}
+
 // Entry an entry by its key; one that is no longer there has no body
 type Entry struct {
 	Body []byte `msg:"b"`
@@ -409,6 +430,19 @@
 	Zone       string   `msg:"z"`
 }
 
+// ScalingCondition the runners of a service in a zone
+type ScalingCondition struct {
+	// Demand runners that the requests would keep busy all the time
+	Demand  float64 `msg:"d"`
+	Ordered int     `msg:"o"`
+	Present int     `msg:"p"`
+
+	// Reason of the newest order
+	Reason  string `msg:"r"`
+	Service string `msg:"s"`
+	Zone    string `msg:"z"`
+}
+
 // Setpoint defines model for Setpoint.
 type Setpoint struct {
 	Desired int    `msg:"d"`
