controller: functions that had grown large are split; the package is linted

No behaviour changes: handlers of messages, comparisons, subscriptions and the lists of runners have functions of their own.

--- a/internal/autoscale/autoscale.go
+++ b/internal/autoscale/autoscale.go
@@ -39,32 +39,6 @@
 	GrowHoldUs: 60_000_000, ShrinkHoldUs: 20_000_000, MostShrink: 0.25,
 }
 
-// Zone is what is known of a service's runners in a zone.
-type Zone struct {
-	Name    string
-	Present int     // runners that are ready
-	Ordered int     // the newest order; 0 if there was none
-	Demand  float64 // runners that the requests there would keep busy all the time
-}
-
-// Service is what is known of a service.
-type Service struct {
-	Name           string
-	Floor, Ceiling int // for each zone
-	BootUs         int64
-	Zones          []Zone
-}
-
-// View is the input of a step.
-type View struct {
-	NowUs    int64
-	Services []Service
-	// Known says that the demand is that of all routers.
-	Known bool
-	// Steady says that nothing is going on beside which runners should not be removed.
-	Steady bool
-}
-
 // Reason is why a number of runners is ordered.
 type Reason string
 
@@ -234,28 +208,3 @@
 	}
 	return state.shrunkUs == 0 || v.NowUs-state.shrunkUs >= p.config.ShrinkHoldUs
 }
-
-// Load is what requests have at one runner, against what it has.
-type Load struct {
-	Slots, Blocks float64 // in use, and what the runner has of each; 0 for unknown
-	SlotsTotal    float64
-	BlocksTotal   float64
-	Flow          float64 // prompt tokens per second that are to be read
-	Rate          float64 // prompt tokens that it reads in a microsecond; 0 for unknown
-}
-
-// Busy returns the busy part of a runner, in the scarcest of what it has. It may exceed 1
-// where requests wait.
-func (l Load) Busy() float64 {
-	busy := 0.0
-	if l.SlotsTotal > 0 {
-		busy = max(busy, l.Slots/l.SlotsTotal)
-	}
-	if l.BlocksTotal > 0 {
-		busy = max(busy, l.Blocks/l.BlocksTotal)
-	}
-	if l.Rate > 0 {
-		busy = max(busy, l.Flow/1e6/l.Rate)
-	}
-	return busy
-}
--- a/internal/clocksync/clock.go
+++ b/internal/clocksync/clock.go
@@ -116,15 +116,15 @@
 
 // anyAgreed reports whether another node has compared its offset. It drops old samples.
 func (c *Clock) anyAgreed(nowUs int64) bool {
-	any := false
+	agreed := false
 	for node, s := range c.samples {
 		if nowUs-s.atUs >= SampleAgeUs {
 			delete(c.samples, node)
 			continue
 		}
-		any = any || s.agreed
+		agreed = agreed || s.agreed
 	}
-	return any
+	return agreed
 }
 
 // median returns the median of the offsets that count, and the largest error among them.
--- a/internal/clocksync/clock_test.go
+++ b/internal/clocksync/clock_test.go
@@ -84,56 +84,77 @@
 	must.MapLen(t, 1, c.samples)
 }
 
+const nodes = 5
+
+// fleet is controllers whose machines' clocks may jump.
+type fleet struct {
+	random   *rand.Rand
+	clocks   [nodes]Clock
+	jumpedUs [nodes]int64 // of the machine's time of day
+	startUs  [nodes]int64 // of the process
+}
+
+func newFleet(seed uint64) *fleet {
+	f := &fleet{random: rand.New(rand.NewPCG(seed, 2))}
+	for i := range nodes {
+		f.start(i, 0)
+	}
+	for range 4 {
+		f.compare(0)
+	}
+	return f
+}
+
+func (f *fleet) start(i int, nowUs int64) {
+	f.startUs[i] = nowUs
+	f.clocks[i] = Clock{Votes: true}
+	f.clocks[i].Observe(dayUs+nowUs+f.jumpedUs[i], 0)
+}
+
+// compare has every node compare itself with most others.
+func (f *fleet) compare(nowUs int64) {
+	for i := range nodes {
+		f.clocks[i].Observe(dayUs+nowUs+f.jumpedUs[i], nowUs-f.startUs[i])
+		for j := range nodes {
+			if i != j && f.random.IntN(5) > 0 {
+				f.ask(i, j, nowUs)
+			}
+		}
+	}
+}
+
+func (f *fleet) ask(i, j int, nowUs int64) {
+	there, back := f.random.Int64N(10*ms), f.random.Int64N(10*ms)
+	timeUs, agreed := f.clocks[j].TimeUs(nowUs - f.startUs[j])
+	f.clocks[i].Compare(string(rune('a'+j)), timeUs, agreed, nowUs-there-f.startUs[i], nowUs+back-f.startUs[i])
+}
+
+// disturb has clocks jump on two of five machines, or all come back, and restarts nodes.
+func (f *fleet) disturb(nowUs int64) {
+	if f.random.IntN(20) == 0 {
+		f.jumpedUs = [nodes]int64{}
+		for range 2 {
+			f.jumpedUs[f.random.IntN(nodes)] = (f.random.Int64N(5) - 2) * second
+		}
+	}
+	if f.random.IntN(10) == 0 {
+		f.start(f.random.IntN(nodes), nowUs)
+	}
+}
+
 // A fleet of controllers whose clocks jump by seconds on up to two in five of them, and
 // whose processes are restarted, keeps one time.
 func TestFleetKeepsOneTime(t *testing.T) {
-	const nodes, stepsS = 5, 60
 	for seed := range uint64(200) {
-		random := rand.New(rand.NewPCG(seed, 2))
-		var clocks [nodes]Clock
-		var jumpedUs, startUs [nodes]int64 // of the machine's clock; of the process's monotonic clock
-		start := func(i int, nowUs int64) {
-			startUs[i] = nowUs
-			clocks[i] = Clock{Votes: true}
-			clocks[i].Observe(dayUs+nowUs+jumpedUs[i], 0)
-		}
-		for i := range nodes {
-			start(i, 0)
-		}
-		compare := func(nowUs int64) {
-			for i := range nodes {
-				clocks[i].Observe(dayUs+nowUs+jumpedUs[i], nowUs-startUs[i])
-				for j := range nodes {
-					if i == j || random.IntN(5) == 0 {
-						continue
-					}
-					there, back := random.Int64N(10*ms), random.Int64N(10*ms)
-					timeUs, agreed := clocks[j].TimeUs(nowUs - startUs[j])
-					clocks[i].Compare(string(rune('a'+j)), timeUs, agreed, nowUs-there-startUs[i], nowUs+back-startUs[i])
-				}
-			}
-		}
-		for range 4 {
-			compare(0)
-		}
-		for nowUs := second / 2; nowUs < stepsS*second; nowUs += second / 2 {
-			if random.IntN(20) == 0 {
-				jumpedUs = [nodes]int64{}
-				for range 2 {
-					jumpedUs[random.IntN(nodes)] = (random.Int64N(5) - 2) * second
-				}
-			}
-			if random.IntN(10) == 0 {
-				start(random.IntN(nodes), nowUs)
-			}
-			compare(nowUs)
+		f := newFleet(seed)
+		for nowUs := second / 2; nowUs < 60*second; nowUs += second / 2 {
+			f.disturb(nowUs)
+			f.compare(nowUs)
 			for i := range nodes {
-				if nowUs-startUs[i] < 2*second {
-					continue
+				timeUs, _ := f.clocks[i].TimeUs(nowUs - f.startUs[i])
+				if nowUs-f.startUs[i] >= 2*second {
+					must.Between(t, -60*ms, timeUs-dayUs-nowUs, 60*ms, must.Sprintf("seed %d, node %d at %d", seed, i, nowUs))
 				}
-				timeUs, _ := clocks[i].TimeUs(nowUs - startUs[i])
-				errorUs := timeUs - dayUs - nowUs
-				must.Between(t, -60*ms, errorUs, 60*ms, must.Sprintf("seed %d, node %d at %d", seed, i, nowUs))
 			}
 		}
 	}
--- a/internal/controller/condition.go
+++ b/internal/controller/condition.go
@@ -4,7 +4,7 @@
 
 import (
 	"context"
-	"sort"
+	"slices"
 	"time"
 
 	"beechtide.org/beechtide/internal/consensus"
@@ -43,8 +43,8 @@
 		}
 	}
 	d.cachedMu.Unlock()
-	sort.Strings(c.Stale)
-	sort.Strings(c.Unread)
+	slices.Sort(c.Stale)
+	slices.Sort(c.Unread)
 	return c
 }
 
--- a/internal/controller/controller.go
+++ b/internal/controller/controller.go
@@ -149,18 +149,22 @@
 	d.handOver = defaultHandOverTimes
 	self := messages.Peer{Addr: set.ControllerAddr(), Role: messages.Controller, Zone: set.Zone, MemberID: d.registers.ID(), Control: set.Listen.Control, Node: set.Node, Counted: set.Counted}
 	d.monitor = membership.NewMonitor(trans, self, clock, d.knownControllers)
+	d.handleMessages()
+	for p := range consensus.Parts {
+		if v, ok := d.registers.Committed(p); ok && v.Version > 0 {
+			d.learned(p, v)
+		}
+	}
+	return d, nil
+}
+
+// handleMessages sets who handles the messages of other nodes.
+func (d *Controller) handleMessages() {
+	trans := d.transport
 	trans.OnCall(transport.KindConsensus, func(ctx context.Context, _ *transport.Conn, body []byte) ([]byte, error) {
 		return d.registers.Handle(ctx, body)
 	})
-	trans.OnCall(transport.KindVersions, func(_ context.Context, _ *transport.Conn, body []byte) ([]byte, error) {
-		m := d.versions()
-		var from messages.Versions
-		if _, err := from.UnmarshalMsg(body); err == nil && !from.Controller {
-			m.Parts = d.publishedVersions()
-		}
-		m.LaterHeartbeats = d.registry.LaterHeartbeats(from.SilentRunners, d.clock())
-		return m.MarshalMsg(nil)
-	})
+	trans.OnCall(transport.KindVersions, d.answerVersions)
 	trans.OnCall(transport.KindCondition, func(context.Context, *transport.Conn, []byte) ([]byte, error) {
 		c := d.condition()
 		return c.MarshalMsg(nil)
@@ -171,12 +175,17 @@
 		trans.OnCall(transport.KindUsageQuery, d.usage.answerQuery)
 	}
 	trans.OnDatagram(transport.KindRunner, d.heardRunner)
-	for p := range consensus.Parts {
-		if v, ok := d.registers.Committed(p); ok && v.Version > 0 {
-			d.learned(p, v)
-		}
+}
+
+// answerVersions answers a comparison of versions.
+func (d *Controller) answerVersions(_ context.Context, _ *transport.Conn, body []byte) ([]byte, error) {
+	m := d.versions()
+	var from messages.Versions
+	if _, err := from.UnmarshalMsg(body); err == nil && !from.Controller {
+		m.Parts = d.publishedVersions()
 	}
-	return d, nil
+	m.LaterHeartbeats = d.registry.LaterHeartbeats(from.SilentRunners, d.clock())
+	return m.MarshalMsg(nil)
 }
 
 // knownControllers are the addresses to greet: the seeds and the members known
@@ -377,35 +386,40 @@
 	d.calm.saw(view, d.clock())
 	silent := d.registry.SilentRunners(d.clock(), d.silence())
 	for _, p := range alive {
-		if p.Addr == d.transport.Addr() {
-			continue
+		if p.Addr != d.transport.Addr() {
+			go d.compareWith(ctx, p, core[p.Addr], silent)
+		}
+	}
+}
+
+// compareWait bounds a comparison with another controller.
+const compareWait = 450 * time.Millisecond
+
+// compareWith compares versions, time of day and heartbeats with another controller.
+func (d *Controller) compareWith(ctx context.Context, p messages.Peer, inCore bool, silent []messages.LastHeartbeat) {
+	cctx, cancel := context.WithTimeout(ctx, compareWait)
+	defer cancel()
+	mine, sentUs := d.versions(), d.clock()
+	mine.SilentRunners = silent
+	b, err := d.transport.Call(cctx, p.Addr, transport.KindVersions, &mine)
+	if inCore {
+		d.calm.tried(p.Addr, err == nil, d.clock())
+	}
+	if err != nil {
+		return
+	}
+	var m messages.Versions
+	if _, err := m.UnmarshalMsg(b); err != nil {
+		return
+	}
+	d.publishRunners(d.registry.ApplyLaterHeartbeats(m.LaterHeartbeats, sentUs, d.clock())...)
+	d.targets.observe(m.TargetAges, d.clock())
+	d.timeOfDay.Compare(p.Addr, m, sentUs, d.clock())
+	d.contact.answered(cmp.Or(m.MemberID, p.MemberID), sentUs) // the earlier format has none
+	for part := range min(len(m.Parts), consensus.Parts) {
+		if m.Parts[part] > mine.Parts[part] {
+			go func() { _ = d.registers.Pull(ctx, p.Addr, part) }()
 		}
-		go func() {
-			cctx, cancel := context.WithTimeout(ctx, 450*time.Millisecond)
-			defer cancel()
-			mine, sentUs := d.versions(), d.clock()
-			mine.SilentRunners = silent
-			b, err := d.transport.Call(cctx, p.Addr, transport.KindVersions, &mine)
-			if core[p.Addr] {
-				d.calm.tried(p.Addr, err == nil, d.clock())
-			}
-			if err != nil {
-				return
-			}
-			var m messages.Versions
-			if _, err := m.UnmarshalMsg(b); err != nil {
-				return
-			}
-			d.publishRunners(d.registry.ApplyLaterHeartbeats(m.LaterHeartbeats, sentUs, d.clock())...)
-			d.targets.observe(m.TargetAges, d.clock())
-			d.timeOfDay.Compare(p.Addr, m, sentUs, d.clock())
-			d.contact.answered(cmp.Or(m.MemberID, p.MemberID), sentUs) // the earlier format has none
-			for part := range min(len(m.Parts), consensus.Parts) {
-				if m.Parts[part] > mine.Parts[part] {
-					go func() { _ = d.registers.Pull(ctx, p.Addr, part) }()
-				}
-			}
-		}()
 	}
 }
 
--- a/internal/controller/feed.go
+++ b/internal/controller/feed.go
@@ -294,13 +294,7 @@
 		out.Registry = append(out.Registry, statesync.EncodeEntries(c))
 	}
 	if !h.ConfigOnly {
-		sum := f.aggregate.Total
-		if h.Controller {
-			sum = f.subtree.Total
-		}
-		if c, lacks := sum.DeltaSince(h.Loads.Epoch, h.Loads.Version); lacks {
-			out.Loads = append(out.Loads, statesync.EncodeLoads(c))
-		}
+		out.Loads = f.loadsSince(h)
 	}
 	f.mu.Unlock()
 	if !h.ConfigOnly {
@@ -311,6 +305,20 @@
 	return out
 }
 
+// loadsSince returns the change of the loads that a receiver lacks: a controller is sent
+// those of the nodes below this one. The caller has the mutex.
+func (f *feed) loadsSince(h messages.Hold) []messages.LoadChange {
+	sum := f.aggregate.Total
+	if h.Controller {
+		sum = f.subtree.Total
+	}
+	change, lacks := sum.DeltaSince(h.Loads.Epoch, h.Loads.Version)
+	if !lacks {
+		return nil
+	}
+	return []messages.LoadChange{statesync.EncodeLoads(change)}
+}
+
 // unsynced reports whether the receiver is a router without a configuration.
 func unsynced(h messages.Hold) bool { return !h.Controller && h.Configuration.Version == 0 }
 
--- a/internal/controller/roles.go
+++ b/internal/controller/roles.go
@@ -114,7 +114,7 @@
 	if len(jobs) == 0 {
 		return
 	}
-	view := m.view(part, v.Group, body.Lease, jobs)
+	view := m.view(v.Group, body.Lease, jobs)
 	m.mu.Lock()
 	step := m.roles[part].Step(view)
 	round := (step.Acquire || step.Confirm) && !m.busy[part]
@@ -142,7 +142,7 @@
 }
 
 // view is what this controller sees of a register's lease and its holder.
-func (m *roleManager) view(part int, group []messages.Member, l messages.Lease, jobs []job) lease.RoleView {
+func (m *roleManager) view(group []messages.Member, l messages.Lease, jobs []job) lease.RoleView {
 	d := m.controller
 	rank, candidate := m.rank(l)
 	eligible := candidate || l.Holder == d.registers.ID()
--- a/internal/controller/subscriptions.go
+++ b/internal/controller/subscriptions.go
@@ -21,18 +21,7 @@
 func (d *Controller) listenToOthers(ctx context.Context) {
 	have := map[string]context.CancelFunc{}
 	loop.Every(ctx, 200*time.Millisecond, func() {
-		want := map[string]bool{}
-		all := d.monitor.Alive(messages.Controller)
-		if !d.inCore(all) {
-			all = membership.Core(all)
-			if near := nearest(all, d.set.Zone); near != "" {
-				want[near] = true
-			}
-		} else {
-			for _, p := range all {
-				want[p.Addr] = p.Addr != d.transport.Addr()
-			}
-		}
+		want := d.wantedSubscriptions()
 		for addr, wanted := range want {
 			if wanted && have[addr] == nil {
 				cctx, cancel := context.WithCancel(ctx)
@@ -49,6 +38,22 @@
 	})
 }
 
+// wantedSubscriptions are the controllers to listen to.
+func (d *Controller) wantedSubscriptions() map[string]bool {
+	want := map[string]bool{}
+	all := d.monitor.Alive(messages.Controller)
+	if !d.inCore(all) {
+		if near := nearest(membership.Core(all), d.set.Zone); near != "" {
+			want[near] = true
+		}
+		return want
+	}
+	for _, p := range all {
+		want[p.Addr] = p.Addr != d.transport.Addr()
+	}
+	return want
+}
+
 // inCore tells whether this controller counts, or nobody does.
 func (d *Controller) inCore(all []messages.Peer) bool {
 	for _, p := range membership.Core(all) {
@@ -131,6 +136,25 @@
 	}
 }
 
+// takeRunners takes a change of another controller's list of runners. It reports whether it
+// fits the state that is held of it.
+func (d *Controller) takeRunners(c messages.EntryChange, runners *statesync.Entries, nowUs int64) (fits bool) {
+	f := &d.feed
+	change := statesync.DecodeEntries(c)
+	f.mu.Lock()
+	again := c.Snapshot && runners.Epoch == c.Epoch
+	r := runners.Apply(change)
+	fits = f.count(r, again)
+	f.mu.Unlock()
+	if r == statesync.Mismatch {
+		return fits
+	}
+	merged, malformed := d.registry.MergeChange(change, nowUs)
+	f.malformed.Add(int64(malformed))
+	d.publishRunners(merged...)
+	return fits
+}
+
 // takeFeed takes what another controller is the first to know and passes it down.
 func (d *Controller) takeFeed(addr string, in messages.Feed, runners *statesync.Entries) (fits bool) {
 	now := d.clock()
@@ -138,22 +162,9 @@
 	f := &d.feed
 	d.pullNewer(addr, in.Versions)
 	d.targets.observe(in.TargetAges, now)
-	var changed []string
 	for _, c := range in.Registry {
-		ch := statesync.DecodeEntries(c)
-		f.mu.Lock()
-		again := c.Snapshot && runners.Epoch == c.Epoch
-		r := runners.Apply(ch)
-		fits = f.count(r, again) && fits
-		f.mu.Unlock()
-		if r == statesync.Mismatch {
-			continue
-		}
-		merged, malformed := d.registry.MergeChange(ch, now)
-		changed = append(changed, merged...)
-		f.malformed.Add(int64(malformed))
+		fits = d.takeRunners(c, runners, now) && fits
 	}
-	d.publishRunners(changed...)
 	var kept []messages.KeptChange
 	d.cachedMu.Lock()
 	for _, c := range in.Kept {
--- a/internal/controller/usage_test.go
+++ b/internal/controller/usage_test.go
@@ -78,17 +78,17 @@
 	must.NoError(t, err)
 	began := time.Now()
 	skipUs = &atomic.Int64{}
-	d, err = New(set, pool, func() int64 { return time.Since(began).Microseconds() + 1 + skipUs.Load() }, logr.Discard())
+	started, err := New(set, pool, func() int64 { return time.Since(began).Microseconds() + 1 + skipUs.Load() }, logr.Discard())
 	must.NoError(t, err)
 	ctx, cancel := context.WithCancel(context.Background())
 	ended := make(chan error, 1)
-	go func() { ended <- d.Run(ctx) }()
+	go func() { ended <- started.Run(ctx) }()
 	until(t, func() bool { return listens(control) })
-	return d, skipUs, sync.OnceFunc(func() {
+	return started, skipUs, sync.OnceFunc(func() {
 		cancel()
 		<-ended
-		if d.disk != nil {
-			d.disk.Close()
+		if started.disk != nil {
+			started.disk.Close()
 		}
 	})
 }
--- a/internal/usage/usage_test.go
+++ b/internal/usage/usage_test.go
@@ -95,8 +95,8 @@
 	c.Closed(5)
 	must.Eq(t, 1, c.Merge([]messages.UsageRow{row}))
 	must.SliceEmpty(t, c.Total(4))
-	_, any := c.Oldest()
-	must.False(t, any)
+	_, counted := c.Oldest()
+	must.False(t, counted)
 }
 
 func TestWindowsAreBounded(t *testing.T) {
