--- a/internal/controller/controller.go
+++ b/internal/controller/controller.go
@@ -83,6 +83,8 @@
 	connPool  *upstream.ConnPool
 	table     atomic.Pointer[routeconfig.Table]
 	seeds     atomic.Pointer[[]string]
+	// platformAddr is the address of the platform's API.
+	platformAddr atomic.Pointer[string]
 
 	feed     feed
 	cachedMu sync.Mutex
@@ -125,7 +127,7 @@
 		store = d.disk
 		d.recallRunners()
 	}
-	d.seeds.Store(&set.Seeds)
+	d.Reload(set)
 	d.feed.init(clock())
 	d.roles, d.rollouts = newRoleManager(d), newRolloutManager(d)
 	d.roles.tasks = []task{d.rollouts}
@@ -204,9 +206,12 @@
 	return out
 }
 
-// Reload takes what may change in a running process from newly read settings:
-// the seeds.
-func (d *Controller) Reload(set settings.Settings) { d.seeds.Store(&set.Seeds) }
+// Reload takes what may change in a running process from newly read settings: the seeds,
+// and the address of the platform.
+func (d *Controller) Reload(set settings.Settings) {
+	d.seeds.Store(&set.Seeds)
+	d.platformAddr.Store(&set.Cloud.Address)
+}
 
 // Run serves until ctx ends; then the registers are handed over where a newcomer
 // stands ready, and served on meanwhile.
--- a/internal/controller/platform.go
+++ b/internal/controller/platform.go
@@ -49,7 +49,7 @@
 		return platformNotSent
 	}
 	sentUs := d.clock()
-	status, _, err := d.connPool.Ask(ctx, d.set.Cloud.Address, http.MethodPost, path, headers, body)
+	status, _, err := d.connPool.Ask(ctx, *d.platformAddr.Load(), http.MethodPost, path, headers, body)
 	d.log.Info("platform called", "path", path, "fence", grant.Fence, "status", status, "err", err)
 	answer := platformFailed
 	switch {
--- a/internal/controller/usage_test.go
+++ b/internal/controller/usage_test.go
@@ -205,6 +205,21 @@
 	must.Len(t, 1, p.seen())
 }
 
+// The platform's address follows the settings of a running process.
+func TestPlatformIsCalledAtItsNewAddress(t *testing.T) {
+	before, addr := newPlatform(t)
+	after, newAddr := newPlatform(t)
+	d, _, stop := metered(t, t.TempDir(), addr, freePort(t), true)
+	defer stop()
+	set := d.set
+	set.Cloud.Address = newAddr
+	d.Reload(set)
+	grant := lease.Grant{Fence: 4, MayAct: true, UntilUs: d.clock() + 60_000_000}
+	must.Eq(t, platformAccepted, d.callPlatform(context.Background(), usagePart, grant, "/usage", api.UsageReport{}))
+	must.SliceEmpty(t, before.seen())
+	must.Len(t, 1, after.seen())
+}
+
 func TestHolderIsGivenTheRowsOfTheOthers(t *testing.T) {
 	_, addr := newPlatform(t)
 	d, _, stop := metered(t, t.TempDir(), addr, freePort(t), true)
