--- a/internal/router/feed.go
+++ b/internal/router/feed.go
@@ -28,6 +28,12 @@
 	}
 }
 
+// fits counts a result, and tells whether the change fitted what was held.
+func (s *stats) fits(r statesync.Result, again bool) bool {
+	s.count(r, again)
+	return r == statesync.Applied || r == statesync.Known
+}
+
 // syncState names what this node holds of every stream.
 func (c *Router) syncState() messages.Hold {
 	var h messages.Hold
@@ -128,51 +134,16 @@
 // the parent. It tells whether all of it fitted.
 func (c *Router) applyFeed(parent string, f messages.Feed) (fits bool) {
 	now := c.clock()
-	fits = true
-	note := func(r statesync.Result, again bool) {
-		c.feedStats.count(r, again)
-		fits = fits && (r == statesync.Applied || r == statesync.Known)
-	}
 	c.takeTargetAges(f, now)
-	changed := false
 	c.stateMu.Lock()
-	for _, ch := range f.Configuration {
-		again := ch.Snapshot && c.configuration.Cursor().Epoch == ch.Epoch
-		r, renewed := c.applyConfig(ch)
-		note(r, again)
-		changed = changed || renewed
-	}
+	fits, changed := c.applyConfigs(f.Configuration)
 	for _, p := range f.Parts {
 		c.applyPart(p, now)
 	}
 	for _, ch := range f.Registry {
 		in := statesync.DecodeEntries(ch)
-		believed := parent // whose beliefs are taken along with the facts
-		if parent != "" {
-			again := ch.Snapshot && c.runners.Epoch == ch.Epoch
-			r := c.runners.Apply(in)
-			note(r, again)
-			if r == statesync.Mismatch || r == statesync.Known {
-				continue // what is known already may be older than what is held
-			}
-			if r == statesync.Gap {
-				believed = "" // of a parent that was left, or to come again in order
-			}
-		}
-		for _, p := range in.Puts {
-			var n messages.RunnerRecord
-			if p.Deleted {
-				continue
-			}
-			if _, err := n.UnmarshalMsg([]byte(p.Value)); err != nil {
-				c.feedStats.malformed.Add(1)
-				continue
-			}
-			changed = c.applyRunner(believed, n, now) || changed
-		}
-		if len(in.Puts) > 0 && !c.informed.Swap(true) {
-			c.log.Info("runners known", "count", len(in.Puts))
-		}
+		listFits, listChanged := c.applyList(parent, in, now)
+		fits, changed = fits && listFits, changed || listChanged
 	}
 	c.stateMu.Unlock()
 	if changed {
@@ -180,23 +151,83 @@
 	}
 	for _, ch := range f.Loads {
 		again := ch.Snapshot && c.loads.cursor().Epoch == ch.Epoch
-		note(c.loads.apply(ch), again)
+		fits = c.feedStats.fits(c.loads.apply(ch), again) && fits
+	}
+	fits = c.applyCached(parent, f, now) && fits
+	if changed || len(f.Reports)+len(f.Loads) > 0 {
+		c.wakeQueue()
+	}
+	return fits
+}
+
+// applyConfigs takes changes of the configuration. It tells whether all of them fitted, and
+// whether one was put in force. The caller has the mutex.
+func (c *Router) applyConfigs(changes []messages.EntryChange) (fits, changed bool) {
+	fits = true
+	for _, ch := range changes {
+		again := ch.Snapshot && c.configuration.Cursor().Epoch == ch.Epoch
+		r, renewed := c.applyConfig(ch)
+		fits = c.feedStats.fits(r, again) && fits
+		changed = changed || renewed
 	}
+	return fits, changed
+}
+
+// applyList takes a change of the list of runners: of the parent's, or of another node's
+// where parent is empty. It tells whether it fitted, and whether a runner has changed. The
+// caller has the mutex.
+func (c *Router) applyList(parent string, in statesync.Change[string, string], nowUs int64) (fits, changed bool) {
+	believed := parent // whose beliefs are taken along with the facts
+	fits = true
+	if parent != "" {
+		again := in.Snapshot && c.runners.Epoch == in.Epoch
+		r := c.runners.Apply(in)
+		fits = c.feedStats.fits(r, again)
+		if r == statesync.Mismatch || r == statesync.Known {
+			return fits, false // what is known already may be older than what is held
+		}
+		if r == statesync.Gap {
+			believed = "" // of a parent that was left, or to come again in order
+		}
+	}
+	for _, p := range in.Puts {
+		changed = c.applyRecord(believed, p, nowUs) || changed
+	}
+	if len(in.Puts) > 0 && !c.informed.Swap(true) {
+		c.log.Info("runners known", "count", len(in.Puts))
+	}
+	return fits, changed
+}
+
+// applyRecord takes the encoded record of a runner.
+func (c *Router) applyRecord(believed string, p statesync.Put[string, string], nowUs int64) (changed bool) {
+	if p.Deleted {
+		return false
+	}
+	var n messages.RunnerRecord
+	if _, err := n.UnmarshalMsg([]byte(p.Value)); err != nil {
+		c.feedStats.malformed.Add(1)
+		return false
+	}
+	return c.applyRunner(believed, n, nowUs)
+}
+
+// applyCached takes what a feed says of cached prefixes and reports of runners, and brings
+// admission up to date with the loads. It tells whether all of it fitted.
+func (c *Router) applyCached(parent string, f messages.Feed, nowUs int64) (fits bool) {
+	fits = true
 	c.admissionMu.Lock()
+	defer c.admissionMu.Unlock()
 	for _, k := range f.Kept {
 		again := k.Snapshot && c.admission.Index.CachedPrefixes(k.ID).Epoch == k.Epoch
-		note(c.admission.Index.Apply(k), again)
+		fits = c.feedStats.fits(c.admission.Index.Apply(k), again) && fits
 	}
 	c.admission.Coming(f.Coming)
 	for _, r := range f.Reports {
-		c.admission.Report(r, now)
+		c.admission.Report(r, nowUs)
 	}
 	if parent != "" {
-		c.loads.updateAdmission(c.admission, now)
-	}
-	c.admissionMu.Unlock()
-	if changed || len(f.Reports)+len(f.Loads) > 0 {
-		c.wakeQueue()
+		c.loads.updateAdmission(c.admission, nowUs)
 	}
 	return fits
 }
--- a/internal/router/front.go
+++ b/internal/router/front.go
@@ -124,68 +124,82 @@
 		}
 	}()
 	conn := clientConn(ctx)
-	v := &exchange{c: c, rc: rc, startUs: c.clock() - conn.requestAge().Microseconds(), id: get(rc, hAttempt)}
-	defer v.recordEnd()
-	t := c.table.Load()
+	e := &exchange{c: c, rc: rc, startUs: c.clock() - conn.requestAge().Microseconds(), id: get(rc, hAttempt)}
+	defer e.recordEnd()
 	uri := rc.Request.Header.RequestURI()
 	path, _, _ := strings.Cut(string(uri), "?")
-	if !strings.HasPrefix(path, "/") || v.id == "" || malformed(rc) {
+	if !strings.HasPrefix(path, "/") || e.id == "" || malformed(rc) {
 		rc.Response.Header.SetConnectionClose(true)
-		v.reject(400, "", 0)
+		e.reject(400, "", 0)
 		return
 	}
+	t := e.match(path)
 	if t == nil {
-		v.reject(503, "", againUs)
 		return
 	}
-	status := v.find(t, path)
-	if status != 0 {
-		confirmed := c.confirmCurrent()
-		before := t.Version
-		t = c.table.Load()
-		c.counters.recordRecheck(confirmed, t.Version > before)
-		status = v.find(t, path)
-		if status != 0 && !(confirmed && c.confirmationHolds()) {
-			v.reject(503, "", recheckUs)
-			return
-		}
-	}
-	if status != 0 {
-		v.reject(status, "", 0)
+	e.endUs = endOf(e.startUs, e.route.CutoffUs, get(rc, hTimeLeft))
+	if !c.shutdown.Load().forwards(e.endUs) {
+		e.reject(503, rejectDraining, drainRetryUs)
 		return
 	}
-	tenant := ""
-	if v.tenant != nil {
-		tenant = v.tenant.Name
+	conn.answerUntil(time.Now().Add(time.Duration(e.endUs-c.clock()) * time.Microsecond))
+	e.describe(t)
+	if e.request.Regime != "" {
+		e.note(compliance.Asked, nil, -1)
+		defer func() { e.note(e.ended, nil, -1) }()
 	}
-	v.endUs = endOf(v.startUs, v.route.CutoffUs, get(rc, hTimeLeft))
-	if !c.shutdown.Load().forwards(v.endUs) {
-		v.reject(503, rejectDraining, drainRetryUs)
-		return
+	if conn != nil {
+		e.client = newClientState()
+		defer conn.watchClose(e.client.leave).stop()
 	}
-	conn.answerUntil(time.Now().Add(time.Duration(v.endUs-c.clock()) * time.Microsecond))
-	v.service = v.route.Pick(rand.Float64())
-	in, out, _ := strings.Cut(get(rc, hTokens), ",")
-	tokensIn, _ := strconv.Atoi(strings.TrimSpace(in))
-	tokensOut, _ := strconv.Atoi(strings.TrimSpace(out))
-	v.request = admission.Request{
-		Service: v.service, Tenant: tenant, Rank: v.route.Rank, TokensIn: max(tokensIn, 0), TokensOut: max(tokensOut, 0),
-		Model: get(rc, hModel), Parts: prefixindex.ParseParts(get(rc, hPrefix)), SetpointUs: v.route.SetpointUs, LeftUs: v.endUs - c.clock(),
+	e.run()
+}
+
+// match finds the route and the tenant, and returns the table that has them. It returns nil
+// where the request has been rejected: with a denial only once the table is known to be
+// the newest.
+func (e *exchange) match(path string) *routeconfig.Table {
+	t := e.c.table.Load()
+	if t == nil {
+		e.reject(503, "", againUs)
+		return nil
 	}
-	if v.tenant != nil {
-		v.request.Rank += 16 * v.tenant.Rank
-		v.request.Isolated = v.tenant.Isolated
-		v.request.Regime = t.RegimeOf(v.tenant.Name)
+	status := e.find(t, path)
+	if status == 0 {
+		return t
 	}
-	if v.request.Regime != "" {
-		v.note(compliance.Asked, nil, -1)
-		defer func() { v.note(v.ended, nil, -1) }()
+	confirmed := e.c.confirmCurrent()
+	before := t.Version
+	t = e.c.table.Load()
+	e.c.counters.recordRecheck(confirmed, t.Version > before)
+	status = e.find(t, path)
+	switch {
+	case status == 0:
+		return t
+	case confirmed && e.c.confirmationHolds():
+		e.reject(status, "", 0)
+	default:
+		e.reject(503, "", recheckUs)
 	}
-	if conn != nil {
-		v.client = newClientState()
-		defer conn.watchClose(v.client.leave).stop()
+	return nil
+}
+
+// describe makes the request that admission decides on.
+func (e *exchange) describe(t *routeconfig.Table) {
+	e.service = e.route.Pick(rand.Float64())
+	in, out, _ := strings.Cut(get(e.rc, hTokens), ",")
+	tokensIn, _ := strconv.Atoi(strings.TrimSpace(in))
+	tokensOut, _ := strconv.Atoi(strings.TrimSpace(out))
+	e.request = admission.Request{
+		Service: e.service, Rank: e.route.Rank, TokensIn: max(tokensIn, 0), TokensOut: max(tokensOut, 0),
+		Model: get(e.rc, hModel), Parts: prefixindex.ParseParts(get(e.rc, hPrefix)), SetpointUs: e.route.SetpointUs, LeftUs: e.endUs - e.c.clock(),
+	}
+	if e.tenant != nil {
+		e.request.Tenant = e.tenant.Name
+		e.request.Rank += 16 * e.tenant.Rank
+		e.request.Isolated = e.tenant.Isolated
+		e.request.Regime = t.RegimeOf(e.tenant.Name)
 	}
-	v.run()
 }
 
 // onAccept makes the context in which the requests of a connection are served.
--- a/internal/router/responses.go
+++ b/internal/router/responses.go
@@ -86,7 +86,6 @@
 
 // passStream passes on a streamed answer, event by event.
 func (e *exchange) passStream(adm *admission.Admission, link *upstream.Conn, r *protocol.Response, stream *answerStream) (attemptResult, *answerStream) {
-	c := e.c
 	if stream == nil {
 		stream = &answerStream{cutting: e.route.Kind == api.Streaming}
 	}
@@ -96,66 +95,71 @@
 	first := true
 	for {
 		n, err := body.Read(buf)
-		if n > 0 {
-			if first {
-				first = false
-				e.countUsage(r)
-				c.firstToken(adm)
-			}
-			b := buf[:n]
-			if stream.cutting {
-				b = stream.events.Add(b)
-			}
-			if len(b) > 0 {
-				if !e.write(r, stream, b) {
-					link.Close()
-					c.done(adm, true)
-					return resultClientGone, stream
-				}
-			}
+		if n > 0 && first {
+			first = false
+			e.countUsage(r)
+			e.c.firstToken(adm)
 		}
-		if err == nil {
-			if stream.started && e.moves(adm, stream) {
-				link.Close()
-				c.done(adm, true)
-				return resultMoving, stream
-			}
-			continue
+		switch {
+		case n > 0 && !e.passBytes(r, stream, buf[:n]):
+			return e.abandonStream(adm, link, resultClientGone), stream
+		case err == nil && stream.started && e.moves(adm, stream):
+			return e.abandonStream(adm, link, resultMoving), stream
+		case err == nil:
+		case err != io.EOF:
+			return e.breakOffStream(adm, link, stream)
+		default:
+			return e.endStream(adm, link, r, stream)
 		}
-		if err != io.EOF {
-			link.Close()
-			e.failed(adm, link, true)
-			if stream.started {
-				return resultBrokenOff, stream
-			}
-			return resultUnknown, nil
-		}
-		rest := stream.events.Rest()
-		if len(rest) > 0 && stream.cutting && upstream.EndsWithConn(r) {
-			link.Close()
-			e.failed(adm, link, true) // nothing but a whole event tells an end from a crash
-			if stream.started {
-				return resultBrokenOff, stream
-			}
-			return resultUnknown, nil
-		}
-		if len(rest) > 0 && stream.cutting {
-			if !e.write(r, stream, rest) {
-				link.Close()
-				c.done(adm, true)
-				return resultClientGone, stream
-			}
-		}
-		if !stream.started {
-			e.begin(r, stream)
-		}
-		stream.finished = stream.out.Finalize() == nil && e.rc.Flush() == nil
-		c.ended(adm, link, true, true)
-		c.release(adm, link, r, true)
-		return resultAnswered, stream
 	}
 }
 
+// passBytes passes on what has been read, as far as it makes whole events. It returns
+// false if the client takes nothing more.
+func (e *exchange) passBytes(r *protocol.Response, stream *answerStream, b []byte) bool {
+	if stream.cutting {
+		b = stream.events.Add(b)
+	}
+	return len(b) == 0 || e.write(r, stream, b)
+}
+
+// abandonStream ends an attempt whose runner is well.
+func (e *exchange) abandonStream(adm *admission.Admission, link *upstream.Conn, result attemptResult) attemptResult {
+	link.Close()
+	e.c.done(adm, true)
+	return result
+}
+
+// breakOffStream ends an attempt whose runner has broken the answer off.
+func (e *exchange) breakOffStream(adm *admission.Admission, link *upstream.Conn, stream *answerStream) (attemptResult, *answerStream) {
+	link.Close()
+	e.failed(adm, link, true)
+	if stream.started {
+		return resultBrokenOff, stream
+	}
+	return resultUnknown, nil
+}
+
+// endStream ends an answer that the runner has ended. Where its end is that of the
+// connection, nothing but a whole event tells it from a crash.
+func (e *exchange) endStream(adm *admission.Admission, link *upstream.Conn, r *protocol.Response, stream *answerStream) (attemptResult, *answerStream) {
+	rest := stream.events.Rest()
+	partial := len(rest) > 0 && stream.cutting
+	if partial && upstream.EndsWithConn(r) {
+		return e.breakOffStream(adm, link, stream)
+	}
+	if partial && !e.write(r, stream, rest) {
+		return e.abandonStream(adm, link, resultClientGone), stream
+	}
+	if !stream.started {
+		e.begin(r, stream)
+	}
+	stream.finished = stream.out.Finalize() == nil && e.rc.Flush() == nil
+	e.c.ended(adm, link, true, true)
+	e.c.release(adm, link, r, true)
+	return resultAnswered, stream
+}
+
 func (e *exchange) begin(r *protocol.Response, stream *answerStream) {
 	e.answerHead(r)
 	stream.out = resp.NewChunkedBodyWriter(&e.rc.Response, e.rc.GetWriter())
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -321,28 +321,33 @@
 		case <-ctx.Done():
 			return
 		}
-		for {
-			c.admissionMu.Lock()
-			out := c.admission.Tick(c.clock())
-			fresh := c.admission.HasFresh()
-			c.admissionMu.Unlock()
-			if fresh {
-				signal(c.prefixesPending)
-			}
-			if len(out) > 0 {
-				signal(c.loadsChanged)
-			}
-			for _, r := range out {
-				if !c.slab.Resume(r.Ref, r) && r.Admit != nil {
-					c.admissionMu.Lock()
-					c.admission.Done(r.Admit, true, c.clock())
-					c.admissionMu.Unlock()
-				}
-			}
-			if c.slab.Len() == 0 {
-				break
-			}
-			time.Sleep(8 * time.Millisecond)
+		for c.tick(); c.slab.Len() > 0; c.tick() {
+			time.Sleep(tickInterval)
+		}
+	}
+}
+
+// tickInterval is how often decisions on queued requests are made.
+const tickInterval = 8 * time.Millisecond
+
+// tick decides on queued requests, and resumes those that are decided on.
+func (c *Router) tick() {
+	c.admissionMu.Lock()
+	decisions := c.admission.Tick(c.clock())
+	fresh := c.admission.HasFresh()
+	c.admissionMu.Unlock()
+	if fresh {
+		signal(c.prefixesPending)
+	}
+	if len(decisions) > 0 {
+		signal(c.loadsChanged)
+	}
+	for _, decision := range decisions {
+		if c.slab.Resume(decision.Ref, decision) || decision.Admit == nil {
+			continue
 		}
+		c.admissionMu.Lock()
+		c.admission.Done(decision.Admit, true, c.clock())
+		c.admissionMu.Unlock()
 	}
 }
