httpserver: a lack of descriptors does not end a controller

Routers were mended for that earlier, controllers were not. Change: one package makes the servers of both roles, with the listener that waits.

--- a/internal/controller/control.go
+++ b/internal/controller/control.go
@@ -10,13 +10,12 @@
 
 	"github.com/cloudwego/hertz/pkg/app"
 	"github.com/cloudwego/hertz/pkg/app/server"
-	hconfig "github.com/cloudwego/hertz/pkg/common/config"
-	"github.com/cloudwego/hertz/pkg/network/standard"
 	"github.com/go-playground/validator/v10"
 	"github.com/pkg/errors"
 
 	"beechtide.org/beechtide/internal/api"
 	"beechtide.org/beechtide/internal/consensus"
+	"beechtide.org/beechtide/internal/httpserver"
 	"beechtide.org/beechtide/internal/lease"
 	"beechtide.org/beechtide/internal/membership"
 	"beechtide.org/beechtide/internal/messages"
@@ -34,23 +33,18 @@
 // repeat it; callers move on after a second of silence.
 const operatorWait = 900 * time.Millisecond
 
-// Server makes a hertz server as beechtide uses it.
-func Server(addr string, more ...hconfig.Option) *server.Hertz {
-	opts := append([]hconfig.Option{
-		server.WithHostPorts(addr), server.WithTransport(standard.NewTransporter),
-		server.WithDisablePrintRoute(true), server.WithDisableDefaultDate(true),
-		server.WithDisableHeaderNamesNormalizing(false), server.WithIdleTimeout(60 * time.Second),
-		server.WithReadTimeout(60 * time.Second), server.WithMaxRequestBodySize(64 << 20), server.WithRedirectTrailingSlash(false),
-		server.WithExitWaitTime(100 * time.Millisecond),
-	}, more...)
-	return server.New(opts...)
-}
-
+// serveControl serves the calls of runners and of the operator until ctx ends. A lack of
+// descriptors, as where thousands of runners call at once, does not end it.
 func (d *Controller) serveControl(ctx context.Context) error {
 	if d.set.Listen.Control == "" {
 		return errors.New("controller: settings name no control address")
 	}
-	h := Server(d.set.Listen.Control)
+	ln, err := httpserver.Listen(d.set.Listen.Control)
+	if err != nil {
+		return errors.Wrap(err, "controller: control address")
+	}
+	defer ln.Close()
+	h := httpserver.New(d.set.Listen.Control, server.WithListener(ln))
 	h.POST("/api/Runners.Heartbeat/:id", d.counted(callHeartbeat, d.beat))
 	h.POST("/api/Runners.Leave/:id", d.counted(callLeave, d.leave))
 	h.POST("/api/Config.Replace", d.counted(callReplace, d.inContactOnly(d.replace)))
--- a/internal/router/front.go
+++ b/internal/router/front.go
@@ -19,18 +19,18 @@
 	"beechtide.org/beechtide/internal/admission"
 	"beechtide.org/beechtide/internal/api"
 	"beechtide.org/beechtide/internal/compliance"
-	"beechtide.org/beechtide/internal/controller"
+	"beechtide.org/beechtide/internal/httpserver"
 	"beechtide.org/beechtide/internal/messages"
 	"beechtide.org/beechtide/internal/prefixindex"
 	"beechtide.org/beechtide/internal/routeconfig"
 )
 
 func (c *Router) serveReady() error {
-	ln, err := (&net.ListenConfig{}).Listen(context.Background(), "tcp4", c.set.Listen.Ready)
+	ln, err := httpserver.Listen(c.set.Listen.Ready)
 	if err != nil {
 		return errors.Wrap(err, "router: ready address")
 	}
-	h := controller.Server(c.set.Listen.Ready, server.WithListener(steadyListener{ln}))
+	h := httpserver.New(c.set.Listen.Ready, server.WithListener(ln))
 	h.GET("/api/ready", func(_ context.Context, rc *app.RequestContext) {
 		if c.ready() {
 			rc.SetStatusCode(200)
@@ -79,7 +79,7 @@
 	if err != nil {
 		return err
 	}
-	h := controller.Server(c.set.Listen.Front,
+	h := httpserver.New(c.set.Listen.Front,
 		server.WithListener(lingeringListener{ln, live}), server.WithOnAccept(onAccept), server.WithMaxRequestBodySize(body), server.WithMaxHeaderBytes(head),
 		server.WithWriteTimeout(10*time.Second), server.WithDisableHeaderNamesNormalizing(true), server.WithUseRawPath(true),
 		server.WithMaxKeepBodySize(64<<10), server.WithReadBufferSize(4096))
--- a/internal/router/listener.go
+++ b/internal/router/listener.go
@@ -7,7 +7,6 @@
 package router
 
 import (
-	"context"
 	"net"
 	"os"
 	"sync"
@@ -15,6 +14,8 @@
 	"time"
 
 	"github.com/pkg/errors"
+
+	"beechtide.org/beechtide/internal/httpserver"
 )
 
 const tcpUserTimeout = 18
@@ -28,12 +29,6 @@
 
 const answer408 = "HTTP/1.1 408 Request Timeout\r\nContent-Length: 0\r\nConnection: close\r\n\r\n"
 
-// How long the listener waits after an error before it accepts again.
-const (
-	minAcceptBackoff = 5 * time.Millisecond
-	maxAcceptBackoff = time.Second
-)
-
 // frontLimits bound how long a client may take.
 type frontLimits struct {
 	idle time.Duration // between two requests of a connection
@@ -49,36 +44,17 @@
 }
 
 func newTimedListener(ln net.Listener, limits func() frontLimits) *timedListener {
-	return &timedListener{Listener: steadyListener{ln}, limits: limits, conns: map[*timedConn]bool{}}
+	return &timedListener{Listener: httpserver.Listener{Listener: ln}, limits: limits, conns: map[*timedConn]bool{}}
 }
 
 func listenFront(addr string, limits func() frontLimits) (*timedListener, error) {
-	lc := &net.ListenConfig{Control: func(_, _ string, rc syscall.RawConn) error {
-		return rc.Control(func(fd uintptr) {
-			_ = syscall.SetsockoptInt(int(fd), syscall.SOL_SOCKET, syscall.SO_REUSEADDR, 1)
-			_ = syscall.SetsockoptInt(int(fd), syscall.IPPROTO_TCP, tcpUserTimeout, clientSilentMs)
-		})
-	}}
-	ln, err := lc.Listen(context.Background(), "tcp4", addr)
+	ln, err := httpserver.Listen(addr, func(fd uintptr) {
+		_ = syscall.SetsockoptInt(int(fd), syscall.IPPROTO_TCP, tcpUserTimeout, clientSilentMs)
+	})
 	if err != nil {
 		return nil, errors.Wrap(err, "router: front")
 	}
-	return newTimedListener(ln, limits), nil
-}
-
-// steadyListener returns an error only once it is closed: the server above it would
-// end the process, with all that is in flight, where for example descriptors run out.
-type steadyListener struct{ net.Listener }
-
-// Accept waits a growing time after each error that is no end.
-func (l steadyListener) Accept() (net.Conn, error) {
-	for backoff := minAcceptBackoff; ; backoff = min(2*backoff, maxAcceptBackoff) {
-		c, err := l.Listener.Accept()
-		if err == nil || errors.Is(err, net.ErrClosed) {
-			return c, err
-		}
-		time.Sleep(backoff)
-	}
+	return newTimedListener(ln.Listener, limits), nil
 }
 
 // Accept accepts a connection and bounds it.
