--- a/internal/httpserver/httpserver_test.go
+++ b/internal/httpserver/httpserver_test.go
@@ -27,6 +27,22 @@
 	return l.Listener.Accept()
 }
 
+// get returns the body of a response; an error is its text.
+func get(t *testing.T, url string) string {
+	t.Helper()
+	client := &http.Client{Transport: &http.Transport{DisableKeepAlives: true}}
+	response, err := client.Get(url)
+	if err != nil {
+		return err.Error()
+	}
+	defer response.Body.Close()
+	body, err := io.ReadAll(response.Body)
+	if err != nil {
+		return err.Error()
+	}
+	return string(body)
+}
+
 // A server that gets an error from Accept ends, and the process with it.
 func TestServerOutlivesALackOfDescriptors(t *testing.T) {
 	ln, err := Listen("127.0.0.1:0")
@@ -34,14 +50,15 @@
 	short := &scarce{Listener: ln.Listener, failures: 3}
 	h := New("", server.WithListener(Listener{short}))
 	h.GET("/", func(_ context.Context, c *app.RequestContext) { c.String(200, "served") })
-	go func() { _ = h.Run() }()
-	client := &http.Client{Transport: &http.Transport{DisableKeepAlives: true}}
-	response, err := client.Get("http://" + ln.Addr().String() + "/")
-	must.NoError(t, err)
-	body, err := io.ReadAll(response.Body)
-	must.NoError(t, err)
-	must.NoError(t, response.Body.Close())
-	must.Eq(t, "served", string(body))
+	ended, served := make(chan error, 1), make(chan string, 1)
+	go func() { ended <- h.Run() }()
+	go func() { served <- get(t, "http://"+ln.Addr().String()+"/") }()
+	select {
+	case body := <-served:
+		must.Eq(t, "served", body)
+	case err := <-ended:
+		t.Fatalf("the server has ended: %v", err)
+	}
 	must.Zero(t, short.failures)
 	must.NoError(t, h.Close())
 }
