--- a/internal/autoscale/autoscale.go
+++ b/internal/autoscale/autoscale.go
@@ -35,7 +35,7 @@
 
 // Defaults are the default parameters.
 var Defaults = Config{
-	TargetLoad: 0.5, LossLoad: 0.8, Hysteresis: 0.15, SmoothUs: 2_000_000, PeakUs: 60_000_000, ObserveUs: 4_000_000,
+	TargetLoad: 0.5, LossLoad: 0.8, Hysteresis: 0.15, SmoothUs: 1_000_000, PeakUs: 60_000_000, ObserveUs: 4_000_000,
 	GrowHoldUs: 60_000_000, ShrinkHoldUs: 20_000_000, MostShrink: 0.25,
 }
 
@@ -157,21 +157,19 @@
 }
 
 // growAt returns the part of the demand that must need more runners before more are
-// ordered. Where runners are cordoned for a roll-out, the core has changed, or caches are
-// cold as all starts, runners are busier for a short while, and only what they could not
-// bear counts.
+// ordered. Where runners are cordoned for a roll-out or the core has changed, the others
+// are busier for a short while, and only what they could not bear counts.
 func (p *Plan) growAt(v View) float64 {
-	if v.Steady && v.NowUs-p.knownUs >= p.config.ObserveUs {
+	if v.Steady {
 		return 1 - p.config.Hysteresis
 	}
 	return p.config.TargetLoad / p.config.LossLoad
 }
 
 // wanted returns how many runners a zone needs for so many times its demand, and what for.
-// By the time that a runner ordered now serves, the others may be busy for LossLoad.
 func (p *Plan) wanted(s Service, state *zoneState, times float64) (runners int, reason Reason) {
-	needed := max(state.peak/p.config.TargetLoad, p.forecast(state, s.BootUs)/p.config.LossLoad)
-	runners, reason = int(math.Ceil(times*needed)), Rising
+	forecast := max(p.forecast(state, s.BootUs), state.peak)
+	runners, reason = int(math.Ceil(times*forecast/p.config.TargetLoad)), Rising
 	if needed := p.afterLoss(s, times); needed > runners {
 		runners, reason = needed, ZoneLoss
 	}
