lease: confirmed again at half its time, and checked as it is when a call leaves

Change: a holder confirms when half of its time is over; a call goes by the lease as it stands when it leaves, not by the grant its work began under. Safe as before: MayCall needs the same fence, an unexpired confirmation and no refusal.

--- a/internal/clocksync/clock.go
+++ b/internal/clocksync/clock.go
@@ -61,7 +61,7 @@
 	c.start(nowUs)
 	offsetUs := timeOfDayUs - nowUs
 	switch {
-	case !c.observed, abs(offsetUs-c.offsetUs) <= SlewUs:
+	case !c.observed, c.starting(nowUs), abs(offsetUs-c.offsetUs) <= SlewUs:
 		c.observed, c.offsetUs, c.steppedUs = true, offsetUs, 0
 	case c.steppedUs == 0:
 		c.steppedUs = nowUs
@@ -77,6 +77,10 @@
 	}
 }
 
+// starting reports whether the node has not agreed on a time yet: its own may come back
+// from a jump in which it started.
+func (c *Clock) starting(nowUs int64) bool { return !c.agreed && nowUs-c.startUs < AgreeUs }
+
 // Compare takes the time of day that another node has answered to a request that was
 // sent and answered at these times of the monotonic clock here. agreed says that the other
 // has compared it with further nodes.
@@ -105,7 +109,7 @@
 	if !ok {
 		return
 	}
-	if !c.anyAgreed(nowUs) && (c.agreed || nowUs-c.startUs < AgreeUs) {
+	if !c.anyAgreed(nowUs) && (c.agreed || c.starting(nowUs)) {
 		return
 	}
 	c.agreed = true
--- a/internal/controller/platform.go
+++ b/internal/controller/platform.go
@@ -45,7 +45,7 @@
 	ctx, cancel := context.WithTimeout(ctx, platformWait)
 	defer cancel()
 	d.roles.recordFenceUsed(part, grant.Fence)
-	if !d.roles.mayCall(part, grant) {
+	if !d.roles.mayCall(part, grant.Fence) {
 		return platformNotSent
 	}
 	sentUs := d.clock()
--- a/internal/controller/roles.go
+++ b/internal/controller/roles.go
@@ -85,16 +85,12 @@
 	m.roles[part].Refuse(fence)
 }
 
-func (m *roleManager) refused(part int, fence int64) bool {
+// mayCall reports whether a call may leave now under a fence. It is asked as the call
+// leaves: the lease may have expired since the work began.
+func (m *roleManager) mayCall(part int, fence int64) bool {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	return m.roles[part].Refused(fence)
-}
-
-// mayCall reports whether a call may leave now under a grant. It is asked as the call
-// leaves: a grant may have run out since the work began.
-func (m *roleManager) mayCall(part int, grant lease.Grant) bool {
-	return grant.MayAct && m.controller.clock() < grant.UntilUs && !m.refused(part, grant.Fence)
+	return m.roles[part].MayCall(fence, m.controller.clock())
 }
 
 // step takes the next steps of each role.
--- a/internal/controller/rollout_calls.go
+++ b/internal/controller/rollout_calls.go
@@ -19,7 +19,7 @@
 	answer := rollout.NoAnswer
 	if n, ok := d.registry.Snapshot().ByID[o.ID]; ok {
 		body := api.Order{Op: api.Version, Model: model, Version: o.Version, Method: api.Hold, Holder: d.registers.ID(), Fence: grant.Fence, Expected: o.Expected}
-		status, _ := d.sendOrder(ctx, n, body, func() bool { return d.roles.mayCall(part, grant) })
+		status, _ := d.sendOrder(ctx, n, body, func() bool { return d.roles.mayCall(part, grant.Fence) })
 		answer = rollout.AnswerOf(status)
 	}
 	if answer == rollout.AlreadyHolds {
--- a/internal/lease/role.go
+++ b/internal/lease/role.go
@@ -36,7 +36,7 @@
 // of the register; the caller reports their outcomes with Acquired and Confirmed.
 type RoleStep struct {
 	Acquire bool // replace RoleView.Lease with NextLease
-	Confirm bool // read the register with a majority
+	Confirm bool // read the register with a majority, as the lease has expired or soon will
 	Grant   Grant
 }
 
@@ -76,7 +76,13 @@
 		return RoleStep{Acquire: v.InContact}
 	}
 	grant := Grant{Fence: r.lease.Fence(), MayAct: r.lease.MayAct(v.NowUs), UntilUs: r.lease.ActUntilUs(), ReadyInUs: r.lease.ReadyInUs(v.NowUs)}
-	return RoleStep{Confirm: !grant.MayAct, Grant: grant}
+	return RoleStep{Confirm: !grant.MayAct || grant.UntilUs-v.NowUs < r.lease.T.ActUs/2, Grant: grant}
+}
+
+// MayCall reports whether a call may leave at nowUs under a fencing token. It is asked as
+// the call leaves: the lease may have expired since the work began, or been confirmed again.
+func (r *Role) MayCall(fence, nowUs int64) bool {
+	return fence > 0 && fence == r.lease.Fence() && r.lease.MayAct(nowUs) && !r.Refused(fence)
 }
 
 // holderView returns the input of the takeover.
--- a/internal/rollout/shard.go
+++ b/internal/rollout/shard.go
@@ -41,9 +41,8 @@
 
 // Step is what the holder of the lease has to do.
 type Step struct {
-	Fence   int64 // fencing token of the orders
-	UntilUs int64 // orders may be sent before this moment
-	Models  []ModelActions
+	Fence  int64 // fencing token of the orders
+	Models []ModelActions
 }
 
 // Orders reports whether a step has any orders.
@@ -87,7 +86,7 @@
 		s.fence, s.plans = grant.Fence, map[string]*Plan{}
 	}
 	mayPrepare := grant.MayAct || grant.ReadyInUs <= DrainUs+SettleUs
-	step := Step{Fence: grant.Fence, UntilUs: grant.UntilUs}
+	step := Step{Fence: grant.Fence}
 	for _, m := range models {
 		actions := s.plan(m.Name).Step(Input{NowUs: nowUs, Namings: m.Namings, Runners: m.Runners, MayPrepare: mayPrepare, MayOrder: grant.MayAct})
 		step.Models = append(step.Models, ModelActions{m.Name, actions})
--- a/internal/simulation/usage_platform.go
+++ b/internal/simulation/usage_platform.go
@@ -100,7 +100,7 @@
 type usageChecks struct {
 	history *usageHistory
 	truth   map[int64]map[string]int64 // requests that began, by window and tenant
-	lost    map[int64]int64            // requests by window that may have died with a router
+	lost    map[int64]int64            // requests by window that were on no disk when their router died
 }
 
 // began is called where a request begins to run.
@@ -112,14 +112,48 @@
 	c.truth[window][tenant]++
 }
 
-// lose is called where a router is about to be killed.
+// lose is called where a router is about to be killed. What is on no controller's disk may
+// die with it; where all controllers were up for a while, that is what began in the last
+// usageLossUs.
 func (c *usageChecks) lose(m *meter) {
-	now := c.history.kernel.NowUs()
+	unkept := int64(0)
+	rows, _ := m.counter.RowsSince(0)
+	for _, row := range rows {
+		if row.Window < c.history.group.register.body.Usage.Next {
+			continue // it is closed
+		}
+		for _, t := range row.Counts {
+			missing := t.Count - c.history.keptCount(row, t.Tenant)
+			c.lost[row.Window] += missing
+			unkept += missing
+		}
+	}
+	now, recent := c.history.kernel.NowUs(), int64(0)
 	for _, atUs := range m.recent {
 		if now-atUs < usageLossUs {
-			c.lost[usage.WindowOf(dayStartUs+atUs, windowUs)]++
+			recent++
+		}
+	}
+	if now-c.history.disturbedUs > usageUpUs && unkept > recent {
+		c.history.kernel.Fail("%d requests of %s are on no disk, %d began in the last %d us", unkept, m.addr, recent, usageLossUs)
+	}
+}
+
+// keptCount is the count of a tenant in a row that a controller has on disk.
+func (h *usageHistory) keptCount(row messages.UsageRow, tenant string) int64 {
+	kept := int64(0)
+	for _, p := range h.reporters {
+		for _, copied := range p.kept {
+			if copied.Window == row.Window && copied.Router == row.Router {
+				for _, t := range copied.Counts {
+					if t.Tenant == tenant {
+						kept = max(kept, t.Count)
+					}
+				}
+			}
 		}
 	}
+	return kept
 }
 
 // reported checks a window as it is accepted.
