--- a/internal/standin/platform.go
+++ b/internal/standin/platform.go
@@ -1,7 +1,6 @@
 package standin
 
 import (
-	"context"
 	"encoding/json"
 	"fmt"
 	"maps"
@@ -60,7 +59,6 @@
 
 	mu       sync.Mutex // guards what follows
 	down     bool
-	slower   int // times as long an answer takes
 	fences   map[string]int64
 	usage    map[int64]api.UsageReport
 	tokens   float64 // calls that may be made now
@@ -75,7 +73,7 @@
 	if config.OnCall == nil {
 		config.OnCall = func(PlatformCall) {}
 	}
-	return &Platform{config: config, slower: 1, fences: map[string]int64{}, usage: map[int64]api.UsageReport{}, tokens: config.CallsPerS, filledAt: time.Now()}
+	return &Platform{config: config, fences: map[string]int64{}, usage: map[int64]api.UsageReport{}, tokens: config.CallsPerS, filledAt: time.Now()}
 }
 
 // Start accepts calls; it returns the address.
@@ -105,13 +103,6 @@
 	p.down = down
 }
 
-// SetSlower has answers take so many times as long.
-func (p *Platform) SetSlower(times int) {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	p.slower = max(times, 1)
-}
-
 // Usage returns the reports that were accepted, by window.
 func (p *Platform) Usage() map[int64]api.UsageReport {
 	p.mu.Lock()
@@ -169,7 +160,7 @@
 			p.usage[call.Usage.WindowSeq] = call.Usage
 		}
 	}
-	return time.Duration(p.slower) * p.config.AnswerTime
+	return p.config.AnswerTime
 }
 
 // mayCall takes one of the calls that may be made in a second.
@@ -182,16 +173,3 @@
 	p.tokens--
 	return true
 }
-
-// ServePlatform runs a platform until ctx ends.
-func ServePlatform(ctx context.Context, config PlatformConfig, started func(address string)) error {
-	p := NewPlatform(config)
-	address, err := p.Start()
-	if err != nil {
-		return err
-	}
-	started(address)
-	<-ctx.Done()
-	p.Close()
-	return nil
-}
