lease: a grant no longer carries an end that nothing reads

Calls go by the lease as it stands when they leave (Role.MayCall), so only Step used it. No behaviour changes: tests of lease, rollout, controller and the models pass.

--- a/internal/lease/role.go
+++ b/internal/lease/role.go
@@ -28,7 +28,6 @@
 type Grant struct {
 	Fence     int64 // fencing token of the lease; 0 where it is not held
 	MayAct    bool  // calls may leave now
-	UntilUs   int64 // calls may leave before this moment
 	ReadyInUs int64 // how long the holder still waits for its predecessor
 }
 
@@ -75,8 +74,8 @@
 		// supersede all those sent under the old one.
 		return RoleStep{Acquire: v.InContact}
 	}
-	grant := Grant{Fence: r.lease.Fence(), MayAct: r.lease.MayAct(v.NowUs), UntilUs: r.lease.ActUntilUs(), ReadyInUs: r.lease.ReadyInUs(v.NowUs)}
-	return RoleStep{Confirm: !grant.MayAct || grant.UntilUs-v.NowUs < r.lease.T.ActUs/2, Grant: grant}
+	grant := Grant{Fence: r.lease.Fence(), MayAct: r.lease.MayAct(v.NowUs), ReadyInUs: r.lease.ReadyInUs(v.NowUs)}
+	return RoleStep{Confirm: !grant.MayAct || r.lease.ActUntilUs()-v.NowUs < r.lease.T.ActUs/2, Grant: grant}
 }
 
 // MayCall reports whether a call may leave at nowUs under a fencing token. It is asked as
