--- a/internal/clocksync/clock.go
+++ b/internal/clocksync/clock.go
@@ -29,6 +29,9 @@
 	// AgreeUs is how long after the start a node waits, where no other has compared its
 	// time either, until it has heard of most others.
 	AgreeUs = int64(1_500_000)
+	// LoneUs is how long after the start a node waits, where no other has compared its time,
+	// for two that say the same.
+	LoneUs = int64(5_000_000)
 	// SampleAgeUs is for how long a sample of another node counts.
 	SampleAgeUs = int64(10_000_000)
 )
@@ -112,6 +115,9 @@
 	if !c.anyAgreed(nowUs) && (c.agreed || c.starting(nowUs)) {
 		return
 	}
+	if !c.anyAgreed(nowUs) && nowUs-c.startUs < LoneUs && !c.backed(medianUs, errorUs) {
+		return
+	}
 	c.agreed = true
 	if !c.observed || abs(c.offsetUs-medianUs) > errorUs+ToleranceUs {
 		c.observed, c.offsetUs = true, medianUs
@@ -152,6 +158,21 @@
 	return offsets[(len(offsets)-1)/2], errorUs, true
 }
 
+// backed reports whether two nodes, this one included where it votes, have an offset. It is
+// asked where none has compared its own: a single one may have started during a jump.
+func (c *Clock) backed(offsetUs, errorUs int64) bool {
+	same := 0
+	for _, s := range c.samples {
+		if abs(s.offsetUs-offsetUs) <= errorUs+ToleranceUs {
+			same++
+		}
+	}
+	if c.Votes && c.observed && abs(c.offsetUs-offsetUs) <= errorUs+ToleranceUs {
+		same++
+	}
+	return same > 1
+}
+
 // TimeUs returns the time of day in microseconds since 1970; 0 if it is not known. agreed
 // says that it has been compared with other nodes.
 func (c *Clock) TimeUs(nowUs int64) (timeOfDayUs int64, agreed bool) {
--- a/internal/clocksync/clock_test.go
+++ b/internal/clocksync/clock_test.go
@@ -167,3 +167,18 @@
 		}
 	}
 }
+
+func TestOneNodeThatHasNotComparedItsTimeIsNotBelievedAlone(t *testing.T) {
+	var c Clock
+	c.Observe(dayUs, 0)
+	c.Compare("jumped", dayUs+AgreeUs-2*second, false, AgreeUs, AgreeUs+2*ms)
+	_, agreed := c.TimeUs(AgreeUs)
+	must.False(t, agreed)
+	must.Zero(t, timeAt(t, &c, AgreeUs+2*ms))
+	for _, node := range []string{"a", "b"} {
+		c.Compare(node, dayUs+AgreeUs+11*ms, false, AgreeUs+10*ms, AgreeUs+12*ms)
+	}
+	_, agreed = c.TimeUs(AgreeUs + 12*ms)
+	must.True(t, agreed)
+	must.Between(t, -2*ms, timeAt(t, &c, AgreeUs+12*ms), 2*ms)
+}
