--- a/cmd/beechtide/doctor.go
+++ b/cmd/beechtide/doctor.go
@@ -33,6 +33,7 @@
 	asJSON       bool
 	rings        bool // print the log rings as well
 	duties       bool // print the duties at the platform as well
+	quotas       bool // print the counts of tenants with a limit as well
 }
 
 // runDoctor looks for common faults of a running system. The status is 0 where
@@ -44,6 +45,7 @@
 	flags.BoolVar(&options.asJSON, "json", false, "print the findings as JSON")
 	flags.BoolVar(&options.rings, "rings", false, "print the log rings of the nodes as well")
 	flags.BoolVar(&options.duties, "duties", false, "print who holds the duties at the platform, and how many runners are ordered, as well")
+	flags.BoolVar(&options.quotas, "quotas", false, "print who counts the requests of each tenant with a limit, and what is left of it, as well")
 	flags.StringVar(&options.from, "from", "", "address to ask from; empty: any free port of the settings' ip")
 	flags.Usage = func() {
 		fmt.Fprintln(flags.Output(), "usage: beechtide doctor [flags]\n\nEnds with 0 where all is well, 1 on warnings, 3 on faults.")
@@ -93,6 +95,11 @@
 			fmt.Println(line)
 		}
 	}
+	if options.quotas {
+		for _, line := range doctor.Quotas(results) {
+			fmt.Println(line)
+		}
+	}
 	if options.rings {
 		for _, l := range doctor.CollectLogs(ctx, trans, results) {
 			fmt.Printf("== %s\n%s", l.Node, l.Text)
--- a/internal/controller/quota.go
+++ b/internal/controller/quota.go
@@ -38,6 +38,7 @@
 	mu     sync.Mutex // guards what follows
 	member *quota.Member
 	owned  []int // the shards at the last look, for the log
+	left   bool  // this process is about to end
 	asked  int64 // questions of routers
 	passed int64 // those for which another is the owner
 }
@@ -73,8 +74,11 @@
 	}
 	group := q.group()
 	q.mu.Lock()
-	out := q.member.Tick(group, q.controller.clock())
-	q.logChange()
+	var out []quota.Outgoing
+	if !q.left {
+		out = q.member.Tick(group, q.controller.clock())
+		q.logChange()
+	}
 	q.mu.Unlock()
 	for _, o := range out {
 		go q.send(ctx, o)
@@ -91,14 +95,14 @@
 	}
 }
 
-// group is the addresses of the members of the configuration's register, in order.
-func (q *quotaMember) group() []string {
+// group is the members of the configuration's register.
+func (q *quotaMember) group() quota.Group {
 	v, _ := q.controller.registers.Committed(consensus.ConfigPart)
-	group := make([]string, 0, len(v.Group))
+	group := quota.Group{Version: v.Version}
 	for _, m := range v.Group {
-		group = append(group, m.Addr)
+		group.Members = append(group.Members, m.Addr)
 	}
-	slices.Sort(group)
+	slices.Sort(group.Members)
 	return group
 }
 
@@ -165,6 +169,7 @@
 // expire.
 func (q *quotaMember) leave() {
 	q.mu.Lock()
+	q.left = true
 	out := q.member.Leave(q.controller.clock())
 	q.mu.Unlock()
 	var sending sync.WaitGroup
--- a/internal/doctor/doctor.go
+++ b/internal/doctor/doctor.go
@@ -8,7 +8,9 @@
 package doctor
 
 import (
+	"cmp"
 	"fmt"
+	"slices"
 
 	"beechtide.org/beechtide/internal/messages"
 )
@@ -77,6 +79,24 @@
 	return lines
 }
 
+// Quotas returns a line for each tenant with a limit whose requests are counted, as the
+// controllers that own the counts know them.
+func Quotas(results []NodeResult) []string {
+	var lines []string
+	for _, result := range results {
+		c := result.Condition
+		if c == nil {
+			continue
+		}
+		for _, q := range c.Quotas {
+			successor := cmp.Or(q.Successor, "nobody")
+			lines = append(lines, fmt.Sprintf("%s: counted by %s, successor %s, limit %.1f/s, %.1f tokens left, %d granted, %d denied", q.Tenant, c.Node, successor, q.RatePerS, q.Level, q.Granted, q.Denied))
+		}
+	}
+	slices.Sort(lines)
+	return lines
+}
+
 func dutyLine(node string, duty messages.DutyCondition) string {
 	line := fmt.Sprintf("%s: held by %s under fence %d", duty.Name, node, duty.Fence)
 	if duty.LastCallUs > 0 {
--- a/internal/messages/msgp.gen.go
+++ b/internal/messages/msgp.gen.go
@@ -4112,9 +4112,9 @@
 // MarshalMsg implements msgp.Marshaler
 func (z *QuotaClaim) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
-	// map header, size 5
+	// map header, size 7
 	// string "c"
-	o = append(o, 0x85, 0xa1, 0x63)
+	o = append(o, 0x87, 0xa1, 0x63)
 	o = msgp.AppendArrayHeader(o, uint32(len(z.Copies)))
 	for za0001 := range z.Copies {
 		o, err = z.Copies[za0001].MarshalMsg(o)
@@ -4126,6 +4126,9 @@
 	// string "f"
 	o = append(o, 0xa1, 0x66)
 	o = msgp.AppendString(o, z.From)
+	// string "h"
+	o = append(o, 0xa1, 0x68)
+	o = msgp.AppendUint64(o, z.GroupHash)
 	// string "q"
 	o = append(o, 0xa1, 0x71)
 	o = msgp.AppendInt64(o, z.Seq)
@@ -4141,6 +4144,9 @@
 	for za0003 := range z.Shards {
 		o = msgp.AppendInt(o, z.Shards[za0003])
 	}
+	// string "v"
+	o = append(o, 0xa1, 0x76)
+	o = msgp.AppendInt64(o, z.GroupVersion)
 	return
 }
 
@@ -4187,6 +4193,12 @@
 				err = msgp.WrapError(err, "From")
 				return
 			}
+		case "h":
+			z.GroupHash, bts, err = msgp.ReadUint64Bytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "GroupHash")
+				return
+			}
 		case "q":
 			z.Seq, bts, err = msgp.ReadInt64Bytes(bts)
 			if err != nil {
@@ -4231,6 +4243,12 @@
 					return
 				}
 			}
+		case "v":
+			z.GroupVersion, bts, err = msgp.ReadInt64Bytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "GroupVersion")
+				return
+			}
 		default:
 			bts, err = msgp.Skip(bts)
 			if err != nil {
@@ -4249,7 +4267,7 @@
 	for za0001 := range z.Copies {
 		s += z.Copies[za0001].Msgsize()
 	}
-	s += 2 + msgp.StringPrefixSize + len(z.From) + 2 + msgp.Int64Size + 2 + msgp.ArrayHeaderSize + (len(z.Released) * (msgp.IntSize)) + 2 + msgp.ArrayHeaderSize + (len(z.Shards) * (msgp.IntSize))
+	s += 2 + msgp.StringPrefixSize + len(z.From) + 2 + msgp.Uint64Size + 2 + msgp.Int64Size + 2 + msgp.ArrayHeaderSize + (len(z.Released) * (msgp.IntSize)) + 2 + msgp.ArrayHeaderSize + (len(z.Shards) * (msgp.IntSize)) + 2 + msgp.Int64Size
 	return
 }
 
--- a/internal/messages/types.gen.go
+++ b/internal/messages/types.gen.go
@@ -398,12 +398,16 @@
 	Copies []QuotaCopy `msg:"c"`
 
 	// From address and process, as ADDRESS/PROCESS
-	From string `msg:"f"`
+	From      string `msg:"f"`
+	GroupHash uint64 `msg:"h"`
 
 	// Seq rises with each claim of the process
 	Seq      int64 `msg:"q"`
 	Released []int `msg:"r"`
 	Shards   []int `msg:"s"`
+
+	// GroupVersion of the register that names those who vote
+	GroupVersion int64 `msg:"v"`
 }
 
 // QuotaCondition a tenant's count, of the controller that owns it
--- a/internal/quota/claim.go
+++ b/internal/quota/claim.go
@@ -32,13 +32,22 @@
 	}
 }
 
-// holds reports whether a majority of the group has votes for it that have not expired. The
-// time counts from when the claim was sent, so it ends here before it does at the voters.
-func (c *claim) holds(group []string, leaseUs, nowUs int64) bool {
-	return c.active && lease.Majority(group, func(member string) bool {
-		sentUs, voted := c.sentUs[member]
-		return voted && nowUs-sentUs < leaseUs-leaseGuardUs
-	})
+// holds reports whether a majority of each group has votes for it that have not expired.
+// The time counts from when the claim was sent, so it ends here before it does at the voters.
+func (c *claim) holds(groups [][]string, leaseUs, nowUs int64) bool {
+	if !c.active {
+		return false
+	}
+	for _, group := range groups {
+		majority := lease.Majority(group, func(member string) bool {
+			sentUs, voted := c.sentUs[member]
+			return voted && nowUs-sentUs < leaseUs-leaseGuardUs
+		})
+		if !majority {
+			return false
+		}
+	}
+	return len(groups) > 0
 }
 
 // Order returns the members in the order in which they should own a shard: rendezvous
--- a/internal/quota/grantee.go
+++ b/internal/quota/grantee.go
@@ -1,7 +1,10 @@
 package quota
 
 import (
+	"cmp"
+	"maps"
 	"math"
+	"slices"
 
 	"beechtide.org/beechtide/internal/statesync"
 )
@@ -19,11 +22,11 @@
 	demandUs = int64(1_000_000)
 	// forgetUs is after how long without a request a router forgets a tenant.
 	forgetUs = int64(60_000_000)
-	// nodesUs is for how long a number of routers counts after it has fallen: those that
-	// cannot be seen may still serve.
-	nodesUs = int64(60_000_000)
-	// unownedPartUsed leaves room for routers that take the fleet for smaller than others do.
-	unownedPartUsed = 0.8
+	// routerUs is for how long a router counts that is not seen any more: it may still
+	// serve, and all should choose the same lenders.
+	routerUs = int64(60_000_000)
+	// lenderCount is how many routers share Allowance.Unowned of a tenant.
+	lenderCount = 4
 )
 
 // Grantee is a router's part: tokens that it has been granted, and how many it asks for.
@@ -32,9 +35,8 @@
 	bounds  Bounds
 	startUs int64
 	shares  map[string]*share
-	known   bool // an owner has answered: the fleet is known
-	nodes   int
-	nodesUs int64 // when there were last so many
+	known   bool             // an owner has answered: the fleet is known
+	routers map[string]int64 // when each was last seen
 }
 
 // share is what a router has of a tenant's limit.
@@ -48,17 +50,30 @@
 
 // NewGrantee returns the part of a router with an address.
 func NewGrantee(self string, bounds Bounds, nowUs int64) *Grantee {
-	return &Grantee{self: self, bounds: bounds, startUs: nowUs, shares: map[string]*share{}, nodes: 1}
+	return &Grantee{self: self, bounds: bounds, startUs: nowUs, shares: map[string]*share{}, routers: map[string]int64{self: nowUs}}
 }
 
 // Allowance returns what a limit leaves.
 func (g *Grantee) Allowance(limit Limit) Allowance { return g.bounds.Allowance(limit) }
 
-// SetNodes says how many routers are known.
-func (g *Grantee) SetNodes(nodes int, nowUs int64) {
-	if nodes >= g.nodes || nowUs-g.nodesUs > nodesUs {
-		g.nodes, g.nodesUs = max(nodes, 1), nowUs
+// SetRouters says which routers are seen.
+func (g *Grantee) SetRouters(addrs []string, nowUs int64) {
+	for _, addr := range addrs {
+		g.routers[addr] = nowUs
 	}
+	for addr, atUs := range g.routers {
+		if nowUs-atUs > routerUs && addr != g.self {
+			delete(g.routers, addr)
+		}
+	}
+}
+
+// Lenders returns the routers that share Allowance.Unowned of a tenant. They are chosen by
+// rendezvous hashing among all routers that were seen a while ago, dead ones too.
+func (g *Grantee) Lenders(tenant string) []string {
+	weight := func(addr string) uint64 { return statesync.HashText(tenant, addr) }
+	all := slices.SortedFunc(maps.Keys(g.routers), func(a, b string) int { return cmp.Compare(weight(b), weight(a)) })
+	return all[:min(lenderCount, len(all))]
 }
 
 func (g *Grantee) share(tenant string, nowUs int64) *share {
@@ -127,34 +142,24 @@
 	}
 }
 
-// Unowned reports whether a request may run without a token, where no owner answers, and
-// counts it. All routers share Allowance.Unowned by their number and a hash; a process that
-// has just started does not know what an earlier one has used.
-func (g *Grantee) Unowned(tenant string, limit Limit, nowUs int64) bool {
-	if !g.known || nowUs-g.startUs < g.bounds.WindowUs {
+// Lend reports whether a request may run without a token, here or at the router that asks,
+// and counts it. A process that has just started lends nothing: it does not know what an
+// earlier one has lent.
+func (g *Grantee) Lend(tenant string, limit Limit, nowUs int64) bool {
+	if !g.known || nowUs-g.startUs < g.bounds.WindowUs || !slices.Contains(g.Lenders(tenant), g.self) {
 		return false
 	}
 	s := g.share(tenant, nowUs)
 	for len(s.unowned) > 0 && nowUs-s.unowned[0] >= g.bounds.WindowUs {
 		s.unowned = s.unowned[1:]
 	}
-	if len(s.unowned) >= g.unownedShare(tenant, limit) {
+	if len(s.unowned) >= int(g.bounds.Allowance(limit).Unowned/lenderCount) {
 		return false
 	}
 	s.unowned = append(s.unowned, nowUs)
 	return true
 }
 
-// unownedShare is this router's share of Allowance.Unowned, a whole number.
-func (g *Grantee) unownedShare(tenant string, limit Limit) int {
-	each := unownedPartUsed * g.bounds.Allowance(limit).Unowned / float64(g.nodes)
-	whole, fraction := math.Modf(each)
-	if float64(statesync.HashText(tenant, g.self)%1000) < 1000*fraction {
-		whole++
-	}
-	return int(whole)
-}
-
 // Sweep forgets the tenants that have sent nothing for long.
 func (g *Grantee) Sweep(nowUs int64) {
 	for tenant, s := range g.shares {
--- /dev/null
+++ b/internal/quota/grantee_test.go
@@ -0,0 +1,95 @@
+package quota
+
+import (
+	"fmt"
+	"testing"
+
+	"github.com/shoenig/test/must"
+)
+
+var testLimit = Limit{Version: 1, RatePerS: 40, Burst: 40}
+
+func TestTokensExpire(t *testing.T) {
+	g := NewGrantee("r1", testBounds, 0)
+	g.Granted("tenant", testLimit, 2, second, second)
+	delayUs := testBounds.Allowance(testLimit).DelayUs
+	token, ok := g.Take("tenant", second+delayUs-1)
+	must.True(t, ok)
+	must.True(t, token.Valid(second+delayUs-1))
+	_, ok = g.Take("tenant", second+delayUs)
+	must.False(t, ok)
+}
+
+func TestReturnedTokenIsUsedAgainWhileItIsValid(t *testing.T) {
+	g := NewGrantee("r1", testBounds, 0)
+	g.Granted("tenant", testLimit, 1, second, second)
+	token, _ := g.Take("tenant", second)
+	g.Return("tenant", token, second+10*ms)
+	again, ok := g.Take("tenant", second+20*ms)
+	must.True(t, ok)
+	must.Eq(t, token, again)
+	g.Return("tenant", token, 3*second)
+	_, ok = g.Take("tenant", 3*second)
+	must.False(t, ok)
+}
+
+func TestABusyRouterAsksAhead(t *testing.T) {
+	g := NewGrantee("r1", testBounds, 0)
+	must.Eq(t, 1, g.Want("tenant", testLimit, 1, second))
+	for nowUs := second; nowUs < 5*second; nowUs += 20 * ms {
+		g.Arrive("tenant", nowUs)
+	}
+	must.Greater(t, 3, g.Want("tenant", testLimit, 1, 5*second))
+}
+
+// All routers of a fleet together lend no more than is allowed in a window.
+func TestLendersStayWithinTheAllowanceTogether(t *testing.T) {
+	var routers []string
+	for i := range 60 {
+		routers = append(routers, fmt.Sprintf("r%d", i))
+	}
+	lent := 0
+	for _, self := range routers {
+		g := NewGrantee(self, testBounds, 0)
+		g.SetRouters(routers, second)
+		g.Granted("tenant", testLimit, 0, second, second)
+		must.Len(t, lenderCount, g.Lenders("tenant"))
+		for nowUs := 10 * second; nowUs < 15*second; nowUs += 50 * ms {
+			if g.Lend("tenant", testLimit, nowUs) {
+				lent++
+			}
+		}
+	}
+	must.Positive(t, lent)
+	must.LessEq(t, testBounds.Allowance(testLimit).Unowned, float64(lent))
+}
+
+func TestARouterThatHasJustStartedLendsNothing(t *testing.T) {
+	g := NewGrantee("r1", testBounds, second)
+	must.False(t, g.Lend("tenant", testLimit, 20*second), must.Sprint("it knows nobody"))
+	g.Granted("tenant", testLimit, 0, second, second)
+	must.False(t, g.Lend("tenant", testLimit, 5*second))
+	must.True(t, g.Lend("tenant", testLimit, 20*second))
+}
+
+func TestRouterThatIsNotSeenAnyMoreRemainsALender(t *testing.T) {
+	g := NewGrantee("r1", testBounds, 0)
+	g.SetRouters([]string{"r1", "r2", "r3", "r4", "r5"}, second)
+	before := g.Lenders("tenant")
+	g.SetRouters([]string{"r1"}, 30*second)
+	must.Eq(t, before, g.Lenders("tenant"))
+	g.SetRouters([]string{"r1"}, 100*second)
+	must.Eq(t, []string{"r1"}, g.Lenders("tenant"))
+}
+
+// The parts of the excess never exceed it, whatever the limit.
+func TestAllowanceFitsTheExcess(t *testing.T) {
+	for _, rate := range []float64{0.1, 1, 4, 14, 73, 500, 10_000} {
+		limit := Limit{RatePerS: rate, Burst: rate}
+		a := testBounds.Allowance(limit)
+		excess := testBounds.Overshoot*(rate*5+rate) + testBounds.Slack
+		late := rate * float64(a.DelayUs) / 1e6
+		must.LessEq(t, 0.95*excess, a.Extra+a.Initial+late+a.Unowned, must.Sprintf("rate %v", rate))
+		must.Positive(t, a.DelayUs)
+	}
+}
--- a/internal/quota/limit.go
+++ b/internal/quota/limit.go
@@ -51,6 +51,8 @@
 	// Extra is how many tokens the owner's bucket holds above the burst, so that requests
 	// just below the limit are not rejected for small differences of time.
 	Extra float64
+	// Initial is how many tokens a new owner begins with that has none from its predecessor.
+	Initial float64
 	// DelayUs is for how long after it was asked for a token may be used.
 	DelayUs int64
 	// Unowned is how many requests all routers together may let run in a window without a
@@ -58,26 +60,30 @@
 	Unowned float64
 }
 
-// Parts of the excess. What is left over covers the time from a router to a runner, and a
-// reserve of a successor that is used although the owner has used it too.
+// Parts of the excess. What is left over covers the time from a router to a runner, a second
+// change of the owner in a window, and a reserve of a successor that is used although the
+// owner has used it too.
 const (
 	extraPart   = 0.15
-	delayPart   = 0.35
-	unownedPart = 0.35
+	initialPart = 0.08
+	delayPart   = 0.30
+	outagePart  = 0.60 // for tokens that are used late and for requests without one
 )
 
 // Bounds of the age of a token.
 const (
 	minDelayUs = int64(50_000)
-	maxDelayUs = int64(1_000_000)
+	maxDelayUs = int64(500_000)
 )
 
 // Allowance divides the excess of a limit. In any window at most
-// rate x (window + DelayUs) + burst + Extra requests run with tokens, and Unowned
-// without.
+// rate x (window + DelayUs) + burst + Extra requests run with tokens of one owner, Initial
+// more for each change of the owner, and Unowned without tokens.
 func (b Bounds) Allowance(limit Limit) Allowance {
 	windowS := float64(b.WindowUs) / 1e6
 	excess := b.Overshoot*(limit.RatePerS*windowS+limit.Burst) + b.Slack
 	delayUs := int64(math.Min(delayPart*excess/max(limit.RatePerS, 1e-6)*1e6, float64(maxDelayUs)))
-	return Allowance{Extra: extraPart * excess, DelayUs: max(delayUs, minDelayUs), Unowned: unownedPart * excess}
+	delayUs = max(delayUs, minDelayUs)
+	late := limit.RatePerS * float64(delayUs) / 1e6
+	return Allowance{Extra: extraPart * excess, Initial: initialPart * excess, DelayUs: delayUs, Unowned: max(outagePart*excess-late, 0)}
 }
--- a/internal/quota/member.go
+++ b/internal/quota/member.go
@@ -5,15 +5,16 @@
 	"strings"
 
 	"beechtide.org/beechtide/internal/messages"
+	"beechtide.org/beechtide/internal/statesync"
 )
 
 // Times of leases, in microseconds.
 const (
 	// LeaseUs is how long a vote lasts: a successor takes over that much after its
 	// predecessor was last heard.
-	LeaseUs = int64(600_000)
+	LeaseUs = int64(500_000)
 	// TickUs is how often claims are renewed, so that two in a row may be lost.
-	TickUs = int64(150_000)
+	TickUs = int64(125_000)
 	// leaseGuardUs is by how much an owner ends its lease before its voters do: clocks run
 	// differently, by far less.
 	leaseGuardUs = int64(30_000)
@@ -27,6 +28,9 @@
 	// returnUs is for how long a member has to be there again before it gets its shards
 	// back.
 	returnUs = int64(4_000_000)
+	// groupUs is for how long after a change of the group the votes of the one before count
+	// as well: until its members know of the change, and votes of before have expired.
+	groupUs = 2 * LeaseUs
 	// idleUs is after how long without a request an account is forgotten.
 	idleUs = int64(30_000_000)
 )
@@ -51,27 +55,25 @@
 	claims   [Shards]claim
 	owned    [Shards]ownedShard
 	copies   [Shards]heldCopy
-	group    []string         // addresses of those who vote
+	group    Group
+	before   []string         // the members of the group before
+	beforeUs int64            // until when their votes count as well
 	answered map[string]int64 // when they last answered
 	seq      int64
 	urgent   bool // a copy should be sent now
 	released []int
 }
 
-// ownedShard is the counts of a shard that this member owns.
-type ownedShard struct {
-	accounts  map[string]*account
-	inherited map[string]float64 // tokens that the predecessor has left
-	copied    copied
+// Group is those who vote.
+type Group struct {
+	Version int64    // of the register that has the group
+	Members []string // addresses, in order
 }
 
-// heldCopy is what this member has as the successor of a shard's owner.
-type heldCopy struct {
-	owner    string
-	version  int64
-	heardUs  int64
-	reserves map[string]float64
-}
+// hash names a group of members.
+func (g Group) hash() uint64 { return statesync.HashText("group", strings.Join(g.Members, " ")) }
+
+func (g Group) has(member string) bool { return slices.Contains(g.Members, member) }
 
 // Outgoing is a claim for another member.
 type Outgoing struct {
@@ -92,7 +94,18 @@
 
 // Owns reports whether this member owns a shard now.
 func (m *Member) Owns(shard int, nowUs int64) bool {
-	return m.claims[shard].holds(m.group, m.config.LeaseUs, nowUs)
+	return m.claims[shard].holds(m.groups(nowUs), m.config.LeaseUs, nowUs)
+}
+
+// groups returns the groups of which an owner needs a majority each.
+func (m *Member) groups(nowUs int64) [][]string {
+	if len(m.group.Members) == 0 {
+		return nil
+	}
+	if nowUs < m.beforeUs {
+		return [][]string{m.group.Members, m.before}
+	}
+	return [][]string{m.group.Members}
 }
 
 // Owned returns the shards that this member owns now.
@@ -112,10 +125,11 @@
 // Tick renews the claims of what this member owns, claims what nobody does, and gives up
 // what another should own. It returns what is to be sent to the other members of the
 // group.
-func (m *Member) Tick(group []string, nowUs int64) []Outgoing {
+func (m *Member) Tick(group Group, nowUs int64) []Outgoing {
 	m.urgent = false
 	m.setGroup(group, nowUs)
-	if !slices.Contains(m.group, m.addr) {
+	if !m.group.has(m.addr) {
+		m.abandon(nowUs)
 		return nil
 	}
 	reachable := m.reachable(nowUs)
@@ -125,37 +139,51 @@
 	m.seq++
 	own := m.claimFor(m.addr, nowUs)
 	m.HandleVotes(m.addr, m.HandleClaim(own, nowUs), nowUs, nowUs)
+	out := m.claimsForOthers(nowUs)
+	m.released = nil
+	return out
+}
+
+// claimsForOthers makes the claims for the other members, also for those of the group before
+// while their votes count.
+func (m *Member) claimsForOthers(nowUs int64) []Outgoing {
 	var out []Outgoing
-	for _, member := range m.group {
-		if member != m.addr {
-			out = append(out, Outgoing{To: member, Claim: m.claimFor(member, nowUs)})
+	for _, group := range m.groups(nowUs) {
+		for _, member := range group {
+			known := slices.ContainsFunc(out, func(o Outgoing) bool { return o.To == member })
+			if member != m.addr && !known {
+				out = append(out, Outgoing{To: member, Claim: m.claimFor(member, nowUs)})
+			}
 		}
 	}
-	m.released = nil
 	return out
 }
 
-// setGroup takes the group. What is owned by the votes of another group is given up: its
-// majorities need not meet those of this one.
-func (m *Member) setGroup(group []string, nowUs int64) {
-	if slices.Equal(group, m.group) {
+// setGroup takes the group. Majorities of two groups need not meet, so for a while the group
+// before counts as well: its members refuse the claims of those who do not know of the
+// change once they know of it themselves.
+func (m *Member) setGroup(group Group, nowUs int64) {
+	if group.Version < m.group.Version {
 		return
 	}
-	first := m.group == nil
-	m.group = slices.Clone(group)
-	if first {
-		return
+	if len(m.group.Members) > 0 && !slices.Equal(group.Members, m.group.Members) {
+		m.before, m.beforeUs = m.group.Members, nowUs+groupUs
 	}
+	m.group = Group{Version: group.Version, Members: slices.Clone(group.Members)}
+}
+
+// abandon ends all claims of a member that is in the group no longer.
+func (m *Member) abandon(nowUs int64) {
 	for shard := range Shards {
 		m.giveUp(shard, nowUs)
-		m.claims[shard].backUs = nowUs + m.config.LeaseUs
 	}
+	m.released = nil
 }
 
 // reachable returns the members that have answered a short while ago, and this one.
 func (m *Member) reachable(nowUs int64) []string {
 	var out []string
-	for _, member := range m.group {
+	for _, member := range m.group.Members {
 		atUs, ever := m.answered[member]
 		if member == m.addr || ever && nowUs-atUs < reachUs {
 			out = append(out, member)
@@ -179,60 +207,6 @@
 	}
 }
 
-// stepOwned looks after a shard that is owned.
-func (m *Member) stepOwned(shard int, order []string, nowUs int64) {
-	c, s := &m.claims[shard], &m.owned[shard]
-	if order[0] == m.addr {
-		c.awayUs = 0
-	} else if c.awayUs == 0 {
-		c.awayUs = nowUs
-	}
-	if c.awayUs > 0 && nowUs-c.awayUs >= returnUs {
-		m.giveUp(shard, nowUs)
-		c.backUs = nowUs + m.config.LeaseUs
-		return
-	}
-	successor := ""
-	for _, member := range order {
-		if member != m.addr {
-			successor = member
-			break
-		}
-	}
-	s.setSuccessor(successor, nowUs)
-	changed := false
-	for tenant, a := range s.accounts {
-		a.bucket.refill(nowUs)
-		changed = s.copied.reserveFor(a, nowUs) || changed
-		s.copied.settle(a, nowUs)
-		if nowUs-a.usedUs > idleUs && a.reserve == 0 && a.bucket.level >= a.bucket.capacity {
-			delete(s.accounts, tenant)
-		}
-	}
-	if changed {
-		s.copied.version++
-	}
-}
-
-// setSuccessor names who gets the copy. The reserves of an earlier one are free again once
-// its copy has expired; there are no new ones before.
-func (s *ownedShard) setSuccessor(addr string, nowUs int64) {
-	c := &s.copied
-	if c.addr == addr {
-		return
-	}
-	c.version++
-	for _, a := range s.accounts {
-		if a.reserve > 0 && a.releasing == 0 {
-			a.releasing, a.releasedUs = c.version, nowUs+copyLifeUs+leaseGuardUs
-		}
-	}
-	if c.addr != "" {
-		c.quietUs = nowUs + copyLifeUs + leaseGuardUs
-	}
-	c.addr, c.acked = addr, 0
-}
-
 // giveUp ends the claim of a shard.
 func (m *Member) giveUp(shard int, nowUs int64) {
 	if !m.claims[shard].active {
@@ -250,19 +224,14 @@
 		m.giveUp(shard, nowUs)
 	}
 	m.seq++
-	var out []Outgoing
-	for _, member := range m.group {
-		if member != m.addr {
-			out = append(out, Outgoing{To: member, Claim: m.claimFor(member, nowUs)})
-		}
-	}
-	m.group = nil
+	out := m.claimsForOthers(nowUs)
+	m.group.Members = nil
 	return out
 }
 
 // claimFor makes the claim for a member.
 func (m *Member) claimFor(member string, nowUs int64) messages.QuotaClaim {
-	out := messages.QuotaClaim{From: m.config.Self, Seq: m.seq, Released: m.released}
+	out := messages.QuotaClaim{From: m.config.Self, Seq: m.seq, Released: m.released, GroupVersion: m.group.Version, GroupHash: m.group.hash()}
 	for shard := range Shards {
 		if !m.claims[shard].active {
 			continue
@@ -276,19 +245,11 @@
 	return out
 }
 
-func (s *ownedShard) copyFor(shard int) messages.QuotaCopy {
-	out := messages.QuotaCopy{Shard: shard, Version: s.copied.version}
-	if s.copied.acked < s.copied.version {
-		out.Whole, out.Reserves = true, reserves(s.accounts)
-	}
-	return out
-}
-
 // HandleClaim votes on a claim of a member.
 func (m *Member) HandleClaim(c messages.QuotaClaim, nowUs int64) messages.QuotaVotes {
 	votes := messages.QuotaVotes{Granted: []int{}}
-	if !slices.Contains(m.group, m.addr) {
-		return votes
+	if len(m.group.Members) == 0 || c.GroupVersion < m.group.Version && c.GroupHash != m.group.hash() {
+		return votes // the claimant does not know of a change of the group
 	}
 	for _, shard := range c.Released {
 		if validShard(shard) {
@@ -296,12 +257,8 @@
 		}
 	}
 	for _, shard := range c.Shards {
-		if !validShard(shard) || !m.voter.grant(shard, c.From, c.Seq, nowUs) {
-			continue
-		}
-		votes.Granted = append(votes.Granted, shard)
-		if held := &m.copies[shard]; held.owner != c.From && held.owner != "" && c.From != m.config.Self {
-			*held = heldCopy{} // the owner's predecessor has no say any more
+		if validShard(shard) && m.vote(shard, c, nowUs) {
+			votes.Granted = append(votes.Granted, shard)
 		}
 	}
 	for _, copied := range c.Copies {
@@ -312,29 +269,20 @@
 	return votes
 }
 
-func validShard(shard int) bool { return shard >= 0 && shard < Shards }
-
-// takeCopy keeps the reserves of a shard. It reports whether this version is here.
-func (m *Member) takeCopy(owner string, copied messages.QuotaCopy, nowUs int64) bool {
-	held := &m.copies[copied.Shard]
-	if held.owner == owner && copied.Version < held.version {
-		return false // overtaken by a later one
-	}
-	if !copied.Whole {
-		if held.owner != owner || held.version != copied.Version {
-			*held = heldCopy{}
-			return false
-		}
-		held.heardUs = nowUs
-		return true
+// vote votes for the claimant of a shard, unless another has the vote. What is here of the
+// reserves of an earlier owner is then dropped: it has no say any more.
+func (m *Member) vote(shard int, c messages.QuotaClaim, nowUs int64) bool {
+	if !m.voter.grant(shard, c.From, c.Seq, nowUs) {
+		return false
 	}
-	*held = heldCopy{owner: owner, version: copied.Version, heardUs: nowUs, reserves: map[string]float64{}}
-	for _, r := range copied.Reserves {
-		held.reserves[r.Tenant] = r.Tokens
+	if held := &m.copies[shard]; held.owner != c.From && c.From != m.config.Self {
+		*held = heldCopy{}
 	}
 	return true
 }
 
+func validShard(shard int) bool { return shard >= 0 && shard < Shards }
+
 // HandleVotes takes the answer of a member to the claim that was sent to it at sentUs.
 func (m *Member) HandleVotes(member string, votes messages.QuotaVotes, sentUs, nowUs int64) {
 	m.answered[member] = max(m.answered[member], nowUs)
@@ -362,84 +310,3 @@
 		}
 	}
 }
-
-// inherit begins to own a shard, with the reserves of its predecessor if this member has
-// been its successor until a short while ago.
-func (m *Member) inherit(shard int, nowUs int64) {
-	held := &m.copies[shard]
-	m.owned[shard] = ownedShard{accounts: map[string]*account{}}
-	if nowUs-held.heardUs <= copyLifeUs && held.owner != m.config.Self {
-		m.owned[shard].inherited = held.reserves
-	}
-	*held = heldCopy{}
-}
-
-// HandleAsk grants tokens, if this member owns the tenant's count.
-func (m *Member) HandleAsk(ask messages.QuotaAsk, nowUs int64) messages.QuotaGrant {
-	shard := ShardOf(ask.Tenant)
-	if !m.Owns(shard, nowUs) || !m.claims[shard].held {
-		return messages.QuotaGrant{Hint: m.hint(shard, nowUs)}
-	}
-	s := &m.owned[shard]
-	a := m.account(shard, ask, nowUs)
-	a.bucket.refill(nowUs)
-	s.copied.settle(a, nowUs)
-	if s.copied.reserveFor(a, nowUs) {
-		s.copied.version++
-	}
-	need := max(ask.Need, 0)
-	granted := a.grant(need, max(ask.Want, need), nowUs)
-	if s.copied.reserveFor(a, nowUs) {
-		s.copied.version++
-	}
-	m.urgent = m.urgent || a.releasing > s.copied.acked && a.releasing == s.copied.version
-	return messages.QuotaGrant{Owner: true, Granted: granted, WaitUs: a.bucket.waitUs(a.reserve)}
-}
-
-// hint is the address of a shard's owner, as far as this member knows.
-func (m *Member) hint(shard int, nowUs int64) string {
-	if holder := m.voter.holder(shard, nowUs); !strings.HasPrefix(holder, m.addr+"/") {
-		return AddrOf(holder)
-	}
-	return ""
-}
-
-// account returns a tenant's account, with the limit of the newest configuration that is
-// known of. What the tenant used before this member owned the shard is not known: a new
-// account has what was inherited and what has come in since.
-func (m *Member) account(shard int, ask messages.QuotaAsk, nowUs int64) *account {
-	s := &m.owned[shard]
-	limit := Limit{Version: ask.Version, RatePerS: ask.RatePerS, Burst: ask.Burst}
-	a := s.accounts[ask.Tenant]
-	if a == nil {
-		sinceS := float64(nowUs-m.claims[shard].heldUs) / 1e6
-		a = newAccount(m.config.Bounds, limit, s.inherited[ask.Tenant]+limit.RatePerS*sinceS, nowUs)
-		s.accounts[ask.Tenant] = a
-		delete(s.inherited, ask.Tenant)
-		return a
-	}
-	if limit.Version > a.limit.Version {
-		a.bucket.refill(nowUs)
-		a.setLimit(m.config.Bounds, limit)
-	}
-	return a
-}
-
-// Conditions returns the accounts of the shards that this member owns.
-func (m *Member) Conditions(nowUs int64) []messages.QuotaCondition {
-	var out []messages.QuotaCondition
-	for shard := range Shards {
-		if !m.Owns(shard, nowUs) {
-			continue
-		}
-		s := &m.owned[shard]
-		for tenant, a := range s.accounts {
-			a.bucket.refill(nowUs)
-			out = append(out, messages.QuotaCondition{
-				Tenant: tenant, Successor: s.copied.addr, RatePerS: a.limit.RatePerS, Level: a.bucket.level, Granted: a.granted, Denied: a.denied,
-			})
-		}
-	}
-	slices.SortFunc(out, func(a, b messages.QuotaCondition) int { return strings.Compare(a.Tenant, b.Tenant) })
-	return out
-}
--- a/internal/router/core_stub_test.go
+++ b/internal/router/core_stub_test.go
@@ -24,8 +24,10 @@
 
 	mu       sync.Mutex // guards what follows
 	group    []string
+	addrs    []string
 	versions [](func() *messages.Versions) // by controller; nil gives no answer
 	delta    func(messages.Hold) messages.Feed
+	quota    func(i int, ask messages.QuotaAsk) messages.QuotaGrant // runs under the mutex; nil: nobody owns a count
 }
 
 // set changes what the controllers say.
@@ -75,6 +77,7 @@
 	must.NoError(t, err)
 	station, err := transport.New(fmt.Sprintf("127.0.0.1:%d", ports(t, 1)[0]), pool, logr.Discard())
 	must.NoError(t, err)
+	s.set(func() { s.addrs = append(s.addrs, station.Addr()) })
 	station.OnCall(transport.KindVersions, func(context.Context, *transport.Conn, []byte) ([]byte, error) {
 		if m := s.say(i); m != nil {
 			return m.MarshalMsg(nil)
@@ -93,6 +96,19 @@
 		f := delta(h)
 		return f.MarshalMsg(nil)
 	})
+	station.OnCall(transport.KindQuotaAsk, func(_ context.Context, _ *transport.Conn, body []byte) ([]byte, error) {
+		var ask messages.QuotaAsk
+		if _, err := ask.UnmarshalMsg(body); err != nil {
+			return nil, err
+		}
+		s.mu.Lock()
+		defer s.mu.Unlock()
+		var grant messages.QuotaGrant
+		if s.quota != nil {
+			grant = s.quota(i, ask)
+		}
+		return grant.MarshalMsg(nil)
+	})
 	station.Run(ctx)
 	self := messages.Peer{Addr: station.Addr(), Role: messages.Controller, Zone: "a", Node: fmt.Sprintf("c%d", i), MemberID: s.group[i], Counted: true}
 	go membership.NewMonitor(station, self, c.clock, func() []string { return []string{c.transport.Addr()} }).Run(ctx)
--- a/internal/router/quota.go
+++ b/internal/router/quota.go
@@ -32,9 +32,10 @@
 	quotaLateWait = 400 * time.Millisecond
 	// quotaRoundPause is the pause after no controller was the owner.
 	quotaRoundPause = 25 * time.Millisecond
-	// quotaSilentUs is after how long without an owner requests no longer wait for one
-	// before they run without a token, if they may.
-	quotaSilentUs = 60_000
+	// quotaSilentUs is after how long without an owner requests wait for one for
+	// quotaSilentWaitUs only, before they run without a token, if they may.
+	quotaSilentUs     = 60_000
+	quotaSilentWaitUs = 5_000
 	// Bounds of how long a request waits: a quarter of its latency target, after which an
 	// early rejection would count as a late one.
 	minQuotaWaitUs = 40_000
@@ -99,12 +100,15 @@
 	return quota.NewBounds(b.QuotaWindowS, b.QuotaOvershoot, b.QuotaSlack)
 }
 
-// sweep forgets tenants that send nothing, and counts the routers.
+// sweep forgets tenants that send nothing, and looks at which routers there are.
 func (q *quotaClient) sweep() {
-	nodes := len(q.router.monitor.Alive(messages.Router))
+	var routers []string
+	for _, p := range q.router.monitor.Alive(messages.Router) {
+		routers = append(routers, p.Addr)
+	}
 	q.mu.Lock()
 	defer q.mu.Unlock()
-	q.grantee.SetNodes(nodes, q.router.clock())
+	q.grantee.SetRouters(routers, q.router.clock())
 	q.grantee.Sweep(q.router.clock())
 	for tenant, t := range q.tenants {
 		if !t.asking && t.silentUs == 0 {
@@ -116,6 +120,20 @@
 // acquire returns a token for a request, or why there is none. It waits for waitUs at most.
 // arrives tells that the request is new.
 func (q *quotaClient) acquire(tenant string, limit quota.Limit, arrives bool, waitUs int64, left <-chan struct{}) quotaAnswer {
+	untilUs := q.router.clock() + waitUs
+	for {
+		answer := q.acquireOnce(tenant, limit, arrives, untilUs, left)
+		nowUs := q.router.clock()
+		if answer.outcome != quotaDenied || nowUs+answer.waitUs > untilUs {
+			return answer
+		}
+		// A token will be there in time.
+		time.Sleep(time.Duration(answer.waitUs) * time.Microsecond)
+		arrives = false
+	}
+}
+
+func (q *quotaClient) acquireOnce(tenant string, limit quota.Limit, arrives bool, untilUs int64, left <-chan struct{}) quotaAnswer {
 	nowUs := q.router.clock()
 	q.mu.Lock()
 	token, ok := quota.Token{}, false
@@ -124,6 +142,10 @@
 	} else {
 		token, ok = q.grantee.Take(tenant, nowUs)
 	}
+	if ok {
+		q.mu.Unlock()
+		return quotaAnswer{outcome: quotaGranted, token: token}
+	}
 	t := q.tenants[tenant]
 	if t == nil {
 		t = &tenantQuota{}
@@ -132,13 +154,7 @@
 	if limit.Version >= t.limit.Version {
 		t.limit = limit
 	}
-	if !ok && t.silentUs > 0 && nowUs-t.silentUs > quotaSilentUs {
-		token, ok = q.withoutOwner(tenant, limit, nowUs)
-	}
-	if ok {
-		q.mu.Unlock()
-		return quotaAnswer{outcome: quotaGranted, token: token}
-	}
+	silent := t.silentUs > 0 && nowUs-t.silentUs > quotaSilentUs
 	w := &quotaWaiter{answer: make(chan quotaAnswer, 1)}
 	t.waiting = append(t.waiting, w)
 	if !t.asking {
@@ -146,10 +162,14 @@
 		go q.ask(tenant, t)
 	}
 	q.mu.Unlock()
-	return q.wait(tenant, t, w, waitUs, left)
+	if silent {
+		untilUs = min(untilUs, nowUs+quotaSilentWaitUs)
+	}
+	return q.wait(tenant, t, w, untilUs-nowUs, left)
 }
 
-// wait waits for the answer to a question.
+// wait waits for the answer to a question. Without one, the request may run on a token of a
+// lender.
 func (q *quotaClient) wait(tenant string, t *tenantQuota, w *quotaWaiter, waitUs int64, left <-chan struct{}) quotaAnswer {
 	timer := time.NewTimer(time.Duration(waitUs) * time.Microsecond)
 	defer timer.Stop()
@@ -160,31 +180,23 @@
 	case <-left:
 	}
 	q.mu.Lock()
-	defer q.mu.Unlock()
+	t.waiting = slices.DeleteFunc(t.waiting, func(other *quotaWaiter) bool { return other == w })
+	limit := t.limit
+	q.mu.Unlock()
 	select {
 	case a := <-w.answer: // it came in between
 		return a
 	default:
 	}
-	t.waiting = slices.DeleteFunc(t.waiting, func(other *quotaWaiter) bool { return other == w })
-	nowUs := q.router.clock()
-	if token, ok := q.withoutOwner(tenant, t.limit, nowUs); ok {
-		return quotaAnswer{outcome: quotaGranted, token: token}
+	if q.borrow(tenant, limit) {
+		q.unowned.Add(1)
+		nowUs := q.router.clock()
+		return quotaAnswer{outcome: quotaGranted, token: quota.Token{ExpiresUs: nowUs + q.grantee.Allowance(limit).DelayUs}}
 	}
 	q.unknown.Add(1)
 	return quotaAnswer{outcome: quotaUnknown, waitUs: noCountingAgainUs}
 }
 
-// withoutOwner lets a request run without a token, if it may. The caller holds the mutex.
-func (q *quotaClient) withoutOwner(tenant string, limit quota.Limit, nowUs int64) (quota.Token, bool) {
-	q.grantee.SetNodes(len(q.router.monitor.Alive(messages.Router)), nowUs)
-	if !q.grantee.Unowned(tenant, limit, nowUs) {
-		return quota.Token{}, false
-	}
-	q.unowned.Add(1)
-	return quota.Token{ExpiresUs: nowUs + q.grantee.Allowance(limit).DelayUs}, true
-}
-
 // ask asks for tokens until no request of the tenant waits.
 func (q *quotaClient) ask(tenant string, t *tenantQuota) {
 	for {
@@ -321,77 +333,3 @@
 	defer q.mu.Unlock()
 	q.grantee.Return(tenant, token, q.router.clock())
 }
-
-// limited reports whether the request's tenant has a limit.
-func (e *exchange) limited() bool { return e.tenant != nil && !e.limit.Unlimited() }
-
-// acquireToken gets a token, unless the request has one that is valid. It reports what
-// became of it.
-func (e *exchange) acquireToken(arrives bool, waitUs int64) quotaAnswer {
-	if !e.limited() || e.token.Valid(e.c.clock()) {
-		return quotaAnswer{outcome: quotaGranted, token: e.token}
-	}
-	answer := e.c.quotas.acquire(e.tenant.Name, e.limit, arrives, waitUs, e.client.leftChannel())
-	if answer.outcome == quotaGranted {
-		e.token = answer.token
-	}
-	return answer
-}
-
-// quotaWaitUs is how long the request may wait for a token.
-func (e *exchange) quotaWaitUs() int64 {
-	waitUs := min(max(e.route.SetpointUs/4-10_000, minQuotaWaitUs), maxQuotaWaitUs)
-	return min(waitUs, max(e.endUs-e.c.clock(), 0))
-}
-
-// enter gets the token with which the request begins; without one it is rejected.
-func (e *exchange) enter() bool {
-	answer := e.acquireToken(true, e.quotaWaitUs())
-	if answer.outcome != quotaGranted {
-		e.rejectWithoutToken(answer)
-	}
-	return answer.outcome == quotaGranted
-}
-
-// reenter gets a token for an attempt where the request has none any more: the one that it
-// began with has been used by an earlier attempt, or is too old. Without one, the attempt's
-// place is released and the request ends.
-func (e *exchange) reenter(adm *admission.Admission, state *progress) bool {
-	answer := e.acquireToken(false, e.quotaWaitUs())
-	if answer.outcome == quotaGranted {
-		return true
-	}
-	if e.next != nil {
-		e.releaseNext()
-	} else {
-		e.c.done(adm, true)
-	}
-	switch {
-	case state.stream != nil || state.ran:
-		e.rejectFailed(state)
-	default:
-		e.rejectWithoutToken(answer)
-	}
-	return false
-}
-
-func (e *exchange) rejectWithoutToken(answer quotaAnswer) {
-	if answer.outcome == quotaDenied {
-		e.reject(429, rejectOverQuota, answer.waitUs)
-	} else {
-		e.reject(503, rejectNoCounting, answer.waitUs)
-	}
-}
-
-// spendToken is called as the request leaves for a runner. refundToken takes that back, as
-// the runner has said that it has not run it, or has got nothing of it.
-func (e *exchange) spendToken() { e.spent, e.token = e.token, quota.Token{} }
-
-func (e *exchange) refundToken() { e.token, e.spent = e.spent, quota.Token{} }
-
-// returnToken gives back what the request has not used, as it ends.
-func (e *exchange) returnToken() {
-	if e.limited() && e.token != (quota.Token{}) {
-		e.c.quotas.giveBack(e.tenant.Name, e.token)
-	}
-}
--- /dev/null
+++ b/internal/router/quota_attempts.go
@@ -0,0 +1,82 @@
+// Tokens of a request: it begins with one, and every attempt that a runner may run uses one.
+
+package router
+
+import (
+	"beechtide.org/beechtide/internal/admission"
+	"beechtide.org/beechtide/internal/quota"
+)
+
+// limited reports whether the request's tenant has a limit.
+func (e *exchange) limited() bool { return e.tenant != nil && !e.limit.Unlimited() }
+
+// acquireToken gets a token, unless the request has one that is valid. It reports what
+// became of it.
+func (e *exchange) acquireToken(arrives bool, waitUs int64) quotaAnswer {
+	if !e.limited() || e.token.Valid(e.c.clock()) {
+		return quotaAnswer{outcome: quotaGranted, token: e.token}
+	}
+	answer := e.c.quotas.acquire(e.tenant.Name, e.limit, arrives, waitUs, e.client.leftChannel())
+	if answer.outcome == quotaGranted {
+		e.token = answer.token
+	}
+	return answer
+}
+
+// quotaWaitUs is how long the request may wait for a token.
+func (e *exchange) quotaWaitUs() int64 {
+	waitUs := min(max(e.route.SetpointUs/4-10_000, minQuotaWaitUs), maxQuotaWaitUs)
+	return min(waitUs, max(e.endUs-e.c.clock(), 0))
+}
+
+// enter gets the token with which the request begins; without one it is rejected.
+func (e *exchange) enter() bool {
+	answer := e.acquireToken(true, e.quotaWaitUs())
+	if answer.outcome != quotaGranted {
+		e.rejectWithoutToken(answer)
+	}
+	return answer.outcome == quotaGranted
+}
+
+// reenter gets a token for an attempt where the request has none any more: the one that it
+// began with has been used by an earlier attempt, or is too old. Without one, the attempt's
+// place is released and the request ends.
+func (e *exchange) reenter(adm *admission.Admission, state *progress) bool {
+	answer := e.acquireToken(false, e.quotaWaitUs())
+	if answer.outcome == quotaGranted {
+		return true
+	}
+	if e.next != nil {
+		e.releaseNext()
+	} else {
+		e.c.done(adm, true)
+	}
+	switch {
+	case state.stream != nil || state.ran:
+		e.rejectFailed(state)
+	default:
+		e.rejectWithoutToken(answer)
+	}
+	return false
+}
+
+func (e *exchange) rejectWithoutToken(answer quotaAnswer) {
+	if answer.outcome == quotaDenied {
+		e.reject(429, rejectOverQuota, answer.waitUs)
+	} else {
+		e.reject(503, rejectNoCounting, answer.waitUs)
+	}
+}
+
+// spendToken is called as the request leaves for a runner. refundToken takes that back, as
+// the runner has said that it has not run it, or has got nothing of it.
+func (e *exchange) spendToken() { e.spent, e.token = e.token, quota.Token{} }
+
+func (e *exchange) refundToken() { e.token, e.spent = e.spent, quota.Token{} }
+
+// returnToken gives back what the request has not used, as it ends.
+func (e *exchange) returnToken() {
+	if e.limited() && e.token != (quota.Token{}) {
+		e.c.quotas.giveBack(e.tenant.Name, e.token)
+	}
+}
--- /dev/null
+++ b/internal/router/quota_test.go
@@ -0,0 +1,167 @@
+package router
+
+import (
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/shoenig/test/must"
+
+	"beechtide.org/beechtide/internal/messages"
+	"beechtide.org/beechtide/internal/quota"
+)
+
+// limitedMenu gives the tenant a limit.
+var limitedMenu = strings.Replace(menuText, `"isolated":true`, `"isolated":true,"ratePerS":10,"burst":10`, 1)
+
+// startLimited starts a router whose tenant has a limit, and a core that counts.
+func startLimited(t *testing.T, controllers int, runners ...*runner) (*Router, *coreStub, string) {
+	t.Helper()
+	c, front, _ := start(t, runners...)
+	core := startCore(t, c, controllers)
+	must.True(t, c.applyFeed("", messages.Feed{Configuration: []messages.EntryChange{wholeMenu(t, limitedMenu, 2)}}))
+	return c, core, front
+}
+
+// granting has every controller own all counts, with so many tokens. It returns the count of
+// tokens that were taken.
+func (s *coreStub) granting(tokens int) *int {
+	taken := new(int)
+	s.set(func() {
+		s.quota = func(_ int, ask messages.QuotaAsk) messages.QuotaGrant {
+			granted := min(ask.Need, tokens-*taken)
+			*taken += granted
+			return messages.QuotaGrant{Owner: true, Granted: granted, WaitUs: 700_000}
+		}
+	})
+	return taken
+}
+
+func (s *coreStub) read(n *int) int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return *n
+}
+
+func TestRequestOverTheLimitGets429WithRetryAfter(t *testing.T) {
+	r := newRunner(t)
+	_, core, front := startLimited(t, 1, r)
+	core.granting(2)
+	for range 2 {
+		a, _, err := say(t, front, request("/pay/1", ""))
+		must.NoError(t, err)
+		must.Eq(t, 200, a.StatusCode)
+	}
+	a, body, err := say(t, front, request("/pay/1", ""))
+	must.NoError(t, err)
+	must.Eq(t, 429, a.StatusCode)
+	must.Eq(t, "0.700", a.Header.Get(hRetryAfter))
+	must.Eq(t, string(rejectOverQuota)+"\n", body)
+	must.Eq(t, 2, r.count())
+}
+
+func TestTenantWithoutALimitNeedsNoOwner(t *testing.T) {
+	r := newRunner(t)
+	_, front, _ := start(t, r)
+	a, _, err := say(t, front, request("/pay/1", ""))
+	must.NoError(t, err)
+	must.Eq(t, 200, a.StatusCode)
+}
+
+func TestRequestIsRejectedWhereNoControllerOwnsTheCount(t *testing.T) {
+	r := newRunner(t)
+	c, _, front := startLimited(t, 2, r)
+	a, body, err := say(t, front, request("/chat/1", ""))
+	must.NoError(t, err)
+	must.Eq(t, 503, a.StatusCode)
+	must.NotEq(t, "", a.Header.Get(hRetryAfter))
+	must.Eq(t, string(rejectNoCounting)+"\n", body)
+	must.Zero(t, r.count())
+	must.Eq(t, 1, c.quotas.unknown.Load())
+}
+
+func TestRouterFollowsTheHintToTheOwner(t *testing.T) {
+	r := newRunner(t)
+	c, core, front := startLimited(t, 3, r)
+	owner := quota.Order(quota.ShardOf("t1"), c.wholeCore())[2]
+	addrs := c.wholeCore()
+	core.set(func() {
+		core.quota = func(i int, ask messages.QuotaAsk) messages.QuotaGrant {
+			if core.addrs[i] == owner {
+				return messages.QuotaGrant{Owner: true, Granted: ask.Need}
+			}
+			return messages.QuotaGrant{Hint: owner}
+		}
+	})
+	must.Len(t, 3, addrs)
+	a, _, err := say(t, front, request("/pay/1", ""))
+	must.NoError(t, err)
+	must.Eq(t, 200, a.StatusCode)
+}
+
+func TestAttemptThatDidNotRunUsesNoToken(t *testing.T) {
+	notRun := "HTTP/1.1 503 Busy\r\nBeechtide-Attempt-Id: ID\r\nBeechtide-Not-Executed: 1\r\nContent-Length: 0\r\n\r\n"
+	one, two := newRunner(t, notRun), newRunner(t, notRun)
+	_, core, front := startLimited(t, 1, one, two)
+	taken := core.granting(5)
+	_, _, err := say(t, front, request("/pay/1", ""))
+	must.NoError(t, err)
+	must.Eq(t, 2, one.count()+two.count())
+	must.Eq(t, 1, core.read(taken))
+}
+
+func TestFurtherAttemptThatMayRunUsesAnotherToken(t *testing.T) {
+	one, two := newRunner(t, "CUT"), newRunner(t, "CUT")
+	_, core, front := startLimited(t, 1, one, two)
+	taken := core.granting(5)
+	_, _, err := say(t, front, request("/open/1", ""))
+	must.NoError(t, err)
+	must.Zero(t, core.read(taken), must.Sprint("a route without a key has no tenant"))
+	before := one.count() + two.count()
+	_, _, _ = say(t, front, request("/sort/1", ""))
+	must.Eq(t, one.count()+two.count()-before, core.read(taken))
+}
+
+func TestFurtherAttemptWithoutATokenIsNotMade(t *testing.T) {
+	one, two := newRunner(t, "CUT", "CUT"), newRunner(t, "CUT", "CUT")
+	_, core, front := startLimited(t, 1, one, two)
+	core.granting(1)
+	a, _, err := say(t, front, request("/sort/1", ""))
+	must.NoError(t, err)
+	must.Eq(t, 502, a.StatusCode, must.Sprint("it may have run: no status promises that it has not"))
+	must.Eq(t, 1, one.count()+two.count())
+}
+
+func TestRequestWaitsForATokenThatComesInTime(t *testing.T) {
+	r := newRunner(t)
+	_, core, front := startLimited(t, 1, r)
+	asked := 0
+	core.set(func() {
+		core.quota = func(_ int, ask messages.QuotaAsk) messages.QuotaGrant {
+			if asked++; asked == 1 {
+				return messages.QuotaGrant{Owner: true, WaitUs: 10_000}
+			}
+			return messages.QuotaGrant{Owner: true, Granted: ask.Need}
+		}
+	})
+	a, _, err := say(t, front, request("/chat/1", ""))
+	must.NoError(t, err)
+	must.Eq(t, 200, a.StatusCode)
+	must.Eq(t, 2, core.read(&asked))
+}
+
+func TestLenderLetsRequestsRunWhereNoOwnerAnswers(t *testing.T) {
+	r := newRunner(t)
+	c, core, front := startLimited(t, 1, r)
+	core.granting(1)
+	_, _, err := say(t, front, request("/pay/1", ""))
+	must.NoError(t, err)
+	core.set(func() { core.quota = nil })
+	limit := quota.Limit{Version: 3, RatePerS: 10, Burst: 10}
+	c.quotas.mu.Lock()
+	lent := c.quotas.grantee.Lend("t1", limit, c.clock())
+	later := c.quotas.grantee.Lend("t1", limit, c.clock()+(10*time.Second).Microseconds())
+	c.quotas.mu.Unlock()
+	must.False(t, lent, must.Sprint("a process that has just started"))
+	must.True(t, later)
+}
--- a/internal/simulation/quota.go
+++ b/internal/simulation/quota.go
@@ -6,6 +6,7 @@
 
 import (
 	"fmt"
+	"slices"
 
 	"beechtide.org/beechtide/internal/quota"
 )
@@ -17,6 +18,8 @@
 	quotaRestUs      = 10 * Second // after the last fault
 	quotaConvergeUs  = Second      // for a lowered limit to reach every router
 	mostQuotaFaultUs = 5 * Second
+	quotaSpares      = 2                 // controllers that are not in the group at first
+	groupKnownUs     = 400 * Millisecond // after a change of the group every member knows it
 )
 
 // quotaBounds are those of the deployments.
@@ -37,6 +40,7 @@
 	routers []*quotaRouter
 	tenants []*quotaTenant
 	checks  *quotaChecks
+	group   quota.Group
 	// busyUntilUs is until when no runner has room.
 	busyUntilUs int64
 }
@@ -59,8 +63,16 @@
 func newQuotaHistory(k *Kernel, defects Defects, members, routers int) *quotaHistory {
 	h := &quotaHistory{injector: &injector{kernel: k, network: NewNetwork(k)}, defects: defects}
 	h.checks = newQuotaChecks(h)
-	for i := range members {
-		h.members = append(h.members, &quotaMember{history: h, addr: fmt.Sprintf("c%d", i+1), process: NewProcess(k)})
+	h.group.Version = 1
+	for i := range members + quotaSpares {
+		m := &quotaMember{history: h, addr: fmt.Sprintf("c%d", i+1), process: NewProcess(k)}
+		h.members = append(h.members, m)
+		if i < members {
+			h.group.Members = append(h.group.Members, m.addr)
+		}
+	}
+	for _, m := range h.members {
+		m.known = h.group
 	}
 	for i := range routers {
 		h.routers = append(h.routers, &quotaRouter{history: h, addr: fmt.Sprintf("r%d", i+1), process: NewProcess(k)})
@@ -116,6 +128,7 @@
 	(*quotaHistory).killOwner, (*quotaHistory).freezeOwner, (*quotaHistory).cutOwnerOff, (*quotaHistory).cutPair,
 	(*quotaHistory).killManyMembers, (*quotaHistory).killAllMembers, (*quotaHistory).cutRouters, (*quotaHistory).freezeRouters,
 	(*quotaHistory).killRouters, (*quotaHistory).slowLinks, (*quotaHistory).fillRunners, (*quotaHistory).cutOwnerOffAndRestart,
+	(*quotaHistory).replaceMember,
 }
 
 // victim is a member that owns a tenant's count, mostly.
@@ -195,6 +208,34 @@
 	}
 }
 
+// replaceMember puts another controller in the place of a member, which may be dead.
+func (h *quotaHistory) replaceMember(forUs int64) {
+	old := h.group.Members[h.kernel.Below(len(h.group.Members))]
+	var spares []string
+	for _, m := range h.members {
+		if !slices.Contains(h.group.Members, m.addr) {
+			spares = append(spares, m.addr)
+		}
+	}
+	spare := spares[h.kernel.Below(len(spares))]
+	h.kernel.Note("%s takes the place of %s", spare, old)
+	members := slices.DeleteFunc(slices.Clone(h.group.Members), func(member string) bool { return member == old })
+	members = append(members, spare)
+	slices.Sort(members)
+	h.group = quota.Group{Version: h.group.Version + 1, Members: members}
+	if h.kernel.Chance(500) {
+		h.kill(h.memberAt(old), forUs)
+	}
+	for _, m := range h.members {
+		group := h.group
+		h.kernel.After(h.kernel.Between(0, groupKnownUs), func() {
+			if group.Version > m.known.Version {
+				m.known = group
+			}
+		})
+	}
+}
+
 func (h *quotaHistory) cutPair(forUs int64) {
 	m, other := h.victim(), h.members[h.kernel.Below(len(h.members))]
 	h.kernel.Note("%s and %s are cut off from each other for %d us", m.addr, other.addr, forUs)
--- a/internal/simulation/quota_actors.go
+++ b/internal/simulation/quota_actors.go
@@ -13,6 +13,7 @@
 	addr    string
 	process *Process
 	lives   int
+	known   quota.Group // as this member has learned it; on its disk
 	member  *quota.Member
 }
 
@@ -38,15 +39,11 @@
 	}
 }
 
-func (m *quotaMember) group() []string {
+func (m *quotaMember) group() quota.Group {
 	if m.history.defects.OwnWithoutMajority {
-		return []string{m.addr}
+		return quota.Group{Version: 1, Members: []string{m.addr}}
 	}
-	var group []string
-	for _, other := range m.history.members {
-		group = append(group, other.addr)
-	}
-	return group
+	return m.known
 }
 
 func (m *quotaMember) send(o quota.Outgoing) {
@@ -87,6 +84,7 @@
 const (
 	quotaAnswerWaitUs = 45 * Millisecond
 	quotaPauseUs      = 25 * Millisecond
+	quotaBorrowWaitUs = 20 * Millisecond
 	quotaRequestUs    = 100 * Millisecond // how long a request waits for a token
 	mostQueueUs       = 300 * Millisecond // how long it then waits for a runner
 )
@@ -113,6 +111,19 @@
 	r.process.Start()
 	r.grantee = quota.NewGrantee(r.addr, quotaBounds, r.process.NowUs())
 	r.waiting, r.asking, r.owners = map[*quotaTenant][]*quotaRequest{}, map[*quotaTenant]bool{}, map[int]string{}
+	r.see()
+}
+
+// see looks at which routers there are.
+func (r *quotaRouter) see() {
+	var alive []string
+	for _, other := range r.history.routers {
+		if other.process.Up() {
+			alive = append(alive, other.addr)
+		}
+	}
+	r.grantee.SetRouters(alive, r.process.NowUs())
+	r.process.After(Second, r.see)
 }
 
 // arrive takes a request of a client.
@@ -162,23 +173,59 @@
 	}
 }
 
-// giveUp lets a request that has waited long enough run without a token, or rejects it.
+// giveUp takes a request that has waited long enough for an owner to the lenders.
 func (r *quotaRouter) giveUp(request *quotaRequest) {
 	list := r.waiting[request.tenant]
 	for i, other := range list {
-		if other != request {
-			continue
+		if other == request {
+			r.waiting[request.tenant] = append(append([]*quotaRequest{}, list[:i]...), list[i+1:]...)
+			r.borrow(request, r.grantee.Lenders(request.tenant.name))
+			return
 		}
-		r.waiting[request.tenant] = append(append([]*quotaRequest{}, list[:i]...), list[i+1:]...)
-		nowUs := r.process.NowUs()
-		r.grantee.SetNodes(len(r.history.routers), nowUs)
-		if r.grantee.Unowned(request.tenant.name, request.limit, nowUs) {
-			request.decide(quota.Token{ExpiresUs: nowUs + r.grantee.Allowance(request.limit).DelayUs}, false)
+	}
+}
+
+// borrow asks one lender after the other.
+func (r *quotaRouter) borrow(request *quotaRequest, lenders []string) {
+	if len(lenders) == 0 {
+		request.decide(quota.Token{}, false)
+		return
+	}
+	lender, ended := r.history.routerAt(lenders[0]), false
+	end := func(lent bool) {
+		if ended {
+			return
+		}
+		ended = true
+		if lent {
+			request.decide(quota.Token{ExpiresUs: r.process.NowUs() + r.grantee.Allowance(request.limit).DelayUs}, false)
 		} else {
-			request.decide(quota.Token{}, false)
+			r.borrow(request, lenders[1:])
 		}
+	}
+	lend := func() bool { return lender.grantee.Lend(request.tenant.name, request.limit, lender.process.NowUs()) }
+	if lender == r {
+		end(lend())
 		return
 	}
+	net, lent := r.history.network, false
+	back := r.process.InLife(func() { end(lent) })
+	net.Send(r.addr, lender.addr, func() {
+		lender.process.Deliver(func() {
+			lent = lend()
+			net.Send(lender.addr, r.addr, back)
+		})
+	})
+	r.process.After(quotaBorrowWaitUs, func() { end(false) })
+}
+
+func (h *quotaHistory) routerAt(addr string) *quotaRouter {
+	for _, r := range h.routers {
+		if r.addr == addr {
+			return r
+		}
+	}
+	return nil
 }
 
 // ask asks the members, the most likely owner first.
--- a/internal/transport/kind.go
+++ b/internal/transport/kind.go
@@ -28,6 +28,7 @@
 	KindUsageQuery                 // request: the counts that a controller has
 	KindQuotaClaim                 // request: a claim of the leases of shards of quota
 	KindQuotaAsk                   // request: tokens of a tenant
+	KindQuotaUnowned               // request: a token of a tenant whose count has no owner
 	kindCount
 )
 
@@ -56,6 +57,8 @@
 	KindQuotaClaim: "quota-claim",
 	KindQuotaAsk:   "quota-ask",
 
+	KindQuotaUnowned: "quota-unowned",
+
 	KindReadsCompressed: "reads-compressed",
 	KindCompressed:      "compressed",
 }
