--- a/internal/router/quota.go
+++ b/internal/router/quota.go
@@ -30,6 +30,9 @@
 	quotaAnswerWait = 45 * time.Millisecond
 	// quotaLateWait is how long an answer is still taken.
 	quotaLateWait = 400 * time.Millisecond
+	// quotaTries is how often a controller is asked in a round that others name as the owner:
+	// its first answer may be late.
+	quotaTries = 2
 	// quotaRoundPause is the pause after no controller was the owner.
 	quotaRoundPause = 25 * time.Millisecond
 	// quotaSilentUs is after how long without an owner requests wait for one for
@@ -221,20 +224,24 @@
 func (q *quotaClient) askRound(tenant string, t *tenantQuota, ask *messages.QuotaAsk) bool {
 	shard := quota.ShardOf(tenant)
 	addrs := q.candidates(shard)
-	tried := map[string]bool{}
-	for len(addrs) > 0 {
-		addr := addrs[0]
-		addrs = addrs[1:]
-		if tried[addr] {
-			continue
+	tries := map[string]int{}
+	next := ""
+	for next != "" || len(addrs) > 0 {
+		addr := next
+		if next == "" {
+			addr, addrs = addrs[0], addrs[1:]
+			if tries[addr] > 0 {
+				continue
+			}
 		}
-		tried[addr] = true
+		tries[addr]++
 		grant, answered := q.call(addr, tenant, t, ask)
 		if answered && grant.Owner {
 			return true
 		}
-		if answered && grant.Hint != "" && !tried[grant.Hint] {
-			addrs = append([]string{grant.Hint}, addrs...)
+		next = ""
+		if answered && tries[grant.Hint] < quotaTries {
+			next = grant.Hint
 		}
 	}
 	q.mu.Lock()
@@ -242,7 +249,7 @@
 	delete(q.owners, shard)
 	if t.silentUs == 0 {
 		t.silentUs = q.router.clock()
-		q.router.log.Info("no owner of the count answers", "tenant", tenant, "shard", shard, "asked", len(tried))
+		q.router.log.Info("no owner of the count answers", "tenant", tenant, "shard", shard, "asked", len(tries))
 	}
 	return false
 }
--- a/internal/simulation/quota_actors.go
+++ b/internal/simulation/quota_actors.go
@@ -55,6 +55,9 @@
 		other.process.Deliver(func() {
 			votes = other.member.HandleClaim(o.Claim, other.process.NowUs())
 			net.Send(o.To, m.addr, back)
+			if len(o.Claim.Released) > 0 {
+				other.process.After(0, other.claim)
+			}
 		})
 	})
 }
@@ -83,6 +86,7 @@
 // Waits of a router, as in package router.
 const (
 	quotaAnswerWaitUs = 45 * Millisecond
+	quotaTries        = 2
 	quotaPauseUs      = 25 * Millisecond
 	quotaBorrowWaitUs = 20 * Millisecond
 	quotaRequestUs    = 100 * Millisecond // how long a request waits for a token
@@ -242,28 +246,31 @@
 	for _, m := range r.history.members {
 		addrs = append(addrs, m.addr)
 	}
-	r.askNext(t, shard, addrs, map[string]bool{})
+	r.askNext(t, shard, "", addrs, map[string]int{})
 }
 
-func (r *quotaRouter) askNext(t *quotaTenant, shard int, addrs []string, tried map[string]bool) {
-	for len(addrs) > 0 && tried[addrs[0]] {
+// askNext asks the member that another has named as the owner, or else the next one.
+func (r *quotaRouter) askNext(t *quotaTenant, shard int, addr string, addrs []string, tries map[string]int) {
+	for addr == "" && len(addrs) > 0 {
+		if tries[addrs[0]] == 0 {
+			addr = addrs[0]
+		}
 		addrs = addrs[1:]
 	}
-	if len(addrs) == 0 {
+	if addr == "" {
 		delete(r.owners, shard)
 		r.process.After(quotaPauseUs, func() { r.ask(t) })
 		return
 	}
-	addr := addrs[0]
-	tried[addr] = true
+	tries[addr]++
 	r.call(addr, t, func(grant messages.QuotaGrant, answered bool) {
 		switch {
 		case answered && grant.Owner:
 			r.ask(t)
-		case answered && grant.Hint != "" && !tried[grant.Hint]:
-			r.askNext(t, shard, append([]string{grant.Hint}, addrs[1:]...), tried)
+		case answered && tries[grant.Hint] < quotaTries:
+			r.askNext(t, shard, grant.Hint, addrs, tries)
 		default:
-			r.askNext(t, shard, addrs[1:], tried)
+			r.askNext(t, shard, "", addrs, tries)
 		}
 	})
 }
