Retired weights: a field of the configuration, fenced at every use of a version

Cause: nothing kept weights from being used again once an operator had given them up; the bound on old weights is suspended without contact.

--- a/cmd/beechtide/doctor.go
+++ b/cmd/beechtide/doctor.go
@@ -33,6 +33,7 @@
 	asJSON       bool
 	rings        bool // print the log rings as well
 	duties       bool // print the duties at the platform as well
+	retired      bool // print the retired weights as well
 	quotas       bool // print the counts of tenants with a limit as well
 }
 
@@ -45,6 +46,7 @@
 	flags.BoolVar(&options.asJSON, "json", false, "print the findings as JSON")
 	flags.BoolVar(&options.rings, "rings", false, "print the log rings of the nodes as well")
 	flags.BoolVar(&options.duties, "duties", false, "print who holds the duties at the platform, and how many runners are ordered, as well")
+	flags.BoolVar(&options.retired, "retired", false, "print which weights are retired, on how many routers, and what is left of them, as well")
 	flags.BoolVar(&options.quotas, "quotas", false, "print who counts the requests of each tenant with a limit, and what is left of it, as well")
 	flags.StringVar(&options.from, "from", "", "address to ask from; empty: any free port of the settings' ip")
 	flags.Usage = func() {
@@ -95,6 +97,11 @@
 			fmt.Println(line)
 		}
 	}
+	if options.retired {
+		for _, line := range doctor.Retired(results) {
+			fmt.Println(line)
+		}
+	}
 	if options.quotas {
 		for _, line := range doctor.Quotas(results) {
 			fmt.Println(line)
--- a/internal/admission/admission.go
+++ b/internal/admission/admission.go
@@ -67,6 +67,7 @@
 	pools           map[string]*pool
 	tenants         map[string]*tenantState
 	relinquished    map[string]relinquished // by zone
+	retired         map[string]int64        // by model: the first version of the weights that is not retired
 	candidateBuffer []placement.Candidate   // reused by the next search for candidates
 	runnerBuffer    []*runner
 	random          *rand.Rand          // which runners are compared, where other nodes send requests too
--- a/internal/admission/candidates.go
+++ b/internal/admission/candidates.go
@@ -92,6 +92,9 @@
 	if slices.Contains(s.request.Avoid, id) || preference != a.preference(s.request, r, s.nowUs) {
 		return false
 	}
+	if a.RetiredWeights(s.request.Model, weightsVersion(r.record, s.request.Model)) {
+		return false
+	}
 	return a.runnerWeightsAllowed(s.request.Model, r, s.nowUs) && !(s.relinquishing && a.Leaves(s.request, r.record.Zone, s.nowUs))
 }
 
@@ -206,6 +209,9 @@
 			continue
 		}
 		version := weightsVersion(r.record, request.Model)
+		if a.RetiredWeights(request.Model, version) {
+			continue
+		}
 		kept, expected := a.Index.CachedAndExpected(id, s.keysOf(version), request.Parts)
 		a.addSource(&sources, blockSource{addr: r.record.Addr, zone: r.record.Zone, version: version, kept: kept, moveUs: p.moveUs})
 		sources.shared[version] = max(sources.shared[version], min(sharedTokens, expected))
--- a/internal/admission/weights.go
+++ b/internal/admission/weights.go
@@ -82,9 +82,9 @@
 // WeightsAllowed reports whether an admitted request may still be sent to its
 // runner. It goes by the version at admission, which the salt was made for and
 // which the request asks the runner for: past the bound that is never one that is
-// too old.
+// too old, and never one that is retired.
 func (a *Admitter) WeightsAllowed(adm *Admission, nowUs int64) bool {
-	return !a.pastBound(adm.model, adm.Version, leastSendMarginUs, nowUs)
+	return !a.Retired(adm) && !a.pastBound(adm.model, adm.Version, leastSendMarginUs, nowUs)
 }
 
 // MustWithdraw reports whether a request that was sent and has not begun is to be
--- a/internal/api/types.gen.go
+++ b/internal/api/types.gen.go
@@ -92,6 +92,7 @@
 	Limits       Limits        `json:"limits,omitempty,omitzero"`
 	Regimes      []Regime      `json:"regimes,omitempty,omitzero" validate:"omitempty,max=64,dive"`
 	Relinquish   []Relinquish  `json:"relinquish,omitempty,omitzero" validate:"omitempty,max=64,dive"`
+	Retired      []Retirement  `json:"retired,omitempty,omitzero" validate:"omitempty,max=64,dive"`
 	Routes       []Route       `json:"routes" validate:"dive"`
 	Services     []Service     `json:"services" validate:"dive"`
 	Tenants      []Tenant      `json:"tenants,omitempty,omitzero" validate:"omitempty,dive"`
@@ -211,6 +212,13 @@
 	Sequence   int64            `json:"sequence,omitempty,omitzero"`
 }
 
+// Retirement Weights of a model that are not used any more, nor what was cached under them.
+type Retirement struct {
+	// Before Every version below this one is retired.
+	Before int64  `json:"before" validate:"gt=0"`
+	Model  string `json:"model" validate:"required"`
+}
+
 // Route defines model for Route.
 type Route struct {
 	CutoffMs      float32   `json:"cutoffMs" validate:"gt=0"`
--- a/internal/controller/control.go
+++ b/internal/controller/control.go
@@ -184,6 +184,10 @@
 	order := readOrder(c)
 	ctx, cancel := context.WithTimeout(ctx, operatorWait)
 	defer cancel()
+	if err := d.checkRetired(ctx, &order); err != nil {
+		reject(c, 503, "", err.Error())
+		return
+	}
 	v, err := d.changeRegister(ctx, consensus.ConfigPart, func(cur messages.Value) ([]messages.Member, []byte, error) {
 		return applyOrder(cur, order)
 	})
--- a/internal/doctor/doctor.go
+++ b/internal/doctor/doctor.go
@@ -97,6 +97,38 @@
 	return lines
 }
 
+// Retired returns a line for each model with retired weights: on how many nodes they count as
+// retired, of how many, since when, and what is left of them.
+func Retired(results []NodeResult) []string {
+	type summary struct {
+		nodes, runners, parts int
+		sinceUs               int64
+	}
+	summaries, routers := map[messages.Target]*summary{}, 0
+	for _, result := range results {
+		c := result.Condition
+		if c == nil || c.Role != messages.Router {
+			continue
+		}
+		routers++
+		for _, r := range c.Retired {
+			key := messages.Target{Model: r.Model, Version: r.Before}
+			if summaries[key] == nil {
+				summaries[key] = &summary{}
+			}
+			s := summaries[key]
+			s.nodes++
+			s.runners, s.parts, s.sinceUs = max(s.runners, r.Runners), max(s.parts, r.Parts), max(s.sinceUs, r.SinceUs)
+		}
+	}
+	var lines []string
+	for key, s := range summaries {
+		lines = append(lines, fmt.Sprintf("%s below %d: retired on %d of %d routers, first %.0f s ago; %d runners still have such weights, with %d parts of prompts", key.Model, key.Version, s.nodes, routers, float64(s.sinceUs)/1e6, s.runners, s.parts))
+	}
+	slices.Sort(lines)
+	return lines
+}
+
 func dutyLine(node string, duty messages.DutyCondition) string {
 	line := fmt.Sprintf("%s: held by %s under fence %d", duty.Name, node, duty.Fence)
 	if duty.LastCallUs > 0 {
--- a/internal/messages/msgp.gen.go
+++ b/internal/messages/msgp.gen.go
@@ -131,9 +131,9 @@
 // MarshalMsg implements msgp.Marshaler
 func (z *Condition) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
-	// map header, size 24
+	// map header, size 25
 	// string "a"
-	o = append(o, 0xde, 0x0, 0x18, 0xa1, 0x61)
+	o = append(o, 0xde, 0x0, 0x19, 0xa1, 0x61)
 	o = msgp.AppendString(o, z.Addr)
 	// string "b"
 	o = append(o, 0xa1, 0x62)
@@ -196,14 +196,24 @@
 	// string "j"
 	o = append(o, 0xa1, 0x6a)
 	o = msgp.AppendInt64(o, z.Changes)
+	// string "k"
+	o = append(o, 0xa1, 0x6b)
+	o = msgp.AppendArrayHeader(o, uint32(len(z.Retired)))
+	for za0007 := range z.Retired {
+		o, err = z.Retired[za0007].MarshalMsg(o)
+		if err != nil {
+			err = msgp.WrapError(err, "Retired", za0007)
+			return
+		}
+	}
 	// string "l"
 	o = append(o, 0xa1, 0x6c)
 	o = msgp.AppendString(o, z.MemberID)
 	// string "m"
 	o = append(o, 0xa1, 0x6d)
 	o = msgp.AppendArrayHeader(o, uint32(len(z.Versions)))
-	for za0007 := range z.Versions {
-		o = msgp.AppendInt64(o, z.Versions[za0007])
+	for za0008 := range z.Versions {
+		o = msgp.AppendInt64(o, z.Versions[za0008])
 	}
 	// string "n"
 	o = append(o, 0xa1, 0x6e)
@@ -211,28 +221,28 @@
 	// string "o"
 	o = append(o, 0xa1, 0x6f)
 	o = msgp.AppendArrayHeader(o, uint32(len(z.Duties)))
-	for za0008 := range z.Duties {
-		o, err = z.Duties[za0008].MarshalMsg(o)
+	for za0009 := range z.Duties {
+		o, err = z.Duties[za0009].MarshalMsg(o)
 		if err != nil {
-			err = msgp.WrapError(err, "Duties", za0008)
+			err = msgp.WrapError(err, "Duties", za0009)
 			return
 		}
 	}
 	// string "p"
 	o = append(o, 0xa1, 0x70)
 	o = msgp.AppendArrayHeader(o, uint32(len(z.Peers)))
-	for za0009 := range z.Peers {
-		o, err = z.Peers[za0009].MarshalMsg(o)
+	for za0010 := range z.Peers {
+		o, err = z.Peers[za0010].MarshalMsg(o)
 		if err != nil {
-			err = msgp.WrapError(err, "Peers", za0009)
+			err = msgp.WrapError(err, "Peers", za0010)
 			return
 		}
 	}
 	// string "q"
 	o = append(o, 0xa1, 0x71)
 	o = msgp.AppendArrayHeader(o, uint32(len(z.Stale)))
-	for za0010 := range z.Stale {
-		o = msgp.AppendString(o, z.Stale[za0010])
+	for za0011 := range z.Stale {
+		o = msgp.AppendString(o, z.Stale[za0011])
 	}
 	// string "r"
 	o = append(o, 0xa1, 0x72)
@@ -246,16 +256,16 @@
 	// string "u"
 	o = append(o, 0xa1, 0x75)
 	o = msgp.AppendArrayHeader(o, uint32(len(z.Unconfirmed)))
-	for za0011 := range z.Unconfirmed {
-		o = msgp.AppendString(o, z.Unconfirmed[za0011])
+	for za0012 := range z.Unconfirmed {
+		o = msgp.AppendString(o, z.Unconfirmed[za0012])
 	}
 	// string "v"
 	o = append(o, 0xa1, 0x76)
 	o = msgp.AppendArrayHeader(o, uint32(len(z.Scaling)))
-	for za0012 := range z.Scaling {
-		o, err = z.Scaling[za0012].MarshalMsg(o)
+	for za0013 := range z.Scaling {
+		o, err = z.Scaling[za0013].MarshalMsg(o)
 		if err != nil {
-			err = msgp.WrapError(err, "Scaling", za0012)
+			err = msgp.WrapError(err, "Scaling", za0013)
 			return
 		}
 	}
@@ -485,6 +495,25 @@
 				err = msgp.WrapError(err, "Changes")
 				return
 			}
+		case "k":
+			var zb0010 uint32
+			zb0010, bts, err = msgp.ReadArrayHeaderBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Retired")
+				return
+			}
+			if cap(z.Retired) >= int(zb0010) {
+				z.Retired = (z.Retired)[:zb0010]
+			} else {
+				z.Retired = make([]RetiredCondition, zb0010)
+			}
+			for za0007 := range z.Retired {
+				bts, err = z.Retired[za0007].UnmarshalMsg(bts)
+				if err != nil {
+					err = msgp.WrapError(err, "Retired", za0007)
+					return
+				}
+			}
 		case "l":
 			z.MemberID, bts, err = msgp.ReadStringBytes(bts)
 			if err != nil {
@@ -492,21 +521,21 @@
 				return
 			}
 		case "m":
-			var zb0010 uint32
-			zb0010, bts, err = msgp.ReadArrayHeaderBytes(bts)
+			var zb0011 uint32
+			zb0011, bts, err = msgp.ReadArrayHeaderBytes(bts)
 			if err != nil {
 				err = msgp.WrapError(err, "Versions")
 				return
 			}
-			if cap(z.Versions) >= int(zb0010) {
-				z.Versions = (z.Versions)[:zb0010]
+			if cap(z.Versions) >= int(zb0011) {
+				z.Versions = (z.Versions)[:zb0011]
 			} else {
-				z.Versions = make([]int64, zb0010)
+				z.Versions = make([]int64, zb0011)
 			}
-			for za0007 := range z.Versions {
-				z.Versions[za0007], bts, err = msgp.ReadInt64Bytes(bts)
+			for za0008 := range z.Versions {
+				z.Versions[za0008], bts, err = msgp.ReadInt64Bytes(bts)
 				if err != nil {
-					err = msgp.WrapError(err, "Versions", za0007)
+					err = msgp.WrapError(err, "Versions", za0008)
 					return
 				}
 			}
@@ -517,71 +546,71 @@
 				return
 			}
 		case "o":
-			var zb0011 uint32
-			zb0011, bts, err = msgp.ReadArrayHeaderBytes(bts)
+			var zb0012 uint32
+			zb0012, bts, err = msgp.ReadArrayHeaderBytes(bts)
 			if err != nil {
 				err = msgp.WrapError(err, "Duties")
 				return
 			}
-			if cap(z.Duties) >= int(zb0011) {
-				z.Duties = (z.Duties)[:zb0011]
+			if cap(z.Duties) >= int(zb0012) {
+				z.Duties = (z.Duties)[:zb0012]
 			} else {
-				z.Duties = make([]DutyCondition, zb0011)
+				z.Duties = make([]DutyCondition, zb0012)
 			}
-			for za0008 := range z.Duties {
-				bts, err = z.Duties[za0008].UnmarshalMsg(bts)
+			for za0009 := range z.Duties {
+				bts, err = z.Duties[za0009].UnmarshalMsg(bts)
 				if err != nil {
-					err = msgp.WrapError(err, "Duties", za0008)
+					err = msgp.WrapError(err, "Duties", za0009)
 					return
 				}
 			}
 		case "p":
-			var zb0012 uint32
-			zb0012, bts, err = msgp.ReadArrayHeaderBytes(bts)
+			var zb0013 uint32
+			zb0013, bts, err = msgp.ReadArrayHeaderBytes(bts)
 			if err != nil {
 				err = msgp.WrapError(err, "Peers")
 				return
 			}
-			if cap(z.Peers) >= int(zb0012) {
-				z.Peers = (z.Peers)[:zb0012]
+			if cap(z.Peers) >= int(zb0013) {
+				z.Peers = (z.Peers)[:zb0013]
 			} else {
-				z.Peers = make([]Peer, zb0012)
+				z.Peers = make([]Peer, zb0013)
 			}
-			for za0009 := range z.Peers {
-				bts, err = z.Peers[za0009].UnmarshalMsg(bts)
+			for za0010 := range z.Peers {
+				bts, err = z.Peers[za0010].UnmarshalMsg(bts)
 				if err != nil {
-					err = msgp.WrapError(err, "Peers", za0009)
+					err = msgp.WrapError(err, "Peers", za0010)
 					return
 				}
 			}
 		case "q":
-			var zb0013 uint32
-			zb0013, bts, err = msgp.ReadArrayHeaderBytes(bts)
+			var zb0014 uint32
+			zb0014, bts, err = msgp.ReadArrayHeaderBytes(bts)
 			if err != nil {
 				err = msgp.WrapError(err, "Stale")
 				return
 			}
-			if cap(z.Stale) >= int(zb0013) {
-				z.Stale = (z.Stale)[:zb0013]
+			if cap(z.Stale) >= int(zb0014) {
+				z.Stale = (z.Stale)[:zb0014]
 			} else {
-				z.Stale = make([]string, zb0013)
+				z.Stale = make([]string, zb0014)
 			}
-			for za0010 := range z.Stale {
-				z.Stale[za0010], bts, err = msgp.ReadStringBytes(bts)
+			for za0011 := range z.Stale {
+				z.Stale[za0011], bts, err = msgp.ReadStringBytes(bts)
 				if err != nil {
-					err = msgp.WrapError(err, "Stale", za0010)
+					err = msgp.WrapError(err, "Stale", za0011)
 					return
 				}
 			}
 		case "r":
 			{
-				var zb0014 string
-				zb0014, bts, err = msgp.ReadStringBytes(bts)
+				var zb0015 string
+				zb0015, bts, err = msgp.ReadStringBytes(bts)
 				if err != nil {
 					err = msgp.WrapError(err, "Role")
 					return
 				}
-				z.Role = Role(zb0014)
+				z.Role = Role(zb0015)
 			}
 		case "s":
 			z.SaveUs, bts, err = msgp.ReadInt64Bytes(bts)
@@ -596,40 +625,40 @@
 				return
 			}
 		case "u":
-			var zb0015 uint32
-			zb0015, bts, err = msgp.ReadArrayHeaderBytes(bts)
+			var zb0016 uint32
+			zb0016, bts, err = msgp.ReadArrayHeaderBytes(bts)
 			if err != nil {
 				err = msgp.WrapError(err, "Unconfirmed")
 				return
 			}
-			if cap(z.Unconfirmed) >= int(zb0015) {
-				z.Unconfirmed = (z.Unconfirmed)[:zb0015]
+			if cap(z.Unconfirmed) >= int(zb0016) {
+				z.Unconfirmed = (z.Unconfirmed)[:zb0016]
 			} else {
-				z.Unconfirmed = make([]string, zb0015)
+				z.Unconfirmed = make([]string, zb0016)
 			}
-			for za0011 := range z.Unconfirmed {
-				z.Unconfirmed[za0011], bts, err = msgp.ReadStringBytes(bts)
+			for za0012 := range z.Unconfirmed {
+				z.Unconfirmed[za0012], bts, err = msgp.ReadStringBytes(bts)
 				if err != nil {
-					err = msgp.WrapError(err, "Unconfirmed", za0011)
+					err = msgp.WrapError(err, "Unconfirmed", za0012)
 					return
 				}
 			}
 		case "v":
-			var zb0016 uint32
-			zb0016, bts, err = msgp.ReadArrayHeaderBytes(bts)
+			var zb0017 uint32
+			zb0017, bts, err = msgp.ReadArrayHeaderBytes(bts)
 			if err != nil {
 				err = msgp.WrapError(err, "Scaling")
 				return
 			}
-			if cap(z.Scaling) >= int(zb0016) {
-				z.Scaling = (z.Scaling)[:zb0016]
+			if cap(z.Scaling) >= int(zb0017) {
+				z.Scaling = (z.Scaling)[:zb0017]
 			} else {
-				z.Scaling = make([]ScalingCondition, zb0016)
+				z.Scaling = make([]ScalingCondition, zb0017)
 			}
-			for za0012 := range z.Scaling {
-				bts, err = z.Scaling[za0012].UnmarshalMsg(bts)
+			for za0013 := range z.Scaling {
+				bts, err = z.Scaling[za0013].UnmarshalMsg(bts)
 				if err != nil {
-					err = msgp.WrapError(err, "Scaling", za0012)
+					err = msgp.WrapError(err, "Scaling", za0013)
 					return
 				}
 			}
@@ -688,25 +717,29 @@
 	for za0006 := range z.Violations {
 		s += 1 + 2 + msgp.Int64Size + 2 + msgp.StringPrefixSize + len(z.Violations[za0006].Name)
 	}
-	s += 2 + msgp.Int64Size + 2 + msgp.StringPrefixSize + len(z.MemberID) + 2 + msgp.ArrayHeaderSize + (len(z.Versions) * (msgp.Int64Size)) + 2 + msgp.StringPrefixSize + len(z.Node) + 2 + msgp.ArrayHeaderSize
-	for za0008 := range z.Duties {
-		s += z.Duties[za0008].Msgsize()
+	s += 2 + msgp.Int64Size + 2 + msgp.ArrayHeaderSize
+	for za0007 := range z.Retired {
+		s += z.Retired[za0007].Msgsize()
+	}
+	s += 2 + msgp.StringPrefixSize + len(z.MemberID) + 2 + msgp.ArrayHeaderSize + (len(z.Versions) * (msgp.Int64Size)) + 2 + msgp.StringPrefixSize + len(z.Node) + 2 + msgp.ArrayHeaderSize
+	for za0009 := range z.Duties {
+		s += z.Duties[za0009].Msgsize()
 	}
 	s += 2 + msgp.ArrayHeaderSize
-	for za0009 := range z.Peers {
-		s += z.Peers[za0009].Msgsize()
+	for za0010 := range z.Peers {
+		s += z.Peers[za0010].Msgsize()
 	}
 	s += 2 + msgp.ArrayHeaderSize
-	for za0010 := range z.Stale {
-		s += msgp.StringPrefixSize + len(z.Stale[za0010])
+	for za0011 := range z.Stale {
+		s += msgp.StringPrefixSize + len(z.Stale[za0011])
 	}
 	s += 2 + msgp.StringPrefixSize + len(string(z.Role)) + 2 + msgp.Int64Size + 2 + msgp.Int64Size + 2 + msgp.ArrayHeaderSize
-	for za0011 := range z.Unconfirmed {
-		s += msgp.StringPrefixSize + len(z.Unconfirmed[za0011])
+	for za0012 := range z.Unconfirmed {
+		s += msgp.StringPrefixSize + len(z.Unconfirmed[za0012])
 	}
 	s += 2 + msgp.ArrayHeaderSize
-	for za0012 := range z.Scaling {
-		s += z.Scaling[za0012].Msgsize()
+	for za0013 := range z.Scaling {
+		s += z.Scaling[za0013].Msgsize()
 	}
 	s += 2 + msgp.Int64Size + 2 + msgp.Int64Size + 2 + msgp.StringPrefixSize + len(z.Zone)
 	return
@@ -4997,6 +5030,94 @@
 	return
 }
 
+// MarshalMsg implements msgp.Marshaler
+func (z *RetiredCondition) MarshalMsg(b []byte) (o []byte, err error) {
+	o = msgp.Require(b, z.Msgsize())
+	// map header, size 5
+	// string "b"
+	o = append(o, 0x85, 0xa1, 0x62)
+	o = msgp.AppendInt64(o, z.Before)
+	// string "m"
+	o = append(o, 0xa1, 0x6d)
+	o = msgp.AppendString(o, z.Model)
+	// string "p"
+	o = append(o, 0xa1, 0x70)
+	o = msgp.AppendInt(o, z.Parts)
+	// string "r"
+	o = append(o, 0xa1, 0x72)
+	o = msgp.AppendInt(o, z.Runners)
+	// string "s"
+	o = append(o, 0xa1, 0x73)
+	o = msgp.AppendInt64(o, z.SinceUs)
+	return
+}
+
+// UnmarshalMsg implements msgp.Unmarshaler
+func (z *RetiredCondition) UnmarshalMsg(bts []byte) (o []byte, err error) {
+	var field []byte
+	_ = field
+	var zb0001 uint32
+	zb0001, bts, err = msgp.ReadMapHeaderBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err)
+		return
+	}
+	for zb0001 > 0 {
+		zb0001--
+		field, bts, err = msgp.ReadMapKeyZC(bts)
+		if err != nil {
+			err = msgp.WrapError(err)
+			return
+		}
+		switch msgp.UnsafeString(field) {
+		case "b":
+			z.Before, bts, err = msgp.ReadInt64Bytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Before")
+				return
+			}
+		case "m":
+			z.Model, bts, err = msgp.ReadStringBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Model")
+				return
+			}
+		case "p":
+			z.Parts, bts, err = msgp.ReadIntBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Parts")
+				return
+			}
+		case "r":
+			z.Runners, bts, err = msgp.ReadIntBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Runners")
+				return
+			}
+		case "s":
+			z.SinceUs, bts, err = msgp.ReadInt64Bytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "SinceUs")
+				return
+			}
+		default:
+			bts, err = msgp.Skip(bts)
+			if err != nil {
+				err = msgp.WrapError(err)
+				return
+			}
+		}
+	}
+	o = bts
+	return
+}
+
+// Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
+func (z *RetiredCondition) Msgsize() (s int) {
+	s = 1 + 2 + msgp.Int64Size + 2 + msgp.StringPrefixSize + len(z.Model) + 2 + msgp.IntSize + 2 + msgp.IntSize + 2 + msgp.Int64Size
+	return
+}
+
 // MarshalMsg implements msgp.Marshaler
 func (z Role) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
--- a/internal/messages/types.gen.go
+++ b/internal/messages/types.gen.go
@@ -119,17 +119,18 @@
 	Quotas []QuotaCondition `msg:"h"`
 
 	// Violations invariants that were violated since the start
-	Violations []ViolationCount `msg:"i"`
-	Changes    int64            `msg:"j"`
-	MemberID   string           `msg:"l"`
-	Versions   []int64          `msg:"m"`
-	Node       string           `msg:"n"`
-	Duties     []DutyCondition  `msg:"o"`
-	Peers      []Peer           `msg:"p"`
-	Stale      []string         `msg:"q"`
-	Role       Role             `msg:"r"`
-	SaveUs     int64            `msg:"s"`
-	TimeUs     int64            `msg:"t"`
+	Violations []ViolationCount   `msg:"i"`
+	Changes    int64              `msg:"j"`
+	Retired    []RetiredCondition `msg:"k"`
+	MemberID   string             `msg:"l"`
+	Versions   []int64            `msg:"m"`
+	Node       string             `msg:"n"`
+	Duties     []DutyCondition    `msg:"o"`
+	Peers      []Peer             `msg:"p"`
+	Stale      []string           `msg:"q"`
+	Role       Role               `msg:"r"`
+	SaveUs     int64              `msg:"s"`
+	TimeUs     int64              `msg:"t"`
 
 	// Unconfirmed members that this controller waits for in a repair
 	Unconfirmed []string `msg:"u"`
@@ -478,6 +479,21 @@
 	Used   int    `msg:"u"`
 }
 
+// RetiredCondition retired weights of a model, of a node that goes by them
+type RetiredCondition struct {
+	Before int64  `msg:"b"`
+	Model  string `msg:"m"`
+
+	// Parts parts of prompts that these have cached
+	Parts int `msg:"p"`
+
+	// Runners runners that still have them
+	Runners int `msg:"r"`
+
+	// SinceUs for how long the node has gone by them
+	SinceUs int64 `msg:"s"`
+}
+
 // Role defines model for Role.
 type Role string
 
--- a/internal/prefixindex/index.go
+++ b/internal/prefixindex/index.go
@@ -171,6 +171,14 @@
 	return out
 }
 
+// Size is how many parts a runner has reported as cached.
+func (x *Index) Size(runner string) int {
+	if s := x.cached[runner]; s != nil {
+		return s.Len()
+	}
+	return 0
+}
+
 // Reset deletes all entries of a runner.
 func (x *Index) Reset(runner string) {
 	delete(x.cached, runner)
--- a/internal/routeconfig/check.go
+++ b/internal/routeconfig/check.go
@@ -70,6 +70,9 @@
 	if err := checkRelinquish(m.Relinquish); err != nil {
 		return err
 	}
+	if err := checkRetired(m); err != nil {
+		return err
+	}
 	if err := checkTenantKeys(m.Tenants); err != nil {
 		return err
 	}
@@ -138,6 +141,29 @@
 	return nil
 }
 
+// checkRetired checks the retired weights: each model once, and one that a service has,
+// where the services say which models they have.
+func checkRetired(m api.Configuration) error {
+	models := map[string]bool{}
+	for _, s := range m.Services {
+		for _, model := range s.Engine.Models {
+			models[model.Name] = true
+		}
+	}
+	seen := map[string]bool{}
+	for i, r := range m.Retired {
+		field := fmt.Sprintf("retired[%d].model", i)
+		if seen[r.Model] {
+			return &Invalid{field, "named twice"}
+		}
+		if len(models) > 0 && !models[r.Model] {
+			return &Invalid{field, fmt.Sprintf("unknown model %q", r.Model)}
+		}
+		seen[r.Model] = true
+	}
+	return nil
+}
+
 func checkTenantKeys(tenants []api.Tenant) error {
 	owner := map[string]string{}
 	for i, t := range tenants {
--- a/internal/routeconfig/entries.go
+++ b/internal/routeconfig/entries.go
@@ -75,7 +75,7 @@
 	if err := addAll(out, regimeEntry, m.Regimes, func(_ int, r api.Regime) string { return r.Name }); err != nil {
 		return nil, err
 	}
-	rest := api.Configuration{Version: m.Version, Limits: m.Limits, Relinquish: m.Relinquish, Routes: []api.Route{}, Services: []api.Service{}}
+	rest := api.Configuration{Version: m.Version, Limits: m.Limits, Relinquish: m.Relinquish, Retired: m.Retired, Routes: []api.Route{}, Services: []api.Service{}}
 	return out, out.add(restEntry, "", rest)
 }
 
@@ -155,7 +155,7 @@
 		case *api.Regime:
 			m.Regimes = append(m.Regimes, *v)
 		case *api.Configuration:
-			m.Version, m.Limits, m.Relinquish = v.Version, v.Limits, v.Relinquish
+			m.Version, m.Limits, m.Relinquish, m.Retired = v.Version, v.Limits, v.Relinquish, v.Retired
 		}
 	}
 	return m
--- a/internal/routeconfig/replace.go
+++ b/internal/routeconfig/replace.go
@@ -12,6 +12,7 @@
 
 	"github.com/pkg/errors"
 
+	"beechtide.org/beechtide/internal/api"
 	"beechtide.org/beechtide/internal/messages"
 )
 
@@ -37,6 +38,7 @@
 	Raw     []byte
 	Version int64 // 0 where the bytes name none
 	Base    int64
+	Retired []api.Retirement // whose models have to have newer weights
 	Fault   error
 }
 
@@ -44,7 +46,7 @@
 // with a fault can still be looked up among those that were accepted.
 func ParseSubmission(raw []byte) Submission {
 	config, err := Parse(raw)
-	o := Submission{Raw: raw, Version: config.Version, Fault: err}
+	o := Submission{Raw: raw, Version: config.Version, Retired: config.Retired, Fault: err}
 	if err != nil {
 		o.Version = versionOf(raw)
 	}
--- a/internal/routeconfig/table.go
+++ b/internal/routeconfig/table.go
@@ -35,6 +35,9 @@
 	// Relinquished are the zones that give up their sessions, and over how many
 	// microseconds.
 	Relinquished map[string]int64
+	// Retired has the first version of a model's weights that is not retired; models of
+	// which none is are not in it.
+	Retired map[string]int64
 }
 
 // Compile makes a table from a checked configuration.
@@ -52,6 +55,7 @@
 		t.Policies = p
 	}
 	t.addRelinquished(m.Relinquish)
+	t.addRetired(m.Retired)
 	t.addServices(m.Services)
 	t.addRoutes(m.Routes)
 	t.addTenants(m.Tenants)
@@ -67,6 +71,15 @@
 	}
 }
 
+func (t *Table) addRetired(retired []api.Retirement) {
+	for _, r := range retired {
+		if t.Retired == nil {
+			t.Retired = map[string]int64{}
+		}
+		t.Retired[r.Model] = r.Before
+	}
+}
+
 func (t *Table) addServices(services []api.Service) {
 	for i := range services {
 		t.services[services[i].Name] = &services[i]
--- a/internal/router/attempts.go
+++ b/internal/router/attempts.go
@@ -269,7 +269,7 @@
 		c.done(adm, true)
 		return resultNotSent, stream
 	}
-	attempt := c.sent.add(adm, link)
+	attempt := c.sent.add(adm, link, e.route.Repeatable() && e.attempts < max(e.route.Tries, 1))
 	defer c.sent.remove(attempt)
 	e.spendToken()
 	end := e.writeRequest(adm, link, stream)
@@ -316,7 +316,7 @@
 		return resultUnknown, stream
 	}
 	if stream == nil {
-		e.held = c.held.add(adm, link)
+		e.held = c.held.add(adm, link, false)
 		defer c.held.remove(e.held)
 	}
 	if e.streams(r) {
--- a/internal/router/condition.go
+++ b/internal/router/condition.go
@@ -19,6 +19,7 @@
 	c.admissionMu.Lock()
 	x.Blind = c.admission.Blind(c.clock())
 	c.admissionMu.Unlock()
+	x.Retired = c.retiredConditions()
 	x.Wholes, x.Changes = c.feedStats.wholes.Load(), c.feedStats.changes.Load()
 	x.Malformed = c.feedStats.malformed.Load() + c.up.Malformed.Load()
 	x.Violations = invariant.Violations()
--- a/internal/router/evening_test.go
+++ b/internal/router/evening_test.go
@@ -30,12 +30,15 @@
 	nodes   []*deskNode
 	runners map[string]messages.RunnerRecord
 	certs   map[string]bool
+	retired int64 // weights below this version are retired
+	newest  int64 // version of the weights that runners get
 	version int64
 	menus   []api.Configuration
 	ends    map[string]int
 	count   int
 	sent    map[string]int // regulated requests by runner
 	open    []*guest
+	older   int // requests that went to weights that are not the newest
 }
 
 type deskNode struct {
@@ -59,6 +62,9 @@
 
 func (e *evening) configuration() api.Configuration {
 	m := api.Configuration{Version: e.version, Services: []api.Service{{Name: "s", Engine: api.Engine{CacheTokens: 16000}}}, Regimes: []api.Regime{{Name: "allergen"}}, Tenants: []api.Tenant{{Name: "directorate", Regime: "allergen"}, {Name: "taxi"}}}
+	if e.retired > 0 {
+		m.Retired = []api.Retirement{{Model: "m", Before: e.retired}}
+	}
 	var ids []string
 	for id := range e.certs {
 		ids = append(ids, id)
@@ -92,6 +98,7 @@
 	}
 	notes := n.registry.Snapshot().ByService["s"]
 	n.admission.SetService("s", notes, 16000, 2)
+	n.admission.SetRetired(n.table.Retired)
 	n.admission.SetCertified("s", certified(n.table, notes))
 }
 
@@ -150,6 +157,11 @@
 		e.offer(g)
 		return
 	}
+	must.False(e.t, r.Admit.Version < g.node.table.Retired["m"], must.Sprintf("%s is sent to weights %d in version %d", g.id, r.Admit.Version, g.node.table.Version))
+	must.Eq(e.t, admission.Salt(g.ask.Tenant, false, g.ask.Regime, r.Admit.Version), r.Admit.Salt)
+	if r.Admit.Version < e.newest {
+		e.older++
+	}
 	g.adm, g.endsUs = r.Admit, e.nowUs+200_000+int64(e.rnd.IntN(1_500_000))
 	if g.ask.Regime != "" {
 		g.node.note(e, compliance.Sent, g, &r.Admit.Runner, cert)
@@ -234,6 +246,16 @@
 			break
 		}
 		e.publish()
+	case 6: // new weights are named, and a runner gets them
+		e.newest++
+		e.renew()
+	case 7, 8, 9:
+		e.renew()
+	case 10: // all weights but the newest are retired
+		if e.newest > e.retired {
+			e.retired = e.newest
+			e.publish()
+		}
 	case 4: // a node is cut off, or a cut heals
 		n := e.nodes[e.rnd.IntN(len(e.nodes))]
 		n.cut = !n.cut
@@ -254,6 +276,20 @@
 	}
 }
 
+// renew has a runner load the newest weights. Nodes that are cut off hear of it late, or
+// never.
+func (e *evening) renew() {
+	id := e.any()
+	if id == "" {
+		return
+	}
+	r := e.runners[id]
+	r.Seq++
+	r.Models = []messages.Target{{Model: "m", Version: e.newest}}
+	e.runners[id] = r
+	e.tell()
+}
+
 func (e *evening) any() string {
 	var ids []string
 	for id := range e.runners {
@@ -267,7 +303,7 @@
 }
 
 func play(t *testing.T, seed uint64) *evening {
-	e := &evening{t: t, rnd: rand.New(rand.NewPCG(seed, 3)), nowUs: 1, runners: map[string]messages.RunnerRecord{}, certs: map[string]bool{}, ends: map[string]int{}, sent: map[string]int{}}
+	e := &evening{t: t, rnd: rand.New(rand.NewPCG(seed, 3)), nowUs: 1, newest: 1, runners: map[string]messages.RunnerRecord{}, certs: map[string]bool{}, ends: map[string]int{}, sent: map[string]int{}}
 	for i := range 6 {
 		id := fmt.Sprintf("r%d", i)
 		e.runners[id] = messages.RunnerRecord{ID: id, Service: "s", Addr: id + ":1", Zone: "a", Capacity: 4, Seq: 1, Models: []messages.Target{{Model: "m", Version: 1}}}
@@ -326,7 +362,7 @@
 }
 
 func TestBusyEveningKeepsRegulatedRequestsOnCertifiedRunners(t *testing.T) {
-	regulated := 0
+	regulated, older := 0, 0
 	for seed := range uint64(40) {
 		e := play(t, seed)
 		must.Greater(t, 100, e.count)
@@ -336,6 +372,7 @@
 		list := e.trail()
 		bad := compliance.CheckTrail(list, e.menus)
 		must.SliceEmpty(t, bad, must.Sprint(seed, bad))
+		older += e.older
 		for _, n := range e.sent {
 			regulated += n
 		}
@@ -348,5 +385,6 @@
 		}
 		must.SliceNotEmpty(t, compliance.CheckTrail(list, e.menus), must.Sprint(seed))
 	}
+	must.Positive(t, older, must.Sprint("nothing ever ran on older weights"))
 	must.Greater(t, 2000, regulated, must.Sprint("too few regulated requests were sent to show anything"))
 }
--- a/internal/router/metrics.go
+++ b/internal/router/metrics.go
@@ -53,6 +53,12 @@
 			emit(float64(c.quotas.unowned.Load()), "unowned")
 			emit(float64(c.quotas.unknown.Load()), "unknown")
 		}),
+		metrics.Gauge("beechtide_retired_left", "Of the retired weights of a model: runners that still have them, and parts of prompts that these have cached.", []string{"model", "what"}, func(emit metrics.Emit) {
+			for _, r := range c.retiredConditions() {
+				emit(float64(r.Runners), r.Model, "runners")
+				emit(float64(r.Parts), r.Model, "parts")
+			}
+		}),
 		metrics.Gauge("beechtide_draining", "1 while the process shuts down.", nil, func(emit metrics.Emit) {
 			emit(metrics.Bool(c.draining()))
 		}),
--- /dev/null
+++ b/internal/router/retired_test.go
@@ -0,0 +1,150 @@
+package router
+
+import (
+	"fmt"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/shoenig/test/must"
+
+	"beechtide.org/beechtide/internal/messages"
+)
+
+// retire has the router take a configuration that retires the weights below 5 of the model.
+func (c *Router) retire(t *testing.T, version int64) {
+	t.Helper()
+	retiring := strings.Replace(menuText, `"limits":{`, `"retired":[{"model":"m","before":5}],"limits":{`, 1)
+	retiring = strings.Replace(retiring, `"version":3`, `"version":4`, 1)
+	must.True(t, c.applyFeed("", messages.Feed{Configuration: []messages.EntryChange{wholeMenu(t, retiring, version)}}))
+}
+
+// listBoth has the router know a runner with weights 4 and one with weights 5.
+func (c *Router) listBoth(t *testing.T, old, renewed *runner) {
+	t.Helper()
+	var notes []messages.RunnerRecord
+	for i, r := range []*runner{old, renewed} {
+		notes = append(notes, messages.RunnerRecord{
+			ID: fmt.Sprintf("r%d", i), Service: "s", Addr: r.addr, Zone: "a", Capacity: 8, Seq: 1, Models: []messages.Target{{Model: "m", Version: int64(4 + i)}},
+		})
+	}
+	c.applyFeed("", messages.Feed{Registry: []messages.EntryChange{runnerEntries(t, notes...)}})
+}
+
+// load has the router take the runner of weights 5 for loaded, or for idle.
+func (c *Router) load(prefill int) {
+	c.admissionMu.Lock()
+	defer c.admissionMu.Unlock()
+	c.admission.Others(func(id string) messages.RunnerLoad {
+		if id == "r1" {
+			return messages.RunnerLoad{ID: id, Prefill: prefill}
+		}
+		return messages.RunnerLoad{ID: id}
+	}, c.clock())
+}
+
+func TestNothingGoesToRetiredWeights(t *testing.T) {
+	old, renewed := newRunner(t), newRunner(t)
+	c, front, _ := start(t, old)
+	c.listBoth(t, old, renewed)
+	for old.count() == 0 {
+		c.load(2_000)
+		_, _, err := say(t, front, request("/pay/1", ""))
+		must.NoError(t, err)
+	}
+	before, others := old.count(), renewed.count()
+	c.load(0)
+	c.retire(t, 2)
+	for range 8 {
+		a, _, err := say(t, front, request("/pay/1", ""))
+		must.NoError(t, err)
+		must.Eq(t, 200, a.StatusCode)
+	}
+	must.Eq(t, before, old.count())
+	must.Eq(t, others+8, renewed.count())
+	must.Eq(t, "w5/t1", renewed.last().Header.Get(hSalt))
+}
+
+// A configuration that comes late, from before, does not bring retired weights back.
+func TestAnEarlierConfigurationDoesNotBringRetiredWeightsBack(t *testing.T) {
+	old := newRunner(t)
+	c, front, _ := start(t, old)
+	c.retire(t, 2)
+	c.applyFeed("", messages.Feed{Configuration: []messages.EntryChange{wholeMenu(t, menuText, 1)}})
+	a, _, err := say(t, front, strings.Replace(request("/chat/1", ""), "2500", "300", 1))
+	must.NoError(t, err)
+	must.Eq(t, 503, a.StatusCode)
+	must.Zero(t, old.count())
+}
+
+func TestStreamInFlightOnRetiredWeightsIsAnsweredOnce(t *testing.T) {
+	old, retired := newRunner(t), make(chan struct{})
+	old.stream = func(write func(string), _ <-chan struct{}) {
+		write(streamHead + chunk("id: 1\ndata: a\n\n"))
+		<-retired
+		write(chunk("id: 2\ndata: b\n\n") + "0\r\n\r\n")
+	}
+	c, front, _ := start(t, old)
+	answer := sayLater(t, front, request("/sort/", "x"))
+	for c.begun() == 0 {
+		time.Sleep(time.Millisecond)
+	}
+	renewed := newRunner(t)
+	c.listBoth(t, old, renewed)
+	c.retire(t, 2)
+	c.withdrawFromOldWeights()
+	close(retired)
+	a := <-answer
+	must.NoError(t, a.err)
+	must.Eq(t, "id: 1\ndata: a\n\nid: 2\ndata: b\n\n", a.body)
+	must.Zero(t, renewed.count())
+}
+
+// A request that waits at a runner with retired weights goes to another one, if it may run
+// again; one that may run once is left where it is.
+func TestWaitingRequestOnRetiredWeightsIsAnsweredOnce(t *testing.T) {
+	for _, c := range []struct {
+		path  string
+		moves bool
+	}{{"/open/", true}, {"/sort/", true}, {"/pay/", false}} {
+		t.Run(c.path, func(t *testing.T) {
+			old, release := newRunner(t), make(chan struct{})
+			old.stream = func(write func(string), closed <-chan struct{}) {
+				select {
+				case <-release:
+					write("HTTP/1.1 200 OK\r\nBeechtide-Attempt-Id: ID\r\nContent-Length: 3\r\n\r\nold")
+				case <-closed:
+				}
+			}
+			router, front, _ := start(t, old)
+			answer := sayLater(t, front, request(c.path, "x"))
+			awaitRequest(old)
+			renewed := newRunner(t)
+			router.listBoth(t, old, renewed)
+			router.retire(t, 2)
+			if !c.moves {
+				router.withdrawFromOldWeights()
+				close(release)
+			}
+			a := <-answer
+			must.NoError(t, a.err)
+			must.Eq(t, 200, a.StatusCode)
+			must.Eq(t, c.moves, renewed.count() == 1)
+			must.Eq(t, 1, old.count())
+		})
+	}
+}
+
+func TestRetiredWeightsAreReported(t *testing.T) {
+	old := newRunner(t)
+	c, _, _ := start(t, old)
+	must.SliceEmpty(t, c.condition().Retired)
+	c.retire(t, 2)
+	list := c.condition().Retired
+	must.Len(t, 1, list)
+	must.Eq(t, "m", list[0].Model)
+	must.Eq(t, 5, list[0].Before)
+	must.Eq(t, 1, list[0].Runners)
+	c.join(t, "r0", old, 5)
+	must.Zero(t, c.condition().Retired[0].Runners)
+}
--- /dev/null
+++ b/internal/router/retirements.go
@@ -0,0 +1,45 @@
+// Retired weights, as this router goes by them.
+
+package router
+
+import (
+	"maps"
+	"slices"
+
+	"beechtide.org/beechtide/internal/messages"
+)
+
+// retirements notes since when weights count as retired here. The mutex of the admitter
+// guards it.
+type retirements struct{ sinceUs map[messages.Target]int64 }
+
+// observe takes what a configuration says: by model the first version that is not retired.
+func (r *retirements) observe(retired map[string]int64, nowUs int64) {
+	next := map[messages.Target]int64{}
+	for model, before := range retired {
+		key := messages.Target{Model: model, Version: before}
+		next[key] = nowUs
+		if sinceUs, known := r.sinceUs[key]; known {
+			next[key] = sinceUs
+		}
+	}
+	r.sinceUs = next
+}
+
+// retiredConditions are the retired weights and what is left of them.
+func (c *Router) retiredConditions() []messages.RetiredCondition {
+	c.admissionMu.Lock()
+	defer c.admissionMu.Unlock()
+	var out []messages.RetiredCondition
+	byModel := func(a, b messages.Target) int {
+		if a.Model < b.Model {
+			return -1
+		}
+		return 1
+	}
+	for _, key := range slices.SortedFunc(maps.Keys(c.retirements.sinceUs), byModel) {
+		runners, parts := c.admission.RetiredLeft(key.Model)
+		out = append(out, messages.RetiredCondition{Model: key.Model, Before: key.Version, SinceUs: c.clock() - c.retirements.sinceUs[key], Runners: runners, Parts: parts})
+	}
+	return out
+}
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -126,6 +126,8 @@
 	usage     *usageReports // nil where no usage is wanted
 	quotas    *quotaClient
 
+	retirements retirements
+
 	counters   counters
 	lag        configLag
 	majorityUs atomic.Int64 // when a majority of the core last confirmed the configuration
@@ -237,6 +239,8 @@
 	snap := c.registry.Snapshot()
 	if t != nil {
 		c.admission.SetRelinquished(t.Relinquished, c.clock())
+		c.admission.SetRetired(t.Retired)
+		c.retirements.observe(t.Retired, c.clock())
 	}
 	for service, notes := range snap.ByService {
 		tokens, moveUs, links := 0, 0.0, 0
--- a/internal/router/withdraw.go
+++ b/internal/router/withdraw.go
@@ -35,6 +35,7 @@
 	adm       *admission.Admission
 	link      *upstream.Conn
 	withdrawn bool
+	again     bool // another attempt may follow
 }
 
 // sentAttempts are attempts of a router that may still be withdrawn.
@@ -43,8 +44,8 @@
 	list map[*sentAttempt]struct{}
 }
 
-func (s *sentAttempts) add(adm *admission.Admission, link *upstream.Conn) *sentAttempt {
-	a := &sentAttempt{adm: adm, link: link}
+func (s *sentAttempts) add(adm *admission.Admission, link *upstream.Conn, again bool) *sentAttempt {
+	a := &sentAttempt{adm: adm, link: link, again: again}
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if s.list == nil {
@@ -84,8 +85,9 @@
 	}
 }
 
-// withdrawFromOldWeights takes back the attempts that would begin on weights that
-// are too old by then.
+// withdrawFromOldWeights takes back the attempts that would begin on weights that are too
+// old by then. Where the weights have been retired it takes back only those that another
+// attempt may follow: the others were sent before, and are answered by who has them.
 func (c *Router) withdrawFromOldWeights() {
 	attempts := c.sent.snapshot()
 	if len(attempts) == 0 {
@@ -95,7 +97,7 @@
 	now := c.clock()
 	c.admissionMu.Lock()
 	for _, a := range attempts {
-		if c.admission.MustWithdraw(a.adm, now) {
+		if c.admission.MustWithdraw(a.adm, now) || a.again && c.admission.Retired(a.adm) {
 			due = append(due, a)
 		}
 	}
