--- a/internal/admission/retired.go
+++ b/internal/admission/retired.go
@@ -10,7 +10,9 @@
 
 // RetiredWeights reports whether a version of a model's weights is retired. A version that
 // is not known, 0, counts as older than any.
-func (a *Admitter) RetiredWeights(model string, version int64) bool { return version < a.retired[model] }
+func (a *Admitter) RetiredWeights(model string, version int64) bool {
+	return version < a.retired[model]
+}
 
 // Retired reports whether an admission is for weights that have been retired since. It goes
 // by the version at admission, which the cached prefixes are found by.
