--- a/internal/router/attempts.go
+++ b/internal/router/attempts.go
@@ -42,6 +42,7 @@
 	ran    bool // it may have run somewhere
 }
 
+// run makes the attempts of a request, until it is answered or rejected.
 func (e *exchange) run() {
 	if !e.enter() {
 		return
@@ -51,45 +52,48 @@
 	e.c.budget(e.service).Request(e.startUs)
 	e.c.admissionMu.Unlock()
 	var state progress
-	defer func() {
-		if state.stream != nil && state.stream.started && !state.stream.finished {
-			e.ended = compliance.Cut
-			e.cut()
-		}
-	}()
-	for {
-		decision := e.nextPlace()
-		if decision.Admit == nil {
-			e.rejectUnplaced(decision, &state)
-			return
-		}
-		if !e.reenter(decision.Admit, &state) {
-			return
-		}
-		e.checkRepeat(&state)
-		var end attemptResult
-		end, state.stream = e.send(decision.Admit, state.stream)
-		if end != resultAnswered && e.client.hasLeft() {
-			end = resultClientGone
-		}
-		e.recordAttempt(end)
-		switch end {
-		case resultMoving:
-			continue
-		case resultAnswered:
-			e.ended = compliance.Answered
-			return
-		case resultClientGone:
-			e.ended = compliance.Cut
-			e.releaseNext()
-			e.cut()
-			return
-		}
-		if !e.retries(end, decision.Admit.Runner.ID, &state) {
-			e.rejectFailed(&state)
-			return
-		}
+	for e.attempt(&state) {
+	}
+	if state.stream != nil && state.stream.started && !state.stream.finished {
+		e.ended = compliance.Cut
+		e.cut()
+	}
+}
+
+// attempt makes the next attempt. It reports whether another one follows.
+func (e *exchange) attempt(state *progress) bool {
+	decision := e.nextPlace()
+	if decision.Admit == nil {
+		e.rejectUnplaced(decision, state)
+		return false
+	}
+	if !e.reenter(decision.Admit, state) {
+		return false
+	}
+	e.checkRepeat(state)
+	var end attemptResult
+	end, state.stream = e.send(decision.Admit, state.stream)
+	if end != resultAnswered && e.client.hasLeft() {
+		end = resultClientGone
+	}
+	e.recordAttempt(end)
+	switch end {
+	case resultMoving:
+		return true
+	case resultAnswered:
+		e.ended = compliance.Answered
+		return false
+	case resultClientGone:
+		e.ended = compliance.Cut
+		e.releaseNext()
+		e.cut()
+		return false
+	}
+	if !e.retries(end, decision.Admit.Runner.ID, state) {
+		e.rejectFailed(state)
+		return false
 	}
+	return true
 }
 
 // nextPlace is where the next attempt goes.
@@ -242,47 +246,65 @@
 	return admission.Decision{Ref: e.request.Ref, Status: 503, Reject: reason, AgainUs: drainRetryUs}
 }
 
+// send sends the request to the runner of an admission and passes its answer on. However it
+// ends, the admission's capacity has been released by then.
 func (e *exchange) send(adm *admission.Admission, stream *answerStream) (attemptResult, *answerStream) {
 	c := e.c
 	e.attempts++
-	var link *upstream.Conn
-	var err error
-	if e.next != nil {
-		link, e.next = e.next.link, nil
-	} else if link, err = e.connect(adm.Runner.Addr); err != nil {
+	link, err := e.takeLink(adm.Runner.Addr)
+	if err != nil {
 		c.done(adm, e.client.hasLeft())
 		return resultNotSent, stream
 	}
 	defer e.client.use(nil)
-	if !e.useLink(link) {
-		link.Close()
-		c.done(adm, true)
-		return resultClientGone, stream
-	}
-	if !c.stillAllowed(adm) {
-		link.Close()
-		c.done(adm, true)
-		return resultNotSent, stream
-	}
-	if !e.recheckPolicy(adm) {
+	if end := e.checkBeforeSending(adm, link); end != resultSent {
 		link.Close()
 		c.done(adm, true)
-		return resultNotSent, stream
+		return end, stream
 	}
-	attempt := c.sent.add(adm, link, e.route.Repeatable() && e.attempts < max(e.route.Tries, 1))
-	defer c.sent.remove(attempt)
+	sent := c.sent.add(adm, link, e.route.Repeatable() && e.attempts < max(e.route.Tries, 1))
+	defer c.sent.remove(sent)
 	e.spendToken()
 	end := e.writeRequest(adm, link, stream)
-	if end != resultSent {
-		link.Close()
-		if end == resultNotSent {
-			e.refundToken()
-		}
-		return end, stream
+	if end == resultSent {
+		return e.receive(sent, stream)
 	}
+	link.Close()
+	if end == resultNotSent {
+		e.refundToken()
+	}
+	return end, stream
+}
+
+// takeLink returns the connection that waits for a stream on the move, or one to the address.
+func (e *exchange) takeLink(addr string) (*upstream.Conn, error) {
+	if e.next != nil {
+		link := e.next.link
+		e.next = nil
+		return link, nil
+	}
+	return e.connect(addr)
+}
+
+// checkBeforeSending returns resultSent where the request may be sent: what was true at
+// admission may have changed since.
+func (e *exchange) checkBeforeSending(adm *admission.Admission, link *upstream.Conn) attemptResult {
+	switch {
+	case !e.useLink(link):
+		return resultClientGone
+	case !e.c.stillAllowed(adm), !e.recheckPolicy(adm):
+		return resultNotSent
+	}
+	return resultSent
+}
+
+// receive reads the answer to an attempt that has been sent, and passes it on where it says
+// that the runner has begun it.
+func (e *exchange) receive(sent *sentAttempt, stream *answerStream) (attemptResult, *answerStream) {
+	c, adm, link := e.c, sent.adm, sent.link
 	r := protocol.AcquireResponse()
 	defer protocol.ReleaseResponse(r)
-	if err := e.readHead(attempt, r); err != nil {
+	if err := e.readHead(sent, r); err != nil {
 		if errors.Is(err, errWithdrawn) {
 			c.done(adm, true)
 		} else {
@@ -291,40 +313,51 @@
 		link.Close()
 		return resultUnknown, stream
 	}
-	status := r.StatusCode()
-	if status == statusWrongInstance {
-		_, err := upstream.ReadBody(r, mostUnwanted)
-		c.release(adm, link, r, err == nil)
+	if end := e.receiveRejection(adm, link, r); end != resultAnswered {
+		return end, stream
+	}
+	if stream == nil {
+		e.held = c.held.add(adm, link, false)
+		defer c.held.remove(e.held)
+	}
+	if e.streams(r) {
+		return e.passStream(adm, link, r, stream)
+	}
+	return e.passBody(adm, link, r, stream), stream
+}
+
+// receiveRejection reads an answer that says that the runner has not run the request, or
+// promises it without saying so. It returns resultAnswered for any other answer.
+func (e *exchange) receiveRejection(adm *admission.Admission, link *upstream.Conn, r *protocol.Response) attemptResult {
+	c, status := e.c, r.StatusCode()
+	switch {
+	case status == statusWrongInstance:
+		c.releaseUnwanted(adm, link, r)
 		c.wrongInstance(adm, otherWeights(adm, r))
 		e.refundToken()
-		return resultNotRun, stream
-	}
-	if r.Header.Get(hNotRun) != "" {
-		_, err := upstream.ReadBody(r, mostUnwanted)
-		c.release(adm, link, r, err == nil)
+		return resultNotRun
+	case r.Header.Get(hNotRun) != "":
+		c.releaseUnwanted(adm, link, r)
 		c.admissionMu.Lock()
 		c.admission.Full(adm, c.clock())
 		c.admissionMu.Unlock()
 		e.refundToken()
-		return resultNotRun, stream
-	}
-	if promises(status) {
+		return resultNotRun
+	case promises(status):
 		// no runner gives this promise without saying that it has not run it
 		_, err := upstream.ReadBody(r, mostUnwanted)
 		c.ended(adm, link, status < 500, true)
 		c.release(adm, link, r, err == nil)
-		return resultUnknown, stream
-	}
-	if stream == nil {
-		e.held = c.held.add(adm, link, false)
-		defer c.held.remove(e.held)
-	}
-	if e.streams(r) {
-		end, stream = e.passStream(adm, link, r, stream)
-	} else {
-		end = e.passBody(adm, link, r, stream)
+		return resultUnknown
 	}
-	return end, stream
+	return resultAnswered
+}
+
+// releaseUnwanted reads the body of an answer that is not passed on, and releases the
+// attempt's capacity and connection.
+func (c *Router) releaseUnwanted(adm *admission.Admission, link *upstream.Conn, r *protocol.Response) {
+	_, err := upstream.ReadBody(r, mostUnwanted)
+	c.release(adm, link, r, err == nil)
 }
 
 // mostUnwanted bounds the body of an answer that is not passed on.
@@ -386,7 +419,8 @@
 func (e *exchange) connect(addr string) (*upstream.Conn, error) {
 	ctx, cancel := context.WithTimeout(context.Background(), time.Duration(max(e.endUs-e.c.clock(), 1000))*time.Microsecond)
 	defer cancel()
-	defer e.client.onLeave(cancel)()
+	stop := e.client.onLeave(cancel)
+	defer stop()
 	return e.c.connPool.GetFor(ctx, addr, e.service, e.route.Repeatable())
 }
 
--- a/internal/router/client_watch.go
+++ b/internal/router/client_watch.go
@@ -196,8 +196,10 @@
 }
 
 func clientConn(ctx context.Context) *timedConn {
-	conn, _ := ctx.Value(clientConnKey{}).(*timedConn)
-	return conn
+	if conn, ok := ctx.Value(clientConnKey{}).(*timedConn); ok {
+		return conn
+	}
+	return nil
 }
 
 // stopsWithClient tells whether a runner's work on the request ends when its client
--- a/internal/router/leave.go
+++ b/internal/router/leave.go
@@ -55,6 +55,16 @@
 	return conn, err
 }
 
+// endAttempts withdraws the attempts that have no answer yet. first tells that this phase of
+// the shutdown begins.
+func (c *Router) endAttempts(first bool) {
+	if first {
+		close(c.lastAnswers)
+	}
+	c.sent.withdraw(c.sent.snapshot())
+	c.held.withdraw(c.held.snapshot())
+}
+
 // leave shuts down gracefully. It returns when the process may end.
 func (c *Router) leave() {
 	plan := newShutdownPlan(c.clock(), int64(c.set.Bounds.GraceS*1e6))
@@ -79,11 +89,7 @@
 			front.Listener.Close()
 		}
 		if phase == phaseAnswers {
-			if entered != phaseAnswers {
-				close(c.lastAnswers)
-			}
-			c.sent.withdraw(c.sent.snapshot())
-			c.held.withdraw(c.held.snapshot())
+			c.endAttempts(entered != phaseAnswers)
 		}
 		entered = phase
 		if front.closeIdle() == 0 && c.inFlight.Load() == 0 {
--- a/internal/router/missing.go
+++ b/internal/router/missing.go
@@ -81,14 +81,14 @@
 // probeDue makes the probes that are due and tells whether a runner is missing.
 func (c *Router) probeDue(ctx context.Context) bool {
 	c.admissionMu.Lock()
-	due, any := c.admission.DueProbes(c.clock())
+	due, missing := c.admission.DueProbes(c.clock())
 	c.admissionMu.Unlock()
 	var wg sync.WaitGroup
 	for _, n := range due {
 		wg.Go(func() { c.probe(ctx, n) })
 	}
 	wg.Wait()
-	return any && ctx.Err() == nil
+	return missing && ctx.Err() == nil
 }
 
 // probe looks which instance answers at a runner's address.
--- a/internal/router/request_head.go
+++ b/internal/router/request_head.go
@@ -42,15 +42,7 @@
 	if e.request.Model != "" {
 		h.Set(hSalt, adm.Salt)
 		h.Set(hUrgency, strconv.Itoa(urgency(e)))
-		if adm.Source != "" {
-			h.Set(hSource, adm.Source)
-		}
-		if adm.Sink != "" {
-			h.Set(hSink, adm.Sink)
-		}
-		if adm.Version > 0 {
-			h.Set(hExpected, strconv.FormatInt(adm.Version, 10))
-		}
+		setCacheHeaders(h, adm)
 	}
 	if stream != nil && stream.events.LastID != "" {
 		h.Set(hLastEvent, stream.events.LastID)
@@ -58,6 +50,21 @@
 	return h
 }
 
+// setCacheHeaders names where the runner gets cached blocks from, where it sends its own to,
+// and which weights it should have.
+func setCacheHeaders(h *protocol.RequestHeader, adm *admission.Admission) {
+	if adm.Source != "" {
+		h.Set(hSource, adm.Source)
+	}
+	if adm.Sink != "" {
+		h.Set(hSink, adm.Sink)
+	}
+	if adm.Version > 0 {
+		h.Set(hExpected, strconv.FormatInt(adm.Version, 10))
+	}
+}
+
+// urgency is the rank of a request at its runner, 0 first.
 func urgency(v *exchange) int {
 	u := 1 + min(v.route.Rank, 1)
 	if v.tenant != nil {
