quota: copies that cannot wait are sent every 20 ms at most

Cause: while a successor does not answer, each question of a router made a claim to every member. Change: a least time between such claims.

--- a/internal/quota/member.go
+++ b/internal/quota/member.go
@@ -31,6 +31,9 @@
 	// groupUs is for how long after a change of the group the votes of the one before count
 	// as well: until its members know of the change, and votes of before have expired.
 	groupUs = 2 * LeaseUs
+	// urgentEveryUs is how often claims are sent at most for a copy that cannot wait: a
+	// successor that does not answer must not be asked with every question.
+	urgentEveryUs = int64(20_000)
 	// idleUs is after how long without a request an account is forgotten.
 	idleUs = int64(30_000_000)
 )
@@ -60,7 +63,8 @@
 	beforeUs int64            // until when their votes count as well
 	answered map[string]int64 // when they last answered
 	seq      int64
-	urgent   bool // a copy should be sent now
+	urgent   bool  // a copy should be sent now
+	urgentUs int64 // when that was last so
 	released []int
 }
 
--- a/internal/quota/member_test.go
+++ b/internal/quota/member_test.go
@@ -239,3 +239,23 @@
 	m.HandleClaim(messages.QuotaClaim{From: "b/1", Seq: 3, Released: []int{0}, GroupVersion: 1, GroupHash: c.group.hash()}, c.nowUs)
 	must.SliceEmpty(t, m.HandleClaim(messages.QuotaClaim{From: "b/1", Seq: 2, Shards: []int{0}, GroupVersion: 1, GroupHash: c.group.hash()}, c.nowUs).Granted)
 }
+
+// A successor that does not answer is not asked again with every question.
+func TestUrgentClaimsAreLimited(t *testing.T) {
+	c := newCluster(t, "a", "b", "c")
+	c.run(120 * second)
+	limit := Limit{Version: 1, RatePerS: 1, Burst: 100}
+	c.ask("tenant", 1, limit)
+	c.run(2 * second)
+	owner := c.members[c.owner(ShardOf("tenant"))]
+	urgent := 0
+	for range 100 {
+		owner.HandleAsk(askFor("tenant", 1, limit), c.nowUs)
+		if owner.Urgent() {
+			urgent++
+			owner.Tick(c.group, c.nowUs)
+		}
+		c.nowUs += ms
+	}
+	must.Between(t, 1, urgent, 4)
+}
--- a/internal/quota/owner.go
+++ b/internal/quota/owner.go
@@ -96,7 +96,9 @@
 	if s.copied.reserveFor(a, nowUs) {
 		s.copied.version++
 	}
-	m.urgent = m.urgent || a.releasing > s.copied.acked && a.releasing == s.copied.version
+	if a.releasing > s.copied.acked && nowUs-m.urgentUs >= urgentEveryUs {
+		m.urgent, m.urgentUs = true, nowUs
+	}
 	return messages.QuotaGrant{Owner: true, Granted: granted, WaitUs: a.bucket.waitUs(a.reserve)}
 }
 
