--- a/internal/controller/quota.go
+++ b/internal/controller/quota.go
@@ -14,7 +14,6 @@
 	"beechtide.org/beechtide/internal/consensus"
 	"beechtide.org/beechtide/internal/messages"
 	"beechtide.org/beechtide/internal/quota"
-	"beechtide.org/beechtide/internal/settings"
 	"beechtide.org/beechtide/internal/transport"
 )
 
@@ -24,12 +23,6 @@
 	quotaClaimWait = 300 * time.Millisecond
 )
 
-// quotaBounds are the bounds of the settings.
-func quotaBounds(set settings.Settings) quota.Bounds {
-	b := set.Bounds
-	return quota.NewBounds(b.QuotaWindowS, b.QuotaOvershoot, b.QuotaSlack)
-}
-
 // quotaMember is safe for concurrent use.
 type quotaMember struct {
 	controller *Controller
@@ -47,7 +40,7 @@
 	self := fmt.Sprintf("%s/%x", d.transport.Addr(), rand.Uint64())
 	return &quotaMember{
 		controller: d, wake: make(chan struct{}, 1),
-		member: quota.NewMember(quota.Config{Self: self, Bounds: quotaBounds(d.set), StartUs: d.clock()}),
+		member: quota.NewMember(quota.Config{Self: self, Bounds: d.set.QuotaBounds(), StartUs: d.clock()}),
 	}
 }
 
--- a/internal/router/quota.go
+++ b/internal/router/quota.go
@@ -15,7 +15,6 @@
 	"beechtide.org/beechtide/internal/membership"
 	"beechtide.org/beechtide/internal/messages"
 	"beechtide.org/beechtide/internal/quota"
-	"beechtide.org/beechtide/internal/settings"
 	"beechtide.org/beechtide/internal/transport"
 )
 
@@ -94,15 +93,10 @@
 func newQuotaClient(c *Router) *quotaClient {
 	return &quotaClient{
 		router: c, tenants: map[string]*tenantQuota{}, owners: map[int]string{},
-		grantee: quota.NewGrantee(c.transport.Addr(), quotaBounds(c.set), c.clock()),
+		grantee: quota.NewGrantee(c.transport.Addr(), c.set.QuotaBounds(), c.clock()),
 	}
 }
 
-func quotaBounds(set settings.Settings) quota.Bounds {
-	b := set.Bounds
-	return quota.NewBounds(b.QuotaWindowS, b.QuotaOvershoot, b.QuotaSlack)
-}
-
 // sweep forgets tenants that send nothing, and looks at which routers there are.
 func (q *quotaClient) sweep() {
 	var routers []string
