--- a/internal/router/evening_test.go
+++ b/internal/router/evening_test.go
@@ -4,7 +4,7 @@
 	"bytes"
 	"fmt"
 	"math/rand/v2"
-	"sort"
+	"slices"
 	"testing"
 
 	"github.com/shoenig/test/must"
@@ -69,7 +69,7 @@
 	for id := range e.certs {
 		ids = append(ids, id)
 	}
-	sort.Strings(ids)
+	slices.Sort(ids)
 	if len(ids) > 0 {
 		m.Certificates = []api.Certificate{{Regime: "allergen", Runners: ids}}
 	}
@@ -107,7 +107,7 @@
 	n.hear(e)
 }
 
-func (n *deskNode) note(e *evening, step compliance.Step, g *guest, r *messages.RunnerRecord, cert int) {
+func (n *deskNode) note(step compliance.Step, g *guest, r *messages.RunnerRecord, cert int) {
 	x := compliance.Entry{Node: n.name, Step: step, Attempt: g.id, Tenant: g.ask.Tenant, Regime: g.ask.Regime, Certificate: cert, Version: n.table.Version}
 	if r != nil {
 		x.Runner, x.Service, x.Zone = r.ID, r.Service, r.Zone
@@ -126,7 +126,7 @@
 	if e.rnd.IntN(2) == 0 {
 		g.ask.Tenant = "directorate"
 		g.ask.Regime = n.table.RegimeOf("directorate")
-		n.note(e, compliance.Asked, g, nil, -1)
+		n.note(compliance.Asked, g, nil, -1)
 	}
 	e.open = append(e.open, g)
 	e.offer(g)
@@ -164,7 +164,7 @@
 	}
 	g.adm, g.endsUs = r.Admit, e.nowUs+200_000+int64(e.rnd.IntN(1_500_000))
 	if g.ask.Regime != "" {
-		g.node.note(e, compliance.Sent, g, &r.Admit.Runner, cert)
+		g.node.note(compliance.Sent, g, &r.Admit.Runner, cert)
 		e.sent[r.Admit.Runner.ID]++
 		must.True(e.t, e.certifiedAt(g.node.table.Version, r.Admit.Runner.ID), must.Sprintf("%s in version %d", r.Admit.Runner.ID, g.node.table.Version))
 	}
@@ -186,28 +186,47 @@
 func (e *evening) end(g *guest, step compliance.Step) {
 	e.ends[g.id]++
 	if g.ask.Regime != "" {
-		g.node.note(e, step, g, nil, -1)
+		g.node.note(step, g, nil, -1)
 	}
 	g.endsUs = -1
 }
 
+// step is 20 ms of the evening: what is due ends, requests arrive, and now and then
+// something changes.
 func (e *evening) step() {
+	e.tick()
+	e.endDue(func(runner string) bool { _, alive := e.runners[runner]; return alive })
+	for range e.rnd.IntN(4) {
+		e.arrive()
+	}
+	if i := e.rnd.IntN(60); i < len(changes) {
+		changes[i](e)
+	}
+}
+
+// tick lets time pass at the nodes.
+func (e *evening) tick() {
 	e.nowUs += 20_000
 	for _, n := range e.nodes {
-		if n.up {
-			for _, r := range n.admission.Tick(e.nowUs) {
-				n.slab.Resume(r.Ref, r)
-			}
+		if !n.up {
+			continue
+		}
+		for _, r := range n.admission.Tick(e.nowUs) {
+			n.slab.Resume(r.Ref, r)
 		}
 	}
-	left := e.open[:0]
-	for _, g := range append([]*guest{}, e.open...) {
+}
+
+// endDue ends the requests whose time has come: answered, or cut where the runner is gone.
+func (e *evening) endDue(alive func(runner string) bool) {
+	left := []*guest{}
+	for _, g := range e.open {
 		if g.adm != nil && g.endsUs > 0 && g.endsUs <= e.nowUs {
-			if _, alive := e.runners[g.adm.Runner.ID]; alive {
-				e.end(g, compliance.Answered)
-			} else {
-				e.end(g, compliance.Cut)
+			step := compliance.Answered
+			if !alive(g.adm.Runner.ID) {
+				step = compliance.Cut
 			}
+			e.end(g, step)
 			g.node.admission.Done(g.adm, true, e.nowUs)
 		}
 		if g.endsUs >= 0 {
@@ -215,71 +234,92 @@
 		}
 	}
 	e.open = left
-	for range e.rnd.IntN(4) {
-		e.arrive()
+}
+
+// changes are what happens now and then.
+var changes = []func(e *evening){
+	(*evening).joinRunner, (*evening).leaveRunner, (*evening).certify, (*evening).revokeCertificate, (*evening).cutNode,
+	(*evening).killOrStartNode, (*evening).nameWeights, (*evening).renew, (*evening).renew, (*evening).renew, (*evening).retireWeights,
+}
+
+func (e *evening) joinRunner() {
+	id := fmt.Sprintf("r%d", e.rnd.IntN(1_000_000))
+	e.runners[id] = messages.RunnerRecord{ID: id, Service: "s", Addr: id + ":1", Zone: "a", Capacity: 4, Seq: 1, Models: []messages.Target{{Model: "m", Version: 1}}}
+	e.tell()
+}
+
+func (e *evening) leaveRunner() {
+	id := e.anyRunner()
+	if id == "" || len(e.runners) <= 2 {
+		return
 	}
-	switch e.rnd.IntN(60) {
-	case 0: // a runner joins
-		id := fmt.Sprintf("r%d", e.rnd.IntN(1_000_000))
-		e.runners[id] = messages.RunnerRecord{ID: id, Service: "s", Addr: id + ":1", Zone: "a", Capacity: 4, Seq: 1, Models: []messages.Target{{Model: "m", Version: 1}}}
-		e.tell()
-	case 1: // one leaves
-		if id := e.any(); id != "" && len(e.runners) > 2 {
-			r := e.runners[id]
-			r.Gone = true
-			for _, n := range e.nodes {
-				if n.up && !n.cut {
-					n.registry.Merge(r, e.nowUs)
-				}
-			}
-			delete(e.runners, id)
-			e.tell()
-		}
-	case 2: // one gains a certificate
-		if id := e.any(); id != "" {
-			e.certs[id] = true
-			e.publish()
-		}
-	case 3: // one loses it
-		for id := range e.certs {
-			delete(e.certs, id)
-			break
+	r := e.runners[id]
+	r.Gone = true
+	for _, n := range e.nodes {
+		if n.up && !n.cut {
+			n.registry.Merge(r, e.nowUs)
 		}
+	}
+	delete(e.runners, id)
+	e.tell()
+}
+
+func (e *evening) certify() {
+	if id := e.anyRunner(); id != "" {
+		e.certs[id] = true
 		e.publish()
-	case 6: // new weights are named, and a runner gets them
-		e.newest++
-		e.renew()
-	case 7, 8, 9:
-		e.renew()
-	case 10: // all weights but the newest are retired
-		if e.newest > e.retired {
-			e.retired = e.newest
-			e.publish()
-		}
-	case 4: // a node is cut off, or a cut heals
-		n := e.nodes[e.rnd.IntN(len(e.nodes))]
-		n.cut = !n.cut
-		e.tell()
-	case 5: // a node dies; its clients' connections end with it
-		n := e.nodes[e.rnd.IntN(len(e.nodes))]
-		if n.up {
-			n.up = false
-			for _, g := range e.open {
-				if g.node == n {
-					e.end(g, compliance.Cut)
-				}
-			}
-		} else {
-			n.cut = false
-			n.start(e)
+	}
+}
+
+func (e *evening) revokeCertificate() {
+	for id := range e.certs {
+		delete(e.certs, id)
+		break
+	}
+	e.publish()
+}
+
+// cutNode cuts a node off, or ends that.
+func (e *evening) cutNode() {
+	n := e.nodes[e.rnd.IntN(len(e.nodes))]
+	n.cut = !n.cut
+	e.tell()
+}
+
+// killOrStartNode kills a node, with its clients' connections, or starts it again.
+func (e *evening) killOrStartNode() {
+	n := e.nodes[e.rnd.IntN(len(e.nodes))]
+	if !n.up {
+		n.cut = false
+		n.start(e)
+		return
+	}
+	n.up = false
+	for _, g := range e.open {
+		if g.node == n {
+			e.end(g, compliance.Cut)
 		}
 	}
 }
 
+// nameWeights names new weights, and a runner gets them.
+func (e *evening) nameWeights() {
+	e.newest++
+	e.renew()
+}
+
+// retireWeights retires all weights but the newest.
+func (e *evening) retireWeights() {
+	if e.newest > e.retired {
+		e.retired = e.newest
+		e.publish()
+	}
+}
+
 // renew has a runner load the newest weights. Nodes that are cut off hear of it late, or
 // never.
 func (e *evening) renew() {
-	id := e.any()
+	id := e.anyRunner()
 	if id == "" {
 		return
 	}
@@ -290,7 +330,7 @@
 	e.tell()
 }
 
-func (e *evening) any() string {
+func (e *evening) anyRunner() string {
 	var ids []string
 	for id := range e.runners {
 		ids = append(ids, id)
@@ -298,7 +338,7 @@
 	if len(ids) == 0 {
 		return ""
 	}
-	sort.Strings(ids)
+	slices.Sort(ids)
 	return ids[e.rnd.IntN(len(ids))]
 }
 
@@ -326,25 +366,8 @@
 	}
 	e.rnd = rand.New(rand.NewPCG(seed, 4))
 	for len(e.open) > 0 {
-		e.nowUs += 20_000
-		for _, n := range e.nodes {
-			if n.up {
-				for _, r := range n.admission.Tick(e.nowUs) {
-					n.slab.Resume(r.Ref, r)
-				}
-			}
-		}
-		left := []*guest{}
-		for _, g := range e.open {
-			if g.adm != nil && g.endsUs > 0 && g.endsUs <= e.nowUs {
-				e.end(g, compliance.Answered)
-				g.node.admission.Done(g.adm, true, e.nowUs)
-			}
-			if g.endsUs >= 0 {
-				left = append(left, g)
-			}
-		}
-		e.open = left
+		e.tick()
+		e.endDue(func(string) bool { return true })
 	}
 	return e
 }
--- a/internal/router/leave_test.go
+++ b/internal/router/leave_test.go
@@ -44,10 +44,10 @@
 // no runner any more.
 func TestDrainingRouterForwardsNothingFromItsQueueThatMayOutlastIt(t *testing.T) {
 	r, reached, ended := working(t, streamHead+chunk("id: 1\ndata: a\n\n"))
-	c, front, cancel, _ := startWithGrace(t, 120, r)
+	c, front, run := startWithGrace(t, 120, r)
 	busy := fillUntilQueued(t, c, front, reached)
 	seen := r.count()
-	c.drain(cancel)
+	c.drain(run.cancel)
 	waiting := busy[len(busy)-1]
 	for _, conn := range busy[:len(busy)-1] {
 		conn.Close()
@@ -117,9 +117,9 @@
 		<-finish
 		write(chunk("id: 2\ndata: b\n\n") + "0\r\n\r\n")
 	}
-	c, front, cancel, ended := startWithGrace(t, 120, r)
+	c, front, run := startWithGrace(t, 120, r)
 	c.takesMenu(t, unhurriedMenu)
-	c.drain(cancel)
+	c.drain(run.cancel)
 	conn := send(t, front, strings.Replace(request("/chat/", "x"), "Time-Left: 2500", "Time-Left: 60000", 1))
 	must.NoError(t, conn.SetReadDeadline(time.Now().Add(patience)))
 	answer, err := http.ReadResponse(bufio.NewReader(conn), nil)
@@ -127,7 +127,7 @@
 	must.True(t, answer.Close)
 	awaitClosed(t, front)
 	select {
-	case <-ended:
+	case <-run.ended:
 		t.Fatal("the router has ended before its stream")
 	default:
 	}
@@ -135,7 +135,7 @@
 	body, err := io.ReadAll(answer.Body)
 	must.NoError(t, err)
 	must.Eq(t, "id: 1\ndata: a\n\nid: 2\ndata: b\n\n", string(body))
-	must.NoError(t, <-ended)
+	must.NoError(t, <-run.ended)
 }
 
 // A request that the router has read together with the one before it is answered too.
@@ -147,13 +147,13 @@
 		<-finish
 		return "HTTP/1.1 200 OK\r\nBeechtide-Attempt-Id: ID\r\nContent-Length: 2\r\n\r\nok"
 	}
-	c, front, cancel, _ := startWithGrace(t, 120, r)
+	c, front, run := startWithGrace(t, 120, r)
 	c.takesMenu(t, unhurriedMenu)
 	first := strings.Replace(request("/open/", "x"), "Time-Left: 2500", "Time-Left: 60000", 1)
 	second := strings.Replace(first, "id1", "id2", 1)
 	conn := send(t, front, first+second)
 	awaited(t, reached, "the first request at the runner")
-	c.drain(cancel)
+	c.drain(run.cancel)
 	awaitClosed(t, front)
 	close(finish)
 	in := bufio.NewReader(conn)
--- a/internal/router/missing_test.go
+++ b/internal/router/missing_test.go
@@ -44,8 +44,8 @@
 func missing(c *Router) bool {
 	c.admissionMu.Lock()
 	defer c.admissionMu.Unlock()
-	_, any := c.admission.DueProbes(0)
-	return any
+	_, isMissing := c.admission.DueProbes(0)
+	return isMissing
 }
 
 // TestARunnerWhoseAddressIsAnothersGetsNothingMore has one of two runners gone
--- a/internal/router/move_test.go
+++ b/internal/router/move_test.go
@@ -55,63 +55,71 @@
 // whole event on; its old link is closed before the new request goes out, and
 // the client sees one answer, whole.
 func TestALiveStreamMovesToTheOtherSite(t *testing.T) {
-	for name, old := range map[string]string{
-		"under ordinary load": "more", // the old runner would go on
-		"the zone fails":      "dies",
-	} {
-		var g gate
-		a, b := newRunner(t), newRunner(t)
-		a.stream = func(write func(string), closed <-chan struct{}) {
-			write(streamHead + chunk("id: 1\ndata: a\n\n"))
-			<-g.at("declared")
-			if old == "dies" {
-				return
-			}
-			write(chunk("id: 2\ndata: b\n\nid: 3\nda"))
-			<-closed // the router hangs up first
-			close(g.at("left"))
+	for name, dies := range map[string]bool{"under ordinary load": false, "the zone fails": true} {
+		t.Run(name, func(t *testing.T) { moveStream(t, dies) })
+	}
+}
+
+// moveStream has a stream move while its runner would go on, or as it dies.
+func moveStream(t *testing.T, dies bool) {
+	t.Helper()
+	var g gate
+	a, b := newRunner(t), newRunner(t)
+	a.stream = func(write func(string), closed <-chan struct{}) {
+		write(streamHead + chunk("id: 1\ndata: a\n\n"))
+		<-g.at("declared")
+		if dies {
+			return
 		}
-		b.stream = func(write func(string), _ <-chan struct{}) {
-			if old == "more" {
-				<-g.at("left")
-			}
-			rest := chunk("id: 3\ndata: c\n\n") + "0\r\n\r\n"
-			if b.last().Header.Get(hLastEvent) == "1" { // it may leave before the second event
-				rest = chunk("id: 2\ndata: b\n\n") + rest
-			}
-			write(streamHead + rest)
+		write(chunk("id: 2\ndata: b\n\nid: 3\nda"))
+		<-closed // the router hangs up first
+		close(g.at("left"))
+	}
+	b.stream = func(write func(string), _ <-chan struct{}) {
+		if !dies {
+			<-g.at("left")
 		}
-		c, front, _ := start(t, a, b)
-		c.sited(t, "a", "b")
-		c.admissionMu.Lock() // the first choice is r0: it keeps the prompt
-		for _, p := range []string{"ab", "cd"} {
-			c.admission.Index.Put("r0", prefixindex.Key("w4/t1", "m", p), 15)
+		rest := chunk("id: 3\ndata: c\n\n") + "0\r\n\r\n"
+		if b.last().Header.Get(hLastEvent) == "1" { // it may leave before the second event
+			rest = chunk("id: 2\ndata: b\n\n") + rest
 		}
-		c.admissionMu.Unlock()
-		go func() {
-			for a.count() == 0 {
-				runtime.Gosched()
-			}
-			c.adopt(t, 2, 4, relinquishing(4, `{"zone":"a"}`))
-			close(g.at("declared"))
-		}()
-		ans, body, err := say(t, front, request("/sort/", "x"))
-		must.NoError(t, err, must.Sprint(name))
-		must.Eq(t, 200, ans.StatusCode)
-		must.Eq(t, "id: 1\ndata: a\n\nid: 2\ndata: b\n\nid: 3\ndata: c\n\n", body, must.Sprint(name))
-		must.Eq(t, 1, a.count())
-		must.Eq(t, 1, b.count())
-		must.NotEq(t, "", b.seen[0].Header.Get(hLastEvent), must.Sprint(name))
-		must.Eq(t, "r1", b.seen[0].Header.Get(hTarget))
-		for c.inFlight.Load() > 0 {
+		write(streamHead + rest)
+	}
+	c, front, _ := start(t, a, b)
+	c.sited(t, "a", "b")
+	c.admissionMu.Lock() // the first choice is r0: it keeps the prompt
+	for _, p := range []string{"ab", "cd"} {
+		c.admission.Index.Put("r0", prefixindex.Key("w4/t1", "m", p), 15)
+	}
+	c.admissionMu.Unlock()
+	go func() {
+		for a.count() == 0 {
 			runtime.Gosched()
 		}
-		c.admissionMu.Lock()
-		own := c.admission.Own(c.clock())
-		c.admissionMu.Unlock()
-		for id, l := range own {
-			must.Eq(t, 0, l.Count, must.Sprint(id))
-		}
+		c.adopt(t, 2, 4, relinquishing(4, `{"zone":"a"}`))
+		close(g.at("declared"))
+	}()
+	ans, body, err := say(t, front, request("/sort/", "x"))
+	must.NoError(t, err)
+	must.Eq(t, 200, ans.StatusCode)
+	must.Eq(t, "id: 1\ndata: a\n\nid: 2\ndata: b\n\nid: 3\ndata: c\n\n", body)
+	must.Eq(t, 1, a.count())
+	must.Eq(t, 1, b.count())
+	must.NotEq(t, "", b.seen[0].Header.Get(hLastEvent))
+	must.Eq(t, "r1", b.seen[0].Header.Get(hTarget))
+	for c.inFlight.Load() > 0 {
+		runtime.Gosched()
+	}
+	c.holdsNothing(t)
+}
+
+// holdsNothing checks that no capacity is reserved at any runner.
+func (c *Router) holdsNothing(t *testing.T) {
+	t.Helper()
+	c.admissionMu.Lock()
+	defer c.admissionMu.Unlock()
+	for id, l := range c.admission.Own(c.clock()) {
+		must.Eq(t, 0, l.Count, must.Sprint(id))
 	}
 }
 
--- a/internal/router/router_test.go
+++ b/internal/router/router_test.go
@@ -76,38 +76,56 @@
 			return
 		}
 		b, _ := io.ReadAll(q.Body)
-		r.mu.Lock()
-		r.seen, r.bodies = append(r.seen, q), append(r.bodies, string(b))
-		script := "HTTP/1.1 200 OK\r\nBeechtide-Attempt-Id: ID\r\nContent-Length: 2\r\n\r\nok"
-		if r.next != nil {
-			script = r.next()
-		} else if len(r.scripts) > 0 {
-			script, r.scripts = r.scripts[0], r.scripts[1:]
-		}
-		r.mu.Unlock()
+		script := r.scriptFor(q, string(b))
 		if r.stream != nil {
-			closed := make(chan struct{})
-			go func() {
-				_, _ = br.ReadByte()
-				close(closed)
-			}()
-			r.stream(func(s string) {
-				_, _ = io.WriteString(c, strings.ReplaceAll(s, "ID", q.Header.Get(hAttempt)))
-			}, closed)
+			r.streamTo(c, br, q)
 			return
 		}
-		script, reset := strings.CutSuffix(script, "RESET")
-		script, cut := strings.CutSuffix(script, "CUT")
-		_, _ = io.WriteString(c, strings.ReplaceAll(script, "ID", q.Header.Get(hAttempt)))
-		if reset {
-			_ = c.(*net.TCPConn).SetLinger(0)
-		}
-		if cut || reset {
+		if !answerBy(c, q, script) {
 			return
 		}
 	}
 }
 
+// scriptFor notes a request and returns the script of its answer.
+func (r *runner) scriptFor(q *http.Request, body string) string {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.seen, r.bodies = append(r.seen, q), append(r.bodies, body)
+	switch {
+	case r.next != nil:
+		return r.next()
+	case len(r.scripts) > 0:
+		script := r.scripts[0]
+		r.scripts = r.scripts[1:]
+		return script
+	}
+	return "HTTP/1.1 200 OK\r\nBeechtide-Attempt-Id: ID\r\nContent-Length: 2\r\n\r\nok"
+}
+
+// streamTo has the runner's stream write the answer.
+func (r *runner) streamTo(c net.Conn, br *bufio.Reader, q *http.Request) {
+	closed := make(chan struct{})
+	go func() {
+		_, _ = br.ReadByte()
+		close(closed)
+	}()
+	r.stream(func(s string) {
+		_, _ = io.WriteString(c, strings.ReplaceAll(s, "ID", q.Header.Get(hAttempt)))
+	}, closed)
+}
+
+// answerBy writes the answer of a script. It reports whether the connection stays open.
+func answerBy(c net.Conn, q *http.Request, script string) bool {
+	script, reset := strings.CutSuffix(script, "RESET")
+	script, cut := strings.CutSuffix(script, "CUT")
+	_, _ = io.WriteString(c, strings.ReplaceAll(script, "ID", q.Header.Get(hAttempt)))
+	if tcp, ok := c.(*net.TCPConn); ok && reset {
+		_ = tcp.SetLinger(0)
+	}
+	return !cut && !reset
+}
+
 func (r *runner) last() *http.Request {
 	r.mu.Lock()
 	defer r.mu.Unlock()
@@ -175,13 +193,19 @@
 
 func start(t *testing.T, runners ...*runner) (*Router, string, context.CancelFunc) {
 	t.Helper()
-	c, front, cancel, ended := startWithGrace(t, 1, runners...)
-	t.Cleanup(func() { cancel(); <-ended })
-	return c, front, cancel
+	c, front, run := startWithGrace(t, 1, runners...)
+	t.Cleanup(func() { run.cancel(); <-run.ended })
+	return c, front, run.cancel
+}
+
+// running is the run of a router: cancel tells it to end, and ended has what it returned.
+type running struct {
+	cancel context.CancelFunc
+	ended  <-chan error
 }
 
 // startWithGrace starts a router whose platform kills it graceS seconds after SIGTERM.
-func startWithGrace(t *testing.T, graceS float64, runners ...*runner) (*Router, string, context.CancelFunc, <-chan error) {
+func startWithGrace(t *testing.T, graceS float64, runners ...*runner) (*Router, string, running) {
 	t.Helper()
 	p := ports(t, 3)
 	addr := func(i int) string { return fmt.Sprintf("127.0.0.1:%d", p[i]) }
@@ -210,7 +234,7 @@
 			break
 		}
 	}
-	return c, set.Listen.Front, cancel, ended
+	return c, set.Listen.Front, running{cancel, ended}
 }
 
 func wholeMenu(t *testing.T, text string, version int64) messages.EntryChange {
@@ -430,8 +454,9 @@
 
 func TestLeavingMarksAnswersAndFinishesThem(t *testing.T) {
 	r := newRunner(t)
-	c, front, cancel, ended := startWithGrace(t, 60, r)
-	defer func() { must.NoError(t, <-ended) }()
+	c, front, run := startWithGrace(t, 60, r)
+	cancel := run.cancel
+	defer func() { must.NoError(t, <-run.ended) }()
 	must.True(t, c.ready())
 	cancel()
 	for !c.draining() {
--- a/internal/router/unbounded_answer_test.go
+++ b/internal/router/unbounded_answer_test.go
@@ -52,7 +52,7 @@
 	ln, err := net.Listen("tcp4", "127.0.0.1:0")
 	must.NoError(t, err)
 	t.Cleanup(func() { ln.Close() })
-	reset = make(chan struct{})
+	mayReset := make(chan struct{})
 	go func() {
 		c, err := ln.Accept()
 		if err != nil {
@@ -64,11 +64,11 @@
 		}
 		_, _ = io.Copy(io.Discard, q.Body)
 		_, _ = io.WriteString(c, strings.ReplaceAll(raw, "ID", q.Header.Get(hAttempt)))
-		<-reset
+		<-mayReset
 		_ = c.(*net.TCPConn).SetLinger(0)
 		c.Close()
 	}()
-	return &runner{addr: ln.Addr().String()}, reset
+	return &runner{addr: ln.Addr().String()}, mayReset
 }
 
 func TestStreamThatIsResetIsSeenAsTruncated(t *testing.T) {
