quota: a reserve follows a limit that is lowered

Cause, found by reading the change once more: after a limit fell to half or less the successor's reserve was as large as the new bucket and was never released, so the owner granted the tenant nothing. Change: such a reserve is released like any other, once the successor has acknowledged it.

--- a/internal/quota/account.go
+++ b/internal/quota/account.go
@@ -73,7 +73,7 @@
 	case a.reserve == 0 && a.releasing == 0 && full >= reserveFromPart && c.addr != "" && nowUs >= c.quietUs:
 		a.reserve = math.Floor(a.bucket.capacity * reservePart)
 		return a.reserve > 0
-	case a.reserve > 0 && a.releasing == 0 && (full < reserveDownPart || c.addr == ""):
+	case a.reserve > 0 && a.releasing == 0 && (full < reserveDownPart || c.addr == "" || a.reserve > a.bucket.capacity*reservePart):
 		a.releasing, a.releasedUs = c.version+1, nowUs+copyLifeUs+leaseGuardUs
 		return true
 	}
--- a/internal/quota/member_test.go
+++ b/internal/quota/member_test.go
@@ -259,3 +259,15 @@
 	}
 	must.Between(t, 1, urgent, 4)
 }
+
+// A reserve that is larger than what a lowered limit leaves does not keep the tenant out.
+func TestReserveFollowsALowerLimit(t *testing.T) {
+	c := newCluster(t, "a", "b", "c")
+	c.run(120 * second)
+	c.ask("tenant", 1, Limit{Version: 1, RatePerS: 100, Burst: 100})
+	c.run(2 * second)
+	lower := Limit{Version: 2, RatePerS: 20, Burst: 20}
+	c.ask("tenant", 1, lower)
+	c.run(second)
+	must.Positive(t, c.ask("tenant", 1, lower).Granted)
+}
