--- a/internal/admission/admission.go
+++ b/internal/admission/admission.go
@@ -31,6 +31,8 @@
 	SetpointUs int64
 	LeftUs     int64
 	Avoid      []string // runners that were tried before
+	Bound      bool     // only runners in one of the regions in Homes are candidates
+	Homes      []string
 }
 
 // Reason says which check rejected a request.
@@ -68,7 +70,10 @@
 	tenants         map[string]*tenantState
 	relinquished    map[string]relinquished // by zone
 	retired         map[string]int64        // by model: the first version of the weights that is not retired
-	candidateBuffer []placement.Candidate   // reused by the next search for candidates
+	evacuations     evacuations
+	warmups         warmups
+	regions         map[string]string     // by zone
+	candidateBuffer []placement.Candidate // reused by the next search for candidates
 	runnerBuffer    []*runner
 	random          *rand.Rand          // which runners are compared, where other nodes send requests too
 	transferTurn    int                 // counts equal transfer sources, which take turns
--- a/internal/admission/admit.go
+++ b/internal/admission/admit.go
@@ -86,6 +86,7 @@
 	r.own.prefill += adm.prefill
 	r.sent(adm.prefill, nowUs)
 	r.own.count++
+	p.recordWarmup(r, nowUs)
 	r.recent = append(r.recent, recentRequest{nowUs, adm.blocks + adm.prefill/bt})
 	r.trimRecent(nowUs)
 	t.admitted++
--- a/internal/admission/candidates.go
+++ b/internal/admission/candidates.go
@@ -89,6 +89,9 @@
 	if r.absence.out || r.record.Draining || r.cordoned(s.nowUs) || !s.pool.permits(s.request, id) {
 		return false
 	}
+	if a.Evacuated(r.record.Zone) || !a.atHome(&s.request, r.record.Zone) || !a.warmupAllows(s.pool, r, s.nowUs) {
+		return false
+	}
 	if slices.Contains(s.request.Avoid, id) || preference != a.preference(s.request, r, s.nowUs) {
 		return false
 	}
--- a/internal/admission/pool.go
+++ b/internal/admission/pool.go
@@ -12,7 +12,10 @@
 	links   int                        // connections that a runner accepts from all nodes together; 0: no limit
 	allowed map[string]map[string]bool // by regime, the identities of the certified runners and stores
 	tokens  int                        // memory of a runner, in tokens
-	moveUs  float64                    // microseconds to transfer the memory of one token between runners; 0: no transfers
+	// coldPerS is how many requests a second a runner bears while it warms up; 0: any number.
+	coldPerS    float64
+	warmupShare warmupShare
+	moveUs      float64 // microseconds to transfer the memory of one token between runners; 0: no transfers
 }
 
 // Store is a server that caches blocks for the runners of a service.
--- a/internal/admission/runner.go
+++ b/internal/admission/runner.go
@@ -35,6 +35,7 @@
 	pauseUs         int64
 	health          health
 	absence         absence
+	warmup          warmup
 }
 
 type recentRequest struct {
--- /dev/null
+++ b/internal/admission/warmup.go
@@ -0,0 +1,183 @@
+// Warm-up: a runner that has just started, or has lost its warmth, bears few requests a second
+// from all nodes together. A few nodes, its lenders, share that rate; the others send nothing to
+// it until it is warm. The lenders are chosen without a message, by rendezvous hashing, so that
+// it works on both sides of a partition; docs/design/warm-up.md derives the share.
+
+package admission
+
+import (
+	"math"
+	"slices"
+	"strings"
+
+	"beechtide.org/beechtide/internal/messages"
+	"beechtide.org/beechtide/internal/rendezvous"
+)
+
+// WarmupBounds is how far the requests to a runner that warms up may exceed its rate.
+type WarmupBounds struct {
+	Overshoot float64 // factor of the rate
+	Slack     float64 // requests in a second
+}
+
+const (
+	// defaultOvershoot and defaultColdSlack stand for bounds that the settings do not have.
+	defaultOvershoot = 1.0
+	defaultColdSlack = 2.0
+	// warmupViews is how many sets of lenders may serve a runner at the same time, as nodes
+	// that have not seen the same others choose differently.
+	warmupViews = 2
+	// maxLenders bounds the nodes that share the rate of a runner.
+	maxLenders = 8
+	// lendAfterUs is how long after its start a node lends nothing, in microseconds: it has
+	// not seen the others yet, and an earlier process may have lent.
+	lendAfterUs = 3_000_000
+	// spacingMargin lengthens the pause between two requests of a lender, since they do not
+	// take the same time on their way.
+	spacingMargin = 1.05
+	secondUs      = 1_000_000
+	// lenderMemoryUs is for how long a node goes by its last look at whether it lends.
+	lenderMemoryUs = 500_000
+)
+
+// warmupShare is what each lender of a runner may send.
+type warmupShare struct {
+	lenders   int
+	spacingUs int64 // between two requests of one lender
+}
+
+// newWarmupShare divides the rate of a runner among as many lenders as the bounds allow, even
+// if warmupViews sets of them serve it.
+func newWarmupShare(perS float64, bounds WarmupBounds) warmupShare {
+	most := perS*bounds.Overshoot + bounds.Slack
+	for lenders := maxLenders; lenders > 0; lenders-- {
+		spacing := spacingMargin * float64(lenders) / perS
+		if float64(warmupViews*lenders*inOneSecond(spacing)) <= most {
+			return warmupShare{lenders: lenders, spacingUs: int64(spacing * secondUs)}
+		}
+	}
+	return warmupShare{lenders: 1, spacingUs: int64(spacingMargin * secondUs)}
+}
+
+// inOneSecond returns how many requests at most, so many seconds apart, lie in one second.
+func inOneSecond(spacing float64) int { return int(math.Floor(1/spacing)) + 1 }
+
+// warmup is the warm-up of one runner.
+type warmup struct {
+	untilUs       int64
+	seq, leftUs   int64 // the heartbeat that said so
+	seen          bool
+	nextUs        int64 // when this node may send it the next request
+	lends         bool
+	lendsLookedUs int64
+}
+
+// observe takes the record of a runner.
+func (w *warmup) observe(n messages.RunnerRecord, nowUs int64) {
+	if w.seen && w.seq == n.Seq && w.leftUs == n.ColdLeftUs {
+		return
+	}
+	w.seen, w.seq, w.leftUs = true, n.Seq, n.ColdLeftUs
+	w.untilUs = max(w.untilUs, nowUs+n.ColdLeftUs)
+	if n.ColdLeftUs == 0 {
+		w.untilUs = min(w.untilUs, nowUs)
+	}
+}
+
+// warmups is what the warm-ups of all runners have in common.
+type warmups struct {
+	bounds  WarmupBounds
+	nodes   *rendezvous.Nodes
+	startUs int64
+}
+
+// SetWarmup sets who this node is, for the choice of lenders, and the bounds.
+func (a *Admitter) SetWarmup(self string, bounds WarmupBounds, nowUs int64) {
+	if bounds.Overshoot <= 0 {
+		bounds = WarmupBounds{Overshoot: defaultOvershoot, Slack: max(bounds.Slack, defaultColdSlack)}
+	}
+	a.warmups = warmups{bounds: bounds, nodes: rendezvous.NewNodes(self, nowUs), startUs: nowUs}
+}
+
+// SeeNodes sets which nodes are seen, and how many share the runners.
+func (a *Admitter) SeeNodes(addrs []string, nowUs int64) {
+	if a.warmups.nodes != nil {
+		a.warmups.nodes.See(addrs, nowUs)
+	}
+}
+
+// SetWarmups sets how many requests a second a runner of a service bears while it warms up,
+// 0 being any number, and takes in what the records of the runners say. It follows SetService.
+func (a *Admitter) SetWarmups(service string, perS float64, nowUs int64) {
+	p := a.pool(service)
+	for _, id := range p.order {
+		p.runners[id].warmup.observe(p.runners[id].record, nowUs)
+	}
+	if perS == p.coldPerS {
+		return
+	}
+	p.coldPerS = perS
+	if perS > 0 {
+		p.warmupShare = newWarmupShare(perS, a.warmups.bounds)
+	}
+}
+
+// warmingUp reports whether a runner is to get no more than its share of a warm-up.
+func (p *pool) warmingUp(r *runner, nowUs int64) bool {
+	return p.coldPerS > 0 && nowUs < r.warmup.untilUs
+}
+
+// warmupAllows reports whether this node may send a runner a request as far as its warm-up
+// goes.
+func (a *Admitter) warmupAllows(p *pool, r *runner, nowUs int64) bool {
+	return !p.warmingUp(r, nowUs) || nowUs >= r.warmup.nextUs && a.lends(p, r, nowUs)
+}
+
+// lends reports whether this node is a lender of a runner.
+func (a *Admitter) lends(p *pool, r *runner, nowUs int64) bool {
+	w := &r.warmup
+	if w.lendsLookedUs == 0 || nowUs-w.lendsLookedUs >= lenderMemoryUs {
+		w.lendsLookedUs = nowUs
+		w.lends = a.warmups.nodes != nil && nowUs-a.warmups.startUs >= lendAfterUs &&
+			a.warmups.nodes.Among(r.record.ID, p.warmupShare.lenders)
+	}
+	return w.lends
+}
+
+// recordWarmup counts a request that goes to a runner.
+func (p *pool) recordWarmup(r *runner, nowUs int64) {
+	if p.warmingUp(r, nowUs) {
+		r.warmup.nextUs = nowUs + p.warmupShare.spacingUs
+	}
+}
+
+// assumeCold takes all runners of a zone for cold for a while, until they have said what they
+// are.
+func (a *Admitter) assumeCold(zone string, forUs, nowUs int64) {
+	for _, p := range a.pools {
+		for _, r := range p.runners {
+			if r.record.Zone == zone {
+				r.warmup.untilUs = max(r.warmup.untilUs, nowUs+forUs)
+			}
+		}
+	}
+}
+
+// WarmingUp lists the runners that warm up, and what this node may send them.
+func (a *Admitter) WarmingUp(nowUs int64) []messages.WarmupCondition {
+	var out []messages.WarmupCondition
+	for _, p := range a.pools {
+		for id, r := range p.runners {
+			if !p.warmingUp(r, nowUs) {
+				continue
+			}
+			c := messages.WarmupCondition{ID: id, LeftUs: r.warmup.untilUs - nowUs}
+			if a.lends(p, r, nowUs) {
+				c.RatePerS = secondUs / float64(p.warmupShare.spacingUs)
+			}
+			out = append(out, c)
+		}
+	}
+	slices.SortFunc(out, func(x, y messages.WarmupCondition) int { return strings.Compare(x.ID, y.ID) })
+	return out
+}
--- a/internal/api/types.gen.go
+++ b/internal/api/types.gen.go
@@ -221,7 +221,10 @@
 
 // Route defines model for Route.
 type Route struct {
-	CutoffMs      float32   `json:"cutoffMs" validate:"gt=0"`
+	CutoffMs float32 `json:"cutoffMs" validate:"gt=0"`
+
+	// Homes Regions whose runners may serve the route; empty: any.
+	Homes         []string  `json:"domains,omitempty,omitzero"`
 	GapSetpointMs float32   `json:"gapSetpointMs,omitempty,omitzero"`
 	Host          string    `json:"host" validate:"required"`
 	Kind          RouteKind `json:"kind"`
@@ -253,8 +256,11 @@
 
 // Service defines model for Service.
 type Service struct {
-	CacheStore  string  `json:"cacheStore,omitempty,omitzero"`
-	CacheTokens int     `json:"cacheTokens,omitempty,omitzero"`
+	CacheStore  string `json:"cacheStore,omitempty,omitzero"`
+	CacheTokens int    `json:"cacheTokens,omitempty,omitzero"`
+
+	// ColdPerS Requests a second that a runner bears while it warms up; 0: no bound.
+	ColdPerS    float64 `json:"coldPerS,omitempty,omitzero" validate:"min=0"`
 	Concurrency int     `json:"concurrency,omitempty,omitzero"`
 	LinkLimit   int     `json:"connLimit,omitempty,omitzero" validate:"min=0"`
 	Engine      Engine  `json:"engine,omitempty,omitzero"`
@@ -265,6 +271,9 @@
 
 	// Scaling How many runners a service may have in each zone. Without it their number is not ordered.
 	Scaling Scaling `json:"scaling,omitempty,omitzero"`
+
+	// SettleS Seconds for which a runner warms up after its start.
+	SettleS float64 `json:"settleS,omitempty,omitzero" validate:"min=0"`
 	TLS     bool    `json:"tls,omitempty,omitzero"`
 	Zone    string  `json:"zone,omitempty,omitzero"`
 }
@@ -282,15 +291,30 @@
 	Service string  `json:"service" validate:"required"`
 }
 
+// TallyAmendment defines model for TallyAmendment.
+type TallyAmendment struct {
+	// Amount What is added.
+	Amount int64  `json:"actor"`
+	Id     string `json:"id" validate:"required,max=256"`
+}
+
+// TallyTotal defines model for TallyTotal.
+type TallyTotal struct {
+	Total int64 `json:"total"`
+}
+
 // Tenant defines model for Tenant.
 type Tenant struct {
 	Keys []string `json:"apiKeys,omitempty,omitzero"`
 
 	// Burst Requests beyond the rate that may come at once.
-	Burst    float64 `json:"burst,omitempty,omitzero" validate:"min=0"`
-	Isolated bool    `json:"isolated,omitempty,omitzero"`
-	Name     string  `json:"name" validate:"required"`
-	Rank     int     `json:"rank,omitempty,omitzero"`
+	Burst float64 `json:"burst,omitempty,omitzero" validate:"min=0"`
+
+	// Homes Regions whose runners may serve the tenant; empty: any.
+	Homes    []string `json:"domains,omitempty,omitzero"`
+	Isolated bool     `json:"isolated,omitempty,omitzero"`
+	Name     string   `json:"name" validate:"required"`
+	Rank     int      `json:"rank,omitempty,omitzero"`
 
 	// RatePerS Requests a second over all routers; 0: no limit.
 	RatePerS float64 `json:"ratePerS,omitempty,omitzero" validate:"min=0"`
@@ -322,5 +346,8 @@
 // BeatJSONRequestBody defines body for Beat for application/json ContentType.
 type BeatJSONRequestBody = Heartbeat
 
+// AmendTallyJSONRequestBody defines body for AmendTally for application/json ContentType.
+type AmendTallyJSONRequestBody = TallyAmendment
+
 // NameWeightsJSONRequestBody defines body for NameWeights for application/json ContentType.
 type NameWeightsJSONRequestBody = WeightsVersion
--- a/internal/controller/controller.go
+++ b/internal/controller/controller.go
@@ -97,6 +97,7 @@
 	usage    *usageReporter // nil where the platform wants no usage
 	scaler   *scaler        // nil where the platform takes no orders of runners
 	quotas   *quotaMember
+	tallies  *tallies
 	targets  namedTargets
 	calm     calm
 	repairs  repairs
@@ -153,6 +154,9 @@
 	self := messages.Peer{Addr: set.ControllerAddr(), Role: messages.Controller, Zone: set.Zone, MemberID: d.registers.ID(), Control: set.Listen.Control, Node: set.Node, Counted: set.Counted}
 	d.monitor = membership.NewMonitor(trans, self, clock, d.knownControllers)
 	d.quotas = newQuotaMember(d)
+	if d.tallies, err = newTallies(d); err != nil {
+		return nil, err
+	}
 	d.handleMessages()
 	for p := range consensus.Parts {
 		if v, ok := d.registers.Committed(p); ok && v.Version > 0 {
@@ -180,6 +184,8 @@
 	}
 	trans.OnCall(transport.KindQuotaClaim, d.quotas.handleClaim)
 	trans.OnCall(transport.KindQuotaAsk, d.quotas.handleAsk)
+	trans.OnCall(transport.KindTallyAppend, d.tallies.handleAppend)
+	trans.OnCall(transport.KindTallyPull, d.tallies.handlePull)
 	trans.OnDatagram(transport.KindRunner, d.heardRunner)
 }
 
@@ -240,6 +246,7 @@
 	counting, endCounting := context.WithCancel(live)
 	defer endCounting()
 	go d.quotas.run(counting)
+	go d.tallies.run(live)
 	go d.runFeed(live)
 	go d.settleRegisters(live)
 	go d.finishRounds(live)
@@ -342,6 +349,7 @@
 func (d *Controller) versions() messages.Versions {
 	m := messages.Versions{Parts: make([]int64, consensus.Parts), RegistrySum: d.registry.Snapshot().Sum, Controller: true, CalmUs: d.calm.forUs(d.clock()), MemberID: d.registers.ID(), CutOff: d.cutOff(), TargetAges: d.targets.ages(d.clock())}
 	m.TimeUs, m.TimeAgreed = d.timeOfDay.TimeUs(d.clock())
+	m.TallyDigest = d.tallies.digest()
 	m.ConfigAccepted = d.registers.MayHaveAccepted(consensus.ConfigPart)
 	if v, ok := d.registers.Committed(consensus.ConfigPart); ok {
 		m.ConfigCommitted, m.ConfigGroup = v.Version, identities(v.Group)
@@ -420,12 +428,14 @@
 		d.calm.tried(p.Addr, err == nil, d.clock())
 	}
 	if err != nil {
+		d.tallies.notCompared(p.Addr, sentUs)
 		return
 	}
 	var m messages.Versions
 	if _, err := m.UnmarshalMsg(b); err != nil {
 		return
 	}
+	go d.tallies.compared(ctx, p.Addr, m.TallyDigest)
 	d.publishRunners(d.registry.ApplyLaterHeartbeats(m.LaterHeartbeats, sentUs, d.clock())...)
 	d.targets.observe(m.TargetAges, d.clock())
 	d.timeOfDay.Compare(p.Addr, m, sentUs, d.clock())
--- a/internal/controller/counters.go
+++ b/internal/controller/counters.go
@@ -33,10 +33,13 @@
 	callReplace
 	callRead
 	callNameWeights
+	callAmend
+	callReadTally
+	callEvacuate
 	callCount
 )
 
-var callNames = [callCount]string{"heartbeat", "leave", "replace", "read", "name_weights"}
+var callNames = [callCount]string{"heartbeat", "leave", "replace", "read", "name_weights", "amend_tally", "read_tally", "evacuate"}
 
 // callCounter counts the responses to one call. What is not 2xx or 4xx is unsure: the
 // caller asks another controller.
--- /dev/null
+++ b/internal/controller/evacuation.go
@@ -0,0 +1,92 @@
+// Evacuations: the operator asks that the runners of a zone get no requests, and takes that
+// back. Whether a zone is evacuated is agreed on in a register beside the leases, and goes to
+// the routers with it.
+
+package controller
+
+import (
+	"context"
+	"slices"
+
+	"github.com/cloudwego/hertz/pkg/app"
+	"github.com/pkg/errors"
+
+	"beechtide.org/beechtide/internal/consensus"
+	"beechtide.org/beechtide/internal/messages"
+)
+
+// maxZoneName bounds the name of a zone, in bytes.
+const maxZoneName = 128
+
+func (d *Controller) beginEvacuation(ctx context.Context, c *app.RequestContext) {
+	d.evacuate(ctx, c, true)
+}
+
+func (d *Controller) finishEvacuation(ctx context.Context, c *app.RequestContext) {
+	d.evacuate(ctx, c, false)
+}
+
+// evacuate takes an order of the operator. An order that changes nothing is acknowledged by a
+// round that has read the newest value.
+func (d *Controller) evacuate(ctx context.Context, c *app.RequestContext, evacuated bool) {
+	zone := c.Param("zone")
+	if !d.isZone(zone) {
+		reject(c, 400, "zone", "no such zone")
+		return
+	}
+	ctx, cancel := context.WithTimeout(ctx, operatorWait)
+	defer cancel()
+	_, err := d.changeRegister(ctx, consensus.PartOf(zone), func(cur messages.Value) ([]messages.Member, []byte, error) {
+		return evacuateZone(cur, zone, evacuated)
+	})
+	if err != nil && !errors.Is(err, errNoChange) {
+		reject(c, 503, "", err.Error())
+		return
+	}
+	d.log.Info("evacuation acknowledged", "zone", zone, "evacuated", evacuated, "changed", err == nil)
+	c.Status(200)
+}
+
+// isZone reports whether a zone may be evacuated: one of the settings, or any name where they
+// list none.
+func (d *Controller) isZone(zone string) bool {
+	if zone == "" || len(zone) > maxZoneName {
+		return false
+	}
+	_, listed := d.set.Zones[zone]
+	return listed || len(d.set.Zones) == 0 || zone == d.set.Zone
+}
+
+// evacuateZone records whether a zone is evacuated.
+func evacuateZone(cur messages.Value, zone string, evacuated bool) ([]messages.Member, []byte, error) {
+	body, err := leaseBody(cur)
+	if err != nil {
+		return nil, nil, err
+	}
+	i := slices.IndexFunc(body.Evacuations, func(e messages.Evacuation) bool { return e.Zone == zone })
+	if i < 0 && !evacuated || i >= 0 && body.Evacuations[i].Evacuated == evacuated {
+		return nil, nil, errNoChange
+	}
+	if i < 0 {
+		body.Evacuations = append(body.Evacuations, messages.Evacuation{Zone: zone})
+		i = len(body.Evacuations) - 1
+	}
+	body.Evacuations[i].Evacuated = evacuated
+	body.Evacuations[i].Changes++
+	b, err := body.MarshalMsg(nil)
+	return nil, b, err
+}
+
+// evacuatedZones lists the zones that are evacuated as far as this controller knows.
+func (d *Controller) evacuatedZones() []string {
+	var zones []string
+	d.rollouts.committedBodies(func(_ int, body messages.LeaseBody) {
+		for _, e := range body.Evacuations {
+			if e.Evacuated {
+				zones = append(zones, e.Zone)
+			}
+		}
+	})
+	slices.Sort(zones)
+	return zones
+}
--- a/internal/messages/msgp.gen.go
+++ b/internal/messages/msgp.gen.go
@@ -131,9 +131,9 @@
 // MarshalMsg implements msgp.Marshaler
 func (z *Condition) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
-	// map header, size 25
+	// map header, size 26
 	// string "a"
-	o = append(o, 0xde, 0x0, 0x19, 0xa1, 0x61)
+	o = append(o, 0xde, 0x0, 0x1a, 0xa1, 0x61)
 	o = msgp.AppendString(o, z.Addr)
 	// string "b"
 	o = append(o, 0xa1, 0x62)
@@ -275,6 +275,13 @@
 	// string "x"
 	o = append(o, 0xa1, 0x78)
 	o = msgp.AppendInt64(o, z.Malformed)
+	// string "y"
+	o = append(o, 0xa1, 0x79)
+	o, err = z.Partition.MarshalMsg(o)
+	if err != nil {
+		err = msgp.WrapError(err, "Partition")
+		return
+	}
 	// string "z"
 	o = append(o, 0xa1, 0x7a)
 	o = msgp.AppendString(o, z.Zone)
@@ -674,6 +681,12 @@
 				err = msgp.WrapError(err, "Malformed")
 				return
 			}
+		case "y":
+			bts, err = z.Partition.UnmarshalMsg(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Partition")
+				return
+			}
 		case "z":
 			z.Zone, bts, err = msgp.ReadStringBytes(bts)
 			if err != nil {
@@ -741,7 +754,7 @@
 	for za0013 := range z.Scaling {
 		s += z.Scaling[za0013].Msgsize()
 	}
-	s += 2 + msgp.Int64Size + 2 + msgp.Int64Size + 2 + msgp.StringPrefixSize + len(z.Zone)
+	s += 2 + msgp.Int64Size + 2 + msgp.Int64Size + 2 + z.Partition.Msgsize() + 2 + msgp.StringPrefixSize + len(z.Zone)
 	return
 }
 
@@ -1567,6 +1580,76 @@
 	return
 }
 
+// MarshalMsg implements msgp.Marshaler
+func (z Evacuation) MarshalMsg(b []byte) (o []byte, err error) {
+	o = msgp.Require(b, z.Msgsize())
+	// map header, size 3
+	// string "e"
+	o = append(o, 0x83, 0xa1, 0x65)
+	o = msgp.AppendBool(o, z.Evacuated)
+	// string "n"
+	o = append(o, 0xa1, 0x6e)
+	o = msgp.AppendInt64(o, z.Changes)
+	// string "z"
+	o = append(o, 0xa1, 0x7a)
+	o = msgp.AppendString(o, z.Zone)
+	return
+}
+
+// UnmarshalMsg implements msgp.Unmarshaler
+func (z *Evacuation) UnmarshalMsg(bts []byte) (o []byte, err error) {
+	var field []byte
+	_ = field
+	var zb0001 uint32
+	zb0001, bts, err = msgp.ReadMapHeaderBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err)
+		return
+	}
+	for zb0001 > 0 {
+		zb0001--
+		field, bts, err = msgp.ReadMapKeyZC(bts)
+		if err != nil {
+			err = msgp.WrapError(err)
+			return
+		}
+		switch msgp.UnsafeString(field) {
+		case "e":
+			z.Evacuated, bts, err = msgp.ReadBoolBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Evacuated")
+				return
+			}
+		case "n":
+			z.Changes, bts, err = msgp.ReadInt64Bytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Changes")
+				return
+			}
+		case "z":
+			z.Zone, bts, err = msgp.ReadStringBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Zone")
+				return
+			}
+		default:
+			bts, err = msgp.Skip(bts)
+			if err != nil {
+				err = msgp.WrapError(err)
+				return
+			}
+		}
+	}
+	o = bts
+	return
+}
+
+// Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
+func (z Evacuation) Msgsize() (s int) {
+	s = 1 + 2 + msgp.BoolSize + 2 + msgp.Int64Size + 2 + msgp.StringPrefixSize + len(z.Zone)
+	return
+}
+
 // MarshalMsg implements msgp.Marshaler
 func (z *Feed) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
@@ -2957,9 +3040,9 @@
 // MarshalMsg implements msgp.Marshaler
 func (z *LeaseBody) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
-	// map header, size 4
+	// map header, size 5
 	// string "c"
-	o = append(o, 0x84, 0xa1, 0x63)
+	o = append(o, 0x85, 0xa1, 0x63)
 	// map header, size 2
 	// string "f"
 	o = append(o, 0x82, 0xa1, 0x66)
@@ -2967,32 +3050,47 @@
 	// string "h"
 	o = append(o, 0xa1, 0x68)
 	o = msgp.AppendString(o, z.Lease.Holder)
+	// string "e"
+	o = append(o, 0xa1, 0x65)
+	o = msgp.AppendArrayHeader(o, uint32(len(z.Evacuations)))
+	for za0001 := range z.Evacuations {
+		// map header, size 3
+		// string "e"
+		o = append(o, 0x83, 0xa1, 0x65)
+		o = msgp.AppendBool(o, z.Evacuations[za0001].Evacuated)
+		// string "n"
+		o = append(o, 0xa1, 0x6e)
+		o = msgp.AppendInt64(o, z.Evacuations[za0001].Changes)
+		// string "z"
+		o = append(o, 0xa1, 0x7a)
+		o = msgp.AppendString(o, z.Evacuations[za0001].Zone)
+	}
 	// string "s"
 	o = append(o, 0xa1, 0x73)
 	o = msgp.AppendArrayHeader(o, uint32(len(z.Setpoints)))
-	for za0001 := range z.Setpoints {
+	for za0002 := range z.Setpoints {
 		// map header, size 3
 		// string "d"
 		o = append(o, 0x83, 0xa1, 0x64)
-		o = msgp.AppendInt(o, z.Setpoints[za0001].Desired)
+		o = msgp.AppendInt(o, z.Setpoints[za0002].Desired)
 		// string "s"
 		o = append(o, 0xa1, 0x73)
-		o = msgp.AppendString(o, z.Setpoints[za0001].Service)
+		o = msgp.AppendString(o, z.Setpoints[za0002].Service)
 		// string "z"
 		o = append(o, 0xa1, 0x7a)
-		o = msgp.AppendString(o, z.Setpoints[za0001].Zone)
+		o = msgp.AppendString(o, z.Setpoints[za0002].Zone)
 	}
 	// string "t"
 	o = append(o, 0xa1, 0x74)
 	o = msgp.AppendArrayHeader(o, uint32(len(z.Targets)))
-	for za0002 := range z.Targets {
+	for za0003 := range z.Targets {
 		// map header, size 2
 		// string "m"
 		o = append(o, 0x82, 0xa1, 0x6d)
-		o = msgp.AppendString(o, z.Targets[za0002].Model)
+		o = msgp.AppendString(o, z.Targets[za0003].Model)
 		// string "v"
 		o = append(o, 0xa1, 0x76)
-		o = msgp.AppendInt64(o, z.Targets[za0002].Version)
+		o = msgp.AppendInt64(o, z.Targets[za0003].Version)
 	}
 	// string "u"
 	o = append(o, 0xa1, 0x75)
@@ -3003,23 +3101,23 @@
 	// string "p"
 	o = append(o, 0xa1, 0x70)
 	o = msgp.AppendArrayHeader(o, uint32(len(z.Usage.Pending)))
-	for za0003 := range z.Usage.Pending {
+	for za0004 := range z.Usage.Pending {
 		// map header, size 2
 		// string "c"
 		o = append(o, 0x82, 0xa1, 0x63)
-		o = msgp.AppendArrayHeader(o, uint32(len(z.Usage.Pending[za0003].Counts)))
-		for za0004 := range z.Usage.Pending[za0003].Counts {
+		o = msgp.AppendArrayHeader(o, uint32(len(z.Usage.Pending[za0004].Counts)))
+		for za0005 := range z.Usage.Pending[za0004].Counts {
 			// map header, size 2
 			// string "n"
 			o = append(o, 0x82, 0xa1, 0x6e)
-			o = msgp.AppendInt64(o, z.Usage.Pending[za0003].Counts[za0004].Count)
+			o = msgp.AppendInt64(o, z.Usage.Pending[za0004].Counts[za0005].Count)
 			// string "t"
 			o = append(o, 0xa1, 0x74)
-			o = msgp.AppendString(o, z.Usage.Pending[za0003].Counts[za0004].Tenant)
+			o = msgp.AppendString(o, z.Usage.Pending[za0004].Counts[za0005].Tenant)
 		}
 		// string "w"
 		o = append(o, 0xa1, 0x77)
-		o = msgp.AppendInt64(o, z.Usage.Pending[za0003].Window)
+		o = msgp.AppendInt64(o, z.Usage.Pending[za0004].Window)
 	}
 	return
 }
@@ -3077,117 +3175,171 @@
 					}
 				}
 			}
-		case "s":
+		case "e":
 			var zb0003 uint32
 			zb0003, bts, err = msgp.ReadArrayHeaderBytes(bts)
 			if err != nil {
-				err = msgp.WrapError(err, "Setpoints")
+				err = msgp.WrapError(err, "Evacuations")
 				return
 			}
-			if cap(z.Setpoints) >= int(zb0003) {
-				z.Setpoints = (z.Setpoints)[:zb0003]
+			if cap(z.Evacuations) >= int(zb0003) {
+				z.Evacuations = (z.Evacuations)[:zb0003]
 			} else {
-				z.Setpoints = make([]Setpoint, zb0003)
+				z.Evacuations = make([]Evacuation, zb0003)
 			}
-			for za0001 := range z.Setpoints {
+			for za0001 := range z.Evacuations {
 				var zb0004 uint32
 				zb0004, bts, err = msgp.ReadMapHeaderBytes(bts)
 				if err != nil {
-					err = msgp.WrapError(err, "Setpoints", za0001)
+					err = msgp.WrapError(err, "Evacuations", za0001)
 					return
 				}
 				for zb0004 > 0 {
 					zb0004--
 					field, bts, err = msgp.ReadMapKeyZC(bts)
 					if err != nil {
-						err = msgp.WrapError(err, "Setpoints", za0001)
+						err = msgp.WrapError(err, "Evacuations", za0001)
 						return
 					}
 					switch msgp.UnsafeString(field) {
-					case "d":
-						z.Setpoints[za0001].Desired, bts, err = msgp.ReadIntBytes(bts)
+					case "e":
+						z.Evacuations[za0001].Evacuated, bts, err = msgp.ReadBoolBytes(bts)
 						if err != nil {
-							err = msgp.WrapError(err, "Setpoints", za0001, "Desired")
+							err = msgp.WrapError(err, "Evacuations", za0001, "Evacuated")
 							return
 						}
-					case "s":
-						z.Setpoints[za0001].Service, bts, err = msgp.ReadStringBytes(bts)
+					case "n":
+						z.Evacuations[za0001].Changes, bts, err = msgp.ReadInt64Bytes(bts)
 						if err != nil {
-							err = msgp.WrapError(err, "Setpoints", za0001, "Service")
+							err = msgp.WrapError(err, "Evacuations", za0001, "Changes")
 							return
 						}
 					case "z":
-						z.Setpoints[za0001].Zone, bts, err = msgp.ReadStringBytes(bts)
+						z.Evacuations[za0001].Zone, bts, err = msgp.ReadStringBytes(bts)
 						if err != nil {
-							err = msgp.WrapError(err, "Setpoints", za0001, "Zone")
+							err = msgp.WrapError(err, "Evacuations", za0001, "Zone")
 							return
 						}
 					default:
 						bts, err = msgp.Skip(bts)
 						if err != nil {
-							err = msgp.WrapError(err, "Setpoints", za0001)
+							err = msgp.WrapError(err, "Evacuations", za0001)
 							return
 						}
 					}
 				}
 			}
-		case "t":
+		case "s":
 			var zb0005 uint32
 			zb0005, bts, err = msgp.ReadArrayHeaderBytes(bts)
 			if err != nil {
-				err = msgp.WrapError(err, "Targets")
+				err = msgp.WrapError(err, "Setpoints")
 				return
 			}
-			if cap(z.Targets) >= int(zb0005) {
-				z.Targets = (z.Targets)[:zb0005]
+			if cap(z.Setpoints) >= int(zb0005) {
+				z.Setpoints = (z.Setpoints)[:zb0005]
 			} else {
-				z.Targets = make([]Target, zb0005)
+				z.Setpoints = make([]Setpoint, zb0005)
 			}
-			for za0002 := range z.Targets {
+			for za0002 := range z.Setpoints {
 				var zb0006 uint32
 				zb0006, bts, err = msgp.ReadMapHeaderBytes(bts)
 				if err != nil {
-					err = msgp.WrapError(err, "Targets", za0002)
+					err = msgp.WrapError(err, "Setpoints", za0002)
 					return
 				}
 				for zb0006 > 0 {
 					zb0006--
 					field, bts, err = msgp.ReadMapKeyZC(bts)
 					if err != nil {
-						err = msgp.WrapError(err, "Targets", za0002)
+						err = msgp.WrapError(err, "Setpoints", za0002)
+						return
+					}
+					switch msgp.UnsafeString(field) {
+					case "d":
+						z.Setpoints[za0002].Desired, bts, err = msgp.ReadIntBytes(bts)
+						if err != nil {
+							err = msgp.WrapError(err, "Setpoints", za0002, "Desired")
+							return
+						}
+					case "s":
+						z.Setpoints[za0002].Service, bts, err = msgp.ReadStringBytes(bts)
+						if err != nil {
+							err = msgp.WrapError(err, "Setpoints", za0002, "Service")
+							return
+						}
+					case "z":
+						z.Setpoints[za0002].Zone, bts, err = msgp.ReadStringBytes(bts)
+						if err != nil {
+							err = msgp.WrapError(err, "Setpoints", za0002, "Zone")
+							return
+						}
+					default:
+						bts, err = msgp.Skip(bts)
+						if err != nil {
+							err = msgp.WrapError(err, "Setpoints", za0002)
+							return
+						}
+					}
+				}
+			}
+		case "t":
+			var zb0007 uint32
+			zb0007, bts, err = msgp.ReadArrayHeaderBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Targets")
+				return
+			}
+			if cap(z.Targets) >= int(zb0007) {
+				z.Targets = (z.Targets)[:zb0007]
+			} else {
+				z.Targets = make([]Target, zb0007)
+			}
+			for za0003 := range z.Targets {
+				var zb0008 uint32
+				zb0008, bts, err = msgp.ReadMapHeaderBytes(bts)
+				if err != nil {
+					err = msgp.WrapError(err, "Targets", za0003)
+					return
+				}
+				for zb0008 > 0 {
+					zb0008--
+					field, bts, err = msgp.ReadMapKeyZC(bts)
+					if err != nil {
+						err = msgp.WrapError(err, "Targets", za0003)
 						return
 					}
 					switch msgp.UnsafeString(field) {
 					case "m":
-						z.Targets[za0002].Model, bts, err = msgp.ReadStringBytes(bts)
+						z.Targets[za0003].Model, bts, err = msgp.ReadStringBytes(bts)
 						if err != nil {
-							err = msgp.WrapError(err, "Targets", za0002, "Model")
+							err = msgp.WrapError(err, "Targets", za0003, "Model")
 							return
 						}
 					case "v":
-						z.Targets[za0002].Version, bts, err = msgp.ReadInt64Bytes(bts)
+						z.Targets[za0003].Version, bts, err = msgp.ReadInt64Bytes(bts)
 						if err != nil {
-							err = msgp.WrapError(err, "Targets", za0002, "Version")
+							err = msgp.WrapError(err, "Targets", za0003, "Version")
 							return
 						}
 					default:
 						bts, err = msgp.Skip(bts)
 						if err != nil {
-							err = msgp.WrapError(err, "Targets", za0002)
+							err = msgp.WrapError(err, "Targets", za0003)
 							return
 						}
 					}
 				}
 			}
 		case "u":
-			var zb0007 uint32
-			zb0007, bts, err = msgp.ReadMapHeaderBytes(bts)
+			var zb0009 uint32
+			zb0009, bts, err = msgp.ReadMapHeaderBytes(bts)
 			if err != nil {
 				err = msgp.WrapError(err, "Usage")
 				return
 			}
-			for zb0007 > 0 {
-				zb0007--
+			for zb0009 > 0 {
+				zb0009--
 				field, bts, err = msgp.ReadMapKeyZC(bts)
 				if err != nil {
 					err = msgp.WrapError(err, "Usage")
@@ -3201,90 +3353,90 @@
 						return
 					}
 				case "p":
-					var zb0008 uint32
-					zb0008, bts, err = msgp.ReadArrayHeaderBytes(bts)
+					var zb0010 uint32
+					zb0010, bts, err = msgp.ReadArrayHeaderBytes(bts)
 					if err != nil {
 						err = msgp.WrapError(err, "Usage", "Pending")
 						return
 					}
-					if cap(z.Usage.Pending) >= int(zb0008) {
-						z.Usage.Pending = (z.Usage.Pending)[:zb0008]
+					if cap(z.Usage.Pending) >= int(zb0010) {
+						z.Usage.Pending = (z.Usage.Pending)[:zb0010]
 					} else {
-						z.Usage.Pending = make([]UsageWindow, zb0008)
+						z.Usage.Pending = make([]UsageWindow, zb0010)
 					}
-					for za0003 := range z.Usage.Pending {
-						var zb0009 uint32
-						zb0009, bts, err = msgp.ReadMapHeaderBytes(bts)
+					for za0004 := range z.Usage.Pending {
+						var zb0011 uint32
+						zb0011, bts, err = msgp.ReadMapHeaderBytes(bts)
 						if err != nil {
-							err = msgp.WrapError(err, "Usage", "Pending", za0003)
+							err = msgp.WrapError(err, "Usage", "Pending", za0004)
 							return
 						}
-						for zb0009 > 0 {
-							zb0009--
+						for zb0011 > 0 {
+							zb0011--
 							field, bts, err = msgp.ReadMapKeyZC(bts)
 							if err != nil {
-								err = msgp.WrapError(err, "Usage", "Pending", za0003)
+								err = msgp.WrapError(err, "Usage", "Pending", za0004)
 								return
 							}
 							switch msgp.UnsafeString(field) {
 							case "c":
-								var zb0010 uint32
-								zb0010, bts, err = msgp.ReadArrayHeaderBytes(bts)
+								var zb0012 uint32
+								zb0012, bts, err = msgp.ReadArrayHeaderBytes(bts)
 								if err != nil {
-									err = msgp.WrapError(err, "Usage", "Pending", za0003, "Counts")
+									err = msgp.WrapError(err, "Usage", "Pending", za0004, "Counts")
 									return
 								}
-								if cap(z.Usage.Pending[za0003].Counts) >= int(zb0010) {
-									z.Usage.Pending[za0003].Counts = (z.Usage.Pending[za0003].Counts)[:zb0010]
+								if cap(z.Usage.Pending[za0004].Counts) >= int(zb0012) {
+									z.Usage.Pending[za0004].Counts = (z.Usage.Pending[za0004].Counts)[:zb0012]
 								} else {
-									z.Usage.Pending[za0003].Counts = make([]UsageCount, zb0010)
+									z.Usage.Pending[za0004].Counts = make([]UsageCount, zb0012)
 								}
-								for za0004 := range z.Usage.Pending[za0003].Counts {
-									var zb0011 uint32
-									zb0011, bts, err = msgp.ReadMapHeaderBytes(bts)
+								for za0005 := range z.Usage.Pending[za0004].Counts {
+									var zb0013 uint32
+									zb0013, bts, err = msgp.ReadMapHeaderBytes(bts)
 									if err != nil {
-										err = msgp.WrapError(err, "Usage", "Pending", za0003, "Counts", za0004)
+										err = msgp.WrapError(err, "Usage", "Pending", za0004, "Counts", za0005)
 										return
 									}
-									for zb0011 > 0 {
-										zb0011--
+									for zb0013 > 0 {
+										zb0013--
 										field, bts, err = msgp.ReadMapKeyZC(bts)
 										if err != nil {
-											err = msgp.WrapError(err, "Usage", "Pending", za0003, "Counts", za0004)
+											err = msgp.WrapError(err, "Usage", "Pending", za0004, "Counts", za0005)
 											return
 										}
 										switch msgp.UnsafeString(field) {
 										case "n":
-											z.Usage.Pending[za0003].Counts[za0004].Count, bts, err = msgp.ReadInt64Bytes(bts)
+											z.Usage.Pending[za0004].Counts[za0005].Count, bts, err = msgp.ReadInt64Bytes(bts)
 											if err != nil {
-												err = msgp.WrapError(err, "Usage", "Pending", za0003, "Counts", za0004, "Count")
+												err = msgp.WrapError(err, "Usage", "Pending", za0004, "Counts", za0005, "Count")
 												return
 											}
 										case "t":
-											z.Usage.Pending[za0003].Counts[za0004].Tenant, bts, err = msgp.ReadStringBytes(bts)
+											z.Usage.Pending[za0004].Counts[za0005].Tenant, bts, err = msgp.ReadStringBytes(bts)
 											if err != nil {
-												err = msgp.WrapError(err, "Usage", "Pending", za0003, "Counts", za0004, "Tenant")
+												err = msgp.WrapError(err, "Usage", "Pending", za0004, "Counts", za0005, "Tenant")
 												return
 											}
 										default:
 											bts, err = msgp.Skip(bts)
 											if err != nil {
-												err = msgp.WrapError(err, "Usage", "Pending", za0003, "Counts", za0004)
+												err = msgp.WrapError(err, "Usage", "Pending", za0004, "Counts", za0005)
 												return
 											}
 										}
 									}
 								}
 							case "w":
-								z.Usage.Pending[za0003].Window, bts, err = msgp.ReadInt64Bytes(bts)
+								z.Usage.Pending[za0004].Window, bts, err = msgp.ReadInt64Bytes(bts)
 								if err != nil {
-									err = msgp.WrapError(err, "Usage", "Pending", za0003, "Window")
+									err = msgp.WrapError(err, "Usage", "Pending", za0004, "Window")
 									return
 								}
 							default:
 								bts, err = msgp.Skip(bts)
 								if err != nil {
-									err = msgp.WrapError(err, "Usage", "Pending", za0003)
+									err = msgp.WrapError(err, "Usage", "Pending", za0004)
 									return
 								}
 							}
@@ -3313,18 +3465,22 @@
 // Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
 func (z *LeaseBody) Msgsize() (s int) {
 	s = 1 + 2 + 1 + 2 + msgp.Int64Size + 2 + msgp.StringPrefixSize + len(z.Lease.Holder) + 2 + msgp.ArrayHeaderSize
-	for za0001 := range z.Setpoints {
-		s += 1 + 2 + msgp.IntSize + 2 + msgp.StringPrefixSize + len(z.Setpoints[za0001].Service) + 2 + msgp.StringPrefixSize + len(z.Setpoints[za0001].Zone)
+	for za0001 := range z.Evacuations {
+		s += 1 + 2 + msgp.BoolSize + 2 + msgp.Int64Size + 2 + msgp.StringPrefixSize + len(z.Evacuations[za0001].Zone)
+	}
+	s += 2 + msgp.ArrayHeaderSize
+	for za0002 := range z.Setpoints {
+		s += 1 + 2 + msgp.IntSize + 2 + msgp.StringPrefixSize + len(z.Setpoints[za0002].Service) + 2 + msgp.StringPrefixSize + len(z.Setpoints[za0002].Zone)
 	}
 	s += 2 + msgp.ArrayHeaderSize
-	for za0002 := range z.Targets {
-		s += 1 + 2 + msgp.StringPrefixSize + len(z.Targets[za0002].Model) + 2 + msgp.Int64Size
+	for za0003 := range z.Targets {
+		s += 1 + 2 + msgp.StringPrefixSize + len(z.Targets[za0003].Model) + 2 + msgp.Int64Size
 	}
 	s += 2 + 1 + 2 + msgp.Int64Size + 2 + msgp.ArrayHeaderSize
-	for za0003 := range z.Usage.Pending {
+	for za0004 := range z.Usage.Pending {
 		s += 1 + 2 + msgp.ArrayHeaderSize
-		for za0004 := range z.Usage.Pending[za0003].Counts {
-			s += 1 + 2 + msgp.Int64Size + 2 + msgp.StringPrefixSize + len(z.Usage.Pending[za0003].Counts[za0004].Tenant)
+		for za0005 := range z.Usage.Pending[za0004].Counts {
+			s += 1 + 2 + msgp.Int64Size + 2 + msgp.StringPrefixSize + len(z.Usage.Pending[za0004].Counts[za0005].Tenant)
 		}
 		s += 2 + msgp.Int64Size
 	}
@@ -3798,41 +3954,54 @@
 }
 
 // MarshalMsg implements msgp.Marshaler
-func (z *Peer) MarshalMsg(b []byte) (o []byte, err error) {
+func (z *PartitionCondition) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
-	// map header, size 9
-	// string "a"
-	o = append(o, 0x89, 0xa1, 0x61)
-	o = msgp.AppendString(o, z.Addr)
-	// string "c"
-	o = append(o, 0xa1, 0x63)
-	o = msgp.AppendString(o, z.Control)
-	// string "i"
-	o = append(o, 0xa1, 0x69)
-	o = msgp.AppendInt64(o, z.Life)
-	// string "k"
-	o = append(o, 0xa1, 0x6b)
-	o = msgp.AppendBool(o, z.Counted)
-	// string "l"
-	o = append(o, 0xa1, 0x6c)
-	o = msgp.AppendString(o, z.MemberID)
-	// string "n"
-	o = append(o, 0xa1, 0x6e)
-	o = msgp.AppendString(o, z.Node)
-	// string "r"
-	o = append(o, 0xa1, 0x72)
-	o = msgp.AppendString(o, string(z.Role))
-	// string "s"
-	o = append(o, 0xa1, 0x73)
-	o = msgp.AppendString(o, string(z.Status))
-	// string "z"
-	o = append(o, 0xa1, 0x7a)
-	o = msgp.AppendString(o, z.Zone)
+	// map header, size 4
+	// string "e"
+	o = append(o, 0x84, 0xa1, 0x65)
+	o = msgp.AppendArrayHeader(o, uint32(len(z.Evacuated)))
+	for za0001 := range z.Evacuated {
+		o = msgp.AppendString(o, z.Evacuated[za0001])
+	}
+	// string "t"
+	o = append(o, 0xa1, 0x74)
+	o, err = z.Tally.MarshalMsg(o)
+	if err != nil {
+		err = msgp.WrapError(err, "Tally")
+		return
+	}
+	// string "u"
+	o = append(o, 0xa1, 0x75)
+	o = msgp.AppendArrayHeader(o, uint32(len(z.UnreachableZones)))
+	for za0002 := range z.UnreachableZones {
+		// map header, size 2
+		// string "s"
+		o = append(o, 0x82, 0xa1, 0x73)
+		o = msgp.AppendInt64(o, z.UnreachableZones[za0002].SinceUs)
+		// string "z"
+		o = append(o, 0xa1, 0x7a)
+		o = msgp.AppendString(o, z.UnreachableZones[za0002].Zone)
+	}
+	// string "w"
+	o = append(o, 0xa1, 0x77)
+	o = msgp.AppendArrayHeader(o, uint32(len(z.WarmingUp)))
+	for za0003 := range z.WarmingUp {
+		// map header, size 3
+		// string "a"
+		o = append(o, 0x83, 0xa1, 0x61)
+		o = msgp.AppendFloat64(o, z.WarmingUp[za0003].RatePerS)
+		// string "i"
+		o = append(o, 0xa1, 0x69)
+		o = msgp.AppendString(o, z.WarmingUp[za0003].ID)
+		// string "l"
+		o = append(o, 0xa1, 0x6c)
+		o = msgp.AppendInt64(o, z.WarmingUp[za0003].LeftUs)
+	}
 	return
 }
 
 // UnmarshalMsg implements msgp.Unmarshaler
-func (z *Peer) UnmarshalMsg(bts []byte) (o []byte, err error) {
+func (z *PartitionCondition) UnmarshalMsg(bts []byte) (o []byte, err error) {
 	var field []byte
 	_ = field
 	var zb0001 uint32
@@ -3849,71 +4018,279 @@
 			return
 		}
 		switch msgp.UnsafeString(field) {
-		case "a":
-			z.Addr, bts, err = msgp.ReadStringBytes(bts)
-			if err != nil {
-				err = msgp.WrapError(err, "Addr")
-				return
-			}
-		case "c":
-			z.Control, bts, err = msgp.ReadStringBytes(bts)
+		case "e":
+			var zb0002 uint32
+			zb0002, bts, err = msgp.ReadArrayHeaderBytes(bts)
 			if err != nil {
-				err = msgp.WrapError(err, "Control")
+				err = msgp.WrapError(err, "Evacuated")
 				return
 			}
-		case "i":
-			z.Life, bts, err = msgp.ReadInt64Bytes(bts)
-			if err != nil {
-				err = msgp.WrapError(err, "Life")
-				return
+			if cap(z.Evacuated) >= int(zb0002) {
+				z.Evacuated = (z.Evacuated)[:zb0002]
+			} else {
+				z.Evacuated = make([]string, zb0002)
 			}
-		case "k":
-			z.Counted, bts, err = msgp.ReadBoolBytes(bts)
-			if err != nil {
-				err = msgp.WrapError(err, "Counted")
-				return
+			for za0001 := range z.Evacuated {
+				z.Evacuated[za0001], bts, err = msgp.ReadStringBytes(bts)
+				if err != nil {
+					err = msgp.WrapError(err, "Evacuated", za0001)
+					return
+				}
 			}
-		case "l":
-			z.MemberID, bts, err = msgp.ReadStringBytes(bts)
+		case "t":
+			bts, err = z.Tally.UnmarshalMsg(bts)
 			if err != nil {
-				err = msgp.WrapError(err, "MemberID")
+				err = msgp.WrapError(err, "Tally")
 				return
 			}
-		case "n":
-			z.Node, bts, err = msgp.ReadStringBytes(bts)
+		case "u":
+			var zb0003 uint32
+			zb0003, bts, err = msgp.ReadArrayHeaderBytes(bts)
 			if err != nil {
-				err = msgp.WrapError(err, "Node")
+				err = msgp.WrapError(err, "UnreachableZones")
 				return
 			}
-		case "r":
-			{
-				var zb0002 string
-				zb0002, bts, err = msgp.ReadStringBytes(bts)
-				if err != nil {
-					err = msgp.WrapError(err, "Role")
-					return
-				}
-				z.Role = Role(zb0002)
+			if cap(z.UnreachableZones) >= int(zb0003) {
+				z.UnreachableZones = (z.UnreachableZones)[:zb0003]
+			} else {
+				z.UnreachableZones = make([]UnreachableZone, zb0003)
 			}
-		case "s":
-			{
-				var zb0003 string
-				zb0003, bts, err = msgp.ReadStringBytes(bts)
+			for za0002 := range z.UnreachableZones {
+				var zb0004 uint32
+				zb0004, bts, err = msgp.ReadMapHeaderBytes(bts)
 				if err != nil {
-					err = msgp.WrapError(err, "Status")
+					err = msgp.WrapError(err, "UnreachableZones", za0002)
 					return
 				}
-				z.Status = Status(zb0003)
-			}
-		case "z":
-			z.Zone, bts, err = msgp.ReadStringBytes(bts)
-			if err != nil {
-				err = msgp.WrapError(err, "Zone")
-				return
-			}
-		default:
-			bts, err = msgp.Skip(bts)
-			if err != nil {
+				for zb0004 > 0 {
+					zb0004--
+					field, bts, err = msgp.ReadMapKeyZC(bts)
+					if err != nil {
+						err = msgp.WrapError(err, "UnreachableZones", za0002)
+						return
+					}
+					switch msgp.UnsafeString(field) {
+					case "s":
+						z.UnreachableZones[za0002].SinceUs, bts, err = msgp.ReadInt64Bytes(bts)
+						if err != nil {
+							err = msgp.WrapError(err, "UnreachableZones", za0002, "SinceUs")
+							return
+						}
+					case "z":
+						z.UnreachableZones[za0002].Zone, bts, err = msgp.ReadStringBytes(bts)
+						if err != nil {
+							err = msgp.WrapError(err, "UnreachableZones", za0002, "Zone")
+							return
+						}
+					default:
+						bts, err = msgp.Skip(bts)
+						if err != nil {
+							err = msgp.WrapError(err, "UnreachableZones", za0002)
+							return
+						}
+					}
+				}
+			}
+		case "w":
+			var zb0005 uint32
+			zb0005, bts, err = msgp.ReadArrayHeaderBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "WarmingUp")
+				return
+			}
+			if cap(z.WarmingUp) >= int(zb0005) {
+				z.WarmingUp = (z.WarmingUp)[:zb0005]
+			} else {
+				z.WarmingUp = make([]WarmupCondition, zb0005)
+			}
+			for za0003 := range z.WarmingUp {
+				var zb0006 uint32
+				zb0006, bts, err = msgp.ReadMapHeaderBytes(bts)
+				if err != nil {
+					err = msgp.WrapError(err, "WarmingUp", za0003)
+					return
+				}
+				for zb0006 > 0 {
+					zb0006--
+					field, bts, err = msgp.ReadMapKeyZC(bts)
+					if err != nil {
+						err = msgp.WrapError(err, "WarmingUp", za0003)
+						return
+					}
+					switch msgp.UnsafeString(field) {
+					case "a":
+						z.WarmingUp[za0003].RatePerS, bts, err = msgp.ReadFloat64Bytes(bts)
+						if err != nil {
+							err = msgp.WrapError(err, "WarmingUp", za0003, "RatePerS")
+							return
+						}
+					case "i":
+						z.WarmingUp[za0003].ID, bts, err = msgp.ReadStringBytes(bts)
+						if err != nil {
+							err = msgp.WrapError(err, "WarmingUp", za0003, "ID")
+							return
+						}
+					case "l":
+						z.WarmingUp[za0003].LeftUs, bts, err = msgp.ReadInt64Bytes(bts)
+						if err != nil {
+							err = msgp.WrapError(err, "WarmingUp", za0003, "LeftUs")
+							return
+						}
+					default:
+						bts, err = msgp.Skip(bts)
+						if err != nil {
+							err = msgp.WrapError(err, "WarmingUp", za0003)
+							return
+						}
+					}
+				}
+			}
+		default:
+			bts, err = msgp.Skip(bts)
+			if err != nil {
+				err = msgp.WrapError(err)
+				return
+			}
+		}
+	}
+	o = bts
+	return
+}
+
+// Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
+func (z *PartitionCondition) Msgsize() (s int) {
+	s = 1 + 2 + msgp.ArrayHeaderSize
+	for za0001 := range z.Evacuated {
+		s += msgp.StringPrefixSize + len(z.Evacuated[za0001])
+	}
+	s += 2 + z.Tally.Msgsize() + 2 + msgp.ArrayHeaderSize
+	for za0002 := range z.UnreachableZones {
+		s += 1 + 2 + msgp.Int64Size + 2 + msgp.StringPrefixSize + len(z.UnreachableZones[za0002].Zone)
+	}
+	s += 2 + msgp.ArrayHeaderSize
+	for za0003 := range z.WarmingUp {
+		s += 1 + 2 + msgp.Float64Size + 2 + msgp.StringPrefixSize + len(z.WarmingUp[za0003].ID) + 2 + msgp.Int64Size
+	}
+	return
+}
+
+// MarshalMsg implements msgp.Marshaler
+func (z *Peer) MarshalMsg(b []byte) (o []byte, err error) {
+	o = msgp.Require(b, z.Msgsize())
+	// map header, size 9
+	// string "a"
+	o = append(o, 0x89, 0xa1, 0x61)
+	o = msgp.AppendString(o, z.Addr)
+	// string "c"
+	o = append(o, 0xa1, 0x63)
+	o = msgp.AppendString(o, z.Control)
+	// string "i"
+	o = append(o, 0xa1, 0x69)
+	o = msgp.AppendInt64(o, z.Life)
+	// string "k"
+	o = append(o, 0xa1, 0x6b)
+	o = msgp.AppendBool(o, z.Counted)
+	// string "l"
+	o = append(o, 0xa1, 0x6c)
+	o = msgp.AppendString(o, z.MemberID)
+	// string "n"
+	o = append(o, 0xa1, 0x6e)
+	o = msgp.AppendString(o, z.Node)
+	// string "r"
+	o = append(o, 0xa1, 0x72)
+	o = msgp.AppendString(o, string(z.Role))
+	// string "s"
+	o = append(o, 0xa1, 0x73)
+	o = msgp.AppendString(o, string(z.Status))
+	// string "z"
+	o = append(o, 0xa1, 0x7a)
+	o = msgp.AppendString(o, z.Zone)
+	return
+}
+
+// UnmarshalMsg implements msgp.Unmarshaler
+func (z *Peer) UnmarshalMsg(bts []byte) (o []byte, err error) {
+	var field []byte
+	_ = field
+	var zb0001 uint32
+	zb0001, bts, err = msgp.ReadMapHeaderBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err)
+		return
+	}
+	for zb0001 > 0 {
+		zb0001--
+		field, bts, err = msgp.ReadMapKeyZC(bts)
+		if err != nil {
+			err = msgp.WrapError(err)
+			return
+		}
+		switch msgp.UnsafeString(field) {
+		case "a":
+			z.Addr, bts, err = msgp.ReadStringBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Addr")
+				return
+			}
+		case "c":
+			z.Control, bts, err = msgp.ReadStringBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Control")
+				return
+			}
+		case "i":
+			z.Life, bts, err = msgp.ReadInt64Bytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Life")
+				return
+			}
+		case "k":
+			z.Counted, bts, err = msgp.ReadBoolBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Counted")
+				return
+			}
+		case "l":
+			z.MemberID, bts, err = msgp.ReadStringBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "MemberID")
+				return
+			}
+		case "n":
+			z.Node, bts, err = msgp.ReadStringBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Node")
+				return
+			}
+		case "r":
+			{
+				var zb0002 string
+				zb0002, bts, err = msgp.ReadStringBytes(bts)
+				if err != nil {
+					err = msgp.WrapError(err, "Role")
+					return
+				}
+				z.Role = Role(zb0002)
+			}
+		case "s":
+			{
+				var zb0003 string
+				zb0003, bts, err = msgp.ReadStringBytes(bts)
+				if err != nil {
+					err = msgp.WrapError(err, "Status")
+					return
+				}
+				z.Status = Status(zb0003)
+			}
+		case "z":
+			z.Zone, bts, err = msgp.ReadStringBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Zone")
+				return
+			}
+		default:
+			bts, err = msgp.Skip(bts)
+			if err != nil {
 				err = msgp.WrapError(err)
 				return
 			}
@@ -5264,9 +5641,9 @@
 // MarshalMsg implements msgp.Marshaler
 func (z *RunnerRecord) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
-	// map header, size 14
+	// map header, size 15
 	// string "a"
-	o = append(o, 0x8e, 0xa1, 0x61)
+	o = append(o, 0x8f, 0xa1, 0x61)
 	o = msgp.AppendString(o, z.Addr)
 	// string "b"
 	o = append(o, 0xa1, 0x62)
@@ -5286,6 +5663,9 @@
 	// string "i"
 	o = append(o, 0xa1, 0x69)
 	o = msgp.AppendString(o, z.ID)
+	// string "k"
+	o = append(o, 0xa1, 0x6b)
+	o = msgp.AppendInt64(o, z.ColdLeftUs)
 	// string "l"
 	o = append(o, 0xa1, 0x6c)
 	o = msgp.AppendBool(o, z.Lost)
@@ -5379,6 +5759,12 @@
 				err = msgp.WrapError(err, "ID")
 				return
 			}
+		case "k":
+			z.ColdLeftUs, bts, err = msgp.ReadInt64Bytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "ColdLeftUs")
+				return
+			}
 		case "l":
 			z.Lost, bts, err = msgp.ReadBoolBytes(bts)
 			if err != nil {
@@ -5477,7 +5863,7 @@
 
 // Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
 func (z *RunnerRecord) Msgsize() (s int) {
-	s = 1 + 2 + msgp.StringPrefixSize + len(z.Addr) + 2 + msgp.BoolSize + 2 + msgp.IntSize + 2 + msgp.BoolSize + 2 + msgp.BoolSize + 2 + msgp.BoolSize + 2 + msgp.StringPrefixSize + len(z.ID) + 2 + msgp.BoolSize + 2 + msgp.ArrayHeaderSize
+	s = 1 + 2 + msgp.StringPrefixSize + len(z.Addr) + 2 + msgp.BoolSize + 2 + msgp.IntSize + 2 + msgp.BoolSize + 2 + msgp.BoolSize + 2 + msgp.BoolSize + 2 + msgp.StringPrefixSize + len(z.ID) + 2 + msgp.Int64Size + 2 + msgp.BoolSize + 2 + msgp.ArrayHeaderSize
 	for za0001 := range z.Models {
 		s += 1 + 2 + msgp.StringPrefixSize + len(z.Models[za0001].Model) + 2 + msgp.Int64Size
 	}
@@ -5779,20 +6165,23 @@
 }
 
 // MarshalMsg implements msgp.Marshaler
-func (z Target) MarshalMsg(b []byte) (o []byte, err error) {
+func (z TallyAck) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
-	// map header, size 2
-	// string "m"
-	o = append(o, 0x82, 0xa1, 0x6d)
-	o = msgp.AppendString(o, z.Model)
-	// string "v"
-	o = append(o, 0xa1, 0x76)
-	o = msgp.AppendInt64(o, z.Version)
+	// map header, size 3
+	// string "d"
+	o = append(o, 0x83, 0xa1, 0x64)
+	o = msgp.AppendBool(o, z.Durable)
+	// string "n"
+	o = append(o, 0xa1, 0x6e)
+	o = msgp.AppendUint64(o, z.Held)
+	// string "z"
+	o = append(o, 0xa1, 0x7a)
+	o = msgp.AppendString(o, z.Zone)
 	return
 }
 
 // UnmarshalMsg implements msgp.Unmarshaler
-func (z *Target) UnmarshalMsg(bts []byte) (o []byte, err error) {
+func (z *TallyAck) UnmarshalMsg(bts []byte) (o []byte, err error) {
 	var field []byte
 	_ = field
 	var zb0001 uint32
@@ -5809,16 +6198,22 @@
 			return
 		}
 		switch msgp.UnsafeString(field) {
-		case "m":
-			z.Model, bts, err = msgp.ReadStringBytes(bts)
+		case "d":
+			z.Durable, bts, err = msgp.ReadBoolBytes(bts)
 			if err != nil {
-				err = msgp.WrapError(err, "Model")
+				err = msgp.WrapError(err, "Durable")
 				return
 			}
-		case "v":
-			z.Version, bts, err = msgp.ReadInt64Bytes(bts)
+		case "n":
+			z.Held, bts, err = msgp.ReadUint64Bytes(bts)
 			if err != nil {
-				err = msgp.WrapError(err, "Version")
+				err = msgp.WrapError(err, "Held")
+				return
+			}
+		case "z":
+			z.Zone, bts, err = msgp.ReadStringBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Zone")
 				return
 			}
 		default:
@@ -5834,29 +6229,26 @@
 }
 
 // Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
-func (z Target) Msgsize() (s int) {
-	s = 1 + 2 + msgp.StringPrefixSize + len(z.Model) + 2 + msgp.Int64Size
+func (z TallyAck) Msgsize() (s int) {
+	s = 1 + 2 + msgp.BoolSize + 2 + msgp.Uint64Size + 2 + msgp.StringPrefixSize + len(z.Zone)
 	return
 }
 
 // MarshalMsg implements msgp.Marshaler
-func (z TargetAge) MarshalMsg(b []byte) (o []byte, err error) {
+func (z *TallyAppend) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
-	// map header, size 3
-	// string "a"
-	o = append(o, 0x83, 0xa1, 0x61)
-	o = msgp.AppendInt64(o, z.AgeUs)
-	// string "m"
-	o = append(o, 0xa1, 0x6d)
-	o = msgp.AppendString(o, z.Model)
-	// string "v"
-	o = append(o, 0xa1, 0x76)
-	o = msgp.AppendInt64(o, z.Version)
+	// map header, size 2
+	// string "o"
+	o = append(o, 0x82, 0xa1, 0x6f)
+	o = msgp.AppendString(o, z.Origin)
+	// string "r"
+	o = append(o, 0xa1, 0x72)
+	o = msgp.AppendBytes(o, z.Runs)
 	return
 }
 
 // UnmarshalMsg implements msgp.Unmarshaler
-func (z *TargetAge) UnmarshalMsg(bts []byte) (o []byte, err error) {
+func (z *TallyAppend) UnmarshalMsg(bts []byte) (o []byte, err error) {
 	var field []byte
 	_ = field
 	var zb0001 uint32
@@ -5873,7 +6265,503 @@
 			return
 		}
 		switch msgp.UnsafeString(field) {
-		case "a":
+		case "o":
+			z.Origin, bts, err = msgp.ReadStringBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Origin")
+				return
+			}
+		case "r":
+			z.Runs, bts, err = msgp.ReadBytesBytes(bts, z.Runs)
+			if err != nil {
+				err = msgp.WrapError(err, "Runs")
+				return
+			}
+		default:
+			bts, err = msgp.Skip(bts)
+			if err != nil {
+				err = msgp.WrapError(err)
+				return
+			}
+		}
+	}
+	o = bts
+	return
+}
+
+// Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
+func (z *TallyAppend) Msgsize() (s int) {
+	s = 1 + 2 + msgp.StringPrefixSize + len(z.Origin) + 2 + msgp.BytesPrefixSize + len(z.Runs)
+	return
+}
+
+// MarshalMsg implements msgp.Marshaler
+func (z *TallyCondition) MarshalMsg(b []byte) (o []byte, err error) {
+	o = msgp.Require(b, z.Msgsize())
+	// map header, size 9
+	// string "b"
+	o = append(o, 0x89, 0xa1, 0x62)
+	o = msgp.AppendInt64(o, z.DiskBytes)
+	// string "d"
+	o = append(o, 0xa1, 0x64)
+	o = msgp.AppendUint64(o, z.Digest)
+	// string "f"
+	o = append(o, 0xa1, 0x66)
+	o = msgp.AppendBool(o, z.Full)
+	// string "n"
+	o = append(o, 0xa1, 0x6e)
+	o = msgp.AppendInt64(o, z.Adds)
+	// string "o"
+	o = append(o, 0xa1, 0x6f)
+	o = msgp.AppendString(o, z.Origin)
+	// string "s"
+	o = append(o, 0xa1, 0x73)
+	o = msgp.AppendBool(o, z.Starting)
+	// string "t"
+	o = append(o, 0xa1, 0x74)
+	o = msgp.AppendInt(o, z.Tallies)
+	// string "u"
+	o = append(o, 0xa1, 0x75)
+	o = msgp.AppendUint64(o, z.Unconfirmed)
+	// string "w"
+	o = append(o, 0xa1, 0x77)
+	o = msgp.AppendArrayHeader(o, uint32(len(z.Unreachable)))
+	for za0001 := range z.Unreachable {
+		o = msgp.AppendString(o, z.Unreachable[za0001])
+	}
+	return
+}
+
+// UnmarshalMsg implements msgp.Unmarshaler
+func (z *TallyCondition) UnmarshalMsg(bts []byte) (o []byte, err error) {
+	var field []byte
+	_ = field
+	var zb0001 uint32
+	zb0001, bts, err = msgp.ReadMapHeaderBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err)
+		return
+	}
+	for zb0001 > 0 {
+		zb0001--
+		field, bts, err = msgp.ReadMapKeyZC(bts)
+		if err != nil {
+			err = msgp.WrapError(err)
+			return
+		}
+		switch msgp.UnsafeString(field) {
+		case "b":
+			z.DiskBytes, bts, err = msgp.ReadInt64Bytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "DiskBytes")
+				return
+			}
+		case "d":
+			z.Digest, bts, err = msgp.ReadUint64Bytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Digest")
+				return
+			}
+		case "f":
+			z.Full, bts, err = msgp.ReadBoolBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Full")
+				return
+			}
+		case "n":
+			z.Adds, bts, err = msgp.ReadInt64Bytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Adds")
+				return
+			}
+		case "o":
+			z.Origin, bts, err = msgp.ReadStringBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Origin")
+				return
+			}
+		case "s":
+			z.Starting, bts, err = msgp.ReadBoolBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Starting")
+				return
+			}
+		case "t":
+			z.Tallies, bts, err = msgp.ReadIntBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Tallies")
+				return
+			}
+		case "u":
+			z.Unconfirmed, bts, err = msgp.ReadUint64Bytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Unconfirmed")
+				return
+			}
+		case "w":
+			var zb0002 uint32
+			zb0002, bts, err = msgp.ReadArrayHeaderBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Unreachable")
+				return
+			}
+			if cap(z.Unreachable) >= int(zb0002) {
+				z.Unreachable = (z.Unreachable)[:zb0002]
+			} else {
+				z.Unreachable = make([]string, zb0002)
+			}
+			for za0001 := range z.Unreachable {
+				z.Unreachable[za0001], bts, err = msgp.ReadStringBytes(bts)
+				if err != nil {
+					err = msgp.WrapError(err, "Unreachable", za0001)
+					return
+				}
+			}
+		default:
+			bts, err = msgp.Skip(bts)
+			if err != nil {
+				err = msgp.WrapError(err)
+				return
+			}
+		}
+	}
+	o = bts
+	return
+}
+
+// Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
+func (z *TallyCondition) Msgsize() (s int) {
+	s = 1 + 2 + msgp.Int64Size + 2 + msgp.Uint64Size + 2 + msgp.BoolSize + 2 + msgp.Int64Size + 2 + msgp.StringPrefixSize + len(z.Origin) + 2 + msgp.BoolSize + 2 + msgp.IntSize + 2 + msgp.Uint64Size + 2 + msgp.ArrayHeaderSize
+	for za0001 := range z.Unreachable {
+		s += msgp.StringPrefixSize + len(z.Unreachable[za0001])
+	}
+	return
+}
+
+// MarshalMsg implements msgp.Marshaler
+func (z TallyHeld) MarshalMsg(b []byte) (o []byte, err error) {
+	o = msgp.Require(b, z.Msgsize())
+	// map header, size 2
+	// string "n"
+	o = append(o, 0x82, 0xa1, 0x6e)
+	o = msgp.AppendUint64(o, z.Held)
+	// string "o"
+	o = append(o, 0xa1, 0x6f)
+	o = msgp.AppendString(o, z.Origin)
+	return
+}
+
+// UnmarshalMsg implements msgp.Unmarshaler
+func (z *TallyHeld) UnmarshalMsg(bts []byte) (o []byte, err error) {
+	var field []byte
+	_ = field
+	var zb0001 uint32
+	zb0001, bts, err = msgp.ReadMapHeaderBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err)
+		return
+	}
+	for zb0001 > 0 {
+		zb0001--
+		field, bts, err = msgp.ReadMapKeyZC(bts)
+		if err != nil {
+			err = msgp.WrapError(err)
+			return
+		}
+		switch msgp.UnsafeString(field) {
+		case "n":
+			z.Held, bts, err = msgp.ReadUint64Bytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Held")
+				return
+			}
+		case "o":
+			z.Origin, bts, err = msgp.ReadStringBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Origin")
+				return
+			}
+		default:
+			bts, err = msgp.Skip(bts)
+			if err != nil {
+				err = msgp.WrapError(err)
+				return
+			}
+		}
+	}
+	o = bts
+	return
+}
+
+// Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
+func (z TallyHeld) Msgsize() (s int) {
+	s = 1 + 2 + msgp.Uint64Size + 2 + msgp.StringPrefixSize + len(z.Origin)
+	return
+}
+
+// MarshalMsg implements msgp.Marshaler
+func (z *TallyPull) MarshalMsg(b []byte) (o []byte, err error) {
+	o = msgp.Require(b, z.Msgsize())
+	// map header, size 1
+	// string "v"
+	o = append(o, 0x81, 0xa1, 0x76)
+	o = msgp.AppendArrayHeader(o, uint32(len(z.Vector)))
+	for za0001 := range z.Vector {
+		// map header, size 2
+		// string "n"
+		o = append(o, 0x82, 0xa1, 0x6e)
+		o = msgp.AppendUint64(o, z.Vector[za0001].Held)
+		// string "o"
+		o = append(o, 0xa1, 0x6f)
+		o = msgp.AppendString(o, z.Vector[za0001].Origin)
+	}
+	return
+}
+
+// UnmarshalMsg implements msgp.Unmarshaler
+func (z *TallyPull) UnmarshalMsg(bts []byte) (o []byte, err error) {
+	var field []byte
+	_ = field
+	var zb0001 uint32
+	zb0001, bts, err = msgp.ReadMapHeaderBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err)
+		return
+	}
+	for zb0001 > 0 {
+		zb0001--
+		field, bts, err = msgp.ReadMapKeyZC(bts)
+		if err != nil {
+			err = msgp.WrapError(err)
+			return
+		}
+		switch msgp.UnsafeString(field) {
+		case "v":
+			var zb0002 uint32
+			zb0002, bts, err = msgp.ReadArrayHeaderBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Vector")
+				return
+			}
+			if cap(z.Vector) >= int(zb0002) {
+				z.Vector = (z.Vector)[:zb0002]
+			} else {
+				z.Vector = make([]TallyHeld, zb0002)
+			}
+			for za0001 := range z.Vector {
+				var zb0003 uint32
+				zb0003, bts, err = msgp.ReadMapHeaderBytes(bts)
+				if err != nil {
+					err = msgp.WrapError(err, "Vector", za0001)
+					return
+				}
+				for zb0003 > 0 {
+					zb0003--
+					field, bts, err = msgp.ReadMapKeyZC(bts)
+					if err != nil {
+						err = msgp.WrapError(err, "Vector", za0001)
+						return
+					}
+					switch msgp.UnsafeString(field) {
+					case "n":
+						z.Vector[za0001].Held, bts, err = msgp.ReadUint64Bytes(bts)
+						if err != nil {
+							err = msgp.WrapError(err, "Vector", za0001, "Held")
+							return
+						}
+					case "o":
+						z.Vector[za0001].Origin, bts, err = msgp.ReadStringBytes(bts)
+						if err != nil {
+							err = msgp.WrapError(err, "Vector", za0001, "Origin")
+							return
+						}
+					default:
+						bts, err = msgp.Skip(bts)
+						if err != nil {
+							err = msgp.WrapError(err, "Vector", za0001)
+							return
+						}
+					}
+				}
+			}
+		default:
+			bts, err = msgp.Skip(bts)
+			if err != nil {
+				err = msgp.WrapError(err)
+				return
+			}
+		}
+	}
+	o = bts
+	return
+}
+
+// Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
+func (z *TallyPull) Msgsize() (s int) {
+	s = 1 + 2 + msgp.ArrayHeaderSize
+	for za0001 := range z.Vector {
+		s += 1 + 2 + msgp.Uint64Size + 2 + msgp.StringPrefixSize + len(z.Vector[za0001].Origin)
+	}
+	return
+}
+
+// MarshalMsg implements msgp.Marshaler
+func (z *TallyRuns) MarshalMsg(b []byte) (o []byte, err error) {
+	o = msgp.Require(b, z.Msgsize())
+	// map header, size 2
+	// string "m"
+	o = append(o, 0x82, 0xa1, 0x6d)
+	o = msgp.AppendBool(o, z.More)
+	// string "r"
+	o = append(o, 0xa1, 0x72)
+	o = msgp.AppendBytes(o, z.Runs)
+	return
+}
+
+// UnmarshalMsg implements msgp.Unmarshaler
+func (z *TallyRuns) UnmarshalMsg(bts []byte) (o []byte, err error) {
+	var field []byte
+	_ = field
+	var zb0001 uint32
+	zb0001, bts, err = msgp.ReadMapHeaderBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err)
+		return
+	}
+	for zb0001 > 0 {
+		zb0001--
+		field, bts, err = msgp.ReadMapKeyZC(bts)
+		if err != nil {
+			err = msgp.WrapError(err)
+			return
+		}
+		switch msgp.UnsafeString(field) {
+		case "m":
+			z.More, bts, err = msgp.ReadBoolBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "More")
+				return
+			}
+		case "r":
+			z.Runs, bts, err = msgp.ReadBytesBytes(bts, z.Runs)
+			if err != nil {
+				err = msgp.WrapError(err, "Runs")
+				return
+			}
+		default:
+			bts, err = msgp.Skip(bts)
+			if err != nil {
+				err = msgp.WrapError(err)
+				return
+			}
+		}
+	}
+	o = bts
+	return
+}
+
+// Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
+func (z *TallyRuns) Msgsize() (s int) {
+	s = 1 + 2 + msgp.BoolSize + 2 + msgp.BytesPrefixSize + len(z.Runs)
+	return
+}
+
+// MarshalMsg implements msgp.Marshaler
+func (z Target) MarshalMsg(b []byte) (o []byte, err error) {
+	o = msgp.Require(b, z.Msgsize())
+	// map header, size 2
+	// string "m"
+	o = append(o, 0x82, 0xa1, 0x6d)
+	o = msgp.AppendString(o, z.Model)
+	// string "v"
+	o = append(o, 0xa1, 0x76)
+	o = msgp.AppendInt64(o, z.Version)
+	return
+}
+
+// UnmarshalMsg implements msgp.Unmarshaler
+func (z *Target) UnmarshalMsg(bts []byte) (o []byte, err error) {
+	var field []byte
+	_ = field
+	var zb0001 uint32
+	zb0001, bts, err = msgp.ReadMapHeaderBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err)
+		return
+	}
+	for zb0001 > 0 {
+		zb0001--
+		field, bts, err = msgp.ReadMapKeyZC(bts)
+		if err != nil {
+			err = msgp.WrapError(err)
+			return
+		}
+		switch msgp.UnsafeString(field) {
+		case "m":
+			z.Model, bts, err = msgp.ReadStringBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Model")
+				return
+			}
+		case "v":
+			z.Version, bts, err = msgp.ReadInt64Bytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Version")
+				return
+			}
+		default:
+			bts, err = msgp.Skip(bts)
+			if err != nil {
+				err = msgp.WrapError(err)
+				return
+			}
+		}
+	}
+	o = bts
+	return
+}
+
+// Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
+func (z Target) Msgsize() (s int) {
+	s = 1 + 2 + msgp.StringPrefixSize + len(z.Model) + 2 + msgp.Int64Size
+	return
+}
+
+// MarshalMsg implements msgp.Marshaler
+func (z TargetAge) MarshalMsg(b []byte) (o []byte, err error) {
+	o = msgp.Require(b, z.Msgsize())
+	// map header, size 3
+	// string "a"
+	o = append(o, 0x83, 0xa1, 0x61)
+	o = msgp.AppendInt64(o, z.AgeUs)
+	// string "m"
+	o = append(o, 0xa1, 0x6d)
+	o = msgp.AppendString(o, z.Model)
+	// string "v"
+	o = append(o, 0xa1, 0x76)
+	o = msgp.AppendInt64(o, z.Version)
+	return
+}
+
+// UnmarshalMsg implements msgp.Unmarshaler
+func (z *TargetAge) UnmarshalMsg(bts []byte) (o []byte, err error) {
+	var field []byte
+	_ = field
+	var zb0001 uint32
+	zb0001, bts, err = msgp.ReadMapHeaderBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err)
+		return
+	}
+	for zb0001 > 0 {
+		zb0001--
+		field, bts, err = msgp.ReadMapKeyZC(bts)
+		if err != nil {
+			err = msgp.WrapError(err)
+			return
+		}
+		switch msgp.UnsafeString(field) {
+		case "a":
 			z.AgeUs, bts, err = msgp.ReadInt64Bytes(bts)
 			if err != nil {
 				err = msgp.WrapError(err, "AgeUs")
@@ -6056,6 +6944,67 @@
 	return
 }
 
+// MarshalMsg implements msgp.Marshaler
+func (z UnreachableZone) MarshalMsg(b []byte) (o []byte, err error) {
+	o = msgp.Require(b, z.Msgsize())
+	// map header, size 2
+	// string "s"
+	o = append(o, 0x82, 0xa1, 0x73)
+	o = msgp.AppendInt64(o, z.SinceUs)
+	// string "z"
+	o = append(o, 0xa1, 0x7a)
+	o = msgp.AppendString(o, z.Zone)
+	return
+}
+
+// UnmarshalMsg implements msgp.Unmarshaler
+func (z *UnreachableZone) UnmarshalMsg(bts []byte) (o []byte, err error) {
+	var field []byte
+	_ = field
+	var zb0001 uint32
+	zb0001, bts, err = msgp.ReadMapHeaderBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err)
+		return
+	}
+	for zb0001 > 0 {
+		zb0001--
+		field, bts, err = msgp.ReadMapKeyZC(bts)
+		if err != nil {
+			err = msgp.WrapError(err)
+			return
+		}
+		switch msgp.UnsafeString(field) {
+		case "s":
+			z.SinceUs, bts, err = msgp.ReadInt64Bytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "SinceUs")
+				return
+			}
+		case "z":
+			z.Zone, bts, err = msgp.ReadStringBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Zone")
+				return
+			}
+		default:
+			bts, err = msgp.Skip(bts)
+			if err != nil {
+				err = msgp.WrapError(err)
+				return
+			}
+		}
+	}
+	o = bts
+	return
+}
+
+// Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
+func (z UnreachableZone) Msgsize() (s int) {
+	s = 1 + 2 + msgp.Int64Size + 2 + msgp.StringPrefixSize + len(z.Zone)
+	return
+}
+
 // MarshalMsg implements msgp.Marshaler
 func (z UsageAck) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
@@ -6890,9 +7839,9 @@
 // MarshalMsg implements msgp.Marshaler
 func (z *Versions) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
-	// map header, size 14
+	// map header, size 15
 	// string "a"
-	o = append(o, 0x8e, 0xa1, 0x61)
+	o = append(o, 0x8f, 0xa1, 0x61)
 	o = msgp.AppendArrayHeader(o, uint32(len(z.TargetAges)))
 	for za0001 := range z.TargetAges {
 		// map header, size 3
@@ -6936,6 +7885,9 @@
 	// string "i"
 	o = append(o, 0xa1, 0x69)
 	o = msgp.AppendString(o, z.MemberID)
+	// string "l"
+	o = append(o, 0xa1, 0x6c)
+	o = msgp.AppendUint64(o, z.TallyDigest)
 	// string "p"
 	o = append(o, 0xa1, 0x70)
 	o = msgp.AppendArrayHeader(o, uint32(len(z.Parts)))
@@ -7141,6 +8093,12 @@
 				err = msgp.WrapError(err, "MemberID")
 				return
 			}
+		case "l":
+			z.TallyDigest, bts, err = msgp.ReadUint64Bytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "TallyDigest")
+				return
+			}
 		case "p":
 			var zb0007 uint32
 			zb0007, bts, err = msgp.ReadArrayHeaderBytes(bts)
@@ -7276,7 +8234,7 @@
 	for za0003 := range z.LaterHeartbeats {
 		s += 1 + 2 + msgp.Int64Size + 2 + msgp.StringPrefixSize + len(z.LaterHeartbeats[za0003].ID) + 2 + msgp.Int64Size
 	}
-	s += 2 + msgp.StringPrefixSize + len(z.MemberID) + 2 + msgp.ArrayHeaderSize + (len(z.Parts) * (msgp.Int64Size)) + 2 + msgp.Uint64Size + 2 + msgp.ArrayHeaderSize
+	s += 2 + msgp.StringPrefixSize + len(z.MemberID) + 2 + msgp.Uint64Size + 2 + msgp.ArrayHeaderSize + (len(z.Parts) * (msgp.Int64Size)) + 2 + msgp.Uint64Size + 2 + msgp.ArrayHeaderSize
 	for za0005 := range z.SilentRunners {
 		s += 1 + 2 + msgp.Int64Size + 2 + msgp.StringPrefixSize + len(z.SilentRunners[za0005].ID) + 2 + msgp.Int64Size
 	}
@@ -7344,3 +8302,73 @@
 	s = 1 + 2 + msgp.Int64Size + 2 + msgp.StringPrefixSize + len(z.Name)
 	return
 }
+
+// MarshalMsg implements msgp.Marshaler
+func (z WarmupCondition) MarshalMsg(b []byte) (o []byte, err error) {
+	o = msgp.Require(b, z.Msgsize())
+	// map header, size 3
+	// string "a"
+	o = append(o, 0x83, 0xa1, 0x61)
+	o = msgp.AppendFloat64(o, z.RatePerS)
+	// string "i"
+	o = append(o, 0xa1, 0x69)
+	o = msgp.AppendString(o, z.ID)
+	// string "l"
+	o = append(o, 0xa1, 0x6c)
+	o = msgp.AppendInt64(o, z.LeftUs)
+	return
+}
+
+// UnmarshalMsg implements msgp.Unmarshaler
+func (z *WarmupCondition) UnmarshalMsg(bts []byte) (o []byte, err error) {
+	var field []byte
+	_ = field
+	var zb0001 uint32
+	zb0001, bts, err = msgp.ReadMapHeaderBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err)
+		return
+	}
+	for zb0001 > 0 {
+		zb0001--
+		field, bts, err = msgp.ReadMapKeyZC(bts)
+		if err != nil {
+			err = msgp.WrapError(err)
+			return
+		}
+		switch msgp.UnsafeString(field) {
+		case "a":
+			z.RatePerS, bts, err = msgp.ReadFloat64Bytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "RatePerS")
+				return
+			}
+		case "i":
+			z.ID, bts, err = msgp.ReadStringBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "ID")
+				return
+			}
+		case "l":
+			z.LeftUs, bts, err = msgp.ReadInt64Bytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "LeftUs")
+				return
+			}
+		default:
+			bts, err = msgp.Skip(bts)
+			if err != nil {
+				err = msgp.WrapError(err)
+				return
+			}
+		}
+	}
+	o = bts
+	return
+}
+
+// Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
+func (z WarmupCondition) Msgsize() (s int) {
+	s = 1 + 2 + msgp.Float64Size + 2 + msgp.StringPrefixSize + len(z.ID) + 2 + msgp.Int64Size
+	return
+}
--- a/internal/messages/types.gen.go
+++ b/internal/messages/types.gen.go
@@ -139,6 +139,9 @@
 	Scaling   []ScalingCondition `msg:"v"`
 	Wholes    int64              `msg:"w"`
 	Malformed int64              `msg:"x"`
+
+	// Partition what a node has of the state that outlasts partitions
+	Partition PartitionCondition `msg:"y"`
 	Zone      string             `msg:"z"`
 }
 
@@ -226,6 +229,15 @@
 	Snapshot bool    `msg:"w"`
 }
 
+// Evacuation whether the runners of a zone are to get no requests
+type Evacuation struct {
+	Evacuated bool `msg:"e"`
+
+	// Changes how often it was begun or ended
+	Changes int64  `msg:"n"`
+	Zone    string `msg:"z"`
+}
+
 // Feed what a node sends down the tree; versions of parts go along with every one
 type Feed struct {
 	TargetAges    []TargetAge   `msg:"a"`
@@ -316,6 +328,9 @@
 type LeaseBody struct {
 	Lease Lease `msg:"c"`
 
+	// Evacuations zones that the operator has evacuated
+	Evacuations []Evacuation `msg:"e"`
+
 	// Setpoints the number of runners of each service and zone that was last ordered of the platform
 	Setpoints []Setpoint `msg:"s"`
 	Targets   []Target   `msg:"t"`
@@ -355,6 +370,17 @@
 	Part    int    `msg:"p"`
 }
 
+// PartitionCondition what a node has of the state that outlasts partitions
+type PartitionCondition struct {
+	// Evacuated zones whose runners get no requests
+	Evacuated []string `msg:"e"`
+
+	// Tally the tallies of a controller
+	Tally            TallyCondition    `msg:"t"`
+	UnreachableZones []UnreachableZone `msg:"u"`
+	WarmingUp        []WarmupCondition `msg:"w"`
+}
+
 // Peer defines model for Peer.
 type Peer struct {
 	Addr     string `msg:"a"`
@@ -523,6 +549,9 @@
 	Gone bool   `msg:"g"`
 	ID   string `msg:"i"`
 
+	// ColdLeftUs for how long it warms up from its heartbeat on, as it said
+	ColdLeftUs int64 `msg:"k"`
+
 	// Lost The sender has not heard of it for long, or another runner has its address; a later heartbeat brings it back.
 	Lost       bool     `msg:"l"`
 	Models     []Target `msg:"m"`
@@ -566,6 +595,61 @@
 	Version int64  `msg:"t"`
 }
 
+// TallyAck defines model for TallyAck.
+type TallyAck struct {
+	// Durable the receiver has a disk
+	Durable bool `msg:"d"`
+
+	// Held of the sender's log, on the disk of the receiver if it has one
+	Held uint64 `msg:"n"`
+	Zone string `msg:"z"`
+}
+
+// TallyAppend a replica of the tallies sends what was added to its own log
+type TallyAppend struct {
+	Origin string `msg:"o"`
+
+	// Runs as package tally writes them; empty: asks only what the receiver holds
+	Runs []byte `msg:"r"`
+}
+
+// TallyCondition the tallies of a controller
+type TallyCondition struct {
+	DiskBytes int64  `msg:"b"`
+	Digest    uint64 `msg:"d"`
+	Full      bool   `msg:"f"`
+	Adds      int64  `msg:"n"`
+	Origin    string `msg:"o"`
+
+	// Starting it still asks the others for what it lacks
+	Starting bool `msg:"s"`
+	Tallies  int  `msg:"t"`
+
+	// Unconfirmed adds of its clients that wait for disks
+	Unconfirmed uint64 `msg:"u"`
+
+	// Unreachable replicas that do not answer
+	Unreachable []string `msg:"w"`
+}
+
+// TallyHeld how much is held of the log of one origin
+type TallyHeld struct {
+	Held   uint64 `msg:"n"`
+	Origin string `msg:"o"`
+}
+
+// TallyPull asks another replica for what the sender lacks
+type TallyPull struct {
+	Vector []TallyHeld `msg:"v"`
+}
+
+// TallyRuns defines model for TallyRuns.
+type TallyRuns struct {
+	// More there is more than fits
+	More bool   `msg:"m"`
+	Runs []byte `msg:"r"`
+}
+
 // Target defines model for Target.
 type Target struct {
 	Model   string `msg:"m"`
@@ -589,6 +673,13 @@
 	Seq    int64        `msg:"s"`
 }
 
+// UnreachableZone a zone that a node cannot reach
+type UnreachableZone struct {
+	// SinceUs for how long
+	SinceUs int64  `msg:"s"`
+	Zone    string `msg:"z"`
+}
+
 // UsageAck the answer to a router's rows; after a restart the epoch is another, and the receiver needs all rows again
 type UsageAck struct {
 	Epoch int64 `msg:"e"`
@@ -660,8 +751,11 @@
 	// LaterHeartbeats in a response, those of the silent ones of which the sender knows a later heartbeat
 	LaterHeartbeats []LastHeartbeat `msg:"h"`
 	MemberID        string          `msg:"i"`
-	Parts           []int64         `msg:"p"`
-	RegistrySum     uint64          `msg:"r"`
+
+	// TallyDigest of a controller, which adds to tallies it has
+	TallyDigest uint64  `msg:"l"`
+	Parts       []int64 `msg:"p"`
+	RegistrySum uint64  `msg:"r"`
 
 	// SilentRunners in a request, runners that the sender has not heard for a while
 	SilentRunners []LastHeartbeat `msg:"s"`
@@ -685,3 +779,11 @@
 	Count int64  `msg:"c"`
 	Name  string `msg:"n"`
 }
+
+// WarmupCondition a runner that warms up, as a router sees it
+type WarmupCondition struct {
+	// RatePerS requests a second that this router may send to it; 0: none
+	RatePerS float64 `msg:"a"`
+	ID       string  `msg:"i"`
+	LeftUs   int64   `msg:"l"`
+}
--- a/internal/quota/grantee.go
+++ b/internal/quota/grantee.go
@@ -1,12 +1,10 @@
 package quota
 
 import (
-	"cmp"
-	"maps"
 	"math"
 	"slices"
 
-	"beechtide.org/beechtide/internal/statesync"
+	"beechtide.org/beechtide/internal/rendezvous"
 )
 
 // Token lets one request run. The zero token is none.
@@ -22,9 +20,6 @@
 	demandUs = int64(1_000_000)
 	// forgetUs is after how long without a request a router forgets a tenant.
 	forgetUs = int64(60_000_000)
-	// routerUs is for how long a router counts that is not seen any more: it may still
-	// serve, and all should choose the same lenders.
-	routerUs = int64(60_000_000)
 	// lenderCount is how many routers share Allowance.Unowned of a tenant.
 	lenderCount = 4
 )
@@ -35,8 +30,8 @@
 	bounds  Bounds
 	startUs int64
 	shares  map[string]*share
-	known   bool             // an owner has answered: the fleet is known
-	routers map[string]int64 // when each was last seen
+	known   bool // an owner has answered: the fleet is known
+	routers *rendezvous.Nodes
 }
 
 // share is what a router has of a tenant's limit.
@@ -50,31 +45,17 @@
 
 // NewGrantee returns the part of a router with an address.
 func NewGrantee(self string, bounds Bounds, nowUs int64) *Grantee {
-	return &Grantee{self: self, bounds: bounds, startUs: nowUs, shares: map[string]*share{}, routers: map[string]int64{self: nowUs}}
+	return &Grantee{self: self, bounds: bounds, startUs: nowUs, shares: map[string]*share{}, routers: rendezvous.NewNodes(self, nowUs)}
 }
 
 // Allowance returns what a limit leaves.
 func (g *Grantee) Allowance(limit Limit) Allowance { return g.bounds.Allowance(limit) }
 
 // SetRouters says which routers are seen.
-func (g *Grantee) SetRouters(addrs []string, nowUs int64) {
-	for _, addr := range addrs {
-		g.routers[addr] = nowUs
-	}
-	for addr, atUs := range g.routers {
-		if nowUs-atUs > routerUs && addr != g.self {
-			delete(g.routers, addr)
-		}
-	}
-}
+func (g *Grantee) SetRouters(addrs []string, nowUs int64) { g.routers.See(addrs, nowUs) }
 
-// Lenders returns the routers that share Allowance.Unowned of a tenant. They are chosen by
-// rendezvous hashing among all routers that were seen a while ago, dead ones too.
-func (g *Grantee) Lenders(tenant string) []string {
-	weight := func(addr string) uint64 { return statesync.HashText(tenant, addr) }
-	all := slices.SortedFunc(maps.Keys(g.routers), func(a, b string) int { return cmp.Compare(weight(b), weight(a)) })
-	return all[:min(lenderCount, len(all))]
-}
+// Lenders returns the routers that share Allowance.Unowned of a tenant.
+func (g *Grantee) Lenders(tenant string) []string { return g.routers.Top(tenant, lenderCount) }
 
 func (g *Grantee) share(tenant string, nowUs int64) *share {
 	s := g.shares[tenant]
--- a/internal/registry/facts.go
+++ b/internal/registry/facts.go
@@ -17,6 +17,17 @@
 	return n
 }
 
+// warmupToleranceUs is by how much a heartbeat may differ from what the one before it let
+// expect of a warm-up, without being news.
+const warmupToleranceUs = 300_000
+
+// warmupChanged reports whether a heartbeat says something else of a runner's warm-up than was
+// expected by now: that it is over, or that it takes longer.
+func warmupChanged(expectedUs, formerUs, leftUs int64) bool {
+	over := leftUs == 0 && formerUs > 0
+	return over || leftUs > max(expectedUs, 0)+warmupToleranceUs
+}
+
 // newestOf gives, for each model of either list, the newest version.
 func newestOf(a, b []messages.Target) []messages.Target {
 	out := slices.Clone(b)
--- a/internal/registry/registry.go
+++ b/internal/registry/registry.go
@@ -111,10 +111,14 @@
 		return true
 	}
 	old := e.record
+	otherWarmup := warmupChanged(old.ColdLeftUs-(nowUs-e.lastHeartbeatUs), old.ColdLeftUs, n.ColdLeftUs)
 	e.recordHeartbeat(n.Seq, receivedUs, nowUs)
 	e.record = n
 	e.record = withFacts(e.record, old)
-	return r.publishIfChanged(e, old)
+	if otherWarmup {
+		r.invalidateSnapshot()
+	}
+	return r.publishIfChanged(e, old) || otherWarmup
 }
 
 // applyLateHeartbeat applies a heartbeat that is not newer than the record. Draining is
--- a/internal/router/condition.go
+++ b/internal/router/condition.go
@@ -18,6 +18,8 @@
 	c.stateMu.Unlock()
 	c.admissionMu.Lock()
 	x.Blind = c.admission.Blind(c.clock())
+	x.Partition.Evacuated = c.admission.EvacuatedZones()
+	x.Partition.WarmingUp = c.admission.WarmingUp(c.clock())
 	c.admissionMu.Unlock()
 	x.Retired = c.retiredConditions()
 	x.Wholes, x.Changes = c.feedStats.wholes.Load(), c.feedStats.changes.Load()
--- /dev/null
+++ b/internal/router/evacuation.go
@@ -0,0 +1,32 @@
+// Evacuated zones and warm-ups, as this router goes by them.
+
+package router
+
+import "beechtide.org/beechtide/internal/messages"
+
+// recordEvacuations takes what a register says of evacuated zones. The caller has the mutex of
+// what was received.
+func (c *Router) recordEvacuations(part int, evacuations []messages.Evacuation, nowUs int64) {
+	if len(evacuations) == 0 {
+		return
+	}
+	c.evacuations[part] = evacuations
+	zones := map[string]bool{}
+	for _, list := range c.evacuations {
+		for _, e := range list {
+			if e.Evacuated {
+				zones[e.Zone] = true
+			}
+		}
+	}
+	c.admissionMu.Lock()
+	defer c.admissionMu.Unlock()
+	c.admission.SetEvacuated(zones, nowUs)
+}
+
+// seeRouters takes which routers there are, for the choice of who sends to runners that warm up.
+func (c *Router) seeRouters(addrs []string) {
+	c.admissionMu.Lock()
+	defer c.admissionMu.Unlock()
+	c.admission.SeeNodes(addrs, c.clock())
+}
--- a/internal/router/feed.go
+++ b/internal/router/feed.go
@@ -285,4 +285,5 @@
 		c.usage.closed(body.Usage.Next)
 	}
 	c.parts[p.Part] = p
+	c.recordEvacuations(p.Part, body.Evacuations, nowUs)
 }
--- a/internal/router/front.go
+++ b/internal/router/front.go
@@ -198,13 +198,16 @@
 		Service: e.service, Rank: e.route.Rank, TokensIn: max(tokensIn, 0), TokensOut: max(tokensOut, 0),
 		Model: get(e.rc, hModel), Parts: prefixindex.ParseParts(get(e.rc, hPrefix)), SetpointUs: e.route.SetpointUs, LeftUs: e.endUs - e.c.clock(),
 	}
+	var tenantHomes []string
 	if e.tenant != nil {
+		tenantHomes = e.tenant.Homes
 		e.request.Tenant = e.tenant.Name
 		e.request.Rank += 16 * e.tenant.Rank
 		e.request.Isolated = e.tenant.Isolated
 		e.request.Regime = t.RegimeOf(e.tenant.Name)
 		e.limit = quota.Limit{Version: t.Version, RatePerS: e.tenant.RatePerS, Burst: e.tenant.Burst}
 	}
+	e.request.Homes, e.request.Bound = admission.Homes(e.route.Homes, tenantHomes)
 }
 
 // onAccept makes the context in which the requests of a connection are served.
--- a/internal/router/quota.go
+++ b/internal/router/quota.go
@@ -103,6 +103,7 @@
 	for _, p := range q.router.monitor.Alive(messages.Router) {
 		routers = append(routers, p.Addr)
 	}
+	q.router.seeRouters(routers)
 	q.mu.Lock()
 	defer q.mu.Unlock()
 	q.grantee.SetRouters(routers, q.router.clock())
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -87,6 +87,7 @@
 
 	stateMu       sync.Mutex
 	parts         map[int]messages.PartNote
+	evacuations   map[int][]messages.Evacuation // by register
 	configuration *routeconfig.Replica
 	runners       *statesync.Entries // as the parent has them
 	feedStats     stats
@@ -139,7 +140,7 @@
 	if err != nil {
 		return nil, err
 	}
-	c := &Router{set: set, log: log, clock: clock, transport: trans, registry: registry.New(), connPool: upstream.NewConnPool(clock), parts: map[int]messages.PartNote{}, admission: admission.New(admission.Defaults, set.Zone, rand.Uint64()), budgets: map[string]*upstream.Budget{}, queueChanged: make(chan struct{}, 1), prefixesPending: make(chan struct{}, 1), loadsChanged: make(chan struct{}, 1), missing: make(chan struct{}, 1), drainBegun: make(chan struct{}), lastAnswers: make(chan struct{})}
+	c := &Router{set: set, log: log, clock: clock, transport: trans, registry: registry.New(), connPool: upstream.NewConnPool(clock), parts: map[int]messages.PartNote{}, evacuations: map[int][]messages.Evacuation{}, admission: admission.New(admission.Defaults, set.Zone, rand.Uint64()), budgets: map[string]*upstream.Budget{}, queueChanged: make(chan struct{}, 1), prefixesPending: make(chan struct{}, 1), loadsChanged: make(chan struct{}, 1), missing: make(chan struct{}, 1), drainBegun: make(chan struct{}), lastAnswers: make(chan struct{})}
 	c.configuration, c.runners = routeconfig.NewReplica(), statesync.NewEntries()
 	c.loads.init(clock())
 	c.comparisons = dissemination.NewComparisons(rand.IntN(64))
@@ -147,6 +148,9 @@
 	c.parent.Store(&none)
 	c.admission.Bound = admission.WeightsBound{VersionUs: int64(set.Bounds.VersionMs) * 1000, ContactLossUs: int64(set.Bounds.ContactMs) * 1000}
 	c.admission.Contact(clock())
+	c.admission.SetWarmup(set.RouterAddr(), admission.WarmupBounds{Overshoot: set.Bounds.ColdOvershoot, Slack: set.Bounds.ColdSlack}, clock())
+	c.admission.SetReturnCold(returnColdBeats * int64(set.BeatPeriodMs) * 1000)
+	c.admission.SetRegions(set.Zones)
 	c.nodes.Store(1)
 	c.publisher = dissemination.NewPublisher(trans, dissemination.Upstream{DeltaSince: c.deltaSince, ApplyReport: c.applyReport, Unsubscribed: c.removeSender})
 	c.up.SyncState, c.up.Parents, c.up.ApplyUpdate = c.syncState, c.parents, c.receiveFeed
@@ -243,16 +247,17 @@
 		c.retirements.observe(t.Retired, c.clock())
 	}
 	for service, notes := range snap.ByService {
-		tokens, moveUs, links := 0, 0.0, 0
+		tokens, moveUs, links, coldPerS := 0, 0.0, 0, 0.0
 		if t != nil {
 			if s := t.Service(service); s != nil {
-				tokens, links = s.Engine.CacheTokens, s.LinkLimit
+				tokens, links, coldPerS = s.Engine.CacheTokens, s.LinkLimit, s.ColdPerS
 				if s.Engine.LinkMbps > 0 {
 					moveUs = float64(s.Engine.TokenBytes) * 8 / float64(s.Engine.LinkMbps)
 				}
 			}
 		}
 		c.admission.SetService(service, notes, tokens, moveUs)
+		c.admission.SetWarmups(service, coldPerS, c.clock())
 		c.admission.SetLinks(service, links)
 		c.admission.SetStores(service, storesFor(t, service))
 		c.admission.SetCertified(service, certified(t, notes))
@@ -309,6 +314,10 @@
 	return out
 }
 
+// returnColdBeats is for how many heartbeats the runners of a zone count as cold that is taken
+// back from an evacuation: by then they have said what they are.
+const returnColdBeats = 2
+
 // forgetEvery is how often runners that the parent no longer lists are looked for.
 const forgetEvery = 5 * time.Second
 
--- a/internal/router/withdraw.go
+++ b/internal/router/withdraw.go
@@ -132,7 +132,7 @@
 	return time.Now().Add(time.Duration(e.endUs-e.c.clock()+afterUs) * time.Microsecond)
 }
 
-// mayStillGo tells whether an admitted request may still be sent to its runner:
+// stillAllowed tells whether an admitted request may still be sent to its runner:
 // what was true at admission may have changed since.
 func (c *Router) stillAllowed(adm *admission.Admission) bool {
 	if n, ok := c.registry.Snapshot().ByID[adm.Runner.ID]; !ok || n.Draining {
@@ -140,5 +140,5 @@
 	}
 	c.admissionMu.Lock()
 	defer c.admissionMu.Unlock()
-	return !c.admission.Absent(adm) && c.admission.WeightsAllowed(adm, c.clock())
+	return !c.admission.Evacuated(adm.Runner.Zone) && !c.admission.Absent(adm) && c.admission.WeightsAllowed(adm, c.clock())
 }
--- a/internal/settings/types.gen.go
+++ b/internal/settings/types.gen.go
@@ -6,12 +6,16 @@
 // Bounds defines model for Bounds.
 type Bounds struct {
 	AckMs          int     `json:"ackMs,omitempty,omitzero"`
+	ColdOvershoot  float64 `json:"coldOvershoot,omitempty,omitzero" validate:"min=0"`
+	ColdSlack      float64 `json:"coldSlack,omitempty,omitzero" validate:"min=0"`
 	ContactMs      int     `json:"contactMs,omitempty,omitzero"`
 	ConvergeMs     int     `json:"convergeMs,omitempty,omitzero"`
 	DrainMs        int     `json:"drainMs,omitempty,omitzero"`
+	EvacuateMs     int     `json:"evacuateMs,omitempty,omitzero" validate:"min=0"`
 	Fenced         bool    `json:"fenced,omitempty,omitzero"`
 	GraceS         float64 `json:"graceS,omitempty,omitzero"`
 	LeaseMs        int     `json:"leaseMs,omitempty,omitzero" validate:"min=0"`
+	MergeMs        int     `json:"mergeMs,omitempty,omitzero" validate:"min=0"`
 	QuotaOvershoot float64 `json:"quotaOvershoot,omitempty,omitzero" validate:"min=0"`
 	QuotaSlack     float64 `json:"quotaSlack,omitempty,omitzero" validate:"min=0"`
 	QuotaWindowS   float64 `json:"quotaWindowS,omitempty,omitzero" validate:"min=0"`
--- a/internal/transport/kind.go
+++ b/internal/transport/kind.go
@@ -29,6 +29,8 @@
 	KindQuotaClaim                 // request: a claim of the leases of shards of quota
 	KindQuotaAsk                   // request: tokens of a tenant
 	KindQuotaUnowned               // request: a token of a tenant whose count has no owner
+	KindTallyAppend                // request: adds of the sender's log of tallies
+	KindTallyPull                  // request: adds that the sender lacks
 	kindCount
 )
 
@@ -59,6 +61,9 @@
 
 	KindQuotaUnowned: "quota-unowned",
 
+	KindTallyAppend: "tally-append",
+	KindTallyPull:   "tally-pull",
+
 	KindReadsCompressed: "reads-compressed",
 	KindCompressed:      "compressed",
 }
