--- a/internal/controller/tallies.go
+++ b/internal/controller/tallies.go
@@ -164,6 +164,7 @@
 			t.senders[addr] = stop
 			changed = true
 			go t.sendTo(sending, addr)
+			go t.watch(sending, addr)
 		}
 	}
 	if changed {
--- a/internal/controller/tally_calls.go
+++ b/internal/controller/tally_calls.go
@@ -65,6 +65,8 @@
 		return 0, "starting"
 	case t.diskErr != nil:
 		return 0, "the disk takes no writes"
+	case !t.replica.Confirmable():
+		return 0, "too few disks can be reached"
 	case t.replica.Full() && !t.replica.Set().Contains(add.Key):
 		return 0, "no room for further adds"
 	}
--- a/internal/messages/msgp.gen.go
+++ b/internal/messages/msgp.gen.go
@@ -5153,6 +5153,110 @@
 	return
 }
 
+// MarshalMsg implements msgp.Marshaler
+func (z ReachAnswer) MarshalMsg(b []byte) (o []byte, err error) {
+	o = msgp.Require(b, z.Msgsize())
+	// map header, size 1
+	// string "r"
+	o = append(o, 0x81, 0xa1, 0x72)
+	o = msgp.AppendBool(o, z.Reached)
+	return
+}
+
+// UnmarshalMsg implements msgp.Unmarshaler
+func (z *ReachAnswer) UnmarshalMsg(bts []byte) (o []byte, err error) {
+	var field []byte
+	_ = field
+	var zb0001 uint32
+	zb0001, bts, err = msgp.ReadMapHeaderBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err)
+		return
+	}
+	for zb0001 > 0 {
+		zb0001--
+		field, bts, err = msgp.ReadMapKeyZC(bts)
+		if err != nil {
+			err = msgp.WrapError(err)
+			return
+		}
+		switch msgp.UnsafeString(field) {
+		case "r":
+			z.Reached, bts, err = msgp.ReadBoolBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Reached")
+				return
+			}
+		default:
+			bts, err = msgp.Skip(bts)
+			if err != nil {
+				err = msgp.WrapError(err)
+				return
+			}
+		}
+	}
+	o = bts
+	return
+}
+
+// Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
+func (z ReachAnswer) Msgsize() (s int) {
+	s = 1 + 2 + msgp.BoolSize
+	return
+}
+
+// MarshalMsg implements msgp.Marshaler
+func (z ReachQuery) MarshalMsg(b []byte) (o []byte, err error) {
+	o = msgp.Require(b, z.Msgsize())
+	// map header, size 1
+	// string "a"
+	o = append(o, 0x81, 0xa1, 0x61)
+	o = msgp.AppendString(o, z.Addr)
+	return
+}
+
+// UnmarshalMsg implements msgp.Unmarshaler
+func (z *ReachQuery) UnmarshalMsg(bts []byte) (o []byte, err error) {
+	var field []byte
+	_ = field
+	var zb0001 uint32
+	zb0001, bts, err = msgp.ReadMapHeaderBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err)
+		return
+	}
+	for zb0001 > 0 {
+		zb0001--
+		field, bts, err = msgp.ReadMapKeyZC(bts)
+		if err != nil {
+			err = msgp.WrapError(err)
+			return
+		}
+		switch msgp.UnsafeString(field) {
+		case "a":
+			z.Addr, bts, err = msgp.ReadStringBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Addr")
+				return
+			}
+		default:
+			bts, err = msgp.Skip(bts)
+			if err != nil {
+				err = msgp.WrapError(err)
+				return
+			}
+		}
+	}
+	o = bts
+	return
+}
+
+// Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
+func (z ReachQuery) Msgsize() (s int) {
+	s = 1 + 2 + msgp.StringPrefixSize + len(z.Addr)
+	return
+}
+
 // MarshalMsg implements msgp.Marshaler
 func (z *Record) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
--- a/internal/messages/types.gen.go
+++ b/internal/messages/types.gen.go
@@ -487,6 +487,16 @@
 	Granted []int `msg:"g"`
 }
 
+// ReachAnswer defines model for ReachAnswer.
+type ReachAnswer struct {
+	Reached bool `msg:"r"`
+}
+
+// ReachQuery asks a node whether it reaches another one
+type ReachQuery struct {
+	Addr string `msg:"a"`
+}
+
 // Record defines model for Record.
 type Record struct {
 	AcceptedAt  Ballot `msg:"a"`
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -163,6 +163,7 @@
 		c.usage = newUsageReports(c)
 	}
 	c.monitor = membership.NewMonitor(trans, messages.Peer{Addr: set.RouterAddr(), Role: messages.Router, Zone: set.Zone, Node: set.Node}, clock, c.seedAddrs)
+	trans.OnCall(transport.KindReach, c.answerReach)
 	trans.OnCall(transport.KindQuotaUnowned, c.quotas.handleBorrow)
 	trans.OnCall(transport.KindCondition, func(context.Context, *transport.Conn, []byte) ([]byte, error) {
 		x := c.condition()
--- a/internal/tally/doc.go
+++ b/internal/tally/doc.go
@@ -20,7 +20,8 @@
 //   - The numbers of a log are used once: a replica whose disk is empty or damaged begins a
 //     log under a new origin.
 //   - Replica.Confirmed says up to which number the own log is on as many disks as Quorum
-//     asks for, or on all that can be reached.
+//     asks for, or on those of
+//     all replicas to which the way is not cut.
 //   - Nothing is forgotten, as nothing bounds when a client may send an id again.
 //
 // # Who owns which state
--- a/internal/tally/quorum.go
+++ b/internal/tally/quorum.go
@@ -27,6 +27,19 @@
 
 func (q Quorum) satisfied(c copies) bool { return c.disks >= q.Disks && len(c.zones) >= q.Zones }
 
+// Witness is what other nodes say of a peer that does not answer.
+type Witness int
+
+const (
+	// WitnessUnknown is before anybody was asked.
+	WitnessUnknown Witness = iota
+	// WitnessCut says that the way to the peer is cut: others reach it, or nobody near it
+	// answers.
+	WitnessCut
+	// WitnessDown says that a node near the peer does not reach it either.
+	WitnessDown
+)
+
 // unreachableUs is for how long all calls to a peer fail before it counts as unreachable, in
 // microseconds. It is below the second for which callers wait: an add that came at the
 // beginning of a partition is acknowledged before its caller goes on to another replica.
--- a/internal/tally/replica.go
+++ b/internal/tally/replica.go
@@ -1,6 +1,9 @@
 package tally
 
-import "maps"
+import (
+	"cmp"
+	"maps"
+)
 
 // Config is what a Replica goes by.
 type Config struct {
@@ -39,8 +42,12 @@
 	durable bool   // the peer has a disk
 	known   bool   // the peer has said what it holds
 	way     reachability
+	witness Witness
 }
 
+// cutOff reports whether the way to the peer is cut, rather than the peer down.
+func (p *peerState) cutOff() bool { return p.way.unreachable() && p.witness == WitnessCut }
+
 // Replica is one copy of all tallies: the set, and how far the own log has got to the
 // others. It is not safe for concurrent use.
 type Replica struct {
@@ -202,15 +209,42 @@
 		return
 	}
 	p.known, p.held, p.durable, p.zone = true, min(ack.Held, r.set.Held(r.config.Origin)), ack.Durable, ack.Zone
-	p.way.answered()
+	p.answered()
 	r.advance()
 }
 
 // Answered records that a peer has answered any call.
 func (r *Replica) Answered(addr string) {
 	if p := r.peers[addr]; p != nil {
-		p.way.answered()
+		p.answered()
+	}
+}
+
+func (p *peerState) answered() {
+	p.way.answered()
+	p.witness = WitnessUnknown
+}
+
+// Witnessed records what other nodes say of a peer that does not answer.
+func (r *Replica) Witnessed(addr string, witness Witness) {
+	if p := r.peers[addr]; p != nil && p.way.failing {
+		p.witness = witness
+	}
+	r.advance()
+}
+
+// Failing reports whether the newest call to a peer has failed.
+func (r *Replica) Failing(addr string) bool {
+	p := r.peers[addr]
+	return p != nil && p.way.failing
+}
+
+// ZoneOf returns the zone of a peer, empty if it has not said.
+func (r *Replica) ZoneOf(addr string) string {
+	if p := r.peers[addr]; p != nil {
+		return p.zone
 	}
+	return ""
 }
 
 // Failed records that a call to a peer, begun at sentUs, got no answer.
@@ -250,7 +284,8 @@
 }
 
 // stored reports whether the own log is, up to a number that this replica has on its own disk,
-// on enough disks, or on those of all peers that can be reached.
+// on enough disks, or on those of all peers to which the way is not cut. A peer that is down is
+// waited for: the disks that are left may be lost before it is back.
 func (r *Replica) stored(number uint64) bool {
 	var have copies
 	have.add(r.config.Zone)
@@ -261,9 +296,25 @@
 			if p.durable || !r.config.Durable {
 				have.add(p.zone)
 			}
-		case !p.way.unreachable():
+		case !p.cutOff():
 			missing = true
 		}
 	}
 	return r.config.Quorum.satisfied(have) || !missing
 }
+
+// Confirmable reports whether an add that came now could be confirmed, as far as is known: it
+// says no where too few replicas can be reached and the others are down.
+func (r *Replica) Confirmable() bool {
+	var reached copies
+	reached.add(r.config.Zone)
+	down := false
+	for addr, p := range r.peers {
+		if !p.way.unreachable() {
+			reached.add(cmp.Or(p.zone, addr))
+		} else if p.witness != WitnessCut {
+			down = true
+		}
+	}
+	return !down || r.config.Quorum.satisfied(reached)
+}
--- /dev/null
+++ b/internal/tally/replica_test.go
@@ -0,0 +1,146 @@
+package tally
+
+import (
+	"fmt"
+	"testing"
+
+	"github.com/shoenig/test/must"
+)
+
+func oneAdd(id int) Add { return Add{Tally: "t", Key: KeyOf("t", fmt.Sprint(id)), Amount: 1} }
+
+// testReplica has three peers: one in its own zone a, and two in b and c.
+func testReplica() *Replica {
+	r := NewReplica(Config{Origin: "self", Zone: "a", Durable: true, Quorum: QuorumFor(2, 1)}, NewSet())
+	r.SetPeers([]string{"a2", "b1", "c1"})
+	for _, addr := range []string{"a2", "b1", "c1"} {
+		r.Acked(addr, Ack{Durable: true, Zone: addr[:1]})
+	}
+	return r
+}
+
+func written(r *Replica) {
+	r.Unwritten(100)
+	r.WriteEnded(true)
+}
+
+// silent has two calls to a peer fail, the second unreachableUs after the first began.
+func silent(r *Replica, addr string, witness Witness) {
+	r.Failed(addr, 0, 300_000)
+	r.Failed(addr, 300_000, unreachableUs)
+	r.Witnessed(addr, witness)
+}
+
+func TestConfirmedNeedsDisksInMoreZonesThanMayBeLost(t *testing.T) {
+	r := testReplica()
+	number := r.Append(oneAdd(1))
+	must.Eq(t, 1, number)
+	written(r)
+	r.Acked("a2", Ack{Held: 1, Durable: true, Zone: "a"})
+	must.Eq(t, 0, r.Confirmed())
+	r.Acked("b1", Ack{Held: 1, Durable: true, Zone: "b"})
+	must.Eq(t, 1, r.Confirmed())
+}
+
+func TestConfirmedNeedsOneDiskMoreThanMayBeLost(t *testing.T) {
+	r := testReplica()
+	r.Append(oneAdd(1))
+	written(r)
+	r.Acked("b1", Ack{Held: 1, Durable: true, Zone: "b"})
+	must.Eq(t, 0, r.Confirmed())
+	r.Acked("c1", Ack{Held: 1, Durable: false, Zone: "c"})
+	must.Eq(t, 0, r.Confirmed())
+	r.Acked("c1", Ack{Held: 1, Durable: true, Zone: "c"})
+	must.Eq(t, 1, r.Confirmed())
+}
+
+func TestNothingIsSentBeforeItIsOnTheOwnDisk(t *testing.T) {
+	r := testReplica()
+	r.Append(oneAdd(1))
+	_, wanted := r.Next("b1")
+	must.False(t, wanted)
+	must.SliceEmpty(t, r.Since(Vector{}, 10))
+	written(r)
+	next, wanted := r.Next("b1")
+	must.True(t, wanted)
+	must.Eq(t, Run{Origin: "self", First: 1, Adds: []Add{oneAdd(1)}}, next.Run)
+	must.Len(t, 1, r.Since(Vector{}, 10))
+}
+
+func TestReplicaThatIsCutOffConfirmsWithThoseItReaches(t *testing.T) {
+	r := testReplica()
+	r.Append(oneAdd(1))
+	written(r)
+	silent(r, "b1", WitnessCut)
+	silent(r, "c1", WitnessCut)
+	must.Eq(t, 0, r.Confirmed(), must.Sprint("a2 is reachable"))
+	r.Acked("a2", Ack{Held: 1, Durable: true, Zone: "a"})
+	must.Eq(t, 1, r.Confirmed())
+}
+
+func TestReplicasThatAreDownAreWaitedFor(t *testing.T) {
+	r := testReplica()
+	r.Append(oneAdd(1))
+	written(r)
+	silent(r, "b1", WitnessDown)
+	silent(r, "c1", WitnessCut)
+	r.Acked("a2", Ack{Held: 1, Durable: true, Zone: "a"})
+	must.Eq(t, 0, r.Confirmed())
+	must.False(t, r.Confirmable())
+	r.Answered("b1")
+	must.True(t, r.Confirmable())
+	r.Acked("b1", Ack{Held: 1, Durable: true, Zone: "b"})
+	must.Eq(t, 1, r.Confirmed())
+}
+
+func TestPeerIsUnreachableOnlyAfterFailuresForLong(t *testing.T) {
+	r := testReplica()
+	r.Failed("b1", 0, 300_000)
+	must.False(t, r.Unreachable("b1"))
+	r.Answered("b1")
+	r.Failed("b1", 500_000, 800_000)
+	must.False(t, r.Unreachable("b1"))
+	r.Failed("b1", 800_000, 1_100_000)
+	must.True(t, r.Unreachable("b1"))
+	r.Acked("b1", Ack{Durable: true, Zone: "b"})
+	must.False(t, r.Unreachable("b1"))
+}
+
+func TestRepeatedAddKeepsItsNumber(t *testing.T) {
+	r := testReplica()
+	must.Eq(t, 1, r.Append(oneAdd(1)))
+	must.Eq(t, 2, r.Append(oneAdd(2)))
+	must.Eq(t, 1, r.Append(oneAdd(1)))
+	r.Merge([]Run{{Origin: "other", First: 1, Adds: []Add{oneAdd(3)}}})
+	must.Eq(t, 3, r.Append(oneAdd(3)), must.Sprint("the other replica may be gone; this one vouches for it in its own log"))
+	must.Eq(t, 3, r.Append(oneAdd(3)))
+	must.Eq(t, 3, r.Set().Total("t"))
+}
+
+func TestPeerThatLostItsDiskIsSentEverythingAgain(t *testing.T) {
+	r := testReplica()
+	for id := range 5 {
+		r.Append(oneAdd(id))
+	}
+	written(r)
+	r.Acked("b1", Ack{Held: 5, Durable: true, Zone: "b"})
+	_, wanted := r.Next("b1")
+	must.False(t, wanted)
+	r.Acked("b1", Ack{Held: 0, Durable: true, Zone: "b"})
+	next, wanted := r.Next("b1")
+	must.True(t, wanted)
+	must.Len(t, 5, next.Adds)
+}
+
+func TestFullReplicaLeavesAMarginToTheOthers(t *testing.T) {
+	r := NewReplica(Config{Origin: "self", Durable: true, MaxAdds: 20}, NewSet())
+	for id := range 18 {
+		must.False(t, r.Full())
+		r.Append(oneAdd(id))
+	}
+	must.True(t, r.Full())
+	for id := range 5 {
+		r.Merge([]Run{{Origin: "other", First: uint64(id) + 1, Adds: []Add{oneAdd(100 + id)}}})
+	}
+	must.Eq(t, 20, r.Set().Len())
+}
--- a/internal/transport/kind.go
+++ b/internal/transport/kind.go
@@ -31,6 +31,7 @@
 	KindQuotaUnowned               // request: a token of a tenant whose count has no owner
 	KindTallyAppend                // request: adds of the sender's log of tallies
 	KindTallyPull                  // request: adds that the sender lacks
+	KindReach                      // request: whether the receiver reaches another node
 	kindCount
 )
 
@@ -63,6 +64,7 @@
 
 	KindTallyAppend: "tally-append",
 	KindTallyPull:   "tally-pull",
+	KindReach:       "reach",
 
 	KindReadsCompressed: "reads-compressed",
 	KindCompressed:      "compressed",
