simulation: model 'tallies'; a replica whose first question fails asks again

Cause, found by the model: a replica that got no answer to its first question of another one, and had nothing to send to it, never asked again and answered 503 for ever. Change: it asks until it has an answer or the other is out of reach.

--- a/internal/controller/tallies.go
+++ b/internal/controller/tallies.go
@@ -229,15 +229,17 @@
 	t.signal()
 }
 
-// sendTo sends a replica what it lacks of this one's log, at once and for as long as ctx lasts.
+// sendTo asks a replica for what this one lacks, and then sends it what it lacks of this one's
+// log, at once and for as long as ctx lasts.
 func (t *tallies) sendTo(ctx context.Context, addr string) {
-	if t.pull(ctx, addr) {
-		t.setAsked(addr)
+	for ctx.Err() == nil && !t.pull(ctx, addr) {
+		t.pauseAfterFailure(ctx, addr)
 	}
+	t.setAsked(addr)
 	for ctx.Err() == nil {
 		t.mu.Lock()
 		next, wanted := t.replica.Next(addr)
-		changed, asked := t.changed, t.asked[addr]
+		changed := t.changed
 		t.mu.Unlock()
 		if !wanted {
 			select {
@@ -248,8 +250,6 @@
 		}
 		if !t.send(ctx, addr, next) {
 			t.pauseAfterFailure(ctx, addr)
-		} else if !asked && t.pull(ctx, addr) {
-			t.setAsked(addr)
 		}
 	}
 }
--- a/internal/simulation/checks.go
+++ b/internal/simulation/checks.go
@@ -34,6 +34,7 @@
 	Histories, Chosen, Taken, Refused, Read, Unclear, Regroups, Acts, Wipes, Fleets, Distributions int64
 	Rollouts, Orders, Begun, Takeovers                                                             int64
 	UsageHistories, UsageWindows                                                                   int64
+	TallyHistories, TallySent, TallyAcked, TallyAckedCut, TallyNotOwed                             int64
 	QuotaHistories, QuotaRan, QuotaAsked, QuotaDenied, QuotaUnknown, QuotaLate                     int64
 }
 
@@ -56,6 +57,11 @@
 	c.Distributions += other.Distributions
 	c.UsageHistories += other.UsageHistories
 	c.UsageWindows += other.UsageWindows
+	c.TallyHistories += other.TallyHistories
+	c.TallySent += other.TallySent
+	c.TallyAcked += other.TallyAcked
+	c.TallyAckedCut += other.TallyAckedCut
+	c.TallyNotOwed += other.TallyNotOwed
 	c.QuotaHistories += other.QuotaHistories
 	c.QuotaRan += other.QuotaRan
 	c.QuotaAsked += other.QuotaAsked
@@ -69,9 +75,11 @@
 	return fmt.Sprintf("%d histories: %d values chosen, %d changes of a group, %d disks lost, %d acts under a lease; "+
 		"operators: %d configurations taken, %d refused, %d reads, %d calls unclear; %d histories of runners, %d of configurations; "+
 		"%d of roll-outs: %d orders, %d requests begun, the lease changed hands %d times; %d of usage: %d windows reported; "+
-		"%d of quota: %d requests ran, beside faults %d inside the limit came, %d were denied, %d found no owner, %d were rejected after they had waited for a runner",
+		"%d of quota: %d requests ran, beside faults %d inside the limit came, %d were denied, %d found no owner, %d were rejected after they had waited for a runner; "+
+		"%d of tallies: %d adds sent, %d acknowledged, %d of them during a cut, %d not owed",
 		c.Histories, c.Chosen, c.Regroups, c.Wipes, c.Acts, c.Taken, c.Refused, c.Read, c.Unclear, c.Fleets, c.Distributions,
-		c.Rollouts, c.Orders, c.Begun, c.Takeovers, c.UsageHistories, c.UsageWindows, c.QuotaHistories, c.QuotaRan, c.QuotaAsked, c.QuotaDenied, c.QuotaUnknown, c.QuotaLate)
+		c.Rollouts, c.Orders, c.Begun, c.Takeovers, c.UsageHistories, c.UsageWindows, c.QuotaHistories, c.QuotaRan, c.QuotaAsked, c.QuotaDenied, c.QuotaUnknown, c.QuotaLate,
+		c.TallyHistories, c.TallySent, c.TallyAcked, c.TallyAckedCut, c.TallyNotOwed)
 }
 
 func newChecks(c *Cluster) *checks {
--- a/internal/simulation/cluster.go
+++ b/internal/simulation/cluster.go
@@ -34,6 +34,10 @@
 	VoteAfterRestart     bool // a controller votes for owners as soon as it has started
 	OwnWithoutMajority   bool // a controller owns counts by its own vote
 	IgnoreTokenAge       bool // a token may be used at any time
+	AckOnOneDisk         bool // an add is acknowledged once its replica has it
+	TrustSilence         bool // a replica that does not answer counts as cut off
+	KeepOrigin           bool // a replica that lost its disk goes on under its old name
+	NeverPull            bool // replicas get no logs but those of who sends them
 }
 
 // Cluster is everything in one history.
--- /dev/null
+++ b/internal/simulation/tallies.go
@@ -0,0 +1,375 @@
+// Tallies: clients add to counters at replicas that are cut off, killed, frozen, without power
+// and wiped. The real tally.Replica, tally.Set and tally.Log run, the last on a disk that loses
+// power; the driver in package controller is mirrored.
+
+package simulation
+
+import (
+	"fmt"
+	"slices"
+
+	"beechtide.org/beechtide/internal/simulation/disk"
+	"beechtide.org/beechtide/internal/tally"
+)
+
+// Bounds of a history of tallies.
+const (
+	tallyFaultsFrom  = 4 * Second
+	tallyFaultsUs    = 40 * Second
+	tallyRestUs      = 8 * Second // after the last fault
+	mostTallyFaultUs = 14 * Second
+	tallyMergeUs     = 3 * Second // after trouble, until every replica has everything
+	tallyCatchUpUs   = 6 * Second // between two losses of disks
+	mostTalliesLost  = 2          // disks that are lost at once
+	tallyNames       = 3
+)
+
+// tallyHistory is everything in one history.
+type tallyHistory struct {
+	*injector
+	defects  Defects
+	zones    []string
+	replicas []*tallyReplica
+	routers  []*tallyRouter // one a zone
+	checks   *tallyChecks
+	serial   int
+	// cuts is how many faults cut replicas off from each other now; troubles all that are
+	// under way.
+	cuts, troubles int
+	lossAllowedUs  int64 // from when on disks may be lost again
+}
+
+// PlayTallies plays the tallies' history of a seed. One seed in eight has no faults.
+func PlayTallies(seed uint64, options Options) Result {
+	k := NewKernel(seed, options.Record)
+	h := newTallyHistory(k, options.Defects, 2+k.Below(3))
+	if k.Below(8) > 0 {
+		h.plan()
+	}
+	k.RunUntil(tallyFaultsFrom + tallyFaultsUs)
+	h.heal()
+	k.RunUntil(k.NowUs() + tallyRestUs)
+	h.checks.end()
+	return Result{Seed: seed, Failure: k.failure, History: k.history, Counts: h.checks.counts()}
+}
+
+func newTallyHistory(k *Kernel, defects Defects, zones int) *tallyHistory {
+	h := &tallyHistory{injector: &injector{kernel: k, network: NewNetwork(k)}, defects: defects, lossAllowedUs: tallyFaultsFrom}
+	h.checks = newTallyChecks(h)
+	for z := range zones {
+		zone := string(rune('a' + z))
+		h.zones = append(h.zones, zone)
+		h.routers = append(h.routers, &tallyRouter{history: h, addr: "router-" + zone, zone: zone, process: NewProcess(k)})
+		for i := range 2 {
+			addr := fmt.Sprint(zone, i+1)
+			h.replicas = append(h.replicas, &tallyReplica{history: h, addr: addr, zone: zone, process: NewProcess(k), disk: disk.New(uint64(k.Between(0, 1<<40)))})
+		}
+	}
+	for _, r := range h.routers {
+		r.process.Start()
+	}
+	for _, r := range h.replicas {
+		r.boot()
+	}
+	for _, zone := range h.zones {
+		k.After(2*Second, func() { h.client(zone) })
+	}
+	k.After(Second, h.checks.look)
+	return h
+}
+
+// client has a client of a zone add, and the next one later.
+func (h *tallyHistory) client(zone string) {
+	h.serial++
+	name, id := fmt.Sprint("t", h.kernel.Below(tallyNames)), fmt.Sprint(h.serial)
+	call := &tallyCall{history: h, zone: zone, add: tally.Add{Tally: name, Key: tally.KeyOf(name, id), Amount: 1 + int64(h.kernel.Below(9))}}
+	h.checks.sent(call.add)
+	call.try()
+	h.kernel.After(h.kernel.Between(0, 400*Millisecond), func() { h.client(zone) })
+}
+
+// Clients' tries: they go on after a second of silence.
+const (
+	tallyTries    = 4
+	tallySilentUs = Second
+)
+
+// tallyCall is a client's add on its way.
+type tallyCall struct {
+	history *tallyHistory
+	zone    string
+	add     tally.Add
+	tries   int
+	ended   bool // the client has an answer, or has given up
+}
+
+// try brings the add to a replica, of the client's own zone first.
+func (c *tallyCall) try() {
+	if c.ended || c.tries == tallyTries {
+		return
+	}
+	c.tries++
+	h, try := c.history, c.tries
+	var near, far []*tallyReplica
+	for _, r := range h.replicas {
+		if r.zone == c.zone {
+			near = append(near, r)
+		} else {
+			far = append(far, r)
+		}
+	}
+	from := near
+	if c.tries > 2 || h.kernel.Chance(100) {
+		from = far
+	}
+	r := from[h.kernel.Below(len(from))]
+	client := "client-" + c.zone
+	again := func() {
+		if c.tries == try {
+			c.try()
+		}
+	}
+	h.kernel.After(tallySilentUs, again)
+	h.network.Send(client, r.addr, func() {
+		r.process.Deliver(func() {
+			r.amend(c.add, func(ok bool) {
+				if ok {
+					h.checks.acked(c.add, r)
+				}
+				h.network.Send(r.addr, client, func() {
+					c.ended = c.ended || ok
+					if !ok {
+						again()
+					}
+				})
+			})
+		})
+	})
+}
+
+// plan draws what happens.
+func (h *tallyHistory) plan() {
+	k := h.kernel
+	for range 2 + k.Below(8) {
+		atUs := tallyFaultsFrom + k.Between(0, tallyFaultsUs-mostTallyFaultUs-Second)
+		forUs := k.Between(100*Millisecond, mostTallyFaultUs)
+		k.After(atUs, func() { tallyFaults[k.Below(len(tallyFaults))](h, forUs) })
+	}
+}
+
+// tallyFaults are what strikes for a while.
+var tallyFaults = []func(h *tallyHistory, forUs int64){
+	(*tallyHistory).cutZone, (*tallyHistory).cutZone, (*tallyHistory).cutBridge, (*tallyHistory).cutReplicaOff, (*tallyHistory).cutCore,
+	(*tallyHistory).killSome, (*tallyHistory).freezeOne, (*tallyHistory).powerOffSome, (*tallyHistory).powerOffAll,
+	(*tallyHistory).loseDisks, (*tallyHistory).loseDisks, (*tallyHistory).loseZone, (*tallyHistory).stallDisk, (*tallyHistory).fillDisk,
+}
+
+// trouble begins a fault that ends after forUs, unless everything heals before.
+func (h *tallyHistory) trouble(forUs int64, end func()) {
+	h.troubles++
+	h.later(forUs, func() {
+		h.troubles--
+		h.checks.troubleUs = h.kernel.NowUs()
+		end()
+	})
+}
+
+// addrsOf are all addresses in a zone but its clients'.
+func (h *tallyHistory) addrsOf(zone string) []string {
+	var addrs []string
+	for _, r := range h.replicas {
+		if r.zone == zone {
+			addrs = append(addrs, r.addr)
+		}
+	}
+	return append(addrs, "router-"+zone)
+}
+
+// separate cuts two sets of addresses off from each other.
+func (h *tallyHistory) separate(one, other []string, oneWay bool, forUs int64) {
+	h.cuts++
+	h.trouble(forUs, func() {
+		h.cuts--
+		h.checks.healedUs = h.kernel.NowUs()
+	})
+	for _, a := range one {
+		for _, b := range other {
+			if oneWay {
+				h.cutOneWay(a, b, forUs)
+			} else {
+				h.cut(a, b, forUs)
+			}
+		}
+	}
+}
+
+func (h *tallyHistory) cutZone(forUs int64) {
+	zone := h.zones[h.kernel.Below(len(h.zones))]
+	h.kernel.Note("zone %s is cut off for %d us", zone, forUs)
+	var others []string
+	for _, other := range h.zones {
+		if other != zone {
+			others = append(others, h.addrsOf(other)...)
+			others = append(others, "client-"+other)
+		}
+	}
+	h.separate(h.addrsOf(zone), others, h.kernel.Chance(200), forUs)
+}
+
+func (h *tallyHistory) cutBridge(forUs int64) {
+	i := h.kernel.Below(len(h.zones))
+	one, other := h.zones[i], h.zones[(i+1)%len(h.zones)]
+	h.kernel.Note("zones %s and %s do not reach each other for %d us", one, other, forUs)
+	h.separate(h.addrsOf(one), h.addrsOf(other), false, forUs)
+}
+
+// cutReplicaOff cuts one replica off from the others; the routers reach it.
+func (h *tallyHistory) cutReplicaOff(forUs int64) {
+	r := h.someReplica()
+	h.kernel.Note("%s is cut off from the other replicas for %d us", r.addr, forUs)
+	var others []string
+	for _, other := range h.replicas {
+		if other != r {
+			others = append(others, other.addr)
+		}
+	}
+	h.separate([]string{r.addr}, others, h.kernel.Chance(300), forUs)
+}
+
+// cutCore cuts half of the replicas off from the other half; the routers reach all.
+func (h *tallyHistory) cutCore(forUs int64) {
+	h.kernel.Note("the replicas are cut into halves for %d us", forUs)
+	var halves [2][]string
+	for _, r := range h.replicas {
+		half := h.kernel.Below(2)
+		halves[half] = append(halves[half], r.addr)
+	}
+	h.separate(halves[0], halves[1], false, forUs)
+}
+
+func (h *tallyHistory) someReplica() *tallyReplica {
+	return h.replicas[h.kernel.Below(len(h.replicas))]
+}
+
+func (h *tallyHistory) killSome(forUs int64) {
+	perMille := []int{150, 600, 1000}[h.kernel.Below(3)]
+	for _, r := range h.replicas {
+		if h.kernel.Chance(perMille) {
+			h.kernel.Note("%s is killed", r.addr)
+			r.process.Stop()
+			r.disk.Restart()
+			h.trouble(min(forUs, 2*Second), r.bootIfDown)
+		}
+	}
+}
+
+func (h *tallyHistory) freezeOne(forUs int64) {
+	r := h.someReplica()
+	h.kernel.Note("%s freezes for %d us", r.addr, forUs)
+	r.process.Freeze()
+	h.trouble(forUs, r.process.Thaw)
+}
+
+func (h *tallyHistory) powerOff(r *tallyReplica, forUs int64) {
+	h.kernel.Note("%s loses power for %d us", r.addr, forUs)
+	r.process.Stop()
+	r.disk.LosePower()
+	h.trouble(forUs, r.bootIfDown)
+}
+
+// powerOffSome takes the power from one replica, or from all but one or two.
+func (h *tallyHistory) powerOffSome(forUs int64) {
+	if h.kernel.Chance(500) {
+		h.powerOff(h.someReplica(), forUs)
+		return
+	}
+	spared := 1 + h.kernel.Below(2)
+	for _, i := range h.order()[spared:] {
+		h.powerOff(h.replicas[i], forUs)
+	}
+}
+
+func (h *tallyHistory) powerOffAll(forUs int64) {
+	for _, r := range h.replicas {
+		h.powerOff(r, h.kernel.Between(100*Millisecond, min(forUs, 3*Second)))
+	}
+}
+
+// order is the places of the replicas in a random order.
+func (h *tallyHistory) order() []int {
+	places := make([]int, len(h.replicas))
+	for i := range places {
+		places[i] = i
+	}
+	for i := range places {
+		j := i + h.kernel.Below(len(places)-i)
+		places[i], places[j] = places[j], places[i]
+	}
+	return places
+}
+
+// loseDisks takes the disks of as many replicas as may be lost; at times all others lose power
+// at that moment.
+func (h *tallyHistory) loseDisks(forUs int64) {
+	order := h.order()
+	var lost []*tallyReplica
+	for _, i := range order[:mostTalliesLost] {
+		lost = append(lost, h.replicas[i])
+	}
+	h.lose(lost, forUs)
+}
+
+// loseZone does the same with all replicas of a zone.
+func (h *tallyHistory) loseZone(forUs int64) {
+	zone := h.zones[h.kernel.Below(len(h.zones))]
+	h.lose(slices.DeleteFunc(slices.Clone(h.replicas), func(r *tallyReplica) bool { return r.zone != zone }), forUs)
+}
+
+func (h *tallyHistory) lose(lost []*tallyReplica, forUs int64) {
+	if h.kernel.NowUs() < h.lossAllowedUs || h.troubles > 0 && h.kernel.Chance(500) {
+		return
+	}
+	h.lossAllowedUs = h.kernel.NowUs() + tallyFaultsUs // one loss in a history
+	powerOff := h.kernel.Chance(500)
+	for _, r := range h.replicas {
+		switch {
+		case slices.Contains(lost, r):
+			h.kernel.Note("%s loses its disk", r.addr)
+			r.process.Stop()
+			r.disk.Lose()
+			h.checks.lostDisk(r)
+			h.trouble(min(forUs, 3*Second)+tallyCatchUpUs, func() {})
+			h.later(min(forUs, 3*Second), r.bootIfDown)
+		case powerOff:
+			h.powerOff(r, min(forUs, 3*Second))
+		}
+	}
+}
+
+func (h *tallyHistory) stallDisk(forUs int64) {
+	r := h.someReplica()
+	h.kernel.Note("the disk of %s stalls for %d us", r.addr, forUs)
+	r.stalledUntilUs = h.kernel.NowUs() + forUs
+	h.trouble(forUs, func() {})
+}
+
+func (h *tallyHistory) fillDisk(forUs int64) {
+	r := h.someReplica()
+	h.kernel.Note("the disk of %s is full for %d us", r.addr, forUs)
+	r.disk.SetFull(true)
+	h.trouble(forUs, func() { r.disk.SetFull(false) })
+}
+
+func (h *tallyHistory) heal() {
+	h.kernel.Note("everything heals")
+	h.healed = true
+	h.cuts, h.troubles = 0, 0
+	h.checks.troubleUs, h.checks.healedUs = h.kernel.NowUs(), h.kernel.NowUs()
+	h.network.Heal()
+	for _, r := range h.replicas {
+		r.disk.SetFull(false)
+		r.stalledUntilUs = 0
+		r.process.Thaw()
+		r.bootIfDown()
+	}
+}
--- /dev/null
+++ b/internal/simulation/tally_actors.go
@@ -0,0 +1,350 @@
+package simulation
+
+import (
+	"fmt"
+
+	"beechtide.org/beechtide/internal/simulation/disk"
+	"beechtide.org/beechtide/internal/tally"
+)
+
+// Times of a replica's driver, as in package controller.
+const (
+	tallyCallWaitUs    = 300 * Millisecond
+	tallyPauseUs       = 50 * Millisecond
+	tallyIdlePauseUs   = 400 * Millisecond
+	tallyLateUs        = 150 * Millisecond
+	tallyAppendWaitUs  = 250 * Millisecond
+	tallyCompareUs     = 500 * Millisecond
+	tallySettleUs      = 1500 * Millisecond
+	tallyAmendWaitUs   = 950 * Millisecond
+	tallyWitnessWaitUs = 250 * Millisecond
+	tallyWitnessPause  = 400 * Millisecond
+	tallyReachWaitUs   = 150 * Millisecond
+	tallyTickUs        = 5 * Millisecond // how often waiting calls look
+	tallySimBatch      = 200
+)
+
+// tallyReplica is a controller as far as tallies are concerned.
+type tallyReplica struct {
+	history *tallyHistory
+	addr    string
+	zone    string
+	process *Process
+	disk    *disk.Disk
+
+	stalledUntilUs int64
+	log            *tally.Log
+	replica        *tally.Replica
+	writing        bool                     // a write is under way, or about to be
+	idle           map[string]*tallyReplica // replicas that lacked nothing when they were last looked at
+	ready          bool
+	asked          map[string]bool
+	differing      map[string]bool
+	lives          int
+}
+
+func (r *tallyReplica) bootIfDown() {
+	if !r.process.Up() {
+		r.boot()
+	}
+}
+
+func (r *tallyReplica) boot() {
+	r.process.Start()
+	r.lives++
+	r.writing, r.ready, r.asked, r.differing = false, false, map[string]bool{}, map[string]bool{}
+	r.idle = map[string]*tallyReplica{}
+	opened, err := tally.OpenLog(r.disk, r.newOrigin)
+	if err != nil { // a full disk: the process ends and is started again
+		r.process.After(200*Millisecond, func() {
+			r.process.Stop()
+			r.disk.Restart()
+			r.boot()
+		})
+		r.replica = nil
+		return
+	}
+	r.log = opened.Log
+	quorum := tally.QuorumFor(mostTalliesLost, 1)
+	if r.history.defects.AckOnOneDisk {
+		quorum = tally.QuorumFor(0, 0)
+	}
+	r.replica = tally.NewReplica(tally.Config{Origin: opened.Origin, Zone: r.zone, Durable: true, Quorum: quorum}, opened.Set)
+	var addrs []string
+	for _, other := range r.history.replicas {
+		if other != r {
+			addrs = append(addrs, other.addr)
+		}
+	}
+	r.replica.SetPeers(addrs)
+	for _, other := range r.history.replicas {
+		if other != r {
+			r.process.After(0, func() { r.sendTo(other) })
+			r.process.After(r.history.kernel.Between(0, tallyCompareUs), func() { r.compareWith(other) })
+			r.process.After(0, func() { r.watch(other) })
+		}
+	}
+	r.process.After(0, r.checkReady)
+}
+
+// wake has the writer and the senders look for work, as the driver does after each change.
+func (r *tallyReplica) wake() {
+	if !r.writing {
+		r.writing = true
+		r.write()
+	}
+	for _, addr := range sortedKeys(r.idle) {
+		other := r.idle[addr]
+		r.process.After(0, func() { r.sendTo(other) })
+	}
+	clear(r.idle)
+}
+
+func (r *tallyReplica) newOrigin() tally.Origin {
+	if r.history.defects.KeepOrigin {
+		return tally.Origin(r.addr)
+	}
+	return tally.Origin(fmt.Sprintf("%s-%d", r.addr, r.lives))
+}
+
+// checkReady mirrors the driver: reads wait until every other replica has been asked or is out
+// of reach.
+func (r *tallyReplica) checkReady() {
+	if r.ready {
+		return
+	}
+	waits := false
+	for _, other := range r.history.replicas {
+		waits = waits || other != r && !r.asked[other.addr] && !r.replica.Unreachable(other.addr)
+	}
+	if r.ready = !waits && (len(r.asked) > 0 || r.process.NowUs() > tallySettleUs); !r.ready {
+		r.process.After(20*Millisecond, r.checkReady)
+	}
+}
+
+// write brings adds to the disk. A sync takes a while; what a loss of power finds under way is
+// lost.
+func (r *tallyReplica) write() {
+	k := r.history.kernel
+	delay := k.Between(Millisecond, 6*Millisecond)
+	if k.NowUs() < r.stalledUntilUs {
+		delay += r.stalledUntilUs - k.NowUs()
+	}
+	r.process.After(delay, func() {
+		if k.NowUs() < r.stalledUntilUs {
+			r.write()
+			return
+		}
+		runs := r.replica.Unwritten(tallySimBatch)
+		if r.writing = len(runs) > 0; !r.writing {
+			return
+		}
+		err := r.log.Resume()
+		if err == nil {
+			err = r.log.Write(runs)
+		}
+		r.replica.WriteEnded(err == nil)
+		r.write()
+		r.wake()
+	})
+}
+
+// call sends a question to another replica and hands its answer over, or nothing in time.
+func (r *tallyReplica) call(other *tallyReplica, serve func(answer func(func())), failed func()) {
+	sentUs, ended := r.process.NowUs(), false
+	net := r.history.network
+	net.Send(r.addr, other.addr, func() {
+		other.process.Deliver(func() {
+			if other.replica == nil {
+				return
+			}
+			serve(func(receive func()) {
+				net.Send(other.addr, r.addr, r.process.InLife(func() {
+					if !ended {
+						ended = true
+						r.replica.Answered(other.addr)
+						receive()
+					}
+				}))
+			})
+		})
+	})
+	r.process.After(tallyCallWaitUs, func() {
+		if ended {
+			return
+		}
+		ended = true
+		if nowUs := r.process.NowUs(); nowUs-sentUs < tallyCallWaitUs+tallyLateUs {
+			r.replica.Failed(other.addr, sentUs, nowUs)
+		}
+		failed()
+	})
+}
+
+// sendTo sends another replica what it lacks of the own log, for as long as this life lasts.
+func (r *tallyReplica) sendTo(other *tallyReplica) {
+	again := func() {
+		pause := int64(tallyPauseUs)
+		if r.replica.Unreachable(other.addr) {
+			pause = tallyIdlePauseUs
+		}
+		r.process.After(pause, func() { r.sendTo(other) })
+	}
+	if !r.asked[other.addr] {
+		r.pull(other, func() {
+			r.asked[other.addr] = true
+			r.sendTo(other)
+		}, again)
+		return
+	}
+	next, wanted := r.replica.Next(other.addr)
+	if !wanted {
+		r.idle[other.addr] = other
+		return
+	}
+	runs := []tally.Run{}
+	if len(next.Adds) > 0 {
+		runs = append(runs, next.Run)
+	}
+	r.call(other, func(answer func(func())) { other.receive(next.Origin, runs, answer, r) }, again)
+}
+
+// receive answers another replica once its adds are on the disk.
+func (r *tallyReplica) receive(origin tally.Origin, runs []tally.Run, answer func(func()), from *tallyReplica) {
+	r.replica.Merge(runs)
+	r.wake()
+	held, untilUs := r.replica.Set().Held(origin), r.process.NowUs()+tallyAppendWaitUs
+	r.await(untilUs, func() bool { return r.replica.Durable(origin) >= held }, func(bool) {
+		ack := tally.Ack{Held: r.replica.Durable(origin), Durable: true, Zone: r.zone}
+		answer(func() {
+			from.replica.Acked(r.addr, ack)
+			from.process.After(0, func() { from.sendTo(r) })
+		})
+	})
+}
+
+// await looks again and again whether a condition holds.
+func (r *tallyReplica) await(untilUs int64, holds func() bool, then func(ok bool)) {
+	if ok := holds(); ok || r.process.NowUs() >= untilUs {
+		then(ok)
+		return
+	}
+	r.process.After(tallyTickUs, func() { r.await(untilUs, holds, then) })
+}
+
+// pull fetches what this replica lacks.
+func (r *tallyReplica) pull(other *tallyReplica, done, failed func()) {
+	vector := r.replica.Set().Vector()
+	r.call(other, func(answer func(func())) {
+		encoded := tally.EncodeRuns(other.replica.Since(vector, tallySimBatch))
+		answer(func() {
+			runs, err := tally.DecodeRuns(encoded)
+			if err != nil {
+				r.history.kernel.Fail("%s cannot read what %s has sent: %v", r.addr, other.addr, err)
+				return
+			}
+			before := r.replica.Set().Len()
+			r.replica.Merge(runs)
+			r.wake()
+			if r.replica.Set().Len()-before >= tallySimBatch {
+				r.pull(other, done, failed)
+				return
+			}
+			done()
+		})
+	}, failed)
+}
+
+// compareWith compares digests with another replica now and then.
+func (r *tallyReplica) compareWith(other *tallyReplica) {
+	defer r.process.After(tallyCompareUs, func() { r.compareWith(other) })
+	if r.history.defects.NeverPull {
+		return
+	}
+	r.call(other, func(answer func(func())) {
+		digest := other.replica.Set().Digest()
+		answer(func() {
+			before, known := r.differing[other.addr]
+			differs := digest != r.replica.Set().Digest()
+			r.differing[other.addr] = differs
+			if differs && (before || !known) {
+				r.pull(other, func() {}, func() {})
+			}
+		})
+	}, func() { delete(r.differing, other.addr) })
+}
+
+// amend serves a client. answer gets false where nothing was done or where it is not known.
+func (r *tallyReplica) amend(add tally.Add, answer func(ok bool)) {
+	if r.replica == nil || !r.ready || !r.replica.Confirmable() {
+		answer(false)
+		return
+	}
+	number := r.replica.Append(add)
+	r.wake()
+	r.await(r.process.NowUs()+tallyAmendWaitUs, func() bool { return r.replica.Confirmed() >= number }, answer)
+}
+
+// watch asks a router about a replica that does not answer.
+func (r *tallyReplica) watch(other *tallyReplica) {
+	if !r.replica.Failing(other.addr) {
+		r.process.After(100*Millisecond, func() { r.watch(other) })
+		return
+	}
+	verdict, net, router := tally.WitnessCut, r.history.network, r.history.routerOf(other.zone)
+	net.Send(r.addr, router.addr, func() {
+		router.process.Deliver(func() {
+			router.reach(other, func(reached bool) {
+				net.Send(router.addr, r.addr, r.process.InLife(func() {
+					if !reached {
+						verdict = tally.WitnessDown
+					}
+				}))
+			})
+		})
+	})
+	r.process.After(tallyWitnessWaitUs, func() {
+		if r.history.defects.TrustSilence {
+			verdict = tally.WitnessCut
+		}
+		r.replica.Witnessed(other.addr, verdict)
+		r.process.After(tallyWitnessPause, func() { r.watch(other) })
+	})
+}
+
+// tallyRouter is a router that is asked whether it reaches a replica.
+type tallyRouter struct {
+	history *tallyHistory
+	addr    string
+	zone    string
+	process *Process
+}
+
+func (h *tallyHistory) routerOf(zone string) *tallyRouter {
+	for _, r := range h.routers {
+		if r.zone == zone {
+			return r
+		}
+	}
+	return nil
+}
+
+func (r *tallyRouter) reach(other *tallyReplica, answer func(reached bool)) {
+	net, reached := r.history.network, false
+	net.Send(r.addr, other.addr, func() {
+		other.process.Deliver(func() {
+			net.Send(other.addr, r.addr, r.process.InLife(func() {
+				if !reached {
+					reached = true
+					answer(true)
+				}
+			}))
+		})
+	})
+	r.process.After(tallyReachWaitUs, func() {
+		if !reached {
+			reached = true
+			answer(false)
+		}
+	})
+}
--- /dev/null
+++ b/internal/simulation/tally_checks.go
@@ -0,0 +1,122 @@
+package simulation
+
+import "beechtide.org/beechtide/internal/tally"
+
+// ackedAdd is an add that was acknowledged.
+type ackedAdd struct {
+	add     tally.Add
+	atUs    int64
+	by      *tallyReplica
+	life    int
+	whenCut bool
+	notOwed bool // acknowledged during a cut by a replica that lost its disk soon
+}
+
+// tallyChecks checks that no total counts an add twice, that a replica's reads have what it
+// acknowledged, and that after trouble every replica has everything.
+type tallyChecks struct {
+	history   *tallyHistory
+	sentAdds  map[tally.Key]tally.Add
+	ackedAdds []*ackedAdd
+	troubleUs int64 // when the last fault ended
+	healedUs  int64 // when the last cut ended
+}
+
+func newTallyChecks(h *tallyHistory) *tallyChecks {
+	return &tallyChecks{history: h, sentAdds: map[tally.Key]tally.Add{}}
+}
+
+func (c *tallyChecks) sent(add tally.Add) { c.sentAdds[add.Key] = add }
+
+func (c *tallyChecks) acked(add tally.Add, by *tallyReplica) {
+	c.ackedAdds = append(c.ackedAdds, &ackedAdd{add: add, atUs: c.history.kernel.NowUs(), by: by, life: by.lives, whenCut: c.history.cuts > 0})
+}
+
+// lostDisk records that a replica has lost its disk: what it acknowledged during a cut that has
+// not healed for tallyMergeUs is not owed.
+func (c *tallyChecks) lostDisk(r *tallyReplica) {
+	recent := c.history.cuts > 0 || c.history.kernel.NowUs() < c.healedUs+tallyMergeUs
+	for _, a := range c.ackedAdds {
+		if a.by == r && a.whenCut && recent {
+			a.notOwed = true
+		}
+	}
+}
+
+// look reads every replica that answers, and looks again later.
+func (c *tallyChecks) look() {
+	calm := c.history.troubles == 0
+	for _, r := range c.history.replicas {
+		if !r.process.Up() || r.replica == nil || !r.ready {
+			continue
+		}
+		c.checkTotals(r)
+		c.checkOwn(r)
+		if calm {
+			c.checkAll(r, max(c.troubleUs, 0)+tallyMergeUs)
+		}
+	}
+	c.history.kernel.After(500*Millisecond, c.look)
+}
+
+// checkTotals adds up what a replica should count, and nothing else.
+func (c *tallyChecks) checkTotals(r *tallyReplica) {
+	want := map[string]int64{}
+	for key, add := range c.sentAdds {
+		if r.replica.Set().Contains(key) {
+			want[add.Tally] += add.Amount
+		}
+	}
+	for name, total := range want {
+		if got := r.replica.Set().Total(name); got != total {
+			c.history.kernel.Fail("%s reads %d for %s; the adds that it has make %d", r.addr, got, name, total)
+		}
+	}
+}
+
+// checkOwn looks for what a replica has acknowledged in its life.
+func (c *tallyChecks) checkOwn(r *tallyReplica) {
+	for _, a := range c.ackedAdds {
+		if a.by == r && a.life == r.lives && !r.replica.Set().Contains(a.add.Key) {
+			c.history.kernel.Fail("%s does not have an add that it acknowledged at %d us in this life", r.addr, a.atUs)
+		}
+	}
+}
+
+// checkAll looks for what anybody has acknowledged, once there was no trouble for long enough.
+func (c *tallyChecks) checkAll(r *tallyReplica, sinceUs int64) {
+	nowUs := c.history.kernel.NowUs()
+	if nowUs < sinceUs {
+		return
+	}
+	for _, a := range c.ackedAdds {
+		if !a.notOwed && a.atUs <= nowUs-tallyMergeUs && !r.replica.Set().Contains(a.add.Key) {
+			c.history.kernel.Fail("%s lacks an add that %s acknowledged at %d us", r.addr, a.by.addr, a.atUs)
+		}
+	}
+}
+
+// end checks every replica after everything has healed.
+func (c *tallyChecks) end() {
+	for _, r := range c.history.replicas {
+		if !r.process.Up() || !r.ready {
+			c.history.kernel.Fail("%s does not answer at the end", r.addr)
+			continue
+		}
+		c.checkTotals(r)
+		c.checkAll(r, 0)
+	}
+}
+
+func (c *tallyChecks) counts() Counts {
+	out := Counts{TallyHistories: 1, TallySent: int64(len(c.sentAdds)), TallyAcked: int64(len(c.ackedAdds))}
+	for _, a := range c.ackedAdds {
+		if a.whenCut {
+			out.TallyAckedCut++
+		}
+		if a.notOwed {
+			out.TallyNotOwed++
+		}
+	}
+	return out
+}
