--- a/cmd/beechtide/doctor.go
+++ b/cmd/beechtide/doctor.go
@@ -34,6 +34,7 @@
 	rings        bool // print the log rings as well
 	duties       bool // print the duties at the platform as well
 	retired      bool // print the retired weights as well
+	partitions   bool // print tallies, evacuations, warm-ups and unreachable zones as well
 	quotas       bool // print the counts of tenants with a limit as well
 }
 
@@ -48,6 +49,7 @@
 	flags.BoolVar(&options.duties, "duties", false, "print who holds the duties at the platform, and how many runners are ordered, as well")
 	flags.BoolVar(&options.retired, "retired", false, "print which weights are retired, on how many routers, and what is left of them, as well")
 	flags.BoolVar(&options.quotas, "quotas", false, "print who counts the requests of each tenant with a limit, and what is left of it, as well")
+	flags.BoolVar(&options.partitions, "partitions", false, "print the replicas of the tallies, evacuated zones, runners that warm up and zones that routers cannot reach as well")
 	flags.StringVar(&options.from, "from", "", "address to ask from; empty: any free port of the settings' ip")
 	flags.Usage = func() {
 		fmt.Fprintln(flags.Output(), "usage: beechtide doctor [flags]\n\nEnds with 0 where all is well, 1 on warnings, 3 on faults.")
@@ -92,19 +94,12 @@
 	defer cancel()
 	results := doctor.Collect(ctx, trans, set.SeedAddrs())
 	status = printFindings(doctor.Examine(results), options.asJSON)
-	if options.duties {
-		for _, line := range doctor.Duties(results) {
-			fmt.Println(line)
-		}
-	}
-	if options.retired {
-		for _, line := range doctor.Retired(results) {
-			fmt.Println(line)
-		}
-	}
-	if options.quotas {
-		for _, line := range doctor.Quotas(results) {
-			fmt.Println(line)
+	for _, section := range []struct {
+		wanted bool
+		lines  func([]doctor.NodeResult) []string
+	}{{options.duties, doctor.Duties}, {options.retired, doctor.Retired}, {options.quotas, doctor.Quotas}, {options.partitions, doctor.Partitions}} {
+		if section.wanted {
+			printLines(section.lines(results))
 		}
 	}
 	if options.rings {
@@ -115,6 +110,12 @@
 	return status, nil
 }
 
+func printLines(lines []string) {
+	for _, line := range lines {
+		fmt.Println(line)
+	}
+}
+
 // printFindings prints findings and returns the exit status for them.
 func printFindings(findings []doctor.Finding, asJSON bool) int {
 	if asJSON {
--- a/internal/controller/metrics.go
+++ b/internal/controller/metrics.go
@@ -16,7 +16,7 @@
 func (d *Controller) metricsServer() *metrics.Server {
 	return metrics.NewServer(metrics.Config{Addr: d.set.ControllerMetricsAddr(), Log: d.log}, slices.Concat(
 		metrics.Node(d.transport, d.publisher, &d.counters.subscriptions),
-		d.consensusMetrics(), d.callMetrics(), d.platformMetrics(), d.quotaMetrics(),
+		d.consensusMetrics(), d.callMetrics(), d.platformMetrics(), d.quotaMetrics(), d.partitionMetrics(),
 	)...)
 }
 
--- /dev/null
+++ b/internal/doctor/partitions.go
@@ -0,0 +1,126 @@
+package doctor
+
+import (
+	"cmp"
+	"fmt"
+	"slices"
+	"strings"
+
+	"beechtide.org/beechtide/internal/messages"
+)
+
+// Partitions returns lines about the state that outlasts partitions: the replicas of the
+// tallies and what each lacks or waits for, evacuated zones and on how many routers they are
+// in force, runners that warm up and who sends to them, and zones that routers cannot reach.
+func Partitions(results []NodeResult) []string {
+	return slices.Concat(tallyLines(results), evacuationLines(results), warmupLines(results), unreachableLines(results))
+}
+
+// conditionsOf lists the conditions of the nodes of a role that answered, by name.
+func conditionsOf(results []NodeResult, role messages.Role) []*messages.Condition {
+	var out []*messages.Condition
+	for _, r := range results {
+		if r.Condition != nil && r.Condition.Role == role {
+			out = append(out, r.Condition)
+		}
+	}
+	slices.SortFunc(out, func(a, b *messages.Condition) int { return strings.Compare(a.Node, b.Node) })
+	return out
+}
+
+// tallyLines has a line for each replica. Replicas with the same adds show the same digest.
+func tallyLines(results []NodeResult) []string {
+	var lines []string
+	for _, c := range conditionsOf(results, messages.Controller) {
+		t := c.Partition.Tally
+		line := fmt.Sprintf("tallies of %s: %d adds to %d tallies, digest %016x, %d bytes on disk", c.Node, t.Adds, t.Tallies, t.Digest, t.DiskBytes)
+		if t.Unconfirmed > 0 {
+			line += fmt.Sprintf(", %d wait for disks", t.Unconfirmed)
+		}
+		if t.Full {
+			line += ", takes no more"
+		}
+		if t.Starting {
+			line += ", still asks the others"
+		}
+		if len(t.Unreachable) > 0 {
+			line += ", does not reach " + strings.Join(t.Unreachable, " ")
+		}
+		lines = append(lines, line)
+	}
+	return lines
+}
+
+// evacuationLines has a line for each evacuated zone.
+func evacuationLines(results []NodeResult) []string {
+	controllers, routers := conditionsOf(results, messages.Controller), conditionsOf(results, messages.Router)
+	goBy := func(nodes []*messages.Condition, zone string) (count int) {
+		for _, c := range nodes {
+			if slices.Contains(c.Partition.Evacuated, zone) {
+				count++
+			}
+		}
+		return count
+	}
+	zones := map[string]bool{}
+	for _, c := range slices.Concat(controllers, routers) {
+		for _, zone := range c.Partition.Evacuated {
+			zones[zone] = true
+		}
+	}
+	var lines []string
+	for zone := range zones {
+		lines = append(lines, fmt.Sprintf("zone %s is evacuated: known to %d of %d controllers, in force on %d of %d routers", zone, goBy(controllers, zone), len(controllers), goBy(routers, zone), len(routers)))
+	}
+	slices.Sort(lines)
+	return lines
+}
+
+// warmupLines has a line for each runner that warms up.
+func warmupLines(results []NodeResult) []string {
+	type warmup struct {
+		leftUs  int64
+		lenders int
+		perS    float64
+	}
+	runners := map[string]warmup{}
+	for _, c := range conditionsOf(results, messages.Router) {
+		for _, w := range c.Partition.WarmingUp {
+			known := runners[w.ID]
+			known.leftUs = max(known.leftUs, w.LeftUs)
+			if w.RatePerS > 0 {
+				known.lenders++
+				known.perS += w.RatePerS
+			}
+			runners[w.ID] = known
+		}
+	}
+	var lines []string
+	for id, w := range runners {
+		lines = append(lines, fmt.Sprintf("runner %s warms up for %.1f s more: %d routers send to it, %.1f requests a second at most", id, float64(w.leftUs)/1e6, w.lenders, w.perS))
+	}
+	slices.Sort(lines)
+	return lines
+}
+
+// unreachableLines has a line for each zone of routers and zone that they cannot reach.
+func unreachableLines(results []NodeResult) []string {
+	type pair struct{ from, to string }
+	type seen struct {
+		routers int
+		sinceUs int64
+	}
+	pairs := map[pair]seen{}
+	for _, c := range conditionsOf(results, messages.Router) {
+		for _, z := range c.Partition.UnreachableZones {
+			known := pairs[pair{c.Zone, z.Zone}]
+			pairs[pair{c.Zone, z.Zone}] = seen{known.routers + 1, max(known.sinceUs, z.SinceUs)}
+		}
+	}
+	var lines []string
+	for p, s := range pairs {
+		lines = append(lines, fmt.Sprintf("%d routers of zone %s have not reached zone %s for %.1f s", s.routers, p.from, p.to, float64(s.sinceUs)/1e6))
+	}
+	slices.SortFunc(lines, func(a, b string) int { return cmp.Compare(a, b) })
+	return lines
+}
--- /dev/null
+++ b/internal/router/partition_metrics.go
@@ -0,0 +1,34 @@
+// The metrics of what outlasts partitions: evacuated zones and warm-ups
+// (docs/operating/metrics.md).
+
+package router
+
+import (
+	"github.com/prometheus/client_golang/prometheus"
+
+	"beechtide.org/beechtide/internal/metrics"
+)
+
+func (c *Router) partitionMetrics() []prometheus.Collector {
+	return []prometheus.Collector{
+		metrics.Gauge("beechtide_router_evacuated", "1 for each zone whose runners get no requests from this router.", []string{"zone"}, func(emit metrics.Emit) {
+			c.admissionMu.Lock()
+			defer c.admissionMu.Unlock()
+			for _, zone := range c.admission.EvacuatedZones() {
+				emit(1, zone)
+			}
+		}),
+		metrics.Gauge("beechtide_router_warming_up", "Runners that warm up: all, and those that this router may send requests to.", []string{"of"}, func(emit metrics.Emit) {
+			c.admissionMu.Lock()
+			defer c.admissionMu.Unlock()
+			list, lent := c.admission.WarmingUp(c.clock()), 0
+			for _, w := range list {
+				if w.RatePerS > 0 {
+					lent++
+				}
+			}
+			emit(float64(len(list)), "all")
+			emit(float64(lent), "lent")
+		}),
+	}
+}
