reachability: a router knows within a second which zones it cannot reach, and chooses among the others

Cause: behind a cut each router found out for each runner alone, 700 ms a connect, again and again (../design/partitions.md has the figures). Change: package reachability pings one node of each other zone every 250 ms, several at once when it does not answer; runners of unreachable zones leave the choice together, attempts that have not begun there are taken back where another may follow, caches there are not counted; back after two answers, by slow start.

--- a/internal/admission/admission.go
+++ b/internal/admission/admission.go
@@ -71,6 +71,7 @@
 	relinquished    map[string]relinquished // by zone
 	retired         map[string]int64        // by model: the first version of the weights that is not retired
 	evacuations     evacuations
+	unreachable     unreachable
 	warmups         warmups
 	regions         map[string]string     // by zone
 	candidateBuffer []placement.Candidate // reused by the next search for candidates
--- a/internal/admission/candidates.go
+++ b/internal/admission/candidates.go
@@ -24,6 +24,7 @@
 	peersKnown    bool // the loads of the other nodes are recent
 	linkShare     int  // requests that this node may have at one runner; 0: any number
 	preferredZone string
+	avoidsZones   bool // runners in unreachable zones get nothing
 	relinquishing bool // sessions that leave their zone have another one to go to
 	blocks        int  // memory that the request needs without a cached prefix
 	keysOf        func(version int64) []uint64
@@ -38,7 +39,8 @@
 		request: request, pool: p, nowUs: nowUs,
 		peersKnown: a.peerLoadsCurrent(nowUs), linkShare: share,
 		preferredZone: a.Zone, keysOf: a.keysOf(request),
-		blocks: (request.TokensIn + request.TokensOut + a.T.BlockTokens - 1) / a.T.BlockTokens,
+		avoidsZones: a.reachesOthers(p),
+		blocks:      (request.TokensIn + request.TokensOut + a.T.BlockTokens - 1) / a.T.BlockTokens,
 	}
 	if len(a.relinquished) == 0 {
 		return s
@@ -89,6 +91,9 @@
 	if r.absence.out || r.record.Draining || r.cordoned(s.nowUs) || !s.pool.permits(s.request, id) {
 		return false
 	}
+	if s.avoidsZones && a.zoneUnreachable(r.record.Zone) {
+		return false
+	}
 	if a.Evacuated(r.record.Zone) || !a.atHome(&s.request, r.record.Zone) || !a.warmupAllows(s.pool, r, s.nowUs) {
 		return false
 	}
@@ -118,7 +123,7 @@
 	return placement.Candidate{
 		ID: id, NearSite: r.record.Zone == s.preferredZone, Kept: cached, Prefill: r.prefill(),
 		Active: active, Capacity: r.capacity, Used: use, Rate: r.prefillRate(&a.T),
-		Reading: r.prefillLoad(&a.T, s.nowUs), DoubtUs: r.health.doubtUs(s.nowUs),
+		Reading: r.prefillLoad(&a.T, s.nowUs), DoubtUs: r.health.doubtUs(s.nowUs) + a.returnCostUs(r.record.Zone, s.nowUs),
 	}, true
 }
 
@@ -198,6 +203,14 @@
 	}
 }
 
+// mayFetchFrom reports whether cached blocks may be fetched from a runner.
+func (a *Admitter) mayFetchFrom(s *search, r *runner) bool {
+	if r.absence.out || r.record.Stale || r.avoidUntilUs > s.nowUs || a.zoneUnreachable(r.record.Zone) {
+		return false
+	}
+	return s.pool.permits(s.request, r.record.ID)
+}
+
 // findSources finds the runners and stores that have cached blocks of a prompt.
 func (a *Admitter) findSources(s *search) blockSources {
 	request, p := s.request, s.pool
@@ -208,11 +221,8 @@
 	sources := blockSources{shared: map[int64]int{}}
 	for _, id := range p.order {
 		r := p.runners[id]
-		if r.absence.out || r.record.Stale || r.avoidUntilUs > s.nowUs || !p.permits(request, id) {
-			continue
-		}
 		version := weightsVersion(r.record, request.Model)
-		if a.RetiredWeights(request.Model, version) {
+		if !a.mayFetchFrom(s, r) || a.RetiredWeights(request.Model, version) {
 			continue
 		}
 		kept, expected := a.Index.CachedAndExpected(id, s.keysOf(version), request.Parts)
@@ -220,7 +230,7 @@
 		sources.shared[version] = max(sources.shared[version], min(sharedTokens, expected))
 	}
 	for _, store := range p.stores {
-		if !p.permits(request, store.ID) {
+		if !p.permits(request, store.ID) || a.zoneUnreachable(store.Zone) {
 			continue
 		}
 		for version := range sources.shared {
--- a/internal/messages/msgp.gen.go
+++ b/internal/messages/msgp.gen.go
@@ -5205,6 +5205,58 @@
 	return
 }
 
+// MarshalMsg implements msgp.Marshaler
+func (z ReachPing) MarshalMsg(b []byte) (o []byte, err error) {
+	o = msgp.Require(b, z.Msgsize())
+	// map header, size 1
+	// string "q"
+	o = append(o, 0x81, 0xa1, 0x71)
+	o = msgp.AppendInt64(o, z.Seq)
+	return
+}
+
+// UnmarshalMsg implements msgp.Unmarshaler
+func (z *ReachPing) UnmarshalMsg(bts []byte) (o []byte, err error) {
+	var field []byte
+	_ = field
+	var zb0001 uint32
+	zb0001, bts, err = msgp.ReadMapHeaderBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err)
+		return
+	}
+	for zb0001 > 0 {
+		zb0001--
+		field, bts, err = msgp.ReadMapKeyZC(bts)
+		if err != nil {
+			err = msgp.WrapError(err)
+			return
+		}
+		switch msgp.UnsafeString(field) {
+		case "q":
+			z.Seq, bts, err = msgp.ReadInt64Bytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Seq")
+				return
+			}
+		default:
+			bts, err = msgp.Skip(bts)
+			if err != nil {
+				err = msgp.WrapError(err)
+				return
+			}
+		}
+	}
+	o = bts
+	return
+}
+
+// Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
+func (z ReachPing) Msgsize() (s int) {
+	s = 1 + 2 + msgp.Int64Size
+	return
+}
+
 // MarshalMsg implements msgp.Marshaler
 func (z ReachQuery) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
--- a/internal/messages/types.gen.go
+++ b/internal/messages/types.gen.go
@@ -492,6 +492,11 @@
 	Reached bool `msg:"r"`
 }
 
+// ReachPing a ping from zone to zone, and the answer to it with the same number
+type ReachPing struct {
+	Seq int64 `msg:"q"`
+}
+
 // ReachQuery asks a node whether it reaches another one
 type ReachQuery struct {
 	Addr string `msg:"a"`
--- a/internal/router/condition.go
+++ b/internal/router/condition.go
@@ -21,6 +21,7 @@
 	x.Partition.Evacuated = c.admission.EvacuatedZones()
 	x.Partition.WarmingUp = c.admission.WarmingUp(c.clock())
 	c.admissionMu.Unlock()
+	x.Partition.UnreachableZones = c.zones.conditions()
 	x.Retired = c.retiredConditions()
 	x.Wholes, x.Changes = c.feedStats.wholes.Load(), c.feedStats.changes.Load()
 	x.Malformed = c.feedStats.malformed.Load() + c.up.Malformed.Load()
--- a/internal/router/partition_metrics.go
+++ b/internal/router/partition_metrics.go
@@ -18,6 +18,11 @@
 				emit(1, zone)
 			}
 		}),
+		metrics.Gauge("beechtide_router_zone_unreachable_seconds", "For how long each zone that this router cannot reach has been so.", []string{"zone"}, func(emit metrics.Emit) {
+			for _, z := range c.zones.conditions() {
+				emit(float64(z.SinceUs)/1e6, z.Zone)
+			}
+		}),
 		metrics.Gauge("beechtide_router_warming_up", "Runners that warm up: all, and those that this router may send requests to.", []string{"of"}, func(emit metrics.Emit) {
 			c.admissionMu.Lock()
 			defer c.admissionMu.Unlock()
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -126,6 +126,7 @@
 	timeOfDay clocksync.Shared
 	usage     *usageReports // nil where no usage is wanted
 	quotas    *quotaClient
+	zones     *zonePings
 
 	retirements retirements
 
@@ -157,12 +158,15 @@
 	c.up.Acked, c.up.ResendAll, c.up.Unsubscribed = c.loads.acknowledge, c.resendLoads, func(string) {}
 	c.up.Counts = &c.counters.subscriptions
 	c.quotas = newQuotaClient(c)
+	c.zones = newZonePings(c)
 	c.seeds.Store(&set.Seeds)
 	c.timeOfDay.Observe(time.Now().UnixMicro(), clock())
 	if set.Bounds.UsageWindowS > 0 {
 		c.usage = newUsageReports(c)
 	}
 	c.monitor = membership.NewMonitor(trans, messages.Peer{Addr: set.RouterAddr(), Role: messages.Router, Zone: set.Zone, Node: set.Node}, clock, c.seedAddrs)
+	trans.OnDatagram(transport.KindReachPing, c.zones.answer)
+	trans.OnDatagram(transport.KindReachAck, c.zones.acked)
 	trans.OnCall(transport.KindReach, c.answerReach)
 	trans.OnCall(transport.KindQuotaUnowned, c.quotas.handleBorrow)
 	trans.OnCall(transport.KindCondition, func(context.Context, *transport.Conn, []byte) ([]byte, error) {
@@ -185,6 +189,7 @@
 	go loop.Every(live, time.Second, func() { c.connPool.Sweep(func(string) bool { return true }) })
 	go loop.Every(live, forgetEvery, c.forgetUnlisted)
 	go c.pump(live)
+	go c.zones.run(live)
 	go c.probeMissing(live)
 	go loop.Every(live, quotaSweepInterval, c.quotas.sweep)
 	go loop.Every(live, withdrawEvery, c.withdrawFromOldWeights)
--- a/internal/router/withdraw.go
+++ b/internal/router/withdraw.go
@@ -88,6 +88,7 @@
 // withdrawFromOldWeights takes back the attempts that would begin on weights that are too
 // old by then. Where the weights have been retired it takes back only those that another
 // attempt may follow: the others were sent before, and are answered by who has them.
+// The latter holds too for runners of a zone that cannot be reached any more.
 func (c *Router) withdrawFromOldWeights() {
 	attempts := c.sent.snapshot()
 	if len(attempts) == 0 {
@@ -97,7 +98,7 @@
 	now := c.clock()
 	c.admissionMu.Lock()
 	for _, a := range attempts {
-		if c.admission.MustWithdraw(a.adm, now) || a.again && c.admission.Retired(a.adm) {
+		if c.admission.MustWithdraw(a.adm, now) || a.again && (c.admission.Retired(a.adm) || c.admission.OutOfReach(a.adm)) {
 			due = append(due, a)
 		}
 	}
--- /dev/null
+++ b/internal/router/zones.go
@@ -0,0 +1,151 @@
+// Zones that this router cannot reach (package reachability): their runners leave the choice
+// together, without an attempt at each, and what has not begun there is sent elsewhere where it
+// may be. The registry goes on listing them.
+
+package router
+
+import (
+	"context"
+	"math/rand/v2"
+	"sync"
+	"time"
+
+	"beechtide.org/beechtide/internal/loop"
+	"beechtide.org/beechtide/internal/messages"
+	"beechtide.org/beechtide/internal/reachability"
+	"beechtide.org/beechtide/internal/transport"
+)
+
+const (
+	// zoneTick is how often pings are looked at.
+	zoneTick = 50 * time.Millisecond
+	// zoneNodesTicks is after how many ticks the nodes to ping are brought up to date.
+	zoneNodesTicks = 20
+	// zoneNodeUs is for how long a node is pinged, where its zone has no other, that
+	// membership takes for dead: behind a cut it takes all for dead.
+	zoneNodeUs = int64(60_000_000)
+)
+
+// zonePings is safe for concurrent use.
+type zonePings struct {
+	router *Router
+
+	mu      sync.Mutex // guards what follows
+	tracker *reachability.Tracker
+	nodes   map[string]zoneNode // by address
+	known   map[string]int64    // the unreachable zones, and since when, as last set
+}
+
+// zoneNode is a router of another zone.
+type zoneNode struct {
+	zone   string
+	seenUs int64 // when membership last took it for alive
+}
+
+func newZonePings(c *Router) *zonePings {
+	return &zonePings{router: c, tracker: reachability.NewTracker(reachability.DefaultConfig, rand.IntN), nodes: map[string]zoneNode{}}
+}
+
+// run works until ctx ends.
+func (z *zonePings) run(ctx context.Context) {
+	n := 0
+	loop.Every(ctx, zoneTick, func() {
+		if n%zoneNodesTicks == 0 {
+			z.updateNodes()
+		}
+		n++
+		z.tick()
+	})
+}
+
+// updateNodes brings the nodes of the other zones up to date.
+func (z *zonePings) updateNodes() {
+	alive, nowUs := z.router.monitor.Alive(messages.Router), z.router.clock()
+	z.mu.Lock()
+	defer z.mu.Unlock()
+	for _, p := range alive {
+		if p.Zone != z.router.set.Zone {
+			z.nodes[p.Addr] = zoneNode{zone: p.Zone, seenUs: nowUs}
+		}
+	}
+	byZone, dead := map[string][]string{}, map[string][]string{}
+	for addr, node := range z.nodes {
+		switch {
+		case node.seenUs == nowUs:
+			byZone[node.zone] = append(byZone[node.zone], addr)
+		case nowUs-node.seenUs > zoneNodeUs:
+			delete(z.nodes, addr)
+		default:
+			dead[node.zone] = append(dead[node.zone], addr)
+		}
+	}
+	for zone, addrs := range dead {
+		if len(byZone[zone]) == 0 {
+			byZone[zone] = addrs
+		}
+	}
+	z.tracker.SetNodes(byZone)
+}
+
+func (z *zonePings) tick() {
+	z.mu.Lock()
+	pings := z.tracker.Tick(z.router.clock())
+	z.mu.Unlock()
+	for _, p := range pings {
+		z.router.transport.SendDatagram(p.To, transport.KindReachPing, &messages.ReachPing{Seq: p.Seq})
+	}
+	z.publish()
+}
+
+// answer answers a ping.
+func (z *zonePings) answer(from string, body []byte) {
+	var ping messages.ReachPing
+	if _, err := ping.UnmarshalMsg(body); err == nil {
+		z.router.transport.SendDatagram(from, transport.KindReachAck, &ping)
+	}
+}
+
+// acked takes an answer.
+func (z *zonePings) acked(from string, body []byte) {
+	var ping messages.ReachPing
+	if _, err := ping.UnmarshalMsg(body); err != nil {
+		return
+	}
+	z.mu.Lock()
+	z.tracker.Acked(z.nodes[from].zone, ping.Seq, z.router.clock())
+	z.mu.Unlock()
+	z.publish()
+}
+
+// publish puts a change of the unreachable zones in force.
+func (z *zonePings) publish() {
+	z.mu.Lock()
+	now := z.tracker.Unreachable()
+	changed := len(now) != len(z.known)
+	for zone := range now {
+		_, before := z.known[zone]
+		changed = changed || !before
+	}
+	z.known = now
+	z.mu.Unlock()
+	if !changed {
+		return
+	}
+	c := z.router
+	c.log.Info("unreachable zones", "zones", now)
+	c.admissionMu.Lock()
+	c.admission.SetUnreachable(now, c.clock())
+	c.admissionMu.Unlock()
+	c.wakeQueue()
+}
+
+// conditions are for the doctor.
+func (z *zonePings) conditions() []messages.UnreachableZone {
+	z.mu.Lock()
+	defer z.mu.Unlock()
+	var out []messages.UnreachableZone
+	for zone, sinceUs := range z.known {
+		out = append(out, messages.UnreachableZone{Zone: zone, SinceUs: z.router.clock() - sinceUs})
+	}
+	return out
+}
--- /dev/null
+++ b/internal/router/zones_test.go
@@ -0,0 +1,68 @@
+package router
+
+import (
+	"context"
+	"testing"
+	"time"
+
+	"github.com/shoenig/test/must"
+
+	"beechtide.org/beechtide/internal/messages"
+	"beechtide.org/beechtide/internal/transport"
+)
+
+// listInZones has the router know a runner in its own zone and one in another.
+func (c *Router) listInZones(t *testing.T, near, far *runner) {
+	t.Helper()
+	c.applyFeed("", messages.Feed{Registry: []messages.EntryChange{runnerEntries(
+		t,
+		messages.RunnerRecord{ID: "near", Service: "s", Addr: near.addr, Zone: "a", Capacity: 8, Seq: 1},
+		messages.RunnerRecord{ID: "far", Service: "s", Addr: far.addr, Zone: "b", Capacity: 8, Seq: 1},
+	)}})
+}
+
+func TestRunnersOfAnUnreachableZoneGetNothing(t *testing.T) {
+	near, far := newRunner(t), newRunner(t)
+	c, front, _ := start(t, near)
+	c.listInZones(t, near, far)
+	c.admissionMu.Lock()
+	c.admission.SetUnreachable(map[string]int64{"b": 1}, c.clock())
+	c.admissionMu.Unlock()
+	before := far.count()
+	for range 12 {
+		a, _, err := say(t, front, request("/pay/1", ""))
+		must.NoError(t, err)
+		must.Eq(t, 200, a.StatusCode)
+	}
+	must.Eq(t, before, far.count())
+	must.GreaterEq(t, 12, near.count())
+}
+
+func TestPingIsAnswered(t *testing.T) {
+	c, _, _ := start(t, newRunner(t))
+	trans, err := transport.New("127.0.0.1:0", nil, c.log)
+	must.NoError(t, err)
+	defer trans.Close()
+	answered := make(chan int64, 1)
+	trans.OnDatagram(transport.KindReachAck, func(_ string, body []byte) {
+		var ping messages.ReachPing
+		if _, err := ping.UnmarshalMsg(body); err == nil {
+			select {
+			case answered <- ping.Seq:
+			default:
+			}
+		}
+	})
+	ctx, cancel := context.WithCancel(t.Context())
+	defer cancel()
+	trans.Run(ctx)
+	for {
+		trans.SendDatagram(c.transport.Addr(), transport.KindReachPing, &messages.ReachPing{Seq: 7})
+		select {
+		case seq := <-answered:
+			must.Eq(t, 7, seq)
+			return
+		case <-time.After(50 * time.Millisecond):
+		}
+	}
+}
--- a/internal/simulation/tally_actors.go
+++ b/internal/simulation/tally_actors.go
@@ -151,7 +151,7 @@
 
 // call sends a question to another replica and hands its answer over, or nothing in time.
 func (r *tallyReplica) call(other *tallyReplica, serve func(answer func(func())), failed func()) {
-	sentUs, ended := r.process.NowUs(), false
+	sentUs, life, ended := r.process.NowUs(), r.process.life, false
 	net := r.history.network
 	net.Send(r.addr, other.addr, func() {
 		other.process.Deliver(func() {
@@ -159,7 +159,7 @@
 				return
 			}
 			serve(func(receive func()) {
-				net.Send(other.addr, r.addr, r.process.InLife(func() {
+				net.Send(other.addr, r.addr, r.process.inLifeOf(life, func() {
 					if !ended {
 						ended = true
 						r.replica.Answered(other.addr)
@@ -292,14 +292,13 @@
 		return
 	}
 	verdict, net, router := tally.WitnessCut, r.history.network, r.history.routerOf(other.zone)
+	missed := r.process.InLife(func() { verdict = tally.WitnessDown })
 	net.Send(r.addr, router.addr, func() {
 		router.process.Deliver(func() {
 			router.reach(other, func(reached bool) {
-				net.Send(router.addr, r.addr, r.process.InLife(func() {
-					if !reached {
-						verdict = tally.WitnessDown
-					}
-				}))
+				if !reached {
+					net.Send(router.addr, r.addr, missed)
+				}
 			})
 		})
 	})
--- a/internal/tally/set.go
+++ b/internal/tally/set.go
@@ -1,6 +1,9 @@
 package tally
 
-import "slices"
+import (
+	"slices"
+	"unsafe"
+)
 
 // stored is an add as the set holds it.
 type stored struct {
@@ -46,6 +49,16 @@
 // Conflicts returns how many adds came with the id of another one and another amount.
 func (s *Set) Conflicts() int64 { return s.conflicts }
 
+// MemoryBytes returns how many bytes the adds and what finds them take.
+func (s *Set) MemoryBytes() int {
+	const placeBytes = int(unsafe.Sizeof(uint32(0)))
+	bytes := cap(s.adds)*int(unsafe.Sizeof(stored{})) + len(s.index.slots)*placeBytes
+	for _, log := range s.logs {
+		bytes += cap(log) * placeBytes
+	}
+	return bytes
+}
+
 // Tallies returns how many tallies there are.
 func (s *Set) Tallies() int { return len(s.names) }
 
--- a/internal/transport/kind.go
+++ b/internal/transport/kind.go
@@ -32,6 +32,8 @@
 	KindTallyAppend                // request: adds of the sender's log of tallies
 	KindTallyPull                  // request: adds that the sender lacks
 	KindReach                      // request: whether the receiver reaches another node
+	KindReachPing                  // datagram: asks for an answer
+	KindReachAck                   // datagram: the answer
 	kindCount
 )
 
@@ -65,6 +67,8 @@
 	KindTallyAppend: "tally-append",
 	KindTallyPull:   "tally-pull",
 	KindReach:       "reach",
+	KindReachPing:   "reach-ping",
+	KindReachAck:    "reach-ack",
 
 	KindReadsCompressed: "reads-compressed",
 	KindCompressed:      "compressed",
