--- a/internal/router/zones_test.go
+++ b/internal/router/zones_test.go
@@ -66,3 +66,40 @@
 		}
 	}
 }
+
+// cutOff has a request wait at a runner of another zone until that zone is unreachable, while a
+// runner of the own zone joins.
+func cutOff(t *testing.T, path string) (near *runner, c *Router, answer chan answered) {
+	t.Helper()
+	far, _ := silent(t)
+	c, front, _ := start(t)
+	c.applyFeed("", messages.Feed{Registry: []messages.EntryChange{runnerEntries(t, messages.RunnerRecord{ID: "r0", Service: "s", Addr: far.addr, Zone: "b", Capacity: 8, Seq: 9})}})
+	answer = sayLater(t, front, request(path, "x"))
+	awaitRequest(far)
+	near = newRunner(t)
+	c.join(t, "near", near, 1)
+	c.admissionMu.Lock()
+	c.admission.SetUnreachable(map[string]int64{"b": 1}, c.clock())
+	c.admissionMu.Unlock()
+	return near, c, answer
+}
+
+func TestRequestBeyondACutGoesToTheOwnSideWhereItMayBeRepeated(t *testing.T) {
+	for _, path := range []string{"/open/", "/sort/"} {
+		near, _, answer := cutOff(t, path)
+		a := <-answer
+		must.NoError(t, a.err)
+		must.Eq(t, 200, a.StatusCode)
+		must.Eq(t, 1, near.count())
+	}
+}
+
+func TestRequestBeyondACutThatMayRunOnceStays(t *testing.T) {
+	near, c, answer := cutOff(t, "/pay/1")
+	time.Sleep(4 * withdrawEvery)
+	must.Eq(t, 0, near.count())
+	must.Len(t, 1, c.sent.snapshot())
+	a := <-answer // its time is over
+	must.Eq(t, 0, near.count())
+	must.NotEq(t, 503, a.StatusCode, must.Sprint("it may have run"))
+}
