--- a/cmd/beechtide/traffic.go
+++ b/cmd/beechtide/traffic.go
@@ -5,6 +5,7 @@
 	"flag"
 	"fmt"
 	"os"
+	"time"
 
 	"beechtide.org/beechtide/internal/simulation/traffic"
 )
@@ -21,6 +22,10 @@
 	flags.DurationVar(&options.LoadInterval, "load-interval", options.LoadInterval, "time between two sums of loads")
 	flags.DurationVar(&options.LoadDelay, "load-delay", options.LoadDelay, "age of a sum of loads when it reaches the routers")
 	flags.DurationVar(&options.NoticeDelay, "notice-delay", options.NoticeDelay, "age of a notice of a prefix that will be cached")
+	flags.StringVar(&options.Cut.Zone, "cut-zone", "", "zone, a to e, that is cut off from the others; empty: none")
+	flags.DurationVar(&options.Cut.From, "cut-from", time.Second, "when the cut begins")
+	flags.DurationVar(&options.Cut.For, "cut-for", 6*time.Second, "how long it lasts")
+	flags.BoolVar(&options.Cut.Unaware, "cut-unaware", false, "routers do not ping other zones")
 	seed := flags.Uint64("seed", 1, "the source of chance; equal seeds give equal results")
 	asJSON := flags.Bool("json", false, "print the figures as JSON")
 	flags.Usage = func() {
--- a/internal/simulation/traffic/result.go
+++ b/internal/simulation/traffic/result.go
@@ -14,6 +14,7 @@
 	DecidedTwice int   // requests that got two decisions, which must not be
 	TokensRead   int   // prompt tokens that runners read
 	Classes      []ClassResult
+	Cut          CutResult
 }
 
 // ClassResult is what became of the requests of one class. A request whose first token
@@ -119,6 +120,9 @@
 		c := &r.Classes[i]
 		fmt.Fprintf(&b, "%-14s %6d sent  %6d in aim (%.3f)  %5d paused  %5d rejected  first token %v p50, %v p95, %v p99\n", c.Name, c.Sent, c.InAim, c.ShareInAim(), c.Paused, c.Rejected, round(c.Quantile(0.5)), round(c.Quantile(0.95)), round(c.Quantile(0.99)))
 	}
+	if r.Cut.Sent > 0 {
+		fmt.Fprintf(&b, "during the partition %.3f of %d requests in aim, after it %.3f of %d\n", r.Cut.ShareInAim(), r.Cut.Sent, r.Cut.AfterInAimShare(), r.Cut.AfterSent)
+	}
 	return b.String()
 }
 
--- a/internal/simulation/traffic/runner.go
+++ b/internal/simulation/traffic/runner.go
@@ -103,6 +103,10 @@
 	r.current = nil
 	f.routers[q.router].FirstToken(q.admitted, f.kernel.NowUs())
 	f.result.Classes[q.class].firstToken(f.kernel.NowUs()-q.arrivedUs, f.options.Classes[q.class])
+	if f.kernel.NowUs()-q.arrivedUs <= f.options.Classes[q.class].Aim.Microseconds() {
+		_, inAim := f.phase(q.arrivedUs)
+		*inAim++
+	}
 	r.cache(f, q)
 	r.readNext(f)
 	r.progress(f)
--- a/internal/simulation/traffic/traffic.go
+++ b/internal/simulation/traffic/traffic.go
@@ -5,7 +5,7 @@
 // delay: the sum of loads every LoadInterval, LoadDelay old, and notices of prefixes
 // that a runner is about to cache, NoticeDelay old. Runners are modelled: they read
 // prompts one after the other, decode several at once, and report their load once a
-// second. There are no faults. What differs from a real fleet, and by how much, is not
+// second. The one fault is a partition between a zone and the others (Cut). What differs from a real fleet, and by how much, is not
 // known: the figures serve to compare designs, and sizes of one design.
 //
 // Play runs one simulation on one goroutine; the same options and seed give the same
@@ -16,6 +16,7 @@
 	"fmt"
 	"math"
 	"math/rand/v2"
+	"slices"
 	"time"
 
 	"github.com/pkg/errors"
@@ -51,6 +52,7 @@
 	LoadDelay         time.Duration
 	NoticeDelay       time.Duration
 	Classes           []Class
+	Cut               Cut
 }
 
 // Validate reports the first option that cannot be simulated.
@@ -66,6 +68,10 @@
 		return errors.New("duration and load-interval must be positive")
 	case o.LoadDelay < 0 || o.NoticeDelay < 0:
 		return errors.New("load-delay and notice-delay must not be negative")
+	case o.Cut.Zone != "" && !slices.Contains(zones, o.Cut.Zone):
+		return errors.Errorf("cut: %q is none of the zones %v", o.Cut.Zone, zones)
+	case o.Cut.From < 0 || o.Cut.For < 0:
+		return errors.New("the times of a cut must not be negative")
 	case len(o.Classes) == 0:
 		return errors.New("classes: none")
 	}
@@ -120,6 +126,7 @@
 	router    int
 	arrivedUs int64
 	decided   bool
+	unsent    int // connections that did not come up
 	admission.Request
 	admitted *admission.Admission
 }
@@ -131,6 +138,7 @@
 		byAddr: map[string]*runner{}, queued: map[inflight.Ref]*request{}, result: newResult(options),
 	}
 	f.build()
+	f.watchZones()
 	f.kernel.After(0, f.arrive)
 	f.kernel.After(options.LoadInterval.Microseconds(), f.shareLoads)
 	f.kernel.After(reportIntervalUs, f.shareReports)
@@ -152,7 +160,7 @@
 		f.runners, f.byAddr[record.Addr] = append(f.runners, r), r
 	}
 	for i := range f.options.Routers {
-		a := admission.New(admission.Defaults, zones[i%len(zones)], uint64(i))
+		a := admission.New(admission.Defaults, f.zoneOf(i), uint64(i))
 		a.SetNodes(f.options.Routers)
 		a.SetService(service, records, runnerMemoryTokens, transferTokenUs)
 		f.routers = append(f.routers, a)
@@ -167,6 +175,8 @@
 	f.kernel.After(int64(f.random.ExpFloat64()*1e6/f.options.RequestsPerSecond), f.arrive)
 	r := f.newRequest()
 	f.result.Classes[r.class].Sent++
+	sent, _ := f.phase(r.arrivedUs)
+	*sent++
 	decision := f.routers[r.router].Submit(r.Request, f.kernel.NowUs())
 	f.decide(r, decision)
 	f.noticePending(r.router)
@@ -222,6 +232,10 @@
 		return
 	}
 	r.admitted = decision.Admit
+	if f.separated(f.zoneOf(r.router), decision.Admit.Runner.Zone) {
+		f.connect(r)
+		return
+	}
 	f.byAddr[decision.Admit.Runner.Addr].enqueue(f, r)
 }
 
