--- a/internal/admission/absent.go
+++ b/internal/admission/absent.go
@@ -30,10 +30,10 @@
 
 // What a probe may find.
 const (
-	Unknown   Presence = iota // no answer, or one that names nobody
-	Here                      // the instance itself
-	Elsewhere                 // another instance
-	Unprobed                  // the service has no probe: a request has to find out
+	PresenceUnknown   Presence = iota // no answer, or one that names nobody
+	PresenceConfirmed                 // the instance itself
+	PresenceMismatch                  // another instance
+	PresenceUnprobed                  // the service has no probe: a request has to find out
 )
 
 // absence is whether a runner is missing at its address, and when to probe it.
@@ -132,12 +132,12 @@
 		return false
 	}
 	switch what {
-	case Here:
+	case PresenceConfirmed:
 		r.absence = absence{foundUs: nowUs}
 		r.avoidUntilUs = max(r.avoidUntilUs, nowUs+rejectionPauseUs)
-	case Unprobed:
+	case PresenceUnprobed:
 		r.absence.out = r.absence.pauseUs <= probeBackoffUs // the first attempt is immediate
-	case Elsewhere:
+	case PresenceMismatch:
 		if !r.absence.proven {
 			r.absence.proven = true
 			a.confirmAbsent(n.ID)
--- a/internal/admission/absent_test.go
+++ b/internal/admission/absent_test.go
@@ -38,7 +38,7 @@
 		admitter.WrongInstance(adm, true, nowUs)
 		due, _ := admitter.DueProbes(nowUs)
 		for _, n := range due {
-			admitter.Found(n, Elsewhere, nowUs)
+			admitter.Found(n, PresenceMismatch, nowUs)
 		}
 	}
 	return misdirected
@@ -90,7 +90,7 @@
 	admitter := newAdmitter("x", "y", "z")
 	must.True(t, misdirect(t, admitter, "x", true, 1))
 	must.SliceEmpty(t, admitter.TakeAbsent())
-	admitter.Found(runnerRecord("x"), Elsewhere, 2)
+	admitter.Found(runnerRecord("x"), PresenceMismatch, 2)
 	must.True(t, misdirect(t, admitter, "y", false, 3))
 	must.Eq(t, []string{"x", "y"}, admitter.TakeAbsent())
 	must.SliceEmpty(t, admitter.TakeAbsent())
@@ -112,7 +112,7 @@
 	due, anyAbsent := admitter.DueProbes(1)
 	must.True(t, anyAbsent)
 	must.Len(t, 1, due)
-	admitter.Found(due[0], Here, 2)
+	admitter.Found(due[0], PresenceConfirmed, 2)
 	must.True(t, candidateSet(admitter, 1_000_000)["x"])
 	must.False(t, misdirect(t, admitter, "x", true, 1_000_000), must.Sprint("a probe has just found it: the 421 is about the weights"))
 }
@@ -125,7 +125,7 @@
 		due, _ := admitter.DueProbes(nowUs)
 		for _, n := range due {
 			probes++
-			admitter.Found(n, Unknown, nowUs)
+			admitter.Found(n, PresenceUnknown, nowUs)
 		}
 	}
 	must.Between(t, 8, probes, 12)
@@ -142,7 +142,7 @@
 		}
 		due, _ := admitter.DueProbes(nowUs)
 		for _, n := range due {
-			admitter.Found(n, Unprobed, nowUs)
+			admitter.Found(n, PresenceUnprobed, nowUs)
 		}
 	}
 	must.Between(t, 4, tried, 12)
@@ -162,7 +162,7 @@
 	}
 	due, _ := admitter.DueProbes(10_000_000)
 	for _, n := range due {
-		admitter.Found(n, Here, 10_000_000)
+		admitter.Found(n, PresenceConfirmed, 10_000_000)
 	}
 	must.Eq(t, 6, len(candidateSet(admitter, 10_200_000)))
 }
--- a/internal/api/types.gen.go
+++ b/internal/api/types.gen.go
@@ -335,13 +335,13 @@
 	Version int64  `json:"version" validate:"gt=0"`
 }
 
-// ReplaceMenuParams defines parameters for ReplaceMenu.
-type ReplaceMenuParams struct {
+// ReplaceConfigParams defines parameters for ReplaceConfig.
+type ReplaceConfigParams struct {
 	BeechtideBaseVersion int `json:"Beechtide-Base-Version"`
 }
 
-// ReplaceMenuJSONRequestBody defines body for ReplaceMenu for application/json ContentType.
-type ReplaceMenuJSONRequestBody = Configuration
+// ReplaceConfigJSONRequestBody defines body for ReplaceConfig for application/json ContentType.
+type ReplaceConfigJSONRequestBody = Configuration
 
 // BeatJSONRequestBody defines body for Beat for application/json ContentType.
 type BeatJSONRequestBody = Heartbeat
--- a/internal/controller/control.go
+++ b/internal/controller/control.go
@@ -123,7 +123,7 @@
 	}
 	var reached []messages.Peer
 	for _, p := range core {
-		if !d.calm.isCut(p.Addr) {
+		if !d.stability.isCut(p.Addr) {
 			reached = append(reached, p)
 		}
 	}
--- a/internal/controller/controller.go
+++ b/internal/controller/controller.go
@@ -92,19 +92,19 @@
 	readers  map[string]context.CancelFunc
 	heardUs  map[string]int64 // when a runner's events or report last came
 
-	roles    *roleManager
-	rollouts *rolloutManager
-	usage    *usageReporter // nil where the platform wants no usage
-	scaler   *scaler        // nil where the platform takes no orders of runners
-	quotas   *quotaMember
-	tallies  *tallies
-	targets  namedTargets
-	calm     calm
-	repairs  repairs
-	handOver handOverTimes
-	contact  contact
-	drained  ackedDrains
-	startUs  int64
+	roles     *roleManager
+	rollouts  *rolloutManager
+	usage     *usageReporter // nil where the platform wants no usage
+	scaler    *scaler        // nil where the platform takes no orders of runners
+	quotas    *quotaMember
+	tallies   *tallies
+	targets   namedTargets
+	stability stability
+	repairs   repairs
+	handOver  handOverTimes
+	contact   contact
+	drained   ackedDrains
+	startUs   int64
 
 	timeOfDay    clocksync.Shared
 	lastCalls    lastCalls
@@ -348,7 +348,7 @@
 }
 
 func (d *Controller) versions() messages.Versions {
-	m := messages.Versions{Parts: make([]int64, consensus.Parts), RegistrySum: d.registry.Snapshot().Sum, Controller: true, CalmUs: d.calm.forUs(d.clock()), MemberID: d.registers.ID(), CutOff: d.cutOff(), TargetAges: d.targets.ages(d.clock())}
+	m := messages.Versions{Parts: make([]int64, consensus.Parts), RegistrySum: d.registry.Snapshot().Sum, Controller: true, StableForUs: d.stability.stableForUs(d.clock()), MemberID: d.registers.ID(), CutOff: d.cutOff(), TargetAges: d.targets.ages(d.clock())}
 	m.TimeUs, m.TimeAgreed = d.timeOfDay.TimeUs(d.clock())
 	m.TallyDigest = d.tallies.digest()
 	m.ConfigAccepted = d.registers.MayHaveAccepted(consensus.ConfigPart)
@@ -406,7 +406,7 @@
 	d.registers.ForgetTransfers()
 	alive := d.monitor.Alive(messages.Controller)
 	view, core := coreView(alive)
-	d.calm.saw(view, d.clock())
+	d.stability.observe(view, d.clock())
 	silent := d.registry.SilentRunners(d.clock(), d.silence())
 	for _, p := range alive {
 		if p.Addr != d.transport.Addr() {
@@ -426,7 +426,7 @@
 	mine.SilentRunners = silent
 	b, err := d.transport.Call(cctx, p.Addr, transport.KindVersions, &mine)
 	if inCore {
-		d.calm.tried(p.Addr, err == nil, d.clock())
+		d.stability.recordCall(p.Addr, err == nil, d.clock())
 	}
 	if err != nil {
 		d.tallies.notCompared(p.Addr, sentUs)
--- a/internal/controller/controller_test.go
+++ b/internal/controller/controller_test.go
@@ -186,20 +186,20 @@
 }
 
 // The incident of docs/incidents/uncounted-unsettled-the-core.md: a controller that
-// does not count comes and goes, and the core is as calm as before.
-func TestOnlyDispatchesThatCountUnsettleTheCore(t *testing.T) {
+// does not count comes and goes, and the core is as stable as before.
+func TestOnlyControllersThatCountUnsettleTheCore(t *testing.T) {
 	counted := []messages.Peer{{Addr: "a", MemberID: "a/0", Counted: true}, {Addr: "b", MemberID: "b/0", Counted: true}}
 	all := append(append([]messages.Peer{}, counted...), messages.Peer{Addr: "x", MemberID: "x/1"})
-	var c calm
+	var s stability
 	view, core := coreView(all)
 	must.MapLen(t, 2, core)
-	c.saw(view, 1_000_000)
+	s.observe(view, 1_000_000)
 	view, _ = coreView(counted)
-	c.saw(view, 3_000_000)
-	must.Eq(t, int64(4_000_000), c.forUs(5_000_000))
+	s.observe(view, 3_000_000)
+	must.Eq(t, int64(4_000_000), s.stableForUs(5_000_000))
 	view, _ = coreView(all[1:])
-	c.saw(view, 6_000_000)
-	must.Eq(t, int64(0), c.forUs(6_000_000), must.Sprint("one that counts has gone"))
+	s.observe(view, 6_000_000)
+	must.Eq(t, int64(0), s.stableForUs(6_000_000), must.Sprint("one that counts has gone"))
 	_, core = coreView(all[2:])
 	must.True(t, core["x"], must.Sprint("where none counts, all do"))
 }
--- a/internal/controller/drain.go
+++ b/internal/controller/drain.go
@@ -129,7 +129,7 @@
 	var peers []drainPeer
 	for _, p := range membership.Core(d.monitor.Alive(messages.Controller)) {
 		if p.Addr != d.transport.Addr() {
-			peers = append(peers, drainPeer{p.Addr, !d.calm.isCut(p.Addr)})
+			peers = append(peers, drainPeer{p.Addr, !d.stability.isCut(p.Addr)})
 		}
 	}
 	ctx, cancel := context.WithTimeout(ctx, drainTimeout)
--- a/internal/controller/feed.go
+++ b/internal/controller/feed.go
@@ -225,7 +225,7 @@
 	f := &d.feed
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	up := messages.Feed{Versions: f.versions(), CalmUs: d.calm.forUs(d.clock()), CutOff: cutOff}
+	up := messages.Feed{Versions: f.versions(), StableForUs: d.stability.stableForUs(d.clock()), CutOff: cutOff}
 	down := up
 	f.toControllers.moveTo(&up)
 	f.toRouters.moveTo(&down)
@@ -273,7 +273,7 @@
 // are published as they arrive, and one that was missed at first would come late.
 func (d *Controller) deltaSince(h messages.Hold) messages.Feed {
 	d.targets.observe(h.TargetAges, d.clock())
-	out := messages.Feed{CalmUs: d.calm.forUs(d.clock()), CutOff: d.cutOff(), TargetAges: d.targets.ages(d.clock())}
+	out := messages.Feed{StableForUs: d.stability.stableForUs(d.clock()), CutOff: d.cutOff(), TargetAges: d.targets.ages(d.clock())}
 	withheld := unsynced(h) && !h.Anything && !d.inContact()
 	if withheld && !d.starting() {
 		out.Versions = d.publishedVersions()
--- a/internal/controller/roles.go
+++ b/internal/controller/roles.go
@@ -240,7 +240,7 @@
 // gone tells whether the holder of a lease is dead or does not answer this node.
 func (m *roleManager) gone(holder string) bool {
 	d, addr := m.controller, addrOf(holder)
-	if holder == "" || d.calm.isCut(addr) {
+	if holder == "" || d.stability.isCut(addr) {
 		return holder != ""
 	}
 	for _, p := range d.monitor.Alive(messages.Controller) {
@@ -258,7 +258,7 @@
 	d := m.controller
 	var addrs []string
 	for _, p := range membership.Core(d.monitor.Alive(messages.Controller)) {
-		if p.MemberID != l.Holder && (p.Addr == d.transport.Addr() || !d.calm.isCut(p.Addr)) {
+		if p.MemberID != l.Holder && (p.Addr == d.transport.Addr() || !d.stability.isCut(p.Addr)) {
 			addrs = append(addrs, p.Addr)
 		}
 	}
--- a/internal/controller/scaling.go
+++ b/internal/controller/scaling.go
@@ -120,8 +120,8 @@
 func (s *scaler) view(body messages.LeaseBody, nowUs int64) autoscale.View {
 	d := s.controller
 	known := s.loadsKnown(nowUs) && d.inContact()
-	calm := d.calm.forUs(nowUs) >= steadyUs
-	view := autoscale.View{NowUs: nowUs, Known: known, Steady: calm && !d.rollouts.unfinished()}
+	stable := d.stability.stableForUs(nowUs) >= steadyUs
+	view := autoscale.View{NowUs: nowUs, Known: known, Steady: stable && !d.rollouts.unfinished()}
 	table := d.table.Load()
 	if table == nil {
 		return view
--- a/internal/messages/msgp.gen.go
+++ b/internal/messages/msgp.gen.go
@@ -1752,7 +1752,7 @@
 	}
 	// string "u"
 	o = append(o, 0xa1, 0x75)
-	o = msgp.AppendInt64(o, z.CalmUs)
+	o = msgp.AppendInt64(o, z.StableForUs)
 	// string "x"
 	o = append(o, 0xa1, 0x78)
 	o = msgp.AppendBool(o, z.CutOff)
@@ -2022,9 +2022,9 @@
 				}
 			}
 		case "u":
-			z.CalmUs, bts, err = msgp.ReadInt64Bytes(bts)
+			z.StableForUs, bts, err = msgp.ReadInt64Bytes(bts)
 			if err != nil {
-				err = msgp.WrapError(err, "CalmUs")
+				err = msgp.WrapError(err, "StableForUs")
 				return
 			}
 		case "x":
@@ -8073,7 +8073,7 @@
 	o = msgp.AppendInt64(o, z.TimeUs)
 	// string "u"
 	o = append(o, 0xa1, 0x75)
-	o = msgp.AppendInt64(o, z.CalmUs)
+	o = msgp.AppendInt64(o, z.StableForUs)
 	// string "v"
 	o = append(o, 0xa1, 0x76)
 	o = msgp.AppendInt64(o, z.ConfigAccepted)
@@ -8341,9 +8341,9 @@
 				return
 			}
 		case "u":
-			z.CalmUs, bts, err = msgp.ReadInt64Bytes(bts)
+			z.StableForUs, bts, err = msgp.ReadInt64Bytes(bts)
 			if err != nil {
-				err = msgp.WrapError(err, "CalmUs")
+				err = msgp.WrapError(err, "StableForUs")
 				return
 			}
 		case "v":
--- a/internal/messages/types.gen.go
+++ b/internal/messages/types.gen.go
@@ -249,7 +249,7 @@
 	Reports       []ReportNote  `msg:"o"`
 	Parts         []PartNote    `msg:"p"`
 	Registry      []EntryChange `msg:"r"`
-	CalmUs        int64         `msg:"u"`
+	StableForUs   int64         `msg:"u"`
 	CutOff        bool          `msg:"x"`
 
 	// FromRelay a relay put it together from what it holds; no controller need be in reach
@@ -776,8 +776,8 @@
 	SilentRunners []LastHeartbeat `msg:"s"`
 
 	// TimeUs in a response of a controller, the time of day that it keeps, in microseconds since 1970; 0 if it does not know
-	TimeUs int64 `msg:"t"`
-	CalmUs int64 `msg:"u"`
+	TimeUs      int64 `msg:"t"`
+	StableForUs int64 `msg:"u"`
 
 	// ConfigAccepted the version for which the sender has, or may have, accepted a value that it does not know to be committed; 0 for none
 	ConfigAccepted int64 `msg:"v"`
--- a/internal/router/client_watch_test.go
+++ b/internal/router/client_watch_test.go
@@ -21,7 +21,7 @@
 
 // unhurriedMenu is the usual configuration with hours for every request: what ends
 // earlier was ended by something else.
-var unhurriedMenu = strings.NewReplacer(`"version":3`, `"version":4`, `"cutoffMs":3000`, `"cutoffMs":7200000`).Replace(menuText)
+var unhurriedMenu = strings.NewReplacer(`"version":3`, `"version":4`, `"cutoffMs":3000`, `"cutoffMs":7200000`).Replace(configText)
 
 // unhurried is a request whose client waits for hours.
 func unhurried(path string) string {
@@ -62,9 +62,9 @@
 	return conn
 }
 
-func (c *Router) takesMenu(t *testing.T, text string) {
+func (c *Router) takesConfig(t *testing.T, text string) {
 	t.Helper()
-	must.True(t, c.applyFeed("", messages.Feed{Configuration: []messages.EntryChange{wholeMenu(t, text, 2)}}))
+	must.True(t, c.applyFeed("", messages.Feed{Configuration: []messages.EntryChange{configSnapshot(t, text, 2)}}))
 }
 
 func TestRunnerIsReleasedWhenTheClientLeaves(t *testing.T) {
@@ -83,7 +83,7 @@
 				t.Parallel()
 				r, reached, ended := working(t, tc.writes)
 				c, front, _ := start(t, r)
-				c.takesMenu(t, unhurriedMenu)
+				c.takesConfig(t, unhurriedMenu)
 				conn := send(t, front, unhurried(tc.path))
 				awaited(t, reached, "the request at the runner")
 				leave(conn)
@@ -114,7 +114,7 @@
 		}
 	}
 	c, front, _ := start(t, r)
-	c.takesMenu(t, unhurriedMenu)
+	c.takesConfig(t, unhurriedMenu)
 	conn := send(t, front, unhurried("/pay/"))
 	for r.count() == 0 {
 		time.Sleep(time.Millisecond)
@@ -145,7 +145,7 @@
 // takes: the last of those that it returns.
 func fillUntilQueued(t *testing.T, c *Router, front string, reached <-chan struct{}) (conns []net.Conn) {
 	t.Helper()
-	c.takesMenu(t, strings.Replace(unhurriedMenu, `"setpointMs":400`, `"setpointMs":3600000`, 1))
+	c.takesConfig(t, strings.Replace(unhurriedMenu, `"setpointMs":400`, `"setpointMs":3600000`, 1))
 	for c.slab.Len() == 0 {
 		conns = append(conns, send(t, front, strings.Replace(unhurried("/chat/"), "20,5", "20,40000", 1)))
 		select {
--- a/internal/router/leave_test.go
+++ b/internal/router/leave_test.go
@@ -28,7 +28,7 @@
 			t.Parallel()
 			r := newRunner(t)
 			c, front, cancel := start(t, r)
-			c.takesMenu(t, unhurriedMenu)
+			c.takesConfig(t, unhurriedMenu)
 			c.drain(cancel)
 			answer, _, err := say(t, front, unhurried(path))
 			must.NoError(t, err)
@@ -77,7 +77,7 @@
 			t.Parallel()
 			r, reached, _ := working(t, tc.writes)
 			c, front, cancel := start(t, r)
-			c.takesMenu(t, unhurriedMenu)
+			c.takesConfig(t, unhurriedMenu)
 			conn := send(t, front, unhurried(tc.path))
 			awaited(t, reached, "the request at the runner")
 			cancel()
@@ -118,7 +118,7 @@
 		write(chunk("id: 2\ndata: b\n\n") + "0\r\n\r\n")
 	}
 	c, front, run := startWithGrace(t, 120, r)
-	c.takesMenu(t, unhurriedMenu)
+	c.takesConfig(t, unhurriedMenu)
 	c.drain(run.cancel)
 	conn := send(t, front, strings.Replace(request("/chat/", "x"), "Time-Left: 2500", "Time-Left: 60000", 1))
 	must.NoError(t, conn.SetReadDeadline(time.Now().Add(patience)))
@@ -148,7 +148,7 @@
 		return "HTTP/1.1 200 OK\r\nBeechtide-Attempt-Id: ID\r\nContent-Length: 2\r\n\r\nok"
 	}
 	c, front, run := startWithGrace(t, 120, r)
-	c.takesMenu(t, unhurriedMenu)
+	c.takesConfig(t, unhurriedMenu)
 	first := strings.Replace(request("/open/", "x"), "Time-Left: 2500", "Time-Left: 60000", 1)
 	second := strings.Replace(first, "id1", "id2", 1)
 	conn := send(t, front, first+second)
--- a/internal/router/missing.go
+++ b/internal/router/missing.go
@@ -51,21 +51,21 @@
 		return
 	}
 	if !expected {
-		c.surelyMissing(adm.Runner)
+		c.confirmAbsent(adm.Runner)
 	}
 	signal(c.missing)
 }
 
-// surelyMissing closes the connections to the address of a runner that is not
+// confirmAbsent closes the connections to the address of a runner that is not
 // there, and has the others told.
-func (c *Router) surelyMissing(n messages.RunnerRecord) {
+func (c *Router) confirmAbsent(n messages.RunnerRecord) {
 	c.log.Info("a runner is not at its address", "runner", n.ID, "address", n.Addr)
 	c.connPool.Drop(n.Addr)
 	signal(c.loadsChanged)
 }
 
-// probeMissing probes missing runners for as long as there are any.
-func (c *Router) probeMissing(ctx context.Context) {
+// probeAbsent probes missing runners for as long as there are any.
+func (c *Router) probeAbsent(ctx context.Context) {
 	for {
 		select {
 		case <-c.missing:
@@ -101,31 +101,31 @@
 	if s == nil {
 		return
 	}
-	what := admission.Unprobed
+	what := admission.PresenceUnprobed
 	if s.Probe != "" {
-		what = c.whoIsAt(ctx, n, s.Probe)
+		what = c.identifyInstance(ctx, n, s.Probe)
 	}
 	c.admissionMu.Lock()
 	sure := c.admission.Found(n, what, c.clock())
 	c.admissionMu.Unlock()
 	if sure {
-		c.surelyMissing(n)
+		c.confirmAbsent(n)
 	}
 	c.wakeQueue()
 }
 
-// whoIsAt asks at a runner's address whether it is there.
-func (c *Router) whoIsAt(ctx context.Context, n messages.RunnerRecord, path string) admission.Presence {
+// identifyInstance asks at a runner's address whether it is there.
+func (c *Router) identifyInstance(ctx context.Context, n messages.RunnerRecord, path string) admission.Presence {
 	ctx, cancel := context.WithTimeout(ctx, missingWait)
 	defer cancel()
 	status, found, err := c.connPool.Probe(ctx, n.Addr, path, hInstance, map[string]string{hTarget: n.ID})
 	switch {
 	case err != nil:
-		return admission.Unknown
+		return admission.PresenceUnknown
 	case found == n.ID:
-		return admission.Here
+		return admission.PresenceConfirmed
 	case status == statusWrongInstance || found != "":
-		return admission.Elsewhere
+		return admission.PresenceMismatch
 	}
-	return admission.Unknown
+	return admission.PresenceUnknown
 }
--- a/internal/router/move_test.go
+++ b/internal/router/move_test.go
@@ -33,7 +33,7 @@
 }
 
 func relinquishing(version int64, zones string) string {
-	s := strings.Replace(menuText, `"version":3`, fmt.Sprintf(`"version":%d`, version), 1)
+	s := strings.Replace(configText, `"version":3`, fmt.Sprintf(`"version":%d`, version), 1)
 	return strings.Replace(s, `"limits"`, `"relinquish":[`+zones+`],"limits"`, 1)
 }
 
--- a/internal/router/quota_test.go
+++ b/internal/router/quota_test.go
@@ -12,14 +12,14 @@
 )
 
 // limitedMenu gives the tenant a limit.
-var limitedMenu = strings.Replace(menuText, `"isolated":true`, `"isolated":true,"ratePerS":10,"burst":10`, 1)
+var limitedMenu = strings.Replace(configText, `"isolated":true`, `"isolated":true,"ratePerS":10,"burst":10`, 1)
 
 // startLimited starts a router whose tenant has a limit, and a core that counts.
 func startLimited(t *testing.T, controllers int, runners ...*runner) (*Router, *coreStub, string) {
 	t.Helper()
 	c, front, _ := start(t, runners...)
 	core := startCore(t, c, controllers)
-	must.True(t, c.applyFeed("", messages.Feed{Configuration: []messages.EntryChange{wholeMenu(t, limitedMenu, 2)}}))
+	must.True(t, c.applyFeed("", messages.Feed{Configuration: []messages.EntryChange{configSnapshot(t, limitedMenu, 2)}}))
 	return c, core, front
 }
 
--- a/internal/router/recheck_test.go
+++ b/internal/router/recheck_test.go
@@ -12,7 +12,7 @@
 	"beechtide.org/beechtide/internal/messages"
 )
 
-// unknownRoute is a valid request for a route that menuText does not have.
+// unknownRoute is a valid request for a route that configText does not have.
 func unknownRoute() string { return strings.Replace(request("/pay/", "x"), "/pay/", "/nothing/", 1) }
 
 // mustPutOff requires 503 with a time to come back, to a request that would be rejected
@@ -85,8 +85,8 @@
 	const size, clients = 5, 8
 	c, front, _ := start(t, newRunner(t))
 	s := startCore(t, c, size)
-	newer := strings.Replace(strings.Replace(menuText, `"version":3`, `"version":4`, 1), `"/open/"`, `"/nothing/"`, 1)
-	change := wholeMenu(t, newer, 2)
+	newer := strings.Replace(strings.Replace(configText, `"version":3`, `"version":4`, 1), `"/open/"`, `"/nothing/"`, 1)
+	change := configSnapshot(t, newer, 2)
 	var asked atomic.Int64 // controllers that have named the newer version
 	gate := make(chan struct{})
 	s.set(func() {
--- a/internal/router/request_rules_test.go
+++ b/internal/router/request_rules_test.go
@@ -89,7 +89,7 @@
 	r, reached, ended := working(t, streamHead+chunk("id: 1\ndata: a\n\n"))
 	c, front, cancel := start(t, r)
 	c.informed.Store(true)
-	c.takesMenu(t, unhurriedMenu)
+	c.takesConfig(t, unhurriedMenu)
 	send(t, front, unhurried("/chat/"))
 	awaited(t, reached, "the request at the runner")
 	ready := func() int {
--- a/internal/router/retired_test.go
+++ b/internal/router/retired_test.go
@@ -14,9 +14,9 @@
 // retire has the router take a configuration that retires the weights below 5 of the model.
 func (c *Router) retire(t *testing.T, version int64) {
 	t.Helper()
-	retiring := strings.Replace(menuText, `"limits":{`, `"retired":[{"model":"m","before":5}],"limits":{`, 1)
+	retiring := strings.Replace(configText, `"limits":{`, `"retired":[{"model":"m","before":5}],"limits":{`, 1)
 	retiring = strings.Replace(retiring, `"version":3`, `"version":4`, 1)
-	must.True(t, c.applyFeed("", messages.Feed{Configuration: []messages.EntryChange{wholeMenu(t, retiring, version)}}))
+	must.True(t, c.applyFeed("", messages.Feed{Configuration: []messages.EntryChange{configSnapshot(t, retiring, version)}}))
 }
 
 // listBoth has the router know a runner with weights 4 and one with weights 5.
@@ -70,7 +70,7 @@
 	old := newRunner(t)
 	c, front, _ := start(t, old)
 	c.retire(t, 2)
-	c.applyFeed("", messages.Feed{Configuration: []messages.EntryChange{wholeMenu(t, menuText, 1)}})
+	c.applyFeed("", messages.Feed{Configuration: []messages.EntryChange{configSnapshot(t, configText, 1)}})
 	a, _, err := say(t, front, strings.Replace(request("/chat/1", ""), "2500", "300", 1))
 	must.NoError(t, err)
 	must.Eq(t, 503, a.StatusCode)
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -190,7 +190,7 @@
 	go loop.Every(live, forgetEvery, c.forgetUnlisted)
 	go c.pump(live)
 	go c.zones.run(live)
-	go c.probeMissing(live)
+	go c.probeAbsent(live)
 	go loop.Every(live, quotaSweepInterval, c.quotas.sweep)
 	go loop.Every(live, withdrawEvery, c.withdrawFromOldWeights)
 	go c.metricsServer().Run(live)
--- a/internal/router/router_test.go
+++ b/internal/router/router_test.go
@@ -147,7 +147,7 @@
 
 func chunk(s string) string { return fmt.Sprintf("%x\r\n%s\r\n", len(s), s) }
 
-const menuText = `{"version":3,"routes":[
+const configText = `{"version":3,"routes":[
  {"name":"chat","host":"h.example","prefix":"/chat/","kind":"streaming","cutoffMs":3000,"setpointMs":400,"service":"s","tries":1},
  {"name":"sort","host":"h.example","prefix":"/sort/","kind":"streaming","cutoffMs":3000,"setpointMs":800,"service":"s","tries":2,"resumable":true},
  {"name":"pay","host":"h.example","prefix":"/pay/","kind":"effectful","cutoffMs":3000,"service":"s","tries":2},
@@ -217,7 +217,7 @@
 	began := time.Now()
 	c, err := New(set, pool, func() int64 { return time.Since(began).Microseconds() + 1 }, logr.Discard())
 	must.NoError(t, err)
-	feed := messages.Feed{Configuration: []messages.EntryChange{wholeMenu(t, menuText, 1)}}
+	feed := messages.Feed{Configuration: []messages.EntryChange{configSnapshot(t, configText, 1)}}
 	var notes []messages.RunnerRecord
 	for i, r := range runners {
 		notes = append(notes, messages.RunnerRecord{ID: fmt.Sprintf("r%d", i), Service: "s", Addr: r.addr, Zone: "a", Capacity: 8, Seq: 1, Models: []messages.Target{{Model: "m", Version: 4}}})
@@ -237,7 +237,7 @@
 	return c, set.Listen.Front, running{cancel, ended}
 }
 
-func wholeMenu(t *testing.T, text string, version int64) messages.EntryChange {
+func configSnapshot(t *testing.T, text string, version int64) messages.EntryChange {
 	t.Helper()
 	m, err := routeconfig.Parse([]byte(text))
 	must.NoError(t, err)
@@ -504,14 +504,14 @@
 
 // regulated is the configuration with a regime that only runner r1 is certified for.
 func regulated(version int, runners string) string {
-	s := strings.Replace(menuText, `"version":3`, fmt.Sprintf(`"version":%d`, version), 1)
+	s := strings.Replace(configText, `"version":3`, fmt.Sprintf(`"version":%d`, version), 1)
 	s = strings.Replace(s, `"isolated":true}`, `"isolated":true,"regime":"allergen"},{"name":"t2","apiKeys":["k2"]}`, 1)
 	return strings.Replace(s, `"limits"`, `"regimes":[{"name":"allergen"}],"certificates":[{"regime":"allergen","runners":[`+runners+`]}],"limits"`, 1)
 }
 
 func (c *Router) adopt(t *testing.T, streamVersion, version int64, text string) {
 	t.Helper()
-	must.True(t, c.applyFeed("", messages.Feed{Configuration: []messages.EntryChange{wholeMenu(t, text, streamVersion)}}))
+	must.True(t, c.applyFeed("", messages.Feed{Configuration: []messages.EntryChange{configSnapshot(t, text, streamVersion)}}))
 	must.Eq(t, version, c.table.Load().Version)
 }
 
@@ -584,8 +584,8 @@
 
 func TestOlderNewsNeverComesBack(t *testing.T) {
 	c, _, _ := start(t, newRunner(t))
-	older := strings.Replace(menuText, `"version":3`, `"version":2`, 1)
-	must.True(t, c.applyFeed("", messages.Feed{Configuration: []messages.EntryChange{wholeMenu(t, older, 0)}}))
+	older := strings.Replace(configText, `"version":3`, `"version":2`, 1)
+	must.True(t, c.applyFeed("", messages.Feed{Configuration: []messages.EntryChange{configSnapshot(t, older, 0)}}))
 	must.Eq(t, int64(3), c.table.Load().Version)
 }
 
@@ -594,7 +594,7 @@
 func TestBadChangesOfTheConfigurationAreRepairedByAWhole(t *testing.T) {
 	c, _, _ := start(t, newRunner(t))
 	s := statesync.NewEntries()
-	m, err := routeconfig.Parse([]byte(menuText))
+	m, err := routeconfig.Parse([]byte(configText))
 	must.NoError(t, err)
 	entries, err := routeconfig.Entries(m)
 	must.NoError(t, err)
--- a/internal/router/runner_leaves_test.go
+++ b/internal/router/runner_leaves_test.go
@@ -22,7 +22,7 @@
 		write(chunk("id: 2\ndata: b\n\n") + "0\r\n\r\n")
 	}
 	c, front, _ := start(t, a)
-	c.takesMenu(t, unhurriedMenu)
+	c.takesConfig(t, unhurriedMenu)
 	conn := send(t, front, unhurried("/chat/"))
 	answer, err := http.ReadResponse(bufio.NewReader(conn), nil)
 	must.NoError(t, err)
