router: unreachable zones are put in force in the order of their changes; tally: a log that cannot be begun is written again

Found on reading the change: two goroutines could put two sets of unreachable zones in force in the wrong order; what was read from a disk on which no segment could be begun counted as durable. Change: the mutex is held until a set is in force; everything is taken for not yet written then.

--- a/internal/controller/tallies.go
+++ b/internal/controller/tallies.go
@@ -111,15 +111,16 @@
 	if err != nil && opened.Log == nil {
 		return nil, err
 	}
-	if err != nil {
-		d.log.Error(err, "tallies cannot be written yet")
-	}
 	if len(opened.Damaged) > 0 {
 		d.log.Info("segments of tallies are damaged; what they held is fetched from other replicas", "segments", opened.Damaged)
 	}
 	t.log, t.diskBytes = opened.Log, opened.Log.Size()
 	config.Origin = opened.Origin
 	t.replica = tally.NewReplica(config, opened.Set)
+	if err != nil {
+		d.log.Error(err, "tallies cannot be written yet")
+		t.replica.RewriteAll()
+	}
 	d.log.Info("tallies read", "origin", opened.Origin, "adds", opened.Set.Len(), "bytes", t.diskBytes)
 	return t, nil
 }
--- a/internal/router/zones.go
+++ b/internal/router/zones.go
@@ -30,7 +30,7 @@
 type zonePings struct {
 	router *Router
 
-	mu      sync.Mutex // guards what follows
+	mu      sync.Mutex // guards what follows; taken before the mutex of the admitter
 	tracker *reachability.Tracker
 	nodes   map[string]zoneNode // by address
 	known   map[string]int64    // the unreachable zones, and since when, as last set
@@ -117,20 +117,21 @@
 	z.publish()
 }
 
-// publish puts a change of the unreachable zones in force.
+// publish puts a change of the unreachable zones in force. The mutex is held until then: a later
+// change is not overtaken by an earlier one.
 func (z *zonePings) publish() {
 	z.mu.Lock()
+	defer z.mu.Unlock()
 	now := z.tracker.Unreachable()
 	changed := len(now) != len(z.known)
 	for zone := range now {
 		_, before := z.known[zone]
 		changed = changed || !before
 	}
-	z.known = now
-	z.mu.Unlock()
 	if !changed {
 		return
 	}
+	z.known = now
 	c := z.router
 	c.log.Info("unreachable zones", "zones", now)
 	c.admissionMu.Lock()
--- a/internal/tally/log.go
+++ b/internal/tally/log.go
@@ -53,7 +53,9 @@
 }
 
 // OpenLog reads a directory and begins a segment in it. newOrigin makes a name for the own
-// log that was never used.
+// log that was never used. Where only the segment cannot be begun, as on a full disk, what was
+// read comes with the error: Resume is to be called, and everything written again, before any
+// of it counts as durable.
 func OpenLog(files filesystem.FileSystem, newOrigin func() Origin) (Opened, error) {
 	return openSegments(files, newOrigin, defaultSegment)
 }
--- a/internal/tally/log_test.go
+++ b/internal/tally/log_test.go
@@ -144,6 +144,33 @@
 	must.Eq(t, 4, again.Set.Total("t"))
 }
 
+// What was read may not outlast a loss of power, so it counts for nothing until it is written.
+func TestLogThatCannotBeBegunIsWrittenAgain(t *testing.T) {
+	random, files, serial := rand.New(rand.NewPCG(2, 2)), disk.New(2), 0
+	first, err := openSegments(files, origins(random), testSegment)
+	must.NoError(t, err)
+	writeSome(random, &first, &serial)
+	files.SetFull(true)
+	files.Restart()
+	again, err := openSegments(files, origins(random), testSegment)
+	must.ErrorIs(t, err, ErrStore)
+	must.Eq(t, first.Origin, again.Origin)
+	replica := NewReplica(Config{Origin: again.Origin, Durable: true}, again.Set)
+	replica.RewriteAll()
+	held := again.Set.Held(again.Origin)
+	must.Positive(t, held)
+	must.Eq(t, 0, replica.Durable(again.Origin))
+	files.SetFull(false)
+	must.NoError(t, again.Log.Resume())
+	must.NoError(t, again.Log.Write(replica.Unwritten(1<<20)))
+	replica.WriteEnded(true)
+	must.Eq(t, held, replica.Durable(again.Origin))
+	files.LosePower()
+	last, err := openSegments(files, origins(random), testSegment)
+	must.NoError(t, err)
+	must.Eq(t, held, last.Set.Held(again.Origin))
+}
+
 func TestCompactionTakesLessRoomAndLosesNothing(t *testing.T) {
 	files := disk.New(4)
 	opened, err := openSegments(files, origins(rand.New(rand.NewPCG(4, 4))), 20_000)
--- a/internal/tally/replica.go
+++ b/internal/tally/replica.go
@@ -64,6 +64,10 @@
 	return &Replica{config: config, set: set, peers: map[string]*peerState{}, written: set.Vector(), durable: set.Vector()}
 }
 
+// RewriteAll takes everything for not yet written, as where the disk could not be made to hold
+// what was read from it.
+func (r *Replica) RewriteAll() { r.written, r.durable = Vector{}, Vector{} }
+
 // Set returns the adds that are held. They are read only.
 func (r *Replica) Set() *Set { return r.set }
 
