--- a/internal/doctor/examine_node.go
+++ b/internal/doctor/examine_node.go
@@ -11,6 +11,8 @@
 	slowSaveUs  = 250_000    // a write to disk
 	clockSkewUs = 500_000    // difference of its time of day from the doctor's
 	lateUsageUs = 15_000_000 // time since the end of a window of usage that was not reported
+	// unreachableZoneUs is the time for which a zone has not been reached.
+	unreachableZoneUs = 3_000_000
 
 	// A receiver asks for a snapshot where updates of a stream are lost or do
 	// not apply. More snapshots than minSnapshots, and more than one for each
@@ -33,7 +35,9 @@
 		exam.checkDisk()
 		exam.checkRegistrations()
 		exam.checkDuties()
+		exam.checkTallies()
 	}
+	exam.checkZones()
 	exam.checkStreams()
 	exam.checkRunners()
 	exam.checkInvariants()
@@ -73,6 +77,25 @@
 	}
 }
 
+func (n *nodeExam) checkTallies() {
+	t := n.condition.Partition.Tally
+	if t.Full {
+		n.warn("takes no new adds to tallies", "free space on its disk, or raise diskMb or memoryMb; the others take them meanwhile, if they have room")
+	}
+	if t.Unconfirmed > 0 && len(t.Unreachable) > 0 {
+		n.warn(fmt.Sprintf("%d adds to tallies wait for disks; it does not reach %v", t.Unconfirmed, t.Unreachable), "start these controllers again, or mend the links to them")
+	}
+}
+
+// checkZones warns of zones that have been unreachable for long; a shorter time may be a restart.
+func (n *nodeExam) checkZones() {
+	for _, z := range n.condition.Partition.UnreachableZones {
+		if z.SinceUs >= unreachableZoneUs {
+			n.warn(fmt.Sprintf("has not reached zone %s for %d s", z.Zone, z.SinceUs/1_000_000), "check the links between the zones and the power of that one; see `beechtide doctor -partitions`")
+		}
+	}
+}
+
 func (n *nodeExam) checkRegistrations() {
 	if n.condition.Runners == 0 {
 		n.warn("knows no runner", "check that runners can reach its control address")
--- a/internal/doctor/partitions_test.go
+++ b/internal/doctor/partitions_test.go
@@ -30,3 +30,16 @@
 		"2 routers of zone a have not reached zone b for 3.0 s",
 	}, lines)
 }
+
+func TestFullReplicasAndUnreachableZonesAreWarnings(t *testing.T) {
+	problems := func(c messages.Condition) (out []string) {
+		c.Node, c.HasDisk, c.Runners = "n1", true, 1
+		for _, f := range examineNode(NodeResult{Condition: &c}, nil) {
+			out = append(out, f.Problem)
+		}
+		return out
+	}
+	must.Eq(t, []string{"takes no new adds to tallies", "2 adds to tallies wait for disks; it does not reach [x:1]"},
+		problems(messages.Condition{Role: messages.Controller, Partition: messages.PartitionCondition{Tally: messages.TallyCondition{Full: true, Unconfirmed: 2, Unreachable: []string{"x:1"}}}}))
+	must.SliceContains(t, problems(messages.Condition{Role: messages.Router, Partition: messages.PartitionCondition{UnreachableZones: []messages.UnreachableZone{{Zone: "b", SinceUs: 4_500_000}, {Zone: "c", SinceUs: 1}}}}), "has not reached zone b for 4 s")
+}
