router: the age of a request is taken as its first bytes are read; its test waits for that

Cause: TestTimeLeftCountsFromTheFirstByte failed once beside a load near 25 (2.354 s where 2.35 s at most was wanted): it counted its pause from the write of the first bytes, the router from their read, 4 ms later. Change: the router looks at its clock before it leaves the idle state, and the test begins its pause once the router has left it, so that the bound is exact.

--- a/internal/router/listener.go
+++ b/internal/router/listener.go
@@ -132,9 +132,10 @@
 			return 0, net.ErrClosed
 		}
 		n, err := c.Conn.Read(b)
+		readAt := time.Now()
 		stays := c.leaveIdle(since)
 		if n > 0 {
-			c.begun, c.answerBy = time.Now(), time.Time{}
+			c.begun, c.answerBy = readAt, time.Time{}
 			return n, err
 		}
 		if !stays || !errors.Is(err, os.ErrDeadlineExceeded) {
--- a/internal/router/time_limit_test.go
+++ b/internal/router/time_limit_test.go
@@ -209,11 +209,15 @@
 func TestTimeLeftCountsFromTheFirstByte(t *testing.T) {
 	const pause = 150 * time.Millisecond // within the limit on the time to send a request
 	r := newRunner(t)
-	_, front, _ := start(t, r)
+	c, front, _ := start(t, r)
 	raw := request("/pay/", "some")
-	conn := send(t, front, raw[:len(raw)-2])
+	conn := send(t, front, "")
+	c.awaitIdle(conn, true)
+	_, err := io.WriteString(conn, raw[:len(raw)-2])
+	must.NoError(t, err)
+	c.awaitIdle(conn, false) // the router has read, and looked at its clock
 	time.Sleep(pause)
-	_, err := io.WriteString(conn, raw[len(raw)-2:])
+	_, err = io.WriteString(conn, raw[len(raw)-2:])
 	must.NoError(t, err)
 	a, err := http.ReadResponse(bufio.NewReader(conn), nil)
 	must.NoError(t, err)
@@ -221,6 +225,26 @@
 	must.LessEq(t, 2500*time.Millisecond-pause, timesLeft(t, r)[0])
 }
 
+// awaitIdle waits until the router's side of a client's connection waits for a request, or has
+// read a part of one.
+func (c *Router) awaitIdle(client net.Conn, idle bool) {
+	for {
+		front := c.front.Load()
+		front.mu.Lock()
+		reached := false
+		for conn := range front.conns {
+			conn.mu.Lock()
+			reached = reached || conn.idle == idle && conn.RemoteAddr().String() == client.LocalAddr().String()
+			conn.mu.Unlock()
+		}
+		front.mu.Unlock()
+		if reached {
+			return
+		}
+		time.Sleep(time.Millisecond)
+	}
+}
+
 // muteAddress is an address that takes no more connections and says nothing: its
 // queue of connections is full.
 func muteAddress(t *testing.T) string {
