--- a/internal/controller/controller.go
+++ b/internal/controller/controller.go
@@ -44,7 +44,6 @@
 package controller
 
 import (
-	"cmp"
 	"context"
 	"path/filepath"
 	"strings"
@@ -189,17 +188,6 @@
 	trans.OnDatagram(transport.KindRunner, d.heardRunner)
 }
 
-// answerVersions answers a comparison of versions.
-func (d *Controller) answerVersions(_ context.Context, _ *transport.Conn, body []byte) ([]byte, error) {
-	m := d.versions()
-	var from messages.Versions
-	if _, err := from.UnmarshalMsg(body); err == nil && !from.Controller {
-		m.Parts = d.publishedVersions()
-	}
-	m.LaterHeartbeats = d.registry.LaterHeartbeats(from.SilentRunners, d.clock())
-	return m.MarshalMsg(nil)
-}
-
 // knownControllers are the addresses to greet: the seeds and the members known
 // from disk, since all the seeds may be stale.
 func (d *Controller) knownControllers() []string {
@@ -347,23 +335,6 @@
 	d.publishPart(messages.PartNote{Part: p, Version: v.Version, Body: published})
 }
 
-func (d *Controller) versions() messages.Versions {
-	m := messages.Versions{Parts: make([]int64, consensus.Parts), RegistrySum: d.registry.Snapshot().Sum, Controller: true, StableForUs: d.stability.stableForUs(d.clock()), MemberID: d.registers.ID(), CutOff: d.cutOff(), TargetAges: d.targets.ages(d.clock())}
-	m.TimeUs, m.TimeAgreed = d.timeOfDay.TimeUs(d.clock())
-	m.TallyDigest = d.tallies.digest()
-	m.ConfigAccepted = d.registers.MayHaveAccepted(consensus.ConfigPart)
-	if v, ok := d.registers.Committed(consensus.ConfigPart); ok {
-		m.ConfigCommitted, m.ConfigGroup = v.Version, identities(v.Group)
-	}
-	for p := range m.Parts {
-		m.Parts[p] = -1
-		if v, ok := d.registers.Committed(p); ok {
-			m.Parts[p] = v.Version
-		}
-	}
-	return m
-}
-
 func (d *Controller) heardRunner(_ string, body []byte) {
 	var n messages.RunnerRecord
 	if _, err := n.UnmarshalMsg(body); err == nil && d.registry.ApplyHeartbeat(n, d.clock()) {
@@ -388,66 +359,6 @@
 	d.connPool.Sweep(func(string) bool { return true })
 }
 
-// coreView names the controllers whose coming and going unsettles the core: those
-// that count, where some do.
-func coreView(alive []messages.Peer) (view string, core map[string]bool) {
-	core = map[string]bool{}
-	for _, p := range membership.Core(alive) {
-		view += p.Addr + p.MemberID + " "
-		core[p.Addr] = true
-	}
-	return view, core
-}
-
-// catchUp compares versions with the other controllers and pulls what is newer.
-// The same call asks for heartbeats of runners that are silent here, so that the
-// lease of contact, without which no silence counts, rests on calls that asked.
-func (d *Controller) catchUp(ctx context.Context) {
-	d.registers.ForgetTransfers()
-	alive := d.monitor.Alive(messages.Controller)
-	view, core := coreView(alive)
-	d.stability.observe(view, d.clock())
-	silent := d.registry.SilentRunners(d.clock(), d.silence())
-	for _, p := range alive {
-		if p.Addr != d.transport.Addr() {
-			go d.compareWith(ctx, p, core[p.Addr], silent)
-		}
-	}
-}
-
-// compareWait bounds a comparison with another controller.
-const compareWait = 450 * time.Millisecond
-
-// compareWith compares versions, time of day and heartbeats with another controller.
-func (d *Controller) compareWith(ctx context.Context, p messages.Peer, inCore bool, silent []messages.LastHeartbeat) {
-	cctx, cancel := context.WithTimeout(ctx, compareWait)
-	defer cancel()
-	mine, sentUs := d.versions(), d.clock()
-	mine.SilentRunners = silent
-	b, err := d.transport.Call(cctx, p.Addr, transport.KindVersions, &mine)
-	if inCore {
-		d.stability.recordCall(p.Addr, err == nil, d.clock())
-	}
-	if err != nil {
-		d.tallies.notCompared(p.Addr, sentUs)
-		return
-	}
-	var m messages.Versions
-	if _, err := m.UnmarshalMsg(b); err != nil {
-		return
-	}
-	go d.tallies.compared(ctx, p.Addr, m.TallyDigest)
-	d.publishRunners(d.registry.ApplyLaterHeartbeats(m.LaterHeartbeats, sentUs, d.clock())...)
-	d.targets.observe(m.TargetAges, d.clock())
-	d.timeOfDay.Compare(p.Addr, m, sentUs, d.clock())
-	d.contact.answered(cmp.Or(m.MemberID, p.MemberID), sentUs) // the earlier format has none
-	for part := range min(len(m.Parts), consensus.Parts) {
-		if m.Parts[part] > mine.Parts[part] {
-			go func() { _ = d.registers.Pull(ctx, p.Addr, part) }()
-		}
-	}
-}
-
 func addrOf(id string) string {
 	addr, _, _ := strings.Cut(id, "/")
 	return addr
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -19,7 +19,7 @@
 //
 // # Concerns
 //
-// front.go checks a request, attempts.go makes its attempts, responses.go streams the
+// front.go checks a request, attempts.go makes its attempts, send.go each of them, responses.go streams the
 // response, move.go resumes streams elsewhere, withdraw.go ends attempts,
 // client_watch.go notices clients that leave, feed.go applies feeds, loads.go reports
 // load, compare.go and recheck.go ask controllers beside the tree, missing.go probes
--- /dev/null
+++ b/internal/router/send.go
@@ -0,0 +1,237 @@
+// One attempt: a connection, the request that is written to it, and the answer as far as it
+// decides whether another attempt may follow.
+
+package router
+
+import (
+	"context"
+	"time"
+
+	"github.com/cloudwego/hertz/pkg/protocol"
+	"github.com/pkg/errors"
+
+	"beechtide.org/beechtide/internal/admission"
+	"beechtide.org/beechtide/internal/compliance"
+	"beechtide.org/beechtide/internal/upstream"
+)
+
+// send sends the request to the runner of an admission and passes its answer on. However it
+// ends, the admission's capacity has been released by then.
+func (e *exchange) send(adm *admission.Admission, stream *answerStream) (attemptResult, *answerStream) {
+	c := e.c
+	e.attempts++
+	link, err := e.takeLink(adm.Runner.Addr)
+	if err != nil {
+		c.done(adm, e.client.hasLeft())
+		return resultNotSent, stream
+	}
+	defer e.client.use(nil)
+	if end := e.checkBeforeSending(adm, link); end != resultSent {
+		link.Close()
+		c.done(adm, true)
+		return end, stream
+	}
+	sent := c.sent.add(adm, link, e.route.Repeatable() && e.attempts < max(e.route.Tries, 1))
+	defer c.sent.remove(sent)
+	e.spendToken()
+	end := e.writeRequest(adm, link, stream)
+	if end == resultSent {
+		return e.receive(sent, stream)
+	}
+	link.Close()
+	if end == resultNotSent {
+		e.refundToken()
+	}
+	return end, stream
+}
+
+// takeLink returns the connection that waits for a stream on the move, or one to the address.
+func (e *exchange) takeLink(addr string) (*upstream.Conn, error) {
+	if e.next != nil {
+		link := e.next.link
+		e.next = nil
+		return link, nil
+	}
+	return e.connect(addr)
+}
+
+// checkBeforeSending returns resultSent where the request may be sent: what was true at
+// admission may have changed since.
+func (e *exchange) checkBeforeSending(adm *admission.Admission, link *upstream.Conn) attemptResult {
+	switch {
+	case !e.useLink(link):
+		return resultClientGone
+	case !e.c.stillAllowed(adm), !e.recheckPolicy(adm):
+		return resultNotSent
+	}
+	return resultSent
+}
+
+// receive reads the answer to an attempt that has been sent, and passes it on where it says
+// that the runner has begun it.
+func (e *exchange) receive(sent *sentAttempt, stream *answerStream) (attemptResult, *answerStream) {
+	c, adm, link := e.c, sent.adm, sent.link
+	r := protocol.AcquireResponse()
+	defer protocol.ReleaseResponse(r)
+	if err := e.readHead(sent, r); err != nil {
+		if errors.Is(err, errWithdrawn) {
+			c.done(adm, true)
+		} else {
+			e.failed(adm, link, false) // silence, too, is a failure of the runner
+		}
+		link.Close()
+		return resultUnknown, stream
+	}
+	if end := e.receiveRejection(adm, link, r); end != resultAnswered {
+		return end, stream
+	}
+	if stream == nil {
+		e.held = c.held.add(adm, link, false)
+		defer c.held.remove(e.held)
+	}
+	if e.streams(r) {
+		return e.passStream(adm, link, r, stream)
+	}
+	return e.passBody(adm, link, r, stream), stream
+}
+
+// receiveRejection reads an answer that says that the runner has not run the request, or
+// promises it without saying so. It returns resultAnswered for any other answer.
+func (e *exchange) receiveRejection(adm *admission.Admission, link *upstream.Conn, r *protocol.Response) attemptResult {
+	c, status := e.c, r.StatusCode()
+	switch {
+	case status == statusWrongInstance:
+		c.releaseUnwanted(adm, link, r)
+		c.wrongInstance(adm, otherWeights(adm, r))
+		e.refundToken()
+		return resultNotRun
+	case r.Header.Get(hNotRun) != "":
+		c.releaseUnwanted(adm, link, r)
+		c.admissionMu.Lock()
+		c.admission.Full(adm, c.clock())
+		c.admissionMu.Unlock()
+		e.refundToken()
+		return resultNotRun
+	case promises(status):
+		// no runner gives this promise without saying that it has not run it
+		_, err := upstream.ReadBody(r, mostUnwanted)
+		c.ended(adm, link, status < 500, true)
+		c.release(adm, link, r, err == nil)
+		return resultUnknown
+	}
+	return resultAnswered
+}
+
+// releaseUnwanted reads the body of an answer that is not passed on, and releases the
+// attempt's capacity and connection.
+func (c *Router) releaseUnwanted(adm *admission.Admission, link *upstream.Conn, r *protocol.Response) {
+	_, err := upstream.ReadBody(r, mostUnwanted)
+	c.release(adm, link, r, err == nil)
+}
+
+// mostUnwanted bounds the body of an answer that is not passed on.
+const mostUnwanted = 1 << 20
+
+// writeRequest sends the request. Where it has not all been sent it says what that means:
+// as long as no byte can have reached the runner, it has not run.
+func (e *exchange) writeRequest(adm *admission.Admission, link *upstream.Conn, stream *answerStream) attemptResult {
+	c := e.c
+	leftUs := e.endUs - c.clock()
+	if leftUs <= closeLeadUs { // as after a freeze of this process
+		c.done(adm, true)
+		return resultNotSent
+	}
+	sent, err := link.Send(e.head(adm, leftUs, stream), e.rc.Request.Body(), e.deadline(-closeLeadUs))
+	if err == nil {
+		return resultSent
+	}
+	e.failed(adm, link, false)
+	if sent {
+		return resultUnknown
+	}
+	return resultNotSent
+}
+
+// promises tells whether a status says that the request has not run.
+func promises(status int) bool {
+	switch status {
+	case 408, statusWrongInstance, 429, 503:
+		return true
+	}
+	return false
+}
+
+// recheckPolicy checks at the moment of sending, against the configuration in force
+// now, that a regulated request goes to a certified runner; a regime that came
+// or went while the request waited counts as it is now. The salt was made for
+// the regime at admission, so a change of regime sends the request back.
+func (e *exchange) recheckPolicy(adm *admission.Admission) bool {
+	if e.tenant == nil {
+		return true
+	}
+	t := e.c.table.Load()
+	now := t.RegimeOf(e.tenant.Name)
+	if now == "" && e.request.Regime == "" {
+		return true
+	}
+	if now != e.request.Regime {
+		e.request.Regime, e.changed = now, true
+		return false
+	}
+	_, certificate, ok := t.Allows(e.tenant.Name, sightOf(adm.Runner))
+	if ok {
+		e.note(compliance.Sent, &adm.Runner, certificate)
+	}
+	return ok
+}
+
+func (e *exchange) connect(addr string) (*upstream.Conn, error) {
+	ctx, cancel := context.WithTimeout(context.Background(), time.Duration(max(e.endUs-e.c.clock(), 1000))*time.Microsecond)
+	defer cancel()
+	stop := e.client.onLeave(cancel)
+	defer stop()
+	return e.c.connPool.GetFor(ctx, addr, e.service, e.route.Repeatable())
+}
+
+// ended notes how an attempt that was sent ended at its runner. One that died on a
+// link that had rested says something of the link, not of the runner.
+func (c *Router) ended(adm *admission.Admission, link *upstream.Conn, good, answered bool) {
+	if !good && !answered && link.RestedUs > 0 {
+		c.connPool.Dead(link)
+		return
+	}
+	if answered {
+		c.connPool.Alive(link)
+	}
+	c.admissionMu.Lock()
+	c.admission.Ended(adm, good, c.clock())
+	c.admissionMu.Unlock()
+}
+
+// failed gives back the place of an attempt that broke off. It is the runner's
+// failure unless the client has left, which ends the connection to the runner.
+func (e *exchange) failed(adm *admission.Admission, link *upstream.Conn, answered bool) {
+	if e.client.hasLeft() {
+		e.c.done(adm, true)
+		return
+	}
+	e.c.ended(adm, link, false, answered)
+	e.c.done(adm, false)
+}
+
+func (c *Router) done(adm *admission.Admission, ok bool) {
+	c.admissionMu.Lock()
+	c.admission.Done(adm, ok, c.clock())
+	c.admissionMu.Unlock()
+	signal(c.loadsChanged)
+	c.wakeQueue()
+}
+
+func (c *Router) release(adm *admission.Admission, link *upstream.Conn, r *protocol.Response, ok bool) {
+	if ok {
+		c.connPool.Put(adm.Runner.Addr, link, &r.Header)
+	} else {
+		link.Close()
+	}
+	c.done(adm, ok)
+}
