--- a/internal/admission/admission.go
+++ b/internal/admission/admission.go
@@ -76,12 +76,12 @@
 	regions         map[string]string     // by zone
 	candidateBuffer []placement.Candidate // reused by the next search for candidates
 	runnerBuffer    []*runner
-	random          *rand.Rand          // which runners are compared, where other nodes send requests too
-	transferTurn    int                 // counts equal transfer sources, which take turns
-	hasCapacity     bool                // the last search found a runner below its thresholds
-	peerLoadsUs     int64               // when the loads of the other nodes were last updated; 0: expired
-	pendingBlocks   []messages.KeptNote // prefixes that runners will cache once they have read them; for the other nodes
-	absent          []string            // runners of confirmed absence, for the other nodes
+	random          *rand.Rand                // which runners are compared, where other nodes send requests too
+	transferTurn    int                       // counts equal transfer sources, which take turns
+	hasCapacity     bool                      // the last search found a runner below its thresholds
+	peerLoadsUs     int64                     // when the loads of the other nodes were last updated; 0: expired
+	pendingBlocks   []messages.CachedPrefixes // prefixes that runners will cache once they have read them; for the other nodes
+	absent          []string                  // runners of confirmed absence, for the other nodes
 	Bound           WeightsBound
 	targets         targets.Table
 	// contactUs is when a controller with contact to the core was last heard from.
--- a/internal/admission/admission_test.go
+++ b/internal/admission/admission_test.go
@@ -77,7 +77,7 @@
 func TestBusyRunnerReturnsBelowLowerThreshold(t *testing.T) {
 	admitter := newAdmitter("x")
 	report := func(used int, now int64) {
-		admitter.Report(messages.ReportNote{ID: "x", Used: used, Total: memory, Active: 1}, now)
+		admitter.Report(messages.RunnerReport{ID: "x", Used: used, Total: memory, Active: 1}, now)
 	}
 	report(memory*86/100, 1_000_000)
 	must.True(t, admitter.Submit(newRequest(16, 1), 1_000_001).Hold)
@@ -107,7 +107,7 @@
 func TestThresholdsFireWithLateReportsAndGaps(t *testing.T) {
 	admitter := newAdmitter("x")
 	admitter.SetNodes(2)
-	admitter.Report(messages.ReportNote{ID: "x", Used: 0, Total: memory}, 1)
+	admitter.Report(messages.RunnerReport{ID: "x", Used: 0, Total: memory}, 1)
 	now := int64(1 + admitter.T.ReportFreshUs) // the report has expired
 	admitter.Others(func(string) messages.RunnerLoad { return messages.RunnerLoad{Blocks: 870, Count: 2} }, now)
 	must.True(t, admitter.Submit(newRequest(16, 1), now+1).Hold, must.Sprint("the loads of other nodes count"))
@@ -153,7 +153,7 @@
 
 func TestOwnRequestsAddToLateReport(t *testing.T) {
 	admitter := newAdmitter("x")
-	admitter.Report(messages.ReportNote{ID: "x", Used: memory / 2, Total: memory, Active: 1}, 1_000_000)
+	admitter.Report(messages.RunnerReport{ID: "x", Used: memory / 2, Total: memory, Active: 1}, 1_000_000)
 	a := admitter.Submit(newRequest(5_700, 10), 1_000_001).Admit
 	must.NotNil(t, a)
 	admitter.FirstToken(a, 1_100_000)
--- a/internal/admission/admit.go
+++ b/internal/admission/admit.go
@@ -110,13 +110,13 @@
 // recordPending records the shared parts that a runner is about to cache, here and for
 // the other nodes. It reports whether there are any.
 func (a *Admitter) recordPending(adm *Admission, shared int) bool {
-	note := messages.KeptNote{ID: adm.Runner.ID, Parts: []messages.KeptPart{}}
+	note := messages.CachedPrefixes{ID: adm.Runner.ID, Parts: []messages.CachedPart{}}
 	for i := range max(shared, 0) {
 		k, n := adm.Keys[i], int32(adm.Parts[i].Tokens)
 		if a.Index.Cached(note.ID, adm.Keys[i:i+1], adm.Parts[i:i+1]) < int(n) {
 			a.Index.Expect(note.ID, k, n)
 			adm.pendingKeys = append(adm.pendingKeys, k)
-			note.Parts = append(note.Parts, messages.KeptPart{Key: k, Tokens: n})
+			note.Parts = append(note.Parts, messages.CachedPart{Key: k, Tokens: n})
 		}
 	}
 	if len(note.Parts) > 0 {
@@ -205,7 +205,7 @@
 
 // TakeFresh returns the prefixes that runners are about to cache for requests that this
 // node has sent since the last call.
-func (a *Admitter) TakeFresh() []messages.KeptNote {
+func (a *Admitter) TakeFresh() []messages.CachedPrefixes {
 	out := a.pendingBlocks
 	a.pendingBlocks = nil
 	return out
--- a/internal/admission/loads.go
+++ b/internal/admission/loads.go
@@ -10,7 +10,7 @@
 )
 
 // Report records a runner's report of its own load.
-func (a *Admitter) Report(n messages.ReportNote, nowUs int64) {
+func (a *Admitter) Report(n messages.RunnerReport, nowUs int64) {
 	for _, p := range a.pools {
 		if r := p.runners[n.ID]; r != nil {
 			r.report = loadReport{blocks: n.Used / a.T.BlockTokens, count: n.Active + n.Queued, atUs: nowUs}
@@ -24,7 +24,7 @@
 
 // Coming records the prefixes that runners are about to cache for requests of other
 // nodes.
-func (a *Admitter) Coming(notes []messages.KeptNote) {
+func (a *Admitter) Coming(notes []messages.CachedPrefixes) {
 	for _, n := range notes {
 		for _, part := range n.Parts {
 			a.Index.Expect(n.ID, part.Key, part.Tokens)
@@ -39,7 +39,7 @@
 			r.setPeerLoad(loads(id))
 		}
 	}
-	a.Told(nowUs)
+	a.LoadsUpdated(nowUs)
 }
 
 // Other records the load of all other nodes at one runner.
@@ -51,8 +51,8 @@
 	}
 }
 
-// Told records that the loads of the other nodes are up to date at nowUs.
-func (a *Admitter) Told(nowUs int64) {
+// LoadsUpdated records that the loads of the other nodes are up to date at nowUs.
+func (a *Admitter) LoadsUpdated(nowUs int64) {
 	a.peerLoadsUs = nowUs
 	for _, p := range a.pools {
 		p.eject(nowUs)
--- a/internal/admission/weights_test.go
+++ b/internal/admission/weights_test.go
@@ -96,7 +96,7 @@
 	const shortly = versionUs - leastSendMarginUs - 500_000
 	admitter.Contact(shortly)
 	must.Len(t, 2, admitter.Candidates(newRequest(16, 1), shortly))
-	admitter.Report(messages.ReportNote{ID: "x", Queued: 2}, shortly)
+	admitter.Report(messages.RunnerReport{ID: "x", Queued: 2}, shortly)
 	list := admitter.Candidates(newRequest(16, 1), shortly)
 	must.Len(t, 1, list)
 	must.Eq(t, "y", list[0].ID)
--- a/internal/controller/absent_test.go
+++ b/internal/controller/absent_test.go
@@ -17,7 +17,7 @@
 	for _, id := range []string{"x", "y"} {
 		d.registry.ApplyHeartbeat(messages.RunnerRecord{ID: id, Service: "s", Addr: id + ":1", Seq: 1}, 60_000_000)
 	}
-	must.True(t, d.applyReport("n", messages.Told{Absent: []string{"x", "unknown"}}))
+	must.True(t, d.applyReport("n", messages.LoadReport{Absent: []string{"x", "unknown"}}))
 	must.Len(t, 1, d.registry.Sweep(60_000_001, d.silence(), true))
 	must.True(t, d.registry.Snapshot().ByID["x"].Stale)
 	must.False(t, d.registry.Snapshot().ByID["y"].Stale)
--- a/internal/controller/cache_reader.go
+++ b/internal/controller/cache_reader.go
@@ -48,7 +48,7 @@
 	case events.Lost || !first && events.Epoch != epoch:
 		d.readCacheList(ctx, n)
 	case events.NextPage > since || first:
-		d.changeCached(n.ID, func(c *prefixindex.CachedPrefixes) messages.KeptChange {
+		d.changeCached(n.ID, func(c *prefixindex.CachedPrefixes) messages.CachedChange {
 			return applyCacheEvents(n.ID, c, events, since, first)
 		})
 	}
@@ -65,7 +65,7 @@
 
 // applyCacheEvents applies the events since a version to what is known of a runner's cache and returns the
 // change; a snapshot, if nothing was known before.
-func applyCacheEvents(id string, cached *prefixindex.CachedPrefixes, events api.PrefixEvents, since int64, first bool) messages.KeptChange {
+func applyCacheEvents(id string, cached *prefixindex.CachedPrefixes, events api.PrefixEvents, since int64, first bool) messages.CachedChange {
 	if first {
 		cached.Begin(events.Epoch, since)
 	}
@@ -101,13 +101,13 @@
 	if err != nil || status != 200 || json.Unmarshal(body, &list) != nil {
 		return
 	}
-	d.changeCached(n.ID, func(c *prefixindex.CachedPrefixes) messages.KeptChange {
+	d.changeCached(n.ID, func(c *prefixindex.CachedPrefixes) messages.CachedChange {
 		return replaceCached(n.ID, c, list)
 	})
 }
 
 // replaceCached makes a list the state of a runner's cache and returns a snapshot.
-func replaceCached(id string, cached *prefixindex.CachedPrefixes, list api.PrefixList) messages.KeptChange {
+func replaceCached(id string, cached *prefixindex.CachedPrefixes, list api.PrefixList) messages.CachedChange {
 	if cached.Epoch != list.Epoch {
 		cached.Begin(list.Epoch, 0)
 	}
--- a/internal/controller/controller.go
+++ b/internal/controller/controller.go
@@ -332,7 +332,7 @@
 		d.log.Error(err, "a committed register cannot be sent", "part", p)
 		return
 	}
-	d.publishPart(messages.PartNote{Part: p, Version: v.Version, Body: published})
+	d.publishPart(messages.RegisterUpdate{Part: p, Version: v.Version, Body: published})
 }
 
 func (d *Controller) heardRunner(_ string, body []byte) {
--- a/internal/controller/feed.go
+++ b/internal/controller/feed.go
@@ -57,7 +57,7 @@
 	mu            sync.Mutex
 	registry      *statesync.Entries
 	configuration *routeconfig.Replica
-	parts         map[int]messages.PartNote
+	parts         map[int]messages.RegisterUpdate
 	subtree       *statesync.Sum // the nodes below this one
 	aggregate     *statesync.Sum // those and the ones below the other controllers
 
@@ -72,10 +72,10 @@
 // outbox is what waits to be sent.
 type outbox struct {
 	configuration []messages.EntryChange
-	parts         []messages.PartNote
-	kept          []messages.KeptChange
-	reports       []messages.ReportNote
-	coming        []messages.KeptNote
+	parts         []messages.RegisterUpdate
+	kept          []messages.CachedChange
+	reports       []messages.RunnerReport
+	coming        []messages.CachedPrefixes
 }
 
 func (o *outbox) moveTo(f *messages.Feed) {
@@ -87,7 +87,7 @@
 	f.registry, f.configuration = statesync.NewEntries(), routeconfig.NewSource()
 	epoch = epoch ^ time.Now().UnixNano()
 	f.registry.Begin(epoch, 0)
-	f.parts = map[int]messages.PartNote{}
+	f.parts = map[int]messages.RegisterUpdate{}
 	f.subtree, f.aggregate = statesync.NewSum(epoch), statesync.NewSum(epoch+1)
 	f.urgent = make(chan struct{}, 1)
 }
@@ -174,7 +174,7 @@
 	f.wake()
 }
 
-func (d *Controller) publishPart(p messages.PartNote) {
+func (d *Controller) publishPart(p messages.RegisterUpdate) {
 	f := &d.feed
 	f.mu.Lock()
 	if f.parts[p.Part].Version < p.Version {
@@ -185,7 +185,7 @@
 	f.wake()
 }
 
-func (d *Controller) publishReport(n messages.ReportNote) {
+func (d *Controller) publishReport(n messages.RunnerReport) {
 	f := &d.feed
 	f.mu.Lock()
 	f.toControllers.reports, f.toRouters.reports = append(f.toControllers.reports, n), append(f.toRouters.reports, n)
@@ -193,7 +193,7 @@
 }
 
 // changeCached changes the cached prefixes of a runner, as its reader, and sends the change.
-func (d *Controller) changeCached(id string, change func(s *prefixindex.CachedPrefixes) messages.KeptChange) {
+func (d *Controller) changeCached(id string, change func(s *prefixindex.CachedPrefixes) messages.CachedChange) {
 	d.cachedMu.Lock()
 	c := change(d.cached.CachedPrefixes(id))
 	d.cachedMu.Unlock()
@@ -271,7 +271,7 @@
 // with the lease; if it finds none it says so (Anything), and then gets what there is.
 // While this controller starts, only the configuration is withheld: records of runners
 // are published as they arrive, and one that was missed at first would come late.
-func (d *Controller) deltaSince(h messages.Hold) messages.Feed {
+func (d *Controller) deltaSince(h messages.SyncState) messages.Feed {
 	d.targets.observe(h.TargetAges, d.clock())
 	out := messages.Feed{StableForUs: d.stability.stableForUs(d.clock()), CutOff: d.cutOff(), TargetAges: d.targets.ages(d.clock())}
 	withheld := unsynced(h) && !h.Anything && !d.inContact()
@@ -307,7 +307,7 @@
 
 // loadsSince returns the change of the loads that a receiver lacks: a controller is sent
 // those of the nodes below this one. The caller has the mutex.
-func (f *feed) loadsSince(h messages.Hold) []messages.LoadChange {
+func (f *feed) loadsSince(h messages.SyncState) []messages.LoadChange {
 	sum := f.aggregate.Total
 	if h.Controller {
 		sum = f.subtree.Total
@@ -320,10 +320,10 @@
 }
 
 // unsynced reports whether the receiver is a router without a configuration.
-func unsynced(h messages.Hold) bool { return !h.Controller && h.Configuration.Version == 0 }
+func unsynced(h messages.SyncState) bool { return !h.Controller && h.Configuration.Version == 0 }
 
 // applyReport applies the loads of a node below.
-func (d *Controller) applyReport(from string, t messages.Told) bool {
+func (d *Controller) applyReport(from string, t messages.LoadReport) bool {
 	for _, id := range t.Absent {
 		d.registry.Doubt(id, d.silence())
 	}
--- a/internal/controller/report_reader.go
+++ b/internal/controller/report_reader.go
@@ -16,7 +16,7 @@
 func (d *Controller) readReports(ctx context.Context, n messages.RunnerRecord) {
 	for ctx.Err() == nil {
 		if r, ok := d.report(ctx, n); ok {
-			d.publishReport(messages.ReportNote{ID: n.ID, Used: r.CacheUsed, Total: r.CacheTotal, Active: r.Active, Queued: r.Queued})
+			d.publishReport(messages.RunnerReport{ID: n.ID, Used: r.CacheUsed, Total: r.CacheTotal, Active: r.Active, Queued: r.Queued})
 		}
 		loop.Pause(ctx, reportsPause)
 	}
--- a/internal/controller/subscriptions.go
+++ b/internal/controller/subscriptions.go
@@ -83,8 +83,8 @@
 	u := dissemination.Subscriber{
 		Controller: true,
 		Parents:    func() []string { return []string{addr} },
-		SyncState:  func() messages.Hold { return d.holdOf(addr, runners) },
-		ApplyUpdate: func(_ string, f messages.Feed, _ []byte) *messages.Hold {
+		SyncState:  func() messages.SyncState { return d.holdOf(addr, runners) },
+		ApplyUpdate: func(_ string, f messages.Feed, _ []byte) *messages.SyncState {
 			if d.takeFeed(addr, f, runners) {
 				return nil
 			}
@@ -104,10 +104,10 @@
 
 // holdOf names what this node holds of another's streams. The configuration and
 // the parts come through the registers.
-func (d *Controller) holdOf(addr string, runners *statesync.Entries) messages.Hold {
+func (d *Controller) holdOf(addr string, runners *statesync.Entries) messages.SyncState {
 	f := &d.feed
 	f.mu.Lock()
-	h := messages.Hold{Configuration: messages.StreamHold{Epoch: routeconfig.Epoch, Version: never}}
+	h := messages.SyncState{Configuration: messages.Cursor{Epoch: routeconfig.Epoch, Version: never}}
 	h.Registry.Epoch, h.Registry.Version = runners.Cursor()
 	if l := f.aggregate.Sender(addr); l != nil {
 		h.Loads.Epoch, h.Loads.Version = l.Cursor()
@@ -165,7 +165,7 @@
 	for _, c := range in.Registry {
 		fits = d.takeRunners(c, runners, now) && fits
 	}
-	var kept []messages.KeptChange
+	var kept []messages.CachedChange
 	d.cachedMu.Lock()
 	for _, c := range in.Kept {
 		if d.readers[c.ID] != nil {
--- a/internal/controller/targets_test.go
+++ b/internal/controller/targets_test.go
@@ -22,7 +22,7 @@
 	must.Eq(t, 200, status)
 	nowUs := d.clock()
 	must.GreaterEq(t, nowUs-acknowledgedUs, d.targets.of("m").AgeUs(nowUs), must.Sprint("a repeated call begins no new term"))
-	ages := d.deltaSince(messages.Hold{}).TargetAges
+	ages := d.deltaSince(messages.SyncState{}).TargetAges
 	must.Len(t, 1, ages)
 	must.GreaterEq(t, nowUs-acknowledgedUs, ages[0].AgeUs)
 	must.Eq(t, 2, ages[0].Version)
@@ -42,8 +42,8 @@
 	// and the read of all registers after the start finishes it.
 	until(t, func() bool { return d.targets.of("m").Version == 2 })
 	must.Eq(t, math.MaxInt64, d.targets.of("m").AgeUs(d.clock()), must.Sprint("recalled from disk without an age"))
-	must.Negative(t, d.deltaSince(messages.Hold{}).TargetAges[0].AgeUs)
-	d.deltaSince(messages.Hold{TargetAges: []messages.TargetAge{{Model: "m", Version: 2, AgeUs: 5_000_000}}})
+	must.Negative(t, d.deltaSince(messages.SyncState{}).TargetAges[0].AgeUs)
+	d.deltaSince(messages.SyncState{TargetAges: []messages.TargetAge{{Model: "m", Version: 2, AgeUs: 5_000_000}}})
 	must.Between(t, 5_000_000, d.targets.of("m").AgeUs(d.clock()), 5_000_000+d.clock())
 }
 
--- a/internal/dissemination/catchup_test.go
+++ b/internal/dissemination/catchup_test.go
@@ -20,13 +20,13 @@
 	defer cancel()
 	begun, release, answers := make(chan bool, 64), make(chan bool), atomic.Int64{}
 	relay := NewPublisher(parent, Upstream{
-		DeltaSince: func(messages.Hold) messages.Feed {
+		DeltaSince: func(messages.SyncState) messages.Feed {
 			begun <- true
 			<-release
 			answers.Add(1)
 			return messages.Feed{Versions: []int64{1}}
 		},
-		ApplyReport: func(string, messages.Told) bool { return true }, Unsubscribed: func(string) {},
+		ApplyReport: func(string, messages.LoadReport) bool { return true }, Unsubscribed: func(string) {},
 	})
 	parent.Run(ctx)
 	child.Run(ctx)
@@ -42,7 +42,7 @@
 		fed <- true
 	}
 	go conn.Serve(ctx)
-	state := messages.Hold{}
+	state := messages.SyncState{}
 	_, err = conn.Call(ctx, transport.KindSubscribe, &state)
 	must.NoError(t, err)
 	<-begun
@@ -56,9 +56,9 @@
 	must.NoError(t, err)
 	const asked = 5
 	for range asked {
-		must.NoError(t, conn.Push(transport.KindWant, b))
+		must.NoError(t, conn.Push(transport.KindSyncState, b))
 	}
-	must.NoError(t, conn.Push(transport.KindTold, nil)) // pushes are taken in order
+	must.NoError(t, conn.Push(transport.KindLoadReport, nil)) // pushes are taken in order
 	_, err = conn.Call(ctx, transport.KindIdentity, &state)
 	must.Error(t, err, must.Sprint("nobody answers this; the pushes before it have been taken"))
 	close(release)
--- a/internal/dissemination/large_change_test.go
+++ b/internal/dissemination/large_change_test.go
@@ -82,8 +82,8 @@
 
 	parent, child := station(t), station(t)
 	relay := NewPublisher(parent, Upstream{
-		DeltaSince:  func(messages.Hold) messages.Feed { return messages.Feed{Versions: []int64{1}} },
-		ApplyReport: func(string, messages.Told) bool { return true }, Unsubscribed: func(string) {},
+		DeltaSince:  func(messages.SyncState) messages.Feed { return messages.Feed{Versions: []int64{1}} },
+		ApplyReport: func(string, messages.LoadReport) bool { return true }, Unsubscribed: func(string) {},
 	})
 	ctx, cancel := context.WithCancel(context.Background())
 	defer cancel()
@@ -94,9 +94,11 @@
 	for range fanOut {
 		link := proxy(t, parent.Addr(), func(client io.Writer) io.Writer { return countingWriter{client, &received} })
 		subscriber := &Subscriber{
-			SyncState: func() messages.Hold { return messages.Hold{Configuration: messages.StreamHold{Epoch: 1, Version: 1}} },
-			Parents:   func() []string { return []string{link} },
-			ApplyUpdate: func(_ string, f messages.Feed, _ []byte) *messages.Hold {
+			SyncState: func() messages.SyncState {
+				return messages.SyncState{Configuration: messages.Cursor{Epoch: 1, Version: 1}}
+			},
+			Parents: func() []string { return []string{link} },
+			ApplyUpdate: func(_ string, f messages.Feed, _ []byte) *messages.SyncState {
 				if len(f.Configuration) == 0 {
 					joined <- true
 					return nil
@@ -127,11 +129,11 @@
 	parent, child := station(t), station(t)
 	joined := make(chan bool, 16)
 	relay := NewPublisher(parent, Upstream{
-		DeltaSince: func(messages.Hold) messages.Feed {
+		DeltaSince: func(messages.SyncState) messages.Feed {
 			joined <- true
 			return messages.Feed{Versions: []int64{1}}
 		},
-		ApplyReport: func(string, messages.Told) bool { return true }, Unsubscribed: func(string) {},
+		ApplyReport: func(string, messages.LoadReport) bool { return true }, Unsubscribed: func(string) {},
 	})
 	ctx, cancel := context.WithCancel(context.Background())
 	defer cancel()
@@ -141,16 +143,18 @@
 	link := proxy(t, parent.Addr(), func(client io.Writer) io.Writer { return slowWriter{client, &slow} })
 	updates := make(chan int, 64)
 	subscriber := &Subscriber{
-		SyncState:   func() messages.Hold { return messages.Hold{Configuration: messages.StreamHold{Epoch: 1, Version: 1}} },
+		SyncState: func() messages.SyncState {
+			return messages.SyncState{Configuration: messages.Cursor{Epoch: 1, Version: 1}}
+		},
 		Parents:     func() []string { return []string{link} },
-		ApplyUpdate: func(_ string, f messages.Feed, _ []byte) *messages.Hold { updates <- len(f.Parts); return nil },
+		ApplyUpdate: func(_ string, f messages.Feed, _ []byte) *messages.SyncState { updates <- len(f.Parts); return nil },
 		Acked:       func(int64) {}, ResendAll: func() {}, Unsubscribed: func(string) {},
 	}
 	go subscriber.Listen(ctx, child)
 	<-joined
 	<-updates
 	slow.Store(true)
-	relay.Publish(ToRouters, messages.Feed{Versions: []int64{1}, Parts: []messages.PartNote{{Part: 1, Version: 1, Body: make([]byte, trickleSteps*trickleBytes)}}})
+	relay.Publish(ToRouters, messages.Feed{Versions: []int64{1}, Parts: []messages.RegisterUpdate{{Part: 1, Version: 1, Body: make([]byte, trickleSteps*trickleBytes)}}})
 	must.Eq(t, 1, <-updates)
 	must.SliceEmpty(t, drainBools(joined), must.Sprint("the parent was left in the middle of its update and asked anew"))
 }
--- a/internal/dissemination/publisher.go
+++ b/internal/dissemination/publisher.go
@@ -36,9 +36,9 @@
 
 // Upstream is what a publisher calls for its subscribers.
 type Upstream struct {
-	DeltaSince   func(h messages.Hold) messages.Feed     // what a receiver needs
-	ApplyReport  func(from string, t messages.Told) bool // loads of a subtree; false: all of them are to be sent again
-	Unsubscribed func(from string)                       // a subscriber has ended
+	DeltaSince   func(h messages.SyncState) messages.Feed      // what a receiver needs
+	ApplyReport  func(from string, t messages.LoadReport) bool // loads of a subtree; false: all of them are to be sent again
+	Unsubscribed func(from string)                             // a subscriber has ended
 }
 
 // Audience selects subscribers.
@@ -68,8 +68,8 @@
 	controller bool
 	reads      transport.Compression // what the subscriber reads
 	acked      int64
-	requested  *messages.Hold // what the receiver had when it last requested
-	answering  bool           // an answer to it is being made
+	requested  *messages.SyncState // what the receiver had when it last requested
+	answering  bool                // an answer to it is being made
 }
 
 // maxConcurrentSnapshots bounds how many subscribers are caught up at a time.
@@ -79,7 +79,7 @@
 func NewPublisher(r *transport.Transport, up Upstream) *Publisher {
 	p := &Publisher{queues: map[*transport.Conn]*subscriberQueue{}, up: up, snapshots: make(chan struct{}, maxConcurrentSnapshots)}
 	r.OnCall(transport.KindSubscribe, func(_ context.Context, from *transport.Conn, body []byte) ([]byte, error) {
-		var h messages.Hold
+		var h messages.SyncState
 		if _, err := h.UnmarshalMsg(body); err != nil {
 			return nil, err
 		}
@@ -87,14 +87,14 @@
 		return nil, nil
 	})
 	r.OnCall(transport.KindSince, func(_ context.Context, _ *transport.Conn, body []byte) ([]byte, error) {
-		var h messages.Hold
+		var h messages.SyncState
 		if _, err := h.UnmarshalMsg(body); err != nil {
 			return nil, err
 		}
 		return p.deltaSince(h)
 	})
-	r.OnPush(transport.KindWant, func(from *transport.Conn, body []byte) {
-		var h messages.Hold
+	r.OnPush(transport.KindSyncState, func(from *transport.Conn, body []byte) {
+		var h messages.SyncState
 		if _, err := h.UnmarshalMsg(body); err != nil {
 			return
 		}
@@ -102,8 +102,8 @@
 			p.catchUp(s, h)
 		}
 	})
-	r.OnPush(transport.KindTold, func(from *transport.Conn, body []byte) {
-		var t messages.Told
+	r.OnPush(transport.KindLoadReport, func(from *transport.Conn, body []byte) {
+		var t messages.LoadReport
 		if _, err := t.UnmarshalMsg(body); err != nil {
 			return
 		}
@@ -112,7 +112,7 @@
 			return
 		}
 		if !p.up.ApplyReport(from.Remote(), t) {
-			p.enqueue(s, transport.KindTellAgain, nil)
+			p.enqueue(s, transport.KindResendLoads, nil)
 			return
 		}
 		s.mu.Lock()
@@ -128,7 +128,7 @@
 	return p.queues[l]
 }
 
-func (p *Publisher) deltaSince(h messages.Hold) ([]byte, error) {
+func (p *Publisher) deltaSince(h messages.SyncState) ([]byte, error) {
 	p.snapshots <- struct{}{}
 	defer func() { <-p.snapshots }()
 	f := p.up.DeltaSince(h)
@@ -139,7 +139,7 @@
 
 // catchUp sends a subscriber what it does not have. One answer is made at a time; of the
 // requests that arrive meanwhile the last counts.
-func (p *Publisher) catchUp(s *subscriberQueue, h messages.Hold) {
+func (p *Publisher) catchUp(s *subscriberQueue, h messages.SyncState) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.requested = &h
@@ -157,7 +157,7 @@
 }
 
 // nextRequested returns what is to be answered next; nil ends the answering.
-func (s *subscriberQueue) nextRequested() *messages.Hold {
+func (s *subscriberQueue) nextRequested() *messages.SyncState {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	h := s.requested
@@ -165,7 +165,7 @@
 	return h
 }
 
-func (p *Publisher) add(l *transport.Conn, h messages.Hold) {
+func (p *Publisher) add(l *transport.Conn, h messages.SyncState) {
 	s := &subscriberQueue{wake: make(chan struct{}, 1), controller: h.Controller, reads: l.Reads()}
 	p.mu.Lock()
 	p.queues[l] = s
@@ -210,9 +210,9 @@
 		p.Dropped.Add(1)
 	}
 	if kind == transport.KindFeed && s.acked > 0 {
-		t := messages.Told{Seq: s.acked}
+		t := messages.LoadReport{Seq: s.acked}
 		if b, err := t.MarshalMsg(nil); err == nil {
-			h := messages.Frame{Kind: transport.KindHeard, Body: b}
+			h := messages.Frame{Kind: transport.KindLoadAck, Body: b}
 			s.queued, _ = h.MarshalMsg(s.queued)
 		}
 	}
--- a/internal/dissemination/publisher_test.go
+++ b/internal/dissemination/publisher_test.go
@@ -32,7 +32,7 @@
 // parentNode is the parent of a tree: a stream of entries and what it received.
 type parentNode struct {
 	publisher *Publisher
-	reports   chan messages.Told
+	reports   chan messages.LoadReport
 
 	mu     sync.Mutex // guards what follows
 	stream *statesync.Entries
@@ -40,13 +40,13 @@
 }
 
 func newParentNode(r *transport.Transport) *parentNode {
-	p := &parentNode{stream: statesync.NewEntries(), reports: make(chan messages.Told, 8)}
+	p := &parentNode{stream: statesync.NewEntries(), reports: make(chan messages.LoadReport, 8)}
 	p.stream.Begin(1, 0)
 	p.publisher = NewPublisher(r, Upstream{DeltaSince: p.deltaSince, ApplyReport: p.applyReport, Unsubscribed: func(string) {}})
 	return p
 }
 
-func (p *parentNode) deltaSince(state messages.Hold) messages.Feed {
+func (p *parentNode) deltaSince(state messages.SyncState) messages.Feed {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	update := messages.Feed{Versions: []int64{}}
@@ -56,7 +56,7 @@
 	return update
 }
 
-func (p *parentNode) applyReport(_ string, report messages.Told) bool {
+func (p *parentNode) applyReport(_ string, report messages.LoadReport) bool {
 	p.reports <- report
 	p.mu.Lock()
 	defer p.mu.Unlock()
@@ -107,13 +107,13 @@
 	return c
 }
 
-func (c *childNode) syncState() messages.Hold {
+func (c *childNode) syncState() messages.SyncState {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	return messages.Hold{Registry: messages.StreamHold{Epoch: c.stream.Epoch, Version: c.stream.Version}}
+	return messages.SyncState{Registry: messages.Cursor{Epoch: c.stream.Epoch, Version: c.stream.Version}}
 }
 
-func (c *childNode) applyUpdate(_ string, update messages.Feed, _ []byte) (missing *messages.Hold) {
+func (c *childNode) applyUpdate(_ string, update messages.Feed, _ []byte) (missing *messages.SyncState) {
 	for _, change := range update.Registry {
 		c.mu.Lock()
 		r := c.stream.Apply(statesync.DecodeEntries(change))
@@ -197,11 +197,11 @@
 	child.waitUntilEqual(t, parent, "bytes that are no update")
 	must.Eq(t, int64(1), child.subscriber.Malformed.Load())
 
-	must.True(t, child.subscriber.Send(transport.KindTold, &messages.Told{Seq: 7}))
+	must.True(t, child.subscriber.Send(transport.KindLoadReport, &messages.LoadReport{Seq: 7}))
 	must.Eq(t, int64(7), (<-parent.reports).Seq)
 	child.waitUntilAcked(parent, 7)
 	parent.refuseReports()
-	must.True(t, child.subscriber.Send(transport.KindTold, &messages.Told{Seq: 8}))
+	must.True(t, child.subscriber.Send(transport.KindLoadReport, &messages.LoadReport{Seq: 8}))
 	must.True(t, <-child.resends, must.Sprint("after a report that is not applied all of it is requested"))
 }
 
@@ -230,20 +230,22 @@
 	for i := range 2 {
 		p := station(t)
 		relays = append(relays, NewPublisher(p, Upstream{
-			DeltaSince: func(messages.Hold) messages.Feed {
+			DeltaSince: func(messages.SyncState) messages.Feed {
 				joined <- i
 				return messages.Feed{Versions: []int64{}, CutOff: true}
 			},
-			ApplyReport: func(string, messages.Told) bool { return true }, Unsubscribed: func(string) {},
+			ApplyReport: func(string, messages.LoadReport) bool { return true }, Unsubscribed: func(string) {},
 		}))
 		p.Run(ctx)
 		addrs = append(addrs, p.Addr())
 	}
 	fed := make(chan string, 256)
 	up := &Subscriber{
-		SyncState: func() messages.Hold { return messages.Hold{Configuration: messages.StreamHold{Epoch: 1, Version: 1}} },
-		Parents:   func() []string { return append([]string{}, addrs...) },
-		ApplyUpdate: func(p string, _ messages.Feed, _ []byte) *messages.Hold {
+		SyncState: func() messages.SyncState {
+			return messages.SyncState{Configuration: messages.Cursor{Epoch: 1, Version: 1}}
+		},
+		Parents: func() []string { return append([]string{}, addrs...) },
+		ApplyUpdate: func(p string, _ messages.Feed, _ []byte) *messages.SyncState {
 			fed <- p
 			return nil
 		},
--- a/internal/dissemination/subscriber.go
+++ b/internal/dissemination/subscriber.go
@@ -42,9 +42,9 @@
 // Subscriber is a node's link to its parent. The functions are set before Listen.
 type Subscriber struct {
 	Controller   bool // this node is a controller
-	SyncState    func() messages.Hold
+	SyncState    func() messages.SyncState
 	Parents      func() []string
-	ApplyUpdate  func(parent string, f messages.Feed, raw []byte) (want *messages.Hold)
+	ApplyUpdate  func(parent string, f messages.Feed, raw []byte) (want *messages.SyncState)
 	Acked        func(seq int64)     // the parent has applied the report with this seq
 	ResendAll    func()              // the parent needs all reports again
 	Unsubscribed func(addr string)   // the subscription there has ended
@@ -90,19 +90,19 @@
 }
 
 // syncState returns what this node has, and who requests.
-func (u *Subscriber) syncState() messages.Hold {
+func (u *Subscriber) syncState() messages.SyncState {
 	h := u.SyncState()
 	u.complete(&h)
 	return h
 }
 
-func (u *Subscriber) complete(h *messages.Hold) {
+func (u *Subscriber) complete(h *messages.SyncState) {
 	h.Controller = u.Controller
 	h.Anything = unsynced(*h) && time.Since(u.began) > u.Patience
 }
 
 // unsynced reports whether a node has no configuration yet.
-func unsynced(h messages.Hold) bool { return !h.Controller && h.Configuration.Version == 0 }
+func unsynced(h messages.SyncState) bool { return !h.Controller && h.Configuration.Version == 0 }
 
 // subscription is a connection to a parent while it lasts.
 type subscription struct {
@@ -202,12 +202,12 @@
 	switch kind {
 	case transport.KindFeed:
 		u.receiveUpdate(s, body)
-	case transport.KindHeard:
-		var t messages.Told
+	case transport.KindLoadAck:
+		var t messages.LoadReport
 		if _, err := t.UnmarshalMsg(body); err == nil {
 			u.Acked(t.Seq)
 		}
-	case transport.KindTellAgain:
+	case transport.KindResendLoads:
 		u.ResendAll()
 	default:
 		u.Malformed.Add(1)
@@ -237,7 +237,7 @@
 
 // requestMissing requests what this node does not have, if it is behind and the pacer
 // allows it. A nil state stands for SyncState.
-func (u *Subscriber) requestMissing(conn *transport.Conn, state *messages.Hold, behind bool) {
+func (u *Subscriber) requestMissing(conn *transport.Conn, state *messages.SyncState, behind bool) {
 	if !u.pacer.Due(behind, u.nowUs()) {
 		return
 	}
@@ -247,6 +247,6 @@
 	}
 	u.complete(state)
 	if b, err := state.MarshalMsg(nil); err == nil {
-		_ = conn.Push(transport.KindWant, b)
+		_ = conn.Push(transport.KindSyncState, b)
 	}
 }
--- a/internal/dissemination/unsynced_test.go
+++ b/internal/dissemination/unsynced_test.go
@@ -14,7 +14,7 @@
 // joining is a subscription as a parent gets it.
 type joining struct {
 	parent int
-	state  messages.Hold
+	state  messages.SyncState
 }
 
 // unsyncedNodeBelow starts a node that holds nothing below parents of which some are
@@ -28,11 +28,11 @@
 	for i, cut := range cutOff {
 		p := station(t)
 		NewPublisher(p, Upstream{
-			DeltaSince: func(h messages.Hold) messages.Feed {
+			DeltaSince: func(h messages.SyncState) messages.Feed {
 				joined <- joining{i, h}
 				return messages.Feed{Versions: []int64{}, CutOff: cut}
 			},
-			ApplyReport: func(string, messages.Told) bool { return true }, Unsubscribed: func(string) {},
+			ApplyReport: func(string, messages.LoadReport) bool { return true }, Unsubscribed: func(string) {},
 		})
 		p.Run(ctx)
 		addrs = append(addrs, p.Addr())
@@ -41,9 +41,9 @@
 	child.Run(ctx)
 	up := &Subscriber{
 		Patience:    patience,
-		SyncState:   func() messages.Hold { return messages.Hold{} },
+		SyncState:   func() messages.SyncState { return messages.SyncState{} },
 		Parents:     func() []string { return append([]string{}, addrs...) },
-		ApplyUpdate: func(string, messages.Feed, []byte) *messages.Hold { return nil },
+		ApplyUpdate: func(string, messages.Feed, []byte) *messages.SyncState { return nil },
 		Acked:       func(int64) {}, ResendAll: func() {}, Unsubscribed: func(string) {},
 	}
 	go up.Listen(ctx, child)
@@ -76,8 +76,8 @@
 func TestUpdatesOfFormerParentAreIgnored(t *testing.T) {
 	taken := []string{}
 	up := &Subscriber{
-		SyncState: func() messages.Hold { return messages.Hold{} },
-		ApplyUpdate: func(parent string, _ messages.Feed, _ []byte) *messages.Hold {
+		SyncState: func() messages.SyncState { return messages.SyncState{} },
+		ApplyUpdate: func(parent string, _ messages.Feed, _ []byte) *messages.SyncState {
 			taken = append(taken, parent)
 			return nil
 		},
--- a/internal/messages/msgp.gen.go
+++ b/internal/messages/msgp.gen.go
@@ -129,167 +129,44 @@
 }
 
 // MarshalMsg implements msgp.Marshaler
-func (z *Condition) MarshalMsg(b []byte) (o []byte, err error) {
+func (z *CachedChange) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
-	// map header, size 26
-	// string "a"
-	o = append(o, 0xde, 0x0, 0x1a, 0xa1, 0x61)
-	o = msgp.AppendString(o, z.Addr)
-	// string "b"
-	o = append(o, 0xa1, 0x62)
-	o = msgp.AppendArrayHeader(o, uint32(len(z.Blind)))
-	for za0001 := range z.Blind {
-		o = msgp.AppendString(o, z.Blind[za0001])
-	}
-	// string "c"
-	o = append(o, 0xa1, 0x63)
-	o = msgp.AppendInt(o, z.Runners)
+	// map header, size 7
 	// string "d"
-	o = append(o, 0xa1, 0x64)
-	o = msgp.AppendBool(o, z.HasDisk)
+	o = append(o, 0x87, 0xa1, 0x64)
+	o = msgp.AppendUint64(o, z.Digest)
 	// string "e"
 	o = append(o, 0xa1, 0x65)
-	o = msgp.AppendArrayHeader(o, uint32(len(z.Unread)))
-	for za0002 := range z.Unread {
-		o = msgp.AppendString(o, z.Unread[za0002])
-	}
+	o = msgp.AppendInt64(o, z.Epoch)
 	// string "f"
 	o = append(o, 0xa1, 0x66)
-	o = msgp.AppendString(o, z.SaveFault)
-	// string "g"
-	o = append(o, 0xa1, 0x67)
-	o = msgp.AppendArrayHeader(o, uint32(len(z.Groups)))
-	for za0003 := range z.Groups {
-		o = msgp.AppendArrayHeader(o, uint32(len(z.Groups[za0003])))
-		for za0004 := range z.Groups[za0003] {
-			// map header, size 2
-			// string "a"
-			o = append(o, 0x82, 0xa1, 0x61)
-			o = msgp.AppendString(o, z.Groups[za0003][za0004].Addr)
-			// string "i"
-			o = append(o, 0xa1, 0x69)
-			o = msgp.AppendString(o, z.Groups[za0003][za0004].ID)
-		}
-	}
-	// string "h"
-	o = append(o, 0xa1, 0x68)
-	o = msgp.AppendArrayHeader(o, uint32(len(z.Quotas)))
-	for za0005 := range z.Quotas {
-		o, err = z.Quotas[za0005].MarshalMsg(o)
-		if err != nil {
-			err = msgp.WrapError(err, "Quotas", za0005)
-			return
-		}
-	}
+	o = msgp.AppendInt64(o, z.From)
 	// string "i"
 	o = append(o, 0xa1, 0x69)
-	o = msgp.AppendArrayHeader(o, uint32(len(z.Violations)))
-	for za0006 := range z.Violations {
-		// map header, size 2
-		// string "c"
-		o = append(o, 0x82, 0xa1, 0x63)
-		o = msgp.AppendInt64(o, z.Violations[za0006].Count)
-		// string "n"
-		o = append(o, 0xa1, 0x6e)
-		o = msgp.AppendString(o, z.Violations[za0006].Name)
-	}
-	// string "j"
-	o = append(o, 0xa1, 0x6a)
-	o = msgp.AppendInt64(o, z.Changes)
-	// string "k"
-	o = append(o, 0xa1, 0x6b)
-	o = msgp.AppendArrayHeader(o, uint32(len(z.Retired)))
-	for za0007 := range z.Retired {
-		o, err = z.Retired[za0007].MarshalMsg(o)
-		if err != nil {
-			err = msgp.WrapError(err, "Retired", za0007)
-			return
-		}
-	}
-	// string "l"
-	o = append(o, 0xa1, 0x6c)
-	o = msgp.AppendString(o, z.MemberID)
-	// string "m"
-	o = append(o, 0xa1, 0x6d)
-	o = msgp.AppendArrayHeader(o, uint32(len(z.Versions)))
-	for za0008 := range z.Versions {
-		o = msgp.AppendInt64(o, z.Versions[za0008])
-	}
-	// string "n"
-	o = append(o, 0xa1, 0x6e)
-	o = msgp.AppendString(o, z.Node)
-	// string "o"
-	o = append(o, 0xa1, 0x6f)
-	o = msgp.AppendArrayHeader(o, uint32(len(z.Duties)))
-	for za0009 := range z.Duties {
-		o, err = z.Duties[za0009].MarshalMsg(o)
-		if err != nil {
-			err = msgp.WrapError(err, "Duties", za0009)
-			return
-		}
-	}
+	o = msgp.AppendString(o, z.ID)
 	// string "p"
 	o = append(o, 0xa1, 0x70)
-	o = msgp.AppendArrayHeader(o, uint32(len(z.Peers)))
-	for za0010 := range z.Peers {
-		o, err = z.Peers[za0010].MarshalMsg(o)
-		if err != nil {
-			err = msgp.WrapError(err, "Peers", za0010)
-			return
-		}
-	}
-	// string "q"
-	o = append(o, 0xa1, 0x71)
-	o = msgp.AppendArrayHeader(o, uint32(len(z.Stale)))
-	for za0011 := range z.Stale {
-		o = msgp.AppendString(o, z.Stale[za0011])
+	o = msgp.AppendArrayHeader(o, uint32(len(z.Parts)))
+	for za0001 := range z.Parts {
+		// map header, size 2
+		// string "k"
+		o = append(o, 0x82, 0xa1, 0x6b)
+		o = msgp.AppendUint64(o, z.Parts[za0001].Key)
+		// string "t"
+		o = append(o, 0xa1, 0x74)
+		o = msgp.AppendInt32(o, z.Parts[za0001].Tokens)
 	}
-	// string "r"
-	o = append(o, 0xa1, 0x72)
-	o = msgp.AppendString(o, string(z.Role))
-	// string "s"
-	o = append(o, 0xa1, 0x73)
-	o = msgp.AppendInt64(o, z.SaveUs)
 	// string "t"
 	o = append(o, 0xa1, 0x74)
-	o = msgp.AppendInt64(o, z.TimeUs)
-	// string "u"
-	o = append(o, 0xa1, 0x75)
-	o = msgp.AppendArrayHeader(o, uint32(len(z.Unconfirmed)))
-	for za0012 := range z.Unconfirmed {
-		o = msgp.AppendString(o, z.Unconfirmed[za0012])
-	}
-	// string "v"
-	o = append(o, 0xa1, 0x76)
-	o = msgp.AppendArrayHeader(o, uint32(len(z.Scaling)))
-	for za0013 := range z.Scaling {
-		o, err = z.Scaling[za0013].MarshalMsg(o)
-		if err != nil {
-			err = msgp.WrapError(err, "Scaling", za0013)
-			return
-		}
-	}
+	o = msgp.AppendInt64(o, z.To)
 	// string "w"
 	o = append(o, 0xa1, 0x77)
-	o = msgp.AppendInt64(o, z.Wholes)
-	// string "x"
-	o = append(o, 0xa1, 0x78)
-	o = msgp.AppendInt64(o, z.Malformed)
-	// string "y"
-	o = append(o, 0xa1, 0x79)
-	o, err = z.Partition.MarshalMsg(o)
-	if err != nil {
-		err = msgp.WrapError(err, "Partition")
-		return
-	}
-	// string "z"
-	o = append(o, 0xa1, 0x7a)
-	o = msgp.AppendString(o, z.Zone)
+	o = msgp.AppendBool(o, z.Snapshot)
 	return
 }
 
 // UnmarshalMsg implements msgp.Unmarshaler
-func (z *Condition) UnmarshalMsg(bts []byte) (o []byte, err error) {
+func (z *CachedChange) UnmarshalMsg(bts []byte) (o []byte, err error) {
 	var field []byte
 	_ = field
 	var zb0001 uint32
@@ -306,736 +183,276 @@
 			return
 		}
 		switch msgp.UnsafeString(field) {
-		case "a":
-			z.Addr, bts, err = msgp.ReadStringBytes(bts)
+		case "d":
+			z.Digest, bts, err = msgp.ReadUint64Bytes(bts)
 			if err != nil {
-				err = msgp.WrapError(err, "Addr")
+				err = msgp.WrapError(err, "Digest")
 				return
 			}
-		case "b":
-			var zb0002 uint32
-			zb0002, bts, err = msgp.ReadArrayHeaderBytes(bts)
+		case "e":
+			z.Epoch, bts, err = msgp.ReadInt64Bytes(bts)
 			if err != nil {
-				err = msgp.WrapError(err, "Blind")
+				err = msgp.WrapError(err, "Epoch")
 				return
 			}
-			if cap(z.Blind) >= int(zb0002) {
-				z.Blind = (z.Blind)[:zb0002]
-			} else {
-				z.Blind = make([]string, zb0002)
-			}
-			for za0001 := range z.Blind {
-				z.Blind[za0001], bts, err = msgp.ReadStringBytes(bts)
-				if err != nil {
-					err = msgp.WrapError(err, "Blind", za0001)
-					return
-				}
-			}
-		case "c":
-			z.Runners, bts, err = msgp.ReadIntBytes(bts)
+		case "f":
+			z.From, bts, err = msgp.ReadInt64Bytes(bts)
 			if err != nil {
-				err = msgp.WrapError(err, "Runners")
+				err = msgp.WrapError(err, "From")
 				return
 			}
-		case "d":
-			z.HasDisk, bts, err = msgp.ReadBoolBytes(bts)
+		case "i":
+			z.ID, bts, err = msgp.ReadStringBytes(bts)
 			if err != nil {
-				err = msgp.WrapError(err, "HasDisk")
+				err = msgp.WrapError(err, "ID")
 				return
 			}
-		case "e":
-			var zb0003 uint32
-			zb0003, bts, err = msgp.ReadArrayHeaderBytes(bts)
+		case "p":
+			var zb0002 uint32
+			zb0002, bts, err = msgp.ReadArrayHeaderBytes(bts)
 			if err != nil {
-				err = msgp.WrapError(err, "Unread")
+				err = msgp.WrapError(err, "Parts")
 				return
 			}
-			if cap(z.Unread) >= int(zb0003) {
-				z.Unread = (z.Unread)[:zb0003]
+			if cap(z.Parts) >= int(zb0002) {
+				z.Parts = (z.Parts)[:zb0002]
 			} else {
-				z.Unread = make([]string, zb0003)
+				z.Parts = make([]CachedPart, zb0002)
 			}
-			for za0002 := range z.Unread {
-				z.Unread[za0002], bts, err = msgp.ReadStringBytes(bts)
+			for za0001 := range z.Parts {
+				var zb0003 uint32
+				zb0003, bts, err = msgp.ReadMapHeaderBytes(bts)
 				if err != nil {
-					err = msgp.WrapError(err, "Unread", za0002)
+					err = msgp.WrapError(err, "Parts", za0001)
 					return
 				}
+				for zb0003 > 0 {
+					zb0003--
+					field, bts, err = msgp.ReadMapKeyZC(bts)
+					if err != nil {
+						err = msgp.WrapError(err, "Parts", za0001)
+						return
+					}
+					switch msgp.UnsafeString(field) {
+					case "k":
+						z.Parts[za0001].Key, bts, err = msgp.ReadUint64Bytes(bts)
+						if err != nil {
+							err = msgp.WrapError(err, "Parts", za0001, "Key")
+							return
+						}
+					case "t":
+						z.Parts[za0001].Tokens, bts, err = msgp.ReadInt32Bytes(bts)
+						if err != nil {
+							err = msgp.WrapError(err, "Parts", za0001, "Tokens")
+							return
+						}
+					default:
+						bts, err = msgp.Skip(bts)
+						if err != nil {
+							err = msgp.WrapError(err, "Parts", za0001)
+							return
+						}
+					}
+				}
 			}
-		case "f":
-			z.SaveFault, bts, err = msgp.ReadStringBytes(bts)
+		case "t":
+			z.To, bts, err = msgp.ReadInt64Bytes(bts)
 			if err != nil {
-				err = msgp.WrapError(err, "SaveFault")
+				err = msgp.WrapError(err, "To")
 				return
 			}
-		case "g":
-			var zb0004 uint32
-			zb0004, bts, err = msgp.ReadArrayHeaderBytes(bts)
+		case "w":
+			z.Snapshot, bts, err = msgp.ReadBoolBytes(bts)
 			if err != nil {
-				err = msgp.WrapError(err, "Groups")
+				err = msgp.WrapError(err, "Snapshot")
 				return
 			}
-			if cap(z.Groups) >= int(zb0004) {
-				z.Groups = (z.Groups)[:zb0004]
-			} else {
-				z.Groups = make([][]Member, zb0004)
-			}
-			for za0003 := range z.Groups {
-				var zb0005 uint32
-				zb0005, bts, err = msgp.ReadArrayHeaderBytes(bts)
-				if err != nil {
-					err = msgp.WrapError(err, "Groups", za0003)
-					return
-				}
-				if cap(z.Groups[za0003]) >= int(zb0005) {
-					z.Groups[za0003] = (z.Groups[za0003])[:zb0005]
-				} else {
-					z.Groups[za0003] = make([]Member, zb0005)
-				}
-				for za0004 := range z.Groups[za0003] {
-					var zb0006 uint32
-					zb0006, bts, err = msgp.ReadMapHeaderBytes(bts)
-					if err != nil {
-						err = msgp.WrapError(err, "Groups", za0003, za0004)
-						return
-					}
-					for zb0006 > 0 {
-						zb0006--
-						field, bts, err = msgp.ReadMapKeyZC(bts)
-						if err != nil {
-							err = msgp.WrapError(err, "Groups", za0003, za0004)
-							return
-						}
-						switch msgp.UnsafeString(field) {
-						case "a":
-							z.Groups[za0003][za0004].Addr, bts, err = msgp.ReadStringBytes(bts)
-							if err != nil {
-								err = msgp.WrapError(err, "Groups", za0003, za0004, "Addr")
-								return
-							}
-						case "i":
-							z.Groups[za0003][za0004].ID, bts, err = msgp.ReadStringBytes(bts)
-							if err != nil {
-								err = msgp.WrapError(err, "Groups", za0003, za0004, "ID")
-								return
-							}
-						default:
-							bts, err = msgp.Skip(bts)
-							if err != nil {
-								err = msgp.WrapError(err, "Groups", za0003, za0004)
-								return
-							}
-						}
-					}
-				}
+		default:
+			bts, err = msgp.Skip(bts)
+			if err != nil {
+				err = msgp.WrapError(err)
+				return
 			}
-		case "h":
-			var zb0007 uint32
-			zb0007, bts, err = msgp.ReadArrayHeaderBytes(bts)
+		}
+	}
+	o = bts
+	return
+}
+
+// Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
+func (z *CachedChange) Msgsize() (s int) {
+	s = 1 + 2 + msgp.Uint64Size + 2 + msgp.Int64Size + 2 + msgp.Int64Size + 2 + msgp.StringPrefixSize + len(z.ID) + 2 + msgp.ArrayHeaderSize + (len(z.Parts) * (5 + msgp.Uint64Size + msgp.Int32Size)) + 2 + msgp.Int64Size + 2 + msgp.BoolSize
+	return
+}
+
+// MarshalMsg implements msgp.Marshaler
+func (z CachedPart) MarshalMsg(b []byte) (o []byte, err error) {
+	o = msgp.Require(b, z.Msgsize())
+	// map header, size 2
+	// string "k"
+	o = append(o, 0x82, 0xa1, 0x6b)
+	o = msgp.AppendUint64(o, z.Key)
+	// string "t"
+	o = append(o, 0xa1, 0x74)
+	o = msgp.AppendInt32(o, z.Tokens)
+	return
+}
+
+// UnmarshalMsg implements msgp.Unmarshaler
+func (z *CachedPart) UnmarshalMsg(bts []byte) (o []byte, err error) {
+	var field []byte
+	_ = field
+	var zb0001 uint32
+	zb0001, bts, err = msgp.ReadMapHeaderBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err)
+		return
+	}
+	for zb0001 > 0 {
+		zb0001--
+		field, bts, err = msgp.ReadMapKeyZC(bts)
+		if err != nil {
+			err = msgp.WrapError(err)
+			return
+		}
+		switch msgp.UnsafeString(field) {
+		case "k":
+			z.Key, bts, err = msgp.ReadUint64Bytes(bts)
 			if err != nil {
-				err = msgp.WrapError(err, "Quotas")
+				err = msgp.WrapError(err, "Key")
 				return
 			}
-			if cap(z.Quotas) >= int(zb0007) {
-				z.Quotas = (z.Quotas)[:zb0007]
-			} else {
-				z.Quotas = make([]QuotaCondition, zb0007)
+		case "t":
+			z.Tokens, bts, err = msgp.ReadInt32Bytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Tokens")
+				return
 			}
-			for za0005 := range z.Quotas {
-				bts, err = z.Quotas[za0005].UnmarshalMsg(bts)
-				if err != nil {
-					err = msgp.WrapError(err, "Quotas", za0005)
-					return
-				}
+		default:
+			bts, err = msgp.Skip(bts)
+			if err != nil {
+				err = msgp.WrapError(err)
+				return
 			}
+		}
+	}
+	o = bts
+	return
+}
+
+// Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
+func (z CachedPart) Msgsize() (s int) {
+	s = 1 + 2 + msgp.Uint64Size + 2 + msgp.Int32Size
+	return
+}
+
+// MarshalMsg implements msgp.Marshaler
+func (z *CachedPrefixes) MarshalMsg(b []byte) (o []byte, err error) {
+	o = msgp.Require(b, z.Msgsize())
+	// map header, size 3
+	// string "i"
+	o = append(o, 0x83, 0xa1, 0x69)
+	o = msgp.AppendString(o, z.ID)
+	// string "p"
+	o = append(o, 0xa1, 0x70)
+	o = msgp.AppendArrayHeader(o, uint32(len(z.Parts)))
+	for za0001 := range z.Parts {
+		// map header, size 2
+		// string "k"
+		o = append(o, 0x82, 0xa1, 0x6b)
+		o = msgp.AppendUint64(o, z.Parts[za0001].Key)
+		// string "t"
+		o = append(o, 0xa1, 0x74)
+		o = msgp.AppendInt32(o, z.Parts[za0001].Tokens)
+	}
+	// string "r"
+	o = append(o, 0xa1, 0x72)
+	o = msgp.AppendBool(o, z.Reset)
+	return
+}
+
+// UnmarshalMsg implements msgp.Unmarshaler
+func (z *CachedPrefixes) UnmarshalMsg(bts []byte) (o []byte, err error) {
+	var field []byte
+	_ = field
+	var zb0001 uint32
+	zb0001, bts, err = msgp.ReadMapHeaderBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err)
+		return
+	}
+	for zb0001 > 0 {
+		zb0001--
+		field, bts, err = msgp.ReadMapKeyZC(bts)
+		if err != nil {
+			err = msgp.WrapError(err)
+			return
+		}
+		switch msgp.UnsafeString(field) {
 		case "i":
-			var zb0008 uint32
-			zb0008, bts, err = msgp.ReadArrayHeaderBytes(bts)
+			z.ID, bts, err = msgp.ReadStringBytes(bts)
 			if err != nil {
-				err = msgp.WrapError(err, "Violations")
+				err = msgp.WrapError(err, "ID")
 				return
 			}
-			if cap(z.Violations) >= int(zb0008) {
-				z.Violations = (z.Violations)[:zb0008]
+		case "p":
+			var zb0002 uint32
+			zb0002, bts, err = msgp.ReadArrayHeaderBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Parts")
+				return
+			}
+			if cap(z.Parts) >= int(zb0002) {
+				z.Parts = (z.Parts)[:zb0002]
 			} else {
-				z.Violations = make([]ViolationCount, zb0008)
+				z.Parts = make([]CachedPart, zb0002)
 			}
-			for za0006 := range z.Violations {
-				var zb0009 uint32
-				zb0009, bts, err = msgp.ReadMapHeaderBytes(bts)
+			for za0001 := range z.Parts {
+				var zb0003 uint32
+				zb0003, bts, err = msgp.ReadMapHeaderBytes(bts)
 				if err != nil {
-					err = msgp.WrapError(err, "Violations", za0006)
+					err = msgp.WrapError(err, "Parts", za0001)
 					return
 				}
-				for zb0009 > 0 {
-					zb0009--
+				for zb0003 > 0 {
+					zb0003--
 					field, bts, err = msgp.ReadMapKeyZC(bts)
 					if err != nil {
-						err = msgp.WrapError(err, "Violations", za0006)
+						err = msgp.WrapError(err, "Parts", za0001)
 						return
 					}
 					switch msgp.UnsafeString(field) {
-					case "c":
-						z.Violations[za0006].Count, bts, err = msgp.ReadInt64Bytes(bts)
+					case "k":
+						z.Parts[za0001].Key, bts, err = msgp.ReadUint64Bytes(bts)
 						if err != nil {
-							err = msgp.WrapError(err, "Violations", za0006, "Count")
+							err = msgp.WrapError(err, "Parts", za0001, "Key")
 							return
 						}
-					case "n":
-						z.Violations[za0006].Name, bts, err = msgp.ReadStringBytes(bts)
+					case "t":
+						z.Parts[za0001].Tokens, bts, err = msgp.ReadInt32Bytes(bts)
 						if err != nil {
-							err = msgp.WrapError(err, "Violations", za0006, "Name")
+							err = msgp.WrapError(err, "Parts", za0001, "Tokens")
 							return
 						}
 					default:
 						bts, err = msgp.Skip(bts)
 						if err != nil {
-							err = msgp.WrapError(err, "Violations", za0006)
+							err = msgp.WrapError(err, "Parts", za0001)
 							return
 						}
 					}
 				}
 			}
-		case "j":
-			z.Changes, bts, err = msgp.ReadInt64Bytes(bts)
-			if err != nil {
-				err = msgp.WrapError(err, "Changes")
-				return
-			}
-		case "k":
-			var zb0010 uint32
-			zb0010, bts, err = msgp.ReadArrayHeaderBytes(bts)
+		case "r":
+			z.Reset, bts, err = msgp.ReadBoolBytes(bts)
 			if err != nil {
-				err = msgp.WrapError(err, "Retired")
+				err = msgp.WrapError(err, "Reset")
 				return
 			}
-			if cap(z.Retired) >= int(zb0010) {
-				z.Retired = (z.Retired)[:zb0010]
-			} else {
-				z.Retired = make([]RetiredCondition, zb0010)
-			}
-			for za0007 := range z.Retired {
-				bts, err = z.Retired[za0007].UnmarshalMsg(bts)
-				if err != nil {
-					err = msgp.WrapError(err, "Retired", za0007)
-					return
-				}
-			}
-		case "l":
-			z.MemberID, bts, err = msgp.ReadStringBytes(bts)
+		default:
+			bts, err = msgp.Skip(bts)
 			if err != nil {
-				err = msgp.WrapError(err, "MemberID")
-				return
-			}
-		case "m":
-			var zb0011 uint32
-			zb0011, bts, err = msgp.ReadArrayHeaderBytes(bts)
-			if err != nil {
-				err = msgp.WrapError(err, "Versions")
-				return
-			}
-			if cap(z.Versions) >= int(zb0011) {
-				z.Versions = (z.Versions)[:zb0011]
-			} else {
-				z.Versions = make([]int64, zb0011)
-			}
-			for za0008 := range z.Versions {
-				z.Versions[za0008], bts, err = msgp.ReadInt64Bytes(bts)
-				if err != nil {
-					err = msgp.WrapError(err, "Versions", za0008)
-					return
-				}
-			}
-		case "n":
-			z.Node, bts, err = msgp.ReadStringBytes(bts)
-			if err != nil {
-				err = msgp.WrapError(err, "Node")
-				return
-			}
-		case "o":
-			var zb0012 uint32
-			zb0012, bts, err = msgp.ReadArrayHeaderBytes(bts)
-			if err != nil {
-				err = msgp.WrapError(err, "Duties")
-				return
-			}
-			if cap(z.Duties) >= int(zb0012) {
-				z.Duties = (z.Duties)[:zb0012]
-			} else {
-				z.Duties = make([]DutyCondition, zb0012)
-			}
-			for za0009 := range z.Duties {
-				bts, err = z.Duties[za0009].UnmarshalMsg(bts)
-				if err != nil {
-					err = msgp.WrapError(err, "Duties", za0009)
-					return
-				}
-			}
-		case "p":
-			var zb0013 uint32
-			zb0013, bts, err = msgp.ReadArrayHeaderBytes(bts)
-			if err != nil {
-				err = msgp.WrapError(err, "Peers")
-				return
-			}
-			if cap(z.Peers) >= int(zb0013) {
-				z.Peers = (z.Peers)[:zb0013]
-			} else {
-				z.Peers = make([]Peer, zb0013)
-			}
-			for za0010 := range z.Peers {
-				bts, err = z.Peers[za0010].UnmarshalMsg(bts)
-				if err != nil {
-					err = msgp.WrapError(err, "Peers", za0010)
-					return
-				}
-			}
-		case "q":
-			var zb0014 uint32
-			zb0014, bts, err = msgp.ReadArrayHeaderBytes(bts)
-			if err != nil {
-				err = msgp.WrapError(err, "Stale")
-				return
-			}
-			if cap(z.Stale) >= int(zb0014) {
-				z.Stale = (z.Stale)[:zb0014]
-			} else {
-				z.Stale = make([]string, zb0014)
-			}
-			for za0011 := range z.Stale {
-				z.Stale[za0011], bts, err = msgp.ReadStringBytes(bts)
-				if err != nil {
-					err = msgp.WrapError(err, "Stale", za0011)
-					return
-				}
-			}
-		case "r":
-			{
-				var zb0015 string
-				zb0015, bts, err = msgp.ReadStringBytes(bts)
-				if err != nil {
-					err = msgp.WrapError(err, "Role")
-					return
-				}
-				z.Role = Role(zb0015)
-			}
-		case "s":
-			z.SaveUs, bts, err = msgp.ReadInt64Bytes(bts)
-			if err != nil {
-				err = msgp.WrapError(err, "SaveUs")
-				return
-			}
-		case "t":
-			z.TimeUs, bts, err = msgp.ReadInt64Bytes(bts)
-			if err != nil {
-				err = msgp.WrapError(err, "TimeUs")
-				return
-			}
-		case "u":
-			var zb0016 uint32
-			zb0016, bts, err = msgp.ReadArrayHeaderBytes(bts)
-			if err != nil {
-				err = msgp.WrapError(err, "Unconfirmed")
-				return
-			}
-			if cap(z.Unconfirmed) >= int(zb0016) {
-				z.Unconfirmed = (z.Unconfirmed)[:zb0016]
-			} else {
-				z.Unconfirmed = make([]string, zb0016)
-			}
-			for za0012 := range z.Unconfirmed {
-				z.Unconfirmed[za0012], bts, err = msgp.ReadStringBytes(bts)
-				if err != nil {
-					err = msgp.WrapError(err, "Unconfirmed", za0012)
-					return
-				}
-			}
-		case "v":
-			var zb0017 uint32
-			zb0017, bts, err = msgp.ReadArrayHeaderBytes(bts)
-			if err != nil {
-				err = msgp.WrapError(err, "Scaling")
-				return
-			}
-			if cap(z.Scaling) >= int(zb0017) {
-				z.Scaling = (z.Scaling)[:zb0017]
-			} else {
-				z.Scaling = make([]ScalingCondition, zb0017)
-			}
-			for za0013 := range z.Scaling {
-				bts, err = z.Scaling[za0013].UnmarshalMsg(bts)
-				if err != nil {
-					err = msgp.WrapError(err, "Scaling", za0013)
-					return
-				}
-			}
-		case "w":
-			z.Wholes, bts, err = msgp.ReadInt64Bytes(bts)
-			if err != nil {
-				err = msgp.WrapError(err, "Wholes")
-				return
-			}
-		case "x":
-			z.Malformed, bts, err = msgp.ReadInt64Bytes(bts)
-			if err != nil {
-				err = msgp.WrapError(err, "Malformed")
-				return
-			}
-		case "y":
-			bts, err = z.Partition.UnmarshalMsg(bts)
-			if err != nil {
-				err = msgp.WrapError(err, "Partition")
-				return
-			}
-		case "z":
-			z.Zone, bts, err = msgp.ReadStringBytes(bts)
-			if err != nil {
-				err = msgp.WrapError(err, "Zone")
-				return
-			}
-		default:
-			bts, err = msgp.Skip(bts)
-			if err != nil {
-				err = msgp.WrapError(err)
-				return
-			}
-		}
-	}
-	o = bts
-	return
-}
-
-// Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
-func (z *Condition) Msgsize() (s int) {
-	s = 3 + 2 + msgp.StringPrefixSize + len(z.Addr) + 2 + msgp.ArrayHeaderSize
-	for za0001 := range z.Blind {
-		s += msgp.StringPrefixSize + len(z.Blind[za0001])
-	}
-	s += 2 + msgp.IntSize + 2 + msgp.BoolSize + 2 + msgp.ArrayHeaderSize
-	for za0002 := range z.Unread {
-		s += msgp.StringPrefixSize + len(z.Unread[za0002])
-	}
-	s += 2 + msgp.StringPrefixSize + len(z.SaveFault) + 2 + msgp.ArrayHeaderSize
-	for za0003 := range z.Groups {
-		s += msgp.ArrayHeaderSize
-		for za0004 := range z.Groups[za0003] {
-			s += 1 + 2 + msgp.StringPrefixSize + len(z.Groups[za0003][za0004].Addr) + 2 + msgp.StringPrefixSize + len(z.Groups[za0003][za0004].ID)
-		}
-	}
-	s += 2 + msgp.ArrayHeaderSize
-	for za0005 := range z.Quotas {
-		s += z.Quotas[za0005].Msgsize()
-	}
-	s += 2 + msgp.ArrayHeaderSize
-	for za0006 := range z.Violations {
-		s += 1 + 2 + msgp.Int64Size + 2 + msgp.StringPrefixSize + len(z.Violations[za0006].Name)
-	}
-	s += 2 + msgp.Int64Size + 2 + msgp.ArrayHeaderSize
-	for za0007 := range z.Retired {
-		s += z.Retired[za0007].Msgsize()
-	}
-	s += 2 + msgp.StringPrefixSize + len(z.MemberID) + 2 + msgp.ArrayHeaderSize + (len(z.Versions) * (msgp.Int64Size)) + 2 + msgp.StringPrefixSize + len(z.Node) + 2 + msgp.ArrayHeaderSize
-	for za0009 := range z.Duties {
-		s += z.Duties[za0009].Msgsize()
-	}
-	s += 2 + msgp.ArrayHeaderSize
-	for za0010 := range z.Peers {
-		s += z.Peers[za0010].Msgsize()
-	}
-	s += 2 + msgp.ArrayHeaderSize
-	for za0011 := range z.Stale {
-		s += msgp.StringPrefixSize + len(z.Stale[za0011])
-	}
-	s += 2 + msgp.StringPrefixSize + len(string(z.Role)) + 2 + msgp.Int64Size + 2 + msgp.Int64Size + 2 + msgp.ArrayHeaderSize
-	for za0012 := range z.Unconfirmed {
-		s += msgp.StringPrefixSize + len(z.Unconfirmed[za0012])
-	}
-	s += 2 + msgp.ArrayHeaderSize
-	for za0013 := range z.Scaling {
-		s += z.Scaling[za0013].Msgsize()
-	}
-	s += 2 + msgp.Int64Size + 2 + msgp.Int64Size + 2 + z.Partition.Msgsize() + 2 + msgp.StringPrefixSize + len(z.Zone)
-	return
-}
-
-// MarshalMsg implements msgp.Marshaler
-func (z *ConfigBody) MarshalMsg(b []byte) (o []byte, err error) {
-	o = msgp.Require(b, z.Msgsize())
-	// map header, size 3
-	// string "h"
-	o = append(o, 0x83, 0xa1, 0x68)
-	o = msgp.AppendArrayHeader(o, uint32(len(z.AcceptedDigest)))
-	for za0001 := range z.AcceptedDigest {
-		// map header, size 2
-		// string "d"
-		o = append(o, 0x82, 0xa1, 0x64)
-		o = msgp.AppendBytes(o, z.AcceptedDigest[za0001].Digest)
-		// string "v"
-		o = append(o, 0xa1, 0x76)
-		o = msgp.AppendInt64(o, z.AcceptedDigest[za0001].Version)
-	}
-	// string "r"
-	o = append(o, 0xa1, 0x72)
-	o = msgp.AppendBytes(o, z.Raw)
-	// string "v"
-	o = append(o, 0xa1, 0x76)
-	o = msgp.AppendInt64(o, z.Version)
-	return
-}
-
-// UnmarshalMsg implements msgp.Unmarshaler
-func (z *ConfigBody) UnmarshalMsg(bts []byte) (o []byte, err error) {
-	var field []byte
-	_ = field
-	var zb0001 uint32
-	zb0001, bts, err = msgp.ReadMapHeaderBytes(bts)
-	if err != nil {
-		err = msgp.WrapError(err)
-		return
-	}
-	for zb0001 > 0 {
-		zb0001--
-		field, bts, err = msgp.ReadMapKeyZC(bts)
-		if err != nil {
-			err = msgp.WrapError(err)
-			return
-		}
-		switch msgp.UnsafeString(field) {
-		case "h":
-			var zb0002 uint32
-			zb0002, bts, err = msgp.ReadArrayHeaderBytes(bts)
-			if err != nil {
-				err = msgp.WrapError(err, "AcceptedDigest")
-				return
-			}
-			if cap(z.AcceptedDigest) >= int(zb0002) {
-				z.AcceptedDigest = (z.AcceptedDigest)[:zb0002]
-			} else {
-				z.AcceptedDigest = make([]AcceptedDigest, zb0002)
-			}
-			for za0001 := range z.AcceptedDigest {
-				var zb0003 uint32
-				zb0003, bts, err = msgp.ReadMapHeaderBytes(bts)
-				if err != nil {
-					err = msgp.WrapError(err, "AcceptedDigest", za0001)
-					return
-				}
-				for zb0003 > 0 {
-					zb0003--
-					field, bts, err = msgp.ReadMapKeyZC(bts)
-					if err != nil {
-						err = msgp.WrapError(err, "AcceptedDigest", za0001)
-						return
-					}
-					switch msgp.UnsafeString(field) {
-					case "d":
-						z.AcceptedDigest[za0001].Digest, bts, err = msgp.ReadBytesBytes(bts, z.AcceptedDigest[za0001].Digest)
-						if err != nil {
-							err = msgp.WrapError(err, "AcceptedDigest", za0001, "Digest")
-							return
-						}
-					case "v":
-						z.AcceptedDigest[za0001].Version, bts, err = msgp.ReadInt64Bytes(bts)
-						if err != nil {
-							err = msgp.WrapError(err, "AcceptedDigest", za0001, "Version")
-							return
-						}
-					default:
-						bts, err = msgp.Skip(bts)
-						if err != nil {
-							err = msgp.WrapError(err, "AcceptedDigest", za0001)
-							return
-						}
-					}
-				}
-			}
-		case "r":
-			z.Raw, bts, err = msgp.ReadBytesBytes(bts, z.Raw)
-			if err != nil {
-				err = msgp.WrapError(err, "Raw")
-				return
-			}
-		case "v":
-			z.Version, bts, err = msgp.ReadInt64Bytes(bts)
-			if err != nil {
-				err = msgp.WrapError(err, "Version")
-				return
-			}
-		default:
-			bts, err = msgp.Skip(bts)
-			if err != nil {
-				err = msgp.WrapError(err)
-				return
-			}
-		}
-	}
-	o = bts
-	return
-}
-
-// Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
-func (z *ConfigBody) Msgsize() (s int) {
-	s = 1 + 2 + msgp.ArrayHeaderSize
-	for za0001 := range z.AcceptedDigest {
-		s += 1 + 2 + msgp.BytesPrefixSize + len(z.AcceptedDigest[za0001].Digest) + 2 + msgp.Int64Size
-	}
-	s += 2 + msgp.BytesPrefixSize + len(z.Raw) + 2 + msgp.Int64Size
-	return
-}
-
-// MarshalMsg implements msgp.Marshaler
-func (z *ConsensusRequest) MarshalMsg(b []byte) (o []byte, err error) {
-	o = msgp.Require(b, z.Msgsize())
-	// map header, size 9
-	// string "b"
-	o = append(o, 0x89, 0xa1, 0x62)
-	// map header, size 2
-	// string "n"
-	o = append(o, 0x82, 0xa1, 0x6e)
-	o = msgp.AppendInt64(o, z.Ballot.N)
-	// string "w"
-	o = append(o, 0xa1, 0x77)
-	o = msgp.AppendString(o, z.Ballot.Who)
-	// string "f"
-	o = append(o, 0xa1, 0x66)
-	o = msgp.AppendBool(o, z.Flush)
-	// string "k"
-	o = append(o, 0xa1, 0x6b)
-	o = msgp.AppendString(o, string(z.Step))
-	// string "l"
-	o = append(o, 0xa1, 0x6c)
-	o = msgp.AppendBool(o, z.Pieces)
-	// string "o"
-	o = append(o, 0xa1, 0x6f)
-	o = msgp.AppendInt64(o, z.Offset)
-	// string "p"
-	o = append(o, 0xa1, 0x70)
-	o = msgp.AppendInt(o, z.Part)
-	// string "s"
-	o = append(o, 0xa1, 0x73)
-	o = msgp.AppendInt64(o, z.Slot)
-	// string "t"
-	o = append(o, 0xa1, 0x74)
-	o = msgp.AppendString(o, z.To)
-	// string "v"
-	o = append(o, 0xa1, 0x76)
-	o, err = z.Value.MarshalMsg(o)
-	if err != nil {
-		err = msgp.WrapError(err, "Value")
-		return
-	}
-	return
-}
-
-// UnmarshalMsg implements msgp.Unmarshaler
-func (z *ConsensusRequest) UnmarshalMsg(bts []byte) (o []byte, err error) {
-	var field []byte
-	_ = field
-	var zb0001 uint32
-	zb0001, bts, err = msgp.ReadMapHeaderBytes(bts)
-	if err != nil {
-		err = msgp.WrapError(err)
-		return
-	}
-	for zb0001 > 0 {
-		zb0001--
-		field, bts, err = msgp.ReadMapKeyZC(bts)
-		if err != nil {
-			err = msgp.WrapError(err)
-			return
-		}
-		switch msgp.UnsafeString(field) {
-		case "b":
-			var zb0002 uint32
-			zb0002, bts, err = msgp.ReadMapHeaderBytes(bts)
-			if err != nil {
-				err = msgp.WrapError(err, "Ballot")
-				return
-			}
-			for zb0002 > 0 {
-				zb0002--
-				field, bts, err = msgp.ReadMapKeyZC(bts)
-				if err != nil {
-					err = msgp.WrapError(err, "Ballot")
-					return
-				}
-				switch msgp.UnsafeString(field) {
-				case "n":
-					z.Ballot.N, bts, err = msgp.ReadInt64Bytes(bts)
-					if err != nil {
-						err = msgp.WrapError(err, "Ballot", "N")
-						return
-					}
-				case "w":
-					z.Ballot.Who, bts, err = msgp.ReadStringBytes(bts)
-					if err != nil {
-						err = msgp.WrapError(err, "Ballot", "Who")
-						return
-					}
-				default:
-					bts, err = msgp.Skip(bts)
-					if err != nil {
-						err = msgp.WrapError(err, "Ballot")
-						return
-					}
-				}
-			}
-		case "f":
-			z.Flush, bts, err = msgp.ReadBoolBytes(bts)
-			if err != nil {
-				err = msgp.WrapError(err, "Flush")
-				return
-			}
-		case "k":
-			{
-				var zb0003 string
-				zb0003, bts, err = msgp.ReadStringBytes(bts)
-				if err != nil {
-					err = msgp.WrapError(err, "Step")
-					return
-				}
-				z.Step = Step(zb0003)
-			}
-		case "l":
-			z.Pieces, bts, err = msgp.ReadBoolBytes(bts)
-			if err != nil {
-				err = msgp.WrapError(err, "Pieces")
-				return
-			}
-		case "o":
-			z.Offset, bts, err = msgp.ReadInt64Bytes(bts)
-			if err != nil {
-				err = msgp.WrapError(err, "Offset")
-				return
-			}
-		case "p":
-			z.Part, bts, err = msgp.ReadIntBytes(bts)
-			if err != nil {
-				err = msgp.WrapError(err, "Part")
-				return
-			}
-		case "s":
-			z.Slot, bts, err = msgp.ReadInt64Bytes(bts)
-			if err != nil {
-				err = msgp.WrapError(err, "Slot")
-				return
-			}
-		case "t":
-			z.To, bts, err = msgp.ReadStringBytes(bts)
-			if err != nil {
-				err = msgp.WrapError(err, "To")
-				return
-			}
-		case "v":
-			bts, err = z.Value.UnmarshalMsg(bts)
-			if err != nil {
-				err = msgp.WrapError(err, "Value")
-				return
-			}
-		default:
-			bts, err = msgp.Skip(bts)
-			if err != nil {
-				err = msgp.WrapError(err)
+				err = msgp.WrapError(err)
 				return
 			}
 		}
@@ -1045,69 +462,173 @@
 }
 
 // Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
-func (z *ConsensusRequest) Msgsize() (s int) {
-	s = 1 + 2 + 1 + 2 + msgp.Int64Size + 2 + msgp.StringPrefixSize + len(z.Ballot.Who) + 2 + msgp.BoolSize + 2 + msgp.StringPrefixSize + len(string(z.Step)) + 2 + msgp.BoolSize + 2 + msgp.Int64Size + 2 + msgp.IntSize + 2 + msgp.Int64Size + 2 + msgp.StringPrefixSize + len(z.To) + 2 + z.Value.Msgsize()
+func (z *CachedPrefixes) Msgsize() (s int) {
+	s = 1 + 2 + msgp.StringPrefixSize + len(z.ID) + 2 + msgp.ArrayHeaderSize + (len(z.Parts) * (5 + msgp.Uint64Size + msgp.Int32Size)) + 2 + msgp.BoolSize
 	return
 }
 
 // MarshalMsg implements msgp.Marshaler
-func (z *ConsensusResponse) MarshalMsg(b []byte) (o []byte, err error) {
+func (z *Condition) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
-	// map header, size 11
+	// map header, size 26
 	// string "a"
-	o = append(o, 0x8b, 0xa1, 0x61)
-	// map header, size 2
-	// string "n"
-	o = append(o, 0x82, 0xa1, 0x6e)
-	o = msgp.AppendInt64(o, z.AcceptedAt.N)
-	// string "w"
-	o = append(o, 0xa1, 0x77)
-	o = msgp.AppendString(o, z.AcceptedAt.Who)
+	o = append(o, 0xde, 0x0, 0x1a, 0xa1, 0x61)
+	o = msgp.AppendString(o, z.Addr)
+	// string "b"
+	o = append(o, 0xa1, 0x62)
+	o = msgp.AppendArrayHeader(o, uint32(len(z.Blind)))
+	for za0001 := range z.Blind {
+		o = msgp.AppendString(o, z.Blind[za0001])
+	}
+	// string "c"
+	o = append(o, 0xa1, 0x63)
+	o = msgp.AppendInt(o, z.Runners)
 	// string "d"
 	o = append(o, 0xa1, 0x64)
-	o = msgp.AppendString(o, string(z.Verdict))
+	o = msgp.AppendBool(o, z.HasDisk)
+	// string "e"
+	o = append(o, 0xa1, 0x65)
+	o = msgp.AppendArrayHeader(o, uint32(len(z.Unread)))
+	for za0002 := range z.Unread {
+		o = msgp.AppendString(o, z.Unread[za0002])
+	}
+	// string "f"
+	o = append(o, 0xa1, 0x66)
+	o = msgp.AppendString(o, z.SaveFault)
+	// string "g"
+	o = append(o, 0xa1, 0x67)
+	o = msgp.AppendArrayHeader(o, uint32(len(z.Groups)))
+	for za0003 := range z.Groups {
+		o = msgp.AppendArrayHeader(o, uint32(len(z.Groups[za0003])))
+		for za0004 := range z.Groups[za0003] {
+			// map header, size 2
+			// string "a"
+			o = append(o, 0x82, 0xa1, 0x61)
+			o = msgp.AppendString(o, z.Groups[za0003][za0004].Addr)
+			// string "i"
+			o = append(o, 0xa1, 0x69)
+			o = msgp.AppendString(o, z.Groups[za0003][za0004].ID)
+		}
+	}
 	// string "h"
 	o = append(o, 0xa1, 0x68)
-	o = msgp.AppendBool(o, z.HasAccepted)
+	o = msgp.AppendArrayHeader(o, uint32(len(z.Quotas)))
+	for za0005 := range z.Quotas {
+		o, err = z.Quotas[za0005].MarshalMsg(o)
+		if err != nil {
+			err = msgp.WrapError(err, "Quotas", za0005)
+			return
+		}
+	}
+	// string "i"
+	o = append(o, 0xa1, 0x69)
+	o = msgp.AppendArrayHeader(o, uint32(len(z.Violations)))
+	for za0006 := range z.Violations {
+		// map header, size 2
+		// string "c"
+		o = append(o, 0x82, 0xa1, 0x63)
+		o = msgp.AppendInt64(o, z.Violations[za0006].Count)
+		// string "n"
+		o = append(o, 0xa1, 0x6e)
+		o = msgp.AppendString(o, z.Violations[za0006].Name)
+	}
+	// string "j"
+	o = append(o, 0xa1, 0x6a)
+	o = msgp.AppendInt64(o, z.Changes)
 	// string "k"
 	o = append(o, 0xa1, 0x6b)
-	o = msgp.AppendBool(o, z.Kept)
+	o = msgp.AppendArrayHeader(o, uint32(len(z.Retired)))
+	for za0007 := range z.Retired {
+		o, err = z.Retired[za0007].MarshalMsg(o)
+		if err != nil {
+			err = msgp.WrapError(err, "Retired", za0007)
+			return
+		}
+	}
+	// string "l"
+	o = append(o, 0xa1, 0x6c)
+	o = msgp.AppendString(o, z.MemberID)
 	// string "m"
 	o = append(o, 0xa1, 0x6d)
-	o = msgp.AppendInt64(o, z.Version)
+	o = msgp.AppendArrayHeader(o, uint32(len(z.Versions)))
+	for za0008 := range z.Versions {
+		o = msgp.AppendInt64(o, z.Versions[za0008])
+	}
+	// string "n"
+	o = append(o, 0xa1, 0x6e)
+	o = msgp.AppendString(o, z.Node)
 	// string "o"
 	o = append(o, 0xa1, 0x6f)
-	o = msgp.AppendInt64(o, z.Offset)
+	o = msgp.AppendArrayHeader(o, uint32(len(z.Duties)))
+	for za0009 := range z.Duties {
+		o, err = z.Duties[za0009].MarshalMsg(o)
+		if err != nil {
+			err = msgp.WrapError(err, "Duties", za0009)
+			return
+		}
+	}
 	// string "p"
 	o = append(o, 0xa1, 0x70)
-	// map header, size 2
-	// string "n"
-	o = append(o, 0x82, 0xa1, 0x6e)
-	o = msgp.AppendInt64(o, z.Promised.N)
-	// string "w"
-	o = append(o, 0xa1, 0x77)
-	o = msgp.AppendString(o, z.Promised.Who)
+	o = msgp.AppendArrayHeader(o, uint32(len(z.Peers)))
+	for za0010 := range z.Peers {
+		o, err = z.Peers[za0010].MarshalMsg(o)
+		if err != nil {
+			err = msgp.WrapError(err, "Peers", za0010)
+			return
+		}
+	}
+	// string "q"
+	o = append(o, 0xa1, 0x71)
+	o = msgp.AppendArrayHeader(o, uint32(len(z.Stale)))
+	for za0011 := range z.Stale {
+		o = msgp.AppendString(o, z.Stale[za0011])
+	}
+	// string "r"
+	o = append(o, 0xa1, 0x72)
+	o = msgp.AppendString(o, string(z.Role))
 	// string "s"
 	o = append(o, 0xa1, 0x73)
-	o = msgp.AppendInt64(o, z.Sum)
+	o = msgp.AppendInt64(o, z.SaveUs)
 	// string "t"
 	o = append(o, 0xa1, 0x74)
-	o = msgp.AppendInt64(o, z.Total)
+	o = msgp.AppendInt64(o, z.TimeUs)
+	// string "u"
+	o = append(o, 0xa1, 0x75)
+	o = msgp.AppendArrayHeader(o, uint32(len(z.Unconfirmed)))
+	for za0012 := range z.Unconfirmed {
+		o = msgp.AppendString(o, z.Unconfirmed[za0012])
+	}
 	// string "v"
 	o = append(o, 0xa1, 0x76)
-	o, err = z.Value.MarshalMsg(o)
-	if err != nil {
-		err = msgp.WrapError(err, "Value")
-		return
+	o = msgp.AppendArrayHeader(o, uint32(len(z.Scaling)))
+	for za0013 := range z.Scaling {
+		o, err = z.Scaling[za0013].MarshalMsg(o)
+		if err != nil {
+			err = msgp.WrapError(err, "Scaling", za0013)
+			return
+		}
 	}
+	// string "w"
+	o = append(o, 0xa1, 0x77)
+	o = msgp.AppendInt64(o, z.Wholes)
 	// string "x"
 	o = append(o, 0xa1, 0x78)
-	o = msgp.AppendBytes(o, z.Piece)
+	o = msgp.AppendInt64(o, z.Malformed)
+	// string "y"
+	o = append(o, 0xa1, 0x79)
+	o, err = z.Partition.MarshalMsg(o)
+	if err != nil {
+		err = msgp.WrapError(err, "Partition")
+		return
+	}
+	// string "z"
+	o = append(o, 0xa1, 0x7a)
+	o = msgp.AppendString(o, z.Zone)
 	return
 }
 
 // UnmarshalMsg implements msgp.Unmarshaler
-func (z *ConsensusResponse) UnmarshalMsg(bts []byte) (o []byte, err error) {
+func (z *Condition) UnmarshalMsg(bts []byte) (o []byte, err error) {
 	var field []byte
 	_ = field
 	var zb0001 uint32
@@ -1125,228 +646,390 @@
 		}
 		switch msgp.UnsafeString(field) {
 		case "a":
+			z.Addr, bts, err = msgp.ReadStringBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Addr")
+				return
+			}
+		case "b":
 			var zb0002 uint32
-			zb0002, bts, err = msgp.ReadMapHeaderBytes(bts)
+			zb0002, bts, err = msgp.ReadArrayHeaderBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Blind")
+				return
+			}
+			if cap(z.Blind) >= int(zb0002) {
+				z.Blind = (z.Blind)[:zb0002]
+			} else {
+				z.Blind = make([]string, zb0002)
+			}
+			for za0001 := range z.Blind {
+				z.Blind[za0001], bts, err = msgp.ReadStringBytes(bts)
+				if err != nil {
+					err = msgp.WrapError(err, "Blind", za0001)
+					return
+				}
+			}
+		case "c":
+			z.Runners, bts, err = msgp.ReadIntBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Runners")
+				return
+			}
+		case "d":
+			z.HasDisk, bts, err = msgp.ReadBoolBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "HasDisk")
+				return
+			}
+		case "e":
+			var zb0003 uint32
+			zb0003, bts, err = msgp.ReadArrayHeaderBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Unread")
+				return
+			}
+			if cap(z.Unread) >= int(zb0003) {
+				z.Unread = (z.Unread)[:zb0003]
+			} else {
+				z.Unread = make([]string, zb0003)
+			}
+			for za0002 := range z.Unread {
+				z.Unread[za0002], bts, err = msgp.ReadStringBytes(bts)
+				if err != nil {
+					err = msgp.WrapError(err, "Unread", za0002)
+					return
+				}
+			}
+		case "f":
+			z.SaveFault, bts, err = msgp.ReadStringBytes(bts)
 			if err != nil {
-				err = msgp.WrapError(err, "AcceptedAt")
+				err = msgp.WrapError(err, "SaveFault")
 				return
 			}
-			for zb0002 > 0 {
-				zb0002--
-				field, bts, err = msgp.ReadMapKeyZC(bts)
+		case "g":
+			var zb0004 uint32
+			zb0004, bts, err = msgp.ReadArrayHeaderBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Groups")
+				return
+			}
+			if cap(z.Groups) >= int(zb0004) {
+				z.Groups = (z.Groups)[:zb0004]
+			} else {
+				z.Groups = make([][]Member, zb0004)
+			}
+			for za0003 := range z.Groups {
+				var zb0005 uint32
+				zb0005, bts, err = msgp.ReadArrayHeaderBytes(bts)
 				if err != nil {
-					err = msgp.WrapError(err, "AcceptedAt")
+					err = msgp.WrapError(err, "Groups", za0003)
 					return
 				}
-				switch msgp.UnsafeString(field) {
-				case "n":
-					z.AcceptedAt.N, bts, err = msgp.ReadInt64Bytes(bts)
+				if cap(z.Groups[za0003]) >= int(zb0005) {
+					z.Groups[za0003] = (z.Groups[za0003])[:zb0005]
+				} else {
+					z.Groups[za0003] = make([]Member, zb0005)
+				}
+				for za0004 := range z.Groups[za0003] {
+					var zb0006 uint32
+					zb0006, bts, err = msgp.ReadMapHeaderBytes(bts)
 					if err != nil {
-						err = msgp.WrapError(err, "AcceptedAt", "N")
+						err = msgp.WrapError(err, "Groups", za0003, za0004)
 						return
 					}
-				case "w":
-					z.AcceptedAt.Who, bts, err = msgp.ReadStringBytes(bts)
-					if err != nil {
-						err = msgp.WrapError(err, "AcceptedAt", "Who")
-						return
+					for zb0006 > 0 {
+						zb0006--
+						field, bts, err = msgp.ReadMapKeyZC(bts)
+						if err != nil {
+							err = msgp.WrapError(err, "Groups", za0003, za0004)
+							return
+						}
+						switch msgp.UnsafeString(field) {
+						case "a":
+							z.Groups[za0003][za0004].Addr, bts, err = msgp.ReadStringBytes(bts)
+							if err != nil {
+								err = msgp.WrapError(err, "Groups", za0003, za0004, "Addr")
+								return
+							}
+						case "i":
+							z.Groups[za0003][za0004].ID, bts, err = msgp.ReadStringBytes(bts)
+							if err != nil {
+								err = msgp.WrapError(err, "Groups", za0003, za0004, "ID")
+								return
+							}
+						default:
+							bts, err = msgp.Skip(bts)
+							if err != nil {
+								err = msgp.WrapError(err, "Groups", za0003, za0004)
+								return
+							}
+						}
 					}
-				default:
-					bts, err = msgp.Skip(bts)
+				}
+			}
+		case "h":
+			var zb0007 uint32
+			zb0007, bts, err = msgp.ReadArrayHeaderBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Quotas")
+				return
+			}
+			if cap(z.Quotas) >= int(zb0007) {
+				z.Quotas = (z.Quotas)[:zb0007]
+			} else {
+				z.Quotas = make([]QuotaCondition, zb0007)
+			}
+			for za0005 := range z.Quotas {
+				bts, err = z.Quotas[za0005].UnmarshalMsg(bts)
+				if err != nil {
+					err = msgp.WrapError(err, "Quotas", za0005)
+					return
+				}
+			}
+		case "i":
+			var zb0008 uint32
+			zb0008, bts, err = msgp.ReadArrayHeaderBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Violations")
+				return
+			}
+			if cap(z.Violations) >= int(zb0008) {
+				z.Violations = (z.Violations)[:zb0008]
+			} else {
+				z.Violations = make([]ViolationCount, zb0008)
+			}
+			for za0006 := range z.Violations {
+				var zb0009 uint32
+				zb0009, bts, err = msgp.ReadMapHeaderBytes(bts)
+				if err != nil {
+					err = msgp.WrapError(err, "Violations", za0006)
+					return
+				}
+				for zb0009 > 0 {
+					zb0009--
+					field, bts, err = msgp.ReadMapKeyZC(bts)
 					if err != nil {
-						err = msgp.WrapError(err, "AcceptedAt")
+						err = msgp.WrapError(err, "Violations", za0006)
 						return
 					}
+					switch msgp.UnsafeString(field) {
+					case "c":
+						z.Violations[za0006].Count, bts, err = msgp.ReadInt64Bytes(bts)
+						if err != nil {
+							err = msgp.WrapError(err, "Violations", za0006, "Count")
+							return
+						}
+					case "n":
+						z.Violations[za0006].Name, bts, err = msgp.ReadStringBytes(bts)
+						if err != nil {
+							err = msgp.WrapError(err, "Violations", za0006, "Name")
+							return
+						}
+					default:
+						bts, err = msgp.Skip(bts)
+						if err != nil {
+							err = msgp.WrapError(err, "Violations", za0006)
+							return
+						}
+					}
 				}
 			}
-		case "d":
-			{
-				var zb0003 string
-				zb0003, bts, err = msgp.ReadStringBytes(bts)
+		case "j":
+			z.Changes, bts, err = msgp.ReadInt64Bytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Changes")
+				return
+			}
+		case "k":
+			var zb0010 uint32
+			zb0010, bts, err = msgp.ReadArrayHeaderBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Retired")
+				return
+			}
+			if cap(z.Retired) >= int(zb0010) {
+				z.Retired = (z.Retired)[:zb0010]
+			} else {
+				z.Retired = make([]RetiredCondition, zb0010)
+			}
+			for za0007 := range z.Retired {
+				bts, err = z.Retired[za0007].UnmarshalMsg(bts)
 				if err != nil {
-					err = msgp.WrapError(err, "Verdict")
+					err = msgp.WrapError(err, "Retired", za0007)
 					return
 				}
-				z.Verdict = Verdict(zb0003)
 			}
-		case "h":
-			z.HasAccepted, bts, err = msgp.ReadBoolBytes(bts)
+		case "l":
+			z.MemberID, bts, err = msgp.ReadStringBytes(bts)
 			if err != nil {
-				err = msgp.WrapError(err, "HasAccepted")
+				err = msgp.WrapError(err, "MemberID")
 				return
 			}
-		case "k":
-			z.Kept, bts, err = msgp.ReadBoolBytes(bts)
+		case "m":
+			var zb0011 uint32
+			zb0011, bts, err = msgp.ReadArrayHeaderBytes(bts)
 			if err != nil {
-				err = msgp.WrapError(err, "Kept")
+				err = msgp.WrapError(err, "Versions")
 				return
 			}
-		case "m":
-			z.Version, bts, err = msgp.ReadInt64Bytes(bts)
+			if cap(z.Versions) >= int(zb0011) {
+				z.Versions = (z.Versions)[:zb0011]
+			} else {
+				z.Versions = make([]int64, zb0011)
+			}
+			for za0008 := range z.Versions {
+				z.Versions[za0008], bts, err = msgp.ReadInt64Bytes(bts)
+				if err != nil {
+					err = msgp.WrapError(err, "Versions", za0008)
+					return
+				}
+			}
+		case "n":
+			z.Node, bts, err = msgp.ReadStringBytes(bts)
 			if err != nil {
-				err = msgp.WrapError(err, "Version")
+				err = msgp.WrapError(err, "Node")
 				return
 			}
 		case "o":
-			z.Offset, bts, err = msgp.ReadInt64Bytes(bts)
+			var zb0012 uint32
+			zb0012, bts, err = msgp.ReadArrayHeaderBytes(bts)
 			if err != nil {
-				err = msgp.WrapError(err, "Offset")
+				err = msgp.WrapError(err, "Duties")
 				return
 			}
+			if cap(z.Duties) >= int(zb0012) {
+				z.Duties = (z.Duties)[:zb0012]
+			} else {
+				z.Duties = make([]DutyCondition, zb0012)
+			}
+			for za0009 := range z.Duties {
+				bts, err = z.Duties[za0009].UnmarshalMsg(bts)
+				if err != nil {
+					err = msgp.WrapError(err, "Duties", za0009)
+					return
+				}
+			}
 		case "p":
-			var zb0004 uint32
-			zb0004, bts, err = msgp.ReadMapHeaderBytes(bts)
+			var zb0013 uint32
+			zb0013, bts, err = msgp.ReadArrayHeaderBytes(bts)
 			if err != nil {
-				err = msgp.WrapError(err, "Promised")
+				err = msgp.WrapError(err, "Peers")
 				return
 			}
-			for zb0004 > 0 {
-				zb0004--
-				field, bts, err = msgp.ReadMapKeyZC(bts)
+			if cap(z.Peers) >= int(zb0013) {
+				z.Peers = (z.Peers)[:zb0013]
+			} else {
+				z.Peers = make([]Peer, zb0013)
+			}
+			for za0010 := range z.Peers {
+				bts, err = z.Peers[za0010].UnmarshalMsg(bts)
+				if err != nil {
+					err = msgp.WrapError(err, "Peers", za0010)
+					return
+				}
+			}
+		case "q":
+			var zb0014 uint32
+			zb0014, bts, err = msgp.ReadArrayHeaderBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Stale")
+				return
+			}
+			if cap(z.Stale) >= int(zb0014) {
+				z.Stale = (z.Stale)[:zb0014]
+			} else {
+				z.Stale = make([]string, zb0014)
+			}
+			for za0011 := range z.Stale {
+				z.Stale[za0011], bts, err = msgp.ReadStringBytes(bts)
+				if err != nil {
+					err = msgp.WrapError(err, "Stale", za0011)
+					return
+				}
+			}
+		case "r":
+			{
+				var zb0015 string
+				zb0015, bts, err = msgp.ReadStringBytes(bts)
 				if err != nil {
-					err = msgp.WrapError(err, "Promised")
+					err = msgp.WrapError(err, "Role")
 					return
 				}
-				switch msgp.UnsafeString(field) {
-				case "n":
-					z.Promised.N, bts, err = msgp.ReadInt64Bytes(bts)
-					if err != nil {
-						err = msgp.WrapError(err, "Promised", "N")
-						return
-					}
-				case "w":
-					z.Promised.Who, bts, err = msgp.ReadStringBytes(bts)
-					if err != nil {
-						err = msgp.WrapError(err, "Promised", "Who")
-						return
-					}
-				default:
-					bts, err = msgp.Skip(bts)
-					if err != nil {
-						err = msgp.WrapError(err, "Promised")
-						return
-					}
-				}
+				z.Role = Role(zb0015)
 			}
 		case "s":
-			z.Sum, bts, err = msgp.ReadInt64Bytes(bts)
+			z.SaveUs, bts, err = msgp.ReadInt64Bytes(bts)
 			if err != nil {
-				err = msgp.WrapError(err, "Sum")
+				err = msgp.WrapError(err, "SaveUs")
 				return
 			}
 		case "t":
-			z.Total, bts, err = msgp.ReadInt64Bytes(bts)
+			z.TimeUs, bts, err = msgp.ReadInt64Bytes(bts)
 			if err != nil {
-				err = msgp.WrapError(err, "Total")
+				err = msgp.WrapError(err, "TimeUs")
 				return
 			}
-		case "v":
-			bts, err = z.Value.UnmarshalMsg(bts)
+		case "u":
+			var zb0016 uint32
+			zb0016, bts, err = msgp.ReadArrayHeaderBytes(bts)
 			if err != nil {
-				err = msgp.WrapError(err, "Value")
+				err = msgp.WrapError(err, "Unconfirmed")
 				return
 			}
-		case "x":
-			z.Piece, bts, err = msgp.ReadBytesBytes(bts, z.Piece)
-			if err != nil {
-				err = msgp.WrapError(err, "Piece")
-				return
+			if cap(z.Unconfirmed) >= int(zb0016) {
+				z.Unconfirmed = (z.Unconfirmed)[:zb0016]
+			} else {
+				z.Unconfirmed = make([]string, zb0016)
 			}
-		default:
-			bts, err = msgp.Skip(bts)
-			if err != nil {
-				err = msgp.WrapError(err)
-				return
+			for za0012 := range z.Unconfirmed {
+				z.Unconfirmed[za0012], bts, err = msgp.ReadStringBytes(bts)
+				if err != nil {
+					err = msgp.WrapError(err, "Unconfirmed", za0012)
+					return
+				}
 			}
-		}
-	}
-	o = bts
-	return
-}
-
-// Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
-func (z *ConsensusResponse) Msgsize() (s int) {
-	s = 1 + 2 + 1 + 2 + msgp.Int64Size + 2 + msgp.StringPrefixSize + len(z.AcceptedAt.Who) + 2 + msgp.StringPrefixSize + len(string(z.Verdict)) + 2 + msgp.BoolSize + 2 + msgp.BoolSize + 2 + msgp.Int64Size + 2 + msgp.Int64Size + 2 + 1 + 2 + msgp.Int64Size + 2 + msgp.StringPrefixSize + len(z.Promised.Who) + 2 + msgp.Int64Size + 2 + msgp.Int64Size + 2 + z.Value.Msgsize() + 2 + msgp.BytesPrefixSize + len(z.Piece)
-	return
-}
-
-// MarshalMsg implements msgp.Marshaler
-func (z *DutyCondition) MarshalMsg(b []byte) (o []byte, err error) {
-	o = msgp.Require(b, z.Msgsize())
-	// map header, size 6
-	// string "a"
-	o = append(o, 0x86, 0xa1, 0x61)
-	o = msgp.AppendBool(o, z.Accepted)
-	// string "c"
-	o = append(o, 0xa1, 0x63)
-	o = msgp.AppendInt64(o, z.LastCallUs)
-	// string "f"
-	o = append(o, 0xa1, 0x66)
-	o = msgp.AppendInt64(o, z.Fence)
-	// string "h"
-	o = append(o, 0xa1, 0x68)
-	o = msgp.AppendString(o, z.Holder)
-	// string "n"
-	o = append(o, 0xa1, 0x6e)
-	o = msgp.AppendString(o, z.Name)
-	// string "u"
-	o = append(o, 0xa1, 0x75)
-	o = msgp.AppendInt64(o, z.OverdueUs)
-	return
-}
-
-// UnmarshalMsg implements msgp.Unmarshaler
-func (z *DutyCondition) UnmarshalMsg(bts []byte) (o []byte, err error) {
-	var field []byte
-	_ = field
-	var zb0001 uint32
-	zb0001, bts, err = msgp.ReadMapHeaderBytes(bts)
-	if err != nil {
-		err = msgp.WrapError(err)
-		return
-	}
-	for zb0001 > 0 {
-		zb0001--
-		field, bts, err = msgp.ReadMapKeyZC(bts)
-		if err != nil {
-			err = msgp.WrapError(err)
-			return
-		}
-		switch msgp.UnsafeString(field) {
-		case "a":
-			z.Accepted, bts, err = msgp.ReadBoolBytes(bts)
+		case "v":
+			var zb0017 uint32
+			zb0017, bts, err = msgp.ReadArrayHeaderBytes(bts)
 			if err != nil {
-				err = msgp.WrapError(err, "Accepted")
+				err = msgp.WrapError(err, "Scaling")
 				return
 			}
-		case "c":
-			z.LastCallUs, bts, err = msgp.ReadInt64Bytes(bts)
-			if err != nil {
-				err = msgp.WrapError(err, "LastCallUs")
-				return
+			if cap(z.Scaling) >= int(zb0017) {
+				z.Scaling = (z.Scaling)[:zb0017]
+			} else {
+				z.Scaling = make([]ScalingCondition, zb0017)
 			}
-		case "f":
-			z.Fence, bts, err = msgp.ReadInt64Bytes(bts)
+			for za0013 := range z.Scaling {
+				bts, err = z.Scaling[za0013].UnmarshalMsg(bts)
+				if err != nil {
+					err = msgp.WrapError(err, "Scaling", za0013)
+					return
+				}
+			}
+		case "w":
+			z.Wholes, bts, err = msgp.ReadInt64Bytes(bts)
 			if err != nil {
-				err = msgp.WrapError(err, "Fence")
+				err = msgp.WrapError(err, "Wholes")
 				return
 			}
-		case "h":
-			z.Holder, bts, err = msgp.ReadStringBytes(bts)
+		case "x":
+			z.Malformed, bts, err = msgp.ReadInt64Bytes(bts)
 			if err != nil {
-				err = msgp.WrapError(err, "Holder")
+				err = msgp.WrapError(err, "Malformed")
 				return
 			}
-		case "n":
-			z.Name, bts, err = msgp.ReadStringBytes(bts)
+		case "y":
+			bts, err = z.Partition.UnmarshalMsg(bts)
 			if err != nil {
-				err = msgp.WrapError(err, "Name")
+				err = msgp.WrapError(err, "Partition")
 				return
 			}
-		case "u":
-			z.OverdueUs, bts, err = msgp.ReadInt64Bytes(bts)
+		case "z":
+			z.Zone, bts, err = msgp.ReadStringBytes(bts)
 			if err != nil {
-				err = msgp.WrapError(err, "OverdueUs")
+				err = msgp.WrapError(err, "Zone")
 				return
 			}
 		default:
@@ -1362,108 +1045,85 @@
 }
 
 // Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
-func (z *DutyCondition) Msgsize() (s int) {
-	s = 1 + 2 + msgp.BoolSize + 2 + msgp.Int64Size + 2 + msgp.Int64Size + 2 + msgp.StringPrefixSize + len(z.Holder) + 2 + msgp.StringPrefixSize + len(z.Name) + 2 + msgp.Int64Size
-	return
-}
-
-// MarshalMsg implements msgp.Marshaler
-func (z *Entry) MarshalMsg(b []byte) (o []byte, err error) {
-	o = msgp.Require(b, z.Msgsize())
-	// map header, size 2
-	// string "b"
-	o = append(o, 0x82, 0xa1, 0x62)
-	o = msgp.AppendBytes(o, z.Body)
-	// string "k"
-	o = append(o, 0xa1, 0x6b)
-	o = msgp.AppendString(o, z.Key)
-	return
-}
-
-// UnmarshalMsg implements msgp.Unmarshaler
-func (z *Entry) UnmarshalMsg(bts []byte) (o []byte, err error) {
-	var field []byte
-	_ = field
-	var zb0001 uint32
-	zb0001, bts, err = msgp.ReadMapHeaderBytes(bts)
-	if err != nil {
-		err = msgp.WrapError(err)
-		return
+func (z *Condition) Msgsize() (s int) {
+	s = 3 + 2 + msgp.StringPrefixSize + len(z.Addr) + 2 + msgp.ArrayHeaderSize
+	for za0001 := range z.Blind {
+		s += msgp.StringPrefixSize + len(z.Blind[za0001])
 	}
-	for zb0001 > 0 {
-		zb0001--
-		field, bts, err = msgp.ReadMapKeyZC(bts)
-		if err != nil {
-			err = msgp.WrapError(err)
-			return
-		}
-		switch msgp.UnsafeString(field) {
-		case "b":
-			z.Body, bts, err = msgp.ReadBytesBytes(bts, z.Body)
-			if err != nil {
-				err = msgp.WrapError(err, "Body")
-				return
-			}
-		case "k":
-			z.Key, bts, err = msgp.ReadStringBytes(bts)
-			if err != nil {
-				err = msgp.WrapError(err, "Key")
-				return
-			}
-		default:
-			bts, err = msgp.Skip(bts)
-			if err != nil {
-				err = msgp.WrapError(err)
-				return
-			}
+	s += 2 + msgp.IntSize + 2 + msgp.BoolSize + 2 + msgp.ArrayHeaderSize
+	for za0002 := range z.Unread {
+		s += msgp.StringPrefixSize + len(z.Unread[za0002])
+	}
+	s += 2 + msgp.StringPrefixSize + len(z.SaveFault) + 2 + msgp.ArrayHeaderSize
+	for za0003 := range z.Groups {
+		s += msgp.ArrayHeaderSize
+		for za0004 := range z.Groups[za0003] {
+			s += 1 + 2 + msgp.StringPrefixSize + len(z.Groups[za0003][za0004].Addr) + 2 + msgp.StringPrefixSize + len(z.Groups[za0003][za0004].ID)
 		}
 	}
-	o = bts
-	return
-}
-
-// Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
-func (z *Entry) Msgsize() (s int) {
-	s = 1 + 2 + msgp.BytesPrefixSize + len(z.Body) + 2 + msgp.StringPrefixSize + len(z.Key)
+	s += 2 + msgp.ArrayHeaderSize
+	for za0005 := range z.Quotas {
+		s += z.Quotas[za0005].Msgsize()
+	}
+	s += 2 + msgp.ArrayHeaderSize
+	for za0006 := range z.Violations {
+		s += 1 + 2 + msgp.Int64Size + 2 + msgp.StringPrefixSize + len(z.Violations[za0006].Name)
+	}
+	s += 2 + msgp.Int64Size + 2 + msgp.ArrayHeaderSize
+	for za0007 := range z.Retired {
+		s += z.Retired[za0007].Msgsize()
+	}
+	s += 2 + msgp.StringPrefixSize + len(z.MemberID) + 2 + msgp.ArrayHeaderSize + (len(z.Versions) * (msgp.Int64Size)) + 2 + msgp.StringPrefixSize + len(z.Node) + 2 + msgp.ArrayHeaderSize
+	for za0009 := range z.Duties {
+		s += z.Duties[za0009].Msgsize()
+	}
+	s += 2 + msgp.ArrayHeaderSize
+	for za0010 := range z.Peers {
+		s += z.Peers[za0010].Msgsize()
+	}
+	s += 2 + msgp.ArrayHeaderSize
+	for za0011 := range z.Stale {
+		s += msgp.StringPrefixSize + len(z.Stale[za0011])
+	}
+	s += 2 + msgp.StringPrefixSize + len(string(z.Role)) + 2 + msgp.Int64Size + 2 + msgp.Int64Size + 2 + msgp.ArrayHeaderSize
+	for za0012 := range z.Unconfirmed {
+		s += msgp.StringPrefixSize + len(z.Unconfirmed[za0012])
+	}
+	s += 2 + msgp.ArrayHeaderSize
+	for za0013 := range z.Scaling {
+		s += z.Scaling[za0013].Msgsize()
+	}
+	s += 2 + msgp.Int64Size + 2 + msgp.Int64Size + 2 + z.Partition.Msgsize() + 2 + msgp.StringPrefixSize + len(z.Zone)
 	return
 }
 
 // MarshalMsg implements msgp.Marshaler
-func (z *EntryChange) MarshalMsg(b []byte) (o []byte, err error) {
+func (z *ConfigBody) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
-	// map header, size 6
-	// string "d"
-	o = append(o, 0x86, 0xa1, 0x64)
-	o = msgp.AppendUint64(o, z.Digest)
-	// string "e"
-	o = append(o, 0xa1, 0x65)
-	o = msgp.AppendInt64(o, z.Epoch)
-	// string "f"
-	o = append(o, 0xa1, 0x66)
-	o = msgp.AppendInt64(o, z.From)
-	// string "p"
-	o = append(o, 0xa1, 0x70)
-	o = msgp.AppendArrayHeader(o, uint32(len(z.Entries)))
-	for za0001 := range z.Entries {
+	// map header, size 3
+	// string "h"
+	o = append(o, 0x83, 0xa1, 0x68)
+	o = msgp.AppendArrayHeader(o, uint32(len(z.AcceptedDigest)))
+	for za0001 := range z.AcceptedDigest {
 		// map header, size 2
-		// string "b"
-		o = append(o, 0x82, 0xa1, 0x62)
-		o = msgp.AppendBytes(o, z.Entries[za0001].Body)
-		// string "k"
-		o = append(o, 0xa1, 0x6b)
-		o = msgp.AppendString(o, z.Entries[za0001].Key)
+		// string "d"
+		o = append(o, 0x82, 0xa1, 0x64)
+		o = msgp.AppendBytes(o, z.AcceptedDigest[za0001].Digest)
+		// string "v"
+		o = append(o, 0xa1, 0x76)
+		o = msgp.AppendInt64(o, z.AcceptedDigest[za0001].Version)
 	}
-	// string "t"
-	o = append(o, 0xa1, 0x74)
-	o = msgp.AppendInt64(o, z.To)
-	// string "w"
-	o = append(o, 0xa1, 0x77)
-	o = msgp.AppendBool(o, z.Snapshot)
+	// string "r"
+	o = append(o, 0xa1, 0x72)
+	o = msgp.AppendBytes(o, z.Raw)
+	// string "v"
+	o = append(o, 0xa1, 0x76)
+	o = msgp.AppendInt64(o, z.Version)
 	return
 }
 
 // UnmarshalMsg implements msgp.Unmarshaler
-func (z *EntryChange) UnmarshalMsg(bts []byte) (o []byte, err error) {
+func (z *ConfigBody) UnmarshalMsg(bts []byte) (o []byte, err error) {
 	var field []byte
 	_ = field
 	var zb0001 uint32
@@ -1480,82 +1140,64 @@
 			return
 		}
 		switch msgp.UnsafeString(field) {
-		case "d":
-			z.Digest, bts, err = msgp.ReadUint64Bytes(bts)
-			if err != nil {
-				err = msgp.WrapError(err, "Digest")
-				return
-			}
-		case "e":
-			z.Epoch, bts, err = msgp.ReadInt64Bytes(bts)
-			if err != nil {
-				err = msgp.WrapError(err, "Epoch")
-				return
-			}
-		case "f":
-			z.From, bts, err = msgp.ReadInt64Bytes(bts)
-			if err != nil {
-				err = msgp.WrapError(err, "From")
-				return
-			}
-		case "p":
+		case "h":
 			var zb0002 uint32
 			zb0002, bts, err = msgp.ReadArrayHeaderBytes(bts)
 			if err != nil {
-				err = msgp.WrapError(err, "Entries")
+				err = msgp.WrapError(err, "AcceptedDigest")
 				return
 			}
-			if cap(z.Entries) >= int(zb0002) {
-				z.Entries = (z.Entries)[:zb0002]
+			if cap(z.AcceptedDigest) >= int(zb0002) {
+				z.AcceptedDigest = (z.AcceptedDigest)[:zb0002]
 			} else {
-				z.Entries = make([]Entry, zb0002)
+				z.AcceptedDigest = make([]AcceptedDigest, zb0002)
 			}
-			for za0001 := range z.Entries {
+			for za0001 := range z.AcceptedDigest {
 				var zb0003 uint32
 				zb0003, bts, err = msgp.ReadMapHeaderBytes(bts)
 				if err != nil {
-					err = msgp.WrapError(err, "Entries", za0001)
+					err = msgp.WrapError(err, "AcceptedDigest", za0001)
 					return
 				}
 				for zb0003 > 0 {
 					zb0003--
 					field, bts, err = msgp.ReadMapKeyZC(bts)
 					if err != nil {
-						err = msgp.WrapError(err, "Entries", za0001)
+						err = msgp.WrapError(err, "AcceptedDigest", za0001)
 						return
 					}
 					switch msgp.UnsafeString(field) {
-					case "b":
-						z.Entries[za0001].Body, bts, err = msgp.ReadBytesBytes(bts, z.Entries[za0001].Body)
+					case "d":
+						z.AcceptedDigest[za0001].Digest, bts, err = msgp.ReadBytesBytes(bts, z.AcceptedDigest[za0001].Digest)
 						if err != nil {
-							err = msgp.WrapError(err, "Entries", za0001, "Body")
+							err = msgp.WrapError(err, "AcceptedDigest", za0001, "Digest")
 							return
 						}
-					case "k":
-						z.Entries[za0001].Key, bts, err = msgp.ReadStringBytes(bts)
+					case "v":
+						z.AcceptedDigest[za0001].Version, bts, err = msgp.ReadInt64Bytes(bts)
 						if err != nil {
-							err = msgp.WrapError(err, "Entries", za0001, "Key")
+							err = msgp.WrapError(err, "AcceptedDigest", za0001, "Version")
 							return
 						}
 					default:
 						bts, err = msgp.Skip(bts)
 						if err != nil {
-							err = msgp.WrapError(err, "Entries", za0001)
+							err = msgp.WrapError(err, "AcceptedDigest", za0001)
 							return
 						}
 					}
 				}
 			}
-		case "t":
-			z.To, bts, err = msgp.ReadInt64Bytes(bts)
+		case "r":
+			z.Raw, bts, err = msgp.ReadBytesBytes(bts, z.Raw)
 			if err != nil {
-				err = msgp.WrapError(err, "To")
+				err = msgp.WrapError(err, "Raw")
 				return
 			}
-		case "w":
-			z.Snapshot, bts, err = msgp.ReadBoolBytes(bts)
+		case "v":
+			z.Version, bts, err = msgp.ReadInt64Bytes(bts)
 			if err != nil {
-				err = msgp.WrapError(err, "Snapshot")
+				err = msgp.WrapError(err, "Version")
 				return
 			}
 		default:
@@ -1571,33 +1213,61 @@
 }
 
 // Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
-func (z *EntryChange) Msgsize() (s int) {
-	s = 1 + 2 + msgp.Uint64Size + 2 + msgp.Int64Size + 2 + msgp.Int64Size + 2 + msgp.ArrayHeaderSize
-	for za0001 := range z.Entries {
-		s += 1 + 2 + msgp.BytesPrefixSize + len(z.Entries[za0001].Body) + 2 + msgp.StringPrefixSize + len(z.Entries[za0001].Key)
+func (z *ConfigBody) Msgsize() (s int) {
+	s = 1 + 2 + msgp.ArrayHeaderSize
+	for za0001 := range z.AcceptedDigest {
+		s += 1 + 2 + msgp.BytesPrefixSize + len(z.AcceptedDigest[za0001].Digest) + 2 + msgp.Int64Size
 	}
-	s += 2 + msgp.Int64Size + 2 + msgp.BoolSize
+	s += 2 + msgp.BytesPrefixSize + len(z.Raw) + 2 + msgp.Int64Size
 	return
 }
 
 // MarshalMsg implements msgp.Marshaler
-func (z Evacuation) MarshalMsg(b []byte) (o []byte, err error) {
+func (z *ConsensusRequest) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
-	// map header, size 3
-	// string "e"
-	o = append(o, 0x83, 0xa1, 0x65)
-	o = msgp.AppendBool(o, z.Evacuated)
+	// map header, size 9
+	// string "b"
+	o = append(o, 0x89, 0xa1, 0x62)
+	// map header, size 2
 	// string "n"
-	o = append(o, 0xa1, 0x6e)
-	o = msgp.AppendInt64(o, z.Changes)
-	// string "z"
-	o = append(o, 0xa1, 0x7a)
-	o = msgp.AppendString(o, z.Zone)
+	o = append(o, 0x82, 0xa1, 0x6e)
+	o = msgp.AppendInt64(o, z.Ballot.N)
+	// string "w"
+	o = append(o, 0xa1, 0x77)
+	o = msgp.AppendString(o, z.Ballot.Who)
+	// string "f"
+	o = append(o, 0xa1, 0x66)
+	o = msgp.AppendBool(o, z.Flush)
+	// string "k"
+	o = append(o, 0xa1, 0x6b)
+	o = msgp.AppendString(o, string(z.Step))
+	// string "l"
+	o = append(o, 0xa1, 0x6c)
+	o = msgp.AppendBool(o, z.Pieces)
+	// string "o"
+	o = append(o, 0xa1, 0x6f)
+	o = msgp.AppendInt64(o, z.Offset)
+	// string "p"
+	o = append(o, 0xa1, 0x70)
+	o = msgp.AppendInt(o, z.Part)
+	// string "s"
+	o = append(o, 0xa1, 0x73)
+	o = msgp.AppendInt64(o, z.Slot)
+	// string "t"
+	o = append(o, 0xa1, 0x74)
+	o = msgp.AppendString(o, z.To)
+	// string "v"
+	o = append(o, 0xa1, 0x76)
+	o, err = z.Value.MarshalMsg(o)
+	if err != nil {
+		err = msgp.WrapError(err, "Value")
+		return
+	}
 	return
 }
 
 // UnmarshalMsg implements msgp.Unmarshaler
-func (z *Evacuation) UnmarshalMsg(bts []byte) (o []byte, err error) {
+func (z *ConsensusRequest) UnmarshalMsg(bts []byte) (o []byte, err error) {
 	var field []byte
 	_ = field
 	var zb0001 uint32
@@ -1614,22 +1284,91 @@
 			return
 		}
 		switch msgp.UnsafeString(field) {
-		case "e":
-			z.Evacuated, bts, err = msgp.ReadBoolBytes(bts)
+		case "b":
+			var zb0002 uint32
+			zb0002, bts, err = msgp.ReadMapHeaderBytes(bts)
 			if err != nil {
-				err = msgp.WrapError(err, "Evacuated")
+				err = msgp.WrapError(err, "Ballot")
+				return
+			}
+			for zb0002 > 0 {
+				zb0002--
+				field, bts, err = msgp.ReadMapKeyZC(bts)
+				if err != nil {
+					err = msgp.WrapError(err, "Ballot")
+					return
+				}
+				switch msgp.UnsafeString(field) {
+				case "n":
+					z.Ballot.N, bts, err = msgp.ReadInt64Bytes(bts)
+					if err != nil {
+						err = msgp.WrapError(err, "Ballot", "N")
+						return
+					}
+				case "w":
+					z.Ballot.Who, bts, err = msgp.ReadStringBytes(bts)
+					if err != nil {
+						err = msgp.WrapError(err, "Ballot", "Who")
+						return
+					}
+				default:
+					bts, err = msgp.Skip(bts)
+					if err != nil {
+						err = msgp.WrapError(err, "Ballot")
+						return
+					}
+				}
+			}
+		case "f":
+			z.Flush, bts, err = msgp.ReadBoolBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Flush")
+				return
+			}
+		case "k":
+			{
+				var zb0003 string
+				zb0003, bts, err = msgp.ReadStringBytes(bts)
+				if err != nil {
+					err = msgp.WrapError(err, "Step")
+					return
+				}
+				z.Step = Step(zb0003)
+			}
+		case "l":
+			z.Pieces, bts, err = msgp.ReadBoolBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Pieces")
+				return
+			}
+		case "o":
+			z.Offset, bts, err = msgp.ReadInt64Bytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Offset")
+				return
+			}
+		case "p":
+			z.Part, bts, err = msgp.ReadIntBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Part")
+				return
+			}
+		case "s":
+			z.Slot, bts, err = msgp.ReadInt64Bytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Slot")
 				return
 			}
-		case "n":
-			z.Changes, bts, err = msgp.ReadInt64Bytes(bts)
+		case "t":
+			z.To, bts, err = msgp.ReadStringBytes(bts)
 			if err != nil {
-				err = msgp.WrapError(err, "Changes")
+				err = msgp.WrapError(err, "To")
 				return
 			}
-		case "z":
-			z.Zone, bts, err = msgp.ReadStringBytes(bts)
+		case "v":
+			bts, err = z.Value.UnmarshalMsg(bts)
 			if err != nil {
-				err = msgp.WrapError(err, "Zone")
+				err = msgp.WrapError(err, "Value")
 				return
 			}
 		default:
@@ -1645,125 +1384,249 @@
 }
 
 // Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
-func (z Evacuation) Msgsize() (s int) {
-	s = 1 + 2 + msgp.BoolSize + 2 + msgp.Int64Size + 2 + msgp.StringPrefixSize + len(z.Zone)
+func (z *ConsensusRequest) Msgsize() (s int) {
+	s = 1 + 2 + 1 + 2 + msgp.Int64Size + 2 + msgp.StringPrefixSize + len(z.Ballot.Who) + 2 + msgp.BoolSize + 2 + msgp.StringPrefixSize + len(string(z.Step)) + 2 + msgp.BoolSize + 2 + msgp.Int64Size + 2 + msgp.IntSize + 2 + msgp.Int64Size + 2 + msgp.StringPrefixSize + len(z.To) + 2 + z.Value.Msgsize()
 	return
 }
 
 // MarshalMsg implements msgp.Marshaler
-func (z *Feed) MarshalMsg(b []byte) (o []byte, err error) {
+func (z *ConsensusResponse) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
-	// map header, size 12
+	// map header, size 11
 	// string "a"
-	o = append(o, 0x8c, 0xa1, 0x61)
-	o = msgp.AppendArrayHeader(o, uint32(len(z.TargetAges)))
-	for za0001 := range z.TargetAges {
-		// map header, size 3
-		// string "a"
-		o = append(o, 0x83, 0xa1, 0x61)
-		o = msgp.AppendInt64(o, z.TargetAges[za0001].AgeUs)
-		// string "m"
-		o = append(o, 0xa1, 0x6d)
-		o = msgp.AppendString(o, z.TargetAges[za0001].Model)
-		// string "v"
-		o = append(o, 0xa1, 0x76)
-		o = msgp.AppendInt64(o, z.TargetAges[za0001].Version)
-	}
-	// string "c"
-	o = append(o, 0xa1, 0x63)
-	o = msgp.AppendArrayHeader(o, uint32(len(z.Coming)))
-	for za0002 := range z.Coming {
-		o, err = z.Coming[za0002].MarshalMsg(o)
-		if err != nil {
-			err = msgp.WrapError(err, "Coming", za0002)
-			return
-		}
-	}
+	o = append(o, 0x8b, 0xa1, 0x61)
+	// map header, size 2
+	// string "n"
+	o = append(o, 0x82, 0xa1, 0x6e)
+	o = msgp.AppendInt64(o, z.AcceptedAt.N)
+	// string "w"
+	o = append(o, 0xa1, 0x77)
+	o = msgp.AppendString(o, z.AcceptedAt.Who)
+	// string "d"
+	o = append(o, 0xa1, 0x64)
+	o = msgp.AppendString(o, string(z.Verdict))
+	// string "h"
+	o = append(o, 0xa1, 0x68)
+	o = msgp.AppendBool(o, z.HasAccepted)
 	// string "k"
 	o = append(o, 0xa1, 0x6b)
-	o = msgp.AppendArrayHeader(o, uint32(len(z.Kept)))
-	for za0003 := range z.Kept {
-		o, err = z.Kept[za0003].MarshalMsg(o)
-		if err != nil {
-			err = msgp.WrapError(err, "Kept", za0003)
-			return
-		}
-	}
-	// string "l"
-	o = append(o, 0xa1, 0x6c)
-	o = msgp.AppendArrayHeader(o, uint32(len(z.Loads)))
-	for za0004 := range z.Loads {
-		o, err = z.Loads[za0004].MarshalMsg(o)
-		if err != nil {
-			err = msgp.WrapError(err, "Loads", za0004)
-			return
-		}
-	}
+	o = msgp.AppendBool(o, z.Kept)
 	// string "m"
 	o = append(o, 0xa1, 0x6d)
-	o = msgp.AppendArrayHeader(o, uint32(len(z.Versions)))
-	for za0005 := range z.Versions {
-		o = msgp.AppendInt64(o, z.Versions[za0005])
-	}
-	// string "n"
-	o = append(o, 0xa1, 0x6e)
-	o = msgp.AppendArrayHeader(o, uint32(len(z.Configuration)))
-	for za0006 := range z.Configuration {
-		o, err = z.Configuration[za0006].MarshalMsg(o)
-		if err != nil {
-			err = msgp.WrapError(err, "Configuration", za0006)
-			return
-		}
-	}
+	o = msgp.AppendInt64(o, z.Version)
 	// string "o"
 	o = append(o, 0xa1, 0x6f)
-	o = msgp.AppendArrayHeader(o, uint32(len(z.Reports)))
-	for za0007 := range z.Reports {
-		o, err = z.Reports[za0007].MarshalMsg(o)
-		if err != nil {
-			err = msgp.WrapError(err, "Reports", za0007)
-			return
-		}
-	}
+	o = msgp.AppendInt64(o, z.Offset)
 	// string "p"
 	o = append(o, 0xa1, 0x70)
-	o = msgp.AppendArrayHeader(o, uint32(len(z.Parts)))
-	for za0008 := range z.Parts {
-		// map header, size 3
-		// string "b"
-		o = append(o, 0x83, 0xa1, 0x62)
-		o = msgp.AppendBytes(o, z.Parts[za0008].Body)
-		// string "m"
-		o = append(o, 0xa1, 0x6d)
-		o = msgp.AppendInt64(o, z.Parts[za0008].Version)
-		// string "p"
-		o = append(o, 0xa1, 0x70)
-		o = msgp.AppendInt(o, z.Parts[za0008].Part)
+	// map header, size 2
+	// string "n"
+	o = append(o, 0x82, 0xa1, 0x6e)
+	o = msgp.AppendInt64(o, z.Promised.N)
+	// string "w"
+	o = append(o, 0xa1, 0x77)
+	o = msgp.AppendString(o, z.Promised.Who)
+	// string "s"
+	o = append(o, 0xa1, 0x73)
+	o = msgp.AppendInt64(o, z.Sum)
+	// string "t"
+	o = append(o, 0xa1, 0x74)
+	o = msgp.AppendInt64(o, z.Total)
+	// string "v"
+	o = append(o, 0xa1, 0x76)
+	o, err = z.Value.MarshalMsg(o)
+	if err != nil {
+		err = msgp.WrapError(err, "Value")
+		return
 	}
-	// string "r"
-	o = append(o, 0xa1, 0x72)
-	o = msgp.AppendArrayHeader(o, uint32(len(z.Registry)))
-	for za0009 := range z.Registry {
-		o, err = z.Registry[za0009].MarshalMsg(o)
+	// string "x"
+	o = append(o, 0xa1, 0x78)
+	o = msgp.AppendBytes(o, z.Piece)
+	return
+}
+
+// UnmarshalMsg implements msgp.Unmarshaler
+func (z *ConsensusResponse) UnmarshalMsg(bts []byte) (o []byte, err error) {
+	var field []byte
+	_ = field
+	var zb0001 uint32
+	zb0001, bts, err = msgp.ReadMapHeaderBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err)
+		return
+	}
+	for zb0001 > 0 {
+		zb0001--
+		field, bts, err = msgp.ReadMapKeyZC(bts)
 		if err != nil {
-			err = msgp.WrapError(err, "Registry", za0009)
+			err = msgp.WrapError(err)
 			return
 		}
+		switch msgp.UnsafeString(field) {
+		case "a":
+			var zb0002 uint32
+			zb0002, bts, err = msgp.ReadMapHeaderBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "AcceptedAt")
+				return
+			}
+			for zb0002 > 0 {
+				zb0002--
+				field, bts, err = msgp.ReadMapKeyZC(bts)
+				if err != nil {
+					err = msgp.WrapError(err, "AcceptedAt")
+					return
+				}
+				switch msgp.UnsafeString(field) {
+				case "n":
+					z.AcceptedAt.N, bts, err = msgp.ReadInt64Bytes(bts)
+					if err != nil {
+						err = msgp.WrapError(err, "AcceptedAt", "N")
+						return
+					}
+				case "w":
+					z.AcceptedAt.Who, bts, err = msgp.ReadStringBytes(bts)
+					if err != nil {
+						err = msgp.WrapError(err, "AcceptedAt", "Who")
+						return
+					}
+				default:
+					bts, err = msgp.Skip(bts)
+					if err != nil {
+						err = msgp.WrapError(err, "AcceptedAt")
+						return
+					}
+				}
+			}
+		case "d":
+			{
+				var zb0003 string
+				zb0003, bts, err = msgp.ReadStringBytes(bts)
+				if err != nil {
+					err = msgp.WrapError(err, "Verdict")
+					return
+				}
+				z.Verdict = Verdict(zb0003)
+			}
+		case "h":
+			z.HasAccepted, bts, err = msgp.ReadBoolBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "HasAccepted")
+				return
+			}
+		case "k":
+			z.Kept, bts, err = msgp.ReadBoolBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Kept")
+				return
+			}
+		case "m":
+			z.Version, bts, err = msgp.ReadInt64Bytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Version")
+				return
+			}
+		case "o":
+			z.Offset, bts, err = msgp.ReadInt64Bytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Offset")
+				return
+			}
+		case "p":
+			var zb0004 uint32
+			zb0004, bts, err = msgp.ReadMapHeaderBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Promised")
+				return
+			}
+			for zb0004 > 0 {
+				zb0004--
+				field, bts, err = msgp.ReadMapKeyZC(bts)
+				if err != nil {
+					err = msgp.WrapError(err, "Promised")
+					return
+				}
+				switch msgp.UnsafeString(field) {
+				case "n":
+					z.Promised.N, bts, err = msgp.ReadInt64Bytes(bts)
+					if err != nil {
+						err = msgp.WrapError(err, "Promised", "N")
+						return
+					}
+				case "w":
+					z.Promised.Who, bts, err = msgp.ReadStringBytes(bts)
+					if err != nil {
+						err = msgp.WrapError(err, "Promised", "Who")
+						return
+					}
+				default:
+					bts, err = msgp.Skip(bts)
+					if err != nil {
+						err = msgp.WrapError(err, "Promised")
+						return
+					}
+				}
+			}
+		case "s":
+			z.Sum, bts, err = msgp.ReadInt64Bytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Sum")
+				return
+			}
+		case "t":
+			z.Total, bts, err = msgp.ReadInt64Bytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Total")
+				return
+			}
+		case "v":
+			bts, err = z.Value.UnmarshalMsg(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Value")
+				return
+			}
+		case "x":
+			z.Piece, bts, err = msgp.ReadBytesBytes(bts, z.Piece)
+			if err != nil {
+				err = msgp.WrapError(err, "Piece")
+				return
+			}
+		default:
+			bts, err = msgp.Skip(bts)
+			if err != nil {
+				err = msgp.WrapError(err)
+				return
+			}
+		}
 	}
-	// string "u"
-	o = append(o, 0xa1, 0x75)
-	o = msgp.AppendInt64(o, z.StableForUs)
-	// string "x"
-	o = append(o, 0xa1, 0x78)
-	o = msgp.AppendBool(o, z.CutOff)
-	// string "y"
-	o = append(o, 0xa1, 0x79)
-	o = msgp.AppendBool(o, z.FromRelay)
+	o = bts
+	return
+}
+
+// Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
+func (z *ConsensusResponse) Msgsize() (s int) {
+	s = 1 + 2 + 1 + 2 + msgp.Int64Size + 2 + msgp.StringPrefixSize + len(z.AcceptedAt.Who) + 2 + msgp.StringPrefixSize + len(string(z.Verdict)) + 2 + msgp.BoolSize + 2 + msgp.BoolSize + 2 + msgp.Int64Size + 2 + msgp.Int64Size + 2 + 1 + 2 + msgp.Int64Size + 2 + msgp.StringPrefixSize + len(z.Promised.Who) + 2 + msgp.Int64Size + 2 + msgp.Int64Size + 2 + z.Value.Msgsize() + 2 + msgp.BytesPrefixSize + len(z.Piece)
+	return
+}
+
+// MarshalMsg implements msgp.Marshaler
+func (z Cursor) MarshalMsg(b []byte) (o []byte, err error) {
+	o = msgp.Require(b, z.Msgsize())
+	// map header, size 3
+	// string "e"
+	o = append(o, 0x83, 0xa1, 0x65)
+	o = msgp.AppendInt64(o, z.Epoch)
+	// string "i"
+	o = append(o, 0xa1, 0x69)
+	o = msgp.AppendString(o, z.ID)
+	// string "t"
+	o = append(o, 0xa1, 0x74)
+	o = msgp.AppendInt64(o, z.Version)
 	return
 }
 
 // UnmarshalMsg implements msgp.Unmarshaler
-func (z *Feed) UnmarshalMsg(bts []byte) (o []byte, err error) {
+func (z *Cursor) UnmarshalMsg(bts []byte) (o []byte, err error) {
 	var field []byte
 	_ = field
 	var zb0001 uint32
@@ -1780,263 +1643,119 @@
 			return
 		}
 		switch msgp.UnsafeString(field) {
-		case "a":
-			var zb0002 uint32
-			zb0002, bts, err = msgp.ReadArrayHeaderBytes(bts)
-			if err != nil {
-				err = msgp.WrapError(err, "TargetAges")
-				return
-			}
-			if cap(z.TargetAges) >= int(zb0002) {
-				z.TargetAges = (z.TargetAges)[:zb0002]
-			} else {
-				z.TargetAges = make([]TargetAge, zb0002)
-			}
-			for za0001 := range z.TargetAges {
-				var zb0003 uint32
-				zb0003, bts, err = msgp.ReadMapHeaderBytes(bts)
-				if err != nil {
-					err = msgp.WrapError(err, "TargetAges", za0001)
-					return
-				}
-				for zb0003 > 0 {
-					zb0003--
-					field, bts, err = msgp.ReadMapKeyZC(bts)
-					if err != nil {
-						err = msgp.WrapError(err, "TargetAges", za0001)
-						return
-					}
-					switch msgp.UnsafeString(field) {
-					case "a":
-						z.TargetAges[za0001].AgeUs, bts, err = msgp.ReadInt64Bytes(bts)
-						if err != nil {
-							err = msgp.WrapError(err, "TargetAges", za0001, "AgeUs")
-							return
-						}
-					case "m":
-						z.TargetAges[za0001].Model, bts, err = msgp.ReadStringBytes(bts)
-						if err != nil {
-							err = msgp.WrapError(err, "TargetAges", za0001, "Model")
-							return
-						}
-					case "v":
-						z.TargetAges[za0001].Version, bts, err = msgp.ReadInt64Bytes(bts)
-						if err != nil {
-							err = msgp.WrapError(err, "TargetAges", za0001, "Version")
-							return
-						}
-					default:
-						bts, err = msgp.Skip(bts)
-						if err != nil {
-							err = msgp.WrapError(err, "TargetAges", za0001)
-							return
-						}
-					}
-				}
-			}
-		case "c":
-			var zb0004 uint32
-			zb0004, bts, err = msgp.ReadArrayHeaderBytes(bts)
-			if err != nil {
-				err = msgp.WrapError(err, "Coming")
-				return
-			}
-			if cap(z.Coming) >= int(zb0004) {
-				z.Coming = (z.Coming)[:zb0004]
-			} else {
-				z.Coming = make([]KeptNote, zb0004)
-			}
-			for za0002 := range z.Coming {
-				bts, err = z.Coming[za0002].UnmarshalMsg(bts)
-				if err != nil {
-					err = msgp.WrapError(err, "Coming", za0002)
-					return
-				}
-			}
-		case "k":
-			var zb0005 uint32
-			zb0005, bts, err = msgp.ReadArrayHeaderBytes(bts)
+		case "e":
+			z.Epoch, bts, err = msgp.ReadInt64Bytes(bts)
 			if err != nil {
-				err = msgp.WrapError(err, "Kept")
+				err = msgp.WrapError(err, "Epoch")
 				return
 			}
-			if cap(z.Kept) >= int(zb0005) {
-				z.Kept = (z.Kept)[:zb0005]
-			} else {
-				z.Kept = make([]KeptChange, zb0005)
-			}
-			for za0003 := range z.Kept {
-				bts, err = z.Kept[za0003].UnmarshalMsg(bts)
-				if err != nil {
-					err = msgp.WrapError(err, "Kept", za0003)
-					return
-				}
-			}
-		case "l":
-			var zb0006 uint32
-			zb0006, bts, err = msgp.ReadArrayHeaderBytes(bts)
+		case "i":
+			z.ID, bts, err = msgp.ReadStringBytes(bts)
 			if err != nil {
-				err = msgp.WrapError(err, "Loads")
+				err = msgp.WrapError(err, "ID")
 				return
 			}
-			if cap(z.Loads) >= int(zb0006) {
-				z.Loads = (z.Loads)[:zb0006]
-			} else {
-				z.Loads = make([]LoadChange, zb0006)
-			}
-			for za0004 := range z.Loads {
-				bts, err = z.Loads[za0004].UnmarshalMsg(bts)
-				if err != nil {
-					err = msgp.WrapError(err, "Loads", za0004)
-					return
-				}
-			}
-		case "m":
-			var zb0007 uint32
-			zb0007, bts, err = msgp.ReadArrayHeaderBytes(bts)
+		case "t":
+			z.Version, bts, err = msgp.ReadInt64Bytes(bts)
 			if err != nil {
-				err = msgp.WrapError(err, "Versions")
+				err = msgp.WrapError(err, "Version")
 				return
 			}
-			if cap(z.Versions) >= int(zb0007) {
-				z.Versions = (z.Versions)[:zb0007]
-			} else {
-				z.Versions = make([]int64, zb0007)
-			}
-			for za0005 := range z.Versions {
-				z.Versions[za0005], bts, err = msgp.ReadInt64Bytes(bts)
-				if err != nil {
-					err = msgp.WrapError(err, "Versions", za0005)
-					return
-				}
-			}
-		case "n":
-			var zb0008 uint32
-			zb0008, bts, err = msgp.ReadArrayHeaderBytes(bts)
+		default:
+			bts, err = msgp.Skip(bts)
 			if err != nil {
-				err = msgp.WrapError(err, "Configuration")
+				err = msgp.WrapError(err)
 				return
 			}
-			if cap(z.Configuration) >= int(zb0008) {
-				z.Configuration = (z.Configuration)[:zb0008]
-			} else {
-				z.Configuration = make([]EntryChange, zb0008)
-			}
-			for za0006 := range z.Configuration {
-				bts, err = z.Configuration[za0006].UnmarshalMsg(bts)
-				if err != nil {
-					err = msgp.WrapError(err, "Configuration", za0006)
-					return
-				}
-			}
-		case "o":
-			var zb0009 uint32
-			zb0009, bts, err = msgp.ReadArrayHeaderBytes(bts)
+		}
+	}
+	o = bts
+	return
+}
+
+// Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
+func (z Cursor) Msgsize() (s int) {
+	s = 1 + 2 + msgp.Int64Size + 2 + msgp.StringPrefixSize + len(z.ID) + 2 + msgp.Int64Size
+	return
+}
+
+// MarshalMsg implements msgp.Marshaler
+func (z *DutyCondition) MarshalMsg(b []byte) (o []byte, err error) {
+	o = msgp.Require(b, z.Msgsize())
+	// map header, size 6
+	// string "a"
+	o = append(o, 0x86, 0xa1, 0x61)
+	o = msgp.AppendBool(o, z.Accepted)
+	// string "c"
+	o = append(o, 0xa1, 0x63)
+	o = msgp.AppendInt64(o, z.LastCallUs)
+	// string "f"
+	o = append(o, 0xa1, 0x66)
+	o = msgp.AppendInt64(o, z.Fence)
+	// string "h"
+	o = append(o, 0xa1, 0x68)
+	o = msgp.AppendString(o, z.Holder)
+	// string "n"
+	o = append(o, 0xa1, 0x6e)
+	o = msgp.AppendString(o, z.Name)
+	// string "u"
+	o = append(o, 0xa1, 0x75)
+	o = msgp.AppendInt64(o, z.OverdueUs)
+	return
+}
+
+// UnmarshalMsg implements msgp.Unmarshaler
+func (z *DutyCondition) UnmarshalMsg(bts []byte) (o []byte, err error) {
+	var field []byte
+	_ = field
+	var zb0001 uint32
+	zb0001, bts, err = msgp.ReadMapHeaderBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err)
+		return
+	}
+	for zb0001 > 0 {
+		zb0001--
+		field, bts, err = msgp.ReadMapKeyZC(bts)
+		if err != nil {
+			err = msgp.WrapError(err)
+			return
+		}
+		switch msgp.UnsafeString(field) {
+		case "a":
+			z.Accepted, bts, err = msgp.ReadBoolBytes(bts)
 			if err != nil {
-				err = msgp.WrapError(err, "Reports")
+				err = msgp.WrapError(err, "Accepted")
 				return
 			}
-			if cap(z.Reports) >= int(zb0009) {
-				z.Reports = (z.Reports)[:zb0009]
-			} else {
-				z.Reports = make([]ReportNote, zb0009)
-			}
-			for za0007 := range z.Reports {
-				bts, err = z.Reports[za0007].UnmarshalMsg(bts)
-				if err != nil {
-					err = msgp.WrapError(err, "Reports", za0007)
-					return
-				}
-			}
-		case "p":
-			var zb0010 uint32
-			zb0010, bts, err = msgp.ReadArrayHeaderBytes(bts)
+		case "c":
+			z.LastCallUs, bts, err = msgp.ReadInt64Bytes(bts)
 			if err != nil {
-				err = msgp.WrapError(err, "Parts")
+				err = msgp.WrapError(err, "LastCallUs")
 				return
 			}
-			if cap(z.Parts) >= int(zb0010) {
-				z.Parts = (z.Parts)[:zb0010]
-			} else {
-				z.Parts = make([]PartNote, zb0010)
-			}
-			for za0008 := range z.Parts {
-				var zb0011 uint32
-				zb0011, bts, err = msgp.ReadMapHeaderBytes(bts)
-				if err != nil {
-					err = msgp.WrapError(err, "Parts", za0008)
-					return
-				}
-				for zb0011 > 0 {
-					zb0011--
-					field, bts, err = msgp.ReadMapKeyZC(bts)
-					if err != nil {
-						err = msgp.WrapError(err, "Parts", za0008)
-						return
-					}
-					switch msgp.UnsafeString(field) {
-					case "b":
-						z.Parts[za0008].Body, bts, err = msgp.ReadBytesBytes(bts, z.Parts[za0008].Body)
-						if err != nil {
-							err = msgp.WrapError(err, "Parts", za0008, "Body")
-							return
-						}
-					case "m":
-						z.Parts[za0008].Version, bts, err = msgp.ReadInt64Bytes(bts)
-						if err != nil {
-							err = msgp.WrapError(err, "Parts", za0008, "Version")
-							return
-						}
-					case "p":
-						z.Parts[za0008].Part, bts, err = msgp.ReadIntBytes(bts)
-						if err != nil {
-							err = msgp.WrapError(err, "Parts", za0008, "Part")
-							return
-						}
-					default:
-						bts, err = msgp.Skip(bts)
-						if err != nil {
-							err = msgp.WrapError(err, "Parts", za0008)
-							return
-						}
-					}
-				}
-			}
-		case "r":
-			var zb0012 uint32
-			zb0012, bts, err = msgp.ReadArrayHeaderBytes(bts)
+		case "f":
+			z.Fence, bts, err = msgp.ReadInt64Bytes(bts)
 			if err != nil {
-				err = msgp.WrapError(err, "Registry")
+				err = msgp.WrapError(err, "Fence")
 				return
 			}
-			if cap(z.Registry) >= int(zb0012) {
-				z.Registry = (z.Registry)[:zb0012]
-			} else {
-				z.Registry = make([]EntryChange, zb0012)
-			}
-			for za0009 := range z.Registry {
-				bts, err = z.Registry[za0009].UnmarshalMsg(bts)
-				if err != nil {
-					err = msgp.WrapError(err, "Registry", za0009)
-					return
-				}
-			}
-		case "u":
-			z.StableForUs, bts, err = msgp.ReadInt64Bytes(bts)
+		case "h":
+			z.Holder, bts, err = msgp.ReadStringBytes(bts)
 			if err != nil {
-				err = msgp.WrapError(err, "StableForUs")
+				err = msgp.WrapError(err, "Holder")
 				return
 			}
-		case "x":
-			z.CutOff, bts, err = msgp.ReadBoolBytes(bts)
+		case "n":
+			z.Name, bts, err = msgp.ReadStringBytes(bts)
 			if err != nil {
-				err = msgp.WrapError(err, "CutOff")
+				err = msgp.WrapError(err, "Name")
 				return
 			}
-		case "y":
-			z.FromRelay, bts, err = msgp.ReadBoolBytes(bts)
+		case "u":
+			z.OverdueUs, bts, err = msgp.ReadInt64Bytes(bts)
 			if err != nil {
-				err = msgp.WrapError(err, "FromRelay")
+				err = msgp.WrapError(err, "OverdueUs")
 				return
 			}
 		default:
@@ -2052,64 +1771,26 @@
 }
 
 // Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
-func (z *Feed) Msgsize() (s int) {
-	s = 1 + 2 + msgp.ArrayHeaderSize
-	for za0001 := range z.TargetAges {
-		s += 1 + 2 + msgp.Int64Size + 2 + msgp.StringPrefixSize + len(z.TargetAges[za0001].Model) + 2 + msgp.Int64Size
-	}
-	s += 2 + msgp.ArrayHeaderSize
-	for za0002 := range z.Coming {
-		s += z.Coming[za0002].Msgsize()
-	}
-	s += 2 + msgp.ArrayHeaderSize
-	for za0003 := range z.Kept {
-		s += z.Kept[za0003].Msgsize()
-	}
-	s += 2 + msgp.ArrayHeaderSize
-	for za0004 := range z.Loads {
-		s += z.Loads[za0004].Msgsize()
-	}
-	s += 2 + msgp.ArrayHeaderSize + (len(z.Versions) * (msgp.Int64Size)) + 2 + msgp.ArrayHeaderSize
-	for za0006 := range z.Configuration {
-		s += z.Configuration[za0006].Msgsize()
-	}
-	s += 2 + msgp.ArrayHeaderSize
-	for za0007 := range z.Reports {
-		s += z.Reports[za0007].Msgsize()
-	}
-	s += 2 + msgp.ArrayHeaderSize
-	for za0008 := range z.Parts {
-		s += 1 + 2 + msgp.BytesPrefixSize + len(z.Parts[za0008].Body) + 2 + msgp.Int64Size + 2 + msgp.IntSize
-	}
-	s += 2 + msgp.ArrayHeaderSize
-	for za0009 := range z.Registry {
-		s += z.Registry[za0009].Msgsize()
-	}
-	s += 2 + msgp.Int64Size + 2 + msgp.BoolSize + 2 + msgp.BoolSize
+func (z *DutyCondition) Msgsize() (s int) {
+	s = 1 + 2 + msgp.BoolSize + 2 + msgp.Int64Size + 2 + msgp.Int64Size + 2 + msgp.StringPrefixSize + len(z.Holder) + 2 + msgp.StringPrefixSize + len(z.Name) + 2 + msgp.Int64Size
 	return
 }
 
 // MarshalMsg implements msgp.Marshaler
-func (z *Frame) MarshalMsg(b []byte) (o []byte, err error) {
+func (z *Entry) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
-	// map header, size 4
-	// string "a"
-	o = append(o, 0x84, 0xa1, 0x61)
-	o = msgp.AppendBool(o, z.Reply)
+	// map header, size 2
 	// string "b"
-	o = append(o, 0xa1, 0x62)
+	o = append(o, 0x82, 0xa1, 0x62)
 	o = msgp.AppendBytes(o, z.Body)
 	// string "k"
 	o = append(o, 0xa1, 0x6b)
-	o = msgp.AppendInt(o, z.Kind)
-	// string "q"
-	o = append(o, 0xa1, 0x71)
-	o = msgp.AppendInt64(o, z.Seq)
+	o = msgp.AppendString(o, z.Key)
 	return
 }
 
 // UnmarshalMsg implements msgp.Unmarshaler
-func (z *Frame) UnmarshalMsg(bts []byte) (o []byte, err error) {
+func (z *Entry) UnmarshalMsg(bts []byte) (o []byte, err error) {
 	var field []byte
 	_ = field
 	var zb0001 uint32
@@ -2126,12 +1807,6 @@
 			return
 		}
 		switch msgp.UnsafeString(field) {
-		case "a":
-			z.Reply, bts, err = msgp.ReadBoolBytes(bts)
-			if err != nil {
-				err = msgp.WrapError(err, "Reply")
-				return
-			}
 		case "b":
 			z.Body, bts, err = msgp.ReadBytesBytes(bts, z.Body)
 			if err != nil {
@@ -2139,15 +1814,9 @@
 				return
 			}
 		case "k":
-			z.Kind, bts, err = msgp.ReadIntBytes(bts)
-			if err != nil {
-				err = msgp.WrapError(err, "Kind")
-				return
-			}
-		case "q":
-			z.Seq, bts, err = msgp.ReadInt64Bytes(bts)
+			z.Key, bts, err = msgp.ReadStringBytes(bts)
 			if err != nil {
-				err = msgp.WrapError(err, "Seq")
+				err = msgp.WrapError(err, "Key")
 				return
 			}
 		default:
@@ -2163,101 +1832,47 @@
 }
 
 // Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
-func (z *Frame) Msgsize() (s int) {
-	s = 1 + 2 + msgp.BoolSize + 2 + msgp.BytesPrefixSize + len(z.Body) + 2 + msgp.IntSize + 2 + msgp.Int64Size
+func (z *Entry) Msgsize() (s int) {
+	s = 1 + 2 + msgp.BytesPrefixSize + len(z.Body) + 2 + msgp.StringPrefixSize + len(z.Key)
 	return
 }
 
 // MarshalMsg implements msgp.Marshaler
-func (z *Hold) MarshalMsg(b []byte) (o []byte, err error) {
+func (z *EntryChange) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
-	// map header, size 9
-	// string "a"
-	o = append(o, 0x89, 0xa1, 0x61)
-	o = msgp.AppendBool(o, z.Anything)
+	// map header, size 6
 	// string "d"
-	o = append(o, 0xa1, 0x64)
-	o = msgp.AppendBool(o, z.Controller)
-	// string "k"
-	o = append(o, 0xa1, 0x6b)
-	o = msgp.AppendArrayHeader(o, uint32(len(z.Kept)))
-	for za0001 := range z.Kept {
-		// map header, size 3
-		// string "e"
-		o = append(o, 0x83, 0xa1, 0x65)
-		o = msgp.AppendInt64(o, z.Kept[za0001].Epoch)
-		// string "i"
-		o = append(o, 0xa1, 0x69)
-		o = msgp.AppendString(o, z.Kept[za0001].ID)
-		// string "t"
-		o = append(o, 0xa1, 0x74)
-		o = msgp.AppendInt64(o, z.Kept[za0001].Version)
-	}
-	// string "l"
-	o = append(o, 0xa1, 0x6c)
-	// map header, size 3
-	// string "e"
-	o = append(o, 0x83, 0xa1, 0x65)
-	o = msgp.AppendInt64(o, z.Loads.Epoch)
-	// string "i"
-	o = append(o, 0xa1, 0x69)
-	o = msgp.AppendString(o, z.Loads.ID)
-	// string "t"
-	o = append(o, 0xa1, 0x74)
-	o = msgp.AppendInt64(o, z.Loads.Version)
-	// string "n"
-	o = append(o, 0xa1, 0x6e)
-	// map header, size 3
+	o = append(o, 0x86, 0xa1, 0x64)
+	o = msgp.AppendUint64(o, z.Digest)
 	// string "e"
-	o = append(o, 0x83, 0xa1, 0x65)
-	o = msgp.AppendInt64(o, z.Configuration.Epoch)
-	// string "i"
-	o = append(o, 0xa1, 0x69)
-	o = msgp.AppendString(o, z.Configuration.ID)
-	// string "t"
-	o = append(o, 0xa1, 0x74)
-	o = msgp.AppendInt64(o, z.Configuration.Version)
-	// string "o"
-	o = append(o, 0xa1, 0x6f)
-	o = msgp.AppendBool(o, z.ConfigOnly)
-	// string "p"
-	o = append(o, 0xa1, 0x70)
-	o = msgp.AppendArrayHeader(o, uint32(len(z.Parts)))
-	for za0002 := range z.Parts {
-		o = msgp.AppendInt64(o, z.Parts[za0002])
+	o = append(o, 0xa1, 0x65)
+	o = msgp.AppendInt64(o, z.Epoch)
+	// string "f"
+	o = append(o, 0xa1, 0x66)
+	o = msgp.AppendInt64(o, z.From)
+	// string "p"
+	o = append(o, 0xa1, 0x70)
+	o = msgp.AppendArrayHeader(o, uint32(len(z.Entries)))
+	for za0001 := range z.Entries {
+		// map header, size 2
+		// string "b"
+		o = append(o, 0x82, 0xa1, 0x62)
+		o = msgp.AppendBytes(o, z.Entries[za0001].Body)
+		// string "k"
+		o = append(o, 0xa1, 0x6b)
+		o = msgp.AppendString(o, z.Entries[za0001].Key)
 	}
-	// string "r"
-	o = append(o, 0xa1, 0x72)
-	// map header, size 3
-	// string "e"
-	o = append(o, 0x83, 0xa1, 0x65)
-	o = msgp.AppendInt64(o, z.Registry.Epoch)
-	// string "i"
-	o = append(o, 0xa1, 0x69)
-	o = msgp.AppendString(o, z.Registry.ID)
 	// string "t"
 	o = append(o, 0xa1, 0x74)
-	o = msgp.AppendInt64(o, z.Registry.Version)
-	// string "t"
-	o = append(o, 0xa1, 0x74)
-	o = msgp.AppendArrayHeader(o, uint32(len(z.TargetAges)))
-	for za0003 := range z.TargetAges {
-		// map header, size 3
-		// string "a"
-		o = append(o, 0x83, 0xa1, 0x61)
-		o = msgp.AppendInt64(o, z.TargetAges[za0003].AgeUs)
-		// string "m"
-		o = append(o, 0xa1, 0x6d)
-		o = msgp.AppendString(o, z.TargetAges[za0003].Model)
-		// string "v"
-		o = append(o, 0xa1, 0x76)
-		o = msgp.AppendInt64(o, z.TargetAges[za0003].Version)
-	}
+	o = msgp.AppendInt64(o, z.To)
+	// string "w"
+	o = append(o, 0xa1, 0x77)
+	o = msgp.AppendBool(o, z.Snapshot)
 	return
 }
 
 // UnmarshalMsg implements msgp.Unmarshaler
-func (z *Hold) UnmarshalMsg(bts []byte) (o []byte, err error) {
+func (z *EntryChange) UnmarshalMsg(bts []byte) (o []byte, err error) {
 	var field []byte
 	_ = field
 	var zb0001 uint32
@@ -2274,274 +1889,84 @@
 			return
 		}
 		switch msgp.UnsafeString(field) {
-		case "a":
-			z.Anything, bts, err = msgp.ReadBoolBytes(bts)
-			if err != nil {
-				err = msgp.WrapError(err, "Anything")
-				return
-			}
 		case "d":
-			z.Controller, bts, err = msgp.ReadBoolBytes(bts)
-			if err != nil {
-				err = msgp.WrapError(err, "Controller")
-				return
-			}
-		case "k":
-			var zb0002 uint32
-			zb0002, bts, err = msgp.ReadArrayHeaderBytes(bts)
-			if err != nil {
-				err = msgp.WrapError(err, "Kept")
-				return
-			}
-			if cap(z.Kept) >= int(zb0002) {
-				z.Kept = (z.Kept)[:zb0002]
-			} else {
-				z.Kept = make([]StreamHold, zb0002)
-			}
-			for za0001 := range z.Kept {
-				var zb0003 uint32
-				zb0003, bts, err = msgp.ReadMapHeaderBytes(bts)
-				if err != nil {
-					err = msgp.WrapError(err, "Kept", za0001)
-					return
-				}
-				for zb0003 > 0 {
-					zb0003--
-					field, bts, err = msgp.ReadMapKeyZC(bts)
-					if err != nil {
-						err = msgp.WrapError(err, "Kept", za0001)
-						return
-					}
-					switch msgp.UnsafeString(field) {
-					case "e":
-						z.Kept[za0001].Epoch, bts, err = msgp.ReadInt64Bytes(bts)
-						if err != nil {
-							err = msgp.WrapError(err, "Kept", za0001, "Epoch")
-							return
-						}
-					case "i":
-						z.Kept[za0001].ID, bts, err = msgp.ReadStringBytes(bts)
-						if err != nil {
-							err = msgp.WrapError(err, "Kept", za0001, "ID")
-							return
-						}
-					case "t":
-						z.Kept[za0001].Version, bts, err = msgp.ReadInt64Bytes(bts)
-						if err != nil {
-							err = msgp.WrapError(err, "Kept", za0001, "Version")
-							return
-						}
-					default:
-						bts, err = msgp.Skip(bts)
-						if err != nil {
-							err = msgp.WrapError(err, "Kept", za0001)
-							return
-						}
-					}
-				}
-			}
-		case "l":
-			var zb0004 uint32
-			zb0004, bts, err = msgp.ReadMapHeaderBytes(bts)
+			z.Digest, bts, err = msgp.ReadUint64Bytes(bts)
 			if err != nil {
-				err = msgp.WrapError(err, "Loads")
+				err = msgp.WrapError(err, "Digest")
 				return
 			}
-			for zb0004 > 0 {
-				zb0004--
-				field, bts, err = msgp.ReadMapKeyZC(bts)
-				if err != nil {
-					err = msgp.WrapError(err, "Loads")
-					return
-				}
-				switch msgp.UnsafeString(field) {
-				case "e":
-					z.Loads.Epoch, bts, err = msgp.ReadInt64Bytes(bts)
-					if err != nil {
-						err = msgp.WrapError(err, "Loads", "Epoch")
-						return
-					}
-				case "i":
-					z.Loads.ID, bts, err = msgp.ReadStringBytes(bts)
-					if err != nil {
-						err = msgp.WrapError(err, "Loads", "ID")
-						return
-					}
-				case "t":
-					z.Loads.Version, bts, err = msgp.ReadInt64Bytes(bts)
-					if err != nil {
-						err = msgp.WrapError(err, "Loads", "Version")
-						return
-					}
-				default:
-					bts, err = msgp.Skip(bts)
-					if err != nil {
-						err = msgp.WrapError(err, "Loads")
-						return
-					}
-				}
-			}
-		case "n":
-			var zb0005 uint32
-			zb0005, bts, err = msgp.ReadMapHeaderBytes(bts)
+		case "e":
+			z.Epoch, bts, err = msgp.ReadInt64Bytes(bts)
 			if err != nil {
-				err = msgp.WrapError(err, "Configuration")
+				err = msgp.WrapError(err, "Epoch")
 				return
 			}
-			for zb0005 > 0 {
-				zb0005--
-				field, bts, err = msgp.ReadMapKeyZC(bts)
-				if err != nil {
-					err = msgp.WrapError(err, "Configuration")
-					return
-				}
-				switch msgp.UnsafeString(field) {
-				case "e":
-					z.Configuration.Epoch, bts, err = msgp.ReadInt64Bytes(bts)
-					if err != nil {
-						err = msgp.WrapError(err, "Configuration", "Epoch")
-						return
-					}
-				case "i":
-					z.Configuration.ID, bts, err = msgp.ReadStringBytes(bts)
-					if err != nil {
-						err = msgp.WrapError(err, "Configuration", "ID")
-						return
-					}
-				case "t":
-					z.Configuration.Version, bts, err = msgp.ReadInt64Bytes(bts)
-					if err != nil {
-						err = msgp.WrapError(err, "Configuration", "Version")
-						return
-					}
-				default:
-					bts, err = msgp.Skip(bts)
-					if err != nil {
-						err = msgp.WrapError(err, "Configuration")
-						return
-					}
-				}
-			}
-		case "o":
-			z.ConfigOnly, bts, err = msgp.ReadBoolBytes(bts)
+		case "f":
+			z.From, bts, err = msgp.ReadInt64Bytes(bts)
 			if err != nil {
-				err = msgp.WrapError(err, "ConfigOnly")
+				err = msgp.WrapError(err, "From")
 				return
 			}
 		case "p":
-			var zb0006 uint32
-			zb0006, bts, err = msgp.ReadArrayHeaderBytes(bts)
-			if err != nil {
-				err = msgp.WrapError(err, "Parts")
-				return
-			}
-			if cap(z.Parts) >= int(zb0006) {
-				z.Parts = (z.Parts)[:zb0006]
-			} else {
-				z.Parts = make([]int64, zb0006)
-			}
-			for za0002 := range z.Parts {
-				z.Parts[za0002], bts, err = msgp.ReadInt64Bytes(bts)
-				if err != nil {
-					err = msgp.WrapError(err, "Parts", za0002)
-					return
-				}
-			}
-		case "r":
-			var zb0007 uint32
-			zb0007, bts, err = msgp.ReadMapHeaderBytes(bts)
-			if err != nil {
-				err = msgp.WrapError(err, "Registry")
-				return
-			}
-			for zb0007 > 0 {
-				zb0007--
-				field, bts, err = msgp.ReadMapKeyZC(bts)
-				if err != nil {
-					err = msgp.WrapError(err, "Registry")
-					return
-				}
-				switch msgp.UnsafeString(field) {
-				case "e":
-					z.Registry.Epoch, bts, err = msgp.ReadInt64Bytes(bts)
-					if err != nil {
-						err = msgp.WrapError(err, "Registry", "Epoch")
-						return
-					}
-				case "i":
-					z.Registry.ID, bts, err = msgp.ReadStringBytes(bts)
-					if err != nil {
-						err = msgp.WrapError(err, "Registry", "ID")
-						return
-					}
-				case "t":
-					z.Registry.Version, bts, err = msgp.ReadInt64Bytes(bts)
-					if err != nil {
-						err = msgp.WrapError(err, "Registry", "Version")
-						return
-					}
-				default:
-					bts, err = msgp.Skip(bts)
-					if err != nil {
-						err = msgp.WrapError(err, "Registry")
-						return
-					}
-				}
-			}
-		case "t":
-			var zb0008 uint32
-			zb0008, bts, err = msgp.ReadArrayHeaderBytes(bts)
+			var zb0002 uint32
+			zb0002, bts, err = msgp.ReadArrayHeaderBytes(bts)
 			if err != nil {
-				err = msgp.WrapError(err, "TargetAges")
+				err = msgp.WrapError(err, "Entries")
 				return
 			}
-			if cap(z.TargetAges) >= int(zb0008) {
-				z.TargetAges = (z.TargetAges)[:zb0008]
+			if cap(z.Entries) >= int(zb0002) {
+				z.Entries = (z.Entries)[:zb0002]
 			} else {
-				z.TargetAges = make([]TargetAge, zb0008)
+				z.Entries = make([]Entry, zb0002)
 			}
-			for za0003 := range z.TargetAges {
-				var zb0009 uint32
-				zb0009, bts, err = msgp.ReadMapHeaderBytes(bts)
+			for za0001 := range z.Entries {
+				var zb0003 uint32
+				zb0003, bts, err = msgp.ReadMapHeaderBytes(bts)
 				if err != nil {
-					err = msgp.WrapError(err, "TargetAges", za0003)
+					err = msgp.WrapError(err, "Entries", za0001)
 					return
 				}
-				for zb0009 > 0 {
-					zb0009--
+				for zb0003 > 0 {
+					zb0003--
 					field, bts, err = msgp.ReadMapKeyZC(bts)
 					if err != nil {
-						err = msgp.WrapError(err, "TargetAges", za0003)
+						err = msgp.WrapError(err, "Entries", za0001)
 						return
 					}
 					switch msgp.UnsafeString(field) {
-					case "a":
-						z.TargetAges[za0003].AgeUs, bts, err = msgp.ReadInt64Bytes(bts)
-						if err != nil {
-							err = msgp.WrapError(err, "TargetAges", za0003, "AgeUs")
-							return
-						}
-					case "m":
-						z.TargetAges[za0003].Model, bts, err = msgp.ReadStringBytes(bts)
+					case "b":
+						z.Entries[za0001].Body, bts, err = msgp.ReadBytesBytes(bts, z.Entries[za0001].Body)
 						if err != nil {
-							err = msgp.WrapError(err, "TargetAges", za0003, "Model")
+							err = msgp.WrapError(err, "Entries", za0001, "Body")
 							return
 						}
-					case "v":
-						z.TargetAges[za0003].Version, bts, err = msgp.ReadInt64Bytes(bts)
+					case "k":
+						z.Entries[za0001].Key, bts, err = msgp.ReadStringBytes(bts)
 						if err != nil {
-							err = msgp.WrapError(err, "TargetAges", za0003, "Version")
+							err = msgp.WrapError(err, "Entries", za0001, "Key")
 							return
 						}
 					default:
 						bts, err = msgp.Skip(bts)
 						if err != nil {
-							err = msgp.WrapError(err, "TargetAges", za0003)
+							err = msgp.WrapError(err, "Entries", za0001)
 							return
 						}
 					}
 				}
 			}
+		case "t":
+			z.To, bts, err = msgp.ReadInt64Bytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "To")
+				return
+			}
+		case "w":
+			z.Snapshot, bts, err = msgp.ReadBoolBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Snapshot")
+				return
+			}
 		default:
 			bts, err = msgp.Skip(bts)
 			if err != nil {
@@ -2555,57 +1980,33 @@
 }
 
 // Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
-func (z *Hold) Msgsize() (s int) {
-	s = 1 + 2 + msgp.BoolSize + 2 + msgp.BoolSize + 2 + msgp.ArrayHeaderSize
-	for za0001 := range z.Kept {
-		s += 1 + 2 + msgp.Int64Size + 2 + msgp.StringPrefixSize + len(z.Kept[za0001].ID) + 2 + msgp.Int64Size
-	}
-	s += 2 + 1 + 2 + msgp.Int64Size + 2 + msgp.StringPrefixSize + len(z.Loads.ID) + 2 + msgp.Int64Size + 2 + 1 + 2 + msgp.Int64Size + 2 + msgp.StringPrefixSize + len(z.Configuration.ID) + 2 + msgp.Int64Size + 2 + msgp.BoolSize + 2 + msgp.ArrayHeaderSize + (len(z.Parts) * (msgp.Int64Size)) + 2 + 1 + 2 + msgp.Int64Size + 2 + msgp.StringPrefixSize + len(z.Registry.ID) + 2 + msgp.Int64Size + 2 + msgp.ArrayHeaderSize
-	for za0003 := range z.TargetAges {
-		s += 1 + 2 + msgp.Int64Size + 2 + msgp.StringPrefixSize + len(z.TargetAges[za0003].Model) + 2 + msgp.Int64Size
+func (z *EntryChange) Msgsize() (s int) {
+	s = 1 + 2 + msgp.Uint64Size + 2 + msgp.Int64Size + 2 + msgp.Int64Size + 2 + msgp.ArrayHeaderSize
+	for za0001 := range z.Entries {
+		s += 1 + 2 + msgp.BytesPrefixSize + len(z.Entries[za0001].Body) + 2 + msgp.StringPrefixSize + len(z.Entries[za0001].Key)
 	}
+	s += 2 + msgp.Int64Size + 2 + msgp.BoolSize
 	return
 }
 
 // MarshalMsg implements msgp.Marshaler
-func (z *KeptChange) MarshalMsg(b []byte) (o []byte, err error) {
+func (z Evacuation) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
-	// map header, size 7
-	// string "d"
-	o = append(o, 0x87, 0xa1, 0x64)
-	o = msgp.AppendUint64(o, z.Digest)
+	// map header, size 3
 	// string "e"
-	o = append(o, 0xa1, 0x65)
-	o = msgp.AppendInt64(o, z.Epoch)
-	// string "f"
-	o = append(o, 0xa1, 0x66)
-	o = msgp.AppendInt64(o, z.From)
-	// string "i"
-	o = append(o, 0xa1, 0x69)
-	o = msgp.AppendString(o, z.ID)
-	// string "p"
-	o = append(o, 0xa1, 0x70)
-	o = msgp.AppendArrayHeader(o, uint32(len(z.Parts)))
-	for za0001 := range z.Parts {
-		// map header, size 2
-		// string "k"
-		o = append(o, 0x82, 0xa1, 0x6b)
-		o = msgp.AppendUint64(o, z.Parts[za0001].Key)
-		// string "t"
-		o = append(o, 0xa1, 0x74)
-		o = msgp.AppendInt32(o, z.Parts[za0001].Tokens)
-	}
-	// string "t"
-	o = append(o, 0xa1, 0x74)
-	o = msgp.AppendInt64(o, z.To)
-	// string "w"
-	o = append(o, 0xa1, 0x77)
-	o = msgp.AppendBool(o, z.Snapshot)
+	o = append(o, 0x83, 0xa1, 0x65)
+	o = msgp.AppendBool(o, z.Evacuated)
+	// string "n"
+	o = append(o, 0xa1, 0x6e)
+	o = msgp.AppendInt64(o, z.Changes)
+	// string "z"
+	o = append(o, 0xa1, 0x7a)
+	o = msgp.AppendString(o, z.Zone)
 	return
 }
 
 // UnmarshalMsg implements msgp.Unmarshaler
-func (z *KeptChange) UnmarshalMsg(bts []byte) (o []byte, err error) {
+func (z *Evacuation) UnmarshalMsg(bts []byte) (o []byte, err error) {
 	var field []byte
 	_ = field
 	var zb0001 uint32
@@ -2622,209 +2023,429 @@
 			return
 		}
 		switch msgp.UnsafeString(field) {
-		case "d":
-			z.Digest, bts, err = msgp.ReadUint64Bytes(bts)
+		case "e":
+			z.Evacuated, bts, err = msgp.ReadBoolBytes(bts)
 			if err != nil {
-				err = msgp.WrapError(err, "Digest")
+				err = msgp.WrapError(err, "Evacuated")
 				return
 			}
-		case "e":
-			z.Epoch, bts, err = msgp.ReadInt64Bytes(bts)
+		case "n":
+			z.Changes, bts, err = msgp.ReadInt64Bytes(bts)
 			if err != nil {
-				err = msgp.WrapError(err, "Epoch")
+				err = msgp.WrapError(err, "Changes")
 				return
 			}
-		case "f":
-			z.From, bts, err = msgp.ReadInt64Bytes(bts)
+		case "z":
+			z.Zone, bts, err = msgp.ReadStringBytes(bts)
 			if err != nil {
-				err = msgp.WrapError(err, "From")
+				err = msgp.WrapError(err, "Zone")
 				return
 			}
-		case "i":
-			z.ID, bts, err = msgp.ReadStringBytes(bts)
+		default:
+			bts, err = msgp.Skip(bts)
 			if err != nil {
-				err = msgp.WrapError(err, "ID")
+				err = msgp.WrapError(err)
 				return
 			}
-		case "p":
+		}
+	}
+	o = bts
+	return
+}
+
+// Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
+func (z Evacuation) Msgsize() (s int) {
+	s = 1 + 2 + msgp.BoolSize + 2 + msgp.Int64Size + 2 + msgp.StringPrefixSize + len(z.Zone)
+	return
+}
+
+// MarshalMsg implements msgp.Marshaler
+func (z *Feed) MarshalMsg(b []byte) (o []byte, err error) {
+	o = msgp.Require(b, z.Msgsize())
+	// map header, size 12
+	// string "a"
+	o = append(o, 0x8c, 0xa1, 0x61)
+	o = msgp.AppendArrayHeader(o, uint32(len(z.TargetAges)))
+	for za0001 := range z.TargetAges {
+		// map header, size 3
+		// string "a"
+		o = append(o, 0x83, 0xa1, 0x61)
+		o = msgp.AppendInt64(o, z.TargetAges[za0001].AgeUs)
+		// string "m"
+		o = append(o, 0xa1, 0x6d)
+		o = msgp.AppendString(o, z.TargetAges[za0001].Model)
+		// string "v"
+		o = append(o, 0xa1, 0x76)
+		o = msgp.AppendInt64(o, z.TargetAges[za0001].Version)
+	}
+	// string "c"
+	o = append(o, 0xa1, 0x63)
+	o = msgp.AppendArrayHeader(o, uint32(len(z.Coming)))
+	for za0002 := range z.Coming {
+		o, err = z.Coming[za0002].MarshalMsg(o)
+		if err != nil {
+			err = msgp.WrapError(err, "Coming", za0002)
+			return
+		}
+	}
+	// string "k"
+	o = append(o, 0xa1, 0x6b)
+	o = msgp.AppendArrayHeader(o, uint32(len(z.Kept)))
+	for za0003 := range z.Kept {
+		o, err = z.Kept[za0003].MarshalMsg(o)
+		if err != nil {
+			err = msgp.WrapError(err, "Kept", za0003)
+			return
+		}
+	}
+	// string "l"
+	o = append(o, 0xa1, 0x6c)
+	o = msgp.AppendArrayHeader(o, uint32(len(z.Loads)))
+	for za0004 := range z.Loads {
+		o, err = z.Loads[za0004].MarshalMsg(o)
+		if err != nil {
+			err = msgp.WrapError(err, "Loads", za0004)
+			return
+		}
+	}
+	// string "m"
+	o = append(o, 0xa1, 0x6d)
+	o = msgp.AppendArrayHeader(o, uint32(len(z.Versions)))
+	for za0005 := range z.Versions {
+		o = msgp.AppendInt64(o, z.Versions[za0005])
+	}
+	// string "n"
+	o = append(o, 0xa1, 0x6e)
+	o = msgp.AppendArrayHeader(o, uint32(len(z.Configuration)))
+	for za0006 := range z.Configuration {
+		o, err = z.Configuration[za0006].MarshalMsg(o)
+		if err != nil {
+			err = msgp.WrapError(err, "Configuration", za0006)
+			return
+		}
+	}
+	// string "o"
+	o = append(o, 0xa1, 0x6f)
+	o = msgp.AppendArrayHeader(o, uint32(len(z.Reports)))
+	for za0007 := range z.Reports {
+		o, err = z.Reports[za0007].MarshalMsg(o)
+		if err != nil {
+			err = msgp.WrapError(err, "Reports", za0007)
+			return
+		}
+	}
+	// string "p"
+	o = append(o, 0xa1, 0x70)
+	o = msgp.AppendArrayHeader(o, uint32(len(z.Parts)))
+	for za0008 := range z.Parts {
+		// map header, size 3
+		// string "b"
+		o = append(o, 0x83, 0xa1, 0x62)
+		o = msgp.AppendBytes(o, z.Parts[za0008].Body)
+		// string "m"
+		o = append(o, 0xa1, 0x6d)
+		o = msgp.AppendInt64(o, z.Parts[za0008].Version)
+		// string "p"
+		o = append(o, 0xa1, 0x70)
+		o = msgp.AppendInt(o, z.Parts[za0008].Part)
+	}
+	// string "r"
+	o = append(o, 0xa1, 0x72)
+	o = msgp.AppendArrayHeader(o, uint32(len(z.Registry)))
+	for za0009 := range z.Registry {
+		o, err = z.Registry[za0009].MarshalMsg(o)
+		if err != nil {
+			err = msgp.WrapError(err, "Registry", za0009)
+			return
+		}
+	}
+	// string "u"
+	o = append(o, 0xa1, 0x75)
+	o = msgp.AppendInt64(o, z.StableForUs)
+	// string "x"
+	o = append(o, 0xa1, 0x78)
+	o = msgp.AppendBool(o, z.CutOff)
+	// string "y"
+	o = append(o, 0xa1, 0x79)
+	o = msgp.AppendBool(o, z.FromRelay)
+	return
+}
+
+// UnmarshalMsg implements msgp.Unmarshaler
+func (z *Feed) UnmarshalMsg(bts []byte) (o []byte, err error) {
+	var field []byte
+	_ = field
+	var zb0001 uint32
+	zb0001, bts, err = msgp.ReadMapHeaderBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err)
+		return
+	}
+	for zb0001 > 0 {
+		zb0001--
+		field, bts, err = msgp.ReadMapKeyZC(bts)
+		if err != nil {
+			err = msgp.WrapError(err)
+			return
+		}
+		switch msgp.UnsafeString(field) {
+		case "a":
 			var zb0002 uint32
 			zb0002, bts, err = msgp.ReadArrayHeaderBytes(bts)
 			if err != nil {
-				err = msgp.WrapError(err, "Parts")
+				err = msgp.WrapError(err, "TargetAges")
 				return
 			}
-			if cap(z.Parts) >= int(zb0002) {
-				z.Parts = (z.Parts)[:zb0002]
+			if cap(z.TargetAges) >= int(zb0002) {
+				z.TargetAges = (z.TargetAges)[:zb0002]
 			} else {
-				z.Parts = make([]KeptPart, zb0002)
+				z.TargetAges = make([]TargetAge, zb0002)
 			}
-			for za0001 := range z.Parts {
+			for za0001 := range z.TargetAges {
 				var zb0003 uint32
 				zb0003, bts, err = msgp.ReadMapHeaderBytes(bts)
 				if err != nil {
-					err = msgp.WrapError(err, "Parts", za0001)
+					err = msgp.WrapError(err, "TargetAges", za0001)
 					return
 				}
 				for zb0003 > 0 {
 					zb0003--
 					field, bts, err = msgp.ReadMapKeyZC(bts)
 					if err != nil {
-						err = msgp.WrapError(err, "Parts", za0001)
+						err = msgp.WrapError(err, "TargetAges", za0001)
 						return
 					}
 					switch msgp.UnsafeString(field) {
-					case "k":
-						z.Parts[za0001].Key, bts, err = msgp.ReadUint64Bytes(bts)
+					case "a":
+						z.TargetAges[za0001].AgeUs, bts, err = msgp.ReadInt64Bytes(bts)
 						if err != nil {
-							err = msgp.WrapError(err, "Parts", za0001, "Key")
+							err = msgp.WrapError(err, "TargetAges", za0001, "AgeUs")
 							return
 						}
-					case "t":
-						z.Parts[za0001].Tokens, bts, err = msgp.ReadInt32Bytes(bts)
+					case "m":
+						z.TargetAges[za0001].Model, bts, err = msgp.ReadStringBytes(bts)
 						if err != nil {
-							err = msgp.WrapError(err, "Parts", za0001, "Tokens")
+							err = msgp.WrapError(err, "TargetAges", za0001, "Model")
+							return
+						}
+					case "v":
+						z.TargetAges[za0001].Version, bts, err = msgp.ReadInt64Bytes(bts)
+						if err != nil {
+							err = msgp.WrapError(err, "TargetAges", za0001, "Version")
 							return
 						}
 					default:
 						bts, err = msgp.Skip(bts)
 						if err != nil {
-							err = msgp.WrapError(err, "Parts", za0001)
+							err = msgp.WrapError(err, "TargetAges", za0001)
 							return
 						}
 					}
 				}
 			}
-		case "t":
-			z.To, bts, err = msgp.ReadInt64Bytes(bts)
+		case "c":
+			var zb0004 uint32
+			zb0004, bts, err = msgp.ReadArrayHeaderBytes(bts)
 			if err != nil {
-				err = msgp.WrapError(err, "To")
+				err = msgp.WrapError(err, "Coming")
 				return
 			}
-		case "w":
-			z.Snapshot, bts, err = msgp.ReadBoolBytes(bts)
+			if cap(z.Coming) >= int(zb0004) {
+				z.Coming = (z.Coming)[:zb0004]
+			} else {
+				z.Coming = make([]CachedPrefixes, zb0004)
+			}
+			for za0002 := range z.Coming {
+				bts, err = z.Coming[za0002].UnmarshalMsg(bts)
+				if err != nil {
+					err = msgp.WrapError(err, "Coming", za0002)
+					return
+				}
+			}
+		case "k":
+			var zb0005 uint32
+			zb0005, bts, err = msgp.ReadArrayHeaderBytes(bts)
 			if err != nil {
-				err = msgp.WrapError(err, "Snapshot")
+				err = msgp.WrapError(err, "Kept")
 				return
 			}
-		default:
-			bts, err = msgp.Skip(bts)
+			if cap(z.Kept) >= int(zb0005) {
+				z.Kept = (z.Kept)[:zb0005]
+			} else {
+				z.Kept = make([]CachedChange, zb0005)
+			}
+			for za0003 := range z.Kept {
+				bts, err = z.Kept[za0003].UnmarshalMsg(bts)
+				if err != nil {
+					err = msgp.WrapError(err, "Kept", za0003)
+					return
+				}
+			}
+		case "l":
+			var zb0006 uint32
+			zb0006, bts, err = msgp.ReadArrayHeaderBytes(bts)
 			if err != nil {
-				err = msgp.WrapError(err)
+				err = msgp.WrapError(err, "Loads")
 				return
 			}
-		}
-	}
-	o = bts
-	return
-}
-
-// Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
-func (z *KeptChange) Msgsize() (s int) {
-	s = 1 + 2 + msgp.Uint64Size + 2 + msgp.Int64Size + 2 + msgp.Int64Size + 2 + msgp.StringPrefixSize + len(z.ID) + 2 + msgp.ArrayHeaderSize + (len(z.Parts) * (5 + msgp.Uint64Size + msgp.Int32Size)) + 2 + msgp.Int64Size + 2 + msgp.BoolSize
-	return
-}
-
-// MarshalMsg implements msgp.Marshaler
-func (z *KeptNote) MarshalMsg(b []byte) (o []byte, err error) {
-	o = msgp.Require(b, z.Msgsize())
-	// map header, size 3
-	// string "i"
-	o = append(o, 0x83, 0xa1, 0x69)
-	o = msgp.AppendString(o, z.ID)
-	// string "p"
-	o = append(o, 0xa1, 0x70)
-	o = msgp.AppendArrayHeader(o, uint32(len(z.Parts)))
-	for za0001 := range z.Parts {
-		// map header, size 2
-		// string "k"
-		o = append(o, 0x82, 0xa1, 0x6b)
-		o = msgp.AppendUint64(o, z.Parts[za0001].Key)
-		// string "t"
-		o = append(o, 0xa1, 0x74)
-		o = msgp.AppendInt32(o, z.Parts[za0001].Tokens)
-	}
-	// string "r"
-	o = append(o, 0xa1, 0x72)
-	o = msgp.AppendBool(o, z.Reset)
-	return
-}
-
-// UnmarshalMsg implements msgp.Unmarshaler
-func (z *KeptNote) UnmarshalMsg(bts []byte) (o []byte, err error) {
-	var field []byte
-	_ = field
-	var zb0001 uint32
-	zb0001, bts, err = msgp.ReadMapHeaderBytes(bts)
-	if err != nil {
-		err = msgp.WrapError(err)
-		return
-	}
-	for zb0001 > 0 {
-		zb0001--
-		field, bts, err = msgp.ReadMapKeyZC(bts)
-		if err != nil {
-			err = msgp.WrapError(err)
-			return
-		}
-		switch msgp.UnsafeString(field) {
-		case "i":
-			z.ID, bts, err = msgp.ReadStringBytes(bts)
+			if cap(z.Loads) >= int(zb0006) {
+				z.Loads = (z.Loads)[:zb0006]
+			} else {
+				z.Loads = make([]LoadChange, zb0006)
+			}
+			for za0004 := range z.Loads {
+				bts, err = z.Loads[za0004].UnmarshalMsg(bts)
+				if err != nil {
+					err = msgp.WrapError(err, "Loads", za0004)
+					return
+				}
+			}
+		case "m":
+			var zb0007 uint32
+			zb0007, bts, err = msgp.ReadArrayHeaderBytes(bts)
 			if err != nil {
-				err = msgp.WrapError(err, "ID")
+				err = msgp.WrapError(err, "Versions")
+				return
+			}
+			if cap(z.Versions) >= int(zb0007) {
+				z.Versions = (z.Versions)[:zb0007]
+			} else {
+				z.Versions = make([]int64, zb0007)
+			}
+			for za0005 := range z.Versions {
+				z.Versions[za0005], bts, err = msgp.ReadInt64Bytes(bts)
+				if err != nil {
+					err = msgp.WrapError(err, "Versions", za0005)
+					return
+				}
+			}
+		case "n":
+			var zb0008 uint32
+			zb0008, bts, err = msgp.ReadArrayHeaderBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Configuration")
+				return
+			}
+			if cap(z.Configuration) >= int(zb0008) {
+				z.Configuration = (z.Configuration)[:zb0008]
+			} else {
+				z.Configuration = make([]EntryChange, zb0008)
+			}
+			for za0006 := range z.Configuration {
+				bts, err = z.Configuration[za0006].UnmarshalMsg(bts)
+				if err != nil {
+					err = msgp.WrapError(err, "Configuration", za0006)
+					return
+				}
+			}
+		case "o":
+			var zb0009 uint32
+			zb0009, bts, err = msgp.ReadArrayHeaderBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Reports")
 				return
 			}
+			if cap(z.Reports) >= int(zb0009) {
+				z.Reports = (z.Reports)[:zb0009]
+			} else {
+				z.Reports = make([]RunnerReport, zb0009)
+			}
+			for za0007 := range z.Reports {
+				bts, err = z.Reports[za0007].UnmarshalMsg(bts)
+				if err != nil {
+					err = msgp.WrapError(err, "Reports", za0007)
+					return
+				}
+			}
 		case "p":
-			var zb0002 uint32
-			zb0002, bts, err = msgp.ReadArrayHeaderBytes(bts)
+			var zb0010 uint32
+			zb0010, bts, err = msgp.ReadArrayHeaderBytes(bts)
 			if err != nil {
 				err = msgp.WrapError(err, "Parts")
 				return
 			}
-			if cap(z.Parts) >= int(zb0002) {
-				z.Parts = (z.Parts)[:zb0002]
+			if cap(z.Parts) >= int(zb0010) {
+				z.Parts = (z.Parts)[:zb0010]
 			} else {
-				z.Parts = make([]KeptPart, zb0002)
+				z.Parts = make([]RegisterUpdate, zb0010)
 			}
-			for za0001 := range z.Parts {
-				var zb0003 uint32
-				zb0003, bts, err = msgp.ReadMapHeaderBytes(bts)
+			for za0008 := range z.Parts {
+				var zb0011 uint32
+				zb0011, bts, err = msgp.ReadMapHeaderBytes(bts)
 				if err != nil {
-					err = msgp.WrapError(err, "Parts", za0001)
+					err = msgp.WrapError(err, "Parts", za0008)
 					return
 				}
-				for zb0003 > 0 {
-					zb0003--
+				for zb0011 > 0 {
+					zb0011--
 					field, bts, err = msgp.ReadMapKeyZC(bts)
 					if err != nil {
-						err = msgp.WrapError(err, "Parts", za0001)
+						err = msgp.WrapError(err, "Parts", za0008)
 						return
 					}
 					switch msgp.UnsafeString(field) {
-					case "k":
-						z.Parts[za0001].Key, bts, err = msgp.ReadUint64Bytes(bts)
+					case "b":
+						z.Parts[za0008].Body, bts, err = msgp.ReadBytesBytes(bts, z.Parts[za0008].Body)
 						if err != nil {
-							err = msgp.WrapError(err, "Parts", za0001, "Key")
+							err = msgp.WrapError(err, "Parts", za0008, "Body")
 							return
 						}
-					case "t":
-						z.Parts[za0001].Tokens, bts, err = msgp.ReadInt32Bytes(bts)
+					case "m":
+						z.Parts[za0008].Version, bts, err = msgp.ReadInt64Bytes(bts)
 						if err != nil {
-							err = msgp.WrapError(err, "Parts", za0001, "Tokens")
+							err = msgp.WrapError(err, "Parts", za0008, "Version")
+							return
+						}
+					case "p":
+						z.Parts[za0008].Part, bts, err = msgp.ReadIntBytes(bts)
+						if err != nil {
+							err = msgp.WrapError(err, "Parts", za0008, "Part")
 							return
 						}
 					default:
 						bts, err = msgp.Skip(bts)
 						if err != nil {
-							err = msgp.WrapError(err, "Parts", za0001)
+							err = msgp.WrapError(err, "Parts", za0008)
 							return
 						}
 					}
 				}
 			}
 		case "r":
-			z.Reset, bts, err = msgp.ReadBoolBytes(bts)
+			var zb0012 uint32
+			zb0012, bts, err = msgp.ReadArrayHeaderBytes(bts)
 			if err != nil {
-				err = msgp.WrapError(err, "Reset")
+				err = msgp.WrapError(err, "Registry")
+				return
+			}
+			if cap(z.Registry) >= int(zb0012) {
+				z.Registry = (z.Registry)[:zb0012]
+			} else {
+				z.Registry = make([]EntryChange, zb0012)
+			}
+			for za0009 := range z.Registry {
+				bts, err = z.Registry[za0009].UnmarshalMsg(bts)
+				if err != nil {
+					err = msgp.WrapError(err, "Registry", za0009)
+					return
+				}
+			}
+		case "u":
+			z.StableForUs, bts, err = msgp.ReadInt64Bytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "StableForUs")
+				return
+			}
+		case "x":
+			z.CutOff, bts, err = msgp.ReadBoolBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "CutOff")
+				return
+			}
+		case "y":
+			z.FromRelay, bts, err = msgp.ReadBoolBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "FromRelay")
 				return
 			}
 		default:
@@ -2840,26 +2461,64 @@
 }
 
 // Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
-func (z *KeptNote) Msgsize() (s int) {
-	s = 1 + 2 + msgp.StringPrefixSize + len(z.ID) + 2 + msgp.ArrayHeaderSize + (len(z.Parts) * (5 + msgp.Uint64Size + msgp.Int32Size)) + 2 + msgp.BoolSize
+func (z *Feed) Msgsize() (s int) {
+	s = 1 + 2 + msgp.ArrayHeaderSize
+	for za0001 := range z.TargetAges {
+		s += 1 + 2 + msgp.Int64Size + 2 + msgp.StringPrefixSize + len(z.TargetAges[za0001].Model) + 2 + msgp.Int64Size
+	}
+	s += 2 + msgp.ArrayHeaderSize
+	for za0002 := range z.Coming {
+		s += z.Coming[za0002].Msgsize()
+	}
+	s += 2 + msgp.ArrayHeaderSize
+	for za0003 := range z.Kept {
+		s += z.Kept[za0003].Msgsize()
+	}
+	s += 2 + msgp.ArrayHeaderSize
+	for za0004 := range z.Loads {
+		s += z.Loads[za0004].Msgsize()
+	}
+	s += 2 + msgp.ArrayHeaderSize + (len(z.Versions) * (msgp.Int64Size)) + 2 + msgp.ArrayHeaderSize
+	for za0006 := range z.Configuration {
+		s += z.Configuration[za0006].Msgsize()
+	}
+	s += 2 + msgp.ArrayHeaderSize
+	for za0007 := range z.Reports {
+		s += z.Reports[za0007].Msgsize()
+	}
+	s += 2 + msgp.ArrayHeaderSize
+	for za0008 := range z.Parts {
+		s += 1 + 2 + msgp.BytesPrefixSize + len(z.Parts[za0008].Body) + 2 + msgp.Int64Size + 2 + msgp.IntSize
+	}
+	s += 2 + msgp.ArrayHeaderSize
+	for za0009 := range z.Registry {
+		s += z.Registry[za0009].Msgsize()
+	}
+	s += 2 + msgp.Int64Size + 2 + msgp.BoolSize + 2 + msgp.BoolSize
 	return
 }
 
 // MarshalMsg implements msgp.Marshaler
-func (z KeptPart) MarshalMsg(b []byte) (o []byte, err error) {
+func (z *Frame) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
-	// map header, size 2
+	// map header, size 4
+	// string "a"
+	o = append(o, 0x84, 0xa1, 0x61)
+	o = msgp.AppendBool(o, z.Reply)
+	// string "b"
+	o = append(o, 0xa1, 0x62)
+	o = msgp.AppendBytes(o, z.Body)
 	// string "k"
-	o = append(o, 0x82, 0xa1, 0x6b)
-	o = msgp.AppendUint64(o, z.Key)
-	// string "t"
-	o = append(o, 0xa1, 0x74)
-	o = msgp.AppendInt32(o, z.Tokens)
+	o = append(o, 0xa1, 0x6b)
+	o = msgp.AppendInt(o, z.Kind)
+	// string "q"
+	o = append(o, 0xa1, 0x71)
+	o = msgp.AppendInt64(o, z.Seq)
 	return
 }
 
 // UnmarshalMsg implements msgp.Unmarshaler
-func (z *KeptPart) UnmarshalMsg(bts []byte) (o []byte, err error) {
+func (z *Frame) UnmarshalMsg(bts []byte) (o []byte, err error) {
 	var field []byte
 	_ = field
 	var zb0001 uint32
@@ -2876,16 +2535,28 @@
 			return
 		}
 		switch msgp.UnsafeString(field) {
+		case "a":
+			z.Reply, bts, err = msgp.ReadBoolBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Reply")
+				return
+			}
+		case "b":
+			z.Body, bts, err = msgp.ReadBytesBytes(bts, z.Body)
+			if err != nil {
+				err = msgp.WrapError(err, "Body")
+				return
+			}
 		case "k":
-			z.Key, bts, err = msgp.ReadUint64Bytes(bts)
+			z.Kind, bts, err = msgp.ReadIntBytes(bts)
 			if err != nil {
-				err = msgp.WrapError(err, "Key")
+				err = msgp.WrapError(err, "Kind")
 				return
 			}
-		case "t":
-			z.Tokens, bts, err = msgp.ReadInt32Bytes(bts)
+		case "q":
+			z.Seq, bts, err = msgp.ReadInt64Bytes(bts)
 			if err != nil {
-				err = msgp.WrapError(err, "Tokens")
+				err = msgp.WrapError(err, "Seq")
 				return
 			}
 		default:
@@ -2901,8 +2572,8 @@
 }
 
 // Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
-func (z KeptPart) Msgsize() (s int) {
-	s = 1 + 2 + msgp.Uint64Size + 2 + msgp.Int32Size
+func (z *Frame) Msgsize() (s int) {
+	s = 1 + 2 + msgp.BoolSize + 2 + msgp.BytesPrefixSize + len(z.Body) + 2 + msgp.IntSize + 2 + msgp.Int64Size
 	return
 }
 
@@ -3562,28 +3233,167 @@
 				err = msgp.WrapError(err, "Loads")
 				return
 			}
-			if cap(z.Loads) >= int(zb0002) {
-				z.Loads = (z.Loads)[:zb0002]
+			if cap(z.Loads) >= int(zb0002) {
+				z.Loads = (z.Loads)[:zb0002]
+			} else {
+				z.Loads = make([]RunnerLoad, zb0002)
+			}
+			for za0001 := range z.Loads {
+				bts, err = z.Loads[za0001].UnmarshalMsg(bts)
+				if err != nil {
+					err = msgp.WrapError(err, "Loads", za0001)
+					return
+				}
+			}
+		case "t":
+			z.To, bts, err = msgp.ReadInt64Bytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "To")
+				return
+			}
+		case "w":
+			z.Snapshot, bts, err = msgp.ReadBoolBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Snapshot")
+				return
+			}
+		default:
+			bts, err = msgp.Skip(bts)
+			if err != nil {
+				err = msgp.WrapError(err)
+				return
+			}
+		}
+	}
+	o = bts
+	return
+}
+
+// Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
+func (z *LoadChange) Msgsize() (s int) {
+	s = 1 + 2 + msgp.Uint64Size + 2 + msgp.Int64Size + 2 + msgp.Int64Size + 2 + msgp.ArrayHeaderSize
+	for za0001 := range z.Loads {
+		s += z.Loads[za0001].Msgsize()
+	}
+	s += 2 + msgp.Int64Size + 2 + msgp.BoolSize
+	return
+}
+
+// MarshalMsg implements msgp.Marshaler
+func (z *LoadReport) MarshalMsg(b []byte) (o []byte, err error) {
+	o = msgp.Require(b, z.Msgsize())
+	// map header, size 4
+	// string "a"
+	o = append(o, 0x84, 0xa1, 0x61)
+	o = msgp.AppendArrayHeader(o, uint32(len(z.Absent)))
+	for za0001 := range z.Absent {
+		o = msgp.AppendString(o, z.Absent[za0001])
+	}
+	// string "c"
+	o = append(o, 0xa1, 0x63)
+	o = msgp.AppendArrayHeader(o, uint32(len(z.Coming)))
+	for za0002 := range z.Coming {
+		o, err = z.Coming[za0002].MarshalMsg(o)
+		if err != nil {
+			err = msgp.WrapError(err, "Coming", za0002)
+			return
+		}
+	}
+	// string "l"
+	o = append(o, 0xa1, 0x6c)
+	o = msgp.AppendArrayHeader(o, uint32(len(z.Loads)))
+	for za0003 := range z.Loads {
+		o, err = z.Loads[za0003].MarshalMsg(o)
+		if err != nil {
+			err = msgp.WrapError(err, "Loads", za0003)
+			return
+		}
+	}
+	// string "s"
+	o = append(o, 0xa1, 0x73)
+	o = msgp.AppendInt64(o, z.Seq)
+	return
+}
+
+// UnmarshalMsg implements msgp.Unmarshaler
+func (z *LoadReport) UnmarshalMsg(bts []byte) (o []byte, err error) {
+	var field []byte
+	_ = field
+	var zb0001 uint32
+	zb0001, bts, err = msgp.ReadMapHeaderBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err)
+		return
+	}
+	for zb0001 > 0 {
+		zb0001--
+		field, bts, err = msgp.ReadMapKeyZC(bts)
+		if err != nil {
+			err = msgp.WrapError(err)
+			return
+		}
+		switch msgp.UnsafeString(field) {
+		case "a":
+			var zb0002 uint32
+			zb0002, bts, err = msgp.ReadArrayHeaderBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Absent")
+				return
+			}
+			if cap(z.Absent) >= int(zb0002) {
+				z.Absent = (z.Absent)[:zb0002]
+			} else {
+				z.Absent = make([]string, zb0002)
+			}
+			for za0001 := range z.Absent {
+				z.Absent[za0001], bts, err = msgp.ReadStringBytes(bts)
+				if err != nil {
+					err = msgp.WrapError(err, "Absent", za0001)
+					return
+				}
+			}
+		case "c":
+			var zb0003 uint32
+			zb0003, bts, err = msgp.ReadArrayHeaderBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Coming")
+				return
+			}
+			if cap(z.Coming) >= int(zb0003) {
+				z.Coming = (z.Coming)[:zb0003]
+			} else {
+				z.Coming = make([]CachedPrefixes, zb0003)
+			}
+			for za0002 := range z.Coming {
+				bts, err = z.Coming[za0002].UnmarshalMsg(bts)
+				if err != nil {
+					err = msgp.WrapError(err, "Coming", za0002)
+					return
+				}
+			}
+		case "l":
+			var zb0004 uint32
+			zb0004, bts, err = msgp.ReadArrayHeaderBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Loads")
+				return
+			}
+			if cap(z.Loads) >= int(zb0004) {
+				z.Loads = (z.Loads)[:zb0004]
 			} else {
-				z.Loads = make([]RunnerLoad, zb0002)
+				z.Loads = make([]LoadChange, zb0004)
 			}
-			for za0001 := range z.Loads {
-				bts, err = z.Loads[za0001].UnmarshalMsg(bts)
+			for za0003 := range z.Loads {
+				bts, err = z.Loads[za0003].UnmarshalMsg(bts)
 				if err != nil {
-					err = msgp.WrapError(err, "Loads", za0001)
+					err = msgp.WrapError(err, "Loads", za0003)
 					return
 				}
 			}
-		case "t":
-			z.To, bts, err = msgp.ReadInt64Bytes(bts)
-			if err != nil {
-				err = msgp.WrapError(err, "To")
-				return
-			}
-		case "w":
-			z.Snapshot, bts, err = msgp.ReadBoolBytes(bts)
+		case "s":
+			z.Seq, bts, err = msgp.ReadInt64Bytes(bts)
 			if err != nil {
-				err = msgp.WrapError(err, "Snapshot")
+				err = msgp.WrapError(err, "Seq")
 				return
 			}
 		default:
@@ -3599,12 +3409,20 @@
 }
 
 // Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
-func (z *LoadChange) Msgsize() (s int) {
-	s = 1 + 2 + msgp.Uint64Size + 2 + msgp.Int64Size + 2 + msgp.Int64Size + 2 + msgp.ArrayHeaderSize
-	for za0001 := range z.Loads {
-		s += z.Loads[za0001].Msgsize()
+func (z *LoadReport) Msgsize() (s int) {
+	s = 1 + 2 + msgp.ArrayHeaderSize
+	for za0001 := range z.Absent {
+		s += msgp.StringPrefixSize + len(z.Absent[za0001])
 	}
-	s += 2 + msgp.Int64Size + 2 + msgp.BoolSize
+	s += 2 + msgp.ArrayHeaderSize
+	for za0002 := range z.Coming {
+		s += z.Coming[za0002].Msgsize()
+	}
+	s += 2 + msgp.ArrayHeaderSize
+	for za0003 := range z.Loads {
+		s += z.Loads[za0003].Msgsize()
+	}
+	s += 2 + msgp.Int64Size
 	return
 }
 
@@ -3749,7 +3567,7 @@
 			if cap(z.Kept) >= int(zb0002) {
 				z.Kept = (z.Kept)[:zb0002]
 			} else {
-				z.Kept = make([]KeptNote, zb0002)
+				z.Kept = make([]CachedPrefixes, zb0002)
 			}
 			for za0001 := range z.Kept {
 				bts, err = z.Kept[za0001].UnmarshalMsg(bts)
@@ -3768,7 +3586,7 @@
 			if cap(z.Reports) >= int(zb0003) {
 				z.Reports = (z.Reports)[:zb0003]
 			} else {
-				z.Reports = make([]ReportNote, zb0003)
+				z.Reports = make([]RunnerReport, zb0003)
 			}
 			for za0002 := range z.Reports {
 				bts, err = z.Reports[za0002].UnmarshalMsg(bts)
@@ -3787,7 +3605,7 @@
 			if cap(z.Parts) >= int(zb0004) {
 				z.Parts = (z.Parts)[:zb0004]
 			} else {
-				z.Parts = make([]PartNote, zb0004)
+				z.Parts = make([]RegisterUpdate, zb0004)
 			}
 			for za0003 := range z.Parts {
 				var zb0005 uint32
@@ -3883,76 +3701,6 @@
 	return
 }
 
-// MarshalMsg implements msgp.Marshaler
-func (z *PartNote) MarshalMsg(b []byte) (o []byte, err error) {
-	o = msgp.Require(b, z.Msgsize())
-	// map header, size 3
-	// string "b"
-	o = append(o, 0x83, 0xa1, 0x62)
-	o = msgp.AppendBytes(o, z.Body)
-	// string "m"
-	o = append(o, 0xa1, 0x6d)
-	o = msgp.AppendInt64(o, z.Version)
-	// string "p"
-	o = append(o, 0xa1, 0x70)
-	o = msgp.AppendInt(o, z.Part)
-	return
-}
-
-// UnmarshalMsg implements msgp.Unmarshaler
-func (z *PartNote) UnmarshalMsg(bts []byte) (o []byte, err error) {
-	var field []byte
-	_ = field
-	var zb0001 uint32
-	zb0001, bts, err = msgp.ReadMapHeaderBytes(bts)
-	if err != nil {
-		err = msgp.WrapError(err)
-		return
-	}
-	for zb0001 > 0 {
-		zb0001--
-		field, bts, err = msgp.ReadMapKeyZC(bts)
-		if err != nil {
-			err = msgp.WrapError(err)
-			return
-		}
-		switch msgp.UnsafeString(field) {
-		case "b":
-			z.Body, bts, err = msgp.ReadBytesBytes(bts, z.Body)
-			if err != nil {
-				err = msgp.WrapError(err, "Body")
-				return
-			}
-		case "m":
-			z.Version, bts, err = msgp.ReadInt64Bytes(bts)
-			if err != nil {
-				err = msgp.WrapError(err, "Version")
-				return
-			}
-		case "p":
-			z.Part, bts, err = msgp.ReadIntBytes(bts)
-			if err != nil {
-				err = msgp.WrapError(err, "Part")
-				return
-			}
-		default:
-			bts, err = msgp.Skip(bts)
-			if err != nil {
-				err = msgp.WrapError(err)
-				return
-			}
-		}
-	}
-	o = bts
-	return
-}
-
-// Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
-func (z *PartNote) Msgsize() (s int) {
-	s = 1 + 2 + msgp.BytesPrefixSize + len(z.Body) + 2 + msgp.Int64Size + 2 + msgp.IntSize
-	return
-}
-
 // MarshalMsg implements msgp.Marshaler
 func (z *PartitionCondition) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
@@ -5476,29 +5224,23 @@
 }
 
 // MarshalMsg implements msgp.Marshaler
-func (z *ReportNote) MarshalMsg(b []byte) (o []byte, err error) {
+func (z *RegisterUpdate) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
-	// map header, size 5
-	// string "a"
-	o = append(o, 0x85, 0xa1, 0x61)
-	o = msgp.AppendInt(o, z.Active)
-	// string "i"
-	o = append(o, 0xa1, 0x69)
-	o = msgp.AppendString(o, z.ID)
-	// string "q"
-	o = append(o, 0xa1, 0x71)
-	o = msgp.AppendInt(o, z.Queued)
-	// string "t"
-	o = append(o, 0xa1, 0x74)
-	o = msgp.AppendInt(o, z.Total)
-	// string "u"
-	o = append(o, 0xa1, 0x75)
-	o = msgp.AppendInt(o, z.Used)
+	// map header, size 3
+	// string "b"
+	o = append(o, 0x83, 0xa1, 0x62)
+	o = msgp.AppendBytes(o, z.Body)
+	// string "m"
+	o = append(o, 0xa1, 0x6d)
+	o = msgp.AppendInt64(o, z.Version)
+	// string "p"
+	o = append(o, 0xa1, 0x70)
+	o = msgp.AppendInt(o, z.Part)
 	return
 }
 
 // UnmarshalMsg implements msgp.Unmarshaler
-func (z *ReportNote) UnmarshalMsg(bts []byte) (o []byte, err error) {
+func (z *RegisterUpdate) UnmarshalMsg(bts []byte) (o []byte, err error) {
 	var field []byte
 	_ = field
 	var zb0001 uint32
@@ -5515,34 +5257,22 @@
 			return
 		}
 		switch msgp.UnsafeString(field) {
-		case "a":
-			z.Active, bts, err = msgp.ReadIntBytes(bts)
-			if err != nil {
-				err = msgp.WrapError(err, "Active")
-				return
-			}
-		case "i":
-			z.ID, bts, err = msgp.ReadStringBytes(bts)
-			if err != nil {
-				err = msgp.WrapError(err, "ID")
-				return
-			}
-		case "q":
-			z.Queued, bts, err = msgp.ReadIntBytes(bts)
+		case "b":
+			z.Body, bts, err = msgp.ReadBytesBytes(bts, z.Body)
 			if err != nil {
-				err = msgp.WrapError(err, "Queued")
+				err = msgp.WrapError(err, "Body")
 				return
 			}
-		case "t":
-			z.Total, bts, err = msgp.ReadIntBytes(bts)
+		case "m":
+			z.Version, bts, err = msgp.ReadInt64Bytes(bts)
 			if err != nil {
-				err = msgp.WrapError(err, "Total")
+				err = msgp.WrapError(err, "Version")
 				return
 			}
-		case "u":
-			z.Used, bts, err = msgp.ReadIntBytes(bts)
+		case "p":
+			z.Part, bts, err = msgp.ReadIntBytes(bts)
 			if err != nil {
-				err = msgp.WrapError(err, "Used")
+				err = msgp.WrapError(err, "Part")
 				return
 			}
 		default:
@@ -5558,8 +5288,8 @@
 }
 
 // Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
-func (z *ReportNote) Msgsize() (s int) {
-	s = 1 + 2 + msgp.IntSize + 2 + msgp.StringPrefixSize + len(z.ID) + 2 + msgp.IntSize + 2 + msgp.IntSize + 2 + msgp.IntSize
+func (z *RegisterUpdate) Msgsize() (s int) {
+	s = 1 + 2 + msgp.BytesPrefixSize + len(z.Body) + 2 + msgp.Int64Size + 2 + msgp.IntSize
 	return
 }
 
@@ -5996,13 +5726,105 @@
 		case "w":
 			z.Easing, bts, err = msgp.ReadBoolBytes(bts)
 			if err != nil {
-				err = msgp.WrapError(err, "Easing")
+				err = msgp.WrapError(err, "Easing")
+				return
+			}
+		case "z":
+			z.Zone, bts, err = msgp.ReadStringBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Zone")
+				return
+			}
+		default:
+			bts, err = msgp.Skip(bts)
+			if err != nil {
+				err = msgp.WrapError(err)
+				return
+			}
+		}
+	}
+	o = bts
+	return
+}
+
+// Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
+func (z *RunnerRecord) Msgsize() (s int) {
+	s = 1 + 2 + msgp.StringPrefixSize + len(z.Addr) + 2 + msgp.BoolSize + 2 + msgp.IntSize + 2 + msgp.BoolSize + 2 + msgp.BoolSize + 2 + msgp.BoolSize + 2 + msgp.StringPrefixSize + len(z.ID) + 2 + msgp.Int64Size + 2 + msgp.BoolSize + 2 + msgp.ArrayHeaderSize
+	for za0001 := range z.Models {
+		s += 1 + 2 + msgp.StringPrefixSize + len(z.Models[za0001].Model) + 2 + msgp.Int64Size
+	}
+	s += 2 + msgp.Int64Size + 2 + msgp.Int64Size + 2 + msgp.StringPrefixSize + len(z.Service) + 2 + msgp.BoolSize + 2 + msgp.StringPrefixSize + len(z.Zone)
+	return
+}
+
+// MarshalMsg implements msgp.Marshaler
+func (z *RunnerReport) MarshalMsg(b []byte) (o []byte, err error) {
+	o = msgp.Require(b, z.Msgsize())
+	// map header, size 5
+	// string "a"
+	o = append(o, 0x85, 0xa1, 0x61)
+	o = msgp.AppendInt(o, z.Active)
+	// string "i"
+	o = append(o, 0xa1, 0x69)
+	o = msgp.AppendString(o, z.ID)
+	// string "q"
+	o = append(o, 0xa1, 0x71)
+	o = msgp.AppendInt(o, z.Queued)
+	// string "t"
+	o = append(o, 0xa1, 0x74)
+	o = msgp.AppendInt(o, z.Total)
+	// string "u"
+	o = append(o, 0xa1, 0x75)
+	o = msgp.AppendInt(o, z.Used)
+	return
+}
+
+// UnmarshalMsg implements msgp.Unmarshaler
+func (z *RunnerReport) UnmarshalMsg(bts []byte) (o []byte, err error) {
+	var field []byte
+	_ = field
+	var zb0001 uint32
+	zb0001, bts, err = msgp.ReadMapHeaderBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err)
+		return
+	}
+	for zb0001 > 0 {
+		zb0001--
+		field, bts, err = msgp.ReadMapKeyZC(bts)
+		if err != nil {
+			err = msgp.WrapError(err)
+			return
+		}
+		switch msgp.UnsafeString(field) {
+		case "a":
+			z.Active, bts, err = msgp.ReadIntBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Active")
+				return
+			}
+		case "i":
+			z.ID, bts, err = msgp.ReadStringBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "ID")
+				return
+			}
+		case "q":
+			z.Queued, bts, err = msgp.ReadIntBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Queued")
+				return
+			}
+		case "t":
+			z.Total, bts, err = msgp.ReadIntBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Total")
 				return
 			}
-		case "z":
-			z.Zone, bts, err = msgp.ReadStringBytes(bts)
+		case "u":
+			z.Used, bts, err = msgp.ReadIntBytes(bts)
 			if err != nil {
-				err = msgp.WrapError(err, "Zone")
+				err = msgp.WrapError(err, "Used")
 				return
 			}
 		default:
@@ -6018,12 +5840,8 @@
 }
 
 // Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
-func (z *RunnerRecord) Msgsize() (s int) {
-	s = 1 + 2 + msgp.StringPrefixSize + len(z.Addr) + 2 + msgp.BoolSize + 2 + msgp.IntSize + 2 + msgp.BoolSize + 2 + msgp.BoolSize + 2 + msgp.BoolSize + 2 + msgp.StringPrefixSize + len(z.ID) + 2 + msgp.Int64Size + 2 + msgp.BoolSize + 2 + msgp.ArrayHeaderSize
-	for za0001 := range z.Models {
-		s += 1 + 2 + msgp.StringPrefixSize + len(z.Models[za0001].Model) + 2 + msgp.Int64Size
-	}
-	s += 2 + msgp.Int64Size + 2 + msgp.Int64Size + 2 + msgp.StringPrefixSize + len(z.Service) + 2 + msgp.BoolSize + 2 + msgp.StringPrefixSize + len(z.Zone)
+func (z *RunnerReport) Msgsize() (s int) {
+	s = 1 + 2 + msgp.IntSize + 2 + msgp.StringPrefixSize + len(z.ID) + 2 + msgp.IntSize + 2 + msgp.IntSize + 2 + msgp.IntSize
 	return
 }
 
@@ -6251,23 +6069,95 @@
 }
 
 // MarshalMsg implements msgp.Marshaler
-func (z StreamHold) MarshalMsg(b []byte) (o []byte, err error) {
+func (z *SyncState) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
+	// map header, size 9
+	// string "a"
+	o = append(o, 0x89, 0xa1, 0x61)
+	o = msgp.AppendBool(o, z.Anything)
+	// string "d"
+	o = append(o, 0xa1, 0x64)
+	o = msgp.AppendBool(o, z.Controller)
+	// string "k"
+	o = append(o, 0xa1, 0x6b)
+	o = msgp.AppendArrayHeader(o, uint32(len(z.Kept)))
+	for za0001 := range z.Kept {
+		// map header, size 3
+		// string "e"
+		o = append(o, 0x83, 0xa1, 0x65)
+		o = msgp.AppendInt64(o, z.Kept[za0001].Epoch)
+		// string "i"
+		o = append(o, 0xa1, 0x69)
+		o = msgp.AppendString(o, z.Kept[za0001].ID)
+		// string "t"
+		o = append(o, 0xa1, 0x74)
+		o = msgp.AppendInt64(o, z.Kept[za0001].Version)
+	}
+	// string "l"
+	o = append(o, 0xa1, 0x6c)
 	// map header, size 3
 	// string "e"
 	o = append(o, 0x83, 0xa1, 0x65)
-	o = msgp.AppendInt64(o, z.Epoch)
+	o = msgp.AppendInt64(o, z.Loads.Epoch)
 	// string "i"
 	o = append(o, 0xa1, 0x69)
-	o = msgp.AppendString(o, z.ID)
+	o = msgp.AppendString(o, z.Loads.ID)
 	// string "t"
 	o = append(o, 0xa1, 0x74)
-	o = msgp.AppendInt64(o, z.Version)
+	o = msgp.AppendInt64(o, z.Loads.Version)
+	// string "n"
+	o = append(o, 0xa1, 0x6e)
+	// map header, size 3
+	// string "e"
+	o = append(o, 0x83, 0xa1, 0x65)
+	o = msgp.AppendInt64(o, z.Configuration.Epoch)
+	// string "i"
+	o = append(o, 0xa1, 0x69)
+	o = msgp.AppendString(o, z.Configuration.ID)
+	// string "t"
+	o = append(o, 0xa1, 0x74)
+	o = msgp.AppendInt64(o, z.Configuration.Version)
+	// string "o"
+	o = append(o, 0xa1, 0x6f)
+	o = msgp.AppendBool(o, z.ConfigOnly)
+	// string "p"
+	o = append(o, 0xa1, 0x70)
+	o = msgp.AppendArrayHeader(o, uint32(len(z.Parts)))
+	for za0002 := range z.Parts {
+		o = msgp.AppendInt64(o, z.Parts[za0002])
+	}
+	// string "r"
+	o = append(o, 0xa1, 0x72)
+	// map header, size 3
+	// string "e"
+	o = append(o, 0x83, 0xa1, 0x65)
+	o = msgp.AppendInt64(o, z.Registry.Epoch)
+	// string "i"
+	o = append(o, 0xa1, 0x69)
+	o = msgp.AppendString(o, z.Registry.ID)
+	// string "t"
+	o = append(o, 0xa1, 0x74)
+	o = msgp.AppendInt64(o, z.Registry.Version)
+	// string "t"
+	o = append(o, 0xa1, 0x74)
+	o = msgp.AppendArrayHeader(o, uint32(len(z.TargetAges)))
+	for za0003 := range z.TargetAges {
+		// map header, size 3
+		// string "a"
+		o = append(o, 0x83, 0xa1, 0x61)
+		o = msgp.AppendInt64(o, z.TargetAges[za0003].AgeUs)
+		// string "m"
+		o = append(o, 0xa1, 0x6d)
+		o = msgp.AppendString(o, z.TargetAges[za0003].Model)
+		// string "v"
+		o = append(o, 0xa1, 0x76)
+		o = msgp.AppendInt64(o, z.TargetAges[za0003].Version)
+	}
 	return
 }
 
 // UnmarshalMsg implements msgp.Unmarshaler
-func (z *StreamHold) UnmarshalMsg(bts []byte) (o []byte, err error) {
+func (z *SyncState) UnmarshalMsg(bts []byte) (o []byte, err error) {
 	var field []byte
 	_ = field
 	var zb0001 uint32
@@ -6284,24 +6174,274 @@
 			return
 		}
 		switch msgp.UnsafeString(field) {
-		case "e":
-			z.Epoch, bts, err = msgp.ReadInt64Bytes(bts)
+		case "a":
+			z.Anything, bts, err = msgp.ReadBoolBytes(bts)
 			if err != nil {
-				err = msgp.WrapError(err, "Epoch")
+				err = msgp.WrapError(err, "Anything")
+				return
+			}
+		case "d":
+			z.Controller, bts, err = msgp.ReadBoolBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Controller")
+				return
+			}
+		case "k":
+			var zb0002 uint32
+			zb0002, bts, err = msgp.ReadArrayHeaderBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Kept")
+				return
+			}
+			if cap(z.Kept) >= int(zb0002) {
+				z.Kept = (z.Kept)[:zb0002]
+			} else {
+				z.Kept = make([]Cursor, zb0002)
+			}
+			for za0001 := range z.Kept {
+				var zb0003 uint32
+				zb0003, bts, err = msgp.ReadMapHeaderBytes(bts)
+				if err != nil {
+					err = msgp.WrapError(err, "Kept", za0001)
+					return
+				}
+				for zb0003 > 0 {
+					zb0003--
+					field, bts, err = msgp.ReadMapKeyZC(bts)
+					if err != nil {
+						err = msgp.WrapError(err, "Kept", za0001)
+						return
+					}
+					switch msgp.UnsafeString(field) {
+					case "e":
+						z.Kept[za0001].Epoch, bts, err = msgp.ReadInt64Bytes(bts)
+						if err != nil {
+							err = msgp.WrapError(err, "Kept", za0001, "Epoch")
+							return
+						}
+					case "i":
+						z.Kept[za0001].ID, bts, err = msgp.ReadStringBytes(bts)
+						if err != nil {
+							err = msgp.WrapError(err, "Kept", za0001, "ID")
+							return
+						}
+					case "t":
+						z.Kept[za0001].Version, bts, err = msgp.ReadInt64Bytes(bts)
+						if err != nil {
+							err = msgp.WrapError(err, "Kept", za0001, "Version")
+							return
+						}
+					default:
+						bts, err = msgp.Skip(bts)
+						if err != nil {
+							err = msgp.WrapError(err, "Kept", za0001)
+							return
+						}
+					}
+				}
+			}
+		case "l":
+			var zb0004 uint32
+			zb0004, bts, err = msgp.ReadMapHeaderBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Loads")
+				return
+			}
+			for zb0004 > 0 {
+				zb0004--
+				field, bts, err = msgp.ReadMapKeyZC(bts)
+				if err != nil {
+					err = msgp.WrapError(err, "Loads")
+					return
+				}
+				switch msgp.UnsafeString(field) {
+				case "e":
+					z.Loads.Epoch, bts, err = msgp.ReadInt64Bytes(bts)
+					if err != nil {
+						err = msgp.WrapError(err, "Loads", "Epoch")
+						return
+					}
+				case "i":
+					z.Loads.ID, bts, err = msgp.ReadStringBytes(bts)
+					if err != nil {
+						err = msgp.WrapError(err, "Loads", "ID")
+						return
+					}
+				case "t":
+					z.Loads.Version, bts, err = msgp.ReadInt64Bytes(bts)
+					if err != nil {
+						err = msgp.WrapError(err, "Loads", "Version")
+						return
+					}
+				default:
+					bts, err = msgp.Skip(bts)
+					if err != nil {
+						err = msgp.WrapError(err, "Loads")
+						return
+					}
+				}
+			}
+		case "n":
+			var zb0005 uint32
+			zb0005, bts, err = msgp.ReadMapHeaderBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Configuration")
+				return
+			}
+			for zb0005 > 0 {
+				zb0005--
+				field, bts, err = msgp.ReadMapKeyZC(bts)
+				if err != nil {
+					err = msgp.WrapError(err, "Configuration")
+					return
+				}
+				switch msgp.UnsafeString(field) {
+				case "e":
+					z.Configuration.Epoch, bts, err = msgp.ReadInt64Bytes(bts)
+					if err != nil {
+						err = msgp.WrapError(err, "Configuration", "Epoch")
+						return
+					}
+				case "i":
+					z.Configuration.ID, bts, err = msgp.ReadStringBytes(bts)
+					if err != nil {
+						err = msgp.WrapError(err, "Configuration", "ID")
+						return
+					}
+				case "t":
+					z.Configuration.Version, bts, err = msgp.ReadInt64Bytes(bts)
+					if err != nil {
+						err = msgp.WrapError(err, "Configuration", "Version")
+						return
+					}
+				default:
+					bts, err = msgp.Skip(bts)
+					if err != nil {
+						err = msgp.WrapError(err, "Configuration")
+						return
+					}
+				}
+			}
+		case "o":
+			z.ConfigOnly, bts, err = msgp.ReadBoolBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "ConfigOnly")
 				return
 			}
-		case "i":
-			z.ID, bts, err = msgp.ReadStringBytes(bts)
+		case "p":
+			var zb0006 uint32
+			zb0006, bts, err = msgp.ReadArrayHeaderBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Parts")
+				return
+			}
+			if cap(z.Parts) >= int(zb0006) {
+				z.Parts = (z.Parts)[:zb0006]
+			} else {
+				z.Parts = make([]int64, zb0006)
+			}
+			for za0002 := range z.Parts {
+				z.Parts[za0002], bts, err = msgp.ReadInt64Bytes(bts)
+				if err != nil {
+					err = msgp.WrapError(err, "Parts", za0002)
+					return
+				}
+			}
+		case "r":
+			var zb0007 uint32
+			zb0007, bts, err = msgp.ReadMapHeaderBytes(bts)
 			if err != nil {
-				err = msgp.WrapError(err, "ID")
+				err = msgp.WrapError(err, "Registry")
 				return
 			}
+			for zb0007 > 0 {
+				zb0007--
+				field, bts, err = msgp.ReadMapKeyZC(bts)
+				if err != nil {
+					err = msgp.WrapError(err, "Registry")
+					return
+				}
+				switch msgp.UnsafeString(field) {
+				case "e":
+					z.Registry.Epoch, bts, err = msgp.ReadInt64Bytes(bts)
+					if err != nil {
+						err = msgp.WrapError(err, "Registry", "Epoch")
+						return
+					}
+				case "i":
+					z.Registry.ID, bts, err = msgp.ReadStringBytes(bts)
+					if err != nil {
+						err = msgp.WrapError(err, "Registry", "ID")
+						return
+					}
+				case "t":
+					z.Registry.Version, bts, err = msgp.ReadInt64Bytes(bts)
+					if err != nil {
+						err = msgp.WrapError(err, "Registry", "Version")
+						return
+					}
+				default:
+					bts, err = msgp.Skip(bts)
+					if err != nil {
+						err = msgp.WrapError(err, "Registry")
+						return
+					}
+				}
+			}
 		case "t":
-			z.Version, bts, err = msgp.ReadInt64Bytes(bts)
+			var zb0008 uint32
+			zb0008, bts, err = msgp.ReadArrayHeaderBytes(bts)
 			if err != nil {
-				err = msgp.WrapError(err, "Version")
+				err = msgp.WrapError(err, "TargetAges")
 				return
 			}
+			if cap(z.TargetAges) >= int(zb0008) {
+				z.TargetAges = (z.TargetAges)[:zb0008]
+			} else {
+				z.TargetAges = make([]TargetAge, zb0008)
+			}
+			for za0003 := range z.TargetAges {
+				var zb0009 uint32
+				zb0009, bts, err = msgp.ReadMapHeaderBytes(bts)
+				if err != nil {
+					err = msgp.WrapError(err, "TargetAges", za0003)
+					return
+				}
+				for zb0009 > 0 {
+					zb0009--
+					field, bts, err = msgp.ReadMapKeyZC(bts)
+					if err != nil {
+						err = msgp.WrapError(err, "TargetAges", za0003)
+						return
+					}
+					switch msgp.UnsafeString(field) {
+					case "a":
+						z.TargetAges[za0003].AgeUs, bts, err = msgp.ReadInt64Bytes(bts)
+						if err != nil {
+							err = msgp.WrapError(err, "TargetAges", za0003, "AgeUs")
+							return
+						}
+					case "m":
+						z.TargetAges[za0003].Model, bts, err = msgp.ReadStringBytes(bts)
+						if err != nil {
+							err = msgp.WrapError(err, "TargetAges", za0003, "Model")
+							return
+						}
+					case "v":
+						z.TargetAges[za0003].Version, bts, err = msgp.ReadInt64Bytes(bts)
+						if err != nil {
+							err = msgp.WrapError(err, "TargetAges", za0003, "Version")
+							return
+						}
+					default:
+						bts, err = msgp.Skip(bts)
+						if err != nil {
+							err = msgp.WrapError(err, "TargetAges", za0003)
+							return
+						}
+					}
+				}
+			}
 		default:
 			bts, err = msgp.Skip(bts)
 			if err != nil {
@@ -6315,8 +6455,15 @@
 }
 
 // Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
-func (z StreamHold) Msgsize() (s int) {
-	s = 1 + 2 + msgp.Int64Size + 2 + msgp.StringPrefixSize + len(z.ID) + 2 + msgp.Int64Size
+func (z *SyncState) Msgsize() (s int) {
+	s = 1 + 2 + msgp.BoolSize + 2 + msgp.BoolSize + 2 + msgp.ArrayHeaderSize
+	for za0001 := range z.Kept {
+		s += 1 + 2 + msgp.Int64Size + 2 + msgp.StringPrefixSize + len(z.Kept[za0001].ID) + 2 + msgp.Int64Size
+	}
+	s += 2 + 1 + 2 + msgp.Int64Size + 2 + msgp.StringPrefixSize + len(z.Loads.ID) + 2 + msgp.Int64Size + 2 + 1 + 2 + msgp.Int64Size + 2 + msgp.StringPrefixSize + len(z.Configuration.ID) + 2 + msgp.Int64Size + 2 + msgp.BoolSize + 2 + msgp.ArrayHeaderSize + (len(z.Parts) * (msgp.Int64Size)) + 2 + 1 + 2 + msgp.Int64Size + 2 + msgp.StringPrefixSize + len(z.Registry.ID) + 2 + msgp.Int64Size + 2 + msgp.ArrayHeaderSize
+	for za0003 := range z.TargetAges {
+		s += 1 + 2 + msgp.Int64Size + 2 + msgp.StringPrefixSize + len(z.TargetAges[za0003].Model) + 2 + msgp.Int64Size
+	}
 	return
 }
 
@@ -6953,153 +7100,6 @@
 	return
 }
 
-// MarshalMsg implements msgp.Marshaler
-func (z *Told) MarshalMsg(b []byte) (o []byte, err error) {
-	o = msgp.Require(b, z.Msgsize())
-	// map header, size 4
-	// string "a"
-	o = append(o, 0x84, 0xa1, 0x61)
-	o = msgp.AppendArrayHeader(o, uint32(len(z.Absent)))
-	for za0001 := range z.Absent {
-		o = msgp.AppendString(o, z.Absent[za0001])
-	}
-	// string "c"
-	o = append(o, 0xa1, 0x63)
-	o = msgp.AppendArrayHeader(o, uint32(len(z.Coming)))
-	for za0002 := range z.Coming {
-		o, err = z.Coming[za0002].MarshalMsg(o)
-		if err != nil {
-			err = msgp.WrapError(err, "Coming", za0002)
-			return
-		}
-	}
-	// string "l"
-	o = append(o, 0xa1, 0x6c)
-	o = msgp.AppendArrayHeader(o, uint32(len(z.Loads)))
-	for za0003 := range z.Loads {
-		o, err = z.Loads[za0003].MarshalMsg(o)
-		if err != nil {
-			err = msgp.WrapError(err, "Loads", za0003)
-			return
-		}
-	}
-	// string "s"
-	o = append(o, 0xa1, 0x73)
-	o = msgp.AppendInt64(o, z.Seq)
-	return
-}
-
-// UnmarshalMsg implements msgp.Unmarshaler
-func (z *Told) UnmarshalMsg(bts []byte) (o []byte, err error) {
-	var field []byte
-	_ = field
-	var zb0001 uint32
-	zb0001, bts, err = msgp.ReadMapHeaderBytes(bts)
-	if err != nil {
-		err = msgp.WrapError(err)
-		return
-	}
-	for zb0001 > 0 {
-		zb0001--
-		field, bts, err = msgp.ReadMapKeyZC(bts)
-		if err != nil {
-			err = msgp.WrapError(err)
-			return
-		}
-		switch msgp.UnsafeString(field) {
-		case "a":
-			var zb0002 uint32
-			zb0002, bts, err = msgp.ReadArrayHeaderBytes(bts)
-			if err != nil {
-				err = msgp.WrapError(err, "Absent")
-				return
-			}
-			if cap(z.Absent) >= int(zb0002) {
-				z.Absent = (z.Absent)[:zb0002]
-			} else {
-				z.Absent = make([]string, zb0002)
-			}
-			for za0001 := range z.Absent {
-				z.Absent[za0001], bts, err = msgp.ReadStringBytes(bts)
-				if err != nil {
-					err = msgp.WrapError(err, "Absent", za0001)
-					return
-				}
-			}
-		case "c":
-			var zb0003 uint32
-			zb0003, bts, err = msgp.ReadArrayHeaderBytes(bts)
-			if err != nil {
-				err = msgp.WrapError(err, "Coming")
-				return
-			}
-			if cap(z.Coming) >= int(zb0003) {
-				z.Coming = (z.Coming)[:zb0003]
-			} else {
-				z.Coming = make([]KeptNote, zb0003)
-			}
-			for za0002 := range z.Coming {
-				bts, err = z.Coming[za0002].UnmarshalMsg(bts)
-				if err != nil {
-					err = msgp.WrapError(err, "Coming", za0002)
-					return
-				}
-			}
-		case "l":
-			var zb0004 uint32
-			zb0004, bts, err = msgp.ReadArrayHeaderBytes(bts)
-			if err != nil {
-				err = msgp.WrapError(err, "Loads")
-				return
-			}
-			if cap(z.Loads) >= int(zb0004) {
-				z.Loads = (z.Loads)[:zb0004]
-			} else {
-				z.Loads = make([]LoadChange, zb0004)
-			}
-			for za0003 := range z.Loads {
-				bts, err = z.Loads[za0003].UnmarshalMsg(bts)
-				if err != nil {
-					err = msgp.WrapError(err, "Loads", za0003)
-					return
-				}
-			}
-		case "s":
-			z.Seq, bts, err = msgp.ReadInt64Bytes(bts)
-			if err != nil {
-				err = msgp.WrapError(err, "Seq")
-				return
-			}
-		default:
-			bts, err = msgp.Skip(bts)
-			if err != nil {
-				err = msgp.WrapError(err)
-				return
-			}
-		}
-	}
-	o = bts
-	return
-}
-
-// Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
-func (z *Told) Msgsize() (s int) {
-	s = 1 + 2 + msgp.ArrayHeaderSize
-	for za0001 := range z.Absent {
-		s += msgp.StringPrefixSize + len(z.Absent[za0001])
-	}
-	s += 2 + msgp.ArrayHeaderSize
-	for za0002 := range z.Coming {
-		s += z.Coming[za0002].Msgsize()
-	}
-	s += 2 + msgp.ArrayHeaderSize
-	for za0003 := range z.Loads {
-		s += z.Loads[za0003].Msgsize()
-	}
-	s += 2 + msgp.Int64Size
-	return
-}
-
 // MarshalMsg implements msgp.Marshaler
 func (z UnreachableZone) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
--- a/internal/messages/types.gen.go
+++ b/internal/messages/types.gen.go
@@ -105,6 +105,30 @@
 	Who string `msg:"w"`
 }
 
+// CachedChange parts that a runner keeps now; 0 tokens mean that it keeps one no longer
+type CachedChange struct {
+	Digest   uint64       `msg:"d"`
+	Epoch    int64        `msg:"e"`
+	From     int64        `msg:"f"`
+	ID       string       `msg:"i"`
+	Parts    []CachedPart `msg:"p"`
+	To       int64        `msg:"t"`
+	Snapshot bool         `msg:"w"`
+}
+
+// CachedPart defines model for CachedPart.
+type CachedPart struct {
+	Key    uint64 `msg:"k"`
+	Tokens int32  `msg:"t"`
+}
+
+// CachedPrefixes defines model for CachedPrefixes.
+type CachedPrefixes struct {
+	ID    string       `msg:"i"`
+	Parts []CachedPart `msg:"p"`
+	Reset bool         `msg:"r"`
+}
+
 // Condition defines model for Condition.
 type Condition struct {
 	Addr      string     `msg:"a"`
@@ -196,6 +220,13 @@
 	Piece []byte `msg:"x"`
 }
 
+// Cursor how much of a stream a receiver holds
+type Cursor struct {
+	Epoch   int64  `msg:"e"`
+	ID      string `msg:"i"`
+	Version int64  `msg:"t"`
+}
+
 // DutyCondition a duty at the platform, as this controller knows it
 type DutyCondition struct {
 	// Accepted that call was accepted
@@ -240,17 +271,17 @@
 
 // Feed what a node sends down the tree; versions of parts go along with every one
 type Feed struct {
-	TargetAges    []TargetAge   `msg:"a"`
-	Coming        []KeptNote    `msg:"c"`
-	Kept          []KeptChange  `msg:"k"`
-	Loads         []LoadChange  `msg:"l"`
-	Versions      []int64       `msg:"m"`
-	Configuration []EntryChange `msg:"n"`
-	Reports       []ReportNote  `msg:"o"`
-	Parts         []PartNote    `msg:"p"`
-	Registry      []EntryChange `msg:"r"`
-	StableForUs   int64         `msg:"u"`
-	CutOff        bool          `msg:"x"`
+	TargetAges    []TargetAge      `msg:"a"`
+	Coming        []CachedPrefixes `msg:"c"`
+	Kept          []CachedChange   `msg:"k"`
+	Loads         []LoadChange     `msg:"l"`
+	Versions      []int64          `msg:"m"`
+	Configuration []EntryChange    `msg:"n"`
+	Reports       []RunnerReport   `msg:"o"`
+	Parts         []RegisterUpdate `msg:"p"`
+	Registry      []EntryChange    `msg:"r"`
+	StableForUs   int64            `msg:"u"`
+	CutOff        bool             `msg:"x"`
 
 	// FromRelay a relay put it together from what it holds; no controller need be in reach
 	FromRelay bool `msg:"y"`
@@ -264,52 +295,6 @@
 	Seq   int64  `msg:"q"`
 }
 
-// Hold what a receiver holds of every stream it wants
-type Hold struct {
-	// Anything nobody in contact was found; also what may be old is welcome
-	Anything   bool         `msg:"a"`
-	Controller bool         `msg:"d"`
-	Kept       []StreamHold `msg:"k"`
-
-	// Loads how much of a stream a receiver holds
-	Loads StreamHold `msg:"l"`
-
-	// Configuration how much of a stream a receiver holds
-	Configuration StreamHold `msg:"n"`
-	ConfigOnly    bool       `msg:"o"`
-	Parts         []int64    `msg:"p"`
-
-	// Registry how much of a stream a receiver holds
-	Registry StreamHold `msg:"r"`
-
-	// TargetAges a sender that has restarted learns them from its receivers
-	TargetAges []TargetAge `msg:"t"`
-}
-
-// KeptChange parts that a runner keeps now; 0 tokens mean that it keeps one no longer
-type KeptChange struct {
-	Digest   uint64     `msg:"d"`
-	Epoch    int64      `msg:"e"`
-	From     int64      `msg:"f"`
-	ID       string     `msg:"i"`
-	Parts    []KeptPart `msg:"p"`
-	To       int64      `msg:"t"`
-	Snapshot bool       `msg:"w"`
-}
-
-// KeptNote defines model for KeptNote.
-type KeptNote struct {
-	ID    string     `msg:"i"`
-	Parts []KeptPart `msg:"p"`
-	Reset bool       `msg:"r"`
-}
-
-// KeptPart defines model for KeptPart.
-type KeptPart struct {
-	Key    uint64 `msg:"k"`
-	Tokens int32  `msg:"t"`
-}
-
 // LastHeartbeat the newest heartbeat that a node knows of a runner, heard by itself or by another controller
 type LastHeartbeat struct {
 	// AgeUs how long ago it was heard at the latest, by monotonic clocks
@@ -349,6 +334,15 @@
 	Snapshot bool         `msg:"w"`
 }
 
+// LoadReport what a node sends up the tree, and the word back that it was heard
+type LoadReport struct {
+	// Absent runners that were not at their address; a hint
+	Absent []string         `msg:"a"`
+	Coming []CachedPrefixes `msg:"c"`
+	Loads  []LoadChange     `msg:"l"`
+	Seq    int64            `msg:"s"`
+}
+
 // Member defines model for Member.
 type Member struct {
 	Addr string `msg:"a"`
@@ -357,17 +351,10 @@
 
 // News defines model for News.
 type News struct {
-	Kept    []KeptNote     `msg:"k"`
-	Reports []ReportNote   `msg:"o"`
-	Parts   []PartNote     `msg:"p"`
-	Runners []RunnerRecord `msg:"r"`
-}
-
-// PartNote defines model for PartNote.
-type PartNote struct {
-	Body    []byte `msg:"b"`
-	Version int64  `msg:"m"`
-	Part    int    `msg:"p"`
+	Kept    []CachedPrefixes `msg:"k"`
+	Reports []RunnerReport   `msg:"o"`
+	Parts   []RegisterUpdate `msg:"p"`
+	Runners []RunnerRecord   `msg:"r"`
 }
 
 // PartitionCondition what a node has of the state that outlasts partitions
@@ -511,13 +498,11 @@
 	Accepted    Value  `msg:"v"`
 }
 
-// ReportNote defines model for ReportNote.
-type ReportNote struct {
-	Active int    `msg:"a"`
-	ID     string `msg:"i"`
-	Queued int    `msg:"q"`
-	Total  int    `msg:"t"`
-	Used   int    `msg:"u"`
+// RegisterUpdate defines model for RegisterUpdate.
+type RegisterUpdate struct {
+	Body    []byte `msg:"b"`
+	Version int64  `msg:"m"`
+	Part    int    `msg:"p"`
 }
 
 // RetiredCondition retired weights of a model, of a node that goes by them
@@ -577,6 +562,15 @@
 	Zone       string   `msg:"z"`
 }
 
+// RunnerReport defines model for RunnerReport.
+type RunnerReport struct {
+	Active int    `msg:"a"`
+	ID     string `msg:"i"`
+	Queued int    `msg:"q"`
+	Total  int    `msg:"t"`
+	Used   int    `msg:"u"`
+}
+
 // ScalingCondition the runners of a service in a zone
 type ScalingCondition struct {
 	// Demand runners that the requests would keep busy all the time
@@ -603,11 +597,26 @@
 // Step defines model for Step.
 type Step string
 
-// StreamHold how much of a stream a receiver holds
-type StreamHold struct {
-	Epoch   int64  `msg:"e"`
-	ID      string `msg:"i"`
-	Version int64  `msg:"t"`
+// SyncState what a receiver holds of every stream it wants
+type SyncState struct {
+	// Anything nobody in contact was found; also what may be old is welcome
+	Anything   bool     `msg:"a"`
+	Controller bool     `msg:"d"`
+	Kept       []Cursor `msg:"k"`
+
+	// Loads how much of a stream a receiver holds
+	Loads Cursor `msg:"l"`
+
+	// Configuration how much of a stream a receiver holds
+	Configuration Cursor  `msg:"n"`
+	ConfigOnly    bool    `msg:"o"`
+	Parts         []int64 `msg:"p"`
+
+	// Registry how much of a stream a receiver holds
+	Registry Cursor `msg:"r"`
+
+	// TargetAges a sender that has restarted learns them from its receivers
+	TargetAges []TargetAge `msg:"t"`
 }
 
 // TallyAck defines model for TallyAck.
@@ -679,15 +688,6 @@
 	Version int64  `msg:"v"`
 }
 
-// Told what a node sends up the tree, and the word back that it was heard
-type Told struct {
-	// Absent runners that were not at their address; a hint
-	Absent []string     `msg:"a"`
-	Coming []KeptNote   `msg:"c"`
-	Loads  []LoadChange `msg:"l"`
-	Seq    int64        `msg:"s"`
-}
-
 // UnreachableZone a zone that a node cannot reach
 type UnreachableZone struct {
 	// SinceUs for how long
--- a/internal/prefixindex/index.go
+++ b/internal/prefixindex/index.go
@@ -108,21 +108,21 @@
 
 // Encode converts a change of a runner's cached prefixes to its message. A part of 0
 // tokens is deleted.
-func Encode(runner string, c statesync.Change[uint64, int32]) messages.KeptChange {
-	out := messages.KeptChange{ID: runner, Epoch: c.Epoch, From: c.From, To: c.To, Snapshot: c.Snapshot, Digest: c.Digest, Parts: make([]messages.KeptPart, 0, len(c.Puts))}
+func Encode(runner string, c statesync.Change[uint64, int32]) messages.CachedChange {
+	out := messages.CachedChange{ID: runner, Epoch: c.Epoch, From: c.From, To: c.To, Snapshot: c.Snapshot, Digest: c.Digest, Parts: make([]messages.CachedPart, 0, len(c.Puts))}
 	for _, p := range c.Puts {
 		n := p.Value
 		if p.Deleted {
 			n = 0
 		}
-		out.Parts = append(out.Parts, messages.KeptPart{Key: p.Key, Tokens: n})
+		out.Parts = append(out.Parts, messages.CachedPart{Key: p.Key, Tokens: n})
 	}
 	return out
 }
 
 // Apply applies a change of a runner's cached prefixes. Its parts replace what this node
 // concluded from its own requests.
-func (x *Index) Apply(c messages.KeptChange) statesync.Result {
+func (x *Index) Apply(c messages.CachedChange) statesync.Result {
 	in := statesync.Change[uint64, int32]{Epoch: c.Epoch, From: c.From, To: c.To, Snapshot: c.Snapshot, Digest: c.Digest, Puts: make([]statesync.Put[uint64, int32], 0, len(c.Parts))}
 	for _, p := range c.Parts {
 		in.Puts = append(in.Puts, statesync.Put[uint64, int32]{Key: p.Key, Value: p.Tokens, Deleted: p.Tokens <= 0})
@@ -138,11 +138,11 @@
 }
 
 // Cursors returns the epoch and version of every runner's stream.
-func (x *Index) Cursors() []messages.StreamHold {
-	out := make([]messages.StreamHold, 0, len(x.cached))
+func (x *Index) Cursors() []messages.Cursor {
+	out := make([]messages.Cursor, 0, len(x.cached))
 	for id, s := range x.cached {
 		if epoch, version := s.Cursor(); epoch != 0 {
-			out = append(out, messages.StreamHold{ID: id, Epoch: epoch, Version: version})
+			out = append(out, messages.Cursor{ID: id, Epoch: epoch, Version: version})
 		}
 	}
 	return out
@@ -150,12 +150,12 @@
 
 // DeltasSince returns the changes that a receiver with these cursors needs, of the runners
 // for which pick is true.
-func (x *Index) DeltasSince(cursors []messages.StreamHold, pick func(runner string) bool) []messages.KeptChange {
-	known := make(map[string]messages.StreamHold, len(cursors))
+func (x *Index) DeltasSince(cursors []messages.Cursor, pick func(runner string) bool) []messages.CachedChange {
+	known := make(map[string]messages.Cursor, len(cursors))
 	for _, h := range cursors {
 		known[h.ID] = h
 	}
-	var out []messages.KeptChange
+	var out []messages.CachedChange
 	for id, s := range x.cached {
 		if s.Epoch == 0 || !pick(id) {
 			continue
--- a/internal/prefixindex/size_test.go
+++ b/internal/prefixindex/size_test.go
@@ -58,7 +58,7 @@
 		i++
 		out := Encode("r0", s.Commit(i))
 		buf, _ := out.MarshalMsg(nil)
-		var in messages.KeptChange
+		var in messages.CachedChange
 		_, _ = in.UnmarshalMsg(buf)
 		x.Apply(in)
 		bytes, parts = bytes+len(buf), parts+len(out.Parts)
--- a/internal/routeconfig/replica.go
+++ b/internal/routeconfig/replica.go
@@ -36,14 +36,14 @@
 func (r *Replica) Table() *Table { return r.table }
 
 // Cursor returns the epoch and version from which this node requests changes.
-func (r *Replica) Cursor() messages.StreamHold {
+func (r *Replica) Cursor() messages.Cursor {
 	epoch, version := r.stream.Cursor()
-	return messages.StreamHold{Epoch: epoch, Version: version}
+	return messages.Cursor{Epoch: epoch, Version: version}
 }
 
 // DeltaSince returns the change that a receiver needs; false where it is as new as this
 // node.
-func (r *Replica) DeltaSince(held messages.StreamHold) (messages.EntryChange, bool) {
+func (r *Replica) DeltaSince(held messages.Cursor) (messages.EntryChange, bool) {
 	change, behind := r.stream.DeltaSince(held.Epoch, held.Version)
 	if !behind || r.stream.Version <= held.Version {
 		return messages.EntryChange{}, false
