--- a/internal/routeconfig/replica_test.go
+++ b/internal/routeconfig/replica_test.go
@@ -23,7 +23,7 @@
 
 func snapshotOf(t *testing.T, source *Replica) messages.EntryChange {
 	t.Helper()
-	change, behind := source.DeltaSince(messages.StreamHold{})
+	change, behind := source.DeltaSince(messages.Cursor{})
 	must.True(t, behind)
 	return change
 }
@@ -55,9 +55,9 @@
 		must.Eq(t, c.result, result)
 		must.Eq(t, c.config, r.Table().Version)
 	}
-	_, behind := r.DeltaSince(messages.StreamHold{Epoch: Epoch, Version: 2})
+	_, behind := r.DeltaSince(messages.Cursor{Epoch: Epoch, Version: 2})
 	must.False(t, behind)
-	_, behind = r.DeltaSince(messages.StreamHold{Epoch: Epoch, Version: 7})
+	_, behind = r.DeltaSince(messages.Cursor{Epoch: Epoch, Version: 7})
 	must.False(t, behind, must.Sprint("a receiver of a later version gets nothing"))
 }
 
@@ -76,11 +76,11 @@
 			_, _, err := r.Apply(change)
 			must.NoError(t, err)
 		}
-		must.Eq(t, messages.StreamHold{}, r.Cursor(), must.Sprint(name))
+		must.Eq(t, messages.Cursor{}, r.Cursor(), must.Sprint(name))
 		must.Eq(t, int64(3), r.Table().Version)
 		result, _, err := r.Apply(repair)
 		must.NoError(t, err)
 		must.Eq(t, statesync.Applied, result, must.Sprint(name))
-		must.Eq(t, messages.StreamHold{Epoch: Epoch, Version: repair.To}, r.Cursor(), must.Sprint(name))
+		must.Eq(t, messages.Cursor{Epoch: Epoch, Version: repair.To}, r.Cursor(), must.Sprint(name))
 	}
 }
--- a/internal/router/core_stub_test.go
+++ b/internal/router/core_stub_test.go
@@ -26,7 +26,7 @@
 	group    []string
 	addrs    []string
 	versions [](func() *messages.Versions) // by controller; nil gives no answer
-	delta    func(messages.Hold) messages.Feed
+	delta    func(messages.SyncState) messages.Feed
 	quota    func(i int, ask messages.QuotaAsk) messages.QuotaGrant // runs under the mutex; nil: nobody owns a count
 }
 
@@ -86,7 +86,7 @@
 	})
 	station.OnCall(transport.KindSince, func(_ context.Context, _ *transport.Conn, body []byte) ([]byte, error) {
 		s.fetches.Add(1)
-		var h messages.Hold
+		var h messages.SyncState
 		if _, err := h.UnmarshalMsg(body); err != nil {
 			return nil, err
 		}
--- a/internal/router/evacuation_test.go
+++ b/internal/router/evacuation_test.go
@@ -14,7 +14,7 @@
 	body := messages.LeaseBody{Targets: []messages.Target{}, Evacuations: []messages.Evacuation{{Zone: "a", Changes: version, Evacuated: evacuated}}}
 	b, err := body.MarshalMsg(nil)
 	must.NoError(t, err)
-	c.applyFeed("", messages.Feed{Parts: []messages.PartNote{{Part: 2, Version: version, Body: b}}})
+	c.applyFeed("", messages.Feed{Parts: []messages.RegisterUpdate{{Part: 2, Version: version, Body: b}}})
 }
 
 func TestEvacuatedZoneGetsNoRequests(t *testing.T) {
--- a/internal/router/feed.go
+++ b/internal/router/feed.go
@@ -35,8 +35,8 @@
 }
 
 // syncState names what this node holds of every stream.
-func (c *Router) syncState() messages.Hold {
-	var h messages.Hold
+func (c *Router) syncState() messages.SyncState {
+	var h messages.SyncState
 	c.stateMu.Lock()
 	for p, n := range c.parts {
 		for len(h.Parts) <= p {
@@ -56,7 +56,7 @@
 }
 
 // deltaSince gives what a node below lacks.
-func (c *Router) deltaSince(h messages.Hold) messages.Feed {
+func (c *Router) deltaSince(h messages.SyncState) messages.Feed {
 	f := messages.Feed{FromRelay: true}
 	c.admissionMu.Lock()
 	c.admission.ObserveTargets(h.TargetAges, c.clock())
@@ -117,7 +117,7 @@
 }
 
 // receiveFeed takes what the parent sent and passes it on.
-func (c *Router) receiveFeed(parent string, f messages.Feed, raw []byte) *messages.Hold {
+func (c *Router) receiveFeed(parent string, f messages.Feed, raw []byte) *messages.SyncState {
 	c.parent.Store(&parent)
 	if !f.CutOff {
 		c.lastUpdateUs.Store(c.clock())
@@ -271,7 +271,7 @@
 	return r, renewed
 }
 
-func (c *Router) applyPart(p messages.PartNote, nowUs int64) {
+func (c *Router) applyPart(p messages.RegisterUpdate, nowUs int64) {
 	if old, ok := c.parts[p.Part]; p.Part == 0 || ok && old.Version >= p.Version {
 		return
 	}
--- a/internal/router/loads.go
+++ b/internal/router/loads.go
@@ -47,8 +47,8 @@
 	own            *statesync.Loads
 	subtree        *statesync.Sum // this node's and those below it
 	total          *statesync.Loads
-	pending        []messages.KeptNote // prefixes that will be cached, for the next report
-	absent         []string            // runners that were not at their address
+	pending        []messages.CachedPrefixes // prefixes that will be cached, for the next report
+	absent         []string                  // runners that were not at their address
 	seq            int64
 	sendAll        bool // the next report has all loads, not the changes
 	unacknowledged []sentReport
@@ -66,16 +66,16 @@
 }
 
 // cursor is the state of the total that this node holds.
-func (l *loads) cursor() messages.StreamHold {
+func (l *loads) cursor() messages.Cursor {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	epoch, version := l.total.Cursor()
-	return messages.StreamHold{Epoch: epoch, Version: version}
+	return messages.Cursor{Epoch: epoch, Version: version}
 }
 
 // deltaSince returns the change of the total that a receiver needs; false where it is up
 // to date.
-func (l *loads) deltaSince(h messages.StreamHold) (messages.LoadChange, bool) {
+func (l *loads) deltaSince(h messages.Cursor) (messages.LoadChange, bool) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	c, lacks := l.total.DeltaSince(h.Epoch, h.Version)
@@ -137,7 +137,7 @@
 		for id := range l.changed {
 			a.Other(id, l.peerLoad(id))
 		}
-		a.Told(nowUs)
+		a.LoadsUpdated(nowUs)
 	}
 	l.allChanged = false
 	clear(l.changed)
@@ -151,7 +151,7 @@
 }
 
 // nextReport makes the report that is to go up; false where there is nothing to report.
-func (l *loads) nextReport(own map[string]messages.RunnerLoad, pending []messages.KeptNote, absent []string) (messages.Told, bool) {
+func (l *loads) nextReport(own map[string]messages.RunnerLoad, pending []messages.CachedPrefixes, absent []string) (messages.LoadReport, bool) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	l.own.Replace(own)
@@ -160,7 +160,7 @@
 		l.subtree.Follow(ownSender, l.own)
 	}
 	total := l.subtree.Total
-	report := messages.Told{Coming: append(l.pending, pending...), Absent: append(l.absent, absent...)}
+	report := messages.LoadReport{Coming: append(l.pending, pending...), Absent: append(l.absent, absent...)}
 	if !l.sendAll && !total.Dirty() && len(report.Coming)+len(report.Absent) == 0 {
 		return report, false
 	}
@@ -189,7 +189,7 @@
 }
 
 // applyReport takes the report of a node below; false asks it for all of its loads.
-func (c *Router) applyReport(from string, report messages.Told) bool {
+func (c *Router) applyReport(from string, report messages.LoadReport) bool {
 	l := &c.loads
 	l.mu.Lock()
 	ok := true
@@ -225,7 +225,7 @@
 	c.admission.SetNodes(int(c.nodes.Load()))
 	own, pending, absent := c.admission.Own(c.clock()), c.admission.TakeFresh(), c.admission.TakeAbsent()
 	c.admissionMu.Unlock()
-	if report, some := c.loads.nextReport(own, pending, absent); some && !c.up.Send(transport.KindTold, &report) {
+	if report, some := c.loads.nextReport(own, pending, absent); some && !c.up.Send(transport.KindLoadReport, &report) {
 		c.resendLoads()
 	}
 }
--- a/internal/router/missing_test.go
+++ b/internal/router/missing_test.go
@@ -100,7 +100,7 @@
 func TestHintsOfMissingRunnersGoUpTheTree(t *testing.T) {
 	var c Router
 	c.loads.init(1)
-	must.True(t, c.applyReport("n", messages.Told{Absent: []string{"x"}}))
+	must.True(t, c.applyReport("n", messages.LoadReport{Absent: []string{"x"}}))
 	c.loads.sendAll = false
 	w, some := c.loads.nextReport(nil, nil, []string{"y"})
 	must.True(t, some)
--- a/internal/router/recheck_test.go
+++ b/internal/router/recheck_test.go
@@ -90,7 +90,7 @@
 	var asked atomic.Int64 // controllers that have named the newer version
 	gate := make(chan struct{})
 	s.set(func() {
-		s.delta = func(messages.Hold) messages.Feed {
+		s.delta = func(messages.SyncState) messages.Feed {
 			<-gate
 			return messages.Feed{Versions: []int64{2}, Configuration: []messages.EntryChange{change}}
 		}
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -86,7 +86,7 @@
 	table     atomic.Pointer[routeconfig.Table]
 
 	stateMu       sync.Mutex
-	parts         map[int]messages.PartNote
+	parts         map[int]messages.RegisterUpdate
 	evacuations   map[int][]messages.Evacuation // by register
 	configuration *routeconfig.Replica
 	runners       *statesync.Entries // as the parent has them
@@ -141,7 +141,7 @@
 	if err != nil {
 		return nil, err
 	}
-	c := &Router{set: set, log: log, clock: clock, transport: trans, registry: registry.New(), connPool: upstream.NewConnPool(clock), parts: map[int]messages.PartNote{}, evacuations: map[int][]messages.Evacuation{}, admission: admission.New(admission.Defaults, set.Zone, rand.Uint64()), budgets: map[string]*upstream.Budget{}, queueChanged: make(chan struct{}, 1), prefixesPending: make(chan struct{}, 1), loadsChanged: make(chan struct{}, 1), missing: make(chan struct{}, 1), drainBegun: make(chan struct{}), lastAnswers: make(chan struct{})}
+	c := &Router{set: set, log: log, clock: clock, transport: trans, registry: registry.New(), connPool: upstream.NewConnPool(clock), parts: map[int]messages.RegisterUpdate{}, evacuations: map[int][]messages.Evacuation{}, admission: admission.New(admission.Defaults, set.Zone, rand.Uint64()), budgets: map[string]*upstream.Budget{}, queueChanged: make(chan struct{}, 1), prefixesPending: make(chan struct{}, 1), loadsChanged: make(chan struct{}, 1), missing: make(chan struct{}, 1), drainBegun: make(chan struct{}), lastAnswers: make(chan struct{})}
 	c.configuration, c.runners = routeconfig.NewReplica(), statesync.NewEntries()
 	c.loads.init(clock())
 	c.comparisons = dissemination.NewComparisons(rand.IntN(64))
--- a/internal/router/targets_test.go
+++ b/internal/router/targets_test.go
@@ -38,7 +38,7 @@
 	up := c.syncState().TargetAges
 	must.Len(t, 1, up)
 	must.GreaterEq(t, 1_000_000, up[0].AgeUs)
-	below := messages.Hold{TargetAges: []messages.TargetAge{{Model: "m", Version: 5, AgeUs: 60_000_000}}}
+	below := messages.SyncState{TargetAges: []messages.TargetAge{{Model: "m", Version: 5, AgeUs: 60_000_000}}}
 	f := c.deltaSince(below)
 	must.True(t, f.FromRelay)
 	must.Len(t, 1, f.TargetAges)
--- a/internal/simulation/distribution_faults.go
+++ b/internal/simulation/distribution_faults.go
@@ -6,7 +6,7 @@
 type node interface {
 	address() string
 	running() *Process
-	since(h messages.Hold) messages.Feed
+	since(h messages.SyncState) messages.Feed
 	subscribe(sub *subscription)
 }
 
--- a/internal/simulation/distribution_sink.go
+++ b/internal/simulation/distribution_sink.go
@@ -106,8 +106,8 @@
 	return nil
 }
 
-func (r *sink) hold() messages.Hold {
-	h := messages.Hold{Configuration: r.replica.Cursor()}
+func (r *sink) hold() messages.SyncState {
+	h := messages.SyncState{Configuration: r.replica.Cursor()}
 	h.Anything = h.Configuration.Version == 0 && r.process.NowUs()-r.bootUs > anythingUs
 	return h
 }
@@ -229,7 +229,7 @@
 	return fits
 }
 
-func (r *sink) since(h messages.Hold) messages.Feed {
+func (r *sink) since(h messages.SyncState) messages.Feed {
 	f := messages.Feed{Versions: []int64{r.replica.Version()}}
 	if change, lacks := r.replica.DeltaSince(h.Configuration); lacks {
 		f.Configuration = []messages.EntryChange{change}
@@ -262,7 +262,7 @@
 	var version int64
 	ended := func(ok bool) { r.comparisons.Ended(to.address(), ok, true) }
 	r.d.call(r.process, r.addr, to.running(), to.address(), compareWaitUs, func() func() {
-		f := to.since(messages.Hold{Configuration: messages.StreamHold{Epoch: routeconfig.Epoch, Version: 1 << 62}})
+		f := to.since(messages.SyncState{Configuration: messages.Cursor{Epoch: routeconfig.Epoch, Version: 1 << 62}})
 		return func() { version = f.Versions[0] }
 	}, func(ok bool) {
 		leftUs := compareWaitUs - (r.process.NowUs() - begunUs)
@@ -275,7 +275,7 @@
 			ended(ok)
 			return
 		}
-		h := messages.Hold{Configuration: r.replica.Cursor()}
+		h := messages.SyncState{Configuration: r.replica.Cursor()}
 		r.d.call(r.process, r.addr, to.running(), to.address(), leftUs, func() func() {
 			f := to.since(h)
 			return func() { r.take(f) }
--- a/internal/simulation/distribution_source.go
+++ b/internal/simulation/distribution_source.go
@@ -132,7 +132,7 @@
 
 // since gives what a router lacks; a router that holds nothing gets nothing from a
 // controller without the lease, unless it takes anything.
-func (s *source) since(h messages.Hold) messages.Feed {
+func (s *source) since(h messages.SyncState) messages.Feed {
 	f := s.feed()
 	if h.Configuration.Version == 0 && !h.Anything && !s.inContact() {
 		return f
--- a/internal/simulation/traffic/news.go
+++ b/internal/simulation/traffic/news.go
@@ -59,7 +59,7 @@
 	}
 	f.kernel.After(reportIntervalUs, f.shareReports)
 	for _, r := range f.runners {
-		note := messages.ReportNote{ID: r.id, Active: r.active, Queued: len(r.queue), Total: runnerMemoryTokens, Used: r.used}
+		note := messages.RunnerReport{ID: r.id, Active: r.active, Queued: len(r.queue), Total: runnerMemoryTokens, Used: r.used}
 		f.kernel.After(reportDelayUs, func() {
 			for _, a := range f.routers {
 				a.Report(note, f.kernel.NowUs())
--- a/internal/transport/kind.go
+++ b/internal/transport/kind.go
@@ -13,13 +13,13 @@
 	KindIdentity                   // not used any more
 	KindProbe                      // datagram: a membership probe
 	KindAck                        // datagram: the acknowledgement of a probe
-	KindTold                       // one-way: a load report from a subscriber
+	KindLoadReport                 // one-way: a load report from a subscriber
 	KindRunner                     // datagram: a runner's heartbeat, forwarded
 	KindCondition                  // request: a node's condition, for the doctor
 	KindRing                       // request: a node's log ring, for the doctor
-	KindWant                       // one-way: what a subscriber has, for it to get the rest
-	KindHeard                      // one-way: the acknowledgement of a load report
-	KindTellAgain                  // one-way: asks a subscriber for a complete load report
+	KindSyncState                  // one-way: what a subscriber has, for it to get the rest
+	KindLoadAck                    // one-way: the acknowledgement of a load report
+	KindResendLoads                // one-way: asks a subscriber for a complete load report
 	KindFailed                     // one-way: a request gets no response
 	KindDraining                   // request: a runner starts or ends draining
 	KindReadsCompressed            // one-way: the sender reads compressed frames
@@ -38,23 +38,23 @@
 )
 
 var kindNames = [kindCount]string{
-	KindConsensus: "consensus",
-	KindVersions:  "versions",
-	KindSince:     "since",
-	KindSubscribe: "subscribe",
-	KindFeed:      "feed",
-	KindIdentity:  "identity",
-	KindProbe:     "probe",
-	KindAck:       "ack",
-	KindTold:      "told",
-	KindRunner:    "runner",
-	KindCondition: "condition",
-	KindRing:      "ring",
-	KindWant:      "want",
-	KindHeard:     "heard",
-	KindTellAgain: "tell-again",
-	KindFailed:    "failed",
-	KindDraining:  "draining",
+	KindConsensus:   "consensus",
+	KindVersions:    "versions",
+	KindSince:       "since",
+	KindSubscribe:   "subscribe",
+	KindFeed:        "feed",
+	KindIdentity:    "identity",
+	KindProbe:       "probe",
+	KindAck:         "ack",
+	KindLoadReport:  "told",
+	KindRunner:      "runner",
+	KindCondition:   "condition",
+	KindRing:        "ring",
+	KindSyncState:   "want",
+	KindLoadAck:     "heard",
+	KindResendLoads: "tell-again",
+	KindFailed:      "failed",
+	KindDraining:    "draining",
 
 	KindUsageRows:  "usage-rows",
 	KindUsageQuery: "usage-query",
