controller: the connection of a runner that is sent elsewhere is closed; idle ones after 15 s

Controllers held up to 8,254 connections: after all processes were killed and a zone was lost, runners had called several controllers each, and the connections stayed for 60 s. Change: a heartbeat's answer that names another address closes its connection; idle ones end after 15 s.

--- a/internal/controller/control.go
+++ b/internal/controller/control.go
@@ -25,6 +25,10 @@
 	"beechtide.org/beechtide/internal/transport"
 )
 
+// controlIdleTimeout is after how long without a call a connection is closed. Runners send a
+// heartbeat every second or so; those that lost their power leave connections that nobody ends.
+const controlIdleTimeout = 15 * time.Second
+
 var errNoChange = errors.New("controller: nothing to change")
 
 var checkCall = validator.New(validator.WithRequiredStructEnabled())
@@ -44,7 +48,7 @@
 		return errors.Wrap(err, "controller: control address")
 	}
 	defer ln.Close()
-	h := httpserver.New(d.set.Listen.Control, server.WithListener(ln))
+	h := httpserver.New(d.set.Listen.Control, server.WithListener(ln), server.WithIdleTimeout(controlIdleTimeout))
 	h.POST("/api/Runners.Heartbeat/:id", d.counted(callHeartbeat, d.beat))
 	h.POST("/api/Runners.Leave/:id", d.counted(callLeave, d.leave))
 	h.POST("/api/Config.Replace", d.counted(callReplace, d.inContactOnly(d.replace)))
@@ -100,7 +104,11 @@
 			d.transport.SendDatagram(p.Addr, transport.KindRunner, &n)
 		}
 	}
-	c.JSON(200, api.HeartbeatResponse{BeatTo: d.beatElsewhere(all, n)})
+	elsewhere := d.beatElsewhere(all, n)
+	if elsewhere != "" {
+		c.SetConnectionClose() // nothing more comes on it, and thousands of idle ones take much memory
+	}
+	c.JSON(200, api.HeartbeatResponse{BeatTo: elsewhere})
 }
 
 // confirmLeaving tells the core that a runner drains or is gone, and whether that
