--- a/internal/controller/readers.go
+++ b/internal/controller/readers.go
@@ -10,6 +10,7 @@
 	"hash/fnv"
 	"time"
 
+	"beechtide.org/beechtide/internal/consensus"
 	"beechtide.org/beechtide/internal/membership"
 	"beechtide.org/beechtide/internal/messages"
 	"beechtide.org/beechtide/internal/routeconfig"
@@ -30,8 +31,11 @@
 		return
 	}
 	alive := membership.Core(d.monitor.Alive(messages.Controller))
-	if d.clock()-d.startUs < readersStartAfterUs && len(alive) > 1 {
-		return
+	if d.clock()-d.startUs < readersStartAfterUs {
+		if len(alive) > 1 {
+			return
+		}
+		alive = d.startPeers(alive)
 	}
 	wanted := map[string]messages.RunnerRecord{}
 	for _, n := range d.readable(table) {
@@ -49,6 +53,21 @@
 	}
 }
 
+// startPeers returns among whom the runners are divided by a controller that has heard of no
+// other one yet: the members of the configuration's register. After a loss of power of all, each
+// would read all runners else, with two connections each.
+func (d *Controller) startPeers(alive []messages.Peer) []messages.Peer {
+	v, _ := d.registers.Committed(consensus.ConfigPart)
+	if len(v.Group) < 2 {
+		return alive
+	}
+	peers := make([]messages.Peer, 0, len(v.Group))
+	for _, m := range v.Group {
+		peers = append(peers, messages.Peer{Addr: m.Addr, Status: messages.Alive})
+	}
+	return peers
+}
+
 // readable returns the runners and stores that cache prefixes.
 func (d *Controller) readable(table *routeconfig.Table) []messages.RunnerRecord {
 	var out []messages.RunnerRecord
