--- a/internal/controller/readers.go
+++ b/internal/controller/readers.go
@@ -7,13 +7,13 @@
 
 import (
 	"context"
-	"hash/fnv"
 	"time"
 
 	"beechtide.org/beechtide/internal/consensus"
 	"beechtide.org/beechtide/internal/membership"
 	"beechtide.org/beechtide/internal/messages"
 	"beechtide.org/beechtide/internal/routeconfig"
+	"beechtide.org/beechtide/internal/statesync"
 )
 
 // readTimeout bounds one call of a reader.
@@ -122,9 +122,7 @@
 		if p.Status != messages.Alive || !eligible(p) {
 			continue
 		}
-		h := fnv.New64a()
-		_, _ = h.Write([]byte(p.Addr + " " + id))
-		if v := h.Sum64(); best == "" || v > top {
+		if v := statesync.HashText(p.Addr, id); best == "" || v > top {
 			best, top = p.Addr, v
 		}
 	}
