--- a/internal/controller/tallies.go
+++ b/internal/controller/tallies.go
@@ -26,6 +26,9 @@
 	// tallyCallWait bounds a call to another replica. Two that end without an answer are
 	// enough to show that it is out of reach.
 	tallyCallWait = 300 * time.Millisecond
+	// tallyProbeWait is the same for a call to one that is out of reach, which it answers
+	// without its disk.
+	tallyProbeWait = 150 * time.Millisecond
 	// tallyLateWait is by how much more than its bound a failed call may have lasted to show
 	// anything: longer, and this process stood still.
 	tallyLateWait = 150 * time.Millisecond
--- a/internal/controller/tally_calls.go
+++ b/internal/controller/tally_calls.go
@@ -40,14 +40,15 @@
 		return
 	}
 	add := tally.Add{Tally: name, Key: tally.KeyOf(name, amendment.Id), Amount: amendment.Amount}
-	number, reason := d.tallies.add(add)
+	arrivedUs := d.clock()
+	number, reason := d.tallies.add(add, arrivedUs)
 	if reason != "" {
 		reject(c, 503, "", reason)
 		return
 	}
 	ctx, cancel := context.WithTimeout(ctx, amendWait)
 	defer cancel()
-	if !d.tallies.await(ctx, func() bool { return d.tallies.replica.Confirmed() >= number }) {
+	if !d.tallies.await(ctx, func() bool { return d.tallies.replica.Acknowledged(number, arrivedUs) }) {
 		d.tallies.countLate()
 		reject(c, 504, "", "not on enough disks yet; repeat it under the same id")
 		return
@@ -57,7 +58,7 @@
 
 // add takes an add in and returns its number in this replica's log, or why it is not taken. An
 // add that this replica has in its log already is taken in any case.
-func (t *tallies) add(add tally.Add) (number uint64, reason string) {
+func (t *tallies) add(add tally.Add, arrivedUs int64) (number uint64, reason string) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	switch {
@@ -71,6 +72,7 @@
 		return 0, "no room for further adds"
 	}
 	number = t.replica.Append(add)
+	t.replica.Await(arrivedUs)
 	t.signal()
 	return number, ""
 }
--- a/internal/controller/tally_replication.go
+++ b/internal/controller/tally_replication.go
@@ -5,6 +5,7 @@
 
 import (
 	"context"
+	"time"
 
 	"github.com/tinylib/msgp/msgp"
 
@@ -49,11 +50,22 @@
 	t.mu.Lock()
 	unreachable := t.replica.Unreachable(addr)
 	t.mu.Unlock()
-	pause := tallyPause
-	if unreachable {
-		pause = tallyIdlePause
+	if !unreachable {
+		loop.Pause(ctx, tallyPause)
+		return
 	}
-	loop.Pause(ctx, pause)
+	for t.pauseUnless(ctx, tallyIdlePause, func() bool { return t.replica.WantsCall(addr) }) {
+		if t.probe(ctx, addr) {
+			return
+		}
+	}
+}
+
+// probe asks a replica that is out of reach for an answer, as an add that has come since it was
+// last called may be acknowledged without it only if it still is.
+func (t *tallies) probe(ctx context.Context, addr string) bool {
+	var ack messages.TallyAck
+	return t.callFor(ctx, addr, tallyProbeWait, transport.KindTallyAppend, &messages.TallyAppend{}, &ack)
 }
 
 // send sends one run, and reports whether the replica has got further, or has said where to
@@ -77,7 +89,11 @@
 
 // call calls another replica, and records whether it was reached.
 func (t *tallies) call(ctx context.Context, addr string, kind int, request msgp.Marshaler, answer unmarshaler) bool {
-	wait, cancel := context.WithTimeout(ctx, tallyCallWait)
+	return t.callFor(ctx, addr, tallyCallWait, kind, request, answer)
+}
+
+func (t *tallies) callFor(ctx context.Context, addr string, bound time.Duration, kind int, request msgp.Marshaler, answer unmarshaler) bool {
+	wait, cancel := context.WithTimeout(ctx, bound)
 	defer cancel()
 	sentUs := t.controller.clock()
 	b, err := t.controller.transport.Call(wait, addr, kind, request)
@@ -113,6 +129,7 @@
 	for ctx.Err() == nil {
 		t.mu.Lock()
 		vector := t.replica.Set().Vector()
+		before := t.replica.Set().Len()
 		t.mu.Unlock()
 		request := messages.TallyPull{Vector: make([]messages.TallyHeld, 0, len(vector))}
 		for origin, held := range vector {
@@ -127,15 +144,23 @@
 			t.controller.log.Error(err, "tallies of another replica cannot be read", "replica", addr)
 			return false
 		}
-		if t.merge(runs) == 0 || !answer.More {
+		t.merge(runs)
+		if !answer.More || t.held() == before {
 			return true
 		}
 	}
 	return false
 }
 
-// merge takes runs in and returns how many adds were new.
-func (t *tallies) merge(runs []tally.Run) int {
+// held returns how many adds are held.
+func (t *tallies) held() int {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.replica.Set().Len()
+}
+
+// merge takes runs in.
+func (t *tallies) merge(runs []tally.Run) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	before := t.replica.Set().Len()
@@ -145,7 +170,6 @@
 	if added > 0 {
 		t.signal()
 	}
-	return added
 }
 
 // compared takes the digest that another replica has told with its versions. One that differs
--- a/internal/controller/tally_witness.go
+++ b/internal/controller/tally_witness.go
@@ -35,18 +35,24 @@
 			}
 			continue
 		}
+		askedUs := t.controller.clock()
 		judged := t.judge(ctx, addr, zone)
 		t.mu.Lock()
-		t.replica.Witnessed(addr, judged)
+		t.replica.Witnessed(addr, judged, askedUs)
 		t.signal()
 		t.mu.Unlock()
-		select {
-		case <-time.After(witnessPause):
-		case <-ctx.Done():
-		}
+		t.pauseUnless(ctx, witnessPause, func() bool { return t.replica.WantsWitness(addr) })
 	}
 }
 
+// pauseUnless pauses, or until a condition on the replica holds, and reports whether it does. The
+// condition is called with the mutex held.
+func (t *tallies) pauseUnless(ctx context.Context, pause time.Duration, holds func() bool) bool {
+	ctx, cancel := context.WithTimeout(ctx, pause)
+	defer cancel()
+	return t.await(ctx, holds)
+}
+
 // judge asks routers of a replica's zone, or outside of this one's zone where that is not
 // known. Where none answers, or one reaches the replica, the way is cut.
 func (t *tallies) judge(ctx context.Context, addr, zone string) tally.Witness {
--- a/internal/simulation/cluster.go
+++ b/internal/simulation/cluster.go
@@ -38,6 +38,8 @@
 	TrustSilence         bool // a replica that does not answer counts as cut off
 	KeepOrigin           bool // a replica that lost its disk goes on under its old name
 	NeverPull            bool // replicas get no logs but those of who sends them
+	TrustOldEvidence     bool // an add is acknowledged by evidence of a cut that is older than itself
+	AnswerUnasked        bool // a replica that starts answers before it has asked the others
 	RepeatEffectful      bool // requests that may run once are sent again like others
 	PromiseAfterRun      bool // a request that may have run ends with a promise that it has not
 	MatchByOrder         bool // an answer belongs to whoever waits on its connection
--- a/internal/simulation/controller.go
+++ b/internal/simulation/controller.go
@@ -55,6 +55,7 @@
 	diskFault bool // the last write was refused
 	dutyBusy  bool
 	actedAs   int64 // the fence under which it has noted that it acted
+	synced    bool  // what was read from the disk is durable
 	shutdown  shutdown
 	contact   lease.Contact
 	handledUs map[string]int64 // by member: when it last handled a request of this process, by true time
@@ -75,6 +76,7 @@
 	c.heard, c.direct, c.dutyBusy, c.actedAs = map[string]peer{}, map[string]int64{}, false, 0
 	c.duty = lease.Lease{T: dutyTimes}
 	c.takeover = lease.Takeover{}
+	c.synced = false
 	c.shutdown, c.contact, c.handledUs = shutdown{}, lease.Contact{}, map[string]int64{}
 	c.id, c.registers = "", [parts]*register{}
 	if kept, ok := c.disk.Read(identityFile); ok {
@@ -211,7 +213,7 @@
 	r := c.registers[part]
 	before := r.acceptor.Rec
 	if !r.acceptor.Learn(v) && r.durable >= r.acceptor.Rec.Committed.Version {
-		done(nil)
+		c.sync(done)
 		return
 	}
 	c.save(part, func(err error) {
@@ -222,6 +224,19 @@
 	})
 }
 
+// sync makes durable what this life has read: a process that was killed may have left records that
+// are not. It does so once.
+func (c *Controller) sync(done func(error)) {
+	if c.synced {
+		done(nil)
+		return
+	}
+	c.disk.Sync(c.afterWrite(func(err error) {
+		c.synced = c.synced || err == nil
+		done(err)
+	}))
+}
+
 func (c *Controller) save(part int, done func(error)) {
 	r := c.registers[part]
 	raw, err := r.acceptor.Rec.MarshalMsg(nil)
@@ -286,8 +301,12 @@
 		before := r.acceptor.Rec
 		response, changed := r.acceptor.Handle(request)
 		if !changed {
-			release()
-			reply(response)
+			c.sync(func(err error) {
+				release()
+				if err == nil {
+					reply(response)
+				}
+			})
 			return
 		}
 		if c.cluster.defects.RespondBeforeDurable {
--- a/internal/simulation/play_test.go
+++ b/internal/simulation/play_test.go
@@ -54,9 +54,9 @@
 		{"read without a majority", Defects{ReadWithoutMajority: true}, 0, "history"},
 		{"repeats not looked for", Defects{ForgetTaken: true}, 0, "history"},
 		{"lease without its waits", Defects{ActWithoutWaiting: true}, 0, "acts under"},
-		{"first group not kept", Defects{ForgetGenesis: true}, 1880, "no group"},
+		{"first group not kept", Defects{ForgetGenesis: true}, 550, "no group"},
 		{"members taken in unconfirmed", Defects{JoinUnconfirmed: true}, 0, "joins part"},
-		{"answers without the lease of contact", Defects{AnswerOutOfContact: true}, 0, "no majority has handled"},
+		{"answers without the lease of contact", Defects{AnswerOutOfContact: true}, 830, "no majority has handled"},
 		{"an end without a hand-over", Defects{EndWithoutHandOver: true}, 0, "stood ready"},
 		{"claim never used counts as used", Defects{TrustUnusedClaim: true}, 70, "acts under"},
 	} {
--- a/internal/simulation/storage.go
+++ b/internal/simulation/storage.go
@@ -68,6 +68,22 @@
 	s.work()
 }
 
+// Sync makes durable what readers see, and calls done when it is, or refused.
+func (s *Storage) Sync(done func(error)) {
+	s.waiting = append(s.waiting, write{name: everyFile, done: done})
+	s.work()
+}
+
+// everyFile is the name under which a write stands that syncs what is there.
+const everyFile = ""
+
+// syncFiles makes durable what readers see.
+func (s *Storage) syncFiles() {
+	for _, f := range s.files {
+		f.durable, f.unsynced = f.visible(), nil
+	}
+}
+
 // Resume goes on after a stall.
 func (s *Storage) Resume() {
 	s.Stalled = false
@@ -94,9 +110,13 @@
 	}
 	w := s.waiting[0]
 	s.waiting = s.waiting[1:]
-	if s.Full {
+	switch {
+	case s.Full:
 		w.done(ErrDisk)
-	} else {
+	case w.name == everyFile:
+		s.syncFiles()
+		w.done(nil)
+	default:
 		s.files[w.name] = &file{durable: w.content}
 		w.done(nil)
 	}
@@ -107,7 +127,7 @@
 // them may have got as far as the rename, and then readers see it.
 func (s *Storage) Kill() {
 	for _, w := range s.waiting {
-		if s.Full || !s.kernel.Chance(500) {
+		if s.Full || w.name == everyFile || !s.kernel.Chance(500) {
 			continue
 		}
 		f := s.files[w.name]
--- a/internal/simulation/tallies.go
+++ b/internal/simulation/tallies.go
@@ -132,9 +132,9 @@
 	h.kernel.After(tallySilentUs, again)
 	h.network.Send(client, r.addr, func() {
 		r.process.Deliver(func() {
-			r.amend(c.add, func(ok bool) {
+			r.amend(c.add, func(number uint64, ok bool) {
 				if ok {
-					h.checks.acked(c.add, r)
+					h.checks.acked(c.add, r, number)
 				}
 				h.network.Send(r.addr, client, func() {
 					c.ended = c.ended || ok
--- a/internal/simulation/tallies_test.go
+++ b/internal/simulation/tallies_test.go
@@ -32,9 +32,11 @@
 		finds   string
 		from    uint64 // the first seed that is played
 	}{
-		{"quorum of disks", Defects{AckOnOneDisk: true}, "lacks an add", 130},
-		{"witnesses", Defects{TrustSilence: true}, "lacks an add", 870},
+		{"quorum of disks", Defects{AckOnOneDisk: true}, "acknowledges an add on", 0},
+		{"witnesses", Defects{TrustSilence: true}, "acknowledges an add on", 0},
 		{"a new origin for a lost disk", Defects{KeepOrigin: true}, "lacks an add", 0},
+		{"evidence younger than the add", Defects{TrustOldEvidence: true}, "acknowledges an add on", 170},
+		{"the others asked at the start", Defects{AnswerUnasked: true}, "answers, and does not have", 0},
 		{"anti-entropy", Defects{NeverPull: true}, "lacks an add", 215},
 	} {
 		t.Run(c.name, func(t *testing.T) {
--- a/internal/simulation/tally_actors.go
+++ b/internal/simulation/tally_actors.go
@@ -10,6 +10,7 @@
 // Times of a replica's driver, as in package controller.
 const (
 	tallyCallWaitUs    = 300 * Millisecond
+	tallyProbeWaitUs   = 150 * Millisecond
 	tallyPauseUs       = 50 * Millisecond
 	tallyIdlePauseUs   = 400 * Millisecond
 	tallyLateUs        = 150 * Millisecond
@@ -41,6 +42,7 @@
 	asked          map[string]bool
 	differing      map[string]bool
 	lives          int
+	bootUs         int64 // when the present life began, by true time
 }
 
 func (r *tallyReplica) bootIfDown() {
@@ -52,6 +54,7 @@
 func (r *tallyReplica) boot() {
 	r.process.Start()
 	r.lives++
+	r.bootUs = r.history.kernel.NowUs()
 	r.writing, r.ready, r.asked, r.differing = false, false, map[string]bool{}, map[string]bool{}
 	r.idle = map[string]*tallyReplica{}
 	opened, err := tally.OpenLog(r.disk, r.newOrigin)
@@ -117,9 +120,12 @@
 	for _, other := range r.history.replicas {
 		waits = waits || other != r && !r.asked[other.addr] && !r.replica.Unreachable(other.addr)
 	}
-	if r.ready = !waits && (len(r.asked) > 0 || r.process.NowUs() > tallySettleUs); !r.ready {
+	waits = waits && !r.history.defects.AnswerUnasked
+	if r.ready = !waits && (len(r.asked) > 0 || r.process.NowUs() > tallySettleUs || r.history.defects.AnswerUnasked); !r.ready {
 		r.process.After(20*Millisecond, r.checkReady)
+		return
 	}
+	r.history.checks.becameReady(r)
 }
 
 // write brings adds to the disk. A sync takes a while; what a loss of power finds under way is
@@ -151,6 +157,10 @@
 
 // call sends a question to another replica and hands its answer over, or nothing in time.
 func (r *tallyReplica) call(other *tallyReplica, serve func(answer func(func())), failed func()) {
+	r.callFor(other, tallyCallWaitUs, serve, failed)
+}
+
+func (r *tallyReplica) callFor(other *tallyReplica, waitUs int64, serve func(answer func(func())), failed func()) {
 	sentUs, life, ended := r.process.NowUs(), r.process.life, false
 	net := r.history.network
 	net.Send(r.addr, other.addr, func() {
@@ -169,12 +179,12 @@
 			})
 		})
 	})
-	r.process.After(tallyCallWaitUs, func() {
+	r.process.After(waitUs, func() {
 		if ended {
 			return
 		}
 		ended = true
-		if nowUs := r.process.NowUs(); nowUs-sentUs < tallyCallWaitUs+tallyLateUs {
+		if nowUs := r.process.NowUs(); nowUs-sentUs < waitUs+tallyLateUs {
 			r.replica.Failed(other.addr, sentUs, nowUs)
 		}
 		failed()
@@ -183,13 +193,7 @@
 
 // sendTo sends another replica what it lacks of the own log, for as long as this life lasts.
 func (r *tallyReplica) sendTo(other *tallyReplica) {
-	again := func() {
-		pause := int64(tallyPauseUs)
-		if r.replica.Unreachable(other.addr) {
-			pause = tallyIdlePauseUs
-		}
-		r.process.After(pause, func() { r.sendTo(other) })
-	}
+	again := func() { r.pauseAfterFailure(other) }
 	if !r.asked[other.addr] {
 		r.pull(other, func() {
 			r.asked[other.addr] = true
@@ -209,6 +213,24 @@
 	r.call(other, func(answer func(func())) { other.receive(next.Origin, runs, answer, r) }, again)
 }
 
+// pauseAfterFailure waits before the next call. One that is out of reach is probed meanwhile
+// where somebody waits for an add.
+func (r *tallyReplica) pauseAfterFailure(other *tallyReplica) {
+	if !r.replica.Unreachable(other.addr) {
+		r.process.After(tallyPauseUs, func() { r.sendTo(other) })
+		return
+	}
+	untilUs := r.process.NowUs() + tallyIdlePauseUs
+	r.await(untilUs, func() bool { return r.replica.WantsCall(other.addr) }, func(wanted bool) {
+		if !wanted {
+			r.sendTo(other)
+			return
+		}
+		answered := func(answer func(func())) { answer(func() { r.sendTo(other) }) }
+		r.callFor(other, tallyProbeWaitUs, answered, func() { r.pauseAfterFailure(other) })
+	})
+}
+
 // receive answers another replica once its adds are on the disk.
 func (r *tallyReplica) receive(origin tally.Origin, runs []tally.Run, answer func(func()), from *tallyReplica) {
 	r.replica.Merge(runs)
@@ -234,19 +256,20 @@
 
 // pull fetches what this replica lacks.
 func (r *tallyReplica) pull(other *tallyReplica, done, failed func()) {
-	vector := r.replica.Set().Vector()
+	vector, before := r.replica.Set().Vector(), r.replica.Set().Len()
 	r.call(other, func(answer func(func())) {
-		encoded := tally.EncodeRuns(other.replica.Since(vector, tallySimBatch))
+		runs := other.replica.Since(vector, tallySimBatch)
+		more := countAdds(runs) >= tallySimBatch
+		encoded := tally.EncodeRuns(runs)
 		answer(func() {
 			runs, err := tally.DecodeRuns(encoded)
 			if err != nil {
 				r.history.kernel.Fail("%s cannot read what %s has sent: %v", r.addr, other.addr, err)
 				return
 			}
-			before := r.replica.Set().Len()
 			r.replica.Merge(runs)
 			r.wake()
-			if r.replica.Set().Len()-before >= tallySimBatch {
+			if more && r.replica.Set().Len() > before {
 				r.pull(other, done, failed)
 				return
 			}
@@ -255,6 +278,14 @@
 	}, failed)
 }
 
+func countAdds(runs []tally.Run) int {
+	count := 0
+	for _, run := range runs {
+		count += len(run.Adds)
+	}
+	return count
+}
+
 // compareWith compares digests with another replica now and then.
 func (r *tallyReplica) compareWith(other *tallyReplica) {
 	defer r.process.After(tallyCompareUs, func() { r.compareWith(other) })
@@ -275,14 +306,18 @@
 }
 
 // amend serves a client. answer gets false where nothing was done or where it is not known.
-func (r *tallyReplica) amend(add tally.Add, answer func(ok bool)) {
+func (r *tallyReplica) amend(add tally.Add, answer func(number uint64, ok bool)) {
 	if r.replica == nil || !r.ready || !r.replica.Confirmable() {
-		answer(false)
+		answer(0, false)
 		return
 	}
-	number := r.replica.Append(add)
+	number, arrivedUs := r.replica.Append(add), r.process.NowUs()
+	r.replica.Await(arrivedUs)
+	if r.history.defects.TrustOldEvidence {
+		arrivedUs = 0
+	}
 	r.wake()
-	r.await(r.process.NowUs()+tallyAmendWaitUs, func() bool { return r.replica.Confirmed() >= number }, answer)
+	r.await(r.process.NowUs()+tallyAmendWaitUs, func() bool { return r.replica.Acknowledged(number, arrivedUs) }, func(ok bool) { answer(number, ok) })
 }
 
 // watch asks a router about a replica that does not answer.
@@ -291,6 +326,7 @@
 		r.process.After(100*Millisecond, func() { r.watch(other) })
 		return
 	}
+	askedUs := r.process.NowUs()
 	verdict, net, router := tally.WitnessCut, r.history.network, r.history.routerOf(other.zone)
 	missed := r.process.InLife(func() { verdict = tally.WitnessDown })
 	net.Send(r.addr, router.addr, func() {
@@ -306,8 +342,9 @@
 		if r.history.defects.TrustSilence {
 			verdict = tally.WitnessCut
 		}
-		r.replica.Witnessed(other.addr, verdict)
-		r.process.After(tallyWitnessPause, func() { r.watch(other) })
+		r.replica.Witnessed(other.addr, verdict, askedUs)
+		untilUs := r.process.NowUs() + tallyWitnessPause
+		r.await(untilUs, func() bool { return r.replica.WantsWitness(other.addr) }, func(bool) { r.watch(other) })
 	})
 }
 
--- a/internal/simulation/tally_checks.go
+++ b/internal/simulation/tally_checks.go
@@ -28,8 +28,44 @@
 
 func (c *tallyChecks) sent(add tally.Add) { c.sentAdds[add.Key] = add }
 
-func (c *tallyChecks) acked(add tally.Add, by *tallyReplica) {
-	c.ackedAdds = append(c.ackedAdds, &ackedAdd{add: add, atUs: c.history.kernel.NowUs(), by: by, life: by.lives, whenCut: c.history.cuts > 0})
+// tallyStaleUs bounds for how long after the end of a cut an add may still be acknowledged by
+// evidence of it: the longest call or question that has just begun when the cut ends, and a look.
+const tallyStaleUs = tallyWitnessWaitUs + 2*tallyTickUs
+
+func (c *tallyChecks) acked(add tally.Add, by *tallyReplica, number uint64) {
+	nowUs := c.history.kernel.NowUs()
+	whenCut := c.history.cuts > 0 || c.healedUs > 0 && nowUs <= c.healedUs+tallyStaleUs
+	c.ackedAdds = append(c.ackedAdds, &ackedAdd{add: add, atUs: nowUs, by: by, life: by.lives, whenCut: whenCut})
+	if !whenCut {
+		c.checkDisks(by, number)
+	}
+}
+
+// checkDisks checks that an add that is acknowledged without a partition is on enough disks.
+func (c *tallyChecks) checkDisks(by *tallyReplica, number uint64) {
+	disks, zones := 0, map[string]bool{}
+	for _, r := range c.history.replicas {
+		if r.replica != nil && r.replica.Durable(by.replica.Origin()) >= number {
+			disks++
+			zones[r.zone] = true
+		}
+	}
+	if disks <= mostTalliesLost || len(zones) < 2 {
+		c.history.kernel.Fail("%s acknowledges an add on %d disks in %d zones, %d us after the last cut", by.addr, disks, len(zones), c.history.kernel.NowUs()-c.healedUs)
+	}
+}
+
+// becameReady checks that a replica that begins to answer has what was acknowledged before it
+// started, where nothing was wrong meanwhile but its own loss.
+func (c *tallyChecks) becameReady(r *tallyReplica) {
+	if c.history.troubles > 0 || c.troubleUs > r.bootUs {
+		return
+	}
+	for _, a := range c.ackedAdds {
+		if !a.notOwed && a.atUs < r.bootUs && !r.replica.Set().Contains(a.add.Key) {
+			c.history.kernel.Fail("%s answers, and does not have an add that %s acknowledged at %d us", r.addr, a.by.addr, a.atUs)
+		}
+	}
 }
 
 // lostDisk records that a replica has lost its disk: what it acknowledged during a cut that has
--- a/internal/tally/quorum.go
+++ b/internal/tally/quorum.go
@@ -50,6 +50,7 @@
 	failingSinceUs int64 // when the first failed call after the last success began
 	failing        bool
 	lastFailedUs   int64
+	lastSentUs     int64 // when the newest failed call began
 }
 
 func (r *reachability) answered() { r.failing = false }
@@ -60,6 +61,7 @@
 		r.failing, r.failingSinceUs = true, sentUs
 	}
 	r.lastFailedUs = nowUs
+	r.lastSentUs = max(r.lastSentUs, sentUs)
 }
 
 // unreachable reports whether every call has failed for long enough. Two calls at least have:
--- a/internal/tally/replica.go
+++ b/internal/tally/replica.go
@@ -43,10 +43,14 @@
 	known   bool   // the peer has said what it holds
 	way     reachability
 	witness Witness
+	askedUs int64 // when the witnesses were asked
 }
 
-// cutOff reports whether the way to the peer is cut, rather than the peer down.
-func (p *peerState) cutOff() bool { return p.way.unreachable() && p.witness == WitnessCut }
+// cutOff reports whether the way to the peer is cut, rather than the peer down, by evidence that
+// is not older than sinceUs.
+func (p *peerState) cutOff(sinceUs int64) bool {
+	return p.way.unreachable() && p.way.lastSentUs >= sinceUs && p.witness == WitnessCut && p.askedUs >= sinceUs
+}
 
 // Replica is one copy of all tallies: the set, and how far the own log has got to the
 // others. It is not safe for concurrent use.
@@ -57,6 +61,7 @@
 	written   Vector // what has been given to the disk
 	durable   Vector // what is on it
 	confirmed uint64 // of the own log
+	awaitedUs int64  // when the newest add came whose caller waits
 }
 
 // NewReplica starts a replica with what its disk holds. All of that is durable.
@@ -95,7 +100,7 @@
 	return r.config.MaxAdds > 0 && float64(r.set.Len()) >= float64(r.config.MaxAdds)*(1-ownMargin)
 }
 
-// Append adds to the own log. The caller acknowledges the add once Confirmed has reached
+// Append adds to the own log. The caller acknowledges the add once Acknowledged says so for
 // its number. An add that is there already keeps the number that it has.
 func (r *Replica) Append(add Add) (number uint64) {
 	if number, ok := r.ownNumber(add.Key); ok {
@@ -232,10 +237,11 @@
 	p.witness = WitnessUnknown
 }
 
-// Witnessed records what other nodes say of a peer that does not answer.
-func (r *Replica) Witnessed(addr string, witness Witness) {
+// Witnessed records what other nodes that were asked at askedUs say of a peer that does not
+// answer.
+func (r *Replica) Witnessed(addr string, witness Witness, askedUs int64) {
 	if p := r.peers[addr]; p != nil && p.way.failing {
-		p.witness = witness
+		p.witness, p.askedUs = witness, askedUs
 	}
 	r.advance()
 }
@@ -268,13 +274,36 @@
 	return p != nil && p.way.unreachable()
 }
 
-// Confirmed returns up to which number the own log may be acknowledged.
+// Confirmed returns up to which number the own log has been confirmed.
 func (r *Replica) Confirmed() uint64 { return r.confirmed }
 
+// Await notes that a caller waits for the acknowledgement of an add that came at arrivedUs.
+func (r *Replica) Await(arrivedUs int64) { r.awaitedUs = max(r.awaitedUs, arrivedUs) }
+
+// Acknowledged reports whether an add of the own log that a client brought at arrivedUs may be
+// acknowledged now: it is on enough disks, or every peer that does not have it is cut off, by
+// evidence that is not older than the add. Older evidence may be of a partition that has healed.
+func (r *Replica) Acknowledged(number uint64, arrivedUs int64) bool {
+	return number <= r.Durable(r.config.Origin) && r.stored(number, arrivedUs)
+}
+
+// WantsCall reports whether a peer out of reach is to be called now: somebody waits for an add
+// that is younger than the newest call.
+func (r *Replica) WantsCall(addr string) bool {
+	p := r.peers[addr]
+	return p != nil && p.way.unreachable() && p.way.lastSentUs < r.awaitedUs
+}
+
+// WantsWitness is the same for a question to witnesses.
+func (r *Replica) WantsWitness(addr string) bool {
+	p := r.peers[addr]
+	return p != nil && p.way.unreachable() && p.askedUs < r.awaitedUs
+}
+
 // advance moves the confirmed number on.
 func (r *Replica) advance() {
 	for _, number := range r.candidates() {
-		if number > r.confirmed && r.stored(number) {
+		if number > r.confirmed && r.stored(number, 0) {
 			r.confirmed = number
 		}
 	}
@@ -291,9 +320,10 @@
 }
 
 // stored reports whether the own log is, up to a number that this replica has on its own disk,
-// on enough disks, or on those of all peers to which the way is not cut. A peer that is down is
-// waited for: the disks that are left may be lost before it is back.
-func (r *Replica) stored(number uint64) bool {
+// on enough disks, or on those of all peers to which the way is not cut, by evidence not older than
+// sinceUs. A peer that is down is waited for: the disks that are left may be lost before it is
+// back.
+func (r *Replica) stored(number uint64, sinceUs int64) bool {
 	var have copies
 	have.add(r.config.Zone)
 	missing := false
@@ -303,7 +333,7 @@
 			if p.durable || !r.config.Durable {
 				have.add(p.zone)
 			}
-		case !p.cutOff():
+		case !p.cutOff(sinceUs):
 			missing = true
 		}
 	}
--- a/internal/tally/replica_test.go
+++ b/internal/tally/replica_test.go
@@ -28,7 +28,7 @@
 func silent(r *Replica, addr string, witness Witness) {
 	r.Failed(addr, 0, 300_000)
 	r.Failed(addr, 300_000, unreachableUs)
-	r.Witnessed(addr, witness)
+	r.Witnessed(addr, witness, 300_000)
 }
 
 func TestConfirmedNeedsDisksInMoreZonesThanMayBeLost(t *testing.T) {
@@ -93,6 +93,31 @@
 	must.Eq(t, 1, r.Confirmed())
 }
 
+// A partition may have healed since the newest evidence of it: what came later is not
+// acknowledged by it.
+func TestAddIsNotAcknowledgedByEvidenceOlderThanItself(t *testing.T) {
+	r := testReplica()
+	for _, addr := range []string{"a2", "b1", "c1"} {
+		silent(r, addr, WitnessCut)
+	}
+	number := r.Append(oneAdd(1))
+	written(r)
+	must.True(t, r.Acknowledged(number, 300_000), must.Sprint("the calls began as it came"))
+	const laterUs = 900_000
+	must.False(t, r.Acknowledged(number, laterUs), must.Sprint("also where a client brings it again"))
+	r.Await(laterUs)
+	for _, addr := range []string{"a2", "b1", "c1"} {
+		must.True(t, r.WantsCall(addr))
+		must.True(t, r.WantsWitness(addr))
+		r.Failed(addr, laterUs, laterUs+150_000)
+		must.False(t, r.WantsCall(addr))
+		must.False(t, r.Acknowledged(number, laterUs))
+		r.Witnessed(addr, WitnessCut, laterUs)
+		must.False(t, r.WantsWitness(addr))
+	}
+	must.True(t, r.Acknowledged(number, laterUs))
+}
+
 func TestPeerIsUnreachableOnlyAfterFailuresForLong(t *testing.T) {
 	r := testReplica()
 	r.Failed("b1", 0, 300_000)
