router: requests are read by package http1, which brings every form of HTTP to one

A quarter of the requests of the 'all' sites got 400: names were looked up in two cases of letters only, and the library's reader takes no chunk extensions. Package http1 checks the bytes of a connection by RFC 9110 and 9112 and hands one canonical form to the library: any case of letters, white space, chunk extensions and trailers, absolute targets, empty lines, Expect, HTTP/1.0. What can be read in two ways gets 400, heads over the limit 431, bodies 413, chunked and not announced ones too; limits on sizes are those of the configuration in force. Library kept: hertz sees only what it reads well.

--- a/internal/router/front.go
+++ b/internal/router/front.go
@@ -20,6 +20,7 @@
 	"beechtide.org/beechtide/internal/api"
 	"beechtide.org/beechtide/internal/attempt"
 	"beechtide.org/beechtide/internal/compliance"
+	"beechtide.org/beechtide/internal/http1"
 	"beechtide.org/beechtide/internal/httpserver"
 	"beechtide.org/beechtide/internal/messages"
 	"beechtide.org/beechtide/internal/prefixindex"
@@ -62,27 +63,37 @@
 // frontLimits are the limits on clients' times that are in force.
 func (c *Router) frontLimits() frontLimits {
 	limits := c.table.Load().Limits
-	return frontLimits{idle: orMs(limits.IdleMs, 15000), rest: orMs(limits.HeaderMs, 10000)}
+	sizes := http1.Limits{HeadBytes: limits.HeaderBytes, BodyBytes: int64(limits.BodyBytes)}
+	if sizes.HeadBytes <= 0 {
+		sizes.HeadBytes = defaultHeadBytes
+	}
+	if sizes.BodyBytes <= 0 {
+		sizes.BodyBytes = defaultBodyBytes
+	}
+	return frontLimits{idle: orMs(limits.IdleMs, 15000), rest: orMs(limits.HeaderMs, 10000), sizes: sizes}
 }
 
-// The limits on sizes are those of the configuration that is in force when the front
-// opens.
+// Limits on sizes where the configuration has none.
+const (
+	defaultHeadBytes = 64 << 10
+	defaultBodyBytes = 4 << 20
+)
+
+// Limits of hertz. The front holds requests to those of the configuration before hertz sees
+// them (timedConn.Read), so these are never reached.
+const (
+	libraryHeadBytes = 1 << 20
+	libraryBodyBytes = 1 << 30
+)
+
+// serveFront serves clients until live ends.
 func (c *Router) serveFront(live context.Context) error {
-	lim := c.table.Load().Limits
-	body := lim.BodyBytes
-	if body <= 0 {
-		body = 4 << 20
-	}
-	head := lim.HeaderBytes
-	if head <= 0 {
-		head = 64 << 10
-	}
 	ln, err := listenFront(c.set.Listen.Front, c.frontLimits)
 	if err != nil {
 		return err
 	}
 	h := httpserver.New(c.set.Listen.Front,
-		server.WithListener(lingeringListener{ln, live}), server.WithOnAccept(onAccept), server.WithMaxRequestBodySize(body), server.WithMaxHeaderBytes(head),
+		server.WithListener(lingeringListener{ln, live}), server.WithOnAccept(onAccept), server.WithMaxRequestBodySize(libraryBodyBytes), server.WithMaxHeaderBytes(libraryHeadBytes),
 		server.WithWriteTimeout(10*time.Second), server.WithDisableHeaderNamesNormalizing(true), server.WithUseRawPath(true),
 		server.WithMaxKeepBodySize(64<<10), server.WithReadBufferSize(4096))
 	h.NoRoute(c.serve)
@@ -94,6 +105,7 @@
 type exchange struct {
 	c        *Router
 	rc       *app.RequestContext
+	conn     *timedConn // of the client; nil in tests without one
 	route    *routeconfig.Route
 	tenant   *api.Tenant
 	service  string
@@ -124,13 +136,13 @@
 	if c.draining() {
 		c.counters.takenWhileDraining.Add(1)
 	}
+	conn := clientConn(ctx)
 	defer func() {
-		if c.closesWithAnswer(rc) {
+		if c.closesWithAnswer(conn, rc) {
 			rc.Response.Header.SetConnectionClose(true)
 		}
 	}()
-	conn := clientConn(ctx)
-	e := &exchange{c: c, rc: rc, startUs: c.clock() - conn.requestAge().Microseconds(), id: get(rc, hAttempt)}
+	e := &exchange{c: c, rc: rc, conn: conn, startUs: c.clock() - conn.requestAge().Microseconds(), id: get(rc, hAttempt)}
 	defer e.recordEnd()
 	uri := rc.Request.Header.RequestURI()
 	path, _, _ := strings.Cut(string(uri), "?")
@@ -238,7 +250,7 @@
 	if t.Tenants == 0 || e.route.Unkeyed {
 		return 0
 	}
-	if key, ok := strings.CutPrefix(get(e.rc, hAuth), "Token "); ok {
+	if scheme, key, ok := strings.Cut(get(e.rc, hAuth), " "); ok && strings.EqualFold(scheme, "Token") {
 		e.tenant = t.Tenant(strings.TrimSpace(key))
 	}
 	if e.tenant == nil {
@@ -262,12 +274,9 @@
 	return lengths > 1 || chunked > 1 || lengths > 0 && chunked > 0
 }
 
-func get(rc *app.RequestContext, key string) string {
-	if b := rc.Request.Header.Peek(key); len(b) > 0 {
-		return string(b)
-	}
-	return string(rc.Request.Header.Peek(lower(key)))
-}
+// get returns the value of a field. Its name is in the usual case of letters, as the front's
+// connections rewrite it.
+func get(rc *app.RequestContext, key string) string { return string(rc.Request.Header.Peek(key)) }
 
 // reject answers at once. A status that promises that the request has not run
 // says when to come back.
--- a/internal/router/leave.go
+++ b/internal/router/leave.go
@@ -35,8 +35,8 @@
 // closesWithAnswer reports whether a connection ends with the answer to its request
 // because the router drains. Not while a part of the next request has been read with
 // this one: a client that has sent it is answered that, too.
-func (c *Router) closesWithAnswer(rc *app.RequestContext) bool {
-	return c.draining() && rc.GetReader().Len() == 0
+func (c *Router) closesWithAnswer(conn *timedConn, rc *app.RequestContext) bool {
+	return c.draining() && rc.GetReader().Len() == 0 && (conn == nil || conn.requests.Buffered() == 0)
 }
 
 // lingeringListener returns the error of a closed listener only once live has ended: the
--- a/internal/router/listener.go
+++ b/internal/router/listener.go
@@ -15,6 +15,7 @@
 
 	"github.com/pkg/errors"
 
+	"beechtide.org/beechtide/internal/http1"
 	"beechtide.org/beechtide/internal/httpserver"
 )
 
@@ -31,13 +32,15 @@
 
 // frontLimits bound how long a client may take.
 type frontLimits struct {
-	idle time.Duration // between two requests of a connection
-	rest time.Duration // for a request that has begun
+	idle  time.Duration // between two requests of a connection
+	rest  time.Duration // for a request that has begun
+	sizes http1.Limits
 }
 
 type timedListener struct {
 	net.Listener
 	limits func() frontLimits // those in force
+	counts frontCounts
 
 	mu    sync.Mutex
 	conns map[*timedConn]bool
@@ -68,6 +71,7 @@
 
 func (l *timedListener) track(c net.Conn) *timedConn {
 	tc := &timedConn{Conn: c, l: l}
+	tc.requests.Limits = func() http1.Limits { return l.limits().sizes }
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	l.conns[tc] = true
@@ -89,8 +93,9 @@
 type timedConn struct {
 	net.Conn
 	l        *timedListener
-	begun    time.Time // when the request being read began; zero between requests
-	answerBy time.Time // when the request in hand is over; zero between requests
+	requests http1.Rewriter // what the client has sent, in the form that hertz reads
+	begun    time.Time      // when the request being read began; zero between requests
+	answerBy time.Time      // when the request in hand is over; zero between requests
 
 	mu      sync.Mutex
 	idle    bool // a read waits for a request to begin
@@ -117,10 +122,46 @@
 	}
 }
 
+// Read returns bytes of one request at a time, rewritten by package http1. A request that
+// breaks the protocol or a limit is answered here, and the connection ends.
 func (c *timedConn) Read(b []byte) (int, error) {
+	for {
+		n, err := c.requests.Read(b)
+		var refusal *http1.Error
+		switch {
+		case err == nil:
+			c.begin(time.Now())
+			return n, nil
+		case errors.As(err, &refusal):
+			c.refuse(refusal)
+			return 0, net.ErrClosed
+		}
+		if c.requests.TakeExpectation() {
+			if _, err := c.Conn.Write([]byte(answer100)); err != nil {
+				return 0, err
+			}
+		}
+		n, err = c.readSocket(b)
+		c.requests.Write(b[:n])
+		if n == 0 && err != nil {
+			return 0, err
+		}
+	}
+}
+
+// begin notes when a request began, unless one has begun already.
+func (c *timedConn) begin(at time.Time) {
 	if c.begun.IsZero() {
+		c.begun, c.answerBy = at, time.Time{}
+	}
+}
+
+// readSocket reads bytes as the client has sent them.
+func (c *timedConn) readSocket(b []byte) (int, error) {
+	if c.begun.IsZero() && c.requests.Between() {
 		return c.readFirst(b)
 	}
+	c.begin(time.Now()) // a part of it came with the request before
 	return c.readRest(b)
 }
 
@@ -135,7 +176,7 @@
 		readAt := time.Now()
 		stays := c.leaveIdle(since)
 		if n > 0 {
-			c.begun, c.answerBy = readAt, time.Time{}
+			c.begin(readAt)
 			return n, err
 		}
 		if !stays || !errors.Is(err, os.ErrDeadlineExceeded) {
--- a/internal/router/responses.go
+++ b/internal/router/responses.go
@@ -36,7 +36,7 @@
 			out.Add(key, string(val))
 		}
 	})
-	if e.c.closesWithAnswer(e.rc) {
+	if e.c.closesWithAnswer(e.conn, e.rc) {
 		out.SetConnectionClose(true)
 	}
 }
@@ -163,7 +163,11 @@
 
 func (e *exchange) begin(r *protocol.Response, stream *answerStream) {
 	e.answerHead(r)
-	stream.out = resp.NewChunkedBodyWriter(&e.rc.Response, e.rc.GetWriter())
+	if e.rc.Request.Header.IsHTTP11() {
+		stream.out = resp.NewChunkedBodyWriter(&e.rc.Response, e.rc.GetWriter())
+	} else {
+		stream.out = &untilCloseWriter{response: &e.rc.Response, out: e.rc.GetWriter()}
+	}
 	e.rc.Response.HijackWriter(stream.out)
 	stream.started = true
 	if e.c.held.remove(e.held) { // it has begun just in time
