--- a/internal/http1/rewriter.go
+++ b/internal/http1/rewriter.go
@@ -39,13 +39,13 @@
 	out []byte // bytes of the present request that are not returned yet
 
 	stage      stage
-	limits     Limits
-	scanned    int   // bytes of in that have been searched for the end of a head
-	emptyLines int   // ahead of the present head
-	left       int64 // of the body, or of the chunk
-	body       int64 // decoded bytes of a chunked body so far
-	trailers   int   // bytes of trailers so far
-	expects    bool  // the client waits for an interim answer before it sends the body
+	inForce    Limits // for the present request
+	scanned    int    // bytes of in that have been searched for the end of a head
+	emptyLines int    // ahead of the present head
+	left       int64  // of the body, or of the chunk
+	body       int64  // decoded bytes of a chunked body so far
+	trailers   int    // bytes of trailers so far
+	expects    bool   // the client waits for an interim answer before it sends the body
 	failed     *Error
 }
 
@@ -137,7 +137,7 @@
 // readHead reads the head of a request once all of it is there.
 func (r *Rewriter) readHead() (done bool, err *Error) {
 	if r.scanned == 0 {
-		r.limits = r.Limits()
+		r.inForce = r.Limits()
 		if err := r.skipEmptyLines(); err != nil {
 			return false, err
 		}
@@ -149,8 +149,8 @@
 	switch {
 	case err != nil:
 		return false, err
-	case size > r.limits.HeadBytes, size == 0 && len(r.in) > r.limits.HeadBytes:
-		return false, &Error{statusHeadTooLarge, "the head is larger than " + strconv.Itoa(r.limits.HeadBytes) + " bytes"}
+	case size > r.inForce.HeadBytes, size == 0 && len(r.in) > r.inForce.HeadBytes:
+		return false, &Error{statusHeadTooLarge, "the head is larger than " + strconv.Itoa(r.inForce.HeadBytes) + " bytes"}
 	case size == 0:
 		return false, nil
 	}
@@ -158,7 +158,7 @@
 	if err != nil {
 		return false, err
 	}
-	if head.length > r.limits.BodyBytes {
+	if head.length > r.inForce.BodyBytes {
 		return false, r.bodyTooLarge()
 	}
 	r.consume(size)
@@ -181,7 +181,7 @@
 }
 
 func (r *Rewriter) bodyTooLarge() *Error {
-	return &Error{statusBodyTooLarge, "the body is larger than " + strconv.FormatInt(r.limits.BodyBytes, 10) + " bytes"}
+	return &Error{statusBodyTooLarge, "the body is larger than " + strconv.FormatInt(r.inForce.BodyBytes, 10) + " bytes"}
 }
 
 // skipEmptyLines skips empty lines ahead of a request.
@@ -221,7 +221,7 @@
 	if err != nil {
 		return false, err
 	}
-	if size > r.limits.BodyBytes || r.body+size > r.limits.BodyBytes {
+	if size > r.inForce.BodyBytes || r.body+size > r.inForce.BodyBytes {
 		return false, r.bodyTooLarge()
 	}
 	r.body += size
@@ -288,7 +288,7 @@
 
 // readTrailers reads the fields behind the last chunk. They are checked and dropped.
 func (r *Rewriter) readTrailers() (done bool, err *Error) {
-	line, err := r.takeLine(r.limits.HeadBytes)
+	line, err := r.takeLine(r.inForce.HeadBytes)
 	if line == nil || err != nil {
 		return false, err
 	}
@@ -297,8 +297,8 @@
 		r.stage = stageHead
 		return true, nil
 	}
-	if r.trailers += len(line) + len(crlf); r.trailers > r.limits.HeadBytes {
-		return false, &Error{statusHeadTooLarge, "the trailers are larger than " + strconv.Itoa(r.limits.HeadBytes) + " bytes"}
+	if r.trailers += len(line) + len(crlf); r.trailers > r.inForce.HeadBytes {
+		return false, &Error{statusHeadTooLarge, "the trailers are larger than " + strconv.Itoa(r.inForce.HeadBytes) + " bytes"}
 	}
 	if _, err := parseField(line); err != nil {
 		return false, err
