--- a/internal/admission/admission.go
+++ b/internal/admission/admission.go
@@ -33,6 +33,8 @@
 	Avoid      []string // runners that were tried before
 	Bound      bool     // only runners in one of the regions in Homes are candidates
 	Homes      []string
+	Canary     bool   // goes to a new version of the service that is tried
+	Class      string // kind of request, by which outcomes are compared
 }
 
 // Reason says which check rejected a request.
--- a/internal/admission/admit.go
+++ b/internal/admission/admit.go
@@ -32,6 +32,8 @@
 	Keys        []uint64
 	Parts       []prefixindex.Part
 	pendingKeys []uint64
+	class       string
+	slow        bool // its first token took long
 }
 
 type pin struct {
@@ -65,7 +67,7 @@
 	r, c := who[i], list[i]
 	version := weightsVersion(r.record, request.Model)
 	salt := a.Salt(request.Tenant, request.Isolated, request.Regime, version)
-	adm := &Admission{Runner: r.record, Salt: salt, Version: version, Kept: c.Kept, Source: c.From, atUs: nowUs, tenant: request.Tenant, service: request.Service, model: request.Model, tokensIn: request.TokensIn, Parts: request.Parts, Keys: prefixindex.Keys(salt, request.Model, request.Parts), prefilling: true}
+	adm := &Admission{Runner: r.record, Salt: salt, Version: version, Kept: c.Kept, Source: c.From, atUs: nowUs, tenant: request.Tenant, service: request.Service, model: request.Model, tokensIn: request.TokensIn, class: request.Class, Parts: request.Parts, Keys: prefixindex.Keys(salt, request.Model, request.Parts), prefilling: true}
 	bt := a.T.BlockTokens
 	inParts := 0
 	for j, k := range adm.Keys {
@@ -136,6 +138,7 @@
 		return
 	}
 	adm.prefilling = false
+	a.pool(adm.service).judgeFirstToken(&a.T, adm, r, nowUs)
 	r.own.prefill -= adm.prefill
 	if took := nowUs - adm.atUs; took > 0 && adm.prefill >= 512 && adm.ahead*4 <= adm.prefill {
 		sample := float64(adm.prefill) / float64(took)
@@ -187,6 +190,7 @@
 	p := a.pool(adm.service)
 	if r := p.runners[adm.Runner.ID]; r != nil {
 		r.health.record(good, nowUs)
+		p.recordOutcome(adm, r, good)
 		if !good {
 			p.eject(nowUs)
 		} else if !r.absence.out {
--- a/internal/admission/candidates.go
+++ b/internal/admission/candidates.go
@@ -97,7 +97,8 @@
 	if a.Evacuated(r.record.Zone) || !a.atHome(&s.request, r.record.Zone) || !a.warmupAllows(s.pool, r, s.nowUs) {
 		return false
 	}
-	if slices.Contains(s.request.Avoid, id) || preference != a.preference(s.request, r, s.nowUs) {
+	byVersion, allowed := s.pool.versionPreference(&s.request, r)
+	if !allowed || slices.Contains(s.request.Avoid, id) || preference != max(byVersion, a.preference(s.request, r, s.nowUs)) {
 		return false
 	}
 	if a.RetiredWeights(s.request.Model, weightsVersion(r.record, s.request.Model)) {
--- a/internal/admission/loads.go
+++ b/internal/admission/loads.go
@@ -110,5 +110,6 @@
 			}
 		}
 	}
+	a.addOutcomes(out)
 	return out
 }
--- a/internal/admission/pool.go
+++ b/internal/admission/pool.go
@@ -15,7 +15,8 @@
 	// coldPerS is how many requests a second a runner bears while it warms up; 0: any number.
 	coldPerS    float64
 	warmupShare warmupShare
-	moveUs      float64 // microseconds to transfer the memory of one token between runners; 0: no transfers
+	rollout     *rollout // the newest of the service; nil for none
+	moveUs      float64  // microseconds to transfer the memory of one token between runners; 0: no transfers
 }
 
 // Store is a server that caches blocks for the runners of a service.
@@ -44,6 +45,7 @@
 		keep[n.ID] = true
 		p.order = append(p.order, n.ID)
 	}
+	p.chooseTried()
 	for id, r := range p.runners {
 		if !keep[id] && r.own.count == 0 {
 			delete(p.runners, id)
--- /dev/null
+++ b/internal/admission/rollout.go
@@ -0,0 +1,188 @@
+// Roll-outs of services: which runners of a new software version may get a request, and how the
+// requests to the new and the other versions end. Package canary decides on the stages.
+
+package admission
+
+import (
+	"cmp"
+	"maps"
+	"math"
+	"slices"
+
+	"beechtide.org/beechtide/internal/canary"
+	"beechtide.org/beechtide/internal/messages"
+	"beechtide.org/beechtide/internal/statesync"
+)
+
+// Parameters of the trial of a new version.
+const (
+	perMille = 1000
+	// triedLoad is how many times the usual load the runners get on which a version is tried:
+	// some faults show only under load.
+	triedLoad = 2.0
+	// An answer is slow whose first token takes slowFactor times as long as the prompt takes to
+	// read where nothing of it is cached, and slowBaseUs.
+	slowFactor = 3.0
+	slowBaseUs = 60_000
+)
+
+// rollout is the roll-out of a service, as this node goes by it.
+type rollout struct {
+	messages.ServiceRollout
+	tried    map[string]bool // runners of the new version that get requests while it is tried
+	outcomes map[canary.Key]canary.Outcome
+}
+
+func (o *rollout) stage() canary.Stage { return canary.Stage(o.Stage) }
+
+// isNew reports whether a runner has the version that the service is brought to.
+func (o *rollout) isNew(r *runner) bool { return r.record.Version == o.Target }
+
+// SetRollouts sets the newest roll-out of each service.
+func (a *Admitter) SetRollouts(list []messages.ServiceRollout) {
+	for _, next := range list {
+		p := a.pool(next.Service)
+		if p.rollout == nil || p.rollout.Number != next.Number {
+			p.rollout = &rollout{outcomes: map[canary.Key]canary.Outcome{}}
+		}
+		p.rollout.ServiceRollout = next
+		p.chooseTried()
+	}
+}
+
+// chooseTried chooses the runners on which a new version is tried: few of them, by a hash, so
+// that all nodes choose the same.
+func (p *pool) chooseTried() {
+	o := p.rollout
+	if o == nil {
+		return
+	}
+	o.tried = nil
+	if o.stage() != canary.Trying {
+		return
+	}
+	var fresh []string
+	others := 0
+	for _, id := range p.order {
+		switch r := p.runners[id]; {
+		case !o.isNew(r):
+			others++
+		case !r.record.Draining && !r.record.Stale:
+			fresh = append(fresh, id)
+		}
+	}
+	slices.SortFunc(fresh, func(x, y string) int {
+		return cmp.Compare(statesync.HashText(x, o.Target), statesync.HashText(y, o.Target))
+	})
+	count := int(math.Ceil(float64(o.SharePerMille) / perMille * float64(others) / triedLoad))
+	o.tried = map[string]bool{}
+	for _, id := range fresh[:min(max(count, 1), len(fresh))] {
+		o.tried[id] = true
+	}
+}
+
+// DrawCanary reports whether a request that has just come goes to a version that is tried.
+func (a *Admitter) DrawCanary(service string) bool {
+	o := a.pool(service).rollout
+	return o != nil && o.stage() == canary.Trying && a.random.IntN(perMille) < o.SharePerMille
+}
+
+// versionPreference returns the least preference that a runner has for a request by its version,
+// and whether the request may go there at all.
+func (p *pool) versionPreference(request *Request, r *runner) (preference int, allowed bool) {
+	o := p.rollout
+	if o == nil {
+		return 0, true
+	}
+	fresh := o.isNew(r)
+	switch o.stage() {
+	case canary.Trying:
+		if fresh {
+			return 0, request.Canary && o.tried[r.record.ID]
+		}
+		if request.Canary {
+			return 1, true
+		}
+		return 0, true
+	case canary.Reverted:
+		return 0, !fresh
+	}
+	if fresh {
+		return 0, true
+	}
+	return preferences - 1, true
+}
+
+// slowAfterUs returns after how long the first token of a prompt is slow.
+func (p *pool) slowAfterUs(t *Tuning, tokens int) int64 {
+	var rates []float64
+	for _, id := range p.order {
+		if r := p.runners[id]; r.rate > 0 && !p.rollout.isNew(r) {
+			rates = append(rates, r.rate)
+		}
+	}
+	rate := t.RateStart
+	if len(rates) > 0 {
+		slices.Sort(rates)
+		rate = rates[len(rates)/2]
+	}
+	return int64(slowFactor*float64(tokens)/max(rate, t.RateFloor)) + slowBaseUs
+}
+
+// judgeFirstToken notes whether the first token of an answer was slow. A runner that warms up is
+// slow whatever its version.
+func (p *pool) judgeFirstToken(t *Tuning, adm *Admission, r *runner, nowUs int64) {
+	if p.rollout != nil && p.rollout.stage().Running() && !p.warmingUp(r, nowUs) {
+		adm.slow = nowUs-adm.atUs > p.slowAfterUs(t, adm.tokensIn)
+	}
+}
+
+// recordOutcome counts how a request ended for the roll-out that is running.
+func (p *pool) recordOutcome(adm *Admission, r *runner, good bool) {
+	o := p.rollout
+	if o == nil || !o.stage().Running() {
+		return
+	}
+	side := canary.OtherSide
+	if o.isNew(r) {
+		side = canary.NewSide
+	}
+	count := func(comparison string, bad bool) {
+		key := canary.Key{Service: o.Service, Number: o.Number, Side: side, Comparison: comparison}
+		outcome := o.outcomes[key]
+		outcome.Answers++
+		if bad {
+			outcome.Bad++
+		}
+		o.outcomes[key] = outcome
+	}
+	count(canary.AllRequests, !good)
+	count(adm.class+" failed", !good)
+	if good {
+		count(adm.class+" slow", adm.slow)
+	}
+}
+
+// addOutcomes adds the outcomes of the roll-outs that are running to the loads of this node.
+func (a *Admitter) addOutcomes(loads map[string]messages.RunnerLoad) {
+	for _, p := range a.pools {
+		if p.rollout == nil || !p.rollout.stage().Running() {
+			continue
+		}
+		for key, outcome := range p.rollout.outcomes {
+			load := key.Load(outcome)
+			loads[load.ID] = load
+		}
+	}
+}
+
+// Rollouts lists the roll-outs that this node goes by, in the order of the services' names.
+func (a *Admitter) Rollouts() []messages.ServiceRollout {
+	var out []messages.ServiceRollout
+	for _, name := range slices.Sorted(maps.Keys(a.pools)) {
+		if o := a.pools[name].rollout; o != nil {
+			out = append(out, o.ServiceRollout)
+		}
+	}
+	return out
+}
--- /dev/null
+++ b/internal/admission/rollout_test.go
@@ -0,0 +1,118 @@
+package admission
+
+import (
+	"fmt"
+	"testing"
+
+	"github.com/shoenig/test/must"
+
+	"beechtide.org/beechtide/internal/canary"
+	"beechtide.org/beechtide/internal/messages"
+)
+
+// rolledOut is an admitter with so many runners of either version of a service, and its
+// roll-out in a stage.
+func rolledOut(stage canary.Stage, old, fresh int) *Admitter {
+	a := New(Defaults, "a", 1)
+	var records []messages.RunnerRecord
+	for i := range old {
+		records = append(records, messages.RunnerRecord{ID: fmt.Sprint("old", i), Service: "s", Addr: fmt.Sprint("o", i), Zone: "a", Capacity: 8, Version: "v1"})
+	}
+	for i := range fresh {
+		records = append(records, messages.RunnerRecord{ID: fmt.Sprint("new", i), Service: "s", Addr: fmt.Sprint("n", i), Zone: "a", Capacity: 8, Version: "v2"})
+	}
+	a.SetService("s", records, 100_000, 0)
+	a.SetRollouts([]messages.ServiceRollout{{Service: "s", Target: "v2", Stage: int(stage), SharePerMille: 100, Number: 1}})
+	return a
+}
+
+// versionsOf counts the candidates of a request by their version.
+func versionsOf(a *Admitter, request Request) map[string]int {
+	out := map[string]int{}
+	for _, c := range a.Candidates(request, 1) {
+		out[a.pool("s").runners[c.ID].record.Version]++
+	}
+	return out
+}
+
+func TestStageOfARolloutChoosesTheVersion(t *testing.T) {
+	request, probe := Request{Service: "s", TokensIn: 10}, Request{Service: "s", TokensIn: 10, Canary: true}
+	for _, c := range []struct {
+		name         string
+		stage        canary.Stage
+		old, fresh   int
+		usual, drawn map[string]int
+	}{
+		{"tried on few runners", canary.Trying, 40, 40, map[string]int{"v1": 40}, map[string]int{"v2": 2}},
+		{"tried without runners", canary.Trying, 40, 0, map[string]int{"v1": 40}, map[string]int{"v1": 40}},
+		{"shifting", canary.Shifting, 4, 4, map[string]int{"v2": 4}, map[string]int{"v2": 4}},
+		{"shifting without runners", canary.Shifting, 4, 0, map[string]int{"v1": 4}, map[string]int{"v1": 4}},
+		{"settled", canary.Settled, 4, 4, map[string]int{"v2": 4}, map[string]int{"v2": 4}},
+		{"reverted", canary.Reverted, 4, 4, map[string]int{"v1": 4}, map[string]int{"v1": 4}},
+		{"reverted, and no other is left", canary.Reverted, 0, 4, map[string]int{}, map[string]int{}},
+	} {
+		a := rolledOut(c.stage, c.old, c.fresh)
+		must.Eq(t, c.usual, versionsOf(a, request), must.Sprint(c.name))
+		must.Eq(t, c.drawn, versionsOf(a, probe), must.Sprint(c.name))
+	}
+}
+
+func TestShareOfRequestsIsDrawnWhileAVersionIsTried(t *testing.T) {
+	const draws = 10_000
+	for stage, share := range map[canary.Stage]int{canary.Trying: draws / 10, canary.Shifting: 0, canary.Reverted: 0} {
+		a, drawn := rolledOut(stage, 4, 4), 0
+		for range draws {
+			if a.DrawCanary("s") {
+				drawn++
+			}
+		}
+		must.Between(t, share*9/10, drawn, share*11/10, must.Sprint(stage))
+	}
+}
+
+// All nodes choose the same runners, or a version would be tried under less load than it bears
+// later.
+func TestNodesTryAVersionOnTheSameRunners(t *testing.T) {
+	probe := Request{Service: "s", TokensIn: 10, Canary: true}
+	ids := func(seed uint64) (out []string) {
+		a := rolledOut(canary.Trying, 40, 40)
+		a.Zone = fmt.Sprint("zone", seed)
+		for _, c := range a.Candidates(probe, 1) {
+			out = append(out, c.ID)
+		}
+		return out
+	}
+	must.Eq(t, ids(1), ids(2))
+}
+
+func TestOutcomesAreCountedByVersionAndKind(t *testing.T) {
+	a := rolledOut(canary.Trying, 1, 1)
+	end := func(probe, good bool, tookUs int64) {
+		request := Request{Service: "s", TokensIn: 100, Canary: probe, Class: "500 ms", LeftUs: 1_000_000}
+		decision := a.Submit(request, 1000)
+		must.NotNil(t, decision.Admit)
+		if good {
+			a.FirstToken(decision.Admit, 1000+tookUs)
+		}
+		a.Ended(decision.Admit, good, 1000+tookUs)
+		a.Done(decision.Admit, true, 1000+tookUs)
+	}
+	end(true, true, 10_000)
+	end(true, true, 5_000_000)
+	end(true, false, 10_000)
+	end(false, true, 10_000)
+	evidence := canary.Evidence{}
+	for id, load := range a.Own(2000) {
+		canary.Collect(evidence, a.Rollouts()[0], id, load)
+	}
+	must.Eq(t, canary.Evidence{
+		canary.AllRequests: {New: canary.Outcome{Answers: 3, Bad: 1}, Other: canary.Outcome{Answers: 1}},
+		"500 ms failed":    {New: canary.Outcome{Answers: 3, Bad: 1}, Other: canary.Outcome{Answers: 1}},
+		"500 ms slow":      {New: canary.Outcome{Answers: 2, Bad: 1}, Other: canary.Outcome{Answers: 1}},
+	}, evidence)
+	a.SetRollouts([]messages.ServiceRollout{{Service: "s", Target: "v2", Stage: int(canary.Settled), Number: 1}})
+	for id := range a.Own(2000) {
+		_, ok := canary.ParseKey(id)
+		must.False(t, ok, must.Sprint("nothing is counted once it has ended"))
+	}
+}
--- a/internal/api/types.gen.go
+++ b/internal/api/types.gen.go
@@ -39,6 +39,27 @@
 	}
 }
 
+// Defines values for RolloutStateState.
+const (
+	Reverted RolloutStateState = "reverted"
+	Running  RolloutStateState = "running"
+	Settled  RolloutStateState = "settled"
+)
+
+// Valid indicates whether the value is a known member of the RolloutStateState enum.
+func (e RolloutStateState) Valid() bool {
+	switch e {
+	case Reverted:
+		return true
+	case Running:
+		return true
+	case Settled:
+		return true
+	default:
+		return false
+	}
+}
+
 // Defines values for RouteKind.
 const (
 	Effectful  RouteKind = "effectful"
@@ -219,6 +240,23 @@
 	Model  string `json:"model" validate:"required"`
 }
 
+// RolloutOrder defines model for RolloutOrder.
+type RolloutOrder struct {
+	// OverS seconds from the order to its term
+	OverS         float64 `json:"overS" validate:"gt=0,max=86400"`
+	Service       string  `json:"service" validate:"required,max=256"`
+	TargetVersion string  `json:"targetVersion" validate:"required,max=256"`
+}
+
+// RolloutState defines model for RolloutState.
+type RolloutState struct {
+	State         RolloutStateState `json:"state"`
+	TargetVersion string            `json:"targetVersion"`
+}
+
+// RolloutStateState defines model for RolloutState.State.
+type RolloutStateState string
+
 // Route defines model for Route.
 type Route struct {
 	CutoffMs float32 `json:"cutoffMs" validate:"gt=0"`
@@ -343,6 +381,9 @@
 // ReplaceConfigJSONRequestBody defines body for ReplaceConfig for application/json ContentType.
 type ReplaceConfigJSONRequestBody = Configuration
 
+// BeginRolloutJSONRequestBody defines body for BeginRollout for application/json ContentType.
+type BeginRolloutJSONRequestBody = RolloutOrder
+
 // BeatJSONRequestBody defines body for Beat for application/json ContentType.
 type BeatJSONRequestBody = Heartbeat
 
--- a/internal/attempt/attempt.go
+++ b/internal/attempt/attempt.go
@@ -62,6 +62,9 @@
 // Sent returns how many attempts have begun, without those of which nothing reached a runner.
 func (s *Sequence) Sent() int { return s.sent }
 
+// IsFirst reports whether no attempt has failed so far.
+func (s *Sequence) IsFirst() bool { return s.sent == 0 && s.unsent == 0 }
+
 // MayHaveRun reports whether a runner may have run the request.
 func (s *Sequence) MayHaveRun() bool { return s.ran }
 
--- a/internal/controller/control.go
+++ b/internal/controller/control.go
@@ -56,6 +56,8 @@
 	h.POST("/api/version-put", d.counted(callNameWeights, d.inContactOnly(d.nameWeights)))
 	h.POST("/api/Evacuate.Begin/:zone", d.counted(callEvacuate, d.inContactOnly(d.beginEvacuation)))
 	h.POST("/api/Evacuate.Finish/:zone", d.counted(callEvacuate, d.inContactOnly(d.finishEvacuation)))
+	h.POST("/api/Rollouts.Begin", d.counted(callBeginRollout, d.inContactOnly(d.beginRollout)))
+	h.GET("/api/Rollouts.Read/:service", d.counted(callReadRollout, d.inContactOnly(d.readRollout)))
 	h.POST("/api/Tallies.Amend/:id", d.counted(callAmend, d.amendTally))
 	h.GET("/api/Tallies.Read/:id", d.counted(callReadTally, d.readTally))
 	failed := make(chan error, 1)
@@ -86,7 +88,7 @@
 		reject(c, 400, "(body)", "not a beat")
 		return
 	}
-	n := messages.RunnerRecord{ID: c.Param("id"), Service: b.Service, Addr: b.Address, Zone: b.Zone, Capacity: b.Capacity, Seq: b.Sequence, Draining: b.State == api.Draining, Models: []messages.Target{}, ColdLeftUs: int64(max(b.ColdLeftMs, 0) * 1000)}
+	n := messages.RunnerRecord{ID: c.Param("id"), Service: b.Service, Addr: b.Address, Zone: b.Zone, Capacity: b.Capacity, Seq: b.Sequence, Draining: b.State == api.Draining, Version: b.Version, Models: []messages.Target{}, ColdLeftUs: int64(max(b.ColdLeftMs, 0) * 1000)}
 	for _, m := range b.Models {
 		n.Models = append(n.Models, messages.Target{Model: m.Name, Version: m.Version})
 	}
--- a/internal/controller/controller.go
+++ b/internal/controller/controller.go
@@ -131,7 +131,7 @@
 	d.Reload(set)
 	d.feed.init(clock())
 	d.roles, d.rollouts = newRoleManager(d), newRolloutManager(d)
-	d.roles.tasks = []task{d.rollouts}
+	d.roles.tasks = []task{d.rollouts, newServiceRollouts(d)}
 	d.timeOfDay.SetVotes()
 	d.timeOfDay.Observe(time.Now().UnixMicro(), clock())
 	if scalingWanted(set) {
--- a/internal/controller/counters.go
+++ b/internal/controller/counters.go
@@ -36,10 +36,12 @@
 	callAmend
 	callReadTally
 	callEvacuate
+	callBeginRollout
+	callReadRollout
 	callCount
 )
 
-var callNames = [callCount]string{"heartbeat", "leave", "replace", "read", "name_weights", "amend_tally", "read_tally", "evacuate"}
+var callNames = [callCount]string{"heartbeat", "leave", "replace", "read", "name_weights", "amend_tally", "read_tally", "evacuate", "begin_rollout", "read_rollout"}
 
 // callCounter counts the responses to one call. What is not 2xx or 4xx is unsure: the
 // caller asks another controller.
--- a/internal/messages/msgp.gen.go
+++ b/internal/messages/msgp.gen.go
@@ -2711,9 +2711,9 @@
 // MarshalMsg implements msgp.Marshaler
 func (z *LeaseBody) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
-	// map header, size 5
+	// map header, size 6
 	// string "c"
-	o = append(o, 0x85, 0xa1, 0x63)
+	o = append(o, 0x86, 0xa1, 0x63)
 	// map header, size 2
 	// string "f"
 	o = append(o, 0x82, 0xa1, 0x66)
@@ -2736,32 +2736,42 @@
 		o = append(o, 0xa1, 0x7a)
 		o = msgp.AppendString(o, z.Evacuations[za0001].Zone)
 	}
+	// string "r"
+	o = append(o, 0xa1, 0x72)
+	o = msgp.AppendArrayHeader(o, uint32(len(z.Rollouts)))
+	for za0002 := range z.Rollouts {
+		o, err = z.Rollouts[za0002].MarshalMsg(o)
+		if err != nil {
+			err = msgp.WrapError(err, "Rollouts", za0002)
+			return
+		}
+	}
 	// string "s"
 	o = append(o, 0xa1, 0x73)
 	o = msgp.AppendArrayHeader(o, uint32(len(z.Setpoints)))
-	for za0002 := range z.Setpoints {
+	for za0003 := range z.Setpoints {
 		// map header, size 3
 		// string "d"
 		o = append(o, 0x83, 0xa1, 0x64)
-		o = msgp.AppendInt(o, z.Setpoints[za0002].Desired)
+		o = msgp.AppendInt(o, z.Setpoints[za0003].Desired)
 		// string "s"
 		o = append(o, 0xa1, 0x73)
-		o = msgp.AppendString(o, z.Setpoints[za0002].Service)
+		o = msgp.AppendString(o, z.Setpoints[za0003].Service)
 		// string "z"
 		o = append(o, 0xa1, 0x7a)
-		o = msgp.AppendString(o, z.Setpoints[za0002].Zone)
+		o = msgp.AppendString(o, z.Setpoints[za0003].Zone)
 	}
 	// string "t"
 	o = append(o, 0xa1, 0x74)
 	o = msgp.AppendArrayHeader(o, uint32(len(z.Targets)))
-	for za0003 := range z.Targets {
+	for za0004 := range z.Targets {
 		// map header, size 2
 		// string "m"
 		o = append(o, 0x82, 0xa1, 0x6d)
-		o = msgp.AppendString(o, z.Targets[za0003].Model)
+		o = msgp.AppendString(o, z.Targets[za0004].Model)
 		// string "v"
 		o = append(o, 0xa1, 0x76)
-		o = msgp.AppendInt64(o, z.Targets[za0003].Version)
+		o = msgp.AppendInt64(o, z.Targets[za0004].Version)
 	}
 	// string "u"
 	o = append(o, 0xa1, 0x75)
@@ -2772,23 +2782,23 @@
 	// string "p"
 	o = append(o, 0xa1, 0x70)
 	o = msgp.AppendArrayHeader(o, uint32(len(z.Usage.Pending)))
-	for za0004 := range z.Usage.Pending {
+	for za0005 := range z.Usage.Pending {
 		// map header, size 2
 		// string "c"
 		o = append(o, 0x82, 0xa1, 0x63)
-		o = msgp.AppendArrayHeader(o, uint32(len(z.Usage.Pending[za0004].Counts)))
-		for za0005 := range z.Usage.Pending[za0004].Counts {
+		o = msgp.AppendArrayHeader(o, uint32(len(z.Usage.Pending[za0005].Counts)))
+		for za0006 := range z.Usage.Pending[za0005].Counts {
 			// map header, size 2
 			// string "n"
 			o = append(o, 0x82, 0xa1, 0x6e)
-			o = msgp.AppendInt64(o, z.Usage.Pending[za0004].Counts[za0005].Count)
+			o = msgp.AppendInt64(o, z.Usage.Pending[za0005].Counts[za0006].Count)
 			// string "t"
 			o = append(o, 0xa1, 0x74)
-			o = msgp.AppendString(o, z.Usage.Pending[za0004].Counts[za0005].Tenant)
+			o = msgp.AppendString(o, z.Usage.Pending[za0005].Counts[za0006].Tenant)
 		}
 		// string "w"
 		o = append(o, 0xa1, 0x77)
-		o = msgp.AppendInt64(o, z.Usage.Pending[za0004].Window)
+		o = msgp.AppendInt64(o, z.Usage.Pending[za0005].Window)
 	}
 	return
 }
@@ -2900,117 +2910,136 @@
 					}
 				}
 			}
-		case "s":
+		case "r":
 			var zb0005 uint32
 			zb0005, bts, err = msgp.ReadArrayHeaderBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Rollouts")
+				return
+			}
+			if cap(z.Rollouts) >= int(zb0005) {
+				z.Rollouts = (z.Rollouts)[:zb0005]
+			} else {
+				z.Rollouts = make([]ServiceRollout, zb0005)
+			}
+			for za0002 := range z.Rollouts {
+				bts, err = z.Rollouts[za0002].UnmarshalMsg(bts)
+				if err != nil {
+					err = msgp.WrapError(err, "Rollouts", za0002)
+					return
+				}
+			}
+		case "s":
+			var zb0006 uint32
+			zb0006, bts, err = msgp.ReadArrayHeaderBytes(bts)
 			if err != nil {
 				err = msgp.WrapError(err, "Setpoints")
 				return
 			}
-			if cap(z.Setpoints) >= int(zb0005) {
-				z.Setpoints = (z.Setpoints)[:zb0005]
+			if cap(z.Setpoints) >= int(zb0006) {
+				z.Setpoints = (z.Setpoints)[:zb0006]
 			} else {
-				z.Setpoints = make([]Setpoint, zb0005)
+				z.Setpoints = make([]Setpoint, zb0006)
 			}
-			for za0002 := range z.Setpoints {
-				var zb0006 uint32
-				zb0006, bts, err = msgp.ReadMapHeaderBytes(bts)
+			for za0003 := range z.Setpoints {
+				var zb0007 uint32
+				zb0007, bts, err = msgp.ReadMapHeaderBytes(bts)
 				if err != nil {
-					err = msgp.WrapError(err, "Setpoints", za0002)
+					err = msgp.WrapError(err, "Setpoints", za0003)
 					return
 				}
-				for zb0006 > 0 {
-					zb0006--
+				for zb0007 > 0 {
+					zb0007--
 					field, bts, err = msgp.ReadMapKeyZC(bts)
 					if err != nil {
-						err = msgp.WrapError(err, "Setpoints", za0002)
+						err = msgp.WrapError(err, "Setpoints", za0003)
 						return
 					}
 					switch msgp.UnsafeString(field) {
 					case "d":
-						z.Setpoints[za0002].Desired, bts, err = msgp.ReadIntBytes(bts)
+						z.Setpoints[za0003].Desired, bts, err = msgp.ReadIntBytes(bts)
 						if err != nil {
-							err = msgp.WrapError(err, "Setpoints", za0002, "Desired")
+							err = msgp.WrapError(err, "Setpoints", za0003, "Desired")
 							return
 						}
 					case "s":
-						z.Setpoints[za0002].Service, bts, err = msgp.ReadStringBytes(bts)
+						z.Setpoints[za0003].Service, bts, err = msgp.ReadStringBytes(bts)
 						if err != nil {
-							err = msgp.WrapError(err, "Setpoints", za0002, "Service")
+							err = msgp.WrapError(err, "Setpoints", za0003, "Service")
 							return
 						}
 					case "z":
-						z.Setpoints[za0002].Zone, bts, err = msgp.ReadStringBytes(bts)
+						z.Setpoints[za0003].Zone, bts, err = msgp.ReadStringBytes(bts)
 						if err != nil {
-							err = msgp.WrapError(err, "Setpoints", za0002, "Zone")
+							err = msgp.WrapError(err, "Setpoints", za0003, "Zone")
 							return
 						}
 					default:
 						bts, err = msgp.Skip(bts)
 						if err != nil {
-							err = msgp.WrapError(err, "Setpoints", za0002)
+							err = msgp.WrapError(err, "Setpoints", za0003)
 							return
 						}
 					}
 				}
 			}
 		case "t":
-			var zb0007 uint32
-			zb0007, bts, err = msgp.ReadArrayHeaderBytes(bts)
+			var zb0008 uint32
+			zb0008, bts, err = msgp.ReadArrayHeaderBytes(bts)
 			if err != nil {
 				err = msgp.WrapError(err, "Targets")
 				return
 			}
-			if cap(z.Targets) >= int(zb0007) {
-				z.Targets = (z.Targets)[:zb0007]
+			if cap(z.Targets) >= int(zb0008) {
+				z.Targets = (z.Targets)[:zb0008]
 			} else {
-				z.Targets = make([]Target, zb0007)
+				z.Targets = make([]Target, zb0008)
 			}
-			for za0003 := range z.Targets {
-				var zb0008 uint32
-				zb0008, bts, err = msgp.ReadMapHeaderBytes(bts)
+			for za0004 := range z.Targets {
+				var zb0009 uint32
+				zb0009, bts, err = msgp.ReadMapHeaderBytes(bts)
 				if err != nil {
-					err = msgp.WrapError(err, "Targets", za0003)
+					err = msgp.WrapError(err, "Targets", za0004)
 					return
 				}
-				for zb0008 > 0 {
-					zb0008--
+				for zb0009 > 0 {
+					zb0009--
 					field, bts, err = msgp.ReadMapKeyZC(bts)
 					if err != nil {
-						err = msgp.WrapError(err, "Targets", za0003)
+						err = msgp.WrapError(err, "Targets", za0004)
 						return
 					}
 					switch msgp.UnsafeString(field) {
 					case "m":
-						z.Targets[za0003].Model, bts, err = msgp.ReadStringBytes(bts)
+						z.Targets[za0004].Model, bts, err = msgp.ReadStringBytes(bts)
 						if err != nil {
-							err = msgp.WrapError(err, "Targets", za0003, "Model")
+							err = msgp.WrapError(err, "Targets", za0004, "Model")
 							return
 						}
 					case "v":
-						z.Targets[za0003].Version, bts, err = msgp.ReadInt64Bytes(bts)
+						z.Targets[za0004].Version, bts, err = msgp.ReadInt64Bytes(bts)
 						if err != nil {
-							err = msgp.WrapError(err, "Targets", za0003, "Version")
+							err = msgp.WrapError(err, "Targets", za0004, "Version")
 							return
 						}
 					default:
 						bts, err = msgp.Skip(bts)
 						if err != nil {
-							err = msgp.WrapError(err, "Targets", za0003)
+							err = msgp.WrapError(err, "Targets", za0004)
 							return
 						}
 					}
 				}
 			}
 		case "u":
-			var zb0009 uint32
-			zb0009, bts, err = msgp.ReadMapHeaderBytes(bts)
+			var zb0010 uint32
+			zb0010, bts, err = msgp.ReadMapHeaderBytes(bts)
 			if err != nil {
 				err = msgp.WrapError(err, "Usage")
 				return
 			}
-			for zb0009 > 0 {
-				zb0009--
+			for zb0010 > 0 {
+				zb0010--
 				field, bts, err = msgp.ReadMapKeyZC(bts)
 				if err != nil {
 					err = msgp.WrapError(err, "Usage")
@@ -3024,90 +3053,90 @@
 						return
 					}
 				case "p":
-					var zb0010 uint32
-					zb0010, bts, err = msgp.ReadArrayHeaderBytes(bts)
+					var zb0011 uint32
+					zb0011, bts, err = msgp.ReadArrayHeaderBytes(bts)
 					if err != nil {
 						err = msgp.WrapError(err, "Usage", "Pending")
 						return
 					}
-					if cap(z.Usage.Pending) >= int(zb0010) {
-						z.Usage.Pending = (z.Usage.Pending)[:zb0010]
+					if cap(z.Usage.Pending) >= int(zb0011) {
+						z.Usage.Pending = (z.Usage.Pending)[:zb0011]
 					} else {
-						z.Usage.Pending = make([]UsageWindow, zb0010)
+						z.Usage.Pending = make([]UsageWindow, zb0011)
 					}
-					for za0004 := range z.Usage.Pending {
-						var zb0011 uint32
-						zb0011, bts, err = msgp.ReadMapHeaderBytes(bts)
+					for za0005 := range z.Usage.Pending {
+						var zb0012 uint32
+						zb0012, bts, err = msgp.ReadMapHeaderBytes(bts)
 						if err != nil {
-							err = msgp.WrapError(err, "Usage", "Pending", za0004)
+							err = msgp.WrapError(err, "Usage", "Pending", za0005)
 							return
 						}
-						for zb0011 > 0 {
-							zb0011--
+						for zb0012 > 0 {
+							zb0012--
 							field, bts, err = msgp.ReadMapKeyZC(bts)
 							if err != nil {
-								err = msgp.WrapError(err, "Usage", "Pending", za0004)
+								err = msgp.WrapError(err, "Usage", "Pending", za0005)
 								return
 							}
 							switch msgp.UnsafeString(field) {
 							case "c":
-								var zb0012 uint32
-								zb0012, bts, err = msgp.ReadArrayHeaderBytes(bts)
+								var zb0013 uint32
+								zb0013, bts, err = msgp.ReadArrayHeaderBytes(bts)
 								if err != nil {
-									err = msgp.WrapError(err, "Usage", "Pending", za0004, "Counts")
+									err = msgp.WrapError(err, "Usage", "Pending", za0005, "Counts")
 									return
 								}
-								if cap(z.Usage.Pending[za0004].Counts) >= int(zb0012) {
-									z.Usage.Pending[za0004].Counts = (z.Usage.Pending[za0004].Counts)[:zb0012]
+								if cap(z.Usage.Pending[za0005].Counts) >= int(zb0013) {
+									z.Usage.Pending[za0005].Counts = (z.Usage.Pending[za0005].Counts)[:zb0013]
 								} else {
-									z.Usage.Pending[za0004].Counts = make([]UsageCount, zb0012)
+									z.Usage.Pending[za0005].Counts = make([]UsageCount, zb0013)
 								}
-								for za0005 := range z.Usage.Pending[za0004].Counts {
-									var zb0013 uint32
-									zb0013, bts, err = msgp.ReadMapHeaderBytes(bts)
+								for za0006 := range z.Usage.Pending[za0005].Counts {
+									var zb0014 uint32
+									zb0014, bts, err = msgp.ReadMapHeaderBytes(bts)
 									if err != nil {
-										err = msgp.WrapError(err, "Usage", "Pending", za0004, "Counts", za0005)
+										err = msgp.WrapError(err, "Usage", "Pending", za0005, "Counts", za0006)
 										return
 									}
-									for zb0013 > 0 {
-										zb0013--
+									for zb0014 > 0 {
+										zb0014--
 										field, bts, err = msgp.ReadMapKeyZC(bts)
 										if err != nil {
-											err = msgp.WrapError(err, "Usage", "Pending", za0004, "Counts", za0005)
+											err = msgp.WrapError(err, "Usage", "Pending", za0005, "Counts", za0006)
 											return
 										}
 										switch msgp.UnsafeString(field) {
 										case "n":
-											z.Usage.Pending[za0004].Counts[za0005].Count, bts, err = msgp.ReadInt64Bytes(bts)
+											z.Usage.Pending[za0005].Counts[za0006].Count, bts, err = msgp.ReadInt64Bytes(bts)
 											if err != nil {
-												err = msgp.WrapError(err, "Usage", "Pending", za0004, "Counts", za0005, "Count")
+												err = msgp.WrapError(err, "Usage", "Pending", za0005, "Counts", za0006, "Count")
 												return
 											}
 										case "t":
-											z.Usage.Pending[za0004].Counts[za0005].Tenant, bts, err = msgp.ReadStringBytes(bts)
+											z.Usage.Pending[za0005].Counts[za0006].Tenant, bts, err = msgp.ReadStringBytes(bts)
 											if err != nil {
-												err = msgp.WrapError(err, "Usage", "Pending", za0004, "Counts", za0005, "Tenant")
+												err = msgp.WrapError(err, "Usage", "Pending", za0005, "Counts", za0006, "Tenant")
 												return
 											}
 										default:
 											bts, err = msgp.Skip(bts)
 											if err != nil {
-												err = msgp.WrapError(err, "Usage", "Pending", za0004, "Counts", za0005)
+												err = msgp.WrapError(err, "Usage", "Pending", za0005, "Counts", za0006)
 												return
 											}
 										}
 									}
 								}
 							case "w":
-								z.Usage.Pending[za0004].Window, bts, err = msgp.ReadInt64Bytes(bts)
+								z.Usage.Pending[za0005].Window, bts, err = msgp.ReadInt64Bytes(bts)
 								if err != nil {
-									err = msgp.WrapError(err, "Usage", "Pending", za0004, "Window")
+									err = msgp.WrapError(err, "Usage", "Pending", za0005, "Window")
 									return
 								}
 							default:
 								bts, err = msgp.Skip(bts)
 								if err != nil {
-									err = msgp.WrapError(err, "Usage", "Pending", za0004)
+									err = msgp.WrapError(err, "Usage", "Pending", za0005)
 									return
 								}
 							}
@@ -3140,18 +3169,22 @@
 		s += 1 + 2 + msgp.BoolSize + 2 + msgp.Int64Size + 2 + msgp.StringPrefixSize + len(z.Evacuations[za0001].Zone)
 	}
 	s += 2 + msgp.ArrayHeaderSize
-	for za0002 := range z.Setpoints {
-		s += 1 + 2 + msgp.IntSize + 2 + msgp.StringPrefixSize + len(z.Setpoints[za0002].Service) + 2 + msgp.StringPrefixSize + len(z.Setpoints[za0002].Zone)
+	for za0002 := range z.Rollouts {
+		s += z.Rollouts[za0002].Msgsize()
+	}
+	s += 2 + msgp.ArrayHeaderSize
+	for za0003 := range z.Setpoints {
+		s += 1 + 2 + msgp.IntSize + 2 + msgp.StringPrefixSize + len(z.Setpoints[za0003].Service) + 2 + msgp.StringPrefixSize + len(z.Setpoints[za0003].Zone)
 	}
 	s += 2 + msgp.ArrayHeaderSize
-	for za0003 := range z.Targets {
-		s += 1 + 2 + msgp.StringPrefixSize + len(z.Targets[za0003].Model) + 2 + msgp.Int64Size
+	for za0004 := range z.Targets {
+		s += 1 + 2 + msgp.StringPrefixSize + len(z.Targets[za0004].Model) + 2 + msgp.Int64Size
 	}
 	s += 2 + 1 + 2 + msgp.Int64Size + 2 + msgp.ArrayHeaderSize
-	for za0004 := range z.Usage.Pending {
+	for za0005 := range z.Usage.Pending {
 		s += 1 + 2 + msgp.ArrayHeaderSize
-		for za0005 := range z.Usage.Pending[za0004].Counts {
-			s += 1 + 2 + msgp.Int64Size + 2 + msgp.StringPrefixSize + len(z.Usage.Pending[za0004].Counts[za0005].Tenant)
+		for za0006 := range z.Usage.Pending[za0005].Counts {
+			s += 1 + 2 + msgp.Int64Size + 2 + msgp.StringPrefixSize + len(z.Usage.Pending[za0005].Counts[za0006].Tenant)
 		}
 		s += 2 + msgp.Int64Size
 	}
@@ -5527,9 +5560,9 @@
 // MarshalMsg implements msgp.Marshaler
 func (z *RunnerRecord) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
-	// map header, size 15
+	// map header, size 16
 	// string "a"
-	o = append(o, 0x8f, 0xa1, 0x61)
+	o = append(o, 0xde, 0x0, 0x10, 0xa1, 0x61)
 	o = msgp.AppendString(o, z.Addr)
 	// string "b"
 	o = append(o, 0xa1, 0x62)
@@ -5576,6 +5609,9 @@
 	// string "s"
 	o = append(o, 0xa1, 0x73)
 	o = msgp.AppendString(o, z.Service)
+	// string "v"
+	o = append(o, 0xa1, 0x76)
+	o = msgp.AppendString(o, z.Version)
 	// string "w"
 	o = append(o, 0xa1, 0x77)
 	o = msgp.AppendBool(o, z.Easing)
@@ -5723,6 +5759,12 @@
 				err = msgp.WrapError(err, "Service")
 				return
 			}
+		case "v":
+			z.Version, bts, err = msgp.ReadStringBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Version")
+				return
+			}
 		case "w":
 			z.Easing, bts, err = msgp.ReadBoolBytes(bts)
 			if err != nil {
@@ -5749,11 +5791,11 @@
 
 // Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
 func (z *RunnerRecord) Msgsize() (s int) {
-	s = 1 + 2 + msgp.StringPrefixSize + len(z.Addr) + 2 + msgp.BoolSize + 2 + msgp.IntSize + 2 + msgp.BoolSize + 2 + msgp.BoolSize + 2 + msgp.BoolSize + 2 + msgp.StringPrefixSize + len(z.ID) + 2 + msgp.Int64Size + 2 + msgp.BoolSize + 2 + msgp.ArrayHeaderSize
+	s = 3 + 2 + msgp.StringPrefixSize + len(z.Addr) + 2 + msgp.BoolSize + 2 + msgp.IntSize + 2 + msgp.BoolSize + 2 + msgp.BoolSize + 2 + msgp.BoolSize + 2 + msgp.StringPrefixSize + len(z.ID) + 2 + msgp.Int64Size + 2 + msgp.BoolSize + 2 + msgp.ArrayHeaderSize
 	for za0001 := range z.Models {
 		s += 1 + 2 + msgp.StringPrefixSize + len(z.Models[za0001].Model) + 2 + msgp.Int64Size
 	}
-	s += 2 + msgp.Int64Size + 2 + msgp.Int64Size + 2 + msgp.StringPrefixSize + len(z.Service) + 2 + msgp.BoolSize + 2 + msgp.StringPrefixSize + len(z.Zone)
+	s += 2 + msgp.Int64Size + 2 + msgp.Int64Size + 2 + msgp.StringPrefixSize + len(z.Service) + 2 + msgp.StringPrefixSize + len(z.Version) + 2 + msgp.BoolSize + 2 + msgp.StringPrefixSize + len(z.Zone)
 	return
 }
 
@@ -5942,6 +5984,112 @@
 	return
 }
 
+// MarshalMsg implements msgp.Marshaler
+func (z *ServiceRollout) MarshalMsg(b []byte) (o []byte, err error) {
+	o = msgp.Require(b, z.Msgsize())
+	// map header, size 7
+	// string "a"
+	o = append(o, 0x87, 0xa1, 0x61)
+	o = msgp.AppendInt64(o, z.BegunAtUs)
+	// string "g"
+	o = append(o, 0xa1, 0x67)
+	o = msgp.AppendInt(o, z.Stage)
+	// string "n"
+	o = append(o, 0xa1, 0x6e)
+	o = msgp.AppendInt64(o, z.Number)
+	// string "o"
+	o = append(o, 0xa1, 0x6f)
+	o = msgp.AppendInt64(o, z.OverUs)
+	// string "p"
+	o = append(o, 0xa1, 0x70)
+	o = msgp.AppendInt(o, z.SharePerMille)
+	// string "s"
+	o = append(o, 0xa1, 0x73)
+	o = msgp.AppendString(o, z.Service)
+	// string "t"
+	o = append(o, 0xa1, 0x74)
+	o = msgp.AppendString(o, z.Target)
+	return
+}
+
+// UnmarshalMsg implements msgp.Unmarshaler
+func (z *ServiceRollout) UnmarshalMsg(bts []byte) (o []byte, err error) {
+	var field []byte
+	_ = field
+	var zb0001 uint32
+	zb0001, bts, err = msgp.ReadMapHeaderBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err)
+		return
+	}
+	for zb0001 > 0 {
+		zb0001--
+		field, bts, err = msgp.ReadMapKeyZC(bts)
+		if err != nil {
+			err = msgp.WrapError(err)
+			return
+		}
+		switch msgp.UnsafeString(field) {
+		case "a":
+			z.BegunAtUs, bts, err = msgp.ReadInt64Bytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "BegunAtUs")
+				return
+			}
+		case "g":
+			z.Stage, bts, err = msgp.ReadIntBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Stage")
+				return
+			}
+		case "n":
+			z.Number, bts, err = msgp.ReadInt64Bytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Number")
+				return
+			}
+		case "o":
+			z.OverUs, bts, err = msgp.ReadInt64Bytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "OverUs")
+				return
+			}
+		case "p":
+			z.SharePerMille, bts, err = msgp.ReadIntBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "SharePerMille")
+				return
+			}
+		case "s":
+			z.Service, bts, err = msgp.ReadStringBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Service")
+				return
+			}
+		case "t":
+			z.Target, bts, err = msgp.ReadStringBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Target")
+				return
+			}
+		default:
+			bts, err = msgp.Skip(bts)
+			if err != nil {
+				err = msgp.WrapError(err)
+				return
+			}
+		}
+	}
+	o = bts
+	return
+}
+
+// Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
+func (z *ServiceRollout) Msgsize() (s int) {
+	s = 1 + 2 + msgp.Int64Size + 2 + msgp.IntSize + 2 + msgp.Int64Size + 2 + msgp.Int64Size + 2 + msgp.IntSize + 2 + msgp.StringPrefixSize + len(z.Service) + 2 + msgp.StringPrefixSize + len(z.Target)
+	return
+}
+
 // MarshalMsg implements msgp.Marshaler
 func (z Setpoint) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
--- a/internal/messages/types.gen.go
+++ b/internal/messages/types.gen.go
@@ -316,6 +316,9 @@
 	// Evacuations zones that the operator has evacuated
 	Evacuations []Evacuation `msg:"e"`
 
+	// Rollouts roll-outs of services, the newest of each
+	Rollouts []ServiceRollout `msg:"r"`
+
 	// Setpoints the number of runners of each service and zone that was last ordered of the platform
 	Setpoints []Setpoint `msg:"s"`
 	Targets   []Target   `msg:"t"`
@@ -558,8 +561,11 @@
 	Seq        int64    `msg:"q"`
 	BarVersion int64    `msg:"r"`
 	Service    string   `msg:"s"`
-	Easing     bool     `msg:"w"`
-	Zone       string   `msg:"z"`
+
+	// Version of the runner's software
+	Version string `msg:"v"`
+	Easing  bool   `msg:"w"`
+	Zone    string `msg:"z"`
 }
 
 // RunnerReport defines model for RunnerReport.
@@ -584,6 +590,28 @@
 	Zone    string `msg:"z"`
 }
 
+// ServiceRollout the roll-out of a new software version of a service
+type ServiceRollout struct {
+	// BegunAtUs when it was ordered, by the fleet's time of day
+	BegunAtUs int64 `msg:"a"`
+
+	// Stage canary.Stage
+	Stage int `msg:"g"`
+
+	// Number how many roll-outs of the service there were, this one included
+	Number int64 `msg:"n"`
+
+	// OverUs from the order to its term, in microseconds
+	OverUs int64 `msg:"o"`
+
+	// SharePerMille requests that go to the new version while it is tried
+	SharePerMille int    `msg:"p"`
+	Service       string `msg:"s"`
+
+	// Target the version that the service is brought to
+	Target string `msg:"t"`
+}
+
 // Setpoint defines model for Setpoint.
 type Setpoint struct {
 	Desired int    `msg:"d"`
--- a/internal/registry/facts.go
+++ b/internal/registry/facts.go
@@ -11,6 +11,9 @@
 func withFacts(n, other messages.RunnerRecord) messages.RunnerRecord {
 	n.Draining = n.Draining || other.Draining
 	n.Models = newestOf(n.Models, other.Models)
+	if n.Version == "" {
+		n.Version = other.Version // a node of an earlier release passes none on
+	}
 	if other.BarVersion > n.BarVersion {
 		n.Barred, n.Easing, n.BarVersion = other.Barred, other.Easing, other.BarVersion
 	}
@@ -46,5 +49,5 @@
 func sameButSequence(a, b messages.RunnerRecord) bool {
 	return slices.Equal(a.Models, b.Models) && a.Addr == b.Addr && a.Service == b.Service && a.Capacity == b.Capacity &&
 		a.Draining == b.Draining && a.Gone == b.Gone && a.Stale == b.Stale && a.Lost == b.Lost &&
-		a.Barred == b.Barred && a.Easing == b.Easing
+		a.Barred == b.Barred && a.Easing == b.Easing && a.Version == b.Version
 }
--- a/internal/router/attempts.go
+++ b/internal/router/attempts.go
@@ -142,6 +142,7 @@
 	now := c.clock()
 	e.request.LeftUs = e.endUs - now
 	c.admissionMu.Lock()
+	e.request.Canary = e.sequence.IsFirst() && (e.request.Canary || c.admission.DrawCanary(e.service))
 	r := c.admission.Submit(e.request, now)
 	if r.Reject == admission.RejectQueue || r.Reject == admission.RejectTokens {
 		if shed, ok := c.admission.ShedFor(e.request, now); ok {
--- a/internal/router/feed.go
+++ b/internal/router/feed.go
@@ -286,4 +286,5 @@
 	}
 	c.parts[p.Part] = p
 	c.recordEvacuations(p.Part, body.Evacuations, nowUs)
+	c.recordRollouts(body.Rollouts)
 }
--- a/internal/router/front.go
+++ b/internal/router/front.go
@@ -210,7 +210,7 @@
 	tokensOut, _ := strconv.Atoi(strings.TrimSpace(out))
 	e.request = admission.Request{
 		Service: e.service, Rank: e.route.Rank, TokensIn: max(tokensIn, 0), TokensOut: max(tokensOut, 0),
-		Model: get(e.rc, hModel), Parts: prefixindex.ParseParts(get(e.rc, hPrefix)), SetpointUs: e.route.SetpointUs, LeftUs: e.endUs - e.c.clock(),
+		Class: classOf(e.route), Model: get(e.rc, hModel), Parts: prefixindex.ParseParts(get(e.rc, hPrefix)), SetpointUs: e.route.SetpointUs, LeftUs: e.endUs - e.c.clock(),
 	}
 	var tenantHomes []string
 	if e.tenant != nil {
--- a/internal/settings/types.gen.go
+++ b/internal/settings/types.gen.go
@@ -5,13 +5,19 @@
 
 // Bounds defines model for Bounds.
 type Bounds struct {
-	AckMs          int     `json:"ackMs,omitempty,omitzero"`
-	ColdOvershoot  float64 `json:"coldOvershoot,omitempty,omitzero" validate:"min=0"`
-	ColdSlack      float64 `json:"coldSlack,omitempty,omitzero" validate:"min=0"`
-	ContactMs      int     `json:"contactMs,omitempty,omitzero"`
-	ConvergeMs     int     `json:"convergeMs,omitempty,omitzero"`
-	DrainMs        int     `json:"drainMs,omitempty,omitzero"`
-	EvacuateMs     int     `json:"evacuateMs,omitempty,omitzero" validate:"min=0"`
+	AckMs         int     `json:"ackMs,omitempty,omitzero"`
+	ColdOvershoot float64 `json:"coldOvershoot,omitempty,omitzero" validate:"min=0"`
+	ColdSlack     float64 `json:"coldSlack,omitempty,omitzero" validate:"min=0"`
+	ContactMs     int     `json:"contactMs,omitempty,omitzero"`
+	ConvergeMs    int     `json:"convergeMs,omitempty,omitzero"`
+	DrainMs       int     `json:"drainMs,omitempty,omitzero"`
+	EvacuateMs    int     `json:"evacuateMs,omitempty,omitzero" validate:"min=0"`
+
+	// Exposure share of a service's requests that a version may get that has not been shown good
+	Exposure float64 `json:"exposure,omitempty,omitzero" validate:"min=0,max=1"`
+
+	// ExposureSlack requests beside that share
+	ExposureSlack  float64 `json:"exposureSlack,omitempty,omitzero" validate:"min=0"`
 	Fenced         bool    `json:"fenced,omitempty,omitzero"`
 	GraceS         float64 `json:"graceS,omitempty,omitzero"`
 	LeaseMs        int     `json:"leaseMs,omitempty,omitzero" validate:"min=0"`
@@ -22,10 +28,13 @@
 	RetryRatio     float64 `json:"retryRatio,omitempty,omitzero"`
 	RetrySlack     float64 `json:"retrySlack,omitempty,omitzero"`
 	RetryWindowS   float64 `json:"retryWindowS,omitempty,omitzero"`
-	TransitMs      int     `json:"transitMs,omitempty,omitzero"`
-	UsageDelayS    int     `json:"usageDelayS,omitempty,omitzero" validate:"min=0"`
-	UsageWindowS   int     `json:"usageWindowS,omitempty,omitzero" validate:"min=0"`
-	VersionMs      int     `json:"versionMs,omitempty,omitzero"`
+
+	// RollbackMs how long after its 50th bad answer a version may get requests
+	RollbackMs   int `json:"rollbackMs,omitempty,omitzero" validate:"min=0"`
+	TransitMs    int `json:"transitMs,omitempty,omitzero"`
+	UsageDelayS  int `json:"usageDelayS,omitempty,omitzero" validate:"min=0"`
+	UsageWindowS int `json:"usageWindowS,omitempty,omitzero" validate:"min=0"`
+	VersionMs    int `json:"versionMs,omitempty,omitzero"`
 }
 
 // Cloud The platform's API, and the calls to it that are made by one node at a time.
