--- a/internal/router/send.go
+++ b/internal/router/send.go
@@ -91,7 +91,8 @@
 		defer c.held.remove(e.held)
 	}
 	if e.streams(r) {
-		defer e.watchStream(sent)()
+		unwatch := e.watchStream(sent)
+		defer unwatch()
 		return e.passStream(adm, link, r, stream)
 	}
 	return e.passBody(adm, link, r, stream), stream
