--- a/internal/controller/feed.go
+++ b/internal/controller/feed.go
@@ -20,8 +20,17 @@
 	"beechtide.org/beechtide/internal/statesync"
 )
 
-// updateInterval is how often changes of cached prefixes, reports and loads are sent.
-const updateInterval = 60 * time.Millisecond
+// How often changes of cached prefixes, reports and loads are sent: each update wakes every router,
+// so the time grows with their number.
+const (
+	updateInterval    = 60 * time.Millisecond
+	updatePart        = 400 * time.Microsecond // a router
+	maxUpdateInterval = 120 * time.Millisecond
+)
+
+func (d *Controller) updatePause() time.Duration {
+	return min(max(time.Duration(len(d.monitor.Alive(messages.Router)))*updatePart, updateInterval), maxUpdateInterval)
+}
 
 // Least time between two updates where something is urgent: a change of runners or of
 // the configuration, or a long prompt that has been sent to a runner. What is urgent
@@ -33,7 +42,7 @@
 )
 
 func (d *Controller) urgentPause() time.Duration {
-	return min(max(time.Duration(len(d.monitor.Alive(messages.Router)))*urgentPausePart, minUrgentPause), updateInterval)
+	return min(max(time.Duration(len(d.monitor.Alive(messages.Router)))*urgentPausePart, minUrgentPause), maxUpdateInterval)
 }
 
 // Least time between two sums of loads to the routers. In a large fleet nearly every
@@ -206,11 +215,9 @@
 // runFeed sends what waits, and an empty update from time to time, from which receivers
 // know that this node is there and which versions it has.
 func (d *Controller) runFeed(ctx context.Context) {
-	t := time.NewTicker(updateInterval)
-	defer t.Stop()
 	for {
 		select {
-		case <-t.C:
+		case <-time.After(d.updatePause()):
 		case <-d.feed.urgent:
 		case <-ctx.Done():
 			return
--- a/internal/controller/heartbeats.go
+++ b/internal/controller/heartbeats.go
@@ -13,7 +13,7 @@
 
 const (
 	// heartbeatPause is how long a heartbeat waits for others.
-	heartbeatPause = 40 * time.Millisecond
+	heartbeatPause = 80 * time.Millisecond
 	// maxBatchBytes bounds what is put into one datagram, so that it fits into a packet.
 	maxBatchBytes = 1300
 )
--- a/internal/reachability/tracker.go
+++ b/internal/reachability/tracker.go
@@ -62,6 +62,9 @@
 	return &Tracker{config: config, random: random, zones: map[string]*zone{}}
 }
 
+// SetIdle sets the time between two rounds while all is well, Config.IdleUs anew.
+func (t *Tracker) SetIdle(us int64) { t.config.IdleUs = us }
+
 // SetNodes sets the nodes of the other zones.
 func (t *Tracker) SetNodes(byZone map[string][]string) {
 	for name := range t.zones {
--- a/internal/router/loads.go
+++ b/internal/router/loads.go
@@ -20,8 +20,11 @@
 const (
 	// minReportPause is the least time between two reports.
 	minReportPause = 2 * time.Millisecond
-	// reportDelay is how long a change waits for others that is not urgent.
-	reportDelay = 50 * time.Millisecond
+	// reportDelay is how long a change waits for others that is not urgent; the time grows with the
+	// number of routers, as each report goes up the tree.
+	reportDelay    = 50 * time.Millisecond
+	reportPart     = 330 * time.Microsecond // a router
+	maxReportDelay = 100 * time.Millisecond
 	// reportInterval is how often loads are looked at without a change: the flow of
 	// prompts decays by itself, and nodes come and go.
 	reportInterval = 500 * time.Millisecond
@@ -230,6 +233,11 @@
 	}
 }
 
+// reportPause is how long a change waits for others in a fleet of the present size.
+func (c *Router) reportPause() time.Duration {
+	return min(max(time.Duration(c.nodes.Load())*reportPart, reportDelay), maxReportDelay)
+}
+
 // reportLoads sends reports up the tree: at once when a runner has been sent shared
 // parts to read, a little later after any other change.
 func (c *Router) reportLoads(ctx context.Context) {
@@ -243,7 +251,7 @@
 		case <-c.loadsChanged:
 			select {
 			case <-c.prefixesPending:
-			case <-time.After(reportDelay):
+			case <-time.After(c.reportPause()):
 			case <-ctx.Done():
 				return
 			}
--- a/internal/router/zones.go
+++ b/internal/router/zones.go
@@ -21,6 +21,10 @@
 	zoneTick = 50 * time.Millisecond
 	// zoneNodesTicks is after how many ticks the nodes to ping are brought up to date.
 	zoneNodesTicks = 20
+	// Each router pings every other zone; the time between two rounds grows with the fleet, or the
+	// pings would grow with its square for each zone.
+	zoneIdlePartUs = int64(2_000) // a router
+	maxZoneIdleUs  = int64(600_000)
 	// zoneNodeUs is for how long a node is pinged, where its zone has no other, that
 	// membership takes for dead: behind a cut it takes all for dead.
 	zoneNodeUs = int64(60_000_000)
@@ -85,6 +89,12 @@
 		}
 	}
 	z.tracker.SetNodes(byZone)
+	z.tracker.SetIdle(zoneIdleUs(len(alive)))
+}
+
+// zoneIdleUs is the time between two rounds of pings in a fleet of so many routers.
+func zoneIdleUs(routers int) int64 {
+	return min(max(int64(routers)*zoneIdlePartUs, reachability.DefaultConfig.IdleUs), maxZoneIdleUs)
 }
 
 func (z *zonePings) tick() {
