--- a/internal/router/core_stub_test.go
+++ b/internal/router/core_stub_test.go
@@ -93,6 +93,9 @@
 		s.mu.Lock()
 		delta := s.delta
 		s.mu.Unlock()
+		if delta == nil { // the test has not said yet what there is
+			return nil, transport.ErrRemote
+		}
 		f := delta(h)
 		return f.MarshalMsg(nil)
 	})
