One test for tokens, one way to read the body of a call, one set for what is under way; the model of requests without what it never read

Run with -race: router, controller, upstream, http1, tally; simulation's tests of requests; linters.

--- a/internal/controller/control.go
+++ b/internal/controller/control.go
@@ -73,6 +73,18 @@
 	c.JSON(status, api.Fault{Error: reason, Field: field})
 }
 
+// readCall reads and checks the body of a call; one that is not valid is rejected.
+func readCall(c *app.RequestContext, call any) (valid bool) {
+	err := json.Unmarshal(c.Request.Body(), call)
+	if err == nil {
+		err = checkCall.Struct(call)
+	}
+	if err != nil {
+		reject(c, 400, "(body)", err.Error())
+	}
+	return err == nil
+}
+
 // beat takes a heartbeat. It is noted in any case, also without the lease: nothing
 // rests on it but the list of runners, which merges. One that says draining is
 // acknowledged only once a majority has it.
@@ -299,12 +311,7 @@
 
 func (d *Controller) nameWeights(ctx context.Context, c *app.RequestContext) {
 	var w api.WeightsVersion
-	if err := json.Unmarshal(c.Request.Body(), &w); err != nil {
-		reject(c, 400, "(body)", err.Error())
-		return
-	}
-	if err := checkCall.Struct(w); err != nil {
-		reject(c, 400, "(body)", err.Error())
+	if !readCall(c, &w) {
 		return
 	}
 	ctx, cancel := context.WithTimeout(ctx, operatorWait)
--- a/internal/controller/service_rollouts.go
+++ b/internal/controller/service_rollouts.go
@@ -5,7 +5,6 @@
 
 import (
 	"context"
-	"encoding/json"
 	"slices"
 	"strings"
 	"sync"
@@ -26,12 +25,7 @@
 // beginRollout takes an order of the operator. The register of a service follows from its name.
 func (d *Controller) beginRollout(ctx context.Context, c *app.RequestContext) {
 	var order api.RolloutOrder
-	if err := json.Unmarshal(c.Request.Body(), &order); err != nil {
-		reject(c, 400, "(body)", err.Error())
-		return
-	}
-	if err := checkCall.Struct(order); err != nil {
-		reject(c, 400, "(body)", err.Error())
+	if !readCall(c, &order) {
 		return
 	}
 	ctx, cancel := context.WithTimeout(ctx, operatorWait)
--- a/internal/controller/tally_calls.go
+++ b/internal/controller/tally_calls.go
@@ -5,7 +5,6 @@
 
 import (
 	"context"
-	"encoding/json"
 	"time"
 
 	"github.com/cloudwego/hertz/pkg/app"
@@ -26,12 +25,7 @@
 // after that the answer is 200, or 504, which promises nothing.
 func (d *Controller) amendTally(ctx context.Context, c *app.RequestContext) {
 	var amendment api.TallyAmendment
-	if err := json.Unmarshal(c.Request.Body(), &amendment); err != nil {
-		reject(c, 400, "(body)", err.Error())
-		return
-	}
-	if err := checkCall.Struct(amendment); err != nil {
-		reject(c, 400, "(body)", err.Error())
+	if !readCall(c, &amendment) {
 		return
 	}
 	name := c.Param("id")
--- a/internal/http1/field.go
+++ b/internal/http1/field.go
@@ -17,7 +17,7 @@
 // there, or at the beginning of the line, would be read in two ways.
 func parseField(line []byte) (field, *Error) {
 	name, value, ok := bytes.Cut(line, []byte(":"))
-	if !ok || !isToken(string(name)) {
+	if !ok || !IsToken(string(name)) {
 		return field{}, badRequest("malformed field name")
 	}
 	value = bytes.Trim(value, " \t")
@@ -82,8 +82,8 @@
 	return s != ""
 }
 
-// isToken reports whether a string is a token of RFC 9110.
-func isToken(s string) bool {
+// IsToken reports whether a string is a token of RFC 9110, as the name of a field is.
+func IsToken(s string) bool {
 	for i := range len(s) {
 		c := s[i]
 		letter := 'a' <= c|0x20 && c|0x20 <= 'z'
--- a/internal/http1/head.go
+++ b/internal/http1/head.go
@@ -76,7 +76,7 @@
 func (h *head) parseRequestLine(line string) *Error {
 	method, rest, ok := strings.Cut(line, " ")
 	target, version, ok2 := strings.Cut(rest, " ")
-	if !ok || !ok2 || !isToken(method) || !isTarget(target) {
+	if !ok || !ok2 || !IsToken(method) || !isTarget(target) {
 		return badRequest("malformed request line")
 	}
 	switch {
--- a/internal/router/cut_streams.go
+++ b/internal/router/cut_streams.go
@@ -6,7 +6,6 @@
 
 import (
 	"context"
-	"sync"
 
 	"beechtide.org/beechtide/internal/admission"
 )
@@ -17,37 +16,6 @@
 	cancel context.CancelFunc
 }
 
-// connects are the connections in the making. It is safe for concurrent use.
-type connects struct {
-	mu   sync.Mutex
-	list map[*connecting]struct{}
-}
-
-func (l *connects) add(c *connecting) {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	if l.list == nil {
-		l.list = map[*connecting]struct{}{}
-	}
-	l.list[c] = struct{}{}
-}
-
-func (l *connects) remove(c *connecting) {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	delete(l.list, c)
-}
-
-func (l *connects) snapshot() []*connecting {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	out := make([]*connecting, 0, len(l.list))
-	for c := range l.list {
-		out = append(out, c)
-	}
-	return out
-}
-
 // leaveUnreachable gives up what goes on with runners that are out of reach.
 func (c *Router) leaveUnreachable() {
 	streams, dials := c.streams.snapshot(), c.connects.snapshot()
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -105,9 +105,9 @@
 	loadsChanged    chan struct{} // this node's loads have changed
 	missing         chan struct{} // a runner was not at its address
 	sent            sentAttempts
-	streams         sentAttempts // streams that have begun and that another attempt may take up
-	connects        connects
-	held            sentAttempts // begun, and the client has nothing of the answer yet
+	streams         sentAttempts          // streams that have begun and that another attempt may take up
+	connects        underWay[*connecting] // connections in the making
+	held            sentAttempts          // begun, and the client has nothing of the answer yet
 
 	currency     currencyChecks
 	comparisons  *dissemination.Comparisons
--- a/internal/router/send.go
+++ b/internal/router/send.go
@@ -196,8 +196,8 @@
 	stop := e.client.onLeave(cancel)
 	defer stop()
 	making := &connecting{adm: adm, cancel: cancel}
-	e.c.connects.add(making)
-	defer e.c.connects.remove(making)
+	e.c.connects.begin(making)
+	defer e.c.connects.end(making)
 	return e.c.connPool.GetFor(ctx, adm.Runner.Addr, e.service, e.route.Repeatable())
 }
 
--- a/internal/router/withdraw.go
+++ b/internal/router/withdraw.go
@@ -6,7 +6,6 @@
 package router
 
 import (
-	"sync"
 	"time"
 
 	"github.com/cloudwego/hertz/pkg/protocol"
@@ -39,19 +38,11 @@
 }
 
 // sentAttempts are attempts of a router that may still be withdrawn.
-type sentAttempts struct {
-	mu   sync.Mutex
-	list map[*sentAttempt]struct{}
-}
+type sentAttempts struct{ underWay[*sentAttempt] }
 
 func (s *sentAttempts) add(adm *admission.Admission, link *upstream.Conn, again bool) *sentAttempt {
 	a := &sentAttempt{adm: adm, link: link, again: again}
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	if s.list == nil {
-		s.list = map[*sentAttempt]struct{}{}
-	}
-	s.list[a] = struct{}{}
+	s.begin(a)
 	return a
 }
 
@@ -63,16 +54,6 @@
 	return a.withdrawn
 }
 
-func (s *sentAttempts) snapshot() []*sentAttempt {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	out := make([]*sentAttempt, 0, len(s.list))
-	for a := range s.list {
-		out = append(out, a)
-	}
-	return out
-}
-
 // withdraw takes back those of the attempts that have not begun meanwhile.
 func (s *sentAttempts) withdraw(attempts []*sentAttempt) {
 	s.mu.Lock()
--- a/internal/simulation/requests.go
+++ b/internal/simulation/requests.go
@@ -97,13 +97,13 @@
 	kind    requestKind
 	tries   int // of the route
 	untilUs int64
-	stream  []byte // of the present try
 }
 
 // incoming is one try of a client, as its router sees it.
 type incoming struct {
 	client *requestClient
 	id     string
+	number int // of the try
 	router *requestRouter
 	sentUs int64
 	ended  bool
@@ -113,21 +113,15 @@
 // try sends the request to a router, over a connection of its own.
 func (c *requestClient) try(number int) {
 	h, k := c.history, c.history.kernel
-	in := &incoming{client: c, id: fmt.Sprintf("%s-%d", c.name, number), router: h.routers[k.Below(len(h.routers))], sentUs: k.NowUs()}
-	c.stream = nil
+	in := &incoming{client: c, id: fmt.Sprintf("%s-%d", c.name, number), number: number, router: h.routers[k.Below(len(h.routers))], sentUs: k.NowUs()}
 	h.checks.sent(in)
-	again := func() {
-		if number < clientTries && k.NowUs()+requestRetryGapUs < c.untilUs {
-			k.After(k.Between(0, requestRetryGapUs), func() { c.try(number + 1) })
-		}
-	}
 	in.router.process.Deliver(func() { in.router.serve(in) })
 	if !in.router.process.Up() {
 		in.ended = true
-		again()
+		in.tryAgain()
 		return
 	}
-	in.router.open[in] = again
+	in.router.open[in] = true
 	if k.Chance(50) {
 		k.After(k.Between(Millisecond, requestDeadlineUs), func() { in.leave() })
 	}
@@ -153,15 +147,19 @@
 	in.ended = true
 	delete(in.router.open, in)
 	in.client.history.checks.answered(in, status, body)
-	c, k := in.client, in.client.history.kernel
+	c := in.client
 	promised := status == 503 || status == 429
 	repeats := promised || (status == 0 || status >= 500) && c.kind != effectfulRequest
-	if repeats && k.NowUs()+requestRetryGapUs < c.untilUs {
-		var number int
-		_, _ = fmt.Sscanf(in.id[len(c.name)+1:], "%d", &number)
-		if number < clientTries {
-			k.After(k.Between(0, requestRetryGapUs), func() { c.try(number + 1) })
-		}
+	if repeats {
+		in.tryAgain()
+	}
+}
+
+// tryAgain has the client try once more a little later, where it has tries and time left.
+func (in *incoming) tryAgain() {
+	c, k := in.client, in.client.history.kernel
+	if in.number < clientTries && k.NowUs()+requestRetryGapUs < c.untilUs {
+		k.After(k.Between(0, requestRetryGapUs), func() { c.try(in.number + 1) })
 	}
 }
 
--- a/internal/simulation/requests_router.go
+++ b/internal/simulation/requests_router.go
@@ -21,11 +21,11 @@
 	budget    *upstream.Budget
 	idle      map[*requestRunner][]*requestConn
 	exchanges map[*incoming]*requestExchange
-	open      map[*incoming]func() // what a client does whose connection ends
+	open      map[*incoming]bool // whose clients wait
 }
 
 func newRequestRouter(h *requestHistory, i int) *requestRouter {
-	r := &requestRouter{history: h, name: fmt.Sprintf("r%d", i+1), process: NewProcess(h.kernel), open: map[*incoming]func(){}}
+	r := &requestRouter{history: h, name: fmt.Sprintf("r%d", i+1), process: NewProcess(h.kernel), open: map[*incoming]bool{}}
 	r.begin()
 	return r
 }
@@ -57,7 +57,7 @@
 		}
 	}
 	open := r.open
-	r.open = map[*incoming]func(){}
+	r.open = map[*incoming]bool{}
 	ids := make([]*incoming, 0, len(open))
 	for in := range open {
 		ids = append(ids, in)
@@ -281,7 +281,6 @@
 func (e *requestExchange) receivedEvent(bytes string) {
 	whole := e.events.Add([]byte(bytes))
 	e.stream.Write(whole)
-	e.in.client.stream = append(e.in.client.stream, whole...)
 }
 
 // release puts a connection back, as nothing more is due on it.
--- a/internal/upstream/head.go
+++ b/internal/upstream/head.go
@@ -5,6 +5,8 @@
 	"net"
 
 	"github.com/pkg/errors"
+
+	"beechtide.org/beechtide/internal/http1"
 )
 
 // The library's parser is lenient: it accepts any first line and any line ends, and of
@@ -90,7 +92,7 @@
 // where the body ends.
 func checkField(line []byte) (givesLength, ok bool) {
 	name, value, ok := bytes.Cut(line, []byte(":"))
-	if !ok || !isToken(name) {
+	if !ok || !http1.IsToken(string(name)) {
 		return false, false
 	}
 	if bytes.EqualFold(name, []byte("Transfer-Encoding")) {
@@ -109,14 +111,3 @@
 }
 
 func isDigit(c byte) bool { return '0' <= c && c <= '9' }
-
-// isToken reports whether a field's name is a token of RFC 9110.
-func isToken(name []byte) bool {
-	for _, c := range name {
-		letter := 'a' <= c|0x20 && c|0x20 <= 'z'
-		if !letter && !isDigit(c) && bytes.IndexByte([]byte("!#$%&'*+-.^_`|~"), c) < 0 {
-			return false
-		}
-	}
-	return len(name) > 0
-}
