membership: views are compared by digests; gossip of equal age goes out in random order

A changed entry is sent some 18 times and then no more, of equal ones always the first by address; a router knows the seeds only and probes them only. So it reckoned that it shared the runners with nobody, took the whole retry budget, compared all runners, and the first rumour of one (dead) router of another zone made that zone unreachable.

Change: probes and acknowledgements carry a digest of the view; who sees another one asks the sender for the entries of the buckets (32) in which they differ. Equal gossip goes out in random order.

Measured: 310 nodes that start within 0.3 s know all of themselves after 4 s (test; it fails without the questions).

--- a/internal/membership/doc.go
+++ b/internal/membership/doc.go
@@ -9,6 +9,9 @@
 // prober that has an indirect acknowledgement from it), orders what is said of
 // it.
 //
+// Gossip sends an entry a few times only. What it misses is found by digests of the views,
+// which probes and acknowledgements carry, and is fetched (anti-entropy).
+//
 // View is the protocol as a pure state machine: time and messages are arguments,
 // what is to be sent is the result, and it takes random numbers from its caller.
 // Monitor runs a View over the transport. It guarantees neither that a live node
--- a/internal/membership/monitor.go
+++ b/internal/membership/monitor.go
@@ -39,7 +39,7 @@
 func NewMonitor(trans *transport.Transport, self messages.Peer, clock func() int64, seeds func() []string) *Monitor {
 	self.Life = 1 + rand.Int64N(maxFirstIncarnation)
 	m := &Monitor{transport: trans, clock: clock, seeds: seeds, view: NewView(self, DefaultConfig, rand.IntN)}
-	for _, kind := range []int{transport.KindProbe, transport.KindAck} {
+	for _, kind := range []int{transport.KindProbe, transport.KindAck, transport.KindPeerQuery, transport.KindPeerList} {
 		trans.OnDatagram(kind, func(_ string, body []byte) { m.receive(kind, body) })
 	}
 	return m
--- a/internal/membership/probe.go
+++ b/internal/membership/probe.go
@@ -38,12 +38,12 @@
 }
 
 func (v *View) probe(to string, msg messages.Probe) Datagram {
-	msg.From = v.self
+	msg.From, msg.Digest = v.self, v.digest()
 	return Datagram{To: to, Kind: transport.KindProbe, Msg: msg}
 }
 
 func (v *View) ack(to string, msg messages.Probe) Datagram {
-	msg.From = v.self
+	msg.From, msg.Digest = v.self, v.digest()
 	return Datagram{To: to, Kind: transport.KindAck, Msg: msg}
 }
 
@@ -138,17 +138,24 @@
 	return alive[:min(n, len(alive))]
 }
 
-// Receive handles a probe or an acknowledgement and returns what is to be sent.
+// Receive handles a message of another node and returns what is to be sent.
 func (v *View) Receive(kind int, msg messages.Probe, nowUs int64) []Datagram {
-	known := v.Knows(msg.From.Addr)
+	peersBefore, known := len(v.peers), v.Knows(msg.From.Addr)
 	v.setStatus(msg.From, messages.Alive, nowUs)
 	for _, peer := range msg.Gossip {
 		v.merge(peer, nowUs)
 	}
-	if kind == transport.KindProbe {
-		return []Datagram{v.receiveProbe(msg, known)}
+	switch kind {
+	case transport.KindProbe:
+		return append(v.query(msg, nowUs), v.receiveProbe(msg, known))
+	case transport.KindAck:
+		return append(v.query(msg, nowUs), v.receiveAck(msg, nowUs)...)
+	case transport.KindPeerQuery:
+		return v.answerQuery(msg)
+	case transport.KindPeerList:
+		v.receiveList(peersBefore, nowUs)
 	}
-	return v.receiveAck(msg, nowUs)
+	return nil
 }
 
 func (v *View) receiveProbe(msg messages.Probe, known bool) Datagram {
--- a/internal/membership/view.go
+++ b/internal/membership/view.go
@@ -7,6 +7,7 @@
 	"strings"
 
 	"beechtide.org/beechtide/internal/messages"
+	"beechtide.org/beechtide/internal/statesync"
 )
 
 // Config holds the intervals and timeouts of a View, in microseconds.
@@ -17,6 +18,7 @@
 	ProbeTimeoutUs     int64
 	SuspicionTimeoutUs int64 // from suspect to dead, with few peers
 	ForgetUs           int64 // a dead peer is forgotten after this
+	SyncIntervalUs     int64 // between two questions for the peers in which two views differ
 }
 
 // DefaultConfig suits links of a few milliseconds.
@@ -25,6 +27,7 @@
 	ProbeTimeoutUs:     250_000,
 	SuspicionTimeoutUs: 900_000,
 	ForgetUs:           60_000_000,
+	SyncIntervalUs:     500_000,
 }
 
 // unknownGraceUs is how long after its own start a node waits to hear of an
@@ -49,11 +52,15 @@
 	nextProbeUs   int64
 	probeOrder    []string // shuffled addresses of this round; nil: to be made anew
 	probeIndex    int      // the next in probeOrder
+
+	buckets     [digestBuckets]uint64 // digests of the entries that are not dead
+	nextQueryUs int64                 // when another peer's view may be asked for again
 }
 
 // peerState is what the node knows of one peer.
 type peerState struct {
 	peer      messages.Peer
+	addrHash  uint64
 	sinceUs   int64 // when its status last changed
 	transmits int   // how often its entry is still to be sent as gossip
 
@@ -66,7 +73,7 @@
 // come from rand, which returns one from 0 to n-1.
 func NewView(self messages.Peer, config Config, rand func(n int) int) *View {
 	self.Status = messages.Alive
-	return &View{
+	v := &View{
 		self:          self,
 		config:        config,
 		rand:          rand,
@@ -74,6 +81,8 @@
 		alive:         map[messages.Role][]messages.Peer{},
 		pendingProbes: map[int64]*pendingProbe{},
 	}
+	v.toggle(self)
+	return v
 }
 
 // Self is the node's own entry.
@@ -82,9 +91,7 @@
 // SetMemberID announces the name under which this node stores the registers.
 func (v *View) SetMemberID(id string) {
 	if v.self.MemberID != id {
-		v.self.MemberID = id
-		v.self.Life++
-		v.version++
+		v.setSelf(id, v.self.Life+1)
 	}
 }
 
@@ -198,17 +205,25 @@
 // suspect or dead, or of an entry from before its restart.
 func (v *View) refute(claim messages.Peer) {
 	if claim.Life > v.self.Life || claim.Life == v.self.Life && claim.Status != messages.Alive {
-		v.self.Life = claim.Life + 1
-		v.version++
+		v.setSelf(v.self.MemberID, claim.Life+1)
 	}
 }
 
+// setSelf changes the node's own entry.
+func (v *View) setSelf(memberID string, incarnation int64) {
+	v.toggle(v.self)
+	v.self.MemberID, v.self.Life = memberID, incarnation
+	v.toggle(v.self)
+	v.version++
+}
+
 // add takes in a peer not known so far, unless it is dead already.
 func (v *View) add(peer messages.Peer, nowUs int64) {
 	if peer.Status == messages.Dead {
 		return
 	}
-	v.peers[peer.Addr] = &peerState{peer: peer, sinceUs: nowUs, transmits: v.transmitLimit()}
+	v.peers[peer.Addr] = &peerState{peer: peer, addrHash: statesync.HashText(peer.Addr, ""), sinceUs: nowUs, transmits: v.transmitLimit()}
+	v.toggle(peer)
 	v.probeOrder = nil
 	v.version++
 }
@@ -224,7 +239,9 @@
 	if peer.Status != state.peer.Status {
 		state.sinceUs = nowUs
 	}
+	v.toggle(state.peer)
 	state.peer = peer
+	v.toggle(peer)
 	state.transmits = v.transmitLimit()
 	v.version++
 }
@@ -254,6 +271,8 @@
 	minTransmits  = 6
 	maxGossip     = 6   // entries in one message
 	maxJoinGossip = 100 // entries in a message to a peer not known before
+
+	maxGossipSalt = 1 << 30
 )
 
 // transmitLimit is how often an entry is sent as gossip after a change. It grows
@@ -267,14 +286,14 @@
 // their last change, as many as fit.
 func (v *View) gossip(to *peerState) []messages.Peer {
 	changed := v.states(func(state *peerState) bool { return state != to && state.transmits > 0 })
-	return append(ownEntry(to), transmit(changed, maxGossip)...)
+	return append(ownEntry(to), v.transmit(changed, maxGossip)...)
 }
 
 // joinGossip selects the entries for a peer not known before: also those that
 // have not changed for long.
 func (v *View) joinGossip(to *peerState) []messages.Peer {
 	all := v.states(func(state *peerState) bool { return state != to })
-	return append(ownEntry(to), transmit(all, maxJoinGossip)...)
+	return append(ownEntry(to), v.transmit(all, maxJoinGossip)...)
 }
 
 // ownEntry gives the receiver's own entry if it should refute it, and counts it
@@ -298,10 +317,16 @@
 }
 
 // transmit gives up to limit entries, those with the most transmits left first,
-// and counts them as sent.
-func transmit(states []*peerState, limit int) []messages.Peer {
+// and counts them as sent. Equal ones come in an order that is random for each message:
+// in the same order everywhere all nodes would send the first of them only.
+func (v *View) transmit(states []*peerState, limit int) []messages.Peer {
+	salt := uint64(v.rand(maxGossipSalt))
+	order := func(state *peerState) uint64 { return statesync.Mix(state.addrHash ^ salt) }
 	slices.SortFunc(states, func(a, b *peerState) int {
-		return cmp.Or(cmp.Compare(b.transmits, a.transmits), strings.Compare(a.peer.Addr, b.peer.Addr))
+		if a.transmits != b.transmits {
+			return cmp.Compare(b.transmits, a.transmits)
+		}
+		return cmp.Compare(order(a), order(b))
 	})
 	var entries []messages.Peer
 	for _, state := range states[:min(limit, len(states))] {
--- a/internal/membership/view_test.go
+++ b/internal/membership/view_test.go
@@ -8,6 +8,7 @@
 	"github.com/shoenig/test/must"
 
 	"beechtide.org/beechtide/internal/messages"
+	"beechtide.org/beechtide/internal/transport"
 )
 
 const (
@@ -24,6 +25,8 @@
 	rand  *rand.Rand
 	loss  int // one datagram of so many gets lost; 0: none
 	nowUs int64
+
+	queries int // questions for the entries in which two views differ
 }
 
 // newNetwork starts n nodes, of which n0 is the seed of all.
@@ -59,6 +62,9 @@
 // deliver hands over datagrams and what is sent in turn.
 func (n *network) deliver(from string, datagrams []Datagram) {
 	for _, d := range datagrams {
+		if d.Kind == transport.KindPeerQuery {
+			n.queries++
+		}
 		if !n.loses(from, d.To) {
 			n.deliver(d.To, n.views[d.To].Receive(d.Kind, d.Msg, n.nowUs))
 		}
--- a/internal/messages/msgp.gen.go
+++ b/internal/messages/msgp.gen.go
@@ -4123,9 +4123,18 @@
 // MarshalMsg implements msgp.Marshaler
 func (z *Probe) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
-	// map header, size 5
+	// map header, size 7
+	// string "b"
+	o = append(o, 0x87, 0xa1, 0x62)
+	o = msgp.AppendArrayHeader(o, uint32(len(z.Buckets)))
+	for za0001 := range z.Buckets {
+		o = msgp.AppendInt64(o, z.Buckets[za0001])
+	}
+	// string "d"
+	o = append(o, 0xa1, 0x64)
+	o = msgp.AppendInt64(o, z.Digest)
 	// string "f"
-	o = append(o, 0x85, 0xa1, 0x66)
+	o = append(o, 0xa1, 0x66)
 	o, err = z.From.MarshalMsg(o)
 	if err != nil {
 		err = msgp.WrapError(err, "From")
@@ -4134,10 +4143,10 @@
 	// string "g"
 	o = append(o, 0xa1, 0x67)
 	o = msgp.AppendArrayHeader(o, uint32(len(z.Gossip)))
-	for za0001 := range z.Gossip {
-		o, err = z.Gossip[za0001].MarshalMsg(o)
+	for za0002 := range z.Gossip {
+		o, err = z.Gossip[za0002].MarshalMsg(o)
 		if err != nil {
-			err = msgp.WrapError(err, "Gossip", za0001)
+			err = msgp.WrapError(err, "Gossip", za0002)
 			return
 		}
 	}
@@ -4171,6 +4180,31 @@
 			return
 		}
 		switch msgp.UnsafeString(field) {
+		case "b":
+			var zb0002 uint32
+			zb0002, bts, err = msgp.ReadArrayHeaderBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Buckets")
+				return
+			}
+			if cap(z.Buckets) >= int(zb0002) {
+				z.Buckets = (z.Buckets)[:zb0002]
+			} else {
+				z.Buckets = make([]int64, zb0002)
+			}
+			for za0001 := range z.Buckets {
+				z.Buckets[za0001], bts, err = msgp.ReadInt64Bytes(bts)
+				if err != nil {
+					err = msgp.WrapError(err, "Buckets", za0001)
+					return
+				}
+			}
+		case "d":
+			z.Digest, bts, err = msgp.ReadInt64Bytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Digest")
+				return
+			}
 		case "f":
 			bts, err = z.From.UnmarshalMsg(bts)
 			if err != nil {
@@ -4178,21 +4212,21 @@
 				return
 			}
 		case "g":
-			var zb0002 uint32
-			zb0002, bts, err = msgp.ReadArrayHeaderBytes(bts)
+			var zb0003 uint32
+			zb0003, bts, err = msgp.ReadArrayHeaderBytes(bts)
 			if err != nil {
 				err = msgp.WrapError(err, "Gossip")
 				return
 			}
-			if cap(z.Gossip) >= int(zb0002) {
-				z.Gossip = (z.Gossip)[:zb0002]
+			if cap(z.Gossip) >= int(zb0003) {
+				z.Gossip = (z.Gossip)[:zb0003]
 			} else {
-				z.Gossip = make([]Peer, zb0002)
+				z.Gossip = make([]Peer, zb0003)
 			}
-			for za0001 := range z.Gossip {
-				bts, err = z.Gossip[za0001].UnmarshalMsg(bts)
+			for za0002 := range z.Gossip {
+				bts, err = z.Gossip[za0002].UnmarshalMsg(bts)
 				if err != nil {
-					err = msgp.WrapError(err, "Gossip", za0001)
+					err = msgp.WrapError(err, "Gossip", za0002)
 					return
 				}
 			}
@@ -4228,9 +4262,9 @@
 
 // Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
 func (z *Probe) Msgsize() (s int) {
-	s = 1 + 2 + z.From.Msgsize() + 2 + msgp.ArrayHeaderSize
-	for za0001 := range z.Gossip {
-		s += z.Gossip[za0001].Msgsize()
+	s = 1 + 2 + msgp.ArrayHeaderSize + (len(z.Buckets) * (msgp.Int64Size)) + 2 + msgp.Int64Size + 2 + z.From.Msgsize() + 2 + msgp.ArrayHeaderSize
+	for za0002 := range z.Gossip {
+		s += z.Gossip[za0002].Msgsize()
 	}
 	s += 2 + msgp.StringPrefixSize + len(z.Of) + 2 + msgp.Int64Size + 2 + msgp.StringPrefixSize + len(z.Through)
 	return
--- a/internal/messages/types.gen.go
+++ b/internal/messages/types.gen.go
@@ -389,6 +389,11 @@
 
 // Probe defines model for Probe.
 type Probe struct {
+	// Buckets Digests of the parts of the sender's view.
+	Buckets []int64 `msg:"b"`
+
+	// Digest Of the sender's view; 0 from an earlier release.
+	Digest  int64  `msg:"d"`
 	From    Peer   `msg:"f"`
 	Gossip  []Peer `msg:"g"`
 	Of      string `msg:"o"`
--- a/internal/transport/kind.go
+++ b/internal/transport/kind.go
@@ -35,6 +35,8 @@
 	KindReachPing                  // datagram: asks for an answer
 	KindReachAck                   // datagram: the answer
 	KindRunners                    // datagram: heartbeats of runners, forwarded together
+	KindPeerQuery                  // datagram: asks for the peers in which two views differ
+	KindPeerList                   // datagram: some of them
 	kindCount
 )
 
@@ -71,6 +73,8 @@
 	KindReachPing:   "reach-ping",
 	KindReachAck:    "reach-ack",
 	KindRunners:     "runners",
+	KindPeerQuery:   "peer-query",
+	KindPeerList:    "peer-list",
 
 	KindReadsCompressed: "reads-compressed",
 	KindCompressed:      "compressed",
