router: a stream leaves a runner out of reach only when it is silent and its next place is ready

The read that an interrupt ends goes on where nothing was found. Metric beechtide_router_unreachable_streams_total.

--- a/internal/router/counters.go
+++ b/internal/router/counters.go
@@ -26,6 +26,8 @@
 	cuts               [cutReasonCount]atomic.Int64
 	attempts           [len(attemptNames)]atomic.Int64
 	takenWhileDraining atomic.Int64
+	streamsLeft        atomic.Int64 // taken from runners that could not be reached
+	streamsStayed      atomic.Int64 // not taken, as there was no other place
 
 	comparisons   callCounts
 	fetches       callCounts
--- a/internal/router/move.go
+++ b/internal/router/move.go
@@ -1,5 +1,5 @@
-// Moving a live stream: when its session leaves the zone of its runner, a stream that
-// may be resumed goes on at the session's new home, after its last whole event.
+// Moving a live stream: when its session leaves the zone of its runner, or that zone cannot be
+// reached any more, a stream that may be resumed goes on elsewhere, after its last whole event.
 // Capacity and a connection there are acquired before the old connection is closed,
 // and the old one is closed before anything is sent, so that one runner at a time
 // responds and the client sees one response. A stream that may not be resumed ends
@@ -18,12 +18,12 @@
 	link *upstream.Conn
 }
 
-// moves tells whether the stream leaves its runner now; then the next attempt is
-// there. It is within tries and budget like every further attempt.
+// moves reports whether the stream leaves its runner now, as its session's zone has been
+// relinquished; then the next attempt is there.
 func (e *exchange) moves(adm *admission.Admission, stream *answerStream) bool {
 	c := e.c
 	t := c.table.Load()
-	if _, left := t.Relinquished[adm.Runner.Zone]; !left || !e.sequence.MayRepeat(e.repeatRules()) || !stream.cutting || stream.events.LastID == "" {
+	if _, left := t.Relinquished[adm.Runner.Zone]; !left || !stream.cutting || stream.events.LastID == "" {
 		return false
 	}
 	now := c.clock()
@@ -31,37 +31,46 @@
 		return false
 	}
 	e.moveUs = now + moveAgainUs
+	leaves := func(ask admission.Request) bool { return c.admission.Leaves(ask, adm.Runner.Zone, now) }
+	return e.acquireNext(adm, leaves, func(next *admission.Admission) bool { return next.Runner.Zone != adm.Runner.Zone })
+}
+
+// acquireNext reserves capacity at another runner and connects to it, for a stream that goes on
+// there. It is within tries, budget and limits like every further attempt. leaves is asked first,
+// and accepts of the place found, both with the admission's mutex held.
+func (e *exchange) acquireNext(adm *admission.Admission, leaves func(admission.Request) bool, accepts func(*admission.Admission) bool) bool {
+	c := e.c
+	if !e.sequence.MayRepeat(e.repeatRules()) {
+		return false
+	}
+	now := c.clock()
 	ask := e.request
 	ask.LeftUs = e.endUs - now
 	ask.Avoid = append(append([]string{}, ask.Avoid...), adm.Runner.ID)
 	c.admissionMu.Lock()
-	if !c.admission.Leaves(ask, adm.Runner.Zone, now) {
+	if !leaves(ask) {
 		c.admissionMu.Unlock()
 		return false
 	}
 	next := c.admission.TryNow(ask, now)
+	accepted := next != nil && accepts(next)
 	c.admissionMu.Unlock()
 	if next == nil {
 		return false
 	}
-	giveUp := func(ok bool) bool {
-		c.done(next, ok)
+	if !accepted {
+		c.done(next, true)
 		return false
 	}
-	if next.Runner.Zone == adm.Runner.Zone {
-		return giveUp(true)
-	}
 	link, err := e.connect(next)
 	if err != nil {
-		return giveUp(false)
-	}
-	if !e.spendRetry() {
-		link.Close()
-		return giveUp(true)
+		c.done(next, false)
+		return false
 	}
-	if e.acquireToken(false, moveQuotaWaitUs).outcome != quotaGranted {
+	if !e.spendRetry() || e.acquireToken(false, moveQuotaWaitUs).outcome != quotaGranted {
 		link.Close()
-		return giveUp(true)
+		c.done(next, true)
+		return false
 	}
 	e.request.Avoid = ask.Avoid
 	e.next = &nextAttempt{next, link}
--- a/internal/router/partition_metrics.go
+++ b/internal/router/partition_metrics.go
@@ -41,6 +41,10 @@
 				emit(float64(z.SinceUs)/1e6, z.Zone)
 			}
 		}),
+		metrics.Counter("beechtide_router_unreachable_streams_total", "Streams that delivered nothing from runners of unreachable zones: left, they go on at other runners; stayed, there was no place.", []string{"outcome"}, func(emit metrics.Emit) {
+			emit(float64(c.counters.streamsLeft.Load()), "left")
+			emit(float64(c.counters.streamsStayed.Load()), "stayed")
+		}),
 		metrics.Gauge("beechtide_router_warming_up", "Runners that warm up: all, and those that this router may send requests to.", []string{"of"}, func(emit metrics.Emit) {
 			c.admissionMu.Lock()
 			defer c.admissionMu.Unlock()
--- a/internal/router/responses.go
+++ b/internal/router/responses.go
@@ -87,9 +87,6 @@
 
 // passStream passes on a streamed answer, event by event.
 func (e *exchange) passStream(adm *admission.Admission, link *upstream.Conn, r *protocol.Response, stream *answerStream) (attempt.Result, *answerStream) {
-	if stream == nil {
-		stream = &answerStream{cutting: e.route.Kind == api.Streaming}
-	}
 	stream.events.Cut()
 	body := r.BodyStream()
 	buf := make([]byte, 2048)
@@ -107,6 +104,12 @@
 		case err == nil && stream.started && e.moves(adm, stream):
 			return e.abandonStream(adm, link, attempt.Moving), stream
 		case err == nil:
+		case e.next != nil: // it left a runner that cannot be reached
+			result := e.abandonStream(adm, link, attempt.Moving)
+			if !stream.started {
+				return result, nil
+			}
+			return result, stream
 		case err != io.EOF:
 			return e.breakOffStream(adm, link, stream)
 		default:
--- a/internal/router/send.go
+++ b/internal/router/send.go
@@ -11,6 +11,7 @@
 	"github.com/pkg/errors"
 
 	"beechtide.org/beechtide/internal/admission"
+	"beechtide.org/beechtide/internal/api"
 	"beechtide.org/beechtide/internal/attempt"
 	"beechtide.org/beechtide/internal/compliance"
 	"beechtide.org/beechtide/internal/upstream"
@@ -91,7 +92,10 @@
 		defer c.held.remove(e.held)
 	}
 	if e.streams(r) {
-		unwatch := e.watchStream(sent)
+		if stream == nil {
+			stream = &answerStream{cutting: e.route.Kind == api.Streaming}
+		}
+		unwatch := e.watchStream(sent, stream)
 		defer unwatch()
 		return e.passStream(adm, link, r, stream)
 	}
--- a/internal/router/withdraw.go
+++ b/internal/router/withdraw.go
@@ -6,6 +6,7 @@
 package router
 
 import (
+	"sync/atomic"
 	"time"
 
 	"github.com/cloudwego/hertz/pkg/protocol"
@@ -35,6 +36,8 @@
 	link      *upstream.Conn
 	withdrawn bool
 	again     bool // another attempt may follow
+
+	stayUntilUs atomic.Int64 // a stream that found no place elsewhere looks again then
 }
 
 // sentAttempts are attempts of a router that may still be withdrawn.
@@ -54,6 +57,15 @@
 	return a.withdrawn
 }
 
+// takeWithdrawal reports whether an attempt was taken back, and clears that.
+func (s *sentAttempts) takeWithdrawal(a *sentAttempt) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	withdrawn := a.withdrawn
+	a.withdrawn = false
+	return withdrawn
+}
+
 // withdraw takes back those of the attempts that have not begun meanwhile.
 func (s *sentAttempts) withdraw(attempts []*sentAttempt) {
 	s.mu.Lock()
--- a/internal/upstream/conn.go
+++ b/internal/upstream/conn.go
@@ -55,13 +55,18 @@
 type Conn struct {
 	conn              net.Conn
 	in                reader
-	service           string      // of the runner, as named by ConnPool.GetFor
-	idleSinceUs       int64       // when it was put into the pool
-	keepAliveUs       int64       // for how long the runner keeps it open while idle; 0: unknown
-	tainted           bool        // it carries bytes that belong to no request
-	userTimeoutRaised bool        // above userTimeoutMs, for a slow reader
-	sending           atomic.Bool // the rest of a request's body is being written
-	interrupted       atomic.Bool // nobody waits for a response any longer
+	service           string       // of the runner, as named by ConnPool.GetFor
+	idleSinceUs       int64        // when it was put into the pool
+	keepAliveUs       int64        // for how long the runner keeps it open while idle; 0: unknown
+	tainted           bool         // it carries bytes that belong to no request
+	userTimeoutRaised bool         // above userTimeoutMs, for a slow reader
+	sending           atomic.Bool  // the rest of a request's body is being written
+	interrupted       atomic.Bool  // nobody waits for a response any longer
+	lastReadNs        atomic.Int64 // when bytes last arrived, after processStart
+
+	// OnInterrupt is asked, by the goroutine that reads, what an interrupt is to do: the read
+	// goes on where it returns true, having called Resume, and ends otherwise. Nil ends it.
+	OnInterrupt func() (goOn bool)
 
 	Answers  int   // responses whose heads have been read
 	RestedUs int64 // for how long it was idle when it was taken from the pool; 0: it is new
@@ -74,7 +79,40 @@
 	if err != nil {
 		return nil, errors.Wrap(ErrConnect, err.Error())
 	}
-	return &Conn{conn: c, in: newReader(c)}, nil
+	return newConn(c), nil
+}
+
+func newConn(c net.Conn) *Conn {
+	made := &Conn{conn: c}
+	made.in = newReader(arrivals{made})
+	made.lastReadNs.Store(int64(time.Since(processStart)))
+	return made
+}
+
+// processStart is what lastReadNs counts from.
+var processStart = time.Now()
+
+// arrivals reads a connection for its parser.
+type arrivals struct{ conn *Conn }
+
+// Read reads what has arrived. An interrupt ends it unless OnInterrupt says otherwise.
+func (a arrivals) Read(b []byte) (int, error) {
+	c := a.conn
+	for {
+		n, err := c.conn.Read(b)
+		if n > 0 {
+			c.lastReadNs.Store(int64(time.Since(processStart)))
+			return n, err
+		}
+		if err == nil || !c.interrupted.Load() || c.OnInterrupt == nil || !c.OnInterrupt() {
+			return n, err
+		}
+	}
+}
+
+// SilentFor is the time since bytes last arrived, or since the connection was opened.
+func (c *Conn) SilentFor() time.Duration {
+	return time.Since(processStart) - time.Duration(c.lastReadNs.Load())
 }
 
 func setSocketOptions(_, _ string, raw syscall.RawConn) error {
@@ -121,8 +159,8 @@
 	return err == nil && nothingToRead
 }
 
-// Interrupt ends the wait for a response's head, now or when it begins. It may be
-// called while another goroutine uses the connection.
+// Interrupt ends the wait for bytes of a response, now or when it begins, as far as
+// OnInterrupt lets it. It may be called while another goroutine uses the connection.
 func (c *Conn) Interrupt() {
 	c.interrupted.Store(true)
 	_ = c.conn.SetReadDeadline(time.Unix(1, 0))
--- a/internal/upstream/conn_pool.go
+++ b/internal/upstream/conn_pool.go
@@ -101,6 +101,7 @@
 		return
 	}
 	_ = c.conn.SetDeadline(time.Time{})
+	c.OnInterrupt = nil
 	if c.userTimeoutRaised {
 		c.setUserTimeout(0)
 	}
--- a/internal/upstream/fuzz_test.go
+++ b/internal/upstream/fuzz_test.go
@@ -38,7 +38,7 @@
 
 func connOf(raw []byte, size byte) (*Conn, *pieces) {
 	p := &pieces{rest: raw, size: size}
-	return &Conn{conn: p, in: newReader(p)}, p
+	return newConn(p), p
 }
 
 type answered struct {
