--- a/internal/dissemination/tree.go
+++ b/internal/dissemination/tree.go
@@ -36,8 +36,8 @@
 		row = append(row, c.Addr)
 	}
 	var out []string
-	if roots := max(len(near), 1) * fanOut; at >= roots {
-		out = append(out, row[(at-roots)/fanOut])
+	if roots := max(len(near), 1) * rootFanOut; at >= roots {
+		out = append(out, row[(at-roots)/relayFanOut])
 	}
 	return append(append(out, shuffled(self, near)...), shuffled(self, far)...)
 }
@@ -50,7 +50,12 @@
 	return list
 }
 
-// fanOut is how many routers a node sends its updates to. With fewer, more routers are
-// relays, which costs processor time and serves worse; with more, the copies of a large
-// change share the node's link.
-const fanOut = 16
+const (
+	// rootFanOut is how many routers a controller sends its updates to. The machines of
+	// controllers have the faster links; with fewer, more routers are relays, on links that
+	// their copies of the loads fill, and every level makes the loads older.
+	rootFanOut = 64
+	// relayFanOut is the same of a router that relays. With fewer, more routers are relays;
+	// with more, the copies of a large change share the router's link.
+	relayFanOut = 16
+)
