--- a/internal/reachability/tracker.go
+++ b/internal/reachability/tracker.go
@@ -7,8 +7,13 @@
 //
 // A zone counts as unreachable only after pings to several of its nodes (all, where there are
 // fewer) in a row of rounds went unanswered, and as reachable again after two answers to pings
-// that were sent since. A pause of the process itself begins the round anew. A zone of which no
-// node is known counts as reachable.
+// that were sent since. Whatever else was asked of the zone since the first of these pings, and
+// was answered, counts as an answer to them. A zone of which no node is known counts as
+// reachable.
+//
+// Silence says nothing of a zone where the cause may be this node: after a pause of the process
+// the rounds begin anew, and so they do where the control pings that go to nodes of the own zone
+// beside each further round were not answered by most of them, as on a link that is full.
 //
 // A Tracker is not safe for concurrent use. Times are microseconds of a monotonic clock.
 package reachability
@@ -44,14 +49,25 @@
 	zones  map[string]*zone
 	seq    int64
 	tickUs int64
+
+	ownNodes []string           // other nodes of the own zone
+	controls map[int64]*control // by the numbers of their pings
+	doubted  int64              // how often the control pings kept a zone from being unreachable
 }
 
+// control is the pings to nodes of the own zone that went out beside a round.
+type control struct{ sent, acks int }
+
+func (c *control) answered() bool { return 2*c.acks > c.sent }
+
 // zone is what is known of one zone.
 type zone struct {
 	nodes    []string
 	round    int   // rounds that are unanswered, this one included; 0: none is under way
 	untilUs  int64 // when the round ends, or the next one begins
 	firstSeq int64 // pings before this one do not count any more
+	beganUs  int64 // when the first of the unanswered rounds began
+	controls []*control
 	acks     int   // answers since the zone became unreachable
 	sinceUs  int64 // since when it is unreachable; 0: it is not
 	backUs   int64 // when it was reachable again
@@ -59,9 +75,16 @@
 
 // NewTracker returns a tracker to which all zones are reachable.
 func NewTracker(config Config, random func(n int) int) *Tracker {
-	return &Tracker{config: config, random: random, zones: map[string]*zone{}}
+	return &Tracker{config: config, random: random, zones: map[string]*zone{}, controls: map[int64]*control{}}
 }
 
+// SetOwnNodes sets the other nodes of the own zone, which get the control pings. Where there are
+// fewer than Config.ConfirmBy none are sent.
+func (t *Tracker) SetOwnNodes(nodes []string) { t.ownNodes = nodes }
+
+// Doubted returns how often a zone would have been unreachable but for the control pings.
+func (t *Tracker) Doubted() int64 { return t.doubted }
+
 // SetIdle sets the time between two rounds while all is well, Config.IdleUs anew.
 func (t *Tracker) SetIdle(us int64) { t.config.IdleUs = us }
 
@@ -87,38 +110,78 @@
 	stoodStill := t.tickUs > 0 && nowUs-t.tickUs > t.config.PauseUs
 	t.tickUs = nowUs
 	var pings []Ping
+	var beside *control // goes out with the first further round of this tick
 	for _, name := range slices.Sorted(maps.Keys(t.zones)) {
 		z := t.zones[name]
 		if stoodStill && z.sinceUs == 0 {
-			z.round, z.untilUs = 0, nowUs
+			z.beginAnew()
+			z.untilUs = nowUs
 		}
-		if nowUs >= z.untilUs {
-			pings = append(pings, t.next(z, nowUs)...)
+		if nowUs < z.untilUs {
+			continue
 		}
+		pings = append(pings, t.next(z, nowUs)...)
+		if z.round < 2 || z.sinceUs > 0 || len(t.ownNodes) < t.config.ConfirmBy {
+			continue
+		}
+		if beside == nil {
+			var own []Ping
+			beside, own = t.beginControl()
+			pings = append(pings, own...)
+		}
+		z.controls = append(z.controls, beside)
 	}
 	return pings
 }
 
+// beginControl pings nodes of the own zone. Earlier control pings that no zone waits for any more
+// are forgotten.
+func (t *Tracker) beginControl() (*control, []Ping) {
+	maps.DeleteFunc(t.controls, func(seq int64, _ *control) bool { return t.seq-seq > mostControlAge })
+	pings := t.ping(t.ownNodes, t.config.ConfirmBy)
+	c := &control{sent: len(pings)}
+	for _, p := range pings {
+		t.controls[p.Seq] = c
+	}
+	return c, pings
+}
+
+// mostControlAge is after how many further pings a control ping is forgotten.
+const mostControlAge = 1_000
+
+func (z *zone) beginAnew() { z.round, z.controls = 0, nil }
+
+// doubtful reports whether the silence of a zone may have its cause at this node.
+func (z *zone) doubtful() bool {
+	return slices.ContainsFunc(z.controls, func(c *control) bool { return !c.answered() })
+}
+
 // next begins the next round of a zone.
 func (t *Tracker) next(z *zone, nowUs int64) []Ping {
 	if z.round >= t.config.Rounds && z.sinceUs == 0 {
-		z.sinceUs, z.acks = nowUs, 0
-		z.firstSeq = t.seq + 1
+		if z.doubtful() {
+			t.doubted++
+			z.beginAnew()
+		} else {
+			z.sinceUs, z.acks = nowUs, 0
+			z.firstSeq = t.seq + 1
+		}
 	}
 	count := t.config.ConfirmBy
 	if z.round == 0 {
 		count = 1
+		z.beganUs = nowUs
 	}
 	if z.sinceUs == 0 {
 		z.round++
 	}
 	z.untilUs = nowUs + t.config.RoundUs
-	return t.ping(z, count)
+	return t.ping(z.nodes, count)
 }
 
 // ping chooses nodes at random.
-func (t *Tracker) ping(z *zone, count int) []Ping {
-	nodes := slices.Clone(z.nodes)
+func (t *Tracker) ping(from []string, count int) []Ping {
+	nodes := slices.Clone(from)
 	var pings []Ping
 	for range min(count, len(nodes)) {
 		i := t.random(len(nodes))
@@ -129,8 +192,13 @@
 	return pings
 }
 
-// Acked records an answer to a ping by a node of a zone.
+// Acked records an answer to a ping by a node of a zone, the own one included.
 func (t *Tracker) Acked(name string, seq, nowUs int64) {
+	if c := t.controls[seq]; c != nil {
+		c.acks++
+		delete(t.controls, seq)
+		return
+	}
 	z := t.zones[name]
 	if z == nil || seq < z.firstSeq {
 		return
@@ -141,7 +209,20 @@
 		}
 		z.sinceUs, z.backUs = 0, nowUs
 	}
-	z.round = 0
+	t.answered(z, nowUs)
+}
+
+// Answered records that something of a zone, be it a node or a runner, has answered what it was
+// asked at askedUs. It does not bring an unreachable zone back: only pings do.
+func (t *Tracker) Answered(name string, askedUs, nowUs int64) {
+	if z := t.zones[name]; z != nil && z.sinceUs == 0 && z.round > 0 && askedUs >= z.beganUs {
+		t.answered(z, nowUs)
+	}
+}
+
+// answered ends the unanswered rounds of a zone.
+func (t *Tracker) answered(z *zone, nowUs int64) {
+	z.beginAnew()
 	z.firstSeq = t.seq + 1
 	z.untilUs = nowUs + t.config.IdleUs
 }
--- a/internal/reachability/tracker_test.go
+++ b/internal/reachability/tracker_test.go
@@ -24,6 +24,7 @@
 	dead    map[string]bool // nodes that do not answer
 	lost    float64         // share of the answers
 	pings   int
+	answers bool // runners of all zones answer all the time, though pings do not arrive
 }
 
 func newWorld(seed uint64, zones, nodes int) *world {
@@ -41,12 +42,28 @@
 	return w
 }
 
+const ownZone = "own"
+
+// addOwnNodes gives the tracker's node so many others in its own zone.
+func (w *world) addOwnNodes(nodes int) {
+	var own []string
+	for n := range nodes {
+		node := fmt.Sprint("own-", n)
+		own = append(own, node)
+		w.zoneOf[node] = ownZone
+	}
+	w.tracker.SetOwnNodes(own)
+}
+
 // run lets time pass; each gets the unreachable zones after every tick.
 func (w *world) run(forUs int64, each func(unreachable map[string]int64)) {
 	for endUs := w.nowUs + forUs; w.nowUs < endUs; w.nowUs += tickUs {
 		for _, p := range w.tracker.Tick(w.nowUs) {
 			w.pings++
 			zone := w.zoneOf[p.To]
+			if w.answers && zone != ownZone {
+				w.tracker.Answered(zone, w.nowUs, w.nowUs+answerUs)
+			}
 			if !w.cut[zone] && !w.dead[p.To] && w.random.Float64() >= w.lost {
 				w.tracker.Acked(zone, p.Seq, w.nowUs+answerUs)
 			}
@@ -58,6 +75,7 @@
 func TestCutZoneIsKnownWithinAndBackWithinABound(t *testing.T) {
 	for seed := range uint64(50) {
 		w := newWorld(seed, 3, 20)
+		w.addOwnNodes(int(seed % 8))
 		w.run(2*second+int64(seed)*7_000, func(u map[string]int64) { must.MapEmpty(t, u) })
 		w.cut["z1"] = true
 		cutUs, knownUs := w.nowUs, int64(0)
@@ -130,3 +148,51 @@
 	w.tracker.SetNodes(nil)
 	must.MapEmpty(t, w.tracker.Unreachable())
 }
+
+// A node whose own link loses most datagrams, as behind a large update, has no answer of its own
+// zone either.
+func TestBusyLinkSaysNothingOfOtherZones(t *testing.T) {
+	for seed := range uint64(50) {
+		w := newWorld(seed, 4, 20)
+		w.addOwnNodes(20)
+		for range 10 {
+			w.run(second, func(u map[string]int64) { must.MapEmpty(t, u) })
+			w.lost = 0.97
+			w.run(second, func(u map[string]int64) { must.MapEmpty(t, u, must.Sprint("seed ", seed)) })
+			w.lost = 0
+		}
+		must.Positive(t, w.tracker.Doubted())
+	}
+}
+
+func TestDeadNodeOfTheOwnZoneDoesNotHideACut(t *testing.T) {
+	for seed := range uint64(50) {
+		w := newWorld(seed, 2, 10)
+		w.addOwnNodes(6)
+		w.dead["own-0"] = true
+		w.cut["z1"] = true
+		w.run(2*second, func(map[string]int64) {})
+		must.MapContainsKey(t, w.tracker.Unreachable(), "z1")
+	}
+}
+
+func TestAnswersOfRunnersCountAsAnswersToPings(t *testing.T) {
+	w := newWorld(7, 2, 10)
+	w.addOwnNodes(6)
+	w.cut["z1"], w.answers = true, true
+	w.run(10*second, func(u map[string]int64) { must.MapEmpty(t, u) })
+	w.answers = false
+	w.run(2*second, func(map[string]int64) {})
+	must.MapContainsKey(t, w.tracker.Unreachable(), "z1")
+	w.tracker.Answered("z1", w.nowUs, w.nowUs)
+	must.MapContainsKey(t, w.tracker.Unreachable(), "z1", must.Sprint("only pings bring it back"))
+}
+
+func TestAnswerToAnEarlierQuestionSaysNothing(t *testing.T) {
+	w := newWorld(8, 1, 10)
+	w.run(second, func(map[string]int64) {})
+	w.cut["z0"] = true
+	askedUs := w.nowUs
+	w.run(2*second, func(map[string]int64) { w.tracker.Answered("z0", askedUs-1, w.nowUs) })
+	must.MapContainsKey(t, w.tracker.Unreachable(), "z0")
+}
--- a/internal/router/send.go
+++ b/internal/router/send.go
@@ -34,6 +34,7 @@
 		return end, stream
 	}
 	sent := c.sent.add(adm, link, e.sequence.MayRepeat(e.repeatRules()))
+	sent.sentUs = c.clock()
 	defer c.sent.remove(sent)
 	e.spendToken()
 	end := e.writeRequest(adm, link, stream)
--- a/internal/router/withdraw.go
+++ b/internal/router/withdraw.go
@@ -36,6 +36,7 @@
 	link      *upstream.Conn
 	withdrawn bool
 	again     bool // another attempt may follow
+	sentUs    int64
 
 	stayUntilUs atomic.Int64 // a stream that found no place elsewhere looks again then
 }
@@ -114,6 +115,7 @@
 	withdrawn := e.c.sent.remove(a)
 	switch {
 	case err == nil:
+		e.c.zones.answered(a.adm.Runner.Zone, a.sentUs)
 		a.link.Resume(e.deadline(lateUs))
 		return nil
 	case withdrawn:
--- a/internal/router/zones.go
+++ b/internal/router/zones.go
@@ -72,6 +72,13 @@
 			z.nodes[p.Addr] = zoneNode{zone: p.Zone, seenUs: nowUs}
 		}
 	}
+	var own []string
+	for _, p := range alive {
+		if p.Zone == z.router.set.Zone && p.Addr != z.router.transport.Addr() {
+			own = append(own, p.Addr)
+		}
+	}
+	z.tracker.SetOwnNodes(own)
 	byZone, dead := map[string][]string{}, map[string][]string{}
 	for addr, node := range z.nodes {
 		switch {
@@ -127,6 +134,20 @@
 	z.publish()
 }
 
+// answered takes note that a runner of a zone has answered what it was asked at askedUs.
+func (z *zonePings) answered(zone string, askedUs int64) {
+	z.mu.Lock()
+	defer z.mu.Unlock()
+	z.tracker.Answered(zone, askedUs, z.router.clock())
+}
+
+// doubted returns how often silence of a zone was put down to this node.
+func (z *zonePings) doubted() int64 {
+	z.mu.Lock()
+	defer z.mu.Unlock()
+	return z.tracker.Doubted()
+}
+
 // publish puts a change of the unreachable zones in force. The mutex is held until then: a later
 // change is not overtaken by an earlier one.
 func (z *zonePings) publish() {
