Updates from 4 KiB on are compressed; pings and probes wake their goroutines when they are due

Each router woke 20 times a second for pings of zones, 20 for withdrawals, 10 for membership.

Change: broadcasts from 4 KiB on are compressed, once for all children. Tracker.NextUs and View.NextProbeUs say when the next tick is due; a late tick is one that comes later than that. Withdrawals are looked at every 100 ms.

--- a/internal/membership/large_fleet_test.go
+++ b/internal/membership/large_fleet_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"testing"
+	"time"
 
 	"github.com/shoenig/test/must"
 
@@ -12,8 +13,11 @@
 // seedsOfLargeFleet is how many nodes the others are told of at their start.
 const seedsOfLargeFleet = 3
 
+// joinTicks is after how many ticks seeds that are not known yet are probed.
+const joinTicks = int64(joinInterval/time.Microsecond) / tickUs
+
 // startLargeFleet starts so many nodes within 0.3 s, in any order. Each knows the seeds only and
-// probes those that it does not know every joinTicks, as Monitor does.
+// probes those that it does not know every joinInterval, as Monitor does.
 func startLargeFleet(nodes int, forUs int64) *network {
 	net := newNetwork(0)
 	startUs := map[string]int64{}
--- a/internal/membership/monitor.go
+++ b/internal/membership/monitor.go
@@ -6,16 +6,20 @@
 	"sync"
 	"time"
 
+	"beechtide.org/beechtide/internal/loop"
 	"beechtide.org/beechtide/internal/messages"
 	"beechtide.org/beechtide/internal/transport"
 )
 
 const (
+	// tickInterval is the time between two ticks while an acknowledgement or a refutation
+	// is waited for.
 	tickInterval = 100 * time.Millisecond
 
-	// joinTicks is how many ticks pass between probes to seeds that are not
-	// known yet.
-	joinTicks = 5
+	// joinInterval is the time between two probes to seeds that are not known yet.
+	joinInterval = 500 * time.Millisecond
+
+	minTickInterval = 10 * time.Millisecond
 
 	// maxFirstIncarnation bounds the random incarnation that a node starts with.
 	// It is random since a node does not store it: a restarted node should not
@@ -64,18 +68,28 @@
 	}
 }
 
-// Run drives the view until ctx ends.
+// Run drives the view until ctx ends. It wakes when something is due, not all the time.
 func (m *Monitor) Run(ctx context.Context) {
-	ticker := time.NewTicker(tickInterval)
-	defer ticker.Stop()
-	for n := 0; ; n++ {
-		m.send(m.tick(n%joinTicks == 0))
-		select {
-		case <-ticker.C:
-		case <-ctx.Done():
-			return
+	joinUs := m.clock()
+	for ctx.Err() == nil {
+		nowUs := m.clock()
+		join := nowUs >= joinUs
+		if join {
+			joinUs = nowUs + joinInterval.Microseconds()
 		}
+		m.send(m.tick(join))
+		loop.Pause(ctx, m.untilNext(joinUs))
+	}
+}
+
+// untilNext is the time until the next tick.
+func (m *Monitor) untilNext(joinUs int64) time.Duration {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if m.view.Waits() {
+		return tickInterval
 	}
+	return max(time.Duration(min(m.view.NextProbeUs(), joinUs)-m.clock())*time.Microsecond, minTickInterval)
 }
 
 // tick advances the view; with join set it probes the seeds not known yet, too.
--- a/internal/membership/view.go
+++ b/internal/membership/view.go
@@ -159,6 +159,23 @@
 	return append(out, v.startProbe(nowUs)...)
 }
 
+// Waits reports whether an acknowledgement or a refutation is waited for, so that Tick is to be
+// called often.
+func (v *View) Waits() bool {
+	if len(v.pendingProbes) > 0 {
+		return true
+	}
+	for _, state := range v.peers {
+		if state.peer.Status == messages.Suspect {
+			return true
+		}
+	}
+	return false
+}
+
+// NextProbeUs is when the next probe is due.
+func (v *View) NextProbeUs() int64 { return v.nextProbeUs }
+
 // expirePeers declares dead the suspects that did not refute in time, and
 // forgets the peers that have been dead for long.
 func (v *View) expirePeers(nowUs int64) {
--- a/internal/reachability/tracker.go
+++ b/internal/reachability/tracker.go
@@ -27,7 +27,7 @@
 type Config struct {
 	IdleUs     int64 // between pings to a zone that answers
 	RoundUs    int64 // how long a round of pings waits for an answer
-	PauseUs    int64 // a time between two ticks from which on the process itself stood still
+	PauseUs    int64 // how late a tick is when the process itself has stood still
 	ConfirmBy  int   // pings of a further round, to different nodes
 	Rounds     int   // rounds without an answer until a zone is unreachable
 	ReturnAcks int   // answers until an unreachable zone is reachable again
@@ -48,7 +48,7 @@
 	random func(n int) int // a number from 0 to n-1
 	zones  map[string]*zone
 	seq    int64
-	tickUs int64
+	dueUs  int64 // when the next tick was due at the last one; 0: there was none
 
 	ownNodes []string           // other nodes of the own zone
 	controls map[int64]*control // by the numbers of their pings
@@ -105,10 +105,21 @@
 	}
 }
 
+// NextUs returns when Tick is next to be called; 0 where no node of another zone is known.
+func (t *Tracker) NextUs() int64 {
+	next := int64(0)
+	for _, z := range t.zones {
+		if next == 0 || z.untilUs < next {
+			next = max(z.untilUs, 1)
+		}
+	}
+	return next
+}
+
 // Tick lets time pass and returns the pings that are due.
 func (t *Tracker) Tick(nowUs int64) []Ping {
-	stoodStill := t.tickUs > 0 && nowUs-t.tickUs > t.config.PauseUs
-	t.tickUs = nowUs
+	stoodStill := t.dueUs > 0 && nowUs-t.dueUs > t.config.PauseUs
+	defer func() { t.dueUs = t.NextUs() }()
 	var pings []Ping
 	var beside *control // goes out with the first further round of this tick
 	for _, name := range slices.Sorted(maps.Keys(t.zones)) {
--- a/internal/router/withdraw.go
+++ b/internal/router/withdraw.go
@@ -17,7 +17,7 @@
 )
 
 // withdrawEvery is how often attempts that have not begun are looked at.
-const withdrawEvery = 50 * time.Millisecond
+const withdrawEvery = 100 * time.Millisecond
 
 // closeLeadUs is how long before the end of a request's time an attempt that has
 // not begun is taken back, so that the closing is at the runner by then.
--- a/internal/router/zones.go
+++ b/internal/router/zones.go
@@ -17,10 +17,10 @@
 )
 
 const (
-	// zoneTick is how often pings are looked at.
-	zoneTick = 50 * time.Millisecond
-	// zoneNodesTicks is after how many ticks the nodes to ping are brought up to date.
-	zoneNodesTicks = 20
+	// zoneTick is the least time between two looks at the pings.
+	zoneTick = 10 * time.Millisecond
+	// zoneNodesInterval is how often the nodes to ping are brought up to date.
+	zoneNodesInterval = time.Second
 	// Each router pings every other zone; the time between two rounds grows with the fleet, or the
 	// pings would grow with its square for each zone.
 	zoneIdlePartUs = int64(2_000) // a router
@@ -50,16 +50,21 @@
 	return &zonePings{router: c, tracker: reachability.NewTracker(reachability.DefaultConfig, rand.IntN), nodes: map[string]zoneNode{}}
 }
 
-// run works until ctx ends.
+// run works until ctx ends. It wakes when a ping is due, not all the time.
 func (z *zonePings) run(ctx context.Context) {
-	n := 0
-	loop.Every(ctx, zoneTick, func() {
-		if n%zoneNodesTicks == 0 {
+	nodesDueUs := int64(0)
+	for ctx.Err() == nil {
+		if z.router.clock() >= nodesDueUs {
 			z.updateNodes()
+			nodesDueUs = z.router.clock() + zoneNodesInterval.Microseconds()
 		}
-		n++
-		z.tick()
-	})
+		nextUs := z.tick()
+		if nextUs == 0 || nextUs > nodesDueUs {
+			nextUs = nodesDueUs
+		}
+		wait := time.Duration(nextUs-z.router.clock()) * time.Microsecond
+		loop.Pause(ctx, max(wait, zoneTick))
+	}
 }
 
 // updateNodes brings the nodes of the other zones up to date.
@@ -104,14 +109,18 @@
 	return min(max(int64(routers)*zoneIdlePartUs, reachability.DefaultConfig.IdleUs), maxZoneIdleUs)
 }
 
-func (z *zonePings) tick() {
+// tick sends the pings that are due, and returns when it is next to be called; 0 where there is
+// nobody to ping.
+func (z *zonePings) tick() (nextUs int64) {
 	z.mu.Lock()
 	pings := z.tracker.Tick(z.router.clock())
+	nextUs = z.tracker.NextUs()
 	z.mu.Unlock()
 	for _, p := range pings {
 		z.router.transport.SendDatagram(p.To, transport.KindReachPing, &messages.ReachPing{Seq: p.Seq})
 	}
 	z.publish()
+	return nextUs
 }
 
 // answer answers a ping.
--- a/internal/router/zones_test.go
+++ b/internal/router/zones_test.go
@@ -11,8 +11,10 @@
 
 	"github.com/shoenig/test/must"
 
+	"beechtide.org/beechtide/internal/admission"
 	"beechtide.org/beechtide/internal/messages"
 	"beechtide.org/beechtide/internal/transport"
+	"beechtide.org/beechtide/internal/upstream"
 )
 
 // listInZones has the router know a runner in its own zone and one in another.
@@ -135,3 +137,73 @@
 	must.Eq(t, second, string(rest))
 	must.Eq(t, "1", near.last().Header.Get(hLastEvent))
 }
+
+// streamAcrossACut has a runner of another zone begin a stream, cuts that zone off, and returns what
+// the client has got by the end. The stream goes on as more says.
+func streamAcrossACut(t *testing.T, join func(c *Router), more func(write func(string))) (c *Router, body string) {
+	t.Helper()
+	cut := make(chan bool)
+	far := newRunner(t)
+	far.stream = func(write func(string), _ <-chan struct{}) {
+		write(streamHead + chunk("id: 1\ndata: a\n\n"))
+		<-cut
+		more(write)
+	}
+	c, front, _ := start(t)
+	c.applyFeed("", messages.Feed{Registry: []messages.EntryChange{runnerEntries(t, messages.RunnerRecord{ID: "r0", Service: "s", Addr: far.addr, Zone: "b", Capacity: 8, Seq: 9})}})
+	answer := sayLater(t, front, request("/sort/", "x"))
+	awaitRequest(far)
+	join(c)
+	c.admissionMu.Lock()
+	c.admission.SetUnreachable(map[string]int64{"b": 1}, c.clock())
+	c.admissionMu.Unlock()
+	close(cut)
+	a := <-answer
+	must.NoError(t, a.err)
+	return c, a.body
+}
+
+func TestStreamBeyondACutStaysWhereThereIsNoOtherPlace(t *testing.T) {
+	gone, err := net.Listen("tcp4", "127.0.0.1:0")
+	must.NoError(t, err)
+	must.NoError(t, gone.Close())
+	join := func(c *Router) {
+		c.applyFeed("", messages.Feed{Registry: []messages.EntryChange{runnerEntries(t, messages.RunnerRecord{ID: "gone", Service: "s", Addr: gone.Addr().String(), Zone: "a", Capacity: 8, Seq: 1})}})
+	}
+	c, body := streamAcrossACut(t, join, func(write func(string)) {
+		time.Sleep(3 * silentStream)
+		write(chunk("id: 2\ndata: b\n\n") + "0\r\n\r\n")
+	})
+	must.Eq(t, "id: 1\ndata: a\n\nid: 2\ndata: b\n\n", body)
+	must.Positive(t, c.counters.streamsStayed.Load())
+	must.Zero(t, c.counters.streamsLeft.Load())
+}
+
+func TestOnlySilentStreamsAreTakenFromTheirRunners(t *testing.T) {
+	far := newRunner(t)
+	c, _, _ := start(t)
+	c.applyFeed("", messages.Feed{Registry: []messages.EntryChange{runnerEntries(t, messages.RunnerRecord{ID: "r0", Service: "s", Addr: far.addr, Zone: "b", Capacity: 8, Seq: 9})}})
+	c.admissionMu.Lock()
+	admitted := c.admission.Submit(admission.Request{Service: "s", LeftUs: 1_000_000}, c.clock()).Admit
+	c.admissionMu.Unlock()
+	must.NotNil(t, admitted)
+	c.join(t, "near", newRunner(t), 1)
+	c.admissionMu.Lock()
+	c.admission.SetUnreachable(map[string]int64{"b": 1}, c.clock())
+	c.admissionMu.Unlock()
+	link, err := upstream.Connect(t.Context(), far.addr)
+	must.NoError(t, err)
+	defer link.Close()
+	streams := &c.streams
+	stream := streams.add(admitted, link, true)
+	c.leaveUnreachable()
+	taken := streams.takeWithdrawal(stream)
+	must.True(t, !taken || link.SilentFor() >= silentStream, must.Sprint("it has just been heard of"))
+	for link.SilentFor() < silentStream {
+		time.Sleep(silentStream / 10)
+	}
+	for !streams.takeWithdrawal(stream) {
+		c.leaveUnreachable()
+	}
+	streams.remove(stream)
+}
--- a/internal/transport/compress.go
+++ b/internal/transport/compress.go
@@ -23,6 +23,9 @@
 	// compressFromBytes is the least body that is compressed. Smaller ones are frequent
 	// and not worth the processor time.
 	compressFromBytes = 16 << 10
+	// compressBroadcastFromBytes is the same for a body that is encoded once and sent to many:
+	// the copies to 64 routers of some 20 KB each, eight times a second, fill a link of 100 Mbit/s.
+	compressBroadcastFromBytes = 4 << 10
 	// compressWindowBytes bounds the memory of encoders.
 	compressWindowBytes = 256 << 10
 	// columnsMark is no byte that compressed data of the first format begins with.
@@ -78,7 +81,7 @@
 // EncodeBroadcast encodes a frame that goes to many peers, in all formats: the bytes count
 // as often as there are peers, the processor time once.
 func EncodeBroadcast(f messages.Frame) (EncodedFrame, error) {
-	encoded, err := EncodeFrame(f)
+	encoded, err := encodeFrame(f, compressBroadcastFromBytes)
 	plain := encoded.formats[noCompression]
 	if err != nil || len(f.Body) < compressFromBytes || !isText(plain[:min(len(plain), textSampleBytes)]) {
 		return encoded, err
@@ -90,14 +93,17 @@
 
 // EncodeFrame encodes a frame that goes to one peer, without columnCompression, which costs
 // several times the processor time.
-func EncodeFrame(f messages.Frame) (EncodedFrame, error) {
+func EncodeFrame(f messages.Frame) (EncodedFrame, error) { return encodeFrame(f, compressFromBytes) }
+
+// encodeFrame encodes a frame, also compressed if its body has fromBytes.
+func encodeFrame(f messages.Frame, fromBytes int) (EncodedFrame, error) {
 	plain, err := f.MarshalMsg(make([]byte, 0, len(f.Body)+frameHeadBytes))
 	if err != nil {
 		return EncodedFrame{}, errors.Wrap(err, "transport: encode frame")
 	}
 	var encoded EncodedFrame
 	encoded.formats[noCompression] = plain
-	if len(f.Body) < compressFromBytes {
+	if len(f.Body) < fromBytes {
 		return encoded, nil
 	}
 	err = encoded.addFormat(plainCompression, compress(plain))
