--- a/internal/admission/candidates.go
+++ b/internal/admission/candidates.go
@@ -85,26 +85,11 @@
 	return list, runners
 }
 
-// eligible reports whether a request may be sent to a runner, whatever the runner's load.
+// eligible reports whether a request may be sent to a runner of this preference, whatever the
+// runner's load.
 func (a *Admitter) eligible(s *search, r *runner, preference int) bool {
-	id := r.record.ID
-	if r.absence.out || r.record.Draining || r.cordoned(s.nowUs) || !s.pool.permits(s.request, id) {
-		return false
-	}
-	if s.avoidsZones && a.zoneUnreachable(r.record.Zone) {
-		return false
-	}
-	if a.Evacuated(r.record.Zone) || !a.atHome(&s.request, r.record.Zone) || !a.warmupAllows(s.pool, r, s.nowUs) {
-		return false
-	}
-	byVersion, allowed := s.pool.versionPreference(&s.request, r)
-	if !allowed || slices.Contains(s.request.Avoid, id) || preference != max(byVersion, a.preference(s.request, r, s.nowUs)) {
-		return false
-	}
-	if a.RetiredWeights(s.request.Model, weightsVersion(r.record, s.request.Model)) {
-		return false
-	}
-	return a.runnerWeightsAllowed(s.request.Model, r, s.nowUs) && !(s.relinquishing && a.Leaves(s.request, r.record.Zone, s.nowUs))
+	reason, byVersion := a.withheldFrom(s, r)
+	return reason == NotWithheld && preference == max(byVersion, a.preference(s.request, r, s.nowUs))
 }
 
 // candidateAt returns the candidate that a runner is, and whether the request fits there:
@@ -112,7 +97,7 @@
 func (a *Admitter) candidateAt(s *search, r *runner) (candidate placement.Candidate, fits bool) {
 	use := r.updateBusy(&a.T, s.nowUs, a.nodes, s.peersKnown)
 	active := r.active(&a.T, s.nowUs)
-	if r.busyKV || r.busyPrefill || r.capacity > 0 && active >= r.capacity || s.linkShare > 0 && r.own.count >= s.linkShare {
+	if a.withheldForLoad(r, active, s.linkShare) != NotWithheld {
 		return placement.Candidate{}, false
 	}
 	id := r.record.ID
@@ -275,12 +260,15 @@
 	}
 }
 
+// doubtful is the preference of a runner that is used only where there is no other.
+const doubtful = preferences - 1
+
 // preference returns the class of a runner for a request, the best first: 0 in general, 1
 // if it is draining and the request is long, 2 if it is stale, avoided or ejected.
 func (a *Admitter) preference(request Request, r *runner, nowUs int64) int {
 	switch {
 	case r.record.Stale || r.avoidUntilUs > nowUs || r.health.ejected(nowUs):
-		return 2
+		return doubtful
 	case r.record.Easing && request.TokensOut > a.T.LongOut:
 		return 1
 	}
--- /dev/null
+++ b/internal/admission/withheld.go
@@ -0,0 +1,128 @@
+// Withheld: which mechanism keeps requests from a runner. All mechanisms that may do so are asked
+// here, in one order, so that a request, the metrics and the doctor name the same reason.
+
+package admission
+
+import "slices"
+
+// Withheld is the reason for which a runner gets no request now.
+type Withheld int
+
+// Reasons that do not depend on the request.
+const (
+	NotWithheld Withheld = iota
+	WithheldAbsent
+	WithheldDraining
+	WithheldCordoned
+	WithheldUnreachable
+	WithheldEvacuated
+	WithheldWarmingUp
+	// WithheldDoubtful: stale, avoided after a failure, or ejected. It gets requests where there is
+	// no other.
+	WithheldDoubtful
+	WithheldMemory
+	WithheldPrefill
+	WithheldSlots
+	withheldReasons
+)
+
+// Reasons that depend on the request.
+const (
+	withheldRegime Withheld = withheldReasons + iota
+	withheldHome
+	withheldVersion
+	withheldTried
+	withheldRetired
+	withheldOldWeights
+	withheldSession
+)
+
+var withheldNames = [withheldReasons]string{
+	NotWithheld: "none", WithheldAbsent: "absent", WithheldDraining: "draining", WithheldCordoned: "cordoned",
+	WithheldUnreachable: "zone_unreachable", WithheldEvacuated: "zone_evacuated", WithheldWarmingUp: "warming_up",
+	WithheldDoubtful: "doubtful", WithheldMemory: "memory", WithheldPrefill: "prefill", WithheldSlots: "slots",
+}
+
+// String is the reason as metrics name it.
+func (w Withheld) String() string { return withheldNames[w] }
+
+// withheldFromAll returns why a runner is withheld from every request, whatever its load.
+func (a *Admitter) withheldFromAll(p *pool, r *runner, avoidsZones bool, nowUs int64) Withheld {
+	switch zone := r.record.Zone; {
+	case r.absence.out:
+		return WithheldAbsent
+	case r.record.Draining:
+		return WithheldDraining
+	case r.cordoned(nowUs):
+		return WithheldCordoned
+	case avoidsZones && a.zoneUnreachable(zone):
+		return WithheldUnreachable
+	case a.Evacuated(zone):
+		return WithheldEvacuated
+	case !a.warmupAllows(p, r, nowUs):
+		return WithheldWarmingUp
+	}
+	return NotWithheld
+}
+
+// withheldFrom returns why a runner is withheld from a request, whatever its load, and the least
+// preference that it has by the version of its software.
+func (a *Admitter) withheldFrom(s *search, r *runner) (reason Withheld, preference int) {
+	if reason := a.withheldFromAll(s.pool, r, s.avoidsZones, s.nowUs); reason != NotWithheld {
+		return reason, 0
+	}
+	preference, allowed := s.pool.versionPreference(&s.request, r)
+	model := s.request.Model
+	switch {
+	case !s.pool.permits(s.request, r.record.ID):
+		return withheldRegime, 0
+	case !a.atHome(&s.request, r.record.Zone):
+		return withheldHome, 0
+	case !allowed:
+		return withheldVersion, 0
+	case slices.Contains(s.request.Avoid, r.record.ID):
+		return withheldTried, 0
+	case a.RetiredWeights(model, weightsVersion(r.record, model)):
+		return withheldRetired, 0
+	case !a.runnerWeightsAllowed(model, r, s.nowUs):
+		return withheldOldWeights, 0
+	case s.relinquishing && a.Leaves(s.request, r.record.Zone, s.nowUs):
+		return withheldSession, 0
+	}
+	return NotWithheld, preference
+}
+
+// withheldForLoad returns why a runner is withheld for its load.
+func (a *Admitter) withheldForLoad(r *runner, active, linkShare int) Withheld {
+	switch {
+	case r.busyKV:
+		return WithheldMemory
+	case r.busyPrefill:
+		return WithheldPrefill
+	case r.capacity > 0 && active >= r.capacity, linkShare > 0 && r.own.count >= linkShare:
+		return WithheldSlots
+	}
+	return NotWithheld
+}
+
+// CountWithheld counts the runners of all services by the reason for which they are withheld.
+func (a *Admitter) CountWithheld(nowUs int64) map[Withheld]int {
+	counts := map[Withheld]int{}
+	for _, p := range a.pools {
+		avoidsZones, linkShare := a.reachesOthers(p), a.linkShare(p)
+		for _, id := range p.order {
+			counts[a.withheldNow(p, p.runners[id], avoidsZones, linkShare, nowUs)]++
+		}
+	}
+	return counts
+}
+
+func (a *Admitter) withheldNow(p *pool, r *runner, avoidsZones bool, linkShare int, nowUs int64) Withheld {
+	if reason := a.withheldFromAll(p, r, avoidsZones, nowUs); reason != NotWithheld {
+		return reason
+	}
+	if a.preference(Request{}, r, nowUs) == doubtful {
+		return WithheldDoubtful
+	}
+	return a.withheldForLoad(r, r.active(&a.T, nowUs), linkShare)
+}
--- a/internal/router/partition_metrics.go
+++ b/internal/router/partition_metrics.go
@@ -48,6 +48,13 @@
 			emit(float64(c.counters.streamsLeft.Load()), "left")
 			emit(float64(c.counters.streamsStayed.Load()), "stayed")
 		}),
+		metrics.Gauge("beechtide_router_runners_withheld", "Runners by the mechanism that keeps requests of this router from them; none: they may get one.", []string{"reason"}, func(emit metrics.Emit) {
+			c.admissionMu.Lock()
+			defer c.admissionMu.Unlock()
+			for reason, count := range c.admission.CountWithheld(c.clock()) {
+				emit(float64(count), reason.String())
+			}
+		}),
 		metrics.Gauge("beechtide_router_warming_up", "Runners that warm up: all, and those that this router may send requests to.", []string{"of"}, func(emit metrics.Emit) {
 			c.admissionMu.Lock()
 			defer c.admissionMu.Unlock()
