Cached parts are sent on once routers announce them as shared; a starting router waits for its zone's controller

Change: prefixindex.SharedKeys; a reader keeps the parts of prompts that nobody has announced to itself and sends them on when they are.

--- a/internal/controller/cache_reader.go
+++ b/internal/controller/cache_reader.go
@@ -1,5 +1,7 @@
 // The cached prefixes of a runner come as events since a version; the full list is
-// fetched only after a gap, since it delays the runner.
+// fetched only after a gap, since it delays the runner. Only parts that prompts may share
+// (prefixindex.SharedKeys) are sent on: most of what a runner caches is the last part of some
+// prompt, which no other request finds.
 
 package controller
 
@@ -23,20 +25,61 @@
 	listSalt, listPart, listTokens, listModel, listFields      = 0, 1, 2, 3, 4
 )
 
+// mostUnpublished is after how many events without a shared part the others are told of the version
+// all the same: a reader that follows begins there, and a runner remembers some 1,500 events.
+const mostUnpublished = 400
+
+// cacheReader reads the cached prefixes of one runner.
+type cacheReader struct {
+	epoch, next int64            // how far the events have been read
+	unshared    map[uint64]int32 // tokens of the parts that no prompt is known to share yet, by key
+}
+
+// since returns the version from which on events are still to be read.
+func (r *cacheReader) since(known *prefixindex.CachedPrefixes) int64 {
+	if r.epoch == known.Epoch {
+		return max(r.next, known.Version)
+	}
+	return known.Version
+}
+
+// put records how many tokens of a part are cached; none drops it.
+func (r *cacheReader) put(cached *prefixindex.CachedPrefixes, shared *prefixindex.SharedKeys, key uint64, tokens int32) {
+	delete(r.unshared, key)
+	switch {
+	case tokens <= 0:
+		cached.Drop(key)
+	case shared.Has(key):
+		cached.Put(key, tokens)
+	default:
+		r.unshared[key] = tokens
+	}
+}
+
+// publishShared publishes the parts that have been announced since they were read.
+func (r *cacheReader) publishShared(cached *prefixindex.CachedPrefixes, shared *prefixindex.SharedKeys) {
+	for key, tokens := range r.unshared {
+		if shared.Has(key) {
+			r.put(cached, shared, key, tokens)
+		}
+	}
+}
+
 // readCacheEvents follows a runner's events until ctx ends, from the version that is
 // known here, whichever controller read it.
 func (d *Controller) readCacheEvents(ctx context.Context, n messages.RunnerRecord) {
+	reader := cacheReader{unshared: map[uint64]int32{}}
 	for ctx.Err() == nil {
-		d.readCacheEventsOnce(ctx, n)
+		d.readCacheEventsOnce(ctx, n, &reader)
 		loop.Pause(ctx, cacheEventsPause)
 	}
 }
 
-// readCacheEventsOnce fetches the events since the known version and publishes them.
-func (d *Controller) readCacheEventsOnce(ctx context.Context, n messages.RunnerRecord) {
+// readCacheEventsOnce fetches the events that have not been read and publishes what they change.
+func (d *Controller) readCacheEventsOnce(ctx context.Context, n messages.RunnerRecord, reader *cacheReader) {
 	d.cachedMu.Lock()
 	known := d.cached.CachedPrefixes(n.ID)
-	since, epoch := known.Version, known.Epoch
+	since, epoch := reader.since(known), known.Epoch
 	d.cachedMu.Unlock()
 	events, ok := d.fetchCacheEvents(ctx, n, since)
 	if !ok {
@@ -46,10 +89,10 @@
 	first := epoch == 0
 	switch {
 	case events.Lost || !first && events.Epoch != epoch:
-		d.readCacheList(ctx, n)
+		d.readCacheList(ctx, n, reader)
 	case events.NextPage > since || first:
-		d.changeCached(n.ID, func(c *prefixindex.CachedPrefixes) messages.CachedChange {
-			return applyCacheEvents(n.ID, c, events, since, first)
+		d.changeCached(n.ID, func(c *prefixindex.CachedPrefixes) (messages.CachedChange, bool) {
+			return reader.applyEvents(n.ID, c, events, since, &d.sharedKeys)
 		})
 	}
 }
@@ -63,9 +106,10 @@
 	return events, err == nil && status == 200 && json.Unmarshal(body, &events) == nil
 }
 
-// applyCacheEvents applies the events since a version to what is known of a runner's cache and returns the
-// change; a snapshot, if nothing was known before.
-func applyCacheEvents(id string, cached *prefixindex.CachedPrefixes, events api.PrefixEvents, since int64, first bool) messages.CachedChange {
+// applyEvents applies the events since a version to what is known of a runner's cache. It returns the
+// change, a snapshot if nothing was known before, and whether there is anything to publish.
+func (r *cacheReader) applyEvents(id string, cached *prefixindex.CachedPrefixes, events api.PrefixEvents, since int64, shared *prefixindex.SharedKeys) (messages.CachedChange, bool) {
+	first := cached.Epoch == 0
 	if first {
 		cached.Begin(events.Epoch, since)
 	}
@@ -74,26 +118,22 @@
 			continue
 		}
 		key := prefixindex.Key(text(e[eventSalt]), text(e[eventModel]), text(e[eventPart]))
-		putOrDrop(cached, key, int32(number(e[eventTokens])))
+		r.put(cached, shared, key, int32(number(e[eventTokens])))
+	}
+	r.epoch, r.next = events.Epoch, events.NextPage
+	r.publishShared(cached, shared)
+	if !first && !cached.Dirty() && events.NextPage-cached.Version < mostUnpublished {
+		return messages.CachedChange{}, false
 	}
 	change := cached.Commit(events.NextPage)
 	if first {
 		change, _ = cached.DeltaSince(0, 0)
 	}
-	return prefixindex.Encode(id, change)
-}
-
-// putOrDrop records how many tokens of a part are cached; none drops it.
-func putOrDrop(cached *prefixindex.CachedPrefixes, key uint64, tokens int32) {
-	if tokens <= 0 {
-		cached.Drop(key)
-		return
-	}
-	cached.Put(key, tokens)
+	return prefixindex.Encode(id, change), true
 }
 
 // readCacheList fetches the full list after a gap; other nodes get it as a snapshot.
-func (d *Controller) readCacheList(ctx context.Context, n messages.RunnerRecord) {
+func (d *Controller) readCacheList(ctx context.Context, n messages.RunnerRecord, reader *cacheReader) {
 	ctx, cancel := context.WithTimeout(ctx, readTimeout)
 	defer cancel()
 	status, body, err := d.connPool.Ask(ctx, n.Addr, "GET", "/api/kv-list", withTarget(n, map[string]string{}), nil)
@@ -101,26 +141,27 @@
 	if err != nil || status != 200 || json.Unmarshal(body, &list) != nil {
 		return
 	}
-	d.changeCached(n.ID, func(c *prefixindex.CachedPrefixes) messages.CachedChange {
-		return replaceCached(n.ID, c, list)
+	d.changeCached(n.ID, func(c *prefixindex.CachedPrefixes) (messages.CachedChange, bool) {
+		return reader.replace(n.ID, c, list, &d.sharedKeys), true
 	})
 }
 
-// replaceCached makes a list the state of a runner's cache and returns a snapshot.
-func replaceCached(id string, cached *prefixindex.CachedPrefixes, list api.PrefixList) messages.CachedChange {
+// replace makes a list, as far as its parts are shared, the state of a runner's cache and returns a
+// snapshot.
+func (r *cacheReader) replace(id string, cached *prefixindex.CachedPrefixes, list api.PrefixList, shared *prefixindex.SharedKeys) messages.CachedChange {
 	if cached.Epoch != list.Epoch {
 		cached.Begin(list.Epoch, 0)
 	}
-	all := map[uint64]int32{}
+	cached.Replace(nil)
+	clear(r.unshared)
 	for _, entry := range list.Held {
 		if len(entry) < listFields {
 			continue
 		}
-		if tokens := int32(number(entry[listTokens])); tokens > 0 {
-			all[prefixindex.Key(text(entry[listSalt]), text(entry[listModel]), text(entry[listPart]))] = tokens
-		}
+		key := prefixindex.Key(text(entry[listSalt]), text(entry[listModel]), text(entry[listPart]))
+		r.put(cached, shared, key, int32(number(entry[listTokens])))
 	}
-	cached.Replace(all)
+	r.epoch, r.next = list.Epoch, list.NextPage
 	cached.Commit(list.NextPage)
 	snapshot, _ := cached.DeltaSince(0, 0)
 	return prefixindex.Encode(id, snapshot)
--- a/internal/controller/controller.go
+++ b/internal/controller/controller.go
@@ -34,8 +34,8 @@
 //     the mutex of the feed.
 //   - The feed (streams, sums of loads, what waits to be sent) has a mutex of its own.
 //     The goroutine of runFeed sends; any other adds to it.
-//   - One mutex guards the prefix index, the set of readers and when each last had a
-//     response.
+//   - One mutex guards the prefix index, the keys of shared parts, the set of readers and
+//     when each last had a response.
 //   - The roll-out manager, the repair of each register, the contact lease, the view
 //     of the core, the target versions and the acknowledged drains each have a mutex
 //     beside their state.
@@ -87,11 +87,12 @@
 
 	heartbeats heartbeatBatch
 
-	feed     feed
-	cachedMu sync.Mutex
-	cached   *prefixindex.Index
-	readers  map[string]context.CancelFunc
-	heardUs  map[string]int64 // when a runner's events or report last came
+	feed       feed
+	cachedMu   sync.Mutex
+	cached     *prefixindex.Index
+	sharedKeys prefixindex.SharedKeys
+	readers    map[string]context.CancelFunc
+	heardUs    map[string]int64 // when a runner's events or report last came
 
 	roles     *roleManager
 	rollouts  *rolloutManager
--- a/internal/controller/feed.go
+++ b/internal/controller/feed.go
@@ -201,11 +201,15 @@
 	f.mu.Unlock()
 }
 
-// changeCached changes the cached prefixes of a runner, as its reader, and sends the change.
-func (d *Controller) changeCached(id string, change func(s *prefixindex.CachedPrefixes) messages.CachedChange) {
+// changeCached changes the cached prefixes of a runner, as its reader, and sends the change if there
+// is one.
+func (d *Controller) changeCached(id string, change func(s *prefixindex.CachedPrefixes) (messages.CachedChange, bool)) {
 	d.cachedMu.Lock()
-	c := change(d.cached.CachedPrefixes(id))
+	c, some := change(d.cached.CachedPrefixes(id))
 	d.cachedMu.Unlock()
+	if !some {
+		return
+	}
 	f := &d.feed
 	f.mu.Lock()
 	f.toControllers.kept, f.toRouters.kept = append(f.toControllers.kept, c), append(f.toRouters.kept, c)
@@ -334,6 +338,7 @@
 	for _, id := range t.Absent {
 		d.registry.Doubt(id, d.silence())
 	}
+	d.announceShared(t.Coming)
 	f := &d.feed
 	f.mu.Lock()
 	defer f.mu.Unlock()
@@ -349,6 +354,16 @@
 	return ok
 }
 
+// announceShared takes note of parts that prompts may share.
+func (d *Controller) announceShared(announced []messages.CachedPrefixes) {
+	if len(announced) == 0 {
+		return
+	}
+	d.cachedMu.Lock()
+	d.sharedKeys.Announce(announced)
+	d.cachedMu.Unlock()
+}
+
 func (d *Controller) removeSender(from string) {
 	d.feed.mu.Lock()
 	d.feed.subtree.Remove(from)
--- a/internal/controller/subscriptions.go
+++ b/internal/controller/subscriptions.go
@@ -167,6 +167,7 @@
 	}
 	var kept []messages.CachedChange
 	d.cachedMu.Lock()
+	d.sharedKeys.Announce(in.Coming)
 	for _, c := range in.Kept {
 		if d.readers[c.ID] != nil {
 			continue
--- a/internal/reachability/tracker.go
+++ b/internal/reachability/tracker.go
@@ -220,19 +220,19 @@
 		}
 		z.sinceUs, z.backUs = 0, nowUs
 	}
-	t.answered(z, nowUs)
+	t.endRounds(z, nowUs)
 }
 
 // Answered records that something of a zone, be it a node or a runner, has answered what it was
 // asked at askedUs. It does not bring an unreachable zone back: only pings do.
 func (t *Tracker) Answered(name string, askedUs, nowUs int64) {
 	if z := t.zones[name]; z != nil && z.sinceUs == 0 && z.round > 0 && askedUs >= z.beganUs {
-		t.answered(z, nowUs)
+		t.endRounds(z, nowUs)
 	}
 }
 
-// answered ends the unanswered rounds of a zone.
-func (t *Tracker) answered(z *zone, nowUs int64) {
+// endRounds ends the unanswered rounds of a zone.
+func (t *Tracker) endRounds(z *zone, nowUs int64) {
 	z.beginAnew()
 	z.firstSeq = t.seq + 1
 	z.untilUs = nowUs + t.config.IdleUs
--- a/internal/router/metrics.go
+++ b/internal/router/metrics.go
@@ -15,7 +15,7 @@
 func (c *Router) metricsServer() *metrics.Server {
 	return metrics.NewServer(metrics.Config{Addr: c.set.RouterMetricsAddr(), Log: c.log}, slices.Concat(
 		metrics.Node(c.transport, c.publisher, &c.counters.subscriptions),
-		c.requestMetrics(), c.configMetrics(), c.partitionMetrics(),
+		c.requestMetrics(), c.configMetrics(), c.partitionMetrics(), c.reachMetrics(),
 	)...)
 }
 
--- a/internal/router/partition_metrics.go
+++ b/internal/router/partition_metrics.go
@@ -36,18 +36,6 @@
 				emit(float64(count), strconv.Itoa(status))
 			}
 		}),
-		metrics.Gauge("beechtide_router_zone_unreachable_seconds", "For how long each zone that this router cannot reach has been so.", []string{"zone"}, func(emit metrics.Emit) {
-			for _, z := range c.zones.conditions() {
-				emit(float64(z.SinceUs)/1e6, z.Zone)
-			}
-		}),
-		metrics.Counter("beechtide_router_zone_silence_doubted_total", "Silences of a zone that were put down to this router or its link, as nodes of its own zone did not answer either.", nil, func(emit metrics.Emit) {
-			emit(float64(c.zones.doubted()))
-		}),
-		metrics.Counter("beechtide_router_unreachable_streams_total", "Streams that delivered nothing from runners of unreachable zones: left, they go on at other runners; stayed, there was no place.", []string{"outcome"}, func(emit metrics.Emit) {
-			emit(float64(c.counters.streamsLeft.Load()), "left")
-			emit(float64(c.counters.streamsStayed.Load()), "stayed")
-		}),
 		metrics.Gauge("beechtide_router_runners_withheld", "Runners by the mechanism that keeps requests of this router from them; none: they may get one.", []string{"reason"}, func(emit metrics.Emit) {
 			c.admissionMu.Lock()
 			defer c.admissionMu.Unlock()
@@ -69,3 +57,21 @@
 		}),
 	}
 }
+
+// reachMetrics are the figures of the ways to other zones.
+func (c *Router) reachMetrics() []prometheus.Collector {
+	return []prometheus.Collector{
+		metrics.Gauge("beechtide_router_zone_unreachable_seconds", "For how long each zone that this router cannot reach has been so.", []string{"zone"}, func(emit metrics.Emit) {
+			for _, z := range c.zones.conditions() {
+				emit(float64(z.SinceUs)/1e6, z.Zone)
+			}
+		}),
+		metrics.Counter("beechtide_router_zone_silence_doubted_total", "Silences of a zone that were put down to this router or its link, as nodes of its own zone did not answer either.", nil, func(emit metrics.Emit) {
+			emit(float64(c.zones.doubted()))
+		}),
+		metrics.Counter("beechtide_router_unreachable_streams_total", "Streams that delivered nothing from runners of unreachable zones: left, they go on at other runners; stayed, there was no place.", []string{"outcome"}, func(emit metrics.Emit) {
+			emit(float64(c.counters.streamsLeft.Load()), "left")
+			emit(float64(c.counters.streamsStayed.Load()), "stayed")
+		}),
+	}
+}
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -50,6 +50,7 @@
 import (
 	"context"
 	"math/rand/v2"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -78,6 +79,7 @@
 	set       settings.Settings
 	log       logr.Logger
 	clock     func() int64
+	startUs   int64
 	transport *transport.Transport
 	monitor   *membership.Monitor
 	publisher *dissemination.Publisher
@@ -143,7 +145,7 @@
 	if err != nil {
 		return nil, err
 	}
-	c := &Router{set: set, log: log, clock: clock, transport: trans, registry: registry.New(), connPool: upstream.NewConnPool(clock), parts: map[int]messages.RegisterUpdate{}, evacuations: map[int][]messages.Evacuation{}, admission: admission.New(admission.Defaults, set.Zone, rand.Uint64()), budgets: map[string]*upstream.Budget{}, queueChanged: make(chan struct{}, 1), prefixesPending: make(chan struct{}, 1), loadsChanged: make(chan struct{}, 1), missing: make(chan struct{}, 1), drainBegun: make(chan struct{}), lastAnswers: make(chan struct{})}
+	c := &Router{set: set, log: log, clock: clock, startUs: clock(), transport: trans, registry: registry.New(), connPool: upstream.NewConnPool(clock), parts: map[int]messages.RegisterUpdate{}, evacuations: map[int][]messages.Evacuation{}, admission: admission.New(admission.Defaults, set.Zone, rand.Uint64()), budgets: map[string]*upstream.Budget{}, queueChanged: make(chan struct{}, 1), prefixesPending: make(chan struct{}, 1), loadsChanged: make(chan struct{}, 1), missing: make(chan struct{}, 1), drainBegun: make(chan struct{}), lastAnswers: make(chan struct{})}
 	c.configuration, c.runners = routeconfig.NewReplica(), statesync.NewEntries()
 	c.loads.init(clock())
 	c.comparisons = dissemination.NewComparisons(rand.IntN(64))
@@ -222,8 +224,21 @@
 	return nil
 }
 
+// zoneParentWaitUs is for how long a router that has just started waits until it has heard of a
+// controller of its own zone. All routers know the same few seeds: if hundreds that start at once
+// took their first snapshot there, and another one from their own zone a moment later, the
+// snapshots would fill the seeds' links for seconds.
+const zoneParentWaitUs = 400_000
+
+// parents lists whom this router may take updates from, the first choice first; nobody yet while
+// it waits for a controller of its zone.
 func (c *Router) parents() []string {
-	list := dissemination.Parents(c.transport.Addr(), c.set.Zone, c.monitor.Alive(messages.Controller), c.monitor.Alive(messages.Router))
+	controllers := c.monitor.Alive(messages.Controller)
+	inZone := func(p messages.Peer) bool { return p.Zone == c.set.Zone }
+	if c.clock()-c.startUs < zoneParentWaitUs && !slices.ContainsFunc(controllers, inZone) {
+		return nil
+	}
+	list := dissemination.Parents(c.transport.Addr(), c.set.Zone, controllers, c.monitor.Alive(messages.Router))
 	if len(list) == 0 {
 		return append(c.seedAddrs(), c.wholeCore()...)
 	}
--- a/internal/transport/compress.go
+++ b/internal/transport/compress.go
@@ -81,7 +81,7 @@
 // EncodeBroadcast encodes a frame that goes to many peers, in all formats: the bytes count
 // as often as there are peers, the processor time once.
 func EncodeBroadcast(f messages.Frame) (EncodedFrame, error) {
-	encoded, err := encodeFrame(f, compressBroadcastFromBytes)
+	encoded, err := encodeFrom(f, compressBroadcastFromBytes)
 	plain := encoded.formats[noCompression]
 	if err != nil || len(f.Body) < compressFromBytes || !isText(plain[:min(len(plain), textSampleBytes)]) {
 		return encoded, err
@@ -93,10 +93,10 @@
 
 // EncodeFrame encodes a frame that goes to one peer, without columnCompression, which costs
 // several times the processor time.
-func EncodeFrame(f messages.Frame) (EncodedFrame, error) { return encodeFrame(f, compressFromBytes) }
+func EncodeFrame(f messages.Frame) (EncodedFrame, error) { return encodeFrom(f, compressFromBytes) }
 
-// encodeFrame encodes a frame, also compressed if its body has fromBytes.
-func encodeFrame(f messages.Frame, fromBytes int) (EncodedFrame, error) {
+// encodeFrom encodes a frame, also compressed if its body has fromBytes.
+func encodeFrom(f messages.Frame, fromBytes int) (EncodedFrame, error) {
 	plain, err := f.MarshalMsg(make([]byte, 0, len(f.Body)+frameHeadBytes))
 	if err != nil {
 		return EncodedFrame{}, errors.Wrap(err, "transport: encode frame")
