Starts: peers that ask for what they lack get no hundred entries ahead; a starting router is not alone

Cause: after a loss of all power a seed sent 2.2 MB of acknowledgements with a hundred entries each in 1.7 s, beside the lists that the same nodes ask for; routers that knew nobody yet compared all runners, all with the same outcome.

Change: a probe with a digest is answered with ordinary gossip. In the first 3 s a router counts itself as one of two at least.

--- a/internal/membership/probe.go
+++ b/internal/membership/probe.go
@@ -165,7 +165,7 @@
 		return v.probe(msg.Of, messages.Probe{Seq: msg.Seq, Through: from, Gossip: v.gossip(nil)})
 	case msg.Through != "": // the probe of a relay
 		return v.ack(from, messages.Probe{Seq: msg.Seq, Through: msg.Through, Gossip: v.gossip(nil)})
-	case known:
+	case known, msg.Digest != 0: // whoever sends a digest asks for what it lacks
 		return v.ack(from, messages.Probe{Seq: msg.Seq, Gossip: v.gossip(v.peers[from])})
 	default:
 		return v.ack(from, messages.Probe{Seq: msg.Seq, Gossip: v.joinGossip(v.peers[from])})
--- a/internal/router/fleet_pauses_test.go
+++ b/internal/router/fleet_pauses_test.go
@@ -27,3 +27,11 @@
 		must.Eq(t, row.report, c.reportPause())
 	}
 }
+
+func TestRouterThatHasJustStartedDoesNotTakeItselfForTheOnlyOne(t *testing.T) {
+	must.Eq(t, 2, fleetSize(1, 0))
+	must.Eq(t, 2, fleetSize(0, joiningUs-1))
+	must.Eq(t, 300, fleetSize(300, 0))
+	must.Eq(t, 1, fleetSize(1, joiningUs))
+	must.Eq(t, 1, fleetSize(0, joiningUs))
+}
--- a/internal/router/loads.go
+++ b/internal/router/loads.go
@@ -219,11 +219,22 @@
 	c.loads.mu.Unlock()
 }
 
+// joiningUs is for how long after its start a router may not have heard of the others yet.
+const joiningUs = 3_000_000
+
+// fleetSize is how many routers share the runners, as far as this one knows. One that has just
+// started and knows no other does not take itself for the only one: it would compare all runners,
+// and hundreds that start at once would send all of their first requests to the same ones.
+func fleetSize(alive int, uptimeUs int64) int {
+	if uptimeUs < joiningUs {
+		return max(alive, 2)
+	}
+	return max(alive, 1)
+}
+
 // report sends one report up the tree, if there is something to report.
 func (c *Router) report() {
-	if n := len(c.monitor.Alive(messages.Router)); n > 0 {
-		c.nodes.Store(int64(n))
-	}
+	c.nodes.Store(int64(fleetSize(len(c.monitor.Alive(messages.Router)), c.clock()-c.startUs)))
 	c.admissionMu.Lock()
 	c.admission.SetNodes(int(c.nodes.Load()))
 	own, pending, absent := c.admission.Own(c.clock()), c.admission.TakeFresh(), c.admission.TakeAbsent()
