--- a/internal/admission/admit.go
+++ b/internal/admission/admit.go
@@ -16,7 +16,7 @@
 	Runner      messages.RunnerRecord
 	Salt        string
 	Version     int64
-	Kept        int
+	Cached      int
 	Source      string // address of the runner or store to transfer cached blocks from
 	Sink        string // address of the store to send blocks to after prefill
 	atUs        int64
@@ -67,7 +67,7 @@
 	r, c := who[i], list[i]
 	version := weightsVersion(r.record, request.Model)
 	salt := a.Salt(request.Tenant, request.Isolated, request.Regime, version)
-	adm := &Admission{Runner: r.record, Salt: salt, Version: version, Kept: c.Kept, Source: c.From, atUs: nowUs, tenant: request.Tenant, service: request.Service, model: request.Model, tokensIn: request.TokensIn, class: request.Class, Parts: request.Parts, Keys: prefixindex.Keys(salt, request.Model, request.Parts), prefilling: true}
+	adm := &Admission{Runner: r.record, Salt: salt, Version: version, Cached: c.Cached, Source: c.From, atUs: nowUs, tenant: request.Tenant, service: request.Service, model: request.Model, tokensIn: request.TokensIn, class: request.Class, Parts: request.Parts, Keys: prefixindex.Keys(salt, request.Model, request.Parts), prefilling: true}
 	bt := a.T.BlockTokens
 	inParts := 0
 	for j, k := range adm.Keys {
@@ -84,7 +84,7 @@
 		adm.Sink = p.sink(request, adm.Keys)
 	}
 	adm.ahead = c.Prefill
-	adm.prefill = max(request.TokensIn-c.Kept-c.Moved, 0)
+	adm.prefill = max(request.TokensIn-c.Cached-c.Moved, 0)
 	r.own.prefill += adm.prefill
 	r.sent(adm.prefill, nowUs)
 	r.own.count++
@@ -92,7 +92,7 @@
 	r.recent = append(r.recent, recentRequest{nowUs, adm.blocks + adm.prefill/bt})
 	r.trimRecent(nowUs)
 	t.admitted++
-	t.hit += float64(c.Kept + c.Moved)
+	t.hit += float64(c.Cached + c.Moved)
 	t.all += float64(request.TokensIn)
 	return adm
 }
--- a/internal/admission/candidates.go
+++ b/internal/admission/candidates.go
@@ -107,7 +107,7 @@
 		return placement.Candidate{}, false
 	}
 	return placement.Candidate{
-		ID: id, NearSite: r.record.Zone == s.preferredZone, Kept: cached, Prefill: r.prefill(),
+		ID: id, NearSite: r.record.Zone == s.preferredZone, Cached: cached, Prefill: r.prefill(),
 		Active: active, Capacity: r.capacity, Used: use, Rate: r.prefillRate(&a.T),
 		Reading: r.prefillLoad(&a.T, s.nowUs), DoubtUs: r.health.doubtUs(s.nowUs) + a.returnCostUs(r.record.Zone, s.nowUs),
 	}, true
@@ -237,7 +237,7 @@
 		c := &list[i]
 		version := weightsVersion(runners[i].record, s.request.Model)
 		sources.chooseFor(c, runners[i], version)
-		c.Again = max(sources.shared[version]-c.Kept-c.Moved, 0)
+		c.Again = max(sources.shared[version]-c.Cached-c.Moved, 0)
 	}
 }
 
@@ -245,7 +245,7 @@
 func (s *blockSources) chooseFor(c *placement.Candidate, r *runner, version int64) {
 	best := 0.0
 	for _, source := range s.list {
-		more := source.kept - c.Kept
+		more := source.kept - c.Cached
 		if source.addr == r.record.Addr || source.version != version || more < minTransferTokens {
 			continue
 		}
--- a/internal/admission/loads.go
+++ b/internal/admission/loads.go
@@ -22,9 +22,9 @@
 	}
 }
 
-// Coming records the prefixes that runners are about to cache for requests of other
+// ExpectBlocks records the prefixes that runners are about to cache for requests of other
 // nodes.
-func (a *Admitter) Coming(notes []messages.CachedPrefixes) {
+func (a *Admitter) ExpectBlocks(notes []messages.CachedPrefixes) {
 	for _, n := range notes {
 		for _, part := range n.Parts {
 			a.Index.Expect(n.ID, part.Key, part.Tokens)
--- a/internal/consensus/confirm.go
+++ b/internal/consensus/confirm.go
@@ -13,15 +13,15 @@
 func (r *Registers) Confirm(ctx context.Context, part int, m messages.Member, v messages.Value) (bool, error) {
 	request := messages.ConsensusRequest{Part: part, To: m.ID, Step: messages.Commit, Slot: v.Version, Flush: true}
 	response, err := r.send(ctx, m, request)
-	if err != nil || response.Kept || response.Verdict != messages.Granted {
-		return response.Kept, err
+	if err != nil || response.Durable || response.Verdict != messages.Granted {
+		return response.Durable, err
 	}
 	if isLarge(v) {
 		return false, nil // the member fetches it in chunks and is asked again
 	}
 	request.Value = v
 	response, err = r.send(ctx, m, request)
-	return response.Kept, err
+	return response.Durable, err
 }
 
 // Retire makes this member refuse to join any group from now on, since its process
@@ -47,5 +47,5 @@
 	}
 	joins := !containsMember(register.acceptor.Rec.Committed.Group, r.id)
 	confirmed := register.durableVersion >= request.Slot && !(joins && r.retired.Load())
-	return messages.ConsensusResponse{Verdict: messages.Granted, Version: register.durableVersion, Kept: confirmed}, nil
+	return messages.ConsensusResponse{Verdict: messages.Granted, Version: register.durableVersion, Durable: confirmed}, nil
 }
--- a/internal/controller/feed.go
+++ b/internal/controller/feed.go
@@ -88,7 +88,7 @@
 }
 
 func (o *outbox) moveTo(f *messages.Feed) {
-	f.Configuration, f.Parts, f.Kept, f.Reports, f.Coming = o.configuration, o.parts, o.kept, o.reports, o.coming
+	f.Configuration, f.Parts, f.Cached, f.Reports, f.PendingBlocks = o.configuration, o.parts, o.kept, o.reports, o.coming
 	*o = outbox{}
 }
 
@@ -273,7 +273,7 @@
 const idleIntervalUs = int64(dissemination.UpdateInterval/time.Microsecond) - 50_000
 
 func hasNews(f *messages.Feed) bool {
-	return len(f.Configuration)+len(f.Parts)+len(f.Registry)+len(f.Kept)+len(f.Reports)+len(f.Loads)+len(f.Coming) > 0
+	return len(f.Configuration)+len(f.Parts)+len(f.Registry)+len(f.Cached)+len(f.Reports)+len(f.Loads)+len(f.PendingBlocks) > 0
 }
 
 // deltaSince returns what a receiver needs: a router all of the state, a controller what
@@ -310,7 +310,7 @@
 	f.mu.Unlock()
 	if !h.ConfigOnly {
 		d.cachedMu.Lock()
-		out.Kept = d.cached.DeltasSince(h.Kept, func(id string) bool { return !h.Controller || d.readers[id] != nil })
+		out.Cached = d.cached.DeltasSince(h.Cached, func(id string) bool { return !h.Controller || d.readers[id] != nil })
 		d.cachedMu.Unlock()
 	}
 	return out
@@ -338,7 +338,7 @@
 	for _, id := range t.Absent {
 		d.registry.Doubt(id, d.silence())
 	}
-	d.announceShared(t.Coming)
+	d.announceShared(t.PendingBlocks)
 	f := &d.feed
 	f.mu.Lock()
 	defer f.mu.Unlock()
@@ -347,8 +347,8 @@
 		r := f.subtree.Apply(from, c)
 		ok = ok && (r == statesync.Applied || r == statesync.Known)
 	}
-	f.toControllers.coming, f.toRouters.coming = append(f.toControllers.coming, t.Coming...), append(f.toRouters.coming, t.Coming...)
-	if len(t.Coming) > 0 {
+	f.toControllers.coming, f.toRouters.coming = append(f.toControllers.coming, t.PendingBlocks...), append(f.toRouters.coming, t.PendingBlocks...)
+	if len(t.PendingBlocks) > 0 {
 		f.wake()
 	}
 	return ok
--- a/internal/controller/subscriptions.go
+++ b/internal/controller/subscriptions.go
@@ -117,7 +117,7 @@
 		h.Parts = append(h.Parts, never)
 	}
 	d.cachedMu.Lock()
-	h.Kept = d.cached.Cursors()
+	h.Cached = d.cached.Cursors()
 	d.cachedMu.Unlock()
 	return h
 }
@@ -167,8 +167,8 @@
 	}
 	var kept []messages.CachedChange
 	d.cachedMu.Lock()
-	d.sharedKeys.Announce(in.Coming)
-	for _, c := range in.Kept {
+	d.sharedKeys.Announce(in.PendingBlocks)
+	for _, c := range in.Cached {
 		if d.readers[c.ID] != nil {
 			continue
 		}
@@ -189,8 +189,8 @@
 	}
 	f.toRouters.kept = append(f.toRouters.kept, kept...)
 	f.toRouters.reports = append(f.toRouters.reports, in.Reports...)
-	f.toRouters.coming = append(f.toRouters.coming, in.Coming...)
-	if len(in.Coming) > 0 {
+	f.toRouters.coming = append(f.toRouters.coming, in.PendingBlocks...)
+	if len(in.PendingBlocks) > 0 {
 		f.wake()
 	}
 	return fits
--- a/internal/messages/msgp.gen.go
+++ b/internal/messages/msgp.gen.go
@@ -1410,7 +1410,7 @@
 	o = msgp.AppendBool(o, z.HasAccepted)
 	// string "k"
 	o = append(o, 0xa1, 0x6b)
-	o = msgp.AppendBool(o, z.Kept)
+	o = msgp.AppendBool(o, z.Durable)
 	// string "m"
 	o = append(o, 0xa1, 0x6d)
 	o = msgp.AppendInt64(o, z.Version)
@@ -1515,9 +1515,9 @@
 				return
 			}
 		case "k":
-			z.Kept, bts, err = msgp.ReadBoolBytes(bts)
+			z.Durable, bts, err = msgp.ReadBoolBytes(bts)
 			if err != nil {
-				err = msgp.WrapError(err, "Kept")
+				err = msgp.WrapError(err, "Durable")
 				return
 			}
 		case "m":
@@ -2080,21 +2080,21 @@
 	}
 	// string "c"
 	o = append(o, 0xa1, 0x63)
-	o = msgp.AppendArrayHeader(o, uint32(len(z.Coming)))
-	for za0002 := range z.Coming {
-		o, err = z.Coming[za0002].MarshalMsg(o)
+	o = msgp.AppendArrayHeader(o, uint32(len(z.PendingBlocks)))
+	for za0002 := range z.PendingBlocks {
+		o, err = z.PendingBlocks[za0002].MarshalMsg(o)
 		if err != nil {
-			err = msgp.WrapError(err, "Coming", za0002)
+			err = msgp.WrapError(err, "PendingBlocks", za0002)
 			return
 		}
 	}
 	// string "k"
 	o = append(o, 0xa1, 0x6b)
-	o = msgp.AppendArrayHeader(o, uint32(len(z.Kept)))
-	for za0003 := range z.Kept {
-		o, err = z.Kept[za0003].MarshalMsg(o)
+	o = msgp.AppendArrayHeader(o, uint32(len(z.Cached)))
+	for za0003 := range z.Cached {
+		o, err = z.Cached[za0003].MarshalMsg(o)
 		if err != nil {
-			err = msgp.WrapError(err, "Kept", za0003)
+			err = msgp.WrapError(err, "Cached", za0003)
 			return
 		}
 	}
@@ -2247,18 +2247,18 @@
 			var zb0004 uint32
 			zb0004, bts, err = msgp.ReadArrayHeaderBytes(bts)
 			if err != nil {
-				err = msgp.WrapError(err, "Coming")
+				err = msgp.WrapError(err, "PendingBlocks")
 				return
 			}
-			if cap(z.Coming) >= int(zb0004) {
-				z.Coming = (z.Coming)[:zb0004]
+			if cap(z.PendingBlocks) >= int(zb0004) {
+				z.PendingBlocks = (z.PendingBlocks)[:zb0004]
 			} else {
-				z.Coming = make([]CachedPrefixes, zb0004)
+				z.PendingBlocks = make([]CachedPrefixes, zb0004)
 			}
-			for za0002 := range z.Coming {
-				bts, err = z.Coming[za0002].UnmarshalMsg(bts)
+			for za0002 := range z.PendingBlocks {
+				bts, err = z.PendingBlocks[za0002].UnmarshalMsg(bts)
 				if err != nil {
-					err = msgp.WrapError(err, "Coming", za0002)
+					err = msgp.WrapError(err, "PendingBlocks", za0002)
 					return
 				}
 			}
@@ -2266,18 +2266,18 @@
 			var zb0005 uint32
 			zb0005, bts, err = msgp.ReadArrayHeaderBytes(bts)
 			if err != nil {
-				err = msgp.WrapError(err, "Kept")
+				err = msgp.WrapError(err, "Cached")
 				return
 			}
-			if cap(z.Kept) >= int(zb0005) {
-				z.Kept = (z.Kept)[:zb0005]
+			if cap(z.Cached) >= int(zb0005) {
+				z.Cached = (z.Cached)[:zb0005]
 			} else {
-				z.Kept = make([]CachedChange, zb0005)
+				z.Cached = make([]CachedChange, zb0005)
 			}
-			for za0003 := range z.Kept {
-				bts, err = z.Kept[za0003].UnmarshalMsg(bts)
+			for za0003 := range z.Cached {
+				bts, err = z.Cached[za0003].UnmarshalMsg(bts)
 				if err != nil {
-					err = msgp.WrapError(err, "Kept", za0003)
+					err = msgp.WrapError(err, "Cached", za0003)
 					return
 				}
 			}
@@ -2467,12 +2467,12 @@
 		s += 1 + 2 + msgp.Int64Size + 2 + msgp.StringPrefixSize + len(z.TargetAges[za0001].Model) + 2 + msgp.Int64Size
 	}
 	s += 2 + msgp.ArrayHeaderSize
-	for za0002 := range z.Coming {
-		s += z.Coming[za0002].Msgsize()
+	for za0002 := range z.PendingBlocks {
+		s += z.PendingBlocks[za0002].Msgsize()
 	}
 	s += 2 + msgp.ArrayHeaderSize
-	for za0003 := range z.Kept {
-		s += z.Kept[za0003].Msgsize()
+	for za0003 := range z.Cached {
+		s += z.Cached[za0003].Msgsize()
 	}
 	s += 2 + msgp.ArrayHeaderSize
 	for za0004 := range z.Loads {
@@ -3324,11 +3324,11 @@
 	}
 	// string "c"
 	o = append(o, 0xa1, 0x63)
-	o = msgp.AppendArrayHeader(o, uint32(len(z.Coming)))
-	for za0002 := range z.Coming {
-		o, err = z.Coming[za0002].MarshalMsg(o)
+	o = msgp.AppendArrayHeader(o, uint32(len(z.PendingBlocks)))
+	for za0002 := range z.PendingBlocks {
+		o, err = z.PendingBlocks[za0002].MarshalMsg(o)
 		if err != nil {
-			err = msgp.WrapError(err, "Coming", za0002)
+			err = msgp.WrapError(err, "PendingBlocks", za0002)
 			return
 		}
 	}
@@ -3389,18 +3389,18 @@
 			var zb0003 uint32
 			zb0003, bts, err = msgp.ReadArrayHeaderBytes(bts)
 			if err != nil {
-				err = msgp.WrapError(err, "Coming")
+				err = msgp.WrapError(err, "PendingBlocks")
 				return
 			}
-			if cap(z.Coming) >= int(zb0003) {
-				z.Coming = (z.Coming)[:zb0003]
+			if cap(z.PendingBlocks) >= int(zb0003) {
+				z.PendingBlocks = (z.PendingBlocks)[:zb0003]
 			} else {
-				z.Coming = make([]CachedPrefixes, zb0003)
+				z.PendingBlocks = make([]CachedPrefixes, zb0003)
 			}
-			for za0002 := range z.Coming {
-				bts, err = z.Coming[za0002].UnmarshalMsg(bts)
+			for za0002 := range z.PendingBlocks {
+				bts, err = z.PendingBlocks[za0002].UnmarshalMsg(bts)
 				if err != nil {
-					err = msgp.WrapError(err, "Coming", za0002)
+					err = msgp.WrapError(err, "PendingBlocks", za0002)
 					return
 				}
 			}
@@ -3448,8 +3448,8 @@
 		s += msgp.StringPrefixSize + len(z.Absent[za0001])
 	}
 	s += 2 + msgp.ArrayHeaderSize
-	for za0002 := range z.Coming {
-		s += z.Coming[za0002].Msgsize()
+	for za0002 := range z.PendingBlocks {
+		s += z.PendingBlocks[za0002].Msgsize()
 	}
 	s += 2 + msgp.ArrayHeaderSize
 	for za0003 := range z.Loads {
@@ -3526,11 +3526,11 @@
 	// map header, size 4
 	// string "k"
 	o = append(o, 0x84, 0xa1, 0x6b)
-	o = msgp.AppendArrayHeader(o, uint32(len(z.Kept)))
-	for za0001 := range z.Kept {
-		o, err = z.Kept[za0001].MarshalMsg(o)
+	o = msgp.AppendArrayHeader(o, uint32(len(z.Cached)))
+	for za0001 := range z.Cached {
+		o, err = z.Cached[za0001].MarshalMsg(o)
 		if err != nil {
-			err = msgp.WrapError(err, "Kept", za0001)
+			err = msgp.WrapError(err, "Cached", za0001)
 			return
 		}
 	}
@@ -3594,18 +3594,18 @@
 			var zb0002 uint32
 			zb0002, bts, err = msgp.ReadArrayHeaderBytes(bts)
 			if err != nil {
-				err = msgp.WrapError(err, "Kept")
+				err = msgp.WrapError(err, "Cached")
 				return
 			}
-			if cap(z.Kept) >= int(zb0002) {
-				z.Kept = (z.Kept)[:zb0002]
+			if cap(z.Cached) >= int(zb0002) {
+				z.Cached = (z.Cached)[:zb0002]
 			} else {
-				z.Kept = make([]CachedPrefixes, zb0002)
+				z.Cached = make([]CachedPrefixes, zb0002)
 			}
-			for za0001 := range z.Kept {
-				bts, err = z.Kept[za0001].UnmarshalMsg(bts)
+			for za0001 := range z.Cached {
+				bts, err = z.Cached[za0001].UnmarshalMsg(bts)
 				if err != nil {
-					err = msgp.WrapError(err, "Kept", za0001)
+					err = msgp.WrapError(err, "Cached", za0001)
 					return
 				}
 			}
@@ -3716,8 +3716,8 @@
 // Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
 func (z *News) Msgsize() (s int) {
 	s = 1 + 2 + msgp.ArrayHeaderSize
-	for za0001 := range z.Kept {
-		s += z.Kept[za0001].Msgsize()
+	for za0001 := range z.Cached {
+		s += z.Cached[za0001].Msgsize()
 	}
 	s += 2 + msgp.ArrayHeaderSize
 	for za0002 := range z.Reports {
@@ -6370,18 +6370,18 @@
 	o = msgp.AppendBool(o, z.Controller)
 	// string "k"
 	o = append(o, 0xa1, 0x6b)
-	o = msgp.AppendArrayHeader(o, uint32(len(z.Kept)))
-	for za0001 := range z.Kept {
+	o = msgp.AppendArrayHeader(o, uint32(len(z.Cached)))
+	for za0001 := range z.Cached {
 		// map header, size 3
 		// string "e"
 		o = append(o, 0x83, 0xa1, 0x65)
-		o = msgp.AppendInt64(o, z.Kept[za0001].Epoch)
+		o = msgp.AppendInt64(o, z.Cached[za0001].Epoch)
 		// string "i"
 		o = append(o, 0xa1, 0x69)
-		o = msgp.AppendString(o, z.Kept[za0001].ID)
+		o = msgp.AppendString(o, z.Cached[za0001].ID)
 		// string "t"
 		o = append(o, 0xa1, 0x74)
-		o = msgp.AppendInt64(o, z.Kept[za0001].Version)
+		o = msgp.AppendInt64(o, z.Cached[za0001].Version)
 	}
 	// string "l"
 	o = append(o, 0xa1, 0x6c)
@@ -6480,51 +6480,51 @@
 			var zb0002 uint32
 			zb0002, bts, err = msgp.ReadArrayHeaderBytes(bts)
 			if err != nil {
-				err = msgp.WrapError(err, "Kept")
+				err = msgp.WrapError(err, "Cached")
 				return
 			}
-			if cap(z.Kept) >= int(zb0002) {
-				z.Kept = (z.Kept)[:zb0002]
+			if cap(z.Cached) >= int(zb0002) {
+				z.Cached = (z.Cached)[:zb0002]
 			} else {
-				z.Kept = make([]Cursor, zb0002)
+				z.Cached = make([]Cursor, zb0002)
 			}
-			for za0001 := range z.Kept {
+			for za0001 := range z.Cached {
 				var zb0003 uint32
 				zb0003, bts, err = msgp.ReadMapHeaderBytes(bts)
 				if err != nil {
-					err = msgp.WrapError(err, "Kept", za0001)
+					err = msgp.WrapError(err, "Cached", za0001)
 					return
 				}
 				for zb0003 > 0 {
 					zb0003--
 					field, bts, err = msgp.ReadMapKeyZC(bts)
 					if err != nil {
-						err = msgp.WrapError(err, "Kept", za0001)
+						err = msgp.WrapError(err, "Cached", za0001)
 						return
 					}
 					switch msgp.UnsafeString(field) {
 					case "e":
-						z.Kept[za0001].Epoch, bts, err = msgp.ReadInt64Bytes(bts)
+						z.Cached[za0001].Epoch, bts, err = msgp.ReadInt64Bytes(bts)
 						if err != nil {
-							err = msgp.WrapError(err, "Kept", za0001, "Epoch")
+							err = msgp.WrapError(err, "Cached", za0001, "Epoch")
 							return
 						}
 					case "i":
-						z.Kept[za0001].ID, bts, err = msgp.ReadStringBytes(bts)
+						z.Cached[za0001].ID, bts, err = msgp.ReadStringBytes(bts)
 						if err != nil {
-							err = msgp.WrapError(err, "Kept", za0001, "ID")
+							err = msgp.WrapError(err, "Cached", za0001, "ID")
 							return
 						}
 					case "t":
-						z.Kept[za0001].Version, bts, err = msgp.ReadInt64Bytes(bts)
+						z.Cached[za0001].Version, bts, err = msgp.ReadInt64Bytes(bts)
 						if err != nil {
-							err = msgp.WrapError(err, "Kept", za0001, "Version")
+							err = msgp.WrapError(err, "Cached", za0001, "Version")
 							return
 						}
 					default:
 						bts, err = msgp.Skip(bts)
 						if err != nil {
-							err = msgp.WrapError(err, "Kept", za0001)
+							err = msgp.WrapError(err, "Cached", za0001)
 							return
 						}
 					}
@@ -6747,8 +6747,8 @@
 // Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
 func (z *SyncState) Msgsize() (s int) {
 	s = 1 + 2 + msgp.BoolSize + 2 + msgp.BoolSize + 2 + msgp.ArrayHeaderSize
-	for za0001 := range z.Kept {
-		s += 1 + 2 + msgp.Int64Size + 2 + msgp.StringPrefixSize + len(z.Kept[za0001].ID) + 2 + msgp.Int64Size
+	for za0001 := range z.Cached {
+		s += 1 + 2 + msgp.Int64Size + 2 + msgp.StringPrefixSize + len(z.Cached[za0001].ID) + 2 + msgp.Int64Size
 	}
 	s += 2 + 1 + 2 + msgp.Int64Size + 2 + msgp.StringPrefixSize + len(z.Loads.ID) + 2 + msgp.Int64Size + 2 + 1 + 2 + msgp.Int64Size + 2 + msgp.StringPrefixSize + len(z.Configuration.ID) + 2 + msgp.Int64Size + 2 + msgp.BoolSize + 2 + msgp.ArrayHeaderSize + (len(z.Parts) * (msgp.Int64Size)) + 2 + 1 + 2 + msgp.Int64Size + 2 + msgp.StringPrefixSize + len(z.Registry.ID) + 2 + msgp.Int64Size + 2 + msgp.ArrayHeaderSize
 	for za0003 := range z.TargetAges {
--- a/internal/messages/types.gen.go
+++ b/internal/messages/types.gen.go
@@ -201,8 +201,8 @@
 	Verdict     Verdict `msg:"d"`
 	HasAccepted bool    `msg:"h"`
 
-	// Kept the slot that a flush asked for is on this member's disk
-	Kept    bool  `msg:"k"`
+	// Durable the slot that a flush asked for is on this member's disk
+	Durable bool  `msg:"k"`
 	Version int64 `msg:"m"`
 
 	// Offset where the piece begins
@@ -272,8 +272,8 @@
 // Feed what a node sends down the tree; versions of parts go along with every one
 type Feed struct {
 	TargetAges    []TargetAge      `msg:"a"`
-	Coming        []CachedPrefixes `msg:"c"`
-	Kept          []CachedChange   `msg:"k"`
+	PendingBlocks []CachedPrefixes `msg:"c"`
+	Cached        []CachedChange   `msg:"k"`
 	Loads         []LoadChange     `msg:"l"`
 	Versions      []int64          `msg:"m"`
 	Configuration []EntryChange    `msg:"n"`
@@ -340,10 +340,10 @@
 // LoadReport what a node sends up the tree, and the word back that it was heard
 type LoadReport struct {
 	// Absent runners that were not at their address; a hint
-	Absent []string         `msg:"a"`
-	Coming []CachedPrefixes `msg:"c"`
-	Loads  []LoadChange     `msg:"l"`
-	Seq    int64            `msg:"s"`
+	Absent        []string         `msg:"a"`
+	PendingBlocks []CachedPrefixes `msg:"c"`
+	Loads         []LoadChange     `msg:"l"`
+	Seq           int64            `msg:"s"`
 }
 
 // Member defines model for Member.
@@ -354,7 +354,7 @@
 
 // News defines model for News.
 type News struct {
-	Kept    []CachedPrefixes `msg:"k"`
+	Cached  []CachedPrefixes `msg:"k"`
 	Reports []RunnerReport   `msg:"o"`
 	Parts   []RegisterUpdate `msg:"p"`
 	Runners []RunnerRecord   `msg:"r"`
@@ -643,7 +643,7 @@
 	// Anything nobody in contact was found; also what may be old is welcome
 	Anything   bool     `msg:"a"`
 	Controller bool     `msg:"d"`
-	Kept       []Cursor `msg:"k"`
+	Cached     []Cursor `msg:"k"`
 
 	// Loads how much of a stream a receiver holds
 	Loads Cursor `msg:"l"`
--- a/internal/placement/placement.go
+++ b/internal/placement/placement.go
@@ -59,7 +59,7 @@
 type Candidate struct {
 	ID       string
 	NearSite bool    // in the router's zone
-	Kept     int     // tokens of the prompt in its cache
+	Cached   int     // tokens of the prompt in its cache
 	Moved    int     // tokens that it could transfer from another runner's cache
 	MoveUs   float64 // how long the transfer takes
 	From     string  // address of that other runner
@@ -74,7 +74,7 @@
 }
 
 // uncached is the number of prompt tokens that the candidate must prefill.
-func (c *Candidate) uncached(p Prompt) int { return max(p.Tokens-c.Kept-c.Moved, 0) }
+func (c *Candidate) uncached(p Prompt) int { return max(p.Tokens-c.Cached-c.Moved, 0) }
 
 // Prompt describes the request.
 type Prompt struct {
@@ -98,7 +98,7 @@
 	compare := func(i int) {
 		c := &candidates[i]
 		us := costUs(p, c)
-		if p.Shared != 0 && i != home && c.Kept+c.Moved < p.Tokens/usefulCacheDivisor {
+		if p.Shared != 0 && i != home && c.Cached+c.Moved < p.Tokens/usefulCacheDivisor {
 			us += notHomeUs
 		}
 		if best < 0 || us < bestUs {
@@ -128,7 +128,7 @@
 func longestPrefix(candidates []Candidate, random *rand.Rand) int {
 	longest, tokens, equals := -1, 0, 0
 	for i := range candidates {
-		switch kept := candidates[i].Kept; {
+		switch kept := candidates[i].Cached; {
 		case kept > tokens:
 			longest, tokens, equals = i, kept, 1
 		case kept == tokens && kept > 0:
--- a/internal/placement/placement_test.go
+++ b/internal/placement/placement_test.go
@@ -17,7 +17,7 @@
 
 func TestMatchPrefersCachedPrefixUntilBacklogOutweighsIt(t *testing.T) {
 	candidates := idleCandidates()
-	candidates[1].Kept = 6000
+	candidates[1].Cached = 6000
 	p := Prompt{Tokens: 9000, Shared: 1}
 	must.Eq(t, 1, Match(p, candidates, nil))
 	candidates[1].Prefill = 40_000
@@ -26,7 +26,7 @@
 
 func TestMatchTakesIdleRunnerWhenPrefixCanBeTransferred(t *testing.T) {
 	candidates := idleCandidates()
-	candidates[1].Kept, candidates[1].Prefill = 6000, 5000
+	candidates[1].Cached, candidates[1].Prefill = 6000, 5000
 	candidates[2].Moved, candidates[2].MoveUs, candidates[2].From = 6000, 20_000, "b"
 	must.Eq(t, 2, Match(Prompt{Tokens: 9000, Shared: 1}, candidates, nil))
 }
@@ -34,7 +34,7 @@
 func TestMatchChargesDuplicatePrefill(t *testing.T) {
 	candidates := idleCandidates()
 	candidates[0].Prefill = 3000
-	candidates[0].Kept = 2500
+	candidates[0].Cached = 2500
 	candidates[1].Again, candidates[2].Again = 2500, 2500
 	must.Eq(t, 0, Match(Prompt{Tokens: 5000, Shared: 1}, candidates, nil))
 }
--- a/internal/router/compare.go
+++ b/internal/router/compare.go
@@ -141,7 +141,7 @@
 	}
 	defer c.comparisons.EndFetch()
 	h := c.syncState()
-	h.ConfigOnly, h.Kept = true, nil
+	h.ConfigOnly, h.Cached = true, nil
 	if !runners {
 		h.Registry.Epoch = -1
 	}
--- a/internal/router/feed.go
+++ b/internal/router/feed.go
@@ -49,7 +49,7 @@
 	c.stateMu.Unlock()
 	h.Loads = c.loads.cursor()
 	c.admissionMu.Lock()
-	h.Kept = c.admission.Index.Cursors()
+	h.Cached = c.admission.Index.Cursors()
 	h.TargetAges = c.admission.TargetAges(c.clock())
 	c.admissionMu.Unlock()
 	return h
@@ -83,7 +83,7 @@
 		f.Loads = append(f.Loads, ch)
 	}
 	c.admissionMu.Lock()
-	f.Kept = c.admission.Index.DeltasSince(h.Kept, func(string) bool { return true })
+	f.Cached = c.admission.Index.DeltasSince(h.Cached, func(string) bool { return true })
 	c.admissionMu.Unlock()
 	return f
 }
@@ -218,11 +218,11 @@
 	fits = true
 	c.admissionMu.Lock()
 	defer c.admissionMu.Unlock()
-	for _, k := range f.Kept {
+	for _, k := range f.Cached {
 		again := k.Snapshot && c.admission.Index.CachedPrefixes(k.ID).Epoch == k.Epoch
 		fits = c.feedStats.fits(c.admission.Index.Apply(k), again) && fits
 	}
-	c.admission.Coming(f.Coming)
+	c.admission.ExpectBlocks(f.PendingBlocks)
 	for _, r := range f.Reports {
 		c.admission.Report(r, nowUs)
 	}
--- a/internal/router/loads.go
+++ b/internal/router/loads.go
@@ -163,8 +163,8 @@
 		l.subtree.Follow(ownSender, l.own)
 	}
 	total := l.subtree.Total
-	report := messages.LoadReport{Coming: append(l.pending, pending...), Absent: append(l.absent, absent...)}
-	if !l.sendAll && !total.Dirty() && len(report.Coming)+len(report.Absent) == 0 {
+	report := messages.LoadReport{PendingBlocks: append(l.pending, pending...), Absent: append(l.absent, absent...)}
+	if !l.sendAll && !total.Dirty() && len(report.PendingBlocks)+len(report.Absent) == 0 {
 		return report, false
 	}
 	l.pending, l.absent = nil, nil
@@ -200,11 +200,11 @@
 		r := l.subtree.Apply(from, change)
 		ok = ok && (r == statesync.Applied || r == statesync.Known)
 	}
-	l.pending, l.absent = append(l.pending, report.Coming...), append(l.absent, report.Absent...)
+	l.pending, l.absent = append(l.pending, report.PendingBlocks...), append(l.absent, report.Absent...)
 	l.mu.Unlock()
-	if len(report.Coming) > 0 {
+	if len(report.PendingBlocks) > 0 {
 		c.admissionMu.Lock()
-		c.admission.Coming(report.Coming)
+		c.admission.ExpectBlocks(report.PendingBlocks)
 		c.admissionMu.Unlock()
 		signal(c.prefixesPending)
 	}
--- a/internal/router/move_test.go
+++ b/internal/router/move_test.go
@@ -180,7 +180,7 @@
 	}
 	before := d.Submit(ask, 1_000_000).Admit
 	must.Eq(t, "r0", before.Runner.ID)
-	must.Eq(t, 6000, before.Kept)
+	must.Eq(t, 6000, before.Cached)
 	d.Done(before, true, 1_500_000)
 	d.SetRelinquished(map[string]int64{"a": 0}, 2_000_000)
 	after := d.Submit(ask, 2_000_000).Admit
@@ -191,5 +191,5 @@
 	again := d.Submit(ask, 3_000_000).Admit
 	must.Eq(t, after.Runner.ID, again.Runner.ID, must.Sprint("it stays at its new home"))
 	must.Eq(t, "", again.Source)
-	must.Eq(t, 6200, again.Kept, must.Sprint("and finds all of it there"))
+	must.Eq(t, 6200, again.Cached, must.Sprint("and finds all of it there"))
 }
--- a/internal/simulation/repairs.go
+++ b/internal/simulation/repairs.go
@@ -121,12 +121,12 @@
 	}
 	request := messages.ConsensusRequest{Part: part, To: m.ID, Step: messages.Commit, Slot: v.Version, Flush: true}
 	c.call(m.Addr, request, func(r messages.ConsensusResponse) {
-		if r.Kept || r.Verdict != messages.Granted {
-			done(r.Kept)
+		if r.Durable || r.Verdict != messages.Granted {
+			done(r.Durable)
 			return
 		}
 		request.Value = v
-		c.call(m.Addr, request, func(r messages.ConsensusResponse) { done(r.Kept) })
+		c.call(m.Addr, request, func(r messages.ConsensusResponse) { done(r.Durable) })
 	})
 }
 
@@ -148,7 +148,7 @@
 			if err == nil {
 				joins := !isIn(r.acceptor.Rec.Committed.Group, c.id)
 				kept := r.durable >= request.Slot && !(joins && c.shutdown.begun)
-				reply(messages.ConsensusResponse{Verdict: messages.Granted, Version: r.durable, Kept: kept})
+				reply(messages.ConsensusResponse{Verdict: messages.Granted, Version: r.durable, Durable: kept})
 			}
 		})
 	})
--- a/internal/simulation/traffic/news.go
+++ b/internal/simulation/traffic/news.go
@@ -13,7 +13,7 @@
 	f.kernel.After(f.options.NoticeDelay.Microseconds(), func() {
 		for i, a := range f.routers {
 			if i != from {
-				a.Coming(notes)
+				a.ExpectBlocks(notes)
 			}
 		}
 	})
