router: the write deadline of a connection is set when it has to change, not for each event

Change: the deadline that is set serves while it is the wanted one, or earlier and over 5 s away.

Measured: a test counts one deadline for 20 events; not played by itself.

--- a/internal/router/listener.go
+++ b/internal/router/listener.go
@@ -96,6 +96,7 @@
 	requests http1.Rewriter // what the client has sent, in the form that hertz reads
 	begun    time.Time      // when the request being read began; zero between requests
 	answerBy time.Time      // when the request in hand is over; zero between requests
+	writeBy  time.Time      // the write deadline that is set
 
 	mu      sync.Mutex
 	idle    bool // a read waits for a request to begin
@@ -224,6 +225,24 @@
 
 func (c *timedConn) Write(b []byte) (int, error) {
 	c.begun = time.Time{}
-	_ = c.SetWriteDeadline(c.writeDeadline())
+	if deadline := c.writeDeadline(); !c.writtenBy(deadline) {
+		_ = c.SetWriteDeadline(deadline)
+	}
 	return c.Conn.Write(b)
 }
+
+// SetWriteDeadline keeps the deadline in mind, so that it is not set anew for each event of a
+// stream.
+func (c *timedConn) SetWriteDeadline(deadline time.Time) error {
+	c.writeBy = deadline
+	return c.Conn.SetWriteDeadline(deadline)
+}
+
+// writtenBy reports whether the deadline that is set serves for one that is wanted: it is the
+// same, or earlier and still far away.
+func (c *timedConn) writtenBy(deadline time.Time) bool {
+	if c.writeBy.Equal(deadline) {
+		return true
+	}
+	return !c.writeBy.After(deadline) && time.Until(c.writeBy) > writeWait/2
+}
--- a/internal/router/listener_test.go
+++ b/internal/router/listener_test.go
@@ -134,3 +134,41 @@
 		})
 	}
 }
+
+// deadlineCounter counts how often the write deadline is set.
+type deadlineCounter struct {
+	net.Conn
+	set int
+	by  time.Time
+}
+
+func (c *deadlineCounter) SetWriteDeadline(by time.Time) error {
+	c.set, c.by = c.set+1, by
+	return nil
+}
+
+func (c *deadlineCounter) Write(b []byte) (int, error) { return len(b), nil }
+
+func TestWriteDeadlineIsSetOnceForManyEventsAndNeverLaterThanWanted(t *testing.T) {
+	under := &deadlineCounter{}
+	conn := &timedConn{Conn: under}
+	write := func() {
+		_, err := conn.Write([]byte("event"))
+		must.NoError(t, err)
+		must.False(t, under.by.After(conn.writeDeadline()))
+	}
+	conn.answerUntil(time.Now().Add(3 * writeWait / 2))
+	for range 20 {
+		write()
+	}
+	must.Eq(t, 1, under.set)
+	conn.answerUntil(time.Now().Add(writeWait / 4))
+	for range 20 {
+		write()
+	}
+	must.Eq(t, 2, under.set, must.Sprint("a shorter time counts at once"))
+	conn.answerUntil(time.Now().Add(-time.Second))
+	write()
+	must.Eq(t, 3, under.set, must.Sprint("the last bytes of an answer that is late"))
+	must.True(t, under.by.After(time.Now()), must.Sprint("may still be written"))
+}
