upstream: an interrupt that comes as a response ends does not spoil the connection

Cause: the flag of an interrupt outlived the response; the next request on the pooled connection ended with ErrLate before anything was read.

Change: a connection that goes back to the pool is interrupted no longer. Tests of it (seen to fail) and of a read that goes on.

--- a/internal/upstream/conn_pool.go
+++ b/internal/upstream/conn_pool.go
@@ -102,6 +102,7 @@
 	}
 	_ = c.conn.SetDeadline(time.Time{})
 	c.OnInterrupt = nil
+	c.interrupted.Store(false) // an interrupt may have come just as the response ended
 	if c.userTimeoutRaised {
 		c.setUserTimeout(0)
 	}
--- a/internal/upstream/upstream_test.go
+++ b/internal/upstream/upstream_test.go
@@ -147,3 +147,54 @@
 	must.False(t, b.Spend(9_000_000, 10))
 	must.True(t, b.Spend(11_000_000, 10))
 }
+
+const wholeResponse = "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok"
+
+// takeResponse sends a request on a connection and reads the whole response.
+func takeResponse(t *testing.T, c *Conn) *protocol.Response {
+	t.Helper()
+	deadline := time.Now().Add(10 * time.Second)
+	_, err := c.Send(head(), []byte("xx"), deadline)
+	must.NoError(t, err)
+	r := &protocol.Response{}
+	must.NoError(t, c.Head(r, deadline))
+	_, err = ReadBody(r, 1<<10)
+	must.NoError(t, err)
+	return r
+}
+
+func TestInterruptAsTheResponseEndsDoesNotSpoilTheConnection(t *testing.T) {
+	addr := fake(t, wholeResponse, wholeResponse)
+	pool := NewConnPool(steady)
+	c, err := pool.Get(t.Context(), addr)
+	must.NoError(t, err)
+	r := takeResponse(t, c)
+	c.Interrupt()
+	pool.Put(addr, c, &r.Header)
+	again, err := pool.Get(t.Context(), addr)
+	must.NoError(t, err)
+	defer again.Close()
+	must.Eq(t, c, again)
+	takeResponse(t, again)
+}
+
+func TestReadGoesOnAfterAnInterruptIfItIsToldTo(t *testing.T) {
+	near, far := net.Pipe()
+	defer far.Close()
+	c := newConn(near)
+	defer c.Close()
+	asked := make(chan bool)
+	c.OnInterrupt = func() bool {
+		asked <- true
+		c.Resume(time.Now().Add(10 * time.Second))
+		return true
+	}
+	go func() {
+		c.Interrupt()
+		<-asked
+		_, _ = io.WriteString(far, wholeResponse)
+	}()
+	r := &protocol.Response{}
+	must.NoError(t, readHead(r, c.in))
+	must.Less(t, 10*time.Second, c.SilentFor())
+}
