--- a/internal/admission/admission_test.go
+++ b/internal/admission/admission_test.go
@@ -280,7 +280,7 @@
 func TestDrainingCordonedAndAvoidedRunnersAreNotCandidates(t *testing.T) {
 	admitter := newAdmitter("x", "y", "z")
 	a, b := runnerRecord("x"), runnerRecord("y")
-	a.Draining, b.Barred = true, true
+	a.Draining, b.Cordoned = true, true
 	admitter.SetService("s", []messages.RunnerRecord{a, b, runnerRecord("z")}, memory, 2)
 	list := admitter.Candidates(newRequest(16, 1), 1)
 	must.Len(t, 1, list)
@@ -293,7 +293,7 @@
 func TestCordonExpires(t *testing.T) {
 	admitter := newAdmitter("x")
 	n := runnerRecord("x")
-	n.Barred = true
+	n.Cordoned = true
 	admitter.SetService("s", []messages.RunnerRecord{n}, memory, 2)
 	must.SliceEmpty(t, admitter.Candidates(newRequest(16, 1), 1))
 	must.SliceEmpty(t, admitter.Candidates(newRequest(16, 1), maxCordonUs))
@@ -314,7 +314,7 @@
 func TestDrainingRunnersGetLongRequestsOnlyAsLastResort(t *testing.T) {
 	admitter := newAdmitter("x", "y")
 	e := runnerRecord("x")
-	e.Easing = true
+	e.DrainingLong = true
 	admitter.SetService("s", []messages.RunnerRecord{e, runnerRecord("y")}, memory, 2)
 	must.Len(t, 2, admitter.Candidates(newRequest(16, 10), 1))
 	must.Len(t, 1, admitter.Candidates(newRequest(16, 200), 1))
--- a/internal/admission/candidates.go
+++ b/internal/admission/candidates.go
@@ -269,7 +269,7 @@
 	switch {
 	case r.record.Stale || r.avoidUntilUs > nowUs || r.health.ejected(nowUs):
 		return doubtful
-	case r.record.Easing && request.TokensOut > a.T.LongOut:
+	case r.record.DrainingLong && request.TokensOut > a.T.LongOut:
 		return 1
 	}
 	return 0
--- a/internal/admission/runner.go
+++ b/internal/admission/runner.go
@@ -48,7 +48,7 @@
 const maxCordonUs = 10_000_000
 
 func (r *runner) cordoned(nowUs int64) bool {
-	if !r.record.Barred {
+	if !r.record.Cordoned {
 		r.cordonedSinceUs = 0
 		return false
 	}
--- a/internal/admission/session_test.go
+++ b/internal/admission/session_test.go
@@ -117,7 +117,7 @@
 	must.Eq(t, "c", zoneOf(t, admitter, 1, 10), must.Sprint("zone b drains"))
 
 	notes = runnersInZones("a", "b", "c", "a", "b", "c")
-	notes[2].Barred, notes[5].Barred = true, true
+	notes[2].Cordoned, notes[5].Cordoned = true, true
 	admitter.SetService("s", notes, memory, 0.01)
 	must.Eq(t, "b", zoneOf(t, admitter, 1, 20), must.Sprint("zone c gets new weights"))
 
--- a/internal/admission/withheld_test.go
+++ b/internal/admission/withheld_test.go
@@ -14,7 +14,7 @@
 		NotWithheld:         func(*Admitter, *runner) {},
 		WithheldAbsent:      func(_ *Admitter, r *runner) { r.absence.out = true },
 		WithheldDraining:    func(_ *Admitter, r *runner) { r.record.Draining = true },
-		WithheldCordoned:    func(_ *Admitter, r *runner) { r.record.Barred = true },
+		WithheldCordoned:    func(_ *Admitter, r *runner) { r.record.Cordoned = true },
 		WithheldUnreachable: func(a *Admitter, _ *runner) { a.SetUnreachable(map[string]int64{"b": 1}, nowUs) },
 		WithheldEvacuated:   func(a *Admitter, _ *runner) { a.SetEvacuated(map[string]bool{"b": true}, nowUs) },
 		WithheldWarmingUp: func(a *Admitter, r *runner) {
--- a/internal/controller/controller_test.go
+++ b/internal/controller/controller_test.go
@@ -170,7 +170,7 @@
 	must.True(t, ok)
 	must.Len(t, 1, lacks.Puts, must.Sprint("the routers are told of runners that the disk named"))
 	got := fresh.registry.Snapshot().ByID["i-1"]
-	must.True(t, got.Barred)
+	must.True(t, got.Cordoned)
 	must.Eq(t, int64(77), got.BarVersion)
 	fresh.registry.Leave("i-1", 1)
 	fresh.registry.Sweep(200_000_000, registry.Silence{StaleUs: 1, LostUs: 1}, true)
--- a/internal/membership/large_fleet_test.go
+++ b/internal/membership/large_fleet_test.go
@@ -32,7 +32,7 @@
 				continue
 			}
 			if net.views[addr] == nil {
-				net.start(messages.Peer{Addr: addr, Life: int64(i + 1)})
+				net.start(messages.Peer{Addr: addr, Incarnation: int64(i + 1)})
 			}
 			net.deliver(addr, net.views[addr].Tick(net.nowUs))
 			if (net.nowUs/tickUs)%joinTicks == 0 {
--- a/internal/membership/monitor.go
+++ b/internal/membership/monitor.go
@@ -41,7 +41,7 @@
 // NewMonitor registers the handlers of the view's messages with the transport,
 // which must not run yet. The clock gives microseconds; seeds is called by Run.
 func NewMonitor(trans *transport.Transport, self messages.Peer, clock func() int64, seeds func() []string) *Monitor {
-	self.Life = 1 + rand.Int64N(maxFirstIncarnation)
+	self.Incarnation = 1 + rand.Int64N(maxFirstIncarnation)
 	m := &Monitor{transport: trans, clock: clock, seeds: seeds, view: NewView(self, DefaultConfig, rand.IntN)}
 	for _, kind := range []int{transport.KindProbe, transport.KindAck, transport.KindPeerQuery, transport.KindPeerList} {
 		trans.OnDatagram(kind, func(_ string, body []byte) { m.receive(kind, body) })
--- a/internal/membership/probe.go
+++ b/internal/membership/probe.go
@@ -199,6 +199,6 @@
 		return
 	}
 	peer := state.peer
-	peer.Life++
+	peer.Incarnation++
 	v.setStatus(peer, messages.Alive, nowUs)
 }
--- a/internal/membership/sync.go
+++ b/internal/membership/sync.go
@@ -40,7 +40,7 @@
 // entryDigest must be the same in all releases. A suspect counts as alive, since suspicion
 // passes.
 func entryDigest(peer messages.Peer) uint64 {
-	return statesync.Mix(statesync.HashText(peer.Addr, peer.MemberID) ^ statesync.Mix(uint64(peer.Life)))
+	return statesync.Mix(statesync.HashText(peer.Addr, peer.MemberID) ^ statesync.Mix(uint64(peer.Incarnation)))
 }
 
 // digest is the digest of the whole view; never 0.
--- a/internal/membership/view.go
+++ b/internal/membership/view.go
@@ -91,7 +91,7 @@
 // SetMemberID announces the name under which this node stores the registers.
 func (v *View) SetMemberID(id string) {
 	if v.self.MemberID != id {
-		v.setSelf(id, v.self.Life+1)
+		v.setSelf(id, v.self.Incarnation+1)
 	}
 }
 
@@ -221,15 +221,15 @@
 // refute raises the node's own incarnation above that of a claim that it is
 // suspect or dead, or of an entry from before its restart.
 func (v *View) refute(claim messages.Peer) {
-	if claim.Life > v.self.Life || claim.Life == v.self.Life && claim.Status != messages.Alive {
-		v.setSelf(v.self.MemberID, claim.Life+1)
+	if claim.Incarnation > v.self.Incarnation || claim.Incarnation == v.self.Incarnation && claim.Status != messages.Alive {
+		v.setSelf(v.self.MemberID, claim.Incarnation+1)
 	}
 }
 
 // setSelf changes the node's own entry.
 func (v *View) setSelf(memberID string, incarnation int64) {
 	v.toggle(v.self)
-	v.self.MemberID, v.self.Life = memberID, incarnation
+	v.self.MemberID, v.self.Incarnation = memberID, incarnation
 	v.toggle(v.self)
 	v.version++
 }
@@ -247,7 +247,7 @@
 
 // update replaces what is known of a peer if the entry supersedes it.
 func (v *View) update(state *peerState, peer messages.Peer, nowUs int64) {
-	if peer.Life < state.peer.Life && peer.Status == messages.Alive {
+	if peer.Incarnation < state.peer.Incarnation && peer.Status == messages.Alive {
 		state.outdated = true
 	}
 	if !supersedes(peer, state.peer) {
@@ -266,8 +266,8 @@
 // supersedes tells whether entry a of a peer replaces entry b: the higher
 // incarnation does, and at the same one the worse status.
 func supersedes(a, b messages.Peer) bool {
-	if a.Life != b.Life {
-		return a.Life > b.Life
+	if a.Incarnation != b.Incarnation {
+		return a.Incarnation > b.Incarnation
 	}
 	return statusRank(a.Status) > statusRank(b.Status)
 }
--- a/internal/membership/view_test.go
+++ b/internal/membership/view_test.go
@@ -38,7 +38,7 @@
 		rand:  rand.New(rand.NewPCG(1, 2)),
 	}
 	for i := range n {
-		net.start(messages.Peer{Addr: fmt.Sprintf("n%d", i), Life: int64(i + 1)})
+		net.start(messages.Peer{Addr: fmt.Sprintf("n%d", i), Incarnation: int64(i + 1)})
 	}
 	for addr := range net.views {
 		if addr != "n0" {
@@ -117,7 +117,7 @@
 		}
 	}
 	net.down["n3"] = false
-	net.start(messages.Peer{Addr: "n3", Life: 1, MemberID: "new"})
+	net.start(messages.Peer{Addr: "n3", Incarnation: 1, MemberID: "new"})
 	net.join("n3")
 	net.run(10 * secondUs)
 	net.mustAllSee(t, 8)
@@ -156,7 +156,7 @@
 	net.run(6 * secondUs)
 	net.down["n1"] = true
 	net.run(8 * secondUs)
-	view := net.start(messages.Peer{Addr: "new", Life: 9})
+	view := net.start(messages.Peer{Addr: "new", Incarnation: 9})
 	net.join("new")
 	net.run(secondUs)
 	must.Eq(t, int64(0), view.DeadForUs("n1", net.nowUs), must.Sprint("too early to tell"))
@@ -168,7 +168,7 @@
 
 func TestSupersedesByIncarnationThenStatus(t *testing.T) {
 	entry := func(incarnation int64, status messages.Status) messages.Peer {
-		return messages.Peer{Life: incarnation, Status: status}
+		return messages.Peer{Incarnation: incarnation, Status: status}
 	}
 	for _, c := range []struct {
 		a, b messages.Peer
@@ -186,9 +186,9 @@
 }
 
 func TestNodeRefutesSuspicionWithHigherIncarnation(t *testing.T) {
-	view := NewView(messages.Peer{Addr: "a", Life: 5}, DefaultConfig, rand.IntN)
-	view.merge(messages.Peer{Addr: "a", Life: 5, Status: messages.Suspect}, secondUs)
-	must.Eq(t, int64(6), view.Self().Life)
-	view.merge(messages.Peer{Addr: "a", Life: 4, Status: messages.Dead}, secondUs)
-	must.Eq(t, int64(6), view.Self().Life, must.Sprint("an older incarnation needs no refutation"))
+	view := NewView(messages.Peer{Addr: "a", Incarnation: 5}, DefaultConfig, rand.IntN)
+	view.merge(messages.Peer{Addr: "a", Incarnation: 5, Status: messages.Suspect}, secondUs)
+	must.Eq(t, int64(6), view.Self().Incarnation)
+	view.merge(messages.Peer{Addr: "a", Incarnation: 4, Status: messages.Dead}, secondUs)
+	must.Eq(t, int64(6), view.Self().Incarnation, must.Sprint("an older incarnation needs no refutation"))
 }
--- a/internal/messages/msgp.gen.go
+++ b/internal/messages/msgp.gen.go
@@ -4000,7 +4000,7 @@
 	o = msgp.AppendString(o, z.Control)
 	// string "i"
 	o = append(o, 0xa1, 0x69)
-	o = msgp.AppendInt64(o, z.Life)
+	o = msgp.AppendInt64(o, z.Incarnation)
 	// string "k"
 	o = append(o, 0xa1, 0x6b)
 	o = msgp.AppendBool(o, z.Counted)
@@ -4053,9 +4053,9 @@
 				return
 			}
 		case "i":
-			z.Life, bts, err = msgp.ReadInt64Bytes(bts)
+			z.Incarnation, bts, err = msgp.ReadInt64Bytes(bts)
 			if err != nil {
-				err = msgp.WrapError(err, "Life")
+				err = msgp.WrapError(err, "Incarnation")
 				return
 			}
 		case "k":
@@ -5708,7 +5708,7 @@
 	o = msgp.AppendString(o, z.Addr)
 	// string "b"
 	o = append(o, 0xa1, 0x62)
-	o = msgp.AppendBool(o, z.Barred)
+	o = msgp.AppendBool(o, z.Cordoned)
 	// string "c"
 	o = append(o, 0xa1, 0x63)
 	o = msgp.AppendInt(o, z.Capacity)
@@ -5756,7 +5756,7 @@
 	o = msgp.AppendString(o, z.Version)
 	// string "w"
 	o = append(o, 0xa1, 0x77)
-	o = msgp.AppendBool(o, z.Easing)
+	o = msgp.AppendBool(o, z.DrainingLong)
 	// string "z"
 	o = append(o, 0xa1, 0x7a)
 	o = msgp.AppendString(o, z.Zone)
@@ -5788,9 +5788,9 @@
 				return
 			}
 		case "b":
-			z.Barred, bts, err = msgp.ReadBoolBytes(bts)
+			z.Cordoned, bts, err = msgp.ReadBoolBytes(bts)
 			if err != nil {
-				err = msgp.WrapError(err, "Barred")
+				err = msgp.WrapError(err, "Cordoned")
 				return
 			}
 		case "c":
@@ -5908,9 +5908,9 @@
 				return
 			}
 		case "w":
-			z.Easing, bts, err = msgp.ReadBoolBytes(bts)
+			z.DrainingLong, bts, err = msgp.ReadBoolBytes(bts)
 			if err != nil {
-				err = msgp.WrapError(err, "Easing")
+				err = msgp.WrapError(err, "DrainingLong")
 				return
 			}
 		case "z":
--- a/internal/messages/types.gen.go
+++ b/internal/messages/types.gen.go
@@ -376,15 +376,15 @@
 
 // Peer defines model for Peer.
 type Peer struct {
-	Addr     string `msg:"a"`
-	Control  string `msg:"c"`
-	Life     int64  `msg:"i"`
-	Counted  bool   `msg:"k"`
-	MemberID string `msg:"l"`
-	Node     string `msg:"n"`
-	Role     Role   `msg:"r"`
-	Status   Status `msg:"s"`
-	Zone     string `msg:"z"`
+	Addr        string `msg:"a"`
+	Control     string `msg:"c"`
+	Incarnation int64  `msg:"i"`
+	Counted     bool   `msg:"k"`
+	MemberID    string `msg:"l"`
+	Node        string `msg:"n"`
+	Role        Role   `msg:"r"`
+	Status      Status `msg:"s"`
+	Zone        string `msg:"z"`
 }
 
 // Probe defines model for Probe.
@@ -554,7 +554,7 @@
 // RunnerRecord defines model for RunnerRecord.
 type RunnerRecord struct {
 	Addr     string `msg:"a"`
-	Barred   bool   `msg:"b"`
+	Cordoned bool   `msg:"b"`
 	Capacity int    `msg:"c"`
 	Draining bool   `msg:"d"`
 
@@ -576,9 +576,9 @@
 	Service    string   `msg:"s"`
 
 	// Version of the runner's software
-	Version string `msg:"v"`
-	Easing  bool   `msg:"w"`
-	Zone    string `msg:"z"`
+	Version      string `msg:"v"`
+	DrainingLong bool   `msg:"w"`
+	Zone         string `msg:"z"`
 }
 
 // RunnerReport defines model for RunnerReport.
--- a/internal/registry/facts.go
+++ b/internal/registry/facts.go
@@ -15,7 +15,7 @@
 		n.Version = other.Version // a node of an earlier release passes none on
 	}
 	if other.BarVersion > n.BarVersion {
-		n.Barred, n.Easing, n.BarVersion = other.Barred, other.Easing, other.BarVersion
+		n.Cordoned, n.DrainingLong, n.BarVersion = other.Cordoned, other.DrainingLong, other.BarVersion
 	}
 	return n
 }
@@ -49,5 +49,5 @@
 func sameButSequence(a, b messages.RunnerRecord) bool {
 	return slices.Equal(a.Models, b.Models) && a.Addr == b.Addr && a.Service == b.Service && a.Capacity == b.Capacity &&
 		a.Draining == b.Draining && a.Gone == b.Gone && a.Stale == b.Stale && a.Lost == b.Lost &&
-		a.Barred == b.Barred && a.Easing == b.Easing && a.Version == b.Version
+		a.Cordoned == b.Cordoned && a.DrainingLong == b.DrainingLong && a.Version == b.Version
 }
--- a/internal/registry/registry.go
+++ b/internal/registry/registry.go
@@ -241,7 +241,7 @@
 		return messages.RunnerRecord{}, false
 	}
 	old := e.record
-	e.record.Barred, e.record.Easing, e.record.BarVersion = barred, easing, version
+	e.record.Cordoned, e.record.DrainingLong, e.record.BarVersion = barred, easing, version
 	return e.record, r.publishIfChanged(e, old)
 }
 
--- a/internal/registry/registry_test.go
+++ b/internal/registry/registry_test.go
@@ -52,9 +52,9 @@
 	notes[1].Models = []messages.Target{{Model: "m", Version: 2}}
 	notes[3].Draining = true
 	bar := beat("x", 2)
-	bar.Models, bar.Barred, bar.BarVersion = notes[1].Models, true, 7
+	bar.Models, bar.Cordoned, bar.BarVersion = notes[1].Models, true, 7
 	free := bar
-	free.Barred, free.BarVersion = false, 8
+	free.Cordoned, free.BarVersion = false, 8
 	notes = append(notes, bar, free)
 	var sum uint64
 	for seed := range uint64(50) {
@@ -68,7 +68,7 @@
 		}
 		s := r.Snapshot()
 		must.Eq(t, int64(2), s.ByID["x"].Models[0].Version)
-		must.False(t, s.ByID["x"].Barred)
+		must.False(t, s.ByID["x"].Cordoned)
 		must.True(t, s.ByID["y"].Draining)
 		if seed == 0 {
 			sum = s.Sum
--- a/internal/registry/snapshot.go
+++ b/internal/registry/snapshot.go
@@ -50,10 +50,10 @@
 	if n.Draining {
 		flags |= flagDraining
 	}
-	if n.Barred {
+	if n.Cordoned {
 		flags |= flagCordoned
 	}
-	if n.Easing {
+	if n.DrainingLong {
 		flags |= flagDrainingLong
 	}
 	return flags
--- a/internal/rollout/known.go
+++ b/internal/rollout/known.go
@@ -21,7 +21,7 @@
 		if record.Draining || !serves && !unknown {
 			continue
 		}
-		out = append(out, Runner{ID: id, Version: version, Cordoned: record.Barred, Draining: record.Easing, Fresh: record.Seq <= freshSequence})
+		out = append(out, Runner{ID: id, Version: version, Cordoned: record.Cordoned, Draining: record.DrainingLong, Fresh: record.Seq <= freshSequence})
 	}
 	slices.SortFunc(out, func(a, b Runner) int { return cmp.Compare(a.ID, b.ID) })
 	return out
--- a/internal/rollout/known_test.go
+++ b/internal/rollout/known_test.go
@@ -18,7 +18,7 @@
 		"d": {ID: "d", Service: "s", Seq: 9, Models: carries, Draining: true},
 		"e": {ID: "e", Service: "s", Seq: 9, Models: []messages.Target{{Model: "other", Version: 1}}},
 		"f": {ID: "f", Service: "other", Seq: 9},
-		"g": {ID: "g", Service: "s", Seq: 1, Models: carries, Barred: true, Easing: true},
+		"g": {ID: "g", Service: "s", Seq: 1, Models: carries, Cordoned: true, DrainingLong: true},
 	}
 	stale, fresh := Runner{ID: "b", Version: 1}, Runner{ID: "g", Version: 1, Cordoned: true, Draining: true, Fresh: true}
 	must.Eq(t, []Runner{{ID: "a", Version: 1}, stale, {ID: "c"}, fresh}, RunnersOf(records, "m", "s"))
--- a/internal/simulation/engine.go
+++ b/internal/simulation/engine.go
@@ -111,7 +111,7 @@
 	}
 	record, ok := from.runners.Snapshot().ByID[e.id()]
 	fresh := h.kernel.NowUs()-e.begunUs < freshUs
-	if !ok || record.Barred || (h.bounded || fresh) && h.checks.boundPassed(e.version, routerBoundUs) {
+	if !ok || record.Cordoned || (h.bounded || fresh) && h.checks.boundPassed(e.version, routerBoundUs) {
 		return
 	}
 	h.kernel.After(h.kernel.Between(0, 300*Millisecond), func() {
--- a/internal/simulation/rollout_checks.go
+++ b/internal/simulation/rollout_checks.go
@@ -90,7 +90,7 @@
 		}
 		for _, r := range c.history.fleet.registrars {
 			n := r.runners.Snapshot().ByID[e.id()]
-			if n.Barred || n.Easing {
+			if n.Cordoned || n.DrainingLong {
 				c.history.kernel.Fail("%s is kept from requests at %s though it holds the newest weights", e.id(), r.addr)
 			}
 		}
