admission: the reported prefill rate is rounded to a binary fraction

Cause: a rate rounded to 1e-4 has eight random bytes as a float, which compression cannot shorten; loads are the second part of the updates by size.

Change: rounded to 2^-13 tokens a microsecond (0.0001).

--- a/internal/admission/loads.go
+++ b/internal/admission/loads.go
@@ -98,6 +98,11 @@
 // rounded, so that it does not change all the time.
 const flowStep = 250
 
+// rateSteps is into how many parts of a token per microsecond the reported rate is rounded. It is a
+// power of two, so that the encoded number ends with zeros, which updates are compressed to nearly
+// nothing with.
+const rateSteps = 1 << 13
+
 // Own returns the load of this node at each runner that has any.
 func (a *Admitter) Own(nowUs int64) map[string]messages.RunnerLoad {
 	out := map[string]messages.RunnerLoad{}
@@ -106,7 +111,7 @@
 			flow := int(r.ownFlow(nowUs)/flowStep+0.5) * flowStep
 			seen := r.health.own(nowUs)
 			if r.own.count > 0 || flow > 0 || seen.tried > 0 {
-				out[id] = messages.RunnerLoad{ID: id, Tried: seen.tried, Failed: seen.failed, Blocks: r.own.blocks, Prefill: r.own.prefill, Count: r.own.count, Rate: math.Round(r.rate*1e4) / 1e4, Flow: flow}
+				out[id] = messages.RunnerLoad{ID: id, Tried: seen.tried, Failed: seen.failed, Blocks: r.own.blocks, Prefill: r.own.prefill, Count: r.own.count, Rate: math.Round(r.rate*rateSteps) / rateSteps, Flow: flow}
 			}
 		}
 	}
