--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -230,12 +230,17 @@
 // snapshots would fill the seeds' links for seconds.
 const zoneParentWaitUs = 400_000
 
+// waitsForZone reports whether a router still waits to hear of a controller of its zone.
+func waitsForZone(uptimeUs int64, zone string, controllers []messages.Peer) bool {
+	inZone := func(p messages.Peer) bool { return p.Zone == zone }
+	return uptimeUs < zoneParentWaitUs && !slices.ContainsFunc(controllers, inZone)
+}
+
 // parents lists whom this router may take updates from, the first choice first; nobody yet while
 // it waits for a controller of its zone.
 func (c *Router) parents() []string {
 	controllers := c.monitor.Alive(messages.Controller)
-	inZone := func(p messages.Peer) bool { return p.Zone == c.set.Zone }
-	if c.clock()-c.startUs < zoneParentWaitUs && !slices.ContainsFunc(controllers, inZone) {
+	if waitsForZone(c.clock()-c.startUs, c.set.Zone, controllers) {
 		return nil
 	}
 	list := dissemination.Parents(c.transport.Addr(), c.set.Zone, controllers, c.monitor.Alive(messages.Router))
