router: a stream on the move waits for a token while its request has time

Cause: a stream that leaves a runner out of reach has a token in hand, which may expire before the next attempt is sent. Change: such a stream waits for a token until its deadline. An attempt that ended by moving counts as one that may have run, so that no 503 follows it. Tests: both are seen to fail without it.

--- a/internal/attempt/attempt.go
+++ b/internal/attempt/attempt.go
@@ -95,6 +95,10 @@
 	return Next{Retry: s.sent < max(r.Tries, 1) && !timeOver && budget.Spend(), Avoid: true}
 }
 
+// Moved records that the newest attempt ended as its response goes on at another runner. It may
+// have run, as every attempt that was sent.
+func (s *Sequence) Moved() { s.ran = true }
+
 // failedUnsent is the same for an attempt of which nothing reached the runner: it counts
 // neither as a try nor against the budget.
 func (s *Sequence) failedUnsent(result Result, timeOver bool) Next {
--- a/internal/attempt/attempt_test.go
+++ b/internal/attempt/attempt_test.go
@@ -83,3 +83,11 @@
 	must.False(t, s.Failed(Request{}, NotSent, false, plenty()).Retry)
 	must.Eq(t, 0, s.Sent())
 }
+
+func TestAttemptThatMovedMayHaveRun(t *testing.T) {
+	var s Sequence
+	s.Begin()
+	s.Moved()
+	must.True(t, s.MayHaveRun())
+	must.Eq(t, 502, s.EndStatus(false))
+}
--- a/internal/router/attempts.go
+++ b/internal/router/attempts.go
@@ -46,6 +46,7 @@
 	e.recordAttempt(end)
 	switch end {
 	case attempt.Moving:
+		e.sequence.Moved()
 		return true
 	case attempt.Answered:
 		e.ended = compliance.Answered
--- a/internal/router/quota_attempts.go
+++ b/internal/router/quota_attempts.go
@@ -3,6 +3,8 @@
 package router
 
 import (
+	"time"
+
 	"beechtide.org/beechtide/internal/admission"
 	"beechtide.org/beechtide/internal/quota"
 )
@@ -43,6 +45,9 @@
 // place is released and the request ends.
 func (e *exchange) reenter(adm *admission.Admission) bool {
 	answer := e.acquireToken(false, e.quotaWaitUs())
+	if e.stream != nil && e.stream.started {
+		answer = e.awaitToken(answer)
+	}
 	if answer.outcome == quotaGranted {
 		return true
 	}
@@ -60,6 +65,33 @@
 	return false
 }
 
+// awaitToken waits for a token for a stream of which the client has a part, while the request
+// has time left: such a stream can neither be rejected nor begun anew. A stream on the move has
+// a token when it leaves its runner, which may expire before the next attempt is sent.
+func (e *exchange) awaitToken(answer quotaAnswer) quotaAnswer {
+	for answer.outcome != quotaGranted {
+		leftUs := e.endUs - e.c.clock()
+		if leftUs <= 0 || !e.pause(min(answer.waitUs, leftUs)) {
+			return answer
+		}
+		answer = e.acquireToken(false, e.quotaWaitUs())
+	}
+	return answer
+}
+
+// pause waits. It returns false at once if the client leaves or the router ends.
+func (e *exchange) pause(forUs int64) bool {
+	timer := time.NewTimer(time.Duration(forUs) * time.Microsecond)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+		return true
+	case <-e.client.leftChannel():
+	case <-e.c.lastAnswers:
+	}
+	return false
+}
+
 func (e *exchange) rejectWithoutToken(answer quotaAnswer) {
 	if answer.outcome == quotaDenied {
 		e.reject(429, rejectOverQuota, answer.waitUs)
--- a/internal/router/quota_test.go
+++ b/internal/router/quota_test.go
@@ -5,10 +5,14 @@
 	"testing"
 	"time"
 
+	"github.com/cloudwego/hertz/pkg/app"
 	"github.com/shoenig/test/must"
 
+	"beechtide.org/beechtide/internal/admission"
+	"beechtide.org/beechtide/internal/api"
 	"beechtide.org/beechtide/internal/messages"
 	"beechtide.org/beechtide/internal/quota"
+	"beechtide.org/beechtide/internal/routeconfig"
 )
 
 // limitedMenu gives the tenant a limit.
@@ -165,3 +169,47 @@
 	must.False(t, lent, must.Sprint("a process that has just started"))
 	must.True(t, later)
 }
+
+// movedStream is a request of a limited tenant whose stream has begun and is on the move.
+func movedStream(c *Router, forUs int64) *exchange {
+	return &exchange{
+		c: c, rc: app.NewContext(0), route: &routeconfig.Route{}, tenant: &api.Tenant{Name: "t1"},
+		limit: quota.Limit{Version: 3, RatePerS: 10, Burst: 10}, endUs: c.clock() + forUs,
+		stream: &answerStream{started: true},
+	}
+}
+
+// admitOne reserves capacity for a request.
+func (c *Router) admitOne(t *testing.T) *admission.Admission {
+	t.Helper()
+	c.admissionMu.Lock()
+	defer c.admissionMu.Unlock()
+	admitted := c.admission.Submit(admission.Request{Service: "s", LeftUs: 1_000_000}, c.clock()).Admit
+	must.NotNil(t, admitted)
+	return admitted
+}
+
+// The token with which a stream left its runner may expire before the next attempt is sent, and
+// in a zone that is cut off nobody may own the count then.
+func TestStreamOnTheMoveWaitsUntilTheCountHasAnOwner(t *testing.T) {
+	c, core, _ := startLimited(t, 1, newRunner(t))
+	core.set(func() {
+		core.quota = func(_ int, ask messages.QuotaAsk) messages.QuotaGrant {
+			if c.quotas.unknown.Load() < 2 {
+				return messages.QuotaGrant{}
+			}
+			return messages.QuotaGrant{Owner: true, Granted: ask.Need}
+		}
+	})
+	e := movedStream(c, (20 * time.Second).Microseconds())
+	must.True(t, e.reenter(c.admitOne(t)))
+	must.True(t, e.token.Valid(c.clock()))
+}
+
+func TestStreamOnTheMoveWithoutATokenEndsWithItsTime(t *testing.T) {
+	c, _, _ := startLimited(t, 1, newRunner(t))
+	e := movedStream(c, (500 * time.Millisecond).Microseconds())
+	must.False(t, e.reenter(c.admitOne(t)))
+	must.True(t, e.timeOver())
+	c.holdsNothing(t)
+}
