controller: keys of shared parts are kept on disk

Cause: after a restart of the controllers nobody knew which parts prompts share, so what runners still had cached was not sent on until each prompt had been sent, and read, once more. Test: TestControllerThatStartsKnowsTheSharedParts.

--- a/internal/controller/cache_reader_test.go
+++ b/internal/controller/cache_reader_test.go
@@ -1,11 +1,14 @@
 package controller
 
 import (
+	"context"
 	"testing"
 
+	"github.com/go-logr/logr"
 	"github.com/shoenig/test/must"
 
 	"beechtide.org/beechtide/internal/api"
+	"beechtide.org/beechtide/internal/consensus"
 	"beechtide.org/beechtide/internal/messages"
 	"beechtide.org/beechtide/internal/prefixindex"
 	"beechtide.org/beechtide/internal/statesync"
@@ -81,3 +84,29 @@
 	other.take(change, published)
 	must.Eq(t, int64(1+mostUnpublished), other.index.CachedPrefixes("r").Version)
 }
+
+func TestControllerThatStartsKnowsTheSharedParts(t *testing.T) {
+	disk, err := consensus.NewDiskStore(t.TempDir())
+	must.NoError(t, err)
+	ctx, stop := context.WithCancel(t.Context())
+	earlier := &Controller{disk: disk, log: logr.Discard()}
+	earlier.announceShared([]messages.CachedPrefixes{{Parts: []messages.CachedPart{{Key: 7}}}})
+	saved := make(chan struct{})
+	go func() {
+		earlier.saveSharedKeys(ctx)
+		close(saved)
+	}()
+	until(t, func() bool { _, ok := disk.Note(sharedKeysFile); return ok })
+	stop()
+	<-saved
+
+	later := &Controller{disk: disk, log: logr.Discard()}
+	later.restoreSharedKeys()
+	must.True(t, later.sharedKeys.Has(7))
+	must.False(t, later.sharedKeys.Has(8))
+
+	must.NoError(t, disk.Keep(sharedKeysFile, []byte("no record")))
+	damaged := &Controller{disk: disk, log: logr.Discard()}
+	damaged.restoreSharedKeys()
+	must.False(t, damaged.sharedKeys.Has(7))
+}
--- a/internal/controller/controller.go
+++ b/internal/controller/controller.go
@@ -130,6 +130,7 @@
 		}
 		store = d.disk
 		d.recallRunners()
+		d.restoreSharedKeys()
 	}
 	d.Reload(set)
 	d.feed.init(clock())
@@ -246,6 +247,7 @@
 	go d.metricsServer().Run(live)
 	if d.disk != nil {
 		go d.keepRunners(live)
+		go d.saveSharedKeys(live)
 	}
 	served := make(chan error, 1)
 	go func() { served <- d.serveControl(live) }()
--- a/internal/prefixindex/sharing.go
+++ b/internal/prefixindex/sharing.go
@@ -13,6 +13,7 @@
 // that has been announced again. The zero value is empty; it is not safe for concurrent use.
 type SharedKeys struct {
 	newer, older map[uint64]struct{}
+	changed      bool // since the last Record
 }
 
 // Announce adds the keys of announced prefixes.
@@ -32,6 +33,7 @@
 		s.newer, s.older = map[uint64]struct{}{}, s.newer
 	}
 	s.newer[key] = struct{}{}
+	s.changed = true
 }
 
 // Has reports whether a key has been announced.
--- a/internal/prefixindex/sharing_test.go
+++ b/internal/prefixindex/sharing_test.go
@@ -24,3 +24,38 @@
 	must.LessEq(t, maxSharedKeys, len(keys.newer))
 	must.LessEq(t, maxSharedKeys, len(keys.older))
 }
+
+func TestSharedKeysAreRestoredFromTheirRecord(t *testing.T) {
+	var shared SharedKeys
+	must.False(t, shared.Changed())
+	shared.Announce([]messages.CachedPrefixes{{Parts: []messages.CachedPart{{Key: 1}, {Key: 1 << 63}}}})
+	must.True(t, shared.Changed())
+	record := shared.Record()
+	must.False(t, shared.Changed())
+
+	var restored SharedKeys
+	must.NoError(t, restored.Restore(record))
+	must.True(t, restored.Has(1))
+	must.True(t, restored.Has(1<<63))
+	must.False(t, restored.Has(2))
+	must.False(t, restored.Changed())
+}
+
+func TestRecordOfSharedKeysIsBounded(t *testing.T) {
+	var shared SharedKeys
+	for key := range uint64(5 * maxSharedKeys) {
+		shared.add(key)
+	}
+	record := shared.Record()
+	must.LessEq(t, 1+keyBytes*2*maxSharedKeys, len(record))
+	var restored SharedKeys
+	must.NoError(t, restored.Restore(record))
+	must.True(t, restored.Has(5*maxSharedKeys-1))
+}
+
+func TestRecordOfSharedKeysThatCannotBeReadIsRefused(t *testing.T) {
+	for _, record := range [][]byte{nil, {2}, {1, 0, 0, 0}} {
+		var shared SharedKeys
+		must.ErrorIs(t, shared.Restore(record), ErrSharedRecord)
+	}
+}
