--- a/internal/controller/controller.go
+++ b/internal/controller/controller.go
@@ -56,6 +56,7 @@
 
 	"beechtide.org/beechtide/internal/clocksync"
 	"beechtide.org/beechtide/internal/consensus"
+	"beechtide.org/beechtide/internal/controller/quotaowner"
 	"beechtide.org/beechtide/internal/dissemination"
 	"beechtide.org/beechtide/internal/invariant"
 	"beechtide.org/beechtide/internal/loop"
@@ -98,7 +99,7 @@
 	rollouts  *rolloutManager
 	usage     *usageReporter // nil where the platform wants no usage
 	scaler    *scaler        // nil where the platform takes no orders of runners
-	quotas    *quotaMember
+	quotas    *quotaowner.Service
 	tallies   *tallies
 	targets   namedTargets
 	stability stability
@@ -156,7 +157,9 @@
 	d.handOver = defaultHandOverTimes
 	self := messages.Peer{Addr: set.ControllerAddr(), Role: messages.Controller, Zone: set.Zone, MemberID: d.registers.ID(), Control: set.Listen.Control, Node: set.Node, Counted: set.Counted}
 	d.monitor = membership.NewMonitor(trans, self, clock, d.knownControllers)
-	d.quotas = newQuotaMember(d)
+	if d.quotas, err = d.newQuotaOwner(); err != nil {
+		return nil, err
+	}
 	if d.tallies, err = newTallies(d); err != nil {
 		return nil, err
 	}
@@ -185,8 +188,8 @@
 		trans.OnCall(transport.KindUsageRows, d.usage.receiveRows)
 		trans.OnCall(transport.KindUsageQuery, d.usage.answerQuery)
 	}
-	trans.OnCall(transport.KindQuotaClaim, d.quotas.handleClaim)
-	trans.OnCall(transport.KindQuotaAsk, d.quotas.handleAsk)
+	trans.OnCall(transport.KindQuotaClaim, d.quotas.HandleClaim)
+	trans.OnCall(transport.KindQuotaAsk, d.quotas.HandleAsk)
 	trans.OnCall(transport.KindTallyAppend, d.tallies.handleAppend)
 	trans.OnCall(transport.KindTallyPull, d.tallies.handlePull)
 	trans.OnDatagram(transport.KindRunner, d.heardRunner)
@@ -239,7 +242,7 @@
 	}
 	counting, endCounting := context.WithCancel(live)
 	defer endCounting()
-	go d.quotas.run(counting)
+	go d.quotas.Run(counting)
 	go d.tallies.run(live)
 	go d.runFeed(live)
 	go d.settleRegisters(live)
@@ -257,7 +260,7 @@
 		end()
 	case <-ctx.Done():
 		endCounting()
-		d.quotas.leave()
+		d.quotas.Leave()
 		d.leaveGroups(live)
 		end()
 		err = <-served
--- a/internal/controller/metrics.go
+++ b/internal/controller/metrics.go
@@ -131,17 +131,16 @@
 // quotaMetrics are the figures of the count of tenants' requests.
 func (d *Controller) quotaMetrics() []prometheus.Collector {
 	figure := func(name, help string, labels []string, emit func(metrics.Emit, []messages.QuotaCondition)) prometheus.Collector {
-		return metrics.Gauge(name, help, labels, func(out metrics.Emit) { emit(out, d.quotas.conditions()) })
+		return metrics.Gauge(name, help, labels, func(out metrics.Emit) { emit(out, d.quotas.Conditions()) })
 	}
 	return []prometheus.Collector{
 		metrics.Gauge("beechtide_quota_shards_owned", "Shards of tenants whose requests this controller counts.", nil, func(emit metrics.Emit) {
-			owned, _, _ := d.quotas.figures()
-			emit(float64(owned))
+			emit(float64(d.quotas.Counts().OwnedShards))
 		}),
 		metrics.Counter("beechtide_quota_questions_total", "Questions of routers for tokens: answered, or passed to another controller.", []string{"outcome"}, func(emit metrics.Emit) {
-			_, asked, passed := d.quotas.figures()
-			emit(float64(asked-passed), "answered")
-			emit(float64(passed), "passed")
+			counts := d.quotas.Counts()
+			emit(float64(counts.Questions-counts.Referred), "answered")
+			emit(float64(counts.Referred), "passed")
 		}),
 		figure("beechtide_quota_level", "Tokens left, of each tenant that this controller counts.", []string{"tenant"}, func(emit metrics.Emit, list []messages.QuotaCondition) {
 			for _, c := range list {
--- a/internal/controller/quota_test.go
+++ b/internal/controller/quota_test.go
@@ -33,10 +33,7 @@
 func ownersOf(nodes []*Controller, tenant string) []*Controller {
 	var owners []*Controller
 	for _, d := range nodes {
-		d.quotas.mu.Lock()
-		owns := d.quotas.member.Owns(quota.ShardOf(tenant), d.clock())
-		d.quotas.mu.Unlock()
-		if owns {
+		if d.quotas.Owns(quota.ShardOf(tenant)) {
 			owners = append(owners, d)
 		}
 	}
@@ -64,12 +61,12 @@
 		}
 	}
 	must.Less(t, 40, askQuota(t, nodes[0], owner, 1000).Granted)
-	conditions := owner.quotas.conditions()
+	conditions := owner.quotas.Conditions()
 	must.Len(t, 1, conditions)
 	must.Eq(t, "t1", conditions[0].Tenant)
 	must.Positive(t, conditions[0].Denied)
 
-	owner.quotas.leave()
+	owner.quotas.Leave()
 	until(t, func() bool {
 		owners := ownersOf(nodes, "t1")
 		return len(owners) == 1 && owners[0] != owner
