--- a/internal/consensus/read.go
+++ b/internal/consensus/read.go
@@ -16,8 +16,9 @@
 	readRetryInterval = 30 * time.Millisecond
 )
 
-// errNoChange ends the round that a read runs to finish an accepted value.
-var errNoChange = errors.New("consensus: no change")
+// ErrNoChange is what a Change returns where there is nothing to change. It also ends the round that
+// a read runs to finish an accepted value.
+var ErrNoChange = errors.New("consensus: no change")
 
 // Read is a linearizable read: it gives the newest value committed when it began.
 // It retries until ctx ends, and returns ErrUnsure then. A value that is accepted and
@@ -60,8 +61,8 @@
 // finishAccepted runs a change that proposes nothing of its own: its round commits
 // what a member has accepted, and is rejected where nothing is accepted.
 func (r *Registers) finishAccepted(ctx context.Context, part int) error {
-	noChange := func(messages.Value) ([]messages.Member, []byte, error) { return nil, nil, errNoChange }
-	if _, err := r.Change(ctx, part, noChange); err != nil && !errors.Is(err, errNoChange) {
+	noChange := func(messages.Value) ([]messages.Member, []byte, error) { return nil, nil, ErrNoChange }
+	if _, err := r.Change(ctx, part, noChange); err != nil && !errors.Is(err, ErrNoChange) {
 		return err
 	}
 	return nil
--- a/internal/controller/cache_reader.go
+++ b/internal/controller/cache_reader.go
@@ -7,8 +7,6 @@
 
 import (
 	"context"
-	"encoding/json"
-	"strconv"
 	"time"
 
 	"beechtide.org/beechtide/internal/api"
@@ -81,9 +79,9 @@
 	known := d.cached.CachedPrefixes(n.ID)
 	since, epoch := reader.since(known), known.Epoch
 	d.cachedMu.Unlock()
-	events, ok := d.fetchCacheEvents(ctx, n, since)
-	if !ok {
-		return
+	events, err := d.runnerAPI.CacheEvents(ctx, n, since)
+	if err != nil {
+		return // the next call follows soon
 	}
 	d.heard(n.ID)
 	first := epoch == 0
@@ -97,15 +95,6 @@
 	}
 }
 
-// fetchCacheEvents fetches the events of a runner since a version.
-func (d *Controller) fetchCacheEvents(ctx context.Context, n messages.RunnerRecord, since int64) (events api.PrefixEvents, ok bool) {
-	ctx, cancel := context.WithTimeout(ctx, readTimeout)
-	defer cancel()
-	path := "/api/kv-events?since=" + strconv.FormatInt(since, 10)
-	status, body, err := d.connPool.Ask(ctx, n.Addr, "GET", path, withTarget(n, map[string]string{"Wait-Ms": "1000"}), nil)
-	return events, err == nil && status == 200 && json.Unmarshal(body, &events) == nil
-}
-
 // applyEvents applies the events since a version to what is known of a runner's cache. It returns the
 // change, a snapshot if nothing was known before, and whether there is anything to publish.
 func (r *cacheReader) applyEvents(id string, cached *prefixindex.CachedPrefixes, events api.PrefixEvents, since int64, shared *prefixindex.SharedKeys) (messages.CachedChange, bool) {
@@ -134,12 +123,9 @@
 
 // readCacheList fetches the full list after a gap; other nodes get it as a snapshot.
 func (d *Controller) readCacheList(ctx context.Context, n messages.RunnerRecord, reader *cacheReader) {
-	ctx, cancel := context.WithTimeout(ctx, readTimeout)
-	defer cancel()
-	status, body, err := d.connPool.Ask(ctx, n.Addr, "GET", "/api/kv-list", withTarget(n, map[string]string{}), nil)
-	var list api.PrefixList
-	if err != nil || status != 200 || json.Unmarshal(body, &list) != nil {
-		return
+	list, err := d.runnerAPI.CacheList(ctx, n)
+	if err != nil {
+		return // the next call follows soon
 	}
 	d.changeCached(n.ID, func(c *prefixindex.CachedPrefixes) (messages.CachedChange, bool) {
 		return reader.replace(n.ID, c, list, &d.sharedKeys), true
--- a/internal/controller/condition.go
+++ b/internal/controller/condition.go
@@ -34,7 +34,10 @@
 			c.Stale = append(c.Stale, id)
 		}
 	}
-	c.Duties, c.Scaling, c.Quotas = d.dutyConditions(), d.scalingConditions(), d.quotas.Conditions()
+	c.Duties, c.Quotas = d.dutyConditions(), d.quotas.Conditions()
+	if d.scaler != nil {
+		c.Scaling = d.scaler.Conditions()
+	}
 	c.Partition.Tally = d.tallies.condition()
 	c.Partition.Evacuated = d.evacuatedZones()
 	c.Partition.Rollouts = d.serviceRollouts()
--- a/internal/controller/control.go
+++ b/internal/controller/control.go
@@ -28,8 +28,6 @@
 // heartbeat every second or so; those that lost their power leave connections that nobody ends.
 const controlIdleTimeout = 15 * time.Second
 
-var errNoChange = errors.New("controller: nothing to change")
-
 var checkCall = validator.New(validator.WithRequiredStructEnabled())
 
 // operatorWait bounds how long a change may take before the caller is told to
@@ -245,7 +243,7 @@
 	if !ok {
 		return 0, false
 	}
-	body, err := configBody(known)
+	body, err := messages.DecodeConfigBody(known)
 	if err != nil {
 		return 0, false
 	}
@@ -255,7 +253,7 @@
 // applyOrder is the change that an order asks for. A refusal by checks that
 // another version of the program may not have is sealed.
 func applyOrder(cur messages.Value, order routeconfig.Submission) ([]messages.Member, []byte, error) {
-	body, err := configBody(cur)
+	body, err := messages.DecodeConfigBody(cur)
 	if err != nil {
 		return nil, nil, err
 	}
@@ -279,15 +277,6 @@
 	reject(c, 400, "(body)", err.Error())
 }
 
-func configBody(v messages.Value) (messages.ConfigBody, error) {
-	var body messages.ConfigBody
-	if len(v.Body) == 0 {
-		return body, nil
-	}
-	_, err := body.UnmarshalMsg(v.Body)
-	return body, err
-}
-
 func (d *Controller) read(ctx context.Context, c *app.RequestContext) {
 	ctx, cancel := context.WithTimeout(ctx, operatorWait)
 	defer cancel()
@@ -297,7 +286,7 @@
 		reject(c, 503, "", err.Error())
 		return
 	}
-	body, err := configBody(v)
+	body, err := messages.DecodeConfigBody(v)
 	switch {
 	case err != nil:
 		reject(c, 500, "", err.Error())
@@ -316,21 +305,21 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, operatorWait)
 	defer cancel()
-	if d.rollouts.newest(w.Model) >= w.Version {
+	if d.rollouts.Newest(w.Model) >= w.Version {
 		c.JSON(200, w)
 		return
 	}
 	part, holder := consensus.PartOf(w.Model), d.registers.ID()
-	if d.rollouts.fenceFloor(part) > 0 {
+	if d.rollouts.FenceFloor(part) > 0 {
 		holder = "" // the duty is acquired with a fence above the floor
 	}
 	v, err := d.registers.Change(ctx, part, func(cur messages.Value) ([]messages.Member, []byte, error) {
 		return nameTarget(cur, w, holder)
 	})
-	if body, berr := leaseBody(v); err == nil && berr == nil {
-		d.roles.recordInitialHolder(part, body.Lease)
+	if body, berr := messages.DecodeLeaseBody(v); err == nil && berr == nil {
+		d.leases.RecordInitialHolder(part, body.Lease)
 	}
-	if err != nil && !errors.Is(err, errNoChange) {
+	if err != nil && !errors.Is(err, consensus.ErrNoChange) {
 		reject(c, 503, "", err.Error())
 		return
 	}
@@ -343,22 +332,13 @@
 // nameTarget records a model's newest weights. Where the lease was never held,
 // holder acquires it with the same change, unless it is empty.
 func nameTarget(cur messages.Value, w api.WeightsVersion, holder string) ([]messages.Member, []byte, error) {
-	body, err := leaseBody(cur)
+	body, err := messages.DecodeLeaseBody(cur)
 	if err != nil {
 		return nil, nil, err
 	}
 	if !rollout.Name(&body, messages.Target{Model: w.Model, Version: w.Version}, holder) {
-		return nil, nil, errNoChange
+		return nil, nil, consensus.ErrNoChange
 	}
 	b, err := body.MarshalMsg(nil)
 	return nil, b, err
 }
-
-func leaseBody(v messages.Value) (messages.LeaseBody, error) {
-	body := messages.LeaseBody{Targets: []messages.Target{}}
-	if len(v.Body) == 0 {
-		return body, nil
-	}
-	_, err := body.UnmarshalMsg(v.Body)
-	return body, err
-}
--- a/internal/controller/controller.go
+++ b/internal/controller/controller.go
@@ -56,7 +56,13 @@
 
 	"beechtide.org/beechtide/internal/clocksync"
 	"beechtide.org/beechtide/internal/consensus"
+	"beechtide.org/beechtide/internal/controller/platform"
 	"beechtide.org/beechtide/internal/controller/quotaowner"
+	"beechtide.org/beechtide/internal/controller/runnerapi"
+	"beechtide.org/beechtide/internal/controller/scaling"
+	"beechtide.org/beechtide/internal/controller/singleton"
+	"beechtide.org/beechtide/internal/controller/usagereport"
+	"beechtide.org/beechtide/internal/controller/weightrollout"
 	"beechtide.org/beechtide/internal/dissemination"
 	"beechtide.org/beechtide/internal/invariant"
 	"beechtide.org/beechtide/internal/loop"
@@ -81,6 +87,7 @@
 	registers *consensus.Registers
 	registry  *registry.Registry
 	connPool  *upstream.ConnPool
+	runnerAPI *runnerapi.Client
 	table     atomic.Pointer[routeconfig.Table]
 	seeds     atomic.Pointer[[]string]
 	// platformAddr is the address of the platform's API.
@@ -95,10 +102,12 @@
 	readers    map[string]context.CancelFunc
 	heardUs    map[string]int64 // when a runner's events or report last came
 
-	roles     *roleManager
-	rollouts  *rolloutManager
-	usage     *usageReporter // nil where the platform wants no usage
-	scaler    *scaler        // nil where the platform takes no orders of runners
+	leases    *singleton.Leases
+	tasks     *singleton.Runner
+	platform  *platform.Client
+	rollouts  *weightrollout.Driver
+	usage     *usagereport.Reporter // nil where the platform wants no usage
+	scaler    *scaling.Scaler       // nil where the platform takes no orders of runners
 	quotas    *quotaowner.Service
 	tallies   *tallies
 	targets   namedTargets
@@ -110,7 +119,6 @@
 	startUs   int64
 
 	timeOfDay    clocksync.Shared
-	lastCalls    lastCalls
 	counters     counters
 	acknowledged invariant.Newest // the newest configuration that was acknowledged here
 
@@ -123,7 +131,20 @@
 	if err != nil {
 		return nil, err
 	}
-	d := &Controller{set: set, log: log, clock: clock, transport: trans, registry: registry.New(), connPool: upstream.NewConnPool(clock), cached: prefixindex.NewIndex(), readers: map[string]context.CancelFunc{}, heardUs: map[string]int64{}, startUs: clock()}
+	connPool := upstream.NewConnPool(clock)
+	d := &Controller{
+		set:       set,
+		log:       log,
+		clock:     clock,
+		startUs:   clock(),
+		transport: trans,
+		registry:  registry.New(),
+		connPool:  connPool,
+		runnerAPI: runnerapi.New(connPool),
+		cached:    prefixindex.NewIndex(),
+		readers:   map[string]context.CancelFunc{},
+		heardUs:   map[string]int64{},
+	}
 	var store consensus.Store = &consensus.MemoryStore{}
 	if set.DataDir != "" {
 		if d.disk, err = consensus.NewDiskStore(filepath.Join(set.DataDir, "ledger")); err != nil {
@@ -135,18 +156,8 @@
 	}
 	d.Reload(set)
 	d.feed.init(clock())
-	d.roles, d.rollouts = newRoleManager(d), newRolloutManager(d)
-	d.roles.tasks = []task{d.rollouts, newServiceRollouts(d)}
 	d.timeOfDay.SetVotes()
-	d.timeOfDay.Observe(time.Now().UnixMicro(), clock())
-	if scalingWanted(set) {
-		d.scaler = newScaler(d)
-		d.roles.tasks = append(d.roles.tasks, d.scaler)
-	}
-	if usageWanted(set) {
-		d.usage = newUsageReporter(d)
-		d.roles.tasks = append(d.roles.tasks, d.usage)
-	}
+	d.timeOfDay.Observe(time.Now().UnixMicro(), d.clock())
 	d.syncRunners()
 	d.publisher = dissemination.NewPublisher(trans, dissemination.Upstream{DeltaSince: d.deltaSince, ApplyReport: d.applyReport, Unsubscribed: d.removeSender})
 	d.registers, err = consensus.Open(set.ControllerAddr(), transport.KindConsensus, set.Bootstrap, set.SeedAddrs(), contactCaller{trans, &d.contact, clock}, store, log, d.learned)
@@ -157,6 +168,9 @@
 	d.handOver = defaultHandOverTimes
 	self := messages.Peer{Addr: set.ControllerAddr(), Role: messages.Controller, Zone: set.Zone, MemberID: d.registers.ID(), Control: set.Listen.Control, Node: set.Node, Counted: set.Counted}
 	d.monitor = membership.NewMonitor(trans, self, clock, d.knownControllers)
+	if err := d.newSingletons(); err != nil {
+		return nil, err
+	}
 	if d.quotas, err = d.newQuotaOwner(); err != nil {
 		return nil, err
 	}
@@ -185,8 +199,8 @@
 	})
 	trans.OnCall(transport.KindDraining, d.handleDrain)
 	if d.usage != nil {
-		trans.OnCall(transport.KindUsageRows, d.usage.receiveRows)
-		trans.OnCall(transport.KindUsageQuery, d.usage.answerQuery)
+		trans.OnCall(transport.KindUsageRows, d.usage.ReceiveRows)
+		trans.OnCall(transport.KindUsageQuery, d.usage.AnswerQuery)
 	}
 	trans.OnCall(transport.KindQuotaClaim, d.quotas.HandleClaim)
 	trans.OnCall(transport.KindQuotaAsk, d.quotas.HandleAsk)
@@ -233,12 +247,12 @@
 	go loop.Every(live, 500*time.Millisecond, func() { d.sweep() })
 	go loop.Every(live, heartbeatPause, d.forwardHeartbeats)
 	go loop.Every(live, 500*time.Millisecond, func() { d.wantReaders(live) })
-	go loop.Every(live, rolePeriod, func() {
+	go loop.Every(live, singleton.Period, func() {
 		d.timeOfDay.Observe(time.Now().UnixMicro(), d.clock())
-		d.roles.step(live)
+		d.tasks.Step(live)
 	})
 	if d.usage != nil {
-		go loop.Every(live, keepUsagePeriod, d.usage.keep)
+		go d.usage.Run(live)
 	}
 	counting, endCounting := context.WithCancel(live)
 	defer endCounting()
@@ -327,14 +341,14 @@
 // learnedRole takes what a register with a lease has. Routers need no closed windows, so
 // these do not go along.
 func (d *Controller) learnedRole(p int, v messages.Value) {
-	body, err := leaseBody(v)
+	body, err := messages.DecodeLeaseBody(v)
 	if err != nil {
 		d.log.Error(err, "a committed register cannot be read", "part", p)
 		return
 	}
 	d.targets.committed(body.Targets, d.starting(), d.clock())
 	if d.usage != nil {
-		d.usage.closed(body.Usage.Next)
+		d.usage.Closed(body.Usage.Next)
 	}
 	body.Usage.Pending = nil
 	published, err := body.MarshalMsg(nil)
@@ -369,8 +383,3 @@
 	d.cachedMu.Unlock()
 	d.connPool.Sweep(func(string) bool { return true })
 }
-
-func addrOf(id string) string {
-	addr, _, _ := strings.Cut(id, "/")
-	return addr
-}
--- a/internal/controller/counters.go
+++ b/internal/controller/counters.go
@@ -18,10 +18,6 @@
 	calls         [callCount]callCounter
 	publishes     histogram.Durations // from when a configuration was known to be committed to when it was in force here
 	subscriptions dissemination.SubscriptionCounts
-
-	platform      [platformAnswers]atomic.Int64 // calls to the platform, by outcome
-	closedWindows atomic.Int64                  // windows of usage that were closed here
-	lateUsage     atomic.Int64                  // rows of usage that came after their window was closed
 }
 
 // callKind is a call of a runner or of the operator.
--- a/internal/controller/evacuation.go
+++ b/internal/controller/evacuation.go
@@ -12,6 +12,7 @@
 	"github.com/pkg/errors"
 
 	"beechtide.org/beechtide/internal/consensus"
+	"beechtide.org/beechtide/internal/controller/singleton"
 	"beechtide.org/beechtide/internal/messages"
 )
 
@@ -39,7 +40,7 @@
 	_, err := d.changeRegister(ctx, consensus.PartOf(zone), func(cur messages.Value) ([]messages.Member, []byte, error) {
 		return evacuateZone(cur, zone, evacuated)
 	})
-	if err != nil && !errors.Is(err, errNoChange) {
+	if err != nil && !errors.Is(err, consensus.ErrNoChange) {
 		reject(c, 503, "", err.Error())
 		return
 	}
@@ -59,13 +60,13 @@
 
 // evacuateZone records whether a zone is evacuated.
 func evacuateZone(cur messages.Value, zone string, evacuated bool) ([]messages.Member, []byte, error) {
-	body, err := leaseBody(cur)
+	body, err := messages.DecodeLeaseBody(cur)
 	if err != nil {
 		return nil, nil, err
 	}
 	i := slices.IndexFunc(body.Evacuations, func(e messages.Evacuation) bool { return e.Zone == zone })
 	if i < 0 && !evacuated || i >= 0 && body.Evacuations[i].Evacuated == evacuated {
-		return nil, nil, errNoChange
+		return nil, nil, consensus.ErrNoChange
 	}
 	if i < 0 {
 		body.Evacuations = append(body.Evacuations, messages.Evacuation{Zone: zone})
@@ -80,7 +81,7 @@
 // evacuatedZones lists the zones that are evacuated as far as this controller knows.
 func (d *Controller) evacuatedZones() []string {
 	var zones []string
-	d.rollouts.committedBodies(func(_ int, body messages.LeaseBody) {
+	singleton.CommittedBodies(d.registers, func(_ int, body messages.LeaseBody) {
 		for _, e := range body.Evacuations {
 			if e.Evacuated {
 				zones = append(zones, e.Zone)
--- a/internal/controller/metrics.go
+++ b/internal/controller/metrics.go
@@ -93,8 +93,8 @@
 func (d *Controller) platformMetrics() []prometheus.Collector {
 	collectors := []prometheus.Collector{
 		metrics.Counter("beechtide_platform_calls_total", "Calls to the platform that this controller made as the holder of a lease, by outcome.", []string{"outcome"}, func(emit metrics.Emit) {
-			for answer, name := range platformAnswerNames {
-				emit(float64(d.counters.platform[answer].Load()), name)
+			for outcome, count := range d.platform.Answers() {
+				emit(float64(count), outcome)
 			}
 		}),
 		metrics.Gauge("beechtide_duty_fence", "Fencing token of the lease of each duty at the platform, where this controller holds it.", []string{"duty"}, func(emit metrics.Emit) {
@@ -105,7 +105,10 @@
 			}
 		}),
 		metrics.Gauge("beechtide_runners_in_zone", "Runners of each service and zone that are present, ordered, and that the requests would keep busy all the time, at the controller that orders them.", []string{"service", "zone", "of"}, func(emit metrics.Emit) {
-			for _, c := range d.scalingConditions() {
+			if d.scaler == nil {
+				return
+			}
+			for _, c := range d.scaler.Conditions() {
 				emit(float64(c.Present), c.Service, c.Zone, "present")
 				emit(float64(c.Ordered), c.Service, c.Zone, "ordered")
 				emit(c.Demand, c.Service, c.Zone, "demand")
@@ -117,13 +120,13 @@
 	}
 	return append(collectors,
 		metrics.Counter("beechtide_usage_windows_closed_total", "Windows of usage whose counts were agreed on by this controller.", nil, func(emit metrics.Emit) {
-			emit(float64(d.counters.closedWindows.Load()))
+			emit(float64(d.usage.ClosedWindows()))
 		}),
 		metrics.Counter("beechtide_usage_late_rows_total", "Counts of routers that came after their window was closed, and changed nothing.", nil, func(emit metrics.Emit) {
-			emit(float64(d.counters.lateUsage.Load()))
+			emit(float64(d.usage.LateRows()))
 		}),
 		metrics.Gauge("beechtide_usage_unreported_seconds", "Time since the end of the oldest window that the platform may not have; 0 if there is none.", nil, func(emit metrics.Emit) {
-			emit(d.usage.unreported().Seconds())
+			emit(d.usage.Unreported().Seconds())
 		}),
 	)
 }
--- /dev/null
+++ b/internal/controller/quotaowner/service_test.go
@@ -0,0 +1,84 @@
+package quotaowner
+
+import (
+	"context"
+	"testing"
+
+	"github.com/go-logr/logr"
+	"github.com/pkg/errors"
+	"github.com/shoenig/test/must"
+	"github.com/tinylib/msgp/msgp"
+
+	"beechtide.org/beechtide/internal/messages"
+	"beechtide.org/beechtide/internal/quota"
+)
+
+// noPeers reach nobody.
+type noPeers struct{}
+
+var errCut = errors.New("cut")
+
+func (noPeers) Call(context.Context, string, int, msgp.Marshaler) ([]byte, error) { return nil, errCut }
+
+// alone returns a service of a group of one on a clock of the test.
+func alone(t *testing.T, nowUs *int64, limited *bool) *Service {
+	t.Helper()
+	s, err := New(Config{
+		Addr:    "a:1",
+		Bounds:  quota.NewBounds(0, 0, 0),
+		Clock:   func() int64 { return *nowUs },
+		Log:     logr.Discard(),
+		Peers:   noPeers{},
+		Group:   func() quota.Group { return quota.Group{Version: 1, Members: []string{"a:1"}} },
+		Limited: func() bool { return *limited },
+	})
+	must.NoError(t, err)
+	return s
+}
+
+func TestConfigIsChecked(t *testing.T) {
+	_, err := New(Config{Addr: "a:1"})
+	must.ErrorIs(t, err, ErrConfig)
+}
+
+func TestNothingIsOwnedWhereNoTenantHasALimit(t *testing.T) {
+	nowUs, limited := int64(1), false
+	s := alone(t, &nowUs, &limited)
+	nowUs += 2 * quota.LeaseUs
+	s.tick(t.Context())
+	must.Zero(t, s.Counts().OwnedShards)
+	limited = true
+	s.tick(t.Context())
+	must.Eq(t, quota.Shards, s.Counts().OwnedShards)
+}
+
+func TestQuestionsAreCounted(t *testing.T) {
+	nowUs, limited := int64(1), true
+	s := alone(t, &nowUs, &limited)
+	ask := messages.QuotaAsk{Tenant: "t1", Need: 1, Want: 1, RatePerS: 10, Burst: 10, Version: 1}
+	encoded, err := ask.MarshalMsg(nil)
+	must.NoError(t, err)
+	_, err = s.HandleAsk(t.Context(), nil, encoded)
+	must.NoError(t, err)
+	nowUs += 2 * quota.LeaseUs
+	s.tick(t.Context())
+	answer, err := s.HandleAsk(t.Context(), nil, encoded)
+	must.NoError(t, err)
+	var grant messages.QuotaGrant
+	_, err = grant.UnmarshalMsg(answer)
+	must.NoError(t, err)
+	must.True(t, grant.Owner)
+	must.Eq(t, Counts{OwnedShards: quota.Shards, Questions: 2, Referred: 1}, s.Counts())
+	must.Len(t, 1, s.Conditions())
+	s.Leave()
+	must.False(t, s.Owns(quota.ShardOf("t1")))
+}
+
+func TestMessageThatCannotBeReadIsAnError(t *testing.T) {
+	nowUs, limited := int64(1), true
+	s := alone(t, &nowUs, &limited)
+	_, err := s.HandleAsk(t.Context(), nil, []byte{0xc1})
+	must.Error(t, err)
+	_, err = s.HandleClaim(t.Context(), nil, []byte{0xc1})
+	must.Error(t, err)
+}
--- a/internal/controller/readers.go
+++ b/internal/controller/readers.go
@@ -7,7 +7,6 @@
 
 import (
 	"context"
-	"time"
 
 	"beechtide.org/beechtide/internal/consensus"
 	"beechtide.org/beechtide/internal/membership"
@@ -16,9 +15,6 @@
 	"beechtide.org/beechtide/internal/statesync"
 )
 
-// readTimeout bounds one call of a reader.
-const readTimeout = 2 * time.Second
-
 // readersStartAfterUs is how long a controller that has just started leaves the runners
 // to the others: it goes on from what they have read, without fetching lists.
 const readersStartAfterUs = 2_000_000
@@ -128,11 +124,3 @@
 	}
 	return best
 }
-
-// withTarget adds the id of the runner that a call is meant for; a store has none.
-func withTarget(n messages.RunnerRecord, headers map[string]string) map[string]string {
-	if n.Service != "" {
-		headers["Beechtide-Target-Instance"] = n.ID
-	}
-	return headers
-}
--- a/internal/controller/repair.go
+++ b/internal/controller/repair.go
@@ -190,10 +190,10 @@
 	defer cancel()
 	_, err := d.registers.Change(ctx, part, func(cur messages.Value) ([]messages.Member, []byte, error) {
 		if cur.Version != step.Version {
-			return nil, nil, errNoChange
+			return nil, nil, consensus.ErrNoChange
 		}
 		return step.Propose, cur.Body, nil
 	})
 	d.log.Info("group change", "part", part, "err", err)
-	return err == nil || errors.Is(err, errNoChange)
+	return err == nil || errors.Is(err, consensus.ErrNoChange)
 }
--- a/internal/controller/retired.go
+++ b/internal/controller/retired.go
@@ -22,7 +22,7 @@
 		if err != nil {
 			return err
 		}
-		body, err := leaseBody(v)
+		body, err := messages.DecodeLeaseBody(v)
 		if err != nil {
 			return err
 		}
--- /dev/null
+++ b/internal/controller/runnerapi/client.go
@@ -0,0 +1,107 @@
+// Package runnerapi calls the HTTP API of runners and stores, as the controllers use it: load
+// reports, orders, cache events and lists of cached prefixes (api/calls.yaml).
+package runnerapi
+
+import (
+	"context"
+	"encoding/json"
+	"net/http"
+	"strconv"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"beechtide.org/beechtide/internal/api"
+	"beechtide.org/beechtide/internal/messages"
+)
+
+const (
+	// readTimeout bounds one read.
+	readTimeout = 2 * time.Second
+	// orderTimeout is how long a runner may take to answer an order.
+	orderTimeout = 700 * time.Millisecond
+	// eventsWaitMs is how long a runner may hold back the answer while it has no events, in
+	// milliseconds.
+	eventsWaitMs = "1000"
+)
+
+// targetHeader names the runner that a call is meant for: its address may belong to another by
+// now.
+const targetHeader = "Beechtide-Target-Instance"
+
+// Errors of a call.
+var (
+	// ErrStatus means that the runner answered with another status than 200.
+	ErrStatus = errors.New("runnerapi: unexpected status")
+	// ErrNotSent means that an order did not go out.
+	ErrNotSent = errors.New("runnerapi: the order was not sent")
+)
+
+// Asker sends one HTTP request and reads the complete response (upstream.ConnPool).
+type Asker interface {
+	Ask(ctx context.Context, addr, method, path string, headers map[string]string, body []byte) (status int, response []byte, err error)
+}
+
+// Client calls runners. It is safe for concurrent use.
+type Client struct{ connections Asker }
+
+// New returns a client that uses these connections.
+func New(connections Asker) *Client { return &Client{connections: connections} }
+
+// Report returns the load report of a runner.
+func (c *Client) Report(ctx context.Context, runner messages.RunnerRecord) (api.Report, error) {
+	var report api.Report
+	err := c.read(ctx, runner, "/api/report", map[string]string{}, &report)
+	return report, err
+}
+
+// CacheEvents returns the cache events of a runner from version since on. The runner waits up to
+// a second for one.
+func (c *Client) CacheEvents(ctx context.Context, runner messages.RunnerRecord, since int64) (api.PrefixEvents, error) {
+	var events api.PrefixEvents
+	path := "/api/kv-events?since=" + strconv.FormatInt(since, 10)
+	err := c.read(ctx, runner, path, map[string]string{"Wait-Ms": eventsWaitMs}, &events)
+	return events, err
+}
+
+// CacheList returns all that a runner has cached. It delays the runner.
+func (c *Client) CacheList(ctx context.Context, runner messages.RunnerRecord) (api.PrefixList, error) {
+	var list api.PrefixList
+	err := c.read(ctx, runner, "/api/kv-list", map[string]string{}, &list)
+	return list, err
+}
+
+func (c *Client) read(ctx context.Context, runner messages.RunnerRecord, path string, headers map[string]string, into any) error {
+	ctx, cancel := context.WithTimeout(ctx, readTimeout)
+	defer cancel()
+	if runner.Service != "" { // a store has no instance
+		headers[targetHeader] = runner.ID
+	}
+	status, body, err := c.connections.Ask(ctx, runner.Addr, http.MethodGet, path, headers, nil)
+	switch {
+	case err != nil:
+		return errors.Wrapf(err, "runnerapi: read %s of %s", path, runner.ID)
+	case status != http.StatusOK:
+		return errors.Wrapf(ErrStatus, "%d to %s", status, path)
+	}
+	return errors.Wrapf(json.Unmarshal(body, into), "runnerapi: decode %s of %s", path, runner.ID)
+}
+
+// Order sends an order, if it may still go as it leaves: mayGo is asked then. The status is 0
+// where there was no answer; the error is or wraps ErrNotSent where the order did not go out.
+func (c *Client) Order(ctx context.Context, runner messages.RunnerRecord, order api.Order, mayGo func() bool) (status int, err error) {
+	body, err := json.Marshal(order)
+	if err != nil {
+		return 0, errors.Wrap(ErrNotSent, err.Error())
+	}
+	ctx, cancel := context.WithTimeout(ctx, orderTimeout)
+	defer cancel()
+	if !mayGo() {
+		return 0, ErrNotSent
+	}
+	status, _, err = c.connections.Ask(ctx, runner.Addr, http.MethodPost, "/api/order", map[string]string{targetHeader: runner.ID}, body)
+	if err != nil {
+		return 0, errors.Wrapf(err, "runnerapi: order to %s", runner.ID)
+	}
+	return status, nil
+}
--- a/internal/controller/scaling.go
+++ b/internal/controller/scaling/scaler.go
@@ -1,8 +1,7 @@
-// Scaling: the holder of a lease orders of the platform how many runners a service has in
-// each zone (package autoscale). An order is recorded in the register before the call
-// leaves, so that a successor repeats it as it was.
-
-package controller
+// Package scaling orders runners of the platform: the holder of a lease orders how many runners a
+// service has in each zone, as package autoscale decides. An order is recorded in the register
+// before the call leaves, so that a successor repeats it as it was.
+package scaling
 
 import (
 	"cmp"
@@ -12,41 +11,87 @@
 	"slices"
 	"sync"
 
+	"github.com/go-logr/logr"
+	"github.com/pkg/errors"
+
 	"beechtide.org/beechtide/internal/admission"
 	"beechtide.org/beechtide/internal/api"
 	"beechtide.org/beechtide/internal/autoscale"
 	"beechtide.org/beechtide/internal/consensus"
+	"beechtide.org/beechtide/internal/controller/platform"
+	"beechtide.org/beechtide/internal/controller/singleton"
 	"beechtide.org/beechtide/internal/lease"
 	"beechtide.org/beechtide/internal/messages"
-	"beechtide.org/beechtide/internal/settings"
+	"beechtide.org/beechtide/internal/registry"
+	"beechtide.org/beechtide/internal/routeconfig"
+	"beechtide.org/beechtide/internal/statesync"
 )
 
-// scalingDuty is the name of the duty in the settings.
-const scalingDuty = "scaling"
+// Duty is the name of the duty in the settings.
+const Duty = "scaling"
 
-// scalingPart is the register with the lease and the orders.
-var scalingPart = consensus.PartOf("platform/scaling")
+// Part is the register with the lease and the orders.
+var Part = consensus.PartOf("platform/scaling")
 
 // Times of scaling, in microseconds.
 const (
-	scalingPeriodUs = 500_000
+	planIntervalUs = 500_000
 	// loadsCurrentUs is how old the newest sum of loads may be.
 	loadsCurrentUs = 2_000_000
 	// steadyUs is for how long the core has not changed when runners are removed.
 	steadyUs = 5_000_000
 	// The pause after a call that failed is random between these.
-	scalingLeastPauseUs = 500_000
-	scalingMostPauseUs  = 2_000_000
+	minRetryPauseUs = 500_000
+	maxRetryPauseUs = 2_000_000
 )
 
-// scalingWanted tells whether the platform takes orders of runners.
-func scalingWanted(set settings.Settings) bool {
-	return set.Cloud.Address != "" && slices.Contains(set.Cloud.Duties, scalingDuty)
+// Leases change a register under its lease (singleton.Leases).
+type Leases interface {
+	Change(ctx context.Context, part int, was messages.Lease, edit func(body *messages.LeaseBody) bool) (messages.LeaseBody, error)
+}
+
+// Platform calls the platform's API (platform.Client).
+type Platform interface {
+	Call(ctx context.Context, part int, grant lease.Grant, path string, content any) platform.Answer
 }
 
-// scaler is safe for concurrent use.
-type scaler struct {
-	controller *Controller
+// Config is what a Scaler is given. All fields are required.
+type Config struct {
+	// Self is the identity of this member in the registers.
+	Self     string
+	Clock    func() int64 // microseconds, monotonic
+	Log      logr.Logger
+	Leases   Leases
+	Platform Platform
+	// Table returns the configuration in force, nil where there is none yet.
+	Table func() *routeconfig.Table
+	// Runners returns the known runners.
+	Runners func() *registry.Snapshot
+	// ReadLoads calls read with the sum of the loads of all routers, which must not be kept.
+	ReadLoads func(read func(loads *statesync.Loads))
+	// InContact reports whether this controller has contact with a majority of the core.
+	InContact func() bool
+	// StableForUs returns for how long the core has not changed, in microseconds.
+	StableForUs func() int64
+	// RolloutUnfinished reports whether runners are still to be brought to named weights.
+	RolloutUnfinished func() bool
+}
+
+// ErrConfig means that a field of a Config is missing.
+var ErrConfig = errors.New("scaling: incomplete configuration")
+
+func (c *Config) check() error {
+	complete := c.Self != "" && c.Clock != nil && c.Leases != nil && c.Platform != nil && c.Table != nil && c.Runners != nil &&
+		c.ReadLoads != nil && c.InContact != nil && c.StableForUs != nil && c.RolloutUnfinished != nil
+	if !complete {
+		return ErrConfig
+	}
+	return nil
+}
+
+// Scaler is safe for concurrent use.
+type Scaler struct {
+	config Config
 
 	mu      sync.Mutex // guards what follows
 	plan    *autoscale.Plan
@@ -61,54 +106,57 @@
 	loadsUs      int64
 }
 
-func newScaler(d *Controller) *scaler {
-	s := &scaler{controller: d}
+// New returns a scaler that has ordered nothing.
+func New(config Config) (*Scaler, error) {
+	if err := config.check(); err != nil {
+		return nil, err
+	}
+	s := &Scaler{config: config}
 	s.reset()
-	return s
+	return s, nil
 }
 
 // reset forgets what only the holder of the lease goes by.
-func (s *scaler) reset() {
+func (s *Scaler) reset() {
 	s.plan, s.seen = autoscale.NewPlan(autoscale.Defaults), autoscale.View{}
 	s.decided, s.sent = map[autoscale.Key]autoscale.Order{}, map[autoscale.Key]messages.Setpoint{}
 }
 
-// prepare is part of task.
-func (s *scaler) prepare(part int, body messages.LeaseBody) (job, bool) {
-	if part != scalingPart {
-		return job{}, false
+// Prepare is part of singleton.Task.
+func (s *Scaler) Prepare(part int, body messages.LeaseBody) (singleton.Job, bool) {
+	if part != Part {
+		return singleton.Job{}, false
 	}
-	d := s.controller
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if body.Lease.Holder != "" && body.Lease.Holder != d.registers.ID() {
+	if body.Lease.Holder != "" && body.Lease.Holder != s.config.Self {
 		if len(s.decided)+len(s.sent) > 0 {
 			s.reset()
 		}
-		return job{run: func(context.Context, lease.Grant) {}}, true
+		return singleton.Job{Run: func(context.Context, lease.Grant) {}}, true
 	}
 	s.decide(body)
 	record, order := s.due(body)
-	needed := !s.working && d.clock() >= s.nextUs && len(record)+len(order) > 0
+	needed := !s.working && s.config.Clock() >= s.nextUs && len(record)+len(order) > 0
 	run := func(ctx context.Context, grant lease.Grant) {
 		if needed && grant.MayAct {
 			s.begin(ctx, grant, body.Lease, record, order)
 		}
 	}
-	return job{needed: needed, run: run}, true
+	return singleton.Job{Needed: needed, Run: run}, true
 }
 
 // decide asks the plan for orders.
-func (s *scaler) decide(body messages.LeaseBody) {
-	nowUs := s.controller.clock()
-	if nowUs-s.planUs < scalingPeriodUs {
+func (s *Scaler) decide(body messages.LeaseBody) {
+	nowUs := s.config.Clock()
+	if nowUs-s.planUs < planIntervalUs {
 		return
 	}
 	s.planUs = nowUs
 	s.seen = s.view(body, nowUs)
 	for _, order := range s.plan.Step(s.seen) {
 		s.decided[keyOf(order.Setpoint)] = order
-		s.controller.log.Info("runners wanted", "service", order.Service, "zone", order.Zone, "runners", order.Desired, "reason", string(order.Reason))
+		s.config.Log.Info("runners wanted", "service", order.Service, "zone", order.Zone, "runners", order.Desired, "reason", string(order.Reason))
 	}
 }
 
@@ -117,18 +165,17 @@
 }
 
 // view is what the plan goes by: the runners that are ready, and the sum of loads.
-func (s *scaler) view(body messages.LeaseBody, nowUs int64) autoscale.View {
-	d := s.controller
-	known := s.loadsKnown(nowUs) && d.inContact()
-	stable := d.stability.stableForUs(nowUs) >= steadyUs
-	view := autoscale.View{NowUs: nowUs, Known: known, Steady: stable && !d.rollouts.unfinished()}
-	table := d.table.Load()
+func (s *Scaler) view(body messages.LeaseBody, nowUs int64) autoscale.View {
+	known := s.loadsKnown(nowUs) && s.config.InContact()
+	stable := s.config.StableForUs() >= steadyUs
+	view := autoscale.View{NowUs: nowUs, Known: known, Steady: stable && !s.config.RolloutUnfinished()}
+	table := s.config.Table()
 	if table == nil {
 		return view
 	}
-	for name, records := range d.registry.Snapshot().ByService {
+	for name, records := range s.config.Runners().ByService {
 		service := table.Service(name)
-		if service == nil || !d.scales(name) {
+		if service == nil || !s.scales(name) {
 			continue
 		}
 		view.Services = append(view.Services, s.service(service, records, body.Setpoints))
@@ -139,11 +186,9 @@
 
 // loadsKnown reports whether the sum of loads has changed a short while ago, and was
 // ever more than nothing.
-func (s *scaler) loadsKnown(nowUs int64) bool {
-	f := &s.controller.feed
-	f.mu.Lock()
-	version := f.aggregate.Total.Version
-	f.mu.Unlock()
+func (s *Scaler) loadsKnown(nowUs int64) bool {
+	version := int64(0)
+	s.config.ReadLoads(func(loads *statesync.Loads) { version = loads.Version })
 	if version != s.loadsVersion {
 		s.loadsVersion, s.loadsUs = version, nowUs
 	}
@@ -151,7 +196,7 @@
 }
 
 // service is one service of the view.
-func (s *scaler) service(service *api.Service, records []messages.RunnerRecord, ordered []messages.Setpoint) autoscale.Service {
+func (s *Scaler) service(service *api.Service, records []messages.RunnerRecord, ordered []messages.Setpoint) autoscale.Service {
 	out := autoscale.Service{Name: service.Name, Floor: service.Scaling.Floor, Ceiling: service.Scaling.Ceiling, BootUs: int64(service.Scaling.BootS * 1e6)}
 	zones := map[string]*autoscale.Zone{}
 	zone := func(name string) *autoscale.Zone {
@@ -165,17 +210,16 @@
 			zone(order.Zone).Ordered = order.Desired
 		}
 	}
-	f := &s.controller.feed
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	for _, record := range records {
-		at := zone(record.Zone)
-		if !record.Draining && !record.Stale && !record.Lost {
-			at.Present++
+	s.config.ReadLoads(func(loads *statesync.Loads) {
+		for _, record := range records {
+			at := zone(record.Zone)
+			if !record.Draining && !record.Stale && !record.Lost {
+				at.Present++
+			}
+			load, _ := loads.Get(record.ID)
+			at.Demand += busy(load, record, service.Engine)
 		}
-		load, _ := f.aggregate.Total.Get(record.ID)
-		at.Demand += busy(load, record, service.Engine)
-	}
+	})
 	for _, name := range slices.Sorted(maps.Keys(zones)) {
 		out.Zones = append(out.Zones, *zones[name])
 	}
@@ -192,11 +236,11 @@
 }
 
 // due returns the orders that are to be recorded, and those that are to be sent.
-func (s *scaler) due(body messages.LeaseBody) (record, send []messages.Setpoint) {
+func (s *Scaler) due(body messages.LeaseBody) (record, send []messages.Setpoint) {
 	recorded := map[autoscale.Key]messages.Setpoint{}
 	for _, order := range body.Setpoints {
 		recorded[keyOf(order)] = order
-		if s.sent[keyOf(order)] != order && s.controller.scales(order.Service) {
+		if s.sent[keyOf(order)] != order && s.scales(order.Service) {
 			send = append(send, order)
 		}
 	}
@@ -210,17 +254,17 @@
 
 // scales reports whether the number of a service's runners is ordered, by the
 // configuration in force.
-func (d *Controller) scales(service string) bool {
-	table := d.table.Load()
+func (s *Scaler) scales(service string) bool {
+	table := s.config.Table()
 	if table == nil {
 		return false
 	}
-	s := table.Service(service)
-	return s != nil && s.Scaling.Ceiling > 0
+	configured := table.Service(service)
+	return configured != nil && configured.Scaling.Ceiling > 0
 }
 
 // begin records orders, or sends those that are recorded, one after the other.
-func (s *scaler) begin(ctx context.Context, grant lease.Grant, held messages.Lease, record, send []messages.Setpoint) {
+func (s *Scaler) begin(ctx context.Context, grant lease.Grant, held messages.Lease, record, send []messages.Setpoint) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if s.working {
@@ -238,14 +282,14 @@
 		defer s.mu.Unlock()
 		s.working = false
 		if !ok {
-			s.nextUs = s.controller.clock() + scalingLeastPauseUs + rand.Int64N(scalingMostPauseUs-scalingLeastPauseUs)
+			s.nextUs = s.config.Clock() + minRetryPauseUs + rand.Int64N(maxRetryPauseUs-minRetryPauseUs)
 		}
 	}()
 }
 
 // record puts orders into the register.
-func (s *scaler) record(ctx context.Context, held messages.Lease, orders []messages.Setpoint) bool {
-	_, err := s.controller.roles.change(ctx, scalingPart, held, func(body *messages.LeaseBody) bool {
+func (s *Scaler) record(ctx context.Context, held messages.Lease, orders []messages.Setpoint) bool {
+	_, err := s.config.Leases.Change(ctx, Part, held, func(body *messages.LeaseBody) bool {
 		body.Setpoints = slices.Clone(body.Setpoints)
 		for _, order := range orders {
 			i := slices.IndexFunc(body.Setpoints, func(was messages.Setpoint) bool { return keyOf(was) == keyOf(order) })
@@ -261,9 +305,9 @@
 }
 
 // send tells the platform an order that is recorded.
-func (s *scaler) send(ctx context.Context, grant lease.Grant, order messages.Setpoint) bool {
+func (s *Scaler) send(ctx context.Context, grant lease.Grant, order messages.Setpoint) bool {
 	content := api.SetpointOrder{Service: order.Service, Zone: order.Zone, Desired: order.Desired}
-	if s.controller.callPlatform(ctx, scalingPart, grant, "/setpoint", content) != platformAccepted {
+	if s.config.Platform.Call(ctx, Part, grant, "/setpoint", content) != platform.Accepted {
 		return false
 	}
 	s.mu.Lock()
@@ -272,20 +316,23 @@
 	return true
 }
 
-// scalingConditions are the runners of the services that this controller orders as the
+// Conditions returns the runners of the services that this controller orders as the
 // holder of the lease, for the doctor.
-func (d *Controller) scalingConditions() []messages.ScalingCondition {
-	if d.scaler == nil {
-		return nil
-	}
-	s := d.scaler
+func (s *Scaler) Conditions() []messages.ScalingCondition {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	var out []messages.ScalingCondition
 	for _, service := range s.seen.Services {
-		for _, z := range service.Zones {
-			reason := s.decided[autoscale.Key{Service: service.Name, Zone: z.Name}].Reason
-			out = append(out, messages.ScalingCondition{Service: service.Name, Zone: z.Name, Present: z.Present, Ordered: z.Ordered, Demand: z.Demand, Reason: string(reason)})
+		for _, zone := range service.Zones {
+			reason := s.decided[autoscale.Key{Service: service.Name, Zone: zone.Name}].Reason
+			out = append(out, messages.ScalingCondition{
+				Service: service.Name,
+				Zone:    zone.Name,
+				Present: zone.Present,
+				Ordered: zone.Ordered,
+				Demand:  zone.Demand,
+				Reason:  string(reason),
+			})
 		}
 	}
 	return out
--- /dev/null
+++ b/internal/controller/servicerollout/driver_test.go
@@ -0,0 +1,79 @@
+package servicerollout
+
+import (
+	"context"
+	"testing"
+
+	"github.com/go-logr/logr"
+	"github.com/shoenig/test/must"
+
+	"beechtide.org/beechtide/internal/canary"
+	"beechtide.org/beechtide/internal/lease"
+	"beechtide.org/beechtide/internal/messages"
+	"beechtide.org/beechtide/internal/registry"
+	"beechtide.org/beechtide/internal/statesync"
+)
+
+// fakeLeases pass on the bodies that they are asked to change.
+type fakeLeases struct{ changed chan messages.LeaseBody }
+
+func (f fakeLeases) Change(_ context.Context, _ int, _ messages.Lease, edit func(*messages.LeaseBody) bool) (messages.LeaseBody, error) {
+	body := messages.LeaseBody{Rollouts: []messages.ServiceRollout{running}}
+	edit(&body)
+	f.changed <- body
+	return body, nil
+}
+
+const testPart = 3
+
+// running is a rollout whose version is tried.
+var running = messages.ServiceRollout{Service: "s", Number: 1, Target: "v2", BegunAtUs: 1, OverUs: 60_000_000}
+
+// newTestDriver returns a driver of a service whose new version has so many bad answers of 40.
+func newTestDriver(t *testing.T, leases Leases, bad int) *Driver {
+	t.Helper()
+	loads := statesync.NewLoads()
+	loads.Begin(1, 0)
+	key := func(side canary.Side) canary.Key {
+		return canary.Key{Service: "s", Number: 1, Side: side, Comparison: canary.AllRequests}
+	}
+	for _, load := range []messages.RunnerLoad{
+		key(canary.NewSide).Load(canary.Outcome{Answers: 40, Bad: bad}),
+		key(canary.OtherSide).Load(canary.Outcome{Answers: 900, Bad: 3}),
+	} {
+		loads.Put(load.ID, load)
+	}
+	d, err := New(Config{
+		Bounds:    canary.Bounds{Exposure: 0.1, Slack: 50},
+		Log:       logr.Discard(),
+		Leases:    leases,
+		TimeOfDay: func() (int64, bool) { return 5_000_000, true },
+		Runners:   func() *registry.Snapshot { return registry.New().Snapshot() },
+		ReadLoads: func(read func(*statesync.Loads)) { read(loads) },
+	})
+	must.NoError(t, err)
+	return d
+}
+
+func TestConfigIsChecked(t *testing.T) {
+	_, err := New(Config{})
+	must.ErrorIs(t, err, ErrConfig)
+}
+
+func TestVersionThatFailsIsRevertedUnderTheLease(t *testing.T) {
+	leases := fakeLeases{changed: make(chan messages.LeaseBody, 1)}
+	d := newTestDriver(t, leases, 20)
+	job, ok := d.Prepare(testPart, messages.LeaseBody{Rollouts: []messages.ServiceRollout{running}})
+	must.True(t, ok)
+	must.True(t, job.Needed)
+	job.Run(t.Context(), lease.Grant{Fence: 1, MayAct: true})
+	must.Eq(t, int(canary.Reverted), (<-leases.changed).Rollouts[0].Stage)
+}
+
+func TestStepIsNotTakenWithoutTheLease(t *testing.T) {
+	d := newTestDriver(t, fakeLeases{}, 20)
+	job, ok := d.Prepare(testPart, messages.LeaseBody{Rollouts: []messages.ServiceRollout{running}})
+	must.True(t, ok)
+	job.Run(t.Context(), lease.Grant{})
+	must.MapEmpty(t, d.busy)
+}
--- a/internal/controller/targets.go
+++ b/internal/controller/targets.go
@@ -66,15 +66,15 @@
 	return n.table.Newest(model)
 }
 
-// models names the models of which a version was named.
-func (n *namedTargets) models() []string {
+// Models names the models of which a version was named.
+func (n *namedTargets) Models() []string {
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	return n.table.Models()
 }
 
-// namings are the versions of a model for the plan of its roll-out.
-func (n *namedTargets) namings(model string, boundUs, nowUs int64) []rollout.Naming {
+// Namings are the versions of a model for the plan of its roll-out.
+func (n *namedTargets) Namings(model string, boundUs, nowUs int64) []rollout.Naming {
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	return rollout.NamingsOf(&n.table, model, boundUs, nowUs)
--- /dev/null
+++ b/internal/controller/usagereport/reporter.go
@@ -0,0 +1,345 @@
+// Package usagereport reports the usage of the platform's windows: every controller collects the
+// counts of routers, and the holder of the lease closes and reports the windows, as package usage
+// decides.
+package usagereport
+
+import (
+	"context"
+	"math/rand/v2"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/go-logr/logr"
+	"github.com/pkg/errors"
+	"github.com/tinylib/msgp/msgp"
+
+	"beechtide.org/beechtide/internal/api"
+	"beechtide.org/beechtide/internal/consensus"
+	"beechtide.org/beechtide/internal/controller/platform"
+	"beechtide.org/beechtide/internal/controller/singleton"
+	"beechtide.org/beechtide/internal/lease"
+	"beechtide.org/beechtide/internal/loop"
+	"beechtide.org/beechtide/internal/messages"
+	"beechtide.org/beechtide/internal/transport"
+	"beechtide.org/beechtide/internal/usage"
+)
+
+// Duty is the name of the duty in the settings.
+const Duty = "metering"
+
+// Part is the register with the lease and the ledger of usage.
+var Part = consensus.PartOf("platform/usage")
+
+// Periods and waits of collecting.
+const (
+	savePeriod   = time.Second
+	queryTimeout = 700 * time.Millisecond
+	// rowsFile names the copy of the rows on disk.
+	rowsFile = "usage"
+	// allWindows is a bound above every window.
+	allWindows = int64(1) << 62
+	// maxEpoch bounds the number that names this process to routers, so that it is exact in
+	// every reader's number type.
+	maxEpoch = int64(1) << 53
+)
+
+// Caller sends a request to another node and returns the body of its response.
+type Caller interface {
+	Call(ctx context.Context, addr string, kind int, body msgp.Marshaler) ([]byte, error)
+}
+
+// Leases change a register under its lease (singleton.Leases).
+type Leases interface {
+	Change(ctx context.Context, part int, was messages.Lease, edit func(body *messages.LeaseBody) bool) (messages.LeaseBody, error)
+}
+
+// Platform calls the platform's API (platform.Client).
+type Platform interface {
+	Call(ctx context.Context, part int, grant lease.Grant, path string, content any) platform.Answer
+}
+
+// Config is what a Reporter is given. All fields but Notes are required.
+type Config struct {
+	// WindowUs is the length of a window, in microseconds.
+	WindowUs  int64
+	Clock     func() int64 // microseconds, monotonic
+	Log       logr.Logger
+	Registers singleton.Registers
+	Leases    Leases
+	Platform  Platform
+	Transport Caller
+	// Peers returns the addresses of the other controllers that are alive.
+	Peers func() []string
+	// TimeUs returns the fleet's time of day in microseconds, 0 where it is not known.
+	TimeUs func() int64
+	// Notes keep a copy of the rows; nil on a machine without a disk.
+	Notes singleton.Notes
+}
+
+// ErrConfig means that a field of a Config is missing.
+var ErrConfig = errors.New("usagereport: incomplete configuration")
+
+func (c *Config) check() error {
+	complete := c.WindowUs > 0 && c.Clock != nil && c.Registers != nil && c.Leases != nil && c.Platform != nil &&
+		c.Transport != nil && c.Peers != nil && c.TimeUs != nil
+	if !complete {
+		return ErrConfig
+	}
+	return nil
+}
+
+// Reporter is safe for concurrent use.
+type Reporter struct {
+	config  Config
+	epoch   int64 // names this process to routers
+	startUs int64
+
+	closedWindows atomic.Int64
+	lateRows      atomic.Int64
+
+	mu        sync.Mutex // guards what follows
+	collector *usage.Collector
+	plan      *usage.Plan
+	changed   bool // rows have come since the last copy on disk
+}
+
+// New returns a reporter with the rows that an earlier process has saved, which count as rows
+// that come twice.
+func New(config Config) (*Reporter, error) {
+	if err := config.check(); err != nil {
+		return nil, err
+	}
+	r := &Reporter{
+		config:    config,
+		epoch:     1 + rand.Int64N(maxEpoch),
+		startUs:   config.Clock(),
+		collector: usage.NewCollector(),
+		plan:      usage.NewPlan(usage.Config{LengthUs: config.WindowUs, Jitter: rand.Float64}),
+	}
+	r.restore()
+	return r, nil
+}
+
+// restore reads the copy of an earlier process. One that is missing or damaged is none.
+func (r *Reporter) restore() {
+	if r.config.Notes == nil {
+		return
+	}
+	encoded, ok := r.config.Notes.Note(rowsFile)
+	if !ok {
+		return
+	}
+	var rows messages.UsageRows
+	if _, err := rows.UnmarshalMsg(encoded); err == nil {
+		r.collector.Merge(rows.Rows)
+	}
+}
+
+// Run saves the rows until ctx ends.
+func (r *Reporter) Run(ctx context.Context) { loop.Every(ctx, savePeriod, r.Save) }
+
+// Save writes the rows to disk if there are new ones, so that they outlive a loss of power
+// at all controllers and routers.
+func (r *Reporter) Save() {
+	r.mu.Lock()
+	due := r.changed && r.config.Notes != nil
+	r.changed = false
+	var rows messages.UsageRows
+	if due {
+		rows.Rows = r.collector.Rows(0, allWindows)
+	}
+	r.mu.Unlock()
+	if !due {
+		return
+	}
+	encoded, err := rows.MarshalMsg(nil)
+	if err == nil {
+		err = r.config.Notes.Keep(rowsFile, encoded)
+	}
+	if err != nil {
+		r.config.Log.Info("usage not saved", "err", err)
+	}
+}
+
+// ReceiveRows takes the counts of a router.
+func (r *Reporter) ReceiveRows(_ context.Context, _ *transport.Conn, body []byte) ([]byte, error) {
+	var rows messages.UsageRows
+	if _, err := rows.UnmarshalMsg(body); err != nil {
+		return nil, err
+	}
+	r.Merge(rows.Rows)
+	ack := messages.UsageAck{Epoch: r.epoch}
+	return ack.MarshalMsg(nil)
+}
+
+// Merge takes rows in.
+func (r *Reporter) Merge(rows []messages.UsageRow) {
+	if len(rows) == 0 {
+		return
+	}
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	late := r.collector.Merge(rows)
+	r.changed = r.changed || late < len(rows)
+	r.lateRows.Add(int64(late))
+}
+
+// AnswerQuery returns the rows of some windows to the holder.
+func (r *Reporter) AnswerQuery(_ context.Context, _ *transport.Conn, body []byte) ([]byte, error) {
+	var query messages.UsageQuery
+	if _, err := query.UnmarshalMsg(body); err != nil {
+		return nil, err
+	}
+	r.mu.Lock()
+	rows := messages.UsageRows{Rows: r.collector.Rows(query.From, query.To), Refilling: r.refilling()}
+	r.mu.Unlock()
+	return rows.MarshalMsg(nil)
+}
+
+// refilling reports whether routers may not have repeated yet what an earlier process had.
+func (r *Reporter) refilling() bool {
+	return r.config.Clock()-r.startUs < usage.RefillUs
+}
+
+// Closed forgets the windows before the first one that is not closed.
+func (r *Reporter) Closed(next int64) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.collector.Closed(next)
+}
+
+// Prepare is part of singleton.Task.
+func (r *Reporter) Prepare(part int, body messages.LeaseBody) (singleton.Job, bool) {
+	if part != Part {
+		return singleton.Job{}, false
+	}
+	timeUs := r.config.TimeUs()
+	r.mu.Lock()
+	oldest, counted := r.collector.Oldest()
+	step := r.plan.Step(usage.View{NowUs: r.config.Clock(), TimeUs: timeUs, Ledger: body.Usage, Counted: counted, Oldest: oldest, IsHolder: body.Lease.Holder == r.config.Registers.ID()})
+	r.mu.Unlock()
+	run := func(ctx context.Context, grant lease.Grant) { r.work(ctx, grant, body, step) }
+	return singleton.Job{Needed: step.Needed(), Run: run}, true
+}
+
+// work begins what a step of the plan asks for.
+func (r *Reporter) work(ctx context.Context, grant lease.Grant, body messages.LeaseBody, step usage.Step) {
+	if !grant.MayAct {
+		return
+	}
+	if step.Close > 0 && !r.refilling() {
+		r.mu.Lock()
+		r.plan.Closing(step.Close, r.config.Clock())
+		r.mu.Unlock()
+		go r.close(ctx, body, step.Close)
+	}
+	if step.Report != nil {
+		r.mu.Lock()
+		r.plan.Reporting()
+		r.mu.Unlock()
+		go r.report(ctx, grant, *step.Report)
+	}
+}
+
+// close agrees on the counts of a window.
+func (r *Reporter) close(ctx context.Context, body messages.LeaseBody, window int64) {
+	done := false
+	defer func() {
+		r.mu.Lock()
+		defer r.mu.Unlock()
+		r.plan.Closed(done, r.config.Clock())
+	}()
+	complete := r.collect(ctx, messages.UsageQuery{From: body.Usage.Next, To: window})
+	timeUs := r.config.TimeUs()
+	r.mu.Lock()
+	mayClose := complete || r.plan.MayClose(window, timeUs, r.config.Clock())
+	if oldest, counted := r.collector.Oldest(); body.Usage.Next == 0 && counted {
+		window = min(window, oldest)
+	} else if body.Usage.Next == 0 && mayClose {
+		r.plan.Searched(window)
+		mayClose, done = false, true
+	}
+	counts, reported := r.collector.Total(window), r.plan.Reported()
+	r.mu.Unlock()
+	if !mayClose {
+		return
+	}
+	_, err := r.config.Leases.Change(ctx, Part, body.Lease, func(b *messages.LeaseBody) bool {
+		return usage.Close(&b.Usage, window, counts, reported)
+	})
+	r.config.Log.Info("usage window closed", "window", window, "tenants", len(counts), "complete", complete, "err", err)
+	done = err == nil
+	if done {
+		r.closedWindows.Add(1)
+	}
+}
+
+// collect asks all other controllers for the rows of some windows. It reports whether all
+// of them have answered, and have what they ever had.
+func (r *Reporter) collect(ctx context.Context, query messages.UsageQuery) (complete bool) {
+	ctx, cancel := context.WithTimeout(ctx, queryTimeout)
+	defer cancel()
+	var asked sync.WaitGroup
+	var mu sync.Mutex
+	complete = true
+	for _, addr := range r.config.Peers() {
+		asked.Go(func() {
+			var rows messages.UsageRows
+			b, err := r.config.Transport.Call(ctx, addr, transport.KindUsageQuery, &query)
+			if err == nil {
+				_, err = rows.UnmarshalMsg(b)
+			}
+			r.Merge(rows.Rows)
+			mu.Lock()
+			defer mu.Unlock()
+			complete = complete && err == nil && !rows.Refilling
+		})
+	}
+	asked.Wait()
+	return complete
+}
+
+// report tells the platform the agreed counts of a window.
+func (r *Reporter) report(ctx context.Context, grant lease.Grant, window messages.UsageWindow) {
+	content := api.UsageReport{WindowSeq: window.Window, Counts: map[string]int64{}}
+	for _, t := range window.Counts {
+		content.Counts[t.Tenant] = t.Count
+	}
+	answer := r.config.Platform.Call(ctx, Part, grant, "/usage", content)
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.plan.Answered(window.Window, answer == platform.Accepted, r.config.Clock())
+}
+
+// Unreported returns how long ago the oldest window ended that the platform may not have,
+// as far as this controller knows.
+func (r *Reporter) Unreported() time.Duration {
+	v, _ := r.config.Registers.Committed(Part)
+	body, err := messages.DecodeLeaseBody(v)
+	timeUs := r.config.TimeUs()
+	if err != nil || body.Usage.Next == 0 {
+		return 0
+	}
+	oldest := body.Usage.Next
+	r.mu.Lock()
+	if pending := usage.Pending(body.Usage, r.plan.Reported()); len(pending) > 0 {
+		oldest = pending[0].Window
+	}
+	r.mu.Unlock()
+	return max(time.Duration(timeUs-(oldest+1)*r.config.WindowUs)*time.Microsecond, 0)
+}
+
+// Reported returns the newest window up to which the platform has all, as far as this process
+// knows.
+func (r *Reporter) Reported() int64 {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.plan.Reported()
+}
+
+// ClosedWindows returns how many windows were closed here.
+func (r *Reporter) ClosedWindows() int64 { return r.closedWindows.Load() }
+
+// LateRows returns how many rows came after their window was closed.
+func (r *Reporter) LateRows() int64 { return r.lateRows.Load() }
