--- a/internal/controller/compare.go
+++ b/internal/controller/compare.go
@@ -27,7 +27,7 @@
 func (d *Controller) versions() messages.Versions {
 	m := messages.Versions{Parts: make([]int64, consensus.Parts), RegistrySum: d.registry.Snapshot().Sum, Controller: true, StableForUs: d.stability.stableForUs(d.clock()), MemberID: d.registers.ID(), CutOff: d.cutOff(), TargetAges: d.targets.ages(d.clock())}
 	m.TimeUs, m.TimeAgreed = d.timeOfDay.TimeUs(d.clock())
-	m.TallyDigest = d.tallies.digest()
+	m.TallyDigest = d.tallies.Digest()
 	m.ConfigAccepted = d.registers.MayHaveAccepted(consensus.ConfigPart)
 	if v, ok := d.registers.Committed(consensus.ConfigPart); ok {
 		m.ConfigCommitted, m.ConfigGroup = v.Version, identities(v.Group)
@@ -82,14 +82,14 @@
 		d.stability.recordCall(p.Addr, err == nil, d.clock())
 	}
 	if err != nil {
-		d.tallies.notCompared(p.Addr, sentUs)
+		d.tallies.NotCompared(p.Addr, sentUs)
 		return
 	}
 	var m messages.Versions
 	if _, err := m.UnmarshalMsg(b); err != nil {
 		return
 	}
-	go d.tallies.compared(ctx, p.Addr, m.TallyDigest)
+	go d.tallies.Compared(ctx, p.Addr, m.TallyDigest)
 	d.publishRunners(d.registry.ApplyLaterHeartbeats(m.LaterHeartbeats, sentUs, d.clock())...)
 	d.targets.observe(m.TargetAges, d.clock())
 	d.timeOfDay.Compare(p.Addr, m, sentUs, d.clock())
--- a/internal/controller/condition.go
+++ b/internal/controller/condition.go
@@ -38,7 +38,7 @@
 	if d.scaler != nil {
 		c.Scaling = d.scaler.Conditions()
 	}
-	c.Partition.Tally = d.tallies.condition()
+	c.Partition.Tally = d.tallies.Condition()
 	c.Partition.Evacuated = d.evacuatedZones()
 	c.Partition.Rollouts = d.serviceRollouts()
 	now := d.clock()
--- a/internal/controller/contact.go
+++ b/internal/controller/contact.go
@@ -12,6 +12,7 @@
 	"github.com/pkg/errors"
 
 	"beechtide.org/beechtide/internal/consensus"
+	"beechtide.org/beechtide/internal/controller/httpapi"
 	"beechtide.org/beechtide/internal/lease"
 	"beechtide.org/beechtide/internal/messages"
 )
@@ -111,5 +112,5 @@
 // outOfContact answers that nothing can be said now, in place of any other answer.
 func outOfContact(c *app.RequestContext) {
 	c.Response.Reset()
-	reject(c, 503, "", "out of contact with a majority")
+	httpapi.Reject(c, 503, "", "out of contact with a majority")
 }
--- a/internal/controller/control.go
+++ b/internal/controller/control.go
@@ -10,11 +10,11 @@
 
 	"github.com/cloudwego/hertz/pkg/app"
 	"github.com/cloudwego/hertz/pkg/app/server"
-	"github.com/go-playground/validator/v10"
 	"github.com/pkg/errors"
 
 	"beechtide.org/beechtide/internal/api"
 	"beechtide.org/beechtide/internal/consensus"
+	"beechtide.org/beechtide/internal/controller/httpapi"
 	"beechtide.org/beechtide/internal/httpserver"
 	"beechtide.org/beechtide/internal/lease"
 	"beechtide.org/beechtide/internal/membership"
@@ -28,8 +28,6 @@
 // heartbeat every second or so; those that lost their power leave connections that nobody ends.
 const controlIdleTimeout = 15 * time.Second
 
-var checkCall = validator.New(validator.WithRequiredStructEnabled())
-
 // operatorWait bounds how long a change may take before the caller is told to
 // repeat it; callers move on after a second of silence.
 const operatorWait = 900 * time.Millisecond
@@ -55,8 +53,8 @@
 	h.POST("/api/Evacuate.Finish/:zone", d.counted(callEvacuate, d.inContactOnly(d.finishEvacuation)))
 	h.POST("/api/Rollouts.Begin", d.counted(callBeginRollout, d.inContactOnly(d.beginRollout)))
 	h.GET("/api/Rollouts.Read/:service", d.counted(callReadRollout, d.inContactOnly(d.readRollout)))
-	h.POST("/api/Tallies.Amend/:id", d.counted(callAmend, d.amendTally))
-	h.GET("/api/Tallies.Read/:id", d.counted(callReadTally, d.readTally))
+	h.POST("/api/Tallies.Amend/:id", d.counted(callAmend, d.tallies.Amend))
+	h.GET("/api/Tallies.Read/:id", d.counted(callReadTally, d.tallies.Read))
 	failed := make(chan error, 1)
 	go func() { failed <- h.Run() }()
 	select {
@@ -67,22 +65,6 @@
 	}
 }
 
-func reject(c *app.RequestContext, status int, field, reason string) {
-	c.JSON(status, api.Fault{Error: reason, Field: field})
-}
-
-// readCall reads and checks the body of a call; one that is not valid is rejected.
-func readCall(c *app.RequestContext, call any) (valid bool) {
-	err := json.Unmarshal(c.Request.Body(), call)
-	if err == nil {
-		err = checkCall.Struct(call)
-	}
-	if err != nil {
-		reject(c, 400, "(body)", err.Error())
-	}
-	return err == nil
-}
-
 // beat takes a heartbeat. It is noted in any case, also without the lease: nothing
 // rests on it but the list of runners, which merges. One that says draining is
 // acknowledged only once a majority has it.
@@ -90,11 +72,11 @@
 	begunUs := d.clock()
 	var b api.Heartbeat
 	if err := json.Unmarshal(c.Request.Body(), &b); err != nil {
-		reject(c, 400, "(body)", err.Error())
+		httpapi.Reject(c, 400, httpapi.BodyField, err.Error())
 		return
 	}
-	if err := checkCall.Struct(b); err != nil || !b.State.Valid() {
-		reject(c, 400, "(body)", "not a beat")
+	if err := httpapi.Check(b); err != nil || !b.State.Valid() {
+		httpapi.Reject(c, 400, httpapi.BodyField, "not a beat")
 		return
 	}
 	n := messages.RunnerRecord{ID: c.Param("id"), Service: b.Service, Addr: b.Address, Zone: b.Zone, Capacity: b.Capacity, Seq: b.Sequence, Draining: b.State == api.Draining, Version: b.Version, Models: []messages.Target{}, ColdLeftUs: int64(max(b.ColdLeftMs, 0) * 1000)}
@@ -203,7 +185,7 @@
 	ctx, cancel := context.WithTimeout(ctx, operatorWait)
 	defer cancel()
 	if err := d.checkRetired(ctx, &order); err != nil {
-		reject(c, 503, "", err.Error())
+		httpapi.Reject(c, 503, "", err.Error())
 		return
 	}
 	v, err := d.changeRegister(ctx, consensus.ConfigPart, func(cur messages.Value) ([]messages.Member, []byte, error) {
@@ -215,12 +197,12 @@
 		d.checkAcknowledged(order.Version, v)
 		c.JSON(200, map[string]int64{"version": order.Version})
 	case errors.Is(err, routeconfig.ErrVersionConflict):
-		reject(c, 412, "Beechtide-Base-Version", "another version is in place")
+		httpapi.Reject(c, 412, "Beechtide-Base-Version", "another version is in place")
 	case errors.As(err, &bad):
 		invalid(c, err)
 	default:
 		d.log.Error(err, "a change of the configuration is unsure", "version", order.Version)
-		reject(c, 503, "", err.Error())
+		httpapi.Reject(c, 503, "", err.Error())
 	}
 }
 
@@ -271,10 +253,10 @@
 func invalid(c *app.RequestContext, err error) {
 	var bad *routeconfig.Invalid
 	if errors.As(err, &bad) {
-		reject(c, 400, bad.Field, bad.Reason)
+		httpapi.Reject(c, 400, bad.Field, bad.Reason)
 		return
 	}
-	reject(c, 400, "(body)", err.Error())
+	httpapi.Reject(c, 400, httpapi.BodyField, err.Error())
 }
 
 func (d *Controller) read(ctx context.Context, c *app.RequestContext) {
@@ -283,15 +265,15 @@
 	acknowledged := d.acknowledged.Load()
 	v, err := d.readRegister(ctx, consensus.ConfigPart)
 	if err != nil {
-		reject(c, 503, "", err.Error())
+		httpapi.Reject(c, 503, "", err.Error())
 		return
 	}
 	body, err := messages.DecodeConfigBody(v)
 	switch {
 	case err != nil:
-		reject(c, 500, "", err.Error())
+		httpapi.Reject(c, 500, "", err.Error())
 	case body.Version == 0:
-		reject(c, 404, "", "no configuration yet")
+		httpapi.Reject(c, 404, "", "no configuration yet")
 	default:
 		checkRead(body.Version, acknowledged)
 		c.Data(200, "application/json", body.Raw)
@@ -300,7 +282,7 @@
 
 func (d *Controller) nameWeights(ctx context.Context, c *app.RequestContext) {
 	var w api.WeightsVersion
-	if !readCall(c, &w) {
+	if !httpapi.Decode(c, &w) {
 		return
 	}
 	ctx, cancel := context.WithTimeout(ctx, operatorWait)
@@ -320,7 +302,7 @@
 		d.leases.RecordInitialHolder(part, body.Lease)
 	}
 	if err != nil && !errors.Is(err, consensus.ErrNoChange) {
-		reject(c, 503, "", err.Error())
+		httpapi.Reject(c, 503, "", err.Error())
 		return
 	}
 	if err == nil {
--- a/internal/controller/controller.go
+++ b/internal/controller/controller.go
@@ -61,6 +61,7 @@
 	"beechtide.org/beechtide/internal/controller/runnerapi"
 	"beechtide.org/beechtide/internal/controller/scaling"
 	"beechtide.org/beechtide/internal/controller/singleton"
+	"beechtide.org/beechtide/internal/controller/tallies"
 	"beechtide.org/beechtide/internal/controller/usagereport"
 	"beechtide.org/beechtide/internal/controller/weightrollout"
 	"beechtide.org/beechtide/internal/dissemination"
@@ -109,7 +110,7 @@
 	usage     *usagereport.Reporter // nil where the platform wants no usage
 	scaler    *scaling.Scaler       // nil where the platform takes no orders of runners
 	quotas    *quotaowner.Service
-	tallies   *tallies
+	tallies   *tallies.Service
 	targets   namedTargets
 	stability stability
 	repairs   repairs
@@ -174,7 +175,7 @@
 	if d.quotas, err = d.newQuotaOwner(); err != nil {
 		return nil, err
 	}
-	if d.tallies, err = newTallies(d); err != nil {
+	if d.tallies, err = d.openTallies(); err != nil {
 		return nil, err
 	}
 	d.handleMessages()
@@ -204,8 +205,8 @@
 	}
 	trans.OnCall(transport.KindQuotaClaim, d.quotas.HandleClaim)
 	trans.OnCall(transport.KindQuotaAsk, d.quotas.HandleAsk)
-	trans.OnCall(transport.KindTallyAppend, d.tallies.handleAppend)
-	trans.OnCall(transport.KindTallyPull, d.tallies.handlePull)
+	trans.OnCall(transport.KindTallyAppend, d.tallies.HandleAppend)
+	trans.OnCall(transport.KindTallyPull, d.tallies.HandlePull)
 	trans.OnDatagram(transport.KindRunner, d.heardRunner)
 	trans.OnDatagram(transport.KindRunners, d.heardRunners)
 }
@@ -257,7 +258,7 @@
 	counting, endCounting := context.WithCancel(live)
 	defer endCounting()
 	go d.quotas.Run(counting)
-	go d.tallies.run(live)
+	go d.tallies.Run(live)
 	go d.runFeed(live)
 	go d.settleRegisters(live)
 	go d.finishRounds(live)
@@ -293,7 +294,7 @@
 	done := make(chan struct{})
 	go func() {
 		d.disk.Close()
-		<-d.tallies.closed
+		<-d.tallies.Closed()
 		close(done)
 	}()
 	select {
--- a/internal/controller/evacuation.go
+++ b/internal/controller/evacuation.go
@@ -12,6 +12,7 @@
 	"github.com/pkg/errors"
 
 	"beechtide.org/beechtide/internal/consensus"
+	"beechtide.org/beechtide/internal/controller/httpapi"
 	"beechtide.org/beechtide/internal/controller/singleton"
 	"beechtide.org/beechtide/internal/messages"
 )
@@ -32,7 +33,7 @@
 func (d *Controller) evacuate(ctx context.Context, c *app.RequestContext, evacuated bool) {
 	zone := c.Param("zone")
 	if !d.isZone(zone) {
-		reject(c, 400, "zone", "no such zone")
+		httpapi.Reject(c, 400, "zone", "no such zone")
 		return
 	}
 	ctx, cancel := context.WithTimeout(ctx, operatorWait)
@@ -41,7 +42,7 @@
 		return evacuateZone(cur, zone, evacuated)
 	})
 	if err != nil && !errors.Is(err, consensus.ErrNoChange) {
-		reject(c, 503, "", err.Error())
+		httpapi.Reject(c, 503, "", err.Error())
 		return
 	}
 	d.log.Info("evacuation acknowledged", "zone", zone, "evacuated", evacuated, "changed", err == nil)
--- a/internal/controller/service_rollouts.go
+++ b/internal/controller/service_rollouts.go
@@ -14,6 +14,7 @@
 	"beechtide.org/beechtide/internal/api"
 	"beechtide.org/beechtide/internal/canary"
 	"beechtide.org/beechtide/internal/consensus"
+	"beechtide.org/beechtide/internal/controller/httpapi"
 	"beechtide.org/beechtide/internal/controller/singleton"
 	"beechtide.org/beechtide/internal/messages"
 )
@@ -24,13 +25,13 @@
 // beginRollout takes an order of the operator. The register of a service follows from its name.
 func (d *Controller) beginRollout(ctx context.Context, c *app.RequestContext) {
 	var order api.RolloutOrder
-	if !readCall(c, &order) {
+	if !httpapi.Decode(c, &order) {
 		return
 	}
 	ctx, cancel := context.WithTimeout(ctx, operatorWait)
 	defer cancel()
 	if t := d.table.Load(); t != nil && t.Service(order.Service) == nil {
-		reject(c, 404, "service", "no such service")
+		httpapi.Reject(c, 404, "service", "no such service")
 		return
 	}
 	_, err := d.changeRegister(ctx, consensus.PartOf(order.Service), func(cur messages.Value) ([]messages.Member, []byte, error) {
@@ -41,9 +42,9 @@
 		d.log.Info("rollout of a service acknowledged", "service", order.Service, "version", order.TargetVersion, "overS", order.OverS, "changed", err == nil)
 		c.Status(200)
 	case errors.Is(err, canary.ErrOtherRunning):
-		reject(c, 409, "targetVersion", "another rollout of the service is running")
+		httpapi.Reject(c, 409, "targetVersion", "another rollout of the service is running")
 	default:
-		reject(c, 503, "", err.Error())
+		httpapi.Reject(c, 503, "", err.Error())
 	}
 }
 
@@ -88,17 +89,17 @@
 	defer cancel()
 	v, err := d.readRegister(ctx, consensus.PartOf(service))
 	if err != nil {
-		reject(c, 503, "", err.Error())
+		httpapi.Reject(c, 503, "", err.Error())
 		return
 	}
 	body, err := messages.DecodeLeaseBody(v)
 	if err != nil {
-		reject(c, 500, "", err.Error())
+		httpapi.Reject(c, 500, "", err.Error())
 		return
 	}
 	rollout, ok := canary.Find(body.Rollouts, service)
 	if !ok {
-		reject(c, 404, "service", "no rollout of it was ordered")
+		httpapi.Reject(c, 404, "service", "no rollout of it was ordered")
 		return
 	}
 	state := api.RolloutStateState(canary.Stage(rollout.Stage).String())
--- a/internal/controller/tally_witness.go
+++ b/internal/controller/tallies/witness.go
@@ -1,7 +1,4 @@
-// Witnesses: a replica of the tallies that does not answer is down, or the way to it is cut.
-// Only the second is a reason to acknowledge adds on fewer disks, so routers near it are asked.
-
-package controller
+package tallies
 
 import (
 	"context"
@@ -13,9 +10,11 @@
 	"beechtide.org/beechtide/internal/transport"
 )
 
+// A replica that does not answer is down, or the way to it is cut. Only the second is a reason to
+// acknowledge adds on fewer disks, so routers near it are asked.
 const (
-	// witnessWait bounds a question to a router, its own call included.
-	witnessWait = 250 * time.Millisecond
+	// witnessTimeout bounds a question to a router, its own call included.
+	witnessTimeout = 250 * time.Millisecond
 	// witnessCount is how many routers are asked: one may be down itself.
 	witnessCount = 3
 	// witnessPause is the time between questions about a replica that goes on not to answer.
@@ -23,11 +22,11 @@
 )
 
 // watch asks about a replica for as long as it does not answer.
-func (t *tallies) watch(ctx context.Context, addr string) {
+func (s *Service) watch(ctx context.Context, addr string) {
 	for ctx.Err() == nil {
-		t.mu.Lock()
-		failing, zone, changed := t.replica.Failing(addr), t.replica.ZoneOf(addr), t.changed
-		t.mu.Unlock()
+		s.mu.Lock()
+		failing, zone, changed := s.replica.Failing(addr), s.replica.ZoneOf(addr), s.changed
+		s.mu.Unlock()
 		if !failing {
 			select {
 			case <-changed:
@@ -35,31 +34,31 @@
 			}
 			continue
 		}
-		askedUs := t.controller.clock()
-		judged := t.judge(ctx, addr, zone)
-		t.mu.Lock()
-		t.replica.Witnessed(addr, judged, askedUs)
-		t.signal()
-		t.mu.Unlock()
-		t.pauseUnless(ctx, witnessPause, func() bool { return t.replica.WantsWitness(addr) })
+		askedUs := s.config.Clock()
+		judged := s.judge(ctx, addr, zone)
+		s.mu.Lock()
+		s.replica.Witnessed(addr, judged, askedUs)
+		s.signal()
+		s.mu.Unlock()
+		s.pauseUnless(ctx, witnessPause, func() bool { return s.replica.WantsWitness(addr) })
 	}
 }
 
 // pauseUnless pauses, or until a condition on the replica holds, and reports whether it does. The
 // condition is called with the mutex held.
-func (t *tallies) pauseUnless(ctx context.Context, pause time.Duration, holds func() bool) bool {
+func (s *Service) pauseUnless(ctx context.Context, pause time.Duration, holds func() bool) bool {
 	ctx, cancel := context.WithTimeout(ctx, pause)
 	defer cancel()
-	return t.await(ctx, holds)
+	return s.await(ctx, holds)
 }
 
 // judge asks routers of a replica's zone, or outside of this one's zone where that is not
 // known. Where none answers, or one reaches the replica, the way is cut.
-func (t *tallies) judge(ctx context.Context, addr, zone string) tally.Witness {
-	witnesses := t.witnesses(zone)
+func (s *Service) judge(ctx context.Context, addr, zone string) tally.Witness {
+	witnesses := s.witnesses(zone)
 	answers := make(chan witnessAnswer, len(witnesses))
 	for _, router := range witnesses {
-		go func() { answers <- t.askWitness(ctx, router, addr) }()
+		go func() { answers <- s.askWitness(ctx, router, addr) }()
 	}
 	answered := false
 	for range witnesses {
@@ -77,10 +76,10 @@
 }
 
 // witnesses chooses the routers to ask.
-func (t *tallies) witnesses(zone string) []string {
+func (s *Service) witnesses(zone string) []string {
 	var addrs []string
-	for _, p := range t.controller.monitor.Alive(messages.Router) {
-		if p.Zone == zone || zone == "" && p.Zone != t.controller.set.Zone {
+	for _, p := range s.config.Routers() {
+		if p.Zone == zone || zone == "" && p.Zone != s.config.Zone {
 			addrs = append(addrs, p.Addr)
 		}
 	}
@@ -97,10 +96,10 @@
 	witnessMisses
 )
 
-func (t *tallies) askWitness(ctx context.Context, router, addr string) witnessAnswer {
-	ctx, cancel := context.WithTimeout(ctx, witnessWait)
+func (s *Service) askWitness(ctx context.Context, router, addr string) witnessAnswer {
+	ctx, cancel := context.WithTimeout(ctx, witnessTimeout)
 	defer cancel()
-	b, err := t.controller.transport.Call(ctx, router, transport.KindReach, &messages.ReachQuery{Addr: addr})
+	b, err := s.config.Peers.Call(ctx, router, transport.KindReach, &messages.ReachQuery{Addr: addr})
 	var answer messages.ReachAnswer
 	if err == nil {
 		_, err = answer.UnmarshalMsg(b)
--- a/internal/controller/tallies_test.go
+++ b/internal/controller/tallies_test.go
@@ -5,6 +5,8 @@
 	"testing"
 
 	"github.com/shoenig/test/must"
+
+	"beechtide.org/beechtide/internal/settings"
 )
 
 // amend adds to a tally until that is acknowledged.
@@ -61,7 +63,7 @@
 	amend(t, url, "t", "one", 4)
 	amend(t, url, "t", "two", 1)
 	must.Eq(t, `{"total":5}`, total(t, url, "t"))
-	must.False(t, d.tallies.condition().Full)
+	must.False(t, d.tallies.Condition().Full)
 	stop()
 }
 
@@ -69,9 +71,7 @@
 	d, url, stop := core(t, t.TempDir(), freePort(t), true)
 	defer stop()
 	amend(t, url, "t", "one", 4)
-	d.tallies.mu.Lock()
-	d.tallies.replica.SetMaxAdds(1)
-	d.tallies.mu.Unlock()
+	d.tallies.SetMaxAdds(1)
 	status, _ := call(t, "POST", url+"/api/Tallies.Amend/t", `{"id":"two","actor":1}`, 0)
 	must.Eq(t, 503, status)
 	status, _ = call(t, "POST", url+"/api/Tallies.Amend/t", `{"id":"one","actor":4}`, 0)
@@ -80,10 +80,7 @@
 }
 
 func TestRoomForAddsFollowsDiskAndMemory(t *testing.T) {
-	d, _ := alone(t)
-	must.Eq(t, 0, d.maxTallyAdds())
-	d.set.Limits.DiskMb, d.set.Limits.MemoryMb = 64, 184
-	must.Eq(t, 904_396, d.maxTallyAdds())
-	d.set.Limits.DiskMb = 8
-	must.Eq(t, 131_072, d.maxTallyAdds())
+	must.Eq(t, 0, maxTallyAdds(settings.Limits{}))
+	must.Eq(t, 904_396, maxTallyAdds(settings.Limits{DiskMb: 64, MemoryMb: 184}))
+	must.Eq(t, 131_072, maxTallyAdds(settings.Limits{DiskMb: 8, MemoryMb: 184}))
 }
--- /dev/null
+++ b/internal/controller/tally_replica.go
@@ -0,0 +1,56 @@
+package controller
+
+import (
+	"slices"
+
+	"beechtide.org/beechtide/internal/controller/tallies"
+	"beechtide.org/beechtide/internal/messages"
+	"beechtide.org/beechtide/internal/settings"
+	"beechtide.org/beechtide/internal/tally"
+)
+
+const (
+	// tallyDiskBytesPerAdd and tallyMemoryBytesPerAdd are the room that an add takes on the disk,
+	// and in memory, at the most: with what compaction needs beside it.
+	tallyDiskBytesPerAdd   = 32
+	tallyMemoryBytesPerAdd = 64
+	// tallyDiskPart and tallyMemoryPart are the parts of the machine's disk and of the
+	// process's memory that tallies may take.
+	tallyDiskPart   = 0.5
+	tallyMemoryPart = 0.3
+	bytesPerMB      = 1 << 20
+)
+
+// maxTallyAdds bounds the adds that a machine with these limits can hold; 0: no bound.
+func maxTallyAdds(limits settings.Limits) int {
+	bound := int(float64(limits.DiskMb) * bytesPerMB * tallyDiskPart / tallyDiskBytesPerAdd)
+	memory := int(float64(limits.MemoryMb) * bytesPerMB * tallyMemoryPart / tallyMemoryBytesPerAdd)
+	if memory > 0 && (bound == 0 || memory < bound) {
+		return memory
+	}
+	return bound
+}
+
+// openTallies opens this machine's replica of the tallies.
+func (d *Controller) openTallies() (*tallies.Service, error) {
+	return tallies.Open(tallies.Config{
+		Zone:           d.set.Zone,
+		DataDir:        d.set.DataDir,
+		MaxAdds:        maxTallyAdds(d.set.Limits),
+		Quorum:         tally.QuorumFor(d.set.Tolerance.Machines, d.set.Tolerance.Zones),
+		CompareTimeout: compareWait,
+		Clock:          d.clock,
+		Log:            d.log,
+		Peers:          d.transport,
+		Replicas:       d.tallyReplicas,
+		Routers:        func() []messages.Peer { return d.monitor.Alive(messages.Router) },
+	})
+}
+
+// tallyReplicas returns the addresses of all other controllers that are known.
+func (d *Controller) tallyReplicas() []string {
+	addrs := append(d.knownControllers(), d.otherControllers()...)
+	slices.Sort(addrs)
+	addrs = slices.Compact(addrs)
+	return slices.DeleteFunc(addrs, func(addr string) bool { return addr == d.transport.Addr() })
+}
