--- a/internal/controller/condition.go
+++ b/internal/controller/condition.go
@@ -19,7 +19,7 @@
 func (d *Controller) condition() messages.Condition {
 	c := messages.Condition{Node: d.set.Node, Role: messages.Controller, Zone: d.set.Zone, Addr: d.transport.Addr(), TimeUs: time.Now().UnixMicro(), MemberID: d.registers.ID(), Versions: d.publishedVersions(), HasDisk: d.disk != nil}
 	c.SaveUs, c.SaveFault = d.registers.LastSave()
-	c.Unconfirmed = d.unconfirmed()
+	c.Unconfirmed = d.repairs.Unconfirmed()
 	for p := range consensus.Parts {
 		v, _ := d.registers.Committed(p)
 		c.Groups = append(c.Groups, append([]messages.Member{}, v.Group...))
--- a/internal/controller/contact.go
+++ b/internal/controller/contact.go
@@ -12,6 +12,7 @@
 	"github.com/pkg/errors"
 
 	"beechtide.org/beechtide/internal/consensus"
+	"beechtide.org/beechtide/internal/controller/grouprepair"
 	"beechtide.org/beechtide/internal/controller/httpapi"
 	"beechtide.org/beechtide/internal/lease"
 	"beechtide.org/beechtide/internal/messages"
@@ -114,3 +115,30 @@
 	c.Response.Reset()
 	httpapi.Reject(c, 503, "", "out of contact with a majority")
 }
+
+// hasContact reports whether this controller holds the lease of contact with a
+// majority of a group.
+func (d *Controller) hasContact(group []messages.Member) bool {
+	return d.contact.holds(identities(group), d.clock())
+}
+
+func identities(group []messages.Member) []string {
+	var ids []string
+	for _, m := range group {
+		ids = append(ids, m.ID)
+	}
+	return ids
+}
+
+// newRepairer returns what keeps the groups of the registers whole.
+func (d *Controller) newRepairer(handOver grouprepair.HandOverTimes) (*grouprepair.Repairer, error) {
+	return grouprepair.New(grouprepair.Config{
+		Addr:       d.transport.Addr(),
+		Clock:      d.clock,
+		Log:        d.log,
+		Registers:  d.registers,
+		Membership: d.monitor,
+		HasContact: d.hasContact,
+		HandOver:   handOver,
+	})
+}
--- a/internal/controller/controller.go
+++ b/internal/controller/controller.go
@@ -56,6 +56,7 @@
 
 	"beechtide.org/beechtide/internal/clocksync"
 	"beechtide.org/beechtide/internal/consensus"
+	"beechtide.org/beechtide/internal/controller/grouprepair"
 	"beechtide.org/beechtide/internal/controller/platform"
 	"beechtide.org/beechtide/internal/controller/quotaowner"
 	"beechtide.org/beechtide/internal/controller/runnerapi"
@@ -113,8 +114,7 @@
 	tallies   *tallies.Service
 	targets   namedTargets
 	stability stability
-	repairs   repairs
-	handOver  handOverTimes
+	repairs   *grouprepair.Repairer
 	contact   contact
 	drained   ackedDrains
 	startUs   int64
@@ -166,9 +166,11 @@
 		return nil, err
 	}
 	d.contact.lease.Self = d.registers.ID()
-	d.handOver = defaultHandOverTimes
 	self := messages.Peer{Addr: set.ControllerAddr(), Role: messages.Controller, Zone: set.Zone, MemberID: d.registers.ID(), Control: set.Listen.Control, Node: set.Node, Counted: set.Counted}
 	d.monitor = membership.NewMonitor(trans, self, clock, d.knownControllers)
+	if d.repairs, err = d.newRepairer(grouprepair.DefaultHandOverTimes); err != nil {
+		return nil, err
+	}
 	if err := d.newSingletons(); err != nil {
 		return nil, err
 	}
@@ -243,7 +245,7 @@
 	d.transport.Run(live)
 	go d.monitor.Run(live)
 	go d.listenToOthers(live)
-	go loop.Every(live, repairPeriod, func() { d.repairGroups(live) })
+	go d.repairs.Run(live)
 	go loop.Every(live, 500*time.Millisecond, func() { d.catchUp(live) })
 	go loop.Every(live, 500*time.Millisecond, func() { d.sweep() })
 	go loop.Every(live, heartbeatPause, d.forwardHeartbeats)
@@ -276,7 +278,7 @@
 	case <-ctx.Done():
 		endCounting()
 		d.quotas.Leave()
-		d.leaveGroups(live)
+		d.repairs.Leave(live)
 		end()
 		err = <-served
 	}
--- a/internal/controller/repair_test.go
+++ b/internal/controller/hand_over_test.go
@@ -11,6 +11,7 @@
 	"github.com/shoenig/test/must"
 
 	"beechtide.org/beechtide/internal/consensus"
+	"beechtide.org/beechtide/internal/controller/grouprepair"
 	"beechtide.org/beechtide/internal/messages"
 	"beechtide.org/beechtide/internal/settings"
 )
@@ -37,7 +38,8 @@
 	began := time.Now()
 	d, err := New(set, pool, func() int64 { return time.Since(began).Microseconds() + 1 }, logr.Discard())
 	must.NoError(t, err)
-	d.handOver = handOverTimes{Total: patient, Confirm: patient, Flush: patient}
+	d.repairs, err = d.newRepairer(grouprepair.HandOverTimes{Total: patient, Confirm: patient, Flush: patient})
+	must.NoError(t, err)
 	ctx, cancel := context.WithCancel(context.Background())
 	f := &fellow{Controller: d, stop: cancel, ended: make(chan error, 1)}
 	go func() { f.ended <- d.Run(ctx) }()
@@ -81,7 +83,7 @@
 	must.Eq(t, 0, spare.groupsWith(leaver.registers.ID()))
 	other.stop()
 	must.NoError(t, <-other.ended)
-	for _, p := range *other.repairs.successors.Load() {
+	for _, p := range other.repairs.Successors() {
 		must.NotEq(t, leaver.transport.Addr(), p.Addr, must.Sprint("one that has ended takes no place"))
 	}
 	must.Eq(t, consensus.Parts, other.groupsWith(other.registers.ID()))
