router: tokens, usage and pings of zones are packages that know no Router

quotaclient, usagereport and zoneping take a Config that is checked and have their own mutex. Those that share something among routers are told of them by Router.seeRouters. Tests moved along, new ones on the packages themselves.

--- a/internal/router/condition.go
+++ b/internal/router/condition.go
@@ -22,7 +22,7 @@
 	x.Partition.Rollouts = c.admission.Rollouts()
 	x.Partition.WarmingUp = c.admission.WarmingUp(c.clock())
 	c.admissionMu.Unlock()
-	x.Partition.UnreachableZones = c.zones.conditions()
+	x.Partition.UnreachableZones = c.zones.Conditions()
 	x.Retired = c.retiredConditions()
 	x.Wholes, x.Changes = c.feedStats.wholes.Load(), c.feedStats.changes.Load()
 	x.Malformed = c.feedStats.malformed.Load() + c.up.Malformed.Load()
--- a/internal/router/evacuation.go
+++ b/internal/router/evacuation.go
@@ -23,10 +23,3 @@
 	defer c.admissionMu.Unlock()
 	c.admission.SetEvacuated(zones, nowUs)
 }
-
-// seeRouters takes which routers there are, for the choice of who sends to runners that warm up.
-func (c *Router) seeRouters(addrs []string) {
-	c.admissionMu.Lock()
-	defer c.admissionMu.Unlock()
-	c.admission.SeeNodes(addrs, c.clock())
-}
--- a/internal/router/feed.go
+++ b/internal/router/feed.go
@@ -282,7 +282,7 @@
 	}
 	c.assumeTargets(body.Targets, nowUs)
 	if c.usage != nil {
-		c.usage.closed(body.Usage.Next)
+		c.usage.Closed(body.Usage.Next)
 	}
 	c.parts[p.Part] = p
 	c.recordEvacuations(p.Part, body.Evacuations, nowUs)
--- a/internal/router/fleet_pauses_test.go
+++ b/internal/router/fleet_pauses_test.go
@@ -5,25 +5,21 @@
 	"time"
 
 	"github.com/shoenig/test/must"
-
-	"beechtide.org/beechtide/internal/reachability"
 )
 
 // What each router does by itself is done less often in a large fleet, within bounds.
-func TestPausesGrowWithTheFleet(t *testing.T) {
+func TestReportPauseGrowsWithTheFleet(t *testing.T) {
 	c := &Router{}
 	for _, row := range []struct {
 		routers int
-		idleUs  int64
 		report  time.Duration
 	}{
-		{0, reachability.DefaultConfig.IdleUs, reportDelay},
-		{78, reachability.DefaultConfig.IdleUs, reportDelay},
-		{200, 400_000, 128 * time.Millisecond},
-		{5000, maxZoneIdleUs, maxReportDelay},
+		{0, reportDelay},
+		{78, reportDelay},
+		{200, 128 * time.Millisecond},
+		{5000, maxReportDelay},
 	} {
 		c.nodes.Store(int64(row.routers))
-		must.Eq(t, row.idleUs, zoneIdleUs(row.routers))
 		must.Eq(t, row.report, c.reportPause())
 	}
 }
--- a/internal/router/metrics.go
+++ b/internal/router/metrics.go
@@ -48,10 +48,11 @@
 			}
 		}),
 		metrics.Counter("beechtide_quota_tokens_total", "Tokens of tenants with a limit: granted; denied at the limit; unowned, requests that ran without one as no owner answered; unknown, requests rejected for that.", []string{"outcome"}, func(emit metrics.Emit) {
-			emit(float64(c.quotas.granted.Load()), "granted")
-			emit(float64(c.quotas.denied.Load()), "denied")
-			emit(float64(c.quotas.unowned.Load()), "unowned")
-			emit(float64(c.quotas.unknown.Load()), "unknown")
+			counts := c.quotas.Counts()
+			emit(float64(counts.Granted), "granted")
+			emit(float64(counts.Denied), "denied")
+			emit(float64(counts.Unowned), "unowned")
+			emit(float64(counts.Unknown), "unknown")
 		}),
 		metrics.Gauge("beechtide_retired_left", "Of the retired weights of a model: runners that still have them, and parts of prompts that these have cached.", []string{"model", "what"}, func(emit metrics.Emit) {
 			for _, r := range c.retiredConditions() {
--- a/internal/router/move.go
+++ b/internal/router/move.go
@@ -9,6 +9,7 @@
 
 import (
 	"beechtide.org/beechtide/internal/admission"
+	"beechtide.org/beechtide/internal/router/quotaclient"
 	"beechtide.org/beechtide/internal/upstream"
 )
 
@@ -67,7 +68,7 @@
 		c.done(next, false)
 		return false
 	}
-	if !e.spendRetry() || e.acquireToken(false, moveQuotaWaitUs).outcome != quotaGranted {
+	if !e.spendRetry() || e.acquireToken(false, moveQuotaWaitUs).Outcome != quotaclient.Granted {
 		link.Close()
 		c.done(next, true)
 		return false
--- a/internal/router/partition_metrics.go
+++ b/internal/router/partition_metrics.go
@@ -62,12 +62,12 @@
 func (c *Router) reachMetrics() []prometheus.Collector {
 	return []prometheus.Collector{
 		metrics.Gauge("beechtide_router_zone_unreachable_seconds", "For how long each zone that this router cannot reach has been so.", []string{"zone"}, func(emit metrics.Emit) {
-			for _, z := range c.zones.conditions() {
+			for _, z := range c.zones.Conditions() {
 				emit(float64(z.SinceUs)/1e6, z.Zone)
 			}
 		}),
 		metrics.Counter("beechtide_router_zone_silence_doubted_total", "Silences of a zone that were put down to this router or its link, as nodes of its own zone did not answer either.", nil, func(emit metrics.Emit) {
-			emit(float64(c.zones.doubted()))
+			emit(float64(c.zones.Doubted()))
 		}),
 		metrics.Counter("beechtide_router_unreachable_streams_total", "Streams that delivered nothing from runners of unreachable zones: left, they go on at other runners; stayed, there was no place.", []string{"outcome"}, func(emit metrics.Emit) {
 			emit(float64(c.counters.streamsLeft.Load()), "left")
--- a/internal/router/quota_attempts.go
+++ b/internal/router/quota_attempts.go
@@ -7,6 +7,22 @@
 
 	"beechtide.org/beechtide/internal/admission"
 	"beechtide.org/beechtide/internal/quota"
+	"beechtide.org/beechtide/internal/router/quotaclient"
+)
+
+// Reasons of rejections for a tenant's limit.
+const (
+	rejectOverQuota  admission.Reason = "tenant-quota"
+	rejectNoCounting admission.Reason = "tenant-quota-unavailable"
+)
+
+// Bounds of how long a request waits for a token, in microseconds: a quarter of its latency
+// target, after which an early rejection would count as a late one.
+const (
+	minQuotaWaitUs = 40_000
+	maxQuotaWaitUs = 200_000
+	// moveQuotaWaitUs is how long a stream that could move elsewhere waits.
+	moveQuotaWaitUs = 50_000
 )
 
 // limited reports whether the request's tenant has a limit.
@@ -14,13 +30,13 @@
 
 // acquireToken gets a token, unless the request has one that is valid. It reports what
 // became of it.
-func (e *exchange) acquireToken(arrives bool, waitUs int64) quotaAnswer {
+func (e *exchange) acquireToken(arrives bool, waitUs int64) quotaclient.Answer {
 	if !e.limited() || e.token.Valid(e.c.clock()) {
-		return quotaAnswer{outcome: quotaGranted, token: e.token}
+		return quotaclient.Answer{Outcome: quotaclient.Granted, Token: e.token}
 	}
-	answer := e.c.quotas.acquire(e.tenant.Name, e.limit, arrives, waitUs, e.client.leftChannel())
-	if answer.outcome == quotaGranted {
-		e.token = answer.token
+	answer := e.c.quotas.Acquire(e.tenant.Name, e.limit, arrives, waitUs, e.client.leftChannel())
+	if answer.Outcome == quotaclient.Granted {
+		e.token = answer.Token
 	}
 	return answer
 }
@@ -34,10 +50,10 @@
 // enter gets the token with which the request begins; without one it is rejected.
 func (e *exchange) enter() bool {
 	answer := e.acquireToken(true, e.quotaWaitUs())
-	if answer.outcome != quotaGranted {
+	if answer.Outcome != quotaclient.Granted {
 		e.rejectWithoutToken(answer)
 	}
-	return answer.outcome == quotaGranted
+	return answer.Outcome == quotaclient.Granted
 }
 
 // reenter gets a token for an attempt where the request has none any more: the one that it
@@ -48,7 +64,7 @@
 	if e.stream != nil && e.stream.started {
 		answer = e.awaitToken(answer)
 	}
-	if answer.outcome == quotaGranted {
+	if answer.Outcome == quotaclient.Granted {
 		return true
 	}
 	if e.next != nil {
@@ -68,10 +84,10 @@
 // awaitToken waits for a token for a stream of which the client has a part, while the request
 // has time left: such a stream can neither be rejected nor begun anew. A stream on the move has
 // a token when it leaves its runner, which may expire before the next attempt is sent.
-func (e *exchange) awaitToken(answer quotaAnswer) quotaAnswer {
-	for answer.outcome != quotaGranted {
+func (e *exchange) awaitToken(answer quotaclient.Answer) quotaclient.Answer {
+	for answer.Outcome != quotaclient.Granted {
 		leftUs := e.endUs - e.c.clock()
-		if leftUs <= 0 || !e.pause(min(answer.waitUs, leftUs)) {
+		if leftUs <= 0 || !e.pause(min(answer.WaitUs, leftUs)) {
 			return answer
 		}
 		answer = e.acquireToken(false, e.quotaWaitUs())
@@ -92,11 +108,11 @@
 	return false
 }
 
-func (e *exchange) rejectWithoutToken(answer quotaAnswer) {
-	if answer.outcome == quotaDenied {
-		e.reject(429, rejectOverQuota, answer.waitUs)
+func (e *exchange) rejectWithoutToken(answer quotaclient.Answer) {
+	if answer.Outcome == quotaclient.Denied {
+		e.reject(429, rejectOverQuota, answer.WaitUs)
 	} else {
-		e.reject(503, rejectNoCounting, answer.waitUs)
+		e.reject(503, rejectNoCounting, answer.WaitUs)
 	}
 }
 
@@ -109,6 +125,6 @@
 // returnToken gives back what the request has not used, as it ends.
 func (e *exchange) returnToken() {
 	if e.limited() && e.token != (quota.Token{}) {
-		e.c.quotas.giveBack(e.tenant.Name, e.token)
+		e.c.quotas.Return(e.tenant.Name, e.token)
 	}
 }
--- a/internal/router/quota_test.go
+++ b/internal/router/quota_test.go
@@ -81,7 +81,7 @@
 	must.NotEq(t, "", a.Header.Get(hRetryAfter))
 	must.Eq(t, string(rejectNoCounting)+"\n", body)
 	must.Zero(t, r.count())
-	must.Eq(t, 1, c.quotas.unknown.Load())
+	must.Eq(t, 1, c.quotas.Counts().Unknown)
 }
 
 func TestRouterFollowsTheHintToTheOwner(t *testing.T) {
@@ -154,22 +154,6 @@
 	must.Eq(t, 2, core.read(&asked))
 }
 
-func TestLenderLetsRequestsRunWhereNoOwnerAnswers(t *testing.T) {
-	r := newRunner(t)
-	c, core, front := startLimited(t, 1, r)
-	core.granting(1)
-	_, _, err := say(t, front, request("/pay/1", ""))
-	must.NoError(t, err)
-	core.set(func() { core.quota = nil })
-	limit := quota.Limit{Version: 3, RatePerS: 10, Burst: 10}
-	c.quotas.mu.Lock()
-	lent := c.quotas.grantee.Lend("t1", limit, c.clock())
-	later := c.quotas.grantee.Lend("t1", limit, c.clock()+(10*time.Second).Microseconds())
-	c.quotas.mu.Unlock()
-	must.False(t, lent, must.Sprint("a process that has just started"))
-	must.True(t, later)
-}
-
 // movedStream is a request of a limited tenant whose stream has begun and is on the move.
 func movedStream(c *Router, forUs int64) *exchange {
 	return &exchange{
@@ -195,7 +179,7 @@
 	c, core, _ := startLimited(t, 1, newRunner(t))
 	core.set(func() {
 		core.quota = func(_ int, ask messages.QuotaAsk) messages.QuotaGrant {
-			if c.quotas.unknown.Load() < 2 {
+			if c.quotas.Counts().Unknown < 2 {
 				return messages.QuotaGrant{}
 			}
 			return messages.QuotaGrant{Owner: true, Granted: ask.Need}
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -68,6 +68,9 @@
 	"beechtide.org/beechtide/internal/messages"
 	"beechtide.org/beechtide/internal/registry"
 	"beechtide.org/beechtide/internal/routeconfig"
+	"beechtide.org/beechtide/internal/router/quotaclient"
+	"beechtide.org/beechtide/internal/router/usagereport"
+	"beechtide.org/beechtide/internal/router/zoneping"
 	"beechtide.org/beechtide/internal/settings"
 	"beechtide.org/beechtide/internal/statesync"
 	"beechtide.org/beechtide/internal/transport"
@@ -128,9 +131,9 @@
 	lastAnswers chan struct{}                // closed when what has no answer yet gets its last one
 
 	timeOfDay clocksync.Shared
-	usage     *usageReports // nil where no usage is wanted
-	quotas    *quotaClient
-	zones     *zonePings
+	usage     *usagereport.Reports // nil where no usage is wanted
+	quotas    *quotaclient.Client
+	zones     *zoneping.Prober
 
 	retirements retirements
 
@@ -161,18 +164,16 @@
 	c.up.SyncState, c.up.Parents, c.up.ApplyUpdate = c.syncState, c.parents, c.receiveFeed
 	c.up.Acked, c.up.ResendAll, c.up.Unsubscribed = c.loads.acknowledge, c.resendLoads, func(string) {}
 	c.up.Counts = &c.counters.subscriptions
-	c.quotas = newQuotaClient(c)
-	c.zones = newZonePings(c)
 	c.seeds.Store(&set.Seeds)
 	c.timeOfDay.Observe(time.Now().UnixMicro(), clock())
-	if set.Bounds.UsageWindowS > 0 {
-		c.usage = newUsageReports(c)
-	}
 	c.monitor = membership.NewMonitor(trans, messages.Peer{Addr: set.RouterAddr(), Role: messages.Router, Zone: set.Zone, Node: set.Node}, clock, c.seedAddrs)
-	trans.OnDatagram(transport.KindReachPing, c.zones.answer)
-	trans.OnDatagram(transport.KindReachAck, c.zones.acked)
+	if err := c.newClientsOfOthers(); err != nil {
+		return nil, err
+	}
+	trans.OnDatagram(transport.KindReachPing, c.zones.HandlePing)
+	trans.OnDatagram(transport.KindReachAck, c.zones.HandleAck)
 	trans.OnCall(transport.KindReach, c.answerReach)
-	trans.OnCall(transport.KindQuotaUnowned, c.quotas.handleBorrow)
+	trans.OnCall(transport.KindQuotaUnowned, c.quotas.HandleBorrow)
 	trans.OnCall(transport.KindCondition, func(context.Context, *transport.Conn, []byte) ([]byte, error) {
 		x := c.condition()
 		return x.MarshalMsg(nil)
@@ -193,14 +194,15 @@
 	go loop.Every(live, time.Second, func() { c.connPool.Sweep(func(string) bool { return true }) })
 	go loop.Every(live, forgetEvery, c.forgetUnlisted)
 	go c.pump(live)
-	go c.zones.run(live)
+	go c.zones.Run(live)
 	go c.probeAbsent(live)
-	go loop.Every(live, quotaSweepInterval, c.quotas.sweep)
+	go loop.Every(live, quotaclient.SweepInterval, c.seeRouters)
 	go loop.Every(live, withdrawEvery, c.withdrawFromOldWeights)
 	go c.metricsServer().Run(live)
 	if c.usage != nil {
-		go loop.Every(live, usageReportPeriod, func() { c.usage.report(live) })
-		defer c.usage.flush()
+		go loop.Every(live, timeOfDayPeriod, func() { c.timeOfDay.Observe(time.Now().UnixMicro(), c.clock()) })
+		go c.usage.Run(live)
+		defer c.usage.Flush()
 	}
 	failed := make(chan error, 2)
 	go func() { failed <- c.serveReady() }()
--- a/internal/router/withdraw.go
+++ b/internal/router/withdraw.go
@@ -115,7 +115,7 @@
 	withdrawn := e.c.sent.remove(a)
 	switch {
 	case err == nil:
-		e.c.zones.answered(a.adm.Runner.Zone, a.sentUs)
+		e.c.zones.RunnerAnswered(a.adm.Runner.Zone, a.sentUs)
 		a.link.Resume(e.deadline(lateUs))
 		return nil
 	case withdrawn:
