--- a/internal/controller/cache_reader.go
+++ b/internal/controller/cache_reader.go
@@ -65,32 +65,32 @@
 
 // readCacheEvents follows a runner's events until ctx ends, from the version that is
 // known here, whichever controller read it.
-func (d *Controller) readCacheEvents(ctx context.Context, n messages.RunnerRecord) {
+func (c *Controller) readCacheEvents(ctx context.Context, n messages.RunnerRecord) {
 	reader := cacheReader{unshared: map[uint64]int32{}}
 	for ctx.Err() == nil {
-		d.readCacheEventsOnce(ctx, n, &reader)
+		c.readCacheEventsOnce(ctx, n, &reader)
 		loop.Pause(ctx, cacheEventsPause)
 	}
 }
 
 // readCacheEventsOnce fetches the events that have not been read and publishes what they change.
-func (d *Controller) readCacheEventsOnce(ctx context.Context, n messages.RunnerRecord, reader *cacheReader) {
-	d.cachedMu.Lock()
-	known := d.cached.CachedPrefixes(n.ID)
+func (c *Controller) readCacheEventsOnce(ctx context.Context, n messages.RunnerRecord, reader *cacheReader) {
+	c.cachedMu.Lock()
+	known := c.cached.CachedPrefixes(n.ID)
 	since, epoch := reader.since(known), known.Epoch
-	d.cachedMu.Unlock()
-	events, err := d.runnerAPI.CacheEvents(ctx, n, since)
+	c.cachedMu.Unlock()
+	events, err := c.runnerAPI.CacheEvents(ctx, n, since)
 	if err != nil {
 		return // the next call follows soon
 	}
-	d.heard(n.ID)
+	c.heard(n.ID)
 	first := epoch == 0
 	switch {
 	case events.Lost || !first && events.Epoch != epoch:
-		d.readCacheList(ctx, n, reader)
+		c.readCacheList(ctx, n, reader)
 	case events.NextPage > since || first:
-		d.changeCached(n.ID, func(c *prefixindex.CachedPrefixes) (messages.CachedChange, bool) {
-			return reader.applyEvents(n.ID, c, events, since, &d.sharedKeys)
+		c.changeCached(n.ID, func(cached *prefixindex.CachedPrefixes) (messages.CachedChange, bool) {
+			return reader.applyEvents(n.ID, cached, events, since, &c.sharedKeys)
 		})
 	}
 }
@@ -122,13 +122,13 @@
 }
 
 // readCacheList fetches the full list after a gap; other nodes get it as a snapshot.
-func (d *Controller) readCacheList(ctx context.Context, n messages.RunnerRecord, reader *cacheReader) {
-	list, err := d.runnerAPI.CacheList(ctx, n)
+func (c *Controller) readCacheList(ctx context.Context, n messages.RunnerRecord, reader *cacheReader) {
+	list, err := c.runnerAPI.CacheList(ctx, n)
 	if err != nil {
 		return // the next call follows soon
 	}
-	d.changeCached(n.ID, func(c *prefixindex.CachedPrefixes) (messages.CachedChange, bool) {
-		return reader.replace(n.ID, c, list, &d.sharedKeys), true
+	c.changeCached(n.ID, func(cached *prefixindex.CachedPrefixes) (messages.CachedChange, bool) {
+		return reader.replace(n.ID, cached, list, &c.sharedKeys), true
 	})
 }
 
--- a/internal/controller/compare.go
+++ b/internal/controller/compare.go
@@ -14,27 +14,27 @@
 )
 
 // answerVersions answers a comparison of versions.
-func (d *Controller) answerVersions(_ context.Context, _ *transport.Conn, body []byte) ([]byte, error) {
-	m := d.versions()
+func (c *Controller) answerVersions(_ context.Context, _ *transport.Conn, body []byte) ([]byte, error) {
+	m := c.versions()
 	var from messages.Versions
 	if _, err := from.UnmarshalMsg(body); err == nil && !from.Controller {
-		m.Parts = d.publishedVersions()
+		m.Parts = c.publishedVersions()
 	}
-	m.LaterHeartbeats = d.registry.LaterHeartbeats(from.SilentRunners, d.clock())
+	m.LaterHeartbeats = c.registry.LaterHeartbeats(from.SilentRunners, c.clock())
 	return m.MarshalMsg(nil)
 }
 
-func (d *Controller) versions() messages.Versions {
-	m := messages.Versions{Parts: make([]int64, consensus.Parts), RegistrySum: d.registry.Snapshot().Sum, Controller: true, StableForUs: d.stability.stableForUs(d.clock()), MemberID: d.registers.ID(), CutOff: d.cutOff(), TargetAges: d.targets.ages(d.clock())}
-	m.TimeUs, m.TimeAgreed = d.timeOfDay.TimeUs(d.clock())
-	m.TallyDigest = d.tallies.Digest()
-	m.ConfigAccepted = d.registers.MayHaveAccepted(consensus.ConfigPart)
-	if v, ok := d.registers.Committed(consensus.ConfigPart); ok {
+func (c *Controller) versions() messages.Versions {
+	m := messages.Versions{Parts: make([]int64, consensus.Parts), RegistrySum: c.registry.Snapshot().Sum, Controller: true, StableForUs: c.stability.stableForUs(c.clock()), MemberID: c.registers.ID(), CutOff: c.cutOff(), TargetAges: c.targets.ages(c.clock())}
+	m.TimeUs, m.TimeAgreed = c.timeOfDay.TimeUs(c.clock())
+	m.TallyDigest = c.tallies.Digest()
+	m.ConfigAccepted = c.registers.MayHaveAccepted(consensus.ConfigPart)
+	if v, ok := c.registers.Committed(consensus.ConfigPart); ok {
 		m.ConfigCommitted, m.ConfigGroup = v.Version, identities(v.Group)
 	}
 	for p := range m.Parts {
 		m.Parts[p] = -1
-		if v, ok := d.registers.Committed(p); ok {
+		if v, ok := c.registers.Committed(p); ok {
 			m.Parts[p] = v.Version
 		}
 	}
@@ -55,15 +55,15 @@
 // catchUp compares versions with the other controllers and pulls what is newer.
 // The same call asks for heartbeats of runners that are silent here, so that the
 // lease of contact, without which no silence counts, rests on calls that asked.
-func (d *Controller) catchUp(ctx context.Context) {
-	d.registers.ForgetTransfers()
-	alive := d.monitor.Alive(messages.Controller)
+func (c *Controller) catchUp(ctx context.Context) {
+	c.registers.ForgetTransfers()
+	alive := c.monitor.Alive(messages.Controller)
 	view, core := coreView(alive)
-	d.stability.observe(view, d.clock())
-	silent := d.registry.SilentRunners(d.clock(), d.silence())
+	c.stability.observe(view, c.clock())
+	silent := c.registry.SilentRunners(c.clock(), c.silence())
 	for _, p := range alive {
-		if p.Addr != d.transport.Addr() {
-			go d.compareWith(ctx, p, core[p.Addr], silent)
+		if p.Addr != c.transport.Addr() {
+			go c.compareWith(ctx, p, core[p.Addr], silent)
 		}
 	}
 }
@@ -72,31 +72,31 @@
 const compareWait = 450 * time.Millisecond
 
 // compareWith compares versions, time of day and heartbeats with another controller.
-func (d *Controller) compareWith(ctx context.Context, p messages.Peer, inCore bool, silent []messages.LastHeartbeat) {
+func (c *Controller) compareWith(ctx context.Context, p messages.Peer, inCore bool, silent []messages.LastHeartbeat) {
 	cctx, cancel := context.WithTimeout(ctx, compareWait)
 	defer cancel()
-	mine, sentUs := d.versions(), d.clock()
+	mine, sentUs := c.versions(), c.clock()
 	mine.SilentRunners = silent
-	b, err := d.transport.Call(cctx, p.Addr, transport.KindVersions, &mine)
+	b, err := c.transport.Call(cctx, p.Addr, transport.KindVersions, &mine)
 	if inCore {
-		d.stability.recordCall(p.Addr, err == nil, d.clock())
+		c.stability.recordCall(p.Addr, err == nil, c.clock())
 	}
 	if err != nil {
-		d.tallies.NotCompared(p.Addr, sentUs)
+		c.tallies.NotCompared(p.Addr, sentUs)
 		return
 	}
 	var m messages.Versions
 	if _, err := m.UnmarshalMsg(b); err != nil {
 		return
 	}
-	go d.tallies.Compared(ctx, p.Addr, m.TallyDigest)
-	d.publishRunners(d.registry.ApplyLaterHeartbeats(m.LaterHeartbeats, sentUs, d.clock())...)
-	d.targets.observe(m.TargetAges, d.clock())
-	d.timeOfDay.Compare(p.Addr, m, sentUs, d.clock())
-	d.contact.answered(cmp.Or(m.MemberID, p.MemberID), sentUs) // the earlier format has none
+	go c.tallies.Compared(ctx, p.Addr, m.TallyDigest)
+	c.publishRunners(c.registry.ApplyLaterHeartbeats(m.LaterHeartbeats, sentUs, c.clock())...)
+	c.targets.observe(m.TargetAges, c.clock())
+	c.timeOfDay.Compare(p.Addr, m, sentUs, c.clock())
+	c.contact.answered(cmp.Or(m.MemberID, p.MemberID), sentUs) // the earlier format has none
 	for part := range min(len(m.Parts), consensus.Parts) {
 		if m.Parts[part] > mine.Parts[part] {
-			go func() { _ = d.registers.Pull(ctx, p.Addr, part) }()
+			go func() { _ = c.registers.Pull(ctx, p.Addr, part) }()
 		}
 	}
 }
--- a/internal/controller/condition.go
+++ b/internal/controller/condition.go
@@ -16,52 +16,52 @@
 // unreadUs is after how long without an answer a runner counts as not read.
 const unreadUs = 5_000_000
 
-func (d *Controller) condition() messages.Condition {
-	c := messages.Condition{Node: d.set.Node, Role: messages.Controller, Zone: d.set.Zone, Addr: d.transport.Addr(), TimeUs: time.Now().UnixMicro(), MemberID: d.registers.ID(), Versions: d.publishedVersions(), HasDisk: d.disk != nil}
-	c.SaveUs, c.SaveFault = d.registers.LastSave()
-	c.Unconfirmed = d.repairs.Unconfirmed()
+func (c *Controller) condition() messages.Condition {
+	report := messages.Condition{Node: c.set.Node, Role: messages.Controller, Zone: c.set.Zone, Addr: c.transport.Addr(), TimeUs: time.Now().UnixMicro(), MemberID: c.registers.ID(), Versions: c.publishedVersions(), HasDisk: c.disk != nil}
+	report.SaveUs, report.SaveFault = c.registers.LastSave()
+	report.Unconfirmed = c.repairs.Unconfirmed()
 	for p := range consensus.Parts {
-		v, _ := d.registers.Committed(p)
-		c.Groups = append(c.Groups, append([]messages.Member{}, v.Group...))
+		v, _ := c.registers.Committed(p)
+		report.Groups = append(report.Groups, append([]messages.Member{}, v.Group...))
 	}
-	c.Peers = append(d.monitor.Alive(messages.Controller), d.monitor.Alive(messages.Router)...)
-	c.Wholes, c.Changes, c.Malformed = d.feed.snapshots.Load(), d.feed.changes.Load(), d.feed.malformed.Load()
-	c.Violations = invariant.Violations()
-	snap := d.registry.Snapshot()
-	c.Runners = len(snap.ByID)
+	report.Peers = append(c.monitor.Alive(messages.Controller), c.monitor.Alive(messages.Router)...)
+	report.Wholes, report.Changes, report.Malformed = c.feed.snapshots.Load(), c.feed.changes.Load(), c.feed.malformed.Load()
+	report.Violations = invariant.Violations()
+	snap := c.registry.Snapshot()
+	report.Runners = len(snap.ByID)
 	for id, n := range snap.ByID {
 		if n.Stale {
-			c.Stale = append(c.Stale, id)
+			report.Stale = append(report.Stale, id)
 		}
 	}
-	c.Duties, c.Quotas = d.dutyConditions(), d.quotas.Conditions()
-	if d.scaler != nil {
-		c.Scaling = d.scaler.Conditions()
+	report.Duties, report.Quotas = c.dutyConditions(), c.quotas.Conditions()
+	if c.scaler != nil {
+		report.Scaling = c.scaler.Conditions()
 	}
-	c.Partition.Tally = d.tallies.Condition()
-	c.Partition.Evacuated = d.evacuatedZones()
-	c.Partition.Rollouts = d.serviceRollouts()
-	now := d.clock()
-	d.cachedMu.Lock()
-	for id := range d.readers {
-		if now-d.heardUs[id] > unreadUs && now-d.startUs > unreadUs {
-			c.Unread = append(c.Unread, id)
+	report.Partition.Tally = c.tallies.Condition()
+	report.Partition.Evacuated = c.evacuatedZones()
+	report.Partition.Rollouts = c.serviceRollouts()
+	now := c.clock()
+	c.cachedMu.Lock()
+	for id := range c.readers {
+		if now-c.heardUs[id] > unreadUs && now-c.startUs > unreadUs {
+			report.Unread = append(report.Unread, id)
 		}
 	}
-	d.cachedMu.Unlock()
-	slices.Sort(c.Stale)
-	slices.Sort(c.Unread)
-	return c
+	c.cachedMu.Unlock()
+	slices.Sort(report.Stale)
+	slices.Sort(report.Unread)
+	return report
 }
 
 // heard notes that a runner answered a reader.
-func (d *Controller) heard(id string) {
-	d.cachedMu.Lock()
-	d.heardUs[id] = d.clock()
-	d.cachedMu.Unlock()
+func (c *Controller) heard(id string) {
+	c.cachedMu.Lock()
+	c.heardUs[id] = c.clock()
+	c.cachedMu.Unlock()
 }
 
 // OnRing tells how the doctor gets the log ring.
-func (d *Controller) OnRing(show func() ([]byte, error)) {
-	d.transport.OnCall(transport.KindRing, func(context.Context, *transport.Conn, []byte) ([]byte, error) { return show() })
+func (c *Controller) OnRing(show func() ([]byte, error)) {
+	c.transport.OnCall(transport.KindRing, func(context.Context, *transport.Conn, []byte) ([]byte, error) { return show() })
 }
--- a/internal/controller/contact.go
+++ b/internal/controller/contact.go
@@ -50,42 +50,42 @@
 
 // configGroup is the identities of the group that holds the configuration, as far
 // as this node knows.
-func (d *Controller) configGroup() []string {
-	v, _ := d.registers.Committed(consensus.ConfigPart)
+func (c *Controller) configGroup() []string {
+	v, _ := c.registers.Committed(consensus.ConfigPart)
 	return identities(v.Group)
 }
 
 // inContact tells whether this controller holds the lease now.
-func (d *Controller) inContact() bool { return d.contact.holds(d.configGroup(), d.clock()) }
+func (c *Controller) inContact() bool { return c.contact.holds(c.configGroup(), c.clock()) }
 
 // starting is true while a controller has not had the time to come by a lease.
-func (d *Controller) starting() bool { return d.clock()-d.startUs < lease.ContactUs }
+func (c *Controller) starting() bool { return c.clock()-c.startUs < lease.ContactUs }
 
 // cutOff tells whether the group that holds the configuration is out of this
 // node's reach, so that those below had better listen to another.
-func (d *Controller) cutOff() bool {
-	return len(d.configGroup()) > 1 && !d.starting() && !d.inContact()
+func (c *Controller) cutOff() bool {
+	return len(c.configGroup()) > 1 && !c.starting() && !c.inContact()
 }
 
 // readRegister is a majority's read of a register; one of the configuration renews the
 // lease.
-func (d *Controller) readRegister(ctx context.Context, part int) (messages.Value, error) {
-	begunUs := d.clock()
-	v, err := d.registers.Read(ctx, part)
+func (c *Controller) readRegister(ctx context.Context, part int) (messages.Value, error) {
+	begunUs := c.clock()
+	v, err := c.registers.Read(ctx, part)
 	if err == nil && part == consensus.ConfigPart {
-		d.contact.vouched(begunUs)
+		c.contact.vouched(begunUs)
 	}
 	return v, err
 }
 
 // changeRegister is a change of a register that a majority decides on, also where it
 // says no; one of the configuration renews the lease.
-func (d *Controller) changeRegister(ctx context.Context, part int, change consensus.Change) (messages.Value, error) {
-	begunUs := d.clock()
-	v, err := d.registers.Change(ctx, part, change)
+func (c *Controller) changeRegister(ctx context.Context, part int, change consensus.Change) (messages.Value, error) {
+	begunUs := c.clock()
+	v, err := c.registers.Change(ctx, part, change)
 	unsure := errors.Is(err, consensus.ErrUnsure) || errors.Is(err, consensus.ErrNoGroup)
 	if !unsure && part == consensus.ConfigPart {
-		d.contact.vouched(begunUs)
+		c.contact.vouched(begunUs)
 	}
 	return v, err
 }
@@ -93,19 +93,19 @@
 // inContactOnly serves a call only under the lease. A controller without it says
 // 503 at once, so that callers go on to another. The check is made again on the
 // answer, after the work: what leaves must not rest on an older word.
-func (d *Controller) inContactOnly(serve app.HandlerFunc) app.HandlerFunc {
-	return func(ctx context.Context, c *app.RequestContext) {
-		begunUs := d.clock()
-		if !d.inContact() && !d.starting() {
-			outOfContact(c)
+func (c *Controller) inContactOnly(serve app.HandlerFunc) app.HandlerFunc {
+	return func(ctx context.Context, rc *app.RequestContext) {
+		begunUs := c.clock()
+		if !c.inContact() && !c.starting() {
+			outOfContact(rc)
 			return
 		}
-		serve(ctx, c)
-		if c.Response.StatusCode() >= 500 {
+		serve(ctx, rc)
+		if rc.Response.StatusCode() >= 500 {
 			return
 		}
-		if !d.contact.mayAnswer(d.configGroup(), begunUs, d.clock()) {
-			outOfContact(c)
+		if !c.contact.mayAnswer(c.configGroup(), begunUs, c.clock()) {
+			outOfContact(rc)
 		}
 	}
 }
@@ -118,8 +118,8 @@
 
 // hasContact reports whether this controller holds the lease of contact with a
 // majority of a group.
-func (d *Controller) hasContact(group []messages.Member) bool {
-	return d.contact.holds(identities(group), d.clock())
+func (c *Controller) hasContact(group []messages.Member) bool {
+	return c.contact.holds(identities(group), c.clock())
 }
 
 func identities(group []messages.Member) []string {
@@ -131,14 +131,14 @@
 }
 
 // newRepairer returns what keeps the groups of the registers whole.
-func (d *Controller) newRepairer(handOver grouprepair.HandOverTimes) (*grouprepair.Repairer, error) {
+func (c *Controller) newRepairer(handOver grouprepair.HandOverTimes) (*grouprepair.Repairer, error) {
 	return grouprepair.New(grouprepair.Config{
-		Addr:       d.transport.Addr(),
-		Clock:      d.clock,
-		Log:        d.log,
-		Registers:  d.registers,
-		Membership: d.monitor,
-		HasContact: d.hasContact,
+		Addr:       c.transport.Addr(),
+		Clock:      c.clock,
+		Log:        c.log,
+		Registers:  c.registers,
+		Membership: c.monitor,
+		HasContact: c.hasContact,
 		HandOver:   handOver,
 	})
 }
--- a/internal/controller/control.go
+++ b/internal/controller/control.go
@@ -34,27 +34,27 @@
 
 // serveControl serves the calls of runners and of the operator until ctx ends. A lack of
 // descriptors, as where thousands of runners call at once, does not end it.
-func (d *Controller) serveControl(ctx context.Context) error {
-	if d.set.Listen.Control == "" {
+func (c *Controller) serveControl(ctx context.Context) error {
+	if c.set.Listen.Control == "" {
 		return errors.New("controller: settings name no control address")
 	}
-	ln, err := httpserver.Listen(d.set.Listen.Control)
+	ln, err := httpserver.Listen(c.set.Listen.Control)
 	if err != nil {
 		return errors.Wrap(err, "controller: control address")
 	}
 	defer ln.Close()
-	h := httpserver.New(d.set.Listen.Control, server.WithListener(ln), server.WithIdleTimeout(controlIdleTimeout))
-	h.POST("/api/Runners.Heartbeat/:id", d.counted(callHeartbeat, d.beat))
-	h.POST("/api/Runners.Leave/:id", d.counted(callLeave, d.leave))
-	h.POST("/api/Config.Replace", d.counted(callReplace, d.inContactOnly(d.replace)))
-	h.GET("/api/Config.Read", d.counted(callRead, d.inContactOnly(d.read)))
-	h.POST("/api/version-put", d.counted(callNameWeights, d.inContactOnly(d.nameWeights)))
-	h.POST("/api/Evacuate.Begin/:zone", d.counted(callEvacuate, d.inContactOnly(d.beginEvacuation)))
-	h.POST("/api/Evacuate.Finish/:zone", d.counted(callEvacuate, d.inContactOnly(d.finishEvacuation)))
-	h.POST("/api/Rollouts.Begin", d.counted(callBeginRollout, d.inContactOnly(d.beginRollout)))
-	h.GET("/api/Rollouts.Read/:service", d.counted(callReadRollout, d.inContactOnly(d.readRollout)))
-	h.POST("/api/Tallies.Amend/:id", d.counted(callAmend, d.tallies.Amend))
-	h.GET("/api/Tallies.Read/:id", d.counted(callReadTally, d.tallies.Read))
+	h := httpserver.New(c.set.Listen.Control, server.WithListener(ln), server.WithIdleTimeout(controlIdleTimeout))
+	h.POST("/api/Runners.Heartbeat/:id", c.counted(callHeartbeat, c.beat))
+	h.POST("/api/Runners.Leave/:id", c.counted(callLeave, c.leave))
+	h.POST("/api/Config.Replace", c.counted(callReplace, c.inContactOnly(c.replace)))
+	h.GET("/api/Config.Read", c.counted(callRead, c.inContactOnly(c.read)))
+	h.POST("/api/version-put", c.counted(callNameWeights, c.inContactOnly(c.nameWeights)))
+	h.POST("/api/Evacuate.Begin/:zone", c.counted(callEvacuate, c.inContactOnly(c.beginEvacuation)))
+	h.POST("/api/Evacuate.Finish/:zone", c.counted(callEvacuate, c.inContactOnly(c.finishEvacuation)))
+	h.POST("/api/Rollouts.Begin", c.counted(callBeginRollout, c.inContactOnly(c.beginRollout)))
+	h.GET("/api/Rollouts.Read/:service", c.counted(callReadRollout, c.inContactOnly(c.readRollout)))
+	h.POST("/api/Tallies.Amend/:id", c.counted(callAmend, c.tallies.Amend))
+	h.GET("/api/Tallies.Read/:id", c.counted(callReadTally, c.tallies.Read))
 	failed := make(chan error, 1)
 	go func() { failed <- h.Run() }()
 	select {
@@ -68,62 +68,62 @@
 // beat takes a heartbeat. It is noted in any case, also without the lease: nothing
 // rests on it but the list of runners, which merges. One that says draining is
 // acknowledged only once a majority has it.
-func (d *Controller) beat(ctx context.Context, c *app.RequestContext) {
-	begunUs := d.clock()
+func (c *Controller) beat(ctx context.Context, rc *app.RequestContext) {
+	begunUs := c.clock()
 	var b api.Heartbeat
-	if err := json.Unmarshal(c.Request.Body(), &b); err != nil {
-		httpapi.Reject(c, 400, httpapi.BodyField, err.Error())
+	if err := json.Unmarshal(rc.Request.Body(), &b); err != nil {
+		httpapi.Reject(rc, 400, httpapi.BodyField, err.Error())
 		return
 	}
 	if err := httpapi.Check(b); err != nil || !b.State.Valid() {
-		httpapi.Reject(c, 400, httpapi.BodyField, "not a beat")
+		httpapi.Reject(rc, 400, httpapi.BodyField, "not a beat")
 		return
 	}
-	n := messages.RunnerRecord{ID: c.Param("id"), Service: b.Service, Addr: b.Address, Zone: b.Zone, Capacity: b.Capacity, Seq: b.Sequence, Draining: b.State == api.Draining, Version: b.Version, Models: []messages.Target{}, ColdLeftUs: int64(max(b.ColdLeftMs, 0) * 1000)}
+	n := messages.RunnerRecord{ID: rc.Param("id"), Service: b.Service, Addr: b.Address, Zone: b.Zone, Capacity: b.Capacity, Seq: b.Sequence, Draining: b.State == api.Draining, Version: b.Version, Models: []messages.Target{}, ColdLeftUs: int64(max(b.ColdLeftMs, 0) * 1000)}
 	for _, m := range b.Models {
 		n.Models = append(n.Models, messages.Target{Model: m.Name, Version: m.Version})
 	}
-	changed := d.registry.ApplyHeartbeat(n, d.clock())
-	if n.Draining && d.recordDrain(n) || changed {
-		d.publishRunners(n.ID)
+	changed := c.registry.ApplyHeartbeat(n, c.clock())
+	if n.Draining && c.recordDrain(n) || changed {
+		c.publishRunners(n.ID)
 	}
-	if n.Draining && !d.confirmLeaving(ctx, n.ID, begunUs) {
-		outOfContact(c)
+	if n.Draining && !c.confirmLeaving(ctx, n.ID, begunUs) {
+		outOfContact(rc)
 		return
 	}
-	d.heartbeats.add(n)
-	elsewhere := d.beatElsewhere(d.monitor.Alive(messages.Controller), n)
+	c.heartbeats.add(n)
+	elsewhere := c.beatElsewhere(c.monitor.Alive(messages.Controller), n)
 	if elsewhere != "" {
-		c.SetConnectionClose() // nothing more comes on it, and thousands of idle ones take much memory
+		rc.SetConnectionClose() // nothing more comes on it, and thousands of idle ones take much memory
 	}
-	c.JSON(200, api.HeartbeatResponse{BeatTo: elsewhere})
+	rc.JSON(200, api.HeartbeatResponse{BeatTo: elsewhere})
 }
 
 // confirmLeaving tells the core that a runner drains or is gone, and whether that
 // may be acknowledged now.
-func (d *Controller) confirmLeaving(ctx context.Context, id string, begunUs int64) bool {
-	n, ok := d.registry.Record(id)
-	if !ok || !d.replicateDrain(ctx, n) {
+func (c *Controller) confirmLeaving(ctx context.Context, id string, begunUs int64) bool {
+	n, ok := c.registry.Record(id)
+	if !ok || !c.replicateDrain(ctx, n) {
 		return false
 	}
-	return d.clock()-begunUs < lease.ContactUs
+	return c.clock()-begunUs < lease.ContactUs
 }
 
 // beatElsewhere is where a runner's next beats should go, if not here. A controller
 // that is cut off sends them to another each time: one of them is in contact, and
 // none need be.
-func (d *Controller) beatElsewhere(all []messages.Peer, n messages.RunnerRecord) string {
+func (c *Controller) beatElsewhere(all []messages.Peer, n messages.RunnerRecord) string {
 	core := membership.Core(all)
-	if d.cutOff() {
-		return beatAnywhere(core, d.transport.Addr(), n)
+	if c.cutOff() {
+		return beatAnywhere(core, c.transport.Addr(), n)
 	}
 	var reached []messages.Peer
 	for _, p := range core {
-		if !d.stability.isCut(p.Addr) {
+		if !c.stability.isCut(p.Addr) {
 			reached = append(reached, p)
 		}
 	}
-	return beatTo(reached, d.transport.Addr(), n)
+	return beatTo(reached, c.transport.Addr(), n)
 }
 
 // beatAnywhere is any other controller, the next one with each beat.
@@ -159,50 +159,50 @@
 	return pick.Control
 }
 
-func (d *Controller) leave(ctx context.Context, c *app.RequestContext) {
-	begunUs := d.clock()
-	n, changed := d.registry.Leave(c.Param("id"), begunUs)
+func (c *Controller) leave(ctx context.Context, rc *app.RequestContext) {
+	begunUs := c.clock()
+	n, changed := c.registry.Leave(rc.Param("id"), begunUs)
 	if changed {
-		d.publishRunners(n.ID)
+		c.publishRunners(n.ID)
 	}
-	if !d.confirmLeaving(ctx, n.ID, begunUs) {
-		outOfContact(c)
+	if !c.confirmLeaving(ctx, n.ID, begunUs) {
+		outOfContact(rc)
 		return
 	}
-	c.Status(200)
+	rc.Status(200)
 }
 
 // replace takes an order of the operator. What was taken before is acknowledged
 // from what this node knows, as that stays true; everything else is decided in
 // a round of the register.
-func (d *Controller) replace(ctx context.Context, c *app.RequestContext) {
-	if version, ok := d.takenBefore(c.Request.Body()); ok {
-		d.acknowledged.Advance(version)
-		c.JSON(200, map[string]int64{"version": version})
+func (c *Controller) replace(ctx context.Context, rc *app.RequestContext) {
+	if version, ok := c.takenBefore(rc.Request.Body()); ok {
+		c.acknowledged.Advance(version)
+		rc.JSON(200, map[string]int64{"version": version})
 		return
 	}
-	order := readOrder(c)
+	order := readOrder(rc)
 	ctx, cancel := context.WithTimeout(ctx, operatorWait)
 	defer cancel()
-	if err := d.checkRetired(ctx, &order); err != nil {
-		httpapi.Reject(c, 503, "", err.Error())
+	if err := c.checkRetired(ctx, &order); err != nil {
+		httpapi.Reject(rc, 503, "", err.Error())
 		return
 	}
-	v, err := d.changeRegister(ctx, consensus.ConfigPart, func(cur messages.Value) ([]messages.Member, []byte, error) {
+	v, err := c.changeRegister(ctx, consensus.ConfigPart, func(cur messages.Value) ([]messages.Member, []byte, error) {
 		return applyOrder(cur, order)
 	})
 	var bad *routeconfig.Invalid
 	switch {
 	case err == nil, errors.Is(err, routeconfig.ErrAlreadyAccepted):
-		d.checkAcknowledged(order.Version, v)
-		c.JSON(200, map[string]int64{"version": order.Version})
+		c.checkAcknowledged(order.Version, v)
+		rc.JSON(200, map[string]int64{"version": order.Version})
 	case errors.Is(err, routeconfig.ErrVersionConflict):
-		httpapi.Reject(c, 412, "Beechtide-Base-Version", "another version is in place")
+		httpapi.Reject(rc, 412, "Beechtide-Base-Version", "another version is in place")
 	case errors.As(err, &bad):
-		invalid(c, err)
+		invalid(rc, err)
 	default:
-		d.log.Error(err, "a change of the configuration is unsure", "version", order.Version)
-		httpapi.Reject(c, 503, "", err.Error())
+		c.log.Error(err, "a change of the configuration is unsure", "version", order.Version)
+		httpapi.Reject(rc, 503, "", err.Error())
 	}
 }
 
@@ -220,8 +220,8 @@
 	return order
 }
 
-func (d *Controller) takenBefore(raw []byte) (version int64, ok bool) {
-	known, ok := d.registers.Committed(consensus.ConfigPart)
+func (c *Controller) takenBefore(raw []byte) (version int64, ok bool) {
+	known, ok := c.registers.Committed(consensus.ConfigPart)
 	if !ok {
 		return 0, false
 	}
@@ -259,56 +259,56 @@
 	httpapi.Reject(c, 400, httpapi.BodyField, err.Error())
 }
 
-func (d *Controller) read(ctx context.Context, c *app.RequestContext) {
+func (c *Controller) read(ctx context.Context, rc *app.RequestContext) {
 	ctx, cancel := context.WithTimeout(ctx, operatorWait)
 	defer cancel()
-	acknowledged := d.acknowledged.Load()
-	v, err := d.readRegister(ctx, consensus.ConfigPart)
+	acknowledged := c.acknowledged.Load()
+	v, err := c.readRegister(ctx, consensus.ConfigPart)
 	if err != nil {
-		httpapi.Reject(c, 503, "", err.Error())
+		httpapi.Reject(rc, 503, "", err.Error())
 		return
 	}
 	body, err := messages.DecodeConfigBody(v)
 	switch {
 	case err != nil:
-		httpapi.Reject(c, 500, "", err.Error())
+		httpapi.Reject(rc, 500, "", err.Error())
 	case body.Version == 0:
-		httpapi.Reject(c, 404, "", "no configuration yet")
+		httpapi.Reject(rc, 404, "", "no configuration yet")
 	default:
 		checkRead(body.Version, acknowledged)
-		c.Data(200, "application/json", body.Raw)
+		rc.Data(200, "application/json", body.Raw)
 	}
 }
 
-func (d *Controller) nameWeights(ctx context.Context, c *app.RequestContext) {
+func (c *Controller) nameWeights(ctx context.Context, rc *app.RequestContext) {
 	var w api.WeightsVersion
-	if !httpapi.Decode(c, &w) {
+	if !httpapi.Decode(rc, &w) {
 		return
 	}
 	ctx, cancel := context.WithTimeout(ctx, operatorWait)
 	defer cancel()
-	if d.rollouts.Newest(w.Model) >= w.Version {
-		c.JSON(200, w)
+	if c.rollouts.Newest(w.Model) >= w.Version {
+		rc.JSON(200, w)
 		return
 	}
-	part, holder := consensus.PartOf(w.Model), d.registers.ID()
-	if d.rollouts.FenceFloor(part) > 0 {
+	part, holder := consensus.PartOf(w.Model), c.registers.ID()
+	if c.rollouts.FenceFloor(part) > 0 {
 		holder = "" // the duty is acquired with a fence above the floor
 	}
-	v, err := d.registers.Change(ctx, part, func(cur messages.Value) ([]messages.Member, []byte, error) {
+	v, err := c.registers.Change(ctx, part, func(cur messages.Value) ([]messages.Member, []byte, error) {
 		return nameTarget(cur, w, holder)
 	})
 	if body, berr := messages.DecodeLeaseBody(v); err == nil && berr == nil {
-		d.leases.RecordInitialHolder(part, body.Lease)
+		c.leases.RecordInitialHolder(part, body.Lease)
 	}
 	if err != nil && !errors.Is(err, consensus.ErrNoChange) {
-		httpapi.Reject(c, 503, "", err.Error())
+		httpapi.Reject(rc, 503, "", err.Error())
 		return
 	}
 	if err == nil {
-		d.targets.named(w.Model, w.Version, d.clock())
+		c.targets.named(w.Model, w.Version, c.clock())
 	}
-	c.JSON(200, w)
+	rc.JSON(200, w)
 }
 
 // nameTarget records a model's newest weights. Where the lease was never held,
--- a/internal/controller/controller.go
+++ b/internal/controller/controller.go
@@ -190,37 +190,37 @@
 }
 
 // handleMessages sets who handles the messages of other nodes.
-func (d *Controller) handleMessages() {
-	trans := d.transport
+func (c *Controller) handleMessages() {
+	trans := c.transport
 	trans.OnCall(transport.KindConsensus, func(ctx context.Context, _ *transport.Conn, body []byte) ([]byte, error) {
-		return d.registers.Handle(ctx, body)
+		return c.registers.Handle(ctx, body)
 	})
-	trans.OnCall(transport.KindVersions, d.answerVersions)
+	trans.OnCall(transport.KindVersions, c.answerVersions)
 	trans.OnCall(transport.KindCondition, func(context.Context, *transport.Conn, []byte) ([]byte, error) {
-		c := d.condition()
-		return c.MarshalMsg(nil)
+		report := c.condition()
+		return report.MarshalMsg(nil)
 	})
-	trans.OnCall(transport.KindDraining, d.handleDrain)
-	if d.usage != nil {
-		trans.OnCall(transport.KindUsageRows, d.usage.ReceiveRows)
-		trans.OnCall(transport.KindUsageQuery, d.usage.AnswerQuery)
+	trans.OnCall(transport.KindDraining, c.handleDrain)
+	if c.usage != nil {
+		trans.OnCall(transport.KindUsageRows, c.usage.ReceiveRows)
+		trans.OnCall(transport.KindUsageQuery, c.usage.AnswerQuery)
 	}
-	trans.OnCall(transport.KindQuotaClaim, d.quotas.HandleClaim)
-	trans.OnCall(transport.KindQuotaAsk, d.quotas.HandleAsk)
-	trans.OnCall(transport.KindTallyAppend, d.tallies.HandleAppend)
-	trans.OnCall(transport.KindTallyPull, d.tallies.HandlePull)
-	trans.OnDatagram(transport.KindRunner, d.heardRunner)
-	trans.OnDatagram(transport.KindRunners, d.heardRunners)
+	trans.OnCall(transport.KindQuotaClaim, c.quotas.HandleClaim)
+	trans.OnCall(transport.KindQuotaAsk, c.quotas.HandleAsk)
+	trans.OnCall(transport.KindTallyAppend, c.tallies.HandleAppend)
+	trans.OnCall(transport.KindTallyPull, c.tallies.HandlePull)
+	trans.OnDatagram(transport.KindRunner, c.heardRunner)
+	trans.OnDatagram(transport.KindRunners, c.heardRunners)
 }
 
 // knownControllers are the addresses to greet: the seeds and the members known
 // from disk, since all the seeds may be stale.
-func (d *Controller) knownControllers() []string {
-	set := d.set
-	set.Seeds = *d.seeds.Load()
+func (c *Controller) knownControllers() []string {
+	set := c.set
+	set.Seeds = *c.seeds.Load()
 	out := set.SeedAddrs()
 	for p := range consensus.Parts {
-		if v, ok := d.registers.Committed(p); ok {
+		if v, ok := c.registers.Committed(p); ok {
 			for _, m := range v.Group {
 				out = append(out, m.Addr)
 			}
@@ -231,72 +231,72 @@
 
 // Reload takes what may change in a running process from newly read settings: the seeds,
 // and the address of the platform.
-func (d *Controller) Reload(set settings.Settings) {
-	d.seeds.Store(&set.Seeds)
-	d.platformAddr.Store(&set.Cloud.Address)
+func (c *Controller) Reload(set settings.Settings) {
+	c.seeds.Store(&set.Seeds)
+	c.platformAddr.Store(&set.Cloud.Address)
 }
 
 // Run serves until ctx ends; then the registers are handed over where a newcomer
 // stands ready, and served on meanwhile.
-func (d *Controller) Run(ctx context.Context) error {
+func (c *Controller) Run(ctx context.Context) error {
 	live, end := context.WithCancel(context.WithoutCancel(ctx))
-	defer d.transport.Close()
+	defer c.transport.Close()
 	defer end()
-	d.transport.Run(live)
-	go d.monitor.Run(live)
-	go d.listenToOthers(live)
-	go d.repairs.Run(live)
-	go loop.Every(live, 500*time.Millisecond, func() { d.catchUp(live) })
-	go loop.Every(live, 500*time.Millisecond, func() { d.sweep() })
-	go loop.Every(live, heartbeatPause, d.forwardHeartbeats)
-	go loop.Every(live, 500*time.Millisecond, func() { d.wantReaders(live) })
+	c.transport.Run(live)
+	go c.monitor.Run(live)
+	go c.listenToOthers(live)
+	go c.repairs.Run(live)
+	go loop.Every(live, 500*time.Millisecond, func() { c.catchUp(live) })
+	go loop.Every(live, 500*time.Millisecond, func() { c.sweep() })
+	go loop.Every(live, heartbeatPause, c.forwardHeartbeats)
+	go loop.Every(live, 500*time.Millisecond, func() { c.wantReaders(live) })
 	go loop.Every(live, singleton.Period, func() {
-		d.timeOfDay.Observe(time.Now().UnixMicro(), d.clock())
-		d.tasks.Step(live)
+		c.timeOfDay.Observe(time.Now().UnixMicro(), c.clock())
+		c.tasks.Step(live)
 	})
-	if d.usage != nil {
-		go d.usage.Run(live)
+	if c.usage != nil {
+		go c.usage.Run(live)
 	}
 	counting, endCounting := context.WithCancel(live)
 	defer endCounting()
-	go d.quotas.Run(counting)
-	go d.tallies.Run(live)
-	go d.runFeed(live)
-	go d.settleRegisters(live)
-	go d.finishRounds(live)
-	go d.metricsServer().Run(live)
-	if d.disk != nil {
-		go d.keepRunners(live)
-		go d.saveSharedKeys(live)
+	go c.quotas.Run(counting)
+	go c.tallies.Run(live)
+	go c.runFeed(live)
+	go c.settleRegisters(live)
+	go c.finishRounds(live)
+	go c.metricsServer().Run(live)
+	if c.disk != nil {
+		go c.keepRunners(live)
+		go c.saveSharedKeys(live)
 	}
 	served := make(chan error, 1)
-	go func() { served <- d.serveControl(live) }()
+	go func() { served <- c.serveControl(live) }()
 	var err error
 	select {
 	case err = <-served:
 		end()
 	case <-ctx.Done():
 		endCounting()
-		d.quotas.Leave()
-		d.repairs.Leave(live)
+		c.quotas.Leave()
+		c.repairs.Leave(live)
 		end()
 		err = <-served
 	}
-	d.closeDisk()
+	c.closeDisk()
 	return err
 }
 
 // closeWait is how long an ending process waits for writes under way.
 const closeWait = 500 * time.Millisecond
 
-func (d *Controller) closeDisk() {
-	if d.disk == nil {
+func (c *Controller) closeDisk() {
+	if c.disk == nil {
 		return
 	}
 	done := make(chan struct{})
 	go func() {
-		d.disk.Close()
-		<-d.tallies.Closed()
+		c.disk.Close()
+		<-c.tallies.Closed()
 		close(done)
 	}()
 	select {
@@ -307,13 +307,13 @@
 
 // settleRegisters reads every part once after the start, so that what was agreed
 // on before a loss of power but not known as such is finished.
-func (d *Controller) settleRegisters(ctx context.Context) {
+func (c *Controller) settleRegisters(ctx context.Context) {
 	for p := range consensus.Parts {
 		for ctx.Err() == nil {
 			cctx, cancel := context.WithTimeout(ctx, time.Second)
-			v, err := d.readRegister(cctx, p)
+			v, err := c.readRegister(cctx, p)
 			cancel()
-			d.log.Info("part read", "part", p, "version", v.Version, "members", len(v.Group), "err", err)
+			c.log.Info("part read", "part", p, "version", v.Version, "members", len(v.Group), "err", err)
 			if err == nil {
 				break
 			}
@@ -322,7 +322,7 @@
 	}
 }
 
-func (d *Controller) learned(p int, v messages.Value) {
+func (c *Controller) learned(p int, v messages.Value) {
 	if v.Version == 0 || len(v.Body) == 0 {
 		return
 	}
@@ -331,58 +331,58 @@
 		if _, err := body.UnmarshalMsg(v.Body); err == nil && body.Version > 0 {
 			if m, err := routeconfig.ParseAccepted(body.Raw); err == nil {
 				begun := time.Now()
-				d.publishConfig(v.Version, m)
-				d.counters.publishes.Observe(time.Since(begun))
+				c.publishConfig(v.Version, m)
+				c.counters.publishes.Observe(time.Since(begun))
 			}
 		}
 	}
 	if p != consensus.ConfigPart {
-		d.learnedRole(p, v)
+		c.learnedRole(p, v)
 	}
 }
 
 // learnedRole takes what a register with a lease has. Routers need no closed windows, so
 // these do not go along.
-func (d *Controller) learnedRole(p int, v messages.Value) {
+func (c *Controller) learnedRole(p int, v messages.Value) {
 	body, err := messages.DecodeLeaseBody(v)
 	if err != nil {
-		d.log.Error(err, "a committed register cannot be read", "part", p)
+		c.log.Error(err, "a committed register cannot be read", "part", p)
 		return
 	}
-	d.targets.committed(body.Targets, d.starting(), d.clock())
-	if d.usage != nil {
-		d.usage.Closed(body.Usage.Next)
+	c.targets.committed(body.Targets, c.starting(), c.clock())
+	if c.usage != nil {
+		c.usage.Closed(body.Usage.Next)
 	}
 	body.Usage.Pending = nil
 	published, err := body.MarshalMsg(nil)
 	if err != nil {
-		d.log.Error(err, "a committed register cannot be sent", "part", p)
+		c.log.Error(err, "a committed register cannot be sent", "part", p)
 		return
 	}
-	d.publishPart(messages.RegisterUpdate{Part: p, Version: v.Version, Body: published})
+	c.publishPart(messages.RegisterUpdate{Part: p, Version: v.Version, Body: published})
 }
 
 // heardRunner takes a heartbeat that a controller of an earlier release has received.
-func (d *Controller) heardRunner(_ string, body []byte) {
+func (c *Controller) heardRunner(_ string, body []byte) {
 	var n messages.RunnerRecord
-	if _, err := n.UnmarshalMsg(body); err == nil && d.registry.ApplyHeartbeat(n, d.clock()) {
-		d.publishRunners(n.ID)
+	if _, err := n.UnmarshalMsg(body); err == nil && c.registry.ApplyHeartbeat(n, c.clock()) {
+		c.publishRunners(n.ID)
 	}
 }
 
 // silence is the bounds for runners that beat as the settings say.
-func (d *Controller) silence() registry.Silence {
-	return registry.SilenceAfter(int64(d.set.BeatPeriodMs) * 1000)
+func (c *Controller) silence() registry.Silence {
+	return registry.SilenceAfter(int64(c.set.BeatPeriodMs) * 1000)
 }
 
-func (d *Controller) sweep() {
-	for _, n := range d.registry.Sweep(d.clock(), d.silence(), !d.cutOff()) {
-		d.publishRunners(n.ID)
+func (c *Controller) sweep() {
+	for _, n := range c.registry.Sweep(c.clock(), c.silence(), !c.cutOff()) {
+		c.publishRunners(n.ID)
 	}
-	d.syncRunners()
-	snap := d.registry.Snapshot()
-	d.cachedMu.Lock()
-	d.cached.Retain(func(r string) bool { _, ok := snap.ByID[r]; return ok || strings.Contains(r, ":") })
-	d.cachedMu.Unlock()
-	d.connPool.Sweep(func(string) bool { return true })
+	c.syncRunners()
+	snap := c.registry.Snapshot()
+	c.cachedMu.Lock()
+	c.cached.Retain(func(r string) bool { _, ok := snap.ByID[r]; return ok || strings.Contains(r, ":") })
+	c.cachedMu.Unlock()
+	c.connPool.Sweep(func(string) bool { return true })
 }
--- a/internal/controller/counters.go
+++ b/internal/controller/counters.go
@@ -59,11 +59,11 @@
 }
 
 // counted counts the responses to a call.
-func (d *Controller) counted(which callKind, serve app.HandlerFunc) app.HandlerFunc {
-	counter := &d.counters.calls[which]
-	return func(ctx context.Context, c *app.RequestContext) {
+func (c *Controller) counted(which callKind, serve app.HandlerFunc) app.HandlerFunc {
+	counter := &c.counters.calls[which]
+	return func(ctx context.Context, rc *app.RequestContext) {
 		begun := time.Now()
-		serve(ctx, c)
-		counter.record(c.Response.StatusCode(), time.Since(begun))
+		serve(ctx, rc)
+		counter.record(rc.Response.StatusCode(), time.Since(begun))
 	}
 }
--- a/internal/controller/drain.go
+++ b/internal/controller/drain.go
@@ -122,28 +122,28 @@
 
 // replicateDrain notifies the core that a runner drains or is gone, and reports whether
 // a majority has acknowledged it, now or earlier.
-func (d *Controller) replicateDrain(ctx context.Context, n messages.RunnerRecord) bool {
-	if d.drained.contains(n) {
+func (c *Controller) replicateDrain(ctx context.Context, n messages.RunnerRecord) bool {
+	if c.drained.contains(n) {
 		return true
 	}
 	var peers []drainPeer
-	for _, p := range membership.Core(d.monitor.Alive(messages.Controller)) {
-		if p.Addr != d.transport.Addr() {
-			peers = append(peers, drainPeer{p.Addr, !d.stability.isCut(p.Addr)})
+	for _, p := range membership.Core(c.monitor.Alive(messages.Controller)) {
+		if p.Addr != c.transport.Addr() {
+			peers = append(peers, drainPeer{p.Addr, !c.stability.isCut(p.Addr)})
 		}
 	}
 	ctx, cancel := context.WithTimeout(ctx, drainTimeout)
 	defer cancel()
-	if !replicate(ctx, d.registers.ID(), d.configGroup(), peers, d.notifyOfDrain(n)) {
+	if !replicate(ctx, c.registers.ID(), c.configGroup(), peers, c.notifyOfDrain(n)) {
 		return false
 	}
-	d.drained.add(n)
+	c.drained.add(n)
 	return true
 }
 
-func (d *Controller) notifyOfDrain(n messages.RunnerRecord) notifyPeer {
+func (c *Controller) notifyOfDrain(n messages.RunnerRecord) notifyPeer {
 	return func(ctx context.Context, addr string) (string, error) {
-		b, err := d.transport.Call(ctx, addr, transport.KindDraining, &n)
+		b, err := c.transport.Call(ctx, addr, transport.KindDraining, &n)
 		if err != nil {
 			return "", err
 		}
@@ -157,25 +157,25 @@
 
 // handleDrain handles another controller's notification that a runner drains or is
 // gone: it publishes that to its own subscribers and acknowledges with its identity.
-func (d *Controller) handleDrain(_ context.Context, _ *transport.Conn, body []byte) ([]byte, error) {
+func (c *Controller) handleDrain(_ context.Context, _ *transport.Conn, body []byte) ([]byte, error) {
 	var n messages.RunnerRecord
 	if _, err := n.UnmarshalMsg(body); err != nil {
 		return nil, err
 	}
-	if d.recordDrain(n) {
-		d.publishRunners(n.ID)
+	if c.recordDrain(n) {
+		c.publishRunners(n.ID)
 	}
-	self := messages.Member{ID: d.registers.ID(), Addr: d.transport.Addr()}
+	self := messages.Member{ID: c.registers.ID(), Addr: c.transport.Addr()}
 	return self.MarshalMsg(nil)
 }
 
 // recordDrain records what a runner has said of itself, whatever its heartbeats said
 // since and whatever the other controller believes of it.
-func (d *Controller) recordDrain(n messages.RunnerRecord) (changed bool) {
+func (c *Controller) recordDrain(n messages.RunnerRecord) (changed bool) {
 	if n.Gone {
-		_, changed = d.registry.Leave(n.ID, d.clock())
+		_, changed = c.registry.Leave(n.ID, c.clock())
 		return changed
 	}
 	n.Stale, n.Lost = false, false
-	return d.registry.Merge(n, d.clock())
+	return c.registry.Merge(n, c.clock())
 }
--- a/internal/controller/duties.go
+++ b/internal/controller/duties.go
@@ -32,144 +32,144 @@
 }
 
 // notes returns the small files on disk, nil on a machine without one.
-func (d *Controller) notes() singleton.Notes {
-	if d.disk == nil {
+func (c *Controller) notes() singleton.Notes {
+	if c.disk == nil {
 		return nil
 	}
-	return d.disk
+	return c.disk
 }
 
 // newSingletons makes the leases and the tasks under them.
-func (d *Controller) newSingletons() (err error) {
-	if d.leases, err = d.newLeases(); err != nil {
+func (c *Controller) newSingletons() (err error) {
+	if c.leases, err = c.newLeases(); err != nil {
 		return err
 	}
-	if d.platform, err = d.newPlatformClient(); err != nil {
+	if c.platform, err = c.newPlatformClient(); err != nil {
 		return err
 	}
-	if d.rollouts, err = d.newWeightRollout(); err != nil {
+	if c.rollouts, err = c.newWeightRollout(); err != nil {
 		return err
 	}
-	services, err := d.newServiceRollout()
+	services, err := c.newServiceRollout()
 	if err != nil {
 		return err
 	}
-	tasks := []singleton.Task{d.rollouts, services}
-	if hasDuty(d.set, scaling.Duty) {
-		if d.scaler, err = d.newScaler(); err != nil {
+	tasks := []singleton.Task{c.rollouts, services}
+	if hasDuty(c.set, scaling.Duty) {
+		if c.scaler, err = c.newScaler(); err != nil {
 			return err
 		}
-		tasks = append(tasks, d.scaler)
+		tasks = append(tasks, c.scaler)
 	}
-	if reportsUsage(d.set) {
-		if d.usage, err = d.newUsageReporter(); err != nil {
+	if reportsUsage(c.set) {
+		if c.usage, err = c.newUsageReporter(); err != nil {
 			return err
 		}
-		tasks = append(tasks, d.usage)
+		tasks = append(tasks, c.usage)
 	}
-	d.tasks = singleton.NewRunner(d.leases, tasks...)
+	c.tasks = singleton.NewRunner(c.leases, tasks...)
 	return nil
 }
 
-func (d *Controller) newLeases() (*singleton.Leases, error) {
+func (c *Controller) newLeases() (*singleton.Leases, error) {
 	return singleton.NewLeases(singleton.Config{
-		Addr:       d.transport.Addr(),
-		LeaseUs:    int64(d.set.Bounds.LeaseMs) * usPerMs,
-		Clock:      d.clock,
-		Log:        d.log,
-		Registers:  d.registers,
-		Membership: d.monitor,
-		Notes:      d.notes(),
-		IsCut:      d.stability.isCut,
-		HasContact: d.hasContact,
+		Addr:       c.transport.Addr(),
+		LeaseUs:    int64(c.set.Bounds.LeaseMs) * usPerMs,
+		Clock:      c.clock,
+		Log:        c.log,
+		Registers:  c.registers,
+		Membership: c.monitor,
+		Notes:      c.notes(),
+		IsCut:      c.stability.isCut,
+		HasContact: c.hasContact,
 	})
 }
 
-func (d *Controller) newPlatformClient() (*platform.Client, error) {
+func (c *Controller) newPlatformClient() (*platform.Client, error) {
 	return platform.New(platform.Config{
-		Holder: d.set.Node,
-		Addr:   func() string { return *d.platformAddr.Load() },
-		Fences: d.leases,
-		HTTP:   d.connPool,
-		Clock:  d.clock,
-		Log:    d.log,
+		Holder: c.set.Node,
+		Addr:   func() string { return *c.platformAddr.Load() },
+		Fences: c.leases,
+		HTTP:   c.connPool,
+		Clock:  c.clock,
+		Log:    c.log,
 	})
 }
 
-func (d *Controller) newWeightRollout() (*weightrollout.Driver, error) {
+func (c *Controller) newWeightRollout() (*weightrollout.Driver, error) {
 	return weightrollout.New(weightrollout.Config{
-		VersionUs: int64(d.set.Bounds.VersionMs) * usPerMs,
-		Clock:     d.clock,
-		Log:       d.log,
-		Registers: d.registers,
-		Fences:    d.leases,
-		Targets:   &d.targets,
-		Runners:   d.registry,
-		API:       runnerapi.New(d.connPool),
-		ServiceOf: d.serviceOfModel,
-		Publish:   d.publishRunners,
+		VersionUs: int64(c.set.Bounds.VersionMs) * usPerMs,
+		Clock:     c.clock,
+		Log:       c.log,
+		Registers: c.registers,
+		Fences:    c.leases,
+		Targets:   &c.targets,
+		Runners:   c.registry,
+		API:       runnerapi.New(c.connPool),
+		ServiceOf: c.serviceOfModel,
+		Publish:   c.publishRunners,
 	})
 }
 
 // serviceOfModel returns the service whose runners carry a model; empty where none does.
-func (d *Controller) serviceOfModel(model string) string {
-	table := d.table.Load()
+func (c *Controller) serviceOfModel(model string) string {
+	table := c.table.Load()
 	if table == nil {
 		return ""
 	}
 	return table.ServiceOfModel(model)
 }
 
-func (d *Controller) newServiceRollout() (*servicerollout.Driver, error) {
+func (c *Controller) newServiceRollout() (*servicerollout.Driver, error) {
 	return servicerollout.New(servicerollout.Config{
-		Bounds:    d.exposure(),
-		Log:       d.log,
-		Leases:    d.leases,
-		TimeOfDay: func() (int64, bool) { return d.timeOfDay.TimeUs(d.clock()) },
-		Runners:   func() *registry.Snapshot { return d.registry.Snapshot() },
-		ReadLoads: d.feed.readLoads,
+		Bounds:    c.exposure(),
+		Log:       c.log,
+		Leases:    c.leases,
+		TimeOfDay: func() (int64, bool) { return c.timeOfDay.TimeUs(c.clock()) },
+		Runners:   func() *registry.Snapshot { return c.registry.Snapshot() },
+		ReadLoads: c.feed.readLoads,
 	})
 }
 
-func (d *Controller) newScaler() (*scaling.Scaler, error) {
+func (c *Controller) newScaler() (*scaling.Scaler, error) {
 	return scaling.New(scaling.Config{
-		Self:              d.registers.ID(),
-		Clock:             d.clock,
-		Log:               d.log,
-		Leases:            d.leases,
-		Platform:          d.platform,
-		Table:             func() *routeconfig.Table { return d.table.Load() },
-		Runners:           func() *registry.Snapshot { return d.registry.Snapshot() },
-		ReadLoads:         d.feed.readLoads,
-		InContact:         d.inContact,
-		StableForUs:       func() int64 { return d.stability.stableForUs(d.clock()) },
-		RolloutUnfinished: d.rollouts.Unfinished,
+		Self:              c.registers.ID(),
+		Clock:             c.clock,
+		Log:               c.log,
+		Leases:            c.leases,
+		Platform:          c.platform,
+		Table:             func() *routeconfig.Table { return c.table.Load() },
+		Runners:           func() *registry.Snapshot { return c.registry.Snapshot() },
+		ReadLoads:         c.feed.readLoads,
+		InContact:         c.inContact,
+		StableForUs:       func() int64 { return c.stability.stableForUs(c.clock()) },
+		RolloutUnfinished: c.rollouts.Unfinished,
 	})
 }
 
-func (d *Controller) newUsageReporter() (*usagereport.Reporter, error) {
+func (c *Controller) newUsageReporter() (*usagereport.Reporter, error) {
 	return usagereport.New(usagereport.Config{
-		WindowUs:  (time.Duration(d.set.Bounds.UsageWindowS) * time.Second).Microseconds(),
-		Clock:     d.clock,
-		Log:       d.log,
-		Registers: d.registers,
-		Leases:    d.leases,
-		Platform:  d.platform,
-		Transport: d.transport,
-		Peers:     d.otherControllers,
+		WindowUs:  (time.Duration(c.set.Bounds.UsageWindowS) * time.Second).Microseconds(),
+		Clock:     c.clock,
+		Log:       c.log,
+		Registers: c.registers,
+		Leases:    c.leases,
+		Platform:  c.platform,
+		Transport: c.transport,
+		Peers:     c.otherControllers,
 		TimeUs: func() int64 {
-			timeUs, _ := d.timeOfDay.TimeUs(d.clock())
+			timeUs, _ := c.timeOfDay.TimeUs(c.clock())
 			return timeUs
 		},
-		Notes: d.notes(),
+		Notes: c.notes(),
 	})
 }
 
 // otherControllers returns the addresses of the other controllers that are alive.
-func (d *Controller) otherControllers() []string {
+func (c *Controller) otherControllers() []string {
 	var addrs []string
-	for _, peer := range d.monitor.Alive(messages.Controller) {
-		if peer.Addr != d.transport.Addr() {
+	for _, peer := range c.monitor.Alive(messages.Controller) {
+		if peer.Addr != c.transport.Addr() {
 			addrs = append(addrs, peer.Addr)
 		}
 	}
@@ -184,27 +184,27 @@
 }
 
 // dutyConditions are the duties at the platform, for the doctor.
-func (d *Controller) dutyConditions() []messages.DutyCondition {
+func (c *Controller) dutyConditions() []messages.DutyCondition {
 	var out []messages.DutyCondition
-	if d.usage != nil {
-		duty := d.dutyCondition(usagereport.Duty, usagereport.Part)
-		duty.OverdueUs = d.usage.Unreported().Microseconds()
+	if c.usage != nil {
+		duty := c.dutyCondition(usagereport.Duty, usagereport.Part)
+		duty.OverdueUs = c.usage.Unreported().Microseconds()
 		out = append(out, duty)
 	}
-	if d.scaler != nil {
-		out = append(out, d.dutyCondition(scaling.Duty, scaling.Part))
+	if c.scaler != nil {
+		out = append(out, c.dutyCondition(scaling.Duty, scaling.Part))
 	}
 	return out
 }
 
-func (d *Controller) dutyCondition(name string, part int) messages.DutyCondition {
+func (c *Controller) dutyCondition(name string, part int) messages.DutyCondition {
 	duty := messages.DutyCondition{Name: name}
-	value, _ := d.registers.Committed(part)
+	value, _ := c.registers.Committed(part)
 	if body, err := messages.DecodeLeaseBody(value); err == nil {
 		duty.Holder, duty.Fence = body.Lease.Holder, body.Lease.Fence
 	}
-	if last := d.platform.Last(part); last.SentUs > 0 {
-		duty.LastCallUs, duty.Accepted = d.clock()-last.SentUs, last.Answer == platform.Accepted
+	if last := c.platform.Last(part); last.SentUs > 0 {
+		duty.LastCallUs, duty.Accepted = c.clock()-last.SentUs, last.Answer == platform.Accepted
 	}
 	return duty
 }
--- a/internal/controller/evacuation.go
+++ b/internal/controller/evacuation.go
@@ -20,43 +20,43 @@
 // maxZoneName bounds the name of a zone, in bytes.
 const maxZoneName = 128
 
-func (d *Controller) beginEvacuation(ctx context.Context, c *app.RequestContext) {
-	d.evacuate(ctx, c, true)
+func (c *Controller) beginEvacuation(ctx context.Context, rc *app.RequestContext) {
+	c.evacuate(ctx, rc, true)
 }
 
-func (d *Controller) finishEvacuation(ctx context.Context, c *app.RequestContext) {
-	d.evacuate(ctx, c, false)
+func (c *Controller) finishEvacuation(ctx context.Context, rc *app.RequestContext) {
+	c.evacuate(ctx, rc, false)
 }
 
 // evacuate takes an order of the operator. An order that changes nothing is acknowledged by a
 // round that has read the newest value.
-func (d *Controller) evacuate(ctx context.Context, c *app.RequestContext, evacuated bool) {
-	zone := c.Param("zone")
-	if !d.isZone(zone) {
-		httpapi.Reject(c, 400, "zone", "no such zone")
+func (c *Controller) evacuate(ctx context.Context, rc *app.RequestContext, evacuated bool) {
+	zone := rc.Param("zone")
+	if !c.isZone(zone) {
+		httpapi.Reject(rc, 400, "zone", "no such zone")
 		return
 	}
 	ctx, cancel := context.WithTimeout(ctx, operatorWait)
 	defer cancel()
-	_, err := d.changeRegister(ctx, consensus.PartOf(zone), func(cur messages.Value) ([]messages.Member, []byte, error) {
+	_, err := c.changeRegister(ctx, consensus.PartOf(zone), func(cur messages.Value) ([]messages.Member, []byte, error) {
 		return evacuateZone(cur, zone, evacuated)
 	})
 	if err != nil && !errors.Is(err, consensus.ErrNoChange) {
-		httpapi.Reject(c, 503, "", err.Error())
+		httpapi.Reject(rc, 503, "", err.Error())
 		return
 	}
-	d.log.Info("evacuation acknowledged", "zone", zone, "evacuated", evacuated, "changed", err == nil)
-	c.Status(200)
+	c.log.Info("evacuation acknowledged", "zone", zone, "evacuated", evacuated, "changed", err == nil)
+	rc.Status(200)
 }
 
 // isZone reports whether a zone may be evacuated: one of the settings, or any name where they
 // list none.
-func (d *Controller) isZone(zone string) bool {
+func (c *Controller) isZone(zone string) bool {
 	if zone == "" || len(zone) > maxZoneName {
 		return false
 	}
-	_, listed := d.set.Zones[zone]
-	return listed || len(d.set.Zones) == 0 || zone == d.set.Zone
+	_, listed := c.set.Zones[zone]
+	return listed || len(c.set.Zones) == 0 || zone == c.set.Zone
 }
 
 // evacuateZone records whether a zone is evacuated.
@@ -80,9 +80,9 @@
 }
 
 // evacuatedZones lists the zones that are evacuated as far as this controller knows.
-func (d *Controller) evacuatedZones() []string {
+func (c *Controller) evacuatedZones() []string {
 	var zones []string
-	singleton.CommittedBodies(d.registers, func(_ int, body messages.LeaseBody) {
+	singleton.CommittedBodies(c.registers, func(_ int, body messages.LeaseBody) {
 		for _, e := range body.Evacuations {
 			if e.Evacuated {
 				zones = append(zones, e.Zone)
--- a/internal/controller/feed.go
+++ b/internal/controller/feed.go
@@ -28,8 +28,8 @@
 	maxUpdateInterval = 120 * time.Millisecond
 )
 
-func (d *Controller) updatePause() time.Duration {
-	return min(max(time.Duration(len(d.monitor.Alive(messages.Router)))*updatePart, updateInterval), maxUpdateInterval)
+func (c *Controller) updatePause() time.Duration {
+	return min(max(time.Duration(len(c.monitor.Alive(messages.Router)))*updatePart, updateInterval), maxUpdateInterval)
 }
 
 // Least time between two updates where something is urgent: a change of runners or of
@@ -41,8 +41,8 @@
 	minUrgentPause  = 2 * time.Millisecond
 )
 
-func (d *Controller) urgentPause() time.Duration {
-	return min(max(time.Duration(len(d.monitor.Alive(messages.Router)))*urgentPausePart, minUrgentPause), maxUpdateInterval)
+func (c *Controller) urgentPause() time.Duration {
+	return min(max(time.Duration(len(c.monitor.Alive(messages.Router)))*urgentPausePart, minUrgentPause), maxUpdateInterval)
 }
 
 // Least time between two sums of loads to the routers. In a large fleet nearly every
@@ -55,8 +55,8 @@
 	loadsLeast = updateInterval
 )
 
-func (d *Controller) loadsPause() time.Duration {
-	return min(max(time.Duration(len(d.monitor.Alive(messages.Router)))*loadsPart, loadsLeast), loadsMost)
+func (c *Controller) loadsPause() time.Duration {
+	return min(max(time.Duration(len(c.monitor.Alive(messages.Router)))*loadsPart, loadsLeast), loadsMost)
 }
 
 // subtreeSender is the name of the nodes below this one in the sum of all.
@@ -131,34 +131,34 @@
 }
 
 // publishedVersions are the versions that receivers are sent.
-func (d *Controller) publishedVersions() []int64 {
-	d.feed.mu.Lock()
-	defer d.feed.mu.Unlock()
-	return d.feed.versions()
+func (c *Controller) publishedVersions() []int64 {
+	c.feed.mu.Lock()
+	defer c.feed.mu.Unlock()
+	return c.feed.versions()
 }
 
 // publishRunners sends the records of runners as the registry has them now.
-func (d *Controller) publishRunners(ids ...string) {
+func (c *Controller) publishRunners(ids ...string) {
 	if len(ids) == 0 {
 		return
 	}
-	f := &d.feed
+	f := &c.feed
 	f.mu.Lock()
-	err := d.registry.Publish(f.registry, ids...)
+	err := c.registry.Publish(f.registry, ids...)
 	f.mu.Unlock()
 	if err != nil {
-		d.log.Error(err, "a runner's record cannot be sent")
+		c.log.Error(err, "a runner's record cannot be sent")
 	}
 	f.wake()
 }
 
 // syncRunners brings the published records to what the registry has: those recalled from
 // disk are added, those that it has forgotten are deleted.
-func (d *Controller) syncRunners() {
-	d.feed.mu.Lock()
-	defer d.feed.mu.Unlock()
-	if err := d.registry.Sync(d.feed.registry); err != nil {
-		d.log.Error(err, "a runner's record cannot be sent")
+func (c *Controller) syncRunners() {
+	c.feed.mu.Lock()
+	defer c.feed.mu.Unlock()
+	if err := c.registry.Sync(c.feed.registry); err != nil {
+		c.log.Error(err, "a runner's record cannot be sent")
 	}
 }
 
@@ -166,25 +166,25 @@
 // differs in it. Versions may be learned at the same time, in any order; an older
 // one is left aside. A version of the register that only changes its group has no
 // entries.
-func (d *Controller) publishConfig(version int64, m api.Configuration) {
+func (c *Controller) publishConfig(version int64, m api.Configuration) {
 	entries, err := routeconfig.Entries(m)
 	if err != nil {
-		d.log.Error(err, "a committed configuration cannot be cut")
+		c.log.Error(err, "a committed configuration cannot be cut")
 		return
 	}
 	t := routeconfig.Compile(m)
-	f := &d.feed
+	f := &c.feed
 	f.mu.Lock()
-	if c, newer := f.configuration.Commit(version, entries); newer {
-		routeconfig.PutInForce(&d.table, t)
-		f.toControllers.configuration, f.toRouters.configuration = append(f.toControllers.configuration, c), append(f.toRouters.configuration, c)
+	if delta, newer := f.configuration.Commit(version, entries); newer {
+		routeconfig.PutInForce(&c.table, t)
+		f.toControllers.configuration, f.toRouters.configuration = append(f.toControllers.configuration, delta), append(f.toRouters.configuration, delta)
 	}
 	f.mu.Unlock()
 	f.wake()
 }
 
-func (d *Controller) publishPart(p messages.RegisterUpdate) {
-	f := &d.feed
+func (c *Controller) publishPart(p messages.RegisterUpdate) {
+	f := &c.feed
 	f.mu.Lock()
 	if f.parts[p.Part].Version < p.Version {
 		f.parts[p.Part] = p
@@ -194,8 +194,8 @@
 	f.wake()
 }
 
-func (d *Controller) publishReport(n messages.RunnerReport) {
-	f := &d.feed
+func (c *Controller) publishReport(n messages.RunnerReport) {
+	f := &c.feed
 	f.mu.Lock()
 	f.toControllers.reports, f.toRouters.reports = append(f.toControllers.reports, n), append(f.toRouters.reports, n)
 	f.mu.Unlock()
@@ -203,69 +203,69 @@
 
 // changeCached changes the cached prefixes of a runner, as its reader, and sends the change if there
 // is one.
-func (d *Controller) changeCached(id string, change func(s *prefixindex.CachedPrefixes) (messages.CachedChange, bool)) {
-	d.cachedMu.Lock()
-	c, some := change(d.cached.CachedPrefixes(id))
-	d.cachedMu.Unlock()
+func (c *Controller) changeCached(id string, change func(s *prefixindex.CachedPrefixes) (messages.CachedChange, bool)) {
+	c.cachedMu.Lock()
+	delta, some := change(c.cached.CachedPrefixes(id))
+	c.cachedMu.Unlock()
 	if !some {
 		return
 	}
-	f := &d.feed
+	f := &c.feed
 	f.mu.Lock()
-	f.toControllers.kept, f.toRouters.kept = append(f.toControllers.kept, c), append(f.toRouters.kept, c)
+	f.toControllers.kept, f.toRouters.kept = append(f.toControllers.kept, delta), append(f.toRouters.kept, delta)
 	f.mu.Unlock()
 }
 
 // runFeed sends what waits, and an empty update from time to time, from which receivers
 // know that this node is there and which versions it has.
-func (d *Controller) runFeed(ctx context.Context) {
+func (c *Controller) runFeed(ctx context.Context) {
 	for {
 		select {
-		case <-time.After(d.updatePause()):
-		case <-d.feed.urgent:
+		case <-time.After(c.updatePause()):
+		case <-c.feed.urgent:
 		case <-ctx.Done():
 			return
 		}
-		d.flush()
-		loop.Pause(ctx, d.urgentPause())
+		c.flush()
+		loop.Pause(ctx, c.urgentPause())
 	}
 }
 
-func (d *Controller) flush() {
-	cutOff := d.cutOff()
-	f := &d.feed
+func (c *Controller) flush() {
+	cutOff := c.cutOff()
+	f := &c.feed
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	up := messages.Feed{Versions: f.versions(), StableForUs: d.stability.stableForUs(d.clock()), CutOff: cutOff}
+	up := messages.Feed{Versions: f.versions(), StableForUs: c.stability.stableForUs(c.clock()), CutOff: cutOff}
 	down := up
 	f.toControllers.moveTo(&up)
 	f.toRouters.moveTo(&down)
 	if f.registry.Dirty() {
-		c := statesync.EncodeEntries(f.registry.Commit(f.registry.Version + 1))
-		up.Registry, down.Registry = append(up.Registry, c), append(down.Registry, c)
+		delta := statesync.EncodeEntries(f.registry.Commit(f.registry.Version + 1))
+		up.Registry, down.Registry = append(up.Registry, delta), append(down.Registry, delta)
 	}
 	if f.subtree.Total.Dirty() {
-		c := statesync.EncodeLoads(f.subtree.Total.Commit(f.subtree.Total.Version + 1))
-		up.Loads = append(up.Loads, c)
+		delta := statesync.EncodeLoads(f.subtree.Total.Commit(f.subtree.Total.Version + 1))
+		up.Loads = append(up.Loads, delta)
 		f.aggregate.Follow(subtreeSender, f.subtree.Total)
 	}
-	if now := d.clock(); f.aggregate.Total.Dirty() && now-f.lastLoadsUs >= d.loadsPause().Microseconds() {
+	if now := c.clock(); f.aggregate.Total.Dirty() && now-f.lastLoadsUs >= c.loadsPause().Microseconds() {
 		f.lastLoadsUs = now
 		down.Loads = append(down.Loads, statesync.EncodeLoads(f.aggregate.Total.Commit(f.aggregate.Total.Version+1)))
 	}
-	rest := d.clock()-f.lastUpdateUs > idleIntervalUs
+	rest := c.clock()-f.lastUpdateUs > idleIntervalUs
 	if rest || len(down.Parts) > 0 {
-		up.TargetAges = d.targets.ages(d.clock())
+		up.TargetAges = c.targets.ages(c.clock())
 		down.TargetAges = up.TargetAges
 	}
 	if rest || hasNews(&up) {
-		d.publisher.Publish(dissemination.ToControllers, up)
+		c.publisher.Publish(dissemination.ToControllers, up)
 	}
 	if rest || hasNews(&down) {
-		d.publisher.Publish(dissemination.ToRouters, down)
+		c.publisher.Publish(dissemination.ToRouters, down)
 	}
 	if rest {
-		f.lastUpdateUs = d.clock()
+		f.lastUpdateUs = c.clock()
 	}
 }
 
@@ -282,36 +282,36 @@
 // with the lease; if it finds none it says so (Anything), and then gets what there is.
 // While this controller starts, only the configuration is withheld: records of runners
 // are published as they arrive, and one that was missed at first would come late.
-func (d *Controller) deltaSince(h messages.SyncState) messages.Feed {
-	d.targets.observe(h.TargetAges, d.clock())
-	out := messages.Feed{StableForUs: d.stability.stableForUs(d.clock()), CutOff: d.cutOff(), TargetAges: d.targets.ages(d.clock())}
-	withheld := unsynced(h) && !h.Anything && !d.inContact()
-	if withheld && !d.starting() {
-		out.Versions = d.publishedVersions()
+func (c *Controller) deltaSince(h messages.SyncState) messages.Feed {
+	c.targets.observe(h.TargetAges, c.clock())
+	out := messages.Feed{StableForUs: c.stability.stableForUs(c.clock()), CutOff: c.cutOff(), TargetAges: c.targets.ages(c.clock())}
+	withheld := unsynced(h) && !h.Anything && !c.inContact()
+	if withheld && !c.starting() {
+		out.Versions = c.publishedVersions()
 		return out
 	}
-	f := &d.feed
+	f := &c.feed
 	f.mu.Lock()
 	out.Versions = f.versions()
-	if c, lacks := f.configuration.DeltaSince(h.Configuration); lacks && !withheld {
-		out.Configuration = append(out.Configuration, c)
+	if delta, lacks := f.configuration.DeltaSince(h.Configuration); lacks && !withheld {
+		out.Configuration = append(out.Configuration, delta)
 	}
 	for p, n := range f.parts {
 		if p >= len(h.Parts) || h.Parts[p] < n.Version {
 			out.Parts = append(out.Parts, n)
 		}
 	}
-	if c, lacks := f.registry.DeltaSince(h.Registry.Epoch, h.Registry.Version); lacks && h.Registry.Epoch != -1 {
-		out.Registry = append(out.Registry, statesync.EncodeEntries(c))
+	if delta, lacks := f.registry.DeltaSince(h.Registry.Epoch, h.Registry.Version); lacks && h.Registry.Epoch != -1 {
+		out.Registry = append(out.Registry, statesync.EncodeEntries(delta))
 	}
 	if !h.ConfigOnly {
 		out.Loads = f.loadsSince(h)
 	}
 	f.mu.Unlock()
 	if !h.ConfigOnly {
-		d.cachedMu.Lock()
-		out.Cached = d.cached.DeltasSince(h.Cached, func(id string) bool { return !h.Controller || d.readers[id] != nil })
-		d.cachedMu.Unlock()
+		c.cachedMu.Lock()
+		out.Cached = c.cached.DeltasSince(h.Cached, func(id string) bool { return !h.Controller || c.readers[id] != nil })
+		c.cachedMu.Unlock()
 	}
 	return out
 }
@@ -334,17 +334,17 @@
 func unsynced(h messages.SyncState) bool { return !h.Controller && h.Configuration.Version == 0 }
 
 // applyReport applies the loads of a node below.
-func (d *Controller) applyReport(from string, t messages.LoadReport) bool {
+func (c *Controller) applyReport(from string, t messages.LoadReport) bool {
 	for _, id := range t.Absent {
-		d.registry.Doubt(id, d.silence())
+		c.registry.Doubt(id, c.silence())
 	}
-	d.announceShared(t.PendingBlocks)
-	f := &d.feed
+	c.announceShared(t.PendingBlocks)
+	f := &c.feed
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	ok := true
-	for _, c := range t.Loads {
-		r := f.subtree.Apply(from, c)
+	for _, delta := range t.Loads {
+		r := f.subtree.Apply(from, delta)
 		ok = ok && (r == statesync.Applied || r == statesync.Known)
 	}
 	f.toControllers.coming, f.toRouters.coming = append(f.toControllers.coming, t.PendingBlocks...), append(f.toRouters.coming, t.PendingBlocks...)
@@ -355,17 +355,17 @@
 }
 
 // announceShared takes note of parts that prompts may share.
-func (d *Controller) announceShared(announced []messages.CachedPrefixes) {
+func (c *Controller) announceShared(announced []messages.CachedPrefixes) {
 	if len(announced) == 0 {
 		return
 	}
-	d.cachedMu.Lock()
-	d.sharedKeys.Announce(announced)
-	d.cachedMu.Unlock()
+	c.cachedMu.Lock()
+	c.sharedKeys.Announce(announced)
+	c.cachedMu.Unlock()
 }
 
-func (d *Controller) removeSender(from string) {
-	d.feed.mu.Lock()
-	d.feed.subtree.Remove(from)
-	d.feed.mu.Unlock()
+func (c *Controller) removeSender(from string) {
+	c.feed.mu.Lock()
+	c.feed.subtree.Remove(from)
+	c.feed.mu.Unlock()
 }
--- a/internal/controller/heartbeats.go
+++ b/internal/controller/heartbeats.go
@@ -39,17 +39,17 @@
 }
 
 // forwardHeartbeats sends the heartbeats that wait to all other controllers.
-func (d *Controller) forwardHeartbeats() {
-	batches := packBatches(d.heartbeats.take())
+func (c *Controller) forwardHeartbeats() {
+	batches := packBatches(c.heartbeats.take())
 	if len(batches) == 0 {
 		return
 	}
-	for _, p := range d.monitor.Alive(messages.Controller) {
-		if p.Addr == d.transport.Addr() {
+	for _, p := range c.monitor.Alive(messages.Controller) {
+		if p.Addr == c.transport.Addr() {
 			continue
 		}
 		for i := range batches {
-			d.transport.SendDatagram(p.Addr, transport.KindRunners, &batches[i])
+			c.transport.SendDatagram(p.Addr, transport.KindRunners, &batches[i])
 		}
 	}
 }
@@ -71,16 +71,16 @@
 }
 
 // heardRunners takes heartbeats that another controller has received.
-func (d *Controller) heardRunners(_ string, body []byte) {
+func (c *Controller) heardRunners(_ string, body []byte) {
 	var batch messages.RunnerBatch
 	if _, err := batch.UnmarshalMsg(body); err != nil {
 		return
 	}
 	var changed []string
 	for _, n := range batch.Runners {
-		if d.registry.ApplyHeartbeat(n, d.clock()) {
+		if c.registry.ApplyHeartbeat(n, c.clock()) {
 			changed = append(changed, n.ID)
 		}
 	}
-	d.publishRunners(changed...)
+	c.publishRunners(changed...)
 }
--- a/internal/controller/invariants.go
+++ b/internal/controller/invariants.go
@@ -19,9 +19,9 @@
 
 // checkAcknowledged checks a change that is about to be acknowledged; v is the value of
 // the register that its round gave.
-func (d *Controller) checkAcknowledged(version int64, v messages.Value) {
-	d.acknowledged.Advance(version)
-	if committed, _ := d.registers.Committed(consensus.ConfigPart); committed.Version < v.Version {
+func (c *Controller) checkAcknowledged(version int64, v messages.Value) {
+	c.acknowledged.Advance(version)
+	if committed, _ := c.registers.Committed(consensus.ConfigPart); committed.Version < v.Version {
 		acknowledgedIsCommitted.Violated("version", version, "register", v.Version, "committed", committed.Version)
 	}
 }
--- a/internal/controller/partition_metrics.go
+++ b/internal/controller/partition_metrics.go
@@ -9,16 +9,16 @@
 	"beechtide.org/beechtide/internal/metrics"
 )
 
-func (d *Controller) partitionMetrics() []prometheus.Collector {
+func (c *Controller) partitionMetrics() []prometheus.Collector {
 	gauge := func(name, help string, value func(tallies.Counts) float64) prometheus.Collector {
-		return metrics.Gauge(name, help, nil, func(emit metrics.Emit) { emit(value(d.tallies.Counts())) })
+		return metrics.Gauge(name, help, nil, func(emit metrics.Emit) { emit(value(c.tallies.Counts())) })
 	}
 	counter := func(name, help string, value func(tallies.Counts) int64) prometheus.Collector {
-		return metrics.Counter(name, help, nil, func(emit metrics.Emit) { emit(float64(value(d.tallies.Counts()))) })
+		return metrics.Counter(name, help, nil, func(emit metrics.Emit) { emit(float64(value(c.tallies.Counts()))) })
 	}
 	return []prometheus.Collector{
 		metrics.Gauge("beechtide_tally_adds", "Adds that this replica has: in all logs, and distinct ones, which count.", []string{"of"}, func(emit metrics.Emit) {
-			f := d.tallies.Counts()
+			f := c.tallies.Counts()
 			emit(float64(f.Adds), "logs")
 			emit(float64(f.Distinct), "distinct")
 		}),
@@ -31,12 +31,12 @@
 		counter("beechtide_tally_pulled_total", "Adds that this replica has asked another one for.", func(f tallies.Counts) int64 { return f.Pulled }),
 		counter("beechtide_tally_late_total", "Adds that were not on enough disks in time: answered 504.", func(f tallies.Counts) int64 { return f.Late }),
 		metrics.Gauge("beechtide_rollout_stage", "Stage of the newest roll-out of each service, as this controller knows: 0 tried, 1 shifting, 2 settled, 3 reverted.", []string{"service", "version"}, func(emit metrics.Emit) {
-			for _, r := range d.serviceRollouts() {
+			for _, r := range c.serviceRollouts() {
 				emit(float64(r.Stage), r.Service, r.Target)
 			}
 		}),
 		metrics.Gauge("beechtide_evacuated", "1 for each zone that is evacuated, as this controller knows.", []string{"zone"}, func(emit metrics.Emit) {
-			for _, zone := range d.evacuatedZones() {
+			for _, zone := range c.evacuatedZones() {
 				emit(1, zone)
 			}
 		}),
--- a/internal/controller/quota_group.go
+++ b/internal/controller/quota_group.go
@@ -9,15 +9,15 @@
 )
 
 // newQuotaOwner returns this controller's part in the count of tenants' requests.
-func (d *Controller) newQuotaOwner() (*quotaowner.Service, error) {
+func (c *Controller) newQuotaOwner() (*quotaowner.Service, error) {
 	return quotaowner.New(quotaowner.Config{
-		Addr:    d.transport.Addr(),
-		Bounds:  d.set.QuotaBounds(),
-		Clock:   d.clock,
-		Log:     d.log,
-		Peers:   d.transport,
-		Group:   func() quota.Group { return quotaGroup(d.registers) },
-		Limited: d.limitsTenants,
+		Addr:    c.transport.Addr(),
+		Bounds:  c.set.QuotaBounds(),
+		Clock:   c.clock,
+		Log:     c.log,
+		Peers:   c.transport,
+		Group:   func() quota.Group { return quotaGroup(c.registers) },
+		Limited: c.limitsTenants,
 	})
 }
 
@@ -34,7 +34,7 @@
 }
 
 // limitsTenants reports whether the configuration in force limits any tenant.
-func (d *Controller) limitsTenants() bool {
-	table := d.table.Load()
+func (c *Controller) limitsTenants() bool {
+	table := c.table.Load()
 	return table != nil && table.Limited
 }
--- a/internal/controller/readers.go
+++ b/internal/controller/readers.go
@@ -21,30 +21,30 @@
 
 // wantReaders starts the readers of the runners that this controller reads, and stops
 // those of all others.
-func (d *Controller) wantReaders(ctx context.Context) {
-	table := d.table.Load()
+func (c *Controller) wantReaders(ctx context.Context) {
+	table := c.table.Load()
 	if table == nil {
 		return
 	}
-	alive := membership.Core(d.monitor.Alive(messages.Controller))
-	if d.clock()-d.startUs < readersStartAfterUs {
+	alive := membership.Core(c.monitor.Alive(messages.Controller))
+	if c.clock()-c.startUs < readersStartAfterUs {
 		if len(alive) > 1 {
 			return
 		}
-		alive = d.startPeers(alive)
+		alive = c.startPeers(alive)
 	}
 	wanted := map[string]messages.RunnerRecord{}
-	for _, n := range d.readable(table) {
-		if readerOf(n, alive) == d.transport.Addr() {
+	for _, n := range c.readable(table) {
+		if readerOf(n, alive) == c.transport.Addr() {
 			wanted[n.ID] = n
 		}
 	}
-	d.cachedMu.Lock()
-	defer d.cachedMu.Unlock()
-	d.stopReaders(wanted)
+	c.cachedMu.Lock()
+	defer c.cachedMu.Unlock()
+	c.stopReaders(wanted)
 	for id, n := range wanted {
-		if d.readers[id] == nil {
-			d.startReader(ctx, n)
+		if c.readers[id] == nil {
+			c.startReader(ctx, n)
 		}
 	}
 }
@@ -52,8 +52,8 @@
 // startPeers returns among whom the runners are divided by a controller that has heard of no
 // other one yet: the members of the configuration's register. After a loss of power of all, each
 // would read all runners else, with two connections each.
-func (d *Controller) startPeers(alive []messages.Peer) []messages.Peer {
-	v, _ := d.registers.Committed(consensus.ConfigPart)
+func (c *Controller) startPeers(alive []messages.Peer) []messages.Peer {
+	v, _ := c.registers.Committed(consensus.ConfigPart)
 	if len(v.Group) < 2 {
 		return alive
 	}
@@ -65,9 +65,9 @@
 }
 
 // readable returns the runners and stores that cache prefixes.
-func (d *Controller) readable(table *routeconfig.Table) []messages.RunnerRecord {
+func (c *Controller) readable(table *routeconfig.Table) []messages.RunnerRecord {
 	var out []messages.RunnerRecord
-	for _, n := range d.registry.Snapshot().ByID {
+	for _, n := range c.registry.Snapshot().ByID {
 		s := table.Service(n.Service)
 		if s != nil && s.Engine.CacheTokens > 0 && !n.Stale {
 			out = append(out, n)
@@ -79,26 +79,26 @@
 	return out
 }
 
-// stopReaders stops the readers that are not wanted. The caller holds kmu.
-func (d *Controller) stopReaders(wanted map[string]messages.RunnerRecord) {
-	for id, cancel := range d.readers {
+// stopReaders stops the readers that are not wanted. The caller holds cachedMu.
+func (c *Controller) stopReaders(wanted map[string]messages.RunnerRecord) {
+	for id, cancel := range c.readers {
 		if _, ok := wanted[id]; ok {
 			continue
 		}
 		cancel()
-		delete(d.readers, id)
-		delete(d.heardUs, id)
+		delete(c.readers, id)
+		delete(c.heardUs, id)
 	}
 }
 
-// startReader starts to read a runner or a store. The caller holds kmu.
-func (d *Controller) startReader(ctx context.Context, n messages.RunnerRecord) {
+// startReader starts to read a runner or a store. The caller holds cachedMu.
+func (c *Controller) startReader(ctx context.Context, n messages.RunnerRecord) {
 	ctx, cancel := context.WithCancel(ctx)
-	d.readers[n.ID] = cancel
-	d.heardUs[n.ID] = d.clock()
-	go d.readCacheEvents(ctx, n)
+	c.readers[n.ID] = cancel
+	c.heardUs[n.ID] = c.clock()
+	go c.readCacheEvents(ctx, n)
 	if n.Service != "" {
-		go d.readReports(ctx, n)
+		go c.readReports(ctx, n)
 	}
 }
 
--- a/internal/controller/recall.go
+++ b/internal/controller/recall.go
@@ -15,8 +15,8 @@
 
 const runnersFile = "runners"
 
-func (d *Controller) recallRunners() {
-	b, ok := d.disk.Note(runnersFile)
+func (c *Controller) recallRunners() {
+	b, ok := c.disk.Note(runnersFile)
 	if !ok {
 		return
 	}
@@ -26,15 +26,15 @@
 	}
 	for _, r := range n.Runners {
 		r.Stale, r.Lost = false, false
-		d.registry.Merge(r, d.clock())
+		c.registry.Merge(r, c.clock())
 	}
 }
 
 // keepRunners writes the list when it has changed, at most every two seconds.
-func (d *Controller) keepRunners(ctx context.Context) {
+func (c *Controller) keepRunners(ctx context.Context) {
 	var sum uint64
 	loop.Every(ctx, 2*time.Second, func() {
-		snap := d.registry.Snapshot()
+		snap := c.registry.Snapshot()
 		if snap.Sum == sum {
 			return
 		}
@@ -46,8 +46,8 @@
 		if err != nil {
 			return
 		}
-		if err := d.disk.Keep(runnersFile, b); err != nil {
-			d.log.Info("runners not kept", "err", err)
+		if err := c.disk.Keep(runnersFile, b); err != nil {
+			c.log.Info("runners not kept", "err", err)
 			return
 		}
 		sum = snap.Sum
--- a/internal/controller/report_reader.go
+++ b/internal/controller/report_reader.go
@@ -12,10 +12,10 @@
 const reportsPause = time.Second
 
 // readReports reads a runner's load report about once a second until ctx ends, and publishes it.
-func (d *Controller) readReports(ctx context.Context, n messages.RunnerRecord) {
+func (c *Controller) readReports(ctx context.Context, n messages.RunnerRecord) {
 	for ctx.Err() == nil {
-		if report, err := d.runnerAPI.Report(ctx, n); err == nil {
-			d.publishReport(messages.RunnerReport{
+		if report, err := c.runnerAPI.Report(ctx, n); err == nil {
+			c.publishReport(messages.RunnerReport{
 				ID:     n.ID,
 				Used:   report.CacheUsed,
 				Total:  report.CacheTotal,
--- a/internal/controller/retired.go
+++ b/internal/controller/retired.go
@@ -16,9 +16,9 @@
 // checkRetired finds fault with an order that retires weights of which no newer ones are
 // named: no runner could serve the model. A named version only rises, so the fault is judged
 // by a majority's read. The error says that there was none.
-func (d *Controller) checkRetired(ctx context.Context, order *routeconfig.Submission) error {
+func (c *Controller) checkRetired(ctx context.Context, order *routeconfig.Submission) error {
 	for i, r := range order.Retired {
-		v, err := d.readRegister(ctx, consensus.PartOf(r.Model))
+		v, err := c.readRegister(ctx, consensus.PartOf(r.Model))
 		if err != nil {
 			return err
 		}
--- a/internal/controller/subscriptions.go
+++ b/internal/controller/subscriptions.go
@@ -18,15 +18,15 @@
 
 // listenToOthers keeps a subscription to every other controller; one that does
 // not count, among others that do, listens to one of those only.
-func (d *Controller) listenToOthers(ctx context.Context) {
+func (c *Controller) listenToOthers(ctx context.Context) {
 	have := map[string]context.CancelFunc{}
 	loop.Every(ctx, 200*time.Millisecond, func() {
-		want := d.wantedSubscriptions()
+		want := c.wantedSubscriptions()
 		for addr, wanted := range want {
 			if wanted && have[addr] == nil {
 				cctx, cancel := context.WithCancel(ctx)
 				have[addr] = cancel
-				go d.listenTo(cctx, addr)
+				go c.listenTo(cctx, addr)
 			}
 		}
 		for addr, cancel := range have {
@@ -39,25 +39,25 @@
 }
 
 // wantedSubscriptions are the controllers to listen to.
-func (d *Controller) wantedSubscriptions() map[string]bool {
+func (c *Controller) wantedSubscriptions() map[string]bool {
 	want := map[string]bool{}
-	all := d.monitor.Alive(messages.Controller)
-	if !d.inCore(all) {
-		if near := nearest(membership.Core(all), d.set.Zone); near != "" {
+	all := c.monitor.Alive(messages.Controller)
+	if !c.inCore(all) {
+		if near := nearest(membership.Core(all), c.set.Zone); near != "" {
 			want[near] = true
 		}
 		return want
 	}
 	for _, p := range all {
-		want[p.Addr] = p.Addr != d.transport.Addr()
+		want[p.Addr] = p.Addr != c.transport.Addr()
 	}
 	return want
 }
 
 // inCore tells whether this controller counts, or nobody does.
-func (d *Controller) inCore(all []messages.Peer) bool {
+func (c *Controller) inCore(all []messages.Peer) bool {
 	for _, p := range membership.Core(all) {
-		if p.Addr == d.transport.Addr() {
+		if p.Addr == c.transport.Addr() {
 			return true
 		}
 	}
@@ -78,34 +78,34 @@
 }
 
 // listenTo keeps the subscription to one other controller.
-func (d *Controller) listenTo(ctx context.Context, addr string) {
+func (c *Controller) listenTo(ctx context.Context, addr string) {
 	runners := statesync.NewEntries() // as the other has them
 	u := dissemination.Subscriber{
 		Controller: true,
 		Parents:    func() []string { return []string{addr} },
-		SyncState:  func() messages.SyncState { return d.holdOf(addr, runners) },
+		SyncState:  func() messages.SyncState { return c.holdOf(addr, runners) },
 		ApplyUpdate: func(_ string, f messages.Feed, _ []byte) *messages.SyncState {
-			if d.takeFeed(addr, f, runners) {
+			if c.takeFeed(addr, f, runners) {
 				return nil
 			}
-			h := d.holdOf(addr, runners)
+			h := c.holdOf(addr, runners)
 			return &h
 		},
-		Acked: func(int64) {}, ResendAll: func() {}, Counts: &d.counters.subscriptions,
+		Acked: func(int64) {}, ResendAll: func() {}, Counts: &c.counters.subscriptions,
 		Unsubscribed: func(string) {
-			d.feed.mu.Lock()
-			d.feed.aggregate.Remove(addr)
-			d.feed.mu.Unlock()
+			c.feed.mu.Lock()
+			c.feed.aggregate.Remove(addr)
+			c.feed.mu.Unlock()
 		},
 	}
-	u.Listen(ctx, d.transport)
-	d.feed.malformed.Add(u.Malformed.Load())
+	u.Listen(ctx, c.transport)
+	c.feed.malformed.Add(u.Malformed.Load())
 }
 
 // holdOf names what this node holds of another's streams. The configuration and
 // the parts come through the registers.
-func (d *Controller) holdOf(addr string, runners *statesync.Entries) messages.SyncState {
-	f := &d.feed
+func (c *Controller) holdOf(addr string, runners *statesync.Entries) messages.SyncState {
+	f := &c.feed
 	f.mu.Lock()
 	h := messages.SyncState{Configuration: messages.Cursor{Epoch: routeconfig.Epoch, Version: never}}
 	h.Registry.Epoch, h.Registry.Version = runners.Cursor()
@@ -116,9 +116,9 @@
 	for range consensus.Parts {
 		h.Parts = append(h.Parts, never)
 	}
-	d.cachedMu.Lock()
-	h.Cached = d.cached.Cursors()
-	d.cachedMu.Unlock()
+	c.cachedMu.Lock()
+	h.Cached = c.cached.Cursors()
+	c.cachedMu.Unlock()
 	return h
 }
 
@@ -127,65 +127,65 @@
 
 // pullNewer learns at once of a version that another controller has and this one
 // has not: one that is not in the group is not told by the round itself.
-func (d *Controller) pullNewer(addr string, versions []int64) {
-	mine := d.publishedVersions()
+func (c *Controller) pullNewer(addr string, versions []int64) {
+	mine := c.publishedVersions()
 	for p, v := range versions {
 		if p < len(mine) && v > mine[p] {
-			go func() { _ = d.registers.Pull(context.Background(), addr, p) }()
+			go func() { _ = c.registers.Pull(context.Background(), addr, p) }()
 		}
 	}
 }
 
 // takeRunners takes a change of another controller's list of runners. It reports whether it
 // fits the state that is held of it.
-func (d *Controller) takeRunners(c messages.EntryChange, runners *statesync.Entries, nowUs int64) (fits bool) {
-	f := &d.feed
-	change := statesync.DecodeEntries(c)
+func (c *Controller) takeRunners(delta messages.EntryChange, runners *statesync.Entries, nowUs int64) (fits bool) {
+	f := &c.feed
+	change := statesync.DecodeEntries(delta)
 	f.mu.Lock()
-	again := c.Snapshot && runners.Epoch == c.Epoch
+	again := delta.Snapshot && runners.Epoch == delta.Epoch
 	r := runners.Apply(change)
 	fits = f.count(r, again)
 	f.mu.Unlock()
 	if r == statesync.Mismatch {
 		return fits
 	}
-	merged, malformed := d.registry.MergeChange(change, nowUs)
+	merged, malformed := c.registry.MergeChange(change, nowUs)
 	f.malformed.Add(int64(malformed))
-	d.publishRunners(merged...)
+	c.publishRunners(merged...)
 	return fits
 }
 
 // takeFeed takes what another controller is the first to know and passes it down.
-func (d *Controller) takeFeed(addr string, in messages.Feed, runners *statesync.Entries) (fits bool) {
-	now := d.clock()
+func (c *Controller) takeFeed(addr string, in messages.Feed, runners *statesync.Entries) (fits bool) {
+	now := c.clock()
 	fits = true
-	f := &d.feed
-	d.pullNewer(addr, in.Versions)
-	d.targets.observe(in.TargetAges, now)
-	for _, c := range in.Registry {
-		fits = d.takeRunners(c, runners, now) && fits
+	f := &c.feed
+	c.pullNewer(addr, in.Versions)
+	c.targets.observe(in.TargetAges, now)
+	for _, delta := range in.Registry {
+		fits = c.takeRunners(delta, runners, now) && fits
 	}
 	var kept []messages.CachedChange
-	d.cachedMu.Lock()
-	d.sharedKeys.Announce(in.PendingBlocks)
-	for _, c := range in.Cached {
-		if d.readers[c.ID] != nil {
+	c.cachedMu.Lock()
+	c.sharedKeys.Announce(in.PendingBlocks)
+	for _, delta := range in.Cached {
+		if c.readers[delta.ID] != nil {
 			continue
 		}
-		again := c.Snapshot && d.cached.CachedPrefixes(c.ID).Epoch == c.Epoch
-		r := d.cached.Apply(c)
+		again := delta.Snapshot && c.cached.CachedPrefixes(delta.ID).Epoch == delta.Epoch
+		r := c.cached.Apply(delta)
 		fits = f.count(r, again) && fits
 		if r == statesync.Applied {
-			kept = append(kept, c)
+			kept = append(kept, delta)
 		}
 	}
-	d.cachedMu.Unlock()
+	c.cachedMu.Unlock()
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	for _, c := range in.Loads {
+	for _, delta := range in.Loads {
 		held := f.aggregate.Sender(addr)
-		again := c.Snapshot && held != nil && held.Epoch == c.Epoch
-		fits = f.count(f.aggregate.Apply(addr, c), again) && fits
+		again := delta.Snapshot && held != nil && held.Epoch == delta.Epoch
+		fits = f.count(f.aggregate.Apply(addr, delta), again) && fits
 	}
 	f.toRouters.kept = append(f.toRouters.kept, kept...)
 	f.toRouters.reports = append(f.toRouters.reports, in.Reports...)
--- a/internal/controller/tally_replica.go
+++ b/internal/controller/tally_replica.go
@@ -32,25 +32,25 @@
 }
 
 // openTallies opens this machine's replica of the tallies.
-func (d *Controller) openTallies() (*tallies.Service, error) {
+func (c *Controller) openTallies() (*tallies.Service, error) {
 	return tallies.Open(tallies.Config{
-		Zone:           d.set.Zone,
-		DataDir:        d.set.DataDir,
-		MaxAdds:        maxTallyAdds(d.set.Limits),
-		Quorum:         tally.QuorumFor(d.set.Tolerance.Machines, d.set.Tolerance.Zones),
+		Zone:           c.set.Zone,
+		DataDir:        c.set.DataDir,
+		MaxAdds:        maxTallyAdds(c.set.Limits),
+		Quorum:         tally.QuorumFor(c.set.Tolerance.Machines, c.set.Tolerance.Zones),
 		CompareTimeout: compareWait,
-		Clock:          d.clock,
-		Log:            d.log,
-		Peers:          d.transport,
-		Replicas:       d.tallyReplicas,
-		Routers:        func() []messages.Peer { return d.monitor.Alive(messages.Router) },
+		Clock:          c.clock,
+		Log:            c.log,
+		Peers:          c.transport,
+		Replicas:       c.tallyReplicas,
+		Routers:        func() []messages.Peer { return c.monitor.Alive(messages.Router) },
 	})
 }
 
 // tallyReplicas returns the addresses of all other controllers that are known.
-func (d *Controller) tallyReplicas() []string {
-	addrs := append(d.knownControllers(), d.otherControllers()...)
+func (c *Controller) tallyReplicas() []string {
+	addrs := append(c.knownControllers(), c.otherControllers()...)
 	slices.Sort(addrs)
 	addrs = slices.Compact(addrs)
-	return slices.DeleteFunc(addrs, func(addr string) bool { return addr == d.transport.Addr() })
+	return slices.DeleteFunc(addrs, func(addr string) bool { return addr == c.transport.Addr() })
 }
--- a/internal/controller/unfinished.go
+++ b/internal/controller/unfinished.go
@@ -41,29 +41,29 @@
 
 // finishRounds looks for unfinished rounds until ctx ends, and reads the registers
 // that have one.
-func (d *Controller) finishRounds(ctx context.Context) {
+func (c *Controller) finishRounds(ctx context.Context) {
 	var rounds unfinishedRounds
 	loop.Every(ctx, unfinishedPeriod, func() {
 		for part := range consensus.Parts {
-			slot, unfinished := d.registers.Unfinished(part)
+			slot, unfinished := c.registers.Unfinished(part)
 			if !unfinished {
 				rounds[part].slot = 0
 				continue
 			}
 			wait := unfinishedLeastWait + rand.N(unfinishedMostWait-unfinishedLeastWait)
-			if !rounds.due(part, slot, d.clock(), wait.Microseconds()) {
+			if !rounds.due(part, slot, c.clock(), wait.Microseconds()) {
 				continue
 			}
 			rounds[part].slot = 0
-			go d.finishRound(ctx, part, slot)
+			go c.finishRound(ctx, part, slot)
 		}
 	})
 }
 
 // finishRound reads a register by a majority, which ends its round.
-func (d *Controller) finishRound(ctx context.Context, part int, slot int64) {
+func (c *Controller) finishRound(ctx context.Context, part int, slot int64) {
 	ctx, cancel := context.WithTimeout(ctx, unfinishedReadWait)
 	defer cancel()
-	_, err := d.readRegister(ctx, part)
-	d.log.Info("an unfinished round was read", "part", part, "slot", slot, "err", err)
+	_, err := c.readRegister(ctx, part)
+	c.log.Info("an unfinished round was read", "part", part, "slot", slot, "err", err)
 }
--- a/internal/router/answers_test.go
+++ b/internal/router/answers_test.go
@@ -18,7 +18,7 @@
 // that ends so many microseconds from now.
 func chosen(t *testing.T, c *Router, endsInUs int64) (*exchange, *admission.Admission, *upstream.Conn) {
 	t.Helper()
-	v := &exchange{c: c, rc: app.NewContext(0), id: "id1", route: &routeconfig.Route{}, service: "s"}
+	v := &exchange{router: c, rc: app.NewContext(0), id: "id1", route: &routeconfig.Route{}, service: "s"}
 	v.rc.Request.Header.SetMethod("POST")
 	v.rc.Request.SetRequestURI("/pay/")
 	v.request = admission.Request{Service: "s", LeftUs: 1_000_000}
--- a/internal/router/attempts.go
+++ b/internal/router/attempts.go
@@ -16,9 +16,9 @@
 		return
 	}
 	defer e.returnToken()
-	e.c.admissionMu.Lock()
-	e.c.budget(e.service).Request(e.startUs)
-	e.c.admissionMu.Unlock()
+	e.router.admissionMu.Lock()
+	e.router.budget(e.service).Request(e.startUs)
+	e.router.admissionMu.Unlock()
 	for e.makeAttempt() {
 	}
 	if e.stream != nil && e.stream.started && !e.stream.finished {
@@ -101,7 +101,7 @@
 	switch {
 	case e.stream != nil:
 	case e.sequence.MayHaveRun():
-		e.reject(e.sequence.EndStatus(e.c.clock() >= e.endUs), decision.Reject, 0)
+		e.reject(e.sequence.EndStatus(e.router.clock() >= e.endUs), decision.Reject, 0)
 	default:
 		e.reject(decision.Status, decision.Reject, decision.AgainUs)
 	}
@@ -120,24 +120,24 @@
 
 // spendRetry takes a further attempt from the budget, if there is one.
 func (e *exchange) spendRetry() bool {
-	e.c.admissionMu.Lock()
-	defer e.c.admissionMu.Unlock()
-	return e.c.budget(e.service).Spend(e.c.clock(), int(e.c.nodes.Load()))
+	e.router.admissionMu.Lock()
+	defer e.router.admissionMu.Unlock()
+	return e.router.budget(e.service).Spend(e.router.clock(), int(e.router.nodes.Load()))
 }
 
-func (c *Router) budget(service string) *upstream.Budget {
-	b := c.budgets[service]
+func (r *Router) budget(service string) *upstream.Budget {
+	b := r.budgets[service]
 	if b == nil {
-		s := c.set.Bounds
+		s := r.set.Bounds
 		b = &upstream.Budget{Ratio: s.RetryRatio, Slack: s.RetrySlack, WindowUs: int64(s.RetryWindowS * 1e6)}
-		c.budgets[service] = b
+		r.budgets[service] = b
 	}
 	return b
 }
 
 // admit asks the admission control, and waits where the request is held.
 func (e *exchange) admit() admission.Decision {
-	c := e.c
+	c := e.router
 	ch := make(chan admission.Decision, 1)
 	e.request.Ref = c.slab.Put(func(r admission.Decision) { ch <- r })
 	now := c.clock()
@@ -168,17 +168,17 @@
 // awaitDecision waits in the queue. A request that nothing was sent of leaves it as soon as
 // the router drains, if it may outlast the router.
 func (e *exchange) awaitDecision(decision <-chan admission.Decision) admission.Decision {
-	drainBegun := e.c.drainBegun
+	drainBegun := e.router.drainBegun
 	for {
 		select {
 		case r := <-decision:
 			return r
 		case <-e.client.leftChannel():
 			return e.abandon(decision, "")
-		case <-e.c.lastAnswers:
+		case <-e.router.lastAnswers:
 			return e.abandon(decision, rejectDraining)
 		case <-drainBegun:
-			if e.sequence.Sent() == 0 && !e.c.shutdown.Load().forwards(e.endUs) {
+			if e.sequence.Sent() == 0 && !e.router.shutdown.Load().forwards(e.endUs) {
 				return e.abandon(decision, rejectDraining)
 			}
 			drainBegun = nil
@@ -189,7 +189,7 @@
 // abandon takes a request out of the queue whose client has left, or whose router ends.
 // A decision that was already on its way stands.
 func (e *exchange) abandon(decision <-chan admission.Decision, reason admission.Reason) admission.Decision {
-	c := e.c
+	c := e.router
 	if !c.slab.Drop(e.request.Ref) {
 		return <-decision
 	}
--- a/internal/router/client_watch_test.go
+++ b/internal/router/client_watch_test.go
@@ -62,9 +62,9 @@
 	return conn
 }
 
-func (c *Router) takesConfig(t *testing.T, text string) {
+func (r *Router) takesConfig(t *testing.T, text string) {
 	t.Helper()
-	must.True(t, c.applyFeed("", messages.Feed{Configuration: []messages.EntryChange{configSnapshot(t, text, 2)}}))
+	must.True(t, r.applyFeed("", messages.Feed{Configuration: []messages.EntryChange{configSnapshot(t, text, 2)}}))
 }
 
 func TestRunnerIsReleasedWhenTheClientLeaves(t *testing.T) {
--- a/internal/router/compare.go
+++ b/internal/router/compare.go
@@ -21,24 +21,24 @@
 const defaultConverge = 2 * time.Second
 
 // convergeTime is the time within which a change must be in force.
-func (c *Router) convergeTime() time.Duration {
-	if c.set.Bounds.ConvergeMs <= 0 {
+func (r *Router) convergeTime() time.Duration {
+	if r.set.Bounds.ConvergeMs <= 0 {
 		return defaultConverge
 	}
-	return time.Duration(c.set.Bounds.ConvergeMs) * time.Millisecond
+	return time.Duration(r.set.Bounds.ConvergeMs) * time.Millisecond
 }
 
 // compareVersions asks the controllers in turn what they hold, and takes what is
 // newer. A comparison that takes long does not put off the next.
-func (c *Router) compareVersions(ctx context.Context) func() {
+func (r *Router) compareVersions(ctx context.Context) func() {
 	return func() {
-		overdue := c.clock()-c.lastUpdateUs.Load() > max(c.convergeTime()/dissemination.OverdueParts, 2*dissemination.UpdateInterval).Microseconds()
-		for _, addr := range c.comparisons.Next(c.likelyCore(), *c.parent.Load(), overdue) {
+		overdue := r.clock()-r.lastUpdateUs.Load() > max(r.convergeTime()/dissemination.OverdueParts, 2*dissemination.UpdateInterval).Microseconds()
+		for _, addr := range r.comparisons.Next(r.likelyCore(), *r.parent.Load(), overdue) {
 			go func() {
-				cctx, cancel := context.WithTimeout(ctx, c.convergeTime()/dissemination.ComparisonWaitParts)
+				cctx, cancel := context.WithTimeout(ctx, r.convergeTime()/dissemination.ComparisonWaitParts)
 				defer cancel()
-				m, ok := c.compareWith(cctx, addr, overdue)
-				c.comparisons.Ended(addr, ok, m.RegistrySum == c.registry.Snapshot().Sum)
+				m, ok := r.compareWith(cctx, addr, overdue)
+				r.comparisons.Ended(addr, ok, m.RegistrySum == r.registry.Snapshot().Sum)
 			}()
 		}
 	}
@@ -84,79 +84,79 @@
 }
 
 // wholeCore is everybody who may know a newer configuration.
-func (c *Router) wholeCore() []string { return c.core.all(c.monitor.Alive(messages.Controller)) }
+func (r *Router) wholeCore() []string { return r.core.all(r.monitor.Alive(messages.Controller)) }
 
 // likelyCore is whom to ask where an answer is wanted soon.
-func (c *Router) likelyCore() []string { return c.core.likely(c.monitor.Alive(messages.Controller)) }
+func (r *Router) likelyCore() []string { return r.core.likely(r.monitor.Alive(messages.Controller)) }
 
 // compareWith asks one controller for its versions. Where it has had something newer for
 // longer than the tree is given to bring it, or runners differ again and again, the
 // changes since this node's are fetched from it. ok says that it has answered.
-func (c *Router) compareWith(ctx context.Context, addr string, overdue bool) (m messages.Versions, ok bool) {
-	m, err := c.askVersions(ctx, addr)
+func (r *Router) compareWith(ctx context.Context, addr string, overdue bool) (m messages.Versions, ok bool) {
+	m, err := r.askVersions(ctx, addr)
 	if err != nil {
-		c.log.V(1).Info("comparison failed", "controller", addr, "overdue", overdue, "err", err.Error())
+		r.log.V(1).Info("comparison failed", "controller", addr, "overdue", overdue, "err", err.Error())
 		return m, false
 	}
-	grace := c.convergeTime() / dissemination.ComparisonParts
+	grace := r.convergeTime() / dissemination.ComparisonParts
 	if overdue {
 		grace = 0
 	}
-	held := c.heldVersions()
-	runners := c.comparisons.WantRunners()
-	due := c.comparisons.FetchDue(held, m.Parts, grace, c.clock())
+	held := r.heldVersions()
+	runners := r.comparisons.WantRunners()
+	due := r.comparisons.FetchDue(held, m.Parts, grace, r.clock())
 	if dissemination.Behind(held, m.Parts) {
-		c.log.Info("a controller has newer versions", "controller", addr, "theirs", m.Parts, "held", held, "overdue", overdue, "fetch", due)
+		r.log.Info("a controller has newer versions", "controller", addr, "theirs", m.Parts, "held", held, "overdue", overdue, "fetch", due)
 	}
 	if !due && !runners {
 		return m, true
 	}
-	return m, c.fetchMissing(ctx, addr, runners)
+	return m, r.fetchMissing(ctx, addr, runners)
 }
 
 // askVersions asks one controller which versions it has.
-func (c *Router) askVersions(ctx context.Context, addr string) (m messages.Versions, err error) {
-	c.counters.comparisons.begin()
-	sentUs := c.clock()
-	b, err := c.transport.Call(ctx, addr, transport.KindVersions, &messages.Versions{Parts: []int64{}})
-	c.counters.comparisons.ended(err)
+func (r *Router) askVersions(ctx context.Context, addr string) (m messages.Versions, err error) {
+	r.counters.comparisons.begin()
+	sentUs := r.clock()
+	b, err := r.transport.Call(ctx, addr, transport.KindVersions, &messages.Versions{Parts: []int64{}})
+	r.counters.comparisons.ended(err)
 	if err != nil {
 		return m, err
 	}
 	if _, err := m.UnmarshalMsg(b); err != nil {
 		return m, err
 	}
-	c.timeOfDay.Compare(addr, m, sentUs, c.clock())
-	c.takeVersions(m)
+	r.timeOfDay.Compare(addr, m, sentUs, r.clock())
+	r.takeVersions(m)
 	return m, nil
 }
 
 // fetchMissing fetches from one controller the changes since this node's versions, and
 // all runners where they are wanted. One fetch goes on at a time. It tells whether what
 // came was applied; also true where another fetch is under way.
-func (c *Router) fetchMissing(ctx context.Context, addr string, runners bool) bool {
-	if !c.comparisons.StartFetch() {
-		c.log.V(1).Info("another fetch is under way", "controller", addr)
+func (r *Router) fetchMissing(ctx context.Context, addr string, runners bool) bool {
+	if !r.comparisons.StartFetch() {
+		r.log.V(1).Info("another fetch is under way", "controller", addr)
 		return true
 	}
-	defer c.comparisons.EndFetch()
-	h := c.syncState()
+	defer r.comparisons.EndFetch()
+	h := r.syncState()
 	h.ConfigOnly, h.Cached = true, nil
 	if !runners {
 		h.Registry.Epoch = -1
 	}
-	c.counters.fetches.begin()
-	b, err := c.transport.Call(ctx, addr, transport.KindSince, &h)
-	c.counters.fetches.ended(err)
+	r.counters.fetches.begin()
+	b, err := r.transport.Call(ctx, addr, transport.KindSince, &h)
+	r.counters.fetches.ended(err)
 	var f messages.Feed
 	if err == nil {
 		_, err = f.UnmarshalMsg(b)
 	}
 	if err != nil {
-		c.log.Info("fetch failed", "controller", addr, "held", h.Configuration.Version, "err", err.Error())
+		r.log.Info("fetch failed", "controller", addr, "held", h.Configuration.Version, "err", err.Error())
 		return false
 	}
-	fits := c.applyFeed("", f)
-	c.log.Info("fetched", "controller", addr, "versions", f.Versions, "held", h.Configuration.Version, "changes", len(f.Configuration), "bytes", len(b), "fits", fits)
+	fits := r.applyFeed("", f)
+	r.log.Info("fetched", "controller", addr, "versions", f.Versions, "held", h.Configuration.Version, "changes", len(f.Configuration), "bytes", len(b), "fits", fits)
 	return fits
 }
--- a/internal/router/condition.go
+++ b/internal/router/condition.go
@@ -11,27 +11,27 @@
 	"beechtide.org/beechtide/internal/transport"
 )
 
-func (c *Router) condition() messages.Condition {
-	x := messages.Condition{Node: c.set.Node, Role: messages.Router, Zone: c.set.Zone, Addr: c.transport.Addr(), TimeUs: time.Now().UnixMicro()}
-	c.stateMu.Lock()
-	x.Versions = c.versions()
-	c.stateMu.Unlock()
-	c.admissionMu.Lock()
-	x.Blind = c.admission.Blind(c.clock())
-	x.Partition.Evacuated = c.admission.EvacuatedZones()
-	x.Partition.Rollouts = c.admission.Rollouts()
-	x.Partition.WarmingUp = c.admission.WarmingUp(c.clock())
-	c.admissionMu.Unlock()
-	x.Partition.UnreachableZones = c.zones.Conditions()
-	x.Retired = c.retiredConditions()
-	x.Wholes, x.Changes = c.feedStats.wholes.Load(), c.feedStats.changes.Load()
-	x.Malformed = c.feedStats.malformed.Load() + c.up.Malformed.Load()
+func (r *Router) condition() messages.Condition {
+	x := messages.Condition{Node: r.set.Node, Role: messages.Router, Zone: r.set.Zone, Addr: r.transport.Addr(), TimeUs: time.Now().UnixMicro()}
+	r.stateMu.Lock()
+	x.Versions = r.versions()
+	r.stateMu.Unlock()
+	r.admissionMu.Lock()
+	x.Blind = r.admission.Blind(r.clock())
+	x.Partition.Evacuated = r.admission.EvacuatedZones()
+	x.Partition.Rollouts = r.admission.Rollouts()
+	x.Partition.WarmingUp = r.admission.WarmingUp(r.clock())
+	r.admissionMu.Unlock()
+	x.Partition.UnreachableZones = r.zones.Conditions()
+	x.Retired = r.retiredConditions()
+	x.Wholes, x.Changes = r.feedStats.wholes.Load(), r.feedStats.changes.Load()
+	x.Malformed = r.feedStats.malformed.Load() + r.up.Malformed.Load()
 	x.Violations = invariant.Violations()
-	x.Runners = len(c.registry.Snapshot().ByID)
+	x.Runners = len(r.registry.Snapshot().ByID)
 	return x
 }
 
 // OnRing tells how the doctor gets the log ring.
-func (c *Router) OnRing(show func() ([]byte, error)) {
-	c.transport.OnCall(transport.KindRing, func(context.Context, *transport.Conn, []byte) ([]byte, error) { return show() })
+func (r *Router) OnRing(show func() ([]byte, error)) {
+	r.transport.OnCall(transport.KindRing, func(context.Context, *transport.Conn, []byte) ([]byte, error) { return show() })
 }
--- a/internal/router/counters.go
+++ b/internal/router/counters.go
@@ -87,7 +87,7 @@
 
 // recordEnd counts how a request ended, and checks that it was not just dropped.
 func (e *exchange) recordEnd() {
-	counters := &e.c.counters
+	counters := &e.router.counters
 	switch e.ended {
 	case compliance.Answered:
 		counters.answered.Add(1)
@@ -97,7 +97,7 @@
 		reason := e.cutReason()
 		counters.cuts[reason].Add(1)
 		if reason == cutUnexplained {
-			requestEnds.Violated("request", e.id, "attempts", e.sequence.Sent(), "lastAttempt", attemptNames[e.lastEnd], "leaving", e.c.draining())
+			requestEnds.Violated("request", e.id, "attempts", e.sequence.Sent(), "lastAttempt", attemptNames[e.lastEnd], "leaving", e.router.draining())
 		}
 	}
 }
@@ -121,14 +121,14 @@
 func (e *exchange) recordAttempt(end attempt.Result) {
 	e.lastEnd = end
 	e.broken = e.broken || end == attempt.BrokenOff
-	e.c.counters.attempts[end].Add(1)
+	e.router.counters.attempts[end].Add(1)
 }
 
 // recordCutByLeaving counts the requests that end with the process.
-func (c *Router) recordCutByLeaving() {
-	if left := c.inFlight.Load(); left > 0 {
-		c.counters.cuts[cutByLeaving].Add(left)
-		c.log.Info("left with requests in flight", "count", left)
+func (r *Router) recordCutByLeaving() {
+	if left := r.inFlight.Load(); left > 0 {
+		r.counters.cuts[cutByLeaving].Add(left)
+		r.log.Info("left with requests in flight", "count", left)
 	}
 }
 
--- a/internal/router/cut_streams.go
+++ b/internal/router/cut_streams.go
@@ -23,26 +23,26 @@
 }
 
 // leaveUnreachable gives up what goes on with runners that are out of reach.
-func (c *Router) leaveUnreachable() {
-	streams, dials := c.streams.snapshot(), c.connects.snapshot()
+func (r *Router) leaveUnreachable() {
+	streams, dials := r.streams.snapshot(), r.connects.snapshot()
 	if len(streams)+len(dials) == 0 {
 		return
 	}
 	var left []*sentAttempt
-	now := c.clock()
-	c.admissionMu.Lock()
+	now := r.clock()
+	r.admissionMu.Lock()
 	for _, s := range streams {
-		if c.admission.LeavesUnreachable(s.adm) && now >= s.stayUntilUs.Load() && s.link.SilentFor() >= silentStream {
+		if r.admission.LeavesUnreachable(s.adm) && now >= s.stayUntilUs.Load() && s.link.SilentFor() >= silentStream {
 			left = append(left, s)
 		}
 	}
 	for _, d := range dials {
-		if c.admission.LeavesUnreachable(d.adm) {
+		if r.admission.LeavesUnreachable(d.adm) {
 			d.cancel()
 		}
 	}
-	c.admissionMu.Unlock()
-	c.streams.withdraw(left)
+	r.admissionMu.Unlock()
+	r.streams.withdraw(left)
 }
 
 // watchStream lets a stream that has begun, and that another attempt may take up, be taken from
@@ -51,18 +51,18 @@
 	if !e.sequence.MayRepeat(e.repeatRules()) {
 		return func() {}
 	}
-	watched := e.c.streams.add(sent.adm, sent.link, true)
+	watched := e.router.streams.add(sent.adm, sent.link, true)
 	sent.link.OnInterrupt = func() (goOn bool) { return e.staysAtRunner(watched, stream) }
 	return func() {
 		sent.link.OnInterrupt = nil
-		e.c.streams.remove(watched)
+		e.router.streams.remove(watched)
 	}
 }
 
 // staysAtRunner decides on a stream whose runner cannot be reached, and reports whether it stays
 // there: it leaves if the next attempt is ready.
 func (e *exchange) staysAtRunner(watched *sentAttempt, stream *answerStream) bool {
-	c := e.c
+	c := e.router
 	if !c.streams.takeWithdrawal(watched) {
 		return false // it was interrupted for another reason, which ends it
 	}
--- a/internal/router/evacuation.go
+++ b/internal/router/evacuation.go
@@ -6,20 +6,20 @@
 
 // recordEvacuations takes what a register says of evacuated zones. The caller has the mutex of
 // what was received.
-func (c *Router) recordEvacuations(part int, evacuations []messages.Evacuation, nowUs int64) {
+func (r *Router) recordEvacuations(part int, evacuations []messages.Evacuation, nowUs int64) {
 	if len(evacuations) == 0 {
 		return
 	}
-	c.evacuations[part] = evacuations
+	r.evacuations[part] = evacuations
 	zones := map[string]bool{}
-	for _, list := range c.evacuations {
+	for _, list := range r.evacuations {
 		for _, e := range list {
 			if e.Evacuated {
 				zones[e.Zone] = true
 			}
 		}
 	}
-	c.admissionMu.Lock()
-	defer c.admissionMu.Unlock()
-	c.admission.SetEvacuated(zones, nowUs)
+	r.admissionMu.Lock()
+	defer r.admissionMu.Unlock()
+	r.admission.SetEvacuated(zones, nowUs)
 }
--- a/internal/router/evacuation_test.go
+++ b/internal/router/evacuation_test.go
@@ -9,12 +9,12 @@
 )
 
 // evacuate has the router take what a register says of the zone of its runners.
-func (c *Router) evacuate(t *testing.T, evacuated bool, version int64) {
+func (r *Router) evacuate(t *testing.T, evacuated bool, version int64) {
 	t.Helper()
 	body := messages.LeaseBody{Targets: []messages.Target{}, Evacuations: []messages.Evacuation{{Zone: "a", Changes: version, Evacuated: evacuated}}}
 	b, err := body.MarshalMsg(nil)
 	must.NoError(t, err)
-	c.applyFeed("", messages.Feed{Parts: []messages.RegisterUpdate{{Part: 2, Version: version, Body: b}}})
+	r.applyFeed("", messages.Feed{Parts: []messages.RegisterUpdate{{Part: 2, Version: version, Body: b}}})
 }
 
 func TestEvacuatedZoneGetsNoRequests(t *testing.T) {
--- a/internal/router/front.go
+++ b/internal/router/front.go
@@ -28,14 +28,14 @@
 	"beechtide.org/beechtide/internal/routeconfig"
 )
 
-func (c *Router) serveReady() error {
-	ln, err := httpserver.Listen(c.set.Listen.Ready)
+func (r *Router) serveReady() error {
+	ln, err := httpserver.Listen(r.set.Listen.Ready)
 	if err != nil {
 		return errors.Wrap(err, "router: ready address")
 	}
-	h := httpserver.New(c.set.Listen.Ready, server.WithListener(ln))
+	h := httpserver.New(r.set.Listen.Ready, server.WithListener(ln))
 	h.GET("/api/ready", func(_ context.Context, rc *app.RequestContext) {
-		if c.ready() {
+		if r.ready() {
 			rc.SetStatusCode(200)
 		} else {
 			rc.SetStatusCode(503)
@@ -43,13 +43,13 @@
 	})
 	h.GET("/api/audit", func(_ context.Context, rc *app.RequestContext) {
 		rc.SetContentType("application/jsonl")
-		_ = c.trail.Write(rc.Response.BodyWriter())
+		_ = r.trail.Write(rc.Response.BodyWriter())
 	})
 	return h.Run()
 }
 
-func (c *Router) ready() bool {
-	return c.table.Load() != nil && c.informed.Load() && !c.draining()
+func (r *Router) ready() bool {
+	return r.table.Load() != nil && r.informed.Load() && !r.draining()
 }
 
 // orMs gives a limit in milliseconds, or the fallback where there is none.
@@ -61,8 +61,8 @@
 }
 
 // frontLimits are the limits on clients' times that are in force.
-func (c *Router) frontLimits() frontLimits {
-	limits := c.table.Load().Limits
+func (r *Router) frontLimits() frontLimits {
+	limits := r.table.Load().Limits
 	sizes := http1.Limits{HeadBytes: limits.HeaderBytes, BodyBytes: int64(limits.BodyBytes)}
 	if sizes.HeadBytes <= 0 {
 		sizes.HeadBytes = defaultHeadBytes
@@ -87,23 +87,23 @@
 )
 
 // serveFront serves clients until live ends.
-func (c *Router) serveFront(live context.Context) error {
-	ln, err := listenFront(c.set.Listen.Front, c.frontLimits)
+func (r *Router) serveFront(live context.Context) error {
+	ln, err := listenFront(r.set.Listen.Front, r.frontLimits)
 	if err != nil {
 		return err
 	}
-	h := httpserver.New(c.set.Listen.Front,
+	h := httpserver.New(r.set.Listen.Front,
 		server.WithListener(lingeringListener{ln, live}), server.WithOnAccept(onAccept), server.WithMaxRequestBodySize(libraryBodyBytes), server.WithMaxHeaderBytes(libraryHeadBytes),
 		server.WithWriteTimeout(10*time.Second), server.WithDisableHeaderNamesNormalizing(true), server.WithUseRawPath(true),
 		server.WithMaxKeepBodySize(64<<10), server.WithReadBufferSize(4096))
-	h.NoRoute(c.serve)
-	c.front.Store(ln)
+	h.NoRoute(r.serve)
+	r.front.Store(ln)
 	return h.Run()
 }
 
 // exchange is one request on its way through the router.
 type exchange struct {
-	c        *Router
+	router   *Router
 	rc       *app.RequestContext
 	conn     *timedConn // of the client; nil in tests without one
 	route    *routeconfig.Route
@@ -130,19 +130,19 @@
 	changed  bool             // the tenant's regime changed while the request waited
 }
 
-func (c *Router) serve(ctx context.Context, rc *app.RequestContext) {
-	c.inFlight.Add(1)
-	defer c.inFlight.Add(-1)
-	if c.draining() {
-		c.counters.takenWhileDraining.Add(1)
+func (r *Router) serve(ctx context.Context, rc *app.RequestContext) {
+	r.inFlight.Add(1)
+	defer r.inFlight.Add(-1)
+	if r.draining() {
+		r.counters.takenWhileDraining.Add(1)
 	}
 	conn := clientConn(ctx)
 	defer func() {
-		if c.closesWithAnswer(conn, rc) {
+		if r.closesWithAnswer(conn, rc) {
 			rc.Response.Header.SetConnectionClose(true)
 		}
 	}()
-	e := &exchange{c: c, rc: rc, conn: conn, startUs: c.clock() - conn.requestAge().Microseconds(), id: get(rc, hAttempt)}
+	e := &exchange{router: r, rc: rc, conn: conn, startUs: r.clock() - conn.requestAge().Microseconds(), id: get(rc, hAttempt)}
 	defer e.recordEnd()
 	uri := rc.Request.Header.RequestURI()
 	path, _, _ := strings.Cut(string(uri), "?")
@@ -156,11 +156,11 @@
 		return
 	}
 	e.endUs = endOf(e.startUs, e.route.CutoffUs, get(rc, hTimeLeft))
-	if !c.shutdown.Load().forwards(e.endUs) {
+	if !r.shutdown.Load().forwards(e.endUs) {
 		e.reject(503, rejectDraining, drainRetryUs)
 		return
 	}
-	conn.answerUntil(time.Now().Add(time.Duration(e.endUs-c.clock()) * time.Microsecond))
+	conn.answerUntil(time.Now().Add(time.Duration(e.endUs-r.clock()) * time.Microsecond))
 	e.describe(t)
 	if e.request.Regime != "" {
 		e.note(compliance.Asked, nil, -1)
@@ -177,7 +177,7 @@
 // where the request has been rejected: with a denial only once the table is known to be
 // the newest.
 func (e *exchange) match(path string) *routeconfig.Table {
-	t := e.c.table.Load()
+	t := e.router.table.Load()
 	if t == nil {
 		e.reject(503, "", againUs)
 		return nil
@@ -186,15 +186,15 @@
 	if status == 0 {
 		return t
 	}
-	confirmed := e.c.confirmCurrent()
+	confirmed := e.router.confirmCurrent()
 	before := t.Version
-	t = e.c.table.Load()
-	e.c.counters.recordRecheck(confirmed, t.Version > before)
+	t = e.router.table.Load()
+	e.router.counters.recordRecheck(confirmed, t.Version > before)
 	status = e.find(t, path)
 	switch {
 	case status == 0:
 		return t
-	case confirmed && e.c.confirmationHolds():
+	case confirmed && e.router.confirmationHolds():
 		e.reject(status, "", 0)
 	default:
 		e.reject(503, "", recheckUs)
@@ -210,7 +210,7 @@
 	tokensOut, _ := strconv.Atoi(strings.TrimSpace(out))
 	e.request = admission.Request{
 		Service: e.service, Rank: e.route.Rank, TokensIn: max(tokensIn, 0), TokensOut: max(tokensOut, 0),
-		Class: classOf(e.route), Model: get(e.rc, hModel), Parts: prefixindex.ParseParts(get(e.rc, hPrefix)), SetpointUs: e.route.SetpointUs, LeftUs: e.endUs - e.c.clock(),
+		Class: classOf(e.route), Model: get(e.rc, hModel), Parts: prefixindex.ParseParts(get(e.rc, hPrefix)), SetpointUs: e.route.SetpointUs, LeftUs: e.endUs - e.router.clock(),
 	}
 	var tenantHomes []string
 	if e.tenant != nil {
@@ -234,11 +234,11 @@
 
 // note adds to the audit trail of regulated requests.
 func (e *exchange) note(step compliance.Step, n *messages.RunnerRecord, certificate int) {
-	entry := compliance.Entry{Node: e.c.set.Node, Step: step, Attempt: e.id, Tenant: e.tenant.Name, Regime: e.request.Regime, Certificate: certificate, Version: e.c.table.Load().Version}
+	entry := compliance.Entry{Node: e.router.set.Node, Step: step, Attempt: e.id, Tenant: e.tenant.Name, Regime: e.request.Regime, Certificate: certificate, Version: e.router.table.Load().Version}
 	if n != nil {
 		entry.Runner, entry.Service, entry.Zone = n.ID, n.Service, n.Zone
 	}
-	e.c.trail.Note(entry)
+	e.router.trail.Note(entry)
 }
 
 // find looks up the route and the tenant; it returns the status of a denial, or 0.
--- a/internal/router/invariants.go
+++ b/internal/router/invariants.go
@@ -26,7 +26,7 @@
 
 // checkDenial checks that a denial rests on a confirmed configuration.
 func (e *exchange) checkDenial(status int) {
-	c := e.c
+	c := e.router
 	if !denies(status) {
 		return
 	}
--- a/internal/router/invariants_test.go
+++ b/internal/router/invariants_test.go
@@ -18,7 +18,7 @@
 // visitAt makes a request of a router that runs nothing; its time is over at endUs.
 func visitAt(nowUs, endUs int64) *exchange {
 	c := &Router{clock: func() int64 { return nowUs }}
-	return &exchange{c: c, rc: app.NewContext(0), endUs: endUs, route: &routeconfig.Route{}}
+	return &exchange{router: c, rc: app.NewContext(0), endUs: endUs, route: &routeconfig.Route{}}
 }
 
 func TestRequestThatIsDroppedViolatesInvariant(t *testing.T) {
@@ -62,7 +62,7 @@
 				if reason == c.cut {
 					want = 1
 				}
-				must.Eq(t, want, v.c.counters.cuts[reason].Load(), must.Sprint(cutReasonNames[reason]))
+				must.Eq(t, want, v.router.counters.cuts[reason].Load(), must.Sprint(cutReasonNames[reason]))
 			}
 		})
 	}
@@ -89,7 +89,7 @@
 	c.core.mu.Lock()
 	c.core.last = []string{"10.0.0.1:7001"}
 	c.core.mu.Unlock()
-	v := &exchange{c: c}
+	v := &exchange{router: c}
 	c.majorityUs.Store(c.clock())
 	v.checkDenial(404)
 	v.checkDenial(503)
--- a/internal/router/leave.go
+++ b/internal/router/leave.go
@@ -30,13 +30,13 @@
 const drainRetryUs = 10_000
 
 // draining reports whether the graceful shutdown has begun.
-func (c *Router) draining() bool { return c.shutdown.Load() != nil }
+func (r *Router) draining() bool { return r.shutdown.Load() != nil }
 
 // closesWithAnswer reports whether a connection ends with the answer to its request
 // because the router drains. Not while a part of the next request has been read with
 // this one: a client that has sent it is answered that, too.
-func (c *Router) closesWithAnswer(conn *timedConn, rc *app.RequestContext) bool {
-	return c.draining() && rc.GetReader().Len() == 0 && (conn == nil || conn.requests.Buffered() == 0)
+func (r *Router) closesWithAnswer(conn *timedConn, rc *app.RequestContext) bool {
+	return r.draining() && rc.GetReader().Len() == 0 && (conn == nil || conn.requests.Buffered() == 0)
 }
 
 // lingeringListener returns the error of a closed listener only once live has ended: the
@@ -57,42 +57,42 @@
 
 // endAttempts withdraws the attempts that have no answer yet. first tells that this phase of
 // the shutdown begins.
-func (c *Router) endAttempts(first bool) {
+func (r *Router) endAttempts(first bool) {
 	if first {
-		close(c.lastAnswers)
+		close(r.lastAnswers)
 	}
-	c.sent.withdraw(c.sent.snapshot())
-	c.held.withdraw(c.held.snapshot())
+	r.sent.withdraw(r.sent.snapshot())
+	r.held.withdraw(r.held.snapshot())
 }
 
 // leave shuts down gracefully. It returns when the process may end.
-func (c *Router) leave() {
-	plan := newShutdownPlan(c.clock(), int64(c.set.Bounds.GraceS*1e6))
-	c.shutdown.Store(plan)
-	close(c.drainBegun)
-	c.log.Info("leaving")
-	front := c.front.Load()
+func (r *Router) leave() {
+	plan := newShutdownPlan(r.clock(), int64(r.set.Bounds.GraceS*1e6))
+	r.shutdown.Store(plan)
+	close(r.drainBegun)
+	r.log.Info("leaving")
+	front := r.front.Load()
 	if front == nil {
 		return
 	}
 	entered := phaseNotice
 	for ; ; time.Sleep(shutdownInterval) {
-		phase := plan.phase(c.clock())
+		phase := plan.phase(r.clock())
 		if phase == phaseNotice {
 			continue
 		}
 		if phase == phaseOver {
-			c.log.Info("grace period over", "inFlight", c.inFlight.Load())
+			r.log.Info("grace period over", "inFlight", r.inFlight.Load())
 			return
 		}
 		if entered == phaseNotice {
 			front.Listener.Close()
 		}
 		if phase == phaseAnswers {
-			c.endAttempts(entered != phaseAnswers)
+			r.endAttempts(entered != phaseAnswers)
 		}
 		entered = phase
-		if front.closeIdle() == 0 && c.inFlight.Load() == 0 {
+		if front.closeIdle() == 0 && r.inFlight.Load() == 0 {
 			return
 		}
 	}
--- a/internal/router/leave_test.go
+++ b/internal/router/leave_test.go
@@ -13,9 +13,9 @@
 )
 
 // drain begins the graceful shutdown and waits until the router has noticed.
-func (c *Router) drain(cancel func()) {
+func (r *Router) drain(cancel func()) {
 	cancel()
-	for !c.draining() {
+	for !r.draining() {
 		time.Sleep(time.Millisecond)
 	}
 }
--- a/internal/router/loads.go
+++ b/internal/router/loads.go
@@ -184,39 +184,39 @@
 }
 
 // resendLoads makes the next report one of all loads, for a parent that lacks earlier ones.
-func (c *Router) resendLoads() {
-	c.loads.mu.Lock()
-	c.loads.sendAll, c.loads.unacknowledged, c.loads.acknowledged, c.loads.allChanged = true, nil, nil, true
-	c.loads.mu.Unlock()
-	signal(c.loadsChanged)
+func (r *Router) resendLoads() {
+	r.loads.mu.Lock()
+	r.loads.sendAll, r.loads.unacknowledged, r.loads.acknowledged, r.loads.allChanged = true, nil, nil, true
+	r.loads.mu.Unlock()
+	signal(r.loadsChanged)
 }
 
 // applyReport takes the report of a node below; false asks it for all of its loads.
-func (c *Router) applyReport(from string, report messages.LoadReport) bool {
-	l := &c.loads
+func (r *Router) applyReport(from string, report messages.LoadReport) bool {
+	l := &r.loads
 	l.mu.Lock()
 	ok := true
 	for _, change := range report.Loads {
-		r := l.subtree.Apply(from, change)
-		ok = ok && (r == statesync.Applied || r == statesync.Known)
+		result := l.subtree.Apply(from, change)
+		ok = ok && (result == statesync.Applied || result == statesync.Known)
 	}
 	l.pending, l.absent = append(l.pending, report.PendingBlocks...), append(l.absent, report.Absent...)
 	l.mu.Unlock()
 	if len(report.PendingBlocks) > 0 {
-		c.admissionMu.Lock()
-		c.admission.ExpectBlocks(report.PendingBlocks)
-		c.admissionMu.Unlock()
-		signal(c.prefixesPending)
+		r.admissionMu.Lock()
+		r.admission.ExpectBlocks(report.PendingBlocks)
+		r.admissionMu.Unlock()
+		signal(r.prefixesPending)
 	}
-	signal(c.loadsChanged)
+	signal(r.loadsChanged)
 	return ok
 }
 
 // removeSender drops the loads of a node below that has unsubscribed.
-func (c *Router) removeSender(from string) {
-	c.loads.mu.Lock()
-	c.loads.subtree.Remove(from)
-	c.loads.mu.Unlock()
+func (r *Router) removeSender(from string) {
+	r.loads.mu.Lock()
+	r.loads.subtree.Remove(from)
+	r.loads.mu.Unlock()
 }
 
 // joiningUs is for how long after its start a router may not have heard of the others yet.
@@ -233,36 +233,36 @@
 }
 
 // report sends one report up the tree, if there is something to report.
-func (c *Router) report() {
-	c.nodes.Store(int64(fleetSize(len(c.monitor.Alive(messages.Router)), c.clock()-c.startUs)))
-	c.admissionMu.Lock()
-	c.admission.SetNodes(int(c.nodes.Load()))
-	own, pending, absent := c.admission.Own(c.clock()), c.admission.TakeFresh(), c.admission.TakeAbsent()
-	c.admissionMu.Unlock()
-	if report, some := c.loads.nextReport(own, pending, absent); some && !c.up.Send(transport.KindLoadReport, &report) {
-		c.resendLoads()
+func (r *Router) report() {
+	r.nodes.Store(int64(fleetSize(len(r.monitor.Alive(messages.Router)), r.clock()-r.startUs)))
+	r.admissionMu.Lock()
+	r.admission.SetNodes(int(r.nodes.Load()))
+	own, pending, absent := r.admission.Own(r.clock()), r.admission.TakeFresh(), r.admission.TakeAbsent()
+	r.admissionMu.Unlock()
+	if report, some := r.loads.nextReport(own, pending, absent); some && !r.up.Send(transport.KindLoadReport, &report) {
+		r.resendLoads()
 	}
 }
 
 // reportPause is how long a change waits for others in a fleet of the present size.
-func (c *Router) reportPause() time.Duration {
-	return min(max(time.Duration(c.nodes.Load())*reportPart, reportDelay), maxReportDelay)
+func (r *Router) reportPause() time.Duration {
+	return min(max(time.Duration(r.nodes.Load())*reportPart, reportDelay), maxReportDelay)
 }
 
 // reportLoads sends reports up the tree: at once when a runner has been sent shared
 // parts to read, a little later after any other change.
-func (c *Router) reportLoads(ctx context.Context) {
+func (r *Router) reportLoads(ctx context.Context) {
 	t := time.NewTicker(reportInterval)
 	defer t.Stop()
 	for {
-		c.report()
+		r.report()
 		select {
-		case <-c.prefixesPending:
+		case <-r.prefixesPending:
 		case <-t.C:
-		case <-c.loadsChanged:
+		case <-r.loadsChanged:
 			select {
-			case <-c.prefixesPending:
-			case <-time.After(c.reportPause()):
+			case <-r.prefixesPending:
+			case <-time.After(r.reportPause()):
 			case <-ctx.Done():
 				return
 			}
--- a/internal/router/missing.go
+++ b/internal/router/missing.go
@@ -37,63 +37,63 @@
 
 // wrongInstance notes that a runner answered 421. One that only has other weights
 // is there; it has no place for a short while, until its new version is known.
-func (c *Router) wrongInstance(adm *admission.Admission, otherWeights bool) {
+func (r *Router) wrongInstance(adm *admission.Admission, otherWeights bool) {
 	expected := adm.Version > 0
 	left := false
-	c.admissionMu.Lock()
+	r.admissionMu.Lock()
 	if otherWeights {
-		c.admission.Full(adm, c.clock())
+		r.admission.Full(adm, r.clock())
 	} else {
-		left = c.admission.WrongInstance(adm, expected, c.clock())
+		left = r.admission.WrongInstance(adm, expected, r.clock())
 	}
-	c.admissionMu.Unlock()
+	r.admissionMu.Unlock()
 	if !left {
 		return
 	}
 	if !expected {
-		c.confirmAbsent(adm.Runner)
+		r.confirmAbsent(adm.Runner)
 	}
-	signal(c.missing)
+	signal(r.missing)
 }
 
 // confirmAbsent closes the connections to the address of a runner that is not
 // there, and has the others told.
-func (c *Router) confirmAbsent(n messages.RunnerRecord) {
-	c.log.Info("a runner is not at its address", "runner", n.ID, "address", n.Addr)
-	c.connPool.Drop(n.Addr)
-	signal(c.loadsChanged)
+func (r *Router) confirmAbsent(n messages.RunnerRecord) {
+	r.log.Info("a runner is not at its address", "runner", n.ID, "address", n.Addr)
+	r.connPool.Drop(n.Addr)
+	signal(r.loadsChanged)
 }
 
 // probeAbsent probes missing runners for as long as there are any.
-func (c *Router) probeAbsent(ctx context.Context) {
+func (r *Router) probeAbsent(ctx context.Context) {
 	for {
 		select {
-		case <-c.missing:
+		case <-r.missing:
 		case <-ctx.Done():
 			return
 		}
-		for c.probeDue(ctx) {
+		for r.probeDue(ctx) {
 			loop.Pause(ctx, missingEvery)
 		}
 	}
 }
 
 // probeDue makes the probes that are due and tells whether a runner is missing.
-func (c *Router) probeDue(ctx context.Context) bool {
-	c.admissionMu.Lock()
-	due, missing := c.admission.DueProbes(c.clock())
-	c.admissionMu.Unlock()
+func (r *Router) probeDue(ctx context.Context) bool {
+	r.admissionMu.Lock()
+	due, missing := r.admission.DueProbes(r.clock())
+	r.admissionMu.Unlock()
 	var wg sync.WaitGroup
 	for _, n := range due {
-		wg.Go(func() { c.probe(ctx, n) })
+		wg.Go(func() { r.probe(ctx, n) })
 	}
 	wg.Wait()
 	return missing && ctx.Err() == nil
 }
 
 // probe looks which instance answers at a runner's address.
-func (c *Router) probe(ctx context.Context, n messages.RunnerRecord) {
-	t := c.table.Load()
+func (r *Router) probe(ctx context.Context, n messages.RunnerRecord) {
+	t := r.table.Load()
 	if t == nil {
 		return
 	}
@@ -103,22 +103,22 @@
 	}
 	what := admission.PresenceUnprobed
 	if s.Probe != "" {
-		what = c.identifyInstance(ctx, n, s.Probe)
+		what = r.identifyInstance(ctx, n, s.Probe)
 	}
-	c.admissionMu.Lock()
-	sure := c.admission.Found(n, what, c.clock())
-	c.admissionMu.Unlock()
+	r.admissionMu.Lock()
+	sure := r.admission.Found(n, what, r.clock())
+	r.admissionMu.Unlock()
 	if sure {
-		c.confirmAbsent(n)
+		r.confirmAbsent(n)
 	}
-	c.wakeQueue()
+	r.wakeQueue()
 }
 
 // identifyInstance asks at a runner's address whether it is there.
-func (c *Router) identifyInstance(ctx context.Context, n messages.RunnerRecord, path string) admission.Presence {
+func (r *Router) identifyInstance(ctx context.Context, n messages.RunnerRecord, path string) admission.Presence {
 	ctx, cancel := context.WithTimeout(ctx, missingWait)
 	defer cancel()
-	status, found, err := c.connPool.Probe(ctx, n.Addr, path, hInstance, map[string]string{hTarget: n.ID})
+	status, found, err := r.connPool.Probe(ctx, n.Addr, path, hInstance, map[string]string{hTarget: n.ID})
 	switch {
 	case err != nil:
 		return admission.PresenceUnknown
--- a/internal/router/move.go
+++ b/internal/router/move.go
@@ -22,7 +22,7 @@
 // moves reports whether the stream leaves its runner now, as its session's zone has been
 // relinquished; then the next attempt is there.
 func (e *exchange) moves(adm *admission.Admission, stream *answerStream) bool {
-	c := e.c
+	c := e.router
 	t := c.table.Load()
 	if _, left := t.Relinquished[adm.Runner.Zone]; !left || !stream.cutting || stream.events.LastID == "" {
 		return false
@@ -40,7 +40,7 @@
 // there. It is within tries, budget and limits like every further attempt. leaves is asked first,
 // and accepts of the place found, both with the admission's mutex held.
 func (e *exchange) acquireNext(adm *admission.Admission, leaves func(admission.Request) bool, accepts func(*admission.Admission) bool) bool {
-	c := e.c
+	c := e.router
 	if !e.sequence.MayRepeat(e.repeatRules()) {
 		return false
 	}
@@ -85,7 +85,7 @@
 		return
 	}
 	e.next.link.Close()
-	e.c.done(e.next.adm, true)
+	e.router.done(e.next.adm, true)
 	e.next = nil
 }
 
--- a/internal/router/move_test.go
+++ b/internal/router/move_test.go
@@ -38,17 +38,17 @@
 }
 
 // sited puts runner i at zones[i].
-func (c *Router) sited(t *testing.T, zones ...string) {
+func (r *Router) sited(t *testing.T, zones ...string) {
 	t.Helper()
-	snap := c.registry.Snapshot()
+	snap := r.registry.Snapshot()
 	var notes []messages.RunnerRecord
 	for i, zone := range zones {
 		n := snap.ByID[fmt.Sprint("r", i)]
 		n.Zone, n.Seq, n.Capacity = zone, 2, 9
 		notes = append(notes, n)
 	}
-	must.True(t, c.applyFeed("", messages.Feed{Registry: []messages.EntryChange{runnerEntries(t, notes...)}}))
-	c.syncAdmission()
+	must.True(t, r.applyFeed("", messages.Feed{Registry: []messages.EntryChange{runnerEntries(t, notes...)}}))
+	r.syncAdmission()
 }
 
 // A live stream that may be resumed goes on at the other zone from its last
@@ -114,11 +114,11 @@
 }
 
 // holdsNothing checks that no capacity is reserved at any runner.
-func (c *Router) holdsNothing(t *testing.T) {
+func (r *Router) holdsNothing(t *testing.T) {
 	t.Helper()
-	c.admissionMu.Lock()
-	defer c.admissionMu.Unlock()
-	for id, l := range c.admission.Own(c.clock()) {
+	r.admissionMu.Lock()
+	defer r.admissionMu.Unlock()
+	for id, l := range r.admission.Own(r.clock()) {
 		must.Eq(t, 0, l.Count, must.Sprint(id))
 	}
 }
--- a/internal/router/partition_metrics.go
+++ b/internal/router/partition_metrics.go
@@ -11,24 +11,24 @@
 	"beechtide.org/beechtide/internal/metrics"
 )
 
-func (c *Router) partitionMetrics() []prometheus.Collector {
+func (r *Router) partitionMetrics() []prometheus.Collector {
 	return []prometheus.Collector{
 		metrics.Gauge("beechtide_router_evacuated", "1 for each zone whose runners get no requests from this router.", []string{"zone"}, func(emit metrics.Emit) {
-			c.admissionMu.Lock()
-			defer c.admissionMu.Unlock()
-			for _, zone := range c.admission.EvacuatedZones() {
+			r.admissionMu.Lock()
+			defer r.admissionMu.Unlock()
+			for _, zone := range r.admission.EvacuatedZones() {
 				emit(1, zone)
 			}
 		}),
 		metrics.Gauge("beechtide_router_rollout_stage", "Stage of the newest roll-out of each service that this router goes by: 0 tried, 1 shifting, 2 settled, 3 reverted.", []string{"service", "version"}, func(emit metrics.Emit) {
-			c.admissionMu.Lock()
-			defer c.admissionMu.Unlock()
-			for _, r := range c.admission.Rollouts() {
-				emit(float64(r.Stage), r.Service, r.Target)
+			r.admissionMu.Lock()
+			defer r.admissionMu.Unlock()
+			for _, rollout := range r.admission.Rollouts() {
+				emit(float64(rollout.Stage), rollout.Service, rollout.Target)
 			}
 		}),
 		metrics.Gauge("beechtide_router_refused", "Requests that broke HTTP or a limit on sizes, by the status that they got.", []string{"status"}, func(emit metrics.Emit) {
-			front := c.front.Load()
+			front := r.front.Load()
 			if front == nil {
 				return
 			}
@@ -37,16 +37,16 @@
 			}
 		}),
 		metrics.Gauge("beechtide_router_runners_withheld", "Runners by the mechanism that keeps requests of this router from them; none: they may get one.", []string{"reason"}, func(emit metrics.Emit) {
-			c.admissionMu.Lock()
-			defer c.admissionMu.Unlock()
-			for reason, count := range c.admission.CountWithheld(c.clock()) {
+			r.admissionMu.Lock()
+			defer r.admissionMu.Unlock()
+			for reason, count := range r.admission.CountWithheld(r.clock()) {
 				emit(float64(count), reason.String())
 			}
 		}),
 		metrics.Gauge("beechtide_router_warming_up", "Runners that warm up: all, and those that this router may send requests to.", []string{"of"}, func(emit metrics.Emit) {
-			c.admissionMu.Lock()
-			defer c.admissionMu.Unlock()
-			list, lent := c.admission.WarmingUp(c.clock()), 0
+			r.admissionMu.Lock()
+			defer r.admissionMu.Unlock()
+			list, lent := r.admission.WarmingUp(r.clock()), 0
 			for _, w := range list {
 				if w.RatePerS > 0 {
 					lent++
@@ -59,19 +59,19 @@
 }
 
 // reachMetrics are the figures of the ways to other zones.
-func (c *Router) reachMetrics() []prometheus.Collector {
+func (r *Router) reachMetrics() []prometheus.Collector {
 	return []prometheus.Collector{
 		metrics.Gauge("beechtide_router_zone_unreachable_seconds", "For how long each zone that this router cannot reach has been so.", []string{"zone"}, func(emit metrics.Emit) {
-			for _, z := range c.zones.Conditions() {
+			for _, z := range r.zones.Conditions() {
 				emit(float64(z.SinceUs)/1e6, z.Zone)
 			}
 		}),
 		metrics.Counter("beechtide_router_zone_silence_doubted_total", "Silences of a zone that were put down to this router or its link, as nodes of its own zone did not answer either.", nil, func(emit metrics.Emit) {
-			emit(float64(c.zones.Doubted()))
+			emit(float64(r.zones.Doubted()))
 		}),
 		metrics.Counter("beechtide_router_unreachable_streams_total", "Streams that delivered nothing from runners of unreachable zones: left, they go on at other runners; stayed, there was no place.", []string{"outcome"}, func(emit metrics.Emit) {
-			emit(float64(c.counters.streamsLeft.Load()), "left")
-			emit(float64(c.counters.streamsStayed.Load()), "stayed")
+			emit(float64(r.counters.streamsLeft.Load()), "left")
+			emit(float64(r.counters.streamsStayed.Load()), "stayed")
 		}),
 	}
 }
--- a/internal/router/peers.go
+++ b/internal/router/peers.go
@@ -20,76 +20,76 @@
 const timeOfDayPeriod = 400 * time.Millisecond
 
 // newClientsOfOthers makes what works together with other nodes.
-func (c *Router) newClientsOfOthers() (err error) {
-	c.quotas, err = quotaclient.New(quotaclient.Config{
-		Addr:        c.transport.Addr(),
-		Bounds:      c.set.QuotaBounds(),
-		Clock:       c.clock,
-		Log:         c.log,
-		Peers:       c.transport,
-		Controllers: c.coreAddrs,
+func (r *Router) newClientsOfOthers() (err error) {
+	r.quotas, err = quotaclient.New(quotaclient.Config{
+		Addr:        r.transport.Addr(),
+		Bounds:      r.set.QuotaBounds(),
+		Clock:       r.clock,
+		Log:         r.log,
+		Peers:       r.transport,
+		Controllers: r.coreAddrs,
 	})
 	if err != nil {
 		return err
 	}
-	c.zones, err = zoneping.New(zoneping.Config{
-		Addr:           c.transport.Addr(),
-		Zone:           c.set.Zone,
-		Clock:          c.clock,
-		Log:            c.log,
-		Peers:          c.transport,
-		Routers:        func() []messages.Peer { return c.monitor.Alive(messages.Router) },
-		SetUnreachable: c.setUnreachable,
+	r.zones, err = zoneping.New(zoneping.Config{
+		Addr:           r.transport.Addr(),
+		Zone:           r.set.Zone,
+		Clock:          r.clock,
+		Log:            r.log,
+		Peers:          r.transport,
+		Routers:        func() []messages.Peer { return r.monitor.Alive(messages.Router) },
+		SetUnreachable: r.setUnreachable,
 	})
-	if err != nil || c.set.Bounds.UsageWindowS <= 0 {
+	if err != nil || r.set.Bounds.UsageWindowS <= 0 {
 		return err
 	}
-	c.usage, err = usagereport.New(usagereport.Config{
-		Addr:        c.transport.Addr(),
-		Zone:        c.set.Zone,
-		WindowUs:    (time.Duration(c.set.Bounds.UsageWindowS) * time.Second).Microseconds(),
-		Clock:       c.clock,
-		Peers:       c.transport,
-		Controllers: func() []messages.Peer { return c.monitor.Alive(messages.Controller) },
-		TimeOfDay:   c.timeOfDay.TimeUs,
+	r.usage, err = usagereport.New(usagereport.Config{
+		Addr:        r.transport.Addr(),
+		Zone:        r.set.Zone,
+		WindowUs:    (time.Duration(r.set.Bounds.UsageWindowS) * time.Second).Microseconds(),
+		Clock:       r.clock,
+		Peers:       r.transport,
+		Controllers: func() []messages.Peer { return r.monitor.Alive(messages.Controller) },
+		TimeOfDay:   r.timeOfDay.TimeUs,
 	})
 	return err
 }
 
 // coreAddrs returns the addresses of the controllers of the core that are alive.
-func (c *Router) coreAddrs() []string {
+func (r *Router) coreAddrs() []string {
 	var addrs []string
-	for _, peer := range membership.Core(c.monitor.Alive(messages.Controller)) {
+	for _, peer := range membership.Core(r.monitor.Alive(messages.Controller)) {
 		addrs = append(addrs, peer.Addr)
 	}
 	return addrs
 }
 
 // setUnreachable has the runners of these zones get no requests.
-func (c *Router) setUnreachable(sinceUs map[string]int64) {
-	c.admissionMu.Lock()
-	c.admission.SetUnreachable(sinceUs, c.clock())
-	c.admissionMu.Unlock()
-	c.wakeQueue()
+func (r *Router) setUnreachable(sinceUs map[string]int64) {
+	r.admissionMu.Lock()
+	r.admission.SetUnreachable(sinceUs, r.clock())
+	r.admissionMu.Unlock()
+	r.wakeQueue()
 }
 
 // seeRouters tells those that share something among all routers which ones are alive.
-func (c *Router) seeRouters() {
+func (r *Router) seeRouters() {
 	var addrs []string
-	for _, peer := range c.monitor.Alive(messages.Router) {
+	for _, peer := range r.monitor.Alive(messages.Router) {
 		addrs = append(addrs, peer.Addr)
 	}
-	c.admissionMu.Lock()
-	c.admission.SeeNodes(addrs, c.clock())
-	c.admissionMu.Unlock()
-	c.quotas.Sweep(addrs)
+	r.admissionMu.Lock()
+	r.admission.SeeNodes(addrs, r.clock())
+	r.admissionMu.Unlock()
+	r.quotas.Sweep(addrs)
 }
 
 // countUsage counts a request once, when a runner has begun it.
 func (e *exchange) countUsage(r *protocol.Response) {
-	if e.counted || e.tenant == nil || r.StatusCode()/100 != 2 || e.c.usage == nil {
+	if e.counted || e.tenant == nil || r.StatusCode()/100 != 2 || e.router.usage == nil {
 		return
 	}
 	e.counted = true
-	e.c.usage.Add(e.tenant.Name)
+	e.router.usage.Add(e.tenant.Name)
 }
--- a/internal/router/quota_attempts.go
+++ b/internal/router/quota_attempts.go
@@ -31,10 +31,10 @@
 // acquireToken gets a token, unless the request has one that is valid. It reports what
 // became of it.
 func (e *exchange) acquireToken(arrives bool, waitUs int64) quotaclient.Answer {
-	if !e.limited() || e.token.Valid(e.c.clock()) {
+	if !e.limited() || e.token.Valid(e.router.clock()) {
 		return quotaclient.Answer{Outcome: quotaclient.Granted, Token: e.token}
 	}
-	answer := e.c.quotas.Acquire(e.tenant.Name, e.limit, arrives, waitUs, e.client.leftChannel())
+	answer := e.router.quotas.Acquire(e.tenant.Name, e.limit, arrives, waitUs, e.client.leftChannel())
 	if answer.Outcome == quotaclient.Granted {
 		e.token = answer.Token
 	}
@@ -44,7 +44,7 @@
 // quotaWaitUs is how long the request may wait for a token.
 func (e *exchange) quotaWaitUs() int64 {
 	waitUs := min(max(e.route.SetpointUs/4-10_000, minQuotaWaitUs), maxQuotaWaitUs)
-	return min(waitUs, max(e.endUs-e.c.clock(), 0))
+	return min(waitUs, max(e.endUs-e.router.clock(), 0))
 }
 
 // enter gets the token with which the request begins; without one it is rejected.
@@ -70,7 +70,7 @@
 	if e.next != nil {
 		e.releaseNext()
 	} else {
-		e.c.done(adm, true)
+		e.router.done(adm, true)
 	}
 	switch {
 	case e.stream != nil || e.sequence.MayHaveRun():
@@ -86,7 +86,7 @@
 // a token when it leaves its runner, which may expire before the next attempt is sent.
 func (e *exchange) awaitToken(answer quotaclient.Answer) quotaclient.Answer {
 	for answer.Outcome != quotaclient.Granted {
-		leftUs := e.endUs - e.c.clock()
+		leftUs := e.endUs - e.router.clock()
 		if leftUs <= 0 || !e.pause(min(answer.WaitUs, leftUs)) {
 			return answer
 		}
@@ -103,7 +103,7 @@
 	case <-timer.C:
 		return true
 	case <-e.client.leftChannel():
-	case <-e.c.lastAnswers:
+	case <-e.router.lastAnswers:
 	}
 	return false
 }
@@ -125,6 +125,6 @@
 // returnToken gives back what the request has not used, as it ends.
 func (e *exchange) returnToken() {
 	if e.limited() && e.token != (quota.Token{}) {
-		e.c.quotas.Return(e.tenant.Name, e.token)
+		e.router.quotas.Return(e.tenant.Name, e.token)
 	}
 }
--- a/internal/router/quota_test.go
+++ b/internal/router/quota_test.go
@@ -157,18 +157,18 @@
 // movedStream is a request of a limited tenant whose stream has begun and is on the move.
 func movedStream(c *Router, forUs int64) *exchange {
 	return &exchange{
-		c: c, rc: app.NewContext(0), route: &routeconfig.Route{}, tenant: &api.Tenant{Name: "t1"},
+		router: c, rc: app.NewContext(0), route: &routeconfig.Route{}, tenant: &api.Tenant{Name: "t1"},
 		limit: quota.Limit{Version: 3, RatePerS: 10, Burst: 10}, endUs: c.clock() + forUs,
 		stream: &answerStream{started: true},
 	}
 }
 
 // admitOne reserves capacity for a request.
-func (c *Router) admitOne(t *testing.T) *admission.Admission {
+func (r *Router) admitOne(t *testing.T) *admission.Admission {
 	t.Helper()
-	c.admissionMu.Lock()
-	defer c.admissionMu.Unlock()
-	admitted := c.admission.Submit(admission.Request{Service: "s", LeftUs: 1_000_000}, c.clock()).Admit
+	r.admissionMu.Lock()
+	defer r.admissionMu.Unlock()
+	admitted := r.admission.Submit(admission.Request{Service: "s", LeftUs: 1_000_000}, r.clock()).Admit
 	must.NotNil(t, admitted)
 	return admitted
 }
--- a/internal/router/recheck.go
+++ b/internal/router/recheck.go
@@ -65,17 +65,17 @@
 	}
 }
 
-func (c *Router) recheckWait() time.Duration {
-	return max(c.convergeTime()/recheckParts, recheckLeastWait)
+func (r *Router) recheckWait() time.Duration {
+	return max(r.convergeTime()/recheckParts, recheckLeastWait)
 }
 
 // confirmCurrent tells whether the configuration is the newest that was committed when
 // the check began, or was so a short while ago. What is newer is fetched first.
-func (c *Router) confirmCurrent() bool {
-	return c.currency.confirm(c.clock, func() bool {
-		confirmed := c.readNewest(c.wholeCore())
+func (r *Router) confirmCurrent() bool {
+	return r.currency.confirm(r.clock, func() bool {
+		confirmed := r.readNewest(r.wholeCore())
 		if confirmed {
-			c.majorityUs.Store(c.clock())
+			r.majorityUs.Store(r.clock())
 		}
 		return confirmed
 	})
@@ -90,13 +90,13 @@
 
 // readNewest asks controllers for their versions, which are small, and fetches what this
 // node lacks from one of them. It tells whether by then the configuration is the newest.
-func (c *Router) readNewest(controllers []string) bool {
-	ctx, cancel := context.WithTimeout(context.Background(), c.recheckWait())
+func (r *Router) readNewest(controllers []string) bool {
+	ctx, cancel := context.WithTimeout(context.Background(), r.recheckWait())
 	defer cancel()
 	answers := make(chan answeredVersions, len(controllers))
 	for _, addr := range controllers {
 		go func() {
-			m, err := c.askVersions(ctx, addr)
+			m, err := r.askVersions(ctx, addr)
 			answers <- answeredVersions{addr, m, err}
 		}()
 	}
@@ -114,15 +114,15 @@
 	if !read.hasQuorum() {
 		return false
 	}
-	if !c.behind([]int64{read.committed}) {
+	if !r.behind([]int64{read.committed}) {
 		return true
 	}
-	return c.fetchMissing(ctx, read.newestAt, false) && !c.behind([]int64{read.committed})
+	return r.fetchMissing(ctx, read.newestAt, false) && !r.behind([]int64{read.committed})
 }
 
 // confirmationHolds reports whether the last confirmation is recent. It is asked as a
 // refusal leaves: this process may have stood still since the check.
-func (c *Router) confirmationHolds() bool {
-	confirmedUs := c.majorityUs.Load()
-	return confirmedUs != 0 && c.clock()-confirmedUs <= recheckUs+c.recheckWait().Microseconds()
+func (r *Router) confirmationHolds() bool {
+	confirmedUs := r.majorityUs.Load()
+	return confirmedUs != 0 && r.clock()-confirmedUs <= recheckUs+r.recheckWait().Microseconds()
 }
--- a/internal/router/responses.go
+++ b/internal/router/responses.go
@@ -36,7 +36,7 @@
 			out.Add(key, string(val))
 		}
 	})
-	if e.c.closesWithAnswer(e.conn, e.rc) {
+	if e.router.closesWithAnswer(e.conn, e.rc) {
 		out.SetConnectionClose(true)
 	}
 }
@@ -48,16 +48,16 @@
 func (e *exchange) passBody(adm *admission.Admission, link *upstream.Conn, r *protocol.Response, stream *answerStream) attempt.Result {
 	e.countUsage(r)
 	b, err := upstream.ReadBody(r, mostBody)
-	e.c.held.remove(e.held)
+	e.router.held.remove(e.held)
 	if err != nil {
 		link.Close()
 		e.failed(adm, link, true)
 		return attempt.Unknown
 	}
-	e.c.firstToken(adm)
+	e.router.firstToken(adm)
 	status := r.StatusCode()
-	e.c.ended(adm, link, status < 500, true)
-	e.c.release(adm, link, r, true)
+	e.router.ended(adm, link, status < 500, true)
+	e.router.release(adm, link, r, true)
 	if stream != nil && stream.started {
 		return attempt.BrokenOff
 	}
@@ -69,12 +69,12 @@
 	return attempt.Answered
 }
 
-func (c *Router) firstToken(adm *admission.Admission) {
-	c.admissionMu.Lock()
-	c.admission.FirstToken(adm, c.clock())
-	c.admissionMu.Unlock()
-	signal(c.loadsChanged)
-	c.wakeQueue()
+func (r *Router) firstToken(adm *admission.Admission) {
+	r.admissionMu.Lock()
+	r.admission.FirstToken(adm, r.clock())
+	r.admissionMu.Unlock()
+	signal(r.loadsChanged)
+	r.wakeQueue()
 }
 
 // streams tells whether an answer is passed on as it comes. One that is no series of
@@ -96,7 +96,7 @@
 		if n > 0 && first {
 			first = false
 			e.countUsage(r)
-			e.c.firstToken(adm)
+			e.router.firstToken(adm)
 		}
 		switch {
 		case n > 0 && !e.passBytes(r, stream, buf[:n]):
@@ -130,7 +130,7 @@
 // abandonStream ends an attempt whose runner is well.
 func (e *exchange) abandonStream(adm *admission.Admission, link *upstream.Conn, result attempt.Result) attempt.Result {
 	link.Close()
-	e.c.done(adm, true)
+	e.router.done(adm, true)
 	return result
 }
 
@@ -159,8 +159,8 @@
 		e.begin(r, stream)
 	}
 	stream.finished = stream.out.Finalize() == nil && e.rc.Flush() == nil
-	e.c.ended(adm, link, true, true)
-	e.c.release(adm, link, r, true)
+	e.router.ended(adm, link, true, true)
+	e.router.release(adm, link, r, true)
 	return attempt.Answered, stream
 }
 
@@ -173,7 +173,7 @@
 	}
 	e.rc.Response.HijackWriter(stream.out)
 	stream.started = true
-	if e.c.held.remove(e.held) { // it has begun just in time
+	if e.router.held.remove(e.held) { // it has begun just in time
 		e.held.link.Resume(e.deadline(lateUs))
 	}
 }
--- a/internal/router/retired_test.go
+++ b/internal/router/retired_test.go
@@ -12,35 +12,35 @@
 )
 
 // retire has the router take a configuration that retires the weights below 5 of the model.
-func (c *Router) retire(t *testing.T, version int64) {
+func (r *Router) retire(t *testing.T, version int64) {
 	t.Helper()
 	retiring := strings.Replace(configText, `"limits":{`, `"retired":[{"model":"m","before":5}],"limits":{`, 1)
 	retiring = strings.Replace(retiring, `"version":3`, `"version":4`, 1)
-	must.True(t, c.applyFeed("", messages.Feed{Configuration: []messages.EntryChange{configSnapshot(t, retiring, version)}}))
+	must.True(t, r.applyFeed("", messages.Feed{Configuration: []messages.EntryChange{configSnapshot(t, retiring, version)}}))
 }
 
 // listBoth has the router know a runner with weights 4 and one with weights 5.
-func (c *Router) listBoth(t *testing.T, old, renewed *runner) {
+func (r *Router) listBoth(t *testing.T, old, renewed *runner) {
 	t.Helper()
 	var notes []messages.RunnerRecord
-	for i, r := range []*runner{old, renewed} {
+	for i, server := range []*runner{old, renewed} {
 		notes = append(notes, messages.RunnerRecord{
-			ID: fmt.Sprintf("r%d", i), Service: "s", Addr: r.addr, Zone: "a", Capacity: 8, Seq: 1, Models: []messages.Target{{Model: "m", Version: int64(4 + i)}},
+			ID: fmt.Sprintf("r%d", i), Service: "s", Addr: server.addr, Zone: "a", Capacity: 8, Seq: 1, Models: []messages.Target{{Model: "m", Version: int64(4 + i)}},
 		})
 	}
-	c.applyFeed("", messages.Feed{Registry: []messages.EntryChange{runnerEntries(t, notes...)}})
+	r.applyFeed("", messages.Feed{Registry: []messages.EntryChange{runnerEntries(t, notes...)}})
 }
 
 // load has the router take the runner of weights 5 for loaded, or for idle.
-func (c *Router) load(prefill int) {
-	c.admissionMu.Lock()
-	defer c.admissionMu.Unlock()
-	c.admission.Others(func(id string) messages.RunnerLoad {
+func (r *Router) load(prefill int) {
+	r.admissionMu.Lock()
+	defer r.admissionMu.Unlock()
+	r.admission.Others(func(id string) messages.RunnerLoad {
 		if id == "r1" {
 			return messages.RunnerLoad{ID: id, Prefill: prefill}
 		}
 		return messages.RunnerLoad{ID: id}
-	}, c.clock())
+	}, r.clock())
 }
 
 func TestNothingGoesToRetiredWeights(t *testing.T) {
--- a/internal/router/retirements.go
+++ b/internal/router/retirements.go
@@ -27,9 +27,9 @@
 }
 
 // retiredConditions are the retired weights and what is left of them.
-func (c *Router) retiredConditions() []messages.RetiredCondition {
-	c.admissionMu.Lock()
-	defer c.admissionMu.Unlock()
+func (r *Router) retiredConditions() []messages.RetiredCondition {
+	r.admissionMu.Lock()
+	defer r.admissionMu.Unlock()
 	var out []messages.RetiredCondition
 	byModel := func(a, b messages.Target) int {
 		if a.Model < b.Model {
@@ -37,9 +37,9 @@
 		}
 		return 1
 	}
-	for _, key := range slices.SortedFunc(maps.Keys(c.retirements.sinceUs), byModel) {
-		runners, parts := c.admission.RetiredLeft(key.Model)
-		out = append(out, messages.RetiredCondition{Model: key.Model, Before: key.Version, SinceUs: c.clock() - c.retirements.sinceUs[key], Runners: runners, Parts: parts})
+	for _, key := range slices.SortedFunc(maps.Keys(r.retirements.sinceUs), byModel) {
+		runners, parts := r.admission.RetiredLeft(key.Model)
+		out = append(out, messages.RetiredCondition{Model: key.Model, Before: key.Version, SinceUs: r.clock() - r.retirements.sinceUs[key], Runners: runners, Parts: parts})
 	}
 	return out
 }
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -182,31 +182,31 @@
 }
 
 // Run serves until ctx ends; it then leaves in order.
-func (c *Router) Run(ctx context.Context) error {
+func (r *Router) Run(ctx context.Context) error {
 	live, stop := context.WithCancel(context.Background())
-	defer c.transport.Close()
+	defer r.transport.Close()
 	defer stop()
-	c.transport.Run(live)
-	go c.monitor.Run(live)
-	go c.up.Listen(live, c.transport)
-	go loop.Every(live, c.convergeTime()/dissemination.ComparisonParts, c.compareVersions(live))
-	go c.reportLoads(live)
-	go loop.Every(live, time.Second, func() { c.connPool.Sweep(func(string) bool { return true }) })
-	go loop.Every(live, forgetEvery, c.forgetUnlisted)
-	go c.pump(live)
-	go c.zones.Run(live)
-	go c.probeAbsent(live)
-	go loop.Every(live, quotaclient.SweepInterval, c.seeRouters)
-	go loop.Every(live, withdrawEvery, c.withdrawFromOldWeights)
-	go c.metricsServer().Run(live)
-	if c.usage != nil {
-		go loop.Every(live, timeOfDayPeriod, func() { c.timeOfDay.Observe(time.Now().UnixMicro(), c.clock()) })
-		go c.usage.Run(live)
-		defer c.usage.Flush()
+	r.transport.Run(live)
+	go r.monitor.Run(live)
+	go r.up.Listen(live, r.transport)
+	go loop.Every(live, r.convergeTime()/dissemination.ComparisonParts, r.compareVersions(live))
+	go r.reportLoads(live)
+	go loop.Every(live, time.Second, func() { r.connPool.Sweep(func(string) bool { return true }) })
+	go loop.Every(live, forgetEvery, r.forgetUnlisted)
+	go r.pump(live)
+	go r.zones.Run(live)
+	go r.probeAbsent(live)
+	go loop.Every(live, quotaclient.SweepInterval, r.seeRouters)
+	go loop.Every(live, withdrawEvery, r.withdrawFromOldWeights)
+	go r.metricsServer().Run(live)
+	if r.usage != nil {
+		go loop.Every(live, timeOfDayPeriod, func() { r.timeOfDay.Observe(time.Now().UnixMicro(), r.clock()) })
+		go r.usage.Run(live)
+		defer r.usage.Flush()
 	}
 	failed := make(chan error, 2)
-	go func() { failed <- c.serveReady() }()
-	for c.table.Load() == nil {
+	go func() { failed <- r.serveReady() }()
+	for r.table.Load() == nil {
 		select {
 		case <-time.After(20 * time.Millisecond):
 		case err := <-failed:
@@ -215,14 +215,14 @@
 			return nil
 		}
 	}
-	go func() { failed <- c.serveFront(live) }()
+	go func() { failed <- r.serveFront(live) }()
 	select {
 	case err := <-failed:
 		return err
 	case <-ctx.Done():
 	}
-	c.leave()
-	c.recordCutByLeaving()
+	r.leave()
+	r.recordCutByLeaving()
 	return nil
 }
 
@@ -240,41 +240,41 @@
 
 // parents lists whom this router may take updates from, the first choice first; nobody yet while
 // it waits for a controller of its zone.
-func (c *Router) parents() []string {
-	controllers := c.monitor.Alive(messages.Controller)
-	if waitsForZone(c.clock()-c.startUs, c.set.Zone, controllers) {
+func (r *Router) parents() []string {
+	controllers := r.monitor.Alive(messages.Controller)
+	if waitsForZone(r.clock()-r.startUs, r.set.Zone, controllers) {
 		return nil
 	}
-	list := dissemination.Parents(c.transport.Addr(), c.set.Zone, controllers, c.monitor.Alive(messages.Router))
+	list := dissemination.Parents(r.transport.Addr(), r.set.Zone, controllers, r.monitor.Alive(messages.Router))
 	if len(list) == 0 {
-		return append(c.seedAddrs(), c.wholeCore()...)
+		return append(r.seedAddrs(), r.wholeCore()...)
 	}
 	return list
 }
 
 // Reload takes what may change in a running process from newly read settings:
 // the seeds.
-func (c *Router) Reload(set settings.Settings) { c.seeds.Store(&set.Seeds) }
+func (r *Router) Reload(set settings.Settings) { r.seeds.Store(&set.Seeds) }
 
-func (c *Router) seedAddrs() []string {
-	set := c.set
-	set.Seeds = *c.seeds.Load()
+func (r *Router) seedAddrs() []string {
+	set := r.set
+	set.Seeds = *r.seeds.Load()
 	return set.SeedAddrs()
 }
 
 // syncAdmission brings the admission control to the runners and services that are
 // known. Several feeds may be taken in at the same time; what is known is read
 // under the lock, so that the last to get it leaves the newest behind.
-func (c *Router) syncAdmission() {
-	c.loads.markAllChanged()
-	c.admissionMu.Lock()
-	defer c.admissionMu.Unlock()
-	t := c.table.Load()
-	snap := c.registry.Snapshot()
+func (r *Router) syncAdmission() {
+	r.loads.markAllChanged()
+	r.admissionMu.Lock()
+	defer r.admissionMu.Unlock()
+	t := r.table.Load()
+	snap := r.registry.Snapshot()
 	if t != nil {
-		c.admission.SetRelinquished(t.Relinquished, c.clock())
-		c.admission.SetRetired(t.Retired)
-		c.retirements.observe(t.Retired, c.clock())
+		r.admission.SetRelinquished(t.Relinquished, r.clock())
+		r.admission.SetRetired(t.Retired)
+		r.retirements.observe(t.Retired, r.clock())
 	}
 	for service, notes := range snap.ByService {
 		tokens, moveUs, links, coldPerS := 0, 0.0, 0, 0.0
@@ -286,15 +286,15 @@
 				}
 			}
 		}
-		c.admission.SetService(service, notes, tokens, moveUs)
-		c.admission.SetWarmups(service, coldPerS, c.clock())
-		c.admission.SetLinks(service, links)
-		c.admission.SetStores(service, storesFor(t, service))
-		c.admission.SetCertified(service, certified(t, notes))
+		r.admission.SetService(service, notes, tokens, moveUs)
+		r.admission.SetWarmups(service, coldPerS, r.clock())
+		r.admission.SetLinks(service, links)
+		r.admission.SetStores(service, storesFor(t, service))
+		r.admission.SetCertified(service, certified(t, notes))
 	}
-	for _, name := range c.admission.Services() {
+	for _, name := range r.admission.Services() {
 		if _, ok := snap.ByService[name]; !ok {
-			c.admission.SetService(name, nil, 0, 0)
+			r.admission.SetService(name, nil, 0, 0)
 		}
 	}
 }
@@ -351,7 +351,7 @@
 // forgetEvery is how often runners that the parent no longer lists are looked for.
 const forgetEvery = 5 * time.Second
 
-func (c *Router) wakeQueue() { signal(c.queueChanged) }
+func (r *Router) wakeQueue() { signal(r.queueChanged) }
 
 func signal(ch chan struct{}) {
 	select {
@@ -361,14 +361,14 @@
 }
 
 // pump lets the admission control's time pass while requests wait.
-func (c *Router) pump(ctx context.Context) {
+func (r *Router) pump(ctx context.Context) {
 	for {
 		select {
-		case <-c.queueChanged:
+		case <-r.queueChanged:
 		case <-ctx.Done():
 			return
 		}
-		for c.tick(); c.slab.Len() > 0; c.tick() {
+		for r.tick(); r.slab.Len() > 0; r.tick() {
 			time.Sleep(tickInterval)
 		}
 	}
@@ -378,23 +378,23 @@
 const tickInterval = 8 * time.Millisecond
 
 // tick decides on queued requests, and resumes those that are decided on.
-func (c *Router) tick() {
-	c.admissionMu.Lock()
-	decisions := c.admission.Tick(c.clock())
-	fresh := c.admission.HasFresh()
-	c.admissionMu.Unlock()
+func (r *Router) tick() {
+	r.admissionMu.Lock()
+	decisions := r.admission.Tick(r.clock())
+	fresh := r.admission.HasFresh()
+	r.admissionMu.Unlock()
 	if fresh {
-		signal(c.prefixesPending)
+		signal(r.prefixesPending)
 	}
 	if len(decisions) > 0 {
-		signal(c.loadsChanged)
+		signal(r.loadsChanged)
 	}
 	for _, decision := range decisions {
-		if c.slab.Resume(decision.Ref, decision) || decision.Admit == nil {
+		if r.slab.Resume(decision.Ref, decision) || decision.Admit == nil {
 			continue
 		}
-		c.admissionMu.Lock()
-		c.admission.Done(decision.Admit, true, c.clock())
-		c.admissionMu.Unlock()
+		r.admissionMu.Lock()
+		r.admission.Done(decision.Admit, true, r.clock())
+		r.admissionMu.Unlock()
 	}
 }
--- a/internal/router/router_test.go
+++ b/internal/router/router_test.go
@@ -509,10 +509,10 @@
 	return strings.Replace(s, `"limits"`, `"regimes":[{"name":"allergen"}],"certificates":[{"regime":"allergen","runners":[`+runners+`]}],"limits"`, 1)
 }
 
-func (c *Router) adopt(t *testing.T, streamVersion, version int64, text string) {
+func (r *Router) adopt(t *testing.T, streamVersion, version int64, text string) {
 	t.Helper()
-	must.True(t, c.applyFeed("", messages.Feed{Configuration: []messages.EntryChange{configSnapshot(t, text, streamVersion)}}))
-	must.Eq(t, version, c.table.Load().Version)
+	must.True(t, r.applyFeed("", messages.Feed{Configuration: []messages.EntryChange{configSnapshot(t, text, streamVersion)}}))
+	must.Eq(t, version, r.table.Load().Version)
 }
 
 func TestRegulatedRequestsGoToCertifiedRunnersOnly(t *testing.T) {
@@ -570,7 +570,7 @@
 	a, b := newRunner(t), newRunner(t)
 	c, _, _ := start(t, a, b)
 	c.adopt(t, 2, 4, regulated(4, `"r1"`))
-	v := &exchange{c: c, tenant: c.table.Load().Tenant("k1"), id: "x"}
+	v := &exchange{router: c, tenant: c.table.Load().Tenant("k1"), id: "x"}
 	v.request.Regime = "allergen"
 	snap := c.registry.Snapshot()
 	must.True(t, v.recheckPolicy(&admission.Admission{Runner: snap.ByID["r1"]}))
--- a/internal/router/send.go
+++ b/internal/router/send.go
@@ -20,7 +20,7 @@
 // send sends the request to the runner of an admission and passes its answer on. However it
 // ends, the admission's capacity has been released by then.
 func (e *exchange) send(adm *admission.Admission, stream *answerStream) (attempt.Result, *answerStream) {
-	c := e.c
+	c := e.router
 	e.sequence.Begin()
 	link, err := e.takeLink(adm)
 	if err != nil {
@@ -64,7 +64,7 @@
 	switch {
 	case !e.useLink(link):
 		return attempt.ClientGone
-	case !e.c.stillAllowed(adm), !e.recheckPolicy(adm):
+	case !e.router.stillAllowed(adm), !e.recheckPolicy(adm):
 		return attempt.NotSent
 	}
 	return attempt.Sent
@@ -73,7 +73,7 @@
 // receive reads the answer to an attempt that has been sent, and passes it on where it says
 // that the runner has begun it.
 func (e *exchange) receive(sent *sentAttempt, stream *answerStream) (attempt.Result, *answerStream) {
-	c, adm, link := e.c, sent.adm, sent.link
+	c, adm, link := e.router, sent.adm, sent.link
 	r := protocol.AcquireResponse()
 	defer protocol.ReleaseResponse(r)
 	if err := e.readHead(sent, r); err != nil {
@@ -106,7 +106,7 @@
 // receiveRejection reads an answer that says that the runner has not run the request, or
 // promises it without saying so. It returns attempt.Answered for any other answer.
 func (e *exchange) receiveRejection(adm *admission.Admission, link *upstream.Conn, r *protocol.Response) attempt.Result {
-	c, status := e.c, r.StatusCode()
+	c, status := e.router, r.StatusCode()
 	switch {
 	case status == statusWrongInstance:
 		c.releaseUnwanted(adm, link, r)
@@ -132,9 +132,9 @@
 
 // releaseUnwanted reads the body of an answer that is not passed on, and releases the
 // attempt's capacity and connection.
-func (c *Router) releaseUnwanted(adm *admission.Admission, link *upstream.Conn, r *protocol.Response) {
-	_, err := upstream.ReadBody(r, mostUnwanted)
-	c.release(adm, link, r, err == nil)
+func (r *Router) releaseUnwanted(adm *admission.Admission, link *upstream.Conn, response *protocol.Response) {
+	_, err := upstream.ReadBody(response, mostUnwanted)
+	r.release(adm, link, response, err == nil)
 }
 
 // mostUnwanted bounds the body of an answer that is not passed on.
@@ -143,7 +143,7 @@
 // writeRequest sends the request. Where it has not all been sent it says what that means:
 // as long as no byte can have reached the runner, it has not run.
 func (e *exchange) writeRequest(adm *admission.Admission, link *upstream.Conn, stream *answerStream) attempt.Result {
-	c := e.c
+	c := e.router
 	leftUs := e.endUs - c.clock()
 	if leftUs <= closeLeadUs { // as after a freeze of this process
 		c.done(adm, true)
@@ -177,7 +177,7 @@
 	if e.tenant == nil {
 		return true
 	}
-	t := e.c.table.Load()
+	t := e.router.table.Load()
 	now := t.RegimeOf(e.tenant.Name)
 	if now == "" && e.request.Regime == "" {
 		return true
@@ -196,55 +196,55 @@
 // connect returns a connection to a runner. It is given up when the client leaves, and when the
 // runner's zone cannot be reached any more.
 func (e *exchange) connect(adm *admission.Admission) (*upstream.Conn, error) {
-	ctx, cancel := context.WithTimeout(context.Background(), time.Duration(max(e.endUs-e.c.clock(), 1000))*time.Microsecond)
+	ctx, cancel := context.WithTimeout(context.Background(), time.Duration(max(e.endUs-e.router.clock(), 1000))*time.Microsecond)
 	defer cancel()
 	stop := e.client.onLeave(cancel)
 	defer stop()
 	making := &connecting{adm: adm, cancel: cancel}
-	e.c.connects.begin(making)
-	defer e.c.connects.end(making)
-	return e.c.connPool.GetFor(ctx, adm.Runner.Addr, e.service, e.route.Repeatable())
+	e.router.connects.begin(making)
+	defer e.router.connects.end(making)
+	return e.router.connPool.GetFor(ctx, adm.Runner.Addr, e.service, e.route.Repeatable())
 }
 
 // ended notes how an attempt that was sent ended at its runner. One that died on a
 // link that had rested says something of the link, not of the runner.
-func (c *Router) ended(adm *admission.Admission, link *upstream.Conn, good, answered bool) {
+func (r *Router) ended(adm *admission.Admission, link *upstream.Conn, good, answered bool) {
 	if !good && !answered && link.RestedUs > 0 {
-		c.connPool.Dead(link)
+		r.connPool.Dead(link)
 		return
 	}
 	if answered {
-		c.connPool.Alive(link)
+		r.connPool.Alive(link)
 	}
-	c.admissionMu.Lock()
-	c.admission.Ended(adm, good, c.clock())
-	c.admissionMu.Unlock()
+	r.admissionMu.Lock()
+	r.admission.Ended(adm, good, r.clock())
+	r.admissionMu.Unlock()
 }
 
 // failed gives back the place of an attempt that broke off. It is the runner's
 // failure unless the client has left, which ends the connection to the runner.
 func (e *exchange) failed(adm *admission.Admission, link *upstream.Conn, answered bool) {
 	if e.client.hasLeft() {
-		e.c.done(adm, true)
+		e.router.done(adm, true)
 		return
 	}
-	e.c.ended(adm, link, false, answered)
-	e.c.done(adm, false)
+	e.router.ended(adm, link, false, answered)
+	e.router.done(adm, false)
 }
 
-func (c *Router) done(adm *admission.Admission, ok bool) {
-	c.admissionMu.Lock()
-	c.admission.Done(adm, ok, c.clock())
-	c.admissionMu.Unlock()
-	signal(c.loadsChanged)
-	c.wakeQueue()
+func (r *Router) done(adm *admission.Admission, ok bool) {
+	r.admissionMu.Lock()
+	r.admission.Done(adm, ok, r.clock())
+	r.admissionMu.Unlock()
+	signal(r.loadsChanged)
+	r.wakeQueue()
 }
 
-func (c *Router) release(adm *admission.Admission, link *upstream.Conn, r *protocol.Response, ok bool) {
+func (r *Router) release(adm *admission.Admission, link *upstream.Conn, response *protocol.Response, ok bool) {
 	if ok {
-		c.connPool.Put(adm.Runner.Addr, link, &r.Header)
+		r.connPool.Put(adm.Runner.Addr, link, &response.Header)
 	} else {
 		link.Close()
 	}
-	c.done(adm, ok)
+	r.done(adm, ok)
 }
--- a/internal/router/service_rollouts.go
+++ b/internal/router/service_rollouts.go
@@ -11,13 +11,13 @@
 
 // recordRollouts takes what a register says of roll-outs. The caller has the mutex of what was
 // received.
-func (c *Router) recordRollouts(list []messages.ServiceRollout) {
+func (r *Router) recordRollouts(list []messages.ServiceRollout) {
 	if len(list) == 0 {
 		return
 	}
-	c.admissionMu.Lock()
-	defer c.admissionMu.Unlock()
-	c.admission.SetRollouts(list)
+	r.admissionMu.Lock()
+	defer r.admissionMu.Unlock()
+	r.admission.SetRollouts(list)
 }
 
 // classOf is the kind of request that outcomes are compared by: routes with the same aim are
--- a/internal/router/time_limit_test.go
+++ b/internal/router/time_limit_test.go
@@ -227,9 +227,9 @@
 
 // awaitIdle waits until the router's side of a client's connection waits for a request, or has
 // read a part of one.
-func (c *Router) awaitIdle(client net.Conn, idle bool) {
+func (r *Router) awaitIdle(client net.Conn, idle bool) {
 	for {
-		front := c.front.Load()
+		front := r.front.Load()
 		front.mu.Lock()
 		reached := false
 		for conn := range front.conns {
--- a/internal/router/withdraw.go
+++ b/internal/router/withdraw.go
@@ -83,28 +83,28 @@
 // old by then. Where the weights have been retired it takes back only those that another
 // attempt may follow: the others were sent before, and are answered by who has them.
 // The latter holds too for runners of a zone that cannot be reached any more.
-func (c *Router) withdrawFromOldWeights() {
-	c.leaveUnreachable()
-	attempts := c.sent.snapshot()
+func (r *Router) withdrawFromOldWeights() {
+	r.leaveUnreachable()
+	attempts := r.sent.snapshot()
 	if len(attempts) == 0 {
 		return
 	}
 	due := attempts[:0]
-	now := c.clock()
-	c.admissionMu.Lock()
+	now := r.clock()
+	r.admissionMu.Lock()
 	for _, a := range attempts {
-		if c.admission.MustWithdraw(a.adm, now) || a.again && (c.admission.Retired(a.adm) || c.admission.OutOfReach(a.adm)) {
+		if r.admission.MustWithdraw(a.adm, now) || a.again && (r.admission.Retired(a.adm) || r.admission.OutOfReach(a.adm)) {
 			due = append(due, a)
 		}
 	}
-	c.admissionMu.Unlock()
-	c.sent.withdraw(due)
+	r.admissionMu.Unlock()
+	r.sent.withdraw(due)
 }
 
 // timeOver tells whether the request's time, or the router's, is over for attempts that
 // have not begun.
 func (e *exchange) timeOver() bool {
-	return e.c.clock() >= min(e.endUs, e.c.shutdown.Load().lastEndUs())-closeLeadUs
+	return e.router.clock() >= min(e.endUs, e.router.shutdown.Load().lastEndUs())-closeLeadUs
 }
 
 // readHead reads the head of the answer to an attempt that was sent. It returns
@@ -112,10 +112,10 @@
 func (e *exchange) readHead(a *sentAttempt, r *protocol.Response) error {
 	begunBy := e.deadline(-closeLeadUs)
 	err := a.link.HeadFor(e.id, r, begunBy)
-	withdrawn := e.c.sent.remove(a)
+	withdrawn := e.router.sent.remove(a)
 	switch {
 	case err == nil:
-		e.c.zones.RunnerAnswered(a.adm.Runner.Zone, a.sentUs)
+		e.router.zones.RunnerAnswered(a.adm.Runner.Zone, a.sentUs)
 		a.link.Resume(e.deadline(lateUs))
 		return nil
 	case withdrawn:
@@ -126,16 +126,16 @@
 
 // deadline is the end of the request's time, put off by afterUs.
 func (e *exchange) deadline(afterUs int64) time.Time {
-	return time.Now().Add(time.Duration(e.endUs-e.c.clock()+afterUs) * time.Microsecond)
+	return time.Now().Add(time.Duration(e.endUs-e.router.clock()+afterUs) * time.Microsecond)
 }
 
 // stillAllowed tells whether an admitted request may still be sent to its runner:
 // what was true at admission may have changed since.
-func (c *Router) stillAllowed(adm *admission.Admission) bool {
-	if n, ok := c.registry.Snapshot().ByID[adm.Runner.ID]; !ok || n.Draining {
+func (r *Router) stillAllowed(adm *admission.Admission) bool {
+	if n, ok := r.registry.Snapshot().ByID[adm.Runner.ID]; !ok || n.Draining {
 		return false
 	}
-	c.admissionMu.Lock()
-	defer c.admissionMu.Unlock()
-	return !c.admission.Evacuated(adm.Runner.Zone) && c.admission.VersionAllowed(adm) && !c.admission.Absent(adm) && c.admission.WeightsAllowed(adm, c.clock())
+	r.admissionMu.Lock()
+	defer r.admissionMu.Unlock()
+	return !r.admission.Evacuated(adm.Runner.Zone) && r.admission.VersionAllowed(adm) && !r.admission.Absent(adm) && r.admission.WeightsAllowed(adm, r.clock())
 }
--- a/internal/router/withdraw_test.go
+++ b/internal/router/withdraw_test.go
@@ -27,16 +27,16 @@
 }
 
 // join adds a runner with a version of the weights of m to those that are known.
-func (c *Router) join(t *testing.T, id string, r *runner, version int64) {
+func (r *Router) join(t *testing.T, id string, server *runner, version int64) {
 	t.Helper()
-	n := messages.RunnerRecord{ID: id, Service: "s", Addr: r.addr, Zone: "a", Capacity: 8, Seq: 1, Models: []messages.Target{{Model: "m", Version: version}}}
-	c.applyFeed("", messages.Feed{Registry: []messages.EntryChange{runnerEntries(t, n)}})
+	n := messages.RunnerRecord{ID: id, Service: "s", Addr: server.addr, Zone: "a", Capacity: 8, Seq: 1, Models: []messages.Target{{Model: "m", Version: version}}}
+	r.applyFeed("", messages.Feed{Registry: []messages.EntryChange{runnerEntries(t, n)}})
 }
 
 // nameWeights makes the router learn of weights that were named so long ago that
 // nothing may begin on older ones.
-func (c *Router) nameWeights(version int64) {
-	c.applyFeed("", messages.Feed{TargetAges: []messages.TargetAge{{Model: "m", Version: version, AgeUs: c.admission.Bound.VersionUs}}})
+func (r *Router) nameWeights(version int64) {
+	r.applyFeed("", messages.Feed{TargetAges: []messages.TargetAge{{Model: "m", Version: version, AgeUs: r.admission.Bound.VersionUs}}})
 }
 
 type answered struct {
@@ -116,11 +116,11 @@
 }
 
 // begun is how many requests are in flight and have begun at their runners.
-func (c *Router) begun() int {
-	c.admissionMu.Lock()
-	defer c.admissionMu.Unlock()
+func (r *Router) begun() int {
+	r.admissionMu.Lock()
+	defer r.admissionMu.Unlock()
 	n := 0
-	for _, l := range c.admission.Own(c.clock()) {
+	for _, l := range r.admission.Own(r.clock()) {
 		if l.Count > 0 && l.Prefill == 0 {
 			n++
 		}
--- a/internal/router/zones_test.go
+++ b/internal/router/zones_test.go
@@ -18,9 +18,9 @@
 )
 
 // listInZones has the router know a runner in its own zone and one in another.
-func (c *Router) listInZones(t *testing.T, near, far *runner) {
+func (r *Router) listInZones(t *testing.T, near, far *runner) {
 	t.Helper()
-	c.applyFeed("", messages.Feed{Registry: []messages.EntryChange{runnerEntries(
+	r.applyFeed("", messages.Feed{Registry: []messages.EntryChange{runnerEntries(
 		t,
 		messages.RunnerRecord{ID: "near", Service: "s", Addr: near.addr, Zone: "a", Capacity: 8, Seq: 1},
 		messages.RunnerRecord{ID: "far", Service: "s", Addr: far.addr, Zone: "b", Capacity: 8, Seq: 1},
