--- a/cmd/beechtide/doctor.go
+++ b/cmd/beechtide/doctor.go
@@ -35,7 +35,7 @@
 	duties       bool // print the duties at the platform as well
 	retired      bool // print the retired weights as well
 	partitions   bool // print tallies, evacuations, warm-ups and unreachable zones as well
-	rollouts     bool // print the roll-outs of services as well
+	rollouts     bool // print the rollouts of services as well
 	quotas       bool // print the counts of tenants with a limit as well
 }
 
@@ -51,7 +51,7 @@
 	flags.BoolVar(&options.retired, "retired", false, "print which weights are retired, on how many routers, and what is left of them, as well")
 	flags.BoolVar(&options.quotas, "quotas", false, "print who counts the requests of each tenant with a limit, and what is left of it, as well")
 	flags.BoolVar(&options.partitions, "partitions", false, "print the replicas of the tallies, evacuated zones, runners that warm up and zones that routers cannot reach as well")
-	flags.BoolVar(&options.rollouts, "rollouts", false, "print the newest roll-out of each service, and how many nodes go by its stage, as well")
+	flags.BoolVar(&options.rollouts, "rollouts", false, "print the newest rollout of each service, and how many nodes go by its stage, as well")
 	flags.StringVar(&options.from, "from", "", "address to ask from; empty: any free port of the settings' ip")
 	flags.Usage = func() {
 		fmt.Fprintln(flags.Output(), "usage: beechtide doctor [flags]\n\nEnds with 0 where all is well, 1 on warnings, 3 on faults.")
--- a/cmd/beechtide/main.go
+++ b/cmd/beechtide/main.go
@@ -23,7 +23,7 @@
 commands
   metrics     print the figures of a role that matter in an incident
   doctor      look for common faults of a running system
-  rollout     order and follow the roll-out of a new version of a service
+  rollout     order and follow the rollout of a new version of a service
   check FILE  check a configuration before it is sent
   audit       check audit trails of regulated requests against configurations
   simulate    run simulated histories of the control plane in memory, one for each seed
--- a/cmd/beechtide/rollout.go
+++ b/cmd/beechtide/rollout.go
@@ -25,7 +25,7 @@
 	// controller.
 	rolloutTries = 9
 
-	// statusReverted is the status of `rollout watch` where the roll-out has been reverted.
+	// statusReverted is the status of `rollout watch` where the rollout has been reverted.
 	statusReverted = 3
 )
 
@@ -34,9 +34,9 @@
        beechtide rollout watch  [flags] SERVICE
 
 begin asks that a service be brought to another version within a time; read prints how far the
-newest roll-out of a service has come, and watch goes on until it has ended. Ends with 0, with 1
+newest rollout of a service has come, and watch goes on until it has ended. Ends with 0, with 1
 where no controller gave a clear answer or the order was refused, and watch with 3 where the
-roll-out was reverted.
+rollout was reverted.
 `
 
 // rolloutCommand is one use of the command.
@@ -46,7 +46,7 @@
 	out   io.Writer
 }
 
-// runRollout orders and follows roll-outs of services.
+// runRollout orders and follows rollouts of services.
 func runRollout(args []string) int {
 	flags := flag.NewFlagSet("beechtide rollout", flag.ContinueOnError)
 	path := flags.String("config", settings.Path(), "path of the settings file, whose seeds are called")
@@ -104,7 +104,7 @@
 	return statusOK
 }
 
-// state asks how far the newest roll-out of a service has come.
+// state asks how far the newest rollout of a service has come.
 func (c *rolloutCommand) state(ctx context.Context, service string) (api.RolloutState, error) {
 	var state api.RolloutState
 	body, err := c.call(ctx, http.MethodGet, "/api/Rollouts.Read/"+url.PathEscape(service), nil)
--- a/cmd/beechtide/rollout_test.go
+++ b/cmd/beechtide/rollout_test.go
@@ -11,7 +11,7 @@
 	"github.com/shoenig/test/must"
 )
 
-// controllerThat answers calls about roll-outs: its first answers are unsure.
+// controllerThat answers calls about rollouts: its first answers are unsure.
 func controllerThat(t *testing.T, unsure int32, states ...string) (addr string, orders *[]string) {
 	t.Helper()
 	var calls atomic.Int32
@@ -26,7 +26,7 @@
 			*orders = append(*orders, string(body))
 			if strings.Contains(string(body), "v9") {
 				w.WriteHeader(409)
-				_, _ = io.WriteString(w, `{"error":"another roll-out of the service is running"}`)
+				_, _ = io.WriteString(w, `{"error":"another rollout of the service is running"}`)
 			}
 		default:
 			_, _ = io.WriteString(w, `{"state":"`+states[min(read, len(states)-1)]+`","targetVersion":"v2"}`)
--- a/internal/admission/rollout.go
+++ b/internal/admission/rollout.go
@@ -1,4 +1,4 @@
-// Roll-outs of services: which runners of a new software version may get a request, and how the
+// Rollouts of services: which runners of a new software version may get a request, and how the
 // requests to the new and the other versions end. Package canary decides on the stages.
 
 package admission
@@ -26,7 +26,7 @@
 	slowBaseUs = 60_000
 )
 
-// rollout is the roll-out of a service, as this node goes by it.
+// rollout is the rollout of a service, as this node goes by it.
 type rollout struct {
 	messages.ServiceRollout
 	tried    map[string]bool // runners of the new version that get requests while it is tried
@@ -38,7 +38,7 @@
 // isNew reports whether a runner has the version that the service is brought to.
 func (o *rollout) isNew(r *runner) bool { return r.record.Version == o.Target }
 
-// SetRollouts sets the newest roll-out of each service.
+// SetRollouts sets the newest rollout of each service.
 func (a *Admitter) SetRollouts(list []messages.ServiceRollout) {
 	for _, next := range list {
 		p := a.pool(next.Service)
@@ -114,7 +114,7 @@
 }
 
 // VersionAllowed reports whether an admitted request may still go to its runner's version: the
-// roll-out may have been reverted since.
+// rollout may have been reverted since.
 func (a *Admitter) VersionAllowed(adm *Admission) bool {
 	o := a.pool(adm.service).rollout
 	return o == nil || o.stage() != canary.Reverted || adm.Runner.Version != o.Target
@@ -144,7 +144,7 @@
 	}
 }
 
-// recordOutcome counts how a request ended for the roll-out that is running.
+// recordOutcome counts how a request ended for the rollout that is running.
 func (p *pool) recordOutcome(adm *Admission, r *runner, good bool) {
 	o := p.rollout
 	if o == nil || !o.stage().Running() {
@@ -170,7 +170,7 @@
 	}
 }
 
-// addOutcomes adds the outcomes of the roll-outs that are running to the loads of this node.
+// addOutcomes adds the outcomes of the rollouts that are running to the loads of this node.
 func (a *Admitter) addOutcomes(loads map[string]messages.RunnerLoad) {
 	for _, p := range a.pools {
 		if p.rollout == nil || !p.rollout.stage().Running() {
@@ -183,7 +183,7 @@
 	}
 }
 
-// Rollouts lists the roll-outs that this node goes by, in the order of the services' names.
+// Rollouts lists the rollouts that this node goes by, in the order of the services' names.
 func (a *Admitter) Rollouts() []messages.ServiceRollout {
 	var out []messages.ServiceRollout
 	for _, name := range slices.Sorted(maps.Keys(a.pools)) {
--- a/internal/admission/rollout_test.go
+++ b/internal/admission/rollout_test.go
@@ -11,7 +11,7 @@
 )
 
 // rolledOut is an admitter with so many runners of either version of a service, and its
-// roll-out in a stage.
+// rollout in a stage.
 func rolledOut(stage canary.Stage, old, fresh int) *Admitter {
 	a := New(Defaults, "a", 1)
 	var records []messages.RunnerRecord
--- a/internal/autoscale/autoscale.go
+++ b/internal/autoscale/autoscale.go
@@ -157,7 +157,7 @@
 }
 
 // growAt returns the part of the demand that must need more runners before more are
-// ordered. Where runners are cordoned for a roll-out or the core has changed, the others
+// ordered. Where runners are cordoned for a rollout or the core has changed, the others
 // are busier for a short while, and only what they could not bear counts.
 func (p *Plan) growAt(v View) float64 {
 	if v.Steady {
--- a/internal/canary/canary_test.go
+++ b/internal/canary/canary_test.go
@@ -153,7 +153,7 @@
 	}
 }
 
-// sequence plays a roll-out: evidence of so many answers a second at both sides, looked at
+// sequence plays a rollout: evidence of so many answers a second at both sides, looked at
 // every 100 ms.
 type sequence struct {
 	newBad   func(sinceUs int64) float64 // share of bad answers
--- a/internal/canary/doc.go
+++ b/internal/canary/doc.go
@@ -1,9 +1,9 @@
-// Package canary decides about the roll-out of a new software version of a service: a small
+// Package canary decides about the rollout of a new software version of a service: a small
 // share of the service's requests goes to runners of that version; if it fails them more often
 // than the other versions do, all requests go back, and else all of them go over to it, in time
 // for the term of the order.
 //
-// A roll-out is agreed state (messages.ServiceRollout in a register), of which Begin and Advance
+// A rollout is agreed state (messages.ServiceRollout in a register), of which Begin and Advance
 // make the next value. Plan is what the holder of the register's lease goes by: Step says which
 // stage is due, from the outcomes of the requests to the new and the other versions (Evidence).
 //
--- a/internal/canary/evidence.go
+++ b/internal/canary/evidence.go
@@ -92,7 +92,7 @@
 	samplePauseUs = int64(250_000)
 )
 
-// monitor compares the outcomes of a roll-out.
+// monitor compares the outcomes of a rollout.
 type monitor struct {
 	newest  Evidence
 	samples []sample
--- a/internal/canary/keys.go
+++ b/internal/canary/keys.go
@@ -28,7 +28,7 @@
 // Key names outcomes on their way through the fleet.
 type Key struct {
 	Service    string
-	Number     int64 // of the roll-out
+	Number     int64 // of the rollout
 	Side       Side
 	Comparison string
 }
@@ -53,7 +53,7 @@
 	return messages.RunnerLoad{ID: k.String(), Tried: o.Answers, Failed: o.Bad}
 }
 
-// Collect adds a load to the evidence, if it is an outcome of the given roll-out.
+// Collect adds a load to the evidence, if it is an outcome of the given rollout.
 func Collect(evidence Evidence, rollout messages.ServiceRollout, id string, load messages.RunnerLoad) {
 	key, ok := ParseKey(id)
 	if !ok || key.Service != rollout.Service || key.Number != rollout.Number {
--- a/internal/canary/plan.go
+++ b/internal/canary/plan.go
@@ -1,6 +1,6 @@
 package canary
 
-// Times of a roll-out, in microseconds.
+// Times of a rollout, in microseconds.
 const (
 	// A version is tried until leadPart of the time is left, within bounds.
 	leadPart  = 0.3
@@ -46,7 +46,7 @@
 	Reason        string
 }
 
-// Plan is the roll-out of one version, as the holder of the lease drives it. The zero Plan is at
+// Plan is the rollout of one version, as the holder of the lease drives it. The zero Plan is at
 // the beginning of what this holder has seen.
 type Plan struct {
 	monitor   monitor
--- a/internal/canary/rollout.go
+++ b/internal/canary/rollout.go
@@ -8,10 +8,10 @@
 	"beechtide.org/beechtide/internal/messages"
 )
 
-// Stage is how far a roll-out has come.
+// Stage is how far a rollout has come.
 type Stage int
 
-// Stages of a roll-out. Their numbers are part of the records on disk.
+// Stages of a rollout. Their numbers are part of the records on disk.
 const (
 	Trying   Stage = iota // a small share of the requests goes to the new version
 	Shifting              // all requests go to the new version, those on the others end
@@ -25,7 +25,7 @@
 	Shifting: {Settled, Reverted},
 }
 
-// Running reports whether the roll-out has not ended.
+// Running reports whether the rollout has not ended.
 func (s Stage) Running() bool { return s == Trying || s == Shifting }
 
 // String returns the state as the operator is told it.
@@ -39,8 +39,8 @@
 	return "running"
 }
 
-// ErrOtherRunning says that another roll-out of the service is running.
-var ErrOtherRunning = errors.New("canary: another roll-out of the service is running")
+// ErrOtherRunning says that another rollout of the service is running.
+var ErrOtherRunning = errors.New("canary: another rollout of the service is running")
 
 // Bounds is how much of a service's requests a version may get that has not been shown good.
 type Bounds struct {
@@ -74,7 +74,7 @@
 	OverUs          int64
 }
 
-// Find returns the newest roll-out of a service.
+// Find returns the newest rollout of a service.
 func Find(list []messages.ServiceRollout, service string) (messages.ServiceRollout, bool) {
 	i := slices.IndexFunc(list, func(r messages.ServiceRollout) bool { return r.Service == service })
 	if i < 0 {
@@ -83,8 +83,8 @@
 	return list[i], true
 }
 
-// Begin returns the roll-outs after an order that came at timeUs, by the time of day. An order
-// of the version that the service's newest roll-out has is a repeat, and changes nothing.
+// Begin returns the rollouts after an order that came at timeUs, by the time of day. An order
+// of the version that the service's newest rollout has is a repeat, and changes nothing.
 func Begin(list []messages.ServiceRollout, order Order, bounds Bounds, timeUs int64) (next []messages.ServiceRollout, changed bool, err error) {
 	former, known := Find(list, order.Service)
 	switch {
@@ -101,8 +101,8 @@
 	return next, true, nil
 }
 
-// Advance returns the roll-outs with a step taken in one of them. changed is false where that
-// roll-out is not there any more as it was, or the step may not follow.
+// Advance returns the rollouts with a step taken in one of them. changed is false where that
+// rollout is not there any more as it was, or the step may not follow.
 func Advance(list []messages.ServiceRollout, was messages.ServiceRollout, step Step) (next []messages.ServiceRollout, changed bool) {
 	i := slices.Index(list, was)
 	if i < 0 || step.Stage != Stage(was.Stage) && !slices.Contains(nextStages[Stage(was.Stage)], step.Stage) {
--- a/internal/controller/controller.go
+++ b/internal/controller/controller.go
@@ -36,7 +36,7 @@
 //     The goroutine of runFeed sends; any other adds to it.
 //   - One mutex guards the prefix index, the keys of shared parts, the set of readers and
 //     when each last had a response.
-//   - The roll-out manager, the repair of each register, the contact lease, the view
+//   - The rollout manager, the repair of each register, the contact lease, the view
 //     of the core, the target versions and the acknowledged drains each have a mutex
 //     beside their state.
 //
--- a/internal/controller/invariants.go
+++ b/internal/controller/invariants.go
@@ -1,4 +1,4 @@
-// Invariants of the configuration and of roll-outs (docs/design/invariants.md).
+// Invariants of the configuration and of rollouts (docs/design/invariants.md).
 
 package controller
 
--- a/internal/controller/partition_metrics.go
+++ b/internal/controller/partition_metrics.go
@@ -30,7 +30,7 @@
 		counter("beechtide_tally_conflicts_total", "Adds that came with the id of another one and another amount.", func(f tallies.Counts) int64 { return f.Conflicts }),
 		counter("beechtide_tally_pulled_total", "Adds that this replica has asked another one for.", func(f tallies.Counts) int64 { return f.Pulled }),
 		counter("beechtide_tally_late_total", "Adds that were not on enough disks in time: answered 504.", func(f tallies.Counts) int64 { return f.Late }),
-		metrics.Gauge("beechtide_rollout_stage", "Stage of the newest roll-out of each service, as this controller knows: 0 tried, 1 shifting, 2 settled, 3 reverted.", []string{"service", "version"}, func(emit metrics.Emit) {
+		metrics.Gauge("beechtide_rollout_stage", "Stage of the newest rollout of each service, as this controller knows: 0 tried, 1 shifting, 2 settled, 3 reverted.", []string{"service", "version"}, func(emit metrics.Emit) {
 			for _, r := range c.serviceRollouts() {
 				emit(float64(r.Stage), r.Service, r.Target)
 			}
--- a/internal/controller/service_rollouts_test.go
+++ b/internal/controller/service_rollouts_test.go
@@ -20,7 +20,7 @@
 	return status
 }
 
-// rolloutOf is the newest roll-out of a service that a controller knows.
+// rolloutOf is the newest rollout of a service that a controller knows.
 func rolloutOf(d *Controller, service string) messages.ServiceRollout {
 	v, _ := d.registers.Committed(consensus.PartOf(service))
 	body, err := messages.DecodeLeaseBody(v)
--- a/internal/controller/targets.go
+++ b/internal/controller/targets.go
@@ -73,7 +73,7 @@
 	return n.table.Models()
 }
 
-// Namings are the versions of a model for the plan of its roll-out.
+// Namings are the versions of a model for the plan of its rollout.
 func (n *namedTargets) Namings(model string, boundUs, nowUs int64) []rollout.Naming {
 	n.mu.Lock()
 	defer n.mu.Unlock()
--- a/internal/doctor/partitions.go
+++ b/internal/doctor/partitions.go
@@ -18,7 +18,7 @@
 	return slices.Concat(tallyLines(results), evacuationLines(results), warmupLines(results), unreachableLines(results))
 }
 
-// Rollouts returns a line for the newest roll-out of each service: how far it has come, and how
+// Rollouts returns a line for the newest rollout of each service: how far it has come, and how
 // many nodes go by that.
 func Rollouts(results []NodeResult) []string {
 	controllers, routers := conditionsOf(results, messages.Controller), conditionsOf(results, messages.Router)
@@ -47,7 +47,7 @@
 	return lines
 }
 
-// stageNames are the stages of a roll-out by number (canary.Stage).
+// stageNames are the stages of a rollout by number (canary.Stage).
 var stageNames = map[int]string{
 	int(canary.Trying): "tried", int(canary.Shifting): "shifting", int(canary.Settled): "settled", int(canary.Reverted): "reverted",
 }
--- a/internal/lease/role.go
+++ b/internal/lease/role.go
@@ -1,5 +1,5 @@
 // Role is one controller's part in a singleton role: work that one node at a time may
-// do. Every singleton role of the program, be it the roll-out of weights or a call to
+// do. Every singleton role of the program, be it the rollout of weights or a call to
 // the platform, has its lease by this type.
 
 package lease
--- a/internal/messages/types.gen.go
+++ b/internal/messages/types.gen.go
@@ -316,7 +316,7 @@
 	// Evacuations zones that the operator has evacuated
 	Evacuations []Evacuation `msg:"e"`
 
-	// Rollouts roll-outs of services, the newest of each
+	// Rollouts rollouts of services, the newest of each
 	Rollouts []ServiceRollout `msg:"r"`
 
 	// Setpoints the number of runners of each service and zone that was last ordered of the platform
@@ -365,7 +365,7 @@
 	// Evacuated zones whose runners get no requests
 	Evacuated []string `msg:"e"`
 
-	// Rollouts the newest roll-out of each service, as this node goes by it
+	// Rollouts the newest rollout of each service, as this node goes by it
 	Rollouts []ServiceRollout `msg:"r"`
 
 	// Tally the tallies of a controller
@@ -603,7 +603,7 @@
 	Zone    string `msg:"z"`
 }
 
-// ServiceRollout the roll-out of a new software version of a service
+// ServiceRollout the rollout of a new software version of a service
 type ServiceRollout struct {
 	// BegunAtUs when it was ordered, by the fleet's time of day
 	BegunAtUs int64 `msg:"a"`
@@ -611,7 +611,7 @@
 	// Stage canary.Stage
 	Stage int `msg:"g"`
 
-	// Number how many roll-outs of the service there were, this one included
+	// Number how many rollouts of the service there were, this one included
 	Number int64 `msg:"n"`
 
 	// OverUs from the order to its term, in microseconds
--- a/internal/rollout/job.go
+++ b/internal/rollout/job.go
@@ -1,6 +1,6 @@
 package rollout
 
-// job is the roll-out of the newest weights to one runner.
+// job is the rollout of the newest weights to one runner.
 type job struct {
 	id        string
 	stage     Stage
--- a/internal/rollout/plan.go
+++ b/internal/rollout/plan.go
@@ -71,7 +71,7 @@
 	maxPollUs = int64(3_000_000)
 )
 
-// Plan is the roll-out of one model's weights.
+// Plan is the rollout of one model's weights.
 type Plan struct {
 	boundUs  int64 // after a naming, by when all orders have gone out
 	startUs  int64 // from when the schedule spreads the turns
--- a/internal/rollout/shard.go
+++ b/internal/rollout/shard.go
@@ -61,7 +61,7 @@
 	return slices.ContainsFunc(models, Model.unfinished)
 }
 
-// Shard plans the roll-outs of the models of one register while this controller holds
+// Shard plans the rollouts of the models of one register while this controller holds
 // its lease.
 type Shard struct {
 	boundUs int64
--- a/internal/router/partition_metrics.go
+++ b/internal/router/partition_metrics.go
@@ -20,7 +20,7 @@
 				emit(1, zone)
 			}
 		}),
-		metrics.Gauge("beechtide_router_rollout_stage", "Stage of the newest roll-out of each service that this router goes by: 0 tried, 1 shifting, 2 settled, 3 reverted.", []string{"service", "version"}, func(emit metrics.Emit) {
+		metrics.Gauge("beechtide_router_rollout_stage", "Stage of the newest rollout of each service that this router goes by: 0 tried, 1 shifting, 2 settled, 3 reverted.", []string{"service", "version"}, func(emit metrics.Emit) {
 			r.admissionMu.Lock()
 			defer r.admissionMu.Unlock()
 			for _, rollout := range r.admission.Rollouts() {
--- a/internal/router/service_rollouts.go
+++ b/internal/router/service_rollouts.go
@@ -1,4 +1,4 @@
-// Roll-outs of services, as this router goes by them.
+// Rollouts of services, as this router goes by them.
 
 package router
 
@@ -9,7 +9,7 @@
 	"beechtide.org/beechtide/internal/routeconfig"
 )
 
-// recordRollouts takes what a register says of roll-outs. The caller has the mutex of what was
+// recordRollouts takes what a register says of rollouts. The caller has the mutex of what was
 // received.
 func (r *Router) recordRollouts(list []messages.ServiceRollout) {
 	if len(list) == 0 {
--- a/internal/simulation/checks.go
+++ b/internal/simulation/checks.go
@@ -94,7 +94,7 @@
 func (c Counts) String() string {
 	return fmt.Sprintf("%d histories: %d values chosen, %d changes of a group, %d disks lost, %d acts under a lease; "+
 		"operators: %d configurations taken, %d refused, %d reads, %d calls unclear; %d histories of runners, %d of configurations; "+
-		"%d of roll-outs: %d orders, %d requests begun, the lease changed hands %d times; %d of usage: %d windows reported; "+
+		"%d of rollouts: %d orders, %d requests begun, the lease changed hands %d times; %d of usage: %d windows reported; "+
 		"%d of quota: %d requests ran, beside faults %d inside the limit came, %d were denied, %d found no owner, %d were rejected after they had waited for a runner; "+
 		"%d of tallies: %d adds sent, %d acknowledged, %d of them during a cut, %d not owed; "+
 		"%d of requests: %d sent, %d ran, %d attempts beyond the first, %d answered, %d rejected; %d hand-overs, %d calls refused out of contact; %d of loads: %d reports; "+
--- a/internal/simulation/cluster.go
+++ b/internal/simulation/cluster.go
@@ -24,7 +24,7 @@
 	ForgetGenesis        bool // the first group isn't kept before the first value
 	JoinUnconfirmed      bool // members are taken in unasked whether they hold the value
 	TrustUnusedClaim     bool // a claim that was never acted under counts as one that was
-	OrderWithoutBound    bool // a roll-out goes on only as runners are back
+	OrderWithoutBound    bool // a rollout goes on only as runners are back
 	LeaveUnfinished      bool // nobody ends the round of a proposer that has ended
 	NeverCompare         bool // routers rely on their place in the tree
 	TrustOwnClock        bool // windows follow each machine's own time of day
--- a/internal/simulation/coordinator.go
+++ b/internal/simulation/coordinator.go
@@ -1,4 +1,4 @@
-// Coordinators: controllers as far as roll-outs are concerned. They drive the real
+// Coordinators: controllers as far as rollouts are concerned. They drive the real
 // lease.Role and rollout.Shard as the controller's roleManager and rolloutManager do.
 
 package simulation
--- a/internal/simulation/engine.go
+++ b/internal/simulation/engine.go
@@ -1,4 +1,4 @@
-// Engines: runners as far as roll-outs are concerned, with requests in their queue,
+// Engines: runners as far as rollouts are concerned, with requests in their queue,
 // long streams, and orders as the protocol has them.
 
 package simulation
--- a/internal/simulation/rollout_checks.go
+++ b/internal/simulation/rollout_checks.go
@@ -1,4 +1,4 @@
-// Checks of roll-outs, as the runners and the operator see them.
+// Checks of rollouts, as the runners and the operator see them.
 
 package simulation
 
--- a/internal/simulation/rollouts.go
+++ b/internal/simulation/rollouts.go
@@ -1,4 +1,4 @@
-// Roll-outs: weights are named while holders are lost, runners are slow and
+// Rollouts: weights are named while holders are lost, runners are slow and
 // replaced, and any step of a process may be late. The real rollout.Shard,
 // lease.Contact and registry.Registry run; the register of the lease is a model of
 // one (the model "registers" plays the real ones), as are the routers.
@@ -12,7 +12,7 @@
 	"beechtide.org/beechtide/internal/messages"
 )
 
-// Bounds of a history of roll-outs.
+// Bounds of a history of rollouts.
 const (
 	rolloutModel    = "model"
 	rolloutService  = "service"
@@ -48,8 +48,8 @@
 	loading      int
 }
 
-// PlayRollouts plays the roll-outs' history of a seed. In every second history no
-// controller has trouble and the routers know no bound, so that the roll-out alone
+// PlayRollouts plays the rollouts' history of a seed. In every second history no
+// controller has trouble and the routers know no bound, so that the rollout alone
 // keeps old weights from being used too late.
 func PlayRollouts(seed uint64, options Options) Result {
 	k := NewKernel(seed, options.Record)
--- a/internal/simulation/versions.go
+++ b/internal/simulation/versions.go
@@ -1,4 +1,4 @@
-// Versions: roll-outs of services under faults. The real admission.Admitter of every router and
+// Versions: rollouts of services under faults. The real admission.Admitter of every router and
 // the real canary.Plan of the lease's holder run; the register and its lease are one value, changed
 // if a majority of the controllers is there. New versions are good, or bad in one of several ways.
 
@@ -91,10 +91,10 @@
 	limitUs      int64
 	lastUs       int64 // when the newest request went to the new version
 	coreUs       int64 // when the core was last disturbed
-	disturbed    bool  // anything was wrong during the roll-out
+	disturbed    bool  // anything was wrong during the rollout
 }
 
-// PlayVersions plays the roll-out of a seed.
+// PlayVersions plays the rollout of a seed.
 func PlayVersions(seed uint64, options Options) Result {
 	k := NewKernel(seed, options.Record)
 	h := &versionHistory{kernel: k, defects: options.Defects, badness: badness(k.Below(int(badnessKinds))), overUs: k.Between(10*Second, 20*Second)}
--- a/internal/simulation/versions_checks.go
+++ b/internal/simulation/versions_checks.go
@@ -105,7 +105,7 @@
 	})
 }
 
-// end checks how the roll-out ended.
+// end checks how the rollout ended.
 func (h *versionHistory) end() {
 	k := h.kernel
 	if k.failure != "" || len(h.register) == 0 {
