--- a/internal/controller/cache_reader.go
+++ b/internal/controller/cache_reader.go
@@ -23,7 +23,7 @@
 	listSalt, listPart, listTokens, listModel, listFields      = 0, 1, 2, 3, 4
 )
 
-// mostUnpublished is after how many events without a shared part the others are told of the version
+// mostUnpublished is after how many events without a shared part the version is published
 // all the same: a reader that follows begins there, and a runner remembers some 1,500 events.
 const mostUnpublished = 400
 
@@ -83,7 +83,7 @@
 	if err != nil {
 		return // the next call follows soon
 	}
-	c.heard(n.ID)
+	c.recordResponse(n.ID)
 	first := epoch == 0
 	switch {
 	case events.Lost || !first && events.Epoch != epoch:
--- a/internal/controller/condition.go
+++ b/internal/controller/condition.go
@@ -44,7 +44,7 @@
 	now := c.clock()
 	c.cachedMu.Lock()
 	for id := range c.readers {
-		if now-c.heardUs[id] > unreadUs && now-c.startUs > unreadUs {
+		if now-c.lastResponseUs[id] > unreadUs && now-c.startUs > unreadUs {
 			report.Unread = append(report.Unread, id)
 		}
 	}
@@ -54,10 +54,10 @@
 	return report
 }
 
-// heard notes that a runner answered a reader.
-func (c *Controller) heard(id string) {
+// recordResponse records that a runner answered a reader.
+func (c *Controller) recordResponse(id string) {
 	c.cachedMu.Lock()
-	c.heardUs[id] = c.clock()
+	c.lastResponseUs[id] = c.clock()
 	c.cachedMu.Unlock()
 }
 
--- a/internal/controller/contact.go
+++ b/internal/controller/contact.go
@@ -92,7 +92,7 @@
 
 // inContactOnly serves a call only under the lease. A controller without it says
 // 503 at once, so that callers go on to another. The check is made again on the
-// answer, after the work: what leaves must not rest on an older word.
+// answer, after the work: what leaves must not rest on an older confirmation.
 func (c *Controller) inContactOnly(serve app.HandlerFunc) app.HandlerFunc {
 	return func(ctx context.Context, rc *app.RequestContext) {
 		begunUs := c.clock()
--- a/internal/controller/control.go
+++ b/internal/controller/control.go
@@ -28,7 +28,7 @@
 // heartbeat every second or so; those that lost their power leave connections that nobody ends.
 const controlIdleTimeout = 15 * time.Second
 
-// operatorWait bounds how long a change may take before the caller is told to
+// operatorWait bounds how long a change may take before the caller is asked to
 // repeat it; callers move on after a second of silence.
 const operatorWait = 900 * time.Millisecond
 
--- a/internal/controller/controller.go
+++ b/internal/controller/controller.go
@@ -16,11 +16,15 @@
 //
 // # Concerns
 //
-// control.go serves the HTTP calls, feed.go distributes state to subscribers,
-// subscriptions.go receives the feeds of other controllers, readers.go reads cache
-// events and reports of runners, rollouts.go drives package rollout, repair.go drives
-// the repair of consensus groups, contact.go keeps the contact lease, drain.go
-// replicates draining, recall.go keeps a copy of the registry on disk.
+// What has an edge is a package below this one, with its own state and mutex, which knows no
+// Controller: singleton (leases and the tasks under them), weightrollout, servicerollout,
+// usagereport and scaling (tasks), platform and runnerapi (calls under a lease), grouprepair
+// (the groups of the registers), quotaowner (the count of tenants' requests), tallies, httpapi.
+//
+// Here are: control.go (the HTTP calls), feed.go (distributes state to subscribers),
+// subscriptions.go (receives the feeds of other controllers), readers.go (reads cache events and
+// reports of runners), contact.go (the contact lease), drain.go (replicates draining),
+// saved_runners.go and shared_keys.go (copies on disk), duties.go (wires the singleton roles).
 //
 // # Who owns which state
 //
@@ -36,9 +40,8 @@
 //     The goroutine of runFeed sends; any other adds to it.
 //   - One mutex guards the prefix index, the keys of shared parts, the set of readers and
 //     when each last had a response.
-//   - The rollout manager, the repair of each register, the contact lease, the view
-//     of the core, the target versions and the acknowledged drains each have a mutex
-//     beside their state.
+//   - The contact lease, the view of the core, the target versions and the acknowledged
+//     drains each have a mutex beside their state, and so has each package below.
 //
 // No lock is held while a call to another node or to a runner is made.
 package controller
@@ -53,6 +56,7 @@
 
 	"github.com/go-logr/logr"
 	"github.com/panjf2000/ants/v2"
+	"github.com/pkg/errors"
 
 	"beechtide.org/beechtide/internal/clocksync"
 	"beechtide.org/beechtide/internal/consensus"
@@ -97,12 +101,12 @@
 
 	heartbeats heartbeatBatch
 
-	feed       feed
-	cachedMu   sync.Mutex
-	cached     *prefixindex.Index
-	sharedKeys prefixindex.SharedKeys
-	readers    map[string]context.CancelFunc
-	heardUs    map[string]int64 // when a runner's events or report last came
+	feed           feed
+	cachedMu       sync.Mutex
+	cached         *prefixindex.Index
+	sharedKeys     prefixindex.SharedKeys
+	readers        map[string]context.CancelFunc
+	lastResponseUs map[string]int64 // when a runner's events or report last came
 
 	leases    *singleton.Leases
 	tasks     *singleton.Runner
@@ -126,67 +130,105 @@
 	disk *consensus.DiskStore // nil on machines without one
 }
 
-// New builds the role.
+// New builds the role: it opens the disk, restores what it has, and takes no part in anything
+// before Run.
 func New(set settings.Settings, pool *ants.Pool, clock func() int64, log logr.Logger) (*Controller, error) {
 	trans, err := transport.New(set.ControllerAddr(), pool, log)
 	if err != nil {
-		return nil, err
+		return nil, errors.Wrap(err, "controller: open the transport")
 	}
 	connPool := upstream.NewConnPool(clock)
-	d := &Controller{
-		set:       set,
-		log:       log,
-		clock:     clock,
-		startUs:   clock(),
-		transport: trans,
-		registry:  registry.New(),
-		connPool:  connPool,
-		runnerAPI: runnerapi.New(connPool),
-		cached:    prefixindex.NewIndex(),
-		readers:   map[string]context.CancelFunc{},
-		heardUs:   map[string]int64{},
+	c := &Controller{
+		set:            set,
+		log:            log,
+		clock:          clock,
+		startUs:        clock(),
+		transport:      trans,
+		registry:       registry.New(),
+		connPool:       connPool,
+		runnerAPI:      runnerapi.New(connPool),
+		cached:         prefixindex.NewIndex(),
+		readers:        map[string]context.CancelFunc{},
+		lastResponseUs: map[string]int64{},
 	}
-	var store consensus.Store = &consensus.MemoryStore{}
-	if set.DataDir != "" {
-		if d.disk, err = consensus.NewDiskStore(filepath.Join(set.DataDir, "ledger")); err != nil {
+	c.Reload(set)
+	c.feed.init(clock())
+	c.timeOfDay.SetVotes()
+	c.timeOfDay.Observe(time.Now().UnixMicro(), clock())
+	for _, step := range []func() error{c.openDisk, c.openRegisters, c.newPeerServices} {
+		if err := step(); err != nil {
 			return nil, err
 		}
-		store = d.disk
-		d.recallRunners()
-		d.restoreSharedKeys()
 	}
-	d.Reload(set)
-	d.feed.init(clock())
-	d.timeOfDay.SetVotes()
-	d.timeOfDay.Observe(time.Now().UnixMicro(), d.clock())
-	d.syncRunners()
-	d.publisher = dissemination.NewPublisher(trans, dissemination.Upstream{DeltaSince: d.deltaSince, ApplyReport: d.applyReport, Unsubscribed: d.removeSender})
-	d.registers, err = consensus.Open(set.ControllerAddr(), transport.KindConsensus, set.Bootstrap, set.SeedAddrs(), contactCaller{trans, &d.contact, clock}, store, log, d.learned)
-	if err != nil {
-		return nil, err
+	c.handleMessages()
+	for part := range consensus.Parts {
+		if value, ok := c.registers.Committed(part); ok && value.Version > 0 {
+			c.onCommitted(part, value)
+		}
 	}
-	d.contact.lease.Self = d.registers.ID()
-	self := messages.Peer{Addr: set.ControllerAddr(), Role: messages.Controller, Zone: set.Zone, MemberID: d.registers.ID(), Control: set.Listen.Control, Node: set.Node, Counted: set.Counted}
-	d.monitor = membership.NewMonitor(trans, self, clock, d.knownControllers)
-	if d.repairs, err = d.newRepairer(grouprepair.DefaultHandOverTimes); err != nil {
-		return nil, err
+	return c, nil
+}
+
+// openDisk opens the disk, if there is one, and restores what only serves as a hint: the runners
+// and the keys of shared parts.
+func (c *Controller) openDisk() (err error) {
+	if c.set.DataDir == "" {
+		return nil
 	}
-	if err := d.newSingletons(); err != nil {
-		return nil, err
+	// The name of the directory is that of earlier versions of the program.
+	if c.disk, err = consensus.NewDiskStore(filepath.Join(c.set.DataDir, "ledger")); err != nil {
+		return errors.Wrap(err, "controller: open the disk")
 	}
-	if d.quotas, err = d.newQuotaOwner(); err != nil {
-		return nil, err
+	c.restoreRunners()
+	c.restoreSharedKeys()
+	c.syncRunners()
+	return nil
+}
+
+// openRegisters opens the replicated registers, and the membership in which this member announces
+// its identity.
+func (c *Controller) openRegisters() (err error) {
+	var store consensus.Store = &consensus.MemoryStore{}
+	if c.disk != nil {
+		store = c.disk
 	}
-	if d.tallies, err = d.openTallies(); err != nil {
-		return nil, err
+	caller := contactCaller{c.transport, &c.contact, c.clock}
+	c.registers, err = consensus.Open(c.set.ControllerAddr(), transport.KindConsensus, c.set.Bootstrap, c.set.SeedAddrs(), caller, store, c.log, c.onCommitted)
+	if err != nil {
+		return errors.Wrap(err, "controller: open the registers")
 	}
-	d.handleMessages()
-	for p := range consensus.Parts {
-		if v, ok := d.registers.Committed(p); ok && v.Version > 0 {
-			d.learned(p, v)
-		}
+	c.contact.lease.Self = c.registers.ID()
+	self := messages.Peer{
+		Addr:     c.set.ControllerAddr(),
+		Role:     messages.Controller,
+		Zone:     c.set.Zone,
+		MemberID: c.registers.ID(),
+		Control:  c.set.Listen.Control,
+		Node:     c.set.Node,
+		Counted:  c.set.Counted,
 	}
-	return d, nil
+	c.monitor = membership.NewMonitor(c.transport, self, c.clock, c.knownControllers)
+	return nil
+}
+
+// newPeerServices makes what this controller does together with the others.
+func (c *Controller) newPeerServices() (err error) {
+	c.publisher = dissemination.NewPublisher(c.transport, dissemination.Upstream{
+		DeltaSince:   c.deltaSince,
+		ApplyReport:  c.applyReport,
+		Unsubscribed: c.removeSender,
+	})
+	if c.repairs, err = c.newRepairer(grouprepair.DefaultHandOverTimes); err != nil {
+		return err
+	}
+	if err := c.newSingletons(); err != nil {
+		return err
+	}
+	if c.quotas, err = c.newQuotaOwner(); err != nil {
+		return err
+	}
+	c.tallies, err = c.openTallies()
+	return err
 }
 
 // handleMessages sets who handles the messages of other nodes.
@@ -209,8 +251,8 @@
 	trans.OnCall(transport.KindQuotaAsk, c.quotas.HandleAsk)
 	trans.OnCall(transport.KindTallyAppend, c.tallies.HandleAppend)
 	trans.OnCall(transport.KindTallyPull, c.tallies.HandlePull)
-	trans.OnDatagram(transport.KindRunner, c.heardRunner)
-	trans.OnDatagram(transport.KindRunners, c.heardRunners)
+	trans.OnDatagram(transport.KindRunner, c.receiveHeartbeat)
+	trans.OnDatagram(transport.KindRunners, c.receiveHeartbeats)
 }
 
 // knownControllers are the addresses to greet: the seeds and the members known
@@ -236,6 +278,13 @@
 	c.platformAddr.Store(&set.Cloud.Address)
 }
 
+// Periods of tasks that no package of their own runs.
+const (
+	comparePeriod = 500 * time.Millisecond // comparisons with the other controllers
+	sweepPeriod   = 500 * time.Millisecond // looks for silent runners
+	readersPeriod = 500 * time.Millisecond // the choice of the runners that are read
+)
+
 // Run serves until ctx ends; then the registers are handed over where a newcomer
 // stands ready, and served on meanwhile.
 func (c *Controller) Run(ctx context.Context) error {
@@ -246,10 +295,10 @@
 	go c.monitor.Run(live)
 	go c.listenToOthers(live)
 	go c.repairs.Run(live)
-	go loop.Every(live, 500*time.Millisecond, func() { c.catchUp(live) })
-	go loop.Every(live, 500*time.Millisecond, func() { c.sweep() })
+	go loop.Every(live, comparePeriod, func() { c.catchUp(live) })
+	go loop.Every(live, sweepPeriod, c.sweep)
 	go loop.Every(live, heartbeatPause, c.forwardHeartbeats)
-	go loop.Every(live, 500*time.Millisecond, func() { c.wantReaders(live) })
+	go loop.Every(live, readersPeriod, func() { c.wantReaders(live) })
 	go loop.Every(live, singleton.Period, func() {
 		c.timeOfDay.Observe(time.Now().UnixMicro(), c.clock())
 		c.tasks.Step(live)
@@ -262,11 +311,11 @@
 	go c.quotas.Run(counting)
 	go c.tallies.Run(live)
 	go c.runFeed(live)
-	go c.settleRegisters(live)
+	go c.readRegisters(live)
 	go c.finishRounds(live)
 	go c.metricsServer().Run(live)
 	if c.disk != nil {
-		go c.keepRunners(live)
+		go c.saveRunners(live)
 		go c.saveSharedKeys(live)
 	}
 	served := make(chan error, 1)
@@ -305,9 +354,9 @@
 	}
 }
 
-// settleRegisters reads every part once after the start, so that what was agreed
+// readRegisters reads every part once after the start, so that what was agreed
 // on before a loss of power but not known as such is finished.
-func (c *Controller) settleRegisters(ctx context.Context) {
+func (c *Controller) readRegisters(ctx context.Context) {
 	for p := range consensus.Parts {
 		for ctx.Err() == nil {
 			cctx, cancel := context.WithTimeout(ctx, time.Second)
@@ -322,7 +371,7 @@
 	}
 }
 
-func (c *Controller) learned(p int, v messages.Value) {
+func (c *Controller) onCommitted(p int, v messages.Value) {
 	if v.Version == 0 || len(v.Body) == 0 {
 		return
 	}
@@ -337,13 +386,13 @@
 		}
 	}
 	if p != consensus.ConfigPart {
-		c.learnedRole(p, v)
+		c.onCommittedRole(p, v)
 	}
 }
 
-// learnedRole takes what a register with a lease has. Routers need no closed windows, so
+// onCommittedRole takes what a register with a lease has. Routers need no closed windows, so
 // these do not go along.
-func (c *Controller) learnedRole(p int, v messages.Value) {
+func (c *Controller) onCommittedRole(p int, v messages.Value) {
 	body, err := messages.DecodeLeaseBody(v)
 	if err != nil {
 		c.log.Error(err, "a committed register cannot be read", "part", p)
@@ -362,8 +411,8 @@
 	c.publishPart(messages.RegisterUpdate{Part: p, Version: v.Version, Body: published})
 }
 
-// heardRunner takes a heartbeat that a controller of an earlier release has received.
-func (c *Controller) heardRunner(_ string, body []byte) {
+// receiveHeartbeat takes a heartbeat that a controller of an earlier release has received.
+func (c *Controller) receiveHeartbeat(_ string, body []byte) {
 	var n messages.RunnerRecord
 	if _, err := n.UnmarshalMsg(body); err == nil && c.registry.ApplyHeartbeat(n, c.clock()) {
 		c.publishRunners(n.ID)
--- a/internal/controller/controller_test.go
+++ b/internal/controller/controller_test.go
@@ -164,7 +164,7 @@
 
 	fresh := &Controller{disk: d.disk, registry: registry.New(), clock: d.clock, log: logr.Discard()}
 	fresh.feed.init(1)
-	fresh.recallRunners()
+	fresh.restoreRunners()
 	fresh.syncRunners()
 	lacks, ok := fresh.feed.registry.DeltaSince(0, 0)
 	must.True(t, ok)
--- a/internal/controller/duties.go
+++ b/internal/controller/duties.go
@@ -1,5 +1,5 @@
 // The singleton roles of this controller (package singleton): which tasks it may hold the lease
-// for, and what the doctor is told of them.
+// for, and what the doctor reports of them.
 
 package controller
 
@@ -26,7 +26,7 @@
 	return set.Cloud.Address != "" && slices.Contains(set.Cloud.Duties, duty)
 }
 
-// reportsUsage reports whether the platform is to be told the usage.
+// reportsUsage reports whether the platform gets reports of the usage.
 func reportsUsage(set settings.Settings) bool {
 	return hasDuty(set, usagereport.Duty) && set.Bounds.UsageWindowS > 0
 }
--- a/internal/controller/feed.go
+++ b/internal/controller/feed.go
@@ -82,13 +82,13 @@
 type outbox struct {
 	configuration []messages.EntryChange
 	parts         []messages.RegisterUpdate
-	kept          []messages.CachedChange
+	cached        []messages.CachedChange
 	reports       []messages.RunnerReport
-	coming        []messages.CachedPrefixes
+	pending       []messages.CachedPrefixes
 }
 
 func (o *outbox) moveTo(f *messages.Feed) {
-	f.Configuration, f.Parts, f.Cached, f.Reports, f.PendingBlocks = o.configuration, o.parts, o.kept, o.reports, o.coming
+	f.Configuration, f.Parts, f.Cached, f.Reports, f.PendingBlocks = o.configuration, o.parts, o.cached, o.reports, o.pending
 	*o = outbox{}
 }
 
@@ -212,7 +212,7 @@
 	}
 	f := &c.feed
 	f.mu.Lock()
-	f.toControllers.kept, f.toRouters.kept = append(f.toControllers.kept, delta), append(f.toRouters.kept, delta)
+	f.toControllers.cached, f.toRouters.cached = append(f.toControllers.cached, delta), append(f.toRouters.cached, delta)
 	f.mu.Unlock()
 }
 
@@ -347,7 +347,7 @@
 		r := f.subtree.Apply(from, delta)
 		ok = ok && (r == statesync.Applied || r == statesync.Known)
 	}
-	f.toControllers.coming, f.toRouters.coming = append(f.toControllers.coming, t.PendingBlocks...), append(f.toRouters.coming, t.PendingBlocks...)
+	f.toControllers.pending, f.toRouters.pending = append(f.toControllers.pending, t.PendingBlocks...), append(f.toRouters.pending, t.PendingBlocks...)
 	if len(t.PendingBlocks) > 0 {
 		f.wake()
 	}
--- a/internal/controller/heartbeats.go
+++ b/internal/controller/heartbeats.go
@@ -70,8 +70,8 @@
 	return batches
 }
 
-// heardRunners takes heartbeats that another controller has received.
-func (c *Controller) heardRunners(_ string, body []byte) {
+// receiveHeartbeats takes heartbeats that another controller has received.
+func (c *Controller) receiveHeartbeats(_ string, body []byte) {
 	var batch messages.RunnerBatch
 	if _, err := batch.UnmarshalMsg(body); err != nil {
 		return
--- a/internal/controller/heartbeats_test.go
+++ b/internal/controller/heartbeats_test.go
@@ -39,8 +39,8 @@
 	b, err := batch.MarshalMsg(nil)
 	must.NoError(t, err)
 	clock.Add(1)
-	d.heardRunners("", b)
+	d.receiveHeartbeats("", b)
 	must.MapLen(t, 2, d.registry.Snapshot().ByID)
-	d.heardRunners("", []byte("no heartbeats"))
+	d.receiveHeartbeats("", []byte("no heartbeats"))
 	must.MapLen(t, 2, d.registry.Snapshot().ByID)
 }
--- a/internal/controller/invariants.go
+++ b/internal/controller/invariants.go
@@ -8,7 +8,7 @@
 	"beechtide.org/beechtide/internal/messages"
 )
 
-// What the operator was told to be in place must survive this process.
+// What was acknowledged to the operator must survive this process.
 var acknowledgedIsCommitted = invariant.New("acknowledged_change_is_committed",
 	"a change that is acknowledged to the operator is committed, as far as this controller knows")
 
--- a/internal/controller/publish_test.go
+++ b/internal/controller/publish_test.go
@@ -27,7 +27,7 @@
 		newest := (round + 1) * atOnce
 		for i := range int64(atOnce) {
 			v := value(newest - i)
-			wait.Go(func() { d.learned(consensus.ConfigPart, v) })
+			wait.Go(func() { d.onCommitted(consensus.ConfigPart, v) })
 		}
 		wait.Wait()
 		must.Eq(t, newest, d.table.Load().Version)
--- a/internal/controller/readers.go
+++ b/internal/controller/readers.go
@@ -87,7 +87,7 @@
 		}
 		cancel()
 		delete(c.readers, id)
-		delete(c.heardUs, id)
+		delete(c.lastResponseUs, id)
 	}
 }
 
@@ -95,7 +95,7 @@
 func (c *Controller) startReader(ctx context.Context, n messages.RunnerRecord) {
 	ctx, cancel := context.WithCancel(ctx)
 	c.readers[n.ID] = cancel
-	c.heardUs[n.ID] = c.clock()
+	c.lastResponseUs[n.ID] = c.clock()
 	go c.readCacheEvents(ctx, n)
 	if n.Service != "" {
 		go c.readReports(ctx, n)
--- a/internal/controller/rollouts_test.go
+++ b/internal/controller/rollouts_test.go
@@ -24,7 +24,7 @@
 	v, _ := d.registers.Committed(part)
 	v.Version, v.Body, v.Stamp = version, raw, fmt.Sprint("s-", version)
 	d.registers.Learn(part, v)
-	d.learned(part, v)
+	d.onCommitted(part, v)
 }
 
 // Earlier versions of the program chose the register of a target by the
--- a/internal/controller/recall.go
+++ b/internal/controller/saved_runners.go
@@ -15,7 +15,7 @@
 
 const runnersFile = "runners"
 
-func (c *Controller) recallRunners() {
+func (c *Controller) restoreRunners() {
 	b, ok := c.disk.Note(runnersFile)
 	if !ok {
 		return
@@ -30,8 +30,8 @@
 	}
 }
 
-// keepRunners writes the list when it has changed, at most every two seconds.
-func (c *Controller) keepRunners(ctx context.Context) {
+// saveRunners writes the list when it has changed, at most every two seconds.
+func (c *Controller) saveRunners(ctx context.Context) {
 	var sum uint64
 	loop.Every(ctx, 2*time.Second, func() {
 		snap := c.registry.Snapshot()
--- a/internal/controller/scaling/scaler.go
+++ b/internal/controller/scaling/scaler.go
@@ -264,7 +264,7 @@
 }
 
 // begin records orders, or sends those that are recorded, one after the other.
-func (s *Scaler) begin(ctx context.Context, grant lease.Grant, held messages.Lease, record, send []messages.Setpoint) {
+func (s *Scaler) begin(ctx context.Context, grant lease.Grant, current messages.Lease, record, send []messages.Setpoint) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if s.working {
@@ -274,7 +274,7 @@
 	go func() {
 		ok := false
 		if len(record) > 0 {
-			ok = s.record(ctx, held, record)
+			ok = s.record(ctx, current, record)
 		} else {
 			ok = s.send(ctx, grant, send[rand.IntN(len(send))])
 		}
@@ -288,8 +288,8 @@
 }
 
 // record puts orders into the register.
-func (s *Scaler) record(ctx context.Context, held messages.Lease, orders []messages.Setpoint) bool {
-	_, err := s.config.Leases.Change(ctx, Part, held, func(body *messages.LeaseBody) bool {
+func (s *Scaler) record(ctx context.Context, current messages.Lease, orders []messages.Setpoint) bool {
+	_, err := s.config.Leases.Change(ctx, Part, current, func(body *messages.LeaseBody) bool {
 		body.Setpoints = slices.Clone(body.Setpoints)
 		for _, order := range orders {
 			i := slices.IndexFunc(body.Setpoints, func(was messages.Setpoint) bool { return keyOf(was) == keyOf(order) })
--- a/internal/controller/servicerollout/driver.go
+++ b/internal/controller/servicerollout/driver.go
@@ -83,7 +83,7 @@
 }
 
 // step takes the step of a rollout that is due.
-func (d *Driver) step(ctx context.Context, part int, grant lease.Grant, held messages.Lease, rollout messages.ServiceRollout) {
+func (d *Driver) step(ctx context.Context, part int, grant lease.Grant, current messages.Lease, rollout messages.ServiceRollout) {
 	view, agreed := d.view(rollout)
 	if !agreed {
 		return
@@ -100,12 +100,12 @@
 		return
 	}
 	d.busy[key] = true
-	go d.record(ctx, part, held, rollout, step)
+	go d.record(ctx, part, current, rollout, step)
 }
 
 // record agrees on a step. Where that fails, it is due again.
-func (d *Driver) record(ctx context.Context, part int, held messages.Lease, rollout messages.ServiceRollout, step canary.Step) {
-	_, err := d.config.Leases.Change(ctx, part, held, func(body *messages.LeaseBody) bool {
+func (d *Driver) record(ctx context.Context, part int, current messages.Lease, rollout messages.ServiceRollout, step canary.Step) {
+	_, err := d.config.Leases.Change(ctx, part, current, func(body *messages.LeaseBody) bool {
 		next, changed := canary.Advance(body.Rollouts, rollout, step)
 		body.Rollouts = next
 		return changed
--- a/internal/controller/singleton/leases.go
+++ b/internal/controller/singleton/leases.go
@@ -97,7 +97,7 @@
 	used  map[int]int64 // the newest fence this process has acted under
 }
 
-// NewLeases returns leases of which none is held.
+// NewLeases returns leases of which none is current.
 func NewLeases(config Config) (*Leases, error) {
 	if err := config.check(); err != nil {
 		return nil, err
@@ -179,8 +179,8 @@
 
 // step takes the next step of a register's lease, and returns what it grants now. A round that
 // is due is begun; after a confirmation confirmed is called.
-func (l *Leases) step(ctx context.Context, part int, group []messages.Member, held messages.Lease, todo work, confirmed func()) lease.Grant {
-	view := l.view(group, held, todo)
+func (l *Leases) step(ctx context.Context, part int, group []messages.Member, current messages.Lease, todo work, confirmed func()) lease.Grant {
+	view := l.view(group, current, todo)
 	l.mu.Lock()
 	step := l.roles[part].Step(view)
 	round := (step.Acquire || step.Confirm) && !l.busy[part]
@@ -193,15 +193,15 @@
 }
 
 // view is what this controller sees of a register's lease and its holder.
-func (l *Leases) view(group []messages.Member, held messages.Lease, todo work) lease.RoleView {
+func (l *Leases) view(group []messages.Member, current messages.Lease, todo work) lease.RoleView {
 	self := l.config.Registers.ID()
-	rank, candidate := l.rank(held)
-	eligible := candidate || held.Holder == self
+	rank, candidate := l.rank(current)
+	eligible := candidate || current.Holder == self
 	return lease.RoleView{
 		NowUs:      l.config.Clock(),
 		Self:       self,
-		Lease:      held,
-		HolderGone: l.gone(held.Holder),
+		Lease:      current,
+		HolderGone: l.gone(current.Holder),
 		InContact:  eligible && l.config.HasContact(group),
 		Rank:       rank,
 		Needed:     todo.needed,
@@ -283,12 +283,12 @@
 // rank is how many of the core's live controllers that this one reaches come before
 // it in the succession of a lease, and whether it is itself among them. The order
 // differs with each fence, so that the same controller is not always the first.
-func (l *Leases) rank(held messages.Lease) (rank int, candidate bool) {
+func (l *Leases) rank(current messages.Lease) (rank int, candidate bool) {
 	var addrs []string
 	for _, peer := range membership.Core(l.config.Membership.Alive(messages.Controller)) {
-		if peer.MemberID != held.Holder && (peer.Addr == l.config.Addr || !l.config.IsCut(peer.Addr)) {
+		if peer.MemberID != current.Holder && (peer.Addr == l.config.Addr || !l.config.IsCut(peer.Addr)) {
 			addrs = append(addrs, peer.Addr)
 		}
 	}
-	return lease.Rank(addrs, l.config.Addr, held)
+	return lease.Rank(addrs, l.config.Addr, current)
 }
--- a/internal/controller/subscriptions.go
+++ b/internal/controller/subscriptions.go
@@ -83,12 +83,12 @@
 	u := dissemination.Subscriber{
 		Controller: true,
 		Parents:    func() []string { return []string{addr} },
-		SyncState:  func() messages.SyncState { return c.holdOf(addr, runners) },
+		SyncState:  func() messages.SyncState { return c.syncStateOf(addr, runners) },
 		ApplyUpdate: func(_ string, f messages.Feed, _ []byte) *messages.SyncState {
 			if c.takeFeed(addr, f, runners) {
 				return nil
 			}
-			h := c.holdOf(addr, runners)
+			h := c.syncStateOf(addr, runners)
 			return &h
 		},
 		Acked: func(int64) {}, ResendAll: func() {}, Counts: &c.counters.subscriptions,
@@ -102,9 +102,9 @@
 	c.feed.malformed.Add(u.Malformed.Load())
 }
 
-// holdOf names what this node holds of another's streams. The configuration and
+// syncStateOf names what this node holds of another's streams. The configuration and
 // the parts come through the registers.
-func (c *Controller) holdOf(addr string, runners *statesync.Entries) messages.SyncState {
+func (c *Controller) syncStateOf(addr string, runners *statesync.Entries) messages.SyncState {
 	f := &c.feed
 	f.mu.Lock()
 	h := messages.SyncState{Configuration: messages.Cursor{Epoch: routeconfig.Epoch, Version: never}}
@@ -122,7 +122,7 @@
 	return h
 }
 
-// never is a version that is not reached: what is held under it is not sent.
+// never is a version that is not reached: what is known under it is not sent.
 const never = 1 << 62
 
 // pullNewer learns at once of a version that another controller has and this one
@@ -137,7 +137,7 @@
 }
 
 // takeRunners takes a change of another controller's list of runners. It reports whether it
-// fits the state that is held of it.
+// fits the state that is known of it.
 func (c *Controller) takeRunners(delta messages.EntryChange, runners *statesync.Entries, nowUs int64) (fits bool) {
 	f := &c.feed
 	change := statesync.DecodeEntries(delta)
@@ -165,7 +165,7 @@
 	for _, delta := range in.Registry {
 		fits = c.takeRunners(delta, runners, now) && fits
 	}
-	var kept []messages.CachedChange
+	var applied []messages.CachedChange
 	c.cachedMu.Lock()
 	c.sharedKeys.Announce(in.PendingBlocks)
 	for _, delta := range in.Cached {
@@ -176,20 +176,20 @@
 		r := c.cached.Apply(delta)
 		fits = f.count(r, again) && fits
 		if r == statesync.Applied {
-			kept = append(kept, delta)
+			applied = append(applied, delta)
 		}
 	}
 	c.cachedMu.Unlock()
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	for _, delta := range in.Loads {
-		held := f.aggregate.Sender(addr)
-		again := delta.Snapshot && held != nil && held.Epoch == delta.Epoch
+		known := f.aggregate.Sender(addr)
+		again := delta.Snapshot && known != nil && known.Epoch == delta.Epoch
 		fits = f.count(f.aggregate.Apply(addr, delta), again) && fits
 	}
-	f.toRouters.kept = append(f.toRouters.kept, kept...)
+	f.toRouters.cached = append(f.toRouters.cached, applied...)
 	f.toRouters.reports = append(f.toRouters.reports, in.Reports...)
-	f.toRouters.coming = append(f.toRouters.coming, in.PendingBlocks...)
+	f.toRouters.pending = append(f.toRouters.pending, in.PendingBlocks...)
 	if len(in.PendingBlocks) > 0 {
 		f.wake()
 	}
--- a/internal/controller/tallies/replication.go
+++ b/internal/controller/tallies/replication.go
@@ -142,15 +142,15 @@
 			return false
 		}
 		s.merge(runs)
-		if !answer.More || s.held() == before {
+		if !answer.More || s.addCount() == before {
 			return true
 		}
 	}
 	return false
 }
 
-// held returns how many adds are held.
-func (s *Service) held() int {
+// addCount returns how many adds this replica has.
+func (s *Service) addCount() int {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	return s.replica.Set().Len()
@@ -169,7 +169,7 @@
 	}
 }
 
-// Compared takes the digest that another replica has told with its versions. One that differs
+// Compared takes the digest that another replica has sent with its versions. One that differs
 // twice in a row, or after a time without an answer, has something that does not come by
 // itself, as after a partition.
 func (s *Service) Compared(ctx context.Context, addr string, digest uint64) {
--- a/internal/controller/unfinished.go
+++ b/internal/controller/unfinished.go
@@ -1,5 +1,5 @@
 // Rounds that were left unfinished are brought to their end. A controller that
-// acknowledges a change and then ends may not have told any other member that it was
+// acknowledges a change and then ends may not have notified any other member that it was
 // committed; the others have accepted it and would learn of it only with the next
 // change.
 
