--- a/internal/controller/feed.go
+++ b/internal/controller/feed.go
@@ -258,10 +258,10 @@
 		up.TargetAges = c.targets.ages(c.clock())
 		down.TargetAges = up.TargetAges
 	}
-	if rest || hasNews(&up) {
+	if rest || hasContent(&up) {
 		c.publisher.Publish(dissemination.ToControllers, up)
 	}
-	if rest || hasNews(&down) {
+	if rest || hasContent(&down) {
 		c.publisher.Publish(dissemination.ToRouters, down)
 	}
 	if rest {
@@ -272,7 +272,7 @@
 // idleIntervalUs is how often an update is sent without news.
 const idleIntervalUs = int64(dissemination.UpdateInterval/time.Microsecond) - 50_000
 
-func hasNews(f *messages.Feed) bool {
+func hasContent(f *messages.Feed) bool {
 	return len(f.Configuration)+len(f.Parts)+len(f.Registry)+len(f.Cached)+len(f.Reports)+len(f.Loads)+len(f.PendingBlocks) > 0
 }
 
