--- a/internal/controller/condition.go
+++ b/internal/controller/condition.go
@@ -13,9 +13,6 @@
 	"beechtide.org/beechtide/internal/transport"
 )
 
-// unreadUs is after how long without an answer a runner counts as not read.
-const unreadUs = 5_000_000
-
 func (c *Controller) condition() messages.Condition {
 	report := messages.Condition{Node: c.set.Node, Role: messages.Controller, Zone: c.set.Zone, Addr: c.transport.Addr(), TimeUs: time.Now().UnixMicro(), MemberID: c.registers.ID(), Versions: c.publishedVersions(), HasDisk: c.disk != nil}
 	report.SaveUs, report.SaveFault = c.registers.LastSave()
@@ -41,26 +38,11 @@
 	report.Partition.Tally = c.tallies.Condition()
 	report.Partition.Evacuated = c.evacuatedZones()
 	report.Partition.Rollouts = c.serviceRollouts()
-	now := c.clock()
-	c.cachedMu.Lock()
-	for id := range c.readers {
-		if now-c.lastResponseUs[id] > unreadUs && now-c.startUs > unreadUs {
-			report.Unread = append(report.Unread, id)
-		}
-	}
-	c.cachedMu.Unlock()
+	report.Unread = c.readers.Unread()
 	slices.Sort(report.Stale)
-	slices.Sort(report.Unread)
 	return report
 }
 
-// recordResponse records that a runner answered a reader.
-func (c *Controller) recordResponse(id string) {
-	c.cachedMu.Lock()
-	c.lastResponseUs[id] = c.clock()
-	c.cachedMu.Unlock()
-}
-
 // OnRing tells how the doctor gets the log ring.
 func (c *Controller) OnRing(show func() ([]byte, error)) {
 	c.transport.OnCall(transport.KindRing, func(context.Context, *transport.Conn, []byte) ([]byte, error) { return show() })
--- a/internal/controller/controller.go
+++ b/internal/controller/controller.go
@@ -19,12 +19,12 @@
 // What has an edge is a package below this one, with its own state and mutex, which knows no
 // Controller: singleton (leases and the tasks under them), weightrollout, servicerollout,
 // usagereport and scaling (tasks), platform and runnerapi (calls under a lease), grouprepair
-// (the groups of the registers), quotaowner (the count of tenants' requests), tallies, httpapi.
+// (the groups of the registers), runnerreader (what runners have
+// cached), quotaowner (the count of tenants' requests), tallies, httpapi.
 //
 // Here are: control.go (the HTTP calls), feed.go (distributes state to subscribers),
-// subscriptions.go (receives the feeds of other controllers), readers.go (reads cache events and
-// reports of runners), contact.go (the contact lease), drain.go (replicates draining),
-// saved_runners.go and shared_keys.go (copies on disk), duties.go (wires the singleton roles).
+// subscriptions.go (receives the feeds of other controllers), readers.go (which runners are read), contact.go (the contact lease), drain.go (replicates draining),
+// saved_runners.go (a copy of the registry on disk), duties.go (wires the singleton roles).
 //
 // # Who owns which state
 //
@@ -38,8 +38,6 @@
 //     the mutex of the feed.
 //   - The feed (streams, sums of loads, what waits to be sent) has a mutex of its own.
 //     The goroutine of runFeed sends; any other adds to it.
-//   - One mutex guards the prefix index, the keys of shared parts, the set of readers and
-//     when each last had a response.
 //   - The contact lease, the view of the core, the target versions and the acknowledged
 //     drains each have a mutex beside their state, and so has each package below.
 //
@@ -50,7 +48,6 @@
 	"context"
 	"path/filepath"
 	"strings"
-	"sync"
 	"sync/atomic"
 	"time"
 
@@ -64,6 +61,7 @@
 	"beechtide.org/beechtide/internal/controller/platform"
 	"beechtide.org/beechtide/internal/controller/quotaowner"
 	"beechtide.org/beechtide/internal/controller/runnerapi"
+	"beechtide.org/beechtide/internal/controller/runnerreader"
 	"beechtide.org/beechtide/internal/controller/scaling"
 	"beechtide.org/beechtide/internal/controller/singleton"
 	"beechtide.org/beechtide/internal/controller/tallies"
@@ -74,7 +72,6 @@
 	"beechtide.org/beechtide/internal/loop"
 	"beechtide.org/beechtide/internal/membership"
 	"beechtide.org/beechtide/internal/messages"
-	"beechtide.org/beechtide/internal/prefixindex"
 	"beechtide.org/beechtide/internal/registry"
 	"beechtide.org/beechtide/internal/routeconfig"
 	"beechtide.org/beechtide/internal/settings"
@@ -101,12 +98,8 @@
 
 	heartbeats heartbeatBatch
 
-	feed           feed
-	cachedMu       sync.Mutex
-	cached         *prefixindex.Index
-	sharedKeys     prefixindex.SharedKeys
-	readers        map[string]context.CancelFunc
-	lastResponseUs map[string]int64 // when a runner's events or report last came
+	feed    feed
+	readers *runnerreader.Readers
 
 	leases    *singleton.Leases
 	tasks     *singleton.Runner
@@ -139,17 +132,14 @@
 	}
 	connPool := upstream.NewConnPool(clock)
 	c := &Controller{
-		set:            set,
-		log:            log,
-		clock:          clock,
-		startUs:        clock(),
-		transport:      trans,
-		registry:       registry.New(),
-		connPool:       connPool,
-		runnerAPI:      runnerapi.New(connPool),
-		cached:         prefixindex.NewIndex(),
-		readers:        map[string]context.CancelFunc{},
-		lastResponseUs: map[string]int64{},
+		set:       set,
+		log:       log,
+		clock:     clock,
+		startUs:   clock(),
+		transport: trans,
+		registry:  registry.New(),
+		connPool:  connPool,
+		runnerAPI: runnerapi.New(connPool),
 	}
 	c.Reload(set)
 	c.feed.init(clock())
@@ -180,7 +170,6 @@
 		return errors.Wrap(err, "controller: open the disk")
 	}
 	c.restoreRunners()
-	c.restoreSharedKeys()
 	c.syncRunners()
 	return nil
 }
@@ -218,6 +207,9 @@
 		ApplyReport:  c.applyReport,
 		Unsubscribed: c.removeSender,
 	})
+	if c.readers, err = c.newReaders(); err != nil {
+		return err
+	}
 	if c.repairs, err = c.newRepairer(grouprepair.DefaultHandOverTimes); err != nil {
 		return err
 	}
@@ -295,10 +287,11 @@
 	go c.monitor.Run(live)
 	go c.listenToOthers(live)
 	go c.repairs.Run(live)
+	go c.readers.Run(live)
 	go loop.Every(live, comparePeriod, func() { c.catchUp(live) })
 	go loop.Every(live, sweepPeriod, c.sweep)
 	go loop.Every(live, heartbeatPause, c.forwardHeartbeats)
-	go loop.Every(live, readersPeriod, func() { c.wantReaders(live) })
+	go loop.Every(live, readersPeriod, func() { c.readRunners(live) })
 	go loop.Every(live, singleton.Period, func() {
 		c.timeOfDay.Observe(time.Now().UnixMicro(), c.clock())
 		c.tasks.Step(live)
@@ -316,7 +309,6 @@
 	go c.metricsServer().Run(live)
 	if c.disk != nil {
 		go c.saveRunners(live)
-		go c.saveSharedKeys(live)
 	}
 	served := make(chan error, 1)
 	go func() { served <- c.serveControl(live) }()
@@ -430,8 +422,9 @@
 	}
 	c.syncRunners()
 	snap := c.registry.Snapshot()
-	c.cachedMu.Lock()
-	c.cached.Retain(func(r string) bool { _, ok := snap.ByID[r]; return ok || strings.Contains(r, ":") })
-	c.cachedMu.Unlock()
+	c.readers.Retain(func(id string) bool {
+		_, known := snap.ByID[id]
+		return known || strings.Contains(id, ":") // a store is named by its address
+	})
 	c.connPool.Sweep(func(string) bool { return true })
 }
--- a/internal/controller/feed.go
+++ b/internal/controller/feed.go
@@ -15,7 +15,6 @@
 	"beechtide.org/beechtide/internal/dissemination"
 	"beechtide.org/beechtide/internal/loop"
 	"beechtide.org/beechtide/internal/messages"
-	"beechtide.org/beechtide/internal/prefixindex"
 	"beechtide.org/beechtide/internal/routeconfig"
 	"beechtide.org/beechtide/internal/statesync"
 )
@@ -201,18 +200,11 @@
 	f.mu.Unlock()
 }
 
-// changeCached changes the cached prefixes of a runner, as its reader, and sends the change if there
-// is one.
-func (c *Controller) changeCached(id string, change func(s *prefixindex.CachedPrefixes) (messages.CachedChange, bool)) {
-	c.cachedMu.Lock()
-	delta, some := change(c.cached.CachedPrefixes(id))
-	c.cachedMu.Unlock()
-	if !some {
-		return
-	}
+// publishCached sends a change of a runner's cached prefixes.
+func (c *Controller) publishCached(change messages.CachedChange) {
 	f := &c.feed
 	f.mu.Lock()
-	f.toControllers.cached, f.toRouters.cached = append(f.toControllers.cached, delta), append(f.toRouters.cached, delta)
+	f.toControllers.cached, f.toRouters.cached = append(f.toControllers.cached, change), append(f.toRouters.cached, change)
 	f.mu.Unlock()
 }
 
@@ -309,9 +301,7 @@
 	}
 	f.mu.Unlock()
 	if !h.ConfigOnly {
-		c.cachedMu.Lock()
-		out.Cached = c.cached.DeltasSince(h.Cached, func(id string) bool { return !h.Controller || c.readers[id] != nil })
-		c.cachedMu.Unlock()
+		out.Cached = c.readers.DeltasSince(h.Cached, h.Controller)
 	}
 	return out
 }
@@ -338,7 +328,7 @@
 	for _, id := range t.Absent {
 		c.registry.Doubt(id, c.silence())
 	}
-	c.announceShared(t.PendingBlocks)
+	c.readers.Announce(t.PendingBlocks)
 	f := &c.feed
 	f.mu.Lock()
 	defer f.mu.Unlock()
@@ -354,16 +344,6 @@
 	return ok
 }
 
-// announceShared takes note of parts that prompts may share.
-func (c *Controller) announceShared(announced []messages.CachedPrefixes) {
-	if len(announced) == 0 {
-		return
-	}
-	c.cachedMu.Lock()
-	c.sharedKeys.Announce(announced)
-	c.cachedMu.Unlock()
-}
-
 func (c *Controller) removeSender(from string) {
 	c.feed.mu.Lock()
 	c.feed.subtree.Remove(from)
--- a/internal/controller/cache_reader.go
+++ b/internal/controller/runnerreader/cache_reader.go
@@ -1,10 +1,10 @@
+package runnerreader
+
 // The cached prefixes of a runner come as events since a version; the full list is
 // fetched only after a gap, since it delays the runner. Only parts that prompts may share
-// (prefixindex.SharedKeys) are sent on: most of what a runner caches is the last part of some
+// (prefixindex.SharedKeys) are published: most of what a runner caches is the last part of some
 // prompt, which no other request finds.
 
-package controller
-
 import (
 	"context"
 	"time"
@@ -65,32 +65,32 @@
 
 // readCacheEvents follows a runner's events until ctx ends, from the version that is
 // known here, whichever controller read it.
-func (c *Controller) readCacheEvents(ctx context.Context, n messages.RunnerRecord) {
+func (r *Readers) readCacheEvents(ctx context.Context, n messages.RunnerRecord) {
 	reader := cacheReader{unshared: map[uint64]int32{}}
 	for ctx.Err() == nil {
-		c.readCacheEventsOnce(ctx, n, &reader)
+		r.readCacheEventsOnce(ctx, n, &reader)
 		loop.Pause(ctx, cacheEventsPause)
 	}
 }
 
 // readCacheEventsOnce fetches the events that have not been read and publishes what they change.
-func (c *Controller) readCacheEventsOnce(ctx context.Context, n messages.RunnerRecord, reader *cacheReader) {
-	c.cachedMu.Lock()
-	known := c.cached.CachedPrefixes(n.ID)
+func (r *Readers) readCacheEventsOnce(ctx context.Context, n messages.RunnerRecord, reader *cacheReader) {
+	r.mu.Lock()
+	known := r.cached.CachedPrefixes(n.ID)
 	since, epoch := reader.since(known), known.Epoch
-	c.cachedMu.Unlock()
-	events, err := c.runnerAPI.CacheEvents(ctx, n, since)
+	r.mu.Unlock()
+	events, err := r.config.API.CacheEvents(ctx, n, since)
 	if err != nil {
 		return // the next call follows soon
 	}
-	c.recordResponse(n.ID)
+	r.recordResponse(n.ID)
 	first := epoch == 0
 	switch {
 	case events.Lost || !first && events.Epoch != epoch:
-		c.readCacheList(ctx, n, reader)
+		r.readCacheList(ctx, n, reader)
 	case events.NextPage > since || first:
-		c.changeCached(n.ID, func(cached *prefixindex.CachedPrefixes) (messages.CachedChange, bool) {
-			return reader.applyEvents(n.ID, cached, events, since, &c.sharedKeys)
+		r.change(n.ID, func(cached *prefixindex.CachedPrefixes) (messages.CachedChange, bool) {
+			return reader.applyEvents(n.ID, cached, events, since, &r.sharedKeys)
 		})
 	}
 }
@@ -122,13 +122,13 @@
 }
 
 // readCacheList fetches the full list after a gap; other nodes get it as a snapshot.
-func (c *Controller) readCacheList(ctx context.Context, n messages.RunnerRecord, reader *cacheReader) {
-	list, err := c.runnerAPI.CacheList(ctx, n)
+func (r *Readers) readCacheList(ctx context.Context, n messages.RunnerRecord, reader *cacheReader) {
+	list, err := r.config.API.CacheList(ctx, n)
 	if err != nil {
 		return // the next call follows soon
 	}
-	c.changeCached(n.ID, func(cached *prefixindex.CachedPrefixes) (messages.CachedChange, bool) {
-		return reader.replace(n.ID, cached, list, &c.sharedKeys), true
+	r.change(n.ID, func(cached *prefixindex.CachedPrefixes) (messages.CachedChange, bool) {
+		return reader.replace(n.ID, cached, list, &r.sharedKeys), true
 	})
 }
 
--- a/internal/controller/cache_reader_test.go
+++ b/internal/controller/runnerreader/cache_reader_test.go
@@ -1,7 +1,8 @@
-package controller
+package runnerreader
 
 import (
 	"context"
+	"runtime"
 	"testing"
 
 	"github.com/go-logr/logr"
@@ -9,6 +10,7 @@
 
 	"beechtide.org/beechtide/internal/api"
 	"beechtide.org/beechtide/internal/consensus"
+	"beechtide.org/beechtide/internal/controller/runnerapi"
 	"beechtide.org/beechtide/internal/messages"
 	"beechtide.org/beechtide/internal/prefixindex"
 	"beechtide.org/beechtide/internal/statesync"
@@ -85,28 +87,60 @@
 	must.Eq(t, int64(1+mostUnpublished), other.index.CachedPrefixes("r").Version)
 }
 
+// newTestReaders returns readers that keep the keys of shared parts in a store.
+func newTestReaders(t *testing.T, notes Notes) *Readers {
+	t.Helper()
+	r, err := New(Config{
+		Addr:          "a:1",
+		Clock:         func() int64 { return 1 },
+		Log:           logr.Discard(),
+		API:           runnerapi.New(nil),
+		Controllers:   func() []messages.Peer { return nil },
+		Members:       func() []string { return nil },
+		PublishCached: func(messages.CachedChange) {},
+		PublishReport: func(messages.RunnerReport) {},
+		Notes:         notes,
+	})
+	must.NoError(t, err)
+	return r
+}
+
+func TestConfigIsChecked(t *testing.T) {
+	_, err := New(Config{Addr: "a:1"})
+	must.ErrorIs(t, err, ErrConfig)
+}
+
 func TestControllerThatStartsKnowsTheSharedParts(t *testing.T) {
 	disk, err := consensus.NewDiskStore(t.TempDir())
 	must.NoError(t, err)
 	ctx, stop := context.WithCancel(t.Context())
-	earlier := &Controller{disk: disk, log: logr.Discard()}
-	earlier.announceShared([]messages.CachedPrefixes{{Parts: []messages.CachedPart{{Key: 7}}}})
+	earlier := newTestReaders(t, disk)
+	earlier.Announce([]messages.CachedPrefixes{{Parts: []messages.CachedPart{{Key: 7}}}})
 	saved := make(chan struct{})
 	go func() {
-		earlier.saveSharedKeys(ctx)
+		earlier.Run(ctx)
 		close(saved)
 	}()
-	until(t, func() bool { _, ok := disk.Note(sharedKeysFile); return ok })
+	for _, ok := disk.Note(sharedKeysFile); !ok; _, ok = disk.Note(sharedKeysFile) {
+		runtime.Gosched()
+	}
 	stop()
 	<-saved
 
-	later := &Controller{disk: disk, log: logr.Discard()}
-	later.restoreSharedKeys()
+	later := newTestReaders(t, disk)
 	must.True(t, later.sharedKeys.Has(7))
 	must.False(t, later.sharedKeys.Has(8))
 
 	must.NoError(t, disk.Keep(sharedKeysFile, []byte("no record")))
-	damaged := &Controller{disk: disk, log: logr.Discard()}
-	damaged.restoreSharedKeys()
+	damaged := newTestReaders(t, disk)
 	must.False(t, damaged.sharedKeys.Has(7))
 }
+
+func TestChangesOfRunnersThatAreReadHereAreNotApplied(t *testing.T) {
+	r := newTestReaders(t, nil)
+	r.running["read here"] = func() {}
+	applied := r.Apply([]messages.CachedChange{{ID: "read here", Epoch: 1, To: 1, Snapshot: true}, {ID: "read there", Epoch: 1, To: 1, Snapshot: true}})
+	must.Len(t, 1, applied)
+	must.Eq(t, "read there", applied[0].Change.ID)
+	must.Eq(t, statesync.Applied, applied[0].Result)
+}
--- /dev/null
+++ b/internal/controller/runnerreader/readers.go
@@ -0,0 +1,278 @@
+// Package runnerreader reads what runners have cached and how loaded they are: one controller reads
+// one runner, chosen by rendezvous hashing among the live controllers of the runner's zone, and
+// publishes what it has read; the others apply it.
+//
+// Readers own the index of cached prefixes (package prefixindex), the keys of the parts that prompts
+// share, and the set of runners that are read here. They have one mutex, which is not held during
+// a call. A goroutine for each runner that is read follows its cache events, another its load
+// report; both end with the context of Update.
+package runnerreader
+
+import (
+	"context"
+	"slices"
+	"sync"
+
+	"github.com/go-logr/logr"
+	"github.com/pkg/errors"
+
+	"beechtide.org/beechtide/internal/api"
+	"beechtide.org/beechtide/internal/messages"
+	"beechtide.org/beechtide/internal/prefixindex"
+	"beechtide.org/beechtide/internal/statesync"
+)
+
+const (
+	// startDelayUs is how long a controller that has just started leaves the runners
+	// to the others: it goes on from what they have read, without fetching lists.
+	startDelayUs = 2_000_000
+	// unreadUs is after how long without an answer a runner counts as not read.
+	unreadUs = 5_000_000
+)
+
+// API reads runners (runnerapi.Client).
+type API interface {
+	Report(ctx context.Context, runner messages.RunnerRecord) (api.Report, error)
+	CacheEvents(ctx context.Context, runner messages.RunnerRecord, since int64) (api.PrefixEvents, error)
+	CacheList(ctx context.Context, runner messages.RunnerRecord) (api.PrefixList, error)
+}
+
+// Notes are small durable files (consensus.DiskStore).
+type Notes interface {
+	Note(name string) ([]byte, bool)
+	Keep(name string, content []byte) error
+}
+
+// Config is what Readers are given. All fields but Notes are required.
+type Config struct {
+	// Addr is the address of this controller.
+	Addr  string
+	Clock func() int64 // microseconds, monotonic
+	Log   logr.Logger
+	API   API
+	// Controllers returns the controllers of the core that are alive.
+	Controllers func() []messages.Peer
+	// Members returns the addresses of the members of the configuration's register.
+	Members func() []string
+	// PublishCached sends a change of a runner's cached prefixes to all nodes.
+	PublishCached func(change messages.CachedChange)
+	// PublishReport sends a runner's load report to all nodes.
+	PublishReport func(report messages.RunnerReport)
+	// Notes keep the keys of shared parts; nil on a machine without a disk.
+	Notes Notes
+}
+
+// ErrConfig means that a field of a Config is missing.
+var ErrConfig = errors.New("runnerreader: incomplete configuration")
+
+func (c *Config) check() error {
+	complete := c.Addr != "" && c.Clock != nil && c.API != nil && c.Controllers != nil && c.Members != nil &&
+		c.PublishCached != nil && c.PublishReport != nil
+	if !complete {
+		return ErrConfig
+	}
+	return nil
+}
+
+// Readers is safe for concurrent use.
+type Readers struct {
+	config  Config
+	startUs int64
+
+	mu             sync.Mutex // guards what follows
+	cached         *prefixindex.Index
+	sharedKeys     prefixindex.SharedKeys
+	running        map[string]context.CancelFunc // by runner that is read here
+	lastResponseUs map[string]int64              // when a runner's events or report last came
+}
+
+// New returns readers that read nothing yet, with the keys of shared parts that an earlier process
+// has saved.
+func New(config Config) (*Readers, error) {
+	if err := config.check(); err != nil {
+		return nil, err
+	}
+	r := &Readers{
+		config:         config,
+		startUs:        config.Clock(),
+		cached:         prefixindex.NewIndex(),
+		running:        map[string]context.CancelFunc{},
+		lastResponseUs: map[string]int64{},
+	}
+	r.restoreSharedKeys()
+	return r, nil
+}
+
+// Update starts to read those of the runners that this controller is to read, and stops to read
+// all others. Reading ends with ctx.
+func (r *Readers) Update(ctx context.Context, runners []messages.RunnerRecord) {
+	controllers := r.config.Controllers()
+	if r.config.Clock()-r.startUs < startDelayUs {
+		if len(controllers) > 1 {
+			return
+		}
+		controllers = startPeers(controllers, r.config.Members())
+	}
+	wanted := map[string]messages.RunnerRecord{}
+	for _, runner := range runners {
+		if ReaderOf(runner, controllers) == r.config.Addr {
+			wanted[runner.ID] = runner
+		}
+	}
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.stopUnwanted(wanted)
+	for id, runner := range wanted {
+		if r.running[id] == nil {
+			r.start(ctx, runner)
+		}
+	}
+}
+
+// startPeers returns among whom the runners are divided by a controller that knows of no other
+// one yet: the members of the configuration's register. After a loss of power of all, each
+// would read all runners else, with two connections each.
+func startPeers(alive []messages.Peer, members []string) []messages.Peer {
+	if len(members) < 2 {
+		return alive
+	}
+	peers := make([]messages.Peer, 0, len(members))
+	for _, addr := range members {
+		peers = append(peers, messages.Peer{Addr: addr, Status: messages.Alive})
+	}
+	return peers
+}
+
+// stopUnwanted stops the readers that are not wanted. The caller has the mutex.
+func (r *Readers) stopUnwanted(wanted map[string]messages.RunnerRecord) {
+	for id, cancel := range r.running {
+		if _, ok := wanted[id]; ok {
+			continue
+		}
+		cancel()
+		delete(r.running, id)
+		delete(r.lastResponseUs, id)
+	}
+}
+
+// start starts to read a runner or a store. The caller has the mutex.
+func (r *Readers) start(ctx context.Context, runner messages.RunnerRecord) {
+	ctx, cancel := context.WithCancel(ctx)
+	r.running[runner.ID] = cancel
+	r.lastResponseUs[runner.ID] = r.config.Clock()
+	go r.readCacheEvents(ctx, runner)
+	if runner.Service != "" { // a store has no report
+		go r.readReports(ctx, runner)
+	}
+}
+
+// recordResponse records that a runner answered a reader.
+func (r *Readers) recordResponse(id string) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.lastResponseUs[id] = r.config.Clock()
+}
+
+// Unread returns the runners that are to be read here and have not answered for long, in order.
+func (r *Readers) Unread() []string {
+	nowUs := r.config.Clock()
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	var out []string
+	for id := range r.running {
+		if nowUs-r.lastResponseUs[id] > unreadUs && nowUs-r.startUs > unreadUs {
+			out = append(out, id)
+		}
+	}
+	slices.Sort(out)
+	return out
+}
+
+// Announce takes note of parts that prompts may share.
+func (r *Readers) Announce(announced []messages.CachedPrefixes) {
+	if len(announced) == 0 {
+		return
+	}
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.sharedKeys.Announce(announced)
+}
+
+// Applied is what became of a change that another controller has read.
+type Applied struct {
+	Change messages.CachedChange
+	Result statesync.Result
+	// Again reports whether the change is a snapshot of an epoch that was known.
+	Again bool
+}
+
+// Apply applies changes that another controller has read, but for runners that are read here.
+func (r *Readers) Apply(changes []messages.CachedChange) []Applied {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	var out []Applied
+	for _, change := range changes {
+		if r.running[change.ID] != nil {
+			continue
+		}
+		again := change.Snapshot && r.cached.CachedPrefixes(change.ID).Epoch == change.Epoch
+		out = append(out, Applied{Change: change, Result: r.cached.Apply(change), Again: again})
+	}
+	return out
+}
+
+// change changes the cached prefixes of a runner, as its reader, and publishes the change if there
+// is one.
+func (r *Readers) change(id string, change func(cached *prefixindex.CachedPrefixes) (messages.CachedChange, bool)) {
+	r.mu.Lock()
+	delta, some := change(r.cached.CachedPrefixes(id))
+	r.mu.Unlock()
+	if some {
+		r.config.PublishCached(delta)
+	}
+}
+
+// Cursors returns the epoch and version of every runner's cached prefixes.
+func (r *Readers) Cursors() []messages.Cursor {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.cached.Cursors()
+}
+
+// DeltasSince returns the changes that a receiver with these cursors needs; a controller needs only
+// those of the runners that are read here.
+func (r *Readers) DeltasSince(cursors []messages.Cursor, controller bool) []messages.CachedChange {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.cached.DeltasSince(cursors, func(id string) bool { return !controller || r.running[id] != nil })
+}
+
+// Retain forgets what the runners have cached for which keep is false.
+func (r *Readers) Retain(keep func(id string) bool) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.cached.Retain(keep)
+}
+
+// ReaderOf returns the address of the controller that reads a runner: by rendezvous
+// hashing among those of its zone, or among all if its zone has none.
+func ReaderOf(n messages.RunnerRecord, alive []messages.Peer) string {
+	inZone := func(p messages.Peer) bool { return p.Zone == n.Zone }
+	if best := highestHash(n.ID, alive, inZone); best != "" {
+		return best
+	}
+	return highestHash(n.ID, alive, func(messages.Peer) bool { return true })
+}
+
+func highestHash(id string, alive []messages.Peer, eligible func(messages.Peer) bool) string {
+	best, top := "", uint64(0)
+	for _, p := range alive {
+		if p.Status != messages.Alive || !eligible(p) {
+			continue
+		}
+		if v := statesync.HashText(p.Addr, id); best == "" || v > top {
+			best, top = p.Addr, v
+		}
+	}
+	return best
+}
--- a/internal/controller/report_reader.go
+++ b/internal/controller/runnerreader/report_reader.go
@@ -1,4 +1,4 @@
-package controller
+package runnerreader
 
 import (
 	"context"
@@ -12,10 +12,10 @@
 const reportsPause = time.Second
 
 // readReports reads a runner's load report about once a second until ctx ends, and publishes it.
-func (c *Controller) readReports(ctx context.Context, n messages.RunnerRecord) {
+func (r *Readers) readReports(ctx context.Context, n messages.RunnerRecord) {
 	for ctx.Err() == nil {
-		if report, err := c.runnerAPI.Report(ctx, n); err == nil {
-			c.publishReport(messages.RunnerReport{
+		if report, err := r.config.API.Report(ctx, n); err == nil {
+			r.config.PublishReport(messages.RunnerReport{
 				ID:     n.ID,
 				Used:   report.CacheUsed,
 				Total:  report.CacheTotal,
--- a/internal/controller/subscriptions.go
+++ b/internal/controller/subscriptions.go
@@ -116,9 +116,7 @@
 	for range consensus.Parts {
 		h.Parts = append(h.Parts, never)
 	}
-	c.cachedMu.Lock()
-	h.Cached = c.cached.Cursors()
-	c.cachedMu.Unlock()
+	h.Cached = c.readers.Cursors()
 	return h
 }
 
@@ -165,21 +163,14 @@
 	for _, delta := range in.Registry {
 		fits = c.takeRunners(delta, runners, now) && fits
 	}
+	c.readers.Announce(in.PendingBlocks)
 	var applied []messages.CachedChange
-	c.cachedMu.Lock()
-	c.sharedKeys.Announce(in.PendingBlocks)
-	for _, delta := range in.Cached {
-		if c.readers[delta.ID] != nil {
-			continue
-		}
-		again := delta.Snapshot && c.cached.CachedPrefixes(delta.ID).Epoch == delta.Epoch
-		r := c.cached.Apply(delta)
-		fits = f.count(r, again) && fits
-		if r == statesync.Applied {
-			applied = append(applied, delta)
+	for _, cached := range c.readers.Apply(in.Cached) {
+		fits = f.count(cached.Result, cached.Again) && fits
+		if cached.Result == statesync.Applied {
+			applied = append(applied, cached.Change)
 		}
 	}
-	c.cachedMu.Unlock()
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	for _, delta := range in.Loads {
