--- a/internal/controller/contact.go
+++ b/internal/controller/contact.go
@@ -9,7 +9,6 @@
 	"sync"
 
 	"github.com/cloudwego/hertz/pkg/app"
-	"github.com/pkg/errors"
 
 	"beechtide.org/beechtide/internal/consensus"
 	"beechtide.org/beechtide/internal/controller/grouprepair"
@@ -67,29 +66,6 @@
 	return len(c.configGroup()) > 1 && !c.starting() && !c.inContact()
 }
 
-// readRegister is a majority's read of a register; one of the configuration renews the
-// lease.
-func (c *Controller) readRegister(ctx context.Context, part int) (messages.Value, error) {
-	begunUs := c.clock()
-	v, err := c.registers.Read(ctx, part)
-	if err == nil && part == consensus.ConfigPart {
-		c.contact.vouched(begunUs)
-	}
-	return v, err
-}
-
-// changeRegister is a change of a register that a majority decides on, also where it
-// says no; one of the configuration renews the lease.
-func (c *Controller) changeRegister(ctx context.Context, part int, change consensus.Change) (messages.Value, error) {
-	begunUs := c.clock()
-	v, err := c.registers.Change(ctx, part, change)
-	unsure := errors.Is(err, consensus.ErrUnsure) || errors.Is(err, consensus.ErrNoGroup)
-	if !unsure && part == consensus.ConfigPart {
-		c.contact.vouched(begunUs)
-	}
-	return v, err
-}
-
 // inContactOnly serves a call only under the lease. A controller without it says
 // 503 at once, so that callers go on to another. The check is made again on the
 // answer, after the work: what leaves must not rest on an older confirmation.
--- a/internal/controller/contact_test.go
+++ b/internal/controller/contact_test.go
@@ -120,7 +120,7 @@
 	c.Params = append(c.Params, runnerParam("i-1"))
 	d.leave(context.Background(), c)
 	must.Eq(t, 503, c.Response.StatusCode())
-	for _, serve := range []app.HandlerFunc{d.replace, d.read, d.nameWeights} {
+	for _, serve := range []app.HandlerFunc{d.operator.ReplaceConfig, d.operator.ReadConfig, d.operator.NameWeights} {
 		must.Eq(t, 503, status(d, serve))
 	}
 }
--- a/internal/controller/control.go
+++ b/internal/controller/control.go
@@ -5,7 +5,6 @@
 import (
 	"context"
 	"encoding/json"
-	"strconv"
 	"time"
 
 	"github.com/cloudwego/hertz/pkg/app"
@@ -13,14 +12,11 @@
 	"github.com/pkg/errors"
 
 	"beechtide.org/beechtide/internal/api"
-	"beechtide.org/beechtide/internal/consensus"
 	"beechtide.org/beechtide/internal/controller/httpapi"
 	"beechtide.org/beechtide/internal/httpserver"
 	"beechtide.org/beechtide/internal/lease"
 	"beechtide.org/beechtide/internal/membership"
 	"beechtide.org/beechtide/internal/messages"
-	"beechtide.org/beechtide/internal/rollout"
-	"beechtide.org/beechtide/internal/routeconfig"
 	"beechtide.org/beechtide/internal/statesync"
 )
 
@@ -28,10 +24,6 @@
 // heartbeat every second or so; those that lost their power leave connections that nobody ends.
 const controlIdleTimeout = 15 * time.Second
 
-// operatorWait bounds how long a change may take before the caller is asked to
-// repeat it; callers move on after a second of silence.
-const operatorWait = 900 * time.Millisecond
-
 // serveControl serves the calls of runners and of the operator until ctx ends. A lack of
 // descriptors, as where thousands of runners call at once, does not end it.
 func (c *Controller) serveControl(ctx context.Context) error {
@@ -46,13 +38,13 @@
 	h := httpserver.New(c.set.Listen.Control, server.WithListener(ln), server.WithIdleTimeout(controlIdleTimeout))
 	h.POST("/api/Runners.Heartbeat/:id", c.counted(callHeartbeat, c.beat))
 	h.POST("/api/Runners.Leave/:id", c.counted(callLeave, c.leave))
-	h.POST("/api/Config.Replace", c.counted(callReplace, c.inContactOnly(c.replace)))
-	h.GET("/api/Config.Read", c.counted(callRead, c.inContactOnly(c.read)))
-	h.POST("/api/version-put", c.counted(callNameWeights, c.inContactOnly(c.nameWeights)))
-	h.POST("/api/Evacuate.Begin/:zone", c.counted(callEvacuate, c.inContactOnly(c.beginEvacuation)))
-	h.POST("/api/Evacuate.Finish/:zone", c.counted(callEvacuate, c.inContactOnly(c.finishEvacuation)))
-	h.POST("/api/Rollouts.Begin", c.counted(callBeginRollout, c.inContactOnly(c.beginRollout)))
-	h.GET("/api/Rollouts.Read/:service", c.counted(callReadRollout, c.inContactOnly(c.readRollout)))
+	h.POST("/api/Config.Replace", c.counted(callReplace, c.inContactOnly(c.operator.ReplaceConfig)))
+	h.GET("/api/Config.Read", c.counted(callRead, c.inContactOnly(c.operator.ReadConfig)))
+	h.POST("/api/version-put", c.counted(callNameWeights, c.inContactOnly(c.operator.NameWeights)))
+	h.POST("/api/Evacuate.Begin/:zone", c.counted(callEvacuate, c.inContactOnly(c.operator.BeginEvacuation)))
+	h.POST("/api/Evacuate.Finish/:zone", c.counted(callEvacuate, c.inContactOnly(c.operator.FinishEvacuation)))
+	h.POST("/api/Rollouts.Begin", c.counted(callBeginRollout, c.inContactOnly(c.operator.BeginRollout)))
+	h.GET("/api/Rollouts.Read/:service", c.counted(callReadRollout, c.inContactOnly(c.operator.ReadRollout)))
 	h.POST("/api/Tallies.Amend/:id", c.counted(callAmend, c.tallies.Amend))
 	h.GET("/api/Tallies.Read/:id", c.counted(callReadTally, c.tallies.Read))
 	failed := make(chan error, 1)
@@ -171,156 +163,3 @@
 	}
 	rc.Status(200)
 }
-
-// replace takes an order of the operator. What was taken before is acknowledged
-// from what this node knows, as that stays true; everything else is decided in
-// a round of the register.
-func (c *Controller) replace(ctx context.Context, rc *app.RequestContext) {
-	if version, ok := c.takenBefore(rc.Request.Body()); ok {
-		c.acknowledged.Advance(version)
-		rc.JSON(200, map[string]int64{"version": version})
-		return
-	}
-	order := readOrder(rc)
-	ctx, cancel := context.WithTimeout(ctx, operatorWait)
-	defer cancel()
-	if err := c.checkRetired(ctx, &order); err != nil {
-		httpapi.Reject(rc, 503, "", err.Error())
-		return
-	}
-	v, err := c.changeRegister(ctx, consensus.ConfigPart, func(cur messages.Value) ([]messages.Member, []byte, error) {
-		return applyOrder(cur, order)
-	})
-	var bad *routeconfig.Invalid
-	switch {
-	case err == nil, errors.Is(err, routeconfig.ErrAlreadyAccepted):
-		c.checkAcknowledged(order.Version, v)
-		rc.JSON(200, map[string]int64{"version": order.Version})
-	case errors.Is(err, routeconfig.ErrVersionConflict):
-		httpapi.Reject(rc, 412, "Beechtide-Base-Version", "another version is in place")
-	case errors.As(err, &bad):
-		invalid(rc, err)
-	default:
-		c.log.Error(err, "a change of the configuration is unsure", "version", order.Version)
-		httpapi.Reject(rc, 503, "", err.Error())
-	}
-}
-
-func readOrder(c *app.RequestContext) routeconfig.Submission {
-	order := routeconfig.ParseSubmission(append([]byte{}, c.Request.Body()...))
-	base, err := strconv.ParseInt(string(c.GetHeader("Beechtide-Base-Version")), 10, 64)
-	order.Base = base
-	if err == nil {
-		return order
-	}
-	order.Base = -1
-	if order.Fault == nil {
-		order.Fault = &routeconfig.Invalid{Field: "Beechtide-Base-Version", Reason: "not a version"}
-	}
-	return order
-}
-
-func (c *Controller) takenBefore(raw []byte) (version int64, ok bool) {
-	known, ok := c.registers.Committed(consensus.ConfigPart)
-	if !ok {
-		return 0, false
-	}
-	body, err := messages.DecodeConfigBody(known)
-	if err != nil {
-		return 0, false
-	}
-	return routeconfig.AcceptedVersion(body, raw)
-}
-
-// applyOrder is the change that an order asks for. A refusal by checks that
-// another version of the program may not have is sealed.
-func applyOrder(cur messages.Value, order routeconfig.Submission) ([]messages.Member, []byte, error) {
-	body, err := messages.DecodeConfigBody(cur)
-	if err != nil {
-		return nil, nil, err
-	}
-	next, err := order.Apply(body)
-	if err != nil && order.Contested(body) {
-		return nil, nil, consensus.SealRefusal(err)
-	}
-	if err != nil {
-		return nil, nil, err
-	}
-	b, err := next.MarshalMsg(nil)
-	return nil, b, err
-}
-
-func invalid(c *app.RequestContext, err error) {
-	var bad *routeconfig.Invalid
-	if errors.As(err, &bad) {
-		httpapi.Reject(c, 400, bad.Field, bad.Reason)
-		return
-	}
-	httpapi.Reject(c, 400, httpapi.BodyField, err.Error())
-}
-
-func (c *Controller) read(ctx context.Context, rc *app.RequestContext) {
-	ctx, cancel := context.WithTimeout(ctx, operatorWait)
-	defer cancel()
-	acknowledged := c.acknowledged.Load()
-	v, err := c.readRegister(ctx, consensus.ConfigPart)
-	if err != nil {
-		httpapi.Reject(rc, 503, "", err.Error())
-		return
-	}
-	body, err := messages.DecodeConfigBody(v)
-	switch {
-	case err != nil:
-		httpapi.Reject(rc, 500, "", err.Error())
-	case body.Version == 0:
-		httpapi.Reject(rc, 404, "", "no configuration yet")
-	default:
-		checkRead(body.Version, acknowledged)
-		rc.Data(200, "application/json", body.Raw)
-	}
-}
-
-func (c *Controller) nameWeights(ctx context.Context, rc *app.RequestContext) {
-	var w api.WeightsVersion
-	if !httpapi.Decode(rc, &w) {
-		return
-	}
-	ctx, cancel := context.WithTimeout(ctx, operatorWait)
-	defer cancel()
-	if c.rollouts.Newest(w.Model) >= w.Version {
-		rc.JSON(200, w)
-		return
-	}
-	part, holder := consensus.PartOf(w.Model), c.registers.ID()
-	if c.rollouts.FenceFloor(part) > 0 {
-		holder = "" // the duty is acquired with a fence above the floor
-	}
-	v, err := c.registers.Change(ctx, part, func(cur messages.Value) ([]messages.Member, []byte, error) {
-		return nameTarget(cur, w, holder)
-	})
-	if body, berr := messages.DecodeLeaseBody(v); err == nil && berr == nil {
-		c.leases.RecordInitialHolder(part, body.Lease)
-	}
-	if err != nil && !errors.Is(err, consensus.ErrNoChange) {
-		httpapi.Reject(rc, 503, "", err.Error())
-		return
-	}
-	if err == nil {
-		c.targets.named(w.Model, w.Version, c.clock())
-	}
-	rc.JSON(200, w)
-}
-
-// nameTarget records a model's newest weights. Where the lease was never held,
-// holder acquires it with the same change, unless it is empty.
-func nameTarget(cur messages.Value, w api.WeightsVersion, holder string) ([]messages.Member, []byte, error) {
-	body, err := messages.DecodeLeaseBody(cur)
-	if err != nil {
-		return nil, nil, err
-	}
-	if !rollout.Name(&body, messages.Target{Model: w.Model, Version: w.Version}, holder) {
-		return nil, nil, consensus.ErrNoChange
-	}
-	b, err := body.MarshalMsg(nil)
-	return nil, b, err
-}
--- a/internal/controller/control_test.go
+++ b/internal/controller/control_test.go
@@ -20,7 +20,12 @@
 	earlier := text3(5, "a service that earlier checks let pass")
 	lax := routeconfig.Submission{Raw: []byte(earlier), Version: 5}
 	_, err := d.registers.Change(context.Background(), consensus.ConfigPart, func(cur messages.Value) ([]messages.Member, []byte, error) {
-		return applyOrder(cur, lax)
+		body, err := messages.DecodeConfigBody(cur)
+		must.NoError(t, err)
+		next, err := lax.Apply(body)
+		must.NoError(t, err)
+		encoded, err := next.MarshalMsg(nil)
+		return nil, encoded, err
 	})
 	must.NoError(t, err)
 	must.Eq(t, int64(5), d.table.Load().Version, must.Sprint("what was taken is in force"))
--- a/internal/controller/controller.go
+++ b/internal/controller/controller.go
@@ -58,6 +58,7 @@
 	"beechtide.org/beechtide/internal/clocksync"
 	"beechtide.org/beechtide/internal/consensus"
 	"beechtide.org/beechtide/internal/controller/grouprepair"
+	"beechtide.org/beechtide/internal/controller/operatorapi"
 	"beechtide.org/beechtide/internal/controller/platform"
 	"beechtide.org/beechtide/internal/controller/quotaowner"
 	"beechtide.org/beechtide/internal/controller/runnerapi"
@@ -68,7 +69,6 @@
 	"beechtide.org/beechtide/internal/controller/usagereport"
 	"beechtide.org/beechtide/internal/controller/weightrollout"
 	"beechtide.org/beechtide/internal/dissemination"
-	"beechtide.org/beechtide/internal/invariant"
 	"beechtide.org/beechtide/internal/loop"
 	"beechtide.org/beechtide/internal/membership"
 	"beechtide.org/beechtide/internal/messages"
@@ -103,6 +103,7 @@
 
 	leases    *singleton.Leases
 	tasks     *singleton.Runner
+	operator  *operatorapi.Service
 	platform  *platform.Client
 	rollouts  *weightrollout.Driver
 	usage     *usagereport.Reporter // nil where the platform wants no usage
@@ -116,9 +117,8 @@
 	drained   ackedDrains
 	startUs   int64
 
-	timeOfDay    clocksync.Shared
-	counters     counters
-	acknowledged invariant.Newest // the newest configuration that was acknowledged here
+	timeOfDay clocksync.Shared
+	counters  counters
 
 	disk *consensus.DiskStore // nil on machines without one
 }
@@ -216,6 +216,9 @@
 	if err := c.newSingletons(); err != nil {
 		return err
 	}
+	if c.operator, err = c.newOperatorAPI(); err != nil {
+		return err
+	}
 	if c.quotas, err = c.newQuotaOwner(); err != nil {
 		return err
 	}
@@ -352,7 +355,7 @@
 	for p := range consensus.Parts {
 		for ctx.Err() == nil {
 			cctx, cancel := context.WithTimeout(ctx, time.Second)
-			v, err := c.readRegister(cctx, p)
+			v, err := c.contactRegisters().Read(cctx, p)
 			cancel()
 			c.log.Info("part read", "part", p, "version", v.Version, "members", len(v.Group), "err", err)
 			if err == nil {
--- a/internal/controller/evacuation_test.go
+++ b/internal/controller/evacuation_test.go
@@ -31,16 +31,6 @@
 	}
 }
 
-func TestEvacuationNeedsAZone(t *testing.T) {
-	d, _ := alone(t)
-	for zone, known := range map[string]bool{"a": true, "b": true, "": false} {
-		must.Eq(t, known, d.isZone(zone), must.Sprint(zone))
-	}
-	d.set.Zones = map[string]string{"a": "r"}
-	must.True(t, d.isZone("a"))
-	must.False(t, d.isZone("b"))
-}
-
 func TestEvacuationsOutlastARestart(t *testing.T) {
 	dir, port := t.TempDir(), freePort(t)
 	_, url, stop := core(t, dir, port, true)
--- a/internal/controller/metrics.go
+++ b/internal/controller/metrics.go
@@ -41,7 +41,7 @@
 			if t := c.table.Load(); t != nil {
 				emit(float64(t.Version), "in_force")
 			}
-			emit(float64(c.acknowledged.Load()), "acknowledged")
+			emit(float64(c.operator.Acknowledged()), "acknowledged")
 		}),
 		metrics.Durations("beechtide_config_publish_seconds", "Time from when a committed configuration was known to when it was in force here.", &c.counters.publishes),
 		metrics.Counter("beechtide_consensus_rounds_total", "Rounds that this member has run, by outcome.", []string{"outcome"}, func(emit metrics.Emit) {
--- a/internal/controller/evacuation.go
+++ b/internal/controller/operatorapi/evacuations.go
@@ -1,8 +1,4 @@
-// Evacuations: the operator asks that the runners of a zone get no requests, and takes that
-// back. Whether a zone is evacuated is agreed on in a register beside the leases, and goes to
-// the routers with it.
-
-package controller
+package operatorapi
 
 import (
 	"context"
@@ -13,50 +9,51 @@
 
 	"beechtide.org/beechtide/internal/consensus"
 	"beechtide.org/beechtide/internal/controller/httpapi"
-	"beechtide.org/beechtide/internal/controller/singleton"
 	"beechtide.org/beechtide/internal/messages"
 )
 
 // maxZoneName bounds the name of a zone, in bytes.
 const maxZoneName = 128
 
-func (c *Controller) beginEvacuation(ctx context.Context, rc *app.RequestContext) {
-	c.evacuate(ctx, rc, true)
+// BeginEvacuation has the runners of a zone get no requests.
+func (s *Service) BeginEvacuation(ctx context.Context, rc *app.RequestContext) {
+	s.evacuate(ctx, rc, true)
 }
 
-func (c *Controller) finishEvacuation(ctx context.Context, rc *app.RequestContext) {
-	c.evacuate(ctx, rc, false)
+// FinishEvacuation takes that back.
+func (s *Service) FinishEvacuation(ctx context.Context, rc *app.RequestContext) {
+	s.evacuate(ctx, rc, false)
 }
 
 // evacuate takes an order of the operator. An order that changes nothing is acknowledged by a
 // round that has read the newest value.
-func (c *Controller) evacuate(ctx context.Context, rc *app.RequestContext, evacuated bool) {
+func (s *Service) evacuate(ctx context.Context, rc *app.RequestContext, evacuated bool) {
 	zone := rc.Param("zone")
-	if !c.isZone(zone) {
+	if !s.isZone(zone) {
 		httpapi.Reject(rc, 400, "zone", "no such zone")
 		return
 	}
-	ctx, cancel := context.WithTimeout(ctx, operatorWait)
+	ctx, cancel := context.WithTimeout(ctx, changeTimeout)
 	defer cancel()
-	_, err := c.changeRegister(ctx, consensus.PartOf(zone), func(cur messages.Value) ([]messages.Member, []byte, error) {
+	_, err := s.config.Registers.Change(ctx, consensus.PartOf(zone), func(cur messages.Value) ([]messages.Member, []byte, error) {
 		return evacuateZone(cur, zone, evacuated)
 	})
 	if err != nil && !errors.Is(err, consensus.ErrNoChange) {
 		httpapi.Reject(rc, 503, "", err.Error())
 		return
 	}
-	c.log.Info("evacuation acknowledged", "zone", zone, "evacuated", evacuated, "changed", err == nil)
+	s.config.Log.Info("evacuation acknowledged", "zone", zone, "evacuated", evacuated, "changed", err == nil)
 	rc.Status(200)
 }
 
 // isZone reports whether a zone may be evacuated: one of the settings, or any name where they
 // list none.
-func (c *Controller) isZone(zone string) bool {
+func (s *Service) isZone(zone string) bool {
 	if zone == "" || len(zone) > maxZoneName {
 		return false
 	}
-	_, listed := c.set.Zones[zone]
-	return listed || len(c.set.Zones) == 0 || zone == c.set.Zone
+	_, listed := s.config.Zones[zone]
+	return listed || len(s.config.Zones) == 0 || zone == s.config.Zone
 }
 
 // evacuateZone records whether a zone is evacuated.
@@ -78,17 +75,3 @@
 	b, err := body.MarshalMsg(nil)
 	return nil, b, err
 }
-
-// evacuatedZones lists the zones that are evacuated as far as this controller knows.
-func (c *Controller) evacuatedZones() []string {
-	var zones []string
-	singleton.CommittedBodies(c.registers, func(_ int, body messages.LeaseBody) {
-		for _, e := range body.Evacuations {
-			if e.Evacuated {
-				zones = append(zones, e.Zone)
-			}
-		}
-	})
-	slices.Sort(zones)
-	return zones
-}
--- a/internal/controller/invariants.go
+++ b/internal/controller/operatorapi/invariants.go
@@ -1,6 +1,4 @@
-// Invariants of the configuration and of rollouts (docs/design/invariants.md).
-
-package controller
+package operatorapi
 
 import (
 	"beechtide.org/beechtide/internal/consensus"
@@ -19,9 +17,9 @@
 
 // checkAcknowledged checks a change that is about to be acknowledged; v is the value of
 // the register that its round gave.
-func (c *Controller) checkAcknowledged(version int64, v messages.Value) {
-	c.acknowledged.Advance(version)
-	if committed, _ := c.registers.Committed(consensus.ConfigPart); committed.Version < v.Version {
+func (s *Service) checkAcknowledged(version int64, v messages.Value) {
+	s.acknowledged.Advance(version)
+	if committed, _ := s.config.Registers.Committed(consensus.ConfigPart); committed.Version < v.Version {
 		acknowledgedIsCommitted.Violated("version", version, "register", v.Version, "committed", committed.Version)
 	}
 }
--- a/internal/controller/invariants_test.go
+++ b/internal/controller/operatorapi/invariants_test.go
@@ -1,24 +1,20 @@
-package controller
+package operatorapi
 
 import (
 	"testing"
 
 	"github.com/shoenig/test/must"
 
-	"beechtide.org/beechtide/internal/consensus"
 	"beechtide.org/beechtide/internal/invariant/invarianttest"
 	"beechtide.org/beechtide/internal/messages"
 )
 
 func TestAcknowledgedChangeThatIsNotCommittedViolatesInvariant(t *testing.T) {
-	d, _, stop := core(t, "", freePort(t), true)
-	defer stop()
-	committed, ok := d.registers.Committed(consensus.ConfigPart)
-	must.True(t, ok)
-	d.checkAcknowledged(1, committed)
-	must.Eq(t, 1, d.acknowledged.Load())
+	s := newTestService(t, 4, nil)
+	s.checkAcknowledged(1, messages.Value{Version: 4})
+	must.Eq(t, 1, s.Acknowledged())
 	invarianttest.Expect(t, acknowledgedIsCommitted)
-	d.checkAcknowledged(2, messages.Value{Version: committed.Version + 1})
+	s.checkAcknowledged(2, messages.Value{Version: 5})
 }
 
 func TestReadOlderThanAcknowledgedViolatesInvariant(t *testing.T) {
--- a/internal/controller/retired.go
+++ b/internal/controller/operatorapi/retired.go
@@ -1,7 +1,4 @@
-// Retired weights in a configuration: each model has to have newer ones, which a majority
-// knows to be named.
-
-package controller
+package operatorapi
 
 import (
 	"context"
@@ -16,9 +13,9 @@
 // checkRetired finds fault with an order that retires weights of which no newer ones are
 // named: no runner could serve the model. A named version only rises, so the fault is judged
 // by a majority's read. The error says that there was none.
-func (c *Controller) checkRetired(ctx context.Context, order *routeconfig.Submission) error {
+func (s *Service) checkRetired(ctx context.Context, order *routeconfig.Submission) error {
 	for i, r := range order.Retired {
-		v, err := c.readRegister(ctx, consensus.PartOf(r.Model))
+		v, err := s.config.Registers.Read(ctx, consensus.PartOf(r.Model))
 		if err != nil {
 			return err
 		}
--- a/internal/controller/unfinished.go
+++ b/internal/controller/unfinished.go
@@ -64,6 +64,6 @@
 func (c *Controller) finishRound(ctx context.Context, part int, slot int64) {
 	ctx, cancel := context.WithTimeout(ctx, unfinishedReadWait)
 	defer cancel()
-	_, err := c.readRegister(ctx, part)
+	_, err := c.contactRegisters().Read(ctx, part)
 	c.log.Info("an unfinished round was read", "part", part, "slot", slot, "err", err)
 }
