--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -57,6 +57,7 @@
 
 	"github.com/go-logr/logr"
 	"github.com/panjf2000/ants/v2"
+	"github.com/pkg/errors"
 
 	"beechtide.org/beechtide/internal/admission"
 	"beechtide.org/beechtide/internal/clocksync"
@@ -142,43 +143,98 @@
 	majorityUs atomic.Int64 // when a majority of the core last confirmed the configuration
 }
 
-// New builds the role.
+// usPerMs converts milliseconds into microseconds.
+const usPerMs = int64(1000)
+
+// comparisonOrders is among how many orders a router chooses the one in which it asks the
+// controllers, so that not all ask the same one at a time.
+const comparisonOrders = 64
+
+// New builds the role. It takes no part in anything before Run.
 func New(set settings.Settings, pool *ants.Pool, clock func() int64, log logr.Logger) (*Router, error) {
 	trans, err := transport.New(set.RouterAddr(), pool, log)
 	if err != nil {
-		return nil, err
+		return nil, errors.Wrap(err, "router: open the transport")
 	}
-	c := &Router{set: set, log: log, clock: clock, startUs: clock(), transport: trans, registry: registry.New(), connPool: upstream.NewConnPool(clock), parts: map[int]messages.RegisterUpdate{}, evacuations: map[int][]messages.Evacuation{}, admission: admission.New(admission.Defaults, set.Zone, rand.Uint64()), budgets: map[string]*upstream.Budget{}, queueChanged: make(chan struct{}, 1), prefixesPending: make(chan struct{}, 1), loadsChanged: make(chan struct{}, 1), missing: make(chan struct{}, 1), drainBegun: make(chan struct{}), lastAnswers: make(chan struct{})}
-	c.configuration, c.runners = routeconfig.NewReplica(), statesync.NewEntries()
-	c.loads.init(clock())
-	c.comparisons = dissemination.NewComparisons(rand.IntN(64))
-	none := ""
-	c.parent.Store(&none)
-	c.admission.Bound = admission.WeightsBound{VersionUs: int64(set.Bounds.VersionMs) * 1000, ContactLossUs: int64(set.Bounds.ContactMs) * 1000}
-	c.admission.Contact(clock())
-	c.admission.SetWarmup(set.RouterAddr(), admission.WarmupBounds{Overshoot: set.Bounds.ColdOvershoot, Slack: set.Bounds.ColdSlack}, clock())
-	c.admission.SetReturnCold(returnColdBeats * int64(set.BeatPeriodMs) * 1000)
-	c.admission.SetRegions(set.Zones)
-	c.nodes.Store(1)
-	c.publisher = dissemination.NewPublisher(trans, dissemination.Upstream{DeltaSince: c.deltaSince, ApplyReport: c.applyReport, Unsubscribed: c.removeSender})
-	c.up.SyncState, c.up.Parents, c.up.ApplyUpdate = c.syncState, c.parents, c.receiveFeed
-	c.up.Acked, c.up.ResendAll, c.up.Unsubscribed = c.loads.acknowledge, c.resendLoads, func(string) {}
-	c.up.Counts = &c.counters.subscriptions
-	c.seeds.Store(&set.Seeds)
-	c.timeOfDay.Observe(time.Now().UnixMicro(), clock())
-	c.monitor = membership.NewMonitor(trans, messages.Peer{Addr: set.RouterAddr(), Role: messages.Router, Zone: set.Zone, Node: set.Node}, clock, c.seedAddrs)
-	if err := c.newClientsOfOthers(); err != nil {
+	r := &Router{
+		set:             set,
+		log:             log,
+		clock:           clock,
+		startUs:         clock(),
+		transport:       trans,
+		registry:        registry.New(),
+		connPool:        upstream.NewConnPool(clock),
+		parts:           map[int]messages.RegisterUpdate{},
+		evacuations:     map[int][]messages.Evacuation{},
+		configuration:   routeconfig.NewReplica(),
+		runners:         statesync.NewEntries(),
+		admission:       newAdmitter(set, clock()),
+		budgets:         map[string]*upstream.Budget{},
+		queueChanged:    make(chan struct{}, 1),
+		prefixesPending: make(chan struct{}, 1),
+		loadsChanged:    make(chan struct{}, 1),
+		missing:         make(chan struct{}, 1),
+		comparisons:     dissemination.NewComparisons(rand.IntN(comparisonOrders)),
+		drainBegun:      make(chan struct{}),
+		lastAnswers:     make(chan struct{}),
+	}
+	r.loads.init(clock())
+	r.parent.Store(new(string))
+	r.nodes.Store(1)
+	r.seeds.Store(&set.Seeds)
+	r.timeOfDay.Observe(time.Now().UnixMicro(), clock())
+	r.joinTree()
+	self := messages.Peer{Addr: set.RouterAddr(), Role: messages.Router, Zone: set.Zone, Node: set.Node}
+	r.monitor = membership.NewMonitor(trans, self, clock, r.seedAddrs)
+	if err := r.newClientsOfOthers(); err != nil {
 		return nil, err
 	}
-	trans.OnDatagram(transport.KindReachPing, c.zones.HandlePing)
-	trans.OnDatagram(transport.KindReachAck, c.zones.HandleAck)
-	trans.OnCall(transport.KindReach, c.answerReach)
-	trans.OnCall(transport.KindQuotaUnowned, c.quotas.HandleBorrow)
-	trans.OnCall(transport.KindCondition, func(context.Context, *transport.Conn, []byte) ([]byte, error) {
-		x := c.condition()
-		return x.MarshalMsg(nil)
+	r.handleMessages()
+	return r, nil
+}
+
+// newAdmitter returns the admission control of a router with these settings.
+func newAdmitter(set settings.Settings, nowUs int64) *admission.Admitter {
+	admitter := admission.New(admission.Defaults, set.Zone, rand.Uint64())
+	admitter.Bound = admission.WeightsBound{
+		VersionUs:     int64(set.Bounds.VersionMs) * usPerMs,
+		ContactLossUs: int64(set.Bounds.ContactMs) * usPerMs,
+	}
+	admitter.Contact(nowUs)
+	warmup := admission.WarmupBounds{Overshoot: set.Bounds.ColdOvershoot, Slack: set.Bounds.ColdSlack}
+	admitter.SetWarmup(set.RouterAddr(), warmup, nowUs)
+	admitter.SetReturnCold(returnColdBeats * int64(set.BeatPeriodMs) * usPerMs)
+	admitter.SetRegions(set.Zones)
+	return admitter
+}
+
+// joinTree makes both ends of this router's place in the relay tree: the link to its parent and what
+// it sends to the routers below it.
+func (r *Router) joinTree() {
+	r.publisher = dissemination.NewPublisher(r.transport, dissemination.Upstream{
+		DeltaSince:   r.deltaSince,
+		ApplyReport:  r.applyReport,
+		Unsubscribed: r.removeSender,
+	})
+	r.up.SyncState = r.syncState
+	r.up.Parents = r.parents
+	r.up.ApplyUpdate = r.receiveFeed
+	r.up.Acked = r.loads.acknowledge
+	r.up.ResendAll = r.resendLoads
+	r.up.Unsubscribed = func(string) {}
+	r.up.Counts = &r.counters.subscriptions
+}
+
+// handleMessages sets who handles the messages of other nodes.
+func (r *Router) handleMessages() {
+	r.transport.OnDatagram(transport.KindReachPing, r.zones.HandlePing)
+	r.transport.OnDatagram(transport.KindReachAck, r.zones.HandleAck)
+	r.transport.OnCall(transport.KindReach, r.answerReach)
+	r.transport.OnCall(transport.KindQuotaUnowned, r.quotas.HandleBorrow)
+	r.transport.OnCall(transport.KindCondition, func(context.Context, *transport.Conn, []byte) ([]byte, error) {
+		condition := r.condition()
+		return condition.MarshalMsg(nil)
 	})
-	return c, nil
 }
 
 // Run serves until ctx ends; it then leaves in order.
