--- a/internal/architecture/architecture_test.go
+++ b/internal/architecture/architecture_test.go
@@ -178,7 +178,7 @@
 	"internal/admission runner":           {12, 19},
 	"internal/consensus Registers":        {37, 14},
 	"internal/consensus Round":            {17, 19},
-	"internal/controller Controller":      {110, 34},
+	"internal/controller Controller":      {97, 34},
 	"internal/controller/tallies Service": {38, 15},
 	"internal/membership View":            {43, 15},
 	"internal/router Router":              {83, 52},
--- a/internal/router/peers.go
+++ b/internal/router/peers.go
@@ -27,7 +27,7 @@
 		Clock:       r.clock,
 		Log:         r.log,
 		Peers:       r.transport,
-		Controllers: r.coreAddrs,
+		Controllers: func() []string { return coreAddrs(r.monitor) },
 	})
 	if err != nil {
 		return err
@@ -57,9 +57,9 @@
 }
 
 // coreAddrs returns the addresses of the controllers of the core that are alive.
-func (r *Router) coreAddrs() []string {
+func coreAddrs(monitor *membership.Monitor) []string {
 	var addrs []string
-	for _, peer := range membership.Core(r.monitor.Alive(messages.Controller)) {
+	for _, peer := range membership.Core(monitor.Alive(messages.Controller)) {
 		addrs = append(addrs, peer.Addr)
 	}
 	return addrs
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -189,7 +189,14 @@
 	if err := r.newClientsOfOthers(); err != nil {
 		return nil, err
 	}
-	r.handleMessages()
+	trans.OnDatagram(transport.KindReachPing, r.zones.HandlePing)
+	trans.OnDatagram(transport.KindReachAck, r.zones.HandleAck)
+	trans.OnCall(transport.KindReach, r.answerReach)
+	trans.OnCall(transport.KindQuotaUnowned, r.quotas.HandleBorrow)
+	trans.OnCall(transport.KindCondition, func(context.Context, *transport.Conn, []byte) ([]byte, error) {
+		condition := r.condition()
+		return condition.MarshalMsg(nil)
+	})
 	return r, nil
 }
 
@@ -225,18 +232,6 @@
 	r.up.Counts = &r.counters.subscriptions
 }
 
-// handleMessages sets who handles the messages of other nodes.
-func (r *Router) handleMessages() {
-	r.transport.OnDatagram(transport.KindReachPing, r.zones.HandlePing)
-	r.transport.OnDatagram(transport.KindReachAck, r.zones.HandleAck)
-	r.transport.OnCall(transport.KindReach, r.answerReach)
-	r.transport.OnCall(transport.KindQuotaUnowned, r.quotas.HandleBorrow)
-	r.transport.OnCall(transport.KindCondition, func(context.Context, *transport.Conn, []byte) ([]byte, error) {
-		condition := r.condition()
-		return condition.MarshalMsg(nil)
-	})
-}
-
 // Run serves until ctx ends; it then leaves in order.
 func (r *Router) Run(ctx context.Context) error {
 	live, stop := context.WithCancel(context.Background())
