--- /dev/null
+++ b/internal/controller/grouprepair/repairer_test.go
@@ -0,0 +1,12 @@
+package grouprepair
+
+import (
+	"testing"
+
+	"github.com/shoenig/test/must"
+)
+
+func TestConfigIsChecked(t *testing.T) {
+	_, err := New(Config{Addr: "a:1"})
+	must.ErrorIs(t, err, ErrConfig)
+}
--- /dev/null
+++ b/internal/controller/tallies/service_test.go
@@ -0,0 +1,76 @@
+package tallies
+
+import (
+	"context"
+	"testing"
+	"time"
+
+	"github.com/go-logr/logr"
+	"github.com/pkg/errors"
+	"github.com/shoenig/test/must"
+	"github.com/tinylib/msgp/msgp"
+
+	"beechtide.org/beechtide/internal/messages"
+	"beechtide.org/beechtide/internal/tally"
+)
+
+var errCut = errors.New("cut")
+
+// noPeers reach nobody.
+type noPeers struct{}
+
+func (noPeers) Call(context.Context, string, int, msgp.Marshaler) ([]byte, error) { return nil, errCut }
+
+func openAlone(t *testing.T, nowUs *int64) *Service {
+	t.Helper()
+	s, err := Open(Config{
+		Zone:           "a",
+		Quorum:         tally.QuorumFor(0, 0),
+		CompareTimeout: time.Second,
+		Clock:          func() int64 { return *nowUs },
+		Log:            logr.Discard(),
+		Peers:          noPeers{},
+		Replicas:       func() []string { return nil },
+		Routers:        func() []messages.Peer { return nil },
+	})
+	must.NoError(t, err)
+	return s
+}
+
+func TestConfigIsChecked(t *testing.T) {
+	_, err := Open(Config{Zone: "a"})
+	must.ErrorIs(t, err, ErrConfig)
+}
+
+// A replica that has found nobody answers only once there was time to find somebody.
+func TestReplicaWaitsForOthersAfterItsStart(t *testing.T) {
+	nowUs := int64(1)
+	s := openAlone(t, &nowUs)
+	s.updatePeers(t.Context())
+	must.False(t, s.Counts().Ready)
+	_, ready := s.total("t")
+	must.False(t, ready)
+	nowUs += startTimeout.Microseconds()
+	s.updatePeers(t.Context())
+	must.True(t, s.Counts().Ready)
+}
+
+func TestPullOfEverythingIsAnswered(t *testing.T) {
+	nowUs := int64(1)
+	s := openAlone(t, &nowUs)
+	s.mu.Lock()
+	s.replica.Append(tally.Add{Tally: "t", Key: tally.KeyOf("t", "one"), Amount: 4})
+	s.mu.Unlock()
+	request := messages.TallyPull{Vector: []messages.TallyHeld{}}
+	encoded, err := request.MarshalMsg(nil)
+	must.NoError(t, err)
+	answer, err := s.HandlePull(t.Context(), nil, encoded)
+	must.NoError(t, err)
+	var runs messages.TallyRuns
+	_, err = runs.UnmarshalMsg(answer)
+	must.NoError(t, err)
+	decoded, err := tally.DecodeRuns(runs.Runs)
+	must.NoError(t, err)
+	must.Len(t, 1, decoded)
+	must.False(t, runs.More)
+}
