transport: the test of late responses waits until the early one has been handled

Change: a one-way frame behind the responses tells that all of them have been handled; assertions as they were.

--- a/internal/transport/conn_test.go
+++ b/internal/transport/conn_test.go
@@ -91,7 +91,10 @@
 }
 
 func TestLateAndRepeatedResponsesAreIgnored(t *testing.T) {
-	peer := newFakePeer(t, testTransport(t))
+	trans := testTransport(t)
+	handled := make(chan bool, 1)
+	trans.OnPush(KindSyncState, func(*Conn, []byte) { handled <- true })
+	peer := newFakePeer(t, trans)
 	ctx, cancel := context.WithCancel(context.Background())
 	first := peer.call(ctx, KindSince)
 	request1 := peer.read()
@@ -106,8 +109,10 @@
 		response(request2, "own"),
 		response(request2, "repeated"),
 		response(messages.Frame{Kind: KindSince, Seq: request2.Seq + 1}, "early"),
+		messages.Frame{Kind: KindSyncState},
 	)
 	must.Eq(t, outcome{body: "own"}, <-second)
+	<-handled // frames are handled in order: the responses before it have been ignored
 
 	third := peer.call(withTimeout(t), KindSince)
 	request3 := peer.read()
