--- /dev/null
+++ b/review/tally.go
@@ -0,0 +1,148 @@
+package main
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"os"
+	"path/filepath"
+	"time"
+)
+
+const tallyName = "t3"
+
+// amend sends one add to a control address and returns the status, 0 for no answer in a second.
+func (f *fleet) amend(m *machine, id string) int {
+	body, _ := json.Marshal(map[string]any{"id": id, "actor": 1})
+	response, err := control.Post("http://"+f.control(m)+"/api/Tallies.Amend/"+tallyName, "application/json", bytes.NewReader(body))
+	if err != nil {
+		return 0
+	}
+	_, _ = io.Copy(io.Discard, response.Body)
+	response.Body.Close()
+	return response.StatusCode
+}
+
+// readTally reads the tally at one machine, again and again until it answers 200.
+func (f *fleet) readTally(ctx context.Context, m *machine) (int, bool) {
+	for ctx.Err() == nil {
+		response, err := control.Get("http://" + f.control(m) + "/api/Tallies.Read/" + tallyName)
+		if err == nil {
+			var answer struct {
+				Total int `json:"total"`
+			}
+			err = json.NewDecoder(response.Body).Decode(&answer)
+			response.Body.Close()
+			if response.StatusCode == 200 && err == nil {
+				return answer.Total, true
+			}
+		}
+		time.Sleep(200 * time.Millisecond)
+	}
+	return 0, false
+}
+
+// tallyCase: three machines with a disk, each in a zone of its own. Two of them lose power. An
+// application adds to a tally at the third one, which acknowledges some adds. Then that machine
+// loses power and its disk, and all three start again.
+func tallyCase(rec *record, trouble bool) int {
+	ctx, cancel := context.WithTimeout(context.Background(), 100*time.Second)
+	defer cancel()
+	f, err := newFleet(rec, 3)
+	if err != nil {
+		rec.add("start: %v", err)
+		return cannotRun
+	}
+	defer f.close()
+	f.bounds, f.tolerance = smallBounds(), map[string]any{"machines": 1, "zones": 1, "regions": 0}
+	f.bounds["mergeMs"] = 3000
+	a, b, c := f.add("gent-a", true, true), f.add("gent-b", true, true), f.add("antw-c", true, true)
+	if err := f.startAll(); err != nil {
+		rec.add("start: %v", err)
+		return cannotRun
+	}
+	if status, _ := f.replace(ctx, configuration(1), 0); status != 200 {
+		return cannotRun
+	}
+	acked := map[string]bool{}
+	may := 0 // adds that may count
+	send := func(m *machine, count int) (sum int) {
+		for range count {
+			id := newID()
+			status := f.amend(m, id)
+			rec.add("add %s at %s: %d", id, m.name, status)
+			if status == 200 {
+				acked[id] = true
+				sum++
+			}
+			if status != 503 && status != 429 {
+				may++
+			}
+			time.Sleep(50 * time.Millisecond)
+		}
+		return sum
+	}
+	for range 40 { // until the tallies answer
+		if send(a, 1) == 1 {
+			break
+		}
+		time.Sleep(250 * time.Millisecond)
+	}
+	for _, m := range f.machines {
+		if send(m, 5) == 0 {
+			rec.add("no add was acknowledged before the disruption")
+			return cannotRun
+		}
+	}
+	time.Sleep(5 * time.Second)
+	stop := func(m *machine) {
+		for _, p := range m.procs {
+			p.kill()
+		}
+		rec.add("%s lost power", m.name)
+	}
+	if trouble {
+		stop(b)
+		stop(c)
+	}
+	alone := 0
+	for until := time.Now().Add(4 * time.Second); time.Now().Before(until); {
+		alone += send(a, 1)
+	}
+	rec.add("adds acknowledged by %s in this time: %d", a.name, alone)
+	if trouble {
+		stop(a)
+		if err := os.RemoveAll(filepath.Join(f.dir, "data", a.name)); err != nil {
+			rec.add("disk: %v", err)
+			return cannotRun
+		}
+		rec.add("%s lost its disk", a.name)
+		time.Sleep(500 * time.Millisecond)
+		for _, m := range f.machines {
+			for _, p := range m.procs {
+				if err := f.start(p); err != nil {
+					rec.add("start: %v", err)
+					return cannotRun
+				}
+			}
+			rec.add("%s has power again", m.name)
+		}
+	}
+	time.Sleep(18 * time.Second) // settlingS and mergeMs
+	result := held
+	for _, m := range f.machines {
+		total, ok := f.readTally(ctx, m)
+		rec.add("tally at %s: %d (answered: %v); adds acknowledged: %d, adds that may count: %d", m.name, total, ok, len(acked), may)
+		if !ok || total < len(acked) {
+			result = broken
+		}
+		if total > may {
+			rec.add("the tally counts more than was sent")
+			result = broken
+		}
+	}
+	fmt.Printf("acknowledged %d\n", len(acked))
+	return result
+}
