--- a/review/2/run.sh
+++ b/review/2/run.sh
@@ -3,4 +3,4 @@
 # the disruption.
 cd "$(dirname "$0")/../.." || exit 2
 [ -x target/review ] || exit 2
-exec target/review drain review/2/record.txt
+exec target/review tally review/2/record.txt
--- a/review/main.go
+++ b/review/main.go
@@ -15,8 +15,9 @@
 )
 
 var cases = map[string]func(rec *record, trouble bool) int{
-	"drain": drainCase,
-	"tally": tallyCase,
+	"drain":  drainCase,
+	"tally":  tallyCase,
+	"memory": memoryCase,
 }
 
 func main() {
--- a/review/tally.go
+++ b/review/tally.go
@@ -4,10 +4,10 @@
 	"bytes"
 	"context"
 	"encoding/json"
-	"fmt"
 	"io"
 	"os"
 	"path/filepath"
+	"sync"
 	"time"
 )
 
@@ -44,6 +44,69 @@
 	return 0, false
 }
 
+// adds are the adds that an application has brought to the tally.
+type adds struct {
+	f     *fleet
+	acked map[string]bool
+	may   int // how many may count
+}
+
+func newAdds(f *fleet) *adds { return &adds{f: f, acked: map[string]bool{}} }
+
+// send brings new adds to a machine and returns how many it has acknowledged.
+func (a *adds) send(m *machine, count int) (acked int) {
+	for range count {
+		id := newID()
+		status := a.f.amend(m, id)
+		a.f.rec.add("add %s at %s: %d", id, m.name, status)
+		if status == 200 {
+			a.acked[id] = true
+			acked++
+		}
+		if status != 503 && status != 429 {
+			a.may++
+		}
+		time.Sleep(50 * time.Millisecond)
+	}
+	return acked
+}
+
+// await waits until a machine acknowledges adds.
+func (a *adds) await(m *machine) bool {
+	for range 40 {
+		if a.send(m, 1) == 1 {
+			return true
+		}
+		time.Sleep(250 * time.Millisecond)
+	}
+	a.f.rec.add("no add was acknowledged before the disruption")
+	return false
+}
+
+// check reads the tally at every machine and compares it with the adds.
+func (a *adds) check(ctx context.Context) int {
+	result := held
+	for _, m := range a.f.machines {
+		total, ok := a.f.readTally(ctx, m)
+		a.f.rec.add("tally at %s: %d (answered: %v); adds acknowledged: %d, adds that may count: %d", m.name, total, ok, len(a.acked), a.may)
+		if !ok || total < len(a.acked) || total > a.may {
+			result = broken
+		}
+	}
+	return result
+}
+
+// killAll kills the processes of machines at once.
+func killAll(machines []*machine) {
+	var kills sync.WaitGroup
+	for _, m := range machines {
+		for _, p := range m.procs {
+			kills.Go(p.kill)
+		}
+	}
+	kills.Wait()
+}
+
 // tallyCase: three machines with a disk, each in a zone of its own. Two of them lose power. An
 // application adds to a tally at the third one, which acknowledges some adds. Then that machine
 // loses power and its disk, and all three start again.
@@ -66,59 +129,30 @@
 	if status, _ := f.replace(ctx, configuration(1), 0); status != 200 {
 		return cannotRun
 	}
-	acked := map[string]bool{}
-	may := 0 // adds that may count
-	send := func(m *machine, count int) (sum int) {
-		for range count {
-			id := newID()
-			status := f.amend(m, id)
-			rec.add("add %s at %s: %d", id, m.name, status)
-			if status == 200 {
-				acked[id] = true
-				sum++
-			}
-			if status != 503 && status != 429 {
-				may++
-			}
-			time.Sleep(50 * time.Millisecond)
-		}
-		return sum
-	}
-	for range 40 { // until the tallies answer
-		if send(a, 1) == 1 {
-			break
-		}
-		time.Sleep(250 * time.Millisecond)
+	adds := newAdds(f)
+	if !adds.await(a) {
+		return cannotRun
 	}
 	for _, m := range f.machines {
-		if send(m, 5) == 0 {
-			rec.add("no add was acknowledged before the disruption")
-			return cannotRun
-		}
+		adds.send(m, 5)
 	}
 	time.Sleep(5 * time.Second)
-	stop := func(m *machine) {
-		for _, p := range m.procs {
-			p.kill()
-		}
-		rec.add("%s lost power", m.name)
-	}
 	if trouble {
-		stop(b)
-		stop(c)
+		killAll([]*machine{b, c})
+		rec.add("%s and %s lost power", b.name, c.name)
 	}
 	alone := 0
 	for until := time.Now().Add(4 * time.Second); time.Now().Before(until); {
-		alone += send(a, 1)
+		alone += adds.send(a, 1)
 	}
 	rec.add("adds acknowledged by %s in this time: %d", a.name, alone)
 	if trouble {
-		stop(a)
+		killAll([]*machine{a})
 		if err := os.RemoveAll(filepath.Join(f.dir, "data", a.name)); err != nil {
 			rec.add("disk: %v", err)
 			return cannotRun
 		}
-		rec.add("%s lost its disk", a.name)
+		rec.add("%s lost power and its disk", a.name)
 		time.Sleep(500 * time.Millisecond)
 		for _, m := range f.machines {
 			for _, p := range m.procs {
@@ -131,18 +165,5 @@
 		}
 	}
 	time.Sleep(18 * time.Second) // settlingS and mergeMs
-	result := held
-	for _, m := range f.machines {
-		total, ok := f.readTally(ctx, m)
-		rec.add("tally at %s: %d (answered: %v); adds acknowledged: %d, adds that may count: %d", m.name, total, ok, len(acked), may)
-		if !ok || total < len(acked) {
-			result = broken
-		}
-		if total > may {
-			rec.add("the tally counts more than was sent")
-			result = broken
-		}
-	}
-	fmt.Printf("acknowledged %d\n", len(acked))
-	return result
+	return adds.check(ctx)
 }
