--- a/review/drain.go
+++ b/review/drain.go
@@ -31,11 +31,13 @@
 )
 
 // configuration returns a configuration with one idempotent route and two tenants.
-func configuration(version int) map[string]any {
+func configuration(version int) map[string]any { return configurationOf(version, "idempotent") }
+
+func configurationOf(version int, kind string) map[string]any {
 	return map[string]any{
 		"version": version,
 		"routes": []any{map[string]any{
-			"name": "r-da9rgy3", "host": routeHost, "prefix": routePath, "kind": "idempotent", "cutoffMs": 5000, "setpointMs": 800, "rank": 0,
+			"name": "r-da9rgy3", "host": routeHost, "prefix": routePath, "kind": kind, "cutoffMs": 5000, "setpointMs": 800, "rank": 0,
 			"service": service, "tries": 2, "unkeyed": false, "pinned": true, "resumable": false,
 		}},
 		"services": []any{map[string]any{
@@ -49,12 +51,15 @@
 
 // startFleet starts three zones with two counted machines each, which form the core, and one edge
 // machine without a disk each.
-func startFleet(ctx context.Context, rec *record) (*fleet, error) {
+func startFleet(rec *record, bounds map[string]any) (*fleet, error) {
 	f, err := newFleet(rec, 9)
 	if err != nil {
 		return nil, err
 	}
 	f.bounds, f.tolerance = smallBounds(), map[string]any{"machines": 2, "zones": 0, "regions": 0}
+	for name, value := range bounds {
+		f.bounds[name] = value
+	}
 	for _, zone := range []string{"gent-a", "gent-b", "antw-c"} {
 		f.add(zone, true, true)
 		f.add(zone, true, true)
@@ -69,7 +74,7 @@
 func drainCase(rec *record, trouble bool) int {
 	ctx, cancel := context.WithTimeout(context.Background(), 90*time.Second)
 	defer cancel()
-	f, err := startFleet(ctx, rec)
+	f, err := startFleet(rec, nil)
 	if f != nil {
 		defer f.close()
 	}
@@ -77,7 +82,7 @@
 		rec.add("start: %v", err)
 		return cannotRun
 	}
-	if status, _ := f.replace(ctx, configuration(1), 0); status != 200 {
+	if status, _ := f.replace(ctx, configurationOf(1, "effectful"), 0); status != 200 {
 		return cannotRun
 	}
 	var mu sync.Mutex
@@ -97,6 +102,7 @@
 			arrivals[a.runner] = append(arrivals[a.runner], a)
 			mu.Unlock()
 		}
+		r.work = 200 * time.Millisecond
 		r.run()
 		defer r.end()
 		runners = append(runners, r)
@@ -112,18 +118,23 @@
 	defer stopLoad()
 	var load sync.WaitGroup
 	for _, m := range f.machines {
-		load.Go(func() {
-			for loadCtx.Err() == nil {
-				id := newID()
-				at := time.Now()
-				mu.Lock()
-				sent[id] = sending{m, at}
-				mu.Unlock()
-				status, _ := ask(f.front(m), routeHost, routePath+"x", id, tenantKey, 3*time.Second, nil, "hello")
-				rec.add("request %s sent to %s at %.3f: %d", id, m.name, rec.at(at), status)
-				time.Sleep(40 * time.Millisecond)
-			}
-		})
+		for range clientsPerMachine {
+			load.Go(func() {
+				for loadCtx.Err() == nil {
+					id := newID()
+					s := sending{m: m, at: time.Now()}
+					mu.Lock()
+					sent[id] = s
+					mu.Unlock()
+					s.status, _ = ask(f.front(m), routeHost, routePath+"x", id, tenantKey, 3*time.Second, nil, "hello")
+					rec.add("request %s sent to %s at %.3f: %d", id, m.name, rec.at(s.at), s.status)
+					mu.Lock()
+					sent[id] = s
+					mu.Unlock()
+					time.Sleep(100 * time.Millisecond)
+				}
+			})
+		}
 	}
 	time.Sleep(10 * time.Second) // all machines are in touch, and the copies of the registry are on disk
 
@@ -160,23 +171,28 @@
 		}
 		inTouchFrom = rec.add("every process of the core started again").Add(contactMs * time.Millisecond)
 	}
-	time.Sleep(time.Until(acked.Add(9 * time.Second)))
+	time.Sleep(time.Until(acked.Add(servesOn)))
+	leaving.end()
+	rec.add("runner %s ends", leaving.id)
+	time.Sleep(time.Second)
 	stopLoad()
 	load.Wait()
-	rec.add("runner %s ends", leaving.id)
 
 	mu.Lock()
 	defer mu.Unlock()
-	late := 0
+	late, lost := 0, 0
 	for _, a := range arrivals[leaving.id] {
 		s := sent[a.id]
-		rec.add("runner %s: request %s arrived at %.3f, sent to %s at %.3f", leaving.id, a.id, rec.at(a.at), s.m.name, rec.at(s.at))
+		rec.add("runner %s: request %s arrived at %.3f, sent to %s at %.3f: %d", leaving.id, a.id, rec.at(a.at), s.m.name, rec.at(s.at), s.status)
 		if s.at.After(inTouchFrom) && a.at.After(acked.Add(drainMs*time.Millisecond)) {
 			late++
+			if s.status != 200 {
+				lost++
+			}
 		}
 	}
 	rec.add("machines are in touch from %.3f; the acknowledgement binds from %.3f", rec.at(inTouchFrom), rec.at(acked.Add(drainMs*time.Millisecond)))
-	rec.add("requests that machines in touch sent on to the runner after that: %d", late)
+	rec.add("requests that machines in touch sent on to the runner after that: %d; %d of them got no success, since the runner ended", late, lost)
 	if late > 0 {
 		return broken
 	}
@@ -185,6 +201,12 @@
 
 // sending is a request that a client sent.
 type sending struct {
-	m  *machine
-	at time.Time
+	m      *machine
+	at     time.Time
+	status int
 }
+
+const (
+	clientsPerMachine = 6
+	servesOn          = 5800 * time.Millisecond // after the acknowledgement
+)
--- a/review/main.go
+++ b/review/main.go
@@ -15,9 +15,11 @@
 )
 
 var cases = map[string]func(rec *record, trouble bool) int{
-	"drain":  drainCase,
-	"tally":  tallyCase,
-	"memory": memoryCase,
+	"drain":    drainCase,
+	"tally":    tallyCase,
+	"wall":     wallCase,
+	"exposure": exposureCase,
+	"memory":   memoryCase,
 }
 
 func main() {
--- a/review/runner.go
+++ b/review/runner.go
@@ -24,18 +24,25 @@
 
 // runner is a sound stand-in for a model runner.
 type runner struct {
-	f                 *fleet
-	id, service, zone string
-	addr, model       string
-	version           int
-	work              time.Duration
-	serving           serving
-	onArrival         func(arrival)
-	onKept            func(runner, tenant, maker, salt, part, attempt string)
-	mu                sync.Mutex
-	beats             beats
-	running           int
-	cache             cache
+	f                     *fleet
+	id, service, zone     string
+	addr, model, software string
+	version               int
+	work                  time.Duration
+	serving               serving
+	hooks
+	mu      sync.Mutex
+	beats   beats
+	running int
+	cache   cache
+}
+
+// hooks are called by a runner: at the arrival of a request, to ask whether the next answer is a
+// failure, and when a request uses a part that is kept.
+type hooks struct {
+	onArrival func(arrival)
+	fails     func() bool
+	onKept    func(runner, tenant, maker, salt, part, attempt string)
 }
 
 // serving is the runner's server.
@@ -73,9 +80,9 @@
 		return nil, err
 	}
 	return &runner{
-		f: f, id: fmt.Sprintf("i-%08x", rand.Uint32()), service: service, zone: zone, addr: l.Addr().String(), model: model, version: 1,
+		f: f, id: fmt.Sprintf("i-%08x", rand.Uint32()), service: service, zone: zone, addr: l.Addr().String(), model: model, software: "v1", version: 1,
 		work: 15 * time.Millisecond, serving: serving{listener: l}, beats: beats{state: "ready"}, cache: cache{kept: map[string]keptPart{}},
-		onArrival: func(arrival) {}, onKept: func(_, _, _, _, _, _ string) {},
+		hooks: hooks{onArrival: func(arrival) {}, fails: func() bool { return false }, onKept: func(_, _, _, _, _, _ string) {}},
 	}, nil
 }
 
@@ -118,7 +125,7 @@
 	r.mu.Lock()
 	r.beats.sequence++
 	body, _ := json.Marshal(map[string]any{
-		"service": r.service, "address": r.addr, "zone": r.zone, "version": "v1", "capacity": runnerCapacity, "state": r.beats.state, "coldLeftMs": 0,
+		"service": r.service, "address": r.addr, "zone": r.zone, "version": r.software, "capacity": runnerCapacity, "state": r.beats.state, "coldLeftMs": 0,
 		"phase": "combined", "models": []any{map[string]any{"name": r.model, "version": r.version, "adapters": []any{}}}, "sequence": r.beats.sequence,
 	})
 	first := r.beats.beatTo
@@ -155,6 +162,20 @@
 	return time.Time{}, ""
 }
 
+// drain says draining until that is acknowledged, serves on for a while and leaves.
+func (r *runner) drain(serveOn time.Duration) {
+	r.mu.Lock()
+	r.beats.state = "draining"
+	r.mu.Unlock()
+	for range 10 {
+		if at, _ := r.beat(); !at.IsZero() {
+			break
+		}
+	}
+	time.Sleep(serveOn)
+	r.leave(5)
+}
+
 func (r *runner) callAny(path string, body []byte, first string) (time.Time, string, []byte) {
 	addrs := r.f.controls()
 	rand.Shuffle(len(addrs), func(i, j int) { addrs[i], addrs[j] = addrs[j], addrs[i] })
@@ -250,6 +271,9 @@
 	r.mu.Unlock()
 	w.Header().Set("Beechtide-Weight-Versions", strconv.Itoa(r.version))
 	w.Header().Set("Beechtide-Server-Seal", fmt.Sprintf("%s.%x", r.id, rand.Uint32()))
+	if r.fails() {
+		w.WriteHeader(500)
+	}
 	fmt.Fprintf(w, "ran %s at %s", a.id, r.id)
 }
 
