--- a/review/drain.go
+++ b/review/drain.go
@@ -157,7 +157,7 @@
 			}
 		}
 		kills.Wait()
-		rec.add("every process of the core killed")
+		killed := rec.add("every process of the core killed")
 		time.Sleep(600 * time.Millisecond)
 		for _, m := range f.machines {
 			if m.disk {
@@ -169,7 +169,11 @@
 				}
 			}
 		}
-		inTouchFrom = rec.add("every process of the core started again").Add(contactMs * time.Millisecond)
+		back := rec.add("every process of the core started again")
+		if back.Sub(killed) > coreAway {
+			return cannotRun // the pages allow no longer
+		}
+		inTouchFrom = back.Add(contactMs * time.Millisecond)
 	}
 	time.Sleep(time.Until(acked.Add(servesOn)))
 	leaving.end()
--- a/review/fleet.go
+++ b/review/fleet.go
@@ -235,6 +235,19 @@
 	return nil
 }
 
+// startThese starts the processes of machines with the settings of this moment.
+func (f *fleet) startThese(machines []*machine) bool {
+	for _, m := range machines {
+		for _, p := range m.procs {
+			if err := f.start(p); err != nil {
+				f.rec.add("start: %v", err)
+				return false
+			}
+		}
+	}
+	return true
+}
+
 func (f *fleet) close() {
 	for _, m := range f.machines {
 		for _, p := range m.procs {
--- a/review/memory.go
+++ b/review/memory.go
@@ -47,22 +47,25 @@
 		killed = rec.add("every process of the core killed")
 	}
 	alone := 0
-	for until := time.Now().Add(500 * time.Millisecond); time.Now().Before(until); {
+	for until := time.Now().Add(400 * time.Millisecond); time.Now().Before(until); {
 		alone += adds.send(others[0], 1)
 	}
 	rec.add("adds acknowledged by %s in this time: %d", others[0].name, alone)
 	if trouble {
 		killAll(others)
 		rec.add("the machines without a disk are lost")
-		for _, m := range f.machines {
-			for _, p := range m.procs {
-				if err := f.start(p); err != nil {
-					rec.add("start: %v", err)
-					return cannotRun
-				}
-			}
+		if !f.startThese(core) {
+			return cannotRun
 		}
-		rec.add("all started again, %.2f s after the core was killed", time.Since(killed).Seconds())
+		away := time.Since(killed)
+		rec.add("the core started again, %.2f s after it was killed", away.Seconds())
+		if away > coreAway {
+			return cannotRun // the pages allow no longer
+		}
+		if !f.startThese(others) {
+			return cannotRun
+		}
+		rec.add("the machines without a disk started again")
 	}
 	time.Sleep(18 * time.Second) // settlingS and mergeMs
 	return adds.check(ctx)
--- a/review/tally.go
+++ b/review/tally.go
@@ -13,6 +13,12 @@
 
 const tallyName = "t3"
 
+// Limits of the pages: how long the processes of the core may be away, and a zone without power.
+const (
+	coreAway = time.Second
+	zoneDark = 5500 * time.Millisecond
+)
+
 // amend sends one add to a control address and returns the status, 0 for no answer in a second.
 func (f *fleet) amend(m *machine, id string) int {
 	body, _ := json.Marshal(map[string]any{"id": id, "actor": 1})
@@ -137,7 +143,9 @@
 		adds.send(m, 5)
 	}
 	time.Sleep(5 * time.Second)
+	var dark time.Time
 	if trouble {
+		dark = time.Now()
 		killAll([]*machine{b, c})
 		rec.add("%s and %s lost power", b.name, c.name)
 	}
@@ -163,6 +171,10 @@
 			}
 			rec.add("%s has power again", m.name)
 		}
+		if time.Since(dark) > zoneDark {
+			rec.add("the zones were dark for too long")
+			return cannotRun
+		}
 	}
 	time.Sleep(18 * time.Second) // settlingS and mergeMs
 	return adds.check(ctx)
