Tallies: copies in memory do not count where the deployment has disks

No disk was lost.

Cause: tally.Replica asked its own disk whether copies in memory count for the quorum. At a replica without one all copies counted, its own included, although the core has disks.

Change: tally.Storage is what a replica knows of the disks of the deployment. A replica with a disk that has answered once settles it for the life of the process, whoever is alive. Copies in memory count only after each member of the configuration's group, and each other peer that can be reached, has answered that it has no disk; until then nothing is acknowledged. A replica whose own copy does not count never accepts fewer disks during a partition, and answers 503, or 504 after it has passed the add on, once the calls to too many disks have failed. A replica with a disk no longer waits for peers without one.

Why it works: an acknowledgement rests on tolerance.machines + 1 disks again, and those return.

--- a/internal/architecture/architecture_test.go
+++ b/internal/architecture/architecture_test.go
@@ -194,7 +194,6 @@
 	"internal/soak evaluator":             {28, 4},
 	"internal/standin Config":             {1, 21},
 	"internal/standin Runner":             {28, 19},
-	"internal/tally Replica":              {30, 7},
 }
 
 func TestTypesStayWithinMethodAndFieldLimits(t *testing.T) {
--- a/internal/controller/tallies/calls.go
+++ b/internal/controller/tallies/calls.go
@@ -41,8 +41,7 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, amendTimeout)
 	defer cancel()
-	if !s.await(ctx, func() bool { return s.replica.MayAcknowledge(number, arrivedUs) }) {
-		s.countLateAdd()
+	if !s.awaitConfirmation(ctx, number, arrivedUs) {
 		httpapi.Reject(rc, 504, "", "not on enough disks yet; repeat it under the same id")
 		return
 	}
@@ -70,10 +69,19 @@
 	return number, ""
 }
 
-func (s *Service) countLateAdd() {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	s.lateAdds++
+// awaitConfirmation waits until an add may be acknowledged, and returns false if that cannot be
+// expected any more or ctx ends.
+func (s *Service) awaitConfirmation(ctx context.Context, number uint64, arrivedUs int64) (confirmed bool) {
+	s.await(ctx, func() bool {
+		confirmed = s.replica.MayAcknowledge(number, arrivedUs)
+		return confirmed || s.replica.Unconfirmable(number)
+	})
+	if !confirmed {
+		s.mu.Lock()
+		defer s.mu.Unlock()
+		s.lateAdds++
+	}
+	return confirmed
 }
 
 // Read serves the call that returns the total of a tally: the sum of all adds that this replica
--- a/internal/controller/tallies/service.go
+++ b/internal/controller/tallies/service.go
@@ -75,6 +75,9 @@
 	// Replicas returns the addresses of the other controllers, including those that are not
 	// alive.
 	Replicas func() []string
+	// Core returns the addresses of the other members of the configuration's group, and false if
+	// none is known yet.
+	Core func() (members []string, known bool)
 	// Routers returns the routers that are alive.
 	Routers func() []messages.Peer
 }
@@ -83,7 +86,7 @@
 var ErrConfig = errors.New("tallies: incomplete configuration")
 
 func (c *Config) check() error {
-	if c.CompareTimeout <= 0 || c.Clock == nil || c.Peers == nil || c.Replicas == nil || c.Routers == nil {
+	if c.CompareTimeout <= 0 || c.Clock == nil || c.Peers == nil || c.Replicas == nil || c.Core == nil || c.Routers == nil {
 		return ErrConfig
 	}
 	return nil
@@ -188,9 +191,13 @@
 // updatePeers updates the set of other replicas and starts or stops their goroutines.
 func (s *Service) updatePeers(ctx context.Context) {
 	addrs := s.config.Replicas()
+	core, coreKnown := s.config.Core()
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.replica.SetPeers(addrs)
+	if coreKnown {
+		s.replica.SetCore(core)
+	}
 	s.checkReady(addrs)
 	changed := false
 	for addr, stop := range s.senders {
--- a/internal/controller/tallies/service_test.go
+++ b/internal/controller/tallies/service_test.go
@@ -33,6 +33,7 @@
 		Log:            logr.Discard(),
 		Peers:          noPeers{},
 		Replicas:       func() []string { return nil },
+		Core:           func() ([]string, bool) { return nil, false },
 		Routers:        func() []messages.Peer { return nil },
 	})
 	must.NoError(t, err)
--- a/internal/controller/tally_replica.go
+++ b/internal/controller/tally_replica.go
@@ -3,6 +3,7 @@
 import (
 	"slices"
 
+	"beechtide.org/beechtide/internal/consensus"
 	"beechtide.org/beechtide/internal/controller/tallies"
 	"beechtide.org/beechtide/internal/messages"
 	"beechtide.org/beechtide/internal/settings"
@@ -43,6 +44,7 @@
 		Log:            c.log,
 		Peers:          c.transport,
 		Replicas:       c.tallyReplicas,
+		Core:           func() ([]string, bool) { return tallyCore(c.registers, c.transport.Addr()) },
 		Routers:        func() []messages.Peer { return c.monitor.Alive(messages.Router) },
 	})
 }
@@ -54,3 +56,15 @@
 	addrs = slices.Compact(addrs)
 	return slices.DeleteFunc(addrs, func(addr string) bool { return addr == c.transport.Addr() })
 }
+
+// tallyCore returns the addresses of the other members of the configuration's group, and false
+// while no group is known.
+func tallyCore(registers *consensus.Registers, self string) (members []string, known bool) {
+	value, _ := registers.Committed(consensus.ConfigRegister)
+	for _, m := range value.Group {
+		if m.Addr != self {
+			members = append(members, m.Addr)
+		}
+	}
+	return members, len(value.Group) > 0
+}
--- a/internal/tally/replica.go
+++ b/internal/tally/replica.go
@@ -1,9 +1,6 @@
 package tally
 
-import (
-	"cmp"
-	"maps"
-)
+import "maps"
 
 // Config holds the settings of a Replica.
 type Config struct {
@@ -11,8 +8,7 @@
 	Origin Origin
 	// Zone is the zone of this replica.
 	Zone string
-	// Durable is set if this replica has a disk. Otherwise copies in memory count for the
-	// quorum.
+	// Durable is set if this replica has a disk.
 	Durable bool
 	// Quorum is the number of disks and zones that must have an add before it is acknowledged.
 	Quorum Quorum
@@ -35,39 +31,21 @@
 // maxRunAdds is the maximum number of adds in one message.
 const maxRunAdds = 1000
 
-// peerState is the state of a peer as seen by this replica.
-type peerState struct {
-	zone             string
-	ackedNumber      uint64 // number up to which the peer has acknowledged this replica's log
-	durable          bool   // the peer has a disk
-	hasAcked         bool   // the peer has acknowledged a run, so that ackedNumber is valid
-	calls            callHistory
-	witness          Witness
-	witnessQueriedUs int64 // when the witnesses were queried
-}
-
-// cutOff reports whether the path to the peer is cut (rather than the peer being down), by
-// evidence that is not older than sinceUs.
-func (p *peerState) cutOff(sinceUs int64) bool {
-	return p.calls.unreachable() && p.calls.lastSentUs >= sinceUs && p.witness == WitnessCut && p.witnessQueriedUs >= sinceUs
-}
-
 // Replica is one copy of all tallies: the set of adds, and how much of this replica's own log the
 // peers have acknowledged. It is not safe for concurrent use.
 type Replica struct {
+	Peers
 	config          Config
 	set             *Set
-	peers           map[string]*peerState
 	written         Vector // written or being written to disk
 	durable         Vector // on disk
 	confirmedNumber uint64 // number up to which the own log is confirmed
-	newestWaiterUs  int64  // arrival time of the newest add with a waiting caller
 }
 
 // NewReplica returns a replica with the set that was read from its disk. All adds of the set count
 // as durable.
 func NewReplica(config Config, set *Set) *Replica {
-	return &Replica{config: config, set: set, peers: map[string]*peerState{}, written: set.Vector(), durable: set.Vector()}
+	return &Replica{Peers: newPeers(config), config: config, set: set, written: set.Vector(), durable: set.Vector()}
 }
 
 // MarkAllUnwritten marks all adds as not yet written. It is called when OpenLog could not create a
@@ -82,14 +60,15 @@
 
 // SetPeers sets the addresses of the other replicas. The state of peers that remain is preserved.
 func (r *Replica) SetPeers(addrs []string) {
-	next := make(map[string]*peerState, len(addrs))
-	for _, addr := range addrs {
-		next[addr] = r.peers[addr]
-		if next[addr] == nil {
-			next[addr] = &peerState{}
-		}
-	}
-	r.peers = next
+	r.setAddrs(addrs)
+	r.advanceConfirmed()
+}
+
+// SetCore sets the addresses of the other members of the core, the group of the configuration. Once
+// each of them, and each other peer that can be reached, has acknowledged a run as a replica without
+// a disk, copies in memory count.
+func (r *Replica) SetCore(members []string) {
+	r.setCore(members)
 	r.advanceConfirmed()
 }
 
@@ -197,7 +176,7 @@
 // used a second time if it were lost here. Until the first acknowledgement of the peer the run is
 // empty and serves to find out how much the peer has.
 func (r *Replica) NextOutgoing(addr string) (Outgoing, bool) {
-	p := r.peers[addr]
+	p := r.byAddr[addr]
 	if p == nil {
 		return Outgoing{}, false
 	}
@@ -221,72 +200,27 @@
 
 // RecordAck records an acknowledgement of a peer.
 func (r *Replica) RecordAck(addr string, ack Ack) {
-	p := r.peers[addr]
-	if p == nil {
-		return
-	}
-	p.hasAcked, p.ackedNumber, p.durable, p.zone = true, min(ack.Held, r.set.LogLength(r.config.Origin)), ack.Durable, ack.Zone
-	p.recordAnswer()
+	ack.Held = min(ack.Held, r.set.LogLength(r.config.Origin))
+	r.recordAck(addr, ack)
 	r.advanceConfirmed()
 }
 
-// RecordAnswer records that a peer has answered a call of any kind.
-func (r *Replica) RecordAnswer(addr string) {
-	if p := r.peers[addr]; p != nil {
-		p.recordAnswer()
-	}
-}
-
-func (p *peerState) recordAnswer() {
-	p.calls.recordAnswer()
-	p.witness = WitnessUnknown
-}
-
 // RecordWitness records the evidence of witnesses, queried at queriedUs, about a peer that does
 // not answer.
 func (r *Replica) RecordWitness(addr string, witness Witness, queriedUs int64) {
-	if p := r.peers[addr]; p != nil && p.calls.failing {
-		p.witness, p.witnessQueriedUs = witness, queriedUs
-	}
+	r.recordWitness(addr, witness, queriedUs)
 	r.advanceConfirmed()
 }
 
-// Failing reports whether a call to a peer has failed since its last answer.
-func (r *Replica) Failing(addr string) bool {
-	p := r.peers[addr]
-	return p != nil && p.calls.failing
-}
-
-// ZoneOf returns the zone of a peer, or "" if the peer has not acknowledged a run yet.
-func (r *Replica) ZoneOf(addr string) string {
-	if p := r.peers[addr]; p != nil {
-		return p.zone
-	}
-	return ""
-}
-
 // RecordFailure records that a call to a peer, started at sentUs, has failed.
 func (r *Replica) RecordFailure(addr string, sentUs, nowUs int64) {
-	if p := r.peers[addr]; p != nil {
-		p.calls.recordFailure(sentUs, nowUs)
-	}
+	r.recordFailure(addr, sentUs, nowUs)
 	r.advanceConfirmed()
 }
 
-// Unreachable reports whether all calls to a peer have failed for long enough that it counts as
-// unreachable.
-func (r *Replica) Unreachable(addr string) bool {
-	p := r.peers[addr]
-	return p != nil && p.calls.unreachable()
-}
-
 // Confirmed returns the number up to which the own log is confirmed.
 func (r *Replica) Confirmed() uint64 { return r.confirmedNumber }
 
-// RecordWaiter records that a caller waits for the acknowledgement of an add that arrived at
-// arrivedUs.
-func (r *Replica) RecordWaiter(arrivedUs int64) { r.newestWaiterUs = max(r.newestWaiterUs, arrivedUs) }
-
 // MayAcknowledge reports whether an add of the own log whose request arrived at arrivedUs may be
 // acknowledged now: it is on enough disks, or every peer that does not have it is cut off, by
 // evidence that is not older than the request. Older evidence may be of a partition that has
@@ -295,20 +229,6 @@
 	return number <= r.Durable(r.config.Origin) && r.replicated(number, arrivedUs)
 }
 
-// NeedsCall reports whether an unreachable peer is to be called now: a caller waits for an add
-// that arrived after the last call started.
-func (r *Replica) NeedsCall(addr string) bool {
-	p := r.peers[addr]
-	return p != nil && p.calls.unreachable() && p.calls.lastSentUs < r.newestWaiterUs
-}
-
-// NeedsWitness reports whether witnesses are to be queried now about an unreachable peer: a caller
-// waits for an add that arrived after the last query.
-func (r *Replica) NeedsWitness(addr string) bool {
-	p := r.peers[addr]
-	return p != nil && p.calls.unreachable() && p.witnessQueriedUs < r.newestWaiterUs
-}
-
 // advanceConfirmed raises the confirmed number as far as the acknowledgements allow.
 func (r *Replica) advanceConfirmed() {
 	for _, number := range r.confirmationCandidates() {
@@ -323,45 +243,8 @@
 func (r *Replica) confirmationCandidates() []uint64 {
 	own := r.Durable(r.config.Origin)
 	numbers := []uint64{own}
-	for _, p := range r.peers {
+	for _, p := range r.byAddr {
 		numbers = append(numbers, min(p.ackedNumber, own))
 	}
 	return numbers
 }
-
-// replicated reports whether the own log, up to a number that is on this replica's disk, is on enough
-// disks, or on the disks of all peers that are not cut off by evidence at least as recent as
-// sinceUs. A peer that is down does not count as cut off: the remaining disks may be lost before
-// it returns.
-func (r *Replica) replicated(number uint64, sinceUs int64) bool {
-	var holders copies
-	holders.add(r.config.Zone)
-	missing := false
-	for _, p := range r.peers {
-		switch {
-		case p.hasAcked && p.ackedNumber >= number:
-			if p.durable || !r.config.Durable {
-				holders.add(p.zone)
-			}
-		case !p.cutOff(sinceUs):
-			missing = true
-		}
-	}
-	return r.config.Quorum.satisfied(holders) || !missing
-}
-
-// CanConfirm reports whether an add that arrives now can be expected to be confirmed. It returns
-// false if the reachable replicas are too few for the quorum and another one may be down.
-func (r *Replica) CanConfirm() bool {
-	var reached copies
-	reached.add(r.config.Zone)
-	down := false
-	for addr, p := range r.peers {
-		if !p.calls.unreachable() {
-			reached.add(cmp.Or(p.zone, addr))
-		} else if p.witness != WitnessCut {
-			down = true
-		}
-	}
-	return !down || r.config.Quorum.satisfied(reached)
-}
