Drains: an acknowledged draining or leaving is on the disks of a majority

Cause: the acknowledgement rested on the memory of a majority of the controllers. The copy of the registry on disk lags by up to two seconds and holds no runners that have left, and a runner that has left repeats nothing.

Change: drainstore.Store keeps drains of the last two minutes in one file, synced before a controller acknowledges; records that arrive during a write share the next one. A restarted controller applies them after its copy of the registry and notifies the other members of the core, as a majority is not all of them.

Why it works: a majority of the group has the record on disk, and each that lacks it is told by one that has it.

--- a/internal/controller/controller.go
+++ b/internal/controller/controller.go
@@ -12,7 +12,7 @@
 //   - Responses that depend on the state are sent only while the controller holds the contact
 //     lease with a majority (package lease); without it the call is answered with 503.
 //   - A runner's draining or leaving is acknowledged after a majority of the
-//     controllers has recorded it.
+//     controllers has recorded it on disk.
 //
 // # Structure
 //
@@ -20,12 +20,12 @@
 // to Controller: singleton (leases and the tasks under them), weightrollout, servicerollout,
 // usagereport and scaling (tasks), platform and runnerapi (calls under a lease), grouprepair
 // (the groups of the registers), runnerreader (the prefixes that runners
-// have cached), quotaowner (tenant rate limits), tallies, httpapi.
+// have cached), quotaowner (tenant rate limits), tallies, drainstore (drains on disk), httpapi.
 //
 // This package contains: control.go (the HTTP calls), feed.go (distributes state to subscribers),
 // subscriptions.go (receives the feeds of other controllers), readers.go (selects the runners to
-// read), contact.go (the contact lease), drain.go (replicates draining), saved_runners.go (a copy
-// of the registry on disk), duties.go (sets up the singleton tasks).
+// read), contact.go (the contact lease), drain.go and drain_resend.go (replicate draining),
+// saved_runners.go (a copy of the registry on disk), duties.go (sets up the singleton tasks).
 //
 // # Ownership of state
 //
@@ -58,6 +58,7 @@
 
 	"beechtide.org/beechtide/internal/clocksync"
 	"beechtide.org/beechtide/internal/consensus"
+	"beechtide.org/beechtide/internal/controller/drainstore"
 	"beechtide.org/beechtide/internal/controller/grouprepair"
 	"beechtide.org/beechtide/internal/controller/operatorapi"
 	"beechtide.org/beechtide/internal/controller/platform"
@@ -161,7 +162,7 @@
 }
 
 // openDisk opens the disk store, if a data directory is set, and restores the saved runners, which
-// serve only as a hint.
+// serve only as a hint, and the acknowledged drains.
 func (c *Controller) openDisk() (err error) {
 	if c.set.DataDir == "" {
 		return nil
@@ -171,6 +172,10 @@
 		return errors.Wrap(err, "controller: open the disk store")
 	}
 	c.restoreRunners()
+	c.ackedDrains.store = drainstore.Open(c.disk, c.clock)
+	for _, record := range c.ackedDrains.store.Records() {
+		c.recordDrain(record)
+	}
 	c.syncRunners()
 	return nil
 }
@@ -310,6 +315,7 @@
 	go c.runFeed(runCtx)
 	go c.readRegisters(runCtx)
 	go c.finishRounds(runCtx)
+	go newDrainResender(c).run(runCtx)
 	go c.metricsServer().Run(runCtx)
 	if c.disk != nil {
 		go c.saveRunners(runCtx)
--- a/internal/controller/drain.go
+++ b/internal/controller/drain.go
@@ -1,7 +1,9 @@
 // Replication of draining and leaving. A runner stops serving after its draining or leaving was
 // acknowledged, so requests that arrive much later fail. The acknowledgement therefore waits for
 // the other controllers, each of which notifies its routers: always for a majority of the group,
-// from which the others receive the record, and for all reachable controllers up to a timeout.
+// from which the others receive the record, and for all reachable controllers up to a timeout. A
+// controller with a disk acknowledges once the record is on it (drainstore), since a runner that has
+// left does not repeat the call after a restart of the core.
 
 package controller
 
@@ -12,6 +14,7 @@
 
 	"github.com/pkg/errors"
 
+	"beechtide.org/beechtide/internal/controller/drainstore"
 	"beechtide.org/beechtide/internal/lease"
 	"beechtide.org/beechtide/internal/membership"
 	"beechtide.org/beechtide/internal/messages"
@@ -28,7 +31,9 @@
 // ackedDrains records the drains that a majority has acknowledged, so that a repeated call
 // is not replicated again. The zero value is ready for use; it is safe for concurrent use.
 type ackedDrains struct {
-	mu    sync.Mutex
+	store *drainstore.Store // nil on machines without a disk
+
+	mu    sync.Mutex // guards acked
 	acked map[string]bool
 }
 
@@ -68,7 +73,7 @@
 
 // replicate notifies all peers at once. It returns once a majority of the group has
 // acknowledged and all required peers have answered, or when ctx ends, and reports
-// whether a majority has acknowledged.
+// whether a majority has acknowledged. A member given as self counts as acknowledged.
 func replicate(ctx context.Context, self string, group []string, peers []drainPeer, notify notifyPeer) bool {
 	acks := notifyAll(ctx, peers, notify)
 	acked := map[string]bool{self: true}
@@ -125,7 +130,7 @@
 	if c.ackedDrains.contains(n) {
 		return true
 	}
-	var peers []drainPeer
+	peers := []drainPeer{{c.transport.Addr(), true}}
 	for _, p := range membership.CountedControllers(c.monitor.Alive(messages.Controller)) {
 		if p.Addr != c.transport.Addr() {
 			peers = append(peers, drainPeer{p.Addr, !c.stability.isCut(p.Addr)})
@@ -133,15 +138,20 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, drainTimeout)
 	defer cancel()
-	if !replicate(ctx, c.registers.ID(), c.configGroup(), peers, c.notifyOfDrain(n)) {
+	if !replicate(ctx, "", c.configGroup(), peers, c.notifyOfDrain(n)) {
 		return false
 	}
 	c.ackedDrains.add(n)
 	return true
 }
 
+// notifyOfDrain returns the function that notifies a controller, which may be this one, that a
+// runner drains or is gone.
 func (c *Controller) notifyOfDrain(n messages.RunnerRecord) notifyPeer {
 	return func(ctx context.Context, addr string) (string, error) {
+		if addr == c.transport.Addr() {
+			return c.registers.ID(), c.ackedDrains.store.Record(n)
+		}
 		b, err := c.transport.Call(ctx, addr, transport.KindDraining, &n)
 		if err != nil {
 			return "", err
@@ -155,7 +165,8 @@
 }
 
 // handleDrain handles another controller's notification that a runner drains or is
-// gone: it publishes that to its own subscribers and acknowledges with its identity.
+// gone: it publishes that to its own subscribers, and acknowledges with its identity once it is on
+// this machine's disk.
 func (c *Controller) handleDrain(_ context.Context, _ *transport.Conn, body []byte) ([]byte, error) {
 	var record messages.RunnerRecord
 	if _, err := record.UnmarshalMsg(body); err != nil {
@@ -164,6 +175,9 @@
 	if c.recordDrain(record) {
 		c.publishRunners(record.ID)
 	}
+	if err := c.ackedDrains.store.Record(record); err != nil {
+		return nil, err
+	}
 	self := messages.Member{ID: c.registers.ID(), Addr: c.transport.Addr()}
 	return self.MarshalMsg(nil)
 }
