Tallies: only short calls are evidence of a partition

Cause: every failed call to a replica counted as evidence that it is cut off: 300 ms for a call, 450 ms for a comparison of versions. One that begins just before the end of a partition fails for it.

Change: RecordSlowFailure for calls with a longer timeout than a probe: they make a replica unreachable, and are no evidence of a cut. Such a replica is probed at once where an add waits, as before.

--- a/internal/controller/tallies/replication.go
+++ b/internal/controller/tallies/replication.go
@@ -97,7 +97,7 @@
 	if err == nil {
 		_, err = answer.UnmarshalMsg(b)
 	}
-	s.recordCallResult(addr, err == nil, sentUs)
+	s.recordCallResult(addr, err, sentUs, timeout > probeTimeout)
 	return err == nil
 }
 
@@ -107,18 +107,24 @@
 }
 
 // recordCallResult records the result of a call to a replica that was sent at sentUs. A failed call that
-// lasted far longer than its timeout is ignored: it shows only that this process was paused.
-func (s *Service) recordCallResult(addr string, ok bool, sentUs int64) {
+// lasted far longer than its timeout is ignored: it shows only that this process was paused. A slow
+// call has a longer timeout than a probe.
+func (s *Service) recordCallResult(addr string, err error, sentUs int64, slow bool) {
 	nowUs := s.config.Clock()
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	switch {
-	case ok:
+	case err == nil:
 		s.replica.RecordAnswer(addr)
-	case nowUs-sentUs < (s.config.CompareTimeout + pauseMargin).Microseconds():
+		return
+	case nowUs-sentUs >= (s.config.CompareTimeout + pauseMargin).Microseconds():
+		return
+	case slow:
+		s.replica.RecordSlowFailure(addr, sentUs, nowUs)
+	default:
 		s.replica.RecordFailure(addr, sentUs, nowUs)
-		s.notifyChanged()
 	}
+	s.notifyChanged()
 }
 
 // pull fetches from a replica the adds of all logs that this one lacks, and reports whether it
@@ -185,12 +191,12 @@
 	}
 }
 
-// RecordComparisonFailure records that a comparison that was sent at sentUs got no response.
-func (s *Service) RecordComparisonFailure(addr string, sentUs int64) {
+// RecordComparisonFailure records that a comparison that was sent at sentUs failed.
+func (s *Service) RecordComparisonFailure(addr string, err error, sentUs int64) {
 	s.mu.Lock()
 	delete(s.differing, addr)
 	s.mu.Unlock()
-	s.recordCallResult(addr, false, sentUs)
+	s.recordCallResult(addr, err, sentUs, true)
 }
 
 // Digest returns the digest that other replicas compare with theirs.
--- a/internal/controller/tallies/service.go
+++ b/internal/controller/tallies/service.go
@@ -32,7 +32,8 @@
 	// enough to regard it as unreachable.
 	callTimeout = 300 * time.Millisecond
 	// probeTimeout bounds a probe of an unreachable replica, to which it responds without
-	// its disk.
+	// its disk. Only calls as short as this one are evidence of a partition, which may end
+	// while a call still waits.
 	probeTimeout = 150 * time.Millisecond
 	// pauseMargin is by how much a failed call may exceed its timeout and still count as a
 	// failure of the replica; after a longer time this process was paused.
--- a/internal/simulation/tally_actors.go
+++ b/internal/simulation/tally_actors.go
@@ -184,7 +184,12 @@
 			return
 		}
 		ended = true
-		if nowUs := r.process.NowUs(); nowUs-sentUs < waitUs+tallyLateUs {
+		nowUs := r.process.NowUs()
+		switch {
+		case nowUs-sentUs >= waitUs+tallyLateUs:
+		case waitUs > tallyProbeWaitUs:
+			r.replica.RecordSlowFailure(other.addr, sentUs, nowUs)
+		default:
 			r.replica.RecordFailure(other.addr, sentUs, nowUs)
 		}
 		failed()
--- a/internal/tally/peers.go
+++ b/internal/tally/peers.go
@@ -16,7 +16,12 @@
 // cutOff reports whether the path to the peer is cut (rather than the peer being down), by
 // evidence that is not older than sinceUs.
 func (p *peerState) cutOff(sinceUs int64) bool {
-	return p.calls.unreachable() && p.calls.lastSentUs >= sinceUs && p.witness == WitnessCut && p.witnessQueriedUs >= sinceUs
+	return p.seemsCut() && p.calls.lastSentUs >= sinceUs && p.witnessQueriedUs >= sinceUs
+}
+
+// seemsCut reports whether the last evidence, however old, is of a cut path.
+func (p *peerState) seemsCut() bool {
+	return p.calls.unreachable() && p.witness == WitnessCut
 }
 
 // Peers is what a replica knows about the others, and the rule by which their copies and its own
@@ -75,9 +80,9 @@
 	p.witness = WitnessUnknown
 }
 
-func (ps *Peers) recordFailure(addr string, sentUs, nowUs int64) {
+func (ps *Peers) recordFailure(addr string, call failedCall) {
 	if p := ps.byAddr[addr]; p != nil {
-		p.calls.recordFailure(sentUs, nowUs)
+		p.calls.recordFailure(call)
 	}
 }
 
@@ -156,7 +161,7 @@
 		case !ps.copyCounts(p):
 		case ps.reachable(p):
 			reached.add(cmp.Or(p.zone, addr))
-		case p.witness != WitnessCut:
+		case !p.seemsCut():
 			down = true
 		}
 	}
--- a/internal/tally/quorum.go
+++ b/internal/tally/quorum.go
@@ -46,23 +46,31 @@
 // the beginning of a partition is acknowledged before its caller retries at another replica.
 const unreachableUs = 600_000
 
+// failedCall is a call to a peer that has failed.
+type failedCall struct {
+	sentUs, endedUs int64
+	// slow is set if the timeout of the call is too long for it to be evidence of a partition.
+	slow bool
+}
+
 // callHistory tracks the results of calls to a peer.
 type callHistory struct {
 	failingSinceUs int64 // start of the first failed call since the last success
 	failing        bool
 	lastFailedUs   int64 // end of the last failed call
-	lastSentUs     int64 // latest start of a failed call
+	lastSentUs     int64 // latest start of a failed call that is not slow
 }
 
 func (r *callHistory) recordAnswer() { r.failing = false }
 
-// recordFailure records a call that began at sentUs and failed at nowUs.
-func (r *callHistory) recordFailure(sentUs, nowUs int64) {
+func (r *callHistory) recordFailure(call failedCall) {
 	if !r.failing {
-		r.failing, r.failingSinceUs = true, sentUs
+		r.failing, r.failingSinceUs = true, call.sentUs
+	}
+	r.lastFailedUs = call.endedUs
+	if !call.slow {
+		r.lastSentUs = max(r.lastSentUs, call.sentUs)
 	}
-	r.lastFailedUs = nowUs
-	r.lastSentUs = max(r.lastSentUs, sentUs)
 }
 
 // unreachable reports whether all calls have failed for at least unreachableUs. Callers must use
--- a/internal/tally/replica.go
+++ b/internal/tally/replica.go
@@ -212,9 +212,17 @@
 	r.advanceConfirmed()
 }
 
-// RecordFailure records that a call to a peer, started at sentUs, has failed.
+// RecordFailure records that a call to a peer, started at sentUs, has failed. The call may serve as
+// evidence that the peer is cut off.
 func (r *Replica) RecordFailure(addr string, sentUs, nowUs int64) {
-	r.recordFailure(addr, sentUs, nowUs)
+	r.recordFailure(addr, failedCall{sentUs: sentUs, endedUs: nowUs})
+	r.advanceConfirmed()
+}
+
+// RecordSlowFailure records the failure of a call whose timeout is so long that a partition may have
+// ended well before: the call is no evidence that the peer is cut off.
+func (r *Replica) RecordSlowFailure(addr string, sentUs, nowUs int64) {
+	r.recordFailure(addr, failedCall{sentUs: sentUs, endedUs: nowUs, slow: true})
 	r.advanceConfirmed()
 }
 
--- a/internal/tally/replica_test.go
+++ b/internal/tally/replica_test.go
@@ -119,6 +119,27 @@
 	must.True(t, r.MayAcknowledge(number, laterUs))
 }
 
+// Guards against an add that was acknowledged on fewer disks 307 ms after the end of a partition, as a
+// call of 300 ms had begun just before it (model tallies, seed 61353).
+func TestSlowCallIsNoEvidenceOfPartition(t *testing.T) {
+	r := testReplica()
+	const arrivedUs = 700_000
+	for _, addr := range []string{"a2", "b1", "c1"} {
+		failCalls(r, addr, WitnessCut)
+		r.RecordSlowFailure(addr, arrivedUs, arrivedUs+300_000)
+		r.RecordWitness(addr, WitnessCut, arrivedUs)
+	}
+	number := r.Append(testAdd(1))
+	completeWrite(r)
+	r.RecordWaiter(arrivedUs)
+	must.True(t, r.NeedsCall("b1"), must.Sprint("a probe is needed"))
+	must.False(t, r.MayAcknowledge(number, arrivedUs))
+	for _, addr := range []string{"a2", "b1", "c1"} {
+		r.RecordFailure(addr, arrivedUs+300_000, arrivedUs+450_000)
+	}
+	must.True(t, r.MayAcknowledge(number, arrivedUs))
+}
+
 func TestPeerIsUnreachableAfterSustainedFailures(t *testing.T) {
 	r := testReplica()
 	r.RecordFailure("b1", 0, 300_000)
