Tallies: a replica that refuses connections is down, not cut off

Cause: a replica that does not answer counted as cut off when no router of its zone answers either, which is also what a zone shows whose processes are all dead. A refused connection was taken for silence, though it shows that there is a path.

Change: a peer whose last call was refused is down, whatever witnesses say. Killed processes of the model refuse connections, as do those that could not open their log, and such a process answers no witness; machines without power say nothing.

--- a/internal/controller/tallies/replication.go
+++ b/internal/controller/tallies/replication.go
@@ -2,8 +2,10 @@
 
 import (
 	"context"
+	"syscall"
 	"time"
 
+	"github.com/pkg/errors"
 	"github.com/tinylib/msgp/msgp"
 
 	"beechtide.org/beechtide/internal/loop"
@@ -119,6 +121,8 @@
 		return
 	case nowUs-sentUs >= (s.config.CompareTimeout + pauseMargin).Microseconds():
 		return
+	case errors.Is(err, syscall.ECONNREFUSED):
+		s.replica.RecordRefusal(addr, sentUs, nowUs)
 	case slow:
 		s.replica.RecordSlowFailure(addr, sentUs, nowUs)
 	default:
--- a/internal/simulation/tallies.go
+++ b/internal/simulation/tallies.go
@@ -275,6 +275,7 @@
 func (h *tallyHistory) powerOff(r *tallyReplica, forUs int64) {
 	h.kernel.Log("%s loses power for %d us", r.addr, forUs)
 	r.process.Stop()
+	r.dark = true
 	r.disk.LosePower()
 	h.registerFault(forUs, r.bootIfDown)
 }
@@ -338,6 +339,7 @@
 		case slices.Contains(lost, r):
 			h.kernel.Log("%s loses its disk", r.addr)
 			r.process.Stop()
+			r.dark = true
 			r.disk.Erase()
 			h.checks.recordLostDisk(r)
 			h.registerFault(min(forUs, 3*Second)+tallyCatchUpUs, func() {})
--- a/internal/simulation/tally_actors.go
+++ b/internal/simulation/tally_actors.go
@@ -43,6 +43,7 @@
 	differing      map[string]bool
 	starts         int
 	bootUs         int64 // start of the current process by the simulation's clock
+	dark           bool  // the machine has no power: it says nothing, and does not refuse connections
 }
 
 func (r *tallyReplica) bootIfDown() {
@@ -54,6 +55,7 @@
 func (r *tallyReplica) boot() {
 	r.process.Start()
 	r.starts++
+	r.dark = false
 	r.bootUs = r.history.kernel.NowUs()
 	r.writeScheduled, r.ready, r.pulled, r.differing = false, false, map[string]bool{}, map[string]bool{}
 	r.idlePeers = map[string]*tallyReplica{}
@@ -90,6 +92,12 @@
 	r.process.After(0, r.checkReady)
 }
 
+// refuses reports whether the machine refuses connections to the process, which is down or could
+// not open its log.
+func (r *tallyReplica) refuses() bool {
+	return !r.dark && (!r.process.Up() || r.replica == nil)
+}
+
 // wake starts the writer and the idle senders, as the driver does after each change.
 func (r *tallyReplica) wake() {
 	if !r.writeScheduled {
@@ -163,11 +171,19 @@
 func (r *tallyReplica) callFor(other *tallyReplica, waitUs int64, serve func(answer func(func())), failed func()) {
 	sentUs, life, ended := r.process.NowUs(), r.process.life, false
 	net := r.history.network
+	refused := r.process.inLifeOf(life, func() {
+		if !ended {
+			ended = true
+			r.replica.RecordRefusal(other.addr, sentUs, r.process.NowUs())
+			failed()
+		}
+	})
 	net.Send(r.addr, other.addr, func() {
+		if other.refuses() {
+			net.Send(other.addr, r.addr, refused)
+			return
+		}
 		other.process.Deliver(func() {
-			if other.replica == nil {
-				return
-			}
 			serve(func(receive func()) {
 				net.Send(other.addr, r.addr, r.process.inLifeOf(life, func() {
 					if !ended {
@@ -377,6 +393,9 @@
 func (r *tallyRouter) checkReach(other *tallyReplica, answer func(reached bool)) {
 	net, reached := r.history.network, false
 	net.Send(r.addr, other.addr, func() {
+		if other.refuses() {
+			return
+		}
 		other.process.Deliver(func() {
 			net.Send(other.addr, r.addr, r.process.InLife(func() {
 				if !reached {
--- a/internal/tally/peers.go
+++ b/internal/tally/peers.go
@@ -21,7 +21,7 @@
 
 // seemsCut reports whether the last evidence, however old, is of a cut path.
 func (p *peerState) seemsCut() bool {
-	return p.calls.unreachable() && p.witness == WitnessCut
+	return p.calls.unreachable() && !p.calls.refused && p.witness == WitnessCut
 }
 
 // Peers is what a replica knows about the others, and the rule by which their copies and its own
--- a/internal/tally/quorum.go
+++ b/internal/tally/quorum.go
@@ -51,6 +51,8 @@
 	sentUs, endedUs int64
 	// slow is set if the timeout of the call is too long for it to be evidence of a partition.
 	slow bool
+	// refused is set if the peer's machine refused the connection.
+	refused bool
 }
 
 // callHistory tracks the results of calls to a peer.
@@ -59,6 +61,7 @@
 	failing        bool
 	lastFailedUs   int64 // end of the last failed call
 	lastSentUs     int64 // latest start of a failed call that is not slow
+	refused        bool  // the last failed call was refused: the path is whole, and the peer is down
 }
 
 func (r *callHistory) recordAnswer() { r.failing = false }
@@ -67,7 +70,7 @@
 	if !r.failing {
 		r.failing, r.failingSinceUs = true, call.sentUs
 	}
-	r.lastFailedUs = call.endedUs
+	r.lastFailedUs, r.refused = call.endedUs, call.refused
 	if !call.slow {
 		r.lastSentUs = max(r.lastSentUs, call.sentUs)
 	}
--- a/internal/tally/replica.go
+++ b/internal/tally/replica.go
@@ -226,6 +226,13 @@
 	r.advanceConfirmed()
 }
 
+// RecordRefusal records that the machine of a peer has refused a connection: there is a path to it,
+// and the peer is down.
+func (r *Replica) RecordRefusal(addr string, sentUs, nowUs int64) {
+	r.recordFailure(addr, failedCall{sentUs: sentUs, endedUs: nowUs, refused: true})
+	r.advanceConfirmed()
+}
+
 // Confirmed returns the number up to which the own log is confirmed.
 func (r *Replica) Confirmed() uint64 { return r.confirmedNumber }
 
--- a/internal/tally/replica_test.go
+++ b/internal/tally/replica_test.go
@@ -140,6 +140,30 @@
 	must.True(t, r.MayAcknowledge(number, arrivedUs))
 }
 
+// Guards against review/2: two zones whose processes are dead count as cut off, since no router of
+// them answers either, and adds are acknowledged with one copy.
+func TestPeerThatRefusesConnectionsIsNotCutOff(t *testing.T) {
+	r := testReplica()
+	for _, addr := range []string{"a2", "b1", "c1"} {
+		failCalls(r, addr, WitnessCut)
+	}
+	must.True(t, r.CanConfirm())
+	const arrivedUs = 700_000
+	number := r.Append(testAdd(1))
+	completeWrite(r)
+	for _, addr := range []string{"a2", "b1", "c1"} {
+		r.RecordRefusal(addr, arrivedUs, arrivedUs+1_000)
+		r.RecordWitness(addr, WitnessCut, arrivedUs)
+	}
+	must.False(t, r.CanConfirm())
+	must.False(t, r.MayAcknowledge(number, arrivedUs))
+	for _, addr := range []string{"a2", "b1", "c1"} {
+		r.RecordFailure(addr, arrivedUs+100_000, arrivedUs+250_000)
+		r.RecordWitness(addr, WitnessCut, arrivedUs+100_000)
+	}
+	must.True(t, r.MayAcknowledge(number, arrivedUs), must.Sprint("the machines have fallen silent"))
+}
+
 func TestPeerIsUnreachableAfterSustainedFailures(t *testing.T) {
 	r := testReplica()
 	r.RecordFailure("b1", 0, 300_000)
