Group repair: whether the deployment has counted controllers is remembered; registers with machines without a disk

Cause: consensus.NewStatus concluded from the controllers alive at the moment that all are eligible as members of the groups when none of them is counted, as while the whole core is away. A member without a disk may be lost with any number of others.

Change: Repairer remembers that it has seen a counted controller. Model registers-memory plays two or three controllers without a disk, which lose everything with their process, beside counted ones, and checks that none becomes a member.

--- a/internal/consensus/group.go
+++ b/internal/consensus/group.go
@@ -17,16 +17,18 @@
 	UnreachableTimeoutUs int64                        // how long a member must be unreachable to be replaced or removed
 }
 
-// NewStatus returns the Status for a set of live controllers. Controllers are counted if the
-// number of them that fail at once is bounded. If any live controller is counted, only
-// counted ones are eligible as members: any number of the others may fail at once, so an
-// uncounted member is treated as unreachable and replaced once a counted controller is
-// ready.
-func NewStatus(alive []messages.Peer, unreachableFor func(addr string) int64, unreachableTimeoutUs int64) Status {
-	counted := false
-	for _, peer := range alive {
-		counted = counted || peer.Counted
-	}
+// HasCounted reports whether any of the controllers is counted, that is whether the number of them
+// that fail at once is bounded.
+func HasCounted(controllers []messages.Peer) bool {
+	return slices.ContainsFunc(controllers, func(p messages.Peer) bool { return p.Counted })
+}
+
+// NewStatus returns the Status for a set of live controllers. If the deployment has counted
+// controllers, only these are eligible as members: any number of the others may fail at once, so an
+// uncounted member is treated as unreachable and replaced once a counted controller is ready.
+// countedSeen is whether this process has ever seen one; those alive now may all be uncounted.
+func NewStatus(alive []messages.Peer, countedSeen bool, unreachableFor func(addr string) int64, unreachableTimeoutUs int64) Status {
+	counted := countedSeen || HasCounted(alive)
 	status := Status{UnreachableTimeoutUs: unreachableTimeoutUs}
 	uncounted := map[string]bool{}
 	for _, peer := range alive {
--- a/internal/consensus/group_test.go
+++ b/internal/consensus/group_test.go
@@ -61,12 +61,26 @@
 		return messages.Peer{Addr: addr, MemberID: BootstrapID(addr), Counted: counted}
 	}
 	g := InitialValue([]string{"a", "b", "x"}).Group
-	next, want := RepairGroup(g, NewStatus([]messages.Peer{peer("a", true), peer("b", true), peer("c", true), peer("x", false)}, alive, 10))
+	next, want := RepairGroup(g, NewStatus([]messages.Peer{peer("a", true), peer("b", true), peer("c", true), peer("x", false)}, false, alive, 10))
 	must.True(t, want)
 	must.True(t, containsMember(next, BootstrapID("c")))
 	must.False(t, containsMember(next, BootstrapID("x")))
-	_, want = RepairGroup(g, NewStatus([]messages.Peer{peer("a", true), peer("b", true), peer("x", false)}, alive, 10))
+	_, want = RepairGroup(g, NewStatus([]messages.Peer{peer("a", true), peer("b", true), peer("x", false)}, false, alive, 10))
 	must.False(t, want, must.Sprint("there is no counted candidate"))
-	_, want = RepairGroup(g, NewStatus([]messages.Peer{peer("a", false), peer("b", false), peer("x", false), peer("y", false)}, alive, 10))
+	_, want = RepairGroup(g, NewStatus([]messages.Peer{peer("a", false), peer("b", false), peer("x", false), peer("y", false)}, false, alive, 10))
 	must.False(t, want, must.Sprint("if none is counted, all are eligible"))
 }
+
+// Guards against a member without a disk in the group of a core that is away: whether the deployment
+// has counted controllers does not depend on who is alive.
+func TestUncountedControllersStayOutOfTheGroupWhileTheCoreIsAway(t *testing.T) {
+	uncounted := []messages.Peer{{Addr: "x", MemberID: BootstrapID("x")}, {Addr: "y", MemberID: BootstrapID("y")}}
+	dead := func(addr string) int64 { return 20 }
+	g := InitialValue([]string{"a", "b", "c"}).Group
+	_, want := RepairGroup(g, NewStatus(uncounted, false, dead, 10))
+	must.True(t, want, must.Sprint("no counted controller has ever been seen"))
+	status := NewStatus(uncounted, true, dead, 10)
+	_, want = RepairGroup(g, status)
+	must.False(t, want)
+	must.SliceEmpty(t, status.Ready)
+}
--- a/internal/controller/grouprepair/hand_over.go
+++ b/internal/controller/grouprepair/hand_over.go
@@ -70,7 +70,7 @@
 func (r *Repairer) findSuccessors(ctx context.Context) []messages.Peer {
 	base, _ := r.config.Registers.Committed(consensus.ConfigRegister)
 	alive := r.config.Membership.Alive(messages.Controller)
-	newcomers := consensus.Candidates(base.Group, consensus.NewStatus(alive, r.config.Membership.DeadForUs, replaceDeadAfter.Microseconds()))
+	newcomers := consensus.Candidates(base.Group, r.statusOf(alive))
 	newcomers = newcomers[:min(len(newcomers), maxSuccessors)]
 	confirmed := r.confirmAll(ctx, newcomers, base)
 	members := r.groupMembers()
--- a/internal/controller/grouprepair/repairer.go
+++ b/internal/controller/grouprepair/repairer.go
@@ -70,9 +70,10 @@
 
 // Repairer repairs the groups of all registers.
 type Repairer struct {
-	config     Config
-	repairs    [consensus.RegisterCount]registerRepair
-	successors atomic.Pointer[[]messages.Peer] // set by Leave
+	config      Config
+	repairs     [consensus.RegisterCount]registerRepair
+	successors  atomic.Pointer[[]messages.Peer] // set by Leave
+	countedSeen atomic.Bool                     // a counted controller has been alive in this process's life
 }
 
 // registerRepair is the repair of one register.
@@ -134,7 +135,15 @@
 	if successors := r.successors.Load(); successors != nil {
 		alive = *successors
 	}
-	return consensus.NewStatus(alive, r.config.Membership.DeadForUs, replaceDeadAfter.Microseconds())
+	return r.statusOf(alive)
+}
+
+// statusOf returns the status with these controllers alive.
+func (r *Repairer) statusOf(alive []messages.Peer) consensus.Status {
+	if consensus.HasCounted(alive) {
+		r.countedSeen.Store(true)
+	}
+	return consensus.NewStatus(alive, r.countedSeen.Load(), r.config.Membership.DeadForUs, replaceDeadAfter.Microseconds())
 }
 
 // repair executes a step and the steps that follow from it.
--- a/internal/simulation/checks.go
+++ b/internal/simulation/checks.go
@@ -144,6 +144,9 @@
 func (c *checks) checkAddedMembers(part int, v messages.Value) {
 	for _, m := range v.Group {
 		node := c.cluster.controllerAt(m.Addr)
+		if node.memory {
+			c.cluster.kernel.Fail("%s joins part %d at version %d and has no disk", m.ID, part, v.Version)
+		}
 		identity, _ := node.disk.Durable(identityFile)
 		if c.addedMembers[part][m.ID] && string(identity) == m.ID && !node.hasDurably(part, m.ID, v.Version-1) {
 			c.cluster.kernel.Fail("%s joins part %d at version %d and does not hold the version before on disk", m.ID, part, v.Version)
--- a/internal/simulation/cluster.go
+++ b/internal/simulation/cluster.go
@@ -95,6 +95,22 @@
 	return c
 }
 
+// addMemoryControllers adds controllers without a disk, of which any number may be lost. With them the
+// others count.
+func addMemoryControllers(c *Cluster, count int) {
+	for i := range count {
+		node := &Controller{cluster: c, addr: fmt.Sprintf("m%d", i+1), process: NewProcess(c.kernel), disk: NewStorage(c.kernel), memory: true}
+		c.controllers = append(c.controllers, node)
+		node.boot(false)
+	}
+}
+
+// isCounted reports whether a controller is counted: in a cluster with controllers without a disk,
+// those with one are.
+func isCounted(c *Cluster, addr string) bool {
+	return c.controllers[len(c.controllers)-1].memory && !c.controllerAt(addr).memory
+}
+
 func (c *Cluster) controllerAt(addr string) *Controller {
 	for _, node := range c.controllers {
 		if node.addr == addr {
@@ -109,6 +125,7 @@
 	c.kernel.Log("%s crashes", node.addr)
 	node.process.Stop()
 	node.disk.Kill()
+	loseMemory(node)
 }
 
 // losePower stops a process and loses some of the unsynced content of its disk.
@@ -116,6 +133,14 @@
 	c.kernel.Log("%s loses power", node.addr)
 	node.process.Stop()
 	node.disk.LosePower()
+	loseMemory(node)
+}
+
+// loseMemory wipes what a machine without a disk had in memory.
+func loseMemory(node *Controller) {
+	if node.memory {
+		node.disk.Wipe()
+	}
 }
 
 // wipe stops a process and wipes its disk.
--- a/internal/simulation/controller.go
+++ b/internal/simulation/controller.go
@@ -44,21 +44,34 @@
 	addr    string
 	process *Process
 	disk    *Storage
+	memory  bool // the machine has no disk and is not counted: disk holds the memory of the process
 
 	// The fields below are reset with each life of the process.
-	id             string
-	registers      [parts]*register
+	id        string
+	registers [parts]*register
+	peerView
+	rolloutLease  lease.Lease
+	takeover      lease.Takeover
+	diskFault     bool // the last write failed
+	leaseBusy     bool
+	recordedFence int64 // the fence that it last recorded in actedFile
+	synced        bool  // the content that was read from the disk is durable
+	shutdown      shutdown
+	contact       lease.Contact
+	handledUs     map[string]int64 // by member id: virtual time at which it last handled a request of this process
+}
+
+// peerView is what a controller knows about the others.
+type peerView struct {
 	peers          map[string]peer
 	lastAnsweredUs map[string]int64 // by address: send time of the last ping that was answered
-	rolloutLease   lease.Lease
-	takeover       lease.Takeover
-	diskFault      bool // the last write failed
-	leaseBusy      bool
-	recordedFence  int64 // the fence that it last recorded in actedFile
-	synced         bool  // the content that was read from the disk is durable
-	shutdown       shutdown
-	contact        lease.Contact
-	handledUs      map[string]int64 // by member id: virtual time at which it last handled a request of this process
+	seenCounted    bool             // a counted controller has been alive in this process's life
+}
+
+// hasSeenCounted reports whether a counted controller has been alive in this process's life.
+func (c *Controller) hasSeenCounted(alive []messages.Peer) bool {
+	c.seenCounted = c.seenCounted || consensus.HasCounted(alive)
+	return c.seenCounted
 }
 
 // peer is the last news of another controller.
@@ -73,7 +86,8 @@
 // group.
 func (c *Controller) boot(founding bool) {
 	c.process.Start()
-	c.peers, c.lastAnsweredUs, c.leaseBusy, c.recordedFence = map[string]peer{}, map[string]int64{}, false, 0
+	c.peerView = peerView{peers: map[string]peer{}, lastAnsweredUs: map[string]int64{}}
+	c.leaseBusy, c.recordedFence = false, 0
 	c.rolloutLease = lease.Lease{Times: controllerLeaseTimes}
 	c.takeover = lease.Takeover{}
 	c.synced = false
--- a/internal/simulation/pings.go
+++ b/internal/simulation/pings.go
@@ -95,10 +95,10 @@
 
 // alive returns the live controllers ordered by address, including this one.
 func (c *Controller) alive() []messages.Peer {
-	out := []messages.Peer{{Addr: c.addr, MemberID: c.id}}
+	out := []messages.Peer{{Addr: c.addr, MemberID: c.id, Counted: isCounted(c.cluster, c.addr)}}
 	for addr, p := range c.peers {
 		if c.silentForUs(addr) == 0 {
-			out = append(out, messages.Peer{Addr: addr, MemberID: p.id})
+			out = append(out, messages.Peer{Addr: addr, MemberID: p.id, Counted: isCounted(c.cluster, addr)})
 		}
 	}
 	slices.SortFunc(out, func(a, b messages.Peer) int { return cmp.Compare(a.Addr, b.Addr) })
--- a/internal/simulation/play.go
+++ b/internal/simulation/play.go
@@ -29,7 +29,21 @@
 func Play(seed uint64, options Options) Result {
 	k := NewKernel(seed, options.Record)
 	size := []int{3, 3, 3, 5, 5, 7}[k.Below(6)]
-	c := newCluster(k, size, k.Below(3), 2+k.Below(3), options.Defects)
+	return playCluster(newCluster(k, size, k.Below(3), 2+k.Below(3), options.Defects), seed)
+}
+
+// PlayWithMemory simulates the history of a seed with two or three controllers without a disk beside
+// those of Play.
+func PlayWithMemory(seed uint64, options Options) Result {
+	k := NewKernel(seed, options.Record)
+	c := newCluster(k, []int{3, 5}[k.Below(2)], k.Below(3), 2+k.Below(3), options.Defects)
+	addMemoryControllers(c, 2+k.Below(2))
+	return playCluster(c, seed)
+}
+
+// playCluster simulates the faults, heals them and checks the final state.
+func playCluster(c *Cluster, seed uint64) Result {
+	k := c.kernel
 	c.scheduleFaults()
 	k.RunUntil(calmPhaseUs + faultPhaseUs + maxFaultUs/2)
 	c.heal()
--- a/internal/simulation/play_test.go
+++ b/internal/simulation/play_test.go
@@ -68,6 +68,15 @@
 	}
 }
 
+// Controllers without a disk, of which any number may be lost, beside counted ones.
+func TestRegistersWithMemoryControllersViolateNoCheck(t *testing.T) {
+	counts := Run(Range{Model: "registers-memory", Count: 150, Parallel: 3}, Options{}, func(r Result) { t.Errorf("seed %d: %s", r.Seed, r.Failure) })
+	t.Log(counts)
+	must.Positive(t, counts.ConfigsAccepted)
+	must.Positive(t, counts.GroupChanges)
+	must.Positive(t, counts.DisksLost)
+}
+
 // maxSeedsToDetect bounds the search for a seed that detects a defect.
 const maxSeedsToDetect = 2000
 
--- a/internal/simulation/run.go
+++ b/internal/simulation/run.go
@@ -6,7 +6,7 @@
 
 // Models maps the name of each simulation model to the function that runs one seed of it.
 var Models = map[string]func(seed uint64, options Options) Result{
-	"registers": Play, "runners": PlayFleet, "runners-partial": PlayFleetPartial,
+	"registers": Play, "registers-memory": PlayWithMemory, "runners": PlayFleet, "runners-partial": PlayFleetPartial,
 	"rollouts": PlayRollouts, "distribution": PlayDistribution, "usage": PlayUsage,
 	"quota": PlayQuota, "tallies": PlayTallies, "requests": PlayRequests, "loads": PlayLoads, "versions": PlayVersions,
 }
--- a/internal/simulation/shutdown.go
+++ b/internal/simulation/shutdown.go
@@ -60,7 +60,7 @@
 func (c *Controller) findSuccessors(found func([]messages.Peer)) {
 	base, _ := c.committed(configPart)
 	alive := c.alive()
-	newcomers := consensus.Candidates(base.Group, consensus.NewStatus(alive, c.silentForUs, goneAfterUs))
+	newcomers := consensus.Candidates(base.Group, consensus.NewStatus(alive, c.hasSeenCounted(alive), c.silentForUs, goneAfterUs))
 	newcomers = newcomers[:min(len(newcomers), maxSuccessors)]
 	confirmed, answers, finished := map[string]bool{}, 0, false
 	end := func() {
@@ -106,7 +106,7 @@
 	if c.shutdown.successorsFound {
 		alive = c.shutdown.successors
 	}
-	return consensus.NewStatus(alive, c.silentForUs, goneAfterUs)
+	return consensus.NewStatus(alive, c.hasSeenCounted(alive), c.silentForUs, goneAfterUs)
 }
 
 // handOver repairs the groups until no membership is left to hand over, or the time is over.
@@ -186,7 +186,7 @@
 // hasSpare reports whether a running controller exists that is not a member of a register's group.
 func (c *Cluster) hasSpare(part int, victim *Controller) bool {
 	for _, node := range c.controllers {
-		if node != victim && node.process.Up() && !node.process.frozen && node.id != "" && !containsMember(c.checks.newest[part].Group, node.id) {
+		if node != victim && !node.memory && node.process.Up() && !node.process.frozen && node.id != "" && !containsMember(c.checks.newest[part].Group, node.id) {
 			return true
 		}
 	}
--- a/internal/simulation/tallies.go
+++ b/internal/simulation/tallies.go
@@ -63,7 +63,7 @@
 		h.routers = append(h.routers, &tallyRouter{history: h, addr: "router-" + zone, zone: zone, process: NewProcess(k)})
 		for i := range 2 {
 			addr := fmt.Sprint(zone, i+1)
-			h.replicas = append(h.replicas, &tallyReplica{history: h, addr: addr, zone: zone, process: NewProcess(k), disk: disk.New(uint64(k.Between(0, 1<<40)))})
+			h.replicas = append(h.replicas, newTallyReplica(h, addr, zone, disk.New(uint64(k.Between(0, 1<<40)))))
 		}
 	}
 	for _, r := range h.routers {
@@ -79,6 +79,10 @@
 	return h
 }
 
+func newTallyReplica(h *tallyHistory, addr, zone string, d *disk.Disk) *tallyReplica {
+	return &tallyReplica{tallyMachine: tallyMachine{addr: addr, zone: zone, disk: d}, history: h, process: NewProcess(h.kernel)}
+}
+
 // generateAdds sends an add from a client of a zone and schedules the next one.
 func (h *tallyHistory) generateAdds(zone string) {
 	h.serial++
--- a/internal/simulation/tally_actors.go
+++ b/internal/simulation/tally_actors.go
@@ -25,15 +25,21 @@
 	tallyBatchSize          = 200
 )
 
+// tallyMachine is the machine of a replica.
+type tallyMachine struct {
+	addr           string
+	zone           string
+	disk           *disk.Disk // nil on a machine without one
+	stalledUntilUs int64
+	dark           bool // without power the machine says nothing, and does not refuse connections
+}
+
 // tallyReplica models the tally part of a controller.
 type tallyReplica struct {
+	tallyMachine
 	history *tallyHistory
-	addr    string
-	zone    string
 	process *Process
-	disk    *disk.Disk
 
-	stalledUntilUs int64
 	log            *tally.Log
 	replica        *tally.Replica
 	writeScheduled bool                     // a write is in progress or scheduled
@@ -43,7 +49,6 @@
 	differing      map[string]bool
 	starts         int
 	bootUs         int64 // start of the current process by the simulation's clock
-	dark           bool  // the machine has no power: it says nothing, and does not refuse connections
 }
 
 func (r *tallyReplica) bootIfDown() {
