--- a/internal/consensus/group_test.go
+++ b/internal/consensus/group_test.go
@@ -75,7 +75,7 @@
 // has counted controllers does not depend on who is alive.
 func TestUncountedControllersStayOutOfTheGroupWhileTheCoreIsAway(t *testing.T) {
 	uncounted := []messages.Peer{{Addr: "x", MemberID: BootstrapID("x")}, {Addr: "y", MemberID: BootstrapID("y")}}
-	dead := func(addr string) int64 { return 20 }
+	dead := func(string) int64 { return 20 }
 	g := InitialValue([]string{"a", "b", "c"}).Group
 	_, want := RepairGroup(g, NewStatus(uncounted, false, dead, 10))
 	must.True(t, want, must.Sprint("no counted controller has ever been seen"))
