--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -22,8 +22,8 @@
 // front.go checks a request, attempts.go makes its attempts, send.go each of them, responses.go streams the
 // response, move.go resumes streams elsewhere, withdraw.go ends attempts,
 // client_watch.go detects clients that disconnect, feed.go applies feeds, loads.go reports
-// load, compare.go and recheck.go query controllers outside the tree, missing.go probes
-// absent runners, leave.go shuts down by the plan of shutdown_plan.go.
+// load, compare.go and recheck.go query controllers outside the tree, absent_runners.go probes
+// absent runners, shutdown.go shuts down by the plan of shutdown_plan.go.
 //
 // # Ownership of state
 //
