--- a/internal/tally/doc.go
+++ b/internal/tally/doc.go
@@ -23,6 +23,8 @@
 //   - Replica.Confirmed returns up to which number the replica's own log is on as many
 //     disks as Quorum requires, or on those of all replicas except the ones that are cut
 //     off by a partition.
+//   - A copy in memory counts for the quorum only where no replica has a disk (Storage).
+//     A replica whose own copy does not count never confirms an add on fewer disks.
 //   - Adds are never removed, since a client may retry an ID after any length of time.
 //
 // # Concurrency
