Rollouts: a reverted version gets nothing until it is ordered again

Cause: "reverted" was the state of the newest rollout, and the register keeps only the newest; admission took every version but its target for an old, good one.

Change: the register keeps the reverted versions of a service beside it, until one is ordered again. Admission gives them nothing, and they are no part of any baseline. A new field of the register's body, which releases that do not know it ignore.

Seen to fail: TestRevertedVersionGetsNothingDuringTheNextRollout with the condition taken out (the code before lacks the argument).

--- a/internal/admission/pool.go
+++ b/internal/admission/pool.go
@@ -17,8 +17,9 @@
 	// warmupRatePerS is the request rate that a runner can serve during warm-up; 0: no limit.
 	warmupRatePerS     float64
 	warmupShare        warmupShare
-	rollout            *rollout // the newest rollout; nil if there is none
-	transferUsPerToken float64  // microseconds to transfer the memory of one token between runners; 0: no transfers
+	rollout            *rollout        // the newest rollout; nil if there is none
+	reverted           map[string]bool // software versions that were reverted before the newest rollout
+	transferUsPerToken float64         // microseconds to transfer the memory of one token between runners; 0: no transfers
 }
 
 // Store is a server that caches memory blocks for the runners of a service.
--- a/internal/admission/rollout.go
+++ b/internal/admission/rollout.go
@@ -39,10 +39,11 @@
 // hasTargetVersion reports whether a runner has the target version of the rollout.
 func (o *rollout) hasTargetVersion(r *runner) bool { return r.record.Version == o.Target }
 
-// SetRollouts sets the newest rollout of each service.
-func (a *Admitter) SetRollouts(rollouts []messages.ServiceRollout) {
+// SetRollouts sets the newest rollout of each service, and the versions that were reverted before it.
+func (a *Admitter) SetRollouts(rollouts []messages.ServiceRollout, reverted []messages.RevertedVersion) {
 	for _, next := range rollouts {
 		p := a.pool(next.Service)
+		p.reverted = canary.RevertedOf(reverted, next.Service)
 		if p.rollout == nil || p.rollout.Number != next.Number {
 			p.rollout = &rollout{outcomes: map[canary.Key]canary.Outcome{}}
 		}
@@ -51,6 +52,21 @@
 	}
 }
 
+// isReverted reports whether a version is to get no requests: its rollout was reverted, and it was not
+// ordered again.
+func (p *pool) isReverted(version string) bool {
+	if p.reverted[version] {
+		return true
+	}
+	return p.rollout != nil && p.rollout.stage() == canary.Reverted && p.rollout.Target == version
+}
+
+// isBaseline reports whether a runner has one of the versions that the target of the rollout is compared
+// with.
+func (p *pool) isBaseline(r *runner) bool {
+	return !p.rollout.hasTargetVersion(r) && !p.isReverted(r.record.Version)
+}
+
 // chooseCanaryRunners chooses the runners on which a new version is tried. They are few, so that
 // their load is canaryLoadFactor times that of the others, and are chosen by a hash, so that all
 // nodes choose the same.
@@ -67,9 +83,9 @@
 	others := 0
 	for _, id := range p.order {
 		switch r := p.runners[id]; {
-		case !o.hasTargetVersion(r):
+		case p.isBaseline(r):
 			others++
-		case !r.record.Draining && !r.record.Stale:
+		case o.hasTargetVersion(r) && !r.record.Draining && !r.record.Stale:
 			updated = append(updated, id)
 		}
 	}
@@ -97,6 +113,9 @@
 	if o == nil {
 		return 0, true
 	}
+	if p.isReverted(r.record.Version) {
+		return 0, false
+	}
 	updated := o.hasTargetVersion(r)
 	switch o.stage() {
 	case canary.Trial:
@@ -108,7 +127,7 @@
 		}
 		return 0, true
 	case canary.Reverted:
-		return 0, !updated
+		return 0, true
 	}
 	if updated {
 		return 0, true
@@ -119,8 +138,7 @@
 // VersionAllowed reports whether an admitted request may still be sent to its runner's version. It
 // may not if the rollout of that version has been reverted since.
 func (a *Admitter) VersionAllowed(adm *Admission) bool {
-	o := a.pool(adm.service).rollout
-	return o == nil || o.stage() != canary.Reverted || adm.Runner.Version != o.Target
+	return !a.pool(adm.service).isReverted(adm.Runner.Version)
 }
 
 // slowAfterUs returns the time after which the first token of a prompt counts as slow. It is based
@@ -128,7 +146,7 @@
 func (p *pool) slowAfterUs(t *Tuning, tokens int) int64 {
 	var rates []float64
 	for _, id := range p.order {
-		if r := p.runners[id]; r.measuredRate > 0 && !p.rollout.hasTargetVersion(r) {
+		if r := p.runners[id]; r.measuredRate > 0 && p.isBaseline(r) {
 			rates = append(rates, r.measuredRate)
 		}
 	}
--- a/internal/admission/rollout_test.go
+++ b/internal/admission/rollout_test.go
@@ -22,7 +22,7 @@
 		records = append(records, messages.RunnerRecord{ID: fmt.Sprint("new", i), Service: "s", Addr: fmt.Sprint("n", i), Zone: "a", Capacity: 8, Version: "v2"})
 	}
 	a.SetService("s", records, 100_000, 0)
-	a.SetRollouts([]messages.ServiceRollout{{Service: "s", Target: "v2", Stage: int(stage), SharePerMille: 100, Number: 1}})
+	a.SetRollouts([]messages.ServiceRollout{{Service: "s", Target: "v2", Stage: int(stage), SharePerMille: 100, Number: 1}}, nil)
 	return a
 }
 
@@ -57,6 +57,21 @@
 	}
 }
 
+// Guards against EXPOSURE: a version was reverted, and the next order made its runners count as old, good
+// ones while they still ran.
+func TestRevertedVersionGetsNothingDuringTheNextRollout(t *testing.T) {
+	for stage := canary.Trial; stage <= canary.Reverted; stage++ {
+		a := newRolloutAdmitter(stage, 4, 4)
+		next := []messages.ServiceRollout{{Service: "s", Target: "v3", Stage: int(stage), SharePerMille: 100, Number: 2}}
+		a.SetRollouts(next, []messages.RevertedVersion{{Service: "s", Version: "v2"}, {Service: "other", Version: "v1"}})
+		for _, request := range []Request{{Service: "s", TokensIn: 10}, {Service: "s", TokensIn: 10, Canary: true}} {
+			must.Eq(t, map[string]int{"v1": 4}, candidatesByVersion(a, request), must.Sprint(stage))
+		}
+		must.False(t, a.VersionAllowed(&Admission{service: "s", Runner: messages.RunnerRecord{Version: "v2"}}))
+		must.True(t, a.VersionAllowed(&Admission{service: "s", Runner: messages.RunnerRecord{Version: "v1"}}))
+	}
+}
+
 func TestCanaryShareIsDrawnOnlyWhileVersionIsTried(t *testing.T) {
 	const draws = 10_000
 	for stage, share := range map[canary.Stage]int{canary.Trial: draws / 10, canary.Shifting: 0, canary.Reverted: 0} {
@@ -110,7 +125,7 @@
 		"500 ms failed":    {New: canary.Outcome{Answers: 3, Bad: 1}, Baseline: canary.Outcome{Answers: 1}},
 		"500 ms slow":      {New: canary.Outcome{Answers: 2, Bad: 1}, Baseline: canary.Outcome{Answers: 1}},
 	}, evidence)
-	a.SetRollouts([]messages.ServiceRollout{{Service: "s", Target: "v2", Stage: int(canary.Settled), Number: 1}})
+	a.SetRollouts([]messages.ServiceRollout{{Service: "s", Target: "v2", Stage: int(canary.Settled), Number: 1}}, nil)
 	for id := range a.OwnLoads(2000) {
 		_, ok := canary.ParseKey(id)
 		must.False(t, ok, must.Sprint("outcomes must not be published after the end of the rollout"))
--- a/internal/canary/canary_test.go
+++ b/internal/canary/canary_test.go
@@ -1,6 +1,7 @@
 package canary
 
 import (
+	"fmt"
 	"math/rand/v2"
 	"testing"
 
@@ -247,3 +248,33 @@
 	m.observe(Evidence{AllRequests: Pair{New: Outcome{2040, 28}, Baseline: Outcome{2100, 11}}}, 1_000_000)
 	must.Eq(t, AllRequests+" of late", m.findWorse())
 }
+
+func TestRevertedVersionsAreRememberedUntilOrderedAgain(t *testing.T) {
+	list, _, err := Begin(nil, testOrder, testBounds, 1000)
+	must.NoError(t, err)
+	must.SliceEmpty(t, RecordReverted(nil, nil, testOrder))
+	next := Order{Service: testOrder.Service, Target: "next", DurationUs: 1}
+	list[0].Stage = int(Settled)
+	must.SliceEmpty(t, RecordReverted(nil, list, next), must.Sprint("it was settled"))
+	list[0].Stage = int(Reverted)
+	other := messages.RevertedVersion{Service: "other", Version: testOrder.Target}
+	reverted := RecordReverted([]messages.RevertedVersion{other}, list, next)
+	must.Eq(t, map[string]bool{testOrder.Target: true}, RevertedOf(reverted, testOrder.Service))
+	must.MapEmpty(t, RevertedOf(reverted, "unknown"))
+	list, _, err = Begin(list, next, testBounds, 2000)
+	must.NoError(t, err)
+	list[0].Stage = int(Reverted)
+	reverted = RecordReverted(reverted, list, testOrder)
+	must.Eq(t, map[string]bool{"next": true}, RevertedOf(reverted, testOrder.Service), must.Sprint("the first version is ordered again"))
+	must.SliceContains(t, reverted, other)
+}
+
+func TestOldestRevertedVersionIsForgottenFirst(t *testing.T) {
+	var reverted []messages.RevertedVersion
+	for i := range maxRevertedVersions + 2 {
+		list := []messages.ServiceRollout{{Service: "s", Target: fmt.Sprint("v", i), Stage: int(Reverted), Number: int64(i)}}
+		reverted = RecordReverted(reverted, list, Order{Service: "s", Target: fmt.Sprint("v", i+1)})
+	}
+	must.Len(t, maxRevertedVersions, reverted)
+	must.Eq(t, "v2", reverted[0].Version)
+}
--- a/internal/canary/rollout.go
+++ b/internal/canary/rollout.go
@@ -104,6 +104,40 @@
 	return next, true, nil
 }
 
+// maxRevertedVersions is how many reverted versions of a service are remembered. Their runners are
+// drained soon after the reversion.
+const maxRevertedVersions = 16
+
+// RecordReverted returns the reverted versions after an order that begins a rollout: those before it and,
+// if the service's previous rollout was reverted, that version; without the version that the order names.
+// The runners of a reverted version may run for long after the next order.
+func RecordReverted(reverted []messages.RevertedVersion, before []messages.ServiceRollout, order Order) []messages.RevertedVersion {
+	isOrdered := func(v messages.RevertedVersion) bool { return v.Service == order.Service && v.Version == order.Target }
+	next := slices.DeleteFunc(slices.Clone(reverted), isOrdered)
+	previous, found := Find(before, order.Service)
+	if !found || Stage(previous.Stage) != Reverted || previous.Target == order.Target {
+		return next
+	}
+	next = append(next, messages.RevertedVersion{Service: order.Service, Version: previous.Target})
+	isOfService := func(v messages.RevertedVersion) bool { return v.Service == order.Service }
+	if count := len(RevertedOf(next, order.Service)); count > maxRevertedVersions {
+		oldest := slices.IndexFunc(next, isOfService)
+		next = slices.Delete(next, oldest, oldest+1)
+	}
+	return next
+}
+
+// RevertedOf returns the reverted versions of a service.
+func RevertedOf(reverted []messages.RevertedVersion, service string) map[string]bool {
+	versions := map[string]bool{}
+	for _, v := range reverted {
+		if v.Service == service {
+			versions[v.Version] = true
+		}
+	}
+	return versions
+}
+
 // Advance applies a step to one of the rollouts and returns the new list. changed is false if the
 // list no longer contains that rollout unchanged, if its stage must not be followed by that of
 // the step, or if the step changes nothing.
--- a/internal/controller/operatorapi/rollouts.go
+++ b/internal/controller/operatorapi/rollouts.go
@@ -64,6 +64,7 @@
 	case !changed:
 		return nil, nil, consensus.ErrNoChange
 	}
+	body.Reverted = canary.RecordReverted(body.Reverted, body.Rollouts, wanted)
 	body.Rollouts = next
 	b, err := body.MarshalMsg(nil)
 	return nil, b, err
--- a/internal/controller/servicerollout/driver.go
+++ b/internal/controller/servicerollout/driver.go
@@ -77,15 +77,15 @@
 	}
 	run := func(ctx context.Context, grant lease.Grant) {
 		for _, rollout := range running {
-			d.step(ctx, register, grant, body.Lease, rollout)
+			d.step(ctx, register, grant, body, rollout)
 		}
 	}
 	return singleton.Job{Needed: len(running) > 0, Run: run}, len(running) > 0
 }
 
 // step starts to commit the next step of a rollout, if one is due.
-func (d *Driver) step(ctx context.Context, register int, grant lease.Grant, current messages.Lease, rollout messages.ServiceRollout) {
-	view, agreed := d.view(rollout)
+func (d *Driver) step(ctx context.Context, register int, grant lease.Grant, body messages.LeaseBody, rollout messages.ServiceRollout) {
+	view, agreed := d.view(rollout, canary.RevertedOf(body.Reverted, rollout.Service))
 	if !agreed {
 		return
 	}
@@ -101,7 +101,7 @@
 		return
 	}
 	d.committing[key] = true
-	go d.commitStep(ctx, register, current, rollout, step)
+	go d.commitStep(ctx, register, body.Lease, rollout, step)
 }
 
 // commitStep commits a step to the register. If that fails, the step is due again.
@@ -120,8 +120,9 @@
 	delete(d.committing, planKey{rollout.Service, rollout.Number})
 }
 
-// view returns the input of a rollout's plan, and whether the time of day is agreed on.
-func (d *Driver) view(rollout messages.ServiceRollout) (canary.View, bool) {
+// view returns the input of a rollout's plan, and whether the time of day is agreed on. Runners of reverted
+// versions are left out: they get no requests.
+func (d *Driver) view(rollout messages.ServiceRollout, reverted map[string]bool) (canary.View, bool) {
 	timeUs, agreed := d.config.TimeOfDay()
 	view := canary.View{
 		TimeUs:     timeUs,
@@ -136,7 +137,9 @@
 	d.config.ReadLoads(func(loads *statesync.Loads) {
 		loads.Each(func(id string, load messages.RunnerLoad) { canary.Collect(view.Evidence, rollout, id, load) })
 		for _, runner := range runners {
-			countRunner(&view, rollout.Target, runner, loads)
+			if !reverted[runner.Version] {
+				countRunner(&view, rollout.Target, runner, loads)
+			}
 		}
 	})
 	return view, agreed
--- a/internal/controller/servicerollout/driver_test.go
+++ b/internal/controller/servicerollout/driver_test.go
@@ -78,3 +78,16 @@
 	job.Run(t.Context(), lease.Grant{})
 	must.MapEmpty(t, d.committing)
 }
+
+// Runners of a version that was reverted get no requests, so they are no part of the baseline.
+func TestRunnersOfRevertedVersionsAreNotCounted(t *testing.T) {
+	known := registry.New()
+	for i, version := range []string{"v1", "v2", "bad"} {
+		known.ApplyHeartbeat(messages.RunnerRecord{ID: version, Service: "s", Zone: "a", Version: version, Seq: int64(i) + 1, Addr: version, Capacity: 4}, 1)
+	}
+	d := newTestDriver(t, fakeLeases{}, 0)
+	d.config.Runners = known.Snapshot
+	view, _ := d.view(running, map[string]bool{"bad": true})
+	must.Eq(t, 1, view.NewReady)
+	must.Eq(t, 1, view.BaselineReady)
+}
--- a/internal/messages/msgp.gen.go
+++ b/internal/messages/msgp.gen.go
@@ -2711,9 +2711,9 @@
 // MarshalMsg implements msgp.Marshaler
 func (z *LeaseBody) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
-	// map header, size 6
+	// map header, size 7
 	// string "c"
-	o = append(o, 0x86, 0xa1, 0x63)
+	o = append(o, 0x87, 0xa1, 0x63)
 	// map header, size 2
 	// string "f"
 	o = append(o, 0x82, 0xa1, 0x66)
@@ -2800,6 +2800,18 @@
 		o = append(o, 0xa1, 0x77)
 		o = msgp.AppendInt64(o, z.Usage.Pending[za0005].Window)
 	}
+	// string "v"
+	o = append(o, 0xa1, 0x76)
+	o = msgp.AppendArrayHeader(o, uint32(len(z.Reverted)))
+	for za0007 := range z.Reverted {
+		// map header, size 2
+		// string "s"
+		o = append(o, 0x82, 0xa1, 0x73)
+		o = msgp.AppendString(o, z.Reverted[za0007].Service)
+		// string "v"
+		o = append(o, 0xa1, 0x76)
+		o = msgp.AppendString(o, z.Reverted[za0007].Version)
+	}
 	return
 }
 
@@ -3150,6 +3162,54 @@
 					}
 				}
 			}
+		case "v":
+			var zb0015 uint32
+			zb0015, bts, err = msgp.ReadArrayHeaderBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Reverted")
+				return
+			}
+			if cap(z.Reverted) >= int(zb0015) {
+				z.Reverted = (z.Reverted)[:zb0015]
+			} else {
+				z.Reverted = make([]RevertedVersion, zb0015)
+			}
+			for za0007 := range z.Reverted {
+				var zb0016 uint32
+				zb0016, bts, err = msgp.ReadMapHeaderBytes(bts)
+				if err != nil {
+					err = msgp.WrapError(err, "Reverted", za0007)
+					return
+				}
+				for zb0016 > 0 {
+					zb0016--
+					field, bts, err = msgp.ReadMapKeyZC(bts)
+					if err != nil {
+						err = msgp.WrapError(err, "Reverted", za0007)
+						return
+					}
+					switch msgp.UnsafeString(field) {
+					case "s":
+						z.Reverted[za0007].Service, bts, err = msgp.ReadStringBytes(bts)
+						if err != nil {
+							err = msgp.WrapError(err, "Reverted", za0007, "Service")
+							return
+						}
+					case "v":
+						z.Reverted[za0007].Version, bts, err = msgp.ReadStringBytes(bts)
+						if err != nil {
+							err = msgp.WrapError(err, "Reverted", za0007, "Version")
+							return
+						}
+					default:
+						bts, err = msgp.Skip(bts)
+						if err != nil {
+							err = msgp.WrapError(err, "Reverted", za0007)
+							return
+						}
+					}
+				}
+			}
 		default:
 			bts, err = msgp.Skip(bts)
 			if err != nil {
@@ -3188,6 +3248,10 @@
 		}
 		s += 2 + msgp.Int64Size
 	}
+	s += 2 + msgp.ArrayHeaderSize
+	for za0007 := range z.Reverted {
+		s += 1 + 2 + msgp.StringPrefixSize + len(z.Reverted[za0007].Service) + 2 + msgp.StringPrefixSize + len(z.Reverted[za0007].Version)
+	}
 	return
 }
 
@@ -5481,6 +5545,67 @@
 	return
 }
 
+// MarshalMsg implements msgp.Marshaler
+func (z RevertedVersion) MarshalMsg(b []byte) (o []byte, err error) {
+	o = msgp.Require(b, z.Msgsize())
+	// map header, size 2
+	// string "s"
+	o = append(o, 0x82, 0xa1, 0x73)
+	o = msgp.AppendString(o, z.Service)
+	// string "v"
+	o = append(o, 0xa1, 0x76)
+	o = msgp.AppendString(o, z.Version)
+	return
+}
+
+// UnmarshalMsg implements msgp.Unmarshaler
+func (z *RevertedVersion) UnmarshalMsg(bts []byte) (o []byte, err error) {
+	var field []byte
+	_ = field
+	var zb0001 uint32
+	zb0001, bts, err = msgp.ReadMapHeaderBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err)
+		return
+	}
+	for zb0001 > 0 {
+		zb0001--
+		field, bts, err = msgp.ReadMapKeyZC(bts)
+		if err != nil {
+			err = msgp.WrapError(err)
+			return
+		}
+		switch msgp.UnsafeString(field) {
+		case "s":
+			z.Service, bts, err = msgp.ReadStringBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Service")
+				return
+			}
+		case "v":
+			z.Version, bts, err = msgp.ReadStringBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Version")
+				return
+			}
+		default:
+			bts, err = msgp.Skip(bts)
+			if err != nil {
+				err = msgp.WrapError(err)
+				return
+			}
+		}
+	}
+	o = bts
+	return
+}
+
+// Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
+func (z RevertedVersion) Msgsize() (s int) {
+	s = 1 + 2 + msgp.StringPrefixSize + len(z.Service) + 2 + msgp.StringPrefixSize + len(z.Version)
+	return
+}
+
 // MarshalMsg implements msgp.Marshaler
 func (z Role) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
--- a/internal/messages/types.gen.go
+++ b/internal/messages/types.gen.go
@@ -325,6 +325,9 @@
 
 	// Usage which windows are closed, and those that the platform may not have yet
 	Usage UsageLedger `msg:"u"`
+
+	// Reverted versions whose rollouts were reverted before the newest one, and that were not ordered again
+	Reverted []RevertedVersion `msg:"v"`
 }
 
 // LoadChange defines model for LoadChange.
@@ -531,6 +534,12 @@
 	SinceUs int64 `msg:"s"`
 }
 
+// RevertedVersion a software version of a service that is to get no requests
+type RevertedVersion struct {
+	Service string `msg:"s"`
+	Version string `msg:"v"`
+}
+
 // Role defines model for Role.
 type Role string
 
--- a/internal/router/feed.go
+++ b/internal/router/feed.go
@@ -291,5 +291,5 @@
 	}
 	r.registers[update.Part] = update
 	r.recordEvacuations(update.Part, body.Evacuations, nowUs)
-	r.recordRollouts(body.Rollouts)
+	r.recordRollouts(body.Rollouts, body.Reverted)
 }
--- a/internal/router/service_rollouts.go
+++ b/internal/router/service_rollouts.go
@@ -11,13 +11,13 @@
 
 // recordRollouts passes the rollouts of a register to the admission control. The caller holds
 // stateMu.
-func (r *Router) recordRollouts(rollouts []messages.ServiceRollout) {
+func (r *Router) recordRollouts(rollouts []messages.ServiceRollout, reverted []messages.RevertedVersion) {
 	if len(rollouts) == 0 {
 		return
 	}
 	r.admissionMu.Lock()
 	defer r.admissionMu.Unlock()
-	r.admission.SetRollouts(rollouts)
+	r.admission.SetRollouts(rollouts, reverted)
 }
 
 // outcomeClass returns the class within which the outcomes of requests are compared: routes with the
--- a/internal/simulation/versions_router.go
+++ b/internal/simulation/versions_router.go
@@ -12,7 +12,7 @@
 	r.process.Start()
 	r.admitter = admission.New(admission.Defaults, "a", uint64(r.history.kernel.Between(0, 1<<40)))
 	r.setRunners()
-	r.admitter.SetRollouts(r.history.register) // a router serves only after it has received the register
+	r.admitter.SetRollouts(r.history.register, nil) // a router serves only after it has received the register
 	r.report()
 }
 
@@ -40,7 +40,7 @@
 			return
 		}
 		r.setRunners()
-		r.admitter.SetRollouts(r.history.register)
+		r.admitter.SetRollouts(r.history.register, nil)
 	})
 }
 
