Cache salts: shared prefixes are separated by the set of isolated tenants

Cause: the tenant got a salt of its own, and what it had made stayed under the salt that all others share.

Change: the shared salt holds a name of the set of isolated tenants, which follows from the configuration alone. A change of the set makes shared prefixes cold once; without isolated tenants the salt is what it was.

Seen to fail: TestSharedPrefixesAreSeparatedBySetOfIsolatedTenants with the set left out of the salt (the code before lacks the field).

--- a/internal/admission/admission.go
+++ b/internal/admission/admission.go
@@ -19,15 +19,15 @@
 // Request holds the attributes of a client's request that admission uses. Times are
 // microseconds.
 type Request struct {
-	Ref              inflight.Ref
-	Service          string
-	Tenant           string
-	Rank             int // priority band, lowest first; the tenant's rank takes precedence over the route's
-	TokensIn         int
-	TokensOut        int
-	Model            string
-	Parts            []prefixindex.Part
-	Isolated         bool
+	Ref       inflight.Ref
+	Service   string
+	Tenant    string
+	Rank      int // priority band, lowest first; the tenant's rank takes precedence over the route's
+	TokensIn  int
+	TokensOut int
+	Model     string
+	Parts     []prefixindex.Part
+	Isolation
 	Regime           string // only runners certified for this regime are candidates
 	SetpointUs       int64
 	TimeLeftUs       int64
@@ -38,6 +38,12 @@
 	Class            string // request class; rollout outcomes are compared per class
 }
 
+// Isolation says which cached prefixes a request may share with other tenants' requests.
+type Isolation struct {
+	Isolated        bool   // none: its tenant is isolated
+	IsolatedTenants string // names the set of the isolated tenants; empty if there are none
+}
+
 // Reason identifies the check that rejected a request.
 type Reason string
 
@@ -89,7 +95,7 @@
 	// lastContactUs is when the last message arrived from a controller that is in contact
 	// with the core.
 	lastContactUs int64
-	CacheSalt     func(tenant string, isolated bool, regime string, version int64) string
+	CacheSalt     func(request *Request, version int64) string
 }
 
 // New returns the admitter of a node in a zone. The nodes of a fleet should use
@@ -100,15 +106,20 @@
 
 // CacheSalt returns the cache salt of a request. It separates the cached prefixes of
 // different weights versions, of each isolated tenant from all others, and of the
-// tenants under a regime from those without one, whose requests may go to any runner.
-func CacheSalt(tenant string, isolated bool, regime string, version int64) string {
+// tenants under a regime from those without one, whose requests may go to any runner. Prefixes
+// that tenants share are also separated by the set of isolated tenants: those of a tenant that has
+// become isolated are not used by the others any more.
+func CacheSalt(request *Request, version int64) string {
 	b := []byte{'w'}
 	b = appendInt(b, version)
-	if regime != "" {
-		b = append(append(b, '~'), regime...)
+	if request.Regime != "" {
+		b = append(append(b, '~'), request.Regime...)
 	}
-	if isolated {
-		b = append(append(b, '/'), tenant...)
+	switch {
+	case request.Isolated:
+		b = append(append(b, '/'), request.Tenant...)
+	case request.IsolatedTenants != "":
+		b = append(append(b, '!'), request.IsolatedTenants...)
 	}
 	return string(b)
 }
--- a/internal/admission/admission_test.go
+++ b/internal/admission/admission_test.go
@@ -326,15 +326,31 @@
 	seen := map[string]bool{}
 	for _, version := range []int64{1, 2, 12} {
 		for _, tenant := range []string{"a", "b"} {
-			seen[CacheSalt(tenant, true, "", version)] = true
+			seen[CacheSalt(&Request{Tenant: tenant, Isolation: Isolation{Isolated: true}}, version)] = true
 		}
-		seen[CacheSalt("a", false, "r", version)], seen[CacheSalt("a", true, "r", version)] = true, true
-		must.Eq(t, CacheSalt("a", false, "", version), CacheSalt("b", false, "", version))
-		seen[CacheSalt("a", false, "", version)] = true
+		seen[CacheSalt(&Request{Tenant: "a", Regime: "r"}, version)] = true
+		seen[CacheSalt(&Request{Tenant: "a", Isolation: Isolation{Isolated: true}, Regime: "r"}, version)] = true
+		must.Eq(t, CacheSalt(&Request{Tenant: "a"}, version), CacheSalt(&Request{Tenant: "b"}, version))
+		seen[CacheSalt(&Request{Tenant: "a"}, version)] = true
 	}
 	must.MapLen(t, 15, seen)
 }
 
+// Guards against WALL: prefixes that a tenant made before it became isolated were used by others after.
+func TestSharedPrefixesAreSeparatedBySetOfIsolatedTenants(t *testing.T) {
+	seen := map[string]bool{}
+	for _, isolated := range []string{"", "one set", "another"} {
+		for _, regime := range []string{"", "r"} {
+			shared := CacheSalt(&Request{Tenant: "a", Regime: regime, Isolation: Isolation{IsolatedTenants: isolated}}, 1)
+			must.Eq(t, shared, CacheSalt(&Request{Tenant: "b", Regime: regime, Isolation: Isolation{IsolatedTenants: isolated}}, 1))
+			seen[shared] = true
+		}
+		own := CacheSalt(&Request{Tenant: "a", Isolation: Isolation{Isolated: true, IsolatedTenants: isolated}}, 1)
+		must.Eq(t, CacheSalt(&Request{Tenant: "a", Isolation: Isolation{Isolated: true}}, 1), own, must.Sprint("an isolated tenant keeps its own prefixes"))
+	}
+	must.MapLen(t, 6, seen)
+}
+
 func TestRunnerWithFailedConnectionsIsAvoided(t *testing.T) {
 	admitter := newAdmitter("x", "y")
 	for i := range 3 {
--- a/internal/admission/admit.go
+++ b/internal/admission/admit.go
@@ -72,7 +72,7 @@
 	}
 	r, c := runners[i], candidates[i]
 	version := weightsVersion(r.record, request.Model)
-	salt := a.CacheSalt(request.Tenant, request.Isolated, request.Regime, version)
+	salt := a.CacheSalt(&request, version)
 	adm := &Admission{Runner: r.record, CacheSalt: salt, WeightsVersion: version, CachedTokens: c.CachedTokens, Source: c.TransferFrom, admittedUs: nowUs, tenant: request.Tenant, service: request.Service, model: request.Model, tokensIn: request.TokensIn, class: request.Class, Parts: request.Parts, Keys: prefixindex.Keys(salt, request.Model, request.Parts), prefilling: true}
 	blockTokens := a.Tuning.BlockTokens
 	partTokens := 0
--- a/internal/admission/candidates.go
+++ b/internal/admission/candidates.go
@@ -131,7 +131,7 @@
 			}
 		}
 		versions = append(versions, version)
-		keys = append(keys, prefixindex.Keys(a.CacheSalt(request.Tenant, request.Isolated, request.Regime, version), request.Model, request.Parts))
+		keys = append(keys, prefixindex.Keys(a.CacheSalt(&request, version), request.Model, request.Parts))
 		return keys[len(keys)-1]
 	}
 }
--- a/internal/admission/session_test.go
+++ b/internal/admission/session_test.go
@@ -129,7 +129,7 @@
 	records[1].Models = []messages.Target{{Model: "m", Version: 2}}
 	admitter.SetService("s", records, testMemoryTokens, 0.01)
 	request := sessionRequest(7)
-	for i, k := range prefixindex.Keys(admitter.CacheSalt(request.Tenant, false, "", 1), "m", request.Parts) {
+	for i, k := range prefixindex.Keys(admitter.CacheSalt(&Request{Tenant: request.Tenant}, 1), "m", request.Parts) {
 		admitter.Index.RecordPrefilled("r0", k, int32(request.Parts[i].Tokens))
 	}
 	adm := admitter.Submit(request, 30).Admission
--- a/internal/routeconfig/routeconfig_test.go
+++ b/internal/routeconfig/routeconfig_test.go
@@ -6,6 +6,8 @@
 
 	"github.com/pkg/errors"
 	"github.com/shoenig/test/must"
+
+	"beechtide.org/beechtide/internal/api"
 )
 
 const validConfig = `{"version":7,"routes":[
@@ -55,3 +57,15 @@
 	must.False(t, b.Repeatable())
 	must.True(t, table.Match("h.example", "/x/").Repeatable())
 }
+
+func TestIsolatedTenantsNameTheirSet(t *testing.T) {
+	nameOf := func(tenants ...api.Tenant) string {
+		return Compile(api.Configuration{Tenants: tenants}).IsolatedTenants
+	}
+	a, b, shared := api.Tenant{Name: "a", Isolated: true}, api.Tenant{Name: "b", Isolated: true}, api.Tenant{Name: "s"}
+	must.Eq(t, "", nameOf(shared))
+	must.Eq(t, nameOf(a, b), nameOf(b, shared, a))
+	must.NotEq(t, nameOf(a), nameOf(a, b))
+	must.NotEq(t, nameOf(a), nameOf(b))
+	must.NotEq(t, nameOf(a, b), nameOf(api.Tenant{Name: "ab", Isolated: true}))
+}
--- a/internal/routeconfig/table.go
+++ b/internal/routeconfig/table.go
@@ -4,6 +4,8 @@
 package routeconfig
 
 import (
+	"crypto/sha256"
+	"encoding/hex"
 	"slices"
 	"strings"
 
@@ -28,6 +30,7 @@
 	servicesByName     map[string]*api.Service
 	tenantsByKey       map[string]*api.Tenant // key: API key
 	TenantCount        int                    // number of tenants
+	IsolatedTenants    string                 // names the set of the isolated tenants; empty if there are none
 	HasRateLimits      bool                   // a tenant has a rate limit
 	CacheStoreServices []*api.Service         // services with a cache store
 	Policies           *compliance.Policies   // nil without regimes
@@ -49,6 +52,7 @@
 		servicesByName:  map[string]*api.Service{},
 		tenantsByKey:    map[string]*api.Tenant{},
 		TenantCount:     len(config.Tenants),
+		IsolatedTenants: nameIsolated(config.Tenants),
 		regimesByTenant: map[string]string{},
 	}
 	if p, err := compliance.Compile(config); err == nil && len(config.Regimes) > 0 {
@@ -62,6 +66,26 @@
 	return t
 }
 
+// isolatedNameBytes is the length of the hash that names a set of isolated tenants.
+const isolatedNameBytes = 6
+
+// nameIsolated returns a short name for the set of the isolated tenants, the same for the same set, and
+// "" for the empty one.
+func nameIsolated(tenants []api.Tenant) string {
+	var isolated []string
+	for _, tenant := range tenants {
+		if tenant.Isolated {
+			isolated = append(isolated, tenant.Name)
+		}
+	}
+	if len(isolated) == 0 {
+		return ""
+	}
+	slices.Sort(isolated)
+	sum := sha256.Sum256([]byte(strings.Join(isolated, "\x00")))
+	return hex.EncodeToString(sum[:isolatedNameBytes])
+}
+
 func (t *Table) addRelinquished(relinquish []api.Relinquish) {
 	for _, x := range relinquish {
 		if t.RelinquishUsByZone == nil {
--- a/internal/router/front.go
+++ b/internal/router/front.go
@@ -216,6 +216,7 @@
 		Service: e.service, Rank: e.route.Rank, TokensIn: max(tokensIn, 0), TokensOut: max(tokensOut, 0),
 		Class: outcomeClass(e.route), Model: headerValue(e.rc, hModel), Parts: prefixindex.ParseParts(headerValue(e.rc, hPrefix)), SetpointUs: e.route.SetpointUs, TimeLeftUs: e.deadlineUs - e.router.clock(),
 	}
+	e.request.IsolatedTenants = t.IsolatedTenants
 	var tenantHomes []string
 	if e.tenant != nil {
 		tenantHomes = e.tenant.Homes
--- a/internal/router/move_test.go
+++ b/internal/router/move_test.go
@@ -175,7 +175,7 @@
 		Service: "s", Tenant: "t", Model: "m", TokensIn: 6200, TokensOut: 20, SetpointUs: 800_000, TimeLeftUs: 5_000_000,
 		Parts: []prefixindex.Part{{ID: "top", Tokens: 2500}, {ID: "deep", Tokens: 3500}, {ID: "own", Tokens: 200}},
 	}
-	keys := prefixindex.Keys(d.CacheSalt("t", false, "", 1), "m", ask.Parts)
+	keys := prefixindex.Keys(d.CacheSalt(&admission.Request{Tenant: "t"}, 1), "m", ask.Parts)
 	for i, k := range keys[:2] {
 		d.Index.RecordPrefilled("r0", k, int32(ask.Parts[i].Tokens))
 	}
--- a/internal/router/regulated_faults_test.go
+++ b/internal/router/regulated_faults_test.go
@@ -160,7 +160,7 @@
 		return
 	}
 	must.False(e.t, decision.Admission.WeightsVersion < g.node.table.MinWeightsVersionByModel["m"], must.Sprintf("%s was sent to weights %d under configuration %d", g.id, decision.Admission.WeightsVersion, g.node.table.Version))
-	must.Eq(e.t, admission.CacheSalt(g.request.Tenant, false, g.request.Regime, decision.Admission.WeightsVersion), decision.Admission.CacheSalt)
+	must.Eq(e.t, admission.CacheSalt(&admission.Request{Tenant: g.request.Tenant, Regime: g.request.Regime}, decision.Admission.WeightsVersion), decision.Admission.CacheSalt)
 	if decision.Admission.WeightsVersion < e.newestWeights {
 		e.sentToOlderWeights++
 	}
