Soak: adds to tallies, silent zones, the core killed and stopped, runners that leave undrained

The soak now spreads routers and controllers over zones, brings adds to a tally at every controller and reads it at the end (rule TALLY), and plays, one after the other beside the faults of single components: all controllers killed and back within a second, all stopped, all zones but one silent, after which the spared controller may lose its disk. Runners also leave without ever saying draining, and serve on.

The test "during a fault of its router" moves its fault to before the run; the earlier time is now a violation.

--- a/cmd/beechtide/soak.go
+++ b/cmd/beechtide/soak.go
@@ -30,6 +30,7 @@
 	defaultSoakRouters     = 3
 	defaultSoakControllers = 3
 	defaultSoakRunners     = 3
+	defaultSoakZones       = 3
 	defaultSoakClients     = 24
 )
 
@@ -43,6 +44,7 @@
 	flags.DurationVar(&options.shape.Duration, "duration", defaultSoakDuration, "how long faults are played for each seed")
 	flags.IntVar(&options.shape.Routers, "routers", defaultSoakRouters, "router processes")
 	flags.IntVar(&options.shape.Controllers, "controllers", defaultSoakControllers, "controller processes")
+	flags.IntVar(&options.shape.Zones, "zones", defaultSoakZones, "zones over which routers and controllers are spread; with more than one, zones fall silent")
 	flags.IntVar(&options.shape.Runners, "runners", defaultSoakRunners, "stand-in runners")
 	flags.IntVar(&options.shape.Overlap, "overlap", 0, "faults at a time; 0: two or three, drawn from the seed")
 	flags.IntVar(&options.clients, "clients", defaultSoakClients, "clients")
--- a/internal/soak/cluster.go
+++ b/internal/soak/cluster.go
@@ -75,6 +75,9 @@
 	proxy  *proxy
 }
 
+// zoneOf returns the zone of the node with an index; nodes of all roles are spread alike.
+func zoneOf(index, zones int) string { return string(rune(zoneName[0] + byte(index%max(zones, 1)))) }
+
 // newCluster prepares the components without starting the processes; start starts them.
 func newCluster(program, dir string, shape Shape, r *recorder, onExit func(*process, error)) (*cluster, error) {
 	subnet, port, err := freeAddresses(max(shape.Routers, shape.Controllers))
@@ -94,6 +97,13 @@
 	node := func(role string, i int) *process {
 		set := nodeSettings(role, fmt.Sprintf("%s.%d", subnet, i+1), port, seeds)
 		set.Node = fmt.Sprintf("%s-%d", role, i)
+		set.Zone = zoneOf(i, shape.Zones)
+		for zone := range shape.Zones {
+			set.Zones[zoneOf(zone, shape.Zones)] = "r"
+		}
+		if shape.Zones > 1 {
+			set.Tolerance.Zones = 1
+		}
 		set.Cloud = settings.Cloud{Address: platformAddress, Duties: []string{"metering", "scaling"}, DutyPerS: callsPerS}
 		set.Counted = i < shape.Controllers
 		if set.Counted {
--- a/internal/soak/evaluate.go
+++ b/internal/soak/evaluate.go
@@ -28,6 +28,7 @@
 	RuleConfig     Rule = "CONFIG"    // acknowledged changes are durable, have distinct bases, and versions never go back
 	RuleOne        Rule = "ONE"       // no two controllers act under one fence, and a window has one usage report
 	RuleUsage      Rule = "USAGE"     // every window in calm is reported with the requests that began in it
+	RuleTally      Rule = "TALLY"     // a tally has every acknowledged add, and none twice
 	RuleVersion    Rule = "VERSION"   // every runner loads the target weights version
 	RuleRecover    Rule = "RECOVER"   // all components serve once the faults are over
 	RuleProcess    Rule = "PROCESS"   // no process exits unexpectedly
@@ -75,6 +76,7 @@
 	j.checkConfiguration()
 	j.checkWeights()
 	j.checkUsage()
+	checkTallies(&j)
 	j.checkRecovery()
 	j.checkProcesses()
 	slices.SortStableFunc(j.violations, func(a, b Violation) int { return a.At.Compare(b.At) })
@@ -152,13 +154,13 @@
 // explains reports whether a fault explains that a request got no complete answer.
 func (e *evaluator) explains(span Span, r load.Record) bool {
 	switch span.Fault.Kind {
-	case KillRouter, PauseRouter, CutFront:
+	case KillRouter, PauseRouter, SilenceRouter, CutFront:
 		return span.Node == r.Node && overlaps(span, r.Sent, r.Ended)
 	case TerminateRouter:
 		return span.Node == r.Node && overlaps(span, r.Sent, r.Ended) && e.drainExplains(span, r)
 	case CrashRunner, CutRunner, LoseRunner:
 		return overlaps(span, r.Sent, r.Ended) && e.mayHaveReachedRunner(span, r)
-	case LeaveRunner:
+	case LeaveRunner, LeaveUndrained:
 		return overlaps(span, r.Sent, r.Ended) && e.mayHaveReachedRunner(span, r) && runnerEndedBefore(span, r)
 	default:
 		return false // controllers are not on the path of a request
@@ -248,21 +250,22 @@
 		late := span.Acknowledged.Add(drainMs*time.Millisecond + drainSlack)
 		for _, run := range e.Runs {
 			isLate := run.Runner == span.Runner && run.Ended.IsZero() && run.Began.After(late)
-			if isLate && !e.explainsLateRun(span, run) {
+			if isLate && !e.explainsLateRun(run) {
 				e.addViolation(RuleDrain, run.Began, "%s ran at %s %s after its draining was acknowledged", run.Attempt, run.Runner, run.Began.Sub(span.Acknowledged))
 			}
 		}
 	}
 }
 
-// explainsLateRun reports whether the router may not have received the draining state of a
-// runner: there was a fault of the router that forwarded the request, or of a controller.
-func (e *evaluator) explainsLateRun(left Span, run standin.Run) bool {
+// explainsLateRun reports whether the router that forwarded the request may not have been in touch: there
+// was a fault of the router itself or of a controller less than contactMs before. An earlier
+// fault is no excuse: the acknowledgement binds, whatever happened to those that gave it.
+func (e *evaluator) explainsLateRun(run standin.Run) bool {
 	forwardedBy := e.recordByAttempt[run.Attempt].Node
 	return slices.ContainsFunc(e.Spans, func(span Span) bool {
 		component := span.Fault.Kind.Component()
 		onPath := component == ComponentController || component == ComponentRouter && span.Node == forwardedBy
-		return onPath && overlaps(span, left.From, run.Began)
+		return onPath && overlaps(span, run.Began, run.Began)
 	})
 }
 
--- a/internal/soak/evaluate_test.go
+++ b/internal/soak/evaluate_test.go
@@ -93,10 +93,34 @@
 			e.Spans = []Span{left, span(PauseRouter, "router-1", 2000, 2200)}
 		}, []Rule{RuleDrain}},
 		{"run at a drained runner, during a fault of its router", func(e *Evidence) {
+			left := span(LeaveRunner, "", 1000, 4000)
+			left.Runner, left.Acknowledged = "r1", at(1100)
+			e.Spans = []Span{left, span(PauseRouter, "router-0", 9000, 9200)}
+		}, nil},
+		{"run at a drained runner, long after a fault of its router", func(e *Evidence) {
 			left := span(LeaveRunner, "", 1000, 4000)
 			left.Runner, left.Acknowledged = "r1", at(1100)
 			e.Spans = []Span{left, span(PauseRouter, "router-0", 2000, 2200)}
+		}, []Rule{RuleDrain}},
+		{"run at a runner that left, long after the controllers were killed", func(e *Evidence) {
+			left := span(LeaveUndrained, "", 1000, 11000)
+			left.Runner, left.Acknowledged = "r1", at(1100)
+			e.Spans = []Span{left, span(KillController, "controller-0", 1200, 1800)}
+		}, []Rule{RuleDrain}},
+		{"run at a runner that left, right after a fault of a controller", func(e *Evidence) {
+			left := span(LeaveUndrained, "", 1000, 11000)
+			left.Runner, left.Acknowledged = "r1", at(1100)
+			e.Spans = []Span{left, span(KillController, "controller-0", 8000, 9000)}
 		}, nil},
+		{"acknowledged add is missing", func(e *Evidence) {
+			e.Adds = []Add{{ID: "1", Acknowledged: true, MayCount: true}, {ID: "2"}}
+			e.Totals = []TallyTotal{{Node: "controller-0", Answered: true}, {Node: "controller-1", Total: 1, Answered: true}}
+		}, []Rule{RuleTally}},
+		{"add counts twice", func(e *Evidence) {
+			e.Adds = []Add{{ID: "1", Acknowledged: true, MayCount: true}, {ID: "2", MayCount: true}}
+			e.Totals = []TallyTotal{{Node: "controller-0", Total: 3, Answered: true}, {Node: "controller-1", Total: 2, Answered: true}}
+		}, []Rule{RuleTally}},
+		{"tally is not answered at the end", func(e *Evidence) { e.Totals = []TallyTotal{{Node: "controller-0"}} }, []Rule{RuleTally}},
 		{"process exited unexpectedly", func(e *Evidence) { e.OwnEnds = []string{"router-0"} }, []Rule{RuleProcess}},
 		{"panic in a log", func(e *Evidence) { e.LogFindings = []LogFinding{{"router-0", "panic: x"}} }, []Rule{RuleInvariants}},
 		{"few requests served after the faults", addRefusedRequests, []Rule{RuleRecover}},
--- a/internal/soak/evidence.go
+++ b/internal/soak/evidence.go
@@ -30,15 +30,15 @@
 
 // Evidence holds all observations of one soak.
 type Evidence struct {
-	Records      []load.Record
-	Runs         []standin.Run // entry when a run begins and when it ends; the later entry of a seal replaces the earlier
-	Spans        []Span
-	Changes      []Change
-	Reads        []Read
-	Probes       []Probe
-	Namings      []WeightsTarget
-	Orders       []standin.Order
-	Weights      []LoadedWeights // at the end of the soak
+	Records []load.Record
+	Runs    []standin.Run // entry when a run begins and when it ends; the later entry of a seal replaces the earlier
+	Spans   []Span
+	Changes []Change
+	Reads   []Read
+	Probes  []Probe
+	WeightsEvidence
+	Orders []standin.Order
+	TallyEvidence
 	Calls        []standin.PlatformCall
 	UsageDue     int64 // the newest usage window that must have been reported
 	Convergences []Convergence
--- a/internal/soak/evidence_weights.go
+++ b/internal/soak/evidence_weights.go
@@ -4,6 +4,12 @@
 
 import "time"
 
+// WeightsEvidence holds the observations of the weights.
+type WeightsEvidence struct {
+	Namings []WeightsTarget
+	Weights []LoadedWeights // at the end of the soak
+}
+
 // WeightsTarget is a weights version that the operator set as the target.
 type WeightsTarget struct {
 	Version      int64
--- a/internal/soak/plan.go
+++ b/internal/soak/plan.go
@@ -23,6 +23,7 @@
 type Plan struct {
 	Seed    uint64
 	Faults  []Fault
+	Core    []CoreFault
 	Changes []PlannedChange
 	Closing ClosingFault
 }
@@ -32,6 +33,7 @@
 	Routers     int
 	Controllers int
 	Runners     int
+	Zones       int           // over which routers and controllers are spread; 0: one
 	Duration    time.Duration // of the fault phase
 	Overlap     int           // concurrent faults; 0: two or three, chosen by the seed
 	Calm        bool          // no faults and no changes
@@ -42,7 +44,10 @@
 	minFault        = 200 * time.Millisecond
 	maxFault        = 4 * time.Second
 	maxFaultPause   = 1500 * time.Millisecond
-	minComponentGap = 2 * time.Second // between two faults of one component
+	minCoreFaultGap = 6 * time.Second // between the beginnings of two faults of the core
+	maxCoreFaultGap = 12 * time.Second
+	maxCoreKill     = 900 * time.Millisecond // all processes of the core are back within a second
+	minComponentGap = 2 * time.Second        // between two faults of one component
 	minChangeGap    = 500 * time.Millisecond
 	maxChangeGap    = 2500 * time.Millisecond
 	drawAttempts    = 20
@@ -59,11 +64,12 @@
 		lanes = maxOverlap - random.IntN(2)
 	}
 	p := planner{random: random, shape: shape}
+	core := p.coreFaults()
 	for range lanes {
 		p.fillLane()
 	}
 	slices.SortStableFunc(p.faults, func(a, b Fault) int { return int(a.At - b.At) })
-	return Plan{Seed: seed, Faults: p.faults, Changes: p.changes(), Closing: p.closing()}
+	return Plan{Seed: seed, Faults: p.faults, Core: core, Changes: p.changes(), Closing: p.closing()}
 }
 
 type planner struct {
@@ -91,7 +97,7 @@
 func (p *planner) draw(at time.Duration) (Fault, bool) {
 	kinds := []FaultKind{
 		KillRouter, PauseRouter, TerminateRouter, ReloadRouter, CutFront, KillController, PauseController,
-		StopController, WipeController, CutControl, LoseControl, CrashRunner, LeaveRunner, CutRunner, LoseRunner,
+		StopController, WipeController, CutControl, LoseControl, CrashRunner, LeaveRunner, CutRunner, LoseRunner, LeaveUndrained, LeaveUndrained,
 	}
 	for range drawAttempts {
 		kind := kinds[p.random.IntN(len(kinds))]
@@ -105,6 +111,28 @@
 	return Fault{}, false
 }
 
+// coreFaults picks the faults of the core. They overlap with those of single components.
+func (p *planner) coreFaults() []CoreFault {
+	kinds := []CoreFaultKind{KillCore, KillCore, PauseCore}
+	if p.shape.Zones > 1 {
+		kinds = append(kinds, SilenceZones, SilenceZones, SilenceZones)
+	}
+	var faults []CoreFault
+	for at := p.between(minCoreFaultGap/2, maxCoreFaultGap); at < p.shape.Duration; at += p.between(minCoreFaultGap, maxCoreFaultGap) {
+		fault := CoreFault{Kind: kinds[p.random.IntN(len(kinds))], At: at, For: p.between(minFault, maxCoreKill)}
+		if fault.Kind != KillCore {
+			fault.For = p.between(maxCoreKill, maxFault)
+		}
+		if fault.Kind == SilenceZones {
+			fault.Spared = p.random.IntN(p.shape.Controllers)
+			fault.Wipe = !p.wiped && p.random.IntN(2) == 0
+			p.wiped = p.wiped || fault.Wipe
+		}
+		faults = append(faults, fault)
+	}
+	return faults
+}
+
 func (p *planner) count(component ComponentKind) int {
 	switch component {
 	case ComponentRouter:
--- a/internal/soak/plan_test.go
+++ b/internal/soak/plan_test.go
@@ -7,7 +7,7 @@
 	"github.com/shoenig/test/must"
 )
 
-var testShape = Shape{Routers: 3, Controllers: 3, Runners: 3, Duration: 30 * time.Second}
+var testShape = Shape{Routers: 3, Controllers: 3, Runners: 3, Zones: 3, Duration: 30 * time.Second}
 
 func TestNewPlanReturnsSamePlanForSameSeed(t *testing.T) {
 	must.Eq(t, NewPlan(7, testShape), NewPlan(7, testShape))
@@ -42,9 +42,34 @@
 				wiped++
 			}
 		}
+		for _, fault := range plan.Core {
+			if fault.Wipe {
+				wiped++
+			}
+		}
 		if plan.Closing == KillAllWipeOne {
 			wiped++
 		}
 		must.LessEq(t, 1, wiped, must.Sprint("the tolerance is one machine, so a plan may wipe one data directory at most"))
 	}
 }
+
+func TestNewPlanPlaysAllFaultsOfTheCore(t *testing.T) {
+	count := map[CoreFaultKind]int{}
+	for seed := range uint64(100) {
+		for _, fault := range NewPlan(seed, testShape).Core {
+			count[fault.Kind]++
+			if fault.Kind == KillCore {
+				must.LessEq(t, time.Second, fault.For, must.Sprint("the core is back within a second"))
+			}
+		}
+		oneZone := testShape
+		oneZone.Zones = 1
+		for _, fault := range NewPlan(seed, oneZone).Core {
+			must.NotEq(t, SilenceZones, fault.Kind)
+		}
+	}
+	for _, kind := range []CoreFaultKind{KillCore, PauseCore, SilenceZones} {
+		must.Positive(t, count[kind], must.Sprint(kind))
+	}
+}
--- a/internal/soak/report.go
+++ b/internal/soak/report.go
@@ -30,8 +30,8 @@
 			acknowledged++
 		}
 	}
-	return fmt.Sprintf("seed %d: %d faults, %d of %d changes acknowledged, %d of %d requests served (%d of %d in calm), slowest in force after %.2f s, %d windows of usage reported, %d violations",
-		r.Plan.Seed, len(r.Evidence.Spans), acknowledged, len(r.Evidence.Changes), served, sent, calmServed, calmSent, r.slowestConvergence().Seconds(), r.reportedWindows(), len(r.Violations))
+	return fmt.Sprintf("seed %d: %d faults, %d of %d changes acknowledged, %d of %d requests served (%d of %d in calm), slowest in force after %.2f s, %d windows of usage reported, %d of %d adds acknowledged, %d violations",
+		r.Plan.Seed, len(r.Evidence.Spans), acknowledged, len(r.Evidence.Changes), served, sent, calmServed, calmSent, r.slowestConvergence().Seconds(), r.reportedWindows(), countAcknowledged(r.Evidence.Adds), len(r.Evidence.Adds), len(r.Violations))
 }
 
 // reportedWindows counts the usage windows whose report the platform accepted.
@@ -60,6 +60,9 @@
 	for _, fault := range r.Plan.Faults {
 		fmt.Fprintln(w, "  fault ", fault)
 	}
+	for _, fault := range r.Plan.Core {
+		fmt.Fprintln(w, "  core  ", fault)
+	}
 	for _, change := range r.Plan.Changes {
 		fmt.Fprintln(w, "  change", change)
 	}
--- a/internal/soak/schedule.go
+++ b/internal/soak/schedule.go
@@ -24,10 +24,16 @@
 	WipeController  FaultKind = "wipe controller"
 	CutControl      FaultKind = "cut control"
 	LoseControl     FaultKind = "lose answers of control"
-	CrashRunner     FaultKind = "crash runner"
-	LeaveRunner     FaultKind = "leave runner"
-	CutRunner       FaultKind = "cut runner"
-	LoseRunner      FaultKind = "lose answers of runner"
+	// SilenceRouter and SilenceController stop a process, as if its machine had lost its power: it says
+	// nothing, and refuses no connection. At the end it is killed and restarted.
+	SilenceRouter     FaultKind = "silence router"
+	SilenceController FaultKind = "silence controller"
+	CrashRunner       FaultKind = "crash runner"
+	LeaveRunner       FaultKind = "leave runner"
+	CutRunner         FaultKind = "cut runner"
+	LoseRunner        FaultKind = "lose answers of runner"
+	// LeaveUndrained is a departure of a runner that never says draining, and serves on for long.
+	LeaveUndrained FaultKind = "leave runner undrained"
 )
 
 // ComponentKind is the kind of component that a fault affects.
@@ -45,6 +51,7 @@
 	KillRouter: ComponentRouter, PauseRouter: ComponentRouter, TerminateRouter: ComponentRouter, ReloadRouter: ComponentRouter, CutFront: ComponentRouter,
 	KillController: ComponentController, PauseController: ComponentController, StopController: ComponentController,
 	WipeController: ComponentController, CutControl: ComponentController, LoseControl: ComponentController,
+	SilenceRouter: ComponentRouter, SilenceController: ComponentController, LeaveUndrained: ComponentRunner,
 	CrashRunner: ComponentRunner, LeaveRunner: ComponentRunner, CutRunner: ComponentRunner, LoseRunner: ComponentRunner,
 }
 
@@ -65,7 +72,7 @@
 	switch f.Kind {
 	case TerminateRouter, StopController:
 		return f.At + f.For + graceS*time.Second
-	case LeaveRunner:
+	case LeaveRunner, LeaveUndrained:
 		return f.At + f.For + 2*drainMs*time.Millisecond
 	default:
 		return f.At + f.For
@@ -76,6 +83,34 @@
 	return fmt.Sprintf("%6.2fs %-24s %d for %.2fs", f.At.Seconds(), f.Kind, f.Subject, f.For.Seconds())
 }
 
+// CoreFaultKind is a kind of fault of several controllers at once.
+type CoreFaultKind string
+
+// The kinds of faults of the core.
+const (
+	KillCore  CoreFaultKind = "kill all controllers"
+	PauseCore CoreFaultKind = "pause all controllers"
+	// SilenceZones silences all processes of all zones but that of one controller.
+	SilenceZones CoreFaultKind = "silence all zones but one"
+)
+
+// CoreFault is a planned fault of the core. Times are relative to the start of the faults.
+type CoreFault struct {
+	Kind   CoreFaultKind
+	Spared int // with SilenceZones: the controller whose zone is spared
+	At     time.Duration
+	For    time.Duration
+	Wipe   bool // with SilenceZones: the spared controller loses its disk as the others come back
+}
+
+func (f CoreFault) String() string {
+	text := fmt.Sprintf("%6.2fs %-24s for %.2fs", f.At.Seconds(), f.Kind, f.For.Seconds())
+	if f.Kind == SilenceZones {
+		text += fmt.Sprintf(", controller %d is spared, wiped: %v", f.Spared, f.Wipe)
+	}
+	return text
+}
+
 // ChangeKind is a kind of configuration change.
 type ChangeKind string
 
--- a/internal/soak/soak.go
+++ b/internal/soak/soak.go
@@ -133,6 +133,8 @@
 	loaded, stop := context.WithCancel(ctx)
 	var background sync.WaitGroup
 	background.Go(func() { load.Run(loaded, s.loadConfig()) })
+	adders := newTallyAdders(s.cluster, s.recorder)
+	background.Go(func() { adders.run(loaded) })
 	for router := range s.cluster.routers {
 		background.Go(func() { s.prober.watch(loaded, router) })
 	}
@@ -142,6 +144,7 @@
 	var played sync.WaitGroup
 	faults := newInjector(s.cluster, s.recorder)
 	played.Go(func() { faults.play(ctx, s.plan.Faults, begin) })
+	played.Go(func() { faults.playCore(ctx, s.plan.Core, begin) })
 	played.Go(func() { s.operator.play(ctx, s.plan.Changes, begin) })
 	if s.options.Shape.Calm {
 		loop.Pause(ctx, s.options.Shape.Duration)
@@ -152,6 +155,7 @@
 	s.playCalm(ctx)
 	stop()
 	background.Wait()
+	adders.readTotals(ctx)
 	s.readFinalConfigurations(ctx)
 }
 
--- a/internal/soak/soak_test.go
+++ b/internal/soak/soak_test.go
@@ -35,15 +35,16 @@
 	return m.Run()
 }
 
-// Runs two short soaks with real processes and sockets and requires that no rule is broken
-// under the faults of either seed.
+// Runs short soaks with real processes and sockets and requires that no rule is broken
+// under the faults of any seed. Seed 1 silences all zones but one, whose controller loses its disk; in seed 7 a
+// runner leaves undrained and all controllers are killed.
 func TestRunShortSoakWithoutViolations(t *testing.T) {
-	for _, seed := range []uint64{1, 2} {
+	for _, seed := range []uint64{1, 2, 7} {
 		t.Run(fmt.Sprint("seed ", seed), func(t *testing.T) {
 			t.Parallel()
 			result, err := Run(t.Context(), Options{
 				Program: program, Dir: t.TempDir(), Seed: seed, Clients: 6,
-				Shape: Shape{Routers: 2, Controllers: 3, Runners: 2, Duration: 5 * time.Second},
+				Shape: Shape{Routers: 2, Controllers: 3, Runners: 2, Zones: 3, Duration: 8 * time.Second},
 			})
 			must.NoError(t, err)
 			var report strings.Builder
@@ -52,6 +53,8 @@
 			must.SliceNotEmpty(t, result.Evidence.Spans)
 			must.Positive(t, result.reportedWindows())
 			must.Positive(t, result.Evidence.UsageDue)
+			must.Positive(t, countAcknowledged(result.Evidence.Adds))
+			must.Len(t, 3, result.Evidence.Totals)
 			served, _ := CountServed(result.Evidence.Records, result.Evidence.Calm, endOfTime)
 			must.Positive(t, served)
 		})
--- a/internal/standin/heartbeat.go
+++ b/internal/standin/heartbeat.go
@@ -45,11 +45,16 @@
 
 // announceLeave sends the leave call. It first waits for a periodic heartbeat in progress,
 // and no periodic heartbeat is sent after it.
-func (r *Runner) announceLeave(ctx context.Context) {
+func (r *Runner) announceLeave(ctx context.Context) error {
 	r.announcing.Lock()
 	defer r.announcing.Unlock()
 	r.left = true
-	_ = r.sendLeave(ctx)
+	for _, address := range r.controllerAddresses() {
+		if _, err := post(ctx, r.config.TranslateAddress(address), "/api/Runners.Leave/"+r.id, nil); err == nil {
+			return nil
+		}
+	}
+	return errNotAcknowledged
 }
 
 // sendHeartbeat sends one heartbeat: first to the controller that the last response
@@ -70,15 +75,6 @@
 	return errNotAcknowledged
 }
 
-func (r *Runner) sendLeave(ctx context.Context) error {
-	for _, address := range r.controllerAddresses() {
-		if _, err := post(ctx, r.config.TranslateAddress(address), "/api/Runners.Leave/"+r.id, nil); err == nil {
-			return nil
-		}
-	}
-	return errNotAcknowledged
-}
-
 // controllerAddresses returns the addresses of the controllers in the order of the attempts:
 // first the heartbeat target named by a controller, then the configured ones at random.
 func (r *Runner) controllerAddresses() []string {
--- a/internal/standin/standin.go
+++ b/internal/standin/standin.go
@@ -210,8 +210,25 @@
 		loop.Pause(ctx, leaveRetryPause)
 	}
 	loop.Pause(ctx, r.config.DrainTime)
-	r.announceLeave(ctx)
+	_ = r.announceLeave(ctx)
 	loop.Pause(ctx, r.config.DrainTime/2)
 	r.Crash()
 	return acknowledged
 }
+
+// LeaveUndrained shuts the runner down without the state draining: it sends the leave call until a
+// controller acknowledges it, sends no more heartbeats, serves requests for Config.DrainTime and
+// serveOn, and ends. It returns the time at which the call was acknowledged; zero if ctx ended
+// before that.
+func (r *Runner) LeaveUndrained(ctx context.Context, serveOn time.Duration) (acknowledged time.Time) {
+	for ctx.Err() == nil {
+		if r.announceLeave(ctx) == nil {
+			acknowledged = time.Now()
+			break
+		}
+		loop.Pause(ctx, leaveRetryPause)
+	}
+	loop.Pause(ctx, r.config.DrainTime+serveOn)
+	r.Crash()
+	return acknowledged
+}
--- a/internal/standin/standin_test.go
+++ b/internal/standin/standin_test.go
@@ -128,6 +128,23 @@
 	must.Eq(t, "Runners.Leave ", calls[len(calls)-1])
 }
 
+func TestLeaveUndrainedSendsNoDrainingAndServesOn(t *testing.T) {
+	var mu sync.Mutex
+	var calls []string
+	controller := httptest.NewServer(http.HandlerFunc(func(_ http.ResponseWriter, request *http.Request) {
+		mu.Lock()
+		defer mu.Unlock()
+		calls = append(calls, strings.Split(request.URL.Path, "/")[2])
+	}))
+	defer controller.Close()
+	runner, _, _ := startRunner(t, Config{Controllers: []string{strings.TrimPrefix(controller.URL, "http://")}, HeartbeatInterval: time.Millisecond, DrainTime: time.Millisecond})
+	const serveOn = 50 * time.Millisecond
+	acknowledged := runner.LeaveUndrained(t.Context(), serveOn)
+	must.False(t, acknowledged.IsZero())
+	must.GreaterEq(t, serveOn, time.Since(acknowledged))
+	must.Eq(t, "Runners.Leave", calls[len(calls)-1], must.Sprint("a heartbeat would bring the runner back"))
+}
+
 func TestLeaveReturnsZeroTimeWithoutAcknowledgement(t *testing.T) {
 	runner, _, _ := startRunner(t, Config{Controllers: []string{"127.0.0.1:1"}})
 	ctx, cancel := context.WithTimeout(t.Context(), time.Millisecond)
