Membership: a peer that is marked dead is told so

Cause, traced in three such runs: the node marked one peer dead at -0.6, 1.0 and 1.0 s from the heal, alone and later than its whole side; the peer had been suspect since before the heal. Claims of a whole side reach their peers by the gossip of sixty nodes. A single one waited among hundreds of changed entries and reached the peer, which alone can refute it, after 3.8 to 4.5 s.

Change: a node that marks a peer dead probes it with the entry, at once and after 1 and 2 s, as it does with suspects.

Seen to fail on the code before: TestPeerMarkedDeadIsToldAtOnce and TestPeerMarkedDeadIsToldAgain.

--- a/internal/membership/partition_test.go
+++ b/internal/membership/partition_test.go
@@ -55,3 +55,46 @@
 	must.Zero(t, maxDead)
 	net.mustAllSeeAlive(t, nodes)
 }
+
+// markDead cuts the link between n0 and n1 until n0 has marked n1 dead. There are no regular probes
+// afterwards. It returns n0's view and the incarnation under which n1 was marked dead.
+func markDead(net *network, mendAtExpiry bool) (v *View, incarnation int64) {
+	v = net.views["n0"]
+	link := [2]string{"n0", "n1"}
+	net.cut[link] = true
+	for v.peers["n1"].peer.Status == messages.Alive {
+		net.run(tickUs)
+	}
+	incarnation = v.peers["n1"].peer.Incarnation
+	for v.peers["n1"].peer.Status == messages.Suspect {
+		v.nextProbeUs, net.views["n1"].nextProbeUs = net.nowUs+10*secondUs, net.nowUs+10*secondUs
+		net.cut[link] = !mendAtExpiry || net.nowUs-v.peers["n1"].statusSinceUs < v.suspicionTimeoutUs()
+		net.run(tickUs)
+	}
+	return v, incarnation
+}
+
+// Guards against a live peer that stays dead in one view for many seconds: the path to it became whole
+// while its suspicion timed out, and the claim reached it only by the gossip of others.
+func TestPeerMarkedDeadIsToldAtOnce(t *testing.T) {
+	net := newNetwork(2)
+	net.run(2 * secondUs)
+	v, incarnation := markDead(net, true)
+	must.Eq(t, messages.Alive, v.peers["n1"].peer.Status)
+	must.Greater(t, incarnation, v.peers["n1"].peer.Incarnation)
+}
+
+// The same where the path becomes whole within two seconds afterwards.
+func TestPeerMarkedDeadIsToldAgain(t *testing.T) {
+	for _, laterUs := range []int64{secondUs / 2, 3 * secondUs / 2} {
+		net := newNetwork(2)
+		net.run(2 * secondUs)
+		v, incarnation := markDead(net, false)
+		net.run(laterUs)
+		must.Eq(t, messages.Dead, v.peers["n1"].peer.Status)
+		net.cut[[2]string{"n0", "n1"}] = false
+		net.run(secondUs)
+		must.Eq(t, messages.Alive, v.peers["n1"].peer.Status)
+		must.Greater(t, incarnation, v.peers["n1"].peer.Incarnation)
+	}
+}
--- a/internal/membership/probe.go
+++ b/internal/membership/probe.go
@@ -64,21 +64,39 @@
 	return []Datagram{v.newProbe(target, messages.Probe{Seq: v.seq, Gossip: v.gossip(v.peers[target])})}
 }
 
-// maxVerifyProbesPerTick bounds the probes of suspects in one tick: after a partition of a large
-// fleet heals, hundreds of peers become suspect at once.
+// maxVerifyProbesPerTick bounds the probes of suspect and dead peers in one tick: after a partition of
+// a large fleet heals, hundreds of peers become suspect at once.
 const maxVerifyProbesPerTick = 20
 
-// probeSuspects probes peers that have become suspect, in most cases because of an entry
-// received from another node. The probe carries the suspect entry, so that a live peer refutes
-// it at once in its acknowledgement.
-func (v *View) probeSuspects(nowUs int64) []Datagram {
-	suspects := v.selectStates(func(state *peerState) bool {
-		return state.unverified && state.peer.Status == messages.Suspect
-	})
-	slices.SortFunc(suspects, func(a, b *peerState) int { return cmp.Compare(a.statusSinceUs, b.statusSinceUs) })
+// deathProbeDelaysUs are the times, from the moment at which a node has marked a peer dead, at which it
+// tells the peer so, in microseconds. The path to the peer may become whole while the suspicion times
+// out, or before the entry has spread; the peer would then learn of it only by the gossip of others.
+var deathProbeDelaysUs = [...]int64{0, 1_000_000, 2_000_000}
+
+// needsTelling reports whether a peer is to be probed with its entry: it has become suspect, in most
+// cases because of an entry received from another node, or it is marked dead and the next of
+// deathProbeDelaysUs has passed.
+func (s *peerState) needsTelling(nowUs int64) bool {
+	switch s.peer.Status {
+	case messages.Suspect:
+		return s.unverified
+	case messages.Dead:
+		return s.deathProbes < len(deathProbeDelaysUs) && nowUs-s.statusSinceUs >= deathProbeDelaysUs[s.deathProbes]
+	}
+	return false
+}
+
+// probeUnverified probes peers that are suspect or dead here and have not been told so. The probe
+// carries the entry, so that a live peer refutes it at once in its acknowledgement.
+func (v *View) probeUnverified(nowUs int64) []Datagram {
+	untold := v.selectStates(func(state *peerState) bool { return state.needsTelling(nowUs) })
+	slices.SortFunc(untold, func(a, b *peerState) int { return cmp.Compare(a.statusSinceUs, b.statusSinceUs) })
 	var out []Datagram
-	for _, state := range suspects[:min(len(suspects), maxVerifyProbesPerTick)] {
+	for _, state := range untold[:min(len(untold), maxVerifyProbesPerTick)] {
 		state.unverified = false
+		if state.peer.Status == messages.Dead {
+			state.deathProbes++
+		}
 		v.seq++
 		v.pendingProbes[v.seq] = &pendingProbe{target: state.peer.Addr, sentUs: nowUs, indirect: true}
 		out = append(out, v.newProbe(state.peer.Addr, messages.Probe{Seq: v.seq, Gossip: refutableEntry(state)}))
--- a/internal/membership/view.go
+++ b/internal/membership/view.go
@@ -66,6 +66,8 @@
 
 	// unverified is set while the peer is suspect and has not been probed since it became so.
 	unverified bool
+	// deathProbes is how many probes have told the peer that it is marked dead here.
+	deathProbes int
 
 	// outdated is set when the peer announces an older incarnation than the one
 	// recorded here: the recorded entry must be sent to it, so that it raises its own.
@@ -153,14 +155,14 @@
 
 // Tick advances the view to nowUs and returns the datagrams to send. It expires probes
 // and suspicions that timed out, removes peers that have been dead for ForgetUs, probes
-// new suspects and starts the next regular probe if it is due.
+// new suspects and those marked dead, and starts the next regular probe if it is due.
 func (v *View) Tick(nowUs int64) []Datagram {
 	if v.startedUs == 0 {
 		v.startedUs = nowUs
 	}
 	out := v.expireProbes(nowUs)
 	v.expirePeers(nowUs)
-	out = append(out, v.probeSuspects(nowUs)...)
+	out = append(out, v.probeUnverified(nowUs)...)
 	return append(out, v.probeNext(nowUs)...)
 }
 
@@ -279,6 +281,7 @@
 	v.toggleDigest(peer)
 	state.transmitsLeft = v.transmitLimit()
 	state.unverified = peer.Status == messages.Suspect
+	state.deathProbes = 0
 	v.version++
 }
 
