--- a/internal/soak/evaluate_test.go
+++ b/internal/soak/evaluate_test.go
@@ -82,6 +82,31 @@
 		{"denied", func(e *Evidence) { e.Records[0].Status = 404 }, []Rule{RuleDenied}},
 		{"run without a request", func(e *Evidence) { e.Records = nil }, []Rule{RuleUnasked}},
 		{"run with another body", func(e *Evidence) { e.Records[0].Checksum = 6 }, []Rule{RuleUnasked}},
+		{"process exited unexpectedly", func(e *Evidence) { e.OwnEnds = []string{"router-0"} }, []Rule{RuleProcess}},
+		{"panic in a log", func(e *Evidence) { e.LogFindings = []LogFinding{{"router-0", "panic: x"}} }, []Rule{RuleInvariants}},
+		{"few requests served after the faults", addRefusedRequests, []Rule{RuleRecover}},
+		{"few requests served before and after the faults", func(e *Evidence) {
+			e.Faulty = at(10000)
+			early := load.Record{Sent: at(9000), Status: 429}
+			e.Records = append(e.Records, early, early, early, early)
+			addRefusedRequests(e)
+		}, nil},
+		{"component does not serve after its fault", func(e *Evidence) {
+			down := span(KillRouter, "router-0", 1000, 2000)
+			down.Back = false
+			e.Spans = []Span{down}
+		}, []Rule{RuleRecover}},
+	} {
+		t.Run(c.name, func(t *testing.T) { checkViolations(t, c.change, c.want) })
+	}
+}
+
+func TestEvaluateReportsLateRunsAndWrongTallies(t *testing.T) {
+	for _, c := range []struct {
+		name   string
+		change func(e *Evidence)
+		want   []Rule
+	}{
 		{"run at a drained runner", func(e *Evidence) {
 			left := span(LeaveRunner, "", 1000, 4000)
 			left.Runner, left.Acknowledged = "r1", at(1100)
@@ -121,20 +146,6 @@
 			e.Totals = []TallyTotal{{Node: "controller-0", Total: 3, Answered: true}, {Node: "controller-1", Total: 2, Answered: true}}
 		}, []Rule{RuleTally}},
 		{"tally is not answered at the end", func(e *Evidence) { e.Totals = []TallyTotal{{Node: "controller-0"}} }, []Rule{RuleTally}},
-		{"process exited unexpectedly", func(e *Evidence) { e.OwnEnds = []string{"router-0"} }, []Rule{RuleProcess}},
-		{"panic in a log", func(e *Evidence) { e.LogFindings = []LogFinding{{"router-0", "panic: x"}} }, []Rule{RuleInvariants}},
-		{"few requests served after the faults", addRefusedRequests, []Rule{RuleRecover}},
-		{"few requests served before and after the faults", func(e *Evidence) {
-			e.Faulty = at(10000)
-			early := load.Record{Sent: at(9000), Status: 429}
-			e.Records = append(e.Records, early, early, early, early)
-			addRefusedRequests(e)
-		}, nil},
-		{"component does not serve after its fault", func(e *Evidence) {
-			down := span(KillRouter, "router-0", 1000, 2000)
-			down.Back = false
-			e.Spans = []Span{down}
-		}, []Rule{RuleRecover}},
 	} {
 		t.Run(c.name, func(t *testing.T) { checkViolations(t, c.change, c.want) })
 	}
--- a/internal/soak/faults.go
+++ b/internal/soak/faults.go
@@ -66,45 +66,6 @@
 	running.Wait()
 }
 
-// playCore injects the faults of the core at their planned times, one after the other.
-func (i *injector) playCore(ctx context.Context, faults []CoreFault, begin time.Time) {
-	for _, fault := range faults {
-		loop.Pause(ctx, time.Until(begin.Add(fault.At)))
-		if ctx.Err() != nil {
-			return
-		}
-		i.injectAll(ctx, i.partsOf(fault))
-	}
-}
-
-// partsOf returns the faults of single components that make a fault of the core.
-func (i *injector) partsOf(fault CoreFault) (parts []Fault) {
-	spared := i.cluster.controllers[fault.Spared].settings.Zone
-	for subject, p := range i.cluster.controllers {
-		switch {
-		case fault.Kind == KillCore:
-			parts = append(parts, Fault{Kind: KillController, Subject: subject, For: fault.For})
-		case fault.Kind == PauseCore:
-			parts = append(parts, Fault{Kind: PauseController, Subject: subject, For: fault.For})
-		case p.settings.Zone != spared:
-			parts = append(parts, Fault{Kind: SilenceController, Subject: subject, For: fault.For})
-		case fault.Wipe && subject == fault.Spared:
-			parts = append(parts, Fault{Kind: WipeController, Subject: subject, At: fault.For, For: restartPause})
-		}
-	}
-	for subject, p := range i.cluster.routers {
-		if fault.Kind == SilenceZones && p.settings.Zone != spared {
-			parts = append(parts, Fault{Kind: SilenceRouter, Subject: subject, For: fault.For})
-		}
-	}
-	return parts
-}
-
-// injectAll injects faults at once, each after its time At, and returns when all of them have ended.
-func (i *injector) injectAll(ctx context.Context, faults []Fault) {
-	i.play(ctx, faults, time.Now())
-}
-
 // playClosing kills every process at the same time and starts all of them again. With
 // KillAllWipeOne the first controller also loses its data directory.
 func (i *injector) playClosing(ctx context.Context, closing ClosingFault) {
--- a/internal/soak/schedule.go
+++ b/internal/soak/schedule.go
@@ -83,34 +83,6 @@
 	return fmt.Sprintf("%6.2fs %-24s %d for %.2fs", f.At.Seconds(), f.Kind, f.Subject, f.For.Seconds())
 }
 
-// CoreFaultKind is a kind of fault of several controllers at once.
-type CoreFaultKind string
-
-// The kinds of faults of the core.
-const (
-	KillCore  CoreFaultKind = "kill all controllers"
-	PauseCore CoreFaultKind = "pause all controllers"
-	// SilenceZones silences all processes of all zones but that of one controller.
-	SilenceZones CoreFaultKind = "silence all zones but one"
-)
-
-// CoreFault is a planned fault of the core. Times are relative to the start of the faults.
-type CoreFault struct {
-	Kind   CoreFaultKind
-	Spared int // with SilenceZones: the controller whose zone is spared
-	At     time.Duration
-	For    time.Duration
-	Wipe   bool // with SilenceZones: the spared controller loses its disk as the others come back
-}
-
-func (f CoreFault) String() string {
-	text := fmt.Sprintf("%6.2fs %-24s for %.2fs", f.At.Seconds(), f.Kind, f.For.Seconds())
-	if f.Kind == SilenceZones {
-		text += fmt.Sprintf(", controller %d is spared, wiped: %v", f.Spared, f.Wipe)
-	}
-	return text
-}
-
 // ChangeKind is a kind of configuration change.
 type ChangeKind string
 
