Model tallies: lost copies count where there are no disks, too

Cause, by a trace: the history has no disks. All four replicas had acknowledged the add; two, as many as may be lost, were lost 0.7 s before a client's repeat of it was answered. The check counts copies lost within catchUpS since, but recorded them for disks only.

Change: it records lost memory where no replica has a disk. Elsewhere a copy in memory counts as little as before.

--- a/internal/simulation/tally_checks.go
+++ b/internal/simulation/tally_checks.go
@@ -23,7 +23,7 @@
 	lostCopies         []lostCopy
 }
 
-// lostCopy is what a disk held when it was lost.
+// lostCopy is what a disk held when it was lost or, where there are no disks, the memory of a process.
 type lostCopy struct {
 	replica *tallyReplica
 	held    tally.Vector
@@ -74,8 +74,8 @@
 	return r.replica != nil && (r.disk != nil || r.process.Up()) && r.replica.Durable(origin) >= number
 }
 
-// copiesOf returns the copies of an add in the core, among them those on disks that have been lost since:
-// the acknowledgement of such a disk may have been on its way, and no page allows more than
+// copiesOf returns the copies of an add in the core, among them those that have been lost since:
+// the acknowledgement of such a replica may have been on its way, and no page allows more than
 // maxLostDisks to be lost before these have caught up.
 func (c *tallyChecks) copiesOf(by *tallyReplica, number uint64) (copies tallyCopies) {
 	origin := by.replica.Origin()
@@ -136,7 +136,7 @@
 // recordLostDisk records that a replica has lost its disk: adds that it acknowledged during a
 // partition may be lost if the partition ended less than tallyMergeUs ago.
 func (c *tallyChecks) recordLostDisk(r *tallyReplica) {
-	if r.replica != nil && r.disk != nil {
+	if r.replica != nil && (r.disk != nil || c.history.layout == tallyNoDisks) {
 		lost := lostCopy{replica: r, held: tally.Vector{}, atUs: c.history.kernel.NowUs()}
 		for origin := range r.replica.Set().Vector() {
 			lost.held[origin] = r.replica.Durable(origin)
