Evacuations: logs and metrics tell who committed an order and which routers go by it

Cause: a change of a zone could not be attributed. The controller wrote one line without the register's version, routers wrote nothing, and no figure told which order a router went by, so that a late order, a router that went back and a lost order (hypotheses of the incident) looked alike.

Change: the controller logs the arrival with its caller, and the end with the register's version and how long it took; a router logs what it puts in force; beechtide_evacuation_orders and beechtide_router_evacuation_orders give the number of the newest order of each zone.

--- a/internal/controller/operator.go
+++ b/internal/controller/operator.go
@@ -86,16 +86,21 @@
 	return out
 }
 
+// committedEvacuations returns the newest order of each zone that is committed here.
+func committedEvacuations(registers *consensus.Registers) []messages.Evacuation {
+	var out []messages.Evacuation
+	singleton.CommittedBodies(registers, func(_ int, body messages.LeaseBody) { out = append(out, body.Evacuations...) })
+	return out
+}
+
 // evacuatedZones returns the evacuated zones, by the registers committed here, sorted.
 func (c *Controller) evacuatedZones() []string {
 	var zones []string
-	singleton.CommittedBodies(c.registers, func(_ int, body messages.LeaseBody) {
-		for _, e := range body.Evacuations {
-			if e.Evacuated {
-				zones = append(zones, e.Zone)
-			}
+	for _, e := range committedEvacuations(c.registers) {
+		if e.Evacuated {
+			zones = append(zones, e.Zone)
 		}
-	})
+	}
 	slices.Sort(zones)
 	return zones
 }
--- a/internal/controller/operatorapi/evacuations.go
+++ b/internal/controller/operatorapi/evacuations.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"slices"
+	"time"
 
 	"github.com/cloudwego/hertz/pkg/app"
 	"github.com/pkg/errors"
@@ -33,16 +34,21 @@
 		httpapi.Reject(rc, 400, "zone", "no such zone")
 		return
 	}
+	log := s.config.Log.WithValues("zone", zone, "evacuated", evacuated, "caller", rc.RemoteAddr())
+	log.Info("evacuation ordered")
+	begun := time.Now()
 	ctx, cancel := context.WithTimeout(ctx, changeTimeout)
 	defer cancel()
-	_, err := s.config.Registers.Change(ctx, consensus.RegisterOf(zone), func(cur messages.Value) ([]messages.Member, []byte, error) {
+	committed, err := s.config.Registers.Change(ctx, consensus.RegisterOf(zone), func(cur messages.Value) ([]messages.Member, []byte, error) {
 		return evacuateZone(cur, zone, evacuated)
 	})
+	log = log.WithValues("took", time.Since(begun), "registerVersion", committed.Version)
 	if err != nil && !errors.Is(err, consensus.ErrNoChange) {
+		log.Info("evacuation not acknowledged", "reason", err.Error())
 		httpapi.Reject(rc, 503, "", err.Error())
 		return
 	}
-	s.config.Log.Info("evacuation acknowledged", "zone", zone, "evacuated", evacuated, "changed", err == nil)
+	log.Info("evacuation acknowledged", "changed", err == nil)
 	rc.Status(200)
 }
 
--- a/internal/controller/partition_metrics.go
+++ b/internal/controller/partition_metrics.go
@@ -40,5 +40,10 @@
 				emit(1, zone)
 			}
 		}),
+		metrics.Gauge("beechtide_evacuation_orders", "Number of the newest order to evacuate each zone or to take it back, as this controller knows.", []string{"zone"}, func(emit metrics.Emit) {
+			for _, e := range committedEvacuations(c.registers) {
+				emit(float64(e.Changes), e.Zone)
+			}
+		}),
 	}
 }
--- a/internal/router/evacuation.go
+++ b/internal/router/evacuation.go
@@ -2,7 +2,11 @@
 
 package router
 
-import "beechtide.org/beechtide/internal/messages"
+import (
+	"slices"
+
+	"beechtide.org/beechtide/internal/messages"
+)
 
 // recordEvacuations stores the evacuations of a register and passes the zones that are evacuated
 // in any register to the admission control. The caller holds stateMu.
@@ -10,6 +14,9 @@
 	if len(evacuations) == 0 {
 		return
 	}
+	if !slices.Equal(r.evacuations[register], evacuations) {
+		r.log.Info("evacuations in force", "register", register, "zones", evacuations)
+	}
 	r.evacuations[register] = evacuations
 	zones := map[string]bool{}
 	for _, list := range r.evacuations {
--- a/internal/router/partition_metrics.go
+++ b/internal/router/partition_metrics.go
@@ -20,6 +20,15 @@
 				emit(1, zone)
 			}
 		}),
+		metrics.Gauge("beechtide_router_evacuation_orders", "Number of the newest order to evacuate each zone or to take it back that this router goes by.", []string{"zone"}, func(emit metrics.Emit) {
+			r.stateMu.Lock()
+			defer r.stateMu.Unlock()
+			for _, evacuations := range r.evacuations {
+				for _, e := range evacuations {
+					emit(float64(e.Changes), e.Zone)
+				}
+			}
+		}),
 		metrics.Gauge("beechtide_router_rollout_stage", "Stage of the newest rollout of each service that this router goes by: 0 tried, 1 shifting, 2 settled, 3 reverted.", []string{"service", "version"}, func(emit metrics.Emit) {
 			r.admissionMu.Lock()
 			defer r.admissionMu.Unlock()
