Evacuations: an order that reverts a newer one is confirmed by its caller

Cause: Evacuate.Begin and Evacuate.Finish name no base. An order whose caller had given it up, and that waited at a stopped controller or in a link, was applied to whatever was committed by then: a Finish ended the newer Begin. Evidence: a Finish delivered behind a newer Begin ends it on all controllers, each time (TestLateFinishDoesNotEndNewerEvacuation failed on, as did its mirror image).

Change: an order that would revert the zone's newest one is answered with 307 to the same call with the number of that order. Only a caller that still waits follows it, and the order is carried out only if the number is the newest still (package precondition). A repeat is acknowledged at once and takes a number too, so that it precedes a given-up order of the opposite kind. The first order of a zone needs no confirmation, since none can precede it.

Why this works: the number is read in a round, and checked in the round that commits, so an order is carried out only if no order was acknowledged between the caller's last sign of life and it. Stopping the process, holding up the link or losing the close of the connection change nothing about that.

--- a/internal/api/types.gen.go
+++ b/internal/api/types.gen.go
@@ -378,6 +378,18 @@
 	BeechtideBaseVersion int `json:"Beechtide-Base-Version"`
 }
 
+// BeginEvacuationParams defines parameters for BeginEvacuation.
+type BeginEvacuationParams struct {
+	// After number of the zone's newest order, as the redirect gave it
+	After int64 `form:"after,omitempty" json:"after,omitempty,omitzero"`
+}
+
+// FinishEvacuationParams defines parameters for FinishEvacuation.
+type FinishEvacuationParams struct {
+	// After number of the zone's newest order, as the redirect gave it
+	After int64 `form:"after,omitempty" json:"after,omitempty,omitzero"`
+}
+
 // ReplaceConfigJSONRequestBody defines body for ReplaceConfig for application/json ContentType.
 type ReplaceConfigJSONRequestBody = Configuration
 
--- a/internal/architecture/architecture_test.go
+++ b/internal/architecture/architecture_test.go
@@ -78,7 +78,7 @@
 // pure lists the packages that receive the time and all input as arguments. They may import each
 // other and the messages, but no package that sends, serves or reads a clock.
 var pure = []string{
-	"internal/attempt", "internal/autoscale", "internal/canary", "internal/clocksync", "internal/lease", "internal/placement",
+	"internal/attempt", "internal/autoscale", "internal/canary", "internal/clocksync", "internal/evacuation", "internal/lease", "internal/placement", "internal/precondition",
 	"internal/prefixindex", "internal/quota", "internal/reachability", "internal/rendezvous", "internal/rollout",
 	"internal/statesync", "internal/targets", "internal/usage",
 }
--- a/internal/controller/counters.go
+++ b/internal/controller/counters.go
@@ -39,17 +39,19 @@
 
 var callNames = [callCount]string{"heartbeat", "leave", "replace", "read", "name_weights", "amend_tally", "read_tally", "evacuate", "begin_rollout", "read_rollout"}
 
-// callCounter counts the responses to one call. A status other than 2xx or 4xx counts as unsure:
-// the caller tries another controller.
+// callCounter counts the responses to one call. A 3xx asks the caller to confirm its order. A status
+// above 4xx counts as unsure: the caller tries another controller.
 type callCounter struct {
-	done, rejected, unsure atomic.Int64
-	durations              histogram.Durations
+	done, unconfirmed, rejected, unsure atomic.Int64
+	durations                           histogram.Durations
 }
 
 func (c *callCounter) record(status int, took time.Duration) {
 	switch status / 100 {
 	case 2:
 		c.done.Add(1)
+	case 3:
+		c.unconfirmed.Add(1)
 	case 4:
 		c.rejected.Add(1)
 	default:
--- a/internal/controller/late_order_test.go
+++ b/internal/controller/late_order_test.go
@@ -63,3 +63,15 @@
 	time.Sleep(lateOrderObservation)
 	must.True(t, evacuatedEverywhere(nodes), must.Sprint("the zone must stay in use"))
 }
+
+// Guards against a Finish that its caller has confirmed and then given up, and that arrives behind a newer Begin.
+func TestLateConfirmedFinishDoesNotEndNewerEvacuation(t *testing.T) {
+	nodes, url, _ := startThreeControllers(t)
+	must.Eq(t, 200, postUntilAnswered(t, url+"/api/Evacuate.Begin/a"))
+	must.Eq(t, 200, postUntilAnswered(t, url+"/api/Evacuate.Begin/a"))
+	for _, node := range nodes {
+		deliverGivenUpOrder(t, node.set.Listen.Control, "/api/Evacuate.Finish/a?after=1")
+	}
+	time.Sleep(lateOrderObservation)
+	must.True(t, evacuatedEverywhere(nodes, "a"), must.Sprint("the zone must stay evacuated"))
+}
--- a/internal/controller/metrics.go
+++ b/internal/controller/metrics.go
@@ -70,9 +70,10 @@
 func (c *Controller) callMetrics() []prometheus.Collector {
 	calls := &c.counters.calls
 	return []prometheus.Collector{
-		metrics.Counter("beechtide_calls_total", "Calls of runners and of the operator: done, rejected for what they ask, or unsure (5xx).", []string{"call", "outcome"}, func(emit metrics.Emit) {
+		metrics.Counter("beechtide_calls_total", "Calls of runners and of the operator: done, unconfirmed (3xx), rejected for what they ask, or unsure (5xx).", []string{"call", "outcome"}, func(emit metrics.Emit) {
 			for kind, name := range callNames {
 				emit(float64(calls[kind].done.Load()), name, "done")
+				emit(float64(calls[kind].unconfirmed.Load()), name, "unconfirmed")
 				emit(float64(calls[kind].rejected.Load()), name, "rejected")
 				emit(float64(calls[kind].unsure.Load()), name, "unsure")
 			}
--- a/internal/controller/operator.go
+++ b/internal/controller/operator.go
@@ -66,6 +66,7 @@
 		RecordInitialHolder: c.leases.RecordInitialHolder,
 		TimeOfDay:           func() (int64, bool) { return c.timeOfDay.TimeUs(c.clock()) },
 		Table:               func() *routeconfig.Table { return c.table.Load() },
+		Control:             c.set.Listen.Control,
 		Zone:                c.set.Zone,
 		Zones:               c.set.Zones,
 		Exposure:            c.exposure(),
--- a/internal/controller/operatorapi/evacuations.go
+++ b/internal/controller/operatorapi/evacuations.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"slices"
 	"time"
 
 	"github.com/cloudwego/hertz/pkg/app"
@@ -10,7 +9,9 @@
 
 	"beechtide.org/beechtide/internal/consensus"
 	"beechtide.org/beechtide/internal/controller/httpapi"
+	"beechtide.org/beechtide/internal/evacuation"
 	"beechtide.org/beechtide/internal/messages"
+	"beechtide.org/beechtide/internal/precondition"
 )
 
 // maxZoneNameBytes is the maximum length of a zone's name, in bytes.
@@ -26,30 +27,36 @@
 	s.evacuate(ctx, rc, false)
 }
 
-// evacuate commits whether a zone is evacuated. A call that changes nothing is acknowledged after a
-// round that has read the newest value.
+// evacuate commits an order for a zone. One that would revert an earlier order is confirmed by its caller
+// first. Every acknowledged order is committed, also one that changes nothing, so that it precedes orders
+// that arrive late.
 func (s *Service) evacuate(ctx context.Context, rc *app.RequestContext, evacuated bool) {
-	zone := rc.Param("zone")
-	if !s.isKnownZone(zone) {
+	order := evacuation.Order{Zone: rc.Param("zone"), Evacuated: evacuated, After: confirmedNumber(rc)}
+	if !s.isKnownZone(order.Zone) {
 		httpapi.Reject(rc, 400, "zone", "no such zone")
 		return
 	}
-	log := s.config.Log.WithValues("zone", zone, "evacuated", evacuated, "caller", rc.RemoteAddr())
+	log := s.config.Log.WithValues("zone", order.Zone, "evacuated", evacuated, "after", order.After, "caller", rc.RemoteAddr())
 	log.Info("evacuation ordered")
 	begun := time.Now()
 	ctx, cancel := context.WithTimeout(ctx, changeTimeout)
 	defer cancel()
-	committed, err := s.config.Registers.Change(ctx, consensus.RegisterOf(zone), func(cur messages.Value) ([]messages.Member, []byte, error) {
-		return evacuateZone(cur, zone, evacuated)
+	committed, err := s.config.Registers.Change(ctx, consensus.RegisterOf(order.Zone), func(cur messages.Value) ([]messages.Member, []byte, error) {
+		return applyEvacuation(cur, order)
 	})
 	log = log.WithValues("took", time.Since(begun), "registerVersion", committed.Version)
-	if err != nil && !errors.Is(err, consensus.ErrNoChange) {
+	var unconfirmed *precondition.RequiredError
+	switch {
+	case errors.As(err, &unconfirmed):
+		log.Info("evacuation to be confirmed", "newest", unconfirmed.Newest)
+		s.askForConfirmation(rc, unconfirmed)
+	case err != nil:
 		log.Info("evacuation not acknowledged", "reason", err.Error())
 		httpapi.Reject(rc, 503, "", err.Error())
-		return
+	default:
+		log.Info("evacuation acknowledged")
+		rc.Status(200)
 	}
-	log.Info("evacuation acknowledged", "changed", err == nil)
-	rc.Status(200)
 }
 
 // isKnownZone reports whether a zone may be evacuated: the own zone, one that the settings list, or any
@@ -62,22 +69,15 @@
 	return listed || len(s.config.Zones) == 0 || zone == s.config.Zone
 }
 
-// evacuateZone records in the current value of the register whether a zone is evacuated.
-func evacuateZone(current messages.Value, zone string, evacuated bool) ([]messages.Member, []byte, error) {
+// applyEvacuation applies an order to the current value of the register.
+func applyEvacuation(current messages.Value, order evacuation.Order) ([]messages.Member, []byte, error) {
 	body, err := messages.DecodeLeaseBody(current)
 	if err != nil {
 		return nil, nil, err
 	}
-	i := slices.IndexFunc(body.Evacuations, func(e messages.Evacuation) bool { return e.Zone == zone })
-	if i < 0 && !evacuated || i >= 0 && body.Evacuations[i].Evacuated == evacuated {
-		return nil, nil, consensus.ErrNoChange
-	}
-	if i < 0 {
-		body.Evacuations = append(body.Evacuations, messages.Evacuation{Zone: zone})
-		i = len(body.Evacuations) - 1
+	if body.Evacuations, err = evacuation.Apply(body.Evacuations, order); err != nil {
+		return nil, nil, err
 	}
-	body.Evacuations[i].Evacuated = evacuated
-	body.Evacuations[i].Changes++
 	b, err := body.MarshalMsg(nil)
 	return nil, b, err
 }
--- a/internal/controller/operatorapi/service.go
+++ b/internal/controller/operatorapi/service.go
@@ -1,7 +1,8 @@
 // Package operatorapi serves the HTTP calls of the operator (api/calls.yaml): the configuration,
 // named weights, evacuations of zones and rollouts of services. Each change is committed by a round
 // of a replicated register. The calls are idempotent: a repeated one changes nothing and is
-// acknowledged again.
+// acknowledged again. One that arrives behind a newer order that its caller was acknowledged changes
+// nothing either: it names a base, or a number that only rises, or is confirmed by its caller.
 //
 // The caller must admit calls only while this controller has contact with a majority. A Service is
 // safe for concurrent use.
@@ -43,7 +44,7 @@
 	FenceFloor(register int) int64
 }
 
-// Config configures a Service. All fields but Zones and Exposure are required.
+// Config configures a Service. All fields but Control, Zones and Exposure are required.
 type Config struct {
 	Log       logr.Logger
 	Registers Registers
@@ -57,6 +58,8 @@
 	TimeOfDay func() (timeUs int64, agreed bool)
 	// Table returns the active configuration, nil if there is none yet.
 	Table func() *routeconfig.Table
+	// Control is the address of this controller's calls, for callers that name no address.
+	Control string
 	// Zone is the zone of this machine; the keys of Zones are the zones that the settings list.
 	Zone  string
 	Zones map[string]string
