Rollouts of services: an order after an ended rollout is confirmed by its caller

An order that its caller had given up, and that arrives after newer rollouts have ended, begins a rollout to the earlier version.

Change: such an order is answered with 307 and the number of the newest rollout, and is carried out only if that is the newest still (package precondition). The first rollout of a service and a repeat of the newest are taken at once, as before. The tests of canary.Begin name the number now.

--- a/internal/api/types.gen.go
+++ b/internal/api/types.gen.go
@@ -390,6 +390,12 @@
 	After int64 `form:"after,omitempty" json:"after,omitempty,omitzero"`
 }
 
+// BeginRolloutParams defines parameters for BeginRollout.
+type BeginRolloutParams struct {
+	// After number of the service's newest rollout, as the redirect gave it
+	After int64 `form:"after,omitempty" json:"after,omitempty,omitzero"`
+}
+
 // ReplaceConfigJSONRequestBody defines body for ReplaceConfig for application/json ContentType.
 type ReplaceConfigJSONRequestBody = Configuration
 
--- a/internal/canary/canary_test.go
+++ b/internal/canary/canary_test.go
@@ -5,9 +5,11 @@
 	"math/rand/v2"
 	"testing"
 
+	"github.com/pkg/errors"
 	"github.com/shoenig/test/must"
 
 	"beechtide.org/beechtide/internal/messages"
+	"beechtide.org/beechtide/internal/precondition"
 )
 
 var (
@@ -40,6 +42,7 @@
 	must.ErrorIs(t, err, ErrRolloutRunning)
 	must.False(t, changed)
 	list, _ = Advance(list, list[0], Step{Stage: Reverted})
+	other.After = list[0].Number
 	list, changed, err = Begin(list, other, testBounds, 9000)
 	must.NoError(t, err)
 	must.True(t, changed)
@@ -47,6 +50,21 @@
 	must.Eq(t, 2, list[0].Number)
 }
 
+// Guards against a rollout that a late order begins behind a newer one.
+func TestOrderAfterEndedRolloutIsConfirmed(t *testing.T) {
+	list := beginTestRollout(t)
+	list, _ = Advance(list, list[0], Step{Stage: Reverted})
+	other := testOrder
+	other.Target, other.After = "v3", precondition.Unconfirmed
+	_, _, err := Begin(list, other, testBounds, 9000)
+	var required *precondition.RequiredError
+	must.True(t, errors.As(err, &required))
+	must.Eq(t, list[0].Number, required.Newest)
+	other.After = list[0].Number - 1
+	_, _, err = Begin(list, other, testBounds, 9000)
+	must.ErrorIs(t, err, precondition.ErrOvertaken)
+}
+
 func TestAdvanceAllowsOnlyFollowingStages(t *testing.T) {
 	for _, c := range []struct {
 		from, to Stage
@@ -253,7 +271,7 @@
 	list, _, err := Begin(nil, testOrder, testBounds, 1000)
 	must.NoError(t, err)
 	must.SliceEmpty(t, RecordReverted(nil, nil, testOrder))
-	next := Order{Service: testOrder.Service, Target: "next", DurationUs: 1}
+	next := Order{Service: testOrder.Service, Target: "next", DurationUs: 1, After: list[0].Number}
 	list[0].Stage = int(Settled)
 	must.SliceEmpty(t, RecordReverted(nil, list, next), must.Sprint("it was settled"))
 	list[0].Stage = int(Reverted)
--- a/internal/canary/rollout.go
+++ b/internal/canary/rollout.go
@@ -6,6 +6,7 @@
 	"github.com/pkg/errors"
 
 	"beechtide.org/beechtide/internal/messages"
+	"beechtide.org/beechtide/internal/precondition"
 )
 
 // Stage is the progress of a rollout.
@@ -70,10 +71,12 @@
 	return max(int(min(share, maxTrialShare)*perMille), 1)
 }
 
-// Order is an operator's order to roll out version Target of a service within DurationUs.
+// Order is an operator's order to roll out version Target of a service within DurationUs. After is the
+// number of the service's newest rollout that its caller was told of (package precondition).
 type Order struct {
 	Service, Target string
 	DurationUs      int64
+	After           precondition.Number
 }
 
 // Find returns the newest rollout of a service.
@@ -87,7 +90,8 @@
 
 // Begin returns the rollouts after an order received at timeUs, a time of day. An order for the
 // version of the service's newest rollout is a repeat and changes nothing. While a rollout to
-// another version is running, it returns ErrRolloutRunning.
+// another version is running, it returns ErrRolloutRunning. An order after an ended rollout is subject to
+// precondition.Check.
 func Begin(list []messages.ServiceRollout, order Order, bounds Bounds, timeUs int64) (next []messages.ServiceRollout, changed bool, err error) {
 	previous, found := Find(list, order.Service)
 	switch {
@@ -96,6 +100,9 @@
 	case found && Stage(previous.Stage).Running():
 		return list, false, ErrRolloutRunning
 	}
+	if err := precondition.Check(order.After, previous.Number); err != nil {
+		return list, false, err
+	}
 	next = slices.DeleteFunc(slices.Clone(list), func(r messages.ServiceRollout) bool { return r.Service == order.Service })
 	next = append(next, messages.ServiceRollout{
 		Service: order.Service, Target: order.Target, OverUs: order.DurationUs, BegunAtUs: timeUs,
--- a/internal/controller/operatorapi/rollouts.go
+++ b/internal/controller/operatorapi/rollouts.go
@@ -11,6 +11,7 @@
 	"beechtide.org/beechtide/internal/consensus"
 	"beechtide.org/beechtide/internal/controller/httpapi"
 	"beechtide.org/beechtide/internal/messages"
+	"beechtide.org/beechtide/internal/precondition"
 )
 
 // errTimeUnknown means that this controller does not know the fleet's time of day yet.
@@ -29,15 +30,19 @@
 		httpapi.Reject(rc, 404, "service", "no such service")
 		return
 	}
+	wanted := canary.Order{Service: order.Service, Target: order.TargetVersion, DurationUs: int64(order.OverS * usPerSecond), After: confirmedNumber(rc)}
 	_, err := s.config.Registers.Change(ctx, consensus.RegisterOf(order.Service), func(cur messages.Value) ([]messages.Member, []byte, error) {
-		return s.applyRollout(cur, order)
+		return s.applyRollout(cur, wanted)
 	})
+	var unconfirmed *precondition.RequiredError
 	switch {
 	case err == nil, errors.Is(err, consensus.ErrNoChange):
 		s.config.Log.Info("rollout of a service acknowledged", "service", order.Service, "version", order.TargetVersion, "overS", order.OverS, "changed", err == nil)
 		rc.Status(200)
 	case errors.Is(err, canary.ErrRolloutRunning):
 		httpapi.Reject(rc, 409, "targetVersion", "another rollout of the service is running")
+	case errors.As(err, &unconfirmed):
+		s.askForConfirmation(rc, unconfirmed)
 	default:
 		httpapi.Reject(rc, 503, "", err.Error())
 	}
@@ -47,7 +52,7 @@
 const usPerSecond = 1e6
 
 // applyRollout adds the ordered rollout to the current value of the register.
-func (s *Service) applyRollout(current messages.Value, order api.RolloutOrder) ([]messages.Member, []byte, error) {
+func (s *Service) applyRollout(current messages.Value, wanted canary.Order) ([]messages.Member, []byte, error) {
 	body, err := messages.DecodeLeaseBody(current)
 	if err != nil {
 		return nil, nil, err
@@ -56,11 +61,12 @@
 	if timeUs == 0 {
 		return nil, nil, errTimeUnknown
 	}
-	wanted := canary.Order{Service: order.Service, Target: order.TargetVersion, DurationUs: int64(order.OverS * usPerSecond)}
 	next, changed, err := canary.Begin(body.Rollouts, wanted, s.config.Exposure, timeUs)
 	switch {
-	case err != nil:
+	case errors.Is(err, canary.ErrRolloutRunning):
 		return nil, nil, consensus.SealRejection(err)
+	case err != nil:
+		return nil, nil, err
 	case !changed:
 		return nil, nil, consensus.ErrNoChange
 	}
--- a/internal/controller/operatorapi/rollouts_test.go
+++ b/internal/controller/operatorapi/rollouts_test.go
@@ -5,7 +5,6 @@
 
 	"github.com/shoenig/test/must"
 
-	"beechtide.org/beechtide/internal/api"
 	"beechtide.org/beechtide/internal/canary"
 	"beechtide.org/beechtide/internal/messages"
 )
@@ -16,7 +15,7 @@
 	encoded, err := before.MarshalMsg(nil)
 	must.NoError(t, err)
 	s := &Service{config: Config{TimeOfDay: func() (int64, bool) { return 1, true }}}
-	_, encoded, err = s.applyRollout(messages.Value{Body: encoded}, api.RolloutOrder{Service: "s", TargetVersion: "v3", OverS: 12})
+	_, encoded, err = s.applyRollout(messages.Value{Body: encoded}, canary.Order{Service: "s", Target: "v3", DurationUs: 12_000_000, After: 1})
 	must.NoError(t, err)
 	after, err := messages.DecodeLeaseBody(messages.Value{Body: encoded})
 	must.NoError(t, err)
--- a/internal/router/endless_response_test.go
+++ b/internal/router/endless_response_test.go
@@ -97,28 +97,35 @@
 	for name, form := range endlessForms {
 		for _, path := range []string{"/pay/", "/chat/"} {
 			t.Run(name+path, func(t *testing.T) {
-				var runners []*runner
-				for range endlessRunners {
-					runners = append(runners, newFloodingRunner(t, form.head, form.repeated))
-				}
-				_, front, _ := start(t, runners...)
-				runtime.GC()
-				stop := largestHeap()
-				var clients sync.WaitGroup
-				for range endlessRequests {
-					clients.Go(func() {
-						for begin := time.Now(); time.Since(begin) < endlessDuration; {
-							readUntil(t, front, path, begin.Add(endlessDuration))
-						}
-					})
-				}
-				clients.Wait()
-				must.Less(t, smallestMachineBytes, stop())
+				must.Less(t, smallestMachineBytes, heapDuringEndlessResponses(t, path, form.head, form.repeated))
 			})
 		}
 	}
 }
 
+// heapDuringEndlessResponses returns the largest heap of this process while clients request a path whose
+// runners send without end.
+func heapDuringEndlessResponses(t *testing.T, path, head, repeated string) uint64 {
+	t.Helper()
+	var runners []*runner
+	for range endlessRunners {
+		runners = append(runners, newFloodingRunner(t, head, repeated))
+	}
+	_, front, _ := start(t, runners...)
+	runtime.GC()
+	stop := largestHeap()
+	var clients sync.WaitGroup
+	for range endlessRequests {
+		clients.Go(func() {
+			for begin := time.Now(); time.Since(begin) < endlessDuration; {
+				readUntil(t, front, path, begin.Add(endlessDuration))
+			}
+		})
+	}
+	clients.Wait()
+	return stop()
+}
+
 // readUntil sends a request and reads its response until it ends or until a deadline.
 func readUntil(t *testing.T, front, path string, deadline time.Time) {
 	conn := dialAndSend(t, front, request(path, "x"))
--- a/internal/router/partition_metrics.go
+++ b/internal/router/partition_metrics.go
@@ -12,23 +12,7 @@
 )
 
 func (r *Router) partitionMetrics() []prometheus.Collector {
-	return []prometheus.Collector{
-		metrics.Gauge("beechtide_router_evacuated", "1 for each zone whose runners get no requests from this router.", []string{"zone"}, func(emit metrics.Emit) {
-			r.admissionMu.Lock()
-			defer r.admissionMu.Unlock()
-			for _, zone := range r.admission.EvacuatedZones() {
-				emit(1, zone)
-			}
-		}),
-		metrics.Gauge("beechtide_router_evacuation_orders", "Number of the newest order to evacuate each zone or to take it back that this router goes by.", []string{"zone"}, func(emit metrics.Emit) {
-			r.stateMu.Lock()
-			defer r.stateMu.Unlock()
-			for _, evacuations := range r.evacuations {
-				for _, e := range evacuations {
-					emit(float64(e.Changes), e.Zone)
-				}
-			}
-		}),
+	return append(evacuationMetrics(r),
 		metrics.Gauge("beechtide_router_rollout_stage", "Stage of the newest rollout of each service that this router goes by: 0 tried, 1 shifting, 2 settled, 3 reverted.", []string{"service", "version"}, func(emit metrics.Emit) {
 			r.admissionMu.Lock()
 			defer r.admissionMu.Unlock()
@@ -64,6 +48,28 @@
 			emit(float64(len(list)), "all")
 			emit(float64(lent), "lent")
 		}),
+	)
+}
+
+// evacuationMetrics returns the metrics of the evacuated zones that a router goes by.
+func evacuationMetrics(r *Router) []prometheus.Collector {
+	return []prometheus.Collector{
+		metrics.Gauge("beechtide_router_evacuated", "1 for each zone whose runners get no requests from this router.", []string{"zone"}, func(emit metrics.Emit) {
+			r.admissionMu.Lock()
+			defer r.admissionMu.Unlock()
+			for _, zone := range r.admission.EvacuatedZones() {
+				emit(1, zone)
+			}
+		}),
+		metrics.Gauge("beechtide_router_evacuation_orders", "Number of the newest order to evacuate each zone or to take it back that this router goes by.", []string{"zone"}, func(emit metrics.Emit) {
+			r.stateMu.Lock()
+			defer r.stateMu.Unlock()
+			for _, evacuations := range r.evacuations {
+				for _, e := range evacuations {
+					emit(float64(e.Changes), e.Zone)
+				}
+			}
+		}),
 	}
 }
 
