Responses: bytes without end no longer fill the memory of a process

What callers saw: a back end that sent without end made the process that had called it run out of memory; the requests of all its other clients ended with it.

Cause: each response had a bound of its own (64 MB where it is buffered, 8 MB for a control call, none for an event that does not end), their sum had none.

Change: all responses that have to be kept count in one budget of an eighth of the process's memory (package memorybudget). A response may grow as long as it holds no more than what is left, so that one without end stops at half of it, and small ones pass beside any number of these. Bodies are kept in segments instead of a slice that is copied as it grows, and count until they are written to the client; bodies that nobody reads are not kept; control calls decode while the body counts. An event has a bound of 1 MB and counts too, and its end is searched for in the new bytes only. Garbage is collected earlier above 70% of the process's memory. A response that is ended for its size is a failure of its runner, as a broken one. Metrics tell the bytes and the refusals.

--- a/cmd/beechtide/role.go
+++ b/cmd/beechtide/role.go
@@ -34,6 +34,10 @@
 	poolSize    = 512 // pooled goroutines for requests; more are started when all are busy
 	gcPercent   = 100 // at 50, garbage collection took a tenth of a router's CPU time
 	signalQueue = 4
+
+	bytesPerMB = 1 << 20
+	// collectAbovePercent is above which share of the memory of a process garbage is collected at once.
+	collectAbovePercent = 70
 )
 
 // role is a server that runs until its context ends.
@@ -68,6 +72,9 @@
 		return err
 	}
 	debug.SetGCPercent(gcPercent)
+	if set.Limits.MemoryMb > 0 {
+		debug.SetMemoryLimit(int64(set.Limits.MemoryMb) * bytesPerMB / 100 * collectAbovePercent)
+	}
 	hlog.SetLevel(hlog.LevelFatal)
 	ring := newLogRing(logAll)
 	log := logr.New(ring).WithName(name)
--- a/internal/controller/controller.go
+++ b/internal/controller/controller.go
@@ -73,6 +73,7 @@
 	"beechtide.org/beechtide/internal/dissemination"
 	"beechtide.org/beechtide/internal/loop"
 	"beechtide.org/beechtide/internal/membership"
+	"beechtide.org/beechtide/internal/memorybudget"
 	"beechtide.org/beechtide/internal/messages"
 	"beechtide.org/beechtide/internal/registry"
 	"beechtide.org/beechtide/internal/routeconfig"
@@ -132,7 +133,7 @@
 	if err != nil {
 		return nil, errors.Wrap(err, "controller: open the transport")
 	}
-	connPool := upstream.NewConnPool(clock)
+	connPool := upstream.NewConnPool(clock, memorybudget.ForProcess(set.Limits.MemoryMb))
 	c := &Controller{
 		set:       set,
 		log:       log,
--- a/internal/controller/metrics.go
+++ b/internal/controller/metrics.go
@@ -16,7 +16,7 @@
 func (c *Controller) metricsServer() *metrics.Server {
 	return metrics.NewServer(metrics.Config{Addr: c.set.ControllerMetricsAddr(), Log: c.log}, slices.Concat(
 		metrics.Node(c.transport, c.publisher, &c.counters.subscriptions),
-		c.consensusMetrics(), c.callMetrics(), c.platformMetrics(), c.quotaMetrics(), c.partitionMetrics(),
+		c.consensusMetrics(), c.callMetrics(), c.platformMetrics(), c.quotaMetrics(), c.partitionMetrics(), metrics.ResponseMemory(c.connPool.Budget()),
 	)...)
 }
 
--- a/internal/controller/platform/client.go
+++ b/internal/controller/platform/client.go
@@ -93,7 +93,7 @@
 		return NotSent
 	}
 	sentUs := c.config.Clock()
-	status, _, err := c.config.HTTP.Ask(ctx, c.config.Addr(), http.MethodPost, path, headers, body)
+	status, err := c.config.HTTP.Ask(ctx, c.config.Addr(), http.MethodPost, path, headers, body)
 	c.config.Log.Info("platform called", "path", path, "fence", grant.Fence, "status", status, "err", err)
 	outcome := outcomeOf(status, err)
 	if outcome == FenceRefused {
--- a/internal/controller/platform/dependencies.go
+++ b/internal/controller/platform/dependencies.go
@@ -11,5 +11,5 @@
 
 // HTTPClient sends one HTTP request and reads the complete response (upstream.ConnPool).
 type HTTPClient interface {
-	Ask(ctx context.Context, addr, method, path string, headers map[string]string, body []byte) (status int, response []byte, err error)
+	Ask(ctx context.Context, addr, method, path string, headers map[string]string, body []byte) (status int, err error)
 }
--- a/internal/controller/runnerapi/client.go
+++ b/internal/controller/runnerapi/client.go
@@ -39,7 +39,8 @@
 
 // HTTPClient sends one HTTP request and reads the complete response (upstream.ConnPool).
 type HTTPClient interface {
-	Ask(ctx context.Context, addr, method, path string, headers map[string]string, body []byte) (status int, response []byte, err error)
+	Ask(ctx context.Context, addr, method, path string, headers map[string]string, body []byte) (status int, err error)
+	Read(ctx context.Context, addr, path string, headers map[string]string, use func(status int, body []byte) error) error
 }
 
 // Client calls runners and stores. It is safe for concurrent use.
@@ -77,14 +78,13 @@
 	if runner.Service != "" { // a store has no instance
 		headers[targetHeader] = runner.ID
 	}
-	status, body, err := c.connections.Ask(ctx, runner.Addr, http.MethodGet, path, headers, nil)
-	switch {
-	case err != nil:
-		return errors.Wrapf(err, "runnerapi: read %s of %s", path, runner.ID)
-	case status != http.StatusOK:
-		return errors.Wrapf(ErrStatus, "%d to %s", status, path)
-	}
-	return errors.Wrapf(json.Unmarshal(body, into), "runnerapi: decode %s of %s", path, runner.ID)
+	err := c.connections.Read(ctx, runner.Addr, path, headers, func(status int, body []byte) error {
+		if status != http.StatusOK {
+			return errors.Wrapf(ErrStatus, "%d", status)
+		}
+		return json.Unmarshal(body, into)
+	})
+	return errors.Wrapf(err, "runnerapi: read %s of %s", path, runner.ID)
 }
 
 // Order sends an order, unless maySend, which is called right before sending, returns false. The
@@ -99,7 +99,7 @@
 	if !maySend() {
 		return 0, ErrNotSent
 	}
-	status, _, err = c.connections.Ask(ctx, runner.Addr, http.MethodPost, "/api/order", map[string]string{targetHeader: runner.ID}, body)
+	status, err = c.connections.Ask(ctx, runner.Addr, http.MethodPost, "/api/order", map[string]string{targetHeader: runner.ID}, body)
 	if err != nil {
 		return 0, errors.Wrapf(err, "runnerapi: order to %s", runner.ID)
 	}
--- a/internal/router/metrics.go
+++ b/internal/router/metrics.go
@@ -15,7 +15,7 @@
 func (r *Router) metricsServer() *metrics.Server {
 	return metrics.NewServer(metrics.Config{Addr: r.set.RouterMetricsAddr(), Log: r.log}, slices.Concat(
 		metrics.Node(r.transport, r.publisher, &r.counters.subscriptions),
-		r.requestMetrics(), r.configMetrics(), r.partitionMetrics(), r.reachMetrics(),
+		r.requestMetrics(), r.configMetrics(), r.partitionMetrics(), r.reachMetrics(), metrics.ResponseMemory(r.connPool.Budget()),
 	)...)
 }
 
--- a/internal/router/responses.go
+++ b/internal/router/responses.go
@@ -43,6 +43,9 @@
 	}
 }
 
+// maxCopiedBody is up to which size a body is copied to the response, in bytes.
+const maxCopiedBody = 4 << 10
+
 // maxBufferedBody limits a response that is buffered until it is complete, in bytes.
 const maxBufferedBody = 64 << 20
 
@@ -51,7 +54,7 @@
 // repeated.
 func (e *exchange) forwardBody(adm *admission.Admission, conn *upstream.Conn, r *protocol.Response, stream *responseStream) attempt.Result {
 	e.countUsage(r)
-	b, err := upstream.ReadBody(r, maxBufferedBody)
+	body, err := upstream.ReadBody(r, maxBufferedBody, e.router.connPool.Budget())
 	e.router.undelivered.remove(e.undelivered)
 	if err != nil {
 		conn.Close()
@@ -62,17 +65,29 @@
 	status := r.StatusCode()
 	e.router.recordAttemptOutcome(adm, conn, status < 500, true)
 	e.router.releaseCapacityAndConn(adm, conn, r, true)
-	if stream != nil && stream.started {
+	switch {
+	case stream != nil && stream.started:
+		_ = body.Close()
 		return attempt.Interrupted
-	}
-	if status >= 500 && e.sequence.MayRepeat(e.retryPolicy()) {
+	case status >= 500 && e.sequence.MayRepeat(e.retryPolicy()):
+		_ = body.Close()
 		return attempt.Unknown
 	}
 	e.copyResponseHead(r)
-	e.rc.Response.SetBody(b)
+	setResponseBody(&e.rc.Response, body)
 	return attempt.Answered
 }
 
+// setResponseBody has a body written to the client. A large one counts in the budget until then.
+func setResponseBody(response *protocol.Response, body *upstream.Body) {
+	if body.Size() > maxCopiedBody {
+		response.SetBodyStream(body, body.Size()) // closes it once it is written
+		return
+	}
+	response.SetBody(body.Bytes())
+	_ = body.Close()
+}
+
 // recordFirstToken reports to the admission control that the attempt has produced output.
 func (r *Router) recordFirstToken(adm *admission.Admission) {
 	r.admissionMu.Lock()
@@ -94,6 +109,7 @@
 // another attempt is to start the response anew.
 func (e *exchange) forwardStream(adm *admission.Admission, conn *upstream.Conn, r *protocol.Response, stream *responseStream) (attempt.Result, *responseStream) {
 	stream.splitter.DiscardIncomplete()
+	defer stream.splitter.DiscardIncomplete()
 	body := r.BodyStream()
 	buf := make([]byte, 2048)
 	first := true
@@ -104,9 +120,11 @@
 			e.countUsage(r)
 			e.router.recordFirstToken(adm)
 		}
-		switch {
-		case n > 0 && !e.forwardEvents(r, stream, buf[:n]):
+		switch result := e.forwardEvents(r, stream, buf[:n]); {
+		case result == forwardClientGone:
 			return e.releaseStream(adm, conn, attempt.ClientGone), stream
+		case result == forwardFailed:
+			return e.failStream(adm, conn, stream)
 		case err == nil && stream.started && e.reserveMove(adm, stream):
 			return e.releaseStream(adm, conn, attempt.Moving), stream
 		case err == nil:
@@ -124,13 +142,27 @@
 	}
 }
 
-// forwardEvents forwards the bytes read so far as whole events. It returns false if writing to the
-// client failed.
-func (e *exchange) forwardEvents(r *protocol.Response, stream *responseStream, b []byte) bool {
+// forwardResult is what became of bytes of a stream.
+type forwardResult int
+
+const (
+	forwarded         forwardResult = iota // or kept until their event is complete
+	forwardClientGone                      // writing to the client failed
+	forwardFailed                          // the runner's event is too large
+)
+
+// forwardEvents forwards the bytes read so far as whole events.
+func (e *exchange) forwardEvents(r *protocol.Response, stream *responseStream, b []byte) forwardResult {
 	if stream.isEventStream {
-		b = stream.splitter.Add(b)
+		var err error
+		if b, err = stream.splitter.Add(b); err != nil {
+			return forwardFailed
+		}
+	}
+	if len(b) > 0 && !e.writeStream(r, stream, b) {
+		return forwardClientGone
 	}
-	return len(b) == 0 || e.writeStream(r, stream, b)
+	return forwarded
 }
 
 // releaseStream closes the runner's connection and releases the capacity of an attempt that ends
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -66,6 +66,7 @@
 	"beechtide.org/beechtide/internal/inflight"
 	"beechtide.org/beechtide/internal/loop"
 	"beechtide.org/beechtide/internal/membership"
+	"beechtide.org/beechtide/internal/memorybudget"
 	"beechtide.org/beechtide/internal/messages"
 	"beechtide.org/beechtide/internal/registry"
 	"beechtide.org/beechtide/internal/routeconfig"
@@ -163,7 +164,7 @@
 		startUs:         clock(),
 		transport:       trans,
 		registry:        registry.New(),
-		connPool:        upstream.NewConnPool(clock),
+		connPool:        upstream.NewConnPool(clock, memorybudget.ForProcess(set.Limits.MemoryMb)),
 		registers:       map[int]messages.RegisterUpdate{},
 		evacuations:     map[int][]messages.Evacuation{},
 		configuration:   routeconfig.NewReplica(),
--- a/internal/router/router_test.go
+++ b/internal/router/router_test.go
@@ -202,6 +202,9 @@
 	ended  <-chan error
 }
 
+// machineMemoryMB is the memory of a process on the smallest machine of the deployments.
+const machineMemoryMB = 160
+
 // startWithGrace starts a router whose platform kills it graceS seconds after SIGTERM.
 func startWithGrace(t *testing.T, graceS float64, runners ...*runner) (*Router, string, routerRun) {
 	t.Helper()
@@ -209,6 +212,7 @@
 	addr := func(i int) string { return fmt.Sprintf("127.0.0.1:%d", p[i]) }
 	set := settings.Settings{Node: "n", Ip: "127.0.0.1", Zone: "a", Ports: []int{p[0], p[0] + 1}, Seeds: []string{"127.0.0.1:1"}}
 	set.Listen.Front, set.Listen.Ready = addr(1), addr(2)
+	set.Limits.MemoryMb = machineMemoryMB
 	set.Bounds = settings.Bounds{GraceS: graceS, VersionMs: 8000, RetryRatio: 0.2, RetrySlack: 100, RetryWindowS: 10}
 	pool, err := ants.NewPool(64, ants.WithNonblocking(true))
 	must.NoError(t, err)
--- a/internal/router/send.go
+++ b/internal/router/send.go
@@ -95,7 +95,7 @@
 	}
 	if e.isStreamed(r) {
 		if stream == nil {
-			stream = &responseStream{isEventStream: e.route.Kind == api.Streaming}
+			stream = &responseStream{isEventStream: e.route.Kind == api.Streaming, splitter: upstream.NewEventSplitter(router.connPool.Budget())}
 		}
 		unwatch := e.watchStream(sent, stream)
 		defer unwatch()
@@ -124,7 +124,7 @@
 		return attempt.NotExecuted
 	case impliesNotExecuted(status):
 		// without the header the request may have run, whatever the status implies
-		_, err := upstream.ReadBody(r, maxDiscardedBody)
+		err := upstream.DiscardBody(r, maxDiscardedBody)
 		router.recordAttemptOutcome(adm, conn, status < 500, true)
 		router.releaseCapacityAndConn(adm, conn, r, err == nil)
 		return attempt.Unknown
@@ -135,7 +135,7 @@
 // discardResponse reads the body of a response that is not forwarded, and releases the attempt's
 // capacity and connection.
 func (r *Router) discardResponse(adm *admission.Admission, conn *upstream.Conn, response *protocol.Response) {
-	_, err := upstream.ReadBody(response, maxDiscardedBody)
+	err := upstream.DiscardBody(response, maxDiscardedBody)
 	r.releaseCapacityAndConn(adm, conn, response, err == nil)
 }
 
--- a/internal/simulation/requests_router.go
+++ b/internal/simulation/requests_router.go
@@ -279,7 +279,11 @@
 
 // handleEvent forwards complete events to the client.
 func (e *requestExchange) handleEvent(bytes string) {
-	complete := e.events.Add([]byte(bytes))
+	complete, err := e.events.Add([]byte(bytes))
+	if err != nil {
+		e.router.history.kernel.Fail("an event is too large: %v", err)
+		return
+	}
 	e.sent.Write(complete)
 }
 
--- a/internal/upstream/call.go
+++ b/internal/upstream/call.go
@@ -9,6 +9,8 @@
 	"time"
 
 	"github.com/cloudwego/hertz/pkg/protocol"
+
+	"beechtide.org/beechtide/internal/memorybudget"
 )
 
 // maxResponseBytes limits the body of the response to a control call.
@@ -35,17 +37,28 @@
 type response struct {
 	status int
 	header *protocol.ResponseHeader
-	body   []byte
+	body   *Body
 }
 
-// Ask sends one request and reads the complete response. The runner may have executed
-// the request even if an error is returned.
-func (p *ConnPool) Ask(ctx context.Context, addr, method, path string, headers map[string]string, body []byte) (status int, out []byte, err error) {
+// Ask sends one request and reads the complete response, of which it returns the status. The runner may
+// have executed the request even if an error is returned.
+func (p *ConnPool) Ask(ctx context.Context, addr, method, path string, headers map[string]string, body []byte) (status int, err error) {
 	r, err := p.exchange(ctx, addr, call{method, path, headers, body, method != "GET"})
 	if err != nil {
-		return 0, nil, err
+		return 0, err
+	}
+	return r.status, r.body.Close()
+}
+
+// Read sends a GET request, reads the complete response and calls use with it. The body is valid until
+// use returns, and counts in the budget until then.
+func (p *ConnPool) Read(ctx context.Context, addr, path string, headers map[string]string, use func(status int, body []byte) error) error {
+	r, err := p.exchange(ctx, addr, call{"GET", path, headers, nil, false})
+	if err != nil {
+		return err
 	}
-	return r.status, r.body, nil
+	defer r.body.Close()
+	return use(r.status, r.body.Bytes())
 }
 
 // Probe sends a GET on a new connection and returns the status and one header of the
@@ -55,7 +68,7 @@
 	if err != nil {
 		return 0, "", err
 	}
-	return r.status, r.header.Get(header), nil
+	return r.status, r.header.Get(header), r.body.Close()
 }
 
 // exchange sends one request and reads the complete response.
@@ -76,7 +89,7 @@
 		c.Close()
 		return nil, err
 	}
-	r, err := c.readResponse(deadline)
+	r, err := c.readResponse(deadline, p.budget)
 	if err != nil {
 		c.Close()
 		return nil, err
@@ -91,7 +104,7 @@
 
 // readResponse reads the complete response to a call. Calls carry no attempt id, so a
 // response that has one belongs to another request.
-func (c *Conn) readResponse(deadline time.Time) (*response, error) {
+func (c *Conn) readResponse(deadline time.Time, budget *memorybudget.Budget) (*response, error) {
 	r := &protocol.Response{}
 	if err := c.ReadHead(r, deadline); err != nil {
 		return nil, err
@@ -99,7 +112,7 @@
 	if r.Header.Get(attemptID) != "" {
 		return nil, ErrMismatchedResponse
 	}
-	body, err := ReadBody(r, maxResponseBytes)
+	body, err := ReadBody(r, maxResponseBytes, budget)
 	if err != nil {
 		return nil, err
 	}
--- a/internal/upstream/conn.go
+++ b/internal/upstream/conn.go
@@ -4,7 +4,7 @@
 // ConnPool holds idle connections to runners. A Conn is one connection: Conn.Send writes a
 // request and reports whether any byte may have reached the runner; Conn.ReadHead and
 // Conn.ReadHeadFor read the head of the response, Conn.ReadHeadFor only one with the attempt id of
-// the request. ConnPool.Ask and ConnPool.Probe make control calls (reports, cache events,
+// the request. ConnPool.Ask, ConnPool.Read and ConnPool.Probe make control calls (reports, cache events,
 // orders, probes). The package also splits event streams into complete events, and limits
 // retries by a budget.
 //
--- a/internal/upstream/conn_pool.go
+++ b/internal/upstream/conn_pool.go
@@ -6,6 +6,8 @@
 	"time"
 
 	"github.com/cloudwego/hertz/pkg/protocol"
+
+	"beechtide.org/beechtide/internal/memorybudget"
 )
 
 // keepAliveMarginUs is how long before the keep-alive timeout announced by the runner an
@@ -14,18 +16,23 @@
 
 // ConnPool holds idle connections to runners. It is safe for concurrent use.
 type ConnPool struct {
-	clock func() int64 // monotonic, in microseconds
+	clock  func() int64 // monotonic, in microseconds
+	budget *memorybudget.Budget
 
 	mu     sync.Mutex         // guards the fields below
 	idle   map[string][]*Conn // by address; the most recently used is last
 	limits idleLimits
 }
 
-// NewConnPool creates an empty pool. clock returns monotonic microseconds.
-func NewConnPool(clock func() int64) *ConnPool {
-	return &ConnPool{clock: clock, idle: map[string][]*Conn{}, limits: idleLimits{}}
+// NewConnPool creates an empty pool. clock returns monotonic microseconds. The bodies of responses to
+// control calls count in budget, which may be nil.
+func NewConnPool(clock func() int64, budget *memorybudget.Budget) *ConnPool {
+	return &ConnPool{clock: clock, budget: budget, idle: map[string][]*Conn{}, limits: idleLimits{}}
 }
 
+// Budget returns the budget that the bodies of responses count in.
+func (p *ConnPool) Budget() *memorybudget.Budget { return p.budget }
+
 // RecordDead records that the runner had dropped a connection taken from the pool, which lowers
 // the idle limit of its service. A new connection is ignored.
 func (p *ConnPool) RecordDead(c *Conn) {
--- a/internal/upstream/response.go
+++ b/internal/upstream/response.go
@@ -118,32 +118,9 @@
 			return ErrMismatchedResponse
 		}
 		c.MarkTainted()
-		if _, err := ReadBody(out, maxForeignBytes); err != nil {
+		if err := DiscardBody(out, maxForeignBytes); err != nil {
 			return errors.Wrap(ErrMismatchedResponse, err.Error())
 		}
 	}
 	return ErrMismatchedResponse
 }
-
-// ReadBody reads the complete body of a response whose head has been read. A body that
-// is truncated or longer than maxBytes is an error; the connection must not be reused
-// after that.
-func ReadBody(r *protocol.Response, maxBytes int) ([]byte, error) {
-	stream, chunk := r.BodyStream(), make([]byte, chunkBytes)
-	var body []byte
-	for {
-		n, err := stream.Read(chunk)
-		body = append(body, chunk[:n]...)
-		switch {
-		case len(body) > maxBytes:
-			return nil, errors.Wrap(ErrBroken, "the body is too long")
-		case err == io.EOF:
-			if want := r.Header.ContentLength(); want >= 0 && len(body) != want && !r.Header.MustSkipContentLength() {
-				return nil, errors.Wrap(ErrBroken, "the body has another length than announced")
-			}
-			return body, nil
-		case err != nil:
-			return nil, errors.Wrap(ErrBroken, err.Error())
-		}
-	}
-}
