Front: unfinished requests no longer fill the memory of a router

The same class as responses without end: a request had a bound (bodyBytes of the configuration), the sum of all requests that are read or served had none. The library makes room for the whole body as soon as its length is announced.

Change: http1.Rewriter reserves memory before it lets a body, a chunk or more of an unfinished head in, three times the bytes for a body, as it stands in memory that often; without memory the request gets 503, since nobody has seen it. A quarter of the process's memory is for requests; it is returned once the request has been answered.

--- a/internal/controller/controller.go
+++ b/internal/controller/controller.go
@@ -133,7 +133,7 @@
 	if err != nil {
 		return nil, errors.Wrap(err, "controller: open the transport")
 	}
-	connPool := upstream.NewConnPool(clock, memorybudget.ForProcess(set.Limits.MemoryMb))
+	connPool := upstream.NewConnPool(clock, memorybudget.ForResponses(set.Limits.MemoryMb))
 	c := &Controller{
 		set:       set,
 		log:       log,
--- a/internal/http1/doc.go
+++ b/internal/http1/doc.go
@@ -15,6 +15,8 @@
 //     No other bytes precede the next request.
 //   - A head over Limits.HeadBytes, or a body over Limits.BodyBytes, is an error before more
 //     than the limit is held in memory.
+//   - Memory for a head that has not ended, and for a body, is reserved by Rewriter.Reserve before it is
+//     needed.
 //   - Hop-by-hop fields are removed, except what the library needs to decide whether to close
 //     the connection or to keep it open.
 //
@@ -34,6 +36,7 @@
 	statusExpectationFailed   = 417
 	statusHeadTooLarge        = 431
 	statusNotImplemented      = 501
+	statusUnavailable         = 503
 	statusVersionNotSupported = 505
 )
 
--- a/internal/http1/rewriter.go
+++ b/internal/http1/rewriter.go
@@ -13,6 +13,8 @@
 const (
 	// maxChunkLine limits the line with the size and extensions of a chunk, in bytes.
 	maxChunkLine = 1024
+	// headReserveBytes is by how much the reserved memory of an unfinished head grows at a time, in bytes.
+	headReserveBytes = 4 << 10
 	// maxEmptyLines limits the empty lines before a request.
 	maxEmptyLines = 4
 )
@@ -34,12 +36,16 @@
 type Rewriter struct {
 	// Limits returns the current limits. It is called at the start of each request.
 	Limits func() Limits
+	// Reserve reserves memory for bytes of the current request and reports whether there was any. It may be
+	// nil. The memory is needed until the request has been answered.
+	Reserve func(bytes int64) bool
 
 	in  []byte // received bytes that have not been parsed
 	out []byte // rewritten bytes of the current request that have not been returned
 
 	stage           stage
 	activeLimits    Limits // for the current request
+	reservedHead    int    // bytes reserved for the current head
 	scanned         int    // bytes of in that have been searched for the end of a head
 	emptyLines      int    // number of empty lines before the current head
 	remaining       int64  // remaining bytes of the body or of the chunk
@@ -153,7 +159,7 @@
 	case size > r.activeLimits.HeadBytes, size == 0 && len(r.in) > r.activeLimits.HeadBytes:
 		return false, &Error{statusHeadTooLarge, "the head is larger than " + strconv.Itoa(r.activeLimits.HeadBytes) + " bytes"}
 	case size == 0:
-		return false, nil
+		return false, r.reserveHead()
 	}
 	head, err := parseHead(r.in[:size])
 	if err != nil {
@@ -162,8 +168,11 @@
 	if head.length > r.activeLimits.BodyBytes {
 		return false, r.bodyTooLarge()
 	}
+	if err := r.reserve(head.length); err != nil {
+		return false, err
+	}
 	r.consume(size)
-	r.emptyLines = 0
+	r.emptyLines, r.reservedHead = 0, 0
 	r.beginBody(head)
 	return true, nil
 }
@@ -181,6 +190,25 @@
 	}
 }
 
+// reserve reserves memory for bytes of the current request.
+func (r *Rewriter) reserve(bytes int64) *Error {
+	if bytes > 0 && r.Reserve != nil && !r.Reserve(bytes) {
+		return &Error{statusUnavailable, "no memory is left for the request"}
+	}
+	return nil
+}
+
+// reserveHead reserves memory for the received bytes of a head that has not ended.
+func (r *Rewriter) reserveHead() *Error {
+	for len(r.in) > r.reservedHead+headReserveBytes {
+		if err := r.reserve(headReserveBytes); err != nil {
+			return err
+		}
+		r.reservedHead += headReserveBytes
+	}
+	return nil
+}
+
 func (r *Rewriter) bodyTooLarge() *Error {
 	return &Error{statusBodyTooLarge, "the body is larger than " + strconv.FormatInt(r.activeLimits.BodyBytes, 10) + " bytes"}
 }
@@ -224,6 +252,9 @@
 	if size > r.activeLimits.BodyBytes || r.bodyBytes+size > r.activeLimits.BodyBytes {
 		return false, r.bodyTooLarge()
 	}
+	if err := r.reserve(size); err != nil {
+		return false, err
+	}
 	r.bodyBytes += size
 	if r.remaining = size; size > 0 {
 		r.stage = stageChunkData
--- a/internal/memorybudget/memorybudget.go
+++ b/internal/memorybudget/memorybudget.go
@@ -25,18 +25,27 @@
 
 const (
 	bytesPerMB = 1 << 20
-	// machineFraction is the fraction of a process's memory that a budget has.
-	machineFraction = 8
 	// defaultMemoryMB is assumed where the memory of a process is not known, in MB.
 	defaultMemoryMB = 512
+
+	// The parts of a process's memory for responses of runners, stores and the platform, and for requests
+	// of clients, of runners and of the operator: an eighth and a quarter.
+	responsePart = 8
+	requestPart  = 4
 )
 
-// ForProcess returns the Budget of a process that may use so many MB; 0 where that is not known.
-func ForProcess(memoryMB int) *Budget {
+// ForResponses returns the Budget for the responses that a process receives. memoryMB is what the process
+// may use; 0 if that is not known.
+func ForResponses(memoryMB int) *Budget { return New(processBytes(memoryMB) / responsePart) }
+
+// ForRequests returns the Budget for the requests that a process receives.
+func ForRequests(memoryMB int) *Budget { return New(processBytes(memoryMB) / requestPart) }
+
+func processBytes(memoryMB int) int64 {
 	if memoryMB <= 0 {
 		memoryMB = defaultMemoryMB
 	}
-	return New(int64(memoryMB) * bytesPerMB / machineFraction)
+	return int64(memoryMB) * bytesPerMB
 }
 
 // New returns a Budget of so many bytes.
--- a/internal/router/client_watch_test.go
+++ b/internal/router/client_watch_test.go
@@ -188,7 +188,7 @@
 // A watch sets the read deadline of the connection; reads and watches after it must work as
 // before.
 func TestConnectionIsReadableAfterWatchStops(t *testing.T) {
-	ln, err := listenFront("127.0.0.1:0", fixedLimits(time.Minute))
+	ln, err := listenFront("127.0.0.1:0", fixedLimits(time.Minute), nil)
 	must.NoError(t, err)
 	defer ln.Listener.Close()
 	client, err := net.Dial("tcp4", ln.Addr().String())
--- a/internal/router/front.go
+++ b/internal/router/front.go
@@ -22,6 +22,7 @@
 	"beechtide.org/beechtide/internal/compliance"
 	"beechtide.org/beechtide/internal/http1"
 	"beechtide.org/beechtide/internal/httpserver"
+	"beechtide.org/beechtide/internal/memorybudget"
 	"beechtide.org/beechtide/internal/messages"
 	"beechtide.org/beechtide/internal/prefixindex"
 	"beechtide.org/beechtide/internal/quota"
@@ -90,7 +91,7 @@
 
 // serveFront serves clients until live is cancelled.
 func (r *Router) serveFront(live context.Context) error {
-	ln, err := listenFront(r.set.Listen.Front, r.frontLimits)
+	ln, err := listenFront(r.set.Listen.Front, r.frontLimits, memorybudget.ForRequests(r.set.Limits.MemoryMb))
 	if err != nil {
 		return err
 	}
@@ -140,6 +141,7 @@
 		r.counters.acceptedWhileDraining.Add(1)
 	}
 	conn := clientConn(ctx)
+	defer conn.releaseMemory()
 	defer func() {
 		if r.closesAfterResponse(conn, rc) {
 			rc.Response.Header.SetConnectionClose(true)
--- a/internal/router/listener.go
+++ b/internal/router/listener.go
@@ -17,6 +17,7 @@
 
 	"beechtide.org/beechtide/internal/http1"
 	"beechtide.org/beechtide/internal/httpserver"
+	"beechtide.org/beechtide/internal/memorybudget"
 )
 
 const tcpUserTimeout = 18
@@ -39,28 +40,33 @@
 	sizes   http1.Limits
 }
 
+// bodyCopies is how often a body stands in memory while it is read: in the buffers of the connection, in
+// the one that the library makes for all of it, and in that of the request.
+const bodyCopies = 3
+
 // timedListener accepts client connections and tracks the open ones.
 type timedListener struct {
 	net.Listener
 	limits   func() frontLimits // returns the current ones
+	memory   *memorybudget.Budget
 	refusals refusalCounts
 
 	mu    sync.Mutex
 	conns map[*timedConn]bool
 }
 
-func newTimedListener(inner net.Listener, limits func() frontLimits) *timedListener {
-	return &timedListener{Listener: httpserver.Listener{Listener: inner}, limits: limits, conns: map[*timedConn]bool{}}
+func newTimedListener(inner net.Listener, limits func() frontLimits, memory *memorybudget.Budget) *timedListener {
+	return &timedListener{Listener: httpserver.Listener{Listener: inner}, limits: limits, memory: memory, conns: map[*timedConn]bool{}}
 }
 
-func listenFront(addr string, limits func() frontLimits) (*timedListener, error) {
+func listenFront(addr string, limits func() frontLimits, memory *memorybudget.Budget) (*timedListener, error) {
 	inner, err := httpserver.Listen(addr, func(fd uintptr) {
 		_ = syscall.SetsockoptInt(int(fd), syscall.IPPROTO_TCP, tcpUserTimeout, clientTimeoutMs)
 	})
 	if err != nil {
 		return nil, errors.Wrap(err, "router: front")
 	}
-	return newTimedListener(inner.Listener, limits), nil
+	return newTimedListener(inner.Listener, limits, memory), nil
 }
 
 // Accept accepts a connection and applies the limits to it.
@@ -73,7 +79,8 @@
 }
 
 func (l *timedListener) track(c net.Conn) *timedConn {
-	tc := &timedConn{Conn: c, listener: l}
+	tc := &timedConn{Conn: c, listener: l, memory: l.memory.Open()}
+	tc.requests.Reserve = tc.reserveMemory
 	tc.requests.Limits = func() http1.Limits { return l.limits().sizes }
 	l.mu.Lock()
 	defer l.mu.Unlock()
@@ -102,8 +109,9 @@
 	armedWriteDeadline time.Time      // the write deadline set on the socket
 
 	mu      sync.Mutex
-	idle    bool // a read waits for a request to begin
-	closing bool // the connection closes unless a request has begun
+	memory  memorybudget.Account // for the current request
+	idle    bool                 // a read waits for a request to begin
+	closing bool                 // the connection closes unless a request has begun
 }
 
 // Close is called by hertz, and by the reader of an idle connection that is to close.
@@ -111,9 +119,27 @@
 	c.listener.mu.Lock()
 	delete(c.listener.conns, c)
 	c.listener.mu.Unlock()
+	c.releaseMemory()
 	return c.Conn.Close()
 }
 
+// reserveMemory reserves memory for bytes of the current request.
+func (c *timedConn) reserveMemory(bytes int64) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.memory.Grow(int(bytes)*bodyCopies) == nil
+}
+
+// releaseMemory returns the memory of the current request. It accepts a nil receiver.
+func (c *timedConn) releaseMemory() {
+	if c == nil {
+		return
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.memory.Release()
+}
+
 // closeIfIdle interrupts the wait for a request. The reader then closes the connection; if it has
 // read a part of a request meanwhile, it serves that request. A request that it has not read was
 // not processed in any part, so its client may retry it.
--- a/internal/router/listener_test.go
+++ b/internal/router/listener_test.go
@@ -61,7 +61,7 @@
 	ours, theirs := net.Pipe()
 	defer theirs.Close()
 	outOfDescriptors := &net.OpError{Op: "accept", Err: syscall.EMFILE}
-	ln := newTimedListener(&scriptedListener{results: []acceptResult{{err: outOfDescriptors}, {err: outOfDescriptors}, {conn: ours}}}, fixedLimits(time.Minute))
+	ln := newTimedListener(&scriptedListener{results: []acceptResult{{err: outOfDescriptors}, {err: outOfDescriptors}, {conn: ours}}}, fixedLimits(time.Minute), nil)
 	conn, err := ln.Accept()
 	must.NoError(t, err)
 	defer conn.Close()
@@ -86,7 +86,7 @@
 	ours, theirs := net.Pipe()
 	defer theirs.Close()
 	scripted := &scriptedListener{}
-	ln := newTimedListener(scripted, fixedLimits(time.Minute))
+	ln := newTimedListener(scripted, fixedLimits(time.Minute), nil)
 	scripted.results = []acceptResult{{conn: &closeIdleDuringReadConn{ours, ln}}}
 	conn, err := ln.Accept()
 	must.NoError(t, err)
@@ -108,7 +108,7 @@
 			defer theirs.Close()
 			raised := &switchingLimits{}
 			raised.shortOnce.Store(begun == "")
-			ln := newTimedListener(&scriptedListener{results: []acceptResult{{conn: ours}}}, raised.limits)
+			ln := newTimedListener(&scriptedListener{results: []acceptResult{{conn: ours}}}, raised.limits, nil)
 			conn, err := ln.Accept()
 			must.NoError(t, err)
 			read := make(chan string, 1)
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -164,7 +164,7 @@
 		startUs:         clock(),
 		transport:       trans,
 		registry:        registry.New(),
-		connPool:        upstream.NewConnPool(clock, memorybudget.ForProcess(set.Limits.MemoryMb)),
+		connPool:        upstream.NewConnPool(clock, memorybudget.ForResponses(set.Limits.MemoryMb)),
 		registers:       map[int]messages.RegisterUpdate{},
 		evacuations:     map[int][]messages.Evacuation{},
 		configuration:   routeconfig.NewReplica(),
--- a/internal/router/router_test.go
+++ b/internal/router/router_test.go
@@ -472,7 +472,7 @@
 }
 
 func TestCloseIdleKeepsConnectionsWithRequests(t *testing.T) {
-	ln, err := listenFront("127.0.0.1:0", fixedLimits(time.Minute))
+	ln, err := listenFront("127.0.0.1:0", fixedLimits(time.Minute), nil)
 	must.NoError(t, err)
 	defer ln.Listener.Close()
 	dial := func() (net.Conn, net.Conn) {
