Control address: unfinished calls no longer fill the memory of a controller

Change: bodies are streamed by the server and read by httpapi.LimitBody, 16 MB for a configuration and 64 KB for any other call, within a quarter of the process's memory. A larger body gets 413, and 503 where no memory is left, so that the caller goes on to another controller.

--- a/internal/controller/control.go
+++ b/internal/controller/control.go
@@ -16,6 +16,7 @@
 	"beechtide.org/beechtide/internal/httpserver"
 	"beechtide.org/beechtide/internal/lease"
 	"beechtide.org/beechtide/internal/membership"
+	"beechtide.org/beechtide/internal/memorybudget"
 	"beechtide.org/beechtide/internal/messages"
 	"beechtide.org/beechtide/internal/statesync"
 )
@@ -24,6 +25,12 @@
 // second; runners that lost power leave connections that are never closed by the peer.
 const controlIdleTimeout = 15 * time.Second
 
+// Maximum sizes of the bodies of calls, in bytes.
+const (
+	maxConfigBytes = 16 << 20
+	maxCallBytes   = 64 << 10
+)
+
 // serveControl serves the calls of runners and of the operator until ctx ends. Running out of
 // file descriptors, as when thousands of runners call at once, does not stop it.
 func (c *Controller) serveControl(ctx context.Context) error {
@@ -35,17 +42,19 @@
 		return errors.Wrap(err, "controller: listen on the control address")
 	}
 	defer ln.Close()
-	h := httpserver.New(c.set.Listen.Control, server.WithListener(ln), server.WithIdleTimeout(controlIdleTimeout))
-	h.POST("/api/Runners.Heartbeat/:id", c.countResponses(callHeartbeat, c.handleHeartbeat))
-	h.POST("/api/Runners.Leave/:id", c.countResponses(callLeave, c.handleLeave))
-	h.POST("/api/Config.Replace", c.countResponses(callReplace, c.requireContact(c.operator.ReplaceConfig)))
+	h := httpserver.New(c.set.Listen.Control, server.WithListener(ln), server.WithIdleTimeout(controlIdleTimeout), server.WithStreamBody(true))
+	memory := memorybudget.ForRequests(c.set.Limits.MemoryMb)
+	limited := func(serve app.HandlerFunc) app.HandlerFunc { return httpapi.LimitBody(maxCallBytes, memory, serve) }
+	h.POST("/api/Runners.Heartbeat/:id", c.countResponses(callHeartbeat, limited(c.handleHeartbeat)))
+	h.POST("/api/Runners.Leave/:id", c.countResponses(callLeave, limited(c.handleLeave)))
+	h.POST("/api/Config.Replace", c.countResponses(callReplace, httpapi.LimitBody(maxConfigBytes, memory, c.requireContact(c.operator.ReplaceConfig))))
 	h.GET("/api/Config.Read", c.countResponses(callRead, c.requireContact(c.operator.ReadConfig)))
-	h.POST("/api/version-put", c.countResponses(callNameWeights, c.requireContact(c.operator.NameWeights)))
-	h.POST("/api/Evacuate.Begin/:zone", c.countResponses(callEvacuate, c.requireContact(c.operator.BeginEvacuation)))
-	h.POST("/api/Evacuate.Finish/:zone", c.countResponses(callEvacuate, c.requireContact(c.operator.FinishEvacuation)))
-	h.POST("/api/Rollouts.Begin", c.countResponses(callBeginRollout, c.requireContact(c.operator.BeginRollout)))
+	h.POST("/api/version-put", c.countResponses(callNameWeights, limited(c.requireContact(c.operator.NameWeights))))
+	h.POST("/api/Evacuate.Begin/:zone", c.countResponses(callEvacuate, limited(c.requireContact(c.operator.BeginEvacuation))))
+	h.POST("/api/Evacuate.Finish/:zone", c.countResponses(callEvacuate, limited(c.requireContact(c.operator.FinishEvacuation))))
+	h.POST("/api/Rollouts.Begin", c.countResponses(callBeginRollout, limited(c.requireContact(c.operator.BeginRollout))))
 	h.GET("/api/Rollouts.Read/:service", c.countResponses(callReadRollout, c.requireContact(c.operator.ReadRollout)))
-	h.POST("/api/Tallies.Amend/:id", c.countResponses(callAmend, c.tallies.Amend))
+	h.POST("/api/Tallies.Amend/:id", c.countResponses(callAmend, limited(c.tallies.Amend)))
 	h.GET("/api/Tallies.Read/:id", c.countResponses(callReadTally, c.tallies.Read))
 	failed := make(chan error, 1)
 	go func() { failed <- h.Run() }()
--- a/internal/http1/rewriter.go
+++ b/internal/http1/rewriter.go
@@ -191,8 +191,8 @@
 }
 
 // reserve reserves memory for bytes of the current request.
-func (r *Rewriter) reserve(bytes int64) *Error {
-	if bytes > 0 && r.Reserve != nil && !r.Reserve(bytes) {
+func (r *Rewriter) reserve(size int64) *Error {
+	if size > 0 && r.Reserve != nil && !r.Reserve(size) {
 		return &Error{statusUnavailable, "no memory is left for the request"}
 	}
 	return nil
