--- a/internal/controller/runnerreader/cache_reader.go
+++ b/internal/controller/runnerreader/cache_reader.go
@@ -28,6 +28,10 @@
 // 1,500 events.
 const maxUnpublishedEvents = 400
 
+// maxUnsharedParts is how many cached parts of a runner are remembered that are not known to be shared.
+// A runner of the design size has room for a quarter of them.
+const maxUnsharedParts = 1 << 17
+
 // cacheReader reads the cached prefixes of one runner.
 type cacheReader struct {
 	epoch, next int64            // runner's epoch, and the version from which to read on
@@ -50,7 +54,7 @@
 		cached.Drop(key)
 	case shared.Has(key):
 		cached.Put(key, tokens)
-	default:
+	case len(r.unshared) < maxUnsharedParts:
 		r.unshared[key] = tokens
 	}
 }
--- a/internal/controller/runnerreader/cache_reader_test.go
+++ b/internal/controller/runnerreader/cache_reader_test.go
@@ -144,3 +144,14 @@
 	must.Eq(t, "read there", applied[0].Change.ID)
 	must.Eq(t, statesync.Applied, applied[0].Result)
 }
+
+// Guards against a controller that runs out of memory while a runner reports cached parts without end.
+func TestRunnerWithEndlessPartsIsRememberedInPart(t *testing.T) {
+	reader := cacheReader{unshared: map[uint64]int32{}}
+	var shared prefixindex.SharedKeys
+	cached := prefixindex.NewIndex().CachedPrefixes("i-1")
+	for key := range uint64(2 * maxUnsharedParts) {
+		reader.updatePart(cached, &shared, key, 1)
+	}
+	must.Eq(t, maxUnsharedParts, len(reader.unshared))
+}
