Heartbeats: names of a runner are bounded

A record of a runner is kept by every node. Its ID, service, zone and version could have 64 KB together, its models any number; now 256 bytes each and 256 models.

--- a/internal/api/types.gen.go
+++ b/internal/api/types.gen.go
@@ -147,12 +147,12 @@
 	Address    string           `json:"address" validate:"required,hostname_port"`
 	Capacity   int              `json:"capacity" validate:"min=0"`
 	ColdLeftMs float32          `json:"coldLeftMs,omitempty,omitzero"`
-	Models     []HeartbeatModel `json:"models"`
+	Models     []HeartbeatModel `json:"models" validate:"max=256"`
 	Sequence   int64            `json:"sequence"`
-	Service    string           `json:"service" validate:"required"`
+	Service    string           `json:"service" validate:"required,max=256"`
 	State      RunnerState      `json:"state"`
-	Version    string           `json:"version"`
-	Zone       string           `json:"zone"`
+	Version    string           `json:"version" validate:"max=256"`
+	Zone       string           `json:"zone" validate:"max=256"`
 }
 
 // HeartbeatModel defines model for HeartbeatModel.
--- a/internal/controller/control.go
+++ b/internal/controller/control.go
@@ -25,8 +25,9 @@
 // second; runners that lost power leave connections that are never closed by the peer.
 const controlIdleTimeout = 15 * time.Second
 
-// Maximum sizes of the bodies of calls, in bytes.
+// Maximum sizes of the bodies of calls and of a runner's ID, in bytes.
 const (
+	maxRunnerIDBytes = 256
 	maxConfigBytes = 16 << 20
 	maxCallBytes   = 64 << 10
 )
@@ -76,7 +77,7 @@
 		httpapi.Reject(rc, 400, httpapi.BodyField, err.Error())
 		return
 	}
-	if err := httpapi.Validate(heartbeat); err != nil || !heartbeat.State.Valid() {
+	if err := httpapi.Validate(heartbeat); err != nil || !heartbeat.State.Valid() || len(rc.Param("id")) > maxRunnerIDBytes {
 		httpapi.Reject(rc, 400, httpapi.BodyField, "not a beat")
 		return
 	}
--- a/internal/controller/controller_test.go
+++ b/internal/controller/controller_test.go
@@ -144,7 +144,7 @@
 	d, url, stop := startSingleController(t, "", freePort(t), true)
 	defer stop()
 	good := `{"service":"s","address":"1.2.3.4:80","zone":"a","version":"v1","capacity":4,"state":"ready","coldLeftMs":0,"models":[{"name":"m","version":1}],"sequence":1}`
-	for _, bad := range []string{"", "{", strings.Replace(good, "1.2.3.4:80", "nowhere", 1), strings.Replace(good, `"ready"`, `"asleep"`, 1), strings.Replace(good, `"s"`, `""`, 1)} {
+	for _, bad := range []string{`{"service":"` + strings.Repeat("s", 257) + `","address":"127.0.0.1:9","zone":"a","version":"v","capacity":1,"state":"ready","sequence":1,"models":[]}`, "", "{", strings.Replace(good, "1.2.3.4:80", "nowhere", 1), strings.Replace(good, `"ready"`, `"asleep"`, 1), strings.Replace(good, `"s"`, `""`, 1)} {
 		status, _ := call(t, "POST", url+"/api/Runners.Heartbeat/i-1", bad, 0)
 		must.Eq(t, 400, status, must.Sprint(bad))
 	}
