Soak: evacuations with late and repeated orders, runners without end, memory

Change: an operator evacuates the second zone and takes it back all the time; the opposite of each acknowledged order arrives late at every controller. Runners answer every request without end for a while, in eight forms of heads and bodies. Rules EVAC and MEMORY (160 MB a process). Runners are spread over the zones.

--- a/internal/controller/control.go
+++ b/internal/controller/control.go
@@ -28,8 +28,8 @@
 // Maximum sizes of the bodies of calls and of a runner's ID, in bytes.
 const (
 	maxRunnerIDBytes = 256
-	maxConfigBytes = 16 << 20
-	maxCallBytes   = 64 << 10
+	maxConfigBytes   = 16 << 20
+	maxCallBytes     = 64 << 10
 )
 
 // serveControl serves the calls of runners and of the operator until ctx ends. Running out of
--- a/internal/soak/cluster.go
+++ b/internal/soak/cluster.go
@@ -41,6 +41,8 @@
 	graceS      = 8
 	contactMs   = 3000
 	convergeMs  = 2000
+	evacuateMs  = 2000
+	memoryMB    = 160 // of the smallest machine of the deployments
 
 	usageWindowS = 4
 	usageDelayS  = 10
@@ -56,6 +58,7 @@
 // cluster holds the components of one soak.
 type cluster struct {
 	dir               string
+	zones             int // over which routers, controllers and runners are spread
 	routers           []*process
 	controllers       []*process
 	routerProxies     []*proxy // in front of the routers
@@ -73,6 +76,7 @@
 type runnerSlot struct {
 	runner *standin.Runner
 	proxy  *proxy
+	zone   string
 }
 
 // zoneOf returns the zone of the node with an index; nodes of all roles are spread alike.
@@ -84,7 +88,7 @@
 	if err != nil {
 		return nil, err
 	}
-	c := &cluster{dir: dir, recorder: r, platform: standin.NewPlatform(standin.PlatformConfig{CallsPerSecond: callsPerS, OnCall: r.onCall})}
+	c := &cluster{dir: dir, zones: shape.Zones, recorder: r, platform: standin.NewPlatform(standin.PlatformConfig{CallsPerSecond: callsPerS, OnCall: r.onCall})}
 	platformAddress, err := c.platform.Start()
 	if err != nil {
 		return nil, err
@@ -125,9 +129,9 @@
 		Role: role, MachineClass: "edge", Ip: ip, Zone: zoneName, Region: "r", Zones: map[string]string{zoneName: "r"},
 		Ports: []int{port, port + 1}, Seeds: seeds, Bootstrap: true, BeatPeriodMs: heartbeatMs,
 		Tolerance: settings.Tolerance{Machines: 1},
-		Limits:    settings.Limits{CpuShare: 1, Cores: 1, MemoryMb: 512, FdLimit: 4096, LinkMbps: 1000, DiskMb: 64},
+		Limits:    settings.Limits{CpuShare: 1, Cores: 1, MemoryMb: memoryMB, FdLimit: 4096, LinkMbps: 1000, DiskMb: 64},
 		Bounds: settings.Bounds{
-			ContactMs: contactMs, ConvergeMs: convergeMs, DrainMs: drainMs, GraceS: graceS, LeaseMs: leaseMs, VersionMs: versionMs,
+			ContactMs: contactMs, ConvergeMs: convergeMs, DrainMs: drainMs, GraceS: graceS, LeaseMs: leaseMs, VersionMs: versionMs, EvacuateMs: evacuateMs,
 			UsageWindowS: usageWindowS, UsageDelayS: usageDelayS,
 			AckMs: 4000, RetryRatio: 0.2, RetryWindowS: 10, RetrySlack: 60, TransitMs: 120, Fenced: true,
 		},
@@ -230,8 +234,8 @@
 
 // startRunners starts count runners, each behind a proxy.
 func (c *cluster) startRunners(count int) error {
-	for range count {
-		slot, err := c.newRunner()
+	for index := range count {
+		slot, err := c.newRunner(zoneOf(index, c.zones))
 		if err != nil {
 			return err
 		}
@@ -242,13 +246,13 @@
 	return nil
 }
 
-func (c *cluster) newRunner() (*runnerSlot, error) {
+func (c *cluster) newRunner(zone string) (*runnerSlot, error) {
 	var controls []string
 	for _, p := range c.controllers {
 		controls = append(controls, p.settings.Listen.Control)
 	}
 	runner := standin.New(standin.Config{
-		Service: serviceName, Zone: zoneName, Controllers: controls, TranslateAddress: c.controlProxyAddress,
+		Service: serviceName, Zone: zone, Controllers: controls, TranslateAddress: c.controlProxyAddress,
 		Model: modelName, HeartbeatInterval: heartbeatMs * time.Millisecond, DrainTime: drainMs * time.Millisecond,
 		Capacity: runnerCapacity, ProbePath: probePath, WeightsVersion: c.latestWeights.Load(),
 		OnRun: c.recorder.onRun, OnOrder: c.recorder.onOrder,
@@ -261,8 +265,14 @@
 	if err != nil {
 		return nil, errors.Wrap(err, "soak: open proxy")
 	}
+	c.recorder.update(func(e *Evidence) {
+		if e.RunnerZones == nil {
+			e.RunnerZones = map[string]string{}
+		}
+		e.RunnerZones[runner.ID()] = zone
+	})
 	runner.Start(px.address())
-	return &runnerSlot{runner: runner, proxy: px}, nil
+	return &runnerSlot{runner: runner, proxy: px, zone: zone}, nil
 }
 
 func (c *cluster) slotAt(slot int) *runnerSlot {
@@ -284,8 +294,9 @@
 
 // replaceRunner starts a new incarnation of the runner in a slot.
 func (c *cluster) replaceRunner(slot int) error {
-	c.slotAt(slot).proxy.close()
-	newSlot, err := c.newRunner()
+	old := c.slotAt(slot)
+	old.proxy.close()
+	newSlot, err := c.newRunner(old.zone)
 	if err != nil {
 		return err
 	}
--- a/internal/soak/evaluate.go
+++ b/internal/soak/evaluate.go
@@ -25,6 +25,8 @@
 	RuleLost       Rule = "LOST"      // a request ends without an answer only if a fault is on its path
 	RuleBudget     Rule = "BUDGET"    // a request runs on at most as many runners as its route allows attempts
 	RuleDrain      Rule = "DRAIN"     // no request reaches a runner long after its draining was acknowledged
+	RuleEvacuation Rule = "EVAC"      // no request reaches an evacuated zone
+	RuleMemory     Rule = "MEMORY"    // a process stays within its memory
 	RuleConfig     Rule = "CONFIG"    // acknowledged changes are durable, have distinct bases, and versions never go back
 	RuleOne        Rule = "ONE"       // no two controllers act under one fence, and a window has one usage report
 	RuleUsage      Rule = "USAGE"     // every window in calm is reported with the requests that began in it
@@ -77,6 +79,8 @@
 	j.checkWeights()
 	j.checkUsage()
 	checkTallies(&j)
+	checkEvacuations(&j)
+	checkMemory(&j)
 	j.checkRecovery()
 	j.checkProcesses()
 	slices.SortStableFunc(j.violations, func(a, b Violation) int { return a.At.Compare(b.At) })
@@ -158,7 +162,7 @@
 		return span.Node == r.Node && overlaps(span, r.Sent, r.Ended)
 	case TerminateRouter:
 		return span.Node == r.Node && overlaps(span, r.Sent, r.Ended) && e.drainExplains(span, r)
-	case CrashRunner, CutRunner, LoseRunner:
+	case CrashRunner, CutRunner, LoseRunner, FloodRunner:
 		return overlaps(span, r.Sent, r.Ended) && e.mayHaveReachedRunner(span, r)
 	case LeaveRunner, LeaveUndrained:
 		return overlaps(span, r.Sent, r.Ended) && e.mayHaveReachedRunner(span, r) && runnerEndedBefore(span, r)
--- a/internal/soak/evidence.go
+++ b/internal/soak/evidence.go
@@ -39,6 +39,8 @@
 	WeightsEvidence
 	Orders []standin.Order
 	TallyEvidence
+	EvacuationEvidence
+	MemoryPeaks  []MemoryPeak
 	Calls        []standin.PlatformCall
 	UsageDue     int64 // the newest usage window that must have been reported
 	Convergences []Convergence
--- a/internal/soak/faults.go
+++ b/internal/soak/faults.go
@@ -154,6 +154,11 @@
 		defer cancel()
 		span.Acknowledged = slot.runner.LeaveUndrained(leaving, fault.For)
 		span.Back = i.cluster.replaceRunner(fault.Subject) == nil
+	case FloodRunner:
+		slot.proxy.setMode(linkFlood)
+		slot.proxy.resetConns()
+		loop.Pause(ctx, fault.For)
+		slot.proxy.setMode(linkUp)
 	case LoseRunner:
 		impairLink(ctx, fault, slot.proxy, linkDropAnswers)
 	default:
--- a/internal/soak/plan.go
+++ b/internal/soak/plan.go
@@ -97,7 +97,7 @@
 func (p *planner) draw(at time.Duration) (Fault, bool) {
 	kinds := []FaultKind{
 		KillRouter, PauseRouter, TerminateRouter, ReloadRouter, CutFront, KillController, PauseController,
-		StopController, WipeController, CutControl, LoseControl, CrashRunner, LeaveRunner, CutRunner, LoseRunner, LeaveUndrained, LeaveUndrained,
+		StopController, WipeController, CutControl, LoseControl, CrashRunner, LeaveRunner, CutRunner, LoseRunner, LeaveUndrained, LeaveUndrained, FloodRunner, FloodRunner,
 	}
 	for range drawAttempts {
 		kind := kinds[p.random.IntN(len(kinds))]
--- a/internal/soak/proxy.go
+++ b/internal/soak/proxy.go
@@ -17,6 +17,7 @@
 	linkUp          linkMode = iota
 	linkCut                  // no byte passes; bytes sent meanwhile arrive once the link is up
 	linkDropAnswers          // bytes from the component are dropped, and the connection is reset
+	linkFlood                // requests are answered with bytes without end, in place of the component
 )
 
 const (
@@ -34,6 +35,7 @@
 	changed chan struct{} // closed when the mode changes
 	conns   map[net.Conn]bool
 	closed  bool
+	floods  int // connections that were flooded
 }
 
 // newProxy starts a proxy on a free port of an IP address.
@@ -80,7 +82,10 @@
 }
 
 func (p *proxy) serve(client net.Conn) {
-	p.waitWhileCut()
+	if p.waitWhileCut() == linkFlood {
+		p.flood(client, p.nextFloodForm())
+		return
+	}
 	server, err := net.DialTimeout("tcp4", p.target, proxyDialTimeout)
 	if err != nil {
 		resetConn(client)
--- a/internal/soak/report.go
+++ b/internal/soak/report.go
@@ -30,8 +30,8 @@
 			acknowledged++
 		}
 	}
-	return fmt.Sprintf("seed %d: %d faults, %d of %d changes acknowledged, %d of %d requests served (%d of %d in calm), slowest in force after %.2f s, %d windows of usage reported, %d of %d adds acknowledged, %d violations",
-		r.Plan.Seed, len(r.Evidence.Spans), acknowledged, len(r.Evidence.Changes), served, sent, calmServed, calmSent, r.slowestConvergence().Seconds(), r.reportedWindows(), countAcknowledged(r.Evidence.Adds), len(r.Evidence.Adds), len(r.Violations))
+	return fmt.Sprintf("seed %d: %d faults, %d of %d changes acknowledged, %d of %d requests served (%d of %d in calm), slowest in force after %.2f s, %d windows of usage reported, %d of %d adds acknowledged, %d evacuations, at most %d MB a process, %d violations",
+		r.Plan.Seed, len(r.Evidence.Spans), acknowledged, len(r.Evidence.Changes), served, sent, calmServed, calmSent, r.slowestConvergence().Seconds(), r.reportedWindows(), countAcknowledged(r.Evidence.Adds), len(r.Evidence.Adds), len(r.Evidence.Evacuations), r.mostMemory()/bytesPerMB, len(r.Violations))
 }
 
 // reportedWindows counts the usage windows whose report the platform accepted.
@@ -45,6 +45,14 @@
 	return len(accepted)
 }
 
+// mostMemory returns the most memory of a process, in bytes.
+func (r Result) mostMemory() (most int64) {
+	for _, peak := range r.Evidence.MemoryPeaks {
+		most = max(most, peak.Bytes)
+	}
+	return most
+}
+
 // slowestConvergence returns the longest time that a router took to serve a change in calm.
 func (r Result) slowestConvergence() time.Duration {
 	var slowest time.Duration
--- a/internal/soak/schedule.go
+++ b/internal/soak/schedule.go
@@ -32,6 +32,8 @@
 	LeaveRunner       FaultKind = "leave runner"
 	CutRunner         FaultKind = "cut runner"
 	LoseRunner        FaultKind = "lose answers of runner"
+	// FloodRunner has a runner answer every request with bytes without end.
+	FloodRunner FaultKind = "flood from runner"
 	// LeaveUndrained is a departure of a runner that never says draining, and serves on for long.
 	LeaveUndrained FaultKind = "leave runner undrained"
 )
@@ -52,7 +54,7 @@
 	KillController: ComponentController, PauseController: ComponentController, StopController: ComponentController,
 	WipeController: ComponentController, CutControl: ComponentController, LoseControl: ComponentController,
 	SilenceRouter: ComponentRouter, SilenceController: ComponentController, LeaveUndrained: ComponentRunner,
-	CrashRunner: ComponentRunner, LeaveRunner: ComponentRunner, CutRunner: ComponentRunner, LoseRunner: ComponentRunner,
+	CrashRunner: ComponentRunner, LeaveRunner: ComponentRunner, CutRunner: ComponentRunner, LoseRunner: ComponentRunner, FloodRunner: ComponentRunner,
 }
 
 // Component returns the kind of component that faults of this kind affect.
--- a/internal/soak/soak.go
+++ b/internal/soak/soak.go
@@ -133,6 +133,8 @@
 	loaded, stop := context.WithCancel(ctx)
 	var background sync.WaitGroup
 	background.Go(func() { load.Run(loaded, s.loadConfig()) })
+	background.Go(func() { watchMemory(loaded, s.cluster, s.recorder) })
+	evacuator := newEvacuator(s.cluster, s.recorder, s.options.Seed, s.options.Shape.Zones)
 	adders := newTallyAdders(s.cluster, s.recorder)
 	background.Go(func() { adders.run(loaded) })
 	for router := range s.cluster.routers {
@@ -146,19 +148,34 @@
 	played.Go(func() { faults.play(ctx, s.plan.Faults, begin) })
 	played.Go(func() { faults.playCore(ctx, s.plan.Core, begin) })
 	played.Go(func() { s.operator.play(ctx, s.plan.Changes, begin) })
+	evacuating, stopEvacuating := context.WithCancel(ctx)
+	var evacuations sync.WaitGroup
+	if s.evacuates() {
+		evacuations.Go(func() { evacuator.run(evacuating) })
+	}
 	if s.options.Shape.Calm {
 		loop.Pause(ctx, s.options.Shape.Duration)
 	}
 	played.Wait()
+	stopEvacuating()
+	evacuations.Wait()
 	s.operator.submit(ctx, s.operator.nextVersion(), 0, "")
 	faults.playClosing(ctx, s.plan.Closing)
 	s.playCalm(ctx)
+	if s.evacuates() {
+		evacuator.playCalm(ctx)
+	}
 	stop()
 	background.Wait()
 	adders.readTotals(ctx)
 	s.readFinalConfigurations(ctx)
 }
 
+// evacuates reports whether a zone is evacuated: there is another one with runners.
+func (s *soak) evacuates() bool {
+	return !s.options.Shape.Calm && s.options.Shape.Zones > 1 && s.options.Shape.Runners > 1
+}
+
 func (s *soak) loadConfig() load.Config {
 	kind := func(prefix string, class load.Class, tokens int, left time.Duration) load.Kind {
 		return load.Kind{Host: hostName, Path: prefix + "x", Key: tenantKey, Class: class, Model: modelName, Tokens: tokens, TimeLeft: left}
