--- a/internal/router/endless_response_test.go
+++ b/internal/router/endless_response_test.go
@@ -130,3 +130,24 @@
 	_ = conn.SetReadDeadline(deadline)
 	_, _ = io.Copy(io.Discard, conn)
 }
+
+// Guards against clients that get no answer while another runner of the service sends without end.
+func TestRequestsAreServedBesideEndlessResponses(t *testing.T) {
+	form := endlessForms["until close"]
+	healthy := newRunner(t)
+	_, front, _ := start(t, newFloodingRunner(t, form.head, form.repeated), healthy)
+	var answered atomic.Int64
+	var clients sync.WaitGroup
+	for range endlessRequests / 4 {
+		clients.Go(func() {
+			for range 4 {
+				if r, _, err := roundTrip(t, front, request("/open/", "x")); err == nil && r.StatusCode == http.StatusOK {
+					answered.Add(1)
+				}
+			}
+		})
+	}
+	clients.Wait()
+	must.Eq(t, endlessRequests, answered.Load())
+	must.Eq(t, endlessRequests, healthy.requestCount())
+}
