--- a/internal/soak/evidence.go
+++ b/internal/soak/evidence.go
@@ -28,6 +28,13 @@
 	Line string
 }
 
+// ProcessEvidence holds the observations of the child processes.
+type ProcessEvidence struct {
+	OwnEnds     []string // processes that exited unexpectedly
+	LogFindings []LogFinding
+	MemoryPeaks []MemoryPeak
+}
+
 // Evidence holds all observations of one soak.
 type Evidence struct {
 	Records []load.Record
@@ -40,15 +47,13 @@
 	Orders []standin.Order
 	TallyEvidence
 	EvacuationEvidence
-	MemoryPeaks  []MemoryPeak
 	Calls        []standin.PlatformCall
 	UsageDue     int64 // the newest usage window that must have been reported
 	Convergences []Convergence
-	OwnEnds      []string // processes that exited unexpectedly
-	LogFindings  []LogFinding
-	Faulty       time.Time // start of the faults
-	Calm         time.Time // since when all components are healthy
-	Unserved     []string  // components that do not serve at the end
+	ProcessEvidence
+	Faulty   time.Time // start of the faults
+	Calm     time.Time // since when all components are healthy
+	Unserved []string  // components that do not serve at the end
 }
 
 // recorder collects evidence from concurrent goroutines.
